Lay out the workspace, the borders and the checks

Cause: nothing stands yet; everything later hangs on the borders between the packages, so they come first. Weighed: one package against many by concern. The latter, since deciding code must be testable without the processes around it.

--- /dev/null
+++ b/almondlock-node/src/lib.rs
@@ -0,0 +1,3 @@
+//! What every almondlock process has, whatever its roles: an inner listener
+//! with a bootstrap interface, a view of the configuration in force that is
+//! kept up to date from other processes, and links to peers.
--- /dev/null
+++ b/almondlock-spread/src/lib.rs
@@ -0,0 +1,3 @@
+//! Spreading configuration revisions to every process.
+
+pub mod view;
--- /dev/null
+++ b/almondlock-state/src/config.rs
@@ -0,0 +1,227 @@
+//! The configuration in force: what every process acts on.
+//!
+//! A configuration is the sum of its changes. Each accepted change makes the
+//! next [`Revision`]; a process that holds revision `r` and is given the
+//! changes `r+1..=n` holds revision `n`, and one that has been away too long is
+//! given the whole configuration instead. Applying never fails half-way: a
+//! change is one assignment, already checked by the replicas that accepted it.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use almondlock_base::{
+    id::{Adapter, Domain, Fingerprint, Host, Incarnation, Model, Region, Service, Version},
+    time::Wall,
+    unit::{Revision, Tokens},
+};
+use serde::{Deserialize, Serialize};
+
+/// A caller's key as it is kept: its BLAKE3 hash in hexadecimal. The key itself
+/// is shown once, when it is made.
+pub type KeyHash = String;
+
+/// An organisation and what it may use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Organisation {
+    /// Hashes of the keys that name it; several while keys are rotated.
+    pub keys: Vec<KeyHash>,
+    /// Weight of its share of the fleet against the others'. At least 1.
+    pub share: u32,
+    /// Requests per second it may send, over all entry hosts. 0 is no limit.
+    pub rate: u32,
+    /// Prompt and answer tokens it may have in flight over all entry hosts.
+    /// 0 is no limit.
+    pub tokens: Tokens,
+    /// Milliseconds a request is given when it names no deadline.
+    pub deadline: u64,
+    /// The longest deadline in milliseconds it may ask for.
+    pub deadline_limit: u64,
+}
+
+/// A model that callers may name.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Definition {
+    /// The version that new requests run on.
+    pub version: Version,
+    /// Longest prompt and answer together.
+    pub context: Tokens,
+    /// Adapters callers may ask for, and their versions.
+    #[serde(default)]
+    pub adapters: BTreeMap<Adapter, Version>,
+}
+
+/// A plain service behind `/services/NAME/`.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Plain {
+    /// HTTP methods that may be sent again; all others may not.
+    pub repeatable: Vec<String>,
+}
+
+/// What an upstream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// An upstream as registered: what it announced, and the sidecar in front.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Registration {
+    /// Address of the sidecar's inner listener.
+    pub address: SocketAddr,
+    /// The host the sidecar runs on.
+    pub host: Host,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its region.
+    pub region: Region,
+    /// The sidecar's life. A later registration replaces an earlier one.
+    pub incarnation: Incarnation,
+    /// Engine or plain service.
+    pub kind: Kind,
+    /// The model and version it has loaded, for an engine.
+    pub model: Option<(Model, Version)>,
+    /// The service it belongs to, for a plain service.
+    pub service: Option<Service>,
+    /// Engine memory in tokens.
+    pub capacity: Tokens,
+    /// Whether it refuses orders with an old fencing number.
+    pub fenced: bool,
+    /// `prefill`, `decode` or `both`; empty counts as both.
+    #[serde(default)]
+    pub role: String,
+}
+
+/// Why and since when an upstream takes no new work.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Drain {
+    /// When the drain was accepted.
+    pub since: Wall,
+    /// The operator's words.
+    pub reason: String,
+}
+
+/// A request that is refused everywhere because it kills engines.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// The organisation whose request it is.
+    pub organisation: almondlock_base::id::Organisation,
+    /// Engines that died while it ran there.
+    pub deaths: u32,
+    /// From two deaths that blame it alone, or three in all, it is refused.
+    pub refused: bool,
+    /// When it is forgotten.
+    pub until: Wall,
+}
+
+/// One accepted change of the configuration. `None` takes a thing away.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Change {
+    /// An organisation.
+    Organisation(almondlock_base::id::Organisation, Option<Organisation>),
+    /// A model.
+    Model(Model, Option<Definition>),
+    /// A plain service.
+    Service(Service, Option<Plain>),
+    /// An upstream registered or was forgotten.
+    Upstream(almondlock_base::id::Upstream, Option<Registration>),
+    /// An upstream is drained, or returned to work. Survives its registration.
+    Drain(almondlock_base::id::Upstream, Option<Drain>),
+    /// A fingerprint under suspicion.
+    Quarantine(#[serde(with = "hex")] Fingerprint, Option<Quarantine>),
+    /// A setting that applies to all processes, by name.
+    Setting(String, Option<String>),
+}
+
+/// The whole configuration at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Config {
+    /// The revision. Never goes back within a process's life.
+    pub revision: Revision,
+    /// Organisations by name.
+    pub organisations: BTreeMap<almondlock_base::id::Organisation, Organisation>,
+    /// Models by name.
+    pub models: BTreeMap<Model, Definition>,
+    /// Plain services by name.
+    pub services: BTreeMap<Service, Plain>,
+    /// Registered upstreams by name.
+    pub upstreams: BTreeMap<almondlock_base::id::Upstream, Registration>,
+    /// Drained upstreams, registered or not.
+    pub drains: BTreeMap<almondlock_base::id::Upstream, Drain>,
+    /// Fingerprints under suspicion, by their hexadecimal form.
+    pub quarantines: BTreeMap<String, Quarantine>,
+    /// Settings that apply everywhere.
+    pub settings: BTreeMap<String, String>,
+}
+
+impl Config {
+    /// Applies the change that makes the next revision.
+    pub fn apply(&mut self, change: Change) {
+        self.revision = self.revision.next();
+        match change {
+            Change::Organisation(name, value) => assign(&mut self.organisations, name, value),
+            Change::Model(name, value) => assign(&mut self.models, name, value),
+            Change::Service(name, value) => assign(&mut self.services, name, value),
+            Change::Upstream(name, value) => assign(&mut self.upstreams, name, value),
+            Change::Drain(name, value) => assign(&mut self.drains, name, value),
+            Change::Quarantine(print, value) => {
+                assign(&mut self.quarantines, print.to_string(), value);
+            }
+            Change::Setting(name, value) => assign(&mut self.settings, name, value),
+        }
+    }
+
+    /// What stands against a fingerprint.
+    pub fn quarantine(&self, print: Fingerprint) -> Option<&Quarantine> {
+        self.quarantines.get(&print.to_string())
+    }
+}
+
+fn assign<K, V>(map: &mut BTreeMap<K, V>, key: K, value: Option<V>)
+where
+    K: Ord,
+{
+    match value {
+        Some(value) => {
+            map.insert(key, value);
+        }
+        None => {
+            map.remove(&key);
+        }
+    }
+}
+
+mod hex {
+    use almondlock_base::id::Fingerprint;
+    use serde::{Deserialize, Deserializer, Serializer, de};
+
+    pub(super) fn serialize<S>(print: &Fingerprint, to: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        to.collect_str(print)
+    }
+
+    pub(super) fn deserialize<'de, D>(from: D) -> Result<Fingerprint, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let text = String::deserialize(from)?;
+        parse(&text).ok_or_else(|| de::Error::custom("a fingerprint is 32 hexadecimal digits"))
+    }
+
+    fn parse(text: &str) -> Option<Fingerprint> {
+        let mut bytes = [0; 16];
+        if text.len() != 32 || !text.is_ascii() {
+            return None;
+        }
+        for (i, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(text.get(2 * i..2 * i + 2)?, 16).ok()?;
+        }
+        Some(Fingerprint(bytes))
+    }
+}
--- /dev/null
+++ b/almondlock-transport/src/lib.rs
@@ -0,0 +1,6 @@
+//! Connections between almondlock's own processes.
+//!
+//! One TCP connection carries one Cap'n Proto session, each side offering a
+//! bootstrap `Node`. Sessions are bound to the thread that made them.
+
+pub mod link;
