Turn attempts, answers and peers of the wire into domain types

Cause: generated types must stop at one border, checked once. Ruled out: sending the body with the head, which holds up small messages on the shared connection and fills the sidecar's memory while it queues.

--- a/almondlock-wire/src/lib.rs
+++ b/almondlock-wire/src/lib.rs
@@ -6,6 +6,11 @@
 //! checking names and numbers once, so that nothing behind this border meets a
 //! value that breaks an invariant.
 
+pub mod answer;
+pub mod attempt;
+pub mod error;
+pub mod peer;
+
 // Made by a generator: its habits are not ours.
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::unwrap_used)]
 #[rustfmt::skip]
