Speak to engines and services, read callers' requests

Cause: the borders to upstreams and callers are the two that everything else rests on. Change: one trait an upstream kind, with the OpenAI-compatible engine and the plain service as its two implementations; callers' headers and bodies read without copying a long prompt, the stream members exchanged by slices. Ruled out: parsing and re-writing the body as JSON values, which copies a million-token prompt twice; passing the caller's own stream flag on, which hides where an answer broke.

--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -1,1 +1,5 @@
-//! (being written)
+//! The entry role.
+
+pub mod body;
+pub mod caller;
+pub mod failure;
--- /dev/null
+++ b/almondlock-sidecar/src/openai.rs
@@ -0,0 +1,250 @@
+//! Engines that speak the OpenAI-compatible protocol.
+//!
+//! Every run is asked for as a stream, whatever the caller wanted, so that a
+//! broken answer is noticed at the token where it broke and can be resumed
+//! there. The engine's extensions used here are headers (the run's id, its
+//! priority, the offset to resume at) and a few paths under `/engine`.
+
+use std::{net::SocketAddr, time::Duration};
+
+use almondlock_base::unit::Tokens;
+use almondlock_wire::answer::{Part, Usage};
+use eventsource_stream::Eventsource;
+use futures::StreamExt;
+use ntex::{
+    client::{
+        Client, ClientResponse,
+        error::{ClientBuilderError, ClientError},
+    },
+    http::{Method, StatusCode, body::SizedStream, header},
+};
+use serde::Deserialize;
+
+use crate::protocol::{Failure, Feed, Held, Job, Output, Protocol};
+
+/// How long an engine may take to answer a question about its state.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The longest error text taken over from an engine, in bytes.
+const ERROR_TEXT_LIMIT: usize = 2048;
+
+/// An engine's address and a client for it.
+pub struct Engine {
+    base: String,
+    runs: Client,
+    questions: Client,
+}
+
+impl Engine {
+    /// An engine at an address. To be made on the thread that uses it.
+    pub async fn new(address: SocketAddr) -> Result<Engine, ClientBuilderError> {
+        // Runs have deadlines of their own, minutes long where prompts are.
+        let runs = Client::builder().disable_timeout().disable_redirects();
+        let questions = Client::builder()
+            .response_timeout(ntex::time::Millis::from(QUESTION_TIMEOUT))
+            .disable_redirects();
+        Ok(Engine {
+            base: format!("http://{address}"),
+            runs: runs.build(ntex::SharedCfg::default()).await?,
+            questions: questions.build(ntex::SharedCfg::default()).await?,
+        })
+    }
+
+    async fn send(&self, job: &Job<'_>, body: Feed) -> Result<ClientResponse, Failure> {
+        let head = job.head;
+        let url = format!("{}{}", self.base, head.path);
+        let mut request = self
+            .runs
+            .request(Method::POST, url)
+            .header(header::CONTENT_TYPE, "application/json")
+            .header("X-Engine-Request", job.id)
+            .header("X-Engine-Priority", u32::from(job.priority).to_string())
+            .header("traceparent", head.traceparent.as_str());
+        if head.resume_at > 0 {
+            request = request.header("X-Engine-Resume-At", head.resume_at.to_string());
+        }
+        if !job.segments.is_empty() {
+            let list: Vec<String> = job.segments.iter().map(segment).collect();
+            request = request.header("X-Engine-Segments", list.join(","));
+        }
+        let body = SizedStream::new(head.body_length, body);
+        request.send_body(body).await.map_err(|e| classify(&e))
+    }
+}
+
+fn segment(segment: &crate::protocol::Segment) -> String {
+    format!("{}/{}", segment.address, segment.handle)
+}
+
+/// A connection that was never made proves that nothing ran; all else leaves
+/// the run's fate unknown.
+pub(crate) fn classify(error: &ClientError) -> Failure {
+    match error {
+        ClientError::Connect(_) => Failure::Unreachable,
+        _ => Failure::Broken,
+    }
+}
+
+/// Reads an upstream's refusal.
+pub(crate) async fn refusal(response: &ClientResponse) -> Failure {
+    let status = response.status();
+    let body = response.body().limit(64 * 1024).await.unwrap_or_default();
+    let text: String = String::from_utf8_lossy(&body)
+        .chars()
+        .take(ERROR_TEXT_LIMIT)
+        .collect();
+    // Engines check a request as a whole before they take it in: a 4xx and
+    // the statuses for "not now" mean that it didn't start.
+    let not_run = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
+    if not_run {
+        Failure::Refused(status.as_u16(), text)
+    } else {
+        Failure::Failed(status.as_u16(), text)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct Chunk {
+    #[serde(default)]
+    choices: Vec<Choice>,
+    usage: Option<Counts>,
+    error: Option<serde_json::Value>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Choice {
+    text: Option<String>,
+    delta: Option<Delta>,
+    finish_reason: Option<String>,
+    // Tokens in this chunk, by engines that say so; else one.
+    tokens: Option<u32>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Counts {
+    prompt_tokens: u64,
+    completion_tokens: u64,
+    #[serde(default)]
+    prompt_tokens_details: Details,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct Details {
+    #[serde(default)]
+    cached_tokens: u64,
+}
+
+/// What has been read of a stream.
+#[derive(Default)]
+struct Reading {
+    finish: Option<String>,
+    usage: Option<Usage>,
+}
+
+impl Reading {
+    /// Takes a chunk in; gives the text it carries.
+    fn take(&mut self, chunk: Chunk) -> Option<(u32, String)> {
+        if let Some(counts) = chunk.usage {
+            self.usage = Some(Usage {
+                prompt: Tokens(counts.prompt_tokens),
+                cached: Tokens(counts.prompt_tokens_details.cached_tokens),
+                output: Tokens(counts.completion_tokens),
+                finish: String::new(),
+            });
+        }
+        let choice = chunk.choices.into_iter().next()?;
+        self.finish = choice.finish_reason.or(self.finish.take());
+        let text = choice.text.or(choice.delta.and_then(|d| d.content))?;
+        (!text.is_empty()).then(|| (choice.tokens.unwrap_or(1), text))
+    }
+
+    /// The usage, once the engine has said why it stopped.
+    fn close(self) -> Option<Usage> {
+        let finish = self.finish?;
+        let usage = self.usage.unwrap_or_default();
+        Some(Usage { finish, ..usage })
+    }
+}
+
+async fn relay<O>(response: ClientResponse, output: &mut O) -> Result<Usage, Failure>
+where
+    O: Output,
+{
+    let begin = Part::Begin {
+        status: 200,
+        content_type: "text/event-stream".to_owned(),
+    };
+    output.put(0, begin).await.map_err(|_| Failure::Gone)?;
+    let mut events = response.take_payload().eventsource();
+    let mut reading = Reading::default();
+    while let Some(event) = events.next().await {
+        let data = event.map_err(|_| Failure::Broken)?.data;
+        // Without this record the answer is not whole, whatever came before.
+        if data == "[DONE]" {
+            return reading.close().ok_or(Failure::Truncated);
+        }
+        let chunk: Chunk = serde_json::from_str(&data).map_err(|_| Failure::Truncated)?;
+        if let Some(error) = chunk.error {
+            return Err(Failure::Failed(500, error.to_string()));
+        }
+        if let Some((count, text)) = reading.take(chunk) {
+            let part = Part::Text(text);
+            output.put(count, part).await.map_err(|_| Failure::Gone)?;
+        }
+    }
+    Err(Failure::Truncated)
+}
+
+#[derive(Deserialize)]
+struct Listing {
+    requests: Vec<Entry>,
+}
+
+#[derive(Deserialize)]
+struct Entry {
+    id: String,
+    tokens: u64,
+}
+
+impl Protocol for Engine {
+    async fn run<O>(&self, job: Job<'_>, body: Feed, output: &mut O) -> Result<Usage, Failure>
+    where
+        O: Output,
+    {
+        let response = self.send(&job, body).await?;
+        if !response.status().is_success() {
+            return Err(refusal(&response).await);
+        }
+        relay(response, output).await
+    }
+
+    async fn cancel(&self, id: &str) -> bool {
+        let url = format!("{}/engine/requests/{id}", self.base);
+        match self.questions.delete(url).send().await {
+            Ok(response) => response.status().is_success() || response.status() == 404,
+            Err(_) => false,
+        }
+    }
+
+    async fn held(&self) -> Option<Vec<Held>> {
+        let url = format!("{}/engine/requests", self.base);
+        let response = self.questions.get(url).send().await.ok()?;
+        let listing: Listing = response.json().await.ok()?;
+        let held = |entry: Entry| Held {
+            id: entry.id,
+            tokens: Tokens(entry.tokens),
+        };
+        Some(listing.requests.into_iter().map(held).collect())
+    }
+
+    async fn alive(&self) -> bool {
+        let url = format!("{}/engine/health", self.base);
+        let answer = self.questions.get(url).send().await;
+        answer.is_ok_and(|r| r.status().is_success())
+    }
+}
--- /dev/null
+++ b/almondlock-sidecar/src/plain.rs
@@ -0,0 +1,107 @@
+//! Plain services: any HTTP method and path, passed through as it is.
+
+use std::net::SocketAddr;
+
+use almondlock_base::unit::Tokens;
+use almondlock_wire::answer::{Part, Usage};
+use futures::StreamExt;
+use ntex::{
+    client::{Client, ClientResponse, error::ClientBuilderError},
+    http::{Method, body::SizedStream, header},
+};
+
+use crate::{
+    openai::classify,
+    protocol::{Failure, Feed, Held, Job, Output, Protocol},
+};
+
+/// A plain service's address and a client for it.
+pub struct Service {
+    base: String,
+    client: Client,
+}
+
+impl Service {
+    /// A service at an address. To be made on the thread that uses it.
+    pub async fn new(address: SocketAddr) -> Result<Service, ClientBuilderError> {
+        let client = Client::builder().disable_timeout().disable_redirects();
+        Ok(Service {
+            base: format!("http://{address}"),
+            client: client.build(ntex::SharedCfg::default()).await?,
+        })
+    }
+
+    async fn send(&self, job: &Job<'_>, body: Feed) -> Result<ClientResponse, Failure> {
+        let head = job.head;
+        let method = Method::from_bytes(head.method.as_bytes())
+            .map_err(|_| Failure::Refused(405, "unknown method".to_owned()))?;
+        let url = format!("{}{}", self.base, head.path);
+        let mut request = self
+            .client
+            .request(method, url)
+            .header("traceparent", head.traceparent.as_str())
+            .header("X-Request-Id", head.request.as_str());
+        if !head.content_type.is_empty() {
+            request = request.header(header::CONTENT_TYPE, head.content_type.as_str());
+        }
+        let sent = if head.body_length == 0 {
+            request.send().await
+        } else {
+            let body = SizedStream::new(head.body_length, body);
+            request.send_body(body).await
+        };
+        sent.map_err(|e| classify(&e))
+    }
+}
+
+fn begin(response: &ClientResponse) -> Part {
+    let content_type = response
+        .header(header::CONTENT_TYPE)
+        .and_then(|value| value.to_str().ok())
+        .unwrap_or("application/octet-stream");
+    Part::Begin {
+        status: response.status().as_u16(),
+        content_type: content_type.to_owned(),
+    }
+}
+
+impl Protocol for Service {
+    async fn run<O>(&self, job: Job<'_>, body: Feed, output: &mut O) -> Result<Usage, Failure>
+    where
+        O: Output,
+    {
+        let response = self.send(&job, body).await?;
+        // A service's error is its answer: it is the caller's to read.
+        let first = begin(&response);
+        output.put(0, first).await.map_err(|_| Failure::Gone)?;
+        let mut payload = response.take_payload();
+        let mut total = 0;
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| Failure::Broken)?;
+            let count = u32::try_from(chunk.len()).unwrap_or(u32::MAX);
+            total += u64::from(count);
+            let part = Part::Bytes(chunk.to_vec());
+            output.put(count, part).await.map_err(|_| Failure::Gone)?;
+        }
+        Ok(Usage {
+            output: Tokens(total),
+            finish: "stop".to_owned(),
+            ..Usage::default()
+        })
+    }
+
+    // A plain service keeps nothing that outlives its connection.
+    async fn cancel(&self, _id: &str) -> bool {
+        true
+    }
+
+    async fn held(&self) -> Option<Vec<Held>> {
+        Some(Vec::new())
+    }
+
+    async fn alive(&self) -> bool {
+        // Any answer at all will do: a service has no agreed health path.
+        let url = format!("{}/", self.base);
+        self.client.head(url).send().await.is_ok()
+    }
+}
