--- a/almondlock-base/src/lib.rs
+++ b/almondlock-base/src/lib.rs
@@ -6,6 +6,8 @@
 //! handed an organisation's. Constructors check; whatever holds a value of one
 //! of these types may rely on the invariant that stands beside its field.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod code;
 pub mod id;
 pub mod time;
--- a/almondlock-cli/src/lib.rs
+++ b/almondlock-cli/src/lib.rs
@@ -1,5 +1,7 @@
 //! (being written)
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 use std::process::ExitCode;
 
 /// Runs the program and returns its exit status.
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -1,5 +1,7 @@
 //! The entry role.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod body;
 pub mod caller;
 pub mod failure;
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -1,3 +1,5 @@
 //! What every almondlock process has, whatever its roles: an inner listener
 //! with a bootstrap interface, a view of the configuration in force that is
 //! kept up to date from other processes, and links to peers.
+
+#![warn(clippy::unwrap_used, clippy::expect_used)]
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -7,6 +7,8 @@
 //! replicas hold (claims, plans, history), because the first is spread to
 //! hundreds of processes and the second changes with the traffic.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod blob;
 pub mod claim;
 pub mod command;
