--- a/almondlock-state/src/registration.rs
+++ b/almondlock-state/src/registration.rs
@@ -10,7 +10,7 @@
 //! | a new life on the same host | a restart: replaces the earlier life |
 //! | a new life on another host, the name still registered | `Conflict` until the earlier lease ends |
 //! | a life that was replaced before | `StaleIncarnation` |
-//! | another name at a registered address | the earlier name is forgotten: its process is gone |
+//! | another life at a registered address, under another name | the earlier name is forgotten: its process is gone |
 //! | figures that can't be true | `BadChange` |
 //!
 //! Lives are numbers without an order, so the lives that were replaced are
@@ -76,7 +76,9 @@
         let neighbours = config
             .upstreams
             .iter()
-            .filter(|(other, known)| *other != name && known.address == registration.address);
+            .filter(|(other, known)| *other != name && known.address == registration.address)
+            // One process may stand in front of several upstreams.
+            .filter(|(_, known)| known.incarnation != registration.incarnation);
         for (other, known) in neighbours {
             self.replace(other, known.incarnation, now);
             changes.push(Change::Upstream(other.clone(), None));
--- a/almondlock-wire/almondlock.capnp
+++ b/almondlock-wire/almondlock.capnp
@@ -189,7 +189,7 @@
 
 interface Control {
   announce @0 (upstream :Data, from :Peer) -> (status :Status, revision :UInt64);
-  # JSON state::config::Upstream. Returns once registered.
+  # JSON [name, state::config::Registration]. Returns once registered.
   claim @1 (organisation :Text, key :Text, body :Data, holder :AttemptId, keepMillis :UInt64, from :Peer) -> (status :Status, claimed :Claimed, outcome :Data);
   settleClaim @2 (organisation :Text, key :Text, holder :AttemptId, ran :Ran, outcome :Data, from :Peer) -> (status :Status);
   # Gives the outcome of a granted claim. ran = no frees the claim.
