Decide at the gate, in the queue, on an upstream and on limits

Cause: the entry and the sidecar need these four decisions before a request can pass through them. Strict priority by class, since it starves the longest.

--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -1,1 +1,24 @@
-//! (being written)
+//! Decisions about requests, and nothing else.
+//!
+//! Every module here answers one question that comes up between a caller's
+//! request and its answer: may it be admitted, where does it go, when does it
+//! start, may it be sent again, what memory does it hold. None of them does
+//! I/O, reads a clock or draws from a hidden random source. The present time is
+//! an argument, so is a seeded generator where one is needed, and so each
+//! decision is a plain function that a test can put into any situation.
+//!
+//! | module | process | question |
+//! |---|---|---|
+//! | [`length`] | entry | how long is the prompt, which class is it in |
+//! | [`limit`] | entry | does the organisation have room for it |
+//! | [`choice`] | entry | which upstream |
+//! | [`gate`] | sidecar | may this attempt start here, and did it |
+//! | [`queue`] | sidecar | which attempt starts next |
+//!
+//! Each module stands alone: none needs another one to be useful.
+
+pub mod choice;
+pub mod gate;
+pub mod length;
+pub mod limit;
+pub mod queue;
--- /dev/null
+++ b/almondlock-policy/src/queue/config.rs
@@ -0,0 +1,101 @@
+//! What a queue can be told.
+
+use std::time::Duration;
+
+use almondlock_base::unit::Tokens;
+
+use crate::length::Class;
+
+/// How a [`Queue`](super::Queue) orders work.
+///
+/// [`Config::fifo`] is the baseline: first come, first served, nothing
+/// reserved. [`Config::short`] and [`Config::even`] are the two settings that
+/// deployments choose between.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// How many times its own service time a job may be passed over for
+    /// shorter ones. 0 is first come first served; a large figure comes near
+    /// to shortest job first. It bounds how long the longest wait.
+    pub stretch: f64,
+    /// The share of engine memory and batch slots that only short prompts use,
+    /// in percent.
+    pub reserve: u32,
+    /// How many tokens (per unit of weight) an organisation may be ahead of the
+    /// others before they go first whatever their jobs' length.
+    pub quantum: u64,
+    /// Prompt tokens of other than short jobs that may be in prefill at once.
+    /// One job is always let through.
+    pub long_prefill: Tokens,
+    /// Prompt tokens of short jobs that may be in prefill at once.
+    pub short_prefill: Tokens,
+    /// Batch slots, in percent, that one organisation leaves to the others.
+    pub headroom: u32,
+    /// Whether smaller jobs may pass a job that has no room yet.
+    pub backfill: bool,
+    /// Whether a job is given up as soon as its deadline can't be met, rather
+    /// than when it passes.
+    pub hopeless: bool,
+    /// Prefill speed to assume before the first is seen, in tokens per second.
+    pub speed: f64,
+    /// How long a job of no length takes: what [`Config::stretch`] stretches
+    /// for the shortest ones.
+    pub base: Duration,
+    /// Jobs that may wait.
+    pub capacity: usize,
+}
+
+impl Config {
+    /// Weighs the slowdown of short prompts most.
+    pub fn short() -> Config {
+        Config {
+            stretch: 4.0,
+            reserve: 15,
+            quantum: 16_384,
+            long_prefill: Tokens(65_536),
+            short_prefill: Tokens(16_384),
+            headroom: 12,
+            backfill: true,
+            hopeless: true,
+            speed: 8_000.0,
+            base: Duration::from_millis(20),
+            capacity: 4_096,
+        }
+    }
+
+    /// Weighs the time to first token over all lengths most.
+    pub fn even() -> Config {
+        Config {
+            stretch: 1.0,
+            reserve: 8,
+            ..Config::short()
+        }
+    }
+
+    /// First come, first served, as a baseline.
+    pub fn fifo() -> Config {
+        Config {
+            stretch: 0.0,
+            reserve: 0,
+            quantum: u64::MAX,
+            long_prefill: Tokens(u64::MAX),
+            short_prefill: Tokens(u64::MAX),
+            headroom: 0,
+            backfill: false,
+            hopeless: false,
+            ..Config::short()
+        }
+    }
+
+    pub(super) fn prefill(&self, class: Class) -> Tokens {
+        match class {
+            Class::Short => self.short_prefill,
+            Class::Medium | Class::Long | Class::Huge => self.long_prefill,
+        }
+    }
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config::short()
+    }
+}
--- /dev/null
+++ b/almondlock-policy/src/queue/line.rs
@@ -0,0 +1,105 @@
+//! The waiting jobs of one organisation.
+
+use std::collections::BTreeSet;
+
+use almondlock_base::{time::Mono, unit::Tokens};
+
+use crate::length::Class;
+
+/// What a job waits in: its class, or the lane of those under suspicion, which
+/// is looked at only while no other suspect runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Lane(usize);
+
+impl Lane {
+    pub(super) const SUSPECT: Lane = Lane(4);
+    pub(super) const ALL: [Lane; 5] = [Lane(0), Lane(1), Lane(2), Lane(3), Lane::SUSPECT];
+
+    pub(super) fn of(class: Class, suspect: bool) -> Lane {
+        if suspect {
+            Lane::SUSPECT
+        } else {
+            Lane(class.index())
+        }
+    }
+}
+
+/// Where a job stands.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Place {
+    pub(super) number: u64,
+    pub(super) due: Mono,
+    pub(super) lane: Lane,
+    /// The key in `Queue::deadlines`.
+    pub(super) last_start: Mono,
+}
+
+#[derive(Debug)]
+pub(super) struct Line {
+    /// Tokens served per unit of weight.
+    counter: u64,
+    lanes: [BTreeSet<(Mono, u64)>; 5],
+    waiting: usize,
+    running: u32,
+}
+
+impl Line {
+    pub(super) fn new(floor: u64) -> Line {
+        Line {
+            counter: floor,
+            lanes: Default::default(),
+            waiting: 0,
+            running: 0,
+        }
+    }
+
+    pub(super) fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    pub(super) fn running(&self) -> u32 {
+        self.running
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.waiting == 0 && self.running == 0
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        self.waiting > 0
+    }
+
+    /// An organisation that had nothing waiting is lifted to the floor. Without
+    /// that it could save up its share through a quiet day and then hold the
+    /// engine for as long.
+    pub(super) fn arrive(&mut self, lane: Lane, key: (Mono, u64), floor: u64) {
+        if self.waiting == 0 {
+            self.counter = self.counter.max(floor);
+        }
+        self.waiting += usize::from(self.lanes[lane.0].insert(key));
+    }
+
+    pub(super) fn leave(&mut self, lane: Lane, key: (Mono, u64)) {
+        let removed = self.lanes[lane.0].remove(&key);
+        self.waiting -= usize::from(removed);
+    }
+
+    pub(super) fn start(&mut self, tokens: Tokens, weight: u32) {
+        self.running += 1;
+        self.counter = self.counter.saturating_add(cost(tokens, weight));
+    }
+
+    pub(super) fn finish(&mut self, unused: Tokens, weight: u32) {
+        self.running = self.running.saturating_sub(1);
+        self.counter = self.counter.saturating_sub(cost(unused, weight));
+    }
+
+    /// The job that is due first in a lane.
+    pub(super) fn first(&self, lane: Lane) -> Option<(Mono, u64)> {
+        self.lanes[lane.0].first().copied()
+    }
+}
+
+fn cost(tokens: Tokens, weight: u32) -> u64 {
+    tokens.0 / u64::from(weight.max(1))
+}
--- /dev/null
+++ b/almondlock-policy/src/queue/load.rs
@@ -0,0 +1,58 @@
+//! What runs on the engine, as far as the order of what waits depends on it.
+
+use almondlock_base::{time::Mono, unit::Tokens};
+
+use super::Job;
+use crate::length::Class;
+
+#[derive(Debug)]
+pub(super) struct Running {
+    pub(super) job: Job,
+    pub(super) since: Mono,
+    /// Whether its prompt is still being processed.
+    pub(super) prefilling: bool,
+}
+
+/// Sums over the jobs that run. Invariant: equal to the sum over
+/// `Queue::running`, held so by `Queue::enter` and `Queue::leave`.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Load {
+    pub(super) short_prefill: Tokens,
+    pub(super) long_prefill: Tokens,
+    pub(super) short_memory: Tokens,
+    pub(super) short_slots: u32,
+    pub(super) suspects: u32,
+}
+
+impl Load {
+    pub(super) fn enter(&mut self, job: &Job) {
+        if job.class() == Class::Short {
+            self.short_prefill += job.prefill();
+            self.short_memory += job.need();
+            self.short_slots += 1;
+        } else {
+            self.long_prefill += job.prefill();
+        }
+        self.suspects += u32::from(job.suspect);
+    }
+
+    pub(super) fn end_prefill(&mut self, class: Class, tokens: Tokens) {
+        if class == Class::Short {
+            self.short_prefill = self.short_prefill.saturating_sub(tokens);
+        } else {
+            self.long_prefill = self.long_prefill.saturating_sub(tokens);
+        }
+    }
+
+    pub(super) fn leave(&mut self, running: &Running) {
+        let job = &running.job;
+        if running.prefilling {
+            self.end_prefill(job.class(), job.prefill());
+        }
+        if job.class() == Class::Short {
+            self.short_memory = self.short_memory.saturating_sub(job.need());
+            self.short_slots = self.short_slots.saturating_sub(1);
+        }
+        self.suspects = self.suspects.saturating_sub(u32::from(job.suspect));
+    }
+}
--- /dev/null
+++ b/almondlock-policy/src/queue/mod.rs
@@ -0,0 +1,460 @@
+//! Which attempt starts next on an engine.
+//!
+//! Work waits here, beside the engine, and not inside it: what waits here can
+//! be withdrawn and proved not run, and the order can still change when
+//! something shorter or more urgent comes.
+//!
+//! # Order
+//!
+//! Each job has a *due time*: its arrival plus [`Config::stretch`] times the
+//! time its own prefill takes. The job with the earliest due time goes first.
+//! A short prompt is due almost when it arrives and passes the long ones; a
+//! long one is due later, but at a fixed moment, and whatever arrives after
+//! that moment is due after it. So no stream of short prompts can keep it
+//! waiting for ever, and the one figure says how far to lean to either side.
+//! Fixed priorities by class were weighed: they starve the longest. Highest
+//! response ratio orders alike but must be computed again at each look.
+//!
+//! A long job that is due and finds no room would never find it if shorter ones
+//! took each freed piece. From then on the room outside the reserved part is
+//! kept for it, and short jobs go on in the reserved part alone.
+//!
+//! # Fairness
+//!
+//! Before due times, organisations: each has a counter of the tokens it was
+//! served, divided by its weight, as in the virtual token counter of Sheng et
+//! al. Only organisations within [`Config::quantum`] of the lowest counter that
+//! has work take part in the choice above. One that comes back after a pause is
+//! lifted to the lowest counter: what it left unused was lent for good, and it
+//! has its full share from its next job on.
+//!
+//! ```
+//! use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
+//! use almondlock_policy::queue::{Config, Job, Queue, Room};
+//!
+//! let mut queue = Queue::new(Config::short());
+//! let now = Mono::ZERO;
+//! let job = |prompt| Job {
+//!     organisation: Organisation::new("bank").unwrap(),
+//!     weight: 1,
+//!     prompt: Tokens(prompt),
+//!     cached: Tokens::ZERO,
+//!     output: Tokens(100),
+//!     deadline: Mono::from_millis(600_000),
+//!     suspect: false,
+//! };
+//! let room = Room::idle(Tokens(400_000), 16);
+//! queue.push(1, job(200_000), &room, now)?;
+//! queue.push(2, job(1_000), &room, now)?;
+//! // The short one came later and starts first.
+//! assert_eq!(queue.grant(now, &room).map(|grant| grant.id), Some(2));
+//! # Ok::<(), almondlock_policy::queue::Refusal>(())
+//! ```
+
+mod config;
+mod line;
+mod load;
+mod wait;
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    hash::Hash,
+    time::Duration,
+};
+
+use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
+
+pub use self::config::Config;
+use self::{
+    line::{Lane, Line, Place},
+    load::{Load, Running},
+};
+use crate::length::Class;
+
+/// What the queue has to know of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Job {
+    /// Who pays for it.
+    pub organisation: Organisation,
+    /// The organisation's share against the others'.
+    pub weight: u32,
+    /// Length of the prompt.
+    pub prompt: Tokens,
+    /// How much of the prompt's start the engine has cached, as believed.
+    pub cached: Tokens,
+    /// Most tokens it may answer with.
+    pub output: Tokens,
+    /// When its time is over.
+    pub deadline: Mono,
+    /// Whether it is under suspicion of killing engines.
+    pub suspect: bool,
+}
+
+impl Job {
+    /// Engine memory that it needs in the end.
+    pub fn need(&self) -> Tokens {
+        self.prompt + self.output
+    }
+
+    /// Tokens still to be prefilled.
+    pub fn prefill(&self) -> Tokens {
+        self.prompt.saturating_sub(self.cached)
+    }
+
+    /// Its length class, by the work it is: a long prompt whose start is cached
+    /// delays others no more than a short one.
+    pub fn class(&self) -> Class {
+        Class::of(self.prefill())
+    }
+}
+
+/// What is free on the engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Free memory.
+    pub free: Tokens,
+    /// All its memory.
+    pub capacity: Tokens,
+    /// Free places in the batch.
+    pub slots: u32,
+    /// All places in the batch.
+    pub slot_limit: u32,
+}
+
+impl Room {
+    /// An engine on which nothing runs.
+    pub fn idle(capacity: Tokens, slots: u32) -> Room {
+        Room {
+            free: capacity,
+            capacity,
+            slots,
+            slot_limit: slots,
+        }
+    }
+}
+
+/// A job that starts now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Grant<I> {
+    /// The job.
+    pub id: I,
+    /// Its class.
+    pub class: Class,
+    /// The engine's priority for it; 0 goes before all others.
+    pub priority: u8,
+    /// How long it waited.
+    pub waited: Duration,
+}
+
+/// A job that is given up before it started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Expiry<I> {
+    /// The job. It is no longer in the queue.
+    pub id: I,
+    /// [`Code::QueueTimeout`] or [`Code::DeadlineUnreachable`].
+    pub code: Code,
+    /// When its caller may come back.
+    pub retry_after: Duration,
+}
+
+/// A job that may not wait here.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The numbered reason.
+    pub code: Code,
+    /// When to come back, zero for never.
+    pub retry_after: Duration,
+}
+
+impl std::fmt::Display for Refusal {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.code.fmt(f)
+    }
+}
+
+impl std::error::Error for Refusal {}
+
+#[derive(Debug)]
+struct Waiting<I> {
+    id: I,
+    job: Job,
+    since: Mono,
+}
+
+/// The jobs that wait for one engine, and those that run on it.
+#[derive(Debug)]
+pub struct Queue<I> {
+    config: Config,
+    next: u64,
+    // Invariant: `places` and `waiting` hold the same jobs, and each stands in
+    // the line of its organisation and in `deadlines` exactly once.
+    places: HashMap<I, Place>,
+    waiting: HashMap<u64, Waiting<I>>,
+    deadlines: BTreeSet<(Mono, u64)>,
+    lines: HashMap<Organisation, Line>,
+    running: HashMap<I, Running>,
+    load: Load,
+    queued: [Tokens; 4],
+    speed: f64,
+    /// The lowest counter last granted from. Only goes up.
+    floor: u64,
+}
+
+impl<I> Queue<I>
+where
+    I: Clone + Eq + Hash,
+{
+    /// An empty queue.
+    pub fn new(config: Config) -> Queue<I> {
+        Queue {
+            speed: config.speed.max(1.0),
+            config,
+            next: 0,
+            places: HashMap::new(),
+            waiting: HashMap::new(),
+            deadlines: BTreeSet::new(),
+            lines: HashMap::new(),
+            running: HashMap::new(),
+            load: Load::default(),
+            queued: [Tokens::ZERO; 4],
+            floor: 0,
+        }
+    }
+
+    /// Changes the order for jobs that come from now on, and the reserved room
+    /// for all.
+    pub fn set_config(&mut self, config: Config) {
+        self.config = config;
+    }
+
+    /// How many jobs wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether no job waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// How many jobs run.
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Prompt tokens that are not processed yet, waiting and running.
+    pub fn backlog(&self) -> Tokens {
+        let waiting: Tokens = self.queued.iter().copied().sum();
+        waiting + self.load.short_prefill + self.load.long_prefill
+    }
+
+    /// Puts a job in.
+    ///
+    /// # Errors
+    ///
+    /// Refused when the engine can never hold it, when too much waits, or when
+    /// its deadline can't be met even if it started now.
+    pub fn push(&mut self, id: I, job: Job, room: &Room, now: Mono) -> Result<(), Refusal> {
+        if self.places.contains_key(&id) || self.running.contains_key(&id) {
+            return Err(refusal(Code::AlreadyRunning, Duration::ZERO));
+        }
+        if job.need() > room.capacity {
+            return Err(refusal(Code::PromptTooLong, Duration::ZERO));
+        }
+        let pause = self.wait_estimate(Class::Short).max(self.config.base);
+        if self.waiting.len() >= self.config.capacity {
+            return Err(refusal(Code::Overloaded, pause));
+        }
+        if self.config.hopeless && now + self.service(job.prefill()) > job.deadline {
+            return Err(refusal(Code::DeadlineUnreachable, pause));
+        }
+        self.insert(id, job, now);
+        Ok(())
+    }
+
+    /// Takes a waiting job out. `false` when it does not wait here.
+    pub fn remove(&mut self, id: &I) -> bool {
+        let found = self.places.get(id).copied();
+        found.is_some_and(|place| self.take(place).is_some())
+    }
+
+    /// Takes out the jobs that are given up, each to be answered at once.
+    ///
+    /// A job goes when its deadline passes, and already before when even an
+    /// engine that turned to it now would not be done with its prompt in time.
+    pub fn expired(&mut self, now: Mono) -> Vec<Expiry<I>> {
+        let mut gone = Vec::new();
+        let pause = self.wait_estimate(Class::Short).max(self.config.base);
+        while let Some((start, number)) = self.deadlines.first().copied() {
+            if start > now {
+                break;
+            }
+            let Some(place) = self.place_of(number) else {
+                self.deadlines.pop_first();
+                continue;
+            };
+            let Some(waiting) = self.take(place) else {
+                continue;
+            };
+            let passed = waiting.job.deadline <= now;
+            let code = if passed {
+                Code::QueueTimeout
+            } else {
+                Code::DeadlineUnreachable
+            };
+            gone.push(Expiry {
+                id: waiting.id,
+                code,
+                retry_after: pause,
+            });
+        }
+        gone
+    }
+
+    /// When [`Queue::expired`] has something to say next.
+    pub fn next_expiry(&self) -> Option<Mono> {
+        self.deadlines.first().map(|(start, _)| *start)
+    }
+
+    /// Starts the next job, if there is room for it. To be called until it
+    /// returns `None`, with the room that is left each time.
+    pub fn grant(&mut self, now: Mono, room: &Room) -> Option<Grant<I>> {
+        let place = self.choose(now, room)?;
+        let waiting = self.take(place)?;
+        Some(self.enter(waiting, place, now))
+    }
+
+    /// Notes that a running job's prompt has been processed: its first token
+    /// came.
+    pub fn prefilled(&mut self, id: &I, now: Mono) {
+        let Some(running) = self.running.get_mut(id) else {
+            return;
+        };
+        if !std::mem::replace(&mut running.prefilling, false) {
+            return;
+        }
+        let (class, tokens) = (running.job.class(), running.job.prefill());
+        let took = now.since(running.since);
+        self.load.end_prefill(class, tokens);
+        self.observe(class, tokens, took);
+    }
+
+    /// Notes that a running job is over and what it answered.
+    pub fn finish(&mut self, id: &I, output: Tokens) {
+        let Some(running) = self.running.remove(id) else {
+            return;
+        };
+        self.load.leave(&running);
+        // The counter was charged for the longest answer; give back the rest.
+        let unused = running.job.output.saturating_sub(output);
+        if let Some(line) = self.lines.get_mut(&running.job.organisation) {
+            line.finish(unused, running.job.weight);
+        }
+        self.forget_idle(&running.job.organisation);
+    }
+
+    fn insert(&mut self, id: I, job: Job, now: Mono) {
+        let number = self.next;
+        self.next += 1;
+        let class = job.class();
+        let service = self.service(job.prefill()) + self.config.base;
+        let due = now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3));
+        let lane = Lane::of(class, job.suspect);
+        let line = self
+            .lines
+            .entry(job.organisation.clone())
+            .or_insert_with(|| Line::new(self.floor));
+        line.arrive(lane, (due, number), self.floor);
+        let last_start = self.last_start(&job);
+        let place = Place {
+            number,
+            due,
+            lane,
+            last_start,
+        };
+        self.deadlines.insert((last_start, number));
+        self.queued[class.index()] += job.prefill();
+        self.places.insert(id.clone(), place);
+        self.waiting.insert(
+            number,
+            Waiting {
+                id,
+                job,
+                since: now,
+            },
+        );
+    }
+
+    fn last_start(&self, job: &Job) -> Mono {
+        if self.config.hopeless {
+            job.deadline - self.service(job.prefill())
+        } else {
+            job.deadline
+        }
+    }
+
+    fn place_of(&self, number: u64) -> Option<Place> {
+        let waiting = self.waiting.get(&number)?;
+        self.places.get(&waiting.id).copied()
+    }
+
+    fn take(&mut self, place: Place) -> Option<Waiting<I>> {
+        let waiting = self.waiting.remove(&place.number)?;
+        self.places.remove(&waiting.id);
+        self.deadlines.remove(&(place.last_start, place.number));
+        let class = waiting.job.class();
+        let left = self.queued[class.index()].saturating_sub(waiting.job.prefill());
+        self.queued[class.index()] = left;
+        if let Some(line) = self.lines.get_mut(&waiting.job.organisation) {
+            line.leave(place.lane, (place.due, place.number));
+        }
+        self.forget_idle(&waiting.job.organisation);
+        Some(waiting)
+    }
+
+    fn enter(&mut self, waiting: Waiting<I>, place: Place, now: Mono) -> Grant<I> {
+        let Waiting { id, job, since } = waiting;
+        let class = job.class();
+        let line = self
+            .lines
+            .entry(job.organisation.clone())
+            .or_insert_with(|| Line::new(self.floor));
+        line.start(job.prefill() + job.output, job.weight);
+        self.load.enter(&job);
+        let running = Running {
+            job,
+            since: now,
+            prefilling: true,
+        };
+        self.running.insert(id.clone(), running);
+        Grant {
+            id,
+            class,
+            priority: priority(class, now >= place.due),
+            waited: now.since(since),
+        }
+    }
+
+    /// A line that neither waits nor runs is dropped when its counter is not
+    /// above the floor; otherwise it would start again at the floor and escape
+    /// what it owes.
+    fn forget_idle(&mut self, organisation: &Organisation) {
+        let floor = self.floor;
+        let idle = |line: &Line| line.is_idle() && line.counter() <= floor;
+        if self.lines.get(organisation).is_some_and(idle) {
+            self.lines.remove(organisation);
+        }
+    }
+}
+
+/// Shorter classes first. A job that is overdue rises by one, but never to the
+/// level of short ones: an engine that takes equals in turn would process the
+/// whole of a long prompt before them.
+fn priority(class: Class, overdue: bool) -> u8 {
+    let rank = class.index() as u8;
+    if overdue && rank > 1 { rank - 1 } else { rank }
+}
+
+fn refusal(code: Code, retry_after: Duration) -> Refusal {
+    Refusal { code, retry_after }
+}
--- /dev/null
+++ b/almondlock-policy/src/queue/wait.rs
@@ -0,0 +1,193 @@
+//! Choosing the next job, and telling how long one would wait.
+
+use std::{hash::Hash, time::Duration};
+
+use almondlock_base::{time::Mono, unit::Tokens};
+
+use super::{
+    Job, Queue, Room,
+    line::{Lane, Line, Place},
+};
+use crate::length::Class;
+
+/// How much a new figure for the engine's speed counts against the old one.
+const SPEED_GAIN: f64 = 0.1;
+/// Shortest prefill that says something about the engine's speed.
+const SPEED_SAMPLE: Tokens = Tokens(512);
+
+/// Whether a job may start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fit {
+    Now,
+    /// Memory or a batch slot is lacking.
+    NoRoom,
+    /// Enough prompts of its kind are being processed.
+    Busy,
+}
+
+impl<I> Queue<I>
+where
+    I: Clone + Eq + Hash,
+{
+    /// The place of the job to start next.
+    pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<Place> {
+        if room.slots == 0 {
+            return None;
+        }
+        let lowest = self.lowest_counter(room)?;
+        self.floor = self.floor.max(lowest);
+        let ceiling = lowest.saturating_add(self.config.quantum);
+        let mut held = false;
+        // Each round takes the job due next in the lanes still open. If the
+        // first of a lane has no room, those behind it wait with it, so there
+        // are as many rounds as lanes at most.
+        let mut closed = [false; Lane::ALL.len()];
+        while let Some((key, lane)) = self.first_due(room, ceiling, &closed) {
+            let place = self.place_of(key.1)?;
+            let job = &self.waiting.get(&key.1)?.job;
+            let fit = self.fit(job, room, held);
+            if fit == Fit::Now {
+                return Some(place);
+            }
+            if !self.config.backfill {
+                return None;
+            }
+            held |= fit == Fit::NoRoom && now >= place.due && job.class() != Class::Short;
+            closed[lane] = true;
+        }
+        None
+    }
+
+    /// The lowest counter of the organisations that may start something.
+    fn lowest_counter(&self, room: &Room) -> Option<u64> {
+        let eligible = |line: &&Line| line.is_waiting() && self.leaves_headroom(line, room);
+        self.lines
+            .values()
+            .filter(eligible)
+            .map(Line::counter)
+            .min()
+    }
+
+    /// One organisation never takes the last places in the batch, so that
+    /// another one's short job finds one at once and need not wait until a
+    /// whole answer has ended.
+    fn leaves_headroom(&self, line: &Line, room: &Room) -> bool {
+        let headroom = percent(u64::from(room.slot_limit), self.config.headroom);
+        let most = u64::from(room.slot_limit).saturating_sub(headroom).max(1);
+        u64::from(line.running()) < most
+    }
+
+    fn first_due(
+        &self,
+        room: &Room,
+        ceiling: u64,
+        closed: &[bool; Lane::ALL.len()],
+    ) -> Option<((Mono, u64), usize)> {
+        let mut best: Option<((Mono, u64), usize)> = None;
+        for line in self.lines.values() {
+            if !line.is_waiting() || line.counter() > ceiling || !self.leaves_headroom(line, room) {
+                continue;
+            }
+            for (index, lane) in Lane::ALL.into_iter().enumerate() {
+                if closed[index] || (lane == Lane::SUSPECT && self.load.suspects > 0) {
+                    continue;
+                }
+                let Some(key) = line.first(lane) else {
+                    continue;
+                };
+                if best.is_none_or(|(b, _)| key < b) {
+                    best = Some((key, index));
+                }
+            }
+        }
+        best
+    }
+
+    /// Whether the engine has room for a job. `held` says that a longer one is
+    /// due, so that only the reserved part may be used.
+    fn fit(&self, job: &Job, room: &Room, held: bool) -> Fit {
+        if !self.prefill_fits(job.class(), job.prefill()) {
+            return Fit::Busy;
+        }
+        let fits = match job.class() {
+            _ if job.need() > room.free => false,
+            Class::Short => !held || self.fits_reserve(job, room),
+            Class::Medium | Class::Long | Class::Huge => !held && self.spares_reserve(job, room),
+        };
+        if fits { Fit::Now } else { Fit::NoRoom }
+    }
+
+    /// Whether the reserved part alone has room for a short job.
+    fn fits_reserve(&self, job: &Job, room: &Room) -> bool {
+        let memory = percent(room.capacity.0, self.config.reserve);
+        let slots = percent(u64::from(room.slot_limit), self.config.reserve);
+        self.load.short_memory.0.saturating_add(job.need().0) <= memory
+            && u64::from(self.load.short_slots) < slots.max(1)
+    }
+
+    /// Whether a longer job leaves the reserved part to the short ones. What
+    /// short jobs hold of it already is not kept free again. A job that only
+    /// fits with the reserved part gets it, else it could never run.
+    fn spares_reserve(&self, job: &Job, room: &Room) -> bool {
+        let need = job.need().0;
+        let memory = percent(room.capacity.0, self.config.reserve);
+        let memory = memory.min(room.capacity.0.saturating_sub(need));
+        let slots = percent(u64::from(room.slot_limit), self.config.reserve);
+        let unused_memory = memory.saturating_sub(self.load.short_memory.0);
+        let unused_slots = slots.saturating_sub(u64::from(self.load.short_slots));
+        need.saturating_add(unused_memory) <= room.free.0 && u64::from(room.slots) > unused_slots
+    }
+
+    /// Keeps the order in this queue and not in the engine's: what was handed
+    /// over can't be passed any more. At least one job of each kind runs.
+    fn prefill_fits(&self, class: Class, tokens: Tokens) -> bool {
+        let active = match class {
+            Class::Short => self.load.short_prefill,
+            Class::Medium | Class::Long | Class::Huge => self.load.long_prefill,
+        };
+        active == Tokens::ZERO || active + tokens <= self.config.prefill(class)
+    }
+
+    /// How long a job of this class would wait if it came now: the work that
+    /// goes before it, at the speed seen lately.
+    pub fn wait_estimate(&self, class: Class) -> Duration {
+        let waiting = match class {
+            Class::Short => self.queued[Class::Short.index()],
+            Class::Medium => self.queued[..=Class::Medium.index()].iter().copied().sum(),
+            Class::Long | Class::Huge => self.queued.iter().copied().sum(),
+        };
+        let running = match class {
+            Class::Short => self.load.short_prefill,
+            Class::Medium | Class::Long | Class::Huge => {
+                self.load.short_prefill + self.load.long_prefill
+            }
+        };
+        self.service(waiting + running)
+    }
+
+    /// How long the engine takes for a prefill of this length.
+    pub fn service(&self, tokens: Tokens) -> Duration {
+        Duration::from_secs_f64((tokens.0 as f64 / self.speed).min(1e9))
+    }
+
+    /// Prefill speed seen lately, in tokens per second.
+    pub fn speed(&self) -> f64 {
+        self.speed
+    }
+
+    /// Only what ran before all else tells the engine's speed; a long prompt
+    /// that was interrupted by short ones would look slow.
+    pub(super) fn observe(&mut self, class: Class, tokens: Tokens, took: Duration) {
+        let alone = class == Class::Short || self.load.short_prefill == Tokens::ZERO;
+        if tokens < SPEED_SAMPLE || took.is_zero() || !alone {
+            return;
+        }
+        let seen = tokens.0 as f64 / took.as_secs_f64();
+        self.speed = (self.speed + (seen - self.speed) * SPEED_GAIN).max(1.0);
+    }
+}
+
+fn percent(whole: u64, percent: u32) -> u64 {
+    let part = u128::from(whole) * u128::from(percent.min(100)) / 100;
+    u64::try_from(part).unwrap_or(u64::MAX)
+}
