Apply claims, registrations and blame in a replicated state machine

Claims end as done, freed or lost; a claim that was freed remembers for two minutes which attempt freed it, because a delayed copy of that attempt's claim would else hold the key open until the run limit.

Ruled out: expiry by the proposing leader's clock alone.

--- /dev/null
+++ b/almondlock-state/src/command.rs
@@ -0,0 +1,162 @@
+//! What the replicas agree on, one by one, and what each gets for an answer.
+//!
+//! A command is proposed to the leader, written to the log, and applied by
+//! every replica in the same order. Commands are kept on disk as JSON, each
+//! with its name in `command`; fields are only ever added, with a default, so
+//! that a log written by the version before can be applied. The time in `at`
+//! is the leader's: a replica that applies a command reads no clock.
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Attempt, Fingerprint, Host, Incarnation, Organisation, Upstream},
+    time::Wall,
+    unit::Revision,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{blob::Blob, claim::Verdict, config::Registration};
+
+/// A command, as it stands in the log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "command", rename_all = "kebab-case")]
+#[non_exhaustive]
+pub enum Command {
+    /// An upstream says what it is; see [`crate::registration`].
+    Announce {
+        /// Its name.
+        upstream: Upstream,
+        /// What it says of itself.
+        registration: Registration,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An upstream's lease ended without renewal.
+    Forget {
+        /// Its name.
+        upstream: Upstream,
+        /// The life whose lease ended.
+        incarnation: Incarnation,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A request that may not be repeated wants to run; see [`crate::claim`].
+    Claim {
+        /// Whose request it is.
+        organisation: Organisation,
+        /// Its idempotency key.
+        key: String,
+        /// A hash of its body.
+        body: Blob,
+        /// The attempt that will run it.
+        holder: Attempt,
+        /// Milliseconds to remember it after its end.
+        keep: u64,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A claimed request ended.
+    SettleClaim {
+        /// Whose request it is.
+        organisation: Organisation,
+        /// Its idempotency key.
+        key: String,
+        /// The attempt that held the claim.
+        holder: Attempt,
+        /// Whether it ran. `no` frees the claim.
+        ran: Ran,
+        /// What later copies are answered with.
+        #[serde(default)]
+        outcome: Blob,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An entry host's life ended: its open claims may have run.
+    HolderGone {
+        /// The host.
+        host: Host,
+        /// The life that ended.
+        incarnation: Incarnation,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An upstream died while this request ran there; see [`crate::poison`].
+    Blame {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whose request it is.
+        organisation: Organisation,
+        /// The upstream that died.
+        upstream: Upstream,
+        /// The life that ended.
+        incarnation: Incarnation,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A suspect finished without harm.
+    Clear {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whose request it is.
+        organisation: Organisation,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// Time passes: what has been kept long enough is forgotten.
+    Expire {
+        /// The leader's time.
+        at: Wall,
+    },
+}
+
+impl Command {
+    /// The bytes that are written to the log.
+    pub fn to_bytes(&self) -> Result<Vec<u8>, serde_json::Error> {
+        serde_json::to_vec(self)
+    }
+
+    /// Reads a command from the log.
+    pub fn from_slice(bytes: &[u8]) -> Result<Command, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+}
+
+/// The answer to a command.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "reply", rename_all = "kebab-case")]
+#[non_exhaustive]
+pub enum Reply {
+    /// Accepted; in force from this revision.
+    Accepted {
+        /// The revision.
+        revision: Revision,
+    },
+    /// The answer to a claim.
+    Claimed {
+        /// What the claimant may do.
+        verdict: Verdict,
+    },
+    /// Refused: nothing has changed.
+    Refused {
+        /// Why.
+        code: Code,
+        /// Why, for people.
+        message: String,
+    },
+}
+
+impl Reply {
+    /// A refusal with the code's own text.
+    pub fn refused(code: Code) -> Reply {
+        let message = code.text().to_owned();
+        Reply::Refused { code, message }
+    }
+
+    /// The code of a refusal.
+    pub const fn code(&self) -> Option<Code> {
+        match self {
+            Reply::Refused { code, .. } => Some(*code),
+            Reply::Claimed { verdict } => verdict.code(),
+            Reply::Accepted { .. } => None,
+        }
+    }
+}
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -7,4 +7,11 @@
 //! replicas hold (claims, plans, history), because the first is spread to
 //! hundreds of processes and the second changes with the traffic.
 
+pub mod blob;
+pub mod claim;
+pub mod command;
 pub mod config;
+pub mod limit;
+pub mod machine;
+pub mod poison;
+pub mod registration;
--- /dev/null
+++ b/almondlock-state/src/limit.rs
@@ -0,0 +1,89 @@
+//! The bounds of every replicated table, in one place.
+//!
+//! They are constants and not settings: replicas that disagreed about a bound
+//! would refuse different commands and hold different states. A full table
+//! refuses with [`LimitReached`](almondlock_base::Code::LimitReached); nothing
+//! is dropped to make room unless its section says so.
+
+use std::time::Duration;
+
+/// Claims in all. At the measured bytes per claim (`docs/claims.md`) the table
+/// stays within a replica's memory.
+pub const CLAIMS: usize = 250_000;
+/// Claims of one organisation, so that one can't fill the table for all.
+pub const CLAIMS_OF_ONE: usize = CLAIMS / 4;
+/// The longest idempotency key, in bytes.
+pub const KEY_BYTES: usize = 256;
+/// The longest hash of a claim's body, in bytes.
+pub const DIGEST_BYTES: usize = 64;
+/// An outcome above this size is not kept: a second copy is told that it ran.
+pub const OUTCOME_BYTES: usize = 64 * 1024;
+/// Outcomes kept in all; the oldest are dropped first, their claims stay.
+pub const OUTCOMES_BYTES: usize = 64 * 1024 * 1024;
+/// The shortest time a claim is kept after it ended.
+pub const KEEP_LEAST: Duration = Duration::from_secs(60);
+/// The longest time a claim is kept after it ended.
+pub const KEEP_MOST: Duration = Duration::from_secs(7 * 24 * 3600);
+/// An open claim as old as this counts as lost: no deadline is that long.
+pub const RUN_MOST: Duration = Duration::from_secs(24 * 3600);
+/// How long a freed claim remembers the attempt that gave it back.
+pub const FREED: Duration = Duration::from_secs(120);
+/// Claims and fingerprints are looked through for expiry at most this often.
+pub const SWEEP: Duration = Duration::from_secs(10);
+/// How far one command may move the state's clock.
+pub const CLOCK_STEP: Duration = Duration::from_secs(60);
+
+/// Registered upstreams, and names whose earlier lives are remembered.
+pub const UPSTREAMS: usize = 4_000;
+/// Earlier lives remembered of each upstream.
+pub const LIVES: usize = 8;
+/// How long the lives of an upstream that is gone are remembered.
+pub const LIVES_KEPT: Duration = Duration::from_secs(30 * 24 * 3600);
+/// The largest engine memory believed, in tokens.
+pub const CAPACITY: u64 = 1 << 36;
+
+/// Fingerprints under suspicion or refused.
+pub const QUARANTINES: usize = 4_096;
+/// Fingerprints of one organisation.
+pub const QUARANTINES_OF_ONE: usize = 256;
+/// Deaths in all from which a fingerprint is refused.
+pub const DEATHS: usize = 3;
+/// Deaths that blame it alone from which a fingerprint is refused.
+pub const DEATHS_ALONE: usize = 2;
+/// How long a suspicion lasts after the last death.
+pub const SUSPECTED: Duration = Duration::from_secs(3600);
+/// How long a fingerprint is refused after the last death.
+pub const REFUSED: Duration = Duration::from_secs(24 * 3600);
+
+/// Organisations.
+pub const ORGANISATIONS: usize = 4_000;
+/// Keys of one organisation.
+pub const KEYS: usize = 16;
+/// Models.
+pub const MODELS: usize = 64;
+/// Adapters of one model.
+pub const ADAPTERS: usize = 512;
+/// Plain services.
+pub const SERVICES: usize = 256;
+/// Settings.
+pub const SETTINGS: usize = 256;
+/// Bytes of a setting's name or value, a reason, or a method list's entry.
+pub const TEXT_BYTES: usize = 1_024;
+/// Operators.
+pub const OPERATORS: usize = 256;
+/// Replicas.
+pub const REPLICAS: usize = 7;
+
+/// Plans that are not over yet.
+pub const PLANS_OPEN: usize = 64;
+/// Plans remembered after they are over; the oldest go first.
+pub const PLANS_OVER: usize = 512;
+/// How long a proposed plan waits for its confirmation.
+pub const PLAN_WAIT: Duration = Duration::from_secs(24 * 3600);
+/// Change numbers remembered, each with the change it stands for. The oldest
+/// go first: at 2,700 changes a day, a day and a half.
+pub const NUMBERS: usize = 4_096;
+/// The longest change number, in bytes.
+pub const NUMBER_BYTES: usize = 64;
+/// Records of the history; the oldest go first.
+pub const HISTORY: usize = 8_192;
--- /dev/null
+++ b/almondlock-state/src/poison.rs
@@ -0,0 +1,162 @@
+//! Requests that kill the upstreams that run them.
+//!
+//! When an engine dies, every request that ran there is blamed for the death.
+//! Most of them are innocent, so one death only makes a suspect: it may run
+//! again, but never beside another suspect, and is cleared when it finishes. A
+//! fingerprint is refused everywhere from [`limit::DEATHS_ALONE`] deaths that
+//! blame it alone, or [`limit::DEATHS`] in all. The fleet thus loses at most
+//! three engines to one poisonous request, however often it is sent again and
+//! through whichever entry hosts.
+//!
+//! Fingerprints are made over the organisation's name, so that nobody can get
+//! another's requests blamed; the tables are bounded for each organisation, so
+//! that nobody can push another's suspects out.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use almondlock_base::{
+    Code,
+    id::{Fingerprint, Incarnation, Organisation, Upstream},
+    time::Wall,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    config::{Change, Config, Quarantine},
+    limit,
+};
+
+/// One death of an upstream: the upstream and the life that ended.
+pub type Death = (Upstream, Incarnation);
+
+/// Which deaths each fingerprint is blamed for.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Table {
+    /// By the fingerprint's hexadecimal form, as in the configuration.
+    ///
+    /// Invariant: has the same keys as `Config::quarantines`.
+    suspects: BTreeMap<String, Suspect>,
+    swept: Wall,
+}
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct Suspect {
+    print: Fingerprint,
+    /// Invariant: at most `limit::DEATHS`.
+    deaths: BTreeSet<Death>,
+}
+
+impl Table {
+    /// Blames a fingerprint for a death. Told twice of the same death, it
+    /// counts it once.
+    pub fn blame(
+        &mut self,
+        config: &Config,
+        print: Fingerprint,
+        organisation: &Organisation,
+        death: Death,
+        now: Wall,
+    ) -> Result<Vec<Change>, Code> {
+        let name = print.to_string();
+        let mut changes = Vec::new();
+        if !self.suspects.contains_key(&name) {
+            changes.extend(self.make_room(config, organisation)?);
+        }
+        let suspect = self
+            .suspects
+            .entry(name.clone())
+            .or_insert_with(|| Suspect {
+                print,
+                deaths: BTreeSet::new(),
+            });
+        if suspect.deaths.len() < limit::DEATHS && !suspect.deaths.insert(death) {
+            return Ok(changes);
+        }
+        let deaths = suspect.deaths.len();
+        let known = config.quarantines.get(&name);
+        let refused = known.is_some_and(|known| known.refused)
+            || deaths >= limit::DEATHS
+            || self.alone(&name) >= limit::DEATHS_ALONE;
+        let kept = if refused {
+            limit::REFUSED
+        } else {
+            limit::SUSPECTED
+        };
+        let quarantine = Quarantine {
+            organisation: organisation.clone(),
+            deaths: u32::try_from(deaths).unwrap_or(u32::MAX),
+            refused,
+            until: now + kept,
+        };
+        changes.push(Change::Quarantine(print, Some(quarantine)));
+        Ok(changes)
+    }
+
+    /// Deaths for which nothing else is blamed.
+    fn alone(&self, name: &str) -> usize {
+        let Some(suspect) = self.suspects.get(name) else {
+            return 0;
+        };
+        let shared = |death: &&Death| {
+            let mut others = self.suspects.iter().filter(|(other, _)| *other != name);
+            others.any(|(_, other)| other.deaths.contains(*death))
+        };
+        suspect.deaths.iter().filter(|death| !shared(death)).count()
+    }
+
+    /// Takes the organisation's oldest mere suspect out when it has too many.
+    fn make_room(
+        &mut self,
+        config: &Config,
+        organisation: &Organisation,
+    ) -> Result<Option<Change>, Code> {
+        let own = config
+            .quarantines
+            .iter()
+            .filter(|(_, quarantine)| quarantine.organisation == *organisation);
+        let full = own.clone().count() >= limit::QUARANTINES_OF_ONE
+            || config.quarantines.len() >= limit::QUARANTINES;
+        if !full {
+            return Ok(None);
+        }
+        let oldest = own
+            .filter(|(_, quarantine)| !quarantine.refused)
+            .min_by_key(|(_, quarantine)| quarantine.until)
+            .map(|(name, _)| name.clone())
+            .ok_or(Code::LimitReached)?;
+        let suspect = self.suspects.remove(&oldest).ok_or(Code::LimitReached)?;
+        Ok(Some(Change::Quarantine(suspect.print, None)))
+    }
+
+    /// A suspect finished without harm. One that is refused already stays
+    /// refused: it may kill only under some condition.
+    pub fn clear(
+        &mut self,
+        config: &Config,
+        print: Fingerprint,
+        organisation: &Organisation,
+    ) -> Option<Change> {
+        let name = print.to_string();
+        let known = config.quarantines.get(&name)?;
+        if known.refused || known.organisation != *organisation {
+            return None;
+        }
+        self.suspects.remove(&name);
+        Some(Change::Quarantine(print, None))
+    }
+
+    /// Forgets what has stood long enough.
+    pub fn expire(&mut self, config: &Config, now: Wall) -> Vec<Change> {
+        if now.since(self.swept) < limit::SWEEP {
+            return Vec::new();
+        }
+        self.swept = now;
+        let over = config
+            .quarantines
+            .iter()
+            .filter(|(_, quarantine)| quarantine.until <= now);
+        over.filter_map(|(name, _)| self.suspects.remove(name))
+            .map(|suspect| Change::Quarantine(suspect.print, None))
+            .collect()
+    }
+}
