--- a/almondlock-state/tests/held_claim.rs
+++ b/almondlock-state/tests/held_claim.rs
@@ -1,5 +1,7 @@
 //! A claim is given to one attempt, and what its end means to later copies.
 
+#![allow(clippy::unwrap_used)]
+
 use almondlock_base::{
     Ran,
     id::{Attempt, Host, Incarnation, Organisation},
