Run attempts beside an upstream

Cause: the sidecar is the upstream's only way in, and the one place that can prove that something did not run. Change: table of attempts over gate and queue, one push on its way at a time, bodies pulled once the engine has room, deaths told apart from broken streams and blamed before any outcome goes out. Conclusion: not yet wired.

--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -1,7 +1,20 @@
 //! The sidecar: one small process beside an upstream, and its only way in.
+//!
+//! Work waits here and not inside the engine, because only what waits here can
+//! be withdrawn and proved not run, and re-ordered when something shorter
+//! comes. A request's body stays with its entry host until the engine has room
+//! for it, so that waiting costs next to no memory.
+//!
+//! [`table`] decides, [`service`] acts on it, [`rpc`] is how entry hosts reach
+//! it, and [`protocol`] is how it reaches an upstream of whatever kind.
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod openai;
+pub mod output;
 pub mod plain;
 pub mod protocol;
+mod pull;
+mod rpc;
+pub mod service;
+pub mod table;
--- /dev/null
+++ b/almondlock-sidecar/src/pull.rs
@@ -0,0 +1,45 @@
+//! Reading a request's body from the entry host, chunk by chunk, as fast as
+//! the upstream takes it.
+
+use std::rc::Rc;
+
+use almondlock_wire::{
+    almondlock_capnp::source,
+    attempt::{BODY_CHUNK, Head},
+};
+use futures::SinkExt;
+use ntex::util::Bytes;
+
+use crate::protocol::Feeder;
+
+/// Feeds the whole body to the upstream's connection. Ends early when either
+/// side is gone; the upstream then sees a body that is too short and refuses.
+pub async fn pull(head: &Head, source: &source::Client, mut to: Feeder) {
+    if !head.body.is_empty() {
+        let _ = to.send(Ok(Bytes::copy_from_slice(&head.body))).await;
+        return;
+    }
+    let mut offset = 0;
+    while offset < head.body_length {
+        let chunk = match read(source, offset).await {
+            Ok(chunk) if !chunk.is_empty() => chunk,
+            Ok(_) => return,
+            Err(error) => {
+                let _ = to.send(Err(Rc::new(error))).await;
+                return;
+            }
+        };
+        offset += chunk.len() as u64;
+        if to.send(Ok(chunk)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read(source: &source::Client, offset: u64) -> Result<Bytes, capnp::Error> {
+    let mut request = source.read_request();
+    request.get().set_offset(offset);
+    request.get().set_limit(BODY_CHUNK as u32);
+    let answer = request.send().promise.await?;
+    Ok(Bytes::copy_from_slice(answer.get()?.get_chunk()?))
+}
--- /dev/null
+++ b/almondlock-sidecar/src/rpc.rs
@@ -0,0 +1,63 @@
+//! The sidecar's side of the inner protocol.
+
+use std::rc::Rc;
+
+use almondlock_base::id::Incarnation;
+use almondlock_wire::{
+    almondlock_capnp::sidecar,
+    attempt::{read_head, read_id, write_load, write_outcome, write_ran},
+    peer::Peer,
+};
+use capnp::Error;
+
+use crate::{protocol::Protocol, service::Service};
+
+impl<P> sidecar::Server for Service<P>
+where
+    P: Protocol,
+{
+    async fn submit(
+        self: Rc<Self>,
+        params: sidecar::SubmitParams,
+        mut results: sidecar::SubmitResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let head = read_head(params.get_head()?)?;
+        let source = params.get_source()?;
+        let sink = params.get_sink()?;
+        let outcome = Service::submit(&self, &head, source, sink).await;
+        let mut answer = results.get().init_outcome();
+        write_outcome(&outcome, answer.reborrow());
+        self.handle().peer().write(answer.init_from());
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: sidecar::SettleParams,
+        mut results: sidecar::SettleResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let attempt = read_id(params.get_attempt()?)?;
+        let target = Incarnation(params.get_target());
+        let ran = Service::settle(&self, &attempt, target);
+        results.get().set_ran(write_ran(ran));
+        self.handle().peer().write(results.get().init_from());
+        Ok(())
+    }
+
+    async fn probe(
+        self: Rc<Self>,
+        params: sidecar::ProbeParams,
+        mut results: sidecar::ProbeResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        if let Ok(peer) = Peer::read(params.get_from()?) {
+            self.handle().heard(&peer);
+        }
+        let prefix: Vec<u64> = params.get_prefix()?.iter().collect();
+        write_load(&self.load(&prefix), results.get().init_load());
+        self.handle().peer().write(results.get().init_from());
+        Ok(())
+    }
+}
--- /dev/null
+++ b/almondlock-sidecar/src/service.rs
@@ -0,0 +1,503 @@
+//! One upstream's sidecar at work: from a submitted attempt to its outcome.
+
+use std::{cell::RefCell, rc::Rc, time::Duration};
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Attempt, Incarnation, Upstream},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_node::{
+    Handle, clock,
+    replicas::{Blame, Replicas},
+};
+use almondlock_wire::{
+    almondlock_capnp::{sink, source},
+    answer::{Part, Usage},
+    attempt::{Head, Load, Outcome},
+};
+use tokio::{
+    sync::oneshot,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+use crate::{
+    output::{Pusher, Watch},
+    protocol::{Failure, Job, Output, Protocol, feed},
+    pull::pull,
+    table::{Config, Present, Refusal, Table},
+};
+
+/// How often deadlines of waiting work and the upstream's leaving are looked
+/// at; what is given up on is answered within this time.
+const TICK: Duration = Duration::from_millis(10);
+/// Tries to cancel a run on the engine, with [`CANCEL_PAUSE`] between.
+const CANCEL_TRIES: u32 = 20;
+const CANCEL_PAUSE: Duration = Duration::from_millis(250);
+/// How long blame for a death may take before the outcomes go out without it.
+const BLAME_TIMEOUT: Duration = Duration::from_secs(3);
+/// When to come back after a refusal that names no time.
+const DEFAULT_RETRY: Duration = Duration::from_secs(1);
+
+/// The sidecar of one upstream. Clones are handles to the same one.
+pub struct Service<P> {
+    inner: Rc<Inner<P>>,
+}
+
+impl<P> Clone for Service<P> {
+    fn clone(&self) -> Service<P> {
+        let inner = Rc::clone(&self.inner);
+        Service { inner }
+    }
+}
+
+struct Inner<P> {
+    upstream: Upstream,
+    incarnation: Incarnation,
+    protocol: P,
+    handle: Handle,
+    replicas: Replicas,
+    table: RefCell<Table>,
+    death: RefCell<Death>,
+}
+
+/// Deaths of the engine in the sidecar's life.
+#[derive(Default)]
+struct Death {
+    count: u64,
+    // What ran when the engine died, until it lives again.
+    present: Option<Vec<Present>>,
+}
+
+impl<P> Service<P>
+where
+    P: Protocol,
+{
+    /// A sidecar in front of an upstream. Must be made on the thread that
+    /// serves it.
+    pub fn new(
+        upstream: Upstream,
+        incarnation: Incarnation,
+        config: Config,
+        protocol: P,
+        handle: Handle,
+        replicas: Replicas,
+    ) -> Service<P> {
+        let inner = Rc::new(Inner {
+            upstream,
+            incarnation,
+            protocol,
+            handle,
+            replicas,
+            table: RefCell::new(Table::new(config, incarnation)),
+            death: RefCell::default(),
+        });
+        let weak = Rc::downgrade(&inner);
+        spawn_local(async move {
+            while let Some(inner) = weak.upgrade() {
+                inner.tick();
+                drop(inner);
+                sleep(TICK).await;
+            }
+        });
+        Service { inner }
+    }
+
+    /// Runs an attempt to its outcome. Dropping the future gives it up.
+    pub async fn submit(&self, head: &Head, source: source::Client, sink: sink::Client) -> Outcome {
+        let inner = &self.inner;
+        inner.handle.heard(&head.from);
+        inner.check_leaving(clock::mono());
+        let mut outcome = match inner.clone().admit(head).await {
+            Ok(ticket) => ticket.run(head, source, sink).await,
+            Err(refusal) => refused(refusal),
+        };
+        outcome.load = inner.table.borrow().load(&head.prefix);
+        outcome
+    }
+
+    /// Gives an attempt up and says whether it ran.
+    pub fn settle(&self, attempt: &Attempt, target: Incarnation) -> Ran {
+        let now = clock::mono();
+        let mut table = self.inner.table.borrow_mut();
+        let ran = table.settle(attempt, target, now);
+        table.pump(now);
+        ran
+    }
+
+    /// The upstream's load.
+    pub fn load(&self, prefix: &[u64]) -> Load {
+        self.inner.table.borrow().load(prefix)
+    }
+
+    /// Whether the upstream answers.
+    pub async fn is_alive(&self) -> bool {
+        self.inner.protocol.alive().await
+    }
+
+    /// The node's handle, for what every exchange carries.
+    pub fn handle(&self) -> &Handle {
+        &self.inner.handle
+    }
+}
+
+fn refused(refusal: Refusal) -> Outcome {
+    let mut outcome = Outcome::refused(refusal.code, refusal.retry_after.or(Some(DEFAULT_RETRY)));
+    outcome.ran = refusal.ran;
+    outcome
+}
+
+impl<P> Inner<P>
+where
+    P: Protocol,
+{
+    fn tick(&self) {
+        let now = clock::mono();
+        self.check_leaving(now);
+        let mut table = self.table.borrow_mut();
+        table.expire(now);
+        table.pump(now);
+    }
+
+    /// The sidecar is the gate: an entry host that is cut off and doesn't know
+    /// of the drain is refused here.
+    fn check_leaving(&self, now: Mono) {
+        let config = self.handle.view().get();
+        let leaving = config.drains.contains_key(&self.upstream);
+        self.table.borrow_mut().set_leaving(leaving, now);
+    }
+
+    async fn admit(self: Rc<Self>, head: &Head) -> Result<Ticket<P>, Refusal> {
+        let config = self.handle.view().get();
+        let known = config.quarantine(head.fingerprint);
+        if known.is_some_and(|q| q.refused) {
+            return Err(Refusal {
+                code: Code::Quarantined,
+                ran: Ran::No,
+                retry_after: None,
+            });
+        }
+        let suspect = head.suspect || known.is_some();
+        let now = clock::mono();
+        let told = {
+            let mut table = self.table.borrow_mut();
+            let told = table.enter(head, suspect, now)?;
+            table.pump(now);
+            told
+        };
+        let mut ticket = Ticket {
+            inner: Rc::clone(&self),
+            attempt: head.attempt.clone(),
+            suspect,
+            deadline: now + head.budget,
+            priority: 0,
+            queued: Duration::ZERO,
+            ending: Some(Ending {
+                ran: Ran::No,
+                output: Tokens::ZERO,
+            }),
+            started: false,
+        };
+        match told.await {
+            Ok(Ok(grant)) => {
+                ticket.priority = grant.priority;
+                ticket.queued = grant.waited;
+                Ok(ticket)
+            }
+            Ok(Err(refusal)) => {
+                ticket.ending = None;
+                Err(refusal)
+            }
+            // The sidecar is stopping.
+            Err(_) => Err(Refusal {
+                code: Code::HostStopping,
+                ran: Ran::No,
+                retry_after: Some(DEFAULT_RETRY),
+            }),
+        }
+    }
+
+    /// Called when a run broke: tells whether the engine died, and with what
+    /// on it. Whoever notices first keeps the list, since the others leave the
+    /// table one by one, and blames all of them before any outcome goes out:
+    /// a copy sent at once must find its suspicion known.
+    async fn look_for_death(&self) -> Option<Vec<Present>> {
+        let seen = self.table.borrow().present();
+        if self.protocol.alive().await {
+            self.death.borrow_mut().present = None;
+            return None;
+        }
+        let (first, present, count) = {
+            let mut death = self.death.borrow_mut();
+            let first = death.present.is_none();
+            if first {
+                death.count += 1;
+                death.present = Some(seen);
+            }
+            let present = death.present.clone().unwrap_or_default();
+            (first, present, death.count)
+        };
+        if first {
+            tracing::warn!(upstream = %self.upstream, present = present.len(), "the upstream died");
+        }
+        self.blame(&present, count).await;
+        Some(present)
+    }
+
+    /// Blame is told again by every run that broke: the replicas count a death
+    /// once for each request.
+    async fn blame(&self, present: &[Present], count: u64) {
+        let life = Incarnation(self.incarnation.0.wrapping_add(count));
+        let all = present.iter().map(|one| {
+            let blame = Blame {
+                fingerprint: one.fingerprint,
+                organisation: one.organisation.clone(),
+                upstream: self.upstream.clone(),
+                incarnation: life,
+            };
+            async move { self.replicas.blame(&blame, BLAME_TIMEOUT).await }
+        });
+        for told in futures::future::join_all(all).await {
+            if let Err(code) = told {
+                tracing::warn!(%code, "blame for a death could not be told");
+            }
+        }
+    }
+
+    /// Makes sure that a run is gone from the engine.
+    async fn cancel(self: Rc<Self>, id: String) {
+        for _ in 0..CANCEL_TRIES {
+            if self.protocol.cancel(&id).await {
+                return;
+            }
+            sleep(CANCEL_PAUSE).await;
+        }
+        tracing::warn!(upstream = %self.upstream, id, "a run could not be cancelled");
+    }
+}
+
+/// How a ticket leaves the table when nothing more is said.
+struct Ending {
+    ran: Ran,
+    output: Tokens,
+}
+
+/// An attempt's place in the table. Dropping it, at whatever point its entry
+/// host is lost, takes the attempt out and ends its run.
+struct Ticket<P>
+where
+    P: Protocol,
+{
+    inner: Rc<Inner<P>>,
+    attempt: Attempt,
+    suspect: bool,
+    deadline: Mono,
+    priority: u8,
+    queued: Duration,
+    ending: Option<Ending>,
+    started: bool,
+}
+
+impl<P> Drop for Ticket<P>
+where
+    P: Protocol,
+{
+    fn drop(&mut self) {
+        let Some(ending) = self.ending.take() else {
+            return;
+        };
+        let now = clock::mono();
+        let mut table = self.inner.table.borrow_mut();
+        table.finish(&self.attempt, ending.output, ending.ran, now);
+        table.pump(now);
+        drop(table);
+        if self.started && ending.ran != Ran::No {
+            let inner = Rc::clone(&self.inner);
+            spawn_local(inner.cancel(self.attempt.to_string()));
+        }
+    }
+}
+
+impl<P> Watch for Ticket<P>
+where
+    P: Protocol,
+{
+    fn prefilled(&self) {
+        let now = clock::mono();
+        let mut table = self.inner.table.borrow_mut();
+        table.prefilled(&self.attempt, now);
+        table.pump(now);
+    }
+}
+
+/// Why a run ended.
+enum End {
+    Result(Result<Usage, Failure>),
+    Deadline,
+    GivenUp,
+}
+
+impl<P> Ticket<P>
+where
+    P: Protocol,
+{
+    async fn run(mut self, head: &Head, source: source::Client, sink: sink::Client) -> Outcome {
+        let started = self.inner.table.borrow_mut().start(&self.attempt);
+        let cancelled = match started {
+            Ok(cancelled) => cancelled,
+            Err(refusal) => return refused(refusal),
+        };
+        self.started = true;
+        // Until something better is known: it was handed on.
+        self.ending = Some(Ending {
+            ran: Ran::Yes,
+            output: head.output,
+        });
+        let queued = self.queued;
+        let ticket = Rc::new(self);
+        let mut pusher = Pusher::new(
+            head.attempt.clone(),
+            head.resume_at,
+            sink,
+            Rc::clone(&ticket),
+        );
+        let end = ticket.drive(head, source, cancelled, &mut pusher).await;
+        let began = pusher.has_begun();
+        let flushed = match &end {
+            // The last frames must be there before the outcome says so.
+            End::Result(Ok(_)) => pusher.flush().await.is_ok(),
+            _ => {
+                drop(pusher);
+                true
+            }
+        };
+        let inner = Rc::clone(&ticket.inner);
+        let suspect = ticket.suspect;
+        let mut outcome = inner.judge(end, began, flushed).await;
+        outcome.queued = queued;
+        if let Ok(mut ticket) = Rc::try_unwrap(ticket) {
+            ticket.close(&outcome);
+        }
+        if suspect && outcome.code.is_none() {
+            inner.clear(head).await;
+        }
+        outcome
+    }
+
+    async fn drive(
+        &self,
+        head: &Head,
+        source: source::Client,
+        cancelled: oneshot::Receiver<()>,
+        pusher: &mut Pusher<Ticket<P>>,
+    ) -> End {
+        let id = self.attempt.to_string();
+        let job = Job {
+            head,
+            id: &id,
+            priority: self.priority,
+            segments: &[],
+        };
+        let (feeder, body) = feed();
+        let protocol = &self.inner.protocol;
+        let work = async {
+            let run = async {
+                let usage = protocol.run(job, body, pusher).await?;
+                let end = Part::End(usage.clone());
+                pusher.put(0, end).await.map_err(|_| Failure::Gone)?;
+                Ok(usage)
+            };
+            // The body may be left unread: the answer alone ends the run.
+            let feeding = async {
+                pull(head, &source, feeder).await;
+                std::future::pending::<()>().await;
+            };
+            tokio::select! {
+                result = run => result,
+                () = feeding => Err(Failure::Broken),
+            }
+        };
+        let left = self.deadline.since(clock::mono());
+        tokio::select! {
+            result = timeout(left, work) => result.map_or(End::Deadline, End::Result),
+            Ok(()) = cancelled => End::GivenUp,
+        }
+    }
+
+    /// Leaves the table in the way the outcome says.
+    fn close(&mut self, outcome: &Outcome) {
+        if let Some(ending) = &mut self.ending {
+            ending.ran = outcome.ran;
+        }
+        // A whole answer has left nothing on the engine to cancel.
+        self.started = outcome.code.is_some();
+    }
+}
+
+impl<P> Inner<P>
+where
+    P: Protocol,
+{
+    async fn judge(&self, end: End, began: bool, flushed: bool) -> Outcome {
+        let failed = |code, ran, message: String| Outcome {
+            ran,
+            message,
+            ..Outcome::refused(code, Some(DEFAULT_RETRY))
+        };
+        let failure = match end {
+            End::Result(Ok(_)) if flushed => {
+                return Outcome {
+                    code: None,
+                    ran: Ran::Yes,
+                    message: String::new(),
+                    retry_after: None,
+                    ..Outcome::refused(Code::CallerLeft, None)
+                };
+            }
+            End::Result(Ok(_)) => Failure::Gone,
+            End::Result(Err(failure)) => failure,
+            End::Deadline => {
+                let text = Code::DeadlinePassed.text().to_owned();
+                return failed(Code::DeadlinePassed, Ran::Yes, text);
+            }
+            End::GivenUp => {
+                return failed(Code::CallerLeft, Ran::Yes, "given up".to_owned());
+            }
+        };
+        let text = failure.to_string();
+        match failure {
+            Failure::Unreachable => failed(Code::NoUpstream, Ran::No, text),
+            Failure::Refused(413, _) => failed(Code::PromptTooLong, Ran::No, text),
+            Failure::Refused(503 | 429, _) => failed(Code::MemoryUnavailable, Ran::No, text),
+            Failure::Refused(..) => failed(Code::UpstreamFailed, Ran::No, text),
+            Failure::Failed(..) => failed(Code::UpstreamFailed, Ran::Yes, text),
+            Failure::Gone => failed(Code::CallerLeft, Ran::Yes, text),
+            Failure::Broken | Failure::Truncated => {
+                let death = self.look_for_death().await;
+                let ran = if began { Ran::Yes } else { Ran::Unknown };
+                let code = if began {
+                    Code::StreamBroken
+                } else {
+                    Code::UpstreamLost
+                };
+                let mut outcome = failed(code, ran, text);
+                outcome.died = death.is_some();
+                let others = death.unwrap_or_default();
+                outcome.beside = others.iter().map(|one| one.fingerprint).collect();
+                outcome
+            }
+        }
+    }
+
+    async fn clear(&self, head: &Head) {
+        let told = self
+            .replicas
+            .clear(head.fingerprint, &head.organisation, BLAME_TIMEOUT)
+            .await;
+        if let Err(code) = told {
+            tracing::warn!(%code, "a suspect could not be cleared");
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-sidecar/src/table.rs
@@ -0,0 +1,354 @@
+//! What one sidecar knows of the attempts it has: which wait, which run, what
+//! room they leave. No I/O; the present time is an argument.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Attempt, Fingerprint, Incarnation, Organisation},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_policy::{
+    choice,
+    gate::{self, Action, Gate},
+    length::Class,
+    queue::{self, Grant, Job, Queue, Room},
+};
+use almondlock_wire::attempt::{Head, Load};
+use tokio::sync::oneshot;
+
+/// Prefix hashes remembered as cached on the engine.
+const PREFIX_MEMORY: usize = 8192;
+
+/// Why an attempt doesn't run, and what is known of its copies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refusal {
+    /// The numbered reason.
+    pub code: Code,
+    /// Whether any copy of it ran.
+    pub ran: Ran,
+    /// When to come back.
+    pub retry_after: Option<Duration>,
+}
+
+/// A request that ran on the engine at some moment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Present {
+    /// What it is told by.
+    pub fingerprint: Fingerprint,
+    /// Whose it is.
+    pub organisation: Organisation,
+}
+
+/// Where an attempt stands, and whom to tell.
+enum Stage {
+    Waiting(oneshot::Sender<Verdict>),
+    Granted,
+    Running(oneshot::Sender<()>),
+}
+
+struct Entry {
+    present: Present,
+    /// Engine memory kept for it from the grant on.
+    need: Tokens,
+    prefix: Vec<u64>,
+    stage: Stage,
+}
+
+/// Bounds of a table.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Config {
+    /// Engine memory in tokens.
+    pub capacity: Tokens,
+    /// Places in the engine's batch.
+    pub slots: u32,
+    /// The order of work.
+    pub queue: queue::Config,
+    /// Memory of attempts given up.
+    pub gate: gate::Config,
+}
+
+/// What a waiting attempt is told in the end.
+pub type Verdict = Result<Grant<Attempt>, Refusal>;
+
+/// The attempts of one upstream.
+pub struct Table {
+    config: Config,
+    gate: Gate,
+    queue: Queue<Attempt>,
+    // Invariant: an entry waits in `queue` while its stage is `Waiting`, and
+    // runs in `queue` in the other two.
+    entries: HashMap<Attempt, Entry>,
+    // Invariant: the sum of `need` over the entries that don't wait.
+    used: Tokens,
+    // Invariant: how many entries don't wait.
+    busy: u32,
+    prefixes: Prefixes,
+}
+
+/// Prefixes the engine has probably cached: a hint, bounded.
+#[derive(Default)]
+struct Prefixes {
+    known: HashSet<u64>,
+    order: VecDeque<u64>,
+}
+
+impl Prefixes {
+    fn put(&mut self, prefix: &[u64]) {
+        for hash in prefix {
+            if self.known.insert(*hash) {
+                self.order.push_back(*hash);
+            }
+        }
+        while self.order.len() > PREFIX_MEMORY {
+            let oldest = self.order.pop_front();
+            oldest.map(|hash| self.known.remove(&hash));
+        }
+    }
+
+    fn leading(&self, prefix: &[u64]) -> u32 {
+        let leading = prefix.iter().take_while(|h| self.known.contains(h));
+        u32::try_from(leading.count()).unwrap_or(u32::MAX)
+    }
+}
+
+impl Table {
+    /// An empty table of one life of a sidecar.
+    pub fn new(config: Config, incarnation: Incarnation) -> Table {
+        Table {
+            gate: Gate::new(config.gate, incarnation),
+            queue: Queue::new(config.queue),
+            entries: HashMap::new(),
+            used: Tokens::ZERO,
+            busy: 0,
+            prefixes: Prefixes::default(),
+            config,
+        }
+    }
+
+    /// Lets an attempt in, to wait for its turn. `suspect` as the sidecar
+    /// itself knows it: the entry host's word may be older.
+    ///
+    /// # Errors
+    ///
+    /// Refused at the gate or by the queue.
+    pub fn enter(
+        &mut self,
+        head: &Head,
+        suspect: bool,
+        now: Mono,
+    ) -> Result<oneshot::Receiver<Verdict>, Refusal> {
+        let deadline = now + head.budget;
+        let admitted = self
+            .gate
+            .admit(&head.attempt, head.incarnation, deadline, now);
+        admitted.map_err(Refusal::from)?;
+        let job = self.job(head, suspect, deadline);
+        let need = job.need();
+        let room = self.room();
+        if let Err(refusal) = self.queue.push(head.attempt.clone(), job, &room, now) {
+            self.gate.finish(&head.attempt, Ran::No, now);
+            let wait = refusal.retry_after;
+            return Err(Refusal {
+                code: refusal.code,
+                ran: Ran::No,
+                retry_after: (!wait.is_zero()).then_some(wait),
+            });
+        }
+        let (tell, told) = oneshot::channel();
+        let present = Present {
+            fingerprint: head.fingerprint,
+            organisation: head.organisation.clone(),
+        };
+        let entry = Entry {
+            present,
+            need,
+            prefix: head.prefix.clone(),
+            stage: Stage::Waiting(tell),
+        };
+        self.entries.insert(head.attempt.clone(), entry);
+        Ok(told)
+    }
+
+    fn job(&self, head: &Head, suspect: bool, deadline: Mono) -> Job {
+        let block = choice::Config::default().block;
+        let leading = u64::from(self.prefixes.leading(&head.prefix));
+        Job {
+            organisation: head.organisation.clone(),
+            weight: head.share,
+            prompt: head.prompt,
+            cached: Tokens((leading * block.0).min(head.prompt.0.saturating_sub(1))),
+            output: head.output,
+            deadline,
+            suspect,
+        }
+    }
+
+    /// Starts what there is room for.
+    pub fn pump(&mut self, now: Mono) {
+        while let Some(grant) = self.queue.grant(now, &self.room()) {
+            let attempt = grant.id.clone();
+            let Some(entry) = self.entries.get_mut(&attempt) else {
+                self.queue.finish(&attempt, Tokens::ZERO);
+                continue;
+            };
+            self.used += entry.need;
+            self.busy += 1;
+            let stage = std::mem::replace(&mut entry.stage, Stage::Granted);
+            let told = match stage {
+                Stage::Waiting(tell) => tell.send(Ok(grant)).is_ok(),
+                Stage::Granted | Stage::Running(_) => true,
+            };
+            // Nobody waits any more: its room goes to the next.
+            if !told {
+                self.finish(&attempt, Tokens::ZERO, Ran::No, now);
+            }
+        }
+    }
+
+    /// Marks a granted attempt as handed to the engine: from here on it counts
+    /// as run. The receiver is told when its entry host gives it up.
+    ///
+    /// # Errors
+    ///
+    /// Refused when it was given up meanwhile.
+    pub fn start(&mut self, attempt: &Attempt) -> Result<oneshot::Receiver<()>, Refusal> {
+        self.gate.start(attempt)?;
+        let (cancel, cancelled) = oneshot::channel();
+        if let Some(entry) = self.entries.get_mut(attempt) {
+            entry.stage = Stage::Running(cancel);
+        }
+        Ok(cancelled)
+    }
+
+    /// Notes that a running attempt's prompt has been processed.
+    pub fn prefilled(&mut self, attempt: &Attempt, now: Mono) {
+        self.queue.prefilled(attempt, now);
+        if let Some(entry) = self.entries.get(attempt) {
+            self.prefixes.put(&entry.prefix);
+        }
+    }
+
+    /// Takes an attempt out, whatever its stage.
+    pub fn finish(&mut self, attempt: &Attempt, output: Tokens, ran: Ran, now: Mono) {
+        let Some(entry) = self.entries.remove(attempt) else {
+            return;
+        };
+        if matches!(entry.stage, Stage::Waiting(_)) {
+            self.queue.remove(attempt);
+        } else {
+            self.queue.finish(attempt, output);
+            self.used = self.used.saturating_sub(entry.need);
+            self.busy = self.busy.saturating_sub(1);
+        }
+        self.gate.finish(attempt, ran, now);
+    }
+
+    /// Gives an attempt up on its entry host's word, and says whether it ran.
+    pub fn settle(&mut self, attempt: &Attempt, target: Incarnation, now: Mono) -> Ran {
+        let settled = self.gate.settle(attempt, target, now);
+        match settled.action {
+            Action::None => {}
+            Action::Dequeue => self.answer(attempt, Code::Tombstoned, None, now),
+            Action::Cancel => {
+                let entry = self.entries.get_mut(attempt);
+                let stage = entry.map(|e| std::mem::replace(&mut e.stage, Stage::Granted));
+                if let Some(Stage::Running(cancel)) = stage {
+                    // An error means that the run has just ended by itself.
+                    let _ = cancel.send(());
+                }
+            }
+        }
+        settled.ran
+    }
+
+    /// Answers those who wait no longer: their time is over, or can't suffice.
+    pub fn expire(&mut self, now: Mono) {
+        for expiry in self.queue.expired(now) {
+            self.answer(&expiry.id, expiry.code, Some(expiry.retry_after), now);
+        }
+        self.gate.sweep(now);
+    }
+
+    /// Says whether the upstream is leaving. What waits is given back at once,
+    /// provably not run; what runs is left alone.
+    pub fn set_leaving(&mut self, leaving: bool, now: Mono) {
+        if leaving == self.gate.is_leaving() {
+            return;
+        }
+        for attempt in self.gate.set_leaving(leaving, now) {
+            self.answer(&attempt, Code::UpstreamLeaving, None, now);
+        }
+    }
+
+    /// Whether the upstream takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        self.gate.is_leaving()
+    }
+
+    /// Sends a refusal to a waiting attempt and takes it out.
+    fn answer(&mut self, attempt: &Attempt, code: Code, wait: Option<Duration>, now: Mono) {
+        if let Some(entry) = self.entries.get_mut(attempt) {
+            let refusal = Refusal {
+                code,
+                ran: Ran::No,
+                retry_after: wait,
+            };
+            let stage = std::mem::replace(&mut entry.stage, Stage::Granted);
+            if let Stage::Waiting(tell) = stage {
+                let _ = tell.send(Err(refusal));
+                self.entries.remove(attempt);
+                self.queue.remove(attempt);
+            } else {
+                entry.stage = stage;
+            }
+        }
+        self.gate.finish(attempt, Ran::No, now);
+    }
+
+    /// What runs on the engine.
+    pub fn present(&self) -> Vec<Present> {
+        let running = |e: &&Entry| matches!(e.stage, Stage::Running(_));
+        let running = self.entries.values().filter(running);
+        running.map(|e| e.present.clone()).collect()
+    }
+
+    /// Room on the engine, by what is kept for those that run.
+    pub fn room(&self) -> Room {
+        Room {
+            free: self.config.capacity.saturating_sub(self.used),
+            capacity: self.config.capacity,
+            slots: self.config.slots.saturating_sub(self.busy),
+            slot_limit: self.config.slots,
+        }
+    }
+
+    /// What is told of the upstream's load. `prefix`: of a prompt that may come.
+    pub fn load(&self, prefix: &[u64]) -> Load {
+        Load {
+            running: self.busy,
+            queued: u32::try_from(self.queue.len()).unwrap_or(u32::MAX),
+            backlog: self.queue.backlog(),
+            free: self.room().free,
+            capacity: self.config.capacity,
+            wait: self.queue.wait_estimate(Class::Short),
+            leaving: self.gate.is_leaving(),
+            cached: self.prefixes.leading(prefix),
+            speed: self.queue.speed() as u64,
+        }
+    }
+}
+
+impl From<gate::Refusal> for Refusal {
+    fn from(refusal: gate::Refusal) -> Refusal {
+        Refusal {
+            code: refusal.code,
+            ran: refusal.ran,
+            retry_after: None,
+        }
+    }
+}
