Add the replicated log's machine and storage

The machine is Raft without I/O; random schedules check election safety, log matching, leader completeness and reads.

--- /dev/null
+++ b/almondlock-quorum/src/machine/change.rs
@@ -0,0 +1,54 @@
+//! Membership, one change at a time.
+//!
+//! A change is an entry that holds the members after it, in force from the
+//! moment it is appended. The next one waits until it is accepted, and the first
+//! of a term until an entry of that term is: without the second wait two leaders
+//! in a row could each start from the same members and change them differently,
+//! to sets whose majorities need not meet.
+
+use almondlock_base::time::Mono;
+
+use super::Machine;
+use crate::{
+    entry::{Payload, Position},
+    error::Error,
+    member::{Change, Id, Members},
+};
+
+impl Machine {
+    /// Puts a change of the members into the log, if this replica leads.
+    pub fn change(&mut self, now: Mono, change: &Change) -> Result<Position, Error> {
+        self.check_leader()?;
+        if self.log.members_index() > self.commit {
+            return Err(Error::busy("another change of the members is under way"));
+        }
+        if self.log.term(self.commit) != Some(self.hard.term) {
+            return Err(Error::busy("the new leader has not accepted anything yet"));
+        }
+        if let Change::Promote(id) = change {
+            self.check_caught_up(*id)?;
+        }
+        let members = self.log.members().changed(change)?;
+        Ok(self.lead_members(now, members))
+    }
+
+    fn lead_members(&mut self, now: Mono, members: Members) -> Position {
+        let position = self.lead_entry(now, Payload::Members(members.into()));
+        self.sync_peers();
+        self.replicate_all(now);
+        position
+    }
+
+    /// A learner gets its vote only once it has synced all that was accepted.
+    /// Promoted earlier it would count towards majorities without holding what
+    /// the others promised, and the next loss would take away the quorum until
+    /// it had caught up. Judged by the commit index at the last heartbeat: under
+    /// steady load the newest one is always an exchange ahead.
+    fn check_caught_up(&self, id: Id) -> Result<(), Error> {
+        let matched = self.peers.get(&id).map(|peer| peer.matched);
+        match matched {
+            Some(index) if index >= self.recent_commit.max(self.log.members_index()) => Ok(()),
+            _ => Err(Error::busy("the learner has not caught up yet")),
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-quorum/src/machine/election.rs
@@ -0,0 +1,255 @@
+//! Who leads.
+//!
+//! Before it raises its term, a replica asks whether it could win at all
+//! (pre-vote), and those that hear a leader say no. So a replica that was cut
+//! off for minutes returns without unseating anyone. A leader that hasn't heard
+//! a majority for one election timeout steps down, so a silent minority stops
+//! answering as if it led.
+
+use almondlock_base::time::Mono;
+use rand::Rng;
+
+use super::{Machine, Role, progress::Progress};
+use crate::{
+    entry::{Payload, Term},
+    member::Id,
+    message::{AppendReply, Body, Message, VoteReply, VoteRequest},
+};
+
+impl Machine {
+    pub(super) fn delay_election(&mut self, now: Mono) {
+        let least = self.config.election;
+        self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.0));
+    }
+
+    /// Becomes a follower in this term, of this leader if one is known.
+    pub(super) fn follow(&mut self, now: Mono, term: Term, leader: Option<Id>) {
+        if term > self.hard.term {
+            self.hard.term = term;
+            self.hard.vote = None;
+            self.leader_heard = None;
+            self.output.changed_hard();
+        }
+        if self.role != Role::Follower {
+            self.delay_election(now);
+        }
+        self.role = Role::Follower;
+        self.leader = leader;
+        self.votes.clear();
+        self.peers.clear();
+        self.deny_reads();
+    }
+
+    /// A leader of this term spoke.
+    pub(super) fn hear_leader(&mut self, now: Mono, leader: Id) {
+        if self.role != Role::Follower || self.leader != Some(leader) {
+            self.follow(now, self.hard.term, Some(leader));
+        }
+        self.leader_heard = Some(now);
+        self.delay_election(now);
+    }
+
+    pub(super) fn pre_campaign(&mut self, now: Mono) {
+        self.delay_election(now);
+        if !self.log.members().is_voter(self.id) {
+            return;
+        }
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        self.ask_votes(true);
+        self.count_vote(now, self.id);
+    }
+
+    fn campaign(&mut self, now: Mono) {
+        self.delay_election(now);
+        self.role = Role::Candidate;
+        self.leader = None;
+        self.votes.clear();
+        self.hard.term = self.hard.term.next();
+        self.hard.vote = Some(self.id);
+        self.leader_heard = None;
+        // Its own vote counts once it is on disk, as any other: forgotten in a
+        // crash, it could be given to another in the same term.
+        self.output.vote = self.output.changed_hard();
+        self.ask_votes(false);
+    }
+
+    fn ask_votes(&mut self, pre: bool) {
+        let body = Body::VoteRequest(VoteRequest {
+            pre,
+            last_index: self.log.last(),
+            last_term: self.log.last_term(),
+        });
+        let others = self.others();
+        for to in others {
+            if pre {
+                let message = Message {
+                    term: self.hard.term.next(),
+                    body: body.clone(),
+                };
+                self.output.send(to, message);
+            } else {
+                self.send_synced(to, body.clone());
+            }
+        }
+    }
+
+    fn others(&self) -> Vec<Id> {
+        let voters = self.log.members().voters.keys();
+        voters.copied().filter(|id| *id != self.id).collect()
+    }
+
+    pub(super) fn count_vote(&mut self, now: Mono, from: Id) {
+        self.votes.insert(from);
+        let votes = &self.votes;
+        if !self.log.members().has_quorum(|id| votes.contains(&id)) {
+            return;
+        }
+        match self.role {
+            Role::PreCandidate => self.campaign(now),
+            Role::Candidate => self.lead(now),
+            Role::Follower | Role::Leader => {}
+        }
+    }
+
+    fn lead(&mut self, now: Mono) {
+        self.role = Role::Leader;
+        self.leader = Some(self.id);
+        self.elected_at = now;
+        self.heartbeat_at = now + self.config.heartbeat;
+        self.sync_peers();
+        // Entries of earlier terms count as accepted only together with one of
+        // this term (replication::advance_commit), so there must be one.
+        self.lead_entry(now, Payload::Empty);
+    }
+
+    /// Keeps one progress for each other member. Those removed stay until that
+    /// is accepted, so that they hear of it.
+    pub(super) fn sync_peers(&mut self) {
+        let members = self.log.members();
+        let (id, next) = (self.id, self.log.last().next());
+        for member in members.iter().filter(|m| m.id != id) {
+            self.peers
+                .entry(member.id)
+                .or_insert_with(|| Progress::new(next));
+        }
+    }
+
+    pub(super) fn on_vote_request(
+        &mut self,
+        now: Mono,
+        from: Id,
+        term: Term,
+        request: VoteRequest,
+    ) {
+        let complete =
+            (request.last_term, request.last_index) >= (self.log.last_term(), self.log.last());
+        if request.pre {
+            let granted = complete && term > self.hard.term && !self.hears_leader(now);
+            let body = Body::VoteReply(VoteReply { pre: true, granted });
+            let term = if granted { term } else { self.hard.term };
+            self.output.send(from, Message { term, body });
+            return;
+        }
+        let free = match self.hard.vote {
+            None => self.leader.is_none(),
+            Some(vote) => vote == from,
+        };
+        let granted = free && complete;
+        if granted && self.hard.vote.is_none() {
+            self.follow(now, term, None);
+            self.hard.vote = Some(from);
+            self.output.changed_hard();
+            self.delay_election(now);
+        }
+        let reply = VoteReply {
+            pre: false,
+            granted,
+        };
+        self.send_synced(from, Body::VoteReply(reply));
+    }
+
+    fn hears_leader(&self, now: Mono) -> bool {
+        let recent = |at: Mono| now.since(at) < self.config.election;
+        self.is_leader() || (self.leader.is_some() && self.leader_heard.is_some_and(recent))
+    }
+
+    pub(super) fn on_vote_reply(&mut self, now: Mono, from: Id, term: Term, reply: VoteReply) {
+        let wanted = match self.role {
+            Role::PreCandidate => reply.pre && term == self.hard.term.next(),
+            Role::Candidate => !reply.pre && term == self.hard.term,
+            Role::Follower | Role::Leader => false,
+        };
+        if wanted && reply.granted {
+            self.count_vote(now, from);
+        }
+    }
+
+    pub(super) fn on_timeout_now(&mut self, now: Mono) {
+        if self.role == Role::Follower && self.log.members().is_voter(self.id) {
+            self.campaign(now);
+        }
+    }
+
+    /// Tells a speaker of an older term of the present one, so that an old
+    /// leader steps down and a candidate catches up.
+    pub(super) fn answer_old(&mut self, from: Id, body: &Body) {
+        match body {
+            Body::Append(append) => {
+                let reply = AppendReply {
+                    matched: false,
+                    index: self.log.last(),
+                    round: append.round,
+                };
+                self.send_synced(from, Body::AppendReply(reply));
+            }
+            Body::Piece(_) => {
+                let reply = AppendReply {
+                    matched: false,
+                    index: self.log.last(),
+                    round: 0,
+                };
+                self.send_synced(from, Body::AppendReply(reply));
+            }
+            Body::VoteRequest(request) => {
+                let pre = request.pre;
+                let reply = VoteReply {
+                    pre,
+                    granted: false,
+                };
+                self.send_synced(from, Body::VoteReply(reply));
+            }
+            _ => {}
+        }
+    }
+
+    /// Steps down unless a majority was heard within one election timeout.
+    pub(super) fn check_quorum(&mut self, now: Mono) {
+        let span = self.config.election;
+        if now.since(self.elected_at) < span {
+            return;
+        }
+        let heard = |id: Id| {
+            let peer = self.peers.get(&id).and_then(|peer| peer.heard);
+            id == self.id || peer.is_some_and(|at| now.since(at) < span)
+        };
+        if !self.log.members().has_quorum(heard) {
+            self.follow(now, self.hard.term, None);
+        }
+    }
+
+    /// Hands leadership to the voter that has the most, for a graceful stop.
+    pub fn hand_over(&mut self) {
+        let voters = &self.log.members().voters;
+        let best = self
+            .peers
+            .iter()
+            .filter(|(id, _)| voters.contains_key(id))
+            .max_by_key(|(_, peer)| peer.matched)
+            .map(|(id, _)| *id);
+        if let Some(to) = best.filter(|_| self.is_leader()) {
+            self.send(to, Body::TimeoutNow);
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -0,0 +1,319 @@
+//! The protocol of one replica of one group, without I/O.
+//!
+//! Whoever drives a machine hands it messages, ticks, proposals and notices of
+//! finished syncs, and after each call (or several) takes its [`Output`]: the
+//! write goes to the disk in order, messages go out at once and in any order,
+//! committed entries are applied in order. What must not be said before it is
+//! on disk is held back here until [`Machine::synced`], so a driver can't get
+//! that order wrong.
+//!
+//! The parts: `election` (who leads), `replication` (entries to others),
+//! `append` (entries from the leader), `snapshot` (whole states in pieces),
+//! `read` (reads that are never stale), `change` (membership).
+
+mod append;
+mod change;
+mod election;
+mod output;
+mod progress;
+mod read;
+mod replication;
+mod snapshot;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use almondlock_base::time::Mono;
+use rand::{SeedableRng, rngs::SmallRng};
+
+pub use self::{output::Output, read::Grant};
+use crate::{
+    config::Config,
+    entry::{Entry, Hard, Index, Payload, Position, Snapshot, Term},
+    error::Error,
+    log::Log,
+    member::{Id, Members},
+    message::{Body, Message},
+    storage::Loaded,
+};
+
+/// What a replica is at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// It follows a leader, or waits for one.
+    Follower,
+    /// It asks whether it could win an election.
+    PreCandidate,
+    /// It stands for election.
+    Candidate,
+    /// It leads.
+    Leader,
+}
+
+/// One replica of one group.
+#[derive(Debug)]
+pub struct Machine {
+    config: Config,
+    id: Id,
+    hard: Hard,
+    log: Log,
+    role: Role,
+    leader: Option<Id>,
+    // Invariant: never goes down; entries up to it are held by a majority.
+    commit: Index,
+    // Invariant: `handed <= commit`; the driver was given all entries up to it.
+    handed: Index,
+    // Invariant: the entries up to it, of the present log, are synced here.
+    durable: Index,
+    rng: SmallRng,
+    // When to stand for election, for all but a leader.
+    election_at: Mono,
+    // When a leader of the present term was last heard.
+    leader_heard: Option<Mono>,
+    votes: BTreeSet<Id>,
+    // Of a leader: the others, by identity.
+    peers: BTreeMap<Id, progress::Progress>,
+    heartbeat_at: Mono,
+    // The commit index when the last heartbeats went out.
+    recent_commit: Index,
+    // Of a leader: since when it has led.
+    elected_at: Mono,
+    reads: read::Queue,
+    incoming: Option<snapshot::Incoming>,
+    output: output::Pending,
+}
+
+impl Machine {
+    /// Starts from what the disk holds.
+    pub fn new(config: Config, id: Id, loaded: Loaded, now: Mono) -> Machine {
+        let snapshot = loaded.snapshot.unwrap_or_else(|| {
+            Arc::new(Snapshot {
+                index: Index::ZERO,
+                term: Term::ZERO,
+                members: Arc::default(),
+                data: Arc::from([]),
+            })
+        });
+        let start = snapshot.index;
+        let log = Log::new(snapshot, loaded.entries);
+        let mut machine = Machine {
+            rng: SmallRng::seed_from_u64(config.seed ^ id.0),
+            durable: log.last(),
+            config,
+            id,
+            hard: loaded.hard,
+            log,
+            role: Role::Follower,
+            leader: None,
+            commit: start,
+            handed: start,
+            election_at: now,
+            leader_heard: None,
+            votes: BTreeSet::new(),
+            peers: BTreeMap::new(),
+            heartbeat_at: now,
+            recent_commit: Index::ZERO,
+            elected_at: now,
+            reads: read::Queue::default(),
+            incoming: None,
+            output: output::Pending::default(),
+        };
+        machine.delay_election(now);
+        machine
+    }
+
+    /// Takes in a message. Whoever calls vouches for `from`.
+    pub fn receive(&mut self, now: Mono, from: Id, message: Message) {
+        if message.term > self.hard.term && !is_pre_vote(&message.body) {
+            self.follow(now, message.term, None);
+        }
+        if message.term < self.hard.term {
+            self.answer_old(from, &message.body);
+            return;
+        }
+        match message.body {
+            Body::VoteRequest(request) => self.on_vote_request(now, from, message.term, request),
+            Body::VoteReply(reply) => self.on_vote_reply(now, from, message.term, reply),
+            Body::Append(append) => self.on_append(now, from, append),
+            Body::AppendReply(reply) => self.on_append_reply(now, from, reply),
+            Body::Piece(piece) => self.on_piece(now, from, piece),
+            Body::PieceReply(reply) => self.on_piece_reply(now, from, reply),
+            Body::TimeoutNow => self.on_timeout_now(now),
+        }
+    }
+
+    /// Lets time pass. To be called a few times per heartbeat.
+    pub fn tick(&mut self, now: Mono) {
+        if self.role == Role::Leader {
+            self.tick_leader(now);
+        } else if now >= self.election_at {
+            self.pre_campaign(now);
+        }
+    }
+
+    /// Puts a command into the log, if this replica leads. It is accepted when
+    /// an entry of the position's term and index comes out committed.
+    pub fn propose(&mut self, now: Mono, data: Arc<[u8]>) -> Result<Position, Error> {
+        self.check_leader()?;
+        if self.log.last().0 - self.commit.0 >= self.config.backlog {
+            return Err(Error::busy("too many entries wait for a quorum"));
+        }
+        Ok(self.lead_entry(now, Payload::Command(data)))
+    }
+
+    /// All writes up to this sequence number are on disk, file and folder
+    /// synced.
+    pub fn synced(&mut self, now: Mono, sequence: u64) {
+        let done = self.output.synced(sequence);
+        if let Some(position) = done
+            && self.log.term(position.index) == Some(position.term)
+        {
+            self.durable = self.durable.max(position.index);
+        }
+        match self.role {
+            Role::Candidate if !self.output.is_held(self.output.vote) => {
+                self.count_vote(now, self.id);
+            }
+            Role::Leader => self.advance_commit(now),
+            _ => {}
+        }
+    }
+
+    /// Gives the state machine's state at an applied index, so that entries
+    /// before it can be forgotten. Older ones than the last are passed over.
+    pub fn compact(&mut self, index: Index, data: Arc<[u8]>) {
+        let Some(term) = self.log.term(index) else {
+            return;
+        };
+        if index > self.handed || index <= self.log.snapshot().index {
+            return;
+        }
+        let snapshot = Arc::new(Snapshot {
+            index,
+            term,
+            members: Arc::clone(self.log.members_at(index)),
+            data,
+        });
+        self.output.save(Arc::clone(&snapshot));
+        self.log.compact(snapshot, self.config.retain);
+    }
+
+    /// What to do now. Nothing in it comes a second time.
+    pub fn take(&mut self) -> Output {
+        let first = self.handed.next();
+        let committed = (first.0..=self.commit.0)
+            .map_while(|index| self.log.get(Index(index)).cloned())
+            .collect();
+        self.handed = self.commit;
+        let (hard, log) = (self.hard, &self.log);
+        self.output.take(hard, log, committed)
+    }
+
+    /// Whether this replica leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.role == Role::Leader
+    }
+
+    /// What this replica is.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Its identity.
+    pub fn id(&self) -> Id {
+        self.id
+    }
+
+    /// Its settings.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// The newest term it has seen.
+    pub fn term(&self) -> Term {
+        self.hard.term
+    }
+
+    /// The leader of the present term, as far as known.
+    pub fn leader(&self) -> Option<Id> {
+        self.leader
+    }
+
+    /// The last entry known to be accepted.
+    pub fn commit(&self) -> Index {
+        self.commit
+    }
+
+    /// The last entry of the log, accepted or not.
+    pub fn last(&self) -> Index {
+        self.log.last()
+    }
+
+    /// The newest snapshot.
+    pub fn snapshot(&self) -> &Arc<Snapshot> {
+        self.log.snapshot()
+    }
+
+    /// The members in force here, accepted or not.
+    pub fn members(&self) -> &Arc<Members> {
+        self.log.members()
+    }
+
+    /// The term of an entry that is held here.
+    pub fn term_at(&self, index: Index) -> Option<Term> {
+        self.log.term(index)
+    }
+
+    /// Of a leader: up to where another replica has everything synced.
+    pub fn matched(&self, id: Id) -> Option<Index> {
+        self.peers.get(&id).map(|peer| peer.matched)
+    }
+
+    fn check_leader(&self) -> Result<(), Error> {
+        if self.is_leader() {
+            Ok(())
+        } else {
+            Err(Error::not_leader(self.leader))
+        }
+    }
+
+    fn lead_entry(&mut self, now: Mono, payload: Payload) -> Position {
+        let position = Position {
+            term: self.hard.term,
+            index: self.log.last().next(),
+        };
+        self.append_entry(Entry {
+            index: position.index,
+            term: position.term,
+            payload,
+        });
+        self.replicate_all(now);
+        position
+    }
+
+    fn append_entry(&mut self, entry: Entry) {
+        self.output.wrote(entry.index);
+        self.log.push(entry);
+    }
+
+    fn send(&mut self, to: Id, body: Body) {
+        let term = self.hard.term;
+        self.output.send(to, Message { term, body });
+    }
+
+    /// Sends once all that was written so far is synced.
+    fn send_synced(&mut self, to: Id, body: Body) {
+        let term = self.hard.term;
+        self.output.hold(to, Message { term, body });
+    }
+}
+
+fn is_pre_vote(body: &Body) -> bool {
+    match body {
+        Body::VoteRequest(request) => request.pre,
+        Body::VoteReply(reply) => reply.pre && reply.granted,
+        _ => false,
+    }
+}
--- /dev/null
+++ b/almondlock-quorum/src/storage/disk.rs
@@ -0,0 +1,125 @@
+//! The few operations that storage needs of a file system.
+//!
+//! A trait, so that tests can fail a write or a sync at a chosen moment; used
+//! as a generic parameter, so that the real one costs no indirection.
+
+use std::{
+    fs, io,
+    io::Write,
+    path::{Path, PathBuf},
+};
+
+/// A folder that holds plain files.
+pub trait Disk {
+    /// A file opened for appending.
+    type File: File;
+
+    /// Names of all files, in order.
+    fn list(&self) -> io::Result<Vec<String>>;
+
+    /// The whole of a file.
+    fn read(&self, name: &str) -> io::Result<Vec<u8>>;
+
+    /// Makes an empty file, replacing one of that name.
+    fn create(&self, name: &str) -> io::Result<Self::File>;
+
+    /// Gives a file another name, replacing one of that name.
+    fn rename(&self, from: &str, to: &str) -> io::Result<()>;
+
+    /// Takes a file away.
+    fn remove(&self, name: &str) -> io::Result<()>;
+
+    /// Syncs the folder, and with it which files exist.
+    fn sync(&self) -> io::Result<()>;
+}
+
+/// A file opened for appending.
+pub trait File {
+    /// Adds bytes at the end.
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()>;
+
+    /// Syncs the file's bytes and length.
+    fn sync(&mut self) -> io::Result<()>;
+}
+
+/// A folder of the file system.
+#[derive(Clone, Debug)]
+pub struct Folder {
+    path: PathBuf,
+}
+
+impl Folder {
+    /// Opens a folder, making it if it is missing.
+    pub fn open(path: &Path) -> io::Result<Folder> {
+        fs::create_dir_all(path)?;
+        if let Some(parent) = path.parent().filter(|p| !p.as_os_str().is_empty()) {
+            fs::File::open(parent)?.sync_all()?;
+        }
+        Ok(Folder {
+            path: path.to_owned(),
+        })
+    }
+}
+
+impl Disk for Folder {
+    type File = fs::File;
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in fs::read_dir(&self.path)? {
+            let entry = entry?;
+            if entry.file_type()?.is_file() {
+                names.push(entry.file_name().to_string_lossy().into_owned());
+            }
+        }
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    fn create(&self, name: &str) -> io::Result<fs::File> {
+        fs::File::create(self.path.join(name))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        fs::remove_file(self.path.join(name))
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        fs::File::open(&self.path)?.sync_all()
+    }
+}
+
+impl File for fs::File {
+    fn append(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.write_all(bytes)
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.sync_data()
+    }
+}
+
+/// Writes a whole file so that after a crash either the old one or the new one
+/// is there, and syncs it and the folder.
+pub(super) fn replace<D>(disk: &D, name: &str, bytes: &[u8]) -> io::Result<()>
+where
+    D: Disk,
+{
+    let temporary = format!("{name}{TEMPORARY}");
+    let mut file = disk.create(&temporary)?;
+    file.append(bytes)?;
+    file.sync()?;
+    disk.rename(&temporary, name)?;
+    disk.sync()
+}
+
+/// Ends the name of a file that is not whole yet.
+pub(super) const TEMPORARY: &str = ".tmp";
--- /dev/null
+++ b/almondlock-quorum/src/storage/identity.rs
@@ -0,0 +1,88 @@
+//! Whose disk this is.
+//!
+//! The identity is drawn when the folder is first used and kept in a file of
+//! its own. Losing the folder loses the identity: whatever starts on an empty
+//! folder is somebody else, whom no member list names.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    FORMAT,
+    disk::{self, Disk},
+    record::{Found, Header, Record},
+};
+use crate::{error::Error, member::Id};
+
+const NAME: &str = "identity";
+
+/// A disk's identity, and whether it was just drawn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Identity {
+    /// The identity.
+    pub id: Id,
+    /// The folder was empty.
+    pub fresh: bool,
+}
+
+impl Identity {
+    /// Reads the folder's identity, or makes `drawn` its identity if the folder
+    /// is empty. Files without an identity are refused: whose they are, and what
+    /// that replica promised, is unknown.
+    pub fn open<D>(disk: &D, group: u16, drawn: Id) -> Result<Identity, Error>
+    where
+        D: Disk,
+    {
+        let names = disk
+            .list()
+            .map_err(|e| Error::io("can't list the data folder", e))?;
+        if names.iter().any(|name| name == NAME) {
+            return read(disk, group);
+        }
+        if names.iter().any(|name| !name.ends_with(disk::TEMPORARY)) {
+            return Err(Error::damaged(NAME, "it is missing beside other files"));
+        }
+        write(disk, group, drawn)?;
+        Ok(Identity {
+            id: drawn,
+            fresh: true,
+        })
+    }
+}
+
+fn write<D>(disk: &D, group: u16, id: Id) -> Result<(), Error>
+where
+    D: Disk,
+{
+    let mut bytes = Vec::new();
+    Record::Header(Header {
+        format: FORMAT,
+        file: NAME.to_owned(),
+        group,
+        disk: id,
+    })
+    .write(&mut bytes);
+    disk::replace(disk, NAME, &bytes).map_err(|e| Error::io("can't write the identity", e))
+}
+
+fn read<D>(disk: &D, group: u16) -> Result<Identity, Error>
+where
+    D: Disk,
+{
+    let bytes = disk
+        .read(NAME)
+        .map_err(|e| Error::io("can't read the identity", e))?;
+    let Found::Record(Record::Header(header), end) = Record::read(&bytes, 0) else {
+        return Err(Error::damaged(NAME, "it can't be read"));
+    };
+    if header.format != FORMAT {
+        return Err(Error::format(NAME, header.format));
+    }
+    if header.group != group || header.file != NAME || end != bytes.len() {
+        return Err(Error::damaged(NAME, "it belongs to something else"));
+    }
+    Ok(Identity {
+        id: header.disk,
+        fresh: false,
+    })
+}
