--- /dev/null
+++ b/almondlock-node/src/handle.rs
@@ -0,0 +1,119 @@
+//! What a process's other threads see of its node.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Host, Incarnation},
+    time::Mono,
+    unit::Revision,
+};
+use almondlock_spread::view::View;
+use almondlock_wire::peer::{Peer, VERSION};
+use tokio::sync::Notify;
+
+use crate::clock;
+
+/// How long a process may act as current without word from a source.
+pub const RECENT: Duration = Duration::from_secs(12);
+
+/// Says until when a source's view was known to be current.
+///
+/// A replica that is cut off from the others holds an old configuration and
+/// doesn't know it; so the replica module tells here each time that a quorum
+/// has confirmed what it holds, and processes below it count from there.
+#[derive(Clone, Debug, Default)]
+pub struct Vouch {
+    // Microseconds of the process's clock; zero before the first time. Never
+    // goes down.
+    at: Arc<AtomicU64>,
+}
+
+impl Vouch {
+    /// One that has not vouched yet.
+    pub fn new() -> Vouch {
+        Vouch::default()
+    }
+
+    /// The view held everything accepted before `now`.
+    pub fn at(&self, now: Mono) {
+        self.at.fetch_max(now.as_micros(), Ordering::Relaxed);
+    }
+
+    /// The last moment vouched for.
+    pub fn last(&self) -> Option<Mono> {
+        let micros = self.at.load(Ordering::Relaxed);
+        (micros > 0).then_some(Mono::from_micros(micros))
+    }
+}
+
+/// A node as seen from any thread.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) host: Host,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) view: View,
+    /// Until when the view is known to be current.
+    pub(crate) current: Vouch,
+    /// A source without a vouch is its own authority.
+    pub(crate) always: bool,
+    /// The newest revision heard of along the data path.
+    pub(crate) heard: AtomicU64,
+    pub(crate) news: Notify,
+}
+
+impl Handle {
+    pub(crate) fn new(shared: Arc<Shared>) -> Handle {
+        Handle { shared }
+    }
+
+    /// The configuration in force.
+    pub fn view(&self) -> &View {
+        &self.shared.view
+    }
+
+    /// This process as it names itself in exchanges.
+    pub fn peer(&self) -> Peer {
+        Peer {
+            host: self.shared.host.clone(),
+            incarnation: self.shared.incarnation,
+            version: VERSION,
+            revision: self.shared.view.revision(),
+        }
+    }
+
+    /// Whether the configuration in force is known to be recent: at some
+    /// moment of the last [`RECENT`] it was the newest that a source had.
+    pub fn is_recent(&self) -> bool {
+        let now = clock::mono();
+        let current = self.shared.current.last();
+        self.shared.always || current.is_some_and(|at| now.since(at) <= RECENT)
+    }
+
+    /// Takes note of the other side of an exchange. A newer revision there
+    /// makes this process fetch at once.
+    pub fn heard(&self, peer: &Peer) {
+        let revision = peer.revision.0;
+        if peer.revision > self.shared.view.revision() {
+            let before = self.shared.heard.fetch_max(revision, Ordering::Relaxed);
+            if before < revision {
+                self.shared.news.notify_one();
+            }
+        }
+    }
+
+    /// The newest revision heard of along the data path.
+    pub fn newest_heard(&self) -> Revision {
+        Revision(self.shared.heard.load(Ordering::Relaxed))
+    }
+}
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -1,3 +1,12 @@
 //! What every almondlock process has, whatever its roles: an inner listener
 //! with a bootstrap interface, a view of the configuration in force that is
 //! kept up to date from other processes, and links to peers.
+
+pub mod clock;
+mod fetch;
+pub mod handle;
+pub mod node;
+pub mod server;
+
+pub use handle::{Handle, Vouch};
+pub use node::{Config, Node, Parts};
--- a/almondlock-transport/src/lib.rs
+++ b/almondlock-transport/src/lib.rs
@@ -4,3 +4,7 @@
 //! bootstrap `Node`. Sessions are bound to the thread that made them.
 
 pub mod link;
+pub mod security;
+
+pub use link::Link;
+pub use security::Security;
--- a/almondlock-wire/src/lib.rs
+++ b/almondlock-wire/src/lib.rs
@@ -11,3 +11,5 @@
 #[rustfmt::skip]
 #[path = "generated/almondlock_capnp.rs"]
 pub mod almondlock_capnp;
+
+pub mod peer;
