--- a/almondlock-entry/src/answer.rs
+++ b/almondlock-entry/src/answer.rs
@@ -126,8 +126,7 @@
 }
 
 /// An answer kept for later copies of a request that may not be repeated.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Kept {
     /// HTTP status.
     pub status: u16,
@@ -144,8 +143,7 @@
 }
 
 /// The form in which usage is kept.
-#[derive(Clone, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Cost {
     /// Tokens of the prompt.
     pub prompt: u64,
--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -7,7 +7,7 @@
 use std::{cell::Cell, cell::RefCell, rc::Rc, time::Duration};
 
 use almondlock_base::{Ran, id::Upstream};
-use almondlock_node::Handle;
+use almondlock_node::{Handle, links::Session};
 use almondlock_wire::{
     almondlock_capnp::{sidecar, sink, source},
     answer::{self, Assembly, Frame, Part, Usage, Verdict},
@@ -16,7 +16,7 @@
 };
 use tokio::{sync::mpsc, time::timeout};
 
-use crate::{body::Rope, links::Session};
+use crate::body::Rope;
 
 /// How long a sidecar is asked what became of an attempt.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -3,3 +3,14 @@
 //! kept up to date from other processes, and links to peers.
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
+
+pub mod clock;
+mod fetch;
+pub mod handle;
+pub mod links;
+pub mod node;
+pub mod replicas;
+pub mod server;
+
+pub use handle::{Handle, Vouch};
+pub use node::{Config, Node, Parts, Sidecars};
--- a/almondlock-quorum/src/machine/replication.rs
+++ b/almondlock-quorum/src/machine/replication.rs
@@ -114,7 +114,10 @@
 
     pub(super) fn on_append_reply(&mut self, now: Mono, from: Id, reply: AppendReply) {
         let last = self.log.last();
-        let Some(peer) = self.peers.get_mut(&from).filter(|_| self.role == super::Role::Leader)
+        let Some(peer) = self
+            .peers
+            .get_mut(&from)
+            .filter(|_| self.role == super::Role::Leader)
         else {
             return;
         };
--- a/almondlock-quorum/tests/random_schedules.rs
+++ b/almondlock-quorum/tests/random_schedules.rs
@@ -40,11 +40,12 @@
 fn all_repaired(c: &Cluster) -> bool {
     let alive = |id: &Id| c.node_of(*id).is_some();
     let members = |n: &cluster::Node| n.machine.as_ref().map(|m| m.members().clone());
-    c.nodes.iter().all(|n| {
-        n.machine.is_some() && members(n).is_none_or(|m| m.voters.keys().all(alive))
-    }) && c.leader().is_some_and(|n| {
-        members(&c.nodes[n]).is_some_and(|m| c.nodes.iter().all(|n| m.is_voter(n.id)))
-    })
+    c.nodes
+        .iter()
+        .all(|n| n.machine.is_some() && members(n).is_none_or(|m| m.voters.keys().all(alive)))
+        && c.leader().is_some_and(|n| {
+            members(&c.nodes[n]).is_some_and(|m| c.nodes.iter().all(|n| m.is_voter(n.id)))
+        })
 }
 
 /// The operator's next step towards members that have their disks.
--- a/almondlock-transport/src/lib.rs
+++ b/almondlock-transport/src/lib.rs
@@ -6,3 +6,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod link;
+pub mod security;
+
+pub use link::Link;
+pub use security::Security;
--- a/almondlock-wire/src/attempt.rs
+++ b/almondlock-wire/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::{
     almondlock_capnp::{self as schema, attempt_id, head, load, outcome},
     error::Error,
-    peer::{self, Peer},
+    peer::Peer,
 };
 
 /// The largest body that travels within its head, in bytes.
@@ -205,7 +205,7 @@
     let body = from.get_body()?;
     let body_length = from.get_body_length();
     if !body.is_empty() && body.len() as u64 != body_length {
-        return Err(Error::value("bodyLength"));
+        return Err(Error::field("bodyLength", "not the length of the body"));
     }
     let fingerprint = Fingerprint::from_slice(from.get_fingerprint()?);
     Ok(Head {
@@ -227,11 +227,11 @@
         stream: from.get_stream(),
         suspect: from.get_suspect(),
         resume_at: from.get_resume_at(),
-        fingerprint: fingerprint.ok_or(Error::value("fingerprint"))?,
+        fingerprint: fingerprint.ok_or_else(|| Error::field("fingerprint", "not 16 bytes"))?,
         prefix: from.get_prefix()?.iter().collect(),
         body_length,
         body: body.to_vec(),
-        from: peer::read(from.get_from()?)?,
+        from: Peer::read(from.get_from()?)?,
     })
 }
 
@@ -265,7 +265,7 @@
     to.set_prefix(head.prefix.as_slice())?;
     to.set_body_length(head.body_length);
     to.set_body(&head.body);
-    peer::write(&head.from, to.init_from());
+    head.from.write(to.init_from());
     Ok(())
 }
 
--- a/almondlock-wire/src/error.rs
+++ b/almondlock-wire/src/error.rs
@@ -4,6 +4,9 @@
 
 use almondlock_base::id;
 
+/// The longest account of a problem, in characters.
+const PROBLEM_LIMIT: usize = 200;
+
 /// A message of another process that can't be used.
 #[derive(Debug)]
 pub struct Error {
@@ -14,13 +17,17 @@
 enum Kind {
     Encoding(capnp::Error),
     Name(id::Error),
-    Value(&'static str),
+    Field {
+        field: &'static str,
+        problem: String,
+    },
 }
 
 impl Error {
-    /// A field whose value is outside what the protocol allows.
-    pub(crate) fn value(field: &'static str) -> Error {
-        let kind = Kind::Value(field);
+    /// A field whose value can't be used.
+    pub fn field(field: &'static str, problem: &str) -> Error {
+        let problem = problem.chars().take(PROBLEM_LIMIT).collect();
+        let kind = Kind::Field { field, problem };
         Error { kind }
     }
 }
@@ -30,7 +37,7 @@
         match &self.kind {
             Kind::Encoding(e) => write!(f, "unreadable message: {e}"),
             Kind::Name(e) => write!(f, "unusable message: {e}"),
-            Kind::Value(field) => write!(f, "unusable message: bad value of `{field}`"),
+            Kind::Field { field, problem } => write!(f, "bad {field}: {problem}"),
         }
     }
 }
@@ -68,3 +75,8 @@
         capnp::Error::failed(e.to_string())
     }
 }
+
+/// Reads a text field, which the protocol says is UTF-8.
+pub(crate) fn text(reader: capnp::text::Reader<'_>) -> Result<&str, Error> {
+    Ok(reader.to_str()?)
+}
