Carry a request from its caller to its answer

Cause: the entry role, the last missing part of the thin path. Weighed: a claimed request tied to its caller's connection, as all others are, or detached. Detached: a caller that timed out sends it again and must be given what the first copy came to.

--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -24,6 +24,8 @@
 /// A part of an answer that is in its place.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Piece {
+    /// All pieces before this one are void; only where nothing was delivered.
+    Restart,
     /// The answer begins, with an HTTP status and a type.
     Begin(u16, String),
     /// Text of a model's answer.
@@ -43,6 +45,8 @@
     pub offset: u64,
     /// Whether the closing record was passed on.
     pub whole: bool,
+    /// Whether any part of an answer was passed on.
+    pub begun: bool,
     /// Whether the caller's side stopped taking pieces.
     pub left: bool,
 }
@@ -144,6 +148,7 @@
         outcome,
         offset: assembly.offset(),
         whole: assembly.is_whole(),
+        begun: sink.begun.get(),
         left: sink.left.get(),
     }
 }
--- a/almondlock-entry/src/caller.rs
+++ b/almondlock-entry/src/caller.rs
@@ -10,7 +10,7 @@
 use almondlock_state::config::{Config, Organisation};
 use ntex::http::HeaderMap;
 
-use crate::failure::Failure;
+use crate::{failure::Failure, shared::Directory};
 
 /// The longest idempotency key, in bytes.
 pub const KEY_LIMIT: usize = 255;
@@ -48,14 +48,18 @@
 /// # Errors
 ///
 /// A numbered refusal; nothing ran.
-pub fn read(headers: &HeaderMap, config: &Config) -> Result<Caller, Failure> {
+pub fn read(
+    headers: &HeaderMap,
+    config: &Config,
+    directory: &Directory,
+) -> Result<Caller, Failure> {
     for name in SINGLE {
         if headers.get_all(name).count() > 1 {
             let message = format!("the header {name} stands more than once");
             return Err(Failure::with_message(Code::DoubledHeader, message));
         }
     }
-    let (organisation, limits) = authenticate(headers, config)?;
+    let (organisation, limits) = authenticate(headers, config, directory)?;
     let allowed = deadline(headers, &limits)?;
     Ok(Caller {
         organisation,
@@ -78,17 +82,15 @@
 fn authenticate(
     headers: &HeaderMap,
     config: &Config,
+    directory: &Directory,
 ) -> Result<(id::Organisation, Organisation), Failure> {
     let missing = || Failure::new(Code::Unauthenticated);
     let value = text(headers, "authorization")?.ok_or_else(missing)?;
     let key = value.strip_prefix("Bearer ").ok_or_else(missing)?;
-    let hash = blake3::hash(key.as_bytes()).to_hex().to_string();
-    // Hashes are compared, not keys: how long it takes tells nothing of a key.
-    let owner = config
-        .organisations
-        .iter()
-        .find(|(_, organisation)| organisation.keys.contains(&hash));
-    let (name, organisation) = owner.ok_or_else(missing)?;
+    // Hashes are looked up, not keys: how long it takes tells nothing of a key.
+    let hash = blake3::hash(key.as_bytes()).to_hex();
+    let name = directory.owner(&hash).ok_or_else(missing)?;
+    let organisation = config.organisations.get(name).ok_or_else(missing)?;
     Ok((name.clone(), organisation.clone()))
 }
 
--- /dev/null
+++ b/almondlock-entry/src/http.rs
@@ -0,0 +1,504 @@
+//! Callers' HTTP.
+//!
+//! A handler reads and checks a request, starts its life, and waits for the
+//! first piece of the answer: until then a failure can still be told with a
+//! status of its own. From then on the response is under way, and a failure is
+//! a stream's last event; a service's response is broken off.
+
+use std::{rc::Rc, time::Duration};
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Fingerprint, Service},
+    unit::Tokens,
+};
+use almondlock_node::clock;
+use almondlock_policy::length;
+use almondlock_telemetry::trace::Context;
+use almondlock_wire::{answer::Usage, attempt::Target};
+use futures::{StreamExt, stream};
+use ntex::{
+    http::StatusCode,
+    util::{Bytes, BytesMut},
+    web::{self, HttpRequest, HttpResponse, types::Payload},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::{JoinHandle, spawn_local},
+    time::timeout,
+};
+
+use crate::{
+    answer::Writer,
+    attempt::Piece,
+    body::{self, Rope, Shape},
+    caller::{self, Caller},
+    claimed,
+    failure::Failure,
+    life::Worker,
+    request::Request,
+    shared::Active,
+};
+
+/// Pieces of an answer that wait for their caller at most.
+const DEPTH: usize = 64;
+/// When to come back to a host with too much in progress.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// Adds the routes to an application.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/livez", web::get().to(livez))
+        .route("/readyz", web::get().to(readyz))
+        .route("/v1/models", web::get().to(models))
+        .route("/v1/completions", web::post().to(completions))
+        .route("/v1/chat/completions", web::post().to(chat))
+        .route("/services/{name}", web::route().to(service))
+        .route("/services/{name}/{tail}*", web::route().to(service));
+}
+
+/// Answers whatever no route matches.
+pub async fn unknown() -> HttpResponse {
+    Failure::new(Code::UnknownRoute).to_response("-")
+}
+
+type State = web::types::State<Rc<Worker>>;
+
+async fn livez() -> HttpResponse {
+    HttpResponse::Ok().body("alive\n")
+}
+
+async fn readyz(state: State) -> HttpResponse {
+    match unready(&state) {
+        None => HttpResponse::Ok().body("ready\n"),
+        Some(failure) => failure.to_response("-"),
+    }
+}
+
+/// Why new requests aren't taken here now.
+fn unready(worker: &Worker) -> Option<Failure> {
+    if worker.shared.is_stopping() {
+        return Some(Failure::new(Code::HostStopping).retry_after(OVERLOAD_RETRY));
+    }
+    // Acting on an old configuration might run what has been forbidden since.
+    let recent = worker.shared.handle.has_started();
+    (!recent).then(|| Failure::new(Code::NotReady).retry_after(OVERLOAD_RETRY))
+}
+
+async fn models(request: HttpRequest, state: State) -> HttpResponse {
+    let view = state.shared.handle.view().get();
+    if let Err(failure) = caller::read(request.headers(), &view, &state.shared.directory()) {
+        return failure.to_response("-");
+    }
+    let list: Vec<serde_json::Value> = view
+        .models
+        .keys()
+        .map(|name| serde_json::json!({"id": name, "object": "model", "owned_by": "almondlock"}))
+        .collect();
+    HttpResponse::Ok().json(&serde_json::json!({"object": "list", "data": list}))
+}
+
+async fn completions(request: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+    model(Shape::Text, request, payload, state).await
+}
+
+async fn chat(request: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+    model(Shape::Chat, request, payload, state).await
+}
+
+/// A request that has come in and is counted, but not read.
+struct Arrival {
+    id: String,
+    caller: Caller,
+    active: Active,
+    context: Context,
+}
+
+fn arrive(request: &HttpRequest, worker: &Worker) -> Result<Arrival, (String, Failure)> {
+    let peer = worker.shared.handle.peer();
+    let id = format!("{}-{:x}", peer.incarnation, worker.shared.next());
+    let fail = |failure| (id.clone(), failure);
+    if let Some(failure) = unready(worker) {
+        return Err(fail(failure));
+    }
+    let overloaded = || Failure::new(Code::Overloaded).retry_after(OVERLOAD_RETRY);
+    let active = worker.shared.enter().ok_or_else(|| fail(overloaded()))?;
+    let view = worker.shared.handle.view().get();
+    let caller = caller::read(request.headers(), &view, &worker.shared.directory());
+    let caller = caller.map_err(fail)?;
+    let context = worker.with_rng(|rng| {
+        let parent = caller.traceparent.as_deref().and_then(Context::parse);
+        parent.map_or_else(|| Context::root(rng), |parent| parent.child(rng))
+    });
+    Ok(Arrival {
+        id,
+        caller,
+        active,
+        context,
+    })
+}
+
+/// Reads a body within its bounds of size and time.
+async fn receive(
+    request: &HttpRequest,
+    mut payload: Payload,
+    worker: &Worker,
+) -> Result<Bytes, Failure> {
+    let config = &worker.shared.config;
+    let limit = config.body_limit;
+    let too_large = || {
+        Failure::with_message(
+            Code::BodyTooLarge,
+            format!("the body is larger than {limit} bytes"),
+        )
+    };
+    let length = request.headers().get("content-length");
+    let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
+    if length.is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    // Grows with what arrives: a length that is only claimed takes no memory.
+    let gather = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| Failure::new(Code::UnreadableBody))?;
+            if body.len() + chunk.len() > limit {
+                return Err(too_large());
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    timeout(config.arrival, gather)
+        .await
+        .unwrap_or_else(|_| Err(Failure::new(Code::SlowRequest)))
+}
+
+fn is_json(request: &HttpRequest) -> bool {
+    let value = request.headers().get("content-type");
+    let value = value.and_then(|v| v.to_str().ok()).unwrap_or_default();
+    let essence = value.split(';').next().unwrap_or_default();
+    essence.trim().eq_ignore_ascii_case("application/json")
+}
+
+async fn model(shape: Shape, http: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+    let worker: Rc<Worker> = Rc::clone(&state);
+    let arrival = match arrive(&http, &worker) {
+        Ok(arrival) => arrival,
+        Err((id, failure)) => return failure.to_response(&id),
+    };
+    let id = arrival.id.clone();
+    let read = read_model(shape, &http, payload, &worker, &arrival).await;
+    let (request, usage) = match read {
+        Ok(read) => read,
+        Err(failure) => return failure.to_response(&id),
+    };
+    let name = match &request.target {
+        Target::Model(model, _) => model.to_string(),
+        Target::Service(service) => service.to_string(),
+    };
+    let writer = Writer::new(shape, &id, clock::wall(), &name, usage);
+    let streamed = request.stream;
+    match Running::start(worker, request, arrival.active).await {
+        Err(failure) => failure.to_response(&id),
+        Ok(running) if streamed => running.into_stream(writer, &id),
+        Ok(running) => running.into_document(&writer, &id).await,
+    }
+}
+
+async fn read_model(
+    shape: Shape,
+    http: &HttpRequest,
+    payload: Payload,
+    worker: &Rc<Worker>,
+    arrival: &Arrival,
+) -> Result<(Request, bool), Failure> {
+    if !is_json(http) {
+        return Err(Failure::new(Code::WrongType));
+    }
+    let arrived = clock::mono();
+    let bytes = receive(http, payload, worker).await?;
+    let (spec, rope) = body::read(shape, &bytes)?;
+    let view = worker.shared.handle.view().get();
+    let (context, adapter) = match &spec.target {
+        Target::Model(model, adapter) => {
+            let known = view.models.get(model);
+            let known = known.ok_or_else(|| Failure::new(Code::UnknownModel))?;
+            let has = adapter
+                .as_ref()
+                .is_none_or(|a| known.adapters.contains_key(a));
+            (known.context, has)
+        }
+        Target::Service(_) => return Err(Failure::new(Code::UnknownModel)),
+    };
+    if !adapter {
+        return Err(Failure::with_message(Code::UnknownModel, "no such adapter"));
+    }
+    let prompt = &bytes[spec.prompt.0..spec.prompt.1];
+    let length = length::estimate(prompt.len());
+    if length + spec.output > context {
+        let message = format!(
+            "the prompt and its answer take about {length} + {} tokens of {context}",
+            spec.output
+        );
+        return Err(Failure::with_message(Code::PromptTooLong, message));
+    }
+    let caller = &arrival.caller;
+    let repeatable = caller.repeatable.unwrap_or(caller.key.is_none());
+    let request = Request {
+        id: arrival.id.clone(),
+        organisation: caller.organisation.clone(),
+        share: caller.limits.share.max(1),
+        target: spec.target,
+        method: "POST".to_owned(),
+        path: shape.path().to_owned(),
+        content_type: "application/json".to_owned(),
+        fingerprint: Fingerprint::new(&caller.organisation, shape.path(), &bytes),
+        digest: digest(shape.path(), &bytes),
+        body: rope,
+        prompt: length,
+        output: spec.output,
+        prefix: length::prefix(prompt),
+        stream: spec.stream,
+        repeatable,
+        key: caller.key.clone(),
+        deadline: arrived + caller.allowed,
+        traceparent: arrival.context.to_string(),
+    };
+    Ok((request, spec.usage))
+}
+
+fn digest(path: &str, body: &[u8]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new();
+    hasher.update(&(path.len() as u64).to_le_bytes());
+    hasher.update(path.as_bytes());
+    hasher.update(body);
+    *hasher.finalize().as_bytes()
+}
+
+async fn service(http: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+    let worker: Rc<Worker> = Rc::clone(&state);
+    let arrival = match arrive(&http, &worker) {
+        Ok(arrival) => arrival,
+        Err((id, failure)) => return failure.to_response(&id),
+    };
+    let id = arrival.id.clone();
+    let request = match read_service(&http, payload, &worker, &arrival).await {
+        Ok(request) => request,
+        Err(failure) => return failure.to_response(&id),
+    };
+    match Running::start(worker, request, arrival.active).await {
+        Err(failure) => failure.to_response(&id),
+        Ok(running) => running.into_bytes(&id),
+    }
+}
+
+async fn read_service(
+    http: &HttpRequest,
+    payload: Payload,
+    worker: &Rc<Worker>,
+    arrival: &Arrival,
+) -> Result<Request, Failure> {
+    let unknown = || Failure::new(Code::UnknownService);
+    let name = http.match_info().get("name").unwrap_or_default();
+    let name = Service::new(name).map_err(|_| unknown())?;
+    let view = worker.shared.handle.view().get();
+    let known = view.services.get(&name).ok_or_else(unknown)?;
+    let method = http.method().as_str();
+    let listed = known.repeatable.iter().any(|m| m == method);
+    let arrived = clock::mono();
+    let bytes = receive(http, payload, worker).await?;
+    let uri = http.uri().path_and_query().map_or("/", |p| p.as_str());
+    let prefix = format!("/services/{name}");
+    let path = uri.strip_prefix(&prefix).unwrap_or(uri);
+    let path = if path.starts_with('/') {
+        path.to_owned()
+    } else {
+        format!("/{path}")
+    };
+    let caller = &arrival.caller;
+    // Only a method that is listed may be repeated, whatever the caller says;
+    // a caller may forbid it for one that is.
+    let repeatable = listed && caller.repeatable.unwrap_or(true) && caller.key.is_none();
+    let told = format!("{method} {path}");
+    let content_type = http.headers().get("content-type");
+    let content_type = content_type
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default();
+    Ok(Request {
+        id: arrival.id.clone(),
+        organisation: caller.organisation.clone(),
+        share: caller.limits.share.max(1),
+        target: Target::Service(name),
+        method: method.to_owned(),
+        path,
+        content_type: content_type.to_owned(),
+        fingerprint: Fingerprint::new(&caller.organisation, &told, &bytes),
+        digest: digest(&told, &bytes),
+        prompt: length::estimate(bytes.len()).max(Tokens(1)),
+        output: Tokens(1),
+        body: Rope::whole(bytes),
+        prefix: Vec::new(),
+        stream: true,
+        repeatable,
+        key: caller.key.clone(),
+        deadline: arrived + caller.allowed,
+        traceparent: arrival.context.to_string(),
+    })
+}
+
+/// A request under way: its life goes on in a task that ends when this is
+/// dropped, which happens when the caller leaves.
+struct Running {
+    first: Option<Piece>,
+    pieces: mpsc::Receiver<Piece>,
+    end: oneshot::Receiver<Result<(), Failure>>,
+    task: Task,
+}
+
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Running {
+    /// Starts a request and waits for the first piece of its answer.
+    async fn start(
+        worker: Rc<Worker>,
+        request: Request,
+        active: Active,
+    ) -> Result<Running, Failure> {
+        let now = clock::mono();
+        let organisation = request.organisation.clone();
+        worker
+            .shared
+            .journal()
+            .open(&request.id, organisation.as_str(), now);
+        let tokens = request.prompt + request.output;
+        let permit = worker.shared.admit(&organisation, tokens, now);
+        let permit = permit
+            .map_err(|refusal| Failure::new(refusal.code).retry_after(refusal.retry_after))?;
+        if !request.repeatable && request.key.is_none() && !worker.shared.config.keyless {
+            let message = "a request that may not be repeated needs an Idempotency-Key here";
+            return Err(Failure::with_message(Code::BadHeader, message));
+        }
+        let (to, pieces) = mpsc::channel(DEPTH);
+        let (tell, end) = oneshot::channel();
+        let task = spawn_local(async move {
+            let request = Rc::new(request);
+            let result = match request.key.clone() {
+                Some(key) => claimed::run(worker, request, key, to).await,
+                None => worker.run(&request, &to).await,
+            };
+            let _ = tell.send(result);
+            drop((permit, active));
+        });
+        let mut running = Running {
+            first: None,
+            pieces,
+            end,
+            task: Task(task),
+        };
+        running.first = running.pieces.recv().await;
+        match running.first {
+            Some(_) => Ok(running),
+            None => Err(running.failure().await),
+        }
+    }
+
+    /// Why the pieces ended without the closing one.
+    async fn failure(&mut self) -> Failure {
+        match (&mut self.end).await {
+            Ok(Err(failure)) => failure,
+            Ok(Ok(())) => Failure::new(Code::StreamBroken),
+            Err(_) => Failure::new(Code::HostStopping).ran(Ran::Unknown),
+        }
+    }
+
+    async fn next(&mut self) -> Option<Piece> {
+        match self.first.take() {
+            Some(piece) => Some(piece),
+            None => self.pieces.recv().await,
+        }
+    }
+
+    /// An event stream. One that fails says so and isn't closed as if whole.
+    fn into_stream(self, writer: Writer, id: &str) -> HttpResponse {
+        let events = stream::unfold((Some(self), writer), |(running, writer)| async {
+            let mut running = running?;
+            loop {
+                let (bytes, more) = match running.next().await {
+                    Some(Piece::Text(text)) => (writer.text(&text), true),
+                    Some(Piece::End(usage)) => (concat(writer.end(&usage)), false),
+                    Some(_) => continue,
+                    None => (Writer::failed(&running.failure().await), false),
+                };
+                let rest = more.then_some(running);
+                return Some((Ok::<Bytes, std::io::Error>(bytes), (rest, writer)));
+            }
+        });
+        HttpResponse::Ok()
+            .header("X-Almondlock-Request-Id", id)
+            .header("Cache-Control", "no-cache")
+            .content_type("text/event-stream")
+            .streaming(Box::pin(events))
+    }
+
+    /// One document; nothing is sent before it is whole.
+    async fn into_document(mut self, writer: &Writer, id: &str) -> HttpResponse {
+        let mut text = String::new();
+        loop {
+            match self.next().await {
+                Some(Piece::Text(part)) => text.push_str(&part),
+                Some(Piece::Restart) => text.clear(),
+                Some(Piece::End(usage)) => return document(writer, &text, &usage, id),
+                Some(_) => {}
+                None => return self.failure().await.to_response(id),
+            }
+        }
+    }
+
+    /// A service's answer. One that fails is broken off, which its length or
+    /// its missing last chunk tells the caller.
+    fn into_bytes(mut self, id: &str) -> HttpResponse {
+        let (status, content_type) = match self.first.take() {
+            Some(Piece::Begin(status, content_type)) => (status, content_type),
+            _ => return Failure::new(Code::StreamBroken).to_response(id),
+        };
+        let bytes = stream::unfold(Some(self), |running| async {
+            let mut running = running?;
+            loop {
+                return match running.next().await {
+                    Some(Piece::Bytes(bytes)) => Some((Ok(Bytes::from(bytes)), Some(running))),
+                    Some(Piece::End(_)) => None,
+                    Some(_) => continue,
+                    None => {
+                        let failure = running.failure().await;
+                        Some((Err(std::io::Error::other(failure)), None))
+                    }
+                };
+            }
+        });
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        HttpResponse::build(status)
+            .header("X-Almondlock-Request-Id", id)
+            .content_type(content_type)
+            .streaming(Box::pin(bytes))
+    }
+}
+
+fn concat(parts: Vec<Bytes>) -> Bytes {
+    let mut all = BytesMut::new();
+    parts.iter().for_each(|part| all.extend_from_slice(part));
+    all.freeze()
+}
+
+fn document(writer: &Writer, text: &str, usage: &Usage, id: &str) -> HttpResponse {
+    HttpResponse::Ok()
+        .header("X-Almondlock-Request-Id", id)
+        .content_type("application/json")
+        .body(writer.whole(text, usage))
+}
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -1,4 +1,8 @@
-//! The entry role.
+//! The entry role: from a caller's HTTP request to its answer.
+//!
+//! [`http`] reads and checks, [`life`] carries a request through its attempts,
+//! [`claimed`] through those that run at most once, [`attempt`] talks to one
+//! sidecar. What worker threads share is in [`shared`].
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
@@ -6,4 +10,10 @@
 pub mod attempt;
 pub mod body;
 pub mod caller;
+pub mod claimed;
 pub mod failure;
+pub mod http;
+pub mod journal;
+pub mod life;
+pub mod request;
+pub mod shared;
--- /dev/null
+++ b/almondlock-entry/src/life.rs
@@ -0,0 +1,482 @@
+//! A request's life on the entry host: admission, claim, attempts, end.
+//!
+//! Everything that decides whether something may be sent again stands here and
+//! in [`again`]: a request goes to a second upstream only when the first one
+//! provably did not run it, or when it may be repeated and its caller has seen
+//! nothing of an answer, or when the rest of a deterministic answer can be
+//! asked for at the token where it broke.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Incarnation, Upstream},
+    time::Mono,
+};
+use almondlock_node::{clock, links::Links, replicas::Replicas};
+use almondlock_policy::choice::{Ask, Index, Picker, Probing, Report};
+use almondlock_wire::attempt::{Head, INLINE_BODY, Load, Outcome, Target};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{
+    sync::mpsc,
+    time::{sleep, timeout},
+};
+use tracing::Instrument;
+
+use crate::{
+    attempt::{self, Piece},
+    failure::Failure,
+    request::Request,
+    shared::{Pool, Shared},
+};
+
+/// When to come back when no upstream can be had.
+const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
+/// First pause before another attempt; doubles each time, with jitter.
+const FIRST_PAUSE: Duration = Duration::from_millis(10);
+/// How long the configuration that explains a death is waited for.
+const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often it is looked for.
+const NEWS_PAUSE: Duration = Duration::from_millis(5);
+/// What the sidecar gets beyond the deadline to say how a run ended.
+const GRACE: Duration = Duration::from_millis(500);
+
+/// One worker thread of an entry host.
+pub struct Worker {
+    /// The tables of the host.
+    pub shared: Arc<Shared>,
+    /// This thread's sessions.
+    pub links: Links,
+    /// The control replicas.
+    pub replicas: Replicas,
+    rng: RefCell<SmallRng>,
+}
+
+/// Where an attempt goes.
+struct Place {
+    pool: Pool,
+    index: Index,
+    upstream: Upstream,
+    address: std::net::SocketAddr,
+    incarnation: Incarnation,
+    resumable: bool,
+}
+
+/// What the attempts so far have come to.
+struct Course {
+    excluded: Vec<Index>,
+    attempts: u32,
+    offset: u64,
+    begun: bool,
+    // The most that is known of any attempt that may have run.
+    ran: Ran,
+    suspect: bool,
+}
+
+/// How it goes on after an attempt.
+enum Next {
+    Done,
+    Again(Failure),
+    /// Again, from the first token: what was gathered is thrown away.
+    Restart(Failure),
+    Fail(Failure),
+}
+
+impl Worker {
+    /// A worker with its own sessions and generator.
+    pub fn new(shared: Arc<Shared>, links: Links, replicas: Replicas, seed: u64) -> Worker {
+        Worker {
+            shared,
+            links,
+            replicas,
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
+
+    /// Draws from the worker's generator.
+    pub fn with_rng<T, F>(&self, draw: F) -> T
+    where
+        F: FnOnce(&mut SmallRng) -> T,
+    {
+        draw(&mut self.rng.borrow_mut())
+    }
+
+    /// Notes something for `explain`.
+    pub fn note(&self, request: &Request, what: String) {
+        let mut journal = self.shared.journal();
+        journal.note(&request.id, what, clock::mono());
+    }
+
+    /// Attempts a request until it is answered or given up. Pieces of the
+    /// answer go out as they come; after the last one, `Ok`.
+    pub async fn run(
+        &self,
+        request: &Request,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Result<(), Failure> {
+        let mut course = Course {
+            excluded: Vec::new(),
+            attempts: 0,
+            offset: 0,
+            begun: false,
+            ran: Ran::No,
+            suspect: false,
+        };
+        loop {
+            self.check(request, &mut course)?;
+            let place = self.choose(request, &course)?;
+            course.attempts += 1;
+            let next = self.attempt(request, &place, &mut course, pieces).await;
+            let failure = match next {
+                Next::Done => return Ok(()),
+                Next::Fail(failure) => return Err(failure),
+                Next::Again(failure) => failure,
+                Next::Restart(failure) => {
+                    let _ = pieces.send(Piece::Restart).await;
+                    failure
+                }
+            };
+            course.excluded.push(place.index);
+            let spent = course.attempts > self.shared.config.retries;
+            if spent || !self.shared.spend_retry() {
+                self.note(request, format!("no further attempt: {failure}"));
+                return Err(exhausted(failure));
+            }
+            self.pause(request, &course).await;
+        }
+    }
+
+    /// What forbids a further attempt, looked at anew before each.
+    fn check(&self, request: &Request, course: &mut Course) -> Result<(), Failure> {
+        if request.left(clock::mono()).is_zero() {
+            return Err(deadline(course.ran));
+        }
+        let view = self.shared.handle.view().get();
+        if let Some(known) = view.quarantine(request.fingerprint) {
+            if known.refused {
+                return Err(Failure::new(Code::Quarantined).ran(course.ran));
+            }
+            course.suspect = true;
+        }
+        Ok(())
+    }
+
+    fn choose(&self, request: &Request, course: &Course) -> Result<Place, Failure> {
+        let ask = Ask {
+            prompt: request.prompt,
+            output: request.output,
+            prefix: &request.prefix,
+            excluded: &course.excluded,
+        };
+        let now = clock::mono();
+        let view = self.shared.handle.view().get();
+        for pool in self.shared.pools_for(&request.target) {
+            let picked = self.shared.with_pool(&pool, |table| {
+                let picked = self.with_rng(|rng| Probing::default().pick(table, &ask, now, rng));
+                picked.and_then(|index| {
+                    let name = table.name(index)?.clone();
+                    table.sent(index, request.prompt);
+                    Some((index, name))
+                })
+            });
+            if let Some((index, upstream)) = picked.flatten()
+                && let Some(registration) = view.upstreams.get(&upstream)
+            {
+                return Ok(Place {
+                    pool,
+                    index,
+                    address: registration.address,
+                    incarnation: registration.incarnation,
+                    resumable: registration.resumable,
+                    upstream,
+                });
+            }
+        }
+        let failure = Failure::new(Code::NoUpstream).retry_after(NO_UPSTREAM_RETRY);
+        Err(failure.ran(course.ran))
+    }
+
+    async fn attempt(
+        &self,
+        request: &Request,
+        place: &Place,
+        course: &mut Course,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Next {
+        let head = self.head(request, place, course);
+        let span = tracing::info_span!(
+            "attempt",
+            request = %request.id,
+            attempt = %head.attempt,
+            upstream = %place.upstream,
+            traceparent = %head.traceparent,
+        );
+        self.note(
+            request,
+            format!("attempt {} at {}", head.attempt, place.upstream),
+        );
+        let started = clock::mono();
+        let answered = self.send(request, place, &head, course, pieces);
+        let (outcome, left) = answered.instrument(span).await;
+        self.account(request, place, &outcome, course);
+        let took = clock::mono().since(started);
+        let said = outcome
+            .code
+            .map_or("whole".to_owned(), |code| code.to_string());
+        self.note(
+            request,
+            format!("{} after {took:?} (ran: {})", said, outcome.ran.as_str()),
+        );
+        if outcome.died {
+            self.await_news().await;
+        }
+        again(request, place.resumable, course, outcome, left)
+    }
+
+    /// Sends an attempt and sees it to an outcome, also when its session or
+    /// its sidecar is lost on the way.
+    async fn send(
+        &self,
+        request: &Request,
+        place: &Place,
+        head: &Head,
+        course: &mut Course,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> (Outcome, bool) {
+        let session = match self.links.get(place.address).await {
+            Ok(session) => session,
+            // Never connected: nothing was handed on.
+            Err(_) => return (Outcome::refused(Code::NoUpstream, None), false),
+        };
+        let handle = &self.shared.handle;
+        let run = attempt::run(
+            &session,
+            handle,
+            &place.upstream,
+            head,
+            &request.body,
+            course.begun,
+            pieces.clone(),
+        );
+        let allowed = request.left(clock::mono()) + GRACE;
+        let result = timeout(allowed, run).await;
+        let (outcome, whole, left) = match result {
+            Ok(result) => {
+                course.offset = course.offset.max(result.offset);
+                course.begun |= result.begun;
+                (result.outcome, result.whole, result.left)
+            }
+            Err(_) => (None, false, false),
+        };
+        match outcome {
+            // The sidecar's word alone doesn't make an answer whole.
+            Some(outcome) if outcome.code.is_none() && !whole => {
+                let mut broken = Outcome::refused(Code::StreamBroken, None);
+                broken.ran = Ran::Yes;
+                (broken, left)
+            }
+            Some(outcome) => (outcome, left),
+            None => (self.settle(request, place, head).await, left),
+        }
+    }
+
+    /// Nobody knows whether an attempt ran: its sidecar is asked, over a new
+    /// session, and leaves a tombstone so that a copy still under way is
+    /// dropped. Only its word makes "not run" true.
+    async fn settle(&self, request: &Request, place: &Place, head: &Head) -> Outcome {
+        self.links.drop(place.address);
+        let ran = match self.links.get(place.address).await {
+            Ok(session) => {
+                attempt::settle(&session, &self.shared.handle, &place.upstream, head).await
+            }
+            Err(_) => Ran::Unknown,
+        };
+        let code = if request.left(clock::mono()).is_zero() {
+            Code::DeadlinePassed
+        } else {
+            Code::UpstreamLost
+        };
+        self.note(
+            request,
+            format!("session lost; settled as ran: {}", ran.as_str()),
+        );
+        let mut outcome = Outcome::refused(code, None);
+        outcome.ran = ran;
+        outcome
+    }
+
+    fn head(&self, request: &Request, place: &Place, course: &Course) -> Head {
+        let inline = request.body.len() <= INLINE_BODY as u64;
+        let body = if inline {
+            request.body.read(0, INLINE_BODY)
+        } else {
+            Vec::new()
+        };
+        Head {
+            attempt: self.shared.attempt(),
+            incarnation: place.incarnation,
+            request: request.id.clone(),
+            traceparent: request.traceparent.clone(),
+            organisation: request.organisation.clone(),
+            target: request.target.clone(),
+            method: request.method.clone(),
+            path: request.path.clone(),
+            content_type: request.content_type.clone(),
+            prompt: request.prompt,
+            output: request.output,
+            budget: request.left(clock::mono()),
+            lease: self.shared.config.lease,
+            share: request.share,
+            repeatable: request.repeatable,
+            stream: request.stream,
+            suspect: course.suspect,
+            resume_at: course.offset,
+            fingerprint: request.fingerprint,
+            prefix: request.prefix.clone(),
+            body_length: request.body.len(),
+            body,
+            from: self.shared.handle.peer(),
+        }
+    }
+
+    /// Takes what an attempt taught into the tables.
+    fn account(&self, request: &Request, place: &Place, outcome: &Outcome, course: &Course) {
+        let now = clock::mono();
+        let answered = course.begun;
+        self.shared.with_pool(&place.pool, |table| {
+            if answered {
+                let ask = Ask {
+                    prompt: request.prompt,
+                    output: request.output,
+                    prefix: &request.prefix,
+                    excluded: &[],
+                };
+                table.answered(place.index, &ask);
+            }
+            table.ended(place.index, request.prompt, answered);
+            if outcome.load.capacity.0 > 0 {
+                table.report(place.index, report(&outcome.load), now);
+            }
+            let unusable = matches!(
+                outcome.code,
+                Some(Code::NoUpstream | Code::UpstreamLost | Code::StaleIncarnation)
+            );
+            if unusable || outcome.died {
+                table.failed(place.index, now);
+            }
+        });
+    }
+
+    /// Waits until the configuration heard of with the last answer is in force
+    /// here, so that a suspicion raised by a death is known before the request
+    /// is sent again.
+    async fn await_news(&self) {
+        let handle = &self.shared.handle;
+        let news = async {
+            while handle.view().revision() < handle.newest_heard() {
+                sleep(NEWS_PAUSE).await;
+            }
+        };
+        let _ = timeout(NEWS_TIMEOUT, news).await;
+    }
+
+    async fn pause(&self, request: &Request, course: &Course) {
+        let base = FIRST_PAUSE * 2u32.saturating_pow(course.attempts.min(8));
+        let jitter = self.with_rng(|rng| rng.random_range(0.5..1.0));
+        let pause = base.mul_f64(jitter).min(request.left(clock::mono()));
+        sleep(pause).await;
+    }
+}
+
+/// The form of a load that choices are made by.
+pub fn report(load: &Load) -> Report {
+    Report {
+        in_flight: load.running.saturating_add(load.queued),
+        wait: load.wait,
+        backlog: load.backlog,
+        free: load.free,
+        speed: load.speed,
+    }
+}
+
+fn deadline(ran: Ran) -> Failure {
+    let code = match ran {
+        Ran::No => Code::QueueTimeout,
+        Ran::Yes | Ran::Unknown => Code::DeadlinePassed,
+    };
+    Failure::new(code).ran(ran)
+}
+
+/// Retries are spent; what the last attempt said of its running stands.
+fn exhausted(failure: Failure) -> Failure {
+    if failure.ran != Ran::No {
+        return failure;
+    }
+    let message = format!(
+        "{} Last: {}",
+        Code::RetriesExhausted.text(),
+        failure.message
+    );
+    let spent = Failure::with_message(Code::RetriesExhausted, message);
+    spent.retry_after(failure.retry_after.unwrap_or(NO_UPSTREAM_RETRY))
+}
+
+/// The worse of two answers to "did it run": once it may have, it may have.
+fn worse(one: Ran, other: Ran) -> Ran {
+    match (one, other) {
+        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
+        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
+        (Ran::No, Ran::No) => Ran::No,
+    }
+}
+
+/// Decides how a request goes on after an attempt.
+fn again(
+    request: &Request,
+    resumable: bool,
+    course: &mut Course,
+    outcome: Outcome,
+    left: bool,
+) -> Next {
+    let Some(code) = outcome.code else {
+        return Next::Done;
+    };
+    course.ran = worse(course.ran, outcome.ran);
+    let mut failure = Failure::with_message(code, outcome.message).ran(course.ran);
+    failure.retry_after = outcome.retry_after;
+    if left {
+        return Next::Fail(Failure::new(Code::CallerLeft).ran(course.ran));
+    }
+    // No other upstream would answer these differently.
+    let is_final = matches!(
+        code,
+        Code::PromptTooLong
+            | Code::Quarantined
+            | Code::DeadlinePassed
+            | Code::DeadlineUnreachable
+            | Code::QueueTimeout
+            | Code::CallerLeft
+            | Code::SlowReader
+    );
+    if is_final {
+        return Next::Fail(failure);
+    }
+    let safe = outcome.ran == Ran::No || request.repeatable;
+    // Of a model's answer, the caller has seen nothing before the first token;
+    // a service's begins with the status it gave.
+    let is_model = matches!(request.target, Target::Model(..));
+    let unseen = course.offset == 0 && (is_model || !course.begun);
+    // What is delivered in one piece has not been delivered yet.
+    if safe && !unseen && !resumable && !request.stream {
+        course.offset = 0;
+        course.begun = false;
+        return Next::Restart(failure);
+    }
+    // Words of another run must never be glued to those already delivered:
+    // the rest is asked for only where the engine gives the same continuation.
+    if safe && (unseen || resumable) {
+        Next::Again(failure)
+    } else {
+        Next::Fail(failure)
+    }
+}
--- /dev/null
+++ b/almondlock-entry/src/shared.rs
@@ -0,0 +1,368 @@
+//! What an entry host's worker threads share.
+//!
+//! Lock order: `directory`, then `limits`, then `pools`, then `budget`, then
+//! `journal`. No lock is held over an await, and none over I/O.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Attempt, Organisation, Upstream},
+    time::Mono,
+    unit::{Revision, Tokens},
+};
+use almondlock_node::Handle;
+use almondlock_policy::{
+    choice::{self, Home, Site},
+    limit::{self, Limiter},
+};
+use almondlock_state::config::{self, Kind};
+use almondlock_wire::attempt::Target;
+
+use crate::journal::Journal;
+
+/// An entry host's bounds and defaults.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// The largest body, in bytes.
+    pub body_limit: usize,
+    /// How long a request may take to arrive.
+    pub arrival: Duration,
+    /// How long engine memory held for a request outlives our silence.
+    pub lease: Duration,
+    /// How long the outcome of a request that may not be repeated is kept.
+    pub keep: Duration,
+    /// Whether a request that may not be repeated is taken without a key.
+    pub keyless: bool,
+    /// Requests in progress on this host at most.
+    pub capacity: usize,
+    /// How long a piece of an answer may wait for its caller.
+    pub slow_reader: Duration,
+    /// Retries a request may cost at most.
+    pub retries: u32,
+    /// Retries per hundred fresh requests, over all requests of the host.
+    pub retry_percent: u32,
+    /// Bounds of the choice of an upstream.
+    pub choice: choice::Config,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            body_limit: 16 * 1024 * 1024,
+            arrival: Duration::from_secs(30),
+            lease: Duration::from_secs(10),
+            keep: Duration::from_secs(24 * 3600),
+            keyless: true,
+            capacity: 20_000,
+            slow_reader: Duration::from_secs(30),
+            retries: 3,
+            retry_percent: 20,
+            choice: choice::Config::default(),
+        }
+    }
+}
+
+/// What serves the same thing.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Pool {
+    /// One version of a model.
+    Model(String, String),
+    /// A plain service.
+    Service(String),
+}
+
+/// What the configuration says, arranged for look-ups by requests.
+#[derive(Debug, Default)]
+pub struct Directory {
+    /// The revision it was made from.
+    pub revision: Revision,
+    /// Owners of keys, by the key's hash.
+    owners: HashMap<String, Organisation>,
+    /// Upstreams by what they serve.
+    members: BTreeMap<Pool, Vec<Upstream>>,
+}
+
+impl Directory {
+    fn new(config: &config::Config) -> Directory {
+        let mut directory = Directory {
+            revision: config.revision,
+            ..Directory::default()
+        };
+        for (name, organisation) in &config.organisations {
+            let keys = organisation.keys.iter();
+            let owners = keys.map(|key| (key.clone(), name.clone()));
+            directory.owners.extend(owners);
+        }
+        for (name, registration) in &config.upstreams {
+            if let Some(pool) = pool_of(registration) {
+                let members = directory.members.entry(pool).or_default();
+                members.push(name.clone());
+            }
+        }
+        directory
+    }
+
+    /// Whose key has this hash.
+    pub fn owner(&self, hash: &str) -> Option<&Organisation> {
+        self.owners.get(hash)
+    }
+}
+
+fn pool_of(registration: &config::Registration) -> Option<Pool> {
+    match registration.kind {
+        Kind::Engine => {
+            let (model, version) = registration.model.as_ref()?;
+            let (model, version) = (model.as_str().to_owned(), version.as_str().to_owned());
+            Some(Pool::Model(model, version))
+        }
+        Kind::Service => {
+            let service = registration.service.as_ref()?;
+            Some(Pool::Service(service.as_str().to_owned()))
+        }
+    }
+}
+
+/// Retries that may still be spent: each fresh request earns a part of one, so
+/// that when half the upstreams fail, the rest are not buried under repeats.
+#[derive(Debug)]
+pub struct Budget {
+    percent: u64,
+    // Hundredths of a retry. At most `LIMIT`.
+    credit: u64,
+}
+
+impl Budget {
+    const RETRY: u64 = 100;
+    const LIMIT: u64 = 100 * Budget::RETRY;
+
+    fn new(percent: u32) -> Budget {
+        Budget {
+            percent: u64::from(percent),
+            credit: Budget::LIMIT / 2,
+        }
+    }
+
+    fn earn(&mut self) {
+        self.credit = (self.credit + self.percent).min(Budget::LIMIT);
+    }
+
+    fn spend(&mut self) -> bool {
+        let enough = self.credit >= Budget::RETRY;
+        if enough {
+            self.credit -= Budget::RETRY;
+        }
+        enough
+    }
+}
+
+/// The tables of one entry host.
+pub struct Shared {
+    /// Bounds and defaults.
+    pub config: Config,
+    /// The process's node.
+    pub handle: Handle,
+    home: Home,
+    directory: RwLock<Arc<Directory>>,
+    limits: Mutex<Limiter>,
+    pools: Mutex<HashMap<Pool, choice::Table>>,
+    budget: Mutex<Budget>,
+    journal: Mutex<Journal>,
+    counter: AtomicU64,
+    active: AtomicU64,
+    stopping: AtomicBool,
+}
+
+/// Counts a request as in progress for as long as it lives.
+pub struct Active {
+    shared: Arc<Shared>,
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.shared.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// Empty tables; they fill from the node's view.
+    pub fn new(config: Config, handle: Handle, home: Home) -> Arc<Shared> {
+        Arc::new(Shared {
+            budget: Mutex::new(Budget::new(config.retry_percent)),
+            config,
+            handle,
+            home,
+            directory: RwLock::default(),
+            limits: Mutex::new(Limiter::new(limit::Config::default())),
+            pools: Mutex::default(),
+            journal: Mutex::default(),
+            counter: AtomicU64::new(0),
+            active: AtomicU64::new(0),
+            stopping: AtomicBool::new(false),
+        })
+    }
+
+    /// The directory of the revision in force, made anew when that changed.
+    pub fn directory(&self) -> Arc<Directory> {
+        let read = self.directory.read();
+        let known = Arc::clone(&read.unwrap_or_else(PoisonError::into_inner));
+        let view = self.handle.view().get();
+        if known.revision == view.revision {
+            return known;
+        }
+        let write = self.directory.write();
+        let mut directory = write.unwrap_or_else(PoisonError::into_inner);
+        if directory.revision < view.revision {
+            let next = Directory::new(&view);
+            self.set_limits(&view);
+            self.set_pools(&directory, &next, &view);
+            *directory = Arc::new(next);
+        }
+        Arc::clone(&directory)
+    }
+
+    fn set_limits(&self, view: &config::Config) {
+        let mut limits = lock(&self.limits);
+        for (name, organisation) in &view.organisations {
+            let limit = limit::Limit {
+                rate: organisation.rate,
+                tokens: organisation.tokens,
+            };
+            limits.set(name, limit);
+        }
+    }
+
+    fn set_pools(&self, old: &Directory, new: &Directory, view: &config::Config) {
+        let mut pools = lock(&self.pools);
+        for (pool, members) in &old.members {
+            let kept = new.members.get(pool);
+            let gone = members
+                .iter()
+                .filter(|name| kept.is_none_or(|kept| !kept.contains(name)));
+            if let Some(table) = pools.get_mut(pool) {
+                gone.for_each(|name| table.remove(name));
+            }
+        }
+        for (pool, members) in &new.members {
+            let table = pools
+                .entry(pool.clone())
+                .or_insert_with(|| choice::Table::new(self.config.choice, self.home.clone()));
+            for name in members {
+                if let Some(registration) = view.upstreams.get(name) {
+                    let site = Site {
+                        domain: registration.domain.clone(),
+                        region: registration.region.clone(),
+                    };
+                    table.insert(name, site);
+                    table.set_leaving(name, view.drains.contains_key(name));
+                }
+            }
+        }
+        pools.retain(|_, table| !table.is_empty());
+    }
+
+    /// The pools that can serve a target, best first: the version in force,
+    /// then any other version that is still loaded somewhere, so that a
+    /// rollout leaves no gap.
+    pub fn pools_for(&self, target: &Target) -> Vec<Pool> {
+        match target {
+            Target::Service(service) => vec![Pool::Service(service.as_str().to_owned())],
+            Target::Model(model, _) => {
+                let view = self.handle.view().get();
+                let version = view.models.get(model).map(|m| m.version.as_str());
+                let directory = self.directory();
+                let ours = |pool: &&Pool| matches!(pool, Pool::Model(m, _) if m == model.as_str());
+                let mut pools: Vec<Pool> = directory.members.keys().filter(ours).cloned().collect();
+                pools.sort_by_key(|pool| match pool {
+                    Pool::Model(_, v) => Some(v.as_str()) != version,
+                    Pool::Service(_) => true,
+                });
+                pools
+            }
+        }
+    }
+
+    /// Works on the choice table of a pool, if there is one.
+    pub fn with_pool<T, F>(&self, pool: &Pool, work: F) -> Option<T>
+    where
+        F: FnOnce(&mut choice::Table) -> T,
+    {
+        lock(&self.pools).get_mut(pool).map(work)
+    }
+
+    /// The names of all pools.
+    pub fn pool_names(&self) -> Vec<Pool> {
+        lock(&self.pools).keys().cloned().collect()
+    }
+
+    /// Admits a request of an organisation, or says why not.
+    pub fn admit(
+        &self,
+        organisation: &Organisation,
+        tokens: Tokens,
+        now: Mono,
+    ) -> Result<limit::Permit, limit::Refusal> {
+        let permit = lock(&self.limits).admit(organisation, tokens, now)?;
+        lock(&self.budget).earn();
+        Ok(permit)
+    }
+
+    /// Takes a retry out of the budget.
+    pub fn spend_retry(&self) -> bool {
+        lock(&self.budget).spend()
+    }
+
+    /// What happened to requests lately.
+    pub fn journal(&self) -> MutexGuard<'_, Journal> {
+        lock(&self.journal)
+    }
+
+    /// A number no other attempt or request of this life has.
+    pub fn next(&self) -> u64 {
+        self.counter.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// A new attempt's id.
+    pub fn attempt(&self) -> Attempt {
+        let peer = self.handle.peer();
+        Attempt {
+            host: peer.host,
+            incarnation: peer.incarnation,
+            counter: self.next(),
+        }
+    }
+
+    /// Counts a request in, unless there are too many.
+    pub fn enter(self: &Arc<Shared>) -> Option<Active> {
+        let before = self.active.fetch_add(1, Ordering::Relaxed);
+        let active = Active {
+            shared: Arc::clone(self),
+        };
+        (before < self.config.capacity as u64).then_some(active)
+    }
+
+    /// Requests in progress.
+    pub fn active(&self) -> u64 {
+        self.active.load(Ordering::Relaxed)
+    }
+
+    /// From now on the host tells the balancer that it isn't ready.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -100,6 +100,13 @@
         self.shared.always || current.is_some_and(|at| now.since(at) <= RECENT)
     }
 
+    /// Whether the configuration was ever known to be recent in this life.
+    /// From then on the process serves with what it has, also while it is cut
+    /// off: work goes on without a leader, and without any replica.
+    pub fn has_started(&self) -> bool {
+        self.shared.always || self.shared.current.last().is_some()
+    }
+
     /// Takes note of the other side of an exchange. A newer revision there
     /// makes this process fetch at once.
     pub fn heard(&self, peer: &Peer) {
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -89,6 +89,10 @@
     pub capacity: Tokens,
     /// Whether it refuses orders with an old fencing number.
     pub fenced: bool,
+    /// Whether it can go on with an answer at a given token, with the same
+    /// words as before.
+    #[serde(default)]
+    pub resumable: bool,
     /// `prefill`, `decode` or `both`; empty counts as both.
     #[serde(default)]
     pub role: String,
