--- a/almondlock-policy/src/queue/load.rs
+++ b/almondlock-policy/src/queue/load.rs
@@ -11,6 +11,8 @@
     pub(super) since: Mono,
     /// Whether its prompt is still being processed.
     pub(super) prefilling: bool,
+    /// Whether it started while room was kept for a longer job.
+    pub(super) held: bool,
 }
 
 /// Sums over the jobs that run. Invariant: equal to the sum over
@@ -21,15 +23,24 @@
     pub(super) long_prefill: Tokens,
     pub(super) short_memory: Tokens,
     pub(super) short_slots: u32,
+    /// Of the short ones, those that started while room was kept for a longer
+    /// job.
+    pub(super) held_memory: Tokens,
+    pub(super) held_slots: u32,
     pub(super) suspects: u32,
 }
 
 impl Load {
-    pub(super) fn enter(&mut self, job: &Job) {
+    pub(super) fn enter(&mut self, running: &Running) {
+        let job = &running.job;
         if job.class() == Class::Short {
             self.short_prefill += job.prefill();
             self.short_memory += job.need();
             self.short_slots += 1;
+            if running.held {
+                self.held_memory += job.need();
+                self.held_slots += 1;
+            }
         } else {
             self.long_prefill += job.prefill();
         }
@@ -52,6 +63,10 @@
         if job.class() == Class::Short {
             self.short_memory = self.short_memory.saturating_sub(job.need());
             self.short_slots = self.short_slots.saturating_sub(1);
+            if running.held {
+                self.held_memory = self.held_memory.saturating_sub(job.need());
+                self.held_slots = self.held_slots.saturating_sub(1);
+            }
         }
         self.suspects = self.suspects.saturating_sub(u32::from(job.suspect));
     }
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -319,9 +319,9 @@
     /// Starts the next job, if there is room for it. To be called until it
     /// returns `None`, with the room that is left each time.
     pub fn grant(&mut self, now: Mono, room: &Room) -> Option<Grant<I>> {
-        let place = self.choose(now, room)?;
+        let (place, held) = self.choose(now, room)?;
         let waiting = self.take(place)?;
-        Some(self.enter(waiting, place, now))
+        Some(self.enter(waiting, place, held, now))
     }
 
     /// Notes that a running job's prompt has been processed: its first token
@@ -412,7 +412,7 @@
         Some(waiting)
     }
 
-    fn enter(&mut self, waiting: Waiting<I>, place: Place, now: Mono) -> Grant<I> {
+    fn enter(&mut self, waiting: Waiting<I>, place: Place, held: bool, now: Mono) -> Grant<I> {
         let Waiting { id, job, since } = waiting;
         let class = job.class();
         let line = self
@@ -420,12 +420,13 @@
             .entry(job.organisation.clone())
             .or_insert_with(|| Line::new(self.floor));
         line.start(job.prefill() + job.output, job.weight);
-        self.load.enter(&job);
         let running = Running {
             job,
             since: now,
             prefilling: true,
+            held,
         };
+        self.load.enter(&running);
         self.running.insert(id.clone(), running);
         Grant {
             id,
--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -1,6 +1,6 @@
 //! Choosing the next job, and telling how long one would wait.
 
-use std::{hash::Hash, time::Duration};
+use std::{hash::Hash, ops::RangeInclusive, time::Duration};
 
 use almondlock_base::{time::Mono, unit::Tokens};
 
@@ -29,8 +29,9 @@
 where
     I: Clone + Eq + Hash,
 {
-    /// The place of the job to start next.
-    pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<Place> {
+    /// The place of the job to start next, and whether a longer one that is due
+    /// is kept room for meanwhile.
+    pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<(Place, bool)> {
         if room.slots == 0 {
             return None;
         }
@@ -38,21 +39,40 @@
         self.floor = self.floor.max(lowest);
         let ceiling = lowest.saturating_add(self.config.quantum);
         let mut held = false;
+        let mut place = self.choose_among(0..=ceiling, &mut held, now, room);
+        if place.is_none() {
+            // Nothing of those has room now. The others have been served more
+            // and go on all the same: an idle engine helps nobody.
+            let others = ceiling.saturating_add(1)..=u64::MAX;
+            place = self.choose_among(others, &mut held, now, room);
+        }
+        place.map(|place| (place, held))
+    }
+
+    /// The job that is due first and has room, of the organisations whose
+    /// counter lies in a range.
+    fn choose_among(
+        &self,
+        counters: RangeInclusive<u64>,
+        held: &mut bool,
+        now: Mono,
+        room: &Room,
+    ) -> Option<Place> {
         // Each round takes the job due next in the lanes still open. If the
         // first of a lane has no room, those behind it wait with it, so there
         // are as many rounds as lanes at most.
         let mut closed = [false; Lane::ALL.len()];
-        while let Some((key, lane)) = self.first_due(room, ceiling, &closed) {
+        while let Some((key, lane)) = self.first_due(room, &counters, &closed) {
             let place = self.place_of(key.1)?;
             let job = &self.waiting.get(&key.1)?.job;
-            let fit = self.fit(job, room, held);
+            let fit = self.fit(job, room, *held);
             if fit == Fit::Now {
                 return Some(place);
             }
             if !self.config.backfill {
                 return None;
             }
-            held |= fit == Fit::NoRoom && now >= place.due && job.class() != Class::Short;
+            *held |= fit == Fit::NoRoom && now >= place.due && job.class() != Class::Short;
             closed[lane] = true;
         }
         None
@@ -80,12 +100,15 @@
     fn first_due(
         &self,
         room: &Room,
-        ceiling: u64,
+        counters: &RangeInclusive<u64>,
         closed: &[bool; Lane::ALL.len()],
     ) -> Option<((Mono, u64), usize)> {
         let mut best: Option<((Mono, u64), usize)> = None;
         for line in self.lines.values() {
-            if !line.is_waiting() || line.counter() > ceiling || !self.leaves_headroom(line, room) {
+            if !line.is_waiting()
+                || !counters.contains(&line.counter())
+                || !self.leaves_headroom(line, room)
+            {
                 continue;
             }
             for (index, lane) in Lane::ALL.into_iter().enumerate() {
@@ -117,12 +140,15 @@
         if fits { Fit::Now } else { Fit::NoRoom }
     }
 
-    /// Whether the reserved part alone has room for a short job.
+    /// Whether the reserved part alone has room for a short job. Only what
+    /// started while room is kept counts: if all short jobs counted, those that
+    /// fill the engine when a long one falls due would stop the short ones
+    /// until most of them have ended.
     fn fits_reserve(&self, job: &Job, room: &Room) -> bool {
         let memory = percent(room.capacity.0, self.config.reserve);
         let slots = percent(u64::from(room.slot_limit), self.config.reserve);
-        self.load.short_memory.0.saturating_add(job.need().0) <= memory
-            && u64::from(self.load.short_slots) < slots.max(1)
+        self.load.held_memory.0.saturating_add(job.need().0) <= memory
+            && u64::from(self.load.held_slots) < slots.max(1)
     }
 
     /// Whether a longer job leaves the reserved part to the short ones. What
--- /dev/null
+++ b/almondlock-policy/tests/ageing_long.rs
@@ -0,0 +1,101 @@
+//! A long contract waits while short quotes keep coming, as many as the engine
+//! can take. Each freed piece of memory would go to a short one, and the
+//! contract's caller would wait until the deadline. It must start within its
+//! stretched time, and the short ones must go on meanwhile.
+
+#![cfg(test)]
+
+use std::{collections::VecDeque, time::Duration};
+
+use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
+use almondlock_policy::queue::{Config, Job, Queue, Room};
+use yare::parameterized;
+
+const CAPACITY: Tokens = Tokens(200_000);
+const LONG: u64 = 0;
+const STEP: u64 = 100;
+const PREFILL: Duration = Duration::from_millis(150);
+
+fn job(organisation: &str, prompt: u64) -> Job {
+    Job {
+        organisation: Organisation::new(organisation).unwrap(),
+        weight: 1,
+        prompt: Tokens(prompt),
+        cached: Tokens::ZERO,
+        output: Tokens(1_000),
+        deadline: Mono::from_millis(3_600_000),
+        suspect: false,
+    }
+}
+
+struct Seen {
+    long_start: Option<u64>,
+    shorts_after_due: u32,
+}
+
+/// Every step four short jobs arrive, each holding its memory for 20 steps, so
+/// that together they would take all of it.
+fn run(config: Config, due: u64) -> Seen {
+    let mut queue = Queue::new(config);
+    let mut room = Room::idle(CAPACITY, 64);
+    let mut ends: VecDeque<(u64, u64, Tokens)> = VecDeque::new();
+    let mut seen = Seen {
+        long_start: None,
+        shorts_after_due: 0,
+    };
+    for step in 0..3_000 {
+        let now = Mono::from_millis(step * STEP);
+        while let Some((end, id, need)) = ends.front().copied()
+            && end <= step
+        {
+            ends.pop_front();
+            queue.finish(&id, Tokens(1_000));
+            room.free += need;
+            room.slots += 1;
+        }
+        for i in 0..4 {
+            let id = 1 + step * 4 + i;
+            let _ = queue.push(id, job(&format!("short-{i}"), 3_000), &room, now);
+        }
+        if step == 50 {
+            queue.push(LONG, job("long", 100_000), &room, now).unwrap();
+        }
+        while let Some(grant) = queue.grant(now, &room) {
+            // At the assumed speed, so that the estimate stays what it is.
+            queue.prefilled(&grant.id, now + PREFILL);
+            let need = Tokens(if grant.id == LONG { 101_000 } else { 4_000 });
+            room.free = room.free.saturating_sub(need);
+            room.slots -= 1;
+            if grant.id == LONG {
+                seen.long_start = Some(step * STEP);
+                return seen;
+            }
+            seen.shorts_after_due += u32::from(step * STEP > due);
+            ends.push_back((step + 20, grant.id, need));
+        }
+    }
+    seen
+}
+
+#[parameterized(
+    short = { Config::short(), 4 },
+    even = { Config::even(), 1 },
+)]
+fn starts_in_time(config: Config, stretch: u64) {
+    let config = Config {
+        speed: 20_000.0,
+        ..config
+    };
+    // 100,000 tokens take 5 s, and memory comes free within 20 steps.
+    let due = 50 * STEP + stretch * 5_020;
+    let seen = run(config, due);
+    let start = seen.long_start.expect("the long job starts");
+    assert!(
+        start <= due + 2 * 20 * STEP,
+        "started at {start}, due at {due}"
+    );
+    assert!(
+        seen.shorts_after_due > 0,
+        "short jobs go on in the reserved room"
+    );
+}
--- /dev/null
+++ b/almondlock-policy/tests/flood_fairness.rs
@@ -0,0 +1,143 @@
+//! One organisation floods an engine with short requests. Another one sends a
+//! single quote now and then. Its caller must see what it sees without the
+//! flood: it goes before the flood's backlog, and finds a batch slot although
+//! the flood would take them all. An organisation alone may use everything.
+
+#![cfg(test)]
+
+use std::collections::HashMap;
+
+use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
+use almondlock_policy::queue::{Config, Job, Queue, Room};
+use yare::parameterized;
+
+const CAPACITY: Tokens = Tokens(1_000_000);
+
+fn job(organisation: &str, weight: u32, prompt: u64) -> Job {
+    Job {
+        organisation: Organisation::new(organisation).unwrap(),
+        weight,
+        prompt: Tokens(prompt),
+        cached: Tokens::ZERO,
+        output: Tokens(100),
+        deadline: Mono::from_millis(3_600_000),
+        suspect: false,
+    }
+}
+
+/// Starts and ends one job after the other; who was served, in order.
+fn serve(queue: &mut Queue<(&'static str, u32)>, count: usize, now: Mono) -> Vec<&'static str> {
+    let room = Room::idle(CAPACITY, 16);
+    let mut served = Vec::new();
+    for _ in 0..count {
+        let Some(grant) = queue.grant(now, &room) else {
+            break;
+        };
+        queue.finish(&grant.id, Tokens(100));
+        served.push(grant.id.0);
+    }
+    served
+}
+
+#[test]
+fn quote_passes_the_flood() {
+    let room = Room::idle(CAPACITY, 16);
+    let mut queue = Queue::new(Config::short());
+    for i in 0..2_000 {
+        queue
+            .push(("flood", i), job("flood", 1, 2_000), &room, Mono::ZERO)
+            .unwrap();
+    }
+    let now = Mono::from_millis(10_000);
+    serve(&mut queue, 500, now);
+    queue
+        .push(("quote", 0), job("quote", 1, 2_000), &room, now)
+        .unwrap();
+    let served = serve(&mut queue, 20, now);
+    let place = served.iter().position(|name| *name == "quote");
+    // Within the quantum, arrival decides; after that the lower counter.
+    assert!(
+        place.is_some_and(|place| place <= 9),
+        "served after {place:?}"
+    );
+}
+
+#[test]
+fn quote_finds_a_slot() {
+    let mut room = Room::idle(CAPACITY, 16);
+    let mut queue = Queue::new(Config::short());
+    let now = Mono::ZERO;
+    for i in 0..100 {
+        queue
+            .push(("flood", i), job("flood", 1, 2_000), &room, now)
+            .unwrap();
+    }
+    while let Some(grant) = queue.grant(now, &room) {
+        queue.prefilled(&grant.id, now);
+        room.slots -= 1;
+    }
+    assert!(room.slots > 0, "the flood took every slot");
+    queue
+        .push(("quote", 0), job("quote", 1, 2_000), &room, now)
+        .unwrap();
+    assert_eq!(
+        queue.grant(now, &room).map(|grant| grant.id.0),
+        Some("quote")
+    );
+}
+
+#[test]
+fn shares_follow_weights_in_tokens() {
+    let room = Room::idle(CAPACITY, 16);
+    let mut queue = Queue::new(Config::short());
+    let now = Mono::ZERO;
+    for i in 0..1_500 {
+        // The heavier organisation's requests are half as long: shares count
+        // tokens, not requests.
+        queue
+            .push(("heavy", i), job("heavy", 3, 900), &room, now)
+            .unwrap();
+        queue
+            .push(("light", i), job("light", 1, 1_900), &room, now)
+            .unwrap();
+    }
+    let mut tokens: HashMap<&str, u64> = HashMap::new();
+    for name in serve(&mut queue, 1_000, now) {
+        *tokens.entry(name).or_default() += if name == "heavy" { 1_000 } else { 2_000 };
+    }
+    let ratio = tokens["heavy"] as f64 / tokens["light"] as f64;
+    assert!(
+        (2.7..3.4).contains(&ratio),
+        "heavy got {ratio} times as much"
+    );
+}
+
+#[parameterized(new = { false }, known = { true })]
+fn unused_share_is_lent_and_comes_back(known: bool) {
+    let room = Room::idle(CAPACITY, 16);
+    let mut queue = Queue::new(Config::short());
+    let now = Mono::ZERO;
+    if known {
+        // A job of long ago that still runs: the queue remembers its owner.
+        queue
+            .push(("back", 9_999), job("back", 1, 2_000), &room, now)
+            .unwrap();
+        queue.grant(now, &room).unwrap();
+        queue.prefilled(&("back", 9_999), now);
+    }
+    for i in 0..1_000 {
+        queue
+            .push(("alone", i), job("alone", 1, 2_000), &room, now)
+            .unwrap();
+    }
+    assert_eq!(serve(&mut queue, 400, now).len(), 400);
+    for i in 0..400 {
+        queue
+            .push(("back", i), job("back", 1, 2_000), &room, now)
+            .unwrap();
+    }
+    let served = serve(&mut queue, 100, now);
+    let back = served.iter().filter(|name| **name == "back").count();
+    // Half from its first job on: neither owed for the pause nor paid for it.
+    assert!((40..=60).contains(&back), "{back} of 100");
+}
--- a/almondlock-policy/tests/late_copy.rs
+++ b/almondlock-policy/tests/late_copy.rs
@@ -4,6 +4,8 @@
 //! that may not be repeated would run twice; the gate must drop it, however
 //! late it comes.
 
+#![cfg(test)]
+
 use std::{collections::HashMap, time::Duration};
 
 use almondlock_base::{
--- a/almondlock-policy/tests/leaving_gate.rs
+++ b/almondlock-policy/tests/leaving_gate.rs
@@ -3,6 +3,8 @@
 //! waits, all provably not run, so that also a tender can go elsewhere; what
 //! runs is left to end.
 
+#![cfg(test)]
+
 use almondlock_base::{
     Code, Ran,
     id::{Attempt, Host, Incarnation},
--- a/almondlock-policy/tests/stale_incarnation.rs
+++ b/almondlock-policy/tests/stale_incarnation.rs
@@ -3,6 +3,8 @@
 //! knows nothing of it: the caller must be told "unknown", never "not run". A
 //! call that reaches the new process but was meant for the old one is refused.
 
+#![cfg(test)]
+
 use almondlock_base::{
     Code, Ran,
     id::{Attempt, Host, Incarnation},
