--- /dev/null
+++ b/almondlock-standin/src/service.rs
@@ -0,0 +1,1 @@
+//! (being written)
