--- a/almondlock-quorum/src/lib.rs
+++ b/almondlock-quorum/src/lib.rs
@@ -30,6 +30,8 @@
 //! # }
 //! ```
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod config;
 pub mod entry;
 pub mod error;
