Answer a caller end to end in one process

Cause: the parts of the path stood apart. Change: listeners and workers of the entry role, announcements to a sidecar, probing, and a small fleet for tests in which only the replicas are a fake. Conclusion: the way of a request is joined up.

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -13,7 +13,6 @@
     unit::Tokens,
 };
 use almondlock_node::clock;
-use almondlock_policy::length;
 use almondlock_telemetry::trace::Context;
 use almondlock_wire::{answer::Usage, attempt::Target};
 use futures::{StreamExt, stream};
@@ -36,6 +35,7 @@
     claimed,
     failure::Failure,
     life::Worker,
+    prompt,
     request::Request,
     shared::Active,
 };
@@ -128,7 +128,10 @@
     let caller = caller.map_err(fail)?;
     let context = worker.with_rng(|rng| {
         let parent = caller.traceparent.as_deref().and_then(Context::parse);
-        parent.map_or_else(|| Context::root(rng), |parent| parent.child(rng))
+        match parent {
+            Some(parent) => parent.child(rng),
+            None => Context::root(rng),
+        }
     });
     Ok(Arrival {
         id,
@@ -234,8 +237,8 @@
     if !adapter {
         return Err(Failure::with_message(Code::UnknownModel, "no such adapter"));
     }
-    let prompt = &bytes[spec.prompt.0..spec.prompt.1];
-    let length = length::estimate(prompt.len());
+    let text = &bytes[spec.prompt.0..spec.prompt.1];
+    let length = prompt::estimate(text.len());
     if length + spec.output > context {
         let message = format!(
             "the prompt and its answer take about {length} + {} tokens of {context}",
@@ -258,7 +261,7 @@
         body: rope,
         prompt: length,
         output: spec.output,
-        prefix: length::prefix(prompt),
+        prefix: prompt::prefix(text),
         stream: spec.stream,
         repeatable,
         key: caller.key.clone(),
@@ -335,7 +338,7 @@
         content_type: content_type.to_owned(),
         fingerprint: Fingerprint::new(&caller.organisation, &told, &bytes),
         digest: digest(&told, &bytes),
-        prompt: length::estimate(bytes.len()).max(Tokens(1)),
+        prompt: prompt::estimate(bytes.len()).max(Tokens(1)),
         output: Tokens(1),
         body: Rope::whole(bytes),
         prefix: Vec::new(),
@@ -353,7 +356,8 @@
     first: Option<Piece>,
     pieces: mpsc::Receiver<Piece>,
     end: oneshot::Receiver<Result<(), Failure>>,
-    task: Task,
+    // Ends the life when the caller leaves.
+    _task: Task,
 }
 
 struct Task(JoinHandle<()>);
@@ -400,7 +404,7 @@
             first: None,
             pieces,
             end,
-            task: Task(task),
+            _task: Task(task),
         };
         running.first = running.pieces.recv().await;
         match running.first {
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -15,5 +15,8 @@
 pub mod http;
 pub mod journal;
 pub mod life;
+pub mod probe;
+pub mod prompt;
 pub mod request;
+pub mod server;
 pub mod shared;
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -6,12 +6,11 @@
 //! nothing of an answer, or when the rest of a deterministic answer can be
 //! asked for at the token where it broke.
 
-use std::{cell::RefCell, rc::Rc, sync::Arc, time::Duration};
+use std::{cell::RefCell, sync::Arc, time::Duration};
 
 use almondlock_base::{
     Code, Ran,
     id::{Incarnation, Upstream},
-    time::Mono,
 };
 use almondlock_node::{clock, links::Links, replicas::Replicas};
 use almondlock_policy::choice::{Ask, Index, Picker, Probing, Report};
@@ -172,7 +171,7 @@
         let view = self.shared.handle.view().get();
         for pool in self.shared.pools_for(&request.target) {
             let picked = self.shared.with_pool(&pool, |table| {
-                let picked = self.with_rng(|rng| Probing::default().pick(table, &ask, now, rng));
+                let picked = self.with_rng(|rng| Probing.pick(table, &ask, now, rng));
                 picked.and_then(|index| {
                     let name = table.name(index)?.clone();
                     table.sent(index, request.prompt);
--- /dev/null
+++ b/almondlock-entry/src/server.rs
@@ -0,0 +1,134 @@
+//! The entry role as it runs: listeners and worker threads.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use almondlock_node::{Handle, links::Links, replicas::Replicas};
+use almondlock_policy::choice::Home;
+use ntex::web::{self, App, HttpServer};
+use tokio::time::sleep;
+
+use crate::{
+    http,
+    life::Worker,
+    probe,
+    shared::{Config, Shared},
+};
+
+/// What the entry role is told at its start.
+pub struct Builder {
+    /// Bounds and defaults.
+    pub config: Config,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Callers' TLS, if any.
+    pub tls: Option<rustls::ServerConfig>,
+    /// Worker threads.
+    pub workers: usize,
+    /// The control replicas' inner addresses.
+    pub replicas: Vec<SocketAddr>,
+    /// Where this host stands.
+    pub home: Home,
+    /// Seeds the workers' generators.
+    pub seed: u64,
+    /// How long the listener stays after readiness has failed, so that the
+    /// balancer can notice.
+    pub notice: Duration,
+    /// How long answers in progress may take after that.
+    pub grace: Duration,
+}
+
+/// A running entry role.
+pub struct Server {
+    address: SocketAddr,
+    shared: Arc<Shared>,
+    server: ntex::server::Server,
+    notice: Duration,
+    grace: Duration,
+}
+
+/// How often the end of answers in progress is looked for.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+
+impl Builder {
+    /// Binds and starts serving.
+    pub fn start(self, handle: Handle) -> io::Result<Server> {
+        let shared = Shared::new(self.config, handle.clone(), self.home);
+        let listener = TcpListener::bind(self.listen)?;
+        let address = listener.local_addr()?;
+        let seed = AtomicU64::new(self.seed);
+        let seed = Arc::new(seed);
+        let probing = Arc::new(AtomicBool::new(false));
+        let tables = Arc::clone(&shared);
+        let replicas = self.replicas;
+        let factory = async move || {
+            let links = Links::new(handle.clone());
+            let worker = Rc::new(Worker::new(
+                Arc::clone(&tables),
+                links.clone(),
+                Replicas::new(links, replicas.clone()),
+                seed.fetch_add(1, Ordering::Relaxed),
+            ));
+            if !probing.swap(true, Ordering::Relaxed) {
+                tokio::task::spawn_local(probe::run(Rc::clone(&worker)));
+            }
+            App::new()
+                .state(worker)
+                .configure(http::routes)
+                .default_service(web::route().to(http::unknown))
+        };
+        let server = HttpServer::new(factory)
+            .workers(self.workers)
+            .disable_signals();
+        let server = match self.tls {
+            Some(tls) => server.listen_rustls(listener, tls)?,
+            None => server.listen(listener)?,
+        };
+        Ok(Server {
+            address,
+            shared,
+            server: server.run(),
+            notice: self.notice,
+            grace: self.grace,
+        })
+    }
+}
+
+impl Server {
+    /// Where callers connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The host's tables.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Stops gracefully: readiness fails first, the listener stays until the
+    /// balancer has noticed, answers in progress finish.
+    pub async fn stop(self) {
+        self.shared.stop();
+        sleep(self.notice).await;
+        let drained = async {
+            while self.shared.active() > 0 {
+                sleep(DRAIN_PAUSE).await;
+            }
+        };
+        if tokio::time::timeout(self.grace, drained).await.is_err() {
+            tracing::warn!(
+                active = self.shared.active(),
+                "stopping with answers in progress"
+            );
+        }
+        self.server.stop(true).await;
+    }
+}
--- /dev/null
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -0,0 +1,473 @@
+//! A small fleet in one process: entry hosts, sidecars and stand-in upstreams
+//! talk over loopback as in production; the control replicas are one state
+//! machine in memory.
+#![allow(dead_code)]
+
+use std::{
+    cell::{Cell, RefCell},
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use almondlock_base::{
+    Code,
+    id::{self, Domain, Host, Incarnation, Model, Region, Upstream, Version},
+    unit::Tokens,
+};
+use almondlock_entry::{
+    server::{Builder, Server},
+    shared,
+};
+use almondlock_node::{Config, Node, Parts, Sidecars, clock, links::Links, replicas::Replicas};
+use almondlock_policy::{choice::Home, queue};
+use almondlock_sidecar::announce::{Announcement, Registry, Site};
+use almondlock_spread::view::View;
+use almondlock_standin::engine::{self, Engine};
+use almondlock_state::{
+    claim::Verdict,
+    command::{Command, Reply},
+    config::{Change, Definition, Drain, Kind, Organisation, Plain},
+    machine::Machine,
+};
+use almondlock_wire::{
+    almondlock_capnp::{Claimed, control, status},
+    attempt::{read_id, read_ran},
+};
+use ntex::client::{Client, ClientResponse};
+
+pub const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+/// How long a test waits for something that must happen.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// The control replicas, as one machine in memory.
+#[derive(Clone)]
+pub struct Control {
+    machine: Rc<RefCell<Machine>>,
+    view: View,
+    /// Answers as a minority does: it can't decide.
+    pub mute: Rc<Cell<bool>>,
+}
+
+impl Control {
+    fn new(view: View) -> Control {
+        Control {
+            machine: Rc::default(),
+            view,
+            mute: Rc::default(),
+        }
+    }
+
+    fn apply(&self, command: Command) -> Reply {
+        let applied = self.machine.borrow_mut().apply(command);
+        for (revision, change) in applied.changes {
+            self.view.extend(revision, [change]);
+        }
+        applied.reply
+    }
+
+    fn tell(&self, mut status: status::Builder<'_>, reply: Option<&Reply>) {
+        let code = match reply {
+            None => Some(Code::NoQuorum),
+            Some(reply) => reply.code(),
+        };
+        status.set_code(code.map_or(0, Code::number));
+    }
+
+    fn decide(&self, command: Command) -> Option<Reply> {
+        (!self.mute.get()).then(|| self.apply(command))
+    }
+}
+
+impl control::Server for Control {
+    async fn announce(
+        self: Rc<Self>,
+        params: control::AnnounceParams,
+        mut results: control::AnnounceResults,
+    ) -> Result<(), capnp::Error> {
+        let (upstream, registration) =
+            serde_json::from_slice(params.get()?.get_upstream()?).unwrap();
+        let reply = self.decide(Command::Announce {
+            upstream,
+            registration,
+            at: clock::wall(),
+        });
+        self.tell(results.get().init_status(), reply.as_ref());
+        Ok(())
+    }
+
+    async fn claim(
+        self: Rc<Self>,
+        params: control::ClaimParams,
+        mut results: control::ClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.decide(Command::Claim {
+            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
+            key: params.get_key()?.to_string()?,
+            body: params.get_body()?.into(),
+            holder: read_id(params.get_holder()?)?,
+            keep: params.get_keep_millis(),
+            at: clock::wall(),
+        });
+        self.tell(results.get().init_status(), reply.as_ref());
+        let verdict = match &reply {
+            Some(Reply::Claimed { verdict }) => verdict.clone(),
+            _ => Verdict::Refused(Code::NoQuorum),
+        };
+        results.get().set_claimed(match verdict {
+            Verdict::Granted => Claimed::Granted,
+            Verdict::Running => Claimed::Running,
+            Verdict::Done(_) | Verdict::Dropped => Claimed::Done,
+            Verdict::Lost => Claimed::Lost,
+            Verdict::Mismatch => Claimed::Mismatch,
+            Verdict::Refused(_) => Claimed::Refused,
+        });
+        if let Verdict::Done(outcome) = verdict {
+            results.get().set_outcome(&outcome.0);
+        }
+        Ok(())
+    }
+
+    async fn settle_claim(
+        self: Rc<Self>,
+        params: control::SettleClaimParams,
+        mut results: control::SettleClaimResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.decide(Command::SettleClaim {
+            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
+            key: params.get_key()?.to_string()?,
+            holder: read_id(params.get_holder()?)?,
+            ran: read_ran(params.get_ran()?),
+            outcome: params.get_outcome()?.into(),
+            at: clock::wall(),
+        });
+        self.tell(results.get().init_status(), reply.as_ref());
+        Ok(())
+    }
+
+    async fn blame(
+        self: Rc<Self>,
+        params: control::BlameParams,
+        mut results: control::BlameResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.decide(Command::Blame {
+            fingerprint: id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap(),
+            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
+            upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
+            incarnation: Incarnation(params.get_incarnation()),
+            at: clock::wall(),
+        });
+        self.tell(results.get().init_status(), reply.as_ref());
+        Ok(())
+    }
+
+    async fn clear(
+        self: Rc<Self>,
+        params: control::ClearParams,
+        mut results: control::ClearResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let reply = self.decide(Command::Clear {
+            fingerprint: id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap(),
+            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
+            at: clock::wall(),
+        });
+        self.tell(results.get().init_status(), reply.as_ref());
+        Ok(())
+    }
+}
+
+/// A fleet under test.
+pub struct Fleet {
+    pub control: Control,
+    pub view: View,
+    source: Node,
+    next: Cell<u64>,
+    nodes: RefCell<Vec<Node>>,
+    pub client: Client,
+}
+
+pub fn hash(key: &str) -> String {
+    blake3::hash(key.as_bytes()).to_hex().to_string()
+}
+
+/// An organisation that may use as much as it likes; its key is its name with
+/// `-key` behind.
+pub fn organisation(name: &str) -> Change {
+    let value = Organisation {
+        keys: vec![hash(&format!("{name}-key"))],
+        share: 1,
+        rate: 0,
+        tokens: Tokens::ZERO,
+        deadline: 60_000,
+        deadline_limit: 600_000,
+    };
+    Change::Organisation(id::Organisation::new(name).unwrap(), Some(value))
+}
+
+impl Fleet {
+    /// A fleet with two organisations, one model and one plain service, and no
+    /// upstreams and entry hosts yet.
+    pub async fn new() -> Fleet {
+        let view = View::new();
+        let control = Control::new(view.clone());
+        let parts = Parts {
+            control: Some(capnp_rpc::new_client(control.clone())),
+            is_source: true,
+            ..Parts::default()
+        };
+        let source = Node::start(config("replica-1", 1, vec![]), view.clone(), parts);
+        let client = Client::builder().disable_timeout();
+        let fleet = Fleet {
+            control,
+            view,
+            source: source.await.unwrap(),
+            next: Cell::new(2),
+            nodes: RefCell::default(),
+            client: client.build(ntex::SharedCfg::default()).await.unwrap(),
+        };
+        let model = Definition {
+            version: Version::new("1").unwrap(),
+            context: Tokens(2_000_000),
+            adapters: Default::default(),
+        };
+        fleet.change(organisation("acme"));
+        fleet.change(organisation("bolt"));
+        fleet.change(Change::Model(Model::new("almond").unwrap(), Some(model)));
+        let plain = Plain {
+            repeatable: vec!["GET".to_owned()],
+        };
+        fleet.change(Change::Service(
+            id::Service::new("quotes").unwrap(),
+            Some(plain),
+        ));
+        fleet
+    }
+
+    /// Puts a change in force.
+    pub fn change(&self, change: Change) {
+        // The machine's own way of accepting changes needs an operator's plan.
+        let mut machine = self.control.machine.borrow_mut();
+        let snapshot = machine.snapshot();
+        let mut value: serde_json::Value = serde_json::from_slice(&snapshot).unwrap();
+        let path = "/machine/tables/config";
+        let slot = value.pointer_mut(path);
+        let slot = slot.expect("the snapshot holds the configuration");
+        let mut config: almondlock_state::config::Config =
+            serde_json::from_value(slot.clone()).unwrap();
+        config.apply(change.clone());
+        let revision = config.revision;
+        *slot = serde_json::to_value(config).unwrap();
+        let bytes = serde_json::to_vec(&value).unwrap();
+        *machine = Machine::restore(&bytes).unwrap();
+        self.view.extend(revision, [change]);
+    }
+
+    pub fn drain(&self, upstream: &str) {
+        let drain = Drain {
+            since: clock::wall(),
+            reason: "test".to_owned(),
+        };
+        let upstream = Upstream::new(upstream).unwrap();
+        self.change(Change::Drain(upstream, Some(drain)));
+    }
+
+    fn number(&self) -> u64 {
+        self.next.replace(self.next.get() + 1)
+    }
+
+    /// Starts a process with a node and nothing else.
+    async fn node(&self, name: &str, sidecars: Sidecars) -> (Node, u64) {
+        let number = self.number();
+        let parts = Parts {
+            sidecars,
+            ..Parts::default()
+        };
+        let config = config(name, number, vec![self.source.address()]);
+        let node = Node::start(config, View::new(), parts).await.unwrap();
+        (node, number)
+    }
+
+    /// Starts an entry host.
+    pub async fn entry(&self, name: &str) -> Server {
+        self.entry_with(name, shared::Config::default()).await
+    }
+
+    pub async fn entry_with(&self, name: &str, config: shared::Config) -> Server {
+        let (node, seed) = self.node(name, Sidecars::default()).await;
+        let builder = Builder {
+            config,
+            listen: LOCAL,
+            tls: None,
+            workers: 1,
+            replicas: vec![self.source.address()],
+            home: Home {
+                host: Host::new(name).unwrap(),
+                domain: Domain::new("a").unwrap(),
+                region: Region::new("r").unwrap(),
+            },
+            seed,
+            notice: Duration::ZERO,
+            grace: Duration::from_secs(5),
+        };
+        let server = builder.start(node.handle().clone()).unwrap();
+        self.nodes.borrow_mut().push(node);
+        eventually(async || {
+            let url = format!("http://{}/readyz", server.address());
+            let answer = self.client.get(url).send().await;
+            answer.is_ok_and(|r| r.status().is_success())
+        })
+        .await;
+        server
+    }
+
+    /// Starts a sidecar process, to which upstreams announce themselves.
+    pub async fn sidecar(&self, name: &str) -> Registry {
+        let sidecars = Sidecars::default();
+        let (node, number) = self.node(name, sidecars.clone()).await;
+        let links = Links::new(node.handle().clone());
+        let replicas = Replicas::new(links, vec![self.source.address()]);
+        let site = Site {
+            host: Host::new(name).unwrap(),
+            domain: Domain::new("a").unwrap(),
+            region: Region::new("r").unwrap(),
+            incarnation: Incarnation(number),
+            inner: node.address(),
+            queue: queue::Config::short(),
+        };
+        let registry = Registry::new(site, node.handle().clone(), replicas, sidecars);
+        self.nodes.borrow_mut().push(node);
+        registry
+    }
+
+    /// Starts a stand-in engine with a sidecar process of its own.
+    pub async fn engine(&self, name: &str, config: engine::Config) -> engine::Handle {
+        let handle = Engine::start(config.clone()).unwrap();
+        let registry = self.sidecar(&format!("host-{name}")).await;
+        let announcement = Announcement {
+            name: Upstream::new(name).unwrap(),
+            address: handle.address(),
+            kind: Kind::Engine,
+            model: Some(Model::new("almond").unwrap()),
+            version: Some(Version::new("1").unwrap()),
+            service: None,
+            capacity: config.memory,
+            slots: Some(config.batch as u32),
+            fenced: true,
+            resumable: true,
+        };
+        registry.announce(announcement).await.unwrap();
+        self.await_upstream(name).await;
+        handle
+    }
+
+    pub async fn await_upstream(&self, name: &str) {
+        let registered = async || self.view.get().upstreams.contains_key(name);
+        eventually(registered).await;
+    }
+
+    /// Waits until all entry hosts and sidecars are at the newest revision.
+    pub async fn settle(&self) {
+        eventually(async || {
+            let newest = self.view.revision();
+            let nodes = self.nodes.borrow();
+            nodes.iter().all(|n| n.handle().view().revision() >= newest)
+        })
+        .await;
+    }
+
+    /// Sends a completion.
+    pub async fn complete(&self, entry: &Server, ask: &Ask<'_>) -> ClientResponse {
+        let body = serde_json::json!({
+            "model": "almond",
+            "prompt": ask.prompt,
+            "max_tokens": ask.tokens,
+            "stream": ask.stream,
+        });
+        let url = format!("http://{}/v1/completions", entry.address());
+        let mut request = self
+            .client
+            .post(url)
+            .header("Authorization", format!("Bearer {}-key", ask.organisation));
+        for (name, value) in &ask.headers {
+            request = request.header(*name, value.as_str());
+        }
+        request.send_json(&body).await.unwrap()
+    }
+}
+
+/// A completion to ask for.
+#[derive(Clone)]
+pub struct Ask<'a> {
+    pub organisation: &'a str,
+    pub prompt: &'a str,
+    pub tokens: u64,
+    pub stream: bool,
+    pub headers: Vec<(&'static str, String)>,
+}
+
+impl<'a> Ask<'a> {
+    pub fn new(prompt: &'a str) -> Ask<'a> {
+        Ask {
+            organisation: "acme",
+            prompt,
+            tokens: 8,
+            stream: false,
+            headers: Vec::new(),
+        }
+    }
+
+    pub fn header(mut self, name: &'static str, value: &str) -> Ask<'a> {
+        self.headers.push((name, value.to_owned()));
+        self
+    }
+}
+
+/// The text of a whole answer, or the error's code and what it says of running.
+pub async fn text_of(response: ClientResponse) -> Result<String, (u16, String)> {
+    let body = response.body().limit(64 << 20).await.unwrap();
+    let value: serde_json::Value = serde_json::from_slice(&body).unwrap();
+    match value["choices"][0]["text"].as_str() {
+        Some(text) => Ok(text.to_owned()),
+        None => Err((
+            value["error"]["code"].as_u64().unwrap() as u16,
+            value["error"]["ran"].as_str().unwrap().to_owned(),
+        )),
+    }
+}
+
+fn config(name: &str, incarnation: u64, seeds: Vec<SocketAddr>) -> Config {
+    Config {
+        host: Host::new(name).unwrap(),
+        domain: Domain::new("a").unwrap(),
+        region: Region::new("r").unwrap(),
+        incarnation: Incarnation(incarnation),
+        listen: LOCAL,
+        seeds,
+        security: Default::default(),
+    }
+}
+
+/// Waits until something is so.
+pub async fn eventually<F>(check: F)
+where
+    F: AsyncFn() -> bool,
+{
+    let waited = tokio::time::timeout(PATIENCE, async {
+        while !check().await {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+    waited.await.expect("it came about in time");
+}
+
+/// An engine that answers fast.
+pub fn fast() -> engine::Config {
+    engine::Config {
+        factor: 20.0,
+        ..engine::Config::default()
+    }
+}
--- /dev/null
+++ b/almondlock-sidecar/src/announce.rs
@@ -0,0 +1,288 @@
+//! How an upstream becomes known.
+//!
+//! No list of upstreams exists: each one announces itself over HTTP to the
+//! sidecar on its host, again and again. The sidecar stands in front of it
+//! from the first announcement on, registers it with the control replicas, and
+//! keeps the registration alive for as long as the upstream goes on announcing
+//! itself or answers.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use almondlock_base::{
+    Code,
+    id::{Domain, Host, Incarnation, Model, Region, Service as Name, Upstream, Version},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_node::{Handle, Sidecars, clock, replicas::Replicas};
+use almondlock_policy::{gate, queue};
+use almondlock_state::config::{Kind, Registration};
+use ntex::web::{self, HttpResponse};
+use serde::{Deserialize, Serialize};
+use tokio::{task::spawn_local, time::sleep};
+
+use crate::{openai::Engine, plain, protocol::Protocol, service::Service, table::Config};
+
+/// How often a registration is renewed.
+const RENEWAL: Duration = Duration::from_secs(2);
+/// How long the replicas are tried for each.
+const REGISTER_TIMEOUT: Duration = Duration::from_secs(10);
+/// Pause after a refused registration.
+const REFUSED_PAUSE: Duration = Duration::from_secs(1);
+/// An upstream that neither announces itself nor answers for this long is no
+/// longer renewed; its lease at the replicas then ends.
+const SILENCE: Duration = Duration::from_secs(5);
+/// The most memory an upstream may claim, in tokens.
+const CAPACITY_LIMIT: u64 = 1 << 40;
+/// Batch places when an upstream names none.
+const DEFAULT_SLOTS: u32 = 64;
+
+/// What an upstream says of itself.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Its name.
+    pub name: Upstream,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Engine or plain service.
+    pub kind: Kind,
+    /// The model it has loaded, for an engine.
+    #[serde(default)]
+    pub model: Option<Model>,
+    /// That model's version.
+    #[serde(default)]
+    pub version: Option<Version>,
+    /// The service it belongs to, for a plain service.
+    #[serde(default)]
+    pub service: Option<Name>,
+    /// Engine memory in tokens.
+    #[serde(default)]
+    pub capacity: u64,
+    /// Requests it runs together at most.
+    #[serde(default)]
+    pub slots: Option<u32>,
+    /// Whether it refuses orders with an old fencing number.
+    #[serde(default)]
+    pub fenced: bool,
+    /// Whether it can go on with an answer at a given token.
+    #[serde(default)]
+    pub resumable: bool,
+}
+
+/// Where the sidecar's host stands.
+#[derive(Clone, Debug)]
+pub struct Site {
+    /// The host.
+    pub host: Host,
+    /// Its failure domain.
+    pub domain: Domain,
+    /// Its region.
+    pub region: Region,
+    /// This life of the process.
+    pub incarnation: Incarnation,
+    /// The inner listener, as other processes reach it.
+    pub inner: SocketAddr,
+    /// The order of work beside each upstream.
+    pub queue: queue::Config,
+}
+
+/// The upstreams that announced themselves here.
+#[derive(Clone)]
+pub struct Registry {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    site: Site,
+    handle: Handle,
+    replicas: Replicas,
+    sidecars: Sidecars,
+    known: RefCell<HashMap<Upstream, Known>>,
+}
+
+struct Known {
+    announcement: Announcement,
+    heard: Mono,
+}
+
+/// Why an announcement is refused.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Refusal(pub String);
+
+impl Registry {
+    /// No upstreams yet; sidecars will be offered in `sidecars`.
+    pub fn new(site: Site, handle: Handle, replicas: Replicas, sidecars: Sidecars) -> Registry {
+        let inner = Rc::new(Inner {
+            site,
+            handle,
+            replicas,
+            sidecars,
+            known: RefCell::default(),
+        });
+        Registry { inner }
+    }
+
+    /// Takes an announcement: the first of a name starts a sidecar, a repeated
+    /// one renews it, one with another address replaces it.
+    pub async fn announce(&self, announcement: Announcement) -> Result<(), Refusal> {
+        check(&announcement)?;
+        let now = clock::mono();
+        {
+            let mut known = self.inner.known.borrow_mut();
+            if let Some(known) = known.get_mut(&announcement.name)
+                && known.announcement.address == announcement.address
+            {
+                known.announcement = announcement;
+                known.heard = now;
+                return Ok(());
+            }
+        }
+        let name = announcement.name.clone();
+        let known = Known {
+            announcement: announcement.clone(),
+            heard: now,
+        };
+        self.inner.known.borrow_mut().insert(name, known);
+        let unusable = |e: &dyn std::fmt::Display| Refusal(e.to_string());
+        match announcement.kind {
+            Kind::Engine => {
+                let engine = Engine::new(announcement.address).await;
+                self.stand_before(announcement, engine.map_err(|e| unusable(&e))?);
+            }
+            Kind::Service => {
+                let service = plain::Service::new(announcement.address).await;
+                self.stand_before(announcement, service.map_err(|e| unusable(&e))?);
+            }
+        }
+        Ok(())
+    }
+
+    fn stand_before<P>(&self, announcement: Announcement, protocol: P)
+    where
+        P: Protocol,
+    {
+        let inner = &self.inner;
+        let config = Config {
+            capacity: capacity(&announcement),
+            slots: announcement.slots.unwrap_or(DEFAULT_SLOTS),
+            queue: inner.site.queue,
+            gate: gate::Config::default(),
+        };
+        let service = Service::new(
+            announcement.name.clone(),
+            inner.site.incarnation,
+            config,
+            protocol,
+            inner.handle.clone(),
+            inner.replicas.clone(),
+        );
+        let client = capnp_rpc::new_client(service.clone());
+        inner.sidecars.insert(announcement.name.clone(), client);
+        spawn_local(Rc::clone(inner).renew(announcement.name, announcement.address, service));
+    }
+}
+
+/// A plain service has no memory to run out of.
+fn capacity(announcement: &Announcement) -> Tokens {
+    match announcement.kind {
+        Kind::Engine => Tokens(announcement.capacity),
+        Kind::Service => Tokens(CAPACITY_LIMIT),
+    }
+}
+
+fn check(announcement: &Announcement) -> Result<(), Refusal> {
+    let fault = |text: &str| Err(Refusal(text.to_owned()));
+    if announcement.address.ip().is_unspecified() || announcement.address.port() == 0 {
+        return fault("the address is not one to connect to");
+    }
+    if announcement.slots == Some(0) {
+        return fault("`slots` must be at least 1");
+    }
+    match announcement.kind {
+        Kind::Engine if announcement.model.is_none() || announcement.version.is_none() => {
+            fault("an engine names its `model` and `version`")
+        }
+        Kind::Engine if !(1..=CAPACITY_LIMIT).contains(&announcement.capacity) => {
+            fault("an engine's `capacity` is its memory in tokens")
+        }
+        Kind::Service if announcement.service.is_none() => {
+            fault("a plain service names its `service`")
+        }
+        Kind::Engine | Kind::Service => Ok(()),
+    }
+}
+
+impl Inner {
+    fn registration(&self, announcement: &Announcement) -> Registration {
+        let site = &self.site;
+        Registration {
+            address: site.inner,
+            host: site.host.clone(),
+            domain: site.domain.clone(),
+            region: site.region.clone(),
+            incarnation: site.incarnation,
+            kind: announcement.kind,
+            model: announcement.model.clone().zip(announcement.version.clone()),
+            service: announcement.service.clone(),
+            capacity: capacity(announcement),
+            fenced: announcement.fenced,
+            resumable: announcement.resumable,
+            role: String::new(),
+        }
+    }
+
+    /// Keeps one upstream's registration alive until it is replaced here.
+    async fn renew<P>(self: Rc<Self>, name: Upstream, address: SocketAddr, service: Service<P>)
+    where
+        P: Protocol,
+    {
+        loop {
+            let current = self.current(&name, address);
+            let Some((announcement, heard)) = current else {
+                return;
+            };
+            let fresh = clock::mono().since(heard) < SILENCE || service.is_alive().await;
+            if !fresh {
+                sleep(RENEWAL).await;
+                continue;
+            }
+            let registration = self.registration(&announcement);
+            let told = self
+                .replicas
+                .announce(&name, &registration, REGISTER_TIMEOUT);
+            match told.await {
+                Ok(_) | Err(Code::NoQuorum) => sleep(RENEWAL).await,
+                Err(code) => {
+                    tracing::warn!(upstream = %name, %code, "the registration was refused");
+                    sleep(REFUSED_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn current(&self, name: &Upstream, address: SocketAddr) -> Option<(Announcement, Mono)> {
+        let known = self.known.borrow();
+        let known = known.get(name)?;
+        let same = known.announcement.address == address;
+        same.then(|| (known.announcement.clone(), known.heard))
+    }
+}
+
+/// Adds the announcement route to an application whose state is a [`Registry`].
+pub fn routes(config: &mut web::ServiceConfig) {
+    config.route("/announce", web::post().to(post));
+}
+
+async fn post(
+    registry: web::types::State<Registry>,
+    body: web::types::Json<Announcement>,
+) -> HttpResponse {
+    match registry.announce(body.into_inner()).await {
+        Ok(()) => HttpResponse::Ok().body("{}"),
+        Err(Refusal(text)) => {
+            let body = serde_json::json!({"error": {"message": text}});
+            HttpResponse::BadRequest().json(&body)
+        }
+    }
+}
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -10,6 +10,7 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod announce;
 pub mod openai;
 pub mod output;
 pub mod plain;
--- a/almondlock-sidecar/src/pull.rs
+++ b/almondlock-sidecar/src/pull.rs
@@ -14,7 +14,7 @@
 
 /// Feeds the whole body to the upstream's connection. Ends early when either
 /// side is gone; the upstream then sees a body that is too short and refuses.
-pub async fn pull(head: &Head, source: &source::Client, mut to: Feeder) {
+pub(crate) async fn pull(head: &Head, source: &source::Client, mut to: Feeder) {
     if !head.body.is_empty() {
         let _ = to.send(Ok(Bytes::copy_from_slice(&head.body))).await;
         return;
