Let an engine announce its speed

Cause: a body of 4 MB was refused as hopeless, since the queue assumed 8,000 tokens a second for an engine it had not seen work (found by long_body). Ruled out: the body's way itself, which the same test passes once admitted. Change: the announcement may carry a prefill rate for the first estimates. Conclusion: long_body passes.

--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -356,6 +356,7 @@
             service: None,
             capacity: config.memory,
             slots: Some(config.batch as u32),
+            prefill_rate: Some(config.prefill_rate * config.factor),
             fenced: true,
             resumable: true,
         };
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -62,6 +62,10 @@
     /// Requests it runs together at most.
     #[serde(default)]
     pub slots: Option<u32>,
+    /// Prompt tokens it processes in a second, for the first estimates; what is
+    /// observed counts more with every answer.
+    #[serde(default)]
+    pub prefill_rate: Option<f64>,
     /// Whether it refuses orders with an old fencing number.
     #[serde(default)]
     pub fenced: bool,
@@ -166,7 +170,10 @@
         let config = Config {
             capacity: capacity(&announcement),
             slots: announcement.slots.unwrap_or(DEFAULT_SLOTS),
-            queue: inner.site.queue,
+            queue: queue::Config {
+                speed: announcement.prefill_rate.unwrap_or(inner.site.queue.speed),
+                ..inner.site.queue
+            },
             gate: gate::Config::default(),
         };
         let service = Service::new(
@@ -196,6 +203,9 @@
     if announcement.address.ip().is_unspecified() || announcement.address.port() == 0 {
         return fault("the address is not one to connect to");
     }
+    if announcement.prefill_rate.is_some_and(|rate| rate.is_nan() || rate < 1.0) {
+        return fault("`prefill_rate` must be at least 1");
+    }
     if announcement.slots == Some(0) {
         return fault("`slots` must be at least 1");
     }
