--- a/almondlock-quorum/src/lib.rs
+++ b/almondlock-quorum/src/lib.rs
@@ -23,8 +23,9 @@
 //! let mut machine = Machine::new(Config::builder().build()?, member.id, loaded, Mono::ZERO);
 //! // Alone, it elects itself once its election timeout passes and its vote is synced.
 //! machine.tick(Mono::from_millis(10_000));
-//! let write = machine.take().write.map(|write| write.sequence);
-//! machine.synced(Mono::from_millis(10_000), write.unwrap_or(0));
+//! let now = Mono::from_millis(10_000);
+//! let write = machine.take(now).write.map(|write| write.sequence);
+//! machine.synced(now, write.unwrap_or(0));
 //! assert!(machine.is_leader());
 //! # Ok(())
 //! # }
--- a/almondlock-quorum/src/machine/change.rs
+++ b/almondlock-quorum/src/machine/change.rs
@@ -6,8 +6,6 @@
 //! in a row could each start from the same members and change them differently,
 //! to sets whose majorities need not meet.
 
-use almondlock_base::time::Mono;
-
 use super::Machine;
 use crate::{
     entry::{Payload, Position},
@@ -17,7 +15,7 @@
 
 impl Machine {
     /// Puts a change of the members into the log, if this replica leads.
-    pub fn change(&mut self, now: Mono, change: &Change) -> Result<Position, Error> {
+    pub fn change(&mut self, change: &Change) -> Result<Position, Error> {
         self.check_leader()?;
         if self.log.members_index() > self.commit {
             return Err(Error::busy("another change of the members is under way"));
@@ -29,13 +27,12 @@
             self.check_caught_up(*id)?;
         }
         let members = self.log.members().changed(change)?;
-        Ok(self.lead_members(now, members))
+        Ok(self.lead_members(members))
     }
 
-    fn lead_members(&mut self, now: Mono, members: Members) -> Position {
-        let position = self.lead_entry(now, Payload::Members(members.into()));
+    fn lead_members(&mut self, members: Members) -> Position {
+        let position = self.lead_entry(Payload::Members(members.into()));
         self.sync_peers();
-        self.replicate_all(now);
         position
     }
 
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -121,7 +121,7 @@
         self.sync_peers();
         // Entries of earlier terms count as accepted only together with one of
         // this term (replication::advance_commit), so there must be one.
-        self.lead_entry(now, Payload::Empty);
+        self.lead_entry(Payload::Empty);
     }
 
     /// Keeps one progress for each other member. Those removed stay until that
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -82,6 +82,8 @@
     elected_at: Mono,
     reads: read::Queue,
     incoming: Option<snapshot::Incoming>,
+    // Of a leader: entries were appended that no message holds yet.
+    unsent: bool,
     output: output::Pending,
 }
 
@@ -118,6 +120,7 @@
             elected_at: now,
             reads: read::Queue::default(),
             incoming: None,
+            unsent: false,
             output: output::Pending::default(),
         };
         machine.delay_election(now);
@@ -155,12 +158,12 @@
 
     /// Puts a command into the log, if this replica leads. It is accepted when
     /// an entry of the position's term and index comes out committed.
-    pub fn propose(&mut self, now: Mono, data: Arc<[u8]>) -> Result<Position, Error> {
+    pub fn propose(&mut self, data: Arc<[u8]>) -> Result<Position, Error> {
         self.check_leader()?;
         if self.log.last().0 - self.commit.0 >= self.config.backlog {
             return Err(Error::busy("too many entries wait for a quorum"));
         }
-        Ok(self.lead_entry(now, Payload::Command(data)))
+        Ok(self.lead_entry(Payload::Command(data)))
     }
 
     /// All writes up to this sequence number are on disk, file and folder
@@ -200,8 +203,12 @@
         self.log.compact(snapshot, self.config.retain);
     }
 
-    /// What to do now. Nothing in it comes a second time.
-    pub fn take(&mut self) -> Output {
+    /// What to do now. Nothing in it comes a second time. Entries proposed since
+    /// the last call go out together.
+    pub fn take(&mut self, now: Mono) -> Output {
+        if std::mem::take(&mut self.unsent) && self.is_leader() {
+            self.replicate_all(now);
+        }
         let first = self.handed.next();
         let committed = (first.0..=self.commit.0)
             .map_while(|index| self.log.get(Index(index)).cloned())
@@ -279,7 +286,7 @@
         }
     }
 
-    fn lead_entry(&mut self, now: Mono, payload: Payload) -> Position {
+    fn lead_entry(&mut self, payload: Payload) -> Position {
         let position = Position {
             term: self.hard.term,
             index: self.log.last().next(),
@@ -289,7 +296,7 @@
             term: position.term,
             payload,
         });
-        self.replicate_all(now);
+        self.unsent = true;
         position
     }
 
--- a/almondlock-quorum/tests/cluster/mod.rs
+++ b/almondlock-quorum/tests/cluster/mod.rs
@@ -220,9 +220,8 @@
     pub fn propose(&mut self, n: usize) -> bool {
         self.value += 1;
         let data = Arc::from(self.value.to_le_bytes());
-        let now = self.mono();
         let machine = self.nodes[n].machine.as_mut();
-        let done = machine.is_some_and(|m| m.propose(now, data).is_ok());
+        let done = machine.is_some_and(|m| m.propose(data).is_ok());
         self.settle(n);
         done
     }
@@ -238,9 +237,8 @@
     }
 
     pub fn change(&mut self, n: usize, change: &Change) -> bool {
-        let now = self.mono();
         let machine = self.nodes[n].machine.as_mut();
-        let done = machine.is_some_and(|m| m.change(now, change).is_ok());
+        let done = machine.is_some_and(|m| m.change(change).is_ok());
         self.settle(n);
         done
     }
@@ -281,11 +279,12 @@
     }
 
     fn settle(&mut self, n: usize) {
+        let now = self.mono();
         let node = &mut self.nodes[n];
         let Some(machine) = node.machine.as_mut() else {
             return;
         };
-        let output = machine.take();
+        let output = machine.take(now);
         self.history.leader(machine);
         node.writes.extend(output.write);
         if let Some(snapshot) = output.restore {
