Prove choice and limits: herds, subsets, caches, cut-off hosts

Cause: entry hosts decide on lagging figures and alone; neither may let them pile onto one upstream or hand out a limit several times. Change: herd_choice, subset_spread, cache_affinity, shared_limit. A fault that herd_choice found, mended here: with few members the random draws could all hit the same one, so a busy upstream was taken although another was idle. After the draws the members are now looked at in order until enough are found. Figures of the test itself: 60 requests of three entry hosts that see one idle upstream of 18: least-reported puts all 60 there; probing at most 12 on any.

--- a/almondlock-policy/src/choice/pick.rs
+++ b/almondlock-policy/src/choice/pick.rs
@@ -97,7 +97,7 @@
         let Some((row, index)) = table.at(slot).zip(table.index(slot)) else {
             return;
         };
-        if !row.takes(ask, index) || row.load.is_avoided(now) || row.spares(ask) {
+        if !is_usable(row, index, ask, now) {
             return;
         }
         let in_flight = in_flight(table, row, now);
@@ -115,8 +115,9 @@
     }
 }
 
-/// Different members of a subset, drawn at random. A few more draws than asked
-/// for make up for members that can't be used.
+/// Different members of a subset, drawn at random. Where draws keep hitting the
+/// same or unusable ones, members are taken in order from a random place, so
+/// that a small or half-failed subset is looked at whole.
 fn draw<R>(
     table: &Table,
     chosen: &[u32],
@@ -130,25 +131,31 @@
     let wanted = table.config.draws.clamp(1, DRAW_LIMIT);
     let mut drawn = [u32::MAX; DRAW_LIMIT];
     let mut count = 0;
-    for _ in 0..wanted * 3 {
-        if count == wanted || chosen.is_empty() {
-            break;
-        }
-        let slot = chosen[rng.random_range(0..chosen.len())];
-        let usable = table
-            .at(slot)
-            .zip(table.index(slot))
-            .is_some_and(|(row, index)| {
-                row.takes(ask, index) && !row.load.is_avoided(now) && !row.spares(ask)
-            });
+    let mut offer = |slot: u32| {
+        let row = table.at(slot).zip(table.index(slot));
+        let usable = row.is_some_and(|(row, index)| is_usable(row, index, ask, now));
         if usable && !drawn[..count].contains(&slot) {
             drawn[count] = slot;
             count += 1;
         }
+        count < wanted
+    };
+    if !chosen.is_empty() {
+        let mut tries = (0..wanted * 2).map(|_| chosen[rng.random_range(0..chosen.len())]);
+        if tries.all(&mut offer) {
+            let start = rng.random_range(0..chosen.len());
+            let mut rest = chosen[start..].iter().chain(&chosen[..start]).copied();
+            rest.all(offer);
+        }
     }
     drawn.into_iter().take(count)
 }
 
+/// Whether an attempt may go there and there is no reason to go elsewhere.
+fn is_usable(row: &Row, index: Index, ask: &Ask<'_>, now: Mono) -> bool {
+    row.takes(ask, index) && !row.load.is_avoided(now) && !row.spares(ask)
+}
+
 /// Upstreams that may have the prompt's start cached, and the tokens that
 /// would save.
 fn prefix_candidates(table: &Table, ask: &Ask<'_>) -> impl Iterator<Item = (u32, u64)> + use<> {
--- /dev/null
+++ b/almondlock-policy/tests/cache_affinity.rs
@@ -0,0 +1,138 @@
+//! Prompts that share their start are sent through any entry host. Processing
+//! the start once and finding it cached from then on saves most of the time to
+//! the first token; but a popular start must not pile everything on the one
+//! upstream that has it, and a wrong belief may cost time, never an answer.
+
+#![cfg(test)]
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::{
+    id::{Domain, Host, Region, Upstream},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_policy::choice::{Ask, Config, Home, Picker, Probing, Report, Site, Table};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn table(host: usize, config: Config) -> Table {
+    let home = Home {
+        host: Host::new(&format!("entry-{host}")).unwrap(),
+        domain: Domain::new("d0").unwrap(),
+        region: Region::new("r0").unwrap(),
+    };
+    let mut table = Table::new(config, home);
+    for i in 0..18 {
+        let site = Site {
+            domain: Domain::new(&format!("d{}", i % 3)).unwrap(),
+            region: Region::new("r0").unwrap(),
+        };
+        table.insert(&Upstream::new(&format!("engine-{i}")).unwrap(), site);
+    }
+    table
+}
+
+const PREFIX: [u64; 8] = [11, 12, 13, 14, 15, 16, 17, 18];
+
+fn ask() -> Ask<'static> {
+    Ask {
+        prompt: Tokens(5_000),
+        output: Tokens(100),
+        prefix: &PREFIX,
+        excluded: &[],
+    }
+}
+
+#[test]
+fn entry_hosts_agree_without_talking() {
+    let mut chosen: HashMap<Upstream, usize> = HashMap::new();
+    for host in 0..10 {
+        let mut rng = SmallRng::seed_from_u64(host as u64);
+        let table = table(host, Config::default());
+        let index = Probing.pick(&table, &ask(), Mono::ZERO, &mut rng).unwrap();
+        *chosen
+            .entry(table.name(index).unwrap().clone())
+            .or_default() += 1;
+    }
+    // The prefix hashes to two upstreams; nothing else is chosen.
+    assert!(chosen.len() <= 2, "{chosen:?}");
+}
+
+#[test]
+fn what_was_processed_is_found_again() {
+    let config = Config {
+        faith: 0,
+        ..Config::default()
+    };
+    let mut table = table(0, config);
+    let mut rng = SmallRng::seed_from_u64(1);
+    let first = table.find(&Upstream::new("engine-7").unwrap()).unwrap();
+    table.sent(first, Tokens(5_000));
+    table.answered(first, &ask());
+    table.ended(first, Tokens(5_000), true);
+    for _ in 0..50 {
+        assert_eq!(
+            Probing.pick(&table, &ask(), Mono::ZERO, &mut rng),
+            Some(first)
+        );
+    }
+    // When it is gone, so is the belief.
+    table.remove(&Upstream::new("engine-7").unwrap());
+    assert!(Probing.pick(&table, &ask(), Mono::ZERO, &mut rng).is_some());
+}
+
+#[test]
+fn a_popular_prefix_spills_over() {
+    let mut table = table(0, Config::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts: HashMap<_, usize> = HashMap::new();
+    for _ in 0..360 {
+        let index = Probing.pick(&table, &ask(), Mono::ZERO, &mut rng).unwrap();
+        table.sent(index, ask().prompt);
+        *counts.entry(index).or_default() += 1;
+    }
+    let most = counts.values().max().copied();
+    assert!(most <= Some(20 * 3 / 2 + 5), "{most:?} where 20 is even");
+    assert_eq!(counts.len(), 18);
+}
+
+#[test]
+fn a_long_wait_outweighs_a_cached_start() {
+    let mut table = table(0, Config::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let cached = Probing.pick(&table, &ask(), Mono::ZERO, &mut rng).unwrap();
+    table.sent(cached, Tokens(5_000));
+    table.answered(cached, &ask());
+    table.ended(cached, Tokens(5_000), true);
+    let report = Report {
+        wait: Duration::from_secs(5),
+        in_flight: 3,
+        free: Tokens(400_000),
+        speed: 8_000,
+        ..Report::default()
+    };
+    table.report(cached, report, Mono::ZERO);
+    let next = Probing.pick(&table, &ask(), Mono::ZERO, &mut rng);
+    assert!(next.is_some_and(|index| index != cached));
+}
+
+/// Reports that lag behind say that nothing waits there, each time anew.
+#[test]
+fn lagging_reports_do_not_lift_the_bound() {
+    let mut table = table(0, Config::default());
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut counts: HashMap<_, usize> = HashMap::new();
+    for _ in 0..360 {
+        let index = Probing.pick(&table, &ask(), Mono::ZERO, &mut rng).unwrap();
+        table.sent(index, ask().prompt);
+        let idle = Report {
+            free: Tokens(400_000),
+            speed: 8_000,
+            ..Report::default()
+        };
+        table.report(index, idle, Mono::ZERO);
+        *counts.entry(index).or_default() += 1;
+    }
+    let most = counts.values().max().copied();
+    assert!(most <= Some(20 * 3 / 2 + 15), "{most:?} where 20 is even");
+}
--- /dev/null
+++ b/almondlock-policy/tests/herd_choice.rs
@@ -0,0 +1,128 @@
+//! Load reports lag. Between two reports all entry hosts see the same idle
+//! upstream; if each goes for the lowest figure, all callers of that moment
+//! wait behind each other there while others stand idle.
+
+#![cfg(test)]
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::{
+    id::{Domain, Host, Region, Upstream},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_policy::choice::{
+    Ask, Config, Home, LeastReported, Picker, Probing, Random, Report, Site, Table,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+fn table(host: usize, upstreams: usize) -> Table {
+    let home = Home {
+        host: Host::new(&format!("entry-{host}")).unwrap(),
+        domain: Domain::new("d0").unwrap(),
+        region: Region::new("r0").unwrap(),
+    };
+    let mut table = Table::new(Config::default(), home);
+    for i in 0..upstreams {
+        let site = Site {
+            domain: Domain::new(&format!("d{}", i % 3)).unwrap(),
+            region: Region::new("r0").unwrap(),
+        };
+        table.insert(&Upstream::new(&format!("engine-{i}")).unwrap(), site);
+    }
+    table
+}
+
+/// Three entry hosts hear that one of 18 upstreams is idle and send 20 requests
+/// each before the next report. The largest number on one upstream.
+fn worst<P>(picker: P) -> usize
+where
+    P: Picker,
+{
+    let now = Mono::from_millis(1_000);
+    let mut counts: HashMap<Upstream, usize> = HashMap::new();
+    let mut rng = SmallRng::seed_from_u64(7);
+    for host in 0..3 {
+        let mut table = table(host, 18);
+        for i in 0..18 {
+            let name = Upstream::new(&format!("engine-{i}")).unwrap();
+            let index = table.find(&name).unwrap();
+            let report = Report {
+                in_flight: if i == 4 { 0 } else { 6 },
+                wait: Duration::from_millis(if i == 4 { 0 } else { 300 }),
+                backlog: Tokens::ZERO,
+                free: Tokens(400_000),
+                speed: 8_000,
+            };
+            table.report(index, report, now);
+        }
+        for _ in 0..20 {
+            let ask = Ask {
+                prompt: Tokens(1_000),
+                ..Ask::default()
+            };
+            let index = picker.pick(&table, &ask, now, &mut rng).unwrap();
+            table.sent(index, ask.prompt);
+            *counts
+                .entry(table.name(index).unwrap().clone())
+                .or_default() += 1;
+        }
+    }
+    counts.into_values().max().unwrap()
+}
+
+#[test]
+fn probing_spreads_where_least_reported_piles_up() {
+    assert_eq!(worst(LeastReported), 60);
+    // An even spread is 4 to 5; the idle one may take up to what it is behind.
+    let probing = worst(Probing);
+    assert!(probing <= 12, "{probing} on one upstream");
+    assert!(worst(Random) <= 12);
+}
+
+#[test]
+fn old_figures_fade() {
+    let mut table = table(0, 2);
+    let mut rng = SmallRng::seed_from_u64(3);
+    let now = Mono::from_millis(1_000);
+    let busy = table.find(&Upstream::new("engine-0").unwrap()).unwrap();
+    let report = Report {
+        in_flight: 40,
+        wait: Duration::from_secs(9),
+        ..Report::default()
+    };
+    table.report(busy, report, now);
+    let ask = Ask {
+        prompt: Tokens(100),
+        ..Ask::default()
+    };
+    let mut share = |table: &Table, at| {
+        (0..200)
+            .filter(|_| Probing.pick(table, &ask, at, &mut rng) == Some(busy))
+            .count()
+    };
+    assert_eq!(share(&table, now), 0);
+    // What was busy a minute ago is no worse than the other one.
+    let later = share(&table, Mono::from_millis(61_000));
+    assert!((60..140).contains(&later), "{later} of 200");
+}
+
+#[parameterized(small = { 18 }, middle = { 100 }, large = { 880 })]
+fn own_work_counts_at_once(upstreams: usize) {
+    let mut table = table(0, upstreams);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut counts: HashMap<_, usize> = HashMap::new();
+    let sends = 20 * upstreams.min(32);
+    for _ in 0..sends {
+        let ask = Ask {
+            prompt: Tokens(1_000),
+            ..Ask::default()
+        };
+        let index = Probing.pick(&table, &ask, Mono::ZERO, &mut rng).unwrap();
+        table.sent(index, ask.prompt);
+        *counts.entry(index).or_default() += 1;
+    }
+    let most = counts.into_values().max().unwrap();
+    assert!(most <= 26, "{most} on one where 20 is even");
+}
--- /dev/null
+++ b/almondlock-policy/tests/shared_limit.rs
@@ -0,0 +1,117 @@
+//! An organisation's limit holds for the whole fleet. Its requests come through
+//! several entry hosts, some of which can't reach the others for minutes. If
+//! each let the whole limit through, the organisation would get several times
+//! its share, and the others' callers would wait for it.
+
+#![cfg(test)]
+
+use std::time::Duration;
+
+use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
+use almondlock_policy::limit::{Config, Lease, Limit, Limiter};
+use yare::parameterized;
+
+fn bank() -> Organisation {
+    Organisation::new("bank").unwrap()
+}
+
+fn limiter(hosts: u32, limit: Limit) -> Limiter {
+    let mut limiter = Limiter::new(Config {
+        hosts,
+        ..Config::default()
+    });
+    limiter.set(&bank(), limit);
+    limiter
+}
+
+#[parameterized(one = { 1 }, three = { 3 }, many = { 30 })]
+fn rate_holds_over_all_hosts(hosts: u32) {
+    let limit = Limit {
+        rate: 60,
+        tokens: Tokens::ZERO,
+    };
+    let mut limiters: Vec<Limiter> = (0..hosts).map(|_| limiter(hosts, limit)).collect();
+    let mut admitted = 0;
+    for millis in 0..20_000 {
+        for limiter in &mut limiters {
+            let now = Mono::from_millis(millis);
+            admitted += u32::from(limiter.admit(&bank(), Tokens(1), now).is_ok());
+        }
+    }
+    // 20 s at 60 a second, and the burst of 2 s.
+    assert!((1_200..=1_320).contains(&admitted), "{admitted}");
+}
+
+#[test]
+fn tokens_in_flight_hold_over_all_hosts() {
+    let limit = Limit {
+        rate: 0,
+        tokens: Tokens(30_000),
+    };
+    let mut limiters: Vec<Limiter> = (0..3).map(|_| limiter(3, limit)).collect();
+    let mut permits = Vec::new();
+    for _ in 0..100 {
+        for limiter in &mut limiters {
+            permits.extend(limiter.admit(&bank(), Tokens(1_000), Mono::ZERO));
+        }
+    }
+    assert_eq!(permits.len(), 30);
+    let refusal = limiters[0].admit(&bank(), Tokens(1_000), Mono::ZERO);
+    let refusal = refusal.unwrap_err();
+    assert_eq!(refusal.code, Code::ShareExceeded);
+    assert!(!refusal.retry_after.is_zero());
+    permits.clear();
+    assert!(
+        limiters[0]
+            .admit(&bank(), Tokens(10_000), Mono::ZERO)
+            .is_ok()
+    );
+    assert_eq!(limiters[0].in_flight(&bank()), Tokens::ZERO);
+}
+
+#[parameterized(slow = { 1, 1 }, shared = { 10, 3 }, fast = { 6_100, 30 })]
+fn coming_back_when_told_succeeds(rate: u32, hosts: u32) {
+    let limit = Limit {
+        rate,
+        tokens: Tokens::ZERO,
+    };
+    let mut limiter = limiter(hosts, limit);
+    let mut now = Mono::from_millis(5);
+    for _ in 0..1_000 {
+        if let Err(refusal) = limiter.admit(&bank(), Tokens(1), now) {
+            assert_eq!(refusal.code, Code::RateLimited);
+            now = now + refusal.retry_after + Duration::from_micros(1);
+            assert!(limiter.admit(&bank(), Tokens(1), now).is_ok());
+        }
+    }
+}
+
+#[test]
+fn a_lease_ends_on_a_host_that_is_cut_off() {
+    let limit = Limit {
+        rate: 0,
+        tokens: Tokens(30_000),
+    };
+    let mut limiter = limiter(3, limit);
+    let lease = Lease {
+        rate: 0,
+        tokens: Tokens(15_000),
+        until: Mono::from_millis(2_000),
+    };
+    limiter.lend(&bank(), lease);
+    let permit = limiter.admit(&bank(), Tokens(20_000), Mono::from_millis(1_999));
+    drop(permit.unwrap());
+    let late = limiter.admit(&bank(), Tokens(20_000), Mono::from_millis(2_000));
+    assert_eq!(
+        late.map_err(|refusal| refusal.code).err(),
+        Some(Code::ShareExceeded)
+    );
+    assert_eq!(limiter.take_demand(&bank()).tokens, Tokens(20_000));
+}
+
+#[test]
+fn an_unknown_organisation_gets_nothing() {
+    let mut limiter = Limiter::new(Config::default());
+    let refusal = limiter.admit(&bank(), Tokens(1), Mono::ZERO).unwrap_err();
+    assert_eq!(refusal.code, Code::Forbidden);
+}
--- /dev/null
+++ b/almondlock-policy/tests/subset_spread.rs
@@ -0,0 +1,147 @@
+//! Each of many entry hosts works with a part of a large fleet. If the parts
+//! overlapped badly, some upstreams would stand idle; if a part lay in one
+//! failure domain, that domain's loss would leave an entry host with nothing;
+//! if parts were drawn anew at each change, all figures would be lost with it.
+
+#![cfg(test)]
+
+use std::collections::{BTreeSet, HashMap};
+
+use almondlock_base::{
+    id::{Domain, Host, Region, Upstream},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_policy::choice::{Ask, Config, Home, Index, Picker, Probing, Site, Table};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn name(i: usize) -> Upstream {
+    Upstream::new(&format!("engine-{i}")).unwrap()
+}
+
+fn site(i: usize) -> Site {
+    Site {
+        domain: Domain::new(&format!("d{}", i % 6)).unwrap(),
+        region: Region::new(&format!("r{}", i % 2)).unwrap(),
+    }
+}
+
+fn table(host: usize, upstreams: usize) -> Table {
+    let home = Home {
+        host: Host::new(&format!("entry-{host}")).unwrap(),
+        domain: Domain::new("d0").unwrap(),
+        region: Region::new("r0").unwrap(),
+    };
+    let mut table = Table::new(Config::default(), home);
+    for i in 0..upstreams {
+        table.insert(&name(i), site(i));
+    }
+    table
+}
+
+/// The upstreams that an entry host sends to.
+fn used(table: &Table) -> BTreeSet<Upstream> {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let pick = |_| {
+        let index = Probing.pick(table, &Ask::default(), Mono::ZERO, &mut rng)?;
+        table.name(index).cloned()
+    };
+    (0..2_000).filter_map(pick).collect()
+}
+
+#[test]
+fn subsets_cover_the_region_evenly() {
+    let mut counts: HashMap<Upstream, usize> = HashMap::new();
+    for host in 0..370 {
+        let members = used(&table(host, 880));
+        assert_eq!(members.len(), 32);
+        for member in members {
+            *counts.entry(member).or_default() += 1;
+        }
+    }
+    // 370 hosts times 32 over the 440 upstreams of the region are 27 each.
+    assert_eq!(counts.len(), 440);
+    let (least, most) = (counts.values().min(), counts.values().max());
+    assert!(
+        least >= Some(&8) && most <= Some(&52),
+        "{least:?} to {most:?}"
+    );
+}
+
+#[test]
+fn a_subset_spans_all_domains_of_its_region() {
+    for host in 0..20 {
+        let mut domains: HashMap<Domain, usize> = HashMap::new();
+        let table = table(host, 880);
+        for member in used(&table) {
+            let i: usize = member.as_str()["engine-".len()..].parse().unwrap();
+            assert_eq!(site(i).region.as_str(), "r0");
+            *domains.entry(site(i).domain).or_default() += 1;
+        }
+        assert_eq!(domains.len(), 3);
+        assert!(domains.values().all(|count| *count >= 10), "{domains:?}");
+    }
+}
+
+#[test]
+fn a_change_moves_little() {
+    let mut table = table(0, 880);
+    let before = used(&table);
+    for i in 880..890 {
+        table.insert(&name(i), site(i));
+    }
+    let after = used(&table);
+    assert!(before.intersection(&after).count() >= 28);
+    // Order of arrival makes no difference.
+    let mut other = self::table(0, 0);
+    for i in (0..890).rev() {
+        other.insert(&name(i), site(i));
+    }
+    assert_eq!(used(&other), after);
+}
+
+#[test]
+fn the_other_region_serves_when_this_one_is_gone() {
+    let mut table = table(0, 60);
+    for i in (0..60).step_by(2) {
+        table.set_leaving(&name(i), true);
+    }
+    let members = used(&table);
+    assert!(!members.is_empty());
+    assert!(members.iter().all(|member| {
+        let i: usize = member.as_str()["engine-".len()..].parse().unwrap();
+        i % 2 == 1
+    }));
+}
+
+#[test]
+fn excluded_and_removed_are_not_chosen() {
+    let mut table = table(0, 6);
+    let mut rng = SmallRng::seed_from_u64(2);
+    let gone = table.find(&name(2)).unwrap();
+    table.remove(&name(2));
+    let excluded: Vec<Index> = [0, 1, 3]
+        .iter()
+        .filter_map(|i| table.find(&name(*i)))
+        .collect();
+    let ask = Ask {
+        prompt: Tokens(10),
+        excluded: &excluded,
+        ..Ask::default()
+    };
+    for _ in 0..200 {
+        let index = Probing.pick(&table, &ask, Mono::ZERO, &mut rng).unwrap();
+        assert!(!excluded.contains(&index) && index != gone);
+    }
+    // The slot is used again; news of the one that was there are ignored.
+    table.insert(&name(2), site(2));
+    table.sent(gone, Tokens(10));
+    table.ended(gone, Tokens(10), false);
+    assert_eq!(table.name(gone), None);
+    let all: Vec<Index> = (0..6).filter_map(|i| table.find(&name(i))).collect();
+    let ask = Ask {
+        excluded: &all,
+        ..Ask::default()
+    };
+    assert_eq!(Probing.pick(&table, &ask, Mono::ZERO, &mut rng), None);
+}
