--- a/almondlock-node/src/replicas.rs
+++ b/almondlock-node/src/replicas.rs
@@ -6,12 +6,7 @@
 //! repeated claim by its holder, a repeated announcement by its content and a
 //! repeated blame by the death it names.
 
-use std::{
-    cell::Cell,
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use almondlock_base::{
     Code, Ran,
@@ -164,7 +159,10 @@
         F: AsyncFn(Replica) -> Result<Answer<T>, capnp::Error>,
     {
         let mut order: Vec<SocketAddr> = self.leader.get().into_iter().collect();
-        let others = self.addresses.iter().filter(|a| Some(**a) != self.leader.get());
+        let others = self
+            .addresses
+            .iter()
+            .filter(|a| Some(**a) != self.leader.get());
         order.extend(others);
         let mut next = 0;
         while let Some(address) = order.get(next).copied() {
--- a/almondlock-wire/src/peer.rs
+++ b/almondlock-wire/src/peer.rs
@@ -1,42 +1,49 @@
-//! Who speaks: sent with every exchange, so that revisions spread with traffic.
+//! Who speaks: the few facts that go with every exchange.
+//!
+//! Revisions spread along the data path as well as along the tree: whichever
+//! side of an exchange sees that the other holds a newer one goes to fetch it.
 
 use almondlock_base::{
     id::{Host, Incarnation},
     unit::Revision,
 };
 
-use crate::{almondlock_capnp::peer, error::Error};
+use crate::almondlock_capnp::peer;
+pub use crate::error::Error;
+pub(crate) use crate::error::text;
 
-/// The version of the protocol that this code speaks.
+/// The version of the inner protocol that this build speaks.
 pub const VERSION: u16 = 1;
 
-/// A process of the system.
+/// A process as it names itself in an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
-    /// Its host.
+    /// Its host's name.
     pub host: Host,
     /// Its life.
     pub incarnation: Incarnation,
-    /// The protocol version it speaks.
+    /// The version of the inner protocol it speaks.
     pub version: u16,
-    /// The configuration revision in force there.
+    /// The revision in force there.
     pub revision: Revision,
 }
 
-/// Reads a peer.
-pub fn read(from: peer::Reader<'_>) -> Result<Peer, Error> {
-    Ok(Peer {
-        host: Host::new(from.get_host()?.to_str()?)?,
-        incarnation: Incarnation(from.get_incarnation()),
-        version: from.get_version(),
-        revision: Revision(from.get_revision()),
-    })
-}
+impl Peer {
+    /// Reads and checks a peer off the wire.
+    pub fn read(reader: peer::Reader<'_>) -> Result<Peer, Error> {
+        Ok(Peer {
+            host: Host::new(text(reader.get_host()?)?)?,
+            incarnation: Incarnation(reader.get_incarnation()),
+            version: reader.get_version(),
+            revision: Revision(reader.get_revision()),
+        })
+    }
 
-/// Writes a peer.
-pub fn write(peer: &Peer, mut to: peer::Builder<'_>) {
-    to.set_host(peer.host.as_str());
-    to.set_incarnation(peer.incarnation.0);
-    to.set_version(peer.version);
-    to.set_revision(peer.revision.0);
+    /// Writes the peer into a message.
+    pub fn write(&self, mut builder: peer::Builder<'_>) {
+        builder.set_host(self.host.as_str());
+        builder.set_incarnation(self.incarnation.0);
+        builder.set_version(self.version);
+        builder.set_revision(self.revision.0);
+    }
 }
