Check a daemon's settings as a whole, from one table of keys

A host on call needs every mistake of a file at once, with its line. rust-ini forgets lines, folds repeated sections and keys into the first, and takes a line without = for part of the next key; so the lines are scanned beside it and both must meet the same keys in the same order. Writing an own parser was ruled out: quotes and their like are the library's business.

--- /dev/null
+++ b/almondlock-settings/examples/page.rs
@@ -0,0 +1,5 @@
+//! Prints `docs/settings.md`.
+
+fn main() {
+    print!("{}", almondlock_settings::page());
+}
--- /dev/null
+++ b/almondlock-settings/src/key.rs
@@ -0,0 +1,228 @@
+//! Every key that a settings file may hold.
+
+/// What a key's value looks like.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// A name of letters, digits and `.-_:/`.
+    Name,
+    /// Any text.
+    Text,
+    /// A whole number between two bounds, both included.
+    Number(u64, u64),
+    /// `IP:PORT` to listen on; port 0 takes a free one.
+    Listen,
+    /// `IP:PORT` of another process.
+    Address,
+    /// Several addresses with commas between them.
+    Addresses,
+    /// `NUMBER@IP:PORT` with commas between them.
+    Members,
+    /// The path of a file that must exist.
+    File,
+    /// The path of a file or folder that is made when missing.
+    Path,
+    /// One of a few words.
+    Word(&'static [&'static str]),
+    /// 64 hexadecimal digits.
+    Hash,
+}
+
+/// Whether a key must stand in its section.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Need {
+    /// The section is wrong without it.
+    Required,
+    /// Nothing is set without it.
+    Optional,
+    /// This counts without it.
+    Default(&'static str),
+}
+
+/// One key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Key {
+    /// The section it belongs to, without the name of a `sidecar` section.
+    pub section: &'static str,
+    /// Its name.
+    pub name: &'static str,
+    /// What its value looks like.
+    pub shape: Shape,
+    /// Whether it must be there.
+    pub need: Need,
+    /// The unit of a number, else empty.
+    pub unit: &'static str,
+    /// What it is for, and why its default is what it is.
+    pub reason: &'static str,
+    /// Whether its value is masked when settings are printed.
+    pub secret: bool,
+}
+
+impl Key {
+    /// The key of a section by name.
+    pub fn find(section: &str, name: &str) -> Option<&'static Key> {
+        KEYS.iter()
+            .find(|key| key.section == section && key.name == name)
+    }
+
+    const fn new(
+        section: &'static str,
+        name: &'static str,
+        shape: Shape,
+        need: Need,
+        reason: &'static str,
+    ) -> Key {
+        Key {
+            section,
+            name,
+            shape,
+            need,
+            unit: "",
+            reason,
+            secret: false,
+        }
+    }
+
+    const fn unit(mut self, unit: &'static str) -> Key {
+        self.unit = unit;
+        self
+    }
+
+    const fn secret(mut self) -> Key {
+        self.secret = true;
+        self
+    }
+}
+
+/// The sections, in the order in which they are printed. `sidecar` is followed
+/// by the upstream's name and may stand several times.
+pub const SECTIONS: &[(&str, &str)] = &[
+    (
+        "host",
+        "The host itself. Every file has this section; the others give the process its roles.",
+    ),
+    (
+        "entry",
+        "Makes the process an entry host, which takes callers' HTTP requests.",
+    ),
+    (
+        "sidecar NAME",
+        "Makes the process the sidecar of the upstream NAME; one section for each.",
+    ),
+    (
+        "replica",
+        "Makes the process a control replica; its host needs a disk.",
+    ),
+    (
+        "security",
+        "Mutual TLS between the system's own processes. Without it the inner protocol is plain \
+         TCP, which is right only on a network that nobody else reaches.",
+    ),
+    ("log", "Logs and exported spans; see `docs/telemetry.md`."),
+    ("metrics", "Metrics; see `docs/telemetry.md`."),
+];
+
+use Need::{Default, Optional, Required};
+use Shape::{Address, Addresses, File, Hash, Listen, Members, Name, Number, Path, Text, Word};
+
+const HOUR: u64 = 3_600_000;
+const KIB: u64 = 1024;
+const MIB: u64 = 1024 * KIB;
+
+/// The table of keys.
+#[rustfmt::skip]
+pub const KEYS: &[Key] = &[
+    Key::new("host", "name", Name, Required,
+        "The host's name, the same over restarts and unlike all others."),
+    Key::new("host", "domain", Name, Required,
+        "Its failure domain: hosts that may be lost together. Replicas are spread over them."),
+    Key::new("host", "region", Name, Required,
+        "Its region. Processes fetch configuration from their own region where they can."),
+    Key::new("host", "listen", Listen, Required,
+        "The inner protocol's address, as other processes reach it."),
+    Key::new("host", "seeds", Addresses, Optional,
+        "Inner addresses of control replicas. One that answers is enough; several survive its loss. \
+         Needed by every process that is not a replica."),
+    Key::new("host", "data", Path, Optional,
+        "The folder for durable state. Needed by a replica, unused by others."),
+
+    Key::new("entry", "listen", Listen, Required,
+        "Where callers' HTTP requests arrive, behind the platform's balancer."),
+    Key::new("entry", "admin", Listen, Optional,
+        "Where `almondlock explain` and `status` ask; not for callers."),
+    Key::new("entry", "certificate", File, Optional,
+        "PEM chain for callers' TLS. Without it the listener speaks plain HTTP."),
+    Key::new("entry", "key", File, Optional,
+        "PEM key of that certificate."),
+    Key::new("entry", "body_bytes", Number(KIB, 64 * MIB), Default("16777216"),
+        "Larger bodies are refused. A prompt of a million tokens is 4 to 6 MB.").unit("bytes"),
+    Key::new("entry", "header_timeout", Number(100, 120_000), Default("10000"),
+        "A caller whose request head takes longer is cut off, so that slow ones can't hold \
+         connections.").unit("ms"),
+    Key::new("entry", "body_timeout", Number(1_000, 600_000), Default("60000"),
+        "The same for the body; 6 MB in a minute is 100 KB/s.").unit("ms"),
+    Key::new("entry", "request_buffer", Number(16 * KIB, 64 * MIB), Default("1048576"),
+        "Answer bytes kept for a caller that reads slower than its answer comes; beyond it the \
+         upstream is held back, then the request fails.").unit("bytes"),
+    Key::new("entry", "connections", Number(1, 1_000_000), Default("10000"),
+        "Callers' connections at one time; with the limits above it bounds the memory.").unit("count"),
+    Key::new("entry", "drain_delay", Number(0, HOUR), Default("5000"),
+        "On a stop, how long requests are still accepted after `/readyz` began to fail: the time \
+         that the balancer needs to notice.").unit("ms"),
+    Key::new("entry", "drain_grace", Number(0, 24 * HOUR), Default("600000"),
+        "On a stop, how long answers in progress may take to finish. Long answers take minutes, and \
+         a planned stop cuts none off.").unit("ms"),
+
+    Key::new("sidecar", "kind", Word(&["engine", "service"]), Required,
+        "A model engine, or a plain service."),
+    Key::new("sidecar", "upstream", Address, Required,
+        "The upstream's own address, on this host."),
+    Key::new("sidecar", "announce", Listen, Required,
+        "Where the upstream announces itself to the sidecar; on the loopback interface unless the \
+         two have separate addresses."),
+    Key::new("sidecar", "memory_share", Number(1, 100), Default("90"),
+        "Of the engine's memory, how much the system may fill; the rest absorbs late and wrong \
+         reports.").unit("percent"),
+    Key::new("sidecar", "short_tokens", Number(1, 1_000_000), Default("4096"),
+        "Prompts up to this length count as short.").unit("tokens"),
+    Key::new("sidecar", "short_reserve", Number(0, 90), Default("15"),
+        "Of the memory that the system may fill, how much only short prompts may use, so that \
+         they never wait for a long one to end.").unit("percent"),
+    Key::new("sidecar", "running", Number(1, 100_000), Default("256"),
+        "Requests handed to the upstream at one time.").unit("count"),
+    Key::new("sidecar", "waiting", Number(0, 100_000), Default("1024"),
+        "Requests that may wait beside the upstream; further ones are refused as not run.").unit("count"),
+
+    Key::new("replica", "number", Number(1, 255), Required,
+        "The replica's number among `members`. Never used again after its disk is lost.").unit("count"),
+    Key::new("replica", "admin", Listen, Required,
+        "Where operators' commands arrive."),
+    Key::new("replica", "members", Members, Required,
+        "The members that the group starts with, by number and inner address. Read only when the \
+         data folder is empty: later changes go through `almondlock replica`."),
+    Key::new("replica", "operator_key", Hash, Optional,
+        "BLAKE3 hash of the first operator's key, read only when the group starts. Without it \
+         nobody can make changes until one is set.").secret(),
+    Key::new("replica", "certificate", File, Optional,
+        "PEM chain for operators' TLS. Without it the admin listener speaks plain HTTP."),
+    Key::new("replica", "key", File, Optional,
+        "PEM key of that certificate."),
+
+    Key::new("security", "ca", File, Required,
+        "PEM certificates of the cluster's authority. Processes with other certificates are refused."),
+    Key::new("security", "certificate", File, Required,
+        "This host's PEM chain; it names the host."),
+    Key::new("security", "key", File, Required,
+        "PEM key of that certificate. Only its path stands here."),
+
+    Key::new("log", "format", Word(&["text", "json"]), Default("text"),
+        "Lines for people, or one JSON object a line."),
+    Key::new("log", "filter", Text, Default("info"),
+        "Which lines are written, such as `info,almondlock_node=debug`."),
+    Key::new("log", "spans", Path, Optional,
+        "A file that finished hops are appended to. Off by default: it grows with the traffic."),
+
+    Key::new("metrics", "statsd", Address, Optional,
+        "Where metrics are sent over UDP. Off by default."),
+    Key::new("metrics", "prefix", Name, Default("almondlock"),
+        "What each metric's name starts with."),
+];
--- /dev/null
+++ b/almondlock-settings/src/read.rs
@@ -0,0 +1,436 @@
+//! From checked sections to typed settings, gathering every problem.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use almondlock_base::id::Upstream;
+use almondlock_telemetry::log;
+
+use crate::{
+    error::{Errors, Problem},
+    key::Shape,
+    section::{Section, resolve},
+    settings::{
+        Entry, Format, Host, Kind, Log, Member, Metrics, Replica, Security, Settings, Sidecar, Tls,
+    },
+    source,
+};
+
+/// Reads a file's text. Paths count from `folder`.
+pub(crate) fn settings(file: &str, folder: Option<&Path>, text: &str) -> Result<Settings, Errors> {
+    let blocks = source::read(text).map_err(|problems| Errors::new(file, problems))?;
+    let mut reader = Reader {
+        folder,
+        problems: Vec::new(),
+    };
+    let sections = resolve(&blocks, &mut reader.problems);
+    let built = reader.all(sections);
+    match built {
+        Some(settings) if reader.problems.is_empty() => Ok(settings),
+        _ => Err(Errors::new(file, reader.problems)),
+    }
+}
+
+struct Reader<'a> {
+    folder: Option<&'a Path>,
+    problems: Vec<Problem>,
+}
+
+impl Reader<'_> {
+    fn all(&mut self, sections: Vec<Section>) -> Option<Settings> {
+        let find = |name| sections.iter().find(|section| section.name == name);
+        let host = find("host").and_then(|section| self.host(section));
+        let entry = find("entry").map(|section| self.entry(section));
+        let replica = find("replica").map(|section| self.replica(section));
+        let security = find("security").map(|section| self.security(section));
+        let sidecars: Vec<Option<Sidecar>> = sections
+            .iter()
+            .filter(|section| section.name == "sidecar")
+            .map(|section| self.sidecar(section))
+            .collect();
+        let or_absent = |name| find(name).cloned().unwrap_or_else(|| Section::absent(name));
+        let log = self.log(&or_absent("log"));
+        let metrics = self.metrics(&or_absent("metrics"));
+        self.roles(&sections);
+        self.listeners(&sections);
+        Some(Settings {
+            host: host?,
+            entry: whole(entry)?,
+            sidecars: sidecars.into_iter().collect::<Option<_>>()?,
+            replica: whole(replica)?,
+            security: whole(security)?,
+            log: log?,
+            metrics: metrics?,
+            sections,
+        })
+    }
+
+    fn host(&mut self, s: &Section) -> Option<Host> {
+        let name = self.name(s, "name");
+        let domain = self.name(s, "domain");
+        let region = self.name(s, "region");
+        let listen = self.address(s, "listen");
+        let seeds = self.addresses(s, "seeds");
+        if let (Some(address), Some(value)) = (listen, s.get("listen"))
+            && address.ip().is_unspecified()
+        {
+            let message = "other processes are told this address and can't connect to it";
+            let remedy = "write the IP address that they reach the host by";
+            self.problem(value.line, &value.field(), message, remedy);
+        }
+        let data = self.path(s, "data");
+        Some(Host {
+            name: name?,
+            domain: domain?,
+            region: region?,
+            listen: listen?,
+            seeds: seeds.unwrap_or_default(),
+            data,
+        })
+    }
+
+    fn entry(&mut self, s: &Section) -> Option<Entry> {
+        let listen = self.address(s, "listen");
+        let admin = self.address(s, "admin");
+        let tls = self.tls(s);
+        let body_bytes = self.count(s, "body_bytes");
+        let header_timeout = self.millis(s, "header_timeout");
+        let body_timeout = self.millis(s, "body_timeout");
+        let request_buffer = self.count(s, "request_buffer");
+        let connections = self.count(s, "connections");
+        let drain_delay = self.millis(s, "drain_delay");
+        let drain_grace = self.millis(s, "drain_grace");
+        Some(Entry {
+            listen: listen?,
+            admin,
+            tls,
+            body_bytes: body_bytes?,
+            header_timeout: header_timeout?,
+            body_timeout: body_timeout?,
+            request_buffer: request_buffer?,
+            connections: connections?,
+            drain_delay: drain_delay?,
+            drain_grace: drain_grace?,
+        })
+    }
+
+    fn sidecar(&mut self, s: &Section) -> Option<Sidecar> {
+        let name = s.subject.as_deref().unwrap_or_default();
+        let name = Upstream::new(name).map_err(|error| {
+            let remedy = "name the upstream in the section's head: [sidecar NAME]";
+            self.problem(s.line, &s.head(), &error.to_string(), remedy);
+        });
+        let kind = self.word(s, "kind").map(|word| match word.as_str() {
+            "service" => Kind::Service,
+            _ => Kind::Engine,
+        });
+        let upstream = self.address(s, "upstream");
+        let announce = self.address(s, "announce");
+        let memory_share = self.percent(s, "memory_share");
+        let short_tokens = self.number(s, "short_tokens");
+        let short_reserve = self.percent(s, "short_reserve");
+        let running = self.count(s, "running");
+        let waiting = self.count(s, "waiting");
+        Some(Sidecar {
+            name: name.ok()?,
+            kind: kind?,
+            upstream: upstream?,
+            announce: announce?,
+            memory_share: memory_share?,
+            short_tokens: short_tokens?,
+            short_reserve: short_reserve?,
+            running: running?,
+            waiting: waiting?,
+        })
+    }
+
+    fn replica(&mut self, s: &Section) -> Option<Replica> {
+        let number = self.number(s, "number");
+        let admin = self.address(s, "admin");
+        let members = self.members(s);
+        let operator_key = self.hash(s, "operator_key");
+        let tls = self.tls(s);
+        if let (Some(number), Some(members), Some(value)) = (number, &members, s.get("number"))
+            && !members.iter().any(|member| member.number == number)
+        {
+            let remedy = "add this replica to members, or correct its number";
+            let message = format!("no member has the number {number}");
+            self.problem(value.line, &value.field(), &message, remedy);
+        }
+        Some(Replica {
+            number: number?,
+            admin: admin?,
+            members: members?,
+            operator_key,
+            tls,
+        })
+    }
+
+    fn security(&mut self, s: &Section) -> Option<Security> {
+        let ca = self.path(s, "ca");
+        let certificate = self.path(s, "certificate");
+        let key = self.path(s, "key");
+        Some(Security {
+            ca: ca?,
+            certificate: certificate?,
+            key: key?,
+        })
+    }
+
+    fn log(&mut self, s: &Section) -> Option<Log> {
+        let format = self.word(s, "format").map(|word| match word.as_str() {
+            "json" => Format::Json,
+            _ => Format::Text,
+        });
+        let filter = self.parse(
+            s,
+            "filter",
+            "write it as info,almondlock_node=debug",
+            |text| log::check(text).map(|()| text.to_owned()),
+        );
+        let spans = self.path(s, "spans");
+        Some(Log {
+            format: format?,
+            filter: filter?,
+            spans,
+        })
+    }
+
+    fn metrics(&mut self, s: &Section) -> Option<Metrics> {
+        let statsd = self.address(s, "statsd");
+        let prefix = self.name::<almondlock_base::id::Service>(s, "prefix");
+        Some(Metrics {
+            statsd,
+            prefix: prefix?.to_string(),
+        })
+    }
+}
+
+/// Checks over several keys.
+impl Reader<'_> {
+    fn roles(&mut self, sections: &[Section]) {
+        let has = |name| sections.iter().find(|section| section.name == name);
+        let Some(host) = has("host") else {
+            let remedy = "add it, with name, domain, region and listen";
+            self.problem(0, "[host]", "the section is missing", remedy);
+            return;
+        };
+        if ["entry", "sidecar", "replica"]
+            .iter()
+            .all(|role| has(role).is_none())
+        {
+            let remedy = "add [entry], [sidecar NAME] or [replica]";
+            self.problem(0, "", "the process has no role", remedy);
+        }
+        match has("replica") {
+            Some(replica) if host.get("data").is_none() => {
+                let remedy = "add data = FOLDER to [host], on a disk of the host's own";
+                let message = "a replica has nowhere to keep its state";
+                self.problem(replica.line, "[host] data", message, remedy);
+            }
+            None if host.get("seeds").is_none() => {
+                let remedy = "add seeds = IP:PORT, ... with the replicas' inner addresses";
+                let message = "a process that is no replica knows nobody to fetch from";
+                self.problem(host.line, "[host] seeds", message, remedy);
+            }
+            _ => {}
+        }
+    }
+
+    fn listeners(&mut self, sections: &[Section]) {
+        let mut seen: HashMap<SocketAddr, String> = HashMap::new();
+        let values = sections.iter().flat_map(Section::values);
+        for value in values.filter(|value| value.key.shape == Shape::Listen) {
+            let Ok(address) = value.text.parse::<SocketAddr>() else {
+                continue;
+            };
+            match seen.get(&address) {
+                Some(other) if address.port() != 0 => {
+                    let message = format!("{address} is taken by {other}");
+                    let remedy = "give each listener an address of its own";
+                    self.problem(value.line, &value.field(), &message, remedy);
+                }
+                _ => {
+                    seen.insert(address, value.field());
+                }
+            }
+        }
+    }
+
+    fn tls(&mut self, s: &Section) -> Option<Tls> {
+        let certificate = self.path(s, "certificate");
+        let key = self.path(s, "key");
+        match (s.get("certificate"), s.get("key")) {
+            (Some(value), None) | (None, Some(value)) => {
+                let message = "certificate and key belong together";
+                self.problem(value.line, &value.field(), message, "set both or neither");
+            }
+            _ => {}
+        }
+        Some(Tls {
+            certificate: certificate?,
+            key: key?,
+        })
+    }
+}
+
+/// Single values. Each returns nothing when the key is absent, or when its
+/// value is wrong and the problem noted.
+impl Reader<'_> {
+    fn problem(&mut self, line: usize, field: &str, message: &str, remedy: &str) {
+        self.problems
+            .push(Problem::new(line, field, message, remedy));
+    }
+
+    fn parse<T, E, F>(&mut self, s: &Section, key: &str, remedy: &str, parse: F) -> Option<T>
+    where
+        F: FnOnce(&str) -> Result<T, E>,
+        E: ToString,
+    {
+        let value = s.get(key)?;
+        match parse(&value.text) {
+            Ok(parsed) => Some(parsed),
+            Err(error) => {
+                self.problem(value.line, &value.field(), &error.to_string(), remedy);
+                None
+            }
+        }
+    }
+
+    fn name<T>(&mut self, s: &Section, key: &str) -> Option<T>
+    where
+        T: TryFrom<String>,
+        T::Error: ToString,
+    {
+        self.parse(s, key, "choose a plain name", |text| {
+            T::try_from(text.to_owned())
+        })
+    }
+
+    fn number(&mut self, s: &Section, key: &str) -> Option<u64> {
+        let value = s.get(key)?;
+        let Shape::Number(low, high) = value.key.shape else {
+            return None;
+        };
+        let unit = value.key.unit;
+        let remedy = format!("write a whole number of {unit} from {low} to {high}");
+        let parse = |text: &str| match text.parse::<u64>() {
+            Ok(number) if (low..=high).contains(&number) => Ok(number),
+            Ok(_) => Err(format!("{text} is out of range")),
+            Err(_) => Err(format!("{text:?} is no whole number")),
+        };
+        self.parse(s, key, &remedy, parse)
+    }
+
+    fn count(&mut self, s: &Section, key: &str) -> Option<usize> {
+        self.number(s, key).and_then(|n| usize::try_from(n).ok())
+    }
+
+    fn percent(&mut self, s: &Section, key: &str) -> Option<u8> {
+        self.number(s, key).and_then(|n| u8::try_from(n).ok())
+    }
+
+    fn millis(&mut self, s: &Section, key: &str) -> Option<Duration> {
+        self.number(s, key).map(Duration::from_millis)
+    }
+
+    fn address(&mut self, s: &Section, key: &str) -> Option<SocketAddr> {
+        let shape = s.get(key)?.key.shape;
+        let remedy = "write IP:PORT, such as 10.1.2.3:7400; host names are not looked up";
+        self.parse(s, key, remedy, |text| address(text, shape))
+    }
+
+    fn addresses(&mut self, s: &Section, key: &str) -> Option<Vec<SocketAddr>> {
+        let remedy = "write IP:PORT, IP:PORT, ...";
+        self.parse(s, key, remedy, |text| {
+            let addresses = text.split(',').map(|part| address(part, Shape::Address));
+            addresses.collect::<Result<Vec<_>, _>>()
+        })
+    }
+
+    fn members(&mut self, s: &Section) -> Option<Vec<Member>> {
+        let remedy = "write NUMBER@IP:PORT, NUMBER@IP:PORT, ... with no number or address twice";
+        self.parse(s, "members", remedy, members)
+    }
+
+    fn word(&mut self, s: &Section, key: &str) -> Option<String> {
+        let Shape::Word(words) = s.get(key)?.key.shape else {
+            return None;
+        };
+        let remedy = format!("use one of {}", words.join(", "));
+        self.parse(s, key, &remedy, |text| {
+            let known = words.contains(&text);
+            known
+                .then(|| text.to_owned())
+                .ok_or(format!("unknown word {text:?}"))
+        })
+    }
+
+    fn hash(&mut self, s: &Section, key: &str) -> Option<String> {
+        let remedy = "write the 64 hexadecimal digits that `almondlock` printed with the key";
+        self.parse(s, key, remedy, |text| {
+            let fits = text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit());
+            // The value stays out of the message: it may be the key itself.
+            let error = "not a hash of 64 hexadecimal digits";
+            fits.then(|| text.to_ascii_lowercase()).ok_or(error)
+        })
+    }
+
+    fn path(&mut self, s: &Section, key: &str) -> Option<PathBuf> {
+        let shape = s.get(key)?.key.shape;
+        let folder = self.folder.map(Path::to_path_buf).unwrap_or_default();
+        self.parse(s, key, "name a file that exists and is readable", |text| {
+            let path = folder.join(text);
+            match shape {
+                _ if text.is_empty() => Err("the path is empty".to_owned()),
+                Shape::File if !path.is_file() => Err(format!("no file {}", path.display())),
+                _ => Ok(path),
+            }
+        })
+    }
+}
+
+fn address(text: &str, shape: Shape) -> Result<SocketAddr, String> {
+    let text = text.trim();
+    let address: SocketAddr = text
+        .parse()
+        .map_err(|_| format!("{text:?} is no IP address with a port"))?;
+    if shape != Shape::Listen && (address.port() == 0 || address.ip().is_unspecified()) {
+        return Err(format!("{text} can't be connected to"));
+    }
+    Ok(address)
+}
+
+fn members(text: &str) -> Result<Vec<Member>, String> {
+    let mut members: Vec<Member> = Vec::new();
+    for part in text.split(',').map(str::trim) {
+        let (number, rest) = part
+            .split_once('@')
+            .ok_or_else(|| format!("{part:?} has no @"))?;
+        let number = match number.trim().parse() {
+            Ok(number @ 1..=255) => number,
+            _ => return Err(format!("{number:?} is no number from 1 to 255")),
+        };
+        let address = address(rest, Shape::Address)?;
+        let twice = |m: &Member| m.number == number || m.address == address;
+        if members.iter().any(twice) {
+            return Err(format!("{part} has a number or an address twice"));
+        }
+        members.push(Member { number, address });
+    }
+    Ok(members)
+}
+
+/// Turns "a section that failed to read" into a failure, and leaves "no such
+/// section" alone.
+fn whole<T>(section: Option<Option<T>>) -> Option<Option<T>> {
+    match section {
+        Some(None) => None,
+        Some(read) => Some(read),
+        None => Some(None),
+    }
+}
--- /dev/null
+++ b/almondlock-settings/src/settings.rs
@@ -0,0 +1,180 @@
+//! Settings as the daemon uses them.
+
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
+
+use almondlock_base::id::{self, Upstream};
+pub use almondlock_telemetry::log::Format;
+
+use crate::{key::Shape, section::Section};
+
+/// All settings of a process.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The host itself.
+    pub host: Host,
+    /// The entry role.
+    pub entry: Option<Entry>,
+    /// Sidecar roles. Invariant: no two have the same name.
+    pub sidecars: Vec<Sidecar>,
+    /// The control role.
+    pub replica: Option<Replica>,
+    /// Mutual TLS between processes.
+    pub security: Option<Security>,
+    /// Logs and spans.
+    pub log: Log,
+    /// Metrics.
+    pub metrics: Metrics,
+    // The sections as read, for printing.
+    pub(crate) sections: Vec<Section>,
+}
+
+/// Section `[host]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Host {
+    /// The host's name.
+    pub name: id::Host,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Its region.
+    pub region: id::Region,
+    /// The inner protocol's address.
+    pub listen: SocketAddr,
+    /// Inner addresses of control replicas. Invariant: not empty on a process
+    /// that is not a replica.
+    pub seeds: Vec<SocketAddr>,
+    /// The folder for durable state. Invariant: given on a replica.
+    pub data: Option<PathBuf>,
+}
+
+/// A listener's certificate and key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tls {
+    /// PEM chain.
+    pub certificate: PathBuf,
+    /// PEM key.
+    pub key: PathBuf,
+}
+
+/// Section `[entry]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Where callers' requests arrive.
+    pub listen: SocketAddr,
+    /// Where operators ask about this host.
+    pub admin: Option<SocketAddr>,
+    /// Callers' TLS.
+    pub tls: Option<Tls>,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Time allowed for a request's head.
+    pub header_timeout: Duration,
+    /// Time allowed for a request's body.
+    pub body_timeout: Duration,
+    /// Answer bytes kept for a slow reader.
+    pub request_buffer: usize,
+    /// Callers' connections at one time.
+    pub connections: usize,
+    /// How long requests are accepted after readiness began to fail.
+    pub drain_delay: Duration,
+    /// How long answers in progress may take on a stop.
+    pub drain_grace: Duration,
+}
+
+/// What an upstream is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine.
+    Engine,
+    /// A plain service.
+    Service,
+}
+
+/// A section `[sidecar NAME]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Sidecar {
+    /// The upstream's name.
+    pub name: Upstream,
+    /// Engine or plain service.
+    pub kind: Kind,
+    /// The upstream's own address.
+    pub upstream: SocketAddr,
+    /// Where the upstream announces itself.
+    pub announce: SocketAddr,
+    /// Percent of the engine's memory that the system may fill.
+    pub memory_share: u8,
+    /// Prompts up to this many tokens count as short.
+    pub short_tokens: u64,
+    /// Percent of that memory which only short prompts may use.
+    pub short_reserve: u8,
+    /// Requests handed to the upstream at one time.
+    pub running: usize,
+    /// Requests that may wait beside the upstream.
+    pub waiting: usize,
+}
+
+/// A member that a replica group starts with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// Its number.
+    pub number: u64,
+    /// Its inner address.
+    pub address: SocketAddr,
+}
+
+/// Section `[replica]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Replica {
+    /// Its number. Invariant: one of `members` has it.
+    pub number: u64,
+    /// Where operators' commands arrive.
+    pub admin: SocketAddr,
+    /// Who the group starts with. Invariant: numbers and addresses are unique.
+    pub members: Vec<Member>,
+    /// Hash of the first operator's key.
+    pub operator_key: Option<String>,
+    /// Operators' TLS.
+    pub tls: Option<Tls>,
+}
+
+/// Section `[security]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Security {
+    /// Certificates of the cluster's authority.
+    pub ca: PathBuf,
+    /// This host's chain.
+    pub certificate: PathBuf,
+    /// The key of that certificate.
+    pub key: PathBuf,
+}
+
+/// Section `[log]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Log {
+    /// How lines look.
+    pub format: Format,
+    /// Which lines are written.
+    pub filter: String,
+    /// Where finished hops go.
+    pub spans: Option<PathBuf>,
+}
+
+/// Section `[metrics]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Metrics {
+    /// Where metrics are sent.
+    pub statsd: Option<SocketAddr>,
+    /// What each name starts with.
+    pub prefix: String,
+}
+
+impl Settings {
+    /// Every address that the process listens on, with its field.
+    pub fn listeners(&self) -> Vec<(String, SocketAddr)> {
+        self.sections
+            .iter()
+            .flat_map(Section::values)
+            .filter(|value| value.key.shape == Shape::Listen)
+            .filter_map(|value| Some((value.field(), value.text.parse().ok()?)))
+            .collect()
+    }
+}
