Leave upstreams out of the settings

Cause: a section for each upstream made the settings a list of upstreams, which must not exist anywhere; they announce themselves. Change: one [sidecar] section with the address for announcements and the order of work; name, kind and address come with the announcement. Conclusion: the examples load, the page is in step.

--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -93,8 +93,7 @@
     }
 }
 
-/// The sections, in the order in which they are printed. `sidecar` is followed
-/// by the upstream's name and may stand several times.
+/// The sections, in the order in which they are printed.
 pub const SECTIONS: &[(&str, &str)] = &[
     (
         "host",
@@ -105,8 +104,8 @@
         "Makes the process an entry host, which takes callers' HTTP requests.",
     ),
     (
-        "sidecar NAME",
-        "Makes the process the sidecar of the upstream NAME; one section for each.",
+        "sidecar",
+        "Makes the process the sidecar of the upstreams on its host, which announce themselves to it.",
     ),
     (
         "replica",
@@ -172,18 +171,15 @@
         "On a stop, how long answers in progress may take to finish. Long answers take minutes, and \
          a planned stop cuts none off.").unit("ms"),
 
-    Key::new("sidecar", "kind", Word(&["engine", "service"]), Required,
-        "A model engine, or a plain service."),
-    Key::new("sidecar", "upstream", Address, Required,
-        "The upstream's own address, on this host."),
     Key::new("sidecar", "announce", Listen, Required,
-        "Where the upstream announces itself to the sidecar; on the loopback interface unless the \
-         two have separate addresses."),
+        "Where upstreams of this host announce themselves, over HTTP; on the loopback interface \
+         unless they have addresses of their own. There is no list of upstreams."),
+    Key::new("sidecar", "order", Word(&["short", "even"]), Default("short"),
+        "What the order of work leans to: `short` keeps short prompts quick beside long ones, `even` \
+         weighs the time to the first token over all lengths."),
     Key::new("sidecar", "memory_share", Number(1, 100), Default("90"),
         "Of the engine's memory, how much the system may fill; the rest absorbs late and wrong \
          reports.").unit("percent"),
-    Key::new("sidecar", "short_tokens", Number(1, 1_000_000), Default("4096"),
-        "Prompts up to this length count as short.").unit("tokens"),
     Key::new("sidecar", "short_reserve", Number(0, 90), Default("15"),
         "Of the memory that the system may fill, how much only short prompts may use, so that \
          they never wait for a long one to end.").unit("percent"),
--- a/almondlock-settings/src/lib.rs
+++ b/almondlock-settings/src/lib.rs
@@ -19,13 +19,11 @@
 //! listen = 127.0.0.1:7400
 //! seeds = 127.0.0.1:7300
 //!
-//! [sidecar engine-1]
-//! kind = engine
-//! upstream = 127.0.0.1:8000
+//! [sidecar]
 //! announce = 127.0.0.1:7401
 //! ";
 //! let settings = almondlock_settings::parse("s1.ini", text).unwrap();
-//! assert_eq!(settings.sidecars[0].memory_share, 90);
+//! assert_eq!(settings.sidecar.unwrap().memory_share, 90);
 //! ```
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
@@ -44,7 +42,7 @@
 pub use error::{Errors, Problem};
 pub use page::page;
 pub use settings::{
-    Entry, Format, Host, Kind, Log, Member, Metrics, Replica, Security, Settings, Sidecar, Tls,
+    Entry, Format, Host, Log, Member, Metrics, Order, Replica, Security, Settings, Sidecar, Tls,
 };
 
 /// Reads and checks a file. Paths in it count from its folder.
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -7,7 +7,6 @@
     time::Duration,
 };
 
-use almondlock_base::id::Upstream;
 use almondlock_telemetry::log;
 
 use crate::{
@@ -15,7 +14,7 @@
     key::Shape,
     section::{Section, resolve},
     settings::{
-        Entry, Format, Host, Kind, Log, Member, Metrics, Replica, Security, Settings, Sidecar, Tls,
+        Entry, Format, Host, Log, Member, Metrics, Order, Replica, Security, Settings, Sidecar, Tls,
     },
     source,
 };
@@ -47,11 +46,7 @@
         let entry = find("entry").map(|section| self.entry(section));
         let replica = find("replica").map(|section| self.replica(section));
         let security = find("security").map(|section| self.security(section));
-        let sidecars: Vec<Option<Sidecar>> = sections
-            .iter()
-            .filter(|section| section.name == "sidecar")
-            .map(|section| self.sidecar(section))
-            .collect();
+        let sidecar = find("sidecar").map(|section| self.sidecar(section));
         let or_absent = |name| find(name).cloned().unwrap_or_else(|| Section::absent(name));
         let log = self.log(&or_absent("log"));
         let metrics = self.metrics(&or_absent("metrics"));
@@ -60,7 +55,7 @@
         Some(Settings {
             host: host?,
             entry: whole(entry)?,
-            sidecars: sidecars.into_iter().collect::<Option<_>>()?,
+            sidecar: whole(sidecar)?,
             replica: whole(replica)?,
             security: whole(security)?,
             log: log?,
@@ -119,29 +114,19 @@
     }
 
     fn sidecar(&mut self, s: &Section) -> Option<Sidecar> {
-        let name = s.subject.as_deref().unwrap_or_default();
-        let name = Upstream::new(name).map_err(|error| {
-            let remedy = "name the upstream in the section's head: [sidecar NAME]";
-            self.problem(s.line, &s.head(), &error.to_string(), remedy);
-        });
-        let kind = self.word(s, "kind").map(|word| match word.as_str() {
-            "service" => Kind::Service,
-            _ => Kind::Engine,
-        });
-        let upstream = self.address(s, "upstream");
         let announce = self.address(s, "announce");
+        let order = self.word(s, "order").map(|word| match word.as_str() {
+            "even" => Order::Even,
+            _ => Order::Short,
+        });
         let memory_share = self.percent(s, "memory_share");
-        let short_tokens = self.number(s, "short_tokens");
         let short_reserve = self.percent(s, "short_reserve");
         let running = self.count(s, "running");
         let waiting = self.count(s, "waiting");
         Some(Sidecar {
-            name: name.ok()?,
-            kind: kind?,
-            upstream: upstream?,
             announce: announce?,
+            order: order?,
             memory_share: memory_share?,
-            short_tokens: short_tokens?,
             short_reserve: short_reserve?,
             running: running?,
             waiting: waiting?,
@@ -223,7 +208,7 @@
             .iter()
             .all(|role| has(role).is_none())
         {
-            let remedy = "add [entry], [sidecar NAME] or [replica]";
+            let remedy = "add [entry], [sidecar] or [replica]";
             self.problem(0, "", "the process has no role", remedy);
         }
         match has("replica") {
--- a/almondlock-settings/src/section.rs
+++ b/almondlock-settings/src/section.rs
@@ -11,8 +11,6 @@
 pub(crate) struct Section {
     /// The name in the table of keys.
     pub(crate) name: &'static str,
-    /// What follows it in the file: the upstream of a `sidecar`.
-    pub(crate) subject: Option<String>,
     /// Where it starts; 0 when the file leaves it out.
     pub(crate) line: usize,
     values: Vec<Value>,
@@ -45,17 +43,13 @@
 
     /// The head as it stands in the file.
     pub(crate) fn head(&self) -> String {
-        match &self.subject {
-            Some(subject) => format!("[{} {subject}]", self.name),
-            None => format!("[{}]", self.name),
-        }
+        format!("[{}]", self.name)
     }
 
     /// A section that the file leaves out: defaults only.
     pub(crate) fn absent(name: &'static str) -> Section {
         let mut section = Section {
             name,
-            subject: None,
             line: 0,
             values: Vec::new(),
         };
@@ -83,13 +77,10 @@
 pub(crate) fn resolve(blocks: &[Block], problems: &mut Vec<Problem>) -> Vec<Section> {
     let mut sections: Vec<Section> = Vec::new();
     for block in blocks {
-        let Some((name, subject)) = known(block, problems) else {
+        let Some(name) = known(block, problems) else {
             continue;
         };
-        let twin = sections
-            .iter()
-            .find(|section| section.name == name && section.subject == subject);
-        if let Some(twin) = twin {
+        if let Some(twin) = sections.iter().find(|section| section.name == name) {
             let message = format!("the section stands on line {} already", twin.line);
             let head = twin.head();
             problems.push(Problem::new(block.line, &head, &message, "merge the two"));
@@ -97,7 +88,6 @@
         }
         let mut section = Section {
             name,
-            subject,
             line: block.line,
             values: Vec::new(),
         };
@@ -108,23 +98,16 @@
     sections
 }
 
-fn known(block: &Block, problems: &mut Vec<Problem>) -> Option<(&'static str, Option<String>)> {
-    let (word, subject) = match block.name.split_once(' ') {
-        Some((word, subject)) => (word, Some(subject.to_owned())),
-        None => (block.name.as_str(), None),
-    };
+fn known(block: &Block, problems: &mut Vec<Problem>) -> Option<&'static str> {
     let names = SECTIONS.iter().map(|(name, _)| *name);
-    let found = names.clone().find_map(|name| match name.split_once(' ') {
-        Some((known, _)) => (known == word && subject.is_some()).then_some(known),
-        None => (name == word && subject.is_none()).then_some(name),
-    });
+    let found = names.clone().find(|name| *name == block.name);
     if found.is_none() {
         let all: Vec<String> = names.map(|name| format!("[{name}]")).collect();
         let remedy = format!("use one of {}", all.join(" "));
         let head = format!("[{}]", block.name);
         problems.push(Problem::new(block.line, &head, "unknown section", &remedy));
     }
-    found.map(|name| (name, subject))
+    found
 }
 
 fn keys(block: &Block, section: &mut Section, problems: &mut Vec<Problem>) {
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
-use almondlock_base::id::{self, Upstream};
+use almondlock_base::id;
 pub use almondlock_telemetry::log::Format;
 
 use crate::{key::Shape, section::Section};
@@ -14,8 +14,8 @@
     pub host: Host,
     /// The entry role.
     pub entry: Option<Entry>,
-    /// Sidecar roles. Invariant: no two have the same name.
-    pub sidecars: Vec<Sidecar>,
+    /// The sidecar role.
+    pub sidecar: Option<Sidecar>,
     /// The control role.
     pub replica: Option<Replica>,
     /// Mutual TLS between processes.
@@ -80,30 +80,24 @@
     pub drain_grace: Duration,
 }
 
-/// What an upstream is.
+/// What the order of work beside an upstream leans to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Kind {
-    /// A model engine.
-    Engine,
-    /// A plain service.
-    Service,
+pub enum Order {
+    /// Short prompts stay quick beside long ones.
+    Short,
+    /// The time to the first token over all lengths.
+    Even,
 }
 
-/// A section `[sidecar NAME]`.
+/// Section `[sidecar]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Sidecar {
-    /// The upstream's name.
-    pub name: Upstream,
-    /// Engine or plain service.
-    pub kind: Kind,
-    /// The upstream's own address.
-    pub upstream: SocketAddr,
-    /// Where the upstream announces itself.
+    /// Where upstreams announce themselves.
     pub announce: SocketAddr,
+    /// What the order of work leans to.
+    pub order: Order,
     /// Percent of the engine's memory that the system may fill.
     pub memory_share: u8,
-    /// Prompts up to this many tokens count as short.
-    pub short_tokens: u64,
     /// Percent of that memory which only short prompts may use.
     pub short_reserve: u8,
     /// Requests handed to the upstream at one time.
--- a/almondlock-settings/tests/example_files.rs
+++ b/almondlock-settings/tests/example_files.rs
@@ -34,7 +34,7 @@
     let domains: HashSet<_> = replicas.iter().map(|s| &s.host.domain).collect();
     assert_eq!((replicas.len(), domains.len()), (3, 3));
     assert_eq!(all.iter().filter(|s| s.entry.is_some()).count(), 3);
-    assert!(all.iter().any(|s| !s.sidecars.is_empty()));
+    assert!(all.iter().any(|s| s.sidecar.is_some()));
     for settings in &all {
         for seed in &settings.host.seeds {
             assert!(replicas.iter().any(|replica| replica.host.listen == *seed));
--- a/almondlock-state/tests/common/mod.rs
+++ b/almondlock-state/tests/common/mod.rs
@@ -63,6 +63,7 @@
         service: None,
         capacity: Tokens(500_000),
         fenced: true,
+        resumable: false,
         role: String::new(),
     }
 }
