Close the connection behind a refusal whose body was not read

Cause: a refusal before the body is read leaves the rest of it on the connection; the server drops the connection, and a client that kept it sends its next request into nothing (bad_request: Disconnected at the second case). Ruled out: reading the body first, which lets a stranger without a key have 16 MB taken in. Change: such refusals say Connection: close.

--- a/almondlock-entry/src/failure.rs
+++ b/almondlock-entry/src/failure.rs
@@ -4,6 +4,7 @@
 
 use almondlock_base::{Code, Ran};
 use ntex::{
+    http::ResponseBuilder as HttpResponseBuilder,
     http::StatusCode,
     web::{HttpResponse, WebResponseError},
 };
@@ -91,8 +92,19 @@
         serde_json::to_string(&body).unwrap_or_default()
     }
 
+    /// The answer that carries it, to a request whose body was not read: the
+    /// connection is closed behind it, and says so, or the caller would send
+    /// its next request into a connection that is about to go.
+    pub fn to_closing_response(&self, request: &str) -> HttpResponse {
+        self.builder(request).force_close().body(self.to_json())
+    }
+
     /// The answer that carries it.
     pub fn to_response(&self, request: &str) -> HttpResponse {
+        self.builder(request).body(self.to_json())
+    }
+
+    fn builder(&self, request: &str) -> HttpResponseBuilder {
         let status = StatusCode::from_u16(self.code.status());
         let mut response = HttpResponse::build(status.unwrap_or(StatusCode::BAD_GATEWAY));
         response.content_type("application/json");
@@ -103,7 +115,7 @@
             let seconds = span.as_millis().div_ceil(1000).max(1);
             response.header("Retry-After", seconds.to_string());
         }
-        response.body(self.to_json())
+        response
     }
 }
 
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -59,7 +59,7 @@
 
 /// Answers whatever no route matches.
 pub async fn unknown() -> HttpResponse {
-    Failure::new(Code::UnknownRoute).to_response("-")
+    Failure::new(Code::UnknownRoute).to_closing_response("-")
 }
 
 type State = web::types::State<Rc<Worker>>;
@@ -188,13 +188,13 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_response(&id),
+        Err((id, failure)) => return failure.to_closing_response(&id),
     };
     let id = arrival.id.clone();
     let read = read_model(shape, &http, payload, &worker, &arrival).await;
     let (request, usage) = match read {
         Ok(read) => read,
-        Err(failure) => return failure.to_response(&id),
+        Err(failure) => return failure.to_closing_response(&id),
     };
     let name = match &request.target {
         Target::Model(model, _) => model.to_string(),
@@ -283,12 +283,12 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_response(&id),
+        Err((id, failure)) => return failure.to_closing_response(&id),
     };
     let id = arrival.id.clone();
     let request = match read_service(&http, payload, &worker, &arrival).await {
         Ok(request) => request,
-        Err(failure) => return failure.to_response(&id),
+        Err(failure) => return failure.to_closing_response(&id),
     };
     match Running::start(worker, request, arrival.active).await {
         Err(failure) => failure.to_response(&id),
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -35,8 +35,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// How long the configuration that explains a death is waited for.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
-/// How often it is looked for.
-const NEWS_PAUSE: Duration = Duration::from_millis(5);
 /// What the sidecar gets beyond the deadline to say how a run ended.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -227,7 +225,9 @@
             format!("{} after {took:?} (ran: {})", said, outcome.ran.as_str()),
         );
         if outcome.died {
-            self.await_news().await;
+            // The suspicion raised by a death must be known before the request
+            // is sent again, or it would run as if it were innocent.
+            self.shared.handle.catch_up(NEWS_TIMEOUT).await;
         }
         again(request, place.resumable, course, outcome, left)
     }
@@ -366,19 +366,6 @@
         });
     }
 
-    /// Waits until the configuration heard of with the last answer is in force
-    /// here, so that a suspicion raised by a death is known before the request
-    /// is sent again.
-    async fn await_news(&self) {
-        let handle = &self.shared.handle;
-        let news = async {
-            while handle.view().revision() < handle.newest_heard() {
-                sleep(NEWS_PAUSE).await;
-            }
-        };
-        let _ = timeout(NEWS_TIMEOUT, news).await;
-    }
-
     async fn pause(&self, request: &Request, course: &Course) {
         let base = FIRST_PAUSE * 2u32.saturating_pow(course.attempts.min(8));
         let jitter = self.with_rng(|rng| rng.random_range(0.5..1.0));
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -160,6 +160,7 @@
             incarnation: Incarnation(params.get_incarnation()),
             at: clock::wall(),
         });
+        results.get().set_revision(self.view.revision().0);
         self.tell(results.get().init_status(), reply.as_ref());
         Ok(())
     }
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -22,6 +22,9 @@
 /// How long a process may act as current without word from a source.
 pub const RECENT: Duration = Duration::from_secs(12);
 
+/// How often a process that catches up looks whether it has.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(2);
+
 /// Says until when a source's view was known to be current.
 ///
 /// A replica that is cut off from the others holds an old configuration and
@@ -110,15 +113,31 @@
     /// Takes note of the other side of an exchange. A newer revision there
     /// makes this process fetch at once.
     pub fn heard(&self, peer: &Peer) {
-        let revision = peer.revision.0;
-        if peer.revision > self.shared.view.revision() {
-            let before = self.shared.heard.fetch_max(revision, Ordering::Relaxed);
-            if before < revision {
+        self.heard_revision(peer.revision);
+    }
+
+    /// Takes note of a revision that exists.
+    pub fn heard_revision(&self, revision: Revision) {
+        if revision > self.shared.view.revision() {
+            let before = self.shared.heard.fetch_max(revision.0, Ordering::Relaxed);
+            if before < revision.0 {
                 self.shared.news.notify_one();
             }
         }
     }
 
+    /// Waits until everything heard of is in force here, or the time is over.
+    /// Who acts on an answer that tells of a change (a suspicion, a drain) and
+    /// does not wait acts on the configuration before it.
+    pub async fn catch_up(&self, allowed: Duration) -> bool {
+        let caught_up = async {
+            while self.shared.view.revision() < self.newest_heard() {
+                tokio::time::sleep(CATCH_UP_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(allowed, caught_up).await.is_ok()
+    }
+
     /// The newest revision heard of along the data path.
     pub fn newest_heard(&self) -> Revision {
         Revision(self.shared.heard.load(Ordering::Relaxed))
--- a/almondlock-node/src/replicas.rs
+++ b/almondlock-node/src/replicas.rs
@@ -120,8 +120,9 @@
         told.await?
     }
 
-    /// Blames a request for an upstream's death.
-    pub async fn blame(&self, blame: &Blame, allowed: Duration) -> Result<(), Code> {
+    /// Blames a request for an upstream's death; gives the revision in which
+    /// the suspicion stands.
+    pub async fn blame(&self, blame: &Blame, allowed: Duration) -> Result<Revision, Code> {
         self.until(allowed, async |replica| replica.blame(blame).await)
             .await
     }
@@ -260,7 +261,7 @@
         })
     }
 
-    async fn blame(&self, blame: &Blame) -> Result<Answer<()>, capnp::Error> {
+    async fn blame(&self, blame: &Blame) -> Result<Answer<Revision>, capnp::Error> {
         let mut request = self.control.blame_request();
         let mut params = request.get();
         params.set_fingerprint(&blame.fingerprint.0);
@@ -268,7 +269,11 @@
         params.set_upstream(blame.upstream.as_str());
         params.set_incarnation(blame.incarnation.0);
         let answer = request.send().promise.await?;
-        told(answer.get()?.get_status()?)
+        let answer = answer.get()?;
+        Ok(match decided(answer.get_status()?)? {
+            Ok(_) => Answer::Is(Revision(answer.get_revision())),
+            Err(elsewhere) => Answer::Elsewhere(elsewhere),
+        })
     }
 
     async fn clear(
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -260,10 +260,14 @@
             async move { self.replicas.blame(&blame, BLAME_TIMEOUT).await }
         });
         for told in futures::future::join_all(all).await {
-            if let Err(code) = told {
-                tracing::warn!(%code, "blame for a death could not be told");
+            match told {
+                Ok(revision) => self.handle.heard_revision(revision),
+                Err(code) => tracing::warn!(%code, "blame for a death could not be told"),
             }
         }
+        // The outcome carries our revision; whoever reads it learns that there
+        // is a suspicion to fetch.
+        self.handle.catch_up(BLAME_TIMEOUT).await;
     }
 
     /// Makes sure that a run is gone from the engine.
--- a/almondlock-wire/almondlock.capnp
+++ b/almondlock-wire/almondlock.capnp
@@ -193,8 +193,9 @@
   claim @1 (organisation :Text, key :Text, body :Data, holder :AttemptId, keepMillis :UInt64, from :Peer) -> (status :Status, claimed :Claimed, outcome :Data);
   settleClaim @2 (organisation :Text, key :Text, holder :AttemptId, ran :Ran, outcome :Data, from :Peer) -> (status :Status);
   # Gives the outcome of a granted claim. ran = no frees the claim.
-  blame @3 (fingerprint :Data, organisation :Text, upstream :Text, incarnation :UInt64, from :Peer) -> (status :Status);
-  # An engine died while the fingerprint ran there.
+  blame @3 (fingerprint :Data, organisation :Text, upstream :Text, incarnation :UInt64, from :Peer) -> (status :Status, revision :UInt64);
+  # An engine died while the fingerprint ran there. The revision is the one in
+  # which the suspicion stands.
   clear @4 (fingerprint :Data, organisation :Text, from :Peer) -> (status :Status);
   # A suspect finished without harm.
   raft @5 (group :UInt16, from :UInt64, message :RaftMessage) -> ();
