--- /dev/null
+++ b/almondlock-control/src/replica/core.rs
@@ -0,0 +1,509 @@
+//! What the replica's thread holds: the log's machine, the state, and who
+//! waits for what. Nothing here waits itself.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    mem,
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use almondlock_base::{Code, time::Mono, unit::Revision};
+use almondlock_node::Vouch;
+use almondlock_quorum::{
+    entry::{Entry, Index, Payload, Position, Term},
+    machine::{Machine, Output, Role},
+    member::{Change, Id, Member, Members},
+    storage::Loaded,
+};
+use almondlock_spread::view::View;
+use almondlock_state::{
+    command::{Command, Reply},
+    machine::Machine as State,
+};
+use tokio::sync::oneshot;
+
+use super::{
+    config::{Config, Initial},
+    disk::{Report, Thread},
+    founding::{self, Gathering, Greeting, Step},
+    peers::{Parcel, Peers},
+    refusal::Refusal,
+    status::{Peer, Status},
+};
+
+pub(super) type Answer<T> = oneshot::Receiver<Result<T, Refusal>>;
+type Asker<T> = oneshot::Sender<Result<T, Refusal>>;
+
+/// Who waits for an entry.
+enum Waiting {
+    Command(Asker<Reply>),
+    Change(Asker<()>),
+}
+
+impl Waiting {
+    fn refuse(self, refusal: Refusal) {
+        // Whoever waited may have left.
+        match self {
+            Waiting::Command(asker) => drop(asker.send(Err(refusal))),
+            Waiting::Change(asker) => drop(asker.send(Err(refusal))),
+        }
+    }
+}
+
+/// Where the replica stands towards the group.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// On an empty folder: it doesn't know of a group yet, and takes no part.
+    Gathering,
+    /// It decided on a group, or was told of one, and writes that down.
+    Founding,
+    /// It takes part as its log says, or waits to be added.
+    Running,
+}
+
+pub(super) struct Core {
+    own: Member,
+    initial: Vec<Initial>,
+    quorum: almondlock_quorum::config::Config,
+    machine: Machine,
+    pub(super) state: State,
+    // Invariant: `state` is the result of all entries up to here.
+    applied: Index,
+    view: View,
+    vouch: Vouch,
+    disk: Thread,
+    peers: Peers,
+    stage: Stage,
+    pub(super) gathering: Gathering,
+    greeted_at: Option<Mono>,
+    waiting: BTreeMap<Index, (Term, Waiting)>,
+    reads: HashMap<u64, Asker<()>>,
+    next_read: u64,
+    snapshot_every: u64,
+    // The index at which the last snapshot was begun.
+    snapshot_at: Index,
+    snapshot: Option<oneshot::Receiver<(Index, Vec<u8>)>>,
+    // Invariant: once set it stays; nothing is said or promised from then on.
+    pub(super) stopped: Option<Refusal>,
+}
+
+impl Core {
+    pub(super) fn new(
+        config: &Config,
+        id: Id,
+        loaded: Loaded,
+        disk: Thread,
+        (view, vouch): (View, Vouch),
+    ) -> Result<Core, Refusal> {
+        let own = Member {
+            id,
+            name: config.name.clone(),
+            address: config.address,
+            domain: config.domain.clone(),
+        };
+        let empty = loaded.snapshot.is_none()
+            && loaded.entries.is_empty()
+            && loaded.hard == Default::default();
+        let now = almondlock_node::clock::mono();
+        let quorum = config.quorum.clone();
+        let silence = quorum.election() * 2;
+        let machine = Machine::new(quorum.clone(), id, loaded, now);
+        let mut core = Core {
+            peers: Peers::new(quorum.group(), id, silence),
+            own,
+            initial: config.initial.clone(),
+            quorum,
+            state: State::new(),
+            applied: Index::ZERO,
+            machine,
+            view,
+            vouch,
+            disk,
+            stage: if empty {
+                Stage::Gathering
+            } else {
+                Stage::Running
+            },
+            gathering: Gathering::default(),
+            greeted_at: None,
+            waiting: BTreeMap::new(),
+            reads: HashMap::new(),
+            next_read: 0,
+            snapshot_every: config.snapshot,
+            snapshot_at: Index::ZERO,
+            snapshot: None,
+            stopped: None,
+        };
+        let snapshot = Arc::clone(core.machine.snapshot());
+        core.restore(snapshot.index, &snapshot.data)?;
+        Ok(core)
+    }
+
+    pub(super) fn is_leader(&self) -> bool {
+        self.stopped.is_none() && self.machine.is_leader()
+    }
+
+    fn check(&self) -> Result<(), Refusal> {
+        match &self.stopped {
+            Some(refusal) => Err(refusal.clone()),
+            None if self.machine.is_leader() => Ok(()),
+            None => Err(Refusal::not_leader(self.leader())),
+        }
+    }
+
+    /// The leader's address, if it is another replica.
+    pub(super) fn leader(&self) -> Option<SocketAddr> {
+        let leader = self.machine.leader().filter(|id| *id != self.own.id)?;
+        self.address(leader)
+    }
+
+    fn address(&self, id: Id) -> Option<SocketAddr> {
+        let member = self.machine.members().get(id);
+        let newcomer = || self.gathering.known.values().find(|m| m.id == id);
+        member.or_else(newcomer).map(|m| m.address)
+    }
+
+    pub(super) fn propose(&mut self, bytes: Vec<u8>) -> Result<Answer<Reply>, Refusal> {
+        self.check()?;
+        let position = self.machine.propose(Arc::from(bytes))?;
+        let (asker, answer) = oneshot::channel();
+        self.expect(position, Waiting::Command(asker));
+        Ok(answer)
+    }
+
+    pub(super) fn change(&mut self, change: &Change) -> Result<Answer<()>, Refusal> {
+        self.check()?;
+        let position = self.machine.change(change)?;
+        let (asker, answer) = oneshot::channel();
+        self.expect(position, Waiting::Change(asker));
+        Ok(answer)
+    }
+
+    fn expect(&mut self, position: Position, waiting: Waiting) {
+        let old = self
+            .waiting
+            .insert(position.index, (position.term, waiting));
+        if let Some((_, old)) = old {
+            // Proposed in an earlier term, at a place that was overwritten.
+            old.refuse(Refusal::not_leader(None));
+        }
+    }
+
+    pub(super) fn read(&mut self, now: Mono) -> Result<Answer<()>, Refusal> {
+        self.check()?;
+        let token = self.next_read;
+        self.next_read += 1;
+        let (asker, answer) = oneshot::channel();
+        self.reads.insert(token, asker);
+        self.machine.read(now, token)?;
+        Ok(answer)
+    }
+
+    pub(super) fn tick(&mut self, now: Mono) {
+        if self.stopped.is_some() {
+            return;
+        }
+        self.machine.tick(now);
+        self.take_snapshot();
+        self.greet(now);
+    }
+
+    pub(super) fn hand_over(&mut self) {
+        self.machine.hand_over();
+    }
+
+    pub(super) fn close(&mut self) {
+        self.peers.close();
+        self.stop(Refusal::new(Code::HostStopping, "the replica was stopped"));
+    }
+
+    fn stop(&mut self, refusal: Refusal) {
+        if self.stopped.is_some() {
+            return;
+        }
+        tracing::error!(%refusal, "the replica has stopped");
+        for (_, waiting) in mem::take(&mut self.waiting).into_values() {
+            waiting.refuse(refusal.clone());
+        }
+        self.reads.clear();
+        self.stopped = Some(refusal);
+    }
+
+    /// A message of another replica.
+    pub(super) fn receive(&mut self, now: Mono, from: Id, parcel: Parcel) {
+        if self.stopped.is_some() {
+            return;
+        }
+        match parcel {
+            // Before it knows whether it is of the group, a replica must not
+            // be counted by anybody.
+            Parcel::Message(_) if self.stage != Stage::Running => {}
+            Parcel::Message(message) => self.machine.receive(now, from, message),
+            Parcel::Greeting(greeting) => self.on_greeting(*greeting),
+        }
+    }
+
+    pub(super) fn on_disk(&mut self, now: Mono, report: Report) {
+        match report {
+            Report::Synced(sequence) => self.machine.synced(now, sequence),
+            Report::Founded(loaded) => {
+                self.machine = Machine::new(self.quorum.clone(), self.own.id, loaded, now);
+                self.stage = Stage::Running;
+                self.greet_all();
+            }
+            Report::Failed(error) => self.stop(error.into()),
+        }
+    }
+
+    /// Carries out what the machine wants done.
+    pub(super) fn settle(&mut self, now: Mono) {
+        if self.stopped.is_some() {
+            return;
+        }
+        let Output {
+            write,
+            messages,
+            restore,
+            committed,
+            grants,
+        } = self.machine.take(now);
+        if let Some(write) = write {
+            self.disk.write(write);
+        }
+        for envelope in messages {
+            if let Some(address) = self.address(envelope.to) {
+                let parcel = Parcel::Message(envelope.message);
+                self.peers.send(address, parcel);
+            }
+        }
+        if let Some(snapshot) = restore
+            && let Err(refusal) = self.restore(snapshot.index, &snapshot.data)
+        {
+            return self.stop(refusal);
+        }
+        for entry in committed {
+            if let Err(refusal) = self.apply(&entry) {
+                return self.stop(refusal);
+            }
+        }
+        for grant in grants {
+            // Everything up to the grant's index was applied just now.
+            let Some(asker) = self.reads.remove(&grant.token) else {
+                continue;
+            };
+            let granted = grant.index.map(drop);
+            let _ = asker.send(granted.ok_or_else(|| Refusal::not_leader(self.leader())));
+        }
+        self.vouch_as_follower(now);
+    }
+
+    /// A leader that hears no majority falls silent within one election
+    /// timeout, so a follower that hears one holds what was accepted a little
+    /// before. (A leader vouches after confirmed reads; see `duties`.)
+    fn vouch_as_follower(&self, now: Mono) {
+        let led = self.machine.leader().is_some_and(|id| id != self.own.id);
+        let current = self.machine.commit() > Index::ZERO && self.applied == self.machine.commit();
+        if led && current && self.machine.is_led(now) {
+            self.vouch.at(now - self.quorum.election() * 2);
+        }
+    }
+
+    /// The state held everything accepted before `now`.
+    pub(super) fn vouch(&self, now: Mono) {
+        self.vouch.at(now);
+    }
+
+    fn restore(&mut self, index: Index, data: &[u8]) -> Result<(), Refusal> {
+        if index > Index::ZERO {
+            self.state = State::restore(data)
+                .map_err(|e| Refusal::new(Code::StorageFailed, e.to_string()))?;
+            self.applied = index;
+            self.snapshot_at = index;
+            self.view.replace(self.state.config().clone());
+            // Whether these were among the entries that the snapshot stands
+            // for is not known.
+            let rest = self.waiting.split_off(&index.next());
+            for (_, waiting) in mem::replace(&mut self.waiting, rest).into_values() {
+                waiting.refuse(Refusal::of(Code::NoQuorum));
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self, entry: &Entry) -> Result<(), Refusal> {
+        self.applied = entry.index;
+        let waiting = self.waiting.remove(&entry.index);
+        let reply = match &entry.payload {
+            Payload::Command(data) => Some(self.apply_command(data)?),
+            Payload::Empty | Payload::Members(_) => None,
+        };
+        match (waiting, reply) {
+            (None, _) => {}
+            (Some((term, waiting)), _) if term != entry.term => {
+                // Another leader's entry took the place: it never will be.
+                waiting.refuse(Refusal::not_leader(self.leader()));
+            }
+            (Some((_, Waiting::Command(asker))), Some(reply)) => drop(asker.send(Ok(reply))),
+            (Some((_, Waiting::Change(asker))), _) => drop(asker.send(Ok(()))),
+            (Some((_, waiting)), None) => waiting.refuse(Refusal::of(Code::NoQuorum)),
+        }
+        Ok(())
+    }
+
+    /// Applies a command. One that can't be read was written by a newer version:
+    /// passing over it would make this replica's state another than the rest's,
+    /// so it stops until it is upgraded.
+    fn apply_command(&mut self, data: &[u8]) -> Result<Reply, Refusal> {
+        let command = Command::from_slice(data).map_err(|e| {
+            let message = format!("a command in the log can't be read by this version: {e}");
+            Refusal::new(Code::StorageFailed, message)
+        })?;
+        let applied = self.state.apply(command);
+        let first = applied.changes.first().map(|(revision, _)| *revision);
+        let changes = applied.changes.into_iter().map(|(_, change)| change);
+        if !self
+            .view
+            .extend(first.unwrap_or(Revision::ZERO.next()), changes)
+        {
+            self.view.replace(self.state.config().clone());
+        }
+        Ok(applied.reply)
+    }
+
+    /// Begins a snapshot when it is time, and hands a finished one to the log.
+    /// The state is copied here and turned into bytes on another thread, so
+    /// that a large one doesn't hold up heartbeats.
+    fn take_snapshot(&mut self) {
+        if let Some(running) = &mut self.snapshot {
+            match running.try_recv() {
+                Ok((index, data)) => self.machine.compact(index, Arc::from(data)),
+                Err(oneshot::error::TryRecvError::Empty) => return,
+                Err(oneshot::error::TryRecvError::Closed) => {}
+            }
+            self.snapshot = None;
+        }
+        if self.applied.0 < self.snapshot_at.0 + self.snapshot_every {
+            return;
+        }
+        self.snapshot_at = self.applied;
+        let (index, state) = (self.applied, self.state.clone());
+        let (done, running) = oneshot::channel();
+        self.snapshot = Some(running);
+        tokio::task::spawn_blocking(move || drop(done.send((index, state.snapshot()))));
+    }
+
+    fn greet(&mut self, now: Mono) {
+        let due = |at: Mono| now.since(at) >= self.quorum.heartbeat() * 2;
+        let member = self.machine.members().contains(self.own.id);
+        if member || !self.greeted_at.is_none_or(due) {
+            return;
+        }
+        self.greeted_at = Some(now);
+        self.greet_all();
+        if self.stage == Stage::Gathering {
+            self.advance(self.gathering.decide(&self.own, &self.initial));
+        }
+    }
+
+    fn greet_all(&mut self) {
+        let others = self.initial.iter().map(|i| i.address);
+        let others: Vec<SocketAddr> = others.filter(|a| *a != self.own.address).collect();
+        others.into_iter().for_each(|to| self.greet_one(to));
+    }
+
+    fn greet_one(&mut self, to: SocketAddr) {
+        let members = self.machine.members();
+        let greeting = Greeting {
+            from: self.own.clone(),
+            members: Some(Members::clone(members)).filter(|m| m.contains(self.own.id)),
+        };
+        self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
+    }
+
+    fn on_greeting(&mut self, greeting: Greeting) {
+        let member = self.machine.members().contains(self.own.id);
+        match greeting.members {
+            None => {
+                let address = greeting.from.address;
+                self.gathering.note(greeting.from);
+                if member {
+                    self.greet_one(address);
+                }
+            }
+            Some(members) if self.stage == Stage::Gathering => {
+                self.advance(founding::join(self.own.id, members));
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn advance(&mut self, step: Step) {
+        match step {
+            Step::Wait => {}
+            Step::Outside => {
+                tracing::warn!(name = %self.own.name, "the group exists without this disk");
+                self.stage = Stage::Running;
+            }
+            Step::Found(members) => {
+                self.stage = Stage::Founding;
+                self.disk.found(members);
+            }
+        }
+    }
+
+    pub(super) fn members(&self) -> Arc<Members> {
+        Arc::clone(self.machine.members())
+    }
+
+    pub(super) fn status(&self) -> Status {
+        let members = self.machine.members();
+        let commit = self.machine.commit();
+        let peer = |member: &Member| Peer {
+            id: member.id,
+            name: member.name.clone(),
+            address: member.address,
+            domain: member.domain.clone(),
+            voter: members.is_voter(member.id),
+            lag: self.lag(member.id),
+        };
+        let waits = |m: &&Member| !members.contains(m.id);
+        Status {
+            id: self.own.id,
+            name: self.own.name.clone(),
+            role: if self.stopped.is_some() {
+                Role::Follower
+            } else {
+                self.machine.role()
+            },
+            founded: members.contains(self.own.id),
+            term: self.machine.term(),
+            leader: match self.is_leader() {
+                true => Some(self.own.address),
+                false => self.leader(),
+            },
+            commit,
+            applied: self.applied,
+            last: self.machine.last(),
+            members: members.iter().map(peer).collect(),
+            waiting: self
+                .gathering
+                .known
+                .values()
+                .filter(waits)
+                .map(|m| m.name.clone())
+                .collect(),
+            syncs: self.disk.syncs(),
+            stopped: self.stopped.clone(),
+        }
+    }
+
+    fn lag(&self, id: Id) -> Option<u64> {
+        let commit = self.machine.commit().0;
+        if id == self.own.id {
+            return Some(commit - self.applied.0);
+        }
+        let matched = self.machine.matched(id)?;
+        Some(commit.saturating_sub(matched.0))
+    }
+}
--- /dev/null
+++ b/almondlock-control/src/replica/duties.rs
@@ -0,0 +1,105 @@
+//! What a leader does by itself: it confirms that it still leads, so that its
+//! view counts as current; forgets what has been kept long enough; and forgets
+//! upstreams that stopped announcing themselves.
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::{
+    id::{Incarnation, Upstream},
+    time::Mono,
+};
+use almondlock_node::clock;
+use almondlock_state::{command::Command, limit};
+use tokio::time::sleep;
+
+use super::Replica;
+
+/// Pause between two rounds.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// When each upstream was last heard. Only a leader keeps it, in memory; a new
+/// leader gives all of them a whole lease from its election on, so that a
+/// change of leader forgets nobody.
+#[derive(Debug, Default)]
+pub(super) struct Leases {
+    heard: HashMap<Upstream, (Incarnation, Mono)>,
+}
+
+impl Leases {
+    /// An upstream announced itself.
+    pub(super) fn renew(&mut self, now: Mono, name: &Upstream, life: Incarnation) {
+        self.heard.insert(name.clone(), (life, now));
+    }
+
+    /// The registered upstreams that were not heard for a lease.
+    pub(super) fn lapsed<I>(
+        &mut self,
+        now: Mono,
+        lease: Duration,
+        registered: I,
+    ) -> Vec<(Upstream, Incarnation)>
+    where
+        I: IntoIterator<Item = (Upstream, Incarnation)>,
+    {
+        let registered: HashMap<Upstream, Incarnation> = registered.into_iter().collect();
+        self.heard
+            .retain(|name, (life, _)| registered.get(name) == Some(life));
+        let mut lapsed = Vec::new();
+        for (name, life) in registered {
+            let entry = self.heard.entry(name.clone()).or_insert((life, now));
+            if now.since(entry.1) >= lease {
+                lapsed.push((name, life));
+            }
+        }
+        lapsed
+    }
+
+    fn clear(&mut self) {
+        self.heard.clear();
+    }
+}
+
+pub(super) async fn run(replica: Replica) {
+    let mut expired: Option<Mono> = None;
+    loop {
+        sleep(PAUSE).await;
+        if !replica.inner.core.borrow().is_leader() {
+            replica.inner.leases.borrow_mut().clear();
+            continue;
+        }
+        let now = clock::mono();
+        if replica.read().await.is_ok() {
+            replica.inner.core.borrow().vouch(now);
+        }
+        forget_upstreams(&replica, now).await;
+        if expired.is_none_or(|at| now.since(at) >= limit::SWEEP) {
+            expired = Some(now);
+            let at = clock::wall();
+            // Not in time, or no longer the leader: the next round does it.
+            let _ = replica.propose(Command::Expire { at }).await;
+        }
+    }
+}
+
+async fn forget_upstreams(replica: &Replica, now: Mono) {
+    let registered: Vec<(Upstream, Incarnation)> = replica.state(|state| {
+        let upstreams = state.config().upstreams.iter();
+        upstreams
+            .map(|(name, known)| (name.clone(), known.incarnation))
+            .collect()
+    });
+    let lease = replica.inner.config.lease;
+    let lapsed = {
+        let mut leases = replica.inner.leases.borrow_mut();
+        leases.lapsed(now, lease, registered)
+    };
+    for (upstream, incarnation) in lapsed {
+        let at = clock::wall();
+        let command = Command::Forget {
+            upstream,
+            incarnation,
+            at,
+        };
+        let _ = replica.propose(command).await;
+    }
+}
--- /dev/null
+++ b/almondlock-control/src/replica/membership.rs
@@ -0,0 +1,73 @@
+//! Changing who the replicas are.
+//!
+//! A lost replica is replaced in three accepted steps: the newcomer is added as
+//! a learner, gets its vote once it has caught up and synced, and only then the
+//! lost one goes. A second loss right after the repair therefore meets a
+//! newcomer that holds everything. Each step may be asked for again.
+
+use almondlock_base::{Code, id::Host};
+use almondlock_quorum::member::{Change, Id, Member};
+use tokio::time::{Instant, sleep};
+
+use super::{Replica, refusal::Refusal};
+
+impl Replica {
+    /// Adds a replica that has greeted this one, as a learner.
+    pub async fn add(&self, name: &Host) -> Result<Id, Refusal> {
+        let member = self.newcomer(name)?;
+        let id = member.id;
+        if !self.inner.core.borrow().members().contains(id) {
+            self.change(Change::Add(member)).await?;
+        }
+        Ok(id)
+    }
+
+    /// Gives a learner its vote; waits until it has caught up.
+    pub async fn promote(&self, id: Id) -> Result<(), Refusal> {
+        if self.inner.core.borrow().members().is_voter(id) {
+            return Ok(());
+        }
+        self.change(Change::Promote(id)).await
+    }
+
+    /// Takes a replica out.
+    pub async fn remove(&self, id: Id) -> Result<(), Refusal> {
+        if !self.inner.core.borrow().members().contains(id) {
+            return Ok(());
+        }
+        self.change(Change::Remove(id)).await
+    }
+
+    /// Puts the replica that waits on host `new` in the place of `old`.
+    pub async fn replace(&self, old: Id, new: &Host) -> Result<Id, Refusal> {
+        let id = self.add(new).await?;
+        self.promote(id).await?;
+        self.remove(old).await?;
+        Ok(id)
+    }
+
+    fn newcomer(&self, name: &Host) -> Result<Member, Refusal> {
+        let core = self.inner.core.borrow();
+        let known = core.gathering.known.get(name).cloned();
+        known.ok_or_else(|| {
+            let message = format!("no replica on {name} has asked to join; start it first");
+            Refusal::new(Code::BadChange, message)
+        })
+    }
+
+    /// Makes a change; one that can't be made yet (another is under way, a
+    /// learner catches up) is tried again until the time is over.
+    async fn change(&self, change: Change) -> Result<(), Refusal> {
+        let until = Instant::now() + self.inner.config.patience * 6;
+        loop {
+            let asked = self.with(|core| core.change(&change));
+            match asked {
+                Ok(answer) => return self.wait(answer).await,
+                Err(refusal) if refusal.code != Code::NoQuorum || Instant::now() >= until => {
+                    return Err(refusal);
+                }
+                Err(_) => sleep(self.inner.config.quorum.heartbeat()).await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-control/src/replica/mod.rs
@@ -0,0 +1,245 @@
+//! A running replica of the control state.
+//!
+//! One thread runs the log's machine, the state machine and the interfaces;
+//! another does nothing but write and sync. Commands that come while the disk
+//! syncs wait in memory and share the next sync, here and on the followers, so
+//! the cost of a sync is spread over as many commands as there are.
+//!
+//! A command is answered once a majority has it on disk and it was applied
+//! here. What is not known by then is said to be unknown: a command given up
+//! after its time may still be accepted, so proposing it again must be
+//! harmless, which the commands of the state machine are.
+//!
+//! [`Replica`] belongs to the thread that started it; [`Remote`] is for others.
+
+mod config;
+mod core;
+mod disk;
+mod duties;
+mod founding;
+mod membership;
+mod peers;
+mod refusal;
+mod remote;
+mod server;
+mod status;
+mod wire;
+
+use std::{cell::RefCell, path::Path, rc::Rc};
+
+use almondlock_base::Code;
+use almondlock_node::{Vouch, clock};
+use almondlock_quorum::{
+    member::Id,
+    storage::{
+        Store,
+        disk::{Disk, Folder},
+        identity::Identity,
+    },
+};
+use almondlock_spread::view::View;
+use almondlock_state::{
+    command::{Command, Reply},
+    machine::Machine,
+};
+use almondlock_wire::almondlock_capnp::control;
+use tokio::{
+    sync::{Notify, oneshot},
+    task::{JoinHandle, spawn_local},
+    time::{sleep, timeout},
+};
+
+pub use self::{
+    config::{Builder, Config, Initial},
+    refusal::Refusal,
+    remote::Remote,
+    status::{Peer, Status},
+};
+use self::{core::Core, disk::Thread};
+
+/// A running replica. Clones are the same one.
+#[derive(Clone)]
+pub struct Replica {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    config: Config,
+    core: RefCell<Core>,
+    // The core may have something to do.
+    wake: Notify,
+    leases: RefCell<duties::Leases>,
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Replica {
+    /// Opens the data folder and starts. Must be called on a thread with a
+    /// local executor.
+    ///
+    /// Accepted changes of the configuration are put into `view`, in order.
+    /// `vouch` is told whenever the view is known to be current.
+    pub fn start(config: Config, view: View, vouch: Vouch) -> Result<Replica, Refusal> {
+        let folder = open_folder(config.folder())?;
+        Replica::start_on(folder, config, view, vouch)
+    }
+
+    /// As [`start`](Replica::start), on a disk of the caller's.
+    pub fn start_on<D>(
+        disk: D,
+        config: Config,
+        view: View,
+        vouch: Vouch,
+    ) -> Result<Replica, Refusal>
+    where
+        D: Disk + Send + 'static,
+        D::File: Send,
+    {
+        let group = config.quorum.group();
+        let identity = Identity::open(&disk, group, draw_identity()?)?;
+        let (store, loaded) = Store::open(disk, group, identity.id, config.quorum.retain())?;
+        let (thread, mut reports) = Thread::start(store);
+        let core = Core::new(&config, identity.id, loaded, thread, (view, vouch))?;
+        let replica = Replica {
+            inner: Rc::new(Inner {
+                config,
+                core: RefCell::new(core),
+                wake: Notify::new(),
+                leases: RefCell::default(),
+                tasks: RefCell::default(),
+            }),
+        };
+        let disk = {
+            let replica = replica.clone();
+            spawn_local(async move {
+                while let Some(report) = reports.recv().await {
+                    replica.with(|core| core.on_disk(clock::mono(), report));
+                }
+            })
+        };
+        let tasks = vec![
+            disk,
+            spawn_local(replica.clone().settle_always()),
+            spawn_local(replica.clone().tick_always()),
+            spawn_local(duties::run(replica.clone())),
+        ];
+        replica.inner.tasks.borrow_mut().extend(tasks);
+        Ok(replica)
+    }
+
+    /// Proposes a command and waits until it was accepted and applied here.
+    pub async fn propose(&self, command: Command) -> Result<Reply, Refusal> {
+        let bytes = command
+            .to_bytes()
+            .map_err(|e| Refusal::new(Code::BadChange, e.to_string()))?;
+        let answer = self.with(|core| core.propose(bytes))?;
+        self.wait(answer).await
+    }
+
+    /// Waits until the state here holds all that was accepted before the call.
+    pub async fn read(&self) -> Result<(), Refusal> {
+        let answer = self.with(|core| core.read(clock::mono()))?;
+        self.wait(answer).await
+    }
+
+    /// Looks at the state as applied here, which may be old: call
+    /// [`read`](Replica::read) first where that matters.
+    pub fn state<T, F>(&self, look: F) -> T
+    where
+        F: FnOnce(&Machine) -> T,
+    {
+        look(&self.inner.core.borrow().state)
+    }
+
+    /// How the replica stands.
+    pub fn status(&self) -> Status {
+        self.inner.core.borrow().status()
+    }
+
+    /// The interface for other processes, to be offered by the node.
+    pub fn control_client(&self) -> control::Client {
+        capnp_rpc::new_client(server::Server::new(self.clone()))
+    }
+
+    /// A handle for other threads. Ends with the replica.
+    pub fn remote(&self) -> Remote {
+        let (remote, task) = remote::pair(self.clone());
+        self.inner.tasks.borrow_mut().push(spawn_local(task));
+        remote
+    }
+
+    /// Ends when the replica has stopped by itself, and says why. It stops when
+    /// its disk fails, and takes part in nothing from then on.
+    pub async fn stopped(&self) -> Refusal {
+        loop {
+            if let Some(refusal) = self.inner.core.borrow().stopped.clone() {
+                return refusal;
+            }
+            sleep(self.inner.config.quorum.election()).await;
+        }
+    }
+
+    /// Hands leadership on, if it has it, and stops.
+    pub async fn stop(&self) {
+        self.with(Core::hand_over);
+        sleep(self.inner.config.quorum.heartbeat()).await;
+        self.kill();
+    }
+
+    /// Stops at once, as a crash would.
+    pub fn kill(&self) {
+        for task in self.inner.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+        self.inner.core.borrow_mut().close();
+    }
+
+    fn with<T, F>(&self, act: F) -> T
+    where
+        F: FnOnce(&mut Core) -> T,
+    {
+        let result = act(&mut self.inner.core.borrow_mut());
+        self.inner.wake.notify_one();
+        result
+    }
+
+    async fn wait<T>(&self, answer: oneshot::Receiver<Result<T, Refusal>>) -> Result<T, Refusal> {
+        match timeout(self.inner.config.patience, answer).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) => Err(Refusal::of(Code::NoQuorum)),
+            Err(_) => Err(Refusal::of(Code::NoQuorum)),
+        }
+    }
+
+    /// Carries out what the core wants, whenever it may want something. All
+    /// that happened since the last time is settled together.
+    async fn settle_always(self) {
+        loop {
+            self.inner.wake.notified().await;
+            self.inner.core.borrow_mut().settle(clock::mono());
+        }
+    }
+
+    async fn tick_always(self) {
+        let pause = self.inner.config.quorum.heartbeat() / 4;
+        loop {
+            sleep(pause).await;
+            self.with(|core| core.tick(clock::mono()));
+        }
+    }
+}
+
+/// Draws from the operating system: two disks must never be given the same.
+fn draw_identity() -> Result<Id, Refusal> {
+    let drawn = getrandom::u64();
+    drawn.map(Id).map_err(|e| {
+        let message = format!("can't draw an identity: {e}");
+        Refusal::new(Code::StorageFailed, message)
+    })
+}
+
+fn open_folder(path: &Path) -> Result<Folder, Refusal> {
+    Folder::lock(path).map_err(|e| {
+        let message = format!("can't open the data folder {}: {e}", path.display());
+        Refusal::new(Code::StorageFailed, message)
+    })
+}
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -170,6 +170,12 @@
         self.send_synced(from, Body::VoteReply(reply));
     }
 
+    /// Whether a leader of the present term was heard within one election
+    /// timeout, or this replica leads.
+    pub fn is_led(&self, now: Mono) -> bool {
+        self.hears_leader(now)
+    }
+
     fn hears_leader(&self, now: Mono) -> bool {
         let recent = |at: Mono| now.since(at) < self.config.election;
         self.is_leader() || (self.leader.is_some() && self.leader_heard.is_some_and(recent))
--- a/almondlock-quorum/src/storage/disk.rs
+++ b/almondlock-quorum/src/storage/disk.rs
@@ -43,11 +43,16 @@
 }
 
 /// A folder of the file system.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
+    // Held for as long as the folder is, if it was locked.
+    lock: Option<fs::File>,
 }
 
+/// The file that a process locks to have the folder for itself.
+const LOCK: &str = "lock";
+
 impl Folder {
     /// Opens a folder, making it if it is missing.
     pub fn open(path: &Path) -> io::Result<Folder> {
@@ -57,8 +62,25 @@
         }
         Ok(Folder {
             path: path.to_owned(),
+            lock: None,
         })
     }
+
+    /// Opens a folder for this handle alone, until it is dropped or the process
+    /// ends. Two processes that append to one log would each overwrite what the
+    /// other promised.
+    pub fn lock(path: &Path) -> io::Result<Folder> {
+        let mut folder = Folder::open(path)?;
+        let file = fs::File::create(path.join(LOCK))?;
+        file.try_lock().map_err(|error| match error {
+            fs::TryLockError::Error(error) => error,
+            fs::TryLockError::WouldBlock => {
+                io::Error::new(io::ErrorKind::WouldBlock, "another process uses it")
+            }
+        })?;
+        folder.lock = Some(file);
+        Ok(folder)
+    }
 }
 
 impl Disk for Folder {
@@ -68,7 +90,7 @@
         let mut names = Vec::new();
         for entry in fs::read_dir(&self.path)? {
             let entry = entry?;
-            if entry.file_type()?.is_file() {
+            if entry.file_type()?.is_file() && entry.file_name() != LOCK {
                 names.push(entry.file_name().to_string_lossy().into_owned());
             }
         }
