--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -203,7 +203,10 @@
     if announcement.address.ip().is_unspecified() || announcement.address.port() == 0 {
         return fault("the address is not one to connect to");
     }
-    if announcement.prefill_rate.is_some_and(|rate| rate.is_nan() || rate < 1.0) {
+    if announcement
+        .prefill_rate
+        .is_some_and(|rate| rate.is_nan() || rate < 1.0)
+    {
         return fault("`prefill_rate` must be at least 1");
     }
     if announcement.slots == Some(0) {
