--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -6,6 +6,8 @@
 //! that a log written by the version before can be applied. The time in `at`
 //! is the leader's: a replica that applies a command reads no clock.
 
+use std::collections::BTreeMap;
+
 use almondlock_base::{
     Code, Ran,
     id::{Attempt, Fingerprint, Host, Incarnation, Organisation, Upstream},
@@ -14,7 +16,15 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{blob::Blob, claim::Verdict, config::Registration};
+use crate::{
+    blob::Blob,
+    claim::Verdict,
+    config::Registration,
+    intent::Intent,
+    operator::Operator,
+    plan::{self, Advance, Plan},
+    replica::{self, Replica},
+};
 
 /// A command, as it stands in the log.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -101,6 +111,56 @@
         /// The leader's time.
         at: Wall,
     },
+    /// The first start: operators and replicas as the settings give them. Does
+    /// nothing once there is an operator.
+    Seed {
+        /// Operators by name.
+        operators: BTreeMap<String, Operator>,
+        /// Replicas by number.
+        replicas: BTreeMap<replica::Id, Replica>,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An operator wants something; makes a plan of it.
+    Propose {
+        /// The operator's number for the change.
+        number: String,
+        /// What is wanted.
+        intent: Intent,
+        /// Who wants it.
+        operator: String,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A plan is to be carried out.
+    Confirm {
+        /// The plan.
+        plan: plan::Id,
+        /// Who says so.
+        operator: String,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A plan is to stop.
+    Stop {
+        /// The plan.
+        plan: plan::Id,
+        /// Who says so.
+        operator: String,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A step of a plan goes on.
+    Step {
+        /// The plan.
+        plan: plan::Id,
+        /// Which step.
+        index: usize,
+        /// How.
+        advance: Advance,
+        /// The leader's time.
+        at: Wall,
+    },
     /// Time passes: what has been kept long enough is forgotten.
     Expire {
         /// The leader's time.
@@ -135,6 +195,11 @@
         /// What the claimant may do.
         verdict: Verdict,
     },
+    /// The plan that a command was about, as it stands now.
+    Planned {
+        /// The plan.
+        plan: Box<Plan>,
+    },
     /// Refused: nothing has changed.
     Refused {
         /// Why.
@@ -156,7 +221,7 @@
         match self {
             Reply::Refused { code, .. } => Some(*code),
             Reply::Claimed { verdict } => verdict.code(),
-            Reply::Accepted { .. } => None,
+            Reply::Accepted { .. } | Reply::Planned { .. } => None,
         }
     }
 }
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -103,6 +103,22 @@
     pub reason: String,
 }
 
+/// What an upstream is told to load, carried to its sidecar with the
+/// configuration. The rules of handing it on are in [`crate::order`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Order {
+    /// The fencing number: each order to an upstream has a higher one.
+    pub fence: u64,
+    /// The life of the sidecar that may hand it to the upstream, and no other.
+    pub issuer: Incarnation,
+    /// The model to load.
+    pub model: Model,
+    /// Its version.
+    pub version: Version,
+    /// From when on it may no longer be handed on.
+    pub until: Wall,
+}
+
 /// A request that is refused everywhere because it kills engines.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Quarantine {
@@ -134,6 +150,8 @@
     Quarantine(#[serde(with = "hex")] Fingerprint, Option<Quarantine>),
     /// A setting that applies to all processes, by name.
     Setting(String, Option<String>),
+    /// An upstream is to load something, or has done so.
+    Order(almondlock_base::id::Upstream, Option<Order>),
 }
 
 /// The whole configuration at one revision.
@@ -156,6 +174,14 @@
     pub quarantines: BTreeMap<String, Quarantine>,
     /// Settings that apply everywhere.
     pub settings: BTreeMap<String, String>,
+    /// What upstreams are to load.
+    pub orders: BTreeMap<almondlock_base::id::Upstream, Order>,
+}
+
+/// The setting that names the other version of a model that requests may run
+/// on while a rollout is under way.
+pub fn rollout_setting(model: &Model) -> String {
+    format!("rollout/{model}")
 }
 
 impl Config {
@@ -172,9 +198,18 @@
                 assign(&mut self.quarantines, print.to_string(), value);
             }
             Change::Setting(name, value) => assign(&mut self.settings, name, value),
+            Change::Order(name, value) => assign(&mut self.orders, name, value),
         }
     }
 
+    /// Whether new requests for the model may run on this version: the one in
+    /// force, or the other one of a rollout under way.
+    pub fn serves(&self, model: &Model, version: &Version) -> bool {
+        let current = self.models.get(model).map(|known| &known.version);
+        let other = self.settings.get(&rollout_setting(model));
+        current == Some(version) || other.is_some_and(|other| other == version.as_str())
+    }
+
     /// What stands against a fingerprint.
     pub fn quarantine(&self, print: Fingerprint) -> Option<&Quarantine> {
         self.quarantines.get(&print.to_string())
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -12,16 +12,29 @@
 //! claims expire at once, which would let re-sent requests run again. After a
 //! long stop the clock lags, and things are kept longer, which is the safe side.
 
-use std::{fmt, time::Duration};
+use std::{collections::BTreeMap, fmt, time::Duration};
 
-use almondlock_base::{id::Upstream, time::Wall, unit::Revision};
+use almondlock_base::{
+    id::{Incarnation, Upstream},
+    time::Wall,
+    unit::Revision,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    limit, poison, registration,
+    history, limit,
+    operator::Operator,
+    plan::{
+        self,
+        compile::Error as Refusal,
+        execute::{Context, Proposal},
+    },
+    poison, registration,
+    replica::{self, Replica},
+    tables::{Effect, Tables},
 };
 
 /// The version of the snapshot's format.
@@ -31,10 +44,12 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Machine {
-    config: Config,
+    tables: Tables,
     claims: claim::Table,
     suspects: poison::Table,
     lives: registration::Table,
+    plans: plan::table::Table,
+    history: history::Table,
     /// Invariant: never goes back.
     clock: Wall,
 }
@@ -48,6 +63,8 @@
     pub changes: Vec<(Revision, Change)>,
 }
 
+type Changes = Vec<(Revision, Change)>;
+
 impl Machine {
     /// The state before the first command.
     pub fn new() -> Machine {
@@ -56,7 +73,22 @@
 
     /// The configuration in force.
     pub fn config(&self) -> &Config {
-        &self.config
+        &self.tables.config
+    }
+
+    /// What plans change.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// The plans.
+    pub fn plans(&self) -> &plan::table::Table {
+        &self.plans
+    }
+
+    /// What operators did.
+    pub fn history(&self) -> &history::Table {
+        &self.history
     }
 
     /// The claims.
@@ -72,22 +104,26 @@
     /// Applies the next command of the log.
     pub fn apply(&mut self, command: Command) -> Applied {
         let mut changes = Vec::new();
-        let reply = self.dispatch(command, &mut changes);
-        let changes = changes
-            .into_iter()
-            .map(|change| self.change(change))
-            .collect();
-        let reply = match reply {
-            Reply::Accepted { .. } => Reply::Accepted {
-                revision: self.config.revision,
+        let reply = match self.dispatch(command, &mut changes) {
+            Ok(Reply::Accepted { .. }) => Reply::Accepted {
+                revision: self.config().revision,
             },
-            other => other,
+            Ok(reply) => reply,
+            Err(Refusal { code, message }) => Reply::Refused { code, message },
         };
         Applied { reply, changes }
     }
 
-    fn dispatch(&mut self, command: Command, changes: &mut Vec<Change>) -> Reply {
+    fn dispatch(&mut self, command: Command, changes: &mut Changes) -> Result<Reply, Refusal> {
         match command {
+            Command::Claim { .. } | Command::SettleClaim { .. } | Command::HolderGone { .. } => {
+                self.on_claim(command)
+            }
+            Command::Blame { .. } | Command::Clear { .. } => self.on_suspect(command, changes),
+            Command::Propose { .. }
+            | Command::Confirm { .. }
+            | Command::Stop { .. }
+            | Command::Step { .. } => self.on_plan(command, changes),
             Command::Announce {
                 upstream,
                 registration,
@@ -98,10 +134,26 @@
                 incarnation,
                 at,
             } => {
-                let now = self.time(at);
-                changes.extend(self.lives.forget(&self.config, &upstream, incarnation, now));
-                accepted()
+                self.forget(&upstream, incarnation, at, changes);
+                Ok(accepted())
+            }
+            Command::Seed {
+                operators,
+                replicas,
+                ..
+            } => {
+                self.seed(operators, replicas);
+                Ok(accepted())
+            }
+            Command::Expire { at } => {
+                self.expire(at, changes);
+                Ok(accepted())
             }
+        }
+    }
+
+    fn on_claim(&mut self, command: Command) -> Result<Reply, Refusal> {
+        match command {
             Command::Claim {
                 organisation,
                 key,
@@ -118,7 +170,7 @@
                     keep: Duration::from_millis(keep),
                 };
                 let verdict = self.claims.claim(request, self.time(at));
-                Reply::Claimed { verdict }
+                return Ok(Reply::Claimed { verdict });
             }
             Command::SettleClaim {
                 organisation,
@@ -128,11 +180,10 @@
                 outcome,
                 at,
             } => {
-                let now = self.time(at);
-                let settled =
-                    self.claims
-                        .settle((&organisation, &key), &holder, (ran, outcome), now);
-                settled.map_or_else(Reply::refused, |()| accepted())
+                let (name, now) = ((&organisation, key.as_str()), self.time(at));
+                self.claims
+                    .settle(name, &holder, (ran, outcome), now)
+                    .map_err(refusal)?;
             }
             Command::HolderGone {
                 host,
@@ -140,8 +191,15 @@
                 at,
             } => {
                 self.claims.lose(&host, incarnation, self.time(at));
-                accepted()
             }
+            _ => {}
+        }
+        Ok(accepted())
+    }
+
+    fn on_suspect(&mut self, command: Command, changes: &mut Changes) -> Result<Reply, Refusal> {
+        let config = &self.tables.config;
+        let made = match command {
             Command::Blame {
                 fingerprint,
                 organisation,
@@ -149,32 +207,70 @@
                 incarnation,
                 at,
             } => {
-                let now = self.time(at);
-                let death = (upstream, incarnation);
-                let blamed =
-                    self.suspects
-                        .blame(&self.config, fingerprint, &organisation, death, now);
-                blamed.map_or_else(Reply::refused, |made| {
-                    changes.extend(made);
-                    accepted()
-                })
+                let (death, now) = ((upstream, incarnation), self.time(at));
+                let blamed = self
+                    .suspects
+                    .blame(config, fingerprint, &organisation, death, now);
+                blamed.map_err(refusal)?
             }
             Command::Clear {
                 fingerprint,
                 organisation,
                 ..
             } => {
-                changes.extend(
-                    self.suspects
-                        .clear(&self.config, fingerprint, &organisation),
-                );
-                accepted()
+                let cleared = self.suspects.clear(config, fingerprint, &organisation);
+                cleared.into_iter().collect()
             }
-            Command::Expire { at } => {
-                self.expire(at, changes);
-                accepted()
+            _ => Vec::new(),
+        };
+        self.change(made, changes);
+        Ok(accepted())
+    }
+
+    fn on_plan(&mut self, command: Command, changes: &mut Changes) -> Result<Reply, Refusal> {
+        let clock = self.clock;
+        let mut context = Context {
+            tables: &mut self.tables,
+            plans: &mut self.plans,
+            history: &mut self.history,
+            changes,
+            now: clock,
+        };
+        let id = match command {
+            Command::Propose {
+                number,
+                intent,
+                operator,
+                at,
+            } => {
+                context.now = clock.max(at);
+                context.propose(Proposal {
+                    number,
+                    intent,
+                    operator,
+                })?
             }
-        }
+            Command::Confirm { plan, operator, at } => {
+                context.now = clock.max(at);
+                context.confirm(plan, &operator).map(|()| plan)?
+            }
+            Command::Stop { plan, operator, at } => {
+                context.now = clock.max(at);
+                context.stop(plan, &operator).map(|()| plan)?
+            }
+            Command::Step {
+                plan,
+                index,
+                advance,
+                at,
+            } => {
+                context.now = clock.max(at);
+                context.advance(plan, index, advance).map(|()| plan)?
+            }
+            _ => return Ok(accepted()),
+        };
+        let plan = self.plans.get(id).cloned().map(Box::new);
+        Ok(plan.map_or_else(accepted, |plan| Reply::Planned { plan }))
     }
 
     fn announce(
@@ -182,26 +278,58 @@
         name: &Upstream,
         registration: Registration,
         at: Wall,
-        changes: &mut Vec<Change>,
-    ) -> Reply {
+        changes: &mut Changes,
+    ) -> Result<Reply, Refusal> {
         let now = self.time(at);
-        match self.lives.announce(&self.config, name, registration, now) {
-            Ok(made) => {
-                changes.extend(made);
-                accepted()
-            }
-            Err(error) => Reply::Refused {
-                code: error.code,
-                message: error.message,
-            },
+        let announced = self
+            .lives
+            .announce(&self.tables.config, name, registration, now);
+        let made = announced.map_err(|error| Refusal {
+            code: error.code,
+            message: error.message,
+        })?;
+        self.change(made, changes);
+        Ok(accepted())
+    }
+
+    fn forget(&mut self, name: &Upstream, life: Incarnation, at: Wall, changes: &mut Changes) {
+        let now = self.time(at);
+        let made = self.lives.forget(&self.tables.config, name, life, now);
+        self.change(made, changes);
+    }
+
+    fn seed(
+        &mut self,
+        operators: BTreeMap<String, Operator>,
+        replicas: BTreeMap<replica::Id, Replica>,
+    ) {
+        if !self.tables.operators.is_empty() || !self.tables.replicas.is_empty() {
+            return;
+        }
+        for (name, operator) in operators {
+            self.tables
+                .apply(Effect::Operator(name, Some(operator)), None);
+        }
+        for (id, replica) in replicas {
+            self.tables.apply(Effect::Replica(id, Some(replica)), None);
         }
     }
 
-    fn expire(&mut self, at: Wall, changes: &mut Vec<Change>) {
+    fn expire(&mut self, at: Wall, changes: &mut Changes) {
         self.advance(at);
-        self.claims.expire(self.clock);
-        self.lives.expire(&self.config, self.clock);
-        changes.extend(self.suspects.expire(&self.config, self.clock));
+        let now = self.clock;
+        let config = &self.tables.config;
+        self.claims.expire(now);
+        self.lives.expire(config, now);
+        self.plans.expire(now);
+        let made = self.suspects.expire(config, now);
+        let upstreams = &config.upstreams;
+        self.tables
+            .orders
+            .expire(|name| upstreams.contains_key(name), now);
+        let lowest = self.plans.lowest_sequence().unwrap_or(self.tables.sequence);
+        self.tables.expire(lowest);
+        self.change(made, changes);
     }
 
     /// Moves the clock, by one step at most; the first command sets it.
@@ -220,9 +348,10 @@
         self.clock.max(at)
     }
 
-    fn change(&mut self, change: Change) -> (Revision, Change) {
-        self.config.apply(change.clone());
-        (self.config.revision, change)
+    fn change(&mut self, made: Vec<Change>, changes: &mut Changes) {
+        for change in made {
+            changes.extend(self.tables.apply(Effect::Config(change), None));
+        }
     }
 
     /// The whole state as bytes.
@@ -256,6 +385,13 @@
     }
 }
 
+fn refusal(code: almondlock_base::Code) -> Refusal {
+    Refusal {
+        code,
+        message: code.text().to_owned(),
+    }
+}
+
 #[derive(Serialize, Deserialize)]
 struct Snapshot<M> {
     format: u32,
--- /dev/null
+++ b/almondlock-state/src/plan/compile.rs
@@ -0,0 +1,467 @@
+//! From an intent to steps.
+//!
+//! Compiling reads the state and changes nothing. What can be refused is
+//! refused here, before an operator is asked to confirm; what can only fail
+//! later is among the plan's risks.
+
+use almondlock_base::{
+    Code,
+    id::{Model, Organisation, Upstream},
+    time::Wall,
+    unit::Tokens,
+};
+
+use super::{Plan, Progress, Risk, Stage, Step, risk, rollout, table};
+use crate::{
+    config::{self, Change, Definition, Drain},
+    intent::{Intent, Limits},
+    limit,
+    operator::{Operator, Role, is_hash},
+    replica::{self, Member, Replica},
+    tables::{Effect, Part, Tables},
+};
+
+/// What an intent comes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Draft {
+    /// What is touched.
+    pub parts: Vec<Part>,
+    /// The steps.
+    pub stages: Vec<Stage>,
+    /// The risk.
+    pub risk: Risk,
+}
+
+/// Why an intent can't be planned.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The code.
+    pub code: Code,
+    /// What is wrong, for people.
+    pub message: String,
+}
+
+impl Error {
+    /// An intent that makes no sense on this state.
+    pub fn bad<M>(message: M) -> Error
+    where
+        M: Into<String>,
+    {
+        Error {
+            code: Code::BadChange,
+            message: message.into(),
+        }
+    }
+
+    fn full(what: &str) -> Error {
+        Error {
+            code: Code::LimitReached,
+            message: format!("there are too many {what}"),
+        }
+    }
+}
+
+/// Works out what an intent would change.
+pub fn compile(
+    tables: &Tables,
+    plans: &table::Table,
+    intent: &Intent,
+    now: Wall,
+) -> Result<Draft, Error> {
+    if let Intent::Rollout {
+        model,
+        version,
+        keep,
+    } = intent
+    {
+        return rollout::compile(tables, (model, version), *keep);
+    }
+    if let Intent::Undo { plan } = intent {
+        let plan = plans
+            .get(*plan)
+            .ok_or_else(|| Error::bad("no such plan to undo"))?;
+        return undo(tables, plan);
+    }
+    let steps = steps(tables, intent, now)?;
+    Ok(draft(tables, steps))
+}
+
+pub(super) fn draft(tables: &Tables, steps: Vec<Step>) -> Draft {
+    let parts = parts(&steps);
+    let risk = risk::weigh(tables, &steps);
+    let stage = |step| Stage {
+        step,
+        progress: Progress::Pending,
+        inverse: None,
+    };
+    let stages = steps.into_iter().map(stage).collect();
+    Draft {
+        parts,
+        stages,
+        risk,
+    }
+}
+
+fn parts(steps: &[Step]) -> Vec<Part> {
+    let part = |step: &Step| match step {
+        Step::Apply(effect) => Some(effect.part()),
+        Step::Member(_) => Some(Part::replicas()),
+        // Only while it is under way, lest a rollout of hours keep operators
+        // from draining an upstream; see `Plan::touches`.
+        Step::Upgrade { .. } => None,
+    };
+    let mut parts: Vec<Part> = steps.iter().filter_map(part).collect();
+    parts.sort();
+    parts.dedup();
+    parts
+}
+
+fn steps(tables: &Tables, intent: &Intent, now: Wall) -> Result<Vec<Step>, Error> {
+    match intent {
+        Intent::AddReplica { .. }
+        | Intent::RemoveReplica { .. }
+        | Intent::ReplaceReplica { .. } => members(tables, intent),
+        Intent::SetOperator { name, hash, role } => {
+            operator(tables, name, Some((hash, *role))).map(|effect| vec![Step::Apply(effect)])
+        }
+        Intent::RemoveOperator { name } => {
+            operator(tables, name, None).map(|effect| vec![Step::Apply(effect)])
+        }
+        _ => {
+            let change = change(tables, intent, now)?;
+            Ok(vec![Step::Apply(Effect::Config(change))])
+        }
+    }
+}
+
+fn change(tables: &Tables, intent: &Intent, now: Wall) -> Result<Change, Error> {
+    match intent {
+        Intent::AddOrganisation { .. }
+        | Intent::ChangeOrganisation { .. }
+        | Intent::RemoveOrganisation { .. }
+        | Intent::AddKey { .. }
+        | Intent::RevokeKey { .. } => organisation(tables, intent),
+        Intent::AddModel { .. }
+        | Intent::RemoveModel { .. }
+        | Intent::SetAdapter { .. }
+        | Intent::RemoveAdapter { .. } => model(tables, intent),
+        Intent::SetService { .. } | Intent::RemoveService { .. } => service(tables, intent),
+        Intent::Drain { upstream, reason } => drain(tables, upstream, reason, now),
+        Intent::Return { upstream } if tables.config.drains.contains_key(upstream) => {
+            Ok(Change::Drain(upstream.clone(), None))
+        }
+        Intent::Return { .. } => Err(Error::bad("the upstream is not drained")),
+        Intent::SetSetting { name, value } => setting(tables, name, value.as_deref()),
+        _ => Err(Error::bad("the intent is not known here")),
+    }
+}
+
+fn organisation(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
+    let all = &tables.config.organisations;
+    let known = |name: &Organisation| {
+        all.get(name)
+            .cloned()
+            .ok_or_else(|| Error::bad(format!("no organisation {name}")))
+    };
+    let (name, value) = match intent {
+        Intent::AddOrganisation { name, .. } if all.contains_key(name) => {
+            return Err(Error::bad(format!("organisation {name} exists")));
+        }
+        Intent::AddOrganisation { .. } if all.len() >= limit::ORGANISATIONS => {
+            return Err(Error::full("organisations"));
+        }
+        Intent::AddOrganisation { name, limits } => (name, Some(limited(fresh(), limits)?)),
+        Intent::ChangeOrganisation { name, limits } => (name, Some(limited(known(name)?, limits)?)),
+        Intent::RemoveOrganisation { name } => (name, known(name).map(|_| None)?),
+        Intent::AddKey { organisation, hash } => (
+            organisation,
+            Some(with_key(tables, known(organisation)?, hash)?),
+        ),
+        Intent::RevokeKey { organisation, hash } => {
+            (organisation, Some(without_key(known(organisation)?, hash)?))
+        }
+        _ => return Err(Error::bad("not about an organisation")),
+    };
+    Ok(Change::Organisation(name.clone(), value))
+}
+
+/// An organisation as it begins: no keys, one share, ten minutes at most.
+fn fresh() -> config::Organisation {
+    config::Organisation {
+        keys: Vec::new(),
+        share: 1,
+        rate: 0,
+        tokens: Tokens::ZERO,
+        deadline: 60_000,
+        deadline_limit: 600_000,
+    }
+}
+
+/// The longest deadline that can be allowed: an open claim must outlive it.
+const DEADLINE_MOST: u64 = 6 * 3600 * 1000;
+
+fn limited(mut it: config::Organisation, new: &Limits) -> Result<config::Organisation, Error> {
+    it.share = new.share.unwrap_or(it.share);
+    it.rate = new.rate.unwrap_or(it.rate);
+    it.tokens = new.tokens.unwrap_or(it.tokens);
+    it.deadline = new.deadline.unwrap_or(it.deadline);
+    it.deadline_limit = new.deadline_limit.unwrap_or(it.deadline_limit);
+    if !(1..=1_000_000).contains(&it.share) {
+        return Err(Error::bad("a share is 1 to 1000000"));
+    }
+    if it.deadline == 0 || it.deadline > it.deadline_limit || it.deadline_limit > DEADLINE_MOST {
+        let message = "the deadline is at least 1 ms, and at most its limit, which is at most 6 h";
+        return Err(Error::bad(message));
+    }
+    Ok(it)
+}
+
+fn with_key(
+    tables: &Tables,
+    mut it: config::Organisation,
+    hash: &str,
+) -> Result<config::Organisation, Error> {
+    if !is_hash(hash) {
+        return Err(Error::bad("a key's hash is 64 hexadecimal digits"));
+    }
+    let mut all = tables.config.organisations.values();
+    if all.any(|other| other.keys.iter().any(|key| key == hash)) {
+        return Err(Error::bad("the key is in use"));
+    }
+    if it.keys.len() >= limit::KEYS {
+        return Err(Error::full("keys"));
+    }
+    it.keys.push(hash.to_owned());
+    Ok(it)
+}
+
+fn without_key(mut it: config::Organisation, hash: &str) -> Result<config::Organisation, Error> {
+    let matching = it.keys.iter().filter(|key| key.starts_with(hash)).count();
+    if hash.len() < 8 || matching != 1 {
+        return Err(Error::bad(
+            "give 8 or more digits that one key's hash begins with",
+        ));
+    }
+    it.keys.retain(|key| !key.starts_with(hash));
+    Ok(it)
+}
+
+fn model(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
+    let all = &tables.config.models;
+    let known = |name: &Model| {
+        all.get(name)
+            .cloned()
+            .ok_or_else(|| Error::bad(format!("no model {name}")))
+    };
+    let (name, value) = match intent {
+        Intent::AddModel { name, .. } if all.contains_key(name) => {
+            return Err(Error::bad(format!("model {name} exists")));
+        }
+        Intent::AddModel { .. } if all.len() >= limit::MODELS => return Err(Error::full("models")),
+        Intent::AddModel {
+            context: Tokens(0), ..
+        } => {
+            return Err(Error::bad("a context is at least one token"));
+        }
+        Intent::AddModel {
+            name,
+            version,
+            context,
+        } => {
+            let (version, context) = (version.clone(), *context);
+            (
+                name,
+                Some(Definition {
+                    version,
+                    context,
+                    adapters: Default::default(),
+                }),
+            )
+        }
+        Intent::RemoveModel { name } => (name, known(name).map(|_| None)?),
+        Intent::SetAdapter {
+            model,
+            adapter,
+            version,
+        } => {
+            let mut definition = known(model)?;
+            definition.adapters.insert(adapter.clone(), version.clone());
+            if definition.adapters.len() > limit::ADAPTERS {
+                return Err(Error::full("adapters"));
+            }
+            (model, Some(definition))
+        }
+        Intent::RemoveAdapter { model, adapter } => {
+            let mut definition = known(model)?;
+            let gone = definition.adapters.remove(adapter);
+            gone.ok_or_else(|| Error::bad(format!("no adapter {adapter} of {model}")))?;
+            (model, Some(definition))
+        }
+        _ => return Err(Error::bad("not about a model")),
+    };
+    Ok(Change::Model(name.clone(), value))
+}
+
+fn service(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
+    let all = &tables.config.services;
+    match intent {
+        Intent::SetService { name, repeatable } => {
+            if !all.contains_key(name) && all.len() >= limit::SERVICES {
+                return Err(Error::full("services"));
+            }
+            let method = |text: &String| {
+                (1..=16).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_uppercase())
+            };
+            if repeatable.len() > 16 || !repeatable.iter().all(method) {
+                return Err(Error::bad("a method is written in capital letters"));
+            }
+            let plain = config::Plain {
+                repeatable: repeatable.clone(),
+            };
+            Ok(Change::Service(name.clone(), Some(plain)))
+        }
+        Intent::RemoveService { name } if all.contains_key(name) => {
+            Ok(Change::Service(name.clone(), None))
+        }
+        _ => Err(Error::bad("no such service")),
+    }
+}
+
+fn drain(tables: &Tables, name: &Upstream, reason: &str, now: Wall) -> Result<Change, Error> {
+    let config = &tables.config;
+    if config.drains.contains_key(name) {
+        return Err(Error::bad("the upstream is drained already"));
+    }
+    // A name that isn't registered may be one that is just restarting.
+    if config.drains.len() >= limit::UPSTREAMS {
+        return Err(Error::full("drained upstreams"));
+    }
+    if reason.len() > limit::TEXT_BYTES || reason.starts_with(rollout::REASON) {
+        return Err(Error::bad(
+            "the reason is too long, or is one that rollouts give",
+        ));
+    }
+    let drain = Drain {
+        since: now,
+        reason: reason.to_owned(),
+    };
+    Ok(Change::Drain(name.clone(), Some(drain)))
+}
+
+fn setting(tables: &Tables, name: &str, value: Option<&str>) -> Result<Change, Error> {
+    let fits = |text: &str| text.len() <= limit::TEXT_BYTES;
+    if name.is_empty() || name.starts_with("rollout/") || !fits(name) || !value.is_none_or(fits) {
+        return Err(Error::bad("the setting's name or value can't be used"));
+    }
+    let settings = &tables.config.settings;
+    if value.is_some() && !settings.contains_key(name) && settings.len() >= limit::SETTINGS {
+        return Err(Error::full("settings"));
+    }
+    Ok(Change::Setting(name.to_owned(), value.map(str::to_owned)))
+}
+
+fn members(tables: &Tables, intent: &Intent) -> Result<Vec<Step>, Error> {
+    let all = &tables.replicas;
+    match intent {
+        Intent::AddReplica { id, replica } => {
+            if all.len() >= limit::REPLICAS {
+                return Err(Error::full("replicas"));
+            }
+            Ok(vec![added(tables, *id, replica)?])
+        }
+        Intent::RemoveReplica { id } if all.contains_key(id) && all.len() > 1 => {
+            Ok(vec![Step::Member(Member::Remove(*id))])
+        }
+        Intent::ReplaceReplica { old, id, replica } if all.contains_key(old) => Ok(vec![
+            added(tables, *id, replica)?,
+            Step::Member(Member::Remove(*old)),
+        ]),
+        _ => Err(Error::bad("no such replica, or it is the only one")),
+    }
+}
+
+fn added(tables: &Tables, id: replica::Id, replica: &Replica) -> Result<Step, Error> {
+    if id == 0 || tables.replicas.contains_key(&id) {
+        return Err(Error::bad(
+            "a new replica needs a number that is not in use",
+        ));
+    }
+    let mut all = tables.replicas.values();
+    if all.any(|known| known.address == replica.address) {
+        return Err(Error::bad("another replica has this address"));
+    }
+    Ok(Step::Member(Member::Add(id, replica.clone())))
+}
+
+fn operator(tables: &Tables, name: &str, new: Option<(&String, Role)>) -> Result<Effect, Error> {
+    let all = &tables.operators;
+    if name.is_empty() || name.len() > almondlock_base::id::NAME_LIMIT {
+        return Err(Error::bad("an operator's name is 1 to 96 bytes"));
+    }
+    let others = all.iter().filter(|(other, _)| *other != name);
+    let admins = others
+        .clone()
+        .filter(|(_, other)| other.role == Role::Admin)
+        .count();
+    if admins == 0 && new.is_none_or(|(_, role)| role != Role::Admin) {
+        return Err(Error::bad("one administrator must stay"));
+    }
+    let Some((hash, role)) = new else {
+        all.get(name)
+            .ok_or_else(|| Error::bad("no such operator"))?;
+        return Ok(Effect::Operator(name.to_owned(), None));
+    };
+    if !is_hash(hash) || others.clone().any(|(_, other)| other.key == *hash) {
+        return Err(Error::bad(
+            "the key's hash is not 64 hexadecimal digits, or is in use",
+        ));
+    }
+    if others.count() >= limit::OPERATORS {
+        return Err(Error::full("operators"));
+    }
+    let operator = Operator {
+        key: hash.clone(),
+        role,
+    };
+    Ok(Effect::Operator(name.to_owned(), Some(operator)))
+}
+
+/// The reverse of what a plan has done so far, last step first.
+fn undo(tables: &Tables, plan: &Plan) -> Result<Draft, Error> {
+    if !plan.state.is_over() {
+        return Err(Error {
+            code: Code::PlanState,
+            message: "stop the plan first".to_owned(),
+        });
+    }
+    let touched = plan
+        .parts
+        .iter()
+        .find(|part| tables.moved(part, plan.sequence, plan.id).is_some());
+    if let Some(part) = touched {
+        let message = format!("{part} has changed since; change it back by a plan of its own");
+        return Err(Error {
+            code: Code::PlanStale,
+            message,
+        });
+    }
+    if let Intent::Rollout { model, keep, .. } = &plan.intent {
+        return rollout::undo(tables, plan, model, *keep);
+    }
+    let member = |step: &Step| matches!(step, Step::Member(_));
+    if plan.stages.iter().any(|stage| member(&stage.step)) {
+        return Err(Error::bad(
+            "a replica that was removed never returns under its number",
+        ));
+    }
+    let inverses = plan
+        .stages
+        .iter()
+        .rev()
+        .filter_map(|stage| stage.inverse.clone());
+    let steps: Vec<Step> = inverses.map(Step::Apply).collect();
+    if steps.is_empty() {
+        return Err(Error::bad("the plan has changed nothing"));
+    }
+    Ok(draft(tables, steps))
+}
--- /dev/null
+++ b/almondlock-state/src/plan/execute.rs
@@ -0,0 +1,437 @@
+//! Taking the steps of plans.
+//!
+//! Everything here runs inside the replicated state machine, on commands that
+//! the leader proposed. Each transition is checked on the state as it is when
+//! the command is applied: a command proposed twice, or by a leader that has
+//! been replaced, finds the step already taken and is refused.
+
+use almondlock_base::{Code, time::Wall, unit::Revision};
+
+use super::{
+    Advance, Id, Plan, Progress, State, Step,
+    compile::{Error, compile},
+    rollout, table,
+};
+use crate::{
+    config::{Change, Drain},
+    history::{self, Record},
+    intent::Intent,
+    tables::{Effect, Tables},
+};
+
+/// The state that a plan's command works on.
+#[derive(Debug)]
+pub struct Context<'a> {
+    /// What plans change.
+    pub tables: &'a mut Tables,
+    /// The plans.
+    pub plans: &'a mut table::Table,
+    /// What happened.
+    pub history: &'a mut history::Table,
+    /// Changes of the configuration made by this command.
+    pub changes: &'a mut Vec<(Revision, Change)>,
+    /// The time.
+    pub now: Wall,
+}
+
+/// What is proposed, by whom.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Proposal {
+    /// The operator's number for it.
+    pub number: String,
+    /// What is wanted.
+    pub intent: Intent,
+    /// Who wants it.
+    pub operator: String,
+}
+
+impl Context<'_> {
+    /// Makes a plan of an intent, or finds the one that was made of it before.
+    pub fn propose(&mut self, proposal: Proposal) -> Result<Id, Error> {
+        if let Some(known) = self.plans.known(&proposal.number, &proposal.intent)? {
+            return Ok(known.id);
+        }
+        self.plans.check(&proposal.number)?;
+        let draft = compile(self.tables, self.plans, &proposal.intent, self.now)?;
+        let keep = match &proposal.intent {
+            Intent::Rollout { model, keep, .. } => {
+                rollout::least(&self.tables.config, model, *keep)
+            }
+            _ => 0,
+        };
+        let plan = Plan {
+            id: self.plans.next_id(),
+            number: proposal.number,
+            operator: proposal.operator,
+            proposed: self.now,
+            intent: proposal.intent,
+            base: self.tables.config.revision,
+            sequence: self.tables.sequence,
+            parts: draft.parts,
+            stages: draft.stages,
+            risk: draft.risk,
+            keep,
+            state: State::Proposed,
+            revision: Revision::ZERO,
+            message: String::new(),
+        };
+        let id = plan.id;
+        self.record(&plan, &plan.operator, "proposed", &detail(&plan.intent));
+        self.plans.insert(plan);
+        Ok(id)
+    }
+
+    /// Begins to carry a plan out, or goes on with one that was stopped.
+    pub fn confirm(&mut self, id: Id, operator: &str) -> Result<(), Error> {
+        let plan = self.find(id)?;
+        match plan.state {
+            // The answer was lost, and the operator asks again.
+            State::Running | State::Done => return Ok(()),
+            State::Proposed | State::Stopped | State::Failed => {}
+            State::Stopping | State::Lapsed => {
+                return Err(rollout::refusal(&format!("the plan is {}", plan.state)));
+            }
+        }
+        self.check_ground(&plan)?;
+        let mut plan = plan;
+        for stage in &mut plan.stages {
+            if matches!(stage.progress, Progress::Failed { .. }) {
+                stage.progress = Progress::Pending;
+            }
+        }
+        plan.state = State::Running;
+        plan.message = String::new();
+        self.record(&plan, operator, "confirmed", "");
+        self.go_on(plan);
+        Ok(())
+    }
+
+    /// Refuses a plan whose ground has moved, or is being moved.
+    fn check_ground(&self, plan: &Plan) -> Result<(), Error> {
+        let stale = |message| {
+            Err(Error {
+                code: Code::PlanStale,
+                message,
+            })
+        };
+        for part in &plan.parts {
+            if let Some(touch) = self.tables.moved(part, plan.sequence, plan.id) {
+                return stale(format!(
+                    "{part} changed at revision {}; the plan rests on revision {}",
+                    touch.revision, plan.base
+                ));
+            }
+            let mut others = self.plans.active().filter(|other| other.id != plan.id);
+            if let Some(other) = others.find(|other| other.touches(part)) {
+                return stale(format!("{part} is being changed by plan {}", other.id));
+            }
+        }
+        // Bounds over a whole table (the last administrator, a key in two
+        // organisations) can be broken by two plans that touch no common part.
+        if plan.state == State::Proposed && !matches!(plan.intent, Intent::Rollout { .. }) {
+            let again = compile(self.tables, self.plans, &plan.intent, self.now);
+            if let Err(error) = again {
+                return stale(format!("it can't be planned any more: {}", error.message));
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops a plan. What is only drained returns to work at once; what has been
+    /// told to load is waited for.
+    pub fn stop(&mut self, id: Id, operator: &str) -> Result<(), Error> {
+        let mut plan = self.find(id)?;
+        match plan.state {
+            State::Stopping | State::Stopped => return Ok(()),
+            State::Proposed | State::Running => {}
+            _ => return Err(rollout::refusal(&format!("the plan is {}", plan.state))),
+        }
+        self.record(&plan, operator, "stopped", "");
+        self.halt(&mut plan);
+        self.go_on(plan);
+        Ok(())
+    }
+
+    fn halt(&mut self, plan: &mut Plan) {
+        plan.state = State::Stopping;
+        for index in 0..plan.stages.len() {
+            let stage = &plan.stages[index];
+            let Step::Upgrade { upstream, .. } = &stage.step else {
+                continue;
+            };
+            let Progress::Begun { drained, .. } = stage.progress else {
+                continue;
+            };
+            let upstream = upstream.clone();
+            plan.stages[index].progress = Progress::Pending;
+            if drained {
+                self.change(plan, Change::Drain(upstream, None));
+            }
+        }
+    }
+
+    /// Takes one step further.
+    pub fn advance(&mut self, id: Id, index: usize, advance: Advance) -> Result<(), Error> {
+        let mut plan = self.find(id)?;
+        if plan.state.is_over() || plan.state == State::Proposed {
+            return Err(rollout::refusal(&format!("the plan is {}", plan.state)));
+        }
+        if let Advance::Halt { message } = advance {
+            plan.message = message;
+            self.halt(&mut plan);
+            self.go_on(plan);
+            return Ok(());
+        }
+        let stage = plan
+            .stages
+            .get(index)
+            .ok_or_else(|| Error::bad("no such step"))?;
+        let (step, progress) = (stage.step.clone(), stage.progress.clone());
+        let next = match (&step, advance) {
+            (Step::Member(_) | Step::Upgrade { .. }, Advance::Begin) => self.begin(&plan, index)?,
+            (Step::Member(member), Advance::Finish) if progress.is_under_way() => {
+                self.tables.apply_member(member, plan.id);
+                Progress::Done
+            }
+            (Step::Upgrade { .. }, Advance::Order) => self.order(&mut plan, &step, &progress)?,
+            (Step::Upgrade { .. }, Advance::Finish) => self.finish(&mut plan, &step, &progress)?,
+            (_, Advance::Fail { message }) if progress.is_under_way() => {
+                self.fail(&mut plan, &step);
+                Progress::Failed { message }
+            }
+            _ => return Err(rollout::refusal("the step isn't so far")),
+        };
+        plan.stages[index].progress = next;
+        self.judge(&mut plan);
+        self.go_on(plan);
+        Ok(())
+    }
+
+    fn begin(&mut self, plan: &Plan, index: usize) -> Result<Progress, Error> {
+        if plan.state != State::Running || !is_due(plan, index) {
+            return Err(rollout::refusal("the step isn't due"));
+        }
+        let since = self.now;
+        let Step::Upgrade {
+            upstream,
+            model,
+            version,
+        } = &plan.stages[index].step
+        else {
+            return Ok(Progress::Begun {
+                since,
+                drained: false,
+            });
+        };
+        let known = self.tables.config.upstreams.get(upstream);
+        let loaded = known.and_then(|known| known.model.as_ref());
+        if loaded.is_none_or(|(name, loaded)| name != model || loaded == version) {
+            return Ok(Progress::Skipped);
+        }
+        if let Some(obstacle) = rollout::obstacle(self.tables, self.plans, plan, index) {
+            return Err(rollout::refusal(obstacle));
+        }
+        let drain = self.tables.config.drains.get(upstream);
+        // One that failed before was left drained by a rollout, not by people.
+        let drained = drain.is_none_or(|drain| drain.reason.starts_with(rollout::REASON));
+        if drain.is_none() {
+            let reason = format!("{}{}: {model} to {version}", rollout::REASON, plan.id);
+            let drain = Drain { since, reason };
+            let effect = Effect::Config(Change::Drain(upstream.clone(), Some(drain)));
+            self.changes
+                .extend(self.tables.apply(effect, Some(plan.id)));
+        }
+        Ok(Progress::Begun { since, drained })
+    }
+
+    fn order(
+        &mut self,
+        plan: &mut Plan,
+        step: &Step,
+        progress: &Progress,
+    ) -> Result<Progress, Error> {
+        let Step::Upgrade {
+            upstream,
+            model,
+            version,
+        } = step
+        else {
+            return Err(rollout::refusal("only an upgrade is ordered"));
+        };
+        let known = self.tables.config.upstreams.get(upstream);
+        let known = known.ok_or_else(|| rollout::refusal("the upstream isn't registered"))?;
+        let (drained, first) = match progress {
+            Progress::Begun { since, drained }
+                if self.now.since(*since) >= rollout::DRAIN_SPREAD =>
+            {
+                (*drained, None)
+            }
+            // Another life of the sidecar: the order in force names the earlier.
+            Progress::Ordered { until, drained } if self.is_orphaned(upstream) => {
+                (*drained, Some(*until))
+            }
+            _ => return Err(rollout::refusal("the drain isn't known everywhere yet")),
+        };
+        let what = (model, version);
+        let issued = self.tables.orders.issue(upstream, known, what, self.now);
+        let order = issued.ok_or_else(|| rollout::refusal("an earlier order may still arrive"))?;
+        let limit = rollout::load_limit(&self.tables.config);
+        let until = first.unwrap_or(order.until + limit);
+        self.change(plan, Change::Order(upstream.clone(), Some(order)));
+        Ok(Progress::Ordered { until, drained })
+    }
+
+    fn is_orphaned(&self, upstream: &almondlock_base::id::Upstream) -> bool {
+        let config = &self.tables.config;
+        let order = config.orders.get(upstream);
+        let known = config.upstreams.get(upstream);
+        order
+            .zip(known)
+            .is_some_and(|(order, known)| order.issuer != known.incarnation)
+    }
+
+    fn finish(
+        &mut self,
+        plan: &mut Plan,
+        step: &Step,
+        progress: &Progress,
+    ) -> Result<Progress, Error> {
+        let (
+            Step::Upgrade {
+                upstream,
+                model,
+                version,
+            },
+            true,
+        ) = (step, progress.is_under_way())
+        else {
+            return Err(rollout::refusal("the step isn't under way"));
+        };
+        let known = self.tables.config.upstreams.get(upstream);
+        let loaded = known.and_then(|known| known.model.as_ref());
+        if loaded != Some(&(model.clone(), version.clone())) {
+            return Err(rollout::refusal(
+                "the upstream hasn't registered with the version",
+            ));
+        }
+        if self.tables.config.orders.contains_key(upstream) {
+            self.change(plan, Change::Order(upstream.clone(), None));
+        }
+        let (Progress::Begun { drained, .. } | Progress::Ordered { drained, .. }) = progress else {
+            return Ok(Progress::Done);
+        };
+        if *drained {
+            self.change(plan, Change::Drain(upstream.clone(), None));
+        }
+        Ok(Progress::Done)
+    }
+
+    /// A failed upstream stays drained: nobody knows what it has loaded.
+    fn fail(&mut self, plan: &mut Plan, step: &Step) {
+        let Step::Upgrade { upstream, .. } = step else {
+            return;
+        };
+        if self.tables.config.orders.contains_key(upstream) {
+            self.change(plan, Change::Order(upstream.clone(), None));
+        }
+    }
+
+    /// Stops a rollout that does harm, and a plan with a failed membership step.
+    fn judge(&mut self, plan: &mut Plan) {
+        let member = plan
+            .stages
+            .iter()
+            .find_map(|stage| match (&stage.step, &stage.progress) {
+                (Step::Member(_), Progress::Failed { message }) => Some(message.clone()),
+                _ => None,
+            });
+        let trouble = member.or_else(|| rollout::trouble(self.tables, plan));
+        if let Some(message) = trouble.filter(|_| plan.state == State::Running) {
+            plan.message = message;
+            self.halt(plan);
+        }
+    }
+
+    /// Takes the steps that need nobody, settles the state, and keeps the plan.
+    fn go_on(&mut self, mut plan: Plan) {
+        while plan.state == State::Running {
+            let pending = |stage: &super::Stage| stage.progress == Progress::Pending;
+            let Some(index) = plan.stages.iter().position(pending) else {
+                break;
+            };
+            let Step::Apply(effect) = plan.stages[index].step.clone() else {
+                break;
+            };
+            if !plan.stages[..index]
+                .iter()
+                .all(|stage| stage.progress.is_ended())
+            {
+                break;
+            }
+            plan.stages[index].inverse = Some(effect.inverse(self.tables));
+            plan.stages[index].progress = Progress::Done;
+            let made = self.tables.apply(effect, Some(plan.id));
+            self.changes.extend(made);
+            plan.revision = self.tables.config.revision;
+        }
+        self.settle(&mut plan);
+        if let Some(kept) = self.plans.get_mut(plan.id) {
+            *kept = plan;
+        }
+    }
+
+    fn settle(&mut self, plan: &mut Plan) {
+        let next = match plan.state {
+            State::Running if plan.stages.iter().all(|stage| stage.progress.is_ended()) => {
+                State::Done
+            }
+            State::Stopping if plan.under_way().next().is_some() => return,
+            State::Stopping if plan.message.is_empty() => State::Stopped,
+            State::Stopping => State::Failed,
+            _ => return,
+        };
+        plan.state = next;
+        self.record(plan, "", &next.to_string(), &plan.message);
+    }
+
+    fn change(&mut self, plan: &mut Plan, change: Change) {
+        let made = self.tables.apply(Effect::Config(change), Some(plan.id));
+        self.changes.extend(made);
+        plan.revision = self.tables.config.revision;
+    }
+
+    fn find(&self, id: Id) -> Result<Plan, Error> {
+        let plan = self.plans.get(id).cloned();
+        plan.ok_or_else(|| Error {
+            code: Code::UnknownPlan,
+            message: format!("no plan {id}"),
+        })
+    }
+
+    fn record(&mut self, plan: &Plan, operator: &str, event: &str, detail: &str) {
+        self.history.push(Record {
+            at: self.now,
+            operator: operator.to_owned(),
+            plan: plan.id,
+            number: plan.number.clone(),
+            event: event.to_owned(),
+            detail: detail.to_owned(),
+            revision: self.tables.config.revision,
+        });
+    }
+}
+
+/// Whether all that must come before a step has ended. Upgrades that follow
+/// each other may overlap.
+pub(super) fn is_due(plan: &Plan, index: usize) -> bool {
+    let upgrade = |step: &Step| matches!(step, Step::Upgrade { .. });
+    let pending = plan.stages[index].progress == Progress::Pending;
+    let overlaps = upgrade(&plan.stages[index].step);
+    let passed =
+        |stage: &super::Stage| stage.progress.is_ended() || (overlaps && upgrade(&stage.step));
+    pending && plan.stages[..index].iter().all(passed)
+}
+
+fn detail(intent: &Intent) -> String {
+    serde_json::to_string(intent).unwrap_or_default()
+}
--- /dev/null
+++ b/almondlock-state/src/plan/next.rs
@@ -0,0 +1,132 @@
+//! Which step of which plan is due.
+//!
+//! The leader asks after each command that it applied and once a second, and
+//! does what it is told. Nothing is remembered between two questions but what
+//! is replicated: a new leader asks and goes on.
+
+use almondlock_base::time::Wall;
+
+use super::{Advance, Plan, Progress, State, Step, execute::is_due, rollout};
+use crate::{command::Command, limit, machine::Machine, order, replica::Member};
+
+/// What the leader has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Propose this command.
+    Propose(Command),
+    /// Ask for this membership change, unless it has been asked for already, and
+    /// propose `Finish` or `Fail` for the step when it is through.
+    Member {
+        /// The plan.
+        plan: super::Id,
+        /// The step.
+        index: usize,
+        /// The change.
+        member: Member,
+    },
+}
+
+/// The first thing due, if any.
+pub fn next(machine: &Machine, now: Wall) -> Option<Action> {
+    due(machine, now).into_iter().next()
+}
+
+/// Everything that is due now. Doing one of them may undo the need for another:
+/// what is refused when applied is simply dropped.
+pub fn due(machine: &Machine, now: Wall) -> Vec<Action> {
+    let mut actions = Vec::new();
+    if now.since(machine.clock()) >= limit::SWEEP {
+        actions.push(Action::Propose(Command::Expire { at: now }));
+    }
+    for plan in machine.plans().active() {
+        of_plan(machine, plan, now, &mut actions);
+    }
+    actions
+}
+
+fn of_plan(machine: &Machine, plan: &Plan, now: Wall, actions: &mut Vec<Action>) {
+    let step = |index: usize, advance: Advance| {
+        Action::Propose(Command::Step {
+            plan: plan.id,
+            index,
+            advance,
+            at: now,
+        })
+    };
+    if plan.state == State::Running
+        && let Some(message) = rollout::trouble(machine.tables(), plan)
+    {
+        actions.push(step(0, Advance::Halt { message }));
+        return;
+    }
+    for (index, stage) in plan.under_way() {
+        match &stage.step {
+            Step::Member(member) => {
+                let (plan, member) = (plan.id, member.clone());
+                actions.push(Action::Member {
+                    plan,
+                    index,
+                    member,
+                });
+            }
+            Step::Upgrade { .. } => {
+                let advance = of_upgrade(machine, stage, now);
+                actions.extend(advance.map(|advance| step(index, advance)));
+            }
+            Step::Apply(_) => {}
+        }
+    }
+    let first = (0..plan.stages.len()).find(|index| is_due(plan, *index));
+    let begins = first.filter(|index| {
+        let upgrade = matches!(plan.stages[*index].step, Step::Upgrade { .. });
+        plan.state == State::Running && (!upgrade || may_begin(machine, plan, *index))
+    });
+    actions.extend(begins.map(|index| step(index, Advance::Begin)));
+}
+
+fn may_begin(machine: &Machine, plan: &Plan, index: usize) -> bool {
+    let Step::Upgrade { upstream, .. } = &plan.stages[index].step else {
+        return true;
+    };
+    let gone = !machine.config().upstreams.contains_key(upstream);
+    gone || rollout::obstacle(machine.tables(), machine.plans(), plan, index).is_none()
+}
+
+fn of_upgrade(machine: &Machine, stage: &super::Stage, now: Wall) -> Option<Advance> {
+    let Step::Upgrade {
+        upstream,
+        model,
+        version,
+    } = &stage.step
+    else {
+        return None;
+    };
+    let config = machine.config();
+    let known = config.upstreams.get(upstream);
+    let loaded = known.and_then(|known| known.model.as_ref());
+    if loaded.is_some_and(|(name, loaded)| name == model && loaded == version) {
+        return Some(Advance::Finish);
+    }
+    let ready = known.is_some_and(|known| now >= machine.tables().orders.ready(upstream, known));
+    match &stage.progress {
+        Progress::Begun { since, .. } => {
+            let waited = now.since(*since);
+            let limit = rollout::load_limit(config) + order::LIFETIME + order::MARGIN;
+            if waited >= limit {
+                let message = "it was gone while it was drained".to_owned();
+                return Some(Advance::Fail { message });
+            }
+            (ready && waited >= rollout::DRAIN_SPREAD).then_some(Advance::Order)
+        }
+        Progress::Ordered { until, .. } if now >= *until => {
+            let message = format!("it didn't register with {version} in time");
+            Some(Advance::Fail { message })
+        }
+        Progress::Ordered { .. } => {
+            let issuer = config.orders.get(upstream).map(|order| order.issuer);
+            let orphaned = known.is_some_and(|known| Some(known.incarnation) != issuer);
+            (orphaned && ready).then_some(Advance::Order)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/almondlock-state/src/plan/risk.rs
@@ -0,0 +1,156 @@
+//! What an operator should know before confirming.
+
+use almondlock_base::id::{Model, Upstream};
+
+use super::{Risk, Step, rollout};
+use crate::{
+    config::{Change, Config, Registration},
+    order,
+    replica::{Member, critical_domains},
+    tables::{Effect, Tables},
+};
+
+/// Seconds until a change of the configuration is in force everywhere.
+const SPREAD: u64 = 2;
+/// Seconds that a new replica takes to catch up, as a guess.
+const CATCH_UP: u64 = 60;
+
+pub(super) fn weigh(tables: &Tables, steps: &[Step]) -> Risk {
+    let mut risk = Risk {
+        seconds: SPREAD,
+        ..Risk::default()
+    };
+    for step in steps {
+        match step {
+            Step::Apply(Effect::Config(change)) => of_change(&tables.config, change, &mut risk),
+            Step::Apply(Effect::Operator(name, _)) => {
+                risk.affected.push(format!("operator {name}"))
+            }
+            Step::Apply(Effect::Replica(..)) | Step::Upgrade { .. } => {}
+            Step::Member(member) => of_member(tables, member, &mut risk),
+        }
+    }
+    risk
+}
+
+fn of_change(config: &Config, change: &Change, risk: &mut Risk) {
+    match change {
+        Change::Organisation(name, None) => {
+            risk.affected.push(format!(
+                "organisation {name}: its requests are refused at once"
+            ));
+        }
+        Change::Organisation(name, Some(new)) => {
+            risk.affected.push(format!("organisation {name}"));
+            let keys = config
+                .organisations
+                .get(name)
+                .map_or(0, |known| known.keys.len());
+            if new.keys.is_empty() && keys > 0 {
+                risk.warnings
+                    .push("its last key goes: it can't send anything".to_owned());
+            }
+        }
+        Change::Model(name, None) => {
+            let serving = rollout::serving(config, name).count();
+            risk.affected.push(format!(
+                "all callers of {name}; {serving} upstreams are left idle"
+            ));
+        }
+        Change::Model(name, Some(_)) => risk.affected.push(format!("callers of {name}")),
+        Change::Service(name, _) => risk.affected.push(format!("callers of service {name}")),
+        Change::Drain(name, Some(_)) => of_drain(config, name, risk),
+        Change::Drain(name, None) => risk.affected.push(format!("upstream {name} takes work")),
+        Change::Setting(name, _) if !name.starts_with("rollout/") => {
+            risk.affected
+                .push(format!("all processes, by setting {name}"));
+        }
+        _ => {}
+    }
+}
+
+fn of_drain(config: &Config, name: &Upstream, risk: &mut Risk) {
+    let Some(known) = config.upstreams.get(name) else {
+        risk.warnings.push(format!("{name} is not registered now"));
+        return;
+    };
+    let alike = |other: &Registration| match &known.model {
+        Some((model, _)) => other.model.as_ref().is_some_and(|(name, _)| name == model),
+        None => other.service == known.service,
+    };
+    // A plain service has no capacity in tokens: each of its processes counts.
+    let weight = |known: &Registration| known.capacity.0.max(1);
+    let all = config.upstreams.iter().filter(|(other, known)| {
+        alike(known) && (*other == name || !config.drains.contains_key(*other))
+    });
+    let total: u64 = all.map(|(_, known)| weight(known)).sum();
+    let left = total.saturating_sub(weight(known));
+    risk.capacity_left = Some(percent(left, total));
+    if left == 0 {
+        risk.warnings
+            .push("nothing is left that serves the same".to_owned());
+    }
+}
+
+fn percent(part: u64, whole: u64) -> u8 {
+    let hundredths = u128::from(part) * 100 / u128::from(whole.max(1));
+    u8::try_from(hundredths).unwrap_or(100)
+}
+
+fn of_member(tables: &Tables, member: &Member, risk: &mut Risk) {
+    let mut after = tables.replicas.clone();
+    match member {
+        Member::Add(id, replica) => {
+            after.insert(*id, replica.clone());
+            risk.seconds += CATCH_UP;
+        }
+        Member::Remove(id) => {
+            after.remove(id);
+        }
+    }
+    risk.affected
+        .push(format!("control: {} replicas after it", after.len()));
+    for domain in critical_domains(&after) {
+        risk.warnings
+            .push(format!("the loss of {domain} would then leave no majority"));
+    }
+    if after.len().is_multiple_of(2) {
+        risk.warnings
+            .push("an even number of replicas bears no more losses than one less".to_owned());
+    }
+}
+
+/// Adds what upgrading these upstreams, `width` at a time, means.
+pub(super) fn of_upgrades(
+    config: &Config,
+    model: &Model,
+    upstreams: &[Upstream],
+    width: usize,
+    risk: &mut Risk,
+) {
+    let serving = rollout::serving(config, model).count();
+    let seconds = rollout::load_time(config).as_secs() + rollout::DRAIN_SPREAD.as_secs();
+    // The first one goes alone, the others `width` at a time.
+    let rounds = match upstreams.len() {
+        0 => 0,
+        count => 1 + (count - 1).div_ceil(width),
+    };
+    risk.seconds += seconds.saturating_mul(number(rounds));
+    let left = serving.saturating_sub(width.min(upstreams.len()));
+    risk.capacity_left = Some(percent(number(left), number(serving)));
+    let known = upstreams
+        .iter()
+        .filter_map(|name| config.upstreams.get(name));
+    let unfenced = known.filter(|known| !known.fenced).count();
+    if unfenced > 0 {
+        risk.warnings.push(format!(
+            "{unfenced} upstreams don't check fencing numbers: after a restart of the sidecar \
+             beside one, its next order waits up to {} s",
+            (order::LIFETIME + order::MARGIN).as_secs()
+        ));
+    }
+}
+
+fn number(count: usize) -> u64 {
+    u64::try_from(count).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/almondlock-state/tests/dead_holder.rs
@@ -0,0 +1,88 @@
+//! An entry host dies while it holds claims.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Host, Incarnation},
+};
+use almondlock_state::{claim::Verdict, command::Command, limit, machine::Machine};
+use common::{HOUR, attempt, claim, code, pass_time, settle, wall};
+
+fn gone(machine: &mut Machine, life: u64, at: u64) {
+    let (host, incarnation) = (Host::new("entry-1").unwrap(), Incarnation(life));
+    machine.apply(Command::HolderGone {
+        host,
+        incarnation,
+        at: wall(at),
+    });
+}
+
+/// The entry host dies after it handed a tender on; the caller sends it again
+/// through another host. Nobody knows whether it ran, so it isn't run again:
+/// the caller gets `OutcomeLost`, however often it asks.
+#[test]
+fn never_given_again() {
+    let mut machine = Machine::new();
+    claim(&mut machine, "k", &attempt("entry-1", 1), 1);
+    gone(&mut machine, 7, 2);
+    for at in 3..6 {
+        let answer = claim(&mut machine, "k", &attempt("entry-2", at), at);
+        assert_eq!(answer.code(), Some(Code::OutcomeLost));
+    }
+}
+
+/// The host was only cut off, and its lease ended. When it is back it knows
+/// how the request ended and says so: `no` frees the claim, an outcome is given
+/// to later copies.
+#[test]
+fn returned_holder() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    for (key, ran) in [("freed", Ran::No), ("done", Ran::Yes)] {
+        claim(&mut machine, key, &holder, 1);
+        gone(&mut machine, 7, 2);
+        assert_eq!(
+            code(&settle(&mut machine, key, (&holder, ran, "bought"), 3)),
+            None
+        );
+    }
+    let second = attempt("entry-2", 1);
+    assert_eq!(claim(&mut machine, "freed", &second, 4), Verdict::Granted);
+    assert!(matches!(
+        claim(&mut machine, "done", &second, 4),
+        Verdict::Done(_)
+    ));
+}
+
+/// A host restarts. Only what its earlier life held is lost.
+#[test]
+fn other_life() {
+    let mut machine = Machine::new();
+    claim(&mut machine, "k", &attempt("entry-1", 1), 1);
+    gone(&mut machine, 6, 2);
+    let second = attempt("entry-2", 1);
+    assert_eq!(claim(&mut machine, "k", &second, 3), Verdict::Running);
+    assert_eq!(
+        machine.claims().holders(),
+        [(Host::new("entry-1").unwrap(), Incarnation(7))]
+    );
+}
+
+/// Nobody ever says how a claim ended. After a day it counts as lost, is kept
+/// for its time, and is forgotten; it isn't held for ever.
+#[test]
+fn never_settled() {
+    let mut machine = Machine::new();
+    pass_time(&mut machine, HOUR);
+    claim(&mut machine, "k", &attempt("entry-1", 1), HOUR);
+    let day = u64::try_from(limit::RUN_MOST.as_millis()).unwrap();
+    pass_time(&mut machine, HOUR + day + common::MINUTE);
+    let second = attempt("entry-2", 1);
+    let answer = claim(&mut machine, "k", &second, HOUR + day + common::MINUTE);
+    assert_eq!(answer, Verdict::Lost);
+    pass_time(&mut machine, 2 * HOUR + day);
+    assert!(machine.claims().is_empty());
+}
--- /dev/null
+++ b/almondlock-state/tests/equal_numbers.rs
@@ -0,0 +1,99 @@
+//! Operators race one another and send changes again.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use almondlock_base::Code;
+use almondlock_state::{
+    command::{Command, Reply},
+    machine::Machine,
+    plan::State,
+};
+use common::{add, code, confirm, organisation, planned, propose, share, stop, wall};
+
+/// Two operators choose number 17 for two different changes at the same moment,
+/// through two replicas. The log puts one of them first: that one is planned,
+/// and exactly the other is told of the conflict, also when it asks again.
+#[test]
+fn racing_operators() {
+    for (first, second) in [("acme", "rival"), ("rival", "acme")] {
+        let mut machine = Machine::new();
+        let won = planned(propose(&mut machine, "17", add(first), 1));
+        for _ in 0..2 {
+            let lost = propose(&mut machine, "17", add(second), 1);
+            assert_eq!(code(&lost), Some(Code::Conflict));
+        }
+        assert_eq!(planned(propose(&mut machine, "17", add(first), 2)), won);
+        confirm(&mut machine, won.id, 3);
+        let names: Vec<_> = machine.config().organisations.keys().cloned().collect();
+        assert_eq!(names, [organisation(first)]);
+    }
+}
+
+/// The answer to a confirmation is lost, another operator's change follows, and
+/// the first one sends proposal and confirmation again. Both are answered as
+/// before, and the first change isn't put back over the second.
+#[test]
+fn resent_change() {
+    let mut machine = Machine::new();
+    common::change(&mut machine, "1", add("acme"), 1);
+    let mine = common::change(&mut machine, "2", share("acme", 5), 2);
+    common::change(&mut machine, "3", share("acme", 9), 3);
+    let revision = machine.config().revision;
+    let again = planned(propose(&mut machine, "2", share("acme", 5), 4));
+    assert_eq!((again.id, again.state), (mine.id, State::Done));
+    assert_eq!(
+        planned(confirm(&mut machine, mine.id, 5)).state,
+        State::Done
+    );
+    assert_eq!(machine.config().revision, revision);
+    assert_eq!(
+        machine.config().organisations[&organisation("acme")].share,
+        9
+    );
+}
+
+/// A plan does nothing until it is confirmed, and a stopped or lapsed one never
+/// does anything.
+#[test]
+fn nothing_before() {
+    let mut machine = Machine::new();
+    let plan = planned(propose(&mut machine, "1", add("acme"), 1));
+    let before = machine.config().clone();
+    assert!(before.organisations.is_empty());
+    stop(&mut machine, plan.id, 2);
+    assert_eq!(
+        machine.plans().get(plan.id).map(|plan| plan.state),
+        Some(State::Stopped)
+    );
+    let late = planned(propose(&mut machine, "2", add("rival"), 1));
+    common::pass_time(&mut machine, 25 * common::HOUR);
+    common::pass_time(&mut machine, 50 * common::HOUR);
+    assert_eq!(
+        code(&confirm(&mut machine, late.id, 3)),
+        Some(Code::PlanState)
+    );
+    assert_eq!(*machine.config(), before);
+}
+
+/// A seed brings the first operators in, once: a replica that starts again with
+/// other settings can't make itself an administrator.
+#[test]
+fn one_seed() {
+    let mut machine = Machine::new();
+    for name in ["anna", "eve"] {
+        let key = almondlock_state::operator::hash(name);
+        let role = almondlock_state::operator::Role::Admin;
+        let operator = almondlock_state::operator::Operator { key, role };
+        let operators = [(name.to_owned(), operator)].into();
+        let seed = Command::Seed {
+            operators,
+            replicas: Default::default(),
+            at: wall(1),
+        };
+        assert!(matches!(machine.apply(seed).reply, Reply::Accepted { .. }));
+    }
+    let names: Vec<_> = machine.tables().operators.keys().collect();
+    assert_eq!(names, ["anna"]);
+}
--- /dev/null
+++ b/almondlock-state/tests/fencing_takeover.rs
@@ -0,0 +1,67 @@
+//! Orders to upstreams carry fencing numbers, and a new issuer waits.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use almondlock_base::{id::Incarnation, time::Wall};
+use almondlock_state::order::{LIFETIME, MARGIN, Table, may_hand_on};
+use common::{engine, model, upstream, version, wall};
+
+fn issue(
+    table: &mut Table,
+    life: u64,
+    fenced: bool,
+    now: Wall,
+) -> Option<almondlock_state::config::Order> {
+    let mut known = engine(1, life, "v1");
+    known.fenced = fenced;
+    table.issue(&upstream("u"), &known, (&model(), &version("v2")), now)
+}
+
+/// The sidecar restarts. An order that its earlier life handed on may still be
+/// on its way to an engine which doesn't check fencing numbers; the new life is
+/// given an order only when that one can't arrive any more.
+#[test]
+fn takeover_wait() {
+    let mut table = Table::default();
+    let first = issue(&mut table, 1, false, wall(1_000)).unwrap();
+    assert_eq!(issue(&mut table, 2, false, wall(2_000)), None);
+    let end = first.until;
+    assert_eq!(issue(&mut table, 2, false, end), None);
+    let second = issue(&mut table, 2, false, end + MARGIN).unwrap();
+    assert!(second.fence > first.fence);
+    assert!(!may_hand_on(&first, Incarnation(1), end));
+}
+
+/// An engine that checks refuses the earlier order by itself: no wait. The same
+/// life never waits for its own earlier order.
+#[test]
+fn no_wait() {
+    let mut table = Table::default();
+    let first = issue(&mut table, 1, true, wall(1_000)).unwrap();
+    let second = issue(&mut table, 2, true, wall(1_001)).unwrap();
+    let third = issue(&mut table, 2, true, wall(1_002)).unwrap();
+    assert_eq!([first.fence, second.fence, third.fence], [1, 2, 3]);
+}
+
+/// Only the life that an order names may hand it on, and only in its time.
+#[test]
+fn one_issuer() {
+    let mut table = Table::default();
+    let order = issue(&mut table, 1, true, wall(1_000)).unwrap();
+    assert!(may_hand_on(&order, Incarnation(1), wall(1_000)));
+    assert!(!may_hand_on(&order, Incarnation(2), wall(1_000)));
+    assert!(!may_hand_on(&order, Incarnation(1), wall(1_000) + LIFETIME));
+}
+
+/// A new leader restores a snapshot before its first order: the numbers go on
+/// from the highest one given.
+#[test]
+fn after_restore() {
+    let mut table = Table::default();
+    issue(&mut table, 1, true, wall(1)).unwrap();
+    let bytes = serde_json::to_vec(&table).unwrap();
+    let mut table: Table = serde_json::from_slice(&bytes).unwrap();
+    assert_eq!(issue(&mut table, 1, true, wall(2)).unwrap().fence, 2);
+}
--- /dev/null
+++ b/almondlock-state/tests/full_table.rs
@@ -0,0 +1,122 @@
+//! Tables are bounded, and a full one refuses with a code.
+
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Fingerprint, Incarnation},
+};
+use almondlock_state::{claim::Verdict, command::Command, limit, machine::Machine};
+use common::{
+    add, attempt, change, claim, claim_command, code, organisation, propose, settle, upstream,
+    verdict, wall,
+};
+
+/// One organisation claims key after key. It fills its own part of the table and
+/// is refused; the claims of others are still granted.
+#[test]
+fn greedy_organisation() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    for number in 0..limit::CLAIMS_OF_ONE {
+        assert_eq!(
+            claim(&mut machine, &number.to_string(), &holder, 1),
+            Verdict::Granted
+        );
+    }
+    let refused = claim(&mut machine, "one-more", &holder, 1);
+    assert_eq!(refused.code(), Some(Code::LimitReached));
+    let other = machine.apply(claim_command("rival", "k", &holder, 1)).reply;
+    assert_eq!(verdict(other), Verdict::Granted);
+    // What is known is still answered.
+    assert_eq!(
+        claim(&mut machine, "0", &attempt("entry-2", 1), 1),
+        Verdict::Running
+    );
+}
+
+/// Outcomes fill their bound. The oldest is dropped, its claim is not: a second
+/// copy is told that the request ran.
+#[test]
+fn oldest_outcome() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    let outcome = "x".repeat(limit::OUTCOME_BYTES);
+    let room = limit::OUTCOMES_BYTES / limit::OUTCOME_BYTES;
+    for number in 0..=room {
+        claim(&mut machine, &number.to_string(), &holder, 1);
+        settle(
+            &mut machine,
+            &number.to_string(),
+            (&holder, Ran::Yes, &outcome),
+            1,
+        );
+    }
+    assert!(machine.claims().outcome_bytes() <= limit::OUTCOMES_BYTES);
+    let second = attempt("entry-2", 1);
+    assert_eq!(claim(&mut machine, "0", &second, 2), Verdict::Dropped);
+    assert!(matches!(
+        claim(&mut machine, "1", &second, 2),
+        Verdict::Done(_)
+    ));
+}
+
+/// Plans that nobody confirms pile up; the next proposal is refused.
+#[test]
+fn open_plans() {
+    let mut machine = Machine::new();
+    for number in 0..limit::PLANS_OPEN {
+        let name = format!("o{number}");
+        assert_eq!(code(&propose(&mut machine, &name, add(&name), 1)), None);
+    }
+    let refused = propose(&mut machine, "more", add("more"), 1);
+    assert_eq!(code(&refused), Some(Code::LimitReached));
+}
+
+/// An organisation's requests are blamed for many deaths. Its oldest suspect
+/// makes room; another organisation's suspects stay.
+#[test]
+fn many_suspects() {
+    let mut machine = Machine::new();
+    let blame = |machine: &mut Machine, owner: &str, number: u64| {
+        let organisation = organisation(owner);
+        let fingerprint = Fingerprint::new(&organisation, "/", &number.to_le_bytes());
+        let (upstream, incarnation) = (upstream("u"), Incarnation(number));
+        let at = wall(number);
+        let command = Command::Blame {
+            fingerprint,
+            organisation,
+            upstream,
+            incarnation,
+            at,
+        };
+        assert_eq!(machine.apply(command).reply.code(), None);
+        fingerprint
+    };
+    let rival = blame(&mut machine, "rival", 1);
+    let first = blame(&mut machine, "acme", 2);
+    for number in 0..limit::QUARANTINES_OF_ONE {
+        blame(&mut machine, "acme", 3 + u64::try_from(number).unwrap());
+    }
+    assert!(machine.config().quarantine(rival).is_some());
+    assert!(machine.config().quarantine(first).is_none());
+    assert_eq!(
+        machine.config().quarantines.len(),
+        limit::QUARANTINES_OF_ONE + 1
+    );
+}
+
+/// History and plans keep their newest entries only.
+#[test]
+fn bounded_history() {
+    let mut machine = Machine::new();
+    change(&mut machine, "start", add("acme"), 1);
+    for number in 0..limit::HISTORY {
+        let share = common::share("acme", u32::try_from(number % 7).unwrap() + 1);
+        change(&mut machine, &number.to_string(), share, 1);
+    }
+    assert_eq!(machine.history().iter().count(), limit::HISTORY);
+    assert!(machine.plans().iter().count() <= limit::PLANS_OVER + 1);
+}
--- a/almondlock-state/tests/held_claim.rs
+++ b/almondlock-state/tests/held_claim.rs
@@ -2,101 +2,121 @@
 
 #![allow(clippy::unwrap_used)]
 
-use almondlock_base::{
-    Ran,
-    id::{Attempt, Host, Incarnation, Organisation},
-    time::Wall,
-};
-use almondlock_state::{
-    blob::Blob,
-    claim::Verdict,
-    command::{Command, Reply},
-    machine::Machine,
-};
+mod common;
 
-const MINUTE: u64 = 60_000;
-
-fn attempt(host: &str, counter: u64) -> Attempt {
-    let host = Host::new(host).unwrap();
-    Attempt {
-        host,
-        incarnation: Incarnation(7),
-        counter,
-    }
-}
-
-fn claim(machine: &mut Machine, holder: &Attempt, body: &str, at: u64) -> Verdict {
-    let command = Command::Claim {
-        organisation: Organisation::new("acme").unwrap(),
-        key: "tender-1".to_owned(),
-        body: Blob::from(body.as_bytes()),
-        holder: holder.clone(),
-        keep: 10 * MINUTE,
-        at: Wall::from_millis(at),
-    };
-    match machine.apply(command).reply {
-        Reply::Claimed { verdict } => verdict,
-        other => panic!("{other:?}"),
-    }
-}
-
-fn settle(machine: &mut Machine, holder: &Attempt, ran: Ran, outcome: &str, at: u64) -> Reply {
-    let command = Command::SettleClaim {
-        organisation: Organisation::new("acme").unwrap(),
-        key: "tender-1".to_owned(),
-        holder: holder.clone(),
-        ran,
-        outcome: Blob::from(outcome.as_bytes()),
-        at: Wall::from_millis(at),
-    };
-    machine.apply(command).reply
-}
+use almondlock_base::{Code, Ran};
+use almondlock_state::{blob::Blob, claim::Verdict, command::Command, limit, machine::Machine};
+use common::{MINUTE, attempt, claim, claim_command, code, pass_time, settle, verdict};
 
 /// The caller sends the same tender twice, and the balancer gives the copies to
-/// two entry hosts. The second waits or is answered; it never runs. After the
+/// two entry hosts. The second is told that it runs, and never runs. After the
 /// first ended, the second gets the first one's outcome.
 #[test]
 fn second_copy() {
     let mut machine = Machine::new();
     let (first, second) = (attempt("entry-1", 1), attempt("entry-2", 1));
-    assert_eq!(claim(&mut machine, &first, "body", 0), Verdict::Granted);
-    assert_eq!(claim(&mut machine, &first, "body", 0), Verdict::Granted);
-    assert_eq!(claim(&mut machine, &second, "body", 1), Verdict::Running);
-    assert_eq!(claim(&mut machine, &second, "other", 1), Verdict::Mismatch);
-    assert!(
-        settle(&mut machine, &first, Ran::Yes, "bought", 2)
-            .code()
-            .is_none()
-    );
-    let outcome = Blob::from(&b"bought"[..]);
+    assert_eq!(claim(&mut machine, "k", &first, 1), Verdict::Granted);
+    // The answer to the claim was lost; the same attempt asks again.
+    assert_eq!(claim(&mut machine, "k", &first, 1), Verdict::Granted);
+    assert_eq!(claim(&mut machine, "k", &second, 2), Verdict::Running);
     assert_eq!(
-        claim(&mut machine, &second, "body", 3),
-        Verdict::Done(outcome)
+        code(&settle(&mut machine, "k", (&first, Ran::Yes, "bought"), 3)),
+        None
     );
+    let outcome = Blob::from(&b"bought"[..]);
+    assert_eq!(claim(&mut machine, "k", &second, 4), Verdict::Done(outcome));
+}
+
+/// The same key comes with another body: neither run nor answered with the
+/// other one's outcome.
+#[test]
+fn other_body() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    claim(&mut machine, "k", &holder, 1);
+    let mut command = claim_command("acme", "k", &attempt("entry-2", 1), 2);
+    if let Command::Claim { body, .. } = &mut command {
+        *body = Blob::from(&b"other"[..]);
+    }
+    let answer = verdict(machine.apply(command).reply);
+    assert_eq!(answer.code(), Some(Code::KeyReused));
+    // Another organisation's key of the same name is another key.
+    let other = claim_command("rival", "k", &attempt("entry-2", 1), 2);
+    assert_eq!(verdict(machine.apply(other).reply), Verdict::Granted);
 }
 
 /// The first attempt is refused by the upstream, so that it provably did not
 /// run, and another attempt may. A delayed copy of the first one's claim arrives
-/// after that: granted, it would stay open for ever.
+/// after that: granted, it would hold the key open with nobody to settle it.
 #[test]
 fn freed_claim() {
     let mut machine = Machine::new();
     let (first, second) = (attempt("entry-1", 1), attempt("entry-2", 1));
-    assert_eq!(claim(&mut machine, &first, "body", 0), Verdict::Granted);
-    assert!(
-        settle(&mut machine, &first, Ran::No, "", 1)
-            .code()
-            .is_none()
+    claim(&mut machine, "k", &first, 1);
+    assert_eq!(
+        code(&settle(&mut machine, "k", (&first, Ran::No, ""), 2)),
+        None
     );
     assert!(matches!(
-        claim(&mut machine, &first, "body", 2),
+        claim(&mut machine, "k", &first, 3),
         Verdict::Refused(_)
     ));
-    assert_eq!(claim(&mut machine, &second, "body", 3), Verdict::Granted);
-    assert!(
-        settle(&mut machine, &first, Ran::No, "", 4)
-            .code()
-            .is_some()
+    assert_eq!(claim(&mut machine, "k", &second, 4), Verdict::Granted);
+    // The first one's `no` arrives again and must not free the second's claim.
+    let late = settle(&mut machine, "k", (&first, Ran::No, ""), 5);
+    assert_eq!(code(&late), Some(Code::Conflict));
+    assert_eq!(
+        claim(&mut machine, "k", &attempt("entry-3", 1), 6),
+        Verdict::Running
+    );
+}
+
+/// A copy comes after the outcome was too large to keep, and another after the
+/// claim's time is over: the first is told that it ran, the second is granted.
+#[test]
+fn bounded_keep() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    pass_time(&mut machine, MINUTE);
+    claim(&mut machine, "k", &holder, MINUTE);
+    let large = "x".repeat(limit::OUTCOME_BYTES + 1);
+    settle(&mut machine, "k", (&holder, Ran::Yes, &large), MINUTE);
+    let second = attempt("entry-2", 1);
+    assert_eq!(
+        claim(&mut machine, "k", &second, 2 * MINUTE),
+        Verdict::Dropped
     );
-    assert_eq!(claim(&mut machine, &first, "body", 5), Verdict::Running);
+    pass_time(&mut machine, 10 * MINUTE);
+    assert_eq!(
+        claim(&mut machine, "k", &second, 10 * MINUTE),
+        Verdict::Dropped
+    );
+    pass_time(&mut machine, 12 * MINUTE);
+    assert_eq!(
+        claim(&mut machine, "k", &second, 12 * MINUTE),
+        Verdict::Granted
+    );
+}
+
+/// A leader's clock is a day ahead. Its word alone must not make claims expire,
+/// because the caller's next copy would run a second time.
+#[test]
+fn wrong_clock() {
+    let mut machine = Machine::new();
+    let holder = attempt("entry-1", 1);
+    pass_time(&mut machine, MINUTE);
+    claim(&mut machine, "k", &holder, MINUTE);
+    settle(&mut machine, "k", (&holder, Ran::Yes, "bought"), MINUTE);
+    let day = 24 * 60 * MINUTE;
+    machine.apply(Command::Expire {
+        at: common::wall(day),
+    });
+    let second = claim(&mut machine, "k", &attempt("entry-2", 1), 2 * MINUTE);
+    assert!(matches!(second, Verdict::Done(_)), "{second:?}");
+    // The next leader's clock is right, and so behind the machine's.
+    let clock = machine.clock();
+    machine.apply(Command::Expire {
+        at: common::wall(MINUTE),
+    });
+    assert_eq!(machine.clock(), clock);
 }
