Decide on deadlines and retries, estimate lengths, hash prefixes

Cause: a request that can't end in time, a failure that may not be tried again and a prompt whose length is not known must each be decided before anything is spent. Change: `deadline` (bounds, estimate, when to come back), `retry` (what is safe, budgets per organisation and host, back-off with jitter), `length::Estimator` (bytes to tokens, corrected by the engines' counts), `prefix` (32 hashes of growing parts, up to a million tokens). `choice` counts cached tokens by them; its `block` setting is gone. Ruled out: equal prefix blocks, since 32 of them end at 16,000 tokens and the long prompts have most to gain. Charging the budget for work that a leaving upstream gives back, since a planned stop would fail requests.

--- a/almondlock-policy/src/choice/pick.rs
+++ b/almondlock-policy/src/choice/pick.rs
@@ -4,6 +4,7 @@
 use rand::Rng;
 
 use super::table::{Ask, Index, Row, Table};
+use crate::prefix;
 
 /// Most candidates looked at in one decision, beside those for a prefix.
 const DRAW_LIMIT: usize = 8;
@@ -160,18 +161,17 @@
 /// would save.
 fn prefix_candidates(table: &Table, ask: &Ask<'_>) -> impl Iterator<Item = (u32, u64)> + use<> {
     let mut found: [Option<(u32, u64)>; PREFIX_CANDIDATES] = [None; PREFIX_CANDIDATES];
-    let block = table.config.block.0;
     if let Some((slot, blocks)) = table.hints.longest(ask.prefix) {
-        found[0] = Some((slot, blocks as u64 * block));
+        found[0] = Some((slot, prefix::tokens(blocks).0));
     }
     // The first block is what prompts share most often: hashing by it brings
     // all that share it together, from every entry host.
     if let Some(first) = ask.prefix.first() {
-        let blocks = ask.prefix.len() as u64;
-        let hoped = blocks * block * u64::from(table.config.faith.min(100)) / 100;
+        let whole = prefix::tokens(ask.prefix.len()).0;
+        let hoped = whole * u64::from(table.config.faith.min(100)) / 100;
         for (place, slot) in found[1..].iter_mut().zip(table.rendezvous(*first)) {
             let saved = |slot| {
-                let known = table.hints.depth(ask.prefix, slot) as u64 * block;
+                let known = prefix::tokens(table.hints.depth(ask.prefix, slot)).0;
                 (slot, known.max(hoped))
             };
             *place = slot.map(saved);
--- a/almondlock-policy/src/choice/table.rs
+++ b/almondlock-policy/src/choice/table.rs
@@ -29,8 +29,6 @@
     /// What a prefix is taken to save at the upstream it hashes to when it is
     /// not known whether it was processed there, in percent of its tokens.
     pub faith: u32,
-    /// Tokens that one prefix hash stands for.
-    pub block: Tokens,
     /// Prefixes remembered.
     pub hints: usize,
     /// Prefill speed to assume for an upstream that has not told, in tokens
@@ -56,7 +54,6 @@
             half_life: Duration::from_millis(500),
             hot: 30,
             faith: 50,
-            block: Tokens(512),
             hints: 16_384,
             speed: 8_000,
             short_only: 0,
@@ -102,7 +99,7 @@
     pub prompt: Tokens,
     /// Most tokens of the answer.
     pub output: Tokens,
-    /// Hashes of the prompt's leading blocks, shortest prefix first.
+    /// Hashes of the prompt's leading parts, as [`crate::prefix`] makes them.
     pub prefix: &'a [u64],
     /// Upstreams that already failed or refused this request.
     pub excluded: &'a [Index],
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -10,15 +10,21 @@
 //! | module | process | question |
 //! |---|---|---|
 //! | [`length`] | entry | how long is the prompt, which class is it in |
+//! | [`prefix`] | entry | which prompts begin alike |
+//! | [`deadline`] | entry | how long may it take, and will that do |
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
+//! | [`retry`] | entry | is a failed attempt followed by another |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //!
 //! Each module stands alone: none needs another one to be useful.
 
 pub mod choice;
+pub mod deadline;
 pub mod gate;
 pub mod length;
 pub mod limit;
+pub mod prefix;
 pub mod queue;
+pub mod retry;
--- /dev/null
+++ b/almondlock-policy/tests/retry_storm.rs
@@ -0,0 +1,161 @@
+//! Half the upstreams fail. Each caller's request fails there every second
+//! time. If each failure were tried again until it works, the other half would
+//! get twice the work and fail too. Retries must stay a fraction of the fresh
+//! requests, spread in time, and the callers beyond that are answered at once.
+
+#![cfg(test)]
+
+use std::time::Duration;
+
+use almondlock_base::{Code, Ran, id::Organisation, time::Mono};
+use almondlock_policy::retry::{Config, Decision, Failure, Policy, Safety, merge, safety};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+fn bank() -> Organisation {
+    Organisation::new("bank").unwrap()
+}
+
+fn lost() -> Failure {
+    Failure {
+        code: Code::UpstreamLost,
+        ran: Ran::Unknown,
+        repeatable: true,
+        streamed: 0,
+        resumable: true,
+    }
+}
+
+const LEFT: Duration = Duration::from_secs(30);
+
+#[test]
+fn retries_stay_a_fraction() {
+    let mut policy = Policy::new(Config::default());
+    let mut rng = SmallRng::seed_from_u64(4);
+    let (mut retries, mut gone) = (0, 0);
+    let fresh = 6_000;
+    for i in 0..fresh {
+        // 600 a second for ten seconds.
+        let now = Mono::from_micros(i * 1_667);
+        policy.fresh(&bank(), now);
+        let mut made = 1;
+        while rng.random_bool(0.5) {
+            match policy.decide(&bank(), &lost(), made, LEFT, now, &mut rng) {
+                Decision::Retry { .. } => retries += 1,
+                Decision::GiveUp { retry_after, .. } => {
+                    assert!(!retry_after.is_zero());
+                    gone += 1;
+                    break;
+                }
+            }
+            made += 1;
+        }
+    }
+    // A tenth, what was saved up and what is free.
+    assert!(
+        (600..=600 + 20 + 5).contains(&retries),
+        "{retries} of {fresh}"
+    );
+    assert!(gone > 2_000, "{gone}");
+}
+
+#[test]
+fn one_organisation_cannot_spend_for_another() {
+    let mut policy = Policy::new(Config::default());
+    let mut rng = SmallRng::seed_from_u64(4);
+    let now = Mono::ZERO;
+    let quiet = Organisation::new("quiet").unwrap();
+    for _ in 0..1_000 {
+        policy.fresh(&bank(), now);
+        policy.fresh(&quiet, now);
+        policy.decide(&bank(), &lost(), 1, LEFT, now, &mut rng);
+    }
+    let decision = policy.decide(&quiet, &lost(), 1, LEFT, now, &mut rng);
+    assert!(matches!(decision, Decision::Retry { .. }), "{decision:?}");
+}
+
+#[test]
+fn back_off_is_spread_and_grows() {
+    let config = Config {
+        burst: 1e6,
+        attempts: 20,
+        ..Config::default()
+    };
+    let mut policy = Policy::new(config);
+    let mut rng = SmallRng::seed_from_u64(4);
+    policy.fresh(&bank(), Mono::ZERO);
+    let mut after = |made| match policy.decide(&bank(), &lost(), made, LEFT, Mono::ZERO, &mut rng) {
+        Decision::Retry { after, .. } => after,
+        Decision::GiveUp { .. } => panic!("within the budget"),
+    };
+    let first: Vec<Duration> = (0..100).map(|_| after(1)).collect();
+    let distinct: std::collections::BTreeSet<_> = first.iter().collect();
+    assert!(distinct.len() > 90);
+    assert!(first.iter().all(|d| (10..=20).contains(&d.as_millis())));
+    assert!(after(4) >= Duration::from_millis(80));
+    assert!(after(15) <= Duration::from_secs(1));
+}
+
+#[parameterized(
+    fresh = { lost(), Safety::Again },
+    once_and_lost = { Failure { repeatable: false, ..lost() }, Safety::Never },
+    once_and_refused = {
+        Failure { repeatable: false, ran: Ran::No, code: Code::UpstreamLeaving, ..lost() },
+        Safety::Again
+    },
+    in_part = { Failure { streamed: 7, ..lost() }, Safety::Resume(7) },
+    in_part_without_resume = {
+        Failure { streamed: 7, resumable: false, ..lost() },
+        Safety::Never
+    },
+    once_in_part = { Failure { streamed: 7, repeatable: false, ..lost() }, Safety::Never },
+    hopeless = { Failure { code: Code::PromptTooLong, ran: Ran::No, ..lost() }, Safety::Never },
+    quarantined = { Failure { code: Code::Quarantined, ran: Ran::No, ..lost() }, Safety::Never },
+)]
+fn what_may_follow(failure: Failure, expected: Safety) {
+    assert_eq!(safety(&failure), expected);
+}
+
+#[test]
+fn a_planned_stop_is_not_charged() {
+    let mut policy = Policy::new(Config::default());
+    let mut rng = SmallRng::seed_from_u64(4);
+    policy.fresh(&bank(), Mono::ZERO);
+    let moved = Failure {
+        code: Code::UpstreamLeaving,
+        ran: Ran::No,
+        repeatable: false,
+        ..lost()
+    };
+    for _ in 0..500 {
+        let decision = policy.decide(&bank(), &moved, 1, LEFT, Mono::ZERO, &mut rng);
+        let now = Decision::Retry {
+            after: Duration::ZERO,
+            offset: 0,
+        };
+        assert_eq!(decision, now);
+    }
+}
+
+#[test]
+fn no_time_left_is_the_final_answer() {
+    let mut policy = Policy::new(Config::default());
+    let mut rng = SmallRng::seed_from_u64(4);
+    policy.fresh(&bank(), Mono::ZERO);
+    let left = Duration::from_millis(1);
+    let decision = policy.decide(&bank(), &lost(), 1, left, Mono::ZERO, &mut rng);
+    let Decision::GiveUp { code, ran, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!((code, ran), (Code::UpstreamLost, Ran::Unknown));
+}
+
+#[parameterized(
+    none = { Ran::No, Ran::No, Ran::No },
+    earlier = { Ran::Yes, Ran::No, Ran::Yes },
+    doubt = { Ran::Unknown, Ran::No, Ran::Unknown },
+    both = { Ran::Unknown, Ran::Yes, Ran::Yes },
+)]
+fn attempts_add_up(before: Ran, attempt: Ran, expected: Ran) {
+    assert_eq!(merge(before, attempt), expected);
+}
