--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -3,7 +3,7 @@
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use almondlock_base::{time::Mono, unit::Revision};
-use almondlock_transport::Link;
+use almondlock_transport::Dialer;
 use almondlock_wire::almondlock_capnp::{delta, spread};
 use tokio::time::sleep;
 
@@ -16,9 +16,10 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 pub(crate) async fn run(config: Config, shared: Arc<Shared>, handle: Handle) {
+    let dialer = Dialer::new(config.security);
     loop {
         for seed in &config.seeds {
-            if let Err(error) = follow(*seed, &shared, &handle).await {
+            if let Err(error) = follow(&dialer, *seed, &shared, &handle).await {
                 tracing::debug!(%seed, %error, "fetching failed");
             }
         }
@@ -26,8 +27,14 @@
     }
 }
 
-async fn follow(seed: SocketAddr, shared: &Shared, handle: &Handle) -> Result<(), capnp::Error> {
-    let link = Link::dial(seed)
+async fn follow(
+    dialer: &Dialer,
+    seed: SocketAddr,
+    shared: &Shared,
+    handle: &Handle,
+) -> Result<(), capnp::Error> {
+    let link = dialer
+        .dial(seed)
         .await
         .map_err(|error: io::Error| capnp::Error::disconnected(error.to_string()))?;
     let answer = link.node().spread_request().send().promise.await?;
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -2,11 +2,11 @@
 //! with a bootstrap interface, a view of the configuration in force that is
 //! kept up to date from other processes, and links to peers.
 
-pub mod clock;
 mod fetch;
 pub mod handle;
 pub mod node;
 pub mod server;
 
+pub use almondlock_transport::clock;
 pub use handle::{Handle, Vouch};
 pub use node::{Config, Node, Parts};
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -11,7 +11,7 @@
 
 use almondlock_base::id::{Domain, Host, Incarnation, Region, Upstream};
 use almondlock_spread::view::View;
-use almondlock_transport::{Security, link};
+use almondlock_transport::{Security, listen};
 use almondlock_wire::{
     almondlock_capnp::{control, node, sidecar},
     peer::Peer,
@@ -87,11 +87,9 @@
         });
         let handle = Handle::new(Arc::clone(&shared));
         let server: node::Client = capnp_rpc::new_client(Server::new(handle.clone(), parts));
-        let mut tasks = vec![spawn_local(async move {
-            if let Err(error) = link::serve(listener, server).await {
-                tracing::error!(%error, "the inner listener failed");
-            }
-        })];
+        let limits = listen::Config::new(config.security.clone());
+        let serving = listen::serve_with(listener, limits, move |_, _| server.clone());
+        let mut tasks = vec![spawn_local(serving)];
         if !is_source {
             tasks.push(spawn_local(fetch::run(config, shared, handle.clone())));
         }
