--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -49,6 +49,8 @@
     pub begun: bool,
     /// Whether the caller's side stopped taking pieces.
     pub left: bool,
+    /// What a whole answer cost.
+    pub usage: Option<Usage>,
 }
 
 struct Sink {
@@ -56,6 +58,7 @@
     pieces: mpsc::Sender<Piece>,
     left: Cell<bool>,
     begun: Cell<bool>,
+    usage: RefCell<Option<Usage>>,
 }
 
 impl Sink {
@@ -76,7 +79,10 @@
             } => Piece::Begin(status, content_type),
             Part::Text(text) => Piece::Text(text),
             Part::Bytes(bytes) => Piece::Bytes(bytes),
-            Part::End(usage) => Piece::End(usage),
+            Part::End(usage) => {
+                self.usage.replace(Some(usage.clone()));
+                Piece::End(usage)
+            }
         };
         self.pieces.send(piece).await.map_err(|_| {
             self.left.set(true);
@@ -138,6 +144,7 @@
         pieces,
         left: Cell::new(false),
         begun: Cell::new(begun),
+        usage: RefCell::default(),
     });
     let outcome = tokio::select! {
         outcome = submit(session, handle, upstream, head, rope, Rc::clone(&sink)) => outcome.ok(),
@@ -150,6 +157,7 @@
         whole: assembly.is_whole(),
         begun: sink.begun.get(),
         left: sink.left.get(),
+        usage: sink.usage.take(),
     }
 }
 
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -13,6 +13,7 @@
     unit::Tokens,
 };
 use almondlock_node::clock;
+use almondlock_policy::prefix;
 use almondlock_telemetry::trace::Context;
 use almondlock_wire::{answer::Usage, attempt::Target};
 use futures::{StreamExt, stream};
@@ -35,7 +36,6 @@
     claimed,
     failure::Failure,
     life::Worker,
-    prompt,
     request::Request,
     shared::Active,
 };
@@ -238,7 +238,10 @@
         return Err(Failure::with_message(Code::UnknownModel, "no such adapter"));
     }
     let text = &bytes[spec.prompt.0..spec.prompt.1];
-    let length = prompt::estimate(text.len());
+    let length = match &spec.target {
+        Target::Model(model, _) => worker.shared.estimate(model, text.len()),
+        Target::Service(_) => Tokens::ZERO,
+    };
     if length + spec.output > context {
         let message = format!(
             "the prompt and its answer take about {length} + {} tokens of {context}",
@@ -259,9 +262,10 @@
         fingerprint: Fingerprint::new(&caller.organisation, shape.path(), &bytes),
         digest: digest(shape.path(), &bytes),
         body: rope,
+        prompt_bytes: text.len(),
         prompt: length,
         output: spec.output,
-        prefix: prompt::prefix(text),
+        prefix: prefix::hashes(text),
         stream: spec.stream,
         repeatable,
         key: caller.key.clone(),
@@ -338,7 +342,8 @@
         content_type: content_type.to_owned(),
         fingerprint: Fingerprint::new(&caller.organisation, &told, &bytes),
         digest: digest(&told, &bytes),
-        prompt: prompt::estimate(bytes.len()).max(Tokens(1)),
+        prompt_bytes: 0,
+        prompt: Tokens(1),
         output: Tokens(1),
         body: Rope::whole(bytes),
         prefix: Vec::new(),
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -1,10 +1,10 @@
 //! A request's life on the entry host: admission, claim, attempts, end.
 //!
-//! Everything that decides whether something may be sent again stands here and
-//! in [`again`]: a request goes to a second upstream only when the first one
-//! provably did not run it, or when it may be repeated and its caller has seen
-//! nothing of an answer, or when the rest of a deterministic answer can be
-//! asked for at the token where it broke.
+//! Whether something may be sent again is decided by [`retry`]: a request goes
+//! to a second upstream only when the first one provably did not run it, or
+//! when it may be repeated and its caller has seen nothing of an answer, or
+//! when the rest of a deterministic answer can be asked for at the token where
+//! it broke.
 
 use std::{cell::RefCell, sync::Arc, time::Duration};
 
@@ -13,9 +13,13 @@
     id::{Incarnation, Upstream},
 };
 use almondlock_node::{clock, links::Links, replicas::Replicas};
-use almondlock_policy::choice::{Ask, Index, Picker, Probing, Report};
+use almondlock_policy::{
+    choice::{Ask, Index, Picker, Probing, Report},
+    retry::{self, Decision},
+};
+use almondlock_wire::answer::Usage;
 use almondlock_wire::attempt::{Head, INLINE_BODY, Load, Outcome, Target};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
     sync::mpsc,
     time::{sleep, timeout},
@@ -31,8 +35,6 @@
 
 /// When to come back when no upstream can be had.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
-/// First pause before another attempt; doubles each time, with jitter.
-const FIRST_PAUSE: Duration = Duration::from_millis(10);
 /// How long the configuration that explains a death is waited for.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
 /// What the sidecar gets beyond the deadline to say how a run ended.
@@ -73,9 +75,12 @@
 /// How it goes on after an attempt.
 enum Next {
     Done,
-    Again(Failure),
-    /// Again, from the first token: what was gathered is thrown away.
-    Restart(Failure),
+    /// Another attempt, after a pause. `restart`: from the first token, and
+    /// what was gathered is thrown away.
+    Again {
+        after: Duration,
+        restart: bool,
+    },
     Fail(Failure),
 }
 
@@ -123,23 +128,20 @@
             self.check(request, &mut course)?;
             let place = self.choose(request, &course)?;
             course.attempts += 1;
-            let next = self.attempt(request, &place, &mut course, pieces).await;
-            let failure = match next {
+            match self.attempt(request, &place, &mut course, pieces).await {
                 Next::Done => return Ok(()),
-                Next::Fail(failure) => return Err(failure),
-                Next::Again(failure) => failure,
-                Next::Restart(failure) => {
-                    let _ = pieces.send(Piece::Restart).await;
-                    failure
+                Next::Fail(failure) => {
+                    self.note(request, format!("no further attempt: {failure}"));
+                    return Err(failure);
+                }
+                Next::Again { after, restart } => {
+                    course.excluded.push(place.index);
+                    if restart {
+                        let _ = pieces.send(Piece::Restart).await;
+                    }
+                    sleep(after).await;
                 }
-            };
-            course.excluded.push(place.index);
-            let spent = course.attempts > self.shared.config.retries;
-            if spent || !self.shared.spend_retry() {
-                self.note(request, format!("no further attempt: {failure}"));
-                return Err(exhausted(failure));
             }
-            self.pause(request, &course).await;
         }
     }
 
@@ -229,7 +231,7 @@
             // is sent again, or it would run as if it were innocent.
             self.shared.handle.catch_up(NEWS_TIMEOUT).await;
         }
-        again(request, place.resumable, course, outcome, left)
+        self.again(request, place.resumable, course, outcome, left)
     }
 
     /// Sends an attempt and sees it to an outcome, also when its session or
@@ -263,6 +265,7 @@
             Ok(result) => {
                 course.offset = course.offset.max(result.offset);
                 course.begun |= result.begun;
+                self.learn(request, result.usage.as_ref());
                 (result.outcome, result.whole, result.left)
             }
             Err(_) => (None, false, false),
@@ -279,6 +282,14 @@
         }
     }
 
+    /// Corrects the estimate of prompt lengths by what the engine counted.
+    fn learn(&self, request: &Request, usage: Option<&Usage>) {
+        if let (Target::Model(model, _), Some(usage)) = (&request.target, usage) {
+            let bytes = request.prompt_bytes;
+            self.shared.learn_length(model, bytes, usage.prompt);
+        }
+    }
+
     /// Nobody knows whether an attempt ran: its sidecar is asked, over a new
     /// session, and leaves a tombstone so that a copy still under way is
     /// dropped. Only its word makes "not run" true.
@@ -366,14 +377,91 @@
         });
     }
 
-    async fn pause(&self, request: &Request, course: &Course) {
-        let base = FIRST_PAUSE * 2u32.saturating_pow(course.attempts.min(8));
-        let jitter = self.with_rng(|rng| rng.random_range(0.5..1.0));
-        let pause = base.mul_f64(jitter).min(request.left(clock::mono()));
-        sleep(pause).await;
+    /// Decides how a request goes on after an attempt.
+    fn again(
+        &self,
+        request: &Request,
+        resumable: bool,
+        course: &mut Course,
+        outcome: Outcome,
+        left: bool,
+    ) -> Next {
+        let Some(code) = outcome.code else {
+            return Next::Done;
+        };
+        course.ran = retry::merge(course.ran, outcome.ran);
+        if left {
+            return Next::Fail(Failure::new(Code::CallerLeft).ran(course.ran));
+        }
+        let mut failure = Failure::with_message(code, outcome.message).ran(course.ran);
+        failure.retry_after = outcome.retry_after;
+        if is_final(code) {
+            return Next::Fail(failure);
+        }
+        // Of a model's answer, the caller has seen nothing before the first
+        // token; a service's begins with its status. What goes out in one piece
+        // has not gone out yet.
+        let is_model = matches!(request.target, Target::Model(..));
+        let restart = !request.stream && course.offset > 0 && !resumable;
+        let streamed = match course.offset {
+            _ if restart => 0,
+            0 if course.begun && !is_model => 1,
+            offset => offset,
+        };
+        let failed = retry::Failure {
+            code,
+            ran: course.ran,
+            repeatable: request.repeatable,
+            streamed,
+            resumable,
+        };
+        let now = clock::mono();
+        let decision = self.shared.with_retries(|retries| {
+            let made = course.attempts;
+            let left = request.left(now);
+            let organisation = &request.organisation;
+            self.with_rng(|rng| retries.decide(organisation, &failed, made, left, now, rng))
+        });
+        match decision {
+            Decision::Retry { after, .. } => {
+                if restart {
+                    course.offset = 0;
+                    course.begun = false;
+                }
+                Next::Again { after, restart }
+            }
+            Decision::GiveUp {
+                code,
+                ran,
+                retry_after,
+            } => {
+                if code != failure.code {
+                    failure.message = format!("{} Last: {}", code.text(), failure.message);
+                }
+                failure.code = code;
+                failure.ran = ran;
+                let wait = failure.retry_after.unwrap_or(retry_after);
+                failure.retry_after = (!wait.is_zero()).then_some(wait);
+                Next::Fail(failure)
+            }
+        }
     }
 }
 
+/// Whether no other upstream would answer differently, or in time.
+fn is_final(code: Code) -> bool {
+    matches!(
+        code,
+        Code::PromptTooLong
+            | Code::Quarantined
+            | Code::DeadlinePassed
+            | Code::DeadlineUnreachable
+            | Code::QueueTimeout
+            | Code::CallerLeft
+            | Code::SlowReader
+    )
+}
+
 /// The form of a load that choices are made by.
 pub fn report(load: &Load) -> Report {
     Report {
@@ -392,77 +480,3 @@
     };
     Failure::new(code).ran(ran)
 }
-
-/// Retries are spent; what the last attempt said of its running stands.
-fn exhausted(failure: Failure) -> Failure {
-    if failure.ran != Ran::No {
-        return failure;
-    }
-    let message = format!(
-        "{} Last: {}",
-        Code::RetriesExhausted.text(),
-        failure.message
-    );
-    let spent = Failure::with_message(Code::RetriesExhausted, message);
-    spent.retry_after(failure.retry_after.unwrap_or(NO_UPSTREAM_RETRY))
-}
-
-/// The worse of two answers to "did it run": once it may have, it may have.
-fn worse(one: Ran, other: Ran) -> Ran {
-    match (one, other) {
-        (Ran::Yes, _) | (_, Ran::Yes) => Ran::Yes,
-        (Ran::Unknown, _) | (_, Ran::Unknown) => Ran::Unknown,
-        (Ran::No, Ran::No) => Ran::No,
-    }
-}
-
-/// Decides how a request goes on after an attempt.
-fn again(
-    request: &Request,
-    resumable: bool,
-    course: &mut Course,
-    outcome: Outcome,
-    left: bool,
-) -> Next {
-    let Some(code) = outcome.code else {
-        return Next::Done;
-    };
-    course.ran = worse(course.ran, outcome.ran);
-    let mut failure = Failure::with_message(code, outcome.message).ran(course.ran);
-    failure.retry_after = outcome.retry_after;
-    if left {
-        return Next::Fail(Failure::new(Code::CallerLeft).ran(course.ran));
-    }
-    // No other upstream would answer these differently.
-    let is_final = matches!(
-        code,
-        Code::PromptTooLong
-            | Code::Quarantined
-            | Code::DeadlinePassed
-            | Code::DeadlineUnreachable
-            | Code::QueueTimeout
-            | Code::CallerLeft
-            | Code::SlowReader
-    );
-    if is_final {
-        return Next::Fail(failure);
-    }
-    let safe = outcome.ran == Ran::No || request.repeatable;
-    // Of a model's answer, the caller has seen nothing before the first token;
-    // a service's begins with the status it gave.
-    let is_model = matches!(request.target, Target::Model(..));
-    let unseen = course.offset == 0 && (is_model || !course.begun);
-    // What is delivered in one piece has not been delivered yet.
-    if safe && !unseen && !resumable && !request.stream {
-        course.offset = 0;
-        course.begun = false;
-        return Next::Restart(failure);
-    }
-    // Words of another run must never be glued to those already delivered:
-    // the rest is asked for only where the engine gives the same continuation.
-    if safe && (unseen || resumable) {
-        Next::Again(failure)
-    } else {
-        Next::Fail(failure)
-    }
-}
--- a/almondlock-entry/src/request.rs
+++ b/almondlock-entry/src/request.rs
@@ -34,7 +34,9 @@
     pub fingerprint: Fingerprint,
     /// A hash of path and body, for its claim.
     pub digest: [u8; 32],
-    /// Estimated length of the prompt.
+    /// Length of the prompt in the body, in bytes; 0 where there is none.
+    pub prompt_bytes: usize,
+    /// Its estimated length.
     pub prompt: Tokens,
     /// Upper bound of the answer.
     pub output: Tokens,
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -14,6 +14,7 @@
     unit::Revision,
 };
 use almondlock_spread::view::View;
+use almondlock_transport::Security;
 use almondlock_wire::peer::{Peer, VERSION};
 use tokio::sync::Notify;
 
@@ -66,6 +67,7 @@
     pub(crate) host: Host,
     pub(crate) incarnation: Incarnation,
     pub(crate) view: View,
+    pub(crate) security: Security,
     /// Until when the view is known to be current.
     pub(crate) current: Vouch,
     /// A source without a vouch is its own authority.
@@ -85,6 +87,11 @@
         &self.shared.view
     }
 
+    /// What inner sessions are wrapped in.
+    pub fn security(&self) -> &Security {
+        &self.shared.security
+    }
+
     /// This process as it names itself in exchanges.
     pub fn peer(&self) -> Peer {
         Peer {
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -4,7 +4,6 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
-pub mod clock;
 mod fetch;
 pub mod handle;
 pub mod links;
@@ -12,5 +11,6 @@
 pub mod replicas;
 pub mod server;
 
+pub use almondlock_transport::clock;
 pub use handle::{Handle, Vouch};
 pub use node::{Config, Node, Parts, Sidecars};
