--- a/almondlock-control/src/lib.rs
+++ b/almondlock-control/src/lib.rs
@@ -3,3 +3,4 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod replica;
+pub mod admin;
