Check reports and deltas of the tree once, at the border

The schema's texts and spare numbers get their meaning in one module: members, the way up to a source and its age, sources that exchange reports.

--- a/almondlock-wire/src/lib.rs
+++ b/almondlock-wire/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod almondlock_capnp;
 
 pub mod peer;
+pub mod spread;
