--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -2,11 +2,19 @@
 //! with a bootstrap interface, a view of the configuration in force that is
 //! kept up to date from other processes, and links to peers.
 
+<<<<<<< HEAD
+=======
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
+pub mod clock;
+>>>>>>> main
 mod fetch;
 pub mod handle;
+pub mod links;
 pub mod node;
+pub mod replicas;
 pub mod server;
 
 pub use almondlock_transport::clock;
 pub use handle::{Handle, Vouch};
-pub use node::{Config, Node, Parts};
+pub use node::{Config, Node, Parts, Sidecars};
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -1,7 +1,7 @@
 //! A running node.
 
 use std::{
-    cell::Cell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     io,
     net::SocketAddr,
@@ -47,11 +47,35 @@
     pub security: Security,
 }
 
+/// Sidecars by the upstream they stand in front of. Upstreams announce
+/// themselves, so the set changes while the process runs; clones share it.
+#[derive(Clone, Default)]
+pub struct Sidecars {
+    inner: Rc<RefCell<HashMap<Upstream, sidecar::Client>>>,
+}
+
+impl Sidecars {
+    /// Offers a sidecar, in place of one of the same name.
+    pub fn insert(&self, upstream: Upstream, client: sidecar::Client) {
+        self.inner.borrow_mut().insert(upstream, client);
+    }
+
+    /// No longer offers a sidecar.
+    pub fn remove(&self, upstream: &Upstream) {
+        self.inner.borrow_mut().remove(upstream);
+    }
+
+    /// The sidecar of an upstream.
+    pub fn get(&self, upstream: &Upstream) -> Option<sidecar::Client> {
+        self.inner.borrow().get(upstream).cloned()
+    }
+}
+
 /// What the process's roles offer to other processes.
 #[derive(Default)]
 pub struct Parts {
     /// Sidecars by the upstream they stand in front of.
-    pub sidecars: HashMap<Upstream, sidecar::Client>,
+    pub sidecars: Sidecars,
     /// The control interface, on a replica.
     pub control: Option<control::Client>,
     /// Whether this process extends the view itself, as a replica does.
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -46,7 +46,7 @@
         let name = Upstream::new(name).map_err(|error| capnp::Error::failed(error.to_string()))?;
         match self.parts.sidecars.get(&name) {
             Some(client) => {
-                results.get().set_sidecar(client.clone());
+                results.get().set_sidecar(client);
                 Ok(())
             }
             None => Err(capnp::Error::failed(format!(
--- a/almondlock-node/tests/first_fetch.rs
+++ b/almondlock-node/tests/first_fetch.rs
@@ -1,7 +1,5 @@
 //! A process that starts with nothing reaches a source's revision.
 
-#![allow(clippy::unwrap_used)]
-
 use std::time::Duration;
 
 use almondlock_base::id::{Domain, Host, Incarnation, Region};
--- a/almondlock-settings/tests/settings_page.rs
+++ b/almondlock-settings/tests/settings_page.rs
@@ -1,7 +1,5 @@
 //! The page and the table of keys say the same.
 
-#![allow(clippy::expect_used)]
-
 use std::{collections::HashSet, fs, path::Path};
 
 use almondlock_settings::key::{KEYS, Need, SECTIONS, Shape};
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -7,4 +7,20 @@
 //! replicas hold (claims, plans, history), because the first is spread to
 //! hundreds of processes and the second changes with the traffic.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
+pub mod blob;
+pub mod claim;
+pub mod command;
 pub mod config;
+pub mod history;
+pub mod intent;
+pub mod limit;
+pub mod machine;
+pub mod operator;
+pub mod order;
+pub mod plan;
+pub mod poison;
+pub mod registration;
+pub mod replica;
+pub mod tables;
--- a/almondlock-telemetry/src/lib.rs
+++ b/almondlock-telemetry/src/lib.rs
@@ -10,6 +10,8 @@
 //! Nothing here may slow a request: what can't be written at once is dropped
 //! and counted.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod log;
 pub mod metrics;
 pub mod secret;
--- a/almondlock-wire/src/peer.rs
+++ b/almondlock-wire/src/peer.rs
@@ -4,11 +4,13 @@
 //! side of an exchange sees that the other holds a newer one goes to fetch it.
 
 use almondlock_base::{
-    id::{self, Host, Incarnation},
+    id::{Host, Incarnation},
     unit::Revision,
 };
 
 use crate::almondlock_capnp::peer;
+pub use crate::error::Error;
+pub(crate) use crate::error::text;
 
 /// The version of the inner protocol that this build speaks.
 pub const VERSION: u16 = 1;
@@ -45,67 +47,3 @@
         builder.set_revision(self.revision.0);
     }
 }
-
-/// A message that breaks the protocol's rules.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Error {
-    kind: Kind,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-enum Kind {
-    #[error("unreadable message: {0}")]
-    Message(String),
-    #[error(transparent)]
-    Name(#[from] id::Error),
-    #[error("bad {field}: {problem}")]
-    Field {
-        field: &'static str,
-        problem: String,
-    },
-}
-
-impl Error {
-    /// A field whose value can't be used.
-    pub fn field(field: &'static str, problem: &str) -> Error {
-        let problem = problem.chars().take(200).collect();
-        Error {
-            kind: Kind::Field { field, problem },
-        }
-    }
-}
-
-impl std::fmt::Display for Error {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.kind.fmt(f)
-    }
-}
-
-impl std::error::Error for Error {}
-
-impl From<id::Error> for Error {
-    fn from(error: id::Error) -> Error {
-        Error { kind: error.into() }
-    }
-}
-
-impl From<capnp::Error> for Error {
-    fn from(error: capnp::Error) -> Error {
-        Error {
-            kind: Kind::Message(error.to_string()),
-        }
-    }
-}
-
-impl From<Error> for capnp::Error {
-    fn from(error: Error) -> capnp::Error {
-        capnp::Error::failed(error.to_string())
-    }
-}
-
-/// Reads a text field, which the protocol says is UTF-8.
-pub(crate) fn text(reader: capnp::text::Reader<'_>) -> Result<&str, Error> {
-    reader
-        .to_str()
-        .map_err(|error| Error::field("text", &error.to_string()))
-}
--- a/almondlock-wire/src/spread.rs
+++ b/almondlock-wire/src/spread.rs
@@ -22,7 +22,8 @@
 
 use crate::{
     almondlock_capnp::{delta, piece, report, spread},
-    peer::{Error, Peer, text},
+    error::{Error, text},
+    peer::Peer,
 };
 
 /// Laggards that one report may name.
@@ -277,7 +278,7 @@
 impl Delta {
     /// Reads and checks an answer.
     pub fn read(reader: delta::Reader<'_>) -> Result<Delta, Error> {
-        let body = match reader.which().map_err(capnp::Error::from)? {
+        let body = match reader.which().? {
             delta::Which::None(()) => Body::Empty,
             delta::Which::Changes(changes) => {
                 let changes = changes?.iter().take(CHANGES);
--- a/almondlock-wire/tests/spread_border.rs
+++ b/almondlock-wire/tests/spread_border.rs
@@ -1,7 +1,5 @@
 //! Reports and deltas come back as they were sent, and bad ones are refused.
 
-#![allow(clippy::unwrap_used)]
-
 use std::time::Duration;
 
 use almondlock_base::{
