--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -2,12 +2,8 @@
 //! with a bootstrap interface, a view of the configuration in force that is
 //! kept up to date from other processes, and links to peers.
 
-<<<<<<< HEAD
-=======
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
-pub mod clock;
->>>>>>> main
 mod fetch;
 pub mod handle;
 pub mod links;
--- a/almondlock-transport/src/lib.rs
+++ b/almondlock-transport/src/lib.rs
@@ -8,15 +8,12 @@
 //! ([`Security`]), with a bound on the size of a message. [`link`] dials and
 //! [`listen`] serves; [`pool`] keeps one session per address and thread.
 
-<<<<<<< HEAD
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod backoff;
 pub mod clock;
 pub mod fault;
 pub mod layer;
-=======
-#![warn(clippy::unwrap_used, clippy::expect_used)]
-
->>>>>>> main
 pub mod link;
 pub mod listen;
 pub mod pool;
--- a/almondlock-wire/src/spread.rs
+++ b/almondlock-wire/src/spread.rs
@@ -278,7 +278,7 @@
 impl Delta {
     /// Reads and checks an answer.
     pub fn read(reader: delta::Reader<'_>) -> Result<Delta, Error> {
-        let body = match reader.which().? {
+        let body = match reader.which()? {
             delta::Which::None(()) => Body::Empty,
             delta::Which::Changes(changes) => {
                 let changes = changes?.iter().take(CHANGES);
--- a/almondlock-wire/tests/spread_border.rs
+++ b/almondlock-wire/tests/spread_border.rs
@@ -44,10 +44,8 @@
     };
     let mut message = Builder::new_default();
     fetch.write(message.init_root::<spread::fetch_params::Builder<'_>>());
-    assert_eq!(
-        Fetch::read(message.get_root_as_reader().unwrap()),
-        Ok(fetch)
-    );
+    let read = Fetch::read(message.get_root_as_reader().unwrap());
+    assert_eq!(read.unwrap(), fetch);
 }
 
 #[parameterized(
@@ -68,10 +66,8 @@
     };
     let mut message = Builder::new_default();
     delta.write(message.init_root::<delta::Builder<'_>>());
-    assert_eq!(
-        Delta::read(message.get_root_as_reader().unwrap()),
-        Ok(delta)
-    );
+    let read = Delta::read(message.get_root_as_reader().unwrap());
+    assert_eq!(read.unwrap(), delta);
 }
 
 #[parameterized(
