--- a/almondlock-settings/tests/example_files.rs
+++ b/almondlock-settings/tests/example_files.rs
@@ -1,7 +1,5 @@
 //! The example deployments load, and each holds together.
 
-#![allow(clippy::expect_used)]
-
 use std::{collections::HashSet, fs, path::Path};
 
 use almondlock_settings::{Settings, load};
--- a/almondlock-transport/tests/common/mod.rs
+++ b/almondlock-transport/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! A listener with a bootstrap interface that answers `hello`.
 
-#![allow(clippy::unwrap_used, dead_code)]
+#![allow(dead_code)]
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
--- a/almondlock-transport/tests/fault_layer.rs
+++ b/almondlock-transport/tests/fault_layer.rs
@@ -1,7 +1,5 @@
 //! Faults reach live connections, and only those between the two processes.
 
-#![allow(clippy::unwrap_used)]
-
 mod common;
 
 use std::{io, net::SocketAddr, time::Duration};
--- a/almondlock-transport/tests/link_pool.rs
+++ b/almondlock-transport/tests/link_pool.rs
@@ -1,7 +1,5 @@
 //! One session per address, dialled anew when it ends.
 
-#![allow(clippy::unwrap_used)]
-
 mod common;
 
 use std::{io, net::SocketAddr, time::Duration};
--- a/almondlock-transport/tests/mutual_tls.rs
+++ b/almondlock-transport/tests/mutual_tls.rs
@@ -1,7 +1,5 @@
 //! Processes prove who they are; strangers are refused.
 
-#![allow(clippy::unwrap_used)]
-
 mod common;
 
 use std::{fs, path::PathBuf};
--- a/almondlock-transport/tests/session_limits.rs
+++ b/almondlock-transport/tests/session_limits.rs
@@ -1,7 +1,5 @@
 //! What bounds a session.
 
-#![allow(clippy::unwrap_used)]
-
 mod common;
 
 use std::{io, net::SocketAddr, time::Duration};
--- a/almondlock-wire/src/lib.rs
+++ b/almondlock-wire/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempt;
 pub mod error;
 pub mod peer;
+pub mod spread;
 
 // Made by a generator: its habits are not ours.
 #[allow(missing_docs, unreachable_pub, clippy::all, clippy::unwrap_used)]
