Tell in which revision a suspicion stands

Cause: the sidecar waits for the blame to be in force before it answers, and the replica did not say which revision that is. Conclusion: the real replicas now give what the test fleet's fake gives.

--- a/almondlock-control/src/lib.rs
+++ b/almondlock-control/src/lib.rs
@@ -2,5 +2,5 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
-pub mod replica;
 pub mod admin;
+pub mod replica;
--- a/almondlock-control/src/replica/server.rs
+++ b/almondlock-control/src/replica/server.rs
@@ -166,7 +166,12 @@
                 at: clock::wall(),
             }
         };
-        self.order(command, results.get().init_status()).await;
+        let result = self.replica.propose(command).await;
+        let mut to = results.get();
+        write_result(&result, to.reborrow().init_status());
+        if let Ok(Reply::Accepted { revision }) = result {
+            to.set_revision(revision.0);
+        }
         Ok(())
     }
 
