--- /dev/null
+++ b/almondlock-control/src/driver.rs
@@ -0,0 +1,82 @@
+//! What the leader does for plans: it asks which steps are due and takes them.
+//!
+//! Everything it does may be done twice, by it or by the next leader: a step
+//! that was taken already is refused when it is applied.
+
+use std::time::Duration;
+
+use almondlock_node::clock;
+use almondlock_quorum::member::Id;
+use almondlock_state::{
+    command::Command,
+    plan::{
+        self, Advance,
+        next::{Action, due},
+    },
+    replica::Member,
+};
+use tokio::time::sleep;
+
+use crate::replica::{Refusal, Replica};
+
+/// Pause between two looks.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Takes the steps of plans for as long as the replica runs.
+pub async fn run(replica: Replica) {
+    loop {
+        sleep(PAUSE).await;
+        if !replica.is_leader() {
+            continue;
+        }
+        let now = clock::wall();
+        for action in replica.state(|machine| due(machine, now)) {
+            act(&replica, action).await;
+        }
+    }
+}
+
+async fn act(replica: &Replica, action: Action) {
+    match action {
+        Action::Propose(command) => {
+            if let Err(refusal) = replica.propose(command).await {
+                tracing::debug!(%refusal, "a step was not taken");
+            }
+        }
+        Action::Member {
+            plan,
+            index,
+            member,
+        } => {
+            let advance = match change(replica, &member).await {
+                Ok(()) => Advance::Finish,
+                Err(refusal) => Advance::Fail {
+                    message: refusal.to_string(),
+                },
+            };
+            step(replica, plan, index, advance).await;
+        }
+    }
+}
+
+async fn step(replica: &Replica, plan: plan::Id, index: usize, advance: Advance) {
+    let command = Command::Step {
+        plan,
+        index,
+        advance,
+        at: clock::wall(),
+    };
+    if let Err(refusal) = replica.propose(command).await {
+        tracing::warn!(%refusal, "the end of a change of membership was not noted");
+    }
+}
+
+async fn change(replica: &Replica, member: &Member) -> Result<(), Refusal> {
+    match member {
+        Member::Add(_, wanted) => {
+            let id = replica.add_at(wanted.address).await?;
+            replica.promote(id).await
+        }
+        Member::Remove(id) => replica.remove(Id(*id)).await,
+    }
+}
--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -5,6 +5,8 @@
 //! lost one goes. A second loss right after the repair therefore meets a
 //! newcomer that holds everything. Each step may be asked for again.
 
+use std::net::SocketAddr;
+
 use almondlock_base::{Code, id::Host};
 use almondlock_quorum::member::{Change, Id, Member};
 use tokio::time::{Instant, sleep};
@@ -22,6 +24,19 @@
         Ok(id)
     }
 
+    /// Adds the replica that has greeted this one from an inner address.
+    pub async fn add_at(&self, address: SocketAddr) -> Result<Id, Refusal> {
+        let host = {
+            let core = self.inner.core.borrow();
+            let mut known = core.gathering.known.values();
+            let found = known.find(|member| member.address == address);
+            found.map(|member| member.name.clone())
+        };
+        let message = format!("no replica at {address} has asked to join; start it first");
+        let host = host.ok_or_else(|| Refusal::new(Code::BadChange, message))?;
+        self.add(&host).await
+    }
+
     /// Gives a learner its vote; waits until it has caught up.
     pub async fn promote(&self, id: Id) -> Result<(), Refusal> {
         if self.inner.core.borrow().members().is_voter(id) {
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -128,9 +128,12 @@
 
     /// Proposes a command and waits until it was accepted and applied here.
     pub async fn propose(&self, command: Command) -> Result<Reply, Refusal> {
-        let bytes = command
-            .to_bytes()
-            .map_err(|e| Refusal::new(Code::BadChange, e.to_string()))?;
+        let unreadable = |e: serde_json::Error| Refusal::new(Code::BadChange, e.to_string());
+        let bytes = command.to_bytes().map_err(unreadable)?;
+        // A command that can be written but not read back would stop every
+        // replica that comes to it in the log, and each of them again at every
+        // start. It is cheaper to read it once here than to lose the group.
+        Command::from_slice(&bytes).map_err(unreadable)?;
         let answer = self.with(|core| core.propose(bytes))?;
         self.wait(answer).await
     }
@@ -150,6 +153,11 @@
         look(&self.inner.core.borrow().state)
     }
 
+    /// Whether it leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.inner.core.borrow().is_leader()
+    }
+
     /// How the replica stands.
     pub fn status(&self) -> Status {
         self.inner.core.borrow().status()
--- /dev/null
+++ b/almondlock-daemon/src/process.rs
@@ -0,0 +1,193 @@
+//! One process with the roles that its settings give.
+//!
+//! Order of the start: the replica first, since the node offers its interface;
+//! then the node; then the roles that fetch their configuration through it. The
+//! start order of different processes doesn't matter.
+
+use std::{future::Future, net::SocketAddr};
+
+use almondlock_base::id::Incarnation;
+use almondlock_entry::server::Server;
+use almondlock_node::{Config, Node, Parts, Sidecars, Vouch, clock, links::Links};
+use almondlock_node::{Handle, replicas::Replicas};
+use almondlock_settings::Settings;
+use almondlock_spread::view::View;
+use almondlock_telemetry::metrics::{self, Metrics};
+use almondlock_transport::Security;
+use anyhow::{Context, Result};
+
+use crate::{
+    roles::{control::Control, entry, sidecar},
+    signal,
+};
+
+/// Runs a future on this thread's runtime.
+pub(crate) fn block_on<F, T>(work: F) -> T
+where
+    F: Future<Output = T> + 'static,
+    T: 'static,
+{
+    ntex::rt::System::new("almondlockd", ntex::rt::DefaultRuntime).block_on(work)
+}
+
+/// A running process.
+pub struct Process {
+    node: Node,
+    entry: Option<Server>,
+    control: Option<Control>,
+    announce: Option<(SocketAddr, ntex::server::Server)>,
+}
+
+/// A number that no other start of any process has drawn.
+pub(crate) fn random() -> Result<u64> {
+    let mut bytes = [0; 8];
+    getrandom::fill(&mut bytes).context("drawing a random number")?;
+    Ok(u64::from_le_bytes(bytes))
+}
+
+fn security(settings: &Settings) -> Result<Security> {
+    match &settings.security {
+        None => Ok(Security::Plain),
+        Some(files) => Security::load(&files.ca, &files.certificate, &files.key)
+            .context("reading the certificates of [security]"),
+    }
+}
+
+impl Process {
+    /// Starts all roles.
+    pub async fn start(settings: &Settings) -> Result<Process> {
+        let view = View::new();
+        let incarnation = Incarnation::new(clock::wall(), random()?);
+        let vouch = Vouch::new();
+        let control = match &settings.replica {
+            Some(replica) => Some(Control::start(settings, replica, &view, &vouch)?),
+            None => None,
+        };
+        let sidecars = Sidecars::default();
+        let parts = Parts {
+            sidecars: sidecars.clone(),
+            control: control.as_ref().map(Control::client),
+            is_source: control.is_some(),
+            vouch: control.is_some().then_some(vouch),
+        };
+        let host = &settings.host;
+        let config = Config {
+            host: host.name.clone(),
+            domain: host.domain.clone(),
+            region: host.region.clone(),
+            incarnation,
+            listen: host.listen,
+            seeds: host.seeds.clone(),
+            security: security(settings)?,
+        };
+        let node = Node::start(config, view, parts)
+            .await
+            .with_context(|| format!("listening on {}", host.listen))?;
+        let mut process = Process {
+            node,
+            entry: None,
+            control,
+            announce: None,
+        };
+        process.start_roles(settings, incarnation, sidecars)?;
+        tracing::info!(host = %host.name, inner = %process.node.address(), "started");
+        Ok(process)
+    }
+
+    fn start_roles(
+        &mut self,
+        settings: &Settings,
+        incarnation: Incarnation,
+        sidecars: Sidecars,
+    ) -> Result<()> {
+        let handle = self.node.handle().clone();
+        let replicas = replica_addresses(settings);
+        let metrics = Metrics::open(&metrics::Config {
+            statsd: settings.metrics.statsd,
+            prefix: settings.metrics.prefix.clone(),
+        })
+        .context("opening the metrics socket")?;
+        if let Some(role) = &settings.sidecar {
+            let client = Replicas::new(Links::new(handle.clone()), replicas.clone());
+            let inner = self.node.address();
+            let site = sidecar::site(settings, role, incarnation, inner);
+            let started = sidecar::start(role, site, handle.clone(), client, sidecars)?;
+            self.announce = Some(started);
+        }
+        if let Some(role) = &settings.entry {
+            let seed = random()?;
+            self.entry = Some(entry::start(
+                settings, role, handle, replicas, metrics, seed,
+            )?);
+        }
+        Ok(())
+    }
+
+    /// The node's handle.
+    pub fn handle(&self) -> &Handle {
+        self.node.handle()
+    }
+
+    /// The inner listener's address.
+    pub fn inner(&self) -> SocketAddr {
+        self.node.address()
+    }
+
+    /// Where upstreams announce themselves.
+    pub fn announce(&self) -> Option<SocketAddr> {
+        self.announce.as_ref().map(|(address, _)| *address)
+    }
+
+    /// The entry role.
+    pub fn entry(&self) -> Option<&Server> {
+        self.entry.as_ref()
+    }
+
+    /// The control role.
+    pub(crate) fn control(&self) -> Option<&Control> {
+        self.control.as_ref()
+    }
+
+    /// Waits for the order to stop, or until the replica can't go on, and
+    /// stops gracefully.
+    pub async fn wait(self) -> Result<()> {
+        let failed = async {
+            match &self.control {
+                Some(control) => control.stopped().await,
+                None => std::future::pending().await,
+            }
+        };
+        let result = tokio::select! {
+            stopped = signal::stop() => stopped.context("waiting for signals"),
+            refusal = failed => Err(anyhow::Error::new(refusal).context("the replica stopped")),
+        };
+        self.stop().await;
+        result
+    }
+
+    /// Stops gracefully: answers in progress finish first.
+    pub async fn stop(self) {
+        tracing::info!("stopping");
+        if let Some(entry) = self.entry {
+            entry.stop().await;
+        }
+        if let Some((_, server)) = self.announce {
+            server.stop(true).await;
+        }
+        if let Some(control) = self.control {
+            control.stop().await;
+        }
+        self.node.stop().await;
+        tracing::info!("stopped");
+    }
+}
+
+/// Where claims, blame and announcements go.
+fn replica_addresses(settings: &Settings) -> Vec<SocketAddr> {
+    let members = settings.replica.iter().flat_map(|replica| &replica.members);
+    let mut addresses: Vec<SocketAddr> = members.map(|member| member.address).collect();
+    addresses.extend(&settings.host.seeds);
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
--- /dev/null
+++ b/almondlock-daemon/src/roles.rs
@@ -0,0 +1,5 @@
+//! Roles, from their settings.
+
+pub(crate) mod control;
+pub(crate) mod entry;
+pub(crate) mod sidecar;
--- /dev/null
+++ b/almondlock-daemon/src/roles/control.rs
@@ -0,0 +1,132 @@
+//! The control role: the replica, operators' listener, and plans.
+
+use std::{collections::BTreeMap, net::TcpListener};
+
+use almondlock_control::{
+    admin,
+    backend::{Admins, Operated},
+    driver,
+    replica::{Config, Initial, Refusal, Replica},
+};
+use almondlock_node::{Vouch, clock};
+use almondlock_settings::Settings;
+use almondlock_spread::view::View;
+use almondlock_state::{
+    command::Command,
+    operator::{Operator, Role},
+    replica as members,
+};
+use almondlock_wire::almondlock_capnp::control;
+use anyhow::{Context, Result};
+use tokio::{
+    task::spawn_local,
+    time::{Duration, sleep},
+};
+
+/// The name of the operator whose key the settings give.
+const FIRST_OPERATOR: &str = "first";
+/// Pause between two tries to seed the state.
+const SEED_PAUSE: Duration = Duration::from_millis(200);
+
+/// A running control role.
+pub(crate) struct Control {
+    replica: Replica,
+    admin: ntex::server::Server,
+}
+
+impl Control {
+    /// Starts the replica and what belongs to it.
+    pub(crate) fn start(
+        settings: &Settings,
+        role: &almondlock_settings::Replica,
+        view: &View,
+        vouch: &Vouch,
+    ) -> Result<Control> {
+        let host = &settings.host;
+        let folder = host.data.clone().context("a replica needs [host] data")?;
+        let initial = role.members.iter().map(|member| Initial {
+            name: member.name.clone(),
+            address: member.address,
+        });
+        let config = Config::builder(host.name.clone(), host.listen, host.domain.clone(), folder)
+            .initial(initial)
+            .build();
+        let replica =
+            Replica::start(config, view.clone(), vouch.clone()).context("starting the replica")?;
+        let listener = TcpListener::bind(role.admin)
+            .with_context(|| format!("listening for operators on {}", role.admin))?;
+        let admins: Admins = role.members.iter().map(|m| (m.address, m.admin)).collect();
+        let operated = Operated::new(replica.remote(), view.clone(), admins);
+        let admin = admin::serve(listener, operated).context("serving operators")?;
+        spawn_local(driver::run(replica.clone()));
+        spawn_local(seed(replica.clone(), role.clone()));
+        Ok(Control { replica, admin })
+    }
+
+    /// The interface that the node offers.
+    pub(crate) fn client(&self) -> control::Client {
+        self.replica.control_client()
+    }
+
+    /// The replica.
+    pub(crate) fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Waits until the replica can't go on.
+    pub(crate) async fn stopped(&self) -> Refusal {
+        self.replica.stopped().await
+    }
+
+    /// Stops serving, then the replica.
+    pub(crate) async fn stop(self) {
+        self.admin.stop(true).await;
+        self.replica.stop().await;
+    }
+}
+
+/// The first leader puts the first operator and the replicas into the state.
+/// The command does nothing in a state that has an operator.
+async fn seed(replica: Replica, role: almondlock_settings::Replica) {
+    let Some(key) = role.operator_key.clone() else {
+        return;
+    };
+    loop {
+        sleep(SEED_PAUSE).await;
+        if replica.state(|machine| !machine.tables().operators.is_empty()) {
+            return;
+        }
+        if !replica.is_leader() {
+            continue;
+        }
+        let operator = Operator {
+            key: key.to_lowercase(),
+            role: Role::Admin,
+        };
+        let command = Command::Seed {
+            operators: BTreeMap::from([(FIRST_OPERATOR.to_owned(), operator)]),
+            replicas: known_replicas(&replica, &role),
+            at: clock::wall(),
+        };
+        if let Err(refusal) = replica.propose(command).await {
+            tracing::debug!(%refusal, "the state was not seeded yet");
+        }
+    }
+}
+
+fn known_replicas(
+    replica: &Replica,
+    role: &almondlock_settings::Replica,
+) -> BTreeMap<members::Id, members::Replica> {
+    let status = replica.status();
+    let known = status.members.into_iter().filter_map(|peer| {
+        let member = role.members.iter().find(|m| m.address == peer.address)?;
+        let known = members::Replica {
+            address: peer.address,
+            admin: member.admin,
+            domain: peer.domain,
+        };
+        Some((peer.id.0, known))
+    });
+    known.collect()
+}
--- /dev/null
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -0,0 +1,80 @@
+//! The entry role: where callers connect.
+
+use std::{fs::File, io::BufReader, net::SocketAddr, path::Path};
+
+use almondlock_entry::{
+    server::{Builder, Server},
+    shared,
+};
+use almondlock_node::Handle;
+use almondlock_policy::choice::Home;
+use almondlock_settings::{Entry, Settings, Tls};
+use almondlock_telemetry::metrics::Metrics;
+use anyhow::{Context, Result};
+
+/// Worker threads of an entry host at most; more only wait for each other's
+/// tables.
+const WORKERS_LIMIT: usize = 8;
+
+/// Starts the entry role.
+pub(crate) fn start(
+    settings: &Settings,
+    role: &Entry,
+    handle: Handle,
+    replicas: Vec<SocketAddr>,
+    metrics: Metrics,
+    seed: u64,
+) -> Result<Server> {
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let host = &settings.host;
+    let builder = Builder {
+        config: shared::Config {
+            body_limit: role.body_bytes,
+            arrival: role.body_timeout,
+            capacity: role.connections,
+            ..shared::Config::default()
+        },
+        listen: role.listen,
+        admin: role.admin,
+        tls: role.tls.as_ref().map(tls).transpose()?,
+        header_timeout: role.header_timeout,
+        workers: cores.min(WORKERS_LIMIT),
+        replicas,
+        home: Home {
+            host: host.name.clone(),
+            domain: host.domain.clone(),
+            region: host.region.clone(),
+        },
+        seed,
+        notice: role.drain_delay,
+        grace: role.drain_grace,
+        metrics,
+    };
+    let listen = role.listen;
+    builder
+        .start(handle)
+        .with_context(|| format!("listening for callers on {listen}"))
+}
+
+fn open(path: &Path) -> Result<BufReader<File>> {
+    let file = File::open(path).with_context(|| format!("opening {}", path.display()))?;
+    Ok(BufReader::new(file))
+}
+
+/// Callers' TLS from PEM files.
+fn tls(files: &Tls) -> Result<rustls::ServerConfig> {
+    let chain: Vec<_> = rustls_pemfile::certs(&mut open(&files.certificate)?)
+        .collect::<Result<_, _>>()
+        .with_context(|| format!("reading {}", files.certificate.display()))?;
+    let key = rustls_pemfile::private_key(&mut open(&files.key)?)
+        .with_context(|| format!("reading {}", files.key.display()))?
+        .with_context(|| format!("{} holds no private key", files.key.display()))?;
+    let provider = rustls::crypto::ring::default_provider();
+    let config = rustls::ServerConfig::builder_with_provider(provider.into())
+        .with_safe_default_protocol_versions()
+        .context("choosing TLS versions")?
+        .with_no_client_auth()
+        .with_single_cert(chain, key)
+        .context("the certificate and the key don't belong together")?;
+    Ok(config)
+}
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -57,6 +57,16 @@
         .route("/services/{name}/{tail}*", web::route().to(service));
 }
 
+/// Answers with a failure and counts it. `read`: whether the body was read.
+fn refuse(worker: &Worker, failure: &Failure, id: &str, read: bool) -> HttpResponse {
+    worker.shared.refused(failure.code);
+    if read {
+        failure.to_response(id)
+    } else {
+        failure.to_closing_response(id)
+    }
+}
+
 /// Answers whatever no route matches.
 pub async fn unknown() -> HttpResponse {
     Failure::new(Code::UnknownRoute).to_closing_response("-")
@@ -188,13 +198,13 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_closing_response(&id),
+        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
     };
     let id = arrival.id.clone();
     let read = read_model(shape, &http, payload, &worker, &arrival).await;
     let (request, usage) = match read {
         Ok(read) => read,
-        Err(failure) => return failure.to_closing_response(&id),
+        Err(failure) => return refuse(&worker, &failure, &id, false),
     };
     let name = match &request.target {
         Target::Model(model, _) => model.to_string(),
@@ -202,8 +212,8 @@
     };
     let writer = Writer::new(shape, &id, clock::wall(), &name, usage);
     let streamed = request.stream;
-    match Running::start(worker, request, arrival.active).await {
-        Err(failure) => failure.to_response(&id),
+    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+        Err(failure) => refuse(&worker, &failure, &id, true),
         Ok(running) if streamed => running.into_stream(writer, &id),
         Ok(running) => running.into_document(&writer, &id).await,
     }
@@ -287,15 +297,15 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_closing_response(&id),
+        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
     };
     let id = arrival.id.clone();
     let request = match read_service(&http, payload, &worker, &arrival).await {
         Ok(request) => request,
-        Err(failure) => return failure.to_closing_response(&id),
+        Err(failure) => return refuse(&worker, &failure, &id, false),
     };
-    match Running::start(worker, request, arrival.active).await {
-        Err(failure) => failure.to_response(&id),
+    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+        Err(failure) => refuse(&worker, &failure, &id, true),
         Ok(running) => running.into_bytes(&id),
     }
 }
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod body;
 pub mod caller;
 pub mod claimed;
+pub mod explain;
 pub mod failure;
 pub mod http;
 pub mod journal;
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -139,6 +139,7 @@
                     if restart {
                         let _ = pieces.send(Piece::Restart).await;
                     }
+                    self.shared.metrics.retry();
                     sleep(after).await;
                 }
             }
--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -13,11 +13,17 @@
 
 use almondlock_node::{Handle, links::Links, replicas::Replicas};
 use almondlock_policy::choice::Home;
-use ntex::web::{self, App, HttpServer};
+use almondlock_telemetry::metrics::Metrics;
+use ntex::{
+    SharedCfg,
+    http::HttpServiceConfig,
+    time::Seconds,
+    web::{self, App, HttpServer},
+};
 use tokio::time::sleep;
 
 use crate::{
-    http,
+    explain, http,
     life::Worker,
     probe,
     shared::{Config, Shared},
@@ -29,6 +35,12 @@
     pub config: Config,
     /// Where callers connect.
     pub listen: SocketAddr,
+    /// Where operators ask what happened to a request, if anywhere.
+    pub admin: Option<SocketAddr>,
+    /// How long a request's head may take to arrive.
+    pub header_timeout: Duration,
+    /// Where metrics go.
+    pub metrics: Metrics,
     /// Callers' TLS, if any.
     pub tls: Option<rustls::ServerConfig>,
     /// Worker threads.
@@ -51,6 +63,7 @@
     address: SocketAddr,
     shared: Arc<Shared>,
     server: ntex::server::Server,
+    admin: Option<ntex::server::Server>,
     notice: Duration,
     grace: Duration,
 }
@@ -61,7 +74,7 @@
 impl Builder {
     /// Binds and starts serving.
     pub fn start(self, handle: Handle) -> io::Result<Server> {
-        let shared = Shared::new(self.config, handle.clone(), self.home);
+        let shared = Shared::new(self.config, handle.clone(), self.home, self.metrics);
         let listener = TcpListener::bind(self.listen)?;
         let address = listener.local_addr()?;
         let seed = AtomicU64::new(self.seed);
@@ -85,17 +98,26 @@
                 .configure(http::routes)
                 .default_service(web::route().to(http::unknown))
         };
+        let millis = u32::try_from(self.header_timeout.as_millis()).unwrap_or(u32::MAX);
+        let timeout = Seconds::checked_new((millis / 1000).max(1) as usize);
+        let http_config = HttpServiceConfig::new().set_client_timeout(timeout);
         let server = HttpServer::new(factory)
             .workers(self.workers)
-            .disable_signals();
+            .disable_signals()
+            .config(SharedCfg::new("callers").add(http_config));
         let server = match self.tls {
             Some(tls) => server.listen_rustls(listener, tls)?,
             None => server.listen(listener)?,
         };
+        let admin = match self.admin {
+            Some(admin) => Some(explain::serve(admin, Arc::clone(&shared))?),
+            None => None,
+        };
         Ok(Server {
             address,
             shared,
             server: server.run(),
+            admin,
             notice: self.notice,
             grace: self.grace,
         })
@@ -130,5 +152,8 @@
             );
         }
         self.server.stop(true).await;
+        if let Some(admin) = self.admin {
+            admin.stop(true).await;
+        }
     }
 }
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -1,7 +1,8 @@
 //! What an entry host's worker threads share.
 //!
 //! Lock order: `directory`, then `limits`, then `pools`, then `retries`, then
-//! `lengths`, then `journal`. No lock is held over an await, and none over I/O.
+//! `lengths`, then `journal`, then `refusals`. No lock is held over an await,
+//! and none over I/O.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -13,6 +14,7 @@
 };
 
 use almondlock_base::{
+    Code,
     id::{Attempt, Model, Organisation, Upstream},
     time::Mono,
     unit::{Revision, Tokens},
@@ -25,6 +27,7 @@
     retry,
 };
 use almondlock_state::config::{self, Kind};
+use almondlock_telemetry::metrics::Metrics;
 use almondlock_wire::attempt::Target;
 
 use crate::journal::Journal;
@@ -134,6 +137,8 @@
     pub config: Config,
     /// The process's node.
     pub handle: Handle,
+    /// Where metrics go.
+    pub metrics: Metrics,
     home: Home,
     directory: RwLock<Arc<Directory>>,
     limits: Mutex<Limiter>,
@@ -141,6 +146,7 @@
     retries: Mutex<retry::Policy>,
     lengths: Mutex<Estimator>,
     journal: Mutex<Journal>,
+    refusals: Mutex<BTreeMap<u16, u64>>,
     counter: AtomicU64,
     active: AtomicU64,
     stopping: AtomicBool,
@@ -163,17 +169,19 @@
 
 impl Shared {
     /// Empty tables; they fill from the node's view.
-    pub fn new(config: Config, handle: Handle, home: Home) -> Arc<Shared> {
+    pub fn new(config: Config, handle: Handle, home: Home, metrics: Metrics) -> Arc<Shared> {
         Arc::new(Shared {
             retries: Mutex::new(retry::Policy::new(config.retry)),
             lengths: Mutex::default(),
             config,
             handle,
+            metrics,
             home,
             directory: RwLock::default(),
             limits: Mutex::new(Limiter::new(limit::Config::default())),
             pools: Mutex::default(),
             journal: Mutex::default(),
+            refusals: Mutex::default(),
             counter: AtomicU64::new(0),
             active: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
@@ -308,6 +316,17 @@
         lock(&self.journal)
     }
 
+    /// Counts a refusal or failure.
+    pub fn refused(&self, code: Code) {
+        self.metrics.refusal(code);
+        *lock(&self.refusals).entry(code.number()).or_default() += 1;
+    }
+
+    /// Refusals and failures so far, by code.
+    pub fn refusals(&self) -> BTreeMap<u16, u64> {
+        lock(&self.refusals).clone()
+    }
+
     /// A number no other attempt or request of this life has.
     pub fn next(&self) -> u64 {
         self.counter.fetch_add(1, Ordering::Relaxed)
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -302,7 +302,10 @@
         let builder = Builder {
             config,
             listen: LOCAL,
+            admin: None,
             tls: None,
+            header_timeout: Duration::from_secs(10),
+            metrics: almondlock_telemetry::metrics::Metrics::none(),
             workers: 1,
             replicas: vec![self.source.address()],
             home: Home {
@@ -338,6 +341,8 @@
             incarnation: Incarnation(number),
             inner: node.address(),
             queue: queue::Config::short(),
+            memory_share: 100,
+            running: u32::MAX,
         };
         let registry = Registry::new(site, node.handle().clone(), replicas, sidecars);
         self.nodes.borrow_mut().push(node);
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -41,7 +41,7 @@
 /// One key.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Key {
-    /// The section it belongs to, without the name of a `sidecar` section.
+    /// The section it belongs to.
     pub section: &'static str,
     /// Its name.
     pub name: &'static str,
@@ -174,9 +174,10 @@
     Key::new("sidecar", "announce", Listen, Required,
         "Where upstreams of this host announce themselves, over HTTP; on the loopback interface \
          unless they have addresses of their own. There is no list of upstreams."),
-    Key::new("sidecar", "order", Word(&["short", "even"]), Default("short"),
+    Key::new("sidecar", "order", Word(&["short", "even", "fifo"]), Default("short"),
         "What the order of work leans to: `short` keeps short prompts quick beside long ones, `even` \
-         weighs the time to the first token over all lengths."),
+         weighs the time to the first token over all lengths. `fifo`, first come first served, is \
+         there to measure against."),
     Key::new("sidecar", "memory_share", Number(1, 100), Default("90"),
         "Of the engine's memory, how much the system may fill; the rest absorbs late and wrong \
          reports.").unit("percent"),
@@ -188,13 +189,12 @@
     Key::new("sidecar", "waiting", Number(0, 100_000), Default("1024"),
         "Requests that may wait beside the upstream; further ones are refused as not run.").unit("count"),
 
-    Key::new("replica", "number", Number(1, 255), Required,
-        "The replica's number among `members`. Never used again after its disk is lost.").unit("count"),
     Key::new("replica", "admin", Listen, Required,
         "Where operators' commands arrive."),
     Key::new("replica", "members", Members, Required,
-        "The members that the group starts with, by number and inner address. Read only when the \
-         data folder is empty: later changes go through `almondlock replica`."),
+        "The replicas that the group starts with, as NAME@INNER@ADMIN: host, inner address, operators' \
+         address. The same on each of them, and on replicas added later, which ask them; later changes \
+         go through `almondlock replica`."),
     Key::new("replica", "operator_key", Hash, Optional,
         "BLAKE3 hash of the first operator's key, read only when the group starts. Without it \
          nobody can make changes until one is set.").secret(),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -117,6 +117,7 @@
         let announce = self.address(s, "announce");
         let order = self.word(s, "order").map(|word| match word.as_str() {
             "even" => Order::Even,
+            "fifo" => Order::Fifo,
             _ => Order::Short,
         });
         let memory_share = self.percent(s, "memory_share");
@@ -134,20 +135,11 @@
     }
 
     fn replica(&mut self, s: &Section) -> Option<Replica> {
-        let number = self.number(s, "number");
         let admin = self.address(s, "admin");
         let members = self.members(s);
         let operator_key = self.hash(s, "operator_key");
         let tls = self.tls(s);
-        if let (Some(number), Some(members), Some(value)) = (number, &members, s.get("number"))
-            && !members.iter().any(|member| member.number == number)
-        {
-            let remedy = "add this replica to members, or correct its number";
-            let message = format!("no member has the number {number}");
-            self.problem(value.line, &value.field(), &message, remedy);
-        }
         Some(Replica {
-            number: number?,
             admin: admin?,
             members: members?,
             operator_key,
@@ -338,7 +330,7 @@
     }
 
     fn members(&mut self, s: &Section) -> Option<Vec<Member>> {
-        let remedy = "write NUMBER@IP:PORT, NUMBER@IP:PORT, ... with no number or address twice";
+        let remedy = "write NAME@INNER@ADMIN, ... with two IP:PORT each and nothing twice";
         self.parse(s, "members", remedy, members)
     }
 
@@ -393,19 +385,22 @@
 fn members(text: &str) -> Result<Vec<Member>, String> {
     let mut members: Vec<Member> = Vec::new();
     for part in text.split(',').map(str::trim) {
-        let (number, rest) = part
-            .split_once('@')
-            .ok_or_else(|| format!("{part:?} has no @"))?;
-        let number = match number.trim().parse() {
-            Ok(number @ 1..=255) => number,
-            _ => return Err(format!("{number:?} is no number from 1 to 255")),
+        let mut fields = part.split('@').map(str::trim);
+        let (Some(name), Some(inner), Some(admin), None) =
+            (fields.next(), fields.next(), fields.next(), fields.next())
+        else {
+            return Err(format!("{part:?} is not NAME@INNER@ADMIN"));
+        };
+        let member = Member {
+            name: almondlock_base::id::Host::new(name).map_err(|error| error.to_string())?,
+            address: address(inner, Shape::Address)?,
+            admin: address(admin, Shape::Address)?,
         };
-        let address = address(rest, Shape::Address)?;
-        let twice = |m: &Member| m.number == number || m.address == address;
+        let twice = |m: &Member| m.name == member.name || m.address == member.address;
         if members.iter().any(twice) {
-            return Err(format!("{part} has a number or an address twice"));
+            return Err(format!("{part} has a name or an address twice"));
         }
-        members.push(Member { number, address });
+        members.push(member);
     }
     Ok(members)
 }
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -87,6 +87,8 @@
     Short,
     /// The time to the first token over all lengths.
     Even,
+    /// First come, first served: a baseline to measure against.
+    Fifo,
 }
 
 /// Section `[sidecar]`.
@@ -107,22 +109,22 @@
 }
 
 /// A member that a replica group starts with.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
-    /// Its number.
-    pub number: u64,
+    /// Its host.
+    pub name: id::Host,
     /// Its inner address.
     pub address: SocketAddr,
+    /// Where operators reach it.
+    pub admin: SocketAddr,
 }
 
 /// Section `[replica]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Replica {
-    /// Its number. Invariant: one of `members` has it.
-    pub number: u64,
     /// Where operators' commands arrive.
     pub admin: SocketAddr,
-    /// Who the group starts with. Invariant: numbers and addresses are unique.
+    /// Who the group starts with. Invariant: names and inner addresses are unique.
     pub members: Vec<Member>,
     /// Hash of the first operator's key.
     pub operator_key: Option<String>,
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -6,7 +6,14 @@
 //! keeps the registration alive for as long as the upstream goes on announcing
 //! itself or answers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    time::Duration,
+};
 
 use almondlock_base::{
     Code,
@@ -17,9 +24,16 @@
 use almondlock_node::{Handle, Sidecars, clock, replicas::Replicas};
 use almondlock_policy::{gate, queue};
 use almondlock_state::config::{Kind, Registration};
-use ntex::web::{self, HttpResponse};
+use ntex::{
+    server::Server,
+    web::{self, App, HttpResponse, HttpServer},
+};
 use serde::{Deserialize, Serialize};
-use tokio::{task::spawn_local, time::sleep};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::spawn_local,
+    time::sleep,
+};
 
 use crate::{openai::Engine, plain, protocol::Protocol, service::Service, table::Config};
 
@@ -34,6 +48,8 @@
 const SILENCE: Duration = Duration::from_secs(5);
 /// The most memory an upstream may claim, in tokens.
 const CAPACITY_LIMIT: u64 = 1 << 40;
+/// Announcements that wait to be taken.
+const QUEUE: usize = 64;
 /// Batch places when an upstream names none.
 const DEFAULT_SLOTS: u32 = 64;
 
@@ -89,6 +105,11 @@
     pub inner: SocketAddr,
     /// The order of work beside each upstream.
     pub queue: queue::Config,
+    /// Percent of an engine's memory that may be filled; the rest absorbs late
+    /// and wrong figures.
+    pub memory_share: u8,
+    /// Requests handed to one upstream at a time at most.
+    pub running: u32,
 }
 
 /// The upstreams that announced themselves here.
@@ -168,8 +189,8 @@
     {
         let inner = &self.inner;
         let config = Config {
-            capacity: capacity(&announcement),
-            slots: announcement.slots.unwrap_or(DEFAULT_SLOTS),
+            capacity: inner.site.capacity(&announcement),
+            slots: inner.site.slots(&announcement),
             queue: queue::Config {
                 speed: announcement.prefill_rate.unwrap_or(inner.site.queue.speed),
                 ..inner.site.queue
@@ -190,11 +211,21 @@
     }
 }
 
-/// A plain service has no memory to run out of.
-fn capacity(announcement: &Announcement) -> Tokens {
-    match announcement.kind {
-        Kind::Engine => Tokens(announcement.capacity),
-        Kind::Service => Tokens(CAPACITY_LIMIT),
+impl Site {
+    /// Engine memory that may be filled. A plain service has none to run out of.
+    fn capacity(&self, announcement: &Announcement) -> Tokens {
+        match announcement.kind {
+            Kind::Engine => {
+                let share = u64::from(self.memory_share.min(100));
+                Tokens(announcement.capacity / 100 * share)
+            }
+            Kind::Service => Tokens(CAPACITY_LIMIT),
+        }
+    }
+
+    fn slots(&self, announcement: &Announcement) -> u32 {
+        let slots = announcement.slots.unwrap_or(DEFAULT_SLOTS);
+        slots.min(self.running).max(1)
     }
 }
 
@@ -238,7 +269,7 @@
             kind: announcement.kind,
             model: announcement.model.clone().zip(announcement.version.clone()),
             service: announcement.service.clone(),
-            capacity: capacity(announcement),
+            capacity: site.capacity(announcement),
             fenced: announcement.fenced,
             resumable: announcement.resumable,
             role: String::new(),
@@ -282,20 +313,53 @@
     }
 }
 
-/// Adds the announcement route to an application whose state is a [`Registry`].
-pub fn routes(config: &mut web::ServiceConfig) {
-    config.route("/announce", web::post().to(post));
+type Answer = oneshot::Sender<Result<(), Refusal>>;
+
+/// The listener's way to the registry, which belongs to another thread.
+#[derive(Clone)]
+struct Desk {
+    requests: mpsc::Sender<(Announcement, Answer)>,
 }
 
-async fn post(
-    registry: web::types::State<Registry>,
-    body: web::types::Json<Announcement>,
-) -> HttpResponse {
-    match registry.announce(body.into_inner()).await {
-        Ok(()) => HttpResponse::Ok().body("{}"),
-        Err(Refusal(text)) => {
-            let body = serde_json::json!({"error": {"message": text}});
-            HttpResponse::BadRequest().json(&body)
+/// Serves announcements on a listener: `POST /announce` with an
+/// [`Announcement`] in JSON. Must be called on the registry's thread.
+pub fn serve(listener: TcpListener, registry: Registry) -> io::Result<Server> {
+    let (requests, mut queue) = mpsc::channel::<(Announcement, Answer)>(QUEUE);
+    spawn_local(async move {
+        while let Some((announcement, answer)) = queue.recv().await {
+            // Whoever asked may be gone; it will announce itself again.
+            let _ = answer.send(registry.announce(announcement).await);
         }
+    });
+    let desk = Desk { requests };
+    let factory = async move || {
+        App::new()
+            .state(desk.clone())
+            .route("/announce", web::post().to(post))
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    Ok(server.listen(listener)?.run())
+}
+
+async fn post(desk: web::types::State<Desk>, body: web::types::Json<Announcement>) -> HttpResponse {
+    let (answer, answered) = oneshot::channel();
+    let asked = desk.requests.send((body.into_inner(), answer)).await;
+    let result = match asked {
+        Ok(()) => answered.await.ok(),
+        Err(_) => None,
+    };
+    match result {
+        Some(Ok(())) => HttpResponse::Ok()
+            .content_type("application/json")
+            .body("{}"),
+        Some(Err(Refusal(text))) => refuse(HttpResponse::BadRequest(), &text),
+        None => refuse(
+            HttpResponse::ServiceUnavailable(),
+            "the sidecar is stopping",
+        ),
     }
 }
+
+fn refuse(mut response: ntex::http::ResponseBuilder, text: &str) -> HttpResponse {
+    response.json(&serde_json::json!({"error": {"message": text}}))
+}
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -117,6 +117,7 @@
         /// Operators by name.
         operators: BTreeMap<String, Operator>,
         /// Replicas by number.
+        #[serde(with = "pairs")]
         replicas: BTreeMap<replica::Id, Replica>,
         /// The leader's time.
         at: Wall,
@@ -225,3 +226,28 @@
         }
     }
 }
+
+/// Replicas as a list of pairs. In a command, which is told by a tag among its
+/// fields, a map whose keys are numbers would be written but could not be read.
+mod pairs {
+    use std::collections::BTreeMap;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    use crate::replica::{Id, Replica};
+
+    pub(super) fn serialize<S>(map: &BTreeMap<Id, Replica>, to: S) -> Result<S::Ok, S::Error>
+    where
+        S: Serializer,
+    {
+        to.collect_seq(map)
+    }
+
+    pub(super) fn deserialize<'de, D>(from: D) -> Result<BTreeMap<Id, Replica>, D::Error>
+    where
+        D: Deserializer<'de>,
+    {
+        let pairs: Vec<(Id, Replica)> = Vec::deserialize(from)?;
+        Ok(pairs.into_iter().collect())
+    }
+}
