--- /dev/null
+++ b/almondlock-quorum/tests/member_changes.rs
@@ -0,0 +1,136 @@
+//! Replicas come and go, one at a time.
+
+#![allow(clippy::unwrap_used)]
+
+mod cluster;
+
+use almondlock_quorum::{
+    member::{Change, Id, Member, Members},
+    storage::Loaded,
+};
+use cluster::Cluster;
+use yare::parameterized;
+
+/// Members whose domains are the last digits of their numbers.
+fn members(voters: &[u64], learners: &[u64]) -> Members {
+    let mut members = Members::of_voters(voters.iter().map(|n| Member::sample(*n)));
+    let learners = learners.iter().map(|n| Member::sample(*n));
+    members.learners = learners.map(|m| (m.id, m)).collect();
+    members
+}
+
+/// Losing a whole failure domain must not lose the majority, if the domains
+/// there are allow for that.
+#[parameterized(
+    third_in_a_new_domain = { &[1, 2], &[3], Change::Promote(Id(3)), true },
+    two_of_three_together = { &[1, 2], &[11, 3], Change::Promote(Id(11)), false },
+    no_third_domain_known = { &[1, 2], &[11], Change::Promote(Id(11)), true },
+    half_way_through_a_replacement = { &[1, 2, 3], &[13], Change::Promote(Id(13)), true },
+    the_lost_one_goes = { &[1, 2, 3, 13], &[], Change::Remove(Id(3)), true },
+    the_wrong_one_goes = { &[1, 2, 3, 13], &[], Change::Remove(Id(1)), false },
+    five_over_three = { &[1, 2, 3, 11], &[12], Change::Promote(Id(12)), true },
+    three_of_five_together = { &[1, 2, 3, 11], &[21], Change::Promote(Id(21)), false },
+    the_last_one_goes = { &[1], &[], Change::Remove(Id(1)), false },
+    a_learner_may_be_anywhere = { &[1, 2, 3], &[], Change::Add(Member::sample(11)), true },
+    added_twice = { &[1, 2, 3], &[], Change::Add(Member::sample(2)), false },
+    promoted_unknown = { &[1, 2, 3], &[], Change::Promote(Id(4)), false },
+)]
+fn voters_spread(voters: &[u64], learners: &[u64], change: Change, allowed: bool) {
+    let result = members(voters, learners).changed(&change);
+    assert_eq!(result.is_ok(), allowed, "{result:?}");
+}
+
+/// Two changes at once: three voters become five, of which two alone still
+/// take themselves for a majority of three.
+#[test]
+fn one_at_a_time() {
+    let mut c = Cluster::new(5, 3);
+    let leader = c.elect();
+    c.accept();
+    assert!(c.change(leader, &Change::Add(Member::sample(4))));
+    assert!(!c.change(leader, &Change::Add(Member::sample(5))));
+    c.accept();
+    assert!(c.change(leader, &Change::Add(Member::sample(5))));
+}
+
+/// A new leader changes the members before it has accepted anything: the one
+/// before may have changed them otherwise, unknown to it, and both sets have a
+/// majority without the other.
+#[test]
+fn not_before_own_entry() {
+    let mut c = Cluster::new(6, 3);
+    c.until("a leader that has accepted nothing", |c| {
+        let leads = |n: &cluster::Node| {
+            let machine = n.machine.as_ref().unwrap();
+            machine.is_leader() && machine.term_at(machine.commit()) != Some(machine.term())
+        };
+        c.nodes.iter().any(leads)
+    });
+    let leader = c.leader().unwrap();
+    assert!(!c.change(leader, &Change::Add(Member::sample(4))));
+    c.accept();
+    assert!(c.change(leader, &Change::Add(Member::sample(4))));
+}
+
+/// An operator promotes a newcomer that holds nothing yet, and a voter is lost:
+/// the newcomer would be counted on for what it never had.
+#[test]
+fn caught_up_first() {
+    let mut c = Cluster::new(7, 3);
+    let leader = c.elect();
+    c.accept();
+    assert!(c.change(leader, &Change::Add(Member::sample(4))));
+    c.accept();
+    assert!(!c.change(leader, &Change::Promote(Id(4))));
+    c.add_node(Member::sample(4), Loaded::default());
+    c.start(3);
+    c.until("the learner has caught up", |c| {
+        c.nodes[3].state.index == c.history.newest()
+    });
+    c.accept();
+    assert!(c.change(leader, &Change::Promote(Id(4))));
+    c.accept();
+    assert!(
+        c.nodes[3]
+            .machine
+            .as_ref()
+            .unwrap()
+            .members()
+            .is_voter(Id(4))
+    );
+}
+
+/// The leader is taken out: it leads until that is accepted, then another does,
+/// and it never stands again.
+#[test]
+fn leader_removed() {
+    let mut c = Cluster::new(8, 4);
+    let old = c.elect();
+    c.accept();
+    let id = c.nodes[old].id;
+    assert!(c.change(old, &Change::Remove(id)));
+    c.until("another leads", |c| c.leader().is_some_and(|n| n != old));
+    c.accept();
+    let term = c.nodes[c.leader().unwrap()]
+        .machine
+        .as_ref()
+        .unwrap()
+        .term();
+    c.run(20_000);
+    assert_eq!(
+        c.nodes[c.leader().unwrap()]
+            .machine
+            .as_ref()
+            .unwrap()
+            .term(),
+        term
+    );
+    assert!(
+        !c.nodes[old]
+            .machine
+            .as_ref()
+            .unwrap()
+            .members()
+            .contains(id)
+    );
+}
