Blame, isolate and refuse requests that kill engines

Cause: one request that crashes its engine and is sent again through every entry host takes the fleet down, and its neighbours are blamed with it. Change: `poison` (records, treatment, a watch per entry host that knows its own deaths before the replicas do and lets one unproven copy through at a time); a suspect's run is charged before it starts, so that two hosts can't both have the last one. `queue::Job::alone`: the last run is alone on its engine, so that only the guilty get to three deaths.

--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
+//! | [`poison`] | both | does it kill engines, and how does it run then |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //!
@@ -25,6 +26,7 @@
 pub mod gate;
 pub mod length;
 pub mod limit;
+pub mod poison;
 pub mod prefix;
 pub mod queue;
 pub mod retry;
--- /dev/null
+++ b/almondlock-policy/src/poison.rs
@@ -0,0 +1,303 @@
+//! Requests that kill the engines that run them.
+//!
+//! When an engine dies, nobody can tell which of the requests that ran there
+//! was the cause, so each is blamed. Blame is no verdict: a blamed request is a
+//! *suspect* and runs again under watch, and one that then finishes is cleared.
+//!
+//! | deaths | how it runs next |
+//! |---|---|
+//! | 0 | as any other; while no copy of it has finished, one at a time per entry host |
+//! | 1 | on an engine without another suspect |
+//! | 2 | alone on an engine |
+//! | [`Config::deaths`] (3) | refused everywhere, until [`Config::keep`] is over |
+//!
+//! The last run is alone so that only the guilty get to three: whoever dies
+//! there can't have been the victim of a neighbour. Two suspects never run
+//! together, else two harmless neighbours of one poison would blame each other.
+//!
+//! # How many engines one poison costs
+//!
+//! A suspect's run is [charged](charge) before it starts: the entry host
+//! has the death entered in the replicated records first, and it is taken out
+//! when the run ends well. So all runs of a known suspect together cost at most
+//! `deaths - 1` engines, through however many entry hosts it is sent again, and
+//! also when the entry host dies with the engine. An entry host that has not
+//! heard of the suspect yet may run one copy ([`Watch`] lets no second copy
+//! through before the first has ended). The fleet loses at most
+//! [`loss_limit`] engines per poison: one per entry host that had not heard,
+//! and the charged ones; three when news is faster than the caller.
+//!
+//! Records are kept by fingerprint, and a fingerprint includes the
+//! organisation: nobody can get another organisation's request blamed by
+//! sending a copy of it.
+//!
+//! ```
+//! use almondlock_base::{id::Organisation, time::Wall};
+//! use almondlock_policy::poison::{Config, Treatment, blame, treat};
+//!
+//! let config = Config::default();
+//! let bank = Organisation::new("bank")?;
+//! let now = Wall::from_millis(0);
+//! let mut record = blame(&config, None, &bank, now);
+//! assert_eq!(treat(Some(&record), now), Treatment::Apart);
+//! record = blame(&config, Some(&record), &bank, now);
+//! assert_eq!(treat(Some(&record), now), Treatment::Alone);
+//! record = blame(&config, Some(&record), &bank, now);
+//! assert!(matches!(treat(Some(&record), now), Treatment::Refuse { .. }));
+//! # Ok::<(), almondlock_base::id::Error>(())
+//! ```
+
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Fingerprint, Organisation},
+    time::{Mono, Wall},
+};
+use almondlock_state::config::Quarantine;
+
+/// When a request is refused, and for how long.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Engines that died while it ran, from which on it is refused.
+    pub deaths: u32,
+    /// How long a record outlasts its last death.
+    pub keep: Duration,
+    /// Fingerprints an entry host remembers as harmless.
+    pub harmless: usize,
+    /// For how long.
+    pub trust: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Config {
+        Config {
+            deaths: 3,
+            keep: Duration::from_secs(24 * 3_600),
+            harmless: 65_536,
+            trust: Duration::from_secs(600),
+        }
+    }
+}
+
+/// Engines that one poison can cost, with this many entry hosts that may not
+/// have heard of it when it reaches them.
+pub const fn loss_limit(config: &Config, unaware: u32) -> u32 {
+    let known = config.deaths.saturating_sub(1);
+    let all = unaware.saturating_add(known);
+    if all > config.deaths {
+        all
+    } else {
+        config.deaths
+    }
+}
+
+/// How a request is run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Treatment {
+    /// Nothing stands against it.
+    Free,
+    /// On an engine without another suspect.
+    Apart,
+    /// Alone on an engine.
+    Alone,
+    /// Not at all.
+    Refuse {
+        /// When the record ends.
+        retry_after: Duration,
+    },
+}
+
+impl Treatment {
+    /// Whether it is a suspect that may run, so that its run must be charged.
+    pub fn is_charged(self) -> bool {
+        matches!(self, Treatment::Apart | Treatment::Alone)
+    }
+}
+
+/// The record after one more death, or one more run that is charged in advance.
+pub fn blame(
+    config: &Config,
+    record: Option<&Quarantine>,
+    organisation: &Organisation,
+    now: Wall,
+) -> Quarantine {
+    let before = record.filter(|record| now < record.until);
+    let deaths = before.map_or(0, |record| record.deaths).saturating_add(1);
+    Quarantine {
+        organisation: organisation.clone(),
+        deaths,
+        refused: deaths >= config.deaths,
+        until: now + config.keep,
+    }
+}
+
+/// The record while a suspect runs: its death is entered before it starts.
+/// To be decided where the records are agreed on, so that two entry hosts can't
+/// both have the last run.
+///
+/// # Errors
+///
+/// Refused when another death would be one too many; the error says when the
+/// record ends.
+pub fn charge(
+    config: &Config,
+    record: Option<&Quarantine>,
+    organisation: &Organisation,
+    now: Wall,
+) -> Result<Quarantine, Duration> {
+    match treat(record, now) {
+        Treatment::Refuse { retry_after } => Err(retry_after),
+        Treatment::Free | Treatment::Apart | Treatment::Alone => {
+            Ok(blame(config, record, organisation, now))
+        }
+    }
+}
+
+/// How a request with this record is to be run.
+pub fn treat(record: Option<&Quarantine>, now: Wall) -> Treatment {
+    match record.filter(|record| now < record.until) {
+        None => Treatment::Free,
+        Some(record) if record.refused => Treatment::Refuse {
+            retry_after: record.until.since(now),
+        },
+        Some(record) if record.deaths == 0 => Treatment::Free,
+        Some(record) if record.deaths == 1 => Treatment::Apart,
+        Some(_) => Treatment::Alone,
+    }
+}
+
+/// How a run under [`Watch`] starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Run it as the treatment says. When that is charged, have the charge
+    /// committed first.
+    Run(Treatment),
+    /// A copy of it runs through this host and none has finished yet. It waits
+    /// for that one, at most until its own deadline; if that copy does well, it
+    /// also finds its prompt cached.
+    Wait,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Copies {
+    running: u32,
+    /// Deaths seen by this host itself, which the replicated records may not
+    /// show yet.
+    deaths: u32,
+}
+
+/// What one entry host knows of fingerprints, ahead of the replicated records.
+#[derive(Debug)]
+pub struct Watch {
+    config: Config,
+    // Invariant: has an entry while a copy runs or a death is not yet in the
+    // records, so it is bounded by the requests in flight and recent deaths.
+    copies: HashMap<Fingerprint, Copies>,
+    harmless: HashMap<Fingerprint, Mono>,
+    order: VecDeque<Fingerprint>,
+}
+
+impl Watch {
+    /// A watch that knows nothing.
+    pub fn new(config: Config) -> Watch {
+        Watch {
+            config,
+            copies: HashMap::new(),
+            harmless: HashMap::new(),
+            order: VecDeque::new(),
+        }
+    }
+
+    /// Asks to start a run. `record` is what the replicated records say.
+    ///
+    /// After [`Start::Run`] the run must be ended with [`Watch::end`].
+    pub fn begin(
+        &mut self,
+        print: Fingerprint,
+        record: Option<&Quarantine>,
+        wall: Wall,
+        now: Mono,
+    ) -> Start {
+        let known = self.copies.get(&print).copied().unwrap_or_default();
+        let treatment = self.treatment(known, record, wall);
+        if matches!(treatment, Treatment::Refuse { .. }) {
+            return Start::Run(treatment);
+        }
+        let trusted = treatment == Treatment::Free && self.is_harmless(&print, now);
+        if known.running > 0 && !trusted {
+            return Start::Wait;
+        }
+        self.copies.entry(print).or_default().running += 1;
+        Start::Run(treatment)
+    }
+
+    /// Ends a run. `Some(true)` says that it finished well, `Some(false)` that
+    /// its engine died, `None` that it ended without saying anything.
+    pub fn end(&mut self, print: Fingerprint, harmless: Option<bool>, now: Mono) {
+        let Some(copies) = self.copies.get_mut(&print) else {
+            return;
+        };
+        copies.running = copies.running.saturating_sub(1);
+        match harmless {
+            Some(true) => {
+                copies.deaths = 0;
+                self.trust(print, now);
+            }
+            Some(false) => {
+                copies.deaths += 1;
+                self.harmless.remove(&print);
+            }
+            None => {}
+        }
+        self.forget_idle(&print);
+    }
+
+    /// Notes that the deaths seen here are in the replicated records.
+    pub fn recorded(&mut self, print: &Fingerprint) {
+        if let Some(copies) = self.copies.get_mut(print) {
+            copies.deaths = 0;
+        }
+        self.forget_idle(print);
+    }
+
+    /// What the records say, and at least what this host has seen itself.
+    fn treatment(&self, known: Copies, record: Option<&Quarantine>, wall: Wall) -> Treatment {
+        let recorded = record.filter(|record| wall < record.until);
+        let deaths = recorded.map_or(0, |record| record.deaths);
+        match recorded {
+            Some(record) if record.refused || known.deaths <= deaths => treat(recorded, wall),
+            _ if known.deaths == 0 => Treatment::Free,
+            _ if known.deaths >= self.config.deaths => Treatment::Refuse {
+                retry_after: self.config.keep,
+            },
+            _ if known.deaths == 1 => Treatment::Apart,
+            _ => Treatment::Alone,
+        }
+    }
+
+    fn is_harmless(&self, print: &Fingerprint, now: Mono) -> bool {
+        let at = self.harmless.get(print);
+        at.is_some_and(|at| now.since(*at) < self.config.trust)
+    }
+
+    fn trust(&mut self, print: Fingerprint, now: Mono) {
+        if self.harmless.insert(print, now).is_none() {
+            self.order.push_back(print);
+        }
+        while self.order.len() > self.config.harmless {
+            if let Some(oldest) = self.order.pop_front() {
+                self.harmless.remove(&oldest);
+            }
+        }
+    }
+
+    fn forget_idle(&mut self, print: &Fingerprint) {
+        let idle = |copies: &Copies| copies.running == 0 && copies.deaths == 0;
+        if self.copies.get(print).is_some_and(idle) {
+            self.copies.remove(print);
+        }
+    }
+}
--- a/almondlock-policy/src/queue/load.rs
+++ b/almondlock-policy/src/queue/load.rs
@@ -28,6 +28,8 @@
     pub(super) held_memory: Tokens,
     pub(super) held_slots: u32,
     pub(super) suspects: u32,
+    /// Jobs that run alone: one at most.
+    pub(super) alone: u32,
 }
 
 impl Load {
@@ -44,7 +46,8 @@
         } else {
             self.long_prefill += job.prefill();
         }
-        self.suspects += u32::from(job.suspect);
+        self.suspects += u32::from(job.suspect || job.alone);
+        self.alone += u32::from(job.alone);
     }
 
     pub(super) fn end_prefill(&mut self, class: Class, tokens: Tokens) {
@@ -68,6 +71,8 @@
                 self.held_slots = self.held_slots.saturating_sub(1);
             }
         }
-        self.suspects = self.suspects.saturating_sub(u32::from(job.suspect));
+        let suspect = job.suspect || job.alone;
+        self.suspects = self.suspects.saturating_sub(u32::from(suspect));
+        self.alone = self.alone.saturating_sub(u32::from(job.alone));
     }
 }
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -42,6 +42,7 @@
 //!     output: Tokens(100),
 //!     deadline: Mono::from_millis(600_000),
 //!     suspect: false,
+//!     alone: false,
 //! };
 //! let room = Room::idle(Tokens(400_000), 16);
 //! queue.push(1, job(200_000), &room, now)?;
@@ -88,6 +89,8 @@
     pub deadline: Mono,
     /// Whether it is under suspicion of killing engines.
     pub suspect: bool,
+    /// Whether nothing else may run beside it. Implies `suspect`.
+    pub alone: bool,
 }
 
 impl Job {
@@ -191,6 +194,8 @@
     places: HashMap<I, Place>,
     waiting: HashMap<u64, Waiting<I>>,
     deadlines: BTreeSet<(Mono, u64)>,
+    /// Waiting jobs that run alone, by their due time.
+    alone: BTreeSet<(Mono, u64)>,
     lines: HashMap<Organisation, Line>,
     running: HashMap<I, Running>,
     load: Load,
@@ -213,6 +218,7 @@
             places: HashMap::new(),
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
+            alone: BTreeSet::new(),
             lines: HashMap::new(),
             running: HashMap::new(),
             load: Load::default(),
@@ -357,9 +363,8 @@
         let number = self.next;
         self.next += 1;
         let class = job.class();
-        let service = self.service(job.prefill()) + self.config.base;
-        let due = now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3));
-        let lane = Lane::of(class, job.suspect);
+        let due = self.due(&job, now);
+        let lane = Lane::of(class, job.suspect || job.alone);
         let line = self
             .lines
             .entry(job.organisation.clone())
@@ -373,6 +378,9 @@
             last_start,
         };
         self.deadlines.insert((last_start, number));
+        if job.alone {
+            self.alone.insert((due, number));
+        }
         self.queued[class.index()] += job.prefill();
         self.places.insert(id.clone(), place);
         self.waiting.insert(
@@ -385,6 +393,17 @@
         );
     }
 
+    /// When a job should start at the latest. One that runs alone stops all
+    /// others from that moment on, so it first waits for the engine to fall idle
+    /// by itself, through half of its time.
+    fn due(&self, job: &Job, now: Mono) -> Mono {
+        if job.alone {
+            return now + job.deadline.since(now) / 2;
+        }
+        let service = self.service(job.prefill()) + self.config.base;
+        now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3))
+    }
+
     fn last_start(&self, job: &Job) -> Mono {
         if self.config.hopeless {
             job.deadline - self.service(job.prefill())
@@ -402,6 +421,7 @@
         let waiting = self.waiting.remove(&place.number)?;
         self.places.remove(&waiting.id);
         self.deadlines.remove(&(place.last_start, place.number));
+        self.alone.remove(&(place.due, place.number));
         let class = waiting.job.class();
         let left = self.queued[class.index()].saturating_sub(waiting.job.prefill());
         self.queued[class.index()] = left;
--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -32,8 +32,8 @@
     /// The place of the job to start next, and whether a longer one that is due
     /// is kept room for meanwhile.
     pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<(Place, bool)> {
-        if room.slots == 0 {
-            return None;
+        if room.slots == 0 || self.load.alone > 0 || self.is_draining(now) {
+            return self.choose_alone(room);
         }
         let lowest = self.lowest_counter(room)?;
         self.floor = self.floor.max(lowest);
@@ -49,6 +49,19 @@
         place.map(|place| (place, held))
     }
 
+    /// Whether a job that runs alone is due: nothing else starts until it did.
+    fn is_draining(&self, now: Mono) -> bool {
+        self.alone.first().is_some_and(|(due, _)| *due <= now)
+    }
+
+    /// The job to run alone, once the engine is idle.
+    fn choose_alone(&self, room: &Room) -> Option<(Place, bool)> {
+        let (_, number) = self.alone.first().copied()?;
+        let fits = self.waiting.get(&number)?.job.need() <= room.free;
+        let place = self.place_of(number)?;
+        (fits && self.running.is_empty()).then_some((place, false))
+    }
+
     /// The job that is due first and has room, of the organisations whose
     /// counter lies in a range.
     fn choose_among(
@@ -72,7 +85,8 @@
             if !self.config.backfill {
                 return None;
             }
-            *held |= fit == Fit::NoRoom && now >= place.due && job.class() != Class::Short;
+            let waits_for_room = fit == Fit::NoRoom && !job.alone;
+            *held |= waits_for_room && now >= place.due && job.class() != Class::Short;
             closed[lane] = true;
         }
         None
@@ -134,6 +148,7 @@
         }
         let fits = match job.class() {
             _ if job.need() > room.free => false,
+            _ if job.alone => self.running.is_empty(),
             Class::Short => !held || self.fits_reserve(job, room),
             Class::Medium | Class::Long | Class::Huge => !held && self.spares_reserve(job, room),
         };
--- a/almondlock-policy/tests/queue_expiry.rs
+++ b/almondlock-policy/tests/queue_expiry.rs
@@ -18,6 +18,7 @@
         output: Tokens(100),
         deadline,
         suspect: prompt.is_multiple_of(7),
+        alone: prompt.is_multiple_of(11),
     }
 }
 
@@ -51,14 +52,15 @@
 }
 
 /// Whatever order things happen in, each job leaves exactly once: granted,
-/// withdrawn or expired. Two suspects never run together.
+/// withdrawn or expired. Two suspects never run together, and nothing runs
+/// beside one that has to be alone.
 #[test]
 fn every_job_leaves_once() {
     for seed in 0..100 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut room = Room::idle(Tokens(300_000), 8);
         let mut queue = Queue::new(Config::short());
-        let mut running: Vec<(u64, Tokens, bool)> = Vec::new();
+        let mut running: Vec<(u64, Tokens, bool, bool)> = Vec::new();
         let (mut came, mut left) = (0, 0);
         let mut jobs = Vec::new();
         for step in 0..2_000 {
@@ -76,7 +78,7 @@
                 2 => left += queue.expired(now).len(),
                 3 => left += usize::from(queue.remove(&rng.random_range(0..jobs.len() as u64 + 1))),
                 4 if !running.is_empty() => {
-                    let (id, need, _) = running.swap_remove(rng.random_range(0..running.len()));
+                    let (id, need, ..) = running.swap_remove(rng.random_range(0..running.len()));
                     queue.finish(&id, Tokens(rng.random_range(0..100)));
                     room.free += need;
                     room.slots += 1;
@@ -87,17 +89,19 @@
                         assert!(job.need() <= room.free, "seed {seed}: no room");
                         room.free = room.free.saturating_sub(job.need());
                         room.slots -= 1;
-                        running.push((grant.id, job.need(), job.suspect));
+                        running.push((grant.id, job.need(), job.suspect || job.alone, job.alone));
                         left += 1;
                     }
-                    let suspects = running.iter().filter(|(_, _, suspect)| *suspect).count();
+                    let suspects = running.iter().filter(|(_, _, suspect, _)| *suspect).count();
                     assert!(suspects <= 1, "seed {seed}: two suspects together");
+                    let alone = running.iter().any(|(_, _, _, alone)| *alone);
+                    assert!(!alone || running.len() == 1, "seed {seed}: not alone");
                 }
             }
             assert_eq!(came, left + queue.len(), "seed {seed}");
         }
         // Nothing is left behind when all is over.
-        for (id, _, _) in running {
+        for (id, ..) in running {
             queue.finish(&id, Tokens::ZERO);
         }
         queue.expired(Mono::from_millis(10_000_000));
@@ -107,3 +111,40 @@
         );
     }
 }
+
+/// Others keep coming all the time; the one that runs alone gets its turn.
+#[test]
+fn alone_is_not_starved() {
+    let mut queue = Queue::new(Config::short());
+    let mut room = Room::idle(Tokens(300_000), 8);
+    let mut ends: std::collections::VecDeque<(u64, u64)> = Default::default();
+    for step in 0..400 {
+        let now = Mono::from_millis(step * 100);
+        while let Some((end, id)) = ends.front().copied()
+            && end <= step
+        {
+            ends.pop_front();
+            queue.finish(&id, Tokens(100));
+            room.slots += 1;
+        }
+        let others = job(step % 3, 1_000, now + std::time::Duration::from_secs(30));
+        queue.push(step, others, &room, now).unwrap();
+        if step == 10 {
+            let alone = Job {
+                alone: true,
+                ..job(4, 1_003, now + std::time::Duration::from_secs(20))
+            };
+            queue.push(9_999, alone, &room, now).unwrap();
+        }
+        while let Some(grant) = queue.grant(now, &room) {
+            if grant.id == 9_999 {
+                assert!(step <= 10 + 100 + 20, "started at step {step}");
+                return;
+            }
+            queue.prefilled(&grant.id, now);
+            room.slots -= 1;
+            ends.push_back((step + 15, grant.id));
+        }
+    }
+    panic!("the job never started");
+}
