Give prompts larger than an engine room on several, and lend limits

Cause: two prompts that each hold a part of what both need wait for ever; a limit divided over entry hosts leaves unused what one of them doesn't need. Change: `gang` (parts, one order of asking for all, release of the others when one member is lost) with a `Desk` per engine that collects memory for the first in line while the queue goes on with short jobs in their reserved part; `limit::Lender` (what the floors leave, lent for two seconds at a time, with what is in flight under ended leases still counted). Faults found by the tests and mended: a reservation that reached a member taken for lost stayed there, since only the other members were told; a lender that took a smaller part for granted while the answer was lost lent the difference twice; tokens of requests that outlast their lease were lent again. Ruled out for gangs: one granting place, tries without waiting, deadlock detection; see the module. Seen failing on a scratch copy, one safeguard out at a time: order of asking, collecting, reserve, short jobs held to it, release of the lost member and of the others (gang_deadlock); linger, smaller part after a lost answer, what is in use, start after a restart, others' parts (lent_share). Conclusion: all pass with the safeguards in.

--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -18,12 +18,14 @@
 //! | [`poison`] | both | does it kill engines, and how does it run then |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
+//! | [`gang`] | both | how is a prompt larger than an engine given room on several |
 //! | [`ledger`] | sidecar | what is engine memory held for, and until when |
 //!
 //! Each module stands alone: none needs another one to be useful.
 
 pub mod choice;
 pub mod deadline;
+pub mod gang;
 pub mod gate;
 pub mod ledger;
 pub mod length;
--- a/almondlock-policy/src/limit.rs
+++ b/almondlock-policy/src/limit/mod.rs
@@ -6,7 +6,7 @@
 //! place is gone), each host alone with the whole limit (overrun by as many
 //! times as there are hosts), and a divided limit. Here the limit is divided:
 //! each of `n` hosts has a *floor* of its own that it may always use, and what
-//! is over the floors is lent out as short [`Lease`]s by one place. The sum of
+//! is over the floors is lent out as short [`Lease`]s by one place, a [`Lender`]. The sum of
 //! floors and leases never exceeds the limit, so no cut in the network lets the
 //! limit be overrun; a host that is cut off falls back to its floor when its
 //! lease runs out.
@@ -26,6 +26,8 @@
 //! # Ok::<(), almondlock_base::id::Error>(())
 //! ```
 
+mod lend;
+
 use std::{
     collections::HashMap,
     sync::{
@@ -37,6 +39,8 @@
 
 use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
 
+pub use self::lend::{Lender, Part, Terms};
+
 const MICROS: u64 = 1_000_000;
 
 /// How a fleet-wide limit is divided.
@@ -129,7 +133,8 @@
     missed: Demand,
 }
 
-/// What an organisation could have used and did not get.
+/// What an organisation could have used and did not get. An entry host that
+/// has some asks the lender for it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Demand {
     /// Requests refused for their rate.
@@ -193,6 +198,16 @@
         self.accounts.get(organisation).map_or(Tokens::ZERO, load)
     }
 
+    /// Of the tokens in flight, those over this host's floor: what the lender is
+    /// told of with each question.
+    pub fn over_floor(&self, organisation: &Organisation) -> Tokens {
+        let Some(account) = self.accounts.get(organisation) else {
+            return Tokens::ZERO;
+        };
+        let floor = Tokens(account.floor_tokens(&self.config));
+        self.in_flight(organisation).saturating_sub(floor)
+    }
+
     /// What was turned away since the last call: what to ask the lender for.
     pub fn take_demand(&mut self, organisation: &Organisation) -> Demand {
         let take = |a: &mut Account| std::mem::take(&mut a.missed);
@@ -244,12 +259,17 @@
         floor / u64::from(config.hosts.max(1)) + self.lease.map_or(0, |lease| lease.rate)
     }
 
-    fn tokens(&self, config: &Config) -> u64 {
+    fn floor_tokens(&self, config: &Config) -> u64 {
         let floor = u128::from(self.limit.tokens.0) * u128::from(config.floor.min(100))
             / 100
             / u128::from(config.hosts.max(1));
-        let floor = u64::try_from(floor).unwrap_or(u64::MAX);
-        floor.saturating_add(self.lease.map_or(0, |lease| lease.tokens.0))
+        u64::try_from(floor).unwrap_or(u64::MAX)
+    }
+
+    /// Tokens that this host may have in flight.
+    fn tokens(&self, config: &Config) -> u64 {
+        let lent = self.lease.map_or(0, |lease| lease.tokens.0);
+        self.floor_tokens(config).saturating_add(lent)
     }
 
     /// Saved-up credit never exceeds the burst, and a full burst is always
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -201,6 +201,8 @@
     load: Load,
     queued: [Tokens; 4],
     speed: f64,
+    /// Whether room is kept for something outside this queue.
+    hold: bool,
     /// The lowest counter last granted from. Only goes up.
     floor: u64,
 }
@@ -223,6 +225,7 @@
             running: HashMap::new(),
             load: Load::default(),
             queued: [Tokens::ZERO; 4],
+            hold: false,
             floor: 0,
         }
     }
@@ -233,6 +236,13 @@
         self.config = config;
     }
 
+    /// Says whether room is to be kept for something outside this queue, as for
+    /// a longer job that is due: only short jobs start then, in the reserved
+    /// part. A [`Desk`](crate::gang::Desk) that collects memory asks for it.
+    pub fn set_hold(&mut self, hold: bool) {
+        self.hold = hold;
+    }
+
     /// How many jobs wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -38,7 +38,7 @@
         let lowest = self.lowest_counter(room)?;
         self.floor = self.floor.max(lowest);
         let ceiling = lowest.saturating_add(self.config.quantum);
-        let mut held = false;
+        let mut held = self.hold;
         let mut place = self.choose_among(0..=ceiling, &mut held, now, room);
         if place.is_none() {
             // Nothing of those has room now. The others have been served more
@@ -166,6 +166,13 @@
             && u64::from(self.load.held_slots) < slots.max(1)
     }
 
+    /// What is to be left free of the reserved part: what short jobs don't hold
+    /// of it already.
+    pub fn reserve_left(&self, room: &Room) -> Tokens {
+        let memory = Tokens(percent(room.capacity.0, self.config.reserve));
+        memory.saturating_sub(self.load.short_memory)
+    }
+
     /// Whether a longer job leaves the reserved part to the short ones. What
     /// short jobs hold of it already is not kept free again. A job that only
     /// fits with the reserved part gets it, else it could never run.
