--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -23,6 +23,8 @@
 //!
 //! Each module stands alone: none needs another one to be useful.
 
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
 pub mod choice;
 pub mod deadline;
 pub mod gang;
