Push what runs alone by a call of its own

Cause: a field `alone` in `queue::Job` broke the sidecar, which builds jobs. Change: `Queue::push_alone`; such jobs stand in no organisation's line and start when the engine is idle, or after half of their time, when nothing else starts before them. The queue's plain types moved to a file of their own. Seen failing on a scratch copy: started beside others, others started beside it, engine not drained for it (queue_expiry).

--- a/almondlock-policy/src/queue/line.rs
+++ b/almondlock-policy/src/queue/line.rs
@@ -4,7 +4,7 @@
 
 use almondlock_base::{time::Mono, unit::Tokens};
 
-use crate::length::Class;
+use super::Job;
 
 /// What a job waits in: its class, or the lane of those under suspicion, which
 /// is looked at only while no other suspect runs.
@@ -13,13 +13,15 @@
 
 impl Lane {
     pub(super) const SUSPECT: Lane = Lane(4);
+    /// That of jobs which run alone. No organisation's line has it.
+    pub(super) const ALONE: Lane = Lane(5);
     pub(super) const ALL: [Lane; 5] = [Lane(0), Lane(1), Lane(2), Lane(3), Lane::SUSPECT];
 
-    pub(super) fn of(class: Class, suspect: bool) -> Lane {
-        if suspect {
+    pub(super) fn of(job: &Job) -> Lane {
+        if job.suspect {
             Lane::SUSPECT
         } else {
-            Lane(class.index())
+            Lane(job.class().index())
         }
     }
 }
--- a/almondlock-policy/src/queue/load.rs
+++ b/almondlock-policy/src/queue/load.rs
@@ -13,6 +13,8 @@
     pub(super) prefilling: bool,
     /// Whether it started while room was kept for a longer job.
     pub(super) held: bool,
+    /// Whether nothing else may run beside it.
+    pub(super) alone: bool,
 }
 
 /// Sums over the jobs that run. Invariant: equal to the sum over
@@ -46,8 +48,8 @@
         } else {
             self.long_prefill += job.prefill();
         }
-        self.suspects += u32::from(job.suspect || job.alone);
-        self.alone += u32::from(job.alone);
+        self.suspects += u32::from(job.suspect || running.alone);
+        self.alone += u32::from(running.alone);
     }
 
     pub(super) fn end_prefill(&mut self, class: Class, tokens: Tokens) {
@@ -71,8 +73,8 @@
                 self.held_slots = self.held_slots.saturating_sub(1);
             }
         }
-        let suspect = job.suspect || job.alone;
+        let suspect = job.suspect || running.alone;
         self.suspects = self.suspects.saturating_sub(u32::from(suspect));
-        self.alone = self.alone.saturating_sub(u32::from(job.alone));
+        self.alone = self.alone.saturating_sub(u32::from(running.alone));
     }
 }
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -42,7 +42,6 @@
 //!     output: Tokens(100),
 //!     deadline: Mono::from_millis(600_000),
 //!     suspect: false,
-//!     alone: false,
 //! };
 //! let room = Room::idle(Tokens(400_000), 16);
 //! queue.push(1, job(200_000), &room, now)?;
@@ -53,6 +52,7 @@
 //! ```
 
 mod config;
+mod job;
 mod line;
 mod load;
 mod wait;
@@ -65,118 +65,16 @@
 
 use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
 
-pub use self::config::Config;
+pub use self::{
+    config::Config,
+    job::{Expiry, Grant, Job, Refusal, Room},
+};
 use self::{
     line::{Lane, Line, Place},
     load::{Load, Running},
 };
 use crate::length::Class;
 
-/// What the queue has to know of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Job {
-    /// Who pays for it.
-    pub organisation: Organisation,
-    /// The organisation's share against the others'.
-    pub weight: u32,
-    /// Length of the prompt.
-    pub prompt: Tokens,
-    /// How much of the prompt's start the engine has cached, as believed.
-    pub cached: Tokens,
-    /// Most tokens it may answer with.
-    pub output: Tokens,
-    /// When its time is over.
-    pub deadline: Mono,
-    /// Whether it is under suspicion of killing engines.
-    pub suspect: bool,
-    /// Whether nothing else may run beside it. Implies `suspect`.
-    pub alone: bool,
-}
-
-impl Job {
-    /// Engine memory that it needs in the end.
-    pub fn need(&self) -> Tokens {
-        self.prompt + self.output
-    }
-
-    /// Tokens still to be prefilled.
-    pub fn prefill(&self) -> Tokens {
-        self.prompt.saturating_sub(self.cached)
-    }
-
-    /// Its length class, by the work it is: a long prompt whose start is cached
-    /// delays others no more than a short one.
-    pub fn class(&self) -> Class {
-        Class::of(self.prefill())
-    }
-}
-
-/// What is free on the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Room {
-    /// Free memory.
-    pub free: Tokens,
-    /// All its memory.
-    pub capacity: Tokens,
-    /// Free places in the batch.
-    pub slots: u32,
-    /// All places in the batch.
-    pub slot_limit: u32,
-}
-
-impl Room {
-    /// An engine on which nothing runs.
-    pub fn idle(capacity: Tokens, slots: u32) -> Room {
-        Room {
-            free: capacity,
-            capacity,
-            slots,
-            slot_limit: slots,
-        }
-    }
-}
-
-/// A job that starts now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant<I> {
-    /// The job.
-    pub id: I,
-    /// Its class.
-    pub class: Class,
-    /// The engine's priority for it; 0 goes before all others.
-    pub priority: u8,
-    /// How long it waited.
-    pub waited: Duration,
-}
-
-/// A job that is given up before it started.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Expiry<I> {
-    /// The job. It is no longer in the queue.
-    pub id: I,
-    /// [`Code::QueueTimeout`] or [`Code::DeadlineUnreachable`].
-    pub code: Code,
-    /// When its caller may come back.
-    pub retry_after: Duration,
-}
-
-/// A job that may not wait here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// The numbered reason.
-    pub code: Code,
-    /// When to come back, zero for never.
-    pub retry_after: Duration,
-}
-
-impl std::fmt::Display for Refusal {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.code.fmt(f)
-    }
-}
-
-impl std::error::Error for Refusal {}
-
 #[derive(Debug)]
 struct Waiting<I> {
     id: I,
@@ -271,20 +169,21 @@
     /// Refused when the engine can never hold it, when too much waits, or when
     /// its deadline can't be met even if it started now.
     pub fn push(&mut self, id: I, job: Job, room: &Room, now: Mono) -> Result<(), Refusal> {
-        if self.places.contains_key(&id) || self.running.contains_key(&id) {
-            return Err(refusal(Code::AlreadyRunning, Duration::ZERO));
-        }
-        if job.need() > room.capacity {
-            return Err(refusal(Code::PromptTooLong, Duration::ZERO));
-        }
-        let pause = self.wait_estimate(Class::Short).max(self.config.base);
-        if self.waiting.len() >= self.config.capacity {
-            return Err(refusal(Code::Overloaded, pause));
-        }
-        if self.config.hopeless && now + self.service(job.prefill()) > job.deadline {
-            return Err(refusal(Code::DeadlineUnreachable, pause));
-        }
-        self.insert(id, job, now);
+        self.check(&id, &job, room, now)?;
+        let lane = Lane::of(&job);
+        self.insert(id, job, lane, now);
+        Ok(())
+    }
+
+    /// Puts a suspect in that nothing else may run beside. It starts when the
+    /// engine falls idle; after half of its time nothing else starts before it.
+    ///
+    /// # Errors
+    ///
+    /// Refused as by [`Queue::push`].
+    pub fn push_alone(&mut self, id: I, job: Job, room: &Room, now: Mono) -> Result<(), Refusal> {
+        self.check(&id, &job, room, now)?;
+        self.insert(id, job, Lane::ALONE, now);
         Ok(())
     }
 
@@ -369,17 +268,35 @@
         self.forget_idle(&running.job.organisation);
     }
 
-    fn insert(&mut self, id: I, job: Job, now: Mono) {
+    fn check(&self, id: &I, job: &Job, room: &Room, now: Mono) -> Result<(), Refusal> {
+        if self.places.contains_key(id) || self.running.contains_key(id) {
+            return Err(refusal(Code::AlreadyRunning, Duration::ZERO));
+        }
+        if job.need() > room.capacity {
+            return Err(refusal(Code::PromptTooLong, Duration::ZERO));
+        }
+        let pause = self.wait_estimate(Class::Short).max(self.config.base);
+        if self.waiting.len() >= self.config.capacity {
+            return Err(refusal(Code::Overloaded, pause));
+        }
+        if self.config.hopeless && now + self.service(job.prefill()) > job.deadline {
+            return Err(refusal(Code::DeadlineUnreachable, pause));
+        }
+        Ok(())
+    }
+
+    fn insert(&mut self, id: I, job: Job, lane: Lane, now: Mono) {
         let number = self.next;
         self.next += 1;
         let class = job.class();
-        let due = self.due(&job, now);
-        let lane = Lane::of(class, job.suspect || job.alone);
-        let line = self
-            .lines
-            .entry(job.organisation.clone())
-            .or_insert_with(|| Line::new(self.floor));
-        line.arrive(lane, (due, number), self.floor);
+        let due = self.due(&job, lane, now);
+        if lane == Lane::ALONE {
+            self.alone.insert((due, number));
+        } else {
+            let line = self.lines.entry(job.organisation.clone());
+            let line = line.or_insert_with(|| Line::new(self.floor));
+            line.arrive(lane, (due, number), self.floor);
+        }
         let last_start = self.last_start(&job);
         let place = Place {
             number,
@@ -388,9 +305,6 @@
             last_start,
         };
         self.deadlines.insert((last_start, number));
-        if job.alone {
-            self.alone.insert((due, number));
-        }
         self.queued[class.index()] += job.prefill();
         self.places.insert(id.clone(), place);
         self.waiting.insert(
@@ -406,8 +320,8 @@
     /// When a job should start at the latest. One that runs alone stops all
     /// others from that moment on, so it first waits for the engine to fall idle
     /// by itself, through half of its time.
-    fn due(&self, job: &Job, now: Mono) -> Mono {
-        if job.alone {
+    fn due(&self, job: &Job, lane: Lane, now: Mono) -> Mono {
+        if lane == Lane::ALONE {
             return now + job.deadline.since(now) / 2;
         }
         let service = self.service(job.prefill()) + self.config.base;
@@ -431,12 +345,13 @@
         let waiting = self.waiting.remove(&place.number)?;
         self.places.remove(&waiting.id);
         self.deadlines.remove(&(place.last_start, place.number));
-        self.alone.remove(&(place.due, place.number));
-        let class = waiting.job.class();
-        let left = self.queued[class.index()].saturating_sub(waiting.job.prefill());
-        self.queued[class.index()] = left;
-        if let Some(line) = self.lines.get_mut(&waiting.job.organisation) {
-            line.leave(place.lane, (place.due, place.number));
+        let queued = &mut self.queued[waiting.job.class().index()];
+        *queued = queued.saturating_sub(waiting.job.prefill());
+        let key = (place.due, place.number);
+        if place.lane == Lane::ALONE {
+            self.alone.remove(&key);
+        } else if let Some(line) = self.lines.get_mut(&waiting.job.organisation) {
+            line.leave(place.lane, key);
         }
         self.forget_idle(&waiting.job.organisation);
         Some(waiting)
@@ -455,6 +370,7 @@
             since: now,
             prefilling: true,
             held,
+            alone: place.lane == Lane::ALONE,
         };
         self.load.enter(&running);
         self.running.insert(id.clone(), running);
--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -32,8 +32,11 @@
     /// The place of the job to start next, and whether a longer one that is due
     /// is kept room for meanwhile.
     pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<(Place, bool)> {
+        if let Some(place) = self.choose_alone(room) {
+            return Some((place, false));
+        }
         if room.slots == 0 || self.load.alone > 0 || self.is_draining(now) {
-            return self.choose_alone(room);
+            return None;
         }
         let lowest = self.lowest_counter(room)?;
         self.floor = self.floor.max(lowest);
@@ -55,11 +58,11 @@
     }
 
     /// The job to run alone, once the engine is idle.
-    fn choose_alone(&self, room: &Room) -> Option<(Place, bool)> {
+    fn choose_alone(&self, room: &Room) -> Option<Place> {
         let (_, number) = self.alone.first().copied()?;
         let fits = self.waiting.get(&number)?.job.need() <= room.free;
-        let place = self.place_of(number)?;
-        (fits && self.running.is_empty()).then_some((place, false))
+        let idle = fits && self.running.is_empty() && room.slots > 0;
+        self.place_of(number).filter(|_| idle)
     }
 
     /// The job that is due first and has room, of the organisations whose
@@ -85,8 +88,7 @@
             if !self.config.backfill {
                 return None;
             }
-            let waits_for_room = fit == Fit::NoRoom && !job.alone;
-            *held |= waits_for_room && now >= place.due && job.class() != Class::Short;
+            *held |= fit == Fit::NoRoom && now >= place.due && job.class() != Class::Short;
             closed[lane] = true;
         }
         None
@@ -148,7 +150,6 @@
         }
         let fits = match job.class() {
             _ if job.need() > room.free => false,
-            _ if job.alone => self.running.is_empty(),
             Class::Short => !held || self.fits_reserve(job, room),
             Class::Medium | Class::Long | Class::Huge => !held && self.spares_reserve(job, room),
         };
--- a/almondlock-policy/tests/ageing_long.rs
+++ b/almondlock-policy/tests/ageing_long.rs
@@ -25,7 +25,6 @@
         output: Tokens(1_000),
         deadline: Mono::from_millis(3_600_000),
         suspect: false,
-        alone: false,
     }
 }
 
--- a/almondlock-policy/tests/flood_fairness.rs
+++ b/almondlock-policy/tests/flood_fairness.rs
@@ -22,7 +22,6 @@
         output: Tokens(100),
         deadline: Mono::from_millis(3_600_000),
         suspect: false,
-        alone: false,
     }
 }
 
--- a/almondlock-policy/tests/gang_deadlock.rs
+++ b/almondlock-policy/tests/gang_deadlock.rs
@@ -67,7 +67,6 @@
             output: Tokens(1_000),
             deadline: now + Duration::from_secs(600),
             suspect: false,
-            alone: false,
         };
         let room = self.room();
         self.queue.push(id, job, &room, now).unwrap();
--- a/almondlock-policy/tests/queue_expiry.rs
+++ b/almondlock-policy/tests/queue_expiry.rs
@@ -18,10 +18,13 @@
         output: Tokens(100),
         deadline,
         suspect: prompt.is_multiple_of(7),
-        alone: prompt.is_multiple_of(11),
     }
 }
 
+fn is_alone(job: &Job) -> bool {
+    job.prompt.0.is_multiple_of(11)
+}
+
 #[test]
 fn hopeless_is_given_up_before_the_deadline() {
     let room = Room::idle(Tokens(100_000), 16);
@@ -73,7 +76,12 @@
                     let job = job(rng.random_range(0..5), prompt, deadline);
                     jobs.push(job.clone());
                     let id = jobs.len() as u64 - 1;
-                    came += usize::from(queue.push(id, job, &room, now).is_ok());
+                    let pushed = if is_alone(&job) {
+                        queue.push_alone(id, job, &room, now)
+                    } else {
+                        queue.push(id, job, &room, now)
+                    };
+                    came += usize::from(pushed.is_ok());
                 }
                 2 => left += queue.expired(now).len(),
                 3 => left += usize::from(queue.remove(&rng.random_range(0..jobs.len() as u64 + 1))),
@@ -89,7 +97,8 @@
                         assert!(job.need() <= room.free, "seed {seed}: no room");
                         room.free = room.free.saturating_sub(job.need());
                         room.slots -= 1;
-                        running.push((grant.id, job.need(), job.suspect || job.alone, job.alone));
+                        let alone = is_alone(job);
+                        running.push((grant.id, job.need(), job.suspect || alone, alone));
                         left += 1;
                     }
                     let suspects = running.iter().filter(|(_, _, suspect, _)| *suspect).count();
@@ -130,11 +139,8 @@
         let others = job(step % 3, 1_000, now + std::time::Duration::from_secs(30));
         queue.push(step, others, &room, now).unwrap();
         if step == 10 {
-            let alone = Job {
-                alone: true,
-                ..job(4, 1_003, now + std::time::Duration::from_secs(20))
-            };
-            queue.push(9_999, alone, &room, now).unwrap();
+            let alone = job(4, 1_003, now + std::time::Duration::from_secs(20));
+            queue.push_alone(9_999, alone, &room, now).unwrap();
         }
         while let Some(grant) = queue.grant(now, &room) {
             if grant.id == 9_999 {
--- a/almondlock-policy/tests/short_first.rs
+++ b/almondlock-policy/tests/short_first.rs
@@ -23,7 +23,6 @@
         output: Tokens(200),
         deadline: Mono::from_millis(600_000),
         suspect: false,
-        alone: false,
     }
 }
 
