--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -15,8 +15,11 @@
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
+//! | [`poison`] | both | does it kill engines, and how does it run then |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
+//! | [`gang`] | both | how is a prompt larger than an engine given room on several |
+//! | [`ledger`] | sidecar | what is engine memory held for, and until when |
 //!
 //! Each module stands alone: none needs another one to be useful.
 
@@ -24,9 +27,12 @@
 
 pub mod choice;
 pub mod deadline;
+pub mod gang;
 pub mod gate;
+pub mod ledger;
 pub mod length;
 pub mod limit;
+pub mod poison;
 pub mod prefix;
 pub mod queue;
 pub mod retry;
