--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -1,71 +1,258 @@
-//! Keeping the view up to date from other processes.
+//! Keeping the view up to date from a parent.
 
-use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::pending,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use almondlock_base::{time::Mono, unit::Revision};
-use almondlock_transport::Dialer;
-use almondlock_wire::almondlock_capnp::{delta, spread};
-use tokio::time::sleep;
+use almondlock_spread::{
+    parent::{self, Search, Step, Verdict},
+    recency::Recency,
+    snapshot::Assembly,
+};
+use almondlock_transport::{Dialer, Layer};
+use almondlock_wire::{
+    almondlock_capnp::spread,
+    peer::VERSION,
+    spread::{Body, Delta, Fetch, Piece, Report, Standing, Want},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::{sleep, timeout};
 
 use crate::{
     clock,
-    handle::{Handle, Shared},
-    node::Config,
+    handle::Shared,
+    session::{self, Session},
 };
 
-const PAUSE: Duration = Duration::from_millis(100);
+/// How long a parent may hold an answer back when it has no news. Half a
+/// kilobyte goes each time; the age of what is known grows by this a level.
+const WAIT: Duration = Duration::from_secs(2);
+/// The same while something newer is known to exist.
+const WAIT_BEHIND: Duration = Duration::from_millis(100);
+/// How long after its time an answer may still come.
+const SILENCE: Duration = Duration::from_secs(2);
+/// Reports that come closer together than this go up as one.
+const GAP: Duration = Duration::from_millis(10);
+/// How long saying goodbye may take.
+const LEAVE: Duration = Duration::from_millis(500);
+
+/// The loop of a process that is no source.
+pub(crate) struct Fetcher<L> {
+    shared: Arc<Shared>,
+    dialer: Dialer<L>,
+    search: Search<SmallRng>,
+    recency: Recency,
+    assembly: Option<Assembly>,
+    session: Option<Session>,
+    parent: Rc<RefCell<Option<spread::Client>>>,
+}
 
-pub(crate) async fn run(config: Config, shared: Arc<Shared>, handle: Handle) {
-    let dialer = Dialer::new(config.security);
-    loop {
-        for seed in &config.seeds {
-            if let Err(error) = follow(&dialer, *seed, &shared, &handle).await {
-                tracing::debug!(%seed, %error, "fetching failed");
+impl<L> Fetcher<L>
+where
+    L: Layer,
+{
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        dialer: Dialer<L>,
+        seeds: &[SocketAddr],
+        parent: Rc<RefCell<Option<spread::Client>>>,
+    ) -> Fetcher<L> {
+        // Differs from process to process, which is all that is asked of it.
+        let seed = shared.own.process.incarnation.0 ^ u64::from(shared.own.address.port());
+        let rng = SmallRng::seed_from_u64(seed);
+        let own = shared.own.address;
+        Fetcher {
+            search: Search::new(parent::Config::default(), own, VERSION, seeds, rng),
+            shared,
+            dialer,
+            recency: Recency::new(),
+            assembly: None,
+            session: None,
+            parent,
+        }
+    }
+
+    pub(crate) async fn run(mut self) {
+        loop {
+            match self.search.step(clock::mono()) {
+                Step::Wait(pause) => sleep(pause).await,
+                Step::Ask(address) => {
+                    if let Err(error) = self.ask(address).await {
+                        tracing::debug!(%address, %error, "fetching failed");
+                        self.leave(address);
+                        self.search.fail(address);
+                    }
+                }
             }
+            self.publish();
         }
-        sleep(PAUSE).await;
     }
-}
 
-async fn follow(
-    dialer: &Dialer,
-    seed: SocketAddr,
-    shared: &Shared,
-    handle: &Handle,
-) -> Result<(), capnp::Error> {
-    let link = dialer
-        .dial(seed)
-        .await
-        .map_err(|error: io::Error| capnp::Error::disconnected(error.to_string()))?;
-    let answer = link.node().spread_request().send().promise.await?;
-    let spread = answer.get()?.get_spread()?;
-    loop {
-        fetch(&spread, shared, handle).await?;
-        tokio::select! {
-            () = sleep(PAUSE) => {}
-            () = shared.news.notified() => {}
+    /// Shows the tree's server and the node what the search came to.
+    fn publish(&mut self) {
+        let known = self.search.parent().is_some();
+        let session = self.session.as_ref().filter(|_| known);
+        let client = session.map(|session| session.spread.clone());
+        self.parent.replace(client);
+        self.shared.tree().way = self.search.way();
+    }
+
+    fn leave(&mut self, address: SocketAddr) {
+        self.session.take_if(|session| session.address == address);
+        self.assembly = None;
+    }
+
+    async fn ask(&mut self, address: SocketAddr) -> Result<(), capnp::Error> {
+        let session = match self.session.take() {
+            Some(session) if session.address == address && !session.is_closed() => session,
+            _ => Session::open(&self.dialer, address).await?,
+        };
+        let spread = self.session.insert(session).spread.clone();
+        let is_parent = self.search.parent() == Some(address);
+        if !is_parent {
+            self.shared.tree().children.announce();
         }
+        let fetch = self.request(is_parent);
+        let sent = clock::mono();
+        let answer = timeout(fetch.wait + SILENCE, session::ask(&spread, &fetch));
+        let delta = tokio::select! {
+            biased;
+            answer = answer => match answer {
+                Ok(delta) => delta?,
+                Err(_) => return Err(capnp::Error::disconnected("no answer in time".into())),
+            },
+            // The question is put again, with what is known now.
+            () = interrupted(&self.shared, fetch.report.lowest), if is_parent => return Ok(()),
+        };
+        self.answer(address, &fetch.report, delta, sent);
+        Ok(())
     }
-}
 
-async fn fetch(
-    spread: &spread::Client,
-    shared: &Shared,
-    handle: &Handle,
-) -> Result<(), capnp::Error> {
-    let sent: Mono = clock::mono();
-    let mut request = spread.fetch_request();
-    request.get().set_have(shared.view.revision().0);
-    handle.peer().write(request.get().init_report().init_from());
-    let answer = request.send().promise.await?;
-    let delta = answer.get()?.get_delta()?;
-    if let delta::Which::Piece(piece) = delta.which()? {
-        let config = serde_json::from_slice(piece?.get_data()?)
-            .map_err(|error| capnp::Error::failed(error.to_string()))?;
-        shared.view.replace(config);
+    /// What is asked for. A process that is no parent yet is asked without a
+    /// wait: it may refuse, or turn out to be of no use.
+    fn request(&self, is_parent: bool) -> Fetch {
+        let have = self.shared.view.revision();
+        let want = match &self.assembly {
+            Some(assembly) => match assembly.next() {
+                // Any revision will do; zero would not ask for a snapshot.
+                (Revision::ZERO, _) => Want::Snapshot(have.next(), 0),
+                (revision, offset) => Want::Snapshot(revision, offset),
+            },
+            None => Want::After(have),
+        };
+        let (report, backlog) = {
+            let mut tree = self.shared.tree();
+            tree.children.expire(clock::mono());
+            let report = tree.children.report(self.shared.peer());
+            (report, tree.children.has_backlog())
+        };
+        let behind = self.shared.heard.load(Ordering::Relaxed) > have.0;
+        let wait = match () {
+            () if !is_parent || backlog => Duration::ZERO,
+            () if behind => WAIT_BEHIND,
+            () => WAIT,
+        };
+        Fetch { want, report, wait }
     }
-    if Revision(delta.get_newest()) <= shared.view.revision() {
-        shared.current.at(sent);
+
+    fn answer(&mut self, address: SocketAddr, told: &Report, delta: Delta, sent: Mono) {
+        let have = self.shared.view.revision();
+        let after = match &delta.body {
+            Body::Changes(first, changes) => have.max(Revision(
+                first
+                    .0
+                    .saturating_add(changes.len() as u64)
+                    .saturating_sub(1),
+            )),
+            Body::Empty | Body::Piece(_) => have,
+        };
+        let heard = Revision(self.shared.heard.load(Ordering::Relaxed));
+        let now = clock::mono();
+        if self.search.answer(now, address, &delta, after, heard) == Verdict::Leave {
+            self.leave(address);
+            return;
+        }
+        self.shared.tree().children.delivered(told);
+        self.apply(delta.body);
+        if let Standing::Served(age, _) = delta.standing {
+            // Counted from the question, so that a slow answer makes nothing
+            // look newer than it is.
+            let at = sent - age;
+            self.recency.tell(delta.newest, at);
+        }
+        if let Some(at) = self.recency.reach(self.shared.view.revision()) {
+            self.shared.current.at(at);
+        }
+        self.shared.doubt();
+    }
+
+    fn apply(&mut self, body: Body) {
+        match body {
+            Body::Empty => {}
+            Body::Changes(first, texts) => {
+                let read: Vec<_> = texts
+                    .iter()
+                    .map_while(|text| serde_json::from_slice(text).ok())
+                    .collect();
+                // A change that a later version made up can't be applied here.
+                // The whole configuration, read with what is unknown left out,
+                // gets this process past it.
+                let whole = read.len() == texts.len();
+                let extended = self.shared.view.extend(first, read);
+                self.assembly = (!whole || !extended).then(Assembly::new);
+            }
+            Body::Piece(piece) => self.add(&piece),
+        }
+    }
+
+    fn add(&mut self, piece: &Piece) {
+        let assembly = self.assembly.get_or_insert_with(Assembly::new);
+        match assembly.add(piece) {
+            Ok(None) => {}
+            Ok(Some(config)) => {
+                self.shared.view.replace(config);
+                self.assembly = None;
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a snapshot is begun again");
+                self.assembly = Some(Assembly::new());
+            }
+        }
+    }
+}
+
+/// Ends when the question to the parent should be put again: something newer
+/// was heard of, or all below have reached more than was told.
+async fn interrupted(shared: &Shared, told: Revision) {
+    let mut lowest = shared.lowest.subscribe();
+    let risen = async {
+        if lowest.wait_for(|lowest| *lowest > told).await.is_err() {
+            pending::<()>().await;
+        }
+        sleep(GAP).await;
+    };
+    tokio::select! {
+        () = shared.news.notified() => {}
+        () = risen => {}
     }
-    Ok(())
+}
+
+/// Tells a parent that this process ends.
+pub(crate) async fn leave(shared: &Shared, parent: &spread::Client) {
+    let fetch = Fetch {
+        want: Want::After(shared.view.revision()),
+        report: Report {
+            processes: 0,
+            ..Report::alone(shared.peer())
+        },
+        wait: Duration::ZERO,
+    };
+    // Who can't be told lets this process lapse.
+    timeout(LEAVE, session::ask(parent, &fetch)).await.ok();
 }
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -1,21 +1,27 @@
 //! What a process's other threads see of its node.
 
 use std::{
+    fmt,
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use almondlock_base::{
-    id::{Host, Incarnation},
-    time::Mono,
-    unit::Revision,
+use almondlock_base::{time::Mono, unit::Revision};
+use almondlock_spread::{
+    children::{Children, Summary},
+    snapshot::Store,
+    view::View,
 };
-use almondlock_spread::view::View;
-use almondlock_wire::peer::{Peer, VERSION};
-use tokio::sync::Notify;
+use almondlock_transport::{Dialer, Security};
+use almondlock_wire::{
+    peer::{Peer, VERSION},
+    spread::Member,
+};
+use tokio::sync::{Notify, watch};
 
 use crate::clock;
 
@@ -55,24 +61,89 @@
     }
 }
 
-/// A node as seen from any thread.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    shared: Arc<Shared>,
-}
-
-#[derive(Debug)]
+/// What the tasks of a node and its handles share.
+///
+/// Lock order: `tree`, then the view's own lock. Neither is held over an await.
 pub(crate) struct Shared {
-    pub(crate) host: Host,
-    pub(crate) incarnation: Incarnation,
+    pub(crate) own: Member,
+    pub(crate) security: Security,
+    pub(crate) is_source: bool,
     pub(crate) view: View,
     /// Until when the view is known to be current.
     pub(crate) current: Vouch,
     /// A source without a vouch is its own authority.
     pub(crate) always: bool,
-    /// The newest revision heard of along the data path.
+    /// The newest revision heard of along the data path, and when.
     pub(crate) heard: AtomicU64,
+    pub(crate) heard_at: Vouch,
+    /// Something newer was heard of.
     pub(crate) news: Notify,
+    /// The lowest revision in the subtree, as its last report came. Those above
+    /// are told at once when it rises.
+    pub(crate) lowest: watch::Sender<Revision>,
+    pub(crate) tree: Mutex<Tree>,
+}
+
+/// The node's place in the tree.
+pub(crate) struct Tree {
+    pub(crate) children: Children,
+    pub(crate) store: Store,
+    /// The way up to a source, nearest first.
+    pub(crate) way: Vec<SocketAddr>,
+}
+
+impl Shared {
+    pub(crate) fn peer(&self) -> Peer {
+        Peer {
+            host: self.own.process.host.clone(),
+            incarnation: self.own.process.incarnation,
+            version: VERSION,
+            revision: self.view.revision(),
+        }
+    }
+
+    pub(crate) fn tree(&self) -> MutexGuard<'_, Tree> {
+        self.tree.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long ago the view was known to be current.
+    pub(crate) fn age(&self, now: Mono) -> Duration {
+        match self.current.last() {
+            _ if self.always => Duration::ZERO,
+            Some(at) => now.since(at),
+            None => Duration::MAX,
+        }
+    }
+
+    /// Drops what was heard when a source has since had nothing that new: a
+    /// process with a bug, or one that met another system's, would otherwise
+    /// keep this one looking for a revision that doesn't exist.
+    pub(crate) fn doubt(&self) {
+        let heard = self.heard.load(Ordering::Relaxed);
+        let have = self.view.revision().0;
+        if let (Some(at), Some(current)) = (self.heard_at.last(), self.current.last())
+            && heard > have
+            && current > at + DOUBT
+        {
+            let order = Ordering::Relaxed;
+            self.heard.compare_exchange(heard, have, order, order).ok();
+        }
+    }
+}
+
+/// How much later than the hearsay a source must have spoken to refute it.
+const DOUBT: Duration = Duration::from_secs(1);
+
+/// A node as seen from any thread.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+impl fmt::Debug for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Handle({})", self.shared.own.process)
+    }
 }
 
 impl Handle {
@@ -87,12 +158,31 @@
 
     /// This process as it names itself in exchanges.
     pub fn peer(&self) -> Peer {
-        Peer {
-            host: self.shared.host.clone(),
-            incarnation: self.shared.incarnation,
-            version: VERSION,
-            revision: self.shared.view.revision(),
-        }
+        self.shared.peer()
+    }
+
+    /// What to reach other processes with.
+    pub fn dialer(&self) -> Dialer {
+        Dialer::new(self.shared.security.clone())
+    }
+
+    /// What a source knows of all processes: its own subtree, and what the
+    /// other sources told of theirs. Of itself and its subtree on a process
+    /// that is no source.
+    pub fn summary(&self) -> Summary {
+        let peer = self.peer();
+        self.shared.tree().children.summary(clock::mono(), peer)
+    }
+
+    /// The processes below this one that are known by name.
+    pub fn members(&self) -> Vec<Member> {
+        self.shared.tree().children.members().cloned().collect()
+    }
+
+    /// The way up to a source, nearest first; empty on a source, and on a
+    /// process that has no parent.
+    pub fn way(&self) -> Vec<SocketAddr> {
+        self.shared.tree().way.clone()
     }
 
     /// Whether the configuration in force is known to be recent: at some
@@ -121,6 +211,7 @@
         if revision > self.shared.view.revision() {
             let before = self.shared.heard.fetch_max(revision.0, Ordering::Relaxed);
             if before < revision.0 {
+                self.shared.heard_at.at(clock::mono());
                 self.shared.news.notify_one();
             }
         }
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -4,12 +4,14 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+mod exchange;
 mod fetch;
 pub mod handle;
 pub mod links;
 pub mod node;
 pub mod replicas;
-pub mod server;
+mod server;
+mod session;
 
 pub use almondlock_transport::clock;
 pub use handle::{Handle, Vouch};
--- a/almondlock-node/src/links.rs
+++ b/almondlock-node/src/links.rs
@@ -76,7 +76,7 @@
         if let Some(session) = known.filter(|session| !session.is_lost()) {
             return Ok(session);
         }
-        let link = timeout(DIAL_TIMEOUT, Link::dial(address)).await??;
+        let link = timeout(DIAL_TIMEOUT, self.handle.dialer().dial(address)).await??;
         self.dialled.set(self.dialled.get() + 1);
         let (tell, lost) = watch::channel(false);
         let session = Session { link, lost };
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -1,31 +1,37 @@
 //! A running node.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::HashMap,
     io,
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, atomic::AtomicU64},
+    sync::{Arc, Mutex, atomic::AtomicU64},
 };
 
 use almondlock_base::id::{Domain, Host, Incarnation, Region, Upstream};
-use almondlock_spread::view::View;
-use almondlock_transport::{Security, listen};
+use almondlock_spread::{
+    children::{self, Children},
+    snapshot::Store,
+    view::View,
+};
+use almondlock_transport::{Dialer, Direct, Layer, Security, listen};
 use almondlock_wire::{
-    almondlock_capnp::{control, node, sidecar},
+    almondlock_capnp::{control, sidecar, spread},
     peer::Peer,
+    spread::{Member, Process},
 };
 use tokio::{
     net::TcpListener,
-    sync::Notify,
+    sync::{Notify, watch},
     task::{JoinHandle, spawn_local},
 };
 
 use crate::{
-    fetch,
-    handle::{Handle, Shared, Vouch},
-    server::Server,
+    exchange,
+    fetch::{self, Fetcher},
+    handle::{Handle, Shared, Tree, Vouch},
+    server,
 };
 
 /// What a node is told at its start.
@@ -89,7 +95,9 @@
 pub struct Node {
     address: SocketAddr,
     handle: Handle,
-    stopped: Rc<Cell<bool>>,
+    shared: Arc<Shared>,
+    // The parent's interface, while there is a parent.
+    parent: Rc<RefCell<Option<spread::Client>>>,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -97,30 +105,49 @@
     /// Binds the inner listener and starts serving and fetching. Must be called
     /// on a thread with a local executor.
     pub async fn start(config: Config, view: View, parts: Parts) -> io::Result<Node> {
+        Node::start_with(config, view, parts, |_| Direct).await
+    }
+
+    /// The same, through a layer; `layer` is given the address that is bound.
+    pub async fn start_with<F, L>(
+        config: Config,
+        view: View,
+        parts: Parts,
+        layer: F,
+    ) -> io::Result<Node>
+    where
+        F: FnOnce(SocketAddr) -> L,
+        L: Layer,
+    {
         let listener = TcpListener::bind(config.listen).await?;
         let address = listener.local_addr()?;
-        let is_source = parts.is_source;
-        let shared = Arc::new(Shared {
-            host: config.host.clone(),
-            incarnation: config.incarnation,
-            view,
-            always: is_source && parts.vouch.is_none(),
-            current: parts.vouch.clone().unwrap_or_default(),
-            heard: AtomicU64::new(0),
-            news: Notify::new(),
-        });
+        let shared = Arc::new(shared(&config, view, &parts, address));
         let handle = Handle::new(Arc::clone(&shared));
-        let server: node::Client = capnp_rpc::new_client(Server::new(handle.clone(), parts));
+        let parent = Rc::default();
+        let dialer = Dialer::with_layer(config.security.clone(), layer(address));
         let limits = listen::Config::new(config.security.clone());
-        let serving = listen::serve_with(listener, limits, move |_, _| server.clone());
-        let mut tasks = vec![spawn_local(serving)];
-        if !is_source {
-            tasks.push(spawn_local(fetch::run(config, shared, handle.clone())));
+        let make = server::maker(Arc::clone(&shared), handle.clone(), parts);
+        let mut tasks = vec![spawn_local(listen::serve_with(listener, limits, make))];
+        if shared.is_source {
+            let siblings = config.seeds.into_iter().filter(|seed| *seed != address);
+            for sibling in siblings {
+                let exchange = exchange::run(Arc::clone(&shared), dialer.clone(), sibling);
+                tasks.push(spawn_local(exchange));
+            }
+        } else {
+            let fetcher = Fetcher::new(
+                Arc::clone(&shared),
+                dialer,
+                &config.seeds,
+                Rc::clone(&parent),
+            );
+            tasks.push(spawn_local(fetcher.run()));
         }
         Ok(Node {
             address,
             handle,
-            stopped: Rc::default(),
+            shared,
+            parent,
             tasks,
         })
     }
@@ -150,10 +177,14 @@
         self.handle.heard(peer);
     }
 
-    /// Stops serving and fetching.
+    /// Stops serving and fetching. A parent is told, so that it doesn't wait
+    /// for this process to lapse.
     pub async fn stop(&self) {
-        self.stopped.set(true);
         self.tasks.iter().for_each(JoinHandle::abort);
+        let parent = self.parent.borrow_mut().take();
+        if let Some(parent) = parent {
+            fetch::leave(&self.shared, &parent).await;
+        }
     }
 }
 
@@ -162,3 +193,33 @@
         self.tasks.iter().for_each(JoinHandle::abort);
     }
 }
+
+fn shared(config: &Config, view: View, parts: &Parts, address: SocketAddr) -> Shared {
+    let own = Member {
+        process: Process {
+            host: config.host.clone(),
+            incarnation: config.incarnation,
+        },
+        address,
+        domain: config.domain.clone(),
+        region: config.region.clone(),
+    };
+    let bounds = children::Config::default();
+    Shared {
+        own: own.clone(),
+        security: config.security.clone(),
+        is_source: parts.is_source,
+        view,
+        always: parts.is_source && parts.vouch.is_none(),
+        current: parts.vouch.clone().unwrap_or_default(),
+        heard: AtomicU64::new(0),
+        heard_at: Vouch::new(),
+        news: Notify::new(),
+        lowest: watch::Sender::default(),
+        tree: Mutex::new(Tree {
+            children: Children::new(bounds, own, parts.is_source),
+            store: Store::new(),
+            way: Vec::new(),
+        }),
+    }
+}
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -1,29 +1,58 @@
 //! The interfaces that every process serves.
 
-use std::rc::Rc;
+use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use almondlock_base::id::Upstream;
+use almondlock_base::{
+    id::{Host, Upstream},
+    unit::Revision,
+};
+use almondlock_spread::children::Admission;
+use almondlock_transport::Identity;
 use almondlock_wire::{
     almondlock_capnp::{node, spread},
     peer::Peer,
+    spread::{Body, CHANGES, Delta, Fetch, Process, Standing, Want},
+};
+use tokio::time::timeout;
+
+use crate::{
+    clock,
+    handle::{Handle, Shared},
+    node::Parts,
 };
 
-use crate::{handle::Handle, node::Parts};
+/// The longest that an answer waits for news, whatever is asked for.
+const WAIT_LIMIT: Duration = Duration::from_secs(10);
+
+/// Bytes of changes in one answer. Who lacks more asks again.
+const BATCH: usize = 64 * 1024;
 
-/// The bootstrap interface.
-pub struct Server {
+type Reply = Result<(), capnp::Error>;
+
+/// Makes the bootstrap interface of each session.
+pub(crate) fn maker(
+    shared: Arc<Shared>,
     handle: Handle,
     parts: Parts,
-}
-
-impl Server {
-    /// Serves the parts of a process.
-    pub fn new(handle: Handle, parts: Parts) -> Server {
-        Server { handle, parts }
+) -> impl Fn(Identity, SocketAddr) -> node::Client + 'static {
+    let parts = Rc::new(parts);
+    move |identity, _| {
+        capnp_rpc::new_client(Server {
+            shared: Arc::clone(&shared),
+            handle: handle.clone(),
+            parts: Rc::clone(&parts),
+            identity: Rc::new(identity),
+        })
     }
 }
 
-type Reply = Result<(), capnp::Error>;
+/// The bootstrap interface of one session.
+struct Server {
+    shared: Arc<Shared>,
+    handle: Handle,
+    parts: Rc<Parts>,
+    identity: Rc<Identity>,
+}
 
 impl node::Server for Server {
     async fn hello(
@@ -32,6 +61,7 @@
         mut results: node::HelloResults,
     ) -> Reply {
         let from = Peer::read(params.get()?.get_from()?)?;
+        check(&self.identity, &from.host)?;
         self.handle.heard(&from);
         self.handle.peer().write(results.get().init_from());
         Ok(())
@@ -60,10 +90,13 @@
         _: node::SpreadParams,
         mut results: node::SpreadResults,
     ) -> Reply {
-        let handle = self.handle.clone();
-        results
-            .get()
-            .set_spread(capnp_rpc::new_client(Spread { handle }));
+        let spread = Spread {
+            shared: Arc::clone(&self.shared),
+            handle: self.handle.clone(),
+            identity: Rc::clone(&self.identity),
+            child: RefCell::default(),
+        };
+        results.get().set_spread(capnp_rpc::new_client(spread));
         Ok(())
     }
 
@@ -80,8 +113,31 @@
     }
 }
 
+/// Refuses a process that calls itself by a name it has not proved.
+fn check(identity: &Identity, host: &Host) -> Reply {
+    if identity.allows(host) {
+        return Ok(());
+    }
+    let problem = format!("the certificate shown is not {host}'s");
+    Err(capnp::Error::failed(problem))
+}
+
+/// The tree's interface towards one child.
 struct Spread {
+    shared: Arc<Shared>,
     handle: Handle,
+    identity: Rc<Identity>,
+    child: RefCell<Option<Process>>,
+}
+
+impl Drop for Spread {
+    /// The session is over, and everything exported on it is let go of. This is
+    /// how the loss of a child is noticed at once when its host can still say so.
+    fn drop(&mut self) {
+        if let Some(process) = self.child.borrow_mut().take() {
+            self.shared.tree().children.close(&process);
+        }
+    }
 }
 
 impl spread::Server for Spread {
@@ -90,19 +146,84 @@
         params: spread::FetchParams,
         mut results: spread::FetchResults,
     ) -> Reply {
-        let have = params.get()?.get_have();
-        let config = self.handle.view().get();
-        let mut delta = results.get().init_delta();
-        delta.set_newest(config.revision.0);
-        if config.revision.0 > have {
-            let data = serde_json::to_vec(&*config)
-                .map_err(|error| capnp::Error::failed(error.to_string()))?;
-            let mut piece = delta.reborrow().init_piece();
-            piece.set_revision(config.revision.0);
-            piece.set_total(data.len() as u64);
-            piece.set_data(&data);
-        }
-        self.handle.peer().write(delta.init_from());
+        let fetch = Fetch::read(params.get()?)?;
+        drop(params);
+        let from = &fetch.report.from;
+        check(&self.identity, &from.host)?;
+        self.handle.heard(from);
+        let (body, standing) = match self.admit(&fetch) {
+            Admission::Full(others) => (Body::Empty, Standing::Full(others)),
+            Admission::Served => {
+                self.wait(&fetch).await;
+                (self.body(fetch.want)?, self.standing())
+            }
+        };
+        // Read before the body was, the revision could be one that the body
+        // goes beyond; read after it, it is never lower.
+        let from = self.shared.peer();
+        let delta = Delta {
+            body,
+            newest: from.revision,
+            standing,
+            from,
+        };
+        delta.write(results.get().init_delta());
         Ok(())
     }
 }
+
+impl Spread {
+    fn admit(&self, fetch: &Fetch) -> Admission {
+        let own = self.shared.view.revision();
+        let (admission, lowest) = {
+            let mut tree = self.shared.tree();
+            let admission = tree.children.admit(clock::mono(), fetch);
+            (admission, tree.children.lowest(own))
+        };
+        if admission == Admission::Served && fetch.want != Want::Nothing {
+            self.child.replace(Some(Process::of(&fetch.report.from)));
+        }
+        // Once all below have a revision, those above need not wait for the
+        // next regular report to know it.
+        self.shared.lowest.send_if_modified(|last| {
+            let before = std::mem::replace(last, lowest);
+            before != lowest
+        });
+        admission
+    }
+
+    async fn wait(&self, fetch: &Fetch) {
+        if let Want::After(have) = fetch.want {
+            let mut watch = self.shared.view.watch();
+            let news = watch.wait_for(|revision| *revision > have);
+            // Over time or with news, the answer says how things are.
+            timeout(fetch.wait.min(WAIT_LIMIT), news).await.ok();
+        }
+    }
+
+    fn body(&self, want: Want) -> Result<Body, capnp::Error> {
+        let view = &self.shared.view;
+        let (revision, offset) = match want {
+            Want::Nothing => return Ok(Body::Empty),
+            Want::After(have) if view.revision() <= have => return Ok(Body::Empty),
+            Want::After(have) => {
+                let changes = view.with_ring(|ring| ring.after(have, CHANGES, BATCH));
+                if let Some(changes) = changes {
+                    let changes = changes.iter().map(|change| change.to_vec());
+                    return Ok(Body::Changes(have.next(), changes.collect()));
+                }
+                (Revision::ZERO, 0)
+            }
+            Want::Snapshot(revision, offset) => (revision, offset),
+        };
+        let piece = self.shared.tree().store.piece(view, revision, offset);
+        piece
+            .map(Body::Piece)
+            .map_err(|error| capnp::Error::failed(error.to_string()))
+    }
+
+    fn standing(&self) -> Standing {
+        let age = self.shared.age(clock::mono());
+        Standing::Served(age, self.shared.tree().way.clone())
+    }
+}
--- a/almondlock-spread/src/view.rs
+++ b/almondlock-spread/src/view.rs
@@ -5,17 +5,32 @@
 //! that doesn't make the next revision, or a whole configuration that is not
 //! newer, is refused, because a process that acted on revision 7 must never
 //! act on 6 again in the same life.
+//!
+//! It also keeps the last changes for those below in the tree, and wakes
+//! whoever waits for a newer revision.
 
 use std::sync::{Arc, PoisonError, RwLock};
 
 use almondlock_base::unit::Revision;
 use almondlock_state::config::{Change, Config};
+use tokio::sync::watch;
+
+use crate::ring::Ring;
 
 /// A shared handle; clones show the same configuration.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     // Invariant: the revision inside never goes down.
-    inner: Arc<RwLock<Arc<Config>>>,
+    inner: Arc<RwLock<Inner>>,
+    // Invariant: changed only while `inner` is locked, so it is never behind.
+    revision: Arc<watch::Sender<Revision>>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    config: Arc<Config>,
+    // Invariant: its newest revision is the configuration's.
+    ring: Ring,
 }
 
 impl View {
@@ -27,12 +42,17 @@
     /// The configuration in force.
     pub fn get(&self) -> Arc<Config> {
         let guard = self.inner.read().unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(&guard)
+        Arc::clone(&guard.config)
     }
 
     /// The revision in force.
     pub fn revision(&self) -> Revision {
-        self.get().revision
+        *self.revision.borrow()
+    }
+
+    /// Tells of each newer revision.
+    pub fn watch(&self) -> watch::Receiver<Revision> {
+        self.revision.subscribe()
     }
 
     /// Applies changes of which the first makes revision `first`. Those already
@@ -43,15 +63,25 @@
         I: IntoIterator<Item = Change>,
     {
         let mut guard = self.inner.write().unwrap_or_else(PoisonError::into_inner);
-        if first > guard.revision.next() {
+        let next = guard.config.revision.next();
+        if first > next {
             return false;
         }
-        let skip = guard.revision.next().0 - first.0;
-        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let skip = usize::try_from(next.0 - first.0).unwrap_or(usize::MAX);
         let mut changes = changes.into_iter().skip(skip).peekable();
         if changes.peek().is_some() {
-            let config = Arc::make_mut(&mut guard);
-            changes.for_each(|change| config.apply(change));
+            let Inner { config, ring } = &mut *guard;
+            let config = Arc::make_mut(config);
+            for change in changes {
+                match serde_json::to_vec(&change) {
+                    Ok(text) => ring.push(&text),
+                    // Can't be written, so it can't travel: who needs it is
+                    // given the whole configuration.
+                    Err(_) => ring.reset(config.revision.next()),
+                }
+                config.apply(change);
+            }
+            self.revision.send_replace(config.revision);
         }
         true
     }
@@ -59,10 +89,21 @@
     /// Puts a whole configuration in force, if it is newer.
     pub fn replace(&self, config: Config) -> bool {
         let mut guard = self.inner.write().unwrap_or_else(PoisonError::into_inner);
-        let newer = config.revision > guard.revision;
+        let newer = config.revision > guard.config.revision;
         if newer {
-            *guard = Arc::new(config);
+            guard.ring.reset(config.revision);
+            guard.config = Arc::new(config);
+            self.revision.send_replace(guard.config.revision);
         }
         newer
     }
+
+    /// Looks at the last changes.
+    pub fn with_ring<F, T>(&self, look: F) -> T
+    where
+        F: FnOnce(&Ring) -> T,
+    {
+        let guard = self.inner.read().unwrap_or_else(PoisonError::into_inner);
+        look(&guard.ring)
+    }
 }
