--- a/almondlock-control/src/lib.rs
+++ b/almondlock-control/src/lib.rs
@@ -2,4 +2,5 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod admin;
 pub mod replica;
--- a/almondlock-entry/src/caller.rs
+++ b/almondlock-entry/src/caller.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use almondlock_base::{Code, Ran, id};
+use almondlock_policy::deadline::Bounds;
 use almondlock_state::config::{Config, Organisation};
 use ntex::http::HeaderMap;
 
@@ -95,17 +96,16 @@
 }
 
 fn deadline(headers: &HeaderMap, limits: &Organisation) -> Result<Duration, Failure> {
-    let Some(value) = text(headers, "x-almondlock-deadline-ms")? else {
-        return Ok(Duration::from_millis(limits.deadline));
+    let bounds = Bounds {
+        default: limits.deadline,
+        limit: limits.deadline_limit,
     };
-    let bad = || {
-        let limit = limits.deadline_limit;
+    let value = text(headers, "x-almondlock-deadline-ms")?;
+    bounds.parse(value).map_err(|code| {
+        let limit = bounds.limit;
         let message = format!("X-Almondlock-Deadline-Ms must be a number from 1 to {limit}");
-        Failure::with_message(Code::BadDeadline, message)
-    };
-    let millis: u64 = value.parse().map_err(|_| bad())?;
-    let fits = (1..=limits.deadline_limit).contains(&millis);
-    fits.then(|| Duration::from_millis(millis)).ok_or_else(bad)
+        Failure::with_message(code, message)
+    })
 }
 
 fn key(headers: &HeaderMap) -> Result<Option<String>, Failure> {
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -16,7 +16,6 @@
 pub mod journal;
 pub mod life;
 pub mod probe;
-pub mod prompt;
 pub mod request;
 pub mod server;
 pub mod shared;
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What an entry host's worker threads share.
 //!
-//! Lock order: `directory`, then `limits`, then `pools`, then `budget`, then
-//! `journal`. No lock is held over an await, and none over I/O.
+//! Lock order: `directory`, then `limits`, then `pools`, then `retries`, then
+//! `lengths`, then `journal`. No lock is held over an await, and none over I/O.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -13,14 +13,16 @@
 };
 
 use almondlock_base::{
-    id::{Attempt, Organisation, Upstream},
+    id::{Attempt, Model, Organisation, Upstream},
     time::Mono,
     unit::{Revision, Tokens},
 };
 use almondlock_node::Handle;
 use almondlock_policy::{
     choice::{self, Home, Site},
+    length::Estimator,
     limit::{self, Limiter},
+    retry,
 };
 use almondlock_state::config::{self, Kind};
 use almondlock_wire::attempt::Target;
@@ -44,10 +46,8 @@
     pub capacity: usize,
     /// How long a piece of an answer may wait for its caller.
     pub slow_reader: Duration,
-    /// Retries a request may cost at most.
-    pub retries: u32,
-    /// Retries per hundred fresh requests, over all requests of the host.
-    pub retry_percent: u32,
+    /// Bounds of retries.
+    pub retry: retry::Config,
     /// Bounds of the choice of an upstream.
     pub choice: choice::Config,
 }
@@ -62,8 +62,7 @@
             keyless: true,
             capacity: 20_000,
             slow_reader: Duration::from_secs(30),
-            retries: 3,
-            retry_percent: 20,
+            retry: retry::Config::default(),
             choice: choice::Config::default(),
         }
     }
@@ -129,39 +128,6 @@
     }
 }
 
-/// Retries that may still be spent: each fresh request earns a part of one, so
-/// that when half the upstreams fail, the rest are not buried under repeats.
-#[derive(Debug)]
-pub struct Budget {
-    percent: u64,
-    // Hundredths of a retry. At most `LIMIT`.
-    credit: u64,
-}
-
-impl Budget {
-    const RETRY: u64 = 100;
-    const LIMIT: u64 = 100 * Budget::RETRY;
-
-    fn new(percent: u32) -> Budget {
-        Budget {
-            percent: u64::from(percent),
-            credit: Budget::LIMIT / 2,
-        }
-    }
-
-    fn earn(&mut self) {
-        self.credit = (self.credit + self.percent).min(Budget::LIMIT);
-    }
-
-    fn spend(&mut self) -> bool {
-        let enough = self.credit >= Budget::RETRY;
-        if enough {
-            self.credit -= Budget::RETRY;
-        }
-        enough
-    }
-}
-
 /// The tables of one entry host.
 pub struct Shared {
     /// Bounds and defaults.
@@ -172,7 +138,8 @@
     directory: RwLock<Arc<Directory>>,
     limits: Mutex<Limiter>,
     pools: Mutex<HashMap<Pool, choice::Table>>,
-    budget: Mutex<Budget>,
+    retries: Mutex<retry::Policy>,
+    lengths: Mutex<Estimator>,
     journal: Mutex<Journal>,
     counter: AtomicU64,
     active: AtomicU64,
@@ -198,7 +165,8 @@
     /// Empty tables; they fill from the node's view.
     pub fn new(config: Config, handle: Handle, home: Home) -> Arc<Shared> {
         Arc::new(Shared {
-            budget: Mutex::new(Budget::new(config.retry_percent)),
+            retries: Mutex::new(retry::Policy::new(config.retry)),
+            lengths: Mutex::default(),
             config,
             handle,
             home,
@@ -313,13 +281,26 @@
         now: Mono,
     ) -> Result<limit::Permit, limit::Refusal> {
         let permit = lock(&self.limits).admit(organisation, tokens, now)?;
-        lock(&self.budget).earn();
+        lock(&self.retries).fresh(organisation, now);
         Ok(permit)
     }
 
-    /// Takes a retry out of the budget.
-    pub fn spend_retry(&self) -> bool {
-        lock(&self.budget).spend()
+    /// Works on the budgets of retries.
+    pub fn with_retries<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut retry::Policy) -> T,
+    {
+        work(&mut lock(&self.retries))
+    }
+
+    /// The estimated length of a model's prompt of so many bytes.
+    pub fn estimate(&self, model: &Model, bytes: usize) -> Tokens {
+        lock(&self.lengths).tokens(model, bytes as u64)
+    }
+
+    /// Learns from a prompt that an engine counted.
+    pub fn learn_length(&self, model: &Model, bytes: usize, tokens: Tokens) {
+        lock(&self.lengths).observe(model, bytes as u64, tokens);
     }
 
     /// What happened to requests lately.
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -16,7 +16,7 @@
     snapshot::Store,
     view::View,
 };
-use almondlock_transport::{Dialer, Security};
+use almondlock_transport::Security;
 use almondlock_wire::{
     peer::{Peer, VERSION},
     spread::Member,
@@ -156,16 +156,16 @@
         &self.shared.view
     }
 
+    /// What inner sessions are wrapped in.
+    pub fn security(&self) -> &Security {
+        &self.shared.security
+    }
+
     /// This process as it names itself in exchanges.
     pub fn peer(&self) -> Peer {
         self.shared.peer()
     }
 
-    /// What to reach other processes with.
-    pub fn dialer(&self) -> Dialer {
-        Dialer::new(self.shared.security.clone())
-    }
-
     /// What a source knows of all processes: its own subtree, and what the
     /// other sources told of theirs. Of itself and its subtree on a process
     /// that is no source.
--- a/almondlock-sidecar/src/table.rs
+++ b/almondlock-sidecar/src/table.rs
@@ -13,9 +13,9 @@
     unit::Tokens,
 };
 use almondlock_policy::{
-    choice,
     gate::{self, Action, Gate},
     length::Class,
+    prefix,
     queue::{self, Grant, Job, Queue, Room},
 };
 use almondlock_wire::attempt::{Head, Load};
@@ -175,13 +175,12 @@
     }
 
     fn job(&self, head: &Head, suspect: bool, deadline: Mono) -> Job {
-        let block = choice::Config::default().block;
-        let leading = u64::from(self.prefixes.leading(&head.prefix));
+        let leading = self.prefixes.leading(&head.prefix) as usize;
         Job {
             organisation: head.organisation.clone(),
             weight: head.share,
             prompt: head.prompt,
-            cached: Tokens((leading * block.0).min(head.prompt.0.saturating_sub(1))),
+            cached: prefix::tokens(leading).min(head.prompt.saturating_sub(Tokens(1))),
             output: head.output,
             deadline,
             suspect,
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -9,6 +9,7 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod api;
 pub mod blob;
 pub mod claim;
 pub mod command;
