Serve operators: status, tables, plans and a watch over HTTP

Every answer but the status is made of a state that a quorum confirmed, and the operator's role is checked on that same state, so a key that was taken away is refused as soon as that is accepted. The server asks a small trait for a replica, which the log's side implements.

The least role is told by what a plan does and not by its intent alone: with the intent alone, the test undo_of_undo had an operator undo an administrator's change of operators (200 where 403 was due).

Tried and dropped: reading a body above the limit to its end before refusing it.

--- a/almondlock-control/src/lib.rs
+++ b/almondlock-control/src/lib.rs
@@ -1,1 +1,3 @@
-//! (being written)
+//! The replica role: the replicated log served to processes and operators.
+
+pub mod admin;
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -7,6 +7,7 @@
 //! replicas hold (claims, plans, history), because the first is spread to
 //! hundreds of processes and the second changes with the traffic.
 
+pub mod api;
 pub mod blob;
 pub mod claim;
 pub mod command;
--- a/almondlock-state/src/plan.rs
+++ b/almondlock-state/src/plan.rs
@@ -35,6 +35,7 @@
 pub use self::next::{Action, due, next};
 use crate::{
     intent::Intent,
+    operator::Role,
     replica::Member,
     tables::{Effect, Part},
 };
@@ -262,6 +263,22 @@
         self.parts.contains(part) || self.under_way().any(upgrades)
     }
 
+    /// The least role that may carry it out. Told by what it does, not by its
+    /// intent: undoing a change of operators is one, too.
+    pub fn role(&self) -> Role {
+        let admin = |step: &Step| {
+            matches!(
+                step,
+                Step::Member(_) | Step::Apply(Effect::Operator(..) | Effect::Replica(..))
+            )
+        };
+        if self.stages.iter().any(|stage| admin(&stage.step)) {
+            Role::Admin
+        } else {
+            Role::Operator
+        }
+    }
+
     /// Steps that ended well.
     pub fn done(&self) -> usize {
         self.stages
