--- a/almondlock-control/src/admin/plans.rs
+++ b/almondlock-control/src/admin/plans.rs
@@ -20,9 +20,6 @@
 /// The largest body that is taken: an intent is small.
 const BODY_BYTES: usize = 64 * 1024;
 
-/// How much of a larger one is read before the connection is given up.
-const BODY_BYTES_READ: usize = 1024 * 1024;
-
 pub(super) async fn list<B>(request: HttpRequest, backend: State<B>) -> HttpResponse
 where
     B: Backend,
@@ -177,23 +174,14 @@
     parsed.map_err(|error| Problem::new(Code::UnreadableBody, error.to_string()))
 }
 
-/// Reads a body. One that is somewhat too large is read to its end all the
-/// same: a connection closed on unread bytes is reset, and the client would see
-/// a broken connection instead of the refusal.
 async fn collect(mut body: Payload) -> Result<Vec<u8>, Problem> {
     let mut bytes = Vec::new();
-    let mut length = 0;
     while let Some(part) = body.recv().await {
         let part = part.map_err(|_| Code::UnreadableBody)?;
-        length += part.len();
-        if length <= BODY_BYTES {
-            bytes.extend_from_slice(&part);
-        } else if length > BODY_BYTES_READ {
-            break;
+        if bytes.len() + part.len() > BODY_BYTES {
+            return Err(Code::BodyTooLarge.into());
         }
-    }
-    if length > BODY_BYTES {
-        return Err(Code::BodyTooLarge.into());
+        bytes.extend_from_slice(&part);
     }
     Ok(bytes)
 }
