Prove the path as separate processes

Cause: so far all parts of a test lived in one process. Change: tests that start the two programs as shipped: three replicas, an entry host, a sidecar; leaders killed in turn, all replicas killed and started again, a planned stop of an entry host. Conclusion: traffic goes on without any replica; a claimed outcome survives.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -222,7 +222,11 @@
         if self.stopped.is_some() {
             return;
         }
-        tracing::error!(%refusal, "the replica has stopped");
+        if refusal.code == Code::HostStopping {
+            tracing::info!("the replica has stopped");
+        } else {
+            tracing::error!(%refusal, "the replica has stopped");
+        }
         for (_, waiting) in mem::take(&mut self.waiting).into_values() {
             waiting.refuse(refusal.clone());
         }
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -212,8 +212,8 @@
 
     Key::new("log", "format", Word(&["text", "json"]), Default("text"),
         "Lines for people, or one JSON object a line."),
-    Key::new("log", "filter", Text, Default("info"),
-        "Which lines are written, such as `info,almondlock_node=debug`."),
+    Key::new("log", "filter", Text, Default("warn,almondlock=info"),
+        "Which lines are written, such as `warn,almondlock=info,almondlock_node=debug`."),
     Key::new("log", "spans", Path, Optional,
         "A file that finished hops are appended to. Off by default: it grows with the traffic."),
 
--- /dev/null
+++ b/tests/separate_processes.rs
@@ -0,0 +1,86 @@
+//! The system as it is deployed: each role a process of its own.
+
+mod fleet;
+
+use almondlock_standin::answer;
+use fleet::{Fleet, eventually, fast};
+
+/// One request goes through an entry host, a sidecar and an engine, with the
+/// configuration made by an operator on the replicas.
+#[ntex::test]
+async fn end_to_end() {
+    let fleet = Fleet::start().await;
+    let _sidecar = fleet.sidecar("engine-1", fast()).await;
+    let entry = fleet.entry("entry-1").await;
+    let whole = Ok(answer::whole("hello", 8));
+    eventually(async || fleet.text(&entry, "hello", &[]).await == Some(whole.clone())).await;
+}
+
+/// The leader is killed, and then paused while another leads: callers'
+/// traffic, also such that may not be repeated, goes on; a change accepted
+/// before is still there after it came back, and after all replicas were
+/// killed and started again.
+#[ntex::test]
+async fn leader_lost() {
+    let fleet = Fleet::start().await;
+    let sidecar = fleet.sidecar("engine-1", fast()).await;
+    let entry = fleet.entry("entry-1").await;
+    let whole = |prompt: &str| Some(Ok(answer::whole(prompt, 8)));
+    eventually(async || fleet.text(&entry, "first", &[]).await == whole("first")).await;
+    for round in 0..3 {
+        fleet.replicas[round].kill();
+        let prompt = format!("round {round}");
+        assert_eq!(fleet.text(&entry, &prompt, &[]).await, whole(&prompt));
+        let key = format!("key-{round}");
+        let headers = [("Idempotency-Key", key.as_str())];
+        let once = format!("tender {round}");
+        eventually(async || fleet.text(&entry, &once, &headers).await == whole(&once)).await;
+        assert_eq!(sidecar.engine.runs(&once), 1);
+        fleet.replicas[round].start();
+        fleet
+            .change(serde_json::json!({"intent": "set-setting", "name": format!("s{round}"), "value": "1"}))
+            .await;
+    }
+    fleet.replicas.iter().for_each(|r| r.kill());
+    // No replica at all: repeatable work goes on, the rest is refused as not run.
+    assert_eq!(fleet.text(&entry, "alone", &[]).await, whole("alone"));
+    let headers = [
+        ("Idempotency-Key", "alone"),
+        ("X-Almondlock-Deadline-Ms", "1000"),
+    ];
+    let refused = fleet.text(&entry, "alone once", &headers).await;
+    assert_eq!(refused, Some(Err((2008, "no".to_owned()))));
+    assert_eq!(sidecar.engine.runs("alone once"), 0);
+    fleet.replicas.iter().for_each(|r| r.start());
+    // The outcome of a tender from before is still given again.
+    let headers = [("Idempotency-Key", "key-0")];
+    let again = async || fleet.text(&entry, "tender 0", &headers).await == whole("tender 0");
+    eventually(again).await;
+    assert_eq!(sidecar.engine.runs("tender 0"), 1);
+}
+
+/// An entry host stops as planned: readiness fails first, the answer in
+/// progress ends whole, and the process ends with status 0.
+#[ntex::test]
+async fn entry_stops() {
+    let fleet = Fleet::start().await;
+    let config = almondlock_standin::engine::Config::default();
+    let sidecar = fleet.sidecar("engine-1", config).await;
+    let entry = fleet.entry("entry-1").await;
+    let whole = Some(Ok(answer::whole("warm", 8)));
+    eventually(async || fleet.text(&entry, "warm", &[]).await == whole).await;
+    let running = fleet.complete(&entry, "in progress", 100, &[]);
+    let stopping = async {
+        eventually(async || sidecar.engine.runs("in progress") == 1).await;
+        entry.process.terminate();
+        eventually(async || entry.process.status().is_some()).await;
+        entry.process.status()
+    };
+    let (response, status) = futures::join!(running, stopping);
+    let value: serde_json::Value = response.unwrap().json().await.unwrap();
+    assert_eq!(
+        value["choices"][0]["text"],
+        answer::whole("in progress", 100)
+    );
+    assert_eq!(status, Some(0));
+}
