--- a/almondlock-quorum/tests/held_reply.rs
+++ b/almondlock-quorum/tests/held_reply.rs
@@ -2,13 +2,15 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::sync::Arc;
+
 use almondlock_base::time::Mono;
 use almondlock_quorum::{
     config::Config,
     entry::{Entry, Hard, Index, Payload, Term},
     machine::Machine,
     member::{Id, Member, Members},
-    message::{Append, AppendReply, Body, Message, VoteReply, VoteRequest},
+    message::{Append, AppendReply, Body, Message, Piece, VoteReply, VoteRequest},
     storage::Loaded,
 };
 
@@ -113,6 +115,27 @@
     assert_eq!(machine.take(NOW).messages.len(), 1);
 }
 
+/// A follower says that it holds a snapshot, the leader counts all that it
+/// stands for, and the power fails before the snapshot is on disk.
+#[test]
+fn snapshot_waits() {
+    let mut machine = machine(1, 3, Vec::new());
+    let piece = Piece {
+        last_index: Index(7),
+        last_term: Term(3),
+        members: Arc::new(Members::of_voters((1..=3).map(Member::sample))),
+        offset: 0,
+        total: 2,
+        data: vec![1, 2],
+    };
+    machine.receive(NOW, Id(2), message(3, Body::Piece(piece)));
+    let output = machine.take(NOW);
+    assert!(output.restore.is_some() && output.messages.is_empty());
+    machine.synced(NOW, output.write.unwrap().sequence);
+    let replies = machine.take(NOW).messages;
+    assert!(matches!(replies[0].message.body, Body::PieceReply(reply) if reply.done));
+}
+
 /// The leader itself counts towards the majority only once it has synced.
 #[test]
 fn leader_waits() {
--- a/almondlock-quorum/tests/member_changes.rs
+++ b/almondlock-quorum/tests/member_changes.rs
@@ -134,3 +134,25 @@
             .contains(id)
     );
 }
+
+/// A leader that is cut off begins a change, and the others overwrite it. Were
+/// the change left in force there, that replica would count its majorities over
+/// members that nobody agreed on.
+#[test]
+fn not_accepted_is_taken_back() {
+    let mut c = Cluster::new(9, 3);
+    let old = c.elect();
+    c.accept();
+    let ids: Vec<_> = c.nodes.iter().map(|n| n.id).collect();
+    c.network.isolate(ids[old], ids.clone());
+    assert!(c.change(old, &Change::Remove(ids[(old + 1) % 3])));
+    let members = |c: &Cluster| c.nodes[old].machine.as_ref().unwrap().members().clone();
+    assert_eq!(members(&c).voters.len(), 2);
+    c.run(2_000);
+    c.accept();
+    c.network.heal();
+    c.until("the old leader follows", |c| {
+        c.nodes[old].state.index == c.history.newest()
+    });
+    assert_eq!(members(&c).voters.len(), 3);
+}
