--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -13,6 +13,7 @@
     unit::Tokens,
 };
 use almondlock_node::clock;
+use almondlock_policy::prefix;
 use almondlock_telemetry::trace::Context;
 use almondlock_wire::{answer::Usage, attempt::Target};
 use futures::{StreamExt, stream};
@@ -35,7 +36,6 @@
     claimed,
     failure::Failure,
     life::Worker,
-    prompt,
     request::Request,
     shared::Active,
 };
@@ -57,9 +57,19 @@
         .route("/services/{name}/{tail}*", web::route().to(service));
 }
 
+/// Answers with a failure and counts it. `read`: whether the body was read.
+fn refuse(worker: &Worker, failure: &Failure, id: &str, read: bool) -> HttpResponse {
+    worker.shared.refused(failure.code);
+    if read {
+        failure.to_response(id)
+    } else {
+        failure.to_closing_response(id)
+    }
+}
+
 /// Answers whatever no route matches.
 pub async fn unknown() -> HttpResponse {
-    Failure::new(Code::UnknownRoute).to_response("-")
+    Failure::new(Code::UnknownRoute).to_closing_response("-")
 }
 
 type State = web::types::State<Rc<Worker>>;
@@ -188,13 +198,13 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_response(&id),
+        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
     };
     let id = arrival.id.clone();
     let read = read_model(shape, &http, payload, &worker, &arrival).await;
     let (request, usage) = match read {
         Ok(read) => read,
-        Err(failure) => return failure.to_response(&id),
+        Err(failure) => return refuse(&worker, &failure, &id, false),
     };
     let name = match &request.target {
         Target::Model(model, _) => model.to_string(),
@@ -202,8 +212,8 @@
     };
     let writer = Writer::new(shape, &id, clock::wall(), &name, usage);
     let streamed = request.stream;
-    match Running::start(worker, request, arrival.active).await {
-        Err(failure) => failure.to_response(&id),
+    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+        Err(failure) => refuse(&worker, &failure, &id, true),
         Ok(running) if streamed => running.into_stream(writer, &id),
         Ok(running) => running.into_document(&writer, &id).await,
     }
@@ -238,7 +248,10 @@
         return Err(Failure::with_message(Code::UnknownModel, "no such adapter"));
     }
     let text = &bytes[spec.prompt.0..spec.prompt.1];
-    let length = prompt::estimate(text.len());
+    let length = match &spec.target {
+        Target::Model(model, _) => worker.shared.estimate(model, text.len()),
+        Target::Service(_) => Tokens::ZERO,
+    };
     if length + spec.output > context {
         let message = format!(
             "the prompt and its answer take about {length} + {} tokens of {context}",
@@ -259,9 +272,10 @@
         fingerprint: Fingerprint::new(&caller.organisation, shape.path(), &bytes),
         digest: digest(shape.path(), &bytes),
         body: rope,
+        prompt_bytes: text.len(),
         prompt: length,
         output: spec.output,
-        prefix: prompt::prefix(text),
+        prefix: prefix::hashes(text),
         stream: spec.stream,
         repeatable,
         key: caller.key.clone(),
@@ -283,15 +297,15 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return failure.to_response(&id),
+        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
     };
     let id = arrival.id.clone();
     let request = match read_service(&http, payload, &worker, &arrival).await {
         Ok(request) => request,
-        Err(failure) => return failure.to_response(&id),
+        Err(failure) => return refuse(&worker, &failure, &id, false),
     };
-    match Running::start(worker, request, arrival.active).await {
-        Err(failure) => failure.to_response(&id),
+    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+        Err(failure) => refuse(&worker, &failure, &id, true),
         Ok(running) => running.into_bytes(&id),
     }
 }
@@ -338,7 +352,8 @@
         content_type: content_type.to_owned(),
         fingerprint: Fingerprint::new(&caller.organisation, &told, &bytes),
         digest: digest(&told, &bytes),
-        prompt: prompt::estimate(bytes.len()).max(Tokens(1)),
+        prompt_bytes: 0,
+        prompt: Tokens(1),
         output: Tokens(1),
         body: Rope::whole(bytes),
         prefix: Vec::new(),
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -1,27 +1,36 @@
 //! What a process's other threads see of its node.
 
 use std::{
+    fmt,
+    net::SocketAddr,
     sync::{
-        Arc,
+        Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
     },
     time::Duration,
 };
 
-use almondlock_base::{
-    id::{Host, Incarnation},
-    time::Mono,
-    unit::Revision,
+use almondlock_base::{time::Mono, unit::Revision};
+use almondlock_spread::{
+    children::{Children, Summary},
+    snapshot::Store,
+    view::View,
 };
-use almondlock_spread::view::View;
-use almondlock_wire::peer::{Peer, VERSION};
-use tokio::sync::Notify;
+use almondlock_transport::Security;
+use almondlock_wire::{
+    peer::{Peer, VERSION},
+    spread::Member,
+};
+use tokio::sync::{Notify, watch};
 
 use crate::clock;
 
 /// How long a process may act as current without word from a source.
 pub const RECENT: Duration = Duration::from_secs(12);
 
+/// How often a process that catches up looks whether it has.
+const CATCH_UP_PAUSE: Duration = Duration::from_millis(2);
+
 /// Says until when a source's view was known to be current.
 ///
 /// A replica that is cut off from the others holds an old configuration and
@@ -52,24 +61,89 @@
     }
 }
 
-/// A node as seen from any thread.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    shared: Arc<Shared>,
-}
-
-#[derive(Debug)]
+/// What the tasks of a node and its handles share.
+///
+/// Lock order: `tree`, then the view's own lock. Neither is held over an await.
 pub(crate) struct Shared {
-    pub(crate) host: Host,
-    pub(crate) incarnation: Incarnation,
+    pub(crate) own: Member,
+    pub(crate) security: Security,
+    pub(crate) is_source: bool,
     pub(crate) view: View,
     /// Until when the view is known to be current.
     pub(crate) current: Vouch,
     /// A source without a vouch is its own authority.
     pub(crate) always: bool,
-    /// The newest revision heard of along the data path.
+    /// The newest revision heard of along the data path, and when.
     pub(crate) heard: AtomicU64,
+    pub(crate) heard_at: Vouch,
+    /// Something newer was heard of.
     pub(crate) news: Notify,
+    /// The lowest revision in the subtree, as its last report came. Those above
+    /// are told at once when it rises.
+    pub(crate) lowest: watch::Sender<Revision>,
+    pub(crate) tree: Mutex<Tree>,
+}
+
+/// The node's place in the tree.
+pub(crate) struct Tree {
+    pub(crate) children: Children,
+    pub(crate) store: Store,
+    /// The way up to a source, nearest first.
+    pub(crate) way: Vec<SocketAddr>,
+}
+
+impl Shared {
+    pub(crate) fn peer(&self) -> Peer {
+        Peer {
+            host: self.own.process.host.clone(),
+            incarnation: self.own.process.incarnation,
+            version: VERSION,
+            revision: self.view.revision(),
+        }
+    }
+
+    pub(crate) fn tree(&self) -> MutexGuard<'_, Tree> {
+        self.tree.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// How long ago the view was known to be current.
+    pub(crate) fn age(&self, now: Mono) -> Duration {
+        match self.current.last() {
+            _ if self.always => Duration::ZERO,
+            Some(at) => now.since(at),
+            None => Duration::MAX,
+        }
+    }
+
+    /// Drops what was heard when a source has since had nothing that new: a
+    /// process with a bug, or one that met another system's, would otherwise
+    /// keep this one looking for a revision that doesn't exist.
+    pub(crate) fn doubt(&self) {
+        let heard = self.heard.load(Ordering::Relaxed);
+        let have = self.view.revision().0;
+        if let (Some(at), Some(current)) = (self.heard_at.last(), self.current.last())
+            && heard > have
+            && current > at + DOUBT
+        {
+            let order = Ordering::Relaxed;
+            self.heard.compare_exchange(heard, have, order, order).ok();
+        }
+    }
+}
+
+/// How much later than the hearsay a source must have spoken to refute it.
+const DOUBT: Duration = Duration::from_secs(1);
+
+/// A node as seen from any thread.
+#[derive(Clone)]
+pub struct Handle {
+    shared: Arc<Shared>,
+}
+
+impl fmt::Debug for Handle {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Handle({})", self.shared.own.process)
+    }
 }
 
 impl Handle {
@@ -82,14 +156,33 @@
         &self.shared.view
     }
 
+    /// What inner sessions are wrapped in.
+    pub fn security(&self) -> &Security {
+        &self.shared.security
+    }
+
     /// This process as it names itself in exchanges.
     pub fn peer(&self) -> Peer {
-        Peer {
-            host: self.shared.host.clone(),
-            incarnation: self.shared.incarnation,
-            version: VERSION,
-            revision: self.shared.view.revision(),
-        }
+        self.shared.peer()
+    }
+
+    /// What a source knows of all processes: its own subtree, and what the
+    /// other sources told of theirs. Of itself and its subtree on a process
+    /// that is no source.
+    pub fn summary(&self) -> Summary {
+        let peer = self.peer();
+        self.shared.tree().children.summary(clock::mono(), peer)
+    }
+
+    /// The processes below this one that are known by name.
+    pub fn members(&self) -> Vec<Member> {
+        self.shared.tree().children.members().cloned().collect()
+    }
+
+    /// The way up to a source, nearest first; empty on a source, and on a
+    /// process that has no parent.
+    pub fn way(&self) -> Vec<SocketAddr> {
+        self.shared.tree().way.clone()
     }
 
     /// Whether the configuration in force is known to be recent: at some
@@ -110,15 +203,32 @@
     /// Takes note of the other side of an exchange. A newer revision there
     /// makes this process fetch at once.
     pub fn heard(&self, peer: &Peer) {
-        let revision = peer.revision.0;
-        if peer.revision > self.shared.view.revision() {
-            let before = self.shared.heard.fetch_max(revision, Ordering::Relaxed);
-            if before < revision {
+        self.heard_revision(peer.revision);
+    }
+
+    /// Takes note of a revision that exists.
+    pub fn heard_revision(&self, revision: Revision) {
+        if revision > self.shared.view.revision() {
+            let before = self.shared.heard.fetch_max(revision.0, Ordering::Relaxed);
+            if before < revision.0 {
+                self.shared.heard_at.at(clock::mono());
                 self.shared.news.notify_one();
             }
         }
     }
 
+    /// Waits until everything heard of is in force here, or the time is over.
+    /// Who acts on an answer that tells of a change (a suspicion, a drain) and
+    /// does not wait acts on the configuration before it.
+    pub async fn catch_up(&self, allowed: Duration) -> bool {
+        let caught_up = async {
+            while self.shared.view.revision() < self.newest_heard() {
+                tokio::time::sleep(CATCH_UP_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(allowed, caught_up).await.is_ok()
+    }
+
     /// The newest revision heard of along the data path.
     pub fn newest_heard(&self) -> Revision {
         Revision(self.shared.heard.load(Ordering::Relaxed))
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -7,7 +7,6 @@
     time::Duration,
 };
 
-use almondlock_base::id::Upstream;
 use almondlock_telemetry::log;
 
 use crate::{
@@ -15,7 +14,7 @@
     key::Shape,
     section::{Section, resolve},
     settings::{
-        Entry, Format, Host, Kind, Log, Member, Metrics, Replica, Security, Settings, Sidecar, Tls,
+        Entry, Format, Host, Log, Member, Metrics, Order, Replica, Security, Settings, Sidecar, Tls,
     },
     source,
 };
@@ -47,11 +46,7 @@
         let entry = find("entry").map(|section| self.entry(section));
         let replica = find("replica").map(|section| self.replica(section));
         let security = find("security").map(|section| self.security(section));
-        let sidecars: Vec<Option<Sidecar>> = sections
-            .iter()
-            .filter(|section| section.name == "sidecar")
-            .map(|section| self.sidecar(section))
-            .collect();
+        let sidecar = find("sidecar").map(|section| self.sidecar(section));
         let or_absent = |name| find(name).cloned().unwrap_or_else(|| Section::absent(name));
         let log = self.log(&or_absent("log"));
         let metrics = self.metrics(&or_absent("metrics"));
@@ -60,7 +55,7 @@
         Some(Settings {
             host: host?,
             entry: whole(entry)?,
-            sidecars: sidecars.into_iter().collect::<Option<_>>()?,
+            sidecar: whole(sidecar)?,
             replica: whole(replica)?,
             security: whole(security)?,
             log: log?,
@@ -119,29 +114,20 @@
     }
 
     fn sidecar(&mut self, s: &Section) -> Option<Sidecar> {
-        let name = s.subject.as_deref().unwrap_or_default();
-        let name = Upstream::new(name).map_err(|error| {
-            let remedy = "name the upstream in the section's head: [sidecar NAME]";
-            self.problem(s.line, &s.head(), &error.to_string(), remedy);
-        });
-        let kind = self.word(s, "kind").map(|word| match word.as_str() {
-            "service" => Kind::Service,
-            _ => Kind::Engine,
-        });
-        let upstream = self.address(s, "upstream");
         let announce = self.address(s, "announce");
+        let order = self.word(s, "order").map(|word| match word.as_str() {
+            "even" => Order::Even,
+            "fifo" => Order::Fifo,
+            _ => Order::Short,
+        });
         let memory_share = self.percent(s, "memory_share");
-        let short_tokens = self.number(s, "short_tokens");
         let short_reserve = self.percent(s, "short_reserve");
         let running = self.count(s, "running");
         let waiting = self.count(s, "waiting");
         Some(Sidecar {
-            name: name.ok()?,
-            kind: kind?,
-            upstream: upstream?,
             announce: announce?,
+            order: order?,
             memory_share: memory_share?,
-            short_tokens: short_tokens?,
             short_reserve: short_reserve?,
             running: running?,
             waiting: waiting?,
@@ -149,20 +135,11 @@
     }
 
     fn replica(&mut self, s: &Section) -> Option<Replica> {
-        let number = self.number(s, "number");
         let admin = self.address(s, "admin");
         let members = self.members(s);
         let operator_key = self.hash(s, "operator_key");
         let tls = self.tls(s);
-        if let (Some(number), Some(members), Some(value)) = (number, &members, s.get("number"))
-            && !members.iter().any(|member| member.number == number)
-        {
-            let remedy = "add this replica to members, or correct its number";
-            let message = format!("no member has the number {number}");
-            self.problem(value.line, &value.field(), &message, remedy);
-        }
         Some(Replica {
-            number: number?,
             admin: admin?,
             members: members?,
             operator_key,
@@ -223,7 +200,7 @@
             .iter()
             .all(|role| has(role).is_none())
         {
-            let remedy = "add [entry], [sidecar NAME] or [replica]";
+            let remedy = "add [entry], [sidecar] or [replica]";
             self.problem(0, "", "the process has no role", remedy);
         }
         match has("replica") {
@@ -353,7 +330,7 @@
     }
 
     fn members(&mut self, s: &Section) -> Option<Vec<Member>> {
-        let remedy = "write NUMBER@IP:PORT, NUMBER@IP:PORT, ... with no number or address twice";
+        let remedy = "write NAME@INNER@ADMIN, ... with two IP:PORT each and nothing twice";
         self.parse(s, "members", remedy, members)
     }
 
@@ -408,19 +385,22 @@
 fn members(text: &str) -> Result<Vec<Member>, String> {
     let mut members: Vec<Member> = Vec::new();
     for part in text.split(',').map(str::trim) {
-        let (number, rest) = part
-            .split_once('@')
-            .ok_or_else(|| format!("{part:?} has no @"))?;
-        let number = match number.trim().parse() {
-            Ok(number @ 1..=255) => number,
-            _ => return Err(format!("{number:?} is no number from 1 to 255")),
+        let mut fields = part.split('@').map(str::trim);
+        let (Some(name), Some(inner), Some(admin), None) =
+            (fields.next(), fields.next(), fields.next(), fields.next())
+        else {
+            return Err(format!("{part:?} is not NAME@INNER@ADMIN"));
+        };
+        let member = Member {
+            name: almondlock_base::id::Host::new(name).map_err(|error| error.to_string())?,
+            address: address(inner, Shape::Address)?,
+            admin: address(admin, Shape::Address)?,
         };
-        let address = address(rest, Shape::Address)?;
-        let twice = |m: &Member| m.number == number || m.address == address;
+        let twice = |m: &Member| m.name == member.name || m.address == member.address;
         if members.iter().any(twice) {
-            return Err(format!("{part} has a number or an address twice"));
+            return Err(format!("{part} has a name or an address twice"));
         }
-        members.push(Member { number, address });
+        members.push(member);
     }
     Ok(members)
 }
