--- /dev/null
+++ b/almondlock-policy/examples/order.rs
@@ -0,0 +1,333 @@
+//! Compares orders of work on one modelled engine.
+//!
+//! The engine is a model and not an engine: each step processes up to a fixed
+//! number of prompt tokens and one answer token of each running request, and
+//! takes a fixed time, a time per prompt token and a time per request. Waiting
+//! and starting are decided by the real [`Queue`]. The same requests, drawn
+//! from a seed, are given to each order. What it shows is how the orders compare, not
+//! what a deployment will measure.
+//!
+//! `cargo run --release -p almondlock-policy --example order [SEED]`
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
+use almondlock_policy::{
+    length::Class,
+    queue::{Config, Job, Queue, Room},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const CAPACITY: Tokens = Tokens(700_000);
+const SLOTS: u32 = 64;
+/// Prompt tokens that one step processes.
+const CHUNK: u64 = 1_024;
+const STEP_MICROS: u64 = 6_000;
+const PROMPT_TOKEN_NANOS: u64 = 45_000;
+const REQUEST_MICROS: u64 = 60;
+/// Simulated time during which requests arrive.
+const SPAN: Duration = Duration::from_secs(4_000);
+
+#[derive(Clone)]
+struct Request {
+    at: Mono,
+    organisation: Organisation,
+    prompt: u64,
+    output: u64,
+}
+
+struct Running {
+    id: usize,
+    rank: (u8, u64),
+    left: u64,
+    answered: u64,
+}
+
+/// Whether the engine is told priorities.
+#[derive(Clone, Copy, PartialEq)]
+enum Priorities {
+    Honoured,
+    None,
+}
+
+struct Engine<'a> {
+    requests: &'a [Request],
+    queue: Queue<usize>,
+    priorities: Priorities,
+    running: Vec<Running>,
+    granted: u64,
+    now: Mono,
+    first: Vec<Option<Duration>>,
+}
+
+impl<'a> Engine<'a> {
+    fn new(requests: &'a [Request], config: Config, priorities: Priorities) -> Engine<'a> {
+        Engine {
+            requests,
+            queue: Queue::new(config),
+            priorities,
+            running: Vec::new(),
+            granted: 0,
+            now: Mono::ZERO,
+            first: vec![None; requests.len()],
+        }
+    }
+
+    /// Time to first token of each request.
+    fn run(mut self) -> Vec<Option<Duration>> {
+        let mut next = 0;
+        loop {
+            while let Some(request) = self.requests.get(next)
+                && request.at <= self.now
+            {
+                self.arrive(next);
+                next += 1;
+            }
+            self.grant();
+            if !self.running.is_empty() {
+                self.step();
+            } else if let Some(request) = self.requests.get(next) {
+                self.now = request.at;
+            } else {
+                return self.first;
+            }
+        }
+    }
+
+    fn arrive(&mut self, id: usize) {
+        let request = &self.requests[id];
+        let job = Job {
+            organisation: request.organisation.clone(),
+            weight: 1,
+            prompt: Tokens(request.prompt),
+            cached: Tokens::ZERO,
+            output: Tokens(request.output),
+            deadline: request.at + Duration::from_secs(100_000),
+            suspect: false,
+        };
+        let room = self.room();
+        // What the queue refuses has no first token and is counted as such.
+        let _ = self.queue.push(id, job, &room, self.now);
+    }
+
+    fn room(&self) -> Room {
+        let need = |run: &Running| {
+            let request = &self.requests[run.id];
+            Tokens(request.prompt + request.output)
+        };
+        let used: Tokens = self.running.iter().map(need).sum();
+        Room {
+            free: CAPACITY.saturating_sub(used),
+            slots: SLOTS - self.running.len() as u32,
+            ..Room::idle(CAPACITY, SLOTS)
+        }
+    }
+
+    fn grant(&mut self) {
+        while let Some(grant) = self.queue.grant(self.now, &self.room()) {
+            self.granted += 1;
+            let priority = match self.priorities {
+                Priorities::Honoured => grant.priority,
+                Priorities::None => 0,
+            };
+            self.running.push(Running {
+                id: grant.id,
+                rank: (priority, self.granted),
+                left: self.requests[grant.id].prompt,
+                answered: 0,
+            });
+        }
+    }
+
+    fn step(&mut self) {
+        self.running.sort_by_key(|run| run.rank);
+        let mut budget = CHUNK;
+        let mut done = Vec::new();
+        for run in &mut self.running {
+            let part = run.left.min(budget);
+            budget -= part;
+            if run.left > 0 {
+                run.left -= part;
+                if run.left > 0 {
+                    continue;
+                }
+                done.push(run.id);
+            }
+            run.answered += 1;
+        }
+        let tokens = CHUNK - budget;
+        let micros = STEP_MICROS
+            + tokens * PROMPT_TOKEN_NANOS / 1_000
+            + self.running.len() as u64 * REQUEST_MICROS;
+        self.now = self.now + Duration::from_micros(micros);
+        for id in done {
+            self.first[id] = Some(self.now.since(self.requests[id].at));
+            self.queue.prefilled(&id, self.now);
+        }
+        let (requests, queue) = (self.requests, &mut self.queue);
+        self.running.retain(|run| {
+            let output = requests[run.id].output;
+            let over = run.answered >= output;
+            if over {
+                queue.finish(&run.id, Tokens(output));
+            }
+            !over
+        });
+    }
+}
+
+fn organisation(name: &str) -> Organisation {
+    Organisation::new(name).expect("a plain name")
+}
+
+/// Requests at random moments, `rate` per second, of which one in `long` is
+/// over a hundred thousand tokens; 0 is none.
+fn traffic(rng: &mut SmallRng, name: &str, rate: f64, long: u32) -> Vec<Request> {
+    let mut at = 0.0;
+    let mut requests = Vec::new();
+    loop {
+        at += -(1.0 - rng.random::<f64>()).ln() / rate;
+        if at >= SPAN.as_secs_f64() {
+            return requests;
+        }
+        // Most are a few thousand tokens, some tens of thousands.
+        let shape: f64 = rng.random_range(0.0..1.0);
+        let usual = (1_000.0 * 30f64.powf(shape * shape)) as u64;
+        let huge = rng.random_range(100_000..400_000);
+        let is_long = rng.random_range(0..long.max(1)) == 0 && long > 0;
+        requests.push(Request {
+            at: Mono::from_micros((at * 1e6) as u64),
+            organisation: organisation(name),
+            prompt: if is_long { huge } else { usual },
+            output: rng.random_range(20..300),
+        });
+    }
+}
+
+fn percentile(mut times: Vec<Duration>, percent: usize) -> Duration {
+    times.sort();
+    let at = (times.len() * percent / 100).min(times.len().saturating_sub(1));
+    times.get(at).copied().unwrap_or_default()
+}
+
+/// Times of the requests that a filter takes.
+fn select<F>(requests: &[Request], first: &[Option<Duration>], keep: F) -> Vec<Duration>
+where
+    F: Fn(&Request) -> bool,
+{
+    let kept = requests
+        .iter()
+        .zip(first)
+        .filter(|(request, _)| keep(request));
+    kept.filter_map(|(_, first)| *first).collect()
+}
+
+fn orders() -> Vec<(&'static str, Config, Priorities)> {
+    vec![
+        ("fifo", Config::fifo(), Priorities::None),
+        ("fifo+prio", Config::fifo(), Priorities::Honoured),
+        ("short", Config::short(), Priorities::Honoured),
+        ("even", Config::even(), Priorities::Honoured),
+    ]
+}
+
+fn by_class(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let requests = traffic(&mut rng, "org", 1.5, 50);
+    let without: Vec<Request> = requests
+        .iter()
+        .filter(|request| request.prompt < 100_000)
+        .cloned()
+        .collect();
+    println!(
+        "time to first token, {} requests, one in 50 over 100,000 tokens",
+        requests.len()
+    );
+    println!("order      class   count     p50 ms     p95 ms     p99 ms  p95 without the long");
+    for (name, config, priorities) in orders() {
+        let first = Engine::new(&requests, config, priorities).run();
+        let alone = Engine::new(&without, config, priorities).run();
+        for class in Class::ALL {
+            let is_class = |request: &Request| Class::of(Tokens(request.prompt)) == class;
+            let times = select(&requests, &first, is_class);
+            let calm = select(&without, &alone, is_class);
+            print!("{name:<10} {:<7} {:>5}", class.as_str(), times.len());
+            for percent in [50, 95, 99] {
+                print!(" {:>10}", percentile(times.clone(), percent).as_millis());
+            }
+            let (with, calm) = (percentile(times, 95), percentile(calm, 95));
+            if calm.is_zero() {
+                println!();
+            } else {
+                let ratio = with.as_secs_f64() / calm.as_secs_f64();
+                println!(" {:>10} (x{ratio:.2})", calm.as_millis());
+            }
+        }
+    }
+}
+
+fn under_flood(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let quiet = traffic(&mut rng, "quiet", 0.5, 0);
+    let flood = traffic(&mut rng, "flood", 8.0, 0);
+    let mut both = quiet.clone();
+    both.extend(flood);
+    both.sort_by_key(|request| request.at);
+    println!("\none organisation's short requests, alone and beside another's flood");
+    println!("order      p95 alone ms  p95 beside ms");
+    let is_quiet = |request: &Request| {
+        request.organisation.as_str() == "quiet"
+            && Class::of(Tokens(request.prompt)) == Class::Short
+    };
+    for (name, config, priorities) in orders() {
+        let alone = Engine::new(&quiet, config, priorities).run();
+        let beside = Engine::new(&both, config, priorities).run();
+        let alone = percentile(select(&quiet, &alone, is_quiet), 95);
+        let beside = percentile(select(&both, &beside, is_quiet), 95);
+        let ratio = beside.as_secs_f64() / alone.as_secs_f64();
+        println!(
+            "{name:<10} {:>12} {:>14} (x{ratio:.2})",
+            alone.as_millis(),
+            beside.as_millis()
+        );
+    }
+}
+
+/// How the two figures that a deployment sets move the classes.
+fn sweep(seed: u64) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let requests = traffic(&mut rng, "org", 1.5, 50);
+    println!("\np95 in ms by stretch and reserve");
+    println!("stretch reserve      short     medium       long       huge        all");
+    for stretch in [0.0, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0] {
+        for reserve in [0, 8, 15] {
+            let config = Config {
+                stretch,
+                reserve,
+                ..Config::short()
+            };
+            let first = Engine::new(&requests, config, Priorities::Honoured).run();
+            let mut times: HashMap<Class, Vec<Duration>> = HashMap::new();
+            for (request, first) in requests.iter().zip(&first) {
+                let class = Class::of(Tokens(request.prompt));
+                times.entry(class).or_default().extend(*first);
+            }
+            print!("{stretch:>7} {reserve:>7}");
+            for class in Class::ALL {
+                let times = times.get(&class).cloned().unwrap_or_default();
+                print!(" {:>10}", percentile(times, 95).as_millis());
+            }
+            let all = percentile(times.into_values().flatten().collect(), 95);
+            println!(" {:>10}", all.as_millis());
+        }
+    }
+}
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(1);
+    println!("seed {seed}; a modelled engine, see the source");
+    by_class(seed);
+    under_flood(seed);
+    sweep(seed);
+}
