Tell a chunk's tokens in its choice, take segments from a header

Cause: the sidecar reads how many tokens a chunk holds from the choice; they stood beside it, so a chunk of several counted as one and a resume would have started too early. It also passes bodies on unread, so segments can't stand in them. Conclusion: both ends agree; the resume and segment tests cover it.

--- a/almondlock-standin/src/complete.rs
+++ b/almondlock-standin/src/complete.rs
@@ -61,6 +61,7 @@
     id: Option<String>,
     priority: i64,
     resume_at: u64,
+    segments: Vec<Place>,
 }
 
 impl Head {
@@ -70,6 +71,7 @@
             id: id.map(str::to_owned),
             priority: number(request, "x-engine-priority")?.unwrap_or_default(),
             resume_at: number(request, "x-engine-resume-at")?.unwrap_or_default(),
+            segments: Place::list(header(request, "x-engine-segments").unwrap_or_default()),
         })
     }
 }
@@ -104,6 +106,7 @@
         let text = "neither prompt nor messages";
         return Err(Refusal::new(StatusCode::BAD_REQUEST, text));
     };
+    body.segments.extend(head.segments);
     let remote = engine.remote_tokens(&body.segments).await?;
     let prompt_tokens = answer::prompt_tokens(&prompt);
     let (events, receiver) = mpsc::unbounded();
--- a/almondlock-standin/src/kv.rs
+++ b/almondlock-standin/src/kv.rs
@@ -34,6 +34,20 @@
     handle: String,
 }
 
+impl Place {
+    /// Reads a list as it stands in a header: `ADDRESS/HANDLE,...`.
+    pub(crate) fn list(text: &str) -> Vec<Place> {
+        let pairs = text
+            .split(',')
+            .filter_map(|part| part.trim().split_once('/'));
+        let place = |(address, handle): (&str, &str)| Place {
+            address: address.to_owned(),
+            handle: handle.to_owned(),
+        };
+        pairs.map(place).collect()
+    }
+}
+
 #[derive(Debug, Deserialize)]
 struct Named {
     #[serde(alias = "handle")]
--- a/almondlock-standin/src/stream.rs
+++ b/almondlock-standin/src/stream.rs
@@ -73,17 +73,14 @@
     }
 
     fn tokens(&self, from: u64, to: u64) -> Bytes {
-        let choice = self.choice(&self.key.range(from, to), None, true);
-        let mut frame = self.frame(&choice, true);
-        frame["offset"] = from.into();
-        frame["tokens"] = (to - from).into();
-        event(&frame)
+        let mut choice = self.choice(&self.key.range(from, to), None, true);
+        choice["offset"] = from.into();
+        choice["tokens"] = (to - from).into();
+        event(&self.frame(&choice, true))
     }
 
     fn last(&self, cached: u64) -> Bytes {
         let mut frame = self.frame(&self.choice("", Some("length"), true), true);
-        frame["offset"] = self.end.into();
-        frame["tokens"] = 0.into();
         frame["usage"] = self.usage(cached);
         let mut bytes = event(&frame).to_vec();
         bytes.extend_from_slice(b"data: [DONE]\n\n");
--- a/almondlock-standin/tests/common/mod.rs
+++ b/almondlock-standin/tests/common/mod.rs
@@ -135,7 +135,7 @@
                 Ok(Some(event)) if event == "[DONE]" => text.done = true,
                 Ok(Some(event)) => {
                     let event: Value = serde_json::from_str(&event).expect("JSON");
-                    text.first = text.first.or(event["offset"].as_u64());
+                    text.first = text.first.or(event["choices"][0]["offset"].as_u64());
                     text.text += event["choices"][0]["text"].as_str().expect("text");
                     if !event["usage"].is_null() {
                         text.usage = event["usage"].clone();
--- a/almondlock-standin/tests/remote_segments.rs
+++ b/almondlock-standin/tests/remote_segments.rs
@@ -43,6 +43,21 @@
     assert!(engines.iter().all(|engine| engine.reserved() == 0));
 }
 
+// The parts are named in a header, by a sidecar that doesn't read bodies.
+#[ntex::test]
+async fn by_header() {
+    let (holder, runner) = (start(config()), start(config()));
+    let part = json!({ "id": "7", "tokens": 5_000 });
+    post(holder.address(), "/engine/segments", part).await;
+    let text = prompt("history", 6_000);
+    let body = json!({ "prompt": text, "max_tokens": 300_000, "stream": true });
+    let place = format!("{}/7", holder.address());
+    let headers = [("x-engine-segments", place.as_str())];
+    let mut stream = Stream::open(runner.address(), &headers, body).await;
+    assert!(stream.next().await.unwrap().is_some());
+    assert_eq!(runner.reserved(), 301_000);
+}
+
 // An engine that holds a part dies while the answer runs: the stream breaks and
 // its memory comes back.
 #[ntex::test]
