Let a replica's identity come from its disk, also in plans

A member of the log is a disk, whose identity is drawn by itself; a plan that named the newcomer's identity could never remove it again. Member::Add names where the newcomer waits, and the leader copies the log's membership into the state by Command::Replicas whenever the two differ. A host whose disk was wiped may wait at its old address.

For the driver: Member::Add now holds the replica alone, and the leader has to propose Command::Replicas.

--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -121,6 +121,14 @@
         /// The leader's time.
         at: Wall,
     },
+    /// The replicas as the log's membership has them; proposed by the leader
+    /// when the state says otherwise.
+    Replicas {
+        /// Replicas by identity.
+        replicas: BTreeMap<replica::Id, Replica>,
+        /// The leader's time.
+        at: Wall,
+    },
     /// An operator wants something; makes a plan of it.
     Propose {
         /// The operator's number for the change.
--- a/almondlock-state/src/intent.rs
+++ b/almondlock-state/src/intent.rs
@@ -124,23 +124,19 @@
     },
     /// One more control replica.
     AddReplica {
-        /// Its number, never used before.
-        id: replica::Id,
-        /// Where it is.
+        /// Where it waits.
         replica: Replica,
     },
     /// One control replica less.
     RemoveReplica {
-        /// Its number.
+        /// The identity of its disk.
         id: replica::Id,
     },
     /// A control replica instead of another: added first, then removed.
     ReplaceReplica {
-        /// The number that goes.
+        /// The identity that goes.
         old: replica::Id,
-        /// The number that comes.
-        id: replica::Id,
-        /// Where it is.
+        /// Where the one that comes waits.
         replica: Replica,
     },
     /// An operator, or another key or role for one.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -145,6 +145,10 @@
                 self.seed(operators, replicas);
                 Ok(accepted())
             }
+            Command::Replicas { replicas, .. } => {
+                self.tables.set_replicas(replicas);
+                Ok(accepted())
+            }
             Command::Expire { at } => {
                 self.expire(at, changes);
                 Ok(accepted())
@@ -310,9 +314,7 @@
             self.tables
                 .apply(Effect::Operator(name, Some(operator)), None);
         }
-        for (id, replica) in replicas {
-            self.tables.apply(Effect::Replica(id, Some(replica)), None);
-        }
+        self.tables.set_replicas(replicas);
     }
 
     fn expire(&mut self, at: Wall, changes: &mut Changes) {
--- a/almondlock-state/src/plan.rs
+++ b/almondlock-state/src/plan.rs
@@ -18,7 +18,7 @@
 
 pub mod compile;
 pub mod execute;
-mod next;
+pub mod next;
 pub mod risk;
 pub mod rollout;
 pub mod table;
--- a/almondlock-state/src/plan/compile.rs
+++ b/almondlock-state/src/plan/compile.rs
@@ -363,34 +363,31 @@
 fn members(tables: &Tables, intent: &Intent) -> Result<Vec<Step>, Error> {
     let all = &tables.replicas;
     match intent {
-        Intent::AddReplica { id, replica } => {
+        Intent::AddReplica { replica } => {
             if all.len() >= limit::REPLICAS {
                 return Err(Error::full("replicas"));
             }
-            Ok(vec![added(tables, *id, replica)?])
+            Ok(vec![added(tables, None, replica)?])
         }
         Intent::RemoveReplica { id } if all.contains_key(id) && all.len() > 1 => {
             Ok(vec![Step::Member(Member::Remove(*id))])
         }
-        Intent::ReplaceReplica { old, id, replica } if all.contains_key(old) => Ok(vec![
-            added(tables, *id, replica)?,
+        Intent::ReplaceReplica { old, replica } if all.contains_key(old) => Ok(vec![
+            added(tables, Some(*old), replica)?,
             Step::Member(Member::Remove(*old)),
         ]),
         _ => Err(Error::bad("no such replica, or it is the only one")),
     }
 }
 
-fn added(tables: &Tables, id: replica::Id, replica: &Replica) -> Result<Step, Error> {
-    if id == 0 || tables.replicas.contains_key(&id) {
-        return Err(Error::bad(
-            "a new replica needs a number that is not in use",
-        ));
-    }
-    let mut all = tables.replicas.values();
-    if all.any(|known| known.address == replica.address) {
+/// One more replica. It may wait where the one that it replaces was: a host
+/// whose disk was wiped keeps its address and comes back with another identity.
+fn added(tables: &Tables, old: Option<replica::Id>, new: &Replica) -> Result<Step, Error> {
+    let mut others = tables.replicas.iter().filter(|(id, _)| Some(**id) != old);
+    if others.any(|(_, known)| known.address == new.address) {
         return Err(Error::bad("another replica has this address"));
     }
-    Ok(Step::Member(Member::Add(id, replica.clone())))
+    Ok(Step::Member(Member::Add(new.clone())))
 }
 
 fn operator(tables: &Tables, name: &str, new: Option<(&String, Role)>) -> Result<Effect, Error> {
--- a/almondlock-state/src/plan/risk.rs
+++ b/almondlock-state/src/plan/risk.rs
@@ -100,8 +100,10 @@
 fn of_member(tables: &Tables, member: &Member, risk: &mut Risk) {
     let mut after = tables.replicas.clone();
     match member {
-        Member::Add(id, replica) => {
-            after.insert(*id, replica.clone());
+        Member::Add(replica) => {
+            // Any identity that is free: it counts, and isn't known yet.
+            let free = (0..).find(|id| !after.contains_key(id)).unwrap_or_default();
+            after.insert(free, replica.clone());
             risk.seconds += CATCH_UP;
         }
         Member::Remove(id) => {
--- a/almondlock-state/src/replica.rs
+++ b/almondlock-state/src/replica.rs
@@ -1,15 +1,19 @@
 //! The control replicas, as the state knows them.
 //!
-//! Who votes is decided by the log's own membership entries; this table says
+//! Who votes is decided by the log's own membership entries. The leader copies
+//! them here ([`Command::Replicas`]) whenever they differ; this table says
 //! where each replica is reached and in which failure domain it stands, so that
 //! clients are sent to the leader and a plan can tell what a loss would mean.
+//!
+//! [`Command::Replicas`]: crate::command::Command::Replicas
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use almondlock_base::id::Domain;
 use serde::{Deserialize, Serialize};
 
-/// A replica's number in the log's membership. A wiped disk gets a new one.
+/// The identity of a replica's disk, which it draws by itself. A wiped disk
+/// comes back with another one.
 pub type Id = u64;
 
 /// Where a replica is.
@@ -27,8 +31,9 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Member {
-    /// It learns, and votes once it has caught up and synced.
-    Add(Id, Replica),
+    /// The replica that waits there is added; it votes once it has caught up
+    /// and synced. Its identity is known only then.
+    Add(Replica),
     /// It votes no more.
     Remove(Id),
 }
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -177,11 +177,27 @@
 
     /// Notes a change of the membership that was carried out.
     pub fn apply_member(&mut self, member: &Member, plan: plan::Id) {
-        let effect = match member {
-            Member::Add(id, replica) => Effect::Replica(*id, Some(replica.clone())),
-            Member::Remove(id) => Effect::Replica(*id, None),
-        };
-        self.apply(effect, Some(plan));
+        // The identity of an added one comes with the leader's next copy.
+        if let Member::Remove(id) = member {
+            self.apply(Effect::Replica(*id, None), Some(plan));
+        }
+    }
+
+    /// Makes the replicas what the log's membership says.
+    pub fn set_replicas(&mut self, replicas: BTreeMap<replica::Id, Replica>) {
+        if self.replicas != replicas {
+            let gone = self
+                .replicas
+                .keys()
+                .filter(|id| !replicas.contains_key(*id));
+            let gone: Vec<replica::Id> = gone.copied().collect();
+            for id in gone {
+                self.apply(Effect::Replica(id, None), None);
+            }
+            for (id, replica) in replicas {
+                self.apply(Effect::Replica(id, Some(replica)), None);
+            }
+        }
     }
 
     /// When a part was touched after `sequence`, by others than `plan`.
--- /dev/null
+++ b/almondlock-state/tests/replaced_replica.rs
@@ -0,0 +1,142 @@
+//! Control replicas are replaced by a plan.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use almondlock_base::{Code, id::Domain};
+use almondlock_state::{
+    command::Command,
+    intent::Intent,
+    machine::Machine,
+    plan::{Action, Advance, Id, State, due},
+    replica::{self, Member, Replica},
+};
+use common::{change, code, planned, propose, wall};
+
+fn replica(number: u16) -> Replica {
+    Replica {
+        address: format!("10.0.0.{number}:7000").parse().unwrap(),
+        admin: format!("10.0.0.{number}:7001").parse().unwrap(),
+        domain: Domain::new(&format!("domain-{number}")).unwrap(),
+    }
+}
+
+fn members(numbers: &[(replica::Id, u16)]) -> BTreeMap<replica::Id, Replica> {
+    numbers
+        .iter()
+        .map(|(id, number)| (*id, replica(*number)))
+        .collect()
+}
+
+fn group(numbers: &[(replica::Id, u16)]) -> Machine {
+    let mut machine = Machine::new();
+    let (operators, replicas) = (BTreeMap::new(), members(numbers));
+    machine.apply(Command::Seed {
+        operators,
+        replicas,
+        at: wall(1),
+    });
+    machine
+}
+
+fn asked(machine: &Machine) -> Vec<Member> {
+    let members = due(machine, wall(1))
+        .into_iter()
+        .filter_map(|action| match action {
+            Action::Member { member, .. } => Some(member),
+            Action::Propose(_) => None,
+        });
+    members.collect()
+}
+
+fn step(machine: &mut Machine, plan: Id, index: usize, advance: Advance) {
+    let step = Command::Step {
+        plan,
+        index,
+        advance,
+        at: wall(1),
+    };
+    assert_eq!(code(&machine.apply(step).reply), None);
+}
+
+/// A host's disk was wiped; it waits at its old address with a new identity. It
+/// is added, and only once that is through does the old identity go. The leader
+/// changes in between and the new one is told to go on with the same step.
+#[test]
+fn same_host() {
+    let mut machine = group(&[(11, 1), (12, 2), (13, 3)]);
+    let intent = Intent::ReplaceReplica {
+        old: 12,
+        replica: replica(2),
+    };
+    let plan = change(&mut machine, "1", intent, 1);
+    step(&mut machine, plan.id, 0, Advance::Begin);
+    assert_eq!(asked(&machine), [Member::Add(replica(2))]);
+    let mut machine = Machine::restore(&machine.snapshot()).unwrap();
+    assert_eq!(asked(&machine), [Member::Add(replica(2))]);
+    step(&mut machine, plan.id, 0, Advance::Finish);
+    let replicas = members(&[(11, 1), (12, 2), (13, 3), (99, 2)]);
+    machine.apply(Command::Replicas {
+        replicas,
+        at: wall(1),
+    });
+    step(&mut machine, plan.id, 1, Advance::Begin);
+    assert_eq!(asked(&machine), [Member::Remove(12)]);
+    step(&mut machine, plan.id, 1, Advance::Finish);
+    assert_eq!(
+        machine.plans().get(plan.id).map(|plan| plan.state),
+        Some(State::Done)
+    );
+    assert_eq!(
+        machine.tables().replicas,
+        members(&[(11, 1), (13, 3), (99, 2)])
+    );
+}
+
+/// The newcomer never catches up. The plan fails at that step, and the lost
+/// replica is not removed: that would leave fewer than before.
+#[test]
+fn newcomer_fails() {
+    let mut machine = group(&[(11, 1), (12, 2), (13, 3)]);
+    let intent = Intent::ReplaceReplica {
+        old: 12,
+        replica: replica(4),
+    };
+    let plan = change(&mut machine, "1", intent, 1);
+    step(&mut machine, plan.id, 0, Advance::Begin);
+    let message = "it doesn't catch up".to_owned();
+    step(&mut machine, plan.id, 0, Advance::Fail { message });
+    assert_eq!(
+        machine.plans().get(plan.id).map(|plan| plan.state),
+        Some(State::Failed)
+    );
+    assert!(asked(&machine).is_empty());
+    assert!(machine.tables().replicas.contains_key(&12));
+}
+
+/// What would break the group is refused, and what is risky is told.
+#[test]
+fn told_before() {
+    let mut machine = group(&[(11, 1), (12, 2), (13, 3)]);
+    let taken = Intent::AddReplica {
+        replica: replica(3),
+    };
+    let refused = propose(&mut machine, "1", taken, 1);
+    assert_eq!(code(&refused), Some(Code::BadChange));
+    let plan = planned(propose(
+        &mut machine,
+        "2",
+        Intent::RemoveReplica { id: 12 },
+        1,
+    ));
+    assert!(
+        plan.risk
+            .warnings
+            .iter()
+            .any(|it| it.contains("no majority"))
+    );
+    let mut alone = group(&[(11, 1)]);
+    let refused = propose(&mut alone, "1", Intent::RemoveReplica { id: 11 }, 1);
+    assert_eq!(code(&refused), Some(Code::BadChange));
+}
