--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -32,13 +32,16 @@
     /// The place of the job to start next, and whether a longer one that is due
     /// is kept room for meanwhile.
     pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<(Place, bool)> {
-        if room.slots == 0 {
+        if let Some(place) = self.choose_alone(room) {
+            return Some((place, false));
+        }
+        if room.slots == 0 || self.load.alone > 0 || self.is_draining(now) {
             return None;
         }
         let lowest = self.lowest_counter(room)?;
         self.floor = self.floor.max(lowest);
         let ceiling = lowest.saturating_add(self.config.quantum);
-        let mut held = false;
+        let mut held = self.hold;
         let mut place = self.choose_among(0..=ceiling, &mut held, now, room);
         if place.is_none() {
             // Nothing of those has room now. The others have been served more
@@ -49,6 +52,19 @@
         place.map(|place| (place, held))
     }
 
+    /// Whether a job that runs alone is due: nothing else starts until it did.
+    fn is_draining(&self, now: Mono) -> bool {
+        self.alone.first().is_some_and(|(due, _)| *due <= now)
+    }
+
+    /// The job to run alone, once the engine is idle.
+    fn choose_alone(&self, room: &Room) -> Option<Place> {
+        let (_, number) = self.alone.first().copied()?;
+        let fits = self.waiting.get(&number)?.job.need() <= room.free;
+        let idle = fits && self.running.is_empty() && room.slots > 0;
+        self.place_of(number).filter(|_| idle)
+    }
+
     /// The job that is due first and has room, of the organisations whose
     /// counter lies in a range.
     fn choose_among(
@@ -151,6 +167,13 @@
             && u64::from(self.load.held_slots) < slots.max(1)
     }
 
+    /// What is to be left free of the reserved part: what short jobs don't hold
+    /// of it already.
+    pub fn reserve_left(&self, room: &Room) -> Tokens {
+        let memory = Tokens(percent(room.capacity.0, self.config.reserve));
+        memory.saturating_sub(self.load.short_memory)
+    }
+
     /// Whether a longer job leaves the reserved part to the short ones. What
     /// short jobs hold of it already is not kept free again. A job that only
     /// fits with the reserved part gets it, else it could never run.
