Copy the log's membership into the state, and take up Member::Add in the driver

The state's replicas came from the seed alone, so a replica added later was neither shown nor removable by its identity. The leader now compares and copies (replica::changed); admin addresses come from the table or from the plan that added the replica. A seed is refused by operators alone, so that a copy can't keep the first operator out.

--- a/almondlock-control/src/driver.rs
+++ b/almondlock-control/src/driver.rs
@@ -13,7 +13,7 @@
         self, Advance,
         next::{Action, due},
     },
-    replica::Member,
+    replica::{self as members, Member},
 };
 use tokio::time::sleep;
 
@@ -33,6 +33,7 @@
         for action in replica.state(|machine| due(machine, now)) {
             act(&replica, action).await;
         }
+        copy_members(&replica).await;
     }
 }
 
@@ -71,9 +72,23 @@
     }
 }
 
+/// Copies the log's membership into the state when the two differ.
+async fn copy_members(replica: &Replica) {
+    let members = replica.status().members.into_iter();
+    let members = members.map(|peer| (peer.id.0, peer.address, peer.domain));
+    let Some(replicas) = replica.state(|machine| members::changed(machine, members)) else {
+        return;
+    };
+    let at = clock::wall();
+    let copied = replica.propose(Command::Replicas { replicas, at }).await;
+    if let Err(refusal) = copied {
+        tracing::debug!(%refusal, "the membership was not copied yet");
+    }
+}
+
 async fn change(replica: &Replica, member: &Member) -> Result<(), Refusal> {
     match member {
-        Member::Add(_, wanted) => {
+        Member::Add(wanted) => {
             let id = replica.add_at(wanted.address).await?;
             replica.promote(id).await
         }
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -307,7 +307,7 @@
         operators: BTreeMap<String, Operator>,
         replicas: BTreeMap<replica::Id, Replica>,
     ) {
-        if !self.tables.operators.is_empty() || !self.tables.replicas.is_empty() {
+        if !self.tables.operators.is_empty() {
             return;
         }
         for (name, operator) in operators {
--- a/almondlock-state/src/replica.rs
+++ b/almondlock-state/src/replica.rs
@@ -12,6 +12,8 @@
 use almondlock_base::id::Domain;
 use serde::{Deserialize, Serialize};
 
+use crate::{machine::Machine, plan::Step};
+
 /// The identity of a replica's disk, which it draws by itself. A wiped disk
 /// comes back with another one.
 pub type Id = u64;
@@ -38,6 +40,44 @@
     Remove(Id),
 }
 
+/// The table as it should be for the log's members, unless it is that already.
+///
+/// The log doesn't know where a replica listens for operators: that is taken
+/// from the table or from the plan that added the replica, by its inner address.
+/// Nothing is copied before the state was seeded.
+pub fn changed<I>(machine: &Machine, members: I) -> Option<BTreeMap<Id, Replica>>
+where
+    I: IntoIterator<Item = (Id, SocketAddr, Domain)>,
+{
+    let known = &machine.tables().replicas;
+    if machine.tables().operators.is_empty() {
+        return None;
+    }
+    let stages = machine.plans().iter().rev().flat_map(|plan| &plan.stages);
+    let planned = stages.filter_map(|stage| match &stage.step {
+        Step::Member(Member::Add(replica)) => Some(replica),
+        _ => None,
+    });
+    let all: Vec<&Replica> = known.values().chain(planned).collect();
+    let admin = |address| {
+        let found = all.iter().find(|replica| replica.address == address);
+        found.map_or(address, |replica| replica.admin)
+    };
+    let members = members.into_iter().map(|(id, address, domain)| {
+        let admin = admin(address);
+        (
+            id,
+            Replica {
+                address,
+                admin,
+                domain,
+            },
+        )
+    });
+    let members: BTreeMap<Id, Replica> = members.collect();
+    (members != *known).then_some(members)
+}
+
 /// The failure domains whose loss would leave no majority.
 pub fn critical_domains(replicas: &BTreeMap<Id, Replica>) -> Vec<Domain> {
     let mut counts: BTreeMap<&Domain, usize> = BTreeMap::new();
--- a/almondlock-state/tests/replaced_replica.rs
+++ b/almondlock-state/tests/replaced_replica.rs
@@ -9,6 +9,7 @@
     command::Command,
     intent::Intent,
     machine::Machine,
+    operator::{Operator, Role, hash},
     plan::{Action, Advance, Id, State, due},
     replica::{self, Member, Replica},
 };
@@ -31,7 +32,12 @@
 
 fn group(numbers: &[(replica::Id, u16)]) -> Machine {
     let mut machine = Machine::new();
-    let (operators, replicas) = (BTreeMap::new(), members(numbers));
+    let admin = Operator {
+        key: hash("anna"),
+        role: Role::Admin,
+    };
+    let operators = [("anna".to_owned(), admin)].into();
+    let replicas = members(numbers);
     machine.apply(Command::Seed {
         operators,
         replicas,
@@ -94,6 +100,32 @@
     );
 }
 
+/// The leader copies the log's membership: the newcomer's identity is its
+/// disk's, and its admin address that of the plan which added it.
+#[test]
+fn copied_members() {
+    let mut machine = group(&[(11, 1), (12, 2)]);
+    let member = |(id, it): (replica::Id, Replica)| (id, it.address, it.domain);
+    let now = members(&[(11, 1), (12, 2)]);
+    assert_eq!(
+        replica::changed(&machine, now.into_iter().map(member)),
+        None
+    );
+    change(
+        &mut machine,
+        "1",
+        Intent::AddReplica {
+            replica: replica(3),
+        },
+        1,
+    );
+    let now = members(&[(11, 1), (12, 2), (99, 3)]);
+    let copied = replica::changed(&machine, now.clone().into_iter().map(member));
+    assert_eq!(copied, Some(now));
+    let empty = replica::changed(&Machine::new(), [(1, replica(1))].map(member));
+    assert_eq!(empty, None, "not before the seed");
+}
+
 /// The newcomer never catches up. The plan fails at that step, and the lost
 /// replica is not removed: that would leave fewer than before.
 #[test]
