Announce embedded engines to a running system, never send a prompt twice

Cause: to compare the whole path with the baselines it needs the same engines on threads of their own; and the second pass of a slowdown sent the prompts of the first, which a running system had cached by then. Lengths and moments still come from the seed alone. Conclusion: two plans that differ in the salt ask for the same work with other texts.

--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -2,14 +2,14 @@
 
 use std::{
     net::{SocketAddr, ToSocketAddrs},
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use almondlock_standin::engine;
 use gumdrop::Options;
 
 use crate::{
-    experiment::{Arm, Plan, Source},
+    experiment::{Announced, Arm, Plan, Source},
     router::Policy,
     send::Manner,
     workload,
@@ -53,6 +53,13 @@
         default = "random,least"
     )]
     pub policies: String,
+    /// Sidecars that get the engines.
+    #[options(
+        no_short,
+        help = "announce the engines of --embedded to these sidecars of the target",
+        meta = "URL,..."
+    )]
+    pub announce: String,
     /// Callers.
     #[options(no_short, help = "who sends, several times", meta = "NAME:KEY:WEIGHT")]
     pub organisation: Vec<String>,
@@ -95,6 +102,13 @@
     /// The seed.
     #[options(no_short, help = "seed of the first run", meta = "N", default = "1")]
     pub seed: u64,
+    /// What makes prompts and keys unlike those of other runs.
+    #[options(
+        no_short,
+        help = "makes prompts and keys unlike other runs' (default: the time)",
+        meta = "N"
+    )]
+    pub salt: Option<u64>,
     /// How many runs.
     #[options(
         no_short,
@@ -243,12 +257,14 @@
             drain: Duration::from_secs_f64(self.drain),
             runs: self.runs.max(1),
             slowdown: self.slowdown,
+            announced: self.announced()?,
         })
     }
 
     fn workload(&self, organisations: Vec<u32>) -> workload::Config {
         workload::Config {
             seed: self.seed,
+            salt: self.salt.unwrap_or_else(salt),
             rate: self.rate,
             span: Duration::from_secs_f64(self.seconds * self.factor),
             requests: self.requests,
@@ -281,7 +297,7 @@
     fn arms(&self) -> Result<Vec<Arm>, String> {
         let mut arms = Vec::new();
         if self.embedded > 0 {
-            for name in self.policies.split(',') {
+            for name in self.policies.split(',').filter(|name| !name.is_empty()) {
                 arms.push(self.embedded_arm(name)?);
             }
         }
@@ -305,6 +321,33 @@
         Ok(arms)
     }
 
+    fn announced(&self) -> Result<Option<Announced>, String> {
+        if self.announce.is_empty() {
+            return Ok(None);
+        }
+        if self.embedded == 0 {
+            return Err("--announce: give --embedded too".to_owned());
+        }
+        Ok(Some(Announced {
+            engines: self.embedded,
+            config: self.engine(true),
+            sidecars: addresses(&self.announce)?,
+        }))
+    }
+
+    fn engine(&self, priorities: bool) -> engine::Config {
+        let config = engine::Config {
+            memory: self.engine_memory,
+            prefill_rate: self.engine_prefill,
+            factor: self.factor,
+            priorities,
+            seed: self.seed,
+            ..engine::Config::default()
+        };
+        let model = self.model.clone().unwrap_or_else(|| config.model.clone());
+        engine::Config { model, ..config }
+    }
+
     fn embedded_arm(&self, name: &str) -> Result<Arm, String> {
         let plain = name.strip_suffix("-priority");
         let policy = match plain.unwrap_or(name) {
@@ -316,19 +359,10 @@
                 ));
             }
         };
-        let config = engine::Config {
-            memory: self.engine_memory,
-            prefill_rate: self.engine_prefill,
-            factor: self.factor,
-            priorities: plain.is_some(),
-            seed: self.seed,
-            ..engine::Config::default()
-        };
-        let model = self.model.clone().unwrap_or_else(|| config.model.clone());
         let source = Source::Embedded {
             policy,
             engines: self.embedded,
-            config: Box::new(engine::Config { model, ..config }),
+            config: Box::new(self.engine(plain.is_some())),
         };
         Ok(Arm {
             name: name.to_owned(),
@@ -337,6 +371,12 @@
     }
 }
 
+/// The time in milliseconds: no two runs share it by accident.
+fn salt() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn check(name: &str, value: f64, low: f64, high: f64) -> Result<(), String> {
     if (low..=high).contains(&value) {
         return Ok(());
--- a/almondlock-bench/src/experiment.rs
+++ b/almondlock-bench/src/experiment.rs
@@ -18,6 +18,9 @@
     workload::{self, LONG_FROM, Request},
 };
 
+/// Real time that a system gets to register the engines announced to it.
+const REGISTRATION: Duration = Duration::from_secs(6);
+
 /// Where the system of an arm comes from.
 #[derive(Clone, Debug)]
 pub enum Source {
@@ -81,6 +84,28 @@
     pub runs: u64,
     /// Whether each run is done again without long prompts.
     pub slowdown: bool,
+    /// Engines for the running systems, if they have none.
+    pub announced: Option<Announced>,
+}
+
+/// Engines that announce themselves to sidecars of a running system.
+#[derive(Clone, Debug)]
+pub struct Announced {
+    /// How many.
+    pub engines: usize,
+    /// What they are like.
+    pub config: engine::Config,
+    /// The sidecars' addresses for announcements, taken in turn.
+    pub sidecars: Vec<SocketAddr>,
+}
+
+impl Announced {
+    /// Starts them and gives the system time to register them all.
+    fn start(&self) -> Result<Fleet, String> {
+        let fleet = Fleet::start(self.engines, &self.config, &self.sidecars)?;
+        thread::sleep(REGISTRATION);
+        Ok(fleet)
+    }
 }
 
 /// What one pass of one run measured of one arm.
@@ -102,14 +127,16 @@
     where
         F: FnMut(u64, Pass, usize),
     {
+        let _engines = self.announced.as_ref().map(Announced::start).transpose()?;
         let mut measured = Vec::new();
         for run in 0..self.runs {
-            let mut config = self.workload.clone();
-            config.seed += run;
-            let all = workload::plan(&config);
             for pass in self.passes() {
-                let taken = all.iter().filter(|request| pass.takes(request));
-                let requests: Arc<[Request]> = taken.cloned().collect();
+                let mut config = self.workload.clone();
+                config.seed += run;
+                config.salt = config.salt.wrapping_add(2 * run + *pass as u64);
+                let all = workload::plan(&config);
+                let taken = all.into_iter().filter(|request| pass.takes(request));
+                let requests: Arc<[Request]> = taken.collect();
                 progress(run, *pass, requests.len());
                 for (arm, record) in self.pass(&requests, config.seed)?.into_iter().enumerate() {
                     measured.push(Measured {
@@ -164,7 +191,7 @@
             engines,
             config,
         } => {
-            let fleet = Fleet::start(*engines, config)?;
+            let fleet = Fleet::start(*engines, config, &[])?;
             manner.priority = config.priorities;
             (*policy, fleet.addresses().to_vec(), Some(fleet))
         }
--- a/almondlock-bench/src/fleet.rs
+++ b/almondlock-bench/src/fleet.rs
@@ -1,18 +1,28 @@
 //! Stand-in engines for an experiment, each on a thread of its own, so that one
-//! engine's work on a body of megabytes doesn't delay another's steps.
+//! engine's work on a body of megabytes doesn't delay another's steps. They can
+//! announce themselves to sidecars, as real ones do, and so serve a running
+//! system.
 
 use std::{
     net::SocketAddr,
     thread::{self, JoinHandle},
+    time::Duration,
 };
 
-use almondlock_standin::engine::{Config, Engine};
+use almondlock_standin::{
+    client,
+    engine::{Config, Engine},
+};
 use ntex::rt::{DefaultRuntime, System};
+use serde_json::{Value, json};
 use tokio::sync::oneshot;
 
 /// Engines at most, to spare the machine.
 pub const LIMIT: usize = 64;
 
+/// How often an engine announces itself.
+const ANNOUNCEMENT: Duration = Duration::from_secs(2);
+
 /// Engines that run until dropped.
 #[derive(Debug)]
 pub struct Fleet {
@@ -23,19 +33,21 @@
 }
 
 impl Fleet {
-    /// Starts so many engines.
-    pub fn start(count: usize, config: &Config) -> Result<Fleet, String> {
+    /// Starts so many engines. Each announces itself to one of the sidecars, if
+    /// there are any.
+    pub fn start(count: usize, config: &Config, sidecars: &[SocketAddr]) -> Result<Fleet, String> {
         let mut fleet = Fleet {
             addresses: Vec::new(),
             stops: Vec::new(),
             threads: Vec::new(),
         };
-        for seed in 0..count.min(LIMIT) as u64 {
+        for index in 0..count.min(LIMIT) {
             let config = Config {
-                seed: config.seed + seed,
+                seed: config.seed + index as u64,
                 ..config.clone()
             };
-            fleet.add(config)?;
+            let sidecar = sidecars.iter().cycle().nth(index).copied();
+            fleet.add(index, config, sidecar)?;
         }
         Ok(fleet)
     }
@@ -45,14 +57,23 @@
         &self.addresses
     }
 
-    fn add(&mut self, config: Config) -> Result<(), String> {
+    fn add(
+        &mut self,
+        index: usize,
+        config: Config,
+        sidecar: Option<SocketAddr>,
+    ) -> Result<(), String> {
         let (stop, stopped) = oneshot::channel::<()>();
         let (tell, told) = std::sync::mpsc::channel();
         let thread = thread::spawn(move || {
             let system = System::build().disable_signals().build(DefaultRuntime);
             system.block_on(async move {
-                let engine = Engine::start(config);
+                let engine = Engine::start(config.clone());
                 let address = engine.as_ref().map(|engine| engine.address());
+                if let (Ok(address), Some(sidecar)) = (&address, sidecar) {
+                    let news = announcement(index, *address, &config);
+                    ntex::rt::spawn(announce(sidecar, news));
+                }
                 let _ = tell.send(address.map_err(|error| error.to_string()));
                 // Also ends, with an error, when the sender is dropped.
                 let _ = stopped.await;
@@ -78,3 +99,32 @@
         }
     }
 }
+
+/// What an engine says of itself. Its speed is in real time: sidecars know
+/// nothing of a faster clock.
+fn announcement(index: usize, address: SocketAddr, config: &Config) -> Value {
+    json!({
+        "name": format!("bench-engine-{}", index + 1),
+        "address": address,
+        "kind": "engine",
+        "model": config.model,
+        "version": config.version,
+        "capacity": config.memory,
+        "slots": config.batch,
+        "prefill_rate": config.prefill_rate * config.factor,
+        "fenced": config.fenced,
+        "resumable": true,
+    })
+}
+
+async fn announce(sidecar: SocketAddr, news: Value) {
+    let url = format!("http://{sidecar}/announce");
+    let Ok(client) = client::new().await else {
+        return;
+    };
+    loop {
+        // A sidecar that isn't there yet hears it next time.
+        let _ = client.post(&url).send_json(&news).await;
+        tokio::time::sleep(ANNOUNCEMENT).await;
+    }
+}
--- a/almondlock-bench/src/send.rs
+++ b/almondlock-bench/src/send.rs
@@ -165,7 +165,7 @@
         head = head.header("x-almondlock-deadline-ms", deadline.to_string());
     }
     if request.once {
-        let key = format!("bench-{}-{}", request.seed, request.serial);
+        let key = format!("bench-{}-{}", request.salt, request.serial);
         head = head.header("idempotency-key", key);
         head = head.header("x-almondlock-repeatable", "false");
     }
--- a/almondlock-bench/src/workload.rs
+++ b/almondlock-bench/src/workload.rs
@@ -30,8 +30,10 @@
 /// What the requests are like.
 #[derive(Clone, Debug)]
 pub struct Config {
-    /// Seed of everything random.
+    /// Seed of everything random: lengths and moments.
     pub seed: u64,
+    /// Stands in every prompt and key, so that no two runs share any.
+    pub salt: u64,
     /// Requests a second.
     pub rate: f64,
     /// When the last request is sent at the latest.
@@ -63,8 +65,9 @@
     pub at: Duration,
     /// Its number in the run, which makes its prompt unlike all others.
     pub serial: u64,
-    /// Seed of the run, for the same reason.
-    pub seed: u64,
+    /// Makes it unlike those of all other runs: a system that has seen a prompt
+    /// before has it in its caches, and one that has seen a key won't run it.
+    pub salt: u64,
     /// Length of the prompt in tokens.
     pub prompt: u64,
     /// Of these, how many belong to a shared prefix.
@@ -92,10 +95,10 @@
         let shared = self.shared as usize * BYTES_PER_TOKEN;
         let mut text = String::with_capacity(bytes + FILLER.len());
         if shared > 0 {
-            text.push_str(&format!("prefix {} of {}: ", self.prefix, self.seed));
+            text.push_str(&format!("prefix {} of {}: ", self.prefix, self.salt));
             fill(&mut text, shared);
         }
-        text.push_str(&format!("request {} of {}: ", self.serial, self.seed));
+        text.push_str(&format!("request {} of {}: ", self.serial, self.salt));
         fill(&mut text, bytes);
         text
     }
@@ -155,7 +158,7 @@
         Request {
             at,
             serial,
-            seed: self.config.seed,
+            salt: self.config.salt,
             prompt,
             // Whole tokens that the request's own number must follow.
             shared: shared.min(prompt - SHORTEST / 4),
--- a/almondlock-bench/tests/planted_faults.rs
+++ b/almondlock-bench/tests/planted_faults.rs
@@ -20,7 +20,7 @@
     Request {
         at: Duration::ZERO,
         serial: 3,
-        seed: 1,
+        salt: 1,
         prompt: 1_000,
         shared: 0,
         prefix: 0,
--- a/almondlock-bench/tests/workload_plan.rs
+++ b/almondlock-bench/tests/workload_plan.rs
@@ -8,6 +8,7 @@
 fn config() -> Config {
     Config {
         seed: 7,
+        salt: 1,
         rate: 100.0,
         span: Duration::from_secs(100),
         requests: 100_000,
@@ -106,3 +107,18 @@
     assert_eq!(a.text()[..bytes], b.text()[..bytes]);
     assert_ne!(a.text(), b.text());
 }
+
+// A system that is measured twice must not find the prompts of the first time in
+// its caches, but be asked for as much as before.
+#[test]
+fn salted() {
+    let first = plan(&config());
+    let second = plan(&Config {
+        salt: 2,
+        ..config()
+    });
+    for (a, b) in first.iter().zip(&second).take(20) {
+        assert_eq!((a.at, a.prompt, a.answer), (b.at, b.prompt, b.answer));
+        assert_ne!(a.text()[..40], b.text()[..40]);
+    }
+}
