--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -56,10 +56,10 @@
     /// Sidecars that get the engines.
     #[options(
         no_short,
-        help = "announce the engines of --embedded to these sidecars of the target",
+        help = "start as many engines for a system with these sidecars, several times",
         meta = "URL,..."
     )]
-    pub announce: String,
+    pub announce: Vec<String>,
     /// Callers.
     #[options(no_short, help = "who sends, several times", meta = "NAME:KEY:WEIGHT")]
     pub organisation: Vec<String>,
@@ -321,18 +321,18 @@
         Ok(arms)
     }
 
-    fn announced(&self) -> Result<Option<Announced>, String> {
-        if self.announce.is_empty() {
-            return Ok(None);
-        }
-        if self.embedded == 0 {
+    fn announced(&self) -> Result<Vec<Announced>, String> {
+        if self.embedded == 0 && !self.announce.is_empty() {
             return Err("--announce: give --embedded too".to_owned());
         }
-        Ok(Some(Announced {
-            engines: self.embedded,
-            config: self.engine(true),
-            sidecars: addresses(&self.announce)?,
-        }))
+        let one = |urls: &String| {
+            Ok(Announced {
+                engines: self.embedded,
+                config: self.engine(true),
+                sidecars: addresses(urls)?,
+            })
+        };
+        self.announce.iter().map(one).collect()
     }
 
     fn engine(&self, priorities: bool) -> engine::Config {
--- a/almondlock-bench/src/experiment.rs
+++ b/almondlock-bench/src/experiment.rs
@@ -84,8 +84,8 @@
     pub runs: u64,
     /// Whether each run is done again without long prompts.
     pub slowdown: bool,
-    /// Engines for the running systems, if they have none.
-    pub announced: Option<Announced>,
+    /// Engines for the running systems, if they have none; one entry a system.
+    pub announced: Vec<Announced>,
 }
 
 /// Engines that announce themselves to sidecars of a running system.
@@ -99,15 +99,6 @@
     pub sidecars: Vec<SocketAddr>,
 }
 
-impl Announced {
-    /// Starts them and gives the system time to register them all.
-    fn start(&self) -> Result<Fleet, String> {
-        let fleet = Fleet::start(self.engines, &self.config, &self.sidecars)?;
-        thread::sleep(REGISTRATION);
-        Ok(fleet)
-    }
-}
-
 /// What one pass of one run measured of one arm.
 #[derive(Clone, Debug)]
 pub struct Measured {
@@ -127,7 +118,7 @@
     where
         F: FnMut(u64, Pass, usize),
     {
-        let _engines = self.announced.as_ref().map(Announced::start).transpose()?;
+        let _engines = self.announce()?;
         let mut measured = Vec::new();
         for run in 0..self.runs {
             for pass in self.passes() {
@@ -151,6 +142,16 @@
         Ok(measured)
     }
 
+    /// Starts the engines of running systems and gives these time to register them.
+    fn announce(&self) -> Result<Vec<Fleet>, String> {
+        let start = |a: &Announced| Fleet::start(a.engines, &a.config, &a.sidecars);
+        let fleets = self.announced.iter().map(start).collect();
+        if !self.announced.is_empty() {
+            thread::sleep(REGISTRATION);
+        }
+        fleets
+    }
+
     fn passes(&self) -> &'static [Pass] {
         if self.slowdown {
             &[Pass::All, Pass::WithoutLong]
