Hand nothing to an upstream that doesn't answer

Ruled out: the choice itself, which only believes what sidecars tell. Change: a sidecar watches its upstream, tells that it takes no work while it is down, and refuses at once as not run; what is given back at once costs no attempt.

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -42,6 +42,10 @@
 
 /// Pieces of an answer that wait for their caller at most.
 const DEPTH: usize = 64;
+/// What is left of a refused request's body is read up to this many bytes.
+const DRAIN_LIMIT: usize = 256 * 1024;
+/// And for this long.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// When to come back to a host with too much in progress.
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
@@ -57,10 +61,34 @@
         .route("/services/{name}/{tail}*", web::route().to(service));
 }
 
-/// Answers with a failure and counts it. `read`: whether the body was read.
-fn refuse(worker: &Worker, failure: &Failure, id: &str, read: bool) -> HttpResponse {
+/// Answers with a failure and counts it.
+fn refuse(worker: &Worker, failure: &Failure, id: &str) -> HttpResponse {
     worker.shared.refused(failure.code);
-    if read {
+    failure.to_response(id)
+}
+
+/// The same before the body was read to its end. A server that answers and
+/// closes while the caller still sends makes the caller's system throw the
+/// answer away; so what is left of a small body is read first. A large one is
+/// not: a stranger could make us take it in.
+async fn refuse_unread(
+    worker: &Worker,
+    failure: &Failure,
+    id: &str,
+    payload: &mut Payload,
+) -> HttpResponse {
+    worker.shared.refused(failure.code);
+    let drained = timeout(DRAIN_TIMEOUT, async {
+        let mut rest = DRAIN_LIMIT;
+        while let Some(Ok(chunk)) = payload.next().await {
+            rest = rest.saturating_sub(chunk.len());
+            if rest == 0 {
+                return false;
+            }
+        }
+        true
+    });
+    if drained.await.unwrap_or(false) {
         failure.to_response(id)
     } else {
         failure.to_closing_response(id)
@@ -68,11 +96,13 @@
 }
 
 /// Answers whatever no route matches.
-pub async fn unknown() -> HttpResponse {
-    Failure::new(Code::UnknownRoute).to_closing_response("-")
+pub async fn unknown(mut payload: Payload, state: State) -> HttpResponse {
+    let failure = Failure::new(Code::UnknownRoute);
+    refuse_unread(&state, &failure, "-", &mut payload).await
 }
 
-type State = web::types::State<Rc<Worker>>;
+/// The worker that a handler runs on.
+pub type State = web::types::State<Rc<Worker>>;
 
 async fn livez() -> HttpResponse {
     HttpResponse::Ok().body("alive\n")
@@ -154,7 +184,7 @@
 /// Reads a body within its bounds of size and time.
 async fn receive(
     request: &HttpRequest,
-    mut payload: Payload,
+    payload: &mut Payload,
     worker: &Worker,
 ) -> Result<Bytes, Failure> {
     let config = &worker.shared.config;
@@ -194,17 +224,22 @@
     essence.trim().eq_ignore_ascii_case("application/json")
 }
 
-async fn model(shape: Shape, http: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+async fn model(
+    shape: Shape,
+    http: HttpRequest,
+    mut payload: Payload,
+    state: State,
+) -> HttpResponse {
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
+        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
     };
     let id = arrival.id.clone();
-    let read = read_model(shape, &http, payload, &worker, &arrival).await;
+    let read = read_model(shape, &http, &mut payload, &worker, &arrival).await;
     let (request, usage) = match read {
         Ok(read) => read,
-        Err(failure) => return refuse(&worker, &failure, &id, false),
+        Err(failure) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
     };
     let name = match &request.target {
         Target::Model(model, _) => model.to_string(),
@@ -213,7 +248,7 @@
     let writer = Writer::new(shape, &id, clock::wall(), &name, usage);
     let streamed = request.stream;
     match Running::start(Rc::clone(&worker), request, arrival.active).await {
-        Err(failure) => refuse(&worker, &failure, &id, true),
+        Err(failure) => refuse(&worker, &failure, &id),
         Ok(running) if streamed => running.into_stream(writer, &id),
         Ok(running) => running.into_document(&writer, &id).await,
     }
@@ -222,7 +257,7 @@
 async fn read_model(
     shape: Shape,
     http: &HttpRequest,
-    payload: Payload,
+    payload: &mut Payload,
     worker: &Rc<Worker>,
     arrival: &Arrival,
 ) -> Result<(Request, bool), Failure> {
@@ -293,26 +328,26 @@
     *hasher.finalize().as_bytes()
 }
 
-async fn service(http: HttpRequest, payload: Payload, state: State) -> HttpResponse {
+async fn service(http: HttpRequest, mut payload: Payload, state: State) -> HttpResponse {
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return refuse(&worker, &failure, &id, false),
+        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
     };
     let id = arrival.id.clone();
-    let request = match read_service(&http, payload, &worker, &arrival).await {
+    let request = match read_service(&http, &mut payload, &worker, &arrival).await {
         Ok(request) => request,
-        Err(failure) => return refuse(&worker, &failure, &id, false),
+        Err(failure) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
     };
     match Running::start(Rc::clone(&worker), request, arrival.active).await {
-        Err(failure) => refuse(&worker, &failure, &id, true),
+        Err(failure) => refuse(&worker, &failure, &id),
         Ok(running) => running.into_bytes(&id),
     }
 }
 
 async fn read_service(
     http: &HttpRequest,
-    payload: Payload,
+    payload: &mut Payload,
     worker: &Rc<Worker>,
     arrival: &Arrival,
 ) -> Result<Request, Failure> {
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -33,6 +33,8 @@
     shared::{Pool, Shared},
 };
 
+/// Upstreams that may give a request back before it counts as attempts.
+const PLACES_LIMIT: u32 = 16;
 /// When to come back when no upstream can be had.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 /// How long the configuration that explains a death is waited for.
@@ -64,6 +66,9 @@
 /// What the attempts so far have come to.
 struct Course {
     excluded: Vec<Index>,
+    // Upstreams tried, also such that gave the request back at once.
+    places: u32,
+    // Attempts that something was spent on.
     attempts: u32,
     offset: u64,
     begun: bool,
@@ -118,6 +123,7 @@
     ) -> Result<(), Failure> {
         let mut course = Course {
             excluded: Vec::new(),
+            places: 0,
             attempts: 0,
             offset: 0,
             begun: false,
@@ -127,7 +133,7 @@
         loop {
             self.check(request, &mut course)?;
             let place = self.choose(request, &course)?;
-            course.attempts += 1;
+            course.places += 1;
             match self.attempt(request, &place, &mut course, pieces).await {
                 Next::Done => return Ok(()),
                 Next::Fail(failure) => {
@@ -367,6 +373,7 @@
             table.ended(place.index, request.prompt, answered);
             if outcome.load.capacity.0 > 0 {
                 table.report(place.index, report(&outcome.load), now);
+                table.set_leaving(&place.upstream, outcome.load.leaving);
             }
             let unusable = matches!(
                 outcome.code,
@@ -391,6 +398,12 @@
             return Next::Done;
         };
         course.ran = retry::merge(course.ran, outcome.ran);
+        // What was given back at once has cost nothing and counts for nothing,
+        // but not without end.
+        let free = outcome.ran == Ran::No && !retry::is_charged(code);
+        if !free || course.places >= PLACES_LIMIT {
+            course.attempts += 1;
+        }
         if left {
             return Next::Fail(Failure::new(Code::CallerLeft).ran(course.ran));
         }
--- a/almondlock-policy/src/retry.rs
+++ b/almondlock-policy/src/retry.rs
@@ -5,7 +5,7 @@
 //! otherwise, and in time? Is it *affordable*: a retry costs the fleet as much
 //! as a fresh request, and when half the fleet fails, retries by themselves
 //! would double what the other half has to do. So they are paid from a
-//! [`Budget`] that fresh requests fill, per organisation and per entry host,
+//! budget that fresh requests fill, per organisation and per entry host,
 //! and when it is empty the caller gets its refusal at once.
 //!
 //! ```
@@ -84,11 +84,16 @@
     }
 }
 
-/// Whether a retry is paid for. Work that a leaving upstream gives back, and a
-/// call that met a sidecar's new life, are moved and not retried: nothing was
-/// tried. Charging for them would make a planned stop fail requests.
+/// Whether a retry is paid for. Work that a leaving upstream gives back, a call
+/// that met a sidecar's new life, and one whose upstream doesn't answer are
+/// moved and not retried: nothing was tried. Charging for them would make a
+/// planned stop fail requests, and a few dead upstreams spend the attempts of
+/// a request that a living one would have answered.
 pub fn is_charged(code: Code) -> bool {
-    !matches!(code, Code::UpstreamLeaving | Code::StaleIncarnation)
+    !matches!(
+        code,
+        Code::UpstreamLeaving | Code::StaleIncarnation | Code::NoUpstream
+    )
 }
 
 /// Settings of a [`Policy`].
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -5,7 +5,7 @@
 //! comes. A request's body stays with its entry host until the engine has room
 //! for it, so that waiting costs next to no memory.
 //!
-//! [`table`] decides, [`service`] acts on it, [`rpc`] is how entry hosts reach
+//! [`table`] decides, [`service`] acts on it, `rpc` is how entry hosts reach
 //! it, and [`protocol`] is how it reaches an upstream of whatever kind.
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -1,6 +1,10 @@
 //! One upstream's sidecar at work: from a submitted attempt to its outcome.
 
-use std::{cell::RefCell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use almondlock_base::{
     Code, Ran,
@@ -36,6 +40,8 @@
 /// Tries to cancel a run on the engine, with [`CANCEL_PAUSE`] between.
 const CANCEL_TRIES: u32 = 20;
 const CANCEL_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks at whether the upstream answers.
+const HEALTH_PAUSE: Duration = Duration::from_millis(500);
 /// How long blame for a death may take before the outcomes go out without it.
 const BLAME_TIMEOUT: Duration = Duration::from_secs(3);
 /// When to come back after a refusal that names no time.
@@ -61,6 +67,8 @@
     replicas: Replicas,
     table: RefCell<Table>,
     death: RefCell<Death>,
+    // The upstream doesn't answer; nothing is handed to it until it does.
+    down: Cell<bool>,
 }
 
 /// Deaths of the engine in the sidecar's life.
@@ -93,6 +101,7 @@
             replicas,
             table: RefCell::new(Table::new(config, incarnation)),
             death: RefCell::default(),
+            down: Cell::new(false),
         });
         let weak = Rc::downgrade(&inner);
         spawn_local(async move {
@@ -102,6 +111,15 @@
                 sleep(TICK).await;
             }
         });
+        let weak = Rc::downgrade(&inner);
+        spawn_local(async move {
+            while let Some(inner) = weak.upgrade() {
+                let alive = inner.protocol.alive().await;
+                inner.set_down(!alive);
+                drop(inner);
+                sleep(HEALTH_PAUSE).await;
+            }
+        });
         Service { inner }
     }
 
@@ -114,7 +132,7 @@
             Ok(ticket) => ticket.run(head, source, sink).await,
             Err(refusal) => refused(refusal),
         };
-        outcome.load = inner.table.borrow().load(&head.prefix);
+        outcome.load = self.load(&head.prefix);
         outcome
     }
 
@@ -127,9 +145,12 @@
         ran
     }
 
-    /// The upstream's load.
+    /// The upstream's load. One that doesn't answer has none, and would look
+    /// like the best of all; so it is told as taking no work.
     pub fn load(&self, prefix: &[u64]) -> Load {
-        self.inner.table.borrow().load(prefix)
+        let mut load = self.inner.table.borrow().load(prefix);
+        load.leaving |= self.inner.down.get();
+        load
     }
 
     /// Whether the upstream answers.
@@ -169,7 +190,20 @@
         self.table.borrow_mut().set_leaving(leaving, now);
     }
 
+    fn set_down(&self, down: bool) {
+        if self.down.replace(down) != down {
+            tracing::info!(upstream = %self.upstream, down, "the upstream's health changed");
+        }
+    }
+
     async fn admit(self: Rc<Self>, head: &Head) -> Result<Ticket<P>, Refusal> {
+        if self.down.get() {
+            return Err(Refusal {
+                code: Code::NoUpstream,
+                ran: Ran::No,
+                retry_after: Some(DEFAULT_RETRY),
+            });
+        }
         let config = self.handle.view().get();
         let known = config.quarantine(head.fingerprint);
         if known.is_some_and(|q| q.refused) {
@@ -225,7 +259,9 @@
     /// a copy sent at once must find its suspicion known.
     async fn look_for_death(&self) -> Option<Vec<Present>> {
         let seen = self.table.borrow().present();
-        if self.protocol.alive().await {
+        let alive = self.protocol.alive().await;
+        self.set_down(!alive);
+        if alive {
             self.death.borrow_mut().present = None;
             return None;
         }
@@ -472,7 +508,10 @@
         };
         let text = failure.to_string();
         match failure {
-            Failure::Unreachable => failed(Code::NoUpstream, Ran::No, text),
+            Failure::Unreachable => {
+                self.set_down(true);
+                failed(Code::NoUpstream, Ran::No, text)
+            }
             Failure::Refused(413, _) => failed(Code::PromptTooLong, Ran::No, text),
             Failure::Refused(503 | 429, _) => failed(Code::MemoryUnavailable, Ran::No, text),
             Failure::Refused(..) => failed(Code::UpstreamFailed, Ran::No, text),
