Bound the log by bytes, hand leadership on at a stop, and mend a test's clock

The history test failed once in a busy run. Cause: its commands carried a time of 1970; a claim applied before the leader's first Expire got a bound of 1970, and the first Expire, bringing the real time, made it lost, so that its holder's own repeat was not granted again. Ruled out: a replica fault.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -32,6 +32,10 @@
     status::{Peer, Status},
 };
 
+/// A snapshot is begun at the latest after this many bytes of commands: some
+/// carry whole answers, and all wait in memory until a snapshot stands for them.
+const SNAPSHOT_BYTES: usize = 64 << 20;
+
 pub(super) type Answer<T> = oneshot::Receiver<Result<T, Refusal>>;
 type Asker<T> = oneshot::Sender<Result<T, Refusal>>;
 
@@ -83,6 +87,8 @@
     snapshot_every: u64,
     // The index at which the last snapshot was begun.
     snapshot_at: Index,
+    // Bytes of commands applied since.
+    snapshot_bytes: usize,
     snapshot: Option<oneshot::Receiver<(Index, Vec<u8>)>>,
     // Invariant: once set it stays; nothing is said or promised from then on.
     pub(super) stopped: Option<Refusal>,
@@ -132,6 +138,7 @@
             next_read: 0,
             snapshot_every: config.snapshot,
             snapshot_at: Index::ZERO,
+            snapshot_bytes: 0,
             snapshot: None,
             stopped: None,
         };
@@ -333,6 +340,7 @@
 
     fn apply(&mut self, entry: &Entry) -> Result<(), Refusal> {
         self.applied = entry.index;
+        self.snapshot_bytes += entry.payload.size();
         let waiting = self.waiting.remove(&entry.index);
         let reply = match &entry.payload {
             Payload::Command(data) => Some(self.apply_command(data)?),
@@ -383,10 +391,12 @@
             }
             self.snapshot = None;
         }
-        if self.applied.0 < self.snapshot_at.0 + self.snapshot_every {
+        let entries = self.applied.0 - self.snapshot_at.0;
+        if entries < self.snapshot_every && self.snapshot_bytes < SNAPSHOT_BYTES {
             return;
         }
         self.snapshot_at = self.applied;
+        self.snapshot_bytes = 0;
         let (index, state) = (self.applied, self.state.clone());
         let (done, running) = oneshot::channel();
         self.snapshot = Some(running);
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -15,7 +15,6 @@
 
 use almondlock_base::{
     id::{Attempt, Domain, Host, Incarnation, Model, Organisation, Region, Upstream, Version},
-    time::Wall,
     unit::{Revision, Tokens},
 };
 use almondlock_control::replica::{Builder, Config, Initial, Refusal, Remote, Replica, Status};
@@ -38,14 +37,20 @@
     pub remote: Remote,
     pub view: View,
     pub vouch: Vouch,
-    kill: Option<oneshot::Sender<()>>,
-    thread: Option<JoinHandle<()>>,
+    end: oneshot::Sender<End>,
+    thread: JoinHandle<()>,
+}
+
+/// How a replica ends.
+enum End {
+    Kill,
+    Stop,
 }
 
 impl Running {
-    pub fn kill(mut self) {
-        drop(self.kill.take());
-        self.thread.take().unwrap().join().unwrap();
+    fn end(self, how: End) {
+        let _ = self.end.send(how);
+        self.thread.join().unwrap();
     }
 
     /// Blocks the replica's thread: nothing is sent, received or answered.
@@ -124,12 +129,19 @@
         let builder = Config::builder(self.names[n].clone(), self.addresses[n], domain, folder)
             .initial(initial)
             .quorum(quorum.build().unwrap())
-            .patience(Duration::from_secs(2));
+            .patience(Duration::from_secs(2))
+            // The tests' upstream announces itself once.
+            .lease(Duration::from_secs(3600));
         (self.adapt)(builder).build()
     }
 
     pub fn kill(&mut self, n: usize) {
-        self.running[n].take().unwrap().kill();
+        self.running[n].take().unwrap().end(End::Kill);
+    }
+
+    /// As a host does that is restarted on purpose.
+    pub fn stop(&mut self, n: usize) {
+        self.running[n].take().unwrap().end(End::Stop);
     }
 
     pub fn remote(&self, n: usize) -> &Remote {
@@ -210,7 +222,7 @@
 
 fn spawn(name: Host, address: SocketAddr, config: Config) -> Running {
     let (tell, told) = mpsc::channel();
-    let (kill, killed) = oneshot::channel();
+    let (end, ended) = oneshot::channel();
     let thread = thread::spawn(move || {
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
@@ -229,8 +241,10 @@
             let node = Node::start(node_config(name, address), view.clone(), parts);
             let node = node.await.unwrap();
             tell.send((replica.remote(), view, vouch)).unwrap();
-            let _ = killed.await;
-            replica.kill();
+            match ended.await {
+                Ok(End::Stop) => replica.stop().await,
+                Ok(End::Kill) | Err(_) => replica.kill(),
+            }
             node.stop().await;
         });
     });
@@ -239,8 +253,8 @@
         remote,
         view,
         vouch,
-        kill: Some(kill),
-        thread: Some(thread),
+        end,
+        thread,
     }
 }
 
@@ -288,7 +302,7 @@
             role: String::new(),
             resumable: false,
         },
-        at: Wall::from_millis(1_000),
+        at: clock::wall(),
     }
 }
 
@@ -319,7 +333,7 @@
             counter,
         },
         keep: 3_600_000,
-        at: Wall::from_millis(1_000),
+        at: clock::wall(),
     }
 }
 
--- a/almondlock-control/tests/silent_leader.rs
+++ b/almondlock-control/tests/silent_leader.rs
@@ -73,3 +73,17 @@
         .await;
     }
 }
+
+/// The leader's host is restarted on purpose. It hands leadership on before it
+/// goes: the next term is the very next one, begun by the voter that it chose.
+#[tokio::test]
+async fn stops_gracefully() {
+    let mut group = Group::new(|b| b);
+    group.accept(announce(1)).await;
+    let old = group.leader().await;
+    let term = group.status(old).await.term;
+    group.stop(old);
+    let (new, _) = group.accept(announce(2)).await;
+    assert_ne!(new, old);
+    assert_eq!(group.status(new).await.term, term.next());
+}
--- a/almondlock-quorum/src/config.rs
+++ b/almondlock-quorum/src/config.rs
@@ -15,6 +15,7 @@
     pub(crate) window: usize,
     pub(crate) piece: usize,
     pub(crate) retain: u64,
+    pub(crate) retain_bytes: usize,
     pub(crate) backlog: u64,
     pub(crate) seed: u64,
 }
@@ -31,6 +32,7 @@
                 window: 32,
                 piece: 256 << 10,
                 retain: 4096,
+                retain_bytes: 32 << 20,
                 backlog: 65_536,
                 seed: 0,
             },
@@ -107,6 +109,12 @@
         self
     }
 
+    /// The most bytes of entries before a snapshot that are kept in memory.
+    pub fn retain_bytes(mut self, bytes: usize) -> Builder {
+        self.config.retain_bytes = bytes;
+        self
+    }
+
     /// The most entries that may wait for a quorum; more are refused.
     pub fn backlog(mut self, entries: u64) -> Builder {
         self.config.backlog = entries;
--- a/almondlock-quorum/src/log.rs
+++ b/almondlock-quorum/src/log.rs
@@ -18,6 +18,8 @@
     base_term: Term,
     // Invariant: consecutive indexes from `base + 1`, terms never falling.
     entries: VecDeque<Entry>,
+    // Invariant: the sizes of all entries.
+    bytes: usize,
     // Invariant: indexes rise; the first one is at or before the snapshot's.
     members: Vec<(Index, Arc<Members>)>,
     // The newest snapshot. Invariant: `base <= snapshot.index <= last`.
@@ -31,6 +33,7 @@
             base: snapshot.index,
             base_term: snapshot.term,
             entries: VecDeque::new(),
+            bytes: 0,
             members: vec![(snapshot.index, Arc::clone(&snapshot.members))],
             snapshot,
         };
@@ -104,14 +107,15 @@
         {
             self.members.push((entry.index, Arc::clone(members)));
         }
+        self.bytes += entry.payload.size();
         self.entries.push_back(entry);
     }
 
     /// Takes away the entries from `first` on.
     pub(crate) fn truncate(&mut self, first: Index) {
-        let keep = first.0.saturating_sub(self.base.0 + 1);
-        self.entries
-            .truncate(usize::try_from(keep).unwrap_or(usize::MAX));
+        while let Some(entry) = self.entries.pop_back_if(|e| e.index >= first) {
+            self.bytes -= entry.payload.size();
+        }
         while self.members.len() > 1 && self.members[self.members.len() - 1].0 >= first {
             self.members.pop();
         }
@@ -132,12 +136,13 @@
     }
 
     /// Puts a newer snapshot of this replica's own state in place and forgets
-    /// entries that lie more than `retain` before it.
-    pub(crate) fn compact(&mut self, snapshot: Arc<Snapshot>, retain: u64) {
+    /// entries that lie more than `retain` before it, or don't fit in `bytes`.
+    pub(crate) fn compact(&mut self, snapshot: Arc<Snapshot>, retain: u64, bytes: usize) {
         let keep = Index(snapshot.index.0.saturating_sub(retain));
-        while self.base < keep
+        while (self.base < keep || self.base < snapshot.index && self.bytes > bytes)
             && let Some(entry) = self.entries.pop_front()
         {
+            self.bytes -= entry.payload.size();
             self.base = entry.index;
             self.base_term = entry.term;
         }
@@ -152,7 +157,7 @@
     /// the log holds its last entry; returns whether they were.
     pub(crate) fn install(&mut self, snapshot: Arc<Snapshot>) -> bool {
         if self.term(snapshot.index) == Some(snapshot.term) {
-            self.compact(snapshot, 0);
+            self.compact(snapshot, 0, 0);
             return true;
         }
         *self = Log::new(snapshot, Vec::new());
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -200,7 +200,8 @@
             data,
         });
         self.output.save(Arc::clone(&snapshot));
-        self.log.compact(snapshot, self.config.retain);
+        let (retain, bytes) = (self.config.retain, self.config.retain_bytes);
+        self.log.compact(snapshot, retain, bytes);
     }
 
     /// What to do now. Nothing in it comes a second time. Entries proposed since
