Measure decisions, write down the ways weighed

Cause: the choices behind the policy package and what they cost were in nobody's page. A long test and a long example function cut into pieces; queue_expiry seen failing again with suspects together, lone runs not alone and queued tokens not given back.

--- /dev/null
+++ b/almondlock-policy/examples/decisions.rs
@@ -0,0 +1,295 @@
+//! Measures how long decisions take on this machine.
+//!
+//! Each operation is timed alone; the clock's own cost (some 20 ns) is in the
+//! figures. The work is bounded: a few seconds in all.
+//!
+//! `cargo run --release -p almondlock-policy --example decisions [SEED]`
+
+use std::{
+    hint::black_box,
+    time::{Duration, Instant},
+};
+
+use almondlock_base::{
+    Ran,
+    id::{Attempt, Domain, Fingerprint, Host, Incarnation, Organisation, Region, Upstream},
+    time::{Mono, Wall},
+    unit::Tokens,
+};
+use almondlock_policy::{
+    choice::{self, Ask, Home, LeastReported, Picker, Probing, Random, Report, Site, Table},
+    gate::{self, Gate},
+    ledger::{self, Item, Kind, Ledger, Owner},
+    limit::{self, Limit, Limiter},
+    poison::{self, Watch},
+    prefix,
+    queue::{self, Job, Queue, Room},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+const ROUNDS: usize = 20_000;
+
+fn show(what: &str, mut times: Vec<Duration>) {
+    times.sort();
+    let at = |permille: usize| times[(times.len() * permille / 1_000).min(times.len() - 1)];
+    let micros = |time: Duration| time.as_nanos() as f64 / 1_000.0;
+    println!(
+        "{what:<52} {:>9.2} {:>9.2} {:>9.2}",
+        micros(at(500)),
+        micros(at(990)),
+        micros(at(999))
+    );
+}
+
+fn timed<F, T>(times: &mut Vec<Duration>, work: F) -> T
+where
+    F: FnOnce() -> T,
+{
+    let start = Instant::now();
+    let result = black_box(work());
+    times.push(start.elapsed());
+    result
+}
+
+fn name(i: usize) -> Upstream {
+    Upstream::new(&format!("engine-{i}")).expect("a plain name")
+}
+
+fn site(i: usize) -> Site {
+    Site {
+        domain: Domain::new(&format!("domain-{}", i % 6)).expect("a plain name"),
+        region: Region::new(&format!("region-{}", i % 2)).expect("a plain name"),
+    }
+}
+
+fn table(upstreams: usize, rng: &mut SmallRng) -> Table {
+    let home = Home {
+        host: Host::new("entry-1").expect("a plain name"),
+        domain: site(0).domain,
+        region: site(0).region,
+    };
+    let mut table = Table::new(choice::Config::default(), home);
+    for i in 0..upstreams {
+        let index = table.insert(&name(i), site(i));
+        let report = Report {
+            in_flight: rng.random_range(0..30),
+            wait: Duration::from_millis(rng.random_range(0..500)),
+            backlog: Tokens(rng.random_range(0..100_000)),
+            free: Tokens(rng.random_range(0..400_000)),
+            speed: 8_000,
+        };
+        table.report(index, report, Mono::ZERO);
+    }
+    table
+}
+
+fn picks<P>(what: &str, picker: P, upstreams: usize, prefix: &[u64], rng: &mut SmallRng)
+where
+    P: Picker,
+{
+    let mut table = table(upstreams, rng);
+    let mut times = Vec::with_capacity(ROUNDS);
+    let mut open = std::collections::VecDeque::new();
+    for round in 0..ROUNDS {
+        let now = Mono::from_micros(round as u64 * 100);
+        let ask = Ask {
+            prompt: Tokens(rng.random_range(1_000..5_000)),
+            output: Tokens(200),
+            prefix,
+            excluded: &[],
+        };
+        let picked = timed(&mut times, || {
+            let index = picker.pick(&table, &ask, now, rng)?;
+            table.sent(index, ask.prompt);
+            Some(index)
+        });
+        open.extend(picked.map(|index| (index, ask.prompt)));
+        if open.len() > 10 * upstreams
+            && let Some((index, prompt)) = open.pop_front()
+        {
+            table.ended(index, prompt, false);
+        }
+    }
+    show(&format!("choice: {what}, {upstreams} upstreams"), times);
+}
+
+fn choices(rng: &mut SmallRng) {
+    let prompt: Vec<u8> = (0..200_000).map(|_| rng.random()).collect();
+    let prefix = prefix::hashes(&prompt);
+    for upstreams in [18, 100, 880] {
+        picks("probing", Probing, upstreams, &[], rng);
+        picks("probing, with a prefix", Probing, upstreams, &prefix, rng);
+        picks("least reported", LeastReported, upstreams, &[], rng);
+        picks("random", Random, upstreams, &[], rng);
+    }
+    for upstreams in [18, 100, 880] {
+        let mut table = table(upstreams, rng);
+        let mut times = Vec::new();
+        for round in 0..2_000 {
+            let i = round % upstreams;
+            table.remove(&name(i));
+            timed(&mut times, || table.insert(&name(i), site(i)));
+        }
+        show(&format!("choice: one upstream added to {upstreams}"), times);
+    }
+}
+
+fn organisation(i: usize) -> Organisation {
+    Organisation::new(&format!("organisation-{i}")).expect("a plain name")
+}
+
+fn job(organisation: &Organisation, now: Mono, rng: &mut SmallRng) -> Job {
+    Job {
+        organisation: organisation.clone(),
+        weight: 1,
+        prompt: Tokens(rng.random_range(500..40_000)),
+        cached: Tokens::ZERO,
+        output: Tokens(200),
+        deadline: now + Duration::from_secs(3_600),
+        suspect: false,
+    }
+}
+
+fn queues(rng: &mut SmallRng) {
+    for (organisations, waiting) in [(10, 20), (10, 1_000), (100, 1_000), (1_500, 4_000)] {
+        let names: Vec<Organisation> = (0..organisations).map(organisation).collect();
+        let room = Room::idle(Tokens(1_000_000), 256);
+        let mut queue = Queue::new(queue::Config::short());
+        let (mut pushes, mut grants) = (Vec::new(), Vec::new());
+        for round in 0..ROUNDS as u64 {
+            let now = Mono::from_micros(round * 100);
+            let job = job(&names[rng.random_range(0..names.len())], now, rng);
+            // A refusal leaves one job less to be granted.
+            let _ = timed(&mut pushes, || queue.push(round, job, &room, now));
+            if queue.len() < waiting {
+                continue;
+            }
+            if let Some(grant) = timed(&mut grants, || queue.grant(now, &room)) {
+                queue.prefilled(&grant.id, now + Duration::from_millis(200));
+                queue.finish(&grant.id, Tokens(100));
+            }
+        }
+        let what = format!("{waiting} waiting, {organisations} organisations");
+        show(&format!("queue: push, {what}"), pushes);
+        show(&format!("queue: grant, {what}"), grants);
+    }
+}
+
+fn gates() {
+    let mut gate = Gate::new(gate::Config::default(), Incarnation(1));
+    let host = Host::new("entry-1").expect("a plain name");
+    let (mut lives, mut settles) = (Vec::new(), Vec::new());
+    for round in 0..ROUNDS as u64 * 5 {
+        let now = Mono::from_millis(round);
+        let attempt = Attempt {
+            host: host.clone(),
+            incarnation: Incarnation(2),
+            counter: round,
+        };
+        timed(&mut lives, || {
+            let admitted = gate.admit(&attempt, Incarnation(1), now, now).is_ok();
+            let started = gate.start(&attempt).is_ok();
+            gate.finish(&attempt, Ran::Yes, now);
+            admitted && started
+        });
+        timed(&mut settles, || gate.settle(&attempt, Incarnation(1), now));
+    }
+    let records = gate.len();
+    show(
+        &format!("gate: admit, start, finish, {records} records"),
+        lives,
+    );
+    show(&format!("gate: settle, {records} records"), settles);
+}
+
+fn limits(rng: &mut SmallRng) {
+    let names: Vec<Organisation> = (0..1_500).map(organisation).collect();
+    let mut limiter = Limiter::new(limit::Config::default());
+    for name in &names {
+        let limit = Limit {
+            rate: 1_000,
+            tokens: Tokens(1_000_000),
+        };
+        limiter.set(name, limit);
+    }
+    let mut times = Vec::new();
+    for round in 0..ROUNDS {
+        let name = &names[rng.random_range(0..names.len())];
+        let now = Mono::from_micros(round as u64 * 200);
+        timed(&mut times, || {
+            limiter.admit(name, Tokens(3_000), now).is_ok()
+        });
+    }
+    show("limit: admit, 1500 organisations", times);
+}
+
+fn watches() {
+    let name = organisation(0);
+    let mut watch = Watch::new(poison::Config::default());
+    let mut times = Vec::new();
+    for round in 0..ROUNDS as u64 {
+        let print = Fingerprint::new(&name, "/", &(round % 5_000).to_le_bytes());
+        let now = Mono::from_millis(round);
+        timed(&mut times, || {
+            let start = watch.begin(print, None, Wall::from_millis(round), now);
+            watch.end(print, Some(true), now);
+            start
+        });
+    }
+    show("poison: begin and end a run", times);
+}
+
+fn ledgers() {
+    let mut ledger = Ledger::new(ledger::Config::default());
+    let owner = Owner {
+        host: Host::new("entry-1").expect("a plain name"),
+        incarnation: Incarnation(1),
+    };
+    let item = Item {
+        kind: Kind::Stream,
+        tokens: Tokens(1_000),
+    };
+    let lease = Duration::from_secs(3_600);
+    for id in 0..1_000u64 {
+        ledger.open(id, item, &owner, lease, Mono::ZERO);
+    }
+    let mut times = Vec::new();
+    for round in 0..ROUNDS as u64 {
+        let now = Mono::from_millis(round);
+        timed(&mut times, || {
+            ledger.open(10_000 + round, item, &owner, lease, now);
+            ledger.opened(&(10_000 + round), now);
+            ledger.ended(&(10_000 + round));
+        });
+    }
+    show("ledger: open, opened, ended, 1000 held", times);
+}
+
+fn prefixes(rng: &mut SmallRng) {
+    for bytes in [4_000, 400_000, 4_000_000] {
+        let prompt: Vec<u8> = (0..bytes).map(|_| rng.random()).collect();
+        let mut times = Vec::new();
+        for _ in 0..200 {
+            timed(&mut times, || prefix::hashes(&prompt));
+        }
+        show(&format!("prefix: hashes of {bytes} bytes"), times);
+    }
+}
+
+fn main() {
+    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let seed = seed.unwrap_or(1);
+    println!("seed {seed}, microseconds");
+    println!(
+        "{:<52} {:>9} {:>9} {:>9}",
+        "operation", "p50", "p99", "p99.9"
+    );
+    let mut rng = SmallRng::seed_from_u64(seed);
+    choices(&mut rng);
+    queues(&mut rng);
+    gates();
+    limits(&mut rng);
+    watches();
+    ledgers();
+    prefixes(&mut rng);
+}
--- a/almondlock-policy/examples/order.rs
+++ b/almondlock-policy/examples/order.rs
@@ -7,7 +7,7 @@
 //! from a seed, are given to each order. What it shows is how the orders compare, not
 //! what a deployment will measure.
 //!
-//! `cargo run --release -p almondlock-policy --example order [SEED]`
+//! `cargo run --release -p almondlock-policy --example order [SEED [MEMORY]]`
 
 use std::{collections::HashMap, time::Duration};
 
@@ -18,7 +18,6 @@
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-const CAPACITY: Tokens = Tokens(700_000);
 const SLOTS: u32 = 64;
 /// Prompt tokens that one step processes.
 const CHUNK: u64 = 1_024;
@@ -52,6 +51,7 @@
 
 struct Engine<'a> {
     requests: &'a [Request],
+    memory: Tokens,
     queue: Queue<usize>,
     priorities: Priorities,
     running: Vec<Running>,
@@ -61,9 +61,13 @@
 }
 
 impl<'a> Engine<'a> {
-    fn new(requests: &'a [Request], config: Config, priorities: Priorities) -> Engine<'a> {
+    fn new(requests: &'a [Request], memory: Tokens, order: &Order) -> Engine<'a> {
+        let Order {
+            config, priorities, ..
+        } = *order;
         Engine {
             requests,
+            memory,
             queue: Queue::new(config),
             priorities,
             running: Vec::new(),
@@ -117,9 +121,9 @@
         };
         let used: Tokens = self.running.iter().map(need).sum();
         Room {
-            free: CAPACITY.saturating_sub(used),
+            free: self.memory.saturating_sub(used),
             slots: SLOTS - self.running.len() as u32,
-            ..Room::idle(CAPACITY, SLOTS)
+            ..Room::idle(self.memory, SLOTS)
         }
     }
 
@@ -222,16 +226,27 @@
     kept.filter_map(|(_, first)| *first).collect()
 }
 
-fn orders() -> Vec<(&'static str, Config, Priorities)> {
-    vec![
-        ("fifo", Config::fifo(), Priorities::None),
-        ("fifo+prio", Config::fifo(), Priorities::Honoured),
-        ("short", Config::short(), Priorities::Honoured),
-        ("even", Config::even(), Priorities::Honoured),
+struct Order {
+    name: &'static str,
+    config: Config,
+    priorities: Priorities,
+}
+
+fn orders() -> [Order; 4] {
+    let order = |name, config, priorities| Order {
+        name,
+        config,
+        priorities,
+    };
+    [
+        order("fifo", Config::fifo(), Priorities::None),
+        order("fifo+prio", Config::fifo(), Priorities::Honoured),
+        order("short", Config::short(), Priorities::Honoured),
+        order("even", Config::even(), Priorities::Honoured),
     ]
 }
 
-fn by_class(seed: u64) {
+fn by_class(seed: u64, memory: Tokens) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let requests = traffic(&mut rng, "org", 1.5, 50);
     let without: Vec<Request> = requests
@@ -244,9 +259,10 @@
         requests.len()
     );
     println!("order      class   count     p50 ms     p95 ms     p99 ms  p95 without the long");
-    for (name, config, priorities) in orders() {
-        let first = Engine::new(&requests, config, priorities).run();
-        let alone = Engine::new(&without, config, priorities).run();
+    for order in orders() {
+        let name = order.name;
+        let first = Engine::new(&requests, memory, &order).run();
+        let alone = Engine::new(&without, memory, &order).run();
         for class in Class::ALL {
             let is_class = |request: &Request| Class::of(Tokens(request.prompt)) == class;
             let times = select(&requests, &first, is_class);
@@ -266,7 +282,7 @@
     }
 }
 
-fn under_flood(seed: u64) {
+fn under_flood(seed: u64, memory: Tokens) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let quiet = traffic(&mut rng, "quiet", 0.5, 0);
     let flood = traffic(&mut rng, "flood", 8.0, 0);
@@ -279,9 +295,10 @@
         request.organisation.as_str() == "quiet"
             && Class::of(Tokens(request.prompt)) == Class::Short
     };
-    for (name, config, priorities) in orders() {
-        let alone = Engine::new(&quiet, config, priorities).run();
-        let beside = Engine::new(&both, config, priorities).run();
+    for order in orders() {
+        let name = order.name;
+        let alone = Engine::new(&quiet, memory, &order).run();
+        let beside = Engine::new(&both, memory, &order).run();
         let alone = percentile(select(&quiet, &alone, is_quiet), 95);
         let beside = percentile(select(&both, &beside, is_quiet), 95);
         let ratio = beside.as_secs_f64() / alone.as_secs_f64();
@@ -294,7 +311,7 @@
 }
 
 /// How the two figures that a deployment sets move the classes.
-fn sweep(seed: u64) {
+fn sweep(seed: u64, memory: Tokens) {
     let mut rng = SmallRng::seed_from_u64(seed);
     let requests = traffic(&mut rng, "org", 1.5, 50);
     println!("\np95 in ms by stretch and reserve");
@@ -306,7 +323,12 @@
                 reserve,
                 ..Config::short()
             };
-            let first = Engine::new(&requests, config, Priorities::Honoured).run();
+            let order = Order {
+                name: "sweep",
+                config,
+                priorities: Priorities::Honoured,
+            };
+            let first = Engine::new(&requests, memory, &order).run();
             let mut times: HashMap<Class, Vec<Duration>> = HashMap::new();
             for (request, first) in requests.iter().zip(&first) {
                 let class = Class::of(Tokens(request.prompt));
@@ -323,11 +345,16 @@
     }
 }
 
+fn argument(number: usize, default: u64) -> u64 {
+    let text = std::env::args().nth(number);
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
 fn main() {
-    let seed = std::env::args().nth(1).and_then(|text| text.parse().ok());
-    let seed = seed.unwrap_or(1);
-    println!("seed {seed}; a modelled engine, see the source");
-    by_class(seed);
-    under_flood(seed);
-    sweep(seed);
+    let seed = argument(1, 1);
+    let memory = Tokens(argument(2, 700_000));
+    println!("seed {seed}, {memory} tokens of memory; a modelled engine, see the source");
+    by_class(seed, memory);
+    under_flood(seed, memory);
+    sweep(seed, memory);
 }
--- a/almondlock-policy/tests/queue_expiry.rs
+++ b/almondlock-policy/tests/queue_expiry.rs
@@ -5,6 +5,8 @@
 
 #![cfg(test)]
 
+use std::time::Duration;
+
 use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
 use almondlock_policy::queue::{Config, Job, Queue, Room};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -54,70 +56,107 @@
     assert_eq!(gone[0].code, Code::QueueTimeout);
 }
 
+/// A queue, the engine beside it, and what became of each job.
+struct World {
+    rng: SmallRng,
+    room: Room,
+    queue: Queue<u64>,
+    jobs: Vec<Job>,
+    running: Vec<u64>,
+    came: usize,
+    left: usize,
+}
+
+impl World {
+    fn job(&self, id: u64) -> &Job {
+        &self.jobs[id as usize]
+    }
+
+    fn push(&mut self, now: Mono) {
+        let prompt = 10u64.pow(self.rng.random_range(2..6));
+        let prompt = prompt + self.rng.random_range(0..prompt);
+        let deadline = now + Duration::from_secs(self.rng.random_range(1..60));
+        let job = job(self.rng.random_range(0..5), prompt, deadline);
+        let id = self.jobs.len() as u64;
+        self.jobs.push(job.clone());
+        let pushed = if is_alone(&job) {
+            self.queue.push_alone(id, job, &self.room, now)
+        } else {
+            self.queue.push(id, job, &self.room, now)
+        };
+        self.came += usize::from(pushed.is_ok());
+    }
+
+    fn remove(&mut self) {
+        let id = self.rng.random_range(0..=self.jobs.len() as u64);
+        self.left += usize::from(self.queue.remove(&id));
+    }
+
+    fn finish(&mut self, at: usize) {
+        let id = self.running.swap_remove(at);
+        self.queue
+            .finish(&id, Tokens(self.rng.random_range(0..100)));
+        self.room.free += self.job(id).need();
+        self.room.slots += 1;
+    }
+
+    fn grant(&mut self, now: Mono) {
+        while let Some(grant) = self.queue.grant(now, &self.room) {
+            let need = self.job(grant.id).need();
+            assert!(need <= self.room.free, "no room");
+            self.room.free = self.room.free.saturating_sub(need);
+            self.room.slots -= 1;
+            self.running.push(grant.id);
+            self.left += 1;
+        }
+        let suspect = |id: &&u64| self.job(**id).suspect || is_alone(self.job(**id));
+        let suspects = self.running.iter().filter(suspect).count();
+        assert!(suspects <= 1, "two suspects together");
+        let alone = self.running.iter().any(|id| is_alone(self.job(*id)));
+        assert!(!alone || self.running.len() == 1, "not alone");
+    }
+
+    fn step(&mut self, now: Mono) {
+        match self.rng.random_range(0..6) {
+            0 | 1 => self.push(now),
+            2 => self.left += self.queue.expired(now).len(),
+            3 => self.remove(),
+            4 if !self.running.is_empty() => {
+                let at = self.rng.random_range(0..self.running.len());
+                self.finish(at);
+            }
+            _ => self.grant(now),
+        }
+        assert_eq!(self.came, self.left + self.queue.len());
+    }
+}
+
 /// Whatever order things happen in, each job leaves exactly once: granted,
 /// withdrawn or expired. Two suspects never run together, and nothing runs
 /// beside one that has to be alone.
 #[test]
 fn every_job_leaves_once() {
     for seed in 0..100 {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut room = Room::idle(Tokens(300_000), 8);
-        let mut queue = Queue::new(Config::short());
-        let mut running: Vec<(u64, Tokens, bool, bool)> = Vec::new();
-        let (mut came, mut left) = (0, 0);
-        let mut jobs = Vec::new();
+        let mut world = World {
+            rng: SmallRng::seed_from_u64(seed),
+            room: Room::idle(Tokens(300_000), 8),
+            queue: Queue::new(Config::short()),
+            jobs: Vec::new(),
+            running: Vec::new(),
+            came: 0,
+            left: 0,
+        };
         for step in 0..2_000 {
-            let now = Mono::from_millis(step * 20);
-            match rng.random_range(0..6) {
-                0 | 1 => {
-                    let prompt = 10u64.pow(rng.random_range(2..6));
-                    let prompt = prompt + rng.random_range(0..prompt);
-                    let deadline = now + std::time::Duration::from_secs(rng.random_range(1..60));
-                    let job = job(rng.random_range(0..5), prompt, deadline);
-                    jobs.push(job.clone());
-                    let id = jobs.len() as u64 - 1;
-                    let pushed = if is_alone(&job) {
-                        queue.push_alone(id, job, &room, now)
-                    } else {
-                        queue.push(id, job, &room, now)
-                    };
-                    came += usize::from(pushed.is_ok());
-                }
-                2 => left += queue.expired(now).len(),
-                3 => left += usize::from(queue.remove(&rng.random_range(0..jobs.len() as u64 + 1))),
-                4 if !running.is_empty() => {
-                    let (id, need, ..) = running.swap_remove(rng.random_range(0..running.len()));
-                    queue.finish(&id, Tokens(rng.random_range(0..100)));
-                    room.free += need;
-                    room.slots += 1;
-                }
-                _ => {
-                    while let Some(grant) = queue.grant(now, &room) {
-                        let job = &jobs[grant.id as usize];
-                        assert!(job.need() <= room.free, "seed {seed}: no room");
-                        room.free = room.free.saturating_sub(job.need());
-                        room.slots -= 1;
-                        let alone = is_alone(job);
-                        running.push((grant.id, job.need(), job.suspect || alone, alone));
-                        left += 1;
-                    }
-                    let suspects = running.iter().filter(|(_, _, suspect, _)| *suspect).count();
-                    assert!(suspects <= 1, "seed {seed}: two suspects together");
-                    let alone = running.iter().any(|(_, _, _, alone)| *alone);
-                    assert!(!alone || running.len() == 1, "seed {seed}: not alone");
-                }
-            }
-            assert_eq!(came, left + queue.len(), "seed {seed}");
+            world.step(Mono::from_millis(step * 20));
         }
         // Nothing is left behind when all is over.
-        for (id, ..) in running {
-            queue.finish(&id, Tokens::ZERO);
+        while !world.running.is_empty() {
+            world.finish(0);
         }
+        let queue = &mut world.queue;
         queue.expired(Mono::from_millis(10_000_000));
-        assert_eq!(
-            (queue.len(), queue.running(), queue.backlog()),
-            (0, 0, Tokens::ZERO)
-        );
+        let rest = (queue.len(), queue.running(), queue.backlog());
+        assert_eq!(rest, (0, 0, Tokens::ZERO), "seed {seed}");
     }
 }
 
@@ -136,10 +175,10 @@
             queue.finish(&id, Tokens(100));
             room.slots += 1;
         }
-        let others = job(step % 3, 1_000, now + std::time::Duration::from_secs(30));
+        let others = job(step % 3, 1_000, now + Duration::from_secs(30));
         queue.push(step, others, &room, now).unwrap();
         if step == 10 {
-            let alone = job(4, 1_003, now + std::time::Duration::from_secs(20));
+            let alone = job(4, 1_003, now + Duration::from_secs(20));
             queue.push_alone(9_999, alone, &room, now).unwrap();
         }
         while let Some(grant) = queue.grant(now, &room) {
