Mend a link of the retry page

Cause: rustdoc with warnings denied fails on a link to a private item; the check had not been run since `retry` came in. Conclusion: it passes for this package. The workspace still fails at a like link in almondlock-sidecar's page, which is not this package's.

--- a/almondlock-policy/src/retry.rs
+++ b/almondlock-policy/src/retry.rs
@@ -5,7 +5,7 @@
 //! otherwise, and in time? Is it *affordable*: a retry costs the fleet as much
 //! as a fresh request, and when half the fleet fails, retries by themselves
 //! would double what the other half has to do. So they are paid from a
-//! [`Budget`] that fresh requests fill, per organisation and per entry host,
+//! budget that fresh requests fill, per organisation and per entry host,
 //! and when it is empty the caller gets its refusal at once.
 //!
 //! ```
