--- /dev/null
+++ b/almondlock-spread/tests/parent_choice.rs
@@ -0,0 +1,202 @@
+//! Whom a process asks, and when it leaves its parent.
+
+use std::{net::SocketAddr, time::Duration};
+
+use almondlock_base::{
+    id::{Host, Incarnation},
+    time::Mono,
+    unit::Revision,
+};
+use almondlock_spread::parent::{Config, Search, Step, Verdict};
+use almondlock_wire::{
+    peer::Peer,
+    spread::{Body, Delta, Standing},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn address(n: u16) -> SocketAddr {
+    ([127, 0, 0, 1], n).into()
+}
+
+/// The search of process 50, with the sources 1, 2 and 3.
+fn search() -> Search<SmallRng> {
+    let sources = [address(1), address(2), address(3)];
+    let rng = SmallRng::seed_from_u64(5);
+    Search::new(Config::default(), address(50), 2, &sources, rng)
+}
+
+fn delta(newest: u64, version: u16, standing: Standing) -> Delta {
+    Delta {
+        body: Body::Empty,
+        newest: Revision(newest),
+        standing,
+        from: Peer {
+            host: Host::new("p").unwrap(),
+            incarnation: Incarnation(1),
+            version,
+            revision: Revision(newest),
+        },
+    }
+}
+
+fn served(age: u64, way: &[u16]) -> Standing {
+    let way = way.iter().map(|n| address(*n)).collect();
+    Standing::Served(Duration::from_millis(age), way)
+}
+
+fn full(others: &[u16]) -> Standing {
+    Standing::Full(others.iter().map(|n| address(*n)).collect())
+}
+
+struct Walk {
+    search: Search<SmallRng>,
+    now: Mono,
+}
+
+impl Walk {
+    fn new() -> Walk {
+        Walk {
+            search: search(),
+            now: Mono::from_millis(1),
+        }
+    }
+
+    fn asks(&mut self) -> u16 {
+        loop {
+            match self.search.step(self.now) {
+                Step::Ask(address) => return address.port(),
+                Step::Wait(pause) => self.now = self.now + pause,
+            }
+        }
+    }
+
+    fn answers(&mut self, from: u16, delta: &Delta, heard: u64) -> Verdict {
+        let (have, heard) = (Revision(7), Revision(heard));
+        self.search
+            .answer(self.now, address(from), delta, have, heard)
+    }
+
+    /// A parent, 20, below 10, below a source.
+    fn settled() -> Walk {
+        let mut walk = Walk::new();
+        let source = walk.asks();
+        walk.answers(source, &delta(7, 2, full(&[20])), 0);
+        assert_eq!(walk.asks(), 20);
+        let answer = delta(7, 2, served(5, &[10, source]));
+        assert_eq!(walk.answers(20, &answer, 0), Verdict::Keep);
+        assert_eq!(walk.search.parent(), Some(address(20)));
+        walk
+    }
+}
+
+#[test]
+fn goes_down_to_whom_has_room() {
+    let mut walk = Walk::new();
+    let source = walk.asks();
+    assert!(source <= 3);
+    walk.answers(source, &delta(7, 2, full(&[10, 11])), 0);
+    assert_eq!(walk.asks(), 10);
+    walk.answers(10, &delta(7, 2, full(&[20, 50, 10])), 0);
+    assert_eq!(walk.asks(), 20);
+    walk.answers(20, &delta(7, 2, full(&[])), 0);
+    assert_eq!(walk.asks(), 11);
+    walk.answers(11, &delta(7, 2, served(5, &[source])), 0);
+    assert_eq!(walk.search.way(), [address(11), address(source)]);
+}
+
+/// The parent's host dies. The process goes one step up, and doesn't ask the
+/// dead one again in this round, though the sources may still send it there.
+#[test]
+fn a_dead_parent_is_stepped_over() {
+    let mut walk = Walk::settled();
+    walk.search.fail(address(20));
+    assert_eq!(walk.search.parent(), None);
+    assert_eq!(walk.asks(), 10);
+    walk.answers(10, &delta(7, 2, full(&[20, 21])), 0);
+    assert_eq!(walk.asks(), 21);
+}
+
+/// Two processes take each other for a parent, as when both lost theirs at the
+/// same time and were sent to each other. The way up that an answer carries
+/// shows it.
+#[test]
+fn a_cycle_is_left() {
+    let mut walk = Walk::settled();
+    let below = delta(7, 2, served(5, &[30, 50, 20]));
+    assert_eq!(walk.answers(20, &below, 0), Verdict::Leave);
+    assert_ne!(walk.asks(), 20);
+}
+
+/// The parent is cut off from the sources and doesn't know it; or a cycle is so
+/// long that its way up doesn't show it. Either way its answers grow old.
+#[test]
+fn an_old_answer_is_left() {
+    let mut walk = Walk::settled();
+    let young = delta(7, 2, served(8_000, &[10, 1]));
+    assert_eq!(walk.answers(20, &young, 0), Verdict::Keep);
+    let old = delta(7, 2, served(10_000, &[10, 1]));
+    assert_eq!(walk.answers(20, &old, 0), Verdict::Leave);
+    assert_eq!(walk.asks(), 10);
+}
+
+/// A request's answer told of revision 9 (F23). The parent has a moment to get
+/// it too; when it still has none, somebody else is asked.
+#[test]
+fn a_parent_that_stays_behind_is_left() {
+    let mut walk = Walk::settled();
+    let answer = delta(7, 2, served(5, &[10, 1]));
+    assert_eq!(walk.answers(20, &answer, 9), Verdict::Keep);
+    walk.now = walk.now + Duration::from_secs(2);
+    assert_eq!(walk.answers(20, &answer, 9), Verdict::Leave);
+}
+
+/// During an upgrade a process of version 2 meets one of version 1, which drops
+/// from the configuration what it doesn't know. Only a source, which drops
+/// nothing that exists yet, may be of a lower version.
+#[test]
+fn an_older_version_is_no_parent() {
+    let mut walk = Walk::settled();
+    let older = delta(7, 1, served(5, &[10, 1]));
+    assert_eq!(walk.answers(20, &older, 0), Verdict::Leave);
+    let source = (0..3).map(|_| walk.asks()).find(|n| *n <= 3).unwrap();
+    let older = delta(7, 1, served(5, &[]));
+    assert_eq!(walk.answers(source, &older, 0), Verdict::Keep);
+}
+
+/// Nobody answers: all are asked once, then there is a pause, and the pauses
+/// grow to their limit.
+#[test]
+fn rounds_in_vain_slow_down() {
+    let mut search = search();
+    let mut now = Mono::from_millis(1);
+    let mut pauses = Vec::new();
+    let mut asked = 0;
+    while pauses.len() < 12 {
+        match search.step(now) {
+            Step::Ask(address) => {
+                asked += 1;
+                search.fail(address);
+            }
+            Step::Wait(pause) => {
+                now = now + pause;
+                pauses.push(pause);
+            }
+        }
+    }
+    assert_eq!(asked, 3 * 12);
+    assert!(pauses[0] < Duration::from_millis(100));
+    assert!(pauses[11] >= Duration::from_secs(1) && pauses[11] <= Duration::from_secs(2));
+}
+
+/// Losses push a process ever deeper. After a while it looks again from the
+/// top, and not more often than that.
+#[test]
+fn deep_places_are_looked_over() {
+    let mut walk = Walk::settled();
+    let deep = delta(7, 2, served(5, &[10, 11, 12, 1]));
+    walk.answers(20, &deep, 0);
+    assert_eq!(walk.asks(), 20);
+    walk.now = walk.now + Duration::from_secs(61);
+    walk.answers(20, &deep, 0);
+    assert!(walk.asks() <= 3);
+}
--- /dev/null
+++ b/almondlock-spread/tests/snapshot_pieces.rs
@@ -0,0 +1,95 @@
+//! A whole configuration arrives in pieces, of one revision, or not at all.
+
+use almondlock_base::unit::Revision;
+use almondlock_spread::{
+    snapshot::{Assembly, LIMIT, PIECE, Store},
+    view::View,
+};
+use almondlock_state::config::{Change, Config};
+use almondlock_wire::spread::Piece;
+
+fn extend(view: &View, changes: u64) {
+    let from = view.revision().0;
+    let change = |n| Change::Setting(format!("setting-{}", from + n), Some("x".repeat(100)));
+    assert!(view.extend(view.revision().next(), (0..changes).map(change)));
+}
+
+fn fetch(store: &mut Store, view: &View, assembly: &mut Assembly) -> Option<Config> {
+    let (revision, offset) = assembly.next();
+    let piece = store.piece(view, revision, offset).unwrap();
+    assert!(piece.data.len() <= PIECE);
+    assembly.add(&piece).unwrap()
+}
+
+#[test]
+fn pieces_make_the_whole() {
+    let view = View::new();
+    extend(&view, 3000);
+    let (mut store, mut assembly) = (Store::new(), Assembly::new());
+    let mut pieces = 1;
+    let config = loop {
+        match fetch(&mut store, &view, &mut assembly) {
+            Some(config) => break config,
+            None => pieces += 1,
+        }
+    };
+    assert!(pieces > 4, "{pieces}");
+    assert_eq!(config, *view.get());
+}
+
+/// Changes go on while somebody reads a snapshot. As long as the ring reaches
+/// back to it the reader gets the rest of the same one; were it given the next
+/// one each time, it would begin again for ever.
+#[test]
+fn changes_meanwhile_dont_restart() {
+    let view = View::new();
+    extend(&view, 3000);
+    let (mut store, mut assembly) = (Store::new(), Assembly::new());
+    let whole = (0..100).find_map(|_| {
+        extend(&view, 1);
+        fetch(&mut store, &view, &mut assembly)
+    });
+    assert_eq!(whole.unwrap().revision, Revision(3001));
+}
+
+/// The snapshot is gone half-way: the sender was away itself and took a newer
+/// whole. The pieces of the two must not be mixed.
+#[test]
+fn a_newer_whole_restarts() {
+    let view = View::new();
+    extend(&view, 3000);
+    let (mut store, mut assembly) = (Store::new(), Assembly::new());
+    assert!(fetch(&mut store, &view, &mut assembly).is_none());
+    let newer = View::new();
+    extend(&newer, 4000);
+    assert!(view.replace((*newer.get()).clone()));
+    let config = loop {
+        if let Some(config) = fetch(&mut store, &view, &mut assembly) {
+            break config;
+        }
+    };
+    assert_eq!(config, *newer.get());
+}
+
+#[test]
+fn bad_pieces_are_refused() {
+    let piece = |offset, total, data: &[u8]| Piece {
+        revision: Revision(1),
+        offset,
+        total,
+        data: data.to_vec(),
+    };
+    let mut begun = Assembly::new();
+    assert!(begun.add(&piece(0, 10, b"xy")).unwrap().is_none());
+    let mut other = piece(2, 10, b"x");
+    other.revision = Revision(2);
+    assert!(begun.add(&other).is_err());
+    let refused = |piece| Assembly::new().add(&piece).is_err();
+    assert!(refused(piece(0, LIMIT + 1, b"x")));
+    assert!(refused(piece(5, 10, b"x")));
+    assert!(refused(piece(0, 10, b"")));
+    assert!(refused(piece(0, 1, b"xy")));
+    assert!(refused(piece(0, 1, b"x")));
+    let other = br#"{"revision":7}"#;
+    assert!(refused(piece(0, other.len() as u64, other)));
+}
