--- a/almondlock-cli/src/arguments.rs
+++ b/almondlock-cli/src/arguments.rs
@@ -73,6 +73,8 @@
     Explain(Named),
     /// show changes as they come into force
     Watch(Watch),
+    /// make a key and its hash, for the settings of the first start
+    Key(Plain),
 }
 
 /// No options of its own.
--- a/almondlock-cli/src/client.rs
+++ b/almondlock-cli/src/client.rs
@@ -111,6 +111,28 @@
         Err(last)
     }
 
+    /// Asks each replica in turn for an answer that is good, and takes another
+    /// one only when nobody has a good one.
+    pub async fn ask_best<T, F>(&self, question: &Question, good: F) -> Result<T, Problem>
+    where
+        T: DeserializeOwned,
+        F: Fn(&T) -> bool,
+    {
+        let mut poor = None;
+        for address in &self.addresses {
+            match self.ask_one(address, question).await {
+                Ok(answer) if good(&answer) => return Ok(answer),
+                Ok(answer) => poor = Some(answer),
+                Err(problem) if passes(&problem) => {}
+                Err(problem) => return Err(problem),
+            }
+        }
+        match poor {
+            Some(answer) => Ok(answer),
+            None => self.ask(question).await,
+        }
+    }
+
     /// Asks one replica, and the leader if that one names it.
     async fn ask_around<T>(&self, address: &str, question: &Question) -> Result<T, Problem>
     where
--- a/almondlock-cli/src/help.rs
+++ b/almondlock-cli/src/help.rs
@@ -129,6 +129,7 @@
         "explain",
         &["almondlock explain --entry 10.0.1.1:7002,10.0.1.2:7002 r-5f2c"],
     ),
+    ("key", &["almondlock key"]),
     (
         "watch",
         &["almondlock watch", "almondlock watch --count 1 --json"],
@@ -150,8 +151,8 @@
     let mut words = Vec::new();
     let mut last: &dyn Options = arguments;
     while let Some(next) = last.command() {
-        words.extend(last.command_name());
         last = next;
+        words.extend(last.command_name());
     }
     (words.join(" "), last)
 }
--- a/almondlock-cli/src/lib.rs
+++ b/almondlock-cli/src/lib.rs
@@ -41,6 +41,11 @@
 
 /// Runs the program and returns its exit status.
 pub fn run(arguments: Vec<String>) -> ExitCode {
+    if let Some((first, rest)) = arguments.split_first()
+        && first == "bench"
+    {
+        return almondlock_bench::run(rest.to_vec());
+    }
     let parsed = match arguments::parse(&arguments) {
         Ok(parsed) => parsed,
         Err(error) => return usage(&error.to_string()),
@@ -59,10 +64,22 @@
     getrandom::fill(&mut random).map_err(|error| Usage(format!("no randomness: {error}")))?;
     let mut drawn = [0; 8];
     getrandom::fill(&mut drawn).map_err(|error| Usage(format!("no randomness: {error}")))?;
+    let command = arguments
+        .command
+        .ok_or_else(|| Usage("no command".to_owned()))?;
+    let prepared = request::prepare(command, random)?;
+    if let request::Request::Hash(hash) = &prepared.request {
+        let key = prepared.key.unwrap_or_default();
+        print(&made(arguments.json, &key, hash));
+        return Ok(ExitCode::SUCCESS);
+    }
+    // Entry hosts serve `explain` on an address that callers don't reach, to
+    // whoever reaches it.
+    let keyless = matches!(prepared.request, request::Request::Explain(_));
     let settings = session::Settings {
         control: addresses(arguments.control.as_deref(), CONTROL_VARIABLE),
         entry: addresses(arguments.entry.as_deref(), ENTRY_VARIABLE),
-        key: key(arguments.key_file.as_deref())?,
+        key: key(arguments.key_file.as_deref(), keyless)?,
         json: arguments.json,
         number: number(arguments.number, drawn)?,
         yes: arguments.yes,
@@ -70,15 +87,10 @@
         paint: Paint(io::stdout().is_terminal() && env::var_os("NO_COLOR").is_none()),
         interactive: io::stdin().is_terminal() && io::stdout().is_terminal(),
     };
-    let command = arguments
-        .command
-        .ok_or_else(|| Usage("no command".to_owned()))?;
-    let prepared = request::prepare(command, random)?;
-    let asked = matches!(prepared.request, request::Request::Explain(_));
-    if asked && settings.entry.is_empty() {
+    if keyless && settings.entry.is_empty() {
         return Err(Usage(format!("give --entry or {ENTRY_VARIABLE}")));
     }
-    if !asked && settings.control.is_empty() {
+    if !keyless && settings.control.is_empty() {
         return Err(Usage(format!("give --control or {CONTROL_VARIABLE}")));
     }
     let session = async move { Session::new(settings).await.run(prepared).await };
@@ -89,6 +101,14 @@
     })
 }
 
+/// A key that was just made.
+fn made(json: bool, key: &str, hash: &str) -> String {
+    if json {
+        return format!("{}\n", serde_json::json!({"key": key, "hash": hash}));
+    }
+    format!("key   {key}\nhash  {hash}\n")
+}
+
 fn addresses(given: Option<&str>, variable: &str) -> Vec<String> {
     let text = given.map(str::to_owned).or_else(|| env::var(variable).ok());
     let text = text.unwrap_or_default();
@@ -99,7 +119,7 @@
     parts.map(str::to_owned).collect()
 }
 
-fn key(file: Option<&str>) -> Result<String, Usage> {
+fn key(file: Option<&str>, keyless: bool) -> Result<String, Usage> {
     let text = match file {
         Some(path) => {
             let read = fs::read_to_string(path);
@@ -108,7 +128,7 @@
         None => env::var(KEY_VARIABLE).unwrap_or_default(),
     };
     let key = text.trim();
-    if key.is_empty() {
+    if key.is_empty() && !keyless {
         return Err(Usage(format!(
             "no operator's key: give --key-file or {KEY_VARIABLE}"
         )));
--- a/almondlock-cli/src/request.rs
+++ b/almondlock-cli/src/request.rs
@@ -31,6 +31,8 @@
     Explain(String),
     /// Changes as they come, this many at most.
     Watch(Option<usize>),
+    /// A new key's hash. Nobody is asked.
+    Hash(String),
 }
 
 /// What can be shown.
@@ -142,6 +144,11 @@
         Command::History(it) => View::History(it.limit.unwrap_or(RECORDS)).into(),
         Command::Explain(it) => explain(&given(it.name, "request id")?)?.into(),
         Command::Watch(it) => Request::Watch(it.count).into(),
+        Command::Key(_) => {
+            let (hash, key) = new_key(None, random)?;
+            let request = Request::Hash(hash);
+            Prepared { request, key }
+        }
     })
 }
 
--- a/almondlock-cli/src/session.rs
+++ b/almondlock-cli/src/session.rs
@@ -74,6 +74,7 @@
             Request::Stop(plan) => self.stop(plan).await,
             Request::Explain(request) => self.explain(&request).await,
             Request::Watch(count) => self.watch(count).await,
+            Request::Hash(_) => Ok(()),
         };
         done.map_err(|problem| self.complain(problem))
     }
@@ -81,7 +82,12 @@
     async fn show(&self, view: View) -> Result<(), Problem> {
         let path = view.path();
         match view {
-            View::Status => self.fetch::<Status>(path).await,
+            View::Status => {
+                let question = Question::get(path);
+                let current = |status: &Status| status.current;
+                let status: Status = self.control.ask_best(&question, current).await?;
+                self.tell(&status)
+            }
             View::Organisations => self.fetch::<Organisations>(path).await,
             View::Models => self.fetch::<Models>(path).await,
             View::Upstreams => self.fetch::<Upstreams>(path).await,
--- a/almondlock-cli/src/view.rs
+++ b/almondlock-cli/src/view.rs
@@ -8,13 +8,15 @@
         History, Models, Operators, Organisations, Planned, Plans, Replicas, Standing, Status,
         Summary, UpstreamRow, Upstreams, Watch,
     },
-    config::{Kind, Registration},
+    config::{Change, Kind, Registration},
     intent::Intent,
     plan::{Plan, Progress, Stage, State, Step},
     replica,
     tables::Effect,
 };
 
+use serde_json::Value;
+
 use crate::table::{Paint, Table};
 
 /// An answer that can be shown to people.
@@ -324,27 +326,24 @@
 
 /// An intent in one line.
 fn intent(intent: &Intent) -> String {
-    let Ok(serde_json::Value::Object(fields)) = serde_json::to_value(intent) else {
-        return String::new();
-    };
+    let value = serde_json::to_value(intent).unwrap_or_default();
     let mut words = Vec::new();
-    for (name, value) in &fields {
-        match value {
-            serde_json::Value::String(text) if name == "intent" => words.insert(0, text.clone()),
-            // Enough of a hash to tell it by.
-            serde_json::Value::String(text) if name == "hash" => {
-                words.push(format!(
-                    "hash={}",
-                    text.chars().take(12).collect::<String>()
-                ));
-            }
-            serde_json::Value::String(text) => words.push(format!("{name}={text}")),
-            other => words.push(format!("{name}={other}")),
-        }
-    }
+    collect("", &value, &mut words);
     words.join(" ")
 }
 
+fn collect(name: &str, value: &Value, words: &mut Vec<String>) {
+    match value {
+        Value::Null => {}
+        Value::Object(fields) => fields
+            .iter()
+            .for_each(|(name, value)| collect(name, value, words)),
+        Value::String(text) if name == "intent" => words.insert(0, text.clone()),
+        Value::String(text) => words.push(format!("{name}={text}")),
+        other => words.push(format!("{name}={other}")),
+    }
+}
+
 impl Show for Planned {
     fn show(&self, paint: Paint) -> String {
         let mut text = plan(&self.plan, paint);
@@ -397,13 +396,10 @@
 }
 
 fn step(step: &Step) -> String {
+    let way = |there: bool| if there { "set" } else { "remove" };
     match step {
-        Step::Apply(Effect::Config(change)) => {
-            let text = serde_json::to_string(change).unwrap_or_default();
-            text.chars().take(100).collect()
-        }
-        Step::Apply(Effect::Operator(name, None)) => format!("remove operator {name}"),
-        Step::Apply(Effect::Operator(name, Some(it))) => format!("operator {name}: {}", it.role),
+        Step::Apply(Effect::Config(change)) => effect(change),
+        Step::Apply(Effect::Operator(name, it)) => format!("{} operator {name}", way(it.is_some())),
         Step::Apply(Effect::Replica(number, _)) => format!("replica {}", id(*number)),
         Step::Member(replica::Member::Add(it)) => format!("add the replica at {}", it.address),
         Step::Member(replica::Member::Remove(it)) => format!("remove replica {}", id(*it)),
@@ -415,6 +411,23 @@
     }
 }
 
+fn effect(change: &Change) -> String {
+    let way = |there: bool| if there { "set" } else { "remove" };
+    match change {
+        Change::Organisation(name, it) => format!("{} organisation {name}", way(it.is_some())),
+        Change::Model(name, None) => format!("remove model {name}"),
+        Change::Model(name, Some(it)) => format!("set model {name} to version {}", it.version),
+        Change::Service(name, it) => format!("{} service {name}", way(it.is_some())),
+        Change::Upstream(name, it) => format!("{} upstream {name}", way(it.is_some())),
+        Change::Drain(name, Some(_)) => format!("drain {name}"),
+        Change::Drain(name, None) => format!("return {name}"),
+        Change::Quarantine(print, it) => format!("{} quarantine {print}", way(it.is_some())),
+        Change::Setting(name, Some(value)) => format!("set {name} to {value}"),
+        Change::Setting(name, None) => format!("unset {name}"),
+        Change::Order(name, it) => format!("{} order to {name}", way(it.is_some())),
+    }
+}
+
 fn progress(stage: &Stage) -> String {
     match &stage.progress {
         Progress::Pending => "pending".to_owned(),
--- a/almondlock-control/src/admin/plans.rs
+++ b/almondlock-control/src/admin/plans.rs
@@ -2,7 +2,7 @@
 
 use almondlock_base::Code;
 use almondlock_state::{
-    api::{Planned, Plans, Problem, Propose, Standing, Summary, Undo},
+    api::{Planned, Plans, Problem, Propose, Standing, Summary, Undo, masked},
     command::{Command, Reply},
     intent::Intent,
     machine::Machine,
@@ -149,6 +149,7 @@
     let changed = plan.revision > almondlock_base::unit::Revision::ZERO;
     let reached = standing.in_force.map(|lowest| lowest >= plan.revision);
     let in_force = reached.filter(|_| changed);
+    let plan = masked(plan);
     Planned { plan, in_force }
 }
 
--- a/almondlock-control/tests/operator_plans.rs
+++ b/almondlock-control/tests/operator_plans.rs
@@ -85,8 +85,26 @@
         .unwrap()
         .to_owned();
     assert_eq!(shown, key[..HASH_DIGITS]);
-    let (_, _, body) = get(address, "admin", "/v1/operators").await;
-    assert!(!body.to_string().contains(&hash("admin")));
+    let set = json!({
+        "number": "3", "intent": "set-operator", "name": "eve", "hash": hash("eve"), "role": "viewer"
+    });
+    post(address, "admin", "/v1/plans", &set).await;
+    post(address, "admin", "/v1/plans/3/confirm", &Value::Null).await;
+    let paths = [
+        "operators",
+        "plans",
+        "plans/2",
+        "plans/3",
+        "history",
+        "status",
+    ];
+    for path in paths {
+        let (status, _, body) = get(address, "admin", &format!("/v1/{path}")).await;
+        assert_eq!(status, 200, "{path}");
+        for secret in [&key, &hash("eve"), &hash("admin")] {
+            assert!(!body.to_string().contains(secret), "{path}");
+        }
+    }
 }
 
 /// A watch answers when the revision moves, and when its wait is over.
--- a/almondlock-state/src/api.rs
+++ b/almondlock-state/src/api.rs
@@ -39,6 +39,7 @@
     operator::Role,
     plan::{self, Plan, State, rollout},
     replica::{self, Replica},
+    tables::Effect,
 };
 
 /// The header that carries the number of a refusal's code.
@@ -110,6 +111,34 @@
     pub number: String,
 }
 
+/// Shortens the hashes of keys: nobody needs a whole one back, and a hash of a
+/// key that was not made by chance may be guessed.
+pub fn masked(mut plan: Plan) -> Plan {
+    plan.intent.mask();
+    for stage in &mut plan.stages {
+        if let plan::Step::Apply(effect) = &mut stage.step {
+            mask(effect);
+        }
+        if let Some(inverse) = &mut stage.inverse {
+            mask(inverse);
+        }
+    }
+    plan
+}
+
+fn mask(effect: &mut Effect) {
+    match effect {
+        Effect::Config(config::Change::Organisation(_, Some(known))) => {
+            known
+                .keys
+                .iter_mut()
+                .for_each(|key| key.truncate(HASH_DIGITS));
+        }
+        Effect::Operator(_, Some(known)) => known.key.truncate(HASH_DIGITS),
+        _ => {}
+    }
+}
+
 /// A plan, and whether what it has done so far is in force.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Planned {
@@ -154,12 +183,14 @@
 
 impl From<&Plan> for Summary {
     fn from(plan: &Plan) -> Summary {
+        let mut intent = plan.intent.clone();
+        intent.mask();
         Summary {
             id: plan.id,
             number: plan.number.clone(),
             operator: plan.operator.clone(),
             proposed: plan.proposed,
-            intent: plan.intent.clone(),
+            intent,
             state: plan.state,
             done: plan.done(),
             steps: plan.stages.len(),
--- a/almondlock-state/src/intent.rs
+++ b/almondlock-state/src/intent.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    api,
     config::KeyHash,
     operator::Role,
     plan,
@@ -181,6 +182,13 @@
 }
 
 impl Intent {
+    /// Shortens the hash of a key, for showing it.
+    pub fn mask(&mut self) {
+        if let Intent::AddKey { hash, .. } | Intent::SetOperator { hash, .. } = self {
+            hash.truncate(api::HASH_DIGITS);
+        }
+    }
+
     /// The least role that may ask for it.
     pub const fn role(&self) -> Role {
         match self {
--- a/almondlock-state/src/plan/execute.rs
+++ b/almondlock-state/src/plan/execute.rs
@@ -433,5 +433,7 @@
 }
 
 fn detail(intent: &Intent) -> String {
-    serde_json::to_string(intent).unwrap_or_default()
+    let mut intent = intent.clone();
+    intent.mask();
+    serde_json::to_string(&intent).unwrap_or_default()
 }
