Lose the claims of a restarted entry host, and measure what the state costs

A claim by another life of the same host now makes the earlier life's open claims lost; the test restarted_holder got Running without it.

With 250,000 claims the table took 371 bytes each, 93 MB; the bounds are now 100,000 claims (382 bytes each, measured from the log's bytes, 38 MB) and 16 MB of outcomes, so that a replica stays near 64 MB.

--- a/almondlock-state/src/claim.rs
+++ b/almondlock-state/src/claim.rs
@@ -100,6 +100,11 @@
     /// Invariant: the bytes of all outcomes kept.
     bytes: usize,
     swept: Wall,
+    /// The life of each entry host that claimed last.
+    ///
+    /// Invariant: at most `limit::HOLDERS`.
+    #[serde(default)]
+    lives: BTreeMap<Host, Incarnation>,
 }
 
 /// What is claimed, and by whom.
@@ -149,6 +154,7 @@
 
     /// Claims, or says who has it.
     pub fn claim(&mut self, request: Request<'_>, now: Wall) -> Verdict {
+        self.note_life(request.holder, now);
         let existing = self
             .claims
             .get_mut(request.organisation)
@@ -159,6 +165,23 @@
         }
     }
 
+    /// A host that claims with another life than before has restarted, and what
+    /// its earlier life held open is lost: nobody else would say so. A delayed
+    /// claim of the earlier life makes the later one's claims lost too, until it
+    /// settles them; that costs second copies an answer and runs nothing twice.
+    fn note_life(&mut self, holder: &Attempt, now: Wall) {
+        let known = self.lives.get(&holder.host).copied();
+        if known == Some(holder.incarnation) {
+            return;
+        }
+        if let Some(earlier) = known {
+            self.lose(&holder.host, earlier, now);
+        }
+        if known.is_some() || self.lives.len() < limit::HOLDERS {
+            self.lives.insert(holder.host.clone(), holder.incarnation);
+        }
+    }
+
     fn insert(&mut self, request: Request<'_>, now: Wall) -> Verdict {
         let fits = !request.key.is_empty()
             && request.key.len() <= limit::KEY_BYTES
@@ -173,10 +196,14 @@
         if self.count >= limit::CLAIMS || own >= limit::CLAIMS_OF_ONE {
             return Verdict::Refused(Code::LimitReached);
         }
-        self.claims
-            .entry(request.organisation.clone())
-            .or_default()
-            .insert(Arc::from(request.key), Claim::open(request, now));
+        let mut claim = Claim::open(request, now);
+        // One copy of a host's name for all of its claims, as the log has one
+        // for each.
+        if let Some((host, _)) = self.lives.get_key_value(&claim.holder.host) {
+            claim.holder.host = host.clone();
+        }
+        let keys = self.claims.entry(request.organisation.clone()).or_default();
+        keys.insert(Arc::from(request.key), claim);
         self.count += 1;
         Verdict::Granted
     }
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -9,9 +9,11 @@
 
 /// Claims in all. At the measured bytes per claim (`docs/claims.md`) the table
 /// stays within a replica's memory.
-pub const CLAIMS: usize = 250_000;
+pub const CLAIMS: usize = 100_000;
 /// Claims of one organisation, so that one can't fill the table for all.
 pub const CLAIMS_OF_ONE: usize = CLAIMS / 4;
+/// Entry hosts whose last life is remembered.
+pub const HOLDERS: usize = 4_096;
 /// The longest idempotency key, in bytes.
 pub const KEY_BYTES: usize = 256;
 /// The longest hash of a claim's body, in bytes.
@@ -19,7 +21,7 @@
 /// An outcome above this size is not kept: a second copy is told that it ran.
 pub const OUTCOME_BYTES: usize = 64 * 1024;
 /// Outcomes kept in all; the oldest are dropped first, their claims stay.
-pub const OUTCOMES_BYTES: usize = 64 * 1024 * 1024;
+pub const OUTCOMES_BYTES: usize = 16 * 1024 * 1024;
 /// The shortest time a claim is kept after it ended.
 pub const KEEP_LEAST: Duration = Duration::from_secs(60);
 /// The longest time a claim is kept after it ended.
--- a/almondlock-state/src/plan/compile.rs
+++ b/almondlock-state/src/plan/compile.rs
@@ -6,7 +6,7 @@
 
 use almondlock_base::{
     Code,
-    id::{Model, Organisation, Upstream},
+    id::{Model, Organisation, Upstream, Version},
     time::Wall,
     unit::Tokens,
 };
@@ -249,59 +249,60 @@
 fn model(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
     let all = &tables.config.models;
     let known = |name: &Model| {
-        all.get(name)
-            .cloned()
-            .ok_or_else(|| Error::bad(format!("no model {name}")))
+        let found = all.get(name).cloned();
+        found.ok_or_else(|| Error::bad(format!("no model {name}")))
     };
     let (name, value) = match intent {
         Intent::AddModel { name, .. } if all.contains_key(name) => {
             return Err(Error::bad(format!("model {name} exists")));
         }
         Intent::AddModel { .. } if all.len() >= limit::MODELS => return Err(Error::full("models")),
-        Intent::AddModel {
-            context: Tokens(0), ..
-        } => {
-            return Err(Error::bad("a context is at least one token"));
-        }
         Intent::AddModel {
             name,
             version,
             context,
-        } => {
-            let (version, context) = (version.clone(), *context);
-            (
-                name,
-                Some(Definition {
-                    version,
-                    context,
-                    adapters: Default::default(),
-                }),
-            )
-        }
+        } => (name, Some(new_model(version, *context)?)),
         Intent::RemoveModel { name } => (name, known(name).map(|_| None)?),
-        Intent::SetAdapter {
-            model,
-            adapter,
-            version,
-        } => {
-            let mut definition = known(model)?;
-            definition.adapters.insert(adapter.clone(), version.clone());
-            if definition.adapters.len() > limit::ADAPTERS {
-                return Err(Error::full("adapters"));
-            }
-            (model, Some(definition))
-        }
-        Intent::RemoveAdapter { model, adapter } => {
-            let mut definition = known(model)?;
-            let gone = definition.adapters.remove(adapter);
-            gone.ok_or_else(|| Error::bad(format!("no adapter {adapter} of {model}")))?;
-            (model, Some(definition))
+        Intent::SetAdapter { model, .. } | Intent::RemoveAdapter { model, .. } => {
+            (model, Some(with_adapter(known(model)?, intent)?))
         }
         _ => return Err(Error::bad("not about a model")),
     };
     Ok(Change::Model(name.clone(), value))
 }
 
+fn new_model(version: &Version, context: Tokens) -> Result<Definition, Error> {
+    if context == Tokens::ZERO {
+        return Err(Error::bad("a context is at least one token"));
+    }
+    let (version, adapters) = (version.clone(), Default::default());
+    Ok(Definition {
+        version,
+        context,
+        adapters,
+    })
+}
+
+fn with_adapter(mut definition: Definition, intent: &Intent) -> Result<Definition, Error> {
+    let adapters = &mut definition.adapters;
+    match intent {
+        Intent::SetAdapter {
+            adapter, version, ..
+        } => {
+            adapters.insert(adapter.clone(), version.clone());
+        }
+        Intent::RemoveAdapter { adapter, .. } => {
+            let gone = adapters.remove(adapter);
+            gone.ok_or_else(|| Error::bad(format!("no adapter {adapter}")))?;
+        }
+        _ => {}
+    }
+    if adapters.len() > limit::ADAPTERS {
+        return Err(Error::full("adapters"));
+    }
+    Ok(definition)
+}
+
 fn service(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
     let all = &tables.config.services;
     match intent {
--- a/almondlock-state/src/plan/rollout.rs
+++ b/almondlock-state/src/plan/rollout.rs
@@ -26,7 +26,7 @@
     risk, table,
 };
 use crate::{
-    config::{Change, Config, Registration, rollout_setting},
+    config::{Change, Config, Definition, Registration, rollout_setting},
     tables::{Effect, Part, Tables},
 };
 
@@ -101,10 +101,8 @@
     keep: u8,
 ) -> Result<Draft, Error> {
     let config = &tables.config;
-    let definition = config
-        .models
-        .get(model)
-        .ok_or_else(|| Error::bad("no such model"))?;
+    let current = config.models.get(model);
+    let current = current.ok_or_else(|| Error::bad("no such model"))?;
     if keep > 100 {
         return Err(Error::bad("keep is a number of a hundred"));
     }
@@ -116,53 +114,50 @@
         );
         return Err(Error::bad(message));
     }
-    let setting = |value: Option<&Version>| {
-        let value = value.map(|value| value.as_str().to_owned());
-        Step::Apply(Effect::Config(Change::Setting(
-            rollout_setting(model),
-            value,
-        )))
+    let steps = steps(model, current, version, &todo);
+    let pending = config.settings.contains_key(&rollout_setting(model));
+    if todo.is_empty() && current.version == *version && !pending {
+        let message = format!("{model} runs {version} already, everywhere");
+        return Err(Error::bad(message));
+    }
+    let mut draft = draft(tables, steps);
+    let width = width(config, model, keep);
+    risk::of_upgrades(config, model, &todo, width, &mut draft.risk);
+    draft.parts.push(Part::model(model));
+    draft.parts.sort();
+    draft.parts.dedup();
+    Ok(draft)
+}
+
+/// Both versions serve from the first step to the last; the one in force changes
+/// when half of the upstreams have it.
+fn steps(model: &Model, current: &Definition, to: &Version, todo: &[Upstream]) -> Vec<Step> {
+    let change = |change| Step::Apply(Effect::Config(change));
+    let other = |version: Option<&Version>| {
+        let value = version.map(|version| version.as_str().to_owned());
+        change(Change::Setting(rollout_setting(model), value))
     };
     let upgrade = |upstream: &Upstream| Step::Upgrade {
         upstream: upstream.clone(),
         model: model.clone(),
-        version: version.clone(),
+        version: to.clone(),
     };
     let mut steps = Vec::new();
-    let (first, second) = todo.split_at(todo.len().div_ceil(2));
-    let old = definition.version.clone();
-    if old == *version {
+    if current.version == *to {
+        // A rollout that was stopped, or its undoing, before the change.
         steps.extend(todo.iter().map(upgrade));
     } else {
-        let mut next = definition.clone();
-        next.version = version.clone();
-        steps.push(setting(Some(version)));
+        let mut next = current.clone();
+        next.version = to.clone();
+        let (first, second) = todo.split_at(todo.len().div_ceil(2));
+        steps.push(other(Some(to)));
         steps.extend(first.iter().map(upgrade));
-        steps.push(Step::Apply(Effect::Config(Change::Model(
-            model.clone(),
-            Some(next),
-        ))));
-        steps.push(setting(Some(&old)));
+        steps.push(change(Change::Model(model.clone(), Some(next))));
+        steps.push(other(Some(&current.version)));
         steps.extend(second.iter().map(upgrade));
     }
-    if steps.is_empty() && !config.settings.contains_key(&rollout_setting(model)) {
-        return Err(Error::bad(format!(
-            "{model} runs {version} already, everywhere"
-        )));
-    }
-    steps.push(setting(None));
-    let mut draft = draft(tables, steps);
-    risk::of_upgrades(
-        config,
-        model,
-        &todo,
-        width(config, model, keep),
-        &mut draft.risk,
-    );
-    draft.parts.push(Part::model(model));
-    draft.parts.sort();
-    draft.parts.dedup();
-    Ok(draft)
+    steps.push(other(None));
+    steps
 }
 
 /// Upstreams with another version of the model, the domains taking turns.
--- a/almondlock-state/tests/dead_holder.rs
+++ b/almondlock-state/tests/dead_holder.rs
@@ -71,6 +71,21 @@
     );
 }
 
+/// The entry host restarts and claims again. Nobody has told the replicas that
+/// its earlier life ended; its new life's claim tells it. The caller's second
+/// copy is answered with `OutcomeLost` and not with `AlreadyRunning` for a day.
+#[test]
+fn restarted_holder() {
+    let mut machine = Machine::new();
+    claim(&mut machine, "k", &attempt("entry-1", 1), 1);
+    let mut next = attempt("entry-1", 1);
+    next.incarnation = Incarnation(8);
+    assert_eq!(claim(&mut machine, "other", &next, 2), Verdict::Granted);
+    let second = attempt("entry-2", 1);
+    assert_eq!(claim(&mut machine, "k", &second, 3), Verdict::Lost);
+    assert_eq!(claim(&mut machine, "other", &second, 3), Verdict::Running);
+}
+
 /// Nobody ever says how a claim ended. After a day it counts as lost, is kept
 /// for its time, and is forgotten; it isn't held for ever.
 #[test]
