Measure what entry host and sidecar add to a request

Cause: the goal is less than 1 ms at the 99th percentile, and nobody had measured it. Change: times from the sending, and engines whose steps take no time.

--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -195,6 +195,20 @@
         default = "20000"
     )]
     pub engine_prefill: f64,
+    /// Steps of the engines.
+    #[options(
+        no_short,
+        help = "its shortest step, in milliseconds",
+        meta = "MS",
+        default = "20"
+    )]
+    pub engine_step_ms: f64,
+    /// Counts from the sending.
+    #[options(
+        no_short,
+        help = "count times from the sending itself: for what a hop adds, not for loads"
+    )]
+    pub from_send: bool,
     /// Where the figures go.
     #[options(no_short, help = "write the figures, .csv or .json", meta = "FILE")]
     pub out: Option<String>,
@@ -228,6 +242,7 @@
         check("--rate", self.rate, 1e-3, 1e6)?;
         check("--factor", self.factor, 1e-2, 1e4)?;
         check("--sigma", self.sigma, 0.0, 10.0)?;
+        check("--engine-step-ms", self.engine_step_ms, 0.0, 1e4)?;
         check("--engine-prefill", self.engine_prefill, 1.0, 1e9)?;
         for (name, value) in [
             ("--long-share", self.long_share),
@@ -252,6 +267,7 @@
                     .map(|ms| ((ms as f64 / self.factor) as u64).max(1)),
                 chat: self.chat,
                 priority: false,
+                from_send: self.from_send,
                 factor: self.factor,
             },
             drain: Duration::from_secs_f64(self.drain),
@@ -339,6 +355,7 @@
         let config = engine::Config {
             memory: self.engine_memory,
             prefill_rate: self.engine_prefill,
+            step: Duration::from_secs_f64(self.engine_step_ms / 1e3),
             factor: self.factor,
             priorities,
             seed: self.seed,
--- a/almondlock-bench/src/report.rs
+++ b/almondlock-bench/src/report.rs
@@ -10,10 +10,13 @@
 
 impl Display for Spread {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if self.low == self.high {
-            return write!(f, "{:.3}", self.median);
+        // Short times are those of hops, where a tenth of a millisecond counts.
+        let digits = if self.median < 0.1 { 5 } else { 3 };
+        let Spread { median, low, high } = self;
+        if low == high {
+            return write!(f, "{median:.digits$}");
         }
-        write!(f, "{:.3} ({:.3}-{:.3})", self.median, self.low, self.high)
+        write!(f, "{median:.digits$} ({low:.digits$}-{high:.digits$})")
     }
 }
 
--- a/almondlock-bench/src/send.rs
+++ b/almondlock-bench/src/send.rs
@@ -27,6 +27,9 @@
     /// Whether to give the engine a priority by length, where no system stands
     /// before it.
     pub priority: bool,
+    /// Whether times count from the sending, not from the intended moment. Hides
+    /// what the tool and its timer add, and all queueing before them.
+    pub from_send: bool,
     /// How much faster than real time the system's clock runs.
     pub factor: f64,
 }
@@ -117,6 +120,11 @@
     let key = Key::new(&prompt);
     let sent = head(client, target, request, manner).send_body(body(request, manner, &prompt));
     drop(prompt);
+    let due = if manner.from_send {
+        Instant::now()
+    } else {
+        due
+    };
     let mut answer = Answer::default();
     let end = match sent.await {
         Ok(response) if response.status().is_success() => {
