Keep a ledger of engine memory, and reserve it for prompts larger than an engine

Cause: what an entry host held on an engine outlived it when nothing closed the session, a sidecar's restart forgot what was held, and no prompt longer than an engine could run. Change: the policy's ledger in the sidecar (leases, orders to free until confirmed, comparison with the engine's own list), reservations at a desk beside the queue, parts of a prompt processed and kept; the protocol's calls for it.

--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -11,8 +11,10 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod announce;
+pub mod memory;
 pub mod openai;
 pub mod output;
+mod parts;
 pub mod plain;
 pub mod protocol;
 mod pull;
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -8,7 +8,11 @@
 use std::{net::SocketAddr, time::Duration};
 
 use almondlock_base::unit::Tokens;
-use almondlock_wire::answer::{Part, Usage};
+use almondlock_policy::ledger::Kind;
+use almondlock_wire::{
+    answer::{Part, Usage},
+    attempt::Segment,
+};
 use eventsource_stream::Eventsource;
 use futures::StreamExt;
 use ntex::{
@@ -19,8 +23,9 @@
     http::{Method, StatusCode, body::SizedStream, header},
 };
 use serde::Deserialize;
+use serde_json::json;
 
-use crate::protocol::{Failure, Feed, Held, Job, Output, Protocol};
+use crate::protocol::{Failure, Feed, Held, Job, Output, Piece, Protocol};
 
 /// How long an engine may take to answer a question about its state.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
@@ -30,6 +35,7 @@
 
 /// An engine's address and a client for it.
 pub struct Engine {
+    address: SocketAddr,
     base: String,
     runs: Client,
     questions: Client,
@@ -44,6 +50,7 @@
             .response_timeout(ntex::time::Millis::from(QUESTION_TIMEOUT))
             .disable_redirects();
         Ok(Engine {
+            address,
             base: format!("http://{address}"),
             runs: runs.build(ntex::SharedCfg::default()).await?,
             questions: questions.build(ntex::SharedCfg::default()).await?,
@@ -63,8 +70,8 @@
         if head.resume_at > 0 {
             request = request.header("X-Engine-Resume-At", head.resume_at.to_string());
         }
-        if !job.segments.is_empty() {
-            let list: Vec<String> = job.segments.iter().map(segment).collect();
+        if !head.segments.is_empty() {
+            let list: Vec<String> = head.segments.iter().map(place).collect();
             request = request.header("X-Engine-Segments", list.join(","));
         }
         let body = SizedStream::new(head.body_length, body);
@@ -72,7 +79,7 @@
     }
 }
 
-fn segment(segment: &crate::protocol::Segment) -> String {
+fn place(segment: &Segment) -> String {
     format!("{}/{}", segment.address, segment.handle)
 }
 
@@ -208,9 +215,35 @@
 #[derive(Deserialize)]
 struct Entry {
     id: String,
+    #[serde(default)]
+    kind: String,
     tokens: u64,
 }
 
+impl Entry {
+    fn kind(&self) -> Kind {
+        match self.kind.as_str() {
+            "export" | "import" => Kind::Export,
+            "segment" => Kind::Reservation,
+            _ => Kind::Stream,
+        }
+    }
+}
+
+/// The body that asks for a part of a prompt. Its text stands in the caller's
+/// body as the inside of a JSON string and is put into another as it is.
+fn part_body(piece: &Piece<'_>) -> Vec<u8> {
+    let head = json!({"id": piece.id, "priority": piece.priority, "tokens": piece.tokens});
+    let mut body = head.to_string().into_bytes();
+    if let Some(text) = &piece.text {
+        body.pop();
+        body.extend_from_slice(br#","prompt":""#);
+        body.extend_from_slice(text);
+        body.extend_from_slice(br#""}"#);
+    }
+    body
+}
+
 impl Protocol for Engine {
     async fn run<O>(&self, job: Job<'_>, body: Feed, output: &mut O) -> Result<Usage, Failure>
     where
@@ -231,11 +264,42 @@
         }
     }
 
+    async fn segment(&self, piece: Piece<'_>) -> Result<Segment, Failure> {
+        let url = format!("{}/engine/segments", self.base);
+        let request = self
+            .runs
+            .post(url)
+            .header(header::CONTENT_TYPE, "application/json");
+        let sent = request.send_body(part_body(&piece)).await;
+        let response = sent.map_err(|e| classify(&e))?;
+        if !response.status().is_success() {
+            return Err(refusal(&response).await);
+        }
+        response.body().await.map_err(|_| Failure::Broken)?;
+        Ok(Segment {
+            address: self.address.to_string(),
+            handle: piece.id.to_owned(),
+        })
+    }
+
+    async fn load(&self, model: &str, version: &str, fence: u64) -> Result<(), Failure> {
+        let url = format!("{}/engine/orders", self.base);
+        let order = json!({"kind": "load", "model": model, "version": version, "fence": fence});
+        let sent = self.questions.post(url).send_json(&order).await;
+        let response = sent.map_err(|e| classify(&e))?;
+        if response.status().is_success() {
+            Ok(())
+        } else {
+            Err(refusal(&response).await)
+        }
+    }
+
     async fn held(&self) -> Option<Vec<Held>> {
         let url = format!("{}/engine/requests", self.base);
         let response = self.questions.get(url).send().await.ok()?;
         let listing: Listing = response.json().await.ok()?;
         let held = |entry: Entry| Held {
+            kind: entry.kind(),
             id: entry.id,
             tokens: Tokens(entry.tokens),
         };
--- /dev/null
+++ b/almondlock-sidecar/src/parts.rs
@@ -0,0 +1,152 @@
+//! A member's side of a prompt larger than an engine: memory is reserved
+//! first, on all members, and only then is anything processed.
+
+use std::rc::Rc;
+
+use almondlock_base::{Code, Ran, id::Attempt};
+use almondlock_node::clock;
+use almondlock_policy::{
+    ledger::{Item, Kind},
+    length::Class,
+};
+use almondlock_wire::{
+    almondlock_capnp::source,
+    attempt::{Outcome, Part, Segment},
+};
+use tokio::time::timeout;
+
+use crate::{
+    memory::owner_of,
+    protocol::{Failure, Piece, Protocol},
+    pull,
+    service::{Inner, Service, failed, refused},
+};
+
+/// A reservation that is waited for; dropping it takes it back.
+struct Wait<P>
+where
+    P: Protocol,
+{
+    inner: Rc<Inner<P>>,
+    attempt: Option<Attempt>,
+}
+
+impl<P> Drop for Wait<P>
+where
+    P: Protocol,
+{
+    fn drop(&mut self) {
+        if let Some(attempt) = self.attempt.take() {
+            let now = clock::mono();
+            let mut table = self.inner.table.borrow_mut();
+            table.release(&attempt, now);
+            table.pump(now);
+        }
+    }
+}
+
+impl<P> Service<P>
+where
+    P: Protocol,
+{
+    /// Reserves memory for a part; waits until there is room.
+    pub async fn reserve(&self, part: &Part) -> Outcome {
+        let inner = &self.inner;
+        inner.handle.heard(&part.from);
+        inner.check_leaving(clock::mono());
+        if inner.down.get() {
+            return Outcome::refused(Code::NoUpstream, None);
+        }
+        let asked = {
+            let now = clock::mono();
+            let mut table = inner.table.borrow_mut();
+            let asked = table.reserve(part, now);
+            table.pump(now);
+            asked
+        };
+        let told = match asked {
+            Ok(told) => told,
+            Err(refusal) => return refused(refusal),
+        };
+        let mut wait = Wait {
+            inner: Rc::clone(inner),
+            attempt: Some(part.attempt.clone()),
+        };
+        match told.await {
+            Ok(Ok(())) => {}
+            Ok(Err(refusal)) => {
+                wait.attempt = None;
+                return refused(refusal);
+            }
+            Err(_) => return Outcome::refused(Code::HostStopping, None),
+        }
+        wait.attempt = None;
+        let item = Item {
+            kind: Kind::Reservation,
+            tokens: part.tokens,
+        };
+        let owner = owner_of(&part.attempt);
+        let id = part.attempt.to_string();
+        inner
+            .memory
+            .open(id, item, &owner, part.lease, clock::mono());
+        whole()
+    }
+
+    /// Processes a reserved part and keeps it on the engine.
+    pub async fn process(&self, part: &Part, source: source::Client) -> (Outcome, Option<Segment>) {
+        let inner = &self.inner;
+        let id = part.attempt.to_string();
+        let text = match part.text {
+            (_, 0) => None,
+            (offset, length) => match pull::range(&source, offset, length).await {
+                Ok(text) => Some(text),
+                Err(error) => {
+                    let text = error.to_string();
+                    return (failed(Code::CallerLeft, Ran::No, text), None);
+                }
+            },
+        };
+        let piece = Piece {
+            id: &id,
+            tokens: part.tokens,
+            text,
+            priority: Class::Huge.index() as u8,
+        };
+        let work = timeout(part.budget, inner.protocol.segment(piece)).await;
+        match work {
+            Ok(Ok(segment)) => (whole(), Some(segment)),
+            Ok(Err(failure)) => {
+                let broken = matches!(failure, Failure::Broken | Failure::Unreachable);
+                let died = broken && inner.look_for_death().await.is_some();
+                let mut outcome = failed(Code::UpstreamLost, Ran::Unknown, failure.to_string());
+                outcome.died = died;
+                (outcome, None)
+            }
+            Err(_) => {
+                let text = Code::DeadlinePassed.text().to_owned();
+                (failed(Code::DeadlinePassed, Ran::Yes, text), None)
+            }
+        }
+    }
+
+    /// Gives a part's memory back, on the engine too. Idempotent.
+    pub fn release(&self, attempt: &Attempt) {
+        let now = clock::mono();
+        let inner = &self.inner;
+        inner.memory.release(&attempt.to_string(), now);
+        let mut table = inner.table.borrow_mut();
+        table.release(attempt, now);
+        table.pump(now);
+    }
+}
+
+fn whole() -> Outcome {
+    Outcome {
+        code: None,
+        ran: Ran::Yes,
+        message: String::new(),
+        retry_after: None,
+        ..Outcome::refused(Code::CallerLeft, None)
+    }
+}
--- a/almondlock-sidecar/src/plain.rs
+++ b/almondlock-sidecar/src/plain.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddr;
 
 use almondlock_base::unit::Tokens;
-use almondlock_wire::answer::{Part, Usage};
+use almondlock_wire::{
+    answer::{Part, Usage},
+    attempt::Segment,
+};
 use futures::StreamExt;
 use ntex::{
     client::{Client, ClientResponse, error::ClientBuilderError},
@@ -12,7 +15,7 @@
 
 use crate::{
     openai::classify,
-    protocol::{Failure, Feed, Held, Job, Output, Protocol},
+    protocol::{Failure, Feed, Held, Job, Output, Piece, Protocol},
 };
 
 /// A plain service's address and a client for it.
@@ -95,6 +98,20 @@
         true
     }
 
+    async fn segment(&self, _piece: Piece<'_>) -> Result<Segment, Failure> {
+        Err(Failure::Refused(
+            405,
+            "a plain service has no prompts".to_owned(),
+        ))
+    }
+
+    async fn load(&self, _model: &str, _version: &str, _fence: u64) -> Result<(), Failure> {
+        Err(Failure::Refused(
+            405,
+            "a plain service has no models".to_owned(),
+        ))
+    }
+
     async fn held(&self) -> Option<Vec<Held>> {
         Some(Vec::new())
     }
--- a/almondlock-sidecar/src/protocol.rs
+++ b/almondlock-sidecar/src/protocol.rs
@@ -8,9 +8,10 @@
 use std::{error, fmt, future::Future, rc::Rc};
 
 use almondlock_base::unit::Tokens;
+use almondlock_policy::ledger::Kind;
 use almondlock_wire::{
     answer::{Part, Usage},
-    attempt::Head,
+    attempt::{Head, Segment},
 };
 use futures::channel::mpsc;
 use ntex::util::Bytes;
@@ -41,17 +42,20 @@
     pub id: &'a str,
     /// Lower runs first, where the upstream honours it.
     pub priority: u8,
-    /// Parts of the prompt that are held on other engines.
-    pub segments: &'a [Segment],
 }
 
-/// A part of a prompt larger than one engine, processed and held on another.
+/// A part of a prompt larger than one engine.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Segment {
-    /// The engine's address.
-    pub address: String,
-    /// Its name for what it holds.
-    pub handle: u64,
+pub struct Piece<'a> {
+    /// The name under which the engine keeps it; unique for ever.
+    pub id: &'a str,
+    /// Its length in tokens.
+    pub tokens: Tokens,
+    /// Its text, as it stands in the body: the inside of a JSON string. `None`
+    /// when the engine is told the length only.
+    pub text: Option<Vec<u8>>,
+    /// Lower runs first.
+    pub priority: u8,
 }
 
 /// Where an answer's parts go, in order. Waits while the caller is slow.
@@ -69,6 +73,8 @@
 pub struct Held {
     /// The name it was given.
     pub id: String,
+    /// What it is held for.
+    pub kind: Kind,
     /// Its size.
     pub tokens: Tokens,
 }
@@ -121,6 +127,17 @@
     /// Ends a run and frees its memory. Idempotent; true when confirmed.
     fn cancel(&self, id: &str) -> impl Future<Output = bool>;
 
+    /// Processes a part of a prompt and keeps it until it is cancelled.
+    fn segment(&self, piece: Piece<'_>) -> impl Future<Output = Result<Segment, Failure>>;
+
+    /// Orders the upstream to load a version of a model.
+    fn load(
+        &self,
+        model: &str,
+        version: &str,
+        fence: u64,
+    ) -> impl Future<Output = Result<(), Failure>>;
+
     /// Lists what takes memory on the upstream, `None` when it doesn't answer.
     fn held(&self) -> impl Future<Output = Option<Vec<Held>>>;
 
--- a/almondlock-sidecar/src/pull.rs
+++ b/almondlock-sidecar/src/pull.rs
@@ -21,7 +21,7 @@
     }
     let mut offset = 0;
     while offset < head.body_length {
-        let chunk = match read(source, offset).await {
+        let chunk = match read(source, offset, BODY_CHUNK as u64).await {
             Ok(chunk) if !chunk.is_empty() => chunk,
             Ok(_) => return,
             Err(error) => {
@@ -36,10 +36,33 @@
     }
 }
 
-async fn read(source: &source::Client, offset: u64) -> Result<Bytes, capnp::Error> {
+/// Reads a range of the body.
+pub(crate) async fn range(
+    source: &source::Client,
+    offset: u64,
+    length: u64,
+) -> Result<Vec<u8>, capnp::Error> {
+    let end = offset.saturating_add(length);
+    let mut text = Vec::new();
+    let mut at = offset;
+    while at < end {
+        let limit = (end - at).min(BODY_CHUNK as u64);
+        let chunk = read(source, at, limit).await?;
+        if chunk.is_empty() {
+            return Err(capnp::Error::failed("the body is too short".to_owned()));
+        }
+        at += chunk.len() as u64;
+        text.extend_from_slice(&chunk);
+    }
+    Ok(text)
+}
+
+async fn read(source: &source::Client, offset: u64, limit: u64) -> Result<Bytes, capnp::Error> {
     let mut request = source.read_request();
     request.get().set_offset(offset);
-    request.get().set_limit(BODY_CHUNK as u32);
+    request
+        .get()
+        .set_limit(u32::try_from(limit).unwrap_or(u32::MAX));
     let answer = request.send().promise.await?;
     Ok(Bytes::copy_from_slice(answer.get()?.get_chunk()?))
 }
--- a/almondlock-sidecar/src/rpc.rs
+++ b/almondlock-sidecar/src/rpc.rs
@@ -2,10 +2,11 @@
 
 use std::rc::Rc;
 
-use almondlock_base::id::Incarnation;
+use almondlock_base::id::{Host, Incarnation};
 use almondlock_wire::{
     almondlock_capnp::sidecar,
-    attempt::{read_head, read_id, write_load, write_outcome, write_ran},
+    attempt::{read_head, read_id, read_part, write_load, write_outcome, write_ran, write_segment},
+    error as wire,
     peer::Peer,
 };
 use capnp::Error;
@@ -60,4 +61,61 @@
         self.handle().peer().write(results.get().init_from());
         Ok(())
     }
+
+    async fn renew(
+        self: Rc<Self>,
+        params: sidecar::RenewParams,
+        mut results: sidecar::RenewResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let host = Host::new(params.get_owner()?.to_str()?).map_err(wire::Error::from)?;
+        Service::renew(&self, host, Incarnation(params.get_incarnation()));
+        if let Ok(peer) = Peer::read(params.get_from()?) {
+            self.handle().heard(&peer);
+        }
+        self.handle().peer().write(results.get().init_from());
+        Ok(())
+    }
+
+    async fn reserve(
+        self: Rc<Self>,
+        params: sidecar::ReserveParams,
+        mut results: sidecar::ReserveResults,
+    ) -> Result<(), Error> {
+        let part = read_part(params.get()?.get_part()?)?;
+        let outcome = Service::reserve(&self, &part).await;
+        let mut answer = results.get().init_outcome();
+        write_outcome(&outcome, answer.reborrow());
+        self.handle().peer().write(answer.init_from());
+        Ok(())
+    }
+
+    async fn process(
+        self: Rc<Self>,
+        params: sidecar::ProcessParams,
+        mut results: sidecar::ProcessResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let part = read_part(params.get_part()?)?;
+        let source = params.get_source()?;
+        let (outcome, segment) = Service::process(&self, &part, source).await;
+        let mut answer = results.get().init_outcome();
+        write_outcome(&outcome, answer.reborrow());
+        self.handle().peer().write(answer.init_from());
+        if let Some(segment) = segment {
+            write_segment(&segment, results.get().init_segment());
+        }
+        Ok(())
+    }
+
+    async fn release(
+        self: Rc<Self>,
+        params: sidecar::ReleaseParams,
+        mut results: sidecar::ReleaseResults,
+    ) -> Result<(), Error> {
+        let attempt = read_id(params.get()?.get_attempt()?)?;
+        Service::release(&self, &attempt);
+        self.handle().peer().write(results.get().init_from());
+        Ok(())
+    }
 }
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -8,7 +8,7 @@
 
 use almondlock_base::{
     Code, Ran,
-    id::{Attempt, Incarnation, Upstream},
+    id::{Attempt, Host, Incarnation, Upstream},
     time::Mono,
     unit::Tokens,
 };
@@ -16,6 +16,7 @@
     Handle, clock,
     replicas::{Blame, Replicas},
 };
+use almondlock_policy::ledger::{Item, Kind, Owner};
 use almondlock_wire::{
     almondlock_capnp::{sink, source},
     answer::{Part, Usage},
@@ -28,6 +29,7 @@
 };
 
 use crate::{
+    memory::{Memory, owner_of},
     output::{Pusher, Watch},
     protocol::{Failure, Job, Output, Protocol, feed},
     pull::pull,
@@ -37,9 +39,8 @@
 /// How often deadlines of waiting work and the upstream's leaving are looked
 /// at; what is given up on is answered within this time.
 const TICK: Duration = Duration::from_millis(10);
-/// Tries to cancel a run on the engine, with [`CANCEL_PAUSE`] between.
-const CANCEL_TRIES: u32 = 20;
-const CANCEL_PAUSE: Duration = Duration::from_millis(250);
+/// Pause between two looks at what memory is to be freed.
+const MEMORY_PAUSE: Duration = Duration::from_millis(100);
 /// Pause between two looks at whether the upstream answers.
 const HEALTH_PAUSE: Duration = Duration::from_millis(500);
 /// How long blame for a death may take before the outcomes go out without it.
@@ -49,7 +50,7 @@
 
 /// The sidecar of one upstream. Clones are handles to the same one.
 pub struct Service<P> {
-    inner: Rc<Inner<P>>,
+    pub(crate) inner: Rc<Inner<P>>,
 }
 
 impl<P> Clone for Service<P> {
@@ -59,16 +60,17 @@
     }
 }
 
-struct Inner<P> {
+pub(crate) struct Inner<P> {
     upstream: Upstream,
     incarnation: Incarnation,
-    protocol: P,
-    handle: Handle,
+    pub(crate) protocol: P,
+    pub(crate) handle: Handle,
     replicas: Replicas,
-    table: RefCell<Table>,
+    pub(crate) table: RefCell<Table>,
     death: RefCell<Death>,
+    pub(crate) memory: Memory,
     // The upstream doesn't answer; nothing is handed to it until it does.
-    down: Cell<bool>,
+    pub(crate) down: Cell<bool>,
 }
 
 /// Deaths of the engine in the sidecar's life.
@@ -101,6 +103,7 @@
             replicas,
             table: RefCell::new(Table::new(config, incarnation)),
             death: RefCell::default(),
+            memory: Memory::new(clock::mono()),
             down: Cell::new(false),
         });
         let weak = Rc::downgrade(&inner);
@@ -120,6 +123,14 @@
                 sleep(HEALTH_PAUSE).await;
             }
         });
+        let weak = Rc::downgrade(&inner);
+        spawn_local(async move {
+            while let Some(inner) = weak.upgrade() {
+                inner.tend_memory().await;
+                drop(inner);
+                sleep(MEMORY_PAUSE).await;
+            }
+        });
         Service { inner }
     }
 
@@ -153,6 +164,12 @@
         load
     }
 
+    /// An entry host lives: the leases of all it holds here are extended.
+    pub fn renew(&self, host: Host, incarnation: Incarnation) {
+        let owner = Owner { host, incarnation };
+        self.inner.memory.renew(&owner, clock::mono());
+    }
+
     /// Whether the upstream answers.
     pub async fn is_alive(&self) -> bool {
         self.inner.protocol.alive().await
@@ -164,12 +181,20 @@
     }
 }
 
-fn refused(refusal: Refusal) -> Outcome {
+pub(crate) fn refused(refusal: Refusal) -> Outcome {
     let mut outcome = Outcome::refused(refusal.code, refusal.retry_after.or(Some(DEFAULT_RETRY)));
     outcome.ran = refusal.ran;
     outcome
 }
 
+pub(crate) fn failed(code: Code, ran: Ran, message: String) -> Outcome {
+    Outcome {
+        ran,
+        message,
+        ..Outcome::refused(code, Some(DEFAULT_RETRY))
+    }
+}
+
 impl<P> Inner<P>
 where
     P: Protocol,
@@ -184,12 +209,40 @@
 
     /// The sidecar is the gate: an entry host that is cut off and doesn't know
     /// of the drain is refused here.
-    fn check_leaving(&self, now: Mono) {
+    pub(crate) fn check_leaving(&self, now: Mono) {
         let config = self.handle.view().get();
         let leaving = config.drains.contains_key(&self.upstream);
         self.table.borrow_mut().set_leaving(leaving, now);
     }
 
+    /// Gives the orders to free that are due, and compares with the engine.
+    async fn tend_memory(&self) {
+        for order in self.memory.orders(clock::mono()) {
+            let asked = clock::mono();
+            if self.protocol.cancel(&order.id).await {
+                self.memory.freed(&order.id, asked);
+            }
+            if order.kind == Kind::Reservation {
+                self.drop_reservation(&order.id);
+            }
+        }
+        if !self.memory.compare_due(clock::mono()) {
+            return;
+        }
+        let asked = clock::mono();
+        if let Some(list) = self.protocol.held().await {
+            self.memory.compare(list, asked, clock::mono());
+        }
+    }
+
+    /// A reservation's lease has ended: its room goes to the next.
+    fn drop_reservation(&self, id: &str) {
+        let now = clock::mono();
+        let mut table = self.table.borrow_mut();
+        table.release_named(id, now);
+        table.pump(now);
+    }
+
     fn set_down(&self, down: bool) {
         if self.down.replace(down) != down {
             tracing::info!(upstream = %self.upstream, down, "the upstream's health changed");
@@ -257,7 +310,7 @@
     /// on it. Whoever notices first keeps the list, since the others leave the
     /// table one by one, and blames all of them before any outcome goes out:
     /// a copy sent at once must find its suspicion known.
-    async fn look_for_death(&self) -> Option<Vec<Present>> {
+    pub(crate) async fn look_for_death(&self) -> Option<Vec<Present>> {
         let seen = self.table.borrow().present();
         let alive = self.protocol.alive().await;
         self.set_down(!alive);
@@ -305,17 +358,6 @@
         // is a suspicion to fetch.
         self.handle.catch_up(BLAME_TIMEOUT).await;
     }
-
-    /// Makes sure that a run is gone from the engine.
-    async fn cancel(self: Rc<Self>, id: String) {
-        for _ in 0..CANCEL_TRIES {
-            if self.protocol.cancel(&id).await {
-                return;
-            }
-            sleep(CANCEL_PAUSE).await;
-        }
-        tracing::warn!(upstream = %self.upstream, id, "a run could not be cancelled");
-    }
 }
 
 /// How a ticket leaves the table when nothing more is said.
@@ -353,9 +395,11 @@
         table.finish(&self.attempt, ending.output, ending.ran, now);
         table.pump(now);
         drop(table);
-        if self.started && ending.ran != Ran::No {
-            let inner = Rc::clone(&self.inner);
-            spawn_local(inner.cancel(self.attempt.to_string()));
+        let id = self.attempt.to_string();
+        if self.started {
+            self.inner.memory.release(&id, now);
+        } else {
+            self.inner.memory.ended(&id);
         }
     }
 }
@@ -390,6 +434,14 @@
             Err(refusal) => return refused(refusal),
         };
         self.started = true;
+        let owner = owner_of(&head.attempt);
+        let item = Item {
+            kind: Kind::Stream,
+            tokens: head.prompt + head.output,
+        };
+        let now = clock::mono();
+        let id = self.attempt.to_string();
+        self.inner.memory.open(id, item, &owner, head.lease, now);
         // Until something better is known: it was handed on.
         self.ending = Some(Ending {
             ran: Ran::Yes,
@@ -438,7 +490,6 @@
             head,
             id: &id,
             priority: self.priority,
-            segments: &[],
         };
         let (feeder, body) = feed();
         let protocol = &self.inner.protocol;
@@ -481,11 +532,6 @@
     P: Protocol,
 {
     async fn judge(&self, end: End, began: bool, flushed: bool) -> Outcome {
-        let failed = |code, ran, message: String| Outcome {
-            ran,
-            message,
-            ..Outcome::refused(code, Some(DEFAULT_RETRY))
-        };
         let failure = match end {
             End::Result(Ok(_)) if flushed => {
                 return Outcome {
--- a/almondlock-sidecar/src/table.rs
+++ b/almondlock-sidecar/src/table.rs
@@ -13,14 +13,17 @@
     unit::Tokens,
 };
 use almondlock_policy::{
+    gang::{self, Desk},
     gate::{self, Action, Gate},
     length::Class,
     prefix,
     queue::{self, Grant, Job, Queue, Room},
 };
-use almondlock_wire::attempt::{Head, Load};
+use almondlock_wire::attempt::{Head, Load, Part};
 use tokio::sync::oneshot;
 
+/// When to come back for memory that could not be had.
+const MEMORY_RETRY: Duration = Duration::from_secs(5);
 /// Prefix hashes remembered as cached on the engine.
 const PREFIX_MEMORY: usize = 8192;
 
@@ -59,6 +62,13 @@
     stage: Stage,
 }
 
+/// Memory for a part of a prompt larger than an engine.
+struct Reservation {
+    tokens: Tokens,
+    // Told when it is granted; none from then on.
+    tell: Option<oneshot::Sender<Result<(), Refusal>>>,
+}
+
 /// Bounds of a table.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Config {
@@ -83,8 +93,12 @@
     // Invariant: an entry waits in `queue` while its stage is `Waiting`, and
     // runs in `queue` in the other two.
     entries: HashMap<Attempt, Entry>,
-    // Invariant: the sum of `need` over the entries that don't wait.
+    // Invariant: the sum of `need` over the entries that don't wait, and of
+    // the reservations granted.
     used: Tokens,
+    desk: Desk<Attempt>,
+    // Invariant: has exactly what waits at `desk`, and what it granted.
+    reservations: HashMap<Attempt, Reservation>,
     // Invariant: how many entries don't wait.
     busy: u32,
     prefixes: Prefixes,
@@ -124,6 +138,8 @@
             queue: Queue::new(config.queue),
             entries: HashMap::new(),
             used: Tokens::ZERO,
+            desk: Desk::new(gang::Config::default()),
+            reservations: HashMap::new(),
             busy: 0,
             prefixes: Prefixes::default(),
             config,
@@ -187,9 +203,106 @@
         }
     }
 
+    /// Asks for memory for a part of a prompt larger than an engine.
+    ///
+    /// # Errors
+    ///
+    /// Refused at the gate, or when there can never be room.
+    pub fn reserve(
+        &mut self,
+        part: &Part,
+        now: Mono,
+    ) -> Result<oneshot::Receiver<Result<(), Refusal>>, Refusal> {
+        let attempt = &part.attempt;
+        let deadline = now + part.budget;
+        self.gate.admit(attempt, part.incarnation, deadline, now)?;
+        let most = self.config.capacity.saturating_sub(self.short_part());
+        let asked = self
+            .desk
+            .ask(attempt.clone(), part.tokens, most, deadline, now);
+        if let Err(refusal) = asked {
+            self.gate.finish(attempt, Ran::No, now);
+            return Err(Refusal {
+                code: refusal.code,
+                ran: Ran::No,
+                retry_after: None,
+            });
+        }
+        let (tell, told) = oneshot::channel();
+        let reservation = Reservation {
+            tokens: part.tokens,
+            tell: Some(tell),
+        };
+        self.reservations.insert(attempt.clone(), reservation);
+        Ok(told)
+    }
+
+    /// Gives a reservation back, granted or not. Idempotent.
+    pub fn release(&mut self, attempt: &Attempt, now: Mono) {
+        if let Some(reservation) = self.reservations.remove(attempt) {
+            if reservation.tell.is_none() {
+                self.used = self.used.saturating_sub(reservation.tokens);
+            }
+            self.desk.remove(attempt);
+            self.gate.finish(attempt, Ran::No, now);
+        }
+    }
+
+    /// The same, by the name that the engine knows it under.
+    pub fn release_named(&mut self, id: &str, now: Mono) {
+        let named = |attempt: &&Attempt| attempt.to_string() == id;
+        if let Some(attempt) = self.reservations.keys().find(named).cloned() {
+            self.release(&attempt, now);
+        }
+    }
+
+    /// Memory that only short prompts use.
+    fn short_part(&self) -> Tokens {
+        let reserve = u64::from(self.config.queue.reserve.min(100));
+        Tokens(self.config.capacity.0 / 100 * reserve)
+    }
+
+    fn grant_reservations(&mut self, now: Mono) {
+        for attempt in self.desk.expired(now) {
+            if let Some(reservation) = self.reservations.remove(&attempt)
+                && let Some(tell) = reservation.tell
+            {
+                let _ = tell.send(Err(Refusal {
+                    code: Code::MemoryUnavailable,
+                    ran: Ran::No,
+                    retry_after: Some(MEMORY_RETRY),
+                }));
+            }
+            self.gate.finish(&attempt, Ran::No, now);
+        }
+        while let Some(attempt) = self.desk.grant(self.room().free, self.short_part()) {
+            let Some(reservation) = self.reservations.get_mut(&attempt) else {
+                continue;
+            };
+            let told = reservation.tell.take().map(|tell| tell.send(Ok(())));
+            self.used += reservation.tokens;
+            if !matches!(told, Some(Ok(()))) {
+                self.release(&attempt, now);
+            }
+        }
+    }
+
+    /// The room that the queue may fill. While memory is collected for a
+    /// reservation, only the part kept for short prompts: what running work
+    /// frees would otherwise be taken by the next job each time, and the
+    /// longest prompts would never start.
+    fn queue_room(&self, now: Mono) -> Room {
+        let mut room = self.room();
+        if self.desk.is_collecting(now) {
+            room.free = room.free.min(self.short_part());
+        }
+        room
+    }
+
     /// Starts what there is room for.
     pub fn pump(&mut self, now: Mono) {
-        while let Some(grant) = self.queue.grant(now, &self.room()) {
+        self.grant_reservations(now);
+        while let Some(grant) = self.queue.grant(now, &self.queue_room(now)) {
             let attempt = grant.id.clone();
             let Some(entry) = self.entries.get_mut(&attempt) else {
                 self.queue.finish(&attempt, Tokens::ZERO);
@@ -281,6 +394,22 @@
         }
         for attempt in self.gate.set_leaving(leaving, now) {
             self.answer(&attempt, Code::UpstreamLeaving, None, now);
+            self.give_back(&attempt);
+        }
+    }
+
+    /// Refuses a reservation that waits.
+    fn give_back(&mut self, attempt: &Attempt) {
+        let waits = |r: &mut Reservation| r.tell.take();
+        let tell = self.reservations.get_mut(attempt).and_then(waits);
+        if let Some(tell) = tell {
+            let _ = tell.send(Err(Refusal {
+                code: Code::UpstreamLeaving,
+                ran: Ran::No,
+                retry_after: None,
+            }));
+            self.reservations.remove(attempt);
+            self.desk.remove(attempt);
         }
     }
 
--- a/almondlock-wire/almondlock.capnp
+++ b/almondlock-wire/almondlock.capnp
@@ -50,6 +50,27 @@
   body @22 :Data;             # the whole body when small, else empty
   from @23 :Peer;
   leaseMicros @24 :UInt64;    # how long the attempt's memory outlives silence
+  segments @25 :List(Segment); # parts of the prompt held by other engines
+}
+
+struct Segment {
+  # A part of a prompt larger than an engine, processed and held on one.
+  address @0 :Text;           # the engine's own address
+  handle @1 :Text;            # the engine's name for it
+}
+
+struct Part {
+  # What is asked of one member for a prompt larger than an engine.
+  attempt @0 :AttemptId;
+  target @1 :UInt64;          # incarnation of the sidecar it is meant for
+  organisation @2 :Text;
+  tokens @3 :UInt64;          # engine memory
+  budgetMicros @4 :UInt64;
+  leaseMicros @5 :UInt64;
+  offset @6 :UInt64;          # of the part's text in the body, in bytes
+  length @7 :UInt64;          # of that text; 0 when the engine is told a length only
+  fingerprint @8 :Data;
+  from @9 :Peer;
 }
 
 struct Frame {
@@ -128,9 +149,12 @@
   probe @2 (prefix :List(UInt64), model :Text, from :Peer) -> (load :Load, from :Peer);
   renew @3 (owner :Text, incarnation :UInt64, from :Peer) -> (from :Peer);
   # Extends the leases of all that the owner holds here.
-  reserve @4 (attempt :AttemptId, target :UInt64, tokens :UInt64, leaseMicros :UInt64) -> (outcome :Outcome, handle :UInt64);
-  # Engine memory for a part of a prompt larger than an engine.
-  release @5 (attempt :AttemptId, handle :UInt64) -> ();
+  reserve @4 (part :Part) -> (outcome :Outcome);
+  # Engine memory for a part of a prompt larger than an engine; waits until
+  # there is room. Held until released or until its lease ends.
+  release @5 (attempt :AttemptId, from :Peer) -> (from :Peer);
+  process @6 (part :Part, source :Source) -> (outcome :Outcome, segment :Segment);
+  # Processes a reserved part and keeps it.
 }
 
 struct Report {
--- a/almondlock-wire/src/attempt.rs
+++ b/almondlock-wire/src/attempt.rs
@@ -14,7 +14,7 @@
 };
 
 use crate::{
-    almondlock_capnp::{self as schema, attempt_id, head, load, outcome},
+    almondlock_capnp::{self as schema, attempt_id, head, load, outcome, part, segment},
     error::Error,
     peer::Peer,
 };
@@ -83,6 +83,41 @@
     pub body_length: u64,
     /// The body, when at most [`INLINE_BODY`] long; else empty.
     pub body: Vec<u8>,
+    /// Parts of the prompt that other engines hold.
+    pub segments: Vec<Segment>,
+    /// Who sends it.
+    pub from: Peer,
+}
+
+/// A part of a prompt larger than an engine, processed and held on one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// The engine's own address.
+    pub address: String,
+    /// The engine's name for what it holds.
+    pub handle: String,
+}
+
+/// What is asked of one member for a prompt larger than an engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Part {
+    /// The attempt that it is for, one for each member.
+    pub attempt: Attempt,
+    /// The life of the sidecar it is meant for.
+    pub incarnation: Incarnation,
+    /// Whose request it is.
+    pub organisation: Organisation,
+    /// Engine memory.
+    pub tokens: Tokens,
+    /// Time left until the deadline.
+    pub budget: Duration,
+    /// How long it is held after the entry host fell silent.
+    pub lease: Duration,
+    /// Where its text stands in the body: offset and length in bytes. Length 0
+    /// when the engine is told a number of tokens only.
+    pub text: (u64, u64),
+    /// What the request is told by.
+    pub fingerprint: Fingerprint,
     /// Who sends it.
     pub from: Peer,
 }
@@ -231,10 +266,59 @@
         prefix: from.get_prefix()?.iter().collect(),
         body_length,
         body: body.to_vec(),
+        segments: from
+            .get_segments()?
+            .iter()
+            .map(read_segment)
+            .collect::<Result<_, _>>()?,
         from: Peer::read(from.get_from()?)?,
     })
 }
 
+/// Reads a segment.
+pub fn read_segment(from: segment::Reader<'_>) -> Result<Segment, Error> {
+    Ok(Segment {
+        address: from.get_address()?.to_string()?,
+        handle: from.get_handle()?.to_string()?,
+    })
+}
+
+/// Writes a segment.
+pub fn write_segment(segment: &Segment, mut to: segment::Builder<'_>) {
+    to.set_address(&segment.address);
+    to.set_handle(&segment.handle);
+}
+
+/// Reads what is asked of a member.
+pub fn read_part(from: part::Reader<'_>) -> Result<Part, Error> {
+    let fingerprint = Fingerprint::from_slice(from.get_fingerprint()?);
+    Ok(Part {
+        attempt: read_id(from.get_attempt()?)?,
+        incarnation: Incarnation(from.get_target()),
+        organisation: Organisation::new(from.get_organisation()?.to_str()?)?,
+        tokens: Tokens(from.get_tokens()),
+        budget: Duration::from_micros(from.get_budget_micros()),
+        lease: Duration::from_micros(from.get_lease_micros()),
+        text: (from.get_offset(), from.get_length()),
+        fingerprint: fingerprint.ok_or_else(|| Error::field("fingerprint", "not 16 bytes"))?,
+        from: Peer::read(from.get_from()?)?,
+    })
+}
+
+/// Writes what is asked of a member.
+pub fn write_part(part: &Part, mut to: part::Builder<'_>) {
+    write_id(&part.attempt, to.reborrow().init_attempt());
+    to.set_target(part.incarnation.0);
+    to.set_organisation(part.organisation.as_str());
+    to.set_tokens(part.tokens.0);
+    to.set_budget_micros(micros(part.budget));
+    to.set_lease_micros(micros(part.lease));
+    to.set_offset(part.text.0);
+    to.set_length(part.text.1);
+    to.set_fingerprint(&part.fingerprint.0);
+    part.from.write(to.init_from());
+}
+
 /// Writes a head.
 pub fn write_head(head: &Head, mut to: head::Builder<'_>) -> Result<(), Error> {
     write_id(&head.attempt, to.reborrow().init_attempt());
@@ -265,6 +349,11 @@
     to.set_prefix(head.prefix.as_slice())?;
     to.set_body_length(head.body_length);
     to.set_body(&head.body);
+    let count = u32::try_from(head.segments.len()).unwrap_or(u32::MAX);
+    let mut list = to.reborrow().init_segments(count);
+    for (i, segment) in (0..count).zip(&head.segments) {
+        write_segment(segment, list.reborrow().get(i));
+    }
     head.from.write(to.init_from());
     Ok(())
 }
