Prove what happens to failed and unprobed upstreams

Cause: three parts of the choice had no test: passing over what failed, the round of probes, long prompts kept off upstreams for short ones.

--- /dev/null
+++ b/almondlock-policy/tests/failed_upstream.rs
@@ -0,0 +1,91 @@
+//! An upstream dies while the configuration still lists it. Callers must not be
+//! sent there one after the other; it is asked again after a while, and at once
+//! when there is nothing else. One that never answers a probe must not keep the
+//! others from being probed.
+
+#![cfg(test)]
+
+use std::{collections::BTreeSet, time::Duration};
+
+use almondlock_base::{
+    id::{Domain, Host, Region, Upstream},
+    time::Mono,
+    unit::Tokens,
+};
+use almondlock_policy::choice::{Ask, Config, Home, Index, Picker, Probing, Report, Site, Table};
+use rand::{SeedableRng, rngs::SmallRng};
+
+fn table(config: Config, upstreams: usize) -> (Table, Vec<Index>) {
+    let site = Site {
+        domain: Domain::new("d0").unwrap(),
+        region: Region::new("r0").unwrap(),
+    };
+    let home = Home {
+        host: Host::new("entry-1").unwrap(),
+        domain: site.domain.clone(),
+        region: site.region.clone(),
+    };
+    let mut table = Table::new(config, home);
+    let name = |i| Upstream::new(&format!("engine-{i}")).unwrap();
+    let all = (0..upstreams).map(|i| table.insert(&name(i), site.clone()));
+    let all = all.collect();
+    (table, all)
+}
+
+fn used(table: &Table, prompt: u64, now: Mono) -> BTreeSet<u64> {
+    let mut rng = SmallRng::seed_from_u64(9);
+    let ask = Ask {
+        prompt: Tokens(prompt),
+        ..Ask::default()
+    };
+    let number = |index| {
+        let name: &Upstream = table.name(index)?;
+        name.as_str()["engine-".len()..].parse().ok()
+    };
+    let pick = |_| Probing.pick(table, &ask, now, &mut rng).and_then(number);
+    (0..500).filter_map(pick).collect()
+}
+
+#[test]
+fn passed_over_for_a_while() {
+    let (mut table, all) = table(Config::default(), 4);
+    let now = Mono::from_millis(1_000);
+    table.failed(all[1], now);
+    assert_eq!(used(&table, 10, now), BTreeSet::from([0, 2, 3]));
+    let later = now + Config::default().avoid;
+    assert_eq!(used(&table, 10, later), BTreeSet::from([0, 1, 2, 3]));
+    for index in all {
+        table.failed(index, now);
+    }
+    assert_eq!(used(&table, 10, now).len(), 4, "better than a refusal");
+}
+
+#[test]
+fn probes_go_round() {
+    let (mut table, all) = table(Config::default(), 5);
+    let now = Mono::from_millis(1_000);
+    let age = Duration::from_millis(200);
+    table.report(all[3], Report::default(), now);
+    let asked: Vec<Index> = (0..8).filter_map(|_| table.stale(age, now)).collect();
+    assert_eq!(asked.len(), 8);
+    assert!(!asked.contains(&all[3]));
+    let first: BTreeSet<_> = asked[..4].iter().map(|index| table.name(*index)).collect();
+    assert_eq!(first.len(), 4, "each once before one twice");
+    for index in &all {
+        table.report(*index, Report::default(), now);
+    }
+    assert_eq!(table.stale(age, now), None);
+}
+
+#[test]
+fn long_prompts_keep_off_upstreams_for_short_ones() {
+    let config = Config {
+        short_only: 50,
+        ..Config::default()
+    };
+    let (table, _) = table(config, 20);
+    let short = used(&table, 1_000, Mono::ZERO);
+    let long = used(&table, 100_000, Mono::ZERO);
+    assert_eq!(short.len(), 20);
+    assert!((4..=16).contains(&long.len()), "{long:?}");
+}
