Run prompts larger than an engine on several

Cause: the longest prompts need more than twice one engine's memory. Change: the entry host gathers memory member by member in one order for all, has the parts processed side by side, and runs the rest on the last member; leases are renewed while anything is held; a member that fails is passed over; orders to load are handed on by the life they name. Found on the way: with too few engines left for now, the prompt was refused as too long for ever (1014); it is memory that can't be had now (2016), with when to come back. Ruled out: reserving the last member's part too, which would keep it from the queue's order and gain nothing, since it is last in the order anyway.

--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -104,8 +104,9 @@
     }
 }
 
-struct Source {
-    rope: Rope,
+/// The entry's side of a body.
+pub(crate) struct Source {
+    pub(crate) rope: Rope,
 }
 
 impl source::Server for Source {
@@ -122,7 +123,8 @@
     }
 }
 
-fn sidecar_of(session: &Session, upstream: &Upstream) -> sidecar::Client {
+/// The interface of an upstream's sidecar.
+pub(crate) fn sidecar_of(session: &Session, upstream: &Upstream) -> sidecar::Client {
     let mut request = session.node().sidecar_request();
     request.get().set_upstream(upstream.as_str());
     request.send().pipeline.get_sidecar()
--- a/almondlock-entry/src/body.rs
+++ b/almondlock-entry/src/body.rs
@@ -97,16 +97,44 @@
 /// A body in slices, none of them copied.
 #[derive(Clone, Debug)]
 pub struct Rope {
+    original: Bytes,
     parts: Vec<Bytes>,
+    // Invariant: the sum of the parts' lengths.
     length: u64,
 }
 
+/// The longest escape in a JSON string: a pair of `\uXXXX`.
+const ESCAPE: usize = 12;
+
 impl Rope {
     /// A body that is sent as it came.
     pub fn whole(body: Bytes) -> Rope {
-        let length = body.len() as u64;
-        let parts = vec![body];
-        Rope { parts, length }
+        Rope {
+            length: body.len() as u64,
+            parts: vec![body.clone()],
+            original: body,
+        }
+    }
+
+    /// The body as it came from the caller.
+    pub fn original(&self) -> Rope {
+        Rope::whole(self.original.clone())
+    }
+
+    /// The first place at or after `at` where the JSON string that stands at
+    /// `start..end`, quotes included, may be cut: not inside a character, and
+    /// not where an escape may be under way.
+    pub fn cut(&self, at: usize, start: usize, end: usize) -> usize {
+        let inside = start + 1..end.saturating_sub(1);
+        if at <= inside.start {
+            return inside.start;
+        }
+        let may = |place: &usize| {
+            let before = place.saturating_sub(ESCAPE).max(inside.start);
+            let plain = self.original[before..*place].iter().all(|b| *b != b'\\');
+            plain && self.original[*place] & 0xC0 != 0x80
+        };
+        (at..inside.end).find(may).unwrap_or(inside.end)
     }
 
     /// Its length in bytes.
@@ -241,6 +269,9 @@
         at = end;
     }
     parts.push(body.slice(at..));
-    let length = parts.iter().map(|p| p.len() as u64).sum();
-    Rope { parts, length }
+    Rope {
+        length: parts.iter().map(|p| p.len() as u64).sum(),
+        parts,
+        original: body.clone(),
+    }
 }
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -28,7 +28,9 @@
 
 use crate::{
     attempt::{self, Piece},
+    debt::Debts,
     failure::Failure,
+    gang::{self, Held},
     request::Request,
     shared::{Pool, Shared},
 };
@@ -50,6 +52,8 @@
     pub links: Links,
     /// The control replicas.
     pub replicas: Replicas,
+    /// Where this thread holds engine memory.
+    pub debts: Debts,
     rng: RefCell<SmallRng>,
 }
 
@@ -96,6 +100,7 @@
             shared,
             links,
             replicas,
+            debts: Debts::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
@@ -132,16 +137,25 @@
         };
         loop {
             self.check(request, &mut course)?;
-            let place = self.choose(request, &course)?;
             course.places += 1;
-            match self.attempt(request, &place, &mut course, pieces).await {
+            let next = match self.gang_pool(request) {
+                None => {
+                    let place = self.choose(request, &course)?;
+                    self.attempt(request, &place, None, &mut course, pieces)
+                        .await
+                }
+                Some(pool) => {
+                    self.attempt_on_many(request, &pool, &mut course, pieces)
+                        .await
+                }
+            };
+            match next {
                 Next::Done => return Ok(()),
                 Next::Fail(failure) => {
                     self.note(request, format!("no further attempt: {failure}"));
                     return Err(failure);
                 }
                 Next::Again { after, restart } => {
-                    course.excluded.push(place.index);
                     if restart {
                         let _ = pieces.send(Piece::Restart).await;
                     }
@@ -152,6 +166,31 @@
         }
     }
 
+    /// An attempt of a prompt larger than an engine.
+    async fn attempt_on_many(
+        &self,
+        request: &Request,
+        pool: &Pool,
+        course: &mut Course,
+        pieces: &mpsc::Sender<Piece>,
+    ) -> Next {
+        let gathered = match self.gather(pool, request).await {
+            Ok(held) => self.last_of(pool, &held).map(|place| (place, held)),
+            Err(failure) => Err(failure),
+        };
+        match gathered {
+            Ok((place, held)) => {
+                self.attempt(request, &place, Some(&held), course, pieces)
+                    .await
+            }
+            Err(failure) => {
+                let mut outcome = Outcome::refused(failure.code, failure.retry_after);
+                outcome.message = failure.message;
+                self.again(request, false, course, outcome, false)
+            }
+        }
+    }
+
     /// What forbids a further attempt, looked at anew before each.
     fn check(&self, request: &Request, course: &mut Course) -> Result<(), Failure> {
         if request.left(clock::mono()).is_zero() {
@@ -167,6 +206,34 @@
         Ok(())
     }
 
+    /// The pool whose engines can hold a request only together.
+    fn gang_pool(&self, request: &Request) -> Option<Pool> {
+        let pool = self.shared.pools_for(&request.target).into_iter().next()?;
+        gang::is_needed(self, &pool, request).then_some(pool)
+    }
+
+    /// The place where the rest of a prompt larger than an engine runs.
+    fn last_of(&self, pool: &Pool, held: &Held) -> Result<Place, Failure> {
+        let view = self.shared.handle.view().get();
+        let found = self.shared.with_pool(pool, |table| {
+            let index = table.find(&held.last)?;
+            table.sent(index, held.rest);
+            Some(index)
+        });
+        let gone = || Failure::new(Code::NoUpstream).retry_after(NO_UPSTREAM_RETRY);
+        let index = found.flatten().ok_or_else(gone)?;
+        let registration = view.upstreams.get(&held.last);
+        let registration = registration.ok_or_else(gone)?;
+        Ok(Place {
+            pool: pool.clone(),
+            index,
+            address: registration.address,
+            incarnation: registration.incarnation,
+            resumable: registration.resumable,
+            upstream: held.last.clone(),
+        })
+    }
+
     fn choose(&self, request: &Request, course: &Course) -> Result<Place, Failure> {
         let ask = Ask {
             prompt: request.prompt,
@@ -206,10 +273,12 @@
         &self,
         request: &Request,
         place: &Place,
+        held: Option<&Held>,
         course: &mut Course,
         pieces: &mpsc::Sender<Piece>,
     ) -> Next {
-        let head = self.head(request, place, course);
+        let head = self.head(request, place, held, course);
+        let _debt = self.debts.owe(place.address, &place.upstream);
         let span = tracing::info_span!(
             "attempt",
             request = %request.id,
@@ -225,6 +294,7 @@
         let answered = self.send(request, place, &head, course, pieces);
         let (outcome, left) = answered.instrument(span).await;
         self.account(request, place, &outcome, course);
+        course.excluded.push(place.index);
         let took = clock::mono().since(started);
         let said = outcome
             .code
@@ -322,7 +392,7 @@
         outcome
     }
 
-    fn head(&self, request: &Request, place: &Place, course: &Course) -> Head {
+    fn head(&self, request: &Request, place: &Place, held: Option<&Held>, course: &Course) -> Head {
         let inline = request.body.len() <= INLINE_BODY as u64;
         let body = if inline {
             request.body.read(0, INLINE_BODY)
@@ -339,7 +409,7 @@
             method: request.method.clone(),
             path: request.path.clone(),
             content_type: request.content_type.clone(),
-            prompt: request.prompt,
+            prompt: held.map_or(request.prompt, |held| held.rest),
             output: request.output,
             budget: request.left(clock::mono()),
             lease: self.shared.config.lease,
@@ -352,6 +422,7 @@
             prefix: request.prefix.clone(),
             body_length: request.body.len(),
             body,
+            segments: held.map(|held| held.segments.clone()).unwrap_or_default(),
             from: self.shared.handle.peer(),
         }
     }
--- a/almondlock-entry/src/request.rs
+++ b/almondlock-entry/src/request.rs
@@ -36,6 +36,8 @@
     pub digest: [u8; 32],
     /// Length of the prompt in the body, in bytes; 0 where there is none.
     pub prompt_bytes: usize,
+    /// Where it stands in the body, quotes included, if it is one string.
+    pub prompt_span: Option<(usize, usize)>,
     /// Its estimated length.
     pub prompt: Tokens,
     /// Upper bound of the answer.
--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -90,6 +90,11 @@
                 Replicas::new(links, replicas.clone()),
                 seed.fetch_add(1, Ordering::Relaxed),
             ));
+            let renewing = worker
+                .debts
+                .clone()
+                .renew(worker.links.clone(), handle.clone());
+            tokio::task::spawn_local(renewing);
             if !probing.swap(true, Ordering::Relaxed) {
                 tokio::task::spawn_local(probe::run(Rc::clone(&worker)));
             }
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -89,6 +89,10 @@
     owners: HashMap<String, Organisation>,
     /// Upstreams by what they serve.
     members: BTreeMap<Pool, Vec<Upstream>>,
+    /// The largest engine memory of each pool.
+    largest: BTreeMap<Pool, Tokens>,
+    /// All engine memory of each pool.
+    total: BTreeMap<Pool, Tokens>,
 }
 
 impl Directory {
@@ -104,6 +108,10 @@
         }
         for (name, registration) in &config.upstreams {
             if let Some(pool) = pool_of(registration) {
+                let largest = directory.largest.entry(pool.clone()).or_default();
+                *largest = (*largest).max(registration.capacity);
+                let total = directory.total.entry(pool.clone()).or_default();
+                *total += registration.capacity;
                 let members = directory.members.entry(pool).or_default();
                 members.push(name.clone());
             }
@@ -111,6 +119,16 @@
         directory
     }
 
+    /// The largest engine memory of a pool.
+    pub fn largest(&self, pool: &Pool) -> Tokens {
+        self.largest.get(pool).copied().unwrap_or_default()
+    }
+
+    /// All engine memory of a pool.
+    pub fn total(&self, pool: &Pool) -> Tokens {
+        self.total.get(pool).copied().unwrap_or_default()
+    }
+
     /// Whose key has this hash.
     pub fn owner(&self, hash: &str) -> Option<&Organisation> {
         self.owners.get(hash)
--- /dev/null
+++ b/almondlock-entry/tests/giant_prompt.rs
@@ -0,0 +1,130 @@
+//! Prompts larger than one engine run on several, beside short ones.
+
+mod fleet;
+
+use std::cell::Cell;
+
+use almondlock_standin::{answer, engine};
+use fleet::{Ask, Fleet, eventually, text_of};
+
+const ENGINES: usize = 5;
+
+fn config() -> engine::Config {
+    engine::Config {
+        memory: 400_000,
+        prefill_rate: 2_000_000.0,
+        chunk: 20_000,
+        ..engine::Config::default()
+    }
+}
+
+async fn engines(fleet: &Fleet) -> Vec<engine::Handle> {
+    let mut engines = Vec::new();
+    for n in 0..ENGINES {
+        engines.push(fleet.engine(&format!("engine-{n}"), config()).await);
+    }
+    engines
+}
+
+/// A million tokens, each prompt another one. The escape and the wide letter
+/// stand all over, so that a cut at a wrong place would be noticed.
+fn giant(n: usize) -> String {
+    format!("{n:07}\n\u{e9} ").repeat(4_000_000 / 11)
+}
+
+fn ask(prompt: &str) -> Ask<'_> {
+    Ask::new(prompt).header("X-Almondlock-Deadline-Ms", "60000")
+}
+
+async fn freed(engines: &[engine::Handle]) {
+    eventually(async || engines.iter().all(|e| e.reserved() == 0)).await;
+}
+
+/// Three prompts of a million tokens come at once to five engines, each of
+/// which holds less than half of one. Each needs four members (a fifth of each
+/// engine is kept for short prompts), so every two of them share some, and a part held by each would block both for ever. All
+/// must end whole, and the engines' memory be free again; short prompts are
+/// answered throughout.
+#[ntex::test]
+async fn three_at_once() {
+    let fleet = Fleet::new().await;
+    let engines = engines(&fleet).await;
+    let entries = [fleet.entry("entry-1").await, fleet.entry("entry-2").await];
+    fleet.settle().await;
+    let prompts: Vec<String> = (0..3).map(giant).collect();
+    let over = Cell::new(false);
+    let giants = async {
+        let all = prompts.iter().enumerate().map(|(n, prompt)| {
+            let entry = &entries[n % 2];
+            let fleet = &fleet;
+            async move { text_of(fleet.complete(entry, &ask(prompt)).await).await }
+        });
+        let answers = futures::future::join_all(all).await;
+        over.set(true);
+        answers
+    };
+    let short = async {
+        let mut count = 0;
+        while !over.get() {
+            let prompt = format!("a short question {count}");
+            let response = fleet
+                .complete(&entries[count % 2], &Ask::new(&prompt))
+                .await;
+            assert_eq!(text_of(response).await, Ok(answer::whole(&prompt, 8)));
+            count += 1;
+        }
+        count
+    };
+    let (answers, count) = futures::join!(giants, short);
+    for (prompt, answer) in prompts.iter().zip(answers) {
+        assert_eq!(answer, Ok(answer::whole(prompt, 8)));
+    }
+    assert!(count > 0);
+    freed(&engines).await;
+}
+
+/// One member dies while the parts are processed. The others give their parts
+/// back; the caller is answered by the engines that are left.
+#[ntex::test]
+async fn member_dies() {
+    let fleet = Fleet::new().await;
+    let engines = engines(&fleet).await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let prompt = giant(7);
+    let wanted = ask(&prompt);
+    let running = fleet.complete(&entry, &wanted);
+    let dying = async {
+        let busy = || engines.iter().filter(|e| e.reserved() > 0).count();
+        eventually(async || busy() >= 2).await;
+        engines.iter().find(|e| e.reserved() > 0).unwrap().kill();
+    };
+    let (response, ()) = futures::join!(running, dying);
+    match text_of(response).await {
+        Ok(text) => assert_eq!(text, answer::whole(&prompt, 8)),
+        Err((code, _)) => assert!([2016, 3002, 3003, 2004, 2010].contains(&code), "{code}"),
+    }
+    freed(&engines).await;
+    let again = text_of(fleet.complete(&entry, &ask(&prompt)).await).await;
+    assert_eq!(again, Ok(answer::whole(&prompt, 8)));
+    freed(&engines).await;
+}
+
+/// The caller leaves while memory is gathered: what is held goes back.
+#[ntex::test]
+async fn caller_leaves() {
+    let fleet = Fleet::new().await;
+    let engines = engines(&fleet).await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let prompt = giant(8);
+    {
+        let wanted = ask(&prompt);
+        let running = std::pin::pin!(fleet.complete(&entry, &wanted));
+        let held = async || engines.iter().any(|e| e.reserved() > 0);
+        let held = std::pin::pin!(eventually(held));
+        futures::future::select(running, held).await;
+    }
+    eventually(async || entry.shared().active() == 0).await;
+    freed(&engines).await;
+}
--- a/almondlock-policy/src/choice/table.rs
+++ b/almondlock-policy/src/choice/table.rs
@@ -268,6 +268,25 @@
         self.row(index).map(|row| &row.name)
     }
 
+    /// The names of all upstreams. Proportional to the fleet: not for each
+    /// request.
+    pub fn names(&self) -> Vec<Upstream> {
+        self.names.keys().cloned().collect()
+    }
+
+    /// Whether an upstream takes work, as far as is known, and has not failed
+    /// lately.
+    pub fn is_usable(&self, name: &Upstream, now: Mono) -> bool {
+        let row = self.find(name).and_then(|index| self.row(index));
+        row.is_some_and(|row| !row.leaving && !row.load.is_avoided(now))
+    }
+
+    /// Free memory of an upstream, by its last report.
+    pub fn free(&self, name: &Upstream) -> Option<Tokens> {
+        let row = self.row(self.find(name)?)?;
+        row.load.at.map(|_| row.load.report.free)
+    }
+
     /// How many upstreams there are.
     pub fn len(&self) -> usize {
         self.names.len()
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod announce;
 pub mod memory;
 pub mod openai;
+pub mod orders;
 pub mod output;
 mod parts;
 pub mod plain;
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -30,6 +30,7 @@
 
 use crate::{
     memory::{Memory, owner_of},
+    orders::Desk,
     output::{Pusher, Watch},
     protocol::{Failure, Job, Output, Protocol, feed},
     pull::pull,
@@ -69,6 +70,7 @@
     pub(crate) table: RefCell<Table>,
     death: RefCell<Death>,
     pub(crate) memory: Memory,
+    orders: Desk,
     // The upstream doesn't answer; nothing is handed to it until it does.
     pub(crate) down: Cell<bool>,
 }
@@ -104,6 +106,7 @@
             table: RefCell::new(Table::new(config, incarnation)),
             death: RefCell::default(),
             memory: Memory::new(clock::mono()),
+            orders: Desk::default(),
             down: Cell::new(false),
         });
         let weak = Rc::downgrade(&inner);
@@ -127,6 +130,7 @@
         spawn_local(async move {
             while let Some(inner) = weak.upgrade() {
                 inner.tend_memory().await;
+                inner.tend_orders().await;
                 drop(inner);
                 sleep(MEMORY_PAUSE).await;
             }
@@ -215,6 +219,31 @@
         self.table.borrow_mut().set_leaving(leaving, now);
     }
 
+    /// Hands on the order that is due.
+    async fn tend_orders(&self) {
+        let config = self.handle.view().get();
+        let due = self
+            .orders
+            .due(&config, &self.upstream, self.incarnation, clock::wall());
+        let Some(order) = due else {
+            return;
+        };
+        let (model, version) = (order.model.as_str(), order.version.as_str());
+        match self.protocol.load(model, version, order.fence).await {
+            Ok(()) => {
+                self.orders.handed(&order);
+                tracing::info!(upstream = %self.upstream, model, version, "ordered to load");
+            }
+            Err(failure @ Failure::Refused(..)) => {
+                self.orders.handed(&order);
+                tracing::warn!(upstream = %self.upstream, %failure, "the order was refused");
+            }
+            Err(failure) => {
+                tracing::warn!(upstream = %self.upstream, %failure, "the order is tried again");
+            }
+        }
+    }
+
     /// Gives the orders to free that are due, and compares with the engine.
     async fn tend_memory(&self) {
         for order in self.memory.orders(clock::mono()) {
