Let a newcomer answer the leader that adds it

Cause: a replica that was told of the group before it was added had no member's address, since its log named none yet; its replies to the leader's appends were dropped and it never caught up. Ruled out: the log (the appends arrived). It passed the second-loss test because that added the newcomer before it had been told. The test now waits for that: it failed with 'the learner has not caught up yet' and passes with addresses kept from greetings and from all members ever listed, which also lets a removed replica hear of its removal.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -1,6 +1,9 @@
 //! What the replica's thread holds: the log's machine, the state, and who
 //! waits for what. Nothing here waits itself.
 
+mod greeting;
+mod report;
+
 use std::{
     collections::{BTreeMap, HashMap},
     mem,
@@ -12,7 +15,7 @@
 use almondlock_node::Vouch;
 use almondlock_quorum::{
     entry::{Entry, Index, Payload, Position, Term},
-    machine::{Machine, Output, Role},
+    machine::{Machine, Output},
     member::{Change, Id, Member, Members},
     storage::Loaded,
 };
@@ -26,16 +29,18 @@
 use super::{
     config::{Config, Initial},
     disk::{Report, Thread},
-    founding::{self, Gathering, Greeting, Step},
+    founding::Gathering,
     peers::{Parcel, Peers},
     refusal::Refusal,
-    status::{Peer, Status},
 };
 
 /// A snapshot is begun at the latest after this many bytes of commands: some
 /// carry whole answers, and all wait in memory until a snapshot stands for them.
 const SNAPSHOT_BYTES: usize = 64 << 20;
 
+/// The most addresses that greetings may add. Members are always listed.
+const ADDRESSES: usize = 256;
+
 pub(super) type Answer<T> = oneshot::Receiver<Result<T, Refusal>>;
 type Asker<T> = oneshot::Sender<Result<T, Refusal>>;
 
@@ -81,6 +86,12 @@
     stage: Stage,
     pub(super) gathering: Gathering,
     greeted_at: Option<Mono>,
+    // Where replicas were last said to be. Those that are not, or no longer,
+    // members here stay: a newcomer answers a leader before its log names one,
+    // and a removed replica is told of its removal.
+    addresses: HashMap<Id, SocketAddr>,
+    // The members last put into `addresses`.
+    listed: Arc<Members>,
     waiting: BTreeMap<Index, (Term, Waiting)>,
     reads: HashMap<u64, Asker<()>>,
     next_read: u64,
@@ -133,6 +144,8 @@
             },
             gathering: Gathering::default(),
             greeted_at: None,
+            addresses: HashMap::new(),
+            listed: Arc::default(),
             waiting: BTreeMap::new(),
             reads: HashMap::new(),
             next_read: 0,
@@ -166,9 +179,16 @@
     }
 
     fn address(&self, id: Id) -> Option<SocketAddr> {
-        let member = self.machine.members().get(id);
-        let newcomer = || self.gathering.known.values().find(|m| m.id == id);
-        member.or_else(newcomer).map(|m| m.address)
+        self.addresses.get(&id).copied()
+    }
+
+    fn list_members(&mut self) {
+        let members = self.machine.members();
+        if !Arc::ptr_eq(members, &self.listed) {
+            self.listed = Arc::clone(members);
+            let addresses = self.listed.iter().map(|m| (m.id, m.address));
+            self.addresses.extend(addresses);
+        }
     }
 
     pub(super) fn propose(&mut self, bytes: Vec<u8>) -> Result<Answer<Reply>, Refusal> {
@@ -275,6 +295,7 @@
             committed,
             grants,
         } = self.machine.take(now);
+        self.list_members();
         if let Some(write) = write {
             self.disk.write(write);
         }
@@ -403,117 +424,7 @@
         tokio::task::spawn_blocking(move || drop(done.send((index, state.snapshot()))));
     }
 
-    fn greet(&mut self, now: Mono) {
-        let due = |at: Mono| now.since(at) >= self.quorum.heartbeat() * 2;
-        let member = self.machine.members().contains(self.own.id);
-        if member || !self.greeted_at.is_none_or(due) {
-            return;
-        }
-        self.greeted_at = Some(now);
-        self.greet_all();
-        if self.stage == Stage::Gathering {
-            self.advance(self.gathering.decide(&self.own, &self.initial));
-        }
-    }
-
-    fn greet_all(&mut self) {
-        let others = self.initial.iter().map(|i| i.address);
-        let others: Vec<SocketAddr> = others.filter(|a| *a != self.own.address).collect();
-        others.into_iter().for_each(|to| self.greet_one(to));
-    }
-
-    fn greet_one(&mut self, to: SocketAddr) {
-        let members = self.machine.members();
-        let greeting = Greeting {
-            from: self.own.clone(),
-            members: Some(Members::clone(members)).filter(|m| m.contains(self.own.id)),
-        };
-        self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
-    }
-
-    fn on_greeting(&mut self, greeting: Greeting) {
-        let member = self.machine.members().contains(self.own.id);
-        match greeting.members {
-            None => {
-                let address = greeting.from.address;
-                self.gathering.note(greeting.from);
-                if member {
-                    self.greet_one(address);
-                }
-            }
-            Some(members) if self.stage == Stage::Gathering => {
-                self.advance(founding::join(self.own.id, members));
-            }
-            Some(_) => {}
-        }
-    }
-
-    fn advance(&mut self, step: Step) {
-        match step {
-            Step::Wait => {}
-            Step::Outside => {
-                tracing::warn!(name = %self.own.name, "the group exists without this disk");
-                self.stage = Stage::Running;
-            }
-            Step::Found(members) => {
-                self.stage = Stage::Founding;
-                self.disk.found(members);
-            }
-        }
-    }
-
     pub(super) fn members(&self) -> Arc<Members> {
         Arc::clone(self.machine.members())
     }
-
-    pub(super) fn status(&self) -> Status {
-        let members = self.machine.members();
-        let commit = self.machine.commit();
-        let peer = |member: &Member| Peer {
-            id: member.id,
-            name: member.name.clone(),
-            address: member.address,
-            domain: member.domain.clone(),
-            voter: members.is_voter(member.id),
-            lag: self.lag(member.id),
-        };
-        let waits = |m: &&Member| !members.contains(m.id);
-        Status {
-            id: self.own.id,
-            name: self.own.name.clone(),
-            role: if self.stopped.is_some() {
-                Role::Follower
-            } else {
-                self.machine.role()
-            },
-            founded: members.contains(self.own.id),
-            term: self.machine.term(),
-            leader: match self.is_leader() {
-                true => Some(self.own.address),
-                false => self.leader(),
-            },
-            commit,
-            applied: self.applied,
-            last: self.machine.last(),
-            members: members.iter().map(peer).collect(),
-            waiting: self
-                .gathering
-                .known
-                .values()
-                .filter(waits)
-                .map(|m| m.name.clone())
-                .collect(),
-            syncs: self.disk.syncs(),
-            stopped: self.stopped.clone(),
-        }
-    }
-
-    fn lag(&self, id: Id) -> Option<u64> {
-        let commit = self.machine.commit().0;
-        if id == self.own.id {
-            return Some(commit - self.applied.0);
-        }
-        let matched = self.machine.matched(id)?;
-        Some(commit.saturating_sub(matched.0))
-    }
 }
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -76,8 +76,10 @@
 }
 
 /// What a replica that is in no group yet makes of a group that it is told of.
+/// A voter on an empty disk can only be one of the first; a learner gets the
+/// members with the log.
 pub(super) fn join(own: Id, members: Members) -> Step {
-    if members.contains(own) {
+    if members.is_voter(own) {
         Step::Found(members)
     } else {
         Step::Outside
--- a/almondlock-control/src/replica/status.rs
+++ b/almondlock-control/src/replica/status.rs
@@ -18,6 +18,8 @@
     pub role: Role,
     /// Whether the group was founded, as far as it knows.
     pub founded: bool,
+    /// It was told of a group that its disk is not in, and waits to be added.
+    pub outside: bool,
     /// The term.
     pub term: Term,
     /// The leader's address.
--- a/almondlock-control/tests/lost_host.rs
+++ b/almondlock-control/tests/lost_host.rs
@@ -26,6 +26,10 @@
         waiting.contains(&group.names[lost]).then_some(())
     })
     .await;
+    until("the wiped one was told of the group", async || {
+        group.status(lost).await.outside.then_some(())
+    })
+    .await;
     let status = group.status(lost).await;
     assert_ne!(status.id, old);
     assert!(!status.founded);
