--- a/almondlock-policy/src/queue/config.rs
+++ b/almondlock-policy/src/queue/config.rs
@@ -4,7 +4,7 @@
 
 use almondlock_base::unit::Tokens;
 
-use crate::length::Class;
+use super::GROUPS;
 
 /// How a [`Queue`](super::Queue) orders work.
 ///
@@ -17,17 +17,20 @@
     /// shorter ones. 0 is first come first served; a large figure comes near
     /// to shortest job first. It bounds how long the longest wait.
     pub stretch: f64,
+    /// Whether a job that is overdue when it starts gets the engine priority of
+    /// the next shorter class, yet never that of short ones. Helps the longest
+    /// at the cost of the medium ones.
+    pub rise: bool,
     /// The share of engine memory and batch slots that only short prompts use,
     /// in percent.
     pub reserve: u32,
     /// How many tokens (per unit of weight) an organisation may be ahead of the
-    /// others before they go first whatever their jobs' length.
+    /// others before they go first whatever their jobs' length. As much may be
+    /// saved up by one that asks for little.
     pub quantum: u64,
-    /// Prompt tokens of other than short jobs that may be in prefill at once.
-    /// One job is always let through.
-    pub long_prefill: Tokens,
-    /// Prompt tokens of short jobs that may be in prefill at once.
-    pub short_prefill: Tokens,
+    /// Prompt tokens that may be in prefill at once: of short jobs, of medium
+    /// ones, of all longer ones. One job of each is always let through.
+    pub prefill: [Tokens; GROUPS],
     /// Batch slots, in percent, that one organisation leaves to the others.
     pub headroom: u32,
     /// Whether smaller jobs may pass a job that has no room yet.
@@ -49,10 +52,10 @@
     pub fn short() -> Config {
         Config {
             stretch: 4.0,
+            rise: false,
             reserve: 15,
             quantum: 16_384,
-            long_prefill: Tokens(65_536),
-            short_prefill: Tokens(16_384),
+            prefill: [4_096, 32_768, 65_536].map(Tokens),
             headroom: 12,
             backfill: true,
             hopeless: true,
@@ -66,7 +69,7 @@
     pub fn even() -> Config {
         Config {
             stretch: 1.0,
-            reserve: 8,
+            rise: true,
             ..Config::short()
         }
     }
@@ -75,23 +78,16 @@
     pub fn fifo() -> Config {
         Config {
             stretch: 0.0,
+            rise: false,
             reserve: 0,
             quantum: u64::MAX,
-            long_prefill: Tokens(u64::MAX),
-            short_prefill: Tokens(u64::MAX),
+            prefill: [Tokens(u64::MAX); GROUPS],
             headroom: 0,
             backfill: false,
             hopeless: false,
             ..Config::short()
         }
     }
-
-    pub(super) fn prefill(&self, class: Class) -> Tokens {
-        match class {
-            Class::Short => self.short_prefill,
-            Class::Medium | Class::Long | Class::Huge => self.long_prefill,
-        }
-    }
 }
 
 impl Default for Config {
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -25,8 +25,9 @@
 //! served, divided by its weight, as in the virtual token counter of Sheng et
 //! al. Only organisations within [`Config::quantum`] of the lowest counter that
 //! has work take part in the choice above. One that comes back after a pause is
-//! lifted to the lowest counter: what it left unused was lent for good, and it
-//! has its full share from its next job on.
+//! lifted to just under that: what it left unused beyond it was lent for good,
+//! and its next jobs go first. On the engine, too, an organisation that has less
+//! running than a newcomer's fair part goes before those that have more.
 //!
 //! ```
 //! use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
@@ -55,6 +56,7 @@
 mod job;
 mod line;
 mod load;
+mod meter;
 mod wait;
 
 use std::{
@@ -72,6 +74,7 @@
 use self::{
     line::{Lane, Line, Place},
     load::{Load, Running},
+    meter::Meter,
 };
 use crate::length::Class;
 
@@ -82,6 +85,13 @@
     since: Mono,
 }
 
+/// How much faster than seen an engine is taken to be before a job is given up
+/// as hopeless.
+const HOPE: f64 = 1.5;
+
+/// Where counters start: high enough for what may be saved up.
+const FLOOR: u64 = 1 << 40;
+
 /// The jobs that wait for one engine, and those that run on it.
 #[derive(Debug)]
 pub struct Queue<I> {
@@ -98,7 +108,7 @@
     running: HashMap<I, Running>,
     load: Load,
     queued: [Tokens; 4],
-    speed: f64,
+    meter: Meter,
     /// Whether room is kept for something outside this queue.
     hold: bool,
     /// The lowest counter last granted from. Only goes up.
@@ -112,7 +122,7 @@
     /// An empty queue.
     pub fn new(config: Config) -> Queue<I> {
         Queue {
-            speed: config.speed.max(1.0),
+            meter: Meter::new(config.speed),
             config,
             next: 0,
             places: HashMap::new(),
@@ -124,7 +134,7 @@
             load: Load::default(),
             queued: [Tokens::ZERO; 4],
             hold: false,
-            floor: 0,
+            floor: FLOOR,
         }
     }
 
@@ -159,7 +169,7 @@
     /// Prompt tokens that are not processed yet, waiting and running.
     pub fn backlog(&self) -> Tokens {
         let waiting: Tokens = self.queued.iter().copied().sum();
-        waiting + self.load.short_prefill + self.load.long_prefill
+        waiting + self.load.prefill.iter().copied().sum()
     }
 
     /// Puts a job in.
@@ -249,9 +259,8 @@
             return;
         }
         let (class, tokens) = (running.job.class(), running.job.prefill());
-        let took = now.since(running.since);
         self.load.end_prefill(class, tokens);
-        self.observe(class, tokens, took);
+        self.meter.done(tokens, now);
     }
 
     /// Notes that a running job is over and what it answered.
@@ -260,10 +269,11 @@
             return;
         };
         self.load.leave(&running);
-        // The counter was charged for the longest answer; give back the rest.
-        let unused = running.job.output.saturating_sub(output);
+        if running.prefilling {
+            self.meter.broke(running.job.prefill());
+        }
         if let Some(line) = self.lines.get_mut(&running.job.organisation) {
-            line.finish(unused, running.job.weight);
+            line.finish(&running.job, output);
         }
         self.forget_idle(&running.job.organisation);
     }
@@ -279,7 +289,7 @@
         if self.waiting.len() >= self.config.capacity {
             return Err(refusal(Code::Overloaded, pause));
         }
-        if self.config.hopeless && now + self.service(job.prefill()) > job.deadline {
+        if self.config.hopeless && now + self.hoped(job) > job.deadline {
             return Err(refusal(Code::DeadlineUnreachable, pause));
         }
         Ok(())
@@ -290,12 +300,13 @@
         self.next += 1;
         let class = job.class();
         let due = self.due(&job, lane, now);
+        let least = self.least_counter();
         if lane == Lane::ALONE {
             self.alone.insert((due, number));
         } else {
             let line = self.lines.entry(job.organisation.clone());
-            let line = line.or_insert_with(|| Line::new(self.floor));
-            line.arrive(lane, (due, number), self.floor);
+            let line = line.or_insert_with(|| Line::new(least));
+            line.arrive(lane, (due, number), least);
         }
         let last_start = self.last_start(&job);
         let place = Place {
@@ -328,14 +339,22 @@
         now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3))
     }
 
+    /// The last moment at which a job could start and still be in time.
     fn last_start(&self, job: &Job) -> Mono {
         if self.config.hopeless {
-            job.deadline - self.service(job.prefill())
+            job.deadline - self.hoped(job)
         } else {
             job.deadline
         }
     }
 
+    /// How long a job takes at least. The engine is taken for faster than it
+    /// was seen to be: steps that are not full look slow, and a request that is
+    /// refused by a wrong estimate is lost.
+    fn hoped(&self, job: &Job) -> Duration {
+        self.service(job.prefill()).div_f64(HOPE)
+    }
+
     fn place_of(&self, number: u64) -> Option<Place> {
         let waiting = self.waiting.get(&number)?;
         self.places.get(&waiting.id).copied()
@@ -360,48 +379,71 @@
     fn enter(&mut self, waiting: Waiting<I>, place: Place, held: bool, now: Mono) -> Grant<I> {
         let Waiting { id, job, since } = waiting;
         let class = job.class();
-        let line = self
-            .lines
-            .entry(job.organisation.clone())
-            .or_insert_with(|| Line::new(self.floor));
-        line.start(job.prefill() + job.output, job.weight);
+        let much = self.has_much(&job.organisation);
+        let least = self.least_counter();
+        let line = self.lines.entry(job.organisation.clone());
+        line.or_insert_with(|| Line::new(least)).start(&job);
         let running = Running {
             job,
-            since: now,
             prefilling: true,
             held,
             alone: place.lane == Lane::ALONE,
         };
         self.load.enter(&running);
+        self.meter.start(running.job.prefill(), now);
         self.running.insert(id.clone(), running);
         Grant {
             id,
             class,
-            priority: priority(class, now >= place.due),
+            priority: priority(class, self.config.rise && now >= place.due, much),
             waited: now.since(since),
         }
     }
 
-    /// A line that neither waits nor runs is dropped when its counter is not
-    /// above the floor; otherwise it would start again at the floor and escape
-    /// what it owes.
+    /// The counter of an organisation that asked for nothing lately: behind the
+    /// others by so much that its next jobs go before any of theirs. It goes up
+    /// with the floor, so what is saved up stays bounded, however often an
+    /// organisation comes and goes.
+    fn least_counter(&self) -> u64 {
+        self.floor
+            .saturating_sub(self.config.quantum.saturating_add(1))
+    }
+
+    /// A line that neither waits nor runs is dropped when its counter would be
+    /// lifted anyway; otherwise it would escape what it owes.
     fn forget_idle(&mut self, organisation: &Organisation) {
-        let floor = self.floor;
-        let idle = |line: &Line| line.is_idle() && line.counter() <= floor;
+        let least = self.least_counter();
+        let idle = |line: &Line| line.is_idle() && line.counter() <= least;
         if self.lines.get(organisation).is_some_and(idle) {
             self.lines.remove(organisation);
         }
     }
 }
 
-/// Shorter classes first. A job that is overdue rises by one, but never to the
-/// level of short ones: an engine that takes equals in turn would process the
-/// whole of a long prompt before them.
-fn priority(class: Class, overdue: bool) -> u8 {
-    let rank = class.index() as u8;
-    if overdue && rank > 1 { rank - 1 } else { rank }
+/// Shorter classes first, and within a class the organisations that have `much`
+/// running after the others. A job that `rises` does so by a class, but never to
+/// the level of short ones: an engine that takes equals in turn would process
+/// the whole of a long prompt before them.
+fn priority(class: Class, rises: bool, much: bool) -> u8 {
+    let rank = group(class) as u8;
+    let rank = if rises && rank > 1 { rank - 1 } else { rank };
+    2 * rank + u8::from(much)
 }
 
+/// The classes that have prompts in prefill apart from each other. The longest
+/// two share: what the longer one waits for the shorter one here is little
+/// against its own time, and much if each of those went before it.
+const fn group(class: Class) -> usize {
+    match class {
+        Class::Short => 0,
+        Class::Medium => 1,
+        Class::Long | Class::Huge => 2,
+    }
+}
+
+/// How many of those there are.
+const GROUPS: usize = 3;
+
 fn refusal(code: Code, retry_after: Duration) -> Refusal {
     Refusal { code, retry_after }
 }
--- a/almondlock-state/src/intent.rs
+++ b/almondlock-state/src/intent.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    api,
     config::KeyHash,
     operator::Role,
     plan,
@@ -124,23 +125,19 @@
     },
     /// One more control replica.
     AddReplica {
-        /// Its number, never used before.
-        id: replica::Id,
-        /// Where it is.
+        /// Where it waits.
         replica: Replica,
     },
     /// One control replica less.
     RemoveReplica {
-        /// Its number.
+        /// The identity of its disk.
         id: replica::Id,
     },
     /// A control replica instead of another: added first, then removed.
     ReplaceReplica {
-        /// The number that goes.
+        /// The identity that goes.
         old: replica::Id,
-        /// The number that comes.
-        id: replica::Id,
-        /// Where it is.
+        /// Where the one that comes waits.
         replica: Replica,
     },
     /// An operator, or another key or role for one.
@@ -185,6 +182,13 @@
 }
 
 impl Intent {
+    /// Shortens the hash of a key, for showing it.
+    pub fn mask(&mut self) {
+        if let Intent::AddKey { hash, .. } | Intent::SetOperator { hash, .. } = self {
+            hash.truncate(api::HASH_DIGITS);
+        }
+    }
+
     /// The least role that may ask for it.
     pub const fn role(&self) -> Role {
         match self {
