--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -17,18 +17,13 @@
 };
 use almondlock_transport::{Dialer, Layer};
 use almondlock_wire::{
-    almondlock_capnp::spread,
     peer::VERSION,
     spread::{Body, Delta, Fetch, Piece, Report, Standing, Want},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    clock,
-    handle::Shared,
-    session::{self, Session},
-};
+use crate::{clock, handle::Shared, session::Session};
 
 /// How long a parent may hold an answer back when it has no news. Half a
 /// kilobyte goes each time; the age of what is known grows by this a level.
@@ -42,6 +37,9 @@
 /// How long saying goodbye may take.
 const LEAVE: Duration = Duration::from_millis(500);
 
+/// The session with the parent, while there is a parent.
+pub(crate) type Parent = Rc<RefCell<Option<Rc<Session>>>>;
+
 /// The loop of a process that is no source.
 pub(crate) struct Fetcher<L> {
     shared: Arc<Shared>,
@@ -49,8 +47,8 @@
     search: Search<SmallRng>,
     recency: Recency,
     assembly: Option<Assembly>,
-    session: Option<Session>,
-    parent: Rc<RefCell<Option<spread::Client>>>,
+    session: Option<Rc<Session>>,
+    parent: Parent,
 }
 
 impl<L> Fetcher<L>
@@ -61,7 +59,7 @@
         shared: Arc<Shared>,
         dialer: Dialer<L>,
         seeds: &[SocketAddr],
-        parent: Rc<RefCell<Option<spread::Client>>>,
+        parent: Parent,
     ) -> Fetcher<L> {
         // Differs from process to process, which is all that is asked of it.
         let seed = shared.own.process.incarnation.0 ^ u64::from(shared.own.address.port());
@@ -97,9 +95,7 @@
     /// Shows the tree's server and the node what the search came to.
     fn publish(&mut self) {
         let known = self.search.parent().is_some();
-        let session = self.session.as_ref().filter(|_| known);
-        let client = session.map(|session| session.spread.clone());
-        self.parent.replace(client);
+        self.parent.replace(self.session.clone().filter(|_| known));
         self.shared.tree().way = self.search.way();
     }
 
@@ -111,16 +107,16 @@
     async fn ask(&mut self, address: SocketAddr) -> Result<(), capnp::Error> {
         let session = match self.session.take() {
             Some(session) if session.address == address && !session.is_closed() => session,
-            _ => Session::open(&self.dialer, address).await?,
+            _ => Rc::new(Session::open(&self.dialer, address).await?),
         };
-        let spread = self.session.insert(session).spread.clone();
+        self.session = Some(Rc::clone(&session));
         let is_parent = self.search.parent() == Some(address);
         if !is_parent {
             self.shared.tree().children.announce();
         }
         let fetch = self.request(is_parent);
         let sent = clock::mono();
-        let answer = timeout(fetch.wait + SILENCE, session::ask(&spread, &fetch));
+        let answer = timeout(fetch.wait + SILENCE, session.fetch(&fetch));
         let delta = tokio::select! {
             biased;
             answer = answer => match answer {
@@ -244,7 +240,7 @@
 }
 
 /// Tells a parent that this process ends.
-pub(crate) async fn leave(shared: &Shared, parent: &spread::Client) {
+pub(crate) async fn leave(shared: &Shared, parent: &Session) {
     let fetch = Fetch {
         want: Want::After(shared.view.revision()),
         report: Report {
@@ -254,5 +250,5 @@
         wait: Duration::ZERO,
     };
     // Who can't be told lets this process lapse.
-    timeout(LEAVE, session::ask(parent, &fetch)).await.ok();
+    timeout(LEAVE, parent.fetch(&fetch)).await.ok();
 }
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -17,7 +17,7 @@
 };
 use almondlock_transport::{Dialer, Direct, Layer, Security, listen};
 use almondlock_wire::{
-    almondlock_capnp::{control, sidecar, spread},
+    almondlock_capnp::{control, sidecar},
     peer::Peer,
     spread::{Member, Process},
 };
@@ -96,8 +96,7 @@
     address: SocketAddr,
     handle: Handle,
     shared: Arc<Shared>,
-    // The parent's interface, while there is a parent.
-    parent: Rc<RefCell<Option<spread::Client>>>,
+    parent: fetch::Parent,
     tasks: Vec<JoinHandle<()>>,
 }
 
@@ -123,7 +122,7 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(shared(&config, view, &parts, address));
         let handle = Handle::new(Arc::clone(&shared));
-        let parent = Rc::default();
+        let parent = fetch::Parent::default();
         let dialer = Dialer::with_layer(config.security.clone(), layer(address));
         let limits = listen::Config::new(config.security.clone());
         let make = server::maker(Arc::clone(&shared), handle.clone(), parts);
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -6,7 +6,7 @@
     id::{Host, Upstream},
     unit::Revision,
 };
-use almondlock_spread::children::Admission;
+use almondlock_spread::{children::Admission, parent};
 use almondlock_transport::Identity;
 use almondlock_wire::{
     almondlock_capnp::{node, spread},
@@ -174,6 +174,12 @@
 
 impl Spread {
     fn admit(&self, fetch: &Fetch) -> Admission {
+        // Who isn't current itself is of no use as a parent, and must not count
+        // a process that will find so and leave.
+        let age = self.shared.age(clock::mono());
+        if age > parent::Config::default().stale && fetch.want != Want::Nothing {
+            return Admission::Full(Vec::new());
+        }
         let own = self.shared.view.revision();
         let (admission, lowest) = {
             let mut tree = self.shared.tree();
--- a/almondlock-node/src/session.rs
+++ b/almondlock-node/src/session.rs
@@ -10,7 +10,7 @@
 
 pub(crate) struct Session {
     pub(crate) address: SocketAddr,
-    pub(crate) spread: spread::Client,
+    spread: spread::Client,
     // Ends the session when it goes.
     link: Link,
 }
@@ -38,13 +38,9 @@
     }
 
     pub(crate) async fn fetch(&self, fetch: &Fetch) -> Result<Delta, capnp::Error> {
-        ask(&self.spread, fetch).await
+        let mut request = self.spread.fetch_request();
+        fetch.write(request.get());
+        let answer = request.send().promise.await?;
+        Ok(Delta::read(answer.get()?.get_delta()?)?)
     }
 }
-
-pub(crate) async fn ask(spread: &spread::Client, fetch: &Fetch) -> Result<Delta, capnp::Error> {
-    let mut request = spread.fetch_request();
-    fetch.write(request.get());
-    let answer = request.send().promise.await?;
-    Ok(Delta::read(answer.get()?.get_delta()?)?)
-}
--- a/almondlock-spread/src/parent.rs
+++ b/almondlock-spread/src/parent.rs
@@ -192,9 +192,7 @@
                 let is_source = self.sources.contains(&address);
                 let older = delta.from.version < self.version && !is_source;
                 if *age > self.config.stale || way.contains(&self.own) || older || lacks {
-                    self.parent = None;
-                    self.start_round(way);
-                    self.tried.insert(address);
+                    self.leave(address, way);
                     return Verdict::Leave;
                 }
                 self.keep(now, address, way);
@@ -227,6 +225,15 @@
         });
     }
 
+    /// Passes over a process that answers but is of no use. Within a round it is
+    /// not asked again: two that lead to each other would be asked in turn.
+    fn leave(&mut self, address: SocketAddr, way: &[SocketAddr]) {
+        if self.parent.take().is_some() {
+            self.start_round(way);
+        }
+        self.tried.insert(address);
+    }
+
     fn refused(&mut self, others: &[SocketAddr]) {
         if let Some(parent) = self.parent.take() {
             self.start_round(&parent.way);
--- a/almondlock-transport/src/clock.rs
+++ b/almondlock-transport/src/clock.rs
@@ -9,10 +9,17 @@
 
 static START: OnceLock<Instant> = OnceLock::new();
 
+/// What the monotonic clock shows when the process starts.
+///
+/// Not zero: a process that has just started hears of things that were so some
+/// seconds ago, and those moments must lie on its clock too. At zero they would
+/// all fall on the start, and a process below a relay would not hold itself for
+/// recent in its first seconds though it is.
+const FIRST: Mono = Mono::from_millis(24 * 3_600_000);
+
 /// The present time on the process's monotonic clock.
 pub fn mono() -> Mono {
-    let spent = START.get_or_init(Instant::now).elapsed();
-    Mono::from_micros(u64::try_from(spent.as_micros()).unwrap_or(u64::MAX))
+    FIRST + START.get_or_init(Instant::now).elapsed()
 }
 
 /// The present time by the host's own, possibly wrong clock.
