--- a/almondlock-policy/src/queue/line.rs
+++ b/almondlock-policy/src/queue/line.rs
@@ -4,7 +4,7 @@
 
 use almondlock_base::{time::Mono, unit::Tokens};
 
-use crate::length::Class;
+use super::Job;
 
 /// What a job waits in: its class, or the lane of those under suspicion, which
 /// is looked at only while no other suspect runs.
@@ -13,13 +13,15 @@
 
 impl Lane {
     pub(super) const SUSPECT: Lane = Lane(4);
+    /// That of jobs which run alone. No organisation's line has it.
+    pub(super) const ALONE: Lane = Lane(5);
     pub(super) const ALL: [Lane; 5] = [Lane(0), Lane(1), Lane(2), Lane(3), Lane::SUSPECT];
 
-    pub(super) fn of(class: Class, suspect: bool) -> Lane {
-        if suspect {
+    pub(super) fn of(job: &Job) -> Lane {
+        if job.suspect {
             Lane::SUSPECT
         } else {
-            Lane(class.index())
+            Lane(job.class().index())
         }
     }
 }
@@ -44,9 +46,9 @@
 }
 
 impl Line {
-    pub(super) fn new(floor: u64) -> Line {
+    pub(super) fn new(least: u64) -> Line {
         Line {
-            counter: floor,
+            counter: least,
             lanes: Default::default(),
             waiting: 0,
             running: 0,
@@ -69,12 +71,12 @@
         self.waiting > 0
     }
 
-    /// An organisation that had nothing waiting is lifted to the floor. Without
-    /// that it could save up its share through a quiet day and then hold the
-    /// engine for as long.
-    pub(super) fn arrive(&mut self, lane: Lane, key: (Mono, u64), floor: u64) {
+    /// An organisation that had nothing waiting is lifted to the least counter
+    /// allowed. Without that it could save up its share through a quiet day and
+    /// then hold the engine for as long.
+    pub(super) fn arrive(&mut self, lane: Lane, key: (Mono, u64), least: u64) {
         if self.waiting == 0 {
-            self.counter = self.counter.max(floor);
+            self.counter = self.counter.max(least);
         }
         self.waiting += usize::from(self.lanes[lane.0].insert(key));
     }
@@ -84,14 +86,17 @@
         self.waiting -= usize::from(removed);
     }
 
-    pub(super) fn start(&mut self, tokens: Tokens, weight: u32) {
+    pub(super) fn start(&mut self, job: &Job) {
         self.running += 1;
-        self.counter = self.counter.saturating_add(cost(tokens, weight));
+        let tokens = job.prefill() + job.output;
+        self.counter = self.counter.saturating_add(cost(tokens, job.weight));
     }
 
-    pub(super) fn finish(&mut self, unused: Tokens, weight: u32) {
+    /// The counter was charged for the longest answer; the rest is given back.
+    pub(super) fn finish(&mut self, job: &Job, output: Tokens) {
         self.running = self.running.saturating_sub(1);
-        self.counter = self.counter.saturating_sub(cost(unused, weight));
+        let unused = job.output.saturating_sub(output);
+        self.counter = self.counter.saturating_sub(cost(unused, job.weight));
     }
 
     /// The job that is due first in a lane.
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -25,8 +25,9 @@
 //! served, divided by its weight, as in the virtual token counter of Sheng et
 //! al. Only organisations within [`Config::quantum`] of the lowest counter that
 //! has work take part in the choice above. One that comes back after a pause is
-//! lifted to the lowest counter: what it left unused was lent for good, and it
-//! has its full share from its next job on.
+//! lifted to just under that: what it left unused beyond it was lent for good,
+//! and its next jobs go first. On the engine, too, an organisation that has less
+//! running than a newcomer's fair part goes before those that have more.
 //!
 //! ```
 //! use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
@@ -52,8 +53,10 @@
 //! ```
 
 mod config;
+mod job;
 mod line;
 mod load;
+mod meter;
 mod wait;
 
 use std::{
@@ -64,116 +67,17 @@
 
 use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
 
-pub use self::config::Config;
+pub use self::{
+    config::Config,
+    job::{Expiry, Grant, Job, Refusal, Room},
+};
 use self::{
     line::{Lane, Line, Place},
     load::{Load, Running},
+    meter::Meter,
 };
 use crate::length::Class;
 
-/// What the queue has to know of an attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Job {
-    /// Who pays for it.
-    pub organisation: Organisation,
-    /// The organisation's share against the others'.
-    pub weight: u32,
-    /// Length of the prompt.
-    pub prompt: Tokens,
-    /// How much of the prompt's start the engine has cached, as believed.
-    pub cached: Tokens,
-    /// Most tokens it may answer with.
-    pub output: Tokens,
-    /// When its time is over.
-    pub deadline: Mono,
-    /// Whether it is under suspicion of killing engines.
-    pub suspect: bool,
-}
-
-impl Job {
-    /// Engine memory that it needs in the end.
-    pub fn need(&self) -> Tokens {
-        self.prompt + self.output
-    }
-
-    /// Tokens still to be prefilled.
-    pub fn prefill(&self) -> Tokens {
-        self.prompt.saturating_sub(self.cached)
-    }
-
-    /// Its length class, by the work it is: a long prompt whose start is cached
-    /// delays others no more than a short one.
-    pub fn class(&self) -> Class {
-        Class::of(self.prefill())
-    }
-}
-
-/// What is free on the engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Room {
-    /// Free memory.
-    pub free: Tokens,
-    /// All its memory.
-    pub capacity: Tokens,
-    /// Free places in the batch.
-    pub slots: u32,
-    /// All places in the batch.
-    pub slot_limit: u32,
-}
-
-impl Room {
-    /// An engine on which nothing runs.
-    pub fn idle(capacity: Tokens, slots: u32) -> Room {
-        Room {
-            free: capacity,
-            capacity,
-            slots,
-            slot_limit: slots,
-        }
-    }
-}
-
-/// A job that starts now.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Grant<I> {
-    /// The job.
-    pub id: I,
-    /// Its class.
-    pub class: Class,
-    /// The engine's priority for it; 0 goes before all others.
-    pub priority: u8,
-    /// How long it waited.
-    pub waited: Duration,
-}
-
-/// A job that is given up before it started.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Expiry<I> {
-    /// The job. It is no longer in the queue.
-    pub id: I,
-    /// [`Code::QueueTimeout`] or [`Code::DeadlineUnreachable`].
-    pub code: Code,
-    /// When its caller may come back.
-    pub retry_after: Duration,
-}
-
-/// A job that may not wait here.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refusal {
-    /// The numbered reason.
-    pub code: Code,
-    /// When to come back, zero for never.
-    pub retry_after: Duration,
-}
-
-impl std::fmt::Display for Refusal {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.code.fmt(f)
-    }
-}
-
-impl std::error::Error for Refusal {}
-
 #[derive(Debug)]
 struct Waiting<I> {
     id: I,
@@ -181,6 +85,13 @@
     since: Mono,
 }
 
+/// How much faster than seen an engine is taken to be before a job is given up
+/// as hopeless.
+const HOPE: f64 = 1.5;
+
+/// Where counters start: high enough for what may be saved up.
+const FLOOR: u64 = 1 << 40;
+
 /// The jobs that wait for one engine, and those that run on it.
 #[derive(Debug)]
 pub struct Queue<I> {
@@ -191,11 +102,15 @@
     places: HashMap<I, Place>,
     waiting: HashMap<u64, Waiting<I>>,
     deadlines: BTreeSet<(Mono, u64)>,
+    /// Waiting jobs that run alone, by their due time.
+    alone: BTreeSet<(Mono, u64)>,
     lines: HashMap<Organisation, Line>,
     running: HashMap<I, Running>,
     load: Load,
     queued: [Tokens; 4],
-    speed: f64,
+    meter: Meter,
+    /// Whether room is kept for something outside this queue.
+    hold: bool,
     /// The lowest counter last granted from. Only goes up.
     floor: u64,
 }
@@ -207,17 +122,19 @@
     /// An empty queue.
     pub fn new(config: Config) -> Queue<I> {
         Queue {
-            speed: config.speed.max(1.0),
+            meter: Meter::new(config.speed),
             config,
             next: 0,
             places: HashMap::new(),
             waiting: HashMap::new(),
             deadlines: BTreeSet::new(),
+            alone: BTreeSet::new(),
             lines: HashMap::new(),
             running: HashMap::new(),
             load: Load::default(),
             queued: [Tokens::ZERO; 4],
-            floor: 0,
+            hold: false,
+            floor: FLOOR,
         }
     }
 
@@ -227,6 +144,13 @@
         self.config = config;
     }
 
+    /// Says whether room is to be kept for something outside this queue, as for
+    /// a longer job that is due: only short jobs start then, in the reserved
+    /// part. A [`Desk`](crate::gang::Desk) that collects memory asks for it.
+    pub fn set_hold(&mut self, hold: bool) {
+        self.hold = hold;
+    }
+
     /// How many jobs wait.
     pub fn len(&self) -> usize {
         self.waiting.len()
@@ -245,7 +169,7 @@
     /// Prompt tokens that are not processed yet, waiting and running.
     pub fn backlog(&self) -> Tokens {
         let waiting: Tokens = self.queued.iter().copied().sum();
-        waiting + self.load.short_prefill + self.load.long_prefill
+        waiting + self.load.prefill.iter().copied().sum()
     }
 
     /// Puts a job in.
@@ -255,20 +179,21 @@
     /// Refused when the engine can never hold it, when too much waits, or when
     /// its deadline can't be met even if it started now.
     pub fn push(&mut self, id: I, job: Job, room: &Room, now: Mono) -> Result<(), Refusal> {
-        if self.places.contains_key(&id) || self.running.contains_key(&id) {
-            return Err(refusal(Code::AlreadyRunning, Duration::ZERO));
-        }
-        if job.need() > room.capacity {
-            return Err(refusal(Code::PromptTooLong, Duration::ZERO));
-        }
-        let pause = self.wait_estimate(Class::Short).max(self.config.base);
-        if self.waiting.len() >= self.config.capacity {
-            return Err(refusal(Code::Overloaded, pause));
-        }
-        if self.config.hopeless && now + self.service(job.prefill()) > job.deadline {
-            return Err(refusal(Code::DeadlineUnreachable, pause));
-        }
-        self.insert(id, job, now);
+        self.check(&id, &job, room, now)?;
+        let lane = Lane::of(&job);
+        self.insert(id, job, lane, now);
+        Ok(())
+    }
+
+    /// Puts a suspect in that nothing else may run beside. It starts when the
+    /// engine falls idle; after half of its time nothing else starts before it.
+    ///
+    /// # Errors
+    ///
+    /// Refused as by [`Queue::push`].
+    pub fn push_alone(&mut self, id: I, job: Job, room: &Room, now: Mono) -> Result<(), Refusal> {
+        self.check(&id, &job, room, now)?;
+        self.insert(id, job, Lane::ALONE, now);
         Ok(())
     }
 
@@ -334,9 +259,8 @@
             return;
         }
         let (class, tokens) = (running.job.class(), running.job.prefill());
-        let took = now.since(running.since);
         self.load.end_prefill(class, tokens);
-        self.observe(class, tokens, took);
+        self.meter.done(tokens, now);
     }
 
     /// Notes that a running job is over and what it answered.
@@ -345,26 +269,45 @@
             return;
         };
         self.load.leave(&running);
-        // The counter was charged for the longest answer; give back the rest.
-        let unused = running.job.output.saturating_sub(output);
+        if running.prefilling {
+            self.meter.broke(running.job.prefill());
+        }
         if let Some(line) = self.lines.get_mut(&running.job.organisation) {
-            line.finish(unused, running.job.weight);
+            line.finish(&running.job, output);
         }
         self.forget_idle(&running.job.organisation);
     }
 
-    fn insert(&mut self, id: I, job: Job, now: Mono) {
+    fn check(&self, id: &I, job: &Job, room: &Room, now: Mono) -> Result<(), Refusal> {
+        if self.places.contains_key(id) || self.running.contains_key(id) {
+            return Err(refusal(Code::AlreadyRunning, Duration::ZERO));
+        }
+        if job.need() > room.capacity {
+            return Err(refusal(Code::PromptTooLong, Duration::ZERO));
+        }
+        let pause = self.wait_estimate(Class::Short).max(self.config.base);
+        if self.waiting.len() >= self.config.capacity {
+            return Err(refusal(Code::Overloaded, pause));
+        }
+        if self.config.hopeless && now + self.hoped(job) > job.deadline {
+            return Err(refusal(Code::DeadlineUnreachable, pause));
+        }
+        Ok(())
+    }
+
+    fn insert(&mut self, id: I, job: Job, lane: Lane, now: Mono) {
         let number = self.next;
         self.next += 1;
         let class = job.class();
-        let service = self.service(job.prefill()) + self.config.base;
-        let due = now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3));
-        let lane = Lane::of(class, job.suspect);
-        let line = self
-            .lines
-            .entry(job.organisation.clone())
-            .or_insert_with(|| Line::new(self.floor));
-        line.arrive(lane, (due, number), self.floor);
+        let due = self.due(&job, lane, now);
+        let least = self.least_counter();
+        if lane == Lane::ALONE {
+            self.alone.insert((due, number));
+        } else {
+            let line = self.lines.entry(job.organisation.clone());
+            let line = line.or_insert_with(|| Line::new(least));
+            line.arrive(lane, (due, number), least);
+        }
         let last_start = self.last_start(&job);
         let place = Place {
             number,
@@ -385,14 +328,33 @@
         );
     }
 
+    /// When a job should start at the latest. One that runs alone stops all
+    /// others from that moment on, so it first waits for the engine to fall idle
+    /// by itself, through half of its time.
+    fn due(&self, job: &Job, lane: Lane, now: Mono) -> Mono {
+        if lane == Lane::ALONE {
+            return now + job.deadline.since(now) / 2;
+        }
+        let service = self.service(job.prefill()) + self.config.base;
+        now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3))
+    }
+
+    /// The last moment at which a job could start and still be in time.
     fn last_start(&self, job: &Job) -> Mono {
         if self.config.hopeless {
-            job.deadline - self.service(job.prefill())
+            job.deadline - self.hoped(job)
         } else {
             job.deadline
         }
     }
 
+    /// How long a job takes at least. The engine is taken for faster than it
+    /// was seen to be: steps that are not full look slow, and a request that is
+    /// refused by a wrong estimate is lost.
+    fn hoped(&self, job: &Job) -> Duration {
+        self.service(job.prefill()).div_f64(HOPE)
+    }
+
     fn place_of(&self, number: u64) -> Option<Place> {
         let waiting = self.waiting.get(&number)?;
         self.places.get(&waiting.id).copied()
@@ -402,11 +364,13 @@
         let waiting = self.waiting.remove(&place.number)?;
         self.places.remove(&waiting.id);
         self.deadlines.remove(&(place.last_start, place.number));
-        let class = waiting.job.class();
-        let left = self.queued[class.index()].saturating_sub(waiting.job.prefill());
-        self.queued[class.index()] = left;
-        if let Some(line) = self.lines.get_mut(&waiting.job.organisation) {
-            line.leave(place.lane, (place.due, place.number));
+        let queued = &mut self.queued[waiting.job.class().index()];
+        *queued = queued.saturating_sub(waiting.job.prefill());
+        let key = (place.due, place.number);
+        if place.lane == Lane::ALONE {
+            self.alone.remove(&key);
+        } else if let Some(line) = self.lines.get_mut(&waiting.job.organisation) {
+            line.leave(place.lane, key);
         }
         self.forget_idle(&waiting.job.organisation);
         Some(waiting)
@@ -415,47 +379,71 @@
     fn enter(&mut self, waiting: Waiting<I>, place: Place, held: bool, now: Mono) -> Grant<I> {
         let Waiting { id, job, since } = waiting;
         let class = job.class();
-        let line = self
-            .lines
-            .entry(job.organisation.clone())
-            .or_insert_with(|| Line::new(self.floor));
-        line.start(job.prefill() + job.output, job.weight);
+        let much = self.has_much(&job.organisation);
+        let least = self.least_counter();
+        let line = self.lines.entry(job.organisation.clone());
+        line.or_insert_with(|| Line::new(least)).start(&job);
         let running = Running {
             job,
-            since: now,
             prefilling: true,
             held,
+            alone: place.lane == Lane::ALONE,
         };
         self.load.enter(&running);
+        self.meter.start(running.job.prefill(), now);
         self.running.insert(id.clone(), running);
         Grant {
             id,
             class,
-            priority: priority(class, now >= place.due),
+            priority: priority(class, self.config.rise && now >= place.due, much),
             waited: now.since(since),
         }
     }
 
-    /// A line that neither waits nor runs is dropped when its counter is not
-    /// above the floor; otherwise it would start again at the floor and escape
-    /// what it owes.
+    /// The counter of an organisation that asked for nothing lately: behind the
+    /// others by so much that its next jobs go before any of theirs. It goes up
+    /// with the floor, so what is saved up stays bounded, however often an
+    /// organisation comes and goes.
+    fn least_counter(&self) -> u64 {
+        self.floor
+            .saturating_sub(self.config.quantum.saturating_add(1))
+    }
+
+    /// A line that neither waits nor runs is dropped when its counter would be
+    /// lifted anyway; otherwise it would escape what it owes.
     fn forget_idle(&mut self, organisation: &Organisation) {
-        let floor = self.floor;
-        let idle = |line: &Line| line.is_idle() && line.counter() <= floor;
+        let least = self.least_counter();
+        let idle = |line: &Line| line.is_idle() && line.counter() <= least;
         if self.lines.get(organisation).is_some_and(idle) {
             self.lines.remove(organisation);
         }
     }
 }
 
-/// Shorter classes first. A job that is overdue rises by one, but never to the
-/// level of short ones: an engine that takes equals in turn would process the
-/// whole of a long prompt before them.
-fn priority(class: Class, overdue: bool) -> u8 {
-    let rank = class.index() as u8;
-    if overdue && rank > 1 { rank - 1 } else { rank }
+/// Shorter classes first, and within a class the organisations that have `much`
+/// running after the others. A job that `rises` does so by a class, but never to
+/// the level of short ones: an engine that takes equals in turn would process
+/// the whole of a long prompt before them.
+fn priority(class: Class, rises: bool, much: bool) -> u8 {
+    let rank = group(class) as u8;
+    let rank = if rises && rank > 1 { rank - 1 } else { rank };
+    2 * rank + u8::from(much)
 }
 
+/// The classes that have prompts in prefill apart from each other. The longest
+/// two share: what the longer one waits for the shorter one here is little
+/// against its own time, and much if each of those went before it.
+const fn group(class: Class) -> usize {
+    match class {
+        Class::Short => 0,
+        Class::Medium => 1,
+        Class::Long | Class::Huge => 2,
+    }
+}
+
+/// How many of those there are.
+const GROUPS: usize = 3;
+
 fn refusal(code: Code, retry_after: Duration) -> Refusal {
     Refusal { code, retry_after }
 }
--- a/almondlock-policy/src/queue/wait.rs
+++ b/almondlock-policy/src/queue/wait.rs
@@ -2,19 +2,14 @@
 
 use std::{hash::Hash, ops::RangeInclusive, time::Duration};
 
-use almondlock_base::{time::Mono, unit::Tokens};
+use almondlock_base::{id::Organisation, time::Mono, unit::Tokens};
 
 use super::{
-    Job, Queue, Room,
+    Job, Queue, Room, group,
     line::{Lane, Line, Place},
 };
 use crate::length::Class;
 
-/// How much a new figure for the engine's speed counts against the old one.
-const SPEED_GAIN: f64 = 0.1;
-/// Shortest prefill that says something about the engine's speed.
-const SPEED_SAMPLE: Tokens = Tokens(512);
-
 /// Whether a job may start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Fit {
@@ -32,13 +27,16 @@
     /// The place of the job to start next, and whether a longer one that is due
     /// is kept room for meanwhile.
     pub(super) fn choose(&mut self, now: Mono, room: &Room) -> Option<(Place, bool)> {
-        if room.slots == 0 {
+        if let Some(place) = self.choose_alone(room) {
+            return Some((place, false));
+        }
+        if room.slots == 0 || self.load.alone > 0 || self.is_draining(now) {
             return None;
         }
         let lowest = self.lowest_counter(room)?;
         self.floor = self.floor.max(lowest);
         let ceiling = lowest.saturating_add(self.config.quantum);
-        let mut held = false;
+        let mut held = self.hold;
         let mut place = self.choose_among(0..=ceiling, &mut held, now, room);
         if place.is_none() {
             // Nothing of those has room now. The others have been served more
@@ -49,6 +47,19 @@
         place.map(|place| (place, held))
     }
 
+    /// Whether a job that runs alone is due: nothing else starts until it did.
+    fn is_draining(&self, now: Mono) -> bool {
+        self.alone.first().is_some_and(|(due, _)| *due <= now)
+    }
+
+    /// The job to run alone, once the engine is idle.
+    fn choose_alone(&self, room: &Room) -> Option<Place> {
+        let (_, number) = self.alone.first().copied()?;
+        let fits = self.waiting.get(&number)?.job.need() <= room.free;
+        let idle = fits && self.running.is_empty() && room.slots > 0;
+        self.place_of(number).filter(|_| idle)
+    }
+
     /// The job that is due first and has room, of the organisations whose
     /// counter lies in a range.
     fn choose_among(
@@ -129,7 +140,7 @@
     /// Whether the engine has room for a job. `held` says that a longer one is
     /// due, so that only the reserved part may be used.
     fn fit(&self, job: &Job, room: &Room, held: bool) -> Fit {
-        if !self.prefill_fits(job.class(), job.prefill()) {
+        if !self.prefill_fits(job) {
             return Fit::Busy;
         }
         let fits = match job.class() {
@@ -151,6 +162,13 @@
             && u64::from(self.load.held_slots) < slots.max(1)
     }
 
+    /// What is to be left free of the reserved part: what short jobs don't hold
+    /// of it already.
+    pub fn reserve_left(&self, room: &Room) -> Tokens {
+        let memory = Tokens(percent(room.capacity.0, self.config.reserve));
+        memory.saturating_sub(self.load.short_memory)
+    }
+
     /// Whether a longer job leaves the reserved part to the short ones. What
     /// short jobs hold of it already is not kept free again. A job that only
     /// fits with the reserved part gets it, else it could never run.
@@ -165,51 +183,41 @@
     }
 
     /// Keeps the order in this queue and not in the engine's: what was handed
-    /// over can't be passed any more. At least one job of each kind runs.
-    fn prefill_fits(&self, class: Class, tokens: Tokens) -> bool {
-        let active = match class {
-            Class::Short => self.load.short_prefill,
-            Class::Medium | Class::Long | Class::Huge => self.load.long_prefill,
-        };
-        active == Tokens::ZERO || active + tokens <= self.config.prefill(class)
+    /// over can't be passed any more. At least one job of each group runs. A
+    /// short or medium one of an organisation that has little running is not
+    /// kept back by those of others: the engine puts it before them.
+    fn prefill_fits(&self, job: &Job) -> bool {
+        let group = group(job.class());
+        let active = self.load.prefill[group];
+        let limit = self.config.prefill[group];
+        let passes = || job.class() < Class::Long && !self.has_much(&job.organisation);
+        active == Tokens::ZERO || active + job.prefill() <= limit || passes()
+    }
+
+    /// Whether an organisation with one job more would have more running than
+    /// its part, were there one organisation more.
+    pub(super) fn has_much(&self, organisation: &Organisation) -> bool {
+        let running = self.lines.get(organisation).map_or(0, Line::running) as usize;
+        let active = self.lines.values().filter(|line| !line.is_idle()).count();
+        (running + 1) * (active + 1) > self.running.len() + 1
     }
 
     /// How long a job of this class would wait if it came now: the work that
     /// goes before it, at the speed seen lately.
     pub fn wait_estimate(&self, class: Class) -> Duration {
-        let waiting = match class {
-            Class::Short => self.queued[Class::Short.index()],
-            Class::Medium => self.queued[..=Class::Medium.index()].iter().copied().sum(),
-            Class::Long | Class::Huge => self.queued.iter().copied().sum(),
-        };
-        let running = match class {
-            Class::Short => self.load.short_prefill,
-            Class::Medium | Class::Long | Class::Huge => {
-                self.load.short_prefill + self.load.long_prefill
-            }
-        };
+        let waiting: Tokens = self.queued[..=class.index()].iter().copied().sum();
+        let running: Tokens = self.load.prefill[..=group(class)].iter().copied().sum();
         self.service(waiting + running)
     }
 
     /// How long the engine takes for a prefill of this length.
     pub fn service(&self, tokens: Tokens) -> Duration {
-        Duration::from_secs_f64((tokens.0 as f64 / self.speed).min(1e9))
+        Duration::from_secs_f64((tokens.0 as f64 / self.meter.speed()).min(1e9))
     }
 
     /// Prefill speed seen lately, in tokens per second.
     pub fn speed(&self) -> f64 {
-        self.speed
-    }
-
-    /// Only what ran before all else tells the engine's speed; a long prompt
-    /// that was interrupted by short ones would look slow.
-    pub(super) fn observe(&mut self, class: Class, tokens: Tokens, took: Duration) {
-        let alone = class == Class::Short || self.load.short_prefill == Tokens::ZERO;
-        if tokens < SPEED_SAMPLE || took.is_zero() || !alone {
-            return;
-        }
-        let seen = tokens.0 as f64 / took.as_secs_f64();
-        self.speed = (self.speed + (seen - self.speed) * SPEED_GAIN).max(1.0);
+        self.meter.speed()
     }
 }
 
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -145,6 +145,10 @@
                 self.seed(operators, replicas);
                 Ok(accepted())
             }
+            Command::Replicas { replicas, .. } => {
+                self.tables.set_replicas(replicas);
+                Ok(accepted())
+            }
             Command::Expire { at } => {
                 self.expire(at, changes);
                 Ok(accepted())
@@ -303,16 +307,14 @@
         operators: BTreeMap<String, Operator>,
         replicas: BTreeMap<replica::Id, Replica>,
     ) {
-        if !self.tables.operators.is_empty() || !self.tables.replicas.is_empty() {
+        if !self.tables.operators.is_empty() {
             return;
         }
         for (name, operator) in operators {
             self.tables
                 .apply(Effect::Operator(name, Some(operator)), None);
         }
-        for (id, replica) in replicas {
-            self.tables.apply(Effect::Replica(id, Some(replica)), None);
-        }
+        self.tables.set_replicas(replicas);
     }
 
     fn expire(&mut self, at: Wall, changes: &mut Changes) {
--- a/almondlock-state/src/plan/compile.rs
+++ b/almondlock-state/src/plan/compile.rs
@@ -6,7 +6,7 @@
 
 use almondlock_base::{
     Code,
-    id::{Model, Organisation, Upstream},
+    id::{Model, Organisation, Upstream, Version},
     time::Wall,
     unit::Tokens,
 };
@@ -249,59 +249,60 @@
 fn model(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
     let all = &tables.config.models;
     let known = |name: &Model| {
-        all.get(name)
-            .cloned()
-            .ok_or_else(|| Error::bad(format!("no model {name}")))
+        let found = all.get(name).cloned();
+        found.ok_or_else(|| Error::bad(format!("no model {name}")))
     };
     let (name, value) = match intent {
         Intent::AddModel { name, .. } if all.contains_key(name) => {
             return Err(Error::bad(format!("model {name} exists")));
         }
         Intent::AddModel { .. } if all.len() >= limit::MODELS => return Err(Error::full("models")),
-        Intent::AddModel {
-            context: Tokens(0), ..
-        } => {
-            return Err(Error::bad("a context is at least one token"));
-        }
         Intent::AddModel {
             name,
             version,
             context,
-        } => {
-            let (version, context) = (version.clone(), *context);
-            (
-                name,
-                Some(Definition {
-                    version,
-                    context,
-                    adapters: Default::default(),
-                }),
-            )
-        }
+        } => (name, Some(new_model(version, *context)?)),
         Intent::RemoveModel { name } => (name, known(name).map(|_| None)?),
-        Intent::SetAdapter {
-            model,
-            adapter,
-            version,
-        } => {
-            let mut definition = known(model)?;
-            definition.adapters.insert(adapter.clone(), version.clone());
-            if definition.adapters.len() > limit::ADAPTERS {
-                return Err(Error::full("adapters"));
-            }
-            (model, Some(definition))
-        }
-        Intent::RemoveAdapter { model, adapter } => {
-            let mut definition = known(model)?;
-            let gone = definition.adapters.remove(adapter);
-            gone.ok_or_else(|| Error::bad(format!("no adapter {adapter} of {model}")))?;
-            (model, Some(definition))
+        Intent::SetAdapter { model, .. } | Intent::RemoveAdapter { model, .. } => {
+            (model, Some(with_adapter(known(model)?, intent)?))
         }
         _ => return Err(Error::bad("not about a model")),
     };
     Ok(Change::Model(name.clone(), value))
 }
 
+fn new_model(version: &Version, context: Tokens) -> Result<Definition, Error> {
+    if context == Tokens::ZERO {
+        return Err(Error::bad("a context is at least one token"));
+    }
+    let (version, adapters) = (version.clone(), Default::default());
+    Ok(Definition {
+        version,
+        context,
+        adapters,
+    })
+}
+
+fn with_adapter(mut definition: Definition, intent: &Intent) -> Result<Definition, Error> {
+    let adapters = &mut definition.adapters;
+    match intent {
+        Intent::SetAdapter {
+            adapter, version, ..
+        } => {
+            adapters.insert(adapter.clone(), version.clone());
+        }
+        Intent::RemoveAdapter { adapter, .. } => {
+            let gone = adapters.remove(adapter);
+            gone.ok_or_else(|| Error::bad(format!("no adapter {adapter}")))?;
+        }
+        _ => {}
+    }
+    if adapters.len() > limit::ADAPTERS {
+        return Err(Error::full("adapters"));
+    }
+    Ok(definition)
+}
+
 fn service(tables: &Tables, intent: &Intent) -> Result<Change, Error> {
     let all = &tables.config.services;
     match intent {
@@ -363,34 +364,31 @@
 fn members(tables: &Tables, intent: &Intent) -> Result<Vec<Step>, Error> {
     let all = &tables.replicas;
     match intent {
-        Intent::AddReplica { id, replica } => {
+        Intent::AddReplica { replica } => {
             if all.len() >= limit::REPLICAS {
                 return Err(Error::full("replicas"));
             }
-            Ok(vec![added(tables, *id, replica)?])
+            Ok(vec![added(tables, None, replica)?])
         }
         Intent::RemoveReplica { id } if all.contains_key(id) && all.len() > 1 => {
             Ok(vec![Step::Member(Member::Remove(*id))])
         }
-        Intent::ReplaceReplica { old, id, replica } if all.contains_key(old) => Ok(vec![
-            added(tables, *id, replica)?,
+        Intent::ReplaceReplica { old, replica } if all.contains_key(old) => Ok(vec![
+            added(tables, Some(*old), replica)?,
             Step::Member(Member::Remove(*old)),
         ]),
         _ => Err(Error::bad("no such replica, or it is the only one")),
     }
 }
 
-fn added(tables: &Tables, id: replica::Id, replica: &Replica) -> Result<Step, Error> {
-    if id == 0 || tables.replicas.contains_key(&id) {
-        return Err(Error::bad(
-            "a new replica needs a number that is not in use",
-        ));
-    }
-    let mut all = tables.replicas.values();
-    if all.any(|known| known.address == replica.address) {
+/// One more replica. It may wait where the one that it replaces was: a host
+/// whose disk was wiped keeps its address and comes back with another identity.
+fn added(tables: &Tables, old: Option<replica::Id>, new: &Replica) -> Result<Step, Error> {
+    let mut others = tables.replicas.iter().filter(|(id, _)| Some(**id) != old);
+    if others.any(|(_, known)| known.address == new.address) {
         return Err(Error::bad("another replica has this address"));
     }
-    Ok(Step::Member(Member::Add(id, replica.clone())))
+    Ok(Step::Member(Member::Add(new.clone())))
 }
 
 fn operator(tables: &Tables, name: &str, new: Option<(&String, Role)>) -> Result<Effect, Error> {
