--- a/almondlock-cli/src/arguments.rs
+++ b/almondlock-cli/src/arguments.rs
@@ -25,6 +25,9 @@
     /// file with the operator's key; else ALMONDLOCK_KEY
     #[options(no_short, meta = "FILE")]
     pub key_file: Option<String>,
+    /// PEM certificates of the replicas' authority, for HTTPS; else ALMONDLOCK_CA
+    #[options(no_short, meta = "FILE")]
+    pub ca: Option<String>,
     /// answer in JSON
     #[options(no_short)]
     pub json: bool,
@@ -386,7 +389,14 @@
 }
 
 const FLAGS: [&str; 2] = ["--json", "--yes"];
-const VALUED: [&str; 5] = ["--control", "--entry", "--key-file", "--number", "--wait"];
+const VALUED: [&str; 6] = [
+    "--control",
+    "--entry",
+    "--key-file",
+    "--ca",
+    "--number",
+    "--wait",
+];
 
 /// Reads the command line.
 pub fn parse(arguments: &[String]) -> Result<Arguments, gumdrop::Error> {
--- a/almondlock-cli/src/client.rs
+++ b/almondlock-cli/src/client.rs
@@ -11,10 +11,12 @@
 use almondlock_base::{Code, Ran};
 use almondlock_state::api::{Failure, Problem};
 use ntex::{
-    client::Client,
+    SharedCfg,
+    client::{Client, Connector, error::ClientBuilderError},
     http::{Method, StatusCode},
     time::{Millis, sleep},
 };
+use rustls::ClientConfig;
 use serde::{Serialize, de::DeserializeOwned};
 
 /// Rounds over all addresses before giving up.
@@ -30,6 +32,8 @@
 #[derive(Debug)]
 pub struct Asker {
     client: Client,
+    // What an address without a scheme of its own is asked by.
+    scheme: &'static str,
     addresses: Vec<String>,
     key: String,
 }
@@ -82,12 +86,28 @@
 
 impl Asker {
     /// A client of the replicas at these addresses, with an operator's key.
-    pub async fn new(addresses: Vec<String>, key: String) -> Asker {
-        Asker {
-            client: Client::new().await,
+    /// With `tls` they are asked over HTTPS, and their certificates must come
+    /// from its authorities.
+    pub async fn new(
+        addresses: Vec<String>,
+        key: String,
+        tls: Option<ClientConfig>,
+    ) -> Result<Asker, ClientBuilderError> {
+        let scheme = if tls.is_some() { "https" } else { "http" };
+        let client = match tls {
+            Some(tls) => {
+                let connector = Connector::default().rustls(tls);
+                let client = Client::builder().connector::<()>(connector);
+                client.build(SharedCfg::default()).await?
+            }
+            None => Client::new().await,
+        };
+        Ok(Asker {
+            client,
+            scheme,
             addresses,
             key,
-        }
+        })
     }
 
     /// Asks until somebody answers who knows.
@@ -147,12 +167,20 @@
         }
     }
 
+    fn base(&self, address: &str) -> String {
+        if address.contains("://") {
+            address.trim_end_matches('/').to_owned()
+        } else {
+            format!("{}://{address}", self.scheme)
+        }
+    }
+
     /// Asks one replica.
     pub async fn ask_one<T>(&self, address: &str, question: &Question) -> Result<T, Problem>
     where
         T: DeserializeOwned,
     {
-        let url = format!("{}{}", base(address), question.path);
+        let url = format!("{}{}", self.base(address), question.path);
         let timeout = Millis::from(PATIENCE + question.wait);
         let request = self.client.request(question.method.clone(), url);
         let request = request.bearer_auth(&self.key).timeout(timeout);
@@ -176,14 +204,6 @@
     }
 }
 
-fn base(address: &str) -> String {
-    if address.contains("://") {
-        address.trim_end_matches('/').to_owned()
-    } else {
-        format!("http://{address}")
-    }
-}
-
 /// Nothing is known of what the replica did.
 fn unheard(address: &str, why: &str) -> Problem {
     let mut problem = Problem::new(Code::NoQuorum, format!("no answer from {address}: {why}"));
--- a/almondlock-cli/src/help.rs
+++ b/almondlock-cli/src/help.rs
@@ -4,7 +4,8 @@
 
 use crate::arguments::Arguments;
 
-const EXAMPLES: &[(&str, &[&str])] = &[
+/// Examples by command.
+pub const EXAMPLES: &[(&str, &[&str])] = &[
     (
         "",
         &["almondlock --control 10.0.0.1:7001,10.0.0.2:7001 status"],
@@ -139,7 +140,7 @@
 const STATUSES: &str = "Exit status: 0 done, 1 refused or failed, 2 wrong command line.";
 
 /// The help for what was given, if help was asked for or no command was.
-pub fn wanted(arguments: &Arguments) -> Option<String> {
+pub(crate) fn wanted(arguments: &Arguments) -> Option<String> {
     let asked = arguments.help_requested();
     let (path, last) = path(arguments);
     let unfinished = last.self_command_list().is_some();
--- a/almondlock-cli/src/lib.rs
+++ b/almondlock-cli/src/lib.rs
@@ -11,7 +11,7 @@
 
 pub mod arguments;
 pub mod client;
-mod help;
+pub mod help;
 pub mod request;
 mod session;
 pub mod table;
@@ -25,6 +25,7 @@
 
 use gumdrop::Options;
 use ntex::rt::{DefaultRuntime, System};
+use rustls::{ClientConfig, RootCertStore};
 
 use self::{arguments::Arguments, request::Usage, session::Session, table::Paint};
 
@@ -32,6 +33,8 @@
 pub const CONTROL_VARIABLE: &str = "ALMONDLOCK_CONTROL";
 /// Where the entry hosts are, when `--entry` isn't given.
 pub const ENTRY_VARIABLE: &str = "ALMONDLOCK_ENTRY";
+/// Whose certificates to trust, when `--ca` isn't given.
+pub const CA_VARIABLE: &str = "ALMONDLOCK_CA";
 /// The operator's key, when `--key-file` isn't given. Never an argument: those
 /// are seen by everybody on the host.
 pub const KEY_VARIABLE: &str = "ALMONDLOCK_KEY";
@@ -80,6 +83,7 @@
         control: addresses(arguments.control.as_deref(), CONTROL_VARIABLE),
         entry: addresses(arguments.entry.as_deref(), ENTRY_VARIABLE),
         key: key(arguments.key_file.as_deref(), keyless)?,
+        tls: tls(arguments.ca.as_deref())?,
         json: arguments.json,
         number: number(arguments.number, drawn)?,
         yes: arguments.yes,
@@ -93,14 +97,48 @@
     if !keyless && settings.control.is_empty() {
         return Err(Usage(format!("give --control or {CONTROL_VARIABLE}")));
     }
-    let session = async move { Session::new(settings).await.run(prepared).await };
+    let session = async move {
+        let session = Session::new(settings)
+            .await
+            .map_err(|error| Usage(error.to_string()))?;
+        Ok::<_, Usage>(session.run(prepared).await)
+    };
     let outcome = System::new("almondlock", DefaultRuntime).block_on(session);
-    Ok(match outcome {
+    Ok(match outcome? {
         Ok(()) => ExitCode::SUCCESS,
         Err(session::Failed) => ExitCode::from(FAILED),
     })
 }
 
+/// Trust in the authorities of a file.
+fn tls(file: Option<&str>) -> Result<Option<ClientConfig>, Usage> {
+    let given = file
+        .map(str::to_owned)
+        .or_else(|| env::var(CA_VARIABLE).ok());
+    let Some(path) = given else {
+        return Ok(None);
+    };
+    let fault = |why: String| Usage(format!("can't use the certificates of {path}: {why}"));
+    let text = fs::read(&path).map_err(|error| fault(error.to_string()))?;
+    let mut roots = RootCertStore::empty();
+    for certificate in rustls_pemfile::certs(&mut text.as_slice()) {
+        let certificate = certificate.map_err(|error| fault(error.to_string()))?;
+        roots
+            .add(certificate)
+            .map_err(|error| fault(error.to_string()))?;
+    }
+    if roots.is_empty() {
+        return Err(fault("there is none".to_owned()));
+    }
+    let provider = rustls::crypto::ring::default_provider();
+    let config = ClientConfig::builder_with_provider(provider.into())
+        .with_safe_default_protocol_versions()
+        .map_err(|error| fault(error.to_string()))?
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    Ok(Some(config))
+}
+
 /// A key that was just made.
 fn made(json: bool, key: &str, hash: &str) -> String {
     if json {
--- a/almondlock-cli/src/session.rs
+++ b/almondlock-cli/src/session.rs
@@ -14,7 +14,8 @@
     intent::Intent,
     plan::{self, State},
 };
-use ntex::time::sleep;
+use ntex::{client::error::ClientBuilderError, time::sleep};
+use rustls::ClientConfig;
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
@@ -37,6 +38,7 @@
     pub(crate) control: Vec<String>,
     pub(crate) entry: Vec<String>,
     pub(crate) key: String,
+    pub(crate) tls: Option<ClientConfig>,
     pub(crate) json: bool,
     pub(crate) number: String,
     pub(crate) yes: bool,
@@ -56,17 +58,22 @@
 }
 
 impl Session {
-    pub(crate) async fn new(settings: Settings) -> Session {
-        let control = Asker::new(settings.control.clone(), settings.key.clone()).await;
-        let entry = Asker::new(settings.entry.clone(), settings.key.clone()).await;
-        Session {
+    pub(crate) async fn new(settings: Settings) -> Result<Session, ClientBuilderError> {
+        let (key, tls) = (settings.key.clone(), settings.tls.clone());
+        let control = Asker::new(settings.control.clone(), key.clone(), tls.clone()).await?;
+        let entry = Asker::new(settings.entry.clone(), key, tls).await?;
+        Ok(Session {
             settings,
             control,
             entry,
-        }
+        })
     }
 
     pub(crate) async fn run(self, prepared: Prepared) -> Result<(), Failed> {
+        let changes = matches!(
+            prepared.request,
+            Request::Propose(_) | Request::Confirm(_) | Request::Stop(_)
+        );
         let done = match prepared.request {
             Request::Show(view) => self.show(view).await,
             Request::Propose(intent) => self.propose(intent, prepared.key).await,
@@ -76,7 +83,7 @@
             Request::Watch(count) => self.watch(count).await,
             Request::Hash(_) => Ok(()),
         };
-        done.map_err(|problem| self.complain(problem))
+        done.map_err(|problem| self.complain(problem, changes))
     }
 
     async fn show(&self, view: View) -> Result<(), Problem> {
@@ -254,7 +261,7 @@
         let _ = writeln!(io::stderr(), "{text}");
     }
 
-    fn complain(&self, problem: Problem) -> Failed {
+    fn complain(&self, problem: Problem, changes: bool) -> Failed {
         if self.settings.json {
             let failure = Failure { error: problem };
             print(&format!(
@@ -268,7 +275,7 @@
             problem.code, problem.kind, problem.message
         );
         self.hint(&text);
-        if problem.ran == Ran::Unknown {
+        if changes && problem.ran == Ran::Unknown {
             let number = &self.settings.number;
             self.hint(&format!(
                 "it may have been done; ask again, a change with --number {number}"
--- a/almondlock-cli/tests/lost_answer.rs
+++ b/almondlock-cli/tests/lost_answer.rs
@@ -91,7 +91,9 @@
     let silent = Fake::start(|_, _| None);
     let follower = Fake::start(|_, _| failure(Problem::from(Code::NotLeader)));
     let addresses = [&silent, &follower].map(|fake| fake.address.to_string());
-    let asker = Asker::new(addresses.to_vec(), "secret".to_owned()).await;
+    let asker = Asker::new(addresses.to_vec(), "secret".to_owned(), None)
+        .await
+        .unwrap();
     let question = Question::post("/v1/plans", &()).unwrap();
     let answer: Result<Planned, Problem> = asker.ask(&question).await;
     assert_eq!(answer.unwrap_err().ran, Ran::Unknown);
--- a/almondlock-control/src/admin.rs
+++ b/almondlock-control/src/admin.rs
@@ -32,6 +32,7 @@
     time::Seconds,
     web::{self, App, HttpServer},
 };
+use rustls::ServerConfig;
 
 /// How long a client may take to send a request's head.
 const HEAD_TIME: Seconds = Seconds(10);
@@ -91,8 +92,24 @@
     fn now(&self) -> Wall;
 }
 
-/// Serves operators on a listener until the server is stopped.
+/// Serves operators on a listener until the server is stopped, in plain HTTP.
 pub fn serve<B>(listener: TcpListener, backend: B) -> io::Result<Server>
+where
+    B: Backend + Sync,
+{
+    start(listener, backend, None)
+}
+
+/// Serves operators over TLS. Their keys are worth it wherever others may see
+/// the network.
+pub fn serve_tls<B>(listener: TcpListener, backend: B, tls: ServerConfig) -> io::Result<Server>
+where
+    B: Backend + Sync,
+{
+    start(listener, backend, Some(tls))
+}
+
+fn start<B>(listener: TcpListener, backend: B, tls: Option<ServerConfig>) -> io::Result<Server>
 where
     B: Backend + Sync,
 {
@@ -108,10 +125,12 @@
         .workers(1)
         .maxconn(CONNECTIONS)
         .disable_signals()
-        .config(SharedCfg::new("admin").add(http))
-        .listen(listener)?
-        .run();
-    Ok(server)
+        .config(SharedCfg::new("admin").add(http));
+    let server = match tls {
+        Some(tls) => server.listen_rustls(listener, tls)?,
+        None => server.listen(listener)?,
+    };
+    Ok(server.run())
 }
 
 fn routes<B>(app: &mut web::ServiceConfig)
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -1,7 +1,9 @@
 //! The bounds of every replicated table, in one place.
 //!
 //! They are constants and not settings: replicas that disagreed about a bound
-//! would refuse different commands and hold different states. A full table
+//! would refuse different commands and hold different states. For the same reason
+//! a release that changes one has to be brought to all replicas before the bound
+//! is reached; there is no gate for that yet. A full table
 //! refuses with [`LimitReached`](almondlock_base::Code::LimitReached); nothing
 //! is dropped to make room unless its section says so.
 
