Read the data of named events too

Cause: the system ends a failed stream with an event named error; the tool took only events without a name, and reported such answers as lost, without their code. Conclusion: the planted stream with a named error failed before and passes now.

--- a/almondlock-bench/src/send.rs
+++ b/almondlock-bench/src/send.rs
@@ -54,7 +54,9 @@
             while let Some(length) = self.buffer[start..].find("\n\n") {
                 let event = self.buffer[start..start + length].to_owned();
                 start += length + 2;
-                self.event(event.strip_prefix("data: ").unwrap_or(&event), now);
+                // An event may have a name before its data, as errors do.
+                let data = event.lines().find_map(|line| line.strip_prefix("data: "));
+                self.event(data.unwrap_or_default(), now);
             }
             self.buffer.drain(..start);
             if !self.text.is_empty() && first.get().is_none() {
--- a/almondlock-bench/tests/planted_faults.rs
+++ b/almondlock-bench/tests/planted_faults.rs
@@ -47,6 +47,7 @@
         "swapped" => event(&answer::whole("another", 20)) + done,
         "swapped unfinished" => event(&answer::whole("another", 9)),
         "failed" => event(first) + error,
+        "failed by name" => event(first) + "event: error\n" + error,
         "closed" => event(first) + &event(rest),
         _ => event(first) + &event(rest) + done,
     }
@@ -76,6 +77,7 @@
     swapped = { "swapped", End::Wrong("foreign") },
     swapped_unfinished = { "swapped unfinished", End::Wrong("foreign") },
     failed = { "failed", End::Failed(3003) },
+    failed_by_name = { "failed by name", End::Failed(3003) },
     closed = { "closed", End::Lost },
 )]
 #[test_macro(ntex::test)]
