Let the refusing server of a test take the body

Cause: the test failed once in a dozen runs: its server answered without taking the body, closed while the client was still sending, and the client saw only that.

--- a/almondlock-bench/tests/planted_faults.rs
+++ b/almondlock-bench/tests/planted_faults.rs
@@ -104,7 +104,8 @@
 #[ntex::test]
 async fn refused() {
     let server = web::test::server(async || {
-        let handler = || async {
+        // Takes the body: a server that doesn't may close while it is being sent.
+        let handler = |_: Bytes| async {
             let mut response = HttpResponse::TooManyRequests();
             response.header("x-almondlock-code", "2001");
             response.finish()
