Measure the memory of what the policy package keeps

Cause: the page on capacity is to be worked out from measured slopes. Change: the example `footprint`.

--- /dev/null
+++ b/almondlock-policy/examples/footprint.rs
@@ -0,0 +1,184 @@
+//! Measures the memory that each kind of item takes, as slopes for the page on
+//! capacity: resident memory of the process before and after many of them,
+//! divided by their number. Linux only, since it reads `/proc/self/statm`.
+//!
+//! `cargo run --release -p almondlock-policy --example footprint`
+
+use std::{fs, hint::black_box, time::Duration};
+
+use almondlock_base::{
+    id::{Attempt, Domain, Fingerprint, Host, Incarnation, Organisation, Region, Upstream},
+    time::{Mono, Wall},
+    unit::Tokens,
+};
+use almondlock_policy::{
+    choice::{self, Home, Site, Table},
+    gate::{self, Gate},
+    ledger::{self, Item, Kind, Ledger, Owner},
+    limit::{self, Limit, Limiter},
+    poison::{self, Watch},
+    queue::{self, Job, Queue, Room},
+    retry,
+};
+
+const ITEMS: u64 = 200_000;
+const PAGE: u64 = 4_096;
+
+fn resident() -> u64 {
+    let text = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text.split_whitespace().nth(1);
+    pages.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) * PAGE
+}
+
+/// Builds a thing with so many items in it and shows what one of them takes.
+fn measure<F, T>(what: &str, items: u64, build: F)
+where
+    F: FnOnce() -> T,
+{
+    let before = resident();
+    let built = black_box(build());
+    let after = resident();
+    let each = after.saturating_sub(before) / items.max(1);
+    println!("{what:<44} {items:>8} {each:>8}");
+    // What was given back to the allocator would be found again by the next
+    // one and hide its need.
+    std::mem::forget(built);
+}
+
+fn organisation(i: u64) -> Organisation {
+    Organisation::new(&format!("organisation-{i:08}")).expect("a plain name")
+}
+
+fn host() -> Host {
+    Host::new("entry-1").expect("a plain name")
+}
+
+fn gate() -> Gate {
+    let config = gate::Config {
+        records: ITEMS as usize,
+        ..gate::Config::default()
+    };
+    let mut gate = Gate::new(config, Incarnation(1));
+    let host = host();
+    for counter in 0..ITEMS {
+        let attempt = Attempt {
+            host: host.clone(),
+            incarnation: Incarnation(2),
+            counter,
+        };
+        gate.settle(&attempt, Incarnation(1), Mono::from_micros(counter));
+    }
+    gate
+}
+
+fn queue() -> Queue<Attempt> {
+    let config = queue::Config {
+        capacity: ITEMS as usize,
+        ..queue::Config::short()
+    };
+    let mut queue = Queue::new(config);
+    let room = Room::idle(Tokens(1_000_000), 64);
+    let names: Vec<Organisation> = (0..1_500).map(organisation).collect();
+    let host = host();
+    for counter in 0..ITEMS {
+        let attempt = Attempt {
+            host: host.clone(),
+            incarnation: Incarnation(2),
+            counter,
+        };
+        let job = Job {
+            organisation: names[counter as usize % names.len()].clone(),
+            weight: 1,
+            prompt: Tokens(1_000 + counter % 50_000),
+            cached: Tokens::ZERO,
+            output: Tokens(200),
+            deadline: Mono::from_millis(600_000 + counter),
+            suspect: false,
+        };
+        // A refusal would show as a smaller figure for all.
+        let _ = queue.push(attempt, job, &room, Mono::ZERO);
+    }
+    queue
+}
+
+fn table(upstreams: u64) -> Table {
+    let domain = |i: u64| Domain::new(&format!("domain-{}", i % 6)).expect("a plain name");
+    let region = Region::new("region").expect("a plain name");
+    let home = Home {
+        host: host(),
+        domain: domain(0),
+        region: region.clone(),
+    };
+    let mut table = Table::new(choice::Config::default(), home);
+    for i in 0..upstreams {
+        let name = Upstream::new(&format!("engine-{i:08}")).expect("a plain name");
+        let site = Site {
+            domain: domain(i),
+            region: region.clone(),
+        };
+        table.insert(&name, site);
+    }
+    table
+}
+
+fn limiter() -> Limiter {
+    let mut limiter = Limiter::new(limit::Config::default());
+    for i in 0..ITEMS {
+        let limit = Limit {
+            rate: 10,
+            tokens: Tokens(1_000),
+        };
+        limiter.set(&organisation(i), limit);
+    }
+    limiter
+}
+
+fn retries() -> retry::Policy {
+    let mut policy = retry::Policy::new(retry::Config::default());
+    for i in 0..ITEMS {
+        policy.fresh(&organisation(i), Mono::ZERO);
+    }
+    policy
+}
+
+fn watch() -> Watch {
+    let config = poison::Config {
+        harmless: ITEMS as usize,
+        ..poison::Config::default()
+    };
+    let mut watch = Watch::new(config);
+    let name = organisation(0);
+    for i in 0..ITEMS {
+        let print = Fingerprint::new(&name, "/", &i.to_le_bytes());
+        watch.begin(print, None, Wall::from_millis(0), Mono::ZERO);
+        watch.end(print, Some(true), Mono::ZERO);
+    }
+    watch
+}
+
+fn ledger() -> Ledger<u64> {
+    let mut ledger = Ledger::new(ledger::Config::default());
+    let owner = Owner {
+        host: host(),
+        incarnation: Incarnation(1),
+    };
+    let item = Item {
+        kind: Kind::Stream,
+        tokens: Tokens(1_000),
+    };
+    for id in 0..ITEMS {
+        ledger.open(id, item, &owner, Duration::from_secs(10), Mono::ZERO);
+    }
+    ledger
+}
+
+fn main() {
+    println!("{:<44} {:>8} {:>8}", "kind of item", "items", "bytes");
+    measure("gate: a closed attempt", ITEMS, gate);
+    measure("queue: a waiting attempt", ITEMS, queue);
+    measure("choice: an upstream", 20_000, || table(20_000));
+    measure("limit: an organisation", ITEMS, limiter);
+    measure("retry: an organisation", ITEMS, retries);
+    measure("poison: a fingerprint known as harmless", ITEMS, watch);
+    measure("ledger: a thing held", ITEMS, ledger);
+}
