Survive an absurd stretch

Cause: settings are text, `nan` parses as a number, and multiplying a span by it panics at the first job. Change: taken for 0; others are bounded as before. Seen failing on a scratch copy: absurd_stretch_does_no_harm panics without it. Conclusion: passes with it.

--- a/almondlock-policy/src/queue/config.rs
+++ b/almondlock-policy/src/queue/config.rs
@@ -90,6 +90,20 @@
     }
 }
 
+/// Largest stretch that is acted on.
+const STRETCH_LIMIT: f64 = 1_000.0;
+
+impl Config {
+    /// Settings are read from text, where `nan` is a number too; multiplying a
+    /// span by it would panic at the first job.
+    pub(super) fn bounded_stretch(&self) -> f64 {
+        if self.stretch.is_nan() {
+            return 0.0;
+        }
+        self.stretch.clamp(0.0, STRETCH_LIMIT)
+    }
+}
+
 impl Default for Config {
     fn default() -> Config {
         Config::short()
--- a/almondlock-policy/src/queue/mod.rs
+++ b/almondlock-policy/src/queue/mod.rs
@@ -336,7 +336,7 @@
             return now + job.deadline.since(now) / 2;
         }
         let service = self.service(job.prefill()) + self.config.base;
-        now + service.mul_f64(self.config.stretch.clamp(0.0, 1e3))
+        now + service.mul_f64(self.config.bounded_stretch())
     }
 
     /// The last moment at which a job could start and still be in time.
--- a/almondlock-policy/tests/short_first.rs
+++ b/almondlock-policy/tests/short_first.rs
@@ -118,3 +118,19 @@
     assert_eq!(refusal.code, code);
     assert!(queue.is_empty());
 }
+
+#[parameterized(
+    nan = { f64::NAN },
+    negative = { -1.0 },
+    infinite = { f64::INFINITY },
+)]
+fn absurd_stretch_does_no_harm(stretch: f64) {
+    let room = Room::idle(CAPACITY, 16);
+    let config = Config {
+        stretch,
+        ..Config::short()
+    };
+    let mut queue = Queue::new(config);
+    queue.push(1, job(150_000), &room, Mono::ZERO).unwrap();
+    assert!(queue.grant(Mono::ZERO, &room).is_some());
+}
