--- a/almondlock-node/tests/lost_parent.rs
+++ b/almondlock-node/tests/lost_parent.rs
@@ -90,6 +90,8 @@
     let node = process("h1", "d1", &[root.address()], &plan).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert!(!node.is_recent() && !node.handle().has_started());
+    // Nor does it count a child that will go elsewhere.
+    assert_eq!(root.handle().summary().processes, 1);
     vouch.at(clock::mono());
     until("it is ready", || node.is_recent()).await;
     assert_eq!(node.handle().view().revision(), Revision(5));
