--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -34,6 +34,9 @@
 const SILENCE: Duration = Duration::from_secs(2);
 /// Reports that come closer together than this go up as one.
 const GAP: Duration = Duration::from_millis(10);
+/// A pause after an error. A parent that serves and then fails, over and over,
+/// would otherwise be asked again without end.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
 /// How long saying goodbye may take.
 const LEAVE: Duration = Duration::from_millis(500);
 
@@ -85,6 +88,7 @@
                         tracing::debug!(%address, %error, "fetching failed");
                         self.leave(address);
                         self.search.fail(address);
+                        sleep(ERROR_PAUSE).await;
                     }
                 }
             }
@@ -126,8 +130,7 @@
             // The question is put again, with what is known now.
             () = interrupted(&self.shared, fetch.report.lowest), if is_parent => return Ok(()),
         };
-        self.answer(address, &fetch.report, delta, sent);
-        Ok(())
+        self.answer(address, &fetch.report, delta, sent)
     }
 
     /// What is asked for. A process that is no parent yet is asked without a
@@ -157,7 +160,13 @@
         Fetch { want, report, wait }
     }
 
-    fn answer(&mut self, address: SocketAddr, told: &Report, delta: Delta, sent: Mono) {
+    fn answer(
+        &mut self,
+        address: SocketAddr,
+        told: &Report,
+        delta: Delta,
+        sent: Mono,
+    ) -> Result<(), capnp::Error> {
         let have = self.shared.view.revision();
         let after = match &delta.body {
             Body::Changes(first, changes) => have.max(Revision(
@@ -172,10 +181,10 @@
         let now = clock::mono();
         if self.search.answer(now, address, &delta, after, heard) == Verdict::Leave {
             self.leave(address);
-            return;
+            return Ok(());
         }
         self.shared.tree().children.delivered(told);
-        self.apply(delta.body);
+        self.apply(delta.body)?;
         if let Standing::Served(age, _) = delta.standing {
             // Counted from the question, so that a slow answer makes nothing
             // look newer than it is.
@@ -186,9 +195,10 @@
             self.shared.current.at(at);
         }
         self.shared.doubt();
+        Ok(())
     }
 
-    fn apply(&mut self, body: Body) {
+    fn apply(&mut self, body: Body) -> Result<(), capnp::Error> {
         match body {
             Body::Empty => {}
             Body::Changes(first, texts) => {
@@ -203,23 +213,25 @@
                 let extended = self.shared.view.extend(first, read);
                 self.assembly = (!whole || !extended).then(Assembly::new);
             }
-            Body::Piece(piece) => self.add(&piece),
+            Body::Piece(piece) => self.add(&piece)?,
         }
+        Ok(())
     }
 
-    fn add(&mut self, piece: &Piece) {
-        let assembly = self.assembly.get_or_insert_with(Assembly::new);
+    fn add(&mut self, piece: &Piece) -> Result<(), capnp::Error> {
+        let mut assembly = self.assembly.take().unwrap_or_default();
         match assembly.add(piece) {
-            Ok(None) => {}
+            Ok(None) => self.assembly = Some(assembly),
             Ok(Some(config)) => {
                 self.shared.view.replace(config);
-                self.assembly = None;
             }
+            // Begun again, with another parent if there is one.
             Err(error) => {
                 tracing::warn!(%error, "a snapshot is begun again");
-                self.assembly = Some(Assembly::new());
+                return Err(capnp::Error::failed(error.to_string()));
             }
         }
+        Ok(())
     }
 }
 
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -209,23 +209,30 @@
 
     fn body(&self, want: Want) -> Result<Body, capnp::Error> {
         let view = &self.shared.view;
-        let (revision, offset) = match want {
-            Want::Nothing => return Ok(Body::Empty),
-            Want::After(have) if view.revision() <= have => return Ok(Body::Empty),
-            Want::After(have) => {
-                let changes = view.with_ring(|ring| ring.after(have, CHANGES, BATCH));
-                if let Some(changes) = changes {
-                    let changes = changes.iter().map(|change| change.to_vec());
-                    return Ok(Body::Changes(have.next(), changes.collect()));
-                }
-                (Revision::ZERO, 0)
+        let body = match want {
+            Want::Nothing => Ok(Body::Empty),
+            Want::After(have) if view.revision() <= have => Ok(Body::Empty),
+            Want::After(have) => self.after(have),
+            Want::Snapshot(revision, offset) => {
+                let mut tree = self.shared.tree();
+                tree.store.piece(view, revision, offset).map(Body::Piece)
             }
-            Want::Snapshot(revision, offset) => (revision, offset),
         };
-        let piece = self.shared.tree().store.piece(view, revision, offset);
-        piece
-            .map(Body::Piece)
-            .map_err(|error| capnp::Error::failed(error.to_string()))
+        body.map_err(|error| capnp::Error::failed(error.to_string()))
+    }
+
+    fn after(&self, have: Revision) -> Result<Body, serde_json::Error> {
+        let view = &self.shared.view;
+        let mut tree = self.shared.tree();
+        if !tree.store.is_shorter(view, have)? {
+            let changes = view.with_ring(|ring| ring.after(have, CHANGES, BATCH));
+            if let Some(changes) = changes {
+                let changes = changes.iter().map(|change| change.to_vec());
+                return Ok(Body::Changes(have.next(), changes.collect()));
+            }
+        }
+        let piece = tree.store.piece(view, Revision::ZERO, 0)?;
+        Ok(Body::Piece(piece))
     }
 
     fn standing(&self) -> Standing {
--- a/almondlock-spread/src/ring.rs
+++ b/almondlock-spread/src/ring.rs
@@ -73,6 +73,14 @@
         self.held
     }
 
+    /// The bytes of the changes after a revision, as far as they are here.
+    pub fn bytes_after(&self, have: Revision) -> usize {
+        let missed = self.newest.0.saturating_sub(have.0);
+        let missed = usize::try_from(missed).unwrap_or(usize::MAX);
+        let skipped = self.changes.len().saturating_sub(missed);
+        self.changes.iter().skip(skipped).map(|c| c.len()).sum()
+    }
+
     /// Whether everything after a revision is here.
     pub fn reaches(&self, have: Revision) -> bool {
         let missed = self.newest.0.checked_sub(have.0);
--- a/almondlock-spread/src/snapshot.rs
+++ b/almondlock-spread/src/snapshot.rs
@@ -56,6 +56,15 @@
         })
     }
 
+    /// Whether the whole is the shorter way for a process that has this
+    /// revision. Changes often touch the same things again, so many of them
+    /// take more bytes than what they come to.
+    pub fn is_shorter(&mut self, view: &View, have: Revision) -> Result<bool, serde_json::Error> {
+        let missed = view.with_ring(|ring| ring.bytes_after(have));
+        // Few changes are the shorter way without looking.
+        Ok(missed > 4 * PIECE && self.current(view)?.1.len() < missed)
+    }
+
     /// Bytes held.
     pub fn held(&self) -> usize {
         self.kept.as_ref().map_or(0, |(_, text)| text.len())
--- a/almondlock-spread/tests/snapshot_pieces.rs
+++ b/almondlock-spread/tests/snapshot_pieces.rs
@@ -71,6 +71,20 @@
     assert_eq!(config, *newer.get());
 }
 
+/// Thousands of changes touched the same few things. Sending them all would
+/// take many times what they come to; a few, though, are cheaper than the whole.
+#[test]
+fn the_shorter_way_is_known() {
+    let view = View::new();
+    extend(&view, 3000);
+    let mut store = Store::new();
+    assert!(!store.is_shorter(&view, Revision(2999)).unwrap());
+    let again = |n| Change::Setting("same".into(), Some(format!("{n:0>200}")));
+    view.extend(view.revision().next(), (0..5000).map(again));
+    assert!(!store.is_shorter(&view, Revision(7999)).unwrap());
+    assert!(store.is_shorter(&view, Revision(3000)).unwrap());
+}
+
 #[test]
 fn bad_pieces_are_refused() {
     let piece = |offset, total, data: &[u8]| Piece {
