End an open claim by its organisation's longest deadline

No request outlives its deadline, so a claim is lost ten minutes after the longest one its organisation may ask for.

--- a/almondlock-state/src/claim.rs
+++ b/almondlock-state/src/claim.rs
@@ -120,6 +120,9 @@
     pub holder: &'a Attempt,
     /// How long to remember it after it ended.
     pub keep: Duration,
+    /// How long it can be open: past its longest deadline it is over, and a
+    /// holder that hasn't said how is gone or cut off.
+    pub run: Duration,
 }
 
 impl Table {
@@ -312,7 +315,7 @@
             holder: request.holder.clone(),
             keep: request.keep.clamp(limit::KEEP_LEAST, limit::KEEP_MOST),
             state: State::Open,
-            until: now + limit::RUN_MOST,
+            until: now + request.run.min(limit::RUN_MOST),
         }
     }
 
@@ -364,7 +367,7 @@
         bytes
     }
 
-    /// Whether it is still kept. An open one that nobody settled in a day is
+    /// Whether it is still kept. An open one that nobody settled in its time is
     /// lost first, and forgotten only after its keep time.
     fn outlives(&mut self, now: Wall) -> bool {
         if now < self.until {
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -28,6 +28,9 @@
 pub const KEEP_LEAST: Duration = Duration::from_secs(60);
 /// The longest time a claim is kept after it ended.
 pub const KEEP_MOST: Duration = Duration::from_secs(7 * 24 * 3600);
+/// An open claim counts as lost this long after its organisation's longest
+/// deadline. Enough for an entry host to get its settlement through.
+pub const RUN_MARGIN: Duration = Duration::from_secs(600);
 /// An open claim as old as this counts as lost: no deadline is that long.
 pub const RUN_MOST: Duration = Duration::from_secs(24 * 3600);
 /// How long a freed claim remembers the attempt that gave it back.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -15,7 +15,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use almondlock_base::{
-    id::{Incarnation, Upstream},
+    id::{Incarnation, Organisation, Upstream},
     time::Wall,
     unit::Revision,
 };
@@ -172,6 +172,7 @@
                     body: &body,
                     holder: &holder,
                     keep: Duration::from_millis(keep),
+                    run: self.longest_run(&organisation),
                 };
                 let verdict = self.claims.claim(request, self.time(at));
                 return Ok(Reply::Claimed { verdict });
@@ -201,6 +202,14 @@
         Ok(accepted())
     }
 
+    /// How long a request of this organisation can run.
+    fn longest_run(&self, organisation: &Organisation) -> Duration {
+        let known = self.config().organisations.get(organisation);
+        known.map_or(limit::RUN_MOST, |known| {
+            Duration::from_millis(known.deadline_limit).saturating_add(limit::RUN_MARGIN)
+        })
+    }
+
     fn on_suspect(&mut self, command: Command, changes: &mut Changes) -> Result<Reply, Refusal> {
         let config = &self.tables.config;
         let made = match command {
--- a/almondlock-state/tests/dead_holder.rs
+++ b/almondlock-state/tests/dead_holder.rs
@@ -4,12 +4,15 @@
 
 mod common;
 
+use std::time::Duration;
+
 use almondlock_base::{
     Code, Ran,
     id::{Host, Incarnation},
 };
 use almondlock_state::{claim::Verdict, command::Command, limit, machine::Machine};
-use common::{HOUR, attempt, claim, code, pass_time, settle, wall};
+use common::{HOUR, MINUTE, attempt, claim, code, pass_time, settle, wall};
+use yare::parameterized;
 
 fn gone(machine: &mut Machine, life: u64, at: u64) {
     let (host, incarnation) = (Host::new("entry-1").unwrap(), Incarnation(life));
@@ -86,18 +89,29 @@
     assert_eq!(claim(&mut machine, "other", &second, 3), Verdict::Running);
 }
 
-/// Nobody ever says how a claim ended. After a day it counts as lost, is kept
-/// for its time, and is forgotten; it isn't held for ever.
-#[test]
-fn never_settled() {
+/// Nobody ever says how a claim ended. Some time past the organisation's longest
+/// deadline, or after a day when the organisation isn't known, it counts as lost,
+/// is kept for its time, and is forgotten; it isn't held for ever.
+#[parameterized(
+    unknown_organisation = { false, limit::RUN_MOST },
+    known_organisation = { true, Duration::from_secs(600) + limit::RUN_MARGIN },
+)]
+fn never_settled(known: bool, span: Duration) {
     let mut machine = Machine::new();
     pass_time(&mut machine, HOUR);
+    if known {
+        common::change(&mut machine, "1", common::add("acme"), HOUR);
+    }
     claim(&mut machine, "k", &attempt("entry-1", 1), HOUR);
-    let day = u64::try_from(limit::RUN_MOST.as_millis()).unwrap();
-    pass_time(&mut machine, HOUR + day + common::MINUTE);
+    let end = HOUR + u64::try_from(span.as_millis()).unwrap();
     let second = attempt("entry-2", 1);
-    let answer = claim(&mut machine, "k", &second, HOUR + day + common::MINUTE);
-    assert_eq!(answer, Verdict::Lost);
-    pass_time(&mut machine, 2 * HOUR + day);
+    pass_time(&mut machine, end - MINUTE);
+    assert_eq!(claim(&mut machine, "k", &second, end), Verdict::Running);
+    pass_time(&mut machine, end + MINUTE);
+    assert_eq!(
+        claim(&mut machine, "k", &second, end + MINUTE),
+        Verdict::Lost
+    );
+    pass_time(&mut machine, end + HOUR);
     assert!(machine.claims().is_empty());
 }
