--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod machine;
 pub mod operator;
 pub mod order;
+pub mod placement;
 pub mod plan;
 pub mod poison;
 pub mod registration;
