Charge a suspect's run before it starts

Cause: copies of a deadly request that reach several sidecars before the first death is known all run; forty at one moment cost eight engines of eight. Change: a suspect's death is entered in the replicated state before its run and taken back after; a copy of a request that never finished waits for the one before it, per entry host; from two deaths on it runs alone.

--- a/almondlock-control/src/replica/server.rs
+++ b/almondlock-control/src/replica/server.rs
@@ -175,19 +175,58 @@
         Ok(())
     }
 
-    async fn clear(
+    async fn charge(
         self: Rc<Self>,
-        params: control::ClearParams,
-        mut results: control::ClearResults,
+        params: control::ChargeParams,
+        mut results: control::ChargeResults,
     ) -> Done {
         let command = {
             let from = params.get()?;
-            Command::Clear {
+            let upstream = from.get_upstream()?.to_str()?;
+            Command::Charge {
                 fingerprint: fingerprint(from.get_fingerprint()?)?,
                 organisation: organisation(from.get_organisation()?)?,
+                upstream: Upstream::new(upstream).map_err(|e| failed(&e))?,
+                incarnation: Incarnation(from.get_incarnation()),
                 at: clock::wall(),
             }
         };
+        let result = self.replica.propose(command).await;
+        let mut to = results.get();
+        write_result(&result, to.reborrow().init_status());
+        if let Ok(Reply::Accepted { revision }) = result {
+            to.set_revision(revision.0);
+        }
+        Ok(())
+    }
+
+    async fn clear(
+        self: Rc<Self>,
+        params: control::ClearParams,
+        mut results: control::ClearResults,
+    ) -> Done {
+        let command = {
+            let from = params.get()?;
+            let fingerprint = fingerprint(from.get_fingerprint()?)?;
+            let organisation = organisation(from.get_organisation()?)?;
+            let at = clock::wall();
+            if from.get_harmless() {
+                Command::Clear {
+                    fingerprint,
+                    organisation,
+                    at,
+                }
+            } else {
+                let upstream = from.get_upstream()?.to_str()?;
+                Command::Discharge {
+                    fingerprint,
+                    organisation,
+                    upstream: Upstream::new(upstream).map_err(|e| failed(&e))?,
+                    incarnation: Incarnation(from.get_incarnation()),
+                    at,
+                }
+            }
+        };
         self.order(command, results.get().init_status()).await;
         Ok(())
     }
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -10,11 +10,12 @@
 
 use almondlock_base::{
     Code, Ran,
-    id::{Incarnation, Upstream},
+    id::{Fingerprint, Incarnation, Upstream},
 };
 use almondlock_node::{clock, links::Links, replicas::Replicas};
 use almondlock_policy::{
     choice::{Ask, Index, Picker, Probing, Report},
+    poison::{Start, Treatment},
     retry::{self, Decision},
 };
 use almondlock_wire::answer::Usage;
@@ -41,6 +42,8 @@
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
 /// How long the configuration that explains a death is waited for.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often a copy that waits looks whether the one before it has ended.
+const COPY_PAUSE: Duration = Duration::from_millis(2);
 /// What the sidecar gets beyond the deadline to say how a run ended.
 const GRACE: Duration = Duration::from_millis(500);
 
@@ -79,6 +82,8 @@
     // The most that is known of any attempt that may have run.
     ran: Ran,
     suspect: bool,
+    // Whether the last attempt finished well, or its engine died.
+    harmless: Option<bool>,
 }
 
 /// How it goes on after an attempt.
@@ -93,6 +98,28 @@
     Fail(Failure),
 }
 
+/// A copy of a request under watch, until it has ended.
+struct Copy<'a> {
+    shared: &'a Shared,
+    print: Fingerprint,
+    harmless: Option<bool>,
+}
+
+impl Copy<'_> {
+    fn end(mut self, course: &Course) {
+        self.harmless = course.harmless;
+    }
+}
+
+impl Drop for Copy<'_> {
+    fn drop(&mut self) {
+        let (print, harmless) = (self.print, self.harmless);
+        let now = clock::mono();
+        self.shared
+            .with_watch(|watch| watch.end(print, harmless, now));
+    }
+}
+
 impl Worker {
     /// A worker with its own sessions and generator.
     pub fn new(shared: Arc<Shared>, links: Links, replicas: Replicas, seed: u64) -> Worker {
@@ -134,9 +161,10 @@
             begun: false,
             ran: Ran::No,
             suspect: false,
+            harmless: None,
         };
         loop {
-            self.check(request, &mut course)?;
+            let copy = self.check(request, &mut course).await?;
             course.places += 1;
             let next = match self.gang_pool(request) {
                 None => {
@@ -149,6 +177,7 @@
                         .await
                 }
             };
+            copy.end(&course);
             match next {
                 Next::Done => return Ok(()),
                 Next::Fail(failure) => {
@@ -191,19 +220,39 @@
         }
     }
 
-    /// What forbids a further attempt, looked at anew before each.
-    fn check(&self, request: &Request, course: &mut Course) -> Result<(), Failure> {
-        if request.left(clock::mono()).is_zero() {
-            return Err(deadline(course.ran));
-        }
-        let view = self.shared.handle.view().get();
-        if let Some(known) = view.quarantine(request.fingerprint) {
-            if known.refused {
-                return Err(Failure::new(Code::Quarantined).ran(course.ran));
+    /// What forbids a further attempt, looked at anew before each. A copy of a
+    /// request that has never finished waits here until the copy before it has
+    /// ended: if it kills engines, one is lost and not one for each copy.
+    async fn check(&self, request: &Request, course: &mut Course) -> Result<Copy<'_>, Failure> {
+        let print = request.fingerprint;
+        loop {
+            let now = clock::mono();
+            if request.left(now).is_zero() {
+                return Err(deadline(course.ran));
+            }
+            let view = self.shared.handle.view().get();
+            let record = view.quarantine(print);
+            let start = self
+                .shared
+                .with_watch(|watch| watch.begin(print, record, clock::wall(), now));
+            match start {
+                Start::Wait => sleep(COPY_PAUSE).await,
+                Start::Run(Treatment::Refuse { retry_after }) => {
+                    let failure = Failure::new(Code::Quarantined).ran(course.ran);
+                    return Err(failure.retry_after(retry_after));
+                }
+                Start::Run(treatment) => {
+                    course.suspect = treatment.is_charged();
+                    let shared = &self.shared;
+                    let harmless = None;
+                    return Ok(Copy {
+                        shared,
+                        print,
+                        harmless,
+                    });
+                }
             }
-            course.suspect = true;
         }
-        Ok(())
     }
 
     /// The pool whose engines can hold a request only together.
@@ -303,6 +352,10 @@
             request,
             format!("{} after {took:?} (ran: {})", said, outcome.ran.as_str()),
         );
+        course.harmless = match &outcome {
+            outcome if outcome.died => Some(false),
+            outcome => outcome.code.is_none().then_some(true),
+        };
         if outcome.died {
             // The suspicion raised by a death must be known before the request
             // is sent again, or it would run as if it were innocent.
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What an entry host's worker threads share.
 //!
 //! Lock order: `directory`, then `limits`, then `pools`, then `retries`, then
-//! `lengths`, then `journal`, then `refusals`. No lock is held over an await,
+//! `lengths`, then `watch`, then `journal`, then `refusals`. No lock is held over an await,
 //! and none over I/O.
 
 use std::{
@@ -24,6 +24,7 @@
     choice::{self, Home, Site},
     length::Estimator,
     limit::{self, Limiter},
+    poison::{self, Watch},
     retry,
 };
 use almondlock_state::config::{self, Kind};
@@ -163,6 +164,7 @@
     pools: Mutex<HashMap<Pool, choice::Table>>,
     retries: Mutex<retry::Policy>,
     lengths: Mutex<Estimator>,
+    watch: Mutex<Watch>,
     journal: Mutex<Journal>,
     refusals: Mutex<BTreeMap<u16, u64>>,
     counter: AtomicU64,
@@ -191,6 +193,7 @@
         Arc::new(Shared {
             retries: Mutex::new(retry::Policy::new(config.retry)),
             lengths: Mutex::default(),
+            watch: Mutex::new(Watch::new(poison::Config::default())),
             config,
             handle,
             metrics,
@@ -319,6 +322,14 @@
         work(&mut lock(&self.retries))
     }
 
+    /// Works on what is known of copies of requests.
+    pub fn with_watch<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Watch) -> T,
+    {
+        work(&mut lock(&self.watch))
+    }
+
     /// The estimated length of a model's prompt of so many bytes.
     pub fn estimate(&self, model: &Model, bytes: usize) -> Tokens {
         lock(&self.lengths).tokens(model, bytes as u64)
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -165,17 +165,48 @@
         Ok(())
     }
 
-    async fn clear(
+    async fn charge(
         self: Rc<Self>,
-        params: control::ClearParams,
-        mut results: control::ClearResults,
+        params: control::ChargeParams,
+        mut results: control::ChargeResults,
     ) -> Result<(), capnp::Error> {
         let params = params.get()?;
-        let reply = self.decide(Command::Clear {
+        let reply = self.decide(Command::Charge {
             fingerprint: id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap(),
             organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
+            upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
+            incarnation: Incarnation(params.get_incarnation()),
             at: clock::wall(),
         });
+        results.get().set_revision(self.view.revision().0);
+        self.tell(results.get().init_status(), reply.as_ref());
+        Ok(())
+    }
+
+    async fn clear(
+        self: Rc<Self>,
+        params: control::ClearParams,
+        mut results: control::ClearResults,
+    ) -> Result<(), capnp::Error> {
+        let params = params.get()?;
+        let fingerprint = id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap();
+        let organisation = id::Organisation::new(params.get_organisation()?.to_str()?).unwrap();
+        let at = clock::wall();
+        let reply = self.decide(if params.get_harmless() {
+            Command::Clear {
+                fingerprint,
+                organisation,
+                at,
+            }
+        } else {
+            Command::Discharge {
+                fingerprint,
+                organisation,
+                upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
+                incarnation: Incarnation(params.get_incarnation()),
+                at,
+            }
+        });
         self.tell(results.get().init_status(), reply.as_ref());
         Ok(())
     }
--- a/almondlock-entry/tests/poison_resend.rs
+++ b/almondlock-entry/tests/poison_resend.rs
@@ -63,3 +63,37 @@
     assert!(refused >= 36, "{refused} of 40 refused");
     assert!(counts.iter().all(|count| *count > 0), "{counts:?}");
 }
+
+/// Forty copies come at the same moment through three entry hosts, none of
+/// which has heard of anything. Each lets one copy run before the others; from
+/// the first death on, a run must be charged before it starts. So at most one
+/// engine is lost for each entry host, and two for all charged runs together.
+#[ntex::test]
+async fn same_moment() {
+    let fleet = Fleet::new().await;
+    let mut engines = Vec::new();
+    for n in 0..8 {
+        let name = format!("engine-{n}");
+        engines.push(fleet.engine(&name, fast()).await);
+    }
+    let entries = [
+        fleet.entry("entry-1").await,
+        fleet.entry("entry-2").await,
+        fleet.entry("entry-3").await,
+    ];
+    fleet.settle().await;
+    let deadly = format!("please {} now", engine::CRASH_MARKER);
+    let copies = (0..40).map(|n| {
+        let (fleet, entry, deadly) = (&fleet, &entries[n % 3], &deadly);
+        async move { text_of(fleet.complete(entry, &Ask::new(deadly)).await).await }
+    });
+    let answers = futures::future::join_all(copies).await;
+    assert!(answers.iter().all(Result::is_err));
+    let lost = engines.iter().filter(|e| !e.is_alive()).count();
+    let limit = almondlock_policy::poison::loss_limit(&Default::default(), 3);
+    assert!((1..=limit as usize).contains(&lost), "{lost} engines lost");
+    // What is left of the fleet serves on.
+    let prompt = "an innocent question";
+    let answer = text_of(fleet.complete(&entries[0], &Ask::new(prompt)).await).await;
+    assert_eq!(answer, Ok(answer::whole(prompt, 8)));
+}
--- a/almondlock-node/src/replicas.rs
+++ b/almondlock-node/src/replicas.rs
@@ -127,14 +127,20 @@
             .await
     }
 
-    /// Clears a suspect that finished without harm.
+    /// Enters the death that a suspect's run may cause, before it starts.
+    pub async fn charge(&self, blame: &Blame, allowed: Duration) -> Result<Revision, Code> {
+        self.until(allowed, async |replica| replica.charge(blame).await)
+            .await?
+    }
+
+    /// Takes a charge back after the run; a harmless one clears the suspect.
     pub async fn clear(
         &self,
-        fingerprint: Fingerprint,
-        organisation: &Organisation,
+        blame: &Blame,
+        harmless: bool,
         allowed: Duration,
     ) -> Result<(), Code> {
-        self.until(allowed, async |r| r.clear(fingerprint, organisation).await)
+        self.until(allowed, async |r| r.clear(blame, harmless).await)
             .await
     }
 
@@ -276,15 +282,30 @@
         })
     }
 
-    async fn clear(
-        &self,
-        fingerprint: Fingerprint,
-        organisation: &Organisation,
-    ) -> Result<Answer<()>, capnp::Error> {
+    async fn charge(&self, blame: &Blame) -> Result<Answer<Result<Revision, Code>>, capnp::Error> {
+        let mut request = self.control.charge_request();
+        let mut params = request.get();
+        params.set_fingerprint(&blame.fingerprint.0);
+        params.set_organisation(blame.organisation.as_str());
+        params.set_upstream(blame.upstream.as_str());
+        params.set_incarnation(blame.incarnation.0);
+        let answer = request.send().promise.await?;
+        let answer = answer.get()?;
+        Ok(match decided(answer.get_status()?)? {
+            Ok(None) => Answer::Is(Ok(Revision(answer.get_revision()))),
+            Ok(Some(code)) => Answer::Is(Err(code)),
+            Err(elsewhere) => Answer::Elsewhere(elsewhere),
+        })
+    }
+
+    async fn clear(&self, blame: &Blame, harmless: bool) -> Result<Answer<()>, capnp::Error> {
         let mut request = self.control.clear_request();
         let mut params = request.get();
-        params.set_fingerprint(&fingerprint.0);
-        params.set_organisation(organisation.as_str());
+        params.set_fingerprint(&blame.fingerprint.0);
+        params.set_organisation(blame.organisation.as_str());
+        params.set_upstream(blame.upstream.as_str());
+        params.set_incarnation(blame.incarnation.0);
+        params.set_harmless(harmless);
         let answer = request.send().promise.await?;
         told(answer.get()?.get_status()?)
     }
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -16,7 +16,10 @@
     Handle, clock,
     replicas::{Blame, Replicas},
 };
-use almondlock_policy::ledger::{Item, Kind, Owner};
+use almondlock_policy::{
+    ledger::{Item, Kind, Owner},
+    poison::{self, Treatment},
+};
 use almondlock_wire::{
     almondlock_capnp::{sink, source},
     answer::{Part, Usage},
@@ -295,11 +298,16 @@
                 retry_after: None,
             });
         }
-        let suspect = head.suspect || known.is_some();
+        let known = poison::treat(known, clock::wall());
+        let treatment = match known {
+            Treatment::Free if head.suspect => Treatment::Apart,
+            known => known,
+        };
+        let suspect = treatment.is_charged();
         let now = clock::mono();
         let told = {
             let mut table = self.table.borrow_mut();
-            let told = table.enter(head, suspect, now)?;
+            let told = table.enter(head, treatment, now)?;
             table.pump(now);
             told
         };
@@ -315,6 +323,7 @@
                 output: Tokens::ZERO,
             }),
             started: false,
+            charge: None,
         };
         match told.await {
             Ok(Ok(grant)) => {
@@ -364,6 +373,30 @@
         Some(present)
     }
 
+    /// Has the death that a suspect may cause entered before it runs. Without
+    /// this, copies that reach several sidecars at once would all run.
+    async fn charge(&self, blame: &Blame) -> Result<(), Code> {
+        match self.replicas.charge(blame, BLAME_TIMEOUT).await {
+            Ok(revision) => {
+                self.handle.heard_revision(revision);
+                Ok(())
+            }
+            Err(Code::NoQuorum) => Err(Code::ClaimUnavailable),
+            Err(code) => Err(code),
+        }
+    }
+
+    /// The death that a run starting now would cause.
+    fn next_death(&self, head: &Head) -> Blame {
+        let next = self.death.borrow().count + 1;
+        Blame {
+            fingerprint: head.fingerprint,
+            organisation: head.organisation.clone(),
+            upstream: self.upstream.clone(),
+            incarnation: Incarnation(self.incarnation.0.wrapping_add(next)),
+        }
+    }
+
     /// Blame is told again by every run that broke: the replicas count a death
     /// once for each request.
     async fn blame(&self, present: &[Present], count: u64) {
@@ -409,6 +442,8 @@
     queued: Duration,
     ending: Option<Ending>,
     started: bool,
+    // The death entered in advance, for a suspect.
+    charge: Option<Blame>,
 }
 
 impl<P> Drop for Ticket<P>
@@ -424,6 +459,14 @@
         table.finish(&self.attempt, ending.output, ending.ran, now);
         table.pump(now);
         drop(table);
+        if let Some(charge) = self.charge.take() {
+            let inner = Rc::clone(&self.inner);
+            spawn_local(async move {
+                if inner.protocol.alive().await {
+                    inner.clear(&charge, false).await;
+                }
+            });
+        }
         let id = self.attempt.to_string();
         if self.started {
             self.inner.memory.release(&id, now);
@@ -457,6 +500,14 @@
     P: Protocol,
 {
     async fn run(mut self, head: &Head, source: source::Client, sink: sink::Client) -> Outcome {
+        let charge = self.suspect.then(|| self.inner.next_death(head));
+        if let Some(charge) = &charge {
+            if let Err(code) = self.inner.charge(charge).await {
+                return Outcome::refused(code, Some(DEFAULT_RETRY));
+            }
+            // Taken back also when the entry host leaves in the middle.
+            self.charge = Some(charge.clone());
+        }
         let started = self.inner.table.borrow_mut().start(&self.attempt);
         let cancelled = match started {
             Ok(cancelled) => cancelled,
@@ -495,14 +546,15 @@
             }
         };
         let inner = Rc::clone(&ticket.inner);
-        let suspect = ticket.suspect;
         let mut outcome = inner.judge(end, began, flushed).await;
         outcome.queued = queued;
         if let Ok(mut ticket) = Rc::try_unwrap(ticket) {
             ticket.close(&outcome);
         }
-        if suspect && outcome.code.is_none() {
-            inner.clear(head).await;
+        if let Some(charge) = charge
+            && !outcome.died
+        {
+            inner.clear(&charge, outcome.code.is_none()).await;
         }
         outcome
     }
@@ -548,6 +600,7 @@
 
     /// Leaves the table in the way the outcome says.
     fn close(&mut self, outcome: &Outcome) {
+        self.charge = None;
         if let Some(ending) = &mut self.ending {
             ending.ran = outcome.ran;
         }
@@ -609,13 +662,10 @@
         }
     }
 
-    async fn clear(&self, head: &Head) {
-        let told = self
-            .replicas
-            .clear(head.fingerprint, &head.organisation, BLAME_TIMEOUT)
-            .await;
+    async fn clear(&self, charge: &Blame, harmless: bool) {
+        let told = self.replicas.clear(charge, harmless, BLAME_TIMEOUT).await;
         if let Err(code) = told {
-            tracing::warn!(%code, "a suspect could not be cleared");
+            tracing::warn!(%code, "a charge could not be taken back");
         }
     }
 }
--- a/almondlock-sidecar/src/table.rs
+++ b/almondlock-sidecar/src/table.rs
@@ -16,6 +16,7 @@
     gang::{self, Desk},
     gate::{self, Action, Gate},
     length::Class,
+    poison::Treatment,
     prefix,
     queue::{self, Grant, Job, Queue, Room},
 };
@@ -146,7 +147,7 @@
         }
     }
 
-    /// Lets an attempt in, to wait for its turn. `suspect` as the sidecar
+    /// Lets an attempt in, to wait for its turn. `treatment` as the sidecar
     /// itself knows it: the entry host's word may be older.
     ///
     /// # Errors
@@ -155,7 +156,7 @@
     pub fn enter(
         &mut self,
         head: &Head,
-        suspect: bool,
+        treatment: Treatment,
         now: Mono,
     ) -> Result<oneshot::Receiver<Verdict>, Refusal> {
         let deadline = now + head.budget;
@@ -163,10 +164,16 @@
             .gate
             .admit(&head.attempt, head.incarnation, deadline, now);
         admitted.map_err(Refusal::from)?;
-        let job = self.job(head, suspect, deadline);
+        let job = self.job(head, treatment.is_charged(), deadline);
         let need = job.need();
         let room = self.room();
-        if let Err(refusal) = self.queue.push(head.attempt.clone(), job, &room, now) {
+        let id = head.attempt.clone();
+        let pushed = if treatment == Treatment::Alone {
+            self.queue.push_alone(id, job, &room, now)
+        } else {
+            self.queue.push(id, job, &room, now)
+        };
+        if let Err(refusal) = pushed {
             self.gate.finish(&head.attempt, Ran::No, now);
             let wait = refusal.retry_after;
             return Err(Refusal {
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -102,6 +102,33 @@
         /// The leader's time.
         at: Wall,
     },
+    /// A suspect is about to run: the death it may cause is entered in advance.
+    Charge {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whose request it is.
+        organisation: Organisation,
+        /// The upstream that is to run it.
+        upstream: Upstream,
+        /// The life that would end.
+        incarnation: Incarnation,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// A charged run ended with the upstream alive, though not well: the death
+    /// entered in advance is taken back, the suspicion stays.
+    Discharge {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Whose request it is.
+        organisation: Organisation,
+        /// The upstream that ran it.
+        upstream: Upstream,
+        /// The life that didn't end.
+        incarnation: Incarnation,
+        /// The leader's time.
+        at: Wall,
+    },
     /// A suspect finished without harm.
     Clear {
         /// The request.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -119,7 +119,10 @@
             Command::Claim { .. } | Command::SettleClaim { .. } | Command::HolderGone { .. } => {
                 self.on_claim(command)
             }
-            Command::Blame { .. } | Command::Clear { .. } => self.on_suspect(command, changes),
+            Command::Blame { .. }
+            | Command::Charge { .. }
+            | Command::Discharge { .. }
+            | Command::Clear { .. } => self.on_suspect(command, changes),
             Command::Propose { .. }
             | Command::Confirm { .. }
             | Command::Stop { .. }
@@ -226,6 +229,30 @@
                     .blame(config, fingerprint, &organisation, death, now);
                 blamed.map_err(refusal)?
             }
+            Command::Charge {
+                fingerprint,
+                organisation,
+                upstream,
+                incarnation,
+                at,
+            } => {
+                let (death, now) = ((upstream, incarnation), self.time(at));
+                let charged = self.suspects.charge(fingerprint, &organisation, death, now);
+                charged.map_err(refusal)?
+            }
+            Command::Discharge {
+                fingerprint,
+                organisation,
+                upstream,
+                incarnation,
+                at,
+            } => {
+                let (death, now) = ((upstream, incarnation), self.time(at));
+                let taken = self
+                    .suspects
+                    .discharge(fingerprint, &organisation, &death, now);
+                taken.into_iter().collect()
+            }
             Command::Clear {
                 fingerprint,
                 organisation,
--- a/almondlock-state/src/poison.rs
+++ b/almondlock-state/src/poison.rs
@@ -8,6 +8,13 @@
 //! three engines to one poisonous request, however often it is sent again and
 //! through whichever entry hosts.
 //!
+//! A suspect's next run is *charged* first: the death it may cause is entered
+//! before it starts, and taken back when the run ends with the engine alive (only
+//! a run that finished clears the suspicion too).
+//! Otherwise copies sent through several entry hosts at the same moment would
+//! all run before the first of their deaths is known, and an entry host that
+//! dies with the engine would blame nobody.
+//!
 //! Fingerprints are made over the organisation's name, so that nobody can get
 //! another's requests blamed; the tables are bounded for each organisation, so
 //! that nobody can push another's suspects out.
@@ -44,6 +51,12 @@
     print: Fingerprint,
     /// Invariant: at most `limit::DEATHS`.
     deaths: BTreeSet<Death>,
+    /// Deaths entered in advance for runs that have not ended.
+    ///
+    /// Invariant: none of them is in `deaths`, and both together are at most
+    /// `limit::DEATHS` unless blame came from outside.
+    #[serde(default)]
+    charges: BTreeSet<Death>,
 }
 
 impl Table {
@@ -68,15 +81,68 @@
             .or_insert_with(|| Suspect {
                 print,
                 deaths: BTreeSet::new(),
+                charges: BTreeSet::new(),
             });
+        suspect.charges.remove(&death);
         if suspect.deaths.len() < limit::DEATHS && !suspect.deaths.insert(death) {
             return Ok(changes);
         }
-        let deaths = suspect.deaths.len();
-        let known = config.quarantines.get(&name);
-        let refused = known.is_some_and(|known| known.refused)
-            || deaths >= limit::DEATHS
-            || self.alone(&name) >= limit::DEATHS_ALONE;
+        changes.push(self.quarantine(&name, print, organisation, now));
+        Ok(changes)
+    }
+
+    /// Enters the death that a suspect's run may cause. The run may start only
+    /// once this is accepted.
+    pub fn charge(
+        &mut self,
+        print: Fingerprint,
+        organisation: &Organisation,
+        death: Death,
+        now: Wall,
+    ) -> Result<Vec<Change>, Code> {
+        let name = print.to_string();
+        // Cleared meanwhile: it runs as any other.
+        let Some(suspect) = self.suspects.get_mut(&name) else {
+            return Ok(Vec::new());
+        };
+        if suspect.charges.contains(&death) {
+            return Ok(Vec::new());
+        }
+        let entered = suspect.deaths.len() + suspect.charges.len();
+        if entered >= limit::DEATHS || self.is_guilty(&name) {
+            return Err(Code::Quarantined);
+        }
+        if let Some(suspect) = self.suspects.get_mut(&name) {
+            suspect.charges.insert(death);
+        }
+        Ok(vec![self.quarantine(&name, print, organisation, now)])
+    }
+
+    /// Takes a charge back: the run ended, and the upstream lives.
+    pub fn discharge(
+        &mut self,
+        print: Fingerprint,
+        organisation: &Organisation,
+        death: &Death,
+        now: Wall,
+    ) -> Option<Change> {
+        let name = print.to_string();
+        let taken = self.suspects.get_mut(&name)?.charges.remove(death);
+        taken.then(|| self.quarantine(&name, print, organisation, now))
+    }
+
+    /// What every process is told of a fingerprint.
+    fn quarantine(
+        &self,
+        name: &str,
+        print: Fingerprint,
+        organisation: &Organisation,
+        now: Wall,
+    ) -> Change {
+        let suspect = self.suspects.get(name);
+        let entered = suspect.map_or(0, |s| s.deaths.len() + s.charges.len());
+        // While the last run it may have is under way, no other copy starts.
+        let refused = entered >= limit::DEATHS || self.is_guilty(name);
         let kept = if refused {
             limit::REFUSED
         } else {
@@ -84,12 +150,17 @@
         };
         let quarantine = Quarantine {
             organisation: organisation.clone(),
-            deaths: u32::try_from(deaths).unwrap_or(u32::MAX),
+            deaths: u32::try_from(entered).unwrap_or(u32::MAX),
             refused,
             until: now + kept,
         };
-        changes.push(Change::Quarantine(print, Some(quarantine)));
-        Ok(changes)
+        Change::Quarantine(print, Some(quarantine))
+    }
+
+    /// Whether the deaths that happened prove it; charges don't.
+    fn is_guilty(&self, name: &str) -> bool {
+        let deaths = self.suspects.get(name).map_or(0, |s| s.deaths.len());
+        deaths >= limit::DEATHS || self.alone(name) >= limit::DEATHS_ALONE
     }
 
     /// Deaths for which nothing else is blamed.
@@ -138,7 +209,7 @@
     ) -> Option<Change> {
         let name = print.to_string();
         let known = config.quarantines.get(&name)?;
-        if known.refused || known.organisation != *organisation {
+        if self.is_guilty(&name) || known.organisation != *organisation {
             return None;
         }
         self.suspects.remove(&name);
--- a/almondlock-wire/almondlock.capnp
+++ b/almondlock-wire/almondlock.capnp
@@ -220,8 +220,11 @@
   blame @3 (fingerprint :Data, organisation :Text, upstream :Text, incarnation :UInt64, from :Peer) -> (status :Status, revision :UInt64);
   # An engine died while the fingerprint ran there. The revision is the one in
   # which the suspicion stands.
-  clear @4 (fingerprint :Data, organisation :Text, from :Peer) -> (status :Status);
-  # A suspect finished without harm.
+  clear @4 (fingerprint :Data, organisation :Text, from :Peer, upstream :Text, incarnation :UInt64, harmless :Bool) -> (status :Status);
+  # A suspect's charged run ended with the upstream alive. Harmless: it finished
+  # well, and the suspicion goes with the charge.
+  charge @6 (fingerprint :Data, organisation :Text, upstream :Text, incarnation :UInt64, from :Peer) -> (status :Status, revision :UInt64);
+  # A suspect is about to run: the death it may cause is entered in advance.
   raft @5 (group :UInt16, from :UInt64, message :RaftMessage) -> ();
 }
 
