Call only what was never connected "not run"

Cause: the HTTP client gives one error, Connect(Disconnected), both for a connection that could not be made and for one that closed before the answer came. The second was taken for the first: a request that had begun to run was called not run, nobody was blamed for the death, and it went on to kill the next engine. Ruled out: the spreading of blame (the trace shows attempts that ended without any), and the charging of suspects, which works once blame is there. Change: only an error with the system's own reason proves that nothing was sent; what may not be repeated gets a connection of its own. died_unanswered fails without this (2004, no) and passes with it (3002, unknown, one run).

--- a/almondlock-entry/tests/broken_stream.rs
+++ b/almondlock-entry/tests/broken_stream.rs
@@ -73,3 +73,23 @@
     assert_ne!(ran, "no");
     assert_eq!(one.runs("a tender") + two.runs("a tender"), 1);
 }
+
+/// The engine takes a request that may not be repeated and dies before it
+/// answers anything. From outside this looks much like a connection that was
+/// never made, but the request has begun to run: it must not be called "not
+/// run", and must not be sent to the other engine.
+#[ntex::test]
+async fn died_unanswered() {
+    let fleet = Fleet::new().await;
+    let one = fleet.engine("engine-1", engine::Config::default()).await;
+    let two = fleet.engine("engine-2", engine::Config::default()).await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let prompt = format!("a tender, {}", engine::CRASH_MARKER);
+    let ask = Ask::new(&prompt).header("X-Almondlock-Repeatable", "false");
+    let (code, ran) = text_of(fleet.complete(&entry, &ask).await)
+        .await
+        .unwrap_err();
+    assert_eq!((code, ran.as_str()), (3002, "unknown"));
+    assert_eq!(one.runs(&prompt) + two.runs(&prompt), 1);
+}
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -17,8 +17,8 @@
 use futures::StreamExt;
 use ntex::{
     client::{
-        Client, ClientResponse,
-        error::{ClientBuilderError, ClientError},
+        Client, ClientRequest, ClientResponse,
+        error::{ClientBuilderError, ClientError, ConnectError},
     },
     http::{Method, StatusCode, body::SizedStream, header},
 };
@@ -37,22 +37,20 @@
 pub struct Engine {
     address: SocketAddr,
     base: String,
-    runs: Client,
+    runs: Runs,
     questions: Client,
 }
 
 impl Engine {
     /// An engine at an address. To be made on the thread that uses it.
     pub async fn new(address: SocketAddr) -> Result<Engine, ClientBuilderError> {
-        // Runs have deadlines of their own, minutes long where prompts are.
-        let runs = Client::builder().disable_timeout().disable_redirects();
         let questions = Client::builder()
             .response_timeout(ntex::time::Millis::from(QUESTION_TIMEOUT))
             .disable_redirects();
         Ok(Engine {
             address,
             base: format!("http://{address}"),
-            runs: runs.build(ntex::SharedCfg::default()).await?,
+            runs: Runs::new().await?,
             questions: questions.build(ntex::SharedCfg::default()).await?,
         })
     }
@@ -62,7 +60,7 @@
         let url = format!("{}{}", self.base, head.path);
         let mut request = self
             .runs
-            .request(Method::POST, url)
+            .request(head.repeatable, Method::POST, url)
             .header(header::CONTENT_TYPE, "application/json")
             .header("X-Engine-Request", job.id)
             .header("X-Engine-Priority", u32::from(job.priority).to_string())
@@ -84,14 +82,54 @@
 }
 
 /// A connection that was never made proves that nothing ran; all else leaves
-/// the run's fate unknown.
+/// the run's fate unknown. The client gives the same error for a connection
+/// that could not be made and for one that was closed before the answer came;
+/// only the first carries the system's reason.
 pub(crate) fn classify(error: &ClientError) -> Failure {
     match error {
-        ClientError::Connect(_) => Failure::Unreachable,
+        ClientError::Connect(
+            ConnectError::Disconnected(Some(_))
+            | ConnectError::Resolver(_)
+            | ConnectError::Timeout
+            | ConnectError::Unresolved,
+        ) => Failure::Unreachable,
         _ => Failure::Broken,
     }
 }
 
+/// A client for runs, which have deadlines of their own, minutes long where
+/// prompts are.
+pub(crate) async fn runs() -> Result<Client, ClientBuilderError> {
+    let builder = Client::builder().disable_timeout().disable_redirects();
+    builder.build(ntex::SharedCfg::default()).await
+}
+
+/// Clients for runs. What may not be repeated gets a connection of its own
+/// each time: one that was kept may have been closed by the other side a moment
+/// ago, and what is sent into it may or may not have run.
+pub(crate) struct Runs {
+    pooled: Client,
+    single: Client,
+}
+
+impl Runs {
+    pub(crate) async fn new() -> Result<Runs, ClientBuilderError> {
+        Ok(Runs {
+            pooled: runs().await?,
+            single: runs().await?,
+        })
+    }
+
+    pub(crate) fn request(&self, repeatable: bool, method: Method, url: String) -> ClientRequest {
+        if repeatable {
+            self.pooled.request(method, url)
+        } else {
+            // Closed behind each answer, so that none is ever kept.
+            self.single.request(method, url).force_close()
+        }
+    }
+}
+
 /// Reads an upstream's refusal.
 pub(crate) async fn refusal(response: &ClientResponse) -> Failure {
     let status = response.status();
@@ -268,7 +306,7 @@
         let url = format!("{}/engine/segments", self.base);
         let request = self
             .runs
-            .post(url)
+            .request(true, Method::POST, url)
             .header(header::CONTENT_TYPE, "application/json");
         let sent = request.send_body(part_body(&piece)).await;
         let response = sent.map_err(|e| classify(&e))?;
--- a/almondlock-sidecar/src/plain.rs
+++ b/almondlock-sidecar/src/plain.rs
@@ -9,28 +9,27 @@
 };
 use futures::StreamExt;
 use ntex::{
-    client::{Client, ClientResponse, error::ClientBuilderError},
+    client::{ClientResponse, error::ClientBuilderError},
     http::{Method, body::SizedStream, header},
 };
 
 use crate::{
-    openai::classify,
+    openai::{Runs, classify},
     protocol::{Failure, Feed, Held, Job, Output, Piece, Protocol},
 };
 
 /// A plain service's address and a client for it.
 pub struct Service {
     base: String,
-    client: Client,
+    runs: Runs,
 }
 
 impl Service {
     /// A service at an address. To be made on the thread that uses it.
     pub async fn new(address: SocketAddr) -> Result<Service, ClientBuilderError> {
-        let client = Client::builder().disable_timeout().disable_redirects();
         Ok(Service {
             base: format!("http://{address}"),
-            client: client.build(ntex::SharedCfg::default()).await?,
+            runs: Runs::new().await?,
         })
     }
 
@@ -40,8 +39,8 @@
             .map_err(|_| Failure::Refused(405, "unknown method".to_owned()))?;
         let url = format!("{}{}", self.base, head.path);
         let mut request = self
-            .client
-            .request(method, url)
+            .runs
+            .request(head.repeatable, method, url)
             .header("traceparent", head.traceparent.as_str())
             .header("X-Request-Id", head.request.as_str());
         if !head.content_type.is_empty() {
@@ -119,6 +118,10 @@
     async fn alive(&self) -> bool {
         // Any answer at all will do: a service has no agreed health path.
         let url = format!("{}/", self.base);
-        self.client.head(url).send().await.is_ok()
+        self.runs
+            .request(true, Method::HEAD, url)
+            .send()
+            .await
+            .is_ok()
     }
 }
