--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -17,18 +17,13 @@
 };
 use almondlock_transport::{Dialer, Layer};
 use almondlock_wire::{
-    almondlock_capnp::spread,
     peer::VERSION,
     spread::{Body, Delta, Fetch, Piece, Report, Standing, Want},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::{sleep, timeout};
 
-use crate::{
-    clock,
-    handle::Shared,
-    session::{self, Session},
-};
+use crate::{clock, handle::Shared, session::Session};
 
 /// How long a parent may hold an answer back when it has no news. Half a
 /// kilobyte goes each time; the age of what is known grows by this a level.
@@ -39,9 +34,15 @@
 const SILENCE: Duration = Duration::from_secs(2);
 /// Reports that come closer together than this go up as one.
 const GAP: Duration = Duration::from_millis(10);
+/// A pause after an error. A parent that serves and then fails, over and over,
+/// would otherwise be asked again without end.
+const ERROR_PAUSE: Duration = Duration::from_millis(50);
 /// How long saying goodbye may take.
 const LEAVE: Duration = Duration::from_millis(500);
 
+/// The session with the parent, while there is a parent.
+pub(crate) type Parent = Rc<RefCell<Option<Rc<Session>>>>;
+
 /// The loop of a process that is no source.
 pub(crate) struct Fetcher<L> {
     shared: Arc<Shared>,
@@ -49,8 +50,8 @@
     search: Search<SmallRng>,
     recency: Recency,
     assembly: Option<Assembly>,
-    session: Option<Session>,
-    parent: Rc<RefCell<Option<spread::Client>>>,
+    session: Option<Rc<Session>>,
+    parent: Parent,
 }
 
 impl<L> Fetcher<L>
@@ -61,7 +62,7 @@
         shared: Arc<Shared>,
         dialer: Dialer<L>,
         seeds: &[SocketAddr],
-        parent: Rc<RefCell<Option<spread::Client>>>,
+        parent: Parent,
     ) -> Fetcher<L> {
         // Differs from process to process, which is all that is asked of it.
         let seed = shared.own.process.incarnation.0 ^ u64::from(shared.own.address.port());
@@ -87,6 +88,7 @@
                         tracing::debug!(%address, %error, "fetching failed");
                         self.leave(address);
                         self.search.fail(address);
+                        sleep(ERROR_PAUSE).await;
                     }
                 }
             }
@@ -97,9 +99,7 @@
     /// Shows the tree's server and the node what the search came to.
     fn publish(&mut self) {
         let known = self.search.parent().is_some();
-        let session = self.session.as_ref().filter(|_| known);
-        let client = session.map(|session| session.spread.clone());
-        self.parent.replace(client);
+        self.parent.replace(self.session.clone().filter(|_| known));
         self.shared.tree().way = self.search.way();
     }
 
@@ -111,16 +111,16 @@
     async fn ask(&mut self, address: SocketAddr) -> Result<(), capnp::Error> {
         let session = match self.session.take() {
             Some(session) if session.address == address && !session.is_closed() => session,
-            _ => Session::open(&self.dialer, address).await?,
+            _ => Rc::new(Session::open(&self.dialer, address).await?),
         };
-        let spread = self.session.insert(session).spread.clone();
+        self.session = Some(Rc::clone(&session));
         let is_parent = self.search.parent() == Some(address);
         if !is_parent {
             self.shared.tree().children.announce();
         }
         let fetch = self.request(is_parent);
         let sent = clock::mono();
-        let answer = timeout(fetch.wait + SILENCE, session::ask(&spread, &fetch));
+        let answer = timeout(fetch.wait + SILENCE, session.fetch(&fetch));
         let delta = tokio::select! {
             biased;
             answer = answer => match answer {
@@ -130,8 +130,7 @@
             // The question is put again, with what is known now.
             () = interrupted(&self.shared, fetch.report.lowest), if is_parent => return Ok(()),
         };
-        self.answer(address, &fetch.report, delta, sent);
-        Ok(())
+        self.answer(address, &fetch.report, delta, sent)
     }
 
     /// What is asked for. A process that is no parent yet is asked without a
@@ -161,7 +160,13 @@
         Fetch { want, report, wait }
     }
 
-    fn answer(&mut self, address: SocketAddr, told: &Report, delta: Delta, sent: Mono) {
+    fn answer(
+        &mut self,
+        address: SocketAddr,
+        told: &Report,
+        delta: Delta,
+        sent: Mono,
+    ) -> Result<(), capnp::Error> {
         let have = self.shared.view.revision();
         let after = match &delta.body {
             Body::Changes(first, changes) => have.max(Revision(
@@ -176,10 +181,10 @@
         let now = clock::mono();
         if self.search.answer(now, address, &delta, after, heard) == Verdict::Leave {
             self.leave(address);
-            return;
+            return Ok(());
         }
         self.shared.tree().children.delivered(told);
-        self.apply(delta.body);
+        self.apply(delta.body)?;
         if let Standing::Served(age, _) = delta.standing {
             // Counted from the question, so that a slow answer makes nothing
             // look newer than it is.
@@ -190,9 +195,10 @@
             self.shared.current.at(at);
         }
         self.shared.doubt();
+        Ok(())
     }
 
-    fn apply(&mut self, body: Body) {
+    fn apply(&mut self, body: Body) -> Result<(), capnp::Error> {
         match body {
             Body::Empty => {}
             Body::Changes(first, texts) => {
@@ -207,23 +213,25 @@
                 let extended = self.shared.view.extend(first, read);
                 self.assembly = (!whole || !extended).then(Assembly::new);
             }
-            Body::Piece(piece) => self.add(&piece),
+            Body::Piece(piece) => self.add(&piece)?,
         }
+        Ok(())
     }
 
-    fn add(&mut self, piece: &Piece) {
-        let assembly = self.assembly.get_or_insert_with(Assembly::new);
+    fn add(&mut self, piece: &Piece) -> Result<(), capnp::Error> {
+        let mut assembly = self.assembly.take().unwrap_or_default();
         match assembly.add(piece) {
-            Ok(None) => {}
+            Ok(None) => self.assembly = Some(assembly),
             Ok(Some(config)) => {
                 self.shared.view.replace(config);
-                self.assembly = None;
             }
+            // Begun again, with another parent if there is one.
             Err(error) => {
                 tracing::warn!(%error, "a snapshot is begun again");
-                self.assembly = Some(Assembly::new());
+                return Err(capnp::Error::failed(error.to_string()));
             }
         }
+        Ok(())
     }
 }
 
@@ -244,7 +252,7 @@
 }
 
 /// Tells a parent that this process ends.
-pub(crate) async fn leave(shared: &Shared, parent: &spread::Client) {
+pub(crate) async fn leave(shared: &Shared, parent: &Session) {
     let fetch = Fetch {
         want: Want::After(shared.view.revision()),
         report: Report {
@@ -254,5 +262,5 @@
         wait: Duration::ZERO,
     };
     // Who can't be told lets this process lapse.
-    timeout(LEAVE, session::ask(parent, &fetch)).await.ok();
+    timeout(LEAVE, parent.fetch(&fetch)).await.ok();
 }
