--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -119,9 +119,10 @@
             address: config.address,
             domain: config.domain.clone(),
         };
-        let empty = loaded.snapshot.is_none()
-            && loaded.entries.is_empty()
-            && loaded.hard == Default::default();
+        let stage = match loaded.is_empty() {
+            true => Stage::Gathering,
+            false => Stage::Running,
+        };
         let now = almondlock_node::clock::mono();
         let quorum = config.quorum.clone();
         let silence = quorum.election() * 2;
@@ -137,11 +138,7 @@
             view,
             vouch,
             disk,
-            stage: if empty {
-                Stage::Gathering
-            } else {
-                Stage::Running
-            },
+            stage,
             gathering: Gathering::default(),
             greeted_at: None,
             addresses: HashMap::new(),
--- a/almondlock-quorum/src/storage/mod.rs
+++ b/almondlock-quorum/src/storage/mod.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Whether nothing was ever promised from here.
+    pub fn is_empty(&self) -> bool {
+        self.snapshot.is_none() && self.entries.is_empty() && self.hard == Hard::default()
+    }
+
     /// Adds what a write says, as a disk would.
     pub fn apply(&mut self, write: &Write) {
         self.hard = write.hard;
