Seal the replicas' links as the node's are

Without it a group whose nodes ask for mutual TLS never forms: seen with the setting taken out of the test (60 s, nothing accepted), passes in 1 s with it.

--- a/almondlock-control/src/replica/config.rs
+++ b/almondlock-control/src/replica/config.rs
@@ -8,6 +8,7 @@
 
 use almondlock_base::id::{Domain, Host};
 use almondlock_quorum::config as quorum;
+use almondlock_transport::Security;
 
 /// A replica that the group starts with, as every replica's settings name it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -30,6 +31,7 @@
     pub(super) patience: Duration,
     pub(super) snapshot: u64,
     pub(super) lease: Duration,
+    pub(super) security: Security,
 }
 
 impl Config {
@@ -50,6 +52,7 @@
                 patience: Duration::from_secs(5),
                 snapshot: 20_000,
                 lease: Duration::from_secs(30),
+                security: Security::Plain,
             },
         }
     }
@@ -109,6 +112,12 @@
         self
     }
 
+    /// What links to other replicas are wrapped in: the same as the node's.
+    pub fn security(mut self, security: Security) -> Builder {
+        self.config.security = security;
+        self
+    }
+
     /// The settings.
     pub fn build(self) -> Config {
         self.config
--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -128,7 +128,7 @@
         let silence = quorum.election() * 2;
         let machine = Machine::new(quorum.clone(), id, loaded, now);
         let mut core = Core {
-            peers: Peers::new(quorum.group(), id, silence),
+            peers: Peers::new(quorum.group(), id, silence, config.security.clone()),
             own,
             initial: config.initial.clone(),
             quorum,
--- a/almondlock-control/src/replica/peers.rs
+++ b/almondlock-control/src/replica/peers.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use almondlock_quorum::{member::Id, message::Message};
-use almondlock_transport::Link;
+use almondlock_transport::{Link, Security, link::Dialer};
 use almondlock_wire::almondlock_capnp::control;
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::{
@@ -43,15 +43,17 @@
     group: u16,
     own: Id,
     silence: Duration,
+    dialer: Dialer,
     queues: HashMap<SocketAddr, (mpsc::Sender<Parcel>, JoinHandle<()>)>,
 }
 
 impl Peers {
-    pub(super) fn new(group: u16, own: Id, silence: Duration) -> Peers {
+    pub(super) fn new(group: u16, own: Id, silence: Duration, security: Security) -> Peers {
         Peers {
             group,
             own,
             silence,
+            dialer: Dialer::new(security),
             queues: HashMap::new(),
         }
     }
@@ -62,6 +64,7 @@
             group: self.group,
             own: self.own,
             silence: self.silence,
+            dialer: self.dialer.clone(),
             to,
         };
         let (queue, _) = self.queues.entry(to).or_insert_with(|| {
@@ -87,6 +90,7 @@
     group: u16,
     own: Id,
     silence: Duration,
+    dialer: Dialer,
     to: SocketAddr,
 }
 
@@ -112,7 +116,9 @@
     }
 
     async fn connect(&self) -> Result<(Link, control::Client), capnp::Error> {
-        let link = Link::dial(self.to)
+        let link = self
+            .dialer
+            .dial(self.to)
             .await
             .map_err(|e| capnp::Error::disconnected(e.to_string()))?;
         let answer = link.node().control_request().send().promise.await?;
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -73,6 +73,7 @@
     pub folders: Vec<TempDir>,
     pub running: Vec<Option<Running>>,
     pub adapt: fn(Builder) -> Builder,
+    security: Vec<Security>,
 }
 
 fn free_address() -> SocketAddr {
@@ -82,12 +83,18 @@
 
 impl Group {
     pub fn new(adapt: fn(Builder) -> Builder) -> Group {
+        Group::with_security(adapt, vec![Security::Plain; 3])
+    }
+
+    /// Links of each host are wrapped in its own security.
+    pub fn with_security(adapt: fn(Builder) -> Builder, security: Vec<Security>) -> Group {
         let mut group = Group {
             names: Vec::new(),
             addresses: Vec::new(),
             folders: Vec::new(),
             running: Vec::new(),
             adapt,
+            security,
         };
         for _ in 0..3 {
             group.add_host();
@@ -112,8 +119,8 @@
 
     pub fn start(&mut self, n: usize) {
         let config = self.config(n);
-        let (name, address) = (self.names[n].clone(), self.addresses[n]);
-        self.running[n] = Some(spawn(name, address, config));
+        let node = node_config(&self.names[n], self.addresses[n], &self.security[n]);
+        self.running[n] = Some(spawn(node, config));
     }
 
     fn config(&self, n: usize) -> Config {
@@ -128,6 +135,7 @@
             .heartbeat(Duration::from_millis(50));
         let builder = Config::builder(self.names[n].clone(), self.addresses[n], domain, folder)
             .initial(initial)
+            .security(self.security[n].clone())
             .quorum(quorum.build().unwrap())
             .patience(Duration::from_secs(2))
             // The tests' upstream announces itself once.
@@ -220,7 +228,7 @@
     result.unwrap_or_else(|_| panic!("never: {what}"))
 }
 
-fn spawn(name: Host, address: SocketAddr, config: Config) -> Running {
+fn spawn(node: almondlock_node::Config, config: Config) -> Running {
     let (tell, told) = mpsc::channel();
     let (end, ended) = oneshot::channel();
     let thread = thread::spawn(move || {
@@ -238,7 +246,7 @@
                 vouch: Some(vouch.clone()),
                 ..Parts::default()
             };
-            let node = Node::start(node_config(name, address), view.clone(), parts);
+            let node = Node::start(node, view.clone(), parts);
             let node = node.await.unwrap();
             tell.send((replica.remote(), view, vouch)).unwrap();
             match ended.await {
@@ -272,15 +280,15 @@
     .await
 }
 
-fn node_config(name: Host, address: SocketAddr) -> almondlock_node::Config {
+fn node_config(name: &Host, address: SocketAddr, security: &Security) -> almondlock_node::Config {
     almondlock_node::Config {
-        host: name,
+        host: name.clone(),
         domain: Domain::new("domain").unwrap(),
         region: Region::new("region").unwrap(),
         incarnation: Incarnation::new(clock::wall(), address.port().into()),
         listen: address,
         seeds: Vec::new(),
-        security: Security::Plain,
+        security: security.clone(),
     }
 }
 
