--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -15,7 +15,7 @@
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use almondlock_base::{
-    id::{Incarnation, Upstream},
+    id::{Incarnation, Organisation, Upstream},
     time::Wall,
     unit::Revision,
 };
@@ -119,7 +119,10 @@
             Command::Claim { .. } | Command::SettleClaim { .. } | Command::HolderGone { .. } => {
                 self.on_claim(command)
             }
-            Command::Blame { .. } | Command::Clear { .. } => self.on_suspect(command, changes),
+            Command::Blame { .. }
+            | Command::Charge { .. }
+            | Command::Discharge { .. }
+            | Command::Clear { .. } => self.on_suspect(command, changes),
             Command::Propose { .. }
             | Command::Confirm { .. }
             | Command::Stop { .. }
@@ -172,6 +175,7 @@
                     body: &body,
                     holder: &holder,
                     keep: Duration::from_millis(keep),
+                    run: self.longest_run(&organisation),
                 };
                 let verdict = self.claims.claim(request, self.time(at));
                 return Ok(Reply::Claimed { verdict });
@@ -201,6 +205,14 @@
         Ok(accepted())
     }
 
+    /// How long a request of this organisation can run.
+    fn longest_run(&self, organisation: &Organisation) -> Duration {
+        let known = self.config().organisations.get(organisation);
+        known.map_or(limit::RUN_MOST, |known| {
+            Duration::from_millis(known.deadline_limit).saturating_add(limit::RUN_MARGIN)
+        })
+    }
+
     fn on_suspect(&mut self, command: Command, changes: &mut Changes) -> Result<Reply, Refusal> {
         let config = &self.tables.config;
         let made = match command {
@@ -217,6 +229,30 @@
                     .blame(config, fingerprint, &organisation, death, now);
                 blamed.map_err(refusal)?
             }
+            Command::Charge {
+                fingerprint,
+                organisation,
+                upstream,
+                incarnation,
+                at,
+            } => {
+                let (death, now) = ((upstream, incarnation), self.time(at));
+                let charged = self.suspects.charge(fingerprint, &organisation, death, now);
+                charged.map_err(refusal)?
+            }
+            Command::Discharge {
+                fingerprint,
+                organisation,
+                upstream,
+                incarnation,
+                at,
+            } => {
+                let (death, now) = ((upstream, incarnation), self.time(at));
+                let taken = self
+                    .suspects
+                    .discharge(fingerprint, &organisation, &death, now);
+                taken.into_iter().collect()
+            }
             Command::Clear {
                 fingerprint,
                 organisation,
