Look again at upstreams that were away

Cause: an upstream that told it takes no work, because it was down, was marked as leaving; leaving ones are not probed, so the entry host never learned that it was back and refused every request with 2004 (found while measuring, with an engine that restarted at another address). Ruled out: the sidecar, which stands before the new address and answers, and a capability kept for the old one, since the name is looked up for each attempt. Change: being away passes an upstream over for two seconds; only the configuration marks one as leaving. Also: the client's default of eight connections to an upstream is lifted, behind which requests waited out of the queue's sight; and the replicated setting entry-hosts divides the organisations' limits, which each entry host granted in whole. Conclusion: an engine that comes back is used again.

--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -497,13 +497,12 @@
             table.ended(place.index, request.prompt, answered);
             if outcome.load.capacity.0 > 0 {
                 table.report(place.index, report(&outcome.load), now);
-                table.set_leaving(&place.upstream, outcome.load.leaving);
             }
             let unusable = matches!(
                 outcome.code,
                 Some(Code::NoUpstream | Code::UpstreamLost | Code::StaleIncarnation)
             );
-            if unusable || outcome.died {
+            if unusable || outcome.died || outcome.load.leaving {
                 table.failed(place.index, now);
             }
         });
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -82,7 +82,11 @@
     let now = clock::mono();
     shared.with_pool(pool, |table| {
         table.report(index, report(&load), now);
-        table.set_leaving(&name, load.leaving);
+        // Drained or down: passed over, and probed again, since it may be back
+        // at any moment. Only the configuration says that it is to stay away.
+        if load.leaving {
+            table.failed(index, now);
+        }
     });
     Ok(())
 }
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -72,6 +72,9 @@
     }
 }
 
+/// The replicated setting that tells how many entry hosts share the limits.
+pub const ENTRY_HOSTS: &str = "entry-hosts";
+
 /// What serves the same thing.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Pool {
@@ -230,6 +233,8 @@
 
     fn set_limits(&self, view: &config::Config) {
         let mut limits = lock(&self.limits);
+        let hosts = view.settings.get(ENTRY_HOSTS);
+        limits.set_hosts(hosts.and_then(|n| n.parse().ok()).unwrap_or(1));
         for (name, organisation) in &view.organisations {
             let limit = limit::Limit {
                 rate: organisation.rate,
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -17,7 +17,7 @@
 use futures::StreamExt;
 use ntex::{
     client::{
-        Client, ClientRequest, ClientResponse,
+        Client, ClientRequest, ClientResponse, Connector,
         error::{ClientBuilderError, ClientError, ConnectError},
     },
     http::{Method, StatusCode, body::SizedStream, header},
@@ -30,6 +30,10 @@
 /// How long an engine may take to answer a question about its state.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Connections to one upstream at most: above any number of runs that the queue
+/// lets through.
+const CONNECTIONS: usize = 60_000;
+
 /// The longest error text taken over from an engine, in bytes.
 const ERROR_TEXT_LIMIT: usize = 2048;
 
@@ -99,8 +103,15 @@
 
 /// A client for runs, which have deadlines of their own, minutes long where
 /// prompts are.
-pub(crate) async fn runs() -> Result<Client, ClientBuilderError> {
-    let builder = Client::builder().disable_timeout().disable_redirects();
+///
+/// The library's client opens eight connections at most by default: beyond
+/// that, requests wait inside it, behind the queue that was to order them.
+async fn runs() -> Result<Client, ClientBuilderError> {
+    let connector = Connector::new().limit(CONNECTIONS);
+    let builder = Client::builder()
+        .connector::<()>(connector)
+        .disable_timeout()
+        .disable_redirects();
     builder.build(ntex::SharedCfg::default()).await
 }
 
