--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -361,6 +361,14 @@
 
     /// Starts a sidecar process, to which upstreams announce themselves.
     pub async fn sidecar(&self, name: &str) -> Registry {
+        self.sidecar_at(name, async |inner| inner).await
+    }
+
+    /// The same, registered under another address than its own.
+    async fn sidecar_at<F>(&self, name: &str, place: F) -> Registry
+    where
+        F: AsyncFn(SocketAddr) -> SocketAddr,
+    {
         let sidecars = Sidecars::default();
         let (node, number) = self.node(name, sidecars.clone()).await;
         let links = Links::new(node.handle().clone());
@@ -370,7 +378,7 @@
             domain: Domain::new("a").unwrap(),
             region: Region::new("r").unwrap(),
             incarnation: Incarnation(number),
-            inner: node.address(),
+            inner: place(node.address()).await,
             queue: queue::Config::short(),
             memory_share: 100,
             running: u32::MAX,
@@ -382,8 +390,36 @@
 
     /// Starts a stand-in engine with a sidecar process of its own.
     pub async fn engine(&self, name: &str, config: engine::Config) -> engine::Handle {
-        let handle = Engine::start(config.clone()).unwrap();
         let registry = self.sidecar(&format!("host-{name}")).await;
+        self.engine_at(name, config, registry).await
+    }
+
+    /// The same, with a link that can fall silent before the sidecar.
+    pub async fn engine_behind(
+        &self,
+        name: &str,
+        config: engine::Config,
+    ) -> (engine::Handle, Relay) {
+        let relay = RefCell::new(None);
+        let registry = self
+            .sidecar_at(&format!("host-{name}"), async |inner| {
+                let started = Relay::start(inner).await;
+                let address = started.address;
+                relay.replace(Some(started));
+                address
+            })
+            .await;
+        let engine = self.engine_at(name, config, registry).await;
+        (engine, relay.take().unwrap())
+    }
+
+    async fn engine_at(
+        &self,
+        name: &str,
+        config: engine::Config,
+        registry: Registry,
+    ) -> engine::Handle {
+        let handle = Engine::start(config.clone()).unwrap();
         let announcement = Announcement {
             name: Upstream::new(name).unwrap(),
             address: handle.address(),
@@ -437,6 +473,55 @@
     }
 }
 
+/// A link that can fall silent without an error: what is sent into it stays
+/// there until it speaks again, and then still arrives.
+pub struct Relay {
+    pub address: SocketAddr,
+    silent: tokio::sync::watch::Sender<bool>,
+}
+
+impl Relay {
+    async fn start(target: SocketAddr) -> Relay {
+        let listener = tokio::net::TcpListener::bind(LOCAL).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (silent, speaks) = tokio::sync::watch::channel(false);
+        tokio::task::spawn_local(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                let Ok(far) = tokio::net::TcpStream::connect(target).await else {
+                    continue;
+                };
+                let (near_read, near_write) = near.into_split();
+                let (far_read, far_write) = far.into_split();
+                tokio::task::spawn_local(pump(near_read, far_write, speaks.clone()));
+                tokio::task::spawn_local(pump(far_read, near_write, speaks.clone()));
+            }
+        });
+        Relay { address, silent }
+    }
+
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+}
+
+async fn pump(
+    mut from: tokio::net::tcp::OwnedReadHalf,
+    mut to: tokio::net::tcp::OwnedWriteHalf,
+    mut silent: tokio::sync::watch::Receiver<bool>,
+) {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let count = from.read(&mut buffer).await.unwrap_or_default();
+        if silent.wait_for(|silent| !silent).await.is_err() {
+            return;
+        }
+        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
+            return;
+        }
+    }
+}
+
 /// A completion to ask for.
 #[derive(Clone)]
 pub struct Ask<'a> {
