Let no follower that is still catching up pass for recent

Cause: a follower's commit index is cut to what it holds, so a replica that came back far behind had applied all that it knew to be accepted, heard the leader, and vouched for its view. It now compares with what the leader says to be accepted, and only of a leader that has accepted an entry of its own term.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -328,12 +328,11 @@
     }
 
     /// A leader that hears no majority falls silent within one election
-    /// timeout, so a follower that hears one holds what was accepted a little
-    /// before. (A leader vouches after confirmed reads; see `duties`.)
+    /// timeout, so a follower that has all that such a one says to be accepted
+    /// holds what was accepted a little before. (A leader vouches after
+    /// confirmed reads; see `duties`.)
     fn vouch_as_follower(&self, now: Mono) {
-        let led = self.machine.leader().is_some_and(|id| id != self.own.id);
-        let current = self.machine.commit() > Index::ZERO && self.applied == self.machine.commit();
-        if led && current && self.machine.is_led(now) {
+        if self.machine.is_current(now) && self.applied == self.machine.commit() {
             self.vouch.at(now - self.quorum.election() * 2);
         }
     }
--- a/almondlock-quorum/src/machine/append.rs
+++ b/almondlock-quorum/src/machine/append.rs
@@ -17,6 +17,7 @@
             return;
         }
         self.hear_leader(now, from);
+        self.leader_commit = self.leader_commit.max(Some(append.commit));
         let round = append.round;
         let reply = match self.check_previous(&append) {
             Err(hint) => AppendReply {
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -28,6 +28,7 @@
             self.hard.term = term;
             self.hard.vote = None;
             self.leader_heard = None;
+            self.leader_commit = None;
             self.output.changed_hard();
         }
         if self.role != Role::Follower {
@@ -170,10 +171,13 @@
         self.send_synced(from, Body::VoteReply(reply));
     }
 
-    /// Whether a leader of the present term was heard within one election
-    /// timeout, or this replica leads.
-    pub fn is_led(&self, now: Mono) -> bool {
-        self.hears_leader(now)
+    /// Whether this follower hears a leader and knows to be accepted all that
+    /// the leader said to be. A leader that has accepted nothing of its own term
+    /// doesn't know yet what its predecessor accepted, so it doesn't count.
+    pub fn is_current(&self, now: Mono) -> bool {
+        let said = self.leader_commit.filter(|said| *said <= self.commit);
+        let own = said.is_some_and(|said| self.log.term(said) == Some(self.hard.term));
+        own && !self.is_leader() && self.hears_leader(now)
     }
 
     fn hears_leader(&self, now: Mono) -> bool {
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -72,6 +72,8 @@
     election_at: Mono,
     // When a leader of the present term was last heard.
     leader_heard: Option<Mono>,
+    // What the present term's leader last said to be accepted.
+    leader_commit: Option<Index>,
     votes: BTreeSet<Id>,
     // Of a leader: the others, by identity.
     peers: BTreeMap<Id, progress::Progress>,
@@ -113,6 +115,7 @@
             handed: start,
             election_at: now,
             leader_heard: None,
+            leader_commit: None,
             votes: BTreeSet::new(),
             peers: BTreeMap::new(),
             heartbeat_at: now,
