--- a/almondlock-standin/src/complete.rs
+++ b/almondlock-standin/src/complete.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     answer::{self, Key},
-    batch::{Fault, Kind, Sequence},
+    batch::{Event, Fault, Kind, Sequence},
     engine::{CRASH_MARKER, Engine, STALL_MARKER},
     http::{self, Refusal},
     kv::Place,
@@ -95,42 +95,21 @@
     mut request: Request,
     chat: bool,
 ) -> Result<Response, Refusal> {
-    let head = Head::new(&request)?;
+    let mut head = Head::new(&request)?;
     let connection = request.io().cloned();
     let payload = http::read(request.take_payload()).await?;
     let mut body: Body = http::parse(&payload)?;
     drop(payload);
     engine.count(|c| c.arrived += 1);
-    let (model, version) = engine.serving(body.model.as_deref())?;
+    body.segments.append(&mut head.segments);
     let Some(prompt) = body.text() else {
         let text = "neither prompt nor messages";
         return Err(Refusal::new(StatusCode::BAD_REQUEST, text));
     };
-    body.segments.extend(head.segments);
-    let remote = engine.remote_tokens(&body.segments).await?;
-    let prompt_tokens = answer::prompt_tokens(&prompt);
+    let (model, version) = engine.serving(body.model.as_deref())?;
     let (events, receiver) = mpsc::unbounded();
-    let end = body.limit().max(head.resume_at);
-    let key = Key::new(&prompt);
-    if let Some(handle) = &body.kv {
-        engine.check(handle, &key)?;
-    }
-    let sequence = Sequence {
-        id: engine.name(head.id).into(),
-        kind: Kind::Stream,
-        key,
-        priority: head.priority,
-        blocks: answer::blocks(&prompt),
-        import: body.kv.map(Into::into),
-        prompt: prompt_tokens.saturating_sub(remote) + head.resume_at,
-        cached: 0,
-        prefilled: 0,
-        first: head.resume_at,
-        next: head.resume_at,
-        end,
-        fault: fault(&prompt),
-        events,
-    };
+    let sequence = sequence(engine, head, &body, &prompt, events).await?;
+    let (key, first, end) = (sequence.key, sequence.first, sequence.end);
     let running = Running::start(engine, sequence, connection)?;
     if !body.segments.is_empty() {
         engine.clone().watch(&running, body.segments);
@@ -142,8 +121,8 @@
         key,
         model,
         version,
-        prompt_tokens,
-        first: head.resume_at,
+        prompt_tokens: answer::prompt_tokens(&prompt),
+        first,
         end,
         chat,
         over: false,
@@ -155,6 +134,37 @@
     }
 }
 
+/// What a completion is to the batch.
+async fn sequence(
+    engine: &Rc<Engine>,
+    head: Head,
+    body: &Body,
+    prompt: &str,
+    events: mpsc::UnboundedSender<Event>,
+) -> Result<Sequence, Refusal> {
+    let remote = engine.remote_tokens(&body.segments).await?;
+    let key = Key::new(prompt);
+    if let Some(handle) = &body.kv {
+        engine.check(handle, &key)?;
+    }
+    Ok(Sequence {
+        id: engine.name(head.id).into(),
+        kind: Kind::Stream,
+        key,
+        priority: head.priority,
+        blocks: answer::blocks(prompt),
+        import: body.kv.as_deref().map(Into::into),
+        prompt: answer::prompt_tokens(prompt).saturating_sub(remote) + head.resume_at,
+        cached: 0,
+        prefilled: 0,
+        first: head.resume_at,
+        next: head.resume_at,
+        end: body.limit().max(head.resume_at),
+        fault: fault(prompt),
+        events,
+    })
+}
+
 /// The fault that a prompt's marker plants.
 pub(crate) fn fault(prompt: &str) -> Fault {
     if prompt.contains(CRASH_MARKER) {
