Take a parent's answer however much news comes meanwhile

Each exchange that told of a newer revision put the question to the parent again and gave up the one under way. Where news came faster than an answer's way back no answer was ever taken: the process that was told most learnt least, and whoever waited in catch_up acted on the configuration before. News interrupts a long wait only now.

Also: the moment of hearsay is noted before its revision, or another thread could doubt the new one by the age of the old one.

--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -128,7 +128,7 @@
                 Err(_) => return Err(capnp::Error::disconnected("no answer in time".into())),
             },
             // The question is put again, with what is known now.
-            () = interrupted(&self.shared, fetch.report.lowest), if is_parent => return Ok(()),
+            () = interrupted(&self.shared, &fetch), if is_parent => return Ok(()),
         };
         self.answer(address, &fetch.report, delta, sent)
     }
@@ -237,7 +237,13 @@
 
 /// Ends when the question to the parent should be put again: something newer
 /// was heard of, or all below have reached more than was told.
-async fn interrupted(shared: &Shared, told: Revision) {
+///
+/// News interrupts a long wait only. Where it comes with every exchange, faster
+/// than an answer's way back, each question would be given up for the next one
+/// and no answer ever taken: the process that is told most would learn least.
+/// A short wait ends by itself.
+async fn interrupted(shared: &Shared, fetch: &Fetch) {
+    let told = fetch.report.lowest;
     let mut lowest = shared.lowest.subscribe();
     let risen = async {
         if lowest.wait_for(|lowest| *lowest > told).await.is_err() {
@@ -246,7 +252,7 @@
         sleep(GAP).await;
     };
     tokio::select! {
-        () = shared.news.notified() => {}
+        () = shared.news.notified(), if fetch.wait == WAIT => {}
         () = risen => {}
     }
 }
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -208,12 +208,13 @@
 
     /// Takes note of a revision that exists.
     pub fn heard_revision(&self, revision: Revision) {
-        if revision > self.shared.view.revision() {
-            let before = self.shared.heard.fetch_max(revision.0, Ordering::Relaxed);
-            if before < revision.0 {
-                self.shared.heard_at.at(clock::mono());
-                self.shared.news.notify_one();
-            }
+        let newer = revision > self.shared.view.revision();
+        if newer && revision > self.newest_heard() {
+            // The moment goes first: seen the other way round, this revision
+            // would be doubted by the age of the one before it.
+            self.shared.heard_at.at(clock::mono());
+            self.shared.heard.fetch_max(revision.0, Ordering::Relaxed);
+            self.shared.news.notify_one();
         }
     }
 
--- a/almondlock-node/tests/lost_parent.rs
+++ b/almondlock-node/tests/lost_parent.rs
@@ -110,3 +110,22 @@
     let caught_up = node.handle().catch_up(Duration::from_secs(30)).await;
     assert!(caught_up && node.is_recent());
 }
+
+/// Every exchange tells of a newer revision, many times while an answer of the
+/// parent is on its way. The process must take the answers all the same: were
+/// the question put again with each piece of news, it would never hear one.
+#[ntex::test]
+async fn news_without_end() {
+    let view = View::new();
+    let root = source("c1", &view, None).await;
+    let plan = Plan::new();
+    let node = process("h1", "d1", &[root.address()], &plan).await;
+    until("it is ready", || node.is_recent()).await;
+    plan.delay(root.address(), node.address(), Duration::from_millis(30));
+    for _ in 0..200 {
+        accept(&view, 1);
+        node.heard(&root.peer());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert!(node.handle().view().revision() > Revision(0));
+}
