--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -1,7 +1,7 @@
 //! What an entry host's worker threads share.
 //!
 //! Lock order: `directory`, then `limits`, then `pools`, then `retries`, then
-//! `lengths`, then `journal`, then `refusals`. No lock is held over an await,
+//! `lengths`, then `watch`, then `journal`, then `refusals`. No lock is held over an await,
 //! and none over I/O.
 
 use std::{
@@ -24,6 +24,7 @@
     choice::{self, Home, Site},
     length::Estimator,
     limit::{self, Limiter},
+    poison::{self, Watch},
     retry,
 };
 use almondlock_state::config::{self, Kind};
@@ -71,6 +72,9 @@
     }
 }
 
+/// The replicated setting that tells how many entry hosts share the limits.
+pub const ENTRY_HOSTS: &str = "entry-hosts";
+
 /// What serves the same thing.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Pool {
@@ -163,6 +167,7 @@
     pools: Mutex<HashMap<Pool, choice::Table>>,
     retries: Mutex<retry::Policy>,
     lengths: Mutex<Estimator>,
+    watch: Mutex<Watch>,
     journal: Mutex<Journal>,
     refusals: Mutex<BTreeMap<u16, u64>>,
     counter: AtomicU64,
@@ -191,6 +196,7 @@
         Arc::new(Shared {
             retries: Mutex::new(retry::Policy::new(config.retry)),
             lengths: Mutex::default(),
+            watch: Mutex::new(Watch::new(poison::Config::default())),
             config,
             handle,
             metrics,
@@ -227,6 +233,8 @@
 
     fn set_limits(&self, view: &config::Config) {
         let mut limits = lock(&self.limits);
+        let hosts = view.settings.get(ENTRY_HOSTS);
+        limits.set_hosts(hosts.and_then(|n| n.parse().ok()).unwrap_or(1));
         for (name, organisation) in &view.organisations {
             let limit = limit::Limit {
                 rate: organisation.rate,
@@ -319,6 +327,14 @@
         work(&mut lock(&self.retries))
     }
 
+    /// Works on what is known of copies of requests.
+    pub fn with_watch<T, F>(&self, work: F) -> T
+    where
+        F: FnOnce(&mut Watch) -> T,
+    {
+        work(&mut lock(&self.watch))
+    }
+
     /// The estimated length of a model's prompt of so many bytes.
     pub fn estimate(&self, model: &Model, bytes: usize) -> Tokens {
         lock(&self.lengths).tokens(model, bytes as u64)
