--- a/almondlock-bench/examples/slopes/main.rs
+++ b/almondlock-bench/examples/slopes/main.rs
@@ -20,12 +20,14 @@
 /// Nothing larger is started.
 const PROCESSES_LIMIT: usize = 300;
 /// Idle first; then requests a second and tokens of an answer, so that the cost
-/// of a request and the cost of a token can be told apart.
-const LOADS: [Load; 4] = [
-    Load::new(0, 0),
-    Load::new(40, 8),
-    Load::new(80, 8),
-    Load::new(40, 100),
+/// of a request and the cost of a token can be told apart; then idle again,
+/// with the connections that the load opened.
+const LOADS: [Load; 5] = [
+    Load::new("before", 0, 0),
+    Load::new("slow", 40, 8),
+    Load::new("fast", 80, 8),
+    Load::new("long", 40, 100),
+    Load::new("after", 0, 0),
 ];
 
 #[ntex::main]
--- a/almondlock-bench/examples/slopes/window.rs
+++ b/almondlock-bench/examples/slopes/window.rs
@@ -27,20 +27,21 @@
 const DRAIN: Duration = Duration::from_secs(2);
 
 /// The first line of the CSV file. Values are means over a role's processes.
-pub const HEADER: &str = "seed,sidecars,entries,rate,tokens,role,processes,resident_kib,\
+pub const HEADER: &str = "seed,sidecars,entries,window,rate,tokens,role,processes,resident_kib,\
     resident_max_kib,anonymous_kib,threads,core_percent,links,stream_bytes_s,wire_bytes_s,sent,whole";
 
 /// What callers send.
 #[derive(Clone, Copy, Debug)]
 pub struct Load {
+    name: &'static str,
     rate: u32,
     tokens: u32,
 }
 
 impl Load {
     /// So many requests a second with answers of so many tokens.
-    pub const fn new(rate: u32, tokens: u32) -> Load {
-        Load { rate, tokens }
+    pub const fn new(name: &'static str, rate: u32, tokens: u32) -> Load {
+        Load { name, rate, tokens }
     }
 }
 
@@ -119,9 +120,10 @@
             let largest = of.iter().map(|s| s.end.resident).max().unwrap_or(0);
             let _ = writeln!(
                 text,
-                "{seed},{},{},{},{},{},{},{:.0},{largest},{:.0},{:.0},{:.4},{:.1},{:.0},{:.0},{},{}",
+                "{seed},{},{},{},{},{},{},{},{:.0},{largest},{:.0},{:.0},{:.4},{:.1},{:.0},{:.0},{},{}",
                 fleet.shape.sidecars,
                 fleet.shape.entries,
+                self.load.name,
                 self.load.rate,
                 self.load.tokens,
                 role.name(),
