Tell probes from links in the slopes

Cause: an entry host's bytes at nothing were 43 KB/s, which is its probes and not a fixed cost; at the target there are five times as many.

--- a/almondlock-bench/examples/capacity/page/message.rs
+++ b/almondlock-bench/examples/capacity/page/message.rs
@@ -5,7 +5,7 @@
     output::{Output, number},
     slope::Slopes,
     target::{
-        CHANGES, HEARTBEATS, RENEWALS, REPLICAS, RESTARTS, SIDECARS, entry_links_least,
+        CHANGES, ENTRIES, HEARTBEATS, REPLICAS, RESTARTS, SIDECARS, entry_links_least,
         entry_links_most, probes, sidecar_links_most,
     },
 };
@@ -19,6 +19,9 @@
 /// Bytes of a whole configuration (`spreading.md`).
 const WHOLE: f64 = 357.0 * 1024.0;
 
+/// Replicas of the measured fleets: a slope is the mean of one of them.
+const MEASURED_REPLICAS: f64 = 3.0;
+
 /// A kind of message.
 struct Kind {
     role: &'static str,
@@ -28,8 +31,8 @@
     source: &'static str,
 }
 
-/// Prints the kinds. A link's sign of life and its probes are not told apart
-/// by the measurement: its slope is shared out by their number.
+/// Prints the kinds. A sidecar's renewals and the signs of life of its links to
+/// the replicas are not told apart by the measurement.
 pub fn print(slopes: &Slopes, output: &mut Output) {
     let columns = [
         "role",
@@ -41,8 +44,8 @@
     ];
     output.table("Messages at the target, one process, no callers", &columns);
     let sign = slopes.entry.wire.slope / HEARTBEATS;
-    let renewal = slopes.replica.wire.slope * 3.0 / RENEWALS;
-    for kind in kinds(sign, renewal) {
+    let sidecar = slopes.replica.wire.slope * MEASURED_REPLICAS;
+    for kind in kinds(sign, slopes.entry.probe, sidecar) {
         output.row(&[
             kind.role.to_owned(),
             kind.name.to_owned(),
@@ -54,7 +57,7 @@
     }
 }
 
-fn kinds(sign: f64, renewal: f64) -> Vec<Kind> {
+fn kinds(sign: f64, probe: f64, sidecar: f64) -> Vec<Kind> {
     let kind = |role, name, rate, bytes, source| Kind {
         role,
         name,
@@ -64,6 +67,7 @@
     };
     let slope = "slope of the entry host";
     let tree = "spreading.md, without headers";
+    let replicas = "slope of the replicas, times three";
     vec![
         kind(
             "entry",
@@ -79,7 +83,7 @@
             sign,
             slope,
         ),
-        kind("entry", "probes", probes(), sign, "as a sign of life"),
+        kind("entry", "probes", probes(), probe, slope),
         kind(
             "any",
             "tree, idle, a full relay",
@@ -110,17 +114,24 @@
         ),
         kind(
             "sidecar",
-            "renewal of a registration",
-            RENEWALS,
-            renewal,
-            "slope of the replicas, all three",
+            "probes",
+            probes() * ENTRIES / SIDECARS,
+            probe,
+            slope,
+        ),
+        kind(
+            "sidecar",
+            "renewals and links to replicas, in a second",
+            1.0,
+            sidecar,
+            replicas,
         ),
         kind(
             "replica",
-            "renewals, on the mean of five",
-            SIDECARS * RENEWALS / REPLICAS,
-            renewal,
-            "slope of the replicas, all three",
+            "the same of 880 sidecars, over five",
+            SIDECARS / REPLICAS,
+            sidecar,
+            replicas,
         ),
     ]
 }
--- a/almondlock-bench/examples/capacity/page/slope.rs
+++ b/almondlock-bench/examples/capacity/page/slope.rs
@@ -55,6 +55,8 @@
     pub core: Line,
     /// Bytes a second, with headers.
     pub wire: Line,
+    /// Bytes of a probe, both ways, where they can be told from the links.
+    pub probe: f64,
 }
 
 impl Idle {
@@ -75,8 +77,62 @@
             memory: line(|f| f.resident)?,
             core: line(|f| f.core)?,
             wire: line(|f| f.wire)?,
+            probe: 0.0,
         })
     }
+
+    /// An entry host sends probes besides, whose number depends on the
+    /// upstreams and not on the links, so they have a factor of their own.
+    fn with_probes(self, table: &Table) -> Result<Idle, String> {
+        let medians = table.of(self.role, &IDLE);
+        let rows = medians.iter().map(|m| [m.figures.links, probes(m)]);
+        let rows: Vec<[f64; 2]> = rows.collect();
+        let values: Vec<f64> = medians.iter().map(|m| m.figures.wire).collect();
+        let [slope, probe] = fit::solve(&rows, &values)?;
+        let misses = rows.iter().zip(&values);
+        let misses = misses.map(|(row, value)| (slope * row[0] + probe * row[1] - value).abs());
+        let wire = Line {
+            start: 0.0,
+            slope,
+            miss: misses.fold(0.0, f64::max),
+        };
+        Ok(Idle {
+            wire,
+            probe,
+            ..self
+        })
+    }
+
+    /// The probes that a sidecar answers are told from its links by the size
+    /// that they have at the entry host.
+    fn with_answers(self, table: &Table, probe: f64) -> Result<Idle, String> {
+        let medians = table.of(self.role, &IDLE);
+        let points = medians.iter().map(|m| {
+            let answered = probes(m) * m.entries / m.sidecars;
+            (m.figures.links, m.figures.wire - probe * answered)
+        });
+        let wire = Line::new(&points.collect::<Vec<_>>())?;
+        Ok(Idle {
+            wire,
+            probe,
+            ..self
+        })
+    }
+
+    /// Bytes a second of its probes at the target.
+    fn probes(&self) -> f64 {
+        let sent = target::probes();
+        match self.role {
+            "sidecar" => self.probe * sent * target::ENTRIES / target::SIDECARS,
+            _ => self.probe * sent,
+        }
+    }
+}
+
+/// Probes a second of one entry host in an idle window, by its rule.
+fn probes(median: &Median) -> f64 {
+    let stale = median.sidecars.min(target::SUBSET) / target::PROBE_AGE;
+    stale.min(target::PROBES)
 }
 
 /// What callers' work adds to a role, for a request and for a token of an
@@ -134,9 +190,12 @@
 impl Slopes {
     /// From what was measured.
     pub fn new(table: &Table) -> Result<Slopes, String> {
+        let links = |m: &Median| m.figures.links;
+        let entry = Idle::new(table, "entry", "link", links)?.with_probes(table)?;
+        let sidecar = Idle::new(table, "sidecar", "link", links)?;
         Ok(Slopes {
-            entry: Idle::new(table, "entry", "link", |m| m.figures.links)?,
-            sidecar: Idle::new(table, "sidecar", "link", |m| m.figures.links)?,
+            entry,
+            sidecar: sidecar.with_answers(table, entry.probe)?,
             replica: Idle::new(table, "replica", "upstream", |m| m.sidecars)?,
             work: [Work::new(table, "entry")?, Work::new(table, "sidecar")?],
         })
@@ -163,6 +222,16 @@
                 ("% of a core", idle.core),
                 ("bytes/s", idle.wire),
             ];
+            if idle.probe > 0.0 {
+                output.row(&[
+                    idle.role.to_owned(),
+                    "bytes/s".to_owned(),
+                    String::new(),
+                    number(idle.probe),
+                    "probe a second".to_owned(),
+                    number(idle.wire.miss),
+                ]);
+            }
             for (name, line) in lines {
                 output.row(&[
                     idle.role.to_owned(),
@@ -247,7 +316,12 @@
                 state::kib(idle.role),
                 limit(target::MEMORY_LIMIT),
             ),
-            ("bytes/s", idle.wire, 0.0, limit(target::WIRE_LIMIT)),
+            (
+                "bytes/s",
+                idle.wire,
+                idle.probes(),
+                limit(target::WIRE_LIMIT),
+            ),
         ];
         for (name, line, more, limit) in figures {
             let sum = format!(
@@ -258,7 +332,8 @@
             );
             let formula = match more {
                 0.0 => sum,
-                more => format!("{sum} + {} of state", number(more)),
+                more if name == "KiB" => format!("{sum} + {} of state", number(more)),
+                more => format!("{sum} + {} of probes", number(more)),
             };
             let figure = Figure {
                 role: idle.role,
@@ -323,7 +398,10 @@
     for (idle, count) in most {
         let room = target::MEMORY_LIMIT - state::kib(idle.role);
         let limits = [
-            ("14 KB/s", idle.wire.reaches(target::WIRE_LIMIT)),
+            (
+                "14 KB/s",
+                idle.wire.reaches(target::WIRE_LIMIT - idle.probes()),
+            ),
             ("3.6% of a core", idle.core.reaches(target::CORE_LIMIT)),
             ("64 MB with the state", idle.memory.reaches(room)),
         ];
@@ -331,7 +409,11 @@
             output.row(&[
                 idle.role.to_owned(),
                 name.to_owned(),
-                reached.map_or("never, by this slope".to_owned(), number),
+                match reached {
+                    None => "never, by this slope".to_owned(),
+                    Some(0.0) => "0: over by the probes alone".to_owned(),
+                    Some(count) => number(count),
+                },
                 format!("{}s", idle.unit),
                 number(count),
             ]);
