Hand on orders that are due, tell who is behind, and seal the replicas' links

Cause: rollouts waited for ever at their first upstream, because sidecars left the orders in the configuration alone; the status did not know who lags; a group under mutual TLS never formed, since the daemon did not hand the security on. Change: the three are wired; requests go to both versions of a rollout under way and to no other, and a partial answer is only gone on with by the same version. Conclusion: what the parts promised now happens in the processes.

--- a/almondlock-control/src/backend.rs
+++ b/almondlock-control/src/backend.rs
@@ -1,12 +1,16 @@
 //! A replica as the operators' API sees it.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use almondlock_base::{Code, time::Wall, unit::Revision};
-use almondlock_node::clock;
+use almondlock_node::{Handle, clock};
 use almondlock_spread::view::View;
 use almondlock_state::{
-    api::Standing,
+    api::{Process, Standing},
     command::{Command, Reply},
     machine::Machine,
 };
@@ -29,6 +33,8 @@
     remote: Remote,
     view: View,
     admins: Admins,
+    // Set once the node runs, which starts after the replica.
+    node: Arc<OnceLock<Handle>>,
 }
 
 impl Operated {
@@ -38,6 +44,33 @@
             remote,
             view,
             admins,
+            node: Arc::default(),
+        }
+    }
+
+    /// From now on the status tells what the node knows of all processes.
+    pub fn attach(&self, node: Handle) {
+        // A node is started once in a process.
+        let _ = self.node.set(node);
+    }
+
+    /// What the tree of processes reports: who is behind, and by how much.
+    fn spreading(&self) -> Standing {
+        let Some(node) = self.node.get() else {
+            return Standing::default();
+        };
+        let summary = node.summary();
+        let laggards = summary.laggards.into_iter().map(|peer| Process {
+            host: peer.host,
+            incarnation: peer.incarnation,
+            revision: peer.revision,
+            version: peer.version,
+        });
+        Standing {
+            in_force: Some(summary.lowest),
+            processes: summary.processes,
+            laggards: laggards.collect(),
+            ..Standing::default()
         }
     }
 
@@ -111,7 +144,7 @@
             leader: leader.map(|m| m.id.0),
             term: status.term.0,
             matched: matched.collect(),
-            ..Standing::default()
+            ..self.spreading()
         }
     }
 
--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -59,8 +59,12 @@
         let view = View::new();
         let incarnation = Incarnation::new(clock::wall(), random()?);
         let vouch = Vouch::new();
+        let security = security(settings)?;
         let control = match &settings.replica {
-            Some(replica) => Some(Control::start(settings, replica, &view, &vouch)?),
+            Some(replica) => {
+                let security = security.clone();
+                Some(Control::start(settings, replica, &view, &vouch, security)?)
+            }
             None => None,
         };
         let sidecars = Sidecars::default();
@@ -78,11 +82,14 @@
             incarnation,
             listen: host.listen,
             seeds: host.seeds.clone(),
-            security: security(settings)?,
+            security,
         };
         let node = Node::start(config, view, parts)
             .await
             .with_context(|| format!("listening on {}", host.listen))?;
+        if let Some(control) = &control {
+            control.attach(node.handle().clone());
+        }
         let mut process = Process {
             node,
             entry: None,
--- a/almondlock-daemon/src/roles.rs
+++ b/almondlock-daemon/src/roles.rs
@@ -3,3 +3,4 @@
 pub(crate) mod control;
 pub(crate) mod entry;
 pub(crate) mod sidecar;
+mod tls;
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::BTreeMap, net::TcpListener};
 
+use crate::roles::tls::tls;
 use almondlock_control::{
     admin,
     backend::{Admins, Operated},
     driver,
     replica::{Config, Initial, Refusal, Replica},
 };
-use almondlock_node::{Vouch, clock};
+use almondlock_node::{Handle, Vouch, clock};
 use almondlock_settings::Settings;
 use almondlock_spread::view::View;
 use almondlock_state::{
@@ -16,6 +17,7 @@
     operator::{Operator, Role},
     replica as members,
 };
+use almondlock_transport::Security;
 use almondlock_wire::almondlock_capnp::control;
 use anyhow::{Context, Result};
 use tokio::{
@@ -31,6 +33,7 @@
 /// A running control role.
 pub(crate) struct Control {
     replica: Replica,
+    operated: Operated,
     admin: ntex::server::Server,
 }
 
@@ -41,6 +44,7 @@
         role: &almondlock_settings::Replica,
         view: &View,
         vouch: &Vouch,
+        security: Security,
     ) -> Result<Control> {
         let host = &settings.host;
         let folder = host.data.clone().context("a replica needs [host] data")?;
@@ -50,6 +54,7 @@
         });
         let config = Config::builder(host.name.clone(), host.listen, host.domain.clone(), folder)
             .initial(initial)
+            .security(security)
             .build();
         let replica =
             Replica::start(config, view.clone(), vouch.clone()).context("starting the replica")?;
@@ -57,10 +62,18 @@
             .with_context(|| format!("listening for operators on {}", role.admin))?;
         let admins: Admins = role.members.iter().map(|m| (m.address, m.admin)).collect();
         let operated = Operated::new(replica.remote(), view.clone(), admins);
-        let admin = admin::serve(listener, operated).context("serving operators")?;
+        let admin = match &role.tls {
+            Some(files) => admin::serve_tls(listener, operated.clone(), tls(files)?),
+            None => admin::serve(listener, operated.clone()),
+        };
+        let admin = admin.context("serving operators")?;
         spawn_local(driver::run(replica.clone()));
         spawn_local(seed(replica.clone(), role.clone()));
-        Ok(Control { replica, admin })
+        Ok(Control {
+            replica,
+            operated,
+            admin,
+        })
     }
 
     /// The interface that the node offers.
@@ -68,6 +81,11 @@
         self.replica.control_client()
     }
 
+    /// The node runs: operators are told what it knows of all processes.
+    pub(crate) fn attach(&self, node: Handle) {
+        self.operated.attach(node);
+    }
+
     /// The replica.
     pub(crate) fn replica(&self) -> &Replica {
         &self.replica
--- a/almondlock-daemon/src/roles/entry.rs
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -1,6 +1,6 @@
 //! The entry role: where callers connect.
 
-use std::{fs::File, io::BufReader, net::SocketAddr, path::Path};
+use std::net::SocketAddr;
 
 use almondlock_entry::{
     server::{Builder, Server},
@@ -8,10 +8,12 @@
 };
 use almondlock_node::Handle;
 use almondlock_policy::choice::Home;
-use almondlock_settings::{Entry, Settings, Tls};
+use almondlock_settings::{Entry, Settings};
 use almondlock_telemetry::metrics::Metrics;
 use anyhow::{Context, Result};
 
+use crate::roles::tls::tls;
+
 /// Worker threads of an entry host at most; more only wait for each other's
 /// tables.
 const WORKERS_LIMIT: usize = 8;
@@ -55,26 +57,3 @@
         .start(handle)
         .with_context(|| format!("listening for callers on {listen}"))
 }
-
-fn open(path: &Path) -> Result<BufReader<File>> {
-    let file = File::open(path).with_context(|| format!("opening {}", path.display()))?;
-    Ok(BufReader::new(file))
-}
-
-/// Callers' TLS from PEM files.
-fn tls(files: &Tls) -> Result<rustls::ServerConfig> {
-    let chain: Vec<_> = rustls_pemfile::certs(&mut open(&files.certificate)?)
-        .collect::<Result<_, _>>()
-        .with_context(|| format!("reading {}", files.certificate.display()))?;
-    let key = rustls_pemfile::private_key(&mut open(&files.key)?)
-        .with_context(|| format!("reading {}", files.key.display()))?
-        .with_context(|| format!("{} holds no private key", files.key.display()))?;
-    let provider = rustls::crypto::ring::default_provider();
-    let config = rustls::ServerConfig::builder_with_provider(provider.into())
-        .with_safe_default_protocol_versions()
-        .context("choosing TLS versions")?
-        .with_no_client_auth()
-        .with_single_cert(chain, key)
-        .context("the certificate and the key don't belong together")?;
-    Ok(config)
-}
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -79,6 +79,8 @@
     attempts: u32,
     offset: u64,
     begun: bool,
+    // Where the first tokens came from, once there are any.
+    pool: Option<Pool>,
     // The most that is known of any attempt that may have run.
     ran: Ran,
     suspect: bool,
@@ -159,6 +161,7 @@
             attempts: 0,
             offset: 0,
             begun: false,
+            pool: None,
             ran: Ran::No,
             suspect: false,
             harmless: None,
@@ -292,7 +295,12 @@
         };
         let now = clock::mono();
         let view = self.shared.handle.view().get();
-        for pool in self.shared.pools_for(&request.target) {
+        // Another version would go on with other words.
+        let pools = match &course.pool {
+            Some(pool) => vec![pool.clone()],
+            None => self.shared.pools_for(&request.target),
+        };
+        for pool in pools {
             let picked = self.shared.with_pool(&pool, |table| {
                 let picked = self.with_rng(|rng| Probing.pick(table, &ask, now, rng));
                 picked.and_then(|index| {
@@ -344,6 +352,7 @@
         let (outcome, left) = answered.instrument(span).await;
         self.account(request, place, &outcome, course);
         course.excluded.push(place.index);
+        course.pool = (course.offset > 0).then(|| place.pool.clone());
         let took = clock::mono().since(started);
         let said = outcome
             .code
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -15,7 +15,7 @@
 
 use almondlock_base::{
     Code,
-    id::{Attempt, Model, Organisation, Upstream},
+    id::{Attempt, Model, Organisation, Upstream, Version},
     time::Mono,
     unit::{Revision, Tokens},
 };
@@ -274,8 +274,7 @@
     }
 
     /// The pools that can serve a target, best first: the version in force,
-    /// then any other version that is still loaded somewhere, so that a
-    /// rollout leaves no gap.
+    /// then the other one of a rollout under way, so that it leaves no gap.
     pub fn pools_for(&self, target: &Target) -> Vec<Pool> {
         match target {
             Target::Service(service) => vec![Pool::Service(service.as_str().to_owned())],
@@ -283,7 +282,12 @@
                 let view = self.handle.view().get();
                 let version = view.models.get(model).map(|m| m.version.as_str());
                 let directory = self.directory();
-                let ours = |pool: &&Pool| matches!(pool, Pool::Model(m, _) if m == model.as_str());
+                let ours = |pool: &&Pool| match pool {
+                    Pool::Model(name, version) if name == model.as_str() => {
+                        Version::new(version).is_ok_and(|v| view.serves(model, &v))
+                    }
+                    _ => false,
+                };
                 let mut pools: Vec<Pool> = directory.members.keys().filter(ours).cloned().collect();
                 pools.sort_by_key(|pool| match pool {
                     Pool::Model(_, v) => Some(v.as_str()) != version,
--- a/almondlock-sidecar/src/orders.rs
+++ b/almondlock-sidecar/src/orders.rs
@@ -11,7 +11,10 @@
     id::{Incarnation, Upstream},
     time::Wall,
 };
-use almondlock_state::config::{Config, Order};
+use almondlock_state::{
+    config::{Config, Order},
+    order,
+};
 
 /// Which orders were handed on.
 #[derive(Debug, Default)]
