--- a/almondlock-sidecar/src/orders.rs
+++ b/almondlock-sidecar/src/orders.rs
@@ -36,8 +36,8 @@
         let loaded = config.upstreams.get(upstream);
         let loaded = loaded.and_then(|registered| registered.model.as_ref());
         let done = loaded.is_some_and(|(m, v)| *m == order.model && *v == order.version);
-        let due =
-            !done && order.issuer == own && order.fence > self.handed.get() && now < order.until;
+        let fresh = order.fence > self.handed.get();
+        let due = !done && fresh && order::may_hand_on(order, own, now);
         due.then(|| order.clone())
     }
 
