--- a/almondlock-bench/examples/capacity/page/measured.rs
+++ b/almondlock-bench/examples/capacity/page/measured.rs
@@ -145,6 +145,9 @@
     }
 }
 
+/// The windows of a run, in their order.
+const WINDOWS: [&str; 5] = ["before", "slow", "fast", "long", "after"];
+
 /// Prints the medians.
 pub fn print(table: &Table, output: &mut Output) {
     let columns = [
@@ -161,7 +164,12 @@
     ];
     output.table("Measured, one process on the mean", &columns);
     for role in ["entry", "sidecar", "replica"] {
-        for m in table.of(role, &["before", "slow", "fast", "long", "after"]) {
+        let mut medians = table.of(role, &WINDOWS);
+        medians.sort_by_key(|m| {
+            let window = WINDOWS.iter().position(|w| *w == m.window);
+            (m.sidecars as u32, window)
+        });
+        for m in medians {
             output.row(&[
                 role.to_owned(),
                 format!("{}, {}", m.sidecars, m.entries),
