--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -222,7 +222,7 @@
 Examples:
   Ten requests a second for ten seconds, through two entry hosts:
     almondlock bench --target http://127.0.0.1:8080,http://127.0.0.1:8081 \\
-        --organisation house:KEY:1 --model almond
+        --organisation north:KEY:1 --model almond
   Two systems under the same requests, three runs, figures to a file:
     almondlock bench --compare old=http://127.0.0.1:8080 --compare new=http://127.0.0.1:9080 \\
         --runs 3 --out figures.csv
--- a/almondlock-bench/tests/bad_arguments.rs
+++ b/almondlock-bench/tests/bad_arguments.rs
@@ -24,8 +24,8 @@
     scheme = { "--target 127.0.0.1:80", "127.0.0.1:80" },
     port = { "--target http://127.0.0.1", "http://127.0.0.1" },
     pair = { "--compare http://127.0.0.1:80", "NAME=URL" },
-    key = { "--embedded 1 --organisation house", "house" },
-    weight = { "--embedded 1 --organisation house:key:x", "house:key:x" },
+    key = { "--embedded 1 --organisation north", "north" },
+    weight = { "--embedded 1 --organisation north:key:x", "north:key:x" },
 )]
 fn refused(arguments: &str, names: &str) {
     let text = refusal(arguments);
--- a/almondlock-cli/src/client.rs
+++ b/almondlock-cli/src/client.rs
@@ -139,17 +139,23 @@
         F: Fn(&T) -> bool,
     {
         let mut poor = None;
+        let mut stranger = None;
         for address in &self.addresses {
             match self.ask_one(address, question).await {
                 Ok(answer) if good(&answer) => return Ok(answer),
                 Ok(answer) => poor = Some(answer),
                 Err(problem) if passes(&problem) => {}
+                // A replica that has not joined yet knows no operator's key.
+                Err(problem) if problem.code == Code::Unauthenticated.number() => {
+                    stranger = Some(problem);
+                }
                 Err(problem) => return Err(problem),
             }
         }
-        match poor {
-            Some(answer) => Ok(answer),
-            None => self.ask(question).await,
+        match (poor, stranger) {
+            (Some(answer), _) => Ok(answer),
+            (None, Some(problem)) => Err(problem),
+            (None, None) => self.ask(question).await,
         }
     }
 
--- a/almondlock-cli/src/help.rs
+++ b/almondlock-cli/src/help.rs
@@ -47,18 +47,21 @@
     ("model list", &["almondlock model list"]),
     (
         "model add",
-        &["almondlock model add quote --version v1 --context 1000000"],
+        &["almondlock model add almond --version v1 --context 1000000"],
     ),
-    ("model remove", &["almondlock model remove quote"]),
+    ("model remove", &["almondlock model remove almond"]),
     (
         "adapter",
-        &["almondlock adapter set quote sofia --version v3"],
+        &["almondlock adapter set almond legal --version v3"],
     ),
     (
         "adapter set",
-        &["almondlock adapter set quote sofia --version v3"],
+        &["almondlock adapter set almond legal --version v3"],
+    ),
+    (
+        "adapter remove",
+        &["almondlock adapter remove almond legal"],
     ),
-    ("adapter remove", &["almondlock adapter remove quote sofia"]),
     (
         "service",
         &["almondlock service set menus --repeatable GET,HEAD"],
@@ -93,7 +96,7 @@
         "upstream return",
         &["almondlock upstream return engine-3 --yes"],
     ),
-    ("rollout", &["almondlock rollout quote v2 --keep 70"]),
+    ("rollout", &["almondlock rollout almond v2 --keep 70"]),
     ("replica", &["almondlock replica list"]),
     ("replica list", &["almondlock replica list"]),
     (
--- a/almondlock-cli/tests/command_line.rs
+++ b/almondlock-cli/tests/command_line.rs
@@ -31,8 +31,8 @@
     id::Organisation::new("acme").unwrap()
 }
 
-fn quote() -> id::Model {
-    id::Model::new("quote").unwrap()
+fn almond() -> id::Model {
+    id::Model::new("almond").unwrap()
 }
 
 fn engine() -> id::Upstream {
@@ -61,13 +61,13 @@
         Intent::Drain { upstream: engine(), reason: "fan".to_owned() }
     },
     rollout = {
-        "rollout quote v2 --keep 70",
-        Intent::Rollout { model: quote(), version: v2(), keep: 70 }
+        "rollout almond v2 --keep 70",
+        Intent::Rollout { model: almond(), version: v2(), keep: 70 }
     },
     adapter = {
-        "adapter set quote sofia --version v2",
+        "adapter set almond legal --version v2",
         Intent::SetAdapter {
-            model: quote(), adapter: id::Adapter::new("sofia").unwrap(), version: v2(),
+            model: almond(), adapter: id::Adapter::new("legal").unwrap(), version: v2(),
         }
     },
     service = {
--- a/almondlock-control/examples/measure.rs
+++ b/almondlock-control/examples/measure.rs
@@ -61,10 +61,10 @@
     });
 }
 
-fn tender(claimer: u64, count: u64) -> Command {
-    let mut command = claim(&format!("tender-{claimer}-{count}"), claimer);
+fn payment(claimer: u64, count: u64) -> Command {
+    let mut command = claim(&format!("payment-{claimer}-{count}"), claimer);
     if let Command::Claim { organisation, .. } = &mut command {
-        let name = format!("house-{}", claimer % 50);
+        let name = format!("north-{}", claimer % 50);
         *organisation = almondlock_base::id::Organisation::new(&name).unwrap();
     }
     command
@@ -74,7 +74,7 @@
     let mut spans = Vec::new();
     while Instant::now() < end {
         let start = Instant::now();
-        let command = tender(number, spans.len() as u64);
+        let command = payment(number, spans.len() as u64);
         remote.propose(command).await.unwrap();
         spans.push(start.elapsed());
     }
--- a/almondlock-control/tests/claimed_once.rs
+++ b/almondlock-control/tests/claimed_once.rs
@@ -19,7 +19,7 @@
 async fn claim_all(remotes: Vec<(usize, Remote)>, entry: u64) -> Vec<(u64, u64)> {
     let mut granted = Vec::new();
     for key in 0..KEYS {
-        let command = claim(&format!("tender-{key}"), entry);
+        let command = claim(&format!("payment-{key}"), entry);
         let (_, reply) = accept(&remotes, command).await;
         if is_granted(&reply) {
             granted.push((key, entry));
@@ -29,7 +29,7 @@
     granted
 }
 
-/// A house re-sends its tender, and the platform's balancer gives the copies to
+/// A caller sends its payment again, and the platform's balancer gives the copies to
 /// several entry hosts while the leader hangs, then dies. Exactly one of the
 /// copies may run, also when the answer to a claim was lost and it was asked
 /// again.
@@ -67,13 +67,13 @@
 #[tokio::test]
 async fn all_restart() {
     let mut group = Group::new(|b| b);
-    let (_, reply) = group.accept(claim("tender", 1)).await;
+    let (_, reply) = group.accept(claim("payment", 1)).await;
     assert!(is_granted(&reply));
     (0..3).for_each(|n| group.kill(n));
     (0..3).for_each(|n| group.start(n));
-    let (_, reply) = group.accept(claim("tender", 2)).await;
+    let (_, reply) = group.accept(claim("payment", 2)).await;
     assert!(!is_granted(&reply), "{reply:?}");
     // The first one's own claim, asked again, is still its.
-    let (_, reply) = group.accept(claim("tender", 1)).await;
+    let (_, reply) = group.accept(claim("payment", 1)).await;
     assert!(is_granted(&reply), "{reply:?}");
 }
--- a/almondlock-control/tests/register_history.rs
+++ b/almondlock-control/tests/register_history.rs
@@ -161,7 +161,7 @@
 async fn take(record: &Record, remotes: &[Remote], by: u64) {
     let number = record.call(Operation::Claim(by, None));
     let remotes: Vec<_> = remotes.iter().cloned().enumerate().collect();
-    let (_, reply) = group::accept(&remotes, claim("tender", by)).await;
+    let (_, reply) = group::accept(&remotes, claim("payment", by)).await;
     record.end(number, Operation::Claim(by, Some(is_granted(&reply))));
 }
 
--- a/almondlock-daemon/src/demo.rs
+++ b/almondlock-daemon/src/demo.rs
@@ -33,7 +33,7 @@
 const CALLER_KEY: &str = "demo-key";
 const OPERATOR_KEY: &str = "demo-operator";
 const MODEL: &str = "almond";
-const SERVICE: &str = "quotes";
+const SERVICE: &str = "prices";
 /// How often a stand-in announces itself.
 const ANNOUNCEMENT: Duration = Duration::from_secs(2);
 /// How long the parts may take to find each other.
@@ -122,8 +122,10 @@
     let service = service::Service::start(service::Config::default())
         .context("starting the stand-in service")?;
     let announcement = service_announcement(&service)?;
+    let asker = client.clone();
     spawn_local(repeat(client, announce, announcement));
     await_upstreams(process, usize::from(options.engines) + 1).await?;
+    await_ready(&asker, options.listen).await?;
     greet(options);
     Ok(Rc::new(Upstreams {
         _engines: engines,
@@ -153,7 +155,7 @@
 
 fn service_announcement(service: &service::Handle) -> Result<Announcement> {
     Ok(Announcement {
-        name: almondlock_base::id::Upstream::new("quotes-1")?,
+        name: almondlock_base::id::Upstream::new("prices-1")?,
         address: service.address(),
         kind: Kind::Service,
         model: None,
@@ -246,6 +248,21 @@
     registered.context("the stand-ins were not registered in time")
 }
 
+async fn await_ready(client: &Client, listen: SocketAddr) -> Result<()> {
+    let url = format!("http://{listen}/readyz");
+    let ready = async {
+        loop {
+            let answer = client.get(&url).send().await;
+            if answer.is_ok_and(|response| response.status().is_success()) {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let ready = tokio::time::timeout(START_TIMEOUT, ready).await;
+    ready.context("the entry host was not ready in time")
+}
+
 fn greet(options: &Demo) {
     let (listen, admin) = (options.listen, options.admin);
     println!(
--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -117,7 +117,7 @@
         if let Some(role) = &settings.sidecar {
             let client = Replicas::new(Links::new(handle.clone()), replicas.clone());
             let inner = self.node.address();
-            let site = sidecar::site(settings, role, incarnation, inner);
+            let site = sidecar::site(settings, role, incarnation, inner, metrics.clone());
             let started = sidecar::start(role, site, handle.clone(), client, sidecars)?;
             self.announce = Some(started);
         }
--- a/almondlock-daemon/src/roles/entry.rs
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -14,9 +14,9 @@
 
 use crate::roles::tls::tls;
 
-/// Worker threads of an entry host at most; more only wait for each other's
-/// tables.
-const WORKERS_LIMIT: usize = 8;
+/// Worker threads of an entry host at most. Each keeps sessions of its own, so
+/// more threads cost more idle sessions at every sidecar.
+const WORKERS_LIMIT: usize = 4;
 
 /// Starts the entry role.
 pub(crate) fn start(
--- a/almondlock-daemon/src/roles/sidecar.rs
+++ b/almondlock-daemon/src/roles/sidecar.rs
@@ -7,6 +7,7 @@
 use almondlock_policy::queue;
 use almondlock_settings::{Order, Settings, Sidecar};
 use almondlock_sidecar::announce::{self, Registry, Site};
+use almondlock_telemetry::metrics::Metrics;
 use anyhow::{Context, Result};
 
 /// Where the sidecar's host stands, and how work is ordered there.
@@ -15,6 +16,7 @@
     role: &Sidecar,
     incarnation: Incarnation,
     inner: SocketAddr,
+    metrics: Metrics,
 ) -> Site {
     let order = match role.order {
         Order::Short => queue::Config::short(),
@@ -38,6 +40,7 @@
         },
         memory_share: role.memory_share,
         running: u32::try_from(role.running).unwrap_or(u32::MAX),
+        metrics,
     }
 }
 
--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -6,8 +6,8 @@
 
 use std::{cell::Cell, cell::RefCell, rc::Rc, time::Duration};
 
-use almondlock_base::{Ran, id::Upstream};
-use almondlock_node::{Handle, links::Session};
+use almondlock_base::{Ran, id::Upstream, time::Mono};
+use almondlock_node::{Handle, clock, links::Session};
 use almondlock_wire::{
     almondlock_capnp::{sidecar, sink, source},
     answer::{self, Assembly, Frame, Part, Usage, Verdict},
@@ -51,6 +51,8 @@
     pub left: bool,
     /// What a whole answer cost.
     pub usage: Option<Usage>,
+    /// When the first part of the answer itself came.
+    pub first: Option<Mono>,
 }
 
 struct Sink {
@@ -59,6 +61,7 @@
     left: Cell<bool>,
     begun: Cell<bool>,
     usage: RefCell<Option<Usage>>,
+    first: Cell<Option<Mono>>,
 }
 
 impl Sink {
@@ -70,6 +73,9 @@
             Verdict::Gap => return Err(capnp::Error::failed("a gap in the answer".to_owned())),
             Verdict::Next => {}
         }
+        if frame.count > 0 && self.first.get().is_none() {
+            self.first.set(Some(clock::mono()));
+        }
         let piece = match frame.part {
             // A resumed answer has begun already.
             Part::Begin { .. } if self.begun.replace(true) => return Ok(()),
@@ -147,6 +153,7 @@
         left: Cell::new(false),
         begun: Cell::new(begun),
         usage: RefCell::default(),
+        first: Cell::new(None),
     });
     let outcome = tokio::select! {
         outcome = submit(session, handle, upstream, head, rope, Rc::clone(&sink)) => outcome.ok(),
@@ -160,6 +167,7 @@
         begun: sink.begun.get(),
         left: sink.left.get(),
         usage: sink.usage.take(),
+        first: sink.first.get(),
     }
 }
 
--- a/almondlock-entry/src/claimed.rs
+++ b/almondlock-entry/src/claimed.rs
@@ -16,6 +16,7 @@
 use almondlock_state::blob::Blob;
 use almondlock_wire::answer::Usage;
 use tokio::{sync::mpsc, task::spawn_local};
+use tracing::Instrument;
 
 use crate::{
     answer::{Cost, Kept},
@@ -50,7 +51,14 @@
         keep: worker.shared.config.keep,
     };
     let allowed = request.left(clock::mono()).min(CLAIM_TIMEOUT);
-    let verdict = worker.replicas.claim(&claim, allowed).await;
+    let hop = tracing::info_span!(
+        "claim",
+        request = %request.id,
+        traceparent = %worker.hop(&request),
+        parent = %request.context.span(),
+    );
+    let asked = worker.replicas.claim(&claim, allowed).instrument(hop);
+    let verdict = asked.await;
     worker.note(
         &request,
         format!("claim {}: {verdict:?}", claim.holder)
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -27,6 +27,7 @@
     task::{JoinHandle, spawn_local},
     time::timeout,
 };
+use tracing::Instrument;
 
 use crate::{
     answer::Writer,
@@ -152,6 +153,7 @@
     caller: Caller,
     active: Active,
     context: Context,
+    span: tracing::Span,
 }
 
 fn arrive(request: &HttpRequest, worker: &Worker) -> Result<Arrival, (String, Failure)> {
@@ -166,18 +168,25 @@
     let view = worker.shared.handle.view().get();
     let caller = caller::read(request.headers(), &view, &worker.shared.directory());
     let caller = caller.map_err(fail)?;
-    let context = worker.with_rng(|rng| {
-        let parent = caller.traceparent.as_deref().and_then(Context::parse);
-        match parent {
-            Some(parent) => parent.child(rng),
-            None => Context::root(rng),
-        }
+    let parent = caller.traceparent.as_deref().and_then(Context::parse);
+    let context = worker.with_rng(|rng| match parent {
+        Some(parent) => parent.child(rng),
+        None => Context::root(rng),
     });
+    let parent = parent.map(|parent| parent.span().to_string());
+    let span = tracing::info_span!(
+        "entry",
+        request = %id,
+        organisation = %caller.organisation,
+        traceparent = %context,
+        parent = parent.as_deref().unwrap_or_default(),
+    );
     Ok(Arrival {
         id,
         caller,
         active,
         context,
+        span,
     })
 }
 
@@ -247,7 +256,7 @@
     };
     let writer = Writer::new(shape, &id, clock::wall(), &name, usage);
     let streamed = request.stream;
-    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+    match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
         Ok(running) if streamed => running.into_stream(writer, &id),
         Ok(running) => running.into_document(&writer, &id).await,
@@ -316,7 +325,8 @@
         repeatable,
         key: caller.key.clone(),
         deadline: arrived + caller.allowed,
-        traceparent: arrival.context.to_string(),
+        arrived,
+        context: arrival.context,
     };
     Ok((request, spec.usage))
 }
@@ -340,7 +350,7 @@
         Ok(request) => request,
         Err(failure) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
     };
-    match Running::start(Rc::clone(&worker), request, arrival.active).await {
+    match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
         Ok(running) => running.into_bytes(&id),
     }
@@ -398,7 +408,8 @@
         repeatable,
         key: caller.key.clone(),
         deadline: arrived + caller.allowed,
-        traceparent: arrival.context.to_string(),
+        arrived,
+        context: arrival.context,
     })
 }
 
@@ -425,8 +436,9 @@
     async fn start(
         worker: Rc<Worker>,
         request: Request,
-        active: Active,
+        arrival: Arrival,
     ) -> Result<Running, Failure> {
+        let Arrival { active, span, .. } = arrival;
         let now = clock::mono();
         let organisation = request.organisation.clone();
         worker
@@ -443,7 +455,7 @@
         }
         let (to, pieces) = mpsc::channel(DEPTH);
         let (tell, end) = oneshot::channel();
-        let task = spawn_local(async move {
+        let life = async move {
             let request = Rc::new(request);
             let result = match request.key.clone() {
                 Some(key) => claimed::run(worker, request, key, to).await,
@@ -451,7 +463,8 @@
             };
             let _ = tell.send(result);
             drop((permit, active));
-        });
+        };
+        let task = spawn_local(life.instrument(span));
         let mut running = Running {
             first: None,
             pieces,
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -11,6 +11,7 @@
 use almondlock_base::{
     Code, Ran,
     id::{Fingerprint, Incarnation, Upstream},
+    time::Mono,
 };
 use almondlock_node::{clock, links::Links, replicas::Replicas};
 use almondlock_policy::{
@@ -18,6 +19,7 @@
     poison::{Start, Treatment},
     retry::{self, Decision},
 };
+use almondlock_telemetry::{metrics::Length, trace::Context};
 use almondlock_wire::answer::Usage;
 use almondlock_wire::attempt::{Head, INLINE_BODY, Load, Outcome, Target};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -86,6 +88,8 @@
     suspect: bool,
     // Whether the last attempt finished well, or its engine died.
     harmless: Option<bool>,
+    // Whether the time to the first token has been told.
+    measured: bool,
 }
 
 /// How it goes on after an attempt.
@@ -142,6 +146,11 @@
         draw(&mut self.rng.borrow_mut())
     }
 
+    /// The context of a new hop below the request's own.
+    pub fn hop(&self, request: &Request) -> Context {
+        self.with_rng(|rng| request.context.child(rng))
+    }
+
     /// Notes something for `explain`.
     pub fn note(&self, request: &Request, what: String) {
         let mut journal = self.shared.journal();
@@ -165,6 +174,7 @@
             ran: Ran::No,
             suspect: false,
             harmless: None,
+            measured: false,
         };
         loop {
             let copy = self.check(request, &mut course).await?;
@@ -287,6 +297,13 @@
     }
 
     fn choose(&self, request: &Request, course: &Course) -> Result<Place, Failure> {
+        let _hop = tracing::info_span!(
+            "choice",
+            request = %request.id,
+            traceparent = %self.hop(request),
+            parent = %request.context.span(),
+        )
+        .entered();
         let ask = Ask {
             prompt: request.prompt,
             output: request.output,
@@ -342,6 +359,7 @@
             attempt = %head.attempt,
             upstream = %place.upstream,
             traceparent = %head.traceparent,
+            parent = %request.context.span(),
         );
         self.note(
             request,
@@ -354,6 +372,8 @@
         course.excluded.push(place.index);
         course.pool = (course.offset > 0).then(|| place.pool.clone());
         let took = clock::mono().since(started);
+        let metrics = &self.shared.metrics;
+        metrics.queue_time(Length::of(request.prompt), outcome.queued);
         let said = outcome
             .code
             .map_or("whole".to_owned(), |code| code.to_string());
@@ -405,6 +425,7 @@
                 course.offset = course.offset.max(result.offset);
                 course.begun |= result.begun;
                 self.learn(request, result.usage.as_ref());
+                self.measure_first(request, result.first, course);
                 (result.outcome, result.whole, result.left)
             }
             Err(_) => (None, false, false),
@@ -429,6 +450,16 @@
         }
     }
 
+    /// Tells the time to the first token, once for each request.
+    fn measure_first(&self, request: &Request, first: Option<Mono>, course: &mut Course) {
+        if let (Some(first), false) = (first, course.measured) {
+            course.measured = true;
+            let length = Length::of(request.prompt);
+            let took = first.since(request.arrived);
+            self.shared.metrics.first_token(length, took);
+        }
+    }
+
     /// Nobody knows whether an attempt ran: its sidecar is asked, over a new
     /// session, and leaves a tombstone so that a copy still under way is
     /// dropped. Only its word makes "not run" true.
@@ -465,7 +496,7 @@
             attempt: self.shared.attempt(),
             incarnation: place.incarnation,
             request: request.id.clone(),
-            traceparent: request.traceparent.clone(),
+            traceparent: self.hop(request).to_string(),
             organisation: request.organisation.clone(),
             target: request.target.clone(),
             method: request.method.clone(),
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -3,6 +3,10 @@
 //! One thread of the host probes, a few upstreams at a time, and only those of
 //! the host's subset whose last report is old. Busy upstreams report with
 //! every answer and are hardly ever probed.
+//!
+//! Probes are paid for by requests, one each, and a few are free: a host that
+//! chooses nothing needs to know little, and probing by time alone cost an idle
+//! entry host more bytes than all its control may take.
 
 use std::{rc::Rc, time::Duration};
 
@@ -20,26 +24,62 @@
 const AGE: Duration = Duration::from_millis(500);
 /// How often a pool is looked over.
 const ROUND: Duration = Duration::from_millis(50);
-/// Probes of one pool in one round.
-const PROBES: usize = 2;
+/// Free probes of the host in a second.
+const FREE: f64 = 2.0;
+/// Probes saved up at most; also the most in one round.
+const SAVED: f64 = 8.0;
 /// How long an answer may take.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Probes that may be spent.
+struct Purse {
+    saved: f64,
+    admitted: u64,
+}
+
+impl Purse {
+    /// Takes in what a round's time and its requests are worth.
+    fn fill(&mut self, admitted: u64) {
+        let fresh = admitted.saturating_sub(self.admitted) as f64;
+        self.admitted = admitted;
+        self.saved = (self.saved + fresh + FREE * ROUND.as_secs_f64()).min(SAVED);
+    }
+
+    fn pay(&mut self) -> bool {
+        let enough = self.saved >= 1.0;
+        if enough {
+            self.saved -= 1.0;
+        }
+        enough
+    }
+}
+
 /// Probes until the thread ends.
 pub async fn run(worker: Rc<Worker>) {
+    let mut purse = Purse {
+        saved: SAVED,
+        admitted: 0,
+    };
+    let mut turn = 0;
     loop {
         worker.shared.directory();
-        for pool in worker.shared.pool_names() {
-            for _ in 0..PROBES {
-                let now = clock::mono();
-                let stale = worker
-                    .shared
-                    .with_pool(&pool, |table| table.stale(AGE, now));
-                if let Some(index) = stale.flatten() {
-                    let worker = Rc::clone(&worker);
-                    let pool = pool.clone();
+        worker.shared.tell_levels();
+        purse.fill(worker.shared.admitted());
+        let pools = worker.shared.pool_names();
+        // Each pool in its turn; one without anything stale costs nothing.
+        let mut without = 0;
+        while without < pools.len() && purse.saved >= 1.0 {
+            turn = (turn + 1) % pools.len();
+            let pool = &pools[turn];
+            let now = clock::mono();
+            let stale = worker.shared.with_pool(pool, |table| table.stale(AGE, now));
+            match stale.flatten() {
+                Some(index) if purse.pay() => {
+                    without = 0;
+                    let (worker, pool) = (Rc::clone(&worker), pool.clone());
                     tokio::task::spawn_local(async move { one(&worker, &pool, index).await });
                 }
+                _ => without += 1,
             }
         }
         sleep(ROUND).await;
--- a/almondlock-entry/src/request.rs
+++ b/almondlock-entry/src/request.rs
@@ -7,6 +7,7 @@
     time::Mono,
     unit::Tokens,
 };
+use almondlock_telemetry::trace::Context;
 use almondlock_wire::attempt::Target;
 
 use crate::body::Rope;
@@ -52,8 +53,10 @@
     pub key: Option<String>,
     /// When its time is over.
     pub deadline: Mono,
-    /// Its trace context, for the hops behind.
-    pub traceparent: String,
+    /// When it arrived.
+    pub arrived: Mono,
+    /// Where its hop on this host belongs in its trace.
+    pub context: Context,
 }
 
 impl Request {
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -72,9 +72,6 @@
     }
 }
 
-/// The replicated setting that tells how many entry hosts share the limits.
-pub const ENTRY_HOSTS: &str = "entry-hosts";
-
 /// What serves the same thing.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Pool {
@@ -171,6 +168,7 @@
     journal: Mutex<Journal>,
     refusals: Mutex<BTreeMap<u16, u64>>,
     counter: AtomicU64,
+    admitted: AtomicU64,
     active: AtomicU64,
     stopping: AtomicBool,
 }
@@ -207,6 +205,7 @@
             journal: Mutex::default(),
             refusals: Mutex::default(),
             counter: AtomicU64::new(0),
+            admitted: AtomicU64::new(0),
             active: AtomicU64::new(0),
             stopping: AtomicBool::new(false),
         })
@@ -233,7 +232,7 @@
 
     fn set_limits(&self, view: &config::Config) {
         let mut limits = lock(&self.limits);
-        let hosts = view.settings.get(ENTRY_HOSTS);
+        let hosts = view.settings.get(config::ENTRY_HOSTS);
         limits.set_hosts(hosts.and_then(|n| n.parse().ok()).unwrap_or(1));
         for (name, organisation) in &view.organisations {
             let limit = limit::Limit {
@@ -320,9 +319,15 @@
     ) -> Result<limit::Permit, limit::Refusal> {
         let permit = lock(&self.limits).admit(organisation, tokens, now)?;
         lock(&self.retries).fresh(organisation, now);
+        self.admitted.fetch_add(1, Ordering::Relaxed);
         Ok(permit)
     }
 
+    /// Requests admitted so far.
+    pub fn admitted(&self) -> u64 {
+        self.admitted.load(Ordering::Relaxed)
+    }
+
     /// Works on the budgets of retries.
     pub fn with_retries<T, F>(&self, work: F) -> T
     where
@@ -354,6 +359,13 @@
         lock(&self.journal)
     }
 
+    /// Tells the levels that change slowly.
+    pub fn tell_levels(&self) {
+        self.metrics.revision(self.handle.view().revision());
+        let left = lock(&self.retries).left();
+        self.metrics.budget_left(left.max(0.0) as u64);
+    }
+
     /// Counts a refusal or failure.
     pub fn refused(&self, code: Code) {
         self.metrics.refusal(code);
--- a/almondlock-entry/tests/broken_stream.rs
+++ b/almondlock-entry/tests/broken_stream.rs
@@ -58,10 +58,10 @@
     fleet.settle().await;
     let ask = Ask {
         tokens: 60,
-        ..Ask::new("a tender").header("X-Almondlock-Repeatable", "false")
+        ..Ask::new("a payment").header("X-Almondlock-Repeatable", "false")
     };
     let died = async {
-        let ran = async || one.runs("a tender") + two.runs("a tender") == 1;
+        let ran = async || one.runs("a payment") + two.runs("a payment") == 1;
         eventually(ran).await;
         tokio::time::sleep(std::time::Duration::from_millis(200)).await;
         one.kill();
@@ -71,7 +71,7 @@
     let (code, ran) = text_of(response).await.unwrap_err();
     assert!([3002, 3003].contains(&code), "{code}");
     assert_ne!(ran, "no");
-    assert_eq!(one.runs("a tender") + two.runs("a tender"), 1);
+    assert_eq!(one.runs("a payment") + two.runs("a payment"), 1);
 }
 
 /// The engine takes a request that may not be repeated and dies before it
@@ -85,7 +85,7 @@
     let two = fleet.engine("engine-2", engine::Config::default()).await;
     let entry = fleet.entry("entry-1").await;
     fleet.settle().await;
-    let prompt = format!("a tender, {}", engine::CRASH_MARKER);
+    let prompt = format!("a payment, {}", engine::CRASH_MARKER);
     let ask = Ask::new(&prompt).header("X-Almondlock-Repeatable", "false");
     let (code, ran) = text_of(fleet.complete(&entry, &ask).await)
         .await
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -273,7 +273,7 @@
             repeatable: vec!["GET".to_owned()],
         };
         fleet.change(Change::Service(
-            id::Service::new("quotes").unwrap(),
+            id::Service::new("prices").unwrap(),
             Some(plain),
         ));
         fleet
@@ -382,6 +382,7 @@
             queue: queue::Config::short(),
             memory_share: 100,
             running: u32::MAX,
+            metrics: almondlock_telemetry::metrics::Metrics::none(),
         };
         let registry = Registry::new(site, node.handle().clone(), replicas, sidecars);
         self.nodes.borrow_mut().push(node);
--- a/almondlock-entry/tests/silent_link.rs
+++ b/almondlock-entry/tests/silent_link.rs
@@ -21,11 +21,11 @@
     let two = fleet.engine("engine-2", fast()).await;
     // The second engine is there, but busy as far as the entry host knows: the
     // request may go either way, and only what went into the silence matters.
-    let ask = Ask::new("a tender").header("X-Almondlock-Repeatable", "false");
+    let ask = Ask::new("a payment").header("X-Almondlock-Repeatable", "false");
     let answer = text_of(fleet.complete(&entry, &ask).await).await;
     relay.set_silent(false);
     match answer {
-        Ok(text) => assert_eq!(text, answer::whole("a tender", 8)),
+        Ok(text) => assert_eq!(text, answer::whole("a payment", 8)),
         Err((_, ran)) => assert_ne!(ran, "no"),
     }
     let fresh = async || {
@@ -33,7 +33,7 @@
         answer == Ok(answer::whole("after", 8))
     };
     eventually(fresh).await;
-    assert!(one.runs("a tender") + two.runs("a tender") <= 1);
+    assert!(one.runs("a payment") + two.runs("a payment") <= 1);
 }
 
 /// The same with a request that may be repeated, and with the only way to its
--- a/almondlock-policy/src/retry.rs
+++ b/almondlock-policy/src/retry.rs
@@ -12,16 +12,16 @@
 //! use almondlock_base::{Code, Ran};
 //! use almondlock_policy::retry::{Failure, Safety, safety};
 //!
-//! let tender = Failure {
+//! let payment = Failure {
 //!     code: Code::UpstreamLost,
 //!     ran: Ran::Unknown,
 //!     repeatable: false,
 //!     streamed: 0,
 //!     resumable: false,
 //! };
-//! assert_eq!(safety(&tender), Safety::Never);
+//! assert_eq!(safety(&payment), Safety::Never);
 //! // The sidecar holds a tombstone for it: it can safely go elsewhere.
-//! assert_eq!(safety(&Failure { ran: Ran::No, ..tender }), Safety::Again);
+//! assert_eq!(safety(&Failure { ran: Ran::No, ..payment }), Safety::Again);
 //! ```
 
 use std::{collections::HashMap, time::Duration};
--- a/almondlock-policy/tests/ageing_long.rs
+++ b/almondlock-policy/tests/ageing_long.rs
@@ -1,4 +1,4 @@
-//! A long contract waits while short quotes keep coming, as many as the engine
+//! A long prompt waits while short prompts keep coming, as many as the engine
 //! can take. Each freed piece of memory would go to a short one, and the
 //! contract's caller would wait until the deadline. It must start within its
 //! stretched time, and the short ones must go on meanwhile.
--- a/almondlock-policy/tests/flood_fairness.rs
+++ b/almondlock-policy/tests/flood_fairness.rs
@@ -1,5 +1,5 @@
 //! One organisation floods an engine with short requests. Another one sends a
-//! single quote now and then. Its caller must see what it sees without the
+//! single short prompt now and then. Its caller must see what it sees without the
 //! flood: it goes before the flood's backlog, and finds a batch slot although
 //! the flood would take them all. An organisation alone may use everything.
 
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn quote_passes_the_flood() {
+fn short_passes_the_flood() {
     let room = Room::idle(CAPACITY, 16);
     let mut queue = Queue::new(Config::short());
     for i in 0..2_000 {
@@ -51,14 +51,14 @@
     let now = Mono::from_millis(10_000);
     serve(&mut queue, 500, now);
     queue
-        .push(("quote", 0), job("quote", 1, 2_000), &room, now)
+        .push(("short", 0), job("short", 1, 2_000), &room, now)
         .unwrap();
     let served = serve(&mut queue, 20, now);
-    assert_eq!(served[0], "quote");
+    assert_eq!(served[0], "short");
 }
 
 #[test]
-fn quote_finds_a_slot() {
+fn short_finds_a_slot() {
     let mut room = Room::idle(CAPACITY, 16);
     let mut queue = Queue::new(Config::short());
     let now = Mono::ZERO;
@@ -73,11 +73,11 @@
     }
     assert!(room.slots > 0, "the flood took every slot");
     queue
-        .push(("quote", 0), job("quote", 1, 2_000), &room, now)
+        .push(("short", 0), job("short", 1, 2_000), &room, now)
         .unwrap();
     assert_eq!(
         queue.grant(now, &room).map(|grant| grant.id.0),
-        Some("quote")
+        Some("short")
     );
 }
 
@@ -137,10 +137,10 @@
     assert!((40..=60).contains(&back), "{back} of 100");
 }
 
-/// What the engine was given can't be passed in the queue any more. The quote is
+/// What the engine was given can't be passed in the queue any more. The short one is
 /// handed over at once all the same, with a priority before the flood's.
 #[test]
-fn quote_passes_the_flood_on_the_engine() {
+fn short_passes_the_flood_on_the_engine() {
     let mut room = Room::idle(CAPACITY, 16);
     let mut queue = Queue::new(Config::short());
     let now = Mono::ZERO;
@@ -162,9 +162,9 @@
     }
     assert_eq!(prefilling, 8, "the limit keeps the rest of the flood here");
     queue
-        .push(("quote", 0), job("quote", 1, 2_000), &room, now)
+        .push(("short", 0), job("short", 1, 2_000), &room, now)
         .unwrap();
     let grant = queue.grant(now, &room).unwrap();
-    assert_eq!(grant.id.0, "quote");
+    assert_eq!(grant.id.0, "short");
     assert!(grant.priority < first);
 }
--- a/almondlock-policy/tests/gang_deadlock.rs
+++ b/almondlock-policy/tests/gang_deadlock.rs
@@ -1,7 +1,7 @@
 //! Several prompts, each larger than an engine, need three of five engines at
 //! once, while short and medium work goes on there. If each held what another
 //! one waits for, none would ever start; if freed memory went to smaller work,
-//! they would not either; and if they stopped all else, quick quotes would
+//! they would not either; and if they stopped all else, short prompts would
 //! wait for minutes. An engine dies meanwhile: the others' parts come back.
 
 #![cfg(test)]
--- a/almondlock-policy/tests/leaving_gate.rs
+++ b/almondlock-policy/tests/leaving_gate.rs
@@ -1,6 +1,6 @@
 //! An operator drains an upstream. An entry host that is cut off from control
 //! goes on sending there. The sidecar refuses what comes and gives back what
-//! waits, all provably not run, so that also a tender can go elsewhere; what
+//! waits, all provably not run, so that also a payment can go elsewhere; what
 //! runs is left to end.
 
 #![cfg(test)]
--- a/almondlock-policy/tests/prompt_length.rs
+++ b/almondlock-policy/tests/prompt_length.rs
@@ -1,5 +1,5 @@
 //! The entry knows a prompt's bytes only. A wrong estimate puts it in the wrong
-//! class: too short, and it delays quick quotes; too long, and it is refused.
+//! class: too short, and it delays short prompts; too long, and it is refused.
 //! Engines' counts correct it, one at a time, and no single one can ruin it.
 
 #![cfg(test)]
--- a/almondlock-policy/tests/short_first.rs
+++ b/almondlock-policy/tests/short_first.rs
@@ -1,5 +1,5 @@
-//! A caller's quick quote arrives while long contracts wait and run on the same
-//! engine. The quote must start at once: it passes what waits, it finds memory
+//! A caller's short prompt arrives while long prompts wait and run on the same
+//! engine. It must start at once: it passes what waits, it finds memory
 //! and a batch slot that long work leaves free, and the engine is told to
 //! process it first.
 
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -159,9 +159,6 @@
          connections.").unit("ms"),
     Key::new("entry", "body_timeout", Number(1_000, 600_000), Default("60000"),
         "The same for the body; 6 MB in a minute is 100 KB/s.").unit("ms"),
-    Key::new("entry", "request_buffer", Number(16 * KIB, 64 * MIB), Default("1048576"),
-        "Answer bytes kept for a caller that reads slower than its answer comes; beyond it the \
-         upstream is held back, then the request fails.").unit("bytes"),
     Key::new("entry", "connections", Number(1, 1_000_000), Default("10000"),
         "Callers' connections at one time; with the limits above it bounds the memory.").unit("count"),
     Key::new("entry", "drain_delay", Number(0, HOUR), Default("5000"),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -95,7 +95,6 @@
         let body_bytes = self.count(s, "body_bytes");
         let header_timeout = self.millis(s, "header_timeout");
         let body_timeout = self.millis(s, "body_timeout");
-        let request_buffer = self.count(s, "request_buffer");
         let connections = self.count(s, "connections");
         let drain_delay = self.millis(s, "drain_delay");
         let drain_grace = self.millis(s, "drain_grace");
@@ -106,7 +105,6 @@
             body_bytes: body_bytes?,
             header_timeout: header_timeout?,
             body_timeout: body_timeout?,
-            request_buffer: request_buffer?,
             connections: connections?,
             drain_delay: drain_delay?,
             drain_grace: drain_grace?,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -70,8 +70,6 @@
     pub header_timeout: Duration,
     /// Time allowed for a request's body.
     pub body_timeout: Duration,
-    /// Answer bytes kept for a slow reader.
-    pub request_buffer: usize,
     /// Callers' connections at one time.
     pub connections: usize,
     /// How long requests are accepted after readiness began to fail.
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -23,7 +23,11 @@
 };
 use almondlock_node::{Handle, Sidecars, clock, replicas::Replicas};
 use almondlock_policy::{gate, queue};
-use almondlock_state::config::{Kind, Registration};
+use almondlock_state::{
+    config::{Kind, Registration},
+    limit,
+};
+use almondlock_telemetry::metrics::Metrics;
 use ntex::{
     server::Server,
     web::{self, App, HttpResponse, HttpServer},
@@ -46,8 +50,8 @@
 /// An upstream that neither announces itself nor answers for this long is no
 /// longer renewed; its lease at the replicas then ends.
 const SILENCE: Duration = Duration::from_secs(5);
-/// The most memory an upstream may claim, in tokens.
-const CAPACITY_LIMIT: u64 = 1 << 40;
+/// The most memory an upstream may claim, in tokens: what the replicas accept.
+const CAPACITY_LIMIT: u64 = limit::CAPACITY;
 /// Announcements that wait to be taken.
 const QUEUE: usize = 64;
 /// Batch places when an upstream names none.
@@ -110,6 +114,8 @@
     pub memory_share: u8,
     /// Requests handed to one upstream at a time at most.
     pub running: u32,
+    /// Where metrics go.
+    pub metrics: Metrics,
 }
 
 /// The upstreams that announced themselves here.
@@ -204,6 +210,7 @@
             protocol,
             inner.handle.clone(),
             inner.replicas.clone(),
+            inner.site.metrics.clone(),
         );
         let client = capnp_rpc::new_client(service.clone());
         inner.sidecars.insert(announcement.name.clone(), client);
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -68,7 +68,7 @@
             .header(header::CONTENT_TYPE, "application/json")
             .header("X-Engine-Request", job.id)
             .header("X-Engine-Priority", u32::from(job.priority).to_string())
-            .header("traceparent", head.traceparent.as_str());
+            .header("traceparent", job.traceparent);
         if head.resume_at > 0 {
             request = request.header("X-Engine-Resume-At", head.resume_at.to_string());
         }
--- a/almondlock-sidecar/src/plain.rs
+++ b/almondlock-sidecar/src/plain.rs
@@ -41,7 +41,7 @@
         let mut request = self
             .runs
             .request(head.repeatable, method, url)
-            .header("traceparent", head.traceparent.as_str())
+            .header("traceparent", job.traceparent)
             .header("X-Request-Id", head.request.as_str());
         if !head.content_type.is_empty() {
             request = request.header(header::CONTENT_TYPE, head.content_type.as_str());
--- a/almondlock-sidecar/src/protocol.rs
+++ b/almondlock-sidecar/src/protocol.rs
@@ -38,6 +38,8 @@
 pub struct Job<'a> {
     /// The attempt's head.
     pub head: &'a Head,
+    /// The trace context of the upstream's hop.
+    pub traceparent: &'a str,
     /// The name under which the upstream knows the run; unique for ever.
     pub id: &'a str,
     /// Lower runs first, where the upstream honours it.
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -20,16 +20,19 @@
     ledger::{Item, Kind, Owner},
     poison::{self, Treatment},
 };
+use almondlock_telemetry::{metrics::Metrics, trace::Context};
 use almondlock_wire::{
     almondlock_capnp::{sink, source},
     answer::{Part, Usage},
     attempt::{Head, Load, Outcome},
 };
+use rand::{SeedableRng, rngs::SmallRng};
 use tokio::{
     sync::oneshot,
     task::spawn_local,
     time::{sleep, timeout},
 };
+use tracing::Instrument;
 
 use crate::{
     memory::{Memory, owner_of},
@@ -72,6 +75,8 @@
     replicas: Replicas,
     pub(crate) table: RefCell<Table>,
     death: RefCell<Death>,
+    rng: RefCell<SmallRng>,
+    pub(crate) metrics: Metrics,
     pub(crate) memory: Memory,
     orders: Desk,
     // The upstream doesn't answer; nothing is handed to it until it does.
@@ -99,6 +104,7 @@
         protocol: P,
         handle: Handle,
         replicas: Replicas,
+        metrics: Metrics,
     ) -> Service<P> {
         let inner = Rc::new(Inner {
             upstream,
@@ -108,6 +114,8 @@
             replicas,
             table: RefCell::new(Table::new(config, incarnation)),
             death: RefCell::default(),
+            rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
+            metrics,
             memory: Memory::new(clock::mono()),
             orders: Desk::default(),
             down: Cell::new(false),
@@ -146,10 +154,21 @@
         let inner = &self.inner;
         inner.handle.heard(&head.from);
         inner.check_leaving(clock::mono());
-        let mut outcome = match inner.clone().admit(head).await {
-            Ok(ticket) => ticket.run(head, source, sink).await,
-            Err(refusal) => refused(refusal),
+        let context = inner.hop(&head.traceparent);
+        let hop = tracing::info_span!(
+            "sidecar",
+            request = %head.request,
+            attempt = %head.attempt,
+            traceparent = %context,
+            parent = %Parent(&head.traceparent),
+        );
+        let work = async {
+            match inner.clone().admit(head).await {
+                Ok(ticket) => ticket.run(head, &context, source, sink).await,
+                Err(refusal) => refused(refusal),
+            }
         };
+        let mut outcome = work.instrument(hop).await;
         outcome.load = self.load(&head.prefix);
         outcome
     }
@@ -194,6 +213,18 @@
     outcome
 }
 
+/// The span that a `traceparent` names, for logs.
+struct Parent<'a>(&'a str);
+
+impl std::fmt::Display for Parent<'_> {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match Context::parse(self.0) {
+            Some(context) => context.span().fmt(f),
+            None => Ok(()),
+        }
+    }
+}
+
 pub(crate) fn failed(code: Code, ran: Ran, message: String) -> Outcome {
     Outcome {
         ran,
@@ -261,6 +292,8 @@
         if !self.memory.compare_due(clock::mono()) {
             return;
         }
+        let held = self.memory.held();
+        self.metrics.memory_held(self.upstream.as_str(), held);
         let asked = clock::mono();
         if let Some(list) = self.protocol.held().await {
             self.memory.compare(list, asked, clock::mono());
@@ -275,6 +308,21 @@
         table.pump(now);
     }
 
+    fn with_rng<T, F>(&self, draw: F) -> T
+    where
+        F: FnOnce(&mut SmallRng) -> T,
+    {
+        draw(&mut self.rng.borrow_mut())
+    }
+
+    /// The context of this process's hop of an attempt.
+    fn hop(&self, traceparent: &str) -> Context {
+        self.with_rng(|rng| match Context::parse(traceparent) {
+            Some(parent) => parent.child(rng),
+            None => Context::root(rng),
+        })
+    }
+
     fn set_down(&self, down: bool) {
         if self.down.replace(down) != down {
             tracing::info!(upstream = %self.upstream, down, "the upstream's health changed");
@@ -499,7 +547,13 @@
 where
     P: Protocol,
 {
-    async fn run(mut self, head: &Head, source: source::Client, sink: sink::Client) -> Outcome {
+    async fn run(
+        mut self,
+        head: &Head,
+        context: &Context,
+        source: source::Client,
+        sink: sink::Client,
+    ) -> Outcome {
         let charge = self.suspect.then(|| self.inner.next_death(head));
         if let Some(charge) = &charge {
             if let Err(code) = self.inner.charge(charge).await {
@@ -535,7 +589,17 @@
             sink,
             Rc::clone(&ticket),
         );
-        let end = ticket.drive(head, source, cancelled, &mut pusher).await;
+        let hop = ticket.inner.with_rng(|rng| context.child(rng));
+        let span = tracing::info_span!(
+            "upstream",
+            request = %head.request,
+            upstream = %ticket.inner.upstream,
+            traceparent = %hop,
+            parent = %context.span(),
+        );
+        let hop = hop.to_string();
+        let drive = ticket.drive(head, &hop, source, cancelled, &mut pusher);
+        let end = drive.instrument(span).await;
         let began = pusher.has_begun();
         let flushed = match &end {
             // The last frames must be there before the outcome says so.
@@ -562,6 +626,7 @@
     async fn drive(
         &self,
         head: &Head,
+        traceparent: &str,
         source: source::Client,
         cancelled: oneshot::Receiver<()>,
         pusher: &mut Pusher<Ticket<P>>,
@@ -569,6 +634,7 @@
         let id = self.attempt.to_string();
         let job = Job {
             head,
+            traceparent,
             id: &id,
             priority: self.priority,
         };
--- a/almondlock-standin/src/service.rs
+++ b/almondlock-standin/src/service.rs
@@ -11,7 +11,7 @@
 //! #[ntex::main]
 //! async fn main() -> std::io::Result<()> {
 //!     let handle = Service::start(Config::default())?;
-//!     assert_eq!(handle.runs("POST", "/tender", b"bid"), 0);
+//!     assert_eq!(handle.runs("POST", "/payment", b"bid"), 0);
 //!     handle.kill();
 //!     Ok(())
 //! }
--- a/almondlock-standin/tests/service_runs.rs
+++ b/almondlock-standin/tests/service_runs.rs
@@ -12,14 +12,17 @@
 async fn counted() {
     let service = Service::start(Config::default()).unwrap();
     let client = client::new().await.unwrap();
-    let url = format!("http://{}/tender?house=2", service.address());
+    let url = format!("http://{}/payment?account=2", service.address());
     for _ in 0..2 {
         let response = client.post(&url).send_body("bid").await.unwrap();
         let body = response.body().await.unwrap();
-        assert_eq!(body, answer("POST", "/tender?house=2", b"bid").as_bytes());
+        assert_eq!(
+            body,
+            answer("POST", "/payment?account=2", b"bid").as_bytes()
+        );
     }
-    assert_eq!(service.runs("POST", "/tender?house=2", b"bid"), 2);
-    assert_eq!(service.runs("POST", "/tender?house=2", b"other"), 0);
+    assert_eq!(service.runs("POST", "/payment?account=2", b"bid"), 2);
+    assert_eq!(service.runs("POST", "/payment?account=2", b"other"), 0);
     assert_eq!(service.total(), 2);
 }
 
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -153,6 +153,7 @@
     /// when the state says otherwise.
     Replicas {
         /// Replicas by identity.
+        #[serde(with = "pairs")]
         replicas: BTreeMap<replica::Id, Replica>,
         /// The leader's time.
         at: Wall,
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -19,6 +19,9 @@
 /// is shown once, when it is made.
 pub type KeyHash = String;
 
+/// The setting that tells how many entry hosts share the organisations' limits.
+pub const ENTRY_HOSTS: &str = "entry-hosts";
+
 /// An organisation and what it may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Organisation {
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -51,6 +51,8 @@
 
 /// Fingerprints under suspicion or refused.
 pub const QUARANTINES: usize = 4_096;
+/// Entry hosts that may share the organisations' limits.
+pub const HOSTS: u32 = 10_000;
 /// Fingerprints of one organisation.
 pub const QUARANTINES_OF_ONE: usize = 256;
 /// Deaths in all from which a fingerprint is refused.
--- a/almondlock-state/src/plan/compile.rs
+++ b/almondlock-state/src/plan/compile.rs
@@ -13,7 +13,7 @@
 
 use super::{Plan, Progress, Risk, Stage, Step, risk, rollout, table};
 use crate::{
-    config::{self, Change, Definition, Drain},
+    config::{self, Change, Definition, Drain, ENTRY_HOSTS},
     intent::{Intent, Limits},
     limit,
     operator::{Operator, Role, is_hash},
@@ -354,6 +354,14 @@
     if name.is_empty() || name.starts_with("rollout/") || !fits(name) || !value.is_none_or(fits) {
         return Err(Error::bad("the setting's name or value can't be used"));
     }
+    let hosts = |text: &str| {
+        text.parse()
+            .is_ok_and(|n: u32| (1..=limit::HOSTS).contains(&n))
+    };
+    if name == ENTRY_HOSTS && !value.is_none_or(hosts) {
+        let message = format!("{ENTRY_HOSTS} is a number from 1 to {}", limit::HOSTS);
+        return Err(Error::bad(message));
+    }
     let settings = &tables.config.settings;
     if value.is_some() && !settings.contains_key(name) && settings.len() >= limit::SETTINGS {
         return Err(Error::full("settings"));
--- a/almondlock-state/tests/command_round.rs
+++ b/almondlock-state/tests/command_round.rs
@@ -33,3 +33,21 @@
     let bytes = command.to_bytes().unwrap();
     assert_eq!(Command::from_slice(&bytes).unwrap(), command);
 }
+
+/// The leader copies the log's membership into the state. The command was
+/// refused every time as one that could not be read back, so a replica that had
+/// been replaced never showed.
+#[test]
+fn replicas() {
+    let replica = Replica {
+        address: "127.0.0.1:1".parse().unwrap(),
+        admin: "127.0.0.1:2".parse().unwrap(),
+        domain: Domain::new("a").unwrap(),
+    };
+    let command = Command::Replicas {
+        replicas: BTreeMap::from([(6_427_860_434_685_785_430, replica)]),
+        at: common::wall(1),
+    };
+    let bytes = command.to_bytes().unwrap();
+    assert_eq!(Command::from_slice(&bytes).unwrap(), command);
+}
--- a/almondlock-state/tests/dead_holder.rs
+++ b/almondlock-state/tests/dead_holder.rs
@@ -23,7 +23,7 @@
     });
 }
 
-/// The entry host dies after it handed a tender on; the caller sends it again
+/// The entry host dies after it handed a payment on; the caller sends it again
 /// through another host. Nobody knows whether it ran, so it isn't run again:
 /// the caller gets `OutcomeLost`, however often it asks.
 #[test]
--- a/almondlock-state/tests/held_claim.rs
+++ b/almondlock-state/tests/held_claim.rs
@@ -8,7 +8,7 @@
 use almondlock_state::{blob::Blob, claim::Verdict, command::Command, limit, machine::Machine};
 use common::{MINUTE, attempt, claim, claim_command, code, pass_time, settle, verdict};
 
-/// The caller sends the same tender twice, and the balancer gives the copies to
+/// The caller sends the same payment twice, and the balancer gives the copies to
 /// two entry hosts. The second is told that it runs, and never runs. After the
 /// first ended, the second gets the first one's outcome.
 #[test]
--- a/tests/caller_history.rs
+++ b/tests/caller_history.rs
@@ -52,16 +52,19 @@
         done
     }
 
-    /// A caller that asks questions, and sends tenders again through another
+    /// A caller that asks questions, and sends payments again through another
     /// entry host when it doesn't get an answer.
     async fn caller(&self, who: usize) {
         let mut count = 0;
         while !self.over.get() {
             let question = format!("question {who} {count}");
             self.send(who + count, &question, None).await;
-            let tender = format!("tender {who} {count}");
+            let payment = format!("payment {who} {count}");
             for copy in 0..3 {
-                if self.send(who + count + copy, &tender, Some(&tender)).await {
+                if self
+                    .send(who + count + copy, &payment, Some(&payment))
+                    .await
+                {
                     break;
                 }
             }
@@ -116,10 +119,10 @@
     }
 }
 
-/// Six callers ask and send tenders through two entry hosts, while replicas,
+/// Six callers ask and send payments through two entry hosts, while replicas,
 /// sidecars, engines and entry hosts are killed, paused for longer than every
 /// heartbeat, and started again. Of every answer: it is whole and the caller's
-/// own; what was called not run was never seen by an engine; no tender ran
+/// own; what was called not run was never seen by an engine; no payment ran
 /// twice, however often it was sent; and every sending had its last word
 /// shortly after its time at the latest.
 #[ntex::test]
@@ -153,7 +156,7 @@
             }
             Some(Err(_)) | None => {}
         }
-        if prompt.starts_with("tender") {
+        if prompt.starts_with("payment") {
             assert!(runs(prompt) <= 1, "{} runs: {told:?}", runs(prompt));
         }
         assert!(told.took <= DEADLINE + GRACE, "{told:?}");
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -33,7 +33,7 @@
         assert_eq!(fleet.text(&entry, &prompt, &[]).await, whole(&prompt));
         let key = format!("key-{round}");
         let headers = [("Idempotency-Key", key.as_str())];
-        let once = format!("tender {round}");
+        let once = format!("payment {round}");
         eventually(async || fleet.text(&entry, &once, &headers).await == whole(&once)).await;
         assert_eq!(sidecar.engine.runs(&once), 1);
         fleet.replicas[round].start();
@@ -52,11 +52,11 @@
     assert_eq!(refused, Some(Err((2008, "no".to_owned()))));
     assert_eq!(sidecar.engine.runs("alone once"), 0);
     fleet.replicas.iter().for_each(|r| r.start());
-    // The outcome of a tender from before is still given again.
+    // The outcome of a payment from before is still given again.
     let headers = [("Idempotency-Key", "key-0")];
-    let again = async || fleet.text(&entry, "tender 0", &headers).await == whole("tender 0");
+    let again = async || fleet.text(&entry, "payment 0", &headers).await == whole("payment 0");
     eventually(again).await;
-    assert_eq!(sidecar.engine.runs("tender 0"), 1);
+    assert_eq!(sidecar.engine.runs("payment 0"), 1);
 }
 
 /// An entry host stops as planned: readiness fails first, the answer in
