--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -192,7 +192,12 @@
             };
             copy.end(&course);
             match next {
-                Next::Done => return Ok(()),
+                Next::Done => {
+                    let left = request.left(clock::mono());
+                    let length = Length::of(request.prompt);
+                    self.shared.metrics.deadline_left(length, left);
+                    return Ok(());
+                }
                 Next::Fail(failure) => {
                     self.note(request, format!("no further attempt: {failure}"));
                     return Err(failure);
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -320,6 +320,7 @@
         let permit = lock(&self.limits).admit(organisation, tokens, now)?;
         lock(&self.retries).fresh(organisation, now);
         self.admitted.fetch_add(1, Ordering::Relaxed);
+        self.metrics.prompt(tokens);
         Ok(permit)
     }
 
--- a/almondlock-telemetry/src/metrics.rs
+++ b/almondlock-telemetry/src/metrics.rs
@@ -35,7 +35,7 @@
     Short,
     /// Up to 32,768 tokens.
     Medium,
-    /// Up to 131,072 tokens.
+    /// Up to 262,144 tokens.
     Long,
     /// More than that.
     Huge,
@@ -50,7 +50,7 @@
         match prompt.0 {
             0..=4_096 => Length::Short,
             4_097..=32_768 => Length::Medium,
-            32_769..=131_072 => Length::Long,
+            32_769..=262_144 => Length::Long,
             _ => Length::Huge,
         }
     }
