Give each module of the entry host and the sidecar one job

Change: deciding after an attempt, sending one, and writing answers stand apart; so do a ticket's run, the judging of its end, deaths, and what is tended. No behaviour changed. Conclusion: all tests of both packages pass as before.

--- /dev/null
+++ b/almondlock-entry/src/running.rs
@@ -0,0 +1,189 @@
+//! A request under way, and its answer in the form that its caller wants.
+//!
+//! Until the first piece of the answer a failure can still be told with a
+//! status of its own. From then on the response is under way, and a failure is
+//! a stream's last event; a service's response is broken off.
+
+use std::rc::Rc;
+
+use almondlock_base::{Code, Ran};
+use almondlock_node::clock;
+use almondlock_wire::answer::Usage;
+use futures::stream;
+use ntex::{
+    http::StatusCode,
+    util::{Bytes, BytesMut},
+    web::HttpResponse,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::{JoinHandle, spawn_local},
+};
+use tracing::Instrument;
+
+use crate::{
+    answer::Writer, attempt::Piece, claimed, failure::Failure, http::Arrival, life::Worker,
+    request::Request,
+};
+
+/// Pieces of an answer that wait for their caller at most.
+const DEPTH: usize = 64;
+
+/// A request under way: its life goes on in a task that ends when this is
+/// dropped, which happens when the caller leaves.
+pub(crate) struct Running {
+    first: Option<Piece>,
+    pieces: mpsc::Receiver<Piece>,
+    end: oneshot::Receiver<Result<(), Failure>>,
+    // Ends the life when the caller leaves.
+    _task: Task,
+}
+
+struct Task(JoinHandle<()>);
+
+impl Drop for Task {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+impl Running {
+    /// Starts a request and waits for the first piece of its answer.
+    pub(crate) async fn start(
+        worker: Rc<Worker>,
+        request: Request,
+        arrival: Arrival,
+    ) -> Result<Running, Failure> {
+        let Arrival { active, span, .. } = arrival;
+        let now = clock::mono();
+        let organisation = request.organisation.clone();
+        worker
+            .shared
+            .journal()
+            .open(&request.id, organisation.as_str(), now);
+        let tokens = request.prompt + request.output;
+        let permit = worker.shared.admit(&organisation, tokens, now);
+        let permit = permit
+            .map_err(|refusal| Failure::new(refusal.code).retry_after(refusal.retry_after))?;
+        if !request.repeatable && request.key.is_none() && !worker.shared.config.keyless {
+            let message = "a request that may not be repeated needs an Idempotency-Key here";
+            return Err(Failure::with_message(Code::BadHeader, message));
+        }
+        let (to, pieces) = mpsc::channel(DEPTH);
+        let (tell, end) = oneshot::channel();
+        let life = async move {
+            let request = Rc::new(request);
+            let result = match request.key.clone() {
+                Some(key) => claimed::run(worker, request, key, to).await,
+                None => worker.run(&request, &to).await,
+            };
+            let _ = tell.send(result);
+            drop((permit, active));
+        };
+        let task = spawn_local(life.instrument(span));
+        let mut running = Running {
+            first: None,
+            pieces,
+            end,
+            _task: Task(task),
+        };
+        running.first = running.pieces.recv().await;
+        match running.first {
+            Some(_) => Ok(running),
+            None => Err(running.failure().await),
+        }
+    }
+
+    /// Why the pieces ended without the closing one.
+    async fn failure(&mut self) -> Failure {
+        match (&mut self.end).await {
+            Ok(Err(failure)) => failure,
+            Ok(Ok(())) => Failure::new(Code::StreamBroken),
+            Err(_) => Failure::new(Code::HostStopping).ran(Ran::Unknown),
+        }
+    }
+
+    async fn next(&mut self) -> Option<Piece> {
+        match self.first.take() {
+            Some(piece) => Some(piece),
+            None => self.pieces.recv().await,
+        }
+    }
+
+    /// An event stream. One that fails says so and isn't closed as if whole.
+    pub(crate) fn into_stream(self, writer: Writer, id: &str) -> HttpResponse {
+        let events = stream::unfold((Some(self), writer), |(running, writer)| async {
+            let mut running = running?;
+            loop {
+                let (bytes, more) = match running.next().await {
+                    Some(Piece::Text(text)) => (writer.text(&text), true),
+                    Some(Piece::End(usage)) => (concat(writer.end(&usage)), false),
+                    Some(_) => continue,
+                    None => (Writer::failed(&running.failure().await), false),
+                };
+                let rest = more.then_some(running);
+                return Some((Ok::<Bytes, std::io::Error>(bytes), (rest, writer)));
+            }
+        });
+        HttpResponse::Ok()
+            .header("X-Almondlock-Request-Id", id)
+            .header("Cache-Control", "no-cache")
+            .content_type("text/event-stream")
+            .streaming(Box::pin(events))
+    }
+
+    /// One document; nothing is sent before it is whole.
+    pub(crate) async fn into_document(mut self, writer: &Writer, id: &str) -> HttpResponse {
+        let mut text = String::new();
+        loop {
+            match self.next().await {
+                Some(Piece::Text(part)) => text.push_str(&part),
+                Some(Piece::Restart) => text.clear(),
+                Some(Piece::End(usage)) => return document(writer, &text, &usage, id),
+                Some(_) => {}
+                None => return self.failure().await.to_response(id),
+            }
+        }
+    }
+
+    /// A service's answer. One that fails is broken off, which its length or
+    /// its missing last chunk tells the caller.
+    pub(crate) fn into_bytes(mut self, id: &str) -> HttpResponse {
+        let (status, content_type) = match self.first.take() {
+            Some(Piece::Begin(status, content_type)) => (status, content_type),
+            _ => return Failure::new(Code::StreamBroken).to_response(id),
+        };
+        let bytes = stream::unfold(Some(self), |running| async {
+            let mut running = running?;
+            loop {
+                return match running.next().await {
+                    Some(Piece::Bytes(bytes)) => Some((Ok(Bytes::from(bytes)), Some(running))),
+                    Some(Piece::End(_)) => None,
+                    Some(_) => continue,
+                    None => {
+                        let failure = running.failure().await;
+                        Some((Err(std::io::Error::other(failure)), None))
+                    }
+                };
+            }
+        });
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        HttpResponse::build(status)
+            .header("X-Almondlock-Request-Id", id)
+            .content_type(content_type)
+            .streaming(Box::pin(bytes))
+    }
+}
+
+fn concat(parts: Vec<Bytes>) -> Bytes {
+    let mut all = BytesMut::new();
+    parts.iter().for_each(|part| all.extend_from_slice(part));
+    all.freeze()
+}
+
+fn document(writer: &Writer, text: &str, usage: &Usage, id: &str) -> HttpResponse {
+    HttpResponse::Ok()
+        .header("X-Almondlock-Request-Id", id)
+        .content_type("application/json")
+        .body(writer.whole(text, usage))
+}
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -3,15 +3,16 @@
 //! machine in memory.
 #![allow(dead_code)]
 
+mod control;
+mod relay;
+
 use std::{
     cell::{Cell, RefCell},
     net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
     time::Duration,
 };
 
 use almondlock_base::{
-    Code,
     id::{self, Domain, Host, Incarnation, Model, Region, Upstream, Version},
     unit::Tokens,
 };
@@ -25,193 +26,17 @@
 use almondlock_spread::view::View;
 use almondlock_standin::engine::{self, Engine};
 use almondlock_state::{
-    claim::Verdict,
-    command::{Command, Reply},
     config::{Change, Definition, Drain, Kind, Organisation, Plain},
     machine::Machine,
 };
-use almondlock_wire::{
-    almondlock_capnp::{Claimed, control, status},
-    attempt::{read_id, read_ran},
-};
 use ntex::client::{Client, ClientResponse};
 
+pub use self::{control::Control, relay::Relay};
+
 pub const LOCAL: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// How long a test waits for something that must happen.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
-/// The control replicas, as one machine in memory.
-#[derive(Clone)]
-pub struct Control {
-    machine: Rc<RefCell<Machine>>,
-    view: View,
-    /// Answers as a minority does: it can't decide.
-    pub mute: Rc<Cell<bool>>,
-}
-
-impl Control {
-    fn new(view: View) -> Control {
-        Control {
-            machine: Rc::default(),
-            view,
-            mute: Rc::default(),
-        }
-    }
-
-    fn apply(&self, command: Command) -> Reply {
-        let applied = self.machine.borrow_mut().apply(command);
-        for (revision, change) in applied.changes {
-            self.view.extend(revision, [change]);
-        }
-        applied.reply
-    }
-
-    fn tell(&self, mut status: status::Builder<'_>, reply: Option<&Reply>) {
-        let code = match reply {
-            None => Some(Code::NoQuorum),
-            Some(reply) => reply.code(),
-        };
-        status.set_code(code.map_or(0, Code::number));
-    }
-
-    fn decide(&self, command: Command) -> Option<Reply> {
-        (!self.mute.get()).then(|| self.apply(command))
-    }
-}
-
-impl control::Server for Control {
-    async fn announce(
-        self: Rc<Self>,
-        params: control::AnnounceParams,
-        mut results: control::AnnounceResults,
-    ) -> Result<(), capnp::Error> {
-        let (upstream, registration) =
-            serde_json::from_slice(params.get()?.get_upstream()?).unwrap();
-        let reply = self.decide(Command::Announce {
-            upstream,
-            registration,
-            at: clock::wall(),
-        });
-        self.tell(results.get().init_status(), reply.as_ref());
-        Ok(())
-    }
-
-    async fn claim(
-        self: Rc<Self>,
-        params: control::ClaimParams,
-        mut results: control::ClaimResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let reply = self.decide(Command::Claim {
-            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
-            key: params.get_key()?.to_string()?,
-            body: params.get_body()?.into(),
-            holder: read_id(params.get_holder()?)?,
-            keep: params.get_keep_millis(),
-            at: clock::wall(),
-        });
-        self.tell(results.get().init_status(), reply.as_ref());
-        let verdict = match &reply {
-            Some(Reply::Claimed { verdict }) => verdict.clone(),
-            _ => Verdict::Refused(Code::NoQuorum),
-        };
-        results.get().set_claimed(match verdict {
-            Verdict::Granted => Claimed::Granted,
-            Verdict::Running => Claimed::Running,
-            Verdict::Done(_) | Verdict::Dropped => Claimed::Done,
-            Verdict::Lost => Claimed::Lost,
-            Verdict::Mismatch => Claimed::Mismatch,
-            Verdict::Refused(_) => Claimed::Refused,
-        });
-        if let Verdict::Done(outcome) = verdict {
-            results.get().set_outcome(&outcome.0);
-        }
-        Ok(())
-    }
-
-    async fn settle_claim(
-        self: Rc<Self>,
-        params: control::SettleClaimParams,
-        mut results: control::SettleClaimResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let reply = self.decide(Command::SettleClaim {
-            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
-            key: params.get_key()?.to_string()?,
-            holder: read_id(params.get_holder()?)?,
-            ran: read_ran(params.get_ran()?),
-            outcome: params.get_outcome()?.into(),
-            at: clock::wall(),
-        });
-        self.tell(results.get().init_status(), reply.as_ref());
-        Ok(())
-    }
-
-    async fn blame(
-        self: Rc<Self>,
-        params: control::BlameParams,
-        mut results: control::BlameResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let reply = self.decide(Command::Blame {
-            fingerprint: id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap(),
-            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
-            upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
-            incarnation: Incarnation(params.get_incarnation()),
-            at: clock::wall(),
-        });
-        results.get().set_revision(self.view.revision().0);
-        self.tell(results.get().init_status(), reply.as_ref());
-        Ok(())
-    }
-
-    async fn charge(
-        self: Rc<Self>,
-        params: control::ChargeParams,
-        mut results: control::ChargeResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let reply = self.decide(Command::Charge {
-            fingerprint: id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap(),
-            organisation: id::Organisation::new(params.get_organisation()?.to_str()?).unwrap(),
-            upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
-            incarnation: Incarnation(params.get_incarnation()),
-            at: clock::wall(),
-        });
-        results.get().set_revision(self.view.revision().0);
-        self.tell(results.get().init_status(), reply.as_ref());
-        Ok(())
-    }
-
-    async fn clear(
-        self: Rc<Self>,
-        params: control::ClearParams,
-        mut results: control::ClearResults,
-    ) -> Result<(), capnp::Error> {
-        let params = params.get()?;
-        let fingerprint = id::Fingerprint::from_slice(params.get_fingerprint()?).unwrap();
-        let organisation = id::Organisation::new(params.get_organisation()?.to_str()?).unwrap();
-        let at = clock::wall();
-        let reply = self.decide(if params.get_harmless() {
-            Command::Clear {
-                fingerprint,
-                organisation,
-                at,
-            }
-        } else {
-            Command::Discharge {
-                fingerprint,
-                organisation,
-                upstream: Upstream::new(params.get_upstream()?.to_str()?).unwrap(),
-                incarnation: Incarnation(params.get_incarnation()),
-                at,
-            }
-        });
-        self.tell(results.get().init_status(), reply.as_ref());
-        Ok(())
-    }
-}
-
 /// A fleet under test.
 pub struct Fleet {
     pub control: Control,
@@ -474,55 +299,6 @@
     }
 }
 
-/// A link that can fall silent without an error: what is sent into it stays
-/// there until it speaks again, and then still arrives.
-pub struct Relay {
-    pub address: SocketAddr,
-    silent: tokio::sync::watch::Sender<bool>,
-}
-
-impl Relay {
-    async fn start(target: SocketAddr) -> Relay {
-        let listener = tokio::net::TcpListener::bind(LOCAL).await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let (silent, speaks) = tokio::sync::watch::channel(false);
-        tokio::task::spawn_local(async move {
-            while let Ok((near, _)) = listener.accept().await {
-                let Ok(far) = tokio::net::TcpStream::connect(target).await else {
-                    continue;
-                };
-                let (near_read, near_write) = near.into_split();
-                let (far_read, far_write) = far.into_split();
-                tokio::task::spawn_local(pump(near_read, far_write, speaks.clone()));
-                tokio::task::spawn_local(pump(far_read, near_write, speaks.clone()));
-            }
-        });
-        Relay { address, silent }
-    }
-
-    pub fn set_silent(&self, silent: bool) {
-        self.silent.send_replace(silent);
-    }
-}
-
-async fn pump(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
-    mut silent: tokio::sync::watch::Receiver<bool>,
-) {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    let mut buffer = vec![0; 64 * 1024];
-    loop {
-        let count = from.read(&mut buffer).await.unwrap_or_default();
-        if silent.wait_for(|silent| !silent).await.is_err() {
-            return;
-        }
-        if count == 0 || to.write_all(&buffer[..count]).await.is_err() {
-            return;
-        }
-    }
-}
-
 /// A completion to ask for.
 #[derive(Clone)]
 pub struct Ask<'a> {
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -11,6 +11,8 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod announce;
+mod death;
+mod judge;
 pub mod memory;
 pub mod openai;
 pub mod orders;
@@ -22,3 +24,5 @@
 mod rpc;
 pub mod service;
 pub mod table;
+mod tend;
+mod ticket;
