Stop a sidecar without cutting off what runs

Change: it takes no new work, gives back what waits as not run, and ends when nothing runs any more or its grace is over. A caller that never reads has a test.

--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -4,13 +4,14 @@
 //! then the node; then the roles that fetch their configuration through it. The
 //! start order of different processes doesn't matter.
 
-use std::{future::Future, net::SocketAddr};
+use std::{future::Future, net::SocketAddr, time::Duration};
 
 use almondlock_base::id::Incarnation;
 use almondlock_entry::server::Server;
 use almondlock_node::{Config, Node, Parts, Sidecars, Vouch, clock, links::Links};
 use almondlock_node::{Handle, replicas::Replicas};
 use almondlock_settings::Settings;
+use almondlock_sidecar::stop::Stop;
 use almondlock_spread::view::View;
 use almondlock_telemetry::metrics::{self, Metrics};
 use almondlock_transport::Security;
@@ -36,6 +37,9 @@
     entry: Option<Server>,
     control: Option<Control>,
     announce: Option<(SocketAddr, ntex::server::Server)>,
+    // Of the sidecars, and how long their running work may take on a stop.
+    stop: Stop,
+    grace: Duration,
 }
 
 /// A number that no other start of any process has drawn.
@@ -95,6 +99,8 @@
             entry: None,
             control,
             announce: None,
+            stop: Stop::default(),
+            grace: Duration::ZERO,
         };
         process.start_roles(settings, incarnation, sidecars)?;
         tracing::info!(host = %host.name, inner = %process.node.address(), "started");
@@ -117,7 +123,14 @@
         if let Some(role) = &settings.sidecar {
             let client = Replicas::new(Links::new(handle.clone()), replicas.clone());
             let inner = self.node.address();
-            let site = sidecar::site(settings, role, incarnation, inner, metrics.clone());
+            let site = sidecar::site(
+                settings,
+                role,
+                incarnation,
+                inner,
+                (metrics.clone(), self.stop.clone()),
+            );
+            self.grace = role.drain_grace;
             let started = sidecar::start(role, site, handle.clone(), client, sidecars)?;
             self.announce = Some(started);
         }
@@ -179,6 +192,10 @@
             entry.stop().await;
         }
         if let Some((_, server)) = self.announce {
+            let left = self.stop.drain(self.grace).await;
+            if left > 0 {
+                tracing::warn!(left, "stopping with work in progress");
+            }
             server.stop(true).await;
         }
         if let Some(control) = self.control {
--- a/almondlock-daemon/src/roles/sidecar.rs
+++ b/almondlock-daemon/src/roles/sidecar.rs
@@ -6,7 +6,10 @@
 use almondlock_node::{Handle, Sidecars, replicas::Replicas};
 use almondlock_policy::queue;
 use almondlock_settings::{Order, Settings, Sidecar};
-use almondlock_sidecar::announce::{self, Registry, Site};
+use almondlock_sidecar::{
+    announce::{self, Registry, Site},
+    stop::Stop,
+};
 use almondlock_telemetry::metrics::Metrics;
 use anyhow::{Context, Result};
 
@@ -16,7 +19,7 @@
     role: &Sidecar,
     incarnation: Incarnation,
     inner: SocketAddr,
-    metrics: Metrics,
+    (metrics, stop): (Metrics, Stop),
 ) -> Site {
     let order = match role.order {
         Order::Short => queue::Config::short(),
@@ -41,6 +44,7 @@
         memory_share: role.memory_share,
         running: u32::try_from(role.running).unwrap_or(u32::MAX),
         metrics,
+        stop,
     }
 }
 
--- a/almondlock-entry/tests/caller_leaves.rs
+++ b/almondlock-entry/tests/caller_leaves.rs
@@ -119,3 +119,37 @@
     let answer = text_of(fleet.complete(&entry, &ask).await).await;
     assert_eq!(answer, Err((3001, "yes".to_owned())));
 }
+
+/// A caller asks for a long stream and never reads. What is kept for it is
+/// bounded at every hop, so its engine's stream stands still; at the deadline
+/// its memory is free again, and nothing is left in progress.
+#[ntex::test]
+async fn slow_reader() {
+    use tokio::io::AsyncWriteExt;
+    let fleet = Fleet::new().await;
+    let config = engine::Config {
+        factor: 1_000.0,
+        memory: 4_000_000,
+        ..engine::Config::default()
+    };
+    let engine = fleet.engine("engine-1", config).await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let body = r#"{"model":"almond","prompt":"no end","max_tokens":1000000,"stream":true}"#;
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer acme-key\r\n\
+         Content-Type: application/json\r\nX-Almondlock-Deadline-Ms: 3000\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let mut caller = tokio::net::TcpStream::connect(entry.address())
+        .await
+        .unwrap();
+    caller.write_all(head.as_bytes()).await.unwrap();
+    caller.write_all(body.as_bytes()).await.unwrap();
+    eventually(async || engine.reserved() > 0).await;
+    eventually(async || engine.reserved() == 0).await;
+    assert_eq!(engine.seen().finished, 0);
+    drop(caller);
+    eventually(async || entry.shared().active() == 0).await;
+}
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -208,6 +208,7 @@
             memory_share: 100,
             running: u32::MAX,
             metrics: almondlock_telemetry::metrics::Metrics::none(),
+            stop: Default::default(),
         };
         let registry = Registry::new(site, node.handle().clone(), replicas, sidecars);
         self.nodes.borrow_mut().push(node);
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -186,6 +186,9 @@
     Key::new("sidecar", "waiting", Number(0, 100_000), Default("1024"),
         "Requests that may wait beside the upstream; further ones are refused as not run.").unit("count"),
 
+    Key::new("sidecar", "drain_grace", Number(0, 24 * HOUR), Default("600000"),
+        "On a stop, how long running requests may take to finish; those that wait are given back at \
+         once and go elsewhere.").unit("ms"),
     Key::new("replica", "admin", Listen, Required,
         "Where operators' commands arrive."),
     Key::new("replica", "members", Members, Required,
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -122,6 +122,7 @@
         let short_reserve = self.percent(s, "short_reserve");
         let running = self.count(s, "running");
         let waiting = self.count(s, "waiting");
+        let drain_grace = self.millis(s, "drain_grace");
         Some(Sidecar {
             announce: announce?,
             order: order?,
@@ -129,6 +130,7 @@
             short_reserve: short_reserve?,
             running: running?,
             waiting: waiting?,
+            drain_grace: drain_grace?,
         })
     }
 
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -104,6 +104,8 @@
     pub running: usize,
     /// Requests that may wait beside the upstream.
     pub waiting: usize,
+    /// How long running requests may take on a stop.
+    pub drain_grace: Duration,
 }
 
 /// A member that a replica group starts with.
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -39,7 +39,9 @@
     time::sleep,
 };
 
-use crate::{openai::Engine, plain, protocol::Protocol, service::Service, table::Config};
+use crate::{
+    openai::Engine, plain, protocol::Protocol, service::Service, stop::Stop, table::Config,
+};
 
 /// How often a registration is renewed.
 const RENEWAL: Duration = Duration::from_secs(2);
@@ -116,6 +118,8 @@
     pub running: u32,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// Tells when the process stops.
+    pub stop: Stop,
 }
 
 /// The upstreams that announced themselves here.
@@ -210,7 +214,7 @@
             protocol,
             inner.handle.clone(),
             inner.replicas.clone(),
-            inner.site.metrics.clone(),
+            (inner.site.metrics.clone(), inner.site.stop.clone()),
         );
         let client = capnp_rpc::new_client(service.clone());
         inner.sidecars.insert(announcement.name.clone(), client);
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -23,6 +23,7 @@
 mod pull;
 mod rpc;
 pub mod service;
+pub mod stop;
 pub mod table;
 mod tend;
 mod ticket;
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -30,6 +30,7 @@
     memory::Memory,
     orders::Desk,
     protocol::Protocol,
+    stop::Stop,
     table::{Config, Refusal, Table},
     ticket::Ticket,
 };
@@ -66,6 +67,7 @@
     pub(crate) death: RefCell<Death>,
     rng: RefCell<SmallRng>,
     pub(crate) metrics: Metrics,
+    stop: Stop,
     pub(crate) memory: Memory,
     pub(crate) orders: Desk,
     // The upstream doesn't answer; nothing is handed to it until it does.
@@ -85,7 +87,7 @@
         protocol: P,
         handle: Handle,
         replicas: Replicas,
-        metrics: Metrics,
+        (metrics, stop): (Metrics, Stop),
     ) -> Service<P> {
         let inner = Rc::new(Inner {
             upstream,
@@ -97,6 +99,7 @@
             death: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             metrics,
+            stop,
             memory: Memory::new(clock::mono()),
             orders: Desk::default(),
             down: Cell::new(false),
@@ -135,6 +138,8 @@
         let inner = &self.inner;
         inner.handle.heard(&head.from);
         inner.check_leaving(clock::mono());
+        // Until its outcome is on its way: a process that stops waits for it.
+        let _busy = inner.stop.begin();
         let context = inner.hop(&head.traceparent);
         let hop = tracing::info_span!(
             "sidecar",
@@ -230,7 +235,7 @@
     /// of the drain is refused here.
     pub(crate) fn check_leaving(&self, now: Mono) {
         let config = self.handle.view().get();
-        let leaving = config.drains.contains_key(&self.upstream);
+        let leaving = config.drains.contains_key(&self.upstream) || self.stop.is_stopping();
         self.table.borrow_mut().set_leaving(leaving, now);
     }
 
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -84,3 +84,41 @@
     );
     assert_eq!(status, Some(0));
 }
+
+/// A sidecar's process stops as planned while one answer runs and another
+/// request waits beside the engine. The running one ends whole; the waiting one
+/// is given back as not run and is answered by the other engine.
+#[ntex::test]
+async fn sidecar_stops() {
+    let fleet = Fleet::start().await;
+    let config = almondlock_standin::engine::Config {
+        batch: 1,
+        ..Default::default()
+    };
+    let old = fleet.sidecar("engine-old", config).await;
+    let entry = fleet.entry("entry-1").await;
+    let whole = Some(Ok(answer::whole("warm", 8)));
+    eventually(async || fleet.text(&entry, "warm", &[]).await == whole).await;
+    let running = fleet.complete(&entry, "in progress", 150, &[]);
+    let waiting = async {
+        eventually(async || old.engine.runs("in progress") == 1).await;
+        let headers = [("X-Almondlock-Repeatable", "false")];
+        fleet.text(&entry, "waiting", &headers).await
+    };
+    let stopping = async {
+        eventually(async || old.engine.runs("in progress") == 1).await;
+        let new = fleet.sidecar("engine-new", fast()).await;
+        old.process.terminate();
+        eventually(async || old.process.status().is_some()).await;
+        (new, old.process.status())
+    };
+    let (response, waited, (new, status)) = futures::join!(running, waiting, stopping);
+    let value: serde_json::Value = response.unwrap().json().await.unwrap();
+    assert_eq!(
+        value["choices"][0]["text"],
+        answer::whole("in progress", 150)
+    );
+    assert_eq!(waited, Some(Ok(answer::whole("waiting", 8))));
+    assert_eq!(old.engine.runs("waiting") + new.engine.runs("waiting"), 1);
+    assert_eq!(status, Some(0));
+}
