--- a/almondlock-base/src/code.rs
+++ b/almondlock-base/src/code.rs
@@ -11,7 +11,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether a request ran on an upstream, as far as anybody can know.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Ran {
     /// It provably did not, and will not.
--- a/almondlock-base/src/id.rs
+++ b/almondlock-base/src/id.rs
@@ -133,9 +133,8 @@
 /// One life of a process. Two lives never share a number: it is made of the
 /// wall clock in milliseconds and random low bits, and compared for equality
 /// only; which life is the newer one is decided by the order of registrations.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Incarnation(pub u64);
 
@@ -158,7 +157,8 @@
 
 /// One attempt to run a request. Unique over restarts and hosts, so that an
 /// answer which comes late can be told from the current one.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Attempt {
     /// The entry host that made it.
     pub host: Host,
@@ -176,7 +176,8 @@
 
 /// What a request is told by: a hash over its organisation and its body, so
 /// that blame for a crash can never reach another organisation's request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Fingerprint(pub [u8; 16]);
 
 impl Fingerprint {
--- a/almondlock-base/src/time.rs
+++ b/almondlock-base/src/time.rs
@@ -55,9 +55,8 @@
 }
 
 /// Milliseconds since the Unix epoch, by the host's own, possibly wrong clock.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Wall(u64);
 
--- a/almondlock-base/src/unit.rs
+++ b/almondlock-base/src/unit.rs
@@ -5,9 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A number of tokens, of a prompt, an answer or an engine's memory.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Tokens(pub u64);
 
@@ -51,9 +50,8 @@
 }
 
 /// The number of a configuration: each accepted change adds one.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Revision(pub u64);
 
--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -16,7 +16,8 @@
 };
 
 /// What can be asked for. Times are the system's own unless called real.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub struct Arguments {
     /// Prints the help.
     #[options(help = "print this help")]
--- a/almondlock-bench/src/router.rs
+++ b/almondlock-bench/src/router.rs
@@ -23,7 +23,8 @@
 }
 
 /// What an engine's report says.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 struct Report {
     running: u64,
     queued: u64,
--- a/almondlock-bench/src/summary.rs
+++ b/almondlock-bench/src/summary.rs
@@ -12,7 +12,8 @@
 };
 
 /// A median and the range around it.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Spread {
     /// The median.
     pub median: f64,
@@ -38,7 +39,8 @@
 }
 
 /// The figures of one arm and length class. Times are in seconds.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Row {
     /// The arm.
     pub arm: String,
@@ -65,7 +67,8 @@
 }
 
 /// How an arm's time to the first token, at the 95th percentile, compares.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Ratio {
     /// The arm.
     pub arm: String,
@@ -78,7 +81,8 @@
 }
 
 /// All figures.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Summary {
     /// By arm, pass and class.
     pub rows: Vec<Row>,
--- a/almondlock-cli/src/arguments.rs
+++ b/almondlock-cli/src/arguments.rs
@@ -12,7 +12,8 @@
 };
 
 /// Talks to the control replicas of an almondlock system.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Arguments {
     /// show this help
     pub help: bool,
@@ -46,7 +47,8 @@
 }
 
 /// The commands.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum Command {
     /// how the system is: replicas, models, who is behind
     Status(Plain),
@@ -87,14 +89,16 @@
 }
 
 /// No options of its own.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Plain {
     /// show this help
     pub help: bool,
 }
 
 /// One name or number.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Named {
     /// show this help
     pub help: bool,
@@ -104,7 +108,8 @@
 }
 
 /// Models.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Model {
     /// show this help
     pub help: bool,
@@ -114,7 +119,8 @@
 }
 
 /// What is done with models.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum ModelCommand {
     /// all models and services
     List(Plain),
@@ -125,7 +131,8 @@
 }
 
 /// A model to come.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct ModelAdd {
     /// show this help
     pub help: bool,
@@ -141,7 +148,8 @@
 }
 
 /// Adapters.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Adapter {
     /// show this help
     pub help: bool,
@@ -151,7 +159,8 @@
 }
 
 /// What is done with adapters.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum AdapterCommand {
     /// a new adapter, or another version of one
     Set(AdapterSet),
@@ -160,7 +169,8 @@
 }
 
 /// An adapter.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct AdapterSet {
     /// show this help
     pub help: bool,
@@ -176,7 +186,8 @@
 }
 
 /// Plain services.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Service {
     /// show this help
     pub help: bool,
@@ -186,7 +197,8 @@
 }
 
 /// What is done with services.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum ServiceCommand {
     /// a new service, or other rules for one
     Set(ServiceSet),
@@ -195,7 +207,8 @@
 }
 
 /// A plain service.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct ServiceSet {
     /// show this help
     pub help: bool,
@@ -208,7 +221,8 @@
 }
 
 /// Settings.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Setting {
     /// show this help
     pub help: bool,
@@ -218,7 +232,8 @@
 }
 
 /// What is done with settings.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum SettingCommand {
     /// give a value
     Set(SettingSet),
@@ -227,7 +242,8 @@
 }
 
 /// A setting and its value.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct SettingSet {
     /// show this help
     pub help: bool,
@@ -240,7 +256,8 @@
 }
 
 /// Upstreams.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Upstream {
     /// show this help
     pub help: bool,
@@ -250,7 +267,8 @@
 }
 
 /// What is done with upstreams.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum UpstreamCommand {
     /// all upstreams
     List(Plain),
@@ -261,7 +279,8 @@
 }
 
 /// An upstream to drain.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Drain {
     /// show this help
     pub help: bool,
@@ -274,7 +293,8 @@
 }
 
 /// A rollout.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Rollout {
     /// show this help
     pub help: bool,
@@ -290,7 +310,8 @@
 }
 
 /// Control replicas.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Replica {
     /// show this help
     pub help: bool,
@@ -300,7 +321,8 @@
 }
 
 /// What is done with replicas.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum ReplicaCommand {
     /// all replicas
     List(Plain),
@@ -313,7 +335,8 @@
 }
 
 /// A replica to come.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct ReplicaAdd {
     /// show this help
     pub help: bool,
@@ -332,7 +355,8 @@
 }
 
 /// Operators.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Operator {
     /// show this help
     pub help: bool,
@@ -342,7 +366,8 @@
 }
 
 /// What is done with operators.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum OperatorCommand {
     /// all operators
     List(Plain),
@@ -353,7 +378,8 @@
 }
 
 /// An operator.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct OperatorSet {
     /// show this help
     pub help: bool,
@@ -369,7 +395,8 @@
 }
 
 /// The history.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct History {
     /// show this help
     pub help: bool,
@@ -379,7 +406,8 @@
 }
 
 /// A watch.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Watch {
     /// show this help
     pub help: bool,
--- a/almondlock-cli/src/arguments/organisation.rs
+++ b/almondlock-cli/src/arguments/organisation.rs
@@ -5,7 +5,8 @@
 use super::{Named, Plain};
 
 /// Organisations.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Organisation {
     /// show this help
     pub help: bool,
@@ -15,7 +16,8 @@
 }
 
 /// What is done with organisations.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum OrganisationCommand {
     /// all organisations
     List(Plain),
@@ -30,7 +32,8 @@
 }
 
 /// Limits of an organisation.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Limits {
     /// show this help
     pub help: bool,
@@ -55,7 +58,8 @@
 }
 
 /// Keys of an organisation.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct Key {
     /// show this help
     pub help: bool,
@@ -65,7 +69,8 @@
 }
 
 /// What is done with keys.
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 pub enum KeyCommand {
     /// make a key and show it once
     Add(KeyAdd),
@@ -74,7 +79,8 @@
 }
 
 /// A key to come.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct KeyAdd {
     /// show this help
     pub help: bool,
@@ -87,7 +93,8 @@
 }
 
 /// A key to go.
-#[derive(Debug, Default, Options)]
+#[derive(Debug, Default)]
+#[derive(Options)]
 pub struct KeyRevoke {
     /// show this help
     pub help: bool,
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -25,7 +25,8 @@
 const LIMIT: usize = 64;
 
 /// What replicas tell each other outside the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Greeting {
     /// Who speaks.
     pub(super) from: Member,
--- a/almondlock-daemon/src/args.rs
+++ b/almondlock-daemon/src/args.rs
@@ -4,7 +4,8 @@
 
 use gumdrop::Options;
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct Arguments {
     #[options(help = "print this help")]
     help: bool,
@@ -12,7 +13,8 @@
     command: Option<Command>,
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 enum Command {
     #[options(help = "take the roles that a settings file gives")]
     Run(File),
@@ -22,7 +24,8 @@
     Demo(Demo),
 }
 
-#[derive(Debug, Options)]
+#[derive(Debug)]
+#[derive(Options)]
 struct File {
     #[options(help = "print this help")]
     help: bool,
@@ -31,7 +34,8 @@
 }
 
 /// Options of the demonstration.
-#[derive(Clone, Debug, Options)]
+#[derive(Clone, Debug)]
+#[derive(Options)]
 pub(crate) struct Demo {
     #[options(help = "print this help")]
     help: bool,
--- a/almondlock-entry/src/answer.rs
+++ b/almondlock-entry/src/answer.rs
@@ -126,7 +126,8 @@
 }
 
 /// An answer kept for later copies of a request that may not be repeated.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Kept {
     /// HTTP status.
     pub status: u16,
@@ -143,7 +144,8 @@
 }
 
 /// The form in which usage is kept.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Cost {
     /// Tokens of the prompt.
     pub prompt: u64,
--- a/almondlock-entry/src/journal.rs
+++ b/almondlock-entry/src/journal.rs
@@ -14,7 +14,8 @@
 const EVENTS: usize = 64;
 
 /// Something that happened to a request.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Event {
     /// Microseconds since the request arrived.
     pub after_micros: u64,
@@ -23,7 +24,8 @@
 }
 
 /// A request and what happened to it.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize)]
 pub struct Record {
     /// Whose request it was.
     pub organisation: String,
--- a/almondlock-quorum/src/member.rs
+++ b/almondlock-quorum/src/member.rs
@@ -13,7 +13,8 @@
 use crate::error::Error;
 
 /// The identity of a replica's disk.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Id(pub u64);
 
@@ -24,7 +25,8 @@
 }
 
 /// One member.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Member {
     /// The identity of its disk.
     pub id: Id,
@@ -53,7 +55,8 @@
 }
 
 /// The members at one place of the log.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Members {
     /// Those whose acknowledgement counts. No id stands here and in `learners`.
     pub voters: BTreeMap<Id, Member>,
@@ -63,7 +66,8 @@
 
 /// A change of the members. One at a time: two sets that differ by one voter
 /// always have a replica in common between any majority of each.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Change {
     /// A new member that doesn't vote yet.
--- a/almondlock-quorum/src/storage/identity.rs
+++ b/almondlock-quorum/src/storage/identity.rs
@@ -16,7 +16,8 @@
 const NAME: &str = "identity";
 
 /// A disk's identity, and whether it was just drawn.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Identity {
     /// The identity.
     pub id: Id,
--- a/almondlock-quorum/src/storage/record.rs
+++ b/almondlock-quorum/src/storage/record.rs
@@ -20,7 +20,8 @@
 const LIMIT: usize = 64 << 20;
 
 /// What a file's first record says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Header {
     pub(super) format: u32,
     pub(super) file: String,
@@ -29,7 +30,8 @@
 }
 
 /// What a snapshot's second record says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(super) struct Meta {
     pub(super) index: Index,
     pub(super) term: Term,
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -60,7 +60,8 @@
 const DEFAULT_SLOTS: u32 = 64;
 
 /// What an upstream says of itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
     /// Its name.
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -159,7 +159,8 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Chunk {
     #[serde(default)]
     choices: Vec<Choice>,
@@ -167,7 +168,8 @@
     error: Option<serde_json::Value>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Choice {
     text: Option<String>,
     delta: Option<Delta>,
@@ -176,12 +178,14 @@
     tokens: Option<u32>,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Delta {
     content: Option<String>,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct Counts {
     prompt_tokens: u64,
     completion_tokens: u64,
@@ -189,7 +193,8 @@
     prompt_tokens_details: Details,
 }
 
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct Details {
     #[serde(default)]
     cached_tokens: u64,
--- a/almondlock-spread/src/snapshot.rs
+++ b/almondlock-spread/src/snapshot.rs
@@ -89,7 +89,8 @@
 }
 
 /// Why pieces don't make a whole.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum Error {
     /// It would be larger than accepted.
     #[error("a snapshot of {0} bytes is larger than accepted")]
--- a/almondlock-standin/src/cache.rs
+++ b/almondlock-standin/src/cache.rs
@@ -15,7 +15,8 @@
 const EVENT_LIMIT: usize = 4096;
 
 /// A change of the cache.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct Event {
     /// Counts up; a number that is missing is an event that was lost.
     number: u64,
--- a/almondlock-standin/src/complete.rs
+++ b/almondlock-standin/src/complete.rs
@@ -19,12 +19,14 @@
 /// Tokens of an answer whose request names no limit.
 const DEFAULT_TOKENS: u64 = 16;
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Message {
     content: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Body {
     model: Option<String>,
     prompt: Option<String>,
--- a/almondlock-standin/src/kv.rs
+++ b/almondlock-standin/src/kv.rs
@@ -26,7 +26,8 @@
 const WATCH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// KV cache on an engine.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Place {
     /// Address of the engine, `ip:port`.
     #[serde(alias = "from")]
@@ -48,13 +49,15 @@
     }
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Named {
     #[serde(alias = "handle")]
     id: String,
 }
 
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 struct Part {
     id: String,
     tokens: Option<u64>,
@@ -65,7 +68,8 @@
 }
 
 /// What engines tell each other of a handle.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug)]
+#[derive(Serialize, Deserialize)]
 struct Description {
     handle: String,
     tokens: u64,
--- a/almondlock-standin/src/order.rs
+++ b/almondlock-standin/src/order.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 /// An order to an engine.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 pub(crate) struct Order {
     pub(crate) kind: Kind,
     #[serde(default)]
@@ -20,7 +21,8 @@
 }
 
 /// What an order asks for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub(crate) enum Kind {
     Load,
@@ -29,7 +31,8 @@
 }
 
 /// What is loaded. Models and adapters share one table, by name.
-#[derive(Clone, Debug, Default, Serialize)]
+#[derive(Clone, Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct Loaded {
     pub(crate) models: BTreeMap<String, String>,
     pub(crate) loading: BTreeMap<String, String>,
--- a/almondlock-standin/src/report.rs
+++ b/almondlock-standin/src/report.rs
@@ -8,7 +8,8 @@
 const SAMPLES: u32 = 8;
 
 /// What an engine says of its load.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Load {
     /// Requests in the batch.
     pub running: u64,
--- a/almondlock-state/src/api.rs
+++ b/almondlock-state/src/api.rs
@@ -49,14 +49,16 @@
 pub const HASH_DIGITS: usize = 12;
 
 /// A refusal.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Failure {
     /// What went wrong.
     pub error: Problem,
 }
 
 /// What went wrong.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Problem {
     /// The code's number; perhaps of a newer version.
     pub code: u16,
@@ -95,7 +97,8 @@
 }
 
 /// A proposal.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Propose {
     /// The operator's number for the change.
     pub number: String,
@@ -105,7 +108,8 @@
 }
 
 /// The wish to undo a plan.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Undo {
     /// The operator's number for the change.
     pub number: String,
@@ -140,7 +144,8 @@
 }
 
 /// A plan, and whether what it has done so far is in force.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Planned {
     /// The plan.
     pub plan: Plan,
@@ -151,14 +156,16 @@
 }
 
 /// Plans in short, newest first.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plans {
     /// The plans.
     pub plans: Vec<Summary>,
 }
 
 /// A plan in short.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Summary {
     /// Its number.
     pub id: plan::Id,
@@ -200,7 +207,8 @@
 }
 
 /// A live process of the system.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Process {
     /// Where it runs.
     pub host: Host,
@@ -214,7 +222,8 @@
 }
 
 /// What a replica knows of itself and of the processes below it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Standing {
     /// The replica that answers.
@@ -236,7 +245,8 @@
 }
 
 /// How the system is.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Status {
     /// Whether a quorum has confirmed that this is the present state. If not,
@@ -267,7 +277,8 @@
 }
 
 /// A model in short.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelRow {
     /// Its name.
     pub name: Model,
@@ -314,7 +325,8 @@
 }
 
 /// All organisations; of their keys' hashes the first digits.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Organisations {
     /// The revision.
     pub revision: Revision,
@@ -340,7 +352,8 @@
 }
 
 /// All models, services and settings.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Models {
     /// The revision.
     pub revision: Revision,
@@ -367,7 +380,8 @@
 }
 
 /// All upstreams, registered or drained.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Upstreams {
     /// The revision.
     pub revision: Revision,
@@ -376,7 +390,8 @@
 }
 
 /// An upstream.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct UpstreamRow {
     /// What it registered with, unless it is gone.
@@ -405,7 +420,8 @@
 }
 
 /// All replicas.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Replicas {
     /// By number.
     pub replicas: BTreeMap<replica::Id, Replica>,
@@ -415,7 +431,8 @@
 }
 
 /// All operators, without their keys.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Operators {
     /// Roles by name.
     pub operators: BTreeMap<String, Role>,
@@ -432,14 +449,16 @@
 }
 
 /// What happened, newest first.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct History {
     /// The records.
     pub records: Vec<Record>,
 }
 
 /// News, or that there is none yet.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Watch {
     /// The revision. Ask again with it.
     pub revision: Revision,
--- a/almondlock-state/src/blob.rs
+++ b/almondlock-state/src/blob.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A string of bytes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct Blob(pub Vec<u8>);
 
--- a/almondlock-state/src/claim.rs
+++ b/almondlock-state/src/claim.rs
@@ -28,7 +28,8 @@
 use crate::{blob::Blob, limit};
 
 /// What a claimant is told.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Verdict {
     /// The claimant may run it, and nobody else.
@@ -62,7 +63,8 @@
 }
 
 /// Where a claim stands.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 enum State {
     /// Its holder runs it.
@@ -78,7 +80,8 @@
 }
 
 /// One claim.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Claim {
     body: Blob,
     holder: Attempt,
@@ -89,7 +92,8 @@
 }
 
 /// All claims.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     claims: BTreeMap<Organisation, BTreeMap<Arc<str>, Claim>>,
     /// Invariant: the number of claims in `claims`.
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -27,7 +27,8 @@
 };
 
 /// A command, as it stands in the log.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "command", rename_all = "kebab-case")]
 #[non_exhaustive]
 pub enum Command {
@@ -218,7 +219,8 @@
 }
 
 /// The answer to a command.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "reply", rename_all = "kebab-case")]
 #[non_exhaustive]
 pub enum Reply {
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -23,7 +23,8 @@
 pub const ENTRY_HOSTS: &str = "entry-hosts";
 
 /// An organisation and what it may use.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Organisation {
     /// Hashes of the keys that name it; several while keys are rotated.
     pub keys: Vec<KeyHash>,
@@ -41,7 +42,8 @@
 }
 
 /// A model that callers may name.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Definition {
     /// The version that new requests run on.
     pub version: Version,
@@ -53,14 +55,16 @@
 }
 
 /// A plain service behind `/services/NAME/`.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plain {
     /// HTTP methods that may be sent again; all others may not.
     pub repeatable: Vec<String>,
 }
 
 /// What an upstream is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Kind {
     /// A model engine.
@@ -70,7 +74,8 @@
 }
 
 /// An upstream as registered: what it announced, and the sidecar in front.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Registration {
     /// Address of the sidecar's inner listener.
     pub address: SocketAddr,
@@ -102,7 +107,8 @@
 }
 
 /// Why and since when an upstream takes no new work.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Drain {
     /// When the drain was accepted.
     pub since: Wall,
@@ -112,7 +118,8 @@
 
 /// What an upstream is told to load, carried to its sidecar with the
 /// configuration. The rules of handing it on are in [`crate::order`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Order {
     /// The fencing number: each order to an upstream has a higher one.
     pub fence: u64,
@@ -127,7 +134,8 @@
 }
 
 /// A request that is refused everywhere because it kills engines.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Quarantine {
     /// The organisation whose request it is.
     pub organisation: almondlock_base::id::Organisation,
@@ -140,7 +148,8 @@
 }
 
 /// One accepted change of the configuration. `None` takes a thing away.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Change {
     /// An organisation.
@@ -162,7 +171,8 @@
 }
 
 /// The whole configuration at one revision.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Config {
     /// The revision. Never goes back within a process's life.
--- a/almondlock-state/src/history.rs
+++ b/almondlock-state/src/history.rs
@@ -11,7 +11,8 @@
 use crate::{limit, plan};
 
 /// One thing that happened.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Record {
     /// When, by the leader's clock.
     pub at: Wall,
@@ -30,7 +31,8 @@
 }
 
 /// The newest records, oldest first.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Table {
     records: VecDeque<Record>,
--- a/almondlock-state/src/intent.rs
+++ b/almondlock-state/src/intent.rs
@@ -15,7 +15,8 @@
 };
 
 /// What is to be so.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "intent", rename_all = "kebab-case")]
 pub enum Intent {
     /// A new organisation, without keys.
@@ -162,7 +163,8 @@
 }
 
 /// What an organisation may use, as far as given.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Limits {
     /// Weight of its share.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -41,7 +41,8 @@
 const FORMAT: u32 = 1;
 
 /// The replicated state.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Machine {
     tables: Tables,
--- a/almondlock-state/src/operator.rs
+++ b/almondlock-state/src/operator.rs
@@ -11,7 +11,8 @@
 use crate::config::KeyHash;
 
 /// What an operator may do. Each role may do all that the ones before may.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Role {
     /// May look.
@@ -33,7 +34,8 @@
 }
 
 /// An operator.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Operator {
     /// The hash of its key.
     pub key: KeyHash,
--- a/almondlock-state/src/order.rs
+++ b/almondlock-state/src/order.rs
@@ -33,12 +33,14 @@
 pub const MARGIN: Duration = Duration::from_secs(10);
 
 /// The last order to each upstream.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     last: BTreeMap<Upstream, Last>,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Last {
     /// Invariant: the highest fencing number ever given to this upstream.
     fence: u64,
--- a/almondlock-state/src/plan.rs
+++ b/almondlock-state/src/plan.rs
@@ -41,9 +41,8 @@
 };
 
 /// A plan's number. Counts up.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Id(pub u64);
 
@@ -54,7 +53,8 @@
 }
 
 /// Where a plan stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Waits for its confirmation; nothing has changed.
@@ -98,7 +98,8 @@
 }
 
 /// One step.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Step {
     /// Something changes.
@@ -117,7 +118,8 @@
 }
 
 /// How far a step is.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Progress {
     /// Not begun.
@@ -163,7 +165,8 @@
 }
 
 /// How a step goes on. What the leader proposes; see [`execute`].
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Advance {
     /// Begin it: drain the upstream, or ask for the membership change.
@@ -185,7 +188,8 @@
 }
 
 /// A step and how far it is.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Stage {
     /// The step.
     pub step: Step,
@@ -197,7 +201,8 @@
 }
 
 /// What an operator should know before confirming.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Risk {
     /// Of the capacity that serves now what the plan touches, how much of a
@@ -212,7 +217,8 @@
 }
 
 /// A plan.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Plan {
     /// Its number.
     pub id: Id,
--- a/almondlock-state/src/plan/table.rs
+++ b/almondlock-state/src/plan/table.rs
@@ -16,7 +16,8 @@
 use crate::{intent::Intent, limit};
 
 /// All plans that are remembered.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     plans: BTreeMap<Id, Plan>,
     numbers: BTreeMap<String, Use>,
@@ -26,7 +27,8 @@
 }
 
 /// What a change number was used for.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Use {
     digest: String,
     plan: Id,
--- a/almondlock-state/src/poison.rs
+++ b/almondlock-state/src/poison.rs
@@ -37,7 +37,8 @@
 pub type Death = (Upstream, Incarnation);
 
 /// Which deaths each fingerprint is blamed for.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     /// By the fingerprint's hexadecimal form, as in the configuration.
     ///
@@ -46,7 +47,8 @@
     swept: Wall,
 }
 
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Suspect {
     print: Fingerprint,
     /// Invariant: at most `limit::DEATHS`.
--- a/almondlock-state/src/registration.rs
+++ b/almondlock-state/src/registration.rs
@@ -32,12 +32,14 @@
 };
 
 /// The lives that were replaced, by upstream.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Table {
     lives: BTreeMap<Upstream, Lives>,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 struct Lives {
     /// Invariant: at most `limit::LIVES`, oldest first.
     replaced: VecDeque<Incarnation>,
--- a/almondlock-state/src/replica.rs
+++ b/almondlock-state/src/replica.rs
@@ -19,7 +19,8 @@
 pub type Id = u64;
 
 /// Where a replica is.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Replica {
     /// Its inner listener.
     pub address: SocketAddr,
@@ -30,7 +31,8 @@
 }
 
 /// One change of the log's membership, carried out by the leader.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Member {
     /// The replica that waits there is added; it votes once it has caught up
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -18,7 +18,8 @@
 };
 
 /// One change made by a plan.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum Effect {
     /// Of the configuration.
@@ -30,7 +31,8 @@
 }
 
 /// What a change touches, as text such as `organisation/acme`.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Part(pub String);
 
@@ -117,7 +119,8 @@
 }
 
 /// When a part was touched last.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct Touch {
     /// The count of effects at that time.
     pub sequence: u64,
@@ -128,7 +131,8 @@
 }
 
 /// What plans change.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(default)]
 pub struct Tables {
     /// The configuration.
--- a/almondlock-telemetry/src/log.rs
+++ b/almondlock-telemetry/src/log.rs
@@ -48,7 +48,8 @@
     kind: Kind,
 }
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum Kind {
     #[error("log format {0:?} is neither \"text\" nor \"json\"")]
     Format(String),
--- a/almondlock-transport/src/security.rs
+++ b/almondlock-transport/src/security.rs
@@ -68,7 +68,8 @@
     kind: Kind,
 }
 
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 enum Kind {
     #[error("can't be read: {0}")]
     Io(#[from] io::Error),
