Let what comes over a link count as its sign of life

Change: no sign is asked for where something has just come; leases are renewed three times in their length; one probe for four requests.

--- a/almondlock-control/src/replica/server.rs
+++ b/almondlock-control/src/replica/server.rs
@@ -5,6 +5,7 @@
 use almondlock_base::{
     Code,
     id::{Fingerprint, Incarnation, Organisation, Upstream},
+    unit::Revision,
 };
 use almondlock_node::clock;
 use almondlock_quorum::member::Id;
@@ -65,6 +66,16 @@
         Ok(reply)
     }
 
+    /// Proposes a change; gives the revision in which it is in force.
+    async fn change(&self, command: Command, status: status::Builder<'_>) -> Option<Revision> {
+        let result = self.replica.propose(command).await;
+        write_result(&result, status);
+        match result {
+            Ok(Reply::Accepted { revision }) => Some(revision),
+            _ => None,
+        }
+    }
+
     async fn order(&self, command: Command, status: status::Builder<'_>) {
         let result = self.replica.propose(command).await;
         write_result(&result, status);
@@ -73,6 +84,23 @@
 
 type Done = Result<(), capnp::Error>;
 
+/// Which request a message is about.
+fn request(
+    print: &[u8],
+    owner: capnp::text::Reader<'_>,
+) -> Result<(Fingerprint, Organisation), capnp::Error> {
+    Ok((fingerprint(print)?, organisation(owner)?))
+}
+
+/// Which life of which upstream.
+fn life(
+    upstream: capnp::text::Reader<'_>,
+    incarnation: u64,
+) -> Result<(Upstream, Incarnation), capnp::Error> {
+    let upstream = Upstream::new(upstream.to_str()?).map_err(|e| failed(&e))?;
+    Ok((upstream, Incarnation(incarnation)))
+}
+
 impl control::Server for Server {
     async fn announce(
         self: Rc<Self>,
@@ -155,21 +183,19 @@
         params: control::BlameParams,
         mut results: control::BlameResults,
     ) -> Done {
-        let command = {
-            let from = params.get()?;
-            let upstream = from.get_upstream()?.to_str()?;
-            Command::Blame {
-                fingerprint: fingerprint(from.get_fingerprint()?)?,
-                organisation: organisation(from.get_organisation()?)?,
-                upstream: Upstream::new(upstream).map_err(|e| failed(&e))?,
-                incarnation: Incarnation(from.get_incarnation()),
-                at: clock::wall(),
-            }
+        let from = params.get()?;
+        let (fingerprint, organisation) =
+            request(from.get_fingerprint()?, from.get_organisation()?)?;
+        let (upstream, incarnation) = life(from.get_upstream()?, from.get_incarnation())?;
+        let command = Command::Blame {
+            fingerprint,
+            organisation,
+            upstream,
+            incarnation,
+            at: clock::wall(),
         };
-        let result = self.replica.propose(command).await;
         let mut to = results.get();
-        write_result(&result, to.reborrow().init_status());
-        if let Ok(Reply::Accepted { revision }) = result {
+        if let Some(revision) = self.change(command, to.reborrow().init_status()).await {
             to.set_revision(revision.0);
         }
         Ok(())
@@ -180,21 +206,19 @@
         params: control::ChargeParams,
         mut results: control::ChargeResults,
     ) -> Done {
-        let command = {
-            let from = params.get()?;
-            let upstream = from.get_upstream()?.to_str()?;
-            Command::Charge {
-                fingerprint: fingerprint(from.get_fingerprint()?)?,
-                organisation: organisation(from.get_organisation()?)?,
-                upstream: Upstream::new(upstream).map_err(|e| failed(&e))?,
-                incarnation: Incarnation(from.get_incarnation()),
-                at: clock::wall(),
-            }
+        let from = params.get()?;
+        let (fingerprint, organisation) =
+            request(from.get_fingerprint()?, from.get_organisation()?)?;
+        let (upstream, incarnation) = life(from.get_upstream()?, from.get_incarnation())?;
+        let command = Command::Charge {
+            fingerprint,
+            organisation,
+            upstream,
+            incarnation,
+            at: clock::wall(),
         };
-        let result = self.replica.propose(command).await;
         let mut to = results.get();
-        write_result(&result, to.reborrow().init_status());
-        if let Ok(Reply::Accepted { revision }) = result {
+        if let Some(revision) = self.change(command, to.reborrow().init_status()).await {
             to.set_revision(revision.0);
         }
         Ok(())
@@ -205,26 +229,24 @@
         params: control::ClearParams,
         mut results: control::ClearResults,
     ) -> Done {
-        let command = {
-            let from = params.get()?;
-            let fingerprint = fingerprint(from.get_fingerprint()?)?;
-            let organisation = organisation(from.get_organisation()?)?;
-            let at = clock::wall();
-            if from.get_harmless() {
-                Command::Clear {
-                    fingerprint,
-                    organisation,
-                    at,
-                }
-            } else {
-                let upstream = from.get_upstream()?.to_str()?;
-                Command::Discharge {
-                    fingerprint,
-                    organisation,
-                    upstream: Upstream::new(upstream).map_err(|e| failed(&e))?,
-                    incarnation: Incarnation(from.get_incarnation()),
-                    at,
-                }
+        let from = params.get()?;
+        let (fingerprint, organisation) =
+            request(from.get_fingerprint()?, from.get_organisation()?)?;
+        let at = clock::wall();
+        let command = if from.get_harmless() {
+            Command::Clear {
+                fingerprint,
+                organisation,
+                at,
+            }
+        } else {
+            let (upstream, incarnation) = life(from.get_upstream()?, from.get_incarnation())?;
+            Command::Discharge {
+                fingerprint,
+                organisation,
+                upstream,
+                incarnation,
+                at,
             }
         };
         self.order(command, results.get().init_status()).await;
--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -7,7 +7,10 @@
 use std::{cell::Cell, cell::RefCell, rc::Rc, time::Duration};
 
 use almondlock_base::{Ran, id::Upstream, time::Mono};
-use almondlock_node::{Handle, clock, links::Session};
+use almondlock_node::{
+    Handle, clock,
+    links::{Heard, Session},
+};
 use almondlock_wire::{
     almondlock_capnp::{sidecar, sink, source},
     answer::{self, Assembly, Frame, Part, Usage, Verdict},
@@ -62,6 +65,7 @@
     begun: Cell<bool>,
     usage: RefCell<Option<Usage>>,
     first: Cell<Option<Mono>>,
+    heard: Heard,
 }
 
 impl Sink {
@@ -103,6 +107,7 @@
         params: sink::PushParams,
         _: sink::PushResults,
     ) -> std::result::Result<(), capnp::Error> {
+        self.heard.note();
         for frame in params.get()?.get_frames()? {
             self.take(answer::read(frame)?).await?;
         }
@@ -154,6 +159,7 @@
         begun: Cell::new(begun),
         usage: RefCell::default(),
         first: Cell::new(None),
+        heard: session.heard(),
     });
     let outcome = tokio::select! {
         outcome = submit(session, handle, upstream, head, rope, Rc::clone(&sink)) => outcome.ok(),
--- a/almondlock-entry/src/debt.rs
+++ b/almondlock-entry/src/debt.rs
@@ -10,8 +10,8 @@
 
 use crate::attempt::sidecar_of;
 
-/// Pause between two renewals; several fit into a lease.
-const RENEWAL: Duration = Duration::from_secs(1);
+/// Renewals that fit into a lease: two may be lost.
+const RENEWALS: u32 = 3;
 /// How long one may take.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -41,10 +41,10 @@
         }
     }
 
-    /// Renews until the thread ends.
-    pub async fn renew(self, links: Links, handle: Handle) {
+    /// Renews until the thread ends, several times in a lease.
+    pub async fn renew(self, links: Links, handle: Handle, lease: Duration) {
         loop {
-            sleep(RENEWAL).await;
+            sleep(lease / RENEWALS).await;
             let places: Vec<Place> = self.places.borrow().keys().cloned().collect();
             let all = places.iter().map(|place| {
                 let renewal = one(&links, &handle, place);
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -4,7 +4,7 @@
 //! the host's subset whose last report is old. Busy upstreams report with
 //! every answer and are hardly ever probed.
 //!
-//! Probes are paid for by requests, one each, and a few are free: a host that
+//! Probes are paid for by requests, one for four, and a few are free: a host that
 //! chooses nothing needs to know little, and probing by time alone cost an idle
 //! entry host more bytes than all its control may take.
 
@@ -24,6 +24,8 @@
 const AGE: Duration = Duration::from_millis(500);
 /// How often a pool is looked over.
 const ROUND: Duration = Duration::from_millis(50);
+/// Probes that one request pays for.
+const PAID: f64 = 0.25;
 /// Free probes of the host in a second.
 const FREE: f64 = 2.0;
 /// Probes saved up at most; also the most in one round.
@@ -42,7 +44,7 @@
     fn fill(&mut self, admitted: u64) {
         let fresh = admitted.saturating_sub(self.admitted) as f64;
         self.admitted = admitted;
-        self.saved = (self.saved + fresh + FREE * ROUND.as_secs_f64()).min(SAVED);
+        self.saved = (self.saved + PAID * fresh + FREE * ROUND.as_secs_f64()).min(SAVED);
     }
 
     fn pay(&mut self) -> bool {
--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -90,10 +90,8 @@
                 Replicas::new(links, replicas.clone()),
                 seed.fetch_add(1, Ordering::Relaxed),
             ));
-            let renewing = worker
-                .debts
-                .clone()
-                .renew(worker.links.clone(), handle.clone());
+            let (debts, links) = (worker.debts.clone(), worker.links.clone());
+            let renewing = debts.renew(links, handle.clone(), tables.config.lease);
             tokio::task::spawn_local(renewing);
             if !probing.swap(true, Ordering::Relaxed) {
                 tokio::task::spawn_local(probe::run(Rc::clone(&worker)));
--- a/almondlock-node/src/links.rs
+++ b/almondlock-node/src/links.rs
@@ -3,8 +3,9 @@
 //! A link can go silent without an error: nothing arrives, nothing fails. So
 //! whoever waits for something on it also waits for [`Session::lost`], and as
 //! long as anybody does, the other side is asked for signs of life. A link that
-//! nobody waits on is not asked: hundreds of idle ones would cost an entry host
-//! more than all else it does. One that stays unused is closed.
+//! nobody waits on is not asked, nor one on which something has just come:
+//! hundreds of links would cost an entry host more than all else it does. One
+//! that stays unused is closed.
 
 use std::{
     cell::{Cell, RefCell},
@@ -37,6 +38,23 @@
     waiting: Rc<Cell<u32>>,
     // Whether it was handed out since the last look.
     used: Rc<Cell<bool>>,
+    heard: Heard,
+}
+
+/// Notes that something came over a session: as good as a sign of life.
+#[derive(Clone, Default)]
+pub struct Heard(Rc<Cell<bool>>);
+
+impl Heard {
+    /// Something came.
+    pub fn note(&self) {
+        self.0.set(true);
+    }
+
+    /// Whether something came since the last look.
+    fn take(&self) -> bool {
+        self.0.replace(false)
+    }
 }
 
 /// Somebody waits on a session.
@@ -61,6 +79,11 @@
         self.link.node()
     }
 
+    /// To be told whenever something comes over the session.
+    pub fn heard(&self) -> Heard {
+        self.heard.clone()
+    }
+
     /// Ends when the session is lost. Signs of life are asked for while this is
     /// waited for.
     pub async fn lost(&self) {
@@ -107,12 +130,14 @@
             lost,
             waiting: Rc::default(),
             used: Rc::new(Cell::new(true)),
+            heard: Heard::default(),
         };
         let beat = Heartbeat {
             link: session.link.clone(),
             handle: self.handle.clone(),
             waiting: Rc::clone(&session.waiting),
             used: Rc::clone(&session.used),
+            heard: session.heard.clone(),
         };
         spawn_local(beat.run(tell));
         let mut sessions = self.sessions.borrow_mut();
@@ -133,6 +158,7 @@
     handle: Handle,
     waiting: Rc<Cell<u32>>,
     used: Rc<Cell<bool>>,
+    heard: Heard,
 }
 
 impl Heartbeat {
@@ -156,7 +182,7 @@
                 }
             } else {
                 idle = 0;
-                if self.is_alive().await {
+                if self.heard.take() || self.is_alive().await {
                     continue;
                 }
             }
