--- a/almondlock-policy/src/choice/pick.rs
+++ b/almondlock-policy/src/choice/pick.rs
@@ -4,11 +4,8 @@
 use rand::Rng;
 
 use super::table::{Ask, Index, Row, Table};
-use crate::length::{Class, SHORT_LIMIT};
 use crate::prefix;
 
-/// Prompt tokens that engines commonly process in one step.
-const CHUNK: f64 = 2_048.0;
 /// Most candidates looked at in one decision, beside those for a prefix.
 const DRAW_LIMIT: usize = 8;
 /// Candidates that a prefix may add.
@@ -226,21 +223,7 @@
     } else {
         0.0
     };
-    wait + sent + prefill + distance + lacking + chunk_left(row, ask, speed, trust)
-}
-
-/// What is left, on average, of the chunk that an engine with a long prompt in
-/// prefill is at when a short one comes. The short one goes before the rest of
-/// the long prompt, but not before the chunk's end; an engine without such a
-/// prompt starts it at once.
-fn chunk_left(row: &Row, ask: &Ask<'_>, speed: f64, trust: f64) -> f64 {
-    let is_short = Class::of(ask.prompt) == Class::Short;
-    let long_prefill = row.load.report.backlog > SHORT_LIMIT;
-    if is_short && long_prefill {
-        trust * CHUNK / 2.0 / speed
-    } else {
-        0.0
-    }
+    wait + sent + prefill + distance + lacking
 }
 
 /// The cheapest of the subset in this region, then of the other, then of all;
