--- a/almondlock-entry/src/failure.rs
+++ b/almondlock-entry/src/failure.rs
@@ -10,6 +10,9 @@
 };
 use serde::Serialize;
 
+/// When to come back if nothing better is known.
+const USUAL_WAIT: Duration = Duration::from_secs(1);
+
 /// A refusal or failure: the number, what is known of its running, and when
 /// sending again may help.
 #[derive(Clone, Debug, PartialEq)]
@@ -76,6 +79,13 @@
         self
     }
 
+    /// When to come back: whatever was given up on says so, also where nobody
+    /// could tell a better time.
+    fn wait(&self) -> Option<Duration> {
+        let usual = self.code.is_retryable().then_some(USUAL_WAIT);
+        self.retry_after.or(usual)
+    }
+
     /// The JSON form, the same in an answer's body and in a stream's last event.
     pub fn to_json(&self) -> String {
         let millis = |span: Duration| u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
@@ -85,7 +95,7 @@
                 r#type: self.code.name(),
                 message: &self.message,
                 ran: self.ran.as_str(),
-                retry_after_ms: self.retry_after.map(millis),
+                retry_after_ms: self.wait().map(millis),
             },
         };
         // Strings and numbers only: this can't fail.
@@ -110,7 +120,7 @@
         response.content_type("application/json");
         response.header("X-Almondlock-Request-Id", request);
         response.header("X-Almondlock-Code", self.code.number().to_string());
-        if let Some(span) = self.retry_after {
+        if let Some(span) = self.wait() {
             // Whole seconds, rounded up: to come back early is to be refused again.
             let seconds = span.as_millis().div_ceil(1000).max(1);
             response.header("Retry-After", seconds.to_string());
--- a/almondlock-entry/tests/caller_leaves.rs
+++ b/almondlock-entry/tests/caller_leaves.rs
@@ -71,8 +71,9 @@
         tokens: 100_000,
         ..Ask::new("no end").header("X-Almondlock-Deadline-Ms", "800")
     };
-    let answer = text_of(fleet.complete(&entry, &ask).await).await;
-    assert_eq!(answer, Err((3001, "yes".to_owned())));
+    let response = fleet.complete(&entry, &ask).await;
+    assert!(response.header("retry-after").is_some());
+    assert_eq!(text_of(response).await, Err((3001, "yes".to_owned())));
     eventually(async || engine.reserved() == 0).await;
 }
 
