Draw ports that are used again from below the system's own range

Cause: a replica of a test is started again at its address; the address came from the range in which the system gives ports to outgoing connections, and one of those had taken it (stops_gracefully: address already in use, once in the second of two runs of the suite). The demo's member address had the same weakness. Ruled out: the replica's stop, which had ended. Change: such ports are drawn from lower ranges.

--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -8,7 +8,10 @@
 use std::{
     net::{SocketAddr, TcpListener},
     path::PathBuf,
-    sync::mpsc,
+    sync::{
+        atomic::{AtomicU16, Ordering},
+        mpsc,
+    },
     thread::{self, JoinHandle},
     time::Duration,
 };
@@ -76,9 +79,17 @@
     security: Vec<Security>,
 }
 
+/// A replica is started again at its address, so its port must not be taken
+/// meanwhile: it is drawn from below the range that the system hands out.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    loop {
+        let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 impl Group {
--- a/almondlock-daemon/src/demo.rs
+++ b/almondlock-daemon/src/demo.rs
@@ -42,7 +42,7 @@
 /// Runs the demonstration until it is told to stop.
 pub(crate) fn run(options: &Demo) -> Result<()> {
     let folder = scratch()?;
-    let text = settings(options, &folder);
+    let text = settings(options, &folder)?;
     let settings = almondlock_settings::parse("demo", &text);
     let settings = settings.map_err(|e| anyhow::anyhow!("{e}"))?;
     let log = almondlock_telemetry::log::Config {
@@ -74,26 +74,32 @@
     Ok(folder)
 }
 
-fn settings(options: &Demo, folder: &std::path::Path) -> String {
-    let inner = free_address();
-    let announce = free_address();
+fn settings(options: &Demo, folder: &std::path::Path) -> Result<String> {
+    let inner = free_address()?;
+    let announce = free_address()?;
     let (listen, admin, order) = (options.listen, options.admin, &options.order);
     let data = folder.display();
     let key = operator::hash(OPERATOR_KEY);
-    format!(
+    Ok(format!(
         "[host]\nname = demo\ndomain = demo\nregion = demo\nlisten = {inner}\ndata = {data}\n\
          [entry]\nlisten = {listen}\ndrain_delay = 0\n\
          [sidecar]\nannounce = {announce}\norder = {order}\n\
          [replica]\nadmin = {admin}\nmembers = demo@{inner}@{admin}\noperator_key = {key}\n"
-    )
+    ))
 }
 
+/// Ports below the range that systems commonly hand out by themselves.
+const PORTS: std::ops::Range<u16> = 20_000..30_000;
+
 /// An address that was free a moment ago: a member's address stands in the
-/// settings before anything listens there.
-fn free_address() -> SocketAddr {
-    let any = SocketAddr::from(([127, 0, 0, 1], 0));
-    let bound = std::net::TcpListener::bind(any).and_then(|l| l.local_addr());
-    bound.unwrap_or(any)
+/// settings before anything listens there, and nothing must take it meanwhile.
+fn free_address() -> Result<SocketAddr> {
+    let width = u64::from(PORTS.end - PORTS.start);
+    let first = u16::try_from(process::random()? % width).unwrap_or_default();
+    let ports = PORTS.skip(usize::from(first)).chain(PORTS);
+    let mut addresses = ports.map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = addresses.find(|address| std::net::TcpListener::bind(address).is_ok());
+    free.context("no port is free on the loopback interface")
 }
 
 /// The stand-ins, which stop when this is dropped.
--- a/tests/shown_commands.rs
+++ b/tests/shown_commands.rs
@@ -101,8 +101,12 @@
     }
 }
 
+/// A port below the range that the system hands out by itself, so that nothing
+/// takes it between drawing and use.
 fn free() -> (TcpListener, String) {
-    let bound = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    let bound = (start..).find_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
+    let bound = bound.unwrap();
     let address = bound.local_addr().unwrap().to_string();
     (bound, address)
 }
