Keep a dead stand-in's port out of the system's hands

Cause: a stand-in that is killed and revived listens again at its address; drawn from the range of outgoing connections, it could have been taken meanwhile, and the history of callers would have failed for that. Change: stand-ins that name no port draw from a lower range. Conclusion: the tests of stand-ins and entry host pass.

--- a/almondlock-standin/src/listener.rs
+++ b/almondlock-standin/src/listener.rs
@@ -10,6 +10,7 @@
     io,
     net::{SocketAddr, TcpListener},
     rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
 };
 
 use ntex::{
@@ -138,10 +139,34 @@
     }
 }
 
+/// Ports for listeners that name none: below the range from which systems give
+/// ports to outgoing connections, so that nothing takes one while its engine is
+/// dead and is to be revived.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
 fn bind(address: SocketAddr) -> io::Result<tokio::net::TcpListener> {
     // The standard library sets SO_REUSEADDR, so an address can be bound again
     // while connections of an earlier life still linger.
-    let socket = TcpListener::bind(address)?;
+    let socket = match address.port() {
+        0 => free(address)?,
+        _ => TcpListener::bind(address)?,
+    };
     socket.set_nonblocking(true)?;
     tokio::net::TcpListener::from_std(socket)
 }
+
+/// A listener on a port of its own. Each goes on after the last one drawn, and
+/// processes begin at different places.
+fn free(address: SocketAddr) -> io::Result<TcpListener> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let width = u32::from(PORTS.end - PORTS.start);
+    let begin = std::process::id().wrapping_mul(97);
+    for _ in 0..width {
+        let drawn = begin.wrapping_add(NEXT.fetch_add(1, Ordering::Relaxed)) % width;
+        let port = PORTS.start + u16::try_from(drawn).unwrap_or_default();
+        if let Ok(socket) = TcpListener::bind(SocketAddr::new(address.ip(), port)) {
+            return Ok(socket);
+        }
+    }
+    TcpListener::bind(address)
+}
