Draw no port twice in the tests of shown commands

Cause: two tests of one file run side by side and drew the same free port after the other had let go of it (readme_tour, the demo ended early). Change: a counter, as in the fleet of processes.

--- a/tests/shown_commands.rs
+++ b/tests/shown_commands.rs
@@ -9,6 +9,7 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Child, Command, Output, Stdio},
+    sync::atomic::{AtomicU16, Ordering},
     time::Duration,
 };
 
@@ -104,9 +105,15 @@
 /// A port below the range that the system hands out by itself, so that nothing
 /// takes it between drawing and use.
 fn free() -> (TcpListener, String) {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
     let start = 10_000 + (std::process::id() % 200) as u16 * 100;
-    let bound = (start..).find_map(|port| TcpListener::bind(("127.0.0.1", port)).ok());
-    let bound = bound.unwrap();
+    // No port is drawn twice: the tests of this file run side by side.
+    let bound = loop {
+        let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
+        if let Ok(bound) = TcpListener::bind(("127.0.0.1", port)) {
+            break bound;
+        }
+    };
     let address = bound.local_addr().unwrap().to_string();
     (bound, address)
 }
