--- /dev/null
+++ b/almondlock-control/src/directory.rs
@@ -0,0 +1,149 @@
+//! The way from an HTTP listener to what a deployment publishes: its
+//! configuration as one text, and the instances that are called directly.
+//!
+//! An acknowledgement is a promise to others. A configuration is acknowledged
+//! once a quorum has synced it. A heartbeat that says something new is
+//! acknowledged once, besides, the known processes act on it, because the
+//! sender counts from the acknowledgement until it stops serving.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+use almondlock_base::{Code, id::Upstream, time::Wall, unit::Revision};
+use almondlock_node::{Handle, clock};
+use almondlock_state::{
+    command::{Command, Reply},
+    document::Document,
+    instance::Instance,
+};
+use tokio::time::{sleep, timeout};
+
+use crate::{
+    admin::Failure,
+    replica::{Refusal, Remote},
+};
+
+/// How long an acknowledgement waits for processes that are behind. Senders of
+/// heartbeats wait a second for it; a process that takes longer is cut off and
+/// counts as such.
+const IN_FORCE_WAIT: Duration = Duration::from_millis(600);
+/// How often it looks whether all processes have it.
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(5);
+
+/// A handle to the replica of this process, for any thread.
+#[derive(Clone, Debug)]
+pub struct Directory {
+    remote: Remote,
+    // Set once the node runs, which starts after the replica.
+    node: Arc<OnceLock<Handle>>,
+    // Where replicas listen for operators; the same port on all of them.
+    port: u16,
+}
+
+impl Directory {
+    /// A way to the replica behind `remote`. All replicas listen for operators
+    /// on `port`.
+    pub fn new(remote: Remote, port: u16) -> Directory {
+        Directory {
+            remote,
+            node: Arc::default(),
+            port,
+        }
+    }
+
+    /// From now on heartbeats wait until the processes known to the node act
+    /// on them.
+    pub fn attach(&self, node: Handle) {
+        // A node is started once in a process.
+        let _ = self.node.set(node);
+    }
+
+    /// Publishes a configuration; one that isn't newer changes nothing.
+    pub async fn publish(&self, document: Document) -> Result<Revision, Failure> {
+        let at = clock::wall();
+        self.change(Command::Publish { document, at }).await
+    }
+
+    /// The configuration in force, confirmed by a quorum.
+    pub async fn document(&self) -> Result<Option<Document>, Failure> {
+        let found = self.remote.read(|state| state.config().document.clone());
+        self.outcome(found.await).await
+    }
+
+    /// Takes a heartbeat.
+    pub async fn beat(
+        &self,
+        upstream: Upstream,
+        sequence: u64,
+        instance: Instance,
+    ) -> Result<(), Failure> {
+        let told = self.remote.beat(upstream, sequence, instance).await;
+        let revision = self.outcome(told).await?;
+        self.in_force(revision).await;
+        Ok(())
+    }
+
+    /// Takes the notice that an instance is gone.
+    pub async fn withdraw(&self, upstream: Upstream) -> Result<(), Failure> {
+        let told = self.remote.withdraw(upstream).await;
+        let revision = self.outcome(told).await?;
+        self.in_force(revision).await;
+        Ok(())
+    }
+
+    /// The present time of this host.
+    pub fn now(&self) -> Wall {
+        clock::wall()
+    }
+
+    async fn change(&self, command: Command) -> Result<Revision, Failure> {
+        let reply = self.remote.propose(command).await;
+        match self.outcome(reply).await? {
+            Reply::Accepted { revision } => Ok(revision),
+            _ => Err(Failure::NoQuorum),
+        }
+    }
+
+    async fn in_force(&self, revision: Revision) {
+        let Some(node) = self.node.get() else {
+            return;
+        };
+        let reached = async {
+            while node.summary().lowest < revision {
+                sleep(IN_FORCE_PAUSE).await;
+            }
+        };
+        if timeout(IN_FORCE_WAIT, reached).await.is_err() {
+            let summary = node.summary();
+            let lowest = summary.lowest.0;
+            let behind = summary.laggards.len();
+            tracing::warn!(
+                revision = revision.0,
+                lowest,
+                behind,
+                "acknowledged before all processes act on it"
+            );
+        }
+    }
+
+    async fn outcome<T>(&self, result: Result<T, Refusal>) -> Result<T, Failure> {
+        let refusal = match result {
+            Ok(value) => return Ok(value),
+            Err(refusal) => refusal,
+        };
+        Err(match refusal.code {
+            Code::NotLeader => Failure::NotLeader(self.leader().await),
+            Code::StorageFailed => Failure::Storage,
+            _ => Failure::NoQuorum,
+        })
+    }
+
+    async fn leader(&self) -> Option<SocketAddr> {
+        let status = self.remote.status().await.ok()?;
+        let inner = status.leader?;
+        Some(SocketAddr::new(inner.ip(), self.port))
+    }
+}
--- a/almondlock-control/src/replica/config.rs
+++ b/almondlock-control/src/replica/config.rs
@@ -31,6 +31,10 @@
     pub(super) patience: Duration,
     pub(super) snapshot: u64,
     pub(super) lease: Duration,
+    pub(super) instance_lease: Duration,
+    pub(super) duty_pause: Duration,
+    pub(super) repairs: bool,
+    pub(super) founds: bool,
     pub(super) security: Security,
 }
 
@@ -52,6 +56,10 @@
                 patience: Duration::from_secs(5),
                 snapshot: 20_000,
                 lease: Duration::from_secs(30),
+                instance_lease: Duration::from_secs(30),
+                duty_pause: Duration::from_secs(1),
+                repairs: false,
+                founds: true,
                 security: Security::Plain,
             },
         }
@@ -112,6 +120,34 @@
         self
     }
 
+    /// How long an instance that is called without a sidecar stays enrolled
+    /// without a heartbeat.
+    pub fn instance_lease(mut self, span: Duration) -> Builder {
+        self.config.instance_lease = span;
+        self
+    }
+
+    /// How often a leader confirms that it still leads. Processes below hold
+    /// their configuration for current from such a moment on.
+    pub fn duty_pause(mut self, span: Duration) -> Builder {
+        self.config.duty_pause = span;
+        self
+    }
+
+    /// Whether the leader changes the membership by itself: takes in replicas
+    /// that ask and puts out those they come in place of. Off, operators do it.
+    pub fn repairs(mut self, on: bool) -> Builder {
+        self.config.repairs = on;
+        self
+    }
+
+    /// Whether this replica may begin a group. To be off on every start after
+    /// the system's first one.
+    pub fn founds(mut self, on: bool) -> Builder {
+        self.config.founds = on;
+        self
+    }
+
     /// What links to other replicas are wrapped in: the same as the node's.
     pub fn security(mut self, security: Security) -> Builder {
         self.config.security = security;
--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -32,6 +32,7 @@
     founding::Gathering,
     peers::{Parcel, Peers},
     refusal::Refusal,
+    repair,
 };
 
 /// A snapshot is begun at the latest after this many bytes of commands: some
@@ -74,6 +75,7 @@
 pub(super) struct Core {
     own: Member,
     initial: Vec<Initial>,
+    founds: bool,
     quorum: almondlock_quorum::config::Config,
     machine: Machine,
     pub(super) state: State,
@@ -131,6 +133,7 @@
             peers: Peers::new(quorum.group(), id, silence, config.security.clone()),
             own,
             initial: config.initial.clone(),
+            founds: config.founds,
             quorum,
             state: State::new(),
             applied: Index::ZERO,
@@ -161,7 +164,7 @@
         self.stopped.is_none() && self.machine.is_leader()
     }
 
-    fn check(&self) -> Result<(), Refusal> {
+    pub(super) fn check(&self) -> Result<(), Refusal> {
         match &self.stopped {
             Some(refusal) => Err(refusal.clone()),
             None if self.machine.is_leader() => Ok(()),
@@ -268,7 +271,7 @@
             // be counted by anybody.
             Parcel::Message(_) if self.stage != Stage::Running => {}
             Parcel::Message(message) => self.machine.receive(now, from, message),
-            Parcel::Greeting(greeting) => self.on_greeting(*greeting),
+            Parcel::Greeting(greeting) => self.on_greeting(now, from, *greeting),
         }
     }
 
@@ -424,6 +427,21 @@
         tokio::task::spawn_blocking(move || drop(done.send((index, state.snapshot()))));
     }
 
+    /// The next step of a membership that mends itself, if this replica leads.
+    pub(super) fn repair_step(&self, now: Mono) -> Option<Change> {
+        if !self.is_leader() {
+            return None;
+        }
+        let sight = repair::Sight {
+            own: self.own.id,
+            members: self.machine.members(),
+            newcomers: self.gathering.present(now, repair::PRESENT),
+            led_since: self.machine.led_since(),
+            now,
+        };
+        sight.step(|id| self.machine.heard(id))
+    }
+
     pub(super) fn members(&self) -> Arc<Members> {
         Arc::clone(self.machine.members())
     }
--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use almondlock_base::time::Mono;
-use almondlock_quorum::member::Members;
+use almondlock_quorum::member::{Id, Member, Members};
 
 use super::{ADDRESSES, Core, Stage};
 use crate::replica::{
@@ -20,7 +20,7 @@
         }
         self.greeted_at = Some(now);
         self.greet_all();
-        if self.stage == Stage::Gathering {
+        if self.stage == Stage::Gathering && self.founds {
             self.advance(self.gathering.decide(&self.own, &self.initial));
         }
     }
@@ -40,7 +40,7 @@
         self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
     }
 
-    pub(super) fn on_greeting(&mut self, greeting: Greeting) {
+    pub(super) fn on_greeting(&mut self, now: Mono, sender: Id, greeting: Greeting) {
         let member = self.machine.members().contains(self.own.id);
         if self.addresses.len() < ADDRESSES {
             let from = &greeting.from;
@@ -49,7 +49,8 @@
         match greeting.members {
             None => {
                 let address = greeting.from.address;
-                self.gathering.note(greeting.from);
+                self.pass_to_leader(sender, &greeting.from);
+                self.gathering.note(now, greeting.from);
                 if member {
                     self.greet_one(address);
                 }
@@ -61,6 +62,19 @@
         }
     }
 
+    /// A newcomer knows some replicas, perhaps not the one that leads and can
+    /// take it in. Passed on once, by the replica that was greeted itself.
+    fn pass_to_leader(&mut self, sender: Id, from: &Member) {
+        if let Some(leader) = self.leader().filter(|_| sender == from.id) {
+            let greeting = Greeting {
+                from: from.clone(),
+                members: None,
+            };
+            self.peers
+                .send(leader, Parcel::Greeting(Box::new(greeting)));
+        }
+    }
+
     fn advance(&mut self, step: Step) {
         match step {
             Step::Wait => {}
--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -14,9 +14,6 @@
 
 use super::Replica;
 
-/// Pause between two rounds.
-const PAUSE: Duration = Duration::from_secs(1);
-
 /// When each upstream was last heard. Only a leader keeps it, in memory; a new
 /// leader gives all of them a whole lease from its election on, so that a
 /// change of leader forgets nobody.
@@ -62,9 +59,10 @@
 pub(super) async fn run(replica: Replica) {
     let mut expired: Option<Mono> = None;
     loop {
-        sleep(PAUSE).await;
+        sleep(replica.inner.config.duty_pause).await;
         if !replica.inner.core.borrow().is_leader() {
             replica.inner.leases.borrow_mut().clear();
+            replica.inner.roster.borrow_mut().clear();
             continue;
         }
         let now = clock::mono();
@@ -72,6 +70,10 @@
             replica.inner.core.borrow().vouch(now);
         }
         forget_upstreams(&replica, now).await;
+        replica.forget_silent().await;
+        if replica.inner.config.repairs {
+            replica.repair(now).await;
+        }
         if expired.is_none_or(|at| now.since(at) >= limit::SWEEP) {
             expired = Some(now);
             let at = clock::wall();
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -13,9 +13,9 @@
 //! already doesn't greet but says so; therefore a wiped decider can't begin a
 //! second group beside the first.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
-use almondlock_base::id::Host;
+use almondlock_base::{id::Host, time::Mono};
 use almondlock_quorum::member::{Id, Member, Members};
 use serde::{Deserialize, Serialize};
 
@@ -49,16 +49,26 @@
 #[derive(Debug, Default)]
 pub(super) struct Gathering {
     pub(super) known: BTreeMap<Host, Member>,
+    // When each was last heard. Invariant: the same names as in `known`.
+    heard: BTreeMap<Host, Mono>,
 }
 
 impl Gathering {
     /// Takes note of a newcomer.
-    pub(super) fn note(&mut self, member: Member) {
+    pub(super) fn note(&mut self, now: Mono, member: Member) {
         if self.known.len() < LIMIT || self.known.contains_key(&member.name) {
+            self.heard.insert(member.name.clone(), now);
             self.known.insert(member.name.clone(), member);
         }
     }
 
+    /// The newcomers that were heard within this span.
+    pub(super) fn present(&self, now: Mono, span: Duration) -> Vec<Member> {
+        let fresh = |host: &Host| self.heard.get(host).is_some_and(|at| now.since(*at) < span);
+        let members = self.known.values().filter(|member| fresh(&member.name));
+        members.cloned().collect()
+    }
+
     /// Decides for a replica that is in no group yet.
     pub(super) fn decide(&self, own: &Member, initial: &[Initial]) -> Step {
         let first = initial.iter().map(|i| &i.name).min();
--- /dev/null
+++ b/almondlock-control/src/replica/instances.rs
@@ -0,0 +1,81 @@
+//! Heartbeats of upstreams that are called without a sidecar, as the leader
+//! takes them.
+
+use almondlock_base::{id::Upstream, unit::Revision};
+use almondlock_node::clock;
+use almondlock_state::{
+    command::{Command, Reply},
+    instance::{Beat, Instance},
+};
+
+use super::{Replica, refusal::Refusal};
+
+impl Replica {
+    /// Takes a heartbeat; gives the revision in which what it says stands.
+    pub async fn beat(
+        &self,
+        upstream: Upstream,
+        sequence: u64,
+        instance: Instance,
+    ) -> Result<Revision, Refusal> {
+        self.inner.core.borrow().check()?;
+        let beat = self.state(|state| {
+            let mut roster = self.inner.roster.borrow_mut();
+            let named = (&upstream, sequence);
+            roster.beat(clock::mono(), state.config(), named, &instance)
+        });
+        if beat == Beat::Known {
+            return Ok(self.state(|state| state.config().revision));
+        }
+        let (name, service, leaving) =
+            (upstream.clone(), instance.service.clone(), instance.leaving);
+        let command = Command::Enrol {
+            upstream,
+            instance,
+            at: clock::wall(),
+        };
+        let revision = self.revise(command).await?;
+        tracing::info!(instance = %name, %service, sequence, leaving, revision = revision.0, "instance entered");
+        Ok(revision)
+    }
+
+    /// An instance says that it is gone.
+    pub async fn withdraw(&self, upstream: Upstream) -> Result<Revision, Refusal> {
+        self.inner.core.borrow().check()?;
+        let gone = self.state(|state| state.is_gone(&upstream));
+        if gone {
+            return Ok(self.state(|state| state.config().revision));
+        }
+        let command = Command::Withdraw {
+            upstream: upstream.clone(),
+            at: clock::wall(),
+        };
+        let revision = self.revise(command).await?;
+        tracing::info!(instance = %upstream, revision = revision.0, "instance gone by its own notice");
+        Ok(revision)
+    }
+
+    /// Forgets the instances whose heartbeats have stopped.
+    pub(super) async fn forget_silent(&self) {
+        let lease = self.inner.config.instance_lease;
+        let lapsed = self.state(|state| {
+            let mut roster = self.inner.roster.borrow_mut();
+            roster.lapsed(clock::mono(), lease, state.config())
+        });
+        for upstream in lapsed {
+            tracing::info!(instance = %upstream, lease_ms = lease.as_millis(), "instance silent, withdrawn");
+            let at = clock::wall();
+            // Not in time, or no longer the leader: the next round does it.
+            let _ = self.propose(Command::Withdraw { upstream, at }).await;
+        }
+    }
+
+    async fn revise(&self, command: Command) -> Result<Revision, Refusal> {
+        match self.propose(command).await? {
+            Reply::Accepted { revision } => Ok(revision),
+            reply => Err(Refusal::of(
+                reply.code().unwrap_or(almondlock_base::Code::BadChange),
+            )),
+        }
+    }
+}
--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -7,7 +7,7 @@
 
 use std::net::SocketAddr;
 
-use almondlock_base::{Code, id::Host};
+use almondlock_base::{Code, id::Host, time::Mono};
 use almondlock_quorum::member::{Change, Id, Member};
 use tokio::time::{Instant, sleep};
 
@@ -61,6 +61,23 @@
         Ok(id)
     }
 
+    /// Takes the next step of a membership that mends itself. One that can't be
+    /// made yet is looked at again in the next round.
+    pub(super) async fn repair(&self, now: Mono) {
+        let Some(change) = self.inner.core.borrow().repair_step(now) else {
+            return;
+        };
+        let asked = self.with(|core| core.change(&change));
+        let result = match asked {
+            Ok(answer) => self.wait(answer).await,
+            Err(refusal) => Err(refusal),
+        };
+        match result {
+            Ok(()) => tracing::info!(?change, "membership changed"),
+            Err(refusal) => tracing::debug!(?change, %refusal, "membership not changed yet"),
+        }
+    }
+
     fn newcomer(&self, name: &Host) -> Result<Member, Refusal> {
         let core = self.inner.core.borrow();
         let known = core.gathering.known.get(name).cloned();
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -17,10 +17,12 @@
 mod disk;
 mod duties;
 mod founding;
+mod instances;
 mod membership;
 mod peers;
 mod refusal;
 mod remote;
+mod repair;
 mod server;
 mod status;
 mod wire;
@@ -40,6 +42,7 @@
 use almondlock_spread::view::View;
 use almondlock_state::{
     command::{Command, Reply},
+    instance::Roster,
     machine::Machine,
 };
 use almondlock_wire::almondlock_capnp::control;
@@ -69,6 +72,7 @@
     // The core may have something to do.
     wake: Notify,
     leases: RefCell<duties::Leases>,
+    roster: RefCell<Roster>,
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
@@ -105,6 +109,7 @@
                 core: RefCell::new(core),
                 wake: Notify::new(),
                 leases: RefCell::default(),
+                roster: RefCell::default(),
                 tasks: RefCell::default(),
             }),
         };
--- a/almondlock-control/src/replica/remote.rs
+++ b/almondlock-control/src/replica/remote.rs
@@ -2,10 +2,15 @@
 
 use std::future::Future;
 
-use almondlock_base::{Code, id::Host};
+use almondlock_base::{
+    Code,
+    id::{Host, Upstream},
+    unit::Revision,
+};
 use almondlock_quorum::member::Id;
 use almondlock_state::{
     command::{Command, Reply},
+    instance::Instance,
     machine::Machine,
 };
 use tokio::{
@@ -28,6 +33,8 @@
     Read(Look, Asker<Result<(), Refusal>>),
     Look(Look),
     Status(Asker<Status>),
+    Beat(Upstream, u64, Instance, Asker<Result<Revision, Refusal>>),
+    Withdraw(Upstream, Asker<Result<Revision, Refusal>>),
     Add(Host, Asker<Result<Id, Refusal>>),
     Promote(Id, Asker<Result<(), Refusal>>),
     Remove(Id, Asker<Result<(), Refusal>>),
@@ -74,6 +81,22 @@
         self.ask(Request::Status).await
     }
 
+    /// As [`Replica::beat`].
+    pub async fn beat(
+        &self,
+        upstream: Upstream,
+        sequence: u64,
+        instance: Instance,
+    ) -> Result<Revision, Refusal> {
+        self.ask(|asker| Request::Beat(upstream, sequence, instance, asker))
+            .await?
+    }
+
+    /// As [`Replica::withdraw`].
+    pub async fn withdraw(&self, upstream: Upstream) -> Result<Revision, Refusal> {
+        self.ask(|asker| Request::Withdraw(upstream, asker)).await?
+    }
+
     /// As [`Replica::add`].
     pub async fn add(&self, name: Host) -> Result<Id, Refusal> {
         self.ask(|asker| Request::Add(name, asker)).await?
@@ -133,6 +156,10 @@
         }
         Request::Look(look) => replica.state(look),
         Request::Status(asker) => drop(asker.send(replica.status())),
+        Request::Beat(upstream, sequence, instance, asker) => {
+            drop(asker.send(replica.beat(upstream, sequence, instance).await));
+        }
+        Request::Withdraw(upstream, asker) => drop(asker.send(replica.withdraw(upstream).await)),
         Request::Add(name, asker) => drop(asker.send(replica.add(&name).await)),
         Request::Promote(id, asker) => drop(asker.send(replica.promote(id).await)),
         Request::Remove(id, asker) => drop(asker.send(replica.remove(id).await)),
--- /dev/null
+++ b/almondlock-control/src/replica/repair.rs
@@ -0,0 +1,102 @@
+//! Membership that mends itself.
+//!
+//! Where nobody watches the replicas, the leader does: it takes in a replica
+//! that asks to join (a host that lost its disk, or a new host in the place of
+//! one that is gone) and puts out the one that was lost. One step at a time,
+//! each an accepted change before the next: add as a learner, give it a vote
+//! once it holds everything, remove the lost one. A second loss right after a
+//! step therefore meets a group in which every voter has synced what was
+//! accepted.
+//!
+//! A voter that is merely silent stays: as long as the number of voters is odd
+//! nobody has come in its place, and removing it would only make the next loss
+//! worse.
+
+use std::time::Duration;
+
+use almondlock_base::time::Mono;
+use almondlock_quorum::member::{Change, Id, Member, Members};
+
+/// A replica counts as silent after this long without an answer. Three times
+/// the longest election timeout of the usual settings, so that a slow disk or
+/// an election isn't taken for a loss.
+pub(super) const SILENCE: Duration = Duration::from_secs(3);
+
+/// A newcomer counts as there while its last greeting is younger than this.
+pub(super) const PRESENT: Duration = Duration::from_secs(2);
+
+/// What a leader knows when it looks for the next step.
+pub(super) struct Sight<'a> {
+    pub(super) own: Id,
+    pub(super) members: &'a Members,
+    /// Replicas that are in no group and greeted lately.
+    pub(super) newcomers: Vec<Member>,
+    /// Since when the leader has led; before that nobody's silence counts.
+    pub(super) led_since: Mono,
+    pub(super) now: Mono,
+}
+
+impl Sight<'_> {
+    /// The next step, if there is one. `heard` tells when a member last
+    /// answered in this term.
+    pub(super) fn step<F>(&self, heard: F) -> Option<Change>
+    where
+        F: Fn(Id) -> Option<Mono>,
+    {
+        let silent = |id: Id| {
+            let last = heard(id).unwrap_or(self.led_since);
+            id != self.own && self.now.since(last) >= SILENCE
+        };
+        if let Some(learner) = self.members.learners.keys().next() {
+            return Some(match silent(*learner) {
+                true => Change::Remove(*learner),
+                false => Change::Promote(*learner),
+            });
+        }
+        self.superseded(&silent)
+            .or_else(|| self.surplus(&silent))
+            .or_else(|| self.admission())
+    }
+
+    /// A silent voter at whose address another voter answers: its disk is gone.
+    fn superseded<F>(&self, silent: &F) -> Option<Change>
+    where
+        F: Fn(Id) -> bool,
+    {
+        let voters = &self.members.voters;
+        let lost = voters.values().find(|lost| {
+            let successor = |other: &Member| other.id != lost.id && other.address == lost.address;
+            let replaced = voters
+                .values()
+                .any(|other| successor(other) && !silent(other.id));
+            replaced && lost.id != self.own && !self.answers(lost, silent)
+        });
+        lost.map(|lost| Change::Remove(lost.id))
+    }
+
+    fn answers<F>(&self, member: &Member, silent: &F) -> bool
+    where
+        F: Fn(Id) -> bool,
+    {
+        member.id == self.own || !silent(member.id)
+    }
+
+    /// A silent voter in a group with one voter too many.
+    fn surplus<F>(&self, silent: &F) -> Option<Change>
+    where
+        F: Fn(Id) -> bool,
+    {
+        let voters = &self.members.voters;
+        let even = voters.len() >= 4 && voters.len().is_multiple_of(2);
+        let lost = voters.keys().find(|id| silent(**id));
+        lost.filter(|_| even).map(|id| Change::Remove(*id))
+    }
+
+    fn admission(&self) -> Option<Change> {
+        let newcomer = self
+            .newcomers
+            .iter()
+            .find(|newcomer| !self.members.contains(newcomer.id));
+        newcomer.map(|newcomer| Change::Add(newcomer.clone()))
+    }
+}
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -300,6 +300,7 @@
         listen: address,
         seeds: Vec::new(),
         security: security.clone(),
+        pace: Default::default(),
     }
 }
 
--- a/almondlock-daemon/src/demo.rs
+++ b/almondlock-daemon/src/demo.rs
@@ -49,7 +49,7 @@
         filter: "warn".to_owned(),
         ..Default::default()
     };
-    almondlock_telemetry::log::init(&log).context("setting up logs")?;
+    let _lines = almondlock_telemetry::log::init(&log).context("setting up logs")?;
     let options = options.clone();
     let result = process::block_on(async move {
         let process = Process::start(&settings).await?;
--- a/almondlock-daemon/src/lib.rs
+++ b/almondlock-daemon/src/lib.rs
@@ -70,10 +70,11 @@
 fn serve(settings: almondlock_settings::Settings) -> Result<()> {
     let log = almondlock_telemetry::log::Config {
         format: settings.log.format,
+        output: settings.log.output,
         filter: settings.log.filter.clone(),
         spans: settings.log.spans.clone(),
     };
-    almondlock_telemetry::log::init(&log).context("setting up logs")?;
+    let _lines = almondlock_telemetry::log::init(&log).context("setting up logs")?;
     process::block_on(async move {
         let process = Process::start(&settings).await?;
         process.wait().await
--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -8,7 +8,8 @@
 
 use almondlock_base::id::Incarnation;
 use almondlock_entry::server::Server;
-use almondlock_node::{Config, Node, Parts, Sidecars, Vouch, clock, links::Links};
+use almondlock_gateway::server as gateway_server;
+use almondlock_node::{Config, Node, Pace, Parts, Sidecars, Vouch, clock, links::Links};
 use almondlock_node::{Handle, replicas::Replicas};
 use almondlock_settings::Settings;
 use almondlock_sidecar::stop::Stop;
@@ -16,9 +17,10 @@
 use almondlock_telemetry::metrics::{self, Metrics};
 use almondlock_transport::Security;
 use anyhow::{Context, Result};
+use tokio::task::spawn_local;
 
 use crate::{
-    roles::{control::Control, entry, sidecar},
+    roles::{control::Control, entry, gateway, sidecar},
     signal,
 };
 
@@ -35,6 +37,7 @@
 pub struct Process {
     node: Node,
     entry: Option<Server>,
+    gateway: Option<gateway_server::Server>,
     control: Option<Control>,
     announce: Option<(SocketAddr, ntex::server::Server)>,
     // Of the sidecars, and how long their running work may take on a stop.
@@ -87,6 +90,7 @@
             listen: host.listen,
             seeds: host.seeds.clone(),
             security,
+            pace: pace(host),
         };
         let node = Node::start(config, view, parts)
             .await
@@ -97,6 +101,7 @@
         let mut process = Process {
             node,
             entry: None,
+            gateway: None,
             control,
             announce: None,
             stop: Stop::default(),
@@ -140,6 +145,10 @@
                 settings, role, handle, replicas, metrics, seed,
             )?);
         }
+        if let Some(role) = &settings.gateway {
+            let node = self.node.handle().clone();
+            self.gateway = Some(gateway::start(settings, role, node, random()?)?);
+        }
         Ok(())
     }
 
@@ -177,6 +186,7 @@
                 None => std::future::pending().await,
             }
         };
+        spawn_local(signal::hang_up());
         let result = tokio::select! {
             stopped = signal::stop() => stopped.context("waiting for signals"),
             refusal = failed => Err(anyhow::Error::new(refusal).context("the replica stopped")),
@@ -191,6 +201,9 @@
         if let Some(entry) = self.entry {
             entry.stop().await;
         }
+        if let Some(gateway) = self.gateway {
+            gateway.stop().await;
+        }
         if let Some((_, server)) = self.announce {
             let left = self.stop.drain(self.grace).await;
             if left > 0 {
@@ -206,6 +219,17 @@
     }
 }
 
+/// A silent parent is left after twice the time that it may hold an answer. An
+/// answer as old as several levels of the tree make it is no reason to leave.
+fn pace(host: &almondlock_settings::Host) -> Pace {
+    let usual = Pace::default();
+    Pace {
+        hold: host.follow,
+        silence: host.follow.min(usual.silence),
+        stale: (host.follow * 5).min(usual.stale),
+    }
+}
+
 /// Where claims, blame and announcements go.
 fn replica_addresses(settings: &Settings) -> Vec<SocketAddr> {
     let members = settings.replica.iter().flat_map(|replica| &replica.members);
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -3,13 +3,17 @@
 use std::{collections::BTreeMap, net::TcpListener};
 
 use crate::roles::tls::tls;
+use almondlock_base::id::Host;
 use almondlock_control::{
     admin,
     backend::{Admins, Operated},
+    directory::Directory,
     driver,
     replica::{Config, Initial, Refusal, Replica},
 };
+use almondlock_gateway::exchange;
 use almondlock_node::{Handle, Vouch, clock};
+use almondlock_platform::listener;
 use almondlock_settings::Settings;
 use almondlock_spread::view::View;
 use almondlock_state::{
@@ -21,6 +25,7 @@
 use almondlock_wire::almondlock_capnp::control;
 use anyhow::{Context, Result};
 use tokio::{
+    net::UdpSocket,
     task::spawn_local,
     time::{Duration, sleep},
 };
@@ -35,6 +40,7 @@
     replica: Replica,
     operated: Operated,
     admin: ntex::server::Server,
+    directory: Option<(Directory, ntex::server::Server)>,
 }
 
 impl Control {
@@ -48,14 +54,18 @@
     ) -> Result<Control> {
         let host = &settings.host;
         let folder = host.data.clone().context("a replica needs [host] data")?;
-        let initial = role.members.iter().map(|member| Initial {
-            name: member.name.clone(),
-            address: member.address,
-        });
-        let config = Config::builder(host.name.clone(), host.listen, host.domain.clone(), folder)
-            .initial(initial)
-            .security(security)
-            .build();
+        let mut config =
+            Config::builder(host.name.clone(), host.listen, host.domain.clone(), folder)
+                .initial(initial(settings, role)?)
+                .security(security)
+                .founds(role.founds)
+                .repairs(role.repairs);
+        if let Some(directory) = &settings.directory {
+            config = config
+                .instance_lease(directory.lease)
+                .duty_pause(host.follow);
+        }
+        let config = config.build();
         let replica =
             Replica::start(config, view.clone(), vouch.clone()).context("starting the replica")?;
         let listener = TcpListener::bind(role.admin)
@@ -67,12 +77,17 @@
             None => admin::serve(listener, operated.clone()),
         };
         let admin = admin.context("serving operators")?;
+        let directory = match &settings.directory {
+            Some(directory) => Some(serve_directory(directory, &replica)?),
+            None => None,
+        };
         spawn_local(driver::run(replica.clone()));
         spawn_local(seed(replica.clone(), role.clone()));
         Ok(Control {
             replica,
             operated,
             admin,
+            directory,
         })
     }
 
@@ -83,6 +98,9 @@
 
     /// The node runs: operators are told what it knows of all processes.
     pub(crate) fn attach(&self, node: Handle) {
+        if let Some((directory, _)) = &self.directory {
+            directory.attach(node.clone());
+        }
         self.operated.attach(node);
     }
 
@@ -98,11 +116,60 @@
 
     /// Stops serving, then the replica.
     pub(crate) async fn stop(self) {
+        if let Some((_, server)) = self.directory {
+            server.stop(true).await;
+        }
         self.admin.stop(true).await;
         self.replica.stop().await;
     }
 }
 
+/// Who the group starts with: those named, or else the seeds, each by its IP
+/// address.
+fn initial(settings: &Settings, role: &almondlock_settings::Replica) -> Result<Vec<Initial>> {
+    if !role.members.is_empty() {
+        let members = role.members.iter().map(|member| Initial {
+            name: member.name.clone(),
+            address: member.address,
+        });
+        return Ok(members.collect());
+    }
+    let seeds = settings.host.seeds.iter().map(|seed| {
+        let name = Host::new(&seed.ip().to_string()).context("naming a seed")?;
+        Ok(Initial {
+            name,
+            address: *seed,
+        })
+    });
+    seeds.collect()
+}
+
+/// Listens for publications and heartbeats, and for entry hosts' loads.
+fn serve_directory(
+    settings: &almondlock_settings::Directory,
+    replica: &Replica,
+) -> Result<(Directory, ntex::server::Server)> {
+    let address = settings.listen;
+    let listener = TcpListener::bind(address)
+        .with_context(|| format!("listening for publications on {address}"))?;
+    let directory = Directory::new(replica.remote(), address.port());
+    let server = listener::serve(listener, directory.clone()).context("serving publications")?;
+    if let Some(exchange) = settings.exchange {
+        let socket = std::net::UdpSocket::bind(exchange)
+            .with_context(|| format!("listening for loads on {exchange}"))?;
+        socket
+            .set_nonblocking(true)
+            .context("setting up the socket for loads")?;
+        let socket = UdpSocket::from_std(socket).context("setting up the socket for loads")?;
+        spawn_local(async move {
+            if let Err(error) = exchange::relay(socket).await {
+                tracing::error!(%error, "loads are no longer passed on");
+            }
+        });
+    }
+    Ok((directory, server))
+}
+
 /// The first leader puts the first operator and the replicas into the state.
 /// The command does nothing in a state that has an operator.
 async fn seed(replica: Replica, role: almondlock_settings::Replica) {
--- /dev/null
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -0,0 +1,39 @@
+//! The gateway role, in the dialect of the users' platform.
+
+use almondlock_gateway::{
+    budget,
+    server::{self, Bounds, Config, Server},
+};
+use almondlock_node::Handle;
+use almondlock_platform::header::Dialect;
+use almondlock_settings::{Gateway, Settings};
+use anyhow::{Context, Result};
+
+/// Starts the role.
+pub(crate) fn start(
+    settings: &Settings,
+    role: &Gateway,
+    node: Handle,
+    seed: u64,
+) -> Result<Server> {
+    let bounds = Bounds {
+        stale: role.stale,
+        retries: budget::Config {
+            window: role.retry_window,
+            ratio: f64::from(role.retry_percent) / 100.0,
+            free: role.retry_free,
+        },
+    };
+    let config = Config {
+        listen: role.listen,
+        ready: role.ready,
+        metrics: role.metrics,
+        relays: role.exchange.clone(),
+        domain: settings.host.domain.clone(),
+        bounds,
+        seed,
+        notice: role.drain_delay,
+        grace: role.drain_grace,
+    };
+    server::start(config, Dialect::new(), node).context("starting the gateway")
+}
--- a/almondlock-daemon/src/signal.rs
+++ b/almondlock-daemon/src/signal.rs
@@ -14,3 +14,15 @@
     }
     Ok(())
 }
+
+/// Takes SIGHUP, which would otherwise end the process. Settings are looked at
+/// again at the next start.
+pub(crate) async fn hang_up() {
+    let mut hang_up = match signal(SignalKind::hangup()) {
+        Ok(hang_up) => hang_up,
+        Err(error) => return tracing::error!(%error, "SIGHUP can't be waited for"),
+    };
+    while hang_up.recv().await.is_some() {
+        tracing::info!("told that settings changed");
+    }
+}
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -349,6 +349,7 @@
         listen: LOCAL,
         seeds,
         security: Default::default(),
+        pace: Default::default(),
     }
 }
 
--- /dev/null
+++ b/almondlock-gateway/src/dialect.rs
@@ -0,0 +1,49 @@
+//! What differs from platform to platform: the names of headers, and the
+//! format of the published configuration.
+//!
+//! The rest of this package speaks of what a header holds, never of its name,
+//! so that one more platform needs a new [`Dialect`] and nothing else.
+
+use ntex::http::header::HeaderName;
+
+use crate::rules::{Error, Rules};
+
+/// Names of the headers that the gateway reads or sets.
+#[derive(Clone, Debug)]
+pub struct Names {
+    /// The request's id, drawn by the caller for each attempt of its own.
+    pub request_id: HeaderName,
+    /// Milliseconds that the caller will wait, or that the upstream has.
+    pub deadline: HeaderName,
+    /// The caller's key.
+    pub key: HeaderName,
+    /// The organisation's name, for the upstream.
+    pub organisation: HeaderName,
+    /// The instance that a request is meant for.
+    pub instance: HeaderName,
+    /// The rank of a request at an engine, 0 to 9.
+    pub priority: HeaderName,
+    /// Prompt tokens and the most output tokens, with a comma between.
+    pub usage: HeaderName,
+    /// Engines that read parts of the prompt.
+    pub helpers: HeaderName,
+    /// An upstream's proof that the answer is its own.
+    pub seal: HeaderName,
+    /// An upstream states that it did not run the request.
+    pub not_run: HeaderName,
+    /// The address of the upstream at fault, in an answer of another one.
+    pub at_fault: HeaderName,
+    /// Running, waiting and slots of an upstream, with commas between.
+    pub load: HeaderName,
+    /// The number of the last event that the caller has.
+    pub last_event: HeaderName,
+}
+
+/// A platform's way to say things.
+pub trait Dialect: Clone + Send + Sync + 'static {
+    /// The names of headers.
+    fn names(&self) -> &Names;
+
+    /// Reads a published configuration and checks it.
+    fn read(&self, text: &str) -> Result<Rules, Error>;
+}
--- /dev/null
+++ b/almondlock-gateway/src/lib.rs
@@ -0,0 +1,44 @@
+//! Forwards HTTP requests, unchanged, to upstreams that are called directly.
+//!
+//! An entry host of this kind takes requests by host and path, looks up the
+//! route, checks the caller's key, chooses an upstream, and passes the answer
+//! back as it comes. What the routes are, a published configuration says; which
+//! upstreams there are, their heartbeats say; both come with the replicated
+//! configuration that every process holds.
+//!
+//! | module | decides or does |
+//! |---|---|
+//! | [`rules`] | what a published configuration says, as plain types |
+//! | [`dialect`] | the names of headers, and who reads a published configuration |
+//! | [`engine`] | the cost of a prompt on an engine, in time |
+//! | [`load`] | what is under way on each upstream |
+//! | [`pick`] | which upstream, and with which helpers |
+//! | [`budget`] | whether another attempt may be sent |
+//! | [`verdict`] | what a failed attempt proves, and what may follow |
+//! | [`upstream`] | one HTTP/1.1 connection to an upstream |
+//! | [`pool`] | connections that wait for their next request |
+//! | [`event`] | event streams, cut into whole events |
+//! | [`life`] | one request from its arrival to the end of its answer |
+//! | [`exchange`] | loads told from entry host to entry host |
+//! | [`server`] | the listeners |
+//!
+//! The deciding modules ([`rules`] to [`verdict`]) do no I/O and read no clock.
+
+#![warn(clippy::unwrap_used, clippy::expect_used)]
+
+pub mod budget;
+pub mod dialect;
+pub mod engine;
+pub mod event;
+pub mod exchange;
+mod life;
+pub mod load;
+pub mod metrics;
+pub mod pick;
+pub mod pool;
+mod reply;
+pub mod rules;
+pub mod server;
+pub mod upstream;
+pub mod verdict;
+mod worker;
--- /dev/null
+++ b/almondlock-gateway/src/life.rs
@@ -0,0 +1,699 @@
+//! One request: attempts, one after another, until one is answered or nothing
+//! more may be tried.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use almondlock_base::{
+    Code, Ran,
+    id::{Service, Upstream},
+    time::Mono,
+};
+use almondlock_node::clock;
+use bytes::Bytes;
+use ntex::http::{
+    Method,
+    header::{HeaderName, HeaderValue},
+};
+use rand::Rng;
+use tokio::time::timeout;
+
+use crate::{
+    dialect::Dialect,
+    event::Cutter,
+    load::{Ticket, Work},
+    pick::{self, Choice, Demand},
+    reply::Stream,
+    rules::{Organisation, Route},
+    upstream::{self, Connection, Head},
+    verdict::{self, Failure},
+    worker::{Target, Worker},
+};
+
+/// How long connecting may take: several ways there and back, far below the
+/// objective of short requests.
+const CONNECT: Duration = Duration::from_millis(250);
+/// The largest body of an answer that is no stream, in bytes.
+const WHOLE_LIMIT: usize = 8 << 20;
+/// Attempts in all, also of those that provably did not run.
+const TRIES: usize = 4;
+/// Callers leave a stream that pauses this long in any case.
+const CALLERS_PATIENCE: Duration = Duration::from_secs(2);
+/// Of a caller's patience, the part after which a silent upstream is given up,
+/// so that another one can still answer in time.
+const GIVE_UP_SHARE: f64 = 0.6;
+/// When to come back after a refusal at the least: a few passes of an engine.
+const RETRY_LEAST: Duration = Duration::from_millis(150);
+/// Callers that were refused together come back spread over this much more.
+const RETRY_SPREAD: f64 = 0.5;
+
+/// A request as it is handed on.
+pub(crate) struct Request {
+    pub(crate) id: Arc<str>,
+    pub(crate) method: Method,
+    /// Path and query, as they came.
+    pub(crate) target: String,
+    pub(crate) host: String,
+    /// The headers that are handed on unchanged.
+    pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
+    pub(crate) body: ntex::util::Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Service,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) arrived: Mono,
+    /// When its time is over: the caller's, or the route's.
+    pub(crate) until: Mono,
+    pub(crate) demand: Option<Demand>,
+    /// The last event that the caller has.
+    pub(crate) after: Option<u64>,
+}
+
+impl Request {
+    pub(crate) fn left(&self, now: Mono) -> Duration {
+        self.until.since(now)
+    }
+
+    /// How long an upstream may be silent before another one is tried. Callers
+    /// leave after a gap of a few objectives or pauses.
+    pub(crate) fn patience(&self) -> Duration {
+        let pause = match self.route.kind {
+            crate::rules::Kind::Stream { pause, .. } => pause,
+            _ => Duration::ZERO,
+        };
+        let gap = CALLERS_PATIENCE
+            .max(self.route.objective * 4)
+            .max(pause * 8);
+        gap.mul_f64(GIVE_UP_SHARE)
+    }
+
+    /// Its rank at an engine, 0 to 9: each doubling of the objective is one
+    /// place further back.
+    fn priority(&self) -> u32 {
+        let hundreds = u32::try_from(self.route.objective.as_millis() / 100).unwrap_or(u32::MAX);
+        let rank = hundreds.checked_ilog2().unwrap_or(0);
+        let own = self.organisation.as_ref().and_then(|o| o.priority);
+        (rank + own.unwrap_or(self.route.priority).saturating_sub(1)).min(9)
+    }
+}
+
+/// A whole answer.
+pub(crate) struct Whole {
+    pub(crate) head: Head,
+    pub(crate) body: Bytes,
+}
+
+/// How a request came out.
+pub(crate) enum Answer<D>
+where
+    D: Dialect,
+{
+    Whole(Whole),
+    Stream(Box<Stream<D>>),
+}
+
+/// A request that ends without an upstream's answer.
+#[derive(Debug)]
+pub(crate) struct End {
+    pub(crate) code: Code,
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// What is counted for an attempt as long as it runs.
+pub(crate) struct Held<D> {
+    worker: Rc<Worker<D>>,
+    tickets: Vec<(Upstream, Ticket)>,
+}
+
+impl<D> Held<D> {
+    /// The prompt is read.
+    pub(crate) fn read(&self) {
+        let mut load = self.worker.load.borrow_mut();
+        for (upstream, ticket) in &self.tickets {
+            load.read(upstream, *ticket);
+        }
+    }
+}
+
+impl<D> Drop for Held<D> {
+    fn drop(&mut self) {
+        let mut load = self.worker.load.borrow_mut();
+        for (upstream, ticket) in &self.tickets {
+            load.end(upstream, *ticket);
+        }
+    }
+}
+
+/// An attempt that is being answered.
+pub(crate) struct Run<D> {
+    pub(crate) upstream: Upstream,
+    pub(crate) connection: Connection,
+    pub(crate) head: Head,
+    pub(crate) held: Held<D>,
+}
+
+/// An attempt that failed.
+pub(crate) struct Broken {
+    pub(crate) failure: Failure,
+    pub(crate) upstream: Option<Upstream>,
+    pub(crate) answer: Option<Whole>,
+    pub(crate) reason: String,
+}
+
+impl Broken {
+    fn new<R>(failure: Failure, upstream: Option<&Upstream>, reason: R) -> Broken
+    where
+        R: ToString,
+    {
+        Broken {
+            failure,
+            upstream: upstream.cloned(),
+            answer: None,
+            reason: reason.to_string(),
+        }
+    }
+
+    fn of(error: &upstream::Error, upstream: &Upstream) -> Broken {
+        let failure = match error {
+            upstream::Error::Connect(_) => Failure::Unsent,
+            upstream::Error::Broken(_) | upstream::Error::Answer(_) => Failure::Lost,
+        };
+        Broken::new(failure, Some(upstream), error)
+    }
+}
+
+/// What is known of a request's attempts so far.
+#[derive(Default)]
+pub(crate) struct Course {
+    pub(crate) tried: Vec<Upstream>,
+    // Invariant: `Ran::No` as long as every attempt provably did not run.
+    ran: Option<Ran>,
+    pub(crate) runs: u32,
+}
+
+impl Course {
+    pub(crate) fn ran(&self) -> Ran {
+        self.ran.unwrap_or(Ran::No)
+    }
+
+    fn note(&mut self, broken: &Broken) {
+        self.ran = Some(verdict::merge(self.ran(), broken.failure));
+        self.runs += u32::from(broken.failure.ran() != Ran::No);
+        self.tried.extend(broken.upstream.clone());
+    }
+}
+
+/// Runs a request until its answer begins.
+pub(crate) async fn run<D>(worker: Rc<Worker<D>>, request: Rc<Request>) -> Result<Answer<D>, End>
+where
+    D: Dialect,
+{
+    let mut course = Course::default();
+    worker.request(request.arrived, &request.service);
+    loop {
+        let broken = match attempt(&worker, &request, &course.tried, request.after).await {
+            Ok(run) if request.route.kind.is_stream() => {
+                match begin(&worker, &request, run).await {
+                    Ok(mut stream) => {
+                        course.runs += 1;
+                        stream.course = course;
+                        return Ok(Answer::Stream(Box::new(stream)));
+                    }
+                    Err(broken) => broken,
+                }
+            }
+            Ok(run) => match whole(&worker, &request, run).await {
+                Ok(whole) => return Ok(Answer::Whole(whole)),
+                Err(broken) => broken,
+            },
+            Err(broken) => broken,
+        };
+        course.note(&broken);
+        let now = clock::mono();
+        note(&worker, &request, &broken, course.tried.len());
+        if broken.upstream.is_none() || !again(&worker, &request, &course, &broken, now) {
+            return finish(&worker, &request, &course, broken, now);
+        }
+    }
+}
+
+/// Logs a failed attempt, and passes its upstream over from now on if it is to
+/// blame.
+pub(crate) fn note<D>(worker: &Worker<D>, request: &Request, broken: &Broken, attempt: usize)
+where
+    D: Dialect,
+{
+    if let Some(upstream) = &broken.upstream
+        && broken.failure.blames_upstream()
+    {
+        worker.suspect(clock::mono(), upstream);
+    }
+    let upstream = broken.upstream.as_ref().map_or("none", Upstream::as_str);
+    let failure = broken.failure.as_str();
+    worker.shared.metrics.count("attempts_failed", failure);
+    tracing::info!(
+        request = %request.id, %upstream, attempt, failure, reason = %broken.reason,
+        spent_ms = clock::mono().since(request.arrived).as_millis(),
+        left_ms = request.left(clock::mono()).as_millis(),
+        "attempt failed"
+    );
+}
+
+/// Whether one more attempt is safe, of use and affordable.
+fn again<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    course: &Course,
+    broken: &Broken,
+    now: Mono,
+) -> bool
+where
+    D: Dialect,
+{
+    let refused = broken
+        .answer
+        .as_ref()
+        .is_some_and(|whole| whole.head.status < 500);
+    let kind = request.route.kind;
+    !refused
+        && course.tried.len() < TRIES
+        && !request.left(now).is_zero()
+        && verdict::may_repeat(kind, course.ran(), course.runs, request.route.attempts)
+        && (is_paid(broken.failure) || worker.afford(now, &request.service))
+}
+
+/// Whether another attempt costs nothing more: nothing has reached an upstream,
+/// or it was paid for when a silent one was given up.
+const fn is_paid(failure: Failure) -> bool {
+    matches!(failure, Failure::Unsent | Failure::Silent)
+}
+
+fn finish<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    course: &Course,
+    broken: Broken,
+    now: Mono,
+) -> Result<Answer<D>, End>
+where
+    D: Dialect,
+{
+    if let Some(whole) = broken.answer {
+        return Ok(Answer::Whole(whole));
+    }
+    let mut code = verdict::code(course.ran(), broken.failure);
+    if course.ran() == Ran::No && request.left(now).is_zero() {
+        code = Code::DeadlineUnreachable;
+    }
+    let retry_after = (course.ran() == Ran::No).then(|| worker.retry_after(request, now));
+    Err(End { code, retry_after })
+}
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    /// When a refused caller finds a place: when the least loaded upstream has
+    /// read what it has now. Spread, so that those refused together don't
+    /// return together.
+    pub(crate) fn retry_after(&self, request: &Request, now: Mono) -> Duration {
+        let known = self.known();
+        let targets = known.instances.get(&request.service);
+        let backlogs = targets.into_iter().flatten().map(|target| {
+            let total = self.load.borrow().total(now, &target.name);
+            total.backlog()
+        });
+        let least = backlogs.min().unwrap_or(RETRY_LEAST).max(RETRY_LEAST);
+        least.mul_f64(1.0 + self.rng.borrow_mut().random::<f64>() * RETRY_SPREAD)
+    }
+}
+
+/// Sends a request to one upstream and waits for the head of its answer.
+pub(crate) async fn attempt<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Request,
+    tried: &[Upstream],
+    after: Option<u64>,
+) -> Result<Run<D>, Broken>
+where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let known = worker.known();
+    let targets = known
+        .instances
+        .get(&request.service)
+        .map_or(&[][..], Vec::as_slice);
+    let none = || Broken::new(Failure::Unsent, None, "no instance is enrolled");
+    let choice = choose(worker, request, targets, tried, now).ok_or_else(none)?;
+    let target = targets.get(choice.first).ok_or_else(none)?;
+    let held = hold(worker, request, targets, &choice, now);
+    tracing::info!(
+        request = %request.id, route = %request.route.name, upstream = %target.name,
+        prompt = request.demand.map_or(0, |demand| demand.prompt),
+        helpers = choice.helpers.len(), expected_ms = choice.expected.as_millis(),
+        backlog_ms = worker.load.borrow().total(now, &target.name).reading,
+        hosts = worker.load.borrow().hosts(now),
+        revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
+        attempt = tried.len() + 1, "sent"
+    );
+    let head = head(worker, request, targets, &choice, after, now);
+    let left = request.left(now);
+    let exchange = exchange(worker, request, target, &head);
+    let result = match timeout(left, patient(worker, request, exchange)).await {
+        Ok(Some(result)) => result,
+        Ok(None) | Err(_) => {
+            return Err(Broken::new(
+                Failure::Silent,
+                Some(&target.name),
+                "no answer in time",
+            ));
+        }
+    };
+    let (connection, head) = result.map_err(|error| Broken::of(&error, &target.name))?;
+    let run = Run {
+        upstream: target.name.clone(),
+        connection,
+        head,
+        held,
+    };
+    judge(worker, run, targets).await
+}
+
+/// Waits for an upstream that may be silent. One that is silent for too long is
+/// given up if the request may be sent again and that can be afforded; else
+/// waiting on is the best that can be done. `None`: given up.
+pub(crate) async fn patient<D, F, T>(worker: &Worker<D>, request: &Request, work: F) -> Option<T>
+where
+    D: Dialect,
+    F: Future<Output = T>,
+{
+    tokio::pin!(work);
+    if request.route.kind.is_idempotent() {
+        match timeout(request.patience(), &mut work).await {
+            Ok(done) => return Some(done),
+            Err(_) if worker.afford(clock::mono(), &request.service) => return None,
+            Err(_) => {}
+        }
+    }
+    Some(work.await)
+}
+
+async fn exchange<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    target: &Target,
+    head: &[u8],
+) -> Result<(Connection, Head), upstream::Error>
+where
+    D: Dialect,
+{
+    let once = !request.route.kind.is_idempotent();
+    let pooled = worker
+        .pool
+        .borrow_mut()
+        .take(clock::mono(), &target.name, once);
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => Connection::open(target.address, CONNECT).await?,
+    };
+    let outgoing = upstream::Request {
+        head,
+        body: &request.body,
+        id: (
+            worker.dialect.names().request_id.as_str(),
+            request.id.as_bytes(),
+        ),
+    };
+    let answered = connection.exchange(&outgoing).await?;
+    Ok((connection, answered))
+}
+
+fn choose<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    targets: &[Target],
+    tried: &[Upstream],
+    now: Mono,
+) -> Option<Choice>
+where
+    D: Dialect,
+{
+    let candidates: Vec<pick::Candidate> = targets
+        .iter()
+        .map(|target| worker.candidate(now, target, tried))
+        .collect();
+    let known = worker.known();
+    let service = known.rules.as_ref()?.service(&request.service)?;
+    let mut rng = worker.rng.borrow_mut();
+    match (&service.engine, request.demand) {
+        (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
+        _ => pick::plain(&candidates, &mut *rng),
+    }
+}
+
+/// Counts what the attempt asks of each upstream that takes part.
+fn hold<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Request,
+    targets: &[Target],
+    choice: &Choice,
+    now: Mono,
+) -> Held<D>
+where
+    D: Dialect,
+{
+    let memory = request
+        .demand
+        .map_or(0, |demand| demand.prompt + demand.output);
+    let first = Work {
+        reading: choice.part,
+        writes: true,
+        memory,
+    };
+    let part = Work {
+        reading: choice.part,
+        ..Work::default()
+    };
+    let mut load = worker.load.borrow_mut();
+    let mut begin = |place: usize, work: Work| {
+        let target = targets.get(place)?;
+        Some((target.name.clone(), load.begin(now, &target.name, work)))
+    };
+    let mut tickets: Vec<_> = begin(choice.first, first).into_iter().collect();
+    tickets.extend(
+        choice
+            .helpers
+            .iter()
+            .filter_map(|place| begin(*place, part)),
+    );
+    Held {
+        worker: Rc::clone(worker),
+        tickets,
+    }
+}
+
+/// The head of a request as it goes to an upstream.
+fn head<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    targets: &[Target],
+    choice: &Choice,
+    after: Option<u64>,
+    now: Mono,
+) -> Vec<u8>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let mut head = Vec::with_capacity(768);
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
+    put(&[
+        request.method.as_str().as_bytes(),
+        b" ",
+        request.target.as_bytes(),
+        b" HTTP/1.1\r\n",
+    ]);
+    put(&[b"host: ", request.host.as_bytes(), b"\r\n"]);
+    for (name, value) in &request.headers {
+        if *name == names.last_event && after.is_some() {
+            continue;
+        }
+        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    }
+    let mut set = |name: &HeaderName, value: &str| {
+        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    };
+    set(&names.deadline, &request.left(now).as_millis().to_string());
+    if let Some(target) = targets.get(choice.first) {
+        set(&names.instance, target.name.as_str());
+    }
+    if let Some(organisation) = &request.organisation {
+        set(&names.organisation, &organisation.name);
+    }
+    if let Some(after) = after {
+        set(&names.last_event, &after.to_string());
+    }
+    if request.demand.is_some() {
+        set(&names.priority, &request.priority().to_string());
+    }
+    let helpers: Vec<String> = choice
+        .helpers
+        .iter()
+        .filter_map(|place| targets.get(*place))
+        .map(|target| target.address.to_string())
+        .collect();
+    if !helpers.is_empty() {
+        set(&names.helpers, &helpers.join(","));
+    }
+    if !request.body.is_empty() || request.method == Method::POST || request.method == Method::PUT {
+        let length = request.body.len().to_string();
+        set(&ntex::http::header::CONTENT_LENGTH, &length);
+    }
+    put(&[b"\r\n"]);
+    head
+}
+
+/// What the head of an answer says of the attempt.
+async fn judge<D>(worker: &Worker<D>, mut run: Run<D>, targets: &[Target]) -> Result<Run<D>, Broken>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let status = run.head.status;
+    let broken = |failure, reason: &str| Broken::new(failure, Some(&run.upstream), reason);
+    if run.head.get(names.not_run.as_str()).is_some() || status == 421 {
+        // A helper may be the one at fault.
+        let at = run.head.text(names.at_fault.as_str());
+        let at = at.and_then(|at| targets.iter().find(|t| t.address.to_string() == at));
+        let failure = match status {
+            421 => Failure::Misdirected,
+            _ => Failure::Rejected,
+        };
+        let mut broken = broken(failure, &format!("status {status}, not run"));
+        if let Some(at) = at.filter(|at| at.name != run.upstream) {
+            worker.suspect(clock::mono(), &at.name);
+            broken.failure = Failure::Rejected;
+        }
+        recycle(worker, run).await;
+        return Err(broken);
+    }
+    let encoded = run.head.get("content-encoding").is_some();
+    let sealed = run.head.get(names.seal.as_str()).is_some();
+    if (200..300).contains(&status) {
+        if !sealed || encoded {
+            return Err(broken(Failure::Lost, "a success without its seal"));
+        }
+        return Ok(run);
+    }
+    if matches!(status, 408 | 421 | 429 | 503) || encoded {
+        // Towards callers these promise that the request has not run, which
+        // this upstream doesn't say.
+        return Err(broken(
+            Failure::Lost,
+            &format!("status {status} that promises nothing"),
+        ));
+    }
+    let body = run.connection.whole(WHOLE_LIMIT).await;
+    let body = body.map_err(|error| Broken::of(&error, &run.upstream))?;
+    let mut broken = broken(Failure::Answered, &format!("status {status}"));
+    broken.answer = Some(Whole {
+        head: run.head.clone(),
+        body,
+    });
+    recycle(worker, run).await;
+    Err(broken)
+}
+
+/// Reads what is left of a short answer and keeps the connection.
+async fn recycle<D>(worker: &Worker<D>, mut run: Run<D>)
+where
+    D: Dialect,
+{
+    if run.connection.whole(WHOLE_LIMIT).await.is_ok() {
+        keep(worker, run);
+    }
+}
+
+/// Keeps the connection of an answer that was read to its end.
+pub(crate) fn keep<D>(worker: &Worker<D>, run: Run<D>)
+where
+    D: Dialect,
+{
+    let Run {
+        upstream,
+        mut connection,
+        head,
+        ..
+    } = run;
+    if connection.is_reusable(&head) {
+        connection.idle = head.idle;
+        let mut pool = worker.pool.borrow_mut();
+        pool.put(clock::mono(), &upstream, connection);
+    }
+}
+
+/// Reads the whole body of an answer that is no stream.
+async fn whole<D>(worker: &Worker<D>, request: &Request, mut run: Run<D>) -> Result<Whole, Broken>
+where
+    D: Dialect,
+{
+    let left = request.left(clock::mono());
+    let body = match timeout(left, run.connection.whole(WHOLE_LIMIT)).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(error)) => return Err(Broken::of(&error, &run.upstream)),
+        Err(_) => {
+            return Err(Broken::new(
+                Failure::Silent,
+                Some(&run.upstream),
+                "its body stopped",
+            ));
+        }
+    };
+    worker.clear(&run.upstream);
+    let head = run.head.clone();
+    keep(worker, run);
+    Ok(Whole { head, body })
+}
+
+/// Waits for the first whole event of a stream: until then a failure can still
+/// be answered with a status, or be made good elsewhere.
+async fn begin<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Rc<Request>,
+    mut run: Run<D>,
+) -> Result<Stream<D>, Broken>
+where
+    D: Dialect,
+{
+    let mut cutter = Cutter::new();
+    let left = request.left(clock::mono());
+    let first = first_event(&mut run.connection, &mut cutter);
+    let first = match timeout(left, patient(worker, request, first)).await {
+        Ok(Some(Ok(first))) => first,
+        Ok(Some(Err(error))) => return Err(Broken::of(&error, &run.upstream)),
+        Ok(None) | Err(_) => {
+            return Err(Broken::new(
+                Failure::Silent,
+                Some(&run.upstream),
+                "no first event in time",
+            ));
+        }
+    };
+    worker.clear(&run.upstream);
+    run.held.read();
+    Ok(Stream::new(worker, request, run, cutter, first))
+}
+
+/// The first whole event of an answer.
+pub(crate) async fn first_event(
+    connection: &mut Connection,
+    cutter: &mut Cutter,
+) -> Result<Bytes, upstream::Error> {
+    while let Some(bytes) = connection.chunk().await? {
+        if let Some(events) = cutter.push(&bytes) {
+            return Ok(events);
+        }
+    }
+    Err(upstream::Error::Answer(
+        "the stream ended before its first event",
+    ))
+}
--- /dev/null
+++ b/almondlock-gateway/src/load.rs
@@ -0,0 +1,186 @@
+//! What is under way on each upstream, as far as this entry host knows.
+//!
+//! An upstream's own report is old when it arrives, and while it is under way
+//! all entry hosts would follow the same one to the same idle upstream. So each
+//! entry host counts what it has sent itself, exactly and at once, and adds
+//! what the others last told of theirs. What they told loses weight with its
+//! age as work is done, and is dropped when they fall silent.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+use almondlock_base::{id::Upstream, time::Mono};
+use serde::{Deserialize, Serialize};
+
+/// What another entry host told counts no longer than this. Ten of its usual
+/// messages: its work has ended by itself meanwhile, or it has stopped.
+const FORGET: Duration = Duration::from_millis(1000);
+
+/// Of the reading time that is thought to be left, the part that stays until
+/// the first event proves that it is done. Estimates run out before the engine
+/// does when it also serves others.
+const DOUBT: f64 = 0.25;
+
+/// What one request asks of one upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Work {
+    /// Time that the engine will read for it.
+    pub reading: Duration,
+    /// It will write a stream there.
+    pub writes: bool,
+    /// Tokens of memory that it takes there.
+    pub memory: u64,
+}
+
+/// The sum of what is under way on an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Total {
+    /// Milliseconds of reading that are left.
+    pub reading: f32,
+    /// Requests whose answer hasn't begun.
+    pub waiting: u32,
+    /// Streams that are being written.
+    pub streams: u32,
+    /// Tokens of memory in use.
+    pub memory: u64,
+}
+
+impl Total {
+    fn add(&mut self, other: &Total) {
+        self.reading += other.reading;
+        self.waiting += other.waiting;
+        self.streams += other.streams;
+        self.memory += other.memory;
+    }
+
+    /// The time that is left to read.
+    pub fn backlog(&self) -> Duration {
+        Duration::from_secs_f32(self.reading.max(0.0) / 1e3)
+    }
+
+    /// Requests that take a place.
+    pub fn requests(&self) -> u32 {
+        self.waiting + self.streams
+    }
+
+    /// What is left of it after some time of reading.
+    fn aged(&self, by: Duration) -> Total {
+        let spent = by.as_secs_f32() * 1e3;
+        let floor = self.reading * DOUBT as f32;
+        Total {
+            reading: (self.reading - spent).max(floor),
+            ..*self
+        }
+    }
+}
+
+/// Names one piece of work until it ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(u64);
+
+#[derive(Clone, Copy, Debug)]
+struct Item {
+    work: Work,
+    since: Mono,
+    // Its first event has come: nothing is left to read.
+    begun: bool,
+}
+
+/// All that is known.
+#[derive(Debug, Default)]
+pub struct Table {
+    own: BTreeMap<Upstream, BTreeMap<Ticket, Item>>,
+    // By the entry host that told.
+    told: HashMap<u64, (Mono, HashMap<Upstream, Total>)>,
+    next: u64,
+}
+
+impl Table {
+    /// Work was sent.
+    pub fn begin(&mut self, now: Mono, upstream: &Upstream, work: Work) -> Ticket {
+        let ticket = Ticket(self.next);
+        self.next += 1;
+        let item = Item {
+            work,
+            since: now,
+            begun: false,
+        };
+        let items = self.own.entry(upstream.clone()).or_default();
+        items.insert(ticket, item);
+        ticket
+    }
+
+    /// Its answer has begun: all of its prompt was read.
+    pub fn read(&mut self, upstream: &Upstream, ticket: Ticket) {
+        let items = self.own.get_mut(upstream);
+        if let Some(item) = items.and_then(|items| items.get_mut(&ticket)) {
+            item.begun = true;
+        }
+    }
+
+    /// It has ended.
+    pub fn end(&mut self, upstream: &Upstream, ticket: Ticket) {
+        if let Some(items) = self.own.get_mut(upstream) {
+            items.remove(&ticket);
+            if items.is_empty() {
+                self.own.remove(upstream);
+            }
+        }
+    }
+
+    /// What this entry host has under way, for the others.
+    pub fn own(&self, now: Mono) -> Vec<(Upstream, Total)> {
+        let totals = self.own.iter();
+        totals
+            .map(|(name, items)| (name.clone(), sum(now, items)))
+            .collect()
+    }
+
+    /// Another entry host told what it has under way.
+    pub fn tell(&mut self, now: Mono, host: u64, totals: HashMap<Upstream, Total>) {
+        self.told.insert(host, (now, totals));
+        self.told.retain(|_, (at, _)| now.since(*at) < FORGET);
+    }
+
+    /// All that is known of an upstream.
+    pub fn total(&self, now: Mono, upstream: &Upstream) -> Total {
+        let mut total = self
+            .own
+            .get(upstream)
+            .map(|items| sum(now, items))
+            .unwrap_or_default();
+        for (at, totals) in self.told.values() {
+            let age = now.since(*at);
+            if let Some(told) = totals.get(upstream).filter(|_| age < FORGET) {
+                total.add(&told.aged(age));
+            }
+        }
+        total
+    }
+
+    /// How many other entry hosts are heard.
+    pub fn hosts(&self, now: Mono) -> usize {
+        let heard = self.told.values();
+        heard.filter(|(at, _)| now.since(*at) < FORGET).count()
+    }
+}
+
+fn sum(now: Mono, items: &BTreeMap<Ticket, Item>) -> Total {
+    let mut total = Total::default();
+    let mut oldest: Option<Mono> = None;
+    for item in items.values() {
+        total.memory += item.work.memory;
+        if item.begun {
+            total.streams += u32::from(item.work.writes);
+            continue;
+        }
+        total.waiting += u32::from(item.work.writes);
+        total.reading += item.work.reading.as_secs_f32() * 1e3;
+        oldest = Some(oldest.map_or(item.since, |at| at.min(item.since)));
+    }
+    let spent = oldest.map_or(Duration::ZERO, |at| now.since(at));
+    total.aged(spent)
+}
--- /dev/null
+++ b/almondlock-gateway/src/metrics.rs
@@ -0,0 +1,86 @@
+//! Counters and latency histograms, shared by the threads of a process and
+//! served as text.
+
+use std::{
+    collections::BTreeMap,
+    fmt::Write,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use hdrhistogram::Histogram;
+
+/// The longest time that a histogram tells apart, in milliseconds: beyond every
+/// timeout that a route has in practice.
+const LONGEST: u64 = 120_000;
+/// Significant digits of a histogram: 1% is enough for latencies.
+const DIGITS: u8 = 2;
+/// The quantiles that are shown.
+const QUANTILES: [f64; 4] = [0.5, 0.9, 0.95, 0.99];
+/// The most series of one kind; routes come from the configuration, which
+/// bounds them, but their names change over a process's life.
+const SERIES: usize = 1024;
+
+/// A process's figures. Clones aren't needed: it is shared behind an `Arc`.
+#[derive(Debug, Default)]
+pub struct Metrics {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    counters: BTreeMap<String, u64>,
+    times: BTreeMap<String, Histogram<u32>>,
+}
+
+impl Metrics {
+    /// Counts one more.
+    pub fn count(&self, name: &str, label: &str) {
+        let key = format!("{name}{{{label}}}");
+        let mut inner = self.lock();
+        if inner.counters.len() < SERIES || inner.counters.contains_key(&key) {
+            *inner.counters.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Takes a time into a histogram.
+    pub fn time(&self, name: &str, label: &str, span: Duration) {
+        let key = format!("{name}{{{label}}}");
+        let millis = u64::try_from(span.as_millis()).unwrap_or(LONGEST);
+        let mut inner = self.lock();
+        if inner.times.len() >= SERIES && !inner.times.contains_key(&key) {
+            return;
+        }
+        if !inner.times.contains_key(&key) {
+            // The bounds are constants that the library accepts.
+            let Ok(made) = Histogram::new_with_bounds(1, LONGEST, DIGITS) else {
+                return;
+            };
+            inner.times.insert(key.clone(), made);
+        }
+        if let Some(times) = inner.times.get_mut(&key) {
+            times.saturating_record(millis.max(1));
+        }
+    }
+
+    /// All figures, a line each.
+    pub fn text(&self) -> String {
+        let inner = self.lock();
+        let mut text = String::new();
+        for (name, count) in &inner.counters {
+            let _ = writeln!(text, "{name} {count}");
+        }
+        for (name, times) in &inner.times {
+            let _ = writeln!(text, "{name} count {}", times.len());
+            for quantile in QUANTILES {
+                let millis = times.value_at_quantile(quantile);
+                let _ = writeln!(text, "{name} q{quantile} {millis} ms");
+            }
+        }
+        text
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/almondlock-gateway/src/reply.rs
@@ -0,0 +1,230 @@
+//! An event stream on its way to the caller.
+//!
+//! Events are passed on as they come, whole ones only. When the upstream is
+//! lost midway and the request may be resumed, another one goes on after the
+//! last event, in the same response; else the response breaks off, in a way
+//! that can't be taken for its end.
+
+use std::{io, rc::Rc, time::Duration};
+
+use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_node::clock;
+use bytes::Bytes;
+use tokio::time::timeout;
+
+use crate::{
+    dialect::Dialect,
+    event::Cutter,
+    life::{self, Broken, Course, Request, Run},
+    rules::Kind,
+    upstream::Head,
+    verdict::Failure,
+    worker::Worker,
+};
+
+/// A stream under way.
+pub(crate) struct Stream<D>
+where
+    D: Dialect,
+{
+    worker: Rc<Worker<D>>,
+    request: Rc<Request>,
+    /// The head of the first run, which stays the response's.
+    pub(crate) head: Head,
+    run: Option<Run<D>>,
+    cutter: Cutter,
+    ready: Option<Bytes>,
+    pub(crate) course: Course,
+    first_at: Mono,
+    last_at: Mono,
+    longest: Duration,
+    events: u64,
+    // The response has come to an end, whole or not.
+    ended: bool,
+}
+
+impl<D> Stream<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(
+        worker: &Rc<Worker<D>>,
+        request: &Rc<Request>,
+        run: Run<D>,
+        cutter: Cutter,
+        first: Bytes,
+    ) -> Stream<D> {
+        let now = clock::mono();
+        let label = format!("route=\"{}\"", request.route.name);
+        let spent = now.since(request.arrived);
+        worker.shared.metrics.time("first_event", &label, spent);
+        Stream {
+            worker: Rc::clone(worker),
+            request: Rc::clone(request),
+            head: run.head.clone(),
+            run: Some(run),
+            cutter,
+            ready: Some(first),
+            course: Course::default(),
+            first_at: now,
+            last_at: now,
+            longest: Duration::ZERO,
+            events: 1,
+            ended: false,
+        }
+    }
+
+    /// The next whole events; none at the end.
+    pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        if let Some(ready) = self.ready.take() {
+            return Some(Ok(ready));
+        }
+        if self.ended {
+            return None;
+        }
+        loop {
+            let broken = match self.step().await {
+                Ok(Some(events)) => {
+                    self.passed();
+                    return Some(Ok(events));
+                }
+                Ok(None) => {
+                    self.finish();
+                    return None;
+                }
+                Err(broken) => broken,
+            };
+            self.run = None;
+            self.course.tried.extend(broken.upstream.clone());
+            life::note(
+                &self.worker,
+                &self.request,
+                &broken,
+                self.course.tried.len(),
+            );
+            if let Err(reason) = self.resume(&broken).await {
+                self.ended = true;
+                self.log("broken off", reason);
+                return Some(Err(io::ErrorKind::ConnectionAborted.into()));
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Result<Option<Bytes>, Broken> {
+        if let Some(ready) = self.ready.take() {
+            return Ok(Some(ready));
+        }
+        let Some(run) = &mut self.run else {
+            return Ok(None);
+        };
+        let left = self.request.left(clock::mono());
+        let broken = |failure, reason: &str| Broken {
+            failure,
+            upstream: Some(run.upstream.clone()),
+            answer: None,
+            reason: reason.to_owned(),
+        };
+        loop {
+            let chunk = life::patient(&self.worker, &self.request, run.connection.chunk());
+            let chunk = match timeout(left, chunk).await {
+                Ok(Some(Ok(chunk))) => chunk,
+                Ok(Some(Err(error))) => return Err(broken(Failure::Lost, &error.to_string())),
+                Ok(None) => return Err(broken(Failure::Silent, "the stream stopped")),
+                Err(_) => return Err(broken(Failure::Silent, "its time is over")),
+            };
+            let Some(bytes) = chunk else {
+                let rest = self.cutter.finish();
+                return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+            };
+            if let Some(events) = self.cutter.push(&bytes) {
+                return Ok(Some(events));
+            }
+        }
+    }
+
+    fn passed(&mut self) {
+        let now = clock::mono();
+        self.longest = self.longest.max(now.since(self.last_at));
+        self.last_at = now;
+        self.events += 1;
+    }
+
+    /// Goes on at another upstream, after the last event.
+    async fn resume(&mut self, broken: &Broken) -> Result<(), &'static str> {
+        let Kind::Stream {
+            resumable: true, ..
+        } = self.request.route.kind
+        else {
+            return Err("it may not be resumed");
+        };
+        let now = clock::mono();
+        if self.request.left(now).is_zero() {
+            return Err("its time is over");
+        }
+        if self.course.runs >= self.request.route.attempts {
+            return Err("no attempt is left");
+        }
+        // A silent upstream was given up only once the next attempt was paid for.
+        let paid = broken.failure == Failure::Silent;
+        if !paid && !self.worker.afford(now, &self.request.service) {
+            return Err("the retry budget is spent");
+        }
+        let Some(last) = self.cutter.last() else {
+            return Err("its events have no numbers");
+        };
+        self.cutter.drop_rest();
+        let tried = &self.course.tried;
+        let run = life::attempt(&self.worker, &self.request, tried, Some(last)).await;
+        let mut run = run.map_err(|_| "no other upstream took it")?;
+        self.course.runs += 1;
+        let left = self.request.left(clock::mono());
+        let events = life::first_event(&mut run.connection, &mut self.cutter);
+        match timeout(left, events).await {
+            Ok(Ok(events)) => self.ready = Some(events),
+            Ok(Err(_)) | Err(_) => return Err("the resumed run failed too"),
+        }
+        if self.cutter.last().is_none_or(|next| next <= last) {
+            return Err("the resumed run began at another event");
+        }
+        run.held.read();
+        self.run = Some(run);
+        Ok(())
+    }
+
+    fn finish(&mut self) {
+        self.ended = true;
+        if let Some(run) = self.run.take() {
+            life::keep(&self.worker, run);
+        }
+        self.log("answered", "whole");
+    }
+
+    fn log(&self, outcome: &str, reason: &str) {
+        let now = clock::mono();
+        let spent = now.since(self.request.arrived);
+        let label = format!(
+            "route=\"{}\",outcome=\"{outcome}\"",
+            self.request.route.name
+        );
+        self.worker.shared.metrics.time("stream", &label, spent);
+        let upstream = self.run.as_ref().map(|run| &run.upstream);
+        tracing::info!(
+            request = %self.request.id, route = %self.request.route.name, outcome, reason,
+            upstream = upstream.map_or("none", Upstream::as_str),
+            first_ms = self.first_at.since(self.request.arrived).as_millis(),
+            longest_pause_ms = self.longest.as_millis(), events = self.events,
+            spent_ms = spent.as_millis(), "ended"
+        );
+    }
+}
+
+impl<D> Drop for Stream<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log("left", "the caller left");
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-gateway/src/server.rs
@@ -0,0 +1,466 @@
+//! The listeners: callers' requests, readiness, and figures.
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use almondlock_base::{Code, id::Domain, time::Mono};
+use almondlock_node::{Handle, clock};
+use futures::{StreamExt, stream};
+use ntex::{
+    SharedCfg,
+    http::{HttpServiceConfig, StatusCode, header::HeaderName},
+    time::Seconds,
+    util::{Bytes, BytesMut},
+    web::{self, App, HttpRequest, HttpResponse, HttpServer, types::Payload, types::State},
+};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
+
+pub use crate::worker::Bounds;
+use crate::{
+    dialect::Dialect,
+    exchange,
+    life::{self, Answer, End, Request, Whole},
+    pick::Demand,
+    rules::Rules,
+    upstream::Head,
+    worker::{Shared, Worker},
+};
+
+/// How often the end of answers in progress is looked for on a stop.
+const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// How often idle connections are looked through.
+const SWEEP: Duration = Duration::from_secs(1);
+/// How long a request's head may take to arrive. Published limits come with
+/// the configuration, later than the listener.
+const HEAD_TIME: Seconds = Seconds(5);
+/// How long an idle connection of a caller is kept: longer than callers reuse
+/// one, which is most of the published limit.
+const KEEP_ALIVE: Seconds = Seconds(20);
+/// When to come back to a host that doesn't know a recent configuration.
+const NOT_READY_RETRY: Duration = Duration::from_millis(500);
+/// A request without a deadline of its caller's is bounded by its route alone.
+const NO_DEADLINE: Duration = Duration::from_secs(3600);
+/// Headers that concern one connection only, or that are written anew.
+const HOP: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+];
+
+/// What the gateway is told at its start.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub ready: SocketAddr,
+    /// Where figures are served.
+    pub metrics: Option<SocketAddr>,
+    /// Relays of other hosts' loads.
+    pub relays: Vec<SocketAddr>,
+    /// The failure domain.
+    pub domain: Domain,
+    /// Its bounds.
+    pub bounds: Bounds,
+    /// Seeds the generator.
+    pub seed: u64,
+    /// How long the listener stays after readiness has failed.
+    pub notice: Duration,
+    /// How long answers in progress may take after that.
+    pub grace: Duration,
+}
+
+/// A running gateway.
+pub struct Server {
+    shared: Arc<Shared>,
+    servers: Vec<ntex::server::Server>,
+    notice: Duration,
+    grace: Duration,
+}
+
+/// Binds and starts serving.
+pub fn start<D>(config: Config, dialect: D, node: Handle) -> io::Result<Server>
+where
+    D: Dialect,
+{
+    let shared = Arc::new(Shared::default());
+    let callers = callers(&config, dialect, node.clone(), &shared)?;
+    let ready = ready(&config, node, &shared)?;
+    let mut servers = vec![callers, ready];
+    if let Some(address) = config.metrics {
+        servers.push(figures(address, &shared)?);
+    }
+    Ok(Server {
+        shared,
+        servers,
+        notice: config.notice,
+        grace: config.grace,
+    })
+}
+
+impl Server {
+    /// Stops gracefully: readiness fails first, the listener stays until the
+    /// balancer has noticed, answers in progress finish.
+    pub async fn stop(self) {
+        self.shared.stopping.store(true, Ordering::Relaxed);
+        sleep(self.notice).await;
+        let drained = async {
+            while self.shared.active.load(Ordering::Relaxed) > 0 {
+                sleep(DRAIN_PAUSE).await;
+            }
+        };
+        if tokio::time::timeout(self.grace, drained).await.is_err() {
+            let active = self.shared.active.load(Ordering::Relaxed);
+            tracing::warn!(active, "stopping with answers in progress");
+        }
+        for server in self.servers {
+            server.stop(false).await;
+        }
+    }
+}
+
+fn callers<D>(
+    config: &Config,
+    dialect: D,
+    node: Handle,
+    shared: &Arc<Shared>,
+) -> io::Result<ntex::server::Server>
+where
+    D: Dialect,
+{
+    let config = config.clone();
+    let listener = TcpListener::bind(config.listen)?;
+    let shared = Arc::clone(shared);
+    let factory = async move || {
+        let rng = SmallRng::seed_from_u64(config.seed);
+        let worker = Rc::new(Worker::new(
+            dialect.clone(),
+            node.clone(),
+            Arc::clone(&shared),
+            config.domain.clone(),
+            config.bounds,
+            rng,
+        ));
+        spawn_local(sweep(Rc::clone(&worker)));
+        let any = SocketAddr::from((config.listen.ip(), 0));
+        match UdpSocket::bind(any).await {
+            Ok(socket) if !config.relays.is_empty() => {
+                let relays = config.relays.clone();
+                spawn_local(exchange::run(
+                    Rc::clone(&worker),
+                    socket,
+                    relays,
+                    config.seed,
+                ));
+            }
+            Ok(_) => {}
+            Err(error) => tracing::error!(%error, "loads of other hosts stay unknown"),
+        }
+        App::new()
+            .state(worker)
+            .default_service(web::route().to(handle::<D>))
+    };
+    let http = HttpServiceConfig::new()
+        .set_client_timeout(HEAD_TIME)
+        .set_keepalive(KEEP_ALIVE);
+    // One thread: the tables of loads and connections are its own, and a host
+    // of this kind has a part of one core.
+    let server = HttpServer::new(factory)
+        .workers(1)
+        .disable_signals()
+        .config(SharedCfg::new("callers").add(http))
+        .listen(listener)?;
+    Ok(server.run())
+}
+
+async fn sweep<D>(worker: Rc<Worker<D>>)
+where
+    D: Dialect,
+{
+    loop {
+        sleep(SWEEP).await;
+        let known = worker.known();
+        let is_known = |name: &almondlock_base::id::Upstream| {
+            known.instances.values().flatten().any(|t| t.name == *name)
+        };
+        worker.pool.borrow_mut().sweep(clock::mono(), is_known);
+    }
+}
+
+fn ready(config: &Config, node: Handle, shared: &Arc<Shared>) -> io::Result<ntex::server::Server> {
+    let listener = TcpListener::bind(config.ready)?;
+    let (shared, stale) = (Arc::clone(shared), config.bounds.stale);
+    let factory = async move || {
+        let (node, shared) = (node.clone(), Arc::clone(&shared));
+        App::new().route(
+            "/readyz",
+            web::get().to(async move || {
+                let current = node.age(clock::mono()) < stale;
+                let known = node.view().get().document.is_some();
+                match current && known && !shared.is_stopping() {
+                    true => HttpResponse::Ok().finish(),
+                    false => HttpResponse::ServiceUnavailable().finish(),
+                }
+            }),
+        )
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    Ok(server.listen(listener)?.run())
+}
+
+fn figures(address: SocketAddr, shared: &Arc<Shared>) -> io::Result<ntex::server::Server> {
+    let listener = TcpListener::bind(address)?;
+    let shared = Arc::clone(shared);
+    let factory = async move || {
+        let shared = Arc::clone(&shared);
+        App::new().route(
+            "/metrics",
+            web::get().to(async move || HttpResponse::Ok().body(shared.metrics.text())),
+        )
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    Ok(server.listen(listener)?.run())
+}
+
+/// Takes one request of a caller.
+async fn handle<D>(
+    worker: State<Rc<Worker<D>>>,
+    incoming: HttpRequest,
+    payload: Payload,
+) -> HttpResponse
+where
+    D: Dialect,
+{
+    let arrived = clock::mono();
+    let active = worker.shared.enter();
+    let worker = Rc::clone(&worker);
+    let names = worker.dialect.names();
+    let id = text(&incoming, &names.request_id)
+        .unwrap_or_default()
+        .to_owned();
+    let accepted = accept(&worker, &incoming, payload, arrived).await;
+    let result = match accepted {
+        Ok(request) => serve(&worker, &incoming, Rc::new(request)).await,
+        Err(code) => {
+            let retry_after = code.is_retryable().then_some(NOT_READY_RETRY);
+            Err(End { code, retry_after })
+        }
+    };
+    let mut response = match result {
+        Ok(Answer::Whole(whole)) => whole_response(&worker, &id, whole, arrived),
+        Ok(Answer::Stream(stream)) => {
+            let mut builder = start_response(&stream.head);
+            let body = stream::unfold((stream, active), async |(mut stream, active)| {
+                let next = stream.next().await?;
+                let next = next.map(|bytes| Bytes::copy_from_slice(&bytes));
+                Some((next, (stream, active)))
+            });
+            builder.streaming(body.boxed_local())
+        }
+        Err(end) => refusal(&worker, &id, &end, arrived),
+    };
+    if worker.shared.is_stopping() {
+        let head = response.head_mut();
+        head.set_connection_type(ntex::http::ConnectionType::Close);
+    }
+    response
+}
+
+/// Runs the request; ends at once when the caller leaves.
+async fn serve<D>(
+    worker: &Rc<Worker<D>>,
+    incoming: &HttpRequest,
+    request: Rc<Request>,
+) -> Result<Answer<D>, End>
+where
+    D: Dialect,
+{
+    let life = life::run(Rc::clone(worker), Rc::clone(&request));
+    let Some(io) = incoming.io() else {
+        return life.await;
+    };
+    tokio::select! {
+        biased;
+        result = life => result,
+        () = io.on_disconnect() => {
+            let spent = clock::mono().since(request.arrived);
+            tracing::info!(
+                request = %request.id, route = %request.route.name, outcome = "left",
+                spent_ms = spent.as_millis(), "ended"
+            );
+            Err(End { code: Code::CallerLeft, retry_after: None })
+        }
+    }
+}
+
+/// Reads and checks a request.
+async fn accept<D>(
+    worker: &Worker<D>,
+    incoming: &HttpRequest,
+    mut payload: Payload,
+    arrived: Mono,
+) -> Result<Request, Code>
+where
+    D: Dialect,
+{
+    let known = worker.known();
+    let limit = known
+        .rules
+        .as_ref()
+        .map_or(usize::MAX, |rules| rules.limits.body);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| Code::SlowRequest)?;
+        body.extend_from_slice(&chunk);
+        if body.len() > limit {
+            return Err(Code::BodyTooLarge);
+        }
+    }
+    // The body may have taken long: what is in force now counts.
+    let known = worker.known();
+    let rules = known.rules.clone().ok_or(Code::NotReady)?;
+    let current = worker.node.age(clock::mono()) < worker.bounds.stale;
+    admit(worker, &rules, incoming, body.freeze(), arrived, current)
+}
+
+fn admit<D>(
+    worker: &Worker<D>,
+    rules: &Rules,
+    incoming: &HttpRequest,
+    body: Bytes,
+    arrived: Mono,
+    current: bool,
+) -> Result<Request, Code>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let host = text(incoming, &ntex::http::header::HOST).unwrap_or_default();
+    let target = incoming
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let path = target.split('?').next().unwrap_or(target);
+    // A host that was cut off may not know a route or a key that exists by
+    // now, nor that one was taken away.
+    let unsure = |code| if current { code } else { Code::NotReady };
+    let route = rules.route(host, path);
+    let route = Arc::clone(route.ok_or_else(|| unsure(Code::UnknownRoute))?);
+    let mut organisation = None;
+    if rules.needs_key(&route) {
+        if !current {
+            return Err(Code::NotReady);
+        }
+        let key = text(incoming, &names.key).unwrap_or_default();
+        organisation = Some(Arc::clone(
+            rules.organisation(key).ok_or(Code::Unauthenticated)?,
+        ));
+    }
+    let drawn = worker.rng.borrow_mut().random();
+    let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
+    let deadline = text(incoming, &names.deadline).and_then(|text| text.trim().parse().ok());
+    let deadline = deadline.map_or(NO_DEADLINE, Duration::from_millis);
+    let dropped = [
+        &names.key,
+        &names.organisation,
+        &names.deadline,
+        &names.instance,
+        &names.priority,
+        &names.helpers,
+    ];
+    let kept = |name: &HeaderName| !HOP.contains(&name.as_str()) && !dropped.contains(&name);
+    let headers = incoming.headers().iter().filter(|(name, _)| kept(name));
+    Ok(Request {
+        id: Arc::from(text(incoming, &names.request_id).unwrap_or_default()),
+        method: incoming.method().clone(),
+        target: target.to_owned(),
+        host: host.to_owned(),
+        headers: headers
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect(),
+        body,
+        service,
+        organisation,
+        arrived,
+        until: arrived + deadline.min(route.timeout),
+        demand: text(incoming, &names.usage).and_then(demand),
+        after: text(incoming, &names.last_event).and_then(|text| text.trim().parse().ok()),
+        route,
+    })
+}
+
+fn text<'a>(incoming: &'a HttpRequest, name: &HeaderName) -> Option<&'a str> {
+    incoming.headers().get(name)?.to_str().ok()
+}
+
+/// Reads "prompt tokens,output tokens".
+fn demand(usage: &str) -> Option<Demand> {
+    let (prompt, output) = usage.split_once(',')?;
+    Some(Demand {
+        prompt: prompt.trim().parse().ok()?,
+        output: output.trim().parse().ok()?,
+    })
+}
+
+/// A response with the upstream's status and headers.
+fn start_response(head: &Head) -> web::HttpResponseBuilder {
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &head.headers {
+        let name = name.to_ascii_lowercase();
+        if !HOP.contains(&name.as_str()) && name != "date" {
+            builder.header(name.as_str(), &value[..]);
+        }
+    }
+    builder
+}
+
+fn whole_response<D>(worker: &Worker<D>, id: &str, whole: Whole, arrived: Mono) -> HttpResponse {
+    let spent = clock::mono().since(arrived);
+    let status = whole.head.status;
+    worker
+        .shared
+        .metrics
+        .time("whole", &format!("status=\"{status}\""), spent);
+    tracing::info!(request = %id, status, outcome = "answered", spent_ms = spent.as_millis(), "ended");
+    let body = Bytes::copy_from_slice(&whole.body);
+    start_response(&whole.head).body(body)
+}
+
+/// The answer to a request that ends here.
+fn refusal<D>(worker: &Worker<D>, id: &str, end: &End, arrived: Mono) -> HttpResponse {
+    let spent = clock::mono().since(arrived);
+    let code = end.code;
+    worker
+        .shared
+        .metrics
+        .count("refused", &format!("code=\"{}\"", code.number()));
+    let retry_after = end.retry_after.map_or(0, |span| span.as_millis());
+    tracing::info!(
+        request = %id, outcome = "refused", code = code.number(), name = code.name(),
+        retry_after_ms = retry_after, spent_ms = spent.as_millis(),
+        revision = worker.node.view().revision().0,
+        age_ms = worker.node.age(clock::mono()).as_millis(), "ended"
+    );
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    builder.header("x-almondlock-code", code.number().to_string());
+    if let Some(span) = end.retry_after {
+        builder.header("retry-after", format!("{:.3}", span.as_secs_f64()));
+    }
+    builder.body(code.text())
+}
--- /dev/null
+++ b/almondlock-gateway/src/worker.rs
@@ -0,0 +1,246 @@
+//! What the requests of one thread share.
+//!
+//! Everything here belongs to one thread and is borrowed for the length of one
+//! decision, never over an await.
+
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Domain, Service, Upstream},
+    time::Mono,
+    unit::Revision,
+};
+use almondlock_node::Handle;
+use rand::rngs::SmallRng;
+
+use crate::{
+    budget::{self, Budget},
+    dialect::Dialect,
+    load,
+    metrics::Metrics,
+    pick::Candidate,
+    pool::Pool,
+    rules::Rules,
+};
+
+/// An upstream that failed is passed over for this long. Two heartbeats of the
+/// usual interval: by then a crashed one was replaced or has come back.
+const SUSPECT: Duration = Duration::from_millis(2500);
+
+/// What the threads of a process share.
+#[derive(Debug, Default)]
+pub(crate) struct Shared {
+    pub(crate) stopping: AtomicBool,
+    pub(crate) active: AtomicUsize,
+    pub(crate) metrics: Metrics,
+}
+
+/// Counts a request as long as it is under way.
+pub(crate) struct Active(Arc<Shared>);
+
+impl Shared {
+    pub(crate) fn enter(self: &Arc<Shared>) -> Active {
+        self.active.fetch_add(1, Ordering::Relaxed);
+        Active(Arc::clone(self))
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Active {
+    fn drop(&mut self) {
+        self.0.active.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// An instance as requests see it.
+#[derive(Clone, Debug)]
+pub(crate) struct Target {
+    pub(crate) name: Upstream,
+    pub(crate) address: SocketAddr,
+    pub(crate) slots: u32,
+    pub(crate) near: bool,
+}
+
+/// The configuration in force, read.
+#[derive(Debug, Default)]
+pub(crate) struct Known {
+    pub(crate) revision: Revision,
+    pub(crate) rules: Option<Arc<Rules>>,
+    /// Instances that take new work, by service.
+    pub(crate) instances: HashMap<Service, Vec<Target>>,
+}
+
+pub(crate) struct Worker<D> {
+    pub(crate) dialect: D,
+    pub(crate) node: Handle,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) domain: Domain,
+    pub(crate) bounds: Bounds,
+    pub(crate) load: RefCell<load::Table>,
+    pub(crate) pool: RefCell<Pool>,
+    pub(crate) rng: RefCell<SmallRng>,
+    known: RefCell<Rc<Known>>,
+    budgets: RefCell<HashMap<Service, Budget>>,
+    suspects: RefCell<HashMap<Upstream, Mono>>,
+}
+
+/// What a gateway is bound by.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// A configuration older than this is not acted on where keys are asked
+    /// for: one of them may have been taken away meanwhile.
+    pub stale: Duration,
+    /// The budget of further attempts.
+    pub retries: budget::Config,
+}
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(
+        dialect: D,
+        node: Handle,
+        shared: Arc<Shared>,
+        domain: Domain,
+        bounds: Bounds,
+        rng: SmallRng,
+    ) -> Worker<D> {
+        Worker {
+            dialect,
+            node,
+            shared,
+            domain,
+            bounds,
+            load: RefCell::default(),
+            pool: RefCell::default(),
+            rng: RefCell::new(rng),
+            known: RefCell::default(),
+            budgets: RefCell::default(),
+            suspects: RefCell::default(),
+        }
+    }
+
+    /// The configuration in force. Read anew when its revision has changed.
+    pub(crate) fn known(&self) -> Rc<Known> {
+        let revision = self.node.view().revision();
+        let known = Rc::clone(&self.known.borrow());
+        if known.revision == revision && revision > Revision::ZERO {
+            return known;
+        }
+        let config = self.node.view().get();
+        let mut instances: HashMap<Service, Vec<Target>> = HashMap::new();
+        for (name, instance) in &config.instances {
+            if instance.leaving {
+                continue;
+            }
+            let target = Target {
+                name: name.clone(),
+                address: instance.address,
+                slots: instance.slots,
+                near: instance.domain == self.domain,
+            };
+            instances
+                .entry(instance.service.clone())
+                .or_default()
+                .push(target);
+        }
+        let next = Rc::new(Known {
+            revision: config.revision,
+            rules: self.rules(&known, config.document.as_ref()),
+            instances,
+        });
+        *self.known.borrow_mut() = Rc::clone(&next);
+        next
+    }
+
+    fn rules(
+        &self,
+        known: &Known,
+        document: Option<&almondlock_state::document::Document>,
+    ) -> Option<Arc<Rules>> {
+        let held = known.rules.clone();
+        let document = document?;
+        if held
+            .as_ref()
+            .is_some_and(|held| held.version == document.version)
+        {
+            return held;
+        }
+        match self.dialect.read(&document.text) {
+            Ok(rules) => {
+                tracing::info!(version = rules.version, "configuration in force");
+                Some(Arc::new(rules))
+            }
+            Err(error) => {
+                // Whoever published it had it checked by the same code, so this
+                // is a newer version's text: the one in force stays.
+                tracing::error!(version = document.version, %error, "configuration can't be read");
+                held
+            }
+        }
+    }
+
+    /// How an instance stands as a candidate.
+    pub(crate) fn candidate(&self, now: Mono, target: &Target, tried: &[Upstream]) -> Candidate {
+        let suspect = tried.contains(&target.name) || self.is_suspect(now, &target.name);
+        Candidate {
+            total: self.load.borrow().total(now, &target.name),
+            slots: target.slots,
+            near: target.near,
+            suspect,
+        }
+    }
+
+    pub(crate) fn is_suspect(&self, now: Mono, name: &Upstream) -> bool {
+        let suspects = self.suspects.borrow();
+        suspects.get(name).is_some_and(|until| now < *until)
+    }
+
+    /// An instance failed: it is passed over for a while.
+    pub(crate) fn suspect(&self, now: Mono, name: &Upstream) {
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.retain(|_, until| now < *until);
+        suspects.insert(name.clone(), now + SUSPECT);
+        self.pool.borrow_mut().forget(name);
+    }
+
+    /// An instance answered.
+    pub(crate) fn clear(&self, name: &Upstream) {
+        self.suspects.borrow_mut().remove(name);
+    }
+
+    /// Counts a request towards the budget of further attempts.
+    pub(crate) fn request(&self, now: Mono, service: &Service) {
+        self.budget(service, |budget| budget.request(now));
+    }
+
+    /// Takes a further attempt out of the budget.
+    pub(crate) fn afford(&self, now: Mono, service: &Service) -> bool {
+        self.budget(service, |budget| budget.take(now))
+    }
+
+    fn budget<T, F>(&self, service: &Service, act: F) -> T
+    where
+        F: FnOnce(&mut Budget) -> T,
+    {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.bounds.retries));
+        act(budget)
+    }
+}
--- a/almondlock-node/examples/spread/main.rs
+++ b/almondlock-node/examples/spread/main.rs
@@ -53,6 +53,7 @@
         listen: ([127, 0, 0, 1], 0).into(),
         seeds: seeds.to_vec(),
         security: Security::Plain,
+        pace: Default::default(),
     })
 }
 
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -23,15 +23,11 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::{sleep, timeout};
 
-use crate::{clock, handle::Shared, session::Session};
+use crate::{clock, handle::Shared, node::Pace, session::Session};
 
-/// How long a parent may hold an answer back when it has no news. Half a
-/// kilobyte goes each time; the age of what is known grows by this a level.
-const WAIT: Duration = Duration::from_secs(2);
-/// The same while something newer is known to exist.
+/// How long a parent may hold an answer back while something newer is known to
+/// exist.
 const WAIT_BEHIND: Duration = Duration::from_millis(100);
-/// How long after its time an answer may still come.
-const SILENCE: Duration = Duration::from_secs(2);
 /// Reports that come closer together than this go up as one.
 const GAP: Duration = Duration::from_millis(10);
 /// A pause after an error. A parent that serves and then fails, over and over,
@@ -48,6 +44,7 @@
     shared: Arc<Shared>,
     dialer: Dialer<L>,
     search: Search<SmallRng>,
+    pace: Pace,
     recency: Recency,
     assembly: Option<Assembly>,
     session: Option<Rc<Session>>,
@@ -62,14 +59,20 @@
         shared: Arc<Shared>,
         dialer: Dialer<L>,
         seeds: &[SocketAddr],
+        pace: Pace,
         parent: Parent,
     ) -> Fetcher<L> {
         // Differs from process to process, which is all that is asked of it.
         let seed = shared.own.process.incarnation.0 ^ u64::from(shared.own.address.port());
         let rng = SmallRng::seed_from_u64(seed);
         let own = shared.own.address;
+        let bounds = parent::Config {
+            stale: pace.stale,
+            ..parent::Config::default()
+        };
         Fetcher {
-            search: Search::new(parent::Config::default(), own, VERSION, seeds, rng),
+            search: Search::new(bounds, own, VERSION, seeds, rng),
+            pace,
             shared,
             dialer,
             recency: Recency::new(),
@@ -120,7 +123,7 @@
         }
         let fetch = self.request(is_parent);
         let sent = clock::mono();
-        let answer = timeout(fetch.wait + SILENCE, session.fetch(&fetch));
+        let answer = timeout(fetch.wait + self.pace.silence, session.fetch(&fetch));
         let delta = tokio::select! {
             biased;
             answer = answer => match answer {
@@ -128,7 +131,7 @@
                 Err(_) => return Err(capnp::Error::disconnected("no answer in time".into())),
             },
             // The question is put again, with what is known now.
-            () = interrupted(&self.shared, &fetch), if is_parent => return Ok(()),
+            () = interrupted(&self.shared, &fetch, self.pace.hold), if is_parent => return Ok(()),
         };
         self.answer(address, &fetch.report, delta, sent)
     }
@@ -155,7 +158,7 @@
         let wait = match () {
             () if !is_parent || backlog => Duration::ZERO,
             () if behind => WAIT_BEHIND,
-            () => WAIT,
+            () => self.pace.hold,
         };
         Fetch { want, report, wait }
     }
@@ -242,7 +245,7 @@
 /// than an answer's way back, each question would be given up for the next one
 /// and no answer ever taken: the process that is told most would learn least.
 /// A short wait ends by itself.
-async fn interrupted(shared: &Shared, fetch: &Fetch) {
+async fn interrupted(shared: &Shared, fetch: &Fetch, hold: Duration) {
     let told = fetch.report.lowest;
     let mut lowest = shared.lowest.subscribe();
     let risen = async {
@@ -252,7 +255,7 @@
         sleep(GAP).await;
     };
     tokio::select! {
-        () = shared.news.notified(), if fetch.wait == WAIT => {}
+        () = shared.news.notified(), if fetch.wait == hold => {}
         () = risen => {}
     }
 }
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -193,6 +193,12 @@
         self.shared.always || current.is_some_and(|at| now.since(at) <= RECENT)
     }
 
+    /// How long ago the configuration in force was last known to be the newest
+    /// that a source had.
+    pub fn age(&self, now: Mono) -> Duration {
+        self.shared.age(now)
+    }
+
     /// Whether the configuration was ever known to be recent in this life.
     /// From then on the process serves with what it has, also while it is cut
     /// off: work goes on without a leader, and without any replica.
--- a/almondlock-node/src/lib.rs
+++ b/almondlock-node/src/lib.rs
@@ -15,4 +15,4 @@
 
 pub use almondlock_transport::clock;
 pub use handle::{Handle, Vouch};
-pub use node::{Config, Node, Parts, Sidecars};
+pub use node::{Config, Node, Pace, Parts, Sidecars};
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -7,6 +7,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, atomic::AtomicU64},
+    time::Duration,
 };
 
 use almondlock_base::id::{Domain, Host, Incarnation, Region, Upstream};
@@ -51,6 +52,32 @@
     pub seeds: Vec<SocketAddr>,
     /// What sessions are wrapped in.
     pub security: Security,
+    /// How closely it follows its parent.
+    pub pace: Pace,
+}
+
+/// How closely a process follows its parent in the tree. The age of what it
+/// holds grows by `hold` a level, and a silent parent is left after `hold` and
+/// `silence`.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How long a parent may hold an answer back when it has no news. Half a
+    /// kilobyte goes each time.
+    pub hold: Duration,
+    /// How long after its time an answer may still come.
+    pub silence: Duration,
+    /// The oldest answer that a parent may give.
+    pub stale: Duration,
+}
+
+impl Default for Pace {
+    fn default() -> Pace {
+        Pace {
+            hold: Duration::from_secs(2),
+            silence: Duration::from_secs(2),
+            stale: almondlock_spread::parent::Config::default().stale,
+        }
+    }
 }
 
 /// Sidecars by the upstream they stand in front of. Upstreams announce
@@ -138,6 +165,7 @@
                 Arc::clone(&shared),
                 dialer,
                 &config.seeds,
+                config.pace,
                 Rc::clone(&parent),
             );
             tasks.push(spawn_local(fetcher.run()));
--- a/almondlock-node/tests/fleet/mod.rs
+++ b/almondlock-node/tests/fleet/mod.rs
@@ -23,6 +23,7 @@
         listen: "127.0.0.1:0".parse().unwrap(),
         seeds: seeds.to_vec(),
         security: Security::Plain,
+        pace: Default::default(),
     }
 }
 
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -282,6 +282,16 @@
         self.peers.get(&id).map(|peer| peer.matched)
     }
 
+    /// Of a leader: when another replica was last heard in this term.
+    pub fn heard(&self, id: Id) -> Option<Mono> {
+        self.peers.get(&id).and_then(|peer| peer.heard)
+    }
+
+    /// Of a leader: since when it has led.
+    pub fn led_since(&self) -> Mono {
+        self.elected_at
+    }
+
     fn check_leader(&self) -> Result<(), Error> {
         if self.is_leader() {
             Ok(())
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -11,6 +11,8 @@
     Number(u64, u64),
     /// `IP:PORT` to listen on; port 0 takes a free one.
     Listen,
+    /// `IP:PORT` to take datagrams on, whose ports are apart from connections'.
+    Datagrams,
     /// `IP:PORT` of another process.
     Address,
     /// Several addresses with commas between them.
@@ -107,10 +109,19 @@
         "sidecar",
         "Makes the process the sidecar of the upstreams on its host, which announce themselves to it.",
     ),
+    (
+        "gateway",
+        "Makes the process an entry host for upstreams that are called directly; see `docs/platform.md`.",
+    ),
     (
         "replica",
         "Makes the process a control replica; its host needs a disk.",
     ),
+    (
+        "directory",
+        "Serves, on a control replica, operators who publish one configuration text, and the \
+         heartbeats of upstreams that are called directly; see `docs/platform.md`.",
+    ),
     (
         "security",
         "Mutual TLS between the system's own processes. Without it the inner protocol is plain \
@@ -121,7 +132,9 @@
 ];
 
 use Need::{Default, Optional, Required};
-use Shape::{Address, Addresses, File, Hash, Listen, Members, Name, Number, Path, Text, Word};
+use Shape::{
+    Address, Addresses, Datagrams, File, Hash, Listen, Members, Name, Number, Path, Text, Word,
+};
 
 const HOUR: u64 = 3_600_000;
 const KIB: u64 = 1024;
@@ -141,6 +154,11 @@
     Key::new("host", "seeds", Addresses, Optional,
         "Inner addresses of control replicas. One that answers is enough; several survive its loss. \
          Needed by every process that is not a replica."),
+    Key::new("host", "seed_port", Number(1, 65_535), Optional,
+        "The inner port of the seeds, where the addresses given for them have another one.").unit("port"),
+    Key::new("host", "follow", Number(50, 60_000), Default("2000"),
+        "How long a parent may hold back an answer when it has no news; the age of the configuration \
+         grows by this a level of the tree, and a silent parent is left after twice this.").unit("ms"),
     Key::new("host", "data", Path, Optional,
         "The folder for durable state. Needed by a replica, unused by others."),
 
@@ -189,20 +207,59 @@
     Key::new("sidecar", "drain_grace", Number(0, 24 * HOUR), Default("600000"),
         "On a stop, how long running requests may take to finish; those that wait are given back at \
          once and go elsewhere.").unit("ms"),
+    Key::new("gateway", "listen", Listen, Required,
+        "Where callers' HTTP requests arrive, behind the platform's balancer."),
+    Key::new("gateway", "ready", Listen, Required,
+        "Where the balancer asks whether this host takes requests: `GET /readyz`."),
+    Key::new("gateway", "metrics", Listen, Optional,
+        "Where counters and latency histograms are served as text: `GET /metrics`."),
+    Key::new("gateway", "exchange", Addresses, Optional,
+        "UDP addresses of the processes that pass on what other entry hosts have under way."),
+    Key::new("gateway", "exchange_port", Number(1, 65_535), Optional,
+        "Their port, where the addresses given have another one.").unit("port"),
+    Key::new("gateway", "stale", Number(500, HOUR), Default("3500"),
+        "A configuration not known to be in force for this long is not acted on where keys are asked \
+         for. Has to be shorter than the time in which a key that was taken away must stop working."
+        ).unit("ms"),
+    Key::new("gateway", "retry_window", Number(1_000, HOUR), Default("10000"),
+        "The window of the budget of further attempts.").unit("ms"),
+    Key::new("gateway", "retry_percent", Number(0, 100), Default("15"),
+        "Further attempts for each hundred requests of the window.").unit("percent"),
+    Key::new("gateway", "retry_free", Number(0, 1_000), Default("3"),
+        "Further attempts in a window in any case, at this host.").unit("count"),
+    Key::new("gateway", "drain_delay", Number(0, HOUR), Default("2500"),
+        "On a stop, how long requests are still accepted after `/readyz` began to fail.").unit("ms"),
+    Key::new("gateway", "drain_grace", Number(0, HOUR), Default("4500"),
+        "On a stop, how long answers in progress may take to finish after that.").unit("ms"),
+
     Key::new("replica", "admin", Listen, Required,
         "Where operators' commands arrive."),
-    Key::new("replica", "members", Members, Required,
+    Key::new("replica", "members", Members, Optional,
         "The replicas that the group starts with, as NAME@INNER@ADMIN: host, inner address, operators' \
          address. The same on each of them, and on replicas added later, which ask them; later changes \
-         go through `almondlock replica`."),
+         go through `almondlock replica`. Without it the group starts with the seeds, each named by its IP \
+         address."),
     Key::new("replica", "operator_key", Hash, Optional,
         "BLAKE3 hash of the first operator's key, read only when the group starts. Without it \
          nobody can make changes until one is set.").secret(),
+    Key::new("replica", "founds", Word(&["yes", "no"]), Default("yes"),
+        "Whether this replica may begin a group on an empty disk. `no` on every start after the \
+         system's first: a group that was lost must not begin anew beside what is left of it."),
+    Key::new("replica", "repairs", Word(&["yes", "no"]), Default("no"),
+        "Whether the leader takes in replicas that ask, and puts out those that were lost, without an \
+         operator."),
     Key::new("replica", "certificate", File, Optional,
         "PEM chain for operators' TLS. Without it the admin listener speaks plain HTTP."),
     Key::new("replica", "key", File, Optional,
         "PEM key of that certificate."),
 
+    Key::new("directory", "listen", Listen, Required,
+        "Where the published configuration and heartbeats arrive; the same port on all replicas."),
+    Key::new("directory", "exchange", Datagrams, Optional,
+        "UDP address at which entry hosts tell what they have under way, to be passed on to the others."),
+    Key::new("directory", "lease", Number(1_000, HOUR), Default("10000"),
+        "How long an instance stays enrolled without a heartbeat.").unit("ms"),
+
     Key::new("security", "ca", File, Required,
         "PEM certificates of the cluster's authority. Processes with other certificates are refused."),
     Key::new("security", "certificate", File, Required,
@@ -212,6 +269,9 @@
 
     Key::new("log", "format", Word(&["text", "json"]), Default("text"),
         "Lines for people, or one JSON object a line."),
+    Key::new("log", "output", Word(&["stderr", "stdout"]), Default("stderr"),
+        "Where lines go. To `stdout` they are written by a thread of their own, with a bounded queue: \
+         under a flood lines are lost and counted, and nothing waits for them."),
     Key::new("log", "filter", Text, Default("warn,almondlock=info"),
         "Which lines are written, such as `warn,almondlock=info,almondlock_node=debug`."),
     Key::new("log", "spans", Path, Optional,
--- a/almondlock-settings/src/lib.rs
+++ b/almondlock-settings/src/lib.rs
@@ -42,7 +42,8 @@
 pub use error::{Errors, Problem};
 pub use page::page;
 pub use settings::{
-    Entry, Format, Host, Log, Member, Metrics, Order, Replica, Security, Settings, Sidecar, Tls,
+    Directory, Entry, Format, Gateway, Host, Log, Member, Metrics, Order, Output, Replica,
+    Security, Settings, Sidecar, Tls,
 };
 
 /// Reads and checks a file. Paths in it count from its folder.
--- a/almondlock-settings/src/page.rs
+++ b/almondlock-settings/src/page.rs
@@ -62,6 +62,7 @@
         Shape::Text => "text".into(),
         Shape::Number(low, high) => format!("{}, {low} to {high}", key.unit),
         Shape::Listen => "`IP:PORT`, port 0 takes a free one".into(),
+        Shape::Datagrams => "`IP:PORT`, UDP".into(),
         Shape::Address => "`IP:PORT`".into(),
         Shape::Addresses => "`IP:PORT, ...`".into(),
         Shape::Members => "`NUMBER@IP:PORT, ...`".into(),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -14,7 +14,8 @@
     key::Shape,
     section::{Section, resolve},
     settings::{
-        Entry, Format, Host, Log, Member, Metrics, Order, Replica, Security, Settings, Sidecar, Tls,
+        Directory, Entry, Format, Gateway, Host, Log, Member, Metrics, Order, Output, Replica,
+        Security, Settings, Sidecar, Tls,
     },
     source,
 };
@@ -44,7 +45,9 @@
         let find = |name| sections.iter().find(|section| section.name == name);
         let host = find("host").and_then(|section| self.host(section));
         let entry = find("entry").map(|section| self.entry(section));
+        let gateway = find("gateway").map(|section| self.gateway(section));
         let replica = find("replica").map(|section| self.replica(section));
+        let directory = find("directory").map(|section| self.directory(section));
         let security = find("security").map(|section| self.security(section));
         let sidecar = find("sidecar").map(|section| self.sidecar(section));
         let or_absent = |name| find(name).cloned().unwrap_or_else(|| Section::absent(name));
@@ -56,7 +59,9 @@
             host: host?,
             entry: whole(entry)?,
             sidecar: whole(sidecar)?,
+            gateway: whole(gateway)?,
             replica: whole(replica)?,
+            directory: whole(directory)?,
             security: whole(security)?,
             log: log?,
             metrics: metrics?,
@@ -70,6 +75,8 @@
         let region = self.name(s, "region");
         let listen = self.address(s, "listen");
         let seeds = self.addresses(s, "seeds");
+        let seeds = with_port(seeds.unwrap_or_default(), self.port(s, "seed_port"));
+        let follow = self.millis(s, "follow");
         if let (Some(address), Some(value)) = (listen, s.get("listen"))
             && address.ip().is_unspecified()
         {
@@ -83,7 +90,8 @@
             domain: domain?,
             region: region?,
             listen: listen?,
-            seeds: seeds.unwrap_or_default(),
+            seeds,
+            follow: follow?,
             data,
         })
     }
@@ -137,16 +145,57 @@
     fn replica(&mut self, s: &Section) -> Option<Replica> {
         let admin = self.address(s, "admin");
         let members = self.members(s);
+        let founds = self.word(s, "founds").map(|word| word == "yes");
+        let repairs = self.word(s, "repairs").map(|word| word == "yes");
         let operator_key = self.hash(s, "operator_key");
         let tls = self.tls(s);
         Some(Replica {
             admin: admin?,
-            members: members?,
+            members: members.unwrap_or_default(),
+            founds: founds?,
+            repairs: repairs?,
             operator_key,
             tls,
         })
     }
 
+    fn gateway(&mut self, s: &Section) -> Option<Gateway> {
+        let listen = self.address(s, "listen");
+        let ready = self.address(s, "ready");
+        let metrics = self.address(s, "metrics");
+        let exchange = self.addresses(s, "exchange").unwrap_or_default();
+        let exchange = with_port(exchange, self.port(s, "exchange_port"));
+        let stale = self.millis(s, "stale");
+        let retry_window = self.millis(s, "retry_window");
+        let retry_percent = self.percent(s, "retry_percent");
+        let retry_free = self.number(s, "retry_free");
+        let drain_delay = self.millis(s, "drain_delay");
+        let drain_grace = self.millis(s, "drain_grace");
+        Some(Gateway {
+            listen: listen?,
+            ready: ready?,
+            metrics,
+            exchange,
+            stale: stale?,
+            retry_window: retry_window?,
+            retry_percent: retry_percent?,
+            retry_free: u32::try_from(retry_free?).ok()?,
+            drain_delay: drain_delay?,
+            drain_grace: drain_grace?,
+        })
+    }
+
+    fn directory(&mut self, s: &Section) -> Option<Directory> {
+        let listen = self.address(s, "listen");
+        let exchange = self.address(s, "exchange");
+        let lease = self.millis(s, "lease");
+        Some(Directory {
+            listen: listen?,
+            exchange,
+            lease: lease?,
+        })
+    }
+
     fn security(&mut self, s: &Section) -> Option<Security> {
         let ca = self.path(s, "ca");
         let certificate = self.path(s, "certificate");
@@ -163,6 +212,10 @@
             "json" => Format::Json,
             _ => Format::Text,
         });
+        let output = self.word(s, "output").map(|word| match word.as_str() {
+            "stdout" => Output::Stdout,
+            _ => Output::Stderr,
+        });
         let filter = self.parse(
             s,
             "filter",
@@ -172,6 +225,7 @@
         let spans = self.path(s, "spans");
         Some(Log {
             format: format?,
+            output: output?,
             filter: filter?,
             spans,
         })
@@ -196,11 +250,11 @@
             self.problem(0, "[host]", "the section is missing", remedy);
             return;
         };
-        if ["entry", "sidecar", "replica"]
+        if ["entry", "sidecar", "gateway", "replica"]
             .iter()
             .all(|role| has(role).is_none())
         {
-            let remedy = "add [entry], [sidecar] or [replica]";
+            let remedy = "add [entry], [sidecar], [gateway] or [replica]";
             self.problem(0, "", "the process has no role", remedy);
         }
         match has("replica") {
@@ -307,6 +361,10 @@
         self.number(s, key).and_then(|n| usize::try_from(n).ok())
     }
 
+    fn port(&mut self, s: &Section, key: &str) -> Option<u16> {
+        self.number(s, key).and_then(|n| u16::try_from(n).ok())
+    }
+
     fn percent(&mut self, s: &Section, key: &str) -> Option<u8> {
         self.number(s, key).and_then(|n| u8::try_from(n).ok())
     }
@@ -382,6 +440,16 @@
     Ok(address)
 }
 
+/// The addresses, with another port if one is given.
+fn with_port(mut addresses: Vec<SocketAddr>, port: Option<u16>) -> Vec<SocketAddr> {
+    if let Some(port) = port {
+        addresses
+            .iter_mut()
+            .for_each(|address| address.set_port(port));
+    }
+    addresses
+}
+
 fn members(text: &str) -> Result<Vec<Member>, String> {
     let mut members: Vec<Member> = Vec::new();
     for part in text.split(',').map(str::trim) {
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use almondlock_base::id;
-pub use almondlock_telemetry::log::Format;
+pub use almondlock_telemetry::log::{Format, Output};
 
 use crate::{key::Shape, section::Section};
 
@@ -16,8 +16,12 @@
     pub entry: Option<Entry>,
     /// The sidecar role.
     pub sidecar: Option<Sidecar>,
+    /// The gateway role.
+    pub gateway: Option<Gateway>,
     /// The control role.
     pub replica: Option<Replica>,
+    /// The control role's listener for publications and heartbeats.
+    pub directory: Option<Directory>,
     /// Mutual TLS between processes.
     pub security: Option<Security>,
     /// Logs and spans.
@@ -42,6 +46,8 @@
     /// Inner addresses of control replicas. Invariant: not empty on a process
     /// that is not a replica.
     pub seeds: Vec<SocketAddr>,
+    /// How long a parent may hold back an answer.
+    pub follow: Duration,
     /// The folder for durable state. Invariant: given on a replica.
     pub data: Option<PathBuf>,
 }
@@ -108,6 +114,42 @@
     pub drain_grace: Duration,
 }
 
+/// Section `[gateway]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Gateway {
+    /// Where callers' requests arrive.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether the host takes requests.
+    pub ready: SocketAddr,
+    /// Where figures are served.
+    pub metrics: Option<SocketAddr>,
+    /// Who passes on what other entry hosts have under way.
+    pub exchange: Vec<SocketAddr>,
+    /// The oldest configuration that keys are checked against.
+    pub stale: Duration,
+    /// The window of the budget of further attempts.
+    pub retry_window: Duration,
+    /// Further attempts for each hundred requests.
+    pub retry_percent: u8,
+    /// Further attempts in any case.
+    pub retry_free: u32,
+    /// How long requests are accepted after readiness began to fail.
+    pub drain_delay: Duration,
+    /// How long answers in progress may take on a stop.
+    pub drain_grace: Duration,
+}
+
+/// Section `[directory]`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Directory {
+    /// Where publications and heartbeats arrive.
+    pub listen: SocketAddr,
+    /// Where entry hosts tell what they have under way.
+    pub exchange: Option<SocketAddr>,
+    /// How long an instance stays enrolled without a heartbeat.
+    pub lease: Duration,
+}
+
 /// A member that a replica group starts with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Member {
@@ -126,6 +168,10 @@
     pub admin: SocketAddr,
     /// Who the group starts with. Invariant: names and inner addresses are unique.
     pub members: Vec<Member>,
+    /// Whether it may begin a group.
+    pub founds: bool,
+    /// Whether a leader changes the membership by itself.
+    pub repairs: bool,
     /// Hash of the first operator's key.
     pub operator_key: Option<String>,
     /// Operators' TLS.
@@ -148,6 +194,8 @@
 pub struct Log {
     /// How lines look.
     pub format: Format,
+    /// Where lines go.
+    pub output: Output,
     /// Which lines are written.
     pub filter: String,
     /// Where finished hops go.
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -20,6 +20,8 @@
     blob::Blob,
     claim::Verdict,
     config::Registration,
+    document::Document,
+    instance::Instance,
     intent::Intent,
     operator::Operator,
     plan::{self, Advance, Plan},
@@ -50,6 +52,31 @@
         /// The leader's time.
         at: Wall,
     },
+    /// An operator published the deployment's configuration; see
+    /// [`crate::document`].
+    Publish {
+        /// The text and its version.
+        document: Document,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An instance that is called without a sidecar says what it is; see
+    /// [`crate::instance`].
+    Enrol {
+        /// Its name.
+        upstream: Upstream,
+        /// What it says of itself.
+        instance: Instance,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// An instance is gone: it said so, or its lease ended.
+    Withdraw {
+        /// Its name.
+        upstream: Upstream,
+        /// The leader's time.
+        at: Wall,
+    },
     /// A request that may not be repeated wants to run; see [`crate::claim`].
     Claim {
         /// Whose request it is.
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -15,6 +15,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::{document::Document, instance::Instance};
+
 /// A caller's key as it is kept: its BLAKE3 hash in hexadecimal. The key itself
 /// is shown once, when it is made.
 pub type KeyHash = String;
@@ -168,6 +170,10 @@
     Setting(String, Option<String>),
     /// An upstream is to load something, or has done so.
     Order(almondlock_base::id::Upstream, Option<Order>),
+    /// The deployment's configuration was published.
+    Document(Option<Document>),
+    /// An instance that is called without a sidecar came, changed or went.
+    Instance(almondlock_base::id::Upstream, Option<Instance>),
 }
 
 /// The whole configuration at one revision.
@@ -193,6 +199,10 @@
     pub settings: BTreeMap<String, String>,
     /// What upstreams are to load.
     pub orders: BTreeMap<almondlock_base::id::Upstream, Order>,
+    /// The deployment's configuration, where it is published as one text.
+    pub document: Option<Document>,
+    /// Instances that are called without a sidecar, by name.
+    pub instances: BTreeMap<almondlock_base::id::Upstream, Instance>,
 }
 
 /// The setting that names the other version of a model that requests may run
@@ -216,6 +226,8 @@
             }
             Change::Setting(name, value) => assign(&mut self.settings, name, value),
             Change::Order(name, value) => assign(&mut self.orders, name, value),
+            Change::Document(value) => self.document = value,
+            Change::Instance(name, value) => assign(&mut self.instances, name, value),
         }
     }
 
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -74,6 +74,10 @@
 pub const ADAPTERS: usize = 512;
 /// Plain services.
 pub const SERVICES: usize = 256;
+/// Instances that are called without a sidecar.
+pub const INSTANCES: usize = 4_096;
+/// Names of instances that are gone, kept so that a delayed heartbeat brings none back.
+pub const INSTANCES_GONE: usize = 4_096;
 /// Settings.
 pub const SETTINGS: usize = 256;
 /// Bytes of a setting's name or value, a reason, or a method list's entry.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -25,7 +25,7 @@
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    history, limit,
+    document, history, instance, limit,
     operator::Operator,
     plan::{
         self,
@@ -49,6 +49,7 @@
     claims: claim::Table,
     suspects: poison::Table,
     lives: registration::Table,
+    instances: instance::Table,
     plans: plan::table::Table,
     history: history::Table,
     /// Invariant: never goes back.
@@ -97,6 +98,11 @@
         &self.claims
     }
 
+    /// Whether an instance is gone for good.
+    pub fn is_gone(&self, instance: &Upstream) -> bool {
+        self.instances.is_gone(instance)
+    }
+
     /// The time by which things are forgotten.
     pub fn clock(&self) -> Wall {
         self.clock
@@ -141,6 +147,24 @@
                 self.forget(&upstream, incarnation, at, changes);
                 Ok(accepted())
             }
+            Command::Publish { document, .. } => {
+                let made = document::publish(&self.tables.config, document);
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
+            Command::Enrol {
+                upstream, instance, ..
+            } => {
+                let config = &self.tables.config;
+                let made = self.instances.enrol(config, &upstream, instance);
+                self.change(made, changes);
+                Ok(accepted())
+            }
+            Command::Withdraw { upstream, .. } => {
+                let made = self.instances.withdraw(&self.tables.config, &upstream);
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
             Command::Seed {
                 operators,
                 replicas,
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -77,6 +77,8 @@
             Effect::Config(Change::Quarantine(print, _)) => format!("quarantine/{print}"),
             Effect::Config(Change::Setting(name, _)) => format!("setting/{name}"),
             Effect::Config(Change::Order(name, _)) => format!("order/{name}"),
+            Effect::Config(Change::Document(_)) => "document".to_owned(),
+            Effect::Config(Change::Instance(name, _)) => format!("instance/{name}"),
             Effect::Operator(name, _) => format!("operator/{name}"),
             Effect::Replica(..) => return Part::replicas(),
         };
@@ -114,6 +116,10 @@
                 Change::Setting(name.clone(), config.settings.get(name).cloned())
             }
             Change::Order(name, _) => Change::Order(name.clone(), config.orders.get(name).cloned()),
+            Change::Document(_) => Change::Document(config.document.clone()),
+            Change::Instance(name, _) => {
+                Change::Instance(name.clone(), config.instances.get(name).cloned())
+            }
         })
     }
 }
--- a/almondlock-transport/src/clock.rs
+++ b/almondlock-transport/src/clock.rs
@@ -2,12 +2,13 @@
 
 use std::{
     sync::OnceLock,
-    time::{Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use almondlock_base::time::{Mono, Wall};
+use rustix::time::{ClockId, Timespec, clock_gettime};
 
-static START: OnceLock<Instant> = OnceLock::new();
+static START: OnceLock<Duration> = OnceLock::new();
 
 /// What the monotonic clock shows when the process starts.
 ///
@@ -18,8 +19,20 @@
 const FIRST: Mono = Mono::from_millis(24 * 3_600_000);
 
 /// The present time on the process's monotonic clock.
+///
+/// It counts the time in which the host was suspended. With a clock that
+/// doesn't, a process that wakes would hold a lease or a configuration for
+/// fresh that has long run out, and act on a key that was taken away meanwhile.
 pub fn mono() -> Mono {
-    FIRST + START.get_or_init(Instant::now).elapsed()
+    let now = boot_time();
+    FIRST + now.saturating_sub(*START.get_or_init(|| now))
+}
+
+fn boot_time() -> Duration {
+    let Timespec { tv_sec, tv_nsec } = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(tv_sec).unwrap_or_default();
+    // Below a billion by the interface.
+    Duration::new(seconds, u32::try_from(tv_nsec).unwrap_or_default())
 }
 
 /// The present time by the host's own, possibly wrong clock.
