Close the connection of a broken-off stream, and refuse late in a stop

Change: a broken-off body closes its connection and stays pending; after the balancer had time to notice, new requests are refused as not run.

--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! The listeners: callers' requests, readiness, and figures.
 
 use std::{
+    future::pending,
     io,
     net::{SocketAddr, TcpListener},
     rc::Rc,
@@ -10,16 +11,21 @@
 
 use almondlock_base::{Code, id::Domain, time::Mono};
 use almondlock_node::{Handle, clock};
-use futures::{StreamExt, stream};
+use futures::{StreamExt, future::join_all, stream};
 use ntex::{
     SharedCfg,
     http::{HttpServiceConfig, StatusCode, header::HeaderName},
+    io::IoRef,
     time::Seconds,
     util::{Bytes, BytesMut},
     web::{self, App, HttpRequest, HttpResponse, HttpServer, types::Payload, types::State},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
-use tokio::{net::UdpSocket, task::spawn_local, time::sleep};
+use tokio::{
+    net::UdpSocket,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 pub use crate::worker::Bounds;
 use crate::{
@@ -34,6 +40,8 @@
 
 /// How often the end of answers in progress is looked for on a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// How long the listeners may take to stop once nothing is under way.
+const STOP_TIME: Duration = Duration::from_millis(200);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// How long a request's head may take to arrive. Published limits come with
@@ -42,8 +50,6 @@
 /// How long an idle connection of a caller is kept: longer than callers reuse
 /// one, which is most of the published limit.
 const KEEP_ALIVE: Seconds = Seconds(20);
-/// When to come back to a host that doesn't know a recent configuration.
-const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 /// A request without a deadline of its caller's is bounded by its route alone.
 const NO_DEADLINE: Duration = Duration::from_secs(3600);
 /// Headers that concern one connection only, or that are written anew.
@@ -97,7 +103,7 @@
 where
     D: Dialect,
 {
-    let shared = Arc::new(Shared::default());
+    let shared = Arc::new(Shared::new(clock::mono()));
     let callers = callers(&config, dialect, node.clone(), &shared)?;
     let ready = ready(&config, node, &shared)?;
     let mut servers = vec![callers, ready];
@@ -118,17 +124,19 @@
     pub async fn stop(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
         sleep(self.notice).await;
+        self.shared.closing.store(true, Ordering::Relaxed);
         let drained = async {
             while self.shared.active.load(Ordering::Relaxed) > 0 {
                 sleep(DRAIN_PAUSE).await;
             }
         };
-        if tokio::time::timeout(self.grace, drained).await.is_err() {
+        if timeout(self.grace, drained).await.is_err() {
             let active = self.shared.active.load(Ordering::Relaxed);
             tracing::warn!(active, "stopping with answers in progress");
         }
-        for server in self.servers {
-            server.stop(false).await;
+        let stops = self.servers.into_iter().map(|server| server.stop(false));
+        if timeout(STOP_TIME, join_all(stops)).await.is_err() {
+            tracing::warn!("listeners have not stopped in time");
         }
     }
 }
@@ -252,11 +260,17 @@
     let id = text(&incoming, &names.request_id)
         .unwrap_or_default()
         .to_owned();
-    let accepted = accept(&worker, &incoming, payload, arrived).await;
+    let accepted = match worker.shared.is_closing() {
+        // What is taken now might not be answered before the process ends.
+        true => Err(Code::HostStopping),
+        false => accept(&worker, &incoming, payload, arrived).await,
+    };
     let result = match accepted {
         Ok(request) => serve(&worker, &incoming, Rc::new(request)).await,
         Err(code) => {
-            let retry_after = code.is_retryable().then_some(NOT_READY_RETRY);
+            let retry_after = code
+                .is_retryable()
+                .then(|| worker.shared.return_time(arrived));
             Err(End { code, retry_after })
         }
     };
@@ -264,11 +278,21 @@
         Ok(Answer::Whole(whole)) => whole_response(&worker, &id, whole, arrived),
         Ok(Answer::Stream(stream)) => {
             let mut builder = start_response(&stream.head);
-            let body = stream::unfold((stream, active), async |(mut stream, active)| {
-                let next = stream.next().await?;
-                let next = next.map(|bytes| Bytes::copy_from_slice(&bytes));
-                Some((next, (stream, active)))
-            });
+            let io = incoming.io().cloned();
+            let body =
+                stream::unfold(
+                    (stream, active, io),
+                    async |(mut stream, active, io)| match stream.next().await? {
+                        Ok(bytes) => {
+                            let bytes = Bytes::copy_from_slice(&bytes);
+                            Some((Ok::<_, std::io::Error>(bytes), (stream, active, io)))
+                        }
+                        Err(error) => {
+                            drop((stream, active));
+                            break_off(io, error).await
+                        }
+                    },
+                );
             builder.streaming(body.boxed_local())
         }
         Err(end) => refusal(&worker, &id, &end, arrived),
@@ -280,6 +304,23 @@
     response
 }
 
+/// Ends a response in the middle of its body, by closing the connection. The
+/// HTTP library would write the error's own response into the unfinished body,
+/// which the caller could take for a part of it.
+async fn break_off<T>(io: Option<IoRef>, error: io::Error) -> Option<(io::Result<Bytes>, T)> {
+    match io {
+        Some(io) => {
+            io.close();
+            pending().await
+        }
+        // Without a connection there is nobody to mislead.
+        None => {
+            tracing::warn!(%error, "a response without a connection broke off");
+            None
+        }
+    }
+}
+
 /// Runs the request; ends at once when the caller leaves.
 async fn serve<D>(
     worker: &Rc<Worker<D>>,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -38,9 +38,13 @@
 const SUSPECT: Duration = Duration::from_millis(2500);
 
 /// What the threads of a process share.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Shared {
+    started: Mono,
+    /// Told to stop: not ready, but requests that come are still taken.
     pub(crate) stopping: AtomicBool,
+    /// No request is taken any more.
+    pub(crate) closing: AtomicBool,
     pub(crate) active: AtomicUsize,
     pub(crate) metrics: Metrics,
 }
@@ -48,7 +52,35 @@
 /// Counts a request as long as it is under way.
 pub(crate) struct Active(Arc<Shared>);
 
+/// After a start, how long a process takes to learn a recent configuration
+/// when all others started with it: an election and the first exchange.
+const COLD_START: Duration = Duration::from_millis(1600);
+/// When to come back to another host, because this one is cut off or stops.
+const ELSEWHERE: Duration = Duration::from_millis(100);
+
 impl Shared {
+    pub(crate) fn new(now: Mono) -> Shared {
+        Shared {
+            started: now,
+            stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
+            metrics: Metrics::default(),
+        }
+    }
+
+    /// When a caller that is refused should come back. Shortly after a start
+    /// all hosts may have started together, and coming back early meets the
+    /// same refusal; later it is this host alone, and another one will serve.
+    pub(crate) fn return_time(&self, now: Mono) -> Duration {
+        let up = now.since(self.started);
+        COLD_START.saturating_sub(up).max(ELSEWHERE)
+    }
+
+    pub(crate) fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Relaxed)
+    }
+
     pub(crate) fn enter(self: &Arc<Shared>) -> Active {
         self.active.fetch_add(1, Ordering::Relaxed);
         Active(Arc::clone(self))
