Pack short streams on one side of the engines, read long prompts on the other

Ruled out: first events, which were in time for all but 14 of 924.

Change: sides counted from the two ends of one list, the border follows the short streams under way; parts of long prompts stay on their side; each host tells every relay, since hosts on different relays stayed apart and packed their work onto the same engines.

Failed try: crossing sides for a price; the largest prompts crossed most.

--- a/almondlock-gateway/src/exchange.rs
+++ b/almondlock-gateway/src/exchange.rs
@@ -3,10 +3,13 @@
 //! **Load pattern.** Dozens of entry hosts send to the same engines. Each knows
 //! exactly what it has sent itself and nothing of the others, so several pick
 //! the same idle engine, and a long prompt's parts land on each other. Every
-//! [`PERIOD`] each host tells what it has under way; a relay beside a control
-//! replica, whose address all of them know, gathers what came in one period
-//! and sends it to all. A datagram that is lost costs one period of knowledge;
-//! a relay that is gone is replaced by the next one within [`SILENCE`].
+//! [`PERIOD`] each host tells what it has under way; relays beside the control
+//! replicas, whose addresses all of them know, gather what came in one period
+//! and send it to all. A datagram that is lost costs one period of knowledge.
+//!
+//! Hosts tell every relay. With one relay each, those that left a silent relay
+//! at different moments would stay apart for good, each hearing its own relay
+//! and none of the others' hosts, and pack their work onto the same engines.
 //!
 //! Work is seen by the others within two periods. A shorter one would cost
 //! each host more wake-ups than its share of the requests does.
@@ -25,8 +28,6 @@
 
 /// How often a host tells, and a relay passes on.
 pub const PERIOD: Duration = Duration::from_millis(40);
-/// A relay that sends nothing for this long is left for the next one.
-pub const SILENCE: Duration = Duration::from_millis(400);
 /// A relay forgets a host that told nothing for this long.
 const GONE: Duration = Duration::from_secs(2);
 /// With nothing under way a host tells only this often: that it is there.
@@ -119,8 +120,6 @@
     let mut ticks = interval(PERIOD);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM];
-    let mut current = 0;
-    let mut heard = clock::mono();
     let mut idle = 0;
     loop {
         tokio::select! {
@@ -129,20 +128,14 @@
                 let Ok(digests) = postcard::from_bytes::<Vec<Digest>>(&buffer[..length]) else {
                     continue;
                 };
-                heard = clock::mono();
-                take_in(&worker, heard, host, digests);
+                take_in(&worker, clock::mono(), host, digests);
             }
             _ = ticks.tick() => {
                 let now = clock::mono();
-                if now.since(heard) > SILENCE {
-                    current += 1;
-                    heard = now;
-                    tracing::info!(relay = %relays[current % relays.len()], "load relay silent, next one");
-                }
                 let totals = worker.load.borrow().own(now);
                 idle = if totals.is_empty() { idle + 1 } else { 0 };
                 if idle % IDLE_PERIODS == 0 {
-                    tell(&socket, relays[current % relays.len()], &Digest { host, totals }).await;
+                    tell(&socket, &relays, &Digest { host, totals }).await;
                 }
             }
         }
@@ -156,12 +149,15 @@
     }
 }
 
-async fn tell(socket: &UdpSocket, relay: SocketAddr, digest: &Digest) {
+async fn tell(socket: &UdpSocket, relays: &[SocketAddr], digest: &Digest) {
     let Ok(bytes) = postcard::to_stdvec(digest) else {
         tracing::error!("a digest can't be written");
         return;
     };
-    if let Err(error) = socket.send_to(&bytes, relay).await {
-        tracing::debug!(%relay, %error, "datagram not sent");
+    for relay in relays {
+        // One that is gone is made good by the others.
+        if let Err(error) = socket.send_to(&bytes, relay).await {
+            tracing::debug!(%relay, %error, "datagram not sent");
+        }
     }
 }
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -467,6 +467,7 @@
     let first = Work {
         reading: choice.part,
         writes: true,
+        short: choice.helpers.is_empty() && choice.part <= pick::SHORT,
         memory,
     };
     let part = Work {
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -30,6 +30,8 @@
     pub reading: Duration,
     /// It will write a stream there.
     pub writes: bool,
+    /// That stream's prompt is short.
+    pub short: bool,
     /// Tokens of memory that it takes there.
     pub memory: u64,
 }
@@ -44,6 +46,8 @@
     pub waiting: u32,
     /// Streams that are being written.
     pub streams: u32,
+    /// Of those and of the waiting, the ones with a short prompt.
+    pub short: u32,
     /// Tokens of memory in use.
     pub memory: u64,
 }
@@ -53,6 +57,7 @@
         self.reading += other.reading;
         self.waiting += other.waiting;
         self.streams += other.streams;
+        self.short += other.short;
         self.memory += other.memory;
     }
 
@@ -173,6 +178,7 @@
     let mut oldest: Option<Mono> = None;
     for item in items.values() {
         total.memory += item.work.memory;
+        total.short += u32::from(item.work.short);
         if item.begun {
             total.streams += u32::from(item.work.writes);
             continue;
--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -10,9 +10,17 @@
 //! no more than make each part [`PART`] long: a part costs its engines a pass,
 //! and smaller ones would only take part in more passes.
 //!
+//! **Two sides.** Short streams are packed onto as few engines as write them
+//! without delay, counted from one end of a list that all entry hosts have in
+//! the same order; long prompts are read by the others. The border follows the
+//! number of short streams under way, so it moves within a second of the mix,
+//! and no engine changes sides by decree: what it still reads or writes makes
+//! it dearer for the other kind until it is done.
+//!
 //! **Placement.** Each part goes where the least is left to read. The engine
 //! that writes the answer also holds the whole context, so it is the one with
-//! the most memory free among them.
+//! the most memory free among them; unless the part is so small that an engine
+//! of the short side can read it, where the next events come without delay.
 
 use std::time::Duration;
 
@@ -25,6 +33,30 @@
 /// steps of the pass itself beside it.
 pub const PART: Duration = Duration::from_millis(40);
 
+/// A prompt that one engine reads in this time is short: it is read whole, and
+/// its engine's other streams hardly notice.
+pub const SHORT: Duration = Duration::from_millis(120);
+
+/// A part of a long prompt that an engine of the short side may read: with a
+/// pass of its own it stays within the shortest pauses that streams allow.
+const SHORT_PART: Duration = Duration::from_millis(50);
+
+/// Short streams that share an engine. With twelve a pass takes a fifth longer
+/// than with one, and a quarter of an engine's usual 16 places stay free for
+/// those that come at once.
+const PACKED: u32 = 11;
+
+/// Of this many engines at least one stays with the long prompts.
+const LONG_LEAST: usize = 7;
+
+/// How much sooner an engine of the other side must be done to be taken.
+const CROSSING: Duration = Duration::from_millis(60);
+
+/// What a part costs the short streams on its engine, as a delay of the part.
+/// Parts take up to some hundred milliseconds, in which each of those streams
+/// pauses longer than it may.
+const HARM: Duration = Duration::from_millis(500);
+
 /// The most engines that may help one request; what the engines' protocol
 /// allows.
 pub const HELPERS: usize = 16;
@@ -96,7 +128,8 @@
     })
 }
 
-/// Chooses among engines.
+/// Chooses among engines. All entry hosts must list them in the same order:
+/// the sides are counted from its two ends.
 pub fn engine<R>(
     speed: &Speed,
     demand: Demand,
@@ -107,39 +140,126 @@
     R: RngCore,
 {
     let whole = speed.reading(demand.prompt);
-    let mut order: Vec<(f64, usize)> = candidates
-        .iter()
-        .enumerate()
-        .filter(|(_, candidate)| !candidate.suspect)
-        .map(|(i, candidate)| (cost(speed, candidate) + rng.random::<f64>() * 1e-3, i))
+    let healthy: Vec<usize> = (0..candidates.len())
+        .filter(|i| !candidates[*i].suspect)
         .collect();
-    order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-    if order.is_empty() {
+    if healthy.is_empty() {
         return suspects(speed, whole, demand, candidates, rng);
     }
-    let most = parts(whole).min(order.len());
-    let count = soonest(&order, most, |count| speed.part(demand.prompt, count));
-    let chosen = &order[..count];
-    let room = |i: usize| free(speed, &candidates[i]);
-    let fits = |i: &usize| room(*i) >= demand.prompt + demand.output;
-    let places = |i: &usize| candidates[*i].total.requests() < candidates[*i].slots;
-    let members = || chosen.iter().map(|(_, i)| *i);
-    let first = if count == 1 {
-        order.iter().map(|(_, i)| *i).find(|i| fits(i) && places(i))
-    } else {
-        members().filter(places).max_by_key(|i| room(*i))
+    let streams = healthy.iter().map(|i| candidates[*i].total.short).sum();
+    let (short, long) = healthy.split_at(side(streams, healthy.len()));
+    let field = Field {
+        speed,
+        demand,
+        candidates,
     };
-    let first = first.or_else(|| members().next())?;
-    let part = speed.part(demand.prompt, count);
-    let slowest = chosen.last().map_or(0.0, |(cost, _)| *cost);
-    Some(Choice {
-        first,
-        helpers: members().filter(|i| *i != first).take(HELPERS).collect(),
-        expected: Duration::from_secs_f64(slowest.max(0.0))
-            + part
-            + speed.writing(1, demand.prompt),
-        part,
-    })
+    match whole <= SHORT {
+        true => field.short(short, long, rng),
+        false => field.long(short, long, rng),
+    }
+}
+
+/// How many of the engines are the short streams' own.
+fn side(streams: u32, engines: usize) -> usize {
+    let needed = (streams + 1).div_ceil(PACKED) as usize;
+    let most = engines.saturating_sub(engines / LONG_LEAST).max(1);
+    needed.clamp(1, most)
+}
+
+struct Field<'a> {
+    speed: &'a Speed,
+    demand: Demand,
+    candidates: &'a [Candidate],
+}
+
+impl Field<'_> {
+    fn short<R>(&self, short: &[usize], long: &[usize], rng: &mut R) -> Option<Choice>
+    where
+        R: RngCore,
+    {
+        let own = short.iter().map(|i| (self.cost(*i), *i));
+        let other = long
+            .iter()
+            .map(|i| (self.cost(*i) + CROSSING.as_secs_f64(), *i));
+        let (cost, first) = best(own.chain(other), rng)?;
+        let part = self.speed.reading(self.demand.prompt);
+        Some(Choice {
+            first,
+            helpers: Vec::new(),
+            expected: self.expected(cost, part),
+            part,
+        })
+    }
+
+    fn long<R>(&self, short: &[usize], long: &[usize], rng: &mut R) -> Option<Choice>
+    where
+        R: RngCore,
+    {
+        let harm = |i: usize| match self.candidates[i].total.short {
+            0 => 0.0,
+            _ => HARM.as_secs_f64(),
+        };
+        // Never both sides: the largest parts would win most by crossing, and
+        // make every short stream of the fleet late at once.
+        let readers = if long.is_empty() { short } else { long };
+        let costs = readers.iter().map(|i| (self.cost(*i) + harm(*i), *i));
+        let mut order: Vec<(f64, usize)> = costs.collect();
+        order
+            .iter_mut()
+            .for_each(|(cost, _)| *cost += rng.random::<f64>() * 1e-3);
+        order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let whole = self.speed.reading(self.demand.prompt);
+        let most = parts(whole).min(order.len());
+        let count = soonest(&order, most, |count| {
+            self.speed.part(self.demand.prompt, count)
+        });
+        let part = self.speed.part(self.demand.prompt, count);
+        let mut chosen: Vec<usize> = order[..count].iter().map(|(_, i)| *i).collect();
+        let slowest = order[count - 1].0;
+        let writer = match part <= SHORT_PART && count > 1 {
+            true => best(short.iter().map(|i| (self.cost(*i), *i)), rng).map(|(_, i)| i),
+            false => None,
+        };
+        let room = |i: &usize| (self.has_place(*i), free(self.speed, &self.candidates[*i]));
+        let first = writer.or_else(|| chosen.iter().copied().max_by_key(room))?;
+        if !chosen.contains(&first) {
+            chosen.pop();
+        }
+        chosen.retain(|i| *i != first);
+        chosen.truncate(HELPERS);
+        Some(Choice {
+            first,
+            helpers: chosen,
+            expected: self.expected(slowest, part),
+            part,
+        })
+    }
+
+    fn has_place(&self, i: usize) -> bool {
+        let candidate = &self.candidates[i];
+        candidate.total.requests() < candidate.slots
+    }
+
+    /// Seconds until a new prompt is read there.
+    fn cost(&self, i: usize) -> f64 {
+        cost(self.speed, &self.candidates[i])
+    }
+
+    fn expected(&self, wait: f64, part: Duration) -> Duration {
+        let pass = self.speed.writing(1, self.demand.prompt);
+        Duration::from_secs_f64(wait.max(0.0)) + part + pass
+    }
+}
+
+/// The least cost, equals by lot.
+fn best<I, R>(costs: I, rng: &mut R) -> Option<(f64, usize)>
+where
+    I: Iterator<Item = (f64, usize)>,
+    R: RngCore,
+{
+    costs
+        .map(|(cost, i)| (cost + rng.random::<f64>() * 1e-3, i))
+        .min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
 /// Into how many parts a prompt may be cut at most.
