Count what is left to read from when an engine begins it; hosts tell each other without relays

Change: hosts tell each other while no relay answers; reading is counted down per piece from its expected beginning; the largest prompts are read by the fewest engines that make their objective; middling ones are written on the short side.

--- a/almondlock-gateway/src/exchange.rs
+++ b/almondlock-gateway/src/exchange.rs
@@ -10,6 +10,7 @@
 //! Hosts tell every relay. With one relay each, those that left a silent relay
 //! at different moments would stay apart for good, each hearing its own relay
 //! and none of the others' hosts, and pack their work onto the same engines.
+//! While no relay answers, hosts tell each other.
 //!
 //! Work is seen by the others within two periods. A shorter one would cost
 //! each host more wake-ups than its share of the requests does.
@@ -28,6 +29,8 @@
 
 /// How often a host tells, and a relay passes on.
 pub const PERIOD: Duration = Duration::from_millis(40);
+/// Hosts tell each other directly once no relay was heard for this long.
+const SILENCE: Duration = Duration::from_millis(160);
 /// A relay forgets a host that told nothing for this long.
 const GONE: Duration = Duration::from_secs(2);
 /// With nothing under way a host tells only this often: that it is there.
@@ -41,6 +44,9 @@
 pub struct Digest {
     /// The host's number, drawn at its start.
     pub host: u64,
+    /// Where the host takes datagrams, as a relay saw it. None as the host
+    /// itself tells it.
+    pub address: Option<SocketAddr>,
     /// Totals by upstream.
     pub totals: Vec<(Upstream, Total)>,
 }
@@ -53,7 +59,8 @@
 
 impl Gather {
     /// A host told something.
-    pub fn tell(&mut self, now: Mono, from: SocketAddr, digest: Digest) {
+    pub fn tell(&mut self, now: Mono, from: SocketAddr, mut digest: Digest) {
+        digest.address = Some(from);
         self.hosts.insert(from, (now, Some(digest)));
     }
 
@@ -121,6 +128,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut buffer = vec![0; DATAGRAM];
     let mut idle = 0;
+    let mut peers = Peers::default();
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
@@ -128,20 +136,64 @@
                 let Ok(digests) = postcard::from_bytes::<Vec<Digest>>(&buffer[..length]) else {
                     continue;
                 };
-                take_in(&worker, clock::mono(), host, digests);
+                let now = clock::mono();
+                peers.hear(now, host, &digests);
+                take_in(&worker, now, host, digests);
             }
             _ = ticks.tick() => {
                 let now = clock::mono();
                 let totals = worker.load.borrow().own(now);
                 idle = if totals.is_empty() { idle + 1 } else { 0 };
                 if idle % IDLE_PERIODS == 0 {
-                    tell(&socket, &relays, &Digest { host, totals }).await;
+                    let digest = Digest { host, address: None, totals };
+                    tell(&socket, &relays, &digest).await;
+                    tell_directly(&socket, &peers.alone(now), digest).await;
                 }
             }
         }
     }
 }
 
+/// The other hosts, as the relays last named them.
+///
+/// All relays may be gone at once, since the control replicas may: for the
+/// seconds in which they start again hosts tell each other directly. Not
+/// always, because that costs each of them a datagram for each other one.
+#[derive(Debug, Default)]
+pub struct Peers {
+    known: HashMap<SocketAddr, Mono>,
+    relayed: Option<Mono>,
+}
+
+impl Peers {
+    /// A datagram came. From a relay it names where each host is.
+    pub fn hear(&mut self, now: Mono, own: u64, digests: &[Digest]) {
+        let others = digests.iter().filter(|digest| digest.host != own);
+        for address in others.filter_map(|digest| digest.address) {
+            self.known.insert(address, now);
+        }
+        if digests.iter().any(|digest| digest.address.is_some()) {
+            self.relayed = Some(now);
+            self.known.retain(|_, at| now.since(*at) < GONE);
+        }
+    }
+
+    /// Whom to tell directly: nobody while a relay is heard.
+    pub fn alone(&self, now: Mono) -> Vec<SocketAddr> {
+        match self.relayed {
+            Some(at) if now.since(at) >= SILENCE => self.known.keys().copied().collect(),
+            _ => Vec::new(),
+        }
+    }
+}
+
+/// Tells hosts what relays would have passed on.
+async fn tell_directly(socket: &UdpSocket, peers: &[SocketAddr], digest: Digest) {
+    if !peers.is_empty() {
+        send_all(socket, &vec![digest], peers).await;
+    }
+}
+
 fn take_in<D>(worker: &Worker<D>, now: Mono, own: u64, digests: Vec<Digest>) {
     let mut load = worker.load.borrow_mut();
     for digest in digests.into_iter().filter(|digest| digest.host != own) {
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -469,14 +469,16 @@
         writes: true,
         short: choice.helpers.is_empty() && choice.part <= pick::SHORT,
         memory,
+        ..Work::default()
     };
     let part = Work {
         reading: choice.part,
         ..Work::default()
     };
     let mut load = worker.load.borrow_mut();
-    let mut begin = |place: usize, work: Work| {
+    let mut begin = |place: usize, mut work: Work| {
         let target = targets.get(place)?;
+        work.wait = load.total(now, &target.name).backlog();
         Some((target.name.clone(), load.begin(now, &target.name, work)))
     };
     let mut tickets: Vec<_> = begin(choice.first, first).into_iter().collect();
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -3,8 +3,7 @@
 //! An upstream's own report is old when it arrives, and while it is under way
 //! all entry hosts would follow the same one to the same idle upstream. So each
 //! entry host counts what it has sent itself, exactly and at once, and adds
-//! what the others last told of theirs. What they told loses weight with its
-//! age as work is done, and is dropped when they fall silent.
+//! what the others last told of theirs, until they fall silent.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -21,13 +20,15 @@
 /// Of the reading time that is thought to be left, the part that stays until
 /// the first event proves that it is done. Estimates run out before the engine
 /// does when it also serves others.
-const DOUBT: f64 = 0.25;
+const DOUBT: f32 = 0.25;
 
 /// What one request asks of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
     /// Time that the engine will read for it.
     pub reading: Duration,
+    /// Time that the engine has to read before.
+    pub wait: Duration,
     /// It will write a stream there.
     pub writes: bool,
     /// That stream's prompt is short.
@@ -70,16 +71,6 @@
     pub fn requests(&self) -> u32 {
         self.waiting + self.streams
     }
-
-    /// What is left of it after some time of reading.
-    fn aged(&self, by: Duration) -> Total {
-        let spent = by.as_secs_f32() * 1e3;
-        let floor = self.reading * DOUBT as f32;
-        Total {
-            reading: (self.reading - spent).max(floor),
-            ..*self
-        }
-    }
 }
 
 /// Names one piece of work until it ends.
@@ -89,11 +80,22 @@
 #[derive(Clone, Copy, Debug)]
 struct Item {
     work: Work,
-    since: Mono,
+    // When the engine is thought to begin to read it. Until then all of it is
+    // left, whoever's work the engine does meanwhile.
+    start: Mono,
     // Its first event has come: nothing is left to read.
     begun: bool,
 }
 
+impl Item {
+    /// Milliseconds of reading that are left.
+    fn left(&self, now: Mono) -> f32 {
+        let all = self.work.reading.as_secs_f32() * 1e3;
+        let spent = now.since(self.start).as_secs_f32() * 1e3;
+        (all - spent).max(all * DOUBT)
+    }
+}
+
 /// All that is known.
 #[derive(Debug, Default)]
 pub struct Table {
@@ -110,7 +112,7 @@
         self.next += 1;
         let item = Item {
             work,
-            since: now,
+            start: now + work.wait,
             begun: false,
         };
         let items = self.own.entry(upstream.clone()).or_default();
@@ -160,7 +162,7 @@
         for (at, totals) in self.told.values() {
             let age = now.since(*at);
             if let Some(told) = totals.get(upstream).filter(|_| age < FORGET) {
-                total.add(&told.aged(age));
+                total.add(told);
             }
         }
         total
@@ -175,7 +177,6 @@
 
 fn sum(now: Mono, items: &BTreeMap<Ticket, Item>) -> Total {
     let mut total = Total::default();
-    let mut oldest: Option<Mono> = None;
     for item in items.values() {
         total.memory += item.work.memory;
         total.short += u32::from(item.work.short);
@@ -184,9 +185,7 @@
             continue;
         }
         total.waiting += u32::from(item.work.writes);
-        total.reading += item.work.reading.as_secs_f32() * 1e3;
-        oldest = Some(oldest.map_or(item.since, |at| at.min(item.since)));
+        total.reading += item.left(now);
     }
-    let spent = oldest.map_or(Duration::ZERO, |at| now.since(at));
-    total.aged(spent)
+    total
 }
--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -46,6 +46,19 @@
 /// those that come at once.
 const PACKED: u32 = 11;
 
+/// The same for the streams of long prompts, where a part is large: they allow
+/// longer pauses and are fewer.
+const HARM_LONG: Duration = Duration::from_millis(250);
+
+/// A part of a long prompt that is this short leaves the other long prompts'
+/// streams, on the same engine, within the pauses that they allow, also when
+/// two parts meet in a pass.
+const THIN: Duration = Duration::from_millis(320);
+
+/// Of a prompt's objective, the part in which it should be read. The rest is
+/// for what can't be foreseen: parts of others, and the first pass.
+const READING_SHARE: f64 = 0.65;
+
 /// Of this many engines at least one stays with the long prompts.
 const LONG_LEAST: usize = 7;
 
@@ -95,6 +108,8 @@
     pub prompt: u64,
     /// Tokens of its answer at most.
     pub output: u64,
+    /// When its first event should be there, from now.
+    pub objective: Duration,
 }
 
 /// Where a request goes. Numbers are places in the list of candidates.
@@ -195,10 +210,7 @@
     where
         R: RngCore,
     {
-        let harm = |i: usize| match self.candidates[i].total.short {
-            0 => 0.0,
-            _ => HARM.as_secs_f64(),
-        };
+        let harm = |i: usize| self.harm(i);
         // Never both sides: the largest parts would win most by crossing, and
         // make every short stream of the fleet late at once.
         let readers = if long.is_empty() { short } else { long };
@@ -208,11 +220,7 @@
             .iter_mut()
             .for_each(|(cost, _)| *cost += rng.random::<f64>() * 1e-3);
         order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        let whole = self.speed.reading(self.demand.prompt);
-        let most = parts(whole).min(order.len());
-        let count = soonest(&order, most, |count| {
-            self.speed.part(self.demand.prompt, count)
-        });
+        let count = self.count(&order, !short.is_empty() && !long.is_empty());
         let part = self.speed.part(self.demand.prompt, count);
         let mut chosen: Vec<usize> = order[..count].iter().map(|(_, i)| *i).collect();
         let slowest = order[count - 1].0;
@@ -235,6 +243,49 @@
         })
     }
 
+    /// Into how many parts the prompt is cut, given the readers in order.
+    fn count(&self, order: &[(f64, usize)], has_writer: bool) -> usize {
+        let prompt = self.demand.prompt;
+        let whole = self.speed.reading(prompt);
+        let part = |count: usize| self.speed.part(prompt, count);
+        if part(order.len().min(HELPERS + 1)) > THIN {
+            return self.fewest(order);
+        }
+        let most = parts(whole).min(order.len());
+        let count = soonest(order, most, part);
+        // An engine of the short side reads one part besides and writes.
+        let small = (1..=order.len()).find(|count| part(*count) <= SHORT_PART);
+        match small.filter(|_| has_writer) {
+            Some(small) => count.max(small),
+            None => count,
+        }
+    }
+
+    /// The fewest engines that read the prompt in time, or as many as there
+    /// are. Its parts stop the streams of each of them for longer than those
+    /// may pause, however many engines share them, so few should be hit.
+    fn fewest(&self, order: &[(f64, usize)]) -> usize {
+        let most = order.len().min(HELPERS + 1);
+        let in_time = self.demand.objective.as_secs_f64() * READING_SHARE;
+        let end = |count: &usize| {
+            order[count - 1].0 + self.speed.part(self.demand.prompt, *count).as_secs_f64()
+        };
+        (1..=most).find(|count| end(count) <= in_time).unwrap_or(most)
+    }
+
+    /// What reading a part there costs the streams that are written there, as
+    /// a delay.
+    fn harm(&self, i: usize) -> f64 {
+        let total = &self.candidates[i].total;
+        let long = total.streams.saturating_sub(total.short);
+        let large = self.speed.part(self.demand.prompt, HELPERS + 1) > THIN / 2;
+        match (total.short, long) {
+            (0, 1..) if large => HARM_LONG.as_secs_f64(),
+            (0, _) => 0.0,
+            _ => HARM.as_secs_f64(),
+        }
+    }
+
     fn has_place(&self, i: usize) -> bool {
         let candidate = &self.candidates[i];
         candidate.total.requests() < candidate.slots
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -438,7 +438,7 @@
         organisation,
         arrived,
         until: arrived + deadline.min(route.timeout),
-        demand: text(incoming, &names.usage).and_then(demand),
+        demand: text(incoming, &names.usage).and_then(|usage| demand(usage, route.objective)),
         after: text(incoming, &names.last_event).and_then(|text| text.trim().parse().ok()),
         route,
     })
@@ -449,11 +449,12 @@
 }
 
 /// Reads "prompt tokens,output tokens".
-fn demand(usage: &str) -> Option<Demand> {
+fn demand(usage: &str, objective: Duration) -> Option<Demand> {
     let (prompt, output) = usage.split_once(',')?;
     Some(Demand {
         prompt: prompt.trim().parse().ok()?,
         output: output.trim().parse().ok()?,
+        objective,
     })
 }
 
