--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -37,9 +37,9 @@
 /// its engine's other streams hardly notice.
 pub const SHORT: Duration = Duration::from_millis(120);
 
-/// A part of a long prompt that an engine of the short side may read: with a
-/// pass of its own it stays within the shortest pauses that streams allow.
-const SHORT_PART: Duration = Duration::from_millis(50);
+/// A part that any engine may read: with a pass of its own it stays within the
+/// shortest pauses that streams allow.
+const SHORT_PART: Duration = Duration::from_millis(35);
 
 /// Short streams that share an engine. With twelve a pass takes a fifth longer
 /// than with one, and a quarter of an engine's usual 16 places stay free for
@@ -168,9 +168,11 @@
         demand,
         candidates,
     };
-    match whole <= SHORT {
-        true => field.short(short, long, rng),
-        false => field.long(short, long, rng),
+    let thin = speed.part(demand.prompt, healthy.len().min(HELPERS + 1)) <= SHORT_PART;
+    match (whole <= SHORT, thin && !long.is_empty()) {
+        (true, _) => field.short(short, long, rng),
+        (false, true) => field.middling(short, &healthy, rng),
+        (false, false) => field.long(short, long, rng),
     }
 }
 
@@ -220,19 +222,12 @@
             .iter_mut()
             .for_each(|(cost, _)| *cost += rng.random::<f64>() * 1e-3);
         order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        let count = self.count(&order, !short.is_empty() && !long.is_empty());
+        let count = self.count(&order);
         let part = self.speed.part(self.demand.prompt, count);
         let mut chosen: Vec<usize> = order[..count].iter().map(|(_, i)| *i).collect();
         let slowest = order[count - 1].0;
-        let writer = match part <= SHORT_PART && count > 1 {
-            true => best(short.iter().map(|i| (self.cost(*i), *i)), rng).map(|(_, i)| i),
-            false => None,
-        };
         let room = |i: &usize| (self.has_place(*i), free(self.speed, &self.candidates[*i]));
-        let first = writer.or_else(|| chosen.iter().copied().max_by_key(room))?;
-        if !chosen.contains(&first) {
-            chosen.pop();
-        }
+        let first = chosen.iter().copied().max_by_key(room)?;
         chosen.retain(|i| *i != first);
         chosen.truncate(HELPERS);
         Some(Choice {
@@ -243,8 +238,34 @@
         })
     }
 
+    /// A prompt whose parts are small enough for every engine is read by as
+    /// many as that takes, of both sides, and written on the short side, where
+    /// no large part makes its events late.
+    fn middling<R>(&self, short: &[usize], all: &[usize], rng: &mut R) -> Option<Choice>
+    where
+        R: RngCore,
+    {
+        let (_, first) = best(short.iter().map(|i| (self.cost(*i), *i)), rng)?;
+        let others = all.iter().filter(|i| **i != first);
+        let mut order: Vec<(f64, usize)> = others
+            .map(|i| (self.cost(*i) + rng.random::<f64>() * 1e-3, *i))
+            .collect();
+        order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let part = |count: usize| self.speed.part(self.demand.prompt, count);
+        let most = (order.len() + 1).min(HELPERS + 1);
+        let count = (1..=most).find(|count| part(*count) <= SHORT_PART).unwrap_or(most);
+        let helpers = &order[..count - 1];
+        let slowest = helpers.last().map_or(0.0, |(cost, _)| *cost);
+        Some(Choice {
+            first,
+            helpers: helpers.iter().map(|(_, i)| *i).collect(),
+            expected: self.expected(slowest.max(self.cost(first)), part(count)),
+            part: part(count),
+        })
+    }
+
     /// Into how many parts the prompt is cut, given the readers in order.
-    fn count(&self, order: &[(f64, usize)], has_writer: bool) -> usize {
+    fn count(&self, order: &[(f64, usize)]) -> usize {
         let prompt = self.demand.prompt;
         let whole = self.speed.reading(prompt);
         let part = |count: usize| self.speed.part(prompt, count);
@@ -252,13 +273,7 @@
             return self.fewest(order);
         }
         let most = parts(whole).min(order.len());
-        let count = soonest(order, most, part);
-        // An engine of the short side reads one part besides and writes.
-        let small = (1..=order.len()).find(|count| part(*count) <= SHORT_PART);
-        match small.filter(|_| has_writer) {
-            Some(small) => count.max(small),
-            None => count,
-        }
+        soonest(order, most, part)
     }
 
     /// The fewest engines that read the prompt in time, or as many as there
