--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -26,7 +26,7 @@
     rules::{Organisation, Route},
     upstream::{self, Connection, Head},
     verdict::{self, Failure},
-    worker::{Target, Worker},
+    worker::{SPREAD, Target, Worker},
 };
 
 /// How long connecting may take: several ways there and back, far below the
@@ -50,8 +50,6 @@
 const COSTLY: Duration = Duration::from_millis(600);
 /// When to come back after a refusal at the least: a few passes of an engine.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
-/// Callers that were refused together come back spread over this much more.
-const RETRY_SPREAD: f64 = 0.5;
 
 /// A request as it is handed on.
 pub(crate) struct Request {
@@ -329,7 +327,7 @@
             total.backlog()
         });
         let least = backlogs.min().unwrap_or(RETRY_LEAST).max(RETRY_LEAST);
-        least.mul_f64(1.0 + self.rng.borrow_mut().random::<f64>() * RETRY_SPREAD)
+        least.mul_f64(1.0 + self.rng.borrow_mut().random::<f64>() * SPREAD)
     }
 }
 
@@ -579,6 +577,10 @@
 {
     let names = worker.dialect.names();
     let status = run.head.status;
+    if let Some(requests) = run.head.text(names.load.as_str()).and_then(requests) {
+        let mut load = worker.load.borrow_mut();
+        load.report(clock::mono(), &run.upstream, requests);
+    }
     let broken = |failure, reason: &str| Broken::new(failure, Some(&run.upstream), reason);
     if run.head.get(names.not_run.as_str()).is_some() || status == 421 {
         // A helper may be the one at fault.
@@ -623,6 +625,13 @@
     Err(broken)
 }
 
+/// Running and waiting requests out of "running,waiting,slots".
+fn requests(load: &str) -> Option<u32> {
+    let mut parts = load.split(',').map(|part| part.trim().parse::<u32>());
+    let (running, waiting) = (parts.next()?.ok()?, parts.next()?.ok()?);
+    Some(running.saturating_add(waiting))
+}
+
 /// Reads what is left of a short answer and keeps the connection.
 async fn recycle<D>(worker: &Worker<D>, mut run: Run<D>)
 where
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -17,6 +17,10 @@
 /// messages: its work has ended by itself meanwhile, or it has stopped.
 const FORGET: Duration = Duration::from_millis(1000);
 
+/// Requests that an upstream reported and nobody knows of count this long. A
+/// stream of a few dozen events takes about as much; its next answer tells anew.
+const REMEMBER: Duration = Duration::from_millis(1500);
+
 /// Of the reading time that is thought to be left, the part that stays until
 /// the first event proves that it is done. Estimates run out before the engine
 /// does when it also serves others.
@@ -100,6 +104,8 @@
 #[derive(Debug, Default)]
 pub struct Table {
     own: BTreeMap<Upstream, BTreeMap<Ticket, Item>>,
+    // Requests that an upstream reported beyond those known, and when.
+    unknown: HashMap<Upstream, (Mono, u32)>,
     // By the entry host that told.
     told: HashMap<u64, (Mono, HashMap<Upstream, Total>)>,
     next: u64,
@@ -165,9 +171,27 @@
                 total.add(told);
             }
         }
+        total.streams += self.unknown(now, upstream);
         total
     }
 
+    /// An upstream reported, with an answer, how many requests it has. After
+    /// entry hosts lost power it still works for callers that are gone, which
+    /// nobody else could know; without this the next requests would be sent
+    /// there first.
+    pub fn report(&mut self, now: Mono, upstream: &Upstream, requests: u32) {
+        let known = self.total(now, upstream).requests() - self.unknown(now, upstream);
+        let unknown = requests.saturating_sub(known);
+        self.unknown.insert(upstream.clone(), (now, unknown));
+        self.unknown.retain(|_, (at, _)| now.since(*at) < REMEMBER);
+    }
+
+    fn unknown(&self, now: Mono, upstream: &Upstream) -> u32 {
+        let known = self.unknown.get(upstream);
+        let fresh = known.filter(|(at, _)| now.since(*at) < REMEMBER);
+        fresh.map_or(0, |(_, count)| *count)
+    }
+
     /// How many other entry hosts are heard.
     pub fn hosts(&self, now: Mono) -> usize {
         let heard = self.told.values();
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -271,9 +271,9 @@
     let result = match accepted {
         Ok(request) => serve(&worker, &incoming, Rc::new(request)).await,
         Err(code) => {
-            let retry_after = code
-                .is_retryable()
-                .then(|| worker.shared.return_time(arrived));
+            let drawn = worker.rng.borrow_mut().random();
+            let span = worker.shared.return_time(arrived, drawn);
+            let retry_after = code.is_retryable().then_some(span);
             Err(End { code, retry_after })
         }
     };
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -53,8 +53,11 @@
 pub(crate) struct Active(Arc<Shared>);
 
 /// After a start, how long a process takes to learn a recent configuration
-/// when all others started with it: an election and the first exchange.
-const COLD_START: Duration = Duration::from_millis(1600);
+/// when all others started with it: an election and the first exchange, 0.65 s
+/// where it was seen, and some more.
+const COLD_START: Duration = Duration::from_millis(900);
+/// Callers that were refused together come back spread over this much more.
+pub(crate) const SPREAD: f64 = 0.5;
 /// When to come back to another host, because this one is cut off or stops.
 const ELSEWHERE: Duration = Duration::from_millis(100);
 
@@ -72,9 +75,12 @@
     /// When a caller that is refused should come back. Shortly after a start
     /// all hosts may have started together, and coming back early meets the
     /// same refusal; later it is this host alone, and another one will serve.
-    pub(crate) fn return_time(&self, now: Mono) -> Duration {
+    ///
+    /// `drawn` is a number from 0 to 1 that spreads returns.
+    pub(crate) fn return_time(&self, now: Mono, drawn: f64) -> Duration {
         let up = now.since(self.started);
-        COLD_START.saturating_sub(up).max(ELSEWHERE)
+        let left = COLD_START.saturating_sub(up).max(ELSEWHERE);
+        left.mul_f64(1.0 + drawn * SPREAD)
     }
 
     pub(crate) fn is_closing(&self) -> bool {
