Lead, look for a parent and connect sooner after all processes were lost

Cause: after a loss of power of all hosts, entry hosts refused for a second after the replicas were there: a connection attempt to a host without power waits for the kernel's next try, 1.0 s later. Ruled out: the election (0.1 s by then) and the pause between rounds.

Change: a replica stands for election 0.1 to 0.25 s after its start, a new leader confirms what it holds at once, connecting is given up after 0.3 s, and rounds of looking for a parent follow sooner.

--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -14,6 +14,9 @@
 
 use super::Replica;
 
+/// How soon a replica notices that it has come to lead.
+const NOTICE: Duration = Duration::from_millis(50);
+
 /// When each upstream was last heard. Only a leader keeps it, in memory; a new
 /// leader gives all of them a whole lease from its election on, so that a
 /// change of leader forgets nobody.
@@ -58,9 +61,13 @@
 
 pub(super) async fn run(replica: Replica) {
     let mut expired: Option<Mono> = None;
+    let pause = replica.inner.config.duty_pause;
+    let mut led = false;
     loop {
-        sleep(replica.inner.config.duty_pause).await;
-        if !replica.inner.core.borrow().is_leader() {
+        // What a new leader holds is confirmed as soon as it leads.
+        sleep(if led { pause } else { pause.min(NOTICE) }).await;
+        led = replica.inner.core.borrow().is_leader();
+        if !led {
             replica.inner.leases.borrow_mut().clear();
             replica.inner.roster.borrow_mut().clear();
             continue;
--- a/almondlock-control/src/replica/peers.rs
+++ b/almondlock-control/src/replica/peers.rs
@@ -23,6 +23,9 @@
 const QUEUE: usize = 512;
 /// Messages sent to one replica and not yet answered.
 const FLYING: usize = 128;
+/// How long connecting may take: several ways between regions, and less than
+/// the second after which the kernel asks a silent host again.
+const CONNECT: Duration = Duration::from_millis(300);
 /// Pauses between attempts to connect.
 const BACK_OFF: [Duration; 4] = [
     Duration::from_millis(20),
@@ -98,7 +101,7 @@
     async fn run(self, mut inbox: mpsc::Receiver<Parcel>) {
         let mut failures = 0;
         loop {
-            match timeout(self.silence, self.connect()).await {
+            match timeout(self.silence.min(CONNECT), self.connect()).await {
                 Ok(Ok((link, control))) => {
                     failures = 0;
                     self.serve(&control, &mut inbox).await;
--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -227,6 +227,7 @@
         hold: host.follow,
         silence: host.follow.min(usual.silence),
         stale: (host.follow * 5).min(usual.stale),
+        search: (host.follow / 2).min(usual.search),
     }
 }
 
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -390,7 +390,8 @@
 fn is_hopeless(request: &Request, choice: &Choice, now: Mono) -> bool {
     let spent = now.since(request.arrived);
     let parts = u32::try_from(choice.helpers.len() + 1).unwrap_or(1);
-    choice.part * parts > COSTLY && spent + choice.expected > request.route.objective.mul_f64(HOPELESS)
+    choice.part * parts > COSTLY
+        && spent + choice.expected > request.route.objective.mul_f64(HOPELESS)
 }
 
 /// Waits for an upstream that may be silent. One that is silent for too long is
--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -253,7 +253,9 @@
         order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let part = |count: usize| self.speed.part(self.demand.prompt, count);
         let most = (order.len() + 1).min(HELPERS + 1);
-        let count = (1..=most).find(|count| part(*count) <= SHORT_PART).unwrap_or(most);
+        let count = (1..=most)
+            .find(|count| part(*count) <= SHORT_PART)
+            .unwrap_or(most);
         let helpers = &order[..count - 1];
         let slowest = helpers.last().map_or(0.0, |(cost, _)| *cost);
         Some(Choice {
@@ -285,7 +287,9 @@
         let end = |count: &usize| {
             order[count - 1].0 + self.speed.part(self.demand.prompt, *count).as_secs_f64()
         };
-        (1..=most).find(|count| end(count) <= in_time).unwrap_or(most)
+        (1..=most)
+            .find(|count| end(count) <= in_time)
+            .unwrap_or(most)
     }
 
     /// What reading a part there costs the streams that are written there, as
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -28,6 +28,10 @@
 /// How long a parent may hold an answer back while something newer is known to
 /// exist.
 const WAIT_BEHIND: Duration = Duration::from_millis(100);
+/// How long connecting may take: several ways between regions. A host without
+/// power answers nothing, and the kernel asks again only after a second, in
+/// which others, or the same host, could long have answered.
+const CONNECT: Duration = Duration::from_millis(300);
 /// Reports that come closer together than this go up as one.
 const GAP: Duration = Duration::from_millis(10);
 /// A pause after an error. A parent that serves and then fails, over and over,
@@ -68,6 +72,7 @@
         let own = shared.own.address;
         let bounds = parent::Config {
             stale: pace.stale,
+            pause_limit: pace.search,
             ..parent::Config::default()
         };
         Fetcher {
@@ -114,7 +119,11 @@
     async fn ask(&mut self, address: SocketAddr) -> Result<(), capnp::Error> {
         let session = match self.session.take() {
             Some(session) if session.address == address && !session.is_closed() => session,
-            _ => Rc::new(Session::open(&self.dialer, address).await?),
+            _ => {
+                let opening = timeout(CONNECT, Session::open(&self.dialer, address));
+                let late = || capnp::Error::disconnected("no connection in time".into());
+                Rc::new(opening.await.map_err(|_| late())??)
+            }
         };
         self.session = Some(Rc::clone(&session));
         let is_parent = self.search.parent() == Some(address);
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -68,6 +68,10 @@
     pub silence: Duration,
     /// The oldest answer that a parent may give.
     pub stale: Duration,
+    /// The longest pause between two rounds of looking for a parent. After all
+    /// processes were lost together, those that start first look in vain, and
+    /// serve nobody until their next round.
+    pub search: Duration,
 }
 
 impl Default for Pace {
@@ -76,6 +80,7 @@
             hold: Duration::from_secs(2),
             silence: Duration::from_secs(2),
             stale: almondlock_spread::parent::Config::default().stale,
+            search: almondlock_spread::parent::Config::default().pause_limit,
         }
     }
 }
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -22,6 +22,16 @@
         self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.0));
     }
 
+    /// The first time to stand for election after a start: soon, because all
+    /// replicas may have started together, and until one leads nobody is told
+    /// what is in force. Where there is a leader, those that hear it refuse
+    /// the question that comes before an election, and its next heartbeat puts
+    /// this one off.
+    pub(super) fn hasten_election(&mut self, now: Mono) {
+        let least = self.config.heartbeat;
+        self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.5));
+    }
+
     /// Becomes a follower in this term, of this leader if one is known.
     pub(super) fn follow(&mut self, now: Mono, term: Term, leader: Option<Id>) {
         if term > self.hard.term {
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -126,7 +126,7 @@
             unsent: false,
             output: output::Pending::default(),
         };
-        machine.delay_election(now);
+        machine.hasten_election(now);
         machine
     }
 
