--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -83,9 +83,10 @@
 /// between domains are paid for.
 const ELSEWHERE: Duration = Duration::from_millis(2);
 
-/// A request beyond the places of an upstream waits for another one's end,
-/// which takes about this long for a stream of a few dozen events.
-const OVERFLOW: Duration = Duration::from_millis(400);
+/// A request beyond the places of an upstream waits for another one's end: with
+/// 16 places and streams of two seconds each eighth of a second one ends, and
+/// others wait for it too.
+const OVERFLOW: Duration = Duration::from_millis(250);
 
 /// One upstream that could take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -418,6 +418,7 @@
     let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
     let deadline = text(incoming, &names.deadline).and_then(|text| text.trim().parse().ok());
     let deadline = deadline.map_or(NO_DEADLINE, Duration::from_millis);
+    let spent = worker.returning.borrow_mut().spent(&route.name, deadline);
     let dropped = [
         &names.key,
         &names.organisation,
@@ -441,6 +442,7 @@
         organisation,
         arrived,
         until: arrived + deadline.min(route.timeout),
+        spent,
         demand: text(incoming, &names.usage).and_then(|usage| demand(usage, route.objective)),
         after: text(incoming, &names.last_event).and_then(|text| text.trim().parse().ok()),
         route,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -30,6 +30,7 @@
     metrics::Metrics,
     pick::Candidate,
     pool::Pool,
+    returning,
     rules::Rules,
 };
 
@@ -133,6 +134,7 @@
     known: RefCell<Rc<Known>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     suspects: RefCell<HashMap<Upstream, Mono>>,
+    pub(crate) returning: RefCell<returning::Table>,
 }
 
 /// What a gateway is bound by.
@@ -169,6 +171,7 @@
             known: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::default(),
+            returning: RefCell::default(),
         }
     }
 
