--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -13,7 +13,6 @@
 //! | [`engine`] | the cost of a prompt on an engine, in time |
 //! | [`load`] | what is under way on each upstream |
 //! | [`pick`] | which upstream, and with which helpers |
-//! | [`returning`] | whether a request is a first attempt |
 //! | [`budget`] | whether another attempt may be sent |
 //! | [`verdict`] | what a failed attempt proves, and what may follow |
 //! | [`upstream`] | one HTTP/1.1 connection to an upstream |
@@ -38,7 +37,6 @@
 pub mod pick;
 pub mod pool;
 mod reply;
-pub mod returning;
 pub mod rules;
 pub mod server;
 pub mod upstream;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -30,7 +30,6 @@
     metrics::Metrics,
     pick::Candidate,
     pool::Pool,
-    returning,
     rules::Rules,
 };
 
@@ -134,7 +133,6 @@
     known: RefCell<Rc<Known>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     suspects: RefCell<HashMap<Upstream, Mono>>,
-    pub(crate) returning: RefCell<returning::Table>,
 }
 
 /// What a gateway is bound by.
@@ -171,7 +169,6 @@
             known: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::default(),
-            returning: RefCell::default(),
         }
     }
 
