Tell all processes where the replicas are

Cause: a process knows replicas by the seeds of its settings alone; after several were replaced, a running entry host would know none.

Change: the leader publishes the members' addresses with the configuration; processes look for a parent, and tell their loads, there too.

--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -80,6 +80,7 @@
         replica.forget_silent().await;
         if replica.inner.config.repairs {
             replica.repair(now).await;
+            replica.tell_sources().await;
         }
         if expired.is_none_or(|at| now.since(at) >= limit::SWEEP) {
             expired = Some(now);
--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -8,7 +8,9 @@
 use std::net::SocketAddr;
 
 use almondlock_base::{Code, id::Host, time::Mono};
+use almondlock_node::clock;
 use almondlock_quorum::member::{Change, Id, Member};
+use almondlock_state::command::Command;
 use tokio::time::{Instant, sleep};
 
 use super::{Replica, refusal::Refusal};
@@ -78,6 +80,22 @@
         }
     }
 
+    /// Tells processes where the replicas are, when that has changed.
+    pub(super) async fn tell_sources(&self) {
+        let members = self.inner.core.borrow().members();
+        let mut addresses: Vec<SocketAddr> = members.voters.values().map(|m| m.address).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        if self.state(|state| state.config().sources == addresses) {
+            return;
+        }
+        let at = clock::wall();
+        match self.propose(Command::Sources { addresses, at }).await {
+            Ok(_) => tracing::info!(voters = members.voters.len(), "processes are told of the replicas"),
+            Err(refusal) => tracing::debug!(%refusal, "processes not told of the replicas yet"),
+        }
+    }
+
     fn newcomer(&self, name: &Host) -> Result<Member, Refusal> {
         let core = self.inner.core.borrow();
         let known = core.gathering.known.get(name).cloned();
--- a/almondlock-gateway/src/exchange.rs
+++ b/almondlock-gateway/src/exchange.rs
@@ -119,7 +119,7 @@
 pub(crate) async fn run<D>(
     worker: Rc<Worker<D>>,
     socket: UdpSocket,
-    relays: Vec<SocketAddr>,
+    named: Vec<SocketAddr>,
     host: u64,
 ) where
     D: Dialect,
@@ -142,6 +142,7 @@
             }
             _ = ticks.tick() => {
                 let now = clock::mono();
+                let relays = relays(&named, &worker.node.view().get().sources);
                 let totals = worker.load.borrow().own(now);
                 idle = if totals.is_empty() { idle + 1 } else { 0 };
                 if idle % IDLE_PERIODS == 0 {
@@ -154,6 +155,19 @@
     }
 }
 
+/// The relays: those of the settings, and one beside each present replica, on
+/// the same port.
+fn relays(named: &[SocketAddr], replicas: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut relays = named.to_vec();
+    if let Some(port) = named.first().map(SocketAddr::port) {
+        let beside = replicas.iter().map(|replica| SocketAddr::new(replica.ip(), port));
+        relays.extend(beside);
+    }
+    relays.sort_unstable();
+    relays.dedup();
+    relays
+}
+
 /// The other hosts, as the relays last named them.
 ///
 /// All relays may be gone at once, since the control replicas may: for the
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -89,6 +89,7 @@
 
     pub(crate) async fn run(mut self) {
         loop {
+            self.search.learn(&self.shared.view.get().sources);
             match self.search.step(clock::mono()) {
                 Step::Wait(pause) => sleep(pause).await,
                 Step::Ask(address) => {
--- a/almondlock-spread/src/parent.rs
+++ b/almondlock-spread/src/parent.rs
@@ -148,6 +148,19 @@
         Step::Wait(pause)
     }
 
+    /// Sources are known besides those of the settings, which may be gone.
+    pub fn learn(&mut self, sources: &[SocketAddr]) {
+        for source in sources {
+            if *source != self.own && !self.sources.contains(source) {
+                self.sources.push(*source);
+            }
+        }
+        // Those that were learned and are gone cost an attempt a round; there
+        // are as many as replicas were ever replaced in this process's life.
+        let surplus = self.sources.len().saturating_sub(ADDRESSES);
+        self.sources.drain(..surplus);
+    }
+
     /// The parent, once there is one.
     pub fn parent(&self) -> Option<SocketAddr> {
         self.parent.as_ref().map(|parent| parent.address)
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -6,7 +6,7 @@
 //! that a log written by the version before can be applied. The time in `at`
 //! is the leader's: a replica that applies a command reads no clock.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use almondlock_base::{
     Code, Ran,
@@ -70,6 +70,13 @@
         /// The leader's time.
         at: Wall,
     },
+    /// The leader found other replicas than processes are told of.
+    Sources {
+        /// Their inner addresses, in order.
+        addresses: Vec<SocketAddr>,
+        /// The leader's time.
+        at: Wall,
+    },
     /// An instance is gone: it said so, or its lease ended.
     Withdraw {
         /// Its name.
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -174,6 +174,8 @@
     Document(Option<Document>),
     /// An instance that is called without a sidecar came, changed or went.
     Instance(almondlock_base::id::Upstream, Option<Instance>),
+    /// The replicas are others now.
+    Sources(Vec<SocketAddr>),
 }
 
 /// The whole configuration at one revision.
@@ -203,6 +205,9 @@
     pub document: Option<Document>,
     /// Instances that are called without a sidecar, by name.
     pub instances: BTreeMap<almondlock_base::id::Upstream, Instance>,
+    /// Inner addresses of the replicas, where their membership mends itself. A
+    /// process whose settings name replicas that are gone finds them here.
+    pub sources: Vec<SocketAddr>,
 }
 
 /// The setting that names the other version of a model that requests may run
@@ -228,6 +233,7 @@
             Change::Order(name, value) => assign(&mut self.orders, name, value),
             Change::Document(value) => self.document = value,
             Change::Instance(name, value) => assign(&mut self.instances, name, value),
+            Change::Sources(addresses) => self.sources = addresses,
         }
     }
 
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -165,6 +165,12 @@
                 self.change(made.into_iter().collect(), changes);
                 Ok(accepted())
             }
+            Command::Sources { addresses, .. } => {
+                let same = self.tables.config.sources == addresses;
+                let made = (!same).then_some(Change::Sources(addresses));
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
             Command::Seed {
                 operators,
                 replicas,
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -77,6 +77,7 @@
             Effect::Config(Change::Quarantine(print, _)) => format!("quarantine/{print}"),
             Effect::Config(Change::Setting(name, _)) => format!("setting/{name}"),
             Effect::Config(Change::Order(name, _)) => format!("order/{name}"),
+            Effect::Config(Change::Sources(_)) => "sources".to_owned(),
             Effect::Config(Change::Document(_)) => "document".to_owned(),
             Effect::Config(Change::Instance(name, _)) => format!("instance/{name}"),
             Effect::Operator(name, _) => format!("operator/{name}"),
@@ -117,6 +118,7 @@
             }
             Change::Order(name, _) => Change::Order(name.clone(), config.orders.get(name).cloned()),
             Change::Document(_) => Change::Document(config.document.clone()),
+            Change::Sources(_) => Change::Sources(config.sources.clone()),
             Change::Instance(name, _) => {
                 Change::Instance(name.clone(), config.instances.get(name).cloned())
             }
