--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -91,7 +91,10 @@
         }
         let at = clock::wall();
         match self.propose(Command::Sources { addresses, at }).await {
-            Ok(_) => tracing::info!(voters = members.voters.len(), "processes are told of the replicas"),
+            Ok(_) => tracing::info!(
+                voters = members.voters.len(),
+                "processes are told of the replicas"
+            ),
             Err(refusal) => tracing::debug!(%refusal, "processes not told of the replicas yet"),
         }
     }
--- /dev/null
+++ b/almondlock-gateway/src/accept.rs
@@ -0,0 +1,130 @@
+//! A caller's request, read and checked against the configuration in force.
+
+use std::{sync::Arc, time::Duration};
+
+use almondlock_base::{Code, time::Mono};
+use almondlock_node::clock;
+use futures::StreamExt;
+use ntex::{
+    http::header::HeaderName,
+    util::{Bytes, BytesMut},
+    web::{HttpRequest, types::Payload},
+};
+use rand::Rng;
+
+use crate::{
+    dialect::Dialect, life::Request, pick::Demand, response::HOP, rules::Rules, worker::Worker,
+};
+
+/// A request without a deadline of its caller's is bounded by its route alone.
+const NO_DEADLINE: Duration = Duration::from_secs(3600);
+
+/// Reads and checks a request.
+pub(crate) async fn accept<D>(
+    worker: &Worker<D>,
+    incoming: &HttpRequest,
+    mut payload: Payload,
+    arrived: Mono,
+) -> Result<Request, Code>
+where
+    D: Dialect,
+{
+    let known = worker.known();
+    let limit = known
+        .rules
+        .as_ref()
+        .map_or(usize::MAX, |rules| rules.limits.body);
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.map_err(|_| Code::SlowRequest)?;
+        body.extend_from_slice(&chunk);
+        if body.len() > limit {
+            return Err(Code::BodyTooLarge);
+        }
+    }
+    // The body may have taken long: what is in force now counts.
+    let known = worker.known();
+    let rules = known.rules.clone().ok_or(Code::NotReady)?;
+    let current = worker.node.age(clock::mono()) < worker.bounds.stale;
+    admit(worker, &rules, incoming, body.freeze(), arrived, current)
+}
+
+fn admit<D>(
+    worker: &Worker<D>,
+    rules: &Rules,
+    incoming: &HttpRequest,
+    body: Bytes,
+    arrived: Mono,
+    current: bool,
+) -> Result<Request, Code>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let host = text(incoming, &ntex::http::header::HOST).unwrap_or_default();
+    let target = incoming
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
+    let path = target.split('?').next().unwrap_or(target);
+    // A host that was cut off may not know a route or a key that exists by
+    // now, nor that one was taken away.
+    let unsure = |code| if current { code } else { Code::NotReady };
+    let route = rules.route(host, path);
+    let route = Arc::clone(route.ok_or_else(|| unsure(Code::UnknownRoute))?);
+    let mut organisation = None;
+    if rules.needs_key(&route) {
+        if !current {
+            return Err(Code::NotReady);
+        }
+        let key = text(incoming, &names.key).unwrap_or_default();
+        organisation = Some(Arc::clone(
+            rules.organisation(key).ok_or(Code::Unauthenticated)?,
+        ));
+    }
+    let drawn = worker.rng.borrow_mut().random();
+    let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
+    let deadline = text(incoming, &names.deadline).and_then(|text| text.trim().parse().ok());
+    let deadline = deadline.map_or(NO_DEADLINE, Duration::from_millis);
+    let dropped = [
+        &names.key,
+        &names.organisation,
+        &names.deadline,
+        &names.instance,
+        &names.priority,
+        &names.helpers,
+    ];
+    let kept = |name: &HeaderName| !HOP.contains(&name.as_str()) && !dropped.contains(&name);
+    let headers = incoming.headers().iter().filter(|(name, _)| kept(name));
+    Ok(Request {
+        id: Arc::from(text(incoming, &names.request_id).unwrap_or_default()),
+        method: incoming.method().clone(),
+        target: target.to_owned(),
+        host: host.to_owned(),
+        headers: headers
+            .map(|(name, value)| (name.clone(), value.clone()))
+            .collect(),
+        body,
+        service,
+        organisation,
+        arrived,
+        until: arrived + deadline.min(route.timeout),
+        demand: text(incoming, &names.usage).and_then(|usage| demand(usage, route.objective)),
+        after: text(incoming, &names.last_event).and_then(|text| text.trim().parse().ok()),
+        route,
+    })
+}
+
+pub(crate) fn text<'a>(incoming: &'a HttpRequest, name: &HeaderName) -> Option<&'a str> {
+    incoming.headers().get(name)?.to_str().ok()
+}
+
+/// Reads "prompt tokens,output tokens".
+fn demand(usage: &str, objective: Duration) -> Option<Demand> {
+    let (prompt, output) = usage.split_once(',')?;
+    Some(Demand {
+        prompt: prompt.trim().parse().ok()?,
+        output: output.trim().parse().ok()?,
+        objective,
+    })
+}
--- a/almondlock-gateway/src/exchange.rs
+++ b/almondlock-gateway/src/exchange.rs
@@ -160,7 +160,9 @@
 fn relays(named: &[SocketAddr], replicas: &[SocketAddr]) -> Vec<SocketAddr> {
     let mut relays = named.to_vec();
     if let Some(port) = named.first().map(SocketAddr::port) {
-        let beside = replicas.iter().map(|replica| SocketAddr::new(replica.ip(), port));
+        let beside = replicas
+            .iter()
+            .map(|replica| SocketAddr::new(replica.ip(), port));
         relays.extend(beside);
     }
     relays.sort_unstable();
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -26,6 +26,8 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+mod accept;
+mod attempt;
 pub mod budget;
 pub mod dialect;
 pub mod engine;
@@ -37,6 +39,7 @@
 pub mod pick;
 pub mod pool;
 mod reply;
+mod response;
 pub mod rules;
 pub mod server;
 pub mod upstream;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -18,22 +18,17 @@
 use tokio::time::timeout;
 
 use crate::{
+    attempt::{Broken, Run, WHOLE_LIMIT, attempt, keep, patient},
     dialect::Dialect,
     event::Cutter,
-    load::{Ticket, Work},
-    pick::{self, Choice, Demand},
+    pick::Demand,
     reply::Stream,
     rules::{Organisation, Route},
     upstream::{self, Connection, Head},
     verdict::{self, Failure},
-    worker::{SPREAD, Target, Worker},
+    worker::{SPREAD, Worker},
 };
 
-/// How long connecting may take: several ways there and back, far below the
-/// objective of short requests.
-const CONNECT: Duration = Duration::from_millis(250);
-/// The largest body of an answer that is no stream, in bytes.
-const WHOLE_LIMIT: usize = 8 << 20;
 /// Attempts in all, also of those that provably did not run.
 const TRIES: usize = 4;
 /// Callers leave a stream that pauses this long in any case.
@@ -41,17 +36,8 @@
 /// Of a caller's patience, the part after which a silent upstream is given up,
 /// so that another one can still answer in time.
 const GIVE_UP_SHARE: f64 = 0.6;
-/// A long prompt whose first event is expected later than so many objectives is
-/// refused at once. Served all the same it would be worth a quarter, and make
-/// those behind it late as well. Over 16 days of both kinds of site the mean
-/// worth of a day rose from 0.553 to 0.576 with it. Short prompts aren't: with
-/// them refused too it fell from 0.605 to 0.591 over 24 paired days, because
-/// those that come back and find the same are lost.
-const HOPELESS: f64 = 1.0;
 /// The last rank at an engine.
 const LAST: u32 = 9;
-/// What takes an engine less time than this is worth its time also when late.
-const COSTLY: Duration = Duration::from_millis(600);
 /// When to come back after a refusal at the least: a few passes of an engine.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 
@@ -96,7 +82,7 @@
 
     /// Its rank at an engine, 0 to 9: each doubling of the objective is one
     /// place further back.
-    fn priority(&self) -> u32 {
+    pub(crate) fn priority(&self) -> u32 {
         let hundreds = u32::try_from(self.route.objective.as_millis() / 100).unwrap_or(u32::MAX);
         let rank = hundreds.checked_ilog2().unwrap_or(0);
         let own = self.organisation.as_ref().and_then(|o| o.priority);
@@ -126,69 +112,6 @@
     pub(crate) retry_after: Option<Duration>,
 }
 
-/// What is counted for an attempt as long as it runs.
-pub(crate) struct Held<D> {
-    worker: Rc<Worker<D>>,
-    tickets: Vec<(Upstream, Ticket)>,
-}
-
-impl<D> Held<D> {
-    /// The prompt is read.
-    pub(crate) fn read(&self) {
-        let mut load = self.worker.load.borrow_mut();
-        for (upstream, ticket) in &self.tickets {
-            load.read(upstream, *ticket);
-        }
-    }
-}
-
-impl<D> Drop for Held<D> {
-    fn drop(&mut self) {
-        let mut load = self.worker.load.borrow_mut();
-        for (upstream, ticket) in &self.tickets {
-            load.end(upstream, *ticket);
-        }
-    }
-}
-
-/// An attempt that is being answered.
-pub(crate) struct Run<D> {
-    pub(crate) upstream: Upstream,
-    pub(crate) connection: Connection,
-    pub(crate) head: Head,
-    pub(crate) held: Held<D>,
-}
-
-/// An attempt that failed.
-pub(crate) struct Broken {
-    pub(crate) failure: Failure,
-    pub(crate) upstream: Option<Upstream>,
-    pub(crate) answer: Option<Whole>,
-    pub(crate) reason: String,
-}
-
-impl Broken {
-    fn new<R>(failure: Failure, upstream: Option<&Upstream>, reason: R) -> Broken
-    where
-        R: ToString,
-    {
-        Broken {
-            failure,
-            upstream: upstream.cloned(),
-            answer: None,
-            reason: reason.to_string(),
-        }
-    }
-
-    fn of(error: &upstream::Error, upstream: &Upstream) -> Broken {
-        let failure = match error {
-            upstream::Error::Connect(_) => Failure::Unsent,
-            upstream::Error::Broken(_) | upstream::Error::Answer(_) => Failure::Lost,
-        };
-        Broken::new(failure, Some(upstream), error)
-    }
-}
-
 /// What is known of a request's attempts so far.
 #[derive(Default)]
 pub(crate) struct Course {
@@ -335,335 +258,6 @@
     }
 }
 
-/// Sends a request to one upstream and waits for the head of its answer.
-pub(crate) async fn attempt<D>(
-    worker: &Rc<Worker<D>>,
-    request: &Request,
-    tried: &[Upstream],
-    after: Option<u64>,
-) -> Result<Run<D>, Broken>
-where
-    D: Dialect,
-{
-    let now = clock::mono();
-    let known = worker.known();
-    let targets = known
-        .instances
-        .get(&request.service)
-        .map_or(&[][..], Vec::as_slice);
-    let none = || Broken::new(Failure::Unsent, None, "no instance is enrolled");
-    let choice = choose(worker, request, targets, tried, now).ok_or_else(none)?;
-    let target = targets.get(choice.first).ok_or_else(none)?;
-    if tried.is_empty() && after.is_none() && is_hopeless(request, &choice, now) {
-        let reason = format!("first event expected in {} ms", choice.expected.as_millis());
-        return Err(Broken::new(Failure::Unsent, None, reason));
-    }
-    let held = hold(worker, request, targets, &choice, now);
-    tracing::info!(
-        request = %request.id, route = %request.route.name, upstream = %target.name,
-        prompt = request.demand.map_or(0, |demand| demand.prompt), helpers = choice.helpers.len(), expected_ms = choice.expected.as_millis(),
-        backlog_ms = worker.load.borrow().total(now, &target.name).reading,
-        hosts = worker.load.borrow().hosts(now),
-        revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
-        attempt = tried.len() + 1, "sent"
-    );
-    let head = head(worker, request, targets, &choice, after, now);
-    let left = request.left(now);
-    let exchange = exchange(worker, request, target, &head);
-    let result = match timeout(left, patient(worker, request, exchange)).await {
-        Ok(Some(result)) => result,
-        Ok(None) | Err(_) => {
-            return Err(Broken::new(
-                Failure::Silent,
-                Some(&target.name),
-                "no answer in time",
-            ));
-        }
-    };
-    let (connection, head) = result.map_err(|error| Broken::of(&error, &target.name))?;
-    let run = Run {
-        upstream: target.name.clone(),
-        connection,
-        head,
-        held,
-    };
-    judge(worker, run, targets).await
-}
-
-fn is_hopeless(request: &Request, choice: &Choice, now: Mono) -> bool {
-    let parts = u32::try_from(choice.helpers.len() + 1).unwrap_or(1);
-    let spent = now.since(request.arrived);
-    choice.part * parts > COSTLY
-        && spent + choice.expected > request.route.objective.mul_f64(HOPELESS)
-}
-
-/// Waits for an upstream that may be silent. One that is silent for too long is
-/// given up if the request may be sent again and that can be afforded; else
-/// waiting on is the best that can be done. `None`: given up.
-pub(crate) async fn patient<D, F, T>(worker: &Worker<D>, request: &Request, work: F) -> Option<T>
-where
-    D: Dialect,
-    F: Future<Output = T>,
-{
-    tokio::pin!(work);
-    if request.route.kind.is_idempotent() {
-        match timeout(request.patience(), &mut work).await {
-            Ok(done) => return Some(done),
-            Err(_) if worker.afford(clock::mono(), &request.service) => return None,
-            Err(_) => {}
-        }
-    }
-    Some(work.await)
-}
-
-async fn exchange<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    target: &Target,
-    head: &[u8],
-) -> Result<(Connection, Head), upstream::Error>
-where
-    D: Dialect,
-{
-    let once = !request.route.kind.is_idempotent();
-    let pooled = worker
-        .pool
-        .borrow_mut()
-        .take(clock::mono(), &target.name, once);
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => Connection::open(target.address, CONNECT).await?,
-    };
-    let outgoing = upstream::Request {
-        head,
-        body: &request.body,
-        id: (
-            worker.dialect.names().request_id.as_str(),
-            request.id.as_bytes(),
-        ),
-    };
-    let answered = connection.exchange(&outgoing).await?;
-    Ok((connection, answered))
-}
-
-fn choose<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    targets: &[Target],
-    tried: &[Upstream],
-    now: Mono,
-) -> Option<Choice>
-where
-    D: Dialect,
-{
-    let candidates: Vec<pick::Candidate> = targets
-        .iter()
-        .map(|target| worker.candidate(now, target, tried))
-        .collect();
-    let known = worker.known();
-    let service = known.rules.as_ref()?.service(&request.service)?;
-    let mut rng = worker.rng.borrow_mut();
-    match (&service.engine, request.demand) {
-        (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
-        _ => pick::plain(&candidates, &mut *rng),
-    }
-}
-
-/// Counts what the attempt asks of each upstream that takes part.
-fn hold<D>(
-    worker: &Rc<Worker<D>>,
-    request: &Request,
-    targets: &[Target],
-    choice: &Choice,
-    now: Mono,
-) -> Held<D>
-where
-    D: Dialect,
-{
-    let memory = request
-        .demand
-        .map_or(0, |demand| demand.prompt + demand.output);
-    let first = Work {
-        reading: choice.part,
-        writes: true,
-        short: choice.helpers.is_empty() && choice.part <= pick::SHORT,
-        memory,
-        ..Work::default()
-    };
-    let part = Work {
-        reading: choice.part,
-        ..Work::default()
-    };
-    let mut load = worker.load.borrow_mut();
-    let mut begin = |place: usize, mut work: Work| {
-        let target = targets.get(place)?;
-        work.wait = load.total(now, &target.name).backlog();
-        Some((target.name.clone(), load.begin(now, &target.name, work)))
-    };
-    let mut tickets: Vec<_> = begin(choice.first, first).into_iter().collect();
-    tickets.extend(
-        choice
-            .helpers
-            .iter()
-            .filter_map(|place| begin(*place, part)),
-    );
-    Held {
-        worker: Rc::clone(worker),
-        tickets,
-    }
-}
-
-/// The head of a request as it goes to an upstream.
-fn head<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    targets: &[Target],
-    choice: &Choice,
-    after: Option<u64>,
-    now: Mono,
-) -> Vec<u8>
-where
-    D: Dialect,
-{
-    let names = worker.dialect.names();
-    let mut head = Vec::with_capacity(768);
-    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
-    put(&[
-        request.method.as_str().as_bytes(),
-        b" ",
-        request.target.as_bytes(),
-        b" HTTP/1.1\r\n",
-    ]);
-    put(&[b"host: ", request.host.as_bytes(), b"\r\n"]);
-    for (name, value) in &request.headers {
-        if *name == names.last_event && after.is_some() {
-            continue;
-        }
-        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    }
-    let mut set = |name: &HeaderName, value: &str| {
-        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    };
-    set(&names.deadline, &request.left(now).as_millis().to_string());
-    if let Some(target) = targets.get(choice.first) {
-        set(&names.instance, target.name.as_str());
-    }
-    if let Some(organisation) = &request.organisation {
-        set(&names.organisation, &organisation.name);
-    }
-    if let Some(after) = after {
-        set(&names.last_event, &after.to_string());
-    }
-    if request.demand.is_some() {
-        set(&names.priority, &request.priority().to_string());
-    }
-    let helpers: Vec<String> = choice
-        .helpers
-        .iter()
-        .filter_map(|place| targets.get(*place))
-        .map(|target| target.address.to_string())
-        .collect();
-    if !helpers.is_empty() {
-        set(&names.helpers, &helpers.join(","));
-    }
-    if !request.body.is_empty() || request.method == Method::POST || request.method == Method::PUT {
-        let length = request.body.len().to_string();
-        set(&ntex::http::header::CONTENT_LENGTH, &length);
-    }
-    put(&[b"\r\n"]);
-    head
-}
-
-/// What the head of an answer says of the attempt.
-async fn judge<D>(worker: &Worker<D>, mut run: Run<D>, targets: &[Target]) -> Result<Run<D>, Broken>
-where
-    D: Dialect,
-{
-    let names = worker.dialect.names();
-    let status = run.head.status;
-    if let Some(requests) = run.head.text(names.load.as_str()).and_then(requests) {
-        let mut load = worker.load.borrow_mut();
-        load.report(clock::mono(), &run.upstream, requests);
-    }
-    let broken = |failure, reason: &str| Broken::new(failure, Some(&run.upstream), reason);
-    if run.head.get(names.not_run.as_str()).is_some() || status == 421 {
-        // A helper may be the one at fault.
-        let at = run.head.text(names.at_fault.as_str());
-        let at = at.and_then(|at| targets.iter().find(|t| t.address.to_string() == at));
-        let failure = match status {
-            421 => Failure::Misdirected,
-            _ => Failure::Rejected,
-        };
-        let mut broken = broken(failure, &format!("status {status}, not run"));
-        if let Some(at) = at.filter(|at| at.name != run.upstream) {
-            worker.suspect(clock::mono(), &at.name);
-            broken.failure = Failure::Rejected;
-        }
-        recycle(worker, run).await;
-        return Err(broken);
-    }
-    let encoded = run.head.get("content-encoding").is_some();
-    let sealed = run.head.get(names.seal.as_str()).is_some();
-    if (200..300).contains(&status) {
-        if !sealed || encoded {
-            return Err(broken(Failure::Lost, "a success without its seal"));
-        }
-        return Ok(run);
-    }
-    if matches!(status, 408 | 421 | 429 | 503) || encoded {
-        // Towards callers these promise that the request has not run, which
-        // this upstream doesn't say.
-        return Err(broken(
-            Failure::Lost,
-            &format!("status {status} that promises nothing"),
-        ));
-    }
-    let body = run.connection.whole(WHOLE_LIMIT).await;
-    let body = body.map_err(|error| Broken::of(&error, &run.upstream))?;
-    let mut broken = broken(Failure::Answered, &format!("status {status}"));
-    broken.answer = Some(Whole {
-        head: run.head.clone(),
-        body,
-    });
-    recycle(worker, run).await;
-    Err(broken)
-}
-
-/// Running and waiting requests out of "running,waiting,slots".
-fn requests(load: &str) -> Option<u32> {
-    let mut parts = load.split(',').map(|part| part.trim().parse::<u32>());
-    let (running, waiting) = (parts.next()?.ok()?, parts.next()?.ok()?);
-    Some(running.saturating_add(waiting))
-}
-
-/// Reads what is left of a short answer and keeps the connection.
-async fn recycle<D>(worker: &Worker<D>, mut run: Run<D>)
-where
-    D: Dialect,
-{
-    if run.connection.whole(WHOLE_LIMIT).await.is_ok() {
-        keep(worker, run);
-    }
-}
-
-/// Keeps the connection of an answer that was read to its end.
-pub(crate) fn keep<D>(worker: &Worker<D>, run: Run<D>)
-where
-    D: Dialect,
-{
-    let Run {
-        upstream,
-        mut connection,
-        head,
-        ..
-    } = run;
-    if connection.is_reusable(&head) {
-        connection.idle = head.idle;
-        let mut pool = worker.pool.borrow_mut();
-        pool.put(clock::mono(), &upstream, connection);
-    }
-}
-
 /// Reads the whole body of an answer that is no stream.
 async fn whole<D>(worker: &Worker<D>, request: &Request, mut run: Run<D>) -> Result<Whole, Broken>
 where
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -13,9 +13,10 @@
 use tokio::time::timeout;
 
 use crate::{
+    attempt::{self, Broken, Run},
     dialect::Dialect,
     event::Cutter,
-    life::{self, Broken, Course, Request, Run},
+    life::{self, Course, Request},
     rules::Kind,
     upstream::Head,
     verdict::Failure,
@@ -125,7 +126,7 @@
             reason: reason.to_owned(),
         };
         loop {
-            let chunk = life::patient(&self.worker, &self.request, run.connection.chunk());
+            let chunk = attempt::patient(&self.worker, &self.request, run.connection.chunk());
             let chunk = match timeout(left, chunk).await {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(Some(Err(error))) => return Err(broken(Failure::Lost, &error.to_string())),
@@ -174,7 +175,7 @@
         };
         self.cutter.drop_rest();
         let tried = &self.course.tried;
-        let run = life::attempt(&self.worker, &self.request, tried, Some(last)).await;
+        let run = attempt::attempt(&self.worker, &self.request, tried, Some(last)).await;
         let mut run = run.map_err(|_| "no other upstream took it")?;
         self.course.runs += 1;
         let left = self.request.left(clock::mono());
@@ -194,7 +195,7 @@
     fn finish(&mut self) {
         self.ended = true;
         if let Some(run) = self.run.take() {
-            life::keep(&self.worker, run);
+            attempt::keep(&self.worker, run);
         }
         self.log("answered", "whole");
     }
--- /dev/null
+++ b/almondlock-gateway/src/response.rs
@@ -0,0 +1,84 @@
+//! What callers get: an upstream's answer, or a refusal.
+
+use almondlock_base::time::Mono;
+use almondlock_node::clock;
+use ntex::{
+    http::StatusCode,
+    util::Bytes,
+    web::{HttpResponse, HttpResponseBuilder},
+};
+
+use crate::{
+    life::{End, Whole},
+    upstream::Head,
+    worker::Worker,
+};
+
+/// Headers that concern one connection only, or that are written anew.
+pub(crate) const HOP: [&str; 11] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+    "host",
+    "expect",
+];
+
+/// A response with the upstream's status and headers.
+pub(crate) fn start_response(head: &Head) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    for (name, value) in &head.headers {
+        let name = name.to_ascii_lowercase();
+        if !HOP.contains(&name.as_str()) && name != "date" {
+            builder.header(name.as_str(), &value[..]);
+        }
+    }
+    builder
+}
+
+pub(crate) fn whole_response<D>(
+    worker: &Worker<D>,
+    id: &str,
+    whole: Whole,
+    arrived: Mono,
+) -> HttpResponse {
+    let spent = clock::mono().since(arrived);
+    let status = whole.head.status;
+    worker
+        .shared
+        .metrics
+        .time("whole", &format!("status=\"{status}\""), spent);
+    tracing::info!(request = %id, status, outcome = "answered", spent_ms = spent.as_millis(), "ended");
+    let body = Bytes::copy_from_slice(&whole.body);
+    start_response(&whole.head).body(body)
+}
+
+/// The answer to a request that ends here.
+pub(crate) fn refusal<D>(worker: &Worker<D>, id: &str, end: &End, arrived: Mono) -> HttpResponse {
+    let spent = clock::mono().since(arrived);
+    let code = end.code;
+    worker
+        .shared
+        .metrics
+        .count("refused", &format!("code=\"{}\"", code.number()));
+    let retry_after = end.retry_after.map_or(0, |span| span.as_millis());
+    tracing::info!(
+        request = %id, outcome = "refused", code = code.number(), name = code.name(),
+        retry_after_ms = retry_after, spent_ms = spent.as_millis(),
+        revision = worker.node.view().revision().0,
+        age_ms = worker.node.age(clock::mono()).as_millis(), "ended"
+    );
+    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = HttpResponse::build(status);
+    builder.header("x-almondlock-code", code.number().to_string());
+    if let Some(span) = end.retry_after {
+        builder.header("retry-after", format!("{:.3}", span.as_secs_f64()));
+    }
+    builder.body(code.text())
+}
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -9,15 +9,15 @@
     time::Duration,
 };
 
-use almondlock_base::{Code, id::Domain, time::Mono};
+use almondlock_base::{Code, id::Domain};
 use almondlock_node::{Handle, clock};
 use futures::{StreamExt, future::join_all, stream};
 use ntex::{
     SharedCfg,
-    http::{HttpServiceConfig, StatusCode, header::HeaderName},
+    http::HttpServiceConfig,
     io::IoRef,
     time::Seconds,
-    util::{Bytes, BytesMut},
+    util::Bytes,
     web::{self, App, HttpRequest, HttpResponse, HttpServer, types::Payload, types::State},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -29,12 +29,11 @@
 
 pub use crate::worker::Bounds;
 use crate::{
+    accept::{accept, text},
     dialect::Dialect,
     exchange,
-    life::{self, Answer, End, Request, Whole},
-    pick::Demand,
-    rules::Rules,
-    upstream::Head,
+    life::{self, Answer, End, Request},
+    response::{refusal, start_response, whole_response},
     worker::{Shared, Worker},
 };
 
@@ -50,22 +49,6 @@
 /// How long an idle connection of a caller is kept: longer than callers reuse
 /// one, which is most of the published limit.
 const KEEP_ALIVE: Seconds = Seconds(20);
-/// A request without a deadline of its caller's is bounded by its route alone.
-const NO_DEADLINE: Duration = Duration::from_secs(3600);
-/// Headers that concern one connection only, or that are written anew.
-const HOP: [&str; 11] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "host",
-    "expect",
-];
 
 /// What the gateway is told at its start.
 #[derive(Clone, Debug)]
@@ -350,162 +333,3 @@
         }
     }
 }
-
-/// Reads and checks a request.
-async fn accept<D>(
-    worker: &Worker<D>,
-    incoming: &HttpRequest,
-    mut payload: Payload,
-    arrived: Mono,
-) -> Result<Request, Code>
-where
-    D: Dialect,
-{
-    let known = worker.known();
-    let limit = known
-        .rules
-        .as_ref()
-        .map_or(usize::MAX, |rules| rules.limits.body);
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Code::SlowRequest)?;
-        body.extend_from_slice(&chunk);
-        if body.len() > limit {
-            return Err(Code::BodyTooLarge);
-        }
-    }
-    // The body may have taken long: what is in force now counts.
-    let known = worker.known();
-    let rules = known.rules.clone().ok_or(Code::NotReady)?;
-    let current = worker.node.age(clock::mono()) < worker.bounds.stale;
-    admit(worker, &rules, incoming, body.freeze(), arrived, current)
-}
-
-fn admit<D>(
-    worker: &Worker<D>,
-    rules: &Rules,
-    incoming: &HttpRequest,
-    body: Bytes,
-    arrived: Mono,
-    current: bool,
-) -> Result<Request, Code>
-where
-    D: Dialect,
-{
-    let names = worker.dialect.names();
-    let host = text(incoming, &ntex::http::header::HOST).unwrap_or_default();
-    let target = incoming
-        .uri()
-        .path_and_query()
-        .map_or("/", |target| target.as_str());
-    let path = target.split('?').next().unwrap_or(target);
-    // A host that was cut off may not know a route or a key that exists by
-    // now, nor that one was taken away.
-    let unsure = |code| if current { code } else { Code::NotReady };
-    let route = rules.route(host, path);
-    let route = Arc::clone(route.ok_or_else(|| unsure(Code::UnknownRoute))?);
-    let mut organisation = None;
-    if rules.needs_key(&route) {
-        if !current {
-            return Err(Code::NotReady);
-        }
-        let key = text(incoming, &names.key).unwrap_or_default();
-        organisation = Some(Arc::clone(
-            rules.organisation(key).ok_or(Code::Unauthenticated)?,
-        ));
-    }
-    let drawn = worker.rng.borrow_mut().random();
-    let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
-    let deadline = text(incoming, &names.deadline).and_then(|text| text.trim().parse().ok());
-    let deadline = deadline.map_or(NO_DEADLINE, Duration::from_millis);
-    let dropped = [
-        &names.key,
-        &names.organisation,
-        &names.deadline,
-        &names.instance,
-        &names.priority,
-        &names.helpers,
-    ];
-    let kept = |name: &HeaderName| !HOP.contains(&name.as_str()) && !dropped.contains(&name);
-    let headers = incoming.headers().iter().filter(|(name, _)| kept(name));
-    Ok(Request {
-        id: Arc::from(text(incoming, &names.request_id).unwrap_or_default()),
-        method: incoming.method().clone(),
-        target: target.to_owned(),
-        host: host.to_owned(),
-        headers: headers
-            .map(|(name, value)| (name.clone(), value.clone()))
-            .collect(),
-        body,
-        service,
-        organisation,
-        arrived,
-        until: arrived + deadline.min(route.timeout),
-        demand: text(incoming, &names.usage).and_then(|usage| demand(usage, route.objective)),
-        after: text(incoming, &names.last_event).and_then(|text| text.trim().parse().ok()),
-        route,
-    })
-}
-
-fn text<'a>(incoming: &'a HttpRequest, name: &HeaderName) -> Option<&'a str> {
-    incoming.headers().get(name)?.to_str().ok()
-}
-
-/// Reads "prompt tokens,output tokens".
-fn demand(usage: &str, objective: Duration) -> Option<Demand> {
-    let (prompt, output) = usage.split_once(',')?;
-    Some(Demand {
-        prompt: prompt.trim().parse().ok()?,
-        output: output.trim().parse().ok()?,
-        objective,
-    })
-}
-
-/// A response with the upstream's status and headers.
-fn start_response(head: &Head) -> web::HttpResponseBuilder {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    for (name, value) in &head.headers {
-        let name = name.to_ascii_lowercase();
-        if !HOP.contains(&name.as_str()) && name != "date" {
-            builder.header(name.as_str(), &value[..]);
-        }
-    }
-    builder
-}
-
-fn whole_response<D>(worker: &Worker<D>, id: &str, whole: Whole, arrived: Mono) -> HttpResponse {
-    let spent = clock::mono().since(arrived);
-    let status = whole.head.status;
-    worker
-        .shared
-        .metrics
-        .time("whole", &format!("status=\"{status}\""), spent);
-    tracing::info!(request = %id, status, outcome = "answered", spent_ms = spent.as_millis(), "ended");
-    let body = Bytes::copy_from_slice(&whole.body);
-    start_response(&whole.head).body(body)
-}
-
-/// The answer to a request that ends here.
-fn refusal<D>(worker: &Worker<D>, id: &str, end: &End, arrived: Mono) -> HttpResponse {
-    let spent = clock::mono().since(arrived);
-    let code = end.code;
-    worker
-        .shared
-        .metrics
-        .count("refused", &format!("code=\"{}\"", code.number()));
-    let retry_after = end.retry_after.map_or(0, |span| span.as_millis());
-    tracing::info!(
-        request = %id, outcome = "refused", code = code.number(), name = code.name(),
-        retry_after_ms = retry_after, spent_ms = spent.as_millis(),
-        revision = worker.node.view().revision().0,
-        age_ms = worker.node.age(clock::mono()).as_millis(), "ended"
-    );
-    let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut builder = HttpResponse::build(status);
-    builder.header("x-almondlock-code", code.number().to_string());
-    if let Some(span) = end.retry_after {
-        builder.header("retry-after", format!("{:.3}", span.as_secs_f64()));
-    }
-    builder.body(code.text())
-}
--- /dev/null
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -0,0 +1,179 @@
+//! Short prompts come all the time, long ones in bursts, on the same engines. A
+//! short stream stands still while a part of a long prompt is read beside it.
+
+use std::time::Duration;
+
+use almondlock_gateway::{
+    engine::Speed,
+    load::Total,
+    pick::{self, Candidate, Choice, Demand, HELPERS},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const ENGINES: usize = 14;
+
+fn speed() -> Speed {
+    Speed {
+        slots: 16,
+        memory: 450_000,
+        step: 0.925,
+        step_per_stream: 0.00483,
+        step_per_context: 0.00254,
+        read: 256.0,
+        pairs: 0.0917,
+        chunk: 2048.0,
+        stride: 46.0,
+    }
+}
+
+fn idle() -> Vec<Candidate> {
+    let candidate = Candidate {
+        total: Total::default(),
+        slots: 16,
+        near: true,
+        suspect: false,
+    };
+    vec![candidate; ENGINES]
+}
+
+/// The first engines write short streams.
+fn writing(engines: usize, streams: u32) -> Vec<Candidate> {
+    let mut candidates = idle();
+    for candidate in &mut candidates[..engines] {
+        candidate.total.streams = streams;
+        candidate.total.short = streams;
+    }
+    candidates
+}
+
+fn demand(prompt: u64) -> Demand {
+    Demand {
+        prompt,
+        output: 2_000,
+        objective: Duration::from_secs(3),
+    }
+}
+
+fn choose(prompt: u64, candidates: &[Candidate]) -> Choice {
+    let mut rng = SmallRng::seed_from_u64(1);
+    pick::engine(&speed(), demand(prompt), candidates, &mut rng).unwrap()
+}
+
+fn members(choice: &Choice) -> Vec<usize> {
+    let mut all = choice.helpers.clone();
+    all.push(choice.first);
+    all.sort_unstable();
+    all
+}
+
+#[test]
+fn reading_time() {
+    let speed = speed();
+    let millis = |tokens| speed.reading(tokens).as_millis();
+    // Tokens, and pairs of a token and any earlier one, by their own rates.
+    assert_eq!(millis(5_000), 20);
+    assert_eq!(millis(45_000), 268);
+    assert_eq!(millis(210_000), 2_842);
+    assert_eq!(speed.part(210_000, 10).as_millis(), 284);
+}
+
+#[test]
+fn short_are_packed() {
+    let candidates = writing(2, 9);
+    for _ in 0..20 {
+        let choice = choose(4_000, &candidates);
+        assert!(choice.first < 2 && choice.helpers.is_empty());
+    }
+}
+
+#[test]
+fn short_overflow() {
+    let candidates = writing(3, 15);
+    assert!(choose(4_000, &candidates).first >= 3);
+}
+
+/// The parts of a long prompt leave the short streams alone.
+#[parameterized(
+    usual = { 210_000 },
+    large = { 420_000 },
+)]
+fn long_apart(prompt: u64) {
+    let candidates = writing(3, 10);
+    let choice = choose(prompt, &candidates);
+    assert!(members(&choice).iter().all(|i| *i >= 3), "{choice:?}");
+    assert!(!choice.helpers.is_empty());
+    assert!(choice.expected < Duration::from_secs(3));
+}
+
+/// Thin parts, so that the streams of other long prompts don't stop for long;
+/// where that can't be had, few engines are hit.
+#[test]
+fn parts_by_size() {
+    let candidates = writing(2, 10);
+    let usual = choose(210_000, &candidates);
+    assert!(usual.part < Duration::from_millis(320));
+    let large = choose(420_000, &candidates);
+    assert!(large.helpers.len() < usual.helpers.len());
+}
+
+/// A middling prompt is read by both sides in parts that no stream notices, and
+/// written where the short ones are.
+#[test]
+fn middling_on_short_side() {
+    let candidates = writing(3, 8);
+    let choice = choose(45_000, &candidates);
+    assert!(choice.first < 3);
+    assert!(choice.part <= Duration::from_millis(35));
+}
+
+/// All entry hosts see one idle engine at the same moment; their lots differ.
+#[test]
+fn no_herd() {
+    let candidates = idle();
+    let mut first = std::collections::BTreeSet::new();
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let choice = pick::engine(&speed(), demand(210_000), &candidates, &mut rng);
+        first.insert(choice.unwrap().first);
+    }
+    assert!(first.len() > 4, "{first:?}");
+}
+
+#[test]
+fn suspects_last() {
+    let mut candidates = idle();
+    candidates.iter_mut().for_each(|c| c.suspect = true);
+    candidates[5].suspect = false;
+    assert_eq!(choose(4_000, &candidates).first, 5);
+    assert_eq!(members(&choose(210_000, &candidates)), [5]);
+    candidates[5].suspect = true;
+    candidates[5].total.waiting = 30;
+    assert_ne!(choose(4_000, &candidates).first, 5);
+}
+
+#[test]
+fn bounded_helpers() {
+    let candidates = vec![idle()[0]; 60];
+    for prompt in [30_000, 100_000, 300_000, 1_000_000] {
+        let choice = choose(prompt, &candidates);
+        assert!(choice.helpers.len() <= HELPERS);
+        assert!(!choice.helpers.contains(&choice.first));
+    }
+}
+
+#[test]
+fn nobody_enrolled() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert!(pick::engine(&speed(), demand(5_000), &[], &mut rng).is_none());
+    assert!(pick::plain(&[], &mut rng).is_none());
+}
+
+#[test]
+fn plain_by_places() {
+    let mut candidates = idle();
+    candidates.iter_mut().for_each(|c| c.total.streams = 3);
+    candidates[4].total.streams = 1;
+    let mut rng = SmallRng::seed_from_u64(1);
+    assert_eq!(pick::plain(&candidates, &mut rng).unwrap().first, 4);
+}
--- /dev/null
+++ b/almondlock-gateway/tests/known_loads.rs
@@ -0,0 +1,91 @@
+//! Several entry hosts send to the same engines. What each has under way must
+//! count at the others until it is done, and no longer.
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_gateway::load::{Table, Total, Work};
+
+fn name() -> Upstream {
+    Upstream::new("i-1").unwrap()
+}
+
+fn at(millis: u64) -> Mono {
+    Mono::from_millis(1_000 + millis)
+}
+
+fn work(reading: u64, wait: u64) -> Work {
+    Work {
+        reading: Duration::from_millis(reading),
+        wait: Duration::from_millis(wait),
+        writes: true,
+        short: true,
+        memory: 100,
+    }
+}
+
+#[test]
+fn from_begin_to_end() {
+    let mut table = Table::default();
+    let ticket = table.begin(at(0), &name(), work(80, 0));
+    let total = table.total(at(0), &name());
+    assert_eq!((total.waiting, total.streams, total.short), (1, 0, 1));
+    assert_eq!((total.reading, total.memory), (80.0, 100));
+    table.read(&name(), ticket);
+    let total = table.total(at(0), &name());
+    assert_eq!((total.waiting, total.streams, total.short), (0, 1, 1));
+    assert_eq!(total.reading, 0.0);
+    table.end(&name(), ticket);
+    assert_eq!(table.total(at(0), &name()), Total::default());
+}
+
+/// A second prompt waits behind the first. None of its reading is done by the
+/// time that the first one is read.
+#[test]
+fn waiting_reads_nothing() {
+    let mut table = Table::default();
+    let first = table.begin(at(0), &name(), work(400, 0));
+    table.begin(at(10), &name(), work(400, 400));
+    table.read(&name(), first);
+    assert_eq!(table.total(at(400), &name()).reading, 400.0);
+    assert_eq!(table.total(at(610), &name()).reading, 200.0);
+}
+
+/// Estimates run out before an engine does that is slow: part of the reading
+/// counts until the first event proves it done.
+#[test]
+fn doubt_remains() {
+    let mut table = Table::default();
+    table.begin(at(0), &name(), work(400, 0));
+    assert_eq!(table.total(at(60_000), &name()).reading, 100.0);
+}
+
+#[test]
+fn told_by_others() {
+    let mut table = Table::default();
+    let told = Total {
+        reading: 50.0,
+        waiting: 1,
+        streams: 2,
+        short: 3,
+        memory: 9,
+    };
+    table.tell(at(0), 77, HashMap::from([(name(), told)]));
+    assert_eq!(table.total(at(100), &name()), told);
+    assert_eq!(table.hosts(at(100)), 1);
+    assert_eq!(table.total(at(1_100), &name()), Total::default());
+    assert_eq!(table.hosts(at(1_100)), 0);
+}
+
+/// After a loss of power an engine still works for callers that are gone.
+#[test]
+fn reported_beyond_known() {
+    let mut table = Table::default();
+    table.begin(at(0), &name(), work(10, 0));
+    table.report(at(0), &name(), 12);
+    assert_eq!(table.total(at(0), &name()).requests(), 12);
+    table.report(at(100), &name(), 1);
+    assert_eq!(table.total(at(100), &name()).requests(), 1);
+    table.report(at(200), &name(), 9);
+    assert_eq!(table.total(at(1_800), &name()).requests(), 1);
+}
--- a/almondlock-state/src/document.rs
+++ b/almondlock-state/src/document.rs
@@ -28,5 +28,5 @@
 pub fn publish(config: &Config, document: Document) -> Option<Change> {
     let held = config.document.as_ref().map(|held| held.version);
     let newer = held.is_none_or(|held| document.version > held);
-    newer.then(|| Change::Document(Some(document)))
+    newer.then_some(Change::Document(Some(document)))
 }
--- /dev/null
+++ b/almondlock-state/tests/enrolled_instance.rs
@@ -0,0 +1,119 @@
+//! A server leaves or crashes, and a heartbeat of its that the network held
+//! back arrives afterwards. Acting on it would send callers' requests to a
+//! server that is gone, or to whoever has its address now.
+
+use std::time::Duration;
+
+use almondlock_base::{
+    id::{Domain, Service, Upstream},
+    time::{Mono, Wall},
+};
+use almondlock_state::{
+    command::Command,
+    instance::{Beat, Instance, Roster},
+    machine::Machine,
+};
+
+const AT: Wall = Wall::from_millis(1);
+
+fn name(text: &str) -> Upstream {
+    Upstream::new(text).unwrap()
+}
+
+fn instance(address: &str, leaving: bool) -> Instance {
+    Instance {
+        service: Service::new("s").unwrap(),
+        address: address.parse().unwrap(),
+        domain: Domain::new("d").unwrap(),
+        slots: 4,
+        leaving,
+    }
+}
+
+fn enrol(machine: &mut Machine, text: &str, address: &str, leaving: bool) {
+    machine.apply(Command::Enrol {
+        upstream: name(text),
+        instance: instance(address, leaving),
+        at: AT,
+    });
+}
+
+fn known(machine: &Machine, text: &str) -> Option<bool> {
+    let found = machine.config().instances.get(&name(text));
+    found.map(|instance| instance.leaving)
+}
+
+#[test]
+fn leaving_stays() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    enrol(&mut machine, "i-1", "10.0.0.1:80", true);
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    assert_eq!(known(&machine, "i-1"), Some(true));
+}
+
+#[test]
+fn gone_stays() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    machine.apply(Command::Withdraw {
+        upstream: name("i-1"),
+        at: AT,
+    });
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    assert_eq!(known(&machine, "i-1"), None);
+}
+
+#[test]
+fn gone_before_known() {
+    let mut machine = Machine::new();
+    machine.apply(Command::Withdraw {
+        upstream: name("i-1"),
+        at: AT,
+    });
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    assert_eq!(known(&machine, "i-1"), None);
+}
+
+#[test]
+fn address_reused() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    enrol(&mut machine, "i-2", "10.0.0.1:80", false);
+    assert_eq!(known(&machine, "i-1"), None);
+    // The first one's last heartbeat, after its address was given on.
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    assert_eq!(known(&machine, "i-1"), None);
+    assert_eq!(known(&machine, "i-2"), Some(false));
+}
+
+#[test]
+fn overtaken_heartbeat() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", true);
+    let (mut roster, i) = (Roster::default(), name("i-1"));
+    let config = machine.config();
+    let ready = instance("10.0.0.1:80", false);
+    let leaving = instance("10.0.0.1:80", true);
+    let now = Mono::from_millis(5);
+    assert_eq!(roster.beat(now, config, (&i, 7), &leaving), Beat::Known);
+    assert_eq!(roster.beat(now, config, (&i, 6), &ready), Beat::Known);
+    assert_eq!(roster.beat(now, config, (&i, 8), &ready), Beat::Known);
+    let other = instance("10.0.0.2:80", true);
+    assert_eq!(roster.beat(now, config, (&i, 9), &other), Beat::News);
+}
+
+#[test]
+fn silence_lapses() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    enrol(&mut machine, "i-2", "10.0.0.2:80", false);
+    let (config, lease) = (machine.config(), Duration::from_secs(10));
+    let mut roster = Roster::default();
+    let at = Mono::from_millis;
+    // A new leader gives all of them a whole lease.
+    assert!(roster.lapsed(at(1_000), lease, config).is_empty());
+    let spoke = instance("10.0.0.2:80", false);
+    roster.beat(at(9_000), config, (&name("i-2"), 3), &spoke);
+    assert_eq!(roster.lapsed(at(11_000), lease, config), [name("i-1")]);
+}
