Don't ask an upstream again that refused; deliver its own failure when no better came

Cause: a test of a lone upstream that refuses found the request sent to it a second time; it then hung, and the caller was told 504 though nothing had run. A failure that an upstream had answered was lost when a further attempt failed otherwise.

Change: those that state not to have run it are left out of further attempts; the last whole answer is kept; prompts beyond an engine's memory are refused at once. Tests against scripted upstreams on loopback ports for each way an answer can be spoilt.

--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -22,7 +22,7 @@
 mod peers;
 mod refusal;
 mod remote;
-mod repair;
+pub mod repair;
 mod server;
 mod status;
 mod wire;
--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -20,26 +20,29 @@
 /// A replica counts as silent after this long without an answer. Three times
 /// the longest election timeout of the usual settings, so that a slow disk or
 /// an election isn't taken for a loss.
-pub(super) const SILENCE: Duration = Duration::from_secs(3);
+pub const SILENCE: Duration = Duration::from_secs(3);
 
 /// A newcomer counts as there while its last greeting is younger than this.
-pub(super) const PRESENT: Duration = Duration::from_secs(2);
+pub const PRESENT: Duration = Duration::from_secs(2);
 
 /// What a leader knows when it looks for the next step.
-pub(super) struct Sight<'a> {
-    pub(super) own: Id,
-    pub(super) members: &'a Members,
+pub struct Sight<'a> {
+    /// The leader itself.
+    pub own: Id,
+    /// The members in force.
+    pub members: &'a Members,
     /// Replicas that are in no group and greeted lately.
-    pub(super) newcomers: Vec<Member>,
+    pub newcomers: Vec<Member>,
     /// Since when the leader has led; before that nobody's silence counts.
-    pub(super) led_since: Mono,
-    pub(super) now: Mono,
+    pub led_since: Mono,
+    /// The present time.
+    pub now: Mono,
 }
 
 impl Sight<'_> {
     /// The next step, if there is one. `heard` tells when a member last
     /// answered in this term.
-    pub(super) fn step<F>(&self, heard: F) -> Option<Change>
+    pub fn step<F>(&self, heard: F) -> Option<Change>
     where
         F: Fn(Id) -> Option<Mono>,
     {
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     dialect::Dialect,
-    life::{Request, Whole},
+    life::{Course, Request, Whole},
     load::{Ticket, Work},
     pick::{self, Choice},
     upstream::{self, Connection, Head},
@@ -99,7 +99,7 @@
 pub(crate) async fn attempt<D>(
     worker: &Rc<Worker<D>>,
     request: &Request,
-    tried: &[Upstream],
+    course: &Course,
     after: Option<u64>,
 ) -> Result<Run<D>, Broken>
 where
@@ -107,13 +107,21 @@
 {
     let now = clock::mono();
     let known = worker.known();
-    let targets = known
-        .instances
-        .get(&request.service)
-        .map_or(&[][..], Vec::as_slice);
+    let tried = &course.tried;
+    // Whoever refused this request just now would refuse it again.
+    let targets = known.instances.get(&request.service).into_iter().flatten();
+    let targets: Vec<Target> = targets
+        .filter(|target| !course.refused.contains(&target.name))
+        .cloned()
+        .collect();
+    let targets = &targets[..];
     let none = || Broken::new(Failure::Unsent, None, "no instance is enrolled");
     let choice = choose(worker, request, targets, tried, now).ok_or_else(none)?;
     let target = targets.get(choice.first).ok_or_else(none)?;
+    if is_too_large(worker, request) {
+        let reason = "larger than an engine's memory";
+        return Err(Broken::new(Failure::Unsent, None, reason));
+    }
     if tried.is_empty() && after.is_none() && is_hopeless(request, &choice, now) {
         let reason = format!("first event expected in {} ms", choice.expected.as_millis());
         return Err(Broken::new(Failure::Unsent, None, reason));
@@ -150,6 +158,21 @@
     judge(worker, run, targets).await
 }
 
+/// Whether no engine can hold the request. Sent all the same it would be
+/// rejected by one after the other.
+fn is_too_large<D>(worker: &Worker<D>, request: &Request) -> bool
+where
+    D: Dialect,
+{
+    let known = worker.known();
+    let rules = known.rules.as_ref();
+    let service = rules.and_then(|rules| rules.service(&request.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let memory = engine.map(|speed| speed.memory);
+    let needed = request.demand.map(|demand| demand.prompt);
+    needed > memory && memory.is_some()
+}
+
 fn is_hopeless(request: &Request, choice: &Choice, now: Mono) -> bool {
     let parts = u32::try_from(choice.helpers.len() + 1).unwrap_or(1);
     let spent = now.since(request.arrived);
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -116,6 +116,10 @@
 #[derive(Default)]
 pub(crate) struct Course {
     pub(crate) tried: Vec<Upstream>,
+    /// Those of them that state that they did not run it.
+    pub(crate) refused: Vec<Upstream>,
+    // The last whole answer that told of a failure.
+    answer: Option<Whole>,
     // Invariant: `Ran::No` as long as every attempt provably did not run.
     ran: Option<Ran>,
     pub(crate) runs: u32,
@@ -126,10 +130,16 @@
         self.ran.unwrap_or(Ran::No)
     }
 
-    fn note(&mut self, broken: &Broken) {
+    fn note(&mut self, broken: &mut Broken) {
         self.ran = Some(verdict::merge(self.ran(), broken.failure));
         self.runs += u32::from(broken.failure.ran() != Ran::No);
         self.tried.extend(broken.upstream.clone());
+        if matches!(broken.failure, Failure::Rejected | Failure::Misdirected) {
+            self.refused.extend(broken.upstream.clone());
+        }
+        if let Some(answer) = broken.answer.take() {
+            self.answer = Some(answer);
+        }
     }
 }
 
@@ -141,7 +151,7 @@
     let mut course = Course::default();
     worker.request(request.arrived, &request.service);
     loop {
-        let broken = match attempt(&worker, &request, &course.tried, request.after).await {
+        let mut broken = match attempt(&worker, &request, &course, request.after).await {
             Ok(run) if request.route.kind.is_stream() => {
                 match begin(&worker, &request, run).await {
                     Ok(mut stream) => {
@@ -158,11 +168,11 @@
             },
             Err(broken) => broken,
         };
-        course.note(&broken);
+        course.note(&mut broken);
         let now = clock::mono();
         note(&worker, &request, &broken, course.tried.len());
         if broken.upstream.is_none() || !again(&worker, &request, &course, &broken, now) {
-            return finish(&worker, &request, &course, broken, now);
+            return finish(&worker, &request, course, &broken, now);
         }
     }
 }
@@ -200,10 +210,8 @@
 where
     D: Dialect,
 {
-    let refused = broken
-        .answer
-        .as_ref()
-        .is_some_and(|whole| whole.head.status < 500);
+    let answered = broken.failure == Failure::Answered;
+    let refused = answered && course.answer.as_ref().is_some_and(|a| a.head.status < 500);
     let kind = request.route.kind;
     !refused
         && course.tried.len() < TRIES
@@ -221,21 +229,22 @@
 fn finish<D>(
     worker: &Worker<D>,
     request: &Request,
-    course: &Course,
-    broken: Broken,
+    course: Course,
+    broken: &Broken,
     now: Mono,
 ) -> Result<Answer<D>, End>
 where
     D: Dialect,
 {
-    if let Some(whole) = broken.answer {
+    let ran = course.ran();
+    if let Some(whole) = course.answer {
         return Ok(Answer::Whole(whole));
     }
-    let mut code = verdict::code(course.ran(), broken.failure);
-    if course.ran() == Ran::No && request.left(now).is_zero() {
+    let mut code = verdict::code(ran, broken.failure);
+    if ran == Ran::No && request.left(now).is_zero() {
         code = Code::DeadlineUnreachable;
     }
-    let retry_after = (course.ran() == Ran::No).then(|| worker.retry_after(request, now));
+    let retry_after = (ran == Ran::No).then(|| worker.retry_after(request, now));
     Err(End { code, retry_after })
 }
 
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -174,8 +174,7 @@
             return Err("its events have no numbers");
         };
         self.cutter.drop_rest();
-        let tried = &self.course.tried;
-        let run = attempt::attempt(&self.worker, &self.request, tried, Some(last)).await;
+        let run = attempt::attempt(&self.worker, &self.request, &self.course, Some(last)).await;
         let mut run = run.map_err(|_| "no other upstream took it")?;
         self.course.runs += 1;
         let left = self.request.left(clock::mono());
--- /dev/null
+++ b/almondlock-gateway/tests/fake/mod.rs
@@ -0,0 +1,123 @@
+//! An upstream on a loopback port that answers each connection as it is told.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::mpsc::{self, Receiver},
+    thread,
+    time::Duration,
+};
+
+use socket2::SockRef;
+
+/// What to do on a connection, step by step.
+#[derive(Clone, Debug)]
+pub enum Step {
+    /// Read one request, whole.
+    Read,
+    /// Read only a head.
+    ReadHead,
+    /// Write these bytes, in which `ID` stands for the request's id.
+    Write(String),
+    /// Wait.
+    Pause(u64),
+    /// Close with a reset.
+    Reset,
+    /// Stay open and silent.
+    Hang,
+}
+
+/// Starts one that runs a list of steps for each connection, in turn. The heads
+/// of requests come out of the channel.
+pub fn start(connections: Vec<Vec<Step>>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, heads) = mpsc::channel();
+    thread::spawn(move || {
+        for steps in connections {
+            let Ok((stream, _)) = listener.accept() else {
+                return;
+            };
+            let seen = seen.clone();
+            thread::spawn(move || run(stream, steps, &seen));
+        }
+        // Later connections stay in the queue and unanswered.
+        thread::sleep(Duration::from_secs(30));
+    });
+    (address, heads)
+}
+
+fn run(mut stream: TcpStream, steps: Vec<Step>, seen: &mpsc::Sender<String>) {
+    let mut id = String::new();
+    for step in steps {
+        match step {
+            Step::Read | Step::ReadHead => {
+                let head = head(&mut stream);
+                id = field(&head, "x-id").unwrap_or_default();
+                if matches!(step, Step::Read) {
+                    let length = field(&head, "content-length");
+                    let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+                    let mut body = vec![0; length];
+                    stream.read_exact(&mut body).ok();
+                }
+                seen.send(head).ok();
+            }
+            Step::Write(text) => {
+                stream.write_all(text.replace("ID", &id).as_bytes()).ok();
+            }
+            Step::Pause(millis) => thread::sleep(Duration::from_millis(millis)),
+            Step::Reset => {
+                SockRef::from(&stream)
+                    .set_linger(Some(Duration::ZERO))
+                    .unwrap();
+                return;
+            }
+            Step::Hang => thread::sleep(Duration::from_secs(30)),
+        }
+    }
+}
+
+fn head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        match stream.read(&mut byte) {
+            Ok(1) => head.push(byte[0]),
+            _ => break,
+        }
+    }
+    String::from_utf8(head).unwrap()
+}
+
+/// The value of a header in a head.
+pub fn field(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(':'));
+    let (_, value) = lines.find(|(key, _)| key.eq_ignore_ascii_case(name))?;
+    Some(value.trim().to_owned())
+}
+
+/// A whole answer with this body.
+pub fn answer(status: &str, body: &str) -> Step {
+    let length = body.len();
+    Step::Write(format!(
+        "HTTP/1.1 {status}\r\nx-id: ID\r\nx-seal: s\r\ncontent-length: {length}\r\n\r\n{body}"
+    ))
+}
+
+/// The head of an event stream.
+pub fn stream_head() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-seal: s\r\n\
+                content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    Step::Write(head.to_owned())
+}
+
+/// One event in a chunk.
+pub fn event(number: u64) -> Step {
+    let text = format!("id: {number}\ndata: x\n\n");
+    Step::Write(format!("{:x}\r\n{text}\r\n", text.len()))
+}
+
+/// The end of a stream.
+pub fn end() -> Step {
+    Step::Write("0\r\n\r\n".to_owned())
+}
