--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -103,6 +103,8 @@
     // Bytes of commands applied since.
     snapshot_bytes: usize,
     snapshot: Option<oneshot::Receiver<(Index, Vec<u8>)>>,
+    // The leader that the log last told of.
+    logged_leader: Option<Id>,
     // Invariant: once set it stays; nothing is said or promised from then on.
     pub(super) stopped: Option<Refusal>,
 }
@@ -153,6 +155,7 @@
             snapshot_at: Index::ZERO,
             snapshot_bytes: 0,
             snapshot: None,
+            logged_leader: None,
             stopped: None,
         };
         let snapshot = Arc::clone(core.machine.snapshot());
@@ -300,6 +303,7 @@
             grants,
         } = self.machine.take(now);
         self.list_members();
+        self.log_leader();
         if let Some(write) = write {
             self.disk.write(write);
         }
@@ -330,6 +334,18 @@
         self.vouch_as_follower(now);
     }
 
+    fn log_leader(&mut self) {
+        let leader = self.machine.leader();
+        if leader == self.logged_leader {
+            return;
+        }
+        self.logged_leader = leader;
+        let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
+        let (term, commit) = (self.machine.term().0, self.machine.commit().0);
+        let leads = self.machine.is_leader();
+        tracing::info!(%leader, term, commit, leads, "leader changed");
+    }
+
     /// A leader that hears no majority falls silent within one election
     /// timeout, so a follower that has all that such a one says to be accepted
     /// holds what was accepted a little before. (A leader vouches after
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -202,7 +202,18 @@
             web::get().to(async move || {
                 let current = node.age(clock::mono()) < stale;
                 let known = node.view().get().document.is_some();
-                match current && known && !shared.is_stopping() {
+                let ready = current && known && !shared.is_stopping();
+                if shared.ready.swap(ready, Ordering::Relaxed) != ready {
+                    let age = node.age(clock::mono());
+                    tracing::info!(
+                        ready,
+                        known,
+                        stopping = shared.is_stopping(),
+                        age_ms = age.as_millis(),
+                        "readiness changed"
+                    );
+                }
+                match ready {
                     true => HttpResponse::Ok().finish(),
                     false => HttpResponse::ServiceUnavailable().finish(),
                 }
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -43,6 +43,8 @@
     started: Mono,
     /// Told to stop: not ready, but requests that come are still taken.
     pub(crate) stopping: AtomicBool,
+    /// What the balancer was last told.
+    pub(crate) ready: AtomicBool,
     /// No stream is begun any more.
     pub(crate) closing: AtomicBool,
     pub(crate) active: AtomicUsize,
@@ -66,6 +68,7 @@
         Shared {
             started: now,
             stopping: AtomicBool::new(false),
+            ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
             active: AtomicUsize::new(0),
             metrics: Metrics::default(),
@@ -252,13 +255,17 @@
     pub(crate) fn suspect(&self, now: Mono, name: &Upstream) {
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|_, until| now < *until);
-        suspects.insert(name.clone(), now + SUSPECT);
+        if suspects.insert(name.clone(), now + SUSPECT).is_none() {
+            tracing::info!(upstream = %name, for_ms = SUSPECT.as_millis(), "upstream passed over");
+        }
         self.pool.borrow_mut().forget(name);
     }
 
     /// An instance answered.
     pub(crate) fn clear(&self, name: &Upstream) {
-        self.suspects.borrow_mut().remove(name);
+        if self.suspects.borrow_mut().remove(name).is_some() {
+            tracing::info!(upstream = %name, "upstream answers again");
+        }
     }
 
     /// Counts a request towards the budget of further attempts.
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -53,6 +53,8 @@
     assembly: Option<Assembly>,
     session: Option<Rc<Session>>,
     parent: Parent,
+    // The parent that the log last told of.
+    followed: Option<SocketAddr>,
 }
 
 impl<L> Fetcher<L>
@@ -84,6 +86,7 @@
             assembly: None,
             session: None,
             parent,
+            followed: None,
         }
     }
 
@@ -107,7 +110,21 @@
 
     /// Shows the tree's server and the node what the search came to.
     fn publish(&mut self) {
-        let known = self.search.parent().is_some();
+        let parent = self.search.parent();
+        if parent != self.followed {
+            let revision = self.shared.view.revision().0;
+            let age = self.shared.age(clock::mono());
+            match parent {
+                Some(parent) => tracing::info!(%parent, revision, "follows a parent"),
+                None => tracing::warn!(
+                    revision,
+                    age_ms = age.as_millis(),
+                    "lost the parent, looks for another"
+                ),
+            }
+            self.followed = parent;
+        }
+        let known = parent.is_some();
         self.parent.replace(self.session.clone().filter(|_| known));
         self.shared.tree().way = self.search.way();
     }
