--- a/almondlock-gateway/src/admission.rs
+++ b/almondlock-gateway/src/admission.rs
@@ -35,7 +35,7 @@
 
 /// Whether a request is refused. `spent` is the time since its arrival.
 pub fn refuses(choice: &Choice, objective: Duration, spent: Duration) -> bool {
-    if choice.large && choice.load > objective.mul_f64(LOADED) {
+    if choice.large && choice.backlog > objective.mul_f64(LOADED) {
         return true;
     }
     let parts = u32::try_from(choice.helpers.len() + 1).unwrap_or(1);
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -114,14 +114,15 @@
         return Err(Broken::new(Failure::Unsent, None, reason));
     }
     if tried.is_empty() && after.is_none() && is_refused(request, &choice, now) {
-        let (expected, load) = (choice.expected.as_millis(), choice.load.as_millis());
-        let reason = format!("first event expected in {expected} ms, mean backlog {load} ms");
+        let (expected, backlog) = (choice.expected.as_millis(), choice.backlog.as_millis());
+        let reason = format!("first event expected in {expected} ms, mean backlog {backlog} ms");
         return Err(Broken::new(Failure::Unsent, None, reason));
     }
     let held = hold(worker, request, targets, &choice, now);
     tracing::info!(
         request = %request.id, route = %request.route.name, upstream = %target.name,
-        prompt = request.demand.map_or(0, |demand| demand.prompt), helpers = choice.helpers.len(), expected_ms = choice.expected.as_millis(),
+        prompt = request.demand.map_or(0, |demand| demand.prompt),
+        helpers = choice.helpers.len(), expected_ms = choice.expected.as_millis(),
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().hosts(now),
         revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 //! | [`upstream`] | one HTTP/1.1 connection to an upstream |
 //! | [`pool`] | connections that wait for their next request |
 //! | [`event`] | event streams, cut into whole events |
-//! | [`life`] | one request from its arrival to the end of its answer |
+//! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
 //! | [`server`] | the listeners |
 //!
--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -127,7 +127,7 @@
     /// Its parts are so large that they stop other streams for long.
     pub large: bool,
     /// What an engine has left to read, in the mean of all.
-    pub load: Duration,
+    pub backlog: Duration,
 }
 
 /// Chooses among plain services: the one with the fewest requests for its
@@ -146,7 +146,7 @@
         expected: Duration::ZERO,
         part: Duration::ZERO,
         large: false,
-        load: Duration::ZERO,
+        backlog: Duration::ZERO,
     })
 }
 
@@ -183,8 +183,8 @@
     };
     let engines = u32::try_from(healthy.len()).unwrap_or(1).max(1);
     let backlogs = healthy.iter().map(|i| candidates[*i].total.backlog());
-    let load = backlogs.sum::<Duration>() / engines;
-    choice.map(|choice| Choice { load, ..choice })
+    let backlog = backlogs.sum::<Duration>() / engines;
+    choice.map(|choice| Choice { backlog, ..choice })
 }
 
 /// How many of the engines are the short streams' own.
@@ -217,7 +217,7 @@
             expected: self.expected(cost, part),
             part,
             large: false,
-            load: Duration::ZERO,
+            backlog: Duration::ZERO,
         })
     }
 
@@ -249,7 +249,7 @@
             expected: self.expected(slowest, part),
             part,
             large: part > THIN,
-            load: Duration::ZERO,
+            backlog: Duration::ZERO,
         })
     }
 
@@ -279,7 +279,7 @@
             expected: self.expected(slowest.max(self.cost(first)), part(count)),
             part: part(count),
             large: false,
-            load: Duration::ZERO,
+            backlog: Duration::ZERO,
         })
     }
 
@@ -407,7 +407,7 @@
         expected: whole + speed.writing(1, demand.prompt),
         part: whole,
         large: whole > THIN,
-        load: Duration::ZERO,
+        backlog: Duration::ZERO,
     })
 }
 
--- a/almondlock-gateway/src/rules.rs
+++ b/almondlock-gateway/src/rules.rs
@@ -198,11 +198,6 @@
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
         self.keys.get(key)
     }
-
-    /// The longest objective among the routes to a service.
-    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.values().flatten()
-    }
 }
 
 /// Builds [`Rules`]. Services come before the routes that name them.
--- a/almondlock-gateway/tests/refused_long.rs
+++ b/almondlock-gateway/tests/refused_long.rs
@@ -16,7 +16,7 @@
         expected: Duration::from_millis(expected),
         part: Duration::from_millis(part),
         large: false,
-        load: Duration::ZERO,
+        backlog: Duration::ZERO,
     }
 }
 
@@ -37,10 +37,10 @@
     calm = { 20, false },
     loaded = { 400, true },
 )]
-fn largest_under_load(load: u64, refused: bool) {
+fn largest_under_load(backlog: u64, refused: bool) {
     let large = Choice {
         large: true,
-        load: Duration::from_millis(load),
+        backlog: Duration::from_millis(backlog),
         ..choice(1_200, 3, 1_500)
     };
     let usual = Choice {
