--- a/almondlock-gateway/tests/forwarded_requests.rs
+++ b/almondlock-gateway/tests/forwarded_requests.rs
@@ -184,3 +184,13 @@
     assert_eq!(status(&response), 500);
     assert!(response.contains("x-seal: s") && response.ends_with("why"));
 }
+
+/// The upstream tells of a failure and stops in the middle of its body. The
+/// caller must have its answer when the route's time is over.
+#[test]
+fn half_failure() {
+    let half = "HTTP/1.1 500 Failed\r\nx-id: ID\r\ncontent-length: 9\r\n\r\nhalf".to_owned();
+    let (one, _heads) = start(vec![vec![Step::Read, Step::Write(half), Step::Hang]]);
+    let (response, _) = ask(gateway::start(&[one]), "/unsafe/");
+    assert_eq!(status(&response), 504);
+}
