--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -151,10 +151,13 @@
     let name = run.upstream.clone();
     let judged = timeout(request.left(clock::mono()), judge(worker, run, targets));
     // A failure's body may stop half-way, like any other.
-    judged.await.unwrap_or_else(|_| {
-        let reason = "the body of its failure stopped";
-        Err(Broken::new(Failure::Silent, Some(&name), reason))
-    })
+    match judged.await {
+        Ok(judged) => judged,
+        Err(_) => {
+            let reason = "the body of its failure stopped";
+            Err(Broken::new(Failure::Silent, Some(&name), reason))
+        }
+    }
 }
 
 /// Whether no engine can hold the request. Sent all the same it would be
