Put a lost replica out first where its failure domain has no room for the new one

Its successor was added as a learner and never got a vote: with five voters, two of them in its failure domain, the sixth was refused ('3 of 6 voters would share a failure domain; at most 2 may'), so the lost one never went either. Ruled out: a learner that doesn't catch up (it had, and follows), election faults (a leader was there, the debug line names the refusal). Change: where the vote is refused and a silent voter of that domain stands in the way, it goes first. Test: mended_membership::shared_domain, over four domains and over three, red before.

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -50,10 +50,10 @@
             let last = heard(id).unwrap_or(self.led_since);
             id != self.own && self.now.since(last) >= SILENCE
         };
-        if let Some(learner) = self.members.learners.keys().next() {
-            return Some(match silent(*learner) {
-                true => Change::Remove(*learner),
-                false => Change::Promote(*learner),
+        if let Some(learner) = self.members.learners.values().next() {
+            return Some(match silent(learner.id) {
+                true => Change::Remove(learner.id),
+                false => self.promotion(learner, &silent),
             });
         }
         self.superseded(&silent)
@@ -61,6 +61,29 @@
             .or_else(|| self.admission())
     }
 
+    /// Gives a learner its vote.
+    ///
+    /// **Failure.** A failure domain may already hold as many voters as it may,
+    /// a lost one among them: two of five, say. A third is refused, so the
+    /// learner would never vote, the lost one never go, and the group be left a
+    /// loss short; the next two losses would end it. Then the lost one goes
+    /// first. The group bears as many losses without its silent voter as with
+    /// it, since a silent voter acknowledges nothing.
+    fn promotion<F>(&self, learner: &Member, silent: &F) -> Change
+    where
+        F: Fn(Id) -> bool,
+    {
+        let promotion = Change::Promote(learner.id);
+        if self.members.changed(&promotion).is_ok() {
+            return promotion;
+        }
+        let voters = self.members.voters.values();
+        let lost = voters
+            .filter(|voter| voter.domain == learner.domain && !self.answers(voter, silent))
+            .max_by_key(|voter| voter.address == learner.address);
+        lost.map_or(promotion, |lost| Change::Remove(lost.id))
+    }
+
     /// A silent voter at whose address another voter answers: its disk is gone.
     fn superseded<F>(&self, silent: &F) -> Option<Change>
     where
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -7,6 +7,7 @@
 use almondlock_base::time::Mono;
 use almondlock_control::replica::repair::{SILENCE, Sight};
 use almondlock_quorum::member::{Change, Id, Member, Members};
+use yare::parameterized;
 
 const NOW: Mono = Mono::from_millis(60_000);
 
@@ -150,3 +151,23 @@
         Some(Change::Remove(_))
     ));
 }
+
+/// Two of five voters share a failure domain. One of them loses its disk, and a
+/// third in that domain may not vote beside the lost one. The group must still
+/// come to five voters that answer; else the next two losses end it.
+#[parameterized(
+    four_domains = { &[(1, 1), (11, 11), (2, 2), (3, 3), (4, 4)] },
+    three_domains = { &[(1, 1), (11, 11), (2, 2), (12, 12), (3, 3)] },
+)]
+fn shared_domain(voters: &[(u64, u8)]) {
+    for host in [11, 21] {
+        let mut case = Case {
+            members: group(voters),
+            newcomers: vec![member(21, host)],
+            silent: vec![11],
+        };
+        case.settle();
+        assert_eq!(case.members.voters.len(), 5);
+        assert!(case.members.is_voter(Id(21)) && !case.members.contains(Id(11)));
+    }
+}
