--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -23,6 +23,7 @@
             ratio: f64::from(role.retry_percent) / 100.0,
             free: role.retry_free,
         },
+        memory_hold: role.memory_hold,
     };
     let config = Config {
         listen: role.listen,
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -4,15 +4,16 @@
 
 use almondlock_base::{id::Upstream, time::Mono};
 use almondlock_node::clock;
-use ntex::http::{Method, header::HeaderName};
 use tokio::time::timeout;
 
 use crate::{
     admission,
     dialect::Dialect,
-    life::{Course, Request, Whole},
-    load::{Ticket, Work},
-    pick::{self, Choice},
+    held::Held,
+    lease::Leases,
+    life::{Course, Request, Whole, note},
+    outgoing,
+    pick::{self, Choice, Lack},
     upstream::{self, Connection, Head},
     verdict::Failure,
     worker::{Target, Worker},
@@ -20,36 +21,16 @@
 
 /// How long connecting may take: several ways there and back, far below the
 /// objective of short requests.
-const CONNECT: Duration = Duration::from_millis(250);
+pub(crate) const CONNECT: Duration = Duration::from_millis(250);
+/// How many engines may have no memory to give before the request is refused.
+const PLACEMENTS: usize = 2;
 /// The largest body of an answer that is no stream, in bytes.
 pub(crate) const WHOLE_LIMIT: usize = 8 << 20;
-/// What is counted for an attempt as long as it runs.
-pub(crate) struct Held<D> {
-    worker: Rc<Worker<D>>,
-    tickets: Vec<(Upstream, Ticket)>,
-}
-
-impl<D> Held<D> {
-    /// The prompt is read.
-    pub(crate) fn read(&self) {
-        let mut load = self.worker.load.borrow_mut();
-        for (upstream, ticket) in &self.tickets {
-            load.read(upstream, *ticket);
-        }
-    }
-}
-
-impl<D> Drop for Held<D> {
-    fn drop(&mut self) {
-        let mut load = self.worker.load.borrow_mut();
-        for (upstream, ticket) in &self.tickets {
-            load.end(upstream, *ticket);
-        }
-    }
-}
-
 /// An attempt that is being answered.
-pub(crate) struct Run<D> {
+pub(crate) struct Run<D>
+where
+    D: Dialect,
+{
     pub(crate) upstream: Upstream,
     pub(crate) connection: Connection,
     pub(crate) head: Head,
@@ -98,7 +79,6 @@
 {
     let now = clock::mono();
     let known = worker.known();
-    let tried = &course.tried;
     // Whoever refused this request just now would refuse it again.
     let targets = known.instances.get(&request.service).into_iter().flatten();
     let targets: Vec<Target> = targets
@@ -106,29 +86,27 @@
         .cloned()
         .collect();
     let targets = &targets[..];
-    let none = || Broken::new(Failure::Unsent, None, "no instance is enrolled");
-    let choice = choose(worker, request, targets, tried, now).ok_or_else(none)?;
-    let target = targets.get(choice.first).ok_or_else(none)?;
-    if is_too_large(worker, request) {
-        let reason = "larger than an engine's memory";
-        return Err(Broken::new(Failure::Unsent, None, reason));
-    }
-    if tried.is_empty() && after.is_none() && is_refused(request, &choice, now) {
-        let (expected, backlog) = (choice.expected.as_millis(), choice.backlog.as_millis());
-        let reason = format!("first event expected in {expected} ms, mean backlog {backlog} ms");
-        return Err(Broken::new(Failure::Unsent, None, reason));
-    }
-    let held = hold(worker, request, targets, &choice, now);
+    let (choice, held) = place(worker, request, course, targets, after).await?;
+    let target = targets
+        .get(choice.first)
+        .ok_or_else(|| lacking(Lack::Upstream))?;
     tracing::info!(
         request = %request.id, route = %request.route.name, upstream = %target.name,
         prompt = request.demand.map_or(0, |demand| demand.prompt),
-        helpers = choice.helpers.len(), expected_ms = choice.expected.as_millis(),
+        helpers = choice.helpers.len(), shares = choice.shares.len(),
+        expected_ms = choice.expected.as_millis(),
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().hosts(now),
         revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
-        attempt = tried.len() + 1, "sent"
+        attempt = course.tried.len() + 1, "sent"
     );
-    let head = head(worker, request, targets, &choice, after, now);
+    let part = outgoing::Placed {
+        targets,
+        choice: &choice,
+        memory: &held.memory(),
+    };
+    let now = clock::mono();
+    let head = outgoing::head(worker, request, &part, after, now);
     let left = request.left(now);
     let exchange = exchange(worker, request, target, &head);
     let result = match timeout(left, patient(worker, request, exchange)).await {
@@ -160,19 +138,50 @@
     }
 }
 
-/// Whether no engine can hold the request. Sent all the same it would be
-/// rejected by one after the other.
-fn is_too_large<D>(worker: &Worker<D>, request: &Request) -> bool
+/// Chooses who takes part, and sets memory aside where one engine has too
+/// little. An engine that has none to give is left out, and others are chosen.
+async fn place<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Request,
+    course: &Course,
+    targets: &[Target],
+    after: Option<u64>,
+) -> Result<(Choice, Held<D>), Broken>
 where
     D: Dialect,
 {
-    let known = worker.known();
-    let rules = known.rules.as_ref();
-    let service = rules.and_then(|rules| rules.service(&request.service));
-    let engine = service.and_then(|service| service.engine.as_ref());
-    let memory = engine.map(|speed| speed.memory);
-    let needed = request.demand.map(|demand| demand.prompt);
-    needed > memory && memory.is_some()
+    let mut full = Vec::new();
+    loop {
+        let now = clock::mono();
+        let choice = choose(worker, request, targets, &course.tried, &full, now);
+        let choice = choice.map_err(lacking)?;
+        let is_new = course.tried.is_empty() && after.is_none();
+        if is_new && is_refused(request, &choice, now) {
+            let (expected, backlog) = (choice.expected.as_millis(), choice.backlog.as_millis());
+            let reason =
+                format!("first event expected in {expected} ms, mean backlog {backlog} ms");
+            return Err(Broken::new(Failure::Unsent, None, reason));
+        }
+        let mut held = Held::new(worker, request, targets, &choice, now);
+        if choice.shares.is_empty() {
+            return Ok((choice, held));
+        }
+        match Leases::take(worker, &request.id, targets, &choice.shares).await {
+            Ok(leases) => {
+                held.leases = Some(leases);
+                return Ok((choice, held));
+            }
+            Err(broken) if full.len() < PLACEMENTS => {
+                note(worker, request, &broken, course.tried.len());
+                full.extend(broken.upstream);
+            }
+            Err(broken) => return Err(Broken::new(Failure::Unsent, None, broken.reason)),
+        }
+    }
+}
+
+fn lacking(lack: Lack) -> Broken {
+    Broken::new(Failure::Unsent, None, lack)
 }
 
 fn is_refused(request: &Request, choice: &Choice, now: Mono) -> bool {
@@ -234,17 +243,20 @@
     request: &Request,
     targets: &[Target],
     tried: &[Upstream],
+    full: &[Upstream],
     now: Mono,
-) -> Option<Choice>
+) -> Result<Choice, Lack>
 where
     D: Dialect,
 {
     let candidates: Vec<pick::Candidate> = targets
         .iter()
-        .map(|target| worker.candidate(now, target, tried))
+        .map(|target| worker.candidate(now, target, tried, full))
         .collect();
     let known = worker.known();
-    let service = known.rules.as_ref()?.service(&request.service)?;
+    let rules = known.rules.as_ref();
+    let service = rules.and_then(|rules| rules.service(&request.service));
+    let service = service.ok_or(Lack::Upstream)?;
     let mut rng = worker.rng.borrow_mut();
     match (&service.engine, request.demand) {
         (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
@@ -252,111 +264,6 @@
     }
 }
 
-/// Counts what the attempt asks of each upstream that takes part.
-fn hold<D>(
-    worker: &Rc<Worker<D>>,
-    request: &Request,
-    targets: &[Target],
-    choice: &Choice,
-    now: Mono,
-) -> Held<D>
-where
-    D: Dialect,
-{
-    let memory = request
-        .demand
-        .map_or(0, |demand| demand.prompt + demand.output);
-    let first = Work {
-        reading: choice.part,
-        writes: true,
-        short: choice.helpers.is_empty() && choice.part <= pick::SHORT,
-        memory,
-        ..Work::default()
-    };
-    let part = Work {
-        reading: choice.part,
-        ..Work::default()
-    };
-    let mut load = worker.load.borrow_mut();
-    let mut begin = |place: usize, mut work: Work| {
-        let target = targets.get(place)?;
-        work.wait = load.total(now, &target.name).backlog();
-        Some((target.name.clone(), load.begin(now, &target.name, work)))
-    };
-    let mut tickets: Vec<_> = begin(choice.first, first).into_iter().collect();
-    tickets.extend(
-        choice
-            .helpers
-            .iter()
-            .filter_map(|place| begin(*place, part)),
-    );
-    Held {
-        worker: Rc::clone(worker),
-        tickets,
-    }
-}
-
-/// The head of a request as it goes to an upstream.
-fn head<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    targets: &[Target],
-    choice: &Choice,
-    after: Option<u64>,
-    now: Mono,
-) -> Vec<u8>
-where
-    D: Dialect,
-{
-    let names = worker.dialect.names();
-    let mut head = Vec::with_capacity(768);
-    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
-    put(&[
-        request.method.as_str().as_bytes(),
-        b" ",
-        request.target.as_bytes(),
-        b" HTTP/1.1\r\n",
-    ]);
-    put(&[b"host: ", request.host.as_bytes(), b"\r\n"]);
-    for (name, value) in &request.headers {
-        if *name == names.last_event && after.is_some() {
-            continue;
-        }
-        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    }
-    let mut set = |name: &HeaderName, value: &str| {
-        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
-    };
-    set(&names.deadline, &request.left(now).as_millis().to_string());
-    if let Some(target) = targets.get(choice.first) {
-        set(&names.instance, target.name.as_str());
-    }
-    if let Some(organisation) = &request.organisation {
-        set(&names.organisation, &organisation.name);
-    }
-    if let Some(after) = after {
-        set(&names.last_event, &after.to_string());
-    }
-    if request.demand.is_some() {
-        set(&names.priority, &request.priority().to_string());
-    }
-    let helpers: Vec<String> = choice
-        .helpers
-        .iter()
-        .filter_map(|place| targets.get(*place))
-        .map(|target| target.address.to_string())
-        .collect();
-    if !helpers.is_empty() {
-        set(&names.helpers, &helpers.join(","));
-    }
-    if !request.body.is_empty() || request.method == Method::POST || request.method == Method::PUT {
-        let length = request.body.len().to_string();
-        set(&ntex::http::header::CONTENT_LENGTH, &length);
-    }
-    put(&[b"\r\n"]);
-    head
-}
-
 /// What the head of an answer says of the attempt.
 async fn judge<D>(worker: &Worker<D>, mut run: Run<D>, targets: &[Target]) -> Result<Run<D>, Broken>
 where
@@ -382,7 +289,7 @@
             worker.suspect(clock::mono(), &at.name);
             broken.failure = Failure::Rejected;
         }
-        recycle(worker, run).await;
+        recycle(worker, &run.upstream, run.connection, &run.head).await;
         return Err(broken);
     }
     let encoded = run.head.get("content-encoding").is_some();
@@ -408,7 +315,7 @@
         head: run.head.clone(),
         body,
     });
-    recycle(worker, run).await;
+    recycle(worker, &run.upstream, run.connection, &run.head).await;
     Err(broken)
 }
 
@@ -420,29 +327,31 @@
 }
 
 /// Reads what is left of a short answer and keeps the connection.
-async fn recycle<D>(worker: &Worker<D>, mut run: Run<D>)
-where
+pub(crate) async fn recycle<D>(
+    worker: &Worker<D>,
+    upstream: &Upstream,
+    mut connection: Connection,
+    head: &Head,
+) where
     D: Dialect,
 {
-    if run.connection.whole(WHOLE_LIMIT).await.is_ok() {
-        keep(worker, run);
+    if connection.whole(WHOLE_LIMIT).await.is_ok() {
+        keep(worker, upstream, connection, head);
     }
 }
 
 /// Keeps the connection of an answer that was read to its end.
-pub(crate) fn keep<D>(worker: &Worker<D>, run: Run<D>)
-where
+pub(crate) fn keep<D>(
+    worker: &Worker<D>,
+    upstream: &Upstream,
+    mut connection: Connection,
+    head: &Head,
+) where
     D: Dialect,
 {
-    let Run {
-        upstream,
-        mut connection,
-        head,
-        ..
-    } = run;
-    if connection.is_reusable(&head) {
+    if connection.is_reusable(head) {
         connection.idle = head.idle;
         let mut pool = worker.pool.borrow_mut();
-        pool.put(clock::mono(), &upstream, connection);
+        pool.put(clock::mono(), upstream, connection);
     }
 }
--- a/almondlock-gateway/src/dialect.rs
+++ b/almondlock-gateway/src/dialect.rs
@@ -4,9 +4,14 @@
 //! The rest of this package speaks of what a header holds, never of its name,
 //! so that one more platform needs a new [`Dialect`] and nothing else.
 
+use std::net::SocketAddr;
+
 use ntex::http::header::HeaderName;
 
-use crate::rules::{Error, Rules};
+use crate::{
+    memory::Order,
+    rules::{Error, Rules},
+};
 
 /// Names of the headers that the gateway reads or sets.
 #[derive(Clone, Debug)]
@@ -39,6 +44,17 @@
     pub last_event: HeaderName,
 }
 
+/// An order to an engine, as an HTTP call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// Where it is posted.
+    pub path: &'static str,
+    /// What its body is written in.
+    pub content_type: &'static str,
+    /// What it says.
+    pub body: String,
+}
+
 /// A platform's way to say things.
 pub trait Dialect: Clone + Send + Sync + 'static {
     /// The names of headers.
@@ -46,4 +62,11 @@
 
     /// Reads a published configuration and checks it.
     fn read(&self, text: &str) -> Result<Rules, Error>;
+
+    /// Writes an order.
+    fn order(&self, order: &Order<'_>) -> Call;
+
+    /// Writes one of the engines that read parts of a prompt, and the name of
+    /// the memory that it holds for it.
+    fn helper(&self, address: SocketAddr, memory: Option<&str>) -> String;
 }
--- /dev/null
+++ b/almondlock-gateway/src/lease.rs
@@ -0,0 +1,296 @@
+//! Memory that is set aside on engines for one attempt, from before it is sent
+//! until it has ended, whatever its end.
+//!
+//! **Failure.** A host that dies, an order that is lost, or one that an engine
+//! carries out seconds late leaves memory set aside that nobody uses: the engine
+//! then rejects prompts that it could hold. What is set aside therefore ends by
+//! itself after a short time unless it is renewed; it is given back as soon as
+//! the attempt ends; and where an order had no answer, it is given back again
+//! until the order can't be carried out any more.
+
+use std::{cell::Cell, rc::Rc, time::Duration};
+
+use almondlock_node::clock;
+use futures::future::join_all;
+use rand::Rng;
+use tokio::{
+    sync::mpsc::UnboundedReceiver,
+    task::{JoinHandle, spawn_local},
+    time::{sleep, timeout},
+};
+
+use crate::{
+    attempt::{Broken, CONNECT, recycle},
+    dialect::{Call, Dialect},
+    memory::{self, Order, Outcome, Share},
+    upstream::{self, Connection},
+    verdict::Failure,
+    worker::{Active, Target, Worker},
+};
+
+/// How long an engine may take to answer an order: a few ways there and back.
+/// Engines answer at once or, in trouble, not at all.
+const ANSWER: Duration = Duration::from_millis(400);
+/// How often memory is given back until an engine has answered. After that it
+/// ends by itself.
+const RELEASES: u32 = 3;
+
+/// Memory set aside on one engine.
+struct Lease {
+    target: Target,
+    /// Its name, unique among all that were ever used.
+    id: String,
+    tokens: u64,
+    /// An order for it had no answer: it may still be carried out.
+    uncertain: Cell<bool>,
+}
+
+/// All memory of one attempt. Given back when dropped.
+pub(crate) struct Leases<D>
+where
+    D: Dialect,
+{
+    worker: Rc<Worker<D>>,
+    request: Rc<str>,
+    leases: Rc<[Lease]>,
+    renewal: Option<JoinHandle<()>>,
+}
+
+impl<D> Leases<D>
+where
+    D: Dialect,
+{
+    /// Sets memory aside on all engines, or on none. On failure tells which
+    /// engine failed.
+    pub(crate) async fn take(
+        worker: &Rc<Worker<D>>,
+        request: &str,
+        targets: &[Target],
+        shares: &[Share],
+    ) -> Result<Leases<D>, Broken> {
+        let drawn: u64 = worker.rng.borrow_mut().random();
+        let places = shares
+            .iter()
+            .filter_map(|share| Some((targets.get(share.place)?, share.tokens)));
+        let orders = places.enumerate().map(async |(i, (target, tokens))| {
+            let lease = Lease {
+                target: target.clone(),
+                id: format!("{drawn:016x}-{i}"),
+                tokens,
+                uncertain: Cell::new(false),
+            };
+            let outcome = lease.reserve(worker).await;
+            (lease, outcome)
+        });
+        let results = join_all(orders).await;
+        let failed = results
+            .iter()
+            .find(|(_, outcome)| *outcome != Outcome::Done)
+            .map(|(lease, outcome)| failure(lease, *outcome));
+        let kept = results
+            .into_iter()
+            .filter(|(_, outcome)| *outcome != Outcome::Refused);
+        let mut leases = Leases {
+            worker: Rc::clone(worker),
+            request: Rc::from(request),
+            leases: kept.map(|(lease, _)| lease).collect(),
+            renewal: None,
+        };
+        match failed {
+            Some(failed) => Err(failed),
+            None => {
+                leases.renewal = Some(spawn_local(renew(
+                    Rc::clone(worker),
+                    Rc::clone(&leases.leases),
+                )));
+                Ok(leases)
+            }
+        }
+    }
+
+    /// The names of the memory, in the order of the shares.
+    pub(crate) fn ids(&self) -> Vec<&str> {
+        self.leases.iter().map(|lease| lease.id.as_str()).collect()
+    }
+}
+
+impl<D> Drop for Leases<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        if let Some(renewal) = self.renewal.take() {
+            renewal.abort();
+        }
+        if self.leases.is_empty() {
+            return;
+        }
+        let ended = Ended {
+            request: Rc::clone(&self.request),
+            leases: Rc::clone(&self.leases),
+            active: self.worker.shared.enter(),
+        };
+        // Without a receiver the process ends, and so does the memory, by
+        // itself.
+        let _ = self.worker.ended.send(ended);
+    }
+}
+
+/// The memory of an attempt that has ended.
+pub(crate) struct Ended {
+    request: Rc<str>,
+    leases: Rc<[Lease]>,
+    // A process that stops waits for this as for an answer in progress.
+    active: Active,
+}
+
+/// Gives back the memory of attempts that have ended. Apart from them, since a
+/// value that is dropped can't wait, nor begin a task while a process ends.
+pub(crate) async fn give_back<D>(worker: Rc<Worker<D>>, mut ended: UnboundedReceiver<Ended>)
+where
+    D: Dialect,
+{
+    while let Some(Ended {
+        request,
+        leases,
+        active,
+    }) = ended.recv().await
+    {
+        let worker = Rc::clone(&worker);
+        spawn_local(async move {
+            let releases = leases.iter().map(|lease| lease.release(&worker, &request));
+            join_all(releases).await;
+            drop(active);
+            let uncertain = leases.iter().filter(|lease| lease.uncertain.get());
+            join_all(uncertain.map(|lease| lease.release_late(&worker, &request))).await;
+        });
+    }
+}
+
+impl Lease {
+    async fn reserve<D>(&self, worker: &Worker<D>) -> Outcome
+    where
+        D: Dialect,
+    {
+        let hold = worker.bounds.memory_hold;
+        let order = Order::Reserve {
+            id: &self.id,
+            tokens: self.tokens,
+            hold,
+        };
+        let outcome = self.order(worker, &order).await;
+        if outcome == Outcome::Unknown {
+            self.uncertain.set(true);
+        }
+        outcome
+    }
+
+    async fn release<D>(&self, worker: &Worker<D>, request: &str)
+    where
+        D: Dialect,
+    {
+        let order = Order::Release { id: &self.id };
+        for _ in 0..RELEASES {
+            if self.order(worker, &order).await != Outcome::Unknown {
+                return;
+            }
+        }
+        tracing::warn!(
+            request, upstream = %self.target.name, memory = %self.id, tokens = self.tokens,
+            hold_ms = worker.bounds.memory_hold.as_millis(),
+            "memory not given back, ends by itself"
+        );
+    }
+
+    /// Gives back what an order sets aside that is carried out late.
+    async fn release_late<D>(&self, worker: &Worker<D>, request: &str)
+    where
+        D: Dialect,
+    {
+        tracing::info!(
+            request, upstream = %self.target.name, memory = %self.id, tokens = self.tokens,
+            "an order had no answer, memory is given back until it is too old"
+        );
+        let order = Order::Release { id: &self.id };
+        let until = clock::mono() + memory::LATE;
+        while clock::mono() < until {
+            sleep(memory::LATE_RELEASE).await;
+            self.order(worker, &order).await;
+        }
+    }
+
+    async fn order<D>(&self, worker: &Worker<D>, order: &Order<'_>) -> Outcome
+    where
+        D: Dialect,
+    {
+        let call = worker.dialect.order(order);
+        match timeout(ANSWER, send(worker, &self.target, &call)).await {
+            Ok(Ok(status)) => Outcome::of(status),
+            Ok(Err(upstream::Error::Connect(_))) => Outcome::Refused,
+            Ok(Err(_)) | Err(_) => Outcome::Unknown,
+        }
+    }
+}
+
+fn failure(lease: &Lease, outcome: Outcome) -> Broken {
+    let (failure, what) = match outcome {
+        Outcome::Unknown => (Failure::Unsent, "no answer"),
+        Outcome::Done | Outcome::Refused => (Failure::Rejected, "refused"),
+    };
+    let reason = format!("{} tokens of memory not set aside: {what}", lease.tokens);
+    Broken::new(failure, Some(&lease.target.name), reason)
+}
+
+/// Renews memory until it is given back.
+async fn renew<D>(worker: Rc<Worker<D>>, leases: Rc<[Lease]>)
+where
+    D: Dialect,
+{
+    let pause = worker.bounds.memory_hold.mul_f64(memory::RENEWAL_SHARE);
+    loop {
+        sleep(pause).await;
+        let renewals = leases.iter().map(async |lease| {
+            let outcome = lease.reserve(&worker).await;
+            if outcome != Outcome::Done {
+                tracing::warn!(
+                    upstream = %lease.target.name, memory = %lease.id, ?outcome,
+                    "memory not renewed"
+                );
+            }
+        });
+        join_all(renewals).await;
+    }
+}
+
+/// Sends an order and gives the status of its answer.
+async fn send<D>(worker: &Worker<D>, target: &Target, call: &Call) -> Result<u16, upstream::Error>
+where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let pooled = worker.pool.borrow_mut().take(now, &target.name, true);
+    let mut connection = match pooled {
+        Some(connection) => connection,
+        None => Connection::open(target.address, CONNECT).await?,
+    };
+    let names = worker.dialect.names();
+    let head = format!(
+        "POST {} HTTP/1.1\r\nhost: {}\r\ncontent-type: {}\r\n{}: {}\r\ncontent-length: {}\r\n\r\n",
+        call.path,
+        target.address,
+        call.content_type,
+        names.instance.as_str(),
+        target.name,
+        call.body.len(),
+    );
+    let outgoing = upstream::Request {
+        head: head.as_bytes(),
+        body: call.body.as_bytes(),
+        // An answer that echoes any id belongs to an earlier request.
+        id: (names.request_id.as_str(), b""),
+    };
+    let answer = connection.exchange(&outgoing).await?;
+    let status = answer.status;
+    recycle(worker, &target.name, connection, &answer).await;
+    Ok(status)
+}
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! | [`dialect`] | the names of headers, and who reads a published configuration |
 //! | [`engine`] | the cost of a prompt on an engine, in time |
 //! | [`load`] | what is under way on each upstream |
+//! | [`memory`] | how much of a large prompt is held by which engine |
 //! | [`pick`] | which upstream, and with which helpers |
 //! | [`admission`] | whether a long prompt is refused at once |
 //! | [`budget`] | whether another attempt may be sent |
@@ -19,6 +20,7 @@
 //! | [`upstream`] | one HTTP/1.1 connection to an upstream |
 //! | [`pool`] | connections that wait for their next request |
 //! | [`event`] | event streams, cut into whole events |
+//! | `lease` | memory set aside on engines, and given back |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
 //! | [`server`] | the listeners |
@@ -35,9 +37,13 @@
 pub mod engine;
 pub mod event;
 pub mod exchange;
+mod held;
+mod lease;
 mod life;
 pub mod load;
+pub mod memory;
 pub mod metrics;
+mod outgoing;
 pub mod pick;
 pub mod pool;
 mod reply;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -285,9 +285,11 @@
         }
     };
     worker.clear(&run.upstream);
-    let head = run.head.clone();
-    keep(worker, run);
-    Ok(Whole { head, body })
+    keep(worker, &run.upstream, run.connection, &run.head);
+    Ok(Whole {
+        head: run.head,
+        body,
+    })
 }
 
 /// Waits for the first whole event of a stream: until then a failure can still
--- /dev/null
+++ b/almondlock-gateway/src/memory.rs
@@ -0,0 +1,128 @@
+//! Memory for prompts that are larger than what one engine has free.
+//!
+//! **Load pattern.** The largest prompts take more memory than an engine has,
+//! and usual ones more than an engine has left that holds another. Sent all the
+//! same, they are rejected, or stop a running stream. So the rest is set aside
+//! on other engines before the prompt is sent, and those engines read parts of
+//! it anyway.
+//!
+//! **All or none.** Each share is asked for without waiting, and all are given
+//! back as soon as one is refused. No request ever waits for memory while it
+//! holds some, so two of them can't hold each other up, whatever the order.
+//!
+//! **Even parts.** Each step of a stream reads the context of the largest part,
+//! so the fewest engines that have the memory hold even parts of it.
+
+use std::{cmp::Reverse, time::Duration};
+
+use crate::{engine::Speed, load::Total};
+
+/// Part of an engine's memory that is counted on. The rest absorbs answers
+/// longer than expected, and short prompts that other hosts sent meanwhile.
+const COUNTED: f64 = 0.94;
+
+/// An engine hands out memory in blocks, and a request's last one is seldom
+/// full: tokens that are set aside beyond the prompt's.
+const SLACK: u64 = 64;
+
+/// Part of the time for which memory stays set aside after which that is
+/// renewed: one lost renewal can be repeated before the end.
+pub const RENEWAL_SHARE: f64 = 0.45;
+
+/// An order that was not answered may still be carried out this much later.
+/// The longest that engines are known to take.
+pub const LATE: Duration = Duration::from_secs(13);
+
+/// How often memory that such an order may have set aside is given back until
+/// then: well within the time for which engines may keep it unused.
+pub const LATE_RELEASE: Duration = Duration::from_secs(2);
+
+/// Memory that one engine holds for a prompt that another one answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// The engine's place in the list of candidates.
+    pub place: usize,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// An order to an engine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Order<'a> {
+    /// Sets memory aside, or goes on doing so.
+    Reserve {
+        /// Names the memory, in requests that use it too.
+        id: &'a str,
+        /// How much.
+        tokens: u64,
+        /// For how long.
+        hold: Duration,
+    },
+    /// Gives it back.
+    Release {
+        /// Its name.
+        id: &'a str,
+    },
+}
+
+/// What an engine answered to an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It is done.
+    Done,
+    /// It was refused, and will not be done.
+    Refused,
+    /// Nobody knows: it may still be done, seconds later.
+    Unknown,
+}
+
+impl Outcome {
+    /// What a status says. Any refusal is a definite one.
+    pub const fn of(status: u16) -> Outcome {
+        match status {
+            200..=299 => Outcome::Done,
+            400..=499 => Outcome::Refused,
+            _ => Outcome::Unknown,
+        }
+    }
+}
+
+/// Tokens of an engine's memory that can be counted on.
+pub fn free(speed: &Speed, total: &Total) -> u64 {
+    // Token counts are far below the precision of an `f64`.
+    let counted = (speed.memory as f64 * COUNTED) as u64;
+    counted.saturating_sub(total.memory)
+}
+
+/// Spreads `needed` tokens over the engine that answers, which has `own` free,
+/// and as few others as possible, given with what each has free. None if all of
+/// them together have too little.
+pub fn spread(needed: u64, own: u64, others: &[(usize, u64)]) -> Option<Vec<Share>> {
+    if needed <= own {
+        return Some(Vec::new());
+    }
+    let mut others = others.to_vec();
+    others.sort_by_key(|(_, free)| Reverse(*free));
+    let needed = needed + SLACK;
+    let mut held = own;
+    let count = 1 + others.iter().position(|(_, free)| {
+        held += free;
+        held >= needed
+    })?;
+    others.truncate(count);
+    let holders = others.into_iter().map(|(place, free)| (Some(place), free));
+    // Those with the least free take what they have, the others the rest in
+    // even parts.
+    let mut members: Vec<(Option<usize>, u64)> = holders.chain([(None, own)]).collect();
+    members.sort_by_key(|(_, free)| *free);
+    let mut rest = needed;
+    let mut left = members.len() as u64;
+    let mut shares = Vec::with_capacity(count);
+    for (place, free) in members {
+        let tokens = rest.div_ceil(left).min(free);
+        rest -= tokens;
+        left -= 1;
+        shares.extend(place.map(|place| Share { place, tokens }));
+    }
+    Some(shares)
+}
--- /dev/null
+++ b/almondlock-gateway/src/outgoing.rs
@@ -0,0 +1,94 @@
+//! The head of a request as it goes to an upstream.
+
+use almondlock_base::time::Mono;
+use ntex::http::{
+    Method,
+    header::{CONTENT_LENGTH, HeaderName},
+};
+
+use crate::{
+    dialect::Dialect,
+    life::Request,
+    pick::Choice,
+    worker::{Target, Worker},
+};
+
+/// Where a request goes.
+pub(crate) struct Placed<'a> {
+    pub(crate) targets: &'a [Target],
+    /// Its numbers are places in the list of targets.
+    pub(crate) choice: &'a Choice,
+    /// The names of the memory that the first helpers hold.
+    pub(crate) memory: &'a [&'a str],
+}
+
+impl Placed<'_> {
+    /// The engines that read parts of the prompt, those with memory first.
+    fn helpers<D>(&self, dialect: &D) -> String
+    where
+        D: Dialect,
+    {
+        let helpers = self.choice.helpers.iter().enumerate();
+        let helpers: Vec<String> = helpers
+            .filter_map(|(i, place)| {
+                let target = self.targets.get(*place)?;
+                Some(dialect.helper(target.address, self.memory.get(i).copied()))
+            })
+            .collect();
+        helpers.join(",")
+    }
+}
+
+/// Writes the head.
+pub(crate) fn head<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    placed: &Placed<'_>,
+    after: Option<u64>,
+    now: Mono,
+) -> Vec<u8>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let mut head = Vec::with_capacity(768);
+    let mut put = |parts: &[&[u8]]| parts.iter().for_each(|part| head.extend_from_slice(part));
+    put(&[
+        request.method.as_str().as_bytes(),
+        b" ",
+        request.target.as_bytes(),
+        b" HTTP/1.1\r\n",
+    ]);
+    put(&[b"host: ", request.host.as_bytes(), b"\r\n"]);
+    for (name, value) in &request.headers {
+        if *name == names.last_event && after.is_some() {
+            continue;
+        }
+        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    }
+    let mut set = |name: &HeaderName, value: &str| {
+        put(&[name.as_str().as_bytes(), b": ", value.as_bytes(), b"\r\n"]);
+    };
+    set(&names.deadline, &request.left(now).as_millis().to_string());
+    if let Some(target) = placed.targets.get(placed.choice.first) {
+        set(&names.instance, target.name.as_str());
+    }
+    if let Some(organisation) = &request.organisation {
+        set(&names.organisation, &organisation.name);
+    }
+    if let Some(after) = after {
+        set(&names.last_event, &after.to_string());
+    }
+    if request.demand.is_some() {
+        set(&names.priority, &request.priority().to_string());
+    }
+    let helpers = placed.helpers(&worker.dialect);
+    if !helpers.is_empty() {
+        set(&names.helpers, &helpers);
+    }
+    if !request.body.is_empty() || request.method == Method::POST || request.method == Method::PUT {
+        set(&CONTENT_LENGTH, &request.body.len().to_string());
+    }
+    put(&[b"\r\n"]);
+    head
+}
--- a/almondlock-gateway/src/pick.rs
+++ b/almondlock-gateway/src/pick.rs
@@ -26,7 +26,11 @@
 
 use rand::{Rng, RngCore};
 
-use crate::{engine::Speed, load::Total};
+use crate::{
+    engine::Speed,
+    load::Total,
+    memory::{self, Share},
+};
 
 /// The reading time that a part of a prompt should have at least. It fits into
 /// the pauses of short streams (a few hundred milliseconds) twice, with the
@@ -74,10 +78,6 @@
 /// allows.
 pub const HELPERS: usize = 16;
 
-/// Part of an engine's memory that is counted on. The rest absorbs answers
-/// longer than expected.
-const MEMORY_SHARE: f64 = 0.94;
-
 /// An upstream in another failure domain is worth this much more waiting: the
 /// way there and back within a region is a millisecond or two, and bytes
 /// between domains are paid for.
@@ -88,6 +88,10 @@
 /// others wait for it too.
 const OVERFLOW: Duration = Duration::from_millis(250);
 
+/// Seconds within which costs count as equal and the lot decides, so that hosts
+/// which see the same engines don't all take the same one.
+const LOT: f64 = 1e-3;
+
 /// One upstream that could take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
@@ -100,6 +104,8 @@
     /// It failed lately, or was tried for this request: only if nothing else
     /// is left.
     pub suspect: bool,
+    /// It said just now that it has no memory to set aside.
+    pub full: bool,
 }
 
 /// What a request asks for.
@@ -118,8 +124,12 @@
 pub struct Choice {
     /// Who answers.
     pub first: usize,
-    /// Who reads parts besides. Empty for a short prompt.
+    /// Who reads parts besides. Empty for a short prompt. Those that also hold
+    /// a share of its memory come first, in the order of `shares`.
     pub helpers: Vec<usize>,
+    /// Memory that has to be set aside before the prompt is sent. Empty if the
+    /// engine that answers has enough.
+    pub shares: Vec<Share>,
     /// When the first event is expected, from now.
     pub expected: Duration,
     /// The reading time of each part.
@@ -130,24 +140,43 @@
     pub backlog: Duration,
 }
 
+impl Choice {
+    fn alone(first: usize) -> Choice {
+        Choice {
+            first,
+            helpers: Vec::new(),
+            shares: Vec::new(),
+            expected: Duration::ZERO,
+            part: Duration::ZERO,
+            large: false,
+            backlog: Duration::ZERO,
+        }
+    }
+}
+
+/// What is missing for a request to be placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub enum Lack {
+    /// No upstream is enrolled that could take it.
+    #[error("no instance is enrolled")]
+    Upstream,
+    /// The engines together don't have the memory free that its prompt takes.
+    #[error("the engines don't have enough memory free")]
+    Memory,
+}
+
 /// Chooses among plain services: the one with the fewest requests for its
 /// places.
-pub fn plain<R>(candidates: &[Candidate], rng: &mut R) -> Option<Choice>
+pub fn plain<R>(candidates: &[Candidate], rng: &mut R) -> Result<Choice, Lack>
 where
     R: RngCore,
 {
     let first = least(candidates, rng, |candidate| {
         let requests = f64::from(candidate.total.requests());
         requests / f64::from(candidate.slots.max(1))
-    })?;
-    Some(Choice {
-        first,
-        helpers: Vec::new(),
-        expected: Duration::ZERO,
-        part: Duration::ZERO,
-        large: false,
-        backlog: Duration::ZERO,
-    })
+    });
+    first.map(Choice::alone).ok_or(Lack::Upstream)
 }
 
 /// Chooses among engines. All entry hosts must list them in the same order:
@@ -157,7 +186,7 @@
     demand: Demand,
     candidates: &[Candidate],
     rng: &mut R,
-) -> Option<Choice>
+) -> Result<Choice, Lack>
 where
     R: RngCore,
 {
@@ -166,7 +195,7 @@
         .filter(|i| !candidates[*i].suspect)
         .collect();
     if healthy.is_empty() {
-        return suspects(speed, whole, demand, candidates, rng);
+        return suspects(speed, whole, demand, candidates, rng).ok_or(Lack::Upstream);
     }
     let streams = healthy.iter().map(|i| candidates[*i].total.short).sum();
     let (short, long) = healthy.split_at(side(streams, healthy.len()));
@@ -177,8 +206,8 @@
     };
     let thin = speed.part(demand.prompt, healthy.len().min(HELPERS + 1)) <= SHORT_PART;
     let choice = match (whole <= SHORT, thin && !long.is_empty()) {
-        (true, _) => field.short(short, long, rng),
-        (false, true) => field.middling(short, &healthy, rng),
+        (true, _) => field.short(short, long, rng).ok_or(Lack::Upstream),
+        (false, true) => field.middling(short, &healthy, rng).ok_or(Lack::Upstream),
         (false, false) => field.long(short, long, rng),
     };
     let engines = u32::try_from(healthy.len()).unwrap_or(1).max(1);
@@ -212,47 +241,81 @@
         let (cost, first) = best(own.chain(other), rng)?;
         let part = self.speed.reading(self.demand.prompt);
         Some(Choice {
-            first,
-            helpers: Vec::new(),
             expected: self.expected(cost, part),
             part,
-            large: false,
-            backlog: Duration::ZERO,
+            ..Choice::alone(first)
         })
     }
 
-    fn long<R>(&self, short: &[usize], long: &[usize], rng: &mut R) -> Option<Choice>
+    fn long<R>(&self, short: &[usize], long: &[usize], rng: &mut R) -> Result<Choice, Lack>
     where
         R: RngCore,
     {
-        let harm = |i: usize| self.harm(i);
         // Never both sides: the largest parts would win most by crossing, and
         // make every short stream of the fleet late at once.
-        let readers = if long.is_empty() { short } else { long };
-        let costs = readers.iter().map(|i| (self.cost(*i) + harm(*i), *i));
-        let mut order: Vec<(f64, usize)> = costs.collect();
-        order
-            .iter_mut()
-            .for_each(|(cost, _)| *cost += rng.random::<f64>() * 1e-3);
-        order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
-        let count = self.count(&order);
+        let (readers, spare) = match long.is_empty() {
+            true => (short, long),
+            false => (long, short),
+        };
+        let mut order = self.order(readers, rng);
+        let mut count = self.count(&order);
+        // But for memory that their own side lacks.
+        order.extend(self.order(spare, rng));
+        let (first, shares) = loop {
+            let readers: Vec<usize> = order[..count].iter().map(|(_, i)| *i).collect();
+            match self.memory(&readers) {
+                Some(found) => break found,
+                None if count < order.len().min(HELPERS + 1) => count += 1,
+                None => return Err(Lack::Memory),
+            }
+        };
         let part = self.speed.part(self.demand.prompt, count);
-        let mut chosen: Vec<usize> = order[..count].iter().map(|(_, i)| *i).collect();
-        let slowest = order[count - 1].0;
-        let room = |i: &usize| (self.has_place(*i), free(self.speed, &self.candidates[*i]));
-        let first = chosen.iter().copied().max_by_key(room)?;
-        chosen.retain(|i| *i != first);
-        chosen.truncate(HELPERS);
-        Some(Choice {
-            first,
-            helpers: chosen,
+        let costs = order[..count].iter().map(|(cost, _)| *cost);
+        let slowest = costs.fold(0.0, f64::max);
+        let holders = shares.iter().map(|share| share.place);
+        let mut helpers: Vec<usize> = holders.collect();
+        let readers = order[..count].iter().map(|(_, i)| *i);
+        let others: Vec<usize> = readers
+            .filter(|i| *i != first && !helpers.contains(i))
+            .collect();
+        helpers.extend(others);
+        helpers.truncate(HELPERS);
+        Ok(Choice {
+            helpers,
+            shares,
             expected: self.expected(slowest, part),
             part,
             large: part > THIN,
-            backlog: Duration::ZERO,
+            ..Choice::alone(first)
         })
     }
 
+    /// Engines with their costs to a long prompt, the least first.
+    fn order<R>(&self, engines: &[usize], rng: &mut R) -> Vec<(f64, usize)>
+    where
+        R: RngCore,
+    {
+        let costs = engines.iter().map(|i| {
+            let cost = self.cost(*i) + self.harm(*i);
+            (cost + rng.random::<f64>() * LOT, *i)
+        });
+        let mut order: Vec<(f64, usize)> = costs.collect();
+        order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        order
+    }
+
+    /// Which of the readers answers, and which others hold a share of the
+    /// prompt because its memory is too small for all of it.
+    fn memory(&self, readers: &[usize]) -> Option<(usize, Vec<Share>)> {
+        let room = |i: &usize| (self.has_place(*i), self.free(*i));
+        let first = readers.iter().copied().max_by_key(room)?;
+        let others = readers.iter().filter(|i| **i != first);
+        let others: Vec<(usize, u64)> = others.map(|i| (*i, self.free(*i))).collect();
+        let needed = self.demand.prompt + self.demand.output;
+        let shares = memory::spread(needed, self.free(first), &others)?;
+        Some((first, shares))
+    }
+
     /// A prompt whose parts are small enough for every engine is read by as
     /// many as that takes, of both sides, and written on the short side, where
     /// no large part makes its events late.
@@ -263,7 +326,7 @@
         let (_, first) = best(short.iter().map(|i| (self.cost(*i), *i)), rng)?;
         let others = all.iter().filter(|i| **i != first);
         let mut order: Vec<(f64, usize)> = others
-            .map(|i| (self.cost(*i) + rng.random::<f64>() * 1e-3, *i))
+            .map(|i| (self.cost(*i) + rng.random::<f64>() * LOT, *i))
             .collect();
         order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let part = |count: usize| self.speed.part(self.demand.prompt, count);
@@ -274,12 +337,10 @@
         let helpers = &order[..count - 1];
         let slowest = helpers.last().map_or(0.0, |(cost, _)| *cost);
         Some(Choice {
-            first,
             helpers: helpers.iter().map(|(_, i)| *i).collect(),
             expected: self.expected(slowest.max(self.cost(first)), part(count)),
             part: part(count),
-            large: false,
-            backlog: Duration::ZERO,
+            ..Choice::alone(first)
         })
     }
 
@@ -327,6 +388,15 @@
         candidate.total.requests() < candidate.slots
     }
 
+    /// Tokens of memory that can be counted on there.
+    fn free(&self, i: usize) -> u64 {
+        let candidate = &self.candidates[i];
+        match candidate.full {
+            true => 0,
+            false => memory::free(self.speed, &candidate.total),
+        }
+    }
+
     /// Seconds until a new prompt is read there.
     fn cost(&self, i: usize) -> f64 {
         cost(self.speed, &self.candidates[i])
@@ -345,7 +415,7 @@
     R: RngCore,
 {
     costs
-        .map(|(cost, i)| (cost + rng.random::<f64>() * 1e-3, i))
+        .map(|(cost, i)| (cost + rng.random::<f64>() * LOT, i))
         .min_by(|a, b| a.0.total_cmp(&b.0))
 }
 
@@ -384,12 +454,6 @@
     cost.as_secs_f64()
 }
 
-fn free(speed: &Speed, candidate: &Candidate) -> u64 {
-    // Token counts are far below the precision of an `f64`.
-    let counted = (speed.memory as f64 * MEMORY_SHARE) as u64;
-    counted.saturating_sub(candidate.total.memory)
-}
-
 fn suspects<R>(
     speed: &Speed,
     whole: Duration,
@@ -402,12 +466,10 @@
 {
     let first = least(candidates, rng, |candidate| cost(speed, candidate))?;
     Some(Choice {
-        first,
-        helpers: Vec::new(),
         expected: whole + speed.writing(1, demand.prompt),
         part: whole,
         large: whole > THIN,
-        backlog: Duration::ZERO,
+        ..Choice::alone(first)
     })
 }
 
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -194,7 +194,7 @@
     fn finish(&mut self) {
         self.ended = true;
         if let Some(run) = self.run.take() {
-            attempt::keep(&self.worker, run);
+            attempt::keep(&self.worker, &run.upstream, run.connection, &run.head);
         }
         self.log("answered", "whole");
     }
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -23,6 +23,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
     net::UdpSocket,
+    sync::mpsc,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -31,7 +32,7 @@
 use crate::{
     accept::{accept, text},
     dialect::Dialect,
-    exchange,
+    exchange, lease,
     life::{self, Answer, End, Request},
     response::{refusal, start_response, whole_response},
     worker::{Shared, Worker},
@@ -138,6 +139,8 @@
     let shared = Arc::clone(shared);
     let factory = async move || {
         let rng = SmallRng::seed_from_u64(config.seed);
+        // Bounded by the requests under way: each sends once, when it ends.
+        let (sender, ended) = mpsc::unbounded_channel();
         let worker = Rc::new(Worker::new(
             dialect.clone(),
             node.clone(),
@@ -145,7 +148,9 @@
             config.domain.clone(),
             config.bounds,
             rng,
+            sender,
         ));
+        spawn_local(lease::give_back(Rc::clone(&worker), ended));
         spawn_local(sweep(Rc::clone(&worker)));
         let any = SocketAddr::from((config.listen.ip(), 0));
         match UdpSocket::bind(any).await {
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -22,10 +22,12 @@
 };
 use almondlock_node::Handle;
 use rand::rngs::SmallRng;
+use tokio::sync::mpsc::UnboundedSender;
 
 use crate::{
     budget::{self, Budget},
     dialect::Dialect,
+    lease::Ended,
     load,
     metrics::Metrics,
     pick::Candidate,
@@ -136,6 +138,8 @@
     known: RefCell<Rc<Known>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     suspects: RefCell<HashMap<Upstream, Mono>>,
+    /// Where the memory of attempts goes that have ended.
+    pub(crate) ended: UnboundedSender<Ended>,
 }
 
 /// What a gateway is bound by.
@@ -146,6 +150,8 @@
     pub stale: Duration,
     /// The budget of further attempts.
     pub retries: budget::Config,
+    /// How long memory stays set aside on an engine unless that is renewed.
+    pub memory_hold: Duration,
 }
 
 impl<D> Worker<D>
@@ -159,6 +165,7 @@
         domain: Domain,
         bounds: Bounds,
         rng: SmallRng,
+        ended: UnboundedSender<Ended>,
     ) -> Worker<D> {
         Worker {
             dialect,
@@ -172,6 +179,7 @@
             known: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::default(),
+            ended,
         }
     }
 
@@ -236,13 +244,20 @@
     }
 
     /// How an instance stands as a candidate.
-    pub(crate) fn candidate(&self, now: Mono, target: &Target, tried: &[Upstream]) -> Candidate {
+    pub(crate) fn candidate(
+        &self,
+        now: Mono,
+        target: &Target,
+        tried: &[Upstream],
+        full: &[Upstream],
+    ) -> Candidate {
         let suspect = tried.contains(&target.name) || self.is_suspect(now, &target.name);
         Candidate {
             total: self.load.borrow().total(now, &target.name),
             slots: target.slots,
             near: target.near,
             suspect,
+            full: full.contains(&target.name),
         }
     }
 
--- a/almondlock-gateway/tests/engine_choice.rs
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -6,7 +6,7 @@
 use almondlock_gateway::{
     engine::Speed,
     load::Total,
-    pick::{self, Candidate, Choice, Demand, HELPERS},
+    pick::{self, Candidate, Choice, Demand, HELPERS, Lack},
 };
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
@@ -33,6 +33,7 @@
         slots: 16,
         near: true,
         suspect: false,
+        full: false,
     };
     vec![candidate; ENGINES]
 }
@@ -165,8 +166,9 @@
 #[test]
 fn nobody_enrolled() {
     let mut rng = SmallRng::seed_from_u64(1);
-    assert!(pick::engine(&speed(), demand(5_000), &[], &mut rng).is_none());
-    assert!(pick::plain(&[], &mut rng).is_none());
+    let chosen = pick::engine(&speed(), demand(5_000), &[], &mut rng);
+    assert_eq!(chosen, Err(Lack::Upstream));
+    assert_eq!(pick::plain(&[], &mut rng), Err(Lack::Upstream));
 }
 
 #[test]
--- a/almondlock-gateway/tests/fake/mod.rs
+++ b/almondlock-gateway/tests/fake/mod.rs
@@ -41,7 +41,7 @@
                 return;
             };
             let seen = seen.clone();
-            thread::spawn(move || run(stream, steps, &seen));
+            thread::spawn(move || run(stream, String::new(), steps, &seen));
         }
         // Later connections stay in the queue and unanswered.
         thread::sleep(Duration::from_secs(30));
@@ -49,8 +49,40 @@
     (address, heads)
 }
 
-fn run(mut stream: TcpStream, steps: Vec<Step>, seen: &mpsc::Sender<String>) {
-    let mut id = String::new();
+/// Starts one that answers each request by what its head says, on as many
+/// connections as are opened.
+pub fn serve<F>(respond: F) -> (SocketAddr, Receiver<String>)
+where
+    F: Fn(&str) -> Vec<Step> + Clone + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (seen, heads) = mpsc::channel();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, seen, respond) = (stream.unwrap(), seen.clone(), respond.clone());
+            thread::spawn(move || {
+                loop {
+                    let head = head(&mut stream);
+                    if head.is_empty() {
+                        return;
+                    }
+                    let length = field(&head, "content-length").unwrap();
+                    let mut body = vec![0; length.parse().unwrap()];
+                    stream.read_exact(&mut body).unwrap();
+                    let steps = respond(&head);
+                    seen.send(format!("{head}{}", String::from_utf8(body).unwrap()))
+                        .ok();
+                    let id = field(&head, "x-id").unwrap_or_default();
+                    run(stream.try_clone().unwrap(), id, steps, &seen);
+                }
+            });
+        }
+    });
+    (address, heads)
+}
+
+fn run(mut stream: TcpStream, mut id: String, steps: Vec<Step>, seen: &mpsc::Sender<String>) {
     for step in steps {
         match step {
             Step::Read | Step::ReadHead => {
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -3,7 +3,10 @@
 use std::{
     io::{Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
-    sync::mpsc,
+    sync::{
+        atomic::{AtomicU16, Ordering},
+        mpsc,
+    },
     thread,
     time::Duration,
 };
@@ -11,7 +14,9 @@
 use almondlock_base::id::{Domain, Host, Incarnation, Region, Service, Upstream};
 use almondlock_gateway::{
     budget,
-    dialect::{Dialect, Names},
+    dialect::{Call, Dialect, Names},
+    engine::Speed,
+    memory::Order,
     rules::{Error, Kind, Limits, Route, Rules, Target},
     server::{self, Bounds, Config},
 };
@@ -20,7 +25,7 @@
 use almondlock_state::{config, document::Document, instance::Instance};
 use ntex::http::header::HeaderName;
 
-const KINDS: [(&str, Kind); 4] = [
+const KINDS: [(&str, Kind); 5] = [
     ("safe", Kind::Safe),
     ("unsafe", Kind::Unsafe),
     (
@@ -30,6 +35,13 @@
             pause: Duration::from_millis(200),
         },
     ),
+    (
+        "engine",
+        Kind::Stream {
+            resumable: true,
+            pause: Duration::from_millis(200),
+        },
+    ),
     (
         "once",
         Kind::Stream {
@@ -83,7 +95,17 @@
             engine: None,
         };
         rules.service(service.clone(), target)?;
+        let engines = Service::new("e").unwrap();
+        let target = Target {
+            connections: 100,
+            engine: Some(small_engine()),
+        };
+        rules.service(engines.clone(), target)?;
         for (name, kind) in KINDS {
+            let service = match name {
+                "engine" => &engines,
+                _ => &service,
+            };
             rules.route(Route {
                 name: name.into(),
                 host: "h".into(),
@@ -99,11 +121,54 @@
         }
         Ok(rules.build())
     }
+
+    fn order(&self, order: &Order<'_>) -> Call {
+        let (path, body) = match order {
+            Order::Reserve { id, .. } => ("/reserve", id),
+            Order::Release { id } => ("/release", id),
+        };
+        Call {
+            path,
+            content_type: "text/plain",
+            body: (*body).to_owned(),
+        }
+    }
+
+    fn helper(&self, address: SocketAddr, memory: Option<&str>) -> String {
+        format!("{address}={}", memory.unwrap_or("none"))
+    }
+}
+
+/// An engine that holds 1,000 tokens and reads ten in a millisecond.
+fn small_engine() -> Speed {
+    Speed {
+        slots: 8,
+        memory: 1_000,
+        step: 1.0,
+        step_per_stream: 0.0,
+        step_per_context: 0.0,
+        read: 10.0,
+        pairs: 0.0,
+        chunk: 2048.0,
+        stride: 1.0,
+    }
 }
 
 /// Starts a gateway in front of these upstreams; gives its address.
 pub fn start(upstreams: &[SocketAddr]) -> SocketAddr {
-    let instances: Vec<(Upstream, Instance)> = (0..).zip(upstreams).map(instance).collect();
+    start_for("s", upstreams)
+}
+
+/// The same in front of engines.
+pub fn start_engines(upstreams: &[SocketAddr]) -> SocketAddr {
+    start_for("e", upstreams)
+}
+
+fn start_for(service: &str, upstreams: &[SocketAddr]) -> SocketAddr {
+    let instances = (0..).zip(upstreams);
+    let instances: Vec<(Upstream, Instance)> = instances
+        .map(|(n, address)| instance(service, n, address))
+        .collect();
     let (listen, ready) = (free_address(), free_address());
     let (started, running) = mpsc::channel();
     thread::spawn(move || {
@@ -134,9 +199,9 @@
     listen
 }
 
-fn instance((n, address): (u32, &SocketAddr)) -> (Upstream, Instance) {
+fn instance(service: &str, n: u32, address: &SocketAddr) -> (Upstream, Instance) {
     let instance = Instance {
-        service: Service::new("s").unwrap(),
+        service: Service::new(service).unwrap(),
         address: *address,
         domain: Domain::new("d").unwrap(),
         slots: 8,
@@ -173,6 +238,7 @@
         bounds: Bounds {
             stale: Duration::from_secs(3),
             retries,
+            memory_hold: Duration::from_millis(400),
         },
         seed: 1,
         notice: Duration::ZERO,
@@ -180,9 +246,17 @@
     }
 }
 
+/// Tests draw addresses at the same time, so none is drawn twice, and from below
+/// the range that the system hands out.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    loop {
+        let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().unwrap();
+        }
+    }
 }
 
 /// Sends a request and reads until the connection ends or nothing comes for a
@@ -191,7 +265,7 @@
     let mut stream = TcpStream::connect(gateway).unwrap();
     let request = format!(
         "POST {path} HTTP/1.1\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 1500\r\n\
-         content-length: 2\r\n\r\nhi"
+         x-usage: 1500,10\r\ncontent-length: 2\r\n\r\nhi"
     );
     stream.write_all(request.as_bytes()).unwrap();
     stream
--- a/almondlock-gateway/tests/refused_long.rs
+++ b/almondlock-gateway/tests/refused_long.rs
@@ -13,6 +13,7 @@
     Choice {
         first: 0,
         helpers: (1..=helpers).collect(),
+        shares: Vec::new(),
         expected: Duration::from_millis(expected),
         part: Duration::from_millis(part),
         large: false,
--- /dev/null
+++ b/almondlock-gateway/tests/set_aside.rs
@@ -0,0 +1,109 @@
+//! A prompt comes that is larger than one engine's memory. Memory is set aside
+//! on another engine first; whatever comes of the request, it is given back.
+//! Left behind, it would keep other prompts out.
+
+mod fake;
+mod gateway;
+
+use std::{
+    sync::mpsc::Receiver,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use fake::{Step, end, event, field, serve, stream_head};
+use gateway::{ask, start_engines, status};
+
+/// Answers orders with a status, and requests with a stream of two events that
+/// pauses between them.
+fn engine(order: &'static str, pause: u64) -> (std::net::SocketAddr, Receiver<String>) {
+    serve(move |head| match head.starts_with("POST /engine/") {
+        true => vec![stream_head(), event(1), Step::Pause(pause), event(2), end()],
+        false => vec![Step::Write(format!(
+            "HTTP/1.1 {order}\r\ncontent-length: 0\r\n\r\n"
+        ))],
+    })
+}
+
+/// What reached two engines, in the order in which each of them saw it.
+fn seen(engines: &[Receiver<String>], wait: Duration) -> Vec<Vec<String>> {
+    sleep(wait);
+    engines
+        .iter()
+        .map(|heads| heads.try_iter().collect())
+        .collect()
+}
+
+fn count(seen: &[Vec<String>], path: &str) -> usize {
+    let all = seen.iter().flatten();
+    all.filter(|head| head.starts_with(&format!("POST {path} ")))
+        .count()
+}
+
+/// The memory is there before the request, which names it, and is given back
+/// after it.
+#[test]
+fn before_and_after() {
+    let (one, heads_one) = engine("200 OK", 0);
+    let (two, heads_two) = engine("200 OK", 0);
+    let (response, _) = ask(start_engines(&[one, two]), "/engine/");
+    assert_eq!(status(&response), 200, "{response}");
+    let seen = seen(&[heads_one, heads_two], Duration::from_millis(300));
+    let holder = seen.iter().find(|heads| heads.len() == 2).unwrap();
+    let first = seen.iter().find(|heads| heads.len() == 1).unwrap();
+    let memory = holder[0].rsplit('\n').next().unwrap();
+    assert!(holder[0].starts_with("POST /reserve ") && holder[1].starts_with("POST /release "));
+    assert!(holder[1].ends_with(memory));
+    let helpers = field(&first[0], "x-helpers").unwrap();
+    assert!(helpers.ends_with(&format!("={memory}")), "{helpers}");
+}
+
+/// The stream lasts longer than the memory is held for: it is renewed.
+#[test]
+fn long_stream() {
+    let (one, heads_one) = engine("200 OK", 600);
+    let (two, heads_two) = engine("200 OK", 600);
+    let (response, _) = ask(start_engines(&[one, two]), "/engine/");
+    assert_eq!(status(&response), 200);
+    let seen = seen(&[heads_one, heads_two], Duration::from_millis(300));
+    assert!(count(&seen, "/reserve") >= 3, "{seen:?}");
+    assert_eq!(count(&seen, "/release"), 1);
+}
+
+/// No engine has memory to give: the caller is refused at once, with when to
+/// come back, and nothing has run.
+#[test]
+fn none_to_give() {
+    let (one, heads_one) = engine("409 Conflict", 0);
+    let (two, heads_two) = engine("409 Conflict", 0);
+    let asked = Instant::now();
+    let (response, _) = ask(start_engines(&[one, two]), "/engine/");
+    assert_eq!(status(&response), 503, "{response}");
+    assert!(response.contains("retry-after: "));
+    assert!(asked.elapsed() < Duration::from_millis(500));
+    let seen = seen(&[heads_one, heads_two], Duration::ZERO);
+    assert_eq!(count(&seen, "/engine/"), 0);
+}
+
+/// An order has no answer, and may be carried out seconds later: the memory is
+/// given back again and again until it can't be any more.
+#[test]
+fn unanswered_order() {
+    let silent = || {
+        serve(|head| match head.starts_with("POST /reserve") {
+            true => vec![Step::Hang],
+            false => vec![Step::Write(
+                "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".into(),
+            )],
+        })
+    };
+    let ((one, heads_one), (two, heads_two)) = (silent(), silent());
+    let (response, _) = ask(start_engines(&[one, two]), "/engine/");
+    assert_eq!(status(&response), 503, "{response}");
+    let seen = seen(&[heads_one, heads_two], Duration::from_millis(2_500));
+    assert_eq!(count(&seen, "/engine/"), 0);
+    assert!(
+        count(&seen, "/release") > count(&seen, "/reserve"),
+        "{seen:?}"
+    );
+}
--- /dev/null
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -0,0 +1,139 @@
+//! Prompts come that are larger than one engine's memory, or than what is left
+//! of it. Memory on other engines is set aside for the rest: on all that take
+//! part or on none.
+
+use std::time::Duration;
+
+use almondlock_gateway::{
+    engine::Speed,
+    load::Total,
+    memory::{self, Outcome, Share},
+    pick::{self, Candidate, Choice, Demand, HELPERS, Lack},
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+fn speed() -> Speed {
+    Speed {
+        slots: 16,
+        memory: 450_000,
+        step: 0.925,
+        step_per_stream: 0.00483,
+        step_per_context: 0.00254,
+        read: 256.0,
+        pairs: 0.0917,
+        chunk: 2048.0,
+        stride: 46.0,
+    }
+}
+
+/// Engines with this much memory in use.
+fn engines(used: &[u64]) -> Vec<Candidate> {
+    let candidate = |memory: &u64| Candidate {
+        total: Total {
+            memory: *memory,
+            ..Total::default()
+        },
+        slots: 16,
+        near: true,
+        suspect: false,
+        full: false,
+    };
+    used.iter().map(candidate).collect()
+}
+
+fn choose(prompt: u64, candidates: &[Candidate]) -> Result<Choice, Lack> {
+    let demand = Demand {
+        prompt,
+        output: 2_000,
+        objective: Duration::from_secs(3),
+    };
+    let mut rng = SmallRng::seed_from_u64(1);
+    pick::engine(&speed(), demand, candidates, &mut rng)
+}
+
+/// What the engine that answers has to hold itself.
+fn own(prompt: u64, shares: &[Share]) -> u64 {
+    prompt.saturating_sub(shares.iter().map(|share| share.tokens).sum())
+}
+
+#[test]
+fn fits_alone() {
+    assert_eq!(memory::spread(400_000, 420_000, &[]), Some(vec![]));
+}
+
+/// Even parts on as few engines as can hold them.
+#[parameterized(
+    two = { 600_000, 1 },
+    three = { 1_000_000, 2 },
+)]
+fn fewest_even(needed: u64, count: usize) {
+    let others: Vec<(usize, u64)> = (0..10).map(|place| (place, 420_000)).collect();
+    let shares = memory::spread(needed, 420_000, &others).unwrap();
+    assert_eq!(shares.len(), count);
+    let even = needed / (count as u64 + 1);
+    for part in shares.iter().map(|share| share.tokens) {
+        assert!(part.abs_diff(even) < 100, "{shares:?}");
+    }
+    assert!(own(needed, &shares) <= even);
+}
+
+/// Nobody is asked for more than it has.
+#[test]
+fn uneven_room() {
+    let others = [(3, 50_000), (4, 300_000), (5, 100_000)];
+    let shares = memory::spread(520_000, 200_000, &others).unwrap();
+    for share in &shares {
+        let free = others.iter().find(|(place, _)| *place == share.place);
+        assert!(share.tokens <= free.unwrap().1);
+    }
+    assert!(own(520_000, &shares) <= 200_000, "{shares:?}");
+}
+
+#[test]
+fn too_little() {
+    assert_eq!(memory::spread(900_000, 400_000, &[(1, 400_000)]), None);
+}
+
+/// Those that hold a share come first among the helpers, in its order, and the
+/// engine that answers isn't one of them.
+#[test]
+fn holders_lead() {
+    let choice = choose(700_000, &engines(&[0; 14])).unwrap();
+    let holders: Vec<usize> = choice.shares.iter().map(|share| share.place).collect();
+    assert!(!holders.is_empty());
+    assert_eq!(choice.helpers[..holders.len()], holders[..]);
+    assert!(!choice.helpers.contains(&choice.first));
+    assert!(choice.helpers.len() <= HELPERS);
+}
+
+/// The engines that would read the prompt soonest are full: others come in.
+#[test]
+fn room_elsewhere() {
+    let mut used = [420_000; 14];
+    used[9..].fill(0);
+    let choice = choose(700_000, &engines(&used)).unwrap();
+    let holders = choice.shares.iter().map(|share| share.place);
+    assert!(holders.chain([choice.first]).all(|place| place >= 9));
+}
+
+#[test]
+fn no_room() {
+    let full = engines(&[400_000; 14]);
+    assert_eq!(choose(900_000, &full), Err(Lack::Memory));
+    let mut said = engines(&[0; 14]);
+    said.iter_mut().for_each(|candidate| candidate.full = true);
+    assert_eq!(choose(300_000, &said), Err(Lack::Memory));
+}
+
+/// Without an answer nobody knows: the order may be carried out later.
+#[parameterized(
+    done = { 200, Outcome::Done },
+    begun = { 202, Outcome::Done },
+    taken = { 409, Outcome::Refused },
+    other_instance = { 421, Outcome::Refused },
+    failed = { 500, Outcome::Unknown },
+)]
+fn order_outcome(status: u16, outcome: Outcome) {
+    assert_eq!(Outcome::of(status), outcome);
+}
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -227,6 +227,10 @@
         "Further attempts for each hundred requests of the window.").unit("percent"),
     Key::new("gateway", "retry_free", Number(0, 1_000), Default("3"),
         "Further attempts in a window in any case, at this host.").unit("count"),
+    Key::new("gateway", "memory_hold", Number(1_000, HOUR), Default("4000"),
+        "How long memory stays set aside on an engine for a prompt that is larger than another one has \
+         free, unless that is renewed. No longer than engines may keep memory that nobody uses any more."
+        ).unit("ms"),
     Key::new("gateway", "drain_delay", Number(0, HOUR), Default("2900"),
         "On a stop, how long requests are still accepted after `/readyz` began to fail.").unit("ms"),
     Key::new("gateway", "drain_grace", Number(0, HOUR), Default("4300"),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -169,6 +169,7 @@
         let retry_window = self.millis(s, "retry_window");
         let retry_percent = self.percent(s, "retry_percent");
         let retry_free = self.number(s, "retry_free");
+        let memory_hold = self.millis(s, "memory_hold");
         let drain_delay = self.millis(s, "drain_delay");
         let drain_grace = self.millis(s, "drain_grace");
         Some(Gateway {
@@ -180,6 +181,7 @@
             retry_window: retry_window?,
             retry_percent: retry_percent?,
             retry_free: u32::try_from(retry_free?).ok()?,
+            memory_hold: memory_hold?,
             drain_delay: drain_delay?,
             drain_grace: drain_grace?,
         })
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -133,6 +133,8 @@
     pub retry_percent: u8,
     /// Further attempts in any case.
     pub retry_free: u32,
+    /// How long memory on an engine stays set aside unless that is renewed.
+    pub memory_hold: Duration,
     /// How long requests are accepted after readiness began to fail.
     pub drain_delay: Duration,
     /// How long answers in progress may take on a stop.
