Send each entry host one sum of the others' loads; count places, not streams, when packing

Cause: relays passed on what each host told, from each relay to each host. With 31 hosts and 45 engines that is 1.06 GB between domains in half a minute and more than links of 20 Mbit/s carry; requests waited behind it. Thirteen short streams were packed on engines of twelve places. All hosts sent prompts that came at the same moment to one writer. Packing is a part of an engine's places. Two writers at least. Long prompts are refused from 0.55 of their objective.

--- a/almondlock-gateway/src/admission.rs
+++ b/almondlock-gateway/src/admission.rs
@@ -6,15 +6,16 @@
 //! until all are. Refused at once, its caller can come back when the stretch is
 //! over.
 //!
-//! **Grounds.** Mean share of the worth that callers gave to their requests, over
-//! 16 paired runs of half a minute with bursts of either length: 0.644 when
-//! prompts are refused that are expected later than 0.7 of their objective,
-//! 0.663 from 0.6 of it. Refusing the largest besides, whatever is expected of
-//! them, while there is much to read, lost 0.019 on the same runs, before
-//! engines that write were kept apart from those that read. Waiting at the entry
-//! host for a moment in which the prompt would be in time lost 0.014. Refusing
-//! short prompts too lost 0.014, since those that come back and find the same
-//! are lost.
+//! **Grounds.** Mean share of the worth that callers gave to their requests, in
+//! paired runs of half a minute with bursts of either length. Over 16 of them
+//! 0.644 when prompts are refused that are expected later than 0.7 of their
+//! objective and 0.663 from 0.6 of it; over 24 others 0.660 from 0.6, 0.680 from
+//! 0.55 and 0.672 from 0.5. Tried and lost: refusing the largest besides while
+//! there is much to read (0.019 less, before engines that write were kept apart
+//! from those that read); waiting at the entry host for a moment in which the
+//! prompt would be in time (0.014 less); being milder with callers that come
+//! back (0.017 less); refusing short prompts too (0.014 less, since those that
+//! come back and find the same are lost).
 
 use std::time::Duration;
 
@@ -23,7 +24,7 @@
 /// A long prompt is refused when its first event is expected later than this
 /// part of its objective. What comes after it, pauses and parts of others, has
 /// the rest.
-const HOPELESS: f64 = 0.6;
+const HOPELESS: f64 = 0.55;
 
 /// What takes an engine less time than this is worth its time also when late.
 const COSTLY: Duration = Duration::from_millis(600);
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -3,10 +3,12 @@
 //! An upstream's own report is old when it arrives, and while it is under way
 //! all entry hosts would follow the same one to the same idle upstream. So each
 //! entry host counts what it has sent itself, exactly and at once, and adds
-//! what the others last told of theirs, until they fall silent.
+//! what the others have, as a relay last added it up or they told it themselves,
+//! until they fall silent.
 
 use std::{
     collections::{BTreeMap, HashMap},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -26,6 +28,14 @@
 /// does when it also serves others.
 const DOUBT: f32 = 0.25;
 
+/// Milliseconds of reading that may be left when sums of an `f32` are taken
+/// apart again. Far less than any prompt takes.
+const ROUNDING: f32 = 0.1;
+
+/// A sum from a relay stands for all other hosts this long. Four of its usual
+/// sums; after that what hosts tell each other directly counts, if they do.
+const CURRENT: Duration = Duration::from_millis(160);
+
 /// What one request asks of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -58,7 +68,8 @@
 }
 
 impl Total {
-    fn add(&mut self, other: &Total) {
+    /// Adds what another host has there.
+    pub fn add(&mut self, other: &Total) {
         self.reading += other.reading;
         self.waiting += other.waiting;
         self.streams += other.streams;
@@ -66,6 +77,19 @@
         self.memory += other.memory;
     }
 
+    /// Takes out what was added before. What is left of the reading time by
+    /// rounding is none.
+    pub fn subtract(&mut self, other: &Total) {
+        self.reading -= other.reading;
+        self.waiting = self.waiting.saturating_sub(other.waiting);
+        self.streams = self.streams.saturating_sub(other.streams);
+        self.short = self.short.saturating_sub(other.short);
+        self.memory = self.memory.saturating_sub(other.memory);
+        if self.reading < ROUNDING {
+            self.reading = 0.0;
+        }
+    }
+
     /// The time that is left to read.
     pub fn backlog(&self) -> Duration {
         Duration::from_secs_f32(self.reading.max(0.0) / 1e3)
@@ -111,11 +135,21 @@
     own: BTreeMap<Upstream, BTreeMap<Ticket, Item>>,
     // Requests that an upstream reported beyond those known, and when.
     unknown: HashMap<Upstream, (Mono, u32)>,
-    // By the entry host that told.
+    // By the entry host that told it directly.
     told: HashMap<u64, (Mono, HashMap<Upstream, Total>)>,
+    // By the relay that sent it.
+    sums: HashMap<SocketAddr, Sum>,
     next: u64,
 }
 
+/// What all other entry hosts that a relay knows have under way.
+#[derive(Debug)]
+struct Sum {
+    at: Mono,
+    hosts: u32,
+    totals: HashMap<Upstream, Total>,
+}
+
 impl Table {
     /// Work was sent.
     pub fn begin(&mut self, now: Mono, upstream: &Upstream, work: Work) -> Ticket {
@@ -163,6 +197,49 @@
         self.told.retain(|_, (at, _)| now.since(*at) < FORGET);
     }
 
+    /// A relay told what all other entry hosts that it knows have under way.
+    pub fn hear(
+        &mut self,
+        now: Mono,
+        relay: SocketAddr,
+        hosts: u32,
+        totals: HashMap<Upstream, Total>,
+    ) {
+        let sum = Sum {
+            at: now,
+            hosts,
+            totals,
+        };
+        self.sums.insert(relay, sum);
+        self.sums.retain(|_, sum| now.since(sum.at) < FORGET);
+    }
+
+    /// The sum of the relay that knows most hosts.
+    fn sum(&self, now: Mono, age: Duration) -> Option<&Sum> {
+        let fresh = self.sums.values().filter(|sum| now.since(sum.at) < age);
+        fresh.max_by_key(|sum| (sum.hosts, sum.at))
+    }
+
+    fn fresh(&self, now: Mono) -> impl Iterator<Item = &HashMap<Upstream, Total>> {
+        let told = self.told.values();
+        let fresh = told.filter(move |(at, _)| now.since(*at) < FORGET);
+        fresh.map(|(_, totals)| totals)
+    }
+
+    /// What the other entry hosts have under way on an upstream.
+    fn others(&self, now: Mono, upstream: &Upstream) -> Total {
+        let directly = self.fresh(now).next().is_some();
+        let age = if directly { CURRENT } else { FORGET };
+        if let Some(sum) = self.sum(now, age) {
+            return sum.totals.get(upstream).copied().unwrap_or_default();
+        }
+        let mut total = Total::default();
+        for told in self.fresh(now).filter_map(|totals| totals.get(upstream)) {
+            total.add(told);
+        }
+        total
+    }
+
     /// All that is known of an upstream.
     pub fn total(&self, now: Mono, upstream: &Upstream) -> Total {
         let mut total = self
@@ -170,12 +247,7 @@
             .get(upstream)
             .map(|items| sum(now, items))
             .unwrap_or_default();
-        for (at, totals) in self.told.values() {
-            let age = now.since(*at);
-            if let Some(told) = totals.get(upstream).filter(|_| age < FORGET) {
-                total.add(told);
-            }
-        }
+        total.add(&self.others(now, upstream));
         total.streams += self.unknown(now, upstream);
         total
     }
@@ -197,10 +269,12 @@
         fresh.map_or(0, |(_, count)| *count)
     }
 
-    /// How many other entry hosts are heard.
+    /// How many other entry hosts are heard of.
     pub fn hosts(&self, now: Mono) -> usize {
-        let heard = self.told.values();
-        heard.filter(|(at, _)| now.since(*at) < FORGET).count()
+        let directly = self.fresh(now).count();
+        let age = if directly > 0 { CURRENT } else { FORGET };
+        let summed = self.sum(now, age).map(|sum| sum.hosts as usize);
+        summed.unwrap_or(directly)
     }
 }
 
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -49,16 +49,22 @@
 /// shortest pauses that streams allow.
 const SHORT_PART: Duration = Duration::from_millis(35);
 
-/// Short streams that share an engine. With thirteen a pass takes a quarter
-/// longer than with one, and three of an engine's usual 16 places stay free for
-/// those that come at once. Of 11, 13 and 15 it served the worst kind of request
-/// best: 0.674, 0.693 and 0.682 of its worth, over 16 paired runs.
-const PACKED: u32 = 13;
+/// Short streams that share an engine, as a part of its places: 13 of the usual
+/// 16. A pass takes a quarter longer with so many than with one, and the places
+/// left are for those that come at once. Of 11, 13 and 15 it served the worst
+/// kind of request best: 0.674, 0.693 and 0.682 of its worth, over 16 paired
+/// runs.
+const PACKED: f64 = 0.82;
 
 /// Streams of long prompts that share a writer. With 2 to 5 the same runs gave
 /// 0.661, 0.658, 0.663 and 0.662 of the worth.
 const PACKED_LONG: u32 = 4;
 
+/// Writers while few streams need them. With one, prompts that come at the same
+/// moment queue at it: 0.671 of the worth, against 0.681 with two, over 24 paired
+/// runs.
+const WRITERS_LEAST: usize = 2;
+
 /// Of the engines for long prompts, at most one in so many writes.
 const READERS_LEAST: usize = 3;
 
@@ -176,7 +182,7 @@
         demand,
         candidates,
     };
-    let groups = Groups::of(&healthy, candidates);
+    let groups = Groups::of(speed, &healthy, candidates);
     let thin = speed.part(demand.prompt, healthy.len().min(HELPERS + 1)) <= SHORT_PART;
     let choice = match (whole <= SHORT, thin && !groups.long.is_empty()) {
         (true, _) => field.short(&groups, rng).ok_or(Lack::Upstream),
@@ -204,9 +210,9 @@
 }
 
 impl<'a> Groups<'a> {
-    fn of(all: &'a [usize], candidates: &[Candidate]) -> Groups<'a> {
+    fn of(speed: &Speed, all: &'a [usize], candidates: &[Candidate]) -> Groups<'a> {
         let streams = all.iter().map(|i| candidates[*i].total.short).sum();
-        let (short, long) = all.split_at(short_side(streams, all.len()));
+        let (short, long) = all.split_at(short_side(speed, streams, all.len()));
         let streams = long.iter().map(|i| candidates[*i].total.long()).sum();
         let (readers, writers) = long.split_at(long.len() - writers(streams, long.len()));
         Groups {
@@ -220,8 +226,10 @@
 }
 
 /// How many of the engines are the short streams' own.
-fn short_side(streams: u32, engines: usize) -> usize {
-    let needed = (streams + 1).div_ceil(PACKED) as usize;
+fn short_side(speed: &Speed, streams: u32, engines: usize) -> usize {
+    // Places are few: the product fits any integer.
+    let packed = (f64::from(speed.slots) * PACKED).max(1.0) as u32;
+    let needed = (streams + 1).div_ceil(packed) as usize;
     let most = engines.saturating_sub(engines / LONG_LEAST).max(1);
     needed.clamp(1, most)
 }
@@ -229,7 +237,7 @@
 /// How many of the engines for long prompts write their answers.
 fn writers(streams: u32, engines: usize) -> usize {
     let needed = (streams + 1).div_ceil(PACKED_LONG) as usize;
-    needed.min(engines / READERS_LEAST)
+    needed.max(WRITERS_LEAST).min(engines / READERS_LEAST)
 }
 
 fn suspects<R>(
