Cut an entry host's limits to the bounds that the platform sets

Cause: how soon a revoked key stops working, how many further attempts there may be and when a process is ended by force were constants of our settings; a deployment with tighter bounds would have broken its rules. Decimal numbers in settings.

--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -17,10 +17,10 @@
     seed: u64,
 ) -> Result<Server> {
     let bounds = Bounds {
-        stale: role.stale,
+        stale: role.oldest(),
         retries: budget::Config {
             window: role.retry_window,
-            ratio: f64::from(role.retry_percent) / 100.0,
+            ratio: role.retry_ratio(),
             free: role.retry_free,
         },
         memory_hold: role.memory_hold,
@@ -33,8 +33,8 @@
         domain: settings.host.domain.clone(),
         bounds,
         seed,
-        notice: role.drain_delay,
-        grace: role.drain_grace,
+        notice: role.notice(),
+        grace: role.drain_time(),
     };
     server::start(config, Dialect::new(), node).context("starting the gateway")
 }
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -9,6 +9,8 @@
     Text,
     /// A whole number between two bounds, both included.
     Number(u64, u64),
+    /// A decimal number between two bounds, both included.
+    Decimal(u32, u32),
     /// `IP:PORT` to listen on; port 0 takes a free one.
     Listen,
     /// `IP:PORT` to take datagrams on, whose ports are apart from connections'.
@@ -133,7 +135,8 @@
 
 use Need::{Default, Optional, Required};
 use Shape::{
-    Address, Addresses, Datagrams, File, Hash, Listen, Members, Name, Number, Path, Text, Word,
+    Address, Addresses, Datagrams, Decimal, File, Hash, Listen, Members, Name, Number, Path, Text,
+    Word,
 };
 
 const HOUR: u64 = 3_600_000;
@@ -221,10 +224,18 @@
         "A configuration not known to be in force for this long is not acted on where keys are asked \
          for. Has to be shorter than the time in which a key that was taken away must stop working."
         ).unit("ms"),
+    Key::new("gateway", "revocation", Number(1_000, HOUR), Optional,
+        "The time in which a key that was taken away must stop working, where somebody else sets it. \
+         `stale` is cut to seven tenths of it: the rest is for requests on their way and for clocks."
+        ).unit("ms"),
     Key::new("gateway", "retry_window", Number(1_000, HOUR), Default("10000"),
         "The window of the budget of further attempts.").unit("ms"),
     Key::new("gateway", "retry_percent", Number(0, 100), Default("15"),
         "Further attempts for each hundred requests of the window.").unit("percent"),
+    Key::new("gateway", "retry_share", Decimal(0, 10), Optional,
+        "Further attempts for each request that the upstreams' owner allows, all hosts together. \
+         `retry_percent` is cut to three quarters of it: callers are not spread evenly over hosts."
+        ).unit("ratio"),
     Key::new("gateway", "retry_free", Number(0, 1_000), Default("3"),
         "Further attempts in a window in any case, at this host.").unit("count"),
     Key::new("gateway", "memory_hold", Number(1_000, HOUR), Default("4000"),
@@ -236,6 +247,11 @@
     Key::new("gateway", "drain_grace", Number(0, HOUR), Default("4300"),
         "On a stop, how long answers in progress may take to finish after that.").unit("ms"),
 
+    Key::new("gateway", "stop_time", Decimal(1, 3_600), Optional,
+        "How long after it is told to stop the process is ended by force, where somebody else sets it. \
+         `drain_grace` is cut so that both together end nine tenths of it after the start of the stop."
+        ).unit("s"),
+
     Key::new("replica", "admin", Listen, Required,
         "Where operators' commands arrive."),
     Key::new("replica", "members", Members, Optional,
--- a/almondlock-settings/src/page.rs
+++ b/almondlock-settings/src/page.rs
@@ -61,6 +61,7 @@
         Shape::Name => "name".into(),
         Shape::Text => "text".into(),
         Shape::Number(low, high) => format!("{}, {low} to {high}", key.unit),
+        Shape::Decimal(low, high) => format!("{}, {low} to {high}, with fractions", key.unit),
         Shape::Listen => "`IP:PORT`, port 0 takes a free one".into(),
         Shape::Datagrams => "`IP:PORT`, UDP".into(),
         Shape::Address => "`IP:PORT`".into(),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -170,6 +170,9 @@
         let retry_percent = self.percent(s, "retry_percent");
         let retry_free = self.number(s, "retry_free");
         let memory_hold = self.millis(s, "memory_hold");
+        let revocation = self.millis(s, "revocation");
+        let retry_share = self.decimal(s, "retry_share");
+        let stop_time = self.decimal(s, "stop_time").map(Duration::from_secs_f64);
         let drain_delay = self.millis(s, "drain_delay");
         let drain_grace = self.millis(s, "drain_grace");
         Some(Gateway {
@@ -182,6 +185,9 @@
             retry_percent: retry_percent?,
             retry_free: u32::try_from(retry_free?).ok()?,
             memory_hold: memory_hold?,
+            revocation,
+            retry_share,
+            stop_time,
             drain_delay: drain_delay?,
             drain_grace: drain_grace?,
         })
@@ -359,6 +365,21 @@
         self.parse(s, key, &remedy, parse)
     }
 
+    fn decimal(&mut self, s: &Section, key: &str) -> Option<f64> {
+        let value = s.get(key)?;
+        let Shape::Decimal(low, high) = value.key.shape else {
+            return None;
+        };
+        let unit = value.key.unit;
+        let remedy = format!("write a number of {unit} from {low} to {high}, such as 2.5");
+        let parse = |text: &str| match text.parse::<f64>() {
+            Ok(number) if (f64::from(low)..=f64::from(high)).contains(&number) => Ok(number),
+            Ok(_) => Err(format!("{text} is out of range")),
+            Err(_) => Err(format!("{text:?} is no number")),
+        };
+        self.parse(s, key, &remedy, parse)
+    }
+
     fn count(&mut self, s: &Section, key: &str) -> Option<usize> {
         self.number(s, key).and_then(|n| usize::try_from(n).ok())
     }
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -115,7 +115,7 @@
 }
 
 /// Section `[gateway]`.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Gateway {
     /// Where callers' requests arrive.
     pub listen: SocketAddr,
@@ -133,6 +133,12 @@
     pub retry_percent: u8,
     /// Further attempts in any case.
     pub retry_free: u32,
+    /// The time in which a key that was taken away must stop working.
+    pub revocation: Option<Duration>,
+    /// Further attempts for each request that all hosts together may make.
+    pub retry_share: Option<f64>,
+    /// The time from being told to stop to being ended by force.
+    pub stop_time: Option<Duration>,
     /// How long memory on an engine stays set aside unless that is renewed.
     pub memory_hold: Duration,
     /// How long requests are accepted after readiness began to fail.
@@ -141,6 +147,46 @@
     pub drain_grace: Duration,
 }
 
+/// Of the time in which a key must stop working, the part for which an unconfirmed
+/// configuration is acted on. The rest is for requests on their way and clocks.
+const UNCONFIRMED_SHARE: f64 = 0.7;
+/// Of the further attempts that all hosts together may make, the part that each
+/// may make of its own requests: callers are not spread evenly over hosts.
+const RETRY_PART: f64 = 0.75;
+/// Of the time until a process is ended by force, the part that a stop may take.
+const STOP_SHARE: f64 = 0.9;
+
+impl Gateway {
+    /// The oldest configuration that keys are checked against.
+    pub fn oldest(&self) -> Duration {
+        let allowed = self.revocation.map(|time| time.mul_f64(UNCONFIRMED_SHARE));
+        allowed.map_or(self.stale, |allowed| self.stale.min(allowed))
+    }
+
+    /// Further attempts for each request.
+    pub fn retry_ratio(&self) -> f64 {
+        let own = f64::from(self.retry_percent) / 100.0;
+        self.retry_share
+            .map_or(own, |share| own.min(share * RETRY_PART))
+    }
+
+    /// How long requests are still accepted on a stop.
+    pub fn notice(&self) -> Duration {
+        let half = self.whole_stop().map(|whole| whole / 2);
+        half.map_or(self.drain_delay, |half| self.drain_delay.min(half))
+    }
+
+    /// How long answers in progress may take after that.
+    pub fn drain_time(&self) -> Duration {
+        let left = self.whole_stop().map(|whole| whole - self.notice());
+        left.map_or(self.drain_grace, |left| self.drain_grace.min(left))
+    }
+
+    fn whole_stop(&self) -> Option<Duration> {
+        self.stop_time.map(|time| time.mul_f64(STOP_SHARE))
+    }
+}
+
 /// Section `[directory]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Directory {
