--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -100,13 +100,13 @@
         revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
         attempt = course.tried.len() + 1, "sent"
     );
-    let part = outgoing::Placed {
+    let placed = outgoing::Placed {
         targets,
         choice: &choice,
         memory: &held.memory(),
     };
     let now = clock::mono();
-    let head = outgoing::head(worker, request, &part, after, now);
+    let head = outgoing::head(worker, request, &placed, after, now);
     let left = request.left(now);
     let exchange = exchange(worker, request, target, &head);
     let result = match timeout(left, patient(worker, request, exchange)).await {
--- a/almondlock-gateway/tests/engine_choice.rs
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -1,32 +1,20 @@
 //! Short prompts come all the time, long ones in bursts, on the same engines. A
 //! short stream stands still while a part of a long prompt is read beside it.
 
+mod engines;
+
 use std::{collections::BTreeSet, time::Duration};
 
 use almondlock_gateway::{
-    engine::Speed,
     load::Total,
     pick::{self, Candidate, Choice, Demand, HELPERS, Lack},
 };
+use engines::speed;
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
 const ENGINES: usize = 14;
 
-fn speed() -> Speed {
-    Speed {
-        slots: 16,
-        memory: 450_000,
-        step: 0.925,
-        step_per_stream: 0.00483,
-        step_per_context: 0.00254,
-        read: 256.0,
-        pairs: 0.0917,
-        chunk: 2048.0,
-        stride: 46.0,
-    }
-}
-
 fn idle() -> Vec<Candidate> {
     let candidate = Candidate {
         total: Total::default(),
--- /dev/null
+++ b/almondlock-gateway/tests/engines/mod.rs
@@ -0,0 +1,18 @@
+//! The figures of an engine, for decisions without a network.
+
+use almondlock_gateway::engine::Speed;
+
+/// Reads 256 tokens in a millisecond and holds 450,000.
+pub fn speed() -> Speed {
+    Speed {
+        slots: 16,
+        memory: 450_000,
+        step: 0.925,
+        step_per_stream: 0.00483,
+        step_per_context: 0.00254,
+        read: 256.0,
+        pairs: 0.0917,
+        chunk: 2048.0,
+        stride: 46.0,
+    }
+}
--- a/almondlock-gateway/tests/spread_memory.rs
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -2,31 +2,19 @@
 //! of it. Memory on other engines is set aside for the rest: on all that take
 //! part or on none.
 
+mod engines;
+
 use std::time::Duration;
 
 use almondlock_gateway::{
-    engine::Speed,
     load::Total,
     memory::{self, Outcome, Share},
     pick::{self, Candidate, Choice, Demand, HELPERS, Lack},
 };
+use engines::speed;
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
-fn speed() -> Speed {
-    Speed {
-        slots: 16,
-        memory: 450_000,
-        step: 0.925,
-        step_per_stream: 0.00483,
-        step_per_context: 0.00254,
-        read: 256.0,
-        pairs: 0.0917,
-        chunk: 2048.0,
-        stride: 46.0,
-    }
-}
-
 /// Engines with this much memory in use.
 fn engines(used: &[u64]) -> Vec<Candidate> {
     let candidate = |memory: &u64| Candidate {
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -1,11 +1,8 @@
 //! From checked sections to typed settings, gathering every problem.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    path::{Path, PathBuf},
-    time::Duration,
-};
+mod value;
+
+use std::{collections::HashMap, net::SocketAddr, path::Path, time::Duration};
 
 use almondlock_telemetry::log;
 
@@ -14,8 +11,8 @@
     key::Shape,
     section::{Section, resolve},
     settings::{
-        Directory, Entry, Format, Gateway, Host, Log, Member, Metrics, Order, Output, Replica,
-        Security, Settings, Sidecar, Tls,
+        Directory, Entry, Format, Gateway, Host, Log, Metrics, Order, Output, Replica, Security,
+        Settings, Sidecar, Tls,
     },
     source,
 };
@@ -317,152 +314,6 @@
     }
 }
 
-/// Single values. Each returns nothing when the key is absent, or when its
-/// value is wrong and the problem noted.
-impl Reader<'_> {
-    fn problem(&mut self, line: usize, field: &str, message: &str, remedy: &str) {
-        self.problems
-            .push(Problem::new(line, field, message, remedy));
-    }
-
-    fn parse<T, E, F>(&mut self, s: &Section, key: &str, remedy: &str, parse: F) -> Option<T>
-    where
-        F: FnOnce(&str) -> Result<T, E>,
-        E: ToString,
-    {
-        let value = s.get(key)?;
-        match parse(&value.text) {
-            Ok(parsed) => Some(parsed),
-            Err(error) => {
-                self.problem(value.line, &value.field(), &error.to_string(), remedy);
-                None
-            }
-        }
-    }
-
-    fn name<T>(&mut self, s: &Section, key: &str) -> Option<T>
-    where
-        T: TryFrom<String>,
-        T::Error: ToString,
-    {
-        self.parse(s, key, "choose a plain name", |text| {
-            T::try_from(text.to_owned())
-        })
-    }
-
-    fn number(&mut self, s: &Section, key: &str) -> Option<u64> {
-        let value = s.get(key)?;
-        let Shape::Number(low, high) = value.key.shape else {
-            return None;
-        };
-        let unit = value.key.unit;
-        let remedy = format!("write a whole number of {unit} from {low} to {high}");
-        let parse = |text: &str| match text.parse::<u64>() {
-            Ok(number) if (low..=high).contains(&number) => Ok(number),
-            Ok(_) => Err(format!("{text} is out of range")),
-            Err(_) => Err(format!("{text:?} is no whole number")),
-        };
-        self.parse(s, key, &remedy, parse)
-    }
-
-    fn decimal(&mut self, s: &Section, key: &str) -> Option<f64> {
-        let value = s.get(key)?;
-        let Shape::Decimal(low, high) = value.key.shape else {
-            return None;
-        };
-        let unit = value.key.unit;
-        let remedy = format!("write a number of {unit} from {low} to {high}, such as 2.5");
-        let parse = |text: &str| match text.parse::<f64>() {
-            Ok(number) if (f64::from(low)..=f64::from(high)).contains(&number) => Ok(number),
-            Ok(_) => Err(format!("{text} is out of range")),
-            Err(_) => Err(format!("{text:?} is no number")),
-        };
-        self.parse(s, key, &remedy, parse)
-    }
-
-    fn count(&mut self, s: &Section, key: &str) -> Option<usize> {
-        self.number(s, key).and_then(|n| usize::try_from(n).ok())
-    }
-
-    fn port(&mut self, s: &Section, key: &str) -> Option<u16> {
-        self.number(s, key).and_then(|n| u16::try_from(n).ok())
-    }
-
-    fn percent(&mut self, s: &Section, key: &str) -> Option<u8> {
-        self.number(s, key).and_then(|n| u8::try_from(n).ok())
-    }
-
-    fn millis(&mut self, s: &Section, key: &str) -> Option<Duration> {
-        self.number(s, key).map(Duration::from_millis)
-    }
-
-    fn address(&mut self, s: &Section, key: &str) -> Option<SocketAddr> {
-        let shape = s.get(key)?.key.shape;
-        let remedy = "write IP:PORT, such as 10.1.2.3:7400; host names are not looked up";
-        self.parse(s, key, remedy, |text| address(text, shape))
-    }
-
-    fn addresses(&mut self, s: &Section, key: &str) -> Option<Vec<SocketAddr>> {
-        let remedy = "write IP:PORT, IP:PORT, ...";
-        self.parse(s, key, remedy, |text| {
-            let addresses = text.split(',').map(|part| address(part, Shape::Address));
-            addresses.collect::<Result<Vec<_>, _>>()
-        })
-    }
-
-    fn members(&mut self, s: &Section) -> Option<Vec<Member>> {
-        let remedy = "write NAME@INNER@ADMIN, ... with two IP:PORT each and nothing twice";
-        self.parse(s, "members", remedy, members)
-    }
-
-    fn word(&mut self, s: &Section, key: &str) -> Option<String> {
-        let Shape::Word(words) = s.get(key)?.key.shape else {
-            return None;
-        };
-        let remedy = format!("use one of {}", words.join(", "));
-        self.parse(s, key, &remedy, |text| {
-            let known = words.contains(&text);
-            known
-                .then(|| text.to_owned())
-                .ok_or(format!("unknown word {text:?}"))
-        })
-    }
-
-    fn hash(&mut self, s: &Section, key: &str) -> Option<String> {
-        let remedy = "write the 64 hexadecimal digits that `almondlock` printed with the key";
-        self.parse(s, key, remedy, |text| {
-            let fits = text.len() == 64 && text.bytes().all(|b| b.is_ascii_hexdigit());
-            // The value stays out of the message: it may be the key itself.
-            let error = "not a hash of 64 hexadecimal digits";
-            fits.then(|| text.to_ascii_lowercase()).ok_or(error)
-        })
-    }
-
-    fn path(&mut self, s: &Section, key: &str) -> Option<PathBuf> {
-        let shape = s.get(key)?.key.shape;
-        let folder = self.folder.map(Path::to_path_buf).unwrap_or_default();
-        self.parse(s, key, "name a file that exists and is readable", |text| {
-            let path = folder.join(text);
-            match shape {
-                _ if text.is_empty() => Err("the path is empty".to_owned()),
-                Shape::File if !path.is_file() => Err(format!("no file {}", path.display())),
-                _ => Ok(path),
-            }
-        })
-    }
-}
-
-fn address(text: &str, shape: Shape) -> Result<SocketAddr, String> {
-    let text = text.trim();
-    let address: SocketAddr = text
-        .parse()
-        .map_err(|_| format!("{text:?} is no IP address with a port"))?;
-    if shape != Shape::Listen && (address.port() == 0 || address.ip().is_unspecified()) {
-        return Err(format!("{text} can't be connected to"));
-    }
-    Ok(address)
-}
-
 /// The addresses, with another port if one is given.
 fn with_port(mut addresses: Vec<SocketAddr>, port: Option<u16>) -> Vec<SocketAddr> {
     if let Some(port) = port {
@@ -473,29 +324,6 @@
     addresses
 }
 
-fn members(text: &str) -> Result<Vec<Member>, String> {
-    let mut members: Vec<Member> = Vec::new();
-    for part in text.split(',').map(str::trim) {
-        let mut fields = part.split('@').map(str::trim);
-        let (Some(name), Some(inner), Some(admin), None) =
-            (fields.next(), fields.next(), fields.next(), fields.next())
-        else {
-            return Err(format!("{part:?} is not NAME@INNER@ADMIN"));
-        };
-        let member = Member {
-            name: almondlock_base::id::Host::new(name).map_err(|error| error.to_string())?,
-            address: address(inner, Shape::Address)?,
-            admin: address(admin, Shape::Address)?,
-        };
-        let twice = |m: &Member| m.name == member.name || m.address == member.address;
-        if members.iter().any(twice) {
-            return Err(format!("{part} has a name or an address twice"));
-        }
-        members.push(member);
-    }
-    Ok(members)
-}
-
 /// Turns "a section that failed to read" into a failure, and leaves "no such
 /// section" alone.
 fn whole<T>(section: Option<Option<T>>) -> Option<Option<T>> {
