--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -15,6 +15,8 @@
 use almondlock_base::{id::Upstream, time::Mono};
 use serde::{Deserialize, Serialize};
 
+use crate::exchange::SILENCE;
+
 /// What another entry host told counts no longer than this. Ten of its usual
 /// messages: its work has ended by itself meanwhile, or it has stopped.
 const FORGET: Duration = Duration::from_millis(1000);
@@ -32,10 +34,6 @@
 /// apart again. Far less than any prompt takes.
 const ROUNDING: f32 = 0.1;
 
-/// A sum from a relay stands for all other hosts this long. Four of its usual
-/// sums; after that what hosts tell each other directly counts, if they do.
-const CURRENT: Duration = Duration::from_millis(160);
-
 /// What one request asks of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -214,8 +212,11 @@
         self.sums.retain(|_, sum| now.since(sum.at) < FORGET);
     }
 
-    /// The sum of the relay that knows most hosts.
-    fn sum(&self, now: Mono, age: Duration) -> Option<&Sum> {
+    /// The sum of the relay that knows most hosts. Once no relay answers any more,
+    /// what hosts tell each other directly counts, if they do.
+    fn sum(&self, now: Mono) -> Option<&Sum> {
+        let directly = self.fresh(now).next().is_some();
+        let age = if directly { SILENCE } else { FORGET };
         let fresh = self.sums.values().filter(|sum| now.since(sum.at) < age);
         fresh.max_by_key(|sum| (sum.hosts, sum.at))
     }
@@ -228,9 +229,7 @@
 
     /// What the other entry hosts have under way on an upstream.
     fn others(&self, now: Mono, upstream: &Upstream) -> Total {
-        let directly = self.fresh(now).next().is_some();
-        let age = if directly { CURRENT } else { FORGET };
-        if let Some(sum) = self.sum(now, age) {
+        if let Some(sum) = self.sum(now) {
             return sum.totals.get(upstream).copied().unwrap_or_default();
         }
         let mut total = Total::default();
@@ -271,10 +270,8 @@
 
     /// How many other entry hosts are heard of.
     pub fn hosts(&self, now: Mono) -> usize {
-        let directly = self.fresh(now).count();
-        let age = if directly > 0 { CURRENT } else { FORGET };
-        let summed = self.sum(now, age).map(|sum| sum.hosts as usize);
-        summed.unwrap_or(directly)
+        let summed = self.sum(now).map(|sum| sum.hosts as usize);
+        summed.unwrap_or_else(|| self.fresh(now).count())
     }
 }
 
