--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -14,7 +14,7 @@
 /// The reading time that a part of a prompt should have at least. It fits into
 /// the pauses of short streams (a few hundred milliseconds) twice, with the
 /// steps of the pass itself beside it.
-pub const PART: Duration = Duration::from_millis(40);
+const PART: Duration = Duration::from_millis(40);
 
 /// What a part costs the short streams on its engine, as a delay of the part.
 /// Parts take up to some hundred milliseconds, in which each of those streams
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -7,7 +7,7 @@
 //! parts by many engines it takes none of them longer than the pause that a
 //! short stream allows, and its own first event comes sooner as well. So a
 //! prompt is cut into as many parts as bring its first event soonest, but into
-//! no more than make each part [`PART`] long: a part costs its engines a pass,
+//! no more than make each part 40 ms long: a part costs its engines a pass,
 //! and smaller ones would only take part in more passes.
 //!
 //! **Three groups.** Short streams are packed onto as few engines as write them
