Serve the largest middling prompts late rather than refuse them

They take an engine 0.8 to 1.0 s and were refused from 0.6 s on when expected late. Test: refused_long::by_expectation, largest_middling, red before.

--- a/almondlock-gateway/tests/refused_long.rs
+++ b/almondlock-gateway/tests/refused_long.rs
@@ -25,6 +25,7 @@
     waited_already = { 250, 10, 900, 1_000, true },
     short = { 20, 0, 5_000, 0, false },
     middling = { 30, 9, 5_000, 0, false },
+    largest_middling = { 49, 16, 5_000, 0, false },
 )]
 fn by_expectation(part: u64, helpers: usize, expected: u64, spent: u64, refused: bool) {
     let spent = Duration::from_millis(spent);
