Tell apart the lives of an instance that starts again under its name

Cause: an instance was its name alone, and a name that was gone never returned. A server that started again under its name was kept out for good once it had been withdrawn; while it was still enrolled, its `draining` of before stuck, and its first heartbeats were dropped as overtaken, since their numbers begin anew.

Change: an instance tells its birth, and (name, birth) is a life. Heartbeats of an earlier life change nothing, a later one replaces it, numbers count within a life. Entry hosts drop the earlier life's loads, connections and suspicion, and renew no memory there: renewed, it would be set aside anew for nobody.

A clock that is set back between two lives keeps the later one out; why that is taken stands in `almondlock_state::instance`.

--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -18,6 +18,7 @@
     command::{Command, Reply},
     document::Document,
     instance::Instance,
+    machine::Machine,
 };
 use tokio::time::{sleep, timeout};
 
@@ -33,6 +34,15 @@
 /// How often it looks whether all processes have it.
 const IN_FORCE_PAUSE: Duration = Duration::from_millis(5);
 
+/// What a replica has applied.
+#[derive(Clone, Debug)]
+pub struct Applied {
+    /// The published configuration.
+    pub document: Option<Document>,
+    /// The instance that was asked for is enrolled.
+    pub is_known: bool,
+}
+
 /// A handle to the replica of this process, for any thread.
 #[derive(Clone, Debug)]
 pub struct Directory {
@@ -73,6 +83,17 @@
         self.outcome(found.await).await
     }
 
+    /// The configuration as this replica last applied it, which may be old, and
+    /// whether an instance is known there. `None` if the replica has stopped.
+    pub async fn applied(&self, upstream: &Upstream) -> Option<Applied> {
+        let upstream = upstream.clone();
+        let look = move |state: &Machine| Applied {
+            document: state.config().document.clone(),
+            is_known: state.config().instances.contains_key(&upstream),
+        };
+        self.remote.look(look).await.ok()
+    }
+
     /// Takes a heartbeat.
     pub async fn beat(
         &self,
--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -249,7 +249,10 @@
     let pause = worker.bounds.memory_hold.mul_f64(memory::RENEWAL_SHARE);
     loop {
         sleep(pause).await;
-        let renewals = leases.iter().map(async |lease| {
+        // An engine that has started again would set memory aside anew, which
+        // nobody uses: the attempt that it was for ended with the earlier life.
+        let held = leases.iter().filter(|lease| !worker.is_over(&lease.target));
+        let renewals = held.map(async |lease| {
             let outcome = lease.reserve(&worker).await;
             if outcome != Outcome::Done {
                 tracing::warn!(
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -181,6 +181,13 @@
         }
     }
 
+    /// The upstream has started again: what this host knew to be under way there
+    /// has ended.
+    pub fn forget(&mut self, upstream: &Upstream) {
+        self.own.remove(upstream);
+        self.unknown.remove(upstream);
+    }
+
     /// What this entry host has under way, for the others.
     pub fn own(&self, now: Mono) -> Vec<(Upstream, Total)> {
         let totals = self.own.iter();
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::{
@@ -21,6 +21,7 @@
     unit::Revision,
 };
 use almondlock_node::Handle;
+use almondlock_state::instance::{Birth, Instance};
 use rand::rngs::SmallRng;
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -119,6 +120,7 @@
     pub(crate) address: SocketAddr,
     pub(crate) slots: u32,
     pub(crate) near: bool,
+    pub(crate) birth: Birth,
 }
 
 /// The configuration in force, read.
@@ -142,6 +144,8 @@
     known: RefCell<Rc<Known>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     suspects: RefCell<HashMap<Upstream, Mono>>,
+    /// The life of each upstream that the configuration in force names.
+    births: RefCell<HashMap<Upstream, Birth>>,
     /// Where the memory of attempts goes that have ended.
     pub(crate) ended: UnboundedSender<Ended>,
 }
@@ -183,6 +187,7 @@
             known: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::default(),
+            births: RefCell::default(),
             ended,
         }
     }
@@ -205,12 +210,14 @@
                 address: instance.address,
                 slots: instance.slots,
                 near: instance.domain == self.domain,
+                birth: instance.birth,
             };
             instances
                 .entry(instance.service.clone())
                 .or_default()
                 .push(target);
         }
+        self.forget_ended(&config.instances);
         let next = Rc::new(Known {
             revision: config.revision,
             rules: self.rules(&known, config.document.as_ref()),
@@ -220,6 +227,39 @@
         next
     }
 
+    /// Forgets what is known of lives of upstreams that are over, since another
+    /// one has begun under the same name.
+    ///
+    /// **Failure.** An upstream crashes and is back before its connections are
+    /// found broken. Requests to it then still count, and new ones go elsewhere;
+    /// or it is passed over for a failure of its earlier life.
+    fn forget_ended(&self, instances: &BTreeMap<Upstream, Instance>) {
+        let mut births = self.births.borrow_mut();
+        for (name, instance) in instances {
+            let birth = instance.birth;
+            if births.get(name).is_some_and(|last| *last < birth) {
+                tracing::info!(upstream = %name, birth = birth.0, "upstream started again");
+                self.load.borrow_mut().forget(name);
+                self.pool.borrow_mut().forget(name);
+                self.suspects.borrow_mut().remove(name);
+            }
+        }
+        *births = instances
+            .iter()
+            .map(|(name, i)| (name.clone(), i.birth))
+            .collect();
+    }
+
+    /// Whether a later life of the target has begun.
+    pub(crate) fn is_over(&self, target: &Target) -> bool {
+        // Takes in a configuration that has come since.
+        self.known();
+        let births = self.births.borrow();
+        births
+            .get(&target.name)
+            .is_some_and(|last| *last > target.birth)
+    }
+
     fn rules(
         &self,
         known: &Known,
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -13,7 +13,10 @@
     time::Duration,
 };
 
-use almondlock_base::id::{Domain, Host, Incarnation, Region, Service, Upstream};
+use almondlock_base::{
+    id::{Domain, Host, Incarnation, Region, Service, Upstream},
+    unit::Revision,
+};
 use almondlock_gateway::{
     budget,
     dialect::{Call, Dialect, Names},
@@ -24,7 +27,11 @@
 };
 use almondlock_node::{Node, Parts};
 use almondlock_spread::view::View;
-use almondlock_state::{config, document::Document, instance::Instance};
+use almondlock_state::{
+    config,
+    document::Document,
+    instance::{Birth, Instance},
+};
 use ntex::http::header::HeaderName;
 
 const KINDS: [(&str, Kind); 5] = [
@@ -161,20 +168,30 @@
 
 /// Starts a gateway in front of these upstreams; gives its address.
 pub fn start(upstreams: &[SocketAddr]) -> SocketAddr {
-    start_for("s", upstreams, Duration::ZERO)
+    start_for("s", upstreams, Duration::ZERO, None)
 }
 
 /// The same, but the gateway gets its configuration only after a while.
 pub fn start_cold(upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
-    start_for("s", upstreams, after)
+    start_for("s", upstreams, after, None)
 }
 
 /// The same in front of engines.
 pub fn start_engines(upstreams: &[SocketAddr]) -> SocketAddr {
-    start_for("e", upstreams, Duration::ZERO)
+    start_for("e", upstreams, Duration::ZERO, None)
 }
 
-fn start_for(service: &str, upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
+/// The same, but after a while all engines are known to have started again.
+pub fn start_engines_reborn(upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
+    start_for("e", upstreams, Duration::ZERO, Some(after))
+}
+
+fn start_for(
+    service: &str,
+    upstreams: &[SocketAddr],
+    after: Duration,
+    reborn: Option<Duration>,
+) -> SocketAddr {
     let instances = (0..).zip(upstreams);
     let instances: Vec<(Upstream, Instance)> = instances
         .map(|(n, address)| instance(service, n, address))
@@ -184,8 +201,8 @@
     thread::spawn(move || {
         let system = ntex::rt::System::new("gateway", ntex::rt::DefaultRuntime);
         system.block_on(async move {
-            let config = config::Config {
-                revision: almondlock_base::unit::Revision(1),
+            let mut config = config::Config {
+                revision: Revision(1),
                 document: Some(Document {
                     version: 1,
                     text: "".into(),
@@ -206,7 +223,15 @@
             let _server = server::start(settings(listen, ready), Plain::new(), handle).unwrap();
             started.send(()).unwrap();
             ntex::time::sleep(after).await;
-            node.handle().view().replace(config);
+            node.handle().view().replace(config.clone());
+            if let Some(reborn) = reborn {
+                ntex::time::sleep(reborn).await;
+                config.revision = Revision(2);
+                for instance in config.instances.values_mut() {
+                    instance.birth = Birth(1);
+                }
+                node.handle().view().replace(config);
+            }
             std::future::pending::<()>().await;
         });
     });
@@ -221,6 +246,7 @@
         domain: Domain::new("d").unwrap(),
         slots: 8,
         leaving: false,
+        birth: Birth::default(),
     };
     (Upstream::new(&format!("i-{n}")).unwrap(), instance)
 }
--- a/almondlock-gateway/tests/known_loads.rs
+++ b/almondlock-gateway/tests/known_loads.rs
@@ -89,3 +89,19 @@
     table.report(at(200), &name(), 9);
     assert_eq!(table.total(at(1_800), &name()).requests(), 1);
 }
+
+/// An upstream crashes and starts again before its connections are found broken.
+/// What its earlier life had under way counts no more, and its end is no end of
+/// anything that the new life does.
+#[test]
+fn started_again() {
+    let mut table = Table::default();
+    let old = table.begin(at(0), &name(), work(400, 0));
+    table.report(at(0), &name(), 5);
+    table.forget(&name());
+    assert_eq!(table.total(at(1), &name()), Total::default());
+    table.begin(at(2), &name(), work(80, 0));
+    table.read(&name(), old);
+    table.end(&name(), old);
+    assert_eq!(table.total(at(2), &name()).reading, 80.0);
+}
--- a/almondlock-gateway/tests/set_aside.rs
+++ b/almondlock-gateway/tests/set_aside.rs
@@ -12,7 +12,7 @@
 };
 
 use fake::{Step, end, event, field, serve, stream_head};
-use gateway::{ask, ask_within, start_engines, status};
+use gateway::{ask, ask_within, start_engines, start_engines_reborn, status};
 
 /// Answers orders with a status, and requests with a stream of two events that
 /// pauses between them.
@@ -70,6 +70,21 @@
     assert_eq!(count(&seen, "/release"), 1);
 }
 
+/// The engine that holds the memory crashes and starts again, while the stream
+/// goes on. Renewed there, the memory would be set aside anew, for nobody.
+#[test]
+fn holder_starts_again() {
+    let (one, heads_one) = engine("200 OK", 1_200);
+    let (two, heads_two) = engine("200 OK", 1_200);
+    let gateway = start_engines_reborn(&[one, two], Duration::from_millis(300));
+    let caller = spawn(move || ask(gateway, "/engine/"));
+    let before = seen(&[heads_one, heads_two], Duration::from_millis(1_000));
+    let (response, _) = caller.join().unwrap();
+    assert_eq!(status(&response), 200);
+    // The first order, and one renewal at 180 ms.
+    assert!((1..=2).contains(&count(&before, "/reserve")), "{before:?}");
+}
+
 /// No engine has memory to give: the caller is refused at once, with when to
 /// come back, and nothing has run.
 #[test]
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -1,19 +1,33 @@
 //! Upstreams that entry hosts call without a sidecar between, by their own
 //! heartbeats.
 //!
-//! Each start of such an upstream is an instance with a name of its own, which
-//! never returns once it is gone. That settles the cases that matter:
+//! Each start of such an upstream is a life of its own, told apart by its name
+//! and its [`Birth`]: a server may start again under the name that it had, and
+//! then knows nothing of before. A life never returns once it is gone. That
+//! settles the cases that matter:
 //!
 //! | heartbeat or notice | result |
 //! |---|---|
 //! | a new name | enrolled |
-//! | a known name, same figures | nothing changes |
-//! | a known name that is leaving says `ready` | it stays leaving: the heartbeat was delayed |
-//! | a name that is gone | nothing changes: the heartbeat was delayed |
+//! | a known life, same figures | nothing changes |
+//! | a known life that is leaving says `ready` | it stays leaving: the heartbeat was delayed |
+//! | a later life of a name that is known or gone | enrolled as it is: the earlier one is over |
+//! | an earlier life of a known name | nothing changes: the heartbeat was delayed |
+//! | a life that is gone, or an earlier one | nothing changes: the heartbeat was delayed |
 //! | a new name at a known address | the instance known there is gone, its address was given on |
+//! | the same, born before the one known there | nothing changes: the heartbeat was delayed |
+//!
+//! Births come from the clocks of the servers' hosts. If such a clock is set back
+//! between two lives of one name, the later life looks like the earlier one and
+//! is kept out until its birth is beyond the last one known: it can't be told from
+//! a heartbeat that the network held back, and to send callers' requests to a
+//! life that is gone would lose them, while the other servers take what one that
+//! is kept out would have served.
+//!
+//! A notice that an instance is gone names no life: it ends the one that is known.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
     time::Duration,
 };
@@ -29,6 +43,13 @@
     limit,
 };
 
+/// When a life of an instance began: the Unix millisecond that its host's clock
+/// showed. A later life of the same name has a greater one. Zero if the instance
+/// doesn't tell, which counts as before all others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Birth(pub u64);
+
 /// An instance as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -41,60 +62,95 @@
     pub domain: Domain,
     /// Requests that it runs at one time.
     pub slots: u32,
-    /// It takes no new work. Invariant: never goes back to false.
+    /// It takes no new work. Invariant: never goes back to false within a life.
     pub leaving: bool,
+    /// Which life of its name this is.
+    #[serde(default)]
+    pub birth: Birth,
 }
 
 /// The names that are gone.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Table {
-    /// Invariant: at most `limit::INSTANCES_GONE`, oldest first.
+    /// Invariant: at most `limit::INSTANCES_GONE`, oldest first, none twice.
     gone: VecDeque<Upstream>,
+    /// The last life of those of them that told their birth. Invariant: each name
+    /// in it is also in `gone`.
+    #[serde(default)]
+    births: BTreeMap<Upstream, Birth>,
 }
 
 impl Table {
     /// The changes that a heartbeat makes.
     pub fn enrol(&mut self, config: &Config, name: &Upstream, mut record: Instance) -> Vec<Change> {
-        if self.gone.contains(name) {
+        if self.is_over(name, record.birth) {
             return Vec::new();
         }
         let known = config.instances.get(name);
         if known.is_none() && config.instances.len() >= limit::INSTANCES {
             return Vec::new();
         }
-        record.leaving |= known.is_some_and(|known| known.leaving);
+        if known.is_some_and(|known| record.birth < known.birth) {
+            return Vec::new();
+        }
+        let same_life = known.filter(|known| known.birth == record.birth);
+        record.leaving |= same_life.is_some_and(|known| known.leaving);
         if known == Some(&record) {
             return Vec::new();
         }
+        let others = config.instances.iter();
+        let others =
+            others.filter(|(other, held)| *other != name && held.address == record.address);
+        let others: Vec<(&Upstream, Birth)> =
+            others.map(|(other, held)| (other, held.birth)).collect();
+        if others.iter().any(|(_, birth)| record.birth < *birth) {
+            return Vec::new();
+        }
         let mut changes = Vec::new();
-        for (other, held) in &config.instances {
-            if other != name && held.address == record.address {
-                self.bury(other);
-                changes.push(Change::Instance(other.clone(), None));
-            }
+        for (other, birth) in others {
+            self.bury(other, birth);
+            changes.push(Change::Instance(other.clone(), None));
         }
+        self.unbury(name);
         changes.push(Change::Instance(name.clone(), Some(record)));
         changes
     }
 
     /// The change made by a notice that an instance is gone, or by its silence.
     pub fn withdraw(&mut self, config: &Config, name: &Upstream) -> Option<Change> {
-        if !self.gone.contains(name) {
-            self.bury(name);
+        let known = config.instances.get(name);
+        if known.is_some() || !self.is_gone(name) {
+            self.bury(name, known.map_or_else(Birth::default, |known| known.birth));
         }
-        let known = config.instances.contains_key(name);
-        known.then(|| Change::Instance(name.clone(), None))
+        known.map(|_| Change::Instance(name.clone(), None))
     }
 
-    fn bury(&mut self, name: &Upstream) {
+    fn bury(&mut self, name: &Upstream, birth: Birth) {
+        self.unbury(name);
         self.gone.push_back(name.clone());
-        if self.gone.len() > limit::INSTANCES_GONE {
-            self.gone.pop_front();
+        if birth > Birth::default() {
+            self.births.insert(name.clone(), birth);
         }
+        if self.gone.len() > limit::INSTANCES_GONE
+            && let Some(oldest) = self.gone.pop_front()
+        {
+            self.births.remove(&oldest);
+        }
+    }
+
+    fn unbury(&mut self, name: &Upstream) {
+        self.gone.retain(|gone| gone != name);
+        self.births.remove(name);
+    }
+
+    /// Whether this life of the name is gone, or comes before the one that is.
+    fn is_over(&self, name: &Upstream, birth: Birth) -> bool {
+        let last = self.births.get(name).copied().unwrap_or_default();
+        self.is_gone(name) && birth <= last
     }
 
-    /// Whether the name is gone for good.
+    /// Whether the last known life of the name is gone.
     pub fn is_gone(&self, name: &Upstream) -> bool {
         self.gone.contains(name)
     }
@@ -118,6 +174,8 @@
 
 #[derive(Clone, Copy, Debug)]
 struct Heard {
+    // The latest life that was heard.
+    birth: Birth,
     // The highest number that its heartbeats bore.
     sequence: u64,
     at: Mono,
@@ -125,7 +183,8 @@
 
 impl Roster {
     /// Takes note of a heartbeat. One that was overtaken by a later one of the
-    /// same instance is acknowledged and otherwise ignored.
+    /// same instance is acknowledged and otherwise ignored. Numbers count within a
+    /// life: a new one begins anew.
     pub fn beat(
         &mut self,
         now: Mono,
@@ -133,16 +192,19 @@
         (name, sequence): (&Upstream, u64),
         record: &Instance,
     ) -> Beat {
-        let heard = self
-            .heard
-            .entry(name.clone())
-            .or_insert(Heard { sequence, at: now });
-        if sequence < heard.sequence {
+        let birth = record.birth;
+        let last = self.heard.get(name).copied();
+        if last.is_some_and(|last| (birth, sequence) < (last.birth, last.sequence)) {
             return Beat::Known;
         }
-        *heard = Heard { sequence, at: now };
+        let heard = Heard {
+            birth,
+            sequence,
+            at: now,
+        };
+        self.heard.insert(name.clone(), heard);
         let same = config.instances.get(name).is_some_and(|known| {
-            let settled = known.leaving && !record.leaving;
+            let settled = known.birth == birth && known.leaving && !record.leaving;
             known == record || settled
         });
         if same { Beat::Known } else { Beat::News }
@@ -155,6 +217,7 @@
         let mut lapsed = Vec::new();
         for name in config.instances.keys() {
             let fresh = Heard {
+                birth: Birth::default(),
                 sequence: 0,
                 at: now,
             };
--- a/almondlock-state/tests/enrolled_instance.rs
+++ b/almondlock-state/tests/enrolled_instance.rs
@@ -10,7 +10,7 @@
 };
 use almondlock_state::{
     command::Command,
-    instance::{Beat, Instance, Roster},
+    instance::{Beat, Birth, Instance, Roster},
     machine::Machine,
 };
 
@@ -27,6 +27,7 @@
         domain: Domain::new("d").unwrap(),
         slots: 4,
         leaving,
+        birth: Birth::default(),
     }
 }
 
--- a/almondlock-telemetry/src/lib.rs
+++ b/almondlock-telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 //!   one request are joined over processes.
 //! - [`spans`] writes finished hops to a file, by setting.
 //! - [`metrics`] sends counters and timers to a statsd address over UDP.
+//! - [`throttle`] bounds lines that others can cause at will.
 //! - [`secret`] wraps what must never be printed.
 //!
 //! Nothing here may slow a request: what can't be written at once is dropped
@@ -16,6 +17,7 @@
 pub mod metrics;
 pub mod secret;
 pub mod spans;
+pub mod throttle;
 pub mod trace;
 
 pub use log::init;
