Let more engines join the short streams while those have much to read

Cause: the engines for short streams were counted by the places that their streams need. When all hosts start again, callers that were cut off come back in a moment: 81 short prompts within 0.1 s on 17 engines, expected after 236 ms in the median, seen after 859 ms. Streams that come over two seconds don't wait for each other, those that come at once do.

--- /dev/null
+++ b/almondlock-gateway/tests/restart_burst.rs
@@ -0,0 +1,69 @@
+//! All entry hosts start again together, and the callers that were cut off are
+//! back: as many short prompts come in a moment as otherwise in seconds. Packed
+//! onto the engines that have places for them, each waits until those before it
+//! are read, and the last ones come late.
+
+mod engines;
+
+use std::time::Duration;
+
+use almondlock_gateway::{
+    load::Total,
+    pick::{self, Candidate, Demand},
+};
+use engines::speed;
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const ENGINES: usize = 14;
+const PROMPT: u64 = 5_000;
+
+fn demand() -> Demand {
+    Demand {
+        prompt: PROMPT,
+        output: 1_000,
+        objective: Duration::from_millis(300),
+    }
+}
+
+/// Engines of which the first two have short streams for half of their places, and
+/// so many milliseconds left to read; the others have as much as `other`.
+fn engines(reading: f32, other: f32) -> Vec<Candidate> {
+    let candidate = |reading, short| Candidate {
+        total: Total {
+            reading,
+            waiting: short,
+            short,
+            ..Total::default()
+        },
+        slots: 16,
+        near: true,
+        suspect: false,
+        full: false,
+    };
+    let mut engines = vec![candidate(other, 0); ENGINES];
+    engines[..2].fill(candidate(reading, 8));
+    engines
+}
+
+/// How many of a hundred choices fall on other engines than the first two.
+fn elsewhere(known: &[Candidate]) -> usize {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choices = (0..100).map(|_| pick::engine(&speed(), demand(), known, &mut rng).unwrap());
+    choices.filter(|choice| choice.first >= 2).count()
+}
+
+/// Others join when there is much to read, and only those that have less.
+#[parameterized(
+    calm = { 10.0, 0.0, false },
+    burst = { 160.0, 0.0, true },
+    others_read_less = { 160.0, 120.0, true },
+    others_read_more = { 160.0, 200.0, false },
+)]
+fn others_join(reading: f32, other: f32, join: bool) {
+    let elsewhere = elsewhere(&engines(reading, other));
+    assert!(
+        if join { elsewhere > 60 } else { elsewhere == 0 },
+        "{elsewhere}"
+    );
+}
