Tell refused callers of long prompts to come back when what keeps them out is read

Cause: a refused long prompt was told to come back when the least loaded engine was free, 0.15 to 0.23 s later.

Change: the refusal says by how much the prompt was expected beyond its bound; the caller comes back after that, spread as before, at most after a third of its time.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -43,6 +43,8 @@
     pub(crate) upstream: Option<Upstream>,
     pub(crate) answer: Option<Whole>,
     pub(crate) reason: String,
+    /// When the caller may find what it found missing, if that is known.
+    pub(crate) returns: Option<Duration>,
 }
 
 impl Broken {
@@ -55,6 +57,7 @@
             upstream: upstream.cloned(),
             answer: None,
             reason: reason.to_string(),
+            returns: None,
         }
     }
 
@@ -157,12 +160,16 @@
         let choice = choice.map_err(lacking)?;
         let is_new = course.tried.is_empty() && after.is_none();
         let backlog = worker.backlog(now, &choice);
-        if is_new && is_refused(worker, request, &choice, backlog, now) {
+        let refusal = refusal(worker, request, &choice, backlog, now).filter(|_| is_new);
+        if let Some(returns) = refusal {
             let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
             let reason = format!(
                 "first event expected in {expected} ms, mean backlog over a second {backlog} ms"
             );
-            return Err(Broken::new(Failure::Unsent, None, reason));
+            return Err(Broken {
+                returns: Some(returns),
+                ..Broken::new(Failure::Unsent, None, reason)
+            });
         }
         let held = Held::new(worker, request, targets, &choice, now);
         if choice.shares.is_empty() {
@@ -186,13 +193,14 @@
     Broken::new(Failure::Unsent, None, lack)
 }
 
-fn is_refused<D>(
+/// Whether the engines' time does more for others: if so, when to come back.
+fn refusal<D>(
     worker: &Worker<D>,
     request: &Request,
     choice: &Choice,
     backlog: Duration,
     now: Mono,
-) -> bool
+) -> Option<Duration>
 where
     D: Dialect,
 {
@@ -202,9 +210,7 @@
         .as_ref()
         .and_then(|rules| rules.service(&request.service));
     let engine = service.and_then(|service| service.engine.as_ref());
-    let (Some(speed), Some(demand)) = (engine, request.demand) else {
-        return false;
-    };
+    let (speed, demand) = (engine?, request.demand?);
     let case = admission::Case {
         prompt: demand.prompt,
         objective: request.route.objective,
@@ -212,7 +218,7 @@
         expected: choice.expected,
         backlog,
     };
-    admission::refuses(speed, &case)
+    admission::refusal(speed, &case)
 }
 
 /// Waits for an upstream that may be silent. One that is silent for too long is
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -41,6 +41,10 @@
 /// When to come back after a refusal at the least: a few passes of an engine.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 
+/// The part of its time after which a caller comes back at the latest. What is left
+/// has to do for the answer.
+const RETRY_SHARE: f64 = 1.0 / 3.0;
+
 /// A request as it is handed on.
 pub(crate) struct Request {
     pub(crate) id: Arc<str>,
@@ -244,7 +248,7 @@
     if ran == Ran::No && request.left(now).is_zero() {
         code = Code::DeadlineUnreachable;
     }
-    let retry_after = (ran == Ran::No).then(|| worker.retry_after(request, now));
+    let retry_after = (ran == Ran::No).then(|| worker.retry_after(request, broken.returns, now));
     Err(End { code, retry_after })
 }
 
@@ -252,18 +256,29 @@
 where
     D: Dialect,
 {
-    /// When a refused caller finds a place: when the least loaded upstream has
-    /// read what it has now. Spread, so that those refused together don't
-    /// return together.
-    pub(crate) fn retry_after(&self, request: &Request, now: Mono) -> Duration {
+    /// When a refused caller finds a place: when what keeps it out is read, if that
+    /// is known as `returns`, else when the least loaded upstream has read what it
+    /// has now. Spread, so that those refused together don't return together.
+    pub(crate) fn retry_after(
+        &self,
+        request: &Request,
+        returns: Option<Duration>,
+        now: Mono,
+    ) -> Duration {
+        let wait = returns.unwrap_or_else(|| self.least_backlog(request, now));
+        let spread = 1.0 + self.rng.borrow_mut().random::<f64>() * SPREAD;
+        let wait = wait.max(RETRY_LEAST).mul_f64(spread);
+        wait.min(request.left(now).mul_f64(RETRY_SHARE))
+    }
+
+    fn least_backlog(&self, request: &Request, now: Mono) -> Duration {
         let known = self.known();
         let targets = known.instances.get(&request.service);
         let backlogs = targets.into_iter().flatten().map(|target| {
             let total = self.load.borrow().total(now, &target.name);
             total.backlog()
         });
-        let least = backlogs.min().unwrap_or(RETRY_LEAST).max(RETRY_LEAST);
-        least.mul_f64(1.0 + self.rng.borrow_mut().random::<f64>() * SPREAD)
+        backlogs.min().unwrap_or_default()
     }
 }
 
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -119,12 +119,7 @@
             return Ok(None);
         };
         let left = self.request.left(clock::mono());
-        let broken = |failure, reason: &str| Broken {
-            failure,
-            upstream: Some(run.upstream.clone()),
-            answer: None,
-            reason: reason.to_owned(),
-        };
+        let broken = |failure, reason: &str| Broken::new(failure, Some(&run.upstream), reason);
         loop {
             let chunk = run.connection.chunk();
             let chunk = attempt::patient(&self.worker, &self.request, &run.held, chunk);
--- a/almondlock-policy/src/admission.rs
+++ b/almondlock-policy/src/admission.rs
@@ -19,6 +19,12 @@
 //! nothing left to read nobody is displaced, and whatever can be in time is taken;
 //! so the largest are served in calm stretches.
 //!
+//! **When to come back.** A refused caller is told to come back once the engines have
+//! read what keeps it out: after as much time as it was expected beyond its bound.
+//! Coming back after 0.15 to 0.23 s, it met the same engines and was refused again:
+//! 13.4 of 100 of the longest prompts' callers in the end, 13.1 with this, and of
+//! what they asked for they got 0.766, not 0.748, over 20 paired runs.
+//!
 //! **Grounds.** Mean share of the worth that callers gave to their requests, in
 //! paired runs of half a minute with bursts of either length and faults.
 //! The price: 0.508 to 0.575 in 6 runs of 69 engines and 22 entry hosts, 0.572 to
@@ -78,18 +84,17 @@
     pub backlog: Duration,
 }
 
-/// Whether a prompt is refused.
-pub fn refuses(speed: &Speed, case: &Case) -> bool {
+/// Whether a prompt is refused: if it is, when its caller should come back.
+pub fn refusal(speed: &Speed, case: &Case) -> Option<Duration> {
     if speed.reading(case.prompt) <= COSTLY {
-        return false;
+        return None;
     }
     let late = case.spent + case.expected;
     let bound = case.objective.mul_f64(HOPELESS);
+    let busy_bound = bound.mul_f64(relative_yield(speed, case));
     let is_idle = case.backlog <= case.objective.mul_f64(IDLE);
-    match is_idle {
-        true => late > bound,
-        false => late > bound.mul_f64(relative_yield(speed, case)),
-    }
+    let is_refused = late > if is_idle { bound } else { busy_bound };
+    is_refused.then(|| late.saturating_sub(busy_bound))
 }
 
 /// What a prompt yields for the engines' time, as a part of what one does that an
--- a/almondlock-policy/tests/long_stretch.rs
+++ b/almondlock-policy/tests/long_stretch.rs
@@ -8,7 +8,7 @@
 
 use almondlock_base::time::Mono;
 use almondlock_policy::{
-    admission::{Backlog, Case, refuses},
+    admission::{Backlog, Case, refusal},
     engine::Speed,
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
@@ -76,7 +76,7 @@
         let large = f64::from(u8::from(prompt >= LARGE));
         outcome.asked += 1.0;
         outcome.large_asked += large;
-        if !refuses(&speed, &case) {
+        if refusal(&speed, &case).is_none() {
             for engine in &mut free[..PARTS] {
                 *engine = engine.max(now) + part;
             }
--- a/almondlock-policy/tests/refused_long.rs
+++ b/almondlock-policy/tests/refused_long.rs
@@ -6,7 +6,7 @@
 
 use almondlock_base::time::Mono;
 use almondlock_policy::{
-    admission::{Backlog, Case, refuses},
+    admission::{Backlog, Case, refusal},
     engine::Speed,
 };
 use yare::parameterized;
@@ -30,6 +30,10 @@
     }
 }
 
+fn refuses(speed: &Speed, case: &Case) -> bool {
+    refusal(speed, case).is_some()
+}
+
 fn case(prompt: u64, expected: u64, backlog: u64) -> Case {
     Case {
         prompt,
@@ -93,3 +97,15 @@
     let then = backlog.tell(at(2_100), millis(600));
     assert!(then > millis(350) && then < millis(450), "{then:?}");
 }
+
+/// A refused caller comes back when what keeps it out has been read: not at once,
+/// to find the same, and not when it can't be in time any more.
+#[parameterized(
+    just_late = { 200_000, 1_700, 0..=100 },
+    late = { 200_000, 2_300, 600..=700 },
+    dearest = { 900_000, 4_000, 3_400..=3_600 },
+)]
+fn returns_then(prompt: u64, expected: u64, millis: std::ops::RangeInclusive<u128>) {
+    let wait = refusal(&speed(), &case(prompt, expected, BUSY)).unwrap();
+    assert!(millis.contains(&wait.as_millis()), "{wait:?}");
+}
