Show from a log which requests were late, when, and whether that was known

timeline sums the lines of entry hosts up by seconds and lengths of prompts: expected and seen first events, pauses, repeats.

--- a/almondlock-bench/src/lib.rs
+++ b/almondlock-bench/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod router;
 pub mod send;
 pub mod summary;
+pub mod timeline;
 pub mod workload;
 
 /// Exit status for arguments that can't be used.
