Take the mean backlog of a service's engines from choices among them only

Cause: found while reading. Each choice told the mean, also those among plain services, which see no backlog: about one request in six, so the mean was some 15% too low, and two services with engines shared one.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -159,17 +159,8 @@
         let choice = choose(worker, request, targets, &course.tried, &full, now);
         let choice = choice.map_err(lacking)?;
         let is_new = course.tried.is_empty() && after.is_none();
-        let backlog = worker.backlog(now, &choice);
-        let refusal = refusal(worker, request, &choice, backlog, now).filter(|_| is_new);
-        if let Some(returns) = refusal {
-            let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
-            let reason = format!(
-                "first event expected in {expected} ms, mean backlog over a second {backlog} ms"
-            );
-            return Err(Broken {
-                returns: Some(returns),
-                ..Broken::new(Failure::Unsent, None, reason)
-            });
+        if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
+            return Err(refused);
         }
         let held = Held::new(worker, request, targets, &choice, now);
         if choice.shares.is_empty() {
@@ -193,14 +184,8 @@
     Broken::new(Failure::Unsent, None, lack)
 }
 
-/// Whether the engines' time does more for others: if so, when to come back.
-fn refusal<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    choice: &Choice,
-    backlog: Duration,
-    now: Mono,
-) -> Option<Duration>
+/// Whether a prompt would be late, or the engines' time does more for others.
+fn refusal<D>(worker: &Worker<D>, request: &Request, choice: &Choice, now: Mono) -> Option<Broken>
 where
     D: Dialect,
 {
@@ -211,6 +196,7 @@
         .and_then(|rules| rules.service(&request.service));
     let engine = service.and_then(|service| service.engine.as_ref());
     let (speed, demand) = (engine?, request.demand?);
+    let backlog = worker.backlog(now, &request.service, choice);
     let case = admission::Case {
         prompt: demand.prompt,
         objective: request.route.objective,
@@ -218,7 +204,14 @@
         expected: choice.expected,
         backlog,
     };
-    admission::refusal(speed, &case)
+    let returns = admission::refusal(speed, &case)?;
+    let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
+    let reason =
+        format!("first event expected in {expected} ms, mean backlog over a second {backlog} ms");
+    Some(Broken {
+        returns: Some(returns),
+        ..Broken::new(Failure::Unsent, None, reason)
+    })
 }
 
 /// Waits for an upstream that may be silent. One that is silent for too long is
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -145,7 +145,7 @@
     known: RefCell<Rc<Known>>,
     budgets: RefCell<HashMap<Service, Budget>>,
     suspects: RefCell<HashMap<Upstream, Mono>>,
-    backlog: RefCell<Backlog>,
+    backlogs: RefCell<HashMap<Service, Backlog>>,
     /// The life of each upstream that the configuration in force names.
     births: RefCell<HashMap<Upstream, Birth>>,
     /// Where the memory of attempts goes that have ended.
@@ -189,7 +189,7 @@
             known: RefCell::default(),
             budgets: RefCell::default(),
             suspects: RefCell::default(),
-            backlog: RefCell::default(),
+            backlogs: RefCell::default(),
             births: RefCell::default(),
             ended,
         }
@@ -330,10 +330,12 @@
         }
     }
 
-    /// What an engine has left to read, in the mean of all and of the last
-    /// moments, given what a choice saw.
-    pub(crate) fn backlog(&self, now: Mono, choice: &Choice) -> Duration {
-        self.backlog.borrow_mut().tell(now, choice.backlog)
+    /// What an engine of a service has left to read, in the mean of all and of the
+    /// last moments, given what a choice among them saw.
+    pub(crate) fn backlog(&self, now: Mono, service: &Service, choice: &Choice) -> Duration {
+        let mut backlogs = self.backlogs.borrow_mut();
+        let backlog = backlogs.entry(service.clone()).or_default();
+        backlog.tell(now, choice.backlog)
     }
 
     /// Counts a request towards the budget of further attempts.
