Bound a change of membership by the process's own clock

Cause: the retry of a change counted its time by a clock of its own, which stands still while the host is suspended; all else there uses clock::mono, which doesn't.

Ruled out: the other reports of clocks (spans, the transport's clock) are the shell.

--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -11,7 +11,7 @@
 use almondlock_node::clock;
 use almondlock_quorum::member::{Change, Id, Member};
 use almondlock_state::command::Command;
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::{Replica, refusal::Refusal};
 
@@ -111,12 +111,12 @@
     /// Makes a change; one that can't be made yet (another is under way, a
     /// learner catches up) is tried again until the time is over.
     async fn change(&self, change: Change) -> Result<(), Refusal> {
-        let until = Instant::now() + self.inner.config.patience * 6;
+        let until = clock::mono() + self.inner.config.patience * 6;
         loop {
             let asked = self.with(|core| core.change(&change));
             match asked {
                 Ok(answer) => return self.wait(answer).await,
-                Err(refusal) if refusal.code != Code::NoQuorum || Instant::now() >= until => {
+                Err(refusal) if refusal.code != Code::NoQuorum || clock::mono() >= until => {
                     return Err(refusal);
                 }
                 Err(_) => sleep(self.inner.config.quorum.heartbeat()).await,
