Give memory back also where an attempt ends while its orders are under way

- What is asked for was the bound itself, with no room for an order's way.
It is now three quarters of it (spread_memory::ends_in_time).
- A release was given up after three tries in 1.2 s.
It is now repeated until the memory has ended by itself (set_aside::unanswered_release).
- A caller who left while memory was being set aside left it behind: nobody knew of it (set_aside::caller_leaves).
- A renewal under way when the attempt ended was cut off and counted as never sent (set_aside::overtaken_renewal).
- A connection that couldn't be opened counted as an answered release.

--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -31,9 +31,8 @@
 /// How long an engine may take to answer an order: a few ways there and back.
 /// Engines answer at once or, in trouble, not at all.
 const ANSWER: Duration = Duration::from_millis(400);
-/// How often memory is given back until an engine has answered. After that it
-/// ends by itself.
-const RELEASES: u32 = 3;
+/// Between two orders to give memory back, where the first failed at once.
+const RELEASE_PAUSE: Duration = Duration::from_millis(100);
 
 /// Memory set aside on one engine.
 struct Lease {
@@ -41,7 +40,10 @@
     /// Its name, unique among all that were ever used.
     id: String,
     tokens: u64,
-    /// An order for it had no answer: it may still be carried out.
+    /// The engine may have it: an order was sent, and not refused.
+    asked: Cell<bool>,
+    /// An order for it is under way, or had no answer: it may still be carried
+    /// out. Invariant: only if `asked`.
     uncertain: Cell<bool>,
 }
 
@@ -72,40 +74,30 @@
         let places = shares
             .iter()
             .filter_map(|share| Some((targets.get(share.place)?, share.tokens)));
-        let orders = places.enumerate().map(async |(i, (target, tokens))| {
-            let lease = Lease {
-                target: target.clone(),
-                id: format!("{drawn:016x}-{i}"),
-                tokens,
-                uncertain: Cell::new(false),
-            };
-            let outcome = lease.reserve(worker).await;
-            (lease, outcome)
+        let leases = places.enumerate().map(|(i, (target, tokens))| Lease {
+            target: target.clone(),
+            id: format!("{drawn:016x}-{i}"),
+            tokens,
+            asked: Cell::new(false),
+            uncertain: Cell::new(false),
         });
-        let results = join_all(orders).await;
-        let failed = results
-            .iter()
-            .find(|(_, outcome)| *outcome != Outcome::Done)
-            .map(|(lease, outcome)| failure(lease, *outcome));
-        let kept = results
-            .into_iter()
-            .filter(|(_, outcome)| *outcome != Outcome::Refused);
+        // Dropped half-way, as when the caller leaves, they are given back too.
         let mut leases = Leases {
             worker: Rc::clone(worker),
             request: Rc::from(request),
-            leases: kept.map(|(lease, _)| lease).collect(),
+            leases: leases.collect(),
             renewal: None,
         };
-        match failed {
-            Some(failed) => Err(failed),
-            None => {
-                leases.renewal = Some(spawn_local(renew(
-                    Rc::clone(worker),
-                    Rc::clone(&leases.leases),
-                )));
-                Ok(leases)
-            }
+        let orders = leases.leases.iter().map(|lease| lease.reserve(worker));
+        let outcomes = join_all(orders).await;
+        let mut failed = leases.leases.iter().zip(&outcomes);
+        let failed = failed.find(|(_, outcome)| **outcome != Outcome::Done);
+        if let Some((lease, outcome)) = failed {
+            return Err(failure(lease, *outcome));
         }
+        let renewal = renew(Rc::clone(worker), Rc::clone(&leases.leases));
+        leases.renewal = Some(spawn_local(renewal));
+        Ok(leases)
     }
 
     /// The names of the memory, in the order of the shares.
@@ -122,7 +114,7 @@
         if let Some(renewal) = self.renewal.take() {
             renewal.abort();
         }
-        if self.leases.is_empty() {
+        if !self.leases.iter().any(|lease| lease.asked.get()) {
             return;
         }
         let ended = Ended {
@@ -158,8 +150,8 @@
     {
         let worker = Rc::clone(&worker);
         spawn_local(async move {
-            let releases = leases.iter().map(|lease| lease.release(&worker, &request));
-            join_all(releases).await;
+            let asked = leases.iter().filter(|lease| lease.asked.get());
+            join_all(asked.map(|lease| lease.release(&worker, &request))).await;
             drop(active);
             let uncertain = leases.iter().filter(|lease| lease.uncertain.get());
             join_all(uncertain.map(|lease| lease.release_late(&worker, &request))).await;
@@ -172,33 +164,44 @@
     where
         D: Dialect,
     {
-        let hold = worker.bounds.memory_hold;
         let order = Order::Reserve {
             id: &self.id,
             tokens: self.tokens,
-            hold,
+            hold: memory::hold(worker.bounds.memory_hold),
         };
+        let was_asked = self.asked.replace(true);
+        let was_uncertain = self.uncertain.replace(true);
         let outcome = self.order(worker, &order).await;
-        if outcome == Outcome::Unknown {
-            self.uncertain.set(true);
+        if outcome != Outcome::Unknown {
+            self.uncertain.set(was_uncertain);
+        }
+        if matches!(outcome, Outcome::Refused | Outcome::Unreached) {
+            self.asked.set(was_asked);
         }
         outcome
     }
 
+    /// Gives it back, until the engine has answered or it has ended by itself.
+    ///
+    /// **Failure.** An engine rejects a prompt and leaves the orders after that
+    /// unanswered for a second or two. Given up sooner, the memory stays set aside
+    /// to its end, which others find as an engine that is full.
     async fn release<D>(&self, worker: &Worker<D>, request: &str)
     where
         D: Dialect,
     {
         let order = Order::Release { id: &self.id };
-        for _ in 0..RELEASES {
-            if self.order(worker, &order).await != Outcome::Unknown {
-                return;
+        let until = clock::mono() + memory::hold(worker.bounds.memory_hold);
+        while clock::mono() < until && !worker.is_over(&self.target) {
+            match self.order(worker, &order).await {
+                Outcome::Done | Outcome::Refused => return,
+                Outcome::Unknown | Outcome::Unreached => sleep(RELEASE_PAUSE).await,
             }
         }
         tracing::warn!(
             request, upstream = %self.target.name, memory = %self.id, tokens = self.tokens,
-            hold_ms = worker.bounds.memory_hold.as_millis(),
-            "memory not given back, ends by itself"
+            hold_ms = memory::hold(worker.bounds.memory_hold).as_millis(),
+            "memory not given back, has ended by itself"
         );
     }
 
@@ -226,7 +229,7 @@
         let call = worker.dialect.order(order);
         match timeout(ANSWER, send(worker, &self.target, &call)).await {
             Ok(Ok(status)) => Outcome::of(status),
-            Ok(Err(upstream::Error::Connect(_))) => Outcome::Refused,
+            Ok(Err(upstream::Error::Connect(_))) => Outcome::Unreached,
             Ok(Err(_)) | Err(_) => Outcome::Unknown,
         }
     }
@@ -235,6 +238,7 @@
 fn failure(lease: &Lease, outcome: Outcome) -> Broken {
     let (failure, what) = match outcome {
         Outcome::Unknown => (Failure::Unsent, "no answer"),
+        Outcome::Unreached => (Failure::Rejected, "not reached"),
         Outcome::Done | Outcome::Refused => (Failure::Rejected, "refused"),
     };
     let reason = format!("{} tokens of memory not set aside: {what}", lease.tokens);
@@ -246,7 +250,7 @@
 where
     D: Dialect,
 {
-    let pause = worker.bounds.memory_hold.mul_f64(memory::RENEWAL_SHARE);
+    let pause = memory::hold(worker.bounds.memory_hold).mul_f64(memory::RENEWAL_SHARE);
     loop {
         sleep(pause).await;
         // An engine that has started again would set memory aside anew, which
--- a/almondlock-gateway/src/memory.rs
+++ b/almondlock-gateway/src/memory.rs
@@ -31,6 +31,18 @@
 /// renewed: one lost renewal can be repeated before the end.
 pub const RENEWAL_SHARE: f64 = 0.45;
 
+/// Part of the time for which memory may outlive its use that it is set aside for.
+/// The time counts from the arrival of an order, which may be a renewal that is
+/// under way when the attempt ends: of the usual 4 s this leaves one for the order's
+/// way and for the engine's own timer.
+const HOLD_SHARE: f64 = 0.75;
+
+/// How long memory is set aside for at a time, where it may outlive its use for
+/// `bound`.
+pub fn hold(bound: Duration) -> Duration {
+    bound.mul_f64(HOLD_SHARE)
+}
+
 /// An order that was not answered may still be carried out this much later.
 /// The longest that engines are known to take.
 pub const LATE: Duration = Duration::from_secs(13);
@@ -76,6 +88,8 @@
     Refused,
     /// Nobody knows: it may still be done, seconds later.
     Unknown,
+    /// It never reached the engine, and will not be done.
+    Unreached,
 }
 
 impl Outcome {
--- a/almondlock-gateway/tests/spread_memory.rs
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -125,3 +125,21 @@
 fn order_outcome(status: u16, outcome: Outcome) {
     assert_eq!(Outcome::of(status), outcome);
 }
+
+/// A renewal reaches the engine in the moment in which the attempt ends, and the
+/// order that gives the memory back is lost. The memory must still end by itself
+/// within the time for which it may outlive its use, with the longest that an order
+/// takes (0.4 s) to spare.
+#[parameterized(
+    usual = { 4_000 },
+    short = { 2_000 },
+    long = { 20_000 },
+)]
+fn ends_in_time(bound: u64) {
+    let bound = Duration::from_millis(bound);
+    let order = Duration::from_millis(400);
+    let hold = memory::hold(bound);
+    assert!(hold + order <= bound, "{hold:?}");
+    // And one lost renewal can be repeated.
+    assert!(hold.mul_f64(memory::RENEWAL_SHARE) * 2 < hold);
+}
