Take heartbeats of thousands of servers without starving anybody

The operators' listener had set a limit of 256, which the HTTP library keeps once for the process. Ruled out: the processor (33% of its share), elections (the leader stayed), the queue to the replica's thread.

- Room for 4,096 connections that wait to be accepted, not 128.
- A heartbeat waits until all processes act on it only where it says that its sender leaves, and then for that revision, not for the newest.
Before, each one waited, and looked every 5 ms through all that is known of all processes.
- Who waits for a revision waits for one value that each report brings up to date.

--- a/almondlock-control/src/admin.rs
+++ b/almondlock-control/src/admin.rs
@@ -25,6 +25,7 @@
     command::{Command, Reply},
     machine::Machine,
 };
+use almondlock_transport::listen;
 use ntex::{
     SharedCfg,
     http::HttpServiceConfig,
@@ -37,9 +38,6 @@
 /// How long a client may take to send a request's head.
 const HEAD_TIME: Seconds = Seconds(10);
 
-/// Connections at a time; more wait in the listener's queue.
-const CONNECTIONS: usize = 256;
-
 /// Why a backend gives no answer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -123,7 +121,7 @@
     let http = HttpServiceConfig::new().set_client_timeout(HEAD_TIME);
     let server = HttpServer::new(factory)
         .workers(1)
-        .maxconn(CONNECTIONS)
+        .maxconn(listen::CONNECTIONS)
         .disable_signals()
         .config(SharedCfg::new("admin").add(http));
     let server = match tls {
--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -2,9 +2,10 @@
 //! configuration as one text, and the instances that are called directly.
 //!
 //! An acknowledgement is a promise to others. A configuration is acknowledged
-//! once a quorum has synced it. A heartbeat that says something new is
-//! acknowledged once, besides, the known processes act on it, because the
-//! sender counts from the acknowledgement until it stops serving.
+//! once a quorum has synced it, and so is a heartbeat that says something new. One
+//! that says that its sender leaves is acknowledged once, besides, the known
+//! processes act on it, because the sender counts from the acknowledgement until it
+//! stops serving.
 
 use std::{
     net::SocketAddr,
@@ -12,6 +13,10 @@
     time::Duration,
 };
 
+use crate::{
+    admin::Failure,
+    replica::{Refusal, Remote},
+};
 use almondlock_base::{Code, id::Upstream, time::Wall, unit::Revision};
 use almondlock_node::{Handle, clock};
 use almondlock_state::{
@@ -20,19 +25,11 @@
     instance::Instance,
     machine::Machine,
 };
-use tokio::time::{sleep, timeout};
-
-use crate::{
-    admin::Failure,
-    replica::{Refusal, Remote},
-};
 
 /// How long an acknowledgement waits for processes that are behind. Senders of
 /// heartbeats wait a second for it; a process that takes longer is cut off and
 /// counts as such.
 const IN_FORCE_WAIT: Duration = Duration::from_millis(600);
-/// How often it looks whether all processes have it.
-const IN_FORCE_PAUSE: Duration = Duration::from_millis(5);
 
 /// What a replica has applied.
 #[derive(Clone, Debug)]
@@ -41,6 +38,8 @@
     pub document: Option<Document>,
     /// The instance that was asked for is enrolled.
     pub is_known: bool,
+    /// How many instances are enrolled.
+    pub instances: usize,
 }
 
 /// A handle to the replica of this process, for any thread.
@@ -90,6 +89,7 @@
         let look = move |state: &Machine| Applied {
             document: state.config().document.clone(),
             is_known: state.config().instances.contains_key(&upstream),
+            instances: state.config().instances.len(),
         };
         self.remote.look(look).await.ok()
     }
@@ -102,8 +102,9 @@
         instance: Instance,
     ) -> Result<(), Failure> {
         let told = self.remote.beat(upstream, sequence, instance).await;
-        let revision = self.outcome(told).await?;
-        self.in_force(revision).await;
+        if let Some(revision) = self.outcome(told).await? {
+            self.in_force(revision).await;
+        }
         Ok(())
     }
 
@@ -132,12 +133,7 @@
         let Some(node) = self.node.get() else {
             return;
         };
-        let reached = async {
-            while node.summary().lowest < revision {
-                sleep(IN_FORCE_PAUSE).await;
-            }
-        };
-        if timeout(IN_FORCE_WAIT, reached).await.is_err() {
+        if !node.in_force(revision, IN_FORCE_WAIT).await {
             let summary = node.summary();
             let lowest = summary.lowest.0;
             let behind = summary.laggards.len();
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -11,21 +11,25 @@
 use super::{Replica, refusal::Refusal};
 
 impl Replica {
-    /// Takes a heartbeat; gives the revision in which what it says stands.
+    /// Takes a heartbeat. Gives the revision that has to be in force everywhere before
+    /// it is acknowledged, if one has to: the sender counts from the acknowledgement
+    /// until it stops serving, but for nothing else does it rely on others.
     pub async fn beat(
         &self,
         upstream: Upstream,
         sequence: u64,
         instance: Instance,
-    ) -> Result<Revision, Refusal> {
+    ) -> Result<Option<Revision>, Refusal> {
         self.inner.core.borrow().check()?;
         let beat = self.state(|state| {
             let mut roster = self.inner.roster.borrow_mut();
             let named = (&upstream, sequence);
             roster.beat(clock::mono(), state.config(), named, &instance)
         });
-        if beat == Beat::Known {
-            return Ok(self.state(|state| state.config().revision));
+        match beat {
+            Beat::Known => return Ok(None),
+            Beat::Leaving(revision) => return Ok(Some(revision)),
+            Beat::News => {}
         }
         let (name, service, leaving) =
             (upstream.clone(), instance.service.clone(), instance.leaving);
@@ -36,7 +40,7 @@
         };
         let revision = self.revise(command).await?;
         tracing::info!(instance = %name, %service, sequence, leaving, revision = revision.0, "instance entered");
-        Ok(revision)
+        Ok(leaving.then_some(revision))
     }
 
     /// An instance says that it is gone.
--- a/almondlock-control/src/replica/remote.rs
+++ b/almondlock-control/src/replica/remote.rs
@@ -33,7 +33,12 @@
     Read(Look, Asker<Result<(), Refusal>>),
     Look(Look),
     Status(Asker<Status>),
-    Beat(Upstream, u64, Instance, Asker<Result<Revision, Refusal>>),
+    Beat(
+        Upstream,
+        u64,
+        Instance,
+        Asker<Result<Option<Revision>, Refusal>>,
+    ),
     Withdraw(Upstream, Asker<Result<Revision, Refusal>>),
     Add(Host, Asker<Result<Id, Refusal>>),
     Promote(Id, Asker<Result<(), Refusal>>),
@@ -87,7 +92,7 @@
         upstream: Upstream,
         sequence: u64,
         instance: Instance,
-    ) -> Result<Revision, Refusal> {
+    ) -> Result<Option<Revision>, Refusal> {
         self.ask(|asker| Request::Beat(upstream, sequence, instance, asker))
             .await?
     }
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -28,6 +28,11 @@
 /// How long a process may act as current without word from a source.
 pub const RECENT: Duration = Duration::from_secs(12);
 
+/// How often a source looks whether a revision is in force everywhere, besides each
+/// time that somebody reports. Who was silent for too long counts no more, and nobody
+/// reports that.
+const IN_FORCE_PAUSE: Duration = Duration::from_millis(50);
+
 /// How often a process that catches up looks whether it has.
 const CATCH_UP_PAUSE: Duration = Duration::from_millis(2);
 
@@ -81,6 +86,9 @@
     /// The lowest revision in the subtree, as its last report came. Those above
     /// are told at once when it rises.
     pub(crate) lowest: watch::Sender<Revision>,
+    /// The lowest revision in force in any process, on a source, as the last report
+    /// came.
+    pub(crate) lowest_of_all: watch::Sender<Revision>,
     pub(crate) tree: Mutex<Tree>,
 }
 
@@ -115,6 +123,20 @@
         }
     }
 
+    /// Brings the lowest revision in force in any process up to date.
+    pub(crate) fn tell_lowest(&self) {
+        let own = self.view.revision();
+        let lowest = {
+            let mut tree = self.tree();
+            tree.children.expire(clock::mono());
+            tree.children.lowest_of_all(own)
+        };
+        self.lowest_of_all.send_if_modified(|last| {
+            let before = std::mem::replace(last, lowest);
+            before != lowest
+        });
+    }
+
     /// Drops what was heard when a source has since had nothing that new: a
     /// process with a bug, or one that met another system's, would otherwise
     /// keep this one looking for a revision that doesn't exist.
@@ -174,6 +196,27 @@
         self.shared.tree().children.summary(clock::mono(), peer)
     }
 
+    /// Waits on a source until all processes that it knows act on a revision, or the
+    /// time is over; tells which.
+    ///
+    /// Hundreds wait at the same moment, when as many servers leave together, so they
+    /// wait for one value that each report brings up to date. Each working out who is
+    /// furthest behind, every few milliseconds, took all of a replica's processor.
+    pub async fn in_force(&self, revision: Revision, allowed: Duration) -> bool {
+        let mut lowest = self.shared.lowest_of_all.subscribe();
+        let reached = async {
+            loop {
+                self.shared.tell_lowest();
+                if *lowest.borrow_and_update() >= revision {
+                    return;
+                }
+                // Ends only with the node.
+                let _ = tokio::time::timeout(IN_FORCE_PAUSE, lowest.changed()).await;
+            }
+        };
+        tokio::time::timeout(allowed, reached).await.is_ok()
+    }
+
     /// The processes below this one that are known by name.
     pub fn members(&self) -> Vec<Member> {
         self.shared.tree().children.members().cloned().collect()
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -248,6 +248,7 @@
         heard_at: Vouch::new(),
         news: Notify::new(),
         lowest: watch::Sender::default(),
+        lowest_of_all: watch::Sender::default(),
         tree: Mutex::new(Tree {
             children: Children::new(bounds, own, parts.is_source),
             store: Store::new(),
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -195,6 +195,9 @@
             let before = std::mem::replace(last, lowest);
             before != lowest
         });
+        if self.shared.is_source {
+            self.shared.tell_lowest();
+        }
         admission
     }
 
--- a/almondlock-node/tests/tree_spread.rs
+++ b/almondlock-node/tests/tree_spread.rs
@@ -3,10 +3,13 @@
 
 mod fleet;
 
+use std::time::Duration;
+
 use almondlock_node::{Node, Parts};
 use almondlock_spread::view::View;
 use almondlock_transport::fault::Plan;
 use fleet::{accept, all_have, config, process, source, until};
+use futures::future::join_all;
 
 #[ntex::test]
 async fn in_force_everywhere() {
@@ -51,6 +54,33 @@
     assert_eq!(parent.summary().processes, before - 1);
 }
 
+/// Hundreds of calls wait at the same moment until a change is in force everywhere.
+/// All are told once it is; those that wait for what nobody has are told so in time.
+#[ntex::test]
+async fn hundreds_wait() {
+    let view = View::new();
+    accept(&view, 1);
+    let root = source("c1", &view, None).await;
+    let (seeds, plan) = ([root.address()], Plan::new());
+    let mut nodes = Vec::new();
+    for n in 0..20 {
+        nodes.push(process(&format!("h{n}"), "d1", &seeds, &plan).await);
+    }
+    until("the source knows all", || {
+        root.handle().summary().processes == 21
+    })
+    .await;
+    let revision = accept(&view, 1);
+    let allowed = Duration::from_secs(20);
+    let calls = (0..500).map(|_| root.handle().in_force(revision, allowed));
+    assert!(join_all(calls).await.into_iter().all(|done| done));
+    assert!(all_have(&nodes, &view));
+    let beyond = root
+        .handle()
+        .in_force(revision.next(), Duration::from_millis(100));
+    assert!(!beyond.await);
+}
+
 /// Two sources share the processes. Each must know of both halves, or it would
 /// call a change in force that the other half doesn't have.
 #[ntex::test]
--- a/almondlock-spread/src/children.rs
+++ b/almondlock-spread/src/children.rs
@@ -233,6 +233,15 @@
             .fold(own, Revision::min)
     }
 
+    /// The lowest revision in force in any process that is known, on a source, which
+    /// has `own` itself.
+    pub fn lowest_of_all(&self, own: Revision) -> Revision {
+        let siblings = self.siblings.values();
+        siblings
+            .map(|(told, _)| told.lowest.min(told.from.revision))
+            .fold(self.lowest(own), Revision::min)
+    }
+
     /// How many children there are.
     pub fn len(&self) -> usize {
         self.children.len()
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -35,6 +35,7 @@
 use almondlock_base::{
     id::{Domain, Service, Upstream},
     time::Mono,
+    unit::Revision,
 };
 use serde::{Deserialize, Serialize};
 
@@ -161,6 +162,9 @@
 pub enum Beat {
     /// Nothing new: it is acknowledged.
     Known,
+    /// It has been leaving since this revision, or an earlier one: it is acknowledged
+    /// once that is in force everywhere.
+    Leaving(Revision),
     /// It must be entered before it is acknowledged.
     News,
 }
@@ -179,12 +183,15 @@
     // The highest number that its heartbeats bore.
     sequence: u64,
     at: Mono,
+    // The revision in which it was leaving when that was first said here.
+    leaving: Option<Revision>,
 }
 
 impl Roster {
     /// Takes note of a heartbeat. One that was overtaken by a later one of the
-    /// same instance is acknowledged and otherwise ignored. Numbers count within a
-    /// life: a new one begins anew.
+    /// same instance is acknowledged and otherwise ignored, but that the word that it
+    /// leaves is acknowledged as any other such word: the sender counts from whichever
+    /// acknowledgement comes first. Numbers count within a life: a new one begins anew.
     pub fn beat(
         &mut self,
         now: Mono,
@@ -194,20 +201,33 @@
     ) -> Beat {
         let birth = record.birth;
         let last = self.heard.get(name).copied();
-        if last.is_some_and(|last| (birth, sequence) < (last.birth, last.sequence)) {
+        let is_overtaken = |last: Heard| (birth, sequence) < (last.birth, last.sequence);
+        let leaves = |last: Heard| birth == last.birth && record.leaving;
+        if last.is_some_and(|last| is_overtaken(last) && !leaves(last)) {
             return Beat::Known;
         }
-        let heard = Heard {
+        let highest = last.filter(|last| last.birth == birth);
+        let mut heard = Heard {
             birth,
-            sequence,
+            sequence: highest.map_or(sequence, |last| sequence.max(last.sequence)),
             at: now,
+            leaving: highest.and_then(|last| last.leaving),
         };
-        self.heard.insert(name.clone(), heard);
         let same = config.instances.get(name).is_some_and(|known| {
             let settled = known.birth == birth && known.leaving && !record.leaving;
             known == record || settled
         });
-        if same { Beat::Known } else { Beat::News }
+        let leaving = same && record.leaving;
+        if leaving {
+            // Said again and again while other changes come, it doesn't wait for those.
+            heard.leaving.get_or_insert(config.revision);
+        }
+        self.heard.insert(name.clone(), heard);
+        match heard.leaving {
+            _ if !same => Beat::News,
+            Some(revision) if leaving => Beat::Leaving(revision),
+            _ => Beat::Known,
+        }
     }
 
     /// The instances that were not heard for a lease.
@@ -220,6 +240,7 @@
                 birth: Birth::default(),
                 sequence: 0,
                 at: now,
+                leaving: None,
             };
             let heard = self.heard.entry(name.clone()).or_insert(fresh);
             if now.since(heard.at) >= lease {
--- a/almondlock-state/tests/enrolled_instance.rs
+++ b/almondlock-state/tests/enrolled_instance.rs
@@ -7,6 +7,7 @@
 use almondlock_base::{
     id::{Domain, Service, Upstream},
     time::{Mono, Wall},
+    unit::Revision,
 };
 use almondlock_state::{
     command::Command,
@@ -97,13 +98,49 @@
     let ready = instance("10.0.0.1:80", false);
     let leaving = instance("10.0.0.1:80", true);
     let now = Mono::from_millis(5);
-    assert_eq!(roster.beat(now, config, (&i, 7), &leaving), Beat::Known);
+    let known = Beat::Leaving(Revision(1));
+    assert_eq!(roster.beat(now, config, (&i, 7), &leaving), known);
     assert_eq!(roster.beat(now, config, (&i, 6), &ready), Beat::Known);
+    assert_eq!(roster.beat(now, config, (&i, 5), &leaving), known);
     assert_eq!(roster.beat(now, config, (&i, 8), &ready), Beat::Known);
     let other = instance("10.0.0.2:80", true);
     assert_eq!(roster.beat(now, config, (&i, 9), &other), Beat::News);
 }
 
+/// An instance says again and again that it leaves, while hundreds of others come. It
+/// is acknowledged once the revision in which it left is in force everywhere: waiting
+/// for the newest one, it would wait without end, and never be free to stop.
+#[test]
+fn leaves_meanwhile() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", true);
+    let (mut roster, i) = (Roster::default(), name("i-1"));
+    let leaving = instance("10.0.0.1:80", true);
+    let now = Mono::from_millis(5);
+    let known = Beat::Leaving(Revision(1));
+    assert_eq!(roster.beat(now, machine.config(), (&i, 7), &leaving), known);
+    enrol(&mut machine, "i-2", "10.0.0.2:80", false);
+    assert_eq!(roster.beat(now, machine.config(), (&i, 8), &leaving), known);
+    // A new leader doesn't know since when, and takes the revision of the moment.
+    let later = Beat::Leaving(Revision(2));
+    let mut roster = Roster::default();
+    assert_eq!(roster.beat(now, machine.config(), (&i, 9), &leaving), later);
+}
+
+/// Its first word that it leaves is still being entered when a delayed copy of it
+/// comes. Acknowledged at once, the copy would set it free to stop too soon.
+#[test]
+fn leaves_twice() {
+    let mut machine = Machine::new();
+    enrol(&mut machine, "i-1", "10.0.0.1:80", false);
+    let (mut roster, i) = (Roster::default(), name("i-1"));
+    let leaving = instance("10.0.0.1:80", true);
+    let now = Mono::from_millis(5);
+    let config = machine.config();
+    assert_eq!(roster.beat(now, config, (&i, 8), &leaving), Beat::News);
+    assert_eq!(roster.beat(now, config, (&i, 7), &leaving), Beat::News);
+}
+
 #[test]
 fn silence_lapses() {
     let mut machine = Machine::new();
--- a/almondlock-transport/src/listen.rs
+++ b/almondlock-transport/src/listen.rs
@@ -4,6 +4,7 @@
 
 use almondlock_wire::almondlock_capnp::node;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
+use socket2::{Domain, Protocol, Socket, Type};
 use tokio::{
     io::{AsyncRead, AsyncWrite},
     net::{TcpListener, TcpStream},
@@ -23,6 +24,40 @@
 /// A pause after an error of the listener, such as no file descriptor left.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Connections that may wait until they are accepted: one from each of 3,000 servers
+/// and some more. The system cuts it to what it allows.
+const BACKLOG: i32 = 4096;
+
+/// Connections at one time to all HTTP listeners of a process; more wait in their
+/// queues. One from each of 3,000 servers that speak to a replica, and room for
+/// operators; well below the descriptors that a process usually has (4,096).
+///
+/// The HTTP library has one such limit in a process, and the listener that sets it last
+/// sets it for all. **Failure.** The operators' listener allowed 256. With as many
+/// servers connected, the listener beside it, for heartbeats and publications, took no
+/// connection any more, and no configuration was acknowledged until the end.
+pub const CONNECTIONS: usize = 3_500;
+
+/// Listens for others at an address.
+///
+/// **Failure.** A thousand servers speak at the same moment, since they started
+/// together. Of the 128 connections that the standard library lets wait, the rest is
+/// dropped, and the kernel of each caller asks again only after a second or three. An
+/// operator's call among them was answered after four seconds.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    // As the standard library does, so that a process that starts again finds its
+    // address free.
+    socket.set_reuse_address(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
 /// How a listener serves.
 #[derive(Clone, Debug)]
 pub struct Config {
