--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -1,9 +1,9 @@
 //! The control role: the replica, operators' listener, and plans.
 
-use std::{collections::BTreeMap, net::TcpListener};
+use std::collections::BTreeMap;
 
 use crate::roles::tls::tls;
-use almondlock_base::id::Host;
+use almondlock_base::id::{Domain, Host};
 use almondlock_control::{
     admin,
     backend::{Admins, Operated},
@@ -21,7 +21,7 @@
     operator::{Operator, Role},
     replica as members,
 };
-use almondlock_transport::Security;
+use almondlock_transport::{Security, listen};
 use almondlock_wire::almondlock_capnp::control;
 use anyhow::{Context, Result};
 use tokio::{
@@ -68,7 +68,7 @@
         let config = config.build();
         let replica =
             Replica::start(config, view.clone(), vouch.clone()).context("starting the replica")?;
-        let listener = TcpListener::bind(role.admin)
+        let listener = listen::bind(role.admin)
             .with_context(|| format!("listening for operators on {}", role.admin))?;
         let admins: Admins = role.members.iter().map(|m| (m.address, m.admin)).collect();
         let operated = Operated::new(replica.remote(), view.clone(), admins);
@@ -78,7 +78,7 @@
         };
         let admin = admin.context("serving operators")?;
         let directory = match &settings.directory {
-            Some(directory) => Some(serve_directory(directory, &replica)?),
+            Some(directory) => Some(serve_directory(directory, &host.domain, &replica)?),
             None => None,
         };
         spawn_local(driver::run(replica.clone()));
@@ -147,10 +147,11 @@
 /// Listens for publications and heartbeats, and for entry hosts' loads.
 fn serve_directory(
     settings: &almondlock_settings::Directory,
+    domain: &Domain,
     replica: &Replica,
 ) -> Result<(Directory, ntex::server::Server)> {
     let address = settings.listen;
-    let listener = TcpListener::bind(address)
+    let listener = listen::bind(address)
         .with_context(|| format!("listening for publications on {address}"))?;
     let directory = Directory::new(replica.remote(), address.port());
     let server = listener::serve(listener, directory.clone()).context("serving publications")?;
@@ -161,8 +162,9 @@
             .set_nonblocking(true)
             .context("setting up the socket for loads")?;
         let socket = UdpSocket::from_std(socket).context("setting up the socket for loads")?;
+        let domain = domain.clone();
         spawn_local(async move {
-            if let Err(error) = exchange::relay(socket).await {
+            if let Err(error) = exchange::relay(socket, domain).await {
                 tracing::error!(%error, "loads are no longer passed on");
             }
         });
--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -1,4 +1,11 @@
 //! What a relay makes of what hosts tell it. Decides only; the relay sends.
+//!
+//! **Load pattern.** Three hundred hosts send to three thousand upstreams. Sums of
+//! everything for each host, each 40 ms, filled the hosts' links and took the relay,
+//! which shares a processor with a control replica, all of its time: no
+//! configuration was acknowledged any more. So the sum is made once for all hosts,
+//! each of which takes its own part out itself, and tells what has changed. Every
+//! upstream is told again within a second, in case a datagram was lost.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -6,63 +13,168 @@
     time::Duration,
 };
 
-use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_base::{id::Domain, time::Mono};
 
-use super::message::{Digest, Sum};
-use crate::load::Total;
+use super::message::{Digest, Introduction, Listen, Sum};
+use crate::load::{Key, Load};
 
 /// A host that told nothing for this long has stopped: what it had under way
 /// ends with it.
 const GONE: Duration = Duration::from_secs(1);
-/// How often hosts are told of each other's addresses, in sums: they only need
-/// them once all relays are gone.
-const INTRODUCTION: u64 = 25;
+/// Rounds in which each upstream is told once, changed or not; and every how many
+/// rounds hosts are told where the relay is. About a second.
+const REPEAT: u64 = 50;
+/// Every how many rounds those who listen seldom are told everything.
+const SELDOM: u64 = 25;
+/// The change of the time left to read, in milliseconds, that is told at once.
+/// What is left runs down by itself, and hosts know that.
+const READING: u16 = 20;
+/// The same of the memory in use, in blocks: a short prompt's.
+const MEMORY: u16 = 64;
 
 #[derive(Debug)]
 struct Told {
     at: Mono,
     digest: Digest,
+    /// It was sent everything once, since it began to follow closely.
+    is_met: bool,
 }
 
 /// What hosts told last.
 #[derive(Debug, Default)]
 pub struct Gather {
     hosts: HashMap<SocketAddr, Told>,
+    /// The loads as they were sent last.
+    sent: BTreeMap<Key, Load>,
     rounds: u64,
 }
 
+/// What goes out in one round.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Round {
+    /// What has changed, and part of the rest.
+    pub changes: Sum,
+    /// Who gets the changes, and the number of its digest that they include.
+    pub close: Vec<(SocketAddr, u32)>,
+    /// Everything. Left out if nobody gets it.
+    pub whole: Option<Sum>,
+    /// Who gets everything.
+    pub others: Vec<(SocketAddr, u32)>,
+    /// Who is told where the relay is.
+    pub introductions: Vec<(SocketAddr, Introduction)>,
+}
+
 impl Gather {
     /// A host told something.
     pub fn tell(&mut self, now: Mono, from: SocketAddr, digest: Digest) {
-        self.hosts.insert(from, Told { at: now, digest });
+        let last = self.hosts.get(&from);
+        let is_met = last.is_some_and(|last| {
+            // A datagram that was overtaken by a later one is older news.
+            let same = last.digest.host == digest.host;
+            last.is_met && same && last.digest.listens == digest.listens
+        });
+        let is_late = last.is_some_and(|last| {
+            last.digest.host == digest.host && last.digest.number > digest.number
+        });
+        if !is_late {
+            let at = now;
+            self.hosts.insert(from, Told { at, digest, is_met });
+        }
     }
 
-    /// What goes to each host that listens: the sum of what the others told.
-    pub fn take(&mut self, now: Mono) -> Vec<(SocketAddr, Sum)> {
+    /// How many hosts follow closely.
+    pub fn followers(&self) -> usize {
+        let all = self.hosts.values();
+        all.filter(|told| told.digest.listens == Listen::Closely)
+            .count()
+    }
+
+    /// What goes out now, from a relay in this failure domain.
+    pub fn take(&mut self, now: Mono, domain: &Domain) -> Round {
         self.hosts.retain(|_, told| now.since(told.at) < GONE);
         self.rounds += 1;
-        let introduces = self.rounds.is_multiple_of(INTRODUCTION);
-        let mut all: BTreeMap<&Upstream, Total> = BTreeMap::new();
+        let all = self.all();
+        let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX);
+        let mut round = Round {
+            changes: Sum {
+                hosts,
+                is_whole: false,
+                loads: self.changes(&all),
+            },
+            ..Round::default()
+        };
+        let is_seldom = self.rounds.is_multiple_of(SELDOM);
+        for (to, told) in &mut self.hosts {
+            let number = told.digest.number;
+            match told.digest.listens {
+                Listen::Closely if told.is_met => round.close.push((*to, number)),
+                Listen::Closely => round.others.push((*to, number)),
+                Listen::Seldom if is_seldom => round.others.push((*to, number)),
+                Listen::Seldom | Listen::No => {}
+            }
+            told.is_met = true;
+        }
+        let is_whole_due = !round.others.is_empty();
+        round.whole = is_whole_due.then(|| Sum {
+            hosts,
+            is_whole: true,
+            loads: all.iter().map(|(key, load)| (*key, *load)).collect(),
+        });
+        if self.rounds.is_multiple_of(REPEAT) {
+            round.introductions = self.introductions(domain);
+        }
+        round
+    }
+
+    fn all(&self) -> BTreeMap<Key, Load> {
+        let mut all: BTreeMap<Key, Load> = BTreeMap::new();
         for told in self.hosts.values() {
-            for (upstream, total) in &told.digest.totals {
-                all.entry(upstream).or_default().add(total);
+            for (key, load) in &told.digest.loads {
+                all.entry(*key).or_default().add(load);
             }
         }
-        let listening = self.hosts.iter().filter(|(_, told)| told.digest.listens);
-        let sums = listening.map(|(to, own)| {
-            let mut totals = all.clone();
-            for (upstream, total) in &own.digest.totals {
-                totals.entry(upstream).or_default().subtract(total);
+        all
+    }
+
+    /// The loads to tell in this round: those that differ from what was sent last,
+    /// and those whose turn it is.
+    fn changes(&mut self, all: &BTreeMap<Key, Load>) -> Vec<(Key, Load)> {
+        let gone = self.sent.keys().filter(|key| !all.contains_key(key));
+        let gone: Vec<Key> = gone.copied().collect();
+        let mut loads = Vec::new();
+        for key in gone {
+            self.sent.remove(&key);
+            loads.push((key, Load::default()));
+        }
+        for ((key, load), place) in all.iter().zip(0..) {
+            let is_due = place % REPEAT == self.rounds % REPEAT;
+            let last = self.sent.get(key);
+            if is_due || last.is_none_or(|last| differs(last, load)) {
+                self.sent.insert(*key, *load);
+                loads.push((*key, *load));
             }
-            let totals = totals.into_iter().filter(|(_, t)| *t != Total::default());
+        }
+        loads
+    }
+
+    fn introductions(&self, domain: &Domain) -> Vec<(SocketAddr, Introduction)> {
+        let introductions = self.hosts.iter().map(|(to, told)| {
+            let follows = told.digest.listens != Listen::No;
             let others = self.hosts.keys().filter(|other| *other != to);
-            let sum = Sum {
-                hosts: u32::try_from(self.hosts.len() - 1).unwrap_or(u32::MAX),
-                totals: totals.map(|(name, total)| (name.clone(), total)).collect(),
-                peers: others.copied().filter(|_| introduces).collect(),
+            let introduction = Introduction {
+                domain: domain.clone(),
+                peers: others.copied().filter(|_| follows).collect(),
             };
-            (*to, sum)
+            (*to, introduction)
         });
-        sums.collect()
+        introductions.collect()
     }
 }
+
+/// Whether a load has changed by as much as a short prompt does.
+fn differs(last: &Load, load: &Load) -> bool {
+    let counts = |load: &Load| (load.waiting, load.streams, load.short);
+    counts(last) != counts(load)
+        || last.reading.abs_diff(load.reading) >= READING
+        || last.memory.abs_diff(load.memory) >= MEMORY
+}
--- a/almondlock-gateway/src/exchange/relays.rs
+++ b/almondlock-gateway/src/exchange/relays.rs
@@ -2,11 +2,15 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use almondlock_base::time::Mono;
+use almondlock_base::{id::Domain, time::Mono};
 
-/// A relay that was not heard for this long is left for another. Four of its
-/// usual sums.
+use super::message::{Introduction, Listen};
+
+/// A relay that is followed closely and was not heard for this long is left for
+/// another. Four of its usual sums where it has most of them to send.
 pub const SILENCE: Duration = Duration::from_millis(160);
+/// The same of one that is listened to seldom: three of its usual sums.
+const SILENCE_SELDOM: Duration = Duration::from_millis(1_500);
 /// Relays that a host listens to at a time. One may be cut off from other hosts
 /// and not know it.
 const LISTENED: usize = 2;
@@ -16,8 +20,10 @@
 /// The relays, as one host hears them.
 #[derive(Debug, Default)]
 pub struct Relays {
-    /// Listened to, and since when or when last heard.
+    /// Listened to, and since when or when last heard. The first one closely.
     listened: Vec<(SocketAddr, Mono)>,
+    /// Relays in this host's failure domain, and when they last said so.
+    near: HashMap<SocketAddr, Mono>,
     /// The other hosts, and when a relay last named them.
     peers: HashMap<SocketAddr, Mono>,
     heard: Option<Mono>,
@@ -25,40 +31,92 @@
 
 impl Relays {
     /// A sum came from a relay.
-    pub fn hear(&mut self, now: Mono, from: SocketAddr, peers: &[SocketAddr]) {
+    pub fn hear(&mut self, now: Mono, from: SocketAddr) {
         self.heard = Some(now);
         let listened = self.listened.iter_mut().find(|(relay, _)| *relay == from);
         if let Some((_, at)) = listened {
             *at = now;
         }
-        self.peers.extend(peers.iter().map(|peer| (*peer, now)));
+    }
+
+    /// A relay told where it is. `own` is this host's failure domain.
+    pub fn meet(&mut self, now: Mono, from: SocketAddr, own: &Domain, told: &Introduction) {
+        self.heard = Some(now);
+        if told.domain == *own {
+            self.near.insert(from, now);
+        }
+        self.near.retain(|_, at| now.since(*at) < FORGET);
+        self.peers
+            .extend(told.peers.iter().map(|peer| (*peer, now)));
         self.peers.retain(|_, at| now.since(*at) < FORGET);
     }
 
-    /// The relays to listen to from now on, out of all of them. `first` is any
+    /// The relays to listen to from now on, out of all of them. The first is
+    /// followed closely: one in this host's failure domain if there is one, since
+    /// its sums are large and what crosses domains is paid for. `first` is any
     /// number: hosts with different ones begin at different relays.
-    pub fn listen(&mut self, now: Mono, all: &[SocketAddr], first: u64) -> Vec<SocketAddr> {
-        let silent = |at: Mono| now.since(at) >= SILENCE;
-        let left: Vec<SocketAddr> = self.listened.iter().map(|(relay, _)| *relay).collect();
-        self.listened
-            .retain(|(relay, at)| all.contains(relay) && !silent(*at));
-        // Those that were just left come last.
-        let start = usize::try_from(first % all.len().max(1) as u64).unwrap_or(0);
-        let mut next: Vec<SocketAddr> = all
-            .iter()
-            .cycle()
-            .skip(start)
-            .take(all.len())
-            .copied()
-            .collect();
-        next.sort_by_key(|relay| left.contains(relay));
-        for relay in next {
+    pub fn listen(
+        &mut self,
+        now: Mono,
+        all: &[SocketAddr],
+        first: u64,
+    ) -> Vec<(SocketAddr, Listen)> {
+        let left = self.leave(now, all);
+        for relay in self.order(all, first, &left) {
             let taken = self.listened.iter().any(|(other, _)| *other == relay);
             if self.listened.len() < LISTENED && !taken {
                 self.listened.push((relay, now));
             }
         }
-        self.listened.iter().map(|(relay, _)| *relay).collect()
+        self.prefer_near(now, all, &left);
+        let paces = [Listen::Closely, Listen::Seldom];
+        let listened = self.listened.iter().zip(paces);
+        listened.map(|((relay, _), pace)| (*relay, pace)).collect()
+    }
+
+    /// Leaves relays that are gone or silent, and gives them. A near one counts as
+    /// near again once it has said so: until then it would be taken back at once.
+    fn leave(&mut self, now: Mono, all: &[SocketAddr]) -> Vec<SocketAddr> {
+        let bounds = [SILENCE, SILENCE_SELDOM];
+        let listened = std::mem::take(&mut self.listened).into_iter().zip(bounds);
+        let (kept, left): (Vec<_>, Vec<_>) = listened
+            .partition(|((relay, at), bound)| all.contains(relay) && now.since(*at) < *bound);
+        self.listened = kept.into_iter().map(|(listened, _)| listened).collect();
+        let left: Vec<SocketAddr> = left.into_iter().map(|((relay, _), _)| relay).collect();
+        self.near.retain(|relay, _| !left.contains(relay));
+        left
+    }
+
+    /// All relays in the order in which to take them. Those that were just left come
+    /// last.
+    fn order(&self, all: &[SocketAddr], first: u64, left: &[SocketAddr]) -> Vec<SocketAddr> {
+        let start = usize::try_from(first % all.len().max(1) as u64).unwrap_or(0);
+        let turned = all.iter().cycle().skip(start).take(all.len());
+        let mut order: Vec<SocketAddr> = turned.copied().collect();
+        order.sort_by_key(|relay| (left.contains(relay), !self.near.contains_key(relay)));
+        order
+    }
+
+    /// Follows a near relay closely, unless it was just left for its silence.
+    fn prefer_near(&mut self, now: Mono, all: &[SocketAddr], left: &[SocketAddr]) {
+        let is_near = |relay: &SocketAddr| self.near.contains_key(relay);
+        if self
+            .listened
+            .first()
+            .is_some_and(|(relay, _)| is_near(relay))
+        {
+            return;
+        }
+        if let Some(place) = self.listened.iter().position(|(relay, _)| is_near(relay)) {
+            self.listened.swap(0, place);
+            self.listened[0].1 = now;
+            return;
+        }
+        let mut near = all.iter().filter(|relay| is_near(relay));
+        if let Some(relay) = near.find(|relay| !left.contains(relay)).copied() {
+            self.listened.insert(0, (relay, now));
+            self.listened.truncate(LISTENED);
+        }
     }
 
     /// Whom to tell directly: nobody while a relay is heard.
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -82,6 +82,7 @@
                 Some((name.clone(), load.begin(now, name, work)))
             })
             .collect();
+        worker.changed.notify_one();
         Held {
             worker: Rc::clone(worker),
             tickets,
@@ -121,6 +122,7 @@
         for (upstream, ticket) in &self.tickets {
             load.read(upstream, *ticket);
         }
+        self.worker.changed.notify_one();
     }
 
     /// The names of the memory that was set aside, in the order of the shares.
@@ -139,5 +141,6 @@
         for (upstream, ticket) in &self.tickets {
             load.end(upstream, *ticket);
         }
+        self.worker.changed.notify_one();
     }
 }
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -15,12 +15,23 @@
 use almondlock_base::{id::Upstream, time::Mono};
 use serde::{Deserialize, Serialize};
 
-use crate::exchange::SILENCE;
+use crate::exchange::{SILENCE, Sum};
 
 /// What another entry host told counts no longer than this. Ten of its usual
 /// messages: its work has ended by itself meanwhile, or it has stopped.
 const FORGET: Duration = Duration::from_millis(1000);
 
+/// What a relay told of an upstream counts no longer than this unless it tells it
+/// again, which it does within a second.
+const OUTDATED: Duration = Duration::from_millis(2_500);
+
+/// Of the relay that is followed closely another one takes the place if it knows so
+/// many times as many hosts: the closer one is cut off from some.
+const FAR_MORE: f64 = 1.2;
+
+/// Tokens of memory in a block, the unit in which hosts tell it: 0.01% of an engine's.
+const BLOCK: u64 = 64;
+
 /// Requests that an upstream reported and nobody knows of count this long. A
 /// stream of a few dozen events takes about as much; its next answer tells anew.
 const REMEMBER: Duration = Duration::from_millis(1500);
@@ -30,10 +41,6 @@
 /// does when it also serves others.
 const DOUBT: f32 = 0.25;
 
-/// Milliseconds of reading that may be left when sums of an `f32` are taken
-/// apart again. Far less than any prompt takes.
-const ROUNDING: f32 = 0.1;
-
 /// What one request asks of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Work {
@@ -51,7 +58,6 @@
 
 /// The sum of what is under way on an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-#[derive(Serialize, Deserialize)]
 pub struct Total {
     /// Milliseconds of reading that are left.
     pub reading: f32,
@@ -75,19 +81,6 @@
         self.memory += other.memory;
     }
 
-    /// Takes out what was added before. What is left of the reading time by
-    /// rounding is none.
-    pub fn subtract(&mut self, other: &Total) {
-        self.reading -= other.reading;
-        self.waiting = self.waiting.saturating_sub(other.waiting);
-        self.streams = self.streams.saturating_sub(other.streams);
-        self.short = self.short.saturating_sub(other.short);
-        self.memory = self.memory.saturating_sub(other.memory);
-        if self.reading < ROUNDING {
-            self.reading = 0.0;
-        }
-    }
-
     /// The time that is left to read.
     pub fn backlog(&self) -> Duration {
         Duration::from_secs_f32(self.reading.max(0.0) / 1e3)
@@ -104,6 +97,86 @@
     }
 }
 
+/// Stands for an upstream's name among entry hosts: a number made of it, a third as
+/// long. Two upstreams with the same one would share their loads; among 3,000 there
+/// are two such once in a thousand times.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
+pub struct Key(u32);
+
+impl Key {
+    /// That of an upstream.
+    pub fn of(name: &Upstream) -> Key {
+        Key(crc32fast::hash(name.as_str().as_bytes()))
+    }
+}
+
+/// A [`Total`] as hosts tell it, in whole units, so that sums can be taken apart
+/// again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Load {
+    /// Milliseconds of reading that are left.
+    pub reading: u16,
+    /// Requests whose answer hasn't begun.
+    pub waiting: u16,
+    /// Streams that are being written.
+    pub streams: u16,
+    /// Of those and of the waiting, the ones with a short prompt.
+    pub short: u16,
+    /// Memory in use, in blocks of 64 tokens.
+    pub memory: u16,
+}
+
+impl Load {
+    /// Adds what another host has there.
+    pub fn add(&mut self, other: &Load) {
+        self.merge(other, u16::saturating_add);
+    }
+
+    /// Takes out what was added before.
+    pub fn subtract(&mut self, other: &Load) {
+        self.merge(other, u16::saturating_sub);
+    }
+
+    fn merge<F>(&mut self, other: &Load, act: F)
+    where
+        F: Fn(u16, u16) -> u16,
+    {
+        self.reading = act(self.reading, other.reading);
+        self.waiting = act(self.waiting, other.waiting);
+        self.streams = act(self.streams, other.streams);
+        self.short = act(self.short, other.short);
+        self.memory = act(self.memory, other.memory);
+    }
+}
+
+impl From<&Total> for Load {
+    fn from(total: &Total) -> Load {
+        let count = |count: u32| u16::try_from(count).unwrap_or(u16::MAX);
+        Load {
+            // A float beyond the range saturates.
+            reading: total.reading.ceil() as u16,
+            waiting: count(total.waiting),
+            streams: count(total.streams),
+            short: count(total.short),
+            memory: u16::try_from(total.memory.div_ceil(BLOCK)).unwrap_or(u16::MAX),
+        }
+    }
+}
+
+impl From<&Load> for Total {
+    fn from(load: &Load) -> Total {
+        Total {
+            reading: load.reading.into(),
+            waiting: load.waiting.into(),
+            streams: load.streams.into(),
+            short: load.short.into(),
+            memory: u64::from(load.memory) * BLOCK,
+        }
+    }
+}
+
 /// Names one piece of work until it ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(u64);
@@ -134,18 +207,34 @@
     // Requests that an upstream reported beyond those known, and when.
     unknown: HashMap<Upstream, (Mono, u32)>,
     // By the entry host that told it directly.
-    told: HashMap<u64, (Mono, HashMap<Upstream, Total>)>,
+    told: HashMap<u64, (Mono, HashMap<Key, Load>)>,
     // By the relay that sent it.
-    sums: HashMap<SocketAddr, Sum>,
+    sums: HashMap<SocketAddr, Summed>,
     next: u64,
 }
 
-/// What all other entry hosts that a relay knows have under way.
-#[derive(Debug)]
-struct Sum {
+/// What all entry hosts that a relay knows have under way.
+#[derive(Debug, Default)]
+struct Summed {
     at: Mono,
+    // How many hosts it knows, this one included.
     hosts: u32,
-    totals: HashMap<Upstream, Total>,
+    // With the time at which each was told.
+    loads: HashMap<Key, (Mono, Load)>,
+    // What of it is this host's own.
+    own: HashMap<Key, Load>,
+}
+
+impl Summed {
+    fn others(&self, now: Mono, key: Key) -> Load {
+        let told = self.loads.get(&key);
+        let fresh = told.filter(|(at, _)| now.since(*at) < OUTDATED);
+        let mut load = fresh.map(|(_, load)| *load).unwrap_or_default();
+        if let Some(own) = self.own.get(&key) {
+            load.subtract(own);
+        }
+        load
+    }
 }
 
 impl Table {
@@ -189,61 +278,71 @@
     }
 
     /// What this entry host has under way, for the others.
-    pub fn own(&self, now: Mono) -> Vec<(Upstream, Total)> {
+    pub fn own(&self, now: Mono) -> Vec<(Key, Load)> {
         let totals = self.own.iter();
         totals
-            .map(|(name, items)| (name.clone(), sum(now, items)))
+            .map(|(name, items)| (Key::of(name), Load::from(&sum(now, items))))
             .collect()
     }
 
+    /// Whether engines still read prompts that this host has sent.
+    pub fn is_reading(&self) -> bool {
+        let mut items = self.own.values().flat_map(BTreeMap::values);
+        items.any(|item| !item.begun)
+    }
+
     /// Another entry host told what it has under way.
-    pub fn tell(&mut self, now: Mono, host: u64, totals: HashMap<Upstream, Total>) {
-        self.told.insert(host, (now, totals));
+    pub fn tell(&mut self, now: Mono, host: u64, loads: Vec<(Key, Load)>) {
+        self.told.insert(host, (now, loads.into_iter().collect()));
         self.told.retain(|_, (at, _)| now.since(*at) < FORGET);
     }
 
-    /// A relay told what all other entry hosts that it knows have under way.
-    pub fn hear(
-        &mut self,
-        now: Mono,
-        relay: SocketAddr,
-        hosts: u32,
-        totals: HashMap<Upstream, Total>,
-    ) {
-        let sum = Sum {
-            at: now,
-            hosts,
-            totals,
-        };
-        self.sums.insert(relay, sum);
+    /// A relay told what all entry hosts that it knows have under way, this one
+    /// included with `own`.
+    pub fn hear(&mut self, now: Mono, relay: SocketAddr, sum: Sum, own: &[(Key, Load)]) {
+        let known = self.sums.entry(relay).or_default();
+        if sum.is_whole {
+            known.loads.clear();
+        }
+        known.at = now;
+        known.hosts = sum.hosts;
+        known.own = own.iter().copied().collect();
+        let loads = sum.loads.into_iter();
+        known
+            .loads
+            .extend(loads.map(|(key, load)| (key, (now, load))));
         self.sums.retain(|_, sum| now.since(sum.at) < FORGET);
     }
 
-    /// The sum of the relay that knows most hosts. Once no relay answers any more,
-    /// what hosts tell each other directly counts, if they do.
-    fn sum(&self, now: Mono) -> Option<&Sum> {
+    /// The sum that was told last, unless another relay knows far more hosts. Once no
+    /// relay answers any more, what hosts tell each other directly counts, if they do.
+    fn sum(&self, now: Mono) -> Option<&Summed> {
         let directly = self.fresh(now).next().is_some();
         let age = if directly { SILENCE } else { FORGET };
         let fresh = self.sums.values().filter(|sum| now.since(sum.at) < age);
-        fresh.max_by_key(|sum| (sum.hosts, sum.at))
+        let last = fresh.clone().max_by_key(|sum| (sum.at, sum.hosts))?;
+        let most = fresh.max_by_key(|sum| (sum.hosts, sum.at))?;
+        let is_far_more = f64::from(most.hosts) > f64::from(last.hosts) * FAR_MORE;
+        Some(if is_far_more { most } else { last })
     }
 
-    fn fresh(&self, now: Mono) -> impl Iterator<Item = &HashMap<Upstream, Total>> {
+    fn fresh(&self, now: Mono) -> impl Iterator<Item = &HashMap<Key, Load>> {
         let told = self.told.values();
         let fresh = told.filter(move |(at, _)| now.since(*at) < FORGET);
-        fresh.map(|(_, totals)| totals)
+        fresh.map(|(_, loads)| loads)
     }
 
     /// What the other entry hosts have under way on an upstream.
     fn others(&self, now: Mono, upstream: &Upstream) -> Total {
+        let key = Key::of(upstream);
         if let Some(sum) = self.sum(now) {
-            return sum.totals.get(upstream).copied().unwrap_or_default();
+            return Total::from(&sum.others(now, key));
         }
-        let mut total = Total::default();
-        for told in self.fresh(now).filter_map(|totals| totals.get(upstream)) {
-            total.add(told);
+        let mut load = Load::default();
+        for told in self.fresh(now).filter_map(|loads| loads.get(&key)) {
+            load.add(told);
         }
-        total
+        Total::from(&load)
     }
 
     /// All that is known of an upstream.
@@ -277,7 +376,9 @@
 
     /// How many other entry hosts are heard of.
     pub fn hosts(&self, now: Mono) -> usize {
-        let summed = self.sum(now).map(|sum| sum.hosts as usize);
+        let summed = self
+            .sum(now)
+            .map(|sum| sum.hosts.saturating_sub(1) as usize);
         summed.unwrap_or_else(|| self.fresh(now).count())
     }
 }
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -35,9 +35,9 @@
 mod groups;
 mod long;
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
-use almondlock_policy::engine::Speed;
+use almondlock_policy::{cell, engine::Speed};
 use rand::{Rng, RngCore};
 
 use self::{
@@ -72,6 +72,8 @@
     pub suspect: bool,
     /// It said just now that it has no memory to set aside.
     pub full: bool,
+    /// Its cell. This host's own one is 0.
+    pub cell: usize,
 }
 
 /// What a request asks for.
@@ -165,17 +167,45 @@
         demand,
         candidates,
     };
-    let groups = Groups::of(speed, &healthy, candidates);
-    let thin = speed.part(demand.prompt, healthy.len().min(HELPERS + 1)) <= SHORT_PART;
-    let choice = match (whole <= SHORT, thin && !groups.long.is_empty()) {
-        (true, _) => field.short(&groups, rng).ok_or(Lack::Upstream),
-        (false, true) => field.middling(&groups, rng).ok_or(Lack::Upstream),
-        (false, false) => field.long(&groups, rng),
-    };
-    let engines = u32::try_from(healthy.len()).unwrap_or(1).max(1);
-    let backlogs = healthy.iter().map(|i| candidates[*i].total.backlog());
-    let backlog = backlogs.sum::<Duration>() / engines;
-    choice.map(|choice| Choice { backlog, ..choice })
+    let mut cells: BTreeMap<usize, Vec<usize>> = BTreeMap::new();
+    for i in healthy {
+        cells.entry(candidates[i].cell).or_default().push(i);
+    }
+    let mut cells = cells.into_values();
+    let own = cells.next().ok_or(Lack::Upstream)?;
+    let others: Vec<Vec<usize>> = cells.collect();
+    let own = field.place(&own, rng);
+    let others = cell::drawn(others.len(), rng)
+        .into_iter()
+        .filter_map(|i| field.place(&others[i], rng).ok());
+    let other = others.min_by_key(|choice| choice.expected);
+    match (own, other) {
+        (Ok(own), Some(other)) if other.expected + cell::AWAY < own.expected => Ok(other),
+        (Err(_), Some(other)) => Ok(other),
+        (own, _) => own,
+    }
+}
+
+impl Field<'_> {
+    /// Chooses among the engines of one cell.
+    fn place<R>(&self, engines: &[usize], rng: &mut R) -> Result<Choice, Lack>
+    where
+        R: RngCore,
+    {
+        let (speed, prompt) = (self.speed, self.demand.prompt);
+        let groups = Groups::of(speed, engines, self.candidates);
+        let thin = speed.part(prompt, engines.len().min(HELPERS + 1)) <= SHORT_PART;
+        let is_short = speed.reading(prompt) <= SHORT;
+        let choice = match (is_short, thin && !groups.long.is_empty()) {
+            (true, _) => self.short(&groups, rng).ok_or(Lack::Upstream),
+            (false, true) => self.middling(&groups, rng).ok_or(Lack::Upstream),
+            (false, false) => self.long(&groups, rng),
+        };
+        let count = u32::try_from(engines.len()).unwrap_or(1).max(1);
+        let backlogs = engines.iter().map(|i| self.candidates[*i].total.backlog());
+        let backlog = backlogs.sum::<Duration>() / count;
+        choice.map(|choice| Choice { backlog, ..choice })
+    }
 }
 
 fn suspects<R>(
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -11,6 +11,7 @@
 
 use almondlock_base::{Code, id::Domain};
 use almondlock_node::{Handle, clock};
+use almondlock_transport::listen;
 use futures::{StreamExt, future::join_all, stream};
 use ntex::{
     SharedCfg,
@@ -135,7 +136,7 @@
     D: Dialect,
 {
     let config = config.clone();
-    let listener = TcpListener::bind(config.listen)?;
+    let listener = listen::bind(config.listen)?;
     let shared = Arc::clone(shared);
     let factory = async move || {
         let rng = SmallRng::seed_from_u64(config.seed);
@@ -145,7 +146,7 @@
             dialect.clone(),
             node.clone(),
             Arc::clone(&shared),
-            config.domain.clone(),
+            (config.domain.clone(), config.seed),
             config.bounds,
             rng,
             sender,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -21,10 +21,10 @@
     unit::Revision,
 };
 use almondlock_node::Handle;
-use almondlock_policy::admission::Backlog;
+use almondlock_policy::{admission::Backlog, cell};
 use almondlock_state::instance::{Birth, Instance};
 use rand::rngs::SmallRng;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Notify, mpsc::UnboundedSender};
 
 use crate::{
     budget::{self, Budget},
@@ -122,6 +122,8 @@
     pub(crate) slots: u32,
     pub(crate) near: bool,
     pub(crate) birth: Birth,
+    /// Its cell. This host's own one is 0.
+    pub(crate) cell: usize,
 }
 
 /// The configuration in force, read.
@@ -138,8 +140,12 @@
     pub(crate) node: Handle,
     pub(crate) shared: Arc<Shared>,
     pub(crate) domain: Domain,
+    /// The host's number, drawn at its start.
+    pub(crate) host: u64,
     pub(crate) bounds: Bounds,
     pub(crate) load: RefCell<load::Table>,
+    /// What this host has under way has changed: the others are to be told.
+    pub(crate) changed: Notify,
     pub(crate) pool: RefCell<Pool>,
     pub(crate) rng: RefCell<SmallRng>,
     known: RefCell<Rc<Known>>,
@@ -172,7 +178,7 @@
         dialect: D,
         node: Handle,
         shared: Arc<Shared>,
-        domain: Domain,
+        (domain, host): (Domain, u64),
         bounds: Bounds,
         rng: SmallRng,
         ended: UnboundedSender<Ended>,
@@ -182,8 +188,10 @@
             node,
             shared,
             domain,
+            host,
             bounds,
             load: RefCell::default(),
+            changed: Notify::new(),
             pool: RefCell::default(),
             rng: RefCell::new(rng),
             known: RefCell::default(),
@@ -203,23 +211,7 @@
             return known;
         }
         let config = self.node.view().get();
-        let mut instances: HashMap<Service, Vec<Target>> = HashMap::new();
-        for (name, instance) in &config.instances {
-            if instance.leaving {
-                continue;
-            }
-            let target = Target {
-                name: name.clone(),
-                address: instance.address,
-                slots: instance.slots,
-                near: instance.domain == self.domain,
-                birth: instance.birth,
-            };
-            instances
-                .entry(instance.service.clone())
-                .or_default()
-                .push(target);
-        }
+        let instances = self.targets(&config.instances);
         self.forget_ended(&config.instances);
         let next = Rc::new(Known {
             revision: config.revision,
@@ -230,6 +222,32 @@
         next
     }
 
+    /// The instances that take new work, by service.
+    fn targets(&self, instances: &BTreeMap<Upstream, Instance>) -> HashMap<Service, Vec<Target>> {
+        let mut services: HashMap<Service, Vec<(&Upstream, &Instance)>> = HashMap::new();
+        for (name, instance) in instances.iter().filter(|(_, instance)| !instance.leaving) {
+            let service = services.entry(instance.service.clone()).or_default();
+            service.push((name, instance));
+        }
+        let targets = services.into_iter().map(|(service, members)| {
+            let places = members.iter().map(|(name, i)| (*name, &i.domain));
+            let cells = cell::assign(places, &self.domain, self.host);
+            let targets = members
+                .into_iter()
+                .zip(cells)
+                .map(|((name, i), cell)| Target {
+                    name: name.clone(),
+                    address: i.address,
+                    slots: i.slots,
+                    near: i.domain == self.domain,
+                    birth: i.birth,
+                    cell,
+                });
+            (service, targets.collect())
+        });
+        targets.collect()
+    }
+
     /// Forgets what is known of lives of upstreams that are over, since another
     /// one has begun under the same name.
     ///
@@ -305,6 +323,7 @@
             near: target.near,
             suspect,
             full: full.contains(&target.name),
+            cell: target.cell,
         }
     }
 
--- a/almondlock-gateway/tests/engine_choice.rs
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -22,6 +22,7 @@
         near: true,
         suspect: false,
         full: false,
+        cell: 0,
     };
     vec![candidate; ENGINES]
 }
--- a/almondlock-gateway/tests/known_loads.rs
+++ b/almondlock-gateway/tests/known_loads.rs
@@ -1,10 +1,10 @@
 //! Several entry hosts send to the same engines. What each has under way must
 //! count at the others until it is done, and no longer.
 
-use std::{collections::HashMap, time::Duration};
+use std::time::Duration;
 
 use almondlock_base::{id::Upstream, time::Mono};
-use almondlock_gateway::load::{Table, Total, Work};
+use almondlock_gateway::load::{Key, Load, Table, Total, Work};
 
 fn name() -> Upstream {
     Upstream::new("i-1").unwrap()
@@ -68,9 +68,9 @@
         waiting: 1,
         streams: 2,
         short: 3,
-        memory: 9,
+        memory: 192,
     };
-    table.tell(at(0), 77, HashMap::from([(name(), told)]));
+    table.tell(at(0), 77, vec![(Key::of(&name()), Load::from(&told))]);
     assert_eq!(table.total(at(100), &name()), told);
     assert_eq!(table.hosts(at(100)), 1);
     assert_eq!(table.total(at(1_100), &name()), Total::default());
--- a/almondlock-gateway/tests/restart_burst.rs
+++ b/almondlock-gateway/tests/restart_burst.rs
@@ -40,6 +40,7 @@
         near: true,
         suspect: false,
         full: false,
+        cell: 0,
     };
     let mut engines = vec![candidate(other, 0); ENGINES];
     engines[..2].fill(candidate(reading, 8));
--- a/almondlock-gateway/tests/spread_memory.rs
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -26,6 +26,7 @@
         near: true,
         suspect: false,
         full: false,
+        cell: 0,
     };
     used.iter().map(candidate).collect()
 }
--- a/almondlock-gateway/tests/told_loads.rs
+++ b/almondlock-gateway/tests/told_loads.rs
@@ -3,15 +3,20 @@
 //! one after the other or all at once; a host's own part must never be counted
 //! to it twice.
 
-use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
-use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_base::{
+    id::{Domain, Upstream},
+    time::Mono,
+};
 use almondlock_gateway::{
-    exchange::{Digest, Gather, Relays, Sum},
-    load::{Table, Total},
+    exchange::{Digest, Gather, Introduction, Listen, Relays, Round, Sum},
+    load::{Key, Load, Table},
 };
 
 const START: Mono = Mono::from_millis(10_000);
+/// Rounds in which each load is told again.
+const REPEAT: usize = 50;
 
 fn host(n: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, n], 9))
@@ -21,66 +26,134 @@
     Upstream::new(&format!("i-{n}")).unwrap()
 }
 
-fn total(streams: u32) -> Total {
-    Total {
-        reading: 0.3 * streams as f32,
+fn domain(name: &str) -> Domain {
+    Domain::new(name).unwrap()
+}
+
+fn load(streams: u16) -> Load {
+    Load {
+        reading: 30 * streams,
         streams,
-        memory: u64::from(streams) * 100,
-        ..Total::default()
+        memory: streams * 100,
+        ..Load::default()
     }
 }
 
-fn digest(host: u64, totals: &[(u8, u32)]) -> Digest {
-    let totals = totals
-        .iter()
-        .map(|(n, streams)| (engine(*n), total(*streams)));
+fn loads(streams: &[(u8, u16)]) -> Vec<(Key, Load)> {
+    let loads = streams.iter();
+    loads
+        .map(|(n, streams)| (Key::of(&engine(*n)), load(*streams)))
+        .collect()
+}
+
+fn digest(host: u64, number: u32, streams: &[(u8, u16)]) -> Digest {
     Digest {
         host,
-        listens: true,
-        totals: totals.collect(),
+        number,
+        listens: Listen::Closely,
+        loads: loads(streams),
     }
 }
 
-fn sum_for(sums: &[(SocketAddr, Sum)], to: SocketAddr) -> &Sum {
-    &sums.iter().find(|(other, _)| *other == to).unwrap().1
+fn take(gather: &mut Gather, now: Mono) -> Round {
+    gather.take(now, &domain("d"))
+}
+
+/// What a host knows of the others that listens to one relay, and has told it
+/// `own`.
+fn heard(sum: Sum, own: &[(Key, Load)]) -> Table {
+    let mut table = Table::default();
+    table.hear(START, host(99), sum, own);
+    table
+}
+
+fn streams(table: &Table, n: u8) -> u32 {
+    table.total(START, &engine(n)).streams
 }
 
-/// Each host gets the sum of all others, and nothing for engines that only it
-/// uses itself.
+/// Each host gets the same sum, and takes its own part out of it: the digest that
+/// the relay had then, which may not be its last.
 #[test]
 fn sum_of_others() {
     let mut gather = Gather::default();
-    gather.tell(START, host(1), digest(1, &[(1, 2), (2, 7)]));
-    gather.tell(START, host(2), digest(2, &[(1, 3)]));
-    gather.tell(START, host(3), digest(3, &[(1, 4)]));
-    let sums = gather.take(START);
-    let sum = sum_for(&sums, host(1));
-    assert_eq!((sum.hosts, sum.totals.len()), (2, 1));
-    let (name, told) = &sum.totals[0];
-    assert_eq!((name, told.streams, told.memory), (&engine(1), 7, 700));
-    assert!((told.reading - 2.1).abs() < 0.01);
-    assert_eq!(sum_for(&sums, host(2)).totals.len(), 2);
-}
-
-/// A host that stopped, or doesn't listen to this relay, gets nothing; what it
+    gather.tell(START, host(1), digest(1, 7, &[(1, 2), (2, 7)]));
+    gather.tell(START, host(2), digest(2, 1, &[(1, 3)]));
+    gather.tell(START, host(3), digest(3, 1, &[(1, 4)]));
+    let round = take(&mut gather, START);
+    let sum = round.whole.unwrap();
+    assert!(round.others.contains(&(host(1), 7)));
+    let one = heard(sum.clone(), &loads(&[(1, 2), (2, 7)]));
+    assert_eq!(
+        (one.hosts(START), streams(&one, 1), streams(&one, 2)),
+        (2, 7, 0)
+    );
+    let total = one.total(START, &engine(1));
+    assert_eq!((total.reading, total.memory), (210.0, 700 * 64));
+    let two = heard(sum, &loads(&[(1, 3)]));
+    assert_eq!((streams(&two, 1), streams(&two, 2)), (6, 7));
+}
+
+/// Only what has changed is told, and the rest in turn within a second, since a
+/// datagram may be lost. What has ended is told as nothing.
+#[test]
+fn only_changes() {
+    let mut gather = Gather::default();
+    let many: Vec<(u8, u16)> = (0..100).map(|n| (n, 3)).collect();
+    gather.tell(START, host(1), digest(1, 1, &many));
+    assert_eq!(take(&mut gather, START).whole.unwrap().loads.len(), 100);
+    gather.tell(START, host(1), digest(1, 2, &many));
+    let mut told = 0;
+    for _ in 0..REPEAT {
+        let round = take(&mut gather, START);
+        assert!(round.changes.loads.len() <= 2 && round.whole.is_none());
+        assert_eq!(round.close, [(host(1), 2)]);
+        told += round.changes.loads.len();
+    }
+    assert_eq!(told, 100);
+    gather.tell(START, host(1), digest(1, 3, &[(5, 9)]));
+    let changes = take(&mut gather, START).changes.loads;
+    assert!(changes.contains(&(Key::of(&engine(5)), load(9))));
+    assert!(changes.contains(&(Key::of(&engine(6)), Load::default())));
+}
+
+/// A datagram that was overtaken by a later one of the same host is no news.
+#[test]
+fn overtaken_digest() {
+    let mut gather = Gather::default();
+    gather.tell(START, host(1), digest(1, 5, &[(1, 2)]));
+    gather.tell(START, host(1), digest(1, 4, &[(1, 9)]));
+    assert_eq!(
+        take(&mut gather, START).whole.unwrap().loads[0].1.streams,
+        2
+    );
+    // Started again it counts anew.
+    gather.tell(START, host(1), digest(2, 1, &[(1, 1)]));
+    assert_eq!(
+        take(&mut gather, START).whole.unwrap().loads[0].1.streams,
+        1
+    );
+}
+
+/// A host that stopped, or doesn't listen to this relay, gets no sums; what it
 /// told counts until it has been silent for a second.
 #[test]
 fn silent_host() {
     let mut gather = Gather::default();
-    gather.tell(START, host(1), digest(1, &[(1, 2)]));
+    gather.tell(START, host(1), digest(1, 1, &[(1, 2)]));
     let deaf = Digest {
-        listens: false,
-        ..digest(2, &[(1, 3)])
+        listens: Listen::No,
+        ..digest(2, 1, &[(1, 3)])
     };
     gather.tell(START, host(2), deaf);
     let later = START + Duration::from_millis(900);
-    gather.tell(later, host(1), digest(1, &[]));
-    let sums = gather.take(later);
-    assert_eq!(sums.len(), 1);
-    assert_eq!(sum_for(&sums, host(1)).totals[0].1.streams, 3);
-    let sums = gather.take(later + Duration::from_millis(200));
-    assert!(sum_for(&sums, host(1)).totals.is_empty());
-    assert!(gather.take(later + Duration::from_secs(2)).is_empty());
+    gather.tell(later, host(1), digest(1, 2, &[]));
+    let round = take(&mut gather, later);
+    assert_eq!((round.others.len(), round.close.len()), (1, 0));
+    assert_eq!(round.whole.unwrap().loads[0].1.streams, 3);
+    let round = take(&mut gather, later + Duration::from_millis(200));
+    assert_eq!(round.changes.loads[0].1, Load::default());
+    let round = take(&mut gather, later + Duration::from_secs(2));
+    assert!(round.others.is_empty() && round.close.is_empty() && round.changes.hosts == 0);
 }
 
 /// One of two relays falls silent: another takes its place.
@@ -89,15 +162,51 @@
     let all = [host(1), host(2), host(3)];
     let mut relays = Relays::default();
     let first = relays.listen(START, &all, 7);
-    assert_eq!(first.len(), 2);
+    let paces: Vec<Listen> = first.iter().map(|(_, pace)| *pace).collect();
+    assert_eq!(paces, [Listen::Closely, Listen::Seldom]);
     let later = START + Duration::from_millis(200);
-    relays.hear(later, first[0], &[]);
+    relays.hear(later, first[1].0);
     let next = relays.listen(later, &all, 7);
-    assert!(next.contains(&first[0]) && !next.contains(&first[1]));
-    assert_eq!(next.len(), 2);
+    // The one that still answers is followed closely from now on.
+    assert_eq!(next[0], (first[1].0, Listen::Closely));
+    assert!(next.len() == 2 && next[1].0 != first[0].0);
     // Its host comes back with another address, which the others tell.
-    let moved = [first[0], host(9)];
-    assert_eq!(relays.listen(later, &moved, 7), moved);
+    let moved = [next[0].0, host(9)];
+    let addresses: Vec<SocketAddr> = relays
+        .listen(later, &moved, 7)
+        .iter()
+        .map(|l| l.0)
+        .collect();
+    assert_eq!(addresses, moved);
+}
+
+/// A relay in the host's own failure domain is followed closely once it has said
+/// where it is. Silent, it is left, and not taken back before it speaks again.
+#[test]
+fn near_relay() {
+    let all = [host(1), host(2), host(3), host(4), host(5)];
+    let mut relays = Relays::default();
+    relays.listen(START, &all, 0);
+    let own = domain("here");
+    let told = Introduction {
+        domain: own.clone(),
+        peers: Vec::new(),
+    };
+    relays.meet(START, host(4), &own, &told);
+    let listened = relays.listen(START, &all, 0);
+    assert_eq!(listened[0], (host(4), Listen::Closely));
+    for millis in [200, 240, 400, 440] {
+        let now = START + Duration::from_millis(millis);
+        listened[1..]
+            .iter()
+            .for_each(|(relay, _)| relays.hear(now, *relay));
+        let closely = relays.listen(now, &all, 0)[0].0;
+        relays.hear(now, closely);
+        assert_ne!(closely, host(4));
+    }
+    let back = START + Duration::from_millis(500);
+    relays.meet(back, host(4), &own, &told);
+    assert_eq!(relays.listen(back, &all, 0)[0].0, host(4));
 }
 
 /// A new group of relays is found while all of the old ones are gone, and hosts
@@ -106,29 +215,70 @@
 fn direct_without_relays() {
     let mut relays = Relays::default();
     assert!(relays.alone(START).is_empty());
-    relays.hear(START, host(1), &[host(7), host(8)]);
+    let told = Introduction {
+        domain: domain("there"),
+        peers: vec![host(7), host(8)],
+    };
+    relays.meet(START, host(1), &domain("here"), &told);
     assert!(relays.alone(START + Duration::from_millis(100)).is_empty());
     let alone = START + Duration::from_millis(200);
     let mut peers = relays.alone(alone);
     peers.sort_unstable();
     assert_eq!(peers, [host(7), host(8)]);
-    relays.hear(alone, host(2), &[]);
+    relays.hear(alone, host(2));
     assert!(relays.alone(alone).is_empty());
 }
 
-/// Of two relays the one that hears more hosts counts; what hosts tell directly
+/// Of two relays the one that hears far more hosts counts; what hosts tell directly
 /// counts only once no relay answers.
 #[test]
 fn best_source() {
     let mut table = Table::default();
-    let totals = |streams| HashMap::from([(engine(1), total(streams))]);
+    let sum = |hosts, streams| Sum {
+        hosts,
+        is_whole: true,
+        loads: loads(&[(1, streams)]),
+    };
     let known = |table: &Table, at| table.total(at, &engine(1)).streams;
-    table.hear(START, host(1), 4, totals(9));
-    table.hear(START + Duration::from_millis(20), host(2), 1, totals(3));
+    table.hear(START, host(1), sum(5, 9), &[]);
+    table.hear(START + Duration::from_millis(20), host(2), sum(2, 3), &[]);
     assert_eq!((known(&table, START), table.hosts(START)), (9, 4));
-    table.tell(START, 77, totals(5));
+    table.tell(START, 77, loads(&[(1, 5)]));
     assert_eq!(known(&table, START), 9);
     let later = START + Duration::from_millis(300);
     assert_eq!((known(&table, later), table.hosts(later)), (5, 1));
     assert_eq!(known(&table, START + Duration::from_secs(2)), 0);
 }
+
+/// Of two relays that hear about the same hosts, the one that spoke last counts: the
+/// other is listened to seldom, and has heard of one host more meanwhile.
+#[test]
+fn last_word() {
+    let mut table = Table::default();
+    let sum = |hosts, streams| Sum {
+        hosts,
+        is_whole: true,
+        loads: loads(&[(1, streams)]),
+    };
+    table.hear(START, host(1), sum(101, 9), &[]);
+    table.hear(START + Duration::from_millis(20), host(2), sum(100, 3), &[]);
+    let now = START + Duration::from_millis(20);
+    assert_eq!(table.total(now, &engine(1)).streams, 3);
+}
+
+/// What a relay tells again within a second but for lost datagrams ends when it
+/// isn't told any more.
+#[test]
+fn never_told_again() {
+    let mut table = Table::default();
+    let sum = |streams: &[(u8, u16)]| Sum {
+        hosts: 5,
+        is_whole: false,
+        loads: loads(streams),
+    };
+    table.hear(START, host(1), sum(&[(1, 4), (2, 4)]), &[]);
+    let later = START + Duration::from_millis(2_600);
+    table.hear(later, host(1), sum(&[(2, 4)]), &[]);
+    let known = |n| table.total(later, &engine(n)).streams;
+    assert_eq!((known(1), known(2)), (0, 4));
+}
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`deadline`] | entry | how long may it take, and will that do |
 //! | [`engine`] | both | what does work on an engine cost |
 //! | [`admission`] | entry | is a long prompt worth the engines' time now |
+//! | [`cell`] | entry | which engines come first for this host |
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
@@ -29,6 +30,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod admission;
+pub mod cell;
 pub mod choice;
 pub mod deadline;
 pub mod engine;
--- /dev/null
+++ b/almondlock-policy/tests/engine_cells.rs
@@ -0,0 +1,102 @@
+//! Engines divided into cells, from which a host takes its own first.
+
+use std::collections::BTreeMap;
+
+use almondlock_base::id::{Domain, Upstream};
+use almondlock_policy::cell;
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+fn domain(n: usize) -> Domain {
+    Domain::new(&format!("d-{n}")).unwrap()
+}
+
+/// So many engines in each failure domain.
+fn engines(counts: &[usize]) -> Vec<(Upstream, Domain)> {
+    let mut engines: Vec<(Upstream, Domain)> = Vec::new();
+    for (place, count) in counts.iter().enumerate() {
+        for n in 0..*count {
+            let name = Upstream::new(&format!("i-{n}-{place}")).unwrap();
+            engines.push((name, domain(place)));
+        }
+    }
+    engines
+}
+
+fn assign(engines: &[(Upstream, Domain)], own: &Domain, host: u64) -> Vec<usize> {
+    let engines = engines.iter().map(|(name, domain)| (name, domain));
+    cell::assign(engines, own, host)
+}
+
+/// The sizes of the cells, the host's own first.
+fn sizes(cells: &[usize]) -> Vec<usize> {
+    let mut sizes: BTreeMap<usize, usize> = BTreeMap::new();
+    for cell in cells {
+        *sizes.entry(*cell).or_default() += 1;
+    }
+    sizes.into_values().collect()
+}
+
+/// Failure domains that are large enough have a cell each. Those that aren't share
+/// one, or join another one if they are too few together.
+#[parameterized(
+    one_each = { &[23, 23, 22], &[23, 23, 22] },
+    all_too_small = { &[5, 5, 4], &[14] },
+    together = { &[15, 15, 15], &[45] },
+    joined = { &[30, 4, 25], &[30, 29] },
+    shared = { &[30, 12, 12], &[30, 24] },
+    none = { &[], &[] },
+)]
+fn by_domain(counts: &[usize], expected: &[usize]) {
+    let cells = assign(&engines(counts), &domain(0), 1);
+    assert_eq!(sizes(&cells), expected);
+}
+
+/// The host's own cell is the one of its failure domain, whichever that is.
+#[test]
+fn own_first() {
+    let engines = engines(&[23, 24, 25]);
+    for own in 0..3 {
+        let cells = assign(&engines, &domain(own), 1);
+        let first = engines.iter().zip(&cells).filter(|(_, cell)| **cell == 0);
+        let mut domains = first.map(|((_, domain), _)| domain);
+        assert!(domains.all(|d| *d == domain(own)));
+        assert_eq!(sizes(&cells)[0], 23 + own);
+    }
+}
+
+/// A failure domain with hundreds of engines is divided, by all hosts in the same way,
+/// and they begin in different cells of it.
+#[test]
+fn large_domain() {
+    let engines = engines(&[200, 200]);
+    let mut owners: BTreeMap<Vec<Upstream>, usize> = BTreeMap::new();
+    for host in 0..40 {
+        let cells = assign(&engines, &domain(1), host);
+        assert_eq!(sizes(&cells).len(), 10);
+        let own = engines.iter().zip(cells).filter(|(_, cell)| *cell == 0);
+        let names: Vec<Upstream> = own.map(|((name, _), _)| name.clone()).collect();
+        assert!(names.len() >= cell::LEAST, "{}", names.len());
+        *owners.entry(names).or_default() += 1;
+    }
+    assert_eq!(owners.into_values().collect::<Vec<_>>(), [8; 5]);
+}
+
+/// A host whose failure domain has no engines takes the first cell there is.
+#[test]
+fn domain_without_engines() {
+    let cells = assign(&engines(&[23, 24]), &domain(7), 1);
+    assert_eq!(sizes(&cells), [23, 24]);
+}
+
+/// Two others are looked at, never the same one twice.
+#[test]
+fn two_drawn() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    for others in 0..6 {
+        let drawn = cell::drawn(others, &mut rng);
+        assert_eq!(drawn.len(), others.min(2));
+        assert!(drawn.iter().all(|cell| *cell < others));
+        assert!(drawn.len() < 2 || drawn[0] != drawn[1]);
+    }
+}
