Fill engines up to a level instead of drawing among equals

Hypothesis: an idle engine that joins the short streams is taken by every host until they are told of each other's choices. The lot of 40 ms that spread them was the same for any number of prompts.

almondlock_policy::fill draws an engine by what it takes of the prompts that come within the age of what is known (Dahlin, Interpreting stale load information); their number follows from the prompts that wait, by Little's law. A short prompt now crosses to engines of the long ones only where none of its own side is sooner.

--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use almondlock_policy::engine::Speed;
+use almondlock_policy::{engine::Speed, fill};
 use rand::{Rng, RngCore};
 
 use super::{Candidate, Choice, Demand, HELPERS, SHORT_PART, groups::Groups};
@@ -22,6 +22,14 @@
 /// others wait for it too.
 const OVERFLOW: Duration = Duration::from_millis(250);
 
+/// How old a host's knowledge of the others is: up to 10 ms until a host tells, 20 ms
+/// until the relay does, and the way.
+const AGE: Duration = Duration::from_millis(40);
+
+/// Passes of an engine until the first event of a short prompt: half of the one that
+/// runs, and its own.
+const PASSES: f64 = 1.5;
+
 /// Seconds within which costs count as equal and the lot decides. Within the two
 /// periods until work is seen elsewhere dozens of hosts choose from the same
 /// knowledge, and would all take the same engine: with a thousandth of this, 26
@@ -43,13 +51,14 @@
     where
         R: RngCore,
     {
+        let crossing = CROSSING.as_secs_f64();
         let own = groups.short.iter().map(|i| (self.cost(*i), *i));
-        let other = groups
-            .long
-            .iter()
-            .map(|i| (self.cost(*i) + CROSSING.as_secs_f64(), *i));
-        let (cost, first) = best(own.chain(other), rng)?;
+        let other = groups.long.iter().map(|i| (self.cost(*i) + crossing, *i));
+        let mut costs: Vec<(f64, usize)> = own.collect();
+        let least = costs.iter().map(|(cost, _)| *cost).fold(f64::MAX, f64::min);
+        costs.extend(other.filter(|(cost, _)| *cost < least));
         let part = self.speed.reading(self.demand.prompt);
+        let (cost, first) = fill::draw(&costs, self.unseen(groups.short, part), rng)?;
         Some(Choice {
             expected: self.expected(cost, part),
             part,
@@ -64,7 +73,9 @@
     where
         R: RngCore,
     {
-        let (_, first) = best(groups.short.iter().map(|i| (self.cost(*i), *i)), rng)?;
+        let costs: Vec<(f64, usize)> = groups.short.iter().map(|i| (self.cost(*i), *i)).collect();
+        let part = self.speed.part(self.demand.prompt, HELPERS + 1);
+        let (_, first) = fill::draw(&costs, self.unseen(groups.short, part), rng)?;
         let others = groups.all.iter().filter(|i| **i != first);
         let mut order: Vec<(f64, usize)> = others
             .map(|i| (self.cost(*i) + rng.random::<f64>() * LOT, *i))
@@ -85,6 +96,17 @@
         })
     }
 
+    /// Seconds of reading that come to these engines before hosts know of it, this
+    /// prompt's part included. By Little's law as many prompts come within a time as
+    /// wait at the engines, for each time that one waits.
+    fn unseen(&self, engines: &[usize], part: Duration) -> f64 {
+        let waiting = engines.iter().map(|i| self.candidates[*i].total.waiting);
+        let waiting: u32 = waiting.sum();
+        let wait = PASSES * self.speed.writing(1, self.demand.prompt).as_secs_f64();
+        let others = f64::from(waiting) * AGE.as_secs_f64() / wait.max(AGE.as_secs_f64());
+        part.as_secs_f64() * (1.0 + others)
+    }
+
     pub(super) fn has_place(&self, i: usize) -> bool {
         let candidate = &self.candidates[i];
         candidate.total.requests() < candidate.slots
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -15,6 +15,7 @@
 //! | [`engine`] | both | what does work on an engine cost |
 //! | [`admission`] | entry | is a long prompt worth the engines' time now |
 //! | [`cell`] | entry | which engines come first for this host |
+//! | [`fill`] | entry | which of several engines, on knowledge that is old |
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
@@ -34,6 +35,7 @@
 pub mod choice;
 pub mod deadline;
 pub mod engine;
+pub mod fill;
 pub mod gang;
 pub mod gate;
 pub mod ledger;
