--- /dev/null
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -0,0 +1,199 @@
+//! A host's part: what it tells the relays and when, and what it hears from them.
+
+use std::{collections::VecDeque, net::SocketAddr, rc::Rc, time::Duration};
+
+use almondlock_base::time::Mono;
+use almondlock_node::clock;
+use tokio::{net::UdpSocket, time::sleep};
+
+use super::{DATAGRAM, Digest, Listen, Message, Relays, Sum, send};
+use crate::{
+    dialect::Dialect,
+    load::{Key, Load},
+    worker::Worker,
+};
+
+/// How soon a host tells the relay that it follows closely again, at the most.
+const GAP: Duration = Duration::from_millis(10);
+/// How often it tells all relays while something is being read.
+const PERIOD: Duration = Duration::from_millis(40);
+/// The same for each host that there is: a relay gets 2,500 digests a second at most.
+const PERIOD_PER_HOST: Duration = Duration::from_micros(400);
+/// How often it tells them otherwise: that it is there. Less than a second, after
+/// which a relay takes it for gone.
+const IDLE_PERIOD: Duration = Duration::from_millis(200);
+/// A host's own digests that a sum may still include.
+const REMEMBERED: usize = 64;
+
+/// What a host tells, and what it told.
+struct Teller {
+    host: u64,
+    // Of the last digest.
+    number: u32,
+    // The last digests by their number.
+    told: VecDeque<(u32, Vec<(Key, Load)>)>,
+    relays: Relays,
+    // When all relays were last told, and whether something has changed since.
+    all_at: Mono,
+    has_news: bool,
+    // The same of the relay that is followed closely.
+    close_at: Mono,
+    is_close_due: bool,
+}
+
+impl Teller {
+    /// What was told under a number. Nothing if that was long ago.
+    fn told(&self, number: u32) -> &[(Key, Load)] {
+        let mut told = self.told.iter();
+        let found = told.find(|(other, _)| *other == number);
+        found.map_or(&[], |(_, loads)| loads)
+    }
+
+    fn digest(&mut self, loads: Vec<(Key, Load)>) -> Digest {
+        self.number = self.number.wrapping_add(1).max(1);
+        self.told.truncate(REMEMBERED - 1);
+        self.told.push_front((self.number, loads.clone()));
+        Digest {
+            host: self.host,
+            number: self.number,
+            listens: Listen::No,
+            loads,
+        }
+    }
+}
+
+/// Tells the relays and listens to them, until the process ends.
+pub(crate) async fn run<D>(
+    worker: Rc<Worker<D>>,
+    socket: UdpSocket,
+    named: Vec<SocketAddr>,
+    host: u64,
+) where
+    D: Dialect,
+{
+    let mut buffer = vec![0; DATAGRAM];
+    let mut teller = Teller {
+        host,
+        number: 0,
+        told: VecDeque::new(),
+        relays: Relays::default(),
+        all_at: Mono::ZERO,
+        has_news: false,
+        close_at: Mono::ZERO,
+        is_close_due: false,
+    };
+    loop {
+        let now = clock::mono();
+        let all_due = teller.all_at + period(&worker, &teller, now);
+        let due = match teller.is_close_due {
+            true => all_due.min(teller.close_at + GAP),
+            false => all_due,
+        };
+        tokio::select! {
+            received = socket.recv_from(&mut buffer) => {
+                // An error is a relay that has ended: others are told as well.
+                let Ok((length, from)) = received else { continue };
+                take_in(&worker, &mut teller, from, &buffer[..length]);
+            }
+            () = worker.changed.notified(), if !teller.is_close_due => {
+                teller.is_close_due = true;
+                teller.has_news = true;
+            }
+            () = sleep(due.since(now)) => {
+                let is_all = clock::mono() >= all_due;
+                tell(&worker, &socket, &named, &mut teller, is_all).await;
+            }
+        }
+    }
+}
+
+/// How often all relays are told at present.
+fn period<D>(worker: &Worker<D>, teller: &Teller, now: Mono) -> Duration
+where
+    D: Dialect,
+{
+    let load = worker.load.borrow();
+    if !teller.has_news && !load.is_reading() {
+        return IDLE_PERIOD;
+    }
+    let hosts = u32::try_from(load.hosts(now)).unwrap_or(u32::MAX);
+    PERIOD.max(PERIOD_PER_HOST * hosts).min(IDLE_PERIOD)
+}
+
+/// Tells the close relay, or every relay, and other hosts while none answers.
+async fn tell<D>(
+    worker: &Worker<D>,
+    socket: &UdpSocket,
+    named: &[SocketAddr],
+    teller: &mut Teller,
+    is_all: bool,
+) where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let loads = worker.load.borrow().own(now);
+    let digest = teller.digest(loads);
+    let all = addresses(named, &worker.node.view().get().sources);
+    let listened = teller.relays.listen(now, &all, teller.host);
+    teller.close_at = now;
+    teller.is_close_due = false;
+    if is_all {
+        teller.all_at = now;
+        teller.has_news = false;
+    }
+    let directly = teller.relays.alone(now);
+    for to in all.into_iter().chain(directly) {
+        let listens = listened.iter().find(|(relay, _)| *relay == to);
+        let listens = listens.map_or(Listen::No, |(_, pace)| *pace);
+        if is_all || listens == Listen::Closely {
+            let digest = Digest {
+                listens,
+                ..digest.clone()
+            };
+            send(socket, to, &Message::Tell(digest)).await;
+        }
+    }
+}
+
+fn take_in<D>(worker: &Worker<D>, teller: &mut Teller, from: SocketAddr, bytes: &[u8])
+where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let read = postcard::take_from_bytes(bytes).and_then(|(message, rest)| match message {
+        Message::Sum { included } => {
+            let sum: Sum = postcard::from_bytes(rest)?;
+            teller.relays.hear(now, from);
+            let own = teller.told(included);
+            worker.load.borrow_mut().hear(now, from, sum, own);
+            Ok(())
+        }
+        Message::Introduction(told) => {
+            teller.relays.meet(now, from, &worker.domain, &told);
+            Ok(())
+        }
+        Message::Tell(digest) => {
+            let mut load = worker.load.borrow_mut();
+            load.tell(now, digest.host, digest.loads);
+            Ok(())
+        }
+    });
+    if let Err(error) = read {
+        tracing::debug!(%from, %error, "unreadable datagram");
+    }
+}
+
+/// The relays: those of the settings, and one beside each present replica, on
+/// the same port.
+fn addresses(named: &[SocketAddr], replicas: &[SocketAddr]) -> Vec<SocketAddr> {
+    let mut relays = named.to_vec();
+    if let Some(port) = named.first().map(SocketAddr::port) {
+        let beside = replicas
+            .iter()
+            .map(|replica| SocketAddr::new(replica.ip(), port));
+        relays.extend(beside);
+    }
+    relays.sort_unstable();
+    relays.dedup();
+    relays
+}
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -6,7 +6,7 @@
     id::{Host, Upstream},
     unit::Revision,
 };
-use almondlock_spread::{children::Admission, parent};
+use almondlock_spread::{children::Admission, parent, snapshot::Form};
 use almondlock_transport::Identity;
 use almondlock_wire::{
     almondlock_capnp::{node, spread},
@@ -155,7 +155,10 @@
             Admission::Full(others) => (Body::Empty, Standing::Full(others)),
             Admission::Served => {
                 self.wait(&fetch).await;
-                (self.body(fetch.want)?, self.standing())
+                (
+                    self.body(fetch.want, Form::of(from.version))?,
+                    self.standing(),
+                )
             }
         };
         // Read before the body was, the revision could be one that the body
@@ -210,31 +213,33 @@
         }
     }
 
-    fn body(&self, want: Want) -> Result<Body, capnp::Error> {
+    fn body(&self, want: Want, form: Form) -> Result<Body, capnp::Error> {
         let view = &self.shared.view;
         let body = match want {
             Want::Nothing => Ok(Body::Empty),
             Want::After(have) if view.revision() <= have => Ok(Body::Empty),
-            Want::After(have) => self.after(have),
+            Want::After(have) => self.after(have, form),
             Want::Snapshot(revision, offset) => {
                 let mut tree = self.shared.tree();
-                tree.store.piece(view, revision, offset).map(Body::Piece)
+                tree.store
+                    .piece(view, form, revision, offset)
+                    .map(Body::Piece)
             }
         };
         body.map_err(|error| capnp::Error::failed(error.to_string()))
     }
 
-    fn after(&self, have: Revision) -> Result<Body, serde_json::Error> {
+    fn after(&self, have: Revision, form: Form) -> Result<Body, serde_json::Error> {
         let view = &self.shared.view;
         let mut tree = self.shared.tree();
-        if !tree.store.is_shorter(view, have)? {
+        if !tree.store.is_shorter(view, form, have)? {
             let changes = view.with_ring(|ring| ring.after(have, CHANGES, BATCH));
             if let Some(changes) = changes {
                 let changes = changes.iter().map(|change| change.to_vec());
                 return Ok(Body::Changes(have.next(), changes.collect()));
             }
         }
-        let piece = tree.store.piece(view, Revision::ZERO, 0)?;
+        let piece = tree.store.piece(view, form, Revision::ZERO, 0)?;
         Ok(Body::Piece(piece))
     }
 
--- a/almondlock-spread/tests/snapshot_pieces.rs
+++ b/almondlock-spread/tests/snapshot_pieces.rs
@@ -1,12 +1,20 @@
 //! A whole configuration arrives in pieces, of one revision, or not at all.
 
-use almondlock_base::unit::Revision;
+use std::net::SocketAddr;
+
+use almondlock_base::{
+    id::{Domain, Service, Upstream},
+    unit::Revision,
+};
 use almondlock_spread::{
-    snapshot::{Assembly, LIMIT, PIECE, Store},
+    snapshot::{Assembly, Form, LIMIT, PIECE, Store},
     view::View,
 };
-use almondlock_state::config::{Change, Config};
-use almondlock_wire::spread::Piece;
+use almondlock_state::{
+    config::{Change, Config},
+    instance::{Birth, Instance},
+};
+use almondlock_wire::{peer::VERSION, spread::Piece};
 
 fn extend(view: &View, changes: u64) {
     let from = view.revision().0;
@@ -16,7 +24,7 @@
 
 fn fetch(store: &mut Store, view: &View, assembly: &mut Assembly) -> Option<Config> {
     let (revision, offset) = assembly.next();
-    let piece = store.piece(view, revision, offset).unwrap();
+    let piece = store.piece(view, Form::Plain, revision, offset).unwrap();
     assert!(piece.data.len() <= PIECE);
     assembly.add(&piece).unwrap()
 }
@@ -78,11 +86,70 @@
     let view = View::new();
     extend(&view, 3000);
     let mut store = Store::new();
-    assert!(!store.is_shorter(&view, Revision(2999)).unwrap());
+    assert!(
+        !store
+            .is_shorter(&view, Form::Plain, Revision(2999))
+            .unwrap()
+    );
     let again = |n| Change::Setting("same".into(), Some(format!("{n:0>200}")));
     view.extend(view.revision().next(), (0..5000).map(again));
-    assert!(!store.is_shorter(&view, Revision(7999)).unwrap());
-    assert!(store.is_shorter(&view, Revision(3000)).unwrap());
+    assert!(
+        !store
+            .is_shorter(&view, Form::Plain, Revision(7999))
+            .unwrap()
+    );
+    assert!(
+        store
+            .is_shorter(&view, Form::Plain, Revision(3000))
+            .unwrap()
+    );
+}
+
+/// Three thousand instances fill a tenth of the bytes once packed, so that a process
+/// whose link is narrow can hand them to a dozen others in time.
+#[test]
+fn packed() {
+    let view = View::new();
+    let instance = |n: u64| Instance {
+        service: Service::new("models").unwrap(),
+        address: SocketAddr::from(([10, 0, (n / 250) as u8, (n % 250) as u8], 8080)),
+        domain: Domain::new(&format!("domain-{}", n % 5)).unwrap(),
+        slots: 10,
+        leaving: false,
+        birth: Birth(1_764_726_000_000 + n),
+    };
+    let name = |n: u64| Upstream::new(&format!("i-{:010x}", n * 0x9e37_79b9)).unwrap();
+    let change = |n| Change::Instance(name(n), Some(instance(n)));
+    assert!(view.extend(Revision(1), (0..3_000).map(change)));
+    let mut store = Store::new();
+    let plain = store.piece(&view, Form::Plain, Revision::ZERO, 0).unwrap();
+    let packed = store.piece(&view, Form::Packed, Revision::ZERO, 0).unwrap();
+    assert!(
+        packed.total * 5 < plain.total,
+        "{} {}",
+        packed.total,
+        plain.total
+    );
+    let mut assembly = Assembly::new();
+    let config = loop {
+        let (revision, offset) = assembly.next();
+        let piece = store.piece(&view, Form::Packed, revision, offset).unwrap();
+        if let Some(config) = assembly.add(&piece).unwrap() {
+            break config;
+        }
+    };
+    assert_eq!(config, *view.get());
+}
+
+/// An older process can't unpack, and is given what it reads.
+#[test]
+fn older_reader() {
+    assert_eq!(Form::of(1), Form::Plain);
+    assert_eq!(Form::of(VERSION), Form::Packed);
+    let view = View::new();
+    extend(&view, 1);
+    let piece = Store::new().piece(&view, Form::of(1), Revision::ZERO, 0);
+    assert_eq!(piece.unwrap().data[0], b'{');
 }
 
 #[test]
@@ -104,6 +171,8 @@
     assert!(refused(piece(0, 10, b"")));
     assert!(refused(piece(0, 1, b"xy")));
     assert!(refused(piece(0, 1, b"x")));
+    // Neither plain nor packed.
+    assert!(refused(piece(0, 4, b"\x78\x9cxx")));
     let other = br#"{"revision":7}"#;
     assert!(refused(piece(0, other.len() as u64, other)));
 }
--- a/almondlock-wire/src/peer.rs
+++ b/almondlock-wire/src/peer.rs
@@ -12,8 +12,9 @@
 pub use crate::error::Error;
 pub(crate) use crate::error::text;
 
-/// The version of the inner protocol that this build speaks.
-pub const VERSION: u16 = 1;
+/// The version of the inner protocol that this build speaks. From 2 on snapshots of the
+/// configuration come packed.
+pub const VERSION: u16 = 2;
 
 /// A process as it names itself in an exchange.
 #[derive(Clone, Debug, PartialEq, Eq)]
