--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -166,7 +166,7 @@
     pub stale: Duration,
     /// The budget of further attempts.
     pub retries: budget::Config,
-    /// How long memory stays set aside on an engine unless that is renewed.
+    /// How long memory that is set aside on an engine may outlive its use.
     pub memory_hold: Duration,
 }
 
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -239,8 +239,8 @@
     Key::new("gateway", "retry_free", Number(0, 1_000), Default("3"),
         "Further attempts in a window in any case, at this host.").unit("count"),
     Key::new("gateway", "memory_hold", Number(1_000, HOUR), Default("4000"),
-        "How long memory stays set aside on an engine for a prompt that is larger than another one has \
-         free, unless that is renewed. No longer than engines may keep memory that nobody uses any more."
+        "How long memory that is set aside on an engine for a prompt may outlive its use. It is set \
+         aside for three quarters of this at a time and renewed while it is used."
         ).unit("ms"),
     Key::new("gateway", "drain_delay", Number(0, HOUR), Default("2900"),
         "On a stop, how long requests are still accepted after `/readyz` began to fail.").unit("ms"),
