--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     admin::Failure,
-    replica::{Refusal, Remote},
+    replica::{Refusal, Remote, Taken},
 };
 use almondlock_base::{Code, id::Upstream, time::Wall, unit::Revision};
 use almondlock_node::{Handle, clock};
@@ -94,18 +94,22 @@
         self.remote.look(look).await.ok()
     }
 
-    /// Takes a heartbeat.
+    /// Takes a heartbeat. Gives whether the sender should come here with later ones: to
+    /// a follower. The leader, which takes all that is new, would otherwise keep every
+    /// server that it once entered.
     pub async fn beat(
         &self,
         upstream: Upstream,
         sequence: u64,
         instance: Instance,
-    ) -> Result<(), Failure> {
+    ) -> Result<bool, Failure> {
         let told = self.remote.beat(upstream, sequence, instance).await;
-        if let Some(revision) = self.outcome(told).await? {
-            self.in_force(revision).await;
+        match self.outcome(told).await? {
+            Taken::Passed => return Ok(true),
+            Taken::Decided(None) => {}
+            Taken::Decided(Some(revision)) => self.in_force(revision).await,
         }
-        Ok(())
+        Ok(false)
     }
 
     /// Takes the notice that an instance is gone.
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -11,18 +11,27 @@
 
 use super::{Replica, refusal::Refusal};
 
+/// How a heartbeat was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// By a follower, which passes it on.
+    Passed,
+    /// By the leader. With the revision that has to be in force everywhere before it is
+    /// acknowledged, if one has to: the sender counts from the acknowledgement until it
+    /// stops serving, but for nothing else does it rely on others.
+    Decided(Option<Revision>),
+}
+
 impl Replica {
-    /// Takes a heartbeat. Gives the revision that has to be in force everywhere before
-    /// it is acknowledged, if one has to: the sender counts from the acknowledgement
-    /// until it stops serving, but for nothing else does it rely on others.
+    /// Takes a heartbeat.
     pub async fn beat(
         &self,
         upstream: Upstream,
         sequence: u64,
         instance: Instance,
-    ) -> Result<Option<Revision>, Refusal> {
+    ) -> Result<Taken, Refusal> {
         if self.take_routine(&upstream, sequence, &instance) {
-            return Ok(None);
+            return Ok(Taken::Passed);
         }
         self.inner.core.borrow().check()?;
         let beat = self.state(|state| {
@@ -31,8 +40,8 @@
             roster.beat(clock::mono(), state.config(), named, &instance)
         });
         match beat {
-            Beat::Known => return Ok(None),
-            Beat::Leaving(revision) => return Ok(Some(revision)),
+            Beat::Known => return Ok(Taken::Decided(None)),
+            Beat::Leaving(revision) => return Ok(Taken::Decided(Some(revision))),
             Beat::News => {}
         }
         let (name, service, leaving) =
@@ -44,7 +53,7 @@
         };
         let revision = self.revise(command).await?;
         tracing::info!(instance = %name, %service, sequence, leaving, revision = revision.0, "instance entered");
-        Ok(leaving.then_some(revision))
+        Ok(Taken::Decided(leaving.then_some(revision)))
     }
 
     /// Takes a heartbeat that tells nothing new, on a follower that holds what is in
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -54,6 +54,7 @@
 
 pub use self::{
     config::{Builder, Config, Initial},
+    instances::Taken,
     refusal::Refusal,
     remote::Remote,
     status::{Peer, Status},
--- a/almondlock-control/src/replica/remote.rs
+++ b/almondlock-control/src/replica/remote.rs
@@ -18,7 +18,7 @@
     task::spawn_local,
 };
 
-use super::{Replica, refusal::Refusal, status::Status};
+use super::{Replica, instances::Taken, refusal::Refusal, status::Status};
 
 /// Requests that wait; more wait with their callers.
 const QUEUE: usize = 256;
@@ -33,12 +33,7 @@
     Read(Look, Asker<Result<(), Refusal>>),
     Look(Look),
     Status(Asker<Status>),
-    Beat(
-        Upstream,
-        u64,
-        Instance,
-        Asker<Result<Option<Revision>, Refusal>>,
-    ),
+    Beat(Upstream, u64, Instance, Asker<Result<Taken, Refusal>>),
     Withdraw(Upstream, Asker<Result<Revision, Refusal>>),
     Add(Host, Asker<Result<Id, Refusal>>),
     Promote(Id, Asker<Result<(), Refusal>>),
@@ -92,7 +87,7 @@
         upstream: Upstream,
         sequence: u64,
         instance: Instance,
-    ) -> Result<Option<Revision>, Refusal> {
+    ) -> Result<Taken, Refusal> {
         self.ask(|asker| Request::Beat(upstream, sequence, instance, asker))
             .await?
     }
