Bound the rounds of a relay by what its followers take for silence

With one relay left for a hundred hosts, sums without changes were left out for 153 ms and, with three hundred, for 450 ms; hosts leave a relay after 160 ms, so they would have left it over and over. What a relay tells again after 2.5 s at the latest counts for 4 s, not 2.5 s.

--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -5,7 +5,7 @@
 //! which shares a processor with a control replica, all of its time: no
 //! configuration was acknowledged any more. So the sum is made once for all hosts,
 //! each of which takes its own part out itself, and tells what has changed. Every
-//! upstream is told again within a second, in case a datagram was lost.
+//! upstream is told again after some rounds, in case a datagram was lost.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -21,8 +21,20 @@
 /// A host that told nothing for this long has stopped: what it had under way
 /// ends with it.
 const GONE: Duration = Duration::from_secs(1);
+/// How often a relay sends sums at the most.
+const ROUND: Duration = Duration::from_millis(20);
+/// The same for each host that follows it: 2,000 sums a second, some hundredths of a
+/// core.
+const ROUND_PER_HOST: Duration = Duration::from_micros(500);
+/// How often it sends them at the least, however many hosts follow it, as when it is
+/// the only relay left: a third of the silence after which they leave it.
+const ROUND_MOST: Duration = Duration::from_millis(50);
+/// A sum that tells of no change is left out but for each so many rounds, which show
+/// that the relay is there. Only while rounds are as short as they can be.
+const QUIET_ROUNDS: u64 = 3;
+
 /// Rounds in which each upstream is told once, changed or not; and every how many
-/// rounds hosts are told where the relay is. About a second.
+/// rounds hosts are told where the relay is. A second, or 2.5 s with the longest rounds.
 const REPEAT: u64 = 50;
 /// Every how many rounds those who listen seldom are told everything.
 const SELDOM: u64 = 25;
@@ -82,11 +94,13 @@
         }
     }
 
-    /// How many hosts follow closely.
-    pub fn followers(&self) -> usize {
+    /// The time until the next round.
+    pub fn period(&self) -> Duration {
         let all = self.hosts.values();
-        all.filter(|told| told.digest.listens == Listen::Closely)
-            .count()
+        let close = all.filter(|told| told.digest.listens == Listen::Closely);
+        let followers = u32::try_from(close.count()).unwrap_or(u32::MAX);
+        let shared = ROUND_PER_HOST.saturating_mul(followers);
+        shared.clamp(ROUND, ROUND_MOST)
     }
 
     /// What goes out now, from a relay in this failure domain.
@@ -104,9 +118,13 @@
             ..Round::default()
         };
         let is_seldom = self.rounds.is_multiple_of(SELDOM);
+        let is_short = self.period() == ROUND;
+        let is_quiet =
+            round.changes.loads.is_empty() && is_short && !self.rounds.is_multiple_of(QUIET_ROUNDS);
         for (to, told) in &mut self.hosts {
             let number = told.digest.number;
             match told.digest.listens {
+                Listen::Closely if told.is_met && is_quiet => {}
                 Listen::Closely if told.is_met => round.close.push((*to, number)),
                 Listen::Closely => round.others.push((*to, number)),
                 Listen::Seldom if is_seldom => round.others.push((*to, number)),
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -22,8 +22,8 @@
 const FORGET: Duration = Duration::from_millis(1000);
 
 /// What a relay told of an upstream counts no longer than this unless it tells it
-/// again, which it does within a second.
-const OUTDATED: Duration = Duration::from_millis(2_500);
+/// again, which it does within a second, or 2.5 s with hundreds of followers.
+const OUTDATED: Duration = Duration::from_secs(4);
 
 /// Of the relay that is followed closely another one takes the place if it knows so
 /// many times as many hosts: the closer one is cut off from some.
