--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -60,8 +60,8 @@
     /// force. The leader is told of it with others.
     ///
     /// **Load pattern.** Three thousand servers speak each 1.2 s. All of them at the
-    /// leader took 94% of its processor, and after a loss of all replicas it served
-    /// nobody in 30 s; shared by five replicas each has a fifth of them.
+    /// leader took 74 to 94% of its processor (0.3 of a core); shared by four followers
+    /// they take 41% of the busiest replica's, measured with 300 processes.
     fn take_routine(&self, upstream: &Upstream, sequence: u64, instance: &Instance) -> bool {
         let heartbeat = Heartbeat {
             name: upstream.clone(),
--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -38,8 +38,9 @@
 const REPEAT: u64 = 50;
 /// Every how many rounds those who listen seldom are told everything.
 const SELDOM: u64 = 25;
-/// The change of the time left to read, in milliseconds, that is told at once.
-/// What is left runs down by itself, and hosts know that.
+/// The change of the time left to read, in milliseconds, that is told at once: what a
+/// short prompt takes. A smaller one makes no difference to a choice, and is told in
+/// turn.
 const READING: u16 = 20;
 /// The same of the memory in use, in blocks: a short prompt's.
 const MEMORY: u16 = 64;
@@ -81,10 +82,10 @@
     pub fn tell(&mut self, now: Mono, from: SocketAddr, digest: Digest) {
         let last = self.hosts.get(&from);
         let is_met = last.is_some_and(|last| {
-            // A datagram that was overtaken by a later one is older news.
             let same = last.digest.host == digest.host;
             last.is_met && same && last.digest.listens == digest.listens
         });
+        // A datagram that was overtaken by a later one is older news.
         let is_late = last.is_some_and(|last| {
             last.digest.host == digest.host && last.digest.number > digest.number
         });
