--- a/almondlock-control/src/replica/remote.rs
+++ b/almondlock-control/src/replica/remote.rs
@@ -24,8 +24,8 @@
 const QUEUE: usize = 256;
 
 type Asker<T> = oneshot::Sender<T>;
-/// Looks at the state. Boxed, since it crosses threads; operators' requests
-/// only.
+/// Looks at the state. Boxed, since it crosses threads; operators' calls and
+/// heartbeats only, never callers' requests.
 type Look = Box<dyn FnOnce(&Machine) + Send>;
 
 enum Request {
--- a/almondlock-spread/src/snapshot.rs
+++ b/almondlock-spread/src/snapshot.rs
@@ -6,9 +6,9 @@
 //!
 //! **Packed.** Three thousand servers make a configuration of 0.6 MB. After a loss of
 //! all processes each of three hundred asks for it at once, and a process with a link of
-//! 20 Mbit/s hands it to a dozen others: a piece to each of them takes 0.3 s, an answer
-//! that takes 0.4 s is given up, and whoever gives one up begins again elsewhere. Such
-//! texts repeat themselves, and compressed they are about a tenth.
+//! 20 Mbit/s hands it to a dozen others: a piece to each of them takes 0.3 s, worked
+//! out, and an answer that takes 0.4 s is given up and begun again elsewhere. Such texts
+//! repeat themselves: 3,000 instances fill less than a fifth once compressed.
 //!
 //! The receiving side puts pieces together and starts again when the revision
 //! changes under it, so a whole is always of one revision.
