Log who reads parts of a prompt, and who answered a stream

Cause: short streams pause beside parts of long prompts, but no line named the engines that read them, and three of four answered lines named no upstream (it was taken away before the line). Change: `sent` has `read_by` and `part_ms`; `ended` of a stream has the upstream that answered last. The test of the operators' page now looks for each field that it names, too.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -97,6 +97,7 @@
         request = %request.id, route = %request.route.name, upstream = %target.name,
         prompt = request.demand.map_or(0, |demand| demand.prompt),
         helpers = choice.helpers.len(), shares = choice.shares.len(),
+        part_ms = choice.part.as_millis(), read_by = %readers(targets, &choice),
         expected_ms = choice.expected.as_millis(),
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().hosts(now),
@@ -141,6 +142,13 @@
     }
 }
 
+/// The names of the engines that read parts besides the one that answers.
+fn readers(targets: &[Target], choice: &Choice) -> String {
+    let readers = choice.helpers.iter().filter_map(|i| targets.get(*i));
+    let names: Vec<&str> = readers.map(|target| target.name.as_str()).collect();
+    names.join(",")
+}
+
 /// Chooses who takes part, and sets memory aside where one engine has too
 /// little. An engine that has none to give is left out, and others are chosen.
 async fn place<D>(
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -33,6 +33,8 @@
     /// The head of the first run, which stays the response's.
     pub(crate) head: Head,
     run: Option<Run<D>>,
+    // Who answers, or did last.
+    upstream: Upstream,
     cutter: Cutter,
     ready: Option<Bytes>,
     pub(crate) course: Course,
@@ -63,6 +65,7 @@
             worker: Rc::clone(worker),
             request: Rc::clone(request),
             head: run.head.clone(),
+            upstream: run.upstream.clone(),
             run: Some(run),
             cutter,
             ready: Some(first),
@@ -184,6 +187,7 @@
             return Err("the resumed run began at another event");
         }
         run.held.read();
+        self.upstream = run.upstream.clone();
         self.run = Some(run);
         Ok(())
     }
@@ -204,10 +208,9 @@
             self.request.route.name
         );
         self.worker.shared.metrics.time("stream", &label, spent);
-        let upstream = self.run.as_ref().map(|run| &run.upstream);
         tracing::info!(
             request = %self.request.id, route = %self.request.route.name, outcome, reason,
-            upstream = upstream.map_or("none", Upstream::as_str),
+            upstream = %self.upstream,
             first_ms = self.first_at.since(self.request.arrived).as_millis(),
             longest_pause_ms = self.longest.as_millis(), events = self.events,
             spent_ms = spent.as_millis(), "ended"
--- a/almondlock-gateway/tests/operations_page.rs
+++ b/almondlock-gateway/tests/operations_page.rs
@@ -1,4 +1,5 @@
-//! The operators' page names log lines and metrics; each must exist in the code.
+//! The operators' page names log lines, their fields and metrics; each must exist in
+//! the code.
 
 use std::{fs, path::Path};
 
@@ -40,6 +41,10 @@
             );
             names += 1;
         }
+        let fields = row.split('|').nth(3).unwrap();
+        for field in fields.split('`').skip(1).step_by(2) {
+            assert!(code.contains(field), "{row}: no field {field:?}");
+        }
     }
     assert!(names > 15);
     for metric in [
