Set memory aside on the engine that answers where another such prompt wouldn't fit

Cause: two hosts send long prompts to one engine before they hear of each other, or middling prompts gather on the engines for short streams, and the last of them waits there until a stream ends. Ruled out: slow or busy readers, order of parts, places (2 of 67 met an engine with 12 requests). Change: what a long prompt takes is asked for first; who refuses is left out and others are chosen; after four rounds or a quarter of the objective it is sent as before. Middling prompts go where there is room. A list of readers has 16 places, one of them for the engine that answers. All engines that refuse are told apart at once, not one a round.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -22,8 +22,12 @@
 /// How long connecting may take: several ways there and back, far below the
 /// objective of short requests.
 pub(crate) const CONNECT: Duration = Duration::from_millis(250);
-/// How many engines may have no memory to give before the request is refused.
-const PLACEMENTS: usize = 2;
+/// How often others are chosen for engines that have no memory to give. Each time takes
+/// a way there and back.
+const PLACEMENTS: usize = 4;
+/// The part of its objective within which a request asks for memory on the engine that
+/// answers. Engines that leave orders unanswered take most of that.
+const ASKING_SHARE: f64 = 0.25;
 /// The largest body of an answer that is no stream, in bytes.
 pub(crate) const WHOLE_LIMIT: usize = 8 << 20;
 /// An attempt that is being answered.
@@ -149,8 +153,14 @@
     names.join(",")
 }
 
-/// Chooses who takes part, and sets memory aside where one engine has too
-/// little. An engine that has none to give is left out, and others are chosen.
+/// Chooses who takes part, and sets memory aside for a long prompt. An engine that has
+/// none to give is left out, and others are chosen.
+///
+/// **Failure.** Several hosts send long prompts to the same engine before they hear of
+/// each other, or an engine writes more than was known. A prompt that doesn't fit there
+/// waits until a stream ends, a second or two, while the engines that have read its
+/// parts hold them, and whatever comes to that engine waits behind it. An engine that
+/// has set the memory aside admits the prompt at once.
 async fn place<D>(
     worker: &Rc<Worker<D>>,
     request: &Request,
@@ -162,10 +172,23 @@
     D: Dialect,
 {
     let mut full = Vec::new();
+    let mut silent = Vec::new();
+    let mut placements = 0;
     loop {
         let now = clock::mono();
+        // Once nobody has memory to give, the engine that answers is asked for none:
+        // it admits the prompt when a stream of its own has ended.
+        let asked = now.since(request.arrived);
+        let is_over = asked > request.route.objective.mul_f64(ASKING_SHARE);
+        let is_last = placements == PLACEMENTS || placements > 0 && is_over;
+        if is_last {
+            full.retain(|upstream| silent.contains(upstream));
+        }
         let choice = choose(worker, request, targets, &course.tried, &full, now);
-        let choice = choice.map_err(lacking)?;
+        let mut choice = choice.map_err(lacking)?;
+        if is_last {
+            choice.shares.retain(|share| share.place != choice.first);
+        }
         let is_new = course.tried.is_empty() && after.is_none();
         if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
             return Err(refused);
@@ -179,12 +202,20 @@
                 held.keep(leases);
                 return Ok((choice, held));
             }
-            Err(broken) if full.len() < PLACEMENTS => {
-                note(worker, request, &broken, course.tried.len());
-                full.extend(broken.upstream);
+            Err(failed) => {
+                for broken in failed {
+                    note(worker, request, &broken, course.tried.len());
+                    if broken.failure == Failure::Unsent {
+                        silent.extend(broken.upstream.clone());
+                    }
+                    full.extend(broken.upstream);
+                }
             }
-            Err(broken) => return Err(Broken::new(Failure::Unsent, None, broken.reason)),
         }
+        if is_last {
+            return Err(lacking(Lack::Memory));
+        }
+        placements += 1;
     }
 }
 
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -18,7 +18,7 @@
     worker::{Target, Worker},
 };
 
-/// How long an attempt that holds memory may be silent, beyond the time that its
+/// How long an attempt that holds memory on helpers may be silent, beyond the time that its
 /// first event is expected to take.
 ///
 /// **Failure.** An engine that answers a large prompt goes dark, or its answer is
@@ -37,6 +37,8 @@
     worker: Rc<Worker<D>>,
     tickets: Vec<(Upstream, Ticket)>,
     leases: RefCell<Option<Leases<D>>>,
+    // Some of the memory is on engines that only help.
+    is_elsewhere: bool,
     // When the first event is expected.
     expected: Mono,
     is_read: Cell<bool>,
@@ -56,7 +58,8 @@
     ) -> Held<D> {
         let demand = request.demand;
         let memory = demand.map_or(0, |demand| demand.prompt + demand.output);
-        let shared: u64 = choice.shares.iter().map(|share| share.tokens).sum();
+        let others = choice.shares.iter().filter(|s| s.place != choice.first);
+        let shared: u64 = others.map(|share| share.tokens).sum();
         let first = Work {
             reading: choice.part,
             writes: true,
@@ -87,6 +90,7 @@
             worker: Rc::clone(worker),
             tickets,
             leases: RefCell::default(),
+            is_elsewhere: choice.shares.iter().any(|s| s.place != choice.first),
             expected: now + choice.expected,
             is_read: Cell::new(false),
         }
@@ -97,15 +101,19 @@
         *self.leases.borrow_mut() = Some(leases);
     }
 
-    /// Gives memory back, though the attempt may go on.
+    /// Gives back memory on engines that only help, though the attempt may go on. On
+    /// the engine that answers it is in use for as long as that one works.
     pub(crate) fn let_go(&self) {
+        if !self.is_elsewhere {
+            return;
+        }
         drop(self.leases.borrow_mut().take());
     }
 
     /// How long to wait for the next bytes, of an attempt that others are waited
     /// for as long as `usual`.
     pub(crate) fn patience(&self, now: Mono, usual: Duration) -> Duration {
-        if self.leases.borrow().is_none() {
+        if !self.is_elsewhere || self.leases.borrow().is_none() {
             return usual;
         }
         let first = match self.is_read.get() {
--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -62,14 +62,14 @@
 where
     D: Dialect,
 {
-    /// Sets memory aside on all engines, or on none. On failure tells which
-    /// engine failed.
+    /// Sets memory aside on all engines, or on none. On failure tells each engine
+    /// that failed.
     pub(crate) async fn take(
         worker: &Rc<Worker<D>>,
         request: &str,
         targets: &[Target],
         shares: &[Share],
-    ) -> Result<Leases<D>, Broken> {
+    ) -> Result<Leases<D>, Vec<Broken>> {
         let drawn: u64 = worker.rng.borrow_mut().random();
         let places = shares
             .iter()
@@ -90,10 +90,13 @@
         };
         let orders = leases.leases.iter().map(|lease| lease.reserve(worker));
         let outcomes = join_all(orders).await;
-        let mut failed = leases.leases.iter().zip(&outcomes);
-        let failed = failed.find(|(_, outcome)| **outcome != Outcome::Done);
-        if let Some((lease, outcome)) = failed {
-            return Err(failure(lease, *outcome));
+        let failed = leases.leases.iter().zip(&outcomes);
+        let failed = failed.filter(|(_, outcome)| **outcome != Outcome::Done);
+        let failed: Vec<Broken> = failed
+            .map(|(lease, outcome)| failure(lease, *outcome))
+            .collect();
+        if !failed.is_empty() {
+            return Err(failed);
         }
         let renewal = renew(Rc::clone(worker), Rc::clone(&leases.leases));
         leases.renewal = Some(spawn_local(renewal));
--- a/almondlock-gateway/src/memory.rs
+++ b/almondlock-gateway/src/memory.rs
@@ -2,9 +2,9 @@
 //!
 //! **Load pattern.** The largest prompts take more memory than an engine has,
 //! and usual ones more than an engine has left that holds another. Sent all the
-//! same, they are rejected, or stop a running stream. So the rest is set aside
-//! on other engines before the prompt is sent, and those engines read parts of
-//! it anyway.
+//! same, they are rejected, wait for a stream to end, or stop a running one. So all
+//! that a long prompt takes is set aside before it is sent, on the engine that answers
+//! and, where that has too little, on others that read parts of it anyway.
 //!
 //! **All or none.** Each share is asked for without waiting, and all are given
 //! back as soon as one is refused. No request ever waits for memory while it
@@ -110,35 +110,52 @@
     counted.saturating_sub(total.memory)
 }
 
-/// Spreads `needed` tokens over the engine that answers, which has `own` free,
-/// and as few others as possible, given with what each has free. None if all of
-/// them together have too little.
-pub fn spread(needed: u64, own: u64, others: &[(usize, u64)]) -> Option<Vec<Share>> {
-    if needed <= own {
-        return Some(Vec::new());
-    }
+/// What is set aside for a prompt that needs so many tokens with its answer.
+pub const fn reserved(needed: u64) -> u64 {
+    needed + SLACK
+}
+
+/// What is set aside on the engine that answers, which has so much free, for its share
+/// of a prompt. Nothing where as much again would fit beside it: prompts of several
+/// hosts that come at the same moment all fit, and a stream without memory of its name
+/// doesn't depend on renewals that may be lost.
+pub fn own_share(place: usize, free: u64, tokens: u64) -> Option<Share> {
+    let is_scarce = free < tokens * 2;
+    (is_scarce && tokens > 0).then_some(Share { place, tokens })
+}
+
+/// Spreads `needed` tokens over the engine that answers, given as `own` with what it
+/// has free, and as few others as possible, given in the same way. The share of the
+/// one that answers comes first, if it has one ([`own_share`]). None if all of them
+/// together have too little.
+pub fn spread(needed: u64, own: (usize, u64), others: &[(usize, u64)]) -> Option<Vec<Share>> {
+    let needed = reserved(needed);
     let mut others = others.to_vec();
     others.sort_by_key(|(_, free)| Reverse(*free));
-    let needed = needed + SLACK;
-    let mut held = own;
-    let count = 1 + others.iter().position(|(_, free)| {
-        held += free;
-        held >= needed
-    })?;
+    let mut held = own.1;
+    let mut count = 0;
+    while held < needed {
+        held += others.get(count)?.1;
+        count += 1;
+    }
     others.truncate(count);
-    let holders = others.into_iter().map(|(place, free)| (Some(place), free));
     // Those with the least free take what they have, the others the rest in
-    // even parts.
-    let mut members: Vec<(Option<usize>, u64)> = holders.chain([(None, own)]).collect();
+    // even parts. Among equals the one that answers takes the smallest part.
+    let mut members: Vec<(usize, u64)> = others.into_iter().chain([own]).collect();
     members.sort_by_key(|(_, free)| *free);
     let mut rest = needed;
     let mut left = members.len() as u64;
-    let mut shares = Vec::with_capacity(count);
+    let mut shares = Vec::with_capacity(members.len());
     for (place, free) in members {
         let tokens = rest.div_ceil(left).min(free);
         rest -= tokens;
         left -= 1;
-        shares.extend(place.map(|place| Share { place, tokens }));
+        shares.extend(match place == own.0 {
+            true => own_share(place, free, tokens),
+            false => (tokens > 0).then_some(Share { place, tokens }),
+        });
     }
+    // Stable: the others stay in their order.
+    shares.sort_by_key(|share| share.place != own.0);
     Some(shares)
 }
--- a/almondlock-gateway/src/outgoing.rs
+++ b/almondlock-gateway/src/outgoing.rs
@@ -23,19 +23,23 @@
 }
 
 impl Placed<'_> {
-    /// The engines that read parts of the prompt, those with memory first.
+    /// The engines that read parts of the prompt, those with memory first. The one
+    /// that answers reads too; it is named only for its memory.
     fn helpers<D>(&self, dialect: &D) -> String
     where
         D: Dialect,
     {
-        let helpers = self.choice.helpers.iter().enumerate();
-        let helpers: Vec<String> = helpers
-            .filter_map(|(i, place)| {
-                let target = self.targets.get(*place)?;
-                Some(dialect.helper(target.address, self.memory.get(i).map(String::as_str)))
-            })
-            .collect();
-        helpers.join(",")
+        let shares = self.choice.shares.iter();
+        let holds = |place: &usize| shares.clone().any(|share| share.place == *place);
+        let holders = shares.clone().map(|share| share.place).zip(self.memory);
+        let holders = holders.map(|(place, memory)| (place, Some(memory.as_str())));
+        let readers = self.choice.helpers.iter().filter(|place| !holds(place));
+        let readers = readers.map(|place| (*place, None));
+        let helpers = holders.chain(readers).filter_map(|(place, memory)| {
+            let target = self.targets.get(place)?;
+            Some(dialect.helper(target.address, memory))
+        });
+        helpers.collect::<Vec<_>>().join(",")
     }
 }
 
--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -5,7 +5,7 @@
 use almondlock_policy::{engine::Speed, fill};
 use rand::{Rng, RngCore};
 
-use super::{Candidate, Choice, Demand, HELPERS, SHORT_PART, groups::Groups};
+use super::{Candidate, Choice, Demand, READERS, SHORT_PART, groups::Groups};
 use crate::memory;
 
 /// How much sooner an engine of the other side must be done to be taken: several
@@ -52,8 +52,11 @@
         R: RngCore,
     {
         let crossing = CROSSING.as_secs_f64();
-        let own = groups.short.iter().map(|i| (self.cost(*i), *i));
-        let other = groups.long.iter().map(|i| (self.cost(*i) + crossing, *i));
+        let own = groups.short.iter().map(|i| (self.whole_cost(*i), *i));
+        let other = groups
+            .long
+            .iter()
+            .map(|i| (self.whole_cost(*i) + crossing, *i));
         let mut costs: Vec<(f64, usize)> = own.collect();
         let least = costs.iter().map(|(cost, _)| *cost).fold(f64::MAX, f64::min);
         costs.extend(other.filter(|(cost, _)| *cost < least));
@@ -73,16 +76,24 @@
     where
         R: RngCore,
     {
-        let costs: Vec<(f64, usize)> = groups.short.iter().map(|i| (self.cost(*i), *i)).collect();
-        let part = self.speed.part(self.demand.prompt, HELPERS + 1);
+        let needed = memory::reserved(self.memory_needed());
+        let has_room = |i: &&usize| self.free(**i) >= needed;
+        let room = groups.short.iter().filter(has_room);
+        let mut costs: Vec<(f64, usize)> = room.map(|i| (self.cost(*i), *i)).collect();
+        let is_room = !costs.is_empty();
+        if !is_room {
+            costs.extend(groups.short.iter().map(|i| (self.cost(*i), *i)));
+        }
+        let part = self.speed.part(self.demand.prompt, READERS);
         let (_, first) = fill::draw(&costs, self.unseen(groups.short, part), rng)?;
+        let own = memory::own_share(first, self.free(first), needed);
         let others = groups.all.iter().filter(|i| **i != first);
         let mut order: Vec<(f64, usize)> = others
             .map(|i| (self.cost(*i) + rng.random::<f64>() * LOT, *i))
             .collect();
         order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
         let part = |count: usize| self.speed.part(self.demand.prompt, count);
-        let most = (order.len() + 1).min(HELPERS + 1);
+        let most = (order.len() + 1).min(READERS);
         let count = (1..=most)
             .find(|count| part(*count) <= SHORT_PART)
             .unwrap_or(most);
@@ -90,6 +101,7 @@
         let slowest = helpers.last().map_or(0.0, |(cost, _)| *cost);
         Some(Choice {
             helpers: helpers.iter().map(|(_, i)| *i).collect(),
+            shares: own.filter(|_| is_room).into_iter().collect(),
             expected: self.expected(slowest.max(self.cost(first)), part(count)),
             part: part(count),
             ..Choice::alone(first)
@@ -112,6 +124,11 @@
         candidate.total.requests() < candidate.slots
     }
 
+    /// Tokens of memory that the prompt and its answer take.
+    pub(super) const fn memory_needed(&self) -> u64 {
+        self.demand.prompt + self.demand.output
+    }
+
     /// Tokens of memory that can be counted on there.
     pub(super) fn free(&self, i: usize) -> u64 {
         let candidate = &self.candidates[i];
@@ -126,6 +143,13 @@
         cost(self.speed, &self.candidates[i])
     }
 
+    /// The same where the prompt's memory is needed there too.
+    fn whole_cost(&self, i: usize) -> f64 {
+        let has_room = self.free(i) >= self.memory_needed();
+        let wait = if has_room { Duration::ZERO } else { OVERFLOW };
+        self.cost(i) + wait.as_secs_f64()
+    }
+
     pub(super) fn expected(&self, wait: f64, part: Duration) -> Duration {
         let pass = self.speed.writing(1, self.demand.prompt);
         Duration::from_secs_f64(wait.max(0.0)) + part + pass
--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, RngCore};
 
 use super::{
-    Choice, HELPERS, Lack,
+    Choice, Lack, READERS,
     field::{Field, best},
     groups::Groups,
 };
@@ -77,7 +77,7 @@
                 break found;
             }
             count += 1;
-            if count > order.len().min(HELPERS + 1) {
+            if count > order.len().min(READERS) {
                 return Err(Lack::Memory);
             }
         };
@@ -87,14 +87,9 @@
     fn placed(&self, first: usize, shares: Vec<Share>, members: &[(f64, usize)]) -> Choice {
         let part = self.speed.part(self.demand.prompt, members.len());
         let slowest = members.iter().map(|(cost, _)| *cost).fold(0.0, f64::max);
-        let mut helpers: Vec<usize> = shares.iter().map(|share| share.place).collect();
-        for (_, i) in members {
-            if *i != first && !helpers.contains(i) {
-                helpers.push(*i);
-            }
-        }
+        let helpers = members.iter().map(|(_, i)| *i).filter(|i| *i != first);
         Choice {
-            helpers,
+            helpers: helpers.collect(),
             shares,
             expected: self.expected(slowest, part),
             part,
@@ -122,11 +117,12 @@
     where
         R: RngCore,
     {
-        let most = (readers + 1).min(HELPERS + 1);
+        let most = (readers + 1).min(READERS);
         if self.speed.part(self.demand.prompt, most) > WRITER_PART {
             return None;
         }
-        let open = groups.writers.iter().filter(|i| self.has_place(**i));
+        let can_answer = |i: &&usize| self.has_place(**i) && self.free(**i) > self.demand.output;
+        let open = groups.writers.iter().filter(can_answer);
         let costs = open.map(|i| {
             let streams = self.candidates[*i].total.long();
             (self.cost(*i) + (WRITING * streams).as_secs_f64(), *i)
@@ -163,11 +159,13 @@
             let idle = self.candidates[*i].total.long() == 0;
             (self.has_place(*i), idle, self.free(*i))
         };
-        let first = writer.or_else(|| members.clone().max_by_key(rank))?;
+        let can_answer = |i: &usize| self.free(*i) > self.demand.output;
+        let others = members.clone().filter(can_answer);
+        let first = writer.or_else(|| others.max_by_key(rank))?;
         let others = members.filter(|i| *i != first);
         let others: Vec<(usize, u64)> = others.map(|i| (i, self.free(i))).collect();
-        let needed = self.demand.prompt + self.demand.output;
-        let shares = memory::spread(needed, self.free(first), &others)?;
+        let own = (first, self.free(first));
+        let shares = memory::spread(self.memory_needed(), own, &others)?;
         Some((first, shares))
     }
 
@@ -175,7 +173,7 @@
     /// a delay.
     fn harm(&self, i: usize) -> f64 {
         let total = &self.candidates[i].total;
-        let large = self.speed.part(self.demand.prompt, HELPERS + 1) > LARGE;
+        let large = self.speed.part(self.demand.prompt, READERS) > LARGE;
         match (total.short, total.long()) {
             (0, 1..) if large => HARM_LONG.as_secs_f64(),
             (0, _) => 0.0,
@@ -189,5 +187,5 @@
     let parts = (whole.as_secs_f64() / PART.as_secs_f64()).ceil();
     // A prompt's reading time is bounded by its tokens; a float beyond the
     // range saturates.
-    (parts as usize).clamp(1, HELPERS + 1)
+    (parts as usize).clamp(1, READERS)
 }
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -54,9 +54,9 @@
 /// shortest pauses that streams allow.
 const SHORT_PART: Duration = Duration::from_millis(35);
 
-/// The most engines that may help one request; what the engines' protocol
-/// allows.
-pub const HELPERS: usize = 16;
+/// The most engines that may read parts of one prompt: the engines' protocol takes
+/// a list of so many, in which the one that answers stands for its memory.
+pub const READERS: usize = 16;
 
 /// One upstream that could take the request.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -92,11 +92,11 @@
 pub struct Choice {
     /// Who answers.
     pub first: usize,
-    /// Who reads parts besides. Empty for a short prompt. Those that also hold
-    /// a share of its memory come first, in the order of `shares`.
+    /// Who reads parts besides. Empty for a short prompt.
     pub helpers: Vec<usize>,
-    /// Memory that has to be set aside before the prompt is sent. Empty if the
-    /// engine that answers has enough.
+    /// Memory that has to be set aside before the prompt is sent. Empty for a short
+    /// prompt. Invariant: one on the engine that answers comes first, all others are
+    /// on helpers.
     pub shares: Vec<Share>,
     /// When the first event is expected, from now.
     pub expected: Duration,
@@ -160,7 +160,7 @@
         .filter(|i| !candidates[*i].suspect)
         .collect();
     if healthy.is_empty() {
-        return suspects(speed, whole, demand, candidates, rng).ok_or(Lack::Upstream);
+        return suspects(speed, whole, demand, candidates, rng);
     }
     let field = Field {
         speed,
@@ -194,7 +194,7 @@
     {
         let (speed, prompt) = (self.speed, self.demand.prompt);
         let groups = Groups::of(speed, engines, self.candidates);
-        let thin = speed.part(prompt, engines.len().min(HELPERS + 1)) <= SHORT_PART;
+        let thin = speed.part(prompt, engines.len().min(READERS)) <= SHORT_PART;
         let is_short = speed.reading(prompt) <= SHORT;
         let choice = match (is_short, thin && !groups.long.is_empty()) {
             (true, _) => self.short(&groups, rng).ok_or(Lack::Upstream),
@@ -214,12 +214,19 @@
     demand: Demand,
     candidates: &[Candidate],
     rng: &mut R,
-) -> Option<Choice>
+) -> Result<Choice, Lack>
 where
     R: RngCore,
 {
-    let first = least(candidates, rng, |candidate| cost(speed, candidate))?;
-    Some(Choice {
+    let first = least(candidates, rng, |candidate| {
+        let full = if candidate.full { f64::MAX } else { 0.0 };
+        cost(speed, candidate) + full
+    });
+    let first = first.ok_or(Lack::Upstream)?;
+    if candidates[first].full {
+        return Err(Lack::Memory);
+    }
+    Ok(Choice {
         expected: whole + speed.writing(1, demand.prompt),
         part: whole,
         ..Choice::alone(first)
