Spare the last short streams at a turn: long prompts wait for engines that write none

A stream counted as 100 ms of waiting against an objective of 3 s, so engines with one or two streams left were taken for a gain of some tens of milliseconds. Change: a stream counts as 400 ms; nothing where the engine reads so much already that its streams will be late in any case, so that parts of several prompts stop the same few streams; and when a first event is expected is reckoned without the harm, which is no wait.

--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -17,14 +17,14 @@
 /// steps of the pass itself beside it.
 const PART: Duration = Duration::from_millis(40);
 
-/// What a part costs each short stream on its engine, as a delay of the part.
-/// Parts take up to some hundred milliseconds, in which each of those streams
-/// pauses longer than it may. When the mix turns from short prompts to long ones,
-/// engines that were packed with streams become readers while those end, for about
-/// two seconds. Counted for each stream, an engine with one left reads before a full
-/// one does: 0.575 to 0.600 of the worth in 6 paired runs with 69 engines, 0.578 to
-/// 0.576 in 10 with 21, against half a second whatever their number.
-const HARM: Duration = Duration::from_millis(100);
+/// What a part costs each short stream on its engine, as a delay of the part: those
+/// streams pause for longer than they may, and when the mix turns from short prompts
+/// to long ones, engines that were packed with streams become readers while those end,
+/// for about two seconds. An objective of a long prompt bears this much waiting.
+const HARM: Duration = Duration::from_millis(400);
+
+/// With this much to read an engine pauses its short streams for longer than they may.
+const BEARABLE: Duration = Duration::from_millis(150);
 
 /// What a large part costs the streams of long prompts, which allow longer pauses
 /// and are fewer.
@@ -86,7 +86,8 @@
 
     fn placed(&self, first: usize, shares: Vec<Share>, members: &[(f64, usize)]) -> Choice {
         let part = self.speed.part(self.demand.prompt, members.len());
-        let slowest = members.iter().map(|(cost, _)| *cost).fold(0.0, f64::max);
+        let waits = members.iter().map(|(_, i)| self.cost(*i));
+        let slowest = waits.fold(0.0, f64::max);
         let helpers = members.iter().map(|(_, i)| *i).filter(|i| *i != first);
         Choice {
             helpers: helpers.collect(),
@@ -170,13 +171,15 @@
     }
 
     /// What reading a part there costs the streams that are written there, as
-    /// a delay.
+    /// a delay. Nothing where the short ones will pause for too long in any case: so
+    /// the parts of several prompts stop the same few streams, and not all of them.
     fn harm(&self, i: usize) -> f64 {
         let total = &self.candidates[i].total;
         let large = self.speed.part(self.demand.prompt, READERS) > LARGE;
         match (total.short, total.long()) {
             (0, 1..) if large => HARM_LONG.as_secs_f64(),
             (0, _) => 0.0,
+            _ if total.backlog() >= BEARABLE => 0.0,
             (short, _) => (HARM * short).as_secs_f64(),
         }
     }
