--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -64,8 +64,11 @@
 const COLD_START: Duration = Duration::from_millis(1_300);
 /// Callers that were refused together come back spread over this much more.
 pub(crate) const SPREAD: f64 = 0.5;
-/// When to come back to another host, because this one is cut off or stops.
+/// When to come back to another host, because this one is cut off.
 const ELSEWHERE: Duration = Duration::from_millis(100);
+/// When to come back to another host, because this one stops. The others are ready, and
+/// the balancer has noticed the stop before requests are refused.
+const STOPPING: Duration = Duration::from_millis(10);
 
 impl Shared {
     pub(crate) fn new(now: Mono) -> Shared {
@@ -85,7 +88,10 @@
     ///
     /// `drawn` is a number from 0 to 1 that spreads returns.
     pub(crate) fn return_time(&self, now: Mono, drawn: f64) -> Duration {
-        let left = self.cold_left(now).max(ELSEWHERE);
+        let left = match self.is_stopping() {
+            true => STOPPING,
+            false => self.cold_left(now).max(ELSEWHERE),
+        };
         left.mul_f64(1.0 + drawn * SPREAD)
     }
 
