--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -30,11 +30,9 @@
 /// runs, and its own.
 const PASSES: f64 = 1.5;
 
-/// Seconds within which costs count as equal and the lot decides. Within the two
-/// periods until work is seen elsewhere dozens of hosts choose from the same
-/// knowledge, and would all take the same engine: with a thousandth of this, 26
-/// and 31 hosts got 0.615 of the worth, with it 0.670, and 4 and 5 hosts the same
-/// as before, in paired runs.
+/// Seconds within which costs count as equal and a random draw decides. Until work is
+/// seen elsewhere dozens of hosts choose from the same knowledge, and would all take
+/// the same engine.
 const LOT: f64 = 0.04;
 
 /// One choice among engines.
--- a/almondlock-gateway/src/pick/groups.rs
+++ b/almondlock-gateway/src/pick/groups.rs
@@ -7,28 +7,19 @@
 
 use super::Candidate;
 
-/// Short streams that share an engine, as a part of its places: 13 of the usual
-/// 16. A pass takes a quarter longer with so many than with one, and the places
-/// left are for those that come at once. Of 11, 13 and 15 it served the worst
-/// kind of request best: 0.674, 0.693 and 0.682 of its worth, over 16 paired
-/// runs.
+/// Short streams that share an engine, as a part of its places. A pass takes longer the
+/// more it writes, and the places left are for those that come at once.
 const PACKED: f64 = 0.82;
 
 /// What the engines for short streams may have to read in the mean before others
-/// join them: three short prompts, a third of the shortest objectives. In 20 paired
-/// runs with a restart of all hosts, 811 of some 4,000 callers of the four seconds
-/// after it were served in time, with this 910, and the mean share of the worth went
-/// from 0.560 to 0.566. Guessing besides what the other hosts send in the same moment
-/// gave 868 and 0.562.
+/// join them: three short prompts, a third of the shortest objectives.
 const WAIT_MOST: Duration = Duration::from_millis(100);
 
-/// Streams of long prompts that share a writer. With 2 to 5 the same runs gave
-/// 0.661, 0.658, 0.663 and 0.662 of the worth.
+/// Streams of long prompts that share a writer.
 const PACKED_LONG: u32 = 4;
 
 /// Writers while few streams need them. With one, prompts that come at the same
-/// moment queue at it: 0.671 of the worth, against 0.681 with two, over 24 paired
-/// runs.
+/// moment queue at it.
 const WRITERS_LEAST: usize = 2;
 
 /// Of the engines for long prompts, at most one in so many writes.
--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -42,8 +42,7 @@
 /// pass, since a new stream makes the others' passes longer.
 const WRITING: Duration = Duration::from_millis(50);
 
-/// Seconds by which the order of equal readers is drawn. Most prompts take all of
-/// them.
+/// Seconds within which the order of readers is drawn. Most prompts take all of them.
 const LOT: f64 = 1e-3;
 
 /// Engines in the order in which a prompt takes them, with the seconds until
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -20,12 +20,16 @@
 //! **Readers apart from writers.** A pass that writes stops at each step for up
 //! to a chunk of whatever is read beside it, so a part of half a second delays
 //! the next event of every stream on its engine by as much, and parts of several
-//! prompts add up. Written on engines that read parts for everybody, streams of
-//! long prompts paused 768 ms in the median and 1,572 ms at the 90th percentile,
-//! where they may pause 800 ms; on writers that read only the first part of what
-//! they will write, 379 ms and 1,164 ms, in the same half minute with bursts.
-//! Over 16 paired runs the share of the worth that callers got rose from 0.631
-//! to 0.663. The memory that a writer lacks is held by readers.
+//! prompts add up. So streams of long prompts are written on engines that read
+//! only the first part of what they will write. The memory that a writer lacks is
+//! held by readers.
+//!
+//! **Turns of the mix.** When short prompts give way to long ones, engines that were
+//! packed with short streams become readers while the last of those end. A long
+//! prompt can wait for a reader that writes none for a part of its objective; a
+//! short stream that stands still for one large part is late. So each stream makes
+//! its engine costlier by as much, until parts that are read there already have made
+//! it late in any case.
 //!
 //! **Placement.** Each part goes where the least is left to read. A prompt whose
 //! parts are too large for any stream beside them is written by a reader that
--- a/almondlock-policy/src/admission.rs
+++ b/almondlock-policy/src/admission.rs
@@ -21,27 +21,7 @@
 //!
 //! **When to come back.** A refused caller is told to come back once the engines have
 //! read what keeps it out: after as much time as it was expected beyond its bound.
-//! Coming back after 0.15 to 0.23 s, it met the same engines and was refused again:
-//! 13.4 of 100 of the longest prompts' callers in the end, 13.1 with this, and of
-//! what they asked for they got 0.766, not 0.748, over 20 paired runs.
-//!
-//! **Grounds.** Mean share of the worth that callers gave to their requests, in
-//! paired runs of half a minute with bursts of either length and faults.
-//! The price: 0.508 to 0.575 in 6 runs of 69 engines and 22 entry hosts, 0.572 to
-//! 0.578 in 10 runs of 21 engines and 4 entry hosts; a price that rises with the power
-//! 1.5 of the yield lost 0.035 and 0.003 against it. Taking whatever is in time while
-//! the engines are idle left both means as they were and raised the worst kind of
-//! request from 0.744 to 0.759 with 21 engines; idle up to 0.08 and 0.15 of the
-//! objective, not 0.03, lost 0.03 and 0.08 with 69. From 0.65 and 0.45 of the
-//! objective, not 0.55, with the price: 0.018 and 0.004 less with 69, 0.008 and 0.002
-//! with 21.
-//!
-//! Tried and lost: refusing by the mean backlog and the prompt's own part in it,
-//! instead of by the wait that it meets (0.02 more with 21 engines, 0.05 less with
-//! 69, where it sees too late that the engines are full); waiting at the entry
-//! host for a moment in which the prompt would be in time (0.014 less); being
-//! milder with callers that come back (0.017 less); refusing short prompts too
-//! (0.014 less, since those that come back and find the same are lost).
+//! Coming back at once, it meets the same engines and is refused again.
 
 use std::time::Duration;
 
@@ -54,9 +34,8 @@
 /// the rest.
 const HOPELESS: f64 = 0.55;
 
-/// What takes an engine less time than this is worth its time also when late: a
-/// prompt of 110,000 tokens takes 1.0 s. From 0.6 s the largest tenth of the
-/// prompts around 45,000 tokens was refused, and served half as often as the rest.
+/// What takes an engine less time than this is worth its time also when late: refused,
+/// the largest prompts of a middling kind would hardly ever be served.
 const COSTLY: Duration = Duration::from_millis(1_100);
 
 /// Engines that have less than this part of an objective left to read, in the
--- a/almondlock-policy/src/cell.rs
+++ b/almondlock-policy/src/cell.rs
@@ -29,7 +29,7 @@
 use almondlock_base::id::{Domain, Upstream};
 use rand::{RngCore, seq::index};
 
-/// The fewest engines in a cell: a prompt may be read by 17 of them, and the short
+/// The fewest engines in a cell: a prompt may be read by 16 of them, and the short
 /// streams need some of their own.
 pub const LEAST: usize = 20;
 
