--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -153,8 +153,8 @@
     names.join(",")
 }
 
-/// Chooses who takes part, and sets memory aside for a long prompt. An engine that has
-/// none to give is left out, and others are chosen.
+/// Chooses who takes part, and sets memory aside where a long prompt might find too
+/// little. An engine that has none to give is left out, and others are chosen.
 ///
 /// **Failure.** Several hosts send long prompts to the same engine before they hear of
 /// each other, or an engine writes more than was known. A prompt that doesn't fit there
@@ -178,8 +178,8 @@
         let now = clock::mono();
         // Once nobody has memory to give, the engine that answers is asked for none:
         // it admits the prompt when a stream of its own has ended.
-        let asked = now.since(request.arrived);
-        let is_over = asked > request.route.objective.mul_f64(ASKING_SHARE);
+        let spent = now.since(request.arrived);
+        let is_over = spent > request.route.objective.mul_f64(ASKING_SHARE);
         let is_last = placements == PLACEMENTS || placements > 0 && is_over;
         if is_last {
             full.retain(|upstream| silent.contains(upstream));
--- a/almondlock-gateway/src/memory.rs
+++ b/almondlock-gateway/src/memory.rs
@@ -2,9 +2,10 @@
 //!
 //! **Load pattern.** The largest prompts take more memory than an engine has,
 //! and usual ones more than an engine has left that holds another. Sent all the
-//! same, they are rejected, wait for a stream to end, or stop a running one. So all
-//! that a long prompt takes is set aside before it is sent, on the engine that answers
-//! and, where that has too little, on others that read parts of it anyway.
+//! same, they are rejected, wait for a stream to end, or stop a running one. So
+//! memory is set aside before the prompt is sent: what the engine that answers lacks
+//! on others that read parts of it anyway, and its own share too where there is no
+//! room for a second one.
 //!
 //! **All or none.** Each share is asked for without waiting, and all are given
 //! back as soon as one is refused. No request ever waits for memory while it
--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -17,13 +17,13 @@
 /// steps of the pass itself beside it.
 const PART: Duration = Duration::from_millis(40);
 
-/// What a part costs each short stream on its engine, as a delay of the part: those
-/// streams pause for longer than they may, and when the mix turns from short prompts
-/// to long ones, engines that were packed with streams become readers while those end,
-/// for about two seconds. An objective of a long prompt bears this much waiting.
+/// What a part costs each short stream on its engine, as a delay of the part. The
+/// stream would pause for longer than it may; the objective of a long prompt bears
+/// this much waiting.
 const HARM: Duration = Duration::from_millis(400);
 
-/// With this much to read an engine pauses its short streams for longer than they may.
+/// With this much to read beside its passes an engine makes its short streams pause for
+/// longer than they may.
 const BEARABLE: Duration = Duration::from_millis(150);
 
 /// What a large part costs the streams of long prompts, which allow longer pauses
