Log limits that upstreams name, and headers of answers that nobody reads

Cause it serves: the incident's hypotheses can't be told apart by what hosts log. No line and no metric says that an upstream has named a limit for all hosts, nor that an answer has a header that this version doesn't know, which is how the new header was missed.

The gateway reads the header (Names::limit) and keeps the newest notice for each upstream: the end of a limit is dated by when its request was sent, since an answer may be older than one that came before it. Nothing acts on it yet: requests go where they went.

The incident's timeline had counted one host's requests from 7 s on; from 8 s on no host alone went over the limit, so the counts don't decide against each host keeping it alone.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -128,6 +128,7 @@
         }
     };
     let (connection, head) = result.map_err(|error| Broken::of(&error, &target.name))?;
+    worker.hear_limit(&target.name, now, &head);
     let run = Run {
         upstream: target.name.clone(),
         connection,
--- a/almondlock-gateway/src/dialect.rs
+++ b/almondlock-gateway/src/dialect.rs
@@ -40,10 +40,28 @@
     pub at_fault: HeaderName,
     /// Running, waiting and slots of an upstream, with commas between.
     pub load: HeaderName,
+    /// Requests a second that an upstream takes from all hosts together.
+    pub limit: HeaderName,
     /// The number of the last event that the caller has.
     pub last_event: HeaderName,
 }
 
+impl Names {
+    /// Whether a header of an answer, in lower case, is one that is read here.
+    pub fn is_read(&self, header: &str) -> bool {
+        let read = [
+            &self.request_id,
+            &self.instance,
+            &self.seal,
+            &self.not_run,
+            &self.at_fault,
+            &self.load,
+            &self.limit,
+        ];
+        read.iter().any(|name| name.as_str() == header)
+    }
+}
+
 /// An order to an engine, as an HTTP call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`pool`] | connections that wait for their next request |
 //! | [`event`] | event streams, cut into whole events |
 //! | `lease` | memory set aside on engines, and given back |
+//! | `limit` | limits that upstreams name for all hosts |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
 //! | [`server`] | the listeners |
@@ -36,6 +37,7 @@
 mod held;
 mod lease;
 mod life;
+mod limit;
 pub mod load;
 pub mod memory;
 pub mod metrics;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
     sync::{
@@ -21,7 +21,7 @@
     unit::Revision,
 };
 use almondlock_node::Handle;
-use almondlock_policy::{admission::Backlog, cell};
+use almondlock_policy::{admission::Backlog, cell, throttle};
 use almondlock_state::instance::{Birth, Instance};
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, mpsc::UnboundedSender};
@@ -160,6 +160,10 @@
     backlogs: RefCell<HashMap<Service, Backlog>>,
     /// The life of each upstream that the configuration in force names.
     births: RefCell<HashMap<Upstream, Birth>>,
+    /// Limits that upstreams have named for all hosts.
+    pub(crate) limits: RefCell<throttle::Limits<Upstream>>,
+    /// Headers of answers that nobody reads, as far as they were logged.
+    pub(crate) unread: RefCell<BTreeSet<Box<str>>>,
     /// Where the memory of attempts goes that have ended.
     pub(crate) ended: UnboundedSender<Ended>,
 }
@@ -205,6 +209,8 @@
             suspects: RefCell::default(),
             backlogs: RefCell::default(),
             births: RefCell::default(),
+            limits: RefCell::default(),
+            unread: RefCell::default(),
             ended,
         }
     }
@@ -267,6 +273,7 @@
             if births.get(name).is_some_and(|last| *last < birth) {
                 tracing::info!(upstream = %name, birth = birth.0, "upstream started again");
                 self.load.borrow_mut().forget(name);
+                self.limits.borrow_mut().forget(name);
                 self.pool.borrow_mut().forget(name);
                 self.suspects.borrow_mut().remove(name);
             }
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -87,6 +87,7 @@
             not_run: name("x-not-run"),
             at_fault: name("x-at-fault"),
             load: name("x-load"),
+            limit: name("x-limit"),
             last_event: name("last-event-id"),
         })
     }
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
 //! | [`poison`] | both | does it kill engines, and how does it run then |
+//! | [`throttle`] | both | which limits do upstreams name for all hosts |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //! | [`gang`] | both | how is a prompt larger than an engine given room on several |
@@ -45,3 +46,4 @@
 pub mod prefix;
 pub mod queue;
 pub mod retry;
+pub mod throttle;
--- /dev/null
+++ b/almondlock-policy/src/throttle/mod.rs
@@ -0,0 +1,130 @@
+//! The limits that upstreams name for all entry hosts together.
+
+use std::{collections::HashMap, fmt, hash::Hash};
+
+use almondlock_base::time::Mono;
+use serde::{Deserialize, Serialize};
+
+/// Requests a second, in thousandths.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
+pub struct Rate(u32);
+
+impl Rate {
+    /// Reads a decimal number of requests a second. None if it is no such number.
+    pub fn parse(text: &str) -> Option<Rate> {
+        let rate: f64 = text.trim().parse().ok()?;
+        let is_rate = rate.is_finite() && rate >= 0.0;
+        // A float beyond the range saturates.
+        is_rate.then_some(Rate((rate * 1e3) as u32))
+    }
+
+    /// Thousandths of requests a second.
+    pub const fn thousandths(self) -> u32 {
+        self.0
+    }
+
+    /// Requests a second.
+    pub fn per_second(self) -> f64 {
+        f64::from(self.0) / 1e3
+    }
+}
+
+impl fmt::Display for Rate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.per_second())
+    }
+}
+
+/// What an answer said of its upstream's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Notice {
+    /// The limit. None: there is none any more.
+    pub rate: Option<Rate>,
+    /// When that was so: of a limit, when the answer came; of the end of one, when the
+    /// request was sent, since the answer may be older than one that came before it.
+    pub at: Mono,
+}
+
+impl Notice {
+    /// What an answer that came now says, to a request that was sent at `sent`.
+    pub const fn of(rate: Option<Rate>, sent: Mono, now: Mono) -> Notice {
+        let at = match rate {
+            Some(_) => now,
+            None => sent,
+        };
+        Notice { rate, at }
+    }
+
+    /// Whether it replaces an earlier notice. Between two of the same moment the limit
+    /// stays.
+    fn replaces(&self, other: &Notice) -> bool {
+        let is_end = self.rate.is_none() && other.rate.is_some();
+        self.at > other.at || self.at == other.at && !is_end
+    }
+}
+
+/// The limits that upstreams have named.
+#[derive(Clone, Debug)]
+pub struct Limits<K> {
+    // Ended limits stay, so that older news of them is known for what it is.
+    notices: HashMap<K, Notice>,
+}
+
+impl<K> Default for Limits<K> {
+    fn default() -> Limits<K> {
+        Limits {
+            notices: HashMap::new(),
+        }
+    }
+}
+
+impl<K> Limits<K>
+where
+    K: Clone + Eq + Hash,
+{
+    /// Takes a notice in. Whether the limit in force has changed with it.
+    pub fn learn(&mut self, key: &K, notice: Notice) -> bool {
+        let Some(last) = self.notices.get_mut(key) else {
+            if notice.rate.is_none() {
+                return false;
+            }
+            self.notices.insert(key.clone(), notice);
+            return true;
+        };
+        if !notice.replaces(last) {
+            return false;
+        }
+        let is_change = last.rate != notice.rate;
+        *last = notice;
+        is_change
+    }
+
+    /// The limit in force.
+    pub fn rate(&self, key: &K) -> Option<Rate> {
+        self.notices.get(key)?.rate
+    }
+
+    /// The last notice.
+    pub fn notice(&self, key: &K) -> Option<Notice> {
+        self.notices.get(key).copied()
+    }
+
+    /// All notices, ended limits among them.
+    pub fn notices(&self) -> impl Iterator<Item = (&K, &Notice)> {
+        self.notices.iter()
+    }
+
+    /// Forgets an upstream, as when it has started again.
+    pub fn forget(&mut self, key: &K) {
+        self.notices.remove(key);
+    }
+
+    /// Forgets upstreams that are gone.
+    pub fn retain<F>(&mut self, is_known: F)
+    where
+        F: Fn(&K) -> bool,
+    {
+        self.notices.retain(|key, _| is_known(key));
+    }
+}
