--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -4,9 +4,9 @@
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
     sync::{
-        atomic::{AtomicU16, Ordering},
+        atomic::{AtomicU16, AtomicU64, Ordering},
         mpsc,
     },
     thread,
@@ -20,6 +20,7 @@
 use almondlock_gateway::{
     budget,
     dialect::{Call, Dialect, Names},
+    exchange,
     memory::Order,
     rules::{Error, Kind, Limits, Route, Rules, Target},
     server::{self, Bounds, Config},
@@ -193,6 +194,8 @@
     stop: Option<Duration>,
     /// How long it may then take.
     grace: Duration,
+    /// Where hosts' loads are added up.
+    relays: Option<[SocketAddr; 2]>,
 }
 
 const SETUP: Setup = Setup {
@@ -202,6 +205,7 @@
     hold: MEMORY_HOLD,
     stop: None,
     grace: Duration::ZERO,
+    relays: None,
 };
 
 const ENGINES: Setup = Setup {
@@ -251,6 +255,37 @@
     start_for(setup, upstreams)
 }
 
+/// The same as [`start`], as one host of several that share these relays. Stops after a
+/// while, if that is given.
+pub fn start_beside(
+    upstreams: &[SocketAddr],
+    relays: [SocketAddr; 2],
+    stop: Option<Duration>,
+) -> SocketAddr {
+    let setup = Setup {
+        relays: Some(relays),
+        stop,
+        ..SETUP
+    };
+    start_for(setup, upstreams)
+}
+
+/// Starts a relay; gives its address.
+pub fn start_relay() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = socket.local_addr().unwrap();
+    socket.set_nonblocking(true).unwrap();
+    thread::spawn(move || {
+        let system = ntex::rt::System::new("relay", ntex::rt::DefaultRuntime);
+        system.block_on(async move {
+            let socket = tokio::net::UdpSocket::from_std(socket).unwrap();
+            let domain = Domain::new("d").unwrap();
+            exchange::relay(socket, domain).await.unwrap();
+        });
+    });
+    address
+}
+
 fn start_for(setup: Setup, upstreams: &[SocketAddr]) -> SocketAddr {
     let instances = (0..).zip(upstreams);
     let instances: Vec<(Upstream, Instance)> = instances
@@ -339,19 +374,25 @@
         listen,
         ready,
         metrics: None,
-        relays: Vec::new(),
+        relays: setup.relays.into_iter().flatten().collect(),
         domain: Domain::new("d").unwrap(),
         bounds: Bounds {
             stale: Duration::from_secs(3),
             retries,
             memory_hold: setup.hold,
         },
-        seed: 1,
+        seed: next_host(),
         notice: Duration::ZERO,
         grace: setup.grace,
     }
 }
 
+/// Hosts that share relays are told apart by their number.
+fn next_host() -> u64 {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 /// Tests draw addresses at the same time, so none is drawn twice, and from below
 /// the range that the system hands out.
 fn free_address() -> SocketAddr {
