--- a/almondlock-base/src/code.rs
+++ b/almondlock-base/src/code.rs
@@ -117,6 +117,7 @@
     Tombstoned = 2014, 503, No, true, "It was given up before it arrived.";
     Cancelled = 2015, 499, No, true, "The caller left before it ran.";
     MemoryUnavailable = 2016, 503, No, true, "Engine memory for it can't be had now.";
+    UpstreamLimited = 2017, 503, No, true, "Every upstream is at the limit that it names for all hosts.";
     DeadlinePassed = 3001, 504, Yes, true, "Its deadline passed while it ran.";
     UpstreamLost = 3002, 502, Unknown, true, "The upstream was lost while it may have run.";
     StreamBroken = 3003, 502, Yes, true, "The answer broke off.";
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -162,9 +162,14 @@
             .set_nonblocking(true)
             .context("setting up the socket for loads")?;
         let socket = UdpSocket::from_std(socket).context("setting up the socket for loads")?;
-        let domain = domain.clone();
+        let (domain, replica) = (domain.clone(), replica.clone());
+        // There is a relay beside each replica.
+        let relays = move || {
+            let count = replica.state(|machine| machine.config().sources.len());
+            u32::try_from(count).unwrap_or(u32::MAX)
+        };
         spawn_local(async move {
-            if let Err(error) = exchange::relay(socket, domain).await {
+            if let Err(error) = exchange::relay(socket, domain, relays).await {
                 tracing::error!(%error, "loads are no longer passed on");
             }
         });
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -84,7 +84,6 @@
 where
     D: Dialect,
 {
-    let now = clock::mono();
     let known = worker.known();
     // Whoever refused this request just now would refuse it again.
     let targets = known.instances.get(&request.service).into_iter().flatten();
@@ -97,6 +96,7 @@
     let target = targets
         .get(choice.first)
         .ok_or_else(|| lacking(Lack::Upstream))?;
+    let now = clock::mono();
     tracing::info!(
         request = %request.id, route = %request.route.name, upstream = %target.name,
         prompt = request.demand.map_or(0, |demand| demand.prompt),
@@ -175,6 +175,7 @@
     let mut full = Vec::new();
     let mut silent = Vec::new();
     let mut placements = 0;
+    let mut questions = 0;
     loop {
         let now = clock::mono();
         // Once nobody has memory to give, the engine that answers is asked for none:
@@ -186,7 +187,11 @@
             full.retain(|upstream| silent.contains(upstream));
         }
         let choice = choose(worker, request, targets, &course.tried, &full, now);
-        let mut choice = choice.map_err(lacking)?;
+        let choice = choice.map_err(|lack| match lack {
+            Lack::Limit => limited(worker, request, now),
+            Lack::Upstream | Lack::Memory => lacking(lack),
+        });
+        let mut choice = choice?;
         if is_last {
             choice.shares.retain(|share| share.place != choice.first);
         }
@@ -194,6 +199,16 @@
         if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
             return Err(refused);
         }
+        let first = targets.get(choice.first);
+        let first = first.ok_or_else(|| lacking(Lack::Upstream))?;
+        if !worker.permit(request, &first.name).await {
+            // It is known as spent from now on, so that another one is chosen.
+            questions += 1;
+            if questions > targets.len() {
+                return Err(limited(worker, request, clock::mono()));
+            }
+            continue;
+        }
         let held = Held::new(worker, request, targets, &choice, now);
         if choice.shares.is_empty() {
             return Ok((choice, held));
@@ -220,6 +235,17 @@
     }
 }
 
+/// Refused because every upstream is at its limit.
+fn limited<D>(worker: &Worker<D>, request: &Request, now: Mono) -> Broken
+where
+    D: Dialect,
+{
+    Broken {
+        returns: Some(worker.limit_returns(request, now)),
+        ..Broken::new(Failure::Limited, None, Lack::Limit)
+    }
+}
+
 fn lacking(lack: Lack) -> Broken {
     Broken::new(Failure::Unsent, None, lack)
 }
--- a/almondlock-gateway/src/dialect.rs
+++ b/almondlock-gateway/src/dialect.rs
@@ -47,7 +47,7 @@
 }
 
 impl Names {
-    /// Whether a header of an answer, in lower case, is one that is read here.
+    /// Whether a header of an answer is one that is read here.
     pub fn is_read(&self, header: &str) -> bool {
         let read = [
             &self.request_id,
@@ -58,7 +58,8 @@
             &self.load,
             &self.limit,
         ];
-        read.iter().any(|name| name.as_str() == header)
+        read.iter()
+            .any(|name| name.as_str().eq_ignore_ascii_case(header))
     }
 }
 
--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -95,6 +95,11 @@
         }
     }
 
+    /// The hosts that are heard of.
+    pub fn hosts(&self) -> impl Iterator<Item = SocketAddr> {
+        self.hosts.keys().copied()
+    }
+
     /// The time until the next round.
     pub fn period(&self) -> Duration {
         let all = self.hosts.values();
--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -6,7 +6,7 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Digest, Listen, Message, Relays, Sum, send};
+use super::{DATAGRAM, Digest, Limit, Listen, Message, Relays, Sum, ration::REPEAT, send};
 use crate::{
     dialect::Dialect,
     load::{Key, Load},
@@ -39,6 +39,8 @@
     // The same of the relay that is followed closely.
     close_at: Mono,
     is_close_due: bool,
+    // When all limits were last told.
+    limits_at: Mono,
 }
 
 impl Teller {
@@ -81,7 +83,10 @@
         has_news: false,
         close_at: Mono::ZERO,
         is_close_due: false,
+        limits_at: Mono::ZERO,
     };
+    let socket = Rc::new(socket);
+    worker.permits.connect(Rc::clone(&socket));
     loop {
         let now = clock::mono();
         let all_due = teller.all_at + period(&worker, &teller, now);
@@ -99,6 +104,10 @@
                 teller.is_close_due = true;
                 teller.has_news = true;
             }
+            () = worker.permits.noticed() => {
+                let news = worker.permits.take_news();
+                tell_limits(&worker, &socket, &named, &news).await;
+            }
             () = sleep(due.since(now)) => {
                 let is_all = clock::mono() >= all_due;
                 tell(&worker, &socket, &named, &mut teller, is_all).await;
@@ -120,6 +129,25 @@
     PERIOD.max(PERIOD_PER_HOST * hosts).min(IDLE_PERIOD)
 }
 
+/// Tells all relays these limits, as far as they are known.
+async fn tell_limits<D>(worker: &Worker<D>, socket: &UdpSocket, named: &[SocketAddr], keys: &[Key])
+where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let limits = keys.iter().filter_map(|key| {
+        let notice = worker.limits.borrow().notice(key)?;
+        Some(Limit::of(now, *key, &notice))
+    });
+    let limits: Vec<Limit> = limits.collect();
+    if limits.is_empty() {
+        return;
+    }
+    for to in addresses(named, &worker.node.view().get().sources) {
+        send(socket, to, &Message::Limits(limits.clone())).await;
+    }
+}
+
 /// Tells the close relay, or every relay, and other hosts while none answers.
 async fn tell<D>(
     worker: &Worker<D>,
@@ -137,6 +165,14 @@
     let listened = teller.relays.listen(now, &all, teller.host);
     teller.close_at = now;
     teller.is_close_due = false;
+    worker
+        .permits
+        .follow(listened.iter().map(|(relay, _)| *relay), &all);
+    if is_all && now.since(teller.limits_at) >= REPEAT {
+        teller.limits_at = now;
+        let limited = worker.limits.borrow().limited();
+        tell_limits(worker, socket, named, &limited).await;
+    }
     if is_all {
         teller.all_at = now;
         teller.has_news = false;
@@ -177,6 +213,20 @@
             load.tell(now, digest.host, digest.loads);
             Ok(())
         }
+        Message::Limits(limits) => {
+            for limit in limits {
+                worker.learn_limit(limit.key, limit.notice(now), "relay");
+            }
+            Ok(())
+        }
+        Message::Permit(permit) => {
+            worker.permits.answer(&permit);
+            Ok(())
+        }
+        Message::Ask(ask) => {
+            tracing::debug!(%from, number = ask.number, "a host's question sent to a host");
+            Ok(())
+        }
     });
     if let Err(error) = read {
         tracing::debug!(%from, %error, "unreadable datagram");
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -1,8 +1,9 @@
 //! What entry hosts and relays say to each other, a datagram each.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
-use almondlock_base::id::Domain;
+use almondlock_base::{id::Domain, time::Mono};
+use almondlock_policy::throttle::{Notice, Rate};
 use serde::{Deserialize, Serialize};
 
 use crate::load::{Key, Load};
@@ -22,6 +23,69 @@
     },
     /// A relay to a host, from time to time.
     Introduction(Introduction),
+    /// A host to all relays, or a relay to all hosts: limits that have changed, or all
+    /// of them from time to time.
+    Limits(Vec<Limit>),
+    /// A host to a relay.
+    Ask(Ask),
+    /// A relay to the host that asked.
+    Permit(Permit),
+}
+
+/// What is known of an upstream's limit for all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Limit {
+    /// The upstream.
+    pub key: Key,
+    /// The limit. None: it has ended.
+    pub rate: Option<Rate>,
+    /// How long ago that was so, in milliseconds.
+    pub age_ms: u32,
+}
+
+impl Limit {
+    /// As it is told now.
+    pub fn of(now: Mono, key: Key, notice: &Notice) -> Limit {
+        Limit {
+            key,
+            rate: notice.rate,
+            age_ms: millis(now.since(notice.at)),
+        }
+    }
+
+    /// As it was told now, by the clock of whoever heard it.
+    pub fn notice(&self, now: Mono) -> Notice {
+        Notice {
+            rate: self.rate,
+            at: now - Duration::from_millis(self.age_ms.into()),
+        }
+    }
+}
+
+/// Asks for a permit to send one request to an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Ask {
+    /// Counts the host's questions.
+    pub number: u32,
+    /// The upstream, and its limit as the host knows it.
+    pub limit: Limit,
+}
+
+/// What comes of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Permit {
+    /// The question's number.
+    pub number: u32,
+    /// When the relay may have a permit, in milliseconds from now. None: this is one.
+    pub wait_ms: Option<u32>,
+}
+
+/// Milliseconds, rounded up so that a wait is over when they are.
+pub(super) fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_micros().div_ceil(1000)).unwrap_or(u32::MAX)
 }
 
 /// How closely a host wants to follow a relay.
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -20,10 +20,14 @@
 //! the same engines. While no relay answers, hosts tell each other: all relays
 //! may be gone at once, since the control replicas may. Not always, because that
 //! costs each of them a datagram for each other one.
+//!
+//! Limits that upstreams name for all hosts are told in the same way, and the relays give
+//! out permits to send to such upstreams ([`Ration`]).
 
 mod gather;
 mod host;
 mod message;
+mod ration;
 mod relay;
 mod relays;
 
@@ -34,7 +38,8 @@
 pub(crate) use self::host::run;
 pub use self::{
     gather::{Gather, Round},
-    message::{Digest, Introduction, Listen, Message, Sum},
+    message::{Ask, Digest, Introduction, Limit, Listen, Message, Permit, Sum},
+    ration::Ration,
     relay::relay,
     relays::{Relays, SILENCE},
 };
@@ -42,7 +47,7 @@
 /// The largest datagram.
 const DATAGRAM: usize = 60 * 1024;
 
-async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
+pub(crate) async fn send(socket: &UdpSocket, to: SocketAddr, message: &Message) {
     match postcard::to_stdvec(message) {
         Ok(bytes) => send_bytes(socket, to, &bytes).await,
         Err(error) => tracing::error!(%error, "a datagram can't be written"),
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -6,11 +6,22 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Gather, Message, Round, Sum, send, send_bytes};
+use super::{DATAGRAM, Gather, Limit, Message, Ration, Round, Sum, send, send_bytes};
 
-/// Adds up what entry hosts tell, in this failure domain, until the process ends.
-pub async fn relay(socket: UdpSocket, domain: Domain) -> io::Result<()> {
-    let mut gather = Gather::default();
+/// What a relay has heard.
+#[derive(Default)]
+struct State {
+    gather: Gather,
+    ration: Ration,
+}
+
+/// Adds up what entry hosts tell, in this failure domain, and gives out permits, until the
+/// process ends. `relays` tells how many relays share the limits; 0: that isn't known.
+pub async fn relay<F>(socket: UdpSocket, domain: Domain, relays: F) -> io::Result<()>
+where
+    F: Fn() -> u32,
+{
+    let mut state = State::default();
     let mut buffer = vec![0; DATAGRAM];
     let mut next = clock::mono();
     loop {
@@ -21,21 +32,61 @@
                     continue;
                 };
                 match postcard::from_bytes(&buffer[..length]) {
-                    Ok(Message::Tell(digest)) => gather.tell(clock::mono(), from, digest),
-                    Ok(_) => tracing::debug!(%from, "a sum sent to a relay"),
+                    Ok(message) => take_in(&socket, &mut state, from, message, relays()).await,
                     Err(error) => tracing::debug!(%from, %error, "unreadable datagram"),
                 }
             }
             () = sleep(next.since(clock::mono())) => {
                 let now = clock::mono();
-                let round = gather.take(now, &domain);
-                next = now + gather.period();
+                let round = state.gather.take(now, &domain);
+                next = now + state.gather.period();
                 send_round(&socket, &round).await;
+                send_limits(&socket, &mut state, &round).await;
             }
         }
     }
 }
 
+async fn take_in(
+    socket: &UdpSocket,
+    state: &mut State,
+    from: SocketAddr,
+    message: Message,
+    relays: u32,
+) {
+    let now = clock::mono();
+    match message {
+        Message::Tell(digest) => state.gather.tell(now, from, digest),
+        Message::Limits(limits) => state.ration.hear(now, &limits),
+        Message::Ask(ask) => {
+            let permit = state.ration.ask(now, &ask, relays);
+            send(socket, from, &Message::Permit(permit)).await;
+        }
+        Message::Sum { .. } | Message::Introduction(_) | Message::Permit(_) => {
+            tracing::debug!(%from, "a relay's message sent to a relay");
+        }
+    }
+}
+
+/// Tells all hosts what has changed of the limits, and new ones all of them.
+async fn send_limits(socket: &UdpSocket, state: &mut State, round: &Round) {
+    let now = clock::mono();
+    let news = state.ration.take(now);
+    for to in state.gather.hosts() {
+        send_some(socket, to, &news).await;
+    }
+    let all = state.ration.all(now);
+    for (to, _) in &round.others {
+        send_some(socket, *to, &all).await;
+    }
+}
+
+async fn send_some(socket: &UdpSocket, to: SocketAddr, limits: &[Limit]) {
+    if !limits.is_empty() {
+        send(socket, to, &Message::Limits(limits.to_vec())).await;
+    }
+}
+
 async fn send_round(socket: &UdpSocket, round: &Round) {
     send_sums(socket, &round.changes, &round.close).await;
     if let Some(whole) = &round.whole {
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`event`] | event streams, cut into whole events |
 //! | `lease` | memory set aside on engines, and given back |
 //! | `limit` | limits that upstreams name for all hosts |
+//! | `permit` | permits for upstreams that name one, asked of relays |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
 //! | [`server`] | the listeners |
@@ -42,6 +43,7 @@
 pub mod memory;
 pub mod metrics;
 mod outgoing;
+mod permit;
 pub mod pick;
 pub mod pool;
 mod reply;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -227,7 +227,10 @@
 /// Whether another attempt costs nothing more: nothing has reached an upstream,
 /// or it was paid for when a silent one was given up.
 const fn is_paid(failure: Failure) -> bool {
-    matches!(failure, Failure::Unsent | Failure::Silent)
+    matches!(
+        failure,
+        Failure::Unsent | Failure::Limited | Failure::Silent
+    )
 }
 
 fn finish<D>(
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -8,6 +8,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    fmt,
     net::SocketAddr,
     time::Duration,
 };
@@ -104,6 +105,12 @@
 #[derive(Serialize, Deserialize)]
 pub struct Key(u32);
 
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:08x}", self.0)
+    }
+}
+
 impl Key {
     /// That of an upstream.
     pub fn of(name: &Upstream) -> Key {
--- /dev/null
+++ b/almondlock-gateway/src/permit.rs
@@ -0,0 +1,164 @@
+//! Permits to send to upstreams that name a limit for all hosts, asked of relays.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+use almondlock_base::{id::Service, time::Mono};
+use almondlock_node::clock;
+use almondlock_policy::throttle::{Notice, Rate, Returns, Waits};
+use tokio::{
+    net::UdpSocket,
+    sync::{Notify, oneshot},
+    time::timeout,
+};
+
+use crate::{
+    exchange::{Ask, Limit, Message, Permit, send},
+    load::Key,
+};
+
+/// How long a relay may take to answer: a way there and back, and a turn of its process.
+/// A part of the shortest objectives.
+const ANSWER: Duration = Duration::from_millis(30);
+
+/// What came of asking a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    Granted,
+    /// It has none until so long from now.
+    Refused(Duration),
+    Unanswered,
+}
+
+impl Outcome {
+    /// The word used in logs.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Granted => "granted",
+            Outcome::Refused(_) => "refused",
+            Outcome::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// A host's questions for permits.
+#[derive(Debug, Default)]
+pub(crate) struct Permits {
+    /// Shared with the task that tells loads, which takes in the answers.
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    /// In the order in which they are asked.
+    relays: RefCell<Vec<SocketAddr>>,
+    waits: RefCell<Waits<Key, SocketAddr>>,
+    /// Who waits for the answer to which question. Invariant: a question that was given up
+    /// is not here, so that its permit is used by nobody.
+    asked: RefCell<HashMap<u32, oneshot::Sender<Permit>>>,
+    last: Cell<u32>,
+    returns: RefCell<HashMap<Service, Returns>>,
+    /// Upstreams whose limits this host saw change, for the relays.
+    news: RefCell<BTreeSet<Key>>,
+    noticed: Notify,
+}
+
+impl Permits {
+    /// Sends questions on this socket from now on.
+    pub(crate) fn connect(&self, socket: Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(socket);
+    }
+
+    /// Asks relays in this order from now on: those that are listened to, then the others.
+    pub(crate) fn follow<I>(&self, listened: I, all: &[SocketAddr])
+    where
+        I: Iterator<Item = SocketAddr>,
+    {
+        let mut relays: Vec<SocketAddr> = listened.collect();
+        let others = all.iter().filter(|relay| !relays.contains(relay));
+        let others: Vec<SocketAddr> = others.copied().collect();
+        relays.extend(others);
+        *self.relays.borrow_mut() = relays;
+    }
+
+    /// This host saw a limit change.
+    pub(crate) fn note(&self, key: Key) {
+        self.news.borrow_mut().insert(key);
+        self.noticed.notify_one();
+    }
+
+    /// Waits until a limit has changed.
+    pub(crate) async fn noticed(&self) {
+        self.noticed.notified().await;
+    }
+
+    pub(crate) fn take_news(&self) -> Vec<Key> {
+        self.news.take().into_iter().collect()
+    }
+
+    /// Whether a relay may have a permit now.
+    pub(crate) fn is_open(&self, now: Mono, key: Key) -> bool {
+        let relays = self.relays.borrow();
+        self.waits.borrow().next(now, &key, &relays).is_some()
+    }
+
+    /// When a relay may have a permit.
+    pub(crate) fn opens(&self, now: Mono, key: Key) -> Duration {
+        self.waits.borrow().opens(now, &key, &self.relays.borrow())
+    }
+
+    /// When a caller comes back that found every upstream of a service at its limit.
+    pub(crate) fn returns(
+        &self,
+        now: Mono,
+        service: &Service,
+        opens: Duration,
+        share: (Rate, u32),
+        patience: Duration,
+    ) -> Duration {
+        let mut returns = self.returns.borrow_mut();
+        let returns = returns.entry(service.clone()).or_default();
+        returns.next(now, opens, share, patience)
+    }
+
+    /// Takes in a relay's answer.
+    pub(crate) fn answer(&self, permit: &Permit) {
+        if let Some(waiting) = self.asked.borrow_mut().remove(&permit.number) {
+            // Whoever waited may have left: then the permit is used by nobody.
+            let _ = waiting.send(*permit);
+        }
+    }
+
+    /// Asks a relay that may have one for a permit to send one request. None: there is no
+    /// such relay.
+    pub(crate) async fn ask(&self, key: Key, notice: &Notice) -> Option<(SocketAddr, Outcome)> {
+        let now = clock::mono();
+        let socket = self.socket.borrow().clone()?;
+        let relays = self.relays.borrow().clone();
+        let relay = self.waits.borrow().next(now, &key, &relays)?;
+        let number = self.last.get().wrapping_add(1);
+        self.last.set(number);
+        let (sender, answer) = oneshot::channel();
+        self.asked.borrow_mut().insert(number, sender);
+        let limit = Limit::of(now, key, notice);
+        send(&socket, relay, &Message::Ask(Ask { number, limit })).await;
+        let answer = timeout(ANSWER, answer).await;
+        self.asked.borrow_mut().remove(&number);
+        let outcome = match answer {
+            Ok(Ok(Permit { wait_ms: None, .. })) => Outcome::Granted,
+            Ok(Ok(Permit {
+                wait_ms: Some(wait),
+                ..
+            })) => Outcome::Refused(Duration::from_millis(wait.into())),
+            Ok(Err(_)) | Err(_) => Outcome::Unanswered,
+        };
+        let mut waits = self.waits.borrow_mut();
+        match outcome {
+            Outcome::Granted => {}
+            Outcome::Refused(wait) => waits.refused(clock::mono(), &key, relay, wait),
+            Outcome::Unanswered => waits.unanswered(clock::mono(), relay),
+        }
+        Some((relay, outcome))
+    }
+}
--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -50,10 +50,13 @@
         R: RngCore,
     {
         let crossing = CROSSING.as_secs_f64();
-        let own = groups.short.iter().map(|i| (self.whole_cost(*i), *i));
+        let may_answer = |i: &&usize| self.may_answer(**i);
+        let own = groups.short.iter().filter(may_answer);
+        let own = own.map(|i| (self.whole_cost(*i), *i));
         let other = groups
             .long
             .iter()
+            .filter(may_answer)
             .map(|i| (self.whole_cost(*i) + crossing, *i));
         let mut costs: Vec<(f64, usize)> = own.collect();
         let least = costs.iter().map(|(cost, _)| *cost).fold(f64::MAX, f64::min);
@@ -75,12 +78,17 @@
         R: RngCore,
     {
         let needed = memory::reserved(self.memory_needed());
-        let has_room = |i: &&usize| self.free(**i) >= needed;
-        let room = groups.short.iter().filter(has_room);
+        let side = match groups.short.iter().any(|i| self.may_answer(*i)) {
+            true => groups.short,
+            false => groups.all,
+        };
+        let open = side.iter().filter(|i| self.may_answer(**i));
+        let has_room = |i: &&usize| self.free(**i) >= needed && self.takes_orders(**i);
+        let room = open.clone().filter(has_room);
         let mut costs: Vec<(f64, usize)> = room.map(|i| (self.cost(*i), *i)).collect();
         let is_room = !costs.is_empty();
         if !is_room {
-            costs.extend(groups.short.iter().map(|i| (self.cost(*i), *i)));
+            costs.extend(open.map(|i| (self.cost(*i), *i)));
         }
         let part = self.speed.part(self.demand.prompt, READERS);
         let (_, first) = fill::draw(&costs, self.unseen(groups.short, part), rng)?;
@@ -122,6 +130,14 @@
         candidate.total.requests() < candidate.slots
     }
 
+    pub(super) fn may_answer(&self, i: usize) -> bool {
+        self.candidates[i].may_answer()
+    }
+
+    pub(super) fn takes_orders(&self, i: usize) -> bool {
+        self.candidates[i].takes_orders()
+    }
+
     /// Tokens of memory that the prompt and its answer take.
     pub(super) const fn memory_needed(&self) -> u64 {
         self.demand.prompt + self.demand.output
--- a/almondlock-gateway/src/pick/long.rs
+++ b/almondlock-gateway/src/pick/long.rs
@@ -121,7 +121,8 @@
         if self.speed.part(self.demand.prompt, most) > WRITER_PART {
             return None;
         }
-        let can_answer = |i: &&usize| self.has_place(**i) && self.free(**i) > self.demand.output;
+        let has_room = |i: usize| self.has_place(i) && self.free(i) > self.demand.output;
+        let can_answer = |i: &&usize| has_room(**i) && self.takes_orders(**i);
         let open = groups.writers.iter().filter(can_answer);
         let costs = open.map(|i| {
             let streams = self.candidates[*i].total.long();
@@ -148,7 +149,8 @@
 
     /// Which of the members answers, and which others hold a share of the prompt
     /// because its memory is too small for all of it. Without a writer the one
-    /// that writes for no other long prompt and has most memory answers.
+    /// that writes for no other long prompt and has most memory answers; one that names a
+    /// limit only if nobody else can.
     fn memory(
         &self,
         writer: Option<usize>,
@@ -157,15 +159,17 @@
         let members = members.iter().map(|(_, i)| *i);
         let rank = |i: &usize| {
             let idle = self.candidates[*i].total.long() == 0;
-            (self.has_place(*i), idle, self.free(*i))
+            let unlimited = self.takes_orders(*i);
+            (unlimited, self.has_place(*i), idle, self.free(*i))
         };
-        let can_answer = |i: &usize| self.free(*i) > self.demand.output;
+        let can_answer = |i: &usize| self.free(*i) > self.demand.output && self.may_answer(*i);
         let others = members.clone().filter(can_answer);
         let first = writer.or_else(|| others.max_by_key(rank))?;
-        let others = members.filter(|i| *i != first);
+        let others = members.filter(|i| *i != first && self.takes_orders(*i));
         let others: Vec<(usize, u64)> = others.map(|i| (i, self.free(i))).collect();
         let own = (first, self.free(first));
-        let shares = memory::spread(self.memory_needed(), own, &others)?;
+        let mut shares = memory::spread(self.memory_needed(), own, &others)?;
+        shares.retain(|share| self.takes_orders(share.place));
         Some((first, shares))
     }
 
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -74,12 +74,38 @@
     /// It failed lately, or was tried for this request: only if nothing else
     /// is left.
     pub suspect: bool,
+    /// How it stands with the limit that it names, if it does.
+    pub limited: Limited,
     /// It said just now that it has no memory to set aside.
     pub full: bool,
     /// Its cell. This host's own one is 0.
     pub cell: usize,
 }
 
+impl Candidate {
+    /// Whether a request may be sent to it now.
+    const fn may_answer(&self) -> bool {
+        !matches!(self.limited, Limited::Spent)
+    }
+
+    /// Whether it may be sent orders for memory, which its limit would count.
+    const fn takes_orders(&self) -> bool {
+        matches!(self.limited, Limited::No)
+    }
+}
+
+/// How an upstream stands with a limit on requests of all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limited {
+    /// It names none.
+    No,
+    /// There may be room for a request.
+    Open,
+    /// There is none now. It may still read parts for others, which are no requests of
+    /// hosts.
+    Spent,
+}
+
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Demand {
@@ -133,6 +159,9 @@
     /// The engines together don't have the memory free that its prompt takes.
     #[error("the engines don't have enough memory free")]
     Memory,
+    /// Every upstream that could take it is at the limit that it names.
+    #[error("every upstream is at its limit")]
+    Limit,
 }
 
 /// Chooses among plain services: the one with the fewest requests for its
@@ -141,7 +170,8 @@
 where
     R: RngCore,
 {
-    let first = least(candidates, rng, |candidate| {
+    let open = open(candidates)?;
+    let first = least(candidates, &open, rng, |candidate| {
         let requests = f64::from(candidate.total.requests());
         requests / f64::from(candidate.slots.max(1))
     });
@@ -159,12 +189,11 @@
 where
     R: RngCore,
 {
-    let whole = speed.reading(demand.prompt);
     let healthy: Vec<usize> = (0..candidates.len())
         .filter(|i| !candidates[*i].suspect)
         .collect();
-    if healthy.is_empty() {
-        return suspects(speed, whole, demand, candidates, rng);
+    if !healthy.iter().any(|i| candidates[*i].may_answer()) {
+        return suspects(speed, demand, candidates, rng);
     }
     let field = Field {
         speed,
@@ -214,7 +243,6 @@
 
 fn suspects<R>(
     speed: &Speed,
-    whole: Duration,
     demand: Demand,
     candidates: &[Candidate],
     rng: &mut R,
@@ -222,7 +250,9 @@
 where
     R: RngCore,
 {
-    let first = least(candidates, rng, |candidate| {
+    let whole = speed.reading(demand.prompt);
+    let open = open(candidates)?;
+    let first = least(candidates, &open, rng, |candidate| {
         let full = if candidate.full { f64::MAX } else { 0.0 };
         cost(speed, candidate) + full
     });
@@ -237,16 +267,27 @@
     })
 }
 
-/// The candidate with the least cost, suspects last, equals by lot.
-fn least<R, F>(candidates: &[Candidate], rng: &mut R, cost: F) -> Option<usize>
+/// The candidates that a request may be sent to.
+fn open(candidates: &[Candidate]) -> Result<Vec<usize>, Lack> {
+    let open = (0..candidates.len()).filter(|i| candidates[*i].may_answer());
+    let open: Vec<usize> = open.collect();
+    match open.is_empty() && !candidates.is_empty() {
+        true => Err(Lack::Limit),
+        false => Ok(open),
+    }
+}
+
+/// The one of these candidates with the least cost, suspects last, equals by lot.
+fn least<R, F>(candidates: &[Candidate], open: &[usize], rng: &mut R, cost: F) -> Option<usize>
 where
     R: RngCore,
     F: Fn(&Candidate) -> f64,
 {
-    let keys = candidates.iter().enumerate().map(|(i, candidate)| {
+    let keys = open.iter().map(|i| {
+        let candidate = &candidates[*i];
         let far = f64::from(u8::from(!candidate.near)) * 0.05;
         let key = cost(candidate) + far + rng.random::<f64>() * 0.01;
-        (candidate.suspect, key, i)
+        (candidate.suspect, key, *i)
     });
     keys.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
         .map(|(_, _, i)| i)
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -195,6 +195,7 @@
             known.instances.values().flatten().any(|t| t.name == *name)
         };
         worker.pool.borrow_mut().sweep(clock::mono(), is_known);
+        worker.sweep_limits();
     }
 }
 
--- a/almondlock-gateway/src/verdict.rs
+++ b/almondlock-gateway/src/verdict.rs
@@ -14,6 +14,8 @@
 pub enum Failure {
     /// No connection came about, or nothing was written to it.
     Unsent,
+    /// Every upstream is at the limit that it names: nothing was sent.
+    Limited,
     /// The upstream states that it did not run the request.
     Rejected,
     /// Another instance answers at the address.
@@ -30,7 +32,9 @@
     /// Whether the request ran, by this attempt alone.
     pub const fn ran(self) -> Ran {
         match self {
-            Failure::Unsent | Failure::Rejected | Failure::Misdirected => Ran::No,
+            Failure::Unsent | Failure::Limited | Failure::Rejected | Failure::Misdirected => {
+                Ran::No
+            }
             Failure::Lost | Failure::Silent => Ran::Unknown,
             Failure::Answered => Ran::Yes,
         }
@@ -38,13 +42,17 @@
 
     /// Whether the upstream is to be passed over for a while.
     pub const fn blames_upstream(self) -> bool {
-        !matches!(self, Failure::Rejected | Failure::Answered)
+        !matches!(
+            self,
+            Failure::Limited | Failure::Rejected | Failure::Answered
+        )
     }
 
     /// The word used in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
             Failure::Unsent => "unsent",
+            Failure::Limited => "limited",
             Failure::Rejected => "rejected",
             Failure::Misdirected => "misdirected",
             Failure::Lost => "lost",
@@ -73,6 +81,7 @@
 pub const fn code(ran: Ran, failure: Failure) -> Code {
     match (ran, failure) {
         (Ran::No, Failure::Unsent) => Code::NoUpstream,
+        (Ran::No, Failure::Limited) => Code::UpstreamLimited,
         (Ran::No, _) => Code::RetriesExhausted,
         (_, Failure::Silent) => Code::DeadlinePassed,
         _ => Code::UpstreamLost,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -30,8 +30,9 @@
     budget::{self, Budget},
     dialect::Dialect,
     lease::Ended,
-    load,
+    load::{self, Key},
     metrics::Metrics,
+    permit::Permits,
     pick::{Candidate, Choice},
     pool::Pool,
     rules::Rules,
@@ -161,7 +162,8 @@
     /// The life of each upstream that the configuration in force names.
     births: RefCell<HashMap<Upstream, Birth>>,
     /// Limits that upstreams have named for all hosts.
-    pub(crate) limits: RefCell<throttle::Limits<Upstream>>,
+    pub(crate) limits: RefCell<throttle::Limits<Key>>,
+    pub(crate) permits: Permits,
     /// Headers of answers that nobody reads, as far as they were logged.
     pub(crate) unread: RefCell<BTreeSet<Box<str>>>,
     /// Where the memory of attempts goes that have ended.
@@ -210,6 +212,7 @@
             backlogs: RefCell::default(),
             births: RefCell::default(),
             limits: RefCell::default(),
+            permits: Permits::default(),
             unread: RefCell::default(),
             ended,
         }
@@ -273,7 +276,7 @@
             if births.get(name).is_some_and(|last| *last < birth) {
                 tracing::info!(upstream = %name, birth = birth.0, "upstream started again");
                 self.load.borrow_mut().forget(name);
-                self.limits.borrow_mut().forget(name);
+                self.end_limit(name);
                 self.pool.borrow_mut().forget(name);
                 self.suspects.borrow_mut().remove(name);
             }
@@ -284,6 +287,15 @@
             .collect();
     }
 
+    /// The upstreams that the configuration in force names.
+    pub(crate) fn upstreams(&self) -> HashMap<Key, Upstream> {
+        let births = self.births.borrow();
+        births
+            .keys()
+            .map(|name| (Key::of(name), name.clone()))
+            .collect()
+    }
+
     /// Whether a later life of the target has begun.
     pub(crate) fn is_over(&self, target: &Target) -> bool {
         // Takes in a configuration that has come since.
@@ -335,6 +347,7 @@
             slots: target.slots,
             near: target.near,
             suspect,
+            limited: self.limited(now, &target.name),
             full: full.contains(&target.name),
             cell: target.cell,
         }
--- a/almondlock-gateway/tests/engine_choice.rs
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -7,7 +7,7 @@
 
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Choice, Demand, Lack, READERS},
+    pick::{self, Candidate, Choice, Demand, Lack, Limited, READERS},
 };
 use engines::speed;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -21,6 +21,7 @@
         slots: 16,
         near: true,
         suspect: false,
+        limited: Limited::No,
         full: false,
         cell: 0,
     };
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -280,7 +280,7 @@
         system.block_on(async move {
             let socket = tokio::net::UdpSocket::from_std(socket).unwrap();
             let domain = Domain::new("d").unwrap();
-            exchange::relay(socket, domain).await.unwrap();
+            exchange::relay(socket, domain, || 2).await.unwrap();
         });
     });
     address
--- /dev/null
+++ b/almondlock-gateway/tests/limited_engines.rs
@@ -0,0 +1,122 @@
+//! Some engines name limits on the requests of all hosts. An engine that is sent requests
+//! beyond its limit, or orders for memory on top of them, gets more than it named; one that
+//! is left out altogether wastes what it could still read.
+
+mod engines;
+
+use std::time::Duration;
+
+use almondlock_gateway::{
+    load::Total,
+    pick::{self, Candidate, Demand, Lack, Limited},
+};
+use engines::speed;
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const SHORT: u64 = 5_000;
+const MIDDLING: u64 = 45_000;
+const LONG: u64 = 210_000;
+const HUGE: u64 = 700_000;
+
+/// Idle engines, of which the first ones stand with their limits like this.
+fn engines(limited: &[Limited]) -> Vec<Candidate> {
+    let idle = Candidate {
+        total: Total::default(),
+        slots: 16,
+        near: true,
+        suspect: false,
+        limited: Limited::No,
+        full: false,
+        cell: 0,
+    };
+    let mut engines = vec![idle; 18];
+    for (engine, limited) in engines.iter_mut().zip(limited) {
+        engine.limited = *limited;
+    }
+    engines
+}
+
+fn choose(prompt: u64, candidates: &[Candidate], seed: u64) -> Result<pick::Choice, Lack> {
+    let demand = Demand {
+        prompt,
+        output: 500,
+        objective: Duration::from_secs(3),
+    };
+    let mut rng = SmallRng::seed_from_u64(seed);
+    pick::engine(&speed(), demand, candidates, &mut rng)
+}
+
+/// Guards against requests to engines at their limits, and orders to any that name one.
+#[parameterized(
+    short = { SHORT },
+    middling = { MIDDLING },
+    long = { LONG },
+    huge = { HUGE },
+)]
+fn spared(prompt: u64) {
+    let limited = [[Limited::Spent; 5], [Limited::Open; 5]].concat();
+    let candidates = engines(&limited);
+    for seed in 0..50 {
+        let choice = choose(prompt, &candidates, seed).unwrap();
+        assert_ne!(candidates[choice.first].limited, Limited::Spent);
+        let mut holders = choice.shares.iter().map(|share| share.place);
+        assert!(holders.all(|place| candidates[place].limited == Limited::No));
+    }
+}
+
+/// Parts that are read for another engine are no requests of hosts.
+#[test]
+fn still_read() {
+    let candidates = engines(&[Limited::Spent; 10]);
+    let choice = choose(LONG, &candidates, 1).unwrap();
+    let mut helpers = choice.helpers.iter();
+    assert!(helpers.any(|place| candidates[*place].limited == Limited::Spent));
+}
+
+/// Where every engine is at its limit the request is refused and not sent all the same.
+#[parameterized(
+    short = { SHORT },
+    middling = { MIDDLING },
+    long = { LONG },
+)]
+fn refused(prompt: u64) {
+    let candidates = engines(&[Limited::Spent; 18]);
+    assert_eq!(choose(prompt, &candidates, 1), Err(Lack::Limit));
+}
+
+/// A prompt that fits into one engine is served where all of them name limits.
+#[parameterized(
+    short = { SHORT },
+    middling = { MIDDLING },
+    long = { LONG },
+)]
+fn all_limited(prompt: u64) {
+    let mut limited = [Limited::Spent; 18];
+    limited[7] = Limited::Open;
+    let candidates = engines(&limited);
+    let choice = choose(prompt, &candidates, 1).unwrap();
+    assert_eq!(choice.first, 7);
+    assert!(choice.shares.is_empty());
+}
+
+/// An engine that failed lately is taken before one at its limit.
+#[test]
+fn suspect_first() {
+    let mut candidates = engines(&[Limited::Spent; 18]);
+    candidates[3].limited = Limited::No;
+    candidates[3].suspect = true;
+    assert_eq!(choose(SHORT, &candidates, 1).unwrap().first, 3);
+}
+
+/// Plain upstreams at their limits are passed over as well.
+#[test]
+fn plain_spared() {
+    let mut candidates = engines(&[Limited::Spent; 17]);
+    candidates[17].total.streams = 15;
+    let mut rng = SmallRng::seed_from_u64(1);
+    let choice = pick::plain(&candidates, &mut rng).unwrap();
+    assert_eq!(choice.first, 17);
+    candidates[17].limited = Limited::Spent;
+    assert_eq!(pick::plain(&candidates, &mut rng), Err(Lack::Limit));
+}
--- a/almondlock-gateway/tests/many_hosts.rs
+++ b/almondlock-gateway/tests/many_hosts.rs
@@ -9,7 +9,7 @@
 use almondlock_base::id::{Domain, Upstream};
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Demand},
+    pick::{self, Candidate, Demand, Limited},
 };
 use almondlock_policy::{cell, engine::Speed};
 use engines::speed;
@@ -77,6 +77,7 @@
             slots: SLOTS,
             near: *cell == 0,
             suspect: false,
+            limited: Limited::No,
             full: false,
             cell: *cell,
         });
--- a/almondlock-gateway/tests/restart_burst.rs
+++ b/almondlock-gateway/tests/restart_burst.rs
@@ -9,7 +9,7 @@
 
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Demand},
+    pick::{self, Candidate, Demand, Limited},
 };
 use engines::speed;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -39,6 +39,7 @@
         slots: 16,
         near: true,
         suspect: false,
+        limited: Limited::No,
         full: false,
         cell: 0,
     };
--- a/almondlock-gateway/tests/spread_memory.rs
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -9,7 +9,7 @@
 use almondlock_gateway::{
     load::Total,
     memory::{self, Outcome, Share},
-    pick::{self, Candidate, Choice, Demand, Lack, READERS},
+    pick::{self, Candidate, Choice, Demand, Lack, Limited, READERS},
 };
 use engines::speed;
 use rand::{SeedableRng, rngs::SmallRng};
@@ -25,6 +25,7 @@
         slots: 16,
         near: true,
         suspect: false,
+        limited: Limited::No,
         full: false,
         cell: 0,
     };
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -20,7 +20,7 @@
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
 //! | [`poison`] | both | does it kill engines, and how does it run then |
-//! | [`throttle`] | both | which limits do upstreams name for all hosts |
+//! | [`throttle`] | both | does an upstream's limit for all hosts leave room for it |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //! | [`gang`] | both | how is a prompt larger than an engine given room on several |
@@ -32,6 +32,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod admission;
+mod bucket;
 pub mod cell;
 pub mod choice;
 pub mod deadline;
--- a/almondlock-policy/src/limit/mod.rs
+++ b/almondlock-policy/src/limit/mod.rs
@@ -40,8 +40,7 @@
 use almondlock_base::{Code, id::Organisation, time::Mono, unit::Tokens};
 
 pub use self::lend::{Lender, Part, Terms};
-
-const MICROS: u64 = 1_000_000;
+use crate::bucket::Bucket;
 
 /// How a fleet-wide limit is divided.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,9 +123,8 @@
 struct Account {
     limit: Limit,
     lease: Option<Lease>,
-    /// Millionths of requests saved up. At most the burst.
-    credit: u64,
-    at: Option<Mono>,
+    /// What is saved up of the rate.
+    saved: Bucket,
     // Invariant: the sum of the tokens of all live permits of this account.
     in_flight: Arc<AtomicU64>,
     /// Requests and tokens turned away since demand was last asked for.
@@ -172,8 +170,7 @@
             .or_insert_with(|| Account {
                 limit,
                 lease: None,
-                credit: 0,
-                at: None,
+                saved: Bucket::default(),
                 in_flight: Arc::default(),
                 missed: Demand::default(),
             });
@@ -272,22 +269,8 @@
         self.floor_tokens(config).saturating_add(lent)
     }
 
-    /// Saved-up credit never exceeds the burst, and a full burst is always
-    /// enough for one request, else a small rate could never be used.
     fn refill(&mut self, config: &Config, now: Mono) {
-        let rate = u128::from(self.rate(config));
-        let most = (rate * config.burst.as_micros() / 1000).max(u128::from(MICROS));
-        let earned = match self.at {
-            None => most,
-            Some(at) => rate * now.since(at).as_micros() / 1000,
-        };
-        let credit = (u128::from(self.credit) + earned).min(most);
-        // Fractions below a millionth are lost at each call; starting the next
-        // span at `now` only where something was earned bounds that loss.
-        if earned > 0 || self.at.is_none() {
-            self.at = Some(self.at.map_or(now, |at| at.max(now)));
-        }
-        self.credit = u64::try_from(credit).unwrap_or(u64::MAX);
+        self.saved.fill(self.rate(config), config.burst, now);
     }
 
     fn check_tokens(&mut self, config: &Config, tokens: Tokens) -> Result<(), Refusal> {
@@ -309,14 +292,10 @@
         if self.limit.rate == 0 {
             return Ok(());
         }
-        if let Some(rest) = self.credit.checked_sub(MICROS) {
-            self.credit = rest;
+        let Err(wait) = self.saved.take(self.rate(config)) else {
             return Ok(());
-        }
+        };
         self.missed.requests += 1;
-        let missing = u128::from(MICROS - self.credit) * 1000;
-        let micros = missing.div_ceil(u128::from(self.rate(config).max(1)));
-        let wait = Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX));
         Err(Refusal {
             code: Code::RateLimited,
             retry_after: wait,
--- a/almondlock-policy/src/throttle/mod.rs
+++ b/almondlock-policy/src/throttle/mod.rs
@@ -1,10 +1,46 @@
-//! The limits that upstreams name for all entry hosts together.
-
-use std::{collections::HashMap, fmt, hash::Hash};
+//! How often an upstream that names a limit may be sent to, over all entry hosts.
+//!
+//! An upstream in need names, with its answers, the requests a second that it takes from
+//! all entry hosts together. No host can keep that alone: each knows only what it sends
+//! itself, and how many others there are changes. So relays give out permits, one for
+//! each request. Each relay owns an equal part of every limit and shares it with nobody:
+//! whichever relays and hosts can reach each other, the parts never add up to more than
+//! the limit, and relays need not agree on anything but their number.
+//!
+//! | type | where | decides |
+//! |---|---|---|
+//! | [`Limits`] | both | which limits are in force, from answers and from what others heard |
+//! | [`Issuer`] | relay | whether there is a permit, and when the next one is due |
+//! | [`Waits`] | entry host | which relay to ask, and when to ask again |
+//! | [`Returns`] | entry host | when callers that are refused come back |
+//!
+//! ```
+//! use std::time::Duration;
+//! use almondlock_base::time::Mono;
+//! use almondlock_policy::throttle::{Issuer, Rate};
+//!
+//! let mut issuer = Issuer::default();
+//! let rate = Rate::parse("2.0").unwrap();
+//! let start = Mono::from_millis(1_000);
+//! // One of two relays: a request a second. It begins with none.
+//! assert_eq!(issuer.take(start, "engine", rate, 2), Err(Duration::from_secs(1)));
+//! let later = start + Duration::from_secs(1);
+//! assert_eq!(issuer.take(later, "engine", rate, 2), Ok(()));
+//! ```
+
+mod ask;
+mod issue;
+
+use std::{collections::HashMap, fmt, hash::Hash, iter};
 
 use almondlock_base::time::Mono;
 use serde::{Deserialize, Serialize};
 
+pub use self::{
+    ask::{Returns, Waits},
+    issue::Issuer,
+};
+
 /// Requests a second, in thousandths.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Serialize, Deserialize)]
@@ -30,6 +66,15 @@
     }
 }
 
+impl iter::Sum for Rate {
+    fn sum<I>(rates: I) -> Rate
+    where
+        I: Iterator<Item = Rate>,
+    {
+        Rate(rates.fold(0, |sum, rate| sum.saturating_add(rate.0)))
+    }
+}
+
 impl fmt::Display for Rate {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{}", self.per_second())
@@ -105,21 +150,30 @@
         self.notices.get(key)?.rate
     }
 
+    /// Whether no upstream has named a limit.
+    pub fn is_empty(&self) -> bool {
+        self.notices.is_empty()
+    }
+
     /// The last notice.
     pub fn notice(&self, key: &K) -> Option<Notice> {
         self.notices.get(key).copied()
     }
 
+    /// The upstreams whose limits are in force.
+    pub fn limited(&self) -> Vec<K> {
+        let limited = self
+            .notices
+            .iter()
+            .filter(|(_, notice)| notice.rate.is_some());
+        limited.map(|(key, _)| key.clone()).collect()
+    }
+
     /// All notices, ended limits among them.
     pub fn notices(&self) -> impl Iterator<Item = (&K, &Notice)> {
         self.notices.iter()
     }
 
-    /// Forgets an upstream, as when it has started again.
-    pub fn forget(&mut self, key: &K) {
-        self.notices.remove(key);
-    }
-
     /// Forgets upstreams that are gone.
     pub fn retain<F>(&mut self, is_known: F)
     where
--- /dev/null
+++ b/almondlock-policy/tests/named_limit.rs
@@ -0,0 +1,111 @@
+//! Upstreams name limits with their answers, which come late, twice and out of order. A limit
+//! that is taken for ended, or callers who all return for the same permit, would send the
+//! upstream more than it takes.
+
+use std::time::Duration;
+
+use almondlock_base::time::Mono;
+use almondlock_policy::throttle::{Limits, Notice, Rate, Returns, Waits};
+use yare::parameterized;
+
+const fn at(millis: u64) -> Mono {
+    Mono::from_millis(millis)
+}
+
+fn rate(text: &str) -> Rate {
+    Rate::parse(text).unwrap()
+}
+
+#[parameterized(
+    decimal = { "1.9", Some(1_900) },
+    whole = { " 20 ", Some(20_000) },
+    none = { "0", Some(0) },
+    huge = { "1e30", Some(u32::MAX) },
+    negative = { "-1", None },
+    not_finite = { "inf", None },
+    not_a_number = { "NaN", None },
+    with_unit = { "2/s", None },
+    empty = { "", None },
+)]
+fn rate_read(text: &str, thousandths: Option<u32>) {
+    assert_eq!(Rate::parse(text).map(Rate::thousandths), thousandths);
+}
+
+/// An answer without a limit ends it only if its request was sent after the limit was heard:
+/// else it may be the older one.
+#[parameterized(
+    sent_after = { 110, 120, false },
+    sent_with_it = { 100, 120, true },
+    overtaken = { 50, 120, true },
+)]
+fn limit_ends(sent: u64, came: u64, stays: bool) {
+    let mut limits = Limits::default();
+    assert!(limits.learn(&"i-1", Notice::of(Some(rate("2")), at(90), at(100))));
+    limits.learn(&"i-1", Notice::of(None, at(sent), at(came)));
+    assert_eq!(limits.rate(&"i-1").is_some(), stays);
+}
+
+/// News of a limit that is older than its end doesn't bring it back, a later one does.
+#[test]
+fn older_news() {
+    let mut limits = Limits::default();
+    let named = |came| Notice::of(Some(rate("2")), at(0), at(came));
+    limits.learn(&"i-1", named(100));
+    assert!(limits.learn(&"i-1", Notice::of(None, at(200), at(250))));
+    assert!(!limits.learn(&"i-1", named(150)));
+    assert_eq!(limits.rate(&"i-1"), None);
+    assert!(limits.learn(&"i-1", named(300)));
+    assert_eq!(limits.rate(&"i-1"), Some(rate("2")));
+}
+
+/// The same news again changes nothing; another rate does.
+#[test]
+fn only_changes() {
+    let mut limits = Limits::default();
+    let named = |text: &str, came| Notice::of(Some(rate(text)), at(0), at(came));
+    assert!(limits.learn(&"i-1", named("2", 100)));
+    assert!(!limits.learn(&"i-1", named("2", 200)));
+    assert!(limits.learn(&"i-1", named("1.5", 300)));
+    assert!(!limits.learn(&"i-1", named("2", 250)));
+    assert_eq!(limits.limited(), ["i-1"]);
+    limits.retain(|key| *key != "i-1");
+    assert!(limits.is_empty());
+}
+
+/// Relays are asked in turn, each again only when it may have a permit; one that doesn't
+/// answer is left alone for all upstreams.
+#[test]
+fn which_relay() {
+    let mut waits: Waits<&str, u8> = Waits::default();
+    let relays = [1, 2];
+    assert_eq!(waits.next(at(0), &"a", &relays), Some(1));
+    waits.refused(at(0), &"a", 1, Duration::from_millis(300));
+    assert_eq!(waits.next(at(0), &"a", &relays), Some(2));
+    assert_eq!(waits.next(at(0), &"b", &relays), Some(1));
+    waits.unanswered(at(0), 2);
+    assert_eq!(waits.next(at(0), &"a", &relays), None);
+    assert_eq!(
+        waits.opens(at(100), &"a", &relays),
+        Duration::from_millis(200)
+    );
+    assert_eq!(waits.next(at(300), &"a", &relays), Some(1));
+    assert_eq!(waits.next(at(0), &"b", &[2]), None);
+}
+
+/// Callers refused together return one after the other, at this host's part of the rate; one
+/// that can't wait that long keeps no place.
+#[test]
+fn callers_return() {
+    let mut returns = Returns::default();
+    let opens = Duration::from_millis(200);
+    let mut next = |now, patience| {
+        let patience = Duration::from_millis(patience);
+        let wait = returns.next(at(now), opens, (rate("4"), 2), patience);
+        wait.as_millis()
+    };
+    assert_eq!(next(0, 5_000), 200);
+    assert_eq!(next(0, 5_000), 700);
+    assert_eq!(next(0, 1_000), 1_200);
+    assert_eq!(next(0, 5_000), 1_200);
+    assert_eq!(next(9_000, 5_000), 200);
+}
