Pack short streams beside engines that name limits, and let those read

Cause, seen in a test without network: the sides of the engines are counted from the two ends of a list. With engines of the short side at their limits the side had fewer engines than its size said, and short streams were spread over the readers (packed_beside::first: engine 11 of 18 in place of the first free ones). At the other end, writers that name limits left long prompts to whoever had most memory.

Now engines with limits stand between the readers and the writers. They read parts for others, and answer short prompts as one of the short side as far as permits go. Without any limit named the order is as it was.

--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -44,20 +44,20 @@
 
 impl Field<'_> {
     /// A short prompt goes where the least is to be read, of its own side unless
-    /// the other is much sooner.
+    /// the other is much sooner. An engine that names a limit belongs to both.
     pub(super) fn short<R>(&self, groups: &Groups<'_>, rng: &mut R) -> Option<Choice>
     where
         R: RngCore,
     {
         let crossing = CROSSING.as_secs_f64();
-        let may_answer = |i: &&usize| self.may_answer(**i);
-        let own = groups.short.iter().filter(may_answer);
+        let open = |i: &&usize| self.may_answer(**i);
+        let is_limited = |i: &&usize| !self.takes_orders(**i);
+        let long = groups.long.iter().filter(open);
+        let limited = long.clone().filter(is_limited);
+        let own = groups.short.iter().filter(open).chain(limited);
         let own = own.map(|i| (self.whole_cost(*i), *i));
-        let other = groups
-            .long
-            .iter()
-            .filter(may_answer)
-            .map(|i| (self.whole_cost(*i) + crossing, *i));
+        let other = long.filter(|i| !is_limited(i));
+        let other = other.map(|i| (self.whole_cost(*i) + crossing, *i));
         let mut costs: Vec<(f64, usize)> = own.collect();
         let least = costs.iter().map(|(cost, _)| *cost).fold(f64::MAX, f64::min);
         costs.extend(other.filter(|(cost, _)| *cost < least));
--- a/almondlock-gateway/src/pick/groups.rs
+++ b/almondlock-gateway/src/pick/groups.rs
@@ -60,6 +60,17 @@
     }
 }
 
+/// The engines with those that name limits among the readers: beside the few requests
+/// that they take they can read for others, and the short streams' engines and the
+/// writers are those that can do their part.
+pub(super) fn arranged(engines: &[usize], candidates: &[Candidate]) -> Vec<usize> {
+    let is_free = |i: &&usize| candidates[**i].takes_orders();
+    let (free, limited): (Vec<usize>, Vec<usize>) = engines.iter().partition(is_free);
+    let last = free.len() / LONG_LEAST + 1;
+    let (front, back) = free.split_at(free.len().saturating_sub(last));
+    [front, &limited, back].concat()
+}
+
 /// How many of the engines are the short streams' own.
 fn short_side(speed: &Speed, streams: u32, engines: usize) -> usize {
     let needed = (streams + 1).div_ceil(packed(speed.slots)) as usize;
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -46,7 +46,7 @@
 
 use self::{
     field::{Field, cost},
-    groups::Groups,
+    groups::{Groups, arranged},
 };
 use crate::{load::Total, memory::Share};
 
@@ -226,6 +226,7 @@
         R: RngCore,
     {
         let (speed, prompt) = (self.speed, self.demand.prompt);
+        let engines = &arranged(engines, self.candidates);
         let groups = Groups::of(speed, engines, self.candidates);
         let thin = speed.part(prompt, engines.len().min(READERS)) <= SHORT_PART;
         let is_short = speed.reading(prompt) <= SHORT;
--- a/almondlock-gateway/tests/limited_engines.rs
+++ b/almondlock-gateway/tests/limited_engines.rs
@@ -65,6 +65,43 @@
     }
 }
 
+/// Guards against short streams that are spread over the readers because the engines that
+/// are theirs by order are at their limits.
+#[parameterized(
+    first = { 0 },
+    amid = { 3 },
+    last = { 13 },
+)]
+fn packed_beside(from: usize) {
+    let mut limited = [Limited::No; 18];
+    limited[from..from + 5].fill(Limited::Spent);
+    let mut candidates = engines(&limited);
+    let mut free: Vec<usize> = (0..18).filter(|i| limited[*i] == Limited::No).collect();
+    for place in &free[..4] {
+        candidates[*place].total.streams = 10;
+        candidates[*place].total.short = 10;
+    }
+    free.truncate(5);
+    for seed in 0..50 {
+        let choice = choose(SHORT, &candidates, seed).unwrap();
+        assert!(free.contains(&choice.first), "engine {}", choice.first);
+    }
+}
+
+/// Guards against answers to long prompts that nobody may write, because the writers by order
+/// name limits.
+#[test]
+fn writers_beside() {
+    let mut limited = [Limited::No; 18];
+    limited[12..].fill(Limited::Open);
+    let candidates = engines(&limited);
+    for seed in 0..50 {
+        let choice = choose(LONG, &candidates, seed).unwrap();
+        assert!(choice.helpers.len() > 4, "{choice:?}");
+        assert_eq!(candidates[choice.first].limited, Limited::No);
+    }
+}
+
 /// Parts that are read for another engine are no requests of hosts.
 #[test]
 fn still_read() {
