--- a/almondlock-bench/src/lib.rs
+++ b/almondlock-bench/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod report;
 pub mod router;
 pub mod send;
+pub mod soak;
 pub mod summary;
 pub mod timeline;
 pub mod workload;
--- /dev/null
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -0,0 +1,188 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+use super::{plan::Size, world::Plant};
+
+/// What can be asked for.
+#[derive(Debug)]
+#[derive(Options)]
+pub struct Arguments {
+    /// Prints the help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// What everything is drawn from.
+    #[options(
+        no_short,
+        help = "what faults and callers are drawn from",
+        meta = "N",
+        default = "1"
+    )]
+    pub seed: u64,
+    /// Runs one seed after the other.
+    #[options(
+        no_short,
+        help = "so many seeds, one after the other",
+        meta = "N",
+        default = "1"
+    )]
+    pub seeds: u64,
+    /// How long faults go on.
+    #[options(
+        no_short,
+        help = "seconds with faults; some 20 follow without",
+        meta = "N",
+        default = "30"
+    )]
+    pub seconds: u64,
+    /// Entry hosts.
+    #[options(no_short, help = "entry hosts", meta = "N", default = "3")]
+    pub hosts: usize,
+    /// Replicas.
+    #[options(no_short, help = "replicas, 3 or 5", meta = "N", default = "3")]
+    pub replicas: usize,
+    /// Upstreams.
+    #[options(
+        no_short,
+        help = "upstreams; a third are plain services",
+        meta = "N",
+        default = "9"
+    )]
+    pub upstreams: usize,
+    /// Callers of each host.
+    #[options(
+        no_short,
+        help = "callers of each entry host",
+        meta = "N",
+        default = "4"
+    )]
+    pub callers: usize,
+    /// No faults but planned work.
+    #[options(no_short, help = "only planned work: stops, releases, limits, changes")]
+    pub planned: bool,
+    /// Faults left out.
+    #[options(
+        no_short,
+        help = "faults of the plan to leave out, by number",
+        meta = "N,..."
+    )]
+    pub without: String,
+    /// Leaves faults out of a failing plan.
+    #[options(
+        no_short,
+        help = "after a failure, leave faults out as long as it still fails"
+    )]
+    pub shrink: bool,
+    /// Prints the plan only.
+    #[options(no_short, help = "print the plan and end")]
+    pub plan: bool,
+    /// The daemon.
+    #[options(
+        no_short,
+        help = "the daemon's program; beside this one if not given",
+        meta = "PATH"
+    )]
+    pub program: Option<PathBuf>,
+    /// Where logs stay.
+    #[options(
+        no_short,
+        help = "where the logs of failed runs stay",
+        meta = "PATH",
+        default = "target/soak"
+    )]
+    pub keep: PathBuf,
+    /// A planted fault.
+    #[options(
+        no_short,
+        help = "plant a fault: twice, run-refused, foreign, leak, quarter",
+        meta = "NAME"
+    )]
+    pub plant: Option<String>,
+}
+
+/// What is run.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// What everything is drawn from.
+    pub seed: u64,
+    /// Seconds with faults.
+    pub seconds: u64,
+    /// How many there are of what.
+    pub size: Size,
+    /// Callers of each host.
+    pub callers: usize,
+    /// Only planned work.
+    pub planned: bool,
+    /// Faults left out, by number.
+    pub without: Vec<usize>,
+    /// The daemon.
+    pub program: PathBuf,
+    /// Where logs stay.
+    pub keep: PathBuf,
+    /// The planted fault.
+    pub plant: Option<Plant>,
+}
+
+impl Arguments {
+    /// Checks the arguments.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with them, for people.
+    pub fn options(&self) -> Result<Setup, String> {
+        if !matches!(self.replicas, 3 | 5) {
+            return Err(format!("--replicas {}: 3 or 5", self.replicas));
+        }
+        for (name, count, most) in [
+            ("hosts", self.hosts, 100),
+            ("upstreams", self.upstreams, 200),
+            ("callers", self.callers, 50),
+        ] {
+            if !(1..=most).contains(&count) {
+                return Err(format!("--{name} {count}: from 1 to {most}"));
+            }
+        }
+        if !(5..=3_600).contains(&self.seconds) {
+            return Err(format!("--seconds {}: from 5 to 3600", self.seconds));
+        }
+        let without = self.without.split(',').filter(|text| !text.is_empty());
+        let without = without.map(|text| {
+            let number = text.trim().parse();
+            number.map_err(|_| format!("--without {text}: no number of a fault"))
+        });
+        let plant = self
+            .plant
+            .as_deref()
+            .map(|name| Plant::parse(name).ok_or_else(|| format!("--plant {name}: unknown fault")));
+        let plant = plant.transpose()?;
+        Ok(Setup {
+            seed: self.seed,
+            seconds: self.seconds,
+            size: Size {
+                hosts: self.hosts,
+                replicas: self.replicas,
+                upstreams: self.upstreams,
+            },
+            callers: self.callers,
+            planned: self.planned,
+            without: without.collect::<Result<_, _>>()?,
+            program: self.program()?,
+            keep: self.keep.clone(),
+            plant,
+        })
+    }
+
+    fn program(&self) -> Result<PathBuf, String> {
+        let beside = || {
+            let own = std::env::current_exe().ok()?;
+            Some(own.with_file_name("almondlockd"))
+        };
+        let program = self.program.clone().or_else(beside).unwrap_or_default();
+        match program.is_file() {
+            true => Ok(program.canonicalize().unwrap_or(program)),
+            false => Err(format!("--program {}: no such program", program.display())),
+        }
+    }
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/caller.rs
@@ -0,0 +1,199 @@
+//! Callers of one entry host: one request after the other, on an open connection for as
+//! long as it stays open.
+
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
+
+use rand::{Rng, seq::IndexedRandom};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use super::{
+    history::{Kind, Outcome, Request},
+    http::{Message, Reader},
+    world::{EVENTS, HOST, World, events},
+};
+
+/// How long a caller waits, as it tells the host.
+const DEADLINE: Duration = Duration::from_millis(3_000);
+/// What the last word may take beyond that.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Between two requests of a caller, in milliseconds.
+const PAUSE: std::ops::Range<u64> = 5..60;
+/// How long connecting may take.
+const CONNECT: Duration = Duration::from_millis(1_000);
+/// The longest that a caller waits because it was told to.
+const RETURN: Duration = Duration::from_millis(1_000);
+/// Tokens of a short and of a long prompt.
+const PROMPTS: (u64, u64) = (2_000, 70_000);
+
+/// One caller.
+pub struct Caller {
+    /// The run.
+    pub world: Rc<World>,
+    /// The entry host's number.
+    pub host: usize,
+    /// The link to it.
+    pub address: SocketAddr,
+    /// Counts the host's starts.
+    pub life: Rc<Cell<u32>>,
+    /// Keys that ever were.
+    pub keys: Vec<String>,
+}
+
+impl Caller {
+    /// Sends until the run is over.
+    pub async fn run(self) {
+        let mut connection = None;
+        while !self.world.over.get() {
+            let (pause, kind) = self.draw();
+            sleep(pause).await;
+            let back = self.send(&mut connection, kind).await;
+            sleep(back.min(RETURN)).await;
+        }
+    }
+
+    fn draw(&self) -> (Duration, Kind) {
+        let newest = self.world.acknowledged().map_or(1, |p| p.version);
+        let mut rng = self.world.rng.borrow_mut();
+        let pause = Duration::from_millis(rng.random_range(PAUSE));
+        let kind = match rng.random_range(0..20) {
+            0..6 => Kind::Safe,
+            6..12 => Kind::Unsafe,
+            12..16 => Kind::Short,
+            16 => Kind::Long,
+            _ if self.world.quiet.get() => Kind::Safe,
+            17 | 18 => Kind::Version(newest),
+            _ => Kind::Version(newest.saturating_sub(1).max(1)),
+        };
+        (pause, kind)
+    }
+
+    fn key(&self) -> String {
+        let newest = self.world.acknowledged();
+        let mut rng = self.world.rng.borrow_mut();
+        let valid = newest.map(|p| p.keys).unwrap_or_default();
+        let any = !self.world.quiet.get() && rng.random_bool(0.2);
+        let keys = if any || valid.is_empty() {
+            &self.keys
+        } else {
+            &valid
+        };
+        keys.choose(&mut *rng).cloned().unwrap_or_default()
+    }
+
+    /// Sends one request and notes how it ended. Gives how long to wait before the next.
+    async fn send(&self, connection: &mut Option<(TcpStream, Reader)>, kind: Kind) -> Duration {
+        let id = format!("r{}-{}", self.host, self.world.number());
+        let (key, life) = (self.key(), self.life.get());
+        let text = self.text(&id, &key, kind);
+        let taken = self.connect(connection).await;
+        let Some((mut stream, mut reader)) = taken else {
+            self.note(id, (life, kind, key), self.world.now(), Outcome::Unsent);
+            return Duration::from_millis(100);
+        };
+        let written = stream.write_all(text.as_bytes()).await;
+        let sent = self.world.now();
+        let answer = match written {
+            Ok(()) => timeout(DEADLINE + PATIENCE, reader.response(&mut stream)).await,
+            Err(error) => Ok(Err(error)),
+        };
+        let outcome = outcome(&id, kind, &answer);
+        let mut back = Duration::ZERO;
+        if let Ok(Ok(message)) = &answer {
+            let wait = message
+                .get("retry-after")
+                .and_then(|text| text.parse().ok());
+            back = wait.map_or(Duration::ZERO, |seconds: f64| {
+                Duration::try_from_secs_f64(seconds).unwrap_or(RETURN)
+            });
+            if message.get("connection") != Some("close") {
+                *connection = Some((stream, reader));
+            }
+        }
+        self.note(id, (life, kind, key), sent, outcome);
+        back
+    }
+
+    fn note(&self, id: String, asked: (u32, Kind, String), sent: u64, outcome: Outcome) {
+        let (life, kind, key) = asked;
+        self.world.history.borrow_mut().requests.push(Request {
+            id,
+            host: self.host,
+            life,
+            kind,
+            key,
+            sent,
+            ended: self.world.now(),
+            outcome,
+        });
+    }
+
+    async fn connect(
+        &self,
+        connection: &mut Option<(TcpStream, Reader)>,
+    ) -> Option<(TcpStream, Reader)> {
+        if let Some(open) = connection.take() {
+            // A connection that the host has closed is no answer to the next request.
+            let mut byte = [0];
+            let is_open = matches!(open.0.try_read(&mut byte),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+            if is_open {
+                return Some(open);
+            }
+        }
+        let connecting = timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let stream = connecting.ok()?.ok()?;
+        // Only a matter of time.
+        let _ = stream.set_nodelay(true);
+        Some((stream, Reader::default()))
+    }
+
+    fn text(&self, id: &str, key: &str, kind: Kind) -> String {
+        let names = &self.world.names;
+        let path = match kind {
+            Kind::Safe => "safe".to_owned(),
+            Kind::Unsafe => "unsafe".to_owned(),
+            Kind::Short | Kind::Long => "stream".to_owned(),
+            Kind::Version(version) => format!("v{version}"),
+        };
+        let prompt = match kind {
+            Kind::Short => Some(PROMPTS.0),
+            Kind::Long => Some(PROMPTS.1),
+            Kind::Safe | Kind::Unsafe | Kind::Version(_) => None,
+        };
+        let usage = prompt.map_or_else(String::new, |prompt| {
+            format!("{}: {prompt},{EVENTS}\r\n", names.usage.as_str())
+        });
+        format!(
+            "POST /{path}/x HTTP/1.1\r\nhost: {HOST}\r\n{}: {id}\r\n{}: {}\r\n{}: {key}\r\n{usage}\
+             content-length: 2\r\n\r\nhi",
+            names.request_id.as_str(),
+            names.deadline.as_str(),
+            DEADLINE.as_millis(),
+            names.key.as_str(),
+        )
+    }
+}
+
+fn outcome(
+    id: &str,
+    kind: Kind,
+    answer: &Result<io::Result<Message>, tokio::time::error::Elapsed>,
+) -> Outcome {
+    let message = match answer {
+        Err(_) => return Outcome::Silent,
+        Ok(Err(_)) => return Outcome::Broken,
+        Ok(Ok(message)) => message,
+    };
+    let right = match kind {
+        Kind::Short | Kind::Long => events(id, 1, EVENTS),
+        Kind::Safe | Kind::Unsafe | Kind::Version(_) => super::world::answer(id),
+    };
+    match message.status == 200 && message.body != right.as_bytes() {
+        true => Outcome::Wrong,
+        false => Outcome::Status(message.status),
+    }
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/check.rs
@@ -0,0 +1,405 @@
+//! The promises, judged by what was seen. Each check gives its findings; none means that
+//! the promise was kept.
+
+use std::collections::{HashMap, HashSet};
+
+use super::{
+    history::{Arrival, History, Kind, Outcome, Request},
+    plan::Act,
+};
+
+/// The times and figures that the deployment promises, in milliseconds where they are times.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Until a host that is undisturbed acts on what others know.
+    pub contact: u64,
+    /// Until a key that was taken away stops working.
+    pub revocation: u64,
+    /// Until everything is served after the last fault.
+    pub recovery: u64,
+    /// From a stop to the end of the process.
+    pub grace: u64,
+    /// How long after it was sent a request that no upstream got may be cut off.
+    pub slack: u64,
+    /// Further attempts for each request, and in any case, within ten seconds.
+    pub retries: (f64, usize),
+    /// The most resident memory of a process, in kilobytes.
+    pub memory_kb: u64,
+    /// The most descriptors of a process.
+    pub descriptors: usize,
+}
+
+/// Those of the users' platform.
+pub const BOUNDS: Bounds = Bounds {
+    contact: 3_000,
+    revocation: 5_000,
+    recovery: 12_000,
+    grace: 8_000,
+    slack: 200,
+    retries: (0.2, 100),
+    memory_kb: 160 * 1024,
+    descriptors: 3_900,
+};
+
+/// The span over which a limit is counted.
+const LIMIT_SPAN: u64 = 4_000;
+/// The span over which further attempts are counted.
+const RETRY_SPAN: u64 = 10_000;
+/// After this an answer that named a limit is known to the host that passed it on.
+const TOLD: u64 = 500;
+
+/// A promise that was not kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Finding {
+    /// The check.
+    pub check: &'static str,
+    /// What was seen.
+    pub text: String,
+}
+
+/// All checks.
+pub fn all(history: &History, bounds: &Bounds) -> Vec<Finding> {
+    let checks: [(&'static str, Vec<String>); 12] = [
+        ("once", once(history)),
+        ("not-run", not_run(history)),
+        ("whole", whole(history)),
+        ("kept", kept(history)),
+        ("forward", forward(history)),
+        ("revoked", revoked(history, bounds)),
+        ("uncut", uncut(history, bounds)),
+        ("memory", memory(history)),
+        ("retries", retries(history, bounds)),
+        ("recovery", recovery(history, bounds)),
+        ("footprint", footprint(history, bounds)),
+        ("limit", limit(history, bounds)),
+    ];
+    let found = checks.into_iter().flat_map(|(check, texts)| {
+        let texts = texts.into_iter();
+        texts.map(move |text| Finding { check, text })
+    });
+    found.collect()
+}
+
+fn runs(history: &History) -> HashMap<&str, Vec<&Arrival>> {
+    let mut runs: HashMap<&str, Vec<&Arrival>> = HashMap::new();
+    for arrival in history.arrivals.iter().filter(|arrival| arrival.ran) {
+        runs.entry(&arrival.id).or_default().push(arrival);
+    }
+    runs
+}
+
+/// A request that is not idempotent runs at most once.
+fn once(history: &History) -> Vec<String> {
+    let runs = runs(history);
+    let asked = history.requests.iter();
+    let asked = asked.filter(|request| request.kind == Kind::Unsafe);
+    let twice = asked.filter(|request| runs.get(&*request.id).is_some_and(|runs| runs.len() > 1));
+    twice
+        .map(|request| format!("request {} ran more than once", request.id))
+        .collect()
+}
+
+/// What was answered 408, 421, 429 or 503 has not run.
+fn not_run(history: &History) -> Vec<String> {
+    let runs = runs(history);
+    let refused = history.requests.iter().filter(|request| {
+        let promises = matches!(request.outcome, Outcome::Status(408 | 421 | 429 | 503));
+        promises && request.kind == Kind::Unsafe
+    });
+    let ran = refused.filter(|request| runs.contains_key(&*request.id));
+    ran.map(|request| format!("request {} was refused and has run", request.id))
+        .collect()
+}
+
+/// A success is the whole answer to its own request.
+fn whole(history: &History) -> Vec<String> {
+    let wrong = history.requests.iter();
+    let wrong = wrong.filter(|request| request.outcome == Outcome::Wrong);
+    wrong
+        .map(|request| format!("request {} got another answer than its own", request.id))
+        .collect()
+}
+
+/// What was acknowledged to the operator is read back, then and at the end.
+fn kept(history: &History) -> Vec<String> {
+    let old = history.reads.iter().filter_map(|read| {
+        let before = history.publications.iter().filter(|publication| {
+            let at = publication.acknowledged;
+            at.is_some_and(|at| at < read.sent)
+        });
+        let newest = before.map(|publication| publication.version).max()?;
+        (read.version < newest).then(|| {
+            format!(
+                "version {} was read at {} ms, {newest} was acknowledged before",
+                read.version, read.sent
+            )
+        })
+    });
+    let mut found: Vec<String> = old.collect();
+    if history.reads.is_empty() {
+        found.push("no configuration could be read".to_owned());
+    }
+    found
+}
+
+/// No process acts on an older configuration after a newer one.
+fn forward(history: &History) -> Vec<String> {
+    let mut found = Vec::new();
+    let served: Vec<(&Request, u64)> = history
+        .requests
+        .iter()
+        .filter(|request| request.outcome == Outcome::Status(200))
+        .filter_map(|request| match request.kind {
+            Kind::Version(version) => Some((request, version)),
+            _ => None,
+        })
+        .collect();
+    for (later, version) in &served {
+        let mut earlier = served.iter().filter(|(earlier, _)| {
+            let same = (earlier.host, earlier.life) == (later.host, later.life);
+            same && earlier.ended < later.sent
+        });
+        if let Some((_, newer)) = earlier.find(|(_, other)| other > version) {
+            found.push(format!(
+                "host {} served version {version} at {} ms after version {newer}",
+                later.host, later.sent
+            ));
+        }
+    }
+    found
+}
+
+/// A key that was taken away stops working in its time, at every host.
+fn revoked(history: &History, bounds: &Bounds) -> Vec<String> {
+    let mut ends: HashMap<&str, u64> = HashMap::new();
+    let mut known: HashSet<&str> = HashSet::new();
+    for publication in &history.publications {
+        let keys: HashSet<&str> = publication.keys.iter().map(String::as_str).collect();
+        if let Some(at) = publication.acknowledged {
+            for key in known.difference(&keys) {
+                ends.entry(key).or_insert(at);
+            }
+        }
+        known.extend(keys);
+    }
+    let runs = runs(history);
+    let late = history.requests.iter().filter(|request| {
+        let end = ends.get(&*request.key);
+        let is_late = end.is_some_and(|end| request.sent > end + bounds.revocation);
+        // Routes of single versions are public.
+        let is_keyed = !matches!(request.kind, Kind::Version(_));
+        is_late && is_keyed && runs.contains_key(&*request.id)
+    });
+    late.map(|request| {
+        format!(
+            "request {} of {} ms ran with a key that was taken away",
+            request.id, request.sent
+        )
+    })
+    .collect()
+}
+
+/// A host that is told to stop cuts nothing that it took. Counts where nothing but planned
+/// work went on.
+fn uncut(history: &History, bounds: &Bounds) -> Vec<String> {
+    let stops: Vec<(usize, u64)> = history
+        .faults
+        .iter()
+        .filter_map(|fault| match fault.act {
+            Act::StopHost(host) => Some((host, fault.at)),
+            _ => None,
+        })
+        .collect();
+    let arrived: HashSet<&str> = history.arrivals.iter().map(|a| &*a.id).collect();
+    let is_calm = |request: &Request| {
+        let mut unplanned = history.faults.iter().filter(|f| !f.act.is_planned());
+        !unplanned
+            .any(|fault| request.sent < fault.end() + bounds.contact && fault.at <= request.ended)
+    };
+    let cut = history.requests.iter().filter(|request| {
+        let stopped = stops.iter().any(|(host, at)| {
+            let near = request.ended >= *at && request.sent <= at + bounds.grace;
+            *host == request.host && near
+        });
+        // A request that crosses the close was never taken.
+        let taken = arrived.contains(&*request.id) || request.ended > request.sent + bounds.slack;
+        stopped && taken && request.outcome == Outcome::Broken && is_calm(request)
+    });
+    cut.map(|request| {
+        format!(
+            "request {} of {} ms was cut off at {} ms by host {} that stopped",
+            request.id, request.sent, request.ended, request.host
+        )
+    })
+    .collect()
+}
+
+/// No memory is left on engines when nothing uses it.
+fn memory(history: &History) -> Vec<String> {
+    let held = history.held;
+    let found = (held > 0).then(|| format!("{held} tokens of memory are still set aside"));
+    found.into_iter().collect()
+}
+
+/// Further attempts stay within what all hosts together may spend.
+fn retries(history: &History, bounds: &Bounds) -> Vec<String> {
+    let mut first: HashSet<&str> = HashSet::new();
+    let further = history.arrivals.iter().filter(|a| !first.insert(&a.id));
+    let further: Vec<u64> = further.map(|arrival| arrival.at).collect();
+    let sent: Vec<u64> = history.requests.iter().map(|r| r.sent).collect();
+    let count = |times: &[u64], from: u64, to: u64| {
+        let within = times.iter().filter(|at| (from..to).contains(at));
+        within.count()
+    };
+    let over = further.iter().find_map(|from| {
+        let spent = count(&further, *from, from + RETRY_SPAN);
+        let earlier = from.saturating_sub(RETRY_SPAN);
+        let windows = [earlier, from - (from - earlier) / 2, *from];
+        let asked = windows.map(|at| count(&sent, at, at + RETRY_SPAN));
+        let asked = asked.into_iter().max().unwrap_or(0);
+        let allowed = (asked as f64 * bounds.retries.0) as usize + bounds.retries.1;
+        (spent > allowed)
+            .then(|| format!("{spent} further attempts from {from} ms on, {allowed} allowed"))
+    });
+    over.into_iter().collect()
+}
+
+/// Everything is served again in its time once the last fault is over.
+fn recovery(history: &History, bounds: &Bounds) -> Vec<String> {
+    let from = history.healed + bounds.recovery;
+    let late: Vec<&Request> = history.requests.iter().filter(|r| r.sent > from).collect();
+    let mut found: Vec<String> = late
+        .iter()
+        .filter(|request| request.outcome != Outcome::Status(200))
+        .map(|request| {
+            format!(
+                "request {} of {} ms, {} ms after the last fault: {:?}",
+                request.id,
+                request.sent,
+                request.sent - history.healed,
+                request.outcome
+            )
+        })
+        .collect();
+    if late.is_empty() {
+        found.push("nothing was asked after the recovery".to_owned());
+    }
+    let unstopped = history.unstopped.iter();
+    found.extend(unstopped.map(|name| format!("{name} did not stop in time")));
+    found
+}
+
+/// No process takes more than its bound.
+fn footprint(history: &History, bounds: &Bounds) -> Vec<String> {
+    let over = history.footprints.iter().filter(|print| {
+        print.memory_kb > bounds.memory_kb || print.descriptors > bounds.descriptors
+    });
+    over.map(|print| format!("{print:?}")).collect()
+}
+
+/// An upstream gets from hosts that know its limit at most half as many again as it allows,
+/// and five, in any four seconds. A host that was disturbed doesn't count.
+fn limit(history: &History, bounds: &Bounds) -> Vec<String> {
+    let hosts: HashMap<&str, usize> = history
+        .requests
+        .iter()
+        .map(|request| (&*request.id, request.host))
+        .collect();
+    let whole = history.requests.iter();
+    let whole = whole.filter(|request| request.outcome == Outcome::Status(200));
+    let answered: HashMap<&str, (usize, u64)> = whole
+        .map(|request| (&*request.id, (request.host, request.ended)))
+        .collect();
+    let mut by_upstream: HashMap<usize, Vec<&Arrival>> = HashMap::new();
+    for arrival in &history.arrivals {
+        by_upstream
+            .entry(arrival.upstream)
+            .or_default()
+            .push(arrival);
+    }
+    let mut found = Vec::new();
+    for (upstream, arrivals) in by_upstream {
+        let spells = spells(&arrivals);
+        for (from, to, rate) in spells {
+            let told = told(&arrivals, &answered, from, to);
+            let counts = |at: u64, host: usize| {
+                let is_told = told.get(&host).is_some_and(|told| told + TOLD <= at);
+                is_told && !is_disturbed(history, bounds, host, from, at)
+            };
+            let counted: Vec<u64> = arrivals
+                .iter()
+                .filter(|arrival| arrival.at >= from + bounds.contact && arrival.at <= to)
+                .filter(|arrival| {
+                    hosts
+                        .get(&*arrival.id)
+                        .is_some_and(|h| counts(arrival.at, *h))
+                })
+                .map(|arrival| arrival.at)
+                .collect();
+            let allowed = (1.5 * f64::from(rate) / 1e6 * LIMIT_SPAN as f64) as usize + 5;
+            let over = counted.iter().find_map(|start| {
+                let span = start..&(start + LIMIT_SPAN);
+                let got = counted.iter().filter(|at| span.contains(at)).count();
+                (got > allowed).then_some((*start, got))
+            });
+            found.extend(over.map(|(at, got)| {
+                format!("upstream {upstream} got {got} requests in 4 s from {at} ms on, {allowed} allowed")
+            }));
+        }
+    }
+    found
+}
+
+/// The times in which an upstream's answers named the same limit: from, to, thousandths a
+/// second.
+fn spells(arrivals: &[&Arrival]) -> Vec<(u64, u64, u32)> {
+    let mut answers: Vec<(u64, Option<u32>)> = arrivals.iter().filter_map(|a| a.answered).collect();
+    answers.sort_unstable();
+    let mut spells: Vec<(u64, u64, u32)> = Vec::new();
+    let mut last = None;
+    for (at, rate) in answers {
+        match (rate, last == rate) {
+            (Some(rate), false) => spells.push((at, at, rate)),
+            (Some(_), true) => {
+                if let Some(spell) = spells.last_mut() {
+                    spell.1 = at;
+                }
+            }
+            (None, _) => {}
+        }
+        last = rate;
+    }
+    spells
+}
+
+/// When each host first passed on, whole, an answer that named a limit.
+fn told(
+    arrivals: &[&Arrival],
+    answered: &HashMap<&str, (usize, u64)>,
+    from: u64,
+    to: u64,
+) -> HashMap<usize, u64> {
+    let mut told: HashMap<usize, u64> = HashMap::new();
+    for arrival in arrivals {
+        let Some((at, Some(_))) = arrival.answered else {
+            continue;
+        };
+        let passed = answered.get(&*arrival.id);
+        if let Some((host, ended)) = passed.filter(|_| (from..=to).contains(&at)) {
+            let first = told.entry(*host).or_insert(*ended);
+            *first = (*first).min(*ended);
+        }
+    }
+    told
+}
+
+/// Whether a host was killed, frozen or stopped in a time.
+fn is_disturbed(history: &History, bounds: &Bounds, host: usize, from: u64, to: u64) -> bool {
+    history.faults.iter().any(|fault| {
+        let own = match fault.act {
+            Act::KillHost(n) | Act::FreezeHost(n) | Act::StopHost(n) => n == host,
+            _ => false,
+        };
+        own && fault.at <= to && fault.end() + bounds.grace + bounds.contact >= from
+    })
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -0,0 +1,358 @@
+//! The system under test: replicas and entry hosts as processes, upstreams in this one, and
+//! links between them that can be harmed.
+
+use std::{
+    cell::RefCell,
+    fs,
+    io::{self, Write},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    rc::Rc,
+    time::Duration,
+};
+
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+use super::{
+    operator::SLOTS,
+    plan::{Act, Fault},
+    process::Process,
+    proxy::Proxy,
+    upstream::Upstream,
+    world::{ENGINES, PLAIN, World},
+};
+
+/// Ports, the same on every host: inner, loads, admin, control, callers, readiness.
+const PORTS: [u16; 6] = [7301, 7302, 7303, 7304, 7305, 7306];
+/// The second numbers of the addresses that runs take.
+const BASES: std::ops::Range<u8> = 20..220;
+/// A process that has ended is started again after this long.
+const RESTART: Duration = Duration::from_millis(300);
+/// How long a process that is told to stop may take.
+pub const STOP: Duration = Duration::from_secs(8);
+/// Bytes that are missing from a torn record.
+const TORN: u64 = 7;
+
+/// The fleet.
+pub struct Fleet {
+    world: Rc<World>,
+    folder: PathBuf,
+    base: u8,
+    // Keeps other runs off these addresses.
+    _claim: TcpListener,
+    replicas: Vec<Process>,
+    /// From upstreams and the operator to each replica, and where it leads.
+    pub control: Vec<(Rc<Proxy>, SocketAddr)>,
+    /// Entry hosts.
+    pub hosts: Vec<Process>,
+    /// From callers to each entry host.
+    pub callers: Vec<Rc<Proxy>>,
+    upstreams: RefCell<Vec<Rc<Upstream>>>,
+    /// Those whose place was taken.
+    former: RefCell<Vec<Rc<Upstream>>>,
+}
+
+impl Fleet {
+    /// Starts all processes and upstreams.
+    pub async fn start(world: &Rc<World>, program: &Path, folder: &Path) -> io::Result<Fleet> {
+        let (base, claim) = claim()?;
+        let mut fleet = Fleet {
+            world: Rc::clone(world),
+            folder: folder.to_owned(),
+            base,
+            _claim: claim,
+            replicas: Vec::new(),
+            control: Vec::new(),
+            hosts: Vec::new(),
+            callers: Vec::new(),
+            upstreams: RefCell::default(),
+            former: RefCell::default(),
+        };
+        for n in 0..world.size.replicas {
+            let file = fleet.write_replica(n, true)?;
+            let process = Process::new(format!("replica-{n}"), program.to_owned(), file);
+            process.start()?;
+            let own = SocketAddr::new(fleet.replica(n), PORTS[3]);
+            let link = Proxy::start((fleet.links(), 0).into(), own).await?;
+            fleet.replicas.push(process);
+            fleet.control.push((link, own));
+        }
+        for n in 0..world.size.hosts {
+            let file = fleet.write_host(n)?;
+            let process = Process::new(format!("host-{n}"), program.to_owned(), file);
+            process.start()?;
+            let own = SocketAddr::new(fleet.host(n), PORTS[4]);
+            fleet
+                .callers
+                .push(Proxy::start((fleet.links(), 0).into(), own).await?);
+            fleet.hosts.push(process);
+        }
+        // From here on a replica that starts again doesn't found a group.
+        for n in 0..world.size.replicas {
+            fleet.write_replica(n, false)?;
+        }
+        for n in 0..world.size.upstreams {
+            let upstream = fleet.upstream(n).await?;
+            fleet.upstreams.borrow_mut().push(upstream);
+        }
+        Ok(fleet)
+    }
+
+    fn ip(&self, class: u8, n: usize) -> IpAddr {
+        let last = u8::try_from(n + 1).unwrap_or(u8::MAX);
+        Ipv4Addr::new(127, self.base, class, last).into()
+    }
+
+    fn replica(&self, n: usize) -> IpAddr {
+        self.ip(1, n)
+    }
+
+    fn host(&self, n: usize) -> IpAddr {
+        self.ip(2, n)
+    }
+
+    fn links(&self) -> IpAddr {
+        self.ip(3, 0)
+    }
+
+    fn seeds(&self, port: u16) -> String {
+        let seeds = (0..self.world.size.replicas.min(3))
+            .map(|n| SocketAddr::new(self.replica(n), port).to_string());
+        seeds.collect::<Vec<_>>().join(", ")
+    }
+
+    fn write_replica(&self, n: usize, founds: bool) -> io::Result<PathBuf> {
+        let ip = self.replica(n);
+        let [inner, loads, admin, control, ..] = PORTS;
+        let founds = if founds { "yes" } else { "no" };
+        let text = format!(
+            "[host]\nname = {ip}\ndomain = d-{n}\nregion = r\nlisten = {ip}:{inner}\n\
+             seeds = {}\nfollow = 400\ndata = data-{n}\n\n\
+             [replica]\nadmin = {ip}:{admin}\nfounds = {founds}\nrepairs = yes\n\n\
+             [directory]\nlisten = {ip}:{control}\nexchange = {ip}:{loads}\n\n{LOG}",
+            self.seeds(inner)
+        );
+        self.write(&format!("replica-{n}"), &text)
+    }
+
+    fn write_host(&self, n: usize) -> io::Result<PathBuf> {
+        let ip = self.host(n);
+        let [inner, loads, _, _, callers, ready] = PORTS;
+        let text = format!(
+            "[host]\nname = host-{n}\ndomain = d-{}\nregion = r\nlisten = {ip}:{inner}\n\
+             seeds = {}\nfollow = 400\n\n\
+             [gateway]\nlisten = {ip}:{callers}\nready = {ip}:{ready}\nrevocation = 5000\n\
+             retry_share = 0.2\nstop_time = {}\nmemory_hold = 4000\nexchange = {}\n\n{LOG}",
+            n % self.world.size.replicas,
+            self.seeds(inner),
+            STOP.as_secs(),
+            self.seeds(loads)
+        );
+        self.write(&format!("host-{n}"), &text)
+    }
+
+    fn write(&self, name: &str, text: &str) -> io::Result<PathBuf> {
+        let file = self.folder.join(format!("{name}.ini"));
+        fs::File::create(&file)?.write_all(text.as_bytes())?;
+        Ok(file)
+    }
+
+    async fn upstream(&self, n: usize) -> io::Result<Rc<Upstream>> {
+        let kind = match n < self.world.size.plain() {
+            true => (PLAIN, SLOTS * 2),
+            false => (ENGINES, SLOTS),
+        };
+        let control = self.control.iter().map(|(link, _)| link.address);
+        Upstream::start(&self.world, self.links(), kind, control.collect()).await
+    }
+
+    fn present(&self, n: usize) -> Option<Rc<Upstream>> {
+        self.upstreams.borrow().get(n).cloned()
+    }
+
+    /// Does what a fault says, for as long as it says.
+    pub async fn act(&self, fault: &Fault) -> io::Result<()> {
+        let length = Duration::from_millis(fault.length);
+        match fault.act {
+            Act::KillHost(n) => self.kill(&self.hosts[n], length).await,
+            Act::FreezeHost(n) => self.freeze(&self.hosts[n], length).await,
+            Act::StopHost(n) => self.stop(&self.hosts[n]).await,
+            Act::KillReplica(n) => self.kill(&self.replicas[n], length).await,
+            Act::FreezeReplica(n) => self.freeze(&self.replicas[n], length).await,
+            Act::StopReplica(n) => self.stop(&self.replicas[n]).await,
+            Act::WipeReplica(n) => {
+                self.replicas[n].kill().await;
+                fs::remove_dir_all(self.folder.join(format!("data-{n}")))?;
+                sleep(length).await;
+                self.replicas[n].start()
+            }
+            Act::TearReplica(n) => {
+                self.replicas[n].kill().await;
+                tear(&self.folder.join(format!("data-{n}")))?;
+                self.replicas[n].start()
+            }
+            Act::KillReplicas => {
+                for replica in &self.replicas {
+                    replica.signal(Signal::KILL);
+                }
+                sleep(length.min(Duration::from_secs(1))).await;
+                self.replicas.iter().try_for_each(Process::start)
+            }
+            Act::Callers(n, link) => harm(&self.callers[n], link, length).await,
+            Act::Control(n, link) => harm(&self.control[n].0, link, length).await,
+            Act::Upstream(n, link) => match self.present(n) {
+                Some(upstream) => harm(&upstream.link, link, length).await,
+                None => Ok(()),
+            },
+            Act::Crash(n) => {
+                self.present(n).iter().for_each(|upstream| upstream.crash());
+                sleep(length).await;
+                self.replace(n).await
+            }
+            Act::Release(n) => {
+                let old = self.present(n);
+                self.replace(n).await?;
+                sleep(length).await;
+                old.iter().for_each(Upstream::leave);
+                Ok(())
+            }
+            Act::Limit(n, limit) => {
+                if let Some(upstream) = self.present(n) {
+                    upstream.limit.set(Some(limit));
+                    // Long enough for the limit to be judged.
+                    sleep(length * 3).await;
+                    upstream.limit.set(None);
+                }
+                Ok(())
+            }
+            // The operator's.
+            Act::Publish | Act::Revoke => Ok(()),
+        }
+    }
+
+    async fn replace(&self, n: usize) -> io::Result<()> {
+        let next = self.upstream(n).await?;
+        let old = std::mem::replace(&mut self.upstreams.borrow_mut()[n], next);
+        self.former.borrow_mut().push(old);
+        Ok(())
+    }
+
+    async fn kill(&self, process: &Process, length: Duration) -> io::Result<()> {
+        process.kill().await;
+        sleep(length).await;
+        process.start()
+    }
+
+    async fn freeze(&self, process: &Process, length: Duration) -> io::Result<()> {
+        process.signal(Signal::STOP);
+        sleep(length).await;
+        process.signal(Signal::CONT);
+        Ok(())
+    }
+
+    async fn stop(&self, process: &Process) -> io::Result<()> {
+        self.stop_only(process).await;
+        sleep(RESTART).await;
+        process.start()
+    }
+
+    /// Tells a process to stop, and kills it if it doesn't in time.
+    async fn stop_only(&self, process: &Process) {
+        process.signal(Signal::TERM);
+        if !process.ended(STOP).await {
+            let mut history = self.world.history.borrow_mut();
+            history.unstopped.push(process.name.clone());
+            process.signal(Signal::KILL);
+        }
+    }
+
+    /// Starts processes that have ended by themselves, as whoever runs them would, and looks
+    /// at what all of them take.
+    pub async fn tend(&self) {
+        let all = || self.hosts.iter().chain(&self.replicas);
+        while !self.world.over.get() {
+            all().for_each(Process::look);
+            sleep(Duration::from_secs(1)).await;
+        }
+    }
+
+    /// All links whole, all processes running.
+    pub fn heal(&self) -> io::Result<()> {
+        let links = self
+            .callers
+            .iter()
+            .chain(self.control.iter().map(|(link, _)| link));
+        links.for_each(|link| link.set(None));
+        for upstream in &*self.upstreams.borrow() {
+            upstream.link.set(None);
+            upstream.limit.set(None);
+        }
+        for process in self.hosts.iter().chain(&self.replicas) {
+            process.signal(Signal::CONT);
+            process.start()?;
+        }
+        Ok(())
+    }
+
+    /// Tokens of memory that are set aside on engines.
+    pub fn held(&self) -> u64 {
+        let upstreams = self.upstreams.borrow();
+        upstreams.iter().map(|upstream| upstream.held()).sum()
+    }
+
+    /// Stops all processes and says what they took.
+    pub async fn end(&self) {
+        let all: Vec<&Process> = self.hosts.iter().chain(&self.replicas).collect();
+        futures::future::join_all(all.iter().map(|process| self.stop_only(process))).await;
+        let mut history = self.world.history.borrow_mut();
+        for process in all {
+            let (memory_kb, descriptors) = process.largest.get();
+            history.footprints.push(super::history::Footprint {
+                process: process.name.clone(),
+                memory_kb,
+                descriptors,
+            });
+        }
+    }
+}
+
+/// Addresses of this run's own, and what keeps other runs off them.
+fn claim() -> io::Result<(u8, TcpListener)> {
+    let claims = BASES.map(|base| {
+        let listener = TcpListener::bind((Ipv4Addr::new(127, base, 9, 9), PORTS[0]))?;
+        Ok::<_, io::Error>((base, listener))
+    });
+    let mut claims = claims.filter_map(Result::ok);
+    claims
+        .next()
+        .ok_or_else(|| io::Error::other("no loopback addresses are free"))
+}
+
+const LOG: &str = "[log]\nformat = json\noutput = stdout\nfilter = warn,almondlock=info\n";
+
+async fn harm(link: &Proxy, harm: super::plan::Link, length: Duration) -> io::Result<()> {
+    link.set(Some(harm));
+    sleep(length).await;
+    link.set(None);
+    Ok(())
+}
+
+/// Takes the last bytes off the file that was written last.
+fn tear(folder: &Path) -> io::Result<()> {
+    let mut files: Vec<(std::time::SystemTime, PathBuf, u64)> = Vec::new();
+    for entry in fs::read_dir(folder)? {
+        let entry = entry?;
+        let data = entry.metadata()?;
+        if data.is_file() && data.len() > TORN {
+            files.push((data.modified()?, entry.path(), data.len()));
+        }
+    }
+    let Some((_, file, length)) = files.into_iter().max() else {
+        return Ok(());
+    };
+    fs::OpenOptions::new()
+        .write(true)
+        .open(file)?
+        .set_len(length - TORN)
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/operator.rs
@@ -0,0 +1,158 @@
+//! The operator: publishes configurations, takes keys away, reads back.
+
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+
+use almondlock_platform::counterpart::{
+    self, CONFIGURATION, Kind, Publication, Route, publication,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
+
+use super::{
+    history::{self, Read},
+    http::{Message, Reader},
+    world::{ENGINES, HOST, PLAIN, World},
+};
+
+/// How long a call may take.
+const CALL: Duration = Duration::from_millis(1_000);
+/// Between two tries of the same change.
+const PAUSE: Duration = Duration::from_millis(100);
+/// Places of each engine.
+pub const SLOTS: u32 = 8;
+/// Redirections that a call follows.
+const REDIRECTIONS: usize = 2;
+
+/// One call on a connection of its own.
+pub async fn call(to: SocketAddr, method: &str, path: &str, body: &str) -> io::Result<Message> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(to).await?;
+        let length = body.len();
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: {to}\r\nconnection: close\r\n\
+             content-type: application/json\r\ncontent-length: {length}\r\n\r\n"
+        );
+        stream.write_all((head + body).as_bytes()).await?;
+        Reader::default().response(&mut stream).await
+    };
+    timeout(CALL, exchange).await?
+}
+
+/// Publishes and reads, through the links to the replicas.
+pub struct Operator {
+    world: Rc<World>,
+    /// Links to the replicas' listeners, and the addresses that these have.
+    control: Vec<(SocketAddr, SocketAddr)>,
+}
+
+impl Operator {
+    /// One that uses these links, each given with where it leads.
+    pub fn new(world: &Rc<World>, control: Vec<(SocketAddr, SocketAddr)>) -> Operator {
+        Operator {
+            world: Rc::clone(world),
+            control,
+        }
+    }
+
+    /// Publishes the next version with these keys, again until it is acknowledged.
+    pub async fn publish(&self, keys: Vec<String>) {
+        let text = {
+            let mut history = self.world.history.borrow_mut();
+            let version = history.publications.len() as u64 + 1;
+            history.publications.push(history::Publication {
+                version,
+                sent: self.world.now(),
+                acknowledged: None,
+                keys: keys.clone(),
+            });
+            publication(&configuration(version, keys))
+        };
+        let place = self.world.history.borrow().publications.len() - 1;
+        while !self.world.over.get() {
+            for (link, _) in &self.control {
+                if self.send(*link, &text).await {
+                    let now = self.world.now();
+                    let mut history = self.world.history.borrow_mut();
+                    history.publications[place].acknowledged = Some(now);
+                    return;
+                }
+            }
+            sleep(PAUSE).await;
+        }
+    }
+
+    async fn send(&self, link: SocketAddr, text: &str) -> bool {
+        let mut to = link;
+        for _ in 0..=REDIRECTIONS {
+            let Ok(answer) = call(to, "PUT", CONFIGURATION, text).await else {
+                return false;
+            };
+            match answer.status {
+                200 => return true,
+                307 => match answer.get("location").and_then(|url| self.link(url)) {
+                    Some(next) => to = next,
+                    None => return false,
+                },
+                _ => return false,
+            }
+        }
+        false
+    }
+
+    /// The link to the replica that a URL names.
+    fn link(&self, url: &str) -> Option<SocketAddr> {
+        let address: SocketAddr = url
+            .strip_prefix("http://")?
+            .split('/')
+            .next()?
+            .parse()
+            .ok()?;
+        let mut control = self.control.iter();
+        let found = control.find(|(_, own)| *own == address);
+        found.map(|(link, _)| *link)
+    }
+
+    /// Reads the configuration at every replica.
+    pub async fn read(&self) {
+        for (link, _) in &self.control {
+            let sent = self.world.now();
+            let answer = call(*link, "GET", CONFIGURATION, "").await;
+            let Ok(answer) = answer.map(|a| if a.status == 200 { Some(a) } else { None }) else {
+                continue;
+            };
+            let text = answer.map(|answer| String::from_utf8_lossy(&answer.body).into_owned());
+            if let Some(version) = text.and_then(|text| counterpart::version(&text)) {
+                let mut history = self.world.history.borrow_mut();
+                history.reads.push(Read { sent, version });
+            }
+        }
+    }
+}
+
+fn configuration(version: u64, keys: Vec<String>) -> Publication {
+    let route = |name: &str, kind, service: &str| Route {
+        name: name.to_owned(),
+        kind,
+        service: service.to_owned(),
+        public: false,
+    };
+    let marker = Route {
+        public: true,
+        ..route(&format!("v{version}"), Kind::Safe, PLAIN)
+    };
+    Publication {
+        version,
+        host: HOST.to_owned(),
+        routes: vec![
+            route("safe", Kind::Safe, PLAIN),
+            route("unsafe", Kind::Unsafe, PLAIN),
+            route("stream", Kind::Stream, ENGINES),
+            marker,
+        ],
+        services: vec![(PLAIN.to_owned(), None), (ENGINES.to_owned(), Some(SLOTS))],
+        keys,
+    }
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/plan.rs
@@ -0,0 +1,209 @@
+//! What goes wrong in a run, and when: drawn from a seed, so that a run can be repeated.
+
+use std::fmt;
+
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+/// Milliseconds before the first fault: everything serves by then.
+const CALM: u64 = 1_500;
+/// Milliseconds that a replica which was away needs before another one may go.
+const CATCH_UP: u64 = 5_000;
+/// Milliseconds between two faults, at the most.
+const GAP: u64 = 1_400;
+/// Milliseconds that a fault lasts.
+const LENGTH: std::ops::Range<u64> = 300..3_500;
+
+/// How a link misbehaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// Bytes come late.
+    Delay,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// Nothing passes, and nothing says so.
+    Silence,
+    /// Only one direction passes.
+    OneWay,
+    /// Bytes come a few at a time.
+    Trickle,
+    /// New connections are accepted and lead nowhere.
+    HalfOpen,
+}
+
+/// What happens. Numbers are places in the fleet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Act {
+    /// An entry host is killed, and started again.
+    KillHost(usize),
+    /// It stands still.
+    FreezeHost(usize),
+    /// It is told to stop, and started again once it has.
+    StopHost(usize),
+    /// A replica is killed, and started again.
+    KillReplica(usize),
+    /// It stands still.
+    FreezeReplica(usize),
+    /// It is told to stop, and started again.
+    StopReplica(usize),
+    /// It is killed and loses its disk.
+    WipeReplica(usize),
+    /// It is killed while it writes: the last bytes of its newest file are missing.
+    TearReplica(usize),
+    /// All replicas are killed at once.
+    KillReplicas,
+    /// The link from callers to an entry host.
+    Callers(usize, Link),
+    /// The links from entry hosts to an upstream.
+    Upstream(usize, Link),
+    /// The link from upstreams and the operator to a replica.
+    Control(usize, Link),
+    /// An upstream dies, and another one comes in its place.
+    Crash(usize),
+    /// An upstream leaves as planned, and another one comes in its place.
+    Release(usize),
+    /// An upstream names a limit, in thousandths of requests a second.
+    Limit(usize, u32),
+    /// The operator publishes another configuration.
+    Publish,
+    /// The operator takes a key away.
+    Revoke,
+}
+
+impl Act {
+    /// Whether it is planned work, at which nothing may be cut off.
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Act::StopHost(_) | Act::Release(_) | Act::Limit(..) | Act::Publish | Act::Revoke
+        )
+    }
+
+    /// The replica that is away meanwhile, if one is; `usize::MAX` for all.
+    fn replica(self) -> Option<usize> {
+        match self {
+            Act::KillReplica(n)
+            | Act::FreezeReplica(n)
+            | Act::StopReplica(n)
+            | Act::WipeReplica(n)
+            | Act::TearReplica(n) => Some(n),
+            Act::KillReplicas => Some(usize::MAX),
+            _ => None,
+        }
+    }
+}
+
+/// One entry of a plan.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// Its number in the plan, by which it can be left out.
+    pub number: usize,
+    /// Milliseconds after the start of traffic.
+    pub at: u64,
+    /// For how many milliseconds.
+    pub length: u64,
+    /// What happens.
+    pub act: Act,
+}
+
+impl Fault {
+    /// When it is over.
+    pub const fn end(&self) -> u64 {
+        self.at + self.length
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Fault {
+            number, at, length, ..
+        } = self;
+        write!(f, "{number:>3}  {at:>6} ms  {length:>5} ms  {:?}", self.act)
+    }
+}
+
+/// How many there are of what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Size {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Replicas.
+    pub replicas: usize,
+    /// Upstreams, of which the first third are plain services.
+    pub upstreams: usize,
+}
+
+impl Size {
+    /// How many of the upstreams are plain services.
+    pub fn plain(&self) -> usize {
+        (self.upstreams / 3).max(1)
+    }
+}
+
+/// Draws a plan. With `planned`, only planned work: nothing may be cut off then.
+pub fn draw(seed: u64, millis: u64, size: Size, planned: bool) -> Vec<Fault> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut faults: Vec<Fault> = Vec::new();
+    let mut at = CALM;
+    while at < millis {
+        let length = rng.random_range(LENGTH);
+        let act = act(&mut rng, size, planned);
+        if is_bearable(&faults, at, act) {
+            let number = faults.len();
+            faults.push(Fault {
+                number,
+                at,
+                length,
+                act,
+            });
+        }
+        at += rng.random_range(50..GAP);
+    }
+    faults
+}
+
+/// One replica at a time may be away, and for some time after; all of them only if none
+/// lost its disk just before.
+fn is_bearable(faults: &[Fault], at: u64, act: Act) -> bool {
+    let is_near = |fault: &&Fault| at < fault.end() + CATCH_UP;
+    let mut near = faults.iter().filter(is_near);
+    match act.replica() {
+        None => true,
+        Some(_) => near.all(|fault| fault.act.replica().is_none()),
+    }
+}
+
+fn act(rng: &mut SmallRng, size: Size, planned: bool) -> Act {
+    let host = rng.random_range(0..size.hosts);
+    let replica = rng.random_range(0..size.replicas);
+    let upstream = rng.random_range(0..size.upstreams);
+    let links = [
+        Link::Delay,
+        Link::Reset,
+        Link::Silence,
+        Link::OneWay,
+        Link::Trickle,
+        Link::HalfOpen,
+    ];
+    let link = *links.choose(rng).unwrap_or(&Link::Delay);
+    let limit = rng.random_range(1_000..6_000);
+    let draw = rng.random_range(0..if planned { 7 } else { 20 });
+    match draw {
+        0 => Act::StopHost(host),
+        1 => Act::Release(upstream),
+        2 | 3 => Act::Limit(upstream, limit),
+        4 | 5 => Act::Publish,
+        6 => Act::Revoke,
+        7 => Act::KillHost(host),
+        8 => Act::FreezeHost(host),
+        9 => Act::KillReplica(replica),
+        10 => Act::FreezeReplica(replica),
+        11 => Act::StopReplica(replica),
+        12 => Act::WipeReplica(replica),
+        13 => Act::TearReplica(replica),
+        14 => Act::KillReplicas,
+        15 => Act::Callers(host, link),
+        16 | 17 => Act::Upstream(upstream, link),
+        18 => Act::Control(replica, link),
+        _ => Act::Crash(upstream),
+    }
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -0,0 +1,342 @@
+//! A stand-in upstream of the users' platform: a plain service or an engine without
+//! inference. It tells the history what it ran.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    io,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+use almondlock_platform::counterpart::{Beat, Order, beat, instance, order};
+use rand::Rng;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+    task::spawn_local,
+    time::sleep,
+};
+
+use super::{
+    history::Arrival,
+    http::{Message, Reader},
+    operator::call,
+    proxy::{Proxy, reset},
+    world::{EVENTS, Plant, World, answer, events},
+};
+
+/// Between two heartbeats.
+const HEARTBEAT: Duration = Duration::from_millis(800);
+/// How long an upstream serves on after it has said that it leaves.
+const LEAVING: Duration = Duration::from_millis(3_000);
+/// Tokens that fit into an engine.
+const MEMORY: u64 = 100_000;
+/// Between two events of a stream.
+const EVENT: Duration = Duration::from_millis(25);
+/// How long a plain call takes.
+const CALL: Duration = Duration::from_millis(5);
+/// Prompt tokens that are read in a millisecond.
+const READING: u64 = 256;
+/// One in so many requests shows a planted fault.
+const PLANTED: u32 = 20;
+
+/// One life of an upstream.
+pub struct Upstream {
+    world: Rc<World>,
+    /// Its number, which no other life has.
+    number: usize,
+    name: String,
+    service: &'static str,
+    slots: u32,
+    running: Cell<u32>,
+    /// Entry hosts reach it here.
+    pub link: Rc<Proxy>,
+    /// What it takes of all hosts, in thousandths of requests a second.
+    pub limit: Cell<Option<u32>>,
+    leaving: Cell<bool>,
+    dead: Cell<bool>,
+    died: Notify,
+    /// Memory set aside, by name: tokens, and until when.
+    memory: RefCell<HashMap<String, (u64, u64)>>,
+}
+
+impl Upstream {
+    /// Starts one and announces it.
+    pub async fn start(
+        world: &Rc<World>,
+        ip: IpAddr,
+        (service, slots): (&'static str, u32),
+        control: Vec<SocketAddr>,
+    ) -> io::Result<Rc<Upstream>> {
+        let listener = TcpListener::bind((ip, 0)).await?;
+        let link = Proxy::start((ip, 0).into(), listener.local_addr()?).await?;
+        let number = world.number();
+        let upstream = Rc::new(Upstream {
+            world: Rc::clone(world),
+            number: usize::try_from(number).unwrap_or(usize::MAX),
+            name: format!("i-{number}"),
+            service,
+            slots,
+            running: Cell::new(0),
+            link,
+            limit: Cell::new(None),
+            leaving: Cell::new(false),
+            dead: Cell::new(false),
+            died: Notify::new(),
+            memory: RefCell::default(),
+        });
+        spawn_local(Rc::clone(&upstream).accept(listener));
+        spawn_local(Rc::clone(&upstream).announce(control));
+        Ok(upstream)
+    }
+
+    /// Tokens that are set aside now.
+    pub fn held(&self) -> u64 {
+        let now = self.world.now();
+        let memory = self.memory.borrow();
+        let held = memory.values().filter(|(_, until)| now < *until);
+        held.map(|(tokens, _)| tokens).sum()
+    }
+
+    /// Dies: its connections are reset, and nothing more is heard of it.
+    pub fn crash(&self) {
+        self.dead.set(true);
+        self.died.notify_waiters();
+    }
+
+    /// Says that it leaves, serves on for a while, withdraws and ends.
+    pub fn leave(self: &Rc<Self>) {
+        self.leaving.set(true);
+        let upstream = Rc::clone(self);
+        spawn_local(async move {
+            sleep(LEAVING).await;
+            while upstream.running.get() > 0 {
+                sleep(EVENT).await;
+            }
+            upstream.crash();
+        });
+    }
+
+    async fn announce(self: Rc<Self>, control: Vec<SocketAddr>) {
+        let mut sequence = 0;
+        while !self.dead.get() {
+            sequence += 1;
+            let body = beat(&Beat {
+                service: self.service,
+                address: self.link.address,
+                domain: "d-0",
+                slots: self.slots,
+                leaving: self.leaving.get(),
+                sequence,
+            });
+            let place = sequence as usize % control.len();
+            let order = control[place..].iter().chain(&control[..place]);
+            for address in order {
+                let answered = call(*address, "PUT", &instance(&self.name), &body).await;
+                if answered.is_ok_and(|answer| answer.status == 200) {
+                    break;
+                }
+            }
+            sleep(HEARTBEAT).await;
+        }
+    }
+
+    async fn accept(self: Rc<Self>, listener: TcpListener) {
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        spawn_local(Rc::clone(&self).serve(stream));
+                    }
+                }
+                () = self.died.notified() => return,
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        // Only a matter of time.
+        let _ = stream.set_nodelay(true);
+        let mut reader = Reader::default();
+        let serving = async {
+            while let Some(request) = reader.request(&mut stream).await? {
+                self.answer(&mut stream, &request).await?;
+            }
+            Ok::<(), io::Error>(())
+        };
+        tokio::select! {
+            // A connection that breaks is the caller's to notice.
+            _ = serving => {}
+            () = self.died.notified() => reset(&stream),
+        }
+    }
+
+    async fn answer(&self, stream: &mut TcpStream, request: &Message) -> io::Result<()> {
+        let names = &self.world.names;
+        let id = request.get(names.request_id.as_str()).unwrap_or_default();
+        if let Some(order) = order(&request.body) {
+            return write(stream, &self.order(&order)).await;
+        }
+        let meant = request.get(names.instance.as_str());
+        if meant.is_some_and(|name| name != self.name) {
+            return write(stream, &self.rejection(421, id)).await;
+        }
+        let is_full = self.running.get() >= self.slots;
+        let resumed = request.get(names.last_event.as_str());
+        let resumed: Option<u64> = resumed.and_then(|text| text.parse().ok());
+        let place = self.arrive(id, !is_full, resumed.is_some());
+        if is_full {
+            return write(stream, &self.rejection(503, id)).await;
+        }
+        self.running.set(self.running.get() + 1);
+        let _running = Running(self);
+        match request.get(names.usage.as_str()) {
+            Some(usage) => {
+                let prompt = usage.split(',').next().and_then(|text| text.parse().ok());
+                let helpers = request.get(names.helpers.as_str());
+                let parts = 1 + helpers.map_or(0, |list| list.split(',').count() as u64);
+                sleep(EVENT + Duration::from_millis(prompt.unwrap_or(0) / READING / parts)).await;
+                self.stream(stream, id, place, resumed.unwrap_or(0)).await
+            }
+            None => {
+                sleep(CALL).await;
+                self.plain(stream, id, place).await
+            }
+        }
+    }
+
+    fn arrive(&self, id: &str, ran: bool, resumes: bool) -> usize {
+        let mut history = self.world.history.borrow_mut();
+        let arrival = Arrival {
+            id: id.to_owned(),
+            upstream: self.number,
+            service: self.service,
+            at: self.world.now(),
+            ran,
+            resumes,
+            answered: None,
+        };
+        if ran && self.is_planted(Plant::Twice) {
+            history.arrivals.push(arrival.clone());
+        }
+        history.arrivals.push(arrival);
+        history.arrivals.len() - 1
+    }
+
+    fn is_planted(&self, plant: Plant) -> bool {
+        let mut rng = self.world.rng.borrow_mut();
+        self.world.plant == Some(plant) && rng.random_range(0..PLANTED) == 0
+    }
+
+    /// The head of an answer, up to its framing.
+    fn head(&self, status: u16, id: &str, place: Option<usize>) -> String {
+        let names = &self.world.names;
+        let limit = self.limit.get();
+        if let Some(place) = place {
+            let counted = match self.world.plant {
+                Some(Plant::Quarter) => limit.map(|limit| limit / 4),
+                _ => limit,
+            };
+            let mut history = self.world.history.borrow_mut();
+            history.arrivals[place].answered = Some((self.world.now(), counted));
+        }
+        let limit = limit.map_or_else(String::new, |limit| {
+            let name = names.limit.as_str();
+            format!("{name}: {}\r\n", f64::from(limit) / 1e3)
+        });
+        format!(
+            "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: s-{}\r\n{limit}",
+            names.request_id.as_str(),
+            names.seal.as_str(),
+            self.number,
+        )
+    }
+
+    async fn plain(&self, stream: &mut TcpStream, id: &str, place: usize) -> io::Result<()> {
+        if self.is_planted(Plant::RunRefused) {
+            return write(stream, &self.rejection(503, id)).await;
+        }
+        let foreign = self.is_planted(Plant::Foreign);
+        let body = answer(if foreign { "another" } else { id });
+        let head = self.head(200, id, Some(place));
+        write(
+            stream,
+            &format!("{head}content-length: {}\r\n\r\n{body}", body.len()),
+        )
+        .await
+    }
+
+    async fn stream(
+        &self,
+        stream: &mut TcpStream,
+        id: &str,
+        place: usize,
+        after: u64,
+    ) -> io::Result<()> {
+        let head = self.head(200, id, Some(place));
+        let kind = "content-type: text/event-stream\r\ntransfer-encoding: chunked";
+        write(stream, &format!("{head}{kind}\r\n\r\n")).await?;
+        for n in after + 1..=EVENTS {
+            let event = events(id, n, n);
+            write(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
+            sleep(EVENT).await;
+        }
+        write(stream, "0\r\n\r\n").await
+    }
+
+    fn rejection(&self, status: u16, id: &str) -> String {
+        let names = &self.world.names;
+        let (request, not_run) = (names.request_id.as_str(), names.not_run.as_str());
+        format!(
+            "HTTP/1.1 {status} X\r\n{request}: {id}\r\n{not_run}: 1\r\ncontent-length: 0\r\n\r\n"
+        )
+    }
+
+    fn order(&self, order: &Order) -> String {
+        let now = self.world.now();
+        let mut memory = self.memory.borrow_mut();
+        memory.retain(|_, (_, until)| now < *until);
+        let status = match order {
+            Order::Reserve {
+                id,
+                tokens,
+                hold_ms,
+            } => {
+                let others = memory.iter().filter(|(name, _)| *name != id);
+                let held: u64 = others.map(|(_, (tokens, _))| tokens).sum();
+                match held + tokens <= MEMORY {
+                    true => {
+                        memory.insert(id.clone(), (*tokens, now + hold_ms));
+                        200
+                    }
+                    false => 409,
+                }
+            }
+            Order::Release { id } => {
+                if self.world.plant == Some(Plant::Leak) {
+                    let kept = memory.get_mut(id);
+                    kept.into_iter().for_each(|(_, until)| *until = u64::MAX);
+                } else {
+                    memory.remove(id);
+                }
+                200
+            }
+        };
+        format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\n{{}}")
+    }
+}
+
+struct Running<'a>(&'a Upstream);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+async fn write(stream: &mut TcpStream, text: &str) -> io::Result<()> {
+    stream.write_all(text.as_bytes()).await
+}
--- /dev/null
+++ b/almondlock-bench/src/soak/world.rs
@@ -0,0 +1,125 @@
+//! What the parts of a run share.
+
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Instant,
+};
+
+use almondlock_gateway::dialect::{Dialect as _, Names};
+use almondlock_platform::header::Dialect;
+use rand::{SeedableRng, rngs::SmallRng};
+
+use super::{
+    history::{History, Publication},
+    plan::Size,
+};
+
+/// The host that all routes are on.
+pub const HOST: &str = "soak.example";
+/// The plain service.
+pub const PLAIN: &str = "plain";
+/// The engines' service.
+pub const ENGINES: &str = "engines";
+
+/// A fault of the stand-ins' own, which a check has to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Plant {
+    /// Some calls that may run once are run twice.
+    Twice,
+    /// Some calls are run and called not run.
+    RunRefused,
+    /// Some answers belong to another request.
+    Foreign,
+    /// Engines keep memory that was given back.
+    Leak,
+    /// Upstreams count by a quarter of the limit that they name.
+    Quarter,
+}
+
+impl Plant {
+    /// By its name on the command line.
+    pub fn parse(name: &str) -> Option<Plant> {
+        Some(match name {
+            "twice" => Plant::Twice,
+            "run-refused" => Plant::RunRefused,
+            "foreign" => Plant::Foreign,
+            "leak" => Plant::Leak,
+            "quarter" => Plant::Quarter,
+            _ => return None,
+        })
+    }
+}
+
+/// Shared by all tasks of a run, which run on one thread.
+pub struct World {
+    start: Instant,
+    /// How many there are of what.
+    pub size: Size,
+    /// What was seen so far.
+    pub history: RefCell<History>,
+    /// The platform's header names.
+    pub names: Names,
+    /// For what the plan doesn't decide.
+    pub rng: RefCell<SmallRng>,
+    /// The planted fault.
+    pub plant: Option<Plant>,
+    /// Keys that were taken away are no longer tried, nor are old versions.
+    pub quiet: Cell<bool>,
+    /// No more requests are begun.
+    pub over: Cell<bool>,
+    /// Numbers for upstreams and requests.
+    next: Cell<u64>,
+}
+
+impl World {
+    /// A run that starts now.
+    pub fn new(seed: u64, size: Size, plant: Option<Plant>) -> Rc<World> {
+        Rc::new(World {
+            start: Instant::now(),
+            size,
+            history: RefCell::default(),
+            names: Dialect::new().names().clone(),
+            rng: RefCell::new(SmallRng::seed_from_u64(seed)),
+            plant,
+            quiet: Cell::new(false),
+            over: Cell::new(false),
+            next: Cell::new(1),
+        })
+    }
+
+    /// Milliseconds since the start.
+    pub fn now(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// A number that nothing else has.
+    pub fn number(&self) -> u64 {
+        let next = self.next.get();
+        self.next.set(next + 1);
+        next
+    }
+
+    /// The newest configuration that was acknowledged.
+    pub fn acknowledged(&self) -> Option<Publication> {
+        let history = self.history.borrow();
+        let acknowledged = history.publications.iter();
+        let acknowledged = acknowledged.filter(|p| p.acknowledged.is_some());
+        acknowledged.max_by_key(|p| p.version).cloned()
+    }
+}
+
+/// The right answer to a plain request.
+pub fn answer(id: &str) -> String {
+    blake3::hash(id.as_bytes()).to_hex().to_string()
+}
+
+/// The right events of a stream: from, to, each with its number.
+pub fn events(id: &str, from: u64, to: u64) -> String {
+    (from..=to)
+        .map(|n| format!("id: {n}\ndata: {id}-{n}\n\n"))
+        .collect()
+}
+
+/// Events of each stream.
+pub const EVENTS: u64 = 10;
--- /dev/null
+++ b/almondlock-bench/tests/planted_history.rs
@@ -0,0 +1,251 @@
+//! Each check of the soak finds what it is there for: a history that keeps every promise is
+//! broken in one place, as a faulty system would break it.
+
+use almondlock_bench::soak::{
+    check::{self, BOUNDS},
+    history::{Arrival, Footprint, History, Kind, Outcome, Publication, Read, Request},
+    plan::{Act, Fault},
+};
+use yare::parameterized;
+
+/// When the last fault was over.
+const HEALED: u64 = 30_000;
+
+fn request(id: &str, kind: Kind, sent: u64, outcome: Outcome) -> Request {
+    Request {
+        id: id.to_owned(),
+        host: 0,
+        life: 1,
+        kind,
+        key: "kept".to_owned(),
+        sent,
+        ended: sent + 20,
+        outcome,
+    }
+}
+
+fn arrival(id: &str, at: u64) -> Arrival {
+    Arrival {
+        id: id.to_owned(),
+        upstream: 1,
+        service: "plain",
+        at,
+        ran: true,
+        resumes: false,
+        answered: Some((at + 5, None)),
+    }
+}
+
+fn publication(version: u64, acknowledged: u64, keys: &[&str]) -> Publication {
+    Publication {
+        version,
+        sent: acknowledged - 10,
+        acknowledged: Some(acknowledged),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+    }
+}
+
+fn fault(at: u64, length: u64, act: Act) -> Fault {
+    Fault {
+        number: 0,
+        at,
+        length,
+        act,
+    }
+}
+
+/// A history in which every promise is kept.
+fn clean() -> History {
+    let served = Outcome::Status(200);
+    History {
+        requests: vec![
+            request("a", Kind::Unsafe, 1_000, served),
+            request("b", Kind::Unsafe, 2_000, Outcome::Status(503)),
+            request("v1", Kind::Version(1), 3_000, served),
+            request("v2", Kind::Version(2), 6_000, served),
+            request("end", Kind::Safe, HEALED + BOUNDS.recovery + 500, served),
+        ],
+        arrivals: vec![
+            arrival("a", 1_005),
+            arrival("v1", 3_005),
+            arrival("v2", 6_005),
+            arrival("end", HEALED + BOUNDS.recovery + 505),
+        ],
+        publications: vec![
+            publication(1, 100, &["kept", "taken"]),
+            publication(2, 5_000, &["kept"]),
+        ],
+        reads: vec![
+            Read {
+                sent: 4_000,
+                version: 1,
+            },
+            Read {
+                sent: 40_000,
+                version: 2,
+            },
+        ],
+        footprints: vec![Footprint {
+            process: "host-0".to_owned(),
+            memory_kb: 9_000,
+            descriptors: 90,
+        }],
+        healed: HEALED,
+        ..History::default()
+    }
+}
+
+fn ran_twice(history: &mut History) {
+    history.arrivals.push(arrival("a", 1_100));
+}
+
+fn ran_though_refused(history: &mut History) {
+    history.arrivals.push(arrival("b", 2_005));
+}
+
+fn answered_wrong(history: &mut History) {
+    history.requests[0].outcome = Outcome::Wrong;
+}
+
+fn change_lost(history: &mut History) {
+    history.reads.push(Read {
+        sent: 41_000,
+        version: 1,
+    });
+}
+
+fn never_read(history: &mut History) {
+    history.reads.clear();
+}
+
+fn went_back(history: &mut History) {
+    let late = request("back", Kind::Version(1), 7_000, Outcome::Status(200));
+    history.requests.push(late);
+}
+
+fn key_honoured(history: &mut History) {
+    let sent = 5_000 + BOUNDS.revocation + 1;
+    let mut late = request("late", Kind::Safe, sent, Outcome::Status(200));
+    late.key = "taken".to_owned();
+    history.requests.push(late);
+    history.arrivals.push(arrival("late", sent + 5));
+}
+
+fn cut_at_stop(history: &mut History) {
+    history.faults.push(fault(10_000, 3_000, Act::StopHost(0)));
+    let cut = request("cut", Kind::Short, 11_000, Outcome::Broken);
+    history.requests.push(cut);
+    history.arrivals.push(arrival("cut", 11_005));
+}
+
+fn memory_left(history: &mut History) {
+    history.held = 10;
+}
+
+fn retried_often(history: &mut History) {
+    let safe = request("often", Kind::Safe, 8_000, Outcome::Status(200));
+    history.requests.push(safe);
+    let again = (0..110).map(|n| arrival("often", 8_000 + n));
+    history.arrivals.extend(again);
+}
+
+fn not_served(history: &mut History) {
+    let at = HEALED + BOUNDS.recovery + 1_000;
+    let refused = request("refused", Kind::Safe, at, Outcome::Status(503));
+    history.requests.push(refused);
+}
+
+fn never_asked(history: &mut History) {
+    history.requests.pop();
+}
+
+fn did_not_stop(history: &mut History) {
+    history.unstopped.push("host-1".to_owned());
+}
+
+fn grew(history: &mut History) {
+    history.footprints[0].memory_kb = BOUNDS.memory_kb + 1;
+}
+
+fn leaked_descriptors(history: &mut History) {
+    history.footprints[0].descriptors = BOUNDS.descriptors + 1;
+}
+
+/// So many requests in each second at a limit of 1.9 a second, from 8 s to 16 s.
+fn limited(history: &mut History, per_second: u64) {
+    for at in (8_000..16_000).step_by(1_000 / per_second as usize) {
+        let id = format!("limited-{at}");
+        history
+            .requests
+            .push(request(&id, Kind::Short, at, Outcome::Status(200)));
+        let mut arrival = arrival(&id, at);
+        arrival.answered = Some((at + 5, Some(1_900)));
+        history.arrivals.push(arrival);
+    }
+}
+
+fn over_limit(history: &mut History) {
+    limited(history, 5);
+}
+
+#[parameterized(
+    twice = { ran_twice, "once" },
+    run_refused = { ran_though_refused, "not-run" },
+    wrong = { answered_wrong, "whole" },
+    lost_change = { change_lost, "kept" },
+    unreadable = { never_read, "kept" },
+    backwards = { went_back, "forward" },
+    taken_key = { key_honoured, "revoked" },
+    cut_off = { cut_at_stop, "uncut" },
+    leaked = { memory_left, "memory" },
+    retry_storm = { retried_often, "retries" },
+    unrecovered = { not_served, "recovery" },
+    unasked = { never_asked, "recovery" },
+    unstopped = { did_not_stop, "recovery" },
+    memory = { grew, "footprint" },
+    descriptors = { leaked_descriptors, "footprint" },
+    unlimited = { over_limit, "limit" },
+)]
+fn found(plant: fn(&mut History), check: &str) {
+    let mut history = clean();
+    plant(&mut history);
+    let findings = check::all(&history, &BOUNDS);
+    let found: Vec<&str> = findings.iter().map(|finding| finding.check).collect();
+    assert!(!found.is_empty());
+    assert!(found.iter().all(|name| *name == check), "{findings:?}");
+}
+
+/// Nothing is found where every promise is kept.
+#[test]
+fn clean_history() {
+    assert_eq!(check::all(&clean(), &BOUNDS), []);
+}
+
+/// Four a second are allowed at a limit of 1.9: half as many again, and five in four seconds.
+#[test]
+fn limit_kept() {
+    let mut history = clean();
+    limited(&mut history, 4);
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
+
+/// A host that was killed meanwhile may have sent more.
+#[test]
+fn limit_excused() {
+    let mut history = clean();
+    over_limit(&mut history);
+    history.faults.push(fault(9_000, 500, Act::KillHost(0)));
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
+
+/// An unplanned fault at the same time excuses what a stop cut off; planned work doesn't.
+#[parameterized(
+    unplanned = { Act::Crash(1), false },
+    planned = { Act::Release(1), true },
+)]
+fn cut_excused(act: Act, is_found: bool) {
+    let mut history = clean();
+    cut_at_stop(&mut history);
+    history.faults.push(fault(10_500, 1_000, act));
+    assert_eq!(!check::all(&history, &BOUNDS).is_empty(), is_found);
+}
