End a replica's stop though calls wait for a quorum that has gone

Cause: the stop waits for all calls in progress on its listeners before it hands leadership on. Without a quorum heartbeats and changes wait 5 s for one, each, so a leader whose followers are gone waits as long and longer.

Now the calls get 2 s: they take milliseconds while there is a quorum.

--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -27,7 +27,7 @@
 use tokio::{
     net::UdpSocket,
     task::spawn_local,
-    time::{Duration, sleep},
+    time::{Duration, sleep, timeout},
 };
 
 /// The name of the operator whose key the settings give.
@@ -35,6 +35,10 @@
 /// Pause between two tries to seed the state.
 const SEED_PAUSE: Duration = Duration::from_millis(200);
 
+/// How long calls in progress may take to end on a stop. They take milliseconds while there is
+/// a quorum.
+const CALLS_END: Duration = Duration::from_secs(2);
+
 /// A running control role.
 pub(crate) struct Control {
     replica: Replica,
@@ -115,11 +119,20 @@
     }
 
     /// Stops serving, then the replica.
+    ///
+    /// **Failure.** Without a quorum calls wait for one for seconds. Waited for without a
+    /// bound, they hold a leader until it is ended by force, and leadership is never handed
+    /// on.
     pub(crate) async fn stop(self) {
-        if let Some((_, server)) = self.directory {
-            server.stop(true).await;
+        let directory = async {
+            if let Some((_, server)) = &self.directory {
+                server.stop(true).await;
+            }
+        };
+        let stops = async { tokio::join!(directory, self.admin.stop(true)) };
+        if timeout(CALLS_END, stops).await.is_err() {
+            tracing::warn!("stopping with calls in progress");
         }
-        self.admin.stop(true).await;
         self.replica.stop().await;
     }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -127,6 +127,8 @@
     // Dropped after the processes that write there.
     folder: tempfile::TempDir,
     members: Vec<(SocketAddr, SocketAddr)>,
+    /// Where each replica takes heartbeats.
+    pub directories: Vec<SocketAddr>,
     pub client: Client,
     number: std::cell::Cell<u32>,
 }
@@ -158,6 +160,7 @@
         let mut fleet = Fleet {
             folder: tempfile::tempdir().unwrap(),
             members,
+            directories: (0..3).map(|_| address()).collect(),
             replicas: Vec::new(),
             client: client.build(ntex::SharedCfg::default()).await.unwrap(),
             number: std::cell::Cell::new(0),
@@ -205,7 +208,8 @@
         let host = self.host(&name, &format!("domain-{n}"), inner);
         let text = format!(
             "{host}data = data-{n}\n[replica]\nadmin = {admin}\nmembers = {members}\n\
-             operator_key = {key}\n"
+             operator_key = {key}\n[directory]\nlisten = {}\n",
+            self.directories[n]
         );
         let file = self.write(&name, &text);
         Process::new(&name, file)
@@ -297,20 +301,36 @@
     }
 
     async fn post(&self, path: &str, body: &Value) -> Option<Value> {
-        for (_, admin) in &self.members {
-            let url = format!("http://{admin}{path}");
-            let request = self.client.post(url).timeout(ntex::time::Seconds(5));
-            let request = request.header("Authorization", format!("Bearer {OPERATOR_KEY}"));
-            if let Ok(response) = request.send_json(body).await
-                && response.status().is_success()
-                && let Ok(value) = response.json::<Value>().await
-            {
+        for n in 0..self.members.len() {
+            if let Some(value) = self.post_to(n, path, body).await {
                 return Some(value);
             }
         }
         None
     }
 
+    /// Posts to one replica; only the leader accepts.
+    async fn post_to(&self, n: usize, path: &str, body: &Value) -> Option<Value> {
+        let url = format!("http://{}{path}", self.members[n].1);
+        let request = self.client.post(url).timeout(ntex::time::Seconds(5));
+        let request = request.header("Authorization", format!("Bearer {OPERATOR_KEY}"));
+        let response = request.send_json(body).await.ok()?;
+        let accepted = response.status().is_success();
+        let value = response.json::<Value>().await.ok()?;
+        accepted.then_some(value)
+    }
+
+    /// Proposes a change to one replica, without confirming it. Whether it was accepted, as
+    /// it is by the leader.
+    pub async fn propose(&self, n: usize) -> bool {
+        let number = self.number.replace(self.number.get() + 1);
+        let body = json!({
+            "intent": "set-setting", "name": "probe", "value": "1",
+            "number": format!("change-{number}"),
+        });
+        self.post_to(n, "/v1/plans", &body).await.is_some()
+    }
+
     /// Proposes a change and confirms its plan; asked again under the same
     /// number until it is accepted.
     pub async fn change(&self, intent: Value) -> Value {
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -2,9 +2,20 @@
 
 mod fleet;
 
+use std::{
+    io::Write,
+    net::TcpStream,
+    time::{Duration, Instant},
+};
+
+use almondlock_platform::counterpart::{self, Beat};
 use almondlock_standin::answer;
 use fleet::{Fleet, eventually, fast};
 
+/// How long a replica that is told to stop may take: less than the 5 s for which calls wait for
+/// a quorum, and half of the time after which it is ended by force.
+const STOP_TIME: Duration = Duration::from_secs(4);
+
 /// One request goes through an entry host, a sidecar and an engine, with the
 /// configuration made by an operator on the replicas.
 #[ntex::test]
@@ -122,3 +133,54 @@
     assert_eq!(old.engine.runs("waiting") + new.engine.runs("waiting"), 1);
     assert_eq!(status, Some(0));
 }
+
+/// Guards against a leader that is ended by force, and so never hands its leadership on,
+/// because calls on its listeners wait for a quorum that has gone.
+#[ntex::test]
+async fn leader_stops_alone() {
+    let fleet = Fleet::start().await;
+    let mut leader = None;
+    for n in 0..3 {
+        if fleet.propose(n).await {
+            leader = Some(n);
+        }
+    }
+    let leader = leader.unwrap();
+    for (n, replica) in fleet.replicas.iter().enumerate() {
+        if n != leader {
+            replica.pause();
+        }
+    }
+    let call = fleet.propose(leader);
+    let mut held = Vec::new();
+    for name in ["i-1", "i-2"] {
+        let mut stream = TcpStream::connect(fleet.directories[leader]).unwrap();
+        let body = counterpart::beat(&Beat {
+            service: "s",
+            address: "127.0.0.1:9".parse().unwrap(),
+            domain: "domain-0",
+            slots: 1,
+            leaving: false,
+            sequence: 1,
+        });
+        let head = format!(
+            "PUT {} HTTP/1.1\r\nhost: h\r\ncontent-length: {}\r\n\r\n",
+            counterpart::instance(name),
+            body.len()
+        );
+        // The next heartbeat comes on the same connection while the first one waits.
+        let beat = head + &body;
+        stream.write_all(beat.repeat(3).as_bytes()).unwrap();
+        held.push(stream);
+    }
+    let stop = async {
+        ntex::time::sleep(Duration::from_millis(300)).await;
+        let told = Instant::now();
+        fleet.replicas[leader].terminate();
+        eventually(async || fleet.replicas[leader].status().is_some()).await;
+        told.elapsed()
+    };
+    let (accepted, took) = futures::join!(call, stop);
+    assert!(!accepted);
+    assert!(took < STOP_TIME, "{took:?}");
+}
