Don't wait for listeners that a stopping host no longer serves

Cause: once nothing is under way a host that stops waits up to 200 ms for its listeners, which never stop in that time (the log says so at each stop) and read nothing more. The users' rule allows 200 ms after a request's last byte.

Now it waits 50 ms. Nothing else happens in that time: answers in progress have ended before. Not found out: why the library's listeners don't stop.

--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -41,8 +41,9 @@
 
 /// How often the end of answers in progress is looked for on a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
-/// How long the listeners may take to stop once nothing is under way.
-const STOP_TIME: Duration = Duration::from_millis(200);
+/// How long the listeners may take to stop once nothing is under way. Requests that come
+/// meanwhile on open connections are not read, and their callers wait that long for nothing.
+const STOP_TIME: Duration = Duration::from_millis(50);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// How long a request's head may take to arrive. Published limits come with
