--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -62,6 +62,12 @@
     /// No faults but planned work.
     #[options(no_short, help = "only planned work: stops, releases, limits, changes")]
     pub planned: bool,
+    /// A request that crashes upstreams.
+    #[options(
+        no_short,
+        help = "one more caller sends a request that crashes each upstream"
+    )]
+    pub crashing: bool,
     /// Faults left out.
     #[options(
         no_short,
@@ -115,6 +121,8 @@
     pub callers: usize,
     /// Only planned work.
     pub planned: bool,
+    /// One more caller sends a request that crashes upstreams.
+    pub crashing: bool,
     /// Faults left out, by number.
     pub without: Vec<usize>,
     /// The daemon.
@@ -167,6 +175,7 @@
             },
             callers: self.callers,
             planned: self.planned,
+            crashing: self.crashing,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
             keep: self.keep.clone(),
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -14,6 +14,8 @@
     Short,
     /// A stream whose prompt takes several engines.
     Long,
+    /// A call that crashes each upstream that begins to run it; always the same one.
+    Crash,
     /// A call that only one version of the configuration allows.
     Version(u64),
 }
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -25,7 +25,7 @@
     http::{Message, Reader},
     operator::call,
     proxy::{Proxy, reset},
-    world::{EVENTS, Plant, World, answer, events},
+    world::{CRASH_BODY, EVENTS, Plant, World, answer, events},
 };
 
 /// Between two heartbeats.
@@ -107,6 +107,11 @@
         self.died.notify_waiters();
     }
 
+    /// Whether it has died.
+    pub fn is_dead(&self) -> bool {
+        self.dead.get()
+    }
+
     /// Says that it leaves, serves on for a while, withdraws and ends.
     pub fn leave(self: &Rc<Self>) {
         self.leaving.set(true);
@@ -191,6 +196,11 @@
         if is_full {
             return write(stream, &self.rejection(503, id)).await;
         }
+        if request.body == CRASH_BODY.as_bytes() {
+            self.crash();
+            self.world.crashed.notify_one();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         self.running.set(self.running.get() + 1);
         let _running = Running(self);
         match request.get(names.usage.as_str()) {
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -9,6 +9,7 @@
 use almondlock_gateway::dialect::{Dialect as _, Names};
 use almondlock_platform::header::Dialect;
 use rand::{SeedableRng, rngs::SmallRng};
+use tokio::sync::Notify;
 
 use super::{
     history::{History, Publication},
@@ -66,6 +67,8 @@
     pub plant: Option<Plant>,
     /// Keys that were taken away are no longer tried, nor are old versions.
     pub quiet: Cell<bool>,
+    /// Upstreams that a request has crashed: others come in their place.
+    pub crashed: Notify,
     /// No more requests are begun.
     pub over: Cell<bool>,
     /// Numbers for upstreams and requests.
@@ -83,6 +86,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             plant,
             quiet: Cell::new(false),
+            crashed: Notify::new(),
             over: Cell::new(false),
             next: Cell::new(1),
         })
@@ -121,5 +125,8 @@
         .collect()
 }
 
+/// The body of a request that crashes upstreams.
+pub const CRASH_BODY: &str = "crash";
+
 /// Events of each stream.
 pub const EVENTS: u64 = 10;
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -188,7 +188,18 @@
     limited(history, 5);
 }
 
+fn crashed_on(history: &mut History) {
+    for n in 0..12 {
+        let (id, at) = (format!("crash-{n}"), 1_000 + n * 1_000);
+        history
+            .requests
+            .push(request(&id, Kind::Crash, at, Outcome::Status(502)));
+        history.arrivals.push(arrival(&id, at + 5));
+    }
+}
+
 #[parameterized(
+    crash = { crashed_on, "crash" },
     twice = { ran_twice, "once" },
     run_refused = { ran_though_refused, "not-run" },
     wrong = { answered_wrong, "whole" },
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -17,6 +17,7 @@
         },
         callers: 3,
         planned: false,
+        crashing: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
         keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
@@ -33,6 +34,20 @@
     assert!(report.history.requests.len() > 500, "{report}");
 }
 
+/// Guards against a request that crashes one upstream after the other because no host knows
+/// what it did to the others.
+#[test]
+fn crashing_bounded() {
+    let setup = Setup {
+        planned: true,
+        crashing: true,
+        ..setup(1, 10)
+    };
+    let report = soak::run(&setup).unwrap();
+    let mut found = report.findings.iter();
+    assert!(found.all(|finding| finding.check != "crash"), "{report}");
+}
+
 /// A soak that finds nothing might look at nothing: an upstream that runs calls twice, and one
 /// that counts by a quarter of the limit that it names, are found.
 #[test]
