--- a/almondlock-gateway/tests/engine_choice.rs
+++ b/almondlock-gateway/tests/engine_choice.rs
@@ -7,25 +7,16 @@
 
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Choice, Demand, Lack, Limited, READERS},
+    pick::{self, Candidate, Choice, Demand, Lack, READERS},
 };
-use engines::speed;
+use engines::{engine, speed};
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
 const ENGINES: usize = 14;
 
 fn idle() -> Vec<Candidate> {
-    let candidate = Candidate {
-        total: Total::default(),
-        slots: 16,
-        near: true,
-        suspect: false,
-        limited: Limited::No,
-        full: false,
-        cell: 0,
-    };
-    vec![candidate; ENGINES]
+    vec![engine(Total::default()); ENGINES]
 }
 
 /// The first engines write short streams.
--- a/almondlock-gateway/tests/engines/mod.rs
+++ b/almondlock-gateway/tests/engines/mod.rs
@@ -1,5 +1,9 @@
 //! The figures of an engine, for decisions without a network.
 
+use almondlock_gateway::{
+    load::Total,
+    pick::{Candidate, Limited},
+};
 use almondlock_policy::engine::Speed;
 
 /// Reads 256 tokens in a millisecond and holds 450,000.
@@ -16,3 +20,16 @@
         stride: 46.0,
     }
 }
+
+/// An engine of sixteen places with this under way.
+pub fn engine(total: Total) -> Candidate {
+    Candidate {
+        total,
+        slots: 16,
+        near: true,
+        suspect: false,
+        limited: Limited::No,
+        full: false,
+        cell: 0,
+    }
+}
--- a/almondlock-gateway/tests/limited_engines.rs
+++ b/almondlock-gateway/tests/limited_engines.rs
@@ -10,7 +10,7 @@
     load::Total,
     pick::{self, Candidate, Demand, Lack, Limited},
 };
-use engines::speed;
+use engines::{engine, speed};
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
@@ -21,16 +21,7 @@
 
 /// Idle engines, of which the first ones stand with their limits like this.
 fn engines(limited: &[Limited]) -> Vec<Candidate> {
-    let idle = Candidate {
-        total: Total::default(),
-        slots: 16,
-        near: true,
-        suspect: false,
-        limited: Limited::No,
-        full: false,
-        cell: 0,
-    };
-    let mut engines = vec![idle; 18];
+    let mut engines = vec![engine(Total::default()); 18];
     for (engine, limited) in engines.iter_mut().zip(limited) {
         engine.limited = *limited;
     }
--- a/almondlock-gateway/tests/many_hosts.rs
+++ b/almondlock-gateway/tests/many_hosts.rs
@@ -9,10 +9,10 @@
 use almondlock_base::id::{Domain, Upstream};
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Demand, Limited},
+    pick::{self, Candidate, Demand},
 };
 use almondlock_policy::{cell, engine::Speed};
-use engines::speed;
+use engines::{engine, speed};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const DOMAINS: usize = 5;
@@ -73,13 +73,10 @@
         }
         let candidates = totals.into_iter().zip(&self.cells[host]);
         let candidates = candidates.map(|(total, cell)| Candidate {
-            total,
             slots: SLOTS,
             near: *cell == 0,
-            suspect: false,
-            limited: Limited::No,
-            full: false,
             cell: *cell,
+            ..engine(total)
         });
         candidates.collect()
     }
--- a/almondlock-gateway/tests/restart_burst.rs
+++ b/almondlock-gateway/tests/restart_burst.rs
@@ -9,9 +9,9 @@
 
 use almondlock_gateway::{
     load::Total,
-    pick::{self, Candidate, Demand, Limited},
+    pick::{self, Candidate, Demand},
 };
-use engines::speed;
+use engines::{engine, speed};
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
@@ -29,19 +29,13 @@
 /// Engines of which the first two have short streams for half of their places, and
 /// so many milliseconds left to read; the others have as much as `other`.
 fn engines(reading: f32, other: f32) -> Vec<Candidate> {
-    let candidate = |reading, short| Candidate {
-        total: Total {
+    let candidate = |reading, short| {
+        engine(Total {
             reading,
             waiting: short,
             short,
             ..Total::default()
-        },
-        slots: 16,
-        near: true,
-        suspect: false,
-        limited: Limited::No,
-        full: false,
-        cell: 0,
+        })
     };
     let mut engines = vec![candidate(other, 0); ENGINES];
     engines[..2].fill(candidate(reading, 8));
--- a/almondlock-gateway/tests/spread_memory.rs
+++ b/almondlock-gateway/tests/spread_memory.rs
@@ -9,25 +9,19 @@
 use almondlock_gateway::{
     load::Total,
     memory::{self, Outcome, Share},
-    pick::{self, Candidate, Choice, Demand, Lack, Limited, READERS},
+    pick::{self, Candidate, Choice, Demand, Lack, READERS},
 };
-use engines::speed;
+use engines::{engine, speed};
 use rand::{SeedableRng, rngs::SmallRng};
 use yare::parameterized;
 
 /// Engines with this much memory in use.
 fn engines(used: &[u64]) -> Vec<Candidate> {
-    let candidate = |memory: &u64| Candidate {
-        total: Total {
+    let candidate = |memory: &u64| {
+        engine(Total {
             memory: *memory,
             ..Total::default()
-        },
-        slots: 16,
-        near: true,
-        suspect: false,
-        limited: Limited::No,
-        full: false,
-        cell: 0,
+        })
     };
     used.iter().map(candidate).collect()
 }
