--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -2,18 +2,17 @@
 
 use std::{rc::Rc, time::Duration};
 
-use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_base::id::Upstream;
 use almondlock_node::clock;
-use almondlock_policy::admission;
 use tokio::time::timeout;
 
 use crate::{
     dialect::Dialect,
     held::Held,
-    lease::Leases,
-    life::{Course, Request, Whole, note},
+    life::{Course, Request, Whole},
     outgoing,
-    pick::{self, Choice, Lack},
+    pick::{Choice, Lack},
+    placement,
     upstream::{self, Connection, Head},
     verdict::Failure,
     worker::{Target, Worker},
@@ -22,12 +21,6 @@
 /// How long connecting may take: several ways there and back, far below the
 /// objective of short requests.
 pub(crate) const CONNECT: Duration = Duration::from_millis(250);
-/// How often others are chosen for engines that have no memory to give. Each time takes
-/// a way there and back.
-const PLACEMENTS: usize = 4;
-/// The part of its objective within which a request asks for memory on the engine that
-/// answers. Engines that leave orders unanswered take most of that.
-const ASKING_SHARE: f64 = 0.25;
 /// The largest body of an answer that is no stream, in bytes.
 pub(crate) const WHOLE_LIMIT: usize = 8 << 20;
 /// An attempt that is being answered.
@@ -92,10 +85,10 @@
         .cloned()
         .collect();
     let targets = &targets[..];
-    let (choice, held) = place(worker, request, course, targets, after).await?;
+    let (choice, held) = placement::place(worker, request, course, targets, after).await?;
     let target = targets
         .get(choice.first)
-        .ok_or_else(|| lacking(Lack::Upstream))?;
+        .ok_or_else(|| placement::lacking(Lack::Upstream))?;
     let now = clock::mono();
     tracing::info!(
         request = %request.id, route = %request.route.name, upstream = %target.name,
@@ -154,132 +147,6 @@
     names.join(",")
 }
 
-/// Chooses who takes part, and sets memory aside where a long prompt might find too
-/// little. An engine that has none to give is left out, and others are chosen.
-///
-/// **Failure.** Several hosts send long prompts to the same engine before they hear of
-/// each other, or an engine writes more than was known. A prompt that doesn't fit there
-/// waits until a stream ends, a second or two, while the engines that have read its
-/// parts hold them, and whatever comes to that engine waits behind it. An engine that
-/// has set the memory aside admits the prompt at once.
-async fn place<D>(
-    worker: &Rc<Worker<D>>,
-    request: &Request,
-    course: &Course,
-    targets: &[Target],
-    after: Option<u64>,
-) -> Result<(Choice, Held<D>), Broken>
-where
-    D: Dialect,
-{
-    let mut full = Vec::new();
-    let mut silent = Vec::new();
-    let mut placements = 0;
-    let mut questions = 0;
-    loop {
-        let now = clock::mono();
-        // Once nobody has memory to give, the engine that answers is asked for none:
-        // it admits the prompt when a stream of its own has ended.
-        let spent = now.since(request.arrived);
-        let is_over = spent > request.route.objective.mul_f64(ASKING_SHARE);
-        let is_last = placements == PLACEMENTS || placements > 0 && is_over;
-        if is_last {
-            full.retain(|upstream| silent.contains(upstream));
-        }
-        let choice = choose(worker, request, targets, &course.tried, &full, now);
-        let choice = choice.map_err(|lack| match lack {
-            Lack::Limit => limited(worker, request, now),
-            Lack::Upstream | Lack::Memory => lacking(lack),
-        });
-        let mut choice = choice?;
-        if is_last {
-            choice.shares.retain(|share| share.place != choice.first);
-        }
-        let is_new = course.tried.is_empty() && after.is_none();
-        if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
-            return Err(refused);
-        }
-        let first = targets.get(choice.first);
-        let first = first.ok_or_else(|| lacking(Lack::Upstream))?;
-        if !worker.permit(request, &first.name).await {
-            // It is known as spent from now on, so that another one is chosen.
-            questions += 1;
-            if questions > targets.len() {
-                return Err(limited(worker, request, clock::mono()));
-            }
-            continue;
-        }
-        let held = Held::new(worker, request, targets, &choice, now);
-        if choice.shares.is_empty() {
-            return Ok((choice, held));
-        }
-        match Leases::take(worker, &request.id, targets, &choice.shares).await {
-            Ok(leases) => {
-                held.keep(leases);
-                return Ok((choice, held));
-            }
-            Err(failed) => {
-                for broken in failed {
-                    note(worker, request, &broken, course.tried.len());
-                    if broken.failure == Failure::Unsent {
-                        silent.extend(broken.upstream.clone());
-                    }
-                    full.extend(broken.upstream);
-                }
-            }
-        }
-        if is_last {
-            return Err(lacking(Lack::Memory));
-        }
-        placements += 1;
-    }
-}
-
-/// Refused because every upstream is at its limit.
-fn limited<D>(worker: &Worker<D>, request: &Request, now: Mono) -> Broken
-where
-    D: Dialect,
-{
-    Broken {
-        returns: Some(worker.limit_returns(request, now)),
-        ..Broken::new(Failure::Limited, None, Lack::Limit)
-    }
-}
-
-fn lacking(lack: Lack) -> Broken {
-    Broken::new(Failure::Unsent, None, lack)
-}
-
-/// Whether a prompt would be late, or the engines' time does more for others.
-fn refusal<D>(worker: &Worker<D>, request: &Request, choice: &Choice, now: Mono) -> Option<Broken>
-where
-    D: Dialect,
-{
-    let known = worker.known();
-    let service = known
-        .rules
-        .as_ref()
-        .and_then(|rules| rules.service(&request.service));
-    let engine = service.and_then(|service| service.engine.as_ref());
-    let (speed, demand) = (engine?, request.demand?);
-    let backlog = worker.backlog(now, &request.service, choice);
-    let case = admission::Case {
-        prompt: demand.prompt,
-        objective: request.route.objective,
-        spent: now.since(request.arrived),
-        expected: choice.expected,
-        backlog,
-    };
-    let returns = admission::refusal(speed, &case)?;
-    let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
-    let reason =
-        format!("first event expected in {expected} ms, mean backlog over a second {backlog} ms");
-    Some(Broken {
-        returns: Some(returns),
-        ..Broken::new(Failure::Unsent, None, reason)
-    })
-}
-
 /// Waits for an upstream that may be silent. One that is silent for too long is
 /// given up if the request may be sent again and that can be afforded; else
 /// waiting on is the best that can be done, though without memory elsewhere.
@@ -337,32 +204,6 @@
     Ok((connection, answered))
 }
 
-fn choose<D>(
-    worker: &Worker<D>,
-    request: &Request,
-    targets: &[Target],
-    tried: &[Upstream],
-    full: &[Upstream],
-    now: Mono,
-) -> Result<Choice, Lack>
-where
-    D: Dialect,
-{
-    let candidates: Vec<pick::Candidate> = targets
-        .iter()
-        .map(|target| worker.candidate(now, target, tried, full))
-        .collect();
-    let known = worker.known();
-    let rules = known.rules.as_ref();
-    let service = rules.and_then(|rules| rules.service(&request.service));
-    let service = service.ok_or(Lack::Upstream)?;
-    let mut rng = worker.rng.borrow_mut();
-    match (&service.engine, request.demand) {
-        (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
-        _ => pick::plain(&candidates, &mut *rng),
-    }
-}
-
 /// What the head of an answer says of the attempt.
 async fn judge<D>(worker: &Worker<D>, mut run: Run<D>, targets: &[Target]) -> Result<Run<D>, Broken>
 where
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`event`] | event streams, cut into whole events |
 //! | `lease` | memory set aside on engines, and given back |
 //! | `limit` | limits that upstreams name for all hosts |
+//! | `placement` | where an attempt goes, and what it waits for before |
 //! | `permit` | permits for upstreams that name one, asked of relays |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
@@ -45,6 +46,7 @@
 mod outgoing;
 mod permit;
 pub mod pick;
+mod placement;
 pub mod pool;
 mod reply;
 mod response;
--- /dev/null
+++ b/almondlock-gateway/src/placement.rs
@@ -0,0 +1,205 @@
+//! Where an attempt goes: who answers, who reads parts, whose memory is set aside, and
+//! leave to send where an upstream names a limit.
+
+use std::rc::Rc;
+
+use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_node::clock;
+use almondlock_policy::admission;
+
+use crate::{
+    attempt::Broken,
+    dialect::Dialect,
+    held::Held,
+    lease::Leases,
+    life::{Course, Request, note},
+    pick::{self, Choice, Lack},
+    verdict::Failure,
+    worker::{Target, Worker},
+};
+
+/// How often others are chosen for engines that have no memory to give. Each time takes
+/// a way there and back.
+const PLACEMENTS: usize = 4;
+/// The part of its objective within which a request asks for memory on the engine that
+/// answers. Engines that leave orders unanswered take most of that.
+const ASKING_SHARE: f64 = 0.25;
+
+/// What was found out while an attempt is placed.
+#[derive(Default)]
+struct Search {
+    /// Upstreams that have no memory to give.
+    full: Vec<Upstream>,
+    /// Those of them that didn't answer.
+    silent: Vec<Upstream>,
+    /// How often memory was asked for in vain.
+    placements: usize,
+    /// How often leave to send was asked for in vain.
+    questions: usize,
+}
+
+impl Search {
+    /// Whether memory is asked for no more on the engine that answers: it admits the
+    /// prompt when a stream of its own has ended.
+    fn is_last(&self, request: &Request, now: Mono) -> bool {
+        let spent = now.since(request.arrived);
+        let is_over = spent > request.route.objective.mul_f64(ASKING_SHARE);
+        self.placements == PLACEMENTS || self.placements > 0 && is_over
+    }
+
+    /// Some had no memory to give.
+    fn note<D>(
+        &mut self,
+        worker: &Worker<D>,
+        request: &Request,
+        failed: Vec<Broken>,
+        attempt: usize,
+    ) where
+        D: Dialect,
+    {
+        for broken in failed {
+            note(worker, request, &broken, attempt);
+            if broken.failure == Failure::Unsent {
+                self.silent.extend(broken.upstream.clone());
+            }
+            self.full.extend(broken.upstream);
+        }
+        self.placements += 1;
+    }
+}
+
+/// Chooses who takes part, and sets memory aside where a long prompt might find too
+/// little. An engine that has none to give is left out, and others are chosen.
+///
+/// **Failure.** Several hosts send long prompts to the same engine before they hear of
+/// each other, or an engine writes more than was known. A prompt that doesn't fit there
+/// waits until a stream ends, a second or two, while the engines that have read its
+/// parts hold them, and whatever comes to that engine waits behind it. An engine that
+/// has set the memory aside admits the prompt at once.
+pub(crate) async fn place<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Request,
+    course: &Course,
+    targets: &[Target],
+    after: Option<u64>,
+) -> Result<(Choice, Held<D>), Broken>
+where
+    D: Dialect,
+{
+    let is_new = course.tried.is_empty() && after.is_none();
+    let mut search = Search::default();
+    loop {
+        let now = clock::mono();
+        let is_last = search.is_last(request, now);
+        if is_last {
+            let Search { full, silent, .. } = &mut search;
+            full.retain(|upstream| silent.contains(upstream));
+        }
+        let choice = choose(worker, request, targets, &course.tried, &search.full, now);
+        let mut choice = choice.map_err(|lack| refused_for(worker, request, lack, now))?;
+        if is_last {
+            choice.shares.retain(|share| share.place != choice.first);
+        }
+        if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
+            return Err(refused);
+        }
+        let first = targets.get(choice.first);
+        let first = first.ok_or_else(|| lacking(Lack::Upstream))?;
+        if !worker.permit(request, &first.name).await {
+            // It is known as spent from now on, so that another one is chosen.
+            search.questions += 1;
+            if search.questions > targets.len() {
+                return Err(refused_for(worker, request, Lack::Limit, clock::mono()));
+            }
+            continue;
+        }
+        let held = Held::new(worker, request, targets, &choice, now);
+        if choice.shares.is_empty() {
+            return Ok((choice, held));
+        }
+        match Leases::take(worker, &request.id, targets, &choice.shares).await {
+            Ok(leases) => {
+                held.keep(leases);
+                return Ok((choice, held));
+            }
+            Err(failed) => search.note(worker, request, failed, course.tried.len()),
+        }
+        if is_last {
+            return Err(lacking(Lack::Memory));
+        }
+    }
+}
+
+/// Refused because something is missing. For a limit it is known when to come back.
+fn refused_for<D>(worker: &Worker<D>, request: &Request, lack: Lack, now: Mono) -> Broken
+where
+    D: Dialect,
+{
+    match lack {
+        Lack::Upstream | Lack::Memory => lacking(lack),
+        Lack::Limit => Broken {
+            returns: Some(worker.limit_returns(request, now)),
+            ..Broken::new(Failure::Limited, None, lack)
+        },
+    }
+}
+
+pub(crate) fn lacking(lack: Lack) -> Broken {
+    Broken::new(Failure::Unsent, None, lack)
+}
+
+/// Whether a prompt would be late, or the engines' time does more for others.
+fn refusal<D>(worker: &Worker<D>, request: &Request, choice: &Choice, now: Mono) -> Option<Broken>
+where
+    D: Dialect,
+{
+    let known = worker.known();
+    let service = known
+        .rules
+        .as_ref()
+        .and_then(|rules| rules.service(&request.service));
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let (speed, demand) = (engine?, request.demand?);
+    let backlog = worker.backlog(now, &request.service, choice);
+    let case = admission::Case {
+        prompt: demand.prompt,
+        objective: request.route.objective,
+        spent: now.since(request.arrived),
+        expected: choice.expected,
+        backlog,
+    };
+    let returns = admission::refusal(speed, &case)?;
+    let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
+    let reason =
+        format!("first event expected in {expected} ms, mean backlog over a second {backlog} ms");
+    Some(Broken {
+        returns: Some(returns),
+        ..Broken::new(Failure::Unsent, None, reason)
+    })
+}
+
+fn choose<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    targets: &[Target],
+    tried: &[Upstream],
+    full: &[Upstream],
+    now: Mono,
+) -> Result<Choice, Lack>
+where
+    D: Dialect,
+{
+    let candidates: Vec<pick::Candidate> = targets
+        .iter()
+        .map(|target| worker.candidate(now, target, tried, full))
+        .collect();
+    let known = worker.known();
+    let rules = known.rules.as_ref();
+    let service = rules.and_then(|rules| rules.service(&request.service));
+    let service = service.ok_or(Lack::Upstream)?;
+    let mut rng = worker.rng.borrow_mut();
+    match (&service.engine, request.demand) {
+        (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
+        _ => pick::plain(&candidates, &mut *rng),
+    }
+}
