Soak: end the processes of a run that is interrupted

Seen: told to stop, the soak ended by the signal and left 48 processes behind. It now ends the run instead, which ends what it started by their ids.

--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -36,6 +36,10 @@
 use futures::future::join_all;
 use gumdrop::Options;
 use tokio::{
+    signal::{
+        ctrl_c,
+        unix::{SignalKind, signal},
+    },
     task::{LocalSet, spawn_local},
     time::sleep,
 };
@@ -152,6 +156,9 @@
             Err(error) => {
                 eprintln!("soak: seed {seed}: {error}");
                 failed = true;
+                if error.kind() == io::ErrorKind::Interrupted {
+                    break;
+                }
             }
         }
     }
@@ -205,7 +212,13 @@
     let runtime = { runtime }.enable_all().build()?;
     let faults = setup.faults();
     let world = World::new(setup.seed, setup.size, setup.plant);
-    let played = LocalSet::new().block_on(&runtime, play(&world, setup, &faults, folder.path()));
+    let played = async {
+        tokio::select! {
+            played = play(&world, setup, &faults, folder.path()) => played,
+            interrupted = interrupted() => interrupted,
+        }
+    };
+    let played = LocalSet::new().block_on(&runtime, played);
     drop(runtime);
     played?;
     let history = world.history.take();
@@ -222,6 +235,17 @@
     })
 }
 
+/// Waits until this program is told to stop. The processes that it has started end with the
+/// run, which they would not if it were ended by the signal.
+async fn interrupted() -> io::Result<()> {
+    let mut terminated = signal(SignalKind::terminate())?;
+    tokio::select! {
+        told = ctrl_c() => told?,
+        _ = terminated.recv() => {}
+    }
+    Err(io::ErrorKind::Interrupted.into())
+}
+
 /// Copies logs and settings to where they stay.
 fn keep(setup: &Setup, folder: &std::path::Path) -> io::Result<PathBuf> {
     let kept = setup.keep.join(format!("seed-{}", setup.seed));
