--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -68,6 +68,9 @@
         help = "one more caller sends a request that crashes each upstream"
     )]
     pub crashing: bool,
+    /// Records that were synced are cut.
+    #[options(no_short, help = "in place of a torn record, cut one that was synced")]
+    pub cut_synced: bool,
     /// Faults left out.
     #[options(
         no_short,
@@ -123,6 +126,8 @@
     pub planned: bool,
     /// One more caller sends a request that crashes upstreams.
     pub crashing: bool,
+    /// In place of a torn record, one that was synced is cut.
+    pub cuts_synced: bool,
     /// Faults left out, by number.
     pub without: Vec<usize>,
     /// The daemon.
@@ -176,6 +181,7 @@
             callers: self.callers,
             planned: self.planned,
             crashing: self.crashing,
+            cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
             keep: self.keep.clone(),
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -47,7 +47,7 @@
     StopReplica(usize),
     /// It is killed and loses its disk.
     WipeReplica(usize),
-    /// It is killed while it writes: the last bytes of its newest file are missing.
+    /// It is killed while it writes: its newest file ends with a part of a record.
     TearReplica(usize),
     /// All replicas are killed at once.
     KillReplicas,
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -18,6 +18,7 @@
         callers: 3,
         planned: false,
         crashing: false,
+        cuts_synced: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
         keep: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
