--- a/almondlock-policy/src/throttle/issue.rs
+++ b/almondlock-policy/src/throttle/issue.rs
@@ -16,8 +16,8 @@
 
 /// Gives out one relay's part of each limit.
 ///
-/// In any time it gives out no more than the part's rate times that time and the larger
-/// of one permit and [`BURST`], also when it starts again: it begins with none.
+/// In any time it gives out no more than the part earns in that time, and the larger of one
+/// permit and what it earns in half a second, also when it starts again: it begins with none.
 #[derive(Debug)]
 pub struct Issuer<K> {
     buckets: HashMap<K, Bucket>,
