Take the longest prompts on a fleet that is nearly idle

Cause: a prompt is refused when it is expected later than 0.55 of its objective. The rest is kept for prompts that come after it and for what it displaces: right where a prompt takes most of the engines, wrong where it takes 16 of 513.

Now the bound for idle engines depends on the part of all engines that the prompt takes and on what they have left to read, from 0.9 of the objective down to 0.55.

`refused_long::by_fleet`: 513 and 1,026 engines, a small fleet, engines that have work.

--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -100,7 +100,8 @@
         if is_last {
             choice.shares.retain(|share| share.place != choice.first);
         }
-        if let Some(refused) = refusal(worker, request, &choice, now).filter(|_| is_new) {
+        let refused = refusal(worker, request, (targets, &choice), now);
+        if let Some(refused) = refused.filter(|_| is_new) {
             return Err(refused);
         }
         let first = targets.get(choice.first);
@@ -149,7 +150,12 @@
 }
 
 /// Whether a prompt would be late, or the engines' time does more for others.
-fn refusal<D>(worker: &Worker<D>, request: &Request, choice: &Choice, now: Mono) -> Option<Broken>
+fn refusal<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    (targets, choice): (&[Target], &Choice),
+    now: Mono,
+) -> Option<Broken>
 where
     D: Dialect,
 {
@@ -167,6 +173,8 @@
         spent: now.since(request.arrived),
         expected: choice.expected,
         backlog,
+        // Counts of engines are far below the precision of an `f64`.
+        taken: (choice.helpers.len() + 1) as f64 / targets.len().max(1) as f64,
     };
     let returns = admission::refusal(speed, &case)?;
     let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
--- a/almondlock-policy/src/admission.rs
+++ b/almondlock-policy/src/admission.rs
@@ -17,7 +17,9 @@
 //! fares) which rises in step with the wait ahead: the more is promised already,
 //! the more a prompt must yield to be taken. While the engines have next to
 //! nothing left to read nobody is displaced, and whatever can be in time is taken;
-//! so the largest are served in calm stretches.
+//! so the largest are served in calm stretches. How late a prompt may be expected then
+//! depends on how many of the engines it takes: with a few of many, those that come after
+//! it find others; with all of a small fleet they wait behind it.
 //!
 //! **When to come back.** A refused caller is told to come back once the engines have
 //! read what keeps it out: after as much time as it was expected beyond its bound.
@@ -34,6 +36,14 @@
 /// the rest.
 const HOPELESS: f64 = 0.55;
 
+/// The same while the engines are idle, for a prompt that takes few of them: what is
+/// expected then comes true, but for a pass or two.
+const LATEST: f64 = 0.9;
+
+/// The part of the engines that counts as all of them: prompts that come after one that
+/// takes so many find few others idle.
+const MANY: f64 = 1.0 / 5.0;
+
 /// What takes an engine less time than this is worth its time also when late: refused,
 /// the largest prompts of a middling kind would hardly ever be served.
 const COSTLY: Duration = Duration::from_millis(1_100);
@@ -48,7 +58,7 @@
 const SMOOTHING: Duration = Duration::from_secs(1);
 
 /// What is known of a prompt when it is decided on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Case {
     /// Its tokens.
     pub prompt: u64,
@@ -61,6 +71,8 @@
     /// What an engine has left to read, in the mean of all and of the last
     /// moments.
     pub backlog: Duration,
+    /// The part of all engines that would read it.
+    pub taken: f64,
 }
 
 /// Whether a prompt is refused: if it is, when its caller should come back.
@@ -71,11 +83,21 @@
     let late = case.spent + case.expected;
     let bound = case.objective.mul_f64(HOPELESS);
     let busy_bound = bound.mul_f64(relative_yield(speed, case));
-    let is_idle = case.backlog <= case.objective.mul_f64(IDLE);
-    let is_refused = late > if is_idle { bound } else { busy_bound };
+    let idle = case.objective.mul_f64(IDLE);
+    let is_idle = case.backlog <= idle;
+    let idle_bound = case.objective.mul_f64(idle_share(case, idle));
+    let is_refused = late > if is_idle { idle_bound } else { busy_bound };
     is_refused.then(|| late.saturating_sub(busy_bound))
 }
 
+/// By which part of its objective a prompt must be expected that comes to idle engines:
+/// sooner the more they have left to read, and the more of them it takes.
+fn idle_share(case: &Case, idle: Duration) -> f64 {
+    let busy = case.backlog.as_secs_f64() / idle.as_secs_f64().max(f64::MIN_POSITIVE);
+    let taken = busy.max(case.taken / MANY).clamp(0.0, 1.0);
+    LATEST - (LATEST - HOPELESS) * taken
+}
+
 /// What a prompt yields for the engines' time, as a part of what one does that an
 /// engine reads alone within the objective. At most 1.
 fn relative_yield(speed: &Speed, case: &Case) -> f64 {
--- a/almondlock-policy/tests/long_stretch.rs
+++ b/almondlock-policy/tests/long_stretch.rs
@@ -72,6 +72,11 @@
             expected: Duration::from_secs_f64(end),
             // Without a price, as if the engines were always idle.
             backlog: if price { mean } else { Duration::ZERO },
+            taken: if price {
+                PARTS as f64 / ENGINES as f64
+            } else {
+                1.0
+            },
         };
         let large = f64::from(u8::from(prompt >= LARGE));
         outcome.asked += 1.0;
--- a/almondlock-policy/tests/refused_long.rs
+++ b/almondlock-policy/tests/refused_long.rs
@@ -41,6 +41,7 @@
         spent: Duration::ZERO,
         expected: Duration::from_millis(expected),
         backlog: Duration::from_millis(backlog),
+        taken: 1.0,
     }
 }
 
@@ -62,6 +63,25 @@
     assert_eq!(refuses(&speed(), &case(prompt, expected, backlog)), refused);
 }
 
+#[parameterized(
+    few_of_many = { 3_000, 0, 16.0 / 513.0, false },
+    too_late = { 3_800, 0, 16.0 / 513.0, true },
+    behind_others = { 3_000, 119, 16.0 / 513.0, true },
+    most_of_a_small_fleet = { 3_000, 0, 16.0 / 18.0, true },
+    a_third = { 2_300, 0, 16.0 / 48.0, true },
+    twice_as_many = { 3_000, 0, 16.0 / 1_026.0, false },
+)]
+/// Guards against the longest prompts that are refused by an idle fleet, as few of its
+/// engines as they take.
+fn by_fleet(expected: u64, backlog: u64, taken: f64, refused: bool) {
+    let case = Case {
+        objective: Duration::from_secs(4),
+        taken,
+        ..case(1_000_000, expected, backlog)
+    };
+    assert_eq!(refuses(&speed(), &case), refused);
+}
+
 /// The time that a caller has waited already counts as well.
 #[test]
 fn waited_already() {
