Empty failure domains by order, and give cold upstreams what they bear

Nothing read how long an upstream stays cold.

A repeat, and a withdrawal of none, is acknowledged and changes nothing; an unknown domain is 404. Entry hosts of both paths leave the domain's upstreams out, a sidecar is the gate for hosts that are cut off. Operators get `almondlock evacuate DOMAIN` and `return DOMAIN`, with plan and confirmation. Hosts of an evacuated domain shared one cell of engines, the first; now they share all others (`domain_without_engines` asserted the first cell and asserts the sharing now, for three hosts in place of one).

Cold: a heartbeat says it; what a cold upstream bears of all hosts together comes with the configuration and is one more rate for which permits are asked of relays (`throttle::Bound`). Relays don't tell it on: a limit that upstreams name ends with the next sealed answer, which would have ended this one as well. A host without a relay sends a cold upstream nothing. The end of an evacuation marks the domain's instances cold until their next heartbeat, since hosts may hear of the end before they hear that those were restarted.

One commit for both: the end of the one begins the other.

--- a/almondlock-cli/src/arguments.rs
+++ b/almondlock-cli/src/arguments.rs
@@ -64,6 +64,10 @@
     Setting(Setting),
     /// upstreams: list, drain, return
     Upstream(Upstream),
+    /// give the upstreams of a failure domain no new work
+    Evacuate(Drain),
+    /// give them work again
+    Return(Named),
     /// bring a version to all upstreams of a model
     Rollout(Rollout),
     /// control replicas: list, add, remove, replace
--- a/almondlock-cli/src/request.rs
+++ b/almondlock-cli/src/request.rs
@@ -133,6 +133,15 @@
         Command::Service(it) => service(given(it.command, "command")?)?.into(),
         Command::Setting(it) => setting(given(it.command, "command")?)?.into(),
         Command::Upstream(it) => return upstream(given(it.command, "command")?),
+        Command::Evacuate(it) => Intent::Evacuate {
+            domain: domain(it.name)?,
+            reason: it.reason.unwrap_or_default(),
+        }
+        .into(),
+        Command::Return(it) => Intent::Readmit {
+            domain: domain(it.name)?,
+        }
+        .into(),
         Command::Rollout(it) => rollout(it)?.into(),
         Command::Replica(it) => return replica(given(it.command, "command")?),
         Command::Operator(it) => return operator(given(it.command, "command")?, random),
@@ -343,6 +352,10 @@
     })
 }
 
+fn domain(name: Option<String>) -> Result<id::Domain, Usage> {
+    Ok(id::Domain::new(&given(name, "failure domain")?)?)
+}
+
 fn rollout(it: arguments::Rollout) -> Result<Intent, Usage> {
     Ok(Intent::Rollout {
         model: id::Model::new(&given(it.model, "model")?)?,
--- a/almondlock-cli/src/view.rs
+++ b/almondlock-cli/src/view.rs
@@ -50,6 +50,11 @@
             "upstreams  {} registered, {} drained; organisations {}; claims {}",
             self.upstreams, self.drained, self.organisations, self.claims
         );
+        for (domain, evacuation) in &self.evacuated {
+            let since = time(evacuation.since);
+            let line = format!("{domain} since {since}: {}", evacuation.reason);
+            let _ = writeln!(text, "evacuated  {}", paint.busy(&line));
+        }
         if self.suspects.0 > 0 {
             let (suspected, refused) = self.suspects;
             let line = format!("{suspected} requests suspected, {refused} of them refused");
@@ -429,6 +434,8 @@
         Change::Sources(_) => "tell processes of the replicas".to_owned(),
         Change::Document(None) => "remove the published configuration".to_owned(),
         Change::Instance(name, it) => format!("{} instance {name}", way(it.is_some())),
+        Change::Evacuation(domain, Some(_)) => format!("evacuate failure domain {domain}"),
+        Change::Evacuation(domain, None) => format!("return failure domain {domain}"),
     }
 }
 
--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -17,11 +17,17 @@
     admin::Failure,
     replica::{Refusal, Remote, Taken},
 };
-use almondlock_base::{Code, id::Upstream, time::Wall, unit::Revision};
+use almondlock_base::{
+    Code,
+    id::{Domain, Upstream},
+    time::Wall,
+    unit::Revision,
+};
 use almondlock_node::{Handle, clock};
 use almondlock_state::{
     command::{Command, Reply},
     document::Document,
+    evacuation,
     instance::Instance,
     machine::Machine,
 };
@@ -50,16 +56,20 @@
     node: Arc<OnceLock<Handle>>,
     // Where replicas listen for operators; the same port on all of them.
     port: u16,
+    // The failure domains that there are. Empty: those that the state knows of.
+    domains: Arc<[Domain]>,
 }
 
 impl Directory {
     /// A way to the replica behind `remote`. All replicas listen for operators
-    /// on `port`.
-    pub fn new(remote: Remote, port: u16) -> Directory {
+    /// on `port`. Orders may name the failure domains of `domains`; if it is empty, those
+    /// in which an upstream or a replica is known.
+    pub fn new(remote: Remote, port: u16, domains: &[Domain]) -> Directory {
         Directory {
             remote,
             node: Arc::default(),
             port,
+            domains: Arc::from(domains),
         }
     }
 
@@ -76,6 +86,38 @@
         self.change(Command::Publish { document, at }).await
     }
 
+    /// Gives the upstreams of a failure domain no new work. None: there is no such domain.
+    /// An evacuation that is in force already changes nothing.
+    pub async fn evacuate(&self, domain: Domain) -> Result<Option<Revision>, Failure> {
+        if !self.knows(&domain).await {
+            return Ok(None);
+        }
+        let at = clock::wall();
+        self.change(Command::Evacuate { domain, at })
+            .await
+            .map(Some)
+    }
+
+    /// Gives the upstreams of an evacuated failure domain work again. None: there is no
+    /// such domain. Without an evacuation nothing changes.
+    pub async fn readmit(&self, domain: Domain) -> Result<Option<Revision>, Failure> {
+        if !self.knows(&domain).await {
+            return Ok(None);
+        }
+        let at = clock::wall();
+        self.change(Command::Readmit { domain, at }).await.map(Some)
+    }
+
+    /// A replica that has stopped says so to what it is told next.
+    async fn knows(&self, domain: &Domain) -> bool {
+        if !self.domains.is_empty() {
+            return self.domains.contains(domain);
+        }
+        let domain = domain.clone();
+        let look = move |state: &Machine| evacuation::is_known(state.tables(), &domain);
+        self.remote.look(look).await.unwrap_or(true)
+    }
+
     /// The configuration in force, confirmed by a quorum.
     pub async fn document(&self) -> Result<Option<Document>, Failure> {
         let found = self.remote.read(|state| state.config().document.clone());
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -44,15 +44,15 @@
             Beat::Leaving(revision) => return Ok(Taken::Decided(Some(revision))),
             Beat::News => {}
         }
-        let (name, service, leaving) =
-            (upstream.clone(), instance.service.clone(), instance.leaving);
+        let (name, service) = (upstream.clone(), instance.service.clone());
+        let (leaving, cold) = (instance.leaving, instance.cold);
         let command = Command::Enrol {
             upstream,
             instance,
             at: clock::wall(),
         };
         let revision = self.revise(command).await?;
-        tracing::info!(instance = %name, %service, sequence, leaving, revision = revision.0, "instance entered");
+        tracing::info!(instance = %name, %service, sequence, leaving, cold, revision = revision.0, "instance entered");
         Ok(Taken::Decided(leaving.then_some(revision)))
     }
 
--- a/almondlock-control/tests/shared_heartbeats.rs
+++ b/almondlock-control/tests/shared_heartbeats.rs
@@ -29,6 +29,7 @@
         slots: 16,
         leaving,
         birth: Birth(7),
+        cold: false,
     };
     (Upstream::new(&format!("i-{n}")).unwrap(), instance)
 }
--- a/almondlock-entry/src/gang.rs
+++ b/almondlock-entry/src/gang.rs
@@ -92,7 +92,7 @@
         let usable = worker
             .shared
             .with_pool(pool, |table| table.is_usable(&upstream, now));
-        if usable != Some(true) || view.drains.contains_key(&upstream) {
+        if usable != Some(true) || view.is_drained(&upstream) {
             return None;
         }
         let capacity = view.upstreams.get(&upstream)?.capacity;
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -265,7 +265,7 @@
                         region: registration.region.clone(),
                     };
                     table.insert(name, site);
-                    table.set_leaving(name, view.drains.contains_key(name));
+                    table.set_leaving(name, view.is_drained(name));
                 }
             }
         }
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -113,6 +113,9 @@
 /// What comes of a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+    /// What the upstream bears, if it is cold. Every host has that from the configuration,
+    /// so that relays don't tell it on.
+    pub cold: Option<Rate>,
 pub struct Permit {
     /// The question's number.
     pub number: u32,
--- a/almondlock-gateway/src/exchange/ration.rs
+++ b/almondlock-gateway/src/exchange/ration.rs
@@ -7,7 +7,7 @@
 };
 
 use almondlock_base::time::Mono;
-use almondlock_policy::throttle::{Issuer, Limits, Rate};
+use almondlock_policy::throttle::{Bound, Issuer, Limits, Rate};
 
 use super::message::{Ask, Limit, Permit, millis};
 use crate::load::Key;
@@ -52,7 +52,8 @@
     /// none if how many there are isn't known yet.
     pub fn ask(&mut self, now: Mono, ask: &Ask, parts: u32) -> Permit {
         self.hear(now, &[ask.limit]);
-        let rate = self.limits.rate(&ask.limit.key);
+        let named = self.limits.notice(&ask.limit.key);
+        let rate = Bound::of(named, ask.cold).map(|bound| bound.rate());
         let taken = match (rate, parts) {
             (None, _) => Ok(()),
             (Some(_), 0) => Err(UNREADY),
@@ -78,7 +79,7 @@
         self.news.clear();
         self.told.retain(|_, at| now.since(*at) < FORGET);
         self.limits.retain(|key| self.told.contains_key(key));
-        self.issuer.retain(|key| self.limits.rate(key).is_some());
+        self.issuer.retain(|key| self.told.contains_key(key));
         self.all(now)
     }
 
--- a/almondlock-gateway/src/limit.rs
+++ b/almondlock-gateway/src/limit.rs
@@ -1,14 +1,21 @@
-//! Limits that upstreams name, with their answers, for all entry hosts together.
+//! Limits for all entry hosts together: those that upstreams name with their answers, and
+//! what an upstream bears while it is cold.
 
 use std::{sync::Arc, time::Duration};
 
 use almondlock_base::{id::Upstream, time::Mono};
 use almondlock_node::clock;
-use almondlock_policy::throttle::{Notice, Rate};
+use almondlock_policy::throttle::{Bound, Notice, Rate};
 
 use crate::{
-    dialect::Dialect, life::Request, load::Key, permit::Outcome, pick::Limited, response::HOP,
-    upstream::Head, worker::Worker,
+    dialect::Dialect,
+    life::Request,
+    load::Key,
+    permit::Outcome,
+    pick::Limited,
+    response::HOP,
+    upstream::Head,
+    worker::{Target, Worker},
 };
 
 /// The most names of unread headers that are logged in a process's life.
@@ -78,31 +85,33 @@
         }
     }
 
-    /// How an upstream stands with its limit.
-    pub(crate) fn limited(&self, now: Mono, upstream: &Upstream) -> Limited {
+    /// What bounds an upstream at present.
+    fn bound(&self, target: &Target) -> Option<Bound> {
         let limits = self.limits.borrow();
-        if limits.is_empty() {
-            return Limited::No;
+        if limits.is_empty() && target.cold.is_none() {
+            return None;
         }
-        let key = Key::of(upstream);
-        match limits.rate(&key) {
+        let named = limits.notice(&Key::of(&target.name));
+        Bound::of(named, target.cold)
+    }
+
+    /// How an upstream stands with what bounds it.
+    pub(crate) fn limited(&self, now: Mono, target: &Target) -> Limited {
+        match self.bound(target) {
             None => Limited::No,
-            Some(_) if self.permits.is_open(now, key) => Limited::Open,
+            Some(_) if self.permits.is_open(now, Key::of(&target.name)) => Limited::Open,
             Some(_) => Limited::Spent,
         }
     }
 
-    /// Asks for leave to send a request to an upstream. Given at once if it names no limit.
-    pub(crate) async fn permit(&self, request: &Request, upstream: &Upstream) -> bool {
-        let key = Key::of(upstream);
+    /// Asks for leave to send a request to an upstream. Given at once if nothing bounds it.
+    pub(crate) async fn permit(&self, request: &Request, target: &Target) -> bool {
+        let (upstream, key) = (&target.name, Key::of(&target.name));
         loop {
-            let Some(notice) = self.limits.borrow().notice(&key) else {
+            let Some(bound) = self.bound(target) else {
                 return true;
             };
-            let Some(rate) = notice.rate else {
-                return true;
-            };
-            let Some((relay, outcome)) = self.permits.ask(key, &notice).await else {
+            let Some((relay, outcome)) = self.permits.ask(key, &bound).await else {
                 return false;
             };
             let wait = match outcome {
@@ -112,9 +121,10 @@
             let now = clock::mono();
             let outcome_name = outcome.as_str();
             tracing::info!(
-                request = %request.id, %upstream, %relay, per_second = rate.per_second(),
-                age_ms = now.since(notice.at).as_millis(), outcome = outcome_name,
-                wait_ms = wait.as_millis(), "permit"
+                request = %request.id, %upstream, %relay,
+                per_second = bound.rate().per_second(), cold = bound.cold.is_some(),
+                age_ms = bound.named.map(|named| now.since(named.at).as_millis()),
+                outcome = outcome_name, wait_ms = wait.as_millis(), "permit"
             );
             self.shared.metrics.count("permits", outcome_name);
             if outcome == Outcome::Granted {
@@ -130,14 +140,11 @@
     pub(crate) fn limit_returns(&self, request: &Request, now: Mono) -> Duration {
         let known = self.known();
         let targets = known.instances.get(&request.service);
-        let keys = targets
-            .into_iter()
-            .flatten()
-            .map(|target| Key::of(&target.name));
-        let keys: Vec<Key> = keys.collect();
-        let opens = keys.iter().map(|key| self.permits.opens(now, *key)).min();
-        let limits = self.limits.borrow();
-        let rate = keys.iter().filter_map(|key| limits.rate(key)).sum();
+        let targets = targets.into_iter().flatten();
+        let keys = targets.clone().map(|target| Key::of(&target.name));
+        let opens = keys.map(|key| self.permits.opens(now, key)).min();
+        let bounds = targets.filter_map(|target| self.bound(target));
+        let rate = bounds.map(|bound| bound.rate()).sum();
         let hosts = self.load.borrow().hosts(now).saturating_add(1);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         let (opens, patience) = (opens.unwrap_or_default(), request.left(now));
--- a/almondlock-gateway/src/permit.rs
+++ b/almondlock-gateway/src/permit.rs
@@ -1,4 +1,4 @@
-//! Permits to send to upstreams that name a limit for all hosts, asked of relays.
+//! Permits to send to upstreams that something bounds for all hosts, asked of relays.
 
 use std::{
     cell::{Cell, RefCell},
@@ -10,7 +10,7 @@
 
 use almondlock_base::{id::Service, time::Mono};
 use almondlock_node::clock;
-use almondlock_policy::throttle::{Notice, Rate, Returns, Waits};
+use almondlock_policy::throttle::{Bound, Notice, Rate, Returns, Waits};
 use tokio::{
     net::UdpSocket,
     sync::{Notify, oneshot},
@@ -132,7 +132,7 @@
 
     /// Asks a relay that may have one for a permit to send one request. None: there is no
     /// such relay.
-    pub(crate) async fn ask(&self, key: Key, notice: &Notice) -> Option<(SocketAddr, Outcome)> {
+    pub(crate) async fn ask(&self, key: Key, bound: &Bound) -> Option<(SocketAddr, Outcome)> {
         let now = clock::mono();
         let socket = self.socket.borrow().clone()?;
         let relays = self.relays.borrow().clone();
@@ -141,8 +141,12 @@
         self.last.set(number);
         let (sender, answer) = oneshot::channel();
         self.asked.borrow_mut().insert(number, sender);
-        let limit = Limit::of(now, key, notice);
-        send(&socket, relay, &Message::Ask(Ask { number, limit })).await;
+        let ask = Ask {
+            number,
+            limit: Limit::of(now, key, &bound.named.unwrap_or(Notice::NONE)),
+            cold: bound.cold,
+        };
+        send(&socket, relay, &Message::Ask(ask)).await;
         let answer = timeout(ANSWER, answer).await;
         self.asked.borrow_mut().remove(&number);
         let outcome = match answer {
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -106,7 +106,7 @@
         }
         let first = targets.get(choice.first);
         let first = first.ok_or_else(|| lacking(Lack::Upstream))?;
-        if !worker.permit(request, &first.name).await {
+        if !worker.permit(request, first).await {
             // It is known as spent from now on, so that another one is chosen.
             search.questions += 1;
             if search.questions > targets.len() {
--- a/almondlock-gateway/src/rules.rs
+++ b/almondlock-gateway/src/rules.rs
@@ -8,7 +8,7 @@
 use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
 
 use almondlock_base::id::Service;
-use almondlock_policy::engine::Speed;
+use almondlock_policy::{engine::Speed, throttle::Rate};
 
 /// What may be done with a request more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -94,6 +94,9 @@
 pub struct Target {
     /// Connections that each of its upstreams accepts, of all callers together.
     pub connections: usize,
+    /// Requests a second that each of its upstreams bears of all hosts together while it
+    /// is cold. None: as many as any.
+    pub cold: Option<Rate>,
     /// How its upstreams work, if they are model engines.
     pub engine: Option<Speed>,
 }
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -21,8 +21,15 @@
     unit::Revision,
 };
 use almondlock_node::Handle;
-use almondlock_policy::{admission::Backlog, cell, throttle};
-use almondlock_state::instance::{Birth, Instance};
+use almondlock_policy::{
+    admission::Backlog,
+    cell,
+    throttle::{self, Rate},
+};
+use almondlock_state::{
+    config::Config,
+    instance::{Birth, Instance},
+};
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, mpsc::UnboundedSender};
 
@@ -36,6 +43,7 @@
     pick::{Candidate, Choice},
     pool::Pool,
     rules::Rules,
+    suspicion::Suspicion,
 };
 
 /// An upstream that failed is passed over for this long. Two heartbeats of the
@@ -43,7 +51,6 @@
 const SUSPECT: Duration = Duration::from_millis(2500);
 
 /// What the threads of a process share.
-    suspicion::Suspicion,
 #[derive(Debug)]
 pub(crate) struct Shared {
     started: Mono,
@@ -132,6 +139,8 @@
     pub(crate) birth: Birth,
     /// Its cell. This host's own one is 0.
     pub(crate) cell: usize,
+    /// Requests a second that it bears of all hosts together, while it is cold.
+    pub(crate) cold: Option<Rate>,
 }
 
 /// The configuration in force, read.
@@ -165,6 +174,8 @@
     /// Limits that upstreams have named for all hosts.
     pub(crate) limits: RefCell<throttle::Limits<Key>>,
     pub(crate) permits: Permits,
+    /// Requests that upstreams were lost with.
+    pub(crate) suspicion: Suspicion,
     /// Headers of answers that nobody reads, as far as they were logged.
     pub(crate) unread: RefCell<BTreeSet<Box<str>>>,
     /// Where the memory of attempts goes that have ended.
@@ -174,8 +185,6 @@
 /// What a gateway is bound by.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
-    /// Requests that upstreams were lost with.
-    pub(crate) suspicion: Suspicion,
     /// A configuration older than this is not acted on where keys are asked
     /// for: one of them may have been taken away meanwhile.
     pub stale: Duration,
@@ -216,6 +225,7 @@
             births: RefCell::default(),
             limits: RefCell::default(),
             permits: Permits::default(),
+            suspicion: Suspicion::default(),
             unread: RefCell::default(),
             ended,
         }
@@ -225,30 +235,34 @@
     pub(crate) fn known(&self) -> Rc<Known> {
         let revision = self.node.view().revision();
         let known = Rc::clone(&self.known.borrow());
-            suspicion: Suspicion::default(),
         if known.revision == revision && revision > Revision::ZERO {
             return known;
         }
         let config = self.node.view().get();
-        let instances = self.targets(&config.instances);
         self.forget_ended(&config.instances);
+        let rules = self.rules(&known, config.document.as_ref());
         let next = Rc::new(Known {
             revision: config.revision,
-            rules: self.rules(&known, config.document.as_ref()),
-            instances,
+            instances: self.targets(&config, rules.as_deref()),
+            rules,
         });
         *self.known.borrow_mut() = Rc::clone(&next);
         next
     }
 
-    /// The instances that take new work, by service.
-    fn targets(&self, instances: &BTreeMap<Upstream, Instance>) -> HashMap<Service, Vec<Target>> {
+    /// The instances that take new work, by service: those that don't leave, outside
+    /// failure domains that are evacuated.
+    fn targets(&self, config: &Config, rules: Option<&Rules>) -> HashMap<Service, Vec<Target>> {
+        let open = config.instances.iter().filter(|(_, instance)| {
+            !instance.leaving && !config.evacuations.contains_key(&instance.domain)
+        });
         let mut services: HashMap<Service, Vec<(&Upstream, &Instance)>> = HashMap::new();
-        for (name, instance) in instances.iter().filter(|(_, instance)| !instance.leaving) {
+        for (name, instance) in open {
             let service = services.entry(instance.service.clone()).or_default();
             service.push((name, instance));
         }
         let targets = services.into_iter().map(|(service, members)| {
+            let cold = rules.and_then(|rules| rules.service(&service)?.cold);
             let places = members.iter().map(|(name, i)| (*name, &i.domain));
             let cells = cell::assign(places, &self.domain, self.host);
             let targets = members
@@ -261,6 +275,7 @@
                     near: i.domain == self.domain,
                     birth: i.birth,
                     cell,
+                    cold: cold.filter(|_| i.cold),
                 });
             (service, targets.collect())
         });
@@ -351,7 +366,7 @@
             slots: target.slots,
             near: target.near,
             suspect,
-            limited: self.limited(now, &target.name),
+            limited: self.limited(now, target),
             full: full.contains(&target.name),
             cell: target.cell,
         }
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -15,6 +15,7 @@
 
 use almondlock_base::{
     id::{Domain, Host, Incarnation, Region, Service, Upstream},
+    time::Wall,
     unit::Revision,
 };
 use almondlock_gateway::{
@@ -26,7 +27,7 @@
     server::{self, Bounds, Config},
 };
 use almondlock_node::{Node, Parts};
-use almondlock_policy::engine::Speed;
+use almondlock_policy::{engine::Speed, throttle::Rate};
 use almondlock_spread::view::View;
 use almondlock_state::{
     config,
@@ -35,6 +36,9 @@
 };
 use ntex::http::header::HeaderName;
 
+/// Requests a second that a cold upstream of the service `s` bears.
+pub const COLD_RATE: f64 = 4.0;
+
 const KINDS: [(&str, Kind); 6] = [
     ("safe", Kind::Safe),
     ("unsafe", Kind::Unsafe),
@@ -110,12 +114,14 @@
         let service = Service::new("s").unwrap();
         let target = Target {
             connections: 100,
+            cold: Rate::per(COLD_RATE),
             engine: None,
         };
         rules.service(service.clone(), target)?;
         let engines = Service::new("e").unwrap();
         let target = Target {
             connections: 100,
+            cold: None,
             engine: Some(small_engine()),
         };
         rules.service(engines.clone(), target)?;
@@ -196,6 +202,11 @@
     grace: Duration,
     /// Where hosts' loads are added up.
     relays: Option<[SocketAddr; 2]>,
+    /// So many of the first upstreams are cold.
+    cold_upstreams: usize,
+    /// The first upstream stands alone in the host's failure domain, which is evacuated this
+    /// long after the start.
+    evacuate: Option<Duration>,
 }
 
 const SETUP: Setup = Setup {
@@ -206,6 +217,8 @@
     stop: None,
     grace: Duration::ZERO,
     relays: None,
+    cold_upstreams: 0,
+    evacuate: None,
 };
 
 const ENGINES: Setup = Setup {
@@ -270,6 +283,27 @@
     start_for(setup, upstreams)
 }
 
+/// The same, where so many of the first upstreams are cold.
+pub fn start_beside_cold(
+    upstreams: &[SocketAddr],
+    relays: Option<[SocketAddr; 2]>,
+    cold_upstreams: usize,
+) -> SocketAddr {
+    let setup = Setup {
+        relays,
+        cold_upstreams,
+        ..SETUP
+    };
+    start_for(setup, upstreams)
+}
+
+/// The same as [`start`], where the first upstream's failure domain is evacuated after a
+/// while.
+pub fn start_evacuating(upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
+    let evacuate = Some(after);
+    start_for(Setup { evacuate, ..SETUP }, upstreams)
+}
+
 /// Starts a relay; gives its address.
 pub fn start_relay() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -289,7 +323,7 @@
 fn start_for(setup: Setup, upstreams: &[SocketAddr]) -> SocketAddr {
     let instances = (0..).zip(upstreams);
     let instances: Vec<(Upstream, Instance)> = instances
-        .map(|(n, address)| instance(setup.service, n, address))
+        .map(|(n, address)| instance(&setup, n, address))
         .collect();
     let (listen, ready) = (free_address(), free_address());
     let (started, running) = mpsc::channel();
@@ -326,6 +360,16 @@
                 for instance in config.instances.values_mut() {
                     instance.birth = Birth(1);
                 }
+                node.handle().view().replace(config.clone());
+            }
+            if let Some(evacuate) = setup.evacuate {
+                ntex::time::sleep(evacuate).await;
+                config.revision = Revision(2);
+                let drain = config::Drain {
+                    since: Wall::from_millis(1),
+                    reason: String::new(),
+                };
+                config.evacuations.insert(Domain::new("d").unwrap(), drain);
                 node.handle().view().replace(config);
             }
             if let Some(stop) = setup.stop {
@@ -339,14 +383,19 @@
     listen
 }
 
-fn instance(service: &str, n: u32, address: &SocketAddr) -> (Upstream, Instance) {
+fn instance(setup: &Setup, n: u32, address: &SocketAddr) -> (Upstream, Instance) {
+    let domain = match n {
+        1.. if setup.evacuate.is_some() => "e",
+        _ => "d",
+    };
     let instance = Instance {
-        service: Service::new(service).unwrap(),
+        service: Service::new(setup.service).unwrap(),
         address: *address,
-        domain: Domain::new("d").unwrap(),
+        domain: Domain::new(domain).unwrap(),
         slots: 8,
         leaving: false,
         birth: Birth::default(),
+        cold: (n as usize) < setup.cold_upstreams,
     };
     (Upstream::new(&format!("i-{n}")).unwrap(), instance)
 }
--- a/almondlock-gateway/tests/permit_parts.rs
+++ b/almondlock-gateway/tests/permit_parts.rs
@@ -128,6 +128,7 @@
             let ask = Ask {
                 number: 1,
                 limit: Limit::of(now, key(), &notice),
+                cold: None,
             };
             let parts = self.relays.len() as u32;
             let arrives = self.passes(at, host, relay);
--- a/almondlock-gateway/tests/route_lookup.rs
+++ b/almondlock-gateway/tests/route_lookup.rs
@@ -18,6 +18,7 @@
     for name in ["a", "b"] {
         let target = Target {
             connections: 10,
+            cold: None,
             engine: None,
         };
         rules.service(service(name), target).unwrap();
--- a/almondlock-policy/src/cell.rs
+++ b/almondlock-policy/src/cell.rs
@@ -78,7 +78,9 @@
         (size / SPLIT).max(1) as u64
     };
     let own_group = domains.get_key_value(own).map(|(own, _)| group(own));
-    let own_group = own_group.or_else(|| sizes.keys().next().copied());
+    // Hosts of a failure domain without engines, as when it is evacuated, share the others.
+    let shared = usize::try_from(host % sizes.len().max(1) as u64).unwrap_or(0);
+    let own_group = own_group.or_else(|| sizes.keys().nth(shared).copied());
     let own_key = own_group.map(|group| (group, host % parts(&group)));
     let mut numbers: BTreeMap<(Option<&Domain>, u64), usize> = BTreeMap::new();
     numbers.extend(own_key.map(|key| (key, 0)));
--- a/almondlock-policy/src/throttle/mod.rs
+++ b/almondlock-policy/src/throttle/mod.rs
@@ -1,7 +1,7 @@
 //! How often an upstream that names a limit may be sent to, over all entry hosts.
 //!
 //! An upstream in need names, with its answers, the requests a second that it takes from
-//! all entry hosts together. No host can keep that alone: each knows only what it sends
+//! all entry hosts together; and one that has just started bears fewer than usual. No host can keep that alone: each knows only what it sends
 //! itself, and how many others there are changes. So relays give out permits, one for
 //! each request. Each relay owns an equal part of every limit and shares it with nobody:
 //! whichever relays and hosts can reach each other, the parts never add up to more than
@@ -9,6 +9,7 @@
 //!
 //! | type | where | decides |
 //! |---|---|---|
+//! | [`Bound`] | both | how often an upstream may be sent to |
 //! | [`Limits`] | both | which limits are in force, from answers and from what others heard |
 //! | [`Issuer`] | relay | whether there is a permit, and when the next one is due |
 //! | [`Waits`] | entry host | which relay to ask, and when to ask again |
@@ -49,7 +50,11 @@
 impl Rate {
     /// Reads a decimal number of requests a second. None if it is no such number.
     pub fn parse(text: &str) -> Option<Rate> {
-        let rate: f64 = text.trim().parse().ok()?;
+        Rate::per(text.trim().parse().ok()?)
+    }
+
+    /// So many requests a second. None if that is no number of requests.
+    pub fn per(rate: f64) -> Option<Rate> {
         let is_rate = rate.is_finite() && rate >= 0.0;
         // A float beyond the range saturates.
         is_rate.then_some(Rate((rate * 1e3) as u32))
@@ -92,6 +97,12 @@
 }
 
 impl Notice {
+    /// That nothing was ever named. Any other notice replaces it.
+    pub const NONE: Notice = Notice {
+        rate: None,
+        at: Mono::ZERO,
+    };
+
     /// What an answer that came now says, to a request that was sent at `sent`.
     pub const fn of(rate: Option<Rate>, sent: Mono, now: Mono) -> Notice {
         let at = match rate {
@@ -109,6 +120,32 @@
     }
 }
 
+/// What bounds the requests of all hosts to an upstream.
+///
+/// Invariant: at least one of both gives a rate.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bound {
+    /// The limit that it named last.
+    pub named: Option<Notice>,
+    /// What it bears, if it is cold.
+    pub cold: Option<Rate>,
+}
+
+impl Bound {
+    /// None: nothing bounds it.
+    pub fn of(named: Option<Notice>, cold: Option<Rate>) -> Option<Bound> {
+        let is_named = named.is_some_and(|named| named.rate.is_some());
+        (is_named || cold.is_some()).then_some(Bound { named, cold })
+    }
+
+    /// Requests a second: the lower of both.
+    pub fn rate(&self) -> Rate {
+        let named = self.named.and_then(|named| named.rate);
+        let rates = named.into_iter().chain(self.cold);
+        rates.min().unwrap_or(Rate(0))
+    }
+}
+
 /// The limits that upstreams have named.
 #[derive(Clone, Debug)]
 pub struct Limits<K> {
--- a/almondlock-policy/tests/engine_cells.rs
+++ b/almondlock-policy/tests/engine_cells.rs
@@ -82,11 +82,14 @@
     assert_eq!(owners.into_values().collect::<Vec<_>>(), [8; 5]);
 }
 
-/// A host whose failure domain has no engines takes the first cell there is.
+/// Guards against hosts that all crowd one cell when their own failure domain has no engines,
+/// as while it is evacuated: they share the others.
 #[test]
 fn domain_without_engines() {
-    let cells = assign(&engines(&[23, 24]), &domain(7), 1);
-    assert_eq!(sizes(&cells), [23, 24]);
+    let own = |host| sizes(&assign(&engines(&[23, 24]), &domain(7), host));
+    assert_eq!(own(0), [23, 24]);
+    assert_eq!(own(1), [24, 23]);
+    assert_eq!(own(2), own(0));
 }
 
 /// Two others are looked at, never the same one twice.
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -19,6 +19,8 @@
     Address,
     /// Several addresses with commas between them.
     Addresses,
+    /// Several names with commas between them.
+    Names,
     /// `NUMBER@IP:PORT` with commas between them.
     Members,
     /// The path of a file that must exist.
@@ -135,8 +137,8 @@
 
 use Need::{Default, Optional, Required};
 use Shape::{
-    Address, Addresses, Datagrams, Decimal, File, Hash, Listen, Members, Name, Number, Path, Text,
-    Word,
+    Address, Addresses, Datagrams, Decimal, File, Hash, Listen, Members, Name, Names, Number, Path,
+    Text, Word,
 };
 
 const HOUR: u64 = 3_600_000;
@@ -277,6 +279,9 @@
         "Where the published configuration and heartbeats arrive; the same port on all replicas."),
     Key::new("directory", "exchange", Datagrams, Optional,
         "UDP address at which entry hosts tell what they have under way, to be passed on to the others."),
+    Key::new("directory", "domains", Names, Optional,
+        "The failure domains that there are. An order to evacuate another one is refused; without \
+         the list, one in which no upstream and no replica is known."),
     Key::new("directory", "lease", Number(1_000, HOUR), Default("10000"),
         "How long an instance stays enrolled without a heartbeat.").unit("ms"),
 
--- a/almondlock-settings/src/page.rs
+++ b/almondlock-settings/src/page.rs
@@ -66,6 +66,7 @@
         Shape::Datagrams => "`IP:PORT`, UDP".into(),
         Shape::Address => "`IP:PORT`".into(),
         Shape::Addresses => "`IP:PORT, ...`".into(),
+        Shape::Names => "`NAME, ...`".into(),
         Shape::Members => "`NUMBER@IP:PORT, ...`".into(),
         Shape::File => "existing file".into(),
         Shape::Path => "path".into(),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -193,10 +193,12 @@
     fn directory(&mut self, s: &Section) -> Option<Directory> {
         let listen = self.address(s, "listen");
         let exchange = self.address(s, "exchange");
+        let domains = self.names(s, "domains").unwrap_or_default();
         let lease = self.millis(s, "lease");
         Some(Directory {
             listen: listen?,
             exchange,
+            domains,
             lease: lease?,
         })
     }
--- a/almondlock-settings/src/read/value.rs
+++ b/almondlock-settings/src/read/value.rs
@@ -51,6 +51,19 @@
         })
     }
 
+    pub(super) fn names<T>(&mut self, s: &Section, key: &str) -> Option<Vec<T>>
+    where
+        T: TryFrom<String>,
+        T::Error: ToString,
+    {
+        self.parse(s, key, "write NAME, NAME, ...", |text| {
+            let names = text
+                .split(',')
+                .map(|name| T::try_from(name.trim().to_owned()));
+            names.collect::<Result<Vec<_>, _>>()
+        })
+    }
+
     pub(super) fn number(&mut self, s: &Section, key: &str) -> Option<u64> {
         match s.get(key)?.key.shape {
             Shape::Number(low, high) => self.ranged(s, key, "whole number", low..=high),
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -194,6 +194,8 @@
     pub listen: SocketAddr,
     /// Where entry hosts tell what they have under way.
     pub exchange: Option<SocketAddr>,
+    /// The failure domains that there are. Empty: those are that are known of.
+    pub domains: Vec<id::Domain>,
     /// How long an instance stays enrolled without a heartbeat.
     pub lease: Duration,
 }
--- a/almondlock-sidecar/src/service.rs
+++ b/almondlock-sidecar/src/service.rs
@@ -235,7 +235,7 @@
     /// of the drain is refused here.
     pub(crate) fn check_leaving(&self, now: Mono) {
         let config = self.handle.view().get();
-        let leaving = config.drains.contains_key(&self.upstream) || self.stop.is_stopping();
+        let leaving = config.is_drained(&self.upstream) || self.stop.is_stopping();
         self.table.borrow_mut().set_leaving(leaving, now);
     }
 
--- a/almondlock-spread/tests/snapshot_pieces.rs
+++ b/almondlock-spread/tests/snapshot_pieces.rs
@@ -60,6 +60,44 @@
     assert_eq!(whole.unwrap().revision, Revision(3001));
 }
 
+/// Guards against newcomers that take an old configuration first and all later ones after
+/// it: a reader that begins is given what is in force, and one that has begun goes on.
+#[test]
+fn newest_for_newcomers() {
+    let view = View::new();
+    extend(&view, 3000);
+    let (mut store, mut begun) = (Store::new(), Assembly::new());
+    assert!(fetch(&mut store, &view, &mut begun).is_none());
+    extend(&view, 2000);
+    let mut late = Assembly::new();
+    let newest = (0..100).find_map(|_| fetch(&mut store, &view, &mut late));
+    assert_eq!(newest.unwrap().revision, Revision(5000));
+    let whole = (0..100).find_map(|_| fetch(&mut store, &view, &mut begun));
+    assert_eq!(whole.unwrap().revision, Revision(3000));
+}
+
+/// A process hands on the text that it was given, without writing one itself.
+#[test]
+fn handed_on() {
+    let view = View::new();
+    extend(&view, 3000);
+    let (mut store, mut assembly) = (Store::new(), Assembly::new());
+    let config = loop {
+        let (revision, offset) = assembly.next();
+        let piece = store.piece(&view, Form::Packed, revision, offset).unwrap();
+        if let Some(config) = assembly.add(&piece).unwrap() {
+            break config;
+        }
+    };
+    let (below, mut next) = (View::new(), Store::new());
+    let text = assembly.into_text();
+    below.replace(config);
+    next.keep(below.revision(), text.clone());
+    assert_eq!(next.held(), text.len());
+    let piece = next.piece(&below, Form::Packed, Revision::ZERO, 0).unwrap();
+    assert_eq!(piece.data[..], text[..piece.data.len()]);
+}
+
 /// The snapshot is gone half-way: the sender was away itself and took a newer
 /// whole. The pieces of the two must not be mixed.
 #[test]
@@ -117,6 +155,7 @@
         slots: 10,
         leaving: false,
         birth: Birth(1_764_726_000_000 + n),
+        cold: false,
     };
     let name = |n: u64| Upstream::new(&format!("i-{:010x}", n * 0x9e37_79b9)).unwrap();
     let change = |n| Change::Instance(name(n), Some(instance(n)));
--- a/almondlock-state/src/api.rs
+++ b/almondlock-state/src/api.rs
@@ -268,6 +268,8 @@
     pub drained: usize,
     /// Upstreams by failure domain.
     pub domains: BTreeMap<String, usize>,
+    /// Failure domains whose upstreams take no new work.
+    pub evacuated: BTreeMap<id::Domain, Drain>,
     /// Fingerprints under suspicion, and how many of them are refused.
     pub suspects: (usize, usize),
     /// Claims held.
@@ -317,6 +319,7 @@
             upstreams: config.upstreams.len(),
             drained: config.drains.len(),
             domains,
+            evacuated: config.evacuations.clone(),
             suspects: (config.quarantines.len(), refused),
             claims: machine.claims().len(),
             plans: open.map(Summary::from).collect(),
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -10,7 +10,7 @@
 
 use almondlock_base::{
     Code, Ran,
-    id::{Attempt, Fingerprint, Host, Incarnation, Organisation, Upstream},
+    id::{Attempt, Domain, Fingerprint, Host, Incarnation, Organisation, Upstream},
     time::Wall,
     unit::Revision,
 };
@@ -70,6 +70,20 @@
         /// The leader's time.
         at: Wall,
     },
+    /// An operator empties a failure domain; see [`crate::evacuation`].
+    Evacuate {
+        /// The domain.
+        domain: Domain,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// The upstreams of an evacuated failure domain take work again.
+    Readmit {
+        /// The domain.
+        domain: Domain,
+        /// The leader's time.
+        at: Wall,
+    },
     /// The leader found other replicas than processes are told of.
     Sources {
         /// Their inner addresses, in order.
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -108,11 +108,11 @@
     pub role: String,
 }
 
-/// Why and since when an upstream takes no new work.
+/// Why and since when an upstream, or a whole failure domain, takes no new work.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Drain {
-    /// When the drain was accepted.
+    /// When it was accepted.
     pub since: Wall,
     /// The operator's words.
     pub reason: String,
@@ -176,6 +176,9 @@
     Instance(almondlock_base::id::Upstream, Option<Instance>),
     /// The replicas are others now.
     Sources(Vec<SocketAddr>),
+    /// The upstreams of a failure domain take no new work, or return to it; see
+    /// [`crate::evacuation`].
+    Evacuation(Domain, Option<Drain>),
 }
 
 /// The whole configuration at one revision.
@@ -208,6 +211,8 @@
     /// Inner addresses of the replicas, where their membership mends itself. A
     /// process whose settings name replicas that are gone finds them here.
     pub sources: Vec<SocketAddr>,
+    /// Failure domains whose upstreams take no new work, known or not.
+    pub evacuations: BTreeMap<Domain, Drain>,
 }
 
 /// The setting that names the other version of a model that requests may run
@@ -234,9 +239,27 @@
             Change::Document(value) => self.document = value,
             Change::Instance(name, value) => assign(&mut self.instances, name, value),
             Change::Sources(addresses) => self.sources = addresses,
+            Change::Evacuation(domain, value) => self.evacuate(domain, value),
         }
     }
 
+    fn evacuate(&mut self, domain: Domain, value: Option<Drain>) {
+        if value.is_none() {
+            let instances = self.instances.values_mut();
+            let returned = instances.filter(|instance| instance.domain == domain);
+            returned.for_each(|instance| instance.cold = true);
+        }
+        assign(&mut self.evacuations, domain, value);
+    }
+
+    /// Whether an upstream takes no new work: it is drained, or its failure domain is
+    /// evacuated. One that isn't registered is in no domain that is known.
+    pub fn is_drained(&self, name: &almondlock_base::id::Upstream) -> bool {
+        let domain = self.upstreams.get(name).map(|known| &known.domain);
+        self.drains.contains_key(name)
+            || domain.is_some_and(|domain| self.evacuations.contains_key(domain))
+    }
+
     /// Whether new requests for the model may run on this version: the one in
     /// force, or the other one of a rollout under way.
     pub fn serves(&self, model: &Model, version: &Version) -> bool {
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -25,6 +25,9 @@
 //! is kept out would have served.
 //!
 //! A notice that an instance is gone names no life: it ends the one that is known.
+//!
+//! Whether an instance is cold is what its last heartbeat said. When the evacuation of
+//! its failure domain ends it counts as cold until its next one.
 
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
@@ -68,6 +71,10 @@
     /// Which life of its name this is.
     #[serde(default)]
     pub birth: Birth,
+    /// It has just started, or must be taken to have: it bears few requests. It says
+    /// itself when that is over.
+    #[serde(default)]
+    pub cold: bool,
 }
 
 /// The names that are gone.
--- a/almondlock-state/src/intent.rs
+++ b/almondlock-state/src/intent.rs
@@ -1,7 +1,7 @@
 //! What an operator wants, before anything is worked out.
 
 use almondlock_base::{
-    id::{Adapter, Model, Organisation, Service, Upstream, Version},
+    id::{Adapter, Domain, Model, Organisation, Service, Upstream, Version},
     unit::Tokens,
 };
 use serde::{Deserialize, Serialize};
@@ -117,6 +117,18 @@
         /// Its name.
         upstream: Upstream,
     },
+    /// No upstream of a failure domain takes new work.
+    Evacuate {
+        /// The domain.
+        domain: Domain,
+        /// Why.
+        reason: String,
+    },
+    /// The upstreams of an evacuated failure domain take work again.
+    Readmit {
+        /// The domain.
+        domain: Domain,
+    },
     /// A setting for all processes; without a value it is taken away.
     SetSetting {
         /// Its name.
--- a/almondlock-state/src/lib.rs
+++ b/almondlock-state/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod command;
 pub mod config;
 pub mod document;
+pub mod evacuation;
 pub mod history;
 pub mod instance;
 pub mod intent;
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -76,6 +76,8 @@
 pub const SERVICES: usize = 256;
 /// Instances that are called without a sidecar.
 pub const INSTANCES: usize = 4_096;
+/// Failure domains that are evacuated at one time.
+pub const EVACUATIONS: usize = 256;
 /// Names of instances that are gone, kept so that a delayed heartbeat brings none back.
 pub const INSTANCES_GONE: usize = 4_096;
 /// Settings.
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -25,7 +25,7 @@
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    document, history, instance, limit,
+    document, evacuation, history, instance, limit,
     operator::Operator,
     plan::{
         self,
@@ -165,6 +165,18 @@
                 self.change(made.into_iter().collect(), changes);
                 Ok(accepted())
             }
+            Command::Evacuate { domain, at } => {
+                let drain = evacuation::drain("", self.time(at));
+                let made = evacuation::begin(&self.tables.config, domain, drain)
+                    .map_err(|evacuation::Full| refusal(almondlock_base::Code::LimitReached))?;
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
+            Command::Readmit { domain, .. } => {
+                let made = evacuation::end(&self.tables.config, domain);
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
             Command::Sources { addresses, .. } => {
                 let same = self.tables.config.sources == addresses;
                 let made = (!same).then_some(Change::Sources(addresses));
--- a/almondlock-state/src/plan/compile.rs
+++ b/almondlock-state/src/plan/compile.rs
@@ -6,7 +6,7 @@
 
 use almondlock_base::{
     Code,
-    id::{Model, Organisation, Upstream, Version},
+    id::{Domain, Model, Organisation, Upstream, Version},
     time::Wall,
     unit::Tokens,
 };
@@ -14,6 +14,7 @@
 use super::{Plan, Progress, Risk, Stage, Step, risk, rollout, table};
 use crate::{
     config::{self, Change, Definition, Drain, ENTRY_HOSTS},
+    evacuation,
     intent::{Intent, Limits},
     limit,
     operator::{Operator, Role, is_hash},
@@ -151,6 +152,9 @@
             Ok(Change::Drain(upstream.clone(), None))
         }
         Intent::Return { .. } => Err(Error::bad("the upstream is not drained")),
+        Intent::Evacuate { domain, reason } => evacuate(tables, domain, reason, now),
+        Intent::Readmit { domain } => evacuation::end(&tables.config, domain.clone())
+            .ok_or_else(|| Error::bad(format!("failure domain {domain} is not evacuated"))),
         Intent::SetSetting { name, value } => setting(tables, name, value.as_deref()),
         _ => Err(Error::bad("the intent is not known here")),
     }
@@ -349,6 +353,20 @@
     Ok(Change::Drain(name.clone(), Some(drain)))
 }
 
+fn evacuate(tables: &Tables, domain: &Domain, reason: &str, now: Wall) -> Result<Change, Error> {
+    if !evacuation::is_known(tables, domain) {
+        let message = format!("no upstream and no replica is in failure domain {domain}");
+        return Err(Error::bad(message));
+    }
+    if reason.len() > limit::TEXT_BYTES {
+        return Err(Error::bad("the reason is too long"));
+    }
+    let drain = evacuation::drain(reason, now);
+    evacuation::begin(&tables.config, domain.clone(), drain)
+        .map_err(|evacuation::Full| Error::full("evacuated failure domains"))?
+        .ok_or_else(|| Error::bad(format!("failure domain {domain} is evacuated already")))
+}
+
 fn setting(tables: &Tables, name: &str, value: Option<&str>) -> Result<Change, Error> {
     let fits = |text: &str| text.len() <= limit::TEXT_BYTES;
     if name.is_empty() || name.starts_with("rollout/") || !fits(name) || !value.is_none_or(fits) {
--- a/almondlock-state/src/plan/risk.rs
+++ b/almondlock-state/src/plan/risk.rs
@@ -1,6 +1,6 @@
 //! What an operator should know before confirming.
 
-use almondlock_base::id::{Model, Upstream};
+use almondlock_base::id::{Domain, Model, Upstream};
 
 use super::{Risk, Step, rollout};
 use crate::{
@@ -61,6 +61,11 @@
         Change::Service(name, _) => risk.affected.push(format!("callers of service {name}")),
         Change::Drain(name, Some(_)) => of_drain(config, name, risk),
         Change::Drain(name, None) => risk.affected.push(format!("upstream {name} takes work")),
+        Change::Evacuation(domain, Some(_)) => of_evacuation(config, domain, risk),
+        Change::Evacuation(domain, None) => {
+            let message = format!("upstreams in failure domain {domain} take work");
+            risk.affected.push(message);
+        }
         Change::Setting(name, _) if !name.starts_with("rollout/") => {
             risk.affected
                 .push(format!("all processes, by setting {name}"));
@@ -80,9 +85,10 @@
     };
     // A plain service has no capacity in tokens: each of its processes counts.
     let weight = |known: &Registration| known.capacity.0.max(1);
-    let all = config.upstreams.iter().filter(|(other, known)| {
-        alike(known) && (*other == name || !config.drains.contains_key(*other))
-    });
+    let all = config
+        .upstreams
+        .iter()
+        .filter(|(other, known)| alike(known) && (*other == name || !config.is_drained(other)));
     let total: u64 = all.map(|(_, known)| weight(known)).sum();
     let left = total.saturating_sub(weight(known));
     risk.capacity_left = Some(percent(left, total));
@@ -92,6 +98,28 @@
     }
 }
 
+fn of_evacuation(config: &Config, domain: &Domain, risk: &mut Risk) {
+    let open = config.upstreams.iter();
+    let open = open.filter(|(name, _)| !config.is_drained(name));
+    let registered = open.map(|(_, known)| (&known.domain, known.capacity.0.max(1)));
+    let enrolled = config
+        .instances
+        .values()
+        .filter(|known| !known.leaving && !config.evacuations.contains_key(&known.domain));
+    let enrolled = enrolled.map(|known| (&known.domain, u64::from(known.slots)));
+    let all: Vec<(&Domain, u64)> = registered.chain(enrolled).collect();
+    let total: u64 = all.iter().map(|(_, weight)| weight).sum();
+    let left = all.iter().filter(|(other, _)| *other != domain);
+    let left: u64 = left.map(|(_, weight)| weight).sum();
+    risk.affected
+        .push(format!("upstreams in failure domain {domain}"));
+    risk.capacity_left = Some(percent(left, total));
+    if left == 0 {
+        risk.warnings
+            .push("no upstream is left in another failure domain".to_owned());
+    }
+}
+
 fn percent(part: u64, whole: u64) -> u8 {
     let hundredths = u128::from(part) * 100 / u128::from(whole.max(1));
     u8::try_from(hundredths).unwrap_or(100)
--- a/almondlock-state/src/plan/rollout.rs
+++ b/almondlock-state/src/plan/rollout.rs
@@ -82,7 +82,7 @@
         version_of(known, model).is_some_and(|version| config.serves(model, version))
     };
     let all = config.upstreams.iter();
-    all.filter(move |(name, known)| serves(known) && !config.drains.contains_key(*name))
+    all.filter(move |(name, known)| serves(known) && !config.is_drained(name))
         .map(|(name, _)| name)
 }
 
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -80,6 +80,7 @@
             Effect::Config(Change::Sources(_)) => "sources".to_owned(),
             Effect::Config(Change::Document(_)) => "document".to_owned(),
             Effect::Config(Change::Instance(name, _)) => format!("instance/{name}"),
+            Effect::Config(Change::Evacuation(name, _)) => format!("domain/{name}"),
             Effect::Operator(name, _) => format!("operator/{name}"),
             Effect::Replica(..) => return Part::replicas(),
         };
@@ -122,6 +123,9 @@
             Change::Instance(name, _) => {
                 Change::Instance(name.clone(), config.instances.get(name).cloned())
             }
+            Change::Evacuation(name, _) => {
+                Change::Evacuation(name.clone(), config.evacuations.get(name).cloned())
+            }
         })
     }
 }
--- a/almondlock-state/tests/enrolled_instance.rs
+++ b/almondlock-state/tests/enrolled_instance.rs
@@ -29,6 +29,7 @@
         slots: 4,
         leaving,
         birth: Birth::default(),
+        cold: false,
     }
 }
 
@@ -203,6 +204,7 @@
     assert!(!is_routine(&instance("10.0.0.2:80", false)));
     let later = Instance {
         birth: Birth(1),
+        cold: false,
         ..instance("10.0.0.1:80", false)
     };
     assert!(!is_routine(&later));
--- a/almondlock-state/tests/restarted_instance.rs
+++ b/almondlock-state/tests/restarted_instance.rs
@@ -31,6 +31,7 @@
         slots: 4,
         leaving,
         birth: Birth(birth),
+        cold: false,
     }
 }
 
