Start all processes together: whole configurations, from sources first

A newcomer was given all changes from the first one on, in answers of 64 KiB, as long as they had less than 256 KiB together: revisions 270, 547, 550, 557, 559, configurations 3, 9, 14, 18 one after the other, each read again. 2. Full sources named children that had started as well and knew nothing. Those refused, and the newcomer paused. 3. A source without a leader refused at once; each round in vain doubles the pause. 4. Only three of ten sources are named at the start; nobody named the others before a newcomer had a configuration. 5. A whole was written out by each process for those below it, which costs one with 0.09 of a core a tenth of a second.

Now: the whole wherever it is shorter than what one answer misses; a text that came whole is handed on as it is, and newcomers are given one that is near the present. A source answers a process that it has no room for with the configuration all the same (`Standing::Informed`), paced, so that it serves callers while it looks for a parent; older versions pass the new hint over. A source that isn't current yet holds the question for up to 200 ms. Children without a configuration are named to nobody, other sources are, and who has no parent takes no children: the tree grows from the top. An age that isn't known is left out of log lines (it was).

Safe: a process that is informed and not served isn't counted in sums until it has a parent. It was not in touch, asks again without pause, and what it holds grows stale as any other's.

Ruled out: larger limits on children (a host hands the whole to a dozen over 20 Mbit/s already) and longer waits for callers.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -109,7 +109,7 @@
         expected_ms = choice.expected.as_millis(),
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().hosts(now),
-        revision = known.revision.0, age_ms = worker.node.age(now).as_millis(),
+        revision = known.revision.0, age_ms = worker.node.known_age(now).map(|age| age.as_millis()),
         attempt = course.tried.len() + 1, "sent"
     );
     let placed = outgoing::Placed {
--- a/almondlock-gateway/src/response.rs
+++ b/almondlock-gateway/src/response.rs
@@ -72,7 +72,7 @@
         request = %id, outcome = "refused", code = code.number(), name = code.name(),
         retry_after_ms = retry_after, spent_ms = spent.as_millis(),
         revision = worker.node.view().revision().0,
-        age_ms = worker.node.age(clock::mono()).as_millis(), "ended"
+        age_ms = worker.node.known_age(clock::mono()).map(|age| age.as_millis()), "ended"
     );
     let status = StatusCode::from_u16(code.status()).unwrap_or(StatusCode::BAD_GATEWAY);
     let mut builder = HttpResponse::build(status);
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -212,12 +212,12 @@
                 let known = node.view().get().document.is_some();
                 let ready = current && known && !shared.is_stopping();
                 if shared.ready.swap(ready, Ordering::Relaxed) != ready {
-                    let age = node.age(clock::mono());
+                    let age = node.known_age(clock::mono());
                     tracing::info!(
                         ready,
                         known,
                         stopping = shared.is_stopping(),
-                        age_ms = age.as_millis(),
+                        age_ms = age.map(|age| age.as_millis()),
                         "readiness changed"
                     );
                 }
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -37,12 +37,27 @@
 /// A pause after an error. A parent that serves and then fails, over and over,
 /// would otherwise be asked again without end.
 const ERROR_PAUSE: Duration = Duration::from_millis(50);
+/// How long a source may hold a newcomer's question back until it is current itself, or has
+/// told others before. One that is cut off never is.
+const ADMISSION: Duration = Duration::from_millis(200);
+/// How often a source is asked for the rest of a configuration before it is taken for one
+/// that doesn't come to an end.
+const INFORMED: usize = 64;
 /// How long saying goodbye may take.
 const LEAVE: Duration = Duration::from_millis(500);
 
 /// The session with the parent, while there is a parent.
 pub(crate) type Parent = Rc<RefCell<Option<Rc<Session>>>>;
 
+/// What came of a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    /// All that the other side has, or nothing.
+    Whole,
+    /// A part of the configuration; the same side has the rest.
+    InPart,
+}
+
 /// The loop of a process that is no source.
 pub(crate) struct Fetcher<L> {
     shared: Arc<Shared>,
@@ -113,12 +128,12 @@
         let parent = self.search.parent();
         if parent != self.followed {
             let revision = self.shared.view.revision().0;
-            let age = self.shared.age(clock::mono());
+            let age = self.shared.known_age(clock::mono());
             match parent {
                 Some(parent) => tracing::info!(%parent, revision, "follows a parent"),
                 None => tracing::warn!(
                     revision,
-                    age_ms = age.as_millis(),
+                    age_ms = age.map(|age| age.as_millis()),
                     "lost the parent, looks for another"
                 ),
             }
@@ -135,6 +150,18 @@
     }
 
     async fn ask(&mut self, address: SocketAddr) -> Result<(), capnp::Error> {
+        let mut rounds = 0;
+        while self.exchange(address).await? == Told::InPart {
+            rounds += 1;
+            if rounds > INFORMED {
+                return Err(capnp::Error::failed("the configuration has no end".into()));
+            }
+        }
+        Ok(())
+    }
+
+    /// Asks once.
+    async fn exchange(&mut self, address: SocketAddr) -> Result<Told, capnp::Error> {
         let session = match self.session.take() {
             Some(session) if session.address == address && !session.is_closed() => session,
             _ => {
@@ -158,13 +185,13 @@
                 Err(_) => return Err(capnp::Error::disconnected("no answer in time".into())),
             },
             // The question is put again, with what is known now.
-            () = interrupted(&self.shared, &fetch, self.pace.hold), if is_parent => return Ok(()),
+            () = interrupted(&self.shared, &fetch, self.pace.hold), if is_parent => return Ok(Told::Whole),
         };
         self.answer(address, &fetch.report, delta, sent)
     }
 
-    /// What is asked for. A process that is no parent yet is asked without a
-    /// wait: it may refuse, or turn out to be of no use.
+    /// What is asked for. A process that is no parent yet holds no answer back for news:
+    /// it may refuse, or turn out to be of no use.
     fn request(&self, is_parent: bool) -> Fetch {
         let have = self.shared.view.revision();
         let want = match &self.assembly {
@@ -183,7 +210,8 @@
         };
         let behind = self.shared.heard.load(Ordering::Relaxed) > have.0;
         let wait = match () {
-            () if !is_parent || backlog => Duration::ZERO,
+            () if !is_parent => ADMISSION,
+            () if backlog => Duration::ZERO,
             () if behind => WAIT_BEHIND,
             () => self.pace.hold,
         };
@@ -194,9 +222,17 @@
         &mut self,
         address: SocketAddr,
         told: &Report,
-        delta: Delta,
+        mut delta: Delta,
         sent: Mono,
-    ) -> Result<(), capnp::Error> {
+    ) -> Result<Told, capnp::Error> {
+        if let Standing::Informed(age, _) = delta.standing {
+            let body = std::mem::replace(&mut delta.body, Body::Empty);
+            self.apply(body)?;
+            self.recent(delta.newest, sent - age);
+            if self.shared.view.revision() < delta.newest {
+                return Ok(Told::InPart);
+            }
+        }
         let have = self.shared.view.revision();
         let after = match &delta.body {
             Body::Changes(first, changes) => have.max(Revision(
@@ -211,21 +247,24 @@
         let now = clock::mono();
         if self.search.answer(now, address, &delta, after, heard) == Verdict::Leave {
             self.leave(address);
-            return Ok(());
+            return Ok(Told::Whole);
         }
         self.shared.tree().children.delivered(told);
         self.apply(delta.body)?;
         if let Standing::Served(age, _) = delta.standing {
-            // Counted from the question, so that a slow answer makes nothing
-            // look newer than it is.
-            let at = sent - age;
-            self.recency.tell(delta.newest, at);
+            self.recent(delta.newest, sent - age);
         }
+        Ok(Told::Whole)
+    }
+
+    /// At the moment `at`, a source had nothing newer than `newest`. Counted from the
+    /// question, so that a slow answer makes nothing look newer than it is.
+    fn recent(&mut self, newest: Revision, at: Mono) {
+        self.recency.tell(newest, at);
         if let Some(at) = self.recency.reach(self.shared.view.revision()) {
             self.shared.current.at(at);
         }
         self.shared.doubt();
-        Ok(())
     }
 
     fn apply(&mut self, body: Body) -> Result<(), capnp::Error> {
@@ -253,7 +292,10 @@
         match assembly.add(piece) {
             Ok(None) => self.assembly = Some(assembly),
             Ok(Some(config)) => {
+                let revision = config.revision;
                 self.shared.view.replace(config);
+                let text = assembly.into_text();
+                self.shared.tree().store.keep(revision, text);
             }
             // Begun again, with another parent if there is one.
             Err(error) => {
--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -5,7 +5,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -13,6 +13,7 @@
 use almondlock_base::{time::Mono, unit::Revision};
 use almondlock_spread::{
     children::{Children, Summary},
+    pacer::Pacer,
     snapshot::Store,
     view::View,
 };
@@ -21,7 +22,7 @@
     peer::{Peer, VERSION},
     spread::Member,
 };
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, futures::Notified, watch};
 
 use crate::clock;
 
@@ -46,6 +47,7 @@
     // Microseconds of the process's clock; zero before the first time. Never
     // goes down.
     at: Arc<AtomicU64>,
+    advanced: Arc<Notify>,
 }
 
 impl Vouch {
@@ -57,6 +59,12 @@
     /// The view held everything accepted before `now`.
     pub fn at(&self, now: Mono) {
         self.at.fetch_max(now.as_micros(), Ordering::Relaxed);
+        self.advanced.notify_waiters();
+    }
+
+    /// Waits until somebody vouches again.
+    pub(crate) fn advanced(&self) -> Notified<'_> {
+        self.advanced.notified()
     }
 
     /// The last moment vouched for.
@@ -90,12 +98,16 @@
     /// came.
     pub(crate) lowest_of_all: watch::Sender<Revision>,
     pub(crate) tree: Mutex<Tree>,
+    /// Counts the answers that name other sources.
+    pub(crate) turns: AtomicUsize,
 }
 
 /// The node's place in the tree.
 pub(crate) struct Tree {
     pub(crate) children: Children,
     pub(crate) store: Store,
+    /// For processes that are told the configuration and not served.
+    pub(crate) pacer: Pacer,
     /// The way up to a source, nearest first.
     pub(crate) way: Vec<SocketAddr>,
 }
@@ -114,12 +126,16 @@
         self.tree.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// How long ago the view was known to be current.
+    /// How long ago the view was known to be current; unlimited if it never was.
     pub(crate) fn age(&self, now: Mono) -> Duration {
+        self.known_age(now).unwrap_or(Duration::MAX)
+    }
+
+    /// The same; none if it never was.
+    pub(crate) fn known_age(&self, now: Mono) -> Option<Duration> {
         match self.current.last() {
-            _ if self.always => Duration::ZERO,
-            Some(at) => now.since(at),
-            None => Duration::MAX,
+            _ if self.always => Some(Duration::ZERO),
+            last => last.map(|at| now.since(at)),
         }
     }
 
@@ -242,6 +258,11 @@
         self.shared.age(now)
     }
 
+    /// The same; none if it never was.
+    pub fn known_age(&self, now: Mono) -> Option<Duration> {
+        self.shared.known_age(now)
+    }
+
     /// Whether the configuration was ever known to be recent in this life.
     /// From then on the process serves with what it has, also while it is cut
     /// off: work goes on without a leader, and without any replica.
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -6,13 +6,17 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex, atomic::AtomicU64},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, AtomicUsize},
+    },
     time::Duration,
 };
 
 use almondlock_base::id::{Domain, Host, Incarnation, Region, Upstream};
 use almondlock_spread::{
     children::{self, Children},
+    pacer::Pacer,
     snapshot::Store,
     view::View,
 };
@@ -252,7 +256,9 @@
         tree: Mutex::new(Tree {
             children: Children::new(bounds, own, parts.is_source),
             store: Store::new(),
+            pacer: Pacer::default(),
             way: Vec::new(),
         }),
+        turns: AtomicUsize::new(0),
     }
 }
--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -1,6 +1,12 @@
 //! The interfaces that every process serves.
 
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use almondlock_base::{
     id::{Host, Upstream},
@@ -13,7 +19,7 @@
     peer::Peer,
     spread::{Body, CHANGES, Delta, Fetch, Process, Standing, Want},
 };
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     clock,
@@ -151,10 +157,16 @@
         let from = &fetch.report.from;
         check(&self.identity, &from.host)?;
         self.handle.heard(from);
-        let (body, standing) = match self.admit(&fetch) {
-            Admission::Full(others) => (Body::Empty, Standing::Full(others)),
+        let is_new = self.child.borrow().is_none();
+        if is_new {
+            self.become_current(&fetch).await;
+        }
+        let (body, standing) = match self.admit(&fetch, is_new) {
+            Admission::Full(others) => self.inform(&fetch, others).await?,
             Admission::Served => {
-                self.wait(&fetch).await;
+                if !is_new {
+                    self.wait(&fetch).await;
+                }
                 (
                     self.body(fetch.want, Form::of(from.version))?,
                     self.standing(),
@@ -176,11 +188,79 @@
 }
 
 impl Spread {
-    fn admit(&self, fetch: &Fetch) -> Admission {
-        // Who isn't current itself is of no use as a parent, and must not count
-        // a process that will find so and leave.
+    fn is_current(&self) -> bool {
+        self.shared.age(clock::mono()) <= parent::Config::default().stale
+    }
+
+    /// Waits, as long as a newcomer allows, until this source is current.
+    ///
+    /// **Failure.** All processes start at the same moment. Entry hosts ask the sources
+    /// before those have a leader, find none that is current, and pause before they ask
+    /// again, each time for longer.
+    async fn become_current(&self, fetch: &Fetch) {
+        if !self.shared.is_source || fetch.want == Want::Nothing {
+            return;
+        }
+        let current = async {
+            loop {
+                // Made before the look, so that nothing is missed between both.
+                let advanced = self.shared.current.advanced();
+                if self.is_current() {
+                    return;
+                }
+                advanced.await;
+            }
+        };
+        // Over time, it is refused.
+        timeout(fetch.wait.min(WAIT_LIMIT), current).await.ok();
+    }
+
+    /// Answers a process that isn't served. A source tells it the configuration all the
+    /// same, so that it serves its callers while it looks for a parent, and names other
+    /// sources where it knows no child that could be one.
+    async fn inform(
+        &self,
+        fetch: &Fetch,
+        mut others: Vec<SocketAddr>,
+    ) -> Result<(Body, Standing), capnp::Error> {
+        let leaves = fetch.report.processes == 0;
+        if !self.shared.is_source || leaves || !self.is_current() {
+            return Ok((Body::Empty, Standing::Full(others)));
+        }
+        if others.is_empty() {
+            others = self.siblings();
+        }
+        let form = Form::of(fetch.report.from.version);
+        let body = self.body(fetch.want, form)?;
+        let passes = {
+            let mut tree = self.shared.tree();
+            tree.pacer.pass(clock::mono(), size(&body), fetch.wait)
+        };
+        let Some(pause) = passes else {
+            return Ok((Body::Empty, Standing::Full(others)));
+        };
+        sleep(pause).await;
         let age = self.shared.age(clock::mono());
-        if age > parent::Config::default().stale && fetch.want != Want::Nothing {
+        Ok((body, Standing::Informed(age, others)))
+    }
+
+    /// The other sources, in an order that differs from answer to answer.
+    fn siblings(&self) -> Vec<SocketAddr> {
+        let own = self.shared.own.address;
+        let mut all = self.shared.view.get().sources.clone();
+        all.retain(|source| *source != own);
+        let turns = self.shared.turns.fetch_add(1, Ordering::Relaxed);
+        let first = turns % all.len().max(1);
+        all.rotate_left(first);
+        all
+    }
+
+    fn admit(&self, fetch: &Fetch, is_new: bool) -> Admission {
+        // Who isn't current itself is of no use as a parent, and must not count
+        // a process that will find so and leave. Who has no parent takes no newcomers:
+        // two of them would serve each other.
+        let has_place = self.shared.is_source || !is_new || !self.shared.tree().way.is_empty();
+        if fetch.want != Want::Nothing && !(self.is_current() && has_place) {
             return Admission::Full(Vec::new());
         }
         let own = self.shared.view.revision();
@@ -248,3 +328,12 @@
         Standing::Served(age, self.shared.tree().way.clone())
     }
 }
+
+/// Bytes of configuration in a body.
+fn size(body: &Body) -> usize {
+    match body {
+        Body::Empty => 0,
+        Body::Changes(_, changes) => changes.iter().map(Vec::len).sum(),
+        Body::Piece(piece) => piece.data.len(),
+    }
+}
--- a/almondlock-spread/src/children.rs
+++ b/almondlock-spread/src/children.rs
@@ -3,7 +3,8 @@
 //! A process serves a bounded number of others. Whoever comes when it is full
 //! is sent on to one of those it serves: one in the same failure domain if
 //! there is one, else in the same region, and among equals the one with the
-//! fewest processes below it. A source keeps no failure domain from having
+//! fewest processes below it. A child that holds no configuration yet is named to nobody:
+//! after a start of all processes the tree grows from the top. A source keeps no failure domain from having
 //! children of its own directly: each may take only a part of its places.
 //!
 //! A report sums up a subtree: the lowest revision in it, how many processes it
@@ -79,6 +80,8 @@
     told: Report,
     heard: Mono,
     open: bool,
+    // It has a configuration, which it had before or was given here.
+    holds: bool,
     // Newcomers sent to it since it last reported: its own count lags.
     handed: u32,
 }
@@ -135,12 +138,17 @@
             self.end(&process);
             return Admission::Full(Vec::new());
         }
-        if !self.children.contains_key(&process)
-            && let Err(others) = self.newcomer(now, &process, report)
-        {
+        let is_known = self.children.contains_key(&process);
+        if !is_known && let Err(others) = self.newcomer(now, &process, report) {
             return Admission::Full(others);
         }
+        // Who asks for what comes after its revision has all up to there; at first that
+        // may be nothing.
+        let holds = matches!(fetch.want, Want::After(have) if is_known || have > Revision::ZERO);
         self.update(now, &process, report);
+        if let Some(child) = self.children.get_mut(&process) {
+            child.holds |= holds;
+        }
         Admission::Served
     }
 
@@ -278,10 +286,13 @@
         let old: Vec<Process> = old.map(|(process, _)| process.clone()).collect();
         old.iter().for_each(|process| self.end(process));
         if !self.has_room(&member.domain) {
-            let others = self.others(&member, report.from.version);
+            let version = report.from.version;
+            let others = self.others(&member, version);
             // While versions differ everyone below may speak an older one and
             // be no parent for a newer one; then there is room for a few more.
-            if !others.is_empty() || self.open() >= 4 * self.config.fanout {
+            let fits = |child: &Child| child.open && child.told.from.version >= version;
+            let has_fit = self.children.values().any(fits);
+            if has_fit || self.open() >= 4 * self.config.fanout {
                 return Err(others);
             }
         }
@@ -290,6 +301,7 @@
             told: report.clone(),
             heard: now,
             open: true,
+            holds: false,
             handed: 0,
         };
         self.children.insert(process.clone(), child);
@@ -313,6 +325,7 @@
             .children
             .values_mut()
             .filter(|child| child.open && child.told.from.version >= version)
+            .filter(|child| child.holds)
             .collect();
         others.sort_by_key(|child| {
             let domain = child.member.domain != newcomer.domain;
--- a/almondlock-spread/src/lib.rs
+++ b/almondlock-spread/src/lib.rs
@@ -10,6 +10,7 @@
 //!   [`ring`] and the whole in pieces by [`snapshot`];
 //! - [`parent`] decides whom to ask, [`children`] whom to serve and what to
 //!   report;
+//! - [`pacer`] decides when a source tells the whole to those that it doesn't serve;
 //! - [`recency`] decides whether what is in force is known to be recent.
 //!
 //! Nothing here does I/O or reads a clock. `docs/spreading.md` weighs this
@@ -18,6 +19,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod children;
+pub mod pacer;
 pub mod parent;
 pub mod recency;
 pub mod ring;
--- a/almondlock-spread/src/parent.rs
+++ b/almondlock-spread/src/parent.rs
@@ -196,7 +196,7 @@
         heard: Revision,
     ) -> Verdict {
         match &delta.standing {
-            Standing::Full(others) => {
+            Standing::Full(others) | Standing::Informed(_, others) => {
                 self.refused(others);
                 Verdict::Leave
             }
--- a/almondlock-spread/src/snapshot.rs
+++ b/almondlock-spread/src/snapshot.rs
@@ -1,8 +1,10 @@
 //! The whole configuration, in bounded pieces.
 //!
-//! The sending side writes the configuration out once and serves pieces of that
-//! text until its ring of changes no longer reaches back to it: whoever is
-//! still reading then could not be brought from there to the present anyway.
+//! The sending side writes the configuration out once, or keeps the text that it was
+//! given itself, and serves pieces of it until its ring of changes no longer reaches back
+//! to it: whoever is still reading then could not be brought from there to the present
+//! anyway. A reader that begins is given a newer text once the changes since then make up
+//! a part of it; those that have begun go on with theirs.
 //!
 //! **Packed.** Three thousand servers make a configuration of 0.6 MB. After a loss of
 //! all processes each of three hundred asks for it at once, and a process with a link of
@@ -66,10 +68,23 @@
     }
 }
 
+/// Texts of one form that are kept: one for readers that begin, and the one before it.
+const KEPT: usize = 2;
+/// A text is written anew once the changes after it have so many of its parts.
+const REWRITE_PART: usize = 4;
+
+/// A configuration written out.
+#[derive(Clone, Debug)]
+struct Text {
+    revision: Revision,
+    bytes: Arc<[u8]>,
+}
+
 /// The sending side.
 #[derive(Debug, Default)]
 pub struct Store {
-    kept: HashMap<Form, (Revision, Arc<[u8]>)>,
+    // Invariant: newest first, at most `KEPT` of each form.
+    kept: HashMap<Form, Vec<Text>>,
 }
 
 impl Store {
@@ -87,21 +102,33 @@
         revision: Revision,
         offset: u64,
     ) -> Result<Piece, serde_json::Error> {
-        let (held, text) = self.current(view, form)?;
-        let start = usize::try_from(offset).unwrap_or(usize::MAX);
-        let start = match held == revision && start < text.len() {
-            true => start,
-            false => 0,
+        let begun = usize::try_from(offset).unwrap_or(usize::MAX);
+        self.trim(view);
+        let kept = self.kept.get(&form).into_iter().flatten();
+        let mut kept = kept.filter(|text| text.revision == revision && begun > 0);
+        let (text, start) = match kept.find(|text| begun < text.bytes.len()) {
+            Some(text) => (text.clone(), begun),
+            None => (self.current(view, form)?, 0),
         };
-        let end = text.len().min(start + PIECE);
+        let end = text.bytes.len().min(start + PIECE);
         Ok(Piece {
-            revision: held,
+            revision: text.revision,
             offset: start as u64,
-            total: text.len() as u64,
-            data: text[start..end].to_vec(),
+            total: text.bytes.len() as u64,
+            data: text.bytes[start..end].to_vec(),
         })
     }
 
+    /// Keeps a text that came whole from another process, to hand it on.
+    pub fn keep(&mut self, revision: Revision, bytes: Vec<u8>) {
+        let form = match bytes.first() {
+            Some(&PLAIN_START) => Form::Plain,
+            _ => Form::Packed,
+        };
+        let bytes = bytes.into();
+        self.put(form, Text { revision, bytes });
+    }
+
     /// Whether the whole is the shorter way for a process that has this
     /// revision. Changes often touch the same things again, so many of them
     /// take more bytes than what they come to.
@@ -112,34 +139,47 @@
         have: Revision,
     ) -> Result<bool, serde_json::Error> {
         let missed = view.with_ring(|ring| ring.bytes_after(have));
-        // Few changes are the shorter way without looking.
-        Ok(missed > 4 * PIECE && self.current(view, form)?.1.len() < missed)
+        // What fits one answer is the shorter way without looking.
+        Ok(missed > PIECE && self.current(view, form)?.bytes.len() < missed)
     }
 
     /// Bytes held.
     pub fn held(&self) -> usize {
-        self.kept.values().map(|(_, text)| text.len()).sum()
+        let texts = self.kept.values().flatten();
+        texts.map(|text| text.bytes.len()).sum()
     }
 
-    /// Lets go of a snapshot that nobody can use any more.
+    /// Lets go of snapshots that nobody can use any more.
     pub fn trim(&mut self, view: &View) {
-        let reaches = |revision| view.with_ring(|ring| ring.reaches(revision));
-        self.kept.retain(|_, (revision, _)| reaches(*revision));
+        let reaches = |text: &Text| view.with_ring(|ring| ring.reaches(text.revision));
+        self.kept.values_mut().for_each(|kept| kept.retain(reaches));
     }
 
-    fn current(
-        &mut self,
-        view: &View,
-        form: Form,
-    ) -> Result<(Revision, Arc<[u8]>), serde_json::Error> {
+    fn put(&mut self, form: Form, text: Text) {
+        let kept = self.kept.entry(form).or_default();
+        kept.retain(|other| other.revision < text.revision);
+        kept.insert(0, text);
+        kept.truncate(KEPT);
+    }
+
+    /// The text for readers that begin.
+    fn current(&mut self, view: &View, form: Form) -> Result<Text, serde_json::Error> {
         self.trim(view);
-        if let Some((revision, text)) = self.kept.get(&form) {
-            return Ok((*revision, Arc::clone(text)));
+        let newest = self.kept.get(&form).and_then(|kept| kept.first());
+        let is_near = |text: &&Text| {
+            let missed = view.with_ring(|ring| ring.bytes_after(text.revision));
+            missed < text.bytes.len() / REWRITE_PART
+        };
+        if let Some(text) = newest.filter(is_near) {
+            return Ok(text.clone());
         }
         let config = view.get();
-        let text = form.write(&config)?;
-        self.kept.insert(form, (config.revision, Arc::clone(&text)));
-        Ok((config.revision, text))
+        let text = Text {
+            revision: config.revision,
+            bytes: form.write(&config)?,
+        };
+        self.put(form, text.clone());
+        Ok(text)
     }
 }
 
@@ -180,6 +220,11 @@
         (self.revision, self.text.len() as u64)
     }
 
+    /// The text, as far as it was received.
+    pub fn into_text(self) -> Vec<u8> {
+        self.text
+    }
+
     /// Adds a piece; gives the configuration once it is whole.
     pub fn add(&mut self, piece: &Piece) -> Result<Option<Config>, Error> {
         if piece.total > LIMIT {
--- a/almondlock-spread/tests/subtree_report.rs
+++ b/almondlock-spread/tests/subtree_report.rs
@@ -86,6 +86,22 @@
 
 /// One failure domain starts before the others. It must not fill a source, or
 /// the others would hang below it and be lost together with it.
+/// Guards against newcomers that are sent to processes which have just started too and know
+/// nothing yet.
+#[test]
+fn newcomers_name_nobody() {
+    let mut children = node(false);
+    for n in 1..=12 {
+        assert_eq!(admit(&mut children, NOW, report(n, 0)), Admission::Served);
+    }
+    let full = |others| Admission::Full(others);
+    assert_eq!(admit(&mut children, NOW, report(100, 0)), full(vec![]));
+    // One of them has taken its first answer and asks for more.
+    assert_eq!(admit(&mut children, NOW, report(7, 5)), Admission::Served);
+    let others = admit(&mut children, NOW, report(100, 0));
+    assert_eq!(others, full(vec![address(7)]));
+}
+
 #[test]
 fn a_source_keeps_room_for_each_domain() {
     let mut children = node(true);
--- a/almondlock-wire/src/spread.rs
+++ b/almondlock-wire/src/spread.rs
@@ -7,11 +7,12 @@
 //! - `have` of `u64::MAX` says that the sender is a source itself and wants
 //!   nothing but to exchange reports;
 //! - `revision` without `offset` asks for a snapshot from its start;
-//! - an entry of `Delta.parents` is `age MICROS`, `via IP:PORT` or a bare
-//!   `IP:PORT`. An answer with an age serves its receiver, and each `via` is a
+//! - an entry of `Delta.parents` is `age MICROS`, `fresh MICROS`, `via IP:PORT` or a
+//!   bare `IP:PORT`. An answer with an age serves its receiver, and each `via` is a
 //!   step of the sender's own way up, nearest first. An answer without one
-//!   refuses, and each address may be tried instead. Entries of another form
-//!   are passed over, for the sake of later versions.
+//!   refuses, and each address may be tried instead; if it is fresh, its body counts
+//!   all the same. Entries of another form are passed over, for the sake of later
+//!   versions.
 
 use std::{fmt, net::SocketAddr, time::Duration};
 
@@ -260,6 +261,9 @@
     Served(Duration, Vec<SocketAddr>),
     /// It doesn't; these may.
     Full(Vec<SocketAddr>),
+    /// It doesn't, and these may; but the answer counts, and so long ago `newest` was the
+    /// newest revision that a source had.
+    Informed(Duration, Vec<SocketAddr>),
 }
 
 /// An answer of `Spread.fetch`.
@@ -331,20 +335,22 @@
 
 impl Standing {
     fn parse(hints: &[&str]) -> Standing {
-        let mut age = None;
+        let (mut age, mut fresh) = (None, None);
         let mut way = Vec::new();
         let mut others = Vec::new();
         for hint in hints {
             match hint.split_once(' ') {
                 Some(("age", micros)) => age = micros.parse().ok().map(Duration::from_micros),
+                Some(("fresh", micros)) => fresh = micros.parse().ok().map(Duration::from_micros),
                 Some(("via", step)) => way.extend(address(step)),
                 Some(_) => {}
                 None => others.extend(address(hint)),
             }
         }
-        match age {
-            Some(age) => Standing::Served(age, way),
-            None => Standing::Full(others),
+        match (age, fresh) {
+            (Some(age), _) => Standing::Served(age, way),
+            (None, Some(fresh)) => Standing::Informed(fresh, others),
+            (None, None) => Standing::Full(others),
         }
     }
 
@@ -359,6 +365,12 @@
                 let others = others.iter().take(ADDRESSES);
                 others.map(SocketAddr::to_string).collect()
             }
+            Standing::Informed(age, others) => {
+                let others = others.iter().take(ADDRESSES);
+                let fresh = format!("fresh {}", micros(*age));
+                let others = others.map(SocketAddr::to_string);
+                std::iter::once(fresh).chain(others).collect()
+            }
         }
     }
 }
--- a/almondlock-wire/tests/spread_border.rs
+++ b/almondlock-wire/tests/spread_border.rs
@@ -56,6 +56,10 @@
         Standing::Served(Duration::from_millis(3), vec!["[::1]:7".parse().unwrap(), "10.0.0.1:8".parse().unwrap()])
     },
     full = { Body::Empty, Standing::Full(vec!["10.0.0.1:8".parse().unwrap()]) },
+    informed = {
+        Body::Changes(Revision(4), vec![b"1".to_vec()]),
+        Standing::Informed(Duration::from_millis(3), vec!["10.0.0.1:8".parse().unwrap()])
+    },
 )]
 fn deltas(body: Body, standing: Standing) {
     let delta = Delta {
