Tell those who listen seldom only that a relay is there; name a bounded number of hosts

Causes: two terms that grow with the square of the fleet. A host listens to a second relay, mostly in another domain, which sent it the whole sum (an entry for each upstream) every 25 rounds: hosts times upstreams. And each relay told each host that follows it the addresses of all other hosts every 50 rounds: hosts times hosts.

Now the second relay sends a beacon with the number of hosts that it knows; the whole comes with the first round after a host has begun to follow it closely.

Tests: `told_loads::bounded_rounds` (500 hosts), `cut_off_relay`.

--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -36,8 +36,12 @@
 /// Rounds in which each upstream is told once, changed or not; and every how many
 /// rounds hosts are told where the relay is. A second, or 2.5 s with the longest rounds.
 const REPEAT: u64 = 50;
-/// Every how many rounds those who listen seldom are told everything.
+/// Every how many rounds those who listen seldom are told that the relay is there.
 const SELDOM: u64 = 25;
+/// Other hosts that a host is told of, which it tells its load while no relay answers.
+/// Each is told of those that follow it in the order of addresses, so that each hears from
+/// as many.
+pub const PEERS: usize = 64;
 /// The change of the time left to read, in milliseconds, that is told at once: what a
 /// short prompt takes. A smaller one makes no difference to a choice, and is told in
 /// turn.
@@ -73,6 +77,8 @@
     pub whole: Option<Sum>,
     /// Who gets everything.
     pub others: Vec<(SocketAddr, u32)>,
+    /// Who is told only that the relay is there.
+    pub beacons: Vec<SocketAddr>,
     /// Who is told where the relay is.
     pub introductions: Vec<(SocketAddr, Introduction)>,
 }
@@ -133,7 +139,7 @@
                 Listen::Closely if told.is_met && is_quiet => {}
                 Listen::Closely if told.is_met => round.close.push((*to, number)),
                 Listen::Closely => round.others.push((*to, number)),
-                Listen::Seldom if is_seldom => round.others.push((*to, number)),
+                Listen::Seldom if is_seldom => round.beacons.push(*to),
                 Listen::Seldom | Listen::No => {}
             }
             told.is_met = true;
@@ -182,12 +188,16 @@
     }
 
     fn introductions(&self, domain: &Domain) -> Vec<(SocketAddr, Introduction)> {
-        let introductions = self.hosts.iter().map(|(to, told)| {
-            let follows = told.digest.listens != Listen::No;
-            let others = self.hosts.keys().filter(|other| *other != to);
+        let mut all: Vec<SocketAddr> = self.hosts.keys().copied().collect();
+        all.sort_unstable();
+        let introductions = all.iter().enumerate().map(|(place, to)| {
+            let told = self.hosts.get(to);
+            let follows = told.is_some_and(|told| told.digest.listens != Listen::No);
+            let next = all.iter().cycle().skip(place + 1).take(all.len() - 1);
+            let peers = next.copied().take(PEERS).filter(|_| follows);
             let introduction = Introduction {
                 domain: domain.clone(),
-                peers: others.copied().filter(|_| follows).collect(),
+                peers: peers.collect(),
             };
             (*to, introduction)
         });
--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -215,11 +215,15 @@
     let read = postcard::take_from_bytes(bytes).and_then(|(message, rest)| match message {
         Message::Sum { included } => {
             let sum: Sum = postcard::from_bytes(rest)?;
-            teller.relays.hear(now, from);
+            teller.relays.hear(now, from, sum.hosts);
             let own = teller.told(included);
             worker.load.borrow_mut().hear(now, from, sum, own);
             Ok(())
         }
+        Message::Beacon { hosts } => {
+            teller.relays.hear(now, from, hosts);
+            Ok(())
+        }
         Message::Introduction(told) => {
             teller.relays.meet(now, from, &worker.domain, &told);
             Ok(())
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -25,6 +25,11 @@
         /// Which digest of the host is included.
         included: u32,
     },
+    /// A relay to a host that listens seldom: it is there, and knows so many hosts.
+    Beacon {
+        /// How many hosts that are.
+        hosts: u32,
+    },
     /// A relay to a host, from time to time.
     Introduction(Introduction),
     /// A host to all relays, or a relay to all hosts: limits that have changed, or all
@@ -34,11 +39,6 @@
     Ask(Ask),
     /// A relay to the host that asked.
     Permit(Permit),
-}
-
-/// What is known of an upstream's limit for all hosts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
     /// A host to all relays: a request was lost with the upstream that ran it.
     Lost(Loss),
     /// A host to all relays: a request was answered that upstreams had been lost with.
@@ -72,6 +72,11 @@
     pub refused_ms: Option<u32>,
     /// An answer to it is news.
     pub watched: bool,
+}
+
+/// What is known of an upstream's limit for all hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Limit {
     /// The upstream.
     pub key: Key,
@@ -108,14 +113,14 @@
     pub number: u32,
     /// The upstream, and its limit as the host knows it.
     pub limit: Limit,
+    /// What the upstream bears, if it is cold. Every host has that from the configuration,
+    /// so that relays don't tell it on.
+    pub cold: Option<Rate>,
 }
 
 /// What comes of a question.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-    /// What the upstream bears, if it is cold. Every host has that from the configuration,
-    /// so that relays don't tell it on.
-    pub cold: Option<Rate>,
 pub struct Permit {
     /// The question's number.
     pub number: u32,
@@ -134,7 +139,7 @@
 pub enum Listen {
     /// No sums, only introductions.
     No,
-    /// All sums, now and then: to take over when the other relay falls silent.
+    /// No sums, but that the relay is there: to take over when the other one falls silent.
     Seldom,
     /// What has changed, each round.
     Closely,
@@ -173,6 +178,6 @@
 pub struct Introduction {
     /// The relay's failure domain.
     pub domain: Domain,
-    /// The other hosts, for those that follow the relay.
+    /// Some other hosts, for those that follow the relay.
     pub peers: Vec<SocketAddr>,
 }
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -17,17 +17,18 @@
 //! Hosts tell every relay and listen to two. With one relay each, those that
 //! left a silent relay at different moments would stay apart for good, each
 //! hearing its own relay and none of the others' hosts, and pack their work onto
-//! the same engines. While no relay answers, hosts tell each other: all relays
-//! may be gone at once, since the control replicas may. Not always, because that
-//! costs each of them a datagram for each other one.
+//! the same engines. The second one only shows that it is there: its sums as well would
+//! cost the links between failure domains an entry for each upstream and each host. While
+//! no relay answers, hosts tell each other, each a bounded number of them: all relays
+//! may be gone at once, since the control replicas may.
 //!
 //! Limits that upstreams name for all hosts are told in the same way, and the relays give
 //! out permits to send to such upstreams ([`Ration`]). And hosts tell all relays of
 //! requests that upstreams were lost with, so that the relays can have such a request
 //! refused by all hosts ([`Docket`]).
 
-mod gather;
 mod docket;
+mod gather;
 mod host;
 mod message;
 mod ration;
@@ -41,7 +42,7 @@
 pub(crate) use self::host::run;
 pub use self::{
     docket::Docket,
-    gather::{Gather, Round},
+    gather::{Gather, PEERS, Round},
     message::{Ask, Digest, Introduction, Limit, Listen, Loss, Message, Permit, Sum, Suspect},
     ration::Ration,
     relay::relay,
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -66,6 +66,7 @@
         Message::Lost(loss) => state.docket.lose(now, &loss),
         Message::Harmless(print) => state.docket.clear(now, print),
         Message::Sum { .. }
+        | Message::Beacon { .. }
         | Message::Introduction(_)
         | Message::Permit(_)
         | Message::Suspects(_) => {
@@ -111,6 +112,12 @@
     if let Some(whole) = &round.whole {
         send_sums(socket, whole, &round.others).await;
     }
+    let beacon = Message::Beacon {
+        hosts: round.changes.hosts,
+    };
+    for to in &round.beacons {
+        send(socket, *to, &beacon).await;
+    }
     for (to, introduction) in &round.introductions {
         send(socket, *to, &Message::Introduction(introduction.clone())).await;
     }
--- a/almondlock-gateway/src/exchange/relays.rs
+++ b/almondlock-gateway/src/exchange/relays.rs
@@ -14,6 +14,9 @@
 /// Relays that a host listens to at a time. One may be cut off from other hosts
 /// and not know it.
 const LISTENED: usize = 2;
+/// Of the relay that is followed closely another one takes the place if it knows so
+/// many times as many hosts.
+const FAR_MORE: f64 = 1.2;
 /// Hosts that no relay named for this long are forgotten.
 const FORGET: Duration = Duration::from_secs(4);
 
@@ -27,12 +30,15 @@
     /// The other hosts, and when a relay last named them.
     peers: HashMap<SocketAddr, Mono>,
     heard: Option<Mono>,
+    /// How many hosts each relay knew when it was last heard.
+    counts: HashMap<SocketAddr, u32>,
 }
 
 impl Relays {
-    /// A sum came from a relay.
-    pub fn hear(&mut self, now: Mono, from: SocketAddr) {
+    /// A relay was heard that knows so many hosts.
+    pub fn hear(&mut self, now: Mono, from: SocketAddr, hosts: u32) {
         self.heard = Some(now);
+        self.counts.insert(from, hosts);
         let listened = self.listened.iter_mut().find(|(relay, _)| *relay == from);
         if let Some((_, at)) = listened {
             *at = now;
@@ -69,6 +75,7 @@
             }
         }
         self.prefer_near(now, all, &left);
+        self.prefer_far_more(now);
         let paces = [Listen::Closely, Listen::Seldom];
         let listened = self.listened.iter().zip(paces);
         listened.map(|((relay, _), pace)| (*relay, pace)).collect()
@@ -84,9 +91,30 @@
         self.listened = kept.into_iter().map(|(listened, _)| listened).collect();
         let left: Vec<SocketAddr> = left.into_iter().map(|((relay, _), _)| relay).collect();
         self.near.retain(|relay, _| !left.contains(relay));
+        self.counts
+            .retain(|relay, _| all.contains(relay) && !left.contains(relay));
         left
     }
 
+    /// Follows the other relay closely if that knows far more hosts: the first one is cut
+    /// off from some, though not from this host.
+    fn prefer_far_more(&mut self, now: Mono) {
+        let [(first, _), (other, _)] = self.listened[..] else {
+            return;
+        };
+        if self.knows_far_less(first, other) {
+            self.listened.swap(0, 1);
+            self.listened[0].1 = now;
+        }
+    }
+
+    /// Whether a relay knows far fewer hosts than another one.
+    fn knows_far_less(&self, relay: SocketAddr, other: SocketAddr) -> bool {
+        let count = |relay| self.counts.get(&relay).copied().map(f64::from);
+        let counts = count(relay).zip(count(other));
+        counts.is_some_and(|(known, more)| more > known * FAR_MORE)
+    }
+
     /// All relays in the order in which to take them. Those that were just left come
     /// last.
     fn order(&self, all: &[SocketAddr], first: u64, left: &[SocketAddr]) -> Vec<SocketAddr> {
@@ -97,16 +125,18 @@
         order
     }
 
-    /// Follows a near relay closely, unless it was just left for its silence.
+    /// Follows a near relay closely, unless it was just left for its silence or knows far
+    /// fewer hosts.
     fn prefer_near(&mut self, now: Mono, all: &[SocketAddr], left: &[SocketAddr]) {
-        let is_near = |relay: &SocketAddr| self.near.contains_key(relay);
-        if self
-            .listened
-            .first()
-            .is_some_and(|(relay, _)| is_near(relay))
-        {
+        let Some((first, _)) = self.listened.first().copied() else {
+            return;
+        };
+        if self.near.contains_key(&first) {
             return;
         }
+        let is_near = |relay: &SocketAddr| {
+            self.near.contains_key(relay) && !self.knows_far_less(*relay, first)
+        };
         if let Some(place) = self.listened.iter().position(|(relay, _)| is_near(relay)) {
             self.listened.swap(0, place);
             self.listened[0].1 = now;
--- a/almondlock-gateway/tests/told_loads.rs
+++ b/almondlock-gateway/tests/told_loads.rs
@@ -10,7 +10,7 @@
     time::Mono,
 };
 use almondlock_gateway::{
-    exchange::{Digest, Gather, Introduction, Listen, Relays, Round, SILENCE, Sum},
+    exchange::{Digest, Gather, Introduction, Listen, PEERS, Relays, Round, SILENCE, Sum},
     load::{Key, Load, Table},
 };
 
@@ -194,7 +194,7 @@
     let paces: Vec<Listen> = first.iter().map(|(_, pace)| *pace).collect();
     assert_eq!(paces, [Listen::Closely, Listen::Seldom]);
     let later = START + Duration::from_millis(200);
-    relays.hear(later, first[1].0);
+    relays.hear(later, first[1].0, 3);
     let next = relays.listen(later, &all, 7);
     // The one that still answers is followed closely from now on.
     assert_eq!(next[0], (first[1].0, Listen::Closely));
@@ -228,9 +228,9 @@
         let now = START + Duration::from_millis(millis);
         listened[1..]
             .iter()
-            .for_each(|(relay, _)| relays.hear(now, *relay));
+            .for_each(|(relay, _)| relays.hear(now, *relay, 3));
         let closely = relays.listen(now, &all, 0)[0].0;
-        relays.hear(now, closely);
+        relays.hear(now, closely, 3);
         assert_ne!(closely, host(4));
     }
     let back = START + Duration::from_millis(500);
@@ -238,6 +238,60 @@
     assert_eq!(relays.listen(back, &all, 0)[0].0, host(4));
 }
 
+/// Guards against a host that goes on following a relay which is cut off from most others.
+#[test]
+fn cut_off_relay() {
+    let all = [host(1), host(2)];
+    let mut relays = Relays::default();
+    let first = relays.listen(START, &all, 0);
+    relays.hear(START, first[0].0, 10);
+    relays.hear(START, first[1].0, 11);
+    assert_eq!(
+        relays.listen(START, &all, 0),
+        first,
+        "one more is no matter"
+    );
+    relays.hear(START, first[1].0, 30);
+    let next = relays.listen(START, &all, 0);
+    assert_eq!(next[0], (first[1].0, Listen::Closely));
+    assert_eq!(next[1], (first[0].0, Listen::Seldom));
+}
+
+/// Guards against bytes between failure domains that grow with hosts times upstreams, or
+/// with hosts times hosts: who listens seldom gets no sums, and nobody is told of all hosts.
+#[test]
+fn bounded_rounds() {
+    let mut gather = Gather::default();
+    let address = |n: u16| SocketAddr::from(([10, 0, (n / 200) as u8, (n % 200) as u8], 9));
+    for n in 0..500 {
+        let seldom = Digest {
+            listens: Listen::Seldom,
+            ..digest(n.into(), 1, &[(1, 1), (2, 1)])
+        };
+        gather.tell(START, address(n), seldom);
+    }
+    let rounds: Vec<Round> = (0..REPEAT).map(|_| take(&mut gather, START)).collect();
+    assert!(
+        rounds
+            .iter()
+            .all(|round| round.whole.is_none() && round.others.is_empty())
+    );
+    let beacons = rounds
+        .iter()
+        .map(|round| round.beacons.len())
+        .sum::<usize>();
+    assert_eq!(beacons, 2 * 500);
+    let told = rounds.iter().flat_map(|round| &round.introductions);
+    let mut heard = std::collections::HashMap::<SocketAddr, usize>::new();
+    for (to, introduction) in told {
+        assert!(introduction.peers.len() == PEERS && !introduction.peers.contains(to));
+        for peer in &introduction.peers {
+            *heard.entry(*peer).or_default() += 1;
+        }
+    }
+    assert!(heard.len() == 500 && heard.values().all(|count| *count == PEERS));
+}
+
 /// A new group of relays is found while all of the old ones are gone, and hosts
 /// tell each other until then.
 #[test]
@@ -254,7 +308,7 @@
     let mut peers = relays.alone(alone);
     peers.sort_unstable();
     assert_eq!(peers, [host(7), host(8)]);
-    relays.hear(alone, host(2));
+    relays.hear(alone, host(2), 3);
     assert!(relays.alone(alone).is_empty());
 }
 
