Soak: evacuate domains, start upstreams again cold under their names, kill everything at once

The soak had none of the new orders, and no start of the whole fleet. With `--orders` a plan gets them in addition, from the same seed; plans without it are as they were, so that seeds on record play the same. Upstreams now stand in three failure domains, tell when they were born and for how long they are cold.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -62,6 +62,12 @@
     /// No faults but planned work.
     #[options(no_short, help = "only planned work: stops, releases, limits, changes")]
     pub planned: bool,
+    /// Evacuations, cold upstreams, and starts of everything.
+    #[options(
+        no_short,
+        help = "also evacuations, upstreams that start again cold, kills of all processes"
+    )]
+    pub orders: bool,
     /// A request that crashes upstreams.
     #[options(
         no_short,
@@ -105,7 +111,7 @@
     /// A planted fault.
     #[options(
         no_short,
-        help = "plant a fault: twice, run-refused, foreign, leak, hundredth",
+        help = "plant a fault: twice, run-refused, foreign, leak, hundredth, elsewhere, warm",
         meta = "NAME"
     )]
     pub plant: Option<String>,
@@ -124,6 +130,8 @@
     pub callers: usize,
     /// Only planned work.
     pub planned: bool,
+    /// Also evacuations, upstreams that start again cold, and kills of all processes.
+    pub orders: bool,
     /// One more caller sends a request that crashes upstreams.
     pub crashing: bool,
     /// In place of a torn record, one that was synced is cut.
@@ -180,6 +188,7 @@
             },
             callers: self.callers,
             planned: self.planned,
+            orders: self.orders,
             crashing: self.crashing,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -16,7 +16,7 @@
 
 use super::{
     operator::SLOTS,
-    plan::{Act, Fault},
+    plan::{Act, DOMAINS, Fault},
     process::Process,
     proxy::Proxy,
     upstream::Upstream,
@@ -91,7 +91,7 @@
             fleet.hosts.push(process);
         }
         for n in 0..world.size.upstreams {
-            let upstream = fleet.upstream(n).await?;
+            let upstream = fleet.upstream(n, None).await?;
             fleet.upstreams.borrow_mut().push(upstream);
         }
         Ok(fleet)
@@ -164,13 +164,14 @@
         Ok(file)
     }
 
-    async fn upstream(&self, n: usize) -> io::Result<Rc<Upstream>> {
+    async fn upstream(&self, n: usize, name: Option<String>) -> io::Result<Rc<Upstream>> {
+        let domain = n % DOMAINS;
         let kind = match n < self.world.size.plain() {
-            true => (PLAIN, SLOTS * 2),
-            false => (ENGINES, SLOTS),
+            true => (PLAIN, SLOTS * 2, domain),
+            false => (ENGINES, SLOTS, domain),
         };
         let control = self.control.iter().map(|(link, _)| link.address);
-        Upstream::start(&self.world, self.links(), kind, control.collect()).await
+        Upstream::start(&self.world, self.links(), kind, control.collect(), name).await
     }
 
     fn present(&self, n: usize) -> Option<Rc<Upstream>> {
@@ -218,11 +219,24 @@
             Act::Crash(n) => {
                 self.present(n).iter().for_each(|upstream| upstream.crash());
                 sleep(length).await;
-                self.replace(n).await
+                self.replace(n, None).await
+            }
+            Act::Restart(n) => {
+                let old = self.present(n);
+                old.iter().for_each(|upstream| upstream.crash());
+                sleep(RESTART).await;
+                let name = old.map(|upstream| upstream.name().to_owned());
+                self.replace(n, name).await
+            }
+            Act::KillAll => {
+                let all = || self.replicas.iter().chain(&self.hosts);
+                all().for_each(|process| process.signal(Signal::KILL));
+                sleep(RESTART).await;
+                all().try_for_each(Process::start)
             }
             Act::Release(n) => {
                 let old = self.present(n);
-                self.replace(n).await?;
+                self.replace(n, None).await?;
                 sleep(length).await;
                 old.iter().for_each(Upstream::leave);
                 Ok(())
@@ -237,12 +251,12 @@
                 Ok(())
             }
             // The operator's.
-            Act::Publish | Act::Revoke => Ok(()),
+            Act::Publish | Act::Revoke | Act::Evacuate(_) => Ok(()),
         }
     }
 
-    async fn replace(&self, n: usize) -> io::Result<()> {
-        let next = self.upstream(n).await?;
+    async fn replace(&self, n: usize, name: Option<String>) -> io::Result<()> {
+        let next = self.upstream(n, name).await?;
         let old = std::mem::replace(&mut self.upstreams.borrow_mut()[n], next);
         self.former.borrow_mut().push(old);
         Ok(())
@@ -284,7 +298,7 @@
             sleep(RESTART).await;
             for n in 0..self.world.size.upstreams {
                 if self.present(n).is_some_and(|upstream| upstream.is_dead()) {
-                    self.replace(n).await?;
+                    self.replace(n, None).await?;
                 }
             }
         }
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -69,6 +69,10 @@
     pub at: u64,
     /// It was run, not rejected.
     pub ran: bool,
+    /// The failure domain in which it came.
+    pub domain: usize,
+    /// The upstream was cold.
+    pub cold: bool,
     /// It goes on with a stream that was begun elsewhere.
     pub resumes: bool,
     /// When its answer began, and the limit that this named.
@@ -88,6 +92,17 @@
     pub keys: Vec<String>,
 }
 
+/// A failure domain that was evacuated.
+#[derive(Clone, Copy, Debug)]
+pub struct Evacuation {
+    /// The domain.
+    pub domain: usize,
+    /// When the order was acknowledged.
+    pub acknowledged: u64,
+    /// When its withdrawal was first sent.
+    pub withdrawn: Option<u64>,
+}
+
 /// A configuration that was read back.
 #[derive(Clone, Copy, Debug)]
 pub struct Read {
@@ -119,6 +134,8 @@
     pub publications: Vec<Publication>,
     /// By the operator.
     pub reads: Vec<Read>,
+    /// By the operator.
+    pub evacuations: Vec<Evacuation>,
     /// The largest of each process.
     pub footprints: Vec<Footprint>,
     /// Tokens of memory still set aside on engines at the end.
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -59,6 +59,9 @@
 const KEYS: usize = 40;
 /// Between two readings of the configuration.
 const READING: Duration = Duration::from_millis(700);
+/// An evacuation lasts so many times as long as other faults: hosts have some time to act on
+/// it before it is judged.
+const EVACUATED: u64 = 3;
 /// After the recovery, how long callers go on.
 const AFTERWARDS: Duration = Duration::from_secs(3);
 /// After the last caller, until memory must be back: what may outlive its use, and one more
@@ -195,7 +198,11 @@
 impl Setup {
     /// The plan, without what is left out.
     pub fn faults(&self) -> Vec<Fault> {
-        let mut faults = plan::draw(self.seed, self.seconds * 1_000, self.size, self.planned);
+        let millis = self.seconds * 1_000;
+        let mut faults = plan::draw(self.seed, millis, self.size, self.planned);
+        if self.orders {
+            plan::draw_orders(self.seed, millis, self.size, &mut faults);
+        }
         faults.retain(|fault| !self.without.contains(&fault.number));
         faults
     }
@@ -276,6 +283,7 @@
         return Err(io::Error::other("the first configuration was not taken"));
     }
     fleet.founded()?;
+    world.serving.set(true);
     for (host, link) in fleet.callers.iter().enumerate() {
         for place in 0..setup.callers {
             let caller = Caller {
@@ -353,6 +361,11 @@
                     operator.publish(keys).await;
                     Ok(())
                 }
+                Act::Evacuate(domain) => {
+                    let span = Duration::from_millis(fault.length * EVACUATED);
+                    operator.evacuate(domain, span).await;
+                    Ok(())
+                }
                 _ => fleet.act(&fault).await,
             };
             let length = world.now() - at;
--- a/almondlock-bench/src/soak/operator.rs
+++ b/almondlock-bench/src/soak/operator.rs
@@ -12,7 +12,7 @@
 };
 
 use super::{
-    history::{self, Read},
+    history::{self, Evacuation, Read},
     http::{Message, Reader},
     world::{ENGINES, HOST, PLAIN, World},
 };
@@ -23,6 +23,8 @@
 const PAUSE: Duration = Duration::from_millis(100);
 /// Places of each engine.
 pub const SLOTS: u32 = 8;
+/// Requests a second that a cold upstream bears of all hosts together.
+pub const COLD_RATE: f64 = 4.0;
 /// Redirections that a call follows.
 const REDIRECTIONS: usize = 2;
 
@@ -73,7 +75,7 @@
         let place = self.world.history.borrow().publications.len() - 1;
         while !self.world.over.get() {
             for (link, _) in &self.control {
-                if self.send(*link, &text).await {
+                if self.send(*link, ("PUT", CONFIGURATION), &text).await {
                     let now = self.world.now();
                     let mut history = self.world.history.borrow_mut();
                     history.publications[place].acknowledged = Some(now);
@@ -84,10 +86,45 @@
         }
     }
 
-    async fn send(&self, link: SocketAddr, text: &str) -> bool {
+    /// Evacuates a failure domain, and readmits it after a while. Both are sent again until
+    /// they are acknowledged.
+    pub async fn evacuate(&self, domain: usize, span: Duration) {
+        let path = counterpart::evacuation(&format!("d-{domain}"));
+        let Some(acknowledged) = self.order("POST", &path).await else {
+            return;
+        };
+        let place = {
+            let mut history = self.world.history.borrow_mut();
+            history.evacuations.push(Evacuation {
+                domain,
+                acknowledged,
+                withdrawn: None,
+            });
+            history.evacuations.len() - 1
+        };
+        sleep(span).await;
+        let now = self.world.now();
+        self.world.history.borrow_mut().evacuations[place].withdrawn = Some(now);
+        self.order("DELETE", &path).await;
+    }
+
+    /// Sends an order until it is acknowledged; gives when that was.
+    async fn order(&self, method: &str, path: &str) -> Option<u64> {
+        while !self.world.over.get() {
+            for (link, _) in &self.control {
+                if self.send(*link, (method, path), "").await {
+                    return Some(self.world.now());
+                }
+            }
+            sleep(PAUSE).await;
+        }
+        None
+    }
+
+    async fn send(&self, link: SocketAddr, (method, path): (&str, &str), text: &str) -> bool {
         let mut to = link;
         for _ in 0..=REDIRECTIONS {
-            let Ok(answer) = call(to, "PUT", CONFIGURATION, text).await else {
+            let Ok(answer) = call(to, method, path, text).await else {
                 return false;
             };
             match answer.status {
@@ -152,6 +189,7 @@
             route("stream", Kind::Stream, ENGINES),
             marker,
         ],
+        cold_rate: COLD_RATE,
         services: vec![(PLAIN.to_owned(), None), (ENGINES.to_owned(), Some(SLOTS))],
         keys,
     }
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -10,6 +10,8 @@
 const CATCH_UP: u64 = 5_000;
 /// Milliseconds between two faults, at the most.
 const GAP: u64 = 1_400;
+/// Failure domains of upstreams.
+pub const DOMAINS: usize = 3;
 /// Milliseconds that a fault lasts.
 const LENGTH: std::ops::Range<u64> = 300..3_500;
 
@@ -67,6 +69,12 @@
     Publish,
     /// The operator takes a key away.
     Revoke,
+    /// The operator evacuates a failure domain, and readmits it afterwards.
+    Evacuate(usize),
+    /// An upstream dies and starts again under its own name, cold.
+    Restart(usize),
+    /// All processes are killed at once, and started again.
+    KillAll,
 }
 
 impl Act {
@@ -74,7 +82,12 @@
     pub fn is_planned(self) -> bool {
         matches!(
             self,
-            Act::StopHost(_) | Act::Release(_) | Act::Limit(..) | Act::Publish | Act::Revoke
+            Act::StopHost(_)
+                | Act::Release(_)
+                | Act::Limit(..)
+                | Act::Publish
+                | Act::Revoke
+                | Act::Evacuate(_)
         )
     }
 
@@ -86,7 +99,7 @@
             | Act::StopReplica(n)
             | Act::WipeReplica(n)
             | Act::TearReplica(n) => Some(n),
-            Act::KillReplicas => Some(usize::MAX),
+            Act::KillReplicas | Act::KillAll => Some(usize::MAX),
             _ => None,
         }
     }
@@ -161,10 +174,42 @@
     faults
 }
 
+/// Adds to a plan, from the same seed: failure domains that are evacuated, upstreams that
+/// start again under their names, and all processes killed at once. What was drawn before
+/// stays as it is.
+pub fn draw_orders(seed: u64, millis: u64, size: Size, faults: &mut Vec<Fault>) {
+    let mut rng = SmallRng::seed_from_u64(!seed);
+    let mut at = CALM;
+    while at < millis {
+        let length = rng.random_range(LENGTH);
+        let act = match rng.random_range(0..5) {
+            0 | 1 => Act::Evacuate(rng.random_range(0..DOMAINS)),
+            2 | 3 => Act::Restart(rng.random_range(0..size.upstreams)),
+            _ => Act::KillAll,
+        };
+        let last = at + length + CATCH_UP;
+        let after = faults
+            .iter()
+            .filter(|fault| fault.at >= at && fault.at < last);
+        let is_free = act.replica().is_none() || after.clone().all(|f| f.act.replica().is_none());
+        if is_free && is_bearable(faults, at, act) {
+            let number = faults.len();
+            faults.push(Fault {
+                number,
+                at,
+                length,
+                act,
+            });
+        }
+        at += rng.random_range(500..4 * GAP);
+    }
+    faults.sort_by_key(|fault| fault.at);
+}
+
 /// One replica at a time may be away, and for some time after; all of them only if none
 /// lost its disk just before.
 fn is_bearable(faults: &[Fault], at: u64, act: Act) -> bool {
-    let is_near = |fault: &&Fault| at < fault.end() + CATCH_UP;
+    let is_near = |fault: &&Fault| fault.at <= at && at < fault.end() + CATCH_UP;
     let mut near = faults.iter().filter(is_near);
     match act.replica() {
         None => true,
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -7,7 +7,7 @@
     io,
     net::{IpAddr, SocketAddr},
     rc::Rc,
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use almondlock_platform::counterpart::{Beat, Order, beat, instance, order};
@@ -24,12 +24,15 @@
     history::Arrival,
     http::{Message, Reader},
     operator::call,
+    plan::DOMAINS,
     proxy::{Proxy, reset},
     world::{CRASH_BODY, EVENTS, Plant, World, answer, events},
 };
 
 /// Between two heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(800);
+/// How long an upstream is cold that has started while there is traffic.
+const COLD: u64 = 3_000;
 /// How long an upstream serves on after it has said that it leaves.
 const LEAVING: Duration = Duration::from_millis(3_000);
 /// Tokens that fit into an engine.
@@ -49,6 +52,12 @@
     /// Its number, which no other life has.
     number: usize,
     name: String,
+    /// Its failure domain.
+    domain: usize,
+    /// When it started, as a Unix millisecond.
+    born: u64,
+    /// Until when it is cold.
+    cold_until: u64,
     service: &'static str,
     slots: u32,
     running: Cell<u32>,
@@ -64,12 +73,14 @@
 }
 
 impl Upstream {
-    /// Starts one and announces it.
+    /// Starts one in a failure domain and announces it, under a new name unless it is given
+    /// one.
     pub async fn start(
         world: &Rc<World>,
         ip: IpAddr,
-        (service, slots): (&'static str, u32),
+        (service, slots, domain): (&'static str, u32, usize),
         control: Vec<SocketAddr>,
+        name: Option<String>,
     ) -> io::Result<Rc<Upstream>> {
         let listener = TcpListener::bind((ip, 0)).await?;
         let link = Proxy::start((ip, 0).into(), listener.local_addr()?).await?;
@@ -77,7 +88,13 @@
         let upstream = Rc::new(Upstream {
             world: Rc::clone(world),
             number: usize::try_from(number).unwrap_or(usize::MAX),
-            name: format!("i-{number}"),
+            name: name.unwrap_or_else(|| format!("i-{number}")),
+            domain,
+            born: unix_millis(),
+            cold_until: match world.serving.get() {
+                true => world.now() + COLD,
+                false => 0,
+            },
             service,
             slots,
             running: Cell::new(0),
@@ -93,6 +110,15 @@
         Ok(upstream)
     }
 
+    /// The name that it has.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
+    fn cold_left(&self) -> u64 {
+        self.cold_until.saturating_sub(self.world.now())
+    }
+
     /// Tokens that are set aside now.
     pub fn held(&self) -> u64 {
         let now = self.world.now();
@@ -129,12 +155,21 @@
         let mut sequence = 0;
         while !self.dead.get() {
             sequence += 1;
+            let told = match self.world.plant {
+                Some(Plant::Elsewhere) => (self.domain + 1) % DOMAINS,
+                _ => self.domain,
+            };
             let body = beat(&Beat {
                 service: self.service,
                 address: self.link.address,
-                domain: "d-0",
+                domain: &format!("d-{told}"),
                 slots: self.slots,
                 leaving: self.leaving.get(),
+                cold_left: match self.world.plant {
+                    Some(Plant::Warm) => 0,
+                    _ => self.cold_left(),
+                },
+                born: self.born,
                 sequence,
             });
             let place = sequence as usize % control.len();
@@ -226,6 +261,8 @@
             service: self.service,
             at: self.world.now(),
             ran,
+            domain: self.domain,
+            cold: self.cold_left() > 0,
             resumes,
             answered: None,
         };
@@ -339,6 +376,13 @@
     }
 }
 
+/// The time of day; before 1970 it counts as then.
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
 struct Running<'a>(&'a Upstream);
 
 impl Drop for Running<'_> {
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -37,6 +37,10 @@
     Leak,
     /// Upstreams count by a hundredth of the limit that they name.
     Hundredth,
+    /// Upstreams tell another failure domain than theirs.
+    Elsewhere,
+    /// Cold upstreams don't say so.
+    Warm,
 }
 
 impl Plant {
@@ -48,6 +52,8 @@
             "foreign" => Plant::Foreign,
             "leak" => Plant::Leak,
             "hundredth" => Plant::Hundredth,
+            "elsewhere" => Plant::Elsewhere,
+            "warm" => Plant::Warm,
             _ => return None,
         })
     }
@@ -68,6 +74,8 @@
     pub cuts_synced: bool,
     /// The planted fault.
     pub plant: Option<Plant>,
+    /// Callers have begun: what starts from now on is cold.
+    pub serving: Cell<bool>,
     /// Keys that were taken away are no longer tried, nor are old versions.
     pub quiet: Cell<bool>,
     /// Upstreams that a request has crashed: others come in their place.
@@ -90,6 +98,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             cuts_synced: setup.cuts_synced,
             plant: setup.plant,
+            serving: Cell::new(false),
             quiet: Cell::new(false),
             crashed: Notify::new(),
             over: Cell::new(false),
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -3,7 +3,7 @@
 
 use almondlock_bench::soak::{
     check::{self, BOUNDS},
-    history::{Arrival, Footprint, History, Kind, Outcome, Publication, Read, Request},
+    history::{Arrival, Evacuation, Footprint, History, Kind, Outcome, Publication, Read, Request},
     plan::{Act, Fault},
 };
 use yare::parameterized;
@@ -31,6 +31,8 @@
         service: "plain",
         at,
         ran: true,
+        domain: 0,
+        cold: false,
         resumes: false,
         answered: Some((at + 5, None)),
     }
@@ -171,6 +173,29 @@
     history.footprints[0].descriptors = BOUNDS.descriptors + 1;
 }
 
+fn reached_evacuated(history: &mut History) {
+    history.evacuations.push(Evacuation {
+        domain: 0,
+        acknowledged: 7_000,
+        withdrawn: None,
+    });
+    let late = arrival("a", 7_000 + BOUNDS.evacuation + 1);
+    history.arrivals.push(Arrival { ran: false, ..late });
+}
+
+fn cold_overrun(history: &mut History) {
+    let rejected = |n: u64| Arrival {
+        ran: false,
+        cold: true,
+        ..arrival(&format!("cold-{n}"), 8_000 + 80 * n)
+    };
+    history.arrivals.extend((0..13).map(rejected));
+}
+
+fn started_late(history: &mut History) {
+    history.faults.push(fault(10_000, 300, Act::KillAll));
+}
+
 /// So many requests in each second at a limit of 1.9 a second, from 8 s to 16 s.
 fn limited(history: &mut History, per_second: u64) {
     for at in (8_000..16_000).step_by(1_000 / per_second as usize) {
@@ -216,6 +241,9 @@
     memory = { grew, "footprint" },
     descriptors = { leaked_descriptors, "footprint" },
     unlimited = { over_limit, "limit" },
+    evacuated = { reached_evacuated, "evacuated" },
+    cold = { cold_overrun, "cold" },
+    start = { started_late, "start" },
 )]
 fn found(plant: fn(&mut History), check: &str) {
     let mut history = clean();
--- a/tests/separate_processes.rs
+++ b/tests/separate_processes.rs
@@ -161,6 +161,8 @@
             domain: "domain-0",
             slots: 1,
             leaving: false,
+            cold_left: 0,
+            born: 0,
             sequence: 1,
         });
         let head = format!(
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -17,6 +17,7 @@
         },
         callers: 3,
         planned: false,
+        orders: false,
         crashing: false,
         cuts_synced: false,
         without: Vec::new(),
@@ -35,6 +36,21 @@
     assert!(report.history.requests.len() > 500, "{report}");
 }
 
+/// Guards against orders that hold only while nothing else happens: failure domains that are
+/// evacuated, upstreams that start again cold under their names, all processes killed at once.
+#[test]
+fn orders_kept() {
+    let setup = Setup {
+        orders: true,
+        planned: true,
+        ..setup(1, 20)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+    assert!(!report.history.evacuations.is_empty(), "{report}");
+}
+
 /// Guards against a request that crashes one upstream after the other because no host knows
 /// what it did to the others.
 #[test]
@@ -49,15 +65,22 @@
     assert!(found.all(|finding| finding.check != "crash"), "{report}");
 }
 
-/// A soak that finds nothing might look at nothing: an upstream that runs calls twice, and one
-/// that counts by a hundredth of the limit that it names, are found.
+/// A soak that finds nothing might look at nothing: upstreams that run calls twice, count by a
+/// hundredth of the limit that they name, tell another failure domain than theirs, or don't
+/// say that they are cold, are found.
 #[test]
 fn planted_found() {
-    for (plant, check) in [(Plant::Twice, "once"), (Plant::Hundredth, "limit")] {
+    for (plant, check, seed) in [
+        (Plant::Twice, "once", 7),
+        (Plant::Hundredth, "limit", 7),
+        (Plant::Elsewhere, "evacuated", 7),
+        (Plant::Warm, "cold", 9),
+    ] {
         let setup = Setup {
             planned: true,
+            orders: matches!(plant, Plant::Elsewhere | Plant::Warm),
             plant: Some(plant),
-            ..setup(7, 12)
+            ..setup(seed, 12)
         };
         let report = soak::run(&setup).unwrap();
         let mut found = report.findings.iter();
