Tell sums in parts that fit a datagram

Found by working out sizes: a whole sum has up to 20 bytes for each upstream, a datagram holds 60 KB. From some 3,000 busy upstreams on nothing would have been sent, with a debug line only, and each host would have placed requests as if it were alone. A sum goes out in parts of 2,500 loads; only the first can be whole. `told_loads::sum_in_parts`: 10,000 upstreams.

--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -12,6 +12,9 @@
 
 use crate::load::{Key, Load};
 
+/// Loads that one datagram tells at the most. Each takes up to 20 bytes.
+const LOADS: usize = 2_500;
+
 /// A datagram, or the head of one.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
@@ -172,6 +175,27 @@
     pub loads: Vec<(Key, Load)>,
 }
 
+impl Sum {
+    /// The same in parts of which each fits a datagram. What a part doesn't tell stays as it
+    /// was told before, so that only the first one can be whole.
+    pub fn parts(&self) -> Vec<Sum> {
+        let mut parts: Vec<Sum> = self
+            .loads
+            .chunks(LOADS)
+            .map(|loads| Sum {
+                hosts: self.hosts,
+                is_whole: false,
+                loads: loads.to_vec(),
+            })
+            .collect();
+        if parts.is_empty() {
+            return vec![self.clone()];
+        }
+        parts[0].is_whole = self.is_whole;
+        parts
+    }
+}
+
 /// Where a relay is, and which other hosts it knows.
 #[derive(Clone, Debug, PartialEq)]
 #[derive(Serialize, Deserialize)]
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -108,9 +108,11 @@
 }
 
 async fn send_round(socket: &UdpSocket, round: &Round) {
-    send_sums(socket, &round.changes, &round.close).await;
-    if let Some(whole) = &round.whole {
-        send_sums(socket, whole, &round.others).await;
+    for part in round.changes.parts() {
+        send_sum(socket, &part, &round.close).await;
+    }
+    for part in round.whole.iter().flat_map(Sum::parts) {
+        send_sum(socket, &part, &round.others).await;
     }
     let beacon = Message::Beacon {
         hosts: round.changes.hosts,
@@ -124,7 +126,7 @@
 }
 
 /// Sends a sum to hosts, each with the number of its digest that is included.
-async fn send_sums(socket: &UdpSocket, sum: &Sum, hosts: &[(SocketAddr, u32)]) {
+async fn send_sum(socket: &UdpSocket, sum: &Sum, hosts: &[(SocketAddr, u32)]) {
     let Ok(body) = postcard::to_stdvec(sum) else {
         tracing::error!("a sum can't be written");
         return;
--- a/almondlock-gateway/tests/told_loads.rs
+++ b/almondlock-gateway/tests/told_loads.rs
@@ -292,6 +292,38 @@
     assert!(heard.len() == 500 && heard.values().all(|count| *count == PEERS));
 }
 
+/// Guards against a sum that is too large for a datagram, so that no host is told anything.
+#[test]
+fn sum_in_parts() {
+    let name = |n: u32| Upstream::new(&format!("i-{n}")).unwrap();
+    let most = Load {
+        reading: u16::MAX,
+        waiting: u16::MAX,
+        streams: 3,
+        short: u16::MAX,
+        memory: u16::MAX,
+    };
+    let whole = Sum {
+        hosts: 3_000,
+        is_whole: true,
+        loads: (0..10_000).map(|n| (Key::of(&name(n)), most)).collect(),
+    };
+    let parts = whole.parts();
+    let sizes = parts
+        .iter()
+        .map(|part| postcard::to_stdvec(part).unwrap().len());
+    assert!(sizes.max().unwrap() < 60_000);
+    let mut table = Table::default();
+    table.hear(START, host(1), parts[1].clone(), &[]);
+    for part in parts {
+        table.hear(START, host(1), part, &[]);
+    }
+    let known = (0..10_000).filter(|n| table.total(START, &name(*n)).streams == 3);
+    assert!(known.count() > 9_990, "but for names with the same key");
+    let empty = Sum::default();
+    assert_eq!(empty.parts(), [empty]);
+}
+
 /// A new group of relays is found while all of the old ones are gone, and hosts
 /// tell each other until then.
 #[test]
