Refuse a heartbeat for which the table of instances has no room

Found by reading for limits of a larger fleet: with 4,096 instances enrolled, a further server's heartbeat was agreed on, changed nothing, and was acknowledged each time: a server that nobody sends to, and no line that says so. `enrolled_instance::full_table`, red before.

--- a/almondlock-control/src/admin.rs
+++ b/almondlock-control/src/admin.rs
@@ -47,6 +47,8 @@
     NoQuorum,
     /// The disk failed.
     Storage,
+    /// A bounded table is full.
+    Full,
 }
 
 impl Failure {
@@ -56,6 +58,7 @@
             Failure::NotLeader(_) => Code::NotLeader,
             Failure::NoQuorum => Code::NoQuorum,
             Failure::Storage => Code::StorageFailed,
+            Failure::Full => Code::LimitReached,
         }
     }
 }
--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -171,6 +171,7 @@
         let reply = self.remote.propose(command).await;
         match self.outcome(reply).await? {
             Reply::Accepted { revision } => Ok(revision),
+            reply if reply.code() == Some(Code::LimitReached) => Err(Failure::Full),
             _ => Err(Failure::NoQuorum),
         }
     }
@@ -200,6 +201,7 @@
         Err(match refusal.code {
             Code::NotLeader => Failure::NotLeader(self.leader().await),
             Code::StorageFailed => Failure::Storage,
+            Code::LimitReached => Failure::Full,
             _ => Failure::NoQuorum,
         })
     }
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -1,7 +1,7 @@
 //! Heartbeats of upstreams that are called without a sidecar, as the leader
 //! takes them.
 
-use almondlock_base::{id::Upstream, unit::Revision};
+use almondlock_base::{Code, id::Upstream, unit::Revision};
 use almondlock_node::clock;
 use almondlock_state::{
     command::{Command, Reply},
@@ -43,6 +43,11 @@
             Beat::Known => return Ok(Taken::Decided(None)),
             Beat::Leaving(revision) => return Ok(Taken::Decided(Some(revision))),
             Beat::News => {}
+            Beat::Full => {
+                let instances = limit::INSTANCES;
+                tracing::error!(instance = %upstream, instances, "instance not entered, the table is full");
+                return Err(Refusal::of(Code::LimitReached));
+            }
         }
         let (name, service) = (upstream.clone(), instance.service.clone());
         let (leaving, cold) = (instance.leaving, instance.cold);
@@ -136,9 +141,7 @@
     async fn revise(&self, command: Command) -> Result<Revision, Refusal> {
         match self.propose(command).await? {
             Reply::Accepted { revision } => Ok(revision),
-            reply => Err(Refusal::of(
-                reply.code().unwrap_or(almondlock_base::Code::BadChange),
-            )),
+            reply => Err(Refusal::of(reply.code().unwrap_or(Code::BadChange))),
         }
     }
 }
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -96,7 +96,7 @@
             return Vec::new();
         }
         let known = config.instances.get(name);
-        if known.is_none() && config.instances.len() >= limit::INSTANCES {
+        if has_no_room(config, name) {
             return Vec::new();
         }
         if known.is_some_and(|known| record.birth < known.birth) {
@@ -164,6 +164,11 @@
     }
 }
 
+/// Whether an instance can't be entered because the table is full.
+fn has_no_room(config: &Config, name: &Upstream) -> bool {
+    config.instances.len() >= limit::INSTANCES && !config.instances.contains_key(name)
+}
+
 /// What a heartbeat asks of the leader.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Beat {
@@ -174,6 +179,8 @@
     Leaving(Revision),
     /// It must be entered before it is acknowledged.
     News,
+    /// It should be entered, and the table is full.
+    Full,
 }
 
 /// A heartbeat that told nothing new, as one replica tells another of it.
@@ -251,6 +258,7 @@
         }
         self.heard.insert(name.clone(), heard);
         match heard.leaving {
+            _ if !same && has_no_room(config, name) => Beat::Full,
             _ if !same => Beat::News,
             Some(revision) if leaving => Beat::Leaving(revision),
             _ => Beat::Known,
--- a/almondlock-state/tests/enrolled_instance.rs
+++ b/almondlock-state/tests/enrolled_instance.rs
@@ -12,6 +12,7 @@
 use almondlock_state::{
     command::Command,
     instance::{Beat, Birth, Heartbeat, Instance, Roster},
+    limit,
     machine::Machine,
 };
 
@@ -209,3 +210,29 @@
     };
     assert!(!is_routine(&later));
 }
+
+/// Guards against servers that are acknowledged and never entered because the table is full.
+#[test]
+fn full_table() {
+    let mut machine = Machine::new();
+    for n in 0..limit::INSTANCES {
+        let address = format!("10.0.{}.{}:80", n / 256, n % 256);
+        enrol(&mut machine, &format!("i-{n}"), &address, false);
+    }
+    let (config, mut roster) = (machine.config(), Roster::default());
+    let beat = |roster: &mut Roster, text: &str, address: &str| {
+        let named = (&name(text), 1);
+        roster.beat(
+            Mono::from_millis(1),
+            config,
+            named,
+            &instance(address, false),
+        )
+    };
+    let full = beat(&mut roster, "i-more", "10.1.0.1:80");
+    assert_eq!(full, Beat::Full);
+    let known = beat(&mut roster, "i-7", "10.0.0.7:80");
+    assert_eq!(known, Beat::Known);
+    let moved = beat(&mut roster, "i-8", "10.1.0.8:80");
+    assert_eq!(moved, Beat::News, "it has its place");
+}
