--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -125,11 +125,17 @@
     D: Dialect,
 {
     let load = worker.load.borrow();
-    if !teller.has_news && !load.is_reading() {
-        return IDLE_PERIOD;
+    match teller.has_news || load.is_reading() {
+        true => telling_period(load.hosts(now)),
+        false => IDLE_PERIOD,
     }
-    let hosts = u32::try_from(load.hosts(now)).unwrap_or(u32::MAX);
-    PERIOD.max(PERIOD_PER_HOST * hosts).min(IDLE_PERIOD)
+}
+
+/// How often a host with work under way tells all relays, among so many others.
+pub fn telling_period(hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let shared = PERIOD_PER_HOST.saturating_mul(hosts);
+    PERIOD.max(shared).min(IDLE_PERIOD)
 }
 
 /// Tells all relays these limits, as far as they are known.
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -43,6 +43,7 @@
 pub use self::{
     docket::Docket,
     gather::{Gather, PEERS, Round},
+    host::telling_period,
     message::{Ask, Digest, Introduction, Limit, Listen, Loss, Message, Permit, Sum, Suspect},
     ration::Ration,
     relay::relay,
