Name processes that are behind when an acknowledgement doesn't wait for them; begin the account of the whole fleet

The line told how many were behind, at most eight, and not who: on the whole fleet each notice of a leaving server is acknowledged after 0.6 s without all processes known to act on it, and the cause can't be read off the log.

--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -182,12 +182,14 @@
         };
         if !node.in_force(revision, IN_FORCE_WAIT).await {
             let summary = node.summary();
-            let lowest = summary.lowest.0;
-            let behind = summary.laggards.len();
+            let behind = summary.laggards.iter();
+            let behind = behind.map(|peer| format!("{}@{}", peer.host, peer.revision));
             tracing::warn!(
                 revision = revision.0,
-                lowest,
-                behind,
+                lowest = summary.lowest.0,
+                processes = summary.processes,
+                sources = summary.sources,
+                behind = behind.collect::<Vec<_>>().join(","),
                 "acknowledged before all processes act on it"
             );
         }
