Keep parents deep in the tree: the time of held answers doesn't add up

At twice the fleet the log of a dozen entry hosts shows the cause: those at the fourth level leave one parent after the other, some twice a second.

Cause: a source holds what was accepted a second ago for certain; each level below counts the age from its question, which is held back for 0.4 s, so that the fourth hears answers of 2.2 s; parents whose answers are older than 2 s are left. A process that moved counts twice, at its old place with its old revision, for 12 s. The depth follows from the number of hosts: nothing moves where the tree has three levels.

Ruled out: a longer bound. It would hold for one level more, and hosts act on keys for 3.5 s only.

Now a process that isn't a source releases held answers when it has heard from above itself, and leaves out of the age that it tells the time for which it held the question: the asker counts that already. A level adds the way and no more, at any depth; the number of answers stays what it was. An older process reads both as before.

--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -10,6 +10,7 @@
 
 use almondlock_base::{
     id::{Host, Upstream},
+    time::Mono,
     unit::Revision,
 };
 use almondlock_spread::{children::Admission, parent, snapshot::Form};
@@ -30,6 +31,10 @@
 /// The longest that an answer waits for news, whatever is asked for.
 const WAIT_LIMIT: Duration = Duration::from_secs(10);
 
+/// A process that hears from above as often as those below ask waits for that by so large
+/// a part of the time longer than they allow.
+const HEARD_PART: u32 = 4;
+
 /// Bytes of changes in one answer. Who lacks more asks again.
 const BATCH: usize = 64 * 1024;
 
@@ -157,7 +162,7 @@
         let from = &fetch.report.from;
         check(&self.identity, &from.host)?;
         self.handle.heard(from);
-        let is_new = self.child.borrow().is_none();
+        let (came, is_new) = (clock::mono(), self.child.borrow().is_none());
         if is_new {
             self.become_current(&fetch).await;
         }
@@ -169,7 +174,7 @@
                 }
                 (
                     self.body(fetch.want, Form::of(from.version))?,
-                    self.standing(),
+                    self.standing(came),
                 )
             }
         };
@@ -284,13 +289,29 @@
         admission
     }
 
+    /// Holds an answer back until there is news, or until this process has heard from above
+    /// again: then all below hear at once how recent their configuration is, and the time
+    /// for which answers are held doesn't add up from level to level.
     async fn wait(&self, fetch: &Fetch) {
-        if let Want::After(have) = fetch.want {
-            let mut watch = self.shared.view.watch();
-            let news = watch.wait_for(|revision| *revision > have);
-            // Over time or with news, the answer says how things are.
-            timeout(fetch.wait.min(WAIT_LIMIT), news).await.ok();
+        let Want::After(have) = fetch.want else {
+            return;
+        };
+        let mut watch = self.shared.view.watch();
+        let news = watch.wait_for(|revision| *revision > have);
+        let limit = fetch.wait.min(WAIT_LIMIT);
+        // Over time or with news, the answer says how things are.
+        if self.shared.is_source {
+            timeout(limit, news).await.ok();
+            return;
         }
+        let heard = self.shared.current.advanced();
+        let either = async {
+            tokio::select! {
+                _ = news => {}
+                () = heard => {}
+            }
+        };
+        timeout(limit + limit / HEARD_PART, either).await.ok();
     }
 
     fn body(&self, want: Want, form: Form) -> Result<Body, capnp::Error> {
@@ -323,8 +344,11 @@
         Ok(Body::Piece(piece))
     }
 
-    fn standing(&self) -> Standing {
-        let age = self.shared.age(clock::mono());
+    /// How this process stands, in the answer to a question that came at `came`. The asker
+    /// counts the age from its question on, so what passed since then is left out.
+    fn standing(&self, came: Mono) -> Standing {
+        let now = clock::mono();
+        let age = self.shared.age(now).saturating_sub(now.since(came));
         Standing::Served(age, self.shared.tree().way.clone())
     }
 }
