--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -25,15 +25,15 @@
 //! Limits that upstreams name for all hosts are told in the same way, and the relays give
 //! out permits to send to such upstreams ([`Ration`]). And hosts tell all relays of
 //! requests that upstreams were lost with, so that the relays can have such a request
-//! refused by all hosts ([`Docket`]).
+//! refused by all hosts ([`Suspects`]).
 
-mod docket;
 mod gather;
 mod host;
 mod message;
 mod ration;
 mod relay;
 mod relays;
+mod suspects;
 
 use std::net::SocketAddr;
 
@@ -41,13 +41,13 @@
 
 pub(crate) use self::host::run;
 pub use self::{
-    docket::Docket,
     gather::{Gather, PEERS, Round},
     host::telling_period,
     message::{Ask, Digest, Introduction, Limit, Listen, Loss, Message, Permit, Sum, Suspect},
     ration::Ration,
     relay::relay,
     relays::{Relays, SILENCE},
+    suspects::Suspects,
 };
 
 /// The largest datagram.
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -6,14 +6,14 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Docket, Gather, Message, Ration, Round, Sum, send, send_bytes};
+use super::{DATAGRAM, Gather, Message, Ration, Round, Sum, Suspects, send, send_bytes};
 
 /// What a relay has heard.
 #[derive(Default)]
 struct State {
     gather: Gather,
     ration: Ration,
-    docket: Docket,
+    suspects: Suspects,
 }
 
 /// Adds up what entry hosts tell, in this failure domain, and gives out permits, until the
@@ -63,8 +63,8 @@
             let permit = state.ration.ask(now, &ask, relays);
             send(socket, from, &Message::Permit(permit)).await;
         }
-        Message::Lost(loss) => state.docket.lose(now, &loss),
-        Message::Harmless(print) => state.docket.clear(now, print),
+        Message::Lost(loss) => state.suspects.lose(now, &loss),
+        Message::Harmless(print) => state.suspects.clear(now, print),
         Message::Sum { .. }
         | Message::Beacon { .. }
         | Message::Introduction(_)
@@ -81,7 +81,7 @@
     let now = clock::mono();
     let news = [
         some(state.ration.take(now), Message::Limits),
-        some(state.docket.take(now), Message::Suspects),
+        some(state.suspects.take(now), Message::Suspects),
     ];
     for message in news.iter().flatten() {
         for to in state.gather.hosts() {
@@ -90,7 +90,7 @@
     }
     let all = [
         some(state.ration.all(now), Message::Limits),
-        some(state.docket.all(now), Message::Suspects),
+        some(state.suspects.all(now), Message::Suspects),
     ];
     for message in all.iter().flatten() {
         for (to, _) in &round.others {
--- a/almondlock-gateway/src/exchange/docket.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -17,14 +17,14 @@
 
 /// Requests under suspicion at one relay.
 #[derive(Debug, Default)]
-pub struct Docket {
+pub struct Suspects {
     tally: Tally<(Key, Birth)>,
     // Those that have changed and that hosts aren't told of yet.
     news: BTreeSet<Fingerprint>,
     repeated: Mono,
 }
 
-impl Docket {
+impl Suspects {
     /// A host lost a request with an upstream.
     pub fn lose(&mut self, now: Mono, loss: &Loss) {
         let sent = now - Duration::from_millis(loss.age_ms.into());
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -172,7 +172,7 @@
             }
             Ok(run) => match whole(&worker, &request, run).await {
                 Ok(whole) => {
-                    worker.absolve(&request);
+                    worker.clear_suspect(&request);
                     return Ok(Answer::Whole(whole));
                 }
                 Err(broken) => broken,
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -198,7 +198,7 @@
         if let Some(run) = self.run.take() {
             attempt::keep(&self.worker, &run.upstream, run.connection, &run.head);
         }
-        self.worker.absolve(&self.request);
+        self.worker.clear_suspect(&self.request);
         self.log("answered", "whole");
     }
 
--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -148,7 +148,7 @@
     }
 
     /// A request was answered.
-    pub(crate) fn absolve(&self, request: &Request) {
+    pub(crate) fn clear_suspect(&self, request: &Request) {
         if self.suspicion.watched.borrow().is_empty() {
             return;
         }
