Bound the requests that a host watches

What callers saw: nothing; found by reading. Cause: a host that loses a request with an upstream watches it until it is answered, and one that its caller gives up never is: each loss took some forty bytes for good. Now at most 4,096 are watched; when they are full all are forgotten, and the relays, which tell the ones that matter every second, name those again.

--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -27,7 +27,7 @@
     worker::Worker,
 };
 
-/// The most requests that this host watches or refuses; further ones are passed over.
+/// The most requests that this host watches, and that it refuses.
 const KEPT: usize = 4_096;
 /// The most messages that wait to be sent. Losses beyond them are not told.
 const QUEUED: usize = 256;
@@ -39,7 +39,7 @@
 pub(crate) struct Suspicion {
     /// Until when requests are refused.
     refused: RefCell<HashMap<Fingerprint, Mono>>,
-    /// Requests whose answer is news.
+    /// Requests whose answer is news. Many of them are given up and never answered.
     watched: RefCell<HashSet<Fingerprint>>,
     news: RefCell<Vec<Message>>,
     noticed: Notify,
@@ -60,10 +60,11 @@
                     );
                 }
             }
-            if !suspect.watched {
-                watched.remove(&suspect.print);
-            } else if watched.len() < KEPT {
-                watched.insert(suspect.print);
+            match suspect.watched {
+                true => watch(&mut watched, suspect.print),
+                false => {
+                    watched.remove(&suspect.print);
+                }
             }
         }
     }
@@ -143,7 +144,7 @@
             birth: self.birth(upstream),
             age_ms: age_ms(clock::mono().since(since)),
         };
-        self.suspicion.watched.borrow_mut().insert(print);
+        watch(&mut self.suspicion.watched.borrow_mut(), print);
         self.suspicion.tell(Message::Lost(loss));
     }
 
@@ -167,6 +168,15 @@
     }
 }
 
+/// Watches one more. If there is no room all are forgotten: relays tell those again that
+/// matter, from time to time.
+fn watch(watched: &mut HashSet<Fingerprint>, print: Fingerprint) {
+    if watched.len() >= KEPT {
+        watched.clear();
+    }
+    watched.insert(print);
+}
+
 fn age_ms(age: Duration) -> u32 {
     u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
 }
--- a/almondlock-policy/src/throttle/mod.rs
+++ b/almondlock-policy/src/throttle/mod.rs
@@ -1,8 +1,9 @@
 //! How often an upstream that names a limit may be sent to, over all entry hosts.
 //!
 //! An upstream in need names, with its answers, the requests a second that it takes from
-//! all entry hosts together; and one that has just started bears fewer than usual. No host can keep that alone: each knows only what it sends
-//! itself, and how many others there are changes. So relays give out permits, one for
+//! all entry hosts together; and one that has just started bears fewer than usual. No host
+//! can keep that alone: each knows only what it sends itself, and how many others there are
+//! changes. So relays give out permits, one for
 //! each request. Each relay owns an equal part of every limit and shares it with nobody:
 //! whichever relays and hosts can reach each other, the parts never add up to more than
 //! the limit, and relays need not agree on anything but their number.
