Log upstreams that ask for a pause or leave

Answers' Retry-After and leaving header are now read into a table (almondlock_policy::backoff) and logged: 'upstream asks for a pause', 'upstream leaves', backoffs{...}, and with each 'sent' what its upstream had asked for. Nothing acts on the table yet.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -4,6 +4,7 @@
 
 use almondlock_base::id::Upstream;
 use almondlock_node::clock;
+use almondlock_policy::backoff::Reason;
 use tokio::time::timeout;
 
 use crate::{
@@ -110,7 +111,8 @@
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().hosts(now),
         revision = known.revision.0, age_ms = worker.node.known_age(now).map(|age| age.as_millis()),
-        attempt = course.tried.len() + 1, "sent"
+        attempt = course.tried.len() + 1,
+        backoff = worker.backoff(now, &target.name).map(Reason::as_str), "sent"
     );
     let placed = outgoing::Placed {
         targets,
@@ -133,6 +135,7 @@
     };
     let (connection, head) = result.map_err(|error| Broken::of(&error, &target.name))?;
     worker.hear_limit(&target.name, now, &head);
+    worker.hear_backoff(&target.name, &head);
     let run = Run {
         upstream: target.name.clone(),
         connection,
--- /dev/null
+++ b/almondlock-gateway/src/backoff.rs
@@ -0,0 +1,45 @@
+//! What upstreams ask of this host with their answers: to send nothing for a while, or,
+//! because they leave, nothing more.
+
+use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_node::clock;
+use almondlock_policy::backoff::{Reason, delay};
+
+use crate::{dialect::Dialect, upstream::Head, worker::Worker};
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    /// Takes in what an upstream asks with an answer.
+    pub(crate) fn hear_backoff(&self, upstream: &Upstream, head: &Head) {
+        let names = self.dialect.names();
+        // Another instance answers, and speaks for itself.
+        if head.status == 421 {
+            return;
+        }
+        let leaves = head.text(names.leaving.as_str()) == Some("1");
+        if leaves && self.backoffs.borrow_mut().leave(upstream) {
+            self.shared.metrics.count("backoffs", "leaving");
+            tracing::info!(%upstream, source = "answer", "upstream leaves");
+        }
+        let asked = head.text(names.backoff.as_str());
+        let Some(text) = asked.filter(|_| head.status == 503) else {
+            return;
+        };
+        let Some(pause) = delay(text) else {
+            tracing::warn!(%upstream, pause = text, "unreadable pause");
+            return;
+        };
+        let until = clock::mono() + pause;
+        if self.backoffs.borrow_mut().back_off(upstream, until) {
+            self.shared.metrics.count("backoffs", "pause");
+            tracing::info!(%upstream, for_ms = pause.as_millis(), "upstream asks for a pause");
+        }
+    }
+
+    /// Why an upstream is to be sent nothing, if so.
+    pub(crate) fn backoff(&self, now: Mono, upstream: &Upstream) -> Option<Reason> {
+        self.backoffs.borrow().reason(now, upstream)
+    }
+}
--- a/almondlock-gateway/src/dialect.rs
+++ b/almondlock-gateway/src/dialect.rs
@@ -42,6 +42,10 @@
     pub load: HeaderName,
     /// Requests a second that an upstream takes from all hosts together.
     pub limit: HeaderName,
+    /// Seconds for which an upstream that turns a request away wants nothing more.
+    pub backoff: HeaderName,
+    /// An upstream states that it leaves.
+    pub leaving: HeaderName,
     /// The number of the last event that the caller has.
     pub last_event: HeaderName,
 }
@@ -57,6 +61,8 @@
             &self.at_fault,
             &self.load,
             &self.limit,
+            &self.backoff,
+            &self.leaving,
         ];
         read.iter()
             .any(|name| name.as_str().eq_ignore_ascii_case(header))
--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -300,6 +300,7 @@
         id: (names.request_id.as_str(), b""),
     };
     let answer = connection.exchange(&outgoing).await?;
+    worker.hear_backoff(&target.name, &answer);
     let status = answer.status;
     recycle(worker, &target.name, connection, &answer).await;
     Ok(status)
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -19,6 +19,7 @@
 //! | [`pool`] | connections that wait for their next request |
 //! | [`event`] | event streams, cut into whole events |
 //! | `lease` | memory set aside on engines, and given back |
+//! | `backoff` | upstreams that ask for a pause, or leave |
 //! | `limit` | limits that upstreams name for all hosts |
 //! | `placement` | where an attempt goes, and what it waits for before |
 //! | `permit` | permits for upstreams that name one, asked of relays |
@@ -33,6 +34,7 @@
 
 mod accept;
 mod attempt;
+mod backoff;
 pub mod budget;
 pub mod dialect;
 pub mod event;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -23,7 +23,7 @@
 use almondlock_node::Handle;
 use almondlock_policy::{
     admission::Backlog,
-    cell,
+    backoff, cell,
     throttle::{self, Rate},
 };
 use almondlock_state::{
@@ -170,6 +170,8 @@
     backlogs: RefCell<HashMap<Service, Backlog>>,
     /// The life of each upstream that the configuration in force names.
     births: RefCell<HashMap<Upstream, Birth>>,
+    /// What upstreams have asked of this host.
+    pub(crate) backoffs: RefCell<backoff::Table>,
     /// Limits that upstreams have named for all hosts.
     pub(crate) limits: RefCell<throttle::Limits<Key>>,
     pub(crate) permits: Permits,
@@ -222,6 +224,7 @@
             suspects: RefCell::default(),
             backlogs: RefCell::default(),
             births: RefCell::default(),
+            backoffs: RefCell::default(),
             limits: RefCell::default(),
             permits: Permits::default(),
             suspicion: Suspicion::default(),
@@ -295,6 +298,7 @@
                 tracing::info!(upstream = %name, birth = birth.0, "upstream started again");
                 self.load.borrow_mut().forget(name);
                 self.end_limit(name);
+                self.backoffs.borrow_mut().forget(name);
                 self.pool.borrow_mut().forget(name);
                 self.suspects.borrow_mut().remove(name);
             }
@@ -305,6 +309,11 @@
             .collect();
     }
 
+    /// Whether the configuration in force names an upstream.
+    pub(crate) fn is_known(&self, upstream: &Upstream) -> bool {
+        self.births.borrow().contains_key(upstream)
+    }
+
     /// The upstreams that the configuration in force names.
     pub(crate) fn upstreams(&self) -> HashMap<Key, Upstream> {
         let births = self.births.borrow();
--- a/almondlock-gateway/tests/gateway/dialect.rs
+++ b/almondlock-gateway/tests/gateway/dialect.rs
@@ -68,6 +68,8 @@
             at_fault: name("x-at-fault"),
             load: name("x-load"),
             limit: name("x-limit"),
+            backoff: name("retry-after"),
+            leaving: name("x-leaving"),
             last_event: name("last-event-id"),
         })
     }
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`retry`] | entry | is a failed attempt followed by another |
 //! | [`poison`] | both | does it kill engines, and how does it run then |
 //! | [`throttle`] | both | does an upstream's limit for all hosts leave room for it |
+//! | [`backoff`] | entry | has an upstream asked for a pause, or does it leave |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //! | [`gang`] | both | how is a prompt larger than an engine given room on several |
@@ -32,6 +33,7 @@
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod admission;
+pub mod backoff;
 mod bucket;
 pub mod cell;
 pub mod choice;
