Keep pauses that upstreams ask for, and leave those that leave

What callers saw: 503 in bursts while other upstreams had room; upstreams that had answered 503 with Retry-After got up to seven requests from the same host in that time, two allowed.

Cause: a rejection counted only for the request that met it (Course::refused). The next request was placed by load, and an upstream that turns everything away has none. Class: what an answer says of the relation between host and upstream, judged for one request only. The leaving header has the same cause: only the replicated table told of it, late or, cut off, never.

Now both go into one table of the host (almondlock_policy::backoff). Upstreams in it are no candidates for requests, parts of prompts and new orders for memory, also in retries and resumed streams, since all of them pass attempt::prepare. That looks once more when the connection is open, so that what was placed before the answer came isn't sent. If all upstreams are out, the request is refused at once and its caller told to come back when the first pause ends.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at one upstream: chosen, sent, and judged by its answer's head.
 
-use std::{rc::Rc, time::Duration};
+use std::{iter, rc::Rc, time::Duration};
 
 use almondlock_base::id::Upstream;
 use almondlock_node::clock;
@@ -13,7 +13,7 @@
     life::{Course, Request, Whole},
     outgoing,
     pick::{Choice, Lack},
-    placement,
+    placement::{self, lacking},
     upstream::{self, Connection, Head},
     verdict::Failure,
     worker::{Target, Worker},
@@ -79,6 +79,59 @@
     }
 }
 
+/// What a request needs to be sent.
+struct Prepared<D>
+where
+    D: Dialect,
+{
+    targets: Vec<Target>,
+    choice: Choice,
+    held: Held<D>,
+    /// To the upstream that answers.
+    connection: Connection,
+}
+
+/// Places a request and connects to the upstream that answers. Placed anew if one that
+/// takes part has asked for a pause meanwhile, or says that it leaves.
+async fn prepare<D>(
+    worker: &Rc<Worker<D>>,
+    request: &Request,
+    course: &Course,
+    after: Option<u64>,
+) -> Result<Prepared<D>, Broken>
+where
+    D: Dialect,
+{
+    loop {
+        let targets = worker.open_targets(request, course, clock::mono());
+        let targets = targets.map_err(lacking)?;
+        let (choice, held) = placement::place(worker, request, course, &targets, after).await?;
+        let target = first(&targets, &choice).map_err(lacking)?;
+        let connection = connect(worker, request, target).await;
+        let connection = connection.map_err(|error| Broken::of(&error, &target.name))?;
+        let now = clock::mono();
+        let places = iter::once(&choice.first).chain(&choice.helpers);
+        let mut parties = places.filter_map(|place| targets.get(*place));
+        let Some(closed) = parties.find(|party| worker.backoff(now, &party.name).is_some()) else {
+            return Ok(Prepared {
+                targets,
+                choice,
+                held,
+                connection,
+            });
+        };
+        tracing::info!(
+            request = %request.id, upstream = %closed.name,
+            backoff = worker.backoff(now, &closed.name).map(Reason::as_str), "placed again"
+        );
+    }
+}
+
+/// The upstream that answers.
+fn first<'a>(targets: &'a [Target], choice: &Choice) -> Result<&'a Target, Lack> {
+    targets.get(choice.first).ok_or(Lack::Upstream)
+}
+
 /// Sends a request to one upstream and waits for the head of its answer.
 pub(crate) async fn attempt<D>(
     worker: &Rc<Worker<D>>,
@@ -89,31 +142,15 @@
 where
     D: Dialect,
 {
-    let known = worker.known();
-    // Whoever refused this request just now would refuse it again.
-    let targets = known.instances.get(&request.service).into_iter().flatten();
-    let targets: Vec<Target> = targets
-        .filter(|target| !course.refused.contains(&target.name))
-        .cloned()
-        .collect();
+    let Prepared {
+        targets,
+        choice,
+        held,
+        connection,
+    } = prepare(worker, request, course, after).await?;
     let targets = &targets[..];
-    let (choice, held) = placement::place(worker, request, course, targets, after).await?;
-    let target = targets
-        .get(choice.first)
-        .ok_or_else(|| placement::lacking(Lack::Upstream))?;
-    let now = clock::mono();
-    tracing::info!(
-        request = %request.id, route = %request.route.name, upstream = %target.name,
-        prompt = request.demand.map_or(0, |demand| demand.prompt),
-        helpers = choice.helpers.len(), shares = choice.shares.len(),
-        part_ms = choice.part.as_millis(), read_by = %readers(targets, &choice),
-        expected_ms = choice.expected.as_millis(),
-        backlog_ms = worker.load.borrow().total(now, &target.name).reading,
-        hosts = worker.load.borrow().hosts(now),
-        revision = known.revision.0, age_ms = worker.node.known_age(now).map(|age| age.as_millis()),
-        attempt = course.tried.len() + 1,
-        backoff = worker.backoff(now, &target.name).map(Reason::as_str), "sent"
-    );
+    let target = first(targets, &choice).map_err(lacking)?;
+    log_sent(worker, request, course, (targets, &choice, target));
     let placed = outgoing::Placed {
         targets,
         choice: &choice,
@@ -122,7 +159,7 @@
     let now = clock::mono();
     let head = outgoing::head(worker, request, &placed, after, now);
     let left = request.left(now);
-    let exchange = exchange(worker, request, target, &head);
+    let exchange = exchange(worker, request, connection, &head);
     let result = match timeout(left, patient(worker, request, &held, exchange)).await {
         Ok(Some(result)) => result,
         Ok(None) | Err(_) => {
@@ -154,6 +191,30 @@
     }
 }
 
+fn log_sent<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    course: &Course,
+    (targets, choice, target): (&[Target], &Choice, &Target),
+) where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let known = worker.known();
+    tracing::info!(
+        request = %request.id, route = %request.route.name, upstream = %target.name,
+        prompt = request.demand.map_or(0, |demand| demand.prompt),
+        helpers = choice.helpers.len(), shares = choice.shares.len(),
+        part_ms = choice.part.as_millis(), read_by = %readers(targets, choice),
+        expected_ms = choice.expected.as_millis(),
+        backlog_ms = worker.load.borrow().total(now, &target.name).reading,
+        hosts = worker.load.borrow().hosts(now),
+        revision = known.revision.0, age_ms = worker.node.known_age(now).map(|age| age.as_millis()),
+        attempt = course.tried.len() + 1,
+        backoff = worker.backoff(now, &target.name).map(Reason::as_str), "sent"
+    );
+}
+
 /// The names of the engines that read parts besides the one that answers.
 fn readers(targets: &[Target], choice: &Choice) -> String {
     let readers = choice.helpers.iter().filter_map(|i| targets.get(*i));
@@ -188,24 +249,32 @@
     Some(work.await)
 }
 
-async fn exchange<D>(
+async fn connect<D>(
     worker: &Worker<D>,
     request: &Request,
     target: &Target,
+) -> Result<Connection, upstream::Error>
+where
+    D: Dialect,
+{
+    let now = clock::mono();
+    let once = !request.route.kind.is_idempotent();
+    let pooled = worker.pool.borrow_mut().take(now, &target.name, once);
+    match pooled {
+        Some(connection) => Ok(connection),
+        None => Connection::open(target.address, CONNECT.min(request.left(now))).await,
+    }
+}
+
+async fn exchange<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    mut connection: Connection,
     head: &[u8],
 ) -> Result<(Connection, Head), upstream::Error>
 where
     D: Dialect,
 {
-    let once = !request.route.kind.is_idempotent();
-    let pooled = worker
-        .pool
-        .borrow_mut()
-        .take(clock::mono(), &target.name, once);
-    let mut connection = match pooled {
-        Some(connection) => connection,
-        None => Connection::open(target.address, CONNECT).await?,
-    };
     let outgoing = upstream::Request {
         head,
         body: &request.body,
--- a/almondlock-gateway/src/backoff.rs
+++ b/almondlock-gateway/src/backoff.rs
@@ -5,7 +5,13 @@
 use almondlock_node::clock;
 use almondlock_policy::backoff::{Reason, delay};
 
-use crate::{dialect::Dialect, upstream::Head, worker::Worker};
+use crate::{
+    dialect::Dialect,
+    life::{Course, Request},
+    pick::Lack,
+    upstream::Head,
+    worker::{Target, Worker},
+};
 
 impl<D> Worker<D>
 where
@@ -38,6 +44,28 @@
         }
     }
 
+    /// The upstreams that a request may be sent to: not those that refused it, since they
+    /// would refuse it again, nor those that want nothing from this host.
+    pub(crate) fn open_targets(
+        &self,
+        request: &Request,
+        course: &Course,
+        now: Mono,
+    ) -> Result<Vec<Target>, Lack> {
+        let known = self.known();
+        let targets = known.instances.get(&request.service).into_iter().flatten();
+        let targets: Vec<&Target> = targets
+            .filter(|target| !course.refused.contains(&target.name))
+            .collect();
+        let open = targets.iter();
+        let open = open.filter(|target| self.backoff(now, &target.name).is_none());
+        let open: Vec<Target> = open.map(|target| Target::clone(target)).collect();
+        match open.is_empty() && !targets.is_empty() {
+            true => Err(Lack::Backoff),
+            false => Ok(open),
+        }
+    }
+
     /// Why an upstream is to be sent nothing, if so.
     pub(crate) fn backoff(&self, now: Mono, upstream: &Upstream) -> Option<Reason> {
         self.backoffs.borrow().reason(now, upstream)
--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -163,10 +163,16 @@
 }
 
 impl Lease {
+    /// Sets it aside, or renews it. Only what is set aside already is renewed on an upstream
+    /// that wants nothing from this host: a request that runs there uses it.
     async fn reserve<D>(&self, worker: &Worker<D>) -> Outcome
     where
         D: Dialect,
     {
+        let is_closed = worker.backoff(clock::mono(), &self.target.name).is_some();
+        if is_closed && !self.asked.get() {
+            return Outcome::Unreached;
+        }
         let order = Order::Reserve {
             id: &self.id,
             tokens: self.tokens,
@@ -196,6 +202,10 @@
         let order = Order::Release { id: &self.id };
         let until = clock::mono() + memory::hold(worker.bounds.memory_hold);
         while clock::mono() < until && !worker.is_over(&self.target) {
+            if let Some(pause) = self.pause(worker) {
+                sleep(pause.min(until.since(clock::mono()))).await;
+                continue;
+            }
             match self.order(worker, &order).await {
                 Outcome::Done | Outcome::Refused => return,
                 Outcome::Unknown | Outcome::Unreached => sleep(RELEASE_PAUSE).await,
@@ -221,10 +231,21 @@
         let until = clock::mono() + memory::LATE;
         while clock::mono() < until {
             sleep(memory::LATE_RELEASE).await;
-            self.order(worker, &order).await;
+            if self.pause(worker).is_none() {
+                self.order(worker, &order).await;
+            }
         }
     }
 
+    /// What is left of a pause that the upstream has asked for. Memory that isn't given back
+    /// meanwhile ends by itself.
+    fn pause<D>(&self, worker: &Worker<D>) -> Option<Duration>
+    where
+        D: Dialect,
+    {
+        worker.backoff(clock::mono(), &self.target.name)?.left()
+    }
+
     async fn order<D>(&self, worker: &Worker<D>, order: &Order<'_>) -> Outcome
     where
         D: Dialect,
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -9,6 +9,7 @@
     time::Mono,
 };
 use almondlock_node::clock;
+use almondlock_policy::backoff::Reason;
 use bytes::Bytes;
 use ntex::http::{
     Method,
@@ -268,28 +269,33 @@
     D: Dialect,
 {
     /// When a refused caller finds a place: when what keeps it out is read, if that
-    /// is known as `returns`, else when the least loaded upstream has read what it
-    /// has now. Spread, so that those refused together don't return together.
+    /// is known as `returns`, else when the first upstream takes requests and has read
+    /// what it has now. Spread, so that those refused together don't return together.
     pub(crate) fn retry_after(
         &self,
         request: &Request,
         returns: Option<Duration>,
         now: Mono,
     ) -> Duration {
-        let wait = returns.unwrap_or_else(|| self.least_backlog(request, now));
+        let wait = returns.unwrap_or_else(|| self.shortest_wait(request, now));
         let spread = 1.0 + self.rng.borrow_mut().random::<f64>() * SPREAD;
         let wait = wait.max(RETRY_LEAST).mul_f64(spread);
         wait.min(request.left(now).mul_f64(RETRY_SHARE))
     }
 
-    fn least_backlog(&self, request: &Request, now: Mono) -> Duration {
+    fn shortest_wait(&self, request: &Request, now: Mono) -> Duration {
         let known = self.known();
         let targets = known.instances.get(&request.service);
-        let backlogs = targets.into_iter().flatten().map(|target| {
+        let waits = targets.into_iter().flatten().filter_map(|target| {
+            let pause = match self.backoff(now, &target.name) {
+                Some(Reason::Leaving) => return None,
+                Some(Reason::Backoff(left)) => left,
+                None => Duration::ZERO,
+            };
             let total = self.load.borrow().total(now, &target.name);
-            total.backlog()
+            Some(total.backlog().max(pause))
         });
-        backlogs.min().unwrap_or_default()
+        waits.min().unwrap_or_default()
     }
 }
 
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -162,6 +162,9 @@
     /// Every upstream that could take it is at the limit that it names.
     #[error("every upstream is at its limit")]
     Limit,
+    /// Every upstream that could take it has asked for a pause, or leaves.
+    #[error("every upstream has asked for a pause or leaves")]
+    Backoff,
 }
 
 /// Chooses among plain services: the one with the fewest requests for its
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -137,7 +137,7 @@
     D: Dialect,
 {
     match lack {
-        Lack::Upstream | Lack::Memory => lacking(lack),
+        Lack::Upstream | Lack::Memory | Lack::Backoff => lacking(lack),
         Lack::Limit => Broken {
             returns: Some(worker.limit_returns(request, now)),
             ..Broken::new(Failure::Limited, None, lack)
--- /dev/null
+++ b/almondlock-policy/tests/asked_backoff.rs
@@ -0,0 +1,78 @@
+//! What upstreams ask of a host holds until it has passed, whatever comes after it.
+
+use std::time::Duration;
+
+use almondlock_base::{id::Upstream, time::Mono};
+use almondlock_policy::backoff::{Reason, Table, delay};
+use yare::parameterized;
+
+const START: Mono = Mono::from_millis(1_000);
+
+fn upstream() -> Upstream {
+    Upstream::new("u").unwrap()
+}
+
+fn at(millis: u64) -> Mono {
+    START + Duration::from_millis(millis)
+}
+
+/// Guards against a shorter pause that ends a longer one.
+#[test]
+fn longest_holds() {
+    let mut table = Table::default();
+    assert!(table.back_off(&upstream(), at(3_000)));
+    assert!(!table.back_off(&upstream(), at(1_000)));
+    let left = Duration::from_millis(1_000);
+    let reason = table.reason(at(2_000), &upstream());
+    assert_eq!(reason, Some(Reason::Backoff(left)));
+    assert_eq!(table.reason(at(3_000), &upstream()), None);
+}
+
+/// Guards against an upstream that leaves and is taken for one whose pause is over.
+#[test]
+fn leaving_stays() {
+    let mut table = Table::default();
+    assert!(table.leave(&upstream()));
+    assert!(!table.leave(&upstream()));
+    table.back_off(&upstream(), at(1_000));
+    table.sweep(at(60_000), |_| true);
+    let reason = table.reason(at(60_000), &upstream());
+    assert_eq!(reason, Some(Reason::Leaving));
+    table.sweep(at(61_000), |_| false);
+    assert_eq!(table.reason(at(61_000), &upstream()), None);
+}
+
+/// Another life of an upstream has asked for nothing.
+#[test]
+fn life_anew() {
+    let mut table = Table::default();
+    table.leave(&upstream());
+    table.back_off(&upstream(), at(1_000));
+    table.forget(&upstream());
+    assert_eq!(table.reason(START, &upstream()), None);
+}
+
+/// A pause outlasts the time in which its upstream isn't known.
+#[test]
+fn swept_late() {
+    let mut table = Table::default();
+    table.back_off(&upstream(), at(1_000));
+    table.sweep(at(500), |_| false);
+    assert!(table.reason(at(500), &upstream()).is_some());
+}
+
+#[parameterized(
+    whole = { "3", Some(3_000) },
+    fraction = { " 0.25", Some(250) },
+    none = { "0", Some(0) },
+    long = { "86400", Some(86_400_000) },
+    negative = { "-1", None },
+    infinite = { "inf", None },
+    no_number = { "NaN", None },
+    beyond = { "1e300", None },
+    empty = { "", None },
+    date = { "Thu, 03 Dec 2026 12:00:00 GMT", None },
+)]
+fn delays(text: &str, millis: Option<u64>) {
+    assert_eq!(delay(text), millis.map(Duration::from_millis));
+}
