Log who stands for election and why, and hand-overs

The four hypotheses for the stop that takes one election too many look alike in the logs, which tell only who leads. Now a replica logs each candidacy with its cause, and a leader that stops whom it told and how much that one has.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -106,6 +106,8 @@
     snapshot: Option<oneshot::Receiver<(Index, Vec<u8>)>>,
     // The leader that the log last told of.
     logged_leader: Option<Id>,
+    // The term of the last candidacy that the log told of.
+    logged_candidacy: Term,
     // Invariant: once set it stays; nothing is said or promised from then on.
     pub(super) stopped: Option<Refusal>,
 }
@@ -157,6 +159,7 @@
             snapshot_bytes: 0,
             snapshot: None,
             logged_leader: None,
+            logged_candidacy: Term::ZERO,
             stopped: None,
         };
         let snapshot = Arc::clone(core.machine.snapshot());
@@ -241,7 +244,11 @@
     }
 
     pub(super) fn hand_over(&mut self) {
-        self.machine.hand_over();
+        if let Some(to) = self.machine.hand_over() {
+            let (term, matched) = (self.machine.term().0, self.machine.matched(to));
+            let (last, matched) = (self.machine.last().0, matched.map(|index| index.0));
+            tracing::info!(%to, term, matched, last, "hands leadership over");
+        }
     }
 
     pub(super) fn close(&mut self) {
@@ -306,6 +313,7 @@
             grants,
         } = self.machine.take(now);
         self.list_members();
+        self.log_candidacy();
         self.log_leader();
         if let Some(write) = write {
             self.disk.write(write);
@@ -337,6 +345,18 @@
         self.vouch_as_follower(now);
     }
 
+    fn log_candidacy(&mut self) {
+        let term = self.machine.term();
+        let Some(cause) = self.machine.candidacy() else {
+            return;
+        };
+        if term > self.logged_candidacy {
+            self.logged_candidacy = term;
+            let last = self.machine.last().0;
+            tracing::info!(term = term.0, ?cause, last, "stands for election");
+        }
+    }
+
     fn log_leader(&mut self) {
         let leader = self.machine.leader();
         if leader == self.logged_leader {
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -9,7 +9,7 @@
 use almondlock_base::time::Mono;
 use rand::Rng;
 
-use super::{Machine, Role, progress::Progress};
+use super::{Cause, Machine, Role, progress::Progress};
 use crate::{
     entry::{Payload, Term},
     member::Id,
@@ -72,8 +72,9 @@
         self.count_vote(now, self.id);
     }
 
-    fn campaign(&mut self, now: Mono) {
+    fn campaign(&mut self, now: Mono, cause: Cause) {
         self.delay_election(now);
+        self.cause = Some(cause);
         self.role = Role::Candidate;
         self.leader = None;
         self.votes.clear();
@@ -118,7 +119,7 @@
             return;
         }
         match self.role {
-            Role::PreCandidate => self.campaign(now),
+            Role::PreCandidate => self.campaign(now, Cause::Silence),
             Role::Candidate => self.lead(now),
             Role::Follower | Role::Leader => {}
         }
@@ -208,7 +209,7 @@
 
     pub(super) fn on_timeout_now(&mut self, now: Mono) {
         if self.role == Role::Follower && self.log.members().is_voter(self.id) {
-            self.campaign(now);
+            self.campaign(now, Cause::HandOver);
         }
     }
 
@@ -259,8 +260,9 @@
         }
     }
 
-    /// Hands leadership to the voter that has the most, for a graceful stop.
-    pub fn hand_over(&mut self) {
+    /// Hands leadership to the voter that has the most, for a graceful stop. Gives that
+    /// voter.
+    pub fn hand_over(&mut self) -> Option<Id> {
         let voters = &self.log.members().voters;
         let best = self
             .peers
@@ -268,8 +270,8 @@
             .filter(|(id, _)| voters.contains_key(id))
             .max_by_key(|(_, peer)| peer.matched)
             .map(|(id, _)| *id);
-        if let Some(to) = best.filter(|_| self.is_leader()) {
-            self.send(to, Body::TimeoutNow);
-        }
+        let to = best.filter(|_| self.is_leader())?;
+        self.send(to, Body::TimeoutNow);
+        Some(to)
     }
 }
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -52,6 +52,15 @@
     Leader,
 }
 
+/// Why a replica stands for election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No leader was heard for an election timeout.
+    Silence,
+    /// The leader told it to, since it stops.
+    HandOver,
+}
+
 /// One replica of one group.
 #[derive(Debug)]
 pub struct Machine {
@@ -75,6 +84,8 @@
     // What the present term's leader last said to be accepted.
     leader_commit: Option<Index>,
     votes: BTreeSet<Id>,
+    // Why it last stood for election.
+    cause: Option<Cause>,
     // Of a leader: the others, by identity.
     peers: BTreeMap<Id, progress::Progress>,
     heartbeat_at: Mono,
@@ -117,6 +128,7 @@
             leader_heard: None,
             leader_commit: None,
             votes: BTreeSet::new(),
+            cause: None,
             peers: BTreeMap::new(),
             heartbeat_at: now,
             recent_commit: Index::ZERO,
@@ -232,6 +244,11 @@
         self.role
     }
 
+    /// Why it stands for election, if it does.
+    pub fn candidacy(&self) -> Option<Cause> {
+        self.cause.filter(|_| self.role == Role::Candidate)
+    }
+
     /// Its identity.
     pub fn id(&self) -> Id {
         self.id
