Write no entries once leadership is handed over

Cause: the leader chose the voter that had the most, told it to stand for election, and went on writing entries for the heartbeat for which it still ran. Another voter that got such an entry first refuses the successor's vote, and so does one that holds entries which were under way when the leader chose. Class: a promise that is checked once and acted on later, while what it rests on goes on changing.

Now a leader that hands over refuses proposals and changes of the members (naming its successor), sends what it has, and tells the successor once that one has everything; a stop waits for that an election timeout at the most. A leader that its own change took out still steps down at once.

--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -195,10 +195,16 @@
         }
     }
 
-    /// Hands leadership on, if it has it, and stops.
+    /// Hands leadership on, if it has it, and stops. As a leader it stays for an election
+    /// timeout at the most, until its successor has all entries and leads.
     pub async fn stop(&self) {
         self.with(Core::hand_over);
-        sleep(self.inner.config.quorum.heartbeat()).await;
+        let quorum = &self.inner.config.quorum;
+        let until = clock::mono() + quorum.election();
+        sleep(quorum.heartbeat()).await;
+        while self.is_leader() && clock::mono() < until {
+            sleep(quorum.heartbeat() / 4).await;
+        }
         self.kill();
     }
 
--- a/almondlock-quorum/src/machine/change.rs
+++ b/almondlock-quorum/src/machine/change.rs
@@ -16,7 +16,7 @@
 impl Machine {
     /// Puts a change of the members into the log, if this replica leads.
     pub fn change(&mut self, change: &Change) -> Result<Position, Error> {
-        self.check_leader()?;
+        self.check_writer()?;
         if self.log.members_index() > self.commit {
             return Err(Error::busy("another change of the members is under way"));
         }
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -48,6 +48,7 @@
         self.leader = leader;
         self.votes.clear();
         self.peers.clear();
+        self.successor = None;
         self.deny_reads();
     }
 
@@ -262,7 +263,18 @@
 
     /// Hands leadership to the voter that has the most, for a graceful stop. Gives that
     /// voter.
+    ///
+    /// From now on no entry is written, since voters that hold one which the successor lacks
+    /// would refuse it their vote. The successor is told once it has all.
     pub fn hand_over(&mut self) -> Option<Id> {
+        let to = self.best_voter()?;
+        self.successor = Some(to);
+        self.tell_successor(to);
+        Some(to)
+    }
+
+    /// Of a leader: the other voter that has the most.
+    fn best_voter(&self) -> Option<Id> {
         let voters = &self.log.members().voters;
         let best = self
             .peers
@@ -270,8 +282,22 @@
             .filter(|(id, _)| voters.contains_key(id))
             .max_by_key(|(_, peer)| peer.matched)
             .map(|(id, _)| *id);
-        let to = best.filter(|_| self.is_leader())?;
-        self.send(to, Body::TimeoutNow);
-        Some(to)
+        best.filter(|_| self.is_leader())
+    }
+
+    /// Tells a replica to stand for election if it is the successor and has all entries.
+    pub(super) fn tell_successor(&mut self, id: Id) {
+        let has_all = self.matched(id) == Some(self.log.last());
+        if self.successor == Some(id) && has_all {
+            self.send(id, Body::TimeoutNow);
+        }
+    }
+
+    /// Steps down at once in favour of the voter that has the most.
+    pub(super) fn yield_lead(&mut self, now: Mono) {
+        if let Some(to) = self.best_voter() {
+            self.send(to, Body::TimeoutNow);
+        }
+        self.follow(now, self.hard.term, None);
     }
 }
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -93,6 +93,8 @@
     recent_commit: Index,
     // Of a leader: since when it has led.
     elected_at: Mono,
+    // Of a leader: whom it hands leadership to. Invariant: no entry is appended while it is set.
+    successor: Option<Id>,
     reads: read::Queue,
     incoming: Option<snapshot::Incoming>,
     // Of a leader: entries were appended that no message holds yet.
@@ -133,6 +135,7 @@
             heartbeat_at: now,
             recent_commit: Index::ZERO,
             elected_at: now,
+            successor: None,
             reads: read::Queue::default(),
             incoming: None,
             unsent: false,
@@ -174,7 +177,7 @@
     /// Puts a command into the log, if this replica leads. It is accepted when
     /// an entry of the position's term and index comes out committed.
     pub fn propose(&mut self, data: Arc<[u8]>) -> Result<Position, Error> {
-        self.check_leader()?;
+        self.check_writer()?;
         if self.log.last().0 - self.commit.0 >= self.config.backlog {
             return Err(Error::busy("too many entries wait for a quorum"));
         }
@@ -317,6 +320,15 @@
         }
     }
 
+    /// Whether this replica leads and writes entries.
+    fn check_writer(&self) -> Result<(), Error> {
+        self.check_leader()?;
+        match self.successor {
+            None => Ok(()),
+            Some(_) => Err(Error::not_leader(self.successor)),
+        }
+    }
+
     fn lead_entry(&mut self, payload: Payload) -> Position {
         let position = Position {
             term: self.hard.term,
--- a/almondlock-quorum/src/machine/replication.rs
+++ b/almondlock-quorum/src/machine/replication.rs
@@ -141,6 +141,7 @@
         if more {
             self.replicate(now, from);
         }
+        self.tell_successor(from);
         self.confirm_reads(now);
     }
 
@@ -183,8 +184,7 @@
             // A leader that its own change took out leads until that is accepted.
             if !members.is_voter(self.id) {
                 self.heartbeat(now);
-                self.hand_over();
-                self.follow(now, self.hard.term, None);
+                self.yield_lead(now);
                 return;
             }
         }
