Hand leadership over to a voter that was heard lately

A planned stop of the leader while another replica is down: of two voters that hold the same, the leader chose by their numbers, so that it told the dead one as often as not; then nobody stood for election before the timeout.

A voter that died within the last two heartbeats can still be chosen: no leader knows sooner.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -243,8 +243,8 @@
         self.greet(now);
     }
 
-    pub(super) fn hand_over(&mut self) {
-        if let Some(to) = self.machine.hand_over() {
+    pub(super) fn hand_over(&mut self, now: Mono) {
+        if let Some(to) = self.machine.hand_over(now) {
             let (term, matched) = (self.machine.term().0, self.machine.matched(to));
             let (last, matched) = (self.machine.last().0, matched.map(|index| index.0));
             tracing::info!(%to, term, matched, last, "hands leadership over");
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -198,7 +198,7 @@
     /// Hands leadership on, if it has it, and stops. As a leader it stays for an election
     /// timeout at the most, until its successor has all entries and leads.
     pub async fn stop(&self) {
-        self.with(Core::hand_over);
+        self.with(|core| core.hand_over(clock::mono()));
         let quorum = &self.inner.config.quorum;
         let until = clock::mono() + quorum.election();
         sleep(quorum.heartbeat()).await;
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -266,21 +266,25 @@
     ///
     /// From now on no entry is written, since voters that hold one which the successor lacks
     /// would refuse it their vote. The successor is told once it has all.
-    pub fn hand_over(&mut self) -> Option<Id> {
-        let to = self.best_voter()?;
+    pub fn hand_over(&mut self, now: Mono) -> Option<Id> {
+        let to = self.best_voter(now)?;
         self.successor = Some(to);
         self.tell_successor(to);
         Some(to)
     }
 
-    /// Of a leader: the other voter that has the most.
-    fn best_voter(&self) -> Option<Id> {
+    /// Of a leader: the other voter that has the most, of those that were heard within an
+    /// election timeout if there are any; of equals the one that was heard last.
+    fn best_voter(&self, now: Mono) -> Option<Id> {
         let voters = &self.log.members().voters;
         let best = self
             .peers
             .iter()
             .filter(|(id, _)| voters.contains_key(id))
-            .max_by_key(|(_, peer)| peer.matched)
+            .max_by_key(|(_, peer)| {
+                let recent = |at: Mono| now.since(at) < self.config.election;
+                (peer.heard.is_some_and(recent), peer.matched, peer.heard)
+            })
             .map(|(id, _)| *id);
         best.filter(|_| self.is_leader())
     }
@@ -295,7 +299,7 @@
 
     /// Steps down at once in favour of the voter that has the most.
     pub(super) fn yield_lead(&mut self, now: Mono) {
-        if let Some(to) = self.best_voter() {
+        if let Some(to) = self.best_voter(now) {
             self.send(to, Body::TimeoutNow);
         }
         self.follow(now, self.hard.term, None);
--- a/almondlock-quorum/tests/handed_over.rs
+++ b/almondlock-quorum/tests/handed_over.rs
@@ -21,6 +21,12 @@
     (cluster, leader, term)
 }
 
+fn hand_over(cluster: &mut Cluster, leader: usize) {
+    let now = cluster.mono();
+    let machine = cluster.nodes[leader].machine.as_mut().unwrap();
+    machine.hand_over(now);
+}
+
 /// The term of the leader after the one that stops, which still runs for a heartbeat.
 fn next_term(cluster: &mut Cluster, leader: usize) -> Term {
     let config = cluster.nodes[leader].machine.as_ref().unwrap().config();
@@ -40,7 +46,7 @@
         for _ in 0..before {
             cluster.propose(leader);
         }
-        cluster.nodes[leader].machine.as_mut().unwrap().hand_over();
+        hand_over(&mut cluster, leader);
         for _ in 0..after {
             cluster.step();
             cluster.propose(leader);
@@ -63,3 +69,25 @@
         );
     }
 }
+
+/// Guards against a hand-over to a voter that has died, though it holds as much as the other.
+#[test]
+fn dead_voter() {
+    for seed in 0..40 {
+        let (mut cluster, leader, term) = led(seed);
+        cluster.run(200);
+        let dead = (0..3).rev().find(|n| *n != leader).unwrap();
+        cluster.crash(dead);
+        // Two heartbeats: no leader knows sooner.
+        cluster.run(200);
+        hand_over(&mut cluster, leader);
+        cluster.run(100);
+        let next = cluster.elect();
+        let next_term = cluster.nodes[next].machine.as_ref().unwrap().term();
+        assert_eq!(
+            (next, next_term),
+            (3 - leader - dead, term.next()),
+            "seed {seed}"
+        );
+    }
+}
