Soak: upstreams that ask for pauses, and two checks of what they ask

The checks 'pause' (at most two requests of a host from half a second after the answer to the end of the pause) and 'leaving' (nothing that was sent to the host over 2 s after it passed such an answer on) excuse hosts that were stopped, killed or frozen since, and for pauses cut links to upstreams.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -68,6 +68,12 @@
         help = "also evacuations, upstreams that start again cold, kills of all processes"
     )]
     pub orders: bool,
+    /// Upstreams that ask for pauses.
+    #[options(
+        no_short,
+        help = "also upstreams that turn requests away and ask for pauses"
+    )]
+    pub pauses: bool,
     /// A request that crashes upstreams.
     #[options(
         no_short,
@@ -111,7 +117,7 @@
     /// A planted fault.
     #[options(
         no_short,
-        help = "plant a fault: twice, run-refused, foreign, leak, hundredth, elsewhere, warm",
+        help = "plant a fault: twice, run-refused, foreign, leak, hundredth, elsewhere, warm, curt, quiet",
         meta = "NAME"
     )]
     pub plant: Option<String>,
@@ -132,6 +138,8 @@
     pub planned: bool,
     /// Also evacuations, upstreams that start again cold, and kills of all processes.
     pub orders: bool,
+    /// Also upstreams that ask for pauses.
+    pub pauses: bool,
     /// One more caller sends a request that crashes upstreams.
     pub crashing: bool,
     /// In place of a torn record, one that was synced is cut.
@@ -189,6 +197,7 @@
             callers: self.callers,
             planned: self.planned,
             orders: self.orders,
+            pauses: self.pauses,
             crashing: self.crashing,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -1,6 +1,7 @@
 //! The promises, judged by what was seen. Each check gives its findings; none means that
 //! the promise was kept.
 
+mod asked;
 mod limits;
 mod orders;
 
@@ -16,6 +17,9 @@
 pub struct Bounds {
     /// Until a host that is undisturbed acts on what others know.
     pub contact: u64,
+    /// After an answer that named its upstream leaving, until requests sent to its host reach
+    /// it no more.
+    pub drain: u64,
     /// Until a key that was taken away stops working.
     pub revocation: u64,
     /// Until everything is served after the last fault.
@@ -41,6 +45,7 @@
 /// Those of the users' platform.
 pub const BOUNDS: Bounds = Bounds {
     contact: 3_000,
+    drain: 2_000,
     revocation: 5_000,
     recovery: 12_000,
     grace: 8_000,
@@ -69,7 +74,7 @@
 
 /// All checks.
 pub fn all(history: &History, bounds: &Bounds) -> Vec<Finding> {
-    let checks: [(&'static str, Vec<String>); 16] = [
+    let checks: [(&'static str, Vec<String>); 18] = [
         ("once", once(history)),
         ("not-run", not_run(history)),
         ("whole", whole(history)),
@@ -82,6 +87,8 @@
         ("recovery", recovery(history, bounds)),
         ("footprint", footprint(history, bounds)),
         ("limit", limits::limit(history, bounds)),
+        ("pause", asked::pause(history, bounds)),
+        ("leaving", asked::leaving(history, bounds)),
         ("crash", crash(history, bounds)),
         ("evacuated", orders::evacuated(history, bounds)),
         ("cold", orders::cold(history, bounds)),
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -250,6 +250,14 @@
                 }
                 Ok(())
             }
+            Act::Pause(n, pause) => {
+                if let Some(upstream) = self.present(n) {
+                    upstream.pause.set(Some(pause));
+                    sleep(length).await;
+                    upstream.pause.set(None);
+                }
+                Ok(())
+            }
             // The operator's.
             Act::Publish | Act::Revoke | Act::Evacuate(_) => Ok(()),
         }
@@ -325,6 +333,7 @@
         for upstream in &*self.upstreams.borrow() {
             upstream.link.set(None);
             upstream.limit.set(None);
+            upstream.pause.set(None);
         }
         for process in self.hosts.iter().chain(&self.replicas) {
             process.signal(Signal::CONT);
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -77,6 +77,10 @@
     pub resumes: bool,
     /// When its answer began, and the limit that this named.
     pub answered: Option<(u64, Option<u32>)>,
+    /// It was turned away, and its host asked for a pause until then.
+    pub pause: Option<u64>,
+    /// Its answer said that the upstream leaves.
+    pub leaving: bool,
 }
 
 /// A configuration that was sent.
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -203,6 +203,9 @@
         if self.orders {
             plan::draw_orders(self.seed, millis, self.size, &mut faults);
         }
+        if self.pauses {
+            plan::draw_pauses(self.seed, millis, self.size, &mut faults);
+        }
         faults.retain(|fault| !self.without.contains(&fault.number));
         faults
     }
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -15,6 +15,9 @@
 /// Milliseconds that a fault lasts.
 const LENGTH: std::ops::Range<u64> = 300..3_500;
 
+/// Milliseconds of a pause that an upstream asks for.
+const PAUSE: std::ops::Range<u64> = 800..4_000;
+
 /// How a link misbehaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Link {
@@ -65,6 +68,9 @@
     Release(usize),
     /// An upstream names a limit, in thousandths of requests a second.
     Limit(usize, u32),
+    /// An upstream turns away what it gets and asks each host for a pause of so many
+    /// milliseconds.
+    Pause(usize, u64),
     /// The operator publishes another configuration.
     Publish,
     /// The operator takes a key away.
@@ -85,6 +91,7 @@
             Act::StopHost(_)
                 | Act::Release(_)
                 | Act::Limit(..)
+                | Act::Pause(..)
                 | Act::Publish
                 | Act::Revoke
                 | Act::Evacuate(_)
@@ -194,6 +201,20 @@
     faults.sort_by_key(|fault| fault.at);
 }
 
+/// Adds to a plan, from the same seed: upstreams that ask for pauses.
+pub fn draw_pauses(seed: u64, millis: u64, size: Size, faults: &mut Vec<Fault>) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(32));
+    let mut at = CALM;
+    while at < millis {
+        let length = rng.random_range(LENGTH);
+        let pause = rng.random_range(PAUSE);
+        let act = Act::Pause(rng.random_range(0..size.upstreams), pause);
+        push(faults, at, length, act);
+        at += rng.random_range(200..2 * GAP);
+    }
+    faults.sort_by_key(|fault| fault.at);
+}
+
 fn push(faults: &mut Vec<Fault>, at: u64, length: u64, act: Act) {
     let number = faults.len();
     faults.push(Fault {
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -65,6 +65,8 @@
     pub link: Rc<Proxy>,
     /// What it takes of all hosts, in thousandths of requests a second.
     pub limit: Cell<Option<u32>>,
+    /// It turns requests away and asks for a pause of so many milliseconds.
+    pub pause: Cell<Option<u64>>,
     leaving: Cell<bool>,
     dead: Cell<bool>,
     died: Notify,
@@ -100,6 +102,7 @@
             running: Cell::new(0),
             link,
             limit: Cell::new(None),
+            pause: Cell::new(None),
             leaving: Cell::new(false),
             dead: Cell::new(false),
             died: Notify::new(),
@@ -222,14 +225,17 @@
         }
         let meant = request.get(names.instance.as_str());
         if meant.is_some_and(|name| name != self.name) {
-            return write(stream, &self.rejection(421, id)).await;
+            return write(stream, &self.rejection(421, id, &self.leaving_line())).await;
+        }
+        if let Some(pause) = self.pause.get() {
+            return write(stream, &self.turn_away(id, pause)).await;
         }
         let is_full = self.running.get() >= self.slots;
         let resumed = request.get(names.last_event.as_str());
         let resumed: Option<u64> = resumed.and_then(|text| text.parse().ok());
         let place = self.arrive(id, !is_full, resumed.is_some());
         if is_full {
-            return write(stream, &self.rejection(503, id)).await;
+            return write(stream, &self.rejection(503, id, &self.leaving_line())).await;
         }
         if request.body == CRASH_BODY.as_bytes() {
             self.crash();
@@ -265,6 +271,8 @@
             cold: self.cold_left() > 0,
             resumes,
             answered: None,
+            pause: None,
+            leaving: false,
         };
         if ran && self.is_planted(Plant::Twice) {
             history.arrivals.push(arrival.clone());
@@ -288,23 +296,51 @@
                 _ => limit,
             };
             let mut history = self.world.history.borrow_mut();
-            history.arrivals[place].answered = Some((self.world.now(), counted));
+            let arrival = &mut history.arrivals[place];
+            arrival.answered = Some((self.world.now(), counted));
+            arrival.leaving = self.leaves();
         }
         let limit = limit.map_or_else(String::new, |limit| {
             let name = names.limit.as_str();
             format!("{name}: {}\r\n", f64::from(limit) / 1e3)
         });
+        let leaving = self.leaving_line();
         format!(
-            "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: s-{}\r\n{limit}",
+            "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: s-{}\r\n{limit}{leaving}",
             names.request_id.as_str(),
             names.seal.as_str(),
             self.number,
         )
     }
 
+    /// Whether it leaves, as the history has it.
+    fn leaves(&self) -> bool {
+        self.leaving.get() || self.world.plant == Some(Plant::Quiet)
+    }
+
+    /// The header line that tells that it leaves, if it does.
+    fn leaving_line(&self) -> String {
+        match self.leaving.get() {
+            true => format!("{}: 1\r\n", self.world.names.leaving.as_str()),
+            false => String::new(),
+        }
+    }
+
+    fn turn_away(&self, id: &str, pause: u64) -> String {
+        let place = self.arrive(id, false, false);
+        let until = self.world.now() + pause;
+        self.world.history.borrow_mut().arrivals[place].pause = Some(until);
+        let told = match self.world.plant {
+            Some(Plant::Curt) => 0.0,
+            _ => pause as f64 / 1e3,
+        };
+        let line = format!("{}: {told}\r\n", self.world.names.backoff.as_str());
+        self.rejection(503, id, &line)
+    }
+
     async fn plain(&self, stream: &mut TcpStream, id: &str, place: usize) -> io::Result<()> {
         if self.is_planted(Plant::RunRefused) {
-            return write(stream, &self.rejection(503, id)).await;
+            return write(stream, &self.rejection(503, id, &self.leaving_line())).await;
         }
         let foreign = self.is_planted(Plant::Foreign);
         let body = answer(if foreign { "another" } else { id });
@@ -334,11 +370,11 @@
         write(stream, "0\r\n\r\n").await
     }
 
-    fn rejection(&self, status: u16, id: &str) -> String {
+    fn rejection(&self, status: u16, id: &str, more: &str) -> String {
         let names = &self.world.names;
         let (request, not_run) = (names.request_id.as_str(), names.not_run.as_str());
         format!(
-            "HTTP/1.1 {status} X\r\n{request}: {id}\r\n{not_run}: 1\r\ncontent-length: 0\r\n\r\n"
+            "HTTP/1.1 {status} X\r\n{request}: {id}\r\n{not_run}: 1\r\n{more}content-length: 0\r\n\r\n"
         )
     }
 
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -41,6 +41,10 @@
     Elsewhere,
     /// Cold upstreams don't say so.
     Warm,
+    /// Upstreams want a pause and name none.
+    Curt,
+    /// Upstreams leave and don't say so.
+    Quiet,
 }
 
 impl Plant {
@@ -54,6 +58,8 @@
             "hundredth" => Plant::Hundredth,
             "elsewhere" => Plant::Elsewhere,
             "warm" => Plant::Warm,
+            "curt" => Plant::Curt,
+            "quiet" => Plant::Quiet,
             _ => return None,
         })
     }
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -35,6 +35,8 @@
         cold: false,
         resumes: false,
         answered: Some((at + 5, None)),
+        pause: None,
+        leaving: false,
     }
 }
 
@@ -213,6 +215,43 @@
     limited(history, 5);
 }
 
+/// A request that an upstream turns away at 10 s with a pause of 3 s, and so many after it.
+fn pausing(history: &mut History, more: u64) {
+    for n in 0..=more {
+        let (id, at) = (format!("pausing-{n}"), 10_000 + n * 600);
+        history
+            .requests
+            .push(request(&id, Kind::Safe, at, Outcome::Status(200)));
+        let mut arrival = arrival(&id, at);
+        arrival.upstream = 2;
+        arrival.pause = (n == 0).then_some(at + 3_000);
+        arrival.ran = n > 0;
+        history.arrivals.push(arrival);
+    }
+}
+
+fn pause_broken(history: &mut History) {
+    pausing(history, 3);
+}
+
+/// An answer at 10 s says that its upstream leaves, and a request is sent to it so much
+/// later.
+fn left(history: &mut History, after: u64) {
+    for (id, at) in [("left", 10_000), ("late", 10_000 + after)] {
+        history
+            .requests
+            .push(request(id, Kind::Safe, at, Outcome::Status(200)));
+        let mut arrival = arrival(id, at);
+        arrival.upstream = 3;
+        arrival.leaving = true;
+        history.arrivals.push(arrival);
+    }
+}
+
+fn leaving_reached(history: &mut History) {
+    left(history, BOUNDS.drain + 100);
+}
+
 fn crashed_on(history: &mut History) {
     for n in 0..12 {
         let (id, at) = (format!("crash-{n}"), 1_000 + n * 1_000);
@@ -241,6 +280,8 @@
     memory = { grew, "footprint" },
     descriptors = { leaked_descriptors, "footprint" },
     unlimited = { over_limit, "limit" },
+    pause = { pause_broken, "pause" },
+    leaving = { leaving_reached, "leaving" },
     evacuated = { reached_evacuated, "evacuated" },
     cold = { cold_overrun, "cold" },
     start = { started_late, "start" },
@@ -268,6 +309,26 @@
     assert_eq!(check::all(&history, &BOUNDS), []);
 }
 
+/// Two requests within a pause are allowed, and one that is sent to a host while the upstream
+/// may still be draining.
+#[test]
+fn asked_kept() {
+    let mut history = clean();
+    pausing(&mut history, 2);
+    left(&mut history, BOUNDS.drain);
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
+
+/// A host that was killed since doesn't know what upstreams asked before.
+#[test]
+fn asked_excused() {
+    let mut history = clean();
+    pause_broken(&mut history);
+    leaving_reached(&mut history);
+    history.faults.push(fault(10_100, 500, Act::KillHost(0)));
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
+
 /// A host that was killed meanwhile may have sent more.
 #[test]
 fn limit_excused() {
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -18,6 +18,7 @@
         callers: 3,
         planned: false,
         orders: false,
+        pauses: false,
         crashing: false,
         cuts_synced: false,
         without: Vec::new(),
@@ -51,6 +52,22 @@
     assert!(!report.history.evacuations.is_empty(), "{report}");
 }
 
+/// Guards against pauses and leaving upstreams that are forgotten while other planned work
+/// goes on.
+#[test]
+fn pauses_kept() {
+    let setup = Setup {
+        planned: true,
+        pauses: true,
+        ..setup(1, 15)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+    let mut arrivals = report.history.arrivals.iter();
+    assert!(arrivals.any(|arrival| arrival.pause.is_some()), "{report}");
+}
+
 /// Guards against a request that crashes one upstream after the other because no host knows
 /// what it did to the others.
 #[test]
@@ -65,25 +82,36 @@
     assert!(found.all(|finding| finding.check != "crash"), "{report}");
 }
 
+fn planted(plant: Plant, seed: u64) -> Setup {
+    Setup {
+        planned: true,
+        orders: matches!(plant, Plant::Elsewhere | Plant::Warm),
+        pauses: plant == Plant::Curt,
+        plant: Some(plant),
+        ..setup(seed, 12)
+    }
+}
+
+fn finds(plant: Plant, check: &str, seed: u64) {
+    let report = soak::run(&planted(plant, seed)).unwrap();
+    let mut found = report.findings.iter();
+    assert!(found.any(|finding| finding.check == check), "{report}");
+}
+
 /// A soak that finds nothing might look at nothing: upstreams that run calls twice, count by a
 /// hundredth of the limit that they name, tell another failure domain than theirs, or don't
 /// say that they are cold, are found.
 #[test]
 fn planted_found() {
-    for (plant, check, seed) in [
-        (Plant::Twice, "once", 7),
-        (Plant::Hundredth, "limit", 7),
-        (Plant::Elsewhere, "evacuated", 7),
-        (Plant::Warm, "cold", 9),
-    ] {
-        let setup = Setup {
-            planned: true,
-            orders: matches!(plant, Plant::Elsewhere | Plant::Warm),
-            plant: Some(plant),
-            ..setup(seed, 12)
-        };
-        let report = soak::run(&setup).unwrap();
-        let mut found = report.findings.iter();
-        assert!(found.any(|finding| finding.check == check), "{report}");
-    }
+    finds(Plant::Twice, "once", 7);
+    finds(Plant::Hundredth, "limit", 7);
+    finds(Plant::Elsewhere, "evacuated", 7);
+    finds(Plant::Warm, "cold", 9);
+}
+
+/// So are upstreams that want a pause and name none, or leave and don't say so.
+#[test]
+fn asked_found() {
+    finds(Plant::Curt, "pause", 7);
+    finds(Plant::Quiet, "leaving", 7);
 }
