Soak: a request that crashes upstreams is owed a refusal, also after the last fault

For the one caller whose request crashes every upstream that is what the promise asks for (refused everywhere, for a stated time), so there the check was wrong: it asked for a 200. In its place it asks for the refusal, and for nothing else: a 502 there, a request that is run again, is a finding (planted: crash_not_refused).

Of the others the check asks what it did.

--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -291,7 +291,7 @@
     let late: Vec<&Request> = history.requests.iter().filter(|r| r.sent > from).collect();
     let mut found: Vec<String> = late
         .iter()
-        .filter(|request| request.outcome != Outcome::Status(200))
+        .filter(|request| !is_served(request))
         .map(|request| {
             format!(
                 "request {} of {} ms, {} ms after the last fault: {:?}",
@@ -310,6 +310,15 @@
     found
 }
 
+/// Whether a request got what it is owed. One that crashes upstreams is owed a refusal, and
+/// nothing else.
+fn is_served(request: &Request) -> bool {
+    match request.kind {
+        Kind::Crash => request.outcome == Outcome::Status(429),
+        _ => request.outcome == Outcome::Status(200),
+    }
+}
+
 /// No process takes more than its bound.
 fn footprint(history: &History, bounds: &Bounds) -> Vec<String> {
     let over = history.footprints.iter().filter(|print| {
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -262,6 +262,18 @@
     }
 }
 
+/// A request that crashes upstreams, sent long after the last fault.
+fn crashing_late(history: &mut History, outcome: Outcome) {
+    let sent = HEALED + BOUNDS.recovery + 600;
+    history
+        .requests
+        .push(request("late", Kind::Crash, sent, outcome));
+}
+
+fn crash_not_refused(history: &mut History) {
+    crashing_late(history, Outcome::Status(502));
+}
+
 #[parameterized(
     crash = { crashed_on, "crash" },
     twice = { ran_twice, "once" },
@@ -276,6 +288,7 @@
     retry_storm = { retried_often, "retries" },
     unrecovered = { not_served, "recovery" },
     unasked = { never_asked, "recovery" },
+    crashing = { crash_not_refused, "recovery" },
     unstopped = { did_not_stop, "recovery" },
     memory = { grew, "footprint" },
     descriptors = { leaked_descriptors, "footprint" },
@@ -309,6 +322,14 @@
     assert_eq!(check::all(&history, &BOUNDS), []);
 }
 
+/// A request that crashes upstreams is refused, also once all is well.
+#[test]
+fn crash_refused() {
+    let mut history = clean();
+    crashing_late(&mut history, Outcome::Status(429));
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
+
 /// Two requests within a pause are allowed, and one that is sent to a host while the upstream
 /// may still be draining.
 #[test]
