--- a/almondlock-policy/tests/lost_upstreams.rs
+++ b/almondlock-policy/tests/lost_upstreams.rs
@@ -106,3 +106,33 @@
     ));
     assert_eq!(tally.known().len(), 1);
 }
+
+/// Guards against usual requests that are refused because they were sent to upstreams which
+/// another request had crashed before.
+#[test]
+fn dead_already() {
+    let mut tally = Tally::default();
+    let mut now = START;
+    for life in 0..DEATHS as u32 {
+        now = lose(&mut tally, print("crashing"), now, life..life + 1);
+        now = lose(&mut tally, print("usual"), now, life..life + 1);
+    }
+    let standing = tally.standing(now, &print("crashing"));
+    assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
+    assert_eq!(tally.standing(now, &print("usual")), Standing::Clear);
+}
+
+/// A request that ran when its upstream died is told of after others that ran there too.
+#[test]
+fn beside_others() {
+    let mut tally = Tally::default();
+    let mut now = START;
+    for life in 0..DEATHS as u32 {
+        let sent = now;
+        now = now + PAUSE;
+        tally.lose(now, print("usual"), life, sent);
+        tally.lose(now, print("crashing"), life, sent);
+    }
+    let standing = tally.standing(now, &print("crashing"));
+    assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
+}
