Don't charge requests with the deaths of upstreams that were dead before

Cause: a relay counts a death for each request and life of an upstream. An upstream that is dead goes on losing what is sent to it until it is withdrawn, 5 s in the soak, and each such loss counted as a death of the request that came too late; three dead upstreams sufficed. Class: an effect taken for a cause, as the account knew requests and not upstreams.

Now a relay knows when each life was lost first; copies sent over 20 ms after that don't count, until that life has lost nothing for 3 s. Copies that were under way at the death still count, whoever is told of first (beside_others), and a life that lost others long before counts anew (lost_before).

--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -9,12 +9,13 @@
 //! |---|---|
 //! | a loss on an upstream's life | a death, once for each life |
 //! | a loss of a copy that was sent before the last death was known | nothing: one fault, such as the loss of a failure domain, ends many copies of a usual request at the same moment |
+//! | a loss of a copy that was sent to a life after that one was lost | nothing: it was dead already, unless it has lost nothing for a while |
 //! | a copy was answered | the deaths are forgotten, unless it is refused already |
 //!
 //! A request is refused for [`REFUSED`] after its last death and then tried once: one more
 //! death refuses it again.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, hash::Hash, time::Duration};
 
 use almondlock_base::{id::Fingerprint, time::Mono};
 
@@ -28,6 +29,9 @@
 const SUSPECTED: Duration = Duration::from_secs(60);
 /// Requests that are kept; the oldest go first.
 pub const KEPT: usize = 4_096;
+/// A life that was lost counts as dead until it has lost nothing for so long: longer than
+/// hosts pass over an upstream that failed before they try it again.
+const DEAD: Duration = Duration::from_secs(3);
 /// How much later than it happened a death may be known.
 const NOTICE: Duration = Duration::from_millis(20);
 
@@ -67,24 +71,32 @@
 #[derive(Clone, Debug)]
 pub struct Tally<L> {
     suspects: HashMap<Fingerprint, Suspect<L>>,
+    /// Lives that count as dead: when each was first lost, and last.
+    dead: HashMap<L, (Mono, Mono)>,
 }
 
 impl<L> Default for Tally<L> {
     fn default() -> Tally<L> {
         Tally {
             suspects: HashMap::new(),
+            dead: HashMap::new(),
         }
     }
 }
 
 impl<L> Tally<L>
 where
-    L: PartialEq,
+    L: Clone + Eq + Hash,
 {
     /// A copy that was sent at `sent` was lost on a life of an upstream. Whether that has
     /// changed what hosts have to know.
     pub fn lose(&mut self, now: Mono, print: Fingerprint, life: L, sent: Mono) -> bool {
         self.forget(now);
+        let (died, last) = self.dead.entry(life.clone()).or_insert((now, now));
+        *last = now;
+        if sent > *died + NOTICE {
+            return false;
+        }
         if !self.suspects.contains_key(&print) {
             self.make_room();
         }
@@ -134,6 +146,7 @@
     fn forget(&mut self, now: Mono) {
         self.suspects
             .retain(|_, suspect| now.since(suspect.last) < suspect.lasts());
+        self.dead.retain(|_, (_, last)| now.since(*last) < DEAD);
     }
 
     /// The oldest goes, one that isn't refused if there is one.
--- a/almondlock-policy/tests/lost_upstreams.rs
+++ b/almondlock-policy/tests/lost_upstreams.rs
@@ -115,14 +115,30 @@
     let mut now = START;
     for life in 0..DEATHS as u32 {
         now = lose(&mut tally, print("crashing"), now, life..life + 1);
-        now = lose(&mut tally, print("usual"), now, life..life + 1);
+        // Hosts try a dead upstream again and again until it is withdrawn.
+        for _ in 0..3 {
+            let later = now + Duration::from_secs(2);
+            now = lose(&mut tally, print("usual"), later, life..life + 1);
+        }
     }
     let standing = tally.standing(now, &print("crashing"));
     assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
     assert_eq!(tally.standing(now, &print("usual")), Standing::Clear);
 }
 
-/// A request that ran when its upstream died is told of after others that ran there too.
+/// Guards against a request that goes free because its upstreams had lost others long before.
+#[test]
+fn lost_before() {
+    let mut tally = Tally::default();
+    let now = lose(&mut tally, print("usual"), START, 0..DEATHS as u32);
+    let later = now + Duration::from_secs(5);
+    let now = lose(&mut tally, print("crashing"), later, 0..DEATHS as u32);
+    let standing = tally.standing(now, &print("crashing"));
+    assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
+}
+
+/// Guards against a request that goes free because others that ran beside it were told of
+/// first.
 #[test]
 fn beside_others() {
     let mut tally = Tally::default();
@@ -131,7 +147,8 @@
         let sent = now;
         now = now + PAUSE;
         tally.lose(now, print("usual"), life, sent);
-        tally.lose(now, print("crashing"), life, sent);
+        let told = now + Duration::from_millis(1);
+        tally.lose(told, print("crashing"), life, told);
     }
     let standing = tally.standing(now, &print("crashing"));
     assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -69,7 +69,7 @@
 }
 
 /// Guards against a request that crashes one upstream after the other because no host knows
-/// what it did to the others.
+/// what it did to the others, and against others that are refused with it.
 #[test]
 fn crashing_bounded() {
     let setup = Setup {
@@ -78,8 +78,8 @@
         ..setup(1, 10)
     };
     let report = soak::run(&setup).unwrap();
-    let mut found = report.findings.iter();
-    assert!(found.all(|finding| finding.check != "crash"), "{report}");
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
 }
 
 fn planted(plant: Plant, seed: u64) -> Setup {
