--- a/almondlock-gateway/src/exchange/suspects.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -27,7 +27,6 @@
 impl Suspects {
     /// A host lost a request with an upstream.
     pub fn lose(&mut self, now: Mono, loss: &Loss) {
-        self.tally.look(now);
         let sent = now - Duration::from_millis(loss.age_ms.into());
         let life = (loss.key, loss.birth);
         if self.tally.lose(now, loss.print, life, sent) {
@@ -51,7 +50,6 @@
     /// What hosts are told in this round: those that have changed or, from time to time,
     /// all of them.
     pub fn take(&mut self, now: Mono) -> Vec<Suspect> {
-        self.tally.look(now);
         if now.since(self.repeated) >= REPEAT {
             self.repeated = now;
             self.news.extend(self.tally.known());
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -10,7 +10,6 @@
 //! | a loss on an upstream's life | a death, once for each life |
 //! | a loss of a copy that was sent before the last death was known | nothing: one fault, such as the loss of a failure domain, ends many copies of a usual request at the same moment |
 //! | a loss of a copy that was sent to a life after that one was lost | nothing: it was dead already, unless it has lost nothing for a while |
-//! | a loss that is told within 3 s of a relay's start, or of a stall | nothing: the life may have died unseen |
 //! | a copy was answered | the deaths are forgotten, unless it is refused already |
 //!
 //! A request is refused for [`REFUSED`] after its last death and then tried once: one more
@@ -33,8 +32,6 @@
 /// A life that was lost counts as dead until it has lost nothing for so long: longer than
 /// hosts pass over an upstream that failed before they try it again.
 const DEAD: Duration = Duration::from_secs(3);
-/// A relay that hasn't looked for so long may have missed deaths.
-const STALL: Duration = Duration::from_millis(500);
 /// How much later than it happened a death may be known.
 const NOTICE: Duration = Duration::from_millis(20);
 
@@ -76,10 +73,6 @@
     suspects: HashMap<Fingerprint, Suspect<L>>,
     /// Lives that count as dead: when each was first lost, and last.
     dead: HashMap<L, (Mono, Mono)>,
-    /// When the relay looked last. None: it has just started.
-    looked: Option<Mono>,
-    /// Until then a loss may be one on a life that died unseen.
-    blind_until: Mono,
 }
 
 impl<L> Default for Tally<L> {
@@ -87,8 +80,6 @@
         Tally {
             suspects: HashMap::new(),
             dead: HashMap::new(),
-            looked: None,
-            blind_until: Mono::ZERO,
         }
     }
 }
@@ -97,23 +88,13 @@
 where
     L: Clone + Eq + Hash,
 {
-    /// The relay looks, as it does many times a second. After a start or a stall it can't tell
-    /// deaths from losses on lives that died meanwhile: for a while it only learns which are
-    /// dead.
-    pub fn look(&mut self, now: Mono) {
-        if self.looked.is_none_or(|last| now.since(last) > STALL) {
-            self.blind_until = now + DEAD;
-        }
-        self.looked = Some(now);
-    }
-
     /// A copy that was sent at `sent` was lost on a life of an upstream. Whether that has
     /// changed what hosts have to know.
     pub fn lose(&mut self, now: Mono, print: Fingerprint, life: L, sent: Mono) -> bool {
         self.forget(now);
         let (died, last) = self.dead.entry(life.clone()).or_insert((now, now));
         *last = now;
-        if sent > *died + NOTICE || now < self.blind_until {
+        if sent > *died + NOTICE {
             return false;
         }
         if !self.suspects.contains_key(&print) {
--- a/almondlock-policy/tests/lost_upstreams.rs
+++ b/almondlock-policy/tests/lost_upstreams.rs
@@ -7,7 +7,6 @@
     time::Mono,
 };
 use almondlock_policy::poison::tally::{DEATHS, KEPT, REFUSED, Standing, Tally};
-use yare::parameterized;
 
 const START: Mono = Mono::from_millis(100_000);
 /// Between two copies that a caller sends.
@@ -127,31 +126,6 @@
     assert_eq!(tally.standing(now, &print("usual")), Standing::Clear);
 }
 
-/// Guards against usual requests that are refused by a relay which has just started, or was
-/// suspended, and takes upstreams that died meanwhile for new deaths.
-#[parameterized(
-    started = { None },
-    suspended = { Some(Duration::from_secs(2)) },
-)]
-fn died_unseen(stall: Option<Duration>) {
-    let mut tally = Tally::default();
-    let mut now = START;
-    if let Some(stall) = stall {
-        tally.look(now - stall - Duration::from_secs(5));
-        tally.look(now - stall);
-    }
-    for _ in 0..4 {
-        for life in 0..10 {
-            tally.look(now);
-            now = lose(&mut tally, print("usual"), now, life..life + 1);
-        }
-    }
-    assert_eq!(tally.standing(now, &print("usual")), Standing::Clear);
-    let now = lose(&mut tally, print("crashing"), now, 10..10 + DEATHS as u32);
-    let standing = tally.standing(now, &print("crashing"));
-    assert!(matches!(standing, Standing::Refused(_)), "{standing:?}");
-}
-
 /// Guards against a request that goes free because its upstreams had lost others long before.
 #[test]
 fn lost_before() {
