Draw the tests' ports from another range than the stand-ins'

Its output tells why: 'listening for announcements on 127.0.0.1:29247: Address already in use', and the test's own stand-in engine answered the announcement with 404. Stand-ins draw ports from 20,000 on, at process id x 97; tests drew theirs from 10,000 + (id % 200) x 100, up to 30,000, and bind them later. With the process id 21992 both began at 29,2xx. Not of this work: the code is older.

Now tests draw from 10,000 to 20,000, in as many places. Ruled out: load (0.8 at the time), left-over processes (none).

--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -83,7 +83,7 @@
 /// meanwhile: it is drawn from below the range that the system hands out.
 fn free_address() -> SocketAddr {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    let start = 10_000 + (std::process::id() % 200) as u16 * 50;
     loop {
         let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -25,7 +25,7 @@
 /// so that nothing takes one between drawing and use.
 fn port() -> u16 {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    let start = 10_000 + (std::process::id() % 200) as u16 * 50;
     loop {
         let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
         if TcpListener::bind(("127.0.0.1", port)).is_ok() {
--- a/tests/shown_commands.rs
+++ b/tests/shown_commands.rs
@@ -106,7 +106,7 @@
 /// takes it between drawing and use.
 fn free() -> (TcpListener, String) {
     static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = 10_000 + (std::process::id() % 200) as u16 * 100;
+    let start = 10_000 + (std::process::id() % 200) as u16 * 50;
     // No port is drawn twice: the tests of this file run side by side.
     let bound = loop {
         let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
