--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -2,6 +2,7 @@
 //! waits for what. Nothing here waits itself.
 
 mod greeting;
+mod log;
 mod report;
 
 use std::{
@@ -345,30 +346,6 @@
         self.vouch_as_follower(now);
     }
 
-    fn log_candidacy(&mut self) {
-        let term = self.machine.term();
-        let Some(cause) = self.machine.candidacy() else {
-            return;
-        };
-        if term > self.logged_candidacy {
-            self.logged_candidacy = term;
-            let last = self.machine.last().0;
-            tracing::info!(term = term.0, ?cause, last, "stands for election");
-        }
-    }
-
-    fn log_leader(&mut self) {
-        let leader = self.machine.leader();
-        if leader == self.logged_leader {
-            return;
-        }
-        self.logged_leader = leader;
-        let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
-        let (term, commit) = (self.machine.term().0, self.machine.commit().0);
-        let leads = self.machine.is_leader();
-        tracing::info!(%leader, term, commit, leads, "leader changed");
-    }
-
     /// A leader that hears no majority falls silent within one election
     /// timeout, so a follower that has all that such a one says to be accepted
     /// holds what was accepted a little before. (A leader vouches after
