--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -53,6 +53,8 @@
     stop: Option<Duration>,
     /// How long it may then take.
     grace: Duration,
+    /// The process ends once it has stopped.
+    ends: bool,
     /// Where hosts' loads are added up.
     relays: Option<[SocketAddr; 2]>,
     /// So many of the first upstreams are cold.
@@ -69,6 +71,7 @@
     hold: MEMORY_HOLD,
     stop: None,
     grace: Duration::ZERO,
+    ends: false,
     relays: None,
     cold_upstreams: 0,
     evacuate: None,
@@ -121,6 +124,19 @@
     start_for(setup, upstreams)
 }
 
+/// The same as [`start`], but after a while it is told to stop, and may take so long for it.
+/// Then the process ends.
+pub fn start_ending(upstreams: &[SocketAddr], after: Duration, grace: Duration) -> SocketAddr {
+    let stop = Some(after);
+    let setup = Setup {
+        stop,
+        grace,
+        ends: true,
+        ..SETUP
+    };
+    start_for(setup, upstreams)
+}
+
 /// The same as [`start`], as one host of several that share these relays. Stops after a
 /// while, if that is given.
 pub fn start_beside(
@@ -225,6 +241,9 @@
             if let Some(stop) = setup.stop {
                 ntex::time::sleep(stop).await;
                 server.stop().await;
+                if setup.ends {
+                    std::process::exit(0);
+                }
             }
             std::future::pending::<()>().await;
         });
