--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -108,23 +108,35 @@
     /// Stops gracefully: readiness fails first, the listener stays until the
     /// balancer has noticed, answers in progress finish.
     pub async fn stop(self) {
-        self.shared.stopping.store(true, Ordering::Relaxed);
+        let end = clock::mono() + self.notice + self.grace;
+        self.shared.begin_stop(end);
         sleep(self.notice).await;
         self.shared.closing.store(true, Ordering::Relaxed);
         let drained = async {
-            while self.shared.active.load(Ordering::Relaxed) > 0 {
-                sleep(DRAIN_PAUSE).await;
-            }
+            self.idle().await;
+            // What entered since the last look is finished too.
+            self.shared.close();
+            self.idle().await;
         };
         if timeout(self.grace, drained).await.is_err() {
-            let active = self.shared.active.load(Ordering::Relaxed);
+            let active = self.shared.active();
             tracing::warn!(active, "stopping with answers in progress");
         }
+        self.shared.close();
+        // The last answers leave the buffers of their connections.
+        sleep(DRAIN_PAUSE).await;
         let stops = self.servers.into_iter().map(|server| server.stop(false));
         if timeout(STOP_TIME, join_all(stops)).await.is_err() {
             tracing::warn!("listeners have not stopped in time");
         }
     }
+
+    /// Waits until nothing is under way.
+    async fn idle(&self) {
+        while self.shared.active() > 0 {
+            sleep(DRAIN_PAUSE).await;
+        }
+    }
 }
 
 fn callers<D>(
@@ -266,10 +278,11 @@
         .to_owned();
     let accepted = accept(&worker, &incoming, payload, arrived).await;
     let accepted = accepted.and_then(|request| {
-        // A stream that is begun now might not end before the process does.
-        match worker.shared.is_closing() && request.route.kind.is_stream() {
-            true => Err(Code::HostStopping),
-            false => Ok(request),
+        // What is begun now might not end before the process does.
+        let is_stream = request.route.kind.is_stream();
+        match worker.shared.may_begin(is_stream, request.until) {
+            true => Ok(request),
+            false => Err(Code::HostStopping),
         }
     });
     let result = match accepted {
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -10,7 +10,7 @@
     rc::Rc,
     sync::{
         Arc,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -60,7 +60,12 @@
     pub(crate) ready: AtomicBool,
     /// No stream is begun any more.
     pub(crate) closing: AtomicBool,
-    pub(crate) active: AtomicUsize,
+    /// Nothing is begun any more.
+    closed: AtomicBool,
+    /// When the stop ends at the latest, in microseconds of the clock. Zero: no stop has
+    /// begun.
+    ends: AtomicU64,
+    active: AtomicUsize,
     pub(crate) metrics: Metrics,
 }
 
@@ -85,6 +90,8 @@
             stopping: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            ends: AtomicU64::new(0),
             active: AtomicUsize::new(0),
             metrics: Metrics::default(),
         }
@@ -108,12 +115,41 @@
         COLD_START.saturating_sub(now.since(self.started))
     }
 
-    pub(crate) fn is_closing(&self) -> bool {
-        self.closing.load(Ordering::Relaxed)
+    /// A stop has begun and ends at `end` at the latest.
+    pub(crate) fn begin_stop(&self, end: Mono) {
+        self.ends.store(end.as_micros(), Ordering::Relaxed);
+        self.stopping.store(true, Ordering::Relaxed);
+    }
+
+    /// From now on nothing is begun.
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    /// How many requests are under way. Once closed, those that are counted here are all
+    /// that there will be.
+    pub(crate) fn active(&self) -> usize {
+        self.active.load(Ordering::SeqCst)
+    }
+
+    /// Whether a request may be begun that is over at `until`. Whoever asks is counted as
+    /// active before, so that a stop that closes meanwhile waits for it.
+    ///
+    /// **Failure.** A call that may not be repeated is handed to an upstream and cut off
+    /// with the process: its caller can't know whether it ran.
+    pub(crate) fn may_begin(&self, is_stream: bool, until: Mono) -> bool {
+        if self.closed.load(Ordering::SeqCst) {
+            return false;
+        }
+        match self.ends.load(Ordering::Relaxed) {
+            0 => true,
+            _ if is_stream => !self.closing.load(Ordering::Relaxed),
+            ends => until <= Mono::from_micros(ends),
+        }
     }
 
     pub(crate) fn enter(self: &Arc<Shared>) -> Active {
-        self.active.fetch_add(1, Ordering::Relaxed);
+        self.active.fetch_add(1, Ordering::SeqCst);
         Active(Arc::clone(self))
     }
 
@@ -124,7 +160,7 @@
 
 impl Drop for Active {
     fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::Relaxed);
+        self.0.active.fetch_sub(1, Ordering::SeqCst);
     }
 }
 
