--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -2,7 +2,7 @@
 
 use almondlock_gateway::{
     budget,
-    server::{self, Bounds, Config, Server},
+    server::{self, Bounds, Config, Features, Server},
 };
 use almondlock_node::Handle;
 use almondlock_platform::header::Dialect;
@@ -25,6 +25,11 @@
         },
         memory_hold: role.memory_hold,
     };
+    let features = Features {
+        places: role.places,
+        shares: role.shares,
+        observed_pace: role.observed_pace,
+    };
     let config = Config {
         listen: role.listen,
         ready: role.ready,
@@ -32,6 +37,7 @@
         relays: role.exchange.clone(),
         domain: settings.host.domain.clone(),
         bounds,
+        features,
         seed,
         notice: role.notice(),
         grace: role.drain_time(),
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -29,7 +29,7 @@
     time::{sleep, timeout},
 };
 
-pub use crate::worker::Bounds;
+pub use crate::worker::{Bounds, Features};
 use crate::{
     accept::{accept, text},
     dialect::Dialect,
@@ -68,6 +68,8 @@
     pub domain: Domain,
     /// Its bounds.
     pub bounds: Bounds,
+    /// What it decides by besides.
+    pub features: Features,
     /// Seeds the generator.
     pub seed: u64,
     /// How long the listener stays after readiness has failed.
@@ -160,10 +162,16 @@
             node.clone(),
             Arc::clone(&shared),
             (config.domain.clone(), config.seed),
-            config.bounds,
+            (config.bounds, config.features),
             rng,
             sender,
         ));
+        tracing::info!(
+            places = worker.features.places,
+            shares = worker.features.shares,
+            observed_pace = worker.features.observed_pace,
+            "gateway begins"
+        );
         spawn_local(lease::give_back(Rc::clone(&worker), ended));
         spawn_local(sweep(Rc::clone(&worker)));
         let any = SocketAddr::from((config.listen.ip(), 0));
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -195,6 +195,7 @@
     /// The host's number, drawn at its start.
     pub(crate) host: u64,
     pub(crate) bounds: Bounds,
+    pub(crate) features: Features,
     pub(crate) load: RefCell<load::Table>,
     /// What this host has under way has changed: the others are to be told.
     pub(crate) changed: Notify,
@@ -231,6 +232,17 @@
     pub memory_hold: Duration,
 }
 
+/// Decisions that a gateway takes only where its settings ask for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Features {
+    /// Short prompts are admitted by the engines' free slots.
+    pub places: bool,
+    /// Organisations get fair shares under contention.
+    pub shares: bool,
+    /// Upstreams are judged by what hosts observe of them.
+    pub observed_pace: bool,
+}
+
 impl<D> Worker<D>
 where
     D: Dialect,
@@ -240,7 +252,7 @@
         node: Handle,
         shared: Arc<Shared>,
         (domain, host): (Domain, u64),
-        bounds: Bounds,
+        (bounds, features): (Bounds, Features),
         rng: SmallRng,
         ended: UnboundedSender<Ended>,
     ) -> Worker<D> {
@@ -251,6 +263,7 @@
             domain,
             host,
             bounds,
+            features,
             load: RefCell::default(),
             changed: Notify::new(),
             pool: RefCell::default(),
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -22,7 +22,7 @@
 };
 use almondlock_gateway::{
     budget, exchange,
-    server::{self, Bounds, Config},
+    server::{self, Bounds, Config, Features},
 };
 use almondlock_node::{Node, Parts};
 use almondlock_spread::view::View;
@@ -299,6 +299,7 @@
             retries,
             memory_hold: setup.hold,
         },
+        features: Features::default(),
         seed: next_host(),
         notice: Duration::ZERO,
         grace: setup.grace,
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -49,4 +49,5 @@
 pub mod prefix;
 pub mod queue;
 pub mod retry;
+pub mod share;
 pub mod throttle;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -253,6 +253,13 @@
         "How long after it is told to stop the process is ended by force, where somebody else sets it. \
          `drain_grace` is cut so that both together end nine tenths of it after the start of the stop."
         ).unit("s"),
+    Key::new("gateway", "places", Word(&["yes", "no"]), Default("no"),
+        "Whether short prompts are admitted by the engines' free slots when these are scarce: who can \
+         still be in time goes first, who can't waits at the host for a slot."),
+    Key::new("gateway", "shares", Word(&["yes", "no"]), Default("no"),
+        "Whether organisations get fair shares of the engines under contention, over all hosts."),
+    Key::new("gateway", "observed_pace", Word(&["yes", "no"]), Default("no"),
+        "Whether upstreams are judged by how fast and how often they answer, over all hosts."),
 
     Key::new("replica", "admin", Listen, Required,
         "Where operators' commands arrive."),
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -145,6 +145,12 @@
     pub drain_delay: Duration,
     /// How long answers in progress may take on a stop.
     pub drain_grace: Duration,
+    /// Short prompts are admitted by the engines' free slots.
+    pub places: bool,
+    /// Organisations get fair shares under contention.
+    pub shares: bool,
+    /// Upstreams are judged by what hosts observe of them.
+    pub observed_pace: bool,
 }
 
 /// Of the time in which a key must stop working, the part for which an unconfirmed
