--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -26,6 +26,7 @@
         memory_hold: role.memory_hold,
     };
     let features = Features {
+        settling: role.settling,
         places: role.places,
         shares: role.shares,
         observed_pace: role.observed_pace,
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 mod response;
 pub mod rules;
 pub mod server;
+mod startup;
 mod suspicion;
 pub mod upstream;
 pub mod verdict;
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -14,6 +14,7 @@
     lease::Leases,
     life::{Course, Request, note},
     pick::{self, Choice, Lack},
+    startup,
     verdict::Failure,
     worker::{Target, Worker},
 };
@@ -87,6 +88,9 @@
     D: Dialect,
 {
     let is_new = course.tried.is_empty() && after.is_none();
+    if is_new {
+        startup::settle(worker, request).await;
+    }
     let mut search = Search::default();
     loop {
         let now = clock::mono();
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -167,6 +167,7 @@
             sender,
         ));
         tracing::info!(
+            settling_ms = worker.features.settling.as_millis(),
             places = worker.features.places,
             shares = worker.features.shares,
             observed_pace = worker.features.observed_pace,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -24,6 +24,7 @@
 use almondlock_policy::{
     admission::Backlog,
     backoff, cell,
+    engine::Speed,
     throttle::{self, Rate},
 };
 use almondlock_state::{
@@ -110,9 +111,14 @@
         left.mul_f64(1.0 + drawn * SPREAD)
     }
 
+    /// The time since the start.
+    pub(crate) fn age(&self, now: Mono) -> Duration {
+        now.since(self.started)
+    }
+
     /// How much of a cold start is left.
     pub(crate) fn cold_left(&self, now: Mono) -> Duration {
-        COLD_START.saturating_sub(now.since(self.started))
+        COLD_START.saturating_sub(self.age(now))
     }
 
     /// A stop has begun and ends at `end` at the latest.
@@ -235,6 +241,8 @@
 /// Decisions that a gateway takes only where its settings ask for them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Features {
+    /// How long after its start a host lets short prompts go first. Zero: not at all.
+    pub settling: Duration,
     /// Short prompts are admitted by the engines' free slots.
     pub places: bool,
     /// Organisations get fair shares under contention.
@@ -409,6 +417,13 @@
         }
     }
 
+    /// The figures of a service's engines, if it has engines.
+    pub(crate) fn speed(&self, service: &Service) -> Option<Speed> {
+        let known = self.known();
+        let target = known.rules.as_ref()?.service(service)?;
+        target.engine.clone()
+    }
+
     /// How an instance stands as a candidate.
     pub(crate) fn candidate(
         &self,
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -14,6 +14,8 @@
 //! | [`deadline`] | entry | how long may it take, and will that do |
 //! | [`engine`] | both | what does work on an engine cost |
 //! | [`admission`] | entry | is a long prompt worth the engines' time now |
+//! | [`startup`] | entry | does a prompt wait in the first moments of a host |
+//! | [`share`] | entry | how does an organisation stand with its share |
 //! | [`cell`] | entry | which engines come first for this host |
 //! | [`fill`] | entry | which of several engines, on knowledge that is old |
 //! | [`limit`] | entry | does the organisation have room for it |
@@ -50,4 +52,5 @@
 pub mod queue;
 pub mod retry;
 pub mod share;
+pub mod startup;
 pub mod throttle;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -253,6 +253,9 @@
         "How long after it is told to stop the process is ended by force, where somebody else sets it. \
          `drain_grace` is cut so that both together end nine tenths of it after the start of the stop."
         ).unit("s"),
+    Key::new("gateway", "settling", Number(0, 60_000), Default("0"),
+        "How long after its start a host lets short prompts go before long ones, and holds prompts for a \
+         moment until it knows the loads of other hosts.").unit("ms"),
     Key::new("gateway", "places", Word(&["yes", "no"]), Default("no"),
         "Whether short prompts are admitted by the engines' free slots when these are scarce: who can \
          still be in time goes first, who can't waits at the host for a slot."),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -172,6 +172,7 @@
         let stop_time = self.decimal(s, "stop_time").map(Duration::from_secs_f64);
         let drain_delay = self.millis(s, "drain_delay");
         let drain_grace = self.millis(s, "drain_grace");
+        let settling = self.millis(s, "settling");
         let places = self.word(s, "places").map(|word| word == "yes");
         let shares = self.word(s, "shares").map(|word| word == "yes");
         let observed_pace = self.word(s, "observed_pace").map(|word| word == "yes");
@@ -190,6 +191,7 @@
             stop_time,
             drain_delay: drain_delay?,
             drain_grace: drain_grace?,
+            settling: settling?,
             places: places?,
             shares: shares?,
             observed_pace: observed_pace?,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -145,6 +145,8 @@
     pub drain_delay: Duration,
     /// How long answers in progress may take on a stop.
     pub drain_grace: Duration,
+    /// How long after its start a host lets short prompts go first.
+    pub settling: Duration,
     /// Short prompts are admitted by the engines' free slots.
     pub places: bool,
     /// Organisations get fair shares under contention.
