--- a/almondlock-policy/src/admission.rs
+++ b/almondlock-policy/src/admission.rs
@@ -24,12 +24,16 @@
 //! **When to come back.** A refused caller is told to come back once the engines have
 //! read what keeps it out: after as much time as it was expected beyond its bound.
 //! Coming back at once, it meets the same engines and is refused again.
+//!
+//! **Over its share.** While the engines are busy, the bound for an organisation that is over
+//! its fair share is divided by how many times its share it has. A prompt that nothing is
+//! read before is judged as any other: it displaces nobody.
 
 use std::time::Duration;
 
 use almondlock_base::time::Mono;
 
-use crate::engine::Speed;
+use crate::{engine::Speed, share::Standing};
 
 /// A long prompt is refused when its first event is expected later than this
 /// part of its objective. What comes after it, pauses and parts of others, has
@@ -77,12 +81,25 @@
 
 /// Whether a prompt is refused: if it is, when its caller should come back.
 pub fn refusal(speed: &Speed, case: &Case) -> Option<Duration> {
+    refusal_of(speed, case, Standing::Within, Duration::ZERO)
+}
+
+/// The same for a prompt of an organisation that stands like this with its share. `alone` is
+/// when the prompt's first event would be expected, from now, if its engines had nothing else
+/// to read.
+pub fn refusal_of(
+    speed: &Speed,
+    case: &Case,
+    standing: Standing,
+    alone: Duration,
+) -> Option<Duration> {
     if speed.reading(case.prompt) <= COSTLY {
         return None;
     }
     let late = case.spent + case.expected;
     let bound = case.objective.mul_f64(HOPELESS);
     let busy_bound = bound.mul_f64(relative_yield(speed, case));
+    let busy_bound = tightened(busy_bound, standing, case.spent + alone);
     let idle = case.objective.mul_f64(IDLE);
     let is_idle = case.backlog <= idle;
     let idle_bound = case.objective.mul_f64(idle_share(case, idle));
@@ -90,6 +107,15 @@
     is_refused.then(|| late.saturating_sub(busy_bound))
 }
 
+/// The bound for a prompt while the engines are busy, given how its organisation stands. Not
+/// tightened below `alone`, by when the prompt is expected if its engines are idle.
+fn tightened(bound: Duration, standing: Standing, alone: Duration) -> Duration {
+    match standing {
+        Standing::Within => bound,
+        Standing::Over { by } => bound.min(bound.div_f64(1.0 + by.max(0.0)).max(alone)),
+    }
+}
+
 /// By which part of its objective a prompt must be expected that comes to idle engines:
 /// sooner the more they have left to read, and the more of them it takes.
 fn idle_share(case: &Case, idle: Duration) -> f64 {
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -20,6 +20,7 @@
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
 //! | [`poison`] | both | does it kill engines, and how does it run then |
+//! | [`share`] | entry | has the organisation more than its share while others wait |
 //! | [`throttle`] | both | does an upstream's limit for all hosts leave room for it |
 //! | [`backoff`] | entry | has an upstream asked for a pause, or does it leave |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
@@ -28,7 +29,7 @@
 //! | [`ledger`] | sidecar | what is engine memory held for, and until when |
 //!
 //! Each module stands alone, but that [`admission`] reckons in the costs of
-//! [`engine`].
+//! [`engine`] and reads the standings of [`share`].
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
--- a/almondlock-policy/src/share/mod.rs
+++ b/almondlock-policy/src/share/mod.rs
@@ -1,4 +1,27 @@
 //! Fair shares of the engines among organisations.
+//!
+//! **Load pattern.** Organisations of unequal size share the engines of a service. One of
+//! them sends several times its usual rate, or repeats each refused request at once. First
+//! come, first served, it gets capacity in proportion to what it sends, and the requests of
+//! all others are late.
+//!
+//! **Max-min fairness.** Under contention, no organisation has more than a common level as
+//! long as another one that has less waits. The level is found by water filling
+//! ([`level`]): whoever asks for less than the level has all it asks for, and what it leaves
+//! raises the level for the others.
+//!
+//! **Two resources.** Slots and reading time are judged separately ([`Ruling`]): an
+//! organisation is over its share if it is over in either of them.
+
+mod level;
+mod ruling;
+
+use serde::{Deserialize, Serialize};
+
+pub use self::{
+    level::level,
+    ruling::{Capacity, Excess, Resource, Rest, Ruling},
+};
 
 /// How an organisation stands with its share.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -12,3 +35,52 @@
         by: f64,
     },
 }
+
+/// What an organisation has at the engines of a service, and what it waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Count {
+    /// Requests sent to an engine that have not ended.
+    pub slots: u32,
+    /// Of those, the ones whose first event has not come.
+    pub unread: u32,
+    /// Milliseconds of reading that those take, on all engines together.
+    pub reading: u32,
+    /// Requests that wait at a host, or were refused and told to return.
+    pub queued: u32,
+    /// Milliseconds of reading that those would take.
+    pub queued_reading: u32,
+}
+
+impl Count {
+    /// Adds another count.
+    pub fn add(&mut self, other: &Count) {
+        self.merge(other, u32::saturating_add);
+    }
+
+    /// Takes out what was added before.
+    pub fn subtract(&mut self, other: &Count) {
+        self.merge(other, u32::saturating_sub);
+    }
+
+    /// Whether nothing is in flight or waiting.
+    pub fn is_empty(&self) -> bool {
+        *self == Count::default()
+    }
+
+    /// Orders counts by what is in flight, then by what waits.
+    pub fn weight(&self) -> (u32, u32, u32) {
+        (self.slots, self.reading, self.queued)
+    }
+
+    fn merge<F>(&mut self, other: &Count, act: F)
+    where
+        F: Fn(u32, u32) -> u32,
+    {
+        self.slots = act(self.slots, other.slots);
+        self.unread = act(self.unread, other.unread);
+        self.reading = act(self.reading, other.reading);
+        self.queued = act(self.queued, other.queued);
+        self.queued_reading = act(self.queued_reading, other.queued_reading);
+    }
+}
--- /dev/null
+++ b/almondlock-policy/tests/max_min.rs
@@ -0,0 +1,179 @@
+//! One organisation sends several times its usual rate. Only what it has beyond its max-min
+//! share may be put behind others, only while others wait, and nothing without contention.
+
+use std::time::Duration;
+
+use almondlock_policy::{
+    admission::{Case, refusal, refusal_of},
+    engine::Speed,
+    share::{Capacity, Count, Resource, Rest, Ruling, Standing, level},
+};
+use proptest::prelude::*;
+use yare::parameterized;
+
+/// 120 slots, of which 110 count; 1,250 ms of reading.
+const TEN: Capacity = Capacity {
+    engines: 10,
+    slots: 120,
+};
+
+fn streams(slots: u32, unread: u32, queued: u32) -> Count {
+    Count {
+        slots,
+        unread,
+        queued,
+        ..Count::default()
+    }
+}
+
+fn judge(counts: &[(u32, Count)]) -> Ruling<u32> {
+    Ruling::new(TEN, counts, Rest::default())
+}
+
+#[parameterized(
+    all_satisfied = { 10.0, &[(2.0, 1), (8.0, 1)], None },
+    one_large = { 10.0, &[(2.0, 1), (9.0, 1)], Some(8.0) },
+    two_large = { 10.0, &[(20.0, 1), (2.0, 1), (30.0, 1)], Some(4.0) },
+    many_alike = { 10.0, &[(1.0, 4), (30.0, 2)], Some(3.0) },
+    nobody = { 10.0, &[], None },
+)]
+fn levels(capacity: f64, demands: &[(f64, u32)], expected: Option<f64>) {
+    assert_eq!(level(capacity, &mut demands.to_vec()), expected);
+}
+
+proptest! {
+    /// The capacity is shared out in full, and nobody gets more than it asks for.
+    #[test]
+    fn level_fills(capacity in 0.0..1e4_f64, demands in prop::collection::vec((0.0..1e3_f64, 1..5_u32), 1..40)) {
+        let asked: f64 = demands.iter().map(|(demand, count)| demand * f64::from(*count)).sum();
+        match level(capacity, &mut demands.clone()) {
+            None => prop_assert!(asked <= capacity + 1e-6),
+            Some(level) => {
+                let given = demands.iter().map(|(demand, count)| demand.min(level) * f64::from(*count));
+                prop_assert!((given.sum::<f64>() - capacity).abs() < 1e-6 * capacity.max(1.0));
+            }
+        }
+    }
+}
+
+/// Nothing is contended: an organisation that has nearly all there is stays within.
+#[test]
+fn no_contention() {
+    let ruling = judge(&[(1, streams(100, 20, 0)), (2, streams(5, 5, 0))]);
+    assert!(ruling.is_empty());
+}
+
+/// Slots are contended. Whoever has more than the level is over, by as much as it has more.
+#[test]
+fn greedy_is_over() {
+    let small = streams(10, 2, 0);
+    let ruling = judge(&[(1, streams(100, 40, 20)), (2, small), (3, small)]);
+    let excess = ruling.excess(&1).unwrap();
+    assert_eq!(
+        (excess.resource, excess.used, excess.share),
+        (Resource::Slots, 100.0, 90.0)
+    );
+    assert!(matches!(excess.behind, Some(2 | 3)));
+    assert_eq!(ruling.standing(&2), Standing::Within);
+    let Standing::Over { by } = ruling.standing(&1) else {
+        panic!("within");
+    };
+    assert!((by - 1.0 / 9.0).abs() < 1e-9);
+}
+
+/// Slots are contended, but nobody that has less waits: nobody is put behind.
+#[test]
+fn nobody_waits() {
+    let small = streams(10, 0, 0);
+    let ruling = judge(&[(1, streams(130, 40, 20)), (2, small), (3, small)]);
+    assert!(ruling.is_empty());
+}
+
+/// Engines' time is contended by long prompts while slots are free.
+#[test]
+fn reading_is_contended() {
+    let long = |reading, unread| Count {
+        slots: unread,
+        unread,
+        reading,
+        ..Count::default()
+    };
+    let ruling = judge(&[(1, long(3_000, 3)), (2, long(200, 2))]);
+    let excess = ruling.excess(&1).unwrap();
+    assert_eq!(
+        (excess.resource, excess.share),
+        (Resource::Reading, 1_050.0)
+    );
+    assert_eq!(ruling.standing(&2), Standing::Within);
+}
+
+/// Small organisations that are not listed still have shares, and their waiting counts.
+#[test]
+fn unlisted_count() {
+    let rest = Rest {
+        organisations: 10,
+        count: streams(50, 10, 0),
+    };
+    let ruling = Ruling::new(TEN, &[(1_u32, streams(100, 30, 0))], rest);
+    let excess = ruling.excess(&1).unwrap();
+    assert_eq!((excess.share, excess.behind), (60.0, None));
+}
+
+/// Without engines nothing can be shared out, and nobody is put behind.
+#[test]
+fn no_engines() {
+    let counts = [(1, streams(5, 5, 0)), (2, streams(1, 1, 0))];
+    let ruling = Ruling::new(Capacity::default(), &counts, Rest::default());
+    assert!(ruling.is_empty());
+}
+
+fn speed() -> Speed {
+    Speed {
+        slots: 12,
+        memory: 382_500,
+        step: 0.925,
+        step_per_stream: 0.00483,
+        step_per_context: 0.00254,
+        read: 256.0,
+        pairs: 0.0917,
+        chunk: 2048.0,
+        stride: 52.0,
+    }
+}
+
+fn long(expected: u64, backlog: u64) -> Case {
+    Case {
+        prompt: 300_000,
+        objective: Duration::from_secs(4),
+        spent: Duration::ZERO,
+        expected: Duration::from_millis(expected),
+        backlog: Duration::from_millis(backlog),
+        taken: 0.1,
+    }
+}
+
+/// A stretch of long prompts from one organisation: its next one is refused earlier than
+/// others', but not if its engines are idle, nor while all of them are.
+#[parameterized(
+    others_take_it = { 1_200, 300, 0.0, false },
+    over = { 1_200, 300, 1.0, true },
+    over_on_idle_engines = { 700, 300, 9.0, false },
+    over_while_idle = { 1_200, 20, 9.0, false },
+)]
+fn long_prompts(expected: u64, backlog: u64, by: f64, refused: bool) {
+    let alone = Duration::from_millis(700);
+    let case = long(expected, backlog);
+    let refusal = refusal_of(&speed(), &case, Standing::Over { by }, alone);
+    assert_eq!(refusal.is_some(), refused);
+}
+
+proptest! {
+    /// A standing never lets in what would be refused without it.
+    #[test]
+    fn only_tightens(expected in 0..8_000_u64, backlog in 0..2_000_u64, alone in 0..8_000_u64, by in 0.0..20.0_f64) {
+        let case = long(expected, backlog);
+        let usual = refusal(&speed(), &case);
+        let over = refusal_of(&speed(), &case, Standing::Over { by }, Duration::from_millis(alone));
+        prop_assert!(usual.is_none() || over.is_some());
+    }
+}
