--- a/almondlock-policy/src/share/mod.rs
+++ b/almondlock-policy/src/share/mod.rs
@@ -12,15 +12,23 @@
 //!
 //! **Two resources.** Slots and reading time are judged separately ([`Ruling`]): an
 //! organisation is over its share if it is over in either of them.
+//!
+//! **Contention.** Slots are contended once the requests that have one or wait for one are
+//! more than all slots but one of each engine, and an organisation below the level waits.
+//! Long prompts keep engines reading in usual times too, for seconds each, so that reading
+//! is contended only once a prompt of an organisation below the level waits at a host or was
+//! refused, while engines are busy.
 
 mod level;
+mod rank;
 mod ruling;
 
 use serde::{Deserialize, Serialize};
 
 pub use self::{
     level::level,
-    ruling::{Capacity, Excess, Resource, Rest, Ruling},
+    rank::rank,
+    ruling::{Capacity, Excess, Resource, Ruling},
 };
 
 /// How an organisation stands with its share.
@@ -84,3 +92,13 @@
         self.queued_reading = act(self.queued_reading, other.queued_reading);
     }
 }
+
+/// Organisations that are not listed one by one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Rest {
+    /// How many there are.
+    pub organisations: u32,
+    /// What they have together. Each counts with an equal part.
+    pub count: Count,
+}
--- a/almondlock-policy/src/share/ruling.rs
+++ b/almondlock-policy/src/share/ruling.rs
@@ -2,11 +2,11 @@
 
 use std::{collections::HashMap, hash::Hash, time::Duration};
 
-use super::{Count, Standing, level};
+use super::{Count, Rest, Standing, level};
 
-/// Reading time that engines are promised, in the mean, from which on it is contended: half
-/// of 250 ms, the time within which most short prompts have to have their first event. With
-/// more to read before it, a short prompt that takes as long itself is late.
+/// Reading time that engines are promised, in the mean, below which it isn't contended: half
+/// of 250 ms, the time within which most short prompts have to have their first event. What
+/// is refused while there is less to read can't be served by taking time from others.
 const CONTENDED: Duration = Duration::from_millis(125);
 
 /// Slots of an engine that don't count as capacity. Hosts place requests by counts that are
@@ -40,15 +40,31 @@
         }
     }
 
-    /// How much of it is shared out before it is contended.
-    fn capacity(self, capacity: Capacity) -> f64 {
+    /// How much of it there is to share out. None: it isn't contended, whatever is asked
+    /// for. `used` is what all organisations have.
+    ///
+    /// Engines have no fixed amount of reading: what they are promised when prompts are
+    /// refused is what can be read in time.
+    fn capacity(self, capacity: Capacity, used: f64) -> Option<f64> {
         let Capacity { engines, slots } = capacity;
         match self {
             Resource::Slots => {
                 let even = slots.saturating_sub(engines.saturating_mul(UNEVEN));
-                f64::from(even.max(slots / 2))
+                Some(f64::from(even.max(slots / 2)))
             }
-            Resource::Reading => f64::from(engines) * CONTENDED.as_secs_f64() * 1e3,
+            Resource::Reading => {
+                let least = f64::from(engines) * CONTENDED.as_secs_f64() * 1e3;
+                (engines > 0 && used >= least).then_some(used)
+            }
+        }
+    }
+
+    /// Whether an organisation waits for it. A prompt that was sent waits for a slot, if the
+    /// engines have none; reading time it was promised.
+    fn is_waited_for(self, count: &Count) -> bool {
+        match self {
+            Resource::Slots => count.unread + count.queued > 0,
+            Resource::Reading => count.queued_reading > 0,
         }
     }
 
@@ -68,15 +84,6 @@
     }
 }
 
-/// Organisations that are not listed one by one.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Rest {
-    /// How many there are.
-    pub organisations: u32,
-    /// What they have together. Each counts with an equal part.
-    pub count: Count,
-}
-
 /// By how much an organisation is over its share.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Excess<K> {
@@ -167,11 +174,14 @@
     if rest.organisations > 0 {
         demands.push((resource.demand(&rest.count) / others, rest.organisations));
     }
-    let level = level(resource.capacity(capacity), &mut demands);
+    let listed = counts.iter().map(|(_, count)| resource.used(count));
+    let used = listed.sum::<f64>() + resource.used(&rest.count);
+    let capacity = resource.capacity(capacity, used);
+    let level = capacity.and_then(|capacity| level(capacity, &mut demands));
     let Some(share) = level.filter(|level| *level > 0.0) else {
         return Vec::new();
     };
-    let waits = |count: &Count| count.unread + count.queued > 0;
+    let waits = |count: &Count| resource.is_waited_for(count);
     let listed = counts.iter().filter(|(_, count)| waits(count));
     let listed = listed.map(|(key, count)| (resource.used(count), Some(*key)));
     let unlisted = (rest.organisations > 0 && waits(&rest.count))
