--- a/almondlock-gateway/src/exchange/gather.rs
+++ b/almondlock-gateway/src/exchange/gather.rs
@@ -106,6 +106,12 @@
         self.hosts.keys().copied()
     }
 
+    /// Whether a host follows this relay closely.
+    pub fn is_followed_by(&self, host: &SocketAddr) -> bool {
+        let told = self.hosts.get(host);
+        told.is_some_and(|told| told.digest.listens == Listen::Closely)
+    }
+
     /// The time until the next round.
     pub fn period(&self) -> Duration {
         let all = self.hosts.values();
--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -198,6 +198,12 @@
     if is_all {
         teller.all_at = now;
         teller.has_news = false;
+        if let Some(report) = worker.share_report(now) {
+            let message = Message::Shares(report);
+            for to in &all {
+                send(socket, *to, &message).await;
+            }
+        }
     }
     let directly = teller.relays.alone(now);
     for to in all.into_iter().chain(directly) {
@@ -253,7 +259,11 @@
             worker.suspicion.hear(now, &suspects);
             Ok(())
         }
-        Message::Ask(_) | Message::Lost(_) | Message::Harmless(_) => {
+        Message::ShareTotals(envelope) => {
+            worker.hear_totals(now, from, &envelope);
+            Ok(())
+        }
+        Message::Ask(_) | Message::Lost(_) | Message::Harmless(_) | Message::Shares(_) => {
             tracing::debug!(%from, "a host's message to relays sent to a host");
             Ok(())
         }
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -26,6 +26,9 @@
 //! out permits to send to such upstreams ([`Ration`]). And hosts tell all relays of
 //! requests that upstreams were lost with, so that the relays can have such a request
 //! refused by all hosts ([`Suspects`]).
+//!
+//! Hosts whose settings ask for fair shares tell all relays what organisations have in
+//! flight, and the relays tell such hosts the sums ([`shares`]).
 
 mod gather;
 mod host;
@@ -33,6 +36,7 @@
 mod ration;
 mod relay;
 mod relays;
+pub mod shares;
 mod suspects;
 
 use std::net::SocketAddr;
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -6,7 +6,9 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Gather, Message, Ration, Round, Sum, Suspects, send, send_bytes};
+use super::{
+    DATAGRAM, Gather, Message, Ration, Round, Sum, Suspects, send, send_bytes, shares::Tally,
+};
 
 /// What a relay has heard.
 #[derive(Default)]
@@ -14,6 +16,7 @@
     gather: Gather,
     ration: Ration,
     suspects: Suspects,
+    shares: Tally,
 }
 
 /// Adds up what entry hosts tell, in this failure domain, and gives out permits, until the
@@ -43,6 +46,7 @@
                 next = now + state.gather.period();
                 send_round(&socket, &round).await;
                 send_news(&socket, &mut state, &round).await;
+                send_totals(&socket, &mut state).await;
             }
         }
     }
@@ -65,11 +69,13 @@
         }
         Message::Lost(loss) => state.suspects.lose(now, &loss),
         Message::Harmless(print) => state.suspects.clear(now, print),
+        Message::Shares(envelope) => state.shares.hear(now, from, &envelope),
         Message::Sum { .. }
         | Message::Beacon { .. }
         | Message::Introduction(_)
         | Message::Permit(_)
-        | Message::Suspects(_) => {
+        | Message::Suspects(_)
+        | Message::ShareTotals(_) => {
             tracing::debug!(%from, "a relay's message sent to a relay");
         }
     }
@@ -99,6 +105,19 @@
     }
 }
 
+/// Sends the sums by organisation to the hosts that report to this relay and follow it.
+async fn send_totals(socket: &UdpSocket, state: &mut State) {
+    let Some((envelope, hosts)) = state.shares.take(clock::mono()) else {
+        return;
+    };
+    let message = Message::ShareTotals(envelope);
+    for to in hosts {
+        if state.gather.is_followed_by(&to) {
+            send(socket, to, &message).await;
+        }
+    }
+}
+
 /// A message of all of these, if there are any.
 fn some<T, F>(entries: Vec<T>, message: F) -> Option<Message>
 where
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -15,6 +15,7 @@
     life::Request,
     load::{Ticket, Work},
     pick::{self, Choice},
+    share::Claim,
     worker::{Target, Worker},
 };
 
@@ -37,6 +38,8 @@
     worker: Rc<Worker<D>>,
     tickets: Vec<(Upstream, Ticket)>,
     leases: RefCell<Option<Leases<D>>>,
+    // Its part of what its organisation has in flight.
+    claim: Option<Claim>,
     // Some of the memory is on engines that only help.
     is_elsewhere: bool,
     // When the first event is expected.
@@ -90,6 +93,7 @@
             worker: Rc::clone(worker),
             tickets,
             leases: RefCell::default(),
+            claim: worker.claim_sent(request, choice),
             is_elsewhere: choice.shares.iter().any(|s| s.place != choice.first),
             expected: now + choice.expected,
             is_read: Cell::new(false),
@@ -126,6 +130,9 @@
     /// The prompt is read.
     pub(crate) fn read(&self) {
         self.is_read.set(true);
+        if let Some(claim) = &self.claim {
+            claim.read();
+        }
         let mut load = self.worker.load.borrow_mut();
         for (upstream, ticket) in &self.tickets {
             load.read(upstream, *ticket);
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 //! | [`memory`] | how much of a large prompt is held by which engine |
 //! | [`pick`] | which upstream, and with which helpers |
 //! | [`budget`] | whether another attempt may be sent |
+//! | [`share`] | what organisations have in flight, and which are over their share |
 //! | [`verdict`] | what a failed attempt proves, and what may follow |
 //! | [`upstream`] | one HTTP/1.1 connection to an upstream |
 //! | [`pool`] | connections that wait for their next request |
@@ -23,6 +24,7 @@
 //! | `limit` | limits that upstreams name for all hosts |
 //! | `placement` | where an attempt goes, and what it waits for before |
 //! | `permit` | permits for upstreams that name one, asked of relays |
+//! | `standing` | requests of organisations that are over their share |
 //! | `suspicion` | requests that upstreams were lost with, counted over all hosts |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
@@ -55,6 +57,8 @@
 mod response;
 pub mod rules;
 pub mod server;
+pub mod share;
+mod standing;
 mod suspicion;
 pub mod upstream;
 pub mod verdict;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -38,7 +38,7 @@
 /// so that another one can still answer in time.
 const GIVE_UP_SHARE: f64 = 0.6;
 /// The last rank at an engine.
-const LAST: u32 = 9;
+pub(crate) const LAST: u32 = 9;
 /// When to come back after a refusal at the least: a few passes of an engine.
 const RETRY_LEAST: Duration = Duration::from_millis(150);
 
@@ -88,10 +88,19 @@
     /// Its rank at an engine, 0 to 9: each doubling of the objective is one
     /// place further back.
     pub(crate) fn priority(&self) -> u32 {
+        let own = self.organisation.as_ref().and_then(|o| o.priority);
+        self.rank(own.unwrap_or(self.route.priority))
+    }
+
+    /// The rank of its kind: its own without regard to its organisation.
+    pub(crate) fn kind_rank(&self) -> u32 {
+        self.rank(self.route.priority)
+    }
+
+    fn rank(&self, priority: u32) -> u32 {
         let hundreds = u32::try_from(self.route.objective.as_millis() / 100).unwrap_or(u32::MAX);
         let rank = hundreds.checked_ilog2().unwrap_or(0);
-        let own = self.organisation.as_ref().and_then(|o| o.priority);
-        (rank + own.unwrap_or(self.route.priority).saturating_sub(1)).min(LAST)
+        (rank + priority.saturating_sub(1)).min(LAST)
     }
 }
 
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -114,7 +114,12 @@
 impl Key {
     /// That of an upstream.
     pub fn of(name: &Upstream) -> Key {
-        Key(crc32fast::hash(name.as_str().as_bytes()))
+        Key::named(name.as_str())
+    }
+
+    /// That of anything else with a name.
+    pub fn named(name: &str) -> Key {
+        Key(crc32fast::hash(name.as_bytes()))
     }
 }
 
@@ -324,12 +329,22 @@
     /// The sum that was told last, unless another relay knows far more hosts. Once no
     /// relay answers any more, what hosts tell each other directly counts, if they do.
     fn sum(&self, now: Mono) -> Option<&Summed> {
+        self.relayed(now).map(|(_, sum)| sum)
+    }
+
+    /// The relay that loads come from at present. None if they don't come from one.
+    pub fn relay(&self, now: Mono) -> Option<SocketAddr> {
+        self.relayed(now).map(|(relay, _)| relay)
+    }
+
+    fn relayed(&self, now: Mono) -> Option<(SocketAddr, &Summed)> {
         let directly = self.fresh(now).next().is_some();
         let age = if directly { SILENCE } else { FORGET };
-        let fresh = self.sums.values().filter(|sum| now.since(sum.at) < age);
-        let last = fresh.clone().max_by_key(|sum| (sum.at, sum.hosts))?;
-        let most = fresh.max_by_key(|sum| (sum.hosts, sum.at))?;
-        let is_far_more = f64::from(most.hosts) > f64::from(last.hosts) * FAR_MORE;
+        let sums = self.sums.iter().map(|(relay, sum)| (*relay, sum));
+        let fresh = sums.filter(|(_, sum)| now.since(sum.at) < age);
+        let last = fresh.clone().max_by_key(|(_, sum)| (sum.at, sum.hosts))?;
+        let most = fresh.max_by_key(|(_, sum)| (sum.hosts, sum.at))?;
+        let is_far_more = f64::from(most.1.hosts) > f64::from(last.1.hosts) * FAR_MORE;
         Some(if is_far_more { most } else { last })
     }
 
--- a/almondlock-gateway/src/outgoing.rs
+++ b/almondlock-gateway/src/outgoing.rs
@@ -84,7 +84,7 @@
         set(&names.last_event, &after.to_string());
     }
     if request.demand.is_some() {
-        set(&names.priority, &request.priority().to_string());
+        set(&names.priority, &worker.priority(request, now).to_string());
     }
     let helpers = placed.helpers(&worker.dialect);
     if !helpers.is_empty() {
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -5,7 +5,7 @@
 
 use almondlock_base::{id::Upstream, time::Mono};
 use almondlock_node::clock;
-use almondlock_policy::admission;
+use almondlock_policy::{admission, share::Standing};
 
 use crate::{
     attempt::Broken,
@@ -102,6 +102,7 @@
         }
         let refused = refusal(worker, request, (targets, &choice), now);
         if let Some(refused) = refused.filter(|_| is_new) {
+            worker.note_refused(request, &choice, now, refused.returns);
             return Err(refused);
         }
         let first = targets.get(choice.first);
@@ -176,7 +177,12 @@
         // Counts of engines are far below the precision of an `f64`.
         taken: (choice.helpers.len() + 1) as f64 / targets.len().max(1) as f64,
     };
-    let returns = admission::refusal(speed, &case)?;
+    let standing = worker.standing(now, request);
+    let alone = choice.part + speed.writing(1, demand.prompt);
+    let returns = admission::refusal_of(speed, &case, standing, alone)?;
+    if standing != Standing::Within && admission::refusal(speed, &case).is_none() {
+        worker.note_deprioritised(request, now, "refused");
+    }
     let (expected, backlog) = (choice.expected.as_millis(), backlog.as_millis());
     let reason =
         format!("first event expected in {expected} ms, mean backlog over a second {backlog} ms");
--- a/almondlock-gateway/src/rules.rs
+++ b/almondlock-gateway/src/rules.rs
@@ -196,6 +196,13 @@
         self.keyed && !route.public
     }
 
+    /// Whether keys belong to two organisations or more.
+    pub fn has_several_organisations(&self) -> bool {
+        let mut all = self.keys.values();
+        let first = all.next();
+        first.is_some_and(|first| all.any(|other| other.name != first.name))
+    }
+
     /// The organisation that a key belongs to.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
         self.keys.get(key)
--- /dev/null
+++ b/almondlock-gateway/src/share/ledger.rs
@@ -0,0 +1,121 @@
+//! What organisations have in flight at this host.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use almondlock_policy::share::Count;
+
+use crate::{
+    exchange::shares::{Counts, Tag},
+    load::Key,
+};
+
+/// Counts by organisation and service. Clones share them.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    // Invariant: the sum of all claims; none is empty.
+    counts: Rc<RefCell<HashMap<Tag, Entry>>>,
+}
+
+#[derive(Debug)]
+struct Entry {
+    name: Arc<str>,
+    count: Count,
+}
+
+/// One request's part of the counts, until it is dropped.
+#[derive(Debug)]
+pub struct Claim {
+    ledger: Ledger,
+    tag: Tag,
+    name: Arc<str>,
+    count: Cell<Count>,
+}
+
+impl Ledger {
+    /// A request was sent to an engine. Its prompt takes `reading` of all engines together.
+    pub fn send(&self, service: &str, organisation: &Arc<str>, reading: Duration) -> Claim {
+        let count = Count {
+            slots: 1,
+            unread: 1,
+            reading: millis(reading),
+            ..Count::default()
+        };
+        self.claim(service, organisation, count)
+    }
+
+    /// A request waits at this host, or will return to one.
+    pub fn queue(&self, service: &str, organisation: &Arc<str>, reading: Duration) -> Claim {
+        let count = Count {
+            queued: 1,
+            queued_reading: millis(reading),
+            ..Count::default()
+        };
+        self.claim(service, organisation, count)
+    }
+
+    /// All counts, bounded.
+    pub fn counts(&self) -> Counts {
+        let counts = self.counts.borrow();
+        let all = counts.iter().map(|(tag, entry)| (*tag, entry.count));
+        Counts::new(all.collect(), BTreeMap::new())
+    }
+
+    /// The name of an organisation that has something in flight here.
+    pub fn name(&self, organisation: Key) -> Option<Arc<str>> {
+        let counts = self.counts.borrow();
+        let mut entries = counts.iter();
+        let found = entries.find(|(tag, _)| tag.organisation == organisation);
+        found.map(|(_, entry)| Arc::clone(&entry.name))
+    }
+
+    fn claim(&self, service: &str, organisation: &Arc<str>, count: Count) -> Claim {
+        let claim = Claim {
+            ledger: self.clone(),
+            tag: Tag::of(service, organisation),
+            name: Arc::clone(organisation),
+            count: Cell::default(),
+        };
+        claim.set(count);
+        claim
+    }
+}
+
+impl Claim {
+    /// The first event has come.
+    pub fn read(&self) {
+        let count = self.count.get();
+        self.set(Count {
+            slots: count.slots,
+            ..Count::default()
+        });
+    }
+
+    fn set(&self, count: Count) {
+        let mut counts = self.ledger.counts.borrow_mut();
+        let entry = counts.entry(self.tag).or_insert_with(|| Entry {
+            name: Arc::clone(&self.name),
+            count: Count::default(),
+        });
+        entry.count.subtract(&self.count.replace(count));
+        entry.count.add(&count);
+        if entry.count.is_empty() {
+            counts.remove(&self.tag);
+        }
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.set(Count::default());
+    }
+}
+
+fn millis(span: Duration) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/almondlock-gateway/src/standing.rs
@@ -0,0 +1,272 @@
+//! Requests of organisations that are over their share of the engines.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use almondlock_base::{id::Service, time::Mono};
+use almondlock_policy::share::{Capacity, Standing, rank};
+
+use crate::{
+    dialect::Dialect,
+    exchange::shares::{Envelope, PERIOD, Report, Tag},
+    life::{LAST, Request},
+    load::Key,
+    pick::Choice,
+    rules::Organisation,
+    share::{Claim, Finding, Known, Ledger},
+    worker::Worker,
+};
+
+/// Refused requests that count as waiting. The oldest go first.
+const REFUSED: usize = 256;
+/// A refused request counts as waiting no longer than this: its caller may not return.
+const RETURNS: Duration = Duration::from_secs(1);
+/// Lines about deprioritised requests in a second.
+const LINES: u32 = 5;
+/// Organisations that metrics name at one time: those with the most in flight.
+const LARGEST: usize = 8;
+/// Organisations that metrics name in a process's life.
+const NAMED: usize = 64;
+/// What metrics call the others.
+const OTHERS: &str = "others";
+
+/// What this host knows of organisations' shares.
+#[derive(Debug, Default)]
+pub(crate) struct Shares {
+    ledger: Ledger,
+    known: RefCell<Known>,
+    /// When each claim of a refused request ends.
+    refused: RefCell<VecDeque<(Mono, Claim)>>,
+    /// The ranks of the kinds of requests that came, a bit each, by service.
+    kinds: RefCell<HashMap<Service, u16>>,
+    /// When the last report was made, its number, and whether it was empty.
+    reported: Cell<(Mono, u32, bool)>,
+    lines: Cell<Lines>,
+    /// Organisations that metrics name.
+    named: RefCell<BTreeSet<Arc<str>>>,
+}
+
+/// Bounds the lines of each second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lines {
+    since: Mono,
+    count: u32,
+    suppressed: u64,
+}
+
+impl Lines {
+    /// Whether a line is logged now: if it is, how many weren't since the last one.
+    fn pass(&mut self, now: Mono) -> Option<u64> {
+        if now.since(self.since) >= Duration::from_secs(1) {
+            (self.since, self.count) = (now, 0);
+        }
+        if self.count >= LINES {
+            self.suppressed += 1;
+            return None;
+        }
+        self.count += 1;
+        Some(std::mem::take(&mut self.suppressed))
+    }
+}
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    /// How a request's organisation stands with its share of the service's engines.
+    pub(crate) fn standing(&self, now: Mono, request: &Request) -> Standing {
+        self.finding(now, request)
+            .map_or(Standing::Within, |finding| Standing::Over {
+                by: finding.excess.by(),
+            })
+    }
+
+    /// The rank of a request at an engine: one further back if its organisation is over its
+    /// share, never level with a less urgent kind.
+    pub(crate) fn priority(&self, request: &Request, now: Mono) -> u32 {
+        let own = request.priority();
+        if self.sharer(request).is_none() {
+            return own;
+        }
+        let kind = request.kind_rank();
+        let kinds = {
+            let mut all = self.shares.kinds.borrow_mut();
+            let kinds = all.entry(request.service.clone()).or_default();
+            *kinds |= 1 << kind;
+            *kinds
+        };
+        if self.finding(now, request).is_none() {
+            return own;
+        }
+        let behind = rank(own, kind, kinds, LAST);
+        if behind != own {
+            self.note_deprioritised(request, now, "ranked behind");
+        }
+        behind
+    }
+
+    /// Counts a request that is sent to engines, until the claim is dropped.
+    pub(crate) fn claim_sent(&self, request: &Request, choice: &Choice) -> Option<Claim> {
+        let organisation = self.sharer(request)?;
+        let ledger = &self.shares.ledger;
+        Some(ledger.send(
+            request.service.as_str(),
+            &organisation.name,
+            reading(choice),
+        ))
+    }
+
+    /// Counts a request as waiting that has no place at an engine, until the claim is
+    /// dropped.
+    pub(crate) fn claim_queued(&self, request: &Request, reading: Duration) -> Option<Claim> {
+        let organisation = self.sharer(request)?;
+        let ledger = &self.shares.ledger;
+        Some(ledger.queue(request.service.as_str(), &organisation.name, reading))
+    }
+
+    /// Counts a request as waiting whose caller was told to return.
+    pub(crate) fn note_refused(
+        &self,
+        request: &Request,
+        choice: &Choice,
+        now: Mono,
+        returns: Option<Duration>,
+    ) {
+        let Some(claim) = self.claim_queued(request, reading(choice)) else {
+            return;
+        };
+        let until = now + returns.unwrap_or(RETURNS).min(RETURNS);
+        let mut refused = self.shares.refused.borrow_mut();
+        if refused.len() >= REFUSED {
+            refused.pop_front();
+        }
+        refused.push_back((until, claim));
+    }
+
+    /// Logs and counts a request that others are served before, since its organisation is
+    /// over its share. `action` tells what was done.
+    pub(crate) fn note_deprioritised(&self, request: &Request, now: Mono, action: &str) {
+        let organisation = self.sharer(request);
+        let Some((organisation, finding)) = organisation.zip(self.finding(now, request)) else {
+            return;
+        };
+        let label = self.label(&organisation.name, &finding);
+        self.shared.metrics.count("deprioritised", &label);
+        let mut lines = self.shares.lines.get();
+        let passed = lines.pass(now);
+        self.shares.lines.set(lines);
+        let Some(suppressed) = passed else {
+            return;
+        };
+        let excess = &finding.excess;
+        tracing::info!(
+            request = %request.id, organisation = %organisation.name, action,
+            resource = excess.resource.as_str(), used = excess.used, share = excess.share,
+            age_ms = finding.age.as_millis(), behind = %self.behind(excess.behind), suppressed,
+            "deprioritised"
+        );
+    }
+
+    /// What this host tells relays of its organisations, if it is time to.
+    pub(crate) fn share_report(&self, now: Mono) -> Option<Envelope> {
+        let (at, number, was_empty) = self.shares.reported.get();
+        if !self.are_shares_in_force() || now.since(at) < PERIOD {
+            return None;
+        }
+        self.shares
+            .refused
+            .borrow_mut()
+            .retain(|(until, _)| now < *until);
+        let counts = self.shares.ledger.counts();
+        let (number, is_empty) = (number.wrapping_add(1), counts.is_empty());
+        self.shares.reported.set((now, number, is_empty));
+        let report = Report {
+            host: self.host,
+            number,
+            counts,
+        };
+        // An empty one is told once.
+        (!is_empty || !was_empty && number > 1)
+            .then(|| Envelope::of(&report))
+            .flatten()
+    }
+
+    /// A relay told the sums of all hosts.
+    pub(crate) fn hear_totals(&self, now: Mono, relay: SocketAddr, envelope: &Envelope) {
+        if !self.are_shares_in_force() {
+            return;
+        }
+        let Some(totals) = envelope.open(relay) else {
+            return;
+        };
+        let known = self.known();
+        let capacity = |service: Key| {
+            let mut services = known.instances.iter();
+            let found = services.find(|(name, _)| Key::named(name.as_str()) == service);
+            let targets = found.map_or(&[][..], |(_, targets)| targets);
+            Capacity {
+                engines: u32::try_from(targets.len()).unwrap_or(u32::MAX),
+                slots: targets.iter().map(|target| target.slots).sum(),
+            }
+        };
+        let mut heard = self.shares.known.borrow_mut();
+        heard.hear(now, relay, &totals, capacity);
+    }
+
+    /// Whether shares are computed: the settings ask for it, and there are organisations to
+    /// share among.
+    fn are_shares_in_force(&self) -> bool {
+        self.features.shares
+            && self
+                .known()
+                .rules
+                .as_ref()
+                .is_some_and(|rules| rules.has_several_organisations())
+    }
+
+    /// The organisation that a request for an engine counts for.
+    fn sharer<'a>(&self, request: &'a Request) -> Option<&'a Arc<Organisation>> {
+        let organisation = request.organisation.as_ref()?;
+        let counts = request.demand.is_some() && self.are_shares_in_force();
+        counts.then_some(organisation)
+    }
+
+    fn finding(&self, now: Mono, request: &Request) -> Option<Finding> {
+        let organisation = self.sharer(request)?;
+        let relay = self.load.borrow().relay(now)?;
+        let tag = Tag::of(request.service.as_str(), &organisation.name);
+        self.shares.known.borrow().excess(now, relay, tag)
+    }
+
+    /// The metric's label of an organisation: its name if it is one of the largest.
+    fn label(&self, name: &Arc<str>, finding: &Finding) -> String {
+        let mut named = self.shares.named.borrow_mut();
+        let is_known = named.contains(name);
+        let is_named = finding.place < LARGEST && (is_known || named.len() < NAMED);
+        if is_named && !is_known {
+            named.insert(Arc::clone(name));
+        }
+        let name = if is_named { name } else { OTHERS };
+        format!("organisation=\"{name}\"")
+    }
+
+    /// Names the organisation that a request was put behind, as far as it is known.
+    fn behind(&self, organisation: Option<Key>) -> String {
+        let Some(key) = organisation else {
+            return OTHERS.to_owned();
+        };
+        let name = self.shares.ledger.name(key);
+        name.map_or_else(|| key.to_string(), |name| name.to_string())
+    }
+}
+
+/// The reading time of a prompt on all engines together.
+fn reading(choice: &Choice) -> Duration {
+    let engines = u32::try_from(choice.helpers.len() + 1).unwrap_or(u32::MAX);
+    choice.part.saturating_mul(engines)
+}
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -43,6 +43,7 @@
     pick::{Candidate, Choice},
     pool::Pool,
     rules::Rules,
+    standing::Shares,
     suspicion::Suspicion,
 };
 
@@ -214,6 +215,8 @@
     pub(crate) permits: Permits,
     /// Requests that upstreams were lost with.
     pub(crate) suspicion: Suspicion,
+    /// What organisations have in flight, here and at all hosts.
+    pub(crate) shares: Shares,
     /// Headers of answers that nobody reads, as far as they were logged.
     pub(crate) unread: RefCell<BTreeSet<Box<str>>>,
     /// Where the memory of attempts goes that have ended.
@@ -277,6 +280,7 @@
             limits: RefCell::default(),
             permits: Permits::default(),
             suspicion: Suspicion::default(),
+            shares: Shares::default(),
             unread: RefCell::default(),
             ended,
         }
--- a/almondlock-gateway/tests/gateway/dialect.rs
+++ b/almondlock-gateway/tests/gateway/dialect.rs
@@ -6,7 +6,7 @@
 use almondlock_gateway::{
     dialect::{Call, Dialect, Names},
     memory::Order,
-    rules::{Error, Kind, Limits, Route, Rules, Target},
+    rules::{Error, Kind, Limits, Organisation, Route, Rules, Target},
 };
 use almondlock_policy::{engine::Speed, throttle::Rate};
 use ntex::http::header::HeaderName;
@@ -49,12 +49,16 @@
 
 /// A dialect with one route of each kind, `/KIND/`.
 #[derive(Clone)]
-pub struct Plain(Names);
+pub struct Plain {
+    names: Names,
+    // Organisations have a key each, which is their name.
+    organisations: &'static [&'static str],
+}
 
 impl Plain {
     pub fn new() -> Plain {
         let name = HeaderName::from_static;
-        Plain(Names {
+        let names = Names {
             request_id: name("x-id"),
             deadline: name("x-deadline"),
             key: name("x-key"),
@@ -71,13 +75,25 @@
             backoff: name("retry-after"),
             leaving: name("x-leaving"),
             last_event: name("last-event-id"),
-        })
+        };
+        Plain {
+            names,
+            organisations: &[],
+        }
+    }
+
+    /// The same, where requests need the key `large` or `small`.
+    pub fn with_organisations() -> Plain {
+        Plain {
+            organisations: &["large", "small"],
+            ..Plain::new()
+        }
     }
 }
 
 impl Dialect for Plain {
     fn names(&self) -> &Names {
-        &self.0
+        &self.names
     }
 
     fn read(&self, _: &str) -> Result<Rules, Error> {
@@ -123,6 +139,13 @@
                 public: false,
             })?;
         }
+        for name in self.organisations {
+            let organisation = Organisation {
+                name: (*name).into(),
+                priority: None,
+            };
+            rules.organisation(organisation, &[(*name).into()])?;
+        }
         Ok(rules.build())
     }
 
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -62,6 +62,10 @@
     /// The first upstream stands alone in the host's failure domain, which is evacuated this
     /// long after the start.
     evacuate: Option<Duration>,
+    /// Requests need a key of one of two organisations.
+    organised: bool,
+    /// Organisations get fair shares.
+    shares: bool,
 }
 
 const SETUP: Setup = Setup {
@@ -75,6 +79,8 @@
     relays: None,
     cold_upstreams: 0,
     evacuate: None,
+    organised: false,
+    shares: false,
 };
 
 const ENGINES: Setup = Setup {
@@ -173,6 +179,22 @@
     start_for(Setup { evacuate, ..SETUP }, upstreams)
 }
 
+/// The same as [`start_engines`], for two organisations, as one host of several that share
+/// these relays.
+pub fn start_engines_shared(
+    upstreams: &[SocketAddr],
+    relays: [SocketAddr; 2],
+    shares: bool,
+) -> SocketAddr {
+    let setup = Setup {
+        relays: Some(relays),
+        organised: true,
+        shares,
+        ..ENGINES
+    };
+    start_for(setup, upstreams)
+}
+
 /// Starts a relay; gives its address.
 pub fn start_relay() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -216,7 +238,11 @@
             let node = Node::start(node(), view, parts).await.unwrap();
             let handle = node.handle().clone();
             let settings = settings(listen, ready, &setup);
-            let server = server::start(settings, Plain::new(), handle).unwrap();
+            let dialect = match setup.organised {
+                true => Plain::with_organisations(),
+                false => Plain::new(),
+            };
+            let server = server::start(settings, dialect, handle).unwrap();
             started.send(()).unwrap();
             ntex::time::sleep(setup.cold).await;
             node.handle().view().replace(config.clone());
@@ -299,7 +325,10 @@
             retries,
             memory_hold: setup.hold,
         },
-        features: Features::default(),
+        features: Features {
+            shares: setup.shares,
+            ..Features::default()
+        },
         seed: next_host(),
         notice: Duration::ZERO,
         grace: setup.grace,
@@ -385,6 +414,18 @@
     stream.write_all(request.as_bytes()).unwrap();
 }
 
+/// Sends a short prompt to an engine with an organisation's key. The caller leaves when the
+/// connection is dropped.
+pub fn send_as(gateway: SocketAddr, key: &str) -> TcpStream {
+    let mut stream = TcpStream::connect(gateway).unwrap();
+    let request = format!(
+        "POST /engine/ HTTP/1.1\r\nhost: h\r\nx-id: {key}\r\nx-key: {key}\r\nx-deadline: 9000\r\n\
+         x-usage: 100,10\r\ncontent-length: 2\r\n\r\nhi"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
 /// Reads what comes on a connection until its end, or until nothing comes for so long.
 pub fn read(stream: &mut TcpStream, patience: Duration) -> String {
     stream.set_read_timeout(Some(patience)).unwrap();
--- /dev/null
+++ b/almondlock-gateway/tests/share_counts.rs
@@ -0,0 +1,318 @@
+//! Counts by organisation on their way from hosts through relays. Whatever is lost, late,
+//! or of another version, organisations count as within their shares, and datagrams stay
+//! small.
+
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+
+use almondlock_base::time::Mono;
+use almondlock_gateway::{
+    exchange::{
+        Message, Sum,
+        shares::{Counts, Envelope, FORMAT, FRESH, LISTED, PERIOD, Report, Tag, Tally, Totals},
+    },
+    load::{Key, Table},
+    share::{Known, Ledger},
+};
+use almondlock_policy::share::{Capacity, Count, Rest, rank};
+use yare::parameterized;
+
+const START: Mono = Mono::from_millis(10_000);
+const READING: Duration = Duration::from_millis(30);
+const CAPACITY: Capacity = Capacity {
+    engines: 2,
+    slots: 24,
+};
+
+fn address(n: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, n], 9))
+}
+
+fn after(ms: u64) -> Mono {
+    START + Duration::from_millis(ms)
+}
+
+fn counts(all: &[(&str, u32, u32)]) -> Counts {
+    let all = all.iter().map(|(name, slots, unread)| {
+        let count = Count {
+            slots: *slots,
+            unread: *unread,
+            ..Count::default()
+        };
+        (Tag::of("e", name), count)
+    });
+    Counts::new(all.collect(), BTreeMap::new())
+}
+
+/// `large` has three quarters of the slots, and `small` waits.
+fn contended() -> Counts {
+    counts(&[("large", 18, 2), ("small", 6, 2)])
+}
+
+fn report(host: u64, number: u32, counts: Counts) -> Envelope {
+    Envelope::of(&Report {
+        host,
+        number,
+        counts,
+    })
+    .unwrap()
+}
+
+fn totals(envelope: &Envelope) -> Totals {
+    envelope.open(address(99)).unwrap()
+}
+
+fn taken(tally: &mut Tally, now: Mono) -> Totals {
+    totals(&tally.take(now).unwrap().0)
+}
+
+fn is_over(known: &Known, now: Mono, relay: u8, name: &str) -> bool {
+    known
+        .excess(now, address(relay), Tag::of("e", name))
+        .is_some()
+}
+
+fn hear(known: &mut Known, now: Mono, relay: u8, totals: &Totals) {
+    known.hear(now, address(relay), totals, |_| CAPACITY);
+}
+
+/// Sums of two hosts make an organisation over that isn't at either.
+#[test]
+fn sums_over_hosts() {
+    let mut tally = Tally::default();
+    let half = counts(&[("large", 9, 1), ("small", 3, 1)]);
+    tally.hear(START, address(1), &report(1, 1, half.clone()));
+    tally.hear(START, address(2), &report(2, 1, half));
+    let (envelope, hosts) = tally.take(START).unwrap();
+    assert_eq!(hosts.len(), 2);
+    let totals = totals(&envelope);
+    assert_eq!(totals.counts, contended());
+    let mut known = Known::default();
+    hear(&mut known, START, 50, &totals);
+    assert!(is_over(&known, START, 50, "large"));
+    assert!(!is_over(&known, START, 50, "small"));
+    assert!(!is_over(&known, START, 50, "unheard"));
+}
+
+/// Relays fall silent: what they told last counts for half a second, then all
+/// organisations are within.
+#[test]
+fn relays_unavailable() {
+    let mut known = Known::default();
+    let totals = Totals {
+        age_ms: 0,
+        counts: contended(),
+    };
+    hear(&mut known, START, 50, &totals);
+    assert!(is_over(&known, after(499), 50, "large"));
+    assert!(!is_over(&known, START + FRESH, 50, "large"));
+}
+
+/// Counts that are a second old on arrival are not acted on.
+#[parameterized(
+    fresh = { 999, true },
+    stale = { 1_000, false },
+)]
+fn old_counts(age_ms: u32, over: bool) {
+    let mut known = Known::default();
+    let totals = Totals {
+        age_ms,
+        counts: contended(),
+    };
+    hear(&mut known, START, 50, &totals);
+    assert_eq!(is_over(&known, START, 50, "large"), over);
+}
+
+/// A host is lost: what it reported counts for half a second at the relay and as long at
+/// the other hosts, a second in all.
+#[test]
+fn lost_host() {
+    let mut tally = Tally::default();
+    let small = counts(&[("small", 6, 2)]);
+    tally.hear(
+        START,
+        address(1),
+        &report(1, 1, counts(&[("large", 18, 2)])),
+    );
+    tally.hear(after(400), address(2), &report(2, 1, small.clone()));
+    let last = taken(&mut tally, after(499));
+    assert_eq!((last.age_ms, &last.counts), (499, &contended()));
+    tally.hear(after(600), address(2), &report(2, 2, small.clone()));
+    let next = taken(&mut tally, after(499) + PERIOD);
+    assert_eq!(next.counts, small);
+    let mut known = Known::default();
+    hear(&mut known, after(499), 50, &last);
+    assert!(is_over(&known, after(998), 50, "large"));
+    assert!(!is_over(&known, after(1_000), 50, "large"));
+}
+
+/// Two relays know different hosts: a host decides by the one that its loads come from.
+#[test]
+fn two_relays() {
+    let mut table = Table::default();
+    let mut known = Known::default();
+    let told = |counts| Totals { age_ms: 0, counts };
+    hear(&mut known, START, 50, &told(contended()));
+    hear(&mut known, START, 51, &told(counts(&[("small", 6, 2)])));
+    assert_eq!(table.relay(START), None);
+    let sum = |hosts| Sum {
+        hosts,
+        ..Sum::default()
+    };
+    table.hear(START, address(51), sum(5), &[]);
+    let relay = table.relay(START).unwrap();
+    assert!(known.excess(START, relay, Tag::of("e", "large")).is_none());
+    table.hear(START, address(50), sum(9), &[]);
+    let relay = table.relay(START).unwrap();
+    assert!(known.excess(START, relay, Tag::of("e", "large")).is_some());
+    assert_eq!(table.relay(after(1_000)), None);
+}
+
+/// A message of another version is ignored, and what was told before stands.
+#[test]
+fn other_version() {
+    let mut tally = Tally::default();
+    let known = report(1, 1, contended());
+    tally.hear(START, address(1), &known);
+    let newer = Envelope {
+        format: FORMAT + 1,
+        ..report(1, 2, Counts::default())
+    };
+    tally.hear(START, address(1), &newer);
+    let unreadable = Envelope {
+        format: FORMAT,
+        body: vec![255; 3],
+    };
+    tally.hear(START, address(1), &unreadable);
+    assert_eq!(taken(&mut tally, START).counts, contended());
+}
+
+/// A process that doesn't know the new messages reads all others as before: they come last.
+#[test]
+fn known_messages_stay() {
+    let bytes = |message: &Message| postcard_of(message);
+    assert_eq!(bytes(&Message::Suspects(Vec::new())), [9, 0]);
+    let envelope = report(1, 1, Counts::default());
+    assert_eq!(bytes(&Message::Shares(envelope.clone()))[0], 10);
+    assert_eq!(bytes(&Message::ShareTotals(envelope))[0], 11);
+}
+
+fn postcard_of(message: &Message) -> Vec<u8> {
+    postcard::to_stdvec(message).unwrap()
+}
+
+/// A report that was overtaken by a later one of the same host doesn't count; one of the
+/// host's next life does, though its number is lower.
+#[test]
+fn overtaken_report() {
+    let mut tally = Tally::default();
+    tally.hear(START, address(1), &report(1, 2, contended()));
+    tally.hear(START, address(1), &report(1, 1, Counts::default()));
+    assert_eq!(taken(&mut tally, START).counts, contended());
+    tally.hear(after(200), address(1), &report(7, 1, Counts::default()));
+    assert!(taken(&mut tally, after(200)).counts.is_empty());
+}
+
+/// Without reports a relay tells nothing: with the setting off nothing changes on the wire.
+#[test]
+fn silent_without_reports() {
+    assert!(Tally::default().take(START).is_none());
+}
+
+/// 1,500 organisations at each of 31 hosts: datagrams of hosts and relays stay bounded, and
+/// list those with the most in flight.
+#[test]
+fn bounded_size() {
+    let mut tally = Tally::default();
+    let many = |host: u32| {
+        let all = (0..1_500_u32).map(|n| {
+            let count = Count {
+                slots: 1 + n % 300,
+                unread: 1 + (n + host) % 50,
+                reading: 300 * (1 + n % 40),
+                queued: 1 + n % 3,
+                queued_reading: 200 + n,
+            };
+            (Tag::of("some-service", &format!("organisation-{n}")), count)
+        });
+        Counts::new(all.collect(), BTreeMap::new())
+    };
+    for host in 0..31_u8 {
+        let envelope = report(host.into(), 1, many(host.into()));
+        let size = postcard_of(&Message::Shares(envelope.clone())).len();
+        assert!(size < 1_472, "{size}");
+        tally.hear(START, address(host), &envelope);
+    }
+    let (envelope, _) = tally.take(START).unwrap();
+    let size = postcard_of(&Message::ShareTotals(envelope.clone())).len();
+    println!("totals take {size} bytes");
+    assert!(size < 1_472, "{size}");
+    let counts = totals(&envelope).counts;
+    assert_eq!(counts.listed.len(), LISTED);
+    let (listed, rest) = counts.at(Key::named("some-service"));
+    assert!(listed.iter().all(|(_, count)| count.slots >= 280 * 31));
+    assert!(rest.organisations >= 1_436);
+}
+
+/// Organisations with nothing in flight are left out, and a request counts until it ends,
+/// whoever leaves first.
+#[test]
+fn ledger_counts() {
+    let ledger = Ledger::default();
+    let name: Arc<str> = "large".into();
+    let tag = Tag::of("e", "large");
+    let sent = ledger.send("e", &name, READING);
+    let queued = ledger.queue("e", &name, READING);
+    let (slots, unread, reading, waiting, queued_reading) = (1, 1, 30, 1, 30);
+    let all = Count {
+        slots,
+        unread,
+        reading,
+        queued: waiting,
+        queued_reading,
+    };
+    assert_eq!(ledger.counts().listed, [(tag, all)]);
+    sent.read();
+    drop(queued);
+    let writing = Count {
+        slots: 1,
+        ..Count::default()
+    };
+    assert_eq!(ledger.counts().listed, [(tag, writing)]);
+    assert_eq!(ledger.name(tag.organisation), Some(name));
+    drop(sent);
+    assert!(ledger.counts().is_empty());
+}
+
+/// Unlisted organisations of all hosts are mostly the same ones.
+#[test]
+fn rests_are_summed() {
+    let mut tally = Tally::default();
+    let rest = Rest {
+        organisations: 40,
+        count: Count {
+            slots: 50,
+            ..Count::default()
+        },
+    };
+    for host in 1..=2 {
+        let rests = BTreeMap::from([(Key::named("e"), rest)]);
+        let counts = Counts::new(BTreeMap::new(), rests);
+        tally.hear(START, address(host), &report(host.into(), 1, counts));
+    }
+    let (_, sum) = taken(&mut tally, START).counts.at(Key::named("e"));
+    assert_eq!((sum.organisations, sum.count.slots), (40, 100));
+}
+
+/// A request that is put behind others stays ahead of less urgent kinds, and is never put
+/// ahead of anything.
+#[parameterized(
+    one_behind = { 1, 1, 0b1010, 2 },
+    next_kind_is_close = { 1, 1, 0b0110, 1 },
+    low_organisation = { 2, 1, 0b1010, 2 },
+    only_kind = { 1, 1, 0b0010, 2 },
+    more_urgent_kinds = { 3, 3, 0b1010, 4 },
+    last = { 9, 6, 0b100_1010, 9 },
+)]
+fn ranks(own: u32, kind: u32, kinds: u16, expected: u32) {
+    assert_eq!(rank(own, kind, kinds, 9), expected);
+}
--- /dev/null
+++ b/almondlock-gateway/tests/shared_engines.rs
@@ -0,0 +1,100 @@
+//! An organisation has all slots of the engines, and another one waits. Through a gateway and
+//! relays on loopback ports: the next request of the first one is ranked behind others, only
+//! where the settings ask for it, and otherwise nothing changes, on the wire neither.
+
+mod fake;
+mod gateway;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::mpsc::Receiver,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use fake::{Step, event, field, serve, stream_head};
+use gateway::{send_as, start_engines_shared, start_relay};
+use yare::parameterized;
+
+/// Slots of the one engine.
+const SLOTS: usize = 8;
+/// Several periods of hosts and relays.
+const KNOWN: Duration = Duration::from_millis(1_000);
+/// The first byte of a host's report by organisation.
+const REPORT: u8 = 10;
+
+/// An engine whose streams go on for long. Those of `small` don't begin.
+fn engine() -> (SocketAddr, Receiver<String>) {
+    serve(|head| match field(head, "x-organisation").as_deref() {
+        Some("small") => vec![Step::Hang],
+        _ => vec![stream_head(), event(1), Step::Hang],
+    })
+}
+
+/// The rank that the next request comes with.
+fn rank(heads: &Receiver<String>) -> u32 {
+    let head = heads.recv_timeout(Duration::from_secs(2)).unwrap();
+    field(&head, "x-priority").unwrap().parse().unwrap()
+}
+
+#[parameterized(
+    with = { true, 2 },
+    without = { false, 1 },
+)]
+fn large_waits(shares: bool, expected: u32) {
+    let (engine, heads) = engine();
+    let gateway = start_engines_shared(&[engine], [start_relay(), start_relay()], shares);
+    let mut callers: Vec<_> = (0..SLOTS).map(|_| send_as(gateway, "large")).collect();
+    callers.push(send_as(gateway, "small"));
+    for _ in &callers {
+        assert_eq!(rank(&heads), 1);
+    }
+    sleep(KNOWN);
+    callers.push(send_as(gateway, "large"));
+    assert_eq!(rank(&heads), expected);
+    callers.push(send_as(gateway, "small"));
+    assert_eq!(rank(&heads), 1);
+}
+
+/// Relays don't answer: all organisations are within.
+#[test]
+fn no_relays() {
+    let (engine, heads) = engine();
+    let silent = [0, 1].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let relays = silent.each_ref().map(|relay| relay.local_addr().unwrap());
+    let gateway = start_engines_shared(&[engine], relays, true);
+    let mut callers: Vec<_> = (0..SLOTS).map(|_| send_as(gateway, "large")).collect();
+    callers.push(send_as(gateway, "small"));
+    sleep(KNOWN);
+    callers.push(send_as(gateway, "large"));
+    for _ in &callers {
+        assert_eq!(rank(&heads), 1);
+    }
+}
+
+/// A relay of an earlier version would log each report as unreadable.
+#[parameterized(
+    with = { true },
+    without = { false },
+)]
+fn reports(shares: bool) {
+    let (engine, _heads) = engine();
+    let relay = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let address = relay.local_addr().unwrap();
+    let timeout = Some(Duration::from_millis(100));
+    relay.set_read_timeout(timeout).unwrap();
+    let gateway = start_engines_shared(&[engine], [address; 2], shares);
+    let _caller = send_as(gateway, "large");
+    let (until, mut buffer) = (Instant::now() + KNOWN, [0; 2_048]);
+    let (mut all, mut reports) = (0, 0);
+    while Instant::now() < until {
+        if let Ok(length) = relay.recv(&mut buffer) {
+            all += 1;
+            reports += usize::from(buffer[..length].first() == Some(&REPORT));
+        }
+    }
+    assert!(all > 0);
+    // One each 200 ms.
+    let bounds = if shares { 2..=6 } else { 0..=0 };
+    assert!(bounds.contains(&reports), "{reports} of {all}");
+}
