--- a/almondlock-gateway/src/share/mod.rs
+++ b/almondlock-gateway/src/share/mod.rs
@@ -3,8 +3,10 @@
 
 mod known;
 mod ledger;
+mod notice;
 
 pub use self::{
     known::{Finding, Known},
     ledger::{Claim, Ledger},
+    notice::{Notices, OTHERS},
 };
--- a/almondlock-gateway/src/standing.rs
+++ b/almondlock-gateway/src/standing.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{HashMap, VecDeque},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -18,7 +18,7 @@
     load::Key,
     pick::Choice,
     rules::Organisation,
-    share::{Claim, Finding, Known, Ledger},
+    share::{Claim, Finding, Known, Ledger, Notices, OTHERS},
     worker::Worker,
 };
 
@@ -26,15 +26,6 @@
 const REFUSED: usize = 256;
 /// A refused request counts as waiting no longer than this: its caller may not return.
 const RETURNS: Duration = Duration::from_secs(1);
-/// Lines about deprioritised requests in a second.
-const LINES: u32 = 5;
-/// Organisations that metrics name at one time: those with the most in flight.
-const LARGEST: usize = 8;
-/// Organisations that metrics name in a process's life.
-const NAMED: usize = 64;
-/// What metrics call the others.
-const OTHERS: &str = "others";
-
 /// What this host knows of organisations' shares.
 #[derive(Debug, Default)]
 pub(crate) struct Shares {
@@ -46,32 +37,7 @@
     kinds: RefCell<HashMap<Service, u16>>,
     /// When the last report was made, its number, and whether it was empty.
     reported: Cell<(Mono, u32, bool)>,
-    lines: Cell<Lines>,
-    /// Organisations that metrics name.
-    named: RefCell<BTreeSet<Arc<str>>>,
-}
-
-/// Bounds the lines of each second.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lines {
-    since: Mono,
-    count: u32,
-    suppressed: u64,
-}
-
-impl Lines {
-    /// Whether a line is logged now: if it is, how many weren't since the last one.
-    fn pass(&mut self, now: Mono) -> Option<u64> {
-        if now.since(self.since) >= Duration::from_secs(1) {
-            (self.since, self.count) = (now, 0);
-        }
-        if self.count >= LINES {
-            self.suppressed += 1;
-            return None;
-        }
-        self.count += 1;
-        Some(std::mem::take(&mut self.suppressed))
-    }
+    notices: RefCell<Notices>,
 }
 
 impl<D> Worker<D>
@@ -155,12 +121,11 @@
         let Some((organisation, finding)) = organisation.zip(self.finding(now, request)) else {
             return;
         };
-        let label = self.label(&organisation.name, &finding);
+        let mut notices = self.shares.notices.borrow_mut();
+        let label = notices.name(&organisation.name, finding.place);
+        let label = format!("organisation=\"{label}\"");
         self.shared.metrics.count("deprioritised", &label);
-        let mut lines = self.shares.lines.get();
-        let passed = lines.pass(now);
-        self.shares.lines.set(lines);
-        let Some(suppressed) = passed else {
+        let Some(suppressed) = notices.pass(now) else {
             return;
         };
         let excess = &finding.excess;
@@ -243,18 +208,6 @@
         self.shares.known.borrow().excess(now, relay, tag)
     }
 
-    /// The metric's label of an organisation: its name if it is one of the largest.
-    fn label(&self, name: &Arc<str>, finding: &Finding) -> String {
-        let mut named = self.shares.named.borrow_mut();
-        let is_known = named.contains(name);
-        let is_named = finding.place < LARGEST && (is_known || named.len() < NAMED);
-        if is_named && !is_known {
-            named.insert(Arc::clone(name));
-        }
-        let name = if is_named { name } else { OTHERS };
-        format!("organisation=\"{name}\"")
-    }
-
     /// Names the organisation that a request was put behind, as far as it is known.
     fn behind(&self, organisation: Option<Key>) -> String {
         let Some(key) = organisation else {
--- a/almondlock-gateway/tests/share_counts.rs
+++ b/almondlock-gateway/tests/share_counts.rs
@@ -2,7 +2,12 @@
 //! or of another version, organisations count as within their shares, and datagrams stay
 //! small.
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 use almondlock_base::time::Mono;
 use almondlock_gateway::{
@@ -11,7 +16,7 @@
         shares::{Counts, Envelope, FORMAT, FRESH, LISTED, PERIOD, Report, Tag, Tally, Totals},
     },
     load::{Key, Table},
-    share::{Known, Ledger},
+    share::{Known, Ledger, Notices, OTHERS},
 };
 use almondlock_policy::share::{Capacity, Count, Rest, rank};
 use yare::parameterized;
@@ -316,3 +321,20 @@
 fn ranks(own: u32, kind: u32, kinds: u16, expected: u32) {
     assert_eq!(rank(own, kind, kinds, 9), expected);
 }
+
+/// Each request of 1,500 organisations is put behind others: lines stay few, and metrics name
+/// the largest organisations only.
+#[test]
+fn bounded_notices() {
+    let mut notices = Notices::default();
+    let mut names = BTreeSet::new();
+    let mut lines = 0;
+    for n in 0..1_500_usize {
+        let name: Arc<str> = format!("organisation-{n}").into();
+        names.insert(notices.name(&name, n % 20).to_owned());
+        lines += u32::from(notices.pass(START).is_some());
+    }
+    assert_eq!((lines, names.len()), (5, 65));
+    assert!(names.contains(OTHERS));
+    assert_eq!(notices.pass(after(1_000)), Some(1_495));
+}
