--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -93,7 +93,7 @@
             worker: Rc::clone(worker),
             tickets,
             leases: RefCell::default(),
-            claim: worker.claim_sent(request, choice),
+            claim: worker.claim_sent(request),
             is_elsewhere: choice.shares.iter().any(|s| s.place != choice.first),
             expected: now + choice.expected,
             is_read: Cell::new(false),
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -5,7 +5,10 @@
 
 use almondlock_base::{id::Upstream, time::Mono};
 use almondlock_node::clock;
-use almondlock_policy::{admission, share::Standing};
+use almondlock_policy::{
+    admission,
+    share::{Resource, Standing},
+};
 
 use crate::{
     attempt::Broken,
@@ -102,7 +105,7 @@
         }
         let refused = refusal(worker, request, (targets, &choice), now);
         if let Some(refused) = refused.filter(|_| is_new) {
-            worker.note_refused(request, &choice, now, refused.returns);
+            worker.note_refused(request, Resource::Reading, now, refused.returns);
             return Err(refused);
         }
         let first = targets.get(choice.first);
@@ -137,6 +140,10 @@
 where
     D: Dialect,
 {
+    if lack == Lack::Memory {
+        // Memory of engines is held by prompts that are read.
+        worker.note_refused(request, Resource::Reading, now, None);
+    }
     match lack {
         Lack::Upstream | Lack::Memory | Lack::Backoff => lacking(lack),
         Lack::Limit => Broken {
--- a/almondlock-gateway/src/share/ledger.rs
+++ b/almondlock-gateway/src/share/ledger.rs
@@ -49,10 +49,18 @@
         self.claim(service, organisation, count)
     }
 
-    /// A request waits at this host, or will return to one.
-    pub fn queue(&self, service: &str, organisation: &Arc<str>, reading: Duration) -> Claim {
+    /// A request waits for a slot at this host, or will return to one.
+    pub fn wait_slot(&self, service: &str, organisation: &Arc<str>) -> Claim {
         let count = Count {
             queued: 1,
+            ..Count::default()
+        };
+        self.claim(service, organisation, count)
+    }
+
+    /// The same of a prompt that waits until engines have the time to read it.
+    pub fn wait_reading(&self, service: &str, organisation: &Arc<str>, reading: Duration) -> Claim {
+        let count = Count {
             queued_reading: millis(reading),
             ..Count::default()
         };
--- a/almondlock-policy/src/share/mod.rs
+++ b/almondlock-policy/src/share/mod.rs
@@ -54,9 +54,9 @@
     pub unread: u32,
     /// Milliseconds of reading that those take, on all engines together.
     pub reading: u32,
-    /// Requests that wait at a host, or were refused and told to return.
+    /// Requests that wait for a slot, at a host or at a caller that was told to return.
     pub queued: u32,
-    /// Milliseconds of reading that those would take.
+    /// Milliseconds of reading of prompts that wait for engines' time in the same way.
     pub queued_reading: u32,
 }
 
