--- a/almondlock-gateway/src/standing.rs
+++ b/almondlock-gateway/src/standing.rs
@@ -25,6 +25,7 @@
 const REFUSED: usize = 256;
 /// A refused request counts as waiting no longer than this: its caller may not return.
 const RETURNS: Duration = Duration::from_secs(1);
+
 /// What this host knows of organisations' shares.
 #[derive(Debug, Default)]
 pub(crate) struct Shares {
