--- a/almondlock-gateway/tests/share_counts.rs
+++ b/almondlock-gateway/tests/share_counts.rs
@@ -16,6 +16,7 @@
         shares::{Counts, Envelope, FORMAT, FRESH, LISTED, PERIOD, Report, Tag, Tally, Totals},
     },
     load::{Key, Table},
+    rules::{Limits, Organisation, Rules},
     share::{Known, Ledger, Notices, OTHERS},
 };
 use almondlock_policy::share::{Capacity, Count, Rest, rank};
@@ -341,3 +342,39 @@
     assert!(names.contains(OTHERS));
     assert_eq!(notices.pass(after(1_000)), Some(1_495));
 }
+
+/// Without keys, or with keys of one organisation only, there is nobody to share with.
+#[parameterized(
+    no_keys = { &[], false },
+    one = { &["large"], false },
+    two = { &["large", "small"], true },
+)]
+fn several_organisations(names: &[&str], expected: bool) {
+    let limits = Limits {
+        head: 16_384,
+        body: 1 << 20,
+        head_time: Duration::from_secs(3),
+        idle_time: Duration::from_secs(15),
+    };
+    let mut rules = Rules::builder(1, limits);
+    for name in names {
+        let organisation = Organisation {
+            name: (*name).into(),
+            priority: None,
+        };
+        let keys = [1, 2].map(|n| format!("{name}-{n}").into());
+        rules.organisation(organisation, &keys).unwrap();
+    }
+    assert_eq!(rules.build().has_several_organisations(), expected);
+}
+
+/// A relay starts again and has heard one of two hosts: it names nobody as over that isn't.
+#[test]
+fn relay_knows_a_part() {
+    let mut tally = Tally::default();
+    let half = counts(&[("large", 9, 1), ("small", 3, 1)]);
+    tally.hear(START, address(1), &report(1, 1, half));
+    let mut known = Known::default();
+    hear(&mut known, START, 50, &taken(&mut tally, START));
+    assert!(!is_over(&known, START, 50, "large"));
+}
