--- a/almondlock-gateway/src/rules.rs
+++ b/almondlock-gateway/src/rules.rs
@@ -1,15 +1,22 @@
 //! What a published configuration says, as plain types.
 //!
 //! Whoever can read a deployment's format makes a [`Rules`] of it through a
-//! [`Builder`], which refuses what contradicts itself. From then on nothing
+//! [`Builder`], or of other rules through an [`Edit`]. Both refuse what contradicts itself.
+//! From then on nothing
 //! here can be out of step: a route's services exist, its weights add up to
 //! more than nothing, no two routes stand at the same place.
 
-use std::{collections::HashMap, fmt, sync::Arc, time::Duration};
+mod edit;
+mod table;
+
+use std::{collections::BTreeMap, fmt, sync::Arc, time::Duration};
 
 use almondlock_base::id::Service;
 use almondlock_policy::{engine::Speed, throttle::Rate};
 
+pub use self::edit::{Edit, Entry};
+use self::table::Table;
+
 /// What may be done with a request more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
@@ -70,6 +77,22 @@
 }
 
 impl Route {
+    /// Whether it contradicts itself.
+    fn check(&self) -> Result<(), Error> {
+        let name = &self.name;
+        let fault = |what: &str| Err(Error::new(format!("route {name}: {what}")));
+        if self.timeout.is_zero() {
+            return fault("its timeout is 0");
+        }
+        if !self.prefix.starts_with('/') || !self.prefix.ends_with('/') {
+            return fault("its prefix doesn't begin and end with a slash");
+        }
+        if self.split.iter().all(|(_, weight)| *weight == 0) {
+            return fault("its weights add up to 0");
+        }
+        Ok(())
+    }
+
     /// The service for a request, by a number drawn evenly from all of `u32`.
     pub fn service(&self, drawn: u32) -> Option<&Service> {
         let total: u64 = self
@@ -149,56 +172,121 @@
 
 impl std::error::Error for Error {}
 
-/// A published configuration, read and checked.
+/// A published configuration, read and checked. Copies share what they have in common.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Rules {
     /// Its version.
     pub version: u64,
     /// Bounds on what callers send.
     pub limits: Limits,
-    // Routes by host, longest prefix first.
-    routes: HashMap<Arc<str>, Vec<Arc<Route>>>,
-    services: HashMap<Service, Target>,
-    // Organisations by key. Without any, keys aren't asked for.
-    keys: HashMap<Arc<str>, Arc<Organisation>>,
-    keyed: bool,
+    // By host and prefix.
+    routes: Table<Arc<Route>>,
+    // How many prefixes have a length.
+    lengths: BTreeMap<usize, usize>,
+    services: Table<Served>,
+    keys: Table<Owned>,
+    // Without any, keys aren't asked for.
+    organisations: usize,
+}
+
+/// A service as the rules hold it.
+#[derive(Clone, Debug, PartialEq)]
+struct Served {
+    name: Service,
+    // Invariant: there is one in rules that have been built.
+    target: Option<Target>,
+    // How often routes name it.
+    routes: usize,
+}
+
+/// A key.
+#[derive(Clone, Debug, PartialEq)]
+struct Owned {
+    key: Arc<str>,
+    organisation: Arc<Organisation>,
+    // How often it stands in the configuration. At least 1.
+    entries: usize,
+}
+
+impl table::Entry for Arc<Route> {
+    fn key(&self) -> table::Key<'_> {
+        (&self.host, &self.prefix)
+    }
+}
+
+impl table::Entry for Served {
+    fn key(&self) -> table::Key<'_> {
+        (self.name.as_str(), "")
+    }
+}
+
+impl table::Entry for Owned {
+    fn key(&self) -> table::Key<'_> {
+        (&self.key, "")
+    }
 }
 
 impl Rules {
+    /// Rules that take no request.
+    pub fn empty(version: u64, limits: Limits) -> Rules {
+        Rules {
+            version,
+            limits,
+            routes: Table::default(),
+            lengths: BTreeMap::new(),
+            services: Table::default(),
+            keys: Table::default(),
+            organisations: 0,
+        }
+    }
+
     /// Begins a configuration.
     pub fn builder(version: u64, limits: Limits) -> Builder {
         Builder {
-            rules: Rules {
-                version,
-                limits,
-                routes: HashMap::new(),
-                services: HashMap::new(),
-                keys: HashMap::new(),
-                keyed: false,
-            },
+            rules: Rules::empty(version, limits),
         }
     }
 
     /// The route of a request: the longest prefix that begins its path. The
     /// path comes without a query.
+    ///
+    /// Prefixes end with a slash, so only parts of the path that end with one, and have the
+    /// length of some prefix, are looked up. A caller's path with thousands of slashes costs
+    /// no more than any other.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = self.routes.get(host)?;
-        routes.iter().find(|route| path.starts_with(&*route.prefix))
+        let mut lengths = self.lengths.range(..=path.len()).rev();
+        lengths.find_map(|(length, _)| {
+            let prefix = path.get(..*length)?;
+            let ends = prefix.ends_with('/');
+            ends.then(|| self.routes.get((host, prefix))).flatten()
+        })
+    }
+
+    /// How many routes there are.
+    pub fn routes(&self) -> usize {
+        self.routes.len()
     }
 
     /// A service.
     pub fn service(&self, name: &Service) -> Option<&Target> {
-        self.services.get(name)
+        let served = self.services.get((name.as_str(), ""))?;
+        served.target.as_ref()
     }
 
     /// Whether requests on this route need a key.
     pub fn needs_key(&self, route: &Route) -> bool {
-        self.keyed && !route.public
+        self.is_keyed() && !route.public
+    }
+
+    /// Whether the configuration names organisations.
+    pub fn is_keyed(&self) -> bool {
+        self.organisations > 0
     }
 
     /// The organisation that a key belongs to.
     pub fn organisation(&self, key: &str) -> Option<&Arc<Organisation>> {
-        self.keys.get(key)
+        let owned = self.keys.get((key, ""))?;
+        Some(&owned.organisation)
     }
 }
 
@@ -211,41 +299,12 @@
 impl Builder {
     /// Adds a service.
     pub fn service(&mut self, name: Service, target: Target) -> Result<(), Error> {
-        let old = self.rules.services.insert(name.clone(), target);
-        match old {
-            Some(_) => Err(Error::new(format!("service {name} stands twice"))),
-            None => Ok(()),
-        }
+        self.rules.add_service(name, target)
     }
 
     /// Adds a route.
     pub fn route(&mut self, route: Route) -> Result<(), Error> {
-        let name = &route.name;
-        let fault = |what: &str| Err(Error::new(format!("route {name}: {what}")));
-        if route.timeout.is_zero() {
-            return fault("its timeout is 0");
-        }
-        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            return fault("its prefix doesn't begin and end with a slash");
-        }
-        if route.split.iter().all(|(_, weight)| *weight == 0) {
-            return fault("its weights add up to 0");
-        }
-        let mut services = route.split.iter().map(|(service, _)| service);
-        if let Some(unknown) = services.find(|s| !self.rules.services.contains_key(*s)) {
-            return fault(&format!("unknown service {unknown}"));
-        }
-        let place = self
-            .rules
-            .routes
-            .entry(Arc::clone(&route.host))
-            .or_default();
-        if place.iter().any(|other| other.prefix == route.prefix) {
-            return fault("another route has its host and prefix");
-        }
-        let at = place.partition_point(|other| other.prefix.len() >= route.prefix.len());
-        place.insert(at, Arc::new(route));
-        Ok(())
+        self.rules.add_route(route)
     }
 
     /// Adds an organisation with its keys.
@@ -254,19 +313,7 @@
         organisation: Organisation,
         keys: &[Arc<str>],
     ) -> Result<(), Error> {
-        self.rules.keyed = true;
-        let organisation = Arc::new(organisation);
-        for key in keys {
-            let old = self
-                .rules
-                .keys
-                .insert(Arc::clone(key), Arc::clone(&organisation));
-            if old.is_some_and(|old| old != organisation) {
-                let message = "two organisations share a key";
-                return Err(Error::new(message));
-            }
-        }
-        Ok(())
+        self.rules.add_organisation(organisation, keys)
     }
 
     /// The configuration.
--- /dev/null
+++ b/almondlock-gateway/src/rules/table.rs
@@ -0,0 +1,112 @@
+//! A hash table whose copies share what they have in common.
+//!
+//! A copy costs one reference for each shard, and a change copies the shard that it
+//! touches, so that one route of ten thousand can be replaced while requests still use
+//! the table from before.
+
+use std::{
+    collections::hash_map::DefaultHasher,
+    hash::{Hash, Hasher},
+    sync::Arc,
+};
+
+/// A shard of ten thousand entries holds some twenty, which are searched in order.
+const SHARDS: usize = 512;
+
+/// What an entry is found by.
+pub(super) type Key<'a> = (&'a str, &'a str);
+
+/// An entry of a table.
+pub(super) trait Entry: Clone + PartialEq {
+    /// What it is found by.
+    fn key(&self) -> Key<'_>;
+}
+
+type Shard<V> = Arc<Vec<(u64, V)>>;
+
+#[derive(Clone, Debug)]
+pub(super) struct Table<V> {
+    // Invariant: each entry is in the shard of its key's hash, and no two have one key.
+    shards: Vec<Shard<V>>,
+    len: usize,
+}
+
+impl<V> Default for Table<V> {
+    fn default() -> Table<V> {
+        Table {
+            // One allocation, since all are empty.
+            shards: vec![Arc::default(); SHARDS],
+            len: 0,
+        }
+    }
+}
+
+impl<V> Table<V>
+where
+    V: Entry,
+{
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    pub(super) fn get(&self, key: Key<'_>) -> Option<&V> {
+        let hash = hash(key);
+        let mut shard = self.shards.get(place(hash))?.iter();
+        shard.find_map(|(other, entry)| (*other == hash && entry.key() == key).then_some(entry))
+    }
+
+    /// Puts an entry in, in place of one with its key.
+    pub(super) fn insert(&mut self, entry: V) {
+        let hash = hash(entry.key());
+        let Some(shard) = self.shards.get_mut(place(hash)) else {
+            return;
+        };
+        let shard = Arc::make_mut(shard);
+        let mut entries = shard.iter_mut();
+        match entries.find(|(other, held)| *other == hash && held.key() == entry.key()) {
+            Some((_, held)) => *held = entry,
+            None => {
+                shard.push((hash, entry));
+                self.len += 1;
+            }
+        }
+    }
+
+    pub(super) fn remove(&mut self, key: Key<'_>) -> Option<V> {
+        let hash = hash(key);
+        let shard = self.shards.get_mut(place(hash))?;
+        let is_it = |(other, entry): &(u64, V)| *other == hash && entry.key() == key;
+        let at = shard.iter().position(is_it)?;
+        self.len -= 1;
+        Some(Arc::make_mut(shard).swap_remove(at).1)
+    }
+
+    pub(super) fn iter(&self) -> impl Iterator<Item = &V> {
+        let entries = self.shards.iter().flat_map(|shard| shard.iter());
+        entries.map(|(_, entry)| entry)
+    }
+}
+
+impl<V> PartialEq for Table<V>
+where
+    V: Entry,
+{
+    fn eq(&self, other: &Table<V>) -> bool {
+        self.len == other.len
+            && self
+                .iter()
+                .all(|entry| other.get(entry.key()) == Some(entry))
+    }
+}
+
+/// The keys come from operators, so the hash needs no secret.
+fn hash(key: Key<'_>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    hasher.finish()
+}
+
+fn place(hash: u64) -> usize {
+    // The remainder is below the number of shards, which fits.
+    usize::try_from(hash % SHARDS as u64).unwrap_or(0)
+}
