--- a/almondlock-gateway/src/accept.rs
+++ b/almondlock-gateway/src/accept.rs
@@ -102,8 +102,12 @@
         .map_or("/", |target| target.as_str());
     let path = target.split('?').next().unwrap_or(target);
     // A host that was cut off may not know a route or a key that exists by
-    // now, nor that one was taken away.
-    let unsure = |code| if current { code } else { Code::NotReady };
+    // now, nor that one was taken away. Nor does one that still reads a version.
+    let versions = worker.current.borrow();
+    let unsure = |code| match current && !versions.is_waiting() {
+        true => code,
+        false => Code::NotReady,
+    };
     let route = rules.route(host, path);
     let route = Arc::clone(route.ok_or_else(|| unsure(Code::UnknownRoute))?);
     let mut organisation = None;
@@ -112,9 +116,12 @@
             return Err(Code::NotReady);
         }
         let key = text(incoming, &names.key).unwrap_or_default();
-        organisation = Some(Arc::clone(
-            rules.organisation(key).ok_or(Code::Unauthenticated)?,
-        ));
+        let unknown = || match versions.awaits_key(key) {
+            true => Code::NotReady,
+            false => Code::Unauthenticated,
+        };
+        let found = rules.organisation(key).ok_or_else(unknown)?;
+        organisation = Some(Arc::clone(found));
     }
     let drawn = worker.rng.borrow_mut().random();
     let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
--- a/almondlock-gateway/src/reading/current.rs
+++ b/almondlock-gateway/src/reading/current.rs
@@ -5,7 +5,7 @@
 use almondlock_base::time::Mono;
 use almondlock_state::document::Document;
 
-use super::{Reader, Version, revoke};
+use super::{Keys, Reader, Version, keys};
 use crate::{
     dialect::{Dialect, Outline},
     rules::{Error, Rules},
@@ -34,9 +34,30 @@
     /// What requests get until it is in force: that of the version in force without the keys
     /// that this one revokes.
     rules: Option<Arc<Rules>>,
+    /// Its keys, if they differ.
+    keys: Option<Rules>,
     is_unreadable: bool,
 }
 
+impl Newest {
+    /// Looks at its keys, given what is in force.
+    fn follow<D>(&mut self, dialect: &D, held: Option<&Arc<Version>>)
+    where
+        D: Dialect,
+    {
+        let Some(held) = held else {
+            return;
+        };
+        let keys = keys(dialect, held, &self.document, self.outline.as_ref());
+        let (next, left) = match keys {
+            Some(Keys { next, left }) => (Some(next), left),
+            None => (None, None),
+        };
+        self.rules = Some(left.map_or_else(|| Arc::clone(&held.rules), Arc::new));
+        self.keys = next;
+    }
+}
+
 /// What is to be read.
 #[derive(Debug)]
 pub struct Job {
@@ -57,29 +78,33 @@
         if newest.or(held) == Some(document.version) {
             return;
         }
-        let outline = dialect.outline(&document.pieces);
         self.waits.get_or_insert(now);
-        self.newest = Some(Newest {
-            rules: self.meanwhile(dialect, document, outline.as_ref()),
+        let mut newest = Newest {
             document: document.clone(),
-            outline,
+            outline: dialect.outline(&document.pieces),
             seen: now,
+            rules: None,
+            keys: None,
             is_unreadable: false,
-        });
+        };
+        newest.follow(dialect, self.held.as_ref());
+        self.newest = Some(newest);
     }
 
-    fn meanwhile<D>(
-        &self,
-        dialect: &D,
-        document: &Document,
-        outline: Option<&Outline>,
-    ) -> Option<Arc<Rules>>
-    where
-        D: Dialect,
-    {
-        let held = self.held.as_ref()?;
-        let rules = revoke(dialect, held, document, outline);
-        Some(rules.map_or_else(|| Arc::clone(&held.rules), Arc::new))
+    /// Whether a version was seen that isn't in force yet: it may have a route that the one
+    /// in force lacks.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting().is_some()
+    }
+
+    /// Whether such a version has this key.
+    pub fn awaits_key(&self, key: &str) -> bool {
+        let keys = self.waiting().and_then(|newest| newest.keys.as_ref());
+        keys.is_some_and(|keys| keys.organisation(key).is_some())
+    }
+
+    fn waiting(&self) -> Option<&Newest> {
+        self.newest.as_ref().filter(|newest| !newest.is_unreadable)
     }
 
     /// What requests are served by.
@@ -97,8 +122,7 @@
 
     /// The newest version, if it is to be read.
     pub fn job(&self) -> Option<Job> {
-        let newest = self.newest.as_ref().filter(|newest| !newest.is_unreadable);
-        newest.map(|newest| Job {
+        self.waiting().map(|newest| Job {
             reader: Reader::new(
                 self.held.clone(),
                 newest.document.clone(),
@@ -124,10 +148,8 @@
             Ok(read) => {
                 self.held = Some(Arc::new(read));
                 self.newest = newest.filter(|newest| !is_newest(newest));
-                if let Some(mut newest) = self.newest.take() {
-                    newest.rules =
-                        self.meanwhile(dialect, &newest.document, newest.outline.as_ref());
-                    self.newest = Some(newest);
+                if let Some(newest) = &mut self.newest {
+                    newest.follow(dialect, self.held.as_ref());
                 }
             }
             Err(_) => {
--- a/almondlock-gateway/src/reading/mod.rs
+++ b/almondlock-gateway/src/reading/mod.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     dialect::{Dialect, Outline, Section},
-    rules::{Edit, Entry, Error, Rules},
+    rules::{Edit, Entry, Error, Organisation, Rules},
 };
 
 /// A version that was read.
@@ -260,22 +260,31 @@
     }
 }
 
-/// The rules in force without the keys that a version lacks or gives to another
-/// organisation; None if there are none such, or the version can't be read.
+/// What a version means for keys before the rest of it is read.
+#[derive(Clone, Debug)]
+pub struct Keys {
+    /// Rules with nothing but the version's keys.
+    pub next: Rules,
+    /// The rules in force without the keys that the version lacks or gives to another
+    /// organisation; None if there are none such.
+    pub left: Option<Rules>,
+}
+
+/// Reads the keys of a version; None if they are those in force, or can't be read.
 ///
 /// A version without organisations asks for no keys, so none is refused on its account.
-pub fn revoke<D>(
+pub fn keys<D>(
     dialect: &D,
     held: &Version,
     document: &Document,
     outline: Option<&Outline>,
-) -> Option<Rules>
+) -> Option<Keys>
 where
     D: Dialect,
 {
     let place = Section::ALL.len() - 1;
-    let mut edit = Rules::empty(held.rules.version, held.rules.limits)
-        .edit(held.rules.version, held.rules.limits);
+    let (version, limits) = (held.rules.version, held.rules.limits);
+    let mut edit = Rules::empty(version, limits).edit(version, limits);
     match outline {
         Some(outline) => {
             let pieces = section(document, Some(outline), place);
@@ -293,12 +302,11 @@
             }
         }
     }
-    let new = edit.build().ok()?;
-    if !new.is_keyed() {
-        return None;
-    }
-    held.rules.keep_keys(|key, organisation| {
-        let next = new.organisation(key);
-        next.is_some_and(|next| next.name == organisation.name)
-    })
+    let next = edit.build().ok()?;
+    let is_kept = |key: &str, organisation: &Organisation| {
+        let other = next.organisation(key);
+        !next.is_keyed() || other.is_some_and(|other| other.name == organisation.name)
+    };
+    let left = held.rules.keep_keys(is_kept);
+    Some(Keys { next, left })
 }
--- a/almondlock-gateway/tests/route_lookup.rs
+++ b/almondlock-gateway/tests/route_lookup.rs
@@ -1,7 +1,10 @@
 //! Which requests a published configuration takes, and which configurations are
 //! refused before they do harm.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use almondlock_base::id::Service;
 use almondlock_gateway::rules::{Builder, Kind, Limits, Organisation, Route, Rules, Target};
@@ -117,3 +120,80 @@
     assert_eq!(&*with.organisation("k").unwrap().name, "one");
     assert!(with.organisation("other").is_none());
 }
+
+/// Guards against a lookup that finds another route than a look at all of them.
+#[test]
+fn same_as_scan() {
+    let parts = ["a", "b", "long"];
+    let path = |mut n: usize, end: &str| {
+        let mut path = String::new();
+        while n > 0 {
+            path = format!("{path}/{}", parts[n % 3]);
+            n /= 3;
+        }
+        path + end
+    };
+    let mut rules = builder();
+    let prefixes: Vec<String> = (0..80)
+        .filter(|n| n % 3 != 1)
+        .map(|n| path(n, "/"))
+        .collect();
+    let mut known: Vec<&String> = Vec::new();
+    for prefix in &prefixes {
+        if !known.contains(&prefix) {
+            known.push(prefix);
+            rules.route(route(prefix, prefix)).unwrap();
+        }
+    }
+    let rules = rules.build();
+    for n in 0..250 {
+        for end in ["", "/", "/x", "x", "//", "?"] {
+            let path = path(n, end);
+            let longest = known.iter().filter(|prefix| path.starts_with(**prefix));
+            let longest = longest.max_by_key(|prefix| prefix.len());
+            let found = rules
+                .route("h", &path)
+                .map(|route| route.prefix.to_string());
+            assert_eq!(found, longest.map(|prefix| (*prefix).clone()), "{path}");
+        }
+    }
+}
+
+fn time_of(routes: usize) -> Duration {
+    let times = (0..3).map(|_| {
+        let begin = Instant::now();
+        let mut rules = builder();
+        for n in 0..routes {
+            rules.route(route("r", &format!("/{n}/"))).unwrap();
+        }
+        let rules = rules.build();
+        for n in 0..routes {
+            assert!(rules.route("h", &format!("/{n}/x")).is_some());
+        }
+        begin.elapsed()
+    });
+    times.min().unwrap()
+}
+
+/// Guards against a look at all routes of a host name when one is added or looked up: ten
+/// times the routes would take a hundred times the time.
+#[test]
+fn many_routes() {
+    let (few, many) = (time_of(1_000), time_of(10_000));
+    assert!(many < few * 40, "{few:?} {many:?}");
+}
+
+/// Guards against a caller's path with thousands of slashes that takes long to look up.
+#[test]
+fn many_slashes() {
+    let mut rules = builder();
+    rules.route(route("r", "/x/")).unwrap();
+    let rules = rules.build();
+    let path = "/".repeat(16_000);
+    let begin = Instant::now();
+    for _ in 0..1_000 {
+        assert!(rules.route("h", &path).is_none());
+    }
+    // Hashing each part of it would take 0.1 s or more for each lookup.
+    assert!(begin.elapsed() < Duration::from_secs(2));
+}
