--- a/almondlock-gateway/src/follow.rs
+++ b/almondlock-gateway/src/follow.rs
@@ -97,7 +97,7 @@
         let now = clock::mono();
         let version = job.reader.version();
         match &result {
-            Ok(read) => self.tell(now, job, read, slices),
+            Ok(read) => self.log_in_force(now, job, read, slices),
             // Whoever published it had it checked by the same code, so this is a newer
             // version's text: the one in force stays.
             Err(error) => tracing::error!(version, %error, "configuration can't be read"),
@@ -106,7 +106,7 @@
         current.end(now, &self.dialect, version, result);
     }
 
-    fn tell(&self, now: Mono, job: &Job, read: &Version, slices: u32) {
+    fn log_in_force(&self, now: Mono, job: &Job, read: &Version, slices: u32) {
         let took: Duration = now.since(job.seen);
         let count = job.reader.count;
         tracing::info!(
--- a/almondlock-gateway/src/reading/comparison.rs
+++ b/almondlock-gateway/src/reading/comparison.rs
@@ -42,7 +42,7 @@
         let mut found = Difference::default();
         match self.is_over {
             false => found.kept = self.walk(old, new),
-            true => self.settle(&mut found),
+            true => self.match_moved(&mut found),
         }
         found
     }
@@ -82,7 +82,7 @@
     }
 
     /// Looks for pieces that are gone at one place and fresh at another.
-    fn settle(&mut self, found: &mut Difference) {
+    fn match_moved(&mut self, found: &mut Difference) {
         for _ in 0..BATCH {
             if let Some(piece) = self.gone.pop() {
                 *self.counted.entry(piece).or_default() += 1;
--- a/almondlock-gateway/src/reading/current.rs
+++ b/almondlock-gateway/src/reading/current.rs
@@ -41,7 +41,7 @@
 
 impl Newest {
     /// Looks at its keys, given what is in force.
-    fn follow<D>(&mut self, dialect: &D, held: Option<&Arc<Version>>)
+    fn read_keys<D>(&mut self, dialect: &D, held: Option<&Arc<Version>>)
     where
         D: Dialect,
     {
@@ -87,7 +87,7 @@
             keys: None,
             is_unreadable: false,
         };
-        newest.follow(dialect, self.held.as_ref());
+        newest.read_keys(dialect, self.held.as_ref());
         self.newest = Some(newest);
     }
 
@@ -149,7 +149,7 @@
                 self.held = Some(Arc::new(read));
                 self.newest = newest.filter(|newest| !is_newest(newest));
                 if let Some(newest) = &mut self.newest {
-                    newest.follow(dialect, self.held.as_ref());
+                    newest.read_keys(dialect, self.held.as_ref());
                 }
             }
             Err(_) => {
--- a/almondlock-gateway/src/reading/mod.rs
+++ b/almondlock-gateway/src/reading/mod.rs
@@ -97,7 +97,7 @@
         fresh: Vec<(Section, Piece)>,
     },
     /// Nothing is left to do.
-    Over,
+    Finished,
 }
 
 /// Pieces that differ.
@@ -164,9 +164,9 @@
     where
         D: Dialect,
     {
-        let phase = std::mem::replace(&mut self.phase, Phase::Over);
+        let phase = std::mem::replace(&mut self.phase, Phase::Finished);
         match phase {
-            Phase::Over => Err(Error::new("it was read before")),
+            Phase::Finished => Err(Error::new("it was read before")),
             Phase::Whole => {
                 self.count.read = self.document.pieces.len();
                 dialect.read(&self.document.text()).map(Some)
