--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -16,6 +16,7 @@
 //! | [`admission`] | entry | is a long prompt worth the engines' time now |
 //! | [`cell`] | entry | which engines come first for this host |
 //! | [`fill`] | entry | which of several engines, on knowledge that is old |
+//! | [`places`] | entry | which short prompts get an engine's slots when these are scarce |
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
@@ -45,6 +46,7 @@
 pub mod ledger;
 pub mod length;
 pub mod limit;
+pub mod places;
 pub mod poison;
 pub mod prefix;
 pub mod queue;
--- /dev/null
+++ b/almondlock-policy/tests/scarce_places.rs
@@ -0,0 +1,235 @@
+//! Engines' slots are all in use, and short prompts wait at a host. Guards against an order
+//! that makes prompts late which could be in time, lines without bound, hosts that take the
+//! same slot, and prompts that wait for what is gone.
+
+use std::time::Duration;
+
+use almondlock_base::time::Mono;
+use almondlock_policy::{
+    places::{AGE, Case, Desk, Engine, Ticket, Verdict},
+    share::Standing,
+};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const START: Mono = Mono::from_millis(10_000);
+const HOLD: Duration = Duration::from_millis(2_100);
+const ENGINES: usize = 10;
+const SLOTS: u32 = 12;
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+fn after(millis: u64) -> Mono {
+    START + Duration::from_millis(millis)
+}
+
+fn case(arrived: Mono) -> Case {
+    Case {
+        arrived,
+        until: arrived + Duration::from_secs(10),
+        objective: Duration::from_millis(300),
+        expected: Duration::from_millis(100),
+        priority: 1,
+        standing: Standing::Within,
+    }
+}
+
+/// All engines with so many streams each.
+fn see(desk: &mut Desk, now: Mono, streams: u32, hosts: usize) {
+    let engine = Engine {
+        slots: SLOTS,
+        streams,
+        waiting: 0,
+    };
+    desk.see(now, [engine; ENGINES], HOLD, hosts);
+}
+
+/// A lone host without a free slot.
+fn full() -> Desk {
+    let mut desk = Desk::default();
+    for _ in 0..ENGINES * SLOTS as usize {
+        desk.begin(START + HOLD);
+    }
+    see(&mut desk, START, SLOTS, 0);
+    desk
+}
+
+fn wait(desk: &mut Desk, now: Mono, case: &Case) -> Ticket {
+    match desk.ask(now, case, false, &mut rng()) {
+        Verdict::Wait(ticket) => ticket,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Ends one of the host's requests.
+fn end(desk: &mut Desk, now: Mono) -> Option<Ticket> {
+    let commitment = desk.begin(now + HOLD);
+    desk.end(now, commitment, true)
+}
+
+#[test]
+fn free_slots_at_once() {
+    let mut desk = Desk::default();
+    see(&mut desk, START, SLOTS / 2, 26);
+    for _ in 0..20 {
+        assert_eq!(
+            desk.ask(START, &case(START), true, &mut rng()),
+            Verdict::Send
+        );
+    }
+    assert_eq!(desk.waiting(), 0);
+}
+
+#[test]
+fn in_time_before_late() {
+    let mut desk = full();
+    let late = wait(&mut desk, START, &case(START));
+    let now = after(250);
+    let (first, second) = (
+        wait(&mut desk, now, &case(now)),
+        wait(&mut desk, now, &case(now)),
+    );
+    assert_eq!(end(&mut desk, now), Some(first));
+    assert_eq!(end(&mut desk, now), Some(second));
+    // A late one leaves the slot to prompts at other hosts that are still in time.
+    assert_eq!(end(&mut desk, now), None);
+    // Until it has waited for long.
+    assert_eq!(end(&mut desk, after(1_200)), Some(late));
+}
+
+#[parameterized(
+    share = { Standing::Over { by: 0.5 }, 1, 1 },
+    urgency = { Standing::Within, 2, 1 },
+    urgency_before_share = { Standing::Over { by: 0.5 }, 1, 2 },
+)]
+fn order(standing: Standing, priority: u32, other: u32) {
+    let mut desk = full();
+    let one = Case {
+        standing,
+        priority,
+        ..case(START)
+    };
+    let two = Case {
+        priority: other,
+        ..case(START)
+    };
+    let (one, two) = (wait(&mut desk, START, &one), wait(&mut desk, START, &two));
+    let expected = if priority < other { one } else { two };
+    assert_eq!(end(&mut desk, after(10)), Some(expected));
+}
+
+/// Refused ones are told of times one after the other, and the line is bounded.
+#[test]
+fn full_line() {
+    let mut desk = full();
+    let mut returns = Vec::new();
+    for _ in 0..200 {
+        if let Verdict::Refuse { returns: at } = desk.ask(START, &case(START), false, &mut rng()) {
+            returns.push(at);
+        }
+    }
+    assert!(desk.waiting() < 30, "{}", desk.waiting());
+    assert!(returns.len() > 150);
+    assert!(returns.is_sorted());
+    assert!(returns[0] >= Duration::from_millis(500));
+}
+
+/// Without a bound, a prompt waits as long as the overload lasts.
+#[test]
+fn longest_wait() {
+    let mut desk = full();
+    let ticket = wait(&mut desk, START, &case(START));
+    assert!(desk.grant(after(1_300), &mut rng()).is_empty());
+    assert_eq!(desk.grant(after(1_400), &mut rng()), [ticket]);
+}
+
+/// A prompt whose deadline leaves no time to wait is sent, not held until it is over.
+#[test]
+fn near_deadline() {
+    let mut desk = full();
+    let near = Case {
+        until: START + HOLD,
+        ..case(START)
+    };
+    let verdict = desk.ask(START, &near, false, &mut rng());
+    assert_eq!(verdict, Verdict::Send);
+}
+
+/// The caller has left: its turn goes to the next one.
+#[test]
+fn left_line() {
+    let mut desk = full();
+    let first = wait(&mut desk, START, &case(START));
+    let second = wait(&mut desk, START, &case(START));
+    desk.leave(first);
+    assert_eq!(end(&mut desk, after(10)), Some(second));
+    assert_eq!(desk.waiting(), 0);
+}
+
+/// The engines are lost: what waits for their slots is placed anew, and finds out.
+#[test]
+fn lost_engines() {
+    let mut desk = full();
+    let ticket = wait(&mut desk, START, &case(START));
+    desk.see(after(50), [], HOLD, 0);
+    assert_eq!(desk.grant(after(50), &mut rng()), [ticket]);
+}
+
+/// A lost engine's slots don't count: prompts aren't sent for them.
+#[test]
+fn lost_slots() {
+    let mut desk = full();
+    wait(&mut desk, START, &case(START));
+    let engine = Engine {
+        slots: SLOTS,
+        streams: SLOTS,
+        waiting: 0,
+    };
+    desk.see(after(50), [engine; ENGINES - 1], HOLD, 0);
+    assert!(desk.grant(after(50), &mut rng()).is_empty());
+}
+
+/// A host is lost with its requests: the slots that it had go to those that wait elsewhere.
+#[test]
+fn lost_host() {
+    let mut desk = Desk::default();
+    for _ in 0..60 {
+        desk.begin(START + HOLD);
+    }
+    see(&mut desk, START, SLOTS, 1);
+    let ticket = wait(&mut desk, START, &case(START));
+    assert!(desk.grant(START, &mut rng()).is_empty());
+    see(&mut desk, after(100), SLOTS / 2, 0);
+    assert_eq!(desk.grant(after(100), &mut rng()), [ticket]);
+}
+
+/// Hosts that see the same few free slots don't all take them before they hear of each
+/// other.
+#[test]
+fn no_herd() {
+    let hosts: u32 = 20;
+    let mut rng = rng();
+    let mut taken = 0;
+    for _ in 0..hosts {
+        let mut desk = Desk::default();
+        for _ in 0..ENGINES as u32 * SLOTS / hosts {
+            desk.begin(START + HOLD);
+        }
+        see(&mut desk, START, SLOTS, hosts as usize - 1);
+        wait(&mut desk, START, &case(START));
+        let engine = Engine {
+            slots: SLOTS,
+            streams: SLOTS,
+            waiting: 0,
+        };
+        let mut engines = [engine; ENGINES];
+        engines[0].streams -= 4;
+        desk.see(after(20), engines, HOLD, hosts as usize - 1);
+        desk.grant(after(20), &mut rng);
+        desk.grant(START + AGE, &mut rng);
+        taken += 1 - desk.waiting();
+    }
+    assert!(taken <= 4, "{taken}");
+}
