--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -13,7 +13,8 @@
     life::{Course, Request, Whole},
     outgoing,
     pick::{Choice, Lack},
-    placement::{self, lacking},
+    placement::{self, Placed, lacking},
+    slots::Grant,
     upstream::{self, Connection, Head},
     verdict::Failure,
     worker::{Target, Worker},
@@ -102,10 +103,19 @@
 where
     D: Dialect,
 {
+    let mut grant: Option<Grant> = None;
     loop {
         let targets = worker.open_targets(request, course, clock::mono());
         let targets = targets.map_err(lacking)?;
-        let (choice, held) = placement::place(worker, request, course, &targets, after).await?;
+        let found = (after, grant.as_ref());
+        let placed = placement::place(worker, request, course, &targets, found).await?;
+        let (choice, held) = match placed {
+            Placed::Sent(choice, held) => (choice, *held),
+            Placed::Waits(waiter) => {
+                grant = Some(waiter.granted(request).await);
+                continue;
+            }
+        };
         let target = first(&targets, &choice).map_err(lacking)?;
         let connection = connect(worker, request, target).await;
         let connection = connection.map_err(|error| Broken::of(&error, &target.name))?;
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -15,6 +15,7 @@
     life::Request,
     load::{Ticket, Work},
     pick::{self, Choice},
+    slots::Slot,
     worker::{Target, Worker},
 };
 
@@ -37,6 +38,9 @@
     worker: Rc<Worker<D>>,
     tickets: Vec<(Upstream, Ticket)>,
     leases: RefCell<Option<Leases<D>>>,
+    // On the upstream that answers. Invariant: that one's ticket comes first.
+    slot: Option<Slot>,
+    is_short: bool,
     // Some of the memory is on engines that only help.
     is_elsewhere: bool,
     // When the first event is expected.
@@ -85,8 +89,12 @@
                 Some((name.clone(), load.begin(now, name, work)))
             })
             .collect();
+        drop(load);
         worker.changed.notify_one();
+        let target = targets.get(choice.first);
         Held {
+            slot: target.and_then(|target| worker.take_slot(request, target, now)),
+            is_short: first.short,
             worker: Rc::clone(worker),
             tickets,
             leases: RefCell::default(),
@@ -133,6 +141,11 @@
         self.worker.changed.notify_one();
     }
 
+    /// Whether it is a short prompt that takes a slot which is counted.
+    pub(crate) const fn has_short_slot(&self) -> bool {
+        self.slot.is_some() && self.is_short
+    }
+
     /// The names of the memory that was set aside, in the order of the shares.
     pub(crate) fn memory(&self) -> Vec<String> {
         let leases = self.leases.borrow();
@@ -149,6 +162,10 @@
         for (upstream, ticket) in &self.tickets {
             load.end(upstream, *ticket);
         }
+        drop(load);
         self.worker.changed.notify_one();
+        if let (Some(slot), Some((upstream, _))) = (&self.slot, self.tickets.first()) {
+            self.worker.leave_slot(slot, upstream);
+        }
     }
 }
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 //! | `backoff` | upstreams that ask for a pause, or leave |
 //! | `limit` | limits that upstreams name for all hosts |
 //! | `placement` | where an attempt goes, and what it waits for before |
+//! | `slots` | short prompts that wait for an engine's free slot |
 //! | `permit` | permits for upstreams that name one, asked of relays |
 //! | `suspicion` | requests that upstreams were lost with, counted over all hosts |
 //! | `life` | one request from its arrival to the end of its answer |
@@ -55,6 +56,7 @@
 mod response;
 pub mod rules;
 pub mod server;
+mod slots;
 mod suspicion;
 pub mod upstream;
 pub mod verdict;
--- a/almondlock-gateway/src/load.rs
+++ b/almondlock-gateway/src/load.rs
@@ -381,6 +381,16 @@
         fresh.map_or(0, |(_, count)| *count)
     }
 
+    /// Whether others' requests are known.
+    pub fn is_informed(&self, now: Mono) -> bool {
+        self.sum(now).is_some() || self.fresh(now).next().is_some()
+    }
+
+    /// How long ago a relay last told of them, if one does.
+    pub fn age(&self, now: Mono) -> Option<Duration> {
+        self.sum(now).map(|sum| now.since(sum.at))
+    }
+
     /// How many other entry hosts are heard of.
     pub fn hosts(&self, now: Mono) -> usize {
         let summed = self
--- a/almondlock-gateway/src/metrics.rs
+++ b/almondlock-gateway/src/metrics.rs
@@ -30,6 +30,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     counters: BTreeMap<String, u64>,
+    levels: BTreeMap<String, i64>,
     times: BTreeMap<String, Histogram<u32>>,
 }
 
@@ -43,6 +44,24 @@
         }
     }
 
+    /// One more is there now.
+    pub fn rise(&self, name: &str, label: &str) {
+        self.change(name, label, 1);
+    }
+
+    /// One less is there now.
+    pub fn fall(&self, name: &str, label: &str) {
+        self.change(name, label, -1);
+    }
+
+    fn change(&self, name: &str, label: &str, by: i64) {
+        let key = format!("{name}{{{label}}}");
+        let mut inner = self.lock();
+        if inner.levels.len() < SERIES || inner.levels.contains_key(&key) {
+            *inner.levels.entry(key).or_default() += by;
+        }
+    }
+
     /// Takes a time into a histogram.
     pub fn time(&self, name: &str, label: &str, span: Duration) {
         let key = format!("{name}{{{label}}}");
@@ -70,6 +89,9 @@
         for (name, count) in &inner.counters {
             let _ = writeln!(text, "{name} {count}");
         }
+        for (name, level) in &inner.levels {
+            let _ = writeln!(text, "{name} {level}");
+        }
         for (name, times) in &inner.times {
             let _ = writeln!(text, "{name} count {}", times.len());
             for quantile in QUANTILES {
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -38,12 +38,14 @@
 mod field;
 mod groups;
 mod long;
+mod slots;
 
 use std::{collections::BTreeMap, time::Duration};
 
 use almondlock_policy::{cell, engine::Speed};
 use rand::{Rng, RngCore};
 
+pub use self::slots::{hold, slots, with_slot};
 use self::{
     field::{Field, cost},
     groups::{Groups, arranged},
@@ -84,10 +86,15 @@
 
 impl Candidate {
     /// Whether a request may be sent to it now.
-    const fn may_answer(&self) -> bool {
+    pub(crate) const fn may_answer(&self) -> bool {
         !matches!(self.limited, Limited::Spent)
     }
 
+    /// Whether a request that is sent to it now gets a slot.
+    pub(crate) const fn has_slot(&self) -> bool {
+        self.total.waiting + self.total.streams < self.slots
+    }
+
     /// Whether it may be sent orders for memory, which its limit would count.
     const fn takes_orders(&self) -> bool {
         matches!(self.limited, Limited::No)
--- /dev/null
+++ b/almondlock-gateway/src/pick/slots.rs
@@ -0,0 +1,97 @@
+//! The engines' slots as a choice among the engines sees them.
+
+use std::time::Duration;
+
+use almondlock_policy::{engine::Speed, places};
+use rand::{Rng, RngCore};
+
+use super::{Candidate, Demand};
+use crate::memory;
+
+/// The part of its objective for which a short prompt may wait until an engine begins to
+/// read it. The first pass and the way have the rest.
+const BACKLOG_SHARE: f64 = 0.5;
+
+/// The slots of these engines. Those of an engine that is suspect, or where the prompt
+/// would be late however many of them are free, don't count.
+pub fn slots(
+    candidates: &[Candidate],
+    objective: Duration,
+) -> impl Iterator<Item = places::Engine> + use<'_> {
+    let healthy = candidates.iter().filter(|candidate| !candidate.suspect);
+    healthy.map(move |candidate| {
+        let total = &candidate.total;
+        let is_of_use = is_of_use(candidate, objective);
+        places::Engine {
+            slots: match is_of_use {
+                true => candidate.slots,
+                false => candidate.slots.min(total.requests()),
+            },
+            streams: total.streams,
+            waiting: total.waiting,
+        }
+    })
+}
+
+fn is_of_use(candidate: &Candidate, objective: Duration) -> bool {
+    candidate.may_answer() && candidate.total.backlog() < objective.mul_f64(BACKLOG_SHARE)
+}
+
+/// How long a stream keeps its slot on an engine that writes so many others.
+pub fn hold(speed: &Speed, demand: Demand, streams: u32) -> Duration {
+    let pass = speed.writing(streams, demand.prompt * u64::from(streams.max(1)));
+    // Outputs are far below the precision of an `f64`.
+    let passes = (demand.output as f64 / speed.stride.max(1.0)).ceil();
+    speed.reading(demand.prompt) + pass.mul_f64(passes)
+}
+
+/// Who answers a short prompt while slots are scarce: an engine drawn with the probability
+/// of its part of the free slots, in the cell of the one that was chosen if any is free
+/// there. The one that was chosen if none has any.
+///
+/// **Load pattern.** Many hosts see the same few free slots. Short prompts are packed onto
+/// some of the engines, so the cheapest of these gets more prompts than it has free slots
+/// before hosts hear of each other.
+pub fn with_slot<R>(
+    speed: &Speed,
+    demand: Demand,
+    candidates: &[Candidate],
+    chosen: usize,
+    rng: &mut R,
+) -> usize
+where
+    R: RngCore,
+{
+    let memory = demand.prompt + demand.output;
+    let free = |candidate: &Candidate| {
+        let is_open = !candidate.suspect && is_of_use(candidate, demand.objective);
+        let has_room = memory::free(speed, &candidate.total) >= memory;
+        match is_open && has_room {
+            true => candidate.slots.saturating_sub(candidate.total.requests()),
+            false => 0,
+        }
+    };
+    let cell = candidates.get(chosen).map(|candidate| candidate.cell);
+    let in_cell = |candidate: &Candidate| match Some(candidate.cell) == cell {
+        true => free(candidate),
+        false => 0,
+    };
+    let place = draw(candidates, in_cell, rng).or_else(|| draw(candidates, free, rng));
+    place.unwrap_or(chosen)
+}
+
+/// Draws a candidate with the probability of its part of the weights.
+fn draw<F, R>(candidates: &[Candidate], weight: F, rng: &mut R) -> Option<usize>
+where
+    F: Fn(&Candidate) -> u32,
+    R: RngCore,
+{
+    let all: u32 = candidates.iter().map(&weight).sum();
+    let mut drawn = (all > 0).then(|| rng.random_range(0..all))?;
+    candidates.iter().position(|candidate| {
+        let own = weight(candidate);
+        let is_drawn = drawn < own;
+        drawn = drawn.saturating_sub(own);
+        is_drawn
+    })
+}
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -5,7 +5,7 @@
 
 use almondlock_base::{id::Upstream, time::Mono};
 use almondlock_node::clock;
-use almondlock_policy::admission;
+use almondlock_policy::{admission, places::Verdict};
 
 use crate::{
     attempt::Broken,
@@ -13,7 +13,8 @@
     held::Held,
     lease::Leases,
     life::{Course, Request, note},
-    pick::{self, Choice, Lack},
+    pick::{self, Candidate, Choice, Lack},
+    slots::{Grant, Question, Waiter},
     verdict::Failure,
     worker::{Target, Worker},
 };
@@ -25,6 +26,17 @@
 /// answers. Engines that leave orders unanswered take most of that.
 const ASKING_SHARE: f64 = 0.25;
 
+/// How a placement ends that doesn't fail.
+pub(crate) enum Placed<D>
+where
+    D: Dialect,
+{
+    /// The attempt is sent.
+    Sent(Choice, Box<Held<D>>),
+    /// It waits for a slot, and is then placed anew.
+    Waits(Waiter<D>),
+}
+
 /// What was found out while an attempt is placed.
 #[derive(Default)]
 struct Search {
@@ -81,8 +93,8 @@
     request: &Request,
     course: &Course,
     targets: &[Target],
-    after: Option<u64>,
-) -> Result<(Choice, Held<D>), Broken>
+    (after, grant): (Option<u64>, Option<&Grant>),
+) -> Result<Placed<D>, Broken>
 where
     D: Dialect,
 {
@@ -95,11 +107,34 @@
             let Search { full, silent, .. } = &mut search;
             full.retain(|upstream| silent.contains(upstream));
         }
-        let choice = choose(worker, request, targets, &course.tried, &search.full, now);
+        let candidates = targets.iter();
+        let candidates: Vec<Candidate> = candidates
+            .map(|target| worker.candidate(now, target, &course.tried, &search.full))
+            .collect();
+        let choice = choose(worker, request, &candidates);
         let mut choice = choice.map_err(|lack| refused_for(worker, request, lack, now))?;
         if is_last {
             choice.shares.retain(|share| share.place != choice.first);
         }
+        match admit(
+            worker,
+            request,
+            (targets, &candidates),
+            &mut choice,
+            (is_new, grant),
+            now,
+        ) {
+            Verdict::Send => {}
+            Verdict::Wait(ticket) => {
+                return Ok(Placed::Waits(Waiter::new(worker, request, ticket)));
+            }
+            Verdict::Refuse { returns } => {
+                return Err(Broken {
+                    returns: Some(returns),
+                    ..Broken::new(Failure::Unsent, None, "too many wait for a slot")
+                });
+            }
+        }
         let refused = refusal(worker, request, (targets, &choice), now);
         if let Some(refused) = refused.filter(|_| is_new) {
             return Err(refused);
@@ -116,12 +151,12 @@
         }
         let held = Held::new(worker, request, targets, &choice, now);
         if choice.shares.is_empty() {
-            return Ok((choice, held));
+            return Ok(Placed::Sent(choice, Box::new(held)));
         }
         match Leases::take(worker, &request.id, targets, &choice.shares).await {
             Ok(leases) => {
                 held.keep(leases);
-                return Ok((choice, held));
+                return Ok(Placed::Sent(choice, Box::new(held)));
             }
             Err(failed) => search.note(worker, request, failed, course.tried.len()),
         }
@@ -186,28 +221,54 @@
     })
 }
 
-fn choose<D>(
+/// Whether a short prompt gets a slot now.
+fn admit<D>(
     worker: &Worker<D>,
     request: &Request,
-    targets: &[Target],
-    tried: &[Upstream],
-    full: &[Upstream],
+    (targets, candidates): (&[Target], &[Candidate]),
+    choice: &mut Choice,
+    (may_wait, grant): (bool, Option<&Grant>),
     now: Mono,
+) -> Verdict
+where
+    D: Dialect,
+{
+    let is_short = choice.helpers.is_empty() && choice.part <= pick::SHORT;
+    if !worker.features.places || !is_short {
+        return Verdict::Send;
+    }
+    let known = worker.known();
+    let rules = known.rules.as_ref();
+    let service = rules.and_then(|rules| rules.service(&request.service));
+    let Some(speed) = service.and_then(|service| service.engine.as_ref()) else {
+        return Verdict::Send;
+    };
+    let question = Question {
+        request,
+        speed,
+        targets,
+        candidates,
+        may_wait,
+        grant,
+    };
+    worker.admit(&question, choice, now)
+}
+
+fn choose<D>(
+    worker: &Worker<D>,
+    request: &Request,
+    candidates: &[Candidate],
 ) -> Result<Choice, Lack>
 where
     D: Dialect,
 {
-    let candidates: Vec<pick::Candidate> = targets
-        .iter()
-        .map(|target| worker.candidate(now, target, tried, full))
-        .collect();
     let known = worker.known();
     let rules = known.rules.as_ref();
     let service = rules.and_then(|rules| rules.service(&request.service));
     let service = service.ok_or(Lack::Upstream)?;
     let mut rng = worker.rng.borrow_mut();
     match (&service.engine, request.demand) {
-        (Some(speed), Some(demand)) => pick::engine(speed, demand, &candidates, &mut *rng),
-        _ => pick::plain(&candidates, &mut *rng),
+        (Some(speed), Some(demand)) => pick::engine(speed, demand, candidates, &mut *rng),
+        _ => pick::plain(candidates, &mut *rng),
     }
 }
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -61,6 +61,13 @@
         let label = format!("route=\"{}\"", request.route.name);
         let spent = now.since(request.arrived);
         worker.shared.metrics.time("first_event", &label, spent);
+        if run.held.has_short_slot() {
+            let outcome = match spent <= request.route.objective {
+                true => "in_time",
+                false => "late",
+            };
+            worker.shared.metrics.count("slots", outcome);
+        }
         Stream {
             worker: Rc::clone(worker),
             request: Rc::clone(request),
--- /dev/null
+++ b/almondlock-gateway/src/slots.rs
@@ -0,0 +1,336 @@
+//! Short prompts that wait at the host for a free slot of an engine.
+//!
+//! [`almondlock_policy::places`] decides; here it is told of the engines, and those that it
+//! grants a slot are woken. A prompt that waits holds no connection and no engine memory.
+
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Service, Upstream},
+    time::Mono,
+};
+use almondlock_node::clock;
+use almondlock_policy::{
+    engine::Speed,
+    places::{AGE, Case, Commitment, Desk, Ticket, Verdict},
+    share::Standing,
+};
+use tokio::{sync::oneshot, time::sleep};
+
+use crate::{
+    dialect::Dialect,
+    life::Request,
+    pick::{self, Candidate, Choice},
+    worker::{Target, Worker},
+};
+
+/// How often a prompt that waits looks whether slots are seen free: twice within the age of
+/// what is known.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The age of the account from which all engines are looked at for it while prompts wait.
+/// Placements usually do so more often.
+const REFRESH: Duration = AGE.saturating_mul(2);
+
+/// Passes of an engine from a slot to the first event at most: the one that runs, and its
+/// own.
+const PASSES: u32 = 2;
+
+/// A slot that a prompt was granted.
+#[derive(Debug, Default)]
+pub(crate) struct Grant {
+    /// The engine that one of this host's streams has left, if it is such a slot.
+    upstream: Option<Upstream>,
+}
+
+/// The waiting prompts of one service.
+#[derive(Debug, Default)]
+struct Line {
+    desk: Desk,
+    waiters: BTreeMap<Ticket, oneshot::Sender<Grant>>,
+    looked: Mono,
+}
+
+impl Line {
+    fn wake(&mut self, ticket: Ticket, grant: Grant) {
+        if let Some(waiter) = self.waiters.remove(&ticket) {
+            // Whoever waited may be leaving: it passes the slot on.
+            let _ = waiter.send(grant);
+        }
+    }
+
+    fn wake_all(&mut self, tickets: Vec<Ticket>) {
+        for ticket in tickets {
+            self.wake(ticket, Grant::default());
+        }
+    }
+}
+
+/// Those of all services.
+#[derive(Debug, Default)]
+pub(crate) struct Lines(RefCell<HashMap<Service, Line>>);
+
+impl Lines {
+    fn with<T, F>(&self, service: &Service, act: F) -> T
+    where
+        F: FnOnce(&mut Line) -> T,
+    {
+        let mut lines = self.0.borrow_mut();
+        match lines.get_mut(service) {
+            Some(line) => act(line),
+            None => act(lines.entry(service.clone()).or_default()),
+        }
+    }
+}
+
+/// A request's slot as long as it runs.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    service: Service,
+    commitment: Commitment,
+    slots: u32,
+}
+
+/// What a decision is made with.
+pub(crate) struct Question<'a> {
+    pub(crate) request: &'a Request,
+    pub(crate) speed: &'a Speed,
+    pub(crate) targets: &'a [Target],
+    pub(crate) candidates: &'a [Candidate],
+    /// It may be told to wait.
+    pub(crate) may_wait: bool,
+    pub(crate) grant: Option<&'a Grant>,
+}
+
+/// A request that waits. Leaves the line when dropped.
+pub(crate) struct Waiter<D>
+where
+    D: Dialect,
+{
+    worker: Rc<Worker<D>>,
+    service: Service,
+    ticket: Ticket,
+    granted: oneshot::Receiver<Grant>,
+}
+
+impl<D> Waiter<D>
+where
+    D: Dialect,
+{
+    pub(crate) fn new(worker: &Rc<Worker<D>>, request: &Request, ticket: Ticket) -> Waiter<D> {
+        let (sender, granted) = oneshot::channel();
+        worker.lines.with(&request.service, |line| {
+            line.waiters.insert(ticket, sender);
+        });
+        worker.shared.metrics.rise("slots", "waiting");
+        Waiter {
+            worker: Rc::clone(worker),
+            service: request.service.clone(),
+            ticket,
+            granted,
+        }
+    }
+
+    /// Waits for a slot.
+    pub(crate) async fn granted(mut self, request: &Request) -> Grant {
+        let began = clock::mono();
+        let grant = loop {
+            tokio::select! {
+                biased;
+                grant = &mut self.granted => break grant.unwrap_or_default(),
+                () = sleep(LOOK) => self.worker.look(&self.service, request.route.objective),
+            }
+        };
+        tracing::info!(
+            request = %request.id, waited_ms = clock::mono().since(began).as_millis(),
+            upstream = grant.upstream.as_ref().map_or("any", Upstream::as_str),
+            "granted a slot"
+        );
+        grant
+    }
+}
+
+impl<D> Drop for Waiter<D>
+where
+    D: Dialect,
+{
+    fn drop(&mut self) {
+        self.worker.shared.metrics.fall("slots", "waiting");
+        let unused = self.granted.try_recv();
+        self.worker.lines.with(&self.service, |line| {
+            line.waiters.remove(&self.ticket);
+            line.desk.leave(self.ticket);
+            if let Ok(grant) = unused
+                && let Some(next) = line.desk.pass_on(clock::mono())
+            {
+                line.wake(next, grant);
+            }
+        });
+    }
+}
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    /// Decides whether a short prompt is sent now, and to which engine.
+    pub(crate) fn admit(&self, question: &Question<'_>, choice: &mut Choice, now: Mono) -> Verdict {
+        let &Question {
+            request,
+            speed,
+            candidates,
+            ..
+        } = question;
+        let Some(demand) = request.demand else {
+            return Verdict::Send;
+        };
+        let may_wait = question.may_wait && question.grant.is_none();
+        let (is_informed, hosts, age) = {
+            let load = self.load.borrow();
+            (load.is_informed(now), load.hosts(now), load.age(now))
+        };
+        let hold = pick::hold(speed, demand, speed.slots);
+        let is_scarce = self.lines.with(&request.service, |line| {
+            let rows = pick::slots(candidates, request.route.objective);
+            line.desk.see(now, rows, hold, hosts);
+            line.desk.is_scarce()
+        });
+        if !is_informed || self.shared.is_stopping() {
+            self.release(&request.service);
+            return Verdict::Send;
+        }
+        let has_slot = |place: usize| candidates.get(place).is_some_and(Candidate::has_slot);
+        match self.handed_over(question) {
+            Some(place) => choice.first = place,
+            None if is_scarce || !has_slot(choice.first) => {
+                let rng = &mut *self.rng.borrow_mut();
+                choice.first = pick::with_slot(speed, demand, candidates, choice.first, rng);
+            }
+            None => {}
+        }
+        if !may_wait {
+            return Verdict::Send;
+        }
+        let case = Case {
+            arrived: request.arrived,
+            until: request.until,
+            objective: request.route.objective,
+            expected: speed.reading(demand.prompt)
+                + speed.writing(speed.slots, demand.prompt * u64::from(speed.slots)) * PASSES,
+            priority: request.priority(),
+            standing: Standing::Within,
+        };
+        let first = has_slot(choice.first);
+        let rng = &mut *self.rng.borrow_mut();
+        self.lines.with(&request.service, |line| {
+            let verdict = line.desk.ask(now, &case, first, rng);
+            let outcome = match verdict {
+                Verdict::Send => "sent",
+                Verdict::Wait(_) => "waited",
+                Verdict::Refuse { .. } => "refused",
+            };
+            self.shared.metrics.count("slots", outcome);
+            if verdict != Verdict::Send {
+                let account = line.desk.account();
+                tracing::info!(
+                    request = %request.id, outcome, slots = account.slots, free = account.free,
+                    used = account.used, queued = account.over, hosts,
+                    waiting = line.desk.waiting(), per_second = line.desk.rate(now, case.objective),
+                    age_ms = age.map(|age| age.as_millis()), "no free slot"
+                );
+            }
+            verdict
+        })
+    }
+
+    /// The engine whose slot the prompt was granted, if that is still free.
+    fn handed_over(&self, question: &Question<'_>) -> Option<usize> {
+        let upstream = question.grant?.upstream.as_ref()?;
+        let mut targets = question.targets.iter();
+        let place = targets.position(|target| target.name == *upstream)?;
+        let candidate = question.candidates.get(place)?;
+        let is_open = candidate.has_slot() && !candidate.suspect && candidate.may_answer();
+        is_open.then_some(place)
+    }
+
+    /// Counts the slot that a request takes.
+    pub(crate) fn take_slot(&self, request: &Request, target: &Target, now: Mono) -> Option<Slot> {
+        if !self.features.places {
+            return None;
+        }
+        let known = self.known();
+        let service = known.rules.as_ref()?.service(&request.service)?;
+        let speed = service.engine.as_ref()?;
+        let hold = pick::hold(speed, request.demand?, speed.slots);
+        let service = request.service.clone();
+        let commitment = self
+            .lines
+            .with(&service, |line| line.desk.begin(now + hold));
+        Some(Slot {
+            service,
+            commitment,
+            slots: target.slots,
+        })
+    }
+
+    /// A request has ended, and its slot goes to the next one that waits.
+    pub(crate) fn leave_slot(&self, slot: &Slot, upstream: &Upstream) {
+        let now = clock::mono();
+        let total = self.load.borrow().total(now, upstream);
+        let has_slot = total.requests() < slot.slots && !self.is_suspect(now, upstream);
+        self.lines.with(&slot.service, |line| {
+            if let Some(next) = line.desk.end(now, slot.commitment, has_slot) {
+                let upstream = Some(upstream.clone());
+                line.wake(next, Grant { upstream });
+            }
+        });
+    }
+
+    /// Wakes the prompts for which slots are seen free, or that have waited for as long as
+    /// they may.
+    fn look(&self, service: &Service, objective: Duration) {
+        let now = clock::mono();
+        let is_due = self.lines.with(service, |line| {
+            let is_due = now.since(line.looked) >= LOOK;
+            line.looked = if is_due { now } else { line.looked };
+            is_due
+        });
+        if !is_due {
+            return;
+        }
+        if self.shared.is_stopping() || !self.load.borrow().is_informed(now) {
+            return self.release(service);
+        }
+        let account = self.lines.with(service, |line| *line.desk.account());
+        if now.since(account.at) >= REFRESH {
+            let known = self.known();
+            let targets = known.instances.get(service).into_iter().flatten();
+            let open = targets.filter(|target| self.backoff(now, &target.name).is_none());
+            let candidates: Vec<Candidate> = open
+                .map(|target| self.candidate(now, target, &[], &[]))
+                .collect();
+            let rows = pick::slots(&candidates, objective);
+            self.lines.with(service, |line| {
+                line.desk.see(now, rows, account.hold, account.hosts);
+            });
+        }
+        let rng = &mut *self.rng.borrow_mut();
+        self.lines.with(service, |line| {
+            let granted = line.desk.grant(now, rng);
+            line.wake_all(granted);
+        });
+    }
+
+    /// Wakes all that wait.
+    fn release(&self, service: &Service) {
+        self.lines.with(service, |line| {
+            let all = line.desk.release();
+            line.wake_all(all);
+        });
+    }
+}
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -43,6 +43,7 @@
     pick::{Candidate, Choice},
     pool::Pool,
     rules::Rules,
+    slots::Lines,
     suspicion::Suspicion,
 };
 
@@ -212,6 +213,8 @@
     /// Limits that upstreams have named for all hosts.
     pub(crate) limits: RefCell<throttle::Limits<Key>>,
     pub(crate) permits: Permits,
+    /// Prompts that wait for a free slot.
+    pub(crate) lines: Lines,
     /// Requests that upstreams were lost with.
     pub(crate) suspicion: Suspicion,
     /// Headers of answers that nobody reads, as far as they were logged.
@@ -276,6 +279,7 @@
             backoffs: RefCell::default(),
             limits: RefCell::default(),
             permits: Permits::default(),
+            lines: Lines::default(),
             suspicion: Suspicion::default(),
             unread: RefCell::default(),
             ended,
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -62,6 +62,8 @@
     /// The first upstream stands alone in the host's failure domain, which is evacuated this
     /// long after the start.
     evacuate: Option<Duration>,
+    /// Short prompts are admitted by the engines' free slots.
+    places: bool,
 }
 
 const SETUP: Setup = Setup {
@@ -75,6 +77,7 @@
     relays: None,
     cold_upstreams: 0,
     evacuate: None,
+    places: false,
 };
 
 const ENGINES: Setup = Setup {
@@ -166,6 +169,23 @@
     start_for(setup, upstreams)
 }
 
+/// The same in front of engines whose slots are accounted for. Stops after a while, if that
+/// is given.
+pub fn start_admitting(
+    upstreams: &[SocketAddr],
+    relays: Option<[SocketAddr; 2]>,
+    stop: Option<Duration>,
+) -> SocketAddr {
+    let setup = Setup {
+        relays,
+        stop,
+        grace: Duration::from_secs(4),
+        places: true,
+        ..ENGINES
+    };
+    start_for(setup, upstreams)
+}
+
 /// The same as [`start`], where the first upstream's failure domain is evacuated after a
 /// while.
 pub fn start_evacuating(upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
@@ -299,7 +319,10 @@
             retries,
             memory_hold: setup.hold,
         },
-        features: Features::default(),
+        features: Features {
+            places: setup.places,
+            ..Features::default()
+        },
         seed: next_host(),
         notice: Duration::ZERO,
         grace: setup.grace,
--- /dev/null
+++ b/almondlock-gateway/tests/waiting_prompts.rs
@@ -0,0 +1,145 @@
+//! Short prompts come to engines whose slots are all in use. Each test guards against one
+//! way in which a prompt that waits at the host could be lost, held for nothing, or sent
+//! for nobody.
+
+mod fake;
+mod gateway;
+
+use std::{
+    io::Write,
+    net::{SocketAddr, TcpStream},
+    sync::mpsc::Receiver,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use fake::{Step, end, event, serve, stream_head};
+use gateway::{read, start_admitting, start_relay, status};
+
+/// The slots of the engine.
+const SLOTS: usize = 8;
+/// Milliseconds between events.
+const PAUSE: u64 = 50;
+/// Hosts hear of relays meanwhile.
+const SETTLED: Duration = Duration::from_millis(1_000);
+
+/// An engine whose streams take this long, with an event every 50 ms: one that is silent
+/// for longer is given up.
+fn engine(millis: u64) -> (SocketAddr, Receiver<String>) {
+    serve(move |_| {
+        let events = (2..=millis / PAUSE + 1).flat_map(|n| [Step::Pause(PAUSE), event(n)]);
+        let begun = [stream_head(), event(1)];
+        begun.into_iter().chain(events).chain([end()]).collect()
+    })
+}
+
+fn send(gateway: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(gateway).unwrap();
+    let request = "POST /engine/ HTTP/1.1\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 5000\r\n\
+                   x-usage: 50,60\r\ncontent-length: 2\r\n\r\nhi";
+    stream.write_all(request.as_bytes()).unwrap();
+    stream
+}
+
+/// Sends one prompt for each slot, and waits until the engine has them.
+fn fill(gateway: SocketAddr, heads: &Receiver<String>) -> Vec<TcpStream> {
+    let streams = (0..SLOTS).map(|_| {
+        let stream = send(gateway);
+        heads.recv_timeout(Duration::from_secs(2)).unwrap();
+        stream
+    });
+    streams.collect()
+}
+
+fn relays() -> Option<[SocketAddr; 2]> {
+    Some([start_relay(), start_relay()])
+}
+
+/// Guards against a prompt that queues at the engine, or waits on when a slot is free.
+#[test]
+fn slot_handed_on() {
+    let (engine, heads) = engine(250);
+    let gateway = start_admitting(&[engine], relays(), None);
+    sleep(SETTLED);
+    let began = Instant::now();
+    let _streams = fill(gateway, &heads);
+    let mut next = send(gateway);
+    heads.recv_timeout(Duration::from_secs(2)).unwrap();
+    let waited = began.elapsed();
+    assert!(waited >= Duration::from_millis(250), "{waited:?}");
+    assert!(waited < Duration::from_millis(500), "{waited:?}");
+    assert_eq!(status(&read(&mut next, Duration::from_secs(1))), 200);
+}
+
+/// Guards against a prompt that is sent for a caller who has left.
+#[test]
+fn caller_left() {
+    let (engine, heads) = engine(600);
+    let gateway = start_admitting(&[engine], relays(), None);
+    sleep(SETTLED);
+    let _streams = fill(gateway, &heads);
+    drop(send(gateway));
+    let next = heads.recv_timeout(Duration::from_millis(2_000));
+    assert!(next.is_err());
+}
+
+/// Guards against prompts that are held because nothing is known of other hosts.
+#[test]
+fn no_relay() {
+    let (engine, heads) = engine(2_000);
+    let gateway = start_admitting(&[engine], None, None);
+    let _streams = fill(gateway, &heads);
+    let _next = send(gateway);
+    heads.recv_timeout(Duration::from_millis(500)).unwrap();
+}
+
+/// Guards against a prompt that waits on while its host stops.
+#[test]
+fn host_stops() {
+    let stop = SETTLED + Duration::from_millis(500);
+    let (engine, heads) = engine(2_500);
+    let gateway = start_admitting(&[engine], relays(), Some(stop));
+    sleep(SETTLED);
+    let _streams = fill(gateway, &heads);
+    let mut next = send(gateway);
+    let began = Instant::now();
+    heads.recv_timeout(Duration::from_millis(1_100)).unwrap();
+    assert!(began.elapsed() > Duration::from_millis(200));
+    assert_eq!(status(&read(&mut next, Duration::from_secs(1))), 200);
+}
+
+/// Guards against a prompt that waits for ever because slots never are seen free.
+#[test]
+fn bounded_wait() {
+    let (engine, heads) = engine(4_000);
+    let gateway = start_admitting(&[engine], relays(), None);
+    sleep(SETTLED);
+    let _streams = fill(gateway, &heads);
+    let _next = send(gateway);
+    assert!(heads.recv_timeout(Duration::from_millis(800)).is_err());
+    heads.recv_timeout(Duration::from_millis(1_000)).unwrap();
+}
+
+/// Guards against a line without bound: those that find it full are told at once when to
+/// come back, and have not run.
+#[test]
+fn full_line() {
+    let (engine, heads) = engine(4_000);
+    let gateway = start_admitting(&[engine], relays(), None);
+    sleep(SETTLED);
+    let _streams = fill(gateway, &heads);
+    let others: Vec<TcpStream> = (0..100).map(|_| send(gateway)).collect();
+    let answers = others
+        .into_iter()
+        .map(|mut stream| read(&mut stream, Duration::from_millis(5)));
+    let answers: Vec<String> = answers.filter(|answer| !answer.is_empty()).collect();
+    assert!(answers.len() > 10, "{}", answers.len());
+    for answer in &answers {
+        assert_eq!(status(answer), 503, "{answer}");
+        assert!(
+            answer.to_ascii_lowercase().contains("retry-after"),
+            "{answer}"
+        );
+    }
+    assert!(heads.try_recv().is_err());
+}
