--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -45,6 +45,7 @@
 use almondlock_policy::{cell, engine::Speed};
 use rand::{Rng, RngCore};
 
+pub(crate) use self::slots::is_backlogged;
 pub use self::slots::{hold, slots, with_slot};
 use self::{
     field::{Field, cost},
--- a/almondlock-gateway/src/pick/slots.rs
+++ b/almondlock-gateway/src/pick/slots.rs
@@ -6,35 +6,33 @@
 use rand::{Rng, RngCore};
 
 use super::{Candidate, Demand};
-use crate::memory;
+use crate::{load::Total, memory};
 
 /// The part of its objective for which a short prompt may wait until an engine begins to
 /// read it. The first pass and the way have the rest.
 const BACKLOG_SHARE: f64 = 0.5;
 
-/// The slots of these engines. Those of an engine that is suspect, or where the prompt
-/// would be late however many of them are free, don't count.
+/// The slots of these engines, without those that are suspect or at a limit.
 pub fn slots(
     candidates: &[Candidate],
     objective: Duration,
 ) -> impl Iterator<Item = places::Engine> + use<'_> {
-    let healthy = candidates.iter().filter(|candidate| !candidate.suspect);
+    let open = |candidate: &&Candidate| !candidate.suspect && candidate.may_answer();
+    let healthy = candidates.iter().filter(open);
     healthy.map(move |candidate| {
         let total = &candidate.total;
-        let is_of_use = is_of_use(candidate, objective);
         places::Engine {
-            slots: match is_of_use {
-                true => candidate.slots,
-                false => candidate.slots.min(total.requests()),
-            },
+            slots: candidate.slots,
             streams: total.streams,
             waiting: total.waiting,
+            is_backlogged: is_backlogged(total, objective),
         }
     })
 }
 
-fn is_of_use(candidate: &Candidate, objective: Duration) -> bool {
-    candidate.may_answer() && candidate.total.backlog() < objective.mul_f64(BACKLOG_SHARE)
+/// Whether an engine has so much to read that a short prompt would be late there.
+pub(crate) fn is_backlogged(total: &Total, objective: Duration) -> bool {
+    total.backlog() >= objective.mul_f64(BACKLOG_SHARE)
 }
 
 /// How long a stream keeps its slot on an engine that writes so many others.
@@ -64,7 +62,9 @@
 {
     let memory = demand.prompt + demand.output;
     let free = |candidate: &Candidate| {
-        let is_open = !candidate.suspect && is_of_use(candidate, demand.objective);
+        let is_open = !candidate.suspect
+            && candidate.may_answer()
+            && !is_backlogged(&candidate.total, demand.objective);
         let has_room = memory::free(speed, &candidate.total) >= memory;
         match is_open && has_room {
             true => candidate.slots.saturating_sub(candidate.total.requests()),
--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -54,6 +54,8 @@
     desk: Desk,
     waiters: BTreeMap<Ticket, oneshot::Sender<Grant>>,
     looked: Mono,
+    /// The objective of the prompts that ask.
+    objective: Duration,
 }
 
 impl Line {
@@ -198,6 +200,7 @@
         let is_scarce = self.lines.with(&request.service, |line| {
             let rows = pick::slots(candidates, request.route.objective);
             line.desk.see(now, rows, hold, hosts);
+            line.objective = request.route.objective;
             line.desk.is_scarce()
         });
         if !is_informed || self.shared.is_stopping() {
@@ -282,8 +285,9 @@
     pub(crate) fn leave_slot(&self, slot: &Slot, upstream: &Upstream) {
         let now = clock::mono();
         let total = self.load.borrow().total(now, upstream);
-        let has_slot = total.requests() < slot.slots && !self.is_suspect(now, upstream);
+        let is_open = total.requests() < slot.slots && !self.is_suspect(now, upstream);
         self.lines.with(&slot.service, |line| {
+            let has_slot = is_open && !pick::is_backlogged(&total, line.objective);
             if let Some(next) = line.desk.end(now, slot.commitment, has_slot) {
                 let upstream = Some(upstream.clone());
                 line.wake(next, Grant { upstream });
--- a/almondlock-policy/src/places/account.rs
+++ b/almondlock-policy/src/places/account.rs
@@ -13,6 +13,8 @@
     pub streams: u32,
     /// Requests whose answer hasn't begun, of all hosts.
     pub waiting: u32,
+    /// It has so much to read that a short prompt would be late whatever its slots.
+    pub is_backlogged: bool,
 }
 
 /// The sums over all engines, as last seen.
@@ -20,10 +22,12 @@
 pub struct Account {
     /// When they were seen.
     pub at: Mono,
-    /// Slots.
+    /// Slots of engines that aren't backlogged.
     pub slots: u32,
-    /// Slots that no request has.
+    /// Those of them that no request has.
     pub free: u32,
+    /// Free slots of engines that are backlogged.
+    pub spare: u32,
     /// Requests that have a slot or queue for one at an engine.
     pub used: u32,
     /// Those of them that queue.
@@ -47,9 +51,15 @@
         };
         engines.into_iter().fold(none, |sum, engine| {
             let requests = engine.streams + engine.waiting;
+            let left = engine.slots.saturating_sub(requests);
+            let (slots, free, spare) = match engine.is_backlogged {
+                true => (0, 0, left),
+                false => (engine.slots, left, 0),
+            };
             Account {
-                slots: sum.slots + engine.slots,
-                free: sum.free + engine.slots.saturating_sub(requests),
+                slots: sum.slots + slots,
+                free: sum.free + free,
+                spare: sum.spare + spare,
                 used: sum.used + requests,
                 over: sum.over + requests.saturating_sub(engine.slots),
                 ..sum
--- a/almondlock-policy/src/places/line.rs
+++ b/almondlock-policy/src/places/line.rs
@@ -130,6 +130,12 @@
         next.is_some_and(|entry| entry.is_timely(now) || now >= entry.overdue)
     }
 
+    /// The next one that is late, if it is its turn.
+    pub(super) fn pop_late(&mut self, now: Mono) -> Option<Ticket> {
+        let next = self.entries.iter().min_by_key(|entry| entry.rank(now))?;
+        (!next.is_timely(now)).then(|| self.pop(now)).flatten()
+    }
+
     /// Those that have waited for as long as they may.
     pub(super) fn expired(&mut self, now: Mono) -> Vec<Ticket> {
         let expired = self.entries.extract_if(.., |entry| entry.sent_by <= now);
--- a/almondlock-policy/src/places/mod.rs
+++ b/almondlock-policy/src/places/mod.rs
@@ -130,6 +130,10 @@
         let slack = case.latest().since(now);
         let ahead = f64::from(self.line.timely(now));
         let is_late = (ahead + 1.0) / rate > slack.as_secs_f64();
+        // The line is for slots in which a prompt is in time. A late one doesn't need these.
+        if is_late && has_slot && self.has_spare() {
+            return Verdict::Send;
+        }
         let late_most = (LATE_SHARE * rate * LONGEST.as_secs_f64()).round().max(1.0);
         let timely_most = rate * case.objective.as_secs_f64();
         let most = match is_late {
@@ -160,7 +164,7 @@
     }
 
     /// The prompts that are sent now: for slots that are seen free, this host's portion of
-    /// them; those that have waited for as long as they may; all if no engine is known.
+    /// them; a late one for those of backlogged engines; those that have waited for as long as they may; all if no engine is known.
     pub fn grant<R>(&mut self, now: Mono, rng: &mut R) -> Vec<Ticket>
     where
         R: RngCore,
@@ -172,6 +176,9 @@
         while self.has_next(now) && self.take(now, rng) {
             granted.extend(self.line.pop(now));
         }
+        if self.has_spare() {
+            granted.extend(self.line.pop_late(now));
+        }
         granted
     }
 
@@ -250,6 +257,11 @@
         f64::from(self.account.free) > self.unseen() * 2.0
     }
 
+    /// More slots of backlogged engines are free than prompts arrive unseen.
+    fn has_spare(&self) -> bool {
+        f64::from(self.account.spare) > self.unseen()
+    }
+
     /// Prompts that arrive at all hosts within the age of what they know: with all slots in
     /// use, as many as slots become free.
     fn unseen(&self) -> f64 {
--- a/almondlock-policy/tests/scarce_places.rs
+++ b/almondlock-policy/tests/scarce_places.rs
@@ -41,7 +41,7 @@
     let engine = Engine {
         slots: SLOTS,
         streams,
-        waiting: 0,
+        ..Engine::default()
     };
     desk.see(now, [engine; ENGINES], HOLD, hosts);
 }
@@ -157,6 +157,30 @@
     assert_eq!(verdict, Verdict::Send);
 }
 
+/// Engines with much to read have free slots: prompts that are late in any case aren't held
+/// for others, nor refused.
+#[test]
+fn backlogged_engines() {
+    let backlogged = Engine {
+        slots: SLOTS,
+        is_backlogged: true,
+        ..Engine::default()
+    };
+    let mut desk = full();
+    let ticket = wait(&mut desk, START, &case(START));
+    let busy = Engine {
+        streams: SLOTS,
+        is_backlogged: false,
+        ..backlogged
+    };
+    desk.see(after(50), [busy, backlogged], HOLD, 0);
+    assert!(desk.grant(after(50), &mut rng()).is_empty());
+    assert_eq!(desk.grant(after(250), &mut rng()), [ticket]);
+    desk.see(after(250), [backlogged; ENGINES], HOLD, 0);
+    let verdict = desk.ask(after(250), &case(after(250)), true, &mut rng());
+    assert_eq!(verdict, Verdict::Send);
+}
+
 /// The caller has left: its turn goes to the next one.
 #[test]
 fn left_line() {
@@ -185,7 +209,7 @@
     let engine = Engine {
         slots: SLOTS,
         streams: SLOTS,
-        waiting: 0,
+        ..Engine::default()
     };
     desk.see(after(50), [engine; ENGINES - 1], HOLD, 0);
     assert!(desk.grant(after(50), &mut rng()).is_empty());
@@ -222,7 +246,7 @@
         let engine = Engine {
             slots: SLOTS,
             streams: SLOTS,
-            waiting: 0,
+            ..Engine::default()
         };
         let mut engines = [engine; ENGINES];
         engines[0].streams -= 4;
