--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -29,7 +29,7 @@
 //! | [`ledger`] | sidecar | what is engine memory held for, and until when |
 //!
 //! Each module stands alone, but that [`admission`] reckons in the costs of
-//! [`engine`].
+//! [`engine`], and [`places`] takes how an organisation stands from [`share`].
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
--- a/almondlock-policy/src/places/mod.rs
+++ b/almondlock-policy/src/places/mod.rs
@@ -46,8 +46,9 @@
 /// one such age later than it was told of it.
 const TURN: Duration = AGE.saturating_mul(2);
 
-/// The part of the slots that late prompts may take from those in time: the fraction in
-/// time may be this much below what the slots sustain.
+/// The part of the slots that late prompts may take from those in time. The fraction in time
+/// may be 0.1 below what slots sustain; the rest of that is for prompts that meet at an
+/// engine or were counted as in time and weren't.
 const LATE_SHARE: f64 = 0.06;
 
 /// What becomes of a prompt.
