--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 //! | `backoff` | upstreams that ask for a pause, or leave |
 //! | `limit` | limits that upstreams name for all hosts |
 //! | `placement` | where an attempt goes, and what it waits for before |
+//! | `slots` | short prompts that wait for an engine's free slot |
 //! | `permit` | permits for upstreams that name one, asked of relays |
 //! | `standing` | requests of organisations that are over their share |
 //! | `suspicion` | requests that upstreams were lost with, counted over all hosts |
@@ -62,6 +63,7 @@
 pub mod rules;
 pub mod server;
 pub mod share;
+mod slots;
 mod standing;
 mod startup;
 mod suspicion;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -45,6 +45,7 @@
     pool::Pool,
     reading::Current,
     rules::Rules,
+    slots::Lines,
     standing::Shares,
     suspicion::Suspicion,
 };
@@ -222,6 +223,8 @@
     /// Limits that upstreams have named for all hosts.
     pub(crate) limits: RefCell<throttle::Limits<Key>>,
     pub(crate) permits: Permits,
+    /// Prompts that wait for a free slot.
+    pub(crate) lines: Lines,
     /// Requests that upstreams were lost with.
     pub(crate) suspicion: Suspicion,
     /// What organisations have in flight, here and at all hosts.
@@ -291,6 +294,7 @@
             backoffs: RefCell::default(),
             limits: RefCell::default(),
             permits: Permits::default(),
+            lines: Lines::default(),
             suspicion: Suspicion::default(),
             shares: Shares::default(),
             unread: RefCell::default(),
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -66,6 +66,8 @@
     organised: bool,
     /// Organisations get fair shares.
     shares: bool,
+    /// Short prompts are admitted by the engines' free slots.
+    places: bool,
 }
 
 const SETUP: Setup = Setup {
@@ -81,6 +83,7 @@
     evacuate: None,
     organised: false,
     shares: false,
+    places: false,
 };
 
 const ENGINES: Setup = Setup {
@@ -172,6 +175,23 @@
     start_for(setup, upstreams)
 }
 
+/// The same in front of engines whose slots are accounted for. Stops after a while, if that
+/// is given.
+pub fn start_admitting(
+    upstreams: &[SocketAddr],
+    relays: Option<[SocketAddr; 2]>,
+    stop: Option<Duration>,
+) -> SocketAddr {
+    let setup = Setup {
+        relays,
+        stop,
+        grace: Duration::from_secs(4),
+        places: true,
+        ..ENGINES
+    };
+    start_for(setup, upstreams)
+}
+
 /// The same as [`start`], where the first upstream's failure domain is evacuated after a
 /// while.
 pub fn start_evacuating(upstreams: &[SocketAddr], after: Duration) -> SocketAddr {
@@ -327,6 +347,7 @@
         },
         features: Features {
             shares: setup.shares,
+            places: setup.places,
             ..Features::default()
         },
         seed: next_host(),
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -18,6 +18,7 @@
 //! | [`share`] | entry | how does an organisation stand with its share |
 //! | [`cell`] | entry | which engines come first for this host |
 //! | [`fill`] | entry | which of several engines, on knowledge that is old |
+//! | [`places`] | entry | which short prompts get an engine's slots when these are scarce |
 //! | [`limit`] | entry | does the organisation have room for it |
 //! | [`choice`] | entry | which upstream |
 //! | [`retry`] | entry | is a failed attempt followed by another |
@@ -31,7 +32,7 @@
 //! | [`ledger`] | sidecar | what is engine memory held for, and until when |
 //!
 //! Each module stands alone, but that [`admission`] reckons in the costs of
-//! [`engine`] and reads the standings of [`share`].
+//! [`engine`], and that it and [`places`] read the standings of [`share`].
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
@@ -48,6 +49,7 @@
 pub mod ledger;
 pub mod length;
 pub mod limit;
+pub mod places;
 pub mod poison;
 pub mod prefix;
 pub mod queue;
