--- a/almondlock-cli/src/view.rs
+++ b/almondlock-cli/src/view.rs
@@ -431,6 +431,7 @@
         Change::Setting(name, None) => format!("unset {name}"),
         Change::Order(name, it) => format!("{} order to {name}", way(it.is_some())),
         Change::Document(Some(it)) => format!("publish version {}", it.version),
+        Change::Delta(it) => format!("publish version {}", it.version),
         Change::Sources(_) => "tell processes of the replicas".to_owned(),
         Change::Document(None) => "remove the published configuration".to_owned(),
         Change::Instance(name, it) => format!("{} instance {name}", way(it.is_some())),
--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -26,7 +26,7 @@
 use almondlock_node::{Handle, clock};
 use almondlock_state::{
     command::{Command, Reply},
-    document::Document,
+    document::{Document, Publication},
     evacuation,
     instance::Instance,
     machine::Machine,
@@ -83,7 +83,8 @@
     /// Publishes a configuration; one that isn't newer changes nothing.
     pub async fn publish(&self, document: Document) -> Result<Revision, Failure> {
         let at = clock::wall();
-        self.change(Command::Publish { document, at }).await
+        let publication = Publication::Whole(document);
+        self.change(Command::Publish { publication, at }).await
     }
 
     /// Gives the upstreams of a failure domain no new work. None: there is no such domain.
--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -429,6 +429,13 @@
             Refusal::new(Code::StorageFailed, message)
         })?;
         let applied = self.state.apply(command);
+        // The state isn't what the other replicas made of the same log. Going on would
+        // spread the difference.
+        if let Reply::Refused { code, message } = &applied.reply
+            && *code == Code::StorageFailed
+        {
+            return Err(Refusal::new(*code, message.clone()));
+        }
         let first = applied.changes.first().map(|(revision, _)| *revision);
         let changes = applied.changes.into_iter().map(|(_, change)| change);
         if !self
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -115,7 +115,7 @@
         let slot = slot.expect("the snapshot holds the configuration");
         let mut config: almondlock_state::config::Config =
             serde_json::from_value(slot.clone()).unwrap();
-        config.apply(change.clone());
+        config.apply(change.clone()).unwrap();
         let revision = config.revision;
         *slot = serde_json::to_value(config).unwrap();
         let bytes = serde_json::to_vec(&value).unwrap();
--- a/almondlock-node/src/fetch.rs
+++ b/almondlock-node/src/fetch.rs
@@ -280,6 +280,9 @@
                 // gets this process past it.
                 let whole = read.len() == texts.len();
                 let extended = self.shared.view.extend(first, read);
+                if !extended {
+                    self.log_gap(first);
+                }
                 self.assembly = (!whole || !extended).then(Assembly::new);
             }
             Body::Piece(piece) => self.add(&piece)?,
@@ -287,6 +290,17 @@
         Ok(())
     }
 
+    /// Logs that changes from `first` on can't be applied to what is held here.
+    fn log_gap(&self, first: Revision) {
+        let held = self.shared.view.get();
+        tracing::warn!(
+            revision = held.revision.0,
+            first = first.0,
+            version = held.document.as_ref().map(|held| held.version),
+            "changes don't apply to the configuration held here, asks for the whole"
+        );
+    }
+
     fn add(&mut self, piece: &Piece) -> Result<(), capnp::Error> {
         let mut assembly = self.assembly.take().unwrap_or_default();
         match assembly.add(piece) {
--- a/almondlock-spread/src/view.rs
+++ b/almondlock-spread/src/view.rs
@@ -57,7 +57,8 @@
 
     /// Applies changes of which the first makes revision `first`. Those already
     /// applied are passed over. Returns false, having done nothing, when there
-    /// is a gap before the first one.
+    /// is a gap before the first one, and, having applied those before it, when one is a
+    /// delta of another text than the one held here: the whole configuration is needed.
     pub fn extend<I>(&self, first: Revision, changes: I) -> bool
     where
         I: IntoIterator<Item = Change>,
@@ -72,25 +73,37 @@
         if changes.peek().is_some() {
             let Inner { config, ring } = &mut *guard;
             let config = Arc::make_mut(config);
+            let mut applied = true;
             for change in changes {
-                match serde_json::to_vec(&change) {
+                let written = serde_json::to_vec(&change);
+                applied = config.apply(change).is_ok();
+                if !applied {
+                    break;
+                }
+                match written {
                     Ok(text) => ring.push(&text),
                     // Can't be written, so it can't travel: who needs it is
                     // given the whole configuration.
-                    Err(_) => ring.reset(config.revision.next()),
+                    Err(_) => ring.reset(config.revision),
                 }
-                config.apply(change);
             }
-            self.revision.send_replace(config.revision);
+            if config.revision >= next {
+                self.revision.send_replace(config.revision);
+            }
+            return applied;
         }
         true
     }
 
-    /// Puts a whole configuration in force, if it is newer.
-    pub fn replace(&self, config: Config) -> bool {
+    /// Puts a whole configuration in force, if it is newer. What its published text has
+    /// in common with the one before stays shared.
+    pub fn replace(&self, mut config: Config) -> bool {
         let mut guard = self.inner.write().unwrap_or_else(PoisonError::into_inner);
         let newer = config.revision > guard.config.revision;
         if newer {
+            if let Some(held) = &guard.config.document {
+                config.document = config.document.map(|document| document.sharing(held));
+            }
             guard.ring.reset(config.revision);
             guard.config = Arc::new(config);
             self.revision.send_replace(guard.config.revision);
--- a/almondlock-spread/tests/forward_only.rs
+++ b/almondlock-spread/tests/forward_only.rs
@@ -14,7 +14,7 @@
 
 fn at(n: u64) -> Config {
     let mut config = Config::default();
-    (1..=n).for_each(|n| config.apply(change(n)));
+    (1..=n).for_each(|n| config.apply(change(n)).unwrap());
     config
 }
 
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -20,7 +20,7 @@
     blob::Blob,
     claim::Verdict,
     config::Registration,
-    document::Document,
+    document::Publication,
     instance::Instance,
     intent::Intent,
     operator::Operator,
@@ -55,8 +55,9 @@
     /// An operator published the deployment's configuration; see
     /// [`crate::document`].
     Publish {
-        /// The text and its version.
-        document: Document,
+        /// The text and its version, or what differs from the version in force.
+        #[serde(flatten)]
+        publication: Publication,
         /// The leader's time.
         at: Wall,
     },
@@ -287,6 +288,12 @@
         /// The plan.
         plan: Box<Plan>,
     },
+    /// A publication told what differs from another version than the one in force.
+    /// Nothing has changed; its proposer sends the whole.
+    BaseMoved {
+        /// The version in force.
+        held: Option<u64>,
+    },
     /// Refused: nothing has changed.
     Refused {
         /// Why.
@@ -308,7 +315,7 @@
         match self {
             Reply::Refused { code, .. } => Some(*code),
             Reply::Claimed { verdict } => verdict.code(),
-            Reply::Accepted { .. } | Reply::Planned { .. } => None,
+            Reply::Accepted { .. } | Reply::Planned { .. } | Reply::BaseMoved { .. } => None,
         }
     }
 }
--- a/almondlock-state/src/config.rs
+++ b/almondlock-state/src/config.rs
@@ -5,6 +5,8 @@
 //! changes `r+1..=n` holds revision `n`, and one that has been away too long is
 //! given the whole configuration instead. Applying never fails half-way: a
 //! change is one assignment, already checked by the replicas that accepted it.
+//! Only a delta of the published text needs something to be there, its base; where
+//! that is missing nothing is changed.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -15,7 +17,10 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{document::Document, instance::Instance};
+use crate::{
+    document::{Delta, Document, Mismatch},
+    instance::Instance,
+};
 
 /// A caller's key as it is kept: its BLAKE3 hash in hexadecimal. The key itself
 /// is shown once, when it is made.
@@ -172,6 +177,9 @@
     Order(almondlock_base::id::Upstream, Option<Order>),
     /// The deployment's configuration was published.
     Document(Option<Document>),
+    /// The same, told as what differs from the version before. Earlier versions can't
+    /// read it and ask for the whole configuration.
+    Delta(Delta),
     /// An instance that is called without a sidecar came, changed or went.
     Instance(almondlock_base::id::Upstream, Option<Instance>),
     /// The replicas are others now.
@@ -223,8 +231,11 @@
 
 impl Config {
     /// Applies the change that makes the next revision.
-    pub fn apply(&mut self, change: Change) {
-        self.revision = self.revision.next();
+    ///
+    /// # Errors
+    ///
+    /// If it is a delta of another text than the one held here. Nothing has changed then.
+    pub fn apply(&mut self, change: Change) -> Result<(), Mismatch> {
         match change {
             Change::Organisation(name, value) => assign(&mut self.organisations, name, value),
             Change::Model(name, value) => assign(&mut self.models, name, value),
@@ -237,10 +248,20 @@
             Change::Setting(name, value) => assign(&mut self.settings, name, value),
             Change::Order(name, value) => assign(&mut self.orders, name, value),
             Change::Document(value) => self.document = value,
+            Change::Delta(delta) => self.document = Some(self.changed(&delta)?),
             Change::Instance(name, value) => assign(&mut self.instances, name, value),
             Change::Sources(addresses) => self.sources = addresses,
             Change::Evacuation(domain, value) => self.evacuate(domain, value),
         }
+        self.revision = self.revision.next();
+        Ok(())
+    }
+
+    fn changed(&self, delta: &Delta) -> Result<Document, Mismatch> {
+        let missing = Mismatch::Missing {
+            expected: delta.base,
+        };
+        delta.apply(self.document.as_ref().ok_or(missing)?)
     }
 
     fn evacuate(&mut self, domain: Domain, value: Option<Drain>) {
--- a/almondlock-state/src/document.rs
+++ b/almondlock-state/src/document.rs
@@ -14,13 +14,16 @@
 
 mod delta;
 mod packed;
+mod publication;
 
 use std::{fmt, sync::Arc};
 
 use serde::{Deserialize, Serialize};
 
-pub use self::delta::{Delta, Mismatch, Run};
-use crate::config::{Change, Config};
+pub use self::{
+    delta::{Delta, Mismatch, Run, Shape},
+    publication::{Publication, publish},
+};
 
 /// A part of a text.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -65,12 +68,15 @@
 }
 
 impl Document {
-    /// A document of these pieces.
+    /// A document of these pieces, without empty ones. They would not all be read back, and
+    /// the places in a delta have to mean the same in each process.
     pub fn new<I>(version: u64, pieces: I) -> Document
     where
         I: IntoIterator<Item = Piece>,
     {
-        let pieces = pieces.into_iter().collect();
+        let mut pieces: Vec<Piece> = pieces.into_iter().collect();
+        pieces.retain(|piece| !piece.as_str().is_empty());
+        let pieces = pieces.into();
         Document { version, pieces }
     }
 
@@ -79,6 +85,20 @@
         Document::new(version, [Piece::from(text)])
     }
 
+    /// The same text in one piece.
+    pub fn joined(self) -> Document {
+        match self.pieces.len() {
+            0 | 1 => self,
+            _ => Document::whole(self.version, &self.text()),
+        }
+    }
+
+    /// The same document, of which the pieces that `held` has too are those of `held`.
+    pub fn sharing(self, held: &Document) -> Document {
+        let shared = Delta::between(held, &self).apply(held);
+        shared.unwrap_or(self)
+    }
+
     /// The text as it was sent.
     pub fn text(&self) -> String {
         let mut text = String::with_capacity(self.len());
@@ -97,10 +117,3 @@
         self.len() == 0
     }
 }
-
-/// The change that a publication makes: none unless its version is the highest.
-pub fn publish(config: &Config, document: Document) -> Option<Change> {
-    let held = config.document.as_ref().map(|held| held.version);
-    let newer = held.is_none_or(|held| document.version > held);
-    newer.then_some(Change::Document(Some(document)))
-}
--- a/almondlock-state/src/document/delta.rs
+++ b/almondlock-state/src/document/delta.rs
@@ -4,24 +4,51 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{Document, Piece};
+use super::{Document, Piece, packed};
+
+/// What a run costs in a written delta, in bytes: `{"keep":[9999,9999]},` with some room.
+const RUN_BYTES: usize = 32;
 
 /// What makes one document of another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
+#[serde(try_from = "packed::WrittenDelta", into = "packed::WrittenDelta")]
 pub struct Delta {
     /// The version that it applies to.
     pub base: u64,
+    /// How that version is divided.
+    pub shape: Shape,
     /// The version that it makes.
     pub version: u64,
-    /// The new text, in order.
+    /// The new text, in order. Inserted pieces are written packed when they are long.
     pub runs: Vec<Run>,
 }
 
+/// How a document is divided into pieces.
+///
+/// Processes of an earlier version don't keep the pieces of a text. Who got it from one of
+/// them holds the same version as one piece, to which the places in a delta don't apply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Shape {
+    /// The number of pieces.
+    pub pieces: usize,
+    /// The length of the text in bytes.
+    pub bytes: usize,
+}
+
+impl Shape {
+    /// The shape of a document.
+    pub fn of(document: &Document) -> Shape {
+        Shape {
+            pieces: document.pieces.len(),
+            bytes: document.len(),
+        }
+    }
+}
+
 /// Consecutive pieces of a new text.
 #[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
 pub enum Run {
     /// Pieces of the base.
     Keep {
@@ -46,6 +73,15 @@
         /// What there is.
         found: u64,
     },
+    /// There is no document.
+    #[error("it applies to version {expected}, and there is none")]
+    Missing {
+        /// What it applies to.
+        expected: u64,
+    },
+    /// It applies to the same version, divided in another way.
+    #[error("it applies to a base divided in another way, not to {} pieces of {} bytes", .0.pieces, .0.bytes)]
+    Shape(Shape),
     /// It keeps pieces that the base doesn't have.
     #[error("it keeps pieces beyond the base's {0}")]
     Pieces(usize),
@@ -53,23 +89,37 @@
 
 impl Delta {
     /// What makes `new` of `base`.
+    ///
+    /// What both begin and end with is found by comparison. Only the pieces between are
+    /// looked up by content, because hashing a text of megabytes takes longer than all else.
     pub fn between(base: &Document, new: &Document) -> Delta {
-        let mut places: HashMap<&Piece, usize> = HashMap::new();
-        for (place, piece) in base.pieces.iter().enumerate() {
-            places.entry(piece).or_insert(place);
-        }
+        let same = |(old, new): &(&Piece, &Piece)| old == new;
+        let head = base.pieces.iter().zip(new.pieces.iter());
+        let head = head.take_while(same).count();
+        let (old, rest) = (&base.pieces[head..], &new.pieces[head..]);
+        let tail = old.iter().rev().zip(rest.iter().rev());
+        let tail = tail.take_while(same).count();
         let mut delta = Delta {
             base: base.version,
+            shape: Shape::of(base),
             version: new.version,
             runs: Vec::new(),
         };
-        for piece in new.pieces.iter() {
+        delta.keep(0, head);
+        let mut places: HashMap<&Piece, usize> = HashMap::new();
+        for (place, piece) in old[..old.len() - tail].iter().enumerate() {
+            places.entry(piece).or_insert(head + place);
+        }
+        for piece in &rest[..rest.len() - tail] {
             // Equal pieces may stand more than once: the one that follows comes first.
             let next = delta.next_kept();
             let follows = next.filter(|next| base.pieces.get(*next) == Some(piece));
-            let place = follows.or_else(|| places.get(piece).copied());
-            delta.push(place, piece);
+            match follows.or_else(|| places.get(piece).copied()) {
+                Some(place) => delta.keep(place, 1),
+                None => delta.insert(piece),
+            }
         }
+        delta.keep(base.pieces.len() - tail, tail);
         delta
     }
 
@@ -81,35 +131,78 @@
         }
     }
 
-    fn push(&mut self, place: Option<usize>, piece: &Piece) {
+    fn keep(&mut self, place: usize, more: usize) {
         let next = self.next_kept();
-        match (self.runs.last_mut(), place) {
-            (Some(Run::Keep { count, .. }), Some(_)) if place == next => *count += 1,
-            (Some(Run::Insert(pieces)), None) => pieces.push(piece.clone()),
-            (_, Some(from)) => self.runs.push(Run::Keep { from, count: 1 }),
-            (_, None) => self.runs.push(Run::Insert(vec![piece.clone()])),
+        match self.runs.last_mut() {
+            _ if more == 0 => {}
+            Some(Run::Keep { count, .. }) if next == Some(place) => *count += more,
+            _ => self.runs.push(Run::Keep {
+                from: place,
+                count: more,
+            }),
         }
     }
 
-    /// The document that it makes of its base.
+    fn insert(&mut self, piece: &Piece) {
+        match self.runs.last_mut() {
+            Some(Run::Insert(pieces)) => pieces.push(piece.clone()),
+            _ => self.runs.push(Run::Insert(vec![piece.clone()])),
+        }
+    }
+
+    /// Whether it is worth sending in place of a text of so many bytes: it has less than
+    /// half of them. Where most of a text is new, the delta saves nothing, and the whole
+    /// needs no base.
+    pub fn is_shorter(&self, text: usize) -> bool {
+        let inserted = self.runs.iter().map(|run| match run {
+            Run::Insert(pieces) => pieces.iter().map(|piece| piece.as_str().len()).sum(),
+            Run::Keep { .. } => 0,
+        });
+        let bytes = inserted.sum::<usize>() + self.runs.len() * RUN_BYTES;
+        bytes < text / 2
+    }
+
+    /// Whether it applies to a document.
     ///
     /// # Errors
     ///
     /// If `base` is another document than it was made for.
-    pub fn apply(&self, base: &Document) -> Result<Document, Mismatch> {
+    pub fn check(&self, base: &Document) -> Result<(), Mismatch> {
         if base.version != self.base {
             return Err(Mismatch::Version {
                 expected: self.base,
                 found: base.version,
             });
         }
-        let mut pieces = Vec::new();
+        let shape = Shape::of(base);
+        if shape != self.shape {
+            return Err(Mismatch::Shape(shape));
+        }
+        let beyond = |run: &Run| match run {
+            Run::Keep { from, count } => {
+                let end = from.checked_add(*count);
+                end.is_none_or(|end| end > shape.pieces)
+            }
+            Run::Insert(_) => false,
+        };
+        match self.runs.iter().any(beyond) {
+            true => Err(Mismatch::Pieces(shape.pieces)),
+            false => Ok(()),
+        }
+    }
+
+    /// The document that it makes of its base. Kept pieces are shared with the base.
+    ///
+    /// # Errors
+    ///
+    /// If `base` is another document than it was made for.
+    pub fn apply(&self, base: &Document) -> Result<Document, Mismatch> {
+        self.check(base)?;
+        let mut pieces = Vec::with_capacity(base.pieces.len());
         for run in &self.runs {
             match run {
                 Run::Keep { from, count } => {
-                    let end = from.checked_add(*count);
-                    let kept = end.and_then(|end| base.pieces.get(*from..end));
-                    pieces.extend_from_slice(kept.ok_or(Mismatch::Pieces(base.pieces.len()))?);
+                    pieces.extend_from_slice(&base.pieces[*from..from + count]);
                 }
                 Run::Insert(inserted) => pieces.extend_from_slice(inserted),
             }
--- a/almondlock-state/src/document/packed.rs
+++ b/almondlock-state/src/document/packed.rs
@@ -13,7 +13,10 @@
 use miniz_oxide::{deflate::compress_to_vec, inflate::decompress_to_vec_with_limit};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 
-use super::{Document, Piece};
+use super::{
+    Document, Piece,
+    delta::{Delta, Run, Shape},
+};
 
 /// Shorter texts are written as they are: there is little to win, and they stay
 /// readable. In bytes.
@@ -77,6 +80,93 @@
     }
 }
 
+/// A run as it is written.
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum WrittenRun {
+    /// The place of the first piece, and how many.
+    Keep(usize, usize),
+    /// So many of the new pieces.
+    Insert(usize),
+}
+
+/// A delta as it is written: the new pieces of all runs are packed as one text.
+#[derive(Serialize, Deserialize)]
+pub(super) struct WrittenDelta {
+    base: u64,
+    shape: Shape,
+    version: u64,
+    runs: Vec<WrittenRun>,
+    #[serde(with = "self")]
+    text: Arc<str>,
+    /// The lengths of the new pieces, in bytes.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    cuts: Vec<usize>,
+}
+
+/// A written delta whose new text isn't what its runs need.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+#[error("the text of a delta doesn't fit its runs")]
+pub(super) struct Damaged;
+
+impl From<Delta> for WrittenDelta {
+    fn from(delta: Delta) -> WrittenDelta {
+        let mut text = String::new();
+        let mut cuts = Vec::new();
+        let runs = delta.runs.iter().map(|run| match run {
+            Run::Keep { from, count } => WrittenRun::Keep(*from, *count),
+            Run::Insert(pieces) => {
+                text.extend(pieces.iter().map(Piece::as_str));
+                cuts.extend(pieces.iter().map(|piece| piece.as_str().len()));
+                WrittenRun::Insert(pieces.len())
+            }
+        });
+        WrittenDelta {
+            base: delta.base,
+            shape: delta.shape,
+            version: delta.version,
+            runs: runs.collect(),
+            text: text.into(),
+            cuts,
+        }
+    }
+}
+
+impl TryFrom<WrittenDelta> for Delta {
+    type Error = Damaged;
+
+    fn try_from(written: WrittenDelta) -> Result<Delta, Damaged> {
+        let mut rest = &*written.text;
+        let mut cuts = written.cuts.iter();
+        let mut runs = Vec::with_capacity(written.runs.len());
+        for run in written.runs {
+            runs.push(match run {
+                WrittenRun::Keep(from, count) => Run::Keep { from, count },
+                WrittenRun::Insert(count) => {
+                    let mut pieces = Vec::new();
+                    for _ in 0..count {
+                        let cut = cuts.next().ok_or(Damaged)?;
+                        let (piece, after) = rest.split_at_checked(*cut).ok_or(Damaged)?;
+                        pieces.push(Piece::from(piece));
+                        rest = after;
+                    }
+                    Run::Insert(pieces)
+                }
+            });
+        }
+        if cuts.next().is_some() || !rest.is_empty() {
+            return Err(Damaged);
+        }
+        Ok(Delta {
+            base: written.base,
+            shape: written.shape,
+            version: written.version,
+            runs,
+        })
+    }
+}
+
 fn serialize<S>(text: &Arc<str>, serializer: S) -> Result<S::Ok, S::Error>
 where
     S: Serializer,
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -25,7 +25,8 @@
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    document, evacuation, history, instance, limit,
+    document::{self, Mismatch, Publication},
+    evacuation, history, instance, limit,
     operator::Operator,
     plan::{
         self,
@@ -147,11 +148,7 @@
                 self.forget(&upstream, incarnation, at, changes);
                 Ok(accepted())
             }
-            Command::Publish { document, .. } => {
-                let made = document::publish(&self.tables.config, document);
-                self.change(made.into_iter().collect(), changes);
-                Ok(accepted())
-            }
+            Command::Publish { publication, .. } => self.publish(publication, changes),
             Command::Enrol {
                 upstream, instance, ..
             } => {
@@ -202,6 +199,30 @@
         }
     }
 
+    fn publish(
+        &mut self,
+        publication: Publication,
+        changes: &mut Changes,
+    ) -> Result<Reply, Refusal> {
+        match document::publish(&self.tables.config, publication) {
+            Ok(made) => {
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
+            Err(Mismatch::Version { .. } | Mismatch::Missing { .. }) => {
+                let held = self.config().document.as_ref();
+                let held = held.map(|held| held.version);
+                Ok(Reply::BaseMoved { held })
+            }
+            // Whoever proposed it holds the same version divided in another way, so one of
+            // the two states isn't what the log made.
+            Err(mismatch @ (Mismatch::Shape(_) | Mismatch::Pieces(_))) => Err(Refusal {
+                code: almondlock_base::Code::StorageFailed,
+                message: format!("a delta in the log can't be applied: {mismatch}"),
+            }),
+        }
+    }
+
     fn on_claim(&mut self, command: Command) -> Result<Reply, Refusal> {
         match command {
             Command::Claim {
--- a/almondlock-state/src/tables.rs
+++ b/almondlock-state/src/tables.rs
@@ -78,7 +78,7 @@
             Effect::Config(Change::Setting(name, _)) => format!("setting/{name}"),
             Effect::Config(Change::Order(name, _)) => format!("order/{name}"),
             Effect::Config(Change::Sources(_)) => "sources".to_owned(),
-            Effect::Config(Change::Document(_)) => "document".to_owned(),
+            Effect::Config(Change::Document(_) | Change::Delta(_)) => "document".to_owned(),
             Effect::Config(Change::Instance(name, _)) => format!("instance/{name}"),
             Effect::Config(Change::Evacuation(name, _)) => format!("domain/{name}"),
             Effect::Operator(name, _) => format!("operator/{name}"),
@@ -118,7 +118,7 @@
                 Change::Setting(name.clone(), config.settings.get(name).cloned())
             }
             Change::Order(name, _) => Change::Order(name.clone(), config.orders.get(name).cloned()),
-            Change::Document(_) => Change::Document(config.document.clone()),
+            Change::Document(_) | Change::Delta(_) => Change::Document(config.document.clone()),
             Change::Sources(_) => Change::Sources(config.sources.clone()),
             Change::Instance(name, _) => {
                 Change::Instance(name.clone(), config.instances.get(name).cloned())
@@ -161,13 +161,13 @@
 }
 
 impl Tables {
-    /// Applies an effect, and gives the change of the configuration it made.
+    /// Applies an effect, and gives the change of the configuration it made. A delta whose
+    /// base isn't held does nothing; publications are checked before they come here.
     pub fn apply(&mut self, effect: Effect, plan: Option<plan::Id>) -> Option<(Revision, Change)> {
         let part = effect.part();
-        self.sequence += 1;
         let change = match effect {
             Effect::Config(change) => {
-                self.config.apply(change.clone());
+                self.config.apply(change.clone()).ok()?;
                 Some((self.config.revision, change))
             }
             Effect::Operator(name, operator) => {
@@ -179,6 +179,7 @@
                 None
             }
         };
+        self.sequence += 1;
         let (sequence, revision) = (self.sequence, self.config.revision);
         self.touched.insert(
             part,
--- a/almondlock-state/tests/document_delta.rs
+++ b/almondlock-state/tests/document_delta.rs
@@ -2,7 +2,7 @@
 //! changes, the delta makes the same text, to the byte, and only of the version that it
 //! was made for: a host that applied it to another one would act on a text that nobody sent.
 
-use almondlock_state::document::{Delta, Document, Mismatch, Piece, Run};
+use almondlock_state::document::{Delta, Document, Mismatch, Piece, Run, Shape};
 use yare::parameterized;
 
 fn document(version: u64, text: &str) -> Document {
@@ -54,6 +54,42 @@
     );
 }
 
+/// A process that got the base from an earlier version holds it as one piece. The places in
+/// a delta mean other texts there, even where they exist.
+#[test]
+fn other_shape() {
+    let base = document(1, "a,b,");
+    let delta = Delta::between(&base, &document(2, "a,c,"));
+    let whole = base.joined();
+    assert_eq!(delta.apply(&whole), Err(Mismatch::Shape(Shape::of(&whole))));
+}
+
+/// The places in a delta have to mean the same before and after a restart.
+#[test]
+fn no_empty_pieces() {
+    let pieces = ["", "a,", "", "b,", ""].map(Piece::from);
+    let written = serde_json::to_string(&Document::new(1, pieces)).unwrap();
+    let read: Document = serde_json::from_str(&written).unwrap();
+    assert_eq!(read, document(1, "a,b,"));
+    assert_eq!(Document::whole(1, ""), Document::new(1, []));
+}
+
+/// A damaged delta is not read, rather than read as another one.
+#[parameterized(
+    text_too_long = { r#""cuts":[2]"#, r#""cuts":[1]"# },
+    text_too_short = { r#""cuts":[2]"#, r#""cuts":[3]"# },
+    no_text = { r#""insert":1"#, r#""insert":2"# },
+    surplus = { r#""cuts":[2]"#, r#""cuts":[2,0]"# },
+    other_letter = { r#""text":"x,""#, r#""text":"ä,""# },
+)]
+fn damaged(old: &str, new: &str) {
+    let delta = Delta::between(&document(1, "a,b,c,"), &document(2, "a,x,c,"));
+    let written = serde_json::to_string(&delta).unwrap();
+    let damaged = written.replace(old, new);
+    assert_ne!(written, damaged, "{written}");
+    assert!(serde_json::from_str::<Delta>(&damaged).is_err());
+}
+
 /// A written document keeps its pieces; damaged cuts lose none of its text.
 #[test]
 fn pieces_kept() {
--- a/almondlock-state/tests/far_behind.rs
+++ b/almondlock-state/tests/far_behind.rs
@@ -145,7 +145,7 @@
         for command in commands {
             let Applied { changes, .. } = machine.apply(command);
             for (revision, change) in changes {
-                config.apply(change);
+                config.apply(change).unwrap();
                 assert_eq!(config.revision, revision);
             }
         }
--- /dev/null
+++ b/almondlock-state/tests/moved_base.rs
@@ -0,0 +1,137 @@
+//! A delta tells what differs from the version that its proposer had applied. Guards against
+//! a delta that is applied to another version, which would put a text in force that nobody
+//! sent, and against replicas that make different changes of the same log.
+
+use almondlock_base::{Code, time::Wall};
+use almondlock_state::{
+    command::{Command, Reply},
+    config::{Change, Config},
+    document::{Document, Piece, Publication, Run},
+    machine::{Applied, Machine},
+};
+use yare::parameterized;
+
+/// Eight short pieces that stay, and one for each word.
+fn document(version: u64, words: &str) -> Document {
+    let fixed = (0..8).map(|n| format!("{{\"route\": {n}, \"padding\": \"{n:0100}\"}},\n"));
+    let words = words.split_inclusive(' ').map(str::to_owned);
+    let pieces: Vec<String> = fixed.chain(words).collect();
+    Document::new(version, pieces.iter().map(|piece| Piece::from(&**piece)))
+}
+
+fn command(publication: Publication) -> Command {
+    let at = Wall::from_millis(1);
+    let command = Command::Publish { publication, at };
+    // As it is read from the log.
+    let bytes = command.to_bytes().unwrap();
+    let read = Command::from_slice(&bytes).unwrap();
+    assert_eq!(read, command);
+    read
+}
+
+fn delta(base: &Document, new: &Document) -> Publication {
+    let publication = Publication::of(Some(base), new.clone());
+    assert!(matches!(publication, Publication::Delta(_)));
+    publication
+}
+
+fn started() -> Machine {
+    let mut machine = Machine::new();
+    let applied = machine.apply(command(Publication::Whole(document(1, "a b "))));
+    assert!(matches!(applied.changes[..], [(_, Change::Document(_))]));
+    machine
+}
+
+fn held(machine: &Machine) -> &Document {
+    machine.config().document.as_ref().unwrap()
+}
+
+#[test]
+fn in_place() {
+    let mut machine = started();
+    let new = document(2, "a c ");
+    let applied = machine.apply(command(delta(&document(1, "a b "), &new)));
+    assert!(matches!(applied.reply, Reply::Accepted { .. }));
+    assert!(matches!(applied.changes[..], [(_, Change::Delta(_))]));
+    assert_eq!(held(&machine), &new);
+}
+
+/// Two operators publish at the same time: both were proposed on version 1.
+#[test]
+fn moved() {
+    let mut machine = started();
+    let base = document(1, "a b ");
+    machine.apply(command(delta(&base, &document(2, "a c "))));
+    let before = machine.clone();
+    let third = document(3, "a b d ");
+    let applied = machine.apply(command(delta(&base, &third)));
+    let reply = Reply::BaseMoved { held: Some(2) };
+    let changes = Vec::new();
+    assert_eq!(applied, Applied { reply, changes });
+    assert_eq!(machine, before);
+    let applied = machine.apply(command(Publication::Whole(third.clone())));
+    assert!(matches!(applied.reply, Reply::Accepted { .. }));
+    assert_eq!(held(&machine), &third);
+}
+
+#[test]
+fn nothing_published() {
+    let mut machine = Machine::new();
+    let applied = machine.apply(command(delta(&document(1, "a "), &document(2, "b "))));
+    assert_eq!(applied.reply, Reply::BaseMoved { held: None });
+    assert!(machine.config().document.is_none());
+}
+
+/// An acknowledged publication that is sent again, also one that was overtaken, is
+/// acknowledged again whatever its base was, and another text under the version in force
+/// changes nothing.
+#[parameterized(
+    same = { 1, 2, "a c " },
+    same_on_itself = { 2, 2, "a c " },
+    other_text = { 1, 2, "a x " },
+    older = { 2, 1, "a b " },
+)]
+fn sent_again(base: u64, version: u64, words: &str) {
+    let mut machine = started();
+    let (first, second) = (document(1, "a b "), document(2, "a c "));
+    machine.apply(command(delta(&first, &second)));
+    let before = machine.clone();
+    let base = if base == 1 { first } else { second };
+    let applied = machine.apply(command(delta(&base, &document(version, words))));
+    assert!(matches!(applied.reply, Reply::Accepted { .. }));
+    assert_eq!(machine, before);
+}
+
+/// The same version divided in another way can't come of the same log: the replica must
+/// not go on as if the delta had only been late.
+#[test]
+fn other_shape() {
+    let base = document(1, "a b ");
+    let mut machine = Machine::new();
+    machine.apply(command(Publication::Whole(base.clone().joined())));
+    let before = machine.clone();
+    let applied = machine.apply(command(delta(&base, &document(2, "a c "))));
+    assert_eq!(applied.reply.code(), Some(Code::StorageFailed));
+    assert_eq!(machine, before);
+}
+
+/// A whole that a proposer sent for want of the base goes down the tree as a delta all the
+/// same, and what doesn't change is not copied.
+#[test]
+fn whole_is_told_short() {
+    let mut machine = started();
+    let first = held(&machine).clone();
+    let mut config: Config = machine.config().clone();
+    let applied = machine.apply(command(Publication::Whole(document(2, "a c "))));
+    let [(_, change @ Change::Delta(made))] = &applied.changes[..] else {
+        panic!("{:?}", applied.changes);
+    };
+    let inserted = made.runs.iter().filter(|run| matches!(run, Run::Insert(_)));
+    assert_eq!(inserted.count(), 1);
+    config.apply(change.clone()).unwrap();
+    assert_eq!(&config, machine.config());
+    for document in [held(&machine), config.document.as_ref().unwrap()] {
+        let kept = document.pieces.iter().zip(first.pieces.iter()).take(9);
+        assert!(kept.fold(true, |same, (new, old)| same && new.is_same(old)));
+    }
+}
--- a/almondlock-state/tests/packed_document.rs
+++ b/almondlock-state/tests/packed_document.rs
@@ -1,7 +1,7 @@
 //! An operator publishes a configuration of a thousand routes. It reaches every
 //! process over slow links in time, and is read back to the byte.
 
-use almondlock_state::document::Document;
+use almondlock_state::document::{Delta, Document, Piece};
 use yare::parameterized;
 
 fn routes(count: u32) -> String {
@@ -36,6 +36,25 @@
     assert!(written.len() * 10 < document.len(), "{}", written.len());
 }
 
+/// Guards against a delta that takes as many bytes as the text: one changed route costs
+/// hundreds, and many new ones are packed together.
+#[parameterized(
+    one = { 1, 700 },
+    hundred = { 100, 4_000 },
+    thousand = { 1_000, 40_000 },
+)]
+fn short_delta(added: u32, most: usize) {
+    let cut = |version, text: &str| {
+        let pieces = text.split_inclusive("},").map(Piece::from);
+        Document::new(version, pieces)
+    };
+    let (old, new) = (cut(7, &routes(3_000)), cut(8, &routes(3_000 + added)));
+    let delta = Delta::between(&old, &new);
+    let written = serde_json::to_vec(&delta).unwrap();
+    assert!(written.len() < most, "{}", written.len());
+    assert_eq!(serde_json::from_slice::<Delta>(&written).unwrap(), delta);
+}
+
 /// What an earlier version wrote, or somebody else damaged.
 #[parameterized(
     plain = { r#"{"version":1,"text":"as it was"}"#, true },
--- a/almondlock-state/tests/published_document.rs
+++ b/almondlock-state/tests/published_document.rs
@@ -5,13 +5,13 @@
 use almondlock_base::time::Wall;
 use almondlock_state::{
     command::{Command, Reply},
-    document::Document,
+    document::{Document, Publication},
     machine::Machine,
 };
 
 fn publish(version: u64, text: &str) -> Command {
     Command::Publish {
-        document: Document::whole(version, text),
+        publication: Publication::Whole(Document::whole(version, text)),
         at: Wall::from_millis(1),
     }
 }
