--- a/almondlock-node/src/server.rs
+++ b/almondlock-node/src/server.rs
@@ -340,7 +340,7 @@
                 return Ok(Body::Changes(have.next(), changes.collect()));
             }
         }
-        let piece = tree.store.piece(view, form, Revision::ZERO, 0)?;
+        let piece = tree.store.piece(view, form, have.next(), 0)?;
         Ok(Body::Piece(piece))
     }
 
--- a/almondlock-spread/src/snapshot.rs
+++ b/almondlock-spread/src/snapshot.rs
@@ -94,7 +94,7 @@
     }
 
     /// A piece from `offset` on of the snapshot of `revision`, or the first
-    /// piece of another one when that is gone.
+    /// piece of another one when that is gone, which is not older.
     pub fn piece(
         &mut self,
         view: &View,
@@ -108,7 +108,7 @@
         let mut kept = kept.filter(|text| text.revision == revision && begun > 0);
         let (text, start) = match kept.find(|text| begun < text.bytes.len()) {
             Some(text) => (text.clone(), begun),
-            None => (self.current(view, form)?, 0),
+            None => (self.current(view, form, revision)?, 0),
         };
         let end = text.bytes.len().min(start + PIECE);
         Ok(Piece {
@@ -140,7 +140,7 @@
     ) -> Result<bool, serde_json::Error> {
         let missed = view.with_ring(|ring| ring.bytes_after(have));
         // What fits one answer is the shorter way without looking.
-        Ok(missed > PIECE && self.current(view, form)?.bytes.len() < missed)
+        Ok(missed > PIECE && self.current(view, form, have)?.bytes.len() < missed)
     }
 
     /// Bytes held.
@@ -162,13 +162,21 @@
         kept.truncate(KEPT);
     }
 
-    /// The text for readers that begin.
-    fn current(&mut self, view: &View, form: Form) -> Result<Text, serde_json::Error> {
+    /// The text for readers that begin: of revision `least` at least, unless the view
+    /// itself is older. Whoever can't apply the change that makes `least` would be given
+    /// that same change again after an older text, for as long as the text is kept.
+    fn current(
+        &mut self,
+        view: &View,
+        form: Form,
+        least: Revision,
+    ) -> Result<Text, serde_json::Error> {
         self.trim(view);
         let newest = self.kept.get(&form).and_then(|kept| kept.first());
         let is_near = |text: &&Text| {
             let missed = view.with_ring(|ring| ring.bytes_after(text.revision));
-            missed < text.bytes.len() / REWRITE_PART
+            let recent = text.revision >= least.min(view.revision());
+            recent && missed < text.bytes.len() / REWRITE_PART
         };
         if let Some(text) = newest.filter(is_near) {
             return Ok(text.clone());
