--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -58,6 +58,8 @@
     port: u16,
     // The failure domains that there are. Empty: those that the state knows of.
     domains: Arc<[Domain]>,
+    // Whether all replicas read deltas, and keep the pieces of a text.
+    deltas: bool,
 }
 
 impl Directory {
@@ -70,9 +72,18 @@
             node: Arc::default(),
             port,
             domains: Arc::from(domains),
+            deltas: false,
         }
     }
 
+    /// Whether publications are written as what differs from the version in force. Replicas
+    /// of earlier versions stop at one, and don't keep the pieces of a text, to which the
+    /// places in a delta refer: without deltas, a text is kept in one piece.
+    pub fn deltas(mut self, on: bool) -> Directory {
+        self.deltas = on;
+        self
+    }
+
     /// From now on heartbeats wait until the processes known to the node act
     /// on them.
     pub fn attach(&self, node: Handle) {
@@ -82,8 +93,31 @@
 
     /// Publishes a configuration; one that isn't newer changes nothing.
     pub async fn publish(&self, document: Document) -> Result<Revision, Failure> {
+        if !self.deltas {
+            return self.publish_whole(document.joined()).await;
+        }
+        let held = |state: &Machine| state.config().document.clone();
+        let held = self.remote.look(held).await.ok().flatten();
+        let publication = Publication::of(held.as_ref(), document.clone());
         let at = clock::wall();
+        let reply = self.remote.propose(Command::Publish { publication, at });
+        match self.outcome(reply.await).await? {
+            Reply::BaseMoved { held: found } => {
+                tracing::warn!(
+                    version = document.version,
+                    base = held.map(|held| held.version),
+                    found,
+                    "another configuration was published meanwhile, proposes the whole"
+                );
+                self.publish_whole(document).await
+            }
+            reply => accepted(&reply),
+        }
+    }
+
+    async fn publish_whole(&self, document: Document) -> Result<Revision, Failure> {
         let publication = Publication::Whole(document);
+        let at = clock::wall();
         self.change(Command::Publish { publication, at }).await
     }
 
@@ -170,11 +204,7 @@
 
     async fn change(&self, command: Command) -> Result<Revision, Failure> {
         let reply = self.remote.propose(command).await;
-        match self.outcome(reply).await? {
-            Reply::Accepted { revision } => Ok(revision),
-            reply if reply.code() == Some(Code::LimitReached) => Err(Failure::Full),
-            _ => Err(Failure::NoQuorum),
-        }
+        accepted(&self.outcome(reply).await?)
     }
 
     async fn in_force(&self, revision: Revision) {
@@ -215,3 +245,11 @@
         Some(SocketAddr::new(inner.ip(), self.port))
     }
 }
+
+fn accepted(reply: &Reply) -> Result<Revision, Failure> {
+    match reply {
+        Reply::Accepted { revision } => Ok(*revision),
+        reply if reply.code() == Some(Code::LimitReached) => Err(Failure::Full),
+        _ => Err(Failure::NoQuorum),
+    }
+}
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -166,7 +166,9 @@
     let address = settings.listen;
     let listener = listen::bind(address)
         .with_context(|| format!("listening for publications on {address}"))?;
-    let directory = Directory::new(replica.remote(), address.port(), &settings.domains);
+    let directory =
+        Directory::new(replica.remote(), address.port(), &settings.domains).deltas(settings.deltas);
+    tracing::info!(deltas = settings.deltas, "directory begins");
     let server = listener::serve(listener, directory.clone()).context("serving publications")?;
     if let Some(exchange) = settings.exchange {
         let socket = std::net::UdpSocket::bind(exchange)
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -289,6 +289,9 @@
     Key::new("directory", "domains", Names, Optional,
         "The failure domains that there are. An order to evacuate another one is refused; without \
          the list, one in which no upstream and no replica is known."),
+    Key::new("directory", "deltas", Word(&["yes", "no"]), Default("no"),
+        "Whether a publication is replicated as what differs from the version in force. Only once \
+         all replicas run a version that has this key; see `docs/upgrading.md`."),
     Key::new("directory", "lease", Number(1_000, HOUR), Default("10000"),
         "How long an instance stays enrolled without a heartbeat.").unit("ms"),
 
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -200,11 +200,13 @@
         let listen = self.address(s, "listen");
         let exchange = self.address(s, "exchange");
         let domains = self.names(s, "domains").unwrap_or_default();
+        let deltas = self.word(s, "deltas").map(|word| word == "yes");
         let lease = self.millis(s, "lease");
         Some(Directory {
             listen: listen?,
             exchange,
             domains,
+            deltas: deltas?,
             lease: lease?,
         })
     }
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -202,6 +202,8 @@
     pub exchange: Option<SocketAddr>,
     /// The failure domains that there are. Empty: those are that are known of.
     pub domains: Vec<id::Domain>,
+    /// Publications are replicated as what differs from the version in force.
+    pub deltas: bool,
     /// How long an instance stays enrolled without a heartbeat.
     pub lease: Duration,
 }
