--- a/almondlock-control/src/directory.rs
+++ b/almondlock-control/src/directory.rs
@@ -99,6 +99,13 @@
         let held = |state: &Machine| state.config().document.clone();
         let held = self.remote.look(held).await.ok().flatten();
         let publication = Publication::of(held.as_ref(), document.clone());
+        tracing::info!(
+            version = document.version,
+            base = publication.base(),
+            bytes = publication.bytes(),
+            of = document.len(),
+            "configuration proposed"
+        );
         let at = clock::wall();
         let reply = self.remote.propose(Command::Publish { publication, at });
         match self.outcome(reply.await).await? {
--- a/almondlock-control/tests/published_delta.rs
+++ b/almondlock-control/tests/published_delta.rs
@@ -4,6 +4,7 @@
 
 mod group;
 
+use almondlock_base::Code;
 use almondlock_control::{admin::Failure, directory::Directory, replica::Remote};
 use almondlock_node::clock;
 use almondlock_state::{
@@ -145,3 +146,21 @@
     let outcome = follower.publish(document(2)).await;
     assert!(matches!(outcome, Err(Failure::NotLeader(_))));
 }
+
+/// A state that holds the base divided otherwise isn't what the log made. Guards against a
+/// replica that passes over the delta and counts other revisions than the rest from then on.
+#[tokio::test]
+async fn divided_otherwise() {
+    let group = Group::new(|builder| builder);
+    publish(&group, &document(1), false).await;
+    let remote = group.remote(group.leader().await);
+    let publication = Publication::of(Some(&document(1)), document(2));
+    let at = clock::wall();
+    let command = Command::Publish { publication, at };
+    // Whether others accept it isn't known here.
+    let refusal = remote.propose(command).await.unwrap_err();
+    assert_eq!(refusal.code, Code::NoQuorum);
+    assert_eq!(held(remote).await, Some(document(1).joined()));
+    let later = directory(remote).publish(document(3)).await;
+    assert!(matches!(later, Err(Failure::Storage)));
+}
--- a/almondlock-state/src/document/delta.rs
+++ b/almondlock-state/src/document/delta.rs
@@ -154,12 +154,17 @@
     /// half of them. Where most of a text is new, the delta saves nothing, and the whole
     /// needs no base.
     pub fn is_shorter(&self, text: usize) -> bool {
+        let bytes = self.inserted() + self.runs.len() * RUN_BYTES;
+        bytes < text / 2
+    }
+
+    /// The length of the new text, in bytes.
+    pub fn inserted(&self) -> usize {
         let inserted = self.runs.iter().map(|run| match run {
             Run::Insert(pieces) => pieces.iter().map(|piece| piece.as_str().len()).sum(),
             Run::Keep { .. } => 0,
         });
-        let bytes = inserted.sum::<usize>() + self.runs.len() * RUN_BYTES;
-        bytes < text / 2
+        inserted.sum()
     }
 
     /// Whether it applies to a document.
--- a/almondlock-state/src/document/publication.rs
+++ b/almondlock-state/src/document/publication.rs
@@ -37,6 +37,22 @@
             Publication::Delta(delta) => delta.version,
         }
     }
+
+    /// The version that a delta applies to.
+    pub fn base(&self) -> Option<u64> {
+        match self {
+            Publication::Whole(_) => None,
+            Publication::Delta(delta) => Some(delta.base),
+        }
+    }
+
+    /// The length of the text that it holds, in bytes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Publication::Whole(document) => document.len(),
+            Publication::Delta(delta) => delta.inserted(),
+        }
+    }
 }
 
 /// The change that a publication makes: none unless its version is the highest. Each
