--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -384,8 +384,11 @@
 
     fn restore(&mut self, index: Index, data: &[u8]) -> Result<(), Refusal> {
         if index > Index::ZERO {
-            self.state = State::restore(data)
+            let mut state = State::restore(data)
                 .map_err(|e| Refusal::new(Code::StorageFailed, e.to_string()))?;
+            // The view shares its text with the state before.
+            state.share(&self.state);
+            self.state = state;
             self.applied = index;
             self.snapshot_at = index;
             self.view.replace(self.state.config().clone());
--- a/almondlock-control/tests/published_delta.rs
+++ b/almondlock-control/tests/published_delta.rs
@@ -59,6 +59,11 @@
         let view = &group.running[*n].as_ref().unwrap().view;
         assert_eq!(held(group.remote(*n)).await.as_ref(), Some(document));
         assert_eq!(view.get().document.as_ref(), Some(document));
+        // Held once: the view shares it with the state.
+        let (state, told) = (held(group.remote(*n)).await, view.get().document.clone());
+        let (state, told) = (state.unwrap().pieces, told.unwrap().pieces);
+        let same = state.iter().zip(told.iter());
+        assert!(same.fold(true, |same, (one, other)| same && one.is_same(other)));
     }
 }
 
@@ -164,3 +169,22 @@
     let later = directory(remote).publish(document(3)).await;
     assert!(matches!(later, Err(Failure::Storage)));
 }
+
+/// Operators turn deltas off and on again, as before a way back to an earlier version.
+#[tokio::test]
+async fn switched_off() {
+    let group = Group::new(|builder| builder);
+    for (version, deltas) in [
+        (1, true),
+        (2, true),
+        (3, false),
+        (4, false),
+        (5, true),
+        (6, true),
+    ] {
+        let document = document(version);
+        publish(&group, &document, deltas).await;
+        let expected = if deltas { document } else { document.joined() };
+        all_hold(&group, &[0, 1, 2], &expected).await;
+    }
+}
--- a/almondlock-node/tests/other_base.rs
+++ b/almondlock-node/tests/other_base.rs
@@ -8,13 +8,14 @@
 
 use almondlock_base::unit::Revision;
 use almondlock_node::{Node, Parts};
-use almondlock_spread::view::View;
+use almondlock_spread::{ring::Ring, view::View};
 use almondlock_state::{
     config::{Change, Config},
     document::{Delta, Document, Piece},
 };
 use almondlock_transport::fault::Plan;
 use fleet::{all_have, config, process, source, until};
+use yare::parameterized;
 
 const ROUTES: u64 = 200;
 
@@ -75,30 +76,67 @@
         .await;
     }
     // By deltas alone: a whole would have begun the changes kept for others anew.
-    let reaches = |ring: &almondlock_spread::ring::Ring| ring.reaches(Revision(1));
+    let reaches = |ring: &Ring| ring.reaches(Revision(1));
     assert!(node.handle().view().with_ring(reaches));
 }
 
-/// A process is cut off while many versions are published.
+/// More processes than a source serves: others hand the deltas on.
 #[ntex::test]
-async fn cut_off() {
+async fn through_relays() {
     let view = View::new();
     publish(&view, 1);
     let root = source("c1", &view, None).await;
-    let plan = Plan::new();
-    let nodes = [process("h1", "d1", &[root.address()], &plan).await];
-    until("it has a place", || all_have(&nodes, &view)).await;
-    let seen = follow(nodes[0].handle().view());
-    plan.silence(nodes[0].address(), root.address());
-    for _ in 0..300 {
+    let (seeds, plan) = ([root.address()], Plan::new());
+    let mut nodes = Vec::new();
+    for n in 0..15 {
+        nodes.push(process(&format!("h{n}"), "d1", &seeds, &plan).await);
+    }
+    let relays = |node: &Node| node.handle().summary().processes > 1;
+    until("all have a place", || {
+        let placed = nodes.iter().all(|node| !node.handle().way().is_empty());
+        placed && nodes.iter().any(relays) && all_have(&nodes, &view)
+    })
+    .await;
+    for _ in 0..50 {
         publish(&view, 1);
-        tokio::time::sleep(Duration::from_millis(1)).await;
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    until("all have everything", || all_have(&nodes, &view)).await;
+    for node in &nodes {
+        assert_eq!(text(node), document(51).text());
+        let reaches = |ring: &Ring| ring.reaches(Revision(1));
+        assert!(node.handle().view().with_ring(reaches));
     }
-    assert_eq!(text(&nodes[0]), document(1).text());
-    plan.heal(nodes[0].address(), root.address());
-    until("it has everything", || all_have(&nodes, &view)).await;
-    assert_eq!(text(&nodes[0]), document(301).text());
-    assert_eq!(seen.borrow().last(), Some(&Revision(301)));
+}
+
+/// A process is cut off while versions are published. Few deltas are told one by one, in place
+/// of many the whole configuration is.
+#[parameterized(
+    few = { 50, true },
+    many = { 300, false },
+)]
+fn cut_off(missed: u64, by_deltas: bool) {
+    ntex::rt::System::new("test", ntex::rt::DefaultRuntime).block_on(async move {
+        let view = View::new();
+        publish(&view, 1);
+        let root = source("c1", &view, None).await;
+        let plan = Plan::new();
+        let nodes = [process("h1", "d1", &[root.address()], &plan).await];
+        until("it has a place", || all_have(&nodes, &view)).await;
+        let seen = follow(nodes[0].handle().view());
+        plan.silence(nodes[0].address(), root.address());
+        for _ in 0..missed {
+            publish(&view, 1);
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(text(&nodes[0]), document(1).text());
+        plan.heal(nodes[0].address(), root.address());
+        until("it has everything", || all_have(&nodes, &view)).await;
+        assert_eq!(text(&nodes[0]), document(missed + 1).text());
+        assert_eq!(seen.borrow().last(), Some(&view.revision()));
+        let reaches = |ring: &Ring| ring.reaches(Revision(1));
+        assert_eq!(nodes[0].handle().view().with_ring(reaches), by_deltas);
+    });
 }
 
 /// A process holds the version before, though in one piece, as from a process of an earlier
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -79,6 +79,14 @@
         &self.tables.config
     }
 
+    /// Shares with an earlier state what the published texts of both have in common.
+    pub fn share(&mut self, earlier: &Machine) {
+        if let Some(held) = &earlier.config().document {
+            let document = &mut self.tables.config.document;
+            *document = document.take().map(|document| document.sharing(held));
+        }
+    }
+
     /// What plans change.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/almondlock-state/tests/moved_base.rs
+++ b/almondlock-state/tests/moved_base.rs
@@ -135,3 +135,19 @@
         assert!(kept.fold(true, |same, (new, old)| same && new.is_same(old)));
     }
 }
+
+/// A replica that is behind gets a snapshot. Guards against a second copy of the text beside
+/// the one that its view holds.
+#[test]
+fn restored_shares() {
+    let earlier = started();
+    let mut ahead = started();
+    let delta = delta(&document(1, "a b "), &document(2, "a c "));
+    ahead.apply(command(delta));
+    let mut restored = Machine::restore(&ahead.snapshot()).unwrap();
+    restored.share(&earlier);
+    assert_eq!(restored, ahead);
+    let pieces = held(&restored).pieces.iter();
+    let pairs = pieces.zip(held(&earlier).pieces.iter());
+    assert_eq!(pairs.filter(|(new, old)| new.is_same(old)).count(), 9);
+}
