--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -12,6 +12,8 @@
 //! claims expire at once, which would let re-sent requests run again. After a
 //! long stop the clock lags, and things are kept longer, which is the safe side.
 
+mod published;
+
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use almondlock_base::{
@@ -25,7 +27,6 @@
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    document::{self, Mismatch, Publication},
     evacuation, history, instance, limit,
     operator::Operator,
     plan::{
@@ -79,14 +80,6 @@
         &self.tables.config
     }
 
-    /// Shares with an earlier state what the published texts of both have in common.
-    pub fn share(&mut self, earlier: &Machine) {
-        if let Some(held) = &earlier.config().document {
-            let document = &mut self.tables.config.document;
-            *document = document.take().map(|document| document.sharing(held));
-        }
-    }
-
     /// What plans change.
     pub fn tables(&self) -> &Tables {
         &self.tables
@@ -207,30 +200,6 @@
         }
     }
 
-    fn publish(
-        &mut self,
-        publication: Publication,
-        changes: &mut Changes,
-    ) -> Result<Reply, Refusal> {
-        match document::publish(&self.tables.config, publication) {
-            Ok(made) => {
-                self.change(made.into_iter().collect(), changes);
-                Ok(accepted())
-            }
-            Err(Mismatch::Version { .. } | Mismatch::Missing { .. }) => {
-                let held = self.config().document.as_ref();
-                let held = held.map(|held| held.version);
-                Ok(Reply::BaseMoved { held })
-            }
-            // Whoever proposed it holds the same version divided in another way, so one of
-            // the two states isn't what the log made.
-            Err(mismatch @ (Mismatch::Shape(_) | Mismatch::Pieces(_))) => Err(Refusal {
-                code: almondlock_base::Code::StorageFailed,
-                message: format!("a delta in the log can't be applied: {mismatch}"),
-            }),
-        }
-    }
-
     fn on_claim(&mut self, command: Command) -> Result<Reply, Refusal> {
         match command {
             Command::Claim {
--- /dev/null
+++ b/almondlock-state/src/machine/published.rs
@@ -0,0 +1,41 @@
+//! The published text in the replicated state.
+
+use super::{Changes, Machine, Refusal, accepted};
+use crate::{
+    command::Reply,
+    document::{self, Mismatch, Publication},
+};
+
+impl Machine {
+    /// Shares with an earlier state what the published texts of both have in common.
+    pub fn share(&mut self, earlier: &Machine) {
+        if let Some(held) = &earlier.config().document {
+            let document = &mut self.tables.config.document;
+            *document = document.take().map(|document| document.sharing(held));
+        }
+    }
+
+    pub(super) fn publish(
+        &mut self,
+        publication: Publication,
+        changes: &mut Changes,
+    ) -> Result<Reply, Refusal> {
+        match document::publish(&self.tables.config, publication) {
+            Ok(made) => {
+                self.change(made.into_iter().collect(), changes);
+                Ok(accepted())
+            }
+            Err(Mismatch::Version { .. } | Mismatch::Missing { .. }) => {
+                let held = self.config().document.as_ref();
+                let held = held.map(|held| held.version);
+                Ok(Reply::BaseMoved { held })
+            }
+            // Whoever proposed it holds the same version divided in another way, so one of
+            // the two states isn't what the log made.
+            Err(mismatch @ (Mismatch::Shape(_) | Mismatch::Pieces(_))) => Err(Refusal {
+                code: almondlock_base::Code::StorageFailed,
+                message: format!("a delta in the log can't be applied: {mismatch}"),
+            }),
+        }
+    }
+}
