--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -384,8 +384,11 @@
 
     fn restore(&mut self, index: Index, data: &[u8]) -> Result<(), Refusal> {
         if index > Index::ZERO {
-            self.state = State::restore(data)
+            let mut state = State::restore(data)
                 .map_err(|e| Refusal::new(Code::StorageFailed, e.to_string()))?;
+            // The view shares its text with the state before.
+            state.share(&self.state);
+            self.state = state;
             self.applied = index;
             self.snapshot_at = index;
             self.view.replace(self.state.config().clone());
@@ -429,6 +432,13 @@
             Refusal::new(Code::StorageFailed, message)
         })?;
         let applied = self.state.apply(command);
+        // The state isn't what the other replicas made of the same log. Going on would
+        // spread the difference.
+        if let Reply::Refused { code, message } = &applied.reply
+            && *code == Code::StorageFailed
+        {
+            return Err(Refusal::new(*code, message.clone()));
+        }
         let first = applied.changes.first().map(|(revision, _)| *revision);
         let changes = applied.changes.into_iter().map(|(_, change)| change);
         if !self
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -12,6 +12,8 @@
 //! claims expire at once, which would let re-sent requests run again. After a
 //! long stop the clock lags, and things are kept longer, which is the safe side.
 
+mod published;
+
 use std::{collections::BTreeMap, fmt, time::Duration};
 
 use almondlock_base::{
@@ -25,7 +27,7 @@
     claim,
     command::{Command, Reply},
     config::{Change, Config, Registration},
-    document, evacuation, history, instance, limit,
+    evacuation, history, instance, limit,
     operator::Operator,
     plan::{
         self,
@@ -147,11 +149,7 @@
                 self.forget(&upstream, incarnation, at, changes);
                 Ok(accepted())
             }
-            Command::Publish { document, .. } => {
-                let made = document::publish(&self.tables.config, document);
-                self.change(made.into_iter().collect(), changes);
-                Ok(accepted())
-            }
+            Command::Publish { publication, .. } => self.publish(publication, changes),
             Command::Enrol {
                 upstream, instance, ..
             } => {
