--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`poison`] | both | does it kill engines, and how does it run then |
 //! | [`throttle`] | both | does an upstream's limit for all hosts leave room for it |
 //! | [`backoff`] | entry | has an upstream asked for a pause, or does it leave |
+//! | [`pace`] | entry | which upstreams are slower than others or fail
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //! | [`gang`] | both | how is a prompt larger than an engine given room on several |
@@ -45,6 +46,7 @@
 pub mod ledger;
 pub mod length;
 pub mod limit;
+pub mod pace;
 pub mod poison;
 pub mod prefix;
 pub mod queue;
--- /dev/null
+++ b/almondlock-policy/src/pace/account.rs
@@ -0,0 +1,105 @@
+//! How several hosts' observations of one upstream count together.
+//!
+//! **Failure.** A host reports wrong data. What one host reports counts at most as much as what
+//! all others report together, so that its report alone has no weight, and besides one honest
+//! report it has the weight of one.
+
+use almondlock_base::time::Mono;
+
+/// One standard normal deviate and a quarter: the true share of failures is below the bound
+/// in one case of ten.
+const DEVIATE: f64 = 1.28;
+
+/// What was observed of an upstream within the window.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Account {
+    /// How many hosts observed it.
+    pub hosts: u32,
+    /// Requests that it answered.
+    pub answers: u32,
+    /// Requests that failed by its fault.
+    pub failures: u32,
+    /// Times that were compared with what was expected.
+    pub samples: u32,
+    /// Their median, as a multiple of what was expected. 1 without any.
+    pub slowness: f64,
+    /// When the newest observation was made.
+    pub at: Mono,
+}
+
+impl Default for Account {
+    fn default() -> Account {
+        Account {
+            hosts: 0,
+            answers: 0,
+            failures: 0,
+            samples: 0,
+            slowness: 1.0,
+            at: Mono::ZERO,
+        }
+    }
+}
+
+impl Account {
+    /// Several hosts' accounts as one.
+    pub fn pool(accounts: &[Account]) -> Account {
+        let counts = |count: fn(&Account) -> u32| accounts.iter().map(count).collect::<Vec<_>>();
+        let answers = capped(&counts(|account| account.answers));
+        let failures = capped(&counts(|account| account.failures));
+        let samples = capped(&counts(|account| account.samples));
+        let mut order: Vec<(f64, u32)> = accounts
+            .iter()
+            .zip(&samples)
+            .map(|(account, samples)| (account.slowness, *samples))
+            .collect();
+        order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
+        let total: u32 = samples.iter().sum();
+        let mut passed = 0;
+        let median = order.iter().find(|(_, samples)| {
+            passed += samples;
+            passed * 2 >= total && passed > 0
+        });
+        Account {
+            hosts: u32::try_from(accounts.len()).unwrap_or(u32::MAX),
+            answers: answers.iter().sum(),
+            failures: failures.iter().sum(),
+            samples: total,
+            slowness: median.map_or(1.0, |(slowness, _)| *slowness),
+            at: accounts.iter().map(|a| a.at).max().unwrap_or(Mono::ZERO),
+        }
+    }
+
+    /// Requests of which it is known how they ended.
+    pub const fn requests(&self) -> u32 {
+        self.answers + self.failures
+    }
+
+    /// The part of the requests that failed.
+    pub fn share(&self) -> f64 {
+        match self.requests() {
+            0 => 0.0,
+            requests => f64::from(self.failures) / f64::from(requests),
+        }
+    }
+
+    /// A lower bound of the part that fails in the long run (Wilson's score interval).
+    pub fn share_bound(&self) -> f64 {
+        if self.failures == 0 {
+            return 0.0;
+        }
+        let (requests, share) = (f64::from(self.requests()), self.share());
+        let square = DEVIATE * DEVIATE;
+        let centre = share + square / (2.0 * requests);
+        let spread = share * (1.0 - share) / requests + square / (4.0 * requests * requests);
+        (centre - DEVIATE * spread.sqrt()) / (1.0 + square / requests)
+    }
+}
+
+/// Counts of which none is larger than the sum of the others.
+fn capped(counts: &[u32]) -> Vec<u32> {
+    let total: u32 = counts.iter().sum();
+    counts
+        .iter()
+        .map(|count| (*count).min(total - count))
+        .collect()
+}
--- /dev/null
+++ b/almondlock-policy/src/pace/doubt.rs
@@ -0,0 +1,63 @@
+//! Whether the host itself is what was slow.
+
+use std::time::Duration;
+
+use almondlock_base::time::Mono;
+
+use super::Account;
+
+/// A timer that fires this much too late delays what the host observes by as much as the
+/// shortest objectives allow for a first event's own part.
+const LATE: Duration = Duration::from_millis(120);
+/// Times observed within this span after a late timer don't count: a request that was under
+/// way meanwhile has been answered by then, or is judged by later ones.
+const AFTER: Duration = Duration::from_millis(500);
+/// Upstreams that must have been observed for them to be compared with each other.
+const OBSERVED: usize = 3;
+/// An upstream looks slow from here on.
+const SLOW: f64 = 2.0;
+/// An upstream looks failing from this share of failures on.
+const FAILING: f64 = 0.3;
+
+/// What a host knows of its own delays.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Doubt {
+    until: Option<Mono>,
+}
+
+impl Doubt {
+    /// A timer fired so much too late.
+    pub fn late(&mut self, now: Mono, by: Duration) {
+        if by >= LATE {
+            self.until = Some(now + AFTER);
+        }
+    }
+
+    /// Whether the times that it observes now are its own fault.
+    pub fn is_late(&self, now: Mono) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+}
+
+/// What is left of a host's own accounts of its upstreams when it suspects itself: most
+/// upstreams look slow to it, or failing.
+pub fn trusted(accounts: &mut [Account]) {
+    let timed = accounts.iter().filter(|account| account.samples > 0);
+    let slow = timed.clone().filter(|account| account.slowness >= SLOW);
+    let are_slow = is_most(slow.count(), timed.count());
+    let asked = accounts.iter().filter(|account| account.requests() > 0);
+    let failing = asked.clone().filter(|account| account.share() >= FAILING);
+    let are_failing = is_most(failing.count(), asked.count());
+    for account in accounts {
+        if are_slow {
+            (account.samples, account.slowness) = (0, 1.0);
+        }
+        if are_failing {
+            (account.answers, account.failures) = (0, 0);
+        }
+    }
+}
+
+const fn is_most(count: usize, all: usize) -> bool {
+    all >= OBSERVED && count * 2 > all
+}
--- /dev/null
+++ b/almondlock-policy/src/pace/judge.rs
@@ -0,0 +1,114 @@
+//! Which upstreams of a service are outliers.
+//!
+//! Each is compared with the others of its service at the same time: a fleet that is busy, or
+//! fails as a whole, has no outliers.
+
+use almondlock_base::time::Mono;
+
+use super::Account;
+
+/// Times without which nothing is said of an upstream's speed. Expectations are wrong by a few
+/// hundred milliseconds for one request in ten; the median of six isn't.
+const SAMPLES: u32 = 6;
+/// Other upstreams that one is compared with, itself included, at the least.
+const COMPARED: usize = 3;
+/// Below this an upstream counts as no slower than the others: it is within the usual error.
+const SLOWER: f64 = 1.5;
+/// From here on it is ejected. A first event takes most of its objective where it should take
+/// less than half.
+const FAR_SLOWER: f64 = 3.0;
+/// Failures without which nothing is said, of one host's observations and of several hosts'.
+const FAILURES_OWN: u32 = 3;
+const FAILURES_POOLED: u32 = 2;
+/// An upstream fails often if at least this part of its requests fails: beyond it the budget of
+/// further attempts, 0.2 of requests, doesn't cover a service of which all fail as often.
+const FAILS: f64 = 0.15;
+/// How much larger its share of failures must be than the service's median.
+const FAILS_MORE: f64 = 0.2;
+/// The least rate that placement divides by.
+const RATE_LEAST: f64 = 0.1;
+
+/// Whose observations a finding rests on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This host's.
+    Own,
+    /// Several hosts', as a relay reported them.
+    Reported,
+}
+
+impl Source {
+    /// The word used in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Source::Own => "own",
+            Source::Reported => "reported",
+        }
+    }
+}
+
+/// What was found of an upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Finding {
+    /// Work that it does in a time, against what it should. At most 1.
+    pub rate: f64,
+    /// The part of its requests that failed.
+    pub share: f64,
+    /// How many times slower it is than the others of its service.
+    pub slowness: f64,
+    /// Requests and times that this rests on.
+    pub observations: u32,
+    /// Whose they are.
+    pub source: Source,
+    /// When the newest of them was made.
+    pub at: Mono,
+    /// It is far slower, or fails often.
+    pub is_outlier: bool,
+}
+
+/// Finds the outliers among the upstreams of a service, given the accounts of all of them in
+/// the order of the result.
+pub fn findings(accounts: &[Account], source: Source) -> Vec<Finding> {
+    let timed = accounts.iter().filter(|account| account.samples > 0);
+    let usual = median(timed.map(|account| account.slowness));
+    let asked = accounts.iter().filter(|account| account.requests() > 0);
+    let usual_share = median(asked.map(Account::share));
+    let failures = match source {
+        Source::Own => FAILURES_OWN,
+        Source::Reported => FAILURES_POOLED,
+    };
+    let findings = accounts.iter().map(|account| {
+        let is_timed = account.samples >= SAMPLES;
+        let slowness = usual.filter(|_| is_timed).map_or(1.0, |usual| {
+            let slowness = account.slowness / usual.max(1.0);
+            if slowness < SLOWER { 1.0 } else { slowness }
+        });
+        let fails = usual_share.is_some_and(|usual| {
+            account.failures >= failures
+                && account.share_bound() >= FAILS
+                && account.share() >= usual + FAILS_MORE
+        });
+        let works = if fails { 1.0 - account.share() } else { 1.0 };
+        Finding {
+            rate: (works / slowness).clamp(RATE_LEAST, 1.0),
+            share: account.share(),
+            slowness,
+            observations: account.requests() + account.samples,
+            source,
+            at: account.at,
+            is_outlier: slowness >= FAR_SLOWER || fails,
+        }
+    });
+    findings.collect()
+}
+
+/// The median, the upper one of two: what half of a service shows is usual. None if there are
+/// too few to compare.
+fn median<I>(values: I) -> Option<f64>
+where
+    I: Iterator<Item = f64>,
+{
+    let mut values: Vec<f64> = values.collect();
+    values.sort_unstable_by(f64::total_cmp);
+    (values.len() >= COMPARED).then(|| values[values.len() / 2])
+}
