--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -12,6 +12,7 @@
     held::Held,
     life::{Course, Request, Whole},
     outgoing,
+    pace::Sent,
     pick::{Choice, Lack},
     placement::{self, lacking},
     upstream::{self, Connection, Head},
@@ -33,6 +34,7 @@
     pub(crate) connection: Connection,
     pub(crate) head: Head,
     pub(crate) held: Held<D>,
+    pub(crate) sent: Sent,
 }
 
 /// An attempt that failed.
@@ -43,6 +45,8 @@
     pub(crate) reason: String,
     /// The connection broke, as it does when the upstream crashes.
     pub(crate) cut: bool,
+    /// Another upstream that takes part is at fault.
+    pub(crate) elsewhere: bool,
     /// When the caller may find what it found missing, if that is known.
     pub(crate) returns: Option<Duration>,
 }
@@ -58,6 +62,7 @@
             answer: None,
             reason: reason.to_string(),
             cut: false,
+            elsewhere: false,
             returns: None,
         }
     }
@@ -159,6 +164,7 @@
     let now = clock::mono();
     let head = outgoing::head(worker, request, &placed, after, now);
     let left = request.left(now);
+    let sent = Sent::new(worker, request, (&choice, &target.name), after);
     let exchange = exchange(worker, request, connection, &head);
     let result = match timeout(left, patient(worker, request, &held, exchange)).await {
         Ok(Some(result)) => result,
@@ -178,6 +184,7 @@
         connection,
         head,
         held,
+        sent,
     };
     let name = run.upstream.clone();
     let judged = timeout(request.left(clock::mono()), judge(worker, run, targets));
@@ -311,6 +318,7 @@
         if let Some(at) = at.filter(|at| at.name != run.upstream) {
             worker.suspect(clock::mono(), &at.name);
             broken.failure = Failure::Rejected;
+            broken.elsewhere = true;
         }
         recycle(worker, &run.upstream, run.connection, &run.head).await;
         return Err(broken);
--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -6,7 +6,12 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Digest, Limit, Listen, Message, Relays, Sum, ration::REPEAT, send};
+use super::{
+    DATAGRAM, Digest, Limit, Listen, Message, Observed, Relays, Sum,
+    observed::{IDLE_REPORT, REPORT},
+    ration::REPEAT,
+    send,
+};
 use crate::{
     dialect::Dialect,
     load::{Key, Load},
@@ -41,6 +46,10 @@
     is_close_due: bool,
     // When all limits were last told.
     limits_at: Mono,
+    // When observations were last told, how often, and whether there were any.
+    paces_at: Mono,
+    paces_number: u32,
+    has_paces: bool,
 }
 
 impl Teller {
@@ -84,6 +93,9 @@
         close_at: Mono::ZERO,
         is_close_due: false,
         limits_at: Mono::ZERO,
+        paces_at: Mono::ZERO,
+        paces_number: 0,
+        has_paces: false,
     };
     let socket = Rc::new(socket);
     worker.permits.connect(Rc::clone(&socket));
@@ -112,7 +124,11 @@
                 tell_limits(&worker, &socket, &named, &news).await;
             }
             () = sleep(due.since(now)) => {
-                let is_all = clock::mono() >= all_due;
+                let woken = clock::mono();
+                let is_all = woken >= all_due;
+                if due > now {
+                    worker.pacing.late(woken, woken.since(due));
+                }
                 tell(&worker, &socket, &named, &mut teller, is_all).await;
             }
         }
@@ -198,6 +214,10 @@
     if is_all {
         teller.all_at = now;
         teller.has_news = false;
+        if worker.features.observed_pace {
+            let closely = listened.first().map(|(relay, _)| *relay);
+            tell_paces(worker, socket, teller, &all, closely).await;
+        }
     }
     let directly = teller.relays.alone(now);
     for to in all.into_iter().chain(directly) {
@@ -213,6 +233,40 @@
     }
 }
 
+/// Tells all relays what this host observed of upstreams, if that is due. `closely` is the
+/// relay that it wants to hear of all hosts' observations.
+async fn tell_paces<D>(
+    worker: &Worker<D>,
+    socket: &UdpSocket,
+    teller: &mut Teller,
+    relays: &[SocketAddr],
+    closely: Option<SocketAddr>,
+) where
+    D: Dialect,
+{
+    let now = clock::mono();
+    if now.since(teller.paces_at) < REPORT {
+        return;
+    }
+    let paces = worker.own_paces(now);
+    let is_quiet = paces.is_empty() && !teller.has_paces;
+    if is_quiet && now.since(teller.paces_at) < IDLE_REPORT {
+        return;
+    }
+    teller.paces_at = now;
+    teller.paces_number = teller.paces_number.wrapping_add(1);
+    teller.has_paces = !paces.is_empty();
+    for to in relays {
+        let report = Observed {
+            host: teller.host,
+            number: teller.paces_number,
+            follows: closely == Some(*to),
+            paces: paces.clone(),
+        };
+        send(socket, *to, &Message::Observed(report)).await;
+    }
+}
+
 fn take_in<D>(worker: &Worker<D>, teller: &mut Teller, from: SocketAddr, bytes: &[u8])
 where
     D: Dialect,
@@ -253,7 +307,11 @@
             worker.suspicion.hear(now, &suspects);
             Ok(())
         }
-        Message::Ask(_) | Message::Lost(_) | Message::Harmless(_) => {
+        Message::Paces(paces) => {
+            worker.hear_paces(now, &paces);
+            Ok(())
+        }
+        Message::Ask(_) | Message::Lost(_) | Message::Harmless(_) | Message::Observed(_) => {
             tracing::debug!(%from, "a host's message to relays sent to a host");
             Ok(())
         }
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -10,6 +10,7 @@
 use almondlock_state::instance::Birth;
 use serde::{Deserialize, Serialize};
 
+use super::observed::{Observed, Pace};
 use crate::load::{Key, Load};
 
 /// Loads that one datagram tells at the most. Each takes up to 20 bytes.
@@ -49,6 +50,11 @@
     /// A relay to all hosts: how requests stand that upstreams were lost with, those that
     /// have changed or all of them from time to time.
     Suspects(Vec<Suspect>),
+    /// A host to all relays: what it observed of upstreams. Only from hosts whose settings
+    /// ask for it.
+    Observed(Observed),
+    /// A relay to the hosts that follow its observations: what all hosts observed.
+    Paces(Vec<Pace>),
 }
 
 /// A request that was lost with the upstream that ran it.
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -25,11 +25,14 @@
 //! Limits that upstreams name for all hosts are told in the same way, and the relays give
 //! out permits to send to such upstreams ([`Ration`]). And hosts tell all relays of
 //! requests that upstreams were lost with, so that the relays can have such a request
-//! refused by all hosts ([`Suspects`]).
+//! refused by all hosts ([`Suspects`]). Where the settings ask for it, hosts also report what
+//! they observe of upstreams' pace, and the relays tell them what all hosts observed
+//! ([`Paces`]).
 
 mod gather;
 mod host;
 mod message;
+mod observed;
 mod ration;
 mod relay;
 mod relays;
@@ -44,6 +47,7 @@
     gather::{Gather, PEERS, Round},
     host::telling_period,
     message::{Ask, Digest, Introduction, Limit, Listen, Loss, Message, Permit, Sum, Suspect},
+    observed::{Observed, PACES, Pace, Paces},
     ration::Ration,
     relay::relay,
     relays::{Relays, SILENCE},
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -6,7 +6,7 @@
 use almondlock_node::clock;
 use tokio::{net::UdpSocket, time::sleep};
 
-use super::{DATAGRAM, Gather, Message, Ration, Round, Sum, Suspects, send, send_bytes};
+use super::{DATAGRAM, Gather, Message, Paces, Ration, Round, Sum, Suspects, send, send_bytes};
 
 /// What a relay has heard.
 #[derive(Default)]
@@ -14,6 +14,7 @@
     gather: Gather,
     ration: Ration,
     suspects: Suspects,
+    paces: Paces,
 }
 
 /// Adds up what entry hosts tell, in this failure domain, and gives out permits, until the
@@ -43,6 +44,7 @@
                 next = now + state.gather.period();
                 send_round(&socket, &round).await;
                 send_news(&socket, &mut state, &round).await;
+                send_paces(&socket, &mut state).await;
             }
         }
     }
@@ -65,10 +67,12 @@
         }
         Message::Lost(loss) => state.suspects.lose(now, &loss),
         Message::Harmless(print) => state.suspects.clear(now, print),
+        Message::Observed(report) => state.paces.hear(now, from, report),
         Message::Sum { .. }
         | Message::Beacon { .. }
         | Message::Introduction(_)
         | Message::Permit(_)
+        | Message::Paces(_)
         | Message::Suspects(_) => {
             tracing::debug!(%from, "a relay's message sent to a relay");
         }
@@ -99,6 +103,17 @@
     }
 }
 
+/// Tells what all hosts observed, to those that follow that.
+async fn send_paces(socket: &UdpSocket, state: &mut State) {
+    let Some((hosts, paces)) = state.paces.take(clock::mono()) else {
+        return;
+    };
+    let message = Message::Paces(paces);
+    for to in hosts {
+        send(socket, to, &message).await;
+    }
+}
+
 /// A message of all of these, if there are any.
 fn some<T, F>(entries: Vec<T>, message: F) -> Option<Message>
 where
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-gateway/src/held.rs
@@ -42,6 +42,8 @@
     // When the first event is expected.
     expected: Mono,
     is_read: Cell<bool>,
+    // The request's objective if it probes an ejected upstream.
+    probe: Option<Duration>,
 }
 
 impl<D> Held<D>
@@ -93,6 +95,10 @@
             is_elsewhere: choice.shares.iter().any(|s| s.place != choice.first),
             expected: now + choice.expected,
             is_read: Cell::new(false),
+            probe: targets
+                .get(choice.first)
+                .filter(|target| worker.is_probe(&target.name))
+                .map(|_| request.route.objective),
         }
     }
 
@@ -111,8 +117,13 @@
     }
 
     /// How long to wait for the next bytes, of an attempt that others are waited
-    /// for as long as `usual`.
+    /// for as long as `usual`. A probe's first event is waited for no longer than its
+    /// objective: the upstream is expected to be silent, and another attempt follows.
     pub(crate) fn patience(&self, now: Mono, usual: Duration) -> Duration {
+        let usual = match self.probe {
+            Some(objective) if !self.is_read.get() => usual.min(objective),
+            _ => usual,
+        };
         if !self.is_elsewhere || self.leases.borrow().is_none() {
             return usual;
         }
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! | `limit` | limits that upstreams name for all hosts |
 //! | `placement` | where an attempt goes, and what it waits for before |
 //! | `permit` | permits for upstreams that name one, asked of relays |
+//! | `pace` | upstreams judged by how fast and how often they answer |
 //! | `suspicion` | requests that upstreams were lost with, counted over all hosts |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
@@ -47,6 +48,7 @@
 pub mod memory;
 pub mod metrics;
 mod outgoing;
+mod pace;
 mod permit;
 pub mod pick;
 mod placement;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -181,6 +181,7 @@
             Err(broken) => broken,
         };
         worker.blame(&request, &broken, begun);
+        worker.observe_failure(&request, &broken, begun);
         course.note(&mut broken);
         let now = clock::mono();
         note(&worker, &request, &broken, course.tried.len());
@@ -317,6 +318,7 @@
         }
     };
     worker.clear(&run.upstream);
+    worker.observe_answer(request, &run.upstream, &run.sent);
     keep(worker, &run.upstream, run.connection, &run.head);
     Ok(Whole {
         head: run.head,
@@ -349,6 +351,7 @@
         }
     };
     worker.clear(&run.upstream);
+    worker.observe_answer(request, &run.upstream, &run.sent);
     run.held.read();
     Ok(Stream::new(worker, request, run, cutter, first))
 }
--- /dev/null
+++ b/almondlock-gateway/src/pace.rs
@@ -0,0 +1,365 @@
+//! Upstreams judged by how fast and how often they answer, over all hosts: what this host
+//! observes, and what it does about it ([`almondlock_policy::pace`] decides).
+//!
+//! Nothing here acts unless the settings ask for it ([`crate::worker::Features`]).
+
+use std::{
+    cell::RefCell,
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+use almondlock_base::{
+    id::{Service, Upstream},
+    time::Mono,
+};
+use almondlock_node::clock;
+use almondlock_policy::pace::{Account, Change, Sample, Table};
+
+use crate::{
+    attempt::Broken,
+    dialect::Dialect,
+    exchange::{PACES, Pace},
+    life::{Course, Request},
+    load::Key,
+    pick::{self, Candidate, Choice},
+    verdict::Failure,
+    worker::{Target, Worker},
+};
+
+/// How often the upstreams of a service are judged anew, at the most.
+const REVIEW: Duration = Duration::from_millis(200);
+/// By how much a first event is usually later than expected while the fleet is loaded.
+const FIRST_SLACK: Duration = Duration::from_millis(100);
+/// The same for a few events of a stream: a short prompt that is read in between.
+const EVENTS_SLACK: Duration = Duration::from_millis(60);
+/// The same for answers that are no streams.
+const PLAIN_SLACK: Duration = Duration::from_millis(20);
+/// A silence shorter than this is the request's own short time, and not the upstream's fault.
+const SILENT: Duration = Duration::from_millis(500);
+/// Events that are timed as one, so that a pause of a single pass doesn't count.
+pub(crate) const EVENTS: u64 = 3;
+/// A probe passes if it takes less than this many times as long as expected.
+const PASSES: f64 = 2.0;
+/// Times of plain answers of a service that its median is made of, and without which there
+/// is none.
+const PLAIN_KEPT: usize = 48;
+const PLAIN_LEAST: usize = 8;
+/// Log lines within a span; the metrics count all changes.
+const LINES: u32 = 32;
+const LINES_SPAN: Duration = Duration::from_secs(10);
+
+/// What this host knows of the upstreams' pace.
+#[derive(Debug, Default)]
+pub(crate) struct Pacing {
+    table: RefCell<Table<Upstream>>,
+    /// When each service is judged next.
+    due: RefCell<HashMap<Service, Mono>>,
+    /// Seconds that plain answers took lately.
+    plain: RefCell<HashMap<Service, VecDeque<f64>>>,
+    /// Since when lines are counted, and how many there were.
+    lines: RefCell<(Mono, u32)>,
+}
+
+impl Pacing {
+    pub(crate) fn forget(&self, upstream: &Upstream) {
+        self.table.borrow_mut().forget(upstream);
+    }
+
+    pub(crate) fn retain<F>(&self, is_known: F)
+    where
+        F: Fn(&Upstream) -> bool,
+    {
+        self.table.borrow_mut().retain(is_known);
+    }
+
+    /// The rate of an upstream, and whether it is ejected.
+    pub(crate) fn standing(&self, upstream: &Upstream) -> (f64, bool) {
+        let table = self.table.borrow();
+        (table.rate(upstream), table.is_ejected(upstream))
+    }
+
+    /// A timer of this host fired so much too late.
+    pub(crate) fn late(&self, now: Mono, by: Duration) {
+        self.table.borrow_mut().doubt.late(now, by);
+    }
+
+    /// The median time of a service's plain answers, with one more taken in.
+    fn median(&self, service: &Service, spent: Duration) -> Option<Duration> {
+        let mut plain = self.plain.borrow_mut();
+        let times = plain.entry(service.clone()).or_default();
+        if times.len() >= PLAIN_KEPT {
+            times.pop_front();
+        }
+        times.push_back(spent.as_secs_f64());
+        if times.len() < PLAIN_LEAST {
+            return None;
+        }
+        let mut sorted: Vec<f64> = times.iter().copied().collect();
+        sorted.sort_unstable_by(f64::total_cmp);
+        Some(Duration::from_secs_f64(sorted[sorted.len() / 2]))
+    }
+
+    /// Whether one more line may be written.
+    fn may_log(&self, now: Mono) -> bool {
+        let mut lines = self.lines.borrow_mut();
+        if now.since(lines.0) >= LINES_SPAN {
+            *lines = (now, 0);
+        }
+        lines.1 += 1;
+        lines.1 <= LINES
+    }
+}
+
+/// An attempt as it was sent, for what its answer shows.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sent {
+    pub(crate) at: Mono,
+    /// When the first event is expected of an upstream that is as fast as its figures say.
+    /// None if others take part, on whom it depends as well.
+    pub(crate) expected: Option<Duration>,
+}
+
+impl Sent {
+    pub(crate) fn new<D>(
+        worker: &Worker<D>,
+        request: &Request,
+        (choice, upstream): (&Choice, &Upstream),
+        after: Option<u64>,
+    ) -> Sent
+    where
+        D: Dialect,
+    {
+        let is_alone = choice.helpers.is_empty() && choice.shares.is_empty();
+        let is_timed = is_alone && after.is_none() && request.demand.is_some();
+        // Placement expects as much more as the upstream is known to be slower.
+        let (rate, is_ejected) = worker.pacing.standing(upstream);
+        let rate = if is_ejected { 1.0 } else { rate };
+        Sent {
+            at: clock::mono(),
+            expected: is_timed.then(|| choice.expected.mul_f64(rate)),
+        }
+    }
+}
+
+impl<D> Worker<D>
+where
+    D: Dialect,
+{
+    /// Judges the upstreams of a service anew if that is due.
+    pub(crate) fn review_pace(&self, now: Mono, service: &Service) {
+        if !self.features.observed_pace {
+            return;
+        }
+        let due = self.pacing.due.borrow().get(service).copied();
+        if due.is_some_and(|due| now < due) {
+            return;
+        }
+        let mut all = self.pacing.due.borrow_mut();
+        all.insert(service.clone(), now + REVIEW);
+        let known = self.known();
+        let targets = known.instances.get(service).into_iter().flatten();
+        let members: Vec<Upstream> = targets.map(|target| target.name.clone()).collect();
+        let hosts = self.load.borrow().hosts(now) + 1;
+        let mut rng = self.rng.borrow_mut();
+        let mut table = self.pacing.table.borrow_mut();
+        let changes = table.review(now, &members, hosts, &mut *rng);
+        for change in &changes {
+            self.tell_change(now, service, change);
+        }
+    }
+
+    fn tell_change(&self, now: Mono, service: &Service, change: &Change<Upstream>) {
+        let kind = if change.is_ejected {
+            "ejected"
+        } else {
+            "reinstated"
+        };
+        self.shared.metrics.count("ejections", kind);
+        if !self.pacing.may_log(now) {
+            return;
+        }
+        let finding = &change.finding;
+        tracing::info!(
+            upstream = %change.key, %service, change = kind, rate = finding.rate,
+            slowness = finding.slowness, failures = finding.share,
+            observations = finding.observations, source = finding.source.as_str(),
+            age_ms = now.since(finding.at).as_millis(), "pace judged anew"
+        );
+    }
+
+    /// An ejected upstream that a request probes, in place of being placed: one that may be
+    /// repeated, is read by one upstream, and has time left for another attempt.
+    pub(crate) fn probe(
+        &self,
+        now: Mono,
+        request: &Request,
+        targets: &[Target],
+        candidates: &[Candidate],
+    ) -> Option<Choice> {
+        let mut table = self.pacing.table.borrow_mut();
+        let needed = request.route.objective * 2;
+        if !table.has_ejected()
+            || !request.route.kind.is_idempotent()
+            || request.after.is_some()
+            || request.left(now) < needed
+        {
+            return None;
+        }
+        let known = self.known();
+        let rules = known.rules.as_ref()?;
+        let speed = rules.service(&request.service)?.engine.as_ref();
+        let engine = speed.zip(request.demand);
+        if engine.is_some_and(|(speed, demand)| speed.reading(demand.prompt) > pick::SHORT) {
+            return None;
+        }
+        let hosts = self.load.borrow().hosts(now) + 1;
+        let mut rng = self.rng.borrow_mut();
+        let mut ejected = targets.iter().zip(candidates).enumerate();
+        let (place, (target, candidate)) = ejected.find(|(_, (target, candidate))| {
+            candidate.ejected
+                && !candidate.suspect
+                && !candidate.full
+                && table.probe(now, &target.name, hosts, &mut *rng)
+        })?;
+        let candidate = Candidate {
+            ejected: false,
+            rate: 1.0,
+            ..*candidate
+        };
+        let choice = match engine {
+            Some((speed, demand)) => pick::engine(speed, demand, &[candidate], &mut *rng),
+            None => pick::plain(&[candidate], &mut *rng),
+        };
+        let choice = choice.ok()?;
+        tracing::info!(request = %request.id, upstream = %target.name, "probe");
+        Some(Choice {
+            first: place,
+            ..choice
+        })
+    }
+
+    /// Whether a request to an upstream probes it.
+    pub(crate) fn is_probe(&self, upstream: &Upstream) -> bool {
+        self.features.observed_pace && self.pacing.table.borrow().is_ejected(upstream)
+    }
+
+    /// The first event came, or a whole answer.
+    pub(crate) fn observe_answer(&self, request: &Request, upstream: &Upstream, sent: &Sent) {
+        if !self.features.observed_pace {
+            return;
+        }
+        let now = clock::mono();
+        let spent = now.since(sent.at);
+        let time = match (request.route.kind.is_stream(), sent.expected) {
+            (true, Some(expected)) => Some(Sample::time(spent, expected, FIRST_SLACK)),
+            (false, None) => {
+                let usual = self.pacing.median(&request.service, spent);
+                usual.map(|usual| Sample::time(spent, usual, PLAIN_SLACK))
+            }
+            _ => None,
+        };
+        let mut table = self.pacing.table.borrow_mut();
+        table.tell(now, upstream, Sample::Answer);
+        let mut is_passed = true;
+        if let Some(Sample::Time(multiple)) = time {
+            is_passed = multiple < PASSES;
+            table.tell(now, upstream, Sample::Time(multiple));
+        }
+        let is_probe = table.probed(upstream, sent.at, is_passed);
+        self.count_probe(is_probe, if is_passed { "passed" } else { "slow" });
+    }
+
+    /// So many events of a stream came, which had to be waited for so long.
+    pub(crate) fn observe_events(
+        &self,
+        request: &Request,
+        upstream: &Upstream,
+        events: u64,
+        waited: Duration,
+    ) {
+        let now = clock::mono();
+        let known = self.known();
+        let rules = known.rules.as_ref();
+        let speed = rules.and_then(|rules| rules.service(&request.service)?.engine.as_ref());
+        let Some(speed) = speed else {
+            return;
+        };
+        let total = self.load.borrow().total(now, upstream);
+        let pass = speed.writing(total.streams, total.memory);
+        let events = u32::try_from(events).unwrap_or(u32::MAX);
+        let expected = pass.saturating_mul(events) + total.backlog();
+        let sample = Sample::time(waited, expected, EVENTS_SLACK);
+        let mut table = self.pacing.table.borrow_mut();
+        table.tell(now, upstream, sample);
+    }
+
+    /// An attempt failed that was begun at this time.
+    pub(crate) fn observe_failure(&self, request: &Request, broken: &Broken, begun: Mono) {
+        let (true, Some(upstream)) = (self.features.observed_pace, &broken.upstream) else {
+            return;
+        };
+        let now = clock::mono();
+        let is_probe = self.is_probe(upstream);
+        let is_silent = is_probe || now.since(begun) >= SILENT;
+        let mut table = self.pacing.table.borrow_mut();
+        let sample = match broken.failure {
+            Failure::Limited | Failure::Misdirected => return,
+            Failure::Silent if !is_silent || table.doubt.is_late(now) => return,
+            // It asks for a pause: it says itself that it is busy.
+            Failure::Rejected if broken.elsewhere || self.backoff(now, upstream).is_some() => {
+                return;
+            }
+            Failure::Answered => match &broken.answer {
+                Some(answer) if answer.head.status < 500 => Sample::Answer,
+                _ => Sample::Failure,
+            },
+            Failure::Unsent | Failure::Rejected | Failure::Lost | Failure::Silent => {
+                Sample::Failure
+            }
+        };
+        table.tell(now, upstream, sample);
+        let is_passed = sample == Sample::Answer;
+        let is_probe = table.probed(upstream, begun, is_passed);
+        self.count_probe(is_probe, if is_passed { "passed" } else { "failed" });
+        if is_probe {
+            tracing::info!(request = %request.id, %upstream, is_passed, "probe ended");
+        }
+    }
+
+    fn count_probe(&self, is_probe: bool, outcome: &str) {
+        if is_probe {
+            self.shared.metrics.count("probes", outcome);
+        }
+    }
+
+    /// What this host reports.
+    pub(crate) fn own_paces(&self, now: Mono) -> Vec<Pace> {
+        let report = self.pacing.table.borrow_mut().report(now);
+        let paces = report.iter().filter_map(|(upstream, account)| {
+            let birth = self.known_birth(upstream)?;
+            Some(Pace::of(now, Key::of(upstream), birth, account))
+        });
+        paces.take(PACES).collect()
+    }
+
+    /// A relay told what all hosts observed.
+    pub(crate) fn hear_paces(&self, now: Mono, paces: &[Pace]) {
+        if !self.features.observed_pace {
+            return;
+        }
+        let names = self.upstreams();
+        let accounts = paces.iter().filter_map(|pace| {
+            let name = names.get(&pace.key)?;
+            let is_alive = self.known_birth(name) == Some(pace.birth);
+            is_alive.then(|| (name.clone(), pace.account(now)))
+        });
+        let accounts: HashMap<Upstream, Account> = accounts.collect();
+        self.pacing.table.borrow_mut().hear(now, accounts);
+    }
+
+    /// Whether a request is on its first attempt, which may be a probe.
+    pub(crate) fn may_probe(&self, course: &Course) -> bool {
+        self.features.observed_pace && course.tried.is_empty()
+    }
+}
--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -5,7 +5,7 @@
 use almondlock_policy::{engine::Speed, fill};
 use rand::{Rng, RngCore};
 
-use super::{Candidate, Choice, Demand, READERS, SHORT_PART, groups::Groups};
+use super::{Candidate, Choice, Demand, READERS, SHORT, SHORT_PART, groups::Groups};
 use crate::memory;
 
 /// How much sooner an engine of the other side must be done to be taken: several
@@ -154,7 +154,25 @@
 
     /// Seconds until a new prompt is read there.
     pub(super) fn cost(&self, i: usize) -> f64 {
-        cost(self.speed, &self.candidates[i])
+        let candidate = &self.candidates[i];
+        let cost = cost(self.speed, candidate);
+        if candidate.rate >= 1.0 {
+            return cost;
+        }
+        let own = self.own_work();
+        (cost + own) / candidate.rate - own
+    }
+
+    /// Seconds that the prompt itself takes an engine, which a slow one takes longer for as
+    /// well.
+    fn own_work(&self) -> f64 {
+        let (speed, prompt) = (self.speed, self.demand.prompt);
+        let whole = speed.reading(prompt);
+        let part = match whole <= SHORT {
+            true => whole,
+            false => speed.part(prompt, READERS),
+        };
+        (part + speed.writing(1, prompt)).as_secs_f64()
     }
 
     /// The same where the prompt's memory is needed there too.
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -80,6 +80,10 @@
     pub full: bool,
     /// Its cell. This host's own one is 0.
     pub cell: usize,
+    /// Work that it does in a time, against what its figures say. At most 1.
+    pub rate: f64,
+    /// It fails often or is far slower than others: only if nothing else is left.
+    pub ejected: bool,
 }
 
 impl Candidate {
@@ -176,6 +180,9 @@
     let open = open(candidates)?;
     let first = least(candidates, &open, rng, |candidate| {
         let requests = f64::from(candidate.total.requests());
+        // The request itself takes longer as well where the rate is below 1.
+        let own = if candidate.rate < 1.0 { 1.0 } else { 0.0 };
+        let requests = (requests + own) / candidate.rate - own;
         requests / f64::from(candidate.slots.max(1))
     });
     first.map(Choice::alone).ok_or(Lack::Upstream)
@@ -193,7 +200,7 @@
     R: RngCore,
 {
     let healthy: Vec<usize> = (0..candidates.len())
-        .filter(|i| !candidates[*i].suspect)
+        .filter(|i| !candidates[*i].suspect && !candidates[*i].ejected)
         .collect();
     if !healthy.iter().any(|i| candidates[*i].may_answer()) {
         return suspects(speed, demand, candidates, rng);
@@ -264,8 +271,16 @@
     if candidates[first].full {
         return Err(Lack::Memory);
     }
+    let expected = whole + speed.writing(1, demand.prompt);
+    let rate = match candidates[first].ejected {
+        true => 1.0,
+        false => candidates[first].rate,
+    };
     Ok(Choice {
-        expected: whole + speed.writing(1, demand.prompt),
+        expected: match rate < 1.0 {
+            true => expected.div_f64(rate),
+            false => expected,
+        },
         part: whole,
         ..Choice::alone(first)
     })
@@ -281,7 +296,8 @@
     }
 }
 
-/// The one of these candidates with the least cost, suspects last, equals by lot.
+/// The one of these candidates with the least cost, suspects after others and ejected ones
+/// last, equals by lot.
 fn least<R, F>(candidates: &[Candidate], open: &[usize], rng: &mut R, cost: F) -> Option<usize>
 where
     R: RngCore,
@@ -291,7 +307,7 @@
         let candidate = &candidates[*i];
         let far = f64::from(u8::from(!candidate.near)) * 0.05;
         let key = cost(candidate) + far + rng.random::<f64>() * 0.01;
-        (candidate.suspect, key, *i)
+        ((candidate.ejected, candidate.suspect), key, *i)
     });
     keys.min_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)))
         .map(|(_, _, i)| i)
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -95,7 +95,7 @@
             let Search { full, silent, .. } = &mut search;
             full.retain(|upstream| silent.contains(upstream));
         }
-        let choice = choose(worker, request, targets, &course.tried, &search.full, now);
+        let choice = choose(worker, request, targets, course, &search.full, now);
         let mut choice = choice.map_err(|lack| refused_for(worker, request, lack, now))?;
         if is_last {
             choice.shares.retain(|share| share.place != choice.first);
@@ -190,17 +190,24 @@
     worker: &Worker<D>,
     request: &Request,
     targets: &[Target],
-    tried: &[Upstream],
+    course: &Course,
     full: &[Upstream],
     now: Mono,
 ) -> Result<Choice, Lack>
 where
     D: Dialect,
 {
+    worker.review_pace(now, &request.service);
     let candidates: Vec<pick::Candidate> = targets
         .iter()
-        .map(|target| worker.candidate(now, target, tried, full))
+        .map(|target| worker.candidate(now, target, &course.tried, full))
         .collect();
+    let probe = worker
+        .may_probe(course)
+        .then(|| worker.probe(now, request, targets, &candidates));
+    if let Some(choice) = probe.flatten() {
+        return Ok(choice);
+    }
     let known = worker.known();
     let rules = known.rules.as_ref();
     let service = rules.and_then(|rules| rules.service(&request.service));
--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -17,12 +17,21 @@
     dialect::Dialect,
     event::Cutter,
     life::{self, Course, Request},
+    pace::EVENTS,
     rules::Kind,
     upstream::Head,
     verdict::Failure,
     worker::Worker,
 };
 
+/// Some events of a stream.
+#[derive(Clone, Copy, Debug, Default)]
+struct Piece {
+    // The number of the event before them.
+    from: Option<u64>,
+    waited: Duration,
+}
+
 /// A stream under way.
 pub(crate) struct Stream<D>
 where
@@ -42,6 +51,8 @@
     last_at: Mono,
     longest: Duration,
     events: u64,
+    // Events since their pace was last observed. What a slow caller takes isn't part of it.
+    piece: Piece,
     // The response has come to an end, whole or not.
     ended: bool,
 }
@@ -74,6 +85,7 @@
             last_at: now,
             longest: Duration::ZERO,
             events: 1,
+            piece: Piece::default(),
             ended: false,
         }
     }
@@ -87,9 +99,10 @@
             return None;
         }
         loop {
+            let begun = clock::mono();
             let broken = match self.step().await {
                 Ok(Some(events)) => {
-                    self.passed();
+                    self.passed(begun);
                     return Some(Ok(events));
                 }
                 Ok(None) => {
@@ -100,6 +113,9 @@
             };
             self.run = None;
             self.worker.blame(&self.request, &broken, self.first_at);
+            let worker = &self.worker;
+            worker.observe_failure(&self.request, &broken, begun);
+            self.piece = Piece::default();
             self.course.tried.extend(broken.upstream.clone());
             life::note(
                 &self.worker,
@@ -143,11 +159,36 @@
         }
     }
 
-    fn passed(&mut self) {
+    fn passed(&mut self, begun: Mono) {
         let now = clock::mono();
         self.longest = self.longest.max(now.since(self.last_at));
         self.last_at = now;
         self.events += 1;
+        if self.worker.features.observed_pace {
+            self.observe(now.since(begun));
+        }
+    }
+
+    /// Observes the pace of a few events at a time.
+    fn observe(&mut self, waited: Duration) {
+        let Some(last) = self.cutter.last() else {
+            return;
+        };
+        let from = *self.piece.from.get_or_insert(last);
+        // The wait for the first one isn't part of the piece.
+        if last > from {
+            self.piece.waited += waited;
+        }
+        let events = last.saturating_sub(from);
+        if events >= EVENTS {
+            let waited = self.piece.waited;
+            self.worker
+                .observe_events(&self.request, &self.upstream, events, waited);
+            self.piece = Piece {
+                from: Some(last),
+                waited: Duration::ZERO,
+            };
+        }
     }
 
     /// Goes on at another upstream, after the last event.
@@ -187,6 +228,8 @@
         if self.cutter.last().is_none_or(|next| next <= last) {
             return Err("the resumed run began at another event");
         }
+        self.worker
+            .observe_answer(&self.request, &run.upstream, &run.sent);
         run.held.read();
         self.upstream = run.upstream.clone();
         self.run = Some(run);
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -39,6 +39,7 @@
     lease::Ended,
     load::{self, Key},
     metrics::Metrics,
+    pace::Pacing,
     permit::Permits,
     pick::{Candidate, Choice},
     pool::Pool,
@@ -214,6 +215,8 @@
     pub(crate) permits: Permits,
     /// Requests that upstreams were lost with.
     pub(crate) suspicion: Suspicion,
+    /// How fast and how often upstreams answer.
+    pub(crate) pacing: Pacing,
     /// Headers of answers that nobody reads, as far as they were logged.
     pub(crate) unread: RefCell<BTreeSet<Box<str>>>,
     /// Where the memory of attempts goes that have ended.
@@ -277,6 +280,7 @@
             limits: RefCell::default(),
             permits: Permits::default(),
             suspicion: Suspicion::default(),
+            pacing: Pacing::default(),
             unread: RefCell::default(),
             ended,
         }
@@ -350,14 +354,21 @@
                 self.backoffs.borrow_mut().forget(name);
                 self.pool.borrow_mut().forget(name);
                 self.suspects.borrow_mut().remove(name);
+                self.pacing.forget(name);
             }
         }
+        self.pacing.retain(|name| instances.contains_key(name));
         *births = instances
             .iter()
             .map(|(name, i)| (name.clone(), i.birth))
             .collect();
     }
 
+    /// Which life of an upstream the configuration in force names.
+    pub(crate) fn known_birth(&self, upstream: &Upstream) -> Option<Birth> {
+        self.births.borrow().get(upstream).copied()
+    }
+
     /// Whether the configuration in force names an upstream.
     pub(crate) fn is_known(&self, upstream: &Upstream) -> bool {
         self.births.borrow().contains_key(upstream)
@@ -418,6 +429,7 @@
         full: &[Upstream],
     ) -> Candidate {
         let suspect = tried.contains(&target.name) || self.is_suspect(now, &target.name);
+        let (rate, ejected) = self.pacing.standing(&target.name);
         Candidate {
             total: self.load.borrow().total(now, &target.name),
             slots: target.slots,
@@ -426,6 +438,8 @@
             limited: self.limited(now, target),
             full: full.contains(&target.name),
             cell: target.cell,
+            rate,
+            ejected,
         }
     }
 
--- a/almondlock-gateway/tests/engines/mod.rs
+++ b/almondlock-gateway/tests/engines/mod.rs
@@ -31,5 +31,7 @@
         limited: Limited::No,
         full: false,
         cell: 0,
+        rate: 1.0,
+        ejected: false,
     }
 }
