--- a/almondlock-gateway/src/exchange/observed.rs
+++ b/almondlock-gateway/src/exchange/observed.rs
@@ -15,7 +15,7 @@
 use super::message::millis;
 use crate::load::Key;
 
-/// Upstreams that one datagram tells of at the most. Each takes up to 24 bytes, 14 usually.
+/// Upstreams that one datagram tells of at the most. Each takes up to 25 bytes.
 pub const PACES: usize = 2_000;
 /// How often a host reports.
 pub(super) const REPORT: Duration = Duration::from_millis(200);
@@ -44,6 +44,8 @@
     pub answers: u8,
     /// Requests that failed by its fault.
     pub failures: u8,
+    /// The same, at most one of each host.
+    pub witnessed: u8,
     /// Times that were compared with what was expected.
     pub samples: u8,
     /// Their median, on a logarithmic scale.
@@ -63,6 +65,7 @@
             hosts: count(account.hosts),
             answers: count(account.answers),
             failures: count(account.failures),
+            witnessed: count(account.witnessed),
             samples: count(account.samples),
             // A float beyond the range saturates.
             slowness: step.round() as u8,
@@ -76,6 +79,7 @@
             hosts: self.hosts.into(),
             answers: self.answers.into(),
             failures: self.failures.into(),
+            witnessed: self.witnessed.into(),
             samples: self.samples.into(),
             slowness: ((f64::from(self.slowness) - STEP_OF_ONE) / STEPS).exp2(),
             at: now - Duration::from_millis(self.age_ms.into()),
--- a/almondlock-gateway/src/pace.rs
+++ b/almondlock-gateway/src/pace.rs
@@ -160,10 +160,9 @@
         let known = self.known();
         let targets = known.instances.get(service).into_iter().flatten();
         let members: Vec<Upstream> = targets.map(|target| target.name.clone()).collect();
-        let hosts = self.load.borrow().hosts(now) + 1;
         let mut rng = self.rng.borrow_mut();
         let mut table = self.pacing.table.borrow_mut();
-        let changes = table.review(now, &members, hosts, &mut *rng);
+        let changes = table.review(now, &members, &mut *rng);
         for change in &changes {
             self.tell_change(now, service, change);
         }
--- a/almondlock-policy/src/pace/account.rs
+++ b/almondlock-policy/src/pace/account.rs
@@ -6,8 +6,8 @@
 
 use almondlock_base::time::Mono;
 
-/// One standard normal deviate and a quarter: the true share of failures is below the bound
-/// in one case of ten.
+/// A standard normal deviate: the true share of failures is below the lower bound in one case
+/// of ten, and above the upper one.
 const DEVIATE: f64 = 1.28;
 
 /// What was observed of an upstream within the window.
@@ -19,6 +19,9 @@
     pub answers: u32,
     /// Requests that failed by its fault.
     pub failures: u32,
+    /// The same, at most one of each host: for what a service does as a whole, of which one
+    /// host's wrong report must not count for much.
+    pub witnessed: u32,
     /// Times that were compared with what was expected.
     pub samples: u32,
     /// Their median, as a multiple of what was expected. 1 without any.
@@ -33,6 +36,7 @@
             hosts: 0,
             answers: 0,
             failures: 0,
+            witnessed: 0,
             samples: 0,
             slowness: 1.0,
             at: Mono::ZERO,
@@ -44,7 +48,11 @@
     /// Several hosts' accounts as one.
     pub fn pool(accounts: &[Account]) -> Account {
         let counts = |count: fn(&Account) -> u32| accounts.iter().map(count).collect::<Vec<_>>();
-        let answers = capped(&counts(|account| account.answers));
+        let requests: u32 = accounts.iter().map(Account::requests).sum();
+        let answers = accounts.iter().map(|account| {
+            // One always counts, and any besides another host's failures.
+            account.answers.min((requests - account.requests()).max(1))
+        });
         let failures = capped(&counts(|account| account.failures));
         let samples = capped(&counts(|account| account.samples));
         let mut order: Vec<(f64, u32)> = accounts
@@ -61,8 +69,9 @@
         });
         Account {
             hosts: u32::try_from(accounts.len()).unwrap_or(u32::MAX),
-            answers: answers.iter().sum(),
+            answers: answers.sum(),
             failures: failures.iter().sum(),
+            witnessed: accounts.iter().map(|a| a.failures.min(1)).sum(),
             samples: total,
             slowness: median.map_or(1.0, |(slowness, _)| *slowness),
             at: accounts.iter().map(|a| a.at).max().unwrap_or(Mono::ZERO),
@@ -82,17 +91,24 @@
         }
     }
 
-    /// A lower bound of the part that fails in the long run (Wilson's score interval).
+    /// A lower bound of the part that fails in the long run.
     pub fn share_bound(&self) -> f64 {
-        if self.failures == 0 {
-            return 0.0;
-        }
-        let (requests, share) = (f64::from(self.requests()), self.share());
-        let square = DEVIATE * DEVIATE;
-        let centre = share + square / (2.0 * requests);
-        let spread = share * (1.0 - share) / requests + square / (4.0 * requests * requests);
-        (centre - DEVIATE * spread.sqrt()) / (1.0 + square / requests)
+        bounds(self.failures, self.requests()).0
+    }
+}
+
+/// Bounds of the part that fails in the long run (Wilson's score interval).
+pub(super) fn bounds(failures: u32, requests: u32) -> (f64, f64) {
+    if requests == 0 {
+        return (0.0, 1.0);
     }
+    let requests = f64::from(requests);
+    let share = f64::from(failures) / requests;
+    let square = DEVIATE * DEVIATE;
+    let centre = share + square / (2.0 * requests);
+    let variance = share * (1.0 - share) / requests + square / (4.0 * requests * requests);
+    let (spread, scale) = (DEVIATE * variance.sqrt(), 1.0 + square / requests);
+    ((centre - spread) / scale, (centre + spread) / scale)
 }
 
 /// Counts of which none is larger than the sum of the others.
--- a/almondlock-policy/src/pace/doubt.rs
+++ b/almondlock-policy/src/pace/doubt.rs
@@ -16,8 +16,10 @@
 const OBSERVED: usize = 3;
 /// An upstream looks slow from here on.
 const SLOW: f64 = 2.0;
-/// An upstream looks failing from this share of failures on.
-const FAILING: f64 = 0.3;
+/// A host of which this part of all requests fails is cut off itself. Hosts that doubt
+/// themselves don't report: a lower part would leave out those that happen to see more of an
+/// outage than others, and make the outage look smaller.
+const CUT_OFF: f64 = 0.7;
 
 /// What a host knows of its own delays.
 #[derive(Clone, Copy, Debug, Default)]
@@ -46,14 +48,17 @@
     let slow = timed.clone().filter(|account| account.slowness >= SLOW);
     let are_slow = is_most(slow.count(), timed.count());
     let asked = accounts.iter().filter(|account| account.requests() > 0);
-    let failing = asked.clone().filter(|account| account.share() >= FAILING);
-    let are_failing = is_most(failing.count(), asked.count());
+    let requests: u32 = accounts.iter().map(Account::requests).sum();
+    let failures: u32 = accounts.iter().map(|account| account.failures).sum();
+    let is_cut_off = f64::from(failures) >= f64::from(requests.max(1)) * CUT_OFF;
+    let are_failing = asked.count() >= OBSERVED && is_cut_off;
     for account in accounts {
         if are_slow {
             (account.samples, account.slowness) = (0, 1.0);
         }
         if are_failing {
             (account.answers, account.failures) = (0, 0);
+            account.witnessed = 0;
         }
     }
 }
--- a/almondlock-policy/src/pace/judge.rs
+++ b/almondlock-policy/src/pace/judge.rs
@@ -5,7 +5,7 @@
 
 use almondlock_base::time::Mono;
 
-use super::Account;
+use super::{Account, account::bounds};
 
 /// Times without which nothing is said of an upstream's speed. Expectations are wrong by a few
 /// hundred milliseconds for one request in ten; the median of six isn't.
@@ -25,6 +25,9 @@
 const FAILS: f64 = 0.15;
 /// How much larger its share of failures must be than the service's median.
 const FAILS_MORE: f64 = 0.2;
+/// Of a service whose other upstreams may fail this part of requests none is an outlier: it
+/// fails as a whole. More than where a third of the upstreams always fail.
+const ALL_FAIL: f64 = 0.37;
 /// The least rate that placement divides by.
 const RATE_LEAST: f64 = 0.1;
 
@@ -67,8 +70,8 @@
 }
 
 /// Finds the outliers among the upstreams of a service, given the accounts of all of them in
-/// the order of the result.
-pub fn findings(accounts: &[Account], source: Source) -> Vec<Finding> {
+/// the order of the result, and in `all` those of either source.
+pub fn findings(accounts: &[Account], source: Source, all: [&[Account]; 2]) -> Vec<Finding> {
     let timed = accounts.iter().filter(|account| account.samples > 0);
     let usual = median(timed.map(|account| account.slowness));
     let asked = accounts.iter().filter(|account| account.requests() > 0);
@@ -77,7 +80,7 @@
         Source::Own => FAILURES_OWN,
         Source::Reported => FAILURES_POOLED,
     };
-    let findings = accounts.iter().map(|account| {
+    let findings = accounts.iter().enumerate().map(|(place, account)| {
         let is_timed = account.samples >= SAMPLES;
         let slowness = usual.filter(|_| is_timed).map_or(1.0, |usual| {
             let slowness = account.slowness / usual.max(1.0);
@@ -87,6 +90,7 @@
             account.failures >= failures
                 && account.share_bound() >= FAILS
                 && account.share() >= usual + FAILS_MORE
+                && !all.iter().any(|accounts| others_fail(accounts, place))
         });
         let works = if fails { 1.0 - account.share() } else { 1.0 };
         Finding {
@@ -102,6 +106,15 @@
     findings.collect()
 }
 
+/// Whether the others fail as well. With two observed requests or so of each upstream a fleet
+/// that fails half of all has some that failed all of theirs.
+fn others_fail(accounts: &[Account], place: usize) -> bool {
+    let others = accounts.iter().enumerate().filter(|(i, _)| *i != place);
+    let others = others.map(|(_, account)| (account.answers, account.witnessed));
+    let (answers, failures) = others.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    answers + failures > 0 && bounds(failures, answers + failures).1 >= ALL_FAIL
+}
+
 /// The median, the upper one of two: what half of a service shows is usual. None if there are
 /// too few to compare.
 fn median<I>(values: I) -> Option<f64>
--- a/almondlock-policy/src/pace/table.rs
+++ b/almondlock-policy/src/pace/table.rs
@@ -11,15 +11,20 @@
 
 /// Of a service's upstreams at most one in so many is ejected.
 const EJECTED: usize = 3;
-/// Between the probes that all hosts together send to an ejected upstream.
-const PROBE: Duration = Duration::from_millis(250);
+/// Between the probes that all hosts together send to an ejected upstream that hasn't answered
+/// since. An engine gets 1.2 short prompts a second otherwise: a probe each second fails as
+/// many requests as no ejection at all.
+const PROBE: Duration = Duration::from_millis(2_000);
+/// The same once it answers: it is to be back soon if it is well.
+const PROBE_ANSWERING: Duration = Duration::from_millis(400);
 /// Between those of one host that hears of no other hosts' observations.
 const PROBE_ALONE: Duration = Duration::from_secs(1);
 /// Probes that one host must see answered in a row to reinstate an upstream. Of one that fails
 /// 45 requests in 100 nine in 100 pass.
 const PASSED: u32 = 4;
-/// The same over all hosts, within the window and without a failure: three in 100 pass.
-const PASSED_POOLED: u32 = 5;
+/// The same over all hosts, within a window without a failure. All hosts know the same then,
+/// and reinstate it together.
+const PASSED_POOLED: u32 = 3;
 /// An upstream that no request could probe for this long is reinstated: its service has none
 /// that may be repeated.
 const EXPIRES: Duration = Duration::from_secs(10);
@@ -36,10 +41,12 @@
     since: Mono,
     /// When it was last probed by this host, or ejected.
     probed: Mono,
-    /// When this host may probe it next.
-    next: Mono,
-    /// Probes answered in a row.
+    /// The pause from then until this host's next probe, as a multiple of the usual one.
+    pause: (Mono, f64),
+    /// Probes of this host answered in a row.
     passed: u32,
+    /// Answers to probes and no failures are known within the window.
+    is_answering: bool,
 }
 
 /// A change of what the host believes.
@@ -157,13 +164,18 @@
     where
         R: RngCore,
     {
-        let pause = self.probe_pause(now, hosts, rng);
+        let is_heard = self.is_heard(now);
         let standing = self.standings.get_mut(key);
         let ejection = standing.and_then(|standing| standing.ejection.as_mut());
-        let Some(ejection) = ejection.filter(|ejection| now >= ejection.next) else {
+        let is_due = |ejection: &&mut Ejection| {
+            let usual = probe_pause(is_heard, ejection.is_answering, hosts);
+            let (from, multiple) = ejection.pause;
+            now >= from + usual.mul_f64(multiple)
+        };
+        let Some(ejection) = ejection.filter(is_due) else {
             return false;
         };
-        ejection.next = now + pause;
+        ejection.pause = (now, drawn(rng));
         ejection.probed = now;
         true
     }
@@ -180,32 +192,12 @@
         true
     }
 
-    /// Until this host's next probe. Drawn, so that hosts don't probe at the same time.
-    fn probe_pause<R>(&self, now: Mono, hosts: usize, rng: &mut R) -> Duration
-    where
-        R: RngCore,
-    {
-        let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
-        let pause = match self.is_heard(now) {
-            true => PROBE.saturating_mul(hosts),
-            false => PROBE_ALONE,
-        };
-        pause.mul_f64(rng.random_range(0.5..1.5))
-    }
-
     fn is_heard(&self, now: Mono) -> bool {
         self.heard.is_some_and(|at| now.since(at) < WINDOW)
     }
 
-    /// Judges the upstreams of a service anew, and gives what has changed. `hosts` counts
-    /// all hosts, this one included.
-    pub fn review<R>(
-        &mut self,
-        now: Mono,
-        members: &[K],
-        hosts: usize,
-        rng: &mut R,
-    ) -> Vec<Change<K>>
+    /// Judges the upstreams of a service anew, and gives what has changed.
+    pub fn review<R>(&mut self, now: Mono, members: &[K], rng: &mut R) -> Vec<Change<K>>
     where
         R: RngCore,
     {
@@ -214,6 +206,7 @@
         // Without those that are reinstated: what they did before counts no more.
         let mut others: Vec<(&K, &Finding)> = Vec::new();
         for (key, finding) in members.iter().zip(&found) {
+            self.note_answers(now, key, finding, rng);
             if !self.is_reinstated(now, key, finding) {
                 others.push((key, finding));
             } else {
@@ -238,7 +231,7 @@
             }
         }
         let room = members.len() / EJECTED;
-        changes.extend(self.eject(now, room, others, hosts, rng));
+        changes.extend(self.eject(now, room, others, rng));
         self.standings
             .retain(|_, s| s.ejection.is_some() || s.rate < 1.0);
         changes
@@ -252,9 +245,10 @@
         trusted(&mut own);
         let reported = members.iter().map(|key| self.reported_account(now, key));
         let reported: Vec<Account> = reported.collect();
-        let own = findings(&own, Source::Own);
-        let reported = findings(&reported, Source::Reported);
-        let pairs = own.into_iter().zip(reported);
+        let all = [&own[..], &reported[..]];
+        let own_found = findings(&own, Source::Own, all);
+        let reported = findings(&reported, Source::Reported, all);
+        let pairs = own_found.into_iter().zip(reported);
         pairs
             .map(
                 |(own, reported)| match (own.is_outlier, reported.is_outlier) {
@@ -269,21 +263,48 @@
 
     /// What was reported of an upstream, if it is fresh and several hosts observed it.
     fn reported_account(&self, now: Mono, key: &K) -> Account {
+        let account = self.fresh_report(now, key);
+        Some(account).filter(|a| a.hosts >= 2).unwrap_or_default()
+    }
+
+    fn fresh_report(&self, now: Mono, key: &K) -> Account {
         let account = self.reported.get(key).copied();
-        let fresh = account.filter(|a| a.hosts >= 2 && now.since(a.at) < WINDOW);
+        let fresh = account.filter(|account| now.since(account.at) < WINDOW);
         fresh.unwrap_or_default()
     }
 
+    /// Notes whether an ejected upstream answers the probes of all hosts.
+    fn note_answers<R>(&mut self, now: Mono, key: &K, finding: &Finding, rng: &mut R)
+    where
+        R: RngCore,
+    {
+        // One host's word is enough here: it makes the others probe sooner.
+        let account = self.fresh_report(now, key);
+        let standing = self.standings.get_mut(key);
+        if let Some(ejection) = standing.and_then(|standing| standing.ejection.as_mut()) {
+            // What was observed before the ejection is too old by now.
+            let is_over = now.since(ejection.since) >= WINDOW;
+            let is_well = account.witnessed == 0 && !finding.is_outlier;
+            let is_answering = is_over && is_well && account.answers > 0;
+            if is_answering != ejection.is_answering {
+                ejection.is_answering = is_answering;
+                // Drawn anew: hosts that have not probed yet are those with long pauses.
+                ejection.pause = (now, drawn(rng));
+            }
+        }
+    }
+
     fn is_reinstated(&self, now: Mono, key: &K, finding: &Finding) -> bool {
         let standing = self.standings.get(key);
         let Some(ejection) = standing.and_then(|standing| standing.ejection) else {
             return false;
         };
-        let account = self.reported_account(now, key);
         // What was observed before the ejection is too old by now.
         let is_over = now.since(ejection.since) >= WINDOW;
-        let passed = account.answers >= PASSED_POOLED && account.failures == 0;
-        let is_expired = now.since(ejection.probed) >= EXPIRES && !finding.is_outlier;
+        let account = self.reported_account(now, key);
+        let passed = account.answers >= PASSED_POOLED && account.witnessed == 0;
+        let is_unknown = self.fresh_report(now, key).requests() == 0 && !finding.is_outlier;
+        let is_expired = now.since(ejection.probed) >= EXPIRES && is_unknown;
         let is_well = finding.rate >= 1.0;
         let is_contradicted = finding.is_outlier && finding.source == Source::Reported;
         ejection.passed >= PASSED && !is_contradicted || is_over && passed && is_well || is_expired
@@ -295,7 +316,6 @@
         now: Mono,
         most: usize,
         others: Vec<(&K, &Finding)>,
-        hosts: usize,
         rng: &mut R,
     ) -> Vec<Change<K>>
     where
@@ -313,8 +333,9 @@
             let ejection = Ejection {
                 since: now,
                 probed: now,
-                next: now + self.probe_pause(now, hosts, rng),
+                pause: (now, drawn(rng)),
                 passed: 0,
+                is_answering: false,
             };
             let standing = Standing {
                 rate: finding.rate,
@@ -330,3 +351,22 @@
         changes
     }
 }
+
+/// Between two probes of one host, of so many.
+fn probe_pause(is_heard: bool, is_answering: bool, hosts: usize) -> Duration {
+    let hosts = u32::try_from(hosts.max(1)).unwrap_or(u32::MAX);
+    match (is_heard, is_answering) {
+        (false, _) => PROBE_ALONE,
+        (true, false) => PROBE.saturating_mul(hosts),
+        (true, true) => PROBE_ANSWERING.saturating_mul(hosts),
+    }
+}
+
+/// A multiple of a pause, exponentially distributed: the probes of all hosts together come at
+/// the intended rate from the start, also when the usual pause changes.
+fn drawn<R>(rng: &mut R) -> f64
+where
+    R: RngCore,
+{
+    -rng.random_range(1e-3..1.0_f64).ln()
+}
--- a/almondlock-policy/src/pace/window.rs
+++ b/almondlock-policy/src/pace/window.rs
@@ -52,6 +52,7 @@
             times.push(*multiple);
             account.at = account.at.max(*at);
         }
+        account.witnessed = account.failures;
         account.samples = u32::try_from(times.len()).unwrap_or(u32::MAX);
         if !times.is_empty() {
             times.sort_unstable_by(f64::total_cmp);
