--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -62,6 +62,8 @@
     /// The first upstream stands alone in the host's failure domain, which is evacuated this
     /// long after the start.
     evacuate: Option<Duration>,
+    /// It judges upstreams by what hosts observe of them.
+    judges: bool,
 }
 
 const SETUP: Setup = Setup {
@@ -75,6 +77,7 @@
     relays: None,
     cold_upstreams: 0,
     evacuate: None,
+    judges: false,
 };
 
 const ENGINES: Setup = Setup {
@@ -173,6 +176,21 @@
     start_for(Setup { evacuate, ..SETUP }, upstreams)
 }
 
+/// The same as [`start`], as one host of several if there are relays, that may judge upstreams
+/// by what hosts observe of them.
+pub fn start_judging(
+    upstreams: &[SocketAddr],
+    relays: Option<[SocketAddr; 2]>,
+    judges: bool,
+) -> SocketAddr {
+    let setup = Setup {
+        relays,
+        judges,
+        ..SETUP
+    };
+    start_for(setup, upstreams)
+}
+
 /// Starts a relay; gives its address.
 pub fn start_relay() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -299,7 +317,10 @@
             retries,
             memory_hold: setup.hold,
         },
-        features: Features::default(),
+        features: Features {
+            observed_pace: setup.judges,
+            ..Features::default()
+        },
         seed: next_host(),
         notice: Duration::ZERO,
         grace: setup.grace,
--- /dev/null
+++ b/almondlock-gateway/tests/outlier_ejection.rs
@@ -0,0 +1,144 @@
+//! Hosts that judge upstreams by what they observe of them, and tell each other by relays.
+
+mod fake;
+mod gateway;
+
+use std::{
+    net::{SocketAddr, UdpSocket},
+    sync::mpsc::Receiver,
+    thread::sleep,
+    time::{Duration, Instant},
+};
+
+use fake::{Step, answer, serve};
+use gateway::{ask, start_judging, start_relay, status};
+use yare::parameterized;
+
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// An upstream with one response to all requests.
+fn upstream(step: Step) -> (SocketAddr, Receiver<String>) {
+    serve(move |_| vec![step.clone()])
+}
+
+fn well() -> Step {
+    answer("200 OK", "ok")
+}
+
+fn error() -> Step {
+    answer("500 X", "no")
+}
+
+/// A refusal that promises nothing.
+fn refusal() -> Step {
+    Step::Write("HTTP/1.1 503 X\r\nx-id: ID\r\ncontent-length: 0\r\n\r\n".into())
+}
+
+/// A refusal that states that the request has not run.
+fn not_run() -> Step {
+    Step::Write("HTTP/1.1 503 X\r\nx-id: ID\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n".into())
+}
+
+/// Starts a failing upstream and five that are well; gives what reaches the first one.
+fn upstreams(failing: Step) -> (Vec<SocketAddr>, Receiver<String>) {
+    let (first, heads) = upstream(failing);
+    let others = [0; 5].map(|_| upstream(well()).0);
+    let all = [&[first][..], &others].concat();
+    (all, heads)
+}
+
+fn ask_often(gateway: SocketAddr, path: &str, times: usize) -> Vec<u16> {
+    let responses = (0..times).map(|_| {
+        sleep(PAUSE);
+        status(&ask(gateway, path).0)
+    });
+    responses.collect()
+}
+
+/// Guards against requests that keep going to an upstream that fails all of them, though it is
+/// enrolled and its health check passes.
+#[parameterized(
+    with_500 = { error() },
+    with_503 = { refusal() },
+    with_503_not_run = { not_run() },
+)]
+fn failing_upstream(step: Step) {
+    let reached = [false, true].map(|judges| {
+        let (upstreams, heads) = upstreams(step.clone());
+        let gateway = start_judging(&upstreams, None, judges);
+        ask_often(gateway, "/safe/", 60);
+        heads.try_iter().count();
+        ask_often(gateway, "/safe/", 60);
+        heads.try_iter().count()
+    });
+    println!("reached {reached:?}");
+    // One probe a second at the most, and the requests took some two seconds.
+    assert!(reached[1] <= 6, "{reached:?}");
+    assert!(reached[1] <= reached[0]);
+}
+
+/// Guards against calls that may run only once and are sent to an ejected upstream.
+#[test]
+fn once_elsewhere() {
+    let (upstreams, heads) = upstreams(error());
+    let gateway = start_judging(&upstreams, None, true);
+    ask_often(gateway, "/safe/", 60);
+    heads.try_iter().count();
+    let statuses = ask_often(gateway, "/unsafe/", 40);
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_eq!(heads.try_iter().count(), 0);
+}
+
+/// Guards against failures that each host has to learn by its own requests.
+#[test]
+fn learned_from_others() {
+    let relays = [start_relay(), start_relay()];
+    let (upstreams, heads) = upstreams(error());
+    let start = || start_judging(&upstreams, Some(relays), true);
+    let hosts = [start(), start(), start()];
+    sleep(Duration::from_millis(500));
+    for _ in 0..40 {
+        ask_often(hosts[0], "/safe/", 1);
+        ask_often(hosts[1], "/safe/", 1);
+    }
+    sleep(Duration::from_millis(600));
+    // The first of them has the host judge.
+    heads.try_iter().count();
+    let statuses = ask_often(hosts[2], "/unsafe/", 30);
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+    assert_eq!(heads.try_iter().count(), 0);
+}
+
+/// Guards against messages on the wire from hosts whose settings don't ask for them, and
+/// against datagrams that a host doesn't send though they do.
+#[parameterized(
+    off = { false },
+    on = { true },
+)]
+fn on_the_wire(judges: bool) {
+    use almondlock_gateway::exchange::Message;
+
+    let relays = [0; 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let addresses = [0, 1].map(|i| relays[i].local_addr().unwrap());
+    let (upstreams, _heads) = upstreams(error());
+    let gateway = start_judging(&upstreams, Some(addresses), judges);
+    ask_often(gateway, "/safe/", 30);
+    let timeout = Some(Duration::from_millis(100));
+    relays[0].set_read_timeout(timeout).unwrap();
+    let (begun, mut buffer) = (Instant::now(), vec![0; 65_536]);
+    let mut reports = Vec::new();
+    while begun.elapsed() < Duration::from_secs(1) {
+        let Ok(length) = relays[0].recv(&mut buffer) else {
+            continue;
+        };
+        if let Message::Observed(report) = postcard::from_bytes(&buffer[..length]).unwrap() {
+            reports.push(report);
+        }
+    }
+    assert_eq!(!reports.is_empty(), judges);
+    if judges {
+        let paces = reports.iter().flat_map(|report| &report.paces);
+        assert!(paces.clone().any(|pace| pace.failures > 0));
+        assert!(paces.clone().any(|pace| pace.answers > 0));
+    }
+}
--- /dev/null
+++ b/almondlock-policy/tests/observed_pace.rs
@@ -0,0 +1,240 @@
+//! What observations of upstreams come to, and who is ejected by them.
+
+use std::{collections::HashMap, time::Duration};
+
+use almondlock_base::time::Mono;
+use almondlock_policy::pace::{Account, Sample, Table, WINDOW};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const START: Mono = Mono::from_millis(10_000);
+const MEMBERS: [u32; 6] = [0, 1, 2, 3, 4, 5];
+
+fn after(millis: u64) -> Mono {
+    START + Duration::from_millis(millis)
+}
+
+fn rng() -> SmallRng {
+    SmallRng::seed_from_u64(1)
+}
+
+/// What several hosts reported of an upstream.
+fn account(answers: u32, failures: u32, slowness: f64) -> Account {
+    Account {
+        hosts: 5,
+        answers,
+        failures,
+        witnessed: failures.min(5),
+        samples: 20,
+        slowness,
+        at: START,
+    }
+}
+
+/// A host that was told this of upstream 0, and that all others are well.
+fn told(of_first: Account) -> Table<u32> {
+    let mut table = Table::default();
+    let well = account(10, 0, 1.0);
+    let accounts = MEMBERS.map(|key| (key, if key == 0 { of_first } else { well }));
+    table.hear(START, HashMap::from(accounts));
+    table
+}
+
+/// Guards against judgements by too little, and against none where it is clear.
+#[parameterized(
+    well = { 10, 0, 1.0, false },
+    one_failure = { 3, 1, 1.0, false },
+    rare_failures = { 18, 2, 1.0, false },
+    half_failing = { 5, 5, 1.0, true },
+    late = { 10, 0, 2.4, false },
+    far_slower = { 10, 0, 5.0, true },
+)]
+fn reported(answers: u32, failures: u32, slowness: f64, is_ejected: bool) {
+    let mut table = told(account(answers, failures, slowness));
+    let changes = table.review(START, &MEMBERS, &mut rng());
+    assert_eq!(table.is_ejected(&0), is_ejected, "{changes:?}");
+    assert_eq!(changes.len(), usize::from(is_ejected));
+}
+
+/// Guards against placement that takes a slower upstream for as good as others.
+#[test]
+fn rate_of_slower() {
+    let mut table = told(account(10, 0, 2.0));
+    table.review(START, &MEMBERS, &mut rng());
+    assert!((table.rate(&0) - 0.5).abs() < 0.01);
+    assert!((table.rate(&1) - 1.0).abs() < f64::EPSILON);
+}
+
+/// Guards against reports that count when they are older than 3 s.
+#[test]
+fn old_news() {
+    let mut table = told(account(5, 5, 1.0));
+    assert!(table.review(after(3_001), &MEMBERS, &mut rng()).is_empty());
+}
+
+/// Guards against own observations that count when they are older than 3 s.
+#[test]
+fn old_observations() {
+    let mut table = Table::default();
+    failing(&mut table, START);
+    assert!(table.review(after(3_001), &MEMBERS, &mut rng()).is_empty());
+    failing(&mut table, after(4_000));
+    assert_eq!(table.review(after(4_001), &MEMBERS, &mut rng()).len(), 1);
+}
+
+/// A host observes that upstream 0 fails and all others answer.
+fn failing(table: &mut Table<u32>, now: Mono) {
+    for key in MEMBERS {
+        let sample = match key {
+            0 => Sample::Failure,
+            _ => Sample::Answer,
+        };
+        for _ in 0..4 {
+            table.tell(now, &key, sample);
+        }
+    }
+}
+
+/// Guards against one host's report that ejects an upstream for all others: it has no weight
+/// alone, and the weight of one besides an honest one.
+#[test]
+fn one_reporter() {
+    let report = |answers, failures, slowness| Account {
+        hosts: 1,
+        ..account(answers, failures, slowness)
+    };
+    let lie = report(0, 250, 9.0);
+    let alone = Account::pool(&[lie]);
+    assert_eq!((alone.failures, alone.samples), (0, 0));
+    let honest = [report(4, 0, 1.0), report(3, 0, 1.1)];
+    let pooled = Account::pool(&[lie, honest[0], honest[1]]);
+    assert_eq!(pooled.failures, 0);
+    assert!(pooled.slowness < 1.2, "{pooled:?}");
+    let pooled = Account::pool(&[lie, honest[0], report(6, 1, 1.0)]);
+    assert_eq!(pooled.failures, 2);
+    assert!(pooled.share_bound() < 0.15, "{pooled:?}");
+}
+
+/// Guards against an upstream that is judged by what its earlier life did.
+#[test]
+fn another_life() {
+    let mut table = Table::default();
+    failing(&mut table, START);
+    assert_eq!(table.review(START, &MEMBERS, &mut rng()).len(), 1);
+    table.forget(&0);
+    assert!(!table.is_ejected(&0));
+    assert!(table.review(after(200), &MEMBERS, &mut rng()).is_empty());
+}
+
+/// Guards against more than a third of the upstreams ejected, and against the best of the
+/// outliers in place of the worst.
+#[test]
+fn a_third() {
+    let mut table = Table::default();
+    let slowness = [4.0, 9.0, 5.0, 1.0, 1.0, 1.0, 1.0];
+    let accounts = (0..7).zip(slowness.map(|slowness| account(9, 0, slowness)));
+    table.hear(START, accounts.collect());
+    let members = [0, 1, 2, 3, 4, 5, 6];
+    table.review(START, &members, &mut rng());
+    let ejected: Vec<u32> = members
+        .into_iter()
+        .filter(|key| table.is_ejected(key))
+        .collect();
+    assert_eq!(ejected, [1, 2]);
+    assert!(table.rate(&0) < 0.3);
+}
+
+/// Guards against a host with late timers that takes its own delay for the upstreams'.
+#[test]
+fn late_timers() {
+    let mut table = Table::default();
+    table.doubt.late(START, Duration::from_millis(300));
+    for _ in 0..10 {
+        table.tell(after(100), &0, Sample::Time(9.0));
+        for key in &MEMBERS[1..] {
+            table.tell(after(600), key, Sample::Time(1.0));
+        }
+    }
+    assert!(table.review(after(600), &MEMBERS, &mut rng()).is_empty());
+    let reported: Vec<u32> = table
+        .report(after(600))
+        .iter()
+        .map(|(key, _)| *key)
+        .collect();
+    assert!(!reported.contains(&0));
+}
+
+/// Guards against a host that is cut off, or slow, and reports that of its upstreams.
+#[parameterized(
+    cut_off = { Sample::Failure },
+    slow = { Sample::Time(4.0) },
+)]
+fn self_doubt(sample: Sample) {
+    let mut table = Table::default();
+    for key in MEMBERS {
+        for _ in 0..8 {
+            table.tell(START, &key, sample);
+        }
+    }
+    assert!(table.review(START, &MEMBERS, &mut rng()).is_empty());
+    assert!(table.report(START).is_empty());
+}
+
+/// Guards against probes that one host sends as often as all hosts together should, and
+/// against an ejected upstream that nobody probes.
+#[test]
+fn probes() {
+    let mut table = Table::default();
+    let mut rng = rng();
+    failing(&mut table, START);
+    table.review(START, &MEMBERS, &mut rng);
+    let mut count = 0;
+    for tick in 0..3_000 {
+        // News keep coming, without any of this upstream.
+        let now = after(tick * 100);
+        table.hear(now, HashMap::new());
+        count += u32::from(table.probe(now, &0, 30, &mut rng));
+        assert!(!table.probe(now, &1, 30, &mut rng), "it isn't ejected");
+    }
+    assert!(
+        (1..=12).contains(&count),
+        "{count} in 300 s, one in 60 s meant"
+    );
+}
+
+/// Guards against upstreams that are never reinstated without relays.
+#[test]
+fn reinstated_alone() {
+    let mut table = Table::default();
+    failing(&mut table, START);
+    table.review(START, &MEMBERS, &mut rng());
+    for n in 1..=4 {
+        assert!(table.is_ejected(&0), "after {n} probes");
+        assert!(table.probed(&0, after(n * 1_000), true));
+        table.review(after(n * 1_000), &MEMBERS, &mut rng());
+    }
+    assert!(!table.is_ejected(&0));
+}
+
+/// Guards against requests that were sent before the ejection and count as probes.
+#[test]
+fn sent_before() {
+    let mut table = Table::default();
+    failing(&mut table, START);
+    table.review(after(100), &MEMBERS, &mut rng());
+    assert!(!table.probed(&0, START, true));
+    assert!(table.probed(&0, after(200), false));
+}
+
+/// Guards against an upstream that stays ejected for good because no request of its service may
+/// probe it.
+#[test]
+fn no_probes() {
+    let mut table = Table::default();
+    failing(&mut table, START);
+    table.review(START, &MEMBERS, &mut rng());
+    assert!(table.review(after(9_000), &MEMBERS, &mut rng()).is_empty());
+    let changes = table.review(after(10_000), &MEMBERS, &mut rng());
+    assert_eq!(changes.len(), 1);
+    assert!(!table.is_ejected(&0) && WINDOW < Duration::from_secs(10));
+}
