--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -8,7 +8,7 @@
 
 use super::{
     DATAGRAM, Digest, Limit, Listen, Message, Observed, Relays, Sum,
-    observed::{IDLE_REPORT, REPORT},
+    observed::{IDLE_REPORT, period as report_period},
     ration::REPEAT,
     send,
 };
@@ -46,10 +46,10 @@
     is_close_due: bool,
     // When all limits were last told.
     limits_at: Mono,
-    // When observations were last told, how often, and whether there were any.
+    // When observations were last told, how often, and of how many upstreams.
     paces_at: Mono,
     paces_number: u32,
-    has_paces: bool,
+    paces_count: usize,
 }
 
 impl Teller {
@@ -95,7 +95,7 @@
         limits_at: Mono::ZERO,
         paces_at: Mono::ZERO,
         paces_number: 0,
-        has_paces: false,
+        paces_count: 0,
     };
     let socket = Rc::new(socket);
     worker.permits.connect(Rc::clone(&socket));
@@ -245,17 +245,17 @@
     D: Dialect,
 {
     let now = clock::mono();
-    if now.since(teller.paces_at) < REPORT {
+    if now.since(teller.paces_at) < report_period(teller.paces_count) {
         return;
     }
     let paces = worker.own_paces(now);
-    let is_quiet = paces.is_empty() && !teller.has_paces;
+    let is_quiet = paces.is_empty() && teller.paces_count == 0;
     if is_quiet && now.since(teller.paces_at) < IDLE_REPORT {
         return;
     }
     teller.paces_at = now;
     teller.paces_number = teller.paces_number.wrapping_add(1);
-    teller.has_paces = !paces.is_empty();
+    teller.paces_count = paces.len();
     for to in relays {
         let report = Observed {
             host: teller.host,
--- a/almondlock-gateway/src/exchange/observed.rs
+++ b/almondlock-gateway/src/exchange/observed.rs
@@ -17,19 +17,25 @@
 
 /// Upstreams that one datagram tells of at the most. Each takes up to 25 bytes.
 pub const PACES: usize = 2_000;
-/// How often a host reports.
-pub(super) const REPORT: Duration = Duration::from_millis(200);
 /// How often a host with nothing to report says that it listens.
 pub(super) const IDLE_REPORT: Duration = Duration::from_millis(1_000);
-/// How often a relay tells the hosts that follow it, at the least and at the most.
+/// Between two reports of a host, and two rounds of a relay, at the least and at the most.
 const ROUND: Duration = Duration::from_millis(200);
 const ROUND_MOST: Duration = Duration::from_millis(1_000);
-/// The same for each upstream, so that what a host hears stays below 15 kB a second.
+/// The same for each upstream told of, so that a relay and a host send each other no more than
+/// 20 kB a second with a thousand upstreams.
 const ROUND_PER_UPSTREAM: Duration = Duration::from_millis(1);
 /// Steps of the scale on which slowness is told, for each doubling, and the step of 1.
 const STEPS: f64 = 16.0;
 const STEP_OF_ONE: f64 = 64.0;
 
+/// Until the next report or round, after one that told of so many upstreams.
+pub(super) fn period(upstreams: usize) -> Duration {
+    let upstreams = u32::try_from(upstreams).unwrap_or(u32::MAX);
+    let period = ROUND_PER_UPSTREAM.saturating_mul(upstreams);
+    period.clamp(ROUND, ROUND_MOST)
+}
+
 /// What was observed of an upstream within the window.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -133,9 +139,7 @@
         }
         self.hosts.retain(|_, told| now.since(told.at) < WINDOW);
         let paces = self.pooled(now);
-        let upstreams = u32::try_from(paces.len()).unwrap_or(u32::MAX);
-        let period = ROUND_PER_UPSTREAM.saturating_mul(upstreams);
-        self.next = now + period.clamp(ROUND, ROUND_MOST);
+        self.next = now + period(paces.len());
         let followers = self.hosts.iter().filter(|(_, told)| told.report.follows);
         let followers = followers.map(|(host, _)| *host).collect();
         Some((followers, paces))
--- a/almondlock-gateway/src/pace.rs
+++ b/almondlock-gateway/src/pace.rs
@@ -155,8 +155,8 @@
         if due.is_some_and(|due| now < due) {
             return;
         }
-        let mut all = self.pacing.due.borrow_mut();
-        all.insert(service.clone(), now + REVIEW);
+        let next = now + REVIEW;
+        self.pacing.due.borrow_mut().insert(service.clone(), next);
         let known = self.known();
         let targets = known.instances.get(service).into_iter().flatten();
         let members: Vec<Upstream> = targets.map(|target| target.name.clone()).collect();
@@ -196,9 +196,8 @@
         targets: &[Target],
         candidates: &[Candidate],
     ) -> Option<Choice> {
-        let mut table = self.pacing.table.borrow_mut();
         let needed = request.route.objective * 2;
-        if !table.has_ejected()
+        if !self.pacing.table.borrow().has_ejected()
             || !request.route.kind.is_idempotent()
             || request.after.is_some()
             || request.left(now) < needed
@@ -213,6 +212,8 @@
             return None;
         }
         let hosts = self.load.borrow().hosts(now) + 1;
+        // Borrowed only from here on: a new configuration forgets upstreams in it.
+        let mut table = self.pacing.table.borrow_mut();
         let mut rng = self.rng.borrow_mut();
         let mut ejected = targets.iter().zip(candidates).enumerate();
         let (place, (target, candidate)) = ejected.find(|(_, (target, candidate))| {
