--- a/almondlock-gateway/src/pace.rs
+++ b/almondlock-gateway/src/pace.rs
@@ -131,7 +131,9 @@
         D: Dialect,
     {
         let is_alone = choice.helpers.is_empty() && choice.shares.is_empty();
-        let is_timed = is_alone && after.is_none() && request.demand.is_some();
+        // Nothing is expected of upstreams that are no engines.
+        let is_engine = request.demand.is_some() && !choice.expected.is_zero();
+        let is_timed = is_alone && after.is_none() && is_engine;
         // Placement expects as much more as the upstream is known to be slower.
         let (rate, is_ejected) = worker.pacing.standing(upstream);
         let rate = if is_ejected { 1.0 } else { rate };
@@ -356,6 +358,10 @@
         });
         let accounts: HashMap<Upstream, Account> = accounts.collect();
         self.pacing.table.borrow_mut().hear(now, accounts);
+        // Also without requests: what others observed is news for three seconds only.
+        for service in self.known().instances.keys() {
+            self.review_pace(now, service);
+        }
     }
 
     /// Whether a request is on its first attempt, which may be a probe.
--- a/almondlock-gateway/tests/outlier_ejection.rs
+++ b/almondlock-gateway/tests/outlier_ejection.rs
@@ -89,6 +89,27 @@
     assert_eq!(heads.try_iter().count(), 0);
 }
 
+/// Guards against calls that keep going to an upstream that answers seven times later than the
+/// others of its service.
+#[test]
+fn slow_upstream() {
+    let reached = [false, true].map(|judges| {
+        let late = |millis| {
+            let step = answer("200 OK", "ok");
+            serve(move |_| vec![Step::Pause(millis), step.clone()])
+        };
+        let (first, heads) = late(210);
+        let others = [0; 5].map(|_| late(30).0);
+        let gateway = start_judging(&[&[first][..], &others].concat(), None, judges);
+        ask_often(gateway, "/safe/", 80);
+        heads.try_iter().count();
+        ask_often(gateway, "/safe/", 120);
+        heads.try_iter().count()
+    });
+    println!("reached {reached:?}");
+    assert!(reached[1] * 2 <= reached[0], "{reached:?}");
+}
+
 /// Guards against failures that each host has to learn by its own requests.
 #[test]
 fn learned_from_others() {
@@ -97,12 +118,16 @@
     let start = || start_judging(&upstreams, Some(relays), true);
     let hosts = [start(), start(), start()];
     sleep(Duration::from_millis(500));
-    for _ in 0..40 {
-        ask_often(hosts[0], "/safe/", 1);
-        ask_often(hosts[1], "/safe/", 1);
+    // Upstreams are drawn: until each of two hosts has met the failing one, and then the others
+    // to compare it with.
+    for host in [hosts[0], hosts[1]] {
+        while !ask_often(host, "/unsafe/", 1).contains(&500) {}
+    }
+    for _ in 0..15 {
+        ask_often(hosts[0], "/unsafe/", 1);
+        ask_often(hosts[1], "/unsafe/", 1);
     }
     sleep(Duration::from_millis(600));
-    // The first of them has the host judge.
     heads.try_iter().count();
     let statuses = ask_often(hosts[2], "/unsafe/", 30);
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
@@ -120,9 +145,13 @@
 
     let relays = [0; 2].map(|_| UdpSocket::bind("127.0.0.1:0").unwrap());
     let addresses = [0, 1].map(|i| relays[i].local_addr().unwrap());
-    let (upstreams, _heads) = upstreams(error());
+    let (upstreams, heads) = upstreams(error());
     let gateway = start_judging(&upstreams, Some(addresses), judges);
-    ask_often(gateway, "/safe/", 30);
+    ask_often(gateway, "/safe/", 10);
+    // Upstreams are drawn: until the failing one was.
+    while heads.try_iter().count() == 0 {
+        ask_often(gateway, "/safe/", 5);
+    }
     let timeout = Some(Duration::from_millis(100));
     relays[0].set_read_timeout(timeout).unwrap();
     let (begun, mut buffer) = (Instant::now(), vec![0; 65_536]);
@@ -138,7 +167,7 @@
     assert_eq!(!reports.is_empty(), judges);
     if judges {
         let paces = reports.iter().flat_map(|report| &report.paces);
-        assert!(paces.clone().any(|pace| pace.failures > 0));
+        assert!(paces.clone().any(|pace| pace.failures > 0), "{reports:?}");
         assert!(paces.clone().any(|pace| pace.answers > 0));
     }
 }
