--- /dev/null
+++ b/almondlock-gateway/tests/ejected_engines.rs
@@ -0,0 +1,96 @@
+//! Engines that are ejected, or slower than their figures say, when a prompt is placed.
+
+mod engines;
+
+use std::time::Duration;
+
+use almondlock_gateway::{
+    load::Total,
+    pick::{self, Candidate, Demand},
+};
+use engines::{engine, speed};
+use rand::{SeedableRng, rngs::SmallRng};
+use yare::parameterized;
+
+const ENGINES: usize = 12;
+
+fn demand(prompt: u64) -> Demand {
+    Demand {
+        prompt,
+        output: 2_000,
+        objective: Duration::from_millis(300),
+    }
+}
+
+/// Idle engines, of which the first is as given.
+fn candidates(first: Candidate) -> Vec<Candidate> {
+    let idle = engine(Total::default());
+    (0..ENGINES)
+        .map(|i| if i == 0 { first } else { idle })
+        .collect()
+}
+
+/// Guards against prompts, or parts of them, that an ejected engine gets while others are left.
+#[parameterized(
+    short = { 5_000 },
+    middling = { 45_000 },
+    long = { 300_000 },
+)]
+fn ejected(prompt: u64) {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let candidates = candidates(Candidate {
+        ejected: true,
+        ..engine(Total::default())
+    });
+    for _ in 0..200 {
+        let choice = pick::engine(&speed(), demand(prompt), &candidates, &mut rng).unwrap();
+        assert!(choice.first != 0 && !choice.helpers.contains(&0));
+        let choice = pick::plain(&candidates, &mut rng).unwrap();
+        assert_ne!(choice.first, 0);
+    }
+}
+
+/// Guards against a refusal where only ejected engines are left, and against an ejected one
+/// taken before one that merely failed lately.
+#[test]
+fn nothing_else() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let gone = Candidate {
+        ejected: true,
+        ..engine(Total::default())
+    };
+    let failed = Candidate {
+        suspect: true,
+        ..engine(Total::default())
+    };
+    let choice = pick::engine(&speed(), demand(5_000), &[gone], &mut rng).unwrap();
+    assert_eq!(choice.first, 0);
+    let both = [gone, failed];
+    let choice = pick::engine(&speed(), demand(5_000), &both, &mut rng).unwrap();
+    assert_eq!(choice.first, 1);
+    assert_eq!(pick::plain(&both, &mut rng).unwrap().first, 1);
+}
+
+/// Guards against an idle slow engine that gets as many prompts as others, and against first
+/// events that are expected of it as if it were as fast.
+#[test]
+fn slower() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let slow = Candidate {
+        rate: 0.25,
+        ..engine(Total::default())
+    };
+    let all = candidates(slow);
+    let places = (0..300).map(|_| {
+        let choice = pick::engine(&speed(), demand(5_000), &all, &mut rng).unwrap();
+        choice.first
+    });
+    assert_eq!(places.filter(|place| *place == 0).count(), 0);
+    let usual = engine(Total::default());
+    let mut expected = |only| {
+        let choice = pick::engine(&speed(), demand(5_000), &[only], &mut rng).unwrap();
+        choice.expected.as_secs_f64()
+    };
+    let times = expected(slow) / expected(usual);
+    assert!((3.5..4.5).contains(&times), "{times}");
+}
