--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -10,7 +10,10 @@
 use almondlock_state::instance::Birth;
 use serde::{Deserialize, Serialize};
 
-use super::shares::Envelope;
+use super::{
+    observed::{Observed, Pace},
+    shares::Envelope,
+};
 use crate::load::{Key, Load};
 
 /// Loads that one datagram tells at the most. Each takes up to 20 bytes.
@@ -54,6 +57,11 @@
     Shares(Envelope),
     /// A relay to hosts that follow it: [`Totals`](super::shares::Totals).
     ShareTotals(Envelope),
+    /// A host to all relays: what it observed of upstreams. Only from hosts whose settings
+    /// ask for it.
+    Observed(Observed),
+    /// A relay to the hosts that follow its observations: what all hosts observed.
+    Paces(Vec<Pace>),
 }
 
 /// A request that was lost with the upstream that ran it.
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -7,7 +7,7 @@
 use tokio::{net::UdpSocket, time::sleep};
 
 use super::{
-    DATAGRAM, Gather, Message, Ration, Round, Sum, Suspects, send, send_bytes, shares::Tally,
+    DATAGRAM, Gather, Message, Paces, Ration, Round, Sum, Suspects, send, send_bytes, shares::Tally,
 };
 
 /// What a relay has heard.
@@ -17,6 +17,7 @@
     ration: Ration,
     suspects: Suspects,
     shares: Tally,
+    paces: Paces,
 }
 
 /// Adds up what entry hosts tell, in this failure domain, and gives out permits, until the
@@ -47,6 +48,7 @@
                 send_round(&socket, &round).await;
                 send_news(&socket, &mut state, &round).await;
                 send_totals(&socket, &mut state).await;
+                send_paces(&socket, &mut state).await;
             }
         }
     }
@@ -70,12 +72,14 @@
         Message::Lost(loss) => state.suspects.lose(now, &loss),
         Message::Harmless(print) => state.suspects.clear(now, print),
         Message::Shares(envelope) => state.shares.hear(now, from, &envelope),
+        Message::Observed(report) => state.paces.hear(now, from, report),
         Message::Sum { .. }
         | Message::Beacon { .. }
         | Message::Introduction(_)
         | Message::Permit(_)
         | Message::Suspects(_)
-        | Message::ShareTotals(_) => {
+        | Message::ShareTotals(_)
+        | Message::Paces(_) => {
             tracing::debug!(%from, "a relay's message sent to a relay");
         }
     }
@@ -118,6 +122,17 @@
     }
 }
 
+/// Tells what all hosts observed, to those that follow that.
+async fn send_paces(socket: &UdpSocket, state: &mut State) {
+    let Some((hosts, paces)) = state.paces.take(clock::mono()) else {
+        return;
+    };
+    let message = Message::Paces(paces);
+    for to in hosts {
+        send(socket, to, &message).await;
+    }
+}
+
 /// A message of all of these, if there are any.
 fn some<T, F>(entries: Vec<T>, message: F) -> Option<Message>
 where
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 //! | `slots` | short prompts that wait for an engine's free slot |
 //! | `permit` | permits for upstreams that name one, asked of relays |
 //! | `standing` | requests of organisations that are over their share |
+//! | `pace` | upstreams judged by how fast and how often they answer |
 //! | `suspicion` | requests that upstreams were lost with, counted over all hosts |
 //! | `life` | one request from its arrival to the end of its answer |
 //! | [`exchange`] | loads told from entry host to entry host |
@@ -53,6 +54,7 @@
 pub mod memory;
 pub mod metrics;
 mod outgoing;
+mod pace;
 mod permit;
 pub mod pick;
 mod placement;
--- a/almondlock-gateway/src/pick/slots.rs
+++ b/almondlock-gateway/src/pick/slots.rs
@@ -12,12 +12,12 @@
 /// read it. The first pass and the way have the rest.
 const BACKLOG_SHARE: f64 = 0.5;
 
-/// The slots of these engines, without those that are suspect or at a limit.
+/// The slots of these engines, without those that are suspect, ejected or at a limit.
 pub fn slots(
     candidates: &[Candidate],
     objective: Duration,
 ) -> impl Iterator<Item = places::Engine> + use<'_> {
-    let open = |candidate: &&Candidate| !candidate.suspect && candidate.may_answer();
+    let open = |candidate: &&Candidate| !candidate.is_avoided() && candidate.may_answer();
     let healthy = candidates.iter().filter(open);
     healthy.map(move |candidate| {
         let total = &candidate.total;
@@ -62,7 +62,7 @@
 {
     let memory = demand.prompt + demand.output;
     let free = |candidate: &Candidate| {
-        let is_open = !candidate.suspect
+        let is_open = !candidate.is_avoided()
             && candidate.may_answer()
             && !is_backlogged(&candidate.total, demand.objective);
         let has_room = memory::free(speed, &candidate.total) >= memory;
--- a/almondlock-gateway/src/placement.rs
+++ b/almondlock-gateway/src/placement.rs
@@ -115,23 +115,33 @@
             let Search { full, silent, .. } = &mut search;
             full.retain(|upstream| silent.contains(upstream));
         }
+        worker.review_pace(now, &request.service);
         let candidates = targets.iter();
         let candidates: Vec<Candidate> = candidates
             .map(|target| worker.candidate(now, target, &course.tried, &search.full))
             .collect();
-        let choice = choose(worker, request, &candidates);
+        let probe = worker
+            .may_probe(course)
+            .then(|| worker.probe(now, request, targets, &candidates))
+            .flatten();
+        let is_probe = probe.is_some();
+        let choice = probe.map_or_else(|| choose(worker, request, &candidates), Ok);
         let mut choice = choice.map_err(|lack| refused_for(worker, request, lack, now))?;
         if is_last {
             choice.shares.retain(|share| share.place != choice.first);
         }
-        match admit(
-            worker,
-            request,
-            (targets, &candidates),
-            &mut choice,
-            (is_new, grant),
-            now,
-        ) {
+        let verdict = match is_probe {
+            true => Verdict::Send,
+            false => admit(
+                worker,
+                request,
+                (targets, &candidates),
+                &mut choice,
+                (is_new, grant),
+                now,
+            ),
+        };
+        match verdict {
             Verdict::Send => {}
             Verdict::Wait(ticket) => {
                 return Ok(Placed::Waits(Waiter::new(worker, request, ticket)));
--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -267,7 +267,7 @@
         let mut targets = question.targets.iter();
         let place = targets.position(|target| target.name == *upstream)?;
         let candidate = question.candidates.get(place)?;
-        let is_open = candidate.has_slot() && !candidate.suspect && candidate.may_answer();
+        let is_open = candidate.has_slot() && !candidate.is_avoided() && candidate.may_answer();
         is_open.then_some(place)
     }
 
--- a/almondlock-gateway/tests/burst/mod.rs
+++ b/almondlock-gateway/tests/burst/mod.rs
@@ -300,6 +300,8 @@
                 total,
                 slots: SLOTS,
                 near: true,
+                ejected: false,
+                rate: 1.0,
                 suspect: false,
                 limited: Limited::No,
                 full: false,
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -68,6 +68,8 @@
     shares: bool,
     /// Short prompts are admitted by the engines' free slots.
     places: bool,
+    /// It judges upstreams by what hosts observe of them.
+    judges: bool,
 }
 
 const SETUP: Setup = Setup {
@@ -84,6 +86,7 @@
     organised: false,
     shares: false,
     places: false,
+    judges: false,
 };
 
 const ENGINES: Setup = Setup {
@@ -215,6 +218,21 @@
     start_for(setup, upstreams)
 }
 
+/// The same as [`start`], as one host of several if there are relays, that may judge upstreams
+/// by what hosts observe of them.
+pub fn start_judging(
+    upstreams: &[SocketAddr],
+    relays: Option<[SocketAddr; 2]>,
+    judges: bool,
+) -> SocketAddr {
+    let setup = Setup {
+        relays,
+        judges,
+        ..SETUP
+    };
+    start_for(setup, upstreams)
+}
+
 /// Starts a relay; gives its address.
 pub fn start_relay() -> SocketAddr {
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
@@ -348,6 +366,7 @@
         features: Features {
             shares: setup.shares,
             places: setup.places,
+            observed_pace: setup.judges,
             ..Features::default()
         },
         seed: next_host(),
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -15,7 +15,6 @@
 //! | [`engine`] | both | what does work on an engine cost |
 //! | [`admission`] | entry | is a long prompt worth the engines' time now |
 //! | [`startup`] | entry | does a prompt wait in the first moments of a host |
-//! | [`share`] | entry | how does an organisation stand with its share |
 //! | [`cell`] | entry | which engines come first for this host |
 //! | [`fill`] | entry | which of several engines, on knowledge that is old |
 //! | [`places`] | entry | which short prompts get an engine's slots when these are scarce |
@@ -26,6 +25,7 @@
 //! | [`share`] | entry | has the organisation more than its share while others wait |
 //! | [`throttle`] | both | does an upstream's limit for all hosts leave room for it |
 //! | [`backoff`] | entry | has an upstream asked for a pause, or does it leave |
+//! | [`pace`] | entry | which upstreams are slower than others, or fail |
 //! | [`gate`] | sidecar | may this attempt start here, and did it |
 //! | [`queue`] | sidecar | which attempt starts next |
 //! | [`gang`] | both | how is a prompt larger than an engine given room on several |
@@ -49,6 +49,7 @@
 pub mod ledger;
 pub mod length;
 pub mod limit;
+pub mod pace;
 pub mod places;
 pub mod poison;
 pub mod prefix;
