--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -74,6 +74,12 @@
         help = "also upstreams that turn requests away and ask for pauses"
     )]
     pub pauses: bool,
+    /// Hard load.
+    #[options(
+        no_short,
+        help = "also configurations in quick succession, slow upstreams, a greedy organisation"
+    )]
+    pub load: bool,
     /// A request that crashes upstreams.
     #[options(
         no_short,
@@ -140,6 +146,9 @@
     pub orders: bool,
     /// Also upstreams that ask for pauses.
     pub pauses: bool,
+    /// Also configurations in quick succession, slow upstreams, and a greedy organisation.
+    /// Entry hosts decide by slots, shares and observed pace.
+    pub load: bool,
     /// One more caller sends a request that crashes upstreams.
     pub crashing: bool,
     /// In place of a torn record, one that was synced is cut.
@@ -198,6 +207,7 @@
             planned: self.planned,
             orders: self.orders,
             pauses: self.pauses,
+            load: self.load,
             crashing: self.crashing,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
--- a/almondlock-bench/src/soak/caller.rs
+++ b/almondlock-bench/src/soak/caller.rs
@@ -48,6 +48,8 @@
     pub leads: bool,
     /// It sends nothing but the same request that crashes upstreams.
     pub crashes: bool,
+    /// It sends without a pause, whatever it is told, until then.
+    pub greedy: Option<u64>,
 }
 
 impl Caller {
@@ -56,6 +58,13 @@
         let mut connection = None;
         while !self.world.over.get() {
             let (pause, kind) = self.draw();
+            if let Some(until) = self.greedy {
+                if self.world.now() >= until {
+                    return;
+                }
+                self.send(&mut connection, Kind::Short).await;
+                continue;
+            }
             sleep(pause).await;
             let back = self.send(&mut connection, kind).await;
             sleep(back.min(RETURN)).await;
@@ -83,7 +92,11 @@
 
     fn key(&self) -> String {
         // The last one is never taken away.
-        if let Some(key) = self.keys.last().filter(|_| self.crashes) {
+        if let Some(key) = self
+            .keys
+            .last()
+            .filter(|_| self.crashes || self.greedy.is_some())
+        {
             return key.clone();
         }
         let newest = self.world.acknowledged();
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -55,6 +55,9 @@
     former: RefCell<Vec<Rc<Upstream>>>,
 }
 
+/// What entry hosts decide by under hard load.
+const LOAD: &str = "places = yes\nshares = yes\nobserved_pace = yes\n";
+
 impl Fleet {
     /// Starts all processes and upstreams.
     pub async fn start(world: &Rc<World>, program: &Path, folder: &Path) -> io::Result<Fleet> {
@@ -149,11 +152,12 @@
             "[host]\nname = host-{n}\ndomain = d-{}\nregion = r\nlisten = {ip}:{inner}\n\
              seeds = {}\nfollow = 400\n\n\
              [gateway]\nlisten = {ip}:{callers}\nready = {ip}:{ready}\nrevocation = 5000\n\
-             retry_share = 0.2\nstop_time = {}\nmemory_hold = 4000\nexchange = {}\n\n{LOG}",
+             retry_share = 0.2\nstop_time = {}\nmemory_hold = 4000\nexchange = {}\n{}\n{LOG}",
             n % self.world.size.replicas,
             self.seeds(inner),
             STOP.as_secs(),
-            self.seeds(loads)
+            self.seeds(loads),
+            if self.world.load { LOAD } else { "" }
         );
         self.write(&format!("host-{n}"), &text)
     }
@@ -258,8 +262,18 @@
                 }
                 Ok(())
             }
-            // The operator's.
-            Act::Publish | Act::Revoke | Act::Evacuate(_) => Ok(()),
+            Act::Slow(n) => {
+                if let Some(upstream) = self.present(n) {
+                    upstream.slow.set(true);
+                    sleep(length).await;
+                    upstream.slow.set(false);
+                }
+                Ok(())
+            }
+            // The operator's, or callers'.
+            Act::Publish | Act::Storm(_) | Act::Revoke | Act::Evacuate(_) | Act::Greedy(_) => {
+                Ok(())
+            }
         }
     }
 
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -57,6 +57,8 @@
 
 /// Keys at the start; each revocation takes one.
 const KEYS: usize = 40;
+/// Callers of a greedy organisation.
+const GREEDY: usize = 8;
 /// Between two readings of the configuration.
 const READING: Duration = Duration::from_millis(700);
 /// An evacuation lasts so many times as long as other faults: hosts have some time to act on
@@ -203,6 +205,9 @@
         if self.orders {
             plan::draw_orders(self.seed, millis, self.size, &mut faults);
         }
+        if self.load {
+            plan::draw_load(self.seed, millis, self.size, &mut faults);
+        }
         if self.pauses {
             plan::draw_pauses(self.seed, millis, self.size, &mut faults);
         }
@@ -297,6 +302,7 @@
                 keys: keys.clone(),
                 leads: host == 0 && place == 0,
                 crashes: false,
+                greedy: None,
             };
             spawn_local(caller.run());
         }
@@ -322,6 +328,7 @@
         keys,
         leads: false,
         crashes: true,
+        greedy: None,
     };
     spawn_local(caller.run());
     let fleet = Rc::clone(fleet);
@@ -332,6 +339,24 @@
     });
 }
 
+/// One organisation's callers send to a host as fast as they can, for so many milliseconds.
+async fn greed(world: &Rc<World>, fleet: &Fleet, host: usize, keys: Vec<String>, length: u64) {
+    // The last one is never taken away.
+    let Some(key) = keys.last() else { return };
+    let until = world.now() + length;
+    let callers = (0..GREEDY).map(|_| Caller {
+        world: Rc::clone(world),
+        host,
+        address: fleet.callers[host].address,
+        life: Rc::clone(&fleet.hosts[host].life),
+        keys: vec![key.clone()],
+        leads: false,
+        crashes: false,
+        greedy: Some(until),
+    });
+    join_all(callers.map(Caller::run)).await;
+}
+
 async fn read(world: Rc<World>, operator: Rc<Operator>) {
     while !world.over.get() {
         sleep(READING).await;
@@ -364,6 +389,14 @@
                     operator.publish(keys).await;
                     Ok(())
                 }
+                Act::Storm(count) => {
+                    operator.storm(keys, count).await;
+                    Ok(())
+                }
+                Act::Greedy(host) => {
+                    greed(&world, &fleet, host, keys, fault.length).await;
+                    Ok(())
+                }
                 Act::Evacuate(domain) => {
                     let span = Duration::from_millis(fault.length * EVACUATED);
                     operator.evacuate(domain, span).await;
--- a/almondlock-bench/src/soak/operator.rs
+++ b/almondlock-bench/src/soak/operator.rs
@@ -1,10 +1,11 @@
 //! The operator: publishes configurations, takes keys away, reads back.
 
-use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use almondlock_platform::counterpart::{
     self, CONFIGURATION, Kind, Publication, Route, publication,
 };
+use futures::future::join_all;
 use tokio::{
     io::AsyncWriteExt,
     net::TcpStream,
@@ -43,9 +44,16 @@
     timeout(CALL, exchange).await?
 }
 
+/// Between two configurations in quick succession.
+const STORM: Duration = Duration::from_millis(80);
+/// Routes that such configurations have besides, so that reading one takes a while.
+const STORM_ROUTES: usize = 300;
+
 /// Publishes and reads, through the links to the replicas.
 pub struct Operator {
     world: Rc<World>,
+    /// Routes besides those that callers use.
+    more: Cell<usize>,
     /// Links to the replicas' listeners, and the addresses that these have.
     control: Vec<(SocketAddr, SocketAddr)>,
 }
@@ -55,6 +63,7 @@
     pub fn new(world: &Rc<World>, control: Vec<(SocketAddr, SocketAddr)>) -> Operator {
         Operator {
             world: Rc::clone(world),
+            more: Cell::new(0),
             control,
         }
     }
@@ -70,7 +79,7 @@
                 acknowledged: None,
                 keys: keys.clone(),
             });
-            publication(&configuration(version, keys))
+            publication(&configuration(version, keys, self.more.get()))
         };
         let place = self.world.history.borrow().publications.len() - 1;
         while !self.world.over.get() {
@@ -86,6 +95,19 @@
         }
     }
 
+    /// Publishes so many configurations, each without waiting for the one before.
+    pub async fn storm(&self, keys: Vec<String>, count: usize) {
+        self.more.set(STORM_ROUTES);
+        let publishing = (0..count).map(|place| {
+            let keys = keys.clone();
+            async move {
+                sleep(STORM * u32::try_from(place).unwrap_or(0)).await;
+                self.publish(keys).await;
+            }
+        });
+        join_all(publishing).await;
+    }
+
     /// Evacuates a failure domain, and readmits it after a while. Both are sent again until
     /// they are acknowledged.
     pub async fn evacuate(&self, domain: usize, span: Duration) {
@@ -169,7 +191,7 @@
     }
 }
 
-fn configuration(version: u64, keys: Vec<String>) -> Publication {
+fn configuration(version: u64, keys: Vec<String>, more: usize) -> Publication {
     let route = |name: &str, kind, service: &str| Route {
         name: name.to_owned(),
         kind,
@@ -180,17 +202,25 @@
         public: true,
         ..route(&format!("v{version}"), Kind::Safe, PLAIN)
     };
+    let mut routes = vec![
+        route("safe", Kind::Safe, PLAIN),
+        route("unsafe", Kind::Unsafe, PLAIN),
+        route("stream", Kind::Stream, ENGINES),
+        marker,
+    ];
+    routes.extend((0..more).map(|n| route(&format!("more-{n}"), Kind::Safe, PLAIN)));
+    // The key that is never taken away is an organisation's own.
+    let last = keys.len().saturating_sub(1);
+    let (first, rest) = keys.split_at(last);
     Publication {
         version,
         host: HOST.to_owned(),
-        routes: vec![
-            route("safe", Kind::Safe, PLAIN),
-            route("unsafe", Kind::Unsafe, PLAIN),
-            route("stream", Kind::Stream, ENGINES),
-            marker,
-        ],
+        routes,
         cold_rate: COLD_RATE,
         services: vec![(PLAIN.to_owned(), None), (ENGINES.to_owned(), Some(SLOTS))],
-        keys,
+        organisations: vec![
+            ("soak".to_owned(), first.to_vec()),
+            ("soak-last".to_owned(), rest.to_vec()),
+        ],
     }
 }
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -73,6 +73,13 @@
     Pause(usize, u64),
     /// The operator publishes another configuration.
     Publish,
+    /// The operator publishes so many configurations in quick succession, with many routes.
+    Storm(usize),
+    /// An upstream takes several times as long for everything.
+    Slow(usize),
+    /// One organisation's callers send to an entry host without a pause, and come back at
+    /// once whatever they are told.
+    Greedy(usize),
     /// The operator takes a key away.
     Revoke,
     /// The operator evacuates a failure domain, and readmits it afterwards.
@@ -93,6 +100,9 @@
                 | Act::Limit(..)
                 | Act::Pause(..)
                 | Act::Publish
+                | Act::Storm(_)
+                | Act::Slow(_)
+                | Act::Greedy(_)
                 | Act::Revoke
                 | Act::Evacuate(_)
         )
@@ -215,6 +225,24 @@
     faults.sort_by_key(|fault| fault.at);
 }
 
+/// Adds to a plan, from the same seed: configurations in quick succession, slow upstreams,
+/// and a greedy organisation.
+pub fn draw_load(seed: u64, millis: u64, size: Size, faults: &mut Vec<Fault>) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(16));
+    let mut at = CALM;
+    while at < millis {
+        let length = rng.random_range(LENGTH);
+        let act = match rng.random_range(0..3) {
+            0 => Act::Storm(rng.random_range(4..16)),
+            1 => Act::Slow(rng.random_range(0..size.upstreams)),
+            _ => Act::Greedy(rng.random_range(0..size.hosts)),
+        };
+        push(faults, at, length, act);
+        at += rng.random_range(200..2 * GAP);
+    }
+    faults.sort_by_key(|fault| fault.at);
+}
+
 fn push(faults: &mut Vec<Fault>, at: u64, length: u64, act: Act) {
     let number = faults.len();
     faults.push(Fault {
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -39,6 +39,8 @@
 const MEMORY: u64 = 100_000;
 /// Between two events of a stream.
 const EVENT: Duration = Duration::from_millis(25);
+/// A slow upstream takes so many times as long.
+const SLOWNESS: u32 = 7;
 /// How long a plain call takes.
 const CALL: Duration = Duration::from_millis(5);
 /// Prompt tokens that are read in a millisecond.
@@ -65,6 +67,8 @@
     pub link: Rc<Proxy>,
     /// What it takes of all hosts, in thousandths of requests a second.
     pub limit: Cell<Option<u32>>,
+    /// It takes several times as long for everything.
+    pub slow: Cell<bool>,
     /// It turns requests away and asks for a pause of so many milliseconds.
     pub pause: Cell<Option<u64>>,
     leaving: Cell<bool>,
@@ -102,6 +106,7 @@
             running: Cell::new(0),
             link,
             limit: Cell::new(None),
+            slow: Cell::new(false),
             pause: Cell::new(None),
             leaving: Cell::new(false),
             dead: Cell::new(false),
@@ -249,11 +254,12 @@
                 let prompt = usage.split(',').next().and_then(|text| text.parse().ok());
                 let helpers = request.get(names.helpers.as_str());
                 let parts = 1 + helpers.map_or(0, |list| list.split(',').count() as u64);
-                sleep(EVENT + Duration::from_millis(prompt.unwrap_or(0) / READING / parts)).await;
+                let reading = Duration::from_millis(prompt.unwrap_or(0) / READING / parts);
+                self.work(EVENT + reading).await;
                 self.stream(stream, id, place, resumed.unwrap_or(0)).await
             }
             None => {
-                sleep(CALL).await;
+                self.work(CALL).await;
                 self.plain(stream, id, place).await
             }
         }
@@ -365,11 +371,17 @@
         for n in after + 1..=EVENTS {
             let event = events(id, n, n);
             write(stream, &format!("{:x}\r\n{event}\r\n", event.len())).await?;
-            sleep(EVENT).await;
+            self.work(EVENT).await;
         }
         write(stream, "0\r\n\r\n").await
     }
 
+    /// Does what usually takes so long.
+    async fn work(&self, usual: Duration) {
+        let times = if self.slow.get() { SLOWNESS } else { 1 };
+        sleep(usual * times).await;
+    }
+
     fn rejection(&self, status: u16, id: &str, more: &str) -> String {
         let names = &self.world.names;
         let (request, not_run) = (names.request_id.as_str(), names.not_run.as_str());
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -78,6 +78,8 @@
     pub rng: RefCell<SmallRng>,
     /// Torn records lose bytes that were synced.
     pub cuts_synced: bool,
+    /// Entry hosts decide by slots, shares and observed pace.
+    pub load: bool,
     /// The planted fault.
     pub plant: Option<Plant>,
     /// Callers have begun: what starts from now on is cold.
@@ -103,6 +105,7 @@
             names: Dialect::new().names().clone(),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             cuts_synced: setup.cuts_synced,
+            load: setup.load,
             plant: setup.plant,
             serving: Cell::new(false),
             quiet: Cell::new(false),
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -19,6 +19,7 @@
         planned: false,
         orders: false,
         pauses: false,
+        load: false,
         crashing: false,
         cuts_synced: false,
         without: Vec::new(),
@@ -68,6 +69,20 @@
     assert!(arrivals.any(|arrival| arrival.pause.is_some()), "{report}");
 }
 
+/// Guards against promises that hold only under a usual load: configurations in quick
+/// succession, slow upstreams, and an organisation that sends as fast as it can.
+#[test]
+fn load_borne() {
+    let setup = Setup {
+        planned: true,
+        load: true,
+        ..setup(1, 15)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+}
+
 /// Guards against a request that crashes one upstream after the other because no host knows
 /// what it did to the others, and against others that are refused with it.
 #[test]
