--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -16,8 +16,15 @@
     message::{AppendReply, Body, Message, VoteReply, VoteRequest},
 };
 
+/// Doublings of the time between the first elections at the most. The usual election
+/// timeout bounds it long before.
+const DOUBLINGS: u32 = 10;
+
 impl Machine {
     pub(super) fn delay_election(&mut self, now: Mono) {
+        if !self.knew_leader {
+            return self.hasten_election(now);
+        }
         let least = self.config.election;
         self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.0));
     }
@@ -27,8 +34,15 @@
     /// what is in force. Where there is a leader, those that hear it refuse
     /// the question that comes before an election, and its next heartbeat puts
     /// this one off.
+    ///
+    /// **Failure.** Two replicas stand at the same moment and get half of the votes each. Until
+    /// one stands again nobody leads, and hosts that have started with them serve nobody. So
+    /// the next rounds come soon too, further apart each time: votes on slow disks may take
+    /// longer than a round.
     pub(super) fn hasten_election(&mut self, now: Mono) {
-        let least = self.config.heartbeat;
+        let doublings = self.rounds.saturating_sub(1).min(DOUBLINGS);
+        let least = self.config.heartbeat * 2_u32.pow(doublings);
+        let least = least.min(self.config.election);
         self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.5));
     }
 
@@ -58,6 +72,7 @@
             self.follow(now, self.hard.term, Some(leader));
         }
         self.leader_heard = Some(now);
+        self.knew_leader = true;
         self.delay_election(now);
     }
 
@@ -74,6 +89,7 @@
     }
 
     fn campaign(&mut self, now: Mono, cause: Cause) {
+        self.rounds = self.rounds.saturating_add(1);
         self.delay_election(now);
         self.cause = Some(cause);
         self.role = Role::Candidate;
@@ -129,6 +145,7 @@
     fn lead(&mut self, now: Mono) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.knew_leader = true;
         self.elected_at = now;
         self.heartbeat_at = now + self.config.heartbeat;
         self.sync_peers();
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -79,6 +79,10 @@
     rng: SmallRng,
     // When to stand for election, for all but a leader.
     election_at: Mono,
+    // A leader was known in this life, or it was this replica.
+    knew_leader: bool,
+    // How often it stood for election in this life.
+    rounds: u32,
     // When a leader of the present term was last heard.
     leader_heard: Option<Mono>,
     // What the present term's leader last said to be accepted.
@@ -127,6 +131,8 @@
             commit: start,
             handed: start,
             election_at: now,
+            knew_leader: false,
+            rounds: 0,
             leader_heard: None,
             leader_commit: None,
             votes: BTreeSet::new(),
