--- a/almondlock-gateway/src/reading/current.rs
+++ b/almondlock-gateway/src/reading/current.rs
@@ -5,7 +5,7 @@
 use almondlock_base::time::Mono;
 use almondlock_state::document::Document;
 
-use super::{Keys, Reader, Version, keys};
+use super::{Reader, Version, keys, without_revoked};
 use crate::{
     dialect::{Dialect, Outline},
     rules::{Error, Rules},
@@ -34,14 +34,15 @@
     /// What requests get until it is in force: that of the version in force without the keys
     /// that this one revokes.
     rules: Option<Arc<Rules>>,
-    /// Its keys, if they differ.
+    /// Its keys, if they differ, or those of an earlier version if its own can't be read.
     keys: Option<Rules>,
     is_unreadable: bool,
 }
 
 impl Newest {
-    /// Looks at its keys, given what is in force.
-    fn read_keys<D>(&mut self, dialect: &D, held: Option<&Arc<Version>>)
+    /// Looks at its keys, given what is in force. If they can't be read, those of the version
+    /// seen before it count: what that one revokes stays revoked.
+    fn read_keys<D>(&mut self, dialect: &D, held: Option<&Arc<Version>>, earlier: Option<Rules>)
     where
         D: Dialect,
     {
@@ -49,12 +50,10 @@
             return;
         };
         let keys = keys(dialect, held, &self.document, self.outline.as_ref());
-        let (next, left) = match keys {
-            Some(Keys { next, left }) => (Some(next), left),
-            None => (None, None),
-        };
+        self.keys = keys.unwrap_or(earlier);
+        let left = self.keys.as_ref();
+        let left = left.and_then(|next| without_revoked(held, next));
         self.rules = Some(left.map_or_else(|| Arc::clone(&held.rules), Arc::new));
-        self.keys = next;
     }
 }
 
@@ -87,7 +86,8 @@
             keys: None,
             is_unreadable: false,
         };
-        newest.read_keys(dialect, self.held.as_ref());
+        let earlier = self.newest.take().and_then(|earlier| earlier.keys);
+        newest.read_keys(dialect, self.held.as_ref(), earlier);
         self.newest = Some(newest);
     }
 
@@ -149,7 +149,8 @@
                 self.held = Some(Arc::new(read));
                 self.newest = newest.filter(|newest| !is_newest(newest));
                 if let Some(newest) = &mut self.newest {
-                    newest.read_keys(dialect, self.held.as_ref());
+                    let earlier = newest.keys.take();
+                    newest.read_keys(dialect, self.held.as_ref(), earlier);
                 }
             }
             Err(_) => {
--- a/almondlock-gateway/src/reading/mod.rs
+++ b/almondlock-gateway/src/reading/mod.rs
@@ -260,25 +260,17 @@
     }
 }
 
-/// What a version means for keys before the rest of it is read.
-#[derive(Clone, Debug)]
-pub struct Keys {
-    /// Rules with nothing but the version's keys.
-    pub next: Rules,
-    /// The rules in force without the keys that the version lacks or gives to another
-    /// organisation; None if there are none such.
-    pub left: Option<Rules>,
-}
-
-/// Reads the keys of a version; None if they are those in force, or can't be read.
+/// Reads the keys of a version into rules with nothing else; None if they are those in force.
 ///
-/// A version without organisations asks for no keys, so none is refused on its account.
+/// # Errors
+///
+/// If they can't be read.
 pub fn keys<D>(
     dialect: &D,
     held: &Version,
     document: &Document,
     outline: Option<&Outline>,
-) -> Option<Keys>
+) -> Result<Option<Rules>, Error>
 where
     D: Dialect,
 {
@@ -289,24 +281,29 @@
         Some(outline) => {
             let pieces = section(document, Some(outline), place);
             if held.outline.is_some() && held.section(place) == pieces {
-                return None;
+                return Ok(None);
             }
             for piece in pieces {
-                let entry = dialect.entry(Section::Organisations, piece.as_str());
-                edit.add(entry.ok()?).ok()?;
+                edit.add(dialect.entry(Section::Organisations, piece.as_str())?)?;
             }
         }
         None => {
-            for (organisation, keys) in dialect.organisations(&document.text()).ok()? {
-                edit.add(Entry::Organisation(organisation, keys)).ok()?;
+            for (organisation, keys) in dialect.organisations(&document.text())? {
+                edit.add(Entry::Organisation(organisation, keys))?;
             }
         }
     }
-    let next = edit.build().ok()?;
+    edit.build().map(Some)
+}
+
+/// The rules in force without the keys that a version with the keys `next` lacks or gives to
+/// another organisation; None if there are none such.
+///
+/// A version without organisations asks for no keys, so none is refused on its account.
+pub fn without_revoked(held: &Version, next: &Rules) -> Option<Rules> {
     let is_kept = |key: &str, organisation: &Organisation| {
         let other = next.organisation(key);
         !next.is_keyed() || other.is_some_and(|other| other.name == organisation.name)
     };
-    let left = held.rules.keep_keys(is_kept);
-    Some(Keys { next, left })
+    held.rules.keep_keys(is_kept)
 }
--- a/almondlock-gateway/tests/pending_versions.rs
+++ b/almondlock-gateway/tests/pending_versions.rs
@@ -209,6 +209,25 @@
     assert_eq!(ask(&gateway, "/old/", "key-1").0, 404);
 }
 
+/// Guards against a key that a version revokes and that is honoured again because the next
+/// version's keys can't be read: neither version comes into force here.
+#[test]
+fn unreadable_keys() {
+    let gateway = start(&["s s", "r old s 0", "k one key-1", "k two key-2"]);
+    assert_eq!(ask(&gateway, "/old/", "key-1").0, 200);
+    gateway.publish(document(2, &["s s", "r old s", "k two key-2"]));
+    until(&gateway, ("/old/", "key-1"), 401);
+    for version in 3..6 {
+        gateway.publish(document(version, &["s s", "r old s", "k two"]));
+        assert_eq!(ask(&gateway, "/old/", "key-1").0, 401, "{version}");
+        assert_eq!(ask(&gateway, "/old/", "key-2").0, 200, "{version}");
+        std::thread::sleep(Duration::from_millis(50));
+        assert_eq!(ask(&gateway, "/old/", "key-1").0, 401, "{version}");
+    }
+    gateway.publish(document(6, &["s s", "r new s 0", "k one key-1"]));
+    until(&gateway, ("/new/", "key-1"), 200);
+}
+
 /// Guards against a stop that waits for a version, or puts half of one in force.
 #[test]
 fn stopped_midway() {
