--- a/almondlock-control/tests/published_delta.rs
+++ b/almondlock-control/tests/published_delta.rs
@@ -141,6 +141,52 @@
     all_hold(&group, &[0, 1, 2], &document(19)).await;
 }
 
+/// A replacement joins with an empty disk while versions are published, deltas and, from racing
+/// operators, whole ones. Guards against one that holds another division of the text than the
+/// rest, or other revisions.
+#[tokio::test]
+async fn replaced() {
+    let mut group = Group::new(|builder| builder.snapshot(5));
+    publish(&group, &document(1), true).await;
+    for version in 2..9 {
+        publish(&group, &document(version), true).await;
+    }
+    let leader = group.leader().await;
+    let lost = (leader + 1) % 3;
+    let old = group.status(lost).await.id;
+    group.kill(lost);
+    group.wipe(lost);
+    group.start(lost);
+    until("the empty one asks to join", async || {
+        let waiting = group.status(leader).await.waiting;
+        waiting.contains(&group.names[lost]).then_some(())
+    })
+    .await;
+    let name = group.names[lost].clone();
+    let publishing = async {
+        for version in (9..60).step_by(3) {
+            let racing = version..version + 3;
+            let racing =
+                racing.map(async |version| publish(&group, &document(version), true).await);
+            join_all(racing).await;
+        }
+    };
+    let remote = group.remote(leader);
+    let (replaced, ()) = futures::join!(remote.replace(old, name), publishing);
+    replaced.unwrap();
+    all_hold(&group, &[0, 1, 2], &document(59)).await;
+    publish(&group, &document(60), true).await;
+    all_hold(&group, &[0, 1, 2], &document(60)).await;
+    let config = |n: usize| {
+        let look = |state: &Machine| state.config().clone();
+        group.remote(n).look(look)
+    };
+    let first = config(0).await.unwrap();
+    for n in [1, 2] {
+        assert_eq!(config(n).await.unwrap(), first);
+    }
+}
+
 /// A follower doesn't take publications, whatever it holds.
 #[tokio::test]
 async fn at_a_follower() {
