--- a/almondlock-policy/src/places/mod.rs
+++ b/almondlock-policy/src/places/mod.rs
@@ -119,7 +119,8 @@
         R: RngCore,
     {
         let answered = case.expected + self.account.hold;
-        let patience = LONGEST.min(case.left(now).saturating_sub(answered));
+        let longest = LONGEST.saturating_sub(now.since(case.arrived));
+        let patience = longest.min(case.left(now).saturating_sub(answered));
         if self.account.slots == 0 || patience.is_zero() {
             return Verdict::Send;
         }
--- a/almondlock-policy/tests/scarce_places.rs
+++ b/almondlock-policy/tests/scarce_places.rs
@@ -145,6 +145,17 @@
     assert_eq!(desk.grant(after(1_400), &mut rng()), [ticket]);
 }
 
+/// Guards against the longest wait counted from when a prompt asks: one that was held before,
+/// as after its host's start, would wait beyond its caller's patience.
+#[test]
+fn wait_since_arrival() {
+    let mut desk = full();
+    let ticket = wait(&mut desk, after(600), &case(START));
+    assert_eq!(desk.grant(after(1_400), &mut rng()), [ticket]);
+    let verdict = desk.ask(after(1_400), &case(START), false, &mut rng());
+    assert_eq!(verdict, Verdict::Send);
+}
+
 /// A prompt whose deadline leaves no time to wait is sent, not held until it is over.
 #[test]
 fn near_deadline() {
