--- a/almondlock-policy/src/pace/table.rs
+++ b/almondlock-policy/src/pace/table.rs
@@ -308,7 +308,8 @@
         ejection.passed >= PASSED && !is_contradicted || is_over && passed && is_well || is_expired
     }
 
-    /// Ejects the worst outliers, at most `most` in all.
+    /// Ejects the worst outliers, at most `most` in all, and reinstates the best of those beyond
+    /// that.
     fn eject<R>(
         &mut self,
         now: Mono,
@@ -319,7 +320,7 @@
     where
         R: RngCore,
     {
-        let (ejected, mut outliers): (Vec<_>, Vec<_>) = others
+        let (mut ejected, mut outliers): (Vec<_>, Vec<_>) = others
             .into_iter()
             .partition(|(key, _)| self.is_ejected(key));
         outliers.retain(|(_, finding)| finding.is_outlier);
@@ -327,6 +328,18 @@
         outliers.sort_by(|a, b| a.1.rate.total_cmp(&b.1.rate));
         outliers.truncate(room);
         let mut changes = Vec::new();
+        // More than that are left ejected once others leave or are evacuated.
+        ejected.sort_by(|a, b| a.1.rate.total_cmp(&b.1.rate));
+        for (key, finding) in ejected.into_iter().skip(most) {
+            if let Some(standing) = self.standings.get_mut(key) {
+                standing.ejection = None;
+            }
+            changes.push(Change {
+                key: key.clone(),
+                is_ejected: false,
+                finding: *finding,
+            });
+        }
         for (key, finding) in outliers {
             let ejection = Ejection {
                 since: now,
--- a/almondlock-policy/tests/observed_pace.rs
+++ b/almondlock-policy/tests/observed_pace.rs
@@ -144,6 +144,25 @@
     assert!(table.rate(&0) < 0.3);
 }
 
+/// Guards against more than a third that stay ejected once others are evacuated or leave, and
+/// against the worst reinstated in place of the best.
+#[test]
+fn a_third_of_fewer() {
+    let mut table = Table::default();
+    let slowness = [9.0, 5.0, 1.0, 1.0, 1.0, 1.0, 1.0];
+    let accounts = (0..7).zip(slowness.map(|slowness| account(9, 0, slowness)));
+    table.hear(START, accounts.collect());
+    let members = [0, 1, 2, 3, 4, 5, 6];
+    assert_eq!(table.review(START, &members, &mut rng()).len(), 2);
+    let changes = table.review(after(200), &members[..5], &mut rng());
+    let changed: Vec<(u32, bool)> = changes.iter().map(|c| (c.key, c.is_ejected)).collect();
+    assert_eq!(changed, [(1, false)]);
+    assert!(table.is_ejected(&0) && !table.is_ejected(&1));
+    assert!(table.rate(&1) < 0.3);
+    let changes = table.review(after(400), &members[..5], &mut rng());
+    assert!(changes.is_empty());
+}
+
 /// Guards against a host with late timers that takes its own delay for the upstreams'.
 #[test]
 fn late_timers() {
