--- a/almondlock-gateway/src/reply.rs
+++ b/almondlock-gateway/src/reply.rs
@@ -118,7 +118,6 @@
                 }
                 Err(broken) => broken,
             };
-            self.run = None;
             self.worker.blame(&self.request, &broken, self.first_at);
             let worker = &self.worker;
             worker.observe_failure(&self.request, &broken, begun);
@@ -130,6 +129,8 @@
                 &broken,
                 self.course.tried.len(),
             );
+            // Its slot is handed on unless its upstream is passed over from now on.
+            self.run = None;
             if let Err(reason) = self.resume(&broken).await {
                 self.ended = true;
                 self.log("broken off", reason);
--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -295,7 +295,9 @@
     pub(crate) fn leave_slot(&self, slot: &Slot, upstream: &Upstream) {
         let now = clock::mono();
         let total = self.load.borrow().total(now, upstream);
-        let is_open = total.requests() < slot.slots && !self.is_suspect(now, upstream);
+        let is_avoided = self.is_suspect(now, upstream) || self.pacing.standing(upstream).1;
+        let is_closed = is_avoided || self.backoff(now, upstream).is_some();
+        let is_open = total.requests() < slot.slots && !is_closed;
         self.lines.with(&slot.service, |line| {
             let has_slot = is_open && !pick::is_backlogged(&total, line.objective);
             if let Some(next) = line.desk.end(now, slot.commitment, has_slot) {
--- a/almondlock-gateway/tests/waiting_prompts.rs
+++ b/almondlock-gateway/tests/waiting_prompts.rs
@@ -13,8 +13,9 @@
     time::{Duration, Instant},
 };
 
-use fake::{Step, end, event, serve, stream_head};
+use fake::{Step, end, event, field, serve, stream_head};
 use gateway::{read, start_admitting, start_relay, status};
+use yare::parameterized;
 
 /// The slots of the engine.
 const SLOTS: usize = 8;
@@ -33,6 +34,23 @@
     })
 }
 
+/// The same, but each stream ends after 900 ms with this, and its head has one more line.
+fn engine_ending(line: &str, last: Step) -> (SocketAddr, Receiver<String>) {
+    let head = match stream_head() {
+        Step::Write(head) => Step::Write(head.replacen("x-id", &format!("{line}x-id"), 1)),
+        other => other,
+    };
+    serve(move |_| {
+        let events = (2..=18).flat_map(|n| [Step::Pause(PAUSE), event(n)]);
+        let begun = [head.clone(), event(1)];
+        begun
+            .into_iter()
+            .chain(events)
+            .chain([last.clone()])
+            .collect()
+    })
+}
+
 fn send(gateway: SocketAddr) -> TcpStream {
     let mut stream = TcpStream::connect(gateway).unwrap();
     let request = "POST /engine/ HTTP/1.1\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 5000\r\n\
@@ -51,6 +69,22 @@
     streams.collect()
 }
 
+/// Sends prompts until the first engine has so many, and the second one has no slot left.
+fn fill_both(gateway: SocketAddr, least: usize, heads: [&Receiver<String>; 2]) -> Vec<TcpStream> {
+    let mut counts = [0; 2];
+    let mut streams = Vec::new();
+    while counts[0] < least || counts[1] < SLOTS {
+        if counts.iter().sum::<usize>() == streams.len() {
+            streams.push(send(gateway));
+        }
+        sleep(Duration::from_millis(3));
+        for (count, heads) in counts.iter_mut().zip(heads) {
+            *count += heads.try_iter().count();
+        }
+    }
+    streams
+}
+
 fn relays() -> Option<[SocketAddr; 2]> {
     Some([start_relay(), start_relay()])
 }
@@ -143,3 +177,25 @@
     }
     assert!(heads.try_recv().is_err());
 }
+
+/// Guards against a slot that is handed on though its engine takes nothing more: the prompt
+/// would queue at an engine that has none free.
+#[parameterized(
+    lost = { "", Step::Write("no chunk\r\n".into()), SLOTS },
+    leaving = { "x-leaving: 1\r\n", end(), 1 },
+)]
+fn closed_engine(line: &str, last: Step, least: usize) {
+    let (first, first_heads) = engine_ending(line, last);
+    let (second, second_heads) = engine(4_000);
+    let gateway = start_admitting(&[first, second], relays(), None);
+    sleep(SETTLED);
+    let began = Instant::now();
+    let _streams = fill_both(gateway, least, [&first_heads, &second_heads]);
+    // Shortly before the first engine's streams end, so that the prompts are still in time.
+    sleep(Duration::from_millis(800).saturating_sub(began.elapsed()));
+    let _next: Vec<TcpStream> = (0..4).map(|_| send(gateway)).collect();
+    sleep(Duration::from_millis(1_500).saturating_sub(began.elapsed()));
+    let heads = first_heads.try_iter().chain(second_heads.try_iter());
+    let new = heads.filter(|head| field(head, "last-event-id").is_none());
+    assert_eq!(new.count(), 0);
+}
