--- a/almondlock-gateway/src/pace.rs
+++ b/almondlock-gateway/src/pace.rs
@@ -201,6 +201,7 @@
         let needed = request.route.objective * 2;
         if !self.pacing.table.borrow().has_ejected()
             || !request.route.kind.is_idempotent()
+            || request.route.attempts < 2
             || request.after.is_some()
             || request.left(now) < needed
         {
--- a/almondlock-gateway/tests/gateway/dialect.rs
+++ b/almondlock-gateway/tests/gateway/dialect.rs
@@ -14,8 +14,9 @@
 /// Requests a second that a cold upstream of the service `s` bears.
 pub const COLD_RATE: f64 = 4.0;
 
-const KINDS: [(&str, Kind); 6] = [
+const KINDS: [(&str, Kind); 7] = [
     ("safe", Kind::Safe),
+    ("single", Kind::Safe),
     ("unsafe", Kind::Unsafe),
     (
         "stream",
@@ -135,7 +136,7 @@
                 objective: Duration::from_millis(300),
                 priority: 1,
                 split: vec![(service.clone(), 1)],
-                attempts: 2,
+                attempts: if name == "single" { 1 } else { 2 },
                 public: false,
             })?;
         }
--- a/almondlock-gateway/tests/outlier_ejection.rs
+++ b/almondlock-gateway/tests/outlier_ejection.rs
@@ -89,6 +89,22 @@
     assert_eq!(heads.try_iter().count(), 0);
 }
 
+/// Guards against a probe with a call whose route allows one attempt: its failure would be the
+/// caller's. A probe comes every 2 s in the mean; without any for 10 s, the upstream is
+/// reinstated.
+#[test]
+fn single_attempt() {
+    let (upstreams, heads) = upstreams(error());
+    let gateway = start_judging(&upstreams, None, true);
+    let begun = Instant::now();
+    ask_often(gateway, "/safe/", 60);
+    heads.try_iter().count();
+    while begun.elapsed() < Duration::from_secs(9) {
+        assert_eq!(ask_often(gateway, "/single/", 1), [200]);
+    }
+    assert_eq!(heads.try_iter().count(), 0);
+}
+
 /// Guards against calls that keep going to an upstream that answers seven times later than the
 /// others of its service.
 #[test]
