--- a/almondlock-gateway/src/pick/field.rs
+++ b/almondlock-gateway/src/pick/field.rs
@@ -176,7 +176,7 @@
     }
 
     /// The same where the prompt's memory is needed there too.
-    fn whole_cost(&self, i: usize) -> f64 {
+    pub(super) fn whole_cost(&self, i: usize) -> f64 {
         let has_room = self.free(i) >= self.memory_needed();
         let wait = if has_room { Duration::ZERO } else { OVERFLOW };
         self.cost(i) + wait.as_secs_f64()
--- a/almondlock-gateway/src/pick/mod.rs
+++ b/almondlock-gateway/src/pick/mod.rs
@@ -46,7 +46,7 @@
 use rand::{Rng, RngCore};
 
 pub(crate) use self::slots::is_backlogged;
-pub use self::slots::{hold, slots, with_slot};
+pub use self::slots::{hold, redirect, slots, with_slot};
 use self::{
     field::{Field, cost},
     groups::{Groups, arranged},
--- a/almondlock-gateway/src/pick/slots.rs
+++ b/almondlock-gateway/src/pick/slots.rs
@@ -5,7 +5,7 @@
 use almondlock_policy::{engine::Speed, places};
 use rand::{Rng, RngCore};
 
-use super::{Candidate, Demand};
+use super::{Candidate, Choice, Demand, field::Field};
 use crate::{load::Total, memory};
 
 /// The part of its objective for which a short prompt may wait until an engine begins to
@@ -80,6 +80,27 @@
     place.unwrap_or(chosen)
 }
 
+/// Has another engine answer a short prompt. What is expected of the one that was chosen before
+/// doesn't hold for it.
+pub fn redirect(
+    speed: &Speed,
+    demand: Demand,
+    candidates: &[Candidate],
+    choice: &mut Choice,
+    place: usize,
+) {
+    if place == choice.first || place >= candidates.len() {
+        return;
+    }
+    let field = Field {
+        speed,
+        demand,
+        candidates,
+    };
+    choice.first = place;
+    choice.expected = field.expected(field.whole_cost(place), choice.part);
+}
+
 /// Draws a candidate with the probability of its part of the weights.
 fn draw<F, R>(candidates: &[Candidate], weight: F, rng: &mut R) -> Option<usize>
 where
--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -213,10 +213,11 @@
         }
         let has_slot = |place: usize| candidates.get(place).is_some_and(Candidate::has_slot);
         match self.handed_over(question) {
-            Some(place) => choice.first = place,
+            Some(place) => pick::redirect(speed, demand, candidates, choice, place),
             None if is_scarce || !has_slot(choice.first) => {
                 let rng = &mut *self.rng.borrow_mut();
-                choice.first = pick::with_slot(speed, demand, candidates, choice.first, rng);
+                let place = pick::with_slot(speed, demand, candidates, choice.first, rng);
+                pick::redirect(speed, demand, candidates, choice, place);
             }
             None => {}
         }
--- a/almondlock-gateway/tests/ejected_engines.rs
+++ b/almondlock-gateway/tests/ejected_engines.rs
@@ -94,3 +94,23 @@
     let times = expected(slow) / expected(usual);
     assert!((3.5..4.5).contains(&times), "{times}");
 }
+
+/// Guards against a first event that is expected of the engine that was chosen first, after
+/// another one with a free slot was drawn: that one would be judged by it.
+#[test]
+fn redirected() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let slow = Candidate {
+        rate: 0.25,
+        ..engine(Total::default())
+    };
+    let all = candidates(slow);
+    let chosen = pick::engine(&speed(), demand(5_000), &all, &mut rng).unwrap();
+    assert_ne!(chosen.first, 0);
+    let mut moved = chosen.clone();
+    pick::redirect(&speed(), demand(5_000), &all, &mut moved, 0);
+    let alone = pick::engine(&speed(), demand(5_000), &[slow], &mut rng).unwrap();
+    let times = moved.expected.as_secs_f64() / alone.expected.as_secs_f64();
+    assert_eq!(moved.first, 0);
+    assert!((0.9..1.1).contains(&times), "{times}");
+}
