--- a/almondlock-gateway/src/pick/slots.rs
+++ b/almondlock-gateway/src/pick/slots.rs
@@ -44,8 +44,8 @@
 }
 
 /// Who answers a short prompt while slots are scarce: an engine drawn with the probability
-/// of its part of the free slots, in the cell of the one that was chosen if any is free
-/// there. The one that was chosen if none has any.
+/// of its part of the free slots, each weighted by its engine's rate, in the cell of the one
+/// that was chosen if any is free there. The one that was chosen if none has any.
 ///
 /// **Load pattern.** Many hosts see the same few free slots. Short prompts are packed onto
 /// some of the engines, so the cheapest of these gets more prompts than it has free slots
@@ -66,15 +66,16 @@
             && candidate.may_answer()
             && !is_backlogged(&candidate.total, demand.objective);
         let has_room = memory::free(speed, &candidate.total) >= memory;
+        let slots = candidate.slots.saturating_sub(candidate.total.requests());
         match is_open && has_room {
-            true => candidate.slots.saturating_sub(candidate.total.requests()),
-            false => 0,
+            true => f64::from(slots) * candidate.rate,
+            false => 0.0,
         }
     };
     let cell = candidates.get(chosen).map(|candidate| candidate.cell);
     let in_cell = |candidate: &Candidate| match Some(candidate.cell) == cell {
         true => free(candidate),
-        false => 0,
+        false => 0.0,
     };
     let place = draw(candidates, in_cell, rng).or_else(|| draw(candidates, free, rng));
     place.unwrap_or(chosen)
@@ -104,15 +105,15 @@
 /// Draws a candidate with the probability of its part of the weights.
 fn draw<F, R>(candidates: &[Candidate], weight: F, rng: &mut R) -> Option<usize>
 where
-    F: Fn(&Candidate) -> u32,
+    F: Fn(&Candidate) -> f64,
     R: RngCore,
 {
-    let all: u32 = candidates.iter().map(&weight).sum();
-    let mut drawn = (all > 0).then(|| rng.random_range(0..all))?;
+    let all: f64 = candidates.iter().map(&weight).sum();
+    let mut drawn = (all > 0.0).then(|| rng.random_range(0.0..all))?;
     candidates.iter().position(|candidate| {
         let own = weight(candidate);
         let is_drawn = drawn < own;
-        drawn = drawn.saturating_sub(own);
+        drawn -= own;
         is_drawn
     })
 }
--- a/almondlock-gateway/tests/ejected_engines.rs
+++ b/almondlock-gateway/tests/ejected_engines.rs
@@ -114,3 +114,19 @@
     assert_eq!(moved.first, 0);
     assert!((0.9..1.1).contains(&times), "{times}");
 }
+
+/// Guards against slots that are drawn without regard to their engine's rate: while slots are
+/// scarce, a slow engine would get as many prompts as any other.
+#[test]
+fn slow_slots() {
+    let mut rng = SmallRng::seed_from_u64(1);
+    let slow = Candidate {
+        rate: 0.25,
+        ..engine(Total::default())
+    };
+    let all = candidates(slow);
+    let drawn = (0..1_200).map(|_| pick::with_slot(&speed(), demand(5_000), &all, 1, &mut rng));
+    // 100 if all were alike, 27 by their rates.
+    let count = drawn.filter(|place| *place == 0).count();
+    assert!((10..50).contains(&count), "{count}");
+}
