--- a/almondlock-policy/src/places/account.rs
+++ b/almondlock-policy/src/places/account.rs
@@ -50,18 +50,20 @@
             ..Account::default()
         };
         engines.into_iter().fold(none, |sum, engine| {
-            let requests = engine.streams + engine.waiting;
+            let requests = engine.streams.saturating_add(engine.waiting);
             let left = engine.slots.saturating_sub(requests);
             let (slots, free, spare) = match engine.is_backlogged {
                 true => (0, 0, left),
                 false => (engine.slots, left, 0),
             };
             Account {
-                slots: sum.slots + slots,
-                free: sum.free + free,
-                spare: sum.spare + spare,
-                used: sum.used + requests,
-                over: sum.over + requests.saturating_sub(engine.slots),
+                slots: sum.slots.saturating_add(slots),
+                free: sum.free.saturating_add(free),
+                spare: sum.spare.saturating_add(spare),
+                used: sum.used.saturating_add(requests),
+                over: sum
+                    .over
+                    .saturating_add(requests.saturating_sub(engine.slots)),
                 ..sum
             }
         })
--- a/almondlock-policy/tests/scarce_places.rs
+++ b/almondlock-policy/tests/scarce_places.rs
@@ -226,6 +226,21 @@
     assert!(desk.grant(after(50), &mut rng()).is_empty());
 }
 
+/// Guards against an overflow by what an upstream reports of itself: any number of requests.
+#[test]
+fn absurd_reports() {
+    let absurd = Engine {
+        slots: SLOTS,
+        streams: u32::MAX,
+        waiting: 1,
+        is_backlogged: false,
+    };
+    let mut desk = Desk::default();
+    desk.see(START, [absurd; ENGINES], HOLD, 0);
+    assert_eq!(desk.account().free, 0);
+    assert_eq!(desk.account().used, u32::MAX);
+}
+
 /// A host is lost with its requests: the slots that it had go to those that wait elsewhere.
 #[test]
 fn lost_host() {
