--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -213,10 +213,11 @@
         }
         let has_slot = |place: usize| candidates.get(place).is_some_and(Candidate::has_slot);
         match self.handed_over(question) {
-            Some(place) => choice.first = place,
+            Some(place) => pick::redirect(speed, demand, candidates, choice, place),
             None if is_scarce || !has_slot(choice.first) => {
                 let rng = &mut *self.rng.borrow_mut();
-                choice.first = pick::with_slot(speed, demand, candidates, choice.first, rng);
+                let place = pick::with_slot(speed, demand, candidates, choice.first, rng);
+                pick::redirect(speed, demand, candidates, choice, place);
             }
             None => {}
         }
@@ -295,7 +296,9 @@
     pub(crate) fn leave_slot(&self, slot: &Slot, upstream: &Upstream) {
         let now = clock::mono();
         let total = self.load.borrow().total(now, upstream);
-        let is_open = total.requests() < slot.slots && !self.is_suspect(now, upstream);
+        let is_avoided = self.is_suspect(now, upstream) || self.pacing.standing(upstream).1;
+        let is_closed = is_avoided || self.backoff(now, upstream).is_some();
+        let is_open = total.requests() < slot.slots && !is_closed;
         self.lines.with(&slot.service, |line| {
             let has_slot = is_open && !pick::is_backlogged(&total, line.objective);
             if let Some(next) = line.desk.end(now, slot.commitment, has_slot) {
--- a/almondlock-policy/tests/scarce_places.rs
+++ b/almondlock-policy/tests/scarce_places.rs
@@ -145,6 +145,17 @@
     assert_eq!(desk.grant(after(1_400), &mut rng()), [ticket]);
 }
 
+/// Guards against the longest wait counted from when a prompt asks: one that was held before,
+/// as after its host's start, would wait beyond its caller's patience.
+#[test]
+fn wait_since_arrival() {
+    let mut desk = full();
+    let ticket = wait(&mut desk, after(600), &case(START));
+    assert_eq!(desk.grant(after(1_400), &mut rng()), [ticket]);
+    let verdict = desk.ask(after(1_400), &case(START), false, &mut rng());
+    assert_eq!(verdict, Verdict::Send);
+}
+
 /// A prompt whose deadline leaves no time to wait is sent, not held until it is over.
 #[test]
 fn near_deadline() {
@@ -215,6 +226,21 @@
     assert!(desk.grant(after(50), &mut rng()).is_empty());
 }
 
+/// Guards against an overflow by what an upstream reports of itself: any number of requests.
+#[test]
+fn absurd_reports() {
+    let absurd = Engine {
+        slots: SLOTS,
+        streams: u32::MAX,
+        waiting: 1,
+        is_backlogged: false,
+    };
+    let mut desk = Desk::default();
+    desk.see(START, [absurd; ENGINES], HOLD, 0);
+    assert_eq!(desk.account().free, 0);
+    assert_eq!(desk.account().used, u32::MAX);
+}
+
 /// A host is lost with its requests: the slots that it had go to those that wait elsewhere.
 #[test]
 fn lost_host() {
