--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -23,9 +23,10 @@
     attempt::{Broken, CONNECT, recycle},
     dialect::{Call, Dialect},
     memory::{self, Order, Outcome, Share},
+    shared::Active,
     upstream::{self, Connection},
     verdict::Failure,
-    worker::{Active, Target, Worker},
+    worker::{Target, Worker},
 };
 
 /// How long an engine may take to answer an order: a few ways there and back.
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod rules;
 pub mod server;
 pub mod share;
+mod shared;
 mod slots;
 mod standing;
 mod startup;
--- a/almondlock-gateway/src/life.rs
+++ b/almondlock-gateway/src/life.rs
@@ -25,9 +25,10 @@
     pick::Demand,
     reply::Stream,
     rules::{Organisation, Route},
+    shared::SPREAD,
     upstream::{self, Connection, Head},
     verdict::{self, Failure},
-    worker::{SPREAD, Worker},
+    worker::Worker,
 };
 
 /// Attempts in all, also of those that provably did not run.
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -36,7 +36,8 @@
     exchange, follow, lease,
     life::{self, Answer, End, Request},
     response::{refusal, start_response, whole_response},
-    worker::{Shared, Worker},
+    shared::Shared,
+    worker::Worker,
 };
 
 /// How often the end of answers in progress is looked for on a stop.
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -8,10 +8,7 @@
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
-    },
+    sync::Arc,
     time::Duration,
 };
 
@@ -39,13 +36,13 @@
     dialect::Dialect,
     lease::Ended,
     load::{self, Key},
-    metrics::Metrics,
     pace::Pacing,
     permit::Permits,
     pick::{Candidate, Choice},
     pool::Pool,
     reading::Current,
     rules::Rules,
+    shared::Shared,
     slots::Lines,
     standing::Shares,
     suspicion::Suspicion,
@@ -55,125 +52,6 @@
 /// usual interval: by then a crashed one was replaced or has come back.
 const SUSPECT: Duration = Duration::from_millis(2500);
 
-/// What the threads of a process share.
-#[derive(Debug)]
-pub(crate) struct Shared {
-    started: Mono,
-    /// Told to stop: not ready, but requests that come are still taken.
-    pub(crate) stopping: AtomicBool,
-    /// What the balancer was last told.
-    pub(crate) ready: AtomicBool,
-    /// No stream is begun any more.
-    pub(crate) closing: AtomicBool,
-    /// Nothing is begun any more.
-    closed: AtomicBool,
-    /// When the stop ends at the latest, in microseconds of the clock. Zero: no stop has
-    /// begun.
-    ends: AtomicU64,
-    active: AtomicUsize,
-    pub(crate) metrics: Metrics,
-}
-
-/// Counts a request as long as it is under way.
-pub(crate) struct Active(Arc<Shared>);
-
-/// After a start, how long a process may take to learn a recent configuration when all
-/// others started with it. Replicas that it is told of may start later than it does.
-const COLD_START: Duration = Duration::from_millis(1_300);
-/// Callers that were refused together come back spread over this much more.
-pub(crate) const SPREAD: f64 = 0.5;
-/// When to come back to another host, because this one is cut off.
-const ELSEWHERE: Duration = Duration::from_millis(100);
-/// When to come back to another host, because this one stops. The others are ready, and
-/// the balancer has noticed the stop before requests are refused.
-const STOPPING: Duration = Duration::from_millis(10);
-
-impl Shared {
-    pub(crate) fn new(now: Mono) -> Shared {
-        Shared {
-            started: now,
-            stopping: AtomicBool::new(false),
-            ready: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
-            closed: AtomicBool::new(false),
-            ends: AtomicU64::new(0),
-            active: AtomicUsize::new(0),
-            metrics: Metrics::default(),
-        }
-    }
-
-    /// When a caller that is refused should come back. Shortly after a start
-    /// all hosts may have started together, and coming back early meets the
-    /// same refusal; later it is this host alone, and another one will serve.
-    ///
-    /// `drawn` is a number from 0 to 1 that spreads returns.
-    pub(crate) fn return_time(&self, now: Mono, drawn: f64) -> Duration {
-        let left = match self.is_stopping() {
-            true => STOPPING,
-            false => self.cold_left(now).max(ELSEWHERE),
-        };
-        left.mul_f64(1.0 + drawn * SPREAD)
-    }
-
-    /// The time since the start.
-    pub(crate) fn age(&self, now: Mono) -> Duration {
-        now.since(self.started)
-    }
-
-    /// How much of a cold start is left.
-    pub(crate) fn cold_left(&self, now: Mono) -> Duration {
-        COLD_START.saturating_sub(self.age(now))
-    }
-
-    /// A stop has begun and ends at `end` at the latest.
-    pub(crate) fn begin_stop(&self, end: Mono) {
-        self.ends.store(end.as_micros(), Ordering::Relaxed);
-        self.stopping.store(true, Ordering::Relaxed);
-    }
-
-    /// From now on nothing is begun.
-    pub(crate) fn close(&self) {
-        self.closed.store(true, Ordering::SeqCst);
-    }
-
-    /// How many requests are under way. Once closed, those that are counted here are all
-    /// that there will be.
-    pub(crate) fn active(&self) -> usize {
-        self.active.load(Ordering::SeqCst)
-    }
-
-    /// Whether a request may be begun that is over at `until`. Whoever asks is counted as
-    /// active before, so that a stop that closes meanwhile waits for it.
-    ///
-    /// **Failure.** A call that may not be repeated is handed to an upstream and cut off
-    /// with the process: its caller can't know whether it ran.
-    pub(crate) fn may_begin(&self, is_stream: bool, until: Mono) -> bool {
-        if self.closed.load(Ordering::SeqCst) {
-            return false;
-        }
-        match self.ends.load(Ordering::Relaxed) {
-            0 => true,
-            _ if is_stream => !self.closing.load(Ordering::Relaxed),
-            ends => until <= Mono::from_micros(ends),
-        }
-    }
-
-    pub(crate) fn enter(self: &Arc<Shared>) -> Active {
-        self.active.fetch_add(1, Ordering::SeqCst);
-        Active(Arc::clone(self))
-    }
-
-    pub(crate) fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// An instance as requests see it.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
