--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -390,7 +390,7 @@
                     Ok(())
                 }
                 Act::Storm(count) => {
-                    operator.storm(keys, count).await;
+                    operator.storm(count).await;
                     Ok(())
                 }
                 Act::Greedy(host) => {
--- a/almondlock-bench/src/soak/operator.rs
+++ b/almondlock-bench/src/soak/operator.rs
@@ -95,15 +95,15 @@
         }
     }
 
-    /// Publishes so many configurations, each without waiting for the one before.
-    pub async fn storm(&self, keys: Vec<String>, count: usize) {
+    /// Publishes so many configurations, each without waiting for the one before, and with the
+    /// keys of the last one: another may have taken keys away meanwhile.
+    pub async fn storm(&self, count: usize) {
         self.more.set(STORM_ROUTES);
-        let publishing = (0..count).map(|place| {
-            let keys = keys.clone();
-            async move {
-                sleep(STORM * u32::try_from(place).unwrap_or(0)).await;
-                self.publish(keys).await;
-            }
+        let publishing = (0..count).map(async |place| {
+            sleep(STORM * u32::try_from(place).unwrap_or(0)).await;
+            let last = self.world.history.borrow().publications.last().cloned();
+            self.publish(last.map(|last| last.keys).unwrap_or_default())
+                .await;
         });
         join_all(publishing).await;
     }
