--- a/almondlock-gateway/tests/outlier_ejection.rs
+++ b/almondlock-gateway/tests/outlier_ejection.rs
@@ -60,7 +60,7 @@
 #[parameterized(
     with_500 = { error(), false },
     with_503 = { refusal(), true },
-    with_503_not_run = { not_run(), true },
+    with_503_not_run = { not_run(), false },
 )]
 fn failing_upstream(step: Step, is_passed_over: bool) {
     let reached = [false, true].map(|judges| {
@@ -74,10 +74,10 @@
     println!("reached {reached:?}");
     // A probe in two seconds on average, and the requests took some two seconds.
     assert!(reached[1] <= 6, "{reached:?}");
-    // What passes it over without the judgement lasts for longer than that.
+    // One that is passed over anyway, for longer than that, may get nothing without it.
     match is_passed_over {
         true => assert!(reached[0] <= 6, "{reached:?}"),
-        false => assert!(reached[0] > 6, "{reached:?}"),
+        false => assert!(reached[1] <= reached[0], "{reached:?}"),
     }
 }
 
