Log who votes, who is silent, and why nobody leads

Seen: in the users' record three replicas run for 20 s, take changes and know no leader. No line says who the voters are, which of them answer, whether somebody stood for election, or why a change of the members wasn't made, so three hypotheses on the cause can't be told apart.

Cause: the log told the leader and the candidacies that got past the question before an election. A candidate without enough answers stays silent; a step of the membership that isn't taken is a debug line.

Each replica now logs, each line when what it says has changed and at most once a second: - `members in force`: voters and learners by identity and address, at the start and at each change of them or of whether they are known to be accepted; - `no leader, votes are missing`: which voters gave their vote, refused (and in which term they are) or didn't answer, and how many win; again every 10 s. `no leader, no vote here` at a replica without a vote; - `vote refused` at the replica that refuses: why, and the last entries of both; - `member silent`, `member heard again` at the leader, for how long; - `changes the members`, `members not changed yet`: the reason, and for how long each other member has been silent and how many entries it lacks; - `replicas ask to join`.

The log's machine keeps the present and the last failed round of votes and the votes it refused, and decides nothing by them; the thread that drives it writes the lines when it settles. The schedules of the random tests are unchanged.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -105,10 +105,7 @@
     // Bytes of commands applied since.
     snapshot_bytes: usize,
     snapshot: Option<oneshot::Receiver<(Index, Vec<u8>)>>,
-    // The leader that the log last told of.
-    logged_leader: Option<Id>,
-    // The term of the last candidacy that the log told of.
-    logged_candidacy: Term,
+    logged: log::Logged,
     // Invariant: once set it stays; nothing is said or promised from then on.
     pub(super) stopped: Option<Refusal>,
 }
@@ -159,8 +156,7 @@
             snapshot_at: Index::ZERO,
             snapshot_bytes: 0,
             snapshot: None,
-            logged_leader: None,
-            logged_candidacy: Term::ZERO,
+            logged: log::Logged::default(),
             stopped: None,
         };
         let snapshot = Arc::clone(core.machine.snapshot());
@@ -209,7 +205,9 @@
 
     pub(super) fn change(&mut self, change: &Change) -> Result<Answer<()>, Refusal> {
         self.check()?;
-        let position = self.machine.change(change)?;
+        let changed = self.machine.change(change).map_err(Refusal::from);
+        self.note_change(change, changed.as_ref().err());
+        let position = changed?;
         let (asker, answer) = oneshot::channel();
         self.expect(position, Waiting::Change(asker));
         Ok(answer)
@@ -314,8 +312,7 @@
             grants,
         } = self.machine.take(now);
         self.list_members();
-        self.log_candidacy();
-        self.log_leader();
+        self.log_beliefs(now);
         if let Some(write) = write {
             self.disk.write(write);
         }
--- a/almondlock-control/src/replica/core/log.rs
+++ b/almondlock-control/src/replica/core/log.rs
@@ -1,31 +1,141 @@
-//! What the log tells of elections.
+//! What the log tells of the group: its members, who leads, and why nobody does.
+//! Lines are bounded: each is written when what it says has changed, at most once a
+//! second, and some again after a while for as long as they hold.
 
+mod ballots;
+mod changes;
+mod name;
+mod silence;
+mod told;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use almondlock_base::time::Mono;
+use almondlock_quorum::{
+    entry::Term,
+    machine::Reason,
+    member::{Change, Id, Members},
+};
+
+use self::{name::List, silence::Watch, told::Told};
 use super::Core;
+use crate::replica::{refusal::Refusal, repair::PRESENT};
+
+/// What the log last told.
+#[derive(Default)]
+pub(super) struct Logged {
+    leader: Option<Id>,
+    // Since when no leader has been known.
+    leaderless: Option<Mono>,
+    // The term of the last candidacy.
+    candidacy: Term,
+    members: Option<(Arc<Members>, bool)>,
+    newcomers: Told<Vec<Id>>,
+    failed: Told<ballots::Outcome>,
+    denials: BTreeMap<Id, Told<Reason>>,
+    // Of a leader: the other members.
+    watched: BTreeMap<Id, Watch>,
+    // What became of the last change asked for.
+    change: Option<(Change, Option<Refusal>)>,
+    refused: Told<(Change, String)>,
+    looked_at: Option<Mono>,
+}
 
 impl Core {
+    /// Logs what has changed.
+    pub(super) fn log_beliefs(&mut self, now: Mono) {
+        self.log_members();
+        self.log_change(now);
+        self.log_candidacy();
+        self.log_leader(now);
+        self.log_denials(now);
+        // The rest changes with time only, or can wait a moment.
+        let due = |at: Mono| now.since(at) >= self.quorum.heartbeat();
+        if self.logged.looked_at.is_none_or(due) {
+            self.logged.looked_at = Some(now);
+            self.log_silence(now);
+            self.log_leaderless(now);
+            self.log_newcomers(now);
+        }
+    }
+
+    /// Logs the members in force here, at the start and at each change of them or of whether
+    /// they are known to be accepted.
+    fn log_members(&mut self) {
+        let members = self.machine.members();
+        let accepted = self.machine.has_accepted_members();
+        if let Some((logged, was)) = &self.logged.members
+            && *was == accepted
+            && (Arc::ptr_eq(logged, members) || logged == members)
+        {
+            return;
+        }
+        self.logged.members = Some((Arc::clone(members), accepted));
+        let own = self.own.id;
+        if members.iter().next().is_none() {
+            tracing::info!(%own, "no members known");
+            return;
+        }
+        let term = self.machine.term().0;
+        let (commit, last) = (self.machine.commit().0, self.machine.last().0);
+        tracing::info!(
+            %own,
+            votes = members.is_voter(own),
+            voters = %List::of(members.voters.values()),
+            learners = %List::of(members.learners.values()),
+            quorum = members.quorum(),
+            accepted,
+            term,
+            commit,
+            last,
+            "members in force"
+        );
+    }
+
     /// Logs each candidacy of this replica once.
-    pub(super) fn log_candidacy(&mut self) {
+    fn log_candidacy(&mut self) {
         let term = self.machine.term();
         let Some(cause) = self.machine.candidacy() else {
             return;
         };
-        if term > self.logged_candidacy {
-            self.logged_candidacy = term;
+        if term > self.logged.candidacy {
+            self.logged.candidacy = term;
             let last = self.machine.last().0;
             tracing::info!(term = term.0, ?cause, last, "stands for election");
         }
     }
 
     /// Logs the leader when it has changed.
-    pub(super) fn log_leader(&mut self) {
+    fn log_leader(&mut self, now: Mono) {
         let leader = self.machine.leader();
-        if leader == self.logged_leader {
+        self.logged.leaderless = match leader {
+            Some(_) => None,
+            None => self.logged.leaderless.or(Some(now)),
+        };
+        if leader == self.logged.leader {
             return;
         }
-        self.logged_leader = leader;
+        self.logged.leader = leader;
         let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
         let (term, commit) = (self.machine.term().0, self.machine.commit().0);
         let leads = self.machine.is_leader();
         tracing::info!(%leader, term, commit, leads, "leader changed");
     }
+
+    /// Logs who asks to join, as this replica was told.
+    fn log_newcomers(&mut self, now: Mono) {
+        let members = self.machine.members();
+        let mut present = self.gathering.present(now, PRESENT);
+        present.retain(|newcomer| !members.contains(newcomer.id));
+        let ids: Vec<Id> = present.iter().map(|newcomer| newcomer.id).collect();
+        let told = &mut self.logged.newcomers;
+        let due = match present.is_empty() {
+            true => told.was_told() && told.is_news(now, ids),
+            false => told.is_due(now, ids),
+        };
+        if due {
+            let newcomers = List::of(&present);
+            tracing::info!(%newcomers, "replicas ask to join");
+        }
+    }
 }
--- /dev/null
+++ b/almondlock-control/src/replica/core/log/silence.rs
@@ -0,0 +1,64 @@
+//! Lines of a leader on members that fall silent and are heard again.
+
+use almondlock_base::time::Mono;
+use almondlock_quorum::member::Id;
+
+use super::{super::Core, ballots::millis};
+
+/// What a leader's lines told of another member.
+pub(super) struct Watch {
+    // Since when it has been a member under this leader.
+    since: Mono,
+    // When it was last heard, once it counts as silent.
+    silent: Option<Mono>,
+}
+
+impl Core {
+    /// Logs each member that was not heard for an election timeout, once, and when it is heard
+    /// again.
+    pub(super) fn log_silence(&mut self, now: Mono) {
+        if !self.is_leader() {
+            self.logged.watched.clear();
+            return;
+        }
+        let mut watched = std::mem::take(&mut self.logged.watched);
+        let members = self.machine.members();
+        watched.retain(|id, _| members.contains(*id));
+        for member in members.iter().filter(|member| member.id != self.own.id) {
+            let watch = watched.entry(member.id).or_insert(Watch {
+                since: now,
+                silent: None,
+            });
+            self.log_member(now, member.id, watch);
+        }
+        self.logged.watched = watched;
+    }
+
+    fn log_member(&self, now: Mono, id: Id, watch: &mut Watch) {
+        let last = self.machine.heard(id).unwrap_or(watch.since);
+        let silent = now.since(last) >= self.quorum.election();
+        let members = self.machine.members();
+        let (member, votes) = (self.name(id), members.is_voter(id));
+        match (watch.silent, silent) {
+            (None, true) => {
+                watch.silent = Some(last);
+                let silent_ms = millis(now.since(last));
+                let heard = |id: Id| id == self.own.id || self.is_heard(now, id);
+                let answering = members.voters.keys().filter(|id| heard(**id)).count();
+                let quorum = members.quorum();
+                tracing::warn!(%member, votes, silent_ms, answering, quorum, "member silent");
+            }
+            (Some(from), false) => {
+                watch.silent = None;
+                let silent_ms = millis(last.since(from));
+                tracing::info!(%member, votes, silent_ms, "member heard again");
+            }
+            _ => {}
+        }
+    }
+
+    fn is_heard(&self, now: Mono, id: Id) -> bool {
+        let recent = |at: Mono| now.since(at) < self.quorum.election();
+        self.machine.heard(id).is_some_and(recent)
+    }
+}
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -121,6 +121,9 @@
         self.addresses.push(free_address());
         self.folders.push(tempfile::tempdir().unwrap());
         self.running.push(None);
+        if self.security.len() <= n {
+            self.security.push(Security::Plain);
+        }
         n
     }
 
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -9,7 +9,7 @@
 use almondlock_base::time::Mono;
 use rand::Rng;
 
-use super::{Cause, Machine, Role, progress::Progress};
+use super::{Cause, Machine, Reason, Role, progress::Progress};
 use crate::{
     entry::{Payload, Term},
     member::Id,
@@ -55,6 +55,10 @@
             self.leader_commit = None;
             self.output.changed_hard();
         }
+        self.end_ballot();
+        if leader.is_some() {
+            self.forget_ballots();
+        }
         if self.role != Role::Follower {
             self.delay_election(now);
         }
@@ -81,6 +85,7 @@
         if !self.log.members().is_voter(self.id) {
             return;
         }
+        self.end_ballot();
         self.role = Role::PreCandidate;
         self.leader = None;
         self.votes.clear();
@@ -92,6 +97,7 @@
         self.rounds = self.rounds.saturating_add(1);
         self.delay_election(now);
         self.cause = Some(cause);
+        self.tally.clear();
         self.role = Role::Candidate;
         self.leader = None;
         self.votes.clear();
@@ -145,6 +151,7 @@
     fn lead(&mut self, now: Mono) {
         self.role = Role::Leader;
         self.leader = Some(self.id);
+        self.forget_ballots();
         self.knew_leader = true;
         self.elected_at = now;
         self.heartbeat_at = now + self.config.heartbeat;
@@ -176,7 +183,16 @@
         let complete =
             (request.last_term, request.last_index) >= (self.log.last_term(), self.log.last());
         if request.pre {
-            let granted = complete && term > self.hard.term && !self.hears_leader(now);
+            let hears_leader = self.hears_leader(now);
+            let granted = complete && term > self.hard.term && !hears_leader;
+            if !granted {
+                let reason = match (hears_leader, complete) {
+                    (true, _) => Reason::LeaderHeard,
+                    (false, false) => Reason::LogBehind,
+                    (false, true) => Reason::OldTerm,
+                };
+                self.note_denied(from, term, &request, reason);
+            }
             let body = Body::VoteReply(VoteReply { pre: true, granted });
             let term = if granted { term } else { self.hard.term };
             self.output.send(from, Message { term, body });
@@ -187,6 +203,14 @@
             Some(vote) => vote == from,
         };
         let granted = free && complete;
+        if !granted {
+            let reason = match (free, self.hard.vote) {
+                (true, _) => Reason::LogBehind,
+                (false, None) => Reason::LeaderHeard,
+                (false, Some(_)) => Reason::VoteGiven,
+            };
+            self.note_denied(from, term, &request, reason);
+        }
         if granted && self.hard.vote.is_none() {
             self.follow(now, term, None);
             self.hard.vote = Some(from);
@@ -233,7 +257,7 @@
 
     /// Tells a speaker of an older term of the present one, so that an old
     /// leader steps down and a candidate catches up.
-    pub(super) fn answer_old(&mut self, from: Id, body: &Body) {
+    pub(super) fn answer_old(&mut self, from: Id, term: Term, body: &Body) {
         match body {
             Body::Append(append) => {
                 let reply = AppendReply {
@@ -252,6 +276,7 @@
                 self.send_synced(from, Body::AppendReply(reply));
             }
             Body::VoteRequest(request) => {
+                self.note_denied(from, term, request, Reason::OldTerm);
                 let pre = request.pre;
                 let reply = VoteReply {
                     pre,
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -9,9 +9,11 @@
 //!
 //! The parts: `election` (who leads), `replication` (entries to others),
 //! `append` (entries from the leader), `snapshot` (whole states in pieces),
-//! `read` (reads that are never stale), `change` (membership).
+//! `read` (reads that are never stale), `change` (membership), `ballot` (what is
+//! known of votes).
 
 mod append;
+mod ballot;
 mod change;
 mod election;
 mod output;
@@ -28,7 +30,11 @@
 use almondlock_base::time::Mono;
 use rand::{SeedableRng, rngs::SmallRng};
 
-pub use self::{output::Output, read::Grant};
+pub use self::{
+    ballot::{Ballot, Denial, Reason},
+    output::Output,
+    read::Grant,
+};
 use crate::{
     config::Config,
     entry::{Entry, Hard, Index, Payload, Position, Snapshot, Term},
@@ -88,6 +94,7 @@
     // What the present term's leader last said to be accepted.
     leader_commit: Option<Index>,
     votes: BTreeSet<Id>,
+    tally: ballot::Tally,
     // Why it last stood for election.
     cause: Option<Cause>,
     // Of a leader: the others, by identity.
@@ -136,6 +143,7 @@
             leader_heard: None,
             leader_commit: None,
             votes: BTreeSet::new(),
+            tally: ballot::Tally::default(),
             cause: None,
             peers: BTreeMap::new(),
             heartbeat_at: now,
@@ -153,11 +161,12 @@
 
     /// Takes in a message. Whoever calls vouches for `from`.
     pub fn receive(&mut self, now: Mono, from: Id, message: Message) {
+        self.note_refused(from, &message);
         if message.term > self.hard.term && !is_pre_vote(&message.body) {
             self.follow(now, message.term, None);
         }
         if message.term < self.hard.term {
-            self.answer_old(from, &message.body);
+            self.answer_old(from, message.term, &message.body);
             return;
         }
         match message.body {
@@ -288,6 +297,14 @@
         self.log.last()
     }
 
+    /// The last entry of the log with its term.
+    pub fn last_position(&self) -> Position {
+        Position {
+            term: self.log.last_term(),
+            index: self.log.last(),
+        }
+    }
+
     /// The newest snapshot.
     pub fn snapshot(&self) -> &Arc<Snapshot> {
         self.log.snapshot()
@@ -298,6 +315,11 @@
         self.log.members()
     }
 
+    /// Whether the members in force here are known to be accepted.
+    pub fn has_accepted_members(&self) -> bool {
+        self.log.members_index() <= self.commit
+    }
+
     /// The term of an entry that is held here.
     pub fn term_at(&self, index: Index) -> Option<Term> {
         self.log.term(index)
