Test the loss of a disk right after a replacement

Callers see NotReady and operators NoQuorum for good: a replica is replaced by one at another address, and 4 s after the newcomer has started another disk is lost while all others are killed. Two voters of four are left.

The bound of 4 s is the users' catchUpS.

--- /dev/null
+++ b/almondlock-control/tests/replaced_voter.rs
@@ -0,0 +1,101 @@
+//! A replica is replaced by one at another address, and a disk is lost as soon
+//! as the newcomer has had its time to catch up.
+
+#![allow(clippy::unwrap_used)]
+
+mod group;
+
+use std::{thread, time::Duration};
+
+use almondlock_control::replica::Builder;
+use almondlock_transport::Security;
+use group::{Group, announce, capacity};
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// How long a newcomer has, from its start, until another disk may be lost.
+const CATCH_UP: Duration = Duration::from_secs(4);
+
+/// The host that is replaced, and the one that comes in its place.
+const OLD: usize = 0;
+const NEW: usize = 3;
+
+/// How the old host goes.
+#[derive(Clone, Copy, Debug)]
+enum Course {
+    /// It is stopped some time after the newcomer has started.
+    Planned,
+    /// It dies before that, and the leader is killed and started again soon after.
+    LeaderChanges,
+}
+
+impl Course {
+    /// Gives when the newcomer started.
+    async fn run(self, group: &mut Group) -> Instant {
+        group.accept(announce(1)).await;
+        match self {
+            Course::Planned => {
+                let start = Instant::now();
+                group.start(NEW);
+                sleep(Duration::from_millis(2_400)).await;
+                group.stop(OLD);
+                start
+            }
+            Course::LeaderChanges => {
+                group.kill(OLD);
+                sleep(Duration::from_secs(1)).await;
+                let start = Instant::now();
+                group.start(NEW);
+                sleep(Duration::from_secs(2)).await;
+                let leader = group.leader().await;
+                group.kill(leader);
+                sleep(Duration::from_millis(500)).await;
+                group.start(leader);
+                start
+            }
+        }
+    }
+}
+
+/// Three replicas, and a host for a fourth one.
+fn repairing() -> Group {
+    let adapt = |builder: Builder| builder.repairs(true).duty_pause(Duration::from_millis(400));
+    let mut group = Group::with_security(adapt, vec![Security::Plain; NEW + 1]);
+    assert_eq!(group.add_host(), NEW);
+    group
+}
+
+async fn lose_disk(course: Course, wiped: usize) {
+    let mut group = repairing();
+    let start = course.run(&mut group).await;
+    group.accept(announce(2)).await;
+    sleep_until(start + CATCH_UP).await;
+    (1..=NEW).for_each(|n| group.kill(n));
+    group.wipe(wiped);
+    (1..=NEW).for_each(|n| group.start(n));
+    let leader = group.leader().await;
+    let found = group.remote(leader).read(|state| capacity(state.config()));
+    assert_eq!(found.await.unwrap(), 2);
+}
+
+/// Guards against a group that still counts the replica which is gone when the next disk is lost:
+/// two voters of four are left, and nobody leads any more.
+#[test]
+fn next_disk() {
+    let run = |course, wiped| {
+        thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread()
+                .enable_all()
+                .build();
+            runtime.unwrap().block_on(lose_disk(course, wiped));
+        })
+    };
+    let courses = [Course::Planned, Course::LeaderChanges];
+    let cases = courses.map(|course| [1, 2, NEW].map(|wiped| (course, wiped, run(course, wiped))));
+    let mut failed = Vec::new();
+    for (course, wiped, thread) in cases.into_iter().flatten() {
+        if thread.join().is_err() {
+            failed.push((course, wiped));
+        }
+    }
+    assert!(failed.is_empty(), "{failed:?}");
+}
