Exchange a lost voter for a spare

Callers saw NotReady and operators NoQuorum for good, every process running, after a replica was replaced at another address and another disk was lost 4 s after the newcomer's start.

Cause: the leader gave a newcomer its vote at once, beside the three voters, and removed the voter that had gone only after it had been silent for 3 s, counted anew from each change of leader, in a round of duties that waits for other proposals first. Until then three of four voters had to answer. One more lost disk left two of four, and the replica on the empty disk can only be taken in by a leader. A replica that is stopped goes on answering while calls end, up to 2 s, which puts the 3 s off as well. Class: redundancy that is restored later than it is promised, by a timer that starts anew.

A newcomer now stays a learner while all voters answer. A voter is exchanged for a learner that has caught up as soon as it is known to be lost: another disk answers at its address, it says that it stops (a field of the greeting, sent at the start of a stop, which earlier versions pass over), or it has not answered for an election timeout. Removal and promotion follow each other without a pause, in a task that waits for nothing else. So the group has four voters at no time, and the state in which two named disks are needed lasts some round trips. A step is taken only if those that answer can accept it. Two learners are promoted together, for groups larger than their seeds; two silent voters of five are removed where nobody replaces them.

A shorter wait removes a slow voter now and then. It loses nothing: the group has as many copies as before, and a removed replica joins again, also one that was away and whose own log still names it as a member (before, such a one asked for votes for ever: comes_back).

Ruled out: removing first with the same wait (the same hole for 3 s, with two of three); one entry that swaps two voters (majorities of old and new members need not meet).

mended_membership: the expected order is removal before promotion, and a planned replacement no longer passes through four voters, which is the fault itself; new cases for a spare that isn't ready, a removal that nobody could accept, a wiped learner and two of five. told_causes: the newcomer is a learner first, and three replicas of four have to go until no quorum is left; the line on replicas that ask to join is looked for where nobody can take them in.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -4,6 +4,7 @@
 mod greeting;
 mod log;
 mod report;
+mod sight;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -34,7 +35,6 @@
     founding::{Gathering, Greeting},
     peers::{Parcel, Peers},
     refusal::Refusal,
-    repair,
 };
 
 /// A snapshot is begun at the latest after this many bytes of commands: some
@@ -90,6 +90,10 @@
     stage: Stage,
     pub(super) gathering: Gathering,
     greeted_at: Option<Mono>,
+    // Members that said that they stop, and when.
+    leaving: HashMap<Id, Mono>,
+    // This replica stops.
+    stopping: bool,
     // Where replicas were last said to be. Those that are not, or no longer,
     // members here stay: a newcomer answers a leader before its log names one,
     // and a removed replica is told of its removal.
@@ -147,6 +151,8 @@
             stage,
             gathering: Gathering::default(),
             greeted_at: None,
+            leaving: HashMap::new(),
+            stopping: false,
             addresses: HashMap::new(),
             listed: Arc::default(),
             waiting: BTreeMap::new(),
@@ -242,7 +248,14 @@
         self.greet(now);
     }
 
-    pub(super) fn hand_over(&mut self, now: Mono) {
+    /// Says that this replica stops, and hands leadership over if it has it.
+    pub(super) fn leave(&mut self, now: Mono) {
+        self.stopping = true;
+        self.greet_all();
+        self.hand_over(now);
+    }
+
+    fn hand_over(&mut self, now: Mono) {
         if let Some(to) = self.machine.hand_over(now) {
             let (term, matched) = (self.machine.term().0, self.machine.matched(to));
             let (last, matched) = (self.machine.last().0, matched.map(|index| index.0));
@@ -368,6 +381,7 @@
         let greeting = Greeting {
             from: self.own.clone(),
             members: None,
+            leaving: false,
         };
         let parcel = Parcel::Heartbeats(Box::new(greeting), heartbeats);
         self.peers.send(leader, parcel);
@@ -471,21 +485,6 @@
         tokio::task::spawn_blocking(move || drop(done.send((index, state.snapshot()))));
     }
 
-    /// The next step of a membership that mends itself, if this replica leads.
-    pub(super) fn repair_step(&self, now: Mono) -> Option<Change> {
-        if !self.is_leader() {
-            return None;
-        }
-        let sight = repair::Sight {
-            own: self.own.id,
-            members: self.machine.members(),
-            newcomers: self.gathering.present(now, repair::PRESENT),
-            led_since: self.machine.led_since(),
-            now,
-        };
-        sight.step(|id| self.machine.heard(id))
-    }
-
     pub(super) fn members(&self) -> Arc<Members> {
         Arc::clone(self.machine.members())
     }
--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -1,6 +1,6 @@
 //! Greetings, sent and received; `founding` decides what they come to.
 
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::{Id, Member, Members};
@@ -12,10 +12,13 @@
 };
 
 impl Core {
+    /// Greets as a newcomer, or as a member that hears no leader: the others may have removed
+    /// it while it was away.
     pub(super) fn greet(&mut self, now: Mono) {
         let due = |at: Mono| now.since(at) >= self.quorum.heartbeat() * 2;
         let member = self.machine.members().contains(self.own.id);
-        if member || !self.greeted_at.is_none_or(due) {
+        let led = member && self.machine.hears_leader(now);
+        if led || self.stopping || !self.greeted_at.is_none_or(due) {
             return;
         }
         self.greeted_at = Some(now);
@@ -26,8 +29,10 @@
     }
 
     pub(super) fn greet_all(&mut self) {
-        let others = self.initial.iter().map(|i| i.address);
-        let others: Vec<SocketAddr> = others.filter(|a| *a != self.own.address).collect();
+        let initial = self.initial.iter().map(|i| i.address);
+        let members = self.machine.members().iter().map(|m| m.address);
+        let mut others: BTreeSet<SocketAddr> = initial.chain(members).collect();
+        others.remove(&self.own.address);
         others.into_iter().for_each(|to| self.greet_one(to));
     }
 
@@ -36,6 +41,7 @@
         let greeting = Greeting {
             from: self.own.clone(),
             members: Some(Members::clone(members)).filter(|m| m.contains(self.own.id)),
+            leaving: self.stopping,
         };
         self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
     }
@@ -49,8 +55,7 @@
         match greeting.members {
             None => {
                 let address = greeting.from.address;
-                self.pass_to_leader(sender, &greeting.from);
-                self.gathering.note(now, greeting.from);
+                self.note_newcomer(now, sender, greeting.from);
                 if member {
                     self.greet_one(address);
                 }
@@ -58,10 +63,20 @@
             Some(members) if self.stage == Stage::Gathering => {
                 self.advance(founding::join(self.own.id, members));
             }
+            Some(_) if greeting.leaving => self.note_leaving(now, greeting.from.id),
+            // It was removed and doesn't know, or this replica doesn't know the members yet.
+            Some(_) if member && !self.machine.members().contains(greeting.from.id) => {
+                self.note_newcomer(now, sender, greeting.from);
+            }
             Some(_) => {}
         }
     }
 
+    fn note_newcomer(&mut self, now: Mono, sender: Id, newcomer: Member) {
+        self.pass_to_leader(sender, &newcomer);
+        self.gathering.note(now, newcomer);
+    }
+
     /// A newcomer knows some replicas, perhaps not the one that leads and can
     /// take it in. Passed on once, by the replica that was greeted itself.
     fn pass_to_leader(&mut self, sender: Id, from: &Member) {
@@ -69,6 +84,7 @@
             let greeting = Greeting {
                 from: from.clone(),
                 members: None,
+                leaving: false,
             };
             self.peers
                 .send(leader, Parcel::Greeting(Box::new(greeting)));
--- a/almondlock-control/src/replica/core/log.rs
+++ b/almondlock-control/src/replica/core/log.rs
@@ -14,7 +14,7 @@
 use almondlock_quorum::{
     entry::Term,
     machine::Reason,
-    member::{Change, Id, Members},
+    member::{Change, Id, Member, Members},
 };
 
 use self::{name::List, silence::Watch, told::Told};
@@ -122,11 +122,18 @@
         tracing::info!(%leader, term, commit, leads, "leader changed");
     }
 
+    /// Logs that a member said that it stops.
+    pub(super) fn log_leaving(&self, id: Id) {
+        let member = self.name(id);
+        tracing::info!(%member, "member stops");
+    }
+
     /// Logs who asks to join, as this replica was told.
     fn log_newcomers(&mut self, now: Mono) {
         let members = self.machine.members();
-        let mut present = self.gathering.present(now, PRESENT);
-        present.retain(|newcomer| !members.contains(newcomer.id));
+        let present = self.gathering.present(now, PRESENT).into_iter();
+        let present = present.map(|newcomer| newcomer.member);
+        let present: Vec<Member> = present.filter(|m| !members.contains(m.id)).collect();
         let ids: Vec<Id> = present.iter().map(|newcomer| newcomer.id).collect();
         let told = &mut self.logged.newcomers;
         let due = match present.is_empty() {
--- /dev/null
+++ b/almondlock-control/src/replica/core/sight.rs
@@ -0,0 +1,47 @@
+//! What a leader sees of the members.
+
+use almondlock_base::time::Mono;
+use almondlock_quorum::member::{Change, Id};
+
+use super::Core;
+use crate::replica::repair::{self, Peer, Sight};
+
+impl Core {
+    /// The next step of a membership that mends itself, if this replica leads.
+    pub(in crate::replica) fn repair_step(&self, now: Mono) -> Option<Change> {
+        if !self.is_leader() || self.stopping {
+            return None;
+        }
+        let sight = Sight {
+            own: self.own.id,
+            members: self.machine.members(),
+            newcomers: self.gathering.present(now, repair::PRESENT),
+            led_since: self.machine.led_since(),
+            patience: self.quorum.election(),
+            now,
+        };
+        sight.step(|id| Peer {
+            heard: self.machine.heard(id),
+            caught_up: self.machine.is_caught_up(id),
+            leaving: self.is_leaving(now, id),
+        })
+    }
+
+    pub(super) fn note_leaving(&mut self, now: Mono, id: Id) {
+        self.leaving
+            .retain(|_, said| now.since(*said) < repair::SILENCE);
+        if !self.machine.members().contains(id) {
+            return;
+        }
+        if self.leaving.insert(id, now).is_none() {
+            self.log_leaving(id);
+        }
+    }
+
+    /// Whether the member said lately that it stops. Later its silence tells, or it has come
+    /// back.
+    fn is_leaving(&self, now: Mono, id: Id) -> bool {
+        let said = self.leaving.get(&id);
+        said.is_some_and(|said| now.since(*said) < repair::SILENCE)
+    }
+}
--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -80,7 +80,6 @@
         forget_upstreams(&replica, now).await;
         replica.forget_silent().await;
         if replica.inner.config.repairs {
-            replica.repair(now).await;
             replica.tell_sources().await;
         }
         if expired.is_none_or(|at| now.since(at) >= limit::SWEEP) {
@@ -92,6 +91,15 @@
     }
 }
 
+/// Mends the membership, as long as the replica leads. A task of its own: other duties wait for
+/// the log, one after the other, and a lost voter that still counts may not wait for them.
+pub(super) async fn mend(replica: Replica) {
+    loop {
+        sleep(replica.inner.config.quorum.heartbeat()).await;
+        while replica.repair(clock::mono()).await {}
+    }
+}
+
 async fn forget_upstreams(replica: &Replica, now: Mono) {
     let registered: Vec<(Upstream, Incarnation)> = replica.state(|state| {
         let upstreams = state.config().upstreams.iter();
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -19,7 +19,7 @@
 use almondlock_quorum::member::{Id, Member, Members};
 use serde::{Deserialize, Serialize};
 
-use super::config::Initial;
+use super::{config::Initial, repair::Newcomer};
 
 /// The most newcomers remembered. Enough for any sensible group.
 const LIMIT: usize = 64;
@@ -32,6 +32,9 @@
     pub(super) from: Member,
     /// The group's members, if the speaker is of a group.
     pub(super) members: Option<Members>,
+    /// The speaker stops.
+    #[serde(default)]
+    pub(super) leaving: bool,
 }
 
 /// What to do about a greeting.
@@ -63,10 +66,13 @@
     }
 
     /// The newcomers that were heard within this span.
-    pub(super) fn present(&self, now: Mono, span: Duration) -> Vec<Member> {
-        let fresh = |host: &Host| self.heard.get(host).is_some_and(|at| now.since(*at) < span);
-        let members = self.known.values().filter(|member| fresh(&member.name));
-        members.cloned().collect()
+    pub(super) fn present(&self, now: Mono, span: Duration) -> Vec<Newcomer> {
+        let heard = self.heard.values().copied();
+        let newcomers = self.known.values().cloned().zip(heard);
+        newcomers
+            .filter(|(_, heard)| now.since(*heard) < span)
+            .map(|(member, heard)| Newcomer { member, heard })
+            .collect()
     }
 
     /// Decides for a replica that is in no group yet.
--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -64,20 +64,24 @@
     }
 
     /// Takes the next step of a membership that mends itself. One that can't be
-    /// made yet is looked at again in the next round.
-    pub(super) async fn repair(&self, now: Mono) {
+    /// made yet is looked at again in the next round. Gives whether one was made.
+    pub(super) async fn repair(&self, now: Mono) -> bool {
         let Some(change) = self.inner.core.borrow().repair_step(now) else {
-            return;
+            return false;
         };
         let asked = self.with(|core| core.change(&change));
         let result = match asked {
-            Ok(answer) => self.wait(answer).await,
+            Ok(answer) => {
+                self.wait_for(self.inner.config.quorum.election(), answer)
+                    .await
+            }
             Err(refusal) => Err(refusal),
         };
-        match result {
+        match &result {
             Ok(()) => tracing::info!(?change, "membership changed"),
             Err(refusal) => tracing::debug!(?change, %refusal, "membership not changed yet"),
         }
+        result.is_ok()
     }
 
     /// Tells processes where the replicas are, when that has changed.
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -27,7 +27,7 @@
 mod status;
 mod wire;
 
-use std::{cell::RefCell, path::Path, rc::Rc};
+use std::{cell::RefCell, path::Path, rc::Rc, time::Duration};
 
 use almondlock_base::Code;
 use almondlock_node::{Vouch, clock};
@@ -47,7 +47,7 @@
 };
 use almondlock_wire::almondlock_capnp::control;
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::Notify,
     task::{JoinHandle, spawn_local},
     time::{sleep, timeout},
 };
@@ -59,7 +59,10 @@
     remote::Remote,
     status::{Peer, Status},
 };
-use self::{core::Core, disk::Thread};
+use self::{
+    core::{Answer, Core},
+    disk::Thread,
+};
 
 /// A running replica. Clones are the same one.
 #[derive(Clone)]
@@ -125,12 +128,15 @@
                 }
             })
         };
-        let tasks = vec![
+        let mut tasks = vec![
             disk,
             spawn_local(replica.clone().settle_always()),
             spawn_local(replica.clone().tick_always()),
             spawn_local(duties::run(replica.clone())),
         ];
+        if replica.inner.config.repairs {
+            tasks.push(spawn_local(duties::mend(replica.clone())));
+        }
         replica.inner.tasks.borrow_mut().extend(tasks);
         Ok(replica)
     }
@@ -195,16 +201,21 @@
         }
     }
 
-    /// Hands leadership on, if it has it, and stops. As a leader it stays for an election
-    /// timeout at the most, until its successor has all entries and leads.
-    pub async fn stop(&self) {
-        self.with(|core| core.hand_over(clock::mono()));
+    /// Tells the others that it stops, and hands leadership on if it has it. As a leader it waits
+    /// for an election timeout at the most, until its successor has all entries and leads.
+    pub async fn leave(&self) {
+        self.with(|core| core.leave(clock::mono()));
         let quorum = &self.inner.config.quorum;
         let until = clock::mono() + quorum.election();
         sleep(quorum.heartbeat()).await;
         while self.is_leader() && clock::mono() < until {
             sleep(quorum.heartbeat() / 4).await;
         }
+    }
+
+    /// Leaves, and stops.
+    pub async fn stop(&self) {
+        self.leave().await;
         self.kill();
     }
 
@@ -225,8 +236,12 @@
         result
     }
 
-    async fn wait<T>(&self, answer: oneshot::Receiver<Result<T, Refusal>>) -> Result<T, Refusal> {
-        match timeout(self.inner.config.patience, answer).await {
+    async fn wait<T>(&self, answer: Answer<T>) -> Result<T, Refusal> {
+        self.wait_for(self.inner.config.patience, answer).await
+    }
+
+    async fn wait_for<T>(&self, span: Duration, answer: Answer<T>) -> Result<T, Refusal> {
+        match timeout(span, answer).await {
             Ok(Ok(result)) => result,
             Ok(Err(_)) => Err(Refusal::of(Code::NoQuorum)),
             Err(_) => Err(Refusal::of(Code::NoQuorum)),
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -5,12 +5,15 @@
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use almondlock_base::time::Mono;
-use almondlock_control::replica::repair::{SILENCE, Sight};
+use almondlock_control::replica::repair::{Newcomer, Peer, SILENCE, Sight};
 use almondlock_quorum::member::{Change, Id, Member, Members};
 use yare::parameterized;
 
 const NOW: Mono = Mono::from_millis(60_000);
 
+/// An election timeout.
+const PATIENCE: Duration = Duration::from_millis(500);
+
 fn member(id: u64, host: u8) -> Member {
     Member {
         address: SocketAddr::from(([10, 0, 0, host], 7000)),
@@ -22,23 +25,57 @@
     Members::of_voters(ids.iter().map(|(id, host)| member(*id, *host)))
 }
 
+/// What a member says that answers and has all.
+fn answering() -> Peer {
+    Peer {
+        heard: Some(NOW),
+        caught_up: true,
+        leaving: false,
+    }
+}
+
+fn silent_for(span: Duration) -> Peer {
+    Peer {
+        heard: Some(NOW - span),
+        ..answering()
+    }
+}
+
 struct Case {
     members: Members,
     newcomers: Vec<Member>,
     silent: Vec<u64>,
+    // What is known of others than those that answer or are silent.
+    peers: HashMap<u64, Peer>,
 }
 
 impl Case {
+    fn of(members: Members, newcomers: Vec<Member>, silent: Vec<u64>) -> Case {
+        Case {
+            members,
+            newcomers,
+            silent,
+            peers: HashMap::new(),
+        }
+    }
+
     fn step(&self) -> Option<Change> {
+        let newcomers = self.newcomers.iter().cloned();
         let sight = Sight {
             own: Id(1),
             members: &self.members,
-            newcomers: self.newcomers.clone(),
+            newcomers: newcomers
+                .map(|member| Newcomer { member, heard: NOW })
+                .collect(),
             led_since: Mono::ZERO,
+            patience: PATIENCE,
             now: NOW,
         };
-        let silent: HashMap<u64, ()> = self.silent.iter().map(|id| (*id, ())).collect();
-        sight.step(|id| Some(NOW).filter(|_| !silent.contains_key(&id.0)))
+        sight.step(|id| match self.peers.get(&id.0) {
+            Some(peer) => *peer,
+            None if self.silent.contains(&id.0) => Peer::default(),
+            None => answering(),
+        })
     }
 
     /// Takes steps until there is none left; gives them all.
@@ -51,105 +88,163 @@
         }
         steps
     }
+
+    fn voters(&self) -> Vec<u64> {
+        self.members.voters.keys().map(|id| id.0).collect()
+    }
 }
 
 #[test]
 fn silent_voter_stays() {
-    let case = Case {
-        members: group(&[(1, 1), (2, 2), (3, 3)]),
-        newcomers: vec![],
-        silent: vec![3],
-    };
+    let case = Case::of(group(&[(1, 1), (2, 2), (3, 3)]), vec![], vec![3]);
     assert_eq!(case.step(), None);
 }
 
-#[test]
-fn wiped_disk() {
-    let mut case = Case {
-        members: group(&[(1, 1), (2, 2), (3, 3)]),
-        newcomers: vec![member(13, 3)],
-        silent: vec![3],
-    };
+/// The newcomer at the address of a lost disk takes its place at once.
+#[parameterized(
+    silent = { Peer::default() },
+    heard_just_before = { silent_for(Duration::from_millis(50)) },
+)]
+fn wiped_disk(lost: Peer) {
     let newcomer = member(13, 3);
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![newcomer.clone()], vec![]);
+    case.peers.insert(3, lost);
     let expected = [
         Change::Add(newcomer),
-        Change::Promote(Id(13)),
         Change::Remove(Id(3)),
+        Change::Promote(Id(13)),
     ];
     assert_eq!(case.settle(), expected);
-    assert_eq!(case.members.voters.len(), 3);
+    assert_eq!(case.voters(), [1, 2, 13]);
 }
 
 #[test]
 fn other_address() {
-    let mut case = Case {
-        members: group(&[(1, 1), (2, 2), (3, 3)]),
-        newcomers: vec![member(13, 4)],
-        silent: vec![3],
-    };
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![member(13, 4)], vec![3]);
     case.settle();
-    let voters: Vec<Id> = case.members.voters.keys().copied().collect();
-    assert_eq!(voters, [Id(1), Id(2), Id(13)]);
+    assert_eq!(case.voters(), [1, 2, 13]);
+}
+
+/// Guards against a fourth voter beside three: once the old one has gone, the next lost disk would
+/// leave two of four. The new one waits without a vote until the old one leaves or falls silent.
+#[parameterized(
+    says_so = { Peer { leaving: true, ..answering() } },
+    falls_silent = { silent_for(PATIENCE) },
+)]
+fn planned_replacement(gone: Peer) {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![member(13, 4)], vec![]);
+    assert_eq!(case.settle(), [Change::Add(member(13, 4))]);
+    assert_eq!(case.voters(), [1, 2, 3]);
+    case.peers.insert(3, gone);
+    let expected = [Change::Remove(Id(3)), Change::Promote(Id(13))];
+    assert_eq!(case.settle(), expected);
 }
 
-/// The new one comes first, and the old one still answers: both stay until the
-/// old one has gone.
+/// Guards against giving up a copy before there is another one.
+#[parameterized(
+    behind = { Peer { caught_up: false, ..answering() } },
+    silent = { silent_for(PATIENCE) },
+    leaving = { Peer { leaving: true, ..answering() } },
+)]
+fn spare_not_ready(spare: Peer) {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(13, 4))).unwrap();
+    let mut case = Case::of(members, vec![], vec![3]);
+    case.peers.insert(13, spare);
+    assert_eq!(case.step(), None);
+}
+
+/// Guards against a removal that nobody can accept: one voter leaves and another is dead, and
+/// without the first one the dead one would be needed.
 #[test]
-fn planned_replacement() {
-    let mut case = Case {
-        members: group(&[(1, 1), (2, 2), (3, 3)]),
-        newcomers: vec![member(13, 4)],
-        silent: vec![],
+fn dead_one_first() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(14, 4))).unwrap();
+    let mut case = Case::of(members, vec![], vec![3]);
+    let leaving = Peer {
+        leaving: true,
+        ..answering()
     };
-    case.settle();
-    assert_eq!(case.members.voters.len(), 4);
-    case.silent.push(3);
-    assert_eq!(case.settle(), [Change::Remove(Id(3))]);
+    case.peers.insert(2, leaving);
+    let expected = [Change::Remove(Id(3)), Change::Promote(Id(14))];
+    assert_eq!(case.settle(), expected);
 }
 
 /// The newcomer is lost before it has caught up.
 #[test]
 fn lost_learner() {
-    let mut members = group(&[(1, 1), (2, 2), (3, 3)]);
-    members = members.changed(&Change::Add(member(13, 4))).unwrap();
-    let mut case = Case {
-        members,
-        newcomers: vec![],
-        silent: vec![3, 13],
-    };
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(13, 4))).unwrap();
+    let mut case = Case::of(members, vec![], vec![3, 13]);
     assert_eq!(case.settle(), [Change::Remove(Id(13))]);
 }
 
+/// A newcomer loses its disk again while it is a learner.
+#[test]
+fn wiped_learner() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(13, 3))).unwrap();
+    let mut case = Case::of(members, vec![member(23, 3)], vec![3, 13]);
+    case.settle();
+    assert_eq!(case.voters(), [1, 2, 23]);
+    assert!(case.members.learners.is_empty());
+}
+
 /// A group larger than its seeds takes all of its hosts in.
 #[test]
 fn five_from_three() {
-    let mut case = Case {
-        members: group(&[(1, 1), (2, 2), (3, 3)]),
-        newcomers: vec![member(4, 4), member(5, 5)],
-        silent: vec![],
-    };
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let newcomers = vec![member(4, 4), member(5, 5)];
+    let mut case = Case::of(members, newcomers, vec![]);
     case.settle();
-    assert_eq!(case.members.voters.len(), 5);
+    assert_eq!(case.voters(), [1, 2, 3, 4, 5]);
+}
+
+/// Guards against a group of five that needs all who are left once two have gone.
+#[test]
+fn two_of_five() {
+    let members = group(&[(1, 1), (2, 2), (3, 3), (4, 4), (5, 5)]);
+    let mut case = Case::of(members.clone(), vec![], vec![4]);
+    assert_eq!(case.step(), None);
+    case.silent.push(5);
+    case.settle();
+    assert_eq!(case.voters(), [1, 2, 3]);
+    let short = silent_for(SILENCE - Duration::from_millis(1));
+    let mut case = Case::of(members, vec![], vec![]);
+    case.peers.extend([(4, short), (5, short)]);
+    assert_eq!(case.step(), None);
 }
 
 /// A new leader has heard nobody yet. Nobody counts as silent before their
 /// time.
 #[test]
 fn new_leader() {
-    let members = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
-    let sight = |led_since| Sight {
-        own: Id(1),
-        members: &members,
-        newcomers: vec![],
-        led_since,
-        now: NOW,
+    let four = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
+    let three = group(&[(1, 1), (2, 2), (3, 3)]);
+    let spare = three.changed(&Change::Add(member(13, 4))).unwrap();
+    let step = |members: &Members, span: Duration| {
+        let sight = Sight {
+            own: Id(1),
+            members,
+            newcomers: vec![],
+            led_since: NOW - span,
+            patience: PATIENCE,
+            now: NOW,
+        };
+        let heard = |id| match id {
+            Id(2 | 4 | 13) => answering(),
+            _ => Peer::default(),
+        };
+        sight.step(heard)
     };
-    assert_eq!(sight(NOW).step(|_| None), None);
-    let long_ago = NOW - SILENCE - Duration::from_millis(1);
-    assert!(matches!(
-        sight(long_ago).step(|_| None),
-        Some(Change::Remove(_))
-    ));
+    let moment = Duration::from_millis(1);
+    assert_eq!(step(&four, SILENCE - moment), None);
+    assert_eq!(step(&four, SILENCE), Some(Change::Remove(Id(3))));
+    assert_eq!(step(&spare, PATIENCE - moment), None);
+    assert_eq!(step(&spare, PATIENCE), Some(Change::Remove(Id(3))));
 }
 
 /// Two of five voters share a failure domain. One of them loses its disk, and a
@@ -161,11 +256,7 @@
 )]
 fn shared_domain(voters: &[(u64, u8)]) {
     for host in [11, 21] {
-        let mut case = Case {
-            members: group(voters),
-            newcomers: vec![member(21, host)],
-            silent: vec![11],
-        };
+        let mut case = Case::of(group(voters), vec![member(21, host)], vec![11]);
         case.settle();
         assert_eq!(case.members.voters.len(), 5);
         assert!(case.members.is_voter(Id(21)) && !case.members.contains(Id(11)));
--- a/almondlock-control/tests/replaced_voter.rs
+++ b/almondlock-control/tests/replaced_voter.rs
@@ -9,7 +9,7 @@
 
 use almondlock_control::replica::Builder;
 use almondlock_transport::Security;
-use group::{Group, announce, capacity};
+use group::{Group, announce, capacity, revision, until};
 use tokio::time::{Instant, sleep, sleep_until};
 
 /// How long a newcomer has, from its start, until another disk may be lost.
@@ -99,3 +99,31 @@
     }
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// Guards against a replica that was removed while it was away and never learns of it: it would
+/// ask for votes that nobody gives, and the group lack a host that could take over.
+#[tokio::test]
+async fn comes_back() {
+    let mut group = repairing();
+    group.accept(announce(1)).await;
+    group.start(NEW);
+    let id = group.status(OLD).await.id;
+    group.kill(OLD);
+    let leader = group.leader().await;
+    until("the newcomer votes", async || {
+        let members = group.status(leader).await.members;
+        let votes = members
+            .iter()
+            .any(|peer| peer.name == group.names[NEW] && peer.voter);
+        (votes && members.iter().all(|peer| peer.id != id)).then_some(())
+    })
+    .await;
+    group.start(OLD);
+    let (_, reply) = group.accept(announce(2)).await;
+    group.holds(OLD, revision(&reply)).await;
+    let leader = group.leader().await;
+    let members = group.status(leader).await.members;
+    let old = members.iter().find(|peer| peer.id == id).unwrap();
+    assert!(!old.voter);
+    assert_eq!(members.iter().filter(|peer| peer.voter).count(), 3);
+}
--- a/almondlock-control/tests/told_causes.rs
+++ b/almondlock-control/tests/told_causes.rs
@@ -90,11 +90,6 @@
     let newcomer = group.add_host();
     group.start(newcomer);
     let new = group.status(newcomer).await.id.to_string();
-    lines
-        .until("replicas ask to join", |line| {
-            text(line, "newcomers").contains(&new)
-        })
-        .await;
     let added = lines
         .until("changes the members", |line| line["kind"] == "add")
         .await;
@@ -105,39 +100,59 @@
     );
     lines
         .until("members in force", |line| {
-            text(line, "voters").contains(&new) && line["accepted"] == true
+            text(line, "learners").contains(&new) && line["accepted"] == true
         })
         .await;
 
     let lost = (leader + 1) % 3;
     group.kill(lost);
+    let removed = lines
+        .until("changes the members", |line| {
+            line["kind"] == "remove" && text(line, "member").contains(&ids[lost])
+        })
+        .await;
+    assert!(removed["silent_ms"].as_u64() > Some(0), "{removed}");
+    lines
+        .until("members in force", |line| {
+            let voters = text(line, "voters");
+            voters.contains(&new) && !voters.contains(&ids[lost]) && line["accepted"] == true
+        })
+        .await;
+
+    let second = (leader + 2) % 3;
+    group.kill(second);
     let silent = lines
         .until("member silent", |line| {
-            text(line, "member").contains(&ids[lost])
+            text(line, "member").contains(&ids[second])
         })
         .await;
     assert_eq!(
         (&silent["answering"], &silent["quorum"]),
-        (&3.into(), &3.into())
+        (&2.into(), &2.into())
     );
-    let second = (leader + 2) % 3;
-    group.kill(second);
+    group.kill(newcomer);
     let failed = lines
         .until("no leader, votes are missing", |line| {
             let unanswered = text(line, "unanswered");
-            [lost, second].iter().all(|n| unanswered.contains(&ids[*n]))
+            [&new, &ids[second]]
+                .iter()
+                .all(|id| unanswered.contains(*id))
         })
         .await;
     assert_eq!(
         (&failed["quorum"], &failed["voters"]),
-        (&3.into(), &4.into())
-    );
-    let granted = text(&failed, "granted");
-    assert!(
-        granted.contains(&new) && granted.contains(&ids[leader]),
-        "{failed}"
+        (&2.into(), &3.into())
     );
+    assert!(text(&failed, "granted").contains(&ids[leader]), "{failed}");
 
+    group.wipe(lost);
+    group.start(lost);
+    let wiped = group.status(lost).await.id.to_string();
+    lines
+        .until("replicas ask to join", |line| {
+            text(line, "newcomers").contains(&wiped)
+        })
+        .await;
     group.start(second);
     group.accept(announce(2)).await;
 }
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -118,12 +118,12 @@
         self.replica.stopped().await
     }
 
-    /// Stops serving, then the replica.
+    /// Leaves the group, stops serving, then stops the replica.
     ///
-    /// **Failure.** Without a quorum calls wait for one for seconds. Waited for without a
-    /// bound, they hold a leader until it is ended by force, and leadership is never handed
-    /// on.
+    /// Others take the place of a replica that leaves, so they are told before calls in progress
+    /// end. Without a quorum calls wait for one for seconds, so the wait for them is bounded.
     pub(crate) async fn stop(self) {
+        self.replica.leave().await;
         let directory = async {
             if let Some((_, server)) = &self.directory {
                 server.stop(true).await;
--- a/almondlock-quorum/src/machine/change.rs
+++ b/almondlock-quorum/src/machine/change.rs
@@ -23,8 +23,10 @@
         if self.log.term(self.commit) != Some(self.hard.term) {
             return Err(Error::busy("the new leader has not accepted anything yet"));
         }
-        if let Change::Promote(id) = change {
-            self.check_caught_up(*id)?;
+        if let Change::Promote(id) = change
+            && !self.is_caught_up(*id)
+        {
+            return Err(Error::busy("the learner has not caught up yet"));
         }
         let members = self.log.members().changed(change)?;
         Ok(self.lead_members(members))
@@ -36,16 +38,14 @@
         position
     }
 
-    /// A learner gets its vote only once it has synced all that was accepted.
-    /// Promoted earlier it would count towards majorities without holding what
-    /// the others promised, and the next loss would take away the quorum until
-    /// it had caught up. Judged by the commit index at the last heartbeat: under
-    /// steady load the newest one is always an exchange ahead.
-    fn check_caught_up(&self, id: Id) -> Result<(), Error> {
-        let matched = self.peers.get(&id).map(|peer| peer.matched);
-        match matched {
-            Some(index) if index >= self.recent_commit.max(self.log.members_index()) => Ok(()),
-            _ => Err(Error::busy("the learner has not caught up yet")),
-        }
+    /// Of a leader: whether another member has synced all that was accepted.
+    ///
+    /// A learner gets its vote only then. Promoted earlier it would count towards
+    /// majorities without holding what the others promised, and the next loss would
+    /// take away the quorum until it had caught up. Judged by the commit index at the
+    /// last heartbeat: under steady load the newest one is always an exchange ahead.
+    pub fn is_caught_up(&self, id: Id) -> bool {
+        let needed = self.recent_commit.max(self.log.members_index());
+        self.matched(id).is_some_and(|index| index >= needed)
     }
 }
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -233,7 +233,9 @@
         own && !self.is_leader() && self.hears_leader(now)
     }
 
-    fn hears_leader(&self, now: Mono) -> bool {
+    /// Whether this replica leads, or heard a leader of the present term within an election
+    /// timeout.
+    pub fn hears_leader(&self, now: Mono) -> bool {
         let recent = |at: Mono| now.since(at) < self.config.election;
         self.is_leader() || (self.leader.is_some() && self.leader_heard.is_some_and(recent))
     }
