Send entries again to a replica that lost what it had acknowledged

Two replicas in turn come back without the last bytes of a synced file. Each stays in the group at commit 0 and gets no entries, no line says so, and after the second one nothing is accepted any more (NotReady) while every process runs.

Cause: a leader took every refusal below what a follower had acknowledged for a late one and passed over it, so it never sent the entries again. The follower's refusals still counted as signs of life: its leader neither stepped down nor had it replaced, and nobody stood for election. It lasted until the leader changed.

The same line held up a follower that had lost nothing. The hint of a refusal passes over a whole term. After one lost append, a follower that holds other entries of the same term refuses the next ones below what it acknowledged, for as long as the leader stays (`hint_below_acknowledged`).

Change: such a refusal makes the leader ask at the last acknowledged entry, in a new round. Refused in that round, the replica doesn't hold the entry: the leader says so at warn level (who, what it acknowledged, what it holds), drops its acknowledgements, counts only those of a round after that, and sends the entries again. Reads keep the round that they wait for, since rounds now also begin without them.

Why sent again and not stopped: the replica's vote is unsafe from its return until it holds the entries again, and only the leader can know. Sending at once shortens that; passing over the refusal left it open for the leader's life, and a new leader sent them in silence.

--- a/almondlock-quorum/src/machine/progress.rs
+++ b/almondlock-quorum/src/machine/progress.rs
@@ -15,14 +15,17 @@
     pub(super) mode: Mode,
     /// The newest round of heartbeats that it answered.
     pub(super) round: u64,
+    // Answers to appends of earlier rounds don't say what it holds: it lost entries since.
+    valid_from: u64,
     /// When it was last heard in this term.
     pub(super) heard: Option<Mono>,
 }
 
 #[derive(Debug)]
 pub(super) enum Mode {
-    /// Where the logs part is not known: one append at a time.
-    Probe { waiting: bool },
+    /// Where the logs part is not known: one append at a time. Once it refused what it had
+    /// acknowledged, with the round in which it was asked whether it still holds `matched`.
+    Probe { waiting: bool, asked: Option<u64> },
     /// Appends follow each other without waiting; the last index of each that
     /// has not been answered.
     Pipeline { flying: VecDeque<Index> },
@@ -34,24 +37,42 @@
     },
 }
 
+/// What a refused append tells the leader.
+#[derive(Debug)]
+pub(super) enum Refusal {
+    /// Nothing: it answers an older append, or a snapshot is on its way.
+    Stale,
+    /// Where to go on.
+    Parted,
+    /// It may not hold what it acknowledged. It is to be asked in a new round.
+    Doubtful,
+    /// It doesn't hold what it acknowledged.
+    Lost,
+}
+
 impl Progress {
     pub(super) fn new(next: Index) -> Progress {
         Progress {
             matched: Index::ZERO,
             next,
-            mode: Mode::Probe { waiting: false },
+            mode: Mode::probe(),
             round: 0,
+            valid_from: 0,
             heard: None,
         }
     }
 
     pub(super) fn probe(&mut self, next: Index) {
         self.next = next.max(self.matched.next());
-        self.mode = Mode::Probe { waiting: false };
+        self.mode = Mode::probe();
     }
 
-    /// It agrees up to `index`. Returns whether more may be sent.
-    pub(super) fn on_matched(&mut self, index: Index) -> bool {
+    /// It agrees up to `index`, in answer to an append of this round. Returns whether more may be
+    /// sent.
+    pub(super) fn on_matched(&mut self, index: Index, round: u64) -> bool {
+        if self.is_stale(round) {
+            return false;
+        }
         self.matched = self.matched.max(index);
         match &mut self.mode {
             // An answer to an older append says nothing about the probe.
@@ -63,18 +84,66 @@
             }
             Mode::Pipeline { flying } => while flying.pop_front_if(|at| *at <= index).is_some() {},
             Mode::Snapshot { snapshot, .. } if self.matched < snapshot.index => return false,
-            Mode::Snapshot { .. } => self.mode = Mode::Probe { waiting: false },
+            Mode::Snapshot { .. } => self.mode = Mode::probe(),
         }
         self.next = self.next.max(self.matched.next());
         true
     }
 
-    /// It disagrees; nothing after `hint` can agree. Returns whether that was news.
-    pub(super) fn on_refused(&mut self, hint: Index) -> bool {
-        let stale = hint < self.matched || matches!(self.mode, Mode::Snapshot { .. });
-        if !stale {
+    /// It refused an append of this round; nothing after `hint` can agree.
+    ///
+    /// A refusal below what it acknowledged may be late, or its hint passed over entries that do
+    /// agree, since it passes over a whole term. Then the next append names the last entry that
+    /// it acknowledged, in a new round: who refuses one of that round doesn't hold that entry.
+    pub(super) fn on_refused(&mut self, hint: Index, round: u64) -> Refusal {
+        if self.is_stale(round) {
+            return Refusal::Stale;
+        }
+        let asked = match self.mode {
+            Mode::Snapshot { .. } => return Refusal::Stale,
+            Mode::Pipeline { .. } => None,
+            Mode::Probe { asked, .. } => asked,
+        };
+        if hint >= self.matched {
             self.probe(hint.next().min(self.next));
+            return Refusal::Parted;
+        }
+        match asked {
+            None => Refusal::Doubtful,
+            Some(asked) if round >= asked => Refusal::Lost,
+            Some(_) => Refusal::Stale,
+        }
+    }
+
+    /// Asks in this round, which must be new, whether it holds what it acknowledged.
+    pub(super) fn doubt(&mut self, round: u64) {
+        self.next = self.matched.next();
+        self.mode = Mode::Probe {
+            waiting: false,
+            asked: Some(round),
+        };
+    }
+
+    /// It holds nothing after `hint` any more. What it acknowledged before this round, which must
+    /// be new, doesn't count.
+    pub(super) fn lose(&mut self, hint: Index, round: u64) {
+        self.matched = Index::ZERO;
+        self.valid_from = round;
+        self.probe(hint.next().min(self.next));
+    }
+
+    // Answers to pieces of a snapshot name no round.
+    fn is_stale(&self, round: u64) -> bool {
+        let piece = round == 0 && matches!(self.mode, Mode::Snapshot { .. });
+        round < self.valid_from && !piece
+    }
+}
+
+impl Mode {
+    fn probe() -> Mode {
+        Mode::Probe {
+            waiting: false,
+            asked: None,
         }
-        !stale
     }
 }
--- a/almondlock-quorum/src/machine/read.rs
+++ b/almondlock-quorum/src/machine/read.rs
@@ -26,7 +26,9 @@
     // The newest round begun. Rises through all terms.
     round: u64,
     running: Vec<u64>,
-    // The commit index when the running round began.
+    // The round that confirms those running. Invariant: `confirming <= round`.
+    confirming: u64,
+    // The commit index when that round began.
     index: Index,
     waiting: Vec<u64>,
 }
@@ -35,6 +37,12 @@
     pub(super) fn round(&self) -> u64 {
         self.round
     }
+
+    /// Begins a round. Answers of this round or later ones answer what is sent from now on.
+    pub(super) fn next_round(&mut self) -> u64 {
+        self.round += 1;
+        self.round
+    }
 }
 
 impl Machine {
@@ -53,7 +61,7 @@
         if !self.reads.running.is_empty() || self.reads.waiting.is_empty() || !current {
             return;
         }
-        self.reads.round += 1;
+        self.reads.confirming = self.reads.next_round();
         self.reads.index = self.commit;
         self.reads.running = std::mem::take(&mut self.reads.waiting);
         self.heartbeat(now);
@@ -61,7 +69,7 @@
     }
 
     pub(super) fn confirm_reads(&mut self, now: Mono) {
-        let round = self.reads.round;
+        let round = self.reads.confirming;
         let confirmed = |id: Id| {
             let peer = self.peers.get(&id);
             id == self.id || peer.is_some_and(|peer| peer.round >= round)
--- a/almondlock-quorum/src/machine/replication.rs
+++ b/almondlock-quorum/src/machine/replication.rs
@@ -10,7 +10,7 @@
 
 use super::{
     Machine,
-    progress::{Mode, Progress},
+    progress::{Mode, Progress, Refusal},
 };
 use crate::{
     entry::{Entry, Index, Term},
@@ -40,7 +40,7 @@
             return;
         };
         match &mut peer.mode {
-            Mode::Probe { waiting } => {
+            Mode::Probe { waiting, .. } => {
                 *waiting = false;
                 self.replicate(now, id);
             }
@@ -91,7 +91,7 @@
         let peer = self.peers.get_mut(&id)?;
         let previous = peer.next.previous();
         let ready = match &mut peer.mode {
-            Mode::Probe { waiting } => !std::mem::replace(waiting, true),
+            Mode::Probe { waiting, .. } => !std::mem::replace(waiting, true),
             Mode::Pipeline { flying } => peer.next <= self.log.last() && flying.len() < window,
             Mode::Snapshot { .. } => false,
         };
@@ -133,9 +133,9 @@
         peer.heard = Some(now);
         peer.round = peer.round.max(reply.round);
         let more = if reply.matched {
-            peer.on_matched(reply.index.min(last))
+            peer.on_matched(reply.index.min(last), reply.round)
         } else {
-            peer.on_refused(reply.index)
+            self.on_refused(from, reply)
         };
         self.advance_commit(now);
         if more {
@@ -145,6 +145,34 @@
         self.confirm_reads(now);
     }
 
+    /// Returns whether something is to be sent.
+    ///
+    /// **Failure.** A file system loses the end of a synced file, and the replica returns with
+    /// less than it acknowledged. Refused for ever it would hold nothing, yet be heard, so that
+    /// nobody replaces it and the leader stays; a second one like it ends the group. It is sent
+    /// its entries again, and what it acknowledged before no longer counts.
+    fn on_refused(&mut self, from: Id, reply: AppendReply) -> bool {
+        let Some(peer) = self.peers.get_mut(&from) else {
+            return false;
+        };
+        match peer.on_refused(reply.index, reply.round) {
+            Refusal::Stale => return false,
+            Refusal::Parted => {}
+            Refusal::Doubtful => peer.doubt(self.reads.next_round()),
+            Refusal::Lost => {
+                let (acknowledged, last) = (peer.matched.0, reply.index.0);
+                tracing::warn!(
+                    replica = %from,
+                    acknowledged,
+                    last,
+                    "a replica lost entries that it had acknowledged; they are sent again"
+                );
+                peer.lose(reply.index, self.reads.next_round());
+            }
+        }
+        true
+    }
+
     /// Accepts what a majority has synced, if it is of the present term.
     ///
     /// An entry of an earlier term may be held by a majority and yet be
--- a/almondlock-quorum/tests/cluster/mod.rs
+++ b/almondlock-quorum/tests/cluster/mod.rs
@@ -194,6 +194,14 @@
         node.machine = None;
     }
 
+    /// The process dies, and its disk loses the last entries of those that it synced.
+    pub fn cut(&mut self, n: usize, entries: usize) {
+        self.crash(n);
+        let disk = &mut self.nodes[n].disk;
+        let left = disk.entries.len().saturating_sub(entries);
+        disk.entries.truncate(left);
+    }
+
     /// The disk is lost; the host returns with an empty one, as somebody else.
     pub fn wipe(&mut self, n: usize) {
         self.crash(n);
