Elect and keep a leader while syncs are slower than an election timeout

Seen: a group whose disks sync slowly has no leader for as long as that lasts, with every process running and reachable.

Cause, three waits that a slow sync outlasts: - A candidate stood again in the next term before its vote of this one was synced, and so did voters that had just given theirs. - A candidate whose own disk is fast gave up before its voters had synced. - A follower answered heartbeats after its syncs, so a leader heard nobody for an election timeout and stepped down.

Change: nobody stands while its term and vote are being synced, and the wait begins afterwards; it doubles with each election that failed, up to four timeouts. An append that brings nothing new is answered at once, others also at least once a heartbeat, with what is synced.

Safety: an early answer names synced entries only. Its term may not be synced yet, but an entry of that term that is synced was synced with it, and entries of earlier terms count for nothing by themselves. A round that it confirms says that this replica had voted for nobody newer; a vote is synced before it is given.

--- a/almondlock-quorum/src/machine/append.rs
+++ b/almondlock-quorum/src/machine/append.rs
@@ -10,6 +10,12 @@
 };
 
 impl Machine {
+    /// Answers once what the append brought is synced; at once if it brought nothing, and once a
+    /// heartbeat.
+    ///
+    /// **Failure.** On slow disks a sync takes longer than an election timeout. Were the leader
+    /// answered only after it, each would hear nobody and step down, again and again. An answer
+    /// at once promises only what is synced already.
     pub(super) fn on_append(&mut self, now: Mono, from: Id, append: Append) {
         if self.is_leader() {
             // Only a replica that lost its memory of this term could say so.
@@ -19,19 +25,27 @@
         self.hear_leader(now, from);
         self.leader_commit = self.leader_commit.max(Some(append.commit));
         let round = append.round;
-        let reply = match self.check_previous(&append) {
-            Err(hint) => AppendReply {
-                matched: false,
-                index: hint,
+        let reply = |matched, index| {
+            Body::AppendReply(AppendReply {
+                matched,
+                index,
                 round,
-            },
-            Ok(()) => AppendReply {
-                matched: true,
-                index: self.accept(append),
-                round,
-            },
+            })
         };
-        self.send_synced(from, Body::AppendReply(reply));
+        match self.check_previous(&append) {
+            Err(hint) => self.send(from, reply(false, hint)),
+            Ok(()) => {
+                let (last, wrote) = self.accept(append);
+                if wrote {
+                    self.send_synced(from, reply(true, last));
+                }
+                if !wrote || now.since(self.answered_at) >= self.config.heartbeat {
+                    self.answered_at = now;
+                    let synced = last.min(self.durable);
+                    self.send(from, reply(true, synced));
+                }
+            }
+        }
     }
 
     /// Whether the logs agree before the entries sent; else the last index at
@@ -56,30 +70,33 @@
         Err(hint)
     }
 
-    /// Takes the entries in and returns the last index that agrees.
-    fn accept(&mut self, append: Append) -> Index {
+    /// Takes the entries in. Returns the last index that agrees, and whether any was new.
+    fn accept(&mut self, append: Append) -> (Index, bool) {
         let last = Index(append.previous_index.0 + append.entries.len() as u64);
+        let mut wrote = false;
         for entry in append.entries {
-            self.accept_entry(entry);
+            wrote |= self.accept_entry(entry);
         }
         self.commit = self.commit.max(append.commit.min(last));
-        last
+        (last, wrote)
     }
 
-    fn accept_entry(&mut self, entry: Entry) {
+    fn accept_entry(&mut self, entry: Entry) -> bool {
         if entry.index <= self.log.base() || entry.index <= self.commit {
-            return;
+            return false;
         }
         match self.log.term(entry.index) {
-            Some(term) if term == entry.term => return,
+            Some(term) if term == entry.term => return false,
             Some(_) => {
                 self.log.truncate(entry.index);
                 self.durable = self.durable.min(entry.index.previous());
             }
             None => {}
         }
-        if entry.index == self.log.last().next() {
+        let follows = entry.index == self.log.last().next();
+        if follows {
             self.append_entry(entry);
         }
+        follows
     }
 }
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -16,10 +16,13 @@
     message::{AppendReply, Body, Message, VoteReply, VoteRequest},
 };
 
-/// Doublings of the time between the first elections at the most. The usual election
-/// timeout bounds it long before.
+/// Doublings of the time between elections at the most. The longest election timeout bounds it
+/// long before.
 const DOUBLINGS: u32 = 10;
 
+/// The longest wait after failed elections, in election timeouts, before it is spread.
+const PATIENCE: u32 = 4;
+
 impl Machine {
     pub(super) fn delay_election(&mut self, now: Mono) {
         if !self.knew_leader {
@@ -29,6 +32,23 @@
         self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.0));
     }
 
+    /// Waits for an election to end that this replica stands in, or gave its vote in.
+    ///
+    /// **Failure.** Votes take longer to be synced than a candidate waits, or than its voters do
+    /// before they stand themselves. Each election is given up for the next one, and nobody leads
+    /// for as long as the disks are slow. So the wait begins when the vote is synced here, and
+    /// each time that it was too short it doubles.
+    pub(super) fn put_off_election(&mut self, now: Mono) {
+        let failed = self.rounds.saturating_sub(1).min(DOUBLINGS);
+        let (usual, spread) = match self.knew_leader {
+            true => (self.config.election, 1.0),
+            false => (self.config.heartbeat, 1.5),
+        };
+        let least = usual * 2_u32.pow(failed);
+        let least = least.min(self.config.election * PATIENCE);
+        self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..spread));
+    }
+
     /// The first time to stand for election after a start: soon, because all
     /// replicas may have started together, and until one leads nobody is told
     /// what is in force. Where there is a leader, those that hear it refuse
@@ -70,9 +90,11 @@
     pub(super) fn hear_leader(&mut self, now: Mono, leader: Id) {
         if self.role != Role::Follower || self.leader != Some(leader) {
             self.follow(now, self.hard.term, Some(leader));
+            self.answered_at = now;
         }
         self.leader_heard = Some(now);
         self.knew_leader = true;
+        self.rounds = 0;
         self.delay_election(now);
     }
 
@@ -88,9 +110,8 @@
         self.count_vote(now, self.id);
     }
 
-    fn campaign(&mut self, now: Mono, cause: Cause) {
+    fn campaign(&mut self, cause: Cause) {
         self.rounds = self.rounds.saturating_add(1);
-        self.delay_election(now);
         self.cause = Some(cause);
         self.role = Role::Candidate;
         self.leader = None;
@@ -100,7 +121,7 @@
         self.leader_heard = None;
         // Its own vote counts once it is on disk, as any other: forgotten in a
         // crash, it could be given to another in the same term.
-        self.output.vote = self.output.changed_hard();
+        self.output.changed_hard();
         self.ask_votes(false);
     }
 
@@ -136,7 +157,7 @@
             return;
         }
         match self.role {
-            Role::PreCandidate => self.campaign(now, Cause::Silence),
+            Role::PreCandidate => self.campaign(Cause::Silence),
             Role::Candidate => self.lead(now),
             Role::Follower | Role::Leader => {}
         }
@@ -146,6 +167,7 @@
         self.role = Role::Leader;
         self.leader = Some(self.id);
         self.knew_leader = true;
+        self.rounds = 0;
         self.elected_at = now;
         self.heartbeat_at = now + self.config.heartbeat;
         self.sync_peers();
@@ -225,9 +247,9 @@
         }
     }
 
-    pub(super) fn on_timeout_now(&mut self, now: Mono) {
+    pub(super) fn on_timeout_now(&mut self) {
         if self.role == Role::Follower && self.log.members().is_voter(self.id) {
-            self.campaign(now, Cause::HandOver);
+            self.campaign(Cause::HandOver);
         }
     }
 
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -81,10 +81,12 @@
     election_at: Mono,
     // A leader was known in this life, or it was this replica.
     knew_leader: bool,
-    // How often it stood for election in this life.
+    // How often it stood for election since it knew a leader.
     rounds: u32,
     // When a leader of the present term was last heard.
     leader_heard: Option<Mono>,
+    // Of a follower: when it last answered its leader before a sync, or first heard it.
+    answered_at: Mono,
     // What the present term's leader last said to be accepted.
     leader_commit: Option<Index>,
     votes: BTreeSet<Id>,
@@ -134,6 +136,7 @@
             knew_leader: false,
             rounds: 0,
             leader_heard: None,
+            answered_at: now,
             leader_commit: None,
             votes: BTreeSet::new(),
             cause: None,
@@ -167,7 +170,7 @@
             Body::AppendReply(reply) => self.on_append_reply(now, from, reply),
             Body::Piece(piece) => self.on_piece(now, from, piece),
             Body::PieceReply(reply) => self.on_piece_reply(now, from, reply),
-            Body::TimeoutNow => self.on_timeout_now(now),
+            Body::TimeoutNow => self.on_timeout_now(),
         }
     }
 
@@ -175,7 +178,7 @@
     pub fn tick(&mut self, now: Mono) {
         if self.role == Role::Leader {
             self.tick_leader(now);
-        } else if now >= self.election_at {
+        } else if now >= self.election_at && self.output.is_hard_synced() {
             self.pre_campaign(now);
         }
     }
@@ -193,14 +196,18 @@
     /// All writes up to this sequence number are on disk, file and folder
     /// synced.
     pub fn synced(&mut self, now: Mono, sequence: u64) {
+        let waited = !self.output.is_hard_synced();
         let done = self.output.synced(sequence);
+        if waited && self.output.is_hard_synced() {
+            self.put_off_election(now);
+        }
         if let Some(position) = done
             && self.log.term(position.index) == Some(position.term)
         {
             self.durable = self.durable.max(position.index);
         }
         match self.role {
-            Role::Candidate if !self.output.is_held(self.output.vote) => {
+            Role::Candidate if self.output.is_hard_synced() => {
                 self.count_vote(now, self.id);
             }
             Role::Leader => self.advance_commit(now),
@@ -308,9 +315,10 @@
         self.peers.get(&id).map(|peer| peer.matched)
     }
 
-    /// Of a leader: when another replica was last heard in this term.
+    /// Of a leader: when another replica last answered in this term and held all entries, or
+    /// more than before. One whose disk hangs answers and doesn't come to hold more.
     pub fn heard(&self, id: Id) -> Option<Mono> {
-        self.peers.get(&id).and_then(|peer| peer.heard)
+        self.peers.get(&id).and_then(|peer| peer.answered)
     }
 
     /// Of a leader: since when it has led.
--- a/almondlock-quorum/src/machine/output.rs
+++ b/almondlock-quorum/src/machine/output.rs
@@ -44,14 +44,14 @@
     first: Option<Index>,
     reset: bool,
     snapshot: Option<Arc<Snapshot>>,
-    // The last entry of each write taken and not yet synced.
+    // The last entry of each write taken and not yet synced, or of its snapshot.
     flying: VecDeque<(u64, Position)>,
     held: VecDeque<(u64, Envelope)>,
     messages: Vec<Envelope>,
     restore: Option<Arc<Snapshot>>,
     grants: Vec<Grant>,
-    /// The write that holds this replica's vote for itself.
-    pub(super) vote: u64,
+    // The write that holds the present term and vote.
+    hard: u64,
 }
 
 impl Pending {
@@ -65,9 +65,14 @@
     }
 
     /// The term or the vote changed.
-    pub(super) fn changed_hard(&mut self) -> u64 {
+    pub(super) fn changed_hard(&mut self) {
         self.dirty = true;
-        self.next()
+        self.hard = self.next();
+    }
+
+    /// Whether the present term and vote are synced.
+    pub(super) fn is_hard_synced(&self) -> bool {
+        !self.is_held(self.hard)
     }
 
     /// Entries from `first` on are new.
@@ -110,7 +115,7 @@
         }
     }
 
-    pub(super) fn is_held(&self, sequence: u64) -> bool {
+    fn is_held(&self, sequence: u64) -> bool {
         sequence > self.done
     }
 
@@ -146,17 +151,17 @@
         let least = log.base().next();
         let entries = self.first.take().map(|first| log.from(first.max(least)));
         let entries = entries.unwrap_or_default();
-        if let Some(last) = entries.last() {
-            let position = Position {
-                term: last.term,
-                index: last.index,
-            };
+        let snapshot = self.snapshot.take();
+        let position = |index, term| Position { term, index };
+        let covered = snapshot.as_ref().map(|s| position(s.index, s.term));
+        let last = entries.last().map(|e| position(e.index, e.term));
+        if let Some(position) = last.or(covered) {
             self.flying.push_back((self.sequence, position));
         }
         Some(Write {
             sequence: self.sequence,
             hard,
-            snapshot: self.snapshot.take(),
+            snapshot,
             reset: std::mem::take(&mut self.reset),
             entries,
         })
--- a/almondlock-quorum/src/machine/progress.rs
+++ b/almondlock-quorum/src/machine/progress.rs
@@ -19,6 +19,8 @@
     valid_from: u64,
     /// When it was last heard in this term.
     pub(super) heard: Option<Mono>,
+    /// When it was last heard and held all entries, or more than before.
+    pub(super) answered: Option<Mono>,
 }
 
 #[derive(Debug)]
@@ -59,6 +61,7 @@
             round: 0,
             valid_from: 0,
             heard: None,
+            answered: None,
         }
     }
 
--- a/almondlock-quorum/src/machine/replication.rs
+++ b/almondlock-quorum/src/machine/replication.rs
@@ -132,6 +132,9 @@
         };
         peer.heard = Some(now);
         peer.round = peer.round.max(reply.round);
+        if !reply.matched || reply.index > peer.matched || reply.index >= last {
+            peer.answered = Some(now);
+        }
         let more = if reply.matched {
             peer.on_matched(reply.index.min(last), reply.round)
         } else {
--- a/almondlock-quorum/src/machine/snapshot.rs
+++ b/almondlock-quorum/src/machine/snapshot.rs
@@ -8,7 +8,7 @@
 
 use super::{Machine, progress::Mode};
 use crate::{
-    entry::Snapshot,
+    entry::{Index, Snapshot},
     member::Id,
     message::{AppendReply, Body, Piece, PieceReply},
 };
@@ -64,6 +64,7 @@
             return;
         };
         peer.heard = Some(now);
+        peer.answered = Some(now);
         let Mode::Snapshot {
             snapshot, offset, ..
         } = &mut peer.mode
@@ -152,7 +153,8 @@
         let index = snapshot.index;
         let kept = self.log.install(Arc::clone(&snapshot));
         if !kept {
-            self.durable = index;
+            // Until the snapshot is synced.
+            self.durable = Index::ZERO;
         }
         self.commit = index;
         self.handed = index;
--- a/almondlock-quorum/tests/cluster/mod.rs
+++ b/almondlock-quorum/tests/cluster/mod.rs
@@ -74,6 +74,10 @@
     pub writes: VecDeque<Write>,
     /// Its disk takes its time.
     pub slow: bool,
+    /// How long each of its syncs takes, if it isn't left to chance.
+    pub sync_millis: Option<u64>,
+    // The sync under way: its end, and how many writes it covers.
+    syncing: Option<(u64, usize)>,
     /// Its process hangs.
     pub paused: bool,
     compacted: Index,
@@ -121,6 +125,8 @@
     pub tokens: BTreeMap<u64, Index>,
     pub retain: u64,
     pub compact_every: u64,
+    /// The most bytes in one append.
+    pub batch: usize,
     value: u64,
 }
 
@@ -139,6 +145,7 @@
             tokens: BTreeMap::new(),
             retain: 8,
             compact_every: 40,
+            batch: 100,
             value: 0,
         };
         for member in members {
@@ -157,6 +164,8 @@
             disk,
             writes: VecDeque::new(),
             slow: false,
+            sync_millis: None,
+            syncing: None,
             paused: false,
             compacted: Index::ZERO,
         });
@@ -170,7 +179,7 @@
         let config = Config::builder()
             .retain(self.retain)
             .piece(10)
-            .batch(100)
+            .batch(self.batch)
             .window(4)
             .seed(self.rng.random())
             .build()
@@ -192,6 +201,7 @@
             node.disk.apply(&write);
         }
         node.machine = None;
+        node.syncing = None;
     }
 
     /// The process dies, and its disk loses the last entries of those that it synced.
@@ -275,9 +285,14 @@
             if self.nodes[n].paused {
                 continue;
             }
-            let idle = self.nodes[n].slow || self.rng.random_bool(0.3);
-            if !idle {
-                self.sync(n);
+            match self.nodes[n].sync_millis {
+                Some(span) => self.sync_slowly(n, span),
+                None => {
+                    let idle = self.nodes[n].slow || self.rng.random_bool(0.3);
+                    if !idle {
+                        self.sync(n);
+                    }
+                }
             }
             if let Some(machine) = self.nodes[n].machine.as_mut() {
                 machine.tick(now);
@@ -289,10 +304,31 @@
 
     /// One sync for all writes that wait.
     pub fn sync(&mut self, n: usize) {
+        self.sync_first(n, self.nodes[n].writes.len());
+    }
+
+    /// Ends a sync that has had its time, and begins the next one for all writes that wait.
+    fn sync_slowly(&mut self, n: usize, span: u64) {
+        if let Some((end, writes)) = self.nodes[n].syncing
+            && end <= self.now
+        {
+            self.nodes[n].syncing = None;
+            self.sync_first(n, writes);
+        }
+        let node = &mut self.nodes[n];
+        if node.syncing.is_none() && !node.writes.is_empty() {
+            node.syncing = Some((self.now + span, node.writes.len()));
+        }
+    }
+
+    fn sync_first(&mut self, n: usize, writes: usize) {
         let now = self.mono();
         let node = &mut self.nodes[n];
-        let newest = node.writes.back().map(|w| w.sequence);
-        node.writes.drain(..).for_each(|w| node.disk.apply(&w));
+        let mut newest = None;
+        for write in node.writes.drain(..writes) {
+            newest = Some(write.sequence);
+            node.disk.apply(&write);
+        }
         if let (Some(machine), Some(newest)) = (node.machine.as_mut(), newest) {
             machine.synced(now, newest);
             self.settle(n);
