Sync each removal of a segment before the next one

Removals that aren't synced are kept or lost independently; an older segment that comes back without the next one leaves a gap, which is refused as damage.

Change: the folder is synced between two removals, so what comes back is at most the newest one removed.

The other tests on files pass.

--- a/almondlock-quorum/src/storage/store.rs
+++ b/almondlock-quorum/src/storage/store.rs
@@ -193,10 +193,19 @@
 
     /// Removes closed segments, oldest first, while all that they hold lies at
     /// or before `index`.
+    ///
+    /// **Failure.** The power fails, and of several removals that were not synced any may come
+    /// back. An older segment without the next one looks like a damaged log. So each removal is
+    /// synced before the next one.
     fn forget(&mut self, index: Index) -> Result<(), Error> {
+        let mut unsynced = false;
         while let Some((number, _)) = self.closed.pop_front_if(|(_, high)| *high <= index) {
+            if unsynced {
+                self.sync_folder()?;
+            }
             let removed = self.disk.remove(&segment::name(number));
             self.check(removed, "can't remove an old segment")?;
+            unsynced = true;
         }
         Ok(())
     }
