Change the members only while a majority of those after it answers

Seen in random schedules of the test cluster: two of three accepted voters run, hold everything and reach each other, and nobody ever leads. The leader had appended the promotion of a newcomer that then was lost, beside a voter that was lost. A change is in force from its append on, so the leader needs three of four; the other one's log is shorter, so it can't lead either.

Cause of the part that can be helped: a learner that had everything could be promoted after its death for as long as nothing new was accepted, since only what it holds was looked at and not whether it still answers. Repairs take a dead learner out after 3 s; until then they promote it.

Change: a change is refused, to be asked again, unless the leader heard a majority of the members after it within an election timeout. That blocks no step that could be accepted.

Tests: `member_changes::majority_after_it_answers` fails without the rule. Its file's others, `random_schedules`, `silent_minority`, `handed_over`, and of almondlock-control `mended_membership` and `lost_host` pass.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -209,7 +209,8 @@
 
     pub(super) fn change(&mut self, change: &Change) -> Result<Answer<()>, Refusal> {
         self.check()?;
-        let position = self.machine.change(change)?;
+        let now = almondlock_node::clock::mono();
+        let position = self.machine.change(now, change)?;
         let (asker, answer) = oneshot::channel();
         self.expect(position, Waiting::Change(asker));
         Ok(answer)
--- a/almondlock-quorum/src/machine/change.rs
+++ b/almondlock-quorum/src/machine/change.rs
@@ -6,6 +6,8 @@
 //! in a row could each start from the same members and change them differently,
 //! to sets whose majorities need not meet.
 
+use almondlock_base::time::Mono;
+
 use super::Machine;
 use crate::{
     entry::{Payload, Position},
@@ -14,8 +16,9 @@
 };
 
 impl Machine {
-    /// Puts a change of the members into the log, if this replica leads.
-    pub fn change(&mut self, change: &Change) -> Result<Position, Error> {
+    /// Puts a change of the members into the log, if this replica leads and hears a majority of
+    /// those that the change leaves.
+    pub fn change(&mut self, now: Mono, change: &Change) -> Result<Position, Error> {
         self.check_writer()?;
         if self.log.members_index() > self.commit {
             return Err(Error::busy("another change of the members is under way"));
@@ -27,6 +30,13 @@
             self.check_caught_up(*id)?;
         }
         let members = self.log.members().changed(change)?;
+        // In force from its append on: one that can't be accepted ends the group, though a
+        // majority of the members before it may be there.
+        if !self.hears_quorum(now, &members) {
+            return Err(Error::busy(
+                "a majority of the members after the change doesn't answer",
+            ));
+        }
         Ok(self.lead_members(members))
     }
 
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -12,7 +12,7 @@
 use super::{Cause, Machine, Role, progress::Progress};
 use crate::{
     entry::{Payload, Term},
-    member::Id,
+    member::{Id, Members},
     message::{AppendReply, Body, Message, VoteReply, VoteRequest},
 };
 
@@ -287,19 +287,21 @@
 
     /// Steps down unless a majority was heard within one election timeout.
     pub(super) fn check_quorum(&mut self, now: Mono) {
-        let span = self.config.election;
-        if now.since(self.elected_at) < span {
-            return;
-        }
-        let heard = |id: Id| {
-            let peer = self.peers.get(&id).and_then(|peer| peer.heard);
-            id == self.id || peer.is_some_and(|at| now.since(at) < span)
-        };
-        if !self.log.members().has_quorum(heard) {
+        if now.since(self.elected_at) >= self.config.election
+            && !self.hears_quorum(now, self.log.members())
+        {
             self.follow(now, self.hard.term, None);
         }
     }
 
+    /// Of a leader: whether a majority of these was heard within one election timeout.
+    pub(super) fn hears_quorum(&self, now: Mono, members: &Members) -> bool {
+        members.has_quorum(|id| {
+            let heard = self.peers.get(&id).and_then(|peer| peer.heard);
+            id == self.id || heard.is_some_and(|at| now.since(at) < self.config.election)
+        })
+    }
+
     /// Hands leadership to the voter that has the most, for a graceful stop. Gives that
     /// voter.
     ///
--- a/almondlock-quorum/tests/cluster/mod.rs
+++ b/almondlock-quorum/tests/cluster/mod.rs
@@ -262,8 +262,9 @@
     }
 
     pub fn change(&mut self, n: usize, change: &Change) -> bool {
+        let now = self.mono();
         let machine = self.nodes[n].machine.as_mut();
-        let done = machine.is_some_and(|m| m.change(change).is_ok());
+        let done = machine.is_some_and(|m| m.change(now, change).is_ok());
         self.settle(n);
         done
     }
@@ -304,6 +305,7 @@
 
     /// One sync for all writes that wait.
     pub fn sync(&mut self, n: usize) {
+        self.nodes[n].syncing = None;
         self.sync_first(n, self.nodes[n].writes.len());
     }
 
--- a/almondlock-quorum/tests/member_changes.rs
+++ b/almondlock-quorum/tests/member_changes.rs
@@ -100,6 +100,34 @@
     );
 }
 
+/// A voter is lost, and the newcomer dies before it is promoted. Were it promoted, three of four
+/// voters would be needed and two be there: nothing is ever accepted again, nor anybody elected,
+/// though a majority of those accepted is there and holds everything.
+#[test]
+fn majority_after_it_answers() {
+    for seed in 0..20 {
+        let mut c = Cluster::new(seed, 3);
+        let leader = c.elect();
+        c.accept();
+        assert!(c.change(leader, &Change::Add(Member::sample(4))));
+        c.add_node(Member::sample(4), Loaded::default());
+        c.start(3);
+        let newest = c.accept();
+        c.until("the learner has caught up", |c| {
+            c.nodes[3].state.index >= newest
+        });
+        c.crash((leader + 1) % 3);
+        c.crash(3);
+        c.run(600);
+        assert!(!c.change(leader, &Change::Promote(Id(4))), "seed {seed}");
+        c.accept();
+        c.start(3);
+        c.run(200);
+        assert!(c.change(leader, &Change::Promote(Id(4))), "seed {seed}");
+        c.accept();
+    }
+}
+
 /// The leader is taken out: it leads until that is accepted, then another does,
 /// and it never stands again.
 #[test]
