--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -209,9 +209,9 @@
         Ok(answer)
     }
 
-    pub(super) fn change(&mut self, change: &Change) -> Result<Answer<()>, Refusal> {
+    pub(super) fn change(&mut self, now: Mono, change: &Change) -> Result<Answer<()>, Refusal> {
         self.check()?;
-        let changed = self.machine.change(change).map_err(Refusal::from);
+        let changed = self.machine.change(now, change).map_err(Refusal::from);
         self.note_change(change, changed.as_ref().err());
         let position = changed?;
         let (asker, answer) = oneshot::channel();
--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -69,7 +69,7 @@
         let Some(change) = self.inner.core.borrow().repair_step(now) else {
             return false;
         };
-        let asked = self.with(|core| core.change(&change));
+        let asked = self.with(|core| core.change(clock::mono(), &change));
         let result = match asked {
             Ok(answer) => {
                 self.wait_for(self.inner.config.quorum.election(), answer)
@@ -117,7 +117,7 @@
     async fn change(&self, change: Change) -> Result<(), Refusal> {
         let until = clock::mono() + self.inner.config.patience * 6;
         loop {
-            let asked = self.with(|core| core.change(&change));
+            let asked = self.with(|core| core.change(clock::mono(), &change));
             match asked {
                 Ok(answer) => return self.wait(answer).await,
                 Err(refusal) if refusal.code != Code::NoQuorum || clock::mono() >= until => {
--- a/almondlock-quorum/src/machine/election.rs
+++ b/almondlock-quorum/src/machine/election.rs
@@ -12,14 +12,17 @@
 use super::{Cause, Machine, Reason, Role, progress::Progress};
 use crate::{
     entry::{Payload, Term},
-    member::Id,
+    member::{Id, Members},
     message::{AppendReply, Body, Message, VoteReply, VoteRequest},
 };
 
-/// Doublings of the time between the first elections at the most. The usual election
-/// timeout bounds it long before.
+/// Doublings of the time between elections at the most. The longest election timeout bounds it
+/// long before.
 const DOUBLINGS: u32 = 10;
 
+/// The longest wait after failed elections, in election timeouts, before it is spread.
+const PATIENCE: u32 = 4;
+
 impl Machine {
     pub(super) fn delay_election(&mut self, now: Mono) {
         if !self.knew_leader {
@@ -29,6 +32,23 @@
         self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..1.0));
     }
 
+    /// Waits for an election to end that this replica stands in, or gave its vote in.
+    ///
+    /// **Failure.** Votes take longer to be synced than a candidate waits, or than its voters do
+    /// before they stand themselves. Each election is given up for the next one, and nobody leads
+    /// for as long as the disks are slow. So the wait begins when the vote is synced here, and
+    /// each time that it was too short it doubles.
+    pub(super) fn put_off_election(&mut self, now: Mono) {
+        let failed = self.rounds.saturating_sub(1).min(DOUBLINGS);
+        let (usual, spread) = match self.knew_leader {
+            true => (self.config.election, 1.0),
+            false => (self.config.heartbeat, 1.5),
+        };
+        let least = usual * 2_u32.pow(failed);
+        let least = least.min(self.config.election * PATIENCE);
+        self.election_at = now + least + least.mul_f64(self.rng.random_range(0.0..spread));
+    }
+
     /// The first time to stand for election after a start: soon, because all
     /// replicas may have started together, and until one leads nobody is told
     /// what is in force. Where there is a leader, those that hear it refuse
@@ -74,9 +94,11 @@
     pub(super) fn hear_leader(&mut self, now: Mono, leader: Id) {
         if self.role != Role::Follower || self.leader != Some(leader) {
             self.follow(now, self.hard.term, Some(leader));
+            self.answered_at = now;
         }
         self.leader_heard = Some(now);
         self.knew_leader = true;
+        self.rounds = 0;
         self.delay_election(now);
     }
 
@@ -93,9 +115,8 @@
         self.count_vote(now, self.id);
     }
 
-    fn campaign(&mut self, now: Mono, cause: Cause) {
+    fn campaign(&mut self, cause: Cause) {
         self.rounds = self.rounds.saturating_add(1);
-        self.delay_election(now);
         self.cause = Some(cause);
         self.tally.clear();
         self.role = Role::Candidate;
@@ -106,7 +127,7 @@
         self.leader_heard = None;
         // Its own vote counts once it is on disk, as any other: forgotten in a
         // crash, it could be given to another in the same term.
-        self.output.vote = self.output.changed_hard();
+        self.output.changed_hard();
         self.ask_votes(false);
     }
 
@@ -142,7 +163,7 @@
             return;
         }
         match self.role {
-            Role::PreCandidate => self.campaign(now, Cause::Silence),
+            Role::PreCandidate => self.campaign(Cause::Silence),
             Role::Candidate => self.lead(now),
             Role::Follower | Role::Leader => {}
         }
@@ -153,6 +174,7 @@
         self.leader = Some(self.id);
         self.forget_ballots();
         self.knew_leader = true;
+        self.rounds = 0;
         self.elected_at = now;
         self.heartbeat_at = now + self.config.heartbeat;
         self.sync_peers();
@@ -251,9 +273,9 @@
         }
     }
 
-    pub(super) fn on_timeout_now(&mut self, now: Mono) {
+    pub(super) fn on_timeout_now(&mut self) {
         if self.role == Role::Follower && self.log.members().is_voter(self.id) {
-            self.campaign(now, Cause::HandOver);
+            self.campaign(Cause::HandOver);
         }
     }
 
@@ -292,19 +314,21 @@
 
     /// Steps down unless a majority was heard within one election timeout.
     pub(super) fn check_quorum(&mut self, now: Mono) {
-        let span = self.config.election;
-        if now.since(self.elected_at) < span {
-            return;
-        }
-        let heard = |id: Id| {
-            let peer = self.peers.get(&id).and_then(|peer| peer.heard);
-            id == self.id || peer.is_some_and(|at| now.since(at) < span)
-        };
-        if !self.log.members().has_quorum(heard) {
+        if now.since(self.elected_at) >= self.config.election
+            && !self.hears_quorum(now, self.log.members())
+        {
             self.follow(now, self.hard.term, None);
         }
     }
 
+    /// Of a leader: whether a majority of these was heard within one election timeout.
+    pub(super) fn hears_quorum(&self, now: Mono, members: &Members) -> bool {
+        members.has_quorum(|id| {
+            let heard = self.peers.get(&id).and_then(|peer| peer.heard);
+            id == self.id || heard.is_some_and(|at| now.since(at) < self.config.election)
+        })
+    }
+
     /// Hands leadership to the voter that has the most, for a graceful stop. Gives that
     /// voter.
     ///
--- a/almondlock-quorum/tests/missing_votes.rs
+++ b/almondlock-quorum/tests/missing_votes.rs
@@ -104,6 +104,13 @@
     assert_eq!(ballot.unanswered, ids(&[1, 2, 3]));
 }
 
+/// Nobody stands for election before its term is synced.
+fn sync(machine: &mut Machine, now: Mono) {
+    if let Some(write) = machine.take(now).write {
+        machine.synced(now, write.sequence);
+    }
+}
+
 /// Guards against refusals that are forgotten since they name a newer term, which ends the
 /// round, or an older one.
 #[parameterized(
@@ -113,6 +120,7 @@
 fn refused(term: u64) {
     let mut machine = machine();
     machine.receive(NOW, Id(2), heartbeat(3));
+    sync(&mut machine, NOW);
     let now = Mono::from_millis(10_000);
     machine.tick(now);
     let refused = VoteReply {
@@ -124,6 +132,7 @@
         body: Body::VoteReply(refused),
     };
     machine.receive(now, Id(2), reply);
+    sync(&mut machine, now);
     machine.tick(Mono::from_millis(20_000));
     let ballot = machine.failed_ballot().unwrap();
     assert_eq!(ballot.refused, [(Id(2), Term(term))].into());
