Move the figures that are fetched as text out of the gateway

Replicas are to serve figures as the gateway does. The counters, levels and histograms and the listener for `GET /metrics` move to `almondlock-telemetry`, as `figures`; the gateway uses them from there. New are a level that is set, and 503 while there is nothing to tell.

The package brings the crate `time` into the gateway's tests, whose comparison of instants takes away an implied dereference in `asked_pause`; it is written out now, and the check is the same.

--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -52,7 +52,6 @@
 mod limit;
 pub mod load;
 pub mod memory;
-pub mod metrics;
 mod outgoing;
 mod pace;
 mod permit;
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -11,6 +11,7 @@
 
 use almondlock_base::{Code, id::Domain};
 use almondlock_node::{Handle, clock};
+use almondlock_telemetry::figures;
 use almondlock_transport::listen;
 use futures::{StreamExt, future::join_all, stream};
 use ntex::{
@@ -97,7 +98,12 @@
     let ready = ready(&config, node, &shared)?;
     let mut servers = vec![callers, ready];
     if let Some(address) = config.metrics {
-        servers.push(figures(address, &shared)?);
+        let shared = Arc::clone(&shared);
+        let text = move || {
+            let shared = Arc::clone(&shared);
+            async move { Some(shared.metrics.text()) }
+        };
+        servers.push(figures::serve(address, text)?);
     }
     Ok(Server {
         shared,
@@ -257,20 +263,6 @@
     Ok(server.listen(listener)?.run())
 }
 
-fn figures(address: SocketAddr, shared: &Arc<Shared>) -> io::Result<ntex::server::Server> {
-    let listener = TcpListener::bind(address)?;
-    let shared = Arc::clone(shared);
-    let factory = async move || {
-        let shared = Arc::clone(&shared);
-        App::new().route(
-            "/metrics",
-            web::get().to(async move || HttpResponse::Ok().body(shared.metrics.text())),
-        )
-    };
-    let server = HttpServer::new(factory).workers(1).disable_signals();
-    Ok(server.listen(listener)?.run())
-}
-
 /// Takes one request of a caller.
 async fn handle<D>(
     worker: State<Rc<Worker<D>>>,
--- a/almondlock-gateway/src/shared.rs
+++ b/almondlock-gateway/src/shared.rs
@@ -10,8 +10,7 @@
 };
 
 use almondlock_base::time::Mono;
-
-use crate::metrics::Metrics;
+use almondlock_telemetry::figures::Figures;
 
 /// After a start, how long a process may take to learn a recent configuration when all
 /// others started with it. Replicas that it is told of may start later than it does.
@@ -40,7 +39,7 @@
     /// begun.
     ends: AtomicU64,
     active: AtomicUsize,
-    pub(crate) metrics: Metrics,
+    pub(crate) metrics: Figures,
 }
 
 /// Counts a request as long as it is under way.
@@ -56,7 +55,7 @@
             closed: AtomicBool::new(false),
             ends: AtomicU64::new(0),
             active: AtomicUsize::new(0),
-            metrics: Metrics::default(),
+            metrics: Figures::default(),
         }
     }
 
--- a/almondlock-gateway/tests/asked_pause.rs
+++ b/almondlock-gateway/tests/asked_pause.rs
@@ -48,7 +48,7 @@
         let asked = arrivals.iter().filter(|at| **at < start + busy);
         let counts = asked.map(|asked| {
             let pause = *asked + NOTICE..*asked + PAUSE;
-            arrivals.iter().filter(|at| pause.contains(at)).count()
+            arrivals.iter().filter(|at| pause.contains(*at)).count()
         });
         counts.max().unwrap_or(0)
     }
--- a/almondlock-gateway/src/metrics.rs
+++ b/almondlock-telemetry/src/figures.rs
@@ -1,14 +1,21 @@
 //! Counters and latency histograms, shared by the threads of a process and
-//! served as text.
+//! served as text: `GET /metrics`.
 
 use std::{
     collections::BTreeMap,
     fmt::Write,
+    future::Future,
+    io,
+    net::{SocketAddr, TcpListener},
     sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
 use hdrhistogram::Histogram;
+use ntex::{
+    server::Server,
+    web::{self, App, HttpResponse, HttpServer},
+};
 
 /// The longest time that a histogram tells apart, in milliseconds: beyond every
 /// timeout that a route has in practice.
@@ -23,7 +30,7 @@
 
 /// A process's figures. Clones aren't needed: it is shared behind an `Arc`.
 #[derive(Debug, Default)]
-pub struct Metrics {
+pub struct Figures {
     inner: Mutex<Inner>,
 }
 
@@ -34,7 +41,7 @@
     times: BTreeMap<String, Histogram<u32>>,
 }
 
-impl Metrics {
+impl Figures {
     /// Counts one more.
     pub fn count(&self, name: &str, label: &str) {
         self.add(name, label, 1);
@@ -59,11 +66,23 @@
         self.change(name, label, -1);
     }
 
+    /// So many are there now.
+    pub fn set(&self, name: &str, label: &str, level: i64) {
+        self.level(name, label, |old| *old = level);
+    }
+
     fn change(&self, name: &str, label: &str, by: i64) {
+        self.level(name, label, |level| *level += by);
+    }
+
+    fn level<F>(&self, name: &str, label: &str, act: F)
+    where
+        F: FnOnce(&mut i64),
+    {
         let key = format!("{name}{{{label}}}");
         let mut inner = self.lock();
         if inner.levels.len() < SERIES || inner.levels.contains_key(&key) {
-            *inner.levels.entry(key).or_default() += by;
+            act(inner.levels.entry(key).or_default());
         }
     }
 
@@ -111,3 +130,22 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Serves what `text` gives at `GET /metrics`, on one thread; 503 while it gives nothing.
+pub fn serve<F, R>(address: SocketAddr, text: F) -> io::Result<Server>
+where
+    F: Fn() -> R + Clone + Send + 'static,
+    R: Future<Output = Option<String>> + 'static,
+{
+    let listener = TcpListener::bind(address)?;
+    let factory = async move || {
+        let text = text.clone();
+        let answer = async move || match text().await {
+            Some(text) => HttpResponse::Ok().body(text),
+            None => HttpResponse::ServiceUnavailable().finish(),
+        };
+        App::new().route("/metrics", web::get().to(answer))
+    };
+    let server = HttpServer::new(factory).workers(1).disable_signals();
+    Ok(server.listen(listener)?.run())
+}
--- a/almondlock-telemetry/src/lib.rs
+++ b/almondlock-telemetry/src/lib.rs
@@ -5,6 +5,7 @@
 //!   one request are joined over processes.
 //! - [`spans`] writes finished hops to a file, by setting.
 //! - [`metrics`] sends counters and timers to a statsd address over UDP.
+//! - [`figures`] keeps counters and histograms that are fetched as text.
 //! - [`throttle`] bounds lines that others can cause at will.
 //! - [`secret`] wraps what must never be printed.
 //!
@@ -13,6 +14,7 @@
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod figures;
 pub mod log;
 pub mod metrics;
 pub mod secret;
