Serve a replica's figures, and lead from no leader to the cause

Seen: nothing tells from outside how many voters and learners a group has, which of them are silent, and whether a replica without a leader lacks votes. An operator's status asks for a quorum first, and then shows what one replica knew.

With `[replica] metrics = IP:PORT` a replica serves the members, leader, log and counts of elections, leaders and changes of the members as text; a leader also how far each member is behind and for how long it has been silent; a voter without a leader which votes its last round lacked. The figures come from the replica's thread and need no quorum.

--- a/almondlock-control/src/replica/core/log.rs
+++ b/almondlock-control/src/replica/core/log.rs
@@ -19,11 +19,13 @@
 
 use self::{name::List, silence::Watch, told::Told};
 use super::Core;
-use crate::replica::{refusal::Refusal, repair::PRESENT};
+use crate::replica::{refusal::Refusal, repair::PRESENT, status::Counts};
 
 /// What the log last told.
 #[derive(Default)]
 pub(super) struct Logged {
+    // What the lines told, counted.
+    pub(super) counts: Counts,
     leader: Option<Id>,
     // Since when no leader has been known.
     leaderless: Option<Mono>,
@@ -70,6 +72,9 @@
         {
             return;
         }
+        let known = self.logged.members.as_ref();
+        let changed = known.is_some_and(|(logged, _)| logged != members);
+        self.logged.counts.memberships += u64::from(changed);
         self.logged.members = Some((Arc::clone(members), accepted));
         let own = self.own.id;
         if members.iter().next().is_none() {
@@ -100,6 +105,7 @@
         };
         if term > self.logged.candidacy {
             self.logged.candidacy = term;
+            self.logged.counts.elections += 1;
             let last = self.machine.last().0;
             tracing::info!(term = term.0, ?cause, last, "stands for election");
         }
@@ -116,6 +122,7 @@
             return;
         }
         self.logged.leader = leader;
+        self.logged.counts.leaders += u64::from(leader.is_some());
         let leader = leader.map_or_else(|| "none".to_owned(), |id| id.to_string());
         let (term, commit) = (self.machine.term().0, self.machine.commit().0);
         let leads = self.machine.is_leader();
--- a/almondlock-control/src/replica/core/log/silence.rs
+++ b/almondlock-control/src/replica/core/log/silence.rs
@@ -1,5 +1,7 @@
 //! Lines of a leader on members that fall silent and are heard again.
 
+use std::time::Duration;
+
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::Id;
 
@@ -57,6 +59,13 @@
         }
     }
 
+    /// Of a leader: for how long a member has been silent, if it counts as that.
+    pub(in crate::replica::core) fn silence(&self, now: Mono, id: Id) -> Option<Duration> {
+        let watch = self.logged.watched.get(&id)?;
+        let silent = watch.silent.filter(|_| self.is_leader());
+        silent.map(|last| now.since(last))
+    }
+
     fn is_heard(&self, now: Mono, id: Id) -> bool {
         let recent = |at: Mono| now.since(at) < self.quorum.election();
         self.machine.heard(id).is_some_and(recent)
--- a/almondlock-control/src/replica/core/report.rs
+++ b/almondlock-control/src/replica/core/report.rs
@@ -1,5 +1,6 @@
 //! How the replica stands, for operators.
 
+use almondlock_base::time::Mono;
 use almondlock_quorum::{
     machine::Role,
     member::{Id, Member},
@@ -9,7 +10,7 @@
 use crate::replica::status::{Peer, Status};
 
 impl Core {
-    pub(in crate::replica) fn status(&self) -> Status {
+    pub(in crate::replica) fn status(&self, now: Mono) -> Status {
         let members = self.machine.members();
         let commit = self.machine.commit();
         let peer = |member: &Member| Peer {
@@ -19,6 +20,7 @@
             domain: member.domain.clone(),
             voter: members.is_voter(member.id),
             lag: self.lag(member.id),
+            silent: self.silence(now, member.id),
         };
         let waits = |m: &&Member| !members.contains(m.id);
         Status {
@@ -48,6 +50,8 @@
                 .map(|m| m.name.clone())
                 .collect(),
             syncs: self.disk.syncs(),
+            failed: self.machine.failed_ballot().cloned(),
+            counts: self.logged.counts,
             stopped: self.stopped.clone(),
         }
     }
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -16,6 +16,7 @@
 mod core;
 mod disk;
 mod duties;
+mod figures;
 mod founding;
 mod instances;
 mod membership;
@@ -57,7 +58,7 @@
     instances::Taken,
     refusal::Refusal,
     remote::Remote,
-    status::{Peer, Status},
+    status::{Counts, Peer, Status},
 };
 use self::{core::Core, disk::Thread};
 
@@ -169,7 +170,7 @@
 
     /// How the replica stands.
     pub fn status(&self) -> Status {
-        self.inner.core.borrow().status()
+        self.inner.core.borrow().status(clock::mono())
     }
 
     /// The interface for other processes, to be offered by the node.
--- a/almondlock-control/src/replica/status.rs
+++ b/almondlock-control/src/replica/status.rs
@@ -1,9 +1,13 @@
 //! How a replica stands, for operators.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use almondlock_base::id::{Domain, Host};
-use almondlock_quorum::{entry::Index, entry::Term, machine::Role, member::Id};
+use almondlock_quorum::{
+    entry::{Index, Term},
+    machine::{Ballot, Role},
+    member::Id,
+};
 
 use super::refusal::Refusal;
 
@@ -36,10 +40,25 @@
     pub waiting: Vec<Host>,
     /// Syncs of the log so far.
     pub syncs: u64,
+    /// The last round of votes that it lost, while it knows no leader.
+    pub failed: Option<Ballot>,
+    /// What it has seen.
+    pub counts: Counts,
     /// Why it has stopped.
     pub stopped: Option<Refusal>,
 }
 
+/// What a replica has seen since its process started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// How often it stood for election.
+    pub elections: u64,
+    /// How often another replica came to lead, or it did.
+    pub leaders: u64,
+    /// How often the members in force here changed.
+    pub memberships: u64,
+}
+
 /// One member of the group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -55,4 +74,7 @@
     pub voter: bool,
     /// Entries it still lacks; known to the leader only.
     pub lag: Option<u64>,
+    /// For how long it has been silent, once that is an election timeout; known to the
+    /// leader only.
+    pub silent: Option<Duration>,
 }
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -1,6 +1,6 @@
 //! The control role: the replica, operators' listener, and plans.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::roles::tls::tls;
 use almondlock_base::id::{Domain, Host};
@@ -21,6 +21,7 @@
     operator::{Operator, Role},
     replica as members,
 };
+use almondlock_telemetry::figures;
 use almondlock_transport::{Security, listen};
 use almondlock_wire::almondlock_capnp::control;
 use anyhow::{Context, Result};
@@ -45,6 +46,7 @@
     operated: Operated,
     admin: ntex::server::Server,
     directory: Option<(Directory, ntex::server::Server)>,
+    figures: Option<ntex::server::Server>,
 }
 
 impl Control {
@@ -85,6 +87,10 @@
             Some(directory) => Some(serve_directory(directory, &host.domain, &replica)?),
             None => None,
         };
+        let figures = match role.metrics {
+            Some(address) => Some(serve_figures(address, &replica)?),
+            None => None,
+        };
         spawn_local(driver::run(replica.clone()));
         spawn_local(seed(replica.clone(), role.clone()));
         Ok(Control {
@@ -92,6 +98,7 @@
             operated,
             admin,
             directory,
+            figures,
         })
     }
 
@@ -129,7 +136,12 @@
                 server.stop(true).await;
             }
         };
-        let stops = async { tokio::join!(directory, self.admin.stop(true)) };
+        let figures = async {
+            if let Some(server) = &self.figures {
+                server.stop(false).await;
+            }
+        };
+        let stops = async { tokio::join!(directory, figures, self.admin.stop(true)) };
         if timeout(CALLS_END, stops).await.is_err() {
             tracing::warn!("stopping with calls in progress");
         }
@@ -137,6 +149,16 @@
     }
 }
 
+/// Serves how the replica stands, also without a leader.
+fn serve_figures(address: SocketAddr, replica: &Replica) -> Result<ntex::server::Server> {
+    let remote = replica.remote();
+    let text = move || {
+        let remote = remote.clone();
+        async move { remote.status().await.ok().map(|status| status.figures()) }
+    };
+    figures::serve(address, text).with_context(|| format!("serving figures on {address}"))
+}
+
 /// Who the group starts with: those named, or else the seeds, each by its IP
 /// address.
 fn initial(settings: &Settings, role: &almondlock_settings::Replica) -> Result<Vec<Initial>> {
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -280,6 +280,8 @@
     Key::new("replica", "repairs", Word(&["yes", "no"]), Default("no"),
         "Whether the leader takes in replicas that ask, and puts out those that were lost, without an \
          operator."),
+    Key::new("replica", "metrics", Listen, Optional,
+        "Where figures on the group and its log are served as text: `GET /metrics`."),
     Key::new("replica", "certificate", File, Optional,
         "PEM chain for operators' TLS. Without it the admin listener speaks plain HTTP."),
     Key::new("replica", "key", File, Optional,
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -145,6 +145,7 @@
         let founds = self.word(s, "founds").map(|word| word == "yes");
         let repairs = self.word(s, "repairs").map(|word| word == "yes");
         let operator_key = self.hash(s, "operator_key");
+        let metrics = self.address(s, "metrics");
         let tls = self.tls(s);
         Some(Replica {
             admin: admin?,
@@ -152,6 +153,7 @@
             founds: founds?,
             repairs: repairs?,
             operator_key,
+            metrics,
             tls,
         })
     }
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -234,6 +234,8 @@
     pub repairs: bool,
     /// Hash of the first operator's key.
     pub operator_key: Option<String>,
+    /// Where figures are served.
+    pub metrics: Option<SocketAddr>,
     /// Operators' TLS.
     pub tls: Option<Tls>,
 }
