Name only voters among the votes that a round got

Seen, on a run of three processes of which two came back on empty disks: the line `no leader, votes are missing` counted both as having granted their votes, with a quorum reached and no leader.

Cause: a replica on an empty disk answers at the address of the voter that it was, under its new identity. Its vote never counts, but stood in the line. Only voters are named now, here and in `votes{granted}`.

Checked: the new test `outside_vote` fails without the change.

--- a/almondlock-quorum/src/machine/ballot.rs
+++ b/almondlock-quorum/src/machine/ballot.rs
@@ -96,6 +96,7 @@
             refused: self.tally.refused.clone(),
             unanswered: members.voters.keys().copied().collect(),
         };
+        ballot.granted.retain(|id| members.is_voter(*id));
         ballot
             .unanswered
             .retain(|id| !ballot.granted.contains(id) && !ballot.refused.contains_key(id));
--- a/almondlock-quorum/tests/missing_votes.rs
+++ b/almondlock-quorum/tests/missing_votes.rs
@@ -104,6 +104,27 @@
     assert_eq!(ballot.unanswered, ids(&[1, 2, 3]));
 }
 
+/// Guards against a vote from outside that looks like one that counts: a replica on an empty
+/// disk answers at the address of the voter that it was.
+#[test]
+fn outside_vote() {
+    let mut machine = machine();
+    let now = Mono::from_millis(10_000);
+    machine.tick(now);
+    let granted = VoteReply {
+        pre: true,
+        granted: true,
+    };
+    let reply = Message {
+        term: machine.term().next(),
+        body: Body::VoteReply(granted),
+    };
+    machine.receive(now, Id(9), reply);
+    let ballot = machine.ballot().unwrap();
+    assert_eq!(ballot.granted, ids(&[1]));
+    assert_eq!(ballot.unanswered, ids(&[2, 3]));
+}
+
 /// Guards against refusals that are forgotten since they name a newer term, which ends the
 /// round, or an older one.
 #[parameterized(
