Let upstreams that missed a probe hold parts of a large prompt

Cause: an entry host that got no answer to a probe within 1 s passes the upstream over for 2 s. For usual requests that is a preference: when nothing else is left, such an upstream is taken. The choice of members left it out altogether; with two of five passed over the other three can't hold the prompt. Each attempt then failed at once with MemoryUnavailable, and the four of a request, 20 to 160 ms apart, were over long before the 2 s were.

Evidence: of 22 traced failures 20 show nothing but MemoryUnavailable before 2010, four in a row; the other two one more outcome each. Ruled out: the retry budget (the attempts ran out first).

Change: `gang::parts` takes members that failed lately only if the others can't hold the prompt. Those that leave or are drained are still left out.

--- a/almondlock-entry/src/gang.rs
+++ b/almondlock-entry/src/gang.rs
@@ -89,20 +89,21 @@
     let names: Vec<Upstream> = names.unwrap_or_default();
     let now = clock::mono();
     let members = names.into_iter().filter_map(|upstream| {
-        let usable = worker
-            .shared
-            .with_pool(pool, |table| table.is_usable(&upstream, now));
-        if usable != Some(true) || view.is_drained(&upstream) {
+        let capacity = view.upstreams.get(&upstream)?.capacity;
+        let known = worker.shared.with_pool(pool, |table| {
+            let free = table.free(&upstream).unwrap_or(capacity);
+            let avoided = table.is_avoided(&upstream, now);
+            table.takes_work(&upstream).then_some((free, avoided))
+        });
+        let (free, avoided) = known.flatten()?;
+        if view.is_drained(&upstream) {
             return None;
         }
-        let capacity = view.upstreams.get(&upstream)?.capacity;
-        let room = room_of(capacity);
-        let free = worker.shared.with_pool(pool, |table| table.free(&upstream));
-        let free = free.flatten().unwrap_or(capacity);
         Some(Member {
             upstream,
-            room,
+            room: room_of(capacity),
             free,
+            avoided,
         })
     });
     members.collect()
@@ -142,7 +143,7 @@
         Ok(held)
     }
 
-    /// Why the usable engines can't hold it together: because some are down or
+    /// Why the engines that take work can't hold it together: because some are
     /// leaving, for now, or because even all of them never could.
     fn too_long(&self, pool: &Pool, need: Tokens) -> Failure {
         let directory = self.shared.directory();
@@ -154,7 +155,8 @@
         }
     }
 
-    /// A member that could not take part is left out of the next tries.
+    /// A member that could not take part is left out of the next tries, as far
+    /// as the others will do.
     fn passed_over(&self, pool: &Pool, upstream: &Upstream) {
         let now = clock::mono();
         self.shared.with_pool(pool, |table| {
--- a/almondlock-entry/tests/giant_prompt.rs
+++ b/almondlock-entry/tests/giant_prompt.rs
@@ -2,8 +2,9 @@
 
 mod fleet;
 
-use std::cell::Cell;
+use std::{cell::Cell, time::Duration};
 
+use almondlock_node::clock;
 use almondlock_standin::{answer, engine};
 use fleet::{Ask, Fleet, eventually, text_of};
 
@@ -19,9 +20,14 @@
 }
 
 async fn engines(fleet: &Fleet) -> Vec<engine::Handle> {
+    engines_with(fleet, config()).await
+}
+
+async fn engines_with(fleet: &Fleet, config: engine::Config) -> Vec<engine::Handle> {
     let mut engines = Vec::new();
     for n in 0..ENGINES {
-        engines.push(fleet.engine(&format!("engine-{n}"), config()).await);
+        let name = format!("engine-{n}");
+        engines.push(fleet.engine(&name, config.clone()).await);
     }
     engines
 }
@@ -83,6 +89,43 @@
     freed(&engines).await;
 }
 
+/// Guards against a refusal of what live engines could hold, because each of them has missed a
+/// probe: the prompt's attempts were over long before the engines were looked at again.
+#[ntex::test]
+async fn missed_probes() {
+    let fleet = Fleet::new().await;
+    let small = engine::Config {
+        memory: 8_000,
+        ..config()
+    };
+    let engines = engines_with(&fleet, small).await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let shared = entry.shared();
+    let prompt = "a long question ".repeat(80_000 / 16);
+    let wanted = ask(&prompt);
+    let answered = async { text_of(fleet.complete(&entry, &wanted).await).await };
+    let missing = async {
+        loop {
+            for pool in shared.pool_names() {
+                shared.with_pool(&pool, |table| {
+                    for name in table.names() {
+                        let index = table.find(&name).unwrap();
+                        table.failed(index, clock::mono());
+                    }
+                });
+            }
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let answer = tokio::select! {
+        answer = answered => answer,
+        () = missing => unreachable!(),
+    };
+    assert_eq!(answer, Ok(answer::whole(&prompt, 8)));
+    freed(&engines).await;
+}
+
 /// One member dies while the parts are processed. The others give their parts
 /// back; the caller is answered by the engines that are left.
 #[ntex::test]
--- a/almondlock-policy/src/choice/table.rs
+++ b/almondlock-policy/src/choice/table.rs
@@ -274,11 +274,16 @@
         self.names.keys().cloned().collect()
     }
 
-    /// Whether an upstream takes work, as far as is known, and has not failed
-    /// lately.
-    pub fn is_usable(&self, name: &Upstream, now: Mono) -> bool {
+    /// Whether an upstream takes work, as far as is known.
+    pub fn takes_work(&self, name: &Upstream) -> bool {
         let row = self.find(name).and_then(|index| self.row(index));
-        row.is_some_and(|row| !row.leaving && !row.load.is_avoided(now))
+        row.is_some_and(|row| !row.leaving)
+    }
+
+    /// Whether an upstream failed lately and is passed over while others will do.
+    pub fn is_avoided(&self, name: &Upstream, now: Mono) -> bool {
+        let row = self.find(name).and_then(|index| self.row(index));
+        row.is_some_and(|row| row.load.is_avoided(now))
     }
 
     /// Free memory of an upstream, by its last report.
--- a/almondlock-policy/src/gang/mod.rs
+++ b/almondlock-policy/src/gang/mod.rs
@@ -65,11 +65,15 @@
     pub room: Tokens,
     /// What it has free now, as far as is known.
     pub free: Tokens,
+    /// Whether it failed lately, and takes part only if the others won't do.
+    pub avoided: bool,
 }
 
 /// The parts for a prompt and its answer: as few members as will do, those with
-/// the most free memory, each with an equal part. `None` when all together
-/// can't hold it ([`Code::PromptTooLong`]).
+/// the most free memory, each with an equal part. Members that failed lately
+/// are added only if the others can't hold it: one missed probe proves nothing,
+/// and a refusal is worse than an attempt. `None` when all together can't hold
+/// it ([`Code::PromptTooLong`]).
 ///
 /// ```
 /// use almondlock_base::{id::Upstream, unit::Tokens};
@@ -79,6 +83,7 @@
 ///     upstream: Upstream::new(&format!("engine-{i}")).unwrap(),
 ///     room: Tokens(400_000),
 ///     free: Tokens(10_000 * i),
+///     avoided: false,
 /// };
 /// let members: Vec<Member> = (0..5).map(member).collect();
 /// let parts = parts(&members, Tokens(1_000_000)).unwrap();
@@ -86,10 +91,15 @@
 /// assert_eq!(names, ["engine-4", "engine-3", "engine-2"]);
 /// ```
 pub fn parts(members: &[Member], need: Tokens) -> Option<Vec<Part>> {
-    let mut ranked: Vec<&Member> = members.iter().collect();
+    let healthy = members.iter().filter(|member| !member.avoided);
+    fewest(healthy.collect(), need).or_else(|| fewest(members.iter().collect(), need))
+}
+
+fn fewest(mut ranked: Vec<&Member>, need: Tokens) -> Option<Vec<Part>> {
     ranked.sort_by(|a, b| {
-        b.free
-            .cmp(&a.free)
+        a.avoided
+            .cmp(&b.avoided)
+            .then_with(|| b.free.cmp(&a.free))
             .then_with(|| a.upstream.cmp(&b.upstream))
     });
     for count in 1..=ranked.len() {
