Take no frames of an attempt that has ended

Cause: when a link is lost, the entry host asks the sidecar over a new one whether the attempt ran. The old link lives until that is answered, up to 4 s, and the attempt's sink with it. A link that speaks again in this time delivers what lay in it: the sink took the frames and passed them on, after the offset had been read at which the next attempt was to resume. So the first tokens of that one came twice; where the answer starts again, old ones come between new ones.

Change: the sink is closed when its attempt ends, or is dropped, before the offset is read; later pushes are refused.

Ruled out: the engine's resume (both halves were right), the assembly (each attempt's frames were in order), and closing the old link earlier: other requests still hold it, and calls under way on it deliver just the same.

`late_frames` leaves the link silent until the answer is whole, so it never saw this.

--- a/almondlock-entry/src/attempt.rs
+++ b/almondlock-entry/src/attempt.rs
@@ -66,11 +66,26 @@
     usage: RefCell<Option<Usage>>,
     first: Cell<Option<Mono>>,
     heard: Heard,
+    // Set when the attempt has ended: frames that still come over its link must
+    // not mix with those of the next attempt.
+    closed: Cell<bool>,
+}
+
+/// Closes a sink when its attempt ends, also by being dropped.
+struct Open(Rc<Sink>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.closed.set(true);
+    }
 }
 
 impl Sink {
     /// Passes a frame on if it is the next one.
     async fn take(&self, frame: Frame) -> std::result::Result<(), capnp::Error> {
+        if self.closed.get() {
+            return Err(capnp::Error::failed("the attempt has ended".to_owned()));
+        }
         let verdict = self.assembly.borrow_mut().accept(&frame);
         match verdict {
             Verdict::Drop => return Ok(()),
@@ -160,11 +175,14 @@
         usage: RefCell::default(),
         first: Cell::new(None),
         heard: session.heard(),
+        closed: Cell::new(false),
     });
+    let open = Open(Rc::clone(&sink));
     let outcome = tokio::select! {
         outcome = submit(session, handle, upstream, head, rope, Rc::clone(&sink)) => outcome.ok(),
         () = session.lost() => None,
     };
+    drop(open);
     let assembly = sink.assembly.borrow();
     Result {
         outcome,
--- a/almondlock-entry/tests/fleet/relay.rs
+++ b/almondlock-entry/tests/fleet/relay.rs
@@ -1,6 +1,6 @@
 //! A link that can fall silent.
 
-use std::net::SocketAddr;
+use std::{cell::Cell, net::SocketAddr, rc::Rc};
 
 use super::LOCAL;
 
@@ -9,6 +9,7 @@
 pub struct Relay {
     pub address: SocketAddr,
     silent: tokio::sync::watch::Sender<bool>,
+    accepted: Rc<Cell<u32>>,
 }
 
 impl Relay {
@@ -16,8 +17,11 @@
         let listener = tokio::net::TcpListener::bind(LOCAL).await.unwrap();
         let address = listener.local_addr().unwrap();
         let (silent, speaks) = tokio::sync::watch::channel(false);
+        let accepted = Rc::new(Cell::new(0));
+        let count = Rc::clone(&accepted);
         tokio::task::spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
+                count.set(count.get() + 1);
                 let Ok(far) = tokio::net::TcpStream::connect(target).await else {
                     continue;
                 };
@@ -27,7 +31,16 @@
                 tokio::task::spawn_local(pump(far_read, near_write, speaks.clone()));
             }
         });
-        Relay { address, silent }
+        Relay {
+            address,
+            silent,
+            accepted,
+        }
+    }
+
+    /// Connections made so far.
+    pub fn accepted(&self) -> u32 {
+        self.accepted.get()
     }
 
     pub fn set_silent(&self, silent: bool) {
--- a/almondlock-entry/tests/silent_link.rs
+++ b/almondlock-entry/tests/silent_link.rs
@@ -110,6 +110,36 @@
     eventually(async || one.reserved() == 0).await;
 }
 
+/// Guards against a doubled part of an answer: the link speaks again while the sidecar is asked
+/// whether the attempt ran, so frames of that attempt arrive before another engine goes on.
+#[ntex::test]
+async fn frames_while_settled() {
+    let fleet = Fleet::new().await;
+    let (one, relay) = fleet
+        .engine_behind("engine-1", engine::Config::default())
+        .await;
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let ask = Ask {
+        tokens: 1_000,
+        ..Ask::new("a long story")
+    };
+    let cut = async {
+        eventually(async || one.runs("a long story") == 1).await;
+        let two = fleet.engine("engine-2", fast()).await;
+        let before = relay.accepted();
+        relay.set_silent(true);
+        // The session is lost, and a new one is made to ask.
+        eventually(async || relay.accepted() > before).await;
+        relay.set_silent(false);
+        two
+    };
+    let answered = async { text_of(fleet.complete(&entry, &ask).await).await };
+    let (answer, _two) = futures::join!(answered, cut);
+    assert_eq!(answer, Ok(answer::whole("a long story", 1_000)));
+    eventually(async || one.reserved() == 0).await;
+}
+
 /// The link is silent for good while an answer streams: to the sidecar, the
 /// entry host has vanished without closing anything. Its lease on the engine's
 /// memory ends, and the engine is told to stop and to free it; otherwise each
