Log whom a leader didn't hear when it ceases to lead

Seen, in trials in which a replica is replaced and another is lost within two seconds: the leader told of the first silent voter, then `leader changed` to none. The second voter isn't named: the leader steps down at the election timeout, in the moment in which that voter would count as silent.

A replica that led now logs `leads no more`, with the silence of each member.

Checked: `told_causes` finds the second lost voter in that line.

--- a/almondlock-control/src/replica/core/log/silence.rs
+++ b/almondlock-control/src/replica/core/log/silence.rs
@@ -1,16 +1,16 @@
 //! Lines of a leader on members that fall silent and are heard again.
 
-use std::time::Duration;
+use std::{mem, time::Duration};
 
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::Id;
 
-use super::{super::Core, ballots::millis};
+use super::{super::Core, ballots::millis, name::List};
 
 /// What a leader's lines told of another member.
 pub(super) struct Watch {
-    // Since when it has been a member under this leader.
-    since: Mono,
+    // When it was last heard; before that, since when it has been a member under this leader.
+    heard: Mono,
     // When it was last heard, once it counts as silent.
     silent: Option<Mono>,
 }
@@ -20,15 +20,14 @@
     /// again.
     pub(super) fn log_silence(&mut self, now: Mono) {
         if !self.is_leader() {
-            self.logged.watched.clear();
-            return;
+            return self.log_resigned(now);
         }
-        let mut watched = std::mem::take(&mut self.logged.watched);
+        let mut watched = mem::take(&mut self.logged.watched);
         let members = self.machine.members();
         watched.retain(|id, _| members.contains(*id));
         for member in members.iter().filter(|member| member.id != self.own.id) {
             let watch = watched.entry(member.id).or_insert(Watch {
-                since: now,
+                heard: now,
                 silent: None,
             });
             self.log_member(now, member.id, watch);
@@ -36,8 +35,25 @@
         self.logged.watched = watched;
     }
 
+    /// Logs for how long each member was silent when this replica ceased to lead. One that
+    /// steps down for lack of a quorum does so before the last loss counts as silence.
+    fn log_resigned(&mut self, now: Mono) {
+        let watched = mem::take(&mut self.logged.watched);
+        if watched.is_empty() {
+            return;
+        }
+        let others = watched.iter().map(|(id, watch)| {
+            let silent_ms = millis(now.since(watch.heard));
+            format!("{} silent_ms={silent_ms}", self.name(*id))
+        });
+        let others = List(others.collect());
+        let quorum = self.machine.members().quorum();
+        tracing::info!(%others, quorum, term = self.machine.term().0, "leads no more");
+    }
+
     fn log_member(&self, now: Mono, id: Id, watch: &mut Watch) {
-        let last = self.machine.heard(id).unwrap_or(watch.since);
+        let last = self.machine.heard(id).unwrap_or(watch.heard);
+        watch.heard = last;
         let silent = now.since(last) >= self.quorum.election();
         let members = self.machine.members();
         let (member, votes) = (self.name(id), members.is_voter(id));
--- a/almondlock-control/tests/told_causes.rs
+++ b/almondlock-control/tests/told_causes.rs
@@ -122,6 +122,11 @@
     );
     let second = (leader + 2) % 3;
     group.kill(second);
+    lines
+        .until("leads no more", |line| {
+            text(line, "others").contains(&ids[second])
+        })
+        .await;
     let failed = lines
         .until("no leader, votes are missing", |line| {
             let unanswered = text(line, "unanswered");
