Count only voters that answered the leader in repairs

A replica has gone, its newcomer is a learner, and the leader is told to stop. It hands over, and 60 ms later the new leader removes it: two voters are left, of which one is gone.

Cause: whether a change can be accepted was judged by voters that are not silent, and before a leader has led for an election timeout nobody is. Now a voter counts only if it has answered this leader within that time.

Test: unheard_voter, red before (Some(Remove(2)) for None).

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -187,17 +187,17 @@
     }
 
     /// The members after a change, if it is allowed and those that answer can accept it. One
-    /// that waits for a lost voter would hold up every later one.
+    /// that waits for a lost voter would hold up every later one. A voter that hasn't answered
+    /// since the leader was elected doesn't count, however short that is: it may be gone.
     fn after<F>(&self, members: &Members, change: &Change, look: &F) -> Option<Members>
     where
         F: Fn(Id) -> Peer,
     {
+        let recent = |heard| self.now.since(heard) < self.patience;
         let answers = |id| {
             let member = members.get(id).or_else(|| self.members.get(id));
-            member.is_some_and(|member| {
-                id == self.own
-                    || !self.is_silent(member, self.patience, look) && !self.is_wiped(member, look)
-            })
+            let wiped = member.is_none_or(|member| self.is_wiped(member, look));
+            id == self.own || look(id).heard.is_some_and(recent) && !wiped
         };
         let members = members.changed(change).ok()?;
         Some(members).filter(|members| members.has_quorum(answers))
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -173,6 +173,31 @@
     assert_eq!(case.settle(), expected);
 }
 
+/// Guards against a removal right after an election, for which a voter would be needed that has
+/// been gone since before it.
+#[test]
+fn unheard_voter() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(14, 4))).unwrap();
+    let sight = Sight {
+        own: Id(1),
+        members: &members,
+        newcomers: vec![],
+        led_since: NOW - Duration::from_millis(60),
+        patience: PATIENCE,
+        now: NOW,
+    };
+    let look = |id| match id {
+        Id(2) => Peer {
+            leaving: true,
+            ..answering()
+        },
+        Id(14) => answering(),
+        _ => Peer::default(),
+    };
+    assert_eq!(sight.step(look), None);
+}
+
 /// The newcomer is lost before it has caught up.
 #[test]
 fn lost_learner() {
