Say that a member is back

Another voter that stops in that time isn't exchanged, and the next disk ends the group.

A member greets the others once at its start, whether it hears a leader or not, and a greeting that doesn't say it stops takes the note back.

--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -13,11 +13,12 @@
 
 impl Core {
     /// Greets as a newcomer, or as a member that hears no leader: the others may have removed
-    /// it while it was away.
+    /// it while it was away. A member greets once at its start as well, so that the others know
+    /// that it is back.
     pub(super) fn greet(&mut self, now: Mono) {
         let due = |at: Mono| now.since(at) >= self.quorum.heartbeat() * 2;
         let member = self.machine.members().contains(self.own.id);
-        let led = member && self.machine.hears_leader(now);
+        let led = member && self.greeted_at.is_some() && self.machine.hears_leader(now);
         if led || self.stopping || !self.greeted_at.is_none_or(due) {
             return;
         }
@@ -64,6 +65,7 @@
                 self.advance(founding::join(self.own.id, members));
             }
             Some(_) if greeting.leaving => self.note_leaving(now, greeting.from.id),
+            Some(_) if self.leaving.remove(&greeting.from.id).is_some() => {}
             // It was removed and doesn't know, or this replica doesn't know the members yet.
             Some(_) if member && !self.machine.members().contains(greeting.from.id) => {
                 self.note_newcomer(now, sender, greeting.from);
