Keep a learner that greets until it has answered

Seen with real replicas: a newcomer is killed 20 ms after its start, and the leader writes 322 entries in the next two seconds, adding and removing it in turn. A live newcomer whose first answer takes longer than the admission's majority (its link is still being dialled, it is in another region) meets the same until that answer.

Cause: the silence of a learner that never answered counts from the leader's election, so under a leader of more than 3 s it was forgotten right after its admission.

A learner that greeted within the time in which newcomers are admitted now stays. One that died stops greeting, is forgotten, and isn't admitted again.

mended_membership::admitted_not_heard_yet fails without the change (add and remove until the test's limit).

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -78,14 +78,17 @@
             .or_else(|| self.admission())
     }
 
-    /// A learner that is gone.
+    /// A learner that is gone. One that was just taken in hasn't answered yet, but greeted.
     fn forgotten<F>(&self, look: &F) -> Option<Change>
     where
         F: Fn(Id) -> Peer,
     {
+        let greets = |learner: &Member| self.newcomers.iter().any(|n| n.member.id == learner.id);
         let mut learners = self.members.learners.values();
-        let gone = learners
-            .find(|learner| self.is_silent(learner, SILENCE, look) || self.is_wiped(learner, look));
+        let gone = learners.find(|learner| {
+            let silent = self.is_silent(learner, SILENCE, look) && !greets(learner);
+            silent || self.is_wiped(learner, look)
+        });
         gone.map(|learner| Change::Remove(learner.id))
     }
 
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -262,3 +262,12 @@
         assert!(case.members.is_voter(Id(21)) && !case.members.contains(Id(11)));
     }
 }
+
+/// Guards against a newcomer that is taken in and out again without end: its first answer comes
+/// after the leader has accepted its admission.
+#[test]
+fn admitted_not_heard_yet() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![member(13, 4)], vec![13]);
+    assert_eq!(case.settle(), [Change::Add(member(13, 4))]);
+}
