Test two voters that are replaced together

Fails: callers see no leader for good, every process running, after two of three replicas were replaced at other addresses and one more disk is lost.

Two newcomers beside three voters that answer are promoted together. When the two old ones go there is no spare left, so nothing is exchanged, and the voters too many are removed only after 3 s of silence under one leader. A voter that said that it stops, or whose disk was wiped, isn't looked at there. Until then three of five must answer; the lost disk leaves two of five.

--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -41,6 +41,13 @@
     }
 }
 
+fn leaving() -> Peer {
+    Peer {
+        leaving: true,
+        ..answering()
+    }
+}
+
 struct Case {
     members: Members,
     newcomers: Vec<Member>,
@@ -271,3 +278,27 @@
     let mut case = Case::of(members, vec![member(13, 4)], vec![13]);
     assert_eq!(case.settle(), [Change::Add(member(13, 4))]);
 }
+
+/// Guards against two of five voters that have gone and still count after their newcomers have
+/// their votes: the next lost disk would leave two of five.
+#[test]
+fn two_replaced() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let newcomers = vec![member(14, 4), member(15, 5)];
+    let mut case = Case::of(members, newcomers, vec![]);
+    case.settle();
+    case.peers.extend([(2, leaving()), (3, leaving())]);
+    case.settle();
+    assert_eq!(case.voters(), [1, 14, 15]);
+}
+
+/// Guards against a fourth voter that has gone and still counts: of the three others all are
+/// needed, though any two of them hold what was accepted.
+#[test]
+fn one_of_four() {
+    let members = group(&[(1, 1), (2, 2), (3, 3), (4, 4)]);
+    let mut case = Case::of(members, vec![], vec![]);
+    case.peers.insert(3, leaving());
+    case.settle();
+    assert_eq!(case.voters(), [1, 2, 4]);
+}
--- a/almondlock-control/tests/replaced_voter.rs
+++ b/almondlock-control/tests/replaced_voter.rs
@@ -11,6 +11,7 @@
 use almondlock_transport::Security;
 use group::{Group, announce, capacity, revision, until};
 use tokio::time::{Instant, sleep, sleep_until};
+use yare::parameterized;
 
 /// How long a newcomer has, from its start, until another disk may be lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
@@ -100,6 +101,31 @@
     assert!(failed.is_empty(), "{failed:?}");
 }
 
+/// Guards against two voters of five that have gone and still count, although the newcomers that
+/// came for them hold everything: the next lost disk leaves two of five.
+#[parameterized(
+    stopped = { Group::stop },
+    die = { Group::kill },
+)]
+#[test_macro(tokio::test)]
+async fn two_replaced(end: fn(&mut Group, usize)) {
+    let mut group = repairing();
+    let newcomers = [NEW, group.add_host()];
+    group.accept(announce(1)).await;
+    let start = Instant::now();
+    newcomers.into_iter().for_each(|n| group.start(n));
+    sleep_until(start + CATCH_UP).await;
+    (0..2).for_each(|n| end(&mut group, n));
+    group.accept(announce(2)).await;
+    sleep(Duration::from_secs(1)).await;
+    (2..5).for_each(|n| group.kill(n));
+    group.wipe(2);
+    (2..5).for_each(|n| group.start(n));
+    let leader = group.leader().await;
+    let found = group.remote(leader).read(|state| capacity(state.config()));
+    assert_eq!(found.await.unwrap(), 2);
+}
+
 /// Guards against a replica that was removed while it was away and never learns of it: it would
 /// ask for votes that nobody gives, and the group lack a host that could take over.
 #[tokio::test]
