Don't take a newcomer for the disk that it replaces

A disk answers, is lost, and its host greets with an empty one within an election timeout. The newcomer is admitted, hasn't answered yet, and the old member at its address was heard 50 ms ago: so the newcomer counted as wiped by the old one, was removed, admitted again, and so on without a pause until it answered or the old one was silent for an election timeout.

A greeting counts as a sign of life where two members at one address are compared. mended_membership::admitted_at_same_address fails without the change.

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -83,7 +83,7 @@
     where
         F: Fn(Id) -> Peer,
     {
-        let greets = |learner: &Member| self.newcomers.iter().any(|n| n.member.id == learner.id);
+        let greets = |learner: &Member| self.greeted(learner.id).is_some();
         let mut learners = self.members.learners.values();
         let gone = learners.find(|learner| {
             let silent = self.is_silent(learner, SILENCE, look) && !greets(learner);
@@ -214,13 +214,19 @@
         member.id != self.own && self.now.since(last) >= span
     }
 
+    fn greeted(&self, id: Id) -> Option<Mono> {
+        let mut newcomers = self.newcomers.iter();
+        let newcomer = newcomers.find(|newcomer| newcomer.member.id == id);
+        newcomer.map(|newcomer| newcomer.heard)
+    }
+
     /// Another disk answers at its address, so its own is gone.
     fn is_wiped<F>(&self, member: &Member, look: &F) -> bool
     where
         F: Fn(Id) -> Peer,
     {
         let succeeds = |other: &Member| other.id != member.id && other.address == member.address;
-        let heard = look(member.id).heard;
+        let heard = look(member.id).heard.max(self.greeted(member.id));
         let newer = |other: &Member| {
             look(other.id).heard > heard && !self.is_silent(other, self.patience, look)
         };
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -279,6 +279,16 @@
     assert_eq!(case.settle(), [Change::Add(member(13, 4))]);
 }
 
+/// The same, of a newcomer at the address of a disk that answered just before it was lost: each of
+/// the two would be taken for the successor of the other.
+#[test]
+fn admitted_at_same_address() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![member(13, 3)], vec![13]);
+    case.peers.insert(3, silent_for(Duration::from_millis(50)));
+    assert_eq!(case.settle(), [Change::Add(member(13, 3))]);
+}
+
 /// Guards against two of five voters that have gone and still count after their newcomers have
 /// their votes: the next lost disk would leave two of five.
 #[test]
