Admit nobody between the two steps of an exchange

Seen with real replicas (told_causes::lost_quorum, which fails one time in some): a dead voter is removed 410 ms after the election, the spare hasn't synced that yet, so the next step admits a newcomer: the dead voter, whose greeting from the founding is still young. The spare shares a failure domain with a voter, and beside a learner of a third domain its promotion is refused. The spare gets its vote 3.5 s later, once the learner is forgotten; meanwhile the group has two voters and needs both. A voter that runs when it is removed asks again just as soon.

Nobody is admitted while an even number of voters, or fewer than three, wait for a learner that answers.

dead_learner_half_way still fails: the learner is there already and dies. Until it is forgotten (3 s under one leader) it keeps the spare from its vote.

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -75,7 +75,7 @@
             .or_else(|| self.promotion(&look))
             .or_else(|| self.exchange(&look))
             .or_else(|| self.surplus(&look))
-            .or_else(|| self.admission())
+            .or_else(|| self.admission(&look))
     }
 
     /// A learner that is gone. One that was just taken in hasn't answered yet, but greeted.
@@ -152,10 +152,21 @@
         removals.iter().find(allowed).cloned()
     }
 
-    fn admission(&self) -> Option<Change> {
+    /// A newcomer becomes a learner. Not while another one is about to get its vote: each
+    /// learner's failure domain counts in how far voters are to be spread.
+    fn admission<F>(&self, look: &F) -> Option<Change>
+    where
+        F: Fn(Id) -> Peer,
+    {
+        let voters = self.members.voters.len();
+        let mut learners = self.members.learners.values();
+        let awaited = (voters < 3 || voters.is_multiple_of(2))
+            && learners.any(|learner| !self.is_silent(learner, self.patience, look));
         let mut newcomers = self.newcomers.iter().map(|newcomer| &newcomer.member);
         let newcomer = newcomers.find(|newcomer| !self.members.contains(newcomer.id));
-        newcomer.map(|newcomer| Change::Add(newcomer.clone()))
+        newcomer
+            .filter(|_| !awaited)
+            .map(|newcomer| Change::Add(newcomer.clone()))
     }
 
     /// Learners that hold everything and answer.
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -312,3 +312,38 @@
     case.settle();
     assert_eq!(case.voters(), [1, 2, 4]);
 }
+
+/// Two voters and the spare that is to be the third one, which shares a failure domain with the
+/// first. The third domain is that of the voter that was removed.
+fn half_way() -> Members {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.changed(&Change::Add(member(11, 4))).unwrap();
+    members.changed(&Change::Remove(Id(3))).unwrap()
+}
+
+/// Guards against an exchange that stops half-way: the voter that was removed asks to join before
+/// the spare has synced its removal, and as a learner it makes the spare's vote one too many in
+/// its failure domain.
+#[test]
+fn no_admission_half_way() {
+    let mut case = Case::of(half_way(), vec![member(3, 3)], vec![]);
+    let behind = Peer {
+        caught_up: false,
+        ..answering()
+    };
+    case.peers.insert(11, behind);
+    assert_eq!(case.step(), None);
+    case.peers.clear();
+    assert_eq!(case.step(), Some(Change::Promote(Id(11))));
+}
+
+/// Guards against two voters that stay alone with a spare that holds everything, since a learner
+/// which is gone makes for a third failure domain.
+#[test]
+fn dead_learner_half_way() {
+    let members = half_way().changed(&Change::Add(member(3, 3))).unwrap();
+    let mut case = Case::of(members, vec![], vec![]);
+    case.peers.insert(3, silent_for(PATIENCE));
+    case.settle();
+    assert_eq!(case.voters(), [1, 2, 11]);
+}
