--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -195,7 +195,9 @@
     fn list_members(&mut self) {
         let members = self.machine.members();
         if !Arc::ptr_eq(members, &self.listed) {
-            self.listed = Arc::clone(members);
+            let before = mem::replace(&mut self.listed, Arc::clone(members));
+            let gone = before.iter().filter(|member| !members.contains(member.id));
+            gone.for_each(|member| self.gathering.forget(member.id));
             let addresses = self.listed.iter().map(|m| (m.id, m.address));
             self.addresses.extend(addresses);
         }
@@ -294,9 +296,9 @@
             // be counted by anybody.
             Parcel::Message(_) if self.stage != Stage::Running => {}
             Parcel::Message(message) => self.machine.receive(now, from, message),
-            Parcel::Greeting(greeting) | Parcel::Heartbeats(greeting, _) => {
-                self.on_greeting(now, from, *greeting);
-            }
+            Parcel::Greeting(greeting) => self.on_greeting(now, from, *greeting),
+            // Of a member. Taken for a newcomer's, it would bring back one that is lost.
+            Parcel::Heartbeats(..) => {}
         }
     }
 
--- a/almondlock-control/src/replica/core/sight.rs
+++ b/almondlock-control/src/replica/core/sight.rs
@@ -22,6 +22,7 @@
         };
         sight.step(|id| Peer {
             heard: self.machine.heard(id),
+            advanced: self.machine.advanced(id),
             caught_up: self.machine.is_caught_up(id),
             leaving: self.is_leaving(now, id),
         })
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Forgets what greeted before: only a later greeting says that it is there.
+    pub(super) fn forget(&mut self, id: Id) {
+        self.known.retain(|_, member| member.id != id);
+        self.heard.retain(|name, _| self.known.contains_key(name));
+    }
+
     /// The newcomers that were heard within this span.
     pub(super) fn present(&self, now: Mono, span: Duration) -> Vec<Newcomer> {
         let heard = self.heard.values().copied();
--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -22,8 +22,9 @@
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::{Change, Id, Member, Members};
 
-/// After this long without an answer a learner is forgotten, and a voter that
-/// nobody replaces is removed where the group bears more losses without it.
+/// A learner that has been silent for this long is forgotten. A voter that
+/// answers counts as lost if it doesn't come to hold more for this long: its
+/// disk hangs.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
 /// A newcomer counts as there while its last greeting is younger than this.
@@ -43,6 +44,8 @@
 pub struct Peer {
     /// When it last answered in this term.
     pub heard: Option<Mono>,
+    /// When it last answered and held all entries, or more than before.
+    pub advanced: Option<Mono>,
     /// It has synced all that was accepted up to the last heartbeat.
     pub caught_up: bool,
     /// It said lately that it stops.
@@ -59,7 +62,7 @@
     pub newcomers: Vec<Newcomer>,
     /// Since when the leader has led; before that nobody's silence counts.
     pub led_since: Mono,
-    /// After this long without an answer a voter may be exchanged.
+    /// After this long without an answer a voter is taken for lost.
     pub patience: Duration,
     /// The present time.
     pub now: Mono,
@@ -75,17 +78,25 @@
             .or_else(|| self.promotion(&look))
             .or_else(|| self.exchange(&look))
             .or_else(|| self.surplus(&look))
-            .or_else(|| self.admission())
+            .or_else(|| self.admission(&look))
     }
 
-    /// A learner that is gone.
+    /// A learner that is gone. One that was just taken in hasn't answered yet, but greets.
     fn forgotten<F>(&self, look: &F) -> Option<Change>
     where
         F: Fn(Id) -> Peer,
     {
+        let greets = |learner: &Member| self.greeted(learner.id).is_some();
+        // Its failure domain may be why a spare doesn't get the vote that is due.
+        let span = match self.is_half_way() {
+            true => self.patience,
+            false => SILENCE,
+        };
         let mut learners = self.members.learners.values();
-        let gone = learners
-            .find(|learner| self.is_silent(learner, SILENCE, look) || self.is_wiped(learner, look));
+        let gone = learners.find(|learner| {
+            let silent = self.unheard(learner, look) >= span && !greets(learner);
+            silent || self.is_wiped(learner, look)
+        });
         gone.map(|learner| Change::Remove(learner.id))
     }
 
@@ -95,10 +106,9 @@
     where
         F: Fn(Id) -> Peer,
     {
-        let voters = self.members.voters.len();
         let spares = self.spares(look);
         let lost = self.lost(look);
-        let single = voters < 3 || voters.is_multiple_of(2);
+        let single = self.is_half_way();
         let pair = spares.len() >= 2 && lost.is_empty();
         let mut changes = spares.iter().map(|spare| Change::Promote(spare.id));
         changes
@@ -113,34 +123,33 @@
     {
         let spares = self.spares(look);
         let lost = self.lost(look);
-        let change = lost.iter().find_map(|lost| {
+        if self.is_half_way() {
+            return None;
+        }
+        lost.iter().find_map(|lost| {
             let removal = Change::Remove(lost.id);
             let members = self.after(self.members, &removal, look)?;
             let mut promotions = spares.iter().map(|spare| Change::Promote(spare.id));
             promotions
                 .any(|promotion| self.after(&members, &promotion, look).is_some())
                 .then_some(removal)
-        });
-        change.filter(|_| !self.members.voters.len().is_multiple_of(2))
+        })
     }
 
-    /// A voter that has been silent for long, where the group bears more losses without it:
-    /// the one too many of an even number, or one of two of which both go.
+    /// A lost voter where the group bears more losses without it, spare or not: the one too many
+    /// of an even number, or one of two of which both go.
     fn surplus<F>(&self, look: &F) -> Option<Change>
     where
         F: Fn(Id) -> Peer,
     {
-        let voters = &self.members.voters;
-        let silent = voters
-            .values()
-            .filter(|voter| self.is_silent(voter, SILENCE, look));
-        let removals: Vec<Change> = silent.map(|voter| Change::Remove(voter.id)).collect();
+        let lost = self.lost(look).into_iter();
+        let removals: Vec<Change> = lost.map(|voter| Change::Remove(voter.id)).collect();
         let allowed = |change: &&Change| {
             let Some(members) = self.after(self.members, change, look) else {
                 return false;
             };
             let mut others = removals.iter().filter(|other| other != change);
-            match voters.len() {
+            match self.members.voters.len() {
                 count if count < 4 => false,
                 count if count.is_multiple_of(2) => true,
                 _ => others.any(|other| self.after(&members, other, look).is_some()),
@@ -149,12 +158,27 @@
         removals.iter().find(allowed).cloned()
     }
 
-    fn admission(&self) -> Option<Change> {
+    /// Takes a newcomer in, unless a learner is about to get the vote that is due.
+    fn admission<F>(&self, look: &F) -> Option<Change>
+    where
+        F: Fn(Id) -> Peer,
+    {
+        let mut learners = self.members.learners.values();
+        if self.is_half_way() && learners.any(|learner| !self.is_silent(learner, look)) {
+            return None;
+        }
         let mut newcomers = self.newcomers.iter().map(|newcomer| &newcomer.member);
         let newcomer = newcomers.find(|newcomer| !self.members.contains(newcomer.id));
         newcomer.map(|newcomer| Change::Add(newcomer.clone()))
     }
 
+    /// Whether another voter is due: after the first step of an exchange, or in a group that is
+    /// still to grow.
+    fn is_half_way(&self) -> bool {
+        let voters = self.members.voters.len();
+        voters < 3 || voters.is_multiple_of(2)
+    }
+
     /// Learners that hold everything and answer.
     fn spares<F>(&self, look: &F) -> Vec<&Member>
     where
@@ -163,7 +187,7 @@
         let learners = self.members.learners.values();
         let ready = |learner: &&Member| {
             let peer = look(learner.id);
-            peer.caught_up && !peer.leaving && !self.is_silent(learner, self.patience, look)
+            peer.caught_up && !peer.leaving && !self.is_silent(learner, look)
         };
         learners.filter(ready).collect()
     }
@@ -177,7 +201,7 @@
             _ if voter.id == self.own => 0,
             _ if self.is_wiped(voter, look) => 3,
             Peer { leaving: true, .. } => 2,
-            _ if self.is_silent(voter, self.patience, look) => 1,
+            _ if self.is_silent(voter, look) => 1,
             _ => 0,
         };
         let voters = self.members.voters.values();
@@ -193,22 +217,40 @@
     where
         F: Fn(Id) -> Peer,
     {
-        let recent = |heard| self.now.since(heard) < self.patience;
         let answers = |id| {
             let member = members.get(id).or_else(|| self.members.get(id));
-            let wiped = member.is_none_or(|member| self.is_wiped(member, look));
-            id == self.own || look(id).heard.is_some_and(recent) && !wiped
+            let lost = |member| self.is_silent(member, look) || self.is_wiped(member, look);
+            let heard = id == self.own || look(id).heard.is_some();
+            heard && !member.is_none_or(lost)
         };
         let members = members.changed(change).ok()?;
         Some(members).filter(|members| members.has_quorum(answers))
     }
 
-    fn is_silent<F>(&self, member: &Member, span: Duration, look: &F) -> bool
+    /// Whether a member doesn't answer, or its disk doesn't.
+    fn is_silent<F>(&self, member: &Member, look: &F) -> bool
     where
         F: Fn(Id) -> Peer,
     {
-        let last = look(member.id).heard.unwrap_or(self.led_since);
-        member.id != self.own && self.now.since(last) >= span
+        let advanced = look(member.id).advanced.unwrap_or(self.led_since);
+        let hangs = self.now.since(advanced) >= SILENCE;
+        member.id != self.own && (hangs || self.unheard(member, look) >= self.patience)
+    }
+
+    /// For how long a member hasn't answered.
+    fn unheard<F>(&self, member: &Member, look: &F) -> Duration
+    where
+        F: Fn(Id) -> Peer,
+    {
+        let heard = look(member.id).heard;
+        self.now.since(heard.unwrap_or(self.led_since))
+    }
+
+    /// When a replica last greeted as a newcomer.
+    fn greeted(&self, id: Id) -> Option<Mono> {
+        let mut newcomers = self.newcomers.iter();
+        let newcomer = newcomers.find(|newcomer| newcomer.member.id == id);
+        newcomer.map(|newcomer| newcomer.heard)
     }
 
     /// Another disk answers at its address, so its own is gone.
@@ -217,10 +259,8 @@
         F: Fn(Id) -> Peer,
     {
         let succeeds = |other: &Member| other.id != member.id && other.address == member.address;
-        let heard = look(member.id).heard;
-        let newer = |other: &Member| {
-            look(other.id).heard > heard && !self.is_silent(other, self.patience, look)
-        };
+        let heard = look(member.id).heard.max(self.greeted(member.id));
+        let newer = |other: &Member| look(other.id).heard > heard && !self.is_silent(other, look);
         let mut newcomers = self.newcomers.iter();
         newcomers.any(|other| succeeds(&other.member) && Some(other.heard) > heard)
             || (self.members.iter()).any(|other| succeeds(other) && newer(other))
--- a/almondlock-quorum/src/machine/mod.rs
+++ b/almondlock-quorum/src/machine/mod.rs
@@ -337,10 +337,15 @@
         self.peers.get(&id).map(|peer| peer.matched)
     }
 
-    /// Of a leader: when another replica last answered in this term and held all entries, or
-    /// more than before. One whose disk hangs answers and doesn't come to hold more.
+    /// Of a leader: when another replica was last heard in this term.
     pub fn heard(&self, id: Id) -> Option<Mono> {
-        self.peers.get(&id).and_then(|peer| peer.answered)
+        self.peers.get(&id).and_then(|peer| peer.heard)
+    }
+
+    /// Of a leader: when another replica was last heard and held all entries, or more than
+    /// before. One whose disk hangs answers and doesn't come to hold more.
+    pub fn advanced(&self, id: Id) -> Option<Mono> {
+        self.peers.get(&id).and_then(|peer| peer.advanced)
     }
 
     /// Of a leader: since when it has led.
--- a/almondlock-quorum/src/machine/progress.rs
+++ b/almondlock-quorum/src/machine/progress.rs
@@ -20,7 +20,7 @@
     /// When it was last heard in this term.
     pub(super) heard: Option<Mono>,
     /// When it was last heard and held all entries, or more than before.
-    pub(super) answered: Option<Mono>,
+    pub(super) advanced: Option<Mono>,
 }
 
 #[derive(Debug)]
@@ -61,7 +61,7 @@
             round: 0,
             valid_from: 0,
             heard: None,
-            answered: None,
+            advanced: None,
         }
     }
 
--- a/almondlock-quorum/src/machine/replication.rs
+++ b/almondlock-quorum/src/machine/replication.rs
@@ -133,7 +133,7 @@
         peer.heard = Some(now);
         peer.round = peer.round.max(reply.round);
         if !reply.matched || reply.index > peer.matched || reply.index >= last {
-            peer.answered = Some(now);
+            peer.advanced = Some(now);
         }
         let more = if reply.matched {
             peer.on_matched(reply.index.min(last), reply.round)
--- a/almondlock-quorum/src/machine/snapshot.rs
+++ b/almondlock-quorum/src/machine/snapshot.rs
@@ -64,7 +64,7 @@
             return;
         };
         peer.heard = Some(now);
-        peer.answered = Some(now);
+        peer.advanced = Some(now);
         let Mode::Snapshot {
             snapshot, offset, ..
         } = &mut peer.mode
