Look for groups that elect nobody though they could

At a recovery some replicas stay down or hang. If the rest holds a majority of the members that any of them may go by, it must have accepted something within five of the longest election timeouts.

--- a/almondlock-quorum/tests/cluster/check.rs
+++ b/almondlock-quorum/tests/cluster/check.rs
@@ -1,11 +1,11 @@
 //! What must hold after every step.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use almondlock_quorum::{
-    entry::{Entry, Index, Term},
+    entry::{Entry, Index, Payload, Term},
     machine::Machine,
-    member::Id,
+    member::{Id, Members},
 };
 
 use super::{Node, State};
@@ -23,6 +23,15 @@
         self.entries.keys().next_back().copied().unwrap_or_default()
     }
 
+    /// The members that were accepted last, if they ever changed.
+    pub fn members(&self) -> Option<Arc<Members>> {
+        let members = |entry: &Entry| match &entry.payload {
+            Payload::Members(members) => Some(Arc::clone(members)),
+            _ => None,
+        };
+        self.entries.values().rev().find_map(members)
+    }
+
     pub fn register(&self) -> u64 {
         self.states.values().next_back().map_or(0, |s| s.register)
     }
