Wait for a member's part no longer than its session and the deadline

Cause: the entry host asks all members to process their parts and waited for the answers alone. A link that falls silent gives none and fails nothing, and nobody looked whether the session lives, nor at the deadline. The task that gives parts back waited in the same way for ever.

Change: the answers to a reservation, a part and a release are waited for while their session lives, the first two also for no longer than the deadline and the grace of an attempt. The caller then gets another attempt, or a code.

Ruled out: a limit at the sidecar, which has one: its answer is what doesn't arrive.

--- a/almondlock-entry/src/gang.rs
+++ b/almondlock-entry/src/gang.rs
@@ -11,14 +11,16 @@
 use std::time::Duration;
 
 use almondlock_base::{Code, Ran, id::Upstream, unit::Tokens};
-use almondlock_node::clock;
+use almondlock_node::{clock, links::Session};
 use almondlock_policy::gang::{self, Gang, Member, Step};
 use almondlock_wire::{
     almondlock_capnp::sidecar,
     attempt::{self, Outcome, Part, Segment, Target},
     peer::Peer,
 };
+use capnp::capability::{Promise, Response};
 use futures::future::join_all;
+use tokio::time::timeout;
 
 use crate::{
     attempt::{Source, sidecar_of},
@@ -26,6 +28,7 @@
     failure::Failure,
     life::Worker,
     request::Request,
+    send::GRACE,
     shared::Pool,
 };
 
@@ -39,6 +42,7 @@
     upstream: Upstream,
     part: Part,
     client: sidecar::Client,
+    session: Session,
     // The lease is renewed while this lives.
     _debt: Debt,
 }
@@ -63,9 +67,13 @@
             attempt::write_id(&holder.part.attempt, params.reborrow().init_attempt());
             self.worker_peer.write(params.init_from());
             let sent = request.send().promise;
+            let session = holder.session.clone();
             // If it is lost, the lease ends what it would have ended.
             tokio::task::spawn_local(async move {
-                let _ = sent.await;
+                tokio::select! {
+                    _ = sent => {}
+                    () = session.lost() => {}
+                }
             });
         }
     }
@@ -187,7 +195,6 @@
         text: (u64, u64),
         held: &mut Held,
     ) -> Result<(), Failure> {
-        let lost = || Failure::new(Code::UpstreamLost).ran(Ran::No);
         let view = self.shared.handle.view().get();
         let registration = view.upstreams.get(&share.upstream).ok_or_else(lost)?;
         let session = self.links.get(registration.address).await;
@@ -212,12 +219,10 @@
             upstream: share.upstream.clone(),
             part,
             client,
+            session: session.clone(),
             _debt: debt,
         });
-        let answer = tokio::select! {
-            answer = ask.send().promise => answer.map_err(|_| lost())?,
-            () = session.lost() => return Err(lost()),
-        };
+        let answer = answer_of(ask.send().promise, &session, request).await?;
         let outcome = answer
             .get()
             .and_then(|a| a.get_outcome())
@@ -226,7 +231,8 @@
         refusal(outcome)
     }
 
-    /// All members process their parts side by side.
+    /// All members process their parts side by side. Whatever fails, the request
+    /// as such has not run, and what was processed goes with the release.
     async fn process(
         &self,
         pool: &Pool,
@@ -243,23 +249,21 @@
             attempt::write_part(&part, params.reborrow().init_part());
             let rope = request.body.original();
             params.set_source(capnp_rpc::new_client(Source { rope }));
-            let answer = ask.send().promise.await?;
-            let answer = answer.get()?;
-            let outcome = attempt::read_outcome(answer.get_outcome()?)?;
-            let segment = attempt::read_segment(answer.get_segment()?)?;
-            Ok::<_, capnp::Error>((outcome, segment))
+            let answer = answer_of(ask.send().promise, &holder.session, request).await?;
+            let read = || {
+                let answer = answer.get()?;
+                let outcome = attempt::read_outcome(answer.get_outcome()?)?;
+                let segment = attempt::read_segment(answer.get_segment()?)?;
+                Ok::<_, capnp::Error>((outcome, segment))
+            };
+            let (outcome, segment) = read().map_err(|_| lost())?;
+            refusal(outcome)?;
+            Ok::<Segment, Failure>(segment)
         });
         let results = join_all(all).await;
         let mut failed = None;
         for (holder, result) in held.holders.iter().zip(results) {
-            // Only parts of the prompt were processed: the request as such has
-            // not run, and what was processed goes with the release.
-            let lost = |_| Failure::new(Code::UpstreamLost).ran(Ran::No);
-            let processed = result.map_err(lost).and_then(|(outcome, segment)| {
-                refusal(outcome)?;
-                Ok(segment)
-            });
-            match processed {
+            match result {
                 Ok(segment) => held.segments.push(segment),
                 Err(failure) => {
                     self.passed_over(pool, &holder.upstream);
@@ -271,6 +275,31 @@
     }
 }
 
+/// A member that can't be reached any more.
+fn lost() -> Failure {
+    Failure::new(Code::UpstreamLost).ran(Ran::No)
+}
+
+/// A member's answer, waited for while its session lives and the request has
+/// time left.
+async fn answer_of<T>(
+    answer: Promise<Response<T>, capnp::Error>,
+    session: &Session,
+    request: &Request,
+) -> Result<Response<T>, Failure>
+where
+    T: capnp::traits::Pipelined + capnp::traits::Owned + Unpin + 'static,
+{
+    let allowed = request.left(clock::mono()) + GRACE;
+    tokio::select! {
+        answer = timeout(allowed, answer) => match answer {
+            Ok(answer) => answer.map_err(|_| lost()),
+            Err(_) => Err(Failure::new(Code::QueueTimeout).ran(Ran::No)),
+        },
+        () = session.lost() => Err(lost()),
+    }
+}
+
 fn refusal(outcome: Outcome) -> Result<(), Failure> {
     match outcome.code {
         None => Ok(()),
--- a/almondlock-entry/src/send.rs
+++ b/almondlock-entry/src/send.rs
@@ -21,7 +21,7 @@
 };
 
 /// What the sidecar gets beyond the deadline to say how a run ended.
-const GRACE: Duration = Duration::from_millis(500);
+pub(crate) const GRACE: Duration = Duration::from_millis(500);
 
 impl Worker {
     /// Sends an attempt and sees it to an outcome, also when its session or
--- a/almondlock-entry/tests/giant_prompt.rs
+++ b/almondlock-entry/tests/giant_prompt.rs
@@ -6,7 +6,7 @@
 
 use almondlock_node::clock;
 use almondlock_standin::{answer, engine};
-use fleet::{Ask, Fleet, eventually, text_of};
+use fleet::{Ask, Fleet, PATIENCE, eventually, text_of};
 
 const ENGINES: usize = 5;
 
@@ -153,6 +153,40 @@
     freed(&engines).await;
 }
 
+/// Guards against a caller who waits for ever: the link to a member falls silent while it processes
+/// its part, and nobody looks whether the session lives.
+#[ntex::test]
+async fn member_silent() {
+    let fleet = Fleet::new().await;
+    // All five have to take part, for seconds.
+    let slow = engine::Config {
+        memory: 8_000,
+        prefill_rate: 1_000.0,
+        ..config()
+    };
+    let (first, relay) = fleet.engine_behind("engine-0", slow.clone()).await;
+    let mut engines = vec![first];
+    for n in 1..ENGINES {
+        let name = format!("engine-{n}");
+        engines.push(fleet.engine(&name, slow.clone()).await);
+    }
+    let entry = fleet.entry("entry-1").await;
+    fleet.settle().await;
+    let prompt = "a long question ".repeat(104_000 / 16);
+    let wanted = ask(&prompt);
+    let cut = async {
+        eventually(async || engines.iter().filter(|e| e.reserved() > 0).count() >= 4).await;
+        relay.set_silent(true);
+    };
+    let answered = async { text_of(fleet.complete(&entry, &wanted).await).await };
+    let both = async { futures::join!(answered, cut).0 };
+    let answer = tokio::time::timeout(PATIENCE, both).await;
+    let (code, _) = answer.expect("it is answered").unwrap_err();
+    assert!([2016, 3002, 2010].contains(&code), "{code}");
+    relay.set_silent(false);
+    freed(&engines).await;
+}
+
 /// The caller leaves while memory is gathered: what is held goes back.
 #[ntex::test]
 async fn caller_leaves() {
