Wait for news before refusing what a leaving upstream gave back

Cause: the entry host looks for the next place in the configuration that it holds at that moment. A registration reaches it later than the replicas have it, and an upstream that leaves at once is faster.

Change: when an upstream that leaves gave a request back and no other is known, the entry host looks again at each newer revision until it has one that was the newest after that moment, for 2 s at most and no longer than the deadline. Everything accepted before the request was given back is in that one. All other refusals are as fast as before.

Ruled out: the new upstream refusing (it wasn't known yet), and a wait for every refusal (one for lack of upstreams is due at once). The test is right: the replicas had accepted the new upstream before the old one was stopped.

--- a/almondlock-entry/src/course.rs
+++ b/almondlock-entry/src/course.rs
@@ -8,7 +8,7 @@
 
 use std::time::Duration;
 
-use almondlock_base::{Code, Ran, id::Fingerprint};
+use almondlock_base::{Code, Ran, id::Fingerprint, time::Mono};
 use almondlock_node::clock;
 use almondlock_policy::{
     choice::Index,
@@ -44,6 +44,8 @@
     // The most that is known of any attempt that may have run.
     pub(crate) ran: Ran,
     pub(crate) suspect: bool,
+    // When an upstream that leaves gave it back, if the last attempt ended so.
+    pub(crate) given_back: Option<Mono>,
     // Whether the last attempt finished well, or its engine died.
     pub(crate) harmless: Option<bool>,
     // Whether the time to the first token has been told.
@@ -62,6 +64,7 @@
             pool: None,
             ran: Ran::No,
             suspect: false,
+            given_back: None,
             harmless: None,
             measured: false,
         }
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -29,8 +29,11 @@
 
 /// When to come back when no upstream can be had.
 const NO_UPSTREAM_RETRY: Duration = Duration::from_secs(2);
-/// How long the configuration that explains a death is waited for.
+/// How long the configuration that explains a death, or has another upstream in
+/// place of one that leaves, is waited for.
 const NEWS_TIMEOUT: Duration = Duration::from_secs(2);
+/// How often it is looked at.
+const NEWS_PAUSE: Duration = Duration::from_millis(10);
 
 /// One worker thread of an entry host.
 pub struct Worker {
@@ -99,7 +102,7 @@
             course.places += 1;
             let next = match self.gang_pool(request) {
                 None => {
-                    let place = self.choose(request, &course)?;
+                    let place = self.place(request, &course).await?;
                     self.attempt(request, &place, None, &mut course, pieces)
                         .await
                 }
@@ -184,6 +187,34 @@
         })
     }
 
+    /// A place for the next attempt. An upstream that leaves may have been
+    /// replaced by one that this host has not heard of yet: what it gave back
+    /// is refused only when the configuration has no other, as it was then.
+    async fn place(&self, request: &Request, course: &Course) -> Result<Place, Failure> {
+        let handle = &self.shared.handle;
+        let mut tried = handle.view().revision();
+        let mut chosen = self.choose(request, course);
+        let Some(since) = course.given_back else {
+            return chosen;
+        };
+        while chosen.is_err() {
+            let now = clock::mono();
+            let waited = now.since(since);
+            let current = handle.age(now) <= waited;
+            if handle.view().revision() > tried {
+                tried = handle.view().revision();
+                // Brings the tables to that revision.
+                self.shared.directory();
+                chosen = self.choose(request, course);
+            } else if current || waited >= NEWS_TIMEOUT || request.left(now).is_zero() {
+                break;
+            } else {
+                sleep(NEWS_PAUSE).await;
+            }
+        }
+        chosen
+    }
+
     fn choose(&self, request: &Request, course: &Course) -> Result<Place, Failure> {
         let _hop = tracing::info_span!(
             "choice",
@@ -258,6 +289,8 @@
         let (outcome, left) = answered.instrument(span).await;
         self.account(request, place, &outcome, course);
         course.excluded.push(place.index);
+        let leaving = outcome.code == Some(Code::UpstreamLeaving);
+        course.given_back = leaving.then(clock::mono);
         course.pool = (course.offset > 0).then(|| place.pool.clone());
         let took = clock::mono().since(started);
         let metrics = &self.shared.metrics;
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -138,12 +138,16 @@
 
     /// Starts a process with a node and nothing else.
     async fn node(&self, name: &str, sidecars: Sidecars) -> (Node, u64) {
+        self.node_below(name, sidecars, self.source.address()).await
+    }
+
+    async fn node_below(&self, name: &str, sidecars: Sidecars, seed: SocketAddr) -> (Node, u64) {
         let number = self.number();
         let parts = Parts {
             sidecars,
             ..Parts::default()
         };
-        let config = config(name, number, vec![self.source.address()]);
+        let config = config(name, number, vec![seed]);
         let node = Node::start(config, View::new(), parts).await.unwrap();
         (node, number)
     }
@@ -154,7 +158,19 @@
     }
 
     pub async fn entry_with(&self, name: &str, config: shared::Config) -> Server {
-        let (node, seed) = self.node(name, Sidecars::default()).await;
+        self.entry_below(name, config, self.source.address()).await
+    }
+
+    /// An entry host whose link to the control replica can fall silent.
+    pub async fn entry_behind(&self, name: &str) -> (Server, Relay) {
+        let relay = Relay::start(self.source.address()).await;
+        let config = shared::Config::default();
+        let entry = self.entry_below(name, config, relay.address).await;
+        (entry, relay)
+    }
+
+    async fn entry_below(&self, name: &str, config: shared::Config, above: SocketAddr) -> Server {
+        let (node, seed) = self.node_below(name, Sidecars::default(), above).await;
         let builder = Builder {
             config,
             listen: LOCAL,
