Judge the end of a soak in which nobody leads

What callers saw: nothing, which is the fault. A run whose replicas have no leader for good never ended: the operator sends a change until somebody takes it, and the run waited for the operator. Without a change under way they would have ended, and a configuration that nobody can read any more was no finding either: one reading early in the run was enough.

The run now goes on to its end 25 s after its last fault has begun. `kept` wants a reading later than the recovery's 12 s after the last fault, and `recovery` that every change that was sent was acknowledged by the end. Both are stricter; the clean history of `planted_history` has its last reading after the recovery for it, and two histories are planted, one for each.

--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -78,7 +78,7 @@
         ("once", once(history)),
         ("not-run", not_run(history)),
         ("whole", whole(history)),
-        ("kept", kept(history)),
+        ("kept", kept(history, bounds)),
         ("forward", forward(history)),
         ("revoked", revoked(history, bounds)),
         ("uncut", uncut(history, bounds)),
@@ -142,7 +142,7 @@
 }
 
 /// What was acknowledged to the operator is read back, then and at the end.
-fn kept(history: &History) -> Vec<String> {
+fn kept(history: &History, bounds: &Bounds) -> Vec<String> {
     let old = history.reads.iter().filter_map(|read| {
         let before = history.publications.iter().filter(|publication| {
             let at = publication.acknowledged;
@@ -157,8 +157,9 @@
         })
     });
     let mut found: Vec<String> = old.collect();
-    if history.reads.is_empty() {
-        found.push("no configuration could be read".to_owned());
+    let from = history.healed + bounds.recovery;
+    if !history.reads.iter().any(|read| read.sent > from) {
+        found.push("no configuration could be read after the recovery".to_owned());
     }
     found
 }
@@ -305,6 +306,12 @@
     if late.is_empty() {
         found.push("nothing was asked after the recovery".to_owned());
     }
+    let publications = history.publications.iter();
+    let refused = publications.filter(|publication| publication.acknowledged.is_none());
+    found.extend(refused.map(|publication| {
+        let (version, sent) = (publication.version, publication.sent);
+        format!("version {version}, first sent at {sent} ms, was never acknowledged")
+    }));
     let unstopped = history.unstopped.iter();
     found.extend(unstopped.map(|name| format!("{name} did not stop in time")));
     found
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -41,7 +41,7 @@
         unix::{SignalKind, signal},
     },
     task::{LocalSet, spawn_local},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 use self::{
@@ -69,6 +69,8 @@
 /// After the last caller, until memory must be back: what may outlive its use, and one more
 /// order that gives it back.
 const QUIET: Duration = Duration::from_secs(5);
+/// How long faults, and changes that were sent meanwhile, may take once all have begun.
+const LAST: Duration = Duration::from_secs(25);
 /// How long the first configuration may take.
 const START: Duration = Duration::from_secs(20);
 /// Exit status for arguments that can't be used.
@@ -287,7 +289,7 @@
         .map(|n| format!("key-{}-{n}", setup.seed))
         .collect();
     let first = operator.publish(keys.clone());
-    if tokio::time::timeout(START, first).await.is_err() {
+    if timeout(START, first).await.is_err() {
         return Err(io::Error::other("the first configuration was not taken"));
     }
     fleet.founded()?;
@@ -414,8 +416,11 @@
             done
         }));
     }
-    for task in join_all(tasks).await {
-        task.map_err(io::Error::other)??;
+    // A change that nobody takes must not keep the run from its end.
+    if let Ok(done) = timeout(LAST, join_all(tasks)).await {
+        for task in done {
+            task.map_err(io::Error::other)??;
+        }
     }
     fleet.heal()?;
     world.history.borrow_mut().healed = world.now();
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -85,7 +85,7 @@
                 version: 1,
             },
             Read {
-                sent: 40_000,
+                sent: HEALED + BOUNDS.recovery + 600,
                 version: 2,
             },
         ],
@@ -122,6 +122,16 @@
     history.reads.clear();
 }
 
+fn unreadable_at_end(history: &mut History) {
+    history.reads[1].sent = HEALED + BOUNDS.recovery;
+}
+
+fn never_acknowledged(history: &mut History) {
+    let mut late = publication(3, HEALED - 1_000, &["kept"]);
+    late.acknowledged = None;
+    history.publications.push(late);
+}
+
 fn went_back(history: &mut History) {
     let late = request("back", Kind::Version(1), 7_000, Outcome::Status(200));
     history.requests.push(late);
@@ -281,6 +291,8 @@
     wrong = { answered_wrong, "whole" },
     lost_change = { change_lost, "kept" },
     unreadable = { never_read, "kept" },
+    unreadable_late = { unreadable_at_end, "kept" },
+    unacknowledged = { never_acknowledged, "recovery" },
     backwards = { went_back, "forward" },
     taken_key = { key_honoured, "revoked" },
     cut_off = { cut_at_stop, "uncut" },
