Replace replicas at other addresses in the soak

Its replicas came back at their own addresses, where a disk that is gone is told by its successor's address, and it left 5 s between the return of one replica and the loss of the next, where deployments promise 4 s from the start of a newcomer. A voter that went was removed after 3 s of one leader's time and some: by 5 s that was over.

`--replace` adds replacements, planned (the newcomer starts, 1 to 4 s later the old one is told to stop) and not (the old one is killed for good, the newcomer starts 1 to 2.4 s later). Meanwhile other replicas are stopped, killed or frozen, or all are killed. Then a disk is lost, alone or while all replicas are killed, no sooner than 4 s after the newcomer's start; the plan allows for it, and the run waits for what has really started. Settings name the one that went for 3 s more. Other plans stay as they were, with their 5 s, so that seeds which are written down keep their meaning.

`soak_plan::replacement_bearable` keeps the plan within the promised time over 200 seeds.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -68,6 +68,12 @@
         help = "also evacuations, upstreams that start again cold, kills of all processes"
     )]
     pub orders: bool,
+    /// Replicas replaced at other addresses.
+    #[options(
+        no_short,
+        help = "replicas replaced at other addresses, and disks lost after it, in place of other faults of replicas"
+    )]
+    pub replace: bool,
     /// Upstreams that ask for pauses.
     #[options(
         no_short,
@@ -144,6 +150,8 @@
     pub planned: bool,
     /// Also evacuations, upstreams that start again cold, and kills of all processes.
     pub orders: bool,
+    /// Replicas are replaced at other addresses, in place of other faults of replicas.
+    pub replace: bool,
     /// Also upstreams that ask for pauses.
     pub pauses: bool,
     /// Also configurations in quick succession, slow upstreams, and a greedy organisation.
@@ -206,6 +214,7 @@
             callers: self.callers,
             planned: self.planned,
             orders: self.orders,
+            replace: self.replace,
             pauses: self.pauses,
             load: self.load,
             crashing: self.crashing,
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -1,8 +1,10 @@
 //! The system under test: replicas and entry hosts as processes, upstreams in this one, and
 //! links between them that can be harmed.
 
+mod losses;
+
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     fs,
     io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
@@ -12,13 +14,14 @@
 };
 
 use rustix::process::Signal;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{
     operator::SLOTS,
     plan::{Act, DOMAINS, Fault},
     process::Process,
     proxy::Proxy,
+    replicas::{Replica, Replicas},
     upstream::Upstream,
     world::{ENGINES, PLAIN, World},
 };
@@ -29,23 +32,23 @@
 const BASES: std::ops::Range<u8> = 20..220;
 /// A process that has ended is started again after this long.
 const RESTART: Duration = Duration::from_millis(300);
+/// All replicas that were killed at once are back after this long, at the most.
+const BACK: Duration = Duration::from_secs(1);
 /// How long a process that is told to stop may take.
 pub const STOP: Duration = Duration::from_secs(8);
-/// Bytes that are missing where a synced record is cut.
-const CUT: u64 = 7;
-/// The bytes of a record that was not written whole: fewer than its length takes.
-const TORN: [u8; 3] = [9, 0, 0];
-
 /// The fleet.
 pub struct Fleet {
     world: Rc<World>,
     folder: PathBuf,
+    program: PathBuf,
     base: u8,
     // Keeps other runs off these addresses.
     _claim: TcpListener,
-    replicas: Vec<Process>,
-    /// From upstreams and the operator to each replica, and where it leads.
-    pub control: Vec<(Rc<Proxy>, SocketAddr)>,
+    replicas: Replicas,
+    /// Until when no other disk is lost: one on an empty disk has started.
+    settled: Cell<Option<Instant>>,
+    /// From upstreams and the operator to the replica in each place.
+    pub control: Vec<Rc<Proxy>>,
     /// Entry hosts.
     pub hosts: Vec<Process>,
     /// From callers to each entry host.
@@ -65,9 +68,11 @@
         let mut fleet = Fleet {
             world: Rc::clone(world),
             folder: folder.to_owned(),
+            program: program.to_owned(),
             base,
             _claim: claim,
-            replicas: Vec::new(),
+            replicas: Replicas::default(),
+            settled: Cell::default(),
             control: Vec::new(),
             hosts: Vec::new(),
             callers: Vec::new(),
@@ -75,13 +80,15 @@
             former: RefCell::default(),
         };
         for n in 0..world.size.replicas {
-            let file = fleet.write_replica(n, true)?;
-            let process = Process::new(format!("replica-{n}"), program.to_owned(), file);
-            process.start()?;
-            let own = SocketAddr::new(fleet.replica(n), PORTS[3]);
+            let replica = fleet.replica(n);
+            let own = SocketAddr::new(fleet.ip(1, replica.number), PORTS[3]);
             let link = Proxy::start((fleet.links(), 0).into(), own).await?;
-            fleet.replicas.push(process);
-            fleet.control.push((link, own));
+            fleet.replicas.add(replica);
+            fleet.control.push(link);
+        }
+        for replica in fleet.replicas.members() {
+            fleet.write_replica(&replica, true)?;
+            replica.process.start()?;
         }
         for n in 0..world.size.hosts {
             let file = fleet.write_host(n)?;
@@ -102,10 +109,14 @@
 
     /// The group is there: a replica that starts from now on doesn't found one.
     pub fn founded(&self) -> io::Result<()> {
-        for n in 0..self.world.size.replicas {
-            self.write_replica(n, false)?;
-        }
-        Ok(())
+        let mut replicas = self.replicas.present().into_iter();
+        replicas.try_for_each(|replica| self.write_replica(&replica, false))
+    }
+
+    /// All settings name the replicas that are in their places now.
+    fn rewrite(&self) -> io::Result<()> {
+        self.founded()?;
+        (0..self.world.size.hosts).try_for_each(|n| self.write_host(n).map(drop))
     }
 
     fn ip(&self, class: u8, n: usize) -> IpAddr {
@@ -113,8 +124,21 @@
         Ipv4Addr::new(127, self.base, class, last).into()
     }
 
-    fn replica(&self, n: usize) -> IpAddr {
-        self.ip(1, n)
+    /// One that has not started yet, at an address of its own.
+    fn replica(&self, place: usize) -> Replica {
+        let number = self.replicas.number();
+        let name = format!("replica-{number}");
+        let file = self.folder.join(format!("{name}.ini"));
+        Replica {
+            place,
+            number,
+            process: Process::new(name, self.program.clone(), file),
+        }
+    }
+
+    /// Its folder.
+    fn data(&self, replica: &Replica) -> PathBuf {
+        self.folder.join(format!("data-{}", replica.number))
     }
 
     fn host(&self, n: usize) -> IpAddr {
@@ -126,23 +150,25 @@
     }
 
     fn seeds(&self, port: u16) -> String {
-        let seeds = (0..self.world.size.replicas.min(3))
-            .map(|n| SocketAddr::new(self.replica(n), port).to_string());
+        let members = self.replicas.members();
+        let seeds = members.iter().take(3);
+        let seeds = seeds.map(|seed| SocketAddr::new(self.ip(1, seed.number), port).to_string());
         seeds.collect::<Vec<_>>().join(", ")
     }
 
-    fn write_replica(&self, n: usize, founds: bool) -> io::Result<PathBuf> {
-        let ip = self.replica(n);
+    fn write_replica(&self, replica: &Replica, founds: bool) -> io::Result<()> {
+        let Replica { place, number, .. } = replica;
+        let ip = self.ip(1, *number);
         let [inner, loads, admin, control, ..] = PORTS;
         let founds = if founds { "yes" } else { "no" };
         let text = format!(
-            "[host]\nname = {ip}\ndomain = d-{n}\nregion = r\nlisten = {ip}:{inner}\n\
-             seeds = {}\nfollow = 400\ndata = data-{n}\n\n\
+            "[host]\nname = {ip}\ndomain = d-{place}\nregion = r\nlisten = {ip}:{inner}\n\
+             seeds = {}\nfollow = 400\ndata = data-{number}\n\n\
              [replica]\nadmin = {ip}:{admin}\nfounds = {founds}\nrepairs = yes\n\n\
              [directory]\nlisten = {ip}:{control}\nexchange = {ip}:{loads}\n\n{LOG}",
             self.seeds(inner)
         );
-        self.write(&format!("replica-{n}"), &text)
+        self.write(&replica.process.name, &text).map(drop)
     }
 
     fn write_host(&self, n: usize) -> io::Result<PathBuf> {
@@ -174,7 +200,7 @@
             true => (PLAIN, SLOTS * 2, domain),
             false => (ENGINES, SLOTS, domain),
         };
-        let control = self.control.iter().map(|(link, _)| link.address);
+        let control = self.control.iter().map(|link| link.address);
         Upstream::start(&self.world, self.links(), kind, control.collect(), name).await
     }
 
@@ -189,33 +215,17 @@
             Act::KillHost(n) => self.kill(&self.hosts[n], length).await,
             Act::FreezeHost(n) => self.freeze(&self.hosts[n], length).await,
             Act::StopHost(n) => self.stop(&self.hosts[n]).await,
-            Act::KillReplica(n) => self.kill(&self.replicas[n], length).await,
-            Act::FreezeReplica(n) => self.freeze(&self.replicas[n], length).await,
-            Act::StopReplica(n) => self.stop(&self.replicas[n]).await,
-            Act::WipeReplica(n) => {
-                self.replicas[n].kill().await;
-                fs::remove_dir_all(self.folder.join(format!("data-{n}")))?;
-                sleep(length).await;
-                self.replicas[n].start()
-            }
-            Act::TearReplica(n) => {
-                self.replicas[n].kill().await;
-                let folder = self.folder.join(format!("data-{n}"));
-                match self.world.cuts_synced {
-                    true => cut(&folder)?,
-                    false => tear(&folder)?,
-                }
-                self.replicas[n].start()
-            }
-            Act::KillReplicas => {
-                for replica in &self.replicas {
-                    replica.signal(Signal::KILL);
-                }
-                sleep(length.min(Duration::from_secs(1))).await;
-                self.replicas.iter().try_for_each(Process::start)
-            }
+            Act::KillReplica(n) => self.kill(&self.replicas.at(n).process, length).await,
+            Act::FreezeReplica(n) => self.freeze(&self.replicas.at(n).process, length).await,
+            Act::StopReplica(n) => self.stop(&self.replicas.at(n).process).await,
+            Act::WipeReplica(n) => self.wipe(n, length).await,
+            Act::WipeAmongKilled(n) => self.wipe_among_killed(n, length).await,
+            Act::TearReplica(n) => self.tear(n).await,
+            Act::KillReplicas => self.kill_all_replicas(length.min(BACK)).await,
+            Act::ReplaceReplica(n) => self.replace_replica(n, length).await,
+            Act::MoveReplica(n) => self.move_replica(n, length).await,
             Act::Callers(n, link) => harm(&self.callers[n], link, length).await,
-            Act::Control(n, link) => harm(&self.control[n].0, link, length).await,
+            Act::Control(n, link) => harm(&self.control[n], link, length).await,
             Act::Upstream(n, link) => match self.present(n) {
                 Some(upstream) => harm(&upstream.link, link, length).await,
                 None => Ok(()),
@@ -233,10 +243,12 @@
                 self.replace(n, name).await
             }
             Act::KillAll => {
-                let all = || self.replicas.iter().chain(&self.hosts);
-                all().for_each(|process| process.signal(Signal::KILL));
+                self.kill_replicas();
+                let hosts = self.hosts.iter();
+                hosts.for_each(|process| process.signal(Signal::KILL));
                 sleep(RESTART).await;
-                all().try_for_each(Process::start)
+                self.start_replicas()?;
+                self.hosts.iter().try_for_each(Process::start)
             }
             Act::Release(n) => {
                 let old = self.present(n);
@@ -330,26 +342,26 @@
     /// Starts processes that have ended by themselves, as whoever runs them would, and looks
     /// at what all of them take.
     pub async fn tend(&self) {
-        let all = || self.hosts.iter().chain(&self.replicas);
         while !self.world.over.get() {
-            all().for_each(Process::look);
+            self.hosts.iter().for_each(Process::look);
+            let replicas = self.replicas.present();
+            replicas.iter().for_each(|replica| replica.process.look());
             sleep(Duration::from_secs(1)).await;
         }
     }
 
     /// All links whole, all processes running.
     pub fn heal(&self) -> io::Result<()> {
-        let links = self
-            .callers
-            .iter()
-            .chain(self.control.iter().map(|(link, _)| link));
+        let links = self.callers.iter().chain(&self.control);
         links.for_each(|link| link.set(None));
         for upstream in &*self.upstreams.borrow() {
             upstream.link.set(None);
             upstream.limit.set(None);
             upstream.pause.set(None);
         }
-        for process in self.hosts.iter().chain(&self.replicas) {
+        let replicas = self.replicas.present();
+        let replicas = replicas.iter().map(|replica| &replica.process);
+        for process in self.hosts.iter().chain(replicas) {
             process.signal(Signal::CONT);
             process.start()?;
         }
@@ -364,7 +376,9 @@
 
     /// Stops all processes and says what they took.
     pub async fn end(&self) {
-        let all: Vec<&Process> = self.hosts.iter().chain(&self.replicas).collect();
+        let replicas = self.replicas.all();
+        let replicas = replicas.iter().map(|replica| &replica.process);
+        let all: Vec<&Process> = self.hosts.iter().chain(replicas).collect();
         futures::future::join_all(all.iter().map(|process| self.stop_only(process))).await;
         let mut history = self.world.history.borrow_mut();
         for process in all {
@@ -398,37 +412,3 @@
     link.set(None);
     Ok(())
 }
-
-/// Leaves a part of a record at the end of the file that was written last, as a process does
-/// that dies while it writes.
-fn tear(folder: &Path) -> io::Result<()> {
-    let Some((file, _)) = newest(folder)? else {
-        return Ok(());
-    };
-    let mut file = fs::OpenOptions::new().append(true).open(file)?;
-    file.write_all(&TORN)
-}
-
-/// Takes the last bytes off the file that was written last: a disk that loses what it had
-/// synced, which deployments don't promise to bear.
-fn cut(folder: &Path) -> io::Result<()> {
-    let Some((file, length)) = newest(folder)? else {
-        return Ok(());
-    };
-    let file = fs::OpenOptions::new().write(true).open(file)?;
-    file.set_len(length.saturating_sub(CUT))
-}
-
-/// The file that was written last, and its length.
-fn newest(folder: &Path) -> io::Result<Option<(PathBuf, u64)>> {
-    let mut files = Vec::new();
-    for entry in fs::read_dir(folder)? {
-        let entry = entry?;
-        let data = entry.metadata()?;
-        if data.is_file() {
-            files.push((data.modified()?, entry.path(), data.len()));
-        }
-    }
-    let newest = files.into_iter().max();
-    Ok(newest.map(|(_, path, length)| (path, length)))
-}
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -5,7 +5,7 @@
 //! |---|---|
 //! | [`arguments`] | the command line |
 //! | [`plan`] | which faults, and when |
-//! | [`fleet`], [`process`] | processes, their settings, signals and disks |
+//! | [`fleet`], [`replicas`], [`process`] | processes, their settings, signals and disks |
 //! | [`proxy`] | links that can be harmed |
 //! | [`upstream`], [`caller`], [`operator`], [`http`] | who uses the system |
 //! | [`history`] | what they saw |
@@ -26,6 +26,7 @@
 pub mod plan;
 pub mod process;
 pub mod proxy;
+pub mod replicas;
 pub mod upstream;
 pub mod world;
 
@@ -51,7 +52,7 @@
     fleet::Fleet,
     history::{History, Kind, Outcome},
     operator::Operator,
-    plan::{Act, Fault},
+    plan::{Act, Fault, replacement},
     world::World,
 };
 
@@ -204,6 +205,9 @@
     pub fn faults(&self) -> Vec<Fault> {
         let millis = self.seconds * 1_000;
         let mut faults = plan::draw(self.seed, millis, self.size, self.planned);
+        if self.replace {
+            replacement::draw(self.seed, millis, self.size, &mut faults);
+        }
         if self.orders {
             plan::draw_orders(self.seed, millis, self.size, &mut faults);
         }
@@ -283,8 +287,7 @@
     folder: &std::path::Path,
 ) -> io::Result<()> {
     let fleet = Rc::new(Fleet::start(world, &setup.program, folder).await?);
-    let control = fleet.control.iter().map(|(link, own)| (link.address, *own));
-    let operator = Rc::new(Operator::new(world, control.collect()));
+    let operator = Rc::new(Operator::new(world, fleet.control.clone()));
     let keys: Vec<String> = (0..KEYS)
         .map(|n| format!("key-{}-{n}", setup.seed))
         .collect();
--- a/almondlock-bench/src/soak/operator.rs
+++ b/almondlock-bench/src/soak/operator.rs
@@ -15,6 +15,7 @@
 use super::{
     history::{self, Evacuation, Read},
     http::{Message, Reader},
+    proxy::Proxy,
     world::{ENGINES, HOST, PLAIN, World},
 };
 
@@ -54,13 +55,13 @@
     world: Rc<World>,
     /// Routes besides those that callers use.
     more: Cell<usize>,
-    /// Links to the replicas' listeners, and the addresses that these have.
-    control: Vec<(SocketAddr, SocketAddr)>,
+    /// Links to the replicas' listeners.
+    control: Vec<Rc<Proxy>>,
 }
 
 impl Operator {
-    /// One that uses these links, each given with where it leads.
-    pub fn new(world: &Rc<World>, control: Vec<(SocketAddr, SocketAddr)>) -> Operator {
+    /// One that uses these links.
+    pub fn new(world: &Rc<World>, control: Vec<Rc<Proxy>>) -> Operator {
         Operator {
             world: Rc::clone(world),
             more: Cell::new(0),
@@ -83,8 +84,8 @@
         };
         let place = self.world.history.borrow().publications.len() - 1;
         while !self.world.over.get() {
-            for (link, _) in &self.control {
-                if self.send(*link, ("PUT", CONFIGURATION), &text).await {
+            for link in &self.control {
+                if self.send(link.address, ("PUT", CONFIGURATION), &text).await {
                     let now = self.world.now();
                     let mut history = self.world.history.borrow_mut();
                     history.publications[place].acknowledged = Some(now);
@@ -133,8 +134,8 @@
     /// Sends an order until it is acknowledged; gives when that was.
     async fn order(&self, method: &str, path: &str) -> Option<u64> {
         while !self.world.over.get() {
-            for (link, _) in &self.control {
-                if self.send(*link, (method, path), "").await {
+            for link in &self.control {
+                if self.send(link.address, (method, path), "").await {
                     return Some(self.world.now());
                 }
             }
@@ -161,7 +162,7 @@
         false
     }
 
-    /// The link to the replica that a URL names.
+    /// The link to the replica that a URL names; its own address if no link leads there yet.
     fn link(&self, url: &str) -> Option<SocketAddr> {
         let address: SocketAddr = url
             .strip_prefix("http://")?
@@ -170,15 +171,15 @@
             .parse()
             .ok()?;
         let mut control = self.control.iter();
-        let found = control.find(|(_, own)| *own == address);
-        found.map(|(link, _)| *link)
+        let found = control.find(|link| link.target() == address);
+        Some(found.map_or(address, |link| link.address))
     }
 
     /// Reads the configuration at every replica.
     pub async fn read(&self) {
-        for (link, _) in &self.control {
+        for link in &self.control {
             let sent = self.world.now();
-            let answer = call(*link, "GET", CONFIGURATION, "").await;
+            let answer = call(link.address, "GET", CONFIGURATION, "").await;
             let Ok(answer) = answer.map(|a| if a.status == 200 { Some(a) } else { None }) else {
                 continue;
             };
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -1,12 +1,14 @@
 //! What goes wrong in a run, and when: drawn from a seed, so that a run can be repeated.
 
+pub mod replacement;
+
 use std::fmt;
 
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
 
 /// Milliseconds before the first fault: everything serves by then.
 const CALM: u64 = 1_500;
-/// Milliseconds that a replica which was away needs before another one may go.
+/// Milliseconds between faults of two replicas.
 const CATCH_UP: u64 = 5_000;
 /// Milliseconds between two faults, at the most.
 const GAP: u64 = 1_400;
@@ -56,6 +58,12 @@
     TearReplica(usize),
     /// All replicas are killed at once.
     KillReplicas,
+    /// All replicas are killed at once, and this one loses its disk.
+    WipeAmongKilled(usize),
+    /// It is killed for good, and another one starts at another address.
+    ReplaceReplica(usize),
+    /// Another one starts at another address, and then it is told to stop for good.
+    MoveReplica(usize),
     /// The link from callers to an entry host.
     Callers(usize, Link),
     /// The links from entry hosts to an upstream.
@@ -115,8 +123,10 @@
             | Act::FreezeReplica(n)
             | Act::StopReplica(n)
             | Act::WipeReplica(n)
-            | Act::TearReplica(n) => Some(n),
-            Act::KillReplicas | Act::KillAll => Some(usize::MAX),
+            | Act::TearReplica(n)
+            | Act::ReplaceReplica(n)
+            | Act::MoveReplica(n) => Some(n),
+            Act::KillReplicas | Act::WipeAmongKilled(_) | Act::KillAll => Some(usize::MAX),
             _ => None,
         }
     }
@@ -244,7 +254,8 @@
 }
 
 fn push(faults: &mut Vec<Fault>, at: u64, length: u64, act: Act) {
-    let number = faults.len();
+    let numbers = faults.iter().map(|fault| fault.number + 1);
+    let number = numbers.max().unwrap_or(0);
     faults.push(Fault {
         number,
         at,
--- a/almondlock-bench/src/soak/proxy.rs
+++ b/almondlock-bench/src/soak/proxy.rs
@@ -50,6 +50,16 @@
         Ok(proxy)
     }
 
+    /// Where it leads.
+    pub fn target(&self) -> SocketAddr {
+        self.target.get()
+    }
+
+    /// Leads elsewhere from now on; connections that are open stay.
+    pub fn lead(&self, target: SocketAddr) {
+        self.target.set(target);
+    }
+
     /// Harms the link from now on, or no longer.
     pub fn set(&self, harm: Option<Link>) {
         self.harm.set(harm);
--- a/almondlock-bench/tests/soak_plan.rs
+++ b/almondlock-bench/tests/soak_plan.rs
@@ -3,7 +3,7 @@
 
 use almondlock_bench::soak::{
     arguments::Arguments,
-    plan::{self, Act, Size},
+    plan::{self, Act, Size, replacement},
 };
 use gumdrop::Options;
 use yare::parameterized;
@@ -45,6 +45,44 @@
     }
 }
 
+/// A disk is lost no sooner than others have had their time, and one at a time.
+#[test]
+fn replacement_bearable() {
+    for seed in 0..200 {
+        let mut faults = plan::draw(seed, 60_000, SIZE, true);
+        replacement::draw(seed, 60_000, SIZE, &mut faults);
+        let mut settled = 0;
+        let mut replaced = 0;
+        for fault in &faults {
+            let started = match fault.act {
+                Act::MoveReplica(_) => fault.at,
+                Act::ReplaceReplica(_) | Act::WipeReplica(_) | Act::WipeAmongKilled(_) => {
+                    fault.end()
+                }
+                _ => continue,
+            };
+            assert!(fault.at >= settled, "seed {seed}: {fault}");
+            settled = started + 4_000;
+            replaced += usize::from(!matches!(
+                fault.act,
+                Act::WipeReplica(_) | Act::WipeAmongKilled(_)
+            ));
+        }
+        assert!(replaced >= 2, "seed {seed}");
+    }
+}
+
+/// What is left out is named by number.
+#[test]
+fn replacement_numbered() {
+    let mut faults = plan::draw(5, 60_000, SIZE, false);
+    replacement::draw(5, 60_000, SIZE, &mut faults);
+    let mut numbers: Vec<usize> = faults.iter().map(|fault| fault.number).collect();
+    numbers.sort_unstable();
+    numbers.dedup();
+    assert_eq!(numbers.len(), faults.len());
+}
+
 #[test]
 fn planned_only() {
     let faults = plan::draw(3, 60_000, SIZE, true);
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -18,6 +18,7 @@
         callers: 3,
         planned: false,
         orders: false,
+        replace: false,
         pauses: false,
         load: false,
         crashing: false,
