--- a/almondlock-quorum/tests/missing_votes.rs
+++ b/almondlock-quorum/tests/missing_votes.rs
@@ -104,6 +104,34 @@
     assert_eq!(ballot.unanswered, ids(&[1, 2, 3]));
 }
 
+/// Nobody stands for election before its term is synced.
+fn sync(machine: &mut Machine, now: Mono) {
+    if let Some(write) = machine.take(now).write {
+        machine.synced(now, write.sequence);
+    }
+}
+
+/// Guards against a vote from outside that looks like one that counts: a replica on an empty
+/// disk answers at the address of the voter that it was.
+#[test]
+fn outside_vote() {
+    let mut machine = machine();
+    let now = Mono::from_millis(10_000);
+    machine.tick(now);
+    let granted = VoteReply {
+        pre: true,
+        granted: true,
+    };
+    let reply = Message {
+        term: machine.term().next(),
+        body: Body::VoteReply(granted),
+    };
+    machine.receive(now, Id(9), reply);
+    let ballot = machine.ballot().unwrap();
+    assert_eq!(ballot.granted, ids(&[1]));
+    assert_eq!(ballot.unanswered, ids(&[2, 3]));
+}
+
 /// Guards against refusals that are forgotten since they name a newer term, which ends the
 /// round, or an older one.
 #[parameterized(
@@ -113,6 +141,7 @@
 fn refused(term: u64) {
     let mut machine = machine();
     machine.receive(NOW, Id(2), heartbeat(3));
+    sync(&mut machine, NOW);
     let now = Mono::from_millis(10_000);
     machine.tick(now);
     let refused = VoteReply {
@@ -124,6 +153,7 @@
         body: Body::VoteReply(refused),
     };
     machine.receive(now, Id(2), reply);
+    sync(&mut machine, now);
     machine.tick(Mono::from_millis(20_000));
     let ballot = machine.failed_ballot().unwrap();
     assert_eq!(ballot.refused, [(Id(2), Term(term))].into());
