Don't lose what ended a fault early in a soak

Two soaks beside a load average of 80 found a group without a leader whose replicas were never started: a fault's task had ended with an error and another one was still waiting for a change to be taken, so the wait for all of them ran out and the error went with it. Each task is now waited for by itself until then, so that a run whose faults weren't put in says so and isn't judged.

--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -42,7 +42,7 @@
         unix::{SignalKind, signal},
     },
     task::{LocalSet, spawn_local},
-    time::{sleep, timeout},
+    time::{Instant, sleep, timeout, timeout_at},
 };
 
 use self::{
@@ -420,9 +420,10 @@
         }));
     }
     // A change that nobody takes must not keep the run from its end.
-    if let Ok(done) = timeout(LAST, join_all(tasks)).await {
-        for task in done {
-            task.map_err(io::Error::other)??;
+    let last = Instant::now() + LAST;
+    for task in tasks {
+        if let Ok(done) = timeout_at(last, task).await {
+            done.map_err(io::Error::other)??;
         }
     }
     fleet.heal()?;
