Leave a newcomer half of its time in a soak's plan

For 2.9 s of the newcomer's 4 s no majority answers, and two freezes that are a little longer leave none of them. No group can take a newcomer in then, so what the plan asked for wasn't bearable.

Replicas that are away one at a time while a newcomer catches up are now away for half of its 4 s at the most, all of them together (`soak_plan::newcomer_has_time`). A kill of all replicas begins the newcomer's time anew, as before. Other plans stay as they were: what is left out is drawn all the same.

--- a/almondlock-bench/src/soak/plan/replacement.rs
+++ b/almondlock-bench/src/soak/plan/replacement.rs
@@ -14,6 +14,8 @@
 const AFTER: Range<u64> = 1_000..2_400;
 /// Milliseconds for which a replica is away that keeps its disk.
 const AWAY: Range<u64> = 300..2_000;
+/// Milliseconds for which a replica is away that is told to stop.
+const STOPPING: u64 = 1_000;
 /// Milliseconds until all replicas are back that were killed at once.
 const BACK: Range<u64> = 300..900;
 /// Milliseconds after the earliest moment at which a disk may be lost.
@@ -43,15 +45,22 @@
     };
     push(faults, at, length, act);
     let mut free = newcomer + CATCH_UP;
+    let mut away = 0;
     for _ in 0..rng.random_range(0..3) {
         let from = rng.random_range(newcomer + 100..newcomer + CATCH_UP);
         let other = other(rng, place, size);
         let (act, length) = disturbance(rng, other);
-        push(faults, from, length, act);
         if act == Act::KillReplicas {
             // The newcomer was killed too, and its time begins anew.
             free = free.max(from + length + CATCH_UP);
+        } else {
+            // A newcomer can do nothing while no majority answers.
+            away += length.max(STOPPING);
+            if away > CATCH_UP / 2 {
+                continue;
+            }
         }
+        push(faults, from, length, act);
     }
     for _ in 0..rng.random_range(1..3) {
         let from = free + rng.random_range(LATER);
--- a/almondlock-bench/tests/soak_plan.rs
+++ b/almondlock-bench/tests/soak_plan.rs
@@ -72,6 +72,24 @@
     }
 }
 
+/// A newcomer can catch up: others that are away one at a time leave it half of its time.
+#[test]
+fn newcomer_has_time() {
+    for seed in 0..200 {
+        let mut faults = plan::draw(seed, 60_000, SIZE, true);
+        replacement::draw(seed, 60_000, SIZE, &mut faults);
+        let mut away = 0;
+        for fault in &faults {
+            match fault.act {
+                Act::MoveReplica(_) | Act::ReplaceReplica(_) => away = 0,
+                Act::KillReplica(_) | Act::FreezeReplica(_) => away += fault.length,
+                _ => continue,
+            }
+            assert!(away <= 2_000, "seed {seed}: {fault}");
+        }
+    }
+}
+
 /// What is left out is named by number.
 #[test]
 fn replacement_numbered() {
