--- a/almondlock-control/tests/told_causes.rs
+++ b/almondlock-control/tests/told_causes.rs
@@ -131,6 +131,9 @@
         (&2.into(), &2.into())
     );
     group.kill(newcomer);
+    lines
+        .until("leads no more", |line| text(line, "others").contains(&new))
+        .await;
     let failed = lines
         .until("no leader, votes are missing", |line| {
             let unanswered = text(line, "unanswered");
