--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -98,6 +98,30 @@
     assert!(report.findings.is_empty(), "{report}");
 }
 
+fn replaced(seed: u64) {
+    let setup = Setup {
+        planned: true,
+        replace: true,
+        ..setup(seed, 12)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+}
+
+/// Guards against a group that has no leader for good after a replica was replaced at another
+/// address, as planned, and another disk was lost.
+#[test]
+fn move_borne() {
+    replaced(3);
+}
+
+/// The same after a replica went without notice and others changed places as leader.
+#[test]
+fn replacement_borne() {
+    replaced(8);
+}
+
 fn planted(plant: Plant, seed: u64) -> Setup {
     Setup {
         planned: true,
