--- a/almondlock-control/src/replica/membership.rs
+++ b/almondlock-control/src/replica/membership.rs
@@ -1,9 +1,10 @@
 //! Changing who the replicas are.
 //!
-//! A lost replica is replaced in three accepted steps: the newcomer is added as
-//! a learner, gets its vote once it has caught up and synced, and only then the
-//! lost one goes. A second loss right after the repair therefore meets a
-//! newcomer that holds everything. Each step may be asked for again.
+//! An operator replaces a replica in three accepted steps: the newcomer is added
+//! as a learner, gets its vote once it has caught up and synced, and only then
+//! the old one goes. A second loss right after the repair therefore meets a
+//! newcomer that holds everything. Each step may be asked for again. Where the
+//! leader mends the membership by itself, the old one goes first; see `repair`.
 
 use std::net::SocketAddr;
 
