Don't rely on a voter that stops to accept a removal

One voter was killed and starts again, another says that it stops, and a newcomer stands ready. The leader can't remove the one that stops, since the killed one doesn't answer yet, and removes the killed one; the one that stops is gone before it accepts that. The killed one comes back without the entry, and no other voter is left.

Cause: one that says it stops counted as answering as long as it did. It no longer counts for whether a change can be accepted. The step is taken once the killed one is back, or not needed any more.

--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -212,7 +212,8 @@
 
     /// The members after a change, if it is allowed and those that answer can accept it. One
     /// that waits for a lost voter would hold up every later one. A voter that hasn't answered
-    /// since the leader was elected doesn't count, however short that is: it may be gone.
+    /// since the leader was elected doesn't count, however short that is, nor does one that
+    /// stops: it may be gone before it accepts.
     fn after<F>(&self, members: &Members, change: &Change, look: &F) -> Option<Members>
     where
         F: Fn(Id) -> Peer,
@@ -220,8 +221,9 @@
         let answers = |id| {
             let member = members.get(id).or_else(|| self.members.get(id));
             let lost = |member| self.is_silent(member, look) || self.is_wiped(member, look);
-            let heard = id == self.own || look(id).heard.is_some();
-            heard && !member.is_none_or(lost)
+            let peer = look(id);
+            let stays = id == self.own || peer.heard.is_some() && !peer.leaving;
+            stays && !member.is_none_or(lost)
         };
         let members = members.changed(change).ok()?;
         Some(members).filter(|members| members.has_quorum(answers))
