--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -14,8 +14,9 @@
 //!
 //! An exchange costs nothing if the voter was merely slow: the group holds as
 //! many copies as before, and the one that was removed asks to join again. It
-//! therefore needs no long wait. A silent voter without a spare stays, since
-//! removing it would only make the next loss worse.
+//! therefore needs no long wait. Without a spare a lost voter stays, since
+//! removing it would only make the next loss worse, but for those of which
+//! the group bears more losses without them: one of four, two of five.
 
 use std::time::Duration;
 
