--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -53,6 +53,14 @@
     pub leaving: bool,
 }
 
+/// How a voter is known to be lost, the surest first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Loss {
+    Wiped,
+    Leaving,
+    Silent,
+}
+
 /// What a leader knows when it looks for the next step.
 pub struct Sight<'a> {
     /// The leader itself.
@@ -198,17 +206,24 @@
     where
         F: Fn(Id) -> Peer,
     {
-        let sureness = |voter: &&Member| match look(voter.id) {
-            _ if voter.id == self.own => 0,
-            _ if self.is_wiped(voter, look) => 3,
-            Peer { leaving: true, .. } => 2,
-            _ if self.is_silent(voter, look) => 1,
-            _ => 0,
-        };
         let voters = self.members.voters.values();
-        let mut lost: Vec<&Member> = voters.filter(|voter| sureness(voter) > 0).collect();
-        lost.sort_by_key(|voter| (std::cmp::Reverse(sureness(voter)), look(voter.id).heard));
-        lost
+        let lost = voters.filter_map(|voter| Some((self.loss(voter, look)?, voter)));
+        let mut lost: Vec<(Loss, &Member)> = lost.collect();
+        lost.sort_by_key(|(loss, voter)| (*loss, look(voter.id).heard));
+        lost.into_iter().map(|(_, voter)| voter).collect()
+    }
+
+    fn loss<F>(&self, voter: &Member, look: &F) -> Option<Loss>
+    where
+        F: Fn(Id) -> Peer,
+    {
+        match voter {
+            _ if voter.id == self.own => None,
+            _ if self.is_wiped(voter, look) => Some(Loss::Wiped),
+            _ if look(voter.id).leaving => Some(Loss::Leaving),
+            _ if self.is_silent(voter, look) => Some(Loss::Silent),
+            _ => None,
+        }
     }
 
     /// The members after a change, if it is allowed and those that answer can accept it. One
