Log and count how the end of an upstream's answer was recognised

The line that says that an answer ended now has its framing, how its end was recognised and, of a stream, how many bytes of an incomplete event were read last; 'answer_ends' counts them. What is passed on is unchanged.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -378,6 +378,7 @@
     fault.answer = Some(Response {
         head: run.head.clone(),
         body,
+        end: run.connection.end(),
     });
     recycle(worker, &run.upstream, run.connection, &run.head).await;
     Err(fault)
--- a/almondlock-gateway/src/event.rs
+++ b/almondlock-gateway/src/event.rs
@@ -50,6 +50,11 @@
         self.rest.is_empty()
     }
 
+    /// Returns the number of bytes held of an incomplete event.
+    pub fn incomplete_bytes(&self) -> usize {
+        self.rest.len()
+    }
+
     /// Takes what is left at the end of a stream.
     pub fn take_rest(&mut self) -> Bytes {
         self.rest.split().freeze()
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -27,7 +27,7 @@
     rules::{Organisation, Route},
     shared::RETRY_SPREAD_FRACTION,
     stream::Stream,
-    upstream::{self, Connection, Head},
+    upstream::{self, Connection, End, Head},
     worker::Worker,
 };
 
@@ -114,6 +114,8 @@
 pub(crate) struct Response {
     pub(crate) head: Head,
     pub(crate) body: Bytes,
+    /// How the end of the body was recognised.
+    pub(crate) end: Option<End>,
 }
 
 /// The answer that a request received.
@@ -356,10 +358,12 @@
     };
     worker.mark_answering(&run.upstream);
     worker.observe_answer(request, &run.upstream, &run.sent);
+    let end = run.connection.end();
     return_to_pool(worker, &run.upstream, run.connection, &run.head);
     Ok(Response {
         head: run.head,
         body,
+        end,
     })
 }
 
--- a/almondlock-gateway/src/response.rs
+++ b/almondlock-gateway/src/response.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     request::{Refusal, Response},
-    upstream::Head,
+    upstream::{End, Framing, Head},
     worker::Worker,
 };
 
@@ -42,6 +42,17 @@
     builder
 }
 
+/// Returns the words for how an answer's end was recognised.
+pub(crate) fn end_text(end: Option<End>) -> &'static str {
+    end.map_or("none", End::as_str)
+}
+
+/// Counts an answer by its framing and by how its end was recognised.
+pub(crate) fn count_end<D>(worker: &Worker<D>, framing: Framing, end: Option<End>) {
+    let label = format!("framing=\"{}\",end=\"{}\"", framing.as_str(), end_text(end));
+    worker.shared.metrics.count("answer_ends", &label);
+}
+
 /// Passes on a complete answer of an upstream.
 pub(crate) fn complete_response<D>(
     worker: &Worker<D>,
@@ -55,7 +66,13 @@
         .shared
         .metrics
         .time("whole", &format!("status=\"{status}\""), spent);
-    tracing::info!(request = %id, status, outcome = "answered", spent_ms = spent.as_millis(), "ended");
+    let framing = answer.head.framing;
+    count_end(worker, framing, answer.end);
+    tracing::info!(
+        request = %id, status, outcome = "answered", framing = framing.as_str(),
+        end = end_text(answer.end), body_bytes = answer.body.len(),
+        spent_ms = spent.as_millis(), "ended"
+    );
     let body = Bytes::copy_from_slice(&answer.body);
     start_response(&answer.head).body(body)
 }
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -19,8 +19,9 @@
     failure::Failure,
     pace::EVENTS,
     request::{self, History, Request},
+    response::{count_end, end_text},
     rules::Kind,
-    upstream::Head,
+    upstream::{End, Framing, Head},
     worker::Worker,
 };
 
@@ -46,6 +47,10 @@
     run: Option<Run<D>>,
     /// Upstream of the current or the last run.
     upstream: Upstream,
+    /// How the body of the current or the last run is framed.
+    framing: Framing,
+    /// How the end of that body was recognised. `None` until then.
+    end: Option<End>,
     splitter: Splitter,
     /// Events that were read and not yet passed on.
     buffered: Option<Bytes>,
@@ -61,6 +66,8 @@
     /// Events since their pace was last observed. Time that a slow caller takes isn't
     /// counted.
     sample: Sample,
+    /// Bytes of an incomplete event at the end of the last run.
+    incomplete: usize,
     /// Whether the response has ended, complete or aborted.
     ended: bool,
 }
@@ -93,6 +100,8 @@
             request: Rc::clone(request),
             head: run.head.clone(),
             upstream: run.upstream.clone(),
+            framing: run.head.framing,
+            end: None,
             run: Some(run),
             splitter,
             buffered: Some(first),
@@ -102,6 +111,7 @@
             longest_pause: Duration::ZERO,
             events: 1,
             sample: Sample::default(),
+            incomplete: 0,
             ended: false,
         }
     }
@@ -127,6 +137,7 @@
                 }
                 Err(fault) => fault,
             };
+            self.incomplete = self.splitter.incomplete_bytes();
             self.worker
                 .report_loss(&self.request, &fault, self.first_at);
             let worker = &self.worker;
@@ -171,6 +182,8 @@
                 Err(_) => return Err(fault(Failure::Silent, "its time is over")),
             };
             let Some(bytes) = chunk else {
+                self.end = run.connection.end();
+                self.incomplete = self.splitter.incomplete_bytes();
                 let rest = self.splitter.take_rest();
                 return Ok(Some(rest).filter(|rest| !rest.is_empty()));
             };
@@ -255,6 +268,7 @@
             .observe_answer(&self.request, &run.upstream, &run.sent);
         run.resources.mark_prompt_read();
         self.upstream = run.upstream.clone();
+        (self.framing, self.end) = (run.head.framing, None);
         self.run = Some(run);
         Ok(())
     }
@@ -278,9 +292,11 @@
             self.request.route.name
         );
         self.worker.shared.metrics.time("stream", &label, spent);
+        count_end(&self.worker, self.framing, self.end);
         tracing::info!(
             request = %self.request.id, route = %self.request.route.name, outcome, reason,
-            upstream = %self.upstream,
+            upstream = %self.upstream, framing = self.framing.as_str(),
+            end = end_text(self.end), incomplete_bytes = self.incomplete,
             first_ms = self.first_at.since(self.request.arrived).as_millis(),
             longest_pause_ms = self.longest_pause.as_millis(), events = self.events,
             spent_ms = spent.as_millis(), "ended"
--- a/almondlock-gateway/src/upstream.rs
+++ b/almondlock-gateway/src/upstream.rs
@@ -93,12 +93,47 @@
     Close,
 }
 
+impl Framing {
+    /// Returns the word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::Close => "close",
+        }
+    }
+}
+
+/// How the end of a body was recognised.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// As many bytes as announced have arrived.
+    Length,
+    /// The last chunk has arrived.
+    LastChunk,
+    /// The connection was closed without a reset.
+    ConnectionClosed,
+}
+
+impl End {
+    /// Returns the words used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            End::Length => "length reached",
+            End::LastChunk => "last chunk",
+            End::ConnectionClosed => "connection closed",
+        }
+    }
+}
+
 /// A connection to an upstream.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
     body: Body,
+    /// How the end of the current answer's body was recognised. `None` until then.
+    end: Option<End>,
     /// Whether the whole request was sent. Otherwise the rest of it would be taken for the
     /// next request.
     flushed: bool,
@@ -149,6 +184,7 @@
             stream,
             buffer: BytesMut::new(),
             body: Body::Done,
+            end: None,
             flushed: true,
             idle_since: Mono::ZERO,
             idle_timeout: None,
@@ -234,14 +270,26 @@
 
     /// Prepares for reading the body that follows `head`.
     fn start_body(&mut self, head: &Head) {
+        self.end = None;
         self.body = match head.framing {
-            Framing::Length(0) => Body::Done,
+            Framing::Length(0) => self.finish(End::Length),
             Framing::Length(length) => Body::Length(length),
             Framing::Chunked => Body::ChunkHead,
             Framing::Close => Body::Close,
         };
     }
 
+    /// Records how the end of the body was recognised.
+    fn finish(&mut self, end: End) -> Body {
+        self.end = Some(end);
+        Body::Done
+    }
+
+    /// Returns how the end of the body was recognised, or `None` if it was not reached.
+    pub fn end(&self) -> Option<End> {
+        self.end
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
@@ -253,7 +301,7 @@
             }
             if self.fill_buffer().await? == 0 {
                 if self.body == Body::Close {
-                    self.body = Body::Done;
+                    self.body = self.finish(End::ConnectionClosed);
                     self.flushed = false;
                     return Ok(None);
                 }
@@ -306,7 +354,7 @@
                 Body::Length(left) => {
                     return Ok(self.take_up_to(left).map(|(bytes, left)| {
                         self.body = if left == 0 {
-                            Body::Done
+                            self.finish(End::Length)
                         } else {
                             Body::Length(left)
                         };
@@ -339,7 +387,7 @@
                 },
                 Body::Trailer => match self.take_line()? {
                     None => return Ok(None),
-                    Some(line) if line.is_empty() => self.body = Body::Done,
+                    Some(line) if line.is_empty() => self.body = self.finish(End::LastChunk),
                     Some(_) => {}
                 },
             }
--- a/almondlock-gateway/tests/operations_page.rs
+++ b/almondlock-gateway/tests/operations_page.rs
@@ -53,6 +53,7 @@
         "first_event",
         "stream",
         "whole",
+        "answer_ends",
         "configuration_pieces",
         "configuration_change",
     ] {
