Add a failing test of a stream cut inside an event without framing

The test sends a stream with neither a length nor chunks that ends with its connection in the middle of its second event. A complete stream of that kind is delivered (complete_stream).

--- /dev/null
+++ b/almondlock-gateway/tests/unframed_streams.rs
@@ -0,0 +1,59 @@
+//! Streams that come with neither a length nor chunks and end with their connection. Only
+//! their events tell a complete stream from one that was cut.
+
+mod fake;
+mod gateway;
+
+use fake::{Step, field, start};
+use gateway::{ask, status};
+
+fn unframed_head() -> Step {
+    let head = "HTTP/1.1 200 OK\r\nx-id: ID\r\nx-seal: s\r\n\
+                content-type: text/event-stream\r\nconnection: close\r\n\r\n";
+    Step::Write(head.to_owned())
+}
+
+fn text(text: &str) -> Step {
+    Step::Write(text.to_owned())
+}
+
+fn event(number: u64) -> Step {
+    Step::Write(format!("id: {number}\ndata: x\n\n"))
+}
+
+fn ids(response: &str) -> Vec<&str> {
+    let lines = response.lines();
+    lines.filter_map(|line| line.strip_prefix("id: ")).collect()
+}
+
+/// Guards against a stream that was cut inside an event reaching its caller as complete.
+#[test]
+fn cut_inside_event() {
+    let first = vec![
+        Step::Read,
+        unframed_head(),
+        event(1),
+        Step::Pause(100),
+        text("id: 2\nda"),
+    ];
+    let second = vec![Step::Read, unframed_head(), event(2), event(3)];
+    // One upstream with two connections, so that their order is fixed.
+    let (one, heads) = start(vec![first, second]);
+    let (response, _) = ask(gateway::start(&[one]), "/stream/");
+    assert_eq!(ids(&response), ["1", "2", "3"], "{response}");
+    assert!(response.ends_with("0\r\n\r\n"));
+    let heads: Vec<String> = heads.try_iter().collect();
+    assert_eq!(field(&heads[1], "last-event-id").unwrap(), "1");
+}
+
+/// Guards against a stream that ends with its connection, after an event, not being
+/// delivered.
+#[test]
+fn complete_stream() {
+    let steps = vec![Step::Read, unframed_head(), event(1), event(2)];
+    let (one, _heads) = start(vec![steps]);
+    let (response, _) = ask(gateway::start(&[one]), "/once/");
+    assert_eq!(status(&response), 200);
+    assert_eq!(ids(&response), ["1", "2"], "{response}");
+    assert!(response.ends_with("0\r\n\r\n"));
+}
