Take a stream that ends inside an event for cut, whatever marked its end

No second run was tried although the route allows it.

Cause: an answer with neither a length nor chunks ends with its connection, and the gateway took any end without a reset for the answer's. What it had read of an incomplete event was passed on as the last piece, and the HTTP library then wrote the last chunk: an end that proves nothing was handed on as a proof.

Ruled out: a framed answer whose end is read wrongly (upstream_answers has cut lengths and chunks, all seen), and a loss that the caller's side closes as complete (the log would say 'broken off').

Now an event stream is complete only if it ends after an event. One that ends inside an event is a lost run: resumed where the route allows it, else broken off. The same holds for event streams on plain routes that end with their connection. Nothing of an incomplete event is passed on any more, so the splitter no longer gives it out; whole_events checks its length instead.

Complete streams and plain answers of this kind are delivered (complete_stream, complete_answer), reset ones are not (reset_plain_answer).

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     dialect::Dialect,
+    event::ends_inside_event,
     failure::Failure,
     outgoing,
     pace::Sent,
@@ -18,7 +19,7 @@
     request::{History, Request, Response},
     resources::Resources,
     slots::Grant,
-    upstream::{self, Connection, Head},
+    upstream::{self, Connection, End, Head},
     worker::{Target, Worker},
 };
 
@@ -81,6 +82,7 @@
             upstream::Error::Connect(_) => Failure::Unsent,
             upstream::Error::Broken(_)
             | upstream::Error::Closed(_)
+            | upstream::Error::Incomplete(_)
             | upstream::Error::Invalid(_) => Failure::Lost,
         };
         Fault {
@@ -372,18 +374,35 @@
             &format!("status {status} without the statement that the request did not run"),
         ));
     }
-    let body = run.connection.read_body(MAX_BODY_BYTES).await;
-    let body = body.map_err(|error| Fault::from_error(&error, &run.upstream))?;
+    let answer = read_answer(&mut run.connection, &run.head).await;
+    let answer = answer.map_err(|error| Fault::from_error(&error, &run.upstream))?;
     let mut fault = fault(Failure::Answered, &format!("status {status}"));
-    fault.answer = Some(Response {
-        head: run.head.clone(),
-        body,
-        end: run.connection.end(),
-    });
+    fault.answer = Some(answer);
     recycle(worker, &run.upstream, run.connection, &run.head).await;
     Err(fault)
 }
 
+/// Reads the complete body of an answer that is not passed on as a stream.
+///
+/// Fails if the body was cut: by its framing, or if it has none, by its content.
+pub(crate) async fn read_answer(
+    connection: &mut Connection,
+    head: &Head,
+) -> Result<Response, upstream::Error> {
+    let body = connection.read_body(MAX_BODY_BYTES).await?;
+    let end = connection.end();
+    let content_type = head.text("content-type").unwrap_or_default();
+    let has_events = content_type.starts_with("text/event-stream");
+    if end == Some(End::ConnectionClosed) && has_events && ends_inside_event(&body) {
+        return Err(connection.cut_before("the end of an event"));
+    }
+    Ok(Response {
+        head: head.clone(),
+        body,
+        end,
+    })
+}
+
 /// Returns the sum of running and waiting requests from `running,waiting,slots`.
 fn parse_load(load: &str) -> Option<u32> {
     let mut parts = load.split(',').map(|part| part.trim().parse::<u32>());
--- a/almondlock-gateway/src/event.rs
+++ b/almondlock-gateway/src/event.rs
@@ -2,7 +2,8 @@
 //!
 //! Only complete events are passed on. If an upstream stops in the middle of an event, the
 //! caller has received nothing of it, and another run can continue after the last complete
-//! event with nothing missing or repeated.
+//! event with nothing missing or repeated. A stream that ends in the middle of an event is
+//! incomplete, however its end was marked.
 
 use bytes::{Bytes, BytesMut};
 
@@ -45,27 +46,22 @@
         self.last
     }
 
-    /// Returns whether the splitter holds nothing of an incomplete event.
-    pub fn is_empty(&self) -> bool {
-        self.rest.is_empty()
-    }
-
     /// Returns the number of bytes held of an incomplete event.
     pub fn incomplete_bytes(&self) -> usize {
         self.rest.len()
     }
 
-    /// Takes what is left at the end of a stream.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.rest.split().freeze()
-    }
-
     /// Discards the incomplete event of a run that was interrupted.
     pub fn discard_rest(&mut self) {
         self.rest.clear();
     }
 }
 
+/// Returns whether an event stream ends in the middle of an event, so that it was cut.
+pub fn ends_inside_event(stream: &[u8]) -> bool {
+    !stream.is_empty() && !stream.ends_with(EVENT_END)
+}
+
 /// Returns the number of the last numbered event.
 fn last_number(events: &[u8]) -> Option<u64> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{Fault, MAX_BODY_BYTES, Run, attempt, return_to_pool, wait_or_give_up},
+    attempt::{Fault, Run, attempt, read_answer, return_to_pool, wait_or_give_up},
     dialect::Dialect,
     event::Splitter,
     failure::{self, Failure},
@@ -345,8 +345,8 @@
     D: Dialect,
 {
     let left = request.time_left(clock::mono());
-    let body = match timeout(left, run.connection.read_body(MAX_BODY_BYTES)).await {
-        Ok(Ok(body)) => body,
+    let response = match timeout(left, read_answer(&mut run.connection, &run.head)).await {
+        Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(Fault::from_error(&error, &run.upstream)),
         Err(_) => {
             return Err(Fault::new(
@@ -358,13 +358,8 @@
     };
     worker.mark_answering(&run.upstream);
     worker.observe_answer(request, &run.upstream, &run.sent);
-    let end = run.connection.end();
     return_to_pool(worker, &run.upstream, run.connection, &run.head);
-    Ok(Response {
-        head: run.head,
-        body,
-        end,
-    })
+    Ok(response)
 }
 
 /// Waits for the first complete event of a stream. Until it arrives, a failure can still be
@@ -412,7 +407,5 @@
             return Ok(events);
         }
     }
-    Err(upstream::Error::Invalid(
-        "the stream ended before its first event",
-    ))
+    Err(connection.cut_before("the end of the first event"))
 }
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -184,8 +184,11 @@
             let Some(bytes) = chunk else {
                 self.end = run.connection.end();
                 self.incomplete = self.splitter.incomplete_bytes();
-                let rest = self.splitter.take_rest();
-                return Ok(Some(rest).filter(|rest| !rest.is_empty()));
+                if self.incomplete == 0 {
+                    return Ok(None);
+                }
+                let error = run.connection.cut_before("the end of an event");
+                return Err(Fault::from_error(&error, &run.upstream));
             };
             if let Some(events) = self.splitter.push(&bytes) {
                 return Ok(Some(events));
--- a/almondlock-gateway/src/upstream.rs
+++ b/almondlock-gateway/src/upstream.rs
@@ -6,7 +6,8 @@
 //! on a plain socket, with `httparse` as the parser.
 //!
 //! Data from an upstream is not trusted: an answer counts only if its head can be parsed
-//! and its body is complete by its own framing.
+//! and its body is complete by its own framing. A body that ends with its connection has
+//! none, so that only its content can tell whether it was cut.
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -48,6 +49,9 @@
     /// The connection ended before the answer did.
     #[error("the connection closed before {0}")]
     Closed(&'static str),
+    /// The upstream ended the answer before its content was complete.
+    #[error("the answer ended before {0}")]
+    Incomplete(&'static str),
     /// The data received is not a valid answer.
     #[error("invalid answer: {0}")]
     Invalid(&'static str),
@@ -111,7 +115,9 @@
     Length,
     /// The last chunk has arrived.
     LastChunk,
-    /// The connection was closed without a reset.
+    /// The connection was closed without a reset. This alone proves nothing: the upstream's
+    /// system closes the connections of a process that has crashed as well. The body is
+    /// complete as far as its content says so.
     ConnectionClosed,
 }
 
@@ -290,6 +296,15 @@
         self.end
     }
 
+    /// Returns the error of a body that has ended before its content was complete. `missing`
+    /// names what did not arrive.
+    pub fn cut_before(&self, missing: &'static str) -> Error {
+        match self.end {
+            Some(End::Length | End::LastChunk) => Error::Incomplete(missing),
+            Some(End::ConnectionClosed) | None => Error::Closed(missing),
+        }
+    }
+
     /// Returns the next bytes of the body, or `None` at its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
--- a/almondlock-gateway/tests/whole_events.rs
+++ b/almondlock-gateway/tests/whole_events.rs
@@ -15,7 +15,7 @@
         let whole = "id: 7\ndata: a\n\nid: 8\ndata: b\n\n";
         assert_eq!(passed, whole.as_bytes());
         assert_eq!(splitter.last_id(), Some(8));
-        assert!(!splitter.is_empty());
+        assert!(splitter.incomplete_bytes() > 0);
     }
 }
 
@@ -34,6 +34,7 @@
     let mut splitter = Splitter::new();
     assert!(splitter.push(b"no event").is_none());
     assert_eq!(splitter.last_id(), None);
-    assert_eq!(&splitter.take_rest()[..], b"no event");
-    assert!(splitter.is_empty());
+    assert_eq!(splitter.incomplete_bytes(), 8);
+    splitter.discard_rest();
+    assert_eq!(splitter.incomplete_bytes(), 0);
 }
