Move the connection to an upstream into a package of its own

The sidecar reads upstreams' answers with the HTTP library's client, the gateway with its own connection. Both have to decide in the same way whether a body is complete, so the connection moves to almondlock-http, where the sidecar can use it. The head's part is a module of its own.

--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -79,5 +79,6 @@
 mod startup;
 mod stream;
 mod suspicion;
-pub mod upstream;
 mod worker;
+
+pub use almondlock_http::upstream;
--- /dev/null
+++ b/almondlock-http/src/upstream/head.rs
@@ -0,0 +1,131 @@
+//! The head of an answer, and what it says of the body.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+
+use super::Error;
+
+/// Maximum size of an answer's head, in bytes.
+const MAX_HEAD_BYTES: usize = 32 * 1024;
+/// Maximum number of header lines of an answer.
+const MAX_HEADERS: usize = 64;
+
+/// The head of an answer.
+#[derive(Clone, Debug)]
+pub struct Head {
+    /// Status code.
+    pub status: u16,
+    /// Header lines as received.
+    pub headers: Vec<(Box<str>, Bytes)>,
+    /// How the end of the body is marked.
+    pub framing: Framing,
+    /// Whether another request may follow on the connection.
+    pub keep_alive: bool,
+    /// How long the upstream keeps an idle connection, if it says so.
+    pub idle_timeout: Option<Duration>,
+}
+
+impl Head {
+    /// Returns the value of a header. If there are several, the first one counts.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let mut headers = self.headers.iter();
+        let found = headers.find(|(key, _)| key.eq_ignore_ascii_case(name))?;
+        Some(&found.1)
+    }
+
+    /// Returns the value of a header as text, without surrounding white space.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok().map(str::trim)
+    }
+}
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// The body has this many bytes.
+    Length(u64),
+    /// The body ends with an empty chunk.
+    Chunked,
+    /// The body ends with the connection.
+    Close,
+}
+
+impl Framing {
+    /// Returns the word used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::Close => "close",
+        }
+    }
+}
+
+/// Parses a head at the start of the buffer, if it is complete. Skips interim answers.
+pub(super) fn parse_head(buffer: &mut BytesMut) -> Result<Option<Head>, Error> {
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut headers);
+        let parsed = response
+            .parse(buffer)
+            .map_err(|_| Error::Invalid("unreadable head"))?;
+        let httparse::Status::Complete(length) = parsed else {
+            if buffer.len() > MAX_HEAD_BYTES {
+                return Err(Error::Invalid("head too long"));
+            }
+            return Ok(None);
+        };
+        let status = response.code.unwrap_or(0);
+        if (100..200).contains(&status) {
+            let _ = buffer.split_to(length);
+            continue;
+        }
+        let version = response.version.unwrap_or(0);
+        let headers = response
+            .headers
+            .iter()
+            .map(|header| (Box::from(header.name), Bytes::copy_from_slice(header.value)))
+            .collect();
+        let _ = buffer.split_to(length);
+        return build_head(status, version, headers).map(Some);
+    }
+}
+
+/// Determines from the headers how the body is framed and whether the connection can be
+/// kept.
+fn build_head(status: u16, version: u8, headers: Vec<(Box<str>, Bytes)>) -> Result<Head, Error> {
+    let mut head = Head {
+        status,
+        headers,
+        framing: Framing::Close,
+        keep_alive: version == 1,
+        idle_timeout: None,
+    };
+    if let Some(connection) = head.text("connection") {
+        let close = connection.to_ascii_lowercase().contains("close");
+        head.keep_alive = !close && head.keep_alive;
+    }
+    head.idle_timeout = head.text("keep-alive").and_then(parse_idle_timeout);
+    let chunked = head
+        .text("transfer-encoding")
+        .is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+    head.framing = match (chunked, head.text("content-length")) {
+        _ if status == 204 || status == 304 => Framing::Length(0),
+        (true, None) => Framing::Chunked,
+        (true, Some(_)) => return Err(Error::Invalid("both chunked and with a content-length")),
+        (false, Some(length)) => {
+            let length = length.parse();
+            Framing::Length(length.map_err(|_| Error::Invalid("unreadable content-length"))?)
+        }
+        (false, None) => Framing::Close,
+    };
+    Ok(head)
+}
+
+/// Parses the seconds of `timeout=N`.
+fn parse_idle_timeout(value: &str) -> Option<Duration> {
+    let mut parts = value.split(',');
+    let seconds = parts.find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
