Judge a body that ends with its connection where it is read

The check of plain answers for an event stream that was cut stood beside the gateway's attempts; a second reader of answers would have had to repeat it. The connection now gives a body's end only on evidence: its framing or, where it has none, its content. It also sends bodies that arrive in pieces and pools idle connections for any key, as the sidecar needs.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     dialect::Dialect,
-    event::ends_inside_event,
     failure::Failure,
     outgoing,
     pace::Sent,
@@ -19,7 +18,7 @@
     request::{History, Request, Response},
     resources::Resources,
     slots::Grant,
-    upstream::{self, Connection, End, Head},
+    upstream::{self, Connection, Head},
     worker::{Target, Worker},
 };
 
@@ -383,23 +382,15 @@
 }
 
 /// Reads the complete body of an answer that is not passed on as a stream.
-///
-/// Fails if the body was cut: by its framing, or if it has none, by its content.
 pub(crate) async fn read_answer(
     connection: &mut Connection,
     head: &Head,
 ) -> Result<Response, upstream::Error> {
     let body = connection.read_body(MAX_BODY_BYTES).await?;
-    let end = connection.end();
-    let content_type = head.text("content-type").unwrap_or_default();
-    let has_events = content_type.starts_with("text/event-stream");
-    if end == Some(End::ConnectionClosed) && has_events && ends_inside_event(&body) {
-        return Err(connection.cut_before("the end of an event"));
-    }
     Ok(Response {
         head: head.clone(),
         body,
-        end,
+        end: connection.end(),
     })
 }
 
--- a/almondlock-gateway/src/event.rs
+++ b/almondlock-gateway/src/event.rs
@@ -57,11 +57,6 @@
     }
 }
 
-/// Returns whether an event stream ends in the middle of an event, so that it was cut.
-pub fn ends_inside_event(stream: &[u8]) -> bool {
-    !stream.is_empty() && !stream.ends_with(EVENT_END)
-}
-
 /// Returns the number of the last numbered event.
 fn last_number(events: &[u8]) -> Option<u64> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -18,8 +18,7 @@
 //! | [`budget`] | whether a retry may be sent |
 //! | [`share`] | what organisations have in flight, and which are over their share |
 //! | [`failure`] | what a failed attempt proves, and whether a retry is allowed |
-//! | [`upstream`] | one HTTP/1.1 connection to an upstream |
-//! | [`pool`] | idle connections to upstreams |
+//! | [`upstream`] | HTTP/1.1 connections to upstreams, and which of them are idle |
 //! | [`event`] | splits event streams into complete events |
 //! | `accept` | reads and checks a caller's request |
 //! | `request` | the attempts of one request, until one is answered or none is left |
@@ -65,7 +64,6 @@
 mod permit;
 pub mod pick;
 mod placement;
-pub mod pool;
 pub mod reading;
 mod request;
 mod resources;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -39,13 +39,13 @@
     pace::Pacing,
     permit::Permits,
     pick::{Candidate, Choice},
-    pool::Pool,
     reading::Current,
     rules::Rules,
     shared::Shared,
     slots::Queues,
     standing::Shares,
     suspicion::Suspicion,
+    upstream::Pool,
 };
 
 /// Time for which a failed upstream is avoided: two heartbeats at the usual interval. By
@@ -92,7 +92,7 @@
     pub(crate) load: RefCell<load::Table>,
     /// Signals that this host's load has changed and has to be reported to the other hosts.
     pub(crate) load_changed: Notify,
-    pub(crate) pool: RefCell<Pool>,
+    pub(crate) pool: RefCell<Pool<Upstream>>,
     pub(crate) rng: RefCell<SmallRng>,
     /// The configuration as of the last revision that was taken in.
     snapshot: RefCell<Rc<Snapshot>>,
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -9,7 +9,10 @@
 //! and its body is complete by its own framing. A body that ends with its connection has
 //! none, so that only its content can tell whether it was cut.
 
+mod content;
 mod head;
+mod pool;
+mod source;
 
 use std::{io, net::SocketAddr, time::Duration};
 
@@ -21,8 +24,12 @@
     net::TcpStream,
 };
 
-use self::head::parse_head;
-pub use self::head::{Framing, Head};
+use self::{content::Content, head::parse_head};
+pub use self::{
+    head::{Framing, Head},
+    pool::Pool,
+    source::{Source, Whole},
+};
 
 /// Maximum length of a line with a chunk's size, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -88,6 +95,8 @@
     stream: TcpStream,
     buffer: BytesMut,
     body: Body,
+    /// What the content of the current answer's body tells.
+    content: Content,
     /// How the end of the current answer's body was recognised. `None` until then.
     end: Option<End>,
     /// Whether the whole request was sent. Otherwise the rest of it would be taken for the
@@ -140,6 +149,7 @@
             stream,
             buffer: BytesMut::new(),
             body: Body::Done,
+            content: Content::default(),
             end: None,
             flushed: true,
             idle_since: Mono::ZERO,
@@ -162,7 +172,9 @@
     /// Sends a request and waits for the head of its answer. Skips answers that carry the
     /// id of another request, as an upstream may send one too many.
     pub async fn exchange(&mut self, request: &Request<'_>) -> Result<Head, Error> {
-        let mut head = self.send(request).await?;
+        let mut head = self
+            .transmit(request.head, Whole::new(request.body))
+            .await?;
         let mut foreign = 0;
         while answers_other_request(&head, request.id) {
             foreign += 1;
@@ -181,16 +193,36 @@
         Ok(head)
     }
 
+    /// Sends a request whose body arrives in pieces, and waits for the head of its answer.
+    pub async fn send<S>(&mut self, head: &[u8], body: S) -> Result<Head, Error>
+    where
+        S: Source,
+    {
+        let head = self.transmit(head, body).await?;
+        self.start_body(&head);
+        Ok(head)
+    }
+
     /// Writes the request and reads at the same time. An upstream may answer before it has
     /// read a long body, and one that stops reading would otherwise block this side for
     /// ever.
-    async fn send(&mut self, request: &Request<'_>) -> Result<Head, Error> {
+    async fn transmit<S>(&mut self, head: &[u8], mut body: S) -> Result<Head, Error>
+    where
+        S: Source,
+    {
         self.flushed = false;
         let Connection { stream, buffer, .. } = self;
         let (mut from, mut to) = stream.split();
         let write = async {
-            to.write_all(request.head).await?;
-            to.write_all(request.body).await
+            let mut written = to.write_all(head).await;
+            while let Some(piece) = body.next().await {
+                // A body that can't be completed would leave both sides waiting.
+                let piece = piece?;
+                if written.is_ok() {
+                    written = to.write_all(piece.as_ref()).await;
+                }
+            }
+            Ok::<_, io::Error>(written)
         };
         tokio::pin!(write);
         let mut written: Option<io::Result<()>> = None;
@@ -200,7 +232,7 @@
             }
             buffer.reserve(READ_BYTES);
             tokio::select! {
-                result = &mut write, if written.is_none() => written = Some(result),
+                result = &mut write, if written.is_none() => written = Some(result?),
                 read = from.read_buf(buffer) => match (read, &written) {
                     (Ok(0), _) => return Err(Error::Closed("the end of the answer's head")),
                     (Ok(_), _) => {}
@@ -227,6 +259,7 @@
     /// Prepares for reading the body that follows `head`.
     fn start_body(&mut self, head: &Head) {
         self.end = None;
+        self.content = Content::new(head);
         self.body = match head.framing {
             Framing::Length(0) => self.finish(End::Length),
             Framing::Length(length) => Body::Length(length),
@@ -255,7 +288,11 @@
         }
     }
 
-    /// Returns the next bytes of the body, or `None` at its end.
+    /// Returns the next bytes of the body, or `None` if it is complete.
+    ///
+    /// A body that ends with its connection is complete if the connection was closed without
+    /// a reset and the content doesn't show that it was cut. An event stream that ends inside
+    /// an event was.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             if let Some(bytes) = self.take_body()? {
@@ -265,6 +302,9 @@
                 return Ok(None);
             }
             if self.fill_buffer().await? == 0 {
+                if self.body == Body::Close && self.content.is_cut() {
+                    return Err(Error::Closed("the end of an event"));
+                }
                 if self.body == Body::Close {
                     self.body = self.finish(End::ConnectionClosed);
                     self.flushed = false;
@@ -315,7 +355,11 @@
         loop {
             match self.body {
                 Body::Done => return Ok(None),
-                Body::Close => return Ok(self.take_up_to(u64::MAX).map(|(bytes, _)| bytes)),
+                Body::Close => {
+                    let bytes = self.take_up_to(u64::MAX).map(|(bytes, _)| bytes);
+                    self.content.push(bytes.as_deref().unwrap_or_default());
+                    return Ok(bytes);
+                }
                 Body::Length(left) => {
                     return Ok(self.take_up_to(left).map(|(bytes, left)| {
                         self.body = if left == 0 {
