Let the stand-ins answer with neither a length nor chunks

The stand-in engine and service now frame their answers as told: marked as before, unmarked and complete, cut after so many bytes, or reset. A connection keeps the framing that was set when it was accepted.

--- a/almondlock-standin/src/engine.rs
+++ b/almondlock-standin/src/engine.rs
@@ -32,6 +32,7 @@
 use crate::{
     answer::Key,
     batch::{Batch, Step},
+    framing::Framing,
     listener::Listener,
     order::Loaded,
     report::Report,
@@ -290,6 +291,12 @@
         self.listener.address()
     }
 
+    /// Sets the framing of the answers on connections that are accepted from
+    /// now on.
+    pub fn set_framing(&self, framing: Framing) {
+        self.listener.set_framing(framing);
+    }
+
     /// Accepts no more connections; what runs goes on to its end.
     pub fn stop(&self) {
         self.listener.stop();
--- a/almondlock-standin/src/listener.rs
+++ b/almondlock-standin/src/listener.rs
@@ -21,6 +21,8 @@
 };
 use tokio::sync::Notify;
 
+use crate::framing::Framing;
+
 /// Handles one HTTP request. Implemented by each stand-in.
 pub(crate) trait Handler: 'static {
     /// Answers it.
@@ -36,6 +38,8 @@
     open: Cell<bool>,
     closed: Notify,
     connections: RefCell<Vec<IoRef>>,
+    /// Framing of the answers on connections that are accepted from now on.
+    framing: Cell<Framing>,
 }
 
 impl Listener {
@@ -51,6 +55,7 @@
             open: Cell::new(true),
             closed: Notify::new(),
             connections: RefCell::default(),
+            framing: Cell::default(),
         });
         listener.clone().serve(socket, handler);
         Ok(listener)
@@ -64,6 +69,11 @@
         self.open.get()
     }
 
+    /// Sets the framing of the answers on connections that are accepted from now on.
+    pub(crate) fn set_framing(&self, framing: Framing) {
+        self.framing.set(framing);
+    }
+
     /// Accepts no more; what is connected goes on.
     pub(crate) fn stop(&self) {
         self.open.set(false);
@@ -100,14 +110,6 @@
         let life = self.life.get();
         ntex::rt::spawn(async move {
             let config = SharedCfg::default();
-            let factory = HttpService::h1(fn_service(move |request| {
-                let handler = handler.clone();
-                async move { Ok::<_, io::Error>(handler.handle(request).await) }
-            }));
-            let Ok(service) = factory.create(config.clone()).await else {
-                return;
-            };
-            let service = Pipeline::new(service);
             while self.life.get() == life {
                 let accepted = tokio::select! {
                     accepted = socket.accept() => accepted,
@@ -117,6 +119,22 @@
                     tokio::task::yield_now().await;
                     continue;
                 };
+                let framing = self.framing.get();
+                if framing.has_reset() && stream.set_zero_linger().is_err() {
+                    continue;
+                }
+                let handler = handler.clone();
+                let factory = HttpService::h1(fn_service(move |request| {
+                    let handler = handler.clone();
+                    async move {
+                        let response = handler.handle(request).await;
+                        Ok::<_, io::Error>(framing.apply(response))
+                    }
+                }));
+                let Ok(service) = factory.create(config.clone()).await else {
+                    return;
+                };
+                let service = Pipeline::new(service);
                 let stream = stream.into_std();
                 let Ok(io) = stream.and_then(|s| ntex::rt::from_tcp_stream(s, config.clone()))
                 else {
--- a/almondlock-standin/src/service.rs
+++ b/almondlock-standin/src/service.rs
@@ -29,6 +29,7 @@
 use ntex::http::{Request, Response};
 
 use crate::{
+    framing::Framing,
     http,
     listener::{Handler, Listener},
 };
@@ -131,6 +132,12 @@
         self.listener.address()
     }
 
+    /// Sets the framing of the answers on connections that are accepted from
+    /// now on.
+    pub fn set_framing(&self, framing: Framing) {
+        self.listener.set_framing(framing);
+    }
+
     /// Accepts no more connections; what runs goes on to its end.
     pub fn stop(&self) {
         self.listener.stop();
