Expect no body in the answer to a HEAD

What callers would see: a HEAD that is forwarded to an upstream which announces the length of the body it doesn't send waits until its deadline and is answered 504; without a length it waits for the connection to end.

The end of a body was looked for where the framing says, and the answer to a HEAD has none whatever its head announces. Found while the sidecar was moved to this connection; nobody reported it. head_only (length, chunks, neither) failed before, each on its time-out, and passes now.

--- a/almondlock-gateway/tests/upstream_answers.rs
+++ b/almondlock-gateway/tests/upstream_answers.rs
@@ -88,6 +88,29 @@
     assert!(matches!(outcome(steps), Err(Error::Broken(_))));
 }
 
+/// Guards against waiting for the body that the answer to a HEAD announces and never has.
+#[parameterized(
+    length = { "content-length: 10\r\n" },
+    chunks = { "transfer-encoding: chunked\r\n" },
+    neither = { "" },
+)]
+fn head_only(framing: &str) {
+    let answer = format!("HTTP/1.1 200 OK\r\nx-id: r-1\r\n{framing}\r\n");
+    let steps = vec![Step::Read, Step::Write(answer), Step::Hang];
+    let (address, _heads) = start(vec![steps]);
+    block_on(async {
+        let mut connection = Connection::open(address, ALLOWED).await.unwrap();
+        let request = Request {
+            head: b"HEAD / HTTP/1.1\r\nx-id: r-1\r\n\r\n",
+            body: &[],
+            id: ("x-id", b"r-1"),
+        };
+        let head = connection.exchange(&request).await.unwrap();
+        let body = tokio::time::timeout(ALLOWED, connection.read_body(1 << 20)).await;
+        assert_eq!((head.status, body.unwrap().unwrap().len()), (200, 0));
+    });
+}
+
 /// Nothing listens, so the request was certainly not sent.
 #[test]
 fn connection_refused() {
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -95,6 +95,9 @@
     stream: TcpStream,
     buffer: BytesMut,
     body: Body,
+    /// Whether the current request is a HEAD, whose answer has no body whatever its head
+    /// announces.
+    is_head_only: bool,
     /// What the content of the current answer's body tells.
     content: Content,
     /// How the end of the current answer's body was recognised. `None` until then.
@@ -149,6 +152,7 @@
             stream,
             buffer: BytesMut::new(),
             body: Body::Done,
+            is_head_only: false,
             content: Content::default(),
             end: None,
             flushed: true,
@@ -211,6 +215,7 @@
         S: Source,
     {
         self.flushed = false;
+        self.is_head_only = head.starts_with(b"HEAD ");
         let Connection { stream, buffer, .. } = self;
         let (mut from, mut to) = stream.split();
         let write = async {
@@ -261,6 +266,7 @@
         self.end = None;
         self.content = Content::new(head);
         self.body = match head.framing {
+            _ if self.is_head_only => self.finish(End::Length),
             Framing::Length(0) => self.finish(End::Length),
             Framing::Length(length) => Body::Length(length),
             Framing::Chunked => Body::ChunkHead,
