Read upstreams' answers at the sidecar by what proves their end

What callers saw: a plain service that answers in HTTP/1.1 with neither a length nor chunks reached them as a 200 with an empty body and a proper end, whatever it wrote, also where its connection was reset. Engines that answer so were never taken for complete, so that each such request failed; their lists of memory were unreadable, so that nothing orphaned was found.

The HTTP library's client takes such an answer for one without a body, and the sidecar passed its end on as the answer's. The library offers no setting for it (its decoder reads to the end of the connection for HTTP/1.0 only).

The sidecar now sends with the connection that the gateway uses. A body is complete by its framing; without any it is complete if its connection was closed without a reset and its content doesn't show a cut: an event stream that ends inside an event, or an engine's stream without its closing record. A request that may not be repeated still gets a new connection, redirects are still not followed, and a body that the entry host can't complete now ends the request at once. Heads are checked for texts that would end their line, which the library did. The answer's framing and how its end was recognised are logged ('answer of the upstream ended').

--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -281,6 +281,26 @@
         handle
     }
 
+    /// Puts a sidecar process before a plain service.
+    pub async fn service_at(&self, name: &str, address: SocketAddr) {
+        let registry = self.sidecar(&format!("host-{name}")).await;
+        let announcement = Announcement {
+            name: Upstream::new(name).unwrap(),
+            address,
+            kind: Kind::Service,
+            model: None,
+            version: None,
+            service: Some(id::Service::new("prices").unwrap()),
+            capacity: 0,
+            slots: Some(8),
+            prefill_rate: None,
+            fenced: false,
+            resumable: false,
+        };
+        registry.announce(announcement).await.unwrap();
+        self.await_upstream(name).await;
+    }
+
     pub async fn await_upstream(&self, name: &str) {
         let registered = async || self.view.get().upstreams.contains_key(name);
         eventually(registered).await;
--- a/almondlock-gateway/tests/operations_page.rs
+++ b/almondlock-gateway/tests/operations_page.rs
@@ -3,11 +3,13 @@
 
 use std::{fs, path::Path};
 
-const PACKAGES: [&str; 5] = [
+const PACKAGES: [&str; 7] = [
     "almondlock-gateway",
     "almondlock-control",
     "almondlock-node",
     "almondlock-daemon",
+    "almondlock-http",
+    "almondlock-sidecar",
     "platform",
 ];
 
--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -191,15 +191,14 @@
             last_heard: now,
         };
         self.inner.upstreams.borrow_mut().insert(name, known);
-        let unusable = |e: &dyn std::fmt::Display| Refusal(e.to_string());
         match announcement.kind {
             Kind::Engine => {
-                let engine = Engine::new(announcement.address).await;
-                self.start_sidecar(announcement, engine.map_err(|e| unusable(&e))?);
+                let engine = Engine::new(announcement.address);
+                self.start_sidecar(announcement, engine);
             }
             Kind::Service => {
-                let service = plain::Service::new(announcement.address).await;
-                self.start_sidecar(announcement, service.map_err(|e| unusable(&e))?);
+                let service = plain::Service::new(announcement.address);
+                self.start_sidecar(announcement, service);
             }
         }
         Ok(())
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod announce;
 mod body;
+mod client;
 mod death;
 mod maintenance;
 pub mod memory;
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -16,161 +16,127 @@
     attempt::Segment,
 };
 use eventsource_stream::Eventsource;
-use futures::StreamExt;
-use ntex::{
-    client::{
-        Client, ClientRequest, ClientResponse, Connector,
-        error::{ClientBuilderError, ClientError, ConnectError},
-    },
-    http::{Method, StatusCode, body::SizedStream, header},
-};
+use futures::{FutureExt, StreamExt, stream};
 use serde::Deserialize;
 use serde_json::json;
+use tokio::time::timeout;
 
-use crate::protocol::{Allocation, Failure, Feed, Output, Piece, Protocol, Run};
+use crate::{
+    client::{Answer, Call, Client, Upload},
+    protocol::{Allocation, Failure, Feed, Output, Piece, Protocol, Run},
+};
 
 /// Time-out for control requests: health checks, lists of allocations,
 /// cancellations and orders to load a model.
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Maximum number of connections to one upstream. It exceeds any number of runs
-/// that the queue lets through.
-const MAX_CONNECTIONS: usize = 60_000;
-
 /// Maximum length of an error text taken over from an engine, in characters.
 const MAX_ERROR_TEXT_CHARS: usize = 2048;
 
-/// Address of an engine and HTTP clients for it.
+/// Maximum size of an error's body, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
+/// Maximum size of the answer to a control request, in bytes.
+const MAX_CONTROL_BYTES: usize = 4 << 20;
+
+/// Address of an engine and an HTTP client for it.
 pub struct Engine {
-    address: SocketAddr,
-    base: String,
-    clients: Clients,
-    control: Client,
+    client: Client,
 }
 
 impl Engine {
-    /// Creates the clients. Must be called on the thread that uses them.
-    pub async fn new(address: SocketAddr) -> Result<Engine, ClientBuilderError> {
-        let control = Client::builder()
-            .response_timeout(ntex::time::Millis::from(CONTROL_TIMEOUT))
-            .disable_redirects();
-        Ok(Engine {
-            address,
-            base: format!("http://{address}"),
-            clients: Clients::new().await?,
-            control: control.build(ntex::SharedCfg::default()).await?,
-        })
+    /// Creates the client.
+    pub fn new(address: SocketAddr) -> Engine {
+        Engine {
+            client: Client::new(address),
+        }
     }
 
-    async fn send(&self, job: &Run<'_>, body: Feed) -> Result<ClientResponse, Failure> {
+    /// Sends a run. It has no time-out here, since runs have deadlines of their
+    /// own, which are minutes long for long prompts.
+    async fn send(&self, job: &Run<'_>, body: Feed) -> Result<Answer<'_>, Failure> {
         let head = job.head;
-        let url = format!("{}{}", self.base, head.path);
-        let mut request = self
-            .clients
-            .request(head.repeatable, Method::POST, url)
-            .header(header::CONTENT_TYPE, "application/json")
-            .header("X-Engine-Request", job.id)
-            .header("X-Engine-Priority", u32::from(job.priority).to_string())
-            .header("traceparent", job.traceparent);
+        let mut headers = vec![
+            ("content-type", JSON.to_owned()),
+            ("x-engine-request", job.id.to_owned()),
+            ("x-engine-priority", job.priority.to_string()),
+            ("traceparent", job.traceparent.to_owned()),
+        ];
         if head.resume_at > 0 {
-            request = request.header("X-Engine-Resume-At", head.resume_at.to_string());
+            headers.push(("x-engine-resume-at", head.resume_at.to_string()));
         }
         if !head.segments.is_empty() {
             let list: Vec<String> = head.segments.iter().map(segment_location).collect();
-            request = request.header("X-Engine-Segments", list.join(","));
+            headers.push(("x-engine-segments", list.join(",")));
         }
-        let body = SizedStream::new(head.body_length, body);
-        request
-            .send_body(body)
+        let call = Call {
+            request: &head.request,
+            method: "POST",
+            path: &head.path,
+            headers: &headers,
+            length: head.body_length,
+            may_reuse: head.repeatable,
+        };
+        let body = Upload::new(body, head.body_length);
+        self.client.send_from(&call, body).await
+    }
+
+    /// Sends a control request. Returns the status and the complete body.
+    async fn control(
+        &self,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> Result<(u16, Vec<u8>), Failure> {
+        let headers = [("content-type", JSON.to_owned())];
+        let call = Call {
+            request: "",
+            method,
+            path,
+            headers: &headers,
+            length: body.len() as u64,
+            may_reuse: true,
+        };
+        let exchange = async {
+            let mut answer = self.client.send(&call, body).await?;
+            let body = answer.read_body(MAX_CONTROL_BYTES).await?;
+            Ok((answer.head.status, body))
+        };
+        timeout(CONTROL_TIMEOUT, exchange)
             .await
-            .map_err(|e| classify_error(&e))
+            .unwrap_or(Err(Failure::Broken))
     }
 }
 
+/// Content type of requests to engines.
+const JSON: &str = "application/json";
+
 /// Formats the location of a segment for the `X-Engine-Segments` header.
 fn segment_location(segment: &Segment) -> String {
     format!("{}/{}", segment.address, segment.handle)
 }
 
-/// Tells whether a failed request may have reached the upstream.
-///
-/// Only a connection that was never made proves that nothing ran. The client
-/// reports `Disconnected` both for a connection that could not be made and for
-/// one that was closed before the answer came; only the first carries the
-/// system's error.
-pub(crate) fn classify_error(error: &ClientError) -> Failure {
-    match error {
-        ClientError::Connect(
-            ConnectError::Disconnected(Some(_))
-            | ConnectError::Resolver(_)
-            | ConnectError::Timeout
-            | ConnectError::Unresolved,
-        ) => Failure::Unreachable,
-        _ => Failure::Broken,
-    }
-}
-
-/// Builds a client without time-outs for runs, since runs have deadlines of
-/// their own, which are minutes long for long prompts.
-///
-/// By default the library's client opens at most eight connections. Further
-/// requests would wait inside the client in an order that the sidecar's queue
-/// doesn't control.
-async fn build_run_client() -> Result<Client, ClientBuilderError> {
-    let connector = Connector::new().limit(MAX_CONNECTIONS);
-    let builder = Client::builder()
-        .connector::<()>(connector)
-        .disable_timeout()
-        .disable_redirects();
-    builder.build(ntex::SharedCfg::default()).await
-}
-
-/// HTTP clients for runs.
-///
-/// A request that may not be repeated always gets a new connection: the
-/// upstream may just have closed a pooled one, and whether a request sent on it
-/// ran is unknown.
-pub(crate) struct Clients {
-    pooled: Client,
-    single: Client,
-}
-
-impl Clients {
-    pub(crate) async fn new() -> Result<Clients, ClientBuilderError> {
-        Ok(Clients {
-            pooled: build_run_client().await?,
-            single: build_run_client().await?,
-        })
-    }
-
-    pub(crate) fn request(&self, repeatable: bool, method: Method, url: String) -> ClientRequest {
-        if repeatable {
-            self.pooled.request(method, url)
-        } else {
-            // Closed after each answer, so that no connection is reused.
-            self.single.request(method, url).force_close()
-        }
-    }
-}
-
-/// Reads an error response and tells whether the request may have run.
-pub(crate) async fn read_refusal(response: &ClientResponse) -> Failure {
-    let status = response.status();
-    let body = response.body().limit(64 * 1024).await.unwrap_or_default();
-    let text: String = String::from_utf8_lossy(&body)
+/// Tells from an error response whether the request may have run.
+fn refusal(status: u16, body: &[u8]) -> Failure {
+    let text: String = String::from_utf8_lossy(body)
         .chars()
         .take(MAX_ERROR_TEXT_CHARS)
         .collect();
     // Engines check a whole request before they start it, so a 4xx status or a
     // 503 means that it didn't run.
-    let not_run = status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE;
-    if not_run {
-        Failure::Refused(status.as_u16(), text)
+    if (400..500).contains(&status) || status == 503 {
+        Failure::Refused(status, text)
     } else {
-        Failure::Failed(status.as_u16(), text)
+        Failure::Failed(status, text)
     }
 }
 
+/// Reads an error response. Its status counts even if its body is cut.
+async fn read_refusal(answer: &mut Answer<'_>) -> Failure {
+    let body = answer.read_body(MAX_ERROR_BYTES).await;
+    refusal(answer.head.status, &body.unwrap_or_default())
+}
+
 #[derive(Debug)]
 #[derive(Deserialize)]
 struct Chunk {
@@ -247,7 +213,7 @@
 }
 
 /// Streams an answer to the output, and returns its usage if it is complete.
-async fn relay_answer<O>(response: ClientResponse, output: &mut O) -> Result<Usage, Failure>
+async fn relay_answer<O>(answer: Answer<'_>, output: &mut O) -> Result<Usage, Failure>
 where
     O: Output,
 {
@@ -259,12 +225,19 @@
         .put(0, begin)
         .await
         .map_err(|_| Failure::OutputClosed)?;
-    let mut events = response.take_payload().eventsource();
+    let chunks = stream::unfold(answer, async |mut answer| {
+        let chunk = answer.next().await?;
+        Some((chunk, answer))
+    });
+    let mut events = Box::pin(chunks).eventsource();
     let mut accumulator = Accumulator::default();
     while let Some(event) = events.next().await {
         let data = event.map_err(|_| Failure::Broken)?.data;
         // The closing record. An answer without it is incomplete.
         if data == "[DONE]" {
+            // Takes in the end of the body if it has arrived, so that the
+            // connection can be used again.
+            let _ = events.next().now_or_never();
             return accumulator.into_usage().ok_or(Failure::Truncated);
         }
         let chunk: Chunk = serde_json::from_str(&data).map_err(|_| Failure::Truncated)?;
@@ -325,55 +298,56 @@
     where
         O: Output,
     {
-        let response = self.send(&job, body).await?;
-        if !response.status().is_success() {
-            return Err(read_refusal(&response).await);
+        let mut answer = self.send(&job, body).await?;
+        if !answer.is_success() {
+            return Err(read_refusal(&mut answer).await);
         }
-        relay_answer(response, output).await
+        relay_answer(answer, output).await
     }
 
     async fn cancel(&self, id: &str) -> bool {
-        let url = format!("{}/engine/requests/{id}", self.base);
-        match self.control.delete(url).send().await {
-            Ok(response) => response.status().is_success() || response.status() == 404,
+        let path = format!("/engine/requests/{id}");
+        match self.control("DELETE", &path, &[]).await {
+            Ok((status, _)) => (200..300).contains(&status) || status == 404,
             Err(_) => false,
         }
     }
 
     async fn process_segment(&self, piece: Piece<'_>) -> Result<Segment, Failure> {
-        let url = format!("{}/engine/segments", self.base);
-        let request = self
-            .clients
-            .request(true, Method::POST, url)
-            .header(header::CONTENT_TYPE, "application/json");
-        let sent = request.send_body(segment_request_body(&piece)).await;
-        let response = sent.map_err(|e| classify_error(&e))?;
-        if !response.status().is_success() {
-            return Err(read_refusal(&response).await);
+        let body = segment_request_body(&piece);
+        let call = Call {
+            request: "",
+            method: "POST",
+            path: "/engine/segments",
+            headers: &[("content-type", JSON.to_owned())],
+            length: body.len() as u64,
+            may_reuse: true,
+        };
+        let mut answer = self.client.send(&call, &body).await?;
+        if !answer.is_success() {
+            return Err(read_refusal(&mut answer).await);
         }
-        response.body().await.map_err(|_| Failure::Broken)?;
+        answer.read_body(MAX_CONTROL_BYTES).await?;
         Ok(Segment {
-            address: self.address.to_string(),
+            address: self.client.address().to_string(),
             handle: piece.id.to_owned(),
         })
     }
 
     async fn load_model(&self, model: &str, version: &str, fence: u64) -> Result<(), Failure> {
-        let url = format!("{}/engine/orders", self.base);
         let order = json!({"kind": "load", "model": model, "version": version, "fence": fence});
-        let sent = self.control.post(url).send_json(&order).await;
-        let response = sent.map_err(|e| classify_error(&e))?;
-        if response.status().is_success() {
-            Ok(())
-        } else {
-            Err(read_refusal(&response).await)
+        let order = order.to_string();
+        let answered = self.control("POST", "/engine/orders", order.as_bytes());
+        match answered.await? {
+            (200..300, _) => Ok(()),
+            (status, body) => Err(refusal(status, &body)),
         }
     }
 
     async fn list_allocations(&self) -> Option<Vec<Allocation>> {
-        let url = format!("{}/engine/requests", self.base);
-        let response = self.control.get(url).send().await.ok()?;
-        let listing: Listing = response.json().await.ok()?;
+        let answered = self.control("GET", "/engine/requests", &[]).await;
+        let (_, body) = answered.ok()?;
+        let listing: Listing = serde_json::from_slice(&body).ok()?;
         let held = |entry: Entry| Allocation {
             kind: entry.kind(),
             id: entry.id,
@@ -383,8 +357,7 @@
     }
 
     async fn is_alive(&self) -> bool {
-        let url = format!("{}/engine/health", self.base);
-        let answer = self.control.get(url).send().await;
-        answer.is_ok_and(|r| r.status().is_success())
+        let answered = self.control("GET", "/engine/health", &[]).await;
+        answered.is_ok_and(|(status, _)| (200..300).contains(&status))
     }
 }
--- a/almondlock-sidecar/src/plain.rs
+++ b/almondlock-sidecar/src/plain.rs
@@ -8,63 +8,54 @@
     answer::{Part, Usage},
     attempt::Segment,
 };
-use futures::StreamExt;
-use ntex::{
-    client::{ClientResponse, error::ClientBuilderError},
-    http::{Method, body::SizedStream, header},
-};
 
 use crate::{
-    openai::{Clients, classify_error},
+    client::{Answer, Call, Client, Upload},
     protocol::{Allocation, Failure, Feed, Output, Piece, Protocol, Run},
 };
 
 /// Address of a plain service and an HTTP client for it.
 pub struct Service {
-    base: String,
-    clients: Clients,
+    client: Client,
 }
 
 impl Service {
-    /// Creates the client. Must be called on the thread that uses it.
-    pub async fn new(address: SocketAddr) -> Result<Service, ClientBuilderError> {
-        Ok(Service {
-            base: format!("http://{address}"),
-            clients: Clients::new().await?,
-        })
+    /// Creates the client.
+    pub fn new(address: SocketAddr) -> Service {
+        Service {
+            client: Client::new(address),
+        }
     }
 
-    async fn send(&self, job: &Run<'_>, body: Feed) -> Result<ClientResponse, Failure> {
+    async fn send(&self, job: &Run<'_>, body: Feed) -> Result<Answer<'_>, Failure> {
         let head = job.head;
-        let method = Method::from_bytes(head.method.as_bytes())
-            .map_err(|_| Failure::Refused(405, "unknown method".to_owned()))?;
-        let url = format!("{}{}", self.base, head.path);
-        let mut request = self
-            .clients
-            .request(head.repeatable, method, url)
-            .header("traceparent", job.traceparent)
-            .header("X-Request-Id", head.request.as_str());
+        let mut headers = vec![
+            ("traceparent", job.traceparent.to_owned()),
+            ("x-request-id", head.request.clone()),
+        ];
         if !head.content_type.is_empty() {
-            request = request.header(header::CONTENT_TYPE, head.content_type.as_str());
+            headers.push(("content-type", head.content_type.clone()));
         }
-        let sent = if head.body_length == 0 {
-            request.send().await
-        } else {
-            let body = SizedStream::new(head.body_length, body);
-            request.send_body(body).await
+        let call = Call {
+            request: &head.request,
+            method: &head.method,
+            path: &head.path,
+            headers: &headers,
+            length: head.body_length,
+            may_reuse: head.repeatable,
         };
-        sent.map_err(|e| classify_error(&e))
+        let body = Upload::new(body, head.body_length);
+        self.client.send_from(&call, body).await
     }
 }
 
-fn begin(response: &ClientResponse) -> Part {
-    let content_type = response
-        .header(header::CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .unwrap_or("application/octet-stream");
+fn begin(answer: &Answer<'_>) -> Part {
+    let content_type = answer.head.text("content-type");
     Part::Begin {
-        status: response.status().as_u16(),
-        content_type: content_type.to_owned(),
+        status: answer.head.status,
+        content_type: content_type
+            .unwrap_or("application/octet-stream")
+            .to_owned(),
     }
 }
 
@@ -73,17 +64,16 @@
     where
         O: Output,
     {
-        let response = self.send(&job, body).await?;
+        let mut answer = self.send(&job, body).await?;
         // An error status is passed on to the caller like any other answer.
-        let first = begin(&response);
+        let first = begin(&answer);
         output
             .put(0, first)
             .await
             .map_err(|_| Failure::OutputClosed)?;
-        let mut payload = response.take_payload();
         let mut total = 0;
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| Failure::Broken)?;
+        while let Some(chunk) = answer.next().await {
+            let chunk = chunk?;
             let count = u32::try_from(chunk.len()).unwrap_or(u32::MAX);
             total += u64::from(count);
             let part = Part::Bytes(chunk.to_vec());
@@ -124,11 +114,14 @@
 
     async fn is_alive(&self) -> bool {
         // Any answer counts, since services have no common health path.
-        let url = format!("{}/", self.base);
-        self.clients
-            .request(true, Method::HEAD, url)
-            .send()
-            .await
-            .is_ok()
+        let call = Call {
+            request: "",
+            method: "HEAD",
+            path: "/",
+            headers: &[],
+            length: 0,
+            may_reuse: true,
+        };
+        self.client.send(&call, &[]).await.is_ok()
     }
 }
