Break a service's response off by closing its connection

What callers saw: when a service's answer broke midway (too few bytes, a cut chunk, a reset), an entry host with sidecars wrote a second head, 'HTTP/1.1 500 Internal Server Error', into the unfinished body, where a caller could take it for a part of the body.

Cause: the failure was given to the HTTP library as the body's error, which it answers with a response of its own. The gateway closes the connection instead; that moves to almondlock-http and both use it. What is broken off after a part of it was passed on is now logged by the entry host ('answer broken off').

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -341,7 +341,7 @@
     };
     match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
-        Ok(running) => running.into_bytes(&id),
+        Ok(running) => running.into_bytes(&http, &id),
     }
 }
 
--- a/almondlock-entry/src/running.rs
+++ b/almondlock-entry/src/running.rs
@@ -7,13 +7,14 @@
 use std::rc::Rc;
 
 use almondlock_base::{Code, Ran};
+use almondlock_http::response;
 use almondlock_node::clock;
 use almondlock_wire::answer::Usage;
 use futures::stream;
 use ntex::{
     http::StatusCode,
     util::{Bytes, BytesMut},
-    web::HttpResponse,
+    web::{HttpRequest, HttpResponse},
 };
 use tokio::{
     sync::{mpsc, oneshot},
@@ -103,6 +104,14 @@
         }
     }
 
+    /// Returns the failure of an answer of which a part was passed on, and logs
+    /// it.
+    async fn broken_off(&mut self, id: &str) -> Failure {
+        let failure = self.failure().await;
+        tracing::info!(request = %id, %failure, "answer broken off");
+        failure
+    }
+
     async fn next(&mut self) -> Option<Piece> {
         match self.first.take() {
             Some(piece) => Some(piece),
@@ -112,17 +121,18 @@
 
     /// An event stream. One that fails says so and isn't closed as if whole.
     pub(crate) fn into_stream(self, writer: Writer, id: &str) -> HttpResponse {
-        let events = stream::unfold((Some(self), writer), |(running, writer)| async {
+        let state = (Some(self), writer, id.to_owned());
+        let events = stream::unfold(state, async |(running, writer, id)| {
             let mut running = running?;
             loop {
                 let (bytes, more) = match running.next().await {
                     Some(Piece::Text(text)) => (writer.text(&text), true),
                     Some(Piece::End(usage)) => (concat(writer.end(&usage)), false),
                     Some(_) => continue,
-                    None => (Writer::failed(&running.failure().await), false),
+                    None => (Writer::failed(&running.broken_off(&id).await), false),
                 };
                 let rest = more.then_some(running);
-                return Some((Ok::<Bytes, std::io::Error>(bytes), (rest, writer)));
+                return Some((Ok::<Bytes, std::io::Error>(bytes), (rest, writer, id)));
             }
         });
         HttpResponse::Ok()
@@ -146,23 +156,27 @@
         }
     }
 
-    /// A service's answer. One that fails is broken off, which its length or
-    /// its missing last chunk tells the caller.
-    pub(crate) fn into_bytes(mut self, id: &str) -> HttpResponse {
+    /// A service's answer. One that fails is broken off: its missing last chunk
+    /// tells the caller.
+    pub(crate) fn into_bytes(mut self, http: &HttpRequest, id: &str) -> HttpResponse {
         let (status, content_type) = match self.first.take() {
             Some(Piece::Begin(status, content_type)) => (status, content_type),
             _ => return Failure::new(Code::StreamBroken).to_response(id),
         };
-        let bytes = stream::unfold(Some(self), |running| async {
+        let state = (Some(self), http.io().cloned(), id.to_owned());
+        let bytes = stream::unfold(state, async |(running, io, id)| {
             let mut running = running?;
             loop {
                 return match running.next().await {
-                    Some(Piece::Bytes(bytes)) => Some((Ok(Bytes::from(bytes)), Some(running))),
+                    Some(Piece::Bytes(bytes)) => {
+                        Some((Ok(Bytes::from(bytes)), (Some(running), io, id)))
+                    }
                     Some(Piece::End(_)) => None,
                     Some(_) => continue,
                     None => {
-                        let failure = running.failure().await;
-                        Some((Err(std::io::Error::other(failure)), None))
+                        let failure = running.broken_off(&id).await;
+                        drop(running);
+                        response::abort(io, std::io::Error::other(failure)).await
                     }
                 };
             }
--- a/almondlock-entry/tests/unmarked_answers.rs
+++ b/almondlock-entry/tests/unmarked_answers.rs
@@ -1,70 +1,19 @@
 //! Upstreams whose answers have neither a length nor chunks and end with their connection.
 
 mod fleet;
+mod raw;
 
-use std::net::SocketAddr;
-
-use almondlock_entry::server::Server;
 use almondlock_standin::{
     answer, engine,
     framing::Framing,
     service::{self, Service},
 };
-use fleet::{Ask, Fleet, LOCAL, fast, text_of};
-use ntex::time::Millis;
-use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
-    task::spawn_local,
-};
+use fleet::{Ask, Fleet, fast, text_of};
+use raw::{ask_service, raw_service};
 use yare::parameterized;
 
 const EVENTS: &str = "content-type: text/event-stream\r\n";
 
-/// Starts a service that writes this answer to each request and closes the connection, or
-/// resets it.
-async fn raw_service(answer: String, is_reset: bool) -> SocketAddr {
-    let listener = TcpListener::bind(LOCAL).await.unwrap();
-    let address = listener.local_addr().unwrap();
-    spawn_local(async move {
-        loop {
-            let (mut stream, _) = listener.accept().await.unwrap();
-            let answer = answer.clone();
-            spawn_local(async move {
-                let mut request = [0; 4096];
-                let read = stream.read(&mut request).await.unwrap();
-                if request[..read].starts_with(b"HEAD") {
-                    let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-                    return stream.write_all(ok).await.unwrap();
-                }
-                stream.write_all(answer.as_bytes()).await.unwrap();
-                ntex::time::sleep(Millis(50)).await;
-                if is_reset {
-                    stream.set_zero_linger().unwrap();
-                }
-            });
-        }
-    });
-    address
-}
-
-/// Asks the service for `/a` and reads until the response is complete or the connection ends.
-async fn ask_service(entry: &Server, version: &str) -> String {
-    let mut stream = TcpStream::connect(entry.address()).await.unwrap();
-    let request = format!(
-        "GET /services/prices/a {version}\r\nhost: e\r\nauthorization: Bearer acme-key\r\n\r\n"
-    );
-    stream.write_all(request.as_bytes()).await.unwrap();
-    let mut bytes = Vec::new();
-    while !bytes.ends_with(b"\r\n0\r\n\r\n") {
-        match stream.read_buf(&mut bytes).await {
-            Ok(1..) => {}
-            Ok(0) | Err(_) => break,
-        }
-    }
-    String::from_utf8(bytes).unwrap()
-}
-
 async fn ask_raw(answer: &str, is_reset: bool) -> String {
     let fleet = Fleet::new().await;
     let service = raw_service(answer.to_owned(), is_reset).await;
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -1,7 +1,6 @@
 //! The listeners for callers' requests, readiness checks and metrics.
 
 use std::{
-    future::pending,
     io,
     net::{SocketAddr, TcpListener},
     rc::Rc,
@@ -10,6 +9,7 @@
 };
 
 use almondlock_base::{Code, id::Domain};
+use almondlock_http::response;
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
 use almondlock_transport::listen;
@@ -17,7 +17,6 @@
 use ntex::{
     SharedCfg,
     http::HttpServiceConfig,
-    io::IoRef,
     time::Seconds,
     util::Bytes,
     web::{self, App, HttpRequest, HttpResponse, HttpServer, types::Payload, types::State},
@@ -329,7 +328,7 @@
                         }
                         Err(error) => {
                             drop((stream, active));
-                            abort_response(io, error).await
+                            response::abort(io, error).await
                         }
                     },
                 );
@@ -344,23 +343,6 @@
     response
 }
 
-/// Ends a response in the middle of its body by closing the connection. Otherwise the HTTP
-/// library would write the error's own response into the unfinished body, where the caller
-/// could take it for a part of the body.
-async fn abort_response<T>(io: Option<IoRef>, error: io::Error) -> Option<(io::Result<Bytes>, T)> {
-    match io {
-        Some(io) => {
-            io.close();
-            pending().await
-        }
-        // Without a connection there is no caller to mislead.
-        None => {
-            tracing::warn!(%error, "response failed midway and has no connection to close");
-            None
-        }
-    }
-}
-
 /// Runs the request. Stops at once when the caller disconnects.
 async fn serve<D>(
     worker: &Rc<Worker<D>>,
--- a/almondlock-gateway/tests/operations_page.rs
+++ b/almondlock-gateway/tests/operations_page.rs
@@ -3,11 +3,12 @@
 
 use std::{fs, path::Path};
 
-const PACKAGES: [&str; 7] = [
+const PACKAGES: [&str; 8] = [
     "almondlock-gateway",
     "almondlock-control",
     "almondlock-node",
     "almondlock-daemon",
+    "almondlock-entry",
     "almondlock-http",
     "almondlock-sidecar",
     "platform",
--- a/almondlock-http/src/lib.rs
+++ b/almondlock-http/src/lib.rs
@@ -8,7 +8,9 @@
 //! | module | does |
 //! |---|---|
 //! | [`upstream`] | one connection to an upstream, and reading answers from it |
+//! | [`response`] | breaking off a response to a caller |
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod response;
 pub mod upstream;
