Send callers that speak HTTP/1.0 no chunks

What callers saw: an HTTP/1.0 caller of the gateway or the entry host got 'transfer-encoding: chunked', which its protocol lacks, and chunk sizes as part of the body of streams and of services' answers.

Cause: streamed responses were framed without a look at the caller's version; the HTTP library does the same. Now such a caller's event stream ends with its connection. One that is broken off there can't be told by its framing, so it ends inside an event, at the start of a comment, which parsers drop: the mark by which we tell such a stream from upstreams too. The closing record of a completion's stream tells by itself. A service's answer has no such content: it is collected, up to 8 MiB, and sent with its length, or as a failure.

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -247,7 +247,7 @@
     let streamed = request.stream;
     match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
-        Ok(running) if streamed => running.into_stream(writer, &id),
+        Ok(running) if streamed => running.into_stream(writer, &http, &id),
         Ok(running) => running.into_document(&writer, &id).await,
     }
 }
@@ -341,7 +341,7 @@
     };
     match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
-        Ok(running) => running.into_bytes(&http, &id),
+        Ok(running) => running.into_bytes(&http, &id).await,
     }
 }
 
--- a/almondlock-entry/src/running.rs
+++ b/almondlock-entry/src/running.rs
@@ -4,10 +4,10 @@
 //! status of its own. From then on the response is under way, and a failure is
 //! a stream's last event; a service's response is broken off.
 
-use std::rc::Rc;
+use std::{io, rc::Rc};
 
 use almondlock_base::{Code, Ran};
-use almondlock_http::response;
+use almondlock_http::response::Delimiter;
 use almondlock_node::clock;
 use almondlock_wire::answer::Usage;
 use futures::stream;
@@ -30,6 +30,10 @@
 /// Pieces of an answer that wait for their caller at most.
 const DEPTH: usize = 64;
 
+/// The largest answer of a service that is collected for a caller that knows no
+/// chunks, in bytes.
+const MAX_COLLECTED_BYTES: usize = 8 << 20;
+
 /// A request under way: its life goes on in a task that ends when this is
 /// dropped, which happens when the caller leaves.
 pub(crate) struct Running {
@@ -120,7 +124,7 @@
     }
 
     /// An event stream. One that fails says so and isn't closed as if whole.
-    pub(crate) fn into_stream(self, writer: Writer, id: &str) -> HttpResponse {
+    pub(crate) fn into_stream(self, writer: Writer, http: &HttpRequest, id: &str) -> HttpResponse {
         let state = (Some(self), writer, id.to_owned());
         let events = stream::unfold(state, async |(running, writer, id)| {
             let mut running = running?;
@@ -132,10 +136,13 @@
                     None => (Writer::failed(&running.broken_off(&id).await), false),
                 };
                 let rest = more.then_some(running);
-                return Some((Ok::<Bytes, std::io::Error>(bytes), (rest, writer, id)));
+                return Some((Ok::<Bytes, io::Error>(bytes), (rest, writer, id)));
             }
         });
-        HttpResponse::Ok()
+        let mut response = HttpResponse::Ok();
+        // The closing record tells also a caller that knows no chunks.
+        Delimiter::of(http).apply(&mut response);
+        response
             .header("X-Almondlock-Request-Id", id)
             .header("Cache-Control", "no-cache")
             .content_type("text/event-stream")
@@ -157,35 +164,63 @@
     }
 
     /// A service's answer. One that fails is broken off: its missing last chunk
-    /// tells the caller.
-    pub(crate) fn into_bytes(mut self, http: &HttpRequest, id: &str) -> HttpResponse {
+    /// tells the caller. A caller that knows no chunks gets the whole answer
+    /// with its length, since the end of its connection would tell it nothing.
+    pub(crate) async fn into_bytes(mut self, http: &HttpRequest, id: &str) -> HttpResponse {
         let (status, content_type) = match self.first.take() {
             Some(Piece::Begin(status, content_type)) => (status, content_type),
             _ => return Failure::new(Code::StreamBroken).to_response(id),
         };
-        let state = (Some(self), http.io().cloned(), id.to_owned());
-        let bytes = stream::unfold(state, async |(running, io, id)| {
+        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        let mut response = HttpResponse::build(status);
+        response
+            .header("X-Almondlock-Request-Id", id)
+            .content_type(content_type);
+        let delimiter = Delimiter::of(http);
+        if let Delimiter::Connection = delimiter {
+            return match self.collect().await {
+                Ok(body) => response.body(body),
+                Err(failure) => failure.to_response(id),
+            };
+        }
+        let state = (Some(self), delimiter, id.to_owned());
+        let bytes = stream::unfold(state, async |(running, delimiter, id)| {
             let mut running = running?;
             loop {
-                return match running.next().await {
+                match running.next().await {
                     Some(Piece::Bytes(bytes)) => {
-                        Some((Ok(Bytes::from(bytes)), (Some(running), io, id)))
+                        let bytes = Ok::<_, io::Error>(Bytes::from(bytes));
+                        return Some((bytes, (Some(running), delimiter, id)));
                     }
-                    Some(Piece::End(_)) => None,
-                    Some(_) => continue,
+                    Some(Piece::End(_)) => return None,
+                    Some(_) => {}
                     None => {
                         let failure = running.broken_off(&id).await;
                         drop(running);
-                        response::abort(io, std::io::Error::other(failure)).await
+                        let last = delimiter.clone().abort(&io::Error::other(failure)).await?;
+                        return Some((Ok(last), (None, delimiter, id)));
                     }
-                };
+                }
             }
         });
-        let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
-        HttpResponse::build(status)
-            .header("X-Almondlock-Request-Id", id)
-            .content_type(content_type)
-            .streaming(Box::pin(bytes))
+        response.streaming(Box::pin(bytes))
+    }
+
+    /// Reads a service's whole answer.
+    async fn collect(mut self) -> Result<Bytes, Failure> {
+        let mut body = BytesMut::new();
+        loop {
+            match self.next().await {
+                Some(Piece::Bytes(bytes)) => body.extend_from_slice(&bytes),
+                Some(Piece::End(_)) => return Ok(body.freeze()),
+                Some(_) => {}
+                None => return Err(self.failure().await),
+            }
+            if body.len() > MAX_COLLECTED_BYTES {
+                let text = format!("the answer is larger than {MAX_COLLECTED_BYTES} bytes");
+                return Err(Failure::with_message(Code::UpstreamFailed, text));
+            }
+        }
     }
 }
 
--- a/almondlock-entry/tests/raw/mod.rs
+++ b/almondlock-entry/tests/raw/mod.rs
@@ -1,6 +1,8 @@
 //! A plain service whose answers are given byte for byte, and a caller that reads the bytes
 //! of a response.
 
+#![allow(dead_code, reason = "each test uses a part of it")]
+
 use std::net::SocketAddr;
 
 use almondlock_entry::server::Server;
@@ -42,10 +44,15 @@
 
 /// Asks the service for `/a` and reads until the response is complete or the connection ends.
 pub async fn ask_service(entry: &Server, version: &str) -> String {
-    let mut stream = TcpStream::connect(entry.address()).await.unwrap();
     let request = format!(
         "GET /services/prices/a {version}\r\nhost: e\r\nauthorization: Bearer acme-key\r\n\r\n"
     );
+    send(entry, &request).await
+}
+
+/// Sends a request and reads until the response is complete in chunks or the connection ends.
+pub async fn send(entry: &Server, request: &str) -> String {
+    let mut stream = TcpStream::connect(entry.address()).await.unwrap();
     stream.write_all(request.as_bytes()).await.unwrap();
     let mut bytes = Vec::new();
     while !bytes.ends_with(b"\r\n0\r\n\r\n") {
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -9,7 +9,7 @@
 };
 
 use almondlock_base::{Code, id::Domain};
-use almondlock_http::response;
+use almondlock_http::response::Delimiter;
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
 use almondlock_transport::listen;
@@ -317,21 +317,26 @@
         Ok(Answer::Complete(answer)) => complete_response(&worker, &id, answer, arrived),
         Ok(Answer::Stream(stream)) => {
             let mut builder = start_response(&stream.head);
-            let io = incoming.io().cloned();
-            let body =
-                stream::unfold(
-                    (stream, active, io),
-                    async |(mut stream, active, io)| match stream.next().await? {
-                        Ok(bytes) => {
-                            let bytes = Bytes::copy_from_slice(&bytes);
-                            Some((Ok::<_, std::io::Error>(bytes), (stream, active, io)))
-                        }
-                        Err(error) => {
-                            drop((stream, active));
-                            response::abort(io, error).await
-                        }
-                    },
-                );
+            let delimiter = Delimiter::of(&incoming);
+            delimiter.apply(&mut builder);
+            let state = Some((stream, active, delimiter));
+            let body = stream::unfold(state, async |state| {
+                let (mut stream, active, delimiter) = state?;
+                let bytes = match stream.next().await? {
+                    Ok(bytes) => {
+                        let bytes = Bytes::copy_from_slice(&bytes);
+                        return Some((
+                            Ok::<_, io::Error>(bytes),
+                            Some((stream, active, delimiter)),
+                        ));
+                    }
+                    Err(error) => {
+                        drop((stream, active));
+                        delimiter.abort(&error).await?
+                    }
+                };
+                Some((Ok(bytes), None))
+            });
             builder.streaming(body.boxed_local())
         }
         Err(refusal) => refusal_response(&worker, &id, &refusal, arrived),
--- a/almondlock-http/src/lib.rs
+++ b/almondlock-http/src/lib.rs
@@ -8,7 +8,7 @@
 //! | module | does |
 //! |---|---|
 //! | [`upstream`] | one connection to an upstream, and reading answers from it |
-//! | [`response`] | breaking off a response to a caller |
+//! | [`response`] | ending and breaking off streamed responses to callers |
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
