Take an event stream without an event for cut if it ends with its connection

What callers saw: an upstream that crashes between the head and the first event of an unframed answer gave a 200 with an empty body and a proper end on plain routes and services (streaming routes need a first event).

An end of the connection proves nothing, and a body without any event doesn't say that it is complete. no_event failed before on both paths and passes now.

--- a/almondlock-entry/tests/unmarked_answers.rs
+++ b/almondlock-entry/tests/unmarked_answers.rs
@@ -45,6 +45,7 @@
 #[parameterized(
     reset = { "", "half", true },
     half_event = { EVENTS, "data: x\n\ndata: y", false },
+    no_event = { EVENTS, "", false },
     half_end = { EVENTS, "data: x\n\ndata: y\n", false },
 )]
 fn cut_service(content_type: &str, body: &str, is_reset: bool) {
--- a/almondlock-gateway/tests/unframed_streams.rs
+++ b/almondlock-gateway/tests/unframed_streams.rs
@@ -77,9 +77,12 @@
 
 /// Guards against an event stream on a plain route, cut inside an event, reaching its caller
 /// as complete.
-#[test]
-fn cut_plain_answer() {
-    let steps = vec![Step::Read, unframed_head(), event(1), text("id: 2\nda")];
+#[parameterized(
+    half_event = { "id: 1\ndata: x\n\nid: 2\nda" },
+    no_event = { "" },
+)]
+fn cut_plain_answer(body: &str) {
+    let steps = vec![Step::Read, unframed_head(), text(body)];
     let (one, _heads) = start(vec![steps]);
     let (response, _) = ask(gateway::start(&[one]), "/unsafe/");
     assert_eq!(status(&response), 502);
--- a/almondlock-http/src/upstream/content.rs
+++ b/almondlock-http/src/upstream/content.rs
@@ -9,7 +9,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Content {
     is_event_stream: bool,
-    has_begun: bool,
     /// Number of line ends after the last byte of another kind. An event ends with two.
     line_ends: usize,
 }
@@ -35,11 +34,11 @@
             Some(_) => count,
             None => self.line_ends + count,
         };
-        self.has_begun |= !bytes.is_empty();
     }
 
-    /// Returns whether the body would be incomplete if it ended here. Only event streams tell.
+    /// Returns whether the body would be incomplete if it ended here. Only event streams
+    /// tell; one without any event does not say that it is complete.
     pub(super) fn is_cut(&self) -> bool {
-        self.is_event_stream && self.has_begun && self.line_ends < 2
+        self.is_event_stream && self.line_ends < 2
     }
 }
