Let the soak's upstreams answer without a length or chunks, cut and reset

Links pass a reset on as a reset, where they made a proper end of it, which a body without a length would have been taken for complete by.

Each caller's answer is still compared with the whole right one; what ends with its connection counts as broken if it ends inside an event, else as complete. The planted fault 'short' (streams that end early, framed as complete) is found by that check, 'whole'.

The check 'uncut' no longer blames a stopping host for an answer that its upstream broke off, which the history now notes: no host could have completed it.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -129,7 +129,7 @@
     /// A planted fault.
     #[options(
         no_short,
-        help = "plant a fault: twice, run-refused, foreign, leak, hundredth, elsewhere, warm, curt, quiet",
+        help = "plant a fault: twice, run-refused, foreign, leak, hundredth, elsewhere, warm, curt, quiet, short",
         meta = "NAME"
     )]
     pub plant: Option<String>,
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -222,7 +222,7 @@
 }
 
 /// A host that is told to stop cuts nothing that it took. Counts where nothing but planned
-/// work went on.
+/// work went on, and no upstream broke an answer off.
 fn uncut(history: &History, bounds: &Bounds) -> Vec<String> {
     let stops: Vec<(usize, u64)> = history
         .faults
@@ -233,6 +233,8 @@
         })
         .collect();
     let arrived: HashSet<&str> = history.arrivals.iter().map(|a| &*a.id).collect();
+    let broken = history.arrivals.iter().filter(|a| a.is_broken);
+    let broken: HashSet<&str> = broken.map(|a| &*a.id).collect();
     let is_calm = |request: &Request| {
         let mut unplanned = history.faults.iter().filter(|f| !f.act.is_planned());
         !unplanned
@@ -245,7 +247,8 @@
         });
         // A request that crosses the close was never taken.
         let taken = arrived.contains(&*request.id) || request.ended > request.sent + bounds.slack;
-        stopped && taken && request.outcome == Outcome::Broken && is_calm(request)
+        let is_cut = request.outcome == Outcome::Broken && !broken.contains(&*request.id);
+        stopped && taken && is_cut && is_calm(request)
     });
     cut.map(|request| {
         format!(
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -81,6 +81,8 @@
     pub pause: Option<u64>,
     /// Its answer said that the upstream leaves.
     pub leaving: bool,
+    /// The upstream broke its answer off.
+    pub is_broken: bool,
 }
 
 /// A configuration that was sent.
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -8,6 +8,7 @@
 //! | [`fleet`], [`replicas`], [`process`] | processes, their settings, signals and disks |
 //! | [`proxy`] | links that can be harmed |
 //! | [`upstream`], [`caller`], [`operator`], [`http`] | who uses the system |
+//! | [`ending`] | how upstreams frame and end their answers |
 //! | [`history`] | what they saw |
 //! | [`check`] | the promises |
 //! | [`world`] | what the tasks of a run share |
@@ -19,6 +20,7 @@
 pub mod arguments;
 pub mod caller;
 pub mod check;
+pub mod ending;
 pub mod fleet;
 pub mod history;
 pub mod http;
--- a/almondlock-bench/src/soak/proxy.rs
+++ b/almondlock-bench/src/soak/proxy.rs
@@ -123,7 +123,8 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return,
+                // A reset must not look like an end.
+                Err(_) => return reset(to),
             }
         }
     }
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -45,6 +45,8 @@
     Curt,
     /// Upstreams leave and don't say so.
     Quiet,
+    /// Some streams end before their last event, framed as complete.
+    Short,
 }
 
 impl Plant {
@@ -60,6 +62,7 @@
             "warm" => Plant::Warm,
             "curt" => Plant::Curt,
             "quiet" => Plant::Quiet,
+            "short" => Plant::Short,
             _ => return None,
         })
     }
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -37,6 +37,7 @@
         answered: Some((at + 5, None)),
         pause: None,
         leaving: false,
+        is_broken: false,
     }
 }
 
@@ -382,3 +383,13 @@
     history.faults.push(fault(10_500, 1_000, act));
     assert_eq!(!check::all(&history, &BOUNDS).is_empty(), is_found);
 }
+
+/// An answer that its upstream broke off was not cut by the host that stops.
+#[test]
+fn broken_upstream() {
+    let mut history = clean();
+    cut_at_stop(&mut history);
+    let cut = history.arrivals.iter_mut().find(|a| a.id == "cut");
+    cut.unwrap().is_broken = true;
+    assert_eq!(check::all(&history, &BOUNDS), []);
+}
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -37,6 +37,8 @@
     println!("{report}");
     assert!(report.findings.is_empty(), "{report}");
     assert!(report.history.requests.len() > 500, "{report}");
+    let broken = report.history.arrivals.iter().filter(|a| a.is_broken);
+    assert!(broken.count() > 5, "{report}");
 }
 
 /// Guards against orders that hold only while nothing else happens: failure domains that are
@@ -149,6 +151,12 @@
     finds(Plant::Warm, "cold", 9);
 }
 
+/// So are streams that end before their last event and are framed as complete.
+#[test]
+fn short_found() {
+    finds(Plant::Short, "whole", 7);
+}
+
 /// So are upstreams that want a pause and name none, or leave and don't say so.
 #[test]
 fn asked_found() {
