Move the client that reads answers by their end to almondlock-http

The load tool reads answers with the HTTP library's client, which takes those with neither a length nor chunks for empty; it needs what the sidecar has. The sidecar keeps what is its own: the address of its upstream, what a failure means for it, and the log of an answer's end. A head that can't be written is an error by itself.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -78,7 +78,7 @@
     /// Converts an error of the connection to `upstream`.
     pub(crate) fn from_error(error: &upstream::Error, upstream: &Upstream) -> Fault {
         let failure = match error {
-            upstream::Error::Connect(_) => Failure::Unsent,
+            upstream::Error::Connect(_) | upstream::Error::Unwritable(_) => Failure::Unsent,
             upstream::Error::Broken(_)
             | upstream::Error::Closed(_)
             | upstream::Error::Incomplete(_)
--- a/almondlock-http/src/lib.rs
+++ b/almondlock-http/src/lib.rs
@@ -8,9 +8,11 @@
 //! | module | does |
 //! |---|---|
 //! | [`upstream`] | one connection to an upstream, and reading answers from it |
+//! | [`client`] | requests to any address, over connections that are kept |
 //! | [`response`] | ending and breaking off streamed responses to callers |
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
+pub mod client;
 pub mod response;
 pub mod upstream;
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -47,6 +47,9 @@
 #[derive(Debug)]
 #[derive(thiserror::Error)]
 pub enum Error {
+    /// A part of the request would end its line, so that nothing was sent.
+    #[error("the request's {0} can't be written")]
+    Unwritable(&'static str),
     /// The connection failed before anything was written: the request can't have reached
     /// the upstream.
     #[error("connecting failed: {0}")]
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -10,6 +10,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use almondlock_base::unit::Tokens;
+use almondlock_http::client::Call;
 use almondlock_policy::ledger::Kind;
 use almondlock_wire::{
     answer::{Part, Usage},
@@ -22,7 +23,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    client::{Answer, Call, Client, Upload},
+    client::{Answer, Client, Upload},
     protocol::{Allocation, Failure, Feed, Output, Piece, Protocol, Run},
 };
 
@@ -70,7 +71,6 @@
             headers.push(("x-engine-segments", list.join(",")));
         }
         let call = Call {
-            request: &head.request,
             method: "POST",
             path: &head.path,
             headers: &headers,
@@ -78,7 +78,7 @@
             may_reuse: head.repeatable,
         };
         let body = Upload::new(body, head.body_length);
-        self.client.send_from(&call, body).await
+        self.client.send_for(&head.request, &call, body).await
     }
 
     /// Sends a control request. Returns the status and the complete body.
@@ -90,7 +90,6 @@
     ) -> Result<(u16, Vec<u8>), Failure> {
         let headers = [("content-type", JSON.to_owned())];
         let call = Call {
-            request: "",
             method,
             path,
             headers: &headers,
@@ -100,7 +99,7 @@
         let exchange = async {
             let mut answer = self.client.send(&call, body).await?;
             let body = answer.read_body(MAX_CONTROL_BYTES).await?;
-            Ok((answer.head.status, body))
+            Ok((answer.head().status, body))
         };
         timeout(CONTROL_TIMEOUT, exchange)
             .await
@@ -134,7 +133,7 @@
 /// Reads an error response. Its status counts even if its body is cut.
 async fn read_refusal(answer: &mut Answer<'_>) -> Failure {
     let body = answer.read_body(MAX_ERROR_BYTES).await;
-    refusal(answer.head.status, &body.unwrap_or_default())
+    refusal(answer.head().status, &body.unwrap_or_default())
 }
 
 #[derive(Debug)]
@@ -316,7 +315,6 @@
     async fn process_segment(&self, piece: Piece<'_>) -> Result<Segment, Failure> {
         let body = segment_request_body(&piece);
         let call = Call {
-            request: "",
             method: "POST",
             path: "/engine/segments",
             headers: &[("content-type", JSON.to_owned())],
--- a/almondlock-sidecar/src/plain.rs
+++ b/almondlock-sidecar/src/plain.rs
@@ -4,13 +4,14 @@
 use std::net::SocketAddr;
 
 use almondlock_base::unit::Tokens;
+use almondlock_http::client::Call;
 use almondlock_wire::{
     answer::{Part, Usage},
     attempt::Segment,
 };
 
 use crate::{
-    client::{Answer, Call, Client, Upload},
+    client::{Answer, Client, Upload},
     protocol::{Allocation, Failure, Feed, Output, Piece, Protocol, Run},
 };
 
@@ -37,7 +38,6 @@
             headers.push(("content-type", head.content_type.clone()));
         }
         let call = Call {
-            request: &head.request,
             method: &head.method,
             path: &head.path,
             headers: &headers,
@@ -45,14 +45,14 @@
             may_reuse: head.repeatable,
         };
         let body = Upload::new(body, head.body_length);
-        self.client.send_from(&call, body).await
+        self.client.send_for(&head.request, &call, body).await
     }
 }
 
 fn begin(answer: &Answer<'_>) -> Part {
-    let content_type = answer.head.text("content-type");
+    let content_type = answer.head().text("content-type");
     Part::Begin {
-        status: answer.head.status,
+        status: answer.head().status,
         content_type: content_type
             .unwrap_or("application/octet-stream")
             .to_owned(),
@@ -115,7 +115,6 @@
     async fn is_alive(&self) -> bool {
         // Any answer counts, since services have no common health path.
         let call = Call {
-            request: "",
             method: "HEAD",
             path: "/",
             headers: &[],
