Let the load tool's engines answer with neither a length nor chunks

'--engine-framing' frames the answers of embedded and announced engines: marked as before, unmarked, cut or reset after so many bytes. The tool itself took unmarked answers for empty, as the sidecar did, and now reads them with the same client: whole by their closing record, lost without it.

The stand-in's settings have the framing as well.

--- a/almondlock-bench/src/arguments.rs
+++ b/almondlock-bench/src/arguments.rs
@@ -5,7 +5,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use almondlock_standin::engine;
+use almondlock_standin::{engine, framing::Framing};
 use gumdrop::Options;
 
 use crate::{
@@ -204,6 +204,14 @@
         default = "20"
     )]
     pub engine_step_ms: f64,
+    /// Framing of the engines' answers.
+    #[options(
+        no_short,
+        help = "how its answers end: marked, unmarked (by their connection), cut:BYTES, reset:BYTES",
+        meta = "KIND",
+        default = "marked"
+    )]
+    pub engine_framing: String,
     /// Counts from the sending.
     #[options(
         no_short,
@@ -252,6 +260,12 @@
         ] {
             check(name, value, 0.0, 1.0)?;
         }
+        let framing = &self.engine_framing;
+        Framing::parse(framing).ok_or_else(|| {
+            format!(
+                "--engine-framing {framing}: expected marked, unmarked, cut:BYTES or reset:BYTES"
+            )
+        })?;
         let organisations = self.organisations()?;
         let arms = self.arms()?;
         if arms.is_empty() {
@@ -360,6 +374,7 @@
             factor: self.factor,
             priorities,
             seed: self.seed,
+            framing: Framing::parse(&self.engine_framing).unwrap_or_default(),
             ..engine::Config::default()
         };
         let model = self.model.clone().unwrap_or_else(|| config.model.clone());
--- a/almondlock-bench/src/drive.rs
+++ b/almondlock-bench/src/drive.rs
@@ -7,7 +7,6 @@
     time::Duration,
 };
 
-use almondlock_standin::client;
 use tokio::{
     sync::{Notify, Semaphore},
     time::Instant,
@@ -56,9 +55,9 @@
 impl Drive {
     /// Sends all requests, each at its moment, and waits for the answers.
     ///
-    /// Must run on an ntex runtime. Fails only if no client can be made.
-    pub async fn run(self, requests: Arc<[Request]>) -> Result<Record, String> {
-        let client = client::new().await.map_err(|e| e.to_string())?;
+    /// Must run on an ntex runtime.
+    pub async fn run(self, requests: Arc<[Request]>) -> Record {
+        let client = Rc::new(send::client());
         let Drive {
             mut router,
             manner,
@@ -76,7 +75,7 @@
                 break;
             };
             let Some(target) = router.choose() else { break };
-            let (client, manner) = (client.clone(), manner.clone());
+            let (client, manner) = (Rc::clone(&client), Rc::clone(&manner));
             let progress = progress.clone();
             ntex::rt::spawn(async move {
                 let request = &progress.requests[index];
@@ -88,7 +87,7 @@
         }
         // Whatever is left then is counted as unfinished.
         let _ = tokio::time::timeout(drain, progress.all()).await;
-        Ok(progress.close())
+        progress.close()
     }
 }
 
--- a/almondlock-bench/src/experiment.rs
+++ b/almondlock-bench/src/experiment.rs
@@ -206,5 +206,5 @@
     let system = System::build().disable_signals().build(DefaultRuntime);
     let record = system.block_on(drive.run(requests));
     drop(fleet);
-    record
+    Ok(record)
 }
--- a/almondlock-bench/src/router.rs
+++ b/almondlock-bench/src/router.rs
@@ -7,10 +7,16 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use ntex::client::Client;
+use almondlock_http::{
+    client::{Call, Client},
+    upstream::Whole,
+};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use serde::Deserialize;
 
+/// Maximum size of an engine's report, in bytes.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+
 /// How a router chooses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Policy {
@@ -75,17 +81,16 @@
     }
 
     /// Asks for reports again and again, as long as the router is there.
-    pub fn poll(&self, client: &Client, every: Duration) {
+    pub fn poll(&self, client: &Rc<Client>, every: Duration) {
         if self.policy != Policy::Least {
             return;
         }
         for (index, target) in self.targets.iter().enumerate() {
             let reports = Rc::downgrade(&self.reports);
-            let url = format!("http://{target}/engine/load");
-            let client = client.clone();
+            let (client, target) = (Rc::clone(client), *target);
             ntex::rt::spawn(async move {
                 while reports.strong_count() > 0 {
-                    if let Some(report) = fetch(&client, &url).await
+                    if let Some(report) = fetch(&client, target).await
                         && let Some(reports) = reports.upgrade()
                     {
                         reports.borrow_mut()[index] = report;
@@ -97,7 +102,15 @@
     }
 }
 
-async fn fetch(client: &Client, url: &str) -> Option<Report> {
-    let response = client.get(url).send().await.ok()?;
-    response.json().await.ok()
+async fn fetch(client: &Client, target: SocketAddr) -> Option<Report> {
+    let call = Call {
+        method: "GET",
+        path: "/engine/load",
+        headers: &[],
+        length: 0,
+        may_reuse: true,
+    };
+    let mut answer = client.send(target, &call, Whole::new(&[])).await.ok()?;
+    let body = answer.read_body(MAX_REPORT_BYTES).await.ok()?;
+    serde_json::from_slice(&body).ok()
 }
--- a/almondlock-bench/src/send.rs
+++ b/almondlock-bench/src/send.rs
@@ -2,10 +2,14 @@
 
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 
+use almondlock_http::{
+    client::{self, Call, Client},
+    upstream::Whole,
+};
+use almondlock_node::clock;
 use almondlock_standin::answer::{Key, TOKEN_BYTES};
-use ntex::{client::Client, http::Payload, util::Bytes};
 use serde_json::Value;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use crate::{
     check::Verdict,
@@ -13,6 +17,16 @@
     workload::Request,
 };
 
+/// Time allowed for connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time allowed for the start of an answer, and for each piece of it.
+const TIMEOUT: Duration = Duration::from_secs(120);
+
+/// Makes a client for [`send`].
+pub fn client() -> Client {
+    Client::new(clock::mono, CONNECT_TIMEOUT)
+}
+
 /// Who sends, and how.
 #[derive(Clone, Debug, Default)]
 pub struct Manner {
@@ -46,8 +60,8 @@
 }
 
 impl Answer {
-    async fn read(&mut self, mut payload: Payload, first: &Cell<Option<Instant>>) {
-        while let Some(Ok(bytes)) = payload.recv().await {
+    async fn read(&mut self, mut answer: client::Answer<'_>, first: &Cell<Option<Instant>>) {
+        while let Ok(Some(Ok(bytes))) = timeout(TIMEOUT, answer.next()).await {
             let now = Instant::now();
             self.buffer.push_str(&String::from_utf8_lossy(&bytes));
             let mut start = 0;
@@ -120,8 +134,20 @@
 ) -> Outcome {
     let prompt = request.text();
     let key = Key::new(&prompt);
-    let sent = head(client, target, request, manner).send_body(body(request, manner, &prompt));
+    let body = body(request, manner, &prompt);
     drop(prompt);
+    let headers = headers(request, manner);
+    let call = Call {
+        method: "POST",
+        path: match manner.chat {
+            true => "/v1/chat/completions",
+            false => "/v1/completions",
+        },
+        headers: &headers,
+        length: body.len() as u64,
+        may_reuse: !request.once,
+    };
+    let sent = timeout(TIMEOUT, client.send(target, &call, Whole::new(&body)));
     let due = if manner.from_send {
         Instant::now()
     } else {
@@ -129,16 +155,16 @@
     };
     let mut answer = Answer::default();
     let end = match sent.await {
-        Ok(response) if response.status().is_success() => {
-            answer.read(response.take_payload(), first).await;
+        Ok(Ok(response)) if response.is_success() => {
+            answer.read(response, first).await;
             answer.end(&key, request.answer)
         }
-        Ok(response) => {
-            let header = response.headers().get("x-almondlock-code");
-            let number = header.and_then(|v| v.to_str().ok()?.parse().ok());
-            End::Failed(number.unwrap_or(response.status().as_u16()))
+        Ok(Ok(response)) => {
+            let number = response.head.text("x-almondlock-code");
+            let number = number.and_then(|number| number.parse().ok());
+            End::Failed(number.unwrap_or(response.head.status))
         }
-        Err(_) => End::Lost,
+        Ok(Err(_)) | Err(_) => End::Lost,
     };
     let scale = |span: Duration| span.mul_f64(manner.factor);
     Outcome {
@@ -154,41 +180,29 @@
     }
 }
 
-fn head(
-    client: &Client,
-    target: SocketAddr,
-    request: &Request,
-    manner: &Manner,
-) -> ntex::client::ClientRequest {
-    let path = if manner.chat {
-        "chat/completions"
-    } else {
-        "completions"
-    };
-    let mut head = client
-        .post(format!("http://{target}/v1/{path}"))
-        .content_type("application/json");
+fn headers(request: &Request, manner: &Manner) -> Vec<(&'static str, String)> {
+    let mut headers = vec![("content-type", "application/json".to_owned())];
     if let Some(key) = manner.keys.get(request.organisation) {
-        head = head.bearer_auth(key);
+        headers.push(("authorization", format!("Bearer {key}")));
     }
     if let Some(deadline) = manner.deadline {
-        head = head.header("x-almondlock-deadline-ms", deadline.to_string());
+        headers.push(("x-almondlock-deadline-ms", deadline.to_string()));
     }
     if request.once {
         let key = format!("bench-{}-{}", request.salt, request.serial);
-        head = head.header("idempotency-key", key);
-        head = head.header("x-almondlock-repeatable", "false");
+        headers.push(("idempotency-key", key));
+        headers.push(("x-almondlock-repeatable", "false".to_owned()));
     }
     if manner.priority {
         let priority = request.prompt.ilog2();
-        head = head.header("x-engine-priority", priority.to_string());
+        headers.push(("x-engine-priority", priority.to_string()));
     }
-    head
+    headers
 }
 
 /// The body, written by hand: a serializer would look through megabytes for
 /// characters to escape that prompts of [`Request::text`] don't have.
-fn body(request: &Request, manner: &Manner, prompt: &str) -> Bytes {
+fn body(request: &Request, manner: &Manner, prompt: &str) -> Vec<u8> {
     let model = manner.model.as_ref();
     let model = model.map_or_else(String::new, |m| {
         format!(r#""model":{},"#, Value::from(m.as_str()))
@@ -199,7 +213,5 @@
     } else {
         format!(r#""prompt":"{prompt}""#)
     };
-    Bytes::from(format!(
-        r#"{{{model}"stream":true,"max_tokens":{limit},{prompt}}}"#
-    ))
+    format!(r#"{{{model}"stream":true,"max_tokens":{limit},{prompt}}}"#).into_bytes()
 }
--- a/almondlock-bench/tests/bad_arguments.rs
+++ b/almondlock-bench/tests/bad_arguments.rs
@@ -21,6 +21,7 @@
     share = { "--embedded 1 --long-share 1.5", "--long-share" },
     factor = { "--embedded 1 --factor -1", "--factor" },
     policy = { "--embedded 1 --policies fastest", "fastest" },
+    framing = { "--embedded 1 --engine-framing odd", "--engine-framing odd" },
     scheme = { "--target 127.0.0.1:80", "127.0.0.1:80" },
     port = { "--target http://127.0.0.1", "http://127.0.0.1" },
     pair = { "--compare http://127.0.0.1:80", "NAME=URL" },
--- a/almondlock-bench/tests/planted_faults.rs
+++ b/almondlock-bench/tests/planted_faults.rs
@@ -8,7 +8,7 @@
     workload::Request,
 };
 use almondlock_policy::length::Class;
-use almondlock_standin::{answer, client};
+use almondlock_standin::answer;
 use ntex::{
     util::Bytes,
     web::{self, App, HttpResponse},
@@ -59,7 +59,7 @@
         App::new().route("/v1/completions", web::post().to(handler))
     });
     let server = server.await;
-    let client = client::new().await.unwrap();
+    let client = send::client();
     let manner = Manner {
         factor: 1.0,
         ..Manner::default()
@@ -113,7 +113,7 @@
         App::new().route("/v1/completions", web::post().to(handler))
     });
     let server = server.await;
-    let client = client::new().await.unwrap();
+    let client = send::client();
     let manner = Manner {
         factor: 1.0,
         ..Manner::default()
--- a/almondlock-standin/src/engine.rs
+++ b/almondlock-standin/src/engine.rs
@@ -85,6 +85,8 @@
     pub cache_gaps: f64,
     /// Seed of what is random: the gaps.
     pub seed: u64,
+    /// How answers are framed, at first.
+    pub framing: Framing,
 }
 
 impl Default for Config {
@@ -108,6 +110,7 @@
             cache_lag: Duration::from_millis(500),
             cache_gaps: 0.05,
             seed: 1,
+            framing: Framing::Marked,
         }
     }
 }
@@ -180,6 +183,7 @@
             config,
         });
         let listener = Listener::start(engine.config.address, engine.clone())?;
+        listener.set_framing(engine.config.framing);
         engine.listener.replace(Some(listener.clone()));
         ntex::rt::spawn(engine.clone().run());
         Ok(Handle { engine, listener })
--- a/almondlock-standin/src/framing.rs
+++ b/almondlock-standin/src/framing.rs
@@ -33,6 +33,17 @@
 }
 
 impl Framing {
+    /// Reads `marked`, `unmarked`, `cut:BYTES` or `reset:BYTES`.
+    pub fn parse(text: &str) -> Option<Framing> {
+        match text.split_once(':') {
+            Some(("cut", bytes)) => bytes.parse().ok().map(Framing::Cut),
+            Some(("reset", bytes)) => bytes.parse().ok().map(Framing::Reset),
+            None if text == "marked" => Some(Framing::Marked),
+            None if text == "unmarked" => Some(Framing::Unmarked),
+            _ => None,
+        }
+    }
+
     /// Returns whether connections are reset instead of closed.
     pub(crate) fn has_reset(self) -> bool {
         matches!(self, Framing::Reset(_))
