Don't wait for the end of a refusal that has neither a length nor chunks

What callers saw: an upstream that states in the head of its answer that it did not run the request, without a length or chunks, and keeps the connection open, cost its caller the whole time of the request and a 504, which promises nothing, in place of another attempt or a 503.

Cause: the rest of such an answer was read so that its connection could be used again, which a body that ends with its connection rules out.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -18,7 +18,7 @@
     request::{History, Request, Response},
     resources::Resources,
     slots::Grant,
-    upstream::{self, Connection, Head},
+    upstream::{self, Connection, Framing, Head},
     worker::{Target, Worker},
 };
 
@@ -401,7 +401,8 @@
     Some(running.saturating_add(waiting))
 }
 
-/// Reads the rest of a short answer and returns its connection to the pool.
+/// Reads the rest of a short answer and returns its connection to the pool. An answer that
+/// ends with its connection has no rest that would be worth waiting for.
 pub(crate) async fn recycle<D>(
     worker: &Worker<D>,
     upstream: &Upstream,
@@ -410,7 +411,7 @@
 ) where
     D: Dialect,
 {
-    if connection.read_body(MAX_BODY_BYTES).await.is_ok() {
+    if head.framing != Framing::Close && connection.read_body(MAX_BODY_BYTES).await.is_ok() {
         return_to_pool(worker, upstream, connection, head);
     }
 }
--- a/almondlock-gateway/tests/forwarded_requests.rs
+++ b/almondlock-gateway/tests/forwarded_requests.rs
@@ -75,6 +75,19 @@
     assert!(!response.contains("x-seal"));
 }
 
+/// Guards against waiting for the end of a refusal that has neither a length nor chunks, when
+/// its head has said all.
+#[test]
+fn unframed_refusal() {
+    let head = "HTTP/1.1 503 Service Unavailable\r\nx-id: ID\r\nx-not-run: 1\r\n\r\n";
+    let refusal = vec![Step::Read, Step::Write(head.to_owned()), Step::Hang];
+    let (one, _heads) = start(vec![refusal]);
+    let asked = Instant::now();
+    let (response, _) = ask(gateway::start(&[one]), "/unsafe/");
+    assert_eq!(status(&response), 503);
+    assert!(asked.elapsed() < Duration::from_millis(1_000));
+}
+
 /// An upstream's failure doesn't tell whether the request ran, but a 503 to the caller
 /// would.
 #[test]
