Recognise events whose lines end with a carriage return and a line feed

What callers would see: a stream whose upstream ends lines with a carriage return and a line feed, as the format allows, is answered 502: no event was ever complete, so that the stream 'ended before its first event'.

Cause: only two line feeds counted as the end of an event. Both readers of event streams now agree on where an event ends. crlf_events failed before and passes now.

--- a/almondlock-gateway/src/event.rs
+++ b/almondlock-gateway/src/event.rs
@@ -7,8 +7,6 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// End of an event.
-const EVENT_END: &[u8] = b"\n\n";
 /// Start of the line with an event's number.
 const ID_PREFIX: &[u8] = b"id:";
 
@@ -30,11 +28,8 @@
     /// Adds bytes, and returns all events that they complete, in one piece.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         self.rest.extend_from_slice(bytes);
-        let end = self
-            .rest
-            .windows(EVENT_END.len())
-            .rposition(|w| w == EVENT_END)?;
-        let whole = self.rest.split_to(end + EVENT_END.len()).freeze();
+        let end = end_of_events(&self.rest)?;
+        let whole = self.rest.split_to(end).freeze();
         if let Some(last) = last_number(&whole) {
             self.last = Some(last);
         }
@@ -57,6 +52,16 @@
     }
 }
 
+/// Returns where the last complete event ends: behind an empty line. Lines end with a line
+/// feed, or with a carriage return and a line feed.
+fn end_of_events(bytes: &[u8]) -> Option<usize> {
+    let is_end = |end: &usize| {
+        let line = &bytes[..*end];
+        line.ends_with(b"\n\n") || line.ends_with(b"\n\r\n")
+    };
+    (1..=bytes.len()).rev().find(is_end)
+}
+
 /// Returns the number of the last numbered event.
 fn last_number(events: &[u8]) -> Option<u64> {
     let mut lines = events.split(|byte| *byte == b'\n').rev();
--- a/almondlock-gateway/tests/unframed_streams.rs
+++ b/almondlock-gateway/tests/unframed_streams.rs
@@ -92,6 +92,7 @@
 #[parameterized(
     text_body = { "content-type: text/plain\r\n", "all of it" },
     event_body = { "content-type: text/event-stream\r\n", "id: 1\ndata: x\n\n" },
+    crlf_body = { "content-type: text/event-stream\r\n", "id: 1\r\ndata: x\r\n\r\n" },
     empty_body = { "", "" },
 )]
 fn complete_answer(content_type: &str, body: &str) {
--- a/almondlock-gateway/tests/whole_events.rs
+++ b/almondlock-gateway/tests/whole_events.rs
@@ -38,3 +38,21 @@
     splitter.discard_rest();
     assert_eq!(splitter.incomplete_bytes(), 0);
 }
+
+/// Guards against events whose lines end with a carriage return and a line feed never being
+/// complete.
+#[test]
+fn crlf_events() {
+    let stream = "id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: b\r\n\r\nid: 9\r\n";
+    for step in 1..stream.len() {
+        let mut splitter = Splitter::new();
+        let mut passed = Vec::new();
+        for piece in stream.as_bytes().chunks(step) {
+            passed.extend(splitter.push(piece).into_iter().flatten());
+        }
+        let whole = "id: 7\r\ndata: a\r\n\r\nid: 8\r\ndata: b\r\n\r\n";
+        assert_eq!(passed, whole.as_bytes());
+        assert_eq!(splitter.last_id(), Some(8));
+        assert_eq!(splitter.incomplete_bytes(), 7);
+    }
+}
