Tell a new leader which members said that they stop

The leader was killed, a voter that was being replaced stopped 0.2 s later, and the killed one came back and led again after 1.8 s. It had not heard the notice and counted the voter that was gone until it had been silent for an election timeout under it; 0.7 s after its return its disk was lost, before the spare had its vote: one voter of three was left.

Cause: the notice of a member that stops is kept by those that hear it, and only the leader acts on it. Now each follower tells a new leader what it has heard in the last 3 s; a member that has answered under that leader counts as there. An exchange of a voter that was there after all costs nothing: it asks to join again.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -92,6 +92,8 @@
     greeted_at: Option<Mono>,
     // Members that said that they stop, and when.
     leaving: HashMap<Id, Mono>,
+    // The leader that was told of them.
+    told_leader: Option<Id>,
     // This replica stops.
     stopping: bool,
     // Where replicas were last said to be. Those that are not, or no longer,
@@ -152,6 +154,7 @@
             gathering: Gathering::default(),
             greeted_at: None,
             leaving: HashMap::new(),
+            told_leader: None,
             stopping: false,
             addresses: HashMap::new(),
             listed: Arc::default(),
@@ -331,6 +334,7 @@
         } = self.machine.take(now);
         self.list_members();
         self.log_beliefs(now);
+        self.tell_leaving(now);
         if let Some(write) = write {
             self.disk.write(write);
         }
--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -1,6 +1,6 @@
 //! Greetings, sent and received; `founding` decides what they come to.
 
-use std::{collections::BTreeSet, net::SocketAddr};
+use std::{collections::BTreeSet, net::SocketAddr, sync::Arc};
 
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::{Id, Member, Members};
@@ -64,6 +64,11 @@
             Some(members) if self.stage == Stage::Gathering => {
                 self.advance(founding::join(self.own.id, members));
             }
+            // Passed on; a member that has answered since this replica leads is still there.
+            Some(_)
+                if greeting.leaving
+                    && sender != greeting.from.id
+                    && self.machine.last_heard(greeting.from.id).is_some() => {}
             Some(_) if greeting.leaving => self.note_leaving(now, greeting.from.id),
             Some(_) if self.leaving.remove(&greeting.from.id).is_some() => {}
             // It was removed and doesn't know, or this replica doesn't know the members yet.
@@ -93,6 +98,32 @@
         }
     }
 
+    /// Tells a new leader which members said that they stop. It may have been away then, and
+    /// would count them until they have been silent under it too.
+    pub(super) fn tell_leaving(&mut self, now: Mono) {
+        let leader = self.machine.leader();
+        if self.told_leader == leader {
+            return;
+        }
+        self.told_leader = leader;
+        let Some(address) = self.leader() else {
+            return;
+        };
+        let members = Arc::clone(self.machine.members());
+        for member in members.iter() {
+            if Some(member.id) == leader || !self.is_leaving(now, member.id) {
+                continue;
+            }
+            let greeting = Greeting {
+                from: member.clone(),
+                members: Some(Members::clone(&members)),
+                leaving: true,
+            };
+            self.peers
+                .send(address, Parcel::Greeting(Box::new(greeting)));
+        }
+    }
+
     fn advance(&mut self, step: Step) {
         match step {
             Step::Wait => {}
--- a/almondlock-control/src/replica/core/sight.rs
+++ b/almondlock-control/src/replica/core/sight.rs
@@ -41,7 +41,7 @@
 
     /// Whether the member said lately that it stops. Later its silence tells, or it has come
     /// back.
-    fn is_leaving(&self, now: Mono, id: Id) -> bool {
+    pub(super) fn is_leaving(&self, now: Mono, id: Id) -> bool {
         let said = self.leaving.get(&id);
         said.is_some_and(|said| now.since(*said) < repair::SILENCE)
     }
--- a/almondlock-control/tests/replaced_voter.rs
+++ b/almondlock-control/tests/replaced_voter.rs
@@ -8,6 +8,7 @@
 use std::{thread, time::Duration};
 
 use almondlock_control::replica::Builder;
+use almondlock_quorum::config::Config;
 use almondlock_transport::Security;
 use group::{Group, announce, capacity, revision, until};
 use tokio::time::{Instant, sleep, sleep_until};
@@ -126,6 +127,49 @@
     assert_eq!(found.await.unwrap(), 2);
 }
 
+/// A group that takes a voter for lost only after a long silence.
+fn patient() -> Group {
+    let adapt = |builder: Builder| {
+        let quorum = Config::builder()
+            .election_timeout(Duration::from_millis(1_200))
+            .heartbeat_interval(Duration::from_millis(50));
+        let builder = builder.quorum(quorum.build().unwrap()).repairs(true);
+        builder.duty_pause(Duration::from_millis(100))
+    };
+    let mut group = Group::with_security(adapt, vec![Security::Plain; 2 * NEW]);
+    for _ in 0..NEW {
+        group.add_host();
+    }
+    group
+}
+
+/// Guards against a voter that stopped while nobody led and still counts under the next leader,
+/// which was away at that time, until it has been silent once more: the next lost disk ends the
+/// group.
+#[tokio::test]
+async fn stopped_unled() {
+    let mut group = patient();
+    group.accept(announce(1)).await;
+    let leader = group.leader().await;
+    let mut others = (0..3).filter(|n| *n != leader);
+    let old = others.next().unwrap();
+    // In the same failure domain.
+    let new = old + NEW;
+    group.start(new);
+    sleep(Duration::from_secs(2)).await;
+    group.kill(leader);
+    sleep(Duration::from_millis(100)).await;
+    group.stop(old);
+    group.start(leader);
+    let stays = [leader, others.next().unwrap(), new];
+    group.leader().await;
+    sleep(Duration::from_millis(500)).await;
+    stays.iter().for_each(|n| group.kill(*n));
+    group.wipe(leader);
+    stays.iter().for_each(|n| group.start(*n));
+    group.leader().await;
+}
+
 /// Guards against a replica that was removed while it was away and never learns of it: it would
 /// ask for votes that nobody gives, and the group lack a host that could take over.
 #[tokio::test]
