Send the whole body to an upstream that begins a successful answer early

What callers would have seen: a service behind a sidecar that answers before it has read all of a long body got only what fitted into the connection's buffers and failed.

The connection stops writing once an answer has begun, which the gateway needs: an upstream that refuses early doesn't read the rest.

--- a/almondlock-gateway/tests/upstream_answers.rs
+++ b/almondlock-gateway/tests/upstream_answers.rs
@@ -3,9 +3,14 @@
 
 mod fake;
 
-use std::time::Duration;
+use std::{
+    io::{Read, Write},
+    net::TcpListener,
+    thread,
+    time::Duration,
+};
 
-use almondlock_gateway::upstream::{Connection, Error, Head, Request};
+use almondlock_gateway::upstream::{Connection, Error, Head, Request, Whole};
 use fake::{Step, answer, end, event, start, stream_head};
 use yare::parameterized;
 
@@ -136,6 +141,37 @@
     });
 }
 
+/// Guards against a body that is cut because its upstream began a successful answer before it
+/// had read all of it.
+#[test]
+fn early_success() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let body = vec![b'x'; 32 << 20];
+    let length = body.len();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut request = vec![0; 4];
+        stream.read_exact(&mut request).unwrap();
+        let head = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(head).unwrap();
+        thread::sleep(Duration::from_millis(200));
+        let mut rest = vec![0; length];
+        stream.read_exact(&mut rest).unwrap();
+        stream.write_all(b"3\r\nall\r\n0\r\n\r\n").unwrap();
+    });
+    let answer = block_on(async {
+        let mut connection = Connection::open(address, ALLOWED).await.unwrap();
+        let head = format!("PUT / HTTP/1.1\r\ncontent-length: {length}\r\n\r\n");
+        connection
+            .send(head.as_bytes(), Whole::new(&body))
+            .await
+            .unwrap();
+        connection.read_body(1 << 20).await.unwrap()
+    });
+    assert_eq!(&answer[..], b"all");
+}
+
 /// Bytes after an answer belong to no request, so the connection must not be used again.
 #[test]
 fn trailing_bytes() {
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -180,7 +180,7 @@
     /// id of another request, as an upstream may send one too many.
     pub async fn exchange(&mut self, request: &Request<'_>) -> Result<Head, Error> {
         let mut head = self
-            .transmit(request.head, Whole::new(request.body))
+            .transmit(request.head, Whole::new(request.body), false)
             .await?;
         let mut foreign = 0;
         while answers_other_request(&head, request.id) {
@@ -200,20 +200,21 @@
         Ok(head)
     }
 
-    /// Sends a request whose body arrives in pieces, and waits for the head of its answer.
+    /// Sends a request whose body arrives in pieces, and waits for the head of its answer. An
+    /// upstream that begins a successful answer early still gets the whole body.
     pub async fn send<S>(&mut self, head: &[u8], body: S) -> Result<Head, Error>
     where
         S: Source,
     {
-        let head = self.transmit(head, body).await?;
+        let head = self.transmit(head, body, true).await?;
         self.start_body(&head);
         Ok(head)
     }
 
     /// Writes the request and reads at the same time. An upstream may answer before it has
     /// read a long body, and one that stops reading would otherwise block this side for
-    /// ever.
-    async fn transmit<S>(&mut self, head: &[u8], mut body: S) -> Result<Head, Error>
+    /// ever. With `all`, the rest of the body follows the head of a successful answer.
+    async fn transmit<S>(&mut self, head: &[u8], mut body: S, all: bool) -> Result<Head, Error>
     where
         S: Source,
     {
@@ -248,6 +249,9 @@
                 },
             }
         };
+        if all && head.status < 300 && written.is_none() {
+            written = Some(write.await?);
+        }
         self.flushed = matches!(written, Some(Ok(())));
         Ok(head)
     }
