--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -430,18 +430,6 @@
     }
 }
 
-/// Sends a request in HTTP/1.0 and reads until the connection ends or nothing arrives for a
-/// second.
-pub fn ask_old(gateway: SocketAddr, path: &str) -> String {
-    let mut stream = TcpStream::connect(gateway).unwrap();
-    let request = format!(
-        "POST {path} HTTP/1.0\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 1500\r\n\
-         x-usage: {PROMPT},10\r\ncontent-length: 2\r\n\r\nhi"
-    );
-    stream.write_all(request.as_bytes()).unwrap();
-    read(&mut stream, Duration::from_secs(1))
-}
-
 /// Sends a request and disconnects after a while.
 pub fn ask_and_disconnect(gateway: SocketAddr, path: &str, after: Duration) {
     let _stream = send(gateway, path, 5_000);
--- a/almondlock-gateway/tests/old_callers.rs
+++ b/almondlock-gateway/tests/old_callers.rs
@@ -3,12 +3,21 @@
 mod fake;
 mod gateway;
 
+use std::{io::Write, net::TcpStream, time::Duration};
+
 use fake::{Step, answer, end, event, start, stream_head};
-use gateway::ask_old;
 
+/// Sends a request in HTTP/1.0 and reads until the connection ends or nothing arrives for a
+/// second. Returns the head in lower case, and the body.
 fn ask(path: &str, steps: Vec<Step>) -> (String, String) {
     let (upstream, _heads) = start(vec![steps]);
-    let response = ask_old(gateway::start(&[upstream]), path);
+    let mut stream = TcpStream::connect(gateway::start(&[upstream])).unwrap();
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 1500\r\n\
+         x-usage: 1500,10\r\ncontent-length: 2\r\n\r\nhi"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let response = gateway::read(&mut stream, Duration::from_secs(1));
     let (head, body) = response.split_once("\r\n\r\n").unwrap();
     (head.to_ascii_lowercase(), body.to_owned())
 }
