Log each loss of an upstream with its request's parts, and what it counts as

Relays logged only losses that changed a count, and no line named a part of a prompt, so that deaths which are passed over left no trace. Hosts now log each loss with the request's id, fingerprint and shared parts, and count it in upstreams_lost; relays log each one with what it counts as (Death, DeadAlready, Overlapping, Repeated) in place of a bool.

Nothing acts on it.

--- a/almondlock-gateway/src/accept.rs
+++ b/almondlock-gateway/src/accept.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request and checks it against the configuration in force.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 
 use almondlock_base::{Code, time::Mono};
 use almondlock_node::clock;
@@ -30,6 +30,9 @@
 /// shortest objectives leave.
 const COLD_POLL: Duration = Duration::from_millis(15);
 
+/// Maximum number of a prompt's parts that are looked at.
+const MAX_SHARED_PARTS: usize = 64;
+
 /// Reads and checks a request.
 pub(crate) async fn accept<D>(
     worker: &Worker<D>,
@@ -154,6 +157,7 @@
         deadline: arrived + deadline.min(route.timeout),
         demand: header_text(incoming, &names.usage)
             .and_then(|usage| parse_demand(usage, route.objective)),
+        parts: shared_parts(worker, incoming),
         last_event: header_text(incoming, &names.last_event)
             .and_then(|text| text.trim().parse().ok()),
         route,
@@ -165,6 +169,22 @@
     incoming.headers().get(name)?.to_str().ok()
 }
 
+/// Returns the parts of the prompt that other prompts may share, the first
+/// [`MAX_SHARED_PARTS`] of them.
+fn shared_parts<D>(worker: &Worker<D>, incoming: &HttpRequest) -> Vec<Arc<str>>
+where
+    D: Dialect,
+{
+    let name = &worker.dialect.names().parts;
+    let lines = incoming.headers().get_all(name);
+    let lines: Vec<&str> = lines.filter_map(|line| line.to_str().ok()).collect();
+    let text = lines.join(",");
+    let mut known: HashSet<&str> = HashSet::new();
+    let parts = worker.dialect.shared_parts(&text).into_iter();
+    let parts = parts.filter(|part| known.insert(part));
+    parts.take(MAX_SHARED_PARTS).map(Arc::from).collect()
+}
+
 /// Parses `prompt tokens,output tokens`.
 fn parse_demand(usage: &str, objective: Duration) -> Option<Demand> {
     let (prompt, output) = usage.split_once(',')?;
--- a/almondlock-gateway/src/dialect.rs
+++ b/almondlock-gateway/src/dialect.rs
@@ -31,6 +31,8 @@
     pub priority: HeaderName,
     /// Prompt tokens and maximum output tokens, separated by a comma.
     pub usage: HeaderName,
+    /// Parts that the prompt consists of.
+    pub parts: HeaderName,
     /// Engines that read parts of the prompt.
     pub helpers: HeaderName,
     /// Proof by an upstream that the answer is its own.
@@ -139,6 +141,12 @@
         Err(Error::new("organisations can't be read by themselves"))
     }
 
+    /// Returns the ids of the parts that other prompts may share, in order, given the value of
+    /// [`Names::parts`]. Entries that can't be read are left out.
+    fn shared_parts<'a>(&self, _text: &'a str) -> Vec<&'a str> {
+        Vec::new()
+    }
+
     /// Encodes a command to an engine.
     fn encode_command(&self, order: &Command<'_>) -> Call;
 
--- a/almondlock-gateway/src/exchange/suspects.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use almondlock_base::{id::Fingerprint, time::Mono};
-use almondlock_policy::poison::tally::{Status, Tally};
+use almondlock_policy::poison::tally::{Count, Status, Tally};
 use almondlock_state::instance::Birth;
 
 use super::message::{Loss, Suspect, millis};
@@ -28,12 +28,13 @@
     pub fn record_loss(&mut self, now: Mono, loss: &Loss) {
         let sent = now - Duration::from_millis(loss.age_ms.into());
         let life = (loss.key, loss.birth);
-        if self.tally.record_loss(now, loss.print, life, sent) {
-            let standing = self.tally.status(now, &loss.print);
-            tracing::info!(
-                fingerprint = %loss.print, upstream = %loss.key, age_ms = loss.age_ms,
-                ?standing, "upstreams lost with a request"
-            );
+        let count = self.tally.record_loss(now, loss.print, life, sent);
+        let standing = self.tally.status(now, &loss.print);
+        tracing::info!(
+            fingerprint = %loss.print, upstream = %loss.key, age_ms = loss.age_ms,
+            ?count, ?standing, "upstreams lost with a request"
+        );
+        if count == Count::Death && standing != Status::Clear {
             self.changed.insert(loss.print);
         }
     }
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -70,6 +70,10 @@
     pub(crate) deadline: Mono,
     /// Token counts, if the request is a prompt for an engine.
     pub(crate) demand: Option<Demand>,
+    /// Ids of the prompt's parts that other prompts may share, in order.
+    ///
+    /// Invariant: none twice.
+    pub(crate) parts: Vec<Arc<str>>,
     /// Number of the last event that the caller already has.
     pub(crate) last_event: Option<u64>,
 }
--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -143,11 +143,18 @@
         let Some(print) = request.fingerprint() else {
             return;
         };
+        let age = clock::mono().since(since);
+        tracing::info!(
+            request = %request.id, fingerprint = %print, parts = %request.parts.join(","),
+            %upstream, age_ms = age.as_millis(), "upstream lost with a request"
+        );
+        let label = format!("route=\"{}\"", request.route.name);
+        self.shared.metrics.count("upstreams_lost", &label);
         let loss = Loss {
             print,
             key: Key::of(upstream),
             birth: self.birth(upstream),
-            age_ms: age_ms(clock::mono().since(since)),
+            age_ms: age_ms(age),
         };
         add_watched(&mut self.suspicion.watched.borrow_mut(), print);
         self.suspicion.enqueue(Message::Lost(loss));
--- a/almondlock-gateway/tests/gateway/dialect.rs
+++ b/almondlock-gateway/tests/gateway/dialect.rs
@@ -67,6 +67,7 @@
             instance: name("x-instance"),
             priority: name("x-priority"),
             usage: name("x-usage"),
+            parts: name("x-parts"),
             helpers: name("x-helpers"),
             seal: name("x-seal"),
             not_run: name("x-not-run"),
@@ -150,6 +151,11 @@
         Ok(rules.build())
     }
 
+    fn shared_parts<'a>(&self, text: &'a str) -> Vec<&'a str> {
+        let parts: Vec<&str> = text.split(',').collect();
+        parts[..parts.len() - 1].to_vec()
+    }
+
     fn encode_command(&self, order: &Command<'_>) -> Call {
         let (path, body) = match order {
             Command::Reserve { id, .. } => ("/reserve", id),
--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -65,6 +65,7 @@
             instance: name("x-instance"),
             priority: name("x-priority"),
             usage: name("x-usage"),
+            parts: name("x-parts"),
             helpers: name("x-helpers"),
             seal: name("x-seal"),
             not_run: name("x-not-run"),
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -70,6 +70,19 @@
     Refused(Duration),
 }
 
+/// What a reported loss counts as.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Count {
+    /// A death.
+    Death,
+    /// Nothing: the upstream's life had been lost before the copy was sent.
+    DeadAlready,
+    /// Nothing: the copy was sent before the last death was known.
+    Overlapping,
+    /// Nothing: the death is known.
+    Repeated,
+}
+
 /// The requests that upstreams were lost with, and the lives that were lost.
 #[derive(Clone, Debug)]
 pub struct Tally<L> {
@@ -91,14 +104,13 @@
 where
     L: Clone + Eq + Hash,
 {
-    /// Records that a copy, sent at `sent`, was lost on a life of an upstream. Returns
-    /// whether this changed what hosts have to know.
-    pub fn record_loss(&mut self, now: Mono, print: Fingerprint, life: L, sent: Mono) -> bool {
+    /// Records that a copy, sent at `sent`, was lost on a life of an upstream.
+    pub fn record_loss(&mut self, now: Mono, print: Fingerprint, life: L, sent: Mono) -> Count {
         self.forget_expired(now);
         let (died, last) = self.lost_lives.entry(life.clone()).or_insert((now, now));
         *last = now;
         if sent > *died + DETECTION_DELAY {
-            return false;
+            return Count::DeadAlready;
         }
         if !self.suspects.contains_key(&print) {
             self.make_room();
@@ -107,15 +119,18 @@
             deaths: Vec::new(),
             last: Mono::ZERO,
         });
-        if sent + DETECTION_DELAY < suspect.last || suspect.deaths.contains(&life) {
-            return false;
+        if suspect.deaths.contains(&life) {
+            return Count::Repeated;
+        }
+        if sent + DETECTION_DELAY < suspect.last {
+            return Count::Overlapping;
         }
         suspect.last = now;
         suspect.deaths.push(life);
         if suspect.deaths.len() > REFUSAL_DEATHS {
             suspect.deaths.remove(0);
         }
-        suspect.deaths.len() >= WATCH_DEATHS
+        Count::Death
     }
 
     /// Records that a copy was answered. Returns whether this changed what hosts have to
