Report an upstream that is lost with a resumed run before its first event

A resumed run that failed before its first event ended the response, and its fault was dropped: no loss was reported and the upstream wasn't avoided, so a crashing stream that may be resumed cost upstreams that nobody counted.

Test resumed_unanswered: 1 loss told where 2 upstreams' connections broke before the change, 2 after it.

--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -138,18 +138,8 @@
                 Err(fault) => fault,
             };
             self.incomplete = self.splitter.incomplete_bytes();
-            self.worker
-                .report_loss(&self.request, &fault, self.first_at);
-            let worker = &self.worker;
-            worker.observe_failure(&self.request, &fault, begun);
+            self.record_fault(&fault, self.first_at, begun);
             self.sample = Sample::default();
-            self.history.tried.extend(fault.upstream.clone());
-            request::record_failure(
-                &self.worker,
-                &self.request,
-                &fault,
-                self.history.tried.len(),
-            );
             // Releases the run's slot to a waiting prompt, unless its upstream is avoided
             // from now on.
             self.run = None;
@@ -196,6 +186,15 @@
         }
     }
 
+    /// Records that a run failed, which was sent at `sent` and waited for since `begun`.
+    fn record_fault(&mut self, fault: &Fault, sent: Mono, begun: Mono) {
+        let (worker, request) = (&self.worker, &self.request);
+        worker.report_loss(request, fault, sent);
+        worker.observe_failure(request, fault, begun);
+        self.history.tried.extend(fault.upstream.clone());
+        request::record_failure(worker, request, fault, self.history.tried.len());
+    }
+
     /// Records the arrival of events that were waited for since `begun`.
     fn record_events(&mut self, begun: Mono) {
         let now = clock::mono();
@@ -255,14 +254,20 @@
         };
         self.splitter.discard_rest();
         let run = attempt::attempt(&self.worker, &self.request, &self.history, Some(last)).await;
-        let mut run = run.map_err(|_| "no other upstream took it")?;
+        let mut run = match run {
+            Ok(run) => run,
+            Err(fault) => {
+                self.record_fault(&fault, now, now);
+                return Err("no other upstream took it");
+            }
+        };
         self.history.runs += 1;
-        let left = self.request.time_left(clock::mono());
-        let events = request::read_first_event(&mut run.connection, &mut self.splitter);
-        let events = attempt::wait_or_give_up(&self.worker, &self.request, &run.resources, events);
-        match timeout(left, events).await {
-            Ok(Some(Ok(events))) => self.buffered = Some(events),
-            Ok(Some(Err(_)) | None) | Err(_) => return Err("the resumed run failed too"),
+        match self.read_resumed(&mut run).await {
+            Ok(events) => self.buffered = Some(events),
+            Err(fault) => {
+                self.record_fault(&fault, run.sent.at, run.sent.at);
+                return Err("the resumed run failed too");
+            }
         }
         if self.splitter.last_id().is_none_or(|next| next <= last) {
             return Err("the resumed run began at another event");
@@ -276,6 +281,21 @@
         Ok(())
     }
 
+    /// Reads the first events of a resumed run.
+    async fn read_resumed(&mut self, run: &mut Run<D>) -> Result<Bytes, Fault> {
+        let left = self.request.time_left(clock::mono());
+        let events = request::read_first_event(&mut run.connection, &mut self.splitter);
+        let events = attempt::wait_or_give_up(&self.worker, &self.request, &run.resources, events);
+        match timeout(left, events).await {
+            Ok(Some(Ok(events))) => Ok(events),
+            Ok(Some(Err(error))) => Err(Fault::from_error(&error, &run.upstream)),
+            Ok(None) | Err(_) => {
+                let reason = "no first event of the resumed run in time";
+                Err(Fault::new(Failure::Silent, Some(&run.upstream), reason))
+            }
+        }
+    }
+
     /// Ends the response after its last event.
     fn finish(&mut self) {
         self.ended = true;
--- /dev/null
+++ b/almondlock-gateway/tests/reported_losses.rs
@@ -0,0 +1,57 @@
+//! What a host tells relays of the upstreams that are lost with a request.
+
+mod fake;
+mod gateway;
+
+use std::{
+    net::UdpSocket,
+    time::{Duration, Instant},
+};
+
+use almondlock_gateway::exchange::{Loss, Message};
+use fake::{Step, event, start, stream_head};
+use gateway::{ask, start_observing_pace};
+
+/// Time within which a loss is told.
+const PATIENCE: Duration = Duration::from_millis(600);
+
+/// Sends a request through a host whose upstream behaves like this on its connections, in
+/// turn. Returns the losses that the host told.
+fn losses(connections: Vec<Vec<Step>>) -> Vec<Loss> {
+    let relay = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let relays = [relay.local_addr().unwrap(), other.local_addr().unwrap()];
+    let (upstream, _heads) = start(connections);
+    let host = start_observing_pace(&[upstream], Some(relays), false);
+    ask(host, "/stream/");
+    let end = Instant::now() + PATIENCE;
+    relay
+        .set_read_timeout(Some(Duration::from_millis(50)))
+        .unwrap();
+    let mut buffer = [0; 65_536];
+    let mut losses: Vec<Loss> = Vec::new();
+    while Instant::now() < end {
+        let Ok(length) = relay.recv(&mut buffer) else {
+            continue;
+        };
+        if let Ok(Message::Lost(loss)) = postcard::from_bytes(&buffer[..length]) {
+            losses.push(loss);
+        }
+    }
+    losses
+}
+
+/// Guards against an upstream that is lost with a resumed run before its first event and that
+/// nobody counts.
+#[test]
+fn resumed_unanswered() {
+    let first = vec![
+        Step::Read,
+        stream_head(),
+        event(1),
+        Step::Pause(60),
+        Step::Reset,
+    ];
+    let second = vec![Step::Read, Step::Pause(60), Step::Reset];
+    assert_eq!(losses(vec![first, second]).len(), 2);
+}
