Report the loss of a resumed run with the time at which that run was sent

It was reported with the time of the first run's first event. That lies before the first upstream's death, so relays took it for a copy that was sent before that death was known, and passed over it. The loss of a first run is reported with the time of its sending, too, no longer with that of its first event.

--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -47,6 +47,8 @@
     run: Option<Run<D>>,
     /// Upstream of the current or the last run.
     upstream: Upstream,
+    /// When the current or the last run was sent.
+    sent_at: Mono,
     /// How the body of the current or the last run is framed.
     framing: Framing,
     /// How the end of that body was recognised. `None` until then.
@@ -100,6 +102,7 @@
             request: Rc::clone(request),
             head: run.head.clone(),
             upstream: run.upstream.clone(),
+            sent_at: run.sent.at,
             framing: run.head.framing,
             end: None,
             run: Some(run),
@@ -138,7 +141,7 @@
                 Err(fault) => fault,
             };
             self.incomplete = self.splitter.incomplete_bytes();
-            self.record_fault(&fault, self.first_at, begun);
+            self.record_fault(&fault, self.sent_at, begun);
             self.sample = Sample::default();
             // Releases the run's slot to a waiting prompt, unless its upstream is avoided
             // from now on.
@@ -276,6 +279,7 @@
             .observe_answer(&self.request, &run.upstream, &run.sent);
         run.resources.mark_prompt_read();
         self.upstream = run.upstream.clone();
+        self.sent_at = run.sent.at;
         (self.framing, self.end) = (run.head.framing, None);
         self.run = Some(run);
         Ok(())
--- a/almondlock-gateway/tests/reported_losses.rs
+++ b/almondlock-gateway/tests/reported_losses.rs
@@ -55,3 +55,27 @@
     let second = vec![Step::Read, Step::Pause(60), Step::Reset];
     assert_eq!(losses(vec![first, second]).len(), 2);
 }
+
+/// Guards against a resumed run whose loss counts as that of a copy that was sent before the
+/// first run was lost.
+#[test]
+fn resumed_later() {
+    let first = vec![
+        Step::Read,
+        stream_head(),
+        event(1),
+        Step::Pause(300),
+        Step::Reset,
+    ];
+    let second = vec![
+        Step::Read,
+        stream_head(),
+        event(2),
+        Step::Pause(60),
+        Step::Reset,
+    ];
+    let losses = losses(vec![first, second]);
+    let ages: Vec<u32> = losses.iter().map(|loss| loss.age_ms).collect();
+    assert_eq!(ages.len(), 2);
+    assert!(ages[0] >= 300 && ages[1] < 250, "{ages:?}");
+}
