Count deaths by what lost requests have in common, and refuse by that

Cause: relays counted deaths by caller, method, path and body, which requests with a common part don't share. What did grow were the counts of usual requests that came again with the same body.

Deaths are now counted for each fingerprint of a request: of the whole, and of each part of its prompt that other requests may share. What is refused is all that the lost requests had in common and that nobody had an answer to (poison::profile::Rule); requests that share only some of it run. A fingerprint that died only where another one died too is explained by that one. Hosts keep the parts that they had answers to, and tell relays of them only when asked by a suspicion; a verdict waits 200 ms for that. Deaths that overlap count again 250 ms after the last one. Hosts don't send a request again whose parts were lost twice, look at the refusals once more before they send, report losses twice, and go by their own count while no relay is heard. After a refusal one request is tried.

--- a/almondlock-base/src/id.rs
+++ b/almondlock-base/src/id.rs
@@ -175,7 +175,8 @@
 }
 
 /// What a request is told by: a hash over its organisation and its body, so
-/// that blame for a crash can never reach another organisation's request.
+/// that blame for a crash can never reach another organisation's request. Also
+/// a hash of something that requests share, such as a part of their prompts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Serialize, Deserialize)]
 pub struct Fingerprint(pub [u8; 16]);
@@ -183,10 +184,25 @@
 impl Fingerprint {
     /// Hashes an organisation's name, a path and a body.
     pub fn new(organisation: &Organisation, path: &str, body: &[u8]) -> Fingerprint {
+        Fingerprint::of_fields(&[organisation.as_str().as_bytes(), path.as_bytes(), body])
+    }
+
+    /// Hashes the id of a part of prompts, as a service's callers name it. Other services may
+    /// use the same id for something else.
+    pub fn of_part(service: &Service, id: &str) -> Fingerprint {
+        Fingerprint::of_fields(&[b"part", service.as_str().as_bytes(), id.as_bytes(), b""])
+    }
+
+    /// Hashes an organisation's name.
+    pub fn of_organisation(organisation: &Organisation) -> Fingerprint {
+        Fingerprint::of_fields(&[b"organisation", organisation.as_str().as_bytes()])
+    }
+
+    fn of_fields(fields: &[&[u8]]) -> Fingerprint {
         let mut hasher = blake3::Hasher::new();
-        for part in [organisation.as_str().as_bytes(), path.as_bytes(), body] {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
+        for field in fields {
+            hasher.update(&(field.len() as u64).to_le_bytes());
+            hasher.update(field);
         }
         let mut short = [0; 16];
         short.copy_from_slice(&hasher.finalize().as_bytes()[..16]);
--- a/almondlock-gateway/src/accept.rs
+++ b/almondlock-gateway/src/accept.rs
@@ -1,6 +1,6 @@
 //! Reads a caller's request and checks it against the configuration in force.
 
-use std::{collections::HashSet, sync::Arc, time::Duration};
+use std::{cell::OnceCell, collections::HashSet, sync::Arc, time::Duration};
 
 use almondlock_base::{Code, time::Mono};
 use almondlock_node::clock;
@@ -158,6 +158,7 @@
         demand: header_text(incoming, &names.usage)
             .and_then(|usage| parse_demand(usage, route.objective)),
         parts: shared_parts(worker, incoming),
+        profile: OnceCell::new(),
         last_event: header_text(incoming, &names.last_event)
             .and_then(|text| text.trim().parse().ok()),
         route,
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -130,6 +130,13 @@
                 continue;
             }
         };
+        // The request may have waited while it became suspected.
+        if let Some(refusal) = worker.refuse_suspect(request, clock::mono()) {
+            let reason = "upstreams were lost with it";
+            let mut fault = Fault::new(Failure::Suspected, None, reason);
+            fault.retry_after = refusal.retry_after;
+            return Err(fault);
+        }
         let target = answering_target(&targets, &choice).map_err(lack_fault)?;
         let connection = connect(worker, request, target).await;
         let connection = connection.map_err(|error| Fault::from_error(&error, &target.name))?;
--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -224,6 +224,7 @@
         let limited = worker.limits.borrow().limited_keys();
         send_limits(worker, socket, configured, &limited).await;
     }
+    worker.suspicion.repeat_reports(now);
     if is_all {
         reporter.all_sent_at = now;
         reporter.has_changes = false;
@@ -295,12 +296,14 @@
         Message::Sum { included } => {
             let sum: Sum = postcard::from_bytes(rest)?;
             reporter.relays.receive(now, from, sum.hosts);
+            worker.suspicion.record_relay(now);
             let own = reporter.loads_of_digest(included);
             worker.load.borrow_mut().receive_sum(now, from, sum, own);
             Ok(())
         }
         Message::Beacon { hosts } => {
             reporter.relays.receive(now, from, hosts);
+            worker.suspicion.record_relay(now);
             Ok(())
         }
         Message::Introduction(introduction) => {
@@ -328,6 +331,10 @@
             worker.suspicion.receive(now, &suspects);
             Ok(())
         }
+        Message::PartSuspects(suspects) => {
+            worker.suspicion.receive_parts(now, &suspects);
+            Ok(())
+        }
         Message::ShareTotals(envelope) => {
             worker.receive_totals(now, from, &envelope);
             Ok(())
@@ -338,6 +345,7 @@
         }
         Message::Ask(_)
         | Message::Lost(_)
+        | Message::LostParts(_)
         | Message::Harmless(_)
         | Message::Shares(_)
         | Message::Observed(_) => {
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -6,7 +6,10 @@
     id::{Domain, Fingerprint},
     time::Mono,
 };
-use almondlock_policy::throttle::{Notice, Rate};
+use almondlock_policy::{
+    poison::profile::{Profile, Rule},
+    throttle::{Notice, Rate},
+};
 use almondlock_state::instance::Birth;
 use serde::{Deserialize, Serialize};
 
@@ -62,6 +65,11 @@
     Observed(Observation),
     /// From a relay to the hosts that follow its observations: what all hosts observed.
     Paces(Vec<Pace>),
+    /// From a host to all relays: like `Lost`, with what the request has in common with
+    /// others. Sent besides `Lost`, for relays that can't read it.
+    LostParts(PartLoss),
+    /// From a relay to all hosts: like `Suspects`, for what can't be said there.
+    PartSuspects(Vec<PartSuspect>),
 }
 
 /// A request that was lost with the upstream that ran it.
@@ -78,6 +86,53 @@
     pub age_ms: u32,
 }
 
+/// A request that was lost with the upstream that ran it, and what it has in common with
+/// others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartLoss {
+    /// The loss.
+    pub loss: Loss,
+    /// Fingerprint of the organisation.
+    pub organisation: Fingerprint,
+    /// Fingerprints of the parts of the prompt that other requests may share and that the host
+    /// has had no answer to recently.
+    pub parts: Vec<Fingerprint>,
+}
+
+impl PartLoss {
+    /// Returns what the request can be recognised by.
+    pub fn profile(&self) -> Profile {
+        let prints = std::iter::once(&self.loss.print).chain(&self.parts);
+        Profile {
+            organisation: self.organisation,
+            prints: prints.copied().collect(),
+        }
+    }
+}
+
+/// State of requests that have something in common with which upstreams were lost.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct PartSuspect {
+    /// The state, under the fingerprint that the deaths were counted for.
+    pub suspect: Suspect,
+    /// Fingerprint of the organisation that it concerns. `None` if it concerns all.
+    pub organisation: Option<Fingerprint>,
+    /// Fingerprints that a request must have, all of them, to be concerned.
+    pub prints: Vec<Fingerprint>,
+}
+
+impl PartSuspect {
+    /// Returns which requests it concerns.
+    pub fn rule(&self) -> Rule {
+        Rule {
+            organisation: self.organisation,
+            prints: self.prints.clone(),
+        }
+    }
+}
+
 /// State of a request with which upstreams were lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -53,7 +53,8 @@
     host::report_interval,
     limiter::Limiter,
     message::{
-        Digest, Introduction, Limit, Loss, Message, Permit, Query, Subscription, Sum, Suspect,
+        Digest, Introduction, Limit, Loss, Message, PartLoss, PartSuspect, Permit, Query,
+        Subscription, Sum, Suspect,
     },
     observed::{MAX_PACES, Observation, Pace, Paces},
     relay::run_relay,
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -73,6 +73,7 @@
             send(socket, from, &Message::Permit(permit)).await;
         }
         Message::Lost(loss) => state.suspects.record_loss(now, &loss),
+        Message::LostParts(loss) => state.suspects.record_part_loss(now, &loss),
         Message::Harmless(print) => state.suspects.record_answer(now, print),
         Message::Shares(envelope) => state.shares.receive(now, from, &envelope),
         Message::Observed(report) => state.paces.receive(now, from, report),
@@ -81,6 +82,7 @@
         | Message::Introduction(_)
         | Message::Permit(_)
         | Message::Suspects(_)
+        | Message::PartSuspects(_)
         | Message::ShareTotals(_)
         | Message::Paces(_) => {
             tracing::debug!(%from, "message for hosts received by a relay, ignored");
@@ -92,18 +94,22 @@
 /// hosts.
 async fn send_updates(socket: &UdpSocket, state: &mut State, round: &Round) {
     let now = clock::mono();
+    let (copies, parts) = state.suspects.take_updates(now);
     let updates = [
         nonempty_message(state.limiter.take_updates(now), Message::Limits),
-        nonempty_message(state.suspects.take_updates(now), Message::Suspects),
+        nonempty_message(copies, Message::Suspects),
+        nonempty_message(parts, Message::PartSuspects),
     ];
     for message in updates.iter().flatten() {
         for to in state.aggregator.hosts() {
             send(socket, to, message).await;
         }
     }
+    let (copies, parts) = state.suspects.all(now);
     let all = [
         nonempty_message(state.limiter.all(now), Message::Limits),
-        nonempty_message(state.suspects.all(now), Message::Suspects),
+        nonempty_message(copies, Message::Suspects),
+        nonempty_message(parts, Message::PartSuspects),
     ];
     for message in all.iter().flatten() {
         for (to, _) in &round.newcomers {
--- a/almondlock-gateway/src/exchange/suspects.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -1,80 +1,146 @@
 //! Counts the upstreams that were lost with requests, at a relay. Does no I/O.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use almondlock_base::{id::Fingerprint, time::Mono};
-use almondlock_policy::poison::tally::{Count, Status, Tally};
+use almondlock_policy::poison::{
+    profile::{Profile, Rule},
+    tally::{self, Status, Tally},
+};
 use almondlock_state::instance::Birth;
 
-use super::message::{Loss, Suspect, millis};
+use super::message::{Loss, PartLoss, PartSuspect, Suspect, millis};
 use crate::load::Key;
 
 /// Time after which all suspected requests are sent again, in case a datagram was lost.
 const REPEAT_PERIOD: Duration = Duration::from_secs(1);
 /// Maximum number of requests in one datagram.
 const MAX_SUSPECTS: usize = 512;
+/// Maximum number of requests with several fingerprints in one datagram. Each takes up to
+/// 1,100 bytes.
+const MAX_PART_SUSPECTS: usize = 48;
+/// Organisation of losses that name none. They have one fingerprint, of a whole request,
+/// which includes the organisation.
+const UNNAMED: Fingerprint = Fingerprint([0; 16]);
 
 /// The suspected requests that one relay knows.
 #[derive(Debug, Default)]
 pub struct Suspects {
     tally: Tally<(Key, Birth)>,
-    // Requests whose state has changed and was not sent to hosts yet.
-    changed: BTreeSet<Fingerprint>,
     all_sent_at: Mono,
 }
 
 impl Suspects {
     /// Records that a host lost a request with an upstream.
     pub fn record_loss(&mut self, now: Mono, loss: &Loss) {
-        let sent = now - Duration::from_millis(loss.age_ms.into());
-        let life = (loss.key, loss.birth);
-        let count = self.tally.record_loss(now, loss.print, life, sent);
+        let profile = Profile {
+            organisation: UNNAMED,
+            prints: vec![loss.print],
+        };
+        self.record(now, loss, &profile);
+    }
+
+    /// Records that a host lost a request that has something in common with others.
+    pub fn record_part_loss(&mut self, now: Mono, loss: &PartLoss) {
+        self.record(now, &loss.loss, &loss.profile());
+    }
+
+    fn record(&mut self, now: Mono, loss: &Loss, profile: &Profile) {
+        let lost = tally::Loss {
+            profile,
+            life: (loss.key, loss.birth),
+            sent: now - Duration::from_millis(loss.age_ms.into()),
+        };
+        let count = self.tally.record_loss(now, &lost);
         let standing = self.tally.status(now, &loss.print);
         tracing::info!(
             fingerprint = %loss.print, upstream = %loss.key, age_ms = loss.age_ms,
-            ?count, ?standing, "upstreams lost with a request"
+            prints = profile.prints.len(), ?count, ?standing, "upstreams lost with a request"
         );
-        if count == Count::Death && standing != Status::Clear {
-            self.changed.insert(loss.print);
-        }
     }
 
-    /// Records that a host had an answer to a request.
+    /// Records that a request with this fingerprint was answered.
     pub fn record_answer(&mut self, now: Mono, print: Fingerprint) {
         if self.tally.record_answer(now, &print) {
             tracing::info!(fingerprint = %print, "a suspected request was answered");
-            self.changed.insert(print);
         }
     }
 
     /// Returns what to send to hosts in this round: the requests whose state has changed,
     /// or periodically all of them.
-    pub fn take_updates(&mut self, now: Mono) -> Vec<Suspect> {
+    pub fn take_updates(&mut self, now: Mono) -> (Vec<Suspect>, Vec<PartSuspect>) {
+        self.tally.settle(now);
+        let mut changed = self.tally.take_changed();
+        for print in changed.iter().filter(|print| self.tally.is_final(print)) {
+            tracing::info!(
+                fingerprint = %print, standing = ?self.tally.status(now, print),
+                prints = self.tally.rule(print).map_or(0, |rule| rule.prints.len()),
+                organisations = self.scope(print), "requests to be refused"
+            );
+        }
         if now.since(self.all_sent_at) >= REPEAT_PERIOD {
             self.all_sent_at = now;
-            self.changed.extend(self.tally.watched());
+            changed.extend(self.tally.watched());
         }
-        let changed = std::mem::take(&mut self.changed)
-            .into_iter()
-            .take(MAX_SUSPECTS);
-        changed.map(|print| self.suspect(now, print)).collect()
+        self.updates(now, changed)
     }
 
     /// Returns all suspected requests, for new hosts.
-    pub fn all(&self, now: Mono) -> Vec<Suspect> {
-        let known = self.tally.watched().into_iter().take(MAX_SUSPECTS);
-        known.map(|print| self.suspect(now, print)).collect()
+    pub fn all(&self, now: Mono) -> (Vec<Suspect>, Vec<PartSuspect>) {
+        self.updates(now, self.tally.watched())
+    }
+
+    fn updates<I>(&self, now: Mono, prints: I) -> (Vec<Suspect>, Vec<PartSuspect>)
+    where
+        I: IntoIterator<Item = Fingerprint>,
+    {
+        let (mut copies, mut parts) = (Vec::new(), Vec::new());
+        for print in prints {
+            let suspect = self.suspect(now, print);
+            match self.tally.rule(&print) {
+                Some(rule) if !is_plain(rule, &print) => parts.push(PartSuspect {
+                    suspect,
+                    organisation: rule.organisation,
+                    prints: rule.prints.clone(),
+                }),
+                _ => copies.push(suspect),
+            }
+        }
+        // What is refused matters most, and the rest is sent again.
+        copies.sort_by_key(|suspect| suspect.refused_ms.is_none());
+        parts.sort_by_key(|part| part.suspect.refused_ms.is_none());
+        copies.truncate(MAX_SUSPECTS);
+        parts.truncate(MAX_PART_SUSPECTS);
+        (copies, parts)
     }
 
     fn suspect(&self, now: Mono, print: Fingerprint) -> Suspect {
         let standing = self.tally.status(now, &print);
+        let is_final = self.tally.is_final(&print);
         Suspect {
             print,
             refused_ms: match standing {
-                Status::Refused(left) => Some(millis(left)),
-                Status::Clear | Status::Watched => None,
+                Status::Refused(left) if is_final => Some(millis(left)),
+                Status::Clear | Status::Watched | Status::Refused(_) => None,
             },
-            watched: standing == Status::Watched,
+            watched: matches!(standing, Status::Watched)
+                || (standing != Status::Clear && !is_final),
         }
     }
+
+    /// Returns whom a refusal concerns, for the log.
+    fn scope(&self, print: &Fingerprint) -> &'static str {
+        match self.tally.rule(print) {
+            Some(rule) if rule.organisation.is_some() => "one",
+            _ => "all",
+        }
+    }
+}
+
+/// Returns whether a rule names nothing but this fingerprint.
+fn is_plain(rule: &Rule, print: &Fingerprint) -> bool {
+    let is_open = rule
+        .organisation
+        .is_none_or(|organisation| organisation == UNNAMED);
+    is_open && rule.prints == [*print]
 }
--- a/almondlock-gateway/src/failure.rs
+++ b/almondlock-gateway/src/failure.rs
@@ -15,6 +15,8 @@
     Unsent,
     /// All upstreams have reached their rate limits, so nothing was sent.
     Limited,
+    /// Upstreams were lost with the request or with others like it, so nothing was sent.
+    Suspected,
     /// The upstream states that it did not run the request.
     Rejected,
     /// Another instance answered at the address.
@@ -31,9 +33,11 @@
     /// Returns whether the request ran, as far as this attempt alone tells.
     pub const fn ran(self) -> Ran {
         match self {
-            Failure::Unsent | Failure::Limited | Failure::Rejected | Failure::Misdirected => {
-                Ran::No
-            }
+            Failure::Unsent
+            | Failure::Limited
+            | Failure::Suspected
+            | Failure::Rejected
+            | Failure::Misdirected => Ran::No,
             Failure::Lost | Failure::Silent => Ran::Unknown,
             Failure::Answered => Ran::Yes,
         }
@@ -43,7 +47,7 @@
     pub const fn blames_upstream(self) -> bool {
         !matches!(
             self,
-            Failure::Limited | Failure::Rejected | Failure::Answered
+            Failure::Limited | Failure::Suspected | Failure::Rejected | Failure::Answered
         )
     }
 
@@ -52,6 +56,7 @@
         match self {
             Failure::Unsent => "unsent",
             Failure::Limited => "limited",
+            Failure::Suspected => "suspected",
             Failure::Rejected => "rejected",
             Failure::Misdirected => "misdirected",
             Failure::Lost => "lost",
@@ -81,6 +86,7 @@
     match (ran, failure) {
         (Ran::No, Failure::Unsent) => Code::NoUpstream,
         (Ran::No, Failure::Limited) => Code::UpstreamLimited,
+        (Ran::No, Failure::Suspected) => Code::RequestSuspected,
         (Ran::No, _) => Code::RetriesExhausted,
         (_, Failure::Silent) => Code::DeadlinePassed,
         _ => Code::UpstreamLost,
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -1,7 +1,7 @@
 //! One caller's request: its attempts, one after another, until one is answered or no
 //! further attempt is allowed.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::OnceCell, rc::Rc, sync::Arc, time::Duration};
 
 use almondlock_base::{
     Code, Ran,
@@ -9,7 +9,7 @@
     time::Mono,
 };
 use almondlock_node::clock;
-use almondlock_policy::backoff::Reason;
+use almondlock_policy::{backoff::Reason, poison::profile::Profile};
 use bytes::Bytes;
 use ntex::http::{
     Method,
@@ -74,6 +74,8 @@
     ///
     /// Invariant: none twice.
     pub(crate) parts: Vec<Arc<str>>,
+    /// What the request can be recognised by, once that was worked out.
+    pub(crate) profile: OnceCell<Option<Profile>>,
     /// Number of the last event that the caller already has.
     pub(crate) last_event: Option<u64>,
 }
@@ -266,6 +268,7 @@
         && history.tried.len() < MAX_ATTEMPTS
         && !request.time_left(now).is_zero()
         && failure::may_retry(kind, history.ran(), history.runs, request.route.attempts)
+        && (fault.failure.ran() == Ran::No || worker.may_run_again(request, now))
         && (is_paid(fault.failure) || worker.try_take_retry(now, &request.service))
 }
 
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -246,6 +246,9 @@
         if self.history.runs >= self.request.route.attempts {
             return Err("no attempt is left");
         }
+        if !self.worker.may_run_again(&self.request, now) {
+            return Err("upstreams were lost with it");
+        }
         // A silent upstream was given up only after the budget was charged for the next
         // attempt.
         let paid = fault.failure == Failure::Silent;
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -185,7 +185,7 @@
             limits: RefCell::default(),
             permits: Permits::default(),
             waiting_prompts: Queues::default(),
-            suspicion: Suspicion::default(),
+            suspicion: Suspicion::new(host_number),
             shares: Shares::default(),
             pacing: Pacing::default(),
             logged_headers: RefCell::default(),
--- a/almondlock-policy/src/poison.rs
+++ b/almondlock-policy/src/poison.rs
@@ -45,6 +45,10 @@
 //! # Ok::<(), almondlock_base::id::Error>(())
 //! ```
 
+pub mod answered;
+pub mod host;
+pub mod profile;
+pub mod refusal;
 pub mod tally;
 
 use std::{
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -2,59 +2,184 @@
 //!
 //! Such a host sees only that a connection broke while a request ran. It tells every relay,
 //! and each relay counts by itself: relays don't agree on anything, and a relay that
-//! restarts begins with no deaths. From [`REFUSAL_DEATHS`] on, the relays tell all hosts to
-//! refuse the request.
+//! restarts begins with no deaths. What is counted are fingerprints: of the whole request,
+//! which its copies share, and of parts of its prompt, which other requests share. From
+//! [`REFUSAL_DEATHS`] on, the relays tell all hosts to refuse requests.
 //!
 //! | what hosts tell | what counts |
 //! |---|---|
-//! | a loss on an upstream's life | a death, once for each life |
-//! | a loss of a copy that was sent before the last death was known | nothing: one fault, such as the loss of a failure domain, ends many copies of a usual request at the same moment |
-//! | a loss of a copy that was sent to a life after that life was lost | nothing: the life was dead already, unless it has lost nothing for a while |
-//! | a copy was answered | the deaths are forgotten, unless the request is refused already |
+//! | a loss on an upstream's life | a death of each fingerprint of the request, once for each life |
+//! | a loss of a request that was sent before the last death was known, or just after it | nothing: one fault, such as the loss of a failure domain, ends many usual requests at the same moment. A while after that death it counts, since requests with a fingerprint may overlap all the time |
+//! | a loss of a request that was sent to a life after that life was lost | nothing: the life was dead already, unless it has lost nothing for a while |
+//! | a loss on a life that another, refused fingerprint has ended | nothing |
+//! | a fingerprint was answered | its deaths are forgotten, unless it alone is refused already |
 //!
-//! A request is refused for [`REFUSAL_TIME`] after its last death and may then be tried
+//! What is refused is all that the lost requests had in common and that was not answered
+//! since ([`Rule`]): a request that shares only some of it runs, and its answer tells which
+//! of the rest is to blame. A fingerprint that died only where another one died too is not
+//! refused, as the other one explains its deaths.
+//!
+//! A request is refused for [`REFUSAL_TIME`] after the last death and may then be tried
 //! once: one more death refuses it again.
 
-use std::{collections::HashMap, hash::Hash, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    hash::Hash,
+    time::Duration,
+};
 
 use almondlock_base::{id::Fingerprint, time::Mono};
 
+use super::profile::{Profile, Rule};
+
 /// Number of deaths from which on a request is refused.
 pub const REFUSAL_DEATHS: usize = 3;
 /// Number of deaths from which on hosts tell when a copy is answered.
 pub const WATCH_DEATHS: usize = 2;
 /// Time for which a request is refused after its last death.
 pub const REFUSAL_TIME: Duration = Duration::from_secs(600);
+/// Time that hosts have to tell of answers, from the death that made a fingerprint watched
+/// until it is refused.
+pub const APPEAL_TIME: Duration = Duration::from_millis(200);
+/// Time after a death within which hosts report all requests that were lost with it.
+const REPORT_TIME: Duration = Duration::from_millis(50);
 /// Time for which deaths count that are too few to refuse the request.
-const SUSPICION_TIME: Duration = Duration::from_secs(60);
-/// Maximum number of requests that are remembered; the oldest are forgotten first.
+const SUSPICION_TIME: Duration = Duration::from_secs(600);
+/// Maximum number of fingerprints that are remembered; the oldest are forgotten first.
 pub const MAX_SUSPECTS: usize = 4_096;
+/// Maximum number of lives that are remembered of each fingerprint.
+const MAX_LIVES: usize = 16;
 /// Time without a loss after which a lost life no longer counts as dead. It is longer than
 /// the time for which hosts pass over a failed upstream before they try it again.
 const LOSS_RETENTION: Duration = Duration::from_secs(3);
 /// Time by which a death may be known later than it happened.
 const DETECTION_DELAY: Duration = Duration::from_millis(20);
+/// Time after a death within which further ones belong to the same fault.
+const MIN_GAP: Duration = Duration::from_millis(50);
+/// Time after a death from which on a further one counts whenever its request was sent.
+const MAX_GAP: Duration = Duration::from_millis(250);
 
-/// A request that upstreams were lost with.
+/// A request that was lost with an upstream.
+#[derive(Clone, Debug)]
+pub struct Loss<'a, L> {
+    /// What the request can be recognised by.
+    pub profile: &'a Profile,
+    /// The upstream's life.
+    pub life: L,
+    /// When the request was sent to it.
+    pub sent: Mono,
+}
+
+/// The loss of a life.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct End<L> {
+    life: L,
+    /// Time at which the life was first lost. It tells this loss from a later one of a life
+    /// that had only lost connections.
+    at: Mono,
+}
+
+/// A fingerprint that upstreams were lost with.
 #[derive(Clone, Debug)]
 struct Suspect<L> {
-    /// The lives that died. Invariant: at most [`REFUSAL_DEATHS`], none twice.
+    /// The lives that were lost with it, and the age of the oldest request on each.
+    ///
+    /// Invariant: at most [`MAX_LIVES`], no life twice.
+    ends: Vec<(End<L>, Duration)>,
+    /// The lives whose loss counts as a death.
+    ///
+    /// Invariant: at most [`REFUSAL_DEATHS`], none twice.
     deaths: Vec<L>,
     /// Time of the last death.
     last: Mono,
+    /// Time of the death from which on the fingerprint is watched.
+    watched: Mono,
+    /// What the lost requests have in common.
+    ///
+    /// Invariant: names the fingerprint itself.
+    rule: Rule,
+    /// Time at which the deaths were enough and no other fingerprint explained them.
+    proven: Option<Mono>,
+    /// Whether losses that were reported later can't change that any more.
+    is_final: bool,
 }
 
-impl<L> Suspect<L> {
+impl<L> Suspect<L>
+where
+    L: Clone + PartialEq,
+{
+    fn new(profile: &Profile) -> Suspect<L> {
+        Suspect {
+            ends: Vec::new(),
+            deaths: Vec::new(),
+            last: Mono::ZERO,
+            watched: Mono::ZERO,
+            rule: Rule::of(profile),
+            proven: None,
+            is_final: false,
+        }
+    }
+
     fn is_refused(&self, now: Mono) -> bool {
-        self.deaths.len() >= REFUSAL_DEATHS && now.since(self.last) < REFUSAL_TIME
+        self.proven.is_some() && now.since(self.last) < REFUSAL_TIME
     }
 
     /// Returns the time for which the request is remembered after its last death.
     fn retention(&self) -> Duration {
-        match self.deaths.len() < REFUSAL_DEATHS {
-            true => SUSPICION_TIME,
+        match self.proven {
+            None => SUSPICION_TIME,
             // Once the request may run again, its deaths count as long as they did before.
-            false => REFUSAL_TIME * 2,
+            Some(_) => REFUSAL_TIME * 2,
+        }
+    }
+
+    /// Records that a life ended, with a request that was sent at `sent`.
+    fn record_end(&mut self, now: Mono, end: End<L>, sent: Mono) -> Count {
+        let age = now.since(sent);
+        let mut known = self.ends.iter_mut();
+        if let Some((_, oldest)) = known.find(|(other, _)| other.life == end.life) {
+            *oldest = age.max(*oldest);
+            return Count::Repeated;
+        }
+        self.ends.push((end.clone(), age));
+        if self.ends.len() > MAX_LIVES {
+            self.ends.remove(0);
+        }
+        let gap = now.since(self.last);
+        let is_later = sent + DETECTION_DELAY >= self.last && gap >= MIN_GAP;
+        if !is_later && gap < MAX_GAP {
+            return Count::Overlapping;
+        }
+        self.last = now;
+        self.deaths.push(end.life);
+        if self.deaths.len() == WATCH_DEATHS {
+            self.watched = now;
+        }
+        if self.deaths.len() > REFUSAL_DEATHS {
+            self.deaths.remove(0);
+        }
+        Count::Death
+    }
+
+    /// Returns whether `other` was lost on each life that this one was lost on.
+    fn is_covered_by(&self, other: &Suspect<L>) -> bool {
+        let ended = |end: &End<L>| other.ends.iter().any(|(other, _)| other == end);
+        self.ends.iter().all(|(end, _)| ended(end))
+    }
+
+    /// Returns the sum of the ages of the requests that were lost.
+    fn total_age(&self) -> Duration {
+        self.ends.iter().map(|(_, age)| *age).sum()
+    }
+
+    /// Forgets that these lives ended.
+    fn forget(&mut self, ends: &[End<L>]) {
+        self.ends.retain(|(end, _)| !ends.contains(end));
+        let left = &self.ends;
+        let is_left = |life: &L| left.iter().any(|(end, _)| end.life == *life);
+        self.deaths.retain(is_left);
+        if self.deaths.len() < REFUSAL_DEATHS {
+            self.proven = None;
         }
     }
 }
@@ -70,25 +195,37 @@
     Refused(Duration),
 }
 
-/// What a reported loss counts as.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What a reported loss counts as. Of several fingerprints, the greatest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Count {
-    /// A death.
-    Death,
-    /// Nothing: the upstream's life had been lost before the copy was sent.
+    /// Nothing: the upstream's life had been lost before the request was sent.
     DeadAlready,
-    /// Nothing: the copy was sent before the last death was known.
-    Overlapping,
+    /// Nothing: another fingerprint, which is refused, ended the life.
+    Explained,
     /// Nothing: the death is known.
     Repeated,
+    /// Nothing: the request was sent before the last death was known.
+    Overlapping,
+    /// A death.
+    Death,
 }
 
-/// The requests that upstreams were lost with, and the lives that were lost.
+/// A life that counts as dead.
+#[derive(Clone, Copy, Debug)]
+struct Lost {
+    first: Mono,
+    last: Mono,
+    /// Whether a refused fingerprint ended it.
+    is_explained: bool,
+}
+
+/// The fingerprints that upstreams were lost with, and the lives that were lost.
 #[derive(Clone, Debug)]
 pub struct Tally<L> {
     suspects: HashMap<Fingerprint, Suspect<L>>,
-    /// Lives that count as dead: the times of the first and the last loss on each.
-    lost_lives: HashMap<L, (Mono, Mono)>,
+    lost_lives: HashMap<L, Lost>,
+    /// Fingerprints of which hosts have to know more than they were told.
+    changed: BTreeSet<Fingerprint>,
 }
 
 impl<L> Default for Tally<L> {
@@ -96,6 +233,7 @@
         Tally {
             suspects: HashMap::new(),
             lost_lives: HashMap::new(),
+            changed: BTreeSet::new(),
         }
     }
 }
@@ -104,47 +242,150 @@
 where
     L: Clone + Eq + Hash,
 {
-    /// Records that a copy, sent at `sent`, was lost on a life of an upstream.
-    pub fn record_loss(&mut self, now: Mono, print: Fingerprint, life: L, sent: Mono) -> Count {
+    /// Records that a request was lost on a life of an upstream.
+    pub fn record_loss(&mut self, now: Mono, loss: &Loss<'_, L>) -> Count {
         self.forget_expired(now);
-        let (died, last) = self.lost_lives.entry(life.clone()).or_insert((now, now));
-        *last = now;
-        if sent > *died + DETECTION_DELAY {
+        let lost = self.lost_lives.entry(loss.life.clone()).or_insert(Lost {
+            first: now,
+            last: now,
+            is_explained: false,
+        });
+        lost.last = now;
+        if loss.sent > lost.first + DETECTION_DELAY {
             return Count::DeadAlready;
         }
+        let end = End {
+            life: loss.life.clone(),
+            at: lost.first,
+        };
+        let is_explained = lost.is_explained;
+        let prints = loss.profile.prints.iter();
+        let counts = prints.map(|print| match is_explained && !self.is_final(print) {
+            true => Count::Explained,
+            false => self.blame(now, *print, loss, end.clone()),
+        });
+        let count = counts.max().unwrap_or(Count::Repeated);
+        self.explain_by_final(loss.profile, end);
+        self.settle(now);
+        count
+    }
+
+    /// Counts a loss for one fingerprint of the request.
+    fn blame(&mut self, now: Mono, print: Fingerprint, loss: &Loss<'_, L>, end: End<L>) -> Count {
         if !self.suspects.contains_key(&print) {
             self.make_room();
         }
-        let suspect = self.suspects.entry(print).or_insert(Suspect {
-            deaths: Vec::new(),
-            last: Mono::ZERO,
+        let suspect = self.suspects.entry(print);
+        let suspect = suspect.or_insert_with(|| Suspect::new(loss.profile));
+        let is_narrower = suspect.rule.narrow(loss.profile);
+        let count = suspect.record_end(now, end, loss.sent);
+        let is_watched = suspect.deaths.len() >= WATCH_DEATHS;
+        if is_watched && (is_narrower || count == Count::Death) {
+            self.changed.insert(print);
+        }
+        count
+    }
+
+    /// Explains the end of a life by the lost request, if that is one to be refused.
+    fn explain_by_final(&mut self, profile: &Profile, end: End<L>) {
+        let mut prints = profile.prints.iter();
+        let found = prints.find(|print| {
+            let suspect = self.suspects.get(print);
+            suspect.is_some_and(|s| s.is_final && s.rule.matches(profile))
         });
-        if suspect.deaths.contains(&life) {
-            return Count::Repeated;
+        if let Some(print) = found {
+            self.explain(*print, &[end]);
         }
-        if sent + DETECTION_DELAY < suspect.last {
-            return Count::Overlapping;
+    }
+
+    /// Records that a fingerprint ended these lives, so that nothing else is blamed for it,
+    /// but for what was lost only together with it.
+    fn explain(&mut self, print: Fingerprint, ends: &[End<L>]) {
+        for end in ends {
+            let lost = self.lost_lives.get_mut(&end.life);
+            if let Some(lost) = lost.filter(|lost| lost.first == end.at) {
+                lost.is_explained = true;
+            }
         }
-        suspect.last = now;
-        suspect.deaths.push(life);
-        if suspect.deaths.len() > REFUSAL_DEATHS {
-            suspect.deaths.remove(0);
+        let changed = &mut self.changed;
+        self.suspects.retain(|other, suspect| {
+            let is_apart = *other != print && !suspect.rule.prints.contains(&print);
+            if suspect.is_final || !is_apart {
+                return true;
+            }
+            if suspect.deaths.len() >= WATCH_DEATHS {
+                changed.insert(*other);
+            }
+            suspect.forget(ends);
+            !suspect.ends.is_empty()
+        });
+    }
+
+    /// Refuses the fingerprints that have had enough deaths, if no other one explains these.
+    /// To be called now and then, since time alone can decide it.
+    pub fn settle(&mut self, now: Mono) {
+        let due = self.suspects.iter().filter(|(_, suspect)| {
+            let is_enough = suspect.deaths.len() >= REFUSAL_DEATHS;
+            is_enough && !suspect.is_final && now.since(suspect.watched) >= APPEAL_TIME
+        });
+        let due: Vec<Fingerprint> = due.map(|(print, _)| *print).collect();
+        for print in due {
+            let is_explained = self.is_explained(&print);
+            let Some(suspect) = self.suspects.get_mut(&print) else {
+                continue;
+            };
+            if is_explained {
+                suspect.proven = None;
+                continue;
+            }
+            let proven = *suspect.proven.get_or_insert(now);
+            if now.since(proven) < REPORT_TIME {
+                continue;
+            }
+            suspect.is_final = true;
+            let ends = suspect.ends.iter().map(|(end, _)| end.clone());
+            let ends: Vec<End<L>> = ends.collect();
+            self.changed.insert(print);
+            self.explain(print, &ends);
         }
-        Count::Death
     }
 
-    /// Records that a copy was answered. Returns whether this changed what hosts have to
-    /// know.
+    /// Returns whether a fingerprint died only where another one died too, which it didn't
+    /// always come with. If both died on the same lives, the one whose requests had run longer
+    /// is explained by the other: a request that crashes upstreams does so as it begins.
+    fn is_explained(&self, print: &Fingerprint) -> bool {
+        let Some(suspect) = self.suspects.get(print) else {
+            return false;
+        };
+        self.suspects.iter().any(|(key, other)| {
+            let is_apart = key != print && !suspect.rule.prints.contains(key);
+            let is_tied = || other.is_covered_by(suspect);
+            let is_younger = || (other.total_age(), *key) < (suspect.total_age(), *print);
+            is_apart && suspect.is_covered_by(other) && (!is_tied() || is_younger())
+        })
+    }
+
+    /// Records that a request with this fingerprint was answered. Returns whether this
+    /// changed anything.
     pub fn record_answer(&mut self, now: Mono, print: &Fingerprint) -> bool {
-        let known = self.suspects.get(print);
-        if known.is_none_or(|suspect| suspect.is_refused(now)) {
+        let stays = |s: &Suspect<L>| s.is_refused(now) && s.rule.prints.len() == 1;
+        if self.suspects.get(print).is_some_and(stays) {
             return false;
         }
-        self.suspects.remove(print);
-        true
+        let mut is_changed = self.suspects.remove(print).is_some();
+        if is_changed {
+            self.changed.insert(*print);
+        }
+        for (other, suspect) in &mut self.suspects {
+            if suspect.rule.remove(print) {
+                is_changed = true;
+                self.changed.insert(*other);
+            }
+        }
+        is_changed
     }
 
-    /// Returns whether a request may run.
+    /// Returns whether a request with this fingerprint may run.
     pub fn status(&self, now: Mono, print: &Fingerprint) -> Status {
         match self.suspects.get(print) {
             Some(suspect) if suspect.is_refused(now) => {
@@ -155,26 +396,73 @@
         }
     }
 
-    /// Returns all requests that hosts have to know of.
+    /// Returns whether a refusal may be told to hosts: all losses that could change it have
+    /// been reported.
+    pub fn is_final(&self, print: &Fingerprint) -> bool {
+        let known = self.suspects.get(print);
+        known.is_some_and(|suspect| suspect.is_final)
+    }
+
+    /// Returns which requests with this fingerprint the status concerns. `None` if nothing
+    /// is known of it.
+    pub fn rule(&self, print: &Fingerprint) -> Option<&Rule> {
+        self.suspects.get(print).map(|suspect| &suspect.rule)
+    }
+
+    /// Returns whether one of a request's fingerprints is watched or refused, in a way that
+    /// concerns this request.
+    pub fn is_watched(&self, now: Mono, profile: &Profile) -> bool {
+        let mut concerned = self.concerned(profile);
+        concerned.any(|print| self.status(now, &print) != Status::Clear)
+    }
+
+    /// Returns for how long a request is refused, and because of which fingerprint.
+    pub fn refusal(&self, now: Mono, profile: &Profile) -> Option<(Duration, Fingerprint)> {
+        let refused = self
+            .concerned(profile)
+            .filter_map(|print| match self.status(now, &print) {
+                Status::Refused(left) => Some((left, print)),
+                Status::Clear | Status::Watched => None,
+            });
+        refused.max()
+    }
+
+    /// Returns a request's fingerprints whose status concerns it.
+    fn concerned(&self, profile: &Profile) -> impl Iterator<Item = Fingerprint> {
+        let prints = profile.prints.iter().copied();
+        prints.filter(|print| self.rule(print).is_some_and(|rule| rule.matches(profile)))
+    }
+
+    /// Returns whether nothing is remembered of any fingerprint.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns all fingerprints that hosts have to know of.
     pub fn watched(&self) -> Vec<Fingerprint> {
         let known = self.suspects.iter();
         let known = known.filter(|(_, suspect)| suspect.deaths.len() >= WATCH_DEATHS);
         known.map(|(print, _)| *print).collect()
     }
 
+    /// Returns and forgets the fingerprints whose status has changed.
+    pub fn take_changed(&mut self) -> BTreeSet<Fingerprint> {
+        std::mem::take(&mut self.changed)
+    }
+
     fn forget_expired(&mut self, now: Mono) {
         self.suspects
             .retain(|_, suspect| now.since(suspect.last) < suspect.retention());
         self.lost_lives
-            .retain(|_, (_, last)| now.since(*last) < LOSS_RETENTION);
+            .retain(|_, lost| now.since(lost.last) < LOSS_RETENTION);
     }
 
-    /// Forgets the oldest request, if possible one that isn't refused.
+    /// Forgets the oldest fingerprint, if possible one with few deaths.
     fn make_room(&mut self) {
         if self.suspects.len() < MAX_SUSPECTS {
             return;
         }
-        let order = |suspect: &Suspect<L>| (suspect.deaths.len() >= REFUSAL_DEATHS, suspect.last);
+        let order = |s: &Suspect<L>| (s.proven.is_some(), s.deaths.len() >= WATCH_DEATHS, s.last);
         let oldest = self.suspects.iter().min_by_key(|(_, s)| order(s));
         if let Some(print) = oldest.map(|(print, _)| *print) {
             self.suspects.remove(&print);
