Don't clear a request by a run that began behind its first event

A stream that crashes its upstream after some events and may be resumed was cleared by its own second run, which had only the rest to write. So were its copies: each cost an upstream and took back what was known of the last. An answer now clears only if one upstream wrote all of it; one that the caller itself resumes clears nothing either.

--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -68,6 +68,9 @@
     /// Events since their pace was last observed. Time that a slow caller takes isn't
     /// counted.
     sample: Sample,
+    /// Whether the current run began after the first event. Its end doesn't prove that the
+    /// request is harmless: an earlier event may have crashed the run before it.
+    is_resumed: bool,
     /// Bytes of an incomplete event at the end of the last run.
     incomplete: usize,
     /// Whether the response has ended, complete or aborted.
@@ -114,6 +117,7 @@
             longest_pause: Duration::ZERO,
             events: 1,
             sample: Sample::default(),
+            is_resumed: false,
             incomplete: 0,
             ended: false,
         }
@@ -283,6 +287,7 @@
         run.resources.mark_prompt_read();
         self.upstream = run.upstream.clone();
         self.sent_at = run.sent.at;
+        self.is_resumed = true;
         (self.framing, self.end) = (run.head.framing, None);
         self.run = Some(run);
         Ok(())
@@ -309,7 +314,9 @@
         if let Some(run) = self.run.take() {
             attempt::return_to_pool(&self.worker, &run.upstream, run.connection, &run.head);
         }
-        self.worker.clear_suspect(&self.request);
+        if !self.is_resumed && self.request.last_event.is_none() {
+            self.worker.clear_suspect(&self.request);
+        }
         self.log_end("answered", "whole");
     }
 
--- a/almondlock-gateway/tests/reported_losses.rs
+++ b/almondlock-gateway/tests/reported_losses.rs
@@ -4,12 +4,12 @@
 mod gateway;
 
 use std::{
-    net::UdpSocket,
+    net::{SocketAddr, UdpSocket},
     thread,
     time::{Duration, Instant},
 };
 
-use almondlock_gateway::exchange::{Loss, Message};
+use almondlock_gateway::exchange::{Loss, Message, Suspect};
 use fake::{Step, event, start, stream_head};
 use gateway::{ask, start_observing_pace};
 
@@ -23,9 +23,7 @@
 /// Sends a request through a host whose upstream behaves like this on its connections, in
 /// turn. Returns the losses that the host told.
 fn losses(connections: Vec<Vec<Step>>) -> Vec<Loss> {
-    let relay = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let other = UdpSocket::bind("127.0.0.1:0").unwrap();
-    let relays = [relay.local_addr().unwrap(), other.local_addr().unwrap()];
+    let (relay, relays) = bind_relays();
     let (upstream, _heads) = start(connections);
     let host = start_observing_pace(&[upstream], Some(relays), false);
     let told = thread::spawn(move || read_losses(&relay));
@@ -33,27 +31,47 @@
     told.join().unwrap()
 }
 
-/// Reads the losses that are told within a while. Each is told twice, with its age.
-fn read_losses(relay: &UdpSocket) -> Vec<Loss> {
+/// Binds the socket of a relay. The other relay never answers.
+fn bind_relays() -> (UdpSocket, [SocketAddr; 2]) {
+    let sockets = [(); 2].map(|()| UdpSocket::bind("127.0.0.1:0").unwrap());
+    let relays = sockets.each_ref().map(|s| s.local_addr().unwrap());
+    let [relay, _] = sockets;
+    (relay, relays)
+}
+
+/// Reads the messages that a relay gets within a while, with the time since then.
+fn read_messages<F>(relay: &UdpSocket, mut take: F)
+where
+    F: FnMut(Duration, SocketAddr, Message),
+{
     relay
         .set_read_timeout(Some(Duration::from_millis(50)))
         .unwrap();
     let begun = Instant::now();
     let mut buffer = [0; 65_536];
-    let mut losses: Vec<(Duration, Loss)> = Vec::new();
     while begun.elapsed() < PATIENCE {
-        let Ok(length) = relay.recv(&mut buffer) else {
+        let Ok((length, from)) = relay.recv_from(&mut buffer) else {
             continue;
         };
-        if let Ok(Message::Lost(loss)) = postcard::from_bytes(&buffer[..length]) {
+        if let Ok(message) = postcard::from_bytes(&buffer[..length]) {
+            take(begun.elapsed(), from, message);
+        }
+    }
+}
+
+/// Reads the losses that are told within a while. Each is told twice, with its age.
+fn read_losses(relay: &UdpSocket) -> Vec<Loss> {
+    let mut losses: Vec<(Duration, Loss)> = Vec::new();
+    read_messages(relay, |at, _, message| {
+        if let Message::Lost(loss) = message {
             let age = Duration::from_millis(loss.age_ms.into());
-            let sent = EARLIER + begun.elapsed() - age;
+            let sent = EARLIER + at - age;
             let mut known = losses.iter();
             if !known.any(|(other, _)| other.abs_diff(sent) < TOLERANCE) {
                 losses.push((sent, loss));
             }
         }
-    }
+    });
     losses.into_iter().map(|(_, loss)| loss).collect()
 }
 
@@ -95,3 +113,58 @@
     assert_eq!(ages.len(), 2);
     assert!(ages[0] >= 300 && ages[1] < 250, "{ages:?}");
 }
+
+/// Guards against a request that crashes upstreams after some events and is cleared by its own
+/// resumed run, which began behind them.
+#[test]
+fn resumed_answer() {
+    let first = vec![
+        Step::Read,
+        stream_head(),
+        event(1),
+        Step::Pause(60),
+        Step::Reset,
+    ];
+    let end = Step::Write("0\r\n\r\n".to_owned());
+    let second = vec![
+        Step::Read,
+        stream_head(),
+        event(2),
+        Step::Pause(200),
+        end.clone(),
+    ];
+    let third = vec![Step::Read, stream_head(), event(1), Step::Pause(20), end];
+    let (relay, relays) = bind_relays();
+    let (upstream, _heads) = start(vec![first, second, third]);
+    let host = start_observing_pace(&[upstream], Some(relays), false);
+    let told = thread::spawn(move || watch_lost(&relay));
+    let (response, _) = ask(host, "/stream/");
+    assert!(response.ends_with("0\r\n\r\n"), "{response}");
+    thread::sleep(PATIENCE / 3);
+    // The same request, answered from the beginning to the end.
+    ask(host, "/stream/");
+    let cleared = told.join().unwrap();
+    assert_eq!(cleared.len(), 1, "{cleared:?}");
+    assert!(cleared[0] > PATIENCE / 2, "{cleared:?}");
+}
+
+/// Tells the host that each request which it lost is suspected. Returns after which time the
+/// host told that a suspected request was answered.
+fn watch_lost(relay: &UdpSocket) -> Vec<Duration> {
+    let mut cleared = Vec::new();
+    read_messages(relay, |at, from, message| match message {
+        Message::Lost(loss) => {
+            let suspect = Suspect {
+                print: loss.print,
+                refused_ms: None,
+                watched: true,
+            };
+            let message = Message::Suspects(vec![suspect]);
+            let bytes = postcard::to_stdvec(&message).unwrap();
+            relay.send_to(&bytes, from).unwrap();
+        }
+        Message::Harmless(_) => cleared.push(at),
+        _ => {}
+    });
+    cleared
+}
