Soak: a part of prompts that crashes upstreams, and what it may cost

Upstreams are back after 2 s. Other streams share its caller and other parts. Three checks: few requests with the part reach upstreams 3 s after the fifth crash; sound streams are served half as often as before at least; nothing sound is refused as suspected, in any run.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -92,6 +92,12 @@
         help = "one more caller sends a request that crashes each upstream"
     )]
     pub crashing: bool,
+    /// A part of prompts that crashes upstreams.
+    #[options(
+        no_short,
+        help = "at each host one more caller sends streams with a part that crashes each upstream"
+    )]
+    pub parts: bool,
     /// Records that were synced are cut.
     #[options(no_short, help = "in place of a torn record, cut one that was synced")]
     pub cut_synced: bool,
@@ -159,6 +165,8 @@
     pub load: bool,
     /// One more caller sends a request that crashes upstreams.
     pub crashing: bool,
+    /// At each host one more caller sends streams with a part that crashes upstreams.
+    pub parts: bool,
     /// In place of a torn record, one that was synced is cut.
     pub cuts_synced: bool,
     /// Faults left out, by number.
@@ -218,6 +226,7 @@
             pauses: self.pauses,
             load: self.load,
             crashing: self.crashing,
+            parts: self.parts,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
--- a/almondlock-bench/src/soak/caller.rs
+++ b/almondlock-bench/src/soak/caller.rs
@@ -13,7 +13,7 @@
 use super::{
     history::{Kind, Outcome, Request},
     http::{Message, Reader},
-    world::{CRASH_BODY, EVENTS, HOST, World, events},
+    world::{self, CRASH_BODY, EVENTS, HOST, SHARED, World, events},
 };
 
 /// How long a caller waits, as it tells the host.
@@ -24,12 +24,16 @@
 const PAUSE: std::ops::Range<u64> = 5..60;
 /// Between two requests that crash an upstream.
 const CRASHING: Duration = Duration::from_millis(400);
+/// Between two requests with a part that crashes upstreams, in milliseconds.
+const PARTS: std::ops::Range<u64> = 200..400;
 /// How long connecting may take.
 const CONNECT: Duration = Duration::from_millis(1_000);
 /// The longest that a caller waits because it was told to.
 const RETURN: Duration = Duration::from_millis(1_000);
 /// Of so many requests one is sent in HTTP/1.0.
 const OLD: u32 = 8;
+/// Names the code of a refusal.
+const CODE: &str = "x-almondlock-code";
 /// Tokens of a short and of a long prompt.
 const PROMPTS: (u64, u64) = (2_000, 70_000);
 
@@ -48,8 +52,8 @@
     /// It may send long prompts at any time. The others only while there are faults: two at a
     /// time may lack memory, which is no matter of recovery.
     pub leads: bool,
-    /// It sends nothing but the same request that crashes upstreams.
-    pub crashes: bool,
+    /// It sends nothing but requests of this kind, which crash upstreams.
+    pub crashes: Option<Kind>,
     /// It sends without a pause, whatever it is told, until then.
     pub greedy: Option<u64>,
 }
@@ -77,8 +81,12 @@
         let newest = self.world.acknowledged().map_or(1, |p| p.version);
         let mut rng = self.world.rng.borrow_mut();
         let pause = Duration::from_millis(rng.random_range(PAUSE));
-        if self.crashes {
-            return (CRASHING, Kind::Crash);
+        match self.crashes {
+            Some(Kind::Part) => {
+                return (Duration::from_millis(rng.random_range(PARTS)), Kind::Part);
+            }
+            Some(kind) => return (CRASHING, kind),
+            None => {}
         }
         let kind = match rng.random_range(0..20) {
             0..6 => Kind::Safe,
@@ -97,7 +105,7 @@
         if let Some(key) = self
             .keys
             .last()
-            .filter(|_| self.crashes || self.greedy.is_some())
+            .filter(|_| self.crashes == Some(Kind::Crash) || self.greedy.is_some())
         {
             return key.clone();
         }
@@ -121,7 +129,8 @@
         let text = self.text(&id, &key, kind, is_old);
         let taken = self.connect(connection).await;
         let Some((mut stream, mut reader)) = taken else {
-            self.note(id, (life, kind, key), self.world.now(), Outcome::Unsent);
+            let now = self.world.now();
+            self.note(id, (life, kind, key), now, (Outcome::Unsent, None));
             return Duration::from_millis(100);
         };
         let written = stream.write_all(text.as_bytes()).await;
@@ -132,7 +141,9 @@
         };
         let outcome = outcome(&id, kind, &answer);
         let mut back = Duration::ZERO;
+        let mut code = None;
         if let Ok(Ok(message)) = &answer {
+            code = message.get(CODE).and_then(|text| text.parse().ok());
             let wait = message
                 .get("retry-after")
                 .and_then(|text| text.parse().ok());
@@ -143,12 +154,17 @@
                 *connection = Some((stream, reader));
             }
         }
-        self.note(id, (life, kind, key), sent, outcome);
+        self.note(id, (life, kind, key), sent, (outcome, code));
         back
     }
 
-    fn note(&self, id: String, asked: (u32, Kind, String), sent: u64, outcome: Outcome) {
-        let (life, kind, key) = asked;
+    fn note(
+        &self,
+        id: String,
+        (life, kind, key): (u32, Kind, String),
+        sent: u64,
+        (outcome, code): (Outcome, Option<u16>),
+    ) {
         self.world.history.borrow_mut().requests.push(Request {
             id,
             host: self.host,
@@ -158,6 +174,7 @@
             sent,
             ended: self.world.now(),
             outcome,
+            code,
         });
     }
 
@@ -181,26 +198,41 @@
         Some((stream, Reader::default()))
     }
 
+    /// The parts of a stream's prompt.
+    fn parts(&self, id: &str, kind: Kind) -> String {
+        let mut shared = SHARED;
+        let count = match kind {
+            Kind::Part => {
+                shared[self.world.place] = world::CRASHING;
+                SHARED.len()
+            }
+            _ => SHARED.len() - usize::from(self.world.rng.borrow_mut().random_bool(0.5)),
+        };
+        world::parts(&shared[..count], id)
+    }
+
     fn text(&self, id: &str, key: &str, kind: Kind, is_old: bool) -> String {
         let names = &self.world.names;
         let path = match kind {
             Kind::Safe => "safe".to_owned(),
             Kind::Unsafe | Kind::Crash => "unsafe".to_owned(),
-            Kind::Short | Kind::Long => "stream".to_owned(),
+            Kind::Short | Kind::Long | Kind::Part => "stream".to_owned(),
             Kind::Version(version) => format!("v{version}"),
         };
-        let body = if kind == Kind::Crash {
-            CRASH_BODY
-        } else {
-            "hi"
+        let body = match kind {
+            Kind::Crash => CRASH_BODY,
+            Kind::Short | Kind::Long | Kind::Part => id,
+            Kind::Safe | Kind::Unsafe | Kind::Version(_) => "hi",
         };
         let prompt = match kind {
-            Kind::Short => Some(PROMPTS.0),
+            Kind::Short | Kind::Part => Some(PROMPTS.0),
             Kind::Long => Some(PROMPTS.1),
             Kind::Safe | Kind::Unsafe | Kind::Crash | Kind::Version(_) => None,
         };
         let usage = prompt.map_or_else(String::new, |prompt| {
-            format!("{}: {prompt},{EVENTS}\r\n", names.usage.as_str())
+            let (usage, parts) = (names.usage.as_str(), names.parts.as_str());
+            let list = self.parts(id, kind);
+            format!("{usage}: {prompt},{EVENTS}\r\n{parts}: {list}\r\n")
         });
         let version = if is_old { "1.0" } else { "1.1" };
         format!(
@@ -226,7 +258,7 @@
         Ok(Ok(message)) => message,
     };
     let right = match kind {
-        Kind::Short | Kind::Long => events(id, 1, EVENTS),
+        Kind::Short | Kind::Long | Kind::Part => events(id, 1, EVENTS),
         Kind::Safe | Kind::Unsafe | Kind::Crash | Kind::Version(_) => super::world::answer(id),
     };
     if message.status != 200 || message.body == right.as_bytes() {
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -2,6 +2,7 @@
 //! the promise was kept.
 
 mod asked;
+pub mod crashes;
 mod limits;
 mod orders;
 
@@ -74,7 +75,7 @@
 
 /// All checks.
 pub fn all(history: &History, bounds: &Bounds) -> Vec<Finding> {
-    let checks: [(&'static str, Vec<String>); 18] = [
+    let checks: [(&'static str, Vec<String>); 21] = [
         ("once", once(history)),
         ("not-run", not_run(history)),
         ("whole", whole(history)),
@@ -90,6 +91,9 @@
         ("pause", asked::pause(history, bounds)),
         ("leaving", asked::leaving(history, bounds)),
         ("crash", crash(history, bounds)),
+        ("part", crashes::part(history, bounds)),
+        ("beside", crashes::beside(history, bounds)),
+        ("innocent", crashes::innocent(history)),
         ("evacuated", orders::evacuated(history, bounds)),
         ("cold", orders::cold(history, bounds)),
         ("start", orders::start(history, bounds)),
@@ -324,7 +328,7 @@
 /// nothing else.
 fn is_served(request: &Request) -> bool {
     match request.kind {
-        Kind::Crash => request.outcome == Outcome::Status(429),
+        Kind::Crash | Kind::Part => request.outcome == Outcome::Status(429),
         _ => request.outcome == Outcome::Status(200),
     }
 }
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -32,6 +32,10 @@
 const BASES: std::ops::Range<u8> = 20..220;
 /// A process that has ended is started again after this long.
 const RESTART: Duration = Duration::from_millis(300);
+/// An upstream that a part of a prompt has crashed is back after this long.
+const RETURN: Duration = Duration::from_secs(2);
+/// How often crashed upstreams are looked for.
+const LOOK: Duration = Duration::from_millis(100);
 /// All replicas that were killed at once are back after this long, at the most.
 const BACK: Duration = Duration::from_secs(1);
 /// How long a process that is told to stop may take.
@@ -325,13 +329,14 @@
         }
     }
 
-    /// Puts others in the place of upstreams that a request has crashed.
-    pub async fn replace_crashed(&self) -> io::Result<()> {
+    /// Puts others in the place of upstreams that a request has crashed: at once, or `late`.
+    pub async fn replace_crashed(&self, late: bool) -> io::Result<()> {
+        let after = if late { RETURN } else { RESTART };
         while !self.world.over.get() {
-            self.world.crashed.notified().await;
-            sleep(RESTART).await;
+            sleep(LOOK).await;
             for n in 0..self.world.size.upstreams {
-                if self.present(n).is_some_and(|upstream| upstream.is_dead()) {
+                let present = self.present(n);
+                if present.is_some_and(|upstream| upstream.is_crashed(after)) {
                     self.replace(n, None).await?;
                 }
             }
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -16,10 +16,20 @@
     Long,
     /// A call that crashes each upstream that begins to run it; always the same one.
     Crash,
+    /// A stream whose prompt has a part that crashes each upstream which begins to write an
+    /// answer on it; no two of them are alike.
+    Part,
     /// A call that only one version of the configuration allows.
     Version(u64),
 }
 
+impl Kind {
+    /// Whether it crashes upstreams.
+    pub const fn is_crashing(self) -> bool {
+        matches!(self, Kind::Crash | Kind::Part)
+    }
+}
+
 /// How a request ended for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -54,6 +64,8 @@
     pub ended: u64,
     /// How it ended.
     pub outcome: Outcome,
+    /// The code that the host gave, if it refused the request.
+    pub code: Option<u16>,
 }
 
 /// A request, as an upstream saw it.
@@ -81,8 +93,10 @@
     pub pause: Option<u64>,
     /// Its answer said that the upstream leaves.
     pub leaving: bool,
-    /// The upstream broke its answer off.
+    /// The upstream broke its answer off, or died before its end.
     pub is_broken: bool,
+    /// When it crashed the upstream.
+    pub crashed: Option<u64>,
 }
 
 /// A configuration that was sent.
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -62,6 +62,8 @@
 const KEYS: usize = 40;
 /// Callers of a greedy organisation.
 const GREEDY: usize = 8;
+/// How long only usual callers send, before those whose prompts crash upstreams.
+const USUAL: Duration = Duration::from_secs(4);
 /// Between two readings of the configuration.
 const READING: Duration = Duration::from_millis(700);
 /// An evacuation lasts so many times as long as other faults: hosts have some time to act on
@@ -115,6 +117,9 @@
             self.history.arrivals.len()
         )?;
         writeln!(f, "{}", outcomes.join(", "))?;
+        if let Some(seen) = check::crashes::Seen::of(&self.history, &BOUNDS) {
+            writeln!(f, "{seen}")?;
+        }
         for finding in &self.findings {
             writeln!(f, "FOUND {}: {}", finding.check, finding.text)?;
         }
@@ -308,14 +313,24 @@
                 life: Rc::clone(&fleet.hosts[host].life),
                 keys: keys.clone(),
                 leads: host == 0 && place == 0,
-                crashes: false,
+                crashes: None,
                 greedy: None,
             };
             spawn_local(caller.run());
         }
     }
     if setup.crashing {
-        crash(world, &fleet, keys.clone());
+        crash(world, &fleet, keys.clone(), (Kind::Crash, 0));
+    }
+    if setup.parts {
+        spawn_local(crash_later(
+            Rc::clone(world),
+            Rc::clone(&fleet),
+            keys.clone(),
+        ));
+    }
+    if setup.crashing || setup.parts {
+        spawn_local(replace_crashed(Rc::clone(&fleet), setup.parts));
     }
     let tended = Rc::clone(&fleet);
     spawn_local(async move { tended.tend().await });
@@ -325,25 +340,36 @@
     Ok(())
 }
 
-/// Adds a caller whose request crashes upstreams, and others in their place.
-fn crash(world: &Rc<World>, fleet: &Rc<Fleet>, keys: Vec<String>) {
+/// Adds a caller of a host whose requests crash upstreams.
+fn crash(world: &Rc<World>, fleet: &Fleet, keys: Vec<String>, (kind, host): (Kind, usize)) {
     let caller = Caller {
         world: Rc::clone(world),
-        host: 0,
-        address: fleet.callers[0].address,
-        life: Rc::clone(&fleet.hosts[0].life),
+        host,
+        address: fleet.callers[host].address,
+        life: Rc::clone(&fleet.hosts[host].life),
         keys,
         leads: false,
-        crashes: true,
+        crashes: Some(kind),
         greedy: None,
     };
     spawn_local(caller.run());
-    let fleet = Rc::clone(fleet);
-    spawn_local(async move {
-        if let Err(error) = fleet.replace_crashed().await {
-            eprintln!("soak: no upstream in the place of a crashed one: {error}");
-        }
-    });
+}
+
+/// Adds a caller of each host whose prompts have a part that crashes upstreams, once usual
+/// ones have been served for a while.
+async fn crash_later(world: Rc<World>, fleet: Rc<Fleet>, keys: Vec<String>) {
+    sleep(USUAL).await;
+    for host in 0..fleet.hosts.len() {
+        crash(&world, &fleet, keys.clone(), (Kind::Part, host));
+    }
+}
+
+/// Puts others in the place of upstreams that a request has crashed: at once, or `late`,
+/// after some seconds.
+async fn replace_crashed(fleet: Rc<Fleet>, late: bool) {
+    if let Err(error) = fleet.replace_crashed(late).await {
+        eprintln!("soak: no upstream in the place of a crashed one: {error}");
+    }
 }
 
 /// One organisation's callers send to a host as fast as they can, for so many milliseconds.
@@ -358,7 +384,7 @@
         life: Rc::clone(&fleet.hosts[host].life),
         keys: vec![key.clone()],
         leads: false,
-        crashes: false,
+        crashes: None,
         greedy: Some(until),
     });
     join_all(callers.map(Caller::run)).await;
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -27,7 +27,7 @@
     operator::call,
     plan::DOMAINS,
     proxy::{Proxy, reset},
-    world::{CRASH_BODY, EVENTS, Plant, World, answer, events},
+    world::{self, CRASH_BODY, EVENTS, Plant, World, answer, events},
 };
 
 /// Between two heartbeats.
@@ -46,6 +46,8 @@
 const CALL: Duration = Duration::from_millis(5);
 /// Prompt tokens that are read in a millisecond.
 const READING: u64 = 256;
+/// Events of a stream that crashes its upstream, at the most.
+const CRASH_EVENTS: u64 = 3;
 /// One in so many requests shows a planted fault.
 const PLANTED: u32 = 20;
 
@@ -74,6 +76,8 @@
     pub pause: Cell<Option<u64>>,
     leaving: Cell<bool>,
     dead: Cell<bool>,
+    /// When a request crashed it.
+    crashed: Cell<Option<u64>>,
     died: Notify,
     /// Memory set aside, by name: tokens, and until when.
     memory: RefCell<HashMap<String, (u64, u64)>>,
@@ -111,6 +115,7 @@
             pause: Cell::new(None),
             leaving: Cell::new(false),
             dead: Cell::new(false),
+            crashed: Cell::new(None),
             died: Notify::new(),
             memory: RefCell::default(),
         });
@@ -142,9 +147,22 @@
         self.died.notify_waiters();
     }
 
-    /// Whether it has died.
-    pub fn is_dead(&self) -> bool {
-        self.dead.get()
+    /// A request crashes it.
+    fn crash_by(&self, place: usize) -> io::Error {
+        let now = self.world.now();
+        if !self.dead.get() {
+            self.crashed.set(Some(now));
+            self.world.history.borrow_mut().arrivals[place].crashed = Some(now);
+        }
+        self.crash();
+        io::ErrorKind::ConnectionAborted.into()
+    }
+
+    /// Whether a request has crashed it this long ago.
+    pub fn is_crashed(&self, ago: Duration) -> bool {
+        let ago = u64::try_from(ago.as_millis()).unwrap_or(u64::MAX);
+        let crashed = self.crashed.get();
+        crashed.is_some_and(|at| self.world.now() >= at + ago)
     }
 
     /// Says that it leaves, serves on for a while, withdraws and ends.
@@ -244,12 +262,15 @@
             return write(stream, &self.rejection(503, id, &self.leaving_line())).await;
         }
         if request.body == CRASH_BODY.as_bytes() {
-            self.crash();
-            self.world.crashed.notify_one();
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            return Err(self.crash_by(place));
         }
         self.running.set(self.running.get() + 1);
-        let _running = Running(self);
+        let _running = Running(self, place);
+        let crashes = request
+            .get(names.parts.as_str())
+            .is_some_and(world::crashes);
+        let crashes_at =
+            crashes.then(|| self.world.rng.borrow_mut().random_range(0..=CRASH_EVENTS));
         match request.get(names.usage.as_str()) {
             Some(usage) => {
                 let prompt = usage.split(',').next().and_then(|text| text.parse().ok());
@@ -257,7 +278,9 @@
                 let parts = 1 + helpers.map_or(0, |list| list.split(',').count() as u64);
                 let reading = Duration::from_millis(prompt.unwrap_or(0) / READING / parts);
                 self.work(EVENT + reading).await;
-                self.stream(stream, id, place, resumed.unwrap_or(0)).await
+                let crash = crashes_at.map(|events| resumed.unwrap_or(0) + events);
+                self.stream(stream, id, place, (resumed.unwrap_or(0), crash))
+                    .await
             }
             None => {
                 self.work(CALL).await;
@@ -281,6 +304,7 @@
             pause: None,
             leaving: false,
             is_broken: false,
+            crashed: None,
         };
         if ran && self.is_planted(Plant::Twice) {
             history.arrivals.push(arrival.clone());
@@ -383,7 +407,7 @@
         stream: &mut TcpStream,
         id: &str,
         place: usize,
-        after: u64,
+        (after, crash): (u64, Option<u64>),
     ) -> io::Result<()> {
         let ending = self.ending(place, true);
         let head = self.head(200, id, Some(place));
@@ -400,6 +424,15 @@
         let breaks_at = self.world.rng.borrow_mut().random_range(1..=EVENTS);
         for n in after + 1..=last {
             let event = events(id, n, n);
+            if crash.is_some_and(|crash| n > crash) {
+                // Without a length or chunks, only half an event tells this from an end.
+                write(stream, &event[..event.len() / 2]).await?;
+                self.work(EVENT).await;
+                if self.world.rng.borrow_mut().random_bool(0.5) {
+                    reset(stream);
+                }
+                return Err(self.crash_by(place));
+            }
             if ending.is_broken() && n >= breaks_at {
                 write(stream, &event[..event.len() - 1]).await?;
                 return end(stream, ending);
@@ -472,11 +505,17 @@
     u64::try_from(millis).unwrap_or(u64::MAX)
 }
 
-struct Running<'a>(&'a Upstream);
+/// A request that an upstream runs, by its place in the history.
+struct Running<'a>(&'a Upstream, usize);
 
 impl Drop for Running<'_> {
     fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
+        let Running(upstream, place) = *self;
+        upstream.running.set(upstream.running.get() - 1);
+        if upstream.dead.get() {
+            let mut history = upstream.world.history.borrow_mut();
+            history.arrivals[place].is_broken = true;
+        }
     }
 }
 
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -9,7 +9,6 @@
 use almondlock_gateway::dialect::{Dialect as _, Names};
 use almondlock_platform::header::Dialect;
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::sync::Notify;
 
 use super::{
     arguments::Setup,
@@ -83,14 +82,14 @@
     pub cuts_synced: bool,
     /// Entry hosts decide by slots, shares and observed pace.
     pub load: bool,
+    /// Where the part that crashes upstreams stands in prompts that have it.
+    pub place: usize,
     /// The planted fault.
     pub plant: Option<Plant>,
     /// Callers have begun: what starts from now on is cold.
     pub serving: Cell<bool>,
     /// Keys that were taken away are no longer tried, nor are old versions.
     pub quiet: Cell<bool>,
-    /// Upstreams that a request has crashed: others come in their place.
-    pub crashed: Notify,
     /// No more requests are begun.
     pub over: Cell<bool>,
     /// Numbers for upstreams and requests.
@@ -109,10 +108,10 @@
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             cuts_synced: setup.cuts_synced,
             load: setup.load,
+            place: usize::try_from(seed % SHARED.len() as u64).unwrap_or(0),
             plant: setup.plant,
             serving: Cell::new(false),
             quiet: Cell::new(false),
-            crashed: Notify::new(),
             over: Cell::new(false),
             next: Cell::new(1),
         })
@@ -156,3 +155,23 @@
 
 /// Events of each stream.
 pub const EVENTS: u64 = 10;
+
+/// Parts of prompts that streams share: all of them the first two, half of them the third.
+pub const SHARED: [&str; 3] = ["5e57e3", "3a40a1", "901de"];
+
+/// The part that crashes upstreams, in the place of one of these.
+pub const CRASHING: &str = "bad0bad";
+
+/// The list of a prompt's parts, of which the last is its own.
+pub fn parts(shared: &[&str], id: &str) -> String {
+    let own = &answer(id)[..12];
+    let shared = shared.iter().map(|part| format!("{part}:100,"));
+    shared.collect::<String>() + own + ":20"
+}
+
+/// Whether a prompt has the part that crashes upstreams.
+pub fn crashes(list: &str) -> bool {
+    let (shared, _own) = list.rsplit_once(',').unwrap_or_default();
+    let mut ids = shared.split(',').filter_map(|entry| entry.split_once(':'));
+    ids.any(|(id, _)| id == CRASHING)
+}
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -21,6 +21,7 @@
         sent,
         ended: sent + 20,
         outcome,
+        code: None,
     }
 }
 
@@ -38,6 +39,7 @@
         pause: None,
         leaving: false,
         is_broken: false,
+        crashed: None,
     }
 }
 
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -22,6 +22,7 @@
         pauses: false,
         load: false,
         crashing: false,
+        parts: false,
         cuts_synced: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
@@ -100,6 +101,26 @@
     assert!(report.findings.is_empty(), "{report}");
 }
 
+/// Guards against one part of prompts that crashes one upstream after the other in requests of
+/// which no two are alike, and against others that aren't served beside them.
+#[test]
+fn parts_bounded() {
+    let mut setup = Setup {
+        planned: true,
+        parts: true,
+        ..setup(1, 12)
+    };
+    setup.size.upstreams = 18;
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+    let mut arrivals = report.history.arrivals.iter();
+    assert!(
+        arrivals.any(|arrival| arrival.crashed.is_some()),
+        "{report}"
+    );
+}
+
 fn replaced(seed: u64) {
     let setup = Setup {
         planned: true,
