Refuse prompts that begin with a passage which crashes engines

What callers saw, on the path with sidecars: prompts that asked different questions after one passage crashed one engine after the other, since only whole requests were blamed, by organisation and body.

A crash inside a leading part of a prompt is inside all prompts that begin with it and in no other. When an engine dies, the passages that prompts there began with, by the hashes that the choice of engines uses, get a record beside the whole requests', in the same replicated table. Losses of prompts that began to run before the last death was known belong to one generation and count once, so that a failure domain that is lost proves nothing; only the longest suspected passage is blamed further, so that prompts which share less of it run; a complete answer clears all passages of its prompt. Three generations refuse a passage, at entry hosts and at sidecars. At most 48 passages are recorded for a death.

--- a/almondlock-entry/src/course.rs
+++ b/almondlock-entry/src/course.rs
@@ -12,7 +12,10 @@
 use almondlock_node::clock;
 use almondlock_policy::{
     choice::Index,
-    poison::{Start, Treatment},
+    poison::{
+        Start, Treatment,
+        passage::{self, Standing},
+    },
     retry::{self, Decision},
 };
 use almondlock_wire::attempt::{Outcome, Target};
@@ -122,6 +125,17 @@
             }
             let view = self.shared.handle.view().get();
             let record = view.quarantine(print);
+            let lookup = |passage| view.quarantine(passage);
+            if let Standing::Refused(passage, left) =
+                passage::standing(&request.passages, lookup, clock::wall())
+            {
+                tracing::info!(
+                    request = %request.id, fingerprint = %passage,
+                    "refused, engines were lost with a passage of its prompt"
+                );
+                let failure = Failure::new(Code::Quarantined).ran(course.ran);
+                return Err(failure.retry_after(left));
+            }
             let start = self
                 .shared
                 .with_watch(|watch| watch.begin(print, record, clock::wall(), now));
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -11,7 +11,7 @@
     unit::Tokens,
 };
 use almondlock_node::clock;
-use almondlock_policy::prefix;
+use almondlock_policy::{poison::passage, prefix};
 use almondlock_telemetry::trace::Context;
 use almondlock_wire::attempt::Target;
 use futures::StreamExt;
@@ -294,6 +294,7 @@
     }
     let caller = &arrival.caller;
     let repeatable = caller.repeatable.unwrap_or(caller.key.is_none());
+    let prefix = prefix::hashes(text);
     let request = Request {
         id: arrival.id.clone(),
         organisation: caller.organisation.clone(),
@@ -309,7 +310,8 @@
         prompt_span: text.starts_with(b"\"").then_some(spec.prompt),
         prompt: length,
         output: spec.output,
-        prefix: prefix::hashes(text),
+        passages: passage::prints(&caller.organisation, &prefix),
+        prefix,
         stream: spec.stream,
         repeatable,
         key: caller.key.clone(),
@@ -393,6 +395,7 @@
         output: Tokens(1),
         body: Rope::whole(bytes),
         prefix: Vec::new(),
+        passages: Vec::new(),
         stream: true,
         repeatable,
         key: caller.key.clone(),
--- a/almondlock-entry/src/request.rs
+++ b/almondlock-entry/src/request.rs
@@ -45,6 +45,8 @@
     pub output: Tokens,
     /// Hashes of the prompt's leading blocks.
     pub prefix: Vec<u64>,
+    /// Fingerprints of the passages that it begins with, shortest first.
+    pub passages: Vec<Fingerprint>,
     /// Whether the caller wants a stream.
     pub stream: bool,
     /// Whether it may run more than once.
--- a/almondlock-policy/src/poison.rs
+++ b/almondlock-policy/src/poison.rs
@@ -47,6 +47,7 @@
 
 pub mod answered;
 pub mod host;
+pub mod passage;
 pub mod profile;
 pub mod refusal;
 pub mod tally;
--- a/almondlock-sidecar/src/death.rs
+++ b/almondlock-sidecar/src/death.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use almondlock_base::{Code, id::Incarnation};
-use almondlock_node::replicas::Blame;
+use almondlock_node::{clock, replicas::Blame};
 use almondlock_wire::attempt::Head;
 
 use crate::{protocol::Protocol, sidecar::Inner, table::Request};
@@ -87,15 +87,15 @@
     /// for each request.
     async fn blame(&self, present: &[Request], count: u64) {
         let life = Incarnation(self.incarnation.0.wrapping_add(count));
-        let all = present.iter().map(|one| {
-            let blame = Blame {
-                fingerprint: one.fingerprint,
-                organisation: one.organisation.clone(),
-                upstream: self.upstream.clone(),
-                incarnation: life,
-            };
-            async move { self.replicas.blame(&blame, BLAME_TIMEOUT).await }
+        let whole = present.iter().map(|one| Blame {
+            fingerprint: one.fingerprint,
+            organisation: one.organisation.clone(),
+            upstream: self.upstream.clone(),
+            incarnation: life,
         });
+        let passages = self.blamed_passages(present, clock::mono());
+        let all = whole.chain(passages);
+        let all = all.map(async |blame| self.replicas.blame(&blame, BLAME_TIMEOUT).await);
         for result in futures::future::join_all(all).await {
             match result {
                 Ok(revision) => self.handle.heard_revision(revision),
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -25,6 +25,7 @@
 mod outcome;
 pub mod output;
 mod parts;
+mod passages;
 pub mod plain;
 pub mod protocol;
 mod rpc;
--- a/almondlock-sidecar/src/sidecar.rs
+++ b/almondlock-sidecar/src/sidecar.rs
@@ -15,7 +15,7 @@
 use almondlock_node::{Handle, clock, replicas::Replicas};
 use almondlock_policy::{
     ledger::Owner,
-    poison::{self, Treatment},
+    poison::{self, Treatment, answered::Answered},
 };
 use almondlock_telemetry::{metrics::Metrics, trace::Context};
 use almondlock_wire::{
@@ -68,6 +68,8 @@
     pub(crate) replicas: Replicas,
     pub(crate) table: RefCell<Table>,
     pub(crate) death: RefCell<death::Record>,
+    // Passages that prompts with a complete answer began with.
+    pub(crate) answered: RefCell<Answered>,
     rng: RefCell<SmallRng>,
     pub(crate) metrics: Metrics,
     stop: Stop,
@@ -101,6 +103,7 @@
             replicas,
             table: RefCell::new(Table::new(config, incarnation)),
             death: RefCell::default(),
+            answered: RefCell::default(),
             rng: RefCell::new(SmallRng::seed_from_u64(incarnation.0)),
             metrics,
             stop,
@@ -289,6 +292,12 @@
                 retry_after: None,
             });
         }
+        let refused = self.passage_standing(head);
+        refused.map_err(|code| Refusal {
+            code,
+            ran: Ran::No,
+            retry_after: None,
+        })?;
         let known = poison::treat(known, clock::wall());
         let treatment = match known {
             Treatment::Unrestricted if head.suspect => Treatment::SingleSuspect,
--- a/almondlock-sidecar/src/table.rs
+++ b/almondlock-sidecar/src/table.rs
@@ -16,7 +16,7 @@
     gang::{self, Waitlist},
     gate::{self, Action, Gate},
     length::Class,
-    poison::Treatment,
+    poison::{Treatment, passage::Standing},
     prefix,
     queue::{self, Grant, Job, Queue, Room},
 };
@@ -46,6 +46,10 @@
     pub fingerprint: Fingerprint,
     /// Organisation that sent it.
     pub organisation: Organisation,
+    /// Hashes of the prompt's leading parts.
+    pub prefix: Vec<u64>,
+    /// What the records said of its passages when it began to run.
+    pub standing: Standing,
 }
 
 /// State of an attempt, with the channel that tells its task about a change.
@@ -59,7 +63,6 @@
     request: Request,
     /// Engine memory reserved for the attempt once it is granted.
     memory_need: Tokens,
-    prefix: Vec<u64>,
     stage: Stage,
 }
 
@@ -189,11 +192,12 @@
         let request = Request {
             fingerprint: head.fingerprint,
             organisation: head.organisation.clone(),
+            prefix: head.prefix.clone(),
+            standing: Standing::Clear,
         };
         let entry = Entry {
             request,
             memory_need,
-            prefix: head.prefix.clone(),
             stage: Stage::Waiting(sender),
         };
         self.entries.insert(head.attempt.clone(), entry);
@@ -337,16 +341,22 @@
     }
 
     /// Marks a granted attempt as handed to the engine, so that it counts as
-    /// run. The receiver is notified when the entry host cancels it.
+    /// run. `standing` is what the records say of its passages. The receiver
+    /// is notified when the entry host cancels it.
     ///
     /// # Errors
     ///
     /// Refused if the attempt was cancelled meanwhile.
-    pub fn start(&mut self, attempt: &Attempt) -> Result<oneshot::Receiver<()>, Refusal> {
+    pub fn start(
+        &mut self,
+        attempt: &Attempt,
+        standing: Standing,
+    ) -> Result<oneshot::Receiver<()>, Refusal> {
         self.gate.start(attempt)?;
         let (cancel, cancelled) = oneshot::channel();
         if let Some(entry) = self.entries.get_mut(attempt) {
             entry.stage = Stage::Running(cancel);
+            entry.request.standing = standing;
         }
         Ok(cancelled)
     }
@@ -355,7 +365,7 @@
     pub fn end_prefill(&mut self, attempt: &Attempt, now: Mono) {
         self.queue.end_prefill(attempt, now);
         if let Some(entry) = self.entries.get(attempt) {
-            self.prefixes.insert(&entry.prefix);
+            self.prefixes.insert(&entry.request.prefix);
         }
     }
 
--- a/almondlock-sidecar/src/ticket.rs
+++ b/almondlock-sidecar/src/ticket.rs
@@ -159,7 +159,11 @@
             // leaves during the run.
             self.charge = Some(charge.clone());
         }
-        let started = self.inner.table.borrow_mut().start(&self.attempt);
+        let standing = match self.inner.passage_standing(head) {
+            Ok(standing) => standing,
+            Err(code) => return Outcome::refused(code, Some(DEFAULT_RETRY)),
+        };
+        let started = self.inner.table.borrow_mut().start(&self.attempt, standing);
         let cancelled = match started {
             Ok(cancelled) => cancelled,
             Err(refusal) => return refused_outcome(refusal),
@@ -210,6 +214,9 @@
         };
         let inner = Rc::clone(&ticket.inner);
         let mut outcome = inner.resolve_outcome(end, began, flushed).await;
+        if outcome.code.is_none() {
+            inner.clear_passages(head);
+        }
         outcome.queued = queued;
         if let Ok(mut ticket) = Rc::try_unwrap(ticket) {
             ticket.record_outcome(&outcome);
--- a/almondlock-standin/src/batch.rs
+++ b/almondlock-standin/src/batch.rs
@@ -41,6 +41,7 @@
 pub(crate) enum Fault {
     None,
     Crash,
+    CrashWriting,
     Stall,
 }
 
@@ -187,6 +188,8 @@
         let mut budget = self.config.chunk;
         for sequence in &self.running {
             if sequence.is_decoding() {
+                let written = sequence.next - sequence.first;
+                step.crashes |= sequence.fault == Fault::CrashWriting && written >= 2;
                 step.decode.push(sequence.id.clone());
                 continue;
             }
--- a/almondlock-standin/src/complete.rs
+++ b/almondlock-standin/src/complete.rs
@@ -9,7 +9,7 @@
 use crate::{
     answer::{self, Key},
     batch::{Event, Fault, Kind, Sequence},
-    engine::{CRASH_MARKER, Engine, STALL_MARKER},
+    engine::{CRASH_MARKER, Engine, STALL_MARKER, WRITING_CRASH_MARKER},
     http::{self, Refusal},
     kv::Place,
     running::Running,
@@ -171,6 +171,8 @@
 pub(crate) fn fault(prompt: &str) -> Fault {
     if prompt.contains(CRASH_MARKER) {
         Fault::Crash
+    } else if prompt.contains(WRITING_CRASH_MARKER) {
+        Fault::CrashWriting
     } else if prompt.contains(STALL_MARKER) {
         Fault::Stall
     } else {
--- a/almondlock-standin/src/engine.rs
+++ b/almondlock-standin/src/engine.rs
@@ -43,6 +43,9 @@
 /// A prompt with this text kills the engine when its prefill starts.
 pub const CRASH_MARKER: &str = "CRASH-ENGINE";
 
+/// A prompt with this text kills the engine once it has written two tokens of an answer.
+pub const WRITING_CRASH_MARKER: &str = "CRASH-WRITER";
+
 /// A prompt with this text gets one token and then nothing more.
 pub const STALL_MARKER: &str = "STALL-ENGINE";
 
--- a/almondlock-state/src/poison.rs
+++ b/almondlock-state/src/poison.rs
@@ -31,6 +31,11 @@
     limit,
 };
 
+/// Name of the upstream in deaths that stand for a generation: the deaths of all requests with
+/// a common passage that ran before the one before was known. Its incarnation counts the
+/// generations.
+pub const GENERATION: &str = "generation";
+
 /// The death of an upstream, identified by the upstream and the incarnation that ended.
 pub type Death = (Upstream, Incarnation);
 
@@ -179,7 +184,9 @@
             let mut others = self.suspects.iter().filter(|(other, _)| *other != name);
             others.any(|(_, other)| other.deaths.contains(*death))
         };
-        suspect.deaths.iter().filter(|death| !shared(death)).count()
+        let deaths = suspect.deaths.iter();
+        let deaths = deaths.filter(|(upstream, _)| upstream.as_str() != GENERATION);
+        deaths.filter(|death| !shared(death)).count()
     }
 
     /// Evicts the organisation's oldest suspect that isn't refused, if the table is full.
