--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -98,6 +98,12 @@
         help = "at each host one more caller sends streams with a part that crashes each upstream"
     )]
     pub parts: bool,
+    /// New connections go to one host.
+    #[options(
+        no_short,
+        help = "also times in which all new connections go to one entry host"
+    )]
+    pub aim: bool,
     /// Records that were synced are cut.
     #[options(no_short, help = "in place of a torn record, cut one that was synced")]
     pub cut_synced: bool,
@@ -167,6 +173,8 @@
     pub crashing: bool,
     /// At each host one more caller sends streams with a part that crashes upstreams.
     pub parts: bool,
+    /// Also times in which all new connections go to one entry host.
+    pub aim: bool,
     /// In place of a torn record, one that was synced is cut.
     pub cuts_synced: bool,
     /// Faults left out, by number.
@@ -227,6 +235,7 @@
             load: self.load,
             crashing: self.crashing,
             parts: self.parts,
+            aim: self.aim,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
--- a/almondlock-bench/src/soak/caller.rs
+++ b/almondlock-bench/src/soak/caller.rs
@@ -37,16 +37,24 @@
 /// Tokens of a short and of a long prompt.
 const PROMPTS: (u64, u64) = (2_000, 70_000);
 
+/// An entry host as callers know it.
+pub struct Place {
+    /// The link to it.
+    pub address: SocketAddr,
+    /// Counts its starts.
+    pub life: Rc<Cell<u32>>,
+    /// Whether the balancer gives it new connections.
+    pub is_in: Cell<bool>,
+}
+
 /// One caller.
 pub struct Caller {
     /// The run.
     pub world: Rc<World>,
-    /// The entry host's number.
+    /// The number of its own entry host.
     pub host: usize,
-    /// The link to it.
-    pub address: SocketAddr,
-    /// Counts the host's starts.
-    pub life: Rc<Cell<u32>>,
+    /// All entry hosts.
+    pub hosts: Rc<[Place]>,
     /// Keys that ever were.
     pub keys: Vec<String>,
     /// It may send long prompts at any time. The others only while there are faults: two at a
@@ -56,6 +64,8 @@
     pub crashes: Option<Kind>,
     /// It sends without a pause, whatever it is told, until then.
     pub greedy: Option<u64>,
+    /// The host that its open connection leads to.
+    pub opened: Cell<usize>,
 }
 
 impl Caller {
@@ -77,6 +87,17 @@
         }
     }
 
+    /// The host that the next request goes to: its own, or the one that all connections go to.
+    fn target(&self) -> usize {
+        let Some(aimed) = self.world.aimed.get().filter(|_| self.crashes.is_none()) else {
+            return self.host;
+        };
+        let count = self.hosts.len();
+        let mut order = (0..count).map(|n| (aimed + n) % count);
+        let is_in = |host: &usize| self.hosts[*host].is_in.get();
+        order.find(is_in).unwrap_or(aimed)
+    }
+
     fn draw(&self) -> (Duration, Kind) {
         let newest = self.world.acknowledged().map_or(1, |p| p.version);
         let mut rng = self.world.rng.borrow_mut();
@@ -123,14 +144,19 @@
 
     /// Sends one request and notes how it ended. Gives how long to wait before the next.
     async fn send(&self, connection: &mut Option<(TcpStream, Reader)>, kind: Kind) -> Duration {
-        let id = format!("r{}-{}", self.host, self.world.number());
-        let (key, life) = (self.key(), self.life.get());
+        let host = self.target();
+        if self.world.aimed.get().is_some() || self.opened.get() != host {
+            *connection = None;
+        }
+        self.opened.set(host);
+        let id = format!("r{host}-{}", self.world.number());
+        let (key, life) = (self.key(), self.hosts[host].life.get());
         let is_old = self.world.rng.borrow_mut().random_ratio(1, OLD);
         let text = self.text(&id, &key, kind, is_old);
-        let taken = self.connect(connection).await;
+        let taken = self.connect(host, connection).await;
         let Some((mut stream, mut reader)) = taken else {
             let now = self.world.now();
-            self.note(id, (life, kind, key), now, (Outcome::Unsent, None));
+            self.note(id, (host, life, kind, key), now, (Outcome::Unsent, None));
             return Duration::from_millis(100);
         };
         let written = stream.write_all(text.as_bytes()).await;
@@ -154,20 +180,20 @@
                 *connection = Some((stream, reader));
             }
         }
-        self.note(id, (life, kind, key), sent, (outcome, code));
+        self.note(id, (host, life, kind, key), sent, (outcome, code));
         back
     }
 
     fn note(
         &self,
         id: String,
-        (life, kind, key): (u32, Kind, String),
+        (host, life, kind, key): (usize, u32, Kind, String),
         sent: u64,
         (outcome, code): (Outcome, Option<u16>),
     ) {
         self.world.history.borrow_mut().requests.push(Request {
             id,
-            host: self.host,
+            host,
             life,
             kind,
             key,
@@ -180,6 +206,7 @@
 
     async fn connect(
         &self,
+        host: usize,
         connection: &mut Option<(TcpStream, Reader)>,
     ) -> Option<(TcpStream, Reader)> {
         if let Some(open) = connection.take() {
@@ -191,7 +218,7 @@
                 return Some(open);
             }
         }
-        let connecting = timeout(CONNECT, TcpStream::connect(self.address)).await;
+        let connecting = timeout(CONNECT, TcpStream::connect(self.hosts[host].address)).await;
         let stream = connecting.ok()?.ok()?;
         // Only a matter of time.
         let _ = stream.set_nodelay(true);
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -1,6 +1,7 @@
 //! The promises, judged by what was seen. Each check gives its findings; none means that
 //! the promise was kept.
 
+mod aimed;
 mod asked;
 pub mod crashes;
 mod limits;
@@ -75,7 +76,7 @@
 
 /// All checks.
 pub fn all(history: &History, bounds: &Bounds) -> Vec<Finding> {
-    let checks: [(&'static str, Vec<String>); 21] = [
+    let checks: [(&'static str, Vec<String>); 22] = [
         ("once", once(history)),
         ("not-run", not_run(history)),
         ("whole", whole(history)),
@@ -94,6 +95,7 @@
         ("part", crashes::part(history, bounds)),
         ("beside", crashes::beside(history, bounds)),
         ("innocent", crashes::innocent(history)),
+        ("aimed", aimed::aimed(history, bounds)),
         ("evacuated", orders::evacuated(history, bounds)),
         ("cold", orders::cold(history, bounds)),
         ("start", orders::start(history, bounds)),
@@ -324,6 +326,12 @@
     found
 }
 
+/// Whether nothing unplanned was going on, up to `bounds.contact` before.
+fn is_calm(history: &History, (from, to): (u64, u64), bounds: &Bounds) -> bool {
+    let mut unplanned = history.faults.iter().filter(|f| !f.act.is_planned());
+    !unplanned.any(|fault| from < fault.end() + bounds.contact && fault.at <= to)
+}
+
 /// Whether a request got what it is owed. One that crashes upstreams is owed a refusal, and
 /// nothing else.
 fn is_served(request: &Request) -> bool {
--- a/almondlock-bench/src/soak/check/crashes.rs
+++ b/almondlock-bench/src/soak/check/crashes.rs
@@ -5,7 +5,7 @@
     fmt,
 };
 
-use super::Bounds;
+use super::{Bounds, is_calm};
 use crate::soak::history::{Arrival, History, Kind, Outcome, Request};
 
 /// Upstreams that a part may crash before hosts have a bounded time to react.
@@ -45,7 +45,7 @@
         let fifth = crashes.get(DEATHS - 1);
         let late = arrivals.iter().filter(|arrival| {
             let is_late = fifth.is_some_and(|fifth| arrival.at > fifth + bounds.contact);
-            is_late && is_calm(history, arrival.at, arrival.at, bounds)
+            is_late && is_calm(history, (arrival.at, arrival.at), bounds)
         });
         let first = crashes.first().copied().unwrap_or(last);
         let known = fifth.or(crashes.last()).copied().unwrap_or(last);
@@ -74,12 +74,6 @@
     }
 }
 
-/// Whether nothing unplanned was going on, up to `bounds.contact` before.
-fn is_calm(history: &History, from: u64, to: u64, bounds: &Bounds) -> bool {
-    let mut unplanned = history.faults.iter().filter(|f| !f.act.is_planned());
-    !unplanned.any(|fault| from < fault.end() + bounds.contact && fault.at <= to)
-}
-
 /// How many of the streams that were sent in this time, while nothing unplanned went on, were
 /// served.
 fn served(history: &History, bounds: &Bounds, (from, to): (u64, u64)) -> (usize, usize) {
@@ -87,7 +81,7 @@
         let is_within = (from..to).contains(&request.sent);
         request.kind == Kind::Short
             && is_within
-            && is_calm(history, request.sent, request.ended, bounds)
+            && is_calm(history, (request.sent, request.ended), bounds)
     });
     let outcomes: Vec<Outcome> = sound.map(|request| request.outcome).collect();
     let served = outcomes.iter().filter(|o| **o == Outcome::Status(200));
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -4,7 +4,7 @@
 mod losses;
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, OnceCell, RefCell},
     fs,
     io::{self, Write},
     net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
@@ -14,10 +14,11 @@
 };
 
 use rustix::process::Signal;
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::{
-    operator::SLOTS,
+    caller::Place,
+    operator::{SLOTS, call},
     plan::{Act, DOMAINS, Fault},
     process::Process,
     proxy::Proxy,
@@ -32,6 +33,11 @@
 const BASES: std::ops::Range<u8> = 20..220;
 /// A process that has ended is started again after this long.
 const RESTART: Duration = Duration::from_millis(300);
+/// Between two rounds of the balancer's questions, and how long one may take.
+const BALANCE: Duration = Duration::from_millis(400);
+const ASK: Duration = Duration::from_millis(200);
+/// Questions that a host may miss until it gets no new connections.
+const MISSES: u32 = 2;
 /// An upstream that a part of a prompt has crashed is back after this long.
 const RETURN: Duration = Duration::from_secs(2);
 /// How often crashed upstreams are looked for.
@@ -57,6 +63,7 @@
     pub hosts: Vec<Process>,
     /// From callers to each entry host.
     pub callers: Vec<Rc<Proxy>>,
+    places: OnceCell<Rc<[Place]>>,
     upstreams: RefCell<Vec<Rc<Upstream>>>,
     /// Those whose place was taken.
     former: RefCell<Vec<Rc<Upstream>>>,
@@ -80,6 +87,7 @@
             control: Vec::new(),
             hosts: Vec::new(),
             callers: Vec::new(),
+            places: OnceCell::new(),
             upstreams: RefCell::default(),
             former: RefCell::default(),
         };
@@ -212,6 +220,37 @@
         self.upstreams.borrow().get(n).cloned()
     }
 
+    /// The entry hosts as callers know them.
+    pub fn places(&self) -> Rc<[Place]> {
+        let places = self.places.get_or_init(|| {
+            let hosts = self.callers.iter().zip(&self.hosts);
+            let places = hosts.map(|(link, process)| Place {
+                address: link.address,
+                life: Rc::clone(&process.life),
+                is_in: Cell::new(true),
+            });
+            places.collect()
+        });
+        Rc::clone(places)
+    }
+
+    /// Looks which entry hosts are ready, as a balancer does: one that misses two questions in
+    /// a row gets no new connections until it answers.
+    pub async fn balance(&self) {
+        let places = self.places();
+        let mut misses = vec![0; places.len()];
+        while !self.world.over.get() {
+            for (n, place) in places.iter().enumerate() {
+                let ready = SocketAddr::new(self.host(n), PORTS[5]);
+                let answer = timeout(ASK, call(ready, "GET", "/readyz", "")).await;
+                let is_ready = matches!(answer, Ok(Ok(answer)) if answer.status == 200);
+                misses[n] = if is_ready { 0 } else { misses[n] + 1 };
+                place.is_in.set(misses[n] < MISSES);
+            }
+            sleep(BALANCE).await;
+        }
+    }
+
     /// Does what a fault says, for as long as it says.
     pub async fn act(&self, fault: &Fault) -> io::Result<()> {
         let length = Duration::from_millis(fault.length);
@@ -286,6 +325,12 @@
                 }
                 Ok(())
             }
+            Act::Aim(n) => {
+                self.world.aimed.set(Some(n));
+                sleep(length).await;
+                self.world.aimed.set(None);
+                Ok(())
+            }
             // The operator's, or callers'.
             Act::Publish | Act::Storm(_) | Act::Revoke | Act::Evacuate(_) | Act::Greedy(_) => {
                 Ok(())
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -33,7 +33,8 @@
 pub mod world;
 
 use std::{
-    collections::BTreeMap, fmt, fs, io, path::PathBuf, process::ExitCode, rc::Rc, time::Duration,
+    cell::Cell, collections::BTreeMap, fmt, fs, io, path::PathBuf, process::ExitCode, rc::Rc,
+    time::Duration,
 };
 
 use futures::future::join_all;
@@ -221,6 +222,9 @@
         if self.load {
             plan::draw_load(self.seed, millis, self.size, &mut faults);
         }
+        if self.aim {
+            plan::draw_aims(self.seed, millis, self.size, &mut faults);
+        }
         if self.pauses {
             plan::draw_pauses(self.seed, millis, self.size, &mut faults);
         }
@@ -304,17 +308,17 @@
     }
     fleet.founded()?;
     world.serving.set(true);
-    for (host, link) in fleet.callers.iter().enumerate() {
+    for host in 0..fleet.hosts.len() {
         for place in 0..setup.callers {
             let caller = Caller {
                 world: Rc::clone(world),
                 host,
-                address: link.address,
-                life: Rc::clone(&fleet.hosts[host].life),
+                hosts: fleet.places(),
                 keys: keys.clone(),
                 leads: host == 0 && place == 0,
                 crashes: None,
                 greedy: None,
+                opened: Cell::new(host),
             };
             spawn_local(caller.run());
         }
@@ -334,6 +338,8 @@
     }
     let tended = Rc::clone(&fleet);
     spawn_local(async move { tended.tend().await });
+    let balanced = Rc::clone(&fleet);
+    spawn_local(async move { balanced.balance().await });
     spawn_local(read(Rc::clone(world), Rc::clone(&operator)));
     disturb(world, &fleet, &operator, faults, keys).await?;
     recover(world, &fleet, &operator).await;
@@ -345,12 +351,12 @@
     let caller = Caller {
         world: Rc::clone(world),
         host,
-        address: fleet.callers[host].address,
-        life: Rc::clone(&fleet.hosts[host].life),
+        hosts: fleet.places(),
         keys,
         leads: false,
         crashes: Some(kind),
         greedy: None,
+        opened: Cell::new(host),
     };
     spawn_local(caller.run());
 }
@@ -380,12 +386,12 @@
     let callers = (0..GREEDY).map(|_| Caller {
         world: Rc::clone(world),
         host,
-        address: fleet.callers[host].address,
-        life: Rc::clone(&fleet.hosts[host].life),
+        hosts: fleet.places(),
         keys: vec![key.clone()],
         leads: false,
         crashes: None,
         greedy: Some(until),
+        opened: Cell::new(host),
     });
     join_all(callers.map(Caller::run)).await;
 }
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -17,6 +17,9 @@
 /// Milliseconds that a fault lasts.
 const LENGTH: std::ops::Range<u64> = 300..3_500;
 
+/// Milliseconds for which all new connections go to one host.
+const AIMED: std::ops::Range<u64> = 6_000..8_000;
+
 /// Milliseconds of a pause that an upstream asks for.
 const PAUSE: std::ops::Range<u64> = 800..4_000;
 
@@ -96,6 +99,9 @@
     Restart(usize),
     /// All processes are killed at once, and started again.
     KillAll,
+    /// All new connections of callers go to one entry host, or to the next one that is in
+    /// while that is out, and callers open one for each request.
+    Aim(usize),
 }
 
 impl Act {
@@ -113,6 +119,7 @@
                 | Act::Greedy(_)
                 | Act::Revoke
                 | Act::Evacuate(_)
+                | Act::Aim(_)
         )
     }
 
@@ -253,6 +260,23 @@
     faults.sort_by_key(|fault| fault.at);
 }
 
+/// Adds to a plan, from the same seed: times in which all new connections go to one host.
+pub fn draw_aims(seed: u64, millis: u64, size: Size, faults: &mut Vec<Fault>) {
+    let mut rng = SmallRng::seed_from_u64(seed.rotate_left(48));
+    let mut at = CALM + AIMED.start / 2;
+    while at < millis {
+        let length = rng.random_range(AIMED);
+        push(
+            faults,
+            at,
+            length,
+            Act::Aim(rng.random_range(0..size.hosts)),
+        );
+        at += length + rng.random_range(AIMED) / 2;
+    }
+    faults.sort_by_key(|fault| fault.at);
+}
+
 fn push(faults: &mut Vec<Fault>, at: u64, length: u64, act: Act) {
     let numbers = faults.iter().map(|fault| fault.number + 1);
     let number = numbers.max().unwrap_or(0);
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -90,6 +90,8 @@
     pub serving: Cell<bool>,
     /// Keys that were taken away are no longer tried, nor are old versions.
     pub quiet: Cell<bool>,
+    /// The entry host that all new connections go to.
+    pub aimed: Cell<Option<usize>>,
     /// No more requests are begun.
     pub over: Cell<bool>,
     /// Numbers for upstreams and requests.
@@ -112,6 +114,7 @@
             plant: setup.plant,
             serving: Cell::new(false),
             quiet: Cell::new(false),
+            aimed: Cell::new(None),
             over: Cell::new(false),
             next: Cell::new(1),
         })
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -23,6 +23,7 @@
         load: false,
         crashing: false,
         parts: false,
+        aim: false,
         cuts_synced: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
@@ -121,6 +122,19 @@
     );
 }
 
+/// Guards against an entry host that serves less while all new connections go to it.
+#[test]
+fn connections_aimed() {
+    let setup = Setup {
+        planned: true,
+        aim: true,
+        ..setup(1, 12)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+}
+
 fn replaced(seed: u64) {
     let setup = Setup {
         planned: true,
