Send no second attempt to an upstream that hasn't answered since it failed

What callers saw: 502 after two attempts at upstreams that had been dead for seconds and were still in the configuration. A failed upstream is avoided for 2.5 s and then tried by the next request that comes; two that died together are due together, and the request that found the first one dead was sent to the second.

A request that failed once now goes to an upstream that has answered since it last failed, for 10 s after its 2.5 s are over, if there is one.

--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -52,6 +52,10 @@
 /// then a crashed upstream was replaced or has come back.
 const SUSPECT_TIME: Duration = Duration::from_millis(2500);
 
+/// Time after that for which no second attempt goes to an upstream that has not answered
+/// since. By then one that is dead was withdrawn.
+const FAILURE_RETENTION: Duration = Duration::from_secs(10);
+
 /// An upstream instance that requests may be sent to.
 #[derive(Clone, Debug)]
 pub(crate) struct Target {
@@ -100,7 +104,7 @@
     pub(crate) versions: RefCell<Current>,
     /// Retry budgets.
     budgets: RefCell<HashMap<Service, Budget>>,
-    /// Failed upstreams, and until when they are avoided.
+    /// Upstreams that have not answered since they failed, and until when they are avoided.
     suspects: RefCell<HashMap<Upstream, Mono>>,
     /// Recent mean backlogs of the services' engines.
     backlogs: RefCell<HashMap<Service, Backlog>>,
@@ -326,7 +330,10 @@
         tried: &[Upstream],
         full: &[Upstream],
     ) -> Candidate {
-        let suspect = tried.contains(&target.name) || self.is_suspect(now, &target.name);
+        // A request that failed once is not the one to find out which upstreams are back.
+        let is_unproven = !tried.is_empty() && self.has_failed(now, &target.name);
+        let suspect =
+            tried.contains(&target.name) || self.is_suspect(now, &target.name) || is_unproven;
         let (rate, ejected) = self.pacing.rate_and_ejection(&target.name);
         Candidate {
             total: self.load.borrow().total(now, &target.name),
@@ -347,11 +354,19 @@
         suspects.get(name).is_some_and(|until| now < *until)
     }
 
+    /// Returns whether an upstream failed lately and has not answered since.
+    fn has_failed(&self, now: Mono, name: &Upstream) -> bool {
+        let suspects = self.suspects.borrow();
+        let until = suspects.get(name);
+        until.is_some_and(|until| now < *until + FAILURE_RETENTION)
+    }
+
     /// Avoids an upstream that failed for a while, and drops its idle connections.
     pub(crate) fn mark_suspect(&self, now: Mono, name: &Upstream) {
         let mut suspects = self.suspects.borrow_mut();
-        suspects.retain(|_, until| now < *until);
-        if suspects.insert(name.clone(), now + SUSPECT_TIME).is_none() {
+        suspects.retain(|_, until| now < *until + FAILURE_RETENTION);
+        let last = suspects.insert(name.clone(), now + SUSPECT_TIME);
+        if last.is_none_or(|until| until <= now) {
             tracing::info!(
                 upstream = %name, for_ms = SUSPECT_TIME.as_millis(),
                 "upstream avoided after a failure"
