Don't give up a silent upstream on the last attempt

Whether a silent upstream is given up was decided by the route's kind and the retry budget alone, so that it was given up, and the budget charged, also where no attempt was left to take over.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -193,7 +193,9 @@
     let left = request.time_left(now);
     let sent = Sent::new(worker, request, (&choice, &target.name), after);
     let exchange = exchange(worker, request, connection, &head);
-    let result = match timeout(left, wait_or_give_up(worker, request, &resources, exchange)).await {
+    let is_last = !history.has_attempt_left(request, false);
+    let exchange = wait_or_give_up(worker, request, &resources, is_last, exchange);
+    let result = match timeout(left, exchange).await {
         Ok(Some(result)) => result,
         Ok(None) | Err(_) => {
             return Err(Fault::new(
@@ -263,12 +265,14 @@
 /// Waits for an upstream that may be silent.
 ///
 /// Returns `None` if the upstream was silent for too long and is given up. That requires
-/// that the request may be repeated and that the retry budget allows it. Otherwise waiting
-/// on is the best option left, but the memory on helpers is released.
+/// that the request may be repeated, that this isn't its last attempt, and that the retry
+/// budget allows it. Otherwise waiting on is the best option left, but the memory on helpers
+/// is released.
 pub(crate) async fn wait_or_give_up<D, F, T>(
     worker: &Worker<D>,
     request: &Request,
     resources: &Resources<D>,
+    is_last: bool,
     work: F,
 ) -> Option<T>
 where
@@ -280,7 +284,7 @@
     if let Ok(done) = timeout(patience, &mut work).await {
         return Some(done);
     }
-    let repeatable = request.route.kind.is_idempotent();
+    let repeatable = request.route.kind.is_idempotent() && !is_last;
     if repeatable && worker.try_take_retry(clock::mono(), &request.service) {
         return None;
     }
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -164,6 +164,13 @@
         self.ran.unwrap_or(Ran::No)
     }
 
+    /// Returns whether another attempt may follow the present one. `counted` tells whether the
+    /// present one is in `runs` already.
+    pub(crate) fn has_attempt_left(&self, request: &Request, counted: bool) -> bool {
+        let runs = self.runs + u32::from(!counted);
+        runs < request.route.attempts && self.tried.len() + 1 < MAX_ATTEMPTS
+    }
+
     /// Adds a failed attempt, and takes its answer over.
     fn record(&mut self, fault: &mut Fault) {
         self.ran = Some(failure::merge_ran(self.ran(), fault.failure));
@@ -195,7 +202,7 @@
         let begun = clock::mono();
         let mut fault = match attempt(&worker, &request, &history, request.last_event).await {
             Ok(run) if request.route.kind.is_stream() => {
-                match begin_stream(&worker, &request, run).await {
+                match begin_stream(&worker, &request, &history, run).await {
                     Ok(mut stream) => {
                         history.runs += 1;
                         stream.history = history;
@@ -374,6 +381,7 @@
 async fn begin_stream<D>(
     worker: &Rc<Worker<D>>,
     request: &Rc<Request>,
+    history: &History,
     mut run: Run<D>,
 ) -> Result<Stream<D>, Fault>
 where
@@ -382,9 +390,10 @@
     let mut splitter = Splitter::new();
     let left = request.time_left(clock::mono());
     let first = read_first_event(&mut run.connection, &mut splitter);
+    let is_last = !history.has_attempt_left(request, false);
     let first = match timeout(
         left,
-        wait_or_give_up(worker, request, &run.resources, first),
+        wait_or_give_up(worker, request, &run.resources, is_last, first),
     )
     .await
     {
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -168,10 +168,16 @@
         };
         let left = self.request.time_left(clock::mono());
         let fault = |failure, reason: &str| Fault::new(failure, Some(&run.upstream), reason);
+        let is_last = !self.history.has_attempt_left(&self.request, true);
         loop {
             let chunk = run.connection.next_chunk();
-            let chunk =
-                attempt::wait_or_give_up(&self.worker, &self.request, &run.resources, chunk);
+            let chunk = attempt::wait_or_give_up(
+                &self.worker,
+                &self.request,
+                &run.resources,
+                is_last,
+                chunk,
+            );
             let chunk = match timeout(left, chunk).await {
                 Ok(Some(Ok(chunk))) => chunk,
                 Ok(Some(Err(error))) => return Err(Fault::from_error(&error, &run.upstream)),
@@ -297,7 +303,10 @@
     async fn read_resumed(&mut self, run: &mut Run<D>) -> Result<Bytes, Fault> {
         let left = self.request.time_left(clock::mono());
         let events = request::read_first_event(&mut run.connection, &mut self.splitter);
-        let events = attempt::wait_or_give_up(&self.worker, &self.request, &run.resources, events);
+        let is_last = !self.history.has_attempt_left(&self.request, true);
+        let resources = &run.resources;
+        let events =
+            attempt::wait_or_give_up(&self.worker, &self.request, resources, is_last, events);
         match timeout(left, events).await {
             Ok(Some(Ok(events))) => Ok(events),
             Ok(Some(Err(error))) => Err(Fault::from_error(&error, &run.upstream)),
