Try requests of another organisation with a refused part one at a time

Each host now lets one of them run; until that one was answered or lost the others are told to come back after a second. If it is answered, the host's word lifts the refusal.

Tests: other_organisation_tried, other_organisation_answered.

--- a/almondlock-policy/src/poison/profile.rs
+++ b/almondlock-policy/src/poison/profile.rs
@@ -54,8 +54,13 @@
 
     /// Returns whether a request has all that the rule names.
     pub fn matches(&self, profile: &Profile) -> bool {
+        let is_same = self.organisation.is_none_or(|o| o == profile.organisation);
+        is_same && self.matches_prints(profile)
+    }
+
+    /// Returns whether a request of any organisation has all fingerprints that the rule names.
+    pub fn matches_prints(&self, profile: &Profile) -> bool {
         let mut prints = self.prints.iter();
-        self.organisation.is_none_or(|o| o == profile.organisation)
-            && prints.all(|print| profile.prints.contains(print))
+        prints.all(|print| profile.prints.contains(print))
     }
 }
--- a/almondlock-policy/src/poison/refusal.rs
+++ b/almondlock-policy/src/poison/refusal.rs
@@ -2,7 +2,8 @@
 //!
 //! Relays tell hosts which requests to refuse and which to watch. Once the time of a refusal
 //! is over, one request at a time is tried: until it was answered, the others stay refused.
-//! Hosts end a refusal at different times, so that not all of them try at once.
+//! Hosts end a refusal at different times, so that not all of them try at once. While requests
+//! of one organisation are refused, others' are tried in the same way.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -102,7 +103,10 @@
         let suspected = prints.filter(|print| self.entries.contains_key(print));
         let suspected: Vec<Fingerprint> = suspected.collect();
         for print in &suspected {
-            let is_over = |entry: &Entry| entry.until.is_none_or(|until| until <= now);
+            let is_over = |entry: &Entry| {
+                let is_other = !entry.rule.matches(profile);
+                is_other || entry.until.is_none_or(|until| until <= now)
+            };
             if self.entries.get(print).is_some_and(is_over) {
                 self.entries.remove(print);
             }
@@ -133,12 +137,14 @@
             return Verdict::Clear;
         };
         let mut strictest = None;
+        let mut is_concerned = false;
         for print in &profile.prints {
             let Some(entry) = self.entries.get(print) else {
                 continue;
             };
-            if entry.rule.matches(profile) {
-                strictest = strictest.max(Some((entry.wait(now, whole), *print)));
+            if let Some(wait) = entry.wait(now, profile, whole) {
+                is_concerned |= entry.rule.matches(profile);
+                strictest = strictest.max(Some((wait, *print)));
             }
         }
         match strictest {
@@ -148,11 +154,14 @@
         }
         for print in &profile.prints {
             let entry = self.entries.get_mut(print);
-            if let Some(entry) = entry.filter(|entry| entry.rule.matches(profile)) {
+            if let Some(entry) = entry.filter(|e| e.wait(now, profile, whole).is_some()) {
                 entry.tried = Some((now, *whole));
             }
         }
-        Verdict::Watched
+        match is_concerned {
+            true => Verdict::Watched,
+            false => Verdict::Clear,
+        }
     }
 
     /// Returns whether a request is suspected for one of these fingerprints of it. Unlike
@@ -167,8 +176,9 @@
     pub fn record_loss(&mut self, now: Mono, profile: &Profile) {
         for print in &profile.prints {
             let entry = self.entries.get_mut(print);
-            let entry = entry.filter(|entry| entry.rule.matches(profile));
+            let entry = entry.filter(|entry| entry.rule.matches_prints(profile));
             if let Some(entry) = entry.filter(|entry| entry.until.is_some()) {
+                entry.rule.narrow(profile);
                 entry.until = Some(now + REFUSAL_TIME + self.spread);
                 entry.tried = None;
             }
@@ -185,18 +195,25 @@
 }
 
 impl Entry {
-    /// Returns the time until a request may run, whose own fingerprint is `whole`. Zero if it
-    /// may run now.
-    fn wait(&self, now: Mono, whole: &Fingerprint) -> Duration {
+    /// Returns the time until a request may run, whose own fingerprint is `whole`: zero if it
+    /// may run now, and `None` if it isn't concerned.
+    fn wait(&self, now: Mono, profile: &Profile, whole: &Fingerprint) -> Option<Duration> {
+        if !self.rule.matches_prints(profile) {
+            return None;
+        }
+        let is_own = self.rule.matches(profile);
         let Some(until) = self.until else {
-            return Duration::ZERO;
+            return is_own.then_some(Duration::ZERO);
         };
-        let is_other_tried = self.tried.is_some_and(|(at, other)| {
-            at >= until && now.since(at) < TRIAL_TIME && other != *whole
-        });
-        match now >= until && is_other_tried {
-            true => TRIAL_RETRY,
-            false => until.since(now),
+        let is_other_tried = self
+            .tried
+            .is_some_and(|(at, other)| now.since(at) < TRIAL_TIME && other != *whole);
+        if is_own && now < until {
+            return Some(until.since(now));
         }
+        Some(match is_other_tried {
+            true => TRIAL_RETRY,
+            false => Duration::ZERO,
+        })
     }
 }
--- a/almondlock-policy/tests/crashing_parts.rs
+++ b/almondlock-policy/tests/crashing_parts.rs
@@ -320,6 +320,39 @@
     assert_eq!(table.verdict(end, &other), Verdict::Clear);
 }
 
+/// Guards against a part that crashes an upstream for each request of another organisation
+/// that comes before the first of them was lost.
+#[test]
+fn other_organisation_tried() {
+    let (mut table, _) = refused_table(1);
+    let (first, second) = (profile("other", 3, &["bad"]), profile("other", 4, &["bad"]));
+    assert_eq!(table.verdict(START, &first), Verdict::Clear);
+    assert!(matches!(
+        table.verdict(START, &second),
+        Verdict::Refused(..)
+    ));
+    table.record_loss(START, &first);
+    let later = START + PAUSE * 50;
+    assert!(matches!(
+        table.verdict(later, &second),
+        Verdict::Refused(..)
+    ));
+    assert!(matches!(
+        table.verdict(later, &profile("third", 5, &["bad"])),
+        Verdict::Refused(..)
+    ));
+}
+
+/// The same, where the part crashes nothing.
+#[test]
+fn other_organisation_answered() {
+    let (mut table, _) = refused_table(1);
+    let (first, second) = (profile("other", 3, &["bad"]), profile("other", 4, &["bad"]));
+    assert_eq!(table.verdict(START, &first), Verdict::Clear);
+    assert_eq!(table.record_answer(START, &first), [part("bad")]);
+    assert_eq!(table.verdict(START, &second), Verdict::Clear);
+}
+
 /// Hosts end a refusal at different times.
 #[test]
 fn spread_ends() {
