Soak: judge what a part crashes in the recovery by its own checks

The check of the recovery asked that each request be served 12 s after the last fault, also those that ran on an upstream as a request with a crashing part crashed it. These requests alone are left to the checks part and beside, which count them; whatever met an upstream that was dead already still has to be served.

--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -295,13 +295,15 @@
     over.into_iter().collect()
 }
 
-/// Everything is served again in its time once the last fault is over.
+/// Everything is served again in its time once the last fault is over. What ran on an upstream
+/// as a part of a prompt crashed it is judged by `part` and `beside`.
 fn recovery(history: &History, bounds: &Bounds) -> Vec<String> {
     let from = history.healed + bounds.recovery;
     let late: Vec<&Request> = history.requests.iter().filter(|r| r.sent > from).collect();
+    let crashed = crashes::lost(history);
     let mut found: Vec<String> = late
         .iter()
-        .filter(|request| !is_served(request))
+        .filter(|request| !is_served(request) && !crashed.contains(&*request.id))
         .map(|request| {
             format!(
                 "request {} of {} ms, {} ms after the last fault: {:?}",
--- a/almondlock-bench/src/soak/check/crashes.rs
+++ b/almondlock-bench/src/soak/check/crashes.rs
@@ -74,6 +74,22 @@
     }
 }
 
+/// The requests that ran on an upstream when a request with such a part crashed it, that one
+/// included.
+pub(super) fn lost(history: &History) -> HashSet<&str> {
+    let asked = history.requests.iter().filter(|r| r.kind == Kind::Part);
+    let asked: HashSet<&str> = asked.map(|request| &*request.id).collect();
+    let crashing = history.arrivals.iter().filter(|a| asked.contains(&*a.id));
+    let crashes: HashMap<usize, u64> = crashing
+        .filter_map(|arrival| Some((arrival.upstream, arrival.crashed?)))
+        .collect();
+    let lost = history.arrivals.iter().filter(|arrival| {
+        let crash = crashes.get(&arrival.upstream);
+        arrival.is_broken && crash.is_some_and(|at| arrival.at <= *at)
+    });
+    lost.map(|arrival| &*arrival.id).collect()
+}
+
 /// How many of the streams that were sent in this time, while nothing unplanned went on, were
 /// served.
 fn served(history: &History, bounds: &Bounds, (from, to): (u64, u64)) -> (usize, usize) {
