--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -1,6 +1,8 @@
 //! A stand-in upstream of the users' platform: a plain service or an engine without
 //! inference. It tells the history what it ran.
 
+mod orders;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -10,7 +12,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
-use almondlock_platform::counterpart::{Beat, Order, beat, instance, order};
+use almondlock_platform::counterpart::{Beat, beat, instance, order};
 use rand::Rng;
 use tokio::{
     io::AsyncWriteExt,
@@ -36,8 +38,6 @@
 const COLD: u64 = 3_000;
 /// How long an upstream serves on after it has said that it leaves.
 const LEAVING: Duration = Duration::from_millis(3_000);
-/// Tokens that fit into an engine.
-const MEMORY: u64 = 100_000;
 /// Between two events of a stream.
 const EVENT: Duration = Duration::from_millis(25);
 /// A slow upstream takes so many times as long.
@@ -463,39 +463,6 @@
             "HTTP/1.1 {status} X\r\n{request}: {id}\r\n{not_run}: 1\r\n{more}content-length: 0\r\n\r\n"
         )
     }
-
-    fn order(&self, order: &Order) -> String {
-        let now = self.world.now();
-        let mut memory = self.memory.borrow_mut();
-        memory.retain(|_, (_, until)| now < *until);
-        let status = match order {
-            Order::Reserve {
-                id,
-                tokens,
-                hold_ms,
-            } => {
-                let others = memory.iter().filter(|(name, _)| *name != id);
-                let held: u64 = others.map(|(_, (tokens, _))| tokens).sum();
-                match held + tokens <= MEMORY {
-                    true => {
-                        memory.insert(id.clone(), (*tokens, now + hold_ms));
-                        200
-                    }
-                    false => 409,
-                }
-            }
-            Order::Release { id } => {
-                if self.world.plant == Some(Plant::Leak) {
-                    let kept = memory.get_mut(id);
-                    kept.into_iter().for_each(|(_, until)| *until = u64::MAX);
-                } else {
-                    memory.remove(id);
-                }
-                200
-            }
-        };
-        format!("HTTP/1.1 {status} X\r\ncontent-length: 2\r\n\r\n{{}}")
-    }
 }
 
 /// The time of day; before 1970 it counts as then.
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -22,6 +22,8 @@
 //! A request is refused for [`REFUSAL_TIME`] after the last death and may then be tried
 //! once: one more death refuses it again.
 
+mod suspect;
+
 use std::{
     collections::{BTreeSet, HashMap},
     hash::Hash,
@@ -30,6 +32,7 @@
 
 use almondlock_base::{id::Fingerprint, time::Mono};
 
+use self::suspect::{End, Suspect};
 use super::profile::{Profile, Rule};
 
 /// Number of deaths from which on a request is refused.
@@ -43,21 +46,13 @@
 pub const APPEAL_TIME: Duration = Duration::from_millis(200);
 /// Time after a death within which hosts report all requests that were lost with it.
 const REPORT_TIME: Duration = Duration::from_millis(50);
-/// Time for which deaths count that are too few to refuse the request.
-const SUSPICION_TIME: Duration = Duration::from_secs(600);
 /// Maximum number of fingerprints that are remembered; the oldest are forgotten first.
 pub const MAX_SUSPECTS: usize = 4_096;
-/// Maximum number of lives that are remembered of each fingerprint.
-const MAX_LIVES: usize = 16;
 /// Time without a loss after which a lost life no longer counts as dead. It is longer than
 /// the time for which hosts pass over a failed upstream before they try it again.
 const LOSS_RETENTION: Duration = Duration::from_secs(3);
 /// Time by which a death may be known later than it happened.
 const DETECTION_DELAY: Duration = Duration::from_millis(20);
-/// Time after a death within which further ones belong to the same fault.
-const MIN_GAP: Duration = Duration::from_millis(50);
-/// Time after a death from which on a further one counts whenever its request was sent.
-const MAX_GAP: Duration = Duration::from_millis(250);
 
 /// A request that was lost with an upstream.
 #[derive(Clone, Debug)]
@@ -70,117 +65,6 @@
     pub sent: Mono,
 }
 
-/// The loss of a life.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct End<L> {
-    life: L,
-    /// Time at which the life was first lost. It tells this loss from a later one of a life
-    /// that had only lost connections.
-    at: Mono,
-}
-
-/// A fingerprint that upstreams were lost with.
-#[derive(Clone, Debug)]
-struct Suspect<L> {
-    /// The lives that were lost with it, and the age of the oldest request on each.
-    ///
-    /// Invariant: at most [`MAX_LIVES`], no life twice.
-    ends: Vec<(End<L>, Duration)>,
-    /// The lives whose loss counts as a death.
-    ///
-    /// Invariant: at most [`MAX_LIVES`], none twice.
-    deaths: Vec<L>,
-    /// Time of the last death.
-    last: Mono,
-    /// Time of the death from which on the fingerprint is watched.
-    watched: Mono,
-    /// What the lost requests have in common.
-    ///
-    /// Invariant: names the fingerprint itself.
-    rule: Rule,
-    /// Time at which the deaths were enough and no other fingerprint explained them.
-    proven: Option<Mono>,
-    /// Whether losses that were reported later can't change that any more.
-    is_final: bool,
-}
-
-impl<L> Suspect<L>
-where
-    L: Clone + PartialEq,
-{
-    fn new(profile: &Profile) -> Suspect<L> {
-        Suspect {
-            ends: Vec::new(),
-            deaths: Vec::new(),
-            last: Mono::ZERO,
-            watched: Mono::ZERO,
-            rule: Rule::of(profile),
-            proven: None,
-            is_final: false,
-        }
-    }
-
-    fn is_refused(&self, now: Mono) -> bool {
-        self.proven.is_some() && now.since(self.last) < REFUSAL_TIME
-    }
-
-    /// Returns the time for which the request is remembered after its last death.
-    fn retention(&self) -> Duration {
-        match self.proven {
-            None => SUSPICION_TIME,
-            // Once the request may run again, its deaths count as long as they did before.
-            Some(_) => REFUSAL_TIME * 2,
-        }
-    }
-
-    /// Records that a life ended, with a request that was sent at `sent`.
-    fn record_end(&mut self, now: Mono, end: End<L>, sent: Mono) -> Count {
-        let age = now.since(sent);
-        let mut known = self.ends.iter_mut();
-        if let Some((_, oldest)) = known.find(|(other, _)| other.life == end.life) {
-            *oldest = age.max(*oldest);
-            return Count::Repeated;
-        }
-        self.ends.push((end.clone(), age));
-        if self.ends.len() > MAX_LIVES {
-            self.ends.remove(0);
-        }
-        let gap = now.since(self.last);
-        let is_later = sent + DETECTION_DELAY >= self.last && gap >= MIN_GAP;
-        if !is_later && gap < MAX_GAP {
-            return Count::Overlapping;
-        }
-        self.last = now;
-        self.deaths.push(end.life);
-        if self.deaths.len() == WATCH_DEATHS {
-            self.watched = now;
-        }
-        if self.deaths.len() > MAX_LIVES {
-            self.deaths.remove(0);
-        }
-        Count::Death
-    }
-
-    /// Returns whether `other` was lost on each life that this one was lost on.
-    fn is_covered_by(&self, other: &Suspect<L>) -> bool {
-        let ended = |end: &End<L>| other.ends.iter().any(|(other, _)| other == end);
-        self.ends.iter().all(|(end, _)| ended(end))
-    }
-
-    /// Returns the sum of the ages of the requests that were lost.
-    fn total_age(&self) -> Duration {
-        self.ends.iter().map(|(_, age)| *age).sum()
-    }
-
-    /// Forgets that these lives ended.
-    fn forget(&mut self, ends: &[End<L>]) {
-        self.ends.retain(|(end, _)| !ends.contains(end));
-        let left = &self.ends;
-        let is_left = |life: &L| left.iter().any(|(end, _)| end.life == *life);
-        self.deaths.retain(is_left);
-    }
-}
-
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
--- a/almondlock-sidecar/src/lib.rs
+++ b/almondlock-sidecar/src/lib.rs
@@ -27,6 +27,7 @@
 mod parts;
 mod passages;
 pub mod plain;
+mod prefixes;
 pub mod protocol;
 mod rpc;
 pub mod sidecar;
--- a/almondlock-sidecar/src/table.rs
+++ b/almondlock-sidecar/src/table.rs
@@ -1,10 +1,7 @@
 //! The attempts at one upstream: which wait, which run, and how much memory and
 //! how many batch slots are free. No I/O; the current time is an argument.
 
-use std::{
-    collections::{HashMap, HashSet, VecDeque},
-    time::Duration,
-};
+use std::{collections::HashMap, time::Duration};
 
 use almondlock_base::{
     Code, Ran,
@@ -23,10 +20,10 @@
 use almondlock_wire::attempt::{Head, Load, Part};
 use tokio::sync::oneshot;
 
+use crate::prefixes::Prefixes;
+
 /// Time after which a caller may retry when memory could not be reserved.
 const MEMORY_RETRY_AFTER: Duration = Duration::from_secs(5);
-/// Maximum number of prefix hashes remembered as cached on the engine.
-const MAX_KNOWN_PREFIXES: usize = 8192;
 
 /// The reason why an attempt doesn't run, and whether a copy of it ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,33 +105,6 @@
     prefixes: Prefixes,
 }
 
-/// Prefixes that the engine has probably cached. A bounded hint: the oldest are
-/// forgotten first.
-#[derive(Default)]
-struct Prefixes {
-    known: HashSet<u64>,
-    order: VecDeque<u64>,
-}
-
-impl Prefixes {
-    fn insert(&mut self, prefix: &[u64]) {
-        for hash in prefix {
-            if self.known.insert(*hash) {
-                self.order.push_back(*hash);
-            }
-        }
-        while self.order.len() > MAX_KNOWN_PREFIXES {
-            let oldest = self.order.pop_front();
-            oldest.map(|hash| self.known.remove(&hash));
-        }
-    }
-
-    fn count_leading(&self, prefix: &[u64]) -> u32 {
-        let leading = prefix.iter().take_while(|h| self.known.contains(h));
-        u32::try_from(leading.count()).unwrap_or(u32::MAX)
-    }
-}
-
 impl Table {
     /// Creates an empty table for one incarnation of a sidecar.
     pub fn new(config: Config, incarnation: Incarnation) -> Table {
