Keep the wider of two relays' refusals

A host that was told by one relay to refuse a part, and by another that the part is only suspected, or is refused together with parts that relay has heard no answer of, took the later one's rule: the refusal changed each second to requests that have more in common. The rule that names less stands while the refusal lasts. Found in the read-through; test relay_knows_less, written with the fix: both cases fail where the rule is replaced.

--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -26,7 +26,8 @@
 //! **Other messages.** Limits that upstreams name for all hosts are exchanged in the same
 //! way, and the relays grant permits to send to such upstreams ([`Limiter`]). Hosts also
 //! report to all relays which requests upstreams were lost with, so that the relays can
-//! have all hosts refuse such a request ([`Suspects`]). Where the settings ask for it,
+//! have all hosts refuse such a request, and others that share what is to blame
+//! ([`Suspects`]). Where the settings ask for it,
 //! hosts report what they observe of upstreams' pace, and the relays send them what all
 //! hosts observed ([`Paces`]).
 //!
--- a/almondlock-gateway/src/exchange/suspects.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -125,15 +125,14 @@
 
     fn suspect(&self, now: Mono, print: Fingerprint) -> Suspect {
         let standing = self.tally.status(now, &print);
-        let is_final = self.tally.is_final(&print);
+        let refused_ms = match standing {
+            Status::Refused(left) if self.tally.is_final(&print) => Some(millis(left)),
+            Status::Clear | Status::Watched | Status::Refused(_) => None,
+        };
         Suspect {
             print,
-            refused_ms: match standing {
-                Status::Refused(left) if is_final => Some(millis(left)),
-                Status::Clear | Status::Watched | Status::Refused(_) => None,
-            },
-            watched: matches!(standing, Status::Watched)
-                || (standing != Status::Clear && !is_final),
+            refused_ms,
+            watched: standing != Status::Clear && refused_ms.is_none(),
         }
     }
 
--- a/almondlock-policy/src/poison/profile.rs
+++ b/almondlock-policy/src/poison/profile.rs
@@ -52,6 +52,12 @@
         self.prints.len() < before
     }
 
+    /// Returns whether the rule names less than another one.
+    pub fn is_wider_than(&self, other: &Rule) -> bool {
+        let size = |rule: &Rule| (rule.prints.len(), rule.organisation.is_some());
+        size(self) < size(other)
+    }
+
     /// Returns whether a request has all that the rule names.
     pub fn matches(&self, profile: &Profile) -> bool {
         let is_same = self.organisation.is_none_or(|o| o == profile.organisation);
--- a/almondlock-policy/src/poison/refusal.rs
+++ b/almondlock-policy/src/poison/refusal.rs
@@ -76,19 +76,26 @@
 
     /// Takes in that requests are refused for this time. Returns whether that is new.
     pub fn refuse(&mut self, now: Mono, print: Fingerprint, rule: Rule, left: Duration) -> bool {
-        let known = self.entries.get(&print).and_then(|entry| entry.until);
-        let is_new = known.is_none_or(|until| until <= now);
         let until = Some(now + left + self.spread);
-        if let Some(entry) = self.entry(now, print, rule) {
-            entry.until = until;
+        let Some(entry) = self.entry(now, print, &rule) else {
+            return true;
+        };
+        let is_new = !entry.is_refused(now);
+        if is_new || rule.is_wider_than(&entry.rule) {
+            entry.rule = rule;
         }
+        entry.until = until;
         is_new
     }
 
-    /// Takes in that requests are suspected. One that is refused stays so, since another
+    /// Takes in that requests are suspected. Those that are refused stay so, since another
     /// relay may know more.
     pub fn watch(&mut self, now: Mono, print: Fingerprint, rule: Rule) {
-        self.entry(now, print, rule);
+        if let Some(entry) = self.entry(now, print, &rule)
+            && !entry.is_refused(now)
+        {
+            entry.rule = rule;
+        }
     }
 
     /// Takes in that a fingerprint is no longer suspected.
@@ -114,7 +121,7 @@
         suspected
     }
 
-    fn entry(&mut self, now: Mono, print: Fingerprint, rule: Rule) -> Option<&mut Entry> {
+    fn entry(&mut self, now: Mono, print: Fingerprint, rule: &Rule) -> Option<&mut Entry> {
         let is_full = self.entries.len() >= MAX_TRACKED && !self.entries.contains_key(&print);
         if is_full {
             return None;
@@ -125,7 +132,6 @@
             tried: None,
             told: now,
         });
-        entry.rule = rule;
         entry.told = now;
         Some(entry)
     }
@@ -195,6 +201,10 @@
 }
 
 impl Entry {
+    fn is_refused(&self, now: Mono) -> bool {
+        self.until.is_some_and(|until| now < until)
+    }
+
     /// Returns the time until a request may run, whose own fingerprint is `whole`: zero if it
     /// may run now, and `None` if it isn't concerned.
     fn wait(&self, now: Mono, profile: &Profile, whole: &Fingerprint) -> Option<Duration> {
--- a/almondlock-policy/tests/crashing_parts.rs
+++ b/almondlock-policy/tests/crashing_parts.rs
@@ -14,6 +14,8 @@
     tally::{APPEAL_TIME, Loss, REFUSAL_DEATHS, REFUSAL_TIME, Status, Tally},
 };
 
+use yare::parameterized;
+
 const START: Mono = Mono::from_millis(100_000);
 /// Time between two requests.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -353,6 +355,28 @@
     assert_eq!(table.verdict(START, &second), Verdict::Clear);
 }
 
+/// Guards against a refusal that another relay takes back in part, since it has heard of fewer
+/// losses and answers.
+#[parameterized(
+    refuses = { true },
+    watches = { false },
+)]
+fn relay_knows_less(refuses: bool) {
+    let (mut table, request) = refused_table(1);
+    let rule = Rule {
+        organisation: Some(request.organisation),
+        prints: vec![part("system"), part("bad")],
+    };
+    match refuses {
+        true => assert!(!table.refuse(START, part("bad"), rule, REFUSAL_TIME)),
+        false => table.watch(START, part("bad"), rule),
+    }
+    assert!(matches!(
+        table.verdict(START, &request),
+        Verdict::Refused(..)
+    ));
+}
+
 /// Hosts end a refusal at different times.
 #[test]
 fn spread_ends() {
