--- a/almondlock-entry/tests/crashing_passage.rs
+++ b/almondlock-entry/tests/crashing_passage.rs
@@ -22,7 +22,7 @@
 }
 
 fn passage(marker: &str) -> String {
-    let text = "The tenant pays on the first of each month. ".repeat(100);
+    let text = "The lessee pays on the first of each month. ".repeat(100);
     format!("{}{text}{marker} {text}", instructions())
 }
 
