--- a/almondlock-gateway/tests/reported_losses.rs
+++ b/almondlock-gateway/tests/reported_losses.rs
@@ -4,7 +4,8 @@
 mod gateway;
 
 use std::{
-    net::{SocketAddr, UdpSocket},
+    io::Write,
+    net::{SocketAddr, TcpStream, UdpSocket},
     thread,
     time::{Duration, Instant},
 };
@@ -168,3 +169,38 @@
     });
     cleared
 }
+
+/// Guards against a caller that fills relays with the parts that it lists, or lists one again
+/// and again.
+#[test]
+fn many_parts() {
+    let (relay, relays) = bind_relays();
+    let (upstream, _heads) = start(vec![vec![Step::Read, Step::Reset]; 4]);
+    let host = start_observing_pace(&[upstream], Some(relays), false);
+    let told = thread::spawn(move || {
+        let mut parts = Vec::new();
+        read_messages(&relay, |_, _, message| {
+            if let Message::LostParts(loss) = message {
+                parts.push(loss.parts);
+            }
+        });
+        parts
+    });
+    let listed = (0..200).map(|n| format!("part-{},", n / 2));
+    let request = format!(
+        "POST /safe/ HTTP/1.1\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 500\r\nx-parts: {}own\r\n\
+         connection: close\r\ncontent-length: 2\r\n\r\nhi",
+        listed.collect::<String>()
+    );
+    let mut stream = TcpStream::connect(host).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    gateway::read(&mut stream, PATIENCE);
+    let told = told.join().unwrap();
+    assert!(!told.is_empty());
+    for mut parts in told {
+        assert_eq!(parts.len(), 64);
+        parts.sort_unstable();
+        parts.dedup();
+        assert_eq!(parts.len(), 64);
+    }
+}
