Let relays that have just started take over what hosts refuse

What callers saw: upstreams crashed again by a part that had been refused, after all replicas were killed and a host was restarted.

Hosts tell relays each second what they refuse; a relay takes that over in its first 5 s, and not later, when answers may have lifted it.

New hosts are told all by relays there, as they are on sockets.

--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -234,6 +234,12 @@
                 send(socket, *to, &message).await;
             }
         }
+        if let Some(refused) = worker.suspicion.due_refusals(now) {
+            let message = Message::PartSuspects(refused);
+            for to in &all {
+                send(socket, *to, &message).await;
+            }
+        }
         if worker.features.observed_pace {
             let closely = listened.first().map(|(relay, _)| *relay);
             send_paces(worker, socket, reporter, &all, closely).await;
--- a/almondlock-gateway/src/exchange/message.rs
+++ b/almondlock-gateway/src/exchange/message.rs
@@ -68,7 +68,8 @@
     /// From a host to all relays: like `Lost`, with what the request has in common with
     /// others. Sent besides `Lost`, for relays that can't read it.
     LostParts(PartLoss),
-    /// From a relay to all hosts: like `Suspects`, for what can't be said there.
+    /// From a relay to all hosts: like `Suspects`, for what can't be said there. From a host to
+    /// all relays, periodically: what it refuses, for relays that have just started.
     PartSuspects(Vec<PartSuspect>),
     /// From a host to all relays: it had an answer recently to a request with this fingerprint,
     /// which relays call suspected.
--- a/almondlock-gateway/src/exchange/mod.rs
+++ b/almondlock-gateway/src/exchange/mod.rs
@@ -49,6 +49,7 @@
 use tokio::net::UdpSocket;
 
 pub(crate) use self::host::run;
+pub(crate) use self::suspects::MAX_PART_SUSPECTS;
 pub use self::{
     aggregator::{Aggregator, MAX_PEERS, Round},
     host::report_interval,
--- a/almondlock-gateway/src/exchange/relay.rs
+++ b/almondlock-gateway/src/exchange/relay.rs
@@ -75,6 +75,7 @@
         Message::Lost(loss) => state.suspects.record_loss(now, &loss),
         Message::LostParts(loss) => state.suspects.record_part_loss(now, &loss),
         Message::Harmless(print) => state.suspects.record_answer(now, print),
+        Message::PartSuspects(refused) => state.suspects.adopt(now, &refused),
         Message::Answered(print) => state.suspects.record_appeal(now, print),
         Message::Shares(envelope) => state.shares.receive(now, from, &envelope),
         Message::Observed(report) => state.paces.receive(now, from, report),
@@ -83,7 +84,6 @@
         | Message::Introduction(_)
         | Message::Permit(_)
         | Message::Suspects(_)
-        | Message::PartSuspects(_)
         | Message::ShareTotals(_)
         | Message::Paces(_) => {
             tracing::debug!(%from, "message for hosts received by a relay, ignored");
--- a/almondlock-gateway/src/exchange/suspects.rs
+++ b/almondlock-gateway/src/exchange/suspects.rs
@@ -18,7 +18,10 @@
 const MAX_SUSPECTS: usize = 512;
 /// Maximum number of requests with several fingerprints in one datagram. Each takes up to
 /// 1,100 bytes.
-const MAX_PART_SUSPECTS: usize = 48;
+pub(crate) const MAX_PART_SUSPECTS: usize = 48;
+/// Time after its start in which a relay takes over what hosts refuse. Later it would take
+/// back what answers have lifted meanwhile.
+const ADOPTION_TIME: Duration = Duration::from_secs(5);
 /// Organisation of losses that name none. They have one fingerprint, of a whole request,
 /// which includes the organisation.
 const UNNAMED: Fingerprint = Fingerprint([0; 16]);
@@ -28,6 +31,7 @@
 pub struct Suspects {
     tally: Tally<(Key, Birth)>,
     all_sent_at: Mono,
+    started: Option<Mono>,
 }
 
 impl Suspects {
@@ -73,9 +77,31 @@
         }
     }
 
+    /// Takes over what a host refuses, if this relay has just started: others, or an earlier
+    /// life of this one, told the host.
+    pub fn adopt(&mut self, now: Mono, refused: &[PartSuspect]) {
+        let started = *self.started.get_or_insert(now);
+        if now.since(started) >= ADOPTION_TIME {
+            return;
+        }
+        for part in refused {
+            let Some(left) = part.suspect.refused_ms else {
+                continue;
+            };
+            let (print, left) = (part.suspect.print, Duration::from_millis(left.into()));
+            if self.tally.adopt(now, print, part.rule(), left) {
+                tracing::info!(
+                    fingerprint = %print, left_ms = left.as_millis(),
+                    "refusal taken over from a host"
+                );
+            }
+        }
+    }
+
     /// Returns what to send to hosts in this round: the requests whose state has changed,
     /// or periodically all of them.
     pub fn take_updates(&mut self, now: Mono) -> (Vec<Suspect>, Vec<PartSuspect>) {
+        self.started.get_or_insert(now);
         self.tally.settle(now);
         let mut changed = self.tally.take_changed();
         for print in changed.iter().filter(|print| self.tally.is_final(print)) {
--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -8,7 +8,12 @@
 //!
 //! What the host itself makes of it is decided by [`almondlock_policy::poison::host`].
 
-use std::{cell::RefCell, collections::VecDeque, iter, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    iter,
+    time::Duration,
+};
 
 use almondlock_base::{
     Code,
@@ -27,7 +32,7 @@
 use crate::{
     attempt::Fault,
     dialect::Dialect,
-    exchange::{Loss, Message, PartLoss, PartSuspect, Suspect},
+    exchange::{Loss, MAX_PART_SUSPECTS, Message, PartLoss, PartSuspect, Suspect},
     load::Key,
     request::{Refusal, Request},
     worker::Worker,
@@ -37,6 +42,8 @@
 const MAX_QUEUED: usize = 256;
 /// Time after which a loss is reported a second time, in case a datagram was lost.
 const REPEAT_TIME: Duration = Duration::from_millis(300);
+/// Time after which the relays are told again what this host refuses.
+const REFUSAL_PERIOD: Duration = Duration::from_secs(1);
 /// Organisation of requests without a key, for fingerprints.
 const PUBLIC: &str = "public";
 
@@ -56,6 +63,8 @@
     /// Losses that were reported once.
     reported: RefCell<VecDeque<Report>>,
     noticed: Notify,
+    /// When the relays were last told what is refused.
+    refusals_told: Cell<Mono>,
 }
 
 impl Suspicion {
@@ -66,6 +75,7 @@
             messages: RefCell::default(),
             reported: RefCell::default(),
             noticed: Notify::new(),
+            refusals_told: Cell::new(Mono::ZERO),
         }
     }
 
@@ -135,6 +145,27 @@
         }
     }
 
+    /// Returns what this host refuses, if there is anything and the relays are due to be told.
+    pub(crate) fn due_refusals(&self, now: Mono) -> Option<Vec<PartSuspect>> {
+        if now.since(self.refusals_told.get()) < REFUSAL_PERIOD {
+            return None;
+        }
+        self.refusals_told.set(now);
+        let refused = self.host.borrow().refused(now).into_iter();
+        let refused = refused.take(MAX_PART_SUSPECTS);
+        let refused = refused.map(|(print, rule, left)| PartSuspect {
+            suspect: Suspect {
+                print,
+                refused_ms: Some(millis(left)),
+                watched: false,
+            },
+            organisation: rule.organisation,
+            prints: rule.prints,
+        });
+        let refused: Vec<PartSuspect> = refused.collect();
+        (!refused.is_empty()).then_some(refused)
+    }
+
     fn report(&self, now: Mono, loss: PartLoss, sent: Mono) {
         let report = Report {
             loss,
--- a/almondlock-gateway/tests/part_news.rs
+++ b/almondlock-gateway/tests/part_news.rs
@@ -26,6 +26,7 @@
     lost_datagrams = { Setup { lost: 0.3, ..SETUP } },
     late_datagrams = { Setup { delay: 400, ..SETUP } },
     new_relays = { Setup { restarts_every: Some(2_500), ..SETUP } },
+    new_hosts = { Setup { restarts_every: Some(5_000), hosts_every: Some(1_900), ..SETUP } },
 )]
 fn crashing(setup: Setup) {
     for seed in 1..=SEEDS {
--- a/almondlock-gateway/tests/suspects/mod.rs
+++ b/almondlock-gateway/tests/suspects/mod.rs
@@ -29,6 +29,8 @@
 /// Milliseconds between a relay's rounds, and of a host's second report of a loss.
 const ROUND: u64 = 20;
 const REPEAT: u64 = 300;
+/// Milliseconds between two tellings of what hosts refuse.
+const REFUSALS: u64 = 1_000;
 /// Attempts of a request.
 const ATTEMPTS: u32 = 2;
 
@@ -49,6 +51,8 @@
     pub delay: u64,
     /// When all relays start anew, again and again.
     pub restarts_every: Option<u64>,
+    /// When one host after the other starts anew, again and again.
+    pub hosts_every: Option<u64>,
     /// When no relay answers from the beginning.
     pub has_relays: bool,
     /// When a failure domain of upstreams is lost.
@@ -64,6 +68,7 @@
     lost: 0.0,
     delay: 30,
     restarts_every: None,
+    hosts_every: None,
     has_relays: true,
     domain_lost: None,
 };
@@ -105,6 +110,7 @@
     Lost(PartLoss, u64),
     Answered(Fingerprint),
     Appeal(Fingerprint),
+    Refused(Vec<PartSuspect>),
     Told(usize, Fingerprint, Rule, Status),
 }
 
@@ -161,6 +167,9 @@
         if self.setup.has_relays && now.is_multiple_of(ROUND) {
             self.send_rounds();
         }
+        if self.setup.has_relays && now.is_multiple_of(REFUSALS) {
+            self.send_refusals();
+        }
         if self
             .setup
             .restarts_every
@@ -168,6 +177,18 @@
         {
             self.relays = (0..RELAYS).map(|_| Suspects::default()).collect();
         }
+        if let Some(every) = self.setup.hosts_every
+            && now % every == every - 1
+        {
+            self.number += 1;
+            let host = (now / every) as usize % HOSTS;
+            self.hosts[host] = Host::new(self.number);
+            // Relays send all that they know to hosts that they haven't met.
+            for relay in 0..RELAYS {
+                let (copies, parts) = self.relays[relay].all(mono(now));
+                self.tell_host(relay, host, &copies, &parts);
+            }
+        }
         if self.setup.domain_lost == Some(now) {
             for upstream in (0..UPSTREAMS).filter(|n| n.is_multiple_of(DOMAINS)) {
                 self.crash(upstream, RETURN * 2);
@@ -324,6 +345,7 @@
                     News::Lost(loss, sent) => News::Lost(loss.clone(), *sent),
                     News::Answered(print) => News::Answered(*print),
                     News::Appeal(print) => News::Appeal(*print),
+                    News::Refused(all) => News::Refused(all.clone()),
                     News::Told(..) => continue,
                 };
                 self.transmit(*after, relay, copy);
@@ -343,15 +365,37 @@
         let now = mono(self.now);
         for relay in 0..RELAYS {
             let (copies, parts) = self.relays[relay].take_updates(now);
-            let copies = copies.iter().map(|s| (*s, rule_of(s)));
-            let parts = parts.iter().map(|p: &PartSuspect| (p.suspect, p.rule()));
-            let all: Vec<(Suspect, Rule)> = copies.chain(parts).collect();
             for host in 0..HOSTS {
                 self.hosts[host].record_relay(now);
-                for (suspect, rule) in &all {
-                    let told = News::Told(host, suspect.print, rule.clone(), status_of(suspect));
-                    self.transmit(0, relay, told);
-                }
+                self.tell_host(relay, host, &copies, &parts);
+            }
+        }
+    }
+
+    fn tell_host(&mut self, relay: usize, host: usize, copies: &[Suspect], parts: &[PartSuspect]) {
+        let copies = copies.iter().map(|s| (*s, rule_of(s)));
+        let parts = parts.iter().map(|part| (part.suspect, part.rule()));
+        for (suspect, rule) in copies.chain(parts) {
+            let told = News::Told(host, suspect.print, rule, status_of(&suspect));
+            self.transmit(0, relay, told);
+        }
+    }
+
+    fn send_refusals(&mut self) {
+        for host in 0..HOSTS {
+            let refused = self.hosts[host].refused(mono(self.now)).into_iter();
+            let refused = refused.map(|(print, rule, left)| PartSuspect {
+                suspect: Suspect {
+                    print,
+                    refused_ms: Some(u32::try_from(left.as_millis()).unwrap()),
+                    watched: false,
+                },
+                organisation: rule.organisation,
+                prints: rule.prints,
+            });
+            let refused: Vec<PartSuspect> = refused.collect();
+            if !refused.is_empty() {
+                self.tell_relays(News::Refused(refused));
             }
         }
     }
@@ -369,6 +413,7 @@
                     }
                 }
                 News::Answered(print) => self.relays[relay].record_answer(mono(now), print),
+                News::Refused(all) => self.relays[relay].adopt(mono(now), &all),
                 News::Appeal(print) => self.relays[relay].record_appeal(mono(now), print),
                 News::Told(host, print, rule, status) => {
                     let heard = self.hosts[host].receive(mono(now), print, rule, status);
--- a/almondlock-policy/src/poison/host.rs
+++ b/almondlock-policy/src/poison/host.rs
@@ -186,6 +186,11 @@
         self.told.record_answer(now, profile)
     }
 
+    /// Returns what the relays said to refuse, and for how long.
+    pub fn refused(&self, now: Mono) -> Vec<(Fingerprint, Rule, Duration)> {
+        self.told.refused(now)
+    }
+
     /// Returns whether the relays told of nothing.
     pub fn is_told_nothing(&self) -> bool {
         self.told.is_empty()
--- a/almondlock-policy/src/poison/refusal.rs
+++ b/almondlock-policy/src/poison/refusal.rs
@@ -88,6 +88,15 @@
         is_new
     }
 
+    /// Returns what is refused, and for how long, as a relay told it.
+    pub fn refused(&self, now: Mono) -> Vec<(Fingerprint, Rule, Duration)> {
+        let entries = self.entries.iter().filter_map(|(print, entry)| {
+            let left = entry.until?.since(now + self.spread);
+            (!left.is_zero()).then(|| (*print, entry.rule.clone(), left))
+        });
+        entries.collect()
+    }
+
     /// Takes in that requests are suspected. Those that are refused stay so, since another
     /// relay may know more.
     pub fn watch(&mut self, now: Mono, print: Fingerprint, rule: Rule) {
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -289,6 +289,22 @@
         self.record_answer(now, print) || is_known
     }
 
+    /// Takes over a refusal that another relay decided on, unless more is known here.
+    pub fn adopt(&mut self, now: Mono, print: Fingerprint, rule: Rule, left: Duration) -> bool {
+        let known = self.suspects.get(&print);
+        if known.is_some_and(|suspect| suspect.is_final) {
+            return false;
+        }
+        if known.is_none() {
+            self.make_room();
+        }
+        let last = now - REFUSAL_TIME.saturating_sub(left);
+        self.suspects
+            .insert(print, Suspect::adopted(now, rule, last));
+        self.changed.insert(print);
+        true
+    }
+
     /// Returns whether a request with this fingerprint may run.
     pub fn status(&self, now: Mono, print: &Fingerprint) -> Status {
         match self.suspects.get(print) {
@@ -355,7 +371,7 @@
     /// Returns all fingerprints that hosts have to know of.
     pub fn watched(&self) -> Vec<Fingerprint> {
         let known = self.suspects.iter();
-        let known = known.filter(|(_, suspect)| suspect.deaths.len() >= WATCH_DEATHS);
+        let known = known.filter(|(_, s)| s.is_final || s.deaths.len() >= WATCH_DEATHS);
         known.map(|(print, _)| *print).collect()
     }
 
--- a/almondlock-policy/src/poison/tally/suspect.rs
+++ b/almondlock-policy/src/poison/tally/suspect.rs
@@ -66,6 +66,19 @@
         }
     }
 
+    /// Makes one that another relay has proven, with its last death at `last`.
+    pub(super) fn adopted(now: Mono, rule: Rule, last: Mono) -> Suspect<L> {
+        Suspect {
+            ends: Vec::new(),
+            deaths: Vec::new(),
+            last,
+            watched: last,
+            rule,
+            proven: Some(now),
+            is_final: true,
+        }
+    }
+
     pub(super) fn is_refused(&self, now: Mono) -> bool {
         self.proven.is_some() && now.since(self.last) < REFUSAL_TIME
     }
