Review case 2, the gravest: a restarted server with a limit ends the reading of configurations

A server that named a Server-Limit starts again under its id. Every entry host panics once, with a table borrowed twice, in the task that reads new versions of the configuration. Later versions are acknowledged and never in force: requests go on to the service that the route no longer names (CONFIG).

--- a/review/standins/src/frozen.rs
+++ b/review/standins/src/frozen.rs
@@ -15,7 +15,7 @@
 use crate::{
     fleet::{CONT, Fleet, Process, STOP, ZONES},
     http,
-    server::Server,
+    server::{Manner, Server},
 };
 
 const FRONTS: usize = 16;
@@ -115,12 +115,19 @@
     for n in 0..2 {
         let ip = fleet.ip(3, n);
         let zone = ZONES[n];
+        let (id, manner) = (
+            format!("i-app-{n}"),
+            Manner {
+                work: Duration::ZERO,
+            },
+        );
         servers.push(Server::start(
             ip,
-            &format!("i-app-{n}"),
+            &id,
             "app",
             zone,
             fleet.controls(),
+            manner,
         )?);
     }
     let all_serve = |fleet: &Fleet| {
@@ -221,7 +228,7 @@
         let _ = caller.join();
     }
     sleep(Duration::from_millis(1500));
-    servers.iter().for_each(Server::stop);
+    servers.iter_mut().for_each(Server::crash);
     let mut sent = sent.lock().unwrap_or_else(|e| e.into_inner());
     sent.sort_by_key(|sent| sent.at);
     let mut broken = 0;
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -106,7 +106,7 @@
     Ok(buffer.drain(..length).collect())
 }
 
-fn read_answer(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Answer> {
+pub fn read_answer(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> io::Result<Answer> {
     let head = read_head(stream, buffer)?;
     let (first, headers) = head.ok_or(io::ErrorKind::UnexpectedEof)?;
     let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod frozen;
 mod http;
+mod named;
 mod server;
 
 use std::{env, path::PathBuf, process::exit};
@@ -15,6 +16,7 @@
     let record = PathBuf::from(arguments.next().unwrap_or_else(|| "record.txt".to_owned()));
     let trouble = env::var("TROUBLE").map_or(true, |text| text != "0");
     let result = match name.as_str() {
+        "named" => named::run(&root, &record, trouble),
         "frozen" => frozen::run(&root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
