--- a/review/standins/src/frozen.rs
+++ b/review/standins/src/frozen.rs
@@ -119,6 +119,7 @@
             format!("i-app-{n}"),
             Manner {
                 work: Duration::ZERO,
+                engine: None,
             },
         );
         servers.push(Server::start(
--- a/review/standins/src/http.rs
+++ b/review/standins/src/http.rs
@@ -10,6 +10,8 @@
 pub struct Answer {
     pub status: u16,
     pub headers: Vec<(String, String)>,
+    /// As it came, with the marks of its chunks if there are any.
+    pub body: String,
 }
 
 impl Answer {
@@ -112,9 +114,16 @@
     let status = first.split(' ').nth(1).and_then(|text| text.parse().ok());
     let status = status.ok_or(io::ErrorKind::InvalidData)?;
     let length = header(&headers, "content-length").and_then(|text| text.parse().ok());
-    match length {
-        Some(length) => drop(read_body(stream, buffer, length)?),
-        None => drop(stream.read_to_end(buffer)?),
-    }
-    Ok(Answer { status, headers })
+    let body = match length {
+        Some(length) => read_body(stream, buffer, length)?,
+        None => {
+            stream.read_to_end(buffer)?;
+            std::mem::take(buffer)
+        }
+    };
+    Ok(Answer {
+        status,
+        headers,
+        body: String::from_utf8_lossy(&body).into_owned(),
+    })
 }
--- a/review/standins/src/named.rs
+++ b/review/standins/src/named.rs
@@ -30,6 +30,7 @@
 const APPLY: Duration = Duration::from_millis(2_000);
 const MANNER: Manner = Manner {
     work: Duration::from_millis(30),
+    engine: None,
 };
 
 fn configuration(version: u64, service: &str) -> String {
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crate::http;
+use crate::{engine::Engine, http};
 
 /// What a server ran.
 #[derive(Clone, Debug)]
@@ -23,10 +23,11 @@
 }
 
 /// How a server behaves.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Manner {
-    /// How long it works on a request.
+    /// How long it works on a request, unless it is a model server.
     pub work: Duration,
+    pub engine: Option<Arc<Engine>>,
 }
 
 /// A server's place: what is the same over its starts.
@@ -106,7 +107,7 @@
         };
         let (over, connections) = (Arc::clone(&life.over), Arc::clone(&life.connections));
         let (runs, limit) = (Arc::clone(&self.runs), Arc::clone(&self.limit));
-        let (own, manner) = (self.id.clone(), self.manner);
+        let (own, manner) = (self.id.clone(), self.manner.clone());
         thread::spawn(move || {
             for stream in listener.incoming() {
                 if over.load(Ordering::SeqCst) {
@@ -117,8 +118,8 @@
                     lock(&connections).push(clone);
                 }
                 let (runs, limit, own) = (Arc::clone(&runs), Arc::clone(&limit), own.clone());
-                let over = Arc::clone(&over);
-                thread::spawn(move || drop(serve(stream, &own, manner, (&runs, &limit, &over))));
+                let (over, manner) = (Arc::clone(&over), manner.clone());
+                thread::spawn(move || drop(serve(stream, &own, &manner, (&runs, &limit, &over))));
             }
         });
         let over = Arc::clone(&life.over);
@@ -190,15 +191,16 @@
 fn serve(
     mut stream: TcpStream,
     own: &str,
-    manner: Manner,
+    manner: &Manner,
     (runs, limit, over): Shared<'_>,
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
+    let mut copy = None;
     while let Some((first, headers)) = http::read_head(&mut stream, &mut buffer)? {
         let length = http::header(&headers, "content-length");
         let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-        http::read_body(&mut stream, &mut buffer, length)?;
+        let body = http::read_body(&mut stream, &mut buffer, length)?;
         if over.load(Ordering::SeqCst) {
             return Ok(());
         }
@@ -206,6 +208,22 @@
         let id = field("x-almondlock-request-id");
         let meant = field("x-almondlock-target-instance");
         let path = first.split(' ').nth(1).unwrap_or_default().to_owned();
+        if let Some(engine) = &manner.engine
+            && meant == own
+        {
+            if path == "/api/order" {
+                engine.order(&mut stream, &body, &mut copy)?;
+                continue;
+            }
+            let usage = field("x-almondlock-token-usage");
+            let tokens = usage.split(',').next().and_then(|text| text.parse().ok());
+            let at = Instant::now();
+            if engine.prompt(&mut stream, (own, &id), tokens.unwrap_or(0), &mut copy)? {
+                let tenant = field("x-almondlock-tenant");
+                lock(runs).push(Run { id, tenant, at });
+            }
+            continue;
+        }
         let (status, seal, body) = if !meant.is_empty() && meant != own {
             ("421 Misdirected Request", false, String::new())
         } else if id.is_empty() {
