Review case: two machines without power and two lost disks of five end the group for good

The leader removes two of five voters that don't answer for half a second. While they are down, two of the three that are left lose their disks, as many as may be lost.

--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -22,7 +22,7 @@
 
 /// The ports that every machine has: inner, exchange, control, callers, readiness, metrics.
 pub const PORTS: [u16; 6] = [7340, 7355, 8229, 8227, 8220, 9464];
-/// Zones, one core machine in each.
+/// Zones. The core machines are spread over them in this order.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 /// A process of the project.
@@ -72,6 +72,7 @@
     }
 
     /// Whether it has ended by itself.
+    #[must_use]
     pub fn has_ended(&mut self) -> bool {
         match &mut self.child {
             Some(child) => !matches!(child.try_wait(), Ok(None)),
@@ -101,8 +102,8 @@
 }
 
 impl Fleet {
-    /// Starts three replicas and this many entry hosts.
-    pub fn start(root: &Path, fronts: usize) -> io::Result<Fleet> {
+    /// Starts this many replicas, three at least, and this many entry hosts.
+    pub fn start(root: &Path, cores: usize, fronts: usize) -> io::Result<Fleet> {
         let program = root.join("target/release/almondlockd");
         if !program.exists() {
             return Err(io::Error::other("target/release/almondlockd isn't built"));
@@ -118,7 +119,7 @@
             _claim: claim,
             program,
         };
-        for n in 0..3 {
+        for n in 0..cores {
             let core = fleet.core(n, true)?;
             fleet.cores.push(core);
         }
@@ -195,7 +196,39 @@
 
     /// The system runs: core machines that start from now on don't bootstrap.
     pub fn founded(&self) -> io::Result<()> {
-        (0..3).try_for_each(|n| self.core(n, false).map(drop))
+        (0..self.cores.len()).try_for_each(|n| self.core(n, false).map(drop))
+    }
+
+    /// Kills a core machine's process and empties its disk.
+    pub fn wipe(&mut self, n: usize) -> io::Result<()> {
+        self.cores[n].kill();
+        let data = self.folder.join(format!("data-{n}"));
+        fs::remove_dir_all(&data)?;
+        fs::create_dir_all(&data)
+    }
+
+    /// The newest version that a node reads back, or why there is none.
+    pub fn read(&self, n: usize) -> Result<u64, String> {
+        let mut at = self.cores[n].at(2);
+        for _ in 0..3 {
+            let wait = Duration::from_secs(1);
+            let answer = http::call(at, "GET", "/api/config", &[], "", wait);
+            let answer = answer.map_err(|error| format!("{:?}", error.kind()))?;
+            if answer.status == 307 {
+                let to = answer
+                    .header("location")
+                    .and_then(|to| to.strip_prefix("http://")?.split('/').next()?.parse().ok());
+                at = to.ok_or("no location")?;
+                continue;
+            }
+            if answer.status != 200 {
+                return Err(answer.status.to_string());
+            }
+            let digits = answer.body.split("\"version\":").nth(1).unwrap_or_default();
+            let end = digits.find(|c: char| !c.is_ascii_digit()).unwrap_or(0);
+            return digits[..end].parse().map_err(|_| "unreadable".to_owned());
+        }
+        Err("redirected too often".to_owned())
     }
 
     pub fn controls(&self) -> Vec<SocketAddr> {
--- a/review/standins/src/frozen.rs
+++ b/review/standins/src/frozen.rs
@@ -88,7 +88,7 @@
 
 pub fn run(root: &Path, record: &Path, trouble: bool) -> io::Result<bool> {
     let mut record = File::create(record)?;
-    let mut fleet = Fleet::start(root, FRONTS)?;
+    let mut fleet = Fleet::start(root, 3, FRONTS)?;
     let result = play(&mut fleet, &mut record, trouble);
     fleet.end();
     result
@@ -119,7 +119,6 @@
             format!("i-app-{n}"),
             Manner {
                 work: Duration::ZERO,
-                engine: None,
             },
         );
         servers.push(Server::start(
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,13 +1,12 @@
 //! Cases of the review: each starts a small deployment, disturbs it, and judges what clients
 //! and servers saw. Exit status: 1 the rule was broken, 0 it held, 2 the case couldn't run.
 
-mod engine;
-mod extra;
 mod fleet;
 mod frozen;
 mod http;
 mod named;
 mod server;
+mod wiped;
 
 use std::{env, path::PathBuf, process::exit};
 
@@ -19,7 +18,7 @@
     let trouble = env::var("TROUBLE").map_or(true, |text| text != "0");
     let result = match name.as_str() {
         "named" => named::run(&root, &record, trouble),
-        "extra" => extra::run(&root, &record, trouble),
+        "wiped" => wiped::run(&root, &record, trouble),
         "frozen" => frozen::run(&root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/src/named.rs
+++ b/review/standins/src/named.rs
@@ -30,7 +30,6 @@
 const APPLY: Duration = Duration::from_millis(2_000);
 const MANNER: Manner = Manner {
     work: Duration::from_millis(30),
-    engine: None,
 };
 
 fn configuration(version: u64, service: &str) -> String {
@@ -90,7 +89,7 @@
 
 pub fn run(root: &Path, record: &Path, trouble: bool) -> io::Result<bool> {
     let mut record = File::create(record)?;
-    let mut fleet = Fleet::start(root, FRONTS)?;
+    let mut fleet = Fleet::start(root, 3, FRONTS)?;
     let result = play(&mut fleet, &mut record, trouble);
     fleet.end();
     result
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -12,7 +12,7 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use crate::{engine::Engine, http};
+use crate::http;
 
 /// What a server ran.
 #[derive(Clone, Debug)]
@@ -25,9 +25,8 @@
 /// How a server behaves.
 #[derive(Clone, Debug)]
 pub struct Manner {
-    /// How long it works on a request, unless it is a model server.
+    /// How long it works on a request.
     pub work: Duration,
-    pub engine: Option<Arc<Engine>>,
 }
 
 /// A server's place: what is the same over its starts.
@@ -196,11 +195,10 @@
 ) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
-    let mut copy = None;
     while let Some((first, headers)) = http::read_head(&mut stream, &mut buffer)? {
         let length = http::header(&headers, "content-length");
         let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-        let body = http::read_body(&mut stream, &mut buffer, length)?;
+        http::read_body(&mut stream, &mut buffer, length)?;
         if over.load(Ordering::SeqCst) {
             return Ok(());
         }
@@ -208,22 +206,6 @@
         let id = field("x-almondlock-request-id");
         let meant = field("x-almondlock-target-instance");
         let path = first.split(' ').nth(1).unwrap_or_default().to_owned();
-        if let Some(engine) = &manner.engine
-            && meant == own
-        {
-            if path == "/api/order" {
-                engine.order(&mut stream, &body, &mut copy)?;
-                continue;
-            }
-            let usage = field("x-almondlock-token-usage");
-            let tokens = usage.split(',').next().and_then(|text| text.parse().ok());
-            let at = Instant::now();
-            if engine.prompt(&mut stream, (own, &id), tokens.unwrap_or(0), &mut copy)? {
-                let tenant = field("x-almondlock-tenant");
-                lock(runs).push(Run { id, tenant, at });
-            }
-            continue;
-        }
         let (status, seal, body) = if !meant.is_empty() && meant != own {
             ("421 Misdirected Request", false, String::new())
         } else if id.is_empty() {
