--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -20,8 +20,11 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-/// The ports that every machine has: inner, exchange, control, callers, readiness, metrics.
-pub const PORTS: [u16; 6] = [7340, 7355, 8229, 8227, 8220, 9464];
+/// The ports that every machine has: inner, exchange, control, callers, readiness, metrics. A
+/// run whose ports are taken adds a multiple of 10 to each.
+const PORTS: [u16; 6] = [7340, 7355, 8229, 8227, 8220, 9464];
+
+type Ports = [u16; 6];
 /// Zones. The core machines are spread over them in this order.
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
@@ -29,6 +32,7 @@
 pub struct Process {
     pub name: String,
     pub ip: Ipv4Addr,
+    ports: Ports,
     program: PathBuf,
     file: PathBuf,
     child: Option<Child>,
@@ -81,7 +85,7 @@
     }
 
     pub fn at(&self, port: usize) -> SocketAddr {
-        (self.ip, PORTS[port]).into()
+        (self.ip, self.ports[port]).into()
     }
 }
 
@@ -97,6 +101,7 @@
     pub base: u8,
     pub cores: Vec<Process>,
     pub fronts: Vec<Process>,
+    ports: Ports,
     _claim: TcpListener,
     program: PathBuf,
 }
@@ -108,7 +113,7 @@
         if !program.exists() {
             return Err(io::Error::other("target/release/almondlockd isn't built"));
         }
-        let (base, claim) = claim()?;
+        let (base, ports, claim) = claim()?;
         let folder = std::env::temp_dir().join(format!("review-case-{}", std::process::id()));
         fs::create_dir_all(&folder)?;
         let mut fleet = Fleet {
@@ -116,6 +121,7 @@
             base,
             cores: Vec::new(),
             fronts: Vec::new(),
+            ports,
             _claim: claim,
             program,
         };
@@ -145,7 +151,7 @@
     /// A core machine, its settings as `platform/core.ini` has them.
     fn core(&self, n: usize, bootstrap: bool) -> io::Result<Process> {
         let ip = self.ip(1, n);
-        let [inner, exchange, control, _, _, metrics] = PORTS;
+        let [inner, exchange, control, _, _, metrics] = self.ports;
         let data = self.folder.join(format!("data-{n}"));
         fs::create_dir_all(&data)?;
         let text = format!(
@@ -168,7 +174,7 @@
     /// A front machine, its settings as `platform/front.ini` has them.
     fn front(&self, n: usize) -> io::Result<Process> {
         let ip = self.ip(2, n);
-        let [inner, exchange, control, callers, ready, metrics] = PORTS;
+        let [inner, exchange, control, callers, ready, metrics] = self.ports;
         let text = format!(
             "[host]\nname = front-{n}\ndomain = {zone}\nregion = r\nlisten = {ip}:{inner}\n\
              seeds = {seeds}\nseed_port = {inner}\nfollow = 400\n\n\
@@ -188,6 +194,7 @@
         Ok(Process {
             name,
             ip,
+            ports: self.ports,
             program: self.program.clone(),
             file,
             child: None,
@@ -318,12 +325,24 @@
     }
 }
 
-/// Addresses of this run's own.
-fn claim() -> io::Result<(u8, TcpListener)> {
-    for base in 30..220_u8 {
-        let own = Ipv4Addr::new(127, base, 9, 9);
-        if let Ok(listener) = TcpListener::bind((own, PORTS[0])) {
-            return Ok((base, listener));
+/// Addresses of this run's own, and ports that are free there.
+fn claim() -> io::Result<(u8, Ports, TcpListener)> {
+    for offset in (0..200).step_by(10) {
+        let ports = PORTS.map(|port| port + offset);
+        for base in 30..220_u8 {
+            let free = |class: u8| {
+                let ip = Ipv4Addr::new(127, base, class, 1);
+                ports
+                    .iter()
+                    .all(|port| TcpListener::bind((ip, *port)).is_ok())
+            };
+            let own = Ipv4Addr::new(127, base, 9, 9);
+            if let Ok(claim) = TcpListener::bind((own, PORTS[0]))
+                && free(1)
+                && free(2)
+            {
+                return Ok((base, ports, claim));
+            }
         }
     }
     Err(io::Error::other("no loopback addresses are free"))
