--- a/review/standins/src/fleet.rs
+++ b/review/standins/src/fleet.rs
@@ -15,6 +15,7 @@
 
 pub const STOP: i32 = 19;
 pub const CONT: i32 = 18;
+pub const TERM: i32 = 15;
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
@@ -126,7 +127,7 @@
             program,
         };
         for n in 0..cores {
-            let core = fleet.core(n, true)?;
+            let core = fleet.core(n, ZONES[n % ZONES.len()], true)?;
             fleet.cores.push(core);
         }
         for n in 0..fronts {
@@ -149,7 +150,7 @@
     }
 
     /// A core machine, its settings as `platform/core.ini` has them.
-    fn core(&self, n: usize, bootstrap: bool) -> io::Result<Process> {
+    fn core(&self, n: usize, zone: &str, bootstrap: bool) -> io::Result<Process> {
         let ip = self.ip(1, n);
         let [inner, exchange, control, _, _, metrics] = self.ports;
         let data = self.folder.join(format!("data-{n}"));
@@ -162,7 +163,6 @@
              [directory]\nlisten = {ip}:{control}\nexchange = {ip}:{exchange}\ndeltas = yes\n\
              domains = {zones}\n\n\
              [log]\nformat = json\noutput = stdout\nfilter = warn,almondlock=info\n",
-            zone = ZONES[n % ZONES.len()],
             seeds = self.seeds(control),
             data = data.display(),
             founds = if bootstrap { "yes" } else { "no" },
@@ -203,7 +203,16 @@
 
     /// The system runs: core machines that start from now on don't bootstrap.
     pub fn founded(&self) -> io::Result<()> {
-        (0..self.cores.len()).try_for_each(|n| self.core(n, false).map(drop))
+        (0..self.cores.len())
+            .try_for_each(|n| self.core(n, ZONES[n % ZONES.len()], false).map(drop))
+    }
+
+    /// One more core machine, in the zone of another one. It isn't started yet.
+    pub fn newcomer(&mut self, beside: usize) -> io::Result<usize> {
+        let n = self.cores.len();
+        let core = self.core(n, ZONES[beside % ZONES.len()], false)?;
+        self.cores.push(core);
+        Ok(n)
     }
 
     /// Kills a core machine's process and empties its disk.
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -4,6 +4,7 @@
 mod fleet;
 mod frozen;
 mod http;
+mod moved;
 mod named;
 mod server;
 mod wiped;
@@ -19,6 +20,7 @@
     let result = match name.as_str() {
         "named" => named::run(&root, &record, trouble),
         "wiped" => wiped::run(&root, &record, trouble),
+        "moved" => moved::run(&root, &record),
         "frozen" => frozen::run(&root, &record, trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
--- a/review/standins/src/server.rs
+++ b/review/standins/src/server.rs
@@ -78,9 +78,9 @@
         Ok(server)
     }
 
-    /// Starts again under the same id, at the same address. It knows nothing of before.
+    /// Starts again under the same id, at the same address. It knows nothing of before, and is
+    /// still in need if it was.
     pub fn start_again(&mut self) -> io::Result<()> {
-        *lock(&self.limit) = None;
         let listener = TcpListener::bind(self.address)?;
         self.begin(listener);
         Ok(())
