Log what each retry is paid from, and what a budget counts

Operators could not tell which retries were charged, what a budget had counted, or that a retry was refused for want of budget. Each decision of a retry budget is now a line with its counts and the host's uptime, a metric counts them, and the line of an attempt tells how many earlier ones may have reached an upstream.

No logic changed.

--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -249,7 +249,7 @@
         backlog_ms = worker.load.borrow().total(now, &target.name).reading,
         hosts = worker.load.borrow().other_hosts(now),
         revision = snapshot.revision.0, age_ms = worker.node.known_age(now).map(|age| age.as_millis()),
-        attempt = history.tried.len() + 1,
+        attempt = history.tried.len() + 1, reached = history.reached,
         backoff = worker.backoff(now, &target.name).map(Reason::as_str), "sent"
     );
 }
@@ -285,7 +285,7 @@
         return Some(done);
     }
     let repeatable = request.route.kind.is_idempotent() && !is_last;
-    if repeatable && worker.try_take_retry(clock::mono(), &request.service) {
+    if repeatable && worker.try_take_retry(clock::mono(), request) {
         return None;
     }
     resources.release_helper_memory();
--- a/almondlock-gateway/src/budget.rs
+++ b/almondlock-gateway/src/budget.rs
@@ -22,6 +22,15 @@
     pub min_retries: u32,
 }
 
+/// What a budget counts, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Account {
+    /// Requests in the window.
+    pub requests: usize,
+    /// Retries in the window.
+    pub retries: usize,
+}
+
 /// The retry budget of one service at one entry host.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -59,6 +68,15 @@
         affordable
     }
 
+    /// Returns what the budget counts at present.
+    pub fn account(&mut self, now: Mono) -> Account {
+        self.evict_expired(now);
+        Account {
+            requests: self.requests.len(),
+            retries: self.attempts.len(),
+        }
+    }
+
     /// Discards requests and retries that have left the window.
     fn evict_expired(&mut self, now: Mono) {
         let old = |at: &Mono| now.since(*at) >= self.config.window;
--- a/almondlock-gateway/src/failure.rs
+++ b/almondlock-gateway/src/failure.rs
@@ -43,6 +43,14 @@
         }
     }
 
+    /// Returns whether the request may have reached an upstream.
+    pub const fn may_have_reached(self) -> bool {
+        !matches!(
+            self,
+            Failure::Unsent | Failure::Limited | Failure::Suspected
+        )
+    }
+
     /// Returns whether the upstream should be avoided for a while.
     pub const fn blames_upstream(self) -> bool {
         !matches!(
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -156,6 +156,8 @@
     ran: Option<Ran>,
     /// Number of attempts that may have run.
     pub(crate) runs: u32,
+    /// Number of failed attempts that may have reached an upstream.
+    pub(crate) reached: u32,
 }
 
 impl History {
@@ -176,6 +178,7 @@
         self.ran = Some(failure::merge_ran(self.ran(), fault.failure));
         self.runs += u32::from(fault.failure.ran() != Ran::No);
         self.tried.extend(fault.upstream.clone());
+        self.reached += u32::from(fault.failure.may_have_reached());
         if matches!(fault.failure, Failure::Rejected | Failure::Misdirected) {
             self.refused.extend(fault.upstream.clone());
         }
@@ -276,7 +279,7 @@
         && !request.time_left(now).is_zero()
         && failure::may_retry(kind, history.ran(), history.runs, request.route.attempts)
         && (fault.failure.ran() == Ran::No || worker.may_run_again(request, now))
-        && (is_paid(fault.failure) || worker.try_take_retry(now, &request.service))
+        && (is_paid(fault.failure) || worker.try_take_retry(now, request))
 }
 
 /// Returns whether another attempt takes nothing from the retry budget: nothing reached an
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -182,6 +182,8 @@
             places = worker.features.slot_admission,
             shares = worker.features.fair_shares,
             observed_pace = worker.features.observed_pace,
+            retry_ratio = worker.bounds.retries.ratio,
+            retry_free = worker.bounds.retries.min_retries,
             "gateway starting"
         );
         spawn_local(lease::release_ended(Rc::clone(&worker), ended));
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -205,6 +205,7 @@
         worker.report_loss(request, fault, sent);
         worker.observe_failure(request, fault, begun);
         self.history.tried.extend(fault.upstream.clone());
+        self.history.reached += u32::from(fault.failure.may_have_reached());
         request::record_failure(worker, request, fault, self.history.tried.len());
     }
 
@@ -262,7 +263,7 @@
         // A silent upstream was given up only after the budget was charged for the next
         // attempt.
         let paid = fault.failure == Failure::Silent;
-        if !paid && !self.worker.try_take_retry(now, &self.request.service) {
+        if !paid && !self.worker.try_take_retry(now, &self.request) {
             return Err("the retry budget is spent");
         }
         let Some(last) = self.splitter.last_id() else {
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -40,6 +40,7 @@
     permit::Permits,
     pick::{Candidate, Choice},
     reading::Current,
+    request::Request,
     rules::Rules,
     shared::Shared,
     slots::Queues,
@@ -395,9 +396,23 @@
         self.with_budget(service, |budget| budget.record_request(now));
     }
 
-    /// Takes a retry from the budget. Returns `false` if none is left.
-    pub(crate) fn try_take_retry(&self, now: Mono, service: &Service) -> bool {
-        self.with_budget(service, |budget| budget.try_take(now))
+    /// Takes a retry of a request from the budget. Returns `false` if none is left.
+    pub(crate) fn try_take_retry(&self, now: Mono, request: &Request) -> bool {
+        let service = &request.service;
+        let (is_taken, account) = self.with_budget(service, |budget| {
+            (budget.try_take(now), budget.account(now))
+        });
+        let outcome = match is_taken {
+            true => "taken",
+            false => "refused",
+        };
+        self.shared.metrics.count("retry_budget", outcome);
+        tracing::info!(
+            request = %request.id, %service, outcome,
+            requests = account.requests, retries = account.retries,
+            uptime_ms = self.shared.uptime(now).as_millis(), "retry budget"
+        );
+        is_taken
     }
 
     fn with_budget<T, F>(&self, service: &Service, act: F) -> T
