Share the bound of retries among entry hosts with sidecars

On the path with sidecars callers' failed requests could be sent again far beyond any bound when entry hosts were restarted: each life began with 20 retries saved up at the host and 20 for each organisation it saw first, and there was no bound over all hosts. Same class as on the gateway's path: a limit over all hosts in a memory that a restart empties.

Policy uses the budget of the gateway's path, for the host and for each organisation, divided by the setting entry-hosts. A retry is reserved by the decision and spent as it is sent to a sidecar; one that finds no place goes back, where it was lost before. Suspensions are noticed by the loop that probes. Logs and pages say what a retry was paid from.

--- a/almondlock-entry/src/course.rs
+++ b/almondlock-entry/src/course.rs
@@ -25,6 +25,7 @@
     failure::Failure,
     life::Worker,
     request::Request,
+    reservation::{Reservation, log_budget},
     shared::{Pool, Shared},
 };
 
@@ -53,6 +54,8 @@
     pub(crate) harmless: Option<bool>,
     // Whether the time to the first token has been told.
     pub(crate) measured: bool,
+    // What pays for the next attempt, if that was charged.
+    pub(crate) reservation: Option<Reservation>,
 }
 
 impl Course {
@@ -70,6 +73,7 @@
             given_back: None,
             harmless: None,
             measured: false,
+            reservation: None,
         }
     }
 }
@@ -211,7 +215,16 @@
             self.with_rng(|rng| retries.decide(organisation, &failed, made, left, now, rng))
         });
         match decision {
-            Decision::Retry { after, .. } => {
+            Decision::Retry {
+                after, is_charged, ..
+            } => {
+                course.reservation = is_charged.then(|| {
+                    let organisation = request.organisation.clone();
+                    Reservation::new(&self.shared, organisation)
+                });
+                if is_charged {
+                    log_budget(&self.shared, request, "reserved", course.ran);
+                }
                 if restart {
                     course.offset = 0;
                     course.begun = false;
@@ -223,6 +236,9 @@
                 ran,
                 retry_after,
             } => {
+                if code.is_retryable() {
+                    log_budget(&self.shared, request, "not retried", ran);
+                }
                 if code != failure.code {
                     failure.message = format!("{} Last: {}", code.text(), failure.message);
                 }
--- a/almondlock-entry/src/lib.rs
+++ b/almondlock-entry/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod life;
 pub mod probe;
 pub mod request;
+mod reservation;
 mod running;
 mod send;
 pub mod server;
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -10,7 +10,10 @@
     id::{Incarnation, Upstream},
 };
 use almondlock_node::{clock, links::Links, replicas::Replicas};
-use almondlock_policy::choice::{Index, Picker, Query, Report, Sampling};
+use almondlock_policy::{
+    choice::{Index, Picker, Query, Report, Sampling},
+    retry,
+};
 use almondlock_telemetry::{metrics::Length, trace::Context};
 use almondlock_wire::attempt::{Load, Outcome};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -24,6 +27,7 @@
     failure::Failure,
     gang::{self, Held},
     request::Request,
+    reservation,
     shared::{Pool, Shared},
 };
 
@@ -270,6 +274,14 @@
         course: &mut Course,
         pieces: &mpsc::Sender<Piece>,
     ) -> Next {
+        if !reservation::spend(&self.shared, request, course) {
+            self.shared.with_pool(&place.pool, |table| {
+                table.record_end(place.index, request.prompt, false);
+            });
+            let code = retry::Policy::exhausted_code(course.ran);
+            let failure = Failure::new(code).ran(course.ran);
+            return Next::Fail(failure.retry_after(NO_UPSTREAM_RETRY));
+        }
         let head = self.head(request, place, held, course);
         let _debt = self.debts.owe(place.address, &place.upstream);
         let span = tracing::info_span!(
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -66,6 +66,7 @@
     loop {
         worker.shared.directory();
         worker.shared.tell_levels();
+        worker.shared.note_running();
         purse.fill(worker.shared.admitted());
         let pools = worker.shared.pool_names();
         // Each pool in its turn; one without anything stale costs nothing.
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -19,7 +19,7 @@
     time::Mono,
     unit::{Revision, Tokens},
 };
-use almondlock_node::Handle;
+use almondlock_node::{Handle, clock};
 use almondlock_policy::{
     choice::{self, Locality, Origin},
     length::Estimator,
@@ -192,7 +192,7 @@
     /// Empty tables; they fill from the node's view.
     pub fn new(config: Config, handle: Handle, home: Origin, metrics: Metrics) -> Arc<Shared> {
         Arc::new(Shared {
-            retries: Mutex::new(retry::Policy::new(config.retry)),
+            retries: Mutex::new(retry::Policy::new(config.retry, clock::mono())),
             lengths: Mutex::default(),
             watch: Mutex::new(Watch::new(poison::Config::default())),
             config,
@@ -233,7 +233,8 @@
     fn set_limits(&self, view: &config::Config) {
         let mut limits = lock(&self.limits);
         let hosts = view.settings.get(config::ENTRY_HOSTS_SETTING);
-        limits.set_hosts(hosts.and_then(|n| n.parse().ok()).unwrap_or(1));
+        let hosts = hosts.and_then(|n| n.parse().ok()).unwrap_or(1);
+        limits.set_hosts(hosts);
         for (name, organisation) in &view.organisations {
             let limit = limit::Limit {
                 rate: organisation.rate,
@@ -241,6 +242,8 @@
             };
             limits.set(name, limit);
         }
+        drop(limits);
+        lock(&self.retries).set_hosts(hosts);
     }
 
     fn set_pools(&self, old: &Directory, new: &Directory, view: &config::Config) {
@@ -363,8 +366,17 @@
     /// Tells the levels that change slowly.
     pub fn tell_levels(&self) {
         self.metrics.revision(self.handle.view().revision());
-        let left = lock(&self.retries).remaining();
-        self.metrics.budget_left(left.max(0.0) as u64);
+        let account = lock(&self.retries).account(clock::mono());
+        self.metrics.budget_left(account.left as u64);
+    }
+
+    /// Notes that the process runs, so that its suspensions are noticed.
+    pub fn note_running(&self) {
+        let gap = lock(&self.retries).tick(clock::mono());
+        if let Some(gap) = gap {
+            let gap_ms = gap.as_millis();
+            tracing::warn!(gap_ms, "suspended, late requests earn no retries");
+        }
     }
 
     /// Counts a refusal or failure.
--- a/almondlock-policy/src/retry.rs
+++ b/almondlock-policy/src/retry.rs
@@ -6,7 +6,8 @@
 //! *affordable*: a retry costs the fleet as much as a fresh request, and when half the
 //! fleet fails, retries alone would double the work of the other half. So retries are paid
 //! from budgets that fresh requests fill, one per organisation and one per entry host. When
-//! a budget is empty, the caller gets its refusal at once.
+//! a budget is empty, the caller gets its refusal at once. The budgets of all entry hosts
+//! together stay within a [`Bound`], whenever hosts start anew.
 //!
 //! ```
 //! use almondlock_base::{Code, Ran};
@@ -29,6 +30,11 @@
 use almondlock_base::{Code, Ran, id::Organisation, time::Mono};
 use rand::Rng;
 
+use crate::{
+    budget::{Account, Bound, Budget},
+    suspension::Watch,
+};
+
 /// What is known of a failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Failure {
@@ -101,12 +107,8 @@
 pub struct Config {
     /// Maximum number of attempts of one request, the first one included.
     pub max_attempts: u32,
-    /// Retries per hundred fresh requests.
-    pub retry_percent: u32,
-    /// Free retries per second, so that an organisation with few requests can retry at all.
-    pub free_per_second: f64,
-    /// Maximum number of retries saved up.
-    pub max_saved: f64,
+    /// What all entry hosts together may retry, in all and for each organisation.
+    pub bound: Bound,
     /// Longest wait before the first retry.
     pub base_backoff: Duration,
     /// Longest wait before any retry.
@@ -117,9 +119,11 @@
     fn default() -> Config {
         Config {
             max_attempts: 4,
-            retry_percent: 10,
-            free_per_second: 0.5,
-            max_saved: 20.0,
+            bound: Bound {
+                window: Duration::from_secs(10),
+                ratio: 0.2,
+                slack: 100.0,
+            },
             base_backoff: Duration::from_millis(20),
             max_backoff: Duration::from_secs(1),
         }
@@ -135,6 +139,8 @@
         after: Duration,
         /// Offset of the answer to continue at; 0 is from the start.
         offset: u64,
+        /// Whether the attempt was reserved in the budgets.
+        is_charged: bool,
     },
     /// The request gets its final answer now.
     GiveUp {
@@ -147,63 +153,56 @@
     },
 }
 
-/// Number of retries saved up.
-#[derive(Clone, Copy, Debug, Default)]
-struct Budget {
-    // Invariant: between 0 and [`Config::max_saved`].
-    saved: f64,
-    refilled_at: Option<Mono>,
-}
-
-impl Budget {
-    fn refill(&mut self, config: &Config, now: Mono) {
-        let earned = match self.refilled_at {
-            None => config.max_saved,
-            Some(at) => now.since(at).as_secs_f64() * config.free_per_second,
-        };
-        self.saved = (self.saved + earned).min(config.max_saved);
-        self.refilled_at = Some(self.refilled_at.map_or(now, |at| at.max(now)));
-    }
-
-    fn deposit(&mut self, config: &Config, now: Mono) {
-        self.refill(config, now);
-        let earned = f64::from(config.retry_percent) / 100.0;
-        self.saved = (self.saved + earned).min(config.max_saved);
-    }
-
-    fn has_one(&mut self, config: &Config, now: Mono) -> bool {
-        self.refill(config, now);
-        self.saved >= 1.0
-    }
-}
-
 /// Decides on retries at one entry host.
 #[derive(Debug)]
 pub struct Policy {
     config: Config,
     host: Budget,
     organisations: HashMap<Organisation, Budget>,
+    /// Number of entry hosts that share the bound.
+    hosts: u32,
+    watch: Watch,
 }
 
 impl Policy {
-    /// Returns a policy with full budgets.
-    pub fn new(config: Config) -> Policy {
+    /// Returns a policy with empty budgets, for a host that shares the bound with none.
+    pub fn new(config: Config, now: Mono) -> Policy {
         Policy {
             config,
-            host: Budget::default(),
+            host: Budget::new(config.bound, now),
             organisations: HashMap::new(),
+            hosts: 1,
+            watch: Watch::default(),
         }
     }
 
+    /// Sets the number of entry hosts that share the bound.
+    pub fn set_hosts(&mut self, hosts: u32) {
+        self.hosts = hosts.max(1);
+    }
+
+    /// Notes that the process runs. Called at least as often as [`TICK`] says. Returns for how
+    /// long the process was suspended, if it was.
+    ///
+    /// [`TICK`]: crate::suspension::TICK
+    pub fn tick(&mut self, now: Mono) -> Option<Duration> {
+        self.watch.tick(now)
+    }
+
     /// Counts a fresh request, which adds to the budgets.
     pub fn count_request(&mut self, organisation: &Organisation, now: Mono) {
-        self.host.deposit(&self.config, now);
+        let (hosts, is_late) = (self.hosts, self.watch.is_catching_up(now));
+        let count = |budget: &mut Budget| match is_late {
+            true => budget.record_late_request(now),
+            false => budget.record_request(Some(hosts), now),
+        };
+        count(&mut self.host);
         // Found before inserted: the name is not copied for each request.
         if let Some(budget) = self.organisations.get_mut(organisation) {
-            budget.deposit(&self.config, now);
+            count(budget);
         } else {
-            let mut budget = Budget::default();
-            budget.deposit(&self.config, now);
+            let mut budget = Budget::new(self.config.bound, now);
+            count(&mut budget);
             self.organisations.insert(organisation.clone(), budget);
         }
     }
@@ -213,13 +212,29 @@
         self.organisations.remove(organisation);
     }
 
-    /// Returns the number of retries that the host's budget could pay for.
-    pub fn remaining(&self) -> f64 {
-        self.host.saved
+    /// Returns what the host's budget counts.
+    pub fn account(&mut self, now: Mono) -> Account {
+        self.host.account(Some(self.hosts), now)
+    }
+
+    /// Returns what an organisation's budget counts, if it has one.
+    pub fn account_of(&mut self, organisation: &Organisation, now: Mono) -> Option<Account> {
+        let own = self.organisations.get_mut(organisation)?;
+        Some(own.account(Some(self.hosts), now))
+    }
+
+    /// Returns the code of a request that gets no further attempt, from what is known of its
+    /// running.
+    pub const fn exhausted_code(ran: Ran) -> Code {
+        match ran {
+            Ran::No => Code::RetriesExhausted,
+            Ran::Yes | Ran::Unknown => Code::UpstreamLost,
+        }
     }
 
     /// Decides what follows a failed attempt. `made` is the number of attempts that the
-    /// request has had, and `left` the time until its deadline.
+    /// request has had, and `left` the time until its deadline. A retry that is charged is
+    /// reserved: it has to be [spent](Policy::spend) or [released](Policy::release) once.
     pub fn decide<R>(
         &mut self,
         organisation: &Organisation,
@@ -237,7 +252,8 @@
             Safety::Resume(offset) => offset,
             Safety::Never => return self.give_up(failure.code, failure.ran),
         };
-        let after = if is_charged(failure.code) {
+        let is_charged = is_charged(failure.code);
+        let after = if is_charged {
             self.draw_backoff(made, rng)
         } else {
             Duration::ZERO
@@ -245,23 +261,48 @@
         if made >= self.config.max_attempts || after >= left {
             return self.give_up_exhausted(failure);
         }
-        if is_charged(failure.code) && !self.pay_retry(organisation, now) {
+        if is_charged && !self.reserve(organisation, now) {
             return self.give_up_exhausted(failure);
         }
-        Decision::Retry { after, offset }
+        Decision::Retry {
+            after,
+            offset,
+            is_charged,
+        }
     }
 
-    /// Takes one retry from both budgets, or from neither if one is empty.
-    fn pay_retry(&mut self, organisation: &Organisation, now: Mono) -> bool {
+    /// Reserves one retry in both budgets, or in neither if one has none left.
+    fn reserve(&mut self, organisation: &Organisation, now: Mono) -> bool {
+        let hosts = Some(self.hosts);
         let Some(own) = self.organisations.get_mut(organisation) else {
             return false;
         };
-        let affordable = own.has_one(&self.config, now) && self.host.has_one(&self.config, now);
-        if affordable {
-            own.saved -= 1.0;
-            self.host.saved -= 1.0;
+        if !own.reserve(hosts, now) {
+            return false;
+        }
+        let is_reserved = self.host.reserve(hosts, now);
+        if !is_reserved {
+            own.release();
+        }
+        is_reserved
+    }
+
+    /// Spends a reserved retry, which is sent now. Returns `false` if what was to pay for
+    /// it has expired; nothing is reserved any more then either.
+    pub fn spend(&mut self, organisation: &Organisation, now: Mono) -> bool {
+        let hosts = Some(self.hosts);
+        let own = self.organisations.get_mut(organisation);
+        let own = own.is_some_and(|own| own.spend(hosts, now));
+        // Both, so that the reservation ends in both.
+        self.host.spend(hosts, now) && own
+    }
+
+    /// Gives a reserved retry back that was not sent.
+    pub fn release(&mut self, organisation: &Organisation) {
+        self.host.release();
+        if let Some(own) = self.organisations.get_mut(organisation) {
+            own.release();
         }
-        affordable
     }
 
     /// Returns the wait before a retry. Its upper limit doubles with each attempt, and it
