Soak: upstreams that refuse, fail or are silent while entry hosts restart in series

The check counts for each service, from what its upstreams received, the retries of every window against the requests of three windows, as the rule has it; it took all services together before, so that one paid for the other (retry_storm_of_one_service). Each run prints its worst windows.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -104,6 +104,12 @@
         help = "also times in which all new connections go to one entry host"
     )]
     pub aim: bool,
+    /// Upstreams fail while hosts are restarted.
+    #[options(
+        no_short,
+        help = "also upstreams that refuse, fail or are silent while entry hosts are killed, stopped and suspended in series, and few retries besides those of requests"
+    )]
+    pub retries: bool,
     /// Records that were synced are cut.
     #[options(no_short, help = "in place of a torn record, cut one that was synced")]
     pub cut_synced: bool,
@@ -175,6 +181,9 @@
     pub parts: bool,
     /// Also times in which all new connections go to one entry host.
     pub aim: bool,
+    /// Also upstreams that refuse, fail or are silent, while entry hosts are killed, stopped
+    /// and suspended in series. Few retries besides those of requests.
+    pub retries: bool,
     /// In place of a torn record, one that was synced is cut.
     pub cuts_synced: bool,
     /// Faults left out, by number.
@@ -236,6 +245,7 @@
             crashing: self.crashing,
             parts: self.parts,
             aim: self.aim,
+            retries: self.retries,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -6,6 +6,7 @@
 pub mod crashes;
 mod limits;
 mod orders;
+pub mod retries;
 
 use std::collections::{HashMap, HashSet};
 
@@ -60,8 +61,6 @@
     descriptors: 3_900,
 };
 
-/// The span over which further attempts are counted.
-const RETRY_SPAN: u64 = 10_000;
 /// Upstreams that a request may crash, and as many again.
 const CRASHES: usize = 3;
 
@@ -85,7 +84,7 @@
         ("revoked", revoked(history, bounds)),
         ("uncut", uncut(history, bounds)),
         ("memory", memory(history)),
-        ("retries", retries(history, bounds)),
+        ("retries", retries::retries(history, bounds)),
         ("recovery", recovery(history, bounds)),
         ("footprint", footprint(history, bounds)),
         ("limit", limits::limit(history, bounds)),
@@ -272,29 +271,6 @@
     found.into_iter().collect()
 }
 
-/// Further attempts stay within what all hosts together may spend.
-fn retries(history: &History, bounds: &Bounds) -> Vec<String> {
-    let mut first: HashSet<&str> = HashSet::new();
-    let further = history.arrivals.iter().filter(|a| !first.insert(&a.id));
-    let further: Vec<u64> = further.map(|arrival| arrival.at).collect();
-    let sent: Vec<u64> = history.requests.iter().map(|r| r.sent).collect();
-    let count = |times: &[u64], from: u64, to: u64| {
-        let within = times.iter().filter(|at| (from..to).contains(at));
-        within.count()
-    };
-    let over = further.iter().find_map(|from| {
-        let spent = count(&further, *from, from + RETRY_SPAN);
-        let earlier = from.saturating_sub(RETRY_SPAN);
-        let windows = [earlier, from - (from - earlier) / 2, *from];
-        let asked = windows.map(|at| count(&sent, at, at + RETRY_SPAN));
-        let asked = asked.into_iter().max().unwrap_or(0);
-        let allowed = (asked as f64 * bounds.retries.0) as usize + bounds.retries.1;
-        (spent > allowed)
-            .then(|| format!("{spent} further attempts from {from} ms on, {allowed} allowed"))
-    });
-    over.into_iter().collect()
-}
-
 /// Everything is served again in its time once the last fault is over. What ran on an upstream
 /// as a part of a prompt crashed it is judged by `part` and `beside`.
 fn recovery(history: &History, bounds: &Bounds) -> Vec<String> {
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -23,7 +23,7 @@
     process::Process,
     proxy::Proxy,
     replicas::{Replica, Replicas},
-    upstream::Upstream,
+    upstream::{Mood, Upstream},
     world::{ENGINES, PLAIN, World},
 };
 
@@ -190,9 +190,11 @@
             "[host]\nname = host-{n}\ndomain = d-{}\nregion = r\nlisten = {ip}:{inner}\n\
              seeds = {}\nfollow = 400\n\n\
              [gateway]\nlisten = {ip}:{callers}\nready = {ip}:{ready}\nrevocation = 5000\n\
-             retry_share = 0.2\nstop_time = {}\nmemory_hold = 4000\nexchange = {}\n{}\n{LOG}",
+             retry_share = {}\nretry_slack = {}\nstop_time = {}\nmemory_hold = 4000\nexchange = {}\n{}\n{LOG}",
             n % self.world.size.replicas,
             self.seeds(inner),
+            self.world.retries.0,
+            self.world.retries.1,
             STOP.as_secs(),
             self.seeds(loads),
             if self.world.load { LOAD } else { "" }
@@ -317,6 +319,9 @@
                 }
                 Ok(())
             }
+            Act::Refuse(n) => self.spoil(n, Mood::Refuses, length).await,
+            Act::Fail(n) => self.spoil(n, Mood::Fails, length).await,
+            Act::Silent(n) => self.spoil(n, Mood::Silent, length).await,
             Act::Slow(n) => {
                 if let Some(upstream) = self.present(n) {
                     upstream.slow.set(true);
@@ -338,6 +343,16 @@
         }
     }
 
+    /// Has an upstream do nothing well for a while.
+    async fn spoil(&self, n: usize, mood: Mood, length: Duration) -> io::Result<()> {
+        if let Some(upstream) = self.present(n) {
+            upstream.mood.set(Some(mood));
+            sleep(length).await;
+            upstream.mood.set(None);
+        }
+        Ok(())
+    }
+
     async fn replace(&self, n: usize, name: Option<String>) -> io::Result<()> {
         let next = self.upstream(n, name).await?;
         let old = std::mem::replace(&mut self.upstreams.borrow_mut()[n], next);
@@ -408,6 +423,7 @@
             upstream.link.set(None);
             upstream.limit.set(None);
             upstream.pause.set(None);
+            upstream.mood.set(None);
         }
         let replicas = self.replicas.present();
         let replicas = replicas.iter().map(|replica| &replica.process);
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -51,16 +51,22 @@
 use self::{
     arguments::{Arguments, Setup},
     caller::Caller,
-    check::{BOUNDS, Finding},
+    check::{
+        BOUNDS, Bounds, Finding,
+        retries::{Worst, worst},
+    },
     fleet::Fleet,
     history::{History, Kind, Outcome},
     operator::Operator,
-    plan::{Act, Fault, replacement},
-    world::World,
+    plan::{Act, Fault, failing, replacement},
+    world::{ENGINES, PLAIN, World},
 };
 
 /// Keys at the start; each revocation takes one.
 const KEYS: usize = 40;
+/// Retries of all entry hosts to a service in a window besides those of requests, where
+/// they are few.
+const FEW_RETRIES: usize = 6;
 /// Callers of a greedy organisation.
 const GREEDY: usize = 8;
 /// How long only usual callers send, before those whose prompts crash upstreams.
@@ -89,6 +95,8 @@
     pub faults: Vec<Fault>,
     /// What was seen.
     pub history: History,
+    /// The windows with the most retries, of those allowed; one of each service.
+    pub retries: Vec<Worst>,
     /// Promises that were not kept.
     pub findings: Vec<Finding>,
     /// Where the logs are, if there are findings.
@@ -121,6 +129,14 @@
         if let Some(seen) = check::crashes::Seen::of(&self.history, &BOUNDS) {
             writeln!(f, "{seen}")?;
         }
+        for worst in &self.retries {
+            let (service, from) = (worst.service, worst.from);
+            let (made, allowed) = (worst.made, worst.allowed);
+            writeln!(
+                f,
+                "{service}: {made} retries from {from} ms on, {allowed} allowed"
+            )?;
+        }
         for finding in &self.findings {
             writeln!(f, "FOUND {}: {}", finding.check, finding.text)?;
         }
@@ -209,6 +225,19 @@
 }
 
 impl Setup {
+    /// What the run is judged by. Entry hosts get the same bound of retries by their settings.
+    pub fn bounds(&self) -> Bounds {
+        let slack = if self.retries {
+            FEW_RETRIES
+        } else {
+            BOUNDS.retries.1
+        };
+        Bounds {
+            retries: (BOUNDS.retries.0, slack),
+            ..BOUNDS
+        }
+    }
+
     /// The plan, without what is left out.
     pub fn faults(&self) -> Vec<Fault> {
         let millis = self.seconds * 1_000;
@@ -225,6 +254,9 @@
         if self.aim {
             plan::draw_aims(self.seed, millis, self.size, &mut faults);
         }
+        if self.retries {
+            failing::draw(self.seed, millis, self.size, &mut faults);
+        }
         if self.pauses {
             plan::draw_pauses(self.seed, millis, self.size, &mut faults);
         }
@@ -254,7 +286,11 @@
     drop(runtime);
     played?;
     let history = world.history.take();
-    let findings = check::all(&history, &BOUNDS);
+    let bounds = setup.bounds();
+    let services = [PLAIN, ENGINES].into_iter();
+    let retries = services.filter_map(|service| worst(&history, &bounds, service));
+    let retries = retries.collect();
+    let findings = check::all(&history, &bounds);
     let logs = match findings.is_empty() {
         true => None,
         false => Some(keep(setup, folder.path())?),
@@ -262,6 +298,7 @@
     Ok(Report {
         faults,
         history,
+        retries,
         findings,
         logs,
     })
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -1,5 +1,6 @@
 //! What goes wrong in a run, and when: drawn from a seed, so that a run can be repeated.
 
+pub mod failing;
 pub mod replacement;
 
 use std::fmt;
@@ -82,6 +83,12 @@
     /// An upstream turns away what it gets and asks each host for a pause of so many
     /// milliseconds.
     Pause(usize, u64),
+    /// An upstream turns away all that it gets.
+    Refuse(usize),
+    /// An upstream runs what it gets and fails it.
+    Fail(usize),
+    /// An upstream takes what it gets and answers nothing.
+    Silent(usize),
     /// The operator publishes another configuration.
     Publish,
     /// The operator publishes so many configurations in quick succession, with many routes.
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -51,6 +51,17 @@
 /// One in so many requests shows a planted fault.
 const PLANTED: u32 = 20;
 
+/// What an upstream does with all requests, in place of running them well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// Turns them away.
+    Refuses,
+    /// Runs and fails them.
+    Fails,
+    /// Answers nothing.
+    Silent,
+}
+
 /// One life of an upstream.
 pub struct Upstream {
     world: Rc<World>,
@@ -74,6 +85,8 @@
     pub slow: Cell<bool>,
     /// It turns requests away and asks for a pause of so many milliseconds.
     pub pause: Cell<Option<u64>>,
+    /// What it does with all requests.
+    pub mood: Cell<Option<Mood>>,
     leaving: Cell<bool>,
     dead: Cell<bool>,
     /// When a request crashed it.
@@ -113,6 +126,7 @@
             limit: Cell::new(None),
             slow: Cell::new(false),
             pause: Cell::new(None),
+            mood: Cell::new(None),
             leaving: Cell::new(false),
             dead: Cell::new(false),
             crashed: Cell::new(None),
@@ -254,6 +268,9 @@
         if let Some(pause) = self.pause.get() {
             return write(stream, &self.turn_away(id, pause)).await;
         }
+        if let Some(mood) = self.mood.get() {
+            return self.spoil(stream, id, mood).await;
+        }
         let is_full = self.running.get() >= self.slots;
         let resumed = request.get(names.last_event.as_str());
         let resumed: Option<u64> = resumed.and_then(|text| text.parse().ok());
@@ -289,6 +306,26 @@
         }
     }
 
+    /// Does with a request what the upstream does with all of them.
+    async fn spoil(&self, stream: &mut TcpStream, id: &str, mood: Mood) -> io::Result<()> {
+        let place = self.arrive(id, mood != Mood::Refuses, false);
+        match mood {
+            Mood::Refuses => write(stream, &self.rejection(503, id, &self.leaving_line())).await,
+            Mood::Fails => {
+                let head = self.head(500, id, Some(place));
+                write(stream, &format!("{head}content-length: 0\r\n\r\n")).await
+            }
+            Mood::Silent => {
+                self.world.history.borrow_mut().arrivals[place].is_broken = true;
+                while self.mood.get() == Some(mood) {
+                    sleep(EVENT).await;
+                }
+                reset(stream);
+                Err(io::ErrorKind::ConnectionAborted.into())
+            }
+        }
+    }
+
     fn arrive(&self, id: &str, ran: bool, resumes: bool) -> usize {
         let mut history = self.world.history.borrow_mut();
         let arrival = Arrival {
--- a/almondlock-bench/src/soak/world.rs
+++ b/almondlock-bench/src/soak/world.rs
@@ -82,6 +82,8 @@
     pub cuts_synced: bool,
     /// Entry hosts decide by slots, shares and observed pace.
     pub load: bool,
+    /// What all entry hosts together may retry: for each request, and in any case.
+    pub retries: (f64, usize),
     /// Where the part that crashes upstreams stands in prompts that have it.
     pub place: usize,
     /// The planted fault.
@@ -110,6 +112,7 @@
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
             cuts_synced: setup.cuts_synced,
             load: setup.load,
+            retries: setup.bounds().retries,
             place: usize::try_from(seed % SHARED.len() as u64).unwrap_or(0),
             plant: setup.plant,
             serving: Cell::new(false),
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -166,6 +166,17 @@
     history.arrivals.extend(again);
 }
 
+/// The other service's requests don't pay for these.
+fn retried_for_one_service(history: &mut History) {
+    let others = (0..900).map(|n| {
+        let id = format!("other-{n}");
+        request(&id, Kind::Short, 8_000, Outcome::Status(200))
+    });
+    history.requests.extend(others);
+    let again = (0..110).map(|n| arrival("often", 8_000 + n));
+    history.arrivals.extend(again);
+}
+
 fn not_served(history: &mut History) {
     let at = HEALED + BOUNDS.recovery + 1_000;
     let refused = request("refused", Kind::Safe, at, Outcome::Status(503));
@@ -301,6 +312,7 @@
     cut_off = { cut_at_stop, "uncut" },
     leaked = { memory_left, "memory" },
     retry_storm = { retried_often, "retries" },
+    retry_storm_of_one_service = { retried_for_one_service, "retries" },
     unrecovered = { not_served, "recovery" },
     unasked = { never_asked, "recovery" },
     crashing = { crash_not_refused, "recovery" },
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -24,6 +24,7 @@
         crashing: false,
         parts: false,
         aim: false,
+        retries: false,
         cuts_synced: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
@@ -135,6 +136,25 @@
     assert!(report.findings.is_empty(), "{report}");
 }
 
+/// Guards against retries that pile up while entry hosts are restarted, since each start of
+/// a host forgets what it spent before.
+#[test]
+fn retries_bounded() {
+    let setup = Setup {
+        planned: true,
+        retries: true,
+        callers: 6,
+        ..setup(2, 15)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+    assert!(
+        report.retries.iter().all(|worst| worst.made > 5),
+        "{report}"
+    );
+}
+
 fn replaced(seed: u64) {
     let setup = Setup {
         planned: true,
