--- a/almondlock-policy/src/budget.rs
+++ b/almondlock-policy/src/budget.rs
@@ -50,9 +50,9 @@
 /// Fraction of what a request earns that may be spent until a window after it.
 ///
 /// Invariant: twice this and [`PROMPT_FRACTION`] are at most 1.
-pub const LASTING_FRACTION: f64 = 0.3;
+pub const LASTING_FRACTION: f64 = 0.25;
 /// Fraction of what a request earns that is capped at the host's share of the slack.
-pub const PROMPT_FRACTION: f64 = 0.4;
+pub const PROMPT_FRACTION: f64 = 0.5;
 /// Fraction of the slack that hosts may save up. The rest is earned with time.
 pub const SAVED_FRACTION: f64 = 0.75;
 /// Fraction of the bound that budgets use. Requests are read a little later than callers
