Begin the rate of an organisation with one request, not with two seconds of it

An organisation could send five times its rate while entry hosts with sidecars were restarted in series: each start began with all that a host may save up, two seconds of its part. Now a bucket begins with one request, so that a host that starts turns nobody away whose rate is low, and each start may admit one beyond the rate.

--- a/almondlock-policy/src/bucket.rs
+++ b/almondlock-policy/src/bucket.rs
@@ -11,7 +11,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Bucket {
     credit: u64,
-    // Time of the last refill. `None` before the first one, which fills the bucket.
+    // Time of the last refill. `None` before the first one, which gives one request: a bucket
+    // that began full would give its capacity again at each start of its host.
     refilled_at: Option<Mono>,
 }
 
@@ -32,7 +33,7 @@
         let rate = u128::from(rate);
         let capacity = (rate * burst.as_micros() / 1000).max(u128::from(MICROREQUESTS_PER_REQUEST));
         let earned = match self.refilled_at {
-            None => capacity,
+            None => u128::from(MICROREQUESTS_PER_REQUEST),
             Some(at) => rate * now.since(at).as_micros() / 1000,
         };
         let credit = (u128::from(self.credit) + earned).min(capacity);
--- a/almondlock-policy/tests/shared_limit.rs
+++ b/almondlock-policy/tests/shared_limit.rs
@@ -42,6 +42,30 @@
     assert!((1_200..=1_320).contains(&admitted), "{admitted}");
 }
 
+/// Hosts that restart again and again admit what they had saved up at each start.
+#[test]
+fn restarted_hosts() {
+    let limit = Limit {
+        rate: 60,
+        tokens: Tokens::ZERO,
+    };
+    let mut admitted = 0;
+    let mut starts = 0;
+    let mut limiters = Vec::new();
+    for millis in 0..20_000 {
+        if millis % 500 == 0 {
+            limiters = (0..3).map(|_| limiter(3, limit)).collect();
+            starts += 3;
+        }
+        for limiter in &mut limiters {
+            let now = Mono::from_millis(millis);
+            admitted += u32::from(limiter.admit(&bank(), Tokens(1), now).is_ok());
+        }
+    }
+    // 20 s at 60 requests per second, and one request for each start.
+    assert!((1_000..=1_200 + starts).contains(&admitted), "{admitted}");
+}
+
 #[test]
 fn tokens_hold_fleetwide() {
     let limit = Limit {
