Keep what quiet services have earned of the slack

Found in reading the change through. Budgets stay for as long as the host runs, and earn from its start on, also for a service that is first asked for later, which stays within the same caps (quiet_service).

--- a/almondlock-gateway/src/budget.rs
+++ b/almondlock-gateway/src/budget.rs
@@ -36,6 +36,8 @@
 #[derive(Debug)]
 pub(crate) struct Budgets {
     config: Config,
+    /// When the host started. Services earn their part of the slack from then on.
+    started: Mono,
     services: RefCell<HashMap<Service, Budget>>,
     hosts: Cell<fleet::Size>,
     watch: Cell<Watch>,
@@ -51,9 +53,10 @@
 }
 
 impl Budgets {
-    pub(crate) fn new(config: Config) -> Rc<Budgets> {
+    pub(crate) fn new(config: Config, now: Mono) -> Rc<Budgets> {
         Rc::new(Budgets {
             config,
+            started: now,
             services: RefCell::default(),
             hosts: Cell::default(),
             watch: Cell::default(),
@@ -80,7 +83,7 @@
     /// Records a request that was read.
     pub(crate) fn record_request(&self, now: Mono, service: &Service) {
         let is_late = self.watch.get().is_catching_up(now);
-        self.with(now, service, |budget, hosts| match is_late {
+        self.with(service, |budget, hosts| match is_late {
             true => budget.record_late_request(now),
             false => budget.record_request(hosts, now),
         });
@@ -88,7 +91,7 @@
 
     /// Reserves a retry. Returns `None` if none is left.
     pub(crate) fn reserve(self: &Rc<Self>, now: Mono, service: &Service) -> Option<Reservation> {
-        let reserved = self.with(now, service, |budget, hosts| budget.reserve(hosts, now));
+        let reserved = self.with(service, |budget, hosts| budget.reserve(hosts, now));
         reserved.then(|| Reservation {
             budgets: Rc::clone(self),
             service: service.clone(),
@@ -98,13 +101,7 @@
 
     /// Returns what the budget of a service counts.
     pub(crate) fn account(&self, now: Mono, service: &Service) -> Account {
-        self.with(now, service, |budget, hosts| budget.account(hosts, now))
-    }
-
-    /// Discards the budgets of services that are no longer used.
-    pub(crate) fn sweep(&self, now: Mono) {
-        let mut services = self.services.borrow_mut();
-        services.retain(|_, budget| !budget.is_idle(now));
+        self.with(service, |budget, hosts| budget.account(hosts, now))
     }
 
     fn tick(&self, now: Mono) {
@@ -118,7 +115,7 @@
         self.watch.set(watch);
     }
 
-    fn with<T, F>(&self, now: Mono, service: &Service, act: F) -> T
+    fn with<T, F>(&self, service: &Service, act: F) -> T
     where
         F: FnOnce(&mut Budget, Option<u32>) -> T,
     {
@@ -128,7 +125,7 @@
         if let Some(budget) = services.get_mut(service) {
             return act(budget, hosts);
         }
-        let new = Budget::new(self.config.bound, now);
+        let new = Budget::new(self.config.bound, self.started);
         act(services.entry(service.clone()).or_insert(new), hosts)
     }
 }
@@ -139,7 +136,7 @@
     fn spend(mut self, now: Mono) -> bool {
         self.is_spent = true;
         let budgets = &self.budgets;
-        budgets.with(now, &self.service, |budget, hosts| budget.spend(hosts, now))
+        budgets.with(&self.service, |budget, hosts| budget.spend(hosts, now))
     }
 }
 
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -241,7 +241,6 @@
         };
         worker.pool.borrow_mut().sweep(clock::mono(), is_known);
         worker.sweep_limits();
-        worker.budgets.sweep(clock::mono());
         let mut backoffs = worker.backoffs.borrow_mut();
         backoffs.sweep(clock::mono(), |name| worker.is_known(name));
     }
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -17,7 +17,7 @@
     time::Mono,
     unit::Revision,
 };
-use almondlock_node::Handle;
+use almondlock_node::{Handle, clock};
 use almondlock_policy::{
     admission::Backlog,
     backoff, cell,
@@ -181,7 +181,7 @@
             rng: RefCell::new(rng),
             snapshot: RefCell::default(),
             versions: RefCell::default(),
-            budgets: Budgets::new(bounds.retries),
+            budgets: Budgets::new(bounds.retries, clock::mono()),
             suspects: RefCell::default(),
             backlogs: RefCell::default(),
             births: RefCell::default(),
--- a/almondlock-policy/src/budget.rs
+++ b/almondlock-policy/src/budget.rs
@@ -113,13 +113,14 @@
 }
 
 impl Budget {
-    /// Creates an empty budget.
-    pub fn new(bound: Bound, now: Mono) -> Budget {
+    /// Creates the empty budget of a host that started at `started`. Its part of the slack
+    /// is earned from then on.
+    pub fn new(bound: Bound, started: Mono) -> Budget {
         Budget {
             bound,
             parts: VecDeque::new(),
             saved: 0.0,
-            refilled_at: now,
+            refilled_at: started,
             reserved: 0,
         }
     }
@@ -185,12 +186,6 @@
         }
     }
 
-    /// Returns whether nothing was recorded within a window and nothing is reserved.
-    pub fn is_idle(&mut self, now: Mono) -> bool {
-        self.evict_expired(now);
-        self.parts.is_empty() && self.reserved == 0
-    }
-
     /// Discards what has expired, and adds what time has earned.
     fn refill(&mut self, hosts: Option<u32>, now: Mono) {
         self.evict_expired(now);
--- a/almondlock-policy/src/retry.rs
+++ b/almondlock-policy/src/retry.rs
@@ -159,6 +159,8 @@
     config: Config,
     host: Budget,
     organisations: HashMap<Organisation, Budget>,
+    /// When the host started.
+    started: Mono,
     /// Number of entry hosts that share the bound.
     hosts: u32,
     watch: Watch,
@@ -171,6 +173,7 @@
             config,
             host: Budget::new(config.bound, now),
             organisations: HashMap::new(),
+            started: now,
             hosts: 1,
             watch: Watch::default(),
         }
@@ -201,7 +204,7 @@
         if let Some(budget) = self.organisations.get_mut(organisation) {
             count(budget);
         } else {
-            let mut budget = Budget::new(self.config.bound, now);
+            let mut budget = Budget::new(self.config.bound, self.started);
             count(&mut budget);
             self.organisations.insert(organisation.clone(), budget);
         }
--- a/almondlock-policy/tests/retry_budget.rs
+++ b/almondlock-policy/tests/retry_budget.rs
@@ -41,7 +41,11 @@
 fn quiet_service(hosts: Option<u32>, retries: usize) {
     let mut budget = Budget::new(BOUND, START);
     assert!(!try_take(&mut budget, hosts, START));
+    // A service that is first asked for after a while has earned as much.
     let later = START + WINDOW;
+    let mut first = Budget::new(BOUND, START);
+    let made = (0..10).filter(|_| try_take(&mut first, hosts, later));
+    assert_eq!(made.count(), retries);
     let taken = (0..10).filter(|_| try_take(&mut budget, hosts, later));
     assert_eq!(taken.count(), retries);
 }
