Measure what retry budgets keep, and work the capacity page out with it

A budget keeps up to 20 parts of a window: 1,373 bytes an organisation with a request in each part (108 before), 2.1 MB for 1,500 organisations, by the footprint example. The tables that depend on it are printed anew.

--- a/almondlock-bench/examples/capacity/page/state.rs
+++ b/almondlock-bench/examples/capacity/page/state.rs
@@ -68,7 +68,7 @@
         "entry",
         "retry budgets",
         ORGANISATIONS,
-        108.0,
+        1_373.0,
         "decisions.md",
     ),
     Item::new(
--- a/almondlock-policy/examples/footprint.rs
+++ b/almondlock-policy/examples/footprint.rs
@@ -139,8 +139,12 @@
 
 fn retries() -> retry::Policy {
     let mut policy = retry::Policy::new(retry::Config::default(), Mono::ZERO);
-    for i in 0..ITEMS {
-        policy.count_request(&organisation(i), Mono::ZERO);
+    // A request in each part of a window, the most that a budget keeps.
+    for part in 0..20 {
+        let now = Mono::from_millis(part * 500);
+        for i in 0..ITEMS {
+            policy.count_request(&organisation(i), now);
+        }
     }
     policy
 }
