--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -23,7 +23,7 @@
     process::Process,
     proxy::Proxy,
     replicas::{Replica, Replicas},
-    upstream::{Mood, Upstream},
+    upstream::{Failing, Upstream},
     world::{ENGINES, PLAIN, World},
 };
 
@@ -319,9 +319,9 @@
                 }
                 Ok(())
             }
-            Act::Refuse(n) => self.spoil(n, Mood::Refuses, length).await,
-            Act::Fail(n) => self.spoil(n, Mood::Fails, length).await,
-            Act::Silent(n) => self.spoil(n, Mood::Silent, length).await,
+            Act::Refuse(n) => self.fail_upstream(n, Failing::Refuses, length).await,
+            Act::Fail(n) => self.fail_upstream(n, Failing::Fails, length).await,
+            Act::Silent(n) => self.fail_upstream(n, Failing::Silent, length).await,
             Act::Slow(n) => {
                 if let Some(upstream) = self.present(n) {
                     upstream.slow.set(true);
@@ -343,12 +343,12 @@
         }
     }
 
-    /// Has an upstream do nothing well for a while.
-    async fn spoil(&self, n: usize, mood: Mood, length: Duration) -> io::Result<()> {
+    /// Has an upstream fail all requests for a while.
+    async fn fail_upstream(&self, n: usize, failing: Failing, length: Duration) -> io::Result<()> {
         if let Some(upstream) = self.present(n) {
-            upstream.mood.set(Some(mood));
+            upstream.failing.set(Some(failing));
             sleep(length).await;
-            upstream.mood.set(None);
+            upstream.failing.set(None);
         }
         Ok(())
     }
@@ -423,7 +423,7 @@
             upstream.link.set(None);
             upstream.limit.set(None);
             upstream.pause.set(None);
-            upstream.mood.set(None);
+            upstream.failing.set(None);
         }
         let replicas = self.replicas.present();
         let replicas = replicas.iter().map(|replica| &replica.process);
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -51,9 +51,9 @@
 /// One in so many requests shows a planted fault.
 const PLANTED: u32 = 20;
 
-/// What an upstream does with all requests, in place of running them well.
+/// How an upstream fails all requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Mood {
+pub enum Failing {
     /// Turns them away.
     Refuses,
     /// Runs and fails them.
@@ -85,8 +85,8 @@
     pub slow: Cell<bool>,
     /// It turns requests away and asks for a pause of so many milliseconds.
     pub pause: Cell<Option<u64>>,
-    /// What it does with all requests.
-    pub mood: Cell<Option<Mood>>,
+    /// How it fails all requests, if it does.
+    pub failing: Cell<Option<Failing>>,
     leaving: Cell<bool>,
     dead: Cell<bool>,
     /// When a request crashed it.
@@ -126,7 +126,7 @@
             limit: Cell::new(None),
             slow: Cell::new(false),
             pause: Cell::new(None),
-            mood: Cell::new(None),
+            failing: Cell::new(None),
             leaving: Cell::new(false),
             dead: Cell::new(false),
             crashed: Cell::new(None),
@@ -268,8 +268,8 @@
         if let Some(pause) = self.pause.get() {
             return write(stream, &self.turn_away(id, pause)).await;
         }
-        if let Some(mood) = self.mood.get() {
-            return self.spoil(stream, id, mood).await;
+        if let Some(failing) = self.failing.get() {
+            return self.fail(stream, id, failing).await;
         }
         let is_full = self.running.get() >= self.slots;
         let resumed = request.get(names.last_event.as_str());
@@ -306,18 +306,18 @@
         }
     }
 
-    /// Does with a request what the upstream does with all of them.
-    async fn spoil(&self, stream: &mut TcpStream, id: &str, mood: Mood) -> io::Result<()> {
-        let place = self.arrive(id, mood != Mood::Refuses, false);
-        match mood {
-            Mood::Refuses => write(stream, &self.rejection(503, id, &self.leaving_line())).await,
-            Mood::Fails => {
+    /// Fails a request.
+    async fn fail(&self, stream: &mut TcpStream, id: &str, failing: Failing) -> io::Result<()> {
+        let place = self.arrive(id, failing != Failing::Refuses, false);
+        match failing {
+            Failing::Refuses => write(stream, &self.rejection(503, id, &self.leaving_line())).await,
+            Failing::Fails => {
                 let head = self.head(500, id, Some(place));
                 write(stream, &format!("{head}content-length: 0\r\n\r\n")).await
             }
-            Mood::Silent => {
+            Failing::Silent => {
                 self.world.history.borrow_mut().arrivals[place].is_broken = true;
-                while self.mood.get() == Some(mood) {
+                while self.failing.get() == Some(failing) {
                     sleep(EVENT).await;
                 }
                 reset(stream);
--- a/almondlock-gateway/src/budget.rs
+++ b/almondlock-gateway/src/budget.rs
@@ -83,7 +83,7 @@
     /// Records a request that was read.
     pub(crate) fn record_request(&self, now: Mono, service: &Service) {
         let is_late = self.watch.get().is_catching_up(now);
-        self.with(service, |budget, hosts| match is_late {
+        self.with_budget(service, |budget, hosts| match is_late {
             true => budget.record_late_request(now),
             false => budget.record_request(hosts, now),
         });
@@ -91,7 +91,7 @@
 
     /// Reserves a retry. Returns `None` if none is left.
     pub(crate) fn reserve(self: &Rc<Self>, now: Mono, service: &Service) -> Option<Reservation> {
-        let reserved = self.with(service, |budget, hosts| budget.reserve(hosts, now));
+        let reserved = self.with_budget(service, |budget, hosts| budget.reserve(hosts, now));
         reserved.then(|| Reservation {
             budgets: Rc::clone(self),
             service: service.clone(),
@@ -101,7 +101,7 @@
 
     /// Returns what the budget of a service counts.
     pub(crate) fn account(&self, now: Mono, service: &Service) -> Account {
-        self.with(service, |budget, hosts| budget.account(hosts, now))
+        self.with_budget(service, |budget, hosts| budget.account(hosts, now))
     }
 
     fn tick(&self, now: Mono) {
@@ -115,7 +115,7 @@
         self.watch.set(watch);
     }
 
-    fn with<T, F>(&self, service: &Service, act: F) -> T
+    fn with_budget<T, F>(&self, service: &Service, act: F) -> T
     where
         F: FnOnce(&mut Budget, Option<u32>) -> T,
     {
@@ -136,7 +136,7 @@
     fn spend(mut self, now: Mono) -> bool {
         self.is_spent = true;
         let budgets = &self.budgets;
-        budgets.with(&self.service, |budget, hosts| budget.spend(hosts, now))
+        budgets.with_budget(&self.service, |budget, hosts| budget.spend(hosts, now))
     }
 }
 
