--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -4,7 +4,15 @@
 
 use gumdrop::Options;
 
-use super::{plan::Size, world::Plant};
+use super::{
+    check::{BOUNDS, Bounds},
+    plan::Size,
+    world::Plant,
+};
+
+/// Retries of all entry hosts to a service in a window besides those of requests, where
+/// they are few.
+const FEW_RETRIES: usize = 6;
 
 /// What can be asked for.
 #[derive(Debug)]
@@ -196,6 +204,21 @@
     pub plant: Option<Plant>,
 }
 
+impl Setup {
+    /// What the run is judged by. Entry hosts get the same bound of retries by their settings.
+    pub fn bounds(&self) -> Bounds {
+        let slack = if self.retries {
+            FEW_RETRIES
+        } else {
+            BOUNDS.retries.1
+        };
+        Bounds {
+            retries: (BOUNDS.retries.0, slack),
+            ..BOUNDS
+        }
+    }
+}
+
 impl Arguments {
     /// Checks the arguments.
     ///
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -53,7 +53,7 @@
 use self::{
     arguments::{Arguments, Setup},
     caller::Caller,
-    check::{BOUNDS, Bounds, Finding, retries::worst},
+    check::{BOUNDS, Finding, retries::worst},
     fleet::Fleet,
     history::{History, Kind, Outcome},
     operator::Operator,
@@ -63,9 +63,6 @@
 
 /// Keys at the start; each revocation takes one.
 const KEYS: usize = 40;
-/// Retries of all entry hosts to a service in a window besides those of requests, where
-/// they are few.
-const FEW_RETRIES: usize = 6;
 /// Callers of a greedy organisation.
 const GREEDY: usize = 8;
 /// How long only usual callers send, before those whose prompts crash upstreams.
@@ -219,19 +216,6 @@
 }
 
 impl Setup {
-    /// What the run is judged by. Entry hosts get the same bound of retries by their settings.
-    pub fn bounds(&self) -> Bounds {
-        let slack = if self.retries {
-            FEW_RETRIES
-        } else {
-            BOUNDS.retries.1
-        };
-        Bounds {
-            retries: (BOUNDS.retries.0, slack),
-            ..BOUNDS
-        }
-    }
-
     /// The plan, without what is left out.
     pub fn faults(&self) -> Vec<Fault> {
         let millis = self.seconds * 1_000;
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -1,6 +1,7 @@
 //! A stand-in upstream of the users' platform: a plain service or an engine without
 //! inference. It tells the history what it ran.
 
+mod failing;
 mod orders;
 
 use std::{
@@ -22,6 +23,7 @@
     time::sleep,
 };
 
+pub use self::failing::Failing;
 use super::{
     ending::Ending,
     history::Arrival,
@@ -51,17 +53,6 @@
 /// One in so many requests shows a planted fault.
 const PLANTED: u32 = 20;
 
-/// How an upstream fails all requests.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failing {
-    /// Turns them away.
-    Refuses,
-    /// Runs and fails them.
-    Fails,
-    /// Answers nothing.
-    Silent,
-}
-
 /// One life of an upstream.
 pub struct Upstream {
     world: Rc<World>,
@@ -306,26 +297,6 @@
         }
     }
 
-    /// Fails a request.
-    async fn fail(&self, stream: &mut TcpStream, id: &str, failing: Failing) -> io::Result<()> {
-        let place = self.arrive(id, failing != Failing::Refuses, false);
-        match failing {
-            Failing::Refuses => write(stream, &self.rejection(503, id, &self.leaving_line())).await,
-            Failing::Fails => {
-                let head = self.head(500, id, Some(place));
-                write(stream, &format!("{head}content-length: 0\r\n\r\n")).await
-            }
-            Failing::Silent => {
-                self.world.history.borrow_mut().arrivals[place].is_broken = true;
-                while self.failing.get() == Some(failing) {
-                    sleep(EVENT).await;
-                }
-                reset(stream);
-                Err(io::ErrorKind::ConnectionAborted.into())
-            }
-        }
-    }
-
     fn arrive(&self, id: &str, ran: bool, resumes: bool) -> usize {
         let mut history = self.world.history.borrow_mut();
         let arrival = Arrival {
@@ -395,18 +366,6 @@
         }
     }
 
-    fn turn_away(&self, id: &str, pause: u64) -> String {
-        let place = self.arrive(id, false, false);
-        let until = self.world.now() + pause;
-        self.world.history.borrow_mut().arrivals[place].pause = Some(until);
-        let told = match self.world.plant {
-            Some(Plant::Curt) => 0.0,
-            _ => pause as f64 / 1e3,
-        };
-        let line = format!("{}: {told}\r\n", self.world.names.backoff.as_str());
-        self.rejection(503, id, &line)
-    }
-
     async fn plain(&self, stream: &mut TcpStream, id: &str, place: usize) -> io::Result<()> {
         if self.is_planted(Plant::RunRefused) {
             return write(stream, &self.rejection(503, id, &self.leaving_line())).await;
