--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -270,7 +270,7 @@
     // The first request earns five retries.
     let bound = Bound {
         window: Duration::from_secs(10),
-        ratio: 8.0,
+        ratio: 22.0,
         slack: 0.0,
     };
     let retries = budget::Config {
