--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -267,14 +267,12 @@
 }
 
 fn settings(listen: SocketAddr, ready: SocketAddr) -> Config {
-    // The first request earns five retries.
-    let bound = Bound {
-        window: Duration::from_secs(10),
-        ratio: 22.0,
-        slack: 0.0,
-    };
     let retries = budget::Config {
-        bound,
+        bound: Bound {
+            window: Duration::from_secs(10),
+            ratio: 22.0, // The first request earns five retries.
+            slack: 0.0,
+        },
         min_hosts: 1,
         has_relays: false,
     };
