Name the error that ends a request's body on its way through a sidecar

The body's chunks carried an Rc<dyn Error> on the request path, the form that an earlier HTTP library asked for. The only error that arises is the one of the entry host's session (capnp::Error), so the type names it. No behaviour changes: broken_body, whole_answer and bad_request are green, clippy is clean.

--- a/almondlock-sidecar/src/body.rs
+++ b/almondlock-sidecar/src/body.rs
@@ -1,8 +1,6 @@
 //! Reads a request's body from the entry host in chunks, as fast as the
 //! upstream takes them.
 
-use std::rc::Rc;
-
 use almondlock_wire::{
     almondlock_capnp::source,
     attempt::{BODY_CHUNK, Head},
@@ -26,7 +24,7 @@
             Ok(chunk) if !chunk.is_empty() => chunk,
             Ok(_) => return,
             Err(error) => {
-                let _ = to.send(Err(Rc::new(error))).await;
+                let _ = to.send(Err(error)).await;
                 return;
             }
         };
--- a/almondlock-sidecar/src/protocol.rs
+++ b/almondlock-sidecar/src/protocol.rs
@@ -5,7 +5,7 @@
 //! sends requests and reports their results. It never sends a request a second
 //! time, because whether that is safe is the sidecar's decision.
 
-use std::{error, fmt, future::Future, rc::Rc};
+use std::{fmt, future::Future};
 
 use almondlock_base::unit::Tokens;
 use almondlock_policy::ledger::Kind;
@@ -19,9 +19,8 @@
 /// Number of chunks of a request's body that are buffered for the upstream.
 const FEED_CAPACITY_CHUNKS: usize = 2;
 
-/// A chunk of a body, or the error that ended it, in the form that the HTTP
-/// client requires.
-pub type Chunk = Result<Bytes, Rc<dyn error::Error>>;
+/// A chunk of a body, or the error of the entry host's session that ended it.
+pub type Chunk = Result<Bytes, capnp::Error>;
 
 /// Receives a request's body as it arrives from the entry host.
 pub type Feed = mpsc::Receiver<Chunk>;
