Borrow no table while the worker forgets an upstream's earlier life

Callers saw requests run by a service that the route no longer named, at every host and until its process was started again: an upstream that had named a rate limit crashed and started again under its name, and from then on no later version of the configuration came into force.

Cause: `forget_restarted` held `births` borrowed for its whole loop and ended the limit meanwhile. The log line of a changed limit looks the upstream's name up in `births`: a panic, "RefCell already mutably borrowed", in whichever task took the new revision in first. That is nearly always the task that follows versions. Its handle was dropped at its start, so nobody saw its end.

`version_after_restart` fails before ("version 2 is not in force") and passes after.

Why no test saw it: the fields of a log line are evaluated only if somebody takes the line, and the gateway's tests set up no log.

Why it works: the upstreams that started again are found first, with `births` borrowed for that alone; each is then forgotten with one table borrowed at a time; `births` is replaced last, so that what was not finished is done again. A limit that an answer or a restart changes is logged with the name at hand, and only one that a relay tells has to be looked up.

--- a/almondlock-gateway/src/exchange/host.rs
+++ b/almondlock-gateway/src/exchange/host.rs
@@ -325,7 +325,7 @@
         }
         Message::Limits(limits) => {
             for limit in limits {
-                worker.learn_limit(limit.key, limit.notice(now), "relay");
+                worker.learn_relayed_limit(limit.key, limit.notice(now));
             }
             Ok(())
         }
--- a/almondlock-gateway/src/limit.rs
+++ b/almondlock-gateway/src/limit.rs
@@ -54,35 +54,44 @@
             },
         };
         let notice = Notice::of(rate, sent, clock::mono());
+        self.learn_limit(upstream, notice, "answer");
+    }
+
+    /// Applies a notice of an upstream's limit that this host was the first to see.
+    /// `source` names the origin of the notice in the log.
+    fn learn_limit(&self, upstream: &Upstream, notice: Notice, source: &str) {
         let key = Key::of(upstream);
-        if self.learn_limit(key, notice, "answer") {
+        if self.limits.borrow_mut().learn(&key, notice) {
+            self.log_limit(upstream.as_str(), &notice, source);
             self.permits.note_change(key);
         }
     }
 
-    /// Applies a notice of an upstream's limit, and returns whether the limit in force has
-    /// changed. `source` names the origin of the notice in the log.
-    pub(crate) fn learn_limit(&self, key: Key, notice: Notice, source: &str) -> bool {
-        let is_change = self.limits.borrow_mut().learn(&key, notice);
-        if is_change {
-            let rate = notice.rate.map(Rate::per_second);
-            let age = clock::mono().since(notice.at);
-            tracing::info!(
-                upstream = %self.upstream_name(key), per_second = rate, source,
-                age_ms = age.as_millis(), "limit changed"
-            );
-            self.shared.metrics.count("limit_changes", source);
+    /// Applies a notice of an upstream's limit that a relay has passed on.
+    pub(crate) fn learn_relayed_limit(&self, key: Key, notice: Notice) {
+        if self.limits.borrow_mut().learn(&key, notice) {
+            self.log_limit(&self.upstream_name(key), &notice, "relay");
         }
-        is_change
+    }
+
+    /// Logs and counts a change of an upstream's limit.
+    fn log_limit(&self, upstream: &str, notice: &Notice, source: &str) {
+        let rate = notice.rate.map(Rate::per_second);
+        let age = clock::mono().since(notice.at);
+        tracing::info!(
+            upstream,
+            per_second = rate,
+            source,
+            age_ms = age.as_millis(),
+            "limit changed"
+        );
+        self.shared.metrics.count("limit_changes", source);
     }
 
     /// Ends the limit of an upstream that has started again.
     pub(crate) fn end_limit(&self, upstream: &Upstream) {
         let at = clock::mono();
-        let key = Key::of(upstream);
-        if self.learn_limit(key, Notice { rate: None, at }, "start") {
-            self.permits.note_change(key);
-        }
+        self.learn_limit(upstream, Notice { rate: None, at }, "start");
     }
 
     /// Returns the limit that applies to an upstream at present.
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -264,24 +264,37 @@
     /// broken. Without this, requests of its earlier life still count as load and new ones
     /// go elsewhere, or the upstream is avoided for a failure of its earlier life.
     fn forget_restarted(&self, instances: &BTreeMap<Upstream, Instance>) {
-        let mut births = self.births.borrow_mut();
-        for (name, instance) in instances {
-            let birth = instance.birth;
-            if births.get(name).is_some_and(|last| *last < birth) {
-                tracing::info!(upstream = %name, birth = birth.0, "upstream started again");
-                self.load.borrow_mut().forget(name);
-                self.end_limit(name);
-                self.backoffs.borrow_mut().reset(name);
-                self.pool.borrow_mut().forget(name);
-                self.suspects.borrow_mut().remove(name);
-                self.pacing.forget(name);
-            }
+        for (name, instance) in self.restarted(instances) {
+            tracing::info!(upstream = %name, birth = instance.birth.0, "upstream started again");
+            self.forget_life(name);
         }
         self.pacing.retain(|name| instances.contains_key(name));
-        *births = instances
-            .iter()
-            .map(|(name, i)| (name.clone(), i.birth))
-            .collect();
+        let births = instances.iter();
+        let births = births.map(|(name, instance)| (name.clone(), instance.birth));
+        // Replaced last: until then the next call repeats what was not finished.
+        self.births.replace(births.collect());
+    }
+
+    /// Returns the upstreams whose present life is later than the one known so far.
+    fn restarted<'a>(
+        &self,
+        instances: &'a BTreeMap<Upstream, Instance>,
+    ) -> Vec<(&'a Upstream, &'a Instance)> {
+        let births = self.births.borrow();
+        let is_later = |name: &Upstream, birth| births.get(name).is_some_and(|last| *last < birth);
+        let restarted = instances.iter();
+        let restarted = restarted.filter(|(name, instance)| is_later(name, instance.birth));
+        restarted.collect()
+    }
+
+    /// Discards what is known of an upstream's earlier life.
+    fn forget_life(&self, name: &Upstream) {
+        self.load.borrow_mut().forget(name);
+        self.end_limit(name);
+        self.backoffs.borrow_mut().reset(name);
+        self.pool.borrow_mut().forget(name);
+        self.suspects.borrow_mut().remove(name);
+        self.pacing.forget(name);
     }
 
     /// Returns the life of an upstream that the configuration in force names.
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -253,9 +253,10 @@
 
 fn start_for(setup: Setup, upstreams: &[SocketAddr]) -> SocketAddr {
     let instances = (0..).zip(upstreams);
-    let instances: Vec<(Upstream, Instance)> = instances
-        .map(|(n, address)| instance(&setup, n, address))
-        .collect();
+    let instances = instances.map(|(n, address)| instance(&setup, n, address));
+    let instances: Vec<(Upstream, Instance)> = instances.collect();
+    // The fields of log lines are evaluated only if somebody takes the lines.
+    let _ = tracing::subscriber::set_global_default(tracing_subscriber::registry());
     let (listen, ready) = (free_address(), free_address());
     let (started, running) = mpsc::channel();
     thread::spawn(move || {
@@ -486,8 +487,8 @@
     let Some((head, body)) = text.split_once("\r\n\r\n") else {
         return false;
     };
-    let lower = head.to_ascii_lowercase();
-    let mut lines = lower.lines();
+    let head = head.to_ascii_lowercase();
+    let mut lines = head.lines();
     let length = lines.find_map(|line| line.strip_prefix("content-length:"));
     length.is_some_and(|length| length.trim().parse() == Ok(body.len()))
 }
--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -188,6 +188,8 @@
 impl Gateway {
     /// Starts a gateway with its first version, in front of an upstream of the service `s`.
     pub fn start(upstream: SocketAddr, first: Document) -> Gateway {
+        // The fields of log lines are evaluated only if somebody takes the lines.
+        let _ = tracing::subscriber::set_global_default(tracing_subscriber::registry());
         let (listen, ready) = (free_address(), free_address());
         let (started, running) = mpsc::channel();
         let (stop, mut stops) = tokio::sync::mpsc::channel(1);
@@ -226,13 +228,18 @@
 
     /// Publishes another version.
     pub fn publish(&self, document: Document) {
+        self.publish_with(document, Birth::default());
+    }
+
+    /// Publishes a version, and that the upstream's present life began at `birth`.
+    pub fn publish_with(&self, document: Document, birth: Birth) {
         let instance = Instance {
             service: Service::new("s").unwrap(),
             address: self.upstream,
             domain: Domain::new("d").unwrap(),
             slots: 8,
             leaving: false,
-            birth: Birth::default(),
+            birth,
             cold: false,
         };
         let config = config::Config {
