--- a/almondlock-task/src/lib.rs
+++ b/almondlock-task/src/lib.rs
@@ -13,7 +13,8 @@
 //! A panic may leave the tables of its thread half changed. Nobody can tell which, so the
 //! process ends instead of starting the task again; its supervisor starts it with new state.
 //! A part of one request is the exception: if a caller's request could end the process,
-//! callers could end all of them.
+//! callers could end all of them. State that must stay whole even then is changed within an
+//! [`Owner::scope`], which ends the process if a panic leaves it.
 //!
 //! Every panic is logged as one line with the task's name ([`log_panics`]) and counted by
 //! that name ([`panics`], [`figures`]).
@@ -36,4 +37,4 @@
 mod owner;
 
 pub use guard::{Panicked, Panics, figures, guard, log_panics, panics};
-pub use owner::{End, Failure, Owner, Task};
+pub use owner::{End, Failure, Owner, Scope, Task};
