Transport: keep a panic while dialling from staying with the address

An address was dialled by a shared future, so that all who ask wait for one connection. Had it panicked, it would have stayed in the pool's table, and whoever asked for the address from then on would have panicked in turn: a host that no longer reaches a sidecar until its own end.

The dial is guarded now: a panic counts as a failed connection, with the usual pause, and is logged and counted as `dial`. Sessions, on both sides, are named and counted the same way; they end alone, as before, and callers on them are told by the closed connection.

Found by reading all places that start tasks.

--- a/almondlock-transport/src/link.rs
+++ b/almondlock-transport/src/link.rs
@@ -2,6 +2,7 @@
 
 use std::{future::Future, io, net::SocketAddr, rc::Rc, time::Duration};
 
+use almondlock_task::guard;
 use almondlock_wire::almondlock_capnp::node;
 use capnp::message::ReaderOptions;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty::VatNetwork};
@@ -88,6 +89,7 @@
         let mut system = RpcSystem::new(Box::new(network), None);
         let node = system.bootstrap(Side::Server);
         let (closing, closed) = watch::channel(false);
+        let system = guard("session", system);
         let task = tokio::task::spawn_local(system.map(move |_| closing.send_replace(true)));
         Ok(Link {
             node,
--- a/almondlock-transport/src/listen.rs
+++ b/almondlock-transport/src/listen.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::Cell, io, net::SocketAddr, rc::Rc, time::Duration};
 
+use almondlock_task::guard;
 use almondlock_wire::almondlock_capnp::node;
 use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side};
 use socket2::{Domain, Protocol, Socket, Type};
@@ -114,7 +115,8 @@
                 let shared = Rc::clone(&shared);
                 sessions.spawn_local(async move {
                     let (config, make) = &*shared;
-                    if let Err(error) = session(stream, remote, config, make).await {
+                    let session = guard("session", session(stream, remote, config, make));
+                    if let Ok(Err(error)) = session.await {
                         tracing::debug!(%remote, %error, "a session ended");
                     }
                 });
--- a/almondlock-transport/src/pool.rs
+++ b/almondlock-transport/src/pool.rs
@@ -10,6 +10,7 @@
 use std::{cell::RefCell, collections::HashMap, io, net::SocketAddr, rc::Rc, time::Duration};
 
 use almondlock_base::time::Mono;
+use almondlock_task::guard;
 use futures::{
     FutureExt,
     future::{LocalBoxFuture, Shared},
@@ -128,7 +129,10 @@
     }
 
     async fn dial(self, address: SocketAddr, mut backoff: Backoff) -> Result<Link, io::ErrorKind> {
-        let result = self.dialer.dial(address).await;
+        // Without this, a panic would stay in the shared future, and meet whoever asks for
+        // the address from then on.
+        let result = guard("dial", self.dialer.dial(address)).await;
+        let result = result.unwrap_or_else(|panicked| Err(io::Error::other(panicked)));
         let mut inner = self.inner.borrow_mut();
         let state = match &result {
             Ok(link) => State::Open(link.clone()),
