Node: own the listener, the exchange with sources and the config fetch

Whatever ended one of these tasks left a process that answered and looked well while it no longer followed the configuration, or could no longer be reached by other processes. Their handles were kept only to end them at a stop.

Each is started by the process's owner, which comes with `Parts` and is handed to all roles through the node's handle. Heartbeats of sessions are parts: a session whose heartbeat is gone counts as lost, as before.

--- a/almondlock-node/src/handle.rs
+++ b/almondlock-node/src/handle.rs
@@ -17,6 +17,7 @@
     snapshot::Store,
     view::View,
 };
+use almondlock_task::Owner;
 use almondlock_transport::Security;
 use almondlock_wire::{
     peer::{Peer, VERSION},
@@ -100,6 +101,8 @@
     pub(crate) tree: Mutex<Tree>,
     /// Counts the answers that name other sources.
     pub(crate) turns: AtomicUsize,
+    /// Owner of the process's tasks.
+    pub(crate) owner: Owner,
 }
 
 /// The node's place in the tree.
@@ -194,6 +197,11 @@
         &self.shared.view
     }
 
+    /// Owner of the process's tasks.
+    pub fn owner(&self) -> &Owner {
+        &self.shared.owner
+    }
+
     /// What inner sessions are wrapped in.
     pub fn security(&self) -> &Security {
         &self.shared.security
--- a/almondlock-node/src/links.rs
+++ b/almondlock-node/src/links.rs
@@ -18,7 +18,7 @@
 
 use almondlock_transport::{Dialer, Link};
 use almondlock_wire::{almondlock_capnp::node, peer::Peer};
-use tokio::{sync::watch, task::spawn_local, time::timeout};
+use tokio::{sync::watch, time::timeout};
 
 use crate::handle::Handle;
 
@@ -139,7 +139,8 @@
             used: Rc::clone(&session.used),
             heard: session.heard.clone(),
         };
-        spawn_local(beat.run(tell));
+        let owner = self.handle.owner();
+        owner.spawn_part("session-heartbeat", beat.run(tell));
         let mut sessions = self.sessions.borrow_mut();
         sessions.retain(|_, session| !session.is_lost());
         sessions.insert(address, session.clone());
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -20,6 +20,7 @@
     snapshot::Store,
     view::View,
 };
+use almondlock_task::{Owner, Task};
 use almondlock_transport::{Dialer, Direct, Layer, Security, listen};
 use almondlock_wire::{
     almondlock_capnp::{control, sidecar},
@@ -29,7 +30,6 @@
 use tokio::{
     net::TcpListener,
     sync::{Notify, watch},
-    task::{JoinHandle, spawn_local},
 };
 
 use crate::{
@@ -125,6 +125,8 @@
     /// Until when a source's view is known to be current. A source without one
     /// counts as current always, which is right only for a single replica.
     pub vouch: Option<Vouch>,
+    /// Owner of the process's tasks.
+    pub owner: Owner,
 }
 
 /// A running node, bound to the thread that started it.
@@ -133,7 +135,7 @@
     handle: Handle,
     shared: Arc<Shared>,
     parent: fetch::Parent,
-    tasks: Vec<JoinHandle<()>>,
+    tasks: Vec<Task>,
 }
 
 impl Node {
@@ -162,12 +164,14 @@
         let dialer = Dialer::with_layer(config.security.clone(), layer(address));
         let limits = listen::Config::new(config.security.clone());
         let make = server::maker(Arc::clone(&shared), handle.clone(), parts);
-        let mut tasks = vec![spawn_local(listen::serve_with(listener, limits, make))];
+        let owner = &shared.owner;
+        let listening = listen::serve_with(listener, limits, make);
+        let mut tasks = vec![owner.spawn("inner-listener", listening)];
         if shared.is_source {
             let siblings = config.seeds.into_iter().filter(|seed| *seed != address);
             for sibling in siblings {
                 let exchange = exchange::run(Arc::clone(&shared), dialer.clone(), sibling);
-                tasks.push(spawn_local(exchange));
+                tasks.push(owner.spawn("source-exchange", exchange));
             }
         } else {
             let fetcher = Fetcher::new(
@@ -177,7 +181,7 @@
                 config.pace,
                 Rc::clone(&parent),
             );
-            tasks.push(spawn_local(fetcher.run()));
+            tasks.push(owner.spawn("config-fetch", fetcher.run()));
         }
         Ok(Node {
             address,
@@ -216,7 +220,7 @@
     /// Stops serving and fetching. A parent is told, so that it doesn't wait
     /// for this process to lapse.
     pub async fn stop(&self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.tasks.iter().for_each(Task::abort);
         let parent = self.parent.borrow_mut().take();
         if let Some(parent) = parent {
             fetch::leave(&self.shared, &parent).await;
@@ -226,7 +230,7 @@
 
 impl Drop for Node {
     fn drop(&mut self) {
-        self.tasks.iter().for_each(JoinHandle::abort);
+        self.tasks.iter().for_each(Task::abort);
     }
 }
 
@@ -260,5 +264,6 @@
             way: Vec::new(),
         }),
         turns: AtomicUsize::new(0),
+        owner: parts.owner.clone(),
     }
 }
