Gateway: own every task, answer a request that panics, tell by /readyz

A host without one of them was ready and served by what it knew.

- Each has the process's owner.
Its end makes `/readyz` answer 503, and `abandon` refuses new requests at once, with a time to come back, while answers in progress finish within the usual grace.
- The listeners are owned too, and a socket for loads that can't be bound is an end of that task, no longer a line in the log of a host without loads.
- A request whose handling panics is answered at once with 3011 `HostFault`, 502, since it may have run; its connection closes.
A stream is broken off, never ended as if complete.
The host goes on: if a request could end it, callers could end all hosts.
- Panics are counted in the metrics by the task's name.

`ended_task` ends each task with a request in progress: the host is not ready within the test's 2 s, new requests are refused within 0.3 s with a time to come back, and the request in progress is answered whole. A request and a stream that panic end before their upstream is done, and the next request is served. Before, there was nothing that `/readyz` could have told it from.

--- a/almondlock-base/src/code.rs
+++ b/almondlock-base/src/code.rs
@@ -129,6 +129,7 @@
     CallerLeft = 3008, 499, Yes, true, "The caller left while it ran.";
     SlowReader = 3009, 499, Yes, true, "The caller read too slowly.";
     AnswerDropped = 3010, 409, Yes, false, "It ran; its answer was too large to keep for a second copy.";
+    HostFault = 3011, 502, Unknown, true, "This host failed while it handled the request.";
     NotLeader = 4001, 421, No, true, "This replica doesn't lead.";
     Conflict = 4002, 409, No, false, "The change number was used with other content.";
     PlanStale = 4003, 409, No, false, "What the plan rests on has changed; ask for a new plan.";
--- a/almondlock-gateway/src/lease.rs
+++ b/almondlock-gateway/src/lease.rs
@@ -15,7 +15,7 @@
 use rand::Rng;
 use tokio::{
     sync::mpsc::UnboundedReceiver,
-    task::{JoinHandle, spawn_local},
+    task::JoinHandle,
     time::{sleep, timeout},
 };
 
@@ -106,7 +106,8 @@
             return Err(failed);
         }
         let renewal = renew(Rc::clone(worker), Rc::clone(&leases.leases));
-        leases.renewal = Some(spawn_local(renewal));
+        let owner = worker.node.owner();
+        leases.renewal = Some(owner.spawn_part("lease-renewal", renewal));
         Ok(leases)
     }
 
@@ -157,8 +158,9 @@
         active,
     }) = ended.recv().await
     {
+        let owner = worker.node.owner().clone();
         let worker = Rc::clone(&worker);
-        spawn_local(async move {
+        owner.spawn_part("lease-release", async move {
             let asked = leases.iter().filter(|lease| lease.may_be_held.get());
             join_all(asked.map(|lease| lease.release(&worker, &request))).await;
             drop(active);
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use almondlock_base::{Code, id::Domain};
+use almondlock_base::{Code, id::Domain, time::Mono};
 use almondlock_http::response::Delimiter;
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
@@ -24,8 +24,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
     net::UdpSocket,
-    sync::mpsc,
-    task::spawn_local,
+    sync::mpsc::{self, UnboundedReceiver},
     time::{sleep, timeout},
 };
 
@@ -95,15 +94,20 @@
 {
     let shared = Arc::new(Shared::new(clock::mono()));
     let callers = start_caller_listener(&config, dialect, node.clone(), &shared)?;
-    let ready = start_readiness_listener(&config, node, &shared)?;
+    let ready = start_readiness_listener(&config, node.clone(), &shared)?;
+    let owner = node.owner();
+    owner.spawn("callers-listener", callers.clone());
+    owner.spawn("readiness-listener", ready.clone());
     let mut servers = vec![callers, ready];
     if let Some(address) = config.metrics {
         let shared = Arc::clone(&shared);
         let text = move || {
             let shared = Arc::clone(&shared);
-            async move { Some(shared.metrics.text()) }
+            async move { Some(shared.metrics.text() + &almondlock_task::figures()) }
         };
-        servers.push(figures::serve(address, text)?);
+        let metrics = figures::serve(address, text)?;
+        owner.spawn("metrics-listener", metrics.clone());
+        servers.push(metrics);
     }
     Ok(Server {
         shared,
@@ -117,10 +121,24 @@
     /// Stops gracefully: readiness fails first, the listener stays open until the balancer
     /// has noticed, and answers in progress finish.
     pub async fn stop(self) {
-        let end = clock::mono() + self.notice + self.grace;
-        self.shared.begin_stop(end);
+        self.shared
+            .begin_stop(clock::mono() + self.notice + self.grace);
         sleep(self.notice).await;
         self.shared.refuses_streams.store(true, Ordering::Relaxed);
+        self.finish().await;
+    }
+
+    /// Stops because a task has ended that the host needs: refuses new requests from now
+    /// on, since another host serves them as they should be, and lets answers in progress
+    /// finish.
+    pub async fn abandon(self) {
+        self.shared.begin_stop(clock::mono() + self.grace);
+        self.shared.close();
+        self.finish().await;
+    }
+
+    /// Waits until the answers in progress have finished, and closes the listeners.
+    async fn finish(self) {
         let drained = async {
             self.wait_until_idle().await;
             // Waits for requests that began after the last check.
@@ -187,26 +205,7 @@
             retry_slack = worker.bounds.retries.bound.slack,
             "gateway starting"
         );
-        spawn_local(lease::release_ended(Rc::clone(&worker), ended));
-        spawn_local(follow::run(Rc::clone(&worker)));
-        spawn_local(sweep_periodically(Rc::clone(&worker)));
-        spawn_local(budget::watch_suspensions(Rc::clone(&worker.budgets)));
-        let any = SocketAddr::from((config.listen.ip(), 0));
-        match UdpSocket::bind(any).await {
-            Ok(socket) if !config.relays.is_empty() => {
-                let relays = config.relays.clone();
-                spawn_local(exchange::run(
-                    Rc::clone(&worker),
-                    socket,
-                    relays,
-                    config.seed,
-                ));
-            }
-            Ok(_) => {}
-            Err(error) => {
-                tracing::error!(%error, "UDP socket not bound; loads of other hosts stay unknown")
-            }
-        }
+        spawn_tasks(&worker, &config, ended);
         App::new()
             .state(worker)
             .default_service(web::route().to(handle::<D>))
@@ -224,6 +223,40 @@
     Ok(server.run())
 }
 
+/// Starts the tasks of a thread that serves callers.
+fn spawn_tasks<D>(worker: &Rc<Worker<D>>, config: &Config, ended: UnboundedReceiver<lease::Ended>)
+where
+    D: Dialect,
+{
+    let owner = worker.node.owner();
+    owner.spawn(
+        "lease-releases",
+        lease::release_ended(Rc::clone(worker), ended),
+    );
+    owner.spawn("versions", follow::run(Rc::clone(worker)));
+    owner.spawn("sweep", sweep_periodically(Rc::clone(worker)));
+    let watching = budget::watch_suspensions(Rc::clone(&worker.budgets));
+    owner.spawn("suspension-watch", watching);
+    if !config.relays.is_empty() {
+        owner.spawn(
+            "host-exchange",
+            exchange_loads(Rc::clone(worker), config.clone()),
+        );
+    }
+}
+
+/// Exchanges loads and limits with the other hosts. Returns only if there is no socket.
+async fn exchange_loads<D>(worker: Rc<Worker<D>>, config: Config)
+where
+    D: Dialect,
+{
+    let any = SocketAddr::from((config.listen.ip(), 0));
+    match UdpSocket::bind(any).await {
+        Ok(socket) => exchange::run(worker, socket, config.relays, config.seed).await,
+        Err(error) => tracing::error!(%error, "UDP socket for loads not bound to {any}"),
+    }
+}
+
 /// Removes idle connections, limits and pauses that are out of date.
 async fn sweep_periodically<D>(worker: Rc<Worker<D>>)
 where
@@ -261,12 +294,14 @@
             web::get().to(async move || {
                 let current = node.age(clock::mono()) < stale;
                 let known = node.view().get().document.is_some();
-                let ready = current && known && !shared.is_stopping();
+                let sound = node.owner().is_sound();
+                let ready = current && known && sound && !shared.is_stopping();
                 if shared.ready.swap(ready, Ordering::Relaxed) != ready {
                     let age = node.known_age(clock::mono());
                     tracing::info!(
                         ready,
                         known,
+                        sound,
                         stopping = shared.is_stopping(),
                         age_ms = age.map(|age| age.as_millis()),
                         "readiness changed"
@@ -283,7 +318,8 @@
     Ok(server.listen(listener)?.run())
 }
 
-/// Handles one request of a caller.
+/// Handles one request of a caller. A panic ends this request alone: its caller is told that
+/// it may have run.
 async fn handle<D>(
     worker: State<Rc<Worker<D>>>,
     incoming: HttpRequest,
@@ -293,8 +329,36 @@
     D: Dialect,
 {
     let arrived = clock::mono();
-    let active = worker.shared.count_active();
     let worker = Rc::clone(&worker);
+    let work = answer(Rc::clone(&worker), incoming.clone(), payload, arrived);
+    match worker.node.owner().guard("request", work).await {
+        Ok(response) => response,
+        Err(_) => {
+            let id = header_text(&incoming, &worker.dialect.names().request_id);
+            let refusal = Refusal {
+                code: Code::HostFault,
+                retry_after: None,
+            };
+            let id = id.unwrap_or_default();
+            let mut response = refusal_response(&worker, id, &refusal, arrived);
+            let head = response.head_mut();
+            head.set_connection_type(ntex::http::ConnectionType::Close);
+            response
+        }
+    }
+}
+
+/// Returns the response to a request.
+async fn answer<D>(
+    worker: Rc<Worker<D>>,
+    incoming: HttpRequest,
+    payload: Payload,
+    arrived: Mono,
+) -> HttpResponse
+where
+    D: Dialect,
+{
+    let active = worker.shared.count_active();
     let names = worker.dialect.names();
     let id = header_text(&incoming, &names.request_id)
         .unwrap_or_default()
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -123,8 +123,14 @@
         }
     }
 
-    /// Returns the next complete events, or `None` at the end.
+    /// Returns the next complete events, or `None` at the end. A panic breaks the stream off.
     pub(crate) async fn next(&mut self) -> Option<io::Result<Bytes>> {
+        let owner = self.worker.node.owner().clone();
+        let next = owner.guard("stream", self.advance()).await;
+        next.unwrap_or_else(|panicked| Some(Err(io::Error::other(panicked))))
+    }
+
+    async fn advance(&mut self) -> Option<io::Result<Bytes>> {
         if let Some(ready) = self.buffered.take() {
             return Some(Ok(ready));
         }
--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -5,6 +5,7 @@
 //! | `v N` | the version; the first piece |
 //! | `s NAME` | a service |
 //! | `r NAME SERVICE MILLIS` | a route `/NAME/` that takes so long to read |
+//! | `r NAME SERVICE stream` | a route `/NAME/` to event streams |
 //! | `k NAME KEY` | an organisation with a key |
 
 #![allow(dead_code, reason = "each test uses a part of it")]
@@ -39,6 +40,7 @@
     document::{Document, Piece},
     instance::{Birth, Instance},
 };
+use almondlock_task::Owner;
 use ntex::http::header::HeaderName;
 
 pub const LIMITS: Limits = Limits {
@@ -126,6 +128,14 @@
                 };
                 Ok(Entry::Service(Service::new(name).unwrap(), target))
             }
+            ["r", name, service, "stream"] => {
+                let kind = Kind::Stream {
+                    resumable: false,
+                    pause: Duration::from_millis(200),
+                };
+                let route = route(name, service);
+                Ok(Entry::Route(Box::new(Route { kind, ..route })))
+            }
             ["r", name, service, millis] => {
                 let end = Instant::now() + Duration::from_millis(millis.parse().unwrap());
                 while Instant::now() < end {
@@ -175,28 +185,49 @@
     Document::new(version, all.map(Piece::from))
 }
 
+/// How a gateway ends.
+enum End {
+    Stop,
+    Abandon,
+}
+
 /// A running gateway.
 pub struct Gateway {
     pub address: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
+    /// Owner of the gateway's tasks.
+    pub owner: Owner,
     pub dialect: Lines,
     view: View,
     upstream: SocketAddr,
-    stop: tokio::sync::mpsc::Sender<()>,
+    stop: tokio::sync::mpsc::Sender<End>,
     stopped: Mutex<mpsc::Receiver<Duration>>,
 }
 
 impl Gateway {
     /// Starts a gateway with its first version, in front of an upstream of the service `s`.
     pub fn start(upstream: SocketAddr, first: Document) -> Gateway {
+        Gateway::start_with_relays(upstream, first, Vec::new())
+    }
+
+    /// Like [`Gateway::start`], as one of several hosts that share these relays.
+    pub fn start_with_relays(
+        upstream: SocketAddr,
+        first: Document,
+        relays: Vec<SocketAddr>,
+    ) -> Gateway {
         // The fields of log lines are evaluated only if somebody takes the lines.
         let _ = tracing::subscriber::set_global_default(tracing_subscriber::registry());
         let (listen, ready) = (free_address(), free_address());
         let (started, running) = mpsc::channel();
         let (stop, mut stops) = tokio::sync::mpsc::channel(1);
         let (ended, stopped) = mpsc::channel();
-        let (view, dialect) = (View::new(), Lines::new());
+        let (view, dialect, owner) = (View::new(), Lines::new(), Owner::default());
         let gateway = Gateway {
             address: listen,
+            ready,
+            owner: owner.clone(),
             dialect: dialect.clone(),
             view: view.clone(),
             upstream,
@@ -209,15 +240,23 @@
             system.block_on(async move {
                 let parts = Parts {
                     is_source: true,
+                    owner,
                     ..Parts::default()
                 };
                 let node = Node::start(node(), view, parts).await.unwrap();
                 let handle = node.handle().clone();
-                let server = server::start(settings(listen, ready), dialect, handle).unwrap();
+                let settings = Config {
+                    relays,
+                    ..settings(listen, ready)
+                };
+                let server = server::start(settings, dialect, handle).unwrap();
                 started.send(()).unwrap();
-                stops.recv().await;
+                let end = stops.recv().await.unwrap();
                 let begin = Instant::now();
-                server.stop().await;
+                match end {
+                    End::Stop => server.stop().await,
+                    End::Abandon => server.abandon().await,
+                }
                 ended.send(begin.elapsed()).unwrap();
                 std::future::pending::<()>().await;
             });
@@ -253,7 +292,16 @@
 
     /// Stops the gateway and returns how long that took.
     pub fn stop(&self) -> Duration {
-        self.stop.blocking_send(()).unwrap();
+        self.end(End::Stop)
+    }
+
+    /// Stops the gateway as after a lost task, and returns how long that took.
+    pub fn abandon(&self) -> Duration {
+        self.end(End::Abandon)
+    }
+
+    fn end(&self, end: End) -> Duration {
+        self.stop.blocking_send(end).unwrap();
         let stopped = self.stopped.lock().unwrap();
         let stopped = stopped.recv_timeout(Duration::from_secs(10));
         stopped.unwrap()
