Replicas: own every task, and end when a panic leaves the core half changed

A replica whose ticks, settling, disk reports, duties, repair or a sender had ended would have kept its listeners open and answered, voted or been counted as a member while it did a part of its work.

All are owned now. The thread that writes the log has a name, and its end without a reported failure ends the task that takes its reports, which the owner sees. Calls from other processes change the core in the tasks of their sessions, whose panic ended only the session: the core is changed within a scope now, and a panic there ends the process, since a core that is half changed must not vote or acknowledge. Operators' requests are parts; whoever asked is told that the replica has stopped.

--- a/almondlock-control/src/replica/config.rs
+++ b/almondlock-control/src/replica/config.rs
@@ -8,6 +8,7 @@
 
 use almondlock_base::id::{Domain, Host};
 use almondlock_quorum::config as quorum;
+use almondlock_task::Owner;
 use almondlock_transport::Security;
 
 /// A replica that the group starts with, as every replica's settings name it.
@@ -36,6 +37,7 @@
     pub(super) repairs: bool,
     pub(super) founds: bool,
     pub(super) security: Security,
+    pub(super) owner: Owner,
 }
 
 impl Config {
@@ -61,6 +63,7 @@
                 repairs: false,
                 founds: true,
                 security: Security::Plain,
+                owner: Owner::default(),
             },
         }
     }
@@ -148,6 +151,12 @@
         self
     }
 
+    /// Owner of the process's tasks: the same as the node's.
+    pub fn owner(mut self, owner: Owner) -> Builder {
+        self.config.owner = owner;
+        self
+    }
+
     /// What links to other replicas are wrapped in: the same as the node's.
     pub fn security(mut self, security: Security) -> Builder {
         self.config.security = security;
--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -139,7 +139,7 @@
         let silence = quorum.election_timeout() * 2;
         let machine = Machine::new(quorum.clone(), id, loaded, now);
         let mut core = Core {
-            peers: Peers::new(quorum.group(), id, silence, config.security.clone()),
+            peers: Peers::new(config, id, silence),
             own,
             initial: config.initial.clone(),
             founds: config.founds,
--- a/almondlock-control/src/replica/disk.rs
+++ b/almondlock-control/src/replica/disk.rs
@@ -4,6 +4,7 @@
 //! the last one's number. After an error it reports that and ends.
 
 use std::{
+    io,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -42,7 +43,9 @@
 }
 
 impl Thread {
-    pub(super) fn start<D>(store: Store<D>) -> (Thread, reports::UnboundedReceiver<Report>)
+    pub(super) fn start<D>(
+        store: Store<D>,
+    ) -> io::Result<(Thread, reports::UnboundedReceiver<Report>)>
     where
         D: Disk + Send + 'static,
         D::File: Send,
@@ -52,8 +55,10 @@
         let (sender, receiver) = reports::unbounded_channel();
         let syncs = Arc::new(AtomicU64::new(0));
         let count = Arc::clone(&syncs);
-        thread::spawn(move || run(store, &inbox, &sender, &count));
-        (Thread { jobs, syncs }, receiver)
+        thread::Builder::new()
+            .name("log-writer".to_owned())
+            .spawn(move || run(store, &inbox, &sender, &count))?;
+        Ok((Thread { jobs, syncs }, receiver))
     }
 
     pub(super) fn write(&self, write: Write) {
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -28,7 +28,13 @@
 mod status;
 mod wire;
 
-use std::{cell::RefCell, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    future::{Future, pending},
+    path::Path,
+    rc::Rc,
+    time::Duration,
+};
 
 use almondlock_base::Code;
 use almondlock_node::{Vouch, clock};
@@ -46,10 +52,10 @@
     instance::{Heartbeat, Roster},
     machine::Machine,
 };
+use almondlock_task::{Owner, Task};
 use almondlock_wire::almondlock_capnp::control;
 use tokio::{
     sync::Notify,
-    task::{JoinHandle, spawn_local},
     time::{sleep, timeout},
 };
 
@@ -80,7 +86,7 @@
     roster: RefCell<Roster>,
     // Heartbeats that were taken here since the leader was last told, on a follower.
     taken: RefCell<Vec<Heartbeat>>,
-    tasks: RefCell<Vec<JoinHandle<()>>>,
+    tasks: RefCell<Vec<Task>>,
 }
 
 impl Replica {
@@ -109,7 +115,10 @@
         let identity = Identity::open(&disk, group, draw_identity()?)?;
         let (store, loaded) =
             Store::open(disk, group, identity.id, config.quorum.retain_entries())?;
-        let (thread, mut reports) = Thread::start(store);
+        let (thread, mut reports) = Thread::start(store).map_err(|e| {
+            let message = format!("can't start the thread that writes the log: {e}");
+            Refusal::new(Code::StorageFailed, message)
+        })?;
         let core = Core::new(&config, identity.id, loaded, thread, (view, vouch))?;
         let replica = Replica {
             inner: Rc::new(Inner {
@@ -122,24 +131,23 @@
                 tasks: RefCell::default(),
             }),
         };
-        let disk = {
-            let replica = replica.clone();
-            spawn_local(async move {
-                while let Some(report) = reports.recv().await {
-                    replica.with(|core| core.on_disk(clock::mono(), report));
-                }
-            })
+        let disk = replica.clone();
+        let disk = async move {
+            while let Some(report) = reports.recv().await {
+                disk.with(|core| core.on_disk(clock::mono(), report));
+            }
+            // After a failure that was reported, the replica stops in its own way.
+            if disk.inner.core.borrow().stopped.is_some() {
+                pending().await
+            }
         };
-        let mut tasks = vec![
-            disk,
-            spawn_local(replica.clone().settle_always()),
-            spawn_local(replica.clone().tick_always()),
-            spawn_local(duties::run(replica.clone())),
-        ];
+        replica.spawn("disk-reports", disk);
+        replica.spawn("replica-settle", replica.clone().settle_always());
+        replica.spawn("replica-tick", replica.clone().tick_always());
+        replica.spawn("replica-duties", duties::run(replica.clone()));
         if replica.inner.config.repairs {
-            tasks.push(spawn_local(duties::mend(replica.clone())));
+            replica.spawn("replica-repair", duties::mend(replica.clone()));
         }
-        replica.inner.tasks.borrow_mut().extend(tasks);
         Ok(replica)
     }
 
@@ -188,7 +196,7 @@
     /// A handle for other threads. Ends with the replica.
     pub fn remote(&self) -> Remote {
         let (remote, task) = remote::pair(self.clone());
-        self.inner.tasks.borrow_mut().push(spawn_local(task));
+        self.spawn("replica-requests", task);
         remote
     }
 
@@ -229,10 +237,26 @@
         self.inner.core.borrow_mut().close();
     }
 
+    /// Owner of the process's tasks.
+    fn owner(&self) -> &Owner {
+        &self.inner.config.owner
+    }
+
+    /// Starts a task that runs until the replica is stopped.
+    fn spawn<F>(&self, task: &'static str, future: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let task = self.owner().spawn(task, future);
+        self.inner.tasks.borrow_mut().push(task);
+    }
+
+    /// Changes the core. What a panic leaves of it must not vote or acknowledge.
     fn with<T, F>(&self, act: F) -> T
     where
         F: FnOnce(&mut Core) -> T,
     {
+        let _scope = self.owner().scope("replica");
         let result = act(&mut self.inner.core.borrow_mut());
         self.inner.wake.notify_one();
         result
--- a/almondlock-control/src/replica/peers.rs
+++ b/almondlock-control/src/replica/peers.rs
@@ -9,16 +9,16 @@
 
 use almondlock_quorum::{member::Id, message::Message};
 use almondlock_state::instance::Heartbeat;
-use almondlock_transport::{Link, Security, link::Dialer};
+use almondlock_task::{Owner, Task};
+use almondlock_transport::{Link, link::Dialer};
 use almondlock_wire::almondlock_capnp::control;
 use futures::stream::{FuturesUnordered, StreamExt};
 use tokio::{
     sync::mpsc,
-    task::{JoinHandle, spawn_local},
     time::{sleep, timeout},
 };
 
-use super::{founding::Greeting, wire};
+use super::{config::Config, founding::Greeting, wire};
 
 /// Messages that wait for one replica.
 const QUEUE: usize = 512;
@@ -51,16 +51,18 @@
     own: Id,
     silence: Duration,
     dialer: Dialer,
-    queues: HashMap<SocketAddr, (mpsc::Sender<Parcel>, JoinHandle<()>)>,
+    owner: Owner,
+    queues: HashMap<SocketAddr, (mpsc::Sender<Parcel>, Task)>,
 }
 
 impl Peers {
-    pub(super) fn new(group: u16, own: Id, silence: Duration, security: Security) -> Peers {
+    pub(super) fn new(config: &Config, own: Id, silence: Duration) -> Peers {
         Peers {
-            group,
+            group: config.quorum.group(),
             own,
             silence,
-            dialer: Dialer::new(security),
+            dialer: Dialer::new(config.security.clone()),
+            owner: config.owner.clone(),
             queues: HashMap::new(),
         }
     }
@@ -74,9 +76,10 @@
             dialer: self.dialer.clone(),
             to,
         };
+        let owner = &self.owner;
         let (queue, _) = self.queues.entry(to).or_insert_with(|| {
             let (queue, inbox) = mpsc::channel(QUEUE);
-            (queue, spawn_local(sender.run(inbox)))
+            (queue, owner.spawn("replica-sender", sender.run(inbox)))
         });
         // The log sends again what it still needs.
         let _ = queue.try_send(parcel);
--- a/almondlock-control/src/replica/remote.rs
+++ b/almondlock-control/src/replica/remote.rs
@@ -13,10 +13,7 @@
     instance::Instance,
     machine::Machine,
 };
-use tokio::{
-    sync::{mpsc, oneshot},
-    task::spawn_local,
-};
+use tokio::sync::{mpsc, oneshot};
 
 use super::{Replica, instances::Taken, refusal::Refusal, status::Status};
 
@@ -137,7 +134,8 @@
     let (requests, mut inbox) = mpsc::channel(QUEUE);
     let task = async move {
         while let Some(request) = inbox.recv().await {
-            spawn_local(serve(replica.clone(), request));
+            let serving = serve(replica.clone(), request);
+            replica.owner().spawn_part("replica-request", serving);
         }
     };
     (Remote { requests }, task)
