Entry host: own the renewals and probes, answer a request that panics

The task that renews memory held at sidecars and the one that probes upstreams were started and forgotten. They and the listeners have an owner; `/readyz` and new requests answer 503 once one has ended, and `abandon` lets answers in progress finish.

A request whose handling panicked was answered as if its host were stopping. It is answered 3011 now. One with an idempotency key left its claim taken: each copy would have been told for good that the first one is running. The claim is settled as unknown, and copies get 3007.

--- a/almondlock-entry/src/claimed.rs
+++ b/almondlock-entry/src/claimed.rs
@@ -15,7 +15,10 @@
 };
 use almondlock_state::blob::Blob;
 use almondlock_wire::answer::Usage;
-use tokio::{sync::mpsc, task::spawn_local};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::spawn_local,
+};
 use tracing::Instrument;
 
 use crate::{
@@ -74,15 +77,30 @@
             // It may have been granted all the same, to a holder that will not
             // run it: freed in the background, so that a copy sent later isn't
             // told for ever that this one is running.
-            spawn_local(free(worker, claim));
+            let owner = worker.shared.handle.owner().clone();
+            owner.spawn_part("claim-release", free(worker, claim));
             return Err(Failure::new(Code::ClaimUnavailable).retry_after(RUNNING_RETRY));
         }
     }
-    let run = spawn_local(hold(worker, Rc::clone(&request), claim, pieces));
-    match run.await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::new(Code::OutcomeLost)),
-    }
+    let owner = worker.shared.handle.owner().clone();
+    let (tell, ended) = oneshot::channel();
+    // Goes on when the caller leaves, so that a copy of the request finds the outcome.
+    spawn_local(async move {
+        let held = hold(Rc::clone(&worker), request, claim.clone(), pieces);
+        let result = match owner.guard("claimed-request", held).await {
+            Ok(result) => result,
+            Err(_) => {
+                // Copies of the request would be told for good that this one is running.
+                settle(&worker, &claim, Ran::Unknown, &[]).await;
+                Err(Failure::new(Code::OutcomeLost))
+            }
+        };
+        // Without a receiver the caller has left.
+        let _ = tell.send(result);
+    });
+    ended
+        .await
+        .unwrap_or_else(|_| Err(Failure::new(Code::OutcomeLost)))
 }
 
 fn holder(worker: &Worker) -> Attempt {
--- a/almondlock-entry/src/gang.rs
+++ b/almondlock-entry/src/gang.rs
@@ -13,6 +13,7 @@
 use almondlock_base::{Code, Ran, id::Upstream, unit::Tokens};
 use almondlock_node::{clock, links::Session};
 use almondlock_policy::gang::{self, Gang, Member, Step};
+use almondlock_task::guard;
 use almondlock_wire::{
     almondlock_capnp::sidecar,
     attempt::{self, Outcome, Part, Segment, Target},
@@ -69,12 +70,12 @@
             let sent = request.send().promise;
             let session = holder.session.clone();
             // If it is lost, the lease ends what it would have ended.
-            tokio::task::spawn_local(async move {
+            tokio::task::spawn_local(guard("memory-release", async move {
                 tokio::select! {
                     _ = sent => {}
                     () = session.lost() => {}
                 }
-            });
+            }));
         }
     }
 }
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -107,7 +107,8 @@
 
 /// Why new requests aren't taken here now.
 fn unready(worker: &Worker) -> Option<Failure> {
-    if worker.shared.is_stopping() {
+    let is_sound = worker.shared.handle.owner().is_sound();
+    if worker.shared.is_stopping() || !is_sound {
         return Some(Failure::new(Code::HostStopping).retry_after(OVERLOAD_RETRY));
     }
     // Acting on an old configuration might run what has been forbidden since.
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -82,7 +82,9 @@
                 Some(index) if purse.pay() => {
                     without = 0;
                     let (worker, pool) = (Rc::clone(&worker), pool.clone());
-                    tokio::task::spawn_local(async move { one(&worker, &pool, index).await });
+                    let owner = worker.shared.handle.owner().clone();
+                    let probe = async move { one(&worker, &pool, index).await };
+                    owner.spawn_part("probe", probe);
                 }
                 _ => without += 1,
             }
--- a/almondlock-entry/src/running.rs
+++ b/almondlock-entry/src/running.rs
@@ -78,10 +78,15 @@
         let (tell, end) = oneshot::channel();
         let life = async move {
             let request = Rc::new(request);
-            let result = match request.key.clone() {
-                Some(key) => claimed::run(worker, request, key, to).await,
-                None => worker.run(&request, &to).await,
+            let owner = worker.shared.handle.owner().clone();
+            let work = async move {
+                match request.key.clone() {
+                    Some(key) => claimed::run(worker, request, key, to).await,
+                    None => worker.run(&request, &to).await,
+                }
             };
+            let result = owner.guard("request", work).await;
+            let result = result.unwrap_or_else(|_| Err(Failure::new(Code::HostFault)));
             let _ = tell.send(result);
             drop((permit, active));
         };
--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -92,9 +92,10 @@
             ));
             let (debts, links) = (worker.debts.clone(), worker.links.clone());
             let renewing = debts.renew(links, handle.clone(), tables.config.lease);
-            tokio::task::spawn_local(renewing);
+            let owner = handle.owner();
+            owner.spawn("memory-renewal", renewing);
             if !probing.swap(true, Ordering::Relaxed) {
-                tokio::task::spawn_local(probe::run(Rc::clone(&worker)));
+                owner.spawn("probes", probe::run(Rc::clone(&worker)));
             }
             App::new()
                 .state(worker)
@@ -116,10 +117,16 @@
             Some(admin) => Some(explain::serve(admin, Arc::clone(&shared))?),
             None => None,
         };
+        let server = server.run();
+        let owner = shared.handle.owner();
+        owner.spawn("callers-listener", server.clone());
+        if let Some(admin) = &admin {
+            owner.spawn("explain-listener", admin.clone());
+        }
         Ok(Server {
             address,
             shared,
-            server: server.run(),
+            server,
             admin,
             notice: self.notice,
             grace: self.grace,
@@ -143,6 +150,18 @@
     pub async fn stop(self) {
         self.shared.stop();
         sleep(self.notice).await;
+        self.finish().await;
+    }
+
+    /// Stops because a task has ended that the host needs: refuses new requests from now
+    /// on, and lets answers in progress finish.
+    pub async fn abandon(self) {
+        self.shared.stop();
+        self.finish().await;
+    }
+
+    /// Waits until the answers in progress have finished, and closes the listeners.
+    async fn finish(self) {
         let drained = async {
             while self.shared.active() > 0 {
                 sleep(DRAIN_PAUSE).await;
--- a/almondlock-entry/tests/fleet/mod.rs
+++ b/almondlock-entry/tests/fleet/mod.rs
@@ -29,6 +29,7 @@
     config::{Change, Definition, Drain, Kind, Organisation, Plain},
     machine::Machine,
 };
+use almondlock_task::Owner;
 use ntex::client::{Client, ClientResponse};
 
 pub use self::{control::Control, relay::Relay};
@@ -136,6 +137,15 @@
         self.next.replace(self.next.get() + 1)
     }
 
+    /// The owners of the tasks of all entry hosts and sidecars, in the order of their start.
+    pub fn owners(&self) -> Vec<Owner> {
+        let nodes = self.nodes.borrow();
+        nodes
+            .iter()
+            .map(|node| node.handle().owner().clone())
+            .collect()
+    }
+
     /// Starts a process with a node and nothing else.
     async fn node(&self, name: &str, sidecars: Sidecars) -> (Node, u64) {
         self.node_below(name, sidecars, self.source.address()).await
