Sidecar: own its tasks, and keep a panic to the attempt it happens in

A sidecar whose ticks, health checks, memory upkeep or registration renewal had ended went on taking attempts: its queue stood still, or its upstream was forgotten by the replicas while it served. A panic in an attempt ended the whole session with the entry host, and with it all other attempts of that host.

The first are jobs of the owner (they return when their upstream is replaced; a panic ends the process), announcements and the listener run as long as the process, and an attempt that panics is an outcome of its own: 3011, may have run.

--- a/almondlock-sidecar/src/announce.rs
+++ b/almondlock-sidecar/src/announce.rs
@@ -35,7 +35,6 @@
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{mpsc, oneshot},
-    task::spawn_local,
     time::sleep,
 };
 
@@ -235,11 +234,10 @@
         );
         let client = capnp_rpc::new_client(sidecar.clone());
         inner.sidecars.insert(announcement.name.clone(), client);
-        spawn_local(Rc::clone(inner).renew_registration(
-            announcement.name,
-            announcement.address,
-            sidecar,
-        ));
+        let (name, address) = (announcement.name, announcement.address);
+        let renewal = Rc::clone(inner).renew_registration(name, address, sidecar);
+        let owner = inner.handle.owner();
+        owner.spawn_job("registration-renewal", renewal);
     }
 }
 
@@ -374,7 +372,8 @@
 /// [`Announcement`] in JSON. Must be called on the registry's thread.
 pub fn serve(listener: TcpListener, registry: Registry) -> io::Result<Server> {
     let (requests, mut queue) = mpsc::channel::<(Announcement, Answer)>(MAX_QUEUED_ANNOUNCEMENTS);
-    spawn_local(async move {
+    let owner = registry.inner.handle.owner().clone();
+    owner.spawn("announcements", async move {
         while let Some((announcement, answer)) = queue.recv().await {
             // An error means that the upstream has closed its connection. It
             // will announce itself again.
@@ -388,7 +387,9 @@
             .route("/announce", web::post().to(handle_announcement))
     };
     let server = HttpServer::new(factory).workers(1).disable_signals();
-    Ok(server.listen(listener)?.run())
+    let server = server.listen(listener)?.run();
+    owner.spawn("announce-listener", server.clone());
+    Ok(server)
 }
 
 /// Handles `POST /announce`.
--- a/almondlock-sidecar/src/output.rs
+++ b/almondlock-sidecar/src/output.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use almondlock_base::id::Attempt;
+use almondlock_task::{Panicked, guard};
 use almondlock_wire::{
     almondlock_capnp::sink,
     answer::{self, Frame, Part},
@@ -36,7 +37,7 @@
     began: bool,
     observer: Rc<W>,
     frames: mpsc::Sender<Frame>,
-    task: JoinHandle<Result<(), capnp::Error>>,
+    task: JoinHandle<Result<Result<(), capnp::Error>, Panicked>>,
 }
 
 impl<W> Pusher<W>
@@ -52,7 +53,7 @@
             began: false,
             observer,
             frames,
-            task: spawn_local(push_frames(sink, queue)),
+            task: spawn_local(guard("frame-push", push_frames(sink, queue))),
         }
     }
 
@@ -71,7 +72,7 @@
     pub async fn flush(self) -> Result<(), Closed> {
         drop(self.frames);
         match self.task.await {
-            Ok(Ok(())) => Ok(()),
+            Ok(Ok(Ok(()))) => Ok(()),
             _ => Err(Closed),
         }
     }
--- a/almondlock-sidecar/src/passages.rs
+++ b/almondlock-sidecar/src/passages.rs
@@ -8,7 +8,6 @@
 use almondlock_node::{clock, replicas::Blame};
 use almondlock_policy::poison::passage::{self, MAX_SUSPECTED, Standing};
 use almondlock_wire::attempt::Head;
-use tokio::task::spawn_local;
 
 use crate::{protocol::Protocol, sidecar::Inner, table::Request};
 
@@ -79,7 +78,9 @@
         for print in prints {
             self.answered.borrow_mut().insert(now, print);
             if config.quarantine(print).is_some_and(|known| !known.refused) {
-                spawn_local(Rc::clone(self).clear_passage(self.passage_blame(head, print)));
+                let blame = self.passage_blame(head, print);
+                let clearing = Rc::clone(self).clear_passage(blame);
+                self.handle.owner().spawn_part("passage-clearing", clearing);
             }
         }
     }
--- a/almondlock-sidecar/src/sidecar.rs
+++ b/almondlock-sidecar/src/sidecar.rs
@@ -23,7 +23,7 @@
     attempt::{Head, Load, Outcome},
 };
 use rand::{SeedableRng, rngs::SmallRng};
-use tokio::{task::spawn_local, time::sleep};
+use tokio::time::sleep;
 use tracing::Instrument;
 
 use crate::{
@@ -111,8 +111,9 @@
             orders: Forwarder::default(),
             down: Cell::new(false),
         });
+        let owner = inner.handle.owner().clone();
         let weak = Rc::downgrade(&inner);
-        spawn_local(async move {
+        owner.spawn_job("sidecar-tick", async move {
             while let Some(inner) = weak.upgrade() {
                 inner.tick();
                 drop(inner);
@@ -120,7 +121,7 @@
             }
         });
         let weak = Rc::downgrade(&inner);
-        spawn_local(async move {
+        owner.spawn_job("health-check", async move {
             while let Some(inner) = weak.upgrade() {
                 let alive = inner.protocol.is_alive().await;
                 inner.set_down(!alive);
@@ -129,7 +130,7 @@
             }
         });
         let weak = Rc::downgrade(&inner);
-        spawn_local(async move {
+        owner.spawn_job("memory-upkeep", async move {
             while let Some(inner) = weak.upgrade() {
                 inner.maintain_memory().await;
                 inner.forward_due_order().await;
@@ -140,8 +141,22 @@
         Sidecar { inner }
     }
 
-    /// Runs an attempt and returns its outcome. Dropping the future cancels it.
+    /// Runs an attempt and returns its outcome. Dropping the future cancels it. A panic ends
+    /// this attempt alone, which may have run.
     pub async fn submit(&self, head: &Head, source: source::Client, sink: sink::Client) -> Outcome {
+        let owner = self.inner.handle.owner();
+        let outcome = owner.guard("attempt", self.run_attempt(head, source, sink));
+        outcome.await.unwrap_or_else(|panicked| {
+            failed_outcome(Code::HostFault, Ran::Unknown, panicked.to_string())
+        })
+    }
+
+    async fn run_attempt(
+        &self,
+        head: &Head,
+        source: source::Client,
+        sink: sink::Client,
+    ) -> Outcome {
         let inner = &self.inner;
         inner.handle.heard(&head.from);
         inner.update_leaving(clock::mono());
--- a/almondlock-sidecar/src/ticket.rs
+++ b/almondlock-sidecar/src/ticket.rs
@@ -15,7 +15,7 @@
     answer::{Part, Usage},
     attempt::{Head, Outcome},
 };
-use tokio::{sync::oneshot, task::spawn_local, time::timeout};
+use tokio::{sync::oneshot, time::timeout};
 use tracing::Instrument;
 
 use crate::{
@@ -66,7 +66,8 @@
         drop(table);
         if let Some(charge) = self.charge.take() {
             let inner = Rc::clone(&self.inner);
-            spawn_local(async move {
+            let owner = inner.handle.owner().clone();
+            owner.spawn_part("charge-withdrawal", async move {
                 if inner.protocol.is_alive().await {
                     inner.withdraw_charge(&charge, false).await;
                 }
