End the process when a task has ended that it can't do without

`Process::wait` watches the owner of all tasks. On a failure the replica stops at once, entry host and gateway refuse what comes and finish what they have, sidecars drain, and the program ends with status 1 and an error that names the task; its supervisor starts it again with all state new.

Panics are written as one structured line (`panic`, with task, place and message) in place of the runtime's text, and counted at statsd as `panics.TASK`.

--- a/almondlock-daemon/src/lib.rs
+++ b/almondlock-daemon/src/lib.rs
@@ -75,6 +75,7 @@
         spans: settings.log.spans.clone(),
     };
     let _lines = almondlock_telemetry::log::init(&log).context("setting up logs")?;
+    almondlock_task::log_panics();
     process::block_on(async move {
         let process = Process::start(&settings).await?;
         process.wait().await
--- a/almondlock-daemon/src/process.rs
+++ b/almondlock-daemon/src/process.rs
@@ -14,16 +14,21 @@
 use almondlock_settings::Settings;
 use almondlock_sidecar::stop::Stop;
 use almondlock_spread::view::View;
+use almondlock_task::{Failure, Owner, Panics};
 use almondlock_telemetry::metrics::{self, Metrics};
 use almondlock_transport::Security;
 use anyhow::{Context, Result};
-use tokio::task::spawn_local;
+use tokio::time::timeout;
 
 use crate::{
     roles::{control::Control, entry, gateway, sidecar},
     signal,
 };
 
+/// Longest time that a process takes to end once it lacks a task: more than the usual time for
+/// answers in progress.
+const ABANDON_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Runs a future on this thread's runtime.
 pub(crate) fn block_on<F, T>(work: F) -> T
 where
@@ -35,6 +40,7 @@
 
 /// A running process.
 pub struct Process {
+    owner: Owner,
     node: Node,
     entry: Option<Server>,
     gateway: Option<gateway_server::Server>,
@@ -63,14 +69,24 @@
 impl Process {
     /// Starts all roles.
     pub async fn start(settings: &Settings) -> Result<Process> {
+        let owner = Owner::default();
+        let started = Process::start_owned(settings, owner.clone()).await;
+        if started.is_err() {
+            // The tasks that were started end with the process.
+            owner.stop();
+        }
+        started
+    }
+
+    async fn start_owned(settings: &Settings, owner: Owner) -> Result<Process> {
         let view = View::new();
         let incarnation = Incarnation::new(clock::wall(), random()?);
         let vouch = Vouch::new();
         let security = security(settings)?;
         let control = match &settings.replica {
             Some(replica) => {
-                let security = security.clone();
-                Some(Control::start(settings, replica, &view, &vouch, security)?)
+                let shared = (security.clone(), owner.clone());
+                Some(Control::start(settings, replica, &view, &vouch, shared)?)
             }
             None => None,
         };
@@ -80,6 +96,7 @@
             control: control.as_ref().map(Control::client),
             is_source: control.is_some(),
             vouch: control.is_some().then_some(vouch),
+            owner: owner.clone(),
         };
         let host = &settings.host;
         let config = Config {
@@ -99,6 +116,7 @@
             control.attach(node.handle().clone());
         }
         let mut process = Process {
+            owner,
             node,
             entry: None,
             gateway: None,
@@ -125,6 +143,8 @@
             prefix: settings.metrics.prefix.clone(),
         })
         .context("opening the metrics socket")?;
+        let counting = count_panics(metrics.clone());
+        self.owner.spawn("panic-count", counting);
         if let Some(role) = &settings.sidecar {
             let client = Replicas::new(Links::new(handle.clone()), replicas.clone());
             let inner = self.node.address();
@@ -178,7 +198,8 @@
     }
 
     /// Waits for the order to stop, or until the replica can't go on, and
-    /// stops gracefully.
+    /// stops gracefully. Fails when a task has ended that the process can't do without; its
+    /// supervisor starts it again.
     pub async fn wait(self) -> Result<()> {
         let failed = async {
             match &self.control {
@@ -186,8 +207,12 @@
                 None => std::future::pending().await,
             }
         };
-        spawn_local(signal::hang_up());
+        self.owner.spawn("hang-ups", signal::hang_up());
         let result = tokio::select! {
+            failure = self.owner.failed() => {
+                self.abandon(failure).await;
+                return Err(anyhow::Error::new(failure).context("the process can't go on"));
+            }
             stopped = signal::stop() => stopped.context("waiting for signals"),
             refusal = failed => Err(anyhow::Error::new(refusal).context("the replica stopped")),
         };
@@ -195,9 +220,41 @@
         result
     }
 
+    /// Ends a process that lacks a task. The replica stops at once, since what is left of it
+    /// must not vote; callers' answers in progress finish.
+    async fn abandon(self, failure: Failure) {
+        tracing::error!(task = failure.task, end = %failure.end, "the process ends");
+        self.owner.stop();
+        if let Some(control) = &self.control {
+            control.abandon();
+        }
+        let entry = async {
+            if let Some(entry) = self.entry {
+                entry.abandon().await;
+            }
+        };
+        let gateway = async {
+            if let Some(gateway) = self.gateway {
+                gateway.abandon().await;
+            }
+        };
+        let attempts = async {
+            if self.announce.is_some() {
+                let left = self.stop.drain(self.grace).await;
+                tracing::info!(left, "attempts drained");
+            }
+        };
+        let ends = async { tokio::join!(entry, gateway, attempts) };
+        // Each of them keeps its own bound, unless the task that ended was a part of it.
+        if timeout(ABANDON_TIMEOUT, ends).await.is_err() {
+            tracing::warn!("ending with work in progress");
+        }
+    }
+
     /// Stops gracefully: answers in progress finish first.
     pub async fn stop(self) {
         tracing::info!("stopping");
+        self.owner.stop();
         if let Some(entry) = self.entry {
             entry.stop().await;
         }
@@ -219,6 +276,23 @@
     }
 }
 
+/// Counts panics in the metrics as they come.
+async fn count_panics(metrics: Metrics) {
+    let mut panics = almondlock_task::panics();
+    let mut counted = Panics::default();
+    loop {
+        let all = panics.borrow_and_update().clone();
+        for (task, count) in &all {
+            let before = counted.get(task).copied().unwrap_or_default();
+            metrics.panics(task, count - before);
+        }
+        counted = all;
+        if panics.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
 /// A silent parent is left after twice the time that it may hold an answer. An
 /// answer as old as several levels of the tree make it is no reason to leave.
 fn pace(host: &almondlock_settings::Host) -> Pace {
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -21,13 +21,13 @@
     operator::{Operator, Role},
     replica as members,
 };
+use almondlock_task::Owner;
 use almondlock_telemetry::figures;
 use almondlock_transport::{Security, listen};
 use almondlock_wire::almondlock_capnp::control;
 use anyhow::{Context, Result};
 use tokio::{
     net::UdpSocket,
-    task::spawn_local,
     time::{Duration, sleep, timeout},
 };
 
@@ -56,7 +56,7 @@
         role: &almondlock_settings::Replica,
         view: &View,
         vouch: &Vouch,
-        security: Security,
+        (security, owner): (Security, Owner),
     ) -> Result<Control> {
         let host = &settings.host;
         let folder = host.data.clone().context("a replica needs [host] data")?;
@@ -64,6 +64,7 @@
             Config::builder(host.name.clone(), host.listen, host.domain.clone(), folder)
                 .initial(initial(settings, role)?)
                 .security(security)
+                .owner(owner.clone())
                 .founds(role.founds)
                 .repairs(role.repairs);
         if let Some(directory) = &settings.directory {
@@ -84,15 +85,22 @@
         };
         let admin = admin.context("serving operators")?;
         let directory = match &settings.directory {
-            Some(directory) => Some(serve_directory(directory, &host.domain, &replica)?),
+            Some(directory) => Some(serve_directory(directory, &host.domain, &replica, &owner)?),
             None => None,
         };
         let figures = match role.metrics {
             Some(address) => Some(serve_figures(address, &replica)?),
             None => None,
         };
-        spawn_local(driver::run(replica.clone()));
-        spawn_local(seed(replica.clone(), role.clone()));
+        owner.spawn("operators-listener", admin.clone());
+        if let Some((_, server)) = &directory {
+            owner.spawn("directory-listener", server.clone());
+        }
+        if let Some(server) = &figures {
+            owner.spawn("metrics-listener", server.clone());
+        }
+        owner.spawn("plan-driver", driver::run(replica.clone()));
+        owner.spawn_job("seed", seed(replica.clone(), role.clone()));
         Ok(Control {
             replica,
             operated,
@@ -125,6 +133,11 @@
         self.replica.stopped().await
     }
 
+    /// Stops at once, as a crash would: what is left of the replica can't be trusted.
+    pub(crate) fn abandon(&self) {
+        self.replica.kill();
+    }
+
     /// Leaves the group, stops serving, then stops the replica.
     ///
     /// Others take the place of a replica that leaves, so they are told before calls in progress
@@ -154,7 +167,10 @@
     let remote = replica.remote();
     let text = move || {
         let remote = remote.clone();
-        async move { remote.status().await.ok().map(|status| status.figures()) }
+        async move {
+            let status = remote.status().await.ok()?;
+            Some(status.figures() + &almondlock_task::figures())
+        }
     };
     figures::serve(address, text).with_context(|| format!("serving figures on {address}"))
 }
@@ -184,6 +200,7 @@
     settings: &almondlock_settings::Directory,
     domain: &Domain,
     replica: &Replica,
+    owner: &Owner,
 ) -> Result<(Directory, ntex::server::Server)> {
     let address = settings.listen;
     let listener = listen::bind(address)
@@ -205,7 +222,7 @@
             let count = replica.state(|machine| machine.config().sources.len());
             u32::try_from(count).unwrap_or(u32::MAX)
         };
-        spawn_local(async move {
+        owner.spawn("load-relay", async move {
             if let Err(error) = exchange::run_relay(socket, domain, relays).await {
                 tracing::error!(%error, "loads are no longer passed on");
             }
--- a/almondlock-telemetry/src/metrics.rs
+++ b/almondlock-telemetry/src/metrics.rs
@@ -138,6 +138,14 @@
         self.count("retries", 1);
     }
 
+    /// So many more panics in a task of this name.
+    pub fn panics(&self, task: &str, count: u64) {
+        if count > 0 {
+            let count = i64::try_from(count).unwrap_or(i64::MAX);
+            self.count(&format!("panics.{}", plain(task)), count);
+        }
+    }
+
     /// Retries that the budget still allows.
     pub fn budget_left(&self, retries: u64) {
         self.level("retry_budget", retries);
