Soak: upstreams that name limits while they start again, and faulty lines

- `--named`: upstreams name limits, limits that can't be read, pauses and that they leave, and start again under their names meanwhile, some in the other service; series of up to three upstreams overlap, and a configuration follows each.
- `in-force`: 2 s after a version was acknowledged (the platform's bound) its route answers and those of older versions don't, at hosts in touch.
A host that says it isn't ready for the route lacks the version too; the platform's rule allows that answer, the check doesn't.
Callers ask for the newest version in the recovery too, and for up to four versions before it.
- `sound`, in every run: a line of any log that tells of a panic or of a task that ended is a finding.
- A process that has ended with an error is started again, as its supervisor would.

Four planted histories show the new checks.

--- a/almondlock-bench/src/soak/arguments.rs
+++ b/almondlock-bench/src/soak/arguments.rs
@@ -118,6 +118,12 @@
         help = "also upstreams that refuse, fail or are silent while entry hosts are killed, stopped and suspended in series, and few retries besides those of requests"
     )]
     pub retries: bool,
+    /// Upstreams name something while they start again.
+    #[options(
+        no_short,
+        help = "also upstreams that name limits, pauses and that they leave while they start again and move to the other service, in series and together"
+    )]
+    pub named: bool,
     /// Records that were synced are cut.
     #[options(no_short, help = "in place of a torn record, cut one that was synced")]
     pub cut_synced: bool,
@@ -192,6 +198,8 @@
     /// Also upstreams that refuse, fail or are silent, while entry hosts are killed, stopped
     /// and suspended in series. Few retries besides those of requests.
     pub retries: bool,
+    /// Also upstreams that name limits, pauses and that they leave while they start again.
+    pub named: bool,
     /// In place of a torn record, one that was synced is cut.
     pub cuts_synced: bool,
     /// Faults left out, by number.
@@ -269,6 +277,7 @@
             parts: self.parts,
             aim: self.aim,
             retries: self.retries,
+            named: self.named,
             cuts_synced: self.cut_synced,
             without: without.collect::<Result<_, _>>()?,
             program: self.program()?,
--- a/almondlock-bench/src/soak/caller.rs
+++ b/almondlock-bench/src/soak/caller.rs
@@ -68,6 +68,9 @@
     pub opened: Cell<usize>,
 }
 
+/// Versions before the newest that callers ask for.
+const OLDEST: u64 = 4;
+
 impl Caller {
     /// Sends until the run is over.
     pub async fn run(self) {
@@ -114,9 +117,12 @@
             6..12 => Kind::Unsafe,
             12..16 => Kind::Short,
             16 if self.leads || !self.world.quiet.get() => Kind::Long,
-            _ if self.world.quiet.get() => Kind::Safe,
             17 | 18 => Kind::Version(newest),
-            _ => Kind::Version(newest.saturating_sub(1).max(1)),
+            _ if self.world.quiet.get() => Kind::Safe,
+            _ => {
+                let age = rng.random_range(1..=OLDEST);
+                Kind::Version(newest.saturating_sub(age).max(1))
+            }
         };
         (pause, kind)
     }
--- a/almondlock-bench/src/soak/check.rs
+++ b/almondlock-bench/src/soak/check.rs
@@ -4,6 +4,7 @@
 mod aimed;
 mod asked;
 pub mod crashes;
+mod in_force;
 mod limits;
 mod orders;
 pub mod retries;
@@ -23,6 +24,8 @@
     /// After an answer that named its upstream leaving, until requests sent to its host reach
     /// it no more.
     pub drain: u64,
+    /// Until a configuration that was acknowledged is in force at every host.
+    pub apply: u64,
     /// Until a key that was taken away stops working.
     pub revocation: u64,
     /// Until everything is served after the last fault.
@@ -49,6 +52,7 @@
 pub const BOUNDS: Bounds = Bounds {
     contact: 3_000,
     drain: 2_000,
+    apply: 2_000,
     revocation: 5_000,
     recovery: 12_000,
     grace: 8_000,
@@ -75,12 +79,14 @@
 
 /// All checks.
 pub fn all(history: &History, bounds: &Bounds) -> Vec<Finding> {
-    let checks: [(&'static str, Vec<String>); 22] = [
+    let checks: [(&'static str, Vec<String>); 24] = [
         ("once", once(history)),
         ("not-run", not_run(history)),
         ("whole", whole(history)),
         ("kept", kept(history, bounds)),
         ("forward", forward(history)),
+        ("in-force", in_force::in_force(history, bounds)),
+        ("sound", history.faulty_lines.clone()),
         ("revoked", revoked(history, bounds)),
         ("uncut", uncut(history, bounds)),
         ("memory", memory(history)),
--- a/almondlock-bench/src/soak/fleet.rs
+++ b/almondlock-bench/src/soak/fleet.rs
@@ -2,6 +2,7 @@
 //! links between them that can be harmed.
 
 mod losses;
+mod restarts;
 
 use std::{
     cell::{Cell, OnceCell, RefCell},
@@ -113,7 +114,7 @@
             fleet.hosts.push(process);
         }
         for n in 0..world.size.upstreams {
-            let upstream = fleet.upstream(n, None).await?;
+            let upstream = fleet.upstream(n, None, false).await?;
             fleet.upstreams.borrow_mut().push(upstream);
         }
         Ok(fleet)
@@ -208,9 +209,14 @@
         Ok(file)
     }
 
-    async fn upstream(&self, n: usize, name: Option<String>) -> io::Result<Rc<Upstream>> {
+    async fn upstream(
+        &self,
+        n: usize,
+        name: Option<String>,
+        moved: bool,
+    ) -> io::Result<Rc<Upstream>> {
         let domain = n % DOMAINS;
-        let kind = match n < self.world.size.plain() {
+        let kind = match (n < self.world.size.plain()) != moved {
             true => (PLAIN, SLOTS * 2, domain),
             false => (ENGINES, SLOTS, domain),
         };
@@ -278,15 +284,10 @@
             Act::Crash(n) => {
                 self.present(n).iter().for_each(|upstream| upstream.crash());
                 sleep(length).await;
-                self.replace(n, None).await
-            }
-            Act::Restart(n) => {
-                let old = self.present(n);
-                old.iter().for_each(|upstream| upstream.crash());
-                sleep(RESTART).await;
-                let name = old.map(|upstream| upstream.name().to_owned());
-                self.replace(n, name).await
+                self.replace(n, None, false).await
             }
+            Act::Restart(n) => self.restart(n, false).await,
+            Act::Move(n) => self.restart(n, true).await,
             Act::KillAll => {
                 self.kill_replicas();
                 let hosts = self.hosts.iter();
@@ -297,7 +298,7 @@
             }
             Act::Release(n) => {
                 let old = self.present(n);
-                self.replace(n, None).await?;
+                self.replace(n, None, false).await?;
                 sleep(length).await;
                 old.iter().for_each(Upstream::leave);
                 Ok(())
@@ -311,6 +312,14 @@
                 }
                 Ok(())
             }
+            Act::Garble(n) => {
+                if let Some(upstream) = self.present(n) {
+                    upstream.garbled.set(true);
+                    sleep(length).await;
+                    upstream.garbled.set(false);
+                }
+                Ok(())
+            }
             Act::Pause(n, pause) => {
                 if let Some(upstream) = self.present(n) {
                     upstream.pause.set(Some(pause));
@@ -353,8 +362,8 @@
         Ok(())
     }
 
-    async fn replace(&self, n: usize, name: Option<String>) -> io::Result<()> {
-        let next = self.upstream(n, name).await?;
+    async fn replace(&self, n: usize, name: Option<String>, moved: bool) -> io::Result<()> {
+        let next = self.upstream(n, name, moved).await?;
         let old = std::mem::replace(&mut self.upstreams.borrow_mut()[n], next);
         self.former.borrow_mut().push(old);
         Ok(())
@@ -397,7 +406,7 @@
             for n in 0..self.world.size.upstreams {
                 let present = self.present(n);
                 if present.is_some_and(|upstream| upstream.is_crashed(after)) {
-                    self.replace(n, None).await?;
+                    self.replace(n, None, false).await?;
                 }
             }
         }
@@ -408,9 +417,14 @@
     /// at what all of them take.
     pub async fn tend(&self) {
         while !self.world.over.get() {
-            self.hosts.iter().for_each(Process::look);
             let replicas = self.replicas.present();
-            replicas.iter().for_each(|replica| replica.process.look());
+            let replicas = replicas.iter().map(|replica| &replica.process);
+            for process in self.hosts.iter().chain(replicas) {
+                process.look();
+                if let Err(error) = process.start_failed() {
+                    eprintln!("soak: {} not started again: {error}", process.name);
+                }
+            }
             sleep(Duration::from_secs(1)).await;
         }
     }
@@ -422,6 +436,7 @@
         for upstream in &*self.upstreams.borrow() {
             upstream.link.set(None);
             upstream.limit.set(None);
+            upstream.garbled.set(false);
             upstream.pause.set(None);
             upstream.failing.set(None);
         }
--- a/almondlock-bench/src/soak/history.rs
+++ b/almondlock-bench/src/soak/history.rs
@@ -164,6 +164,8 @@
     pub unstopped: Vec<String>,
     /// What was done, as far as it was.
     pub faults: Vec<Fault>,
+    /// Lines of the processes' logs that tell of a panic, or of a task that ended.
+    pub faulty_lines: Vec<String>,
     /// When the last fault was over.
     pub healed: u64,
 }
--- a/almondlock-bench/src/soak/mod.rs
+++ b/almondlock-bench/src/soak/mod.rs
@@ -10,6 +10,7 @@
 //! | [`upstream`], [`caller`], [`operator`], [`http`] | who uses the system |
 //! | [`ending`] | how upstreams frame and end their answers |
 //! | [`history`] | what they saw |
+//! | [`logs`] | what the processes say of faults in themselves |
 //! | [`check`] | the promises |
 //! | [`world`] | what the tasks of a run share |
 //!
@@ -24,6 +25,7 @@
 pub mod fleet;
 pub mod history;
 pub mod http;
+pub mod logs;
 pub mod operator;
 pub mod plan;
 pub mod process;
@@ -57,7 +59,7 @@
     fleet::Fleet,
     history::{History, Kind, Outcome},
     operator::Operator,
-    plan::{Act, Fault, failing, replacement},
+    plan::{Act, Fault, failing, named, replacement},
     world::World,
 };
 
@@ -235,6 +237,9 @@
         if self.retries {
             failing::draw(self.seed, millis, self.size, &mut faults);
         }
+        if self.named {
+            named::draw(self.seed, millis, self.size, &mut faults);
+        }
         if self.pauses {
             plan::draw_pauses(self.seed, millis, self.size, &mut faults);
         }
@@ -263,7 +268,8 @@
     let played = LocalSet::new().block_on(&runtime, played);
     drop(runtime);
     played?;
-    let history = world.history.take();
+    let mut history = world.history.take();
+    history.faulty_lines = logs::faults(folder.path())?;
     let bounds = setup.bounds();
     let retries = worst(&history, &bounds);
     let findings = check::all(&history, &bounds);
--- a/almondlock-bench/src/soak/plan.rs
+++ b/almondlock-bench/src/soak/plan.rs
@@ -1,6 +1,7 @@
 //! What goes wrong in a run, and when: drawn from a seed, so that a run can be repeated.
 
 pub mod failing;
+pub mod named;
 pub mod replacement;
 
 use std::fmt;
@@ -80,6 +81,8 @@
     Release(usize),
     /// An upstream names a limit, in thousandths of requests a second.
     Limit(usize, u32),
+    /// An upstream names a limit that can't be read.
+    Garble(usize),
     /// An upstream turns away what it gets and asks each host for a pause of so many
     /// milliseconds.
     Pause(usize, u64),
@@ -104,6 +107,8 @@
     Evacuate(usize),
     /// An upstream dies and starts again under its own name, cold.
     Restart(usize),
+    /// The same, and it serves the other service from then on.
+    Move(usize),
     /// All processes are killed at once, and started again.
     KillAll,
     /// All new connections of callers go to one entry host, or to the next one that is in
@@ -119,6 +124,7 @@
             Act::StopHost(_)
                 | Act::Release(_)
                 | Act::Limit(..)
+                | Act::Garble(_)
                 | Act::Pause(..)
                 | Act::Publish
                 | Act::Storm(_)
@@ -131,7 +137,7 @@
     }
 
     /// The replica that is away meanwhile, if one is; `usize::MAX` for all.
-    fn replica(self) -> Option<usize> {
+    pub(super) fn replica(self) -> Option<usize> {
         match self {
             Act::KillReplica(n)
             | Act::FreezeReplica(n)
--- a/almondlock-bench/src/soak/process.rs
+++ b/almondlock-bench/src/soak/process.rs
@@ -79,6 +79,22 @@
         matches!(status, Some(Ok(None)))
     }
 
+    /// Starts it again if it has ended by itself with an error.
+    pub fn start_failed(&self) -> io::Result<()> {
+        let status = {
+            let mut child = self.child.borrow_mut();
+            child.as_mut().map(Child::try_wait).transpose()?.flatten()
+        };
+        // One that was killed has no code.
+        let has_failed = status
+            .and_then(|status| status.code())
+            .is_some_and(|code| code != 0);
+        match has_failed {
+            true => self.start(),
+            false => Ok(()),
+        }
+    }
+
     /// Sends it a signal, if it runs.
     pub fn signal(&self, signal: Signal) {
         if !self.is_running() {
--- a/almondlock-bench/src/soak/upstream.rs
+++ b/almondlock-bench/src/soak/upstream.rs
@@ -2,6 +2,7 @@
 //! inference. It tells the history what it ran.
 
 mod failing;
+mod naming;
 mod orders;
 
 use std::{
@@ -72,6 +73,8 @@
     pub link: Rc<Proxy>,
     /// What it takes of all hosts, in thousandths of requests a second.
     pub limit: Cell<Option<u32>>,
+    /// It names a limit that can't be read.
+    pub garbled: Cell<bool>,
     /// It takes several times as long for everything.
     pub slow: Cell<bool>,
     /// It turns requests away and asks for a pause of so many milliseconds.
@@ -115,6 +118,7 @@
             running: Cell::new(0),
             link,
             limit: Cell::new(None),
+            garbled: Cell::new(false),
             slow: Cell::new(false),
             pause: Cell::new(None),
             failing: Cell::new(None),
@@ -340,10 +344,7 @@
             arrival.answered = Some((self.world.now(), counted));
             arrival.leaving = self.leaves();
         }
-        let limit = limit.map_or_else(String::new, |limit| {
-            let name = names.limit.as_str();
-            format!("{name}: {}\r\n", f64::from(limit) / 1e3)
-        });
+        let limit = self.limit_line(limit);
         let leaving = self.leaving_line();
         format!(
             "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: s-{}\r\n{limit}{leaving}",
--- a/almondlock-bench/tests/planted_history.rs
+++ b/almondlock-bench/tests/planted_history.rs
@@ -140,6 +140,33 @@
     history.requests.push(late);
 }
 
+/// A request to the route of a version, so long after the second one was acknowledged.
+fn asked_version(history: &mut History, version: u64, after: u64, status: u16) {
+    let kind = Kind::Version(version);
+    let asked = request("asked", kind, 5_000 + after, Outcome::Status(status));
+    history.requests.push(asked);
+}
+
+fn stayed_old(history: &mut History) {
+    // By another host than the one that has served the second version.
+    asked_version(history, 1, BOUNDS.apply + 1, 200);
+    history.requests.iter_mut().last().unwrap().host = 1;
+}
+
+fn new_unknown(history: &mut History) {
+    asked_version(history, 2, BOUNDS.apply + 1, 404);
+}
+
+fn new_not_ready(history: &mut History) {
+    asked_version(history, 2, BOUNDS.apply + 1, 503);
+    history.requests.iter_mut().last().unwrap().code = Some(2009);
+}
+
+fn panicked(history: &mut History) {
+    let line = "host-0: {\"message\":\"panic\"}".to_owned();
+    history.faulty_lines.push(line);
+}
+
 fn key_honoured(history: &mut History) {
     let sent = 5_000 + BOUNDS.revocation + 1;
     let mut late = request("late", Kind::Safe, sent, Outcome::Status(200));
@@ -308,6 +335,10 @@
     unreadable_late = { unreadable_at_end, "kept" },
     unacknowledged = { never_acknowledged, "recovery" },
     backwards = { went_back, "forward" },
+    old_version = { stayed_old, "in-force" },
+    unknown_version = { new_unknown, "in-force" },
+    unready_version = { new_not_ready, "in-force" },
+    panic = { panicked, "sound" },
     taken_key = { key_honoured, "revoked" },
     cut_off = { cut_at_stop, "uncut" },
     leaked = { memory_left, "memory" },
--- a/tests/soak_minute.rs
+++ b/tests/soak_minute.rs
@@ -4,7 +4,12 @@
 
 use std::path::PathBuf;
 
-use almondlock_bench::soak::{self, arguments::Setup, plan::Size, world::Plant};
+use almondlock_bench::soak::{
+    self,
+    arguments::Setup,
+    plan::{Act, Size},
+    world::Plant,
+};
 
 fn setup(seed: u64, seconds: u64) -> Setup {
     Setup {
@@ -25,6 +30,7 @@
         parts: false,
         aim: false,
         retries: false,
+        named: false,
         cuts_synced: false,
         without: Vec::new(),
         program: env!("CARGO_BIN_EXE_almondlockd").into(),
@@ -218,3 +224,22 @@
     finds(Plant::Curt, "pause", 7);
     finds(Plant::Quiet, "leaving", 7);
 }
+
+/// Guards against a part of a host that ends alone, so that no later configuration comes into
+/// force there: upstreams name limits, pauses and that they leave while they start again.
+#[test]
+fn named_restarts() {
+    let setup = Setup {
+        planned: true,
+        named: true,
+        ..setup(1, 15)
+    };
+    let report = soak::run(&setup).unwrap();
+    println!("{report}");
+    assert!(report.findings.is_empty(), "{report}");
+    let mut faults = report.faults.iter();
+    assert!(
+        faults.any(|fault| matches!(fault.act, Act::Restart(_))),
+        "{report}"
+    );
+}
