--- a/almondlock-gateway/src/backoff.rs
+++ b/almondlock-gateway/src/backoff.rs
@@ -71,6 +71,13 @@
         }
     }
 
+    /// Forgets pauses that are over, and leaving upstreams that are gone.
+    pub(crate) fn sweep_backoffs(&self, now: Mono) {
+        let known = self.upstreams();
+        let mut backoffs = self.backoffs.borrow_mut();
+        backoffs.sweep(now, |name| known.contains(name));
+    }
+
     /// Returns why nothing may be sent to an upstream, or `None` if it accepts requests.
     pub(crate) fn backoff(&self, now: Mono, upstream: &Upstream) -> Option<Reason> {
         self.backoffs.borrow().reason(now, upstream)
--- a/almondlock-gateway/src/pace.rs
+++ b/almondlock-gateway/src/pace.rs
@@ -167,9 +167,11 @@
         let known = self.snapshot();
         let targets = known.instances.get(service).into_iter().flatten();
         let members: Vec<Upstream> = targets.map(|target| target.name.clone()).collect();
-        let mut rng = self.rng.borrow_mut();
-        let mut table = self.pacing.table.borrow_mut();
-        let changes = table.review(now, &members, &mut *rng);
+        let changes = {
+            let mut rng = self.rng.borrow_mut();
+            let mut table = self.pacing.table.borrow_mut();
+            table.review(now, &members, &mut *rng)
+        };
         for change in &changes {
             self.log_change(now, service, change);
         }
@@ -280,6 +282,7 @@
             table.observe(now, upstream, Sample::Time(multiple));
         }
         let is_probe = table.record_probe(upstream, sent.at, is_passed);
+        drop(table);
         self.count_probe(is_probe, if is_passed { "passed" } else { "slow" });
     }
 
@@ -315,6 +318,7 @@
         let now = clock::mono();
         let is_probe = self.is_probe(upstream);
         let is_silent = is_probe || now.since(begun) >= MIN_SILENCE;
+        let is_paused = self.backoff(now, upstream).is_some();
         let mut table = self.pacing.table.borrow_mut();
         let sample = match broken.failure {
             Failure::Limited
@@ -323,9 +327,7 @@
             | Failure::Misdirected => return,
             Failure::Silent if !is_silent || table.stall.is_stalled(now) => return,
             // The upstream asks for a pause, and so reports itself that it is busy.
-            Failure::Rejected
-                if broken.is_other_upstream || self.backoff(now, upstream).is_some() =>
-            {
+            Failure::Rejected if broken.is_other_upstream || is_paused => {
                 return;
             }
             Failure::Answered => match &broken.answer {
@@ -339,6 +341,7 @@
         table.observe(now, upstream, sample);
         let is_passed = sample == Sample::Answer;
         let is_probe = table.record_probe(upstream, begun, is_passed);
+        drop(table);
         self.count_probe(is_probe, if is_passed { "passed" } else { "failed" });
         if is_probe {
             tracing::info!(request = %request.id, %upstream, is_passed, "probe ended");
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -274,8 +274,7 @@
         };
         worker.pool.borrow_mut().sweep(clock::mono(), is_known);
         worker.sweep_limits();
-        let mut backoffs = worker.backoffs.borrow_mut();
-        backoffs.sweep(clock::mono(), |name| worker.is_known(name));
+        worker.sweep_backoffs(clock::mono());
     }
 }
 
--- a/almondlock-gateway/src/slots.rs
+++ b/almondlock-gateway/src/slots.rs
@@ -250,35 +250,39 @@
             standing: self.standing(now, request),
         };
         let first = has_slot(choice.primary);
-        let rng = &mut *self.rng.borrow_mut();
-        self.waiting_prompts.with_queue(&request.service, |queue| {
-            let verdict = queue.allocator.decide(now, &case, first, rng);
-            let outcome = match verdict {
-                Verdict::Send => "sent",
-                Verdict::Wait(_) => "waited",
-                Verdict::Refuse { .. } => "refused",
-            };
-            self.shared.metrics.count("slots", outcome);
-            if let Verdict::Refuse {
-                retry_after: returns,
-            } = verdict
-            {
-                self.note_refused(request, Resource::Slots, now, Some(returns));
-            }
-            if case.standing != Standing::Within && matches!(verdict, Verdict::Wait(_)) {
-                self.note_deprioritised(request, now, "queued behind");
-            }
-            if verdict != Verdict::Send {
-                let account = queue.allocator.occupancy();
-                tracing::info!(
-                    request = %request.id, outcome, slots = account.slots, free = account.free,
-                    used = account.in_use, queued = account.queued, hosts,
-                    waiting = queue.allocator.waiting(), per_second = queue.allocator.slot_rate(now, case.objective),
-                    age_ms = age.map(|age| age.as_millis()), "no free slot"
-                );
-            }
-            verdict
-        })
+        let (verdict, account, waiting, per_second) = {
+            let rng = &mut *self.rng.borrow_mut();
+            self.waiting_prompts.with_queue(&request.service, |queue| {
+                let verdict = queue.allocator.decide(now, &case, first, rng);
+                let account = *queue.allocator.occupancy();
+                let is_logged = verdict != Verdict::Send;
+                let per_second = is_logged.then(|| queue.allocator.slot_rate(now, case.objective));
+                (verdict, account, queue.allocator.waiting(), per_second)
+            })
+        };
+        let outcome = match verdict {
+            Verdict::Send => "sent",
+            Verdict::Wait(_) => "waited",
+            Verdict::Refuse { .. } => "refused",
+        };
+        self.shared.metrics.count("slots", outcome);
+        if let Verdict::Refuse {
+            retry_after: returns,
+        } = verdict
+        {
+            self.note_refused(request, Resource::Slots, now, Some(returns));
+        }
+        if case.standing != Standing::Within && matches!(verdict, Verdict::Wait(_)) {
+            self.note_deprioritised(request, now, "queued behind");
+        }
+        if verdict != Verdict::Send {
+            tracing::info!(
+                request = %request.id, outcome, slots = account.slots, free = account.free,
+                used = account.in_use, queued = account.queued, hosts, waiting, per_second,
+                age_ms = age.map(|age| age.as_millis()), "no free slot"
+            );
+        }
+        verdict
     }
 
     /// Returns the engine whose slot the prompt was granted, if that slot is still free.
--- a/almondlock-gateway/src/standing.rs
+++ b/almondlock-gateway/src/standing.rs
@@ -136,11 +136,14 @@
         let Some((organisation, finding)) = organisation.zip(self.finding(now, request)) else {
             return;
         };
-        let mut notices = self.shares.notices.borrow_mut();
-        let label = notices.label(&organisation.name, finding.place);
-        let label = format!("organisation=\"{label}\"");
+        let (label, suppressed) = {
+            let mut notices = self.shares.notices.borrow_mut();
+            let label = notices.label(&organisation.name, finding.place);
+            let label = format!("organisation=\"{label}\"");
+            (label, notices.allow_line(now))
+        };
         self.shared.metrics.count("deprioritised", &label);
-        let Some(suppressed) = notices.allow_line(now) else {
+        let Some(suppressed) = suppressed else {
             return;
         };
         let excess = &finding.excess;
--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -134,17 +134,18 @@
 
     /// Queues the losses that are due to be reported a second time.
     pub(crate) fn repeat_reports(&self, now: Mono) {
-        let mut reported = self.reported.borrow_mut();
-        while reported
-            .front()
-            .is_some_and(|report| now >= report.repeat_at)
-        {
-            if let Some(report) = reported.pop_front() {
-                self.enqueue_loss(now, &report);
-            }
+        while let Some(report) = self.take_due_report(now) {
+            self.enqueue_loss(now, &report);
         }
     }
 
+    fn take_due_report(&self, now: Mono) -> Option<Report> {
+        let mut reported = self.reported.borrow_mut();
+        let first = reported.front()?;
+        let is_due = now >= first.repeat_at;
+        if is_due { reported.pop_front() } else { None }
+    }
+
     /// Returns what this host refuses, if there is anything and the relays are due to be told.
     pub(crate) fn due_refusals(&self, now: Mono) -> Option<Vec<PartSuspect>> {
         if now.since(self.refusals_told.get()) < REFUSAL_PERIOD {
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -302,12 +302,12 @@
         self.births.borrow().get(upstream).copied()
     }
 
-    /// Returns whether the configuration in force names an upstream.
-    pub(crate) fn is_known(&self, upstream: &Upstream) -> bool {
-        self.births.borrow().contains_key(upstream)
+    /// Returns the upstreams that the configuration in force names.
+    pub(crate) fn upstreams(&self) -> HashSet<Upstream> {
+        self.births.borrow().keys().cloned().collect()
     }
 
-    /// Returns the upstreams that the configuration in force names.
+    /// Returns the upstreams that the configuration in force names, by their keys.
     pub(crate) fn upstreams_by_key(&self) -> HashMap<Key, Upstream> {
         let births = self.births.borrow();
         births
--- a/almondlock-gateway/tests/operations_page.rs
+++ b/almondlock-gateway/tests/operations_page.rs
@@ -3,7 +3,7 @@
 
 use std::{fs, path::Path};
 
-const PACKAGES: [&str; 8] = [
+const PACKAGES: [&str; 9] = [
     "almondlock-gateway",
     "almondlock-control",
     "almondlock-node",
@@ -11,6 +11,7 @@
     "almondlock-entry",
     "almondlock-http",
     "almondlock-sidecar",
+    "almondlock-task",
     "platform",
 ];
 
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -215,7 +215,7 @@
     Key::new("gateway", "listen", Listen, Required,
         "Where callers' HTTP requests arrive, behind the platform's balancer."),
     Key::new("gateway", "ready", Listen, Required,
-        "Where the balancer asks whether this host takes requests: `GET /readyz`."),
+        "Where the balancer asks whether this host takes requests: `GET /readyz`. 503 also once a task has ended that the process can't do without."),
     Key::new("gateway", "metrics", Listen, Optional,
         "Where counters and latency histograms are served as text: `GET /metrics`."),
     Key::new("gateway", "exchange", Addresses, Optional,
--- a/almondlock-transport/src/pool.rs
+++ b/almondlock-transport/src/pool.rs
@@ -100,31 +100,33 @@
     }
 
     fn look(&self, address: SocketAddr, now: Mono) -> io::Result<Look> {
-        let mut inner = self.inner.borrow_mut();
-        let backoff = match inner.states.remove(&address) {
-            Some(State::Open(link)) if !link.is_closed() => {
-                let kept = State::Open(link.clone());
-                inner.states.insert(address, kept);
-                return Ok(Look::Link(link));
-            }
-            Some(State::Dialling(dial)) => {
-                let kept = State::Dialling(dial.clone());
-                inner.states.insert(address, kept);
-                return Ok(Look::Dial(dial));
+        let backoff = {
+            let mut inner = self.inner.borrow_mut();
+            match inner.states.remove(&address) {
+                Some(State::Open(link)) if !link.is_closed() => {
+                    let kept = State::Open(link.clone());
+                    inner.states.insert(address, kept);
+                    return Ok(Look::Link(link));
+                }
+                Some(State::Dialling(dial)) => {
+                    let kept = State::Dialling(dial.clone());
+                    inner.states.insert(address, kept);
+                    return Ok(Look::Dial(dial));
+                }
+                Some(State::Failed(backoff)) if !backoff.left(now).is_zero() => {
+                    inner.states.insert(address, State::Failed(backoff));
+                    return Err(io::ErrorKind::HostUnreachable.into());
+                }
+                Some(State::Failed(backoff)) => backoff,
+                Some(State::Open(_)) | None => Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
             }
-            Some(State::Failed(backoff)) if !backoff.left(now).is_zero() => {
-                inner.states.insert(address, State::Failed(backoff));
-                return Err(io::ErrorKind::HostUnreachable.into());
-            }
-            Some(State::Failed(backoff)) => backoff,
-            Some(State::Open(_)) | None => Backoff::new(FIRST_PAUSE, LONGEST_PAUSE),
         };
         let dial = self.clone().dial(address, backoff).boxed_local().shared();
         // Runs to its end even when whoever asked has left, so that the state
         // never stays at "dialling".
         tokio::task::spawn_local(dial.clone());
         let state = State::Dialling(dial.clone());
-        inner.states.insert(address, state);
+        self.inner.borrow_mut().states.insert(address, state);
         Ok(Look::Dial(dial))
     }
 
