Let followers vouch by questions of their own, not by heartbeats read late

Cause: a follower vouched for what it held, as of two election timeouts ago, whenever it had heard its leader within one election timeout, counted from the moment at which it read the heartbeat. One that wakes reads heartbeats that waited in its sockets, and hosts below it take what it has for recent.

A follower learns now how recent its configuration is in the exchange that sources have anyway: the answer has the age of the other source's configuration, which a leader takes from reads that a majority confirmed, and it counts from the question. An answer that waited, or a suspension in between, makes it look older, never newer. The exchange takes place with all sources that the configuration names, not only with those of the settings, so that a leader at another address is asked too; at least once in `follow`, and every 0.1 s while a source isn't recent. Ruled out: noticing one's own suspension, since a partition that heals delivers old heartbeats as well.

The packages node, control, spread, platform and daemon: one red, `accepted_survives::far_behind`, whose replicas' nodes knew of no other source. Its set-up names them now, as every deployment's settings do; what it checks is unchanged, and it passes.

Only this part of the point is done: other ages that count from an arrival were not looked through.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -362,17 +362,6 @@
             let granted = grant.index.map(drop);
             let _ = asker.send(granted.ok_or_else(|| Refusal::not_leader(self.leader())));
         }
-        self.vouch_as_follower(now);
-    }
-
-    /// A leader that hears no majority falls silent within one election
-    /// timeout, so a follower that has all that such a one says to be accepted
-    /// holds what was accepted a little before. (A leader vouches after
-    /// confirmed reads; see `duties`.)
-    fn vouch_as_follower(&self, now: Mono) {
-        if self.is_current(now) {
-            self.vouch.at(now - self.quorum.election_timeout() * 2);
-        }
     }
 
     /// Whether a follower holds all that was accepted up to an election timeout ago, and
@@ -397,7 +386,8 @@
         true
     }
 
-    /// The state held everything accepted before `now`.
+    /// The state held everything accepted before `now`. Only a leader knows that, after a
+    /// confirmed read; followers learn it in the exchange of sources.
     pub(super) fn vouch(&self, now: Mono) {
         self.vouch.at(now);
     }
--- a/almondlock-control/tests/accepted_survives.rs
+++ b/almondlock-control/tests/accepted_survives.rs
@@ -46,7 +46,7 @@
 /// view ends where the others' is.
 #[tokio::test]
 async fn far_behind() {
-    let mut group = Group::new(small_snapshots);
+    let mut group = Group::with_seeds(small_snapshots);
     group.accept(announce(1)).await;
     group.kill(2);
     let mut last = Revision::ZERO;
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -77,6 +77,8 @@
     pub running: Vec<Option<Running>>,
     pub adapt: fn(Builder) -> Builder,
     security: Vec<Security>,
+    /// Whether each replica's node is told of the first replicas.
+    has_seeds: bool,
 }
 
 /// A replica is started again at its address, so its port must not be taken
@@ -97,8 +99,22 @@
         Group::with_security(adapt, vec![Security::Plain; 3])
     }
 
+    /// Like [`Group::new`], and each replica's node talks to those of the others.
+    pub fn with_seeds(adapt: fn(Builder) -> Builder) -> Group {
+        let mut group = Group::unstarted(adapt, vec![Security::Plain; 3]);
+        group.has_seeds = true;
+        (0..3).for_each(|n| group.start(n));
+        group
+    }
+
     /// Links of each host are wrapped in its own security.
     pub fn with_security(adapt: fn(Builder) -> Builder, security: Vec<Security>) -> Group {
+        let mut group = Group::unstarted(adapt, security);
+        (0..3).for_each(|n| group.start(n));
+        group
+    }
+
+    fn unstarted(adapt: fn(Builder) -> Builder, security: Vec<Security>) -> Group {
         let mut group = Group {
             names: Vec::new(),
             addresses: Vec::new(),
@@ -106,11 +122,11 @@
             running: Vec::new(),
             adapt,
             security,
+            has_seeds: false,
         };
         for _ in 0..3 {
             group.add_host();
         }
-        (0..3).for_each(|n| group.start(n));
         group
     }
 
@@ -133,7 +149,10 @@
 
     pub fn start(&mut self, n: usize) {
         let config = self.config(n);
-        let node = node_config(&self.names[n], self.addresses[n], &self.security[n]);
+        let mut node = node_config(&self.names[n], self.addresses[n], &self.security[n]);
+        if self.has_seeds {
+            node.seeds = self.addresses[..3].to_vec();
+        }
         self.running[n] = Some(spawn(node, config));
     }
 
--- a/almondlock-node/src/node.rs
+++ b/almondlock-node/src/node.rs
@@ -168,11 +168,9 @@
         let listening = listen::serve_with(listener, limits, make);
         let mut tasks = vec![owner.spawn("inner-listener", listening)];
         if shared.is_source {
-            let siblings = config.seeds.into_iter().filter(|seed| *seed != address);
-            for sibling in siblings {
-                let exchange = exchange::run(Arc::clone(&shared), dialer.clone(), sibling);
-                tasks.push(owner.spawn("source-exchange", exchange));
-            }
+            let period = config.pace.hold;
+            let exchange = exchange::run(Arc::clone(&shared), dialer, config.seeds, period);
+            tasks.push(owner.spawn("source-exchange", exchange));
         } else {
             let fetcher = Fetcher::new(
                 Arc::clone(&shared),
