Take memory for callers' bodies from one budget, before they are read

What callers saw: an entry host that was ended for its memory. 120 callers with bodies of the largest size that is allowed, or 60 that send them in small pieces, took over 160 MB of an entry host with 160 MB; so did bodies without their last byte and endless chunks, with a wrong key and without a route too.

Cause: a body was collected as a whole before the route and the key were looked at, with no bound for the process, no time and, before the first configuration, no limit of size. The path with sidecars looks at the key first, but had no bound for the process either.

Now: route and key are checked by the head, so that a refused body takes no memory. A body enters it with its first byte, asks again as it grows, and gives everything back with the value that holds it, so on every way out: answered, refused, late, cancelled, panicked. One that finds no room is refused at once as not run. None waits for another, so there is nothing to lock up. When memory is short, a body that has been arriving for over a second gives way, and large arriving ones give way to small ones; a quarter of the budget is kept for small ones. A body that is alone always gets its memory. A body must arrive by the request's deadline. What is left of a refused body is read and dropped while the refusal is sent, for two seconds and up to the largest size, since a connection that is closed with unread bytes is reset and takes the refusal with it.

Ruled out: bodies announced over the limit (28 MB before); heads of many fields (refused at 96 fields before).

The tests start the system's own processes, watch the memory of each together with what waits in the kernel for it, and end one that passes its machine's.

--- a/almondlock-daemon/src/roles.rs
+++ b/almondlock-daemon/src/roles.rs
@@ -3,5 +3,6 @@
 pub(crate) mod control;
 pub(crate) mod entry;
 pub(crate) mod gateway;
+mod intake;
 pub(crate) mod sidecar;
 mod tls;
--- a/almondlock-daemon/src/roles/entry.rs
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -12,7 +12,7 @@
 use almondlock_telemetry::metrics::Metrics;
 use anyhow::{Context, Result};
 
-use crate::roles::tls::tls;
+use crate::roles::{intake::limits, tls::tls};
 
 /// Worker threads of an entry host at most. Each keeps sessions of its own, so
 /// more threads cost more idle sessions at every sidecar.
@@ -34,6 +34,7 @@
             body_limit: role.body_bytes,
             arrival: role.body_timeout,
             capacity: role.connections,
+            intake: limits(host, &role.intake),
             ..shared::Config::default()
         },
         listen: role.listen,
--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -10,6 +10,8 @@
 use almondlock_settings::{Gateway, Settings};
 use anyhow::{Context, Result};
 
+use crate::roles::intake::limits;
+
 /// Starts the role.
 pub(crate) fn start(
     settings: &Settings,
@@ -43,6 +45,7 @@
         relays: role.exchange.clone(),
         domain: settings.host.domain.clone(),
         bounds,
+        intake: limits(&settings.host, &role.intake),
         features,
         seed,
         notice: role.notice(),
--- a/almondlock-entry/src/body.rs
+++ b/almondlock-entry/src/body.rs
@@ -6,11 +6,14 @@
 //! for, with its usage) are exchanged by sending the buffer in slices around
 //! them.
 
+use std::sync::Arc;
+
 use almondlock_base::{
     Code,
     id::{Adapter, Model},
     unit::Tokens,
 };
+use almondlock_intake::bodies::Hold;
 use almondlock_wire::attempt::Target;
 use ntex::util::Bytes;
 use serde::{Deserialize, de::IgnoredAny};
@@ -99,6 +102,8 @@
 pub struct Rope {
     original: Bytes,
     parts: Vec<Bytes>,
+    /// The memory that the body takes, given back with the last clone.
+    hold: Option<Arc<Hold>>,
     // Invariant: the sum of the parts' lengths.
     length: u64,
 }
@@ -113,12 +118,22 @@
             length: body.len() as u64,
             parts: vec![body.clone()],
             original: body,
+            hold: None,
         }
     }
 
+    /// Keeps the memory that the body takes for as long as it is used.
+    pub fn with_hold(mut self, hold: Option<Hold>) -> Rope {
+        self.hold = hold.map(Arc::new);
+        self
+    }
+
     /// The body as it came from the caller.
     pub fn original(&self) -> Rope {
-        Rope::whole(self.original.clone())
+        Rope {
+            hold: self.hold.clone(),
+            ..Rope::whole(self.original.clone())
+        }
     }
 
     /// The first place at or after `at` where the JSON string that stands at
@@ -273,5 +288,6 @@
         length: parts.iter().map(|p| p.len() as u64).sum(),
         parts,
         original: body.clone(),
+        hold: None,
     }
 }
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -10,13 +10,14 @@
     id::{Fingerprint, Service},
     unit::Tokens,
 };
+use almondlock_intake::bodies::{self, Hold};
 use almondlock_node::clock;
 use almondlock_policy::{poison::passage, prefix};
 use almondlock_telemetry::trace::Context;
 use almondlock_wire::attempt::Target;
 use futures::StreamExt;
 use ntex::{
-    util::{Bytes, BytesMut},
+    util::Bytes,
     web::{self, HttpRequest, HttpResponse, types::Payload},
 };
 use tokio::time::timeout;
@@ -59,13 +60,13 @@
 
 /// The same before the body was read to its end. A server that answers and
 /// closes while the caller still sends makes the caller's system throw the
-/// answer away; so what is left of a small body is read first. A large one is
-/// not: a stranger could make us take it in.
+/// answer away; so what is left of a small body is read first, and of a large
+/// one while the answer is sent, up to the largest size.
 async fn refuse_unread(
     worker: &Worker,
     failure: &Failure,
     id: &str,
-    payload: &mut Payload,
+    mut payload: Payload,
 ) -> HttpResponse {
     worker.shared.refused(failure.code);
     let drained = timeout(DRAIN_TIMEOUT, async {
@@ -81,14 +82,15 @@
     if drained.await.unwrap_or(false) {
         failure.to_response(id)
     } else {
+        bodies::discard(payload, worker.shared.config.body_limit);
         failure.to_closing_response(id)
     }
 }
 
 /// Answers whatever no route matches.
-pub async fn unknown(mut payload: Payload, state: State) -> HttpResponse {
+pub async fn unknown(payload: Payload, state: State) -> HttpResponse {
     let failure = Failure::new(Code::UnknownRoute);
-    refuse_unread(&state, &failure, "-", &mut payload).await
+    refuse_unread(&state, &failure, "-", payload).await
 }
 
 /// The worker that a handler runs on.
@@ -180,40 +182,30 @@
     })
 }
 
-/// Reads a body within its bounds of size and time.
+/// Reads a body within its bounds of size and time, and those of all bodies.
 async fn receive(
     request: &HttpRequest,
     payload: &mut Payload,
     worker: &Worker,
-) -> Result<Bytes, Failure> {
+    arrival: &Arrival,
+) -> Result<(Bytes, Option<Hold>), Failure> {
     let config = &worker.shared.config;
-    let limit = config.body_limit;
-    let too_large = || {
-        Failure::with_message(
-            Code::BodyTooLarge,
-            format!("the body is larger than {limit} bytes"),
-        )
+    let bounds = bodies::Bounds {
+        largest: config.body_limit,
+        time: config.arrival.min(arrival.caller.allowed),
     };
-    let length = request.headers().get("content-length");
-    let length = length.and_then(|v| v.to_str().ok()?.parse::<usize>().ok());
-    if length.is_some_and(|length| length > limit) {
-        return Err(too_large());
-    }
-    // Grows with what arrives: a length that is only claimed takes no memory.
-    let gather = async {
-        let mut body = BytesMut::new();
-        while let Some(chunk) = payload.next().await {
-            let chunk = chunk.map_err(|_| Failure::new(Code::UnreadableBody))?;
-            if body.len() + chunk.len() > limit {
-                return Err(too_large());
-            }
-            body.extend_from_slice(&chunk);
+    let bodies = &worker.shared.bodies;
+    let received = bodies.receive(request.headers(), payload, bounds).await;
+    received.map_err(|error| match error {
+        bodies::Error::TooLarge => {
+            let limit = config.body_limit;
+            let message = format!("the body is larger than {limit} bytes");
+            Failure::with_message(Code::BodyTooLarge, message)
         }
-        Ok(body.freeze())
-    };
-    timeout(config.arrival, gather)
-        .await
-        .unwrap_or_else(|_| Err(Failure::new(Code::SlowRequest)))
+        bodies::Error::Broken => Failure::new(Code::UnreadableBody),
+        bodies::Error::Late => Failure::new(Code::SlowRequest),
+        bodies::Error::Shortage => Failure::new(error.code()).retry_after(OVERLOAD_RETRY),
+    })
 }
 
 fn is_json(request: &HttpRequest) -> bool {
@@ -232,13 +224,13 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
+        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, payload).await,
     };
     let id = arrival.id.clone();
     let read = read_model(shape, &http, &mut payload, &worker, &arrival).await;
     let (request, usage) = match read {
         Ok(read) => read,
-        Err(failure) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
+        Err(failure) => return refuse_unread(&worker, &failure, &id, payload).await,
     };
     let name = match &request.target {
         Target::Model(model, _) => model.to_string(),
@@ -264,7 +256,7 @@
         return Err(Failure::new(Code::WrongType));
     }
     let arrived = clock::mono();
-    let bytes = receive(http, payload, worker).await?;
+    let (bytes, hold) = receive(http, payload, worker, arrival).await?;
     let (spec, rope) = body::read(shape, &bytes)?;
     let view = worker.shared.handle.view().get();
     let (context, adapter) = match &spec.target {
@@ -306,7 +298,7 @@
         content_type: "application/json".to_owned(),
         fingerprint: Fingerprint::new(&caller.organisation, shape.path(), &bytes),
         digest: digest(shape.path(), &bytes),
-        body: rope,
+        body: rope.with_hold(hold),
         prompt_bytes: text.len(),
         prompt_span: text.starts_with(b"\"").then_some(spec.prompt),
         prompt: length,
@@ -335,12 +327,12 @@
     let worker: Rc<Worker> = Rc::clone(&state);
     let arrival = match arrive(&http, &worker) {
         Ok(arrival) => arrival,
-        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
+        Err((id, failure)) => return refuse_unread(&worker, &failure, &id, payload).await,
     };
     let id = arrival.id.clone();
     let request = match read_service(&http, &mut payload, &worker, &arrival).await {
         Ok(request) => request,
-        Err(failure) => return refuse_unread(&worker, &failure, &id, &mut payload).await,
+        Err(failure) => return refuse_unread(&worker, &failure, &id, payload).await,
     };
     match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
@@ -362,7 +354,7 @@
     let method = http.method().as_str();
     let listed = known.repeatable.iter().any(|m| m == method);
     let arrived = clock::mono();
-    let bytes = receive(http, payload, worker).await?;
+    let (bytes, hold) = receive(http, payload, worker, arrival).await?;
     let uri = http.uri().path_and_query().map_or("/", |p| p.as_str());
     let prefix = format!("/services/{name}");
     let path = uri.strip_prefix(&prefix).unwrap_or(uri);
@@ -394,7 +386,7 @@
         prompt_span: None,
         prompt: Tokens(1),
         output: Tokens(1),
-        body: Rope::whole(bytes),
+        body: Rope::whole(bytes).with_hold(hold),
         prefix: Vec::new(),
         passages: Vec::new(),
         stream: true,
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -19,6 +19,7 @@
     time::Mono,
     unit::{Revision, Tokens},
 };
+use almondlock_intake::{bodies::Bodies, host::Limits};
 use almondlock_node::{Handle, clock};
 use almondlock_policy::{
     choice::{self, Locality, Origin},
@@ -38,6 +39,8 @@
 pub struct Config {
     /// The largest body, in bytes.
     pub body_limit: usize,
+    /// Limits of what callers make the host hold.
+    pub intake: Limits,
     /// How long a request may take to arrive.
     pub arrival: Duration,
     /// How long engine memory held for a request outlives our silence.
@@ -60,6 +63,7 @@
     fn default() -> Config {
         Config {
             body_limit: 16 * 1024 * 1024,
+            intake: Limits::default(),
             arrival: Duration::from_secs(30),
             lease: Duration::from_secs(10),
             keep: Duration::from_secs(24 * 3600),
@@ -158,6 +162,8 @@
     pub handle: Handle,
     /// Where metrics go.
     pub metrics: Metrics,
+    /// Memory for the bodies of all requests.
+    pub bodies: Arc<Bodies>,
     home: Origin,
     directory: RwLock<Arc<Directory>>,
     limits: Mutex<Limiter>,
@@ -195,6 +201,7 @@
             retries: Mutex::new(retry::Policy::new(config.retry, clock::mono())),
             lengths: Mutex::default(),
             watch: Mutex::new(Watch::new(poison::Config::default())),
+            bodies: Bodies::new(config.intake.body_memory),
             config,
             handle,
             metrics,
--- a/almondlock-gateway/src/accept.rs
+++ b/almondlock-gateway/src/accept.rs
@@ -3,18 +3,22 @@
 use std::{cell::OnceCell, collections::HashSet, sync::Arc, time::Duration};
 
 use almondlock_base::{Code, time::Mono};
+use almondlock_intake::bodies::{self, Hold};
 use almondlock_node::clock;
-use futures::StreamExt;
 use ntex::{
     http::header::HeaderName,
-    util::{Bytes, BytesMut},
+    util::Bytes,
     web::{HttpRequest, types::Payload},
 };
 use rand::Rng;
 use tokio::time::sleep;
 
 use crate::{
-    dialect::Dialect, pick::Demand, request::Request, response::HOP_BY_HOP, rules::Rules,
+    dialect::Dialect,
+    pick::Demand,
+    request::Request,
+    response::HOP_BY_HOP,
+    rules::{Organisation, Route, Rules},
     worker::Worker,
 };
 
@@ -34,32 +38,36 @@
 const MAX_SHARED_PARTS: usize = 64;
 
 /// Reads and checks a request.
+///
+/// What can be refused by its head is refused before its body is read: a caller without a
+/// route or a key costs no memory.
 pub(crate) async fn accept<D>(
     worker: &Worker<D>,
     incoming: &HttpRequest,
-    mut payload: Payload,
+    payload: &mut Payload,
     arrived: Mono,
 ) -> Result<Request, Code>
 where
     D: Dialect,
 {
-    let snapshot = worker.snapshot();
-    let limit = snapshot
-        .rules
-        .as_ref()
-        .map_or(usize::MAX, |rules| rules.limits.body);
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_| Code::SlowRequest)?;
-        body.extend_from_slice(&chunk);
-        if body.len() > limit {
-            return Err(Code::BodyTooLarge);
-        }
-    }
-    // The body may have taken long, so the configuration is read again.
     let (rules, current) = wait_for_rules(worker).await;
     let rules = rules.ok_or(Code::NotReady)?;
-    build_request(worker, &rules, incoming, body.freeze(), arrived, current)
+    let admitted = admit(worker, &rules, incoming, current)?;
+    let deadline = deadline(worker, incoming, &admitted.route, arrived);
+    let bounds = bodies::Bounds {
+        largest: rules.limits.body,
+        time: deadline.since(clock::mono()),
+    };
+    let received = worker.bodies.receive(incoming.headers(), payload, bounds);
+    let body = received.await.map_err(bodies::Error::code)?;
+    // The body may have taken long, so the configuration is read again.
+    let (newer, current) = wait_for_rules(worker).await;
+    let newer = newer.ok_or(Code::NotReady)?;
+    let admitted = match current && Arc::ptr_eq(&rules, &newer) {
+        true => admitted,
+        false => admit(worker, &newer, incoming, current)?,
+    };
+    build_request(worker, incoming, admitted, body, arrived)
 }
 
 /// Returns the rules in force, and whether they are current. Shortly after the start, waits
@@ -87,25 +95,26 @@
     }
 }
 
-/// Finds the route, checks the key, and builds the request to forward.
-fn build_request<D>(
+/// A request's route, and who sends it.
+struct Admitted {
+    route: Arc<Route>,
+    /// Owner of the key, if the route needs one.
+    organisation: Option<Arc<Organisation>>,
+}
+
+/// Finds the route and checks the key.
+fn admit<D>(
     worker: &Worker<D>,
     rules: &Rules,
     incoming: &HttpRequest,
-    body: Bytes,
-    arrived: Mono,
     current: bool,
-) -> Result<Request, Code>
+) -> Result<Admitted, Code>
 where
     D: Dialect,
 {
     let names = worker.dialect.names();
     let host = header_text(incoming, &ntex::http::header::HOST).unwrap_or_default();
-    let target = incoming
-        .uri()
-        .path_and_query()
-        .map_or("/", |target| target.as_str());
-    let path = target.split('?').next().unwrap_or(target);
+    let path = incoming.uri().path();
     // A host that was cut off may not know a route or key that has been added, or that one
     // was removed. The same holds for a host that is still parsing a version.
     let versions = worker.versions.borrow();
@@ -128,10 +137,46 @@
         let found = rules.organisation(key).ok_or_else(unknown)?;
         organisation = Some(Arc::clone(found));
     }
+    Ok(Admitted {
+        route,
+        organisation,
+    })
+}
+
+/// Returns the deadline of a request: the caller's or the route's, whichever is earlier.
+fn deadline<D>(worker: &Worker<D>, incoming: &HttpRequest, route: &Route, arrived: Mono) -> Mono
+where
+    D: Dialect,
+{
+    let name = &worker.dialect.names().deadline;
+    let millis = header_text(incoming, name).and_then(|text| text.trim().parse().ok());
+    let time = millis.map_or(NO_DEADLINE, Duration::from_millis);
+    arrived + time.min(route.timeout)
+}
+
+/// Builds the request to forward.
+fn build_request<D>(
+    worker: &Worker<D>,
+    incoming: &HttpRequest,
+    admitted: Admitted,
+    (body, hold): (Bytes, Option<Hold>),
+    arrived: Mono,
+) -> Result<Request, Code>
+where
+    D: Dialect,
+{
+    let names = worker.dialect.names();
+    let Admitted {
+        route,
+        organisation,
+    } = admitted;
+    let host = header_text(incoming, &ntex::http::header::HOST).unwrap_or_default();
+    let target = incoming
+        .uri()
+        .path_and_query()
+        .map_or("/", |target| target.as_str());
     let drawn = worker.rng.borrow_mut().random();
     let service = route.service(drawn).ok_or(Code::UnknownRoute)?.clone();
-    let deadline = header_text(incoming, &names.deadline).and_then(|text| text.trim().parse().ok());
-    let deadline = deadline.map_or(NO_DEADLINE, Duration::from_millis);
     let dropped = [
         &names.key,
         &names.organisation,
@@ -151,10 +196,11 @@
             .map(|(name, value)| (name.clone(), value.clone()))
             .collect(),
         body,
+        _hold: hold,
         service,
         organisation,
         arrived,
-        deadline: arrived + deadline.min(route.timeout),
+        deadline: deadline(worker, incoming, &route, arrived),
         demand: header_text(incoming, &names.usage)
             .and_then(|usage| parse_demand(usage, route.objective)),
         parts: shared_parts(worker, incoming),
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -13,6 +13,7 @@
     id::{Service, Upstream},
     time::Mono,
 };
+use almondlock_intake::bodies::Hold;
 use almondlock_node::clock;
 use almondlock_policy::{backoff::Reason, poison::profile::Profile};
 use bytes::Bytes;
@@ -65,6 +66,8 @@
     /// Headers that are forwarded unchanged.
     pub(crate) headers: Vec<(HeaderName, HeaderValue)>,
     pub(crate) body: ntex::util::Bytes,
+    /// The memory that the body takes. Kept for as long as `body`.
+    pub(crate) _hold: Option<Hold>,
     pub(crate) route: Arc<Route>,
     /// Service of the route that this request was assigned to.
     pub(crate) service: Service,
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -10,6 +10,10 @@
 
 use almondlock_base::{Code, id::Domain, time::Mono};
 use almondlock_http::response::Delimiter;
+use almondlock_intake::{
+    bodies::{self, Bodies},
+    host::Limits,
+};
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
 use almondlock_transport::listen;
@@ -69,6 +73,8 @@
     pub domain: Domain,
     /// Limits that the gateway keeps to.
     pub bounds: Bounds,
+    /// Limits of what callers make it hold.
+    pub intake: Limits,
     /// Optional behaviour that is enabled.
     pub features: Features,
     /// Seed of the random number generator. It also identifies the host to relays.
@@ -93,6 +99,8 @@
     D: Dialect,
 {
     let shared = Arc::new(Shared::new(clock::mono()));
+    let body_memory = config.intake.body_memory;
+    tracing::info!(body_memory, "limits for callers");
     let callers = start_caller_listener(&config, dialect, node.clone(), &shared)?;
     let ready = start_readiness_listener(&config, node.clone(), &shared)?;
     let owner = node.owner();
@@ -182,6 +190,7 @@
     let config = config.clone();
     let listener = listen::bind(config.listen)?;
     let shared = Arc::clone(shared);
+    let bodies = Bodies::new(config.intake.body_memory);
     let factory = async move || {
         let rng = SmallRng::seed_from_u64(config.seed);
         // Unbounded, but it holds at most one message for each active attempt, sent when
@@ -191,6 +200,7 @@
             dialect.clone(),
             node.clone(),
             Arc::clone(&shared),
+            Arc::clone(&bodies),
             (config.domain.clone(), config.seed),
             (config.bounds, config.features),
             rng,
@@ -274,6 +284,7 @@
         };
         worker.pool.borrow_mut().sweep(clock::mono(), is_known);
         worker.sweep_limits();
+        worker.report_intake();
         worker.sweep_backoffs(clock::mono());
     }
 }
@@ -351,7 +362,7 @@
 async fn answer<D>(
     worker: Rc<Worker<D>>,
     incoming: HttpRequest,
-    payload: Payload,
+    mut payload: Payload,
     arrived: Mono,
 ) -> HttpResponse
 where
@@ -362,7 +373,7 @@
     let id = header_text(&incoming, &names.request_id)
         .unwrap_or_default()
         .to_owned();
-    let accepted = accept(&worker, &incoming, payload, arrived).await;
+    let accepted = accept(&worker, &incoming, &mut payload, arrived).await;
     let accepted = accepted.and_then(|request| {
         // Refuses requests that might not end before the process does.
         let is_stream = request.route.kind.is_stream();
@@ -374,6 +385,7 @@
     let result = match accepted {
         Ok(request) => serve(&worker, &incoming, Rc::new(request)).await,
         Err(code) => {
+            bodies::discard(payload, worker.discard_limit());
             let drawn = worker.rng.borrow_mut().random();
             let span = worker.shared.retry_after(arrived, drawn);
             let retry_after = code.is_retryable().then_some(span);
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -17,6 +17,7 @@
     time::Mono,
     unit::Revision,
 };
+use almondlock_intake::bodies::Bodies;
 use almondlock_node::{Handle, clock};
 use almondlock_policy::{
     admission::Backlog,
@@ -88,6 +89,8 @@
     pub(crate) dialect: D,
     pub(crate) node: Handle,
     pub(crate) shared: Arc<Shared>,
+    /// Memory for the bodies of all requests of the process.
+    pub(crate) bodies: Arc<Bodies>,
     pub(crate) domain: Domain,
     /// Number that identifies this host, drawn at its start.
     pub(crate) host_number: u64,
@@ -162,6 +165,7 @@
         dialect: D,
         node: Handle,
         shared: Arc<Shared>,
+        bodies: Arc<Bodies>,
         (domain, host_number): (Domain, u64),
         (bounds, features): (Bounds, Features),
         rng: SmallRng,
@@ -171,6 +175,7 @@
             dialect,
             node,
             shared,
+            bodies,
             domain,
             host_number,
             bounds,
--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -24,6 +24,7 @@
     budget, exchange,
     server::{self, Bounds, Config, Features},
 };
+use almondlock_intake::host::Limits;
 use almondlock_node::{Node, Parts};
 use almondlock_policy::budget::Bound;
 use almondlock_spread::view::View;
@@ -370,6 +371,7 @@
             retries,
             memory_hold: setup.hold,
         },
+        intake: Limits::default(),
         features: Features {
             fair_shares: setup.fair_shares,
             slot_admission: setup.slot_admission,
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! | module | process | question |
 //! |---|---|---|
+//! | [`intake`] | entry | may a body be read, and which one gives way when memory is short |
 //! | [`length`] | entry | how long is the prompt, and in which class is it |
 //! | [`prefix`] | entry | which prompts begin alike |
 //! | [`deadline`] | entry | how much time has the request, and is that enough |
@@ -48,6 +49,7 @@
 pub mod fleet;
 pub mod gang;
 pub mod gate;
+pub mod intake;
 pub mod ledger;
 pub mod length;
 pub mod limit;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -166,6 +166,11 @@
          grows by this a level of the tree, and a silent parent is left after twice this.").unit("ms"),
     Key::new("host", "data", Path, Optional,
         "The folder for durable state. Needed by a replica, unused by others."),
+    Key::new("host", "memory", Number(16, 16 * MIB), Optional,
+        "Memory that the process may use. Without it, the memory that the system reports. Limits \
+         of what callers make the process hold follow from it.").unit("MiB"),
+    Key::new("host", "descriptors", Number(256, 16 * MIB), Optional,
+        "Files and sockets that the process may have open. Without it, the system's limit.").unit("count"),
 
     Key::new("entry", "listen", Listen, Required,
         "Where callers' HTTP requests arrive, behind the platform's balancer."),
@@ -184,6 +189,10 @@
         "The same for the body; 6 MB in a minute is 100 KB/s.").unit("ms"),
     Key::new("entry", "connections", Number(1, 1_000_000), Default("10000"),
         "Callers' connections at one time; with the limits above it bounds the memory.").unit("count"),
+    Key::new("entry", "body_memory", Number(1, MIB), Optional,
+        "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
+         that finds none is refused as not run; one that arrives for over a second, or is large while \
+         a small one needs room, gives way.").unit("MiB"),
     Key::new("entry", "drain_delay", Number(0, HOUR), Default("5000"),
         "On a stop, how long requests are still accepted after `/readyz` began to fail: the time \
          that the balancer needs to notice.").unit("ms"),
@@ -216,6 +225,10 @@
         "Where callers' HTTP requests arrive, behind the platform's balancer."),
     Key::new("gateway", "ready", Listen, Required,
         "Where the balancer asks whether this host takes requests: `GET /readyz`. 503 also once a task has ended that the process can't do without."),
+    Key::new("gateway", "body_memory", Number(1, MIB), Optional,
+        "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
+         that finds none is refused as not run; one that arrives for over a second, or is large while \
+         a small one needs room, gives way.").unit("MiB"),
     Key::new("gateway", "metrics", Listen, Optional,
         "Where counters and latency histograms are served as text: `GET /metrics`."),
     Key::new("gateway", "exchange", Addresses, Optional,
--- a/almondlock-settings/src/lib.rs
+++ b/almondlock-settings/src/lib.rs
@@ -42,7 +42,7 @@
 pub use error::{Errors, Problem};
 pub use page::page;
 pub use settings::{
-    Directory, Entry, Format, Gateway, Host, Log, Member, Metrics, Order, Output, Replica,
+    Directory, Entry, Format, Gateway, Host, Intake, Log, Member, Metrics, Order, Output, Replica,
     Security, Settings, Sidecar, Tls,
 };
 
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -11,8 +11,8 @@
     key::Shape,
     section::{Section, resolve},
     settings::{
-        Directory, Entry, Format, Gateway, Host, Log, Metrics, Order, Output, Replica, Security,
-        Settings, Sidecar, Tls,
+        Directory, Entry, Format, Gateway, Host, Intake, Log, Metrics, Order, Output, Replica,
+        Security, Settings, Sidecar, Tls,
     },
     source,
 };
@@ -82,6 +82,8 @@
             self.problem(value.line, &value.field(), message, remedy);
         }
         let data = self.path(s, "data");
+        let memory = self.mebibytes(s, "memory");
+        let descriptors = self.count(s, "descriptors");
         Some(Host {
             name: name?,
             domain: domain?,
@@ -90,9 +92,17 @@
             seeds,
             follow: follow?,
             data,
+            memory,
+            descriptors,
         })
     }
 
+    /// The limits of what callers make the process hold, of a section that has them.
+    fn intake(&mut self, s: &Section) -> Option<Intake> {
+        let body_memory = self.mebibytes(s, "body_memory");
+        Some(Intake { body_memory })
+    }
+
     fn entry(&mut self, s: &Section) -> Option<Entry> {
         let listen = self.address(s, "listen");
         let admin = self.address(s, "admin");
@@ -100,6 +110,7 @@
         let body_bytes = self.count(s, "body_bytes");
         let header_timeout = self.millis(s, "header_timeout");
         let body_timeout = self.millis(s, "body_timeout");
+        let intake = self.intake(s);
         let connections = self.count(s, "connections");
         let drain_delay = self.millis(s, "drain_delay");
         let drain_grace = self.millis(s, "drain_grace");
@@ -110,6 +121,7 @@
             body_bytes: body_bytes?,
             header_timeout: header_timeout?,
             body_timeout: body_timeout?,
+            intake: intake?,
             connections: connections?,
             drain_delay: drain_delay?,
             drain_grace: drain_grace?,
@@ -161,6 +173,7 @@
     fn gateway(&mut self, s: &Section) -> Option<Gateway> {
         let listen = self.address(s, "listen");
         let ready = self.address(s, "ready");
+        let intake = self.intake(s);
         let metrics = self.address(s, "metrics");
         let exchange = self.addresses(s, "exchange").unwrap_or_default();
         let exchange = with_port(exchange, self.port(s, "exchange_port"));
@@ -183,6 +196,7 @@
         Some(Gateway {
             listen: listen?,
             ready: ready?,
+            intake: intake?,
             metrics,
             exchange,
             stale: stale?,
--- a/almondlock-settings/src/read/value.rs
+++ b/almondlock-settings/src/read/value.rs
@@ -106,6 +106,11 @@
         self.number(s, key).and_then(|n| usize::try_from(n).ok())
     }
 
+    /// A number of MiB, in bytes.
+    pub(super) fn mebibytes(&mut self, s: &Section, key: &str) -> Option<u64> {
+        self.number(s, key).map(|n| n << 20)
+    }
+
     pub(super) fn port(&mut self, s: &Section, key: &str) -> Option<u16> {
         self.number(s, key).and_then(|n| u16::try_from(n).ok())
     }
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -50,6 +50,17 @@
     pub follow: Duration,
     /// The folder for durable state. Invariant: given on a replica.
     pub data: Option<PathBuf>,
+    /// Bytes of memory that the process may use, if that is set.
+    pub memory: Option<u64>,
+    /// Files and sockets that it may have open, if that is set.
+    pub descriptors: Option<usize>,
+}
+
+/// Limits of what callers make a process hold.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intake {
+    /// Bytes of memory for the bodies of all requests, if that is set.
+    pub body_memory: Option<u64>,
 }
 
 /// A listener's certificate and key.
@@ -76,7 +87,9 @@
     pub header_timeout: Duration,
     /// Time allowed for a request's body.
     pub body_timeout: Duration,
-    /// Callers' connections at one time.
+    /// Limits of what callers make it hold.
+    pub intake: Intake,
+    /// Requests in progress at one time.
     pub connections: usize,
     /// How long requests are accepted after readiness began to fail.
     pub drain_delay: Duration,
@@ -121,6 +134,8 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the host takes requests.
     pub ready: SocketAddr,
+    /// Limits of what callers make it hold.
+    pub intake: Intake,
     /// Where figures are served.
     pub metrics: Option<SocketAddr>,
     /// Who passes on what other entry hosts have under way.
--- a/almondlock-standin/src/service.rs
+++ b/almondlock-standin/src/service.rs
@@ -47,6 +47,10 @@
     pub address: SocketAddr,
     /// How long a call takes whose header doesn't say.
     pub delay: Duration,
+    /// The header that an answer repeats from its call, if any.
+    pub echoed: Option<&'static str>,
+    /// A header that each answer has, with its value.
+    pub added: Option<(&'static str, &'static str)>,
 }
 
 impl Default for Config {
@@ -54,6 +58,8 @@
         Config {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             delay: Duration::ZERO,
+            echoed: None,
+            added: None,
         }
     }
 }
@@ -115,6 +121,13 @@
         }
         let mut response = Response::Ok();
         response.content_type("text/plain; charset=utf-8");
+        let echoed = self.config.echoed;
+        if let Some(value) = echoed.and_then(|name| request.headers().get(name)) {
+            response.header(echoed.unwrap_or_default(), value.clone());
+        }
+        if let Some((name, value)) = self.config.added {
+            response.header(name, value);
+        }
         response.body(answer(method, path, &body))
     }
 }
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -2,6 +2,8 @@
 //! loopback ports, with stand-in engines in the test itself.
 #![allow(dead_code)]
 
+pub mod gateway;
+
 use std::{
     cell::RefCell,
     fs,
@@ -68,6 +70,11 @@
         self.child.replace(Some(child.unwrap()));
     }
 
+    /// Its process id while it was not ended by this test.
+    pub fn id(&self) -> Option<u32> {
+        self.child.borrow().as_ref().map(Child::id)
+    }
+
     /// Ends it at once, without a word.
     pub fn kill(&self) {
         if let Some(mut child) = self.child.take() {
--- /dev/null
+++ b/tests/unruly_callers.rs
@@ -0,0 +1,284 @@
+//! Clients that don't behave, beside ordinary callers, against the system's own processes.
+//!
+//! A process must neither end nor hang, must stay within the memory of its machine, and must
+//! go on serving ordinary callers.
+
+mod crowd;
+mod fleet;
+
+use std::time::Duration;
+
+use almondlock_standin::service;
+use crowd::{
+    Crowd, Door, Kind, Ordinary, Watch,
+    kind::LARGEST,
+    ordinary::{PROMISES, Tally},
+    watch::{Peak, Watched},
+    wire::read_answer,
+};
+use fleet::{
+    Fleet,
+    gateway::{Gateway, HOST, KEY, Upstream},
+};
+
+/// Memory of the smallest entry host, and of a replica's.
+const ENTRY_MEMORY: u64 = 160 << 20;
+const REPLICA_MEMORY: u64 = 256 << 20;
+/// How long a crowd plays.
+const SPAN: Duration = Duration::from_secs(5);
+/// How long one legal request may take in calm.
+const CALM: Duration = Duration::from_secs(4);
+const SEED: u64 = 71;
+
+/// The processes of a deployment whose upstreams are called directly.
+struct Site {
+    fleet: Fleet,
+    gateway: Gateway,
+    upstreams: Vec<Upstream>,
+}
+
+/// What a crowd did to a site.
+#[derive(Debug)]
+struct Report {
+    peaks: Vec<Peak>,
+    tally: Tally,
+    outcomes: crowd::Outcomes,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let fleet = Fleet::start().await;
+        fleet.publish().await;
+        let mut upstreams = Vec::new();
+        for n in 0..4 {
+            upstreams.push(fleet.upstream(&format!("up-{n}"), 16).await);
+        }
+        let gateway = fleet
+            .gateway("gate", "memory = 160\ndescriptors = 4100\n")
+            .await;
+        let site = Site {
+            fleet,
+            gateway,
+            upstreams,
+        };
+        fleet::eventually(async || site.largest_is_served().await).await;
+        site
+    }
+
+    fn door(&self, path: &str, key: &str) -> Door {
+        Door {
+            address: self.gateway.callers,
+            path: path.to_owned(),
+            headers: vec![
+                ("host", HOST.to_owned()),
+                ("x-almondlock-key", key.to_owned()),
+                ("x-almondlock-deadline-ms", "4000".to_owned()),
+            ],
+            around: ("", ""),
+        }
+    }
+
+    /// All that clients can reach: a route, the same with a wrong key, no route, readiness.
+    fn doors(&self) -> Vec<Door> {
+        let ready = Door {
+            address: self.gateway.ready,
+            path: "/readyz?".to_owned(),
+            ..self.door("", KEY)
+        };
+        vec![
+            self.door("/once/crowd-", KEY),
+            self.door("/safe/wrong-", "wrong-key"),
+            self.door("/nowhere/", KEY),
+            ready,
+        ]
+    }
+
+    /// Whether one request of the largest size is answered by its upstream.
+    async fn largest_is_served(&self) -> bool {
+        let door = self.door("/once/largest-", KEY);
+        let body = door.body(0, LARGEST);
+        let request = [door.sized("POST", 0, body.len()).as_bytes(), &body].concat();
+        let sent = async {
+            let mut stream = door.connect().await.ok()?;
+            tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
+                .await
+                .ok()?;
+            read_answer(&mut stream).await
+        };
+        let answer = tokio::time::timeout(CALM, sent).await.ok().flatten();
+        let right = service::answer("POST", &door.path(0), &body);
+        answer.is_some_and(|a| a.status == 200 && a.body == right.as_bytes())
+    }
+
+    fn watched(&self) -> Vec<Watched> {
+        let mut watched = vec![Watched {
+            name: "entry host".to_owned(),
+            id: self.gateway.process.id().unwrap(),
+            memory: ENTRY_MEMORY,
+            listeners: vec![self.gateway.callers, self.gateway.ready],
+        }];
+        for (replica, directory) in self.fleet.replicas.iter().zip(&self.fleet.directories) {
+            watched.push(Watched {
+                name: replica.name.clone(),
+                id: replica.id().unwrap(),
+                memory: REPLICA_MEMORY,
+                listeners: vec![*directory],
+            });
+        }
+        watched
+    }
+
+    /// Plays a crowd beside ordinary callers.
+    async fn play(&self, kinds: &[(Kind, usize)], doors: &[Door]) -> Report {
+        let watch = Watch::begin(self.watched());
+        let ordinary = Ordinary::begin(self.door("/once/ordinary-", KEY), 0);
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let crowd = Crowd::begin(kinds, doors, (SPAN, SEED));
+        let over = tokio::task::spawn_blocking(move || crowd.wait());
+        let outcomes = over.await.unwrap();
+        let over = tokio::task::spawn_blocking(move || ordinary.end());
+        let tally = over.await.unwrap();
+        let peaks = watch.end();
+        Report {
+            peaks,
+            tally,
+            outcomes,
+        }
+    }
+
+    /// What must hold whatever a crowd did.
+    async fn check(&self, what: &str, report: &Report) {
+        print(what, report);
+        for peak in &report.peaks {
+            assert!(!peak.ended, "{what}: {peak:?} passed its machine's memory");
+        }
+        assert_eq!(self.gateway.process.status(), None, "{what}: it ended");
+        let tally = &report.tally;
+        assert!(tally.failures.is_empty(), "{what}: {:?}", tally.failures);
+        assert!(self.largest_is_served().await, "{what}: not served in calm");
+        for (number, status) in &report.outcomes {
+            if PROMISES.contains(status) {
+                let ran = self.runs(*number);
+                assert_eq!(ran, 0, "{what}: {number} ran and got {status}");
+            }
+        }
+    }
+
+    /// How often a crowd's request of the largest size ran.
+    fn runs(&self, number: usize) -> u32 {
+        let door = &self.doors()[0];
+        let body = door.body(number, LARGEST);
+        let path = door.path(number);
+        let runs = self.upstreams.iter();
+        runs.map(|u| u.service.runs("POST", &path, &body)).sum()
+    }
+}
+
+/// Prints the figures of a run, for reports.
+fn print(what: &str, report: &Report) {
+    let Report { peaks, tally, .. } = report;
+    let mebibytes = |bytes: u64| bytes as f64 / f64::from(1 << 20);
+    for peak in peaks {
+        println!(
+            "{what}: {} {:.0} MiB, {:.0} in the kernel, {} connections{}",
+            peak.name,
+            mebibytes(peak.bytes),
+            mebibytes(peak.queued),
+            peak.connections,
+            if peak.ended { ", ended" } else { "" }
+        );
+    }
+    println!(
+        "{what}: ordinary {} of {}, median {:?}, 0.99 {:?}, statuses {:?}",
+        tally.served,
+        tally.sent,
+        tally.quantile(0.5),
+        tally.quantile(0.99),
+        statuses(&report.outcomes)
+    );
+}
+
+/// How many requests got which status; 0 stands for none.
+fn statuses(outcomes: &crowd::Outcomes) -> std::collections::BTreeMap<u16, usize> {
+    let mut counts = std::collections::BTreeMap::new();
+    for (_, status) in outcomes {
+        *counts.entry(*status).or_default() += 1;
+    }
+    counts
+}
+
+async fn alone(kind: Kind, count: usize) {
+    let site = Site::start().await;
+    let report = site.play(&[(kind, count)], &site.doors()).await;
+    site.check(&format!("{kind:?}"), &report).await;
+}
+
+#[ntex::test]
+async fn whole_bodies() {
+    alone(Kind::Whole, 120).await;
+}
+
+#[ntex::test]
+async fn unended_bodies() {
+    alone(Kind::Unended, 150).await;
+}
+
+#[ntex::test]
+async fn small_pieces() {
+    alone(Kind::Pieces(700), 60).await;
+}
+
+#[ntex::test]
+async fn unended_chunks() {
+    alone(Kind::Chunks(16), 100).await;
+}
+
+#[ntex::test]
+async fn oversized_bodies() {
+    alone(Kind::Oversized, 60).await;
+}
+
+#[ntex::test]
+async fn many_fields() {
+    alone(Kind::Fields, 100).await;
+}
+
+#[ntex::test]
+async fn byte_a_second() {
+    alone(Kind::Trickle, 1_000).await;
+}
+
+#[ntex::test]
+async fn silent_crowd() {
+    alone(Kind::Silent, 2_000).await;
+}
+
+#[ntex::test]
+async fn stopped_halfway() {
+    alone(Kind::Halfway, 100).await;
+}
+
+#[ntex::test]
+async fn slow_readers() {
+    alone(Kind::SlowReader, 200).await;
+}
+
+#[ntex::test]
+async fn all_kinds() {
+    let site = Site::start().await;
+    let kinds = [
+        (Kind::Whole, 40),
+        (Kind::Unended, 60),
+        (Kind::Pieces(700), 20),
+        (Kind::Chunks(1_024), 30),
+        (Kind::Oversized, 20),
+        (Kind::Endless, 20),
+        (Kind::Fields, 30),
+        (Kind::Trickle, 100),
+        (Kind::Silent, 200),
+        (Kind::Halfway, 40),
+        (Kind::SlowReader, 40),
+    ];
+    let report = site.play(&kinds, &site.doors()).await;
+    site.check("all kinds", &report).await;
+}
