Bound callers' connections, and let those without a request give way

What callers saw: with 400 descriptors, 600 clients that connect and say nothing left 102 of 114 ordinary requests served; the others waited for a connection until their deadline.

Cause: the HTTP library stops accepting at 25,600 connections, far beyond what a process has. When descriptors ran out, nobody could connect any more, the balancer that asks for readiness included, until one of the silent ones was timed out.

Now: each listener that callers reach has a number of places that follows from the host's memory (a third of it, at the cost of a head and two socket buffers each) and its descriptors (three quarters of those beyond 200). When all are taken, a connection whose request has been arriving for over a second gives its place to a new one, else the one that was unused for longest; one whose request is being served is never closed. Newcomers are admitted even if all others are new as well: to refuse them was tried first, and lost 20 of 117 ordinary requests beside 1,000 slow clients that came back at once. The kernel's buffers of each connection are bounded, as is the head (`head_bytes`, half of the library's 64 KiB, twice the largest head that is published). Readiness has places of its own.

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -10,7 +10,10 @@
     id::{Fingerprint, Service},
     unit::Tokens,
 };
-use almondlock_intake::bodies::{self, Hold};
+use almondlock_intake::{
+    bodies::{self, Hold},
+    connections::Busy,
+};
 use almondlock_node::clock;
 use almondlock_policy::{poison::passage, prefix};
 use almondlock_telemetry::trace::Context;
@@ -144,11 +147,13 @@
     id: String,
     caller: Caller,
     pub(crate) active: Active,
+    pub(crate) busy: Busy,
     context: Context,
     pub(crate) span: tracing::Span,
 }
 
 fn arrive(request: &HttpRequest, worker: &Worker) -> Result<Arrival, (String, Failure)> {
+    let busy = worker.connections.begin(request.io());
     let peer = worker.shared.handle.peer();
     let id = format!("{}-{:x}", peer.incarnation, worker.shared.next());
     let fail = |failure| (id.clone(), failure);
@@ -177,6 +182,7 @@
         id,
         caller,
         active,
+        busy,
         context,
         span,
     })
@@ -196,6 +202,7 @@
     };
     let bodies = &worker.shared.bodies;
     let received = bodies.receive(request.headers(), payload, bounds).await;
+    arrival.busy.serve();
     received.map_err(|error| match error {
         bodies::Error::TooLarge => {
             let limit = config.body_limit;
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -9,6 +9,7 @@
     Code,
     id::{Incarnation, Upstream},
 };
+use almondlock_intake::connections::Connections;
 use almondlock_node::{clock, links::Links, replicas::Replicas};
 use almondlock_policy::{
     choice::{Index, Picker, Query, Report, Sampling},
@@ -49,6 +50,8 @@
     pub replicas: Replicas,
     /// Where this thread holds engine memory.
     pub debts: Debts,
+    /// Connections of callers to this thread.
+    pub connections: Connections,
     rng: RefCell<SmallRng>,
 }
 
@@ -64,12 +67,19 @@
 
 impl Worker {
     /// A worker with its own sessions and generator.
-    pub fn new(shared: Arc<Shared>, links: Links, replicas: Replicas, seed: u64) -> Worker {
+    pub fn new(
+        shared: Arc<Shared>,
+        links: Links,
+        replicas: Replicas,
+        connections: Connections,
+        seed: u64,
+    ) -> Worker {
         Worker {
             shared,
             links,
             replicas,
             debts: Debts::default(),
+            connections,
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
         }
     }
--- a/almondlock-entry/src/running.rs
+++ b/almondlock-entry/src/running.rs
@@ -8,6 +8,7 @@
 
 use almondlock_base::{Code, Ran};
 use almondlock_http::response::Delimiter;
+use almondlock_intake::connections::Busy;
 use almondlock_node::clock;
 use almondlock_wire::answer::Usage;
 use futures::stream;
@@ -42,6 +43,8 @@
     end: oneshot::Receiver<Result<(), Failure>>,
     // Ends the life when the caller leaves.
     _task: Task,
+    // Keeps the caller's connection from being closed for another one.
+    _busy: Busy,
 }
 
 struct Task(JoinHandle<()>);
@@ -59,7 +62,9 @@
         request: Request,
         arrival: Arrival,
     ) -> Result<Running, Failure> {
-        let Arrival { active, span, .. } = arrival;
+        let Arrival {
+            active, busy, span, ..
+        } = arrival;
         let now = clock::mono();
         let organisation = request.organisation.clone();
         worker
@@ -96,6 +101,7 @@
             pieces,
             end,
             _task: Task(task),
+            _busy: busy,
         };
         running.first = running.pieces.recv().await;
         match running.first {
--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -11,14 +11,13 @@
     time::Duration,
 };
 
+use almondlock_intake::{connections::Connections, listener};
 use almondlock_node::{Handle, links::Links, replicas::Replicas};
 use almondlock_policy::choice::Origin;
 use almondlock_telemetry::metrics::Metrics;
 use ntex::{
-    SharedCfg,
-    http::HttpServiceConfig,
     time::Seconds,
-    web::{self, App, HttpServer},
+    web::{self, App},
 };
 use tokio::time::sleep;
 
@@ -68,6 +67,8 @@
     grace: Duration,
 }
 
+/// How long an idle connection of a caller is kept.
+const KEEP_ALIVE: Seconds = Seconds(5);
 /// How often the end of answers in progress is looked for.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
 
@@ -82,12 +83,14 @@
         let probing = Arc::new(AtomicBool::new(false));
         let tables = Arc::clone(&shared);
         let replicas = self.replicas;
-        let factory = async move || {
+        let limits = shared.config.intake;
+        let factory = async move |connections: Connections| {
             let links = Links::new(handle.clone());
             let worker = Rc::new(Worker::new(
                 Arc::clone(&tables),
                 links.clone(),
                 Replicas::new(links, replicas.clone()),
+                connections,
                 seed.fetch_add(1, Ordering::Relaxed),
             ));
             let (debts, links) = (worker.debts.clone(), worker.links.clone());
@@ -104,20 +107,21 @@
         };
         let millis = u32::try_from(self.header_timeout.as_millis()).unwrap_or(u32::MAX);
         let timeout = Seconds::checked_new((millis / 1000).max(1) as usize);
-        let http_config = HttpServiceConfig::new().set_client_timeout(timeout);
-        let server = HttpServer::new(factory)
-            .workers(self.workers)
-            .disable_signals()
-            .config(SharedCfg::new("callers").add(http_config));
-        let server = match self.tls {
-            Some(tls) => server.listen_rustls(listener, tls)?,
-            None => server.listen(listener)?,
+        let settings = listener::Config {
+            name: "callers",
+            workers: self.workers,
+            connections: limits.connections,
+            head: limits.head,
+            head_time: timeout,
+            idle_time: KEEP_ALIVE,
+            socket_buffer: limits.socket_buffer,
+            tls: self.tls,
         };
+        let server = listener::serve(listener, settings, factory)?;
         let admin = match self.admin {
             Some(admin) => Some(explain::serve(admin, Arc::clone(&shared))?),
             None => None,
         };
-        let server = server.run();
         let owner = shared.handle.owner();
         owner.spawn("callers-listener", server.clone());
         if let Some(admin) = &admin {
--- a/almondlock-gateway/src/intake.rs
+++ b/almondlock-gateway/src/intake.rs
@@ -1,6 +1,6 @@
 //! What callers make this host hold: the worker's side of `almondlock_intake`.
 
-use almondlock_intake::bodies;
+use almondlock_intake::{bodies, connections};
 
 use crate::{dialect::Dialect, worker::Worker};
 
@@ -33,6 +33,14 @@
         self.report("caller_bodies", "bytes", held);
         self.report("caller_bodies", "refused", refused);
         self.report("caller_bodies", "cut", cut);
+        let connections::Usage {
+            open,
+            replaced,
+            refused,
+        } = self.connections.usage();
+        self.report("caller_connections", "open", open as u64);
+        self.report("caller_connections", "replaced", replaced);
+        self.report("caller_connections", "refused", refused);
     }
 
     fn report(&self, name: &str, what: &str, level: u64) {
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -12,18 +12,18 @@
 use almondlock_http::response::Delimiter;
 use almondlock_intake::{
     bodies::{self, Bodies},
+    connections::Connections,
     host::Limits,
+    listener,
 };
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
 use almondlock_transport::listen;
 use futures::{StreamExt, future::join_all, stream};
 use ntex::{
-    SharedCfg,
-    http::HttpServiceConfig,
     time::Seconds,
     util::Bytes,
-    web::{self, App, HttpRequest, HttpResponse, HttpServer, types::Payload, types::State},
+    web::{self, App, HttpRequest, HttpResponse, types::Payload, types::State},
 };
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 use tokio::{
@@ -57,6 +57,11 @@
 /// How long an idle connection of a caller is kept. Longer than callers reuse a connection,
 /// which is most of the published limit.
 const KEEP_ALIVE: Seconds = Seconds(20);
+/// Limits of the listener for readiness checks: the balancer's few connections, and as many
+/// of others that come there.
+const READY_CONNECTIONS: usize = 64;
+const READY_HEAD: usize = 8 * 1024;
+const READY_BUFFER: usize = 16 * 1024;
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -99,8 +104,19 @@
     D: Dialect,
 {
     let shared = Arc::new(Shared::new(clock::mono()));
-    let body_memory = config.intake.body_memory;
-    tracing::info!(body_memory, "limits for callers");
+    let Limits {
+        body_memory,
+        connections,
+        head,
+        socket_buffer,
+    } = config.intake;
+    tracing::info!(
+        body_memory,
+        connections,
+        head,
+        socket_buffer,
+        "limits for callers"
+    );
     let callers = start_caller_listener(&config, dialect, node.clone(), &shared)?;
     let ready = start_readiness_listener(&config, node.clone(), &shared)?;
     let owner = node.owner();
@@ -191,7 +207,19 @@
     let listener = listen::bind(config.listen)?;
     let shared = Arc::clone(shared);
     let bodies = Bodies::new(config.intake.body_memory);
-    let factory = async move || {
+    let settings = listener::Config {
+        name: "callers",
+        // One thread, because the tables of loads and connections belong to a thread, and a
+        // host with this role has only a fraction of a core.
+        workers: 1,
+        connections: config.intake.connections,
+        head: config.intake.head,
+        head_time: HEAD_TIMEOUT,
+        idle_time: KEEP_ALIVE,
+        socket_buffer: config.intake.socket_buffer,
+        tls: None,
+    };
+    let factory = async move |connections: Connections| {
         let rng = SmallRng::seed_from_u64(config.seed);
         // Unbounded, but it holds at most one message for each active attempt, sent when
         // the attempt ends.
@@ -200,7 +228,7 @@
             dialect.clone(),
             node.clone(),
             Arc::clone(&shared),
-            Arc::clone(&bodies),
+            (Arc::clone(&bodies), connections),
             (config.domain.clone(), config.seed),
             (config.bounds, config.features),
             rng,
@@ -220,17 +248,7 @@
             .state(worker)
             .default_service(web::route().to(handle::<D>))
     };
-    let http = HttpServiceConfig::new()
-        .set_client_timeout(HEAD_TIMEOUT)
-        .set_keepalive(KEEP_ALIVE);
-    // One thread, because the tables of loads and connections belong to a thread, and a
-    // host with this role has only a fraction of a core.
-    let server = HttpServer::new(factory)
-        .workers(1)
-        .disable_signals()
-        .config(SharedCfg::new("callers").add(http))
-        .listen(listener)?;
-    Ok(server.run())
+    listener::serve(listener, settings, factory)
 }
 
 /// Starts the tasks of a thread that serves callers.
@@ -297,7 +315,17 @@
 ) -> io::Result<ntex::server::Server> {
     let listener = TcpListener::bind(config.ready)?;
     let (shared, stale) = (Arc::clone(shared), config.bounds.max_config_age);
-    let factory = async move || {
+    let settings = listener::Config {
+        name: "readiness",
+        workers: 1,
+        connections: READY_CONNECTIONS,
+        head: READY_HEAD,
+        head_time: HEAD_TIMEOUT,
+        idle_time: HEAD_TIMEOUT,
+        socket_buffer: READY_BUFFER,
+        tls: None,
+    };
+    let factory = async move |_: Connections| {
         let (node, shared) = (node.clone(), Arc::clone(&shared));
         App::new().route(
             "/readyz",
@@ -324,8 +352,7 @@
             }),
         )
     };
-    let server = HttpServer::new(factory).workers(1).disable_signals();
-    Ok(server.listen(listener)?.run())
+    listener::serve(listener, settings, factory)
 }
 
 /// Handles one request of a caller. A panic ends this request alone: its caller is told that
@@ -369,6 +396,7 @@
     D: Dialect,
 {
     let active = worker.shared.count_active();
+    let busy = worker.connections.begin(incoming.io());
     let names = worker.dialect.names();
     let id = header_text(&incoming, &names.request_id)
         .unwrap_or_default()
@@ -383,7 +411,10 @@
         }
     });
     let result = match accepted {
-        Ok(request) => serve(&worker, &incoming, Rc::new(request)).await,
+        Ok(request) => {
+            busy.serve();
+            serve(&worker, &incoming, Rc::new(request)).await
+        }
         Err(code) => {
             bodies::discard(payload, worker.discard_limit());
             let drawn = worker.rng.borrow_mut().random();
@@ -398,7 +429,7 @@
             let mut builder = start_response(&stream.head);
             let delimiter = Delimiter::of(&incoming);
             delimiter.apply(&mut builder);
-            let state = Some((stream, active, delimiter));
+            let state = Some((stream, (active, busy), delimiter));
             let body = stream::unfold(state, async |state| {
                 let (mut stream, active, mut delimiter) = state?;
                 match stream.next().await {
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -17,7 +17,7 @@
     time::Mono,
     unit::Revision,
 };
-use almondlock_intake::bodies::Bodies;
+use almondlock_intake::{bodies::Bodies, connections::Connections};
 use almondlock_node::{Handle, clock};
 use almondlock_policy::{
     admission::Backlog,
@@ -91,6 +91,8 @@
     pub(crate) shared: Arc<Shared>,
     /// Memory for the bodies of all requests of the process.
     pub(crate) bodies: Arc<Bodies>,
+    /// Connections of callers to this thread.
+    pub(crate) connections: Connections,
     pub(crate) domain: Domain,
     /// Number that identifies this host, drawn at its start.
     pub(crate) host_number: u64,
@@ -165,7 +167,7 @@
         dialect: D,
         node: Handle,
         shared: Arc<Shared>,
-        bodies: Arc<Bodies>,
+        (bodies, connections): (Arc<Bodies>, Connections),
         (domain, host_number): (Domain, u64),
         (bounds, features): (Bounds, Features),
         rng: SmallRng,
@@ -176,6 +178,7 @@
             node,
             shared,
             bodies,
+            connections,
             domain,
             host_number,
             bounds,
--- /dev/null
+++ b/almondlock-intake/src/connections.rs
@@ -0,0 +1,233 @@
+//! The open connections of a listener's thread.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+use almondlock_policy::connections::{Admission, Config, State, Table};
+use almondlock_telemetry::throttle::Throttle;
+use almondlock_transport::clock;
+use ntex::{
+    Middleware, Service, ServiceCtx, SharedCfg,
+    io::{Filter, Id, Io, IoRef},
+};
+
+/// Time in which a request should arrive once its connection is open, or its first byte was
+/// read. Slower ones are the first to give way.
+pub const GRACE: Duration = Duration::from_secs(1);
+/// A full table is logged once in this time.
+const LOG_PERIOD: Duration = Duration::from_secs(1);
+
+/// The open connections of a thread. Clones share them.
+#[derive(Clone, Debug)]
+pub struct Connections {
+    inner: Rc<RefCell<Inner>>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    limit: usize,
+    table: Table<Id>,
+    open: HashMap<Id, IoRef>,
+    usage: Usage,
+    logged: Throttle,
+}
+
+/// Levels and counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Connections now.
+    pub open: usize,
+    /// Connections closed because another one took their place.
+    pub replaced: u64,
+    /// New connections closed because there was no place.
+    pub refused: u64,
+}
+
+impl Connections {
+    /// Returns an empty table with this many places.
+    pub fn new(limit: usize) -> Connections {
+        let config = Config {
+            limit,
+            grace: GRACE,
+        };
+        Connections {
+            inner: Rc::new(RefCell::new(Inner {
+                limit,
+                table: Table::new(config),
+                open: HashMap::new(),
+                usage: Usage::default(),
+                logged: Throttle::new(LOG_PERIOD),
+            })),
+        }
+    }
+
+    /// Returns how many there are.
+    pub fn usage(&self) -> Usage {
+        let inner = self.inner.borrow();
+        Usage {
+            open: inner.table.len(),
+            ..inner.usage
+        }
+    }
+
+    /// Notes that a request has begun on a connection. The connection counts as receiving
+    /// until [`Busy::serve`], and as idle once the value is dropped.
+    pub fn begin(&self, io: Option<&IoRef>) -> Busy {
+        let busy = Busy {
+            connections: self.clone(),
+            id: io.map(IoRef::id),
+        };
+        busy.note(State::Receiving);
+        busy
+    }
+
+    /// Enters a connection. Returns `None` if there is no place for it.
+    fn admit(&self, io: &IoRef) -> Option<Place> {
+        let mut inner = self.inner.borrow_mut();
+        let id = io.id();
+        let admission = inner.table.admit(id, clock::mono());
+        let closed = match admission {
+            Admission::Admitted => None,
+            Admission::Replaces(other) => {
+                inner.usage.replaced += 1;
+                inner.open.remove(&other)
+            }
+            Admission::Refused => {
+                inner.usage.refused += 1;
+                None
+            }
+        };
+        if admission != Admission::Admitted {
+            inner.log();
+        }
+        let place = (admission != Admission::Refused).then(|| {
+            inner.open.insert(id, io.clone());
+            Place {
+                connections: self.clone(),
+                id,
+            }
+        });
+        // Closing may run the dispatcher of that connection.
+        drop(inner);
+        if let Some(closed) = closed {
+            closed.terminate();
+        }
+        place
+    }
+
+    fn remove(&self, id: Id) {
+        let mut inner = self.inner.borrow_mut();
+        inner.table.remove(id);
+        inner.open.remove(&id);
+    }
+}
+
+impl Inner {
+    fn log(&mut self) {
+        if let Some(suppressed) = self.logged.pass(clock::mono()) {
+            let Usage {
+                replaced, refused, ..
+            } = self.usage;
+            tracing::warn!(
+                limit = self.limit,
+                replaced,
+                refused,
+                suppressed,
+                "all connections are taken"
+            );
+        }
+    }
+}
+
+/// A request on a connection.
+#[derive(Debug)]
+pub struct Busy {
+    connections: Connections,
+    id: Option<Id>,
+}
+
+impl Busy {
+    /// Notes that the request has arrived and is being served: the connection is not closed
+    /// for another one.
+    pub fn serve(&self) {
+        self.note(State::Serving);
+    }
+
+    fn note(&self, state: State) {
+        if let Some(id) = self.id {
+            let mut inner = self.connections.inner.borrow_mut();
+            inner.table.note(id, state, clock::mono());
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.note(State::Idle);
+    }
+}
+
+/// The place of a connection, given back when it ends.
+struct Place {
+    connections: Connections,
+    id: Id,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.connections.remove(self.id);
+    }
+}
+
+/// Admits connections to a service.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    connections: Connections,
+}
+
+impl Gate {
+    /// Returns a gate to these connections.
+    pub const fn new(connections: Connections) -> Gate {
+        Gate { connections }
+    }
+}
+
+impl<S> Middleware<S, SharedCfg> for Gate {
+    type Service = Guarded<S>;
+
+    fn create(&self, service: S, _: SharedCfg) -> Guarded<S> {
+        Guarded {
+            service,
+            connections: self.connections.clone(),
+        }
+    }
+}
+
+/// A service behind a [`Gate`].
+#[derive(Debug)]
+pub struct Guarded<S> {
+    service: S,
+    connections: Connections,
+}
+
+impl<S, F> Service<Io<F>> for Guarded<S>
+where
+    S: Service<Io<F>, Response = ()>,
+    F: Filter,
+{
+    type Response = ();
+    type Error = S::Error;
+
+    ntex::forward_ready!(service);
+    ntex::forward_poll!(service);
+    ntex::forward_shutdown!(service);
+
+    async fn call(&self, io: Io<F>, ctx: ServiceCtx<'_, Self>) -> Result<(), S::Error> {
+        let Some(place) = self.connections.admit(&io.get_ref()) else {
+            io.terminate();
+            return Ok(());
+        };
+        let ended = ctx.call(&self.service, io).await;
+        drop(place);
+        ended
+    }
+}
--- a/almondlock-intake/src/host.rs
+++ b/almondlock-intake/src/host.rs
@@ -5,6 +5,8 @@
     system::sysinfo,
 };
 
+use crate::listener::Config;
+
 /// Memory and descriptors of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Host {
@@ -19,10 +21,24 @@
 pub struct Limits {
     /// Bytes that the bodies of all requests may take.
     pub body_memory: u64,
+    /// Connections that callers may hold at one time.
+    pub connections: usize,
+    /// Largest head of a request, in bytes.
+    pub head: usize,
+    /// Buffers of each connection in the kernel, in bytes: one for each direction.
+    pub socket_buffer: usize,
 }
 
+/// Descriptors that are left to files and to connections between processes: this many, and
+/// one in [`OWN_SHARE`] of the rest.
+const OWN_DESCRIPTORS: usize = 200;
+const OWN_SHARE: usize = 4;
 /// Part of the memory that bodies may take: one in this many.
 const BODY_SHARE: u64 = 4;
+/// Part of the memory that connections may take: one in this many.
+const CONNECTION_SHARE: u64 = 3;
+/// Fewest connections, whatever the host has.
+const FEWEST: usize = 32;
 
 impl Host {
     /// Returns what the system says. `memory` and `descriptors` go before it.
@@ -39,14 +55,31 @@
     pub const fn body_memory(self) -> u64 {
         self.memory / BODY_SHARE
     }
+
+    /// Returns the number of connections that callers may hold, of `cost` bytes each.
+    pub fn connections(self, cost: usize) -> usize {
+        let by_memory = self.memory / CONNECTION_SHARE / cost.max(1) as u64;
+        let by_memory = usize::try_from(by_memory).unwrap_or(usize::MAX);
+        let left = self.descriptors.saturating_sub(OWN_DESCRIPTORS);
+        by_memory.min(left - left / OWN_SHARE).max(FEWEST)
+    }
 }
 
 impl Limits {
     /// Returns the limits that follow from what a host has. A `body_memory` that is set goes
-    /// before them.
-    pub fn new(host: Host, body_memory: Option<u64>) -> Limits {
+    /// before them, and `connections` if it is lower.
+    pub fn new(
+        host: Host,
+        (head, socket_buffer): (usize, usize),
+        body_memory: Option<u64>,
+        connections: Option<usize>,
+    ) -> Limits {
+        let derived = host.connections(Config::connection_cost(head, socket_buffer));
         Limits {
             body_memory: body_memory.unwrap_or(host.body_memory()),
+            connections: connections.map_or(derived, |set| set.min(derived)),
+            head,
+            socket_buffer,
         }
     }
 }
@@ -58,7 +91,7 @@
             memory: 1 << 30,
             descriptors: 4096,
         };
-        Limits::new(host, None)
+        Limits::new(host, (32 * 1024, 64 * 1024), None, None)
     }
 }
 
--- a/almondlock-intake/src/lib.rs
+++ b/almondlock-intake/src/lib.rs
@@ -7,9 +7,13 @@
 //! | module | bounds |
 //! |---|---|
 //! | [`bodies`] | the bodies of all requests, as one budget of bytes |
+//! | [`connections`] | open connections |
+//! | [`listener`] | heads and socket buffers of each connection |
 //! | [`host`] | tells what the process has, and derives the limits |
 
 #![warn(clippy::unwrap_used, clippy::expect_used)]
 
 pub mod bodies;
+pub mod connections;
 pub mod host;
+pub mod listener;
--- a/almondlock-policy/src/lib.rs
+++ b/almondlock-policy/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! | module | process | question |
 //! |---|---|---|
+//! | [`connections`] | entry | which connection gives way when all are taken |
 //! | [`intake`] | entry | may a body be read, and which one gives way when memory is short |
 //! | [`length`] | entry | how long is the prompt, and in which class is it |
 //! | [`prefix`] | entry | which prompts begin alike |
@@ -43,6 +44,7 @@
 pub mod budget;
 pub mod cell;
 pub mod choice;
+pub mod connections;
 pub mod deadline;
 pub mod engine;
 pub mod fill;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -188,11 +188,19 @@
     Key::new("entry", "body_timeout", Number(1_000, 600_000), Default("60000"),
         "The same for the body; 6 MB in a minute is 100 KB/s.").unit("ms"),
     Key::new("entry", "connections", Number(1, 1_000_000), Default("10000"),
-        "Callers' connections at one time; with the limits above it bounds the memory.").unit("count"),
+        "Requests in progress at one time, and callers' connections, unless the host's memory or \
+         descriptors allow fewer: a third of the memory at the cost of a head and two socket buffers \
+         each, and three quarters of the descriptors. When all are taken, connections without a \
+         request are closed for new ones.").unit("count"),
     Key::new("entry", "body_memory", Number(1, MIB), Optional,
         "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
          a small one needs room, gives way.").unit("MiB"),
+    Key::new("entry", "head_bytes", Number(4 * KIB, MIB), Default("32768"),
+        "Larger heads of requests are refused.").unit("bytes"),
+    Key::new("entry", "socket_buffer", Number(4 * KIB, 16 * MIB), Default("65536"),
+        "The kernel's buffer of each caller's connection, in each direction. It bounds what waits there \
+         when a caller sends ahead or doesn't read.").unit("bytes"),
     Key::new("entry", "drain_delay", Number(0, HOUR), Default("5000"),
         "On a stop, how long requests are still accepted after `/readyz` began to fail: the time \
          that the balancer needs to notice.").unit("ms"),
@@ -229,6 +237,15 @@
         "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
          a small one needs room, gives way.").unit("MiB"),
+    Key::new("gateway", "connections", Number(1, 1_000_000), Optional,
+        "Callers' connections at one time, unless the host's memory or descriptors allow fewer: a third \
+         of the memory at the cost of a head and two socket buffers each, and three quarters of the \
+         descriptors. When all are taken, connections without a request are closed for new ones.").unit("count"),
+    Key::new("gateway", "head_bytes", Number(4 * KIB, MIB), Default("32768"),
+        "Larger heads of requests are refused.").unit("bytes"),
+    Key::new("gateway", "socket_buffer", Number(4 * KIB, 16 * MIB), Default("65536"),
+        "The kernel's buffer of each caller's connection, in each direction. It bounds what waits there \
+         when a caller sends ahead or doesn't read.").unit("bytes"),
     Key::new("gateway", "metrics", Listen, Optional,
         "Where counters and latency histograms are served as text: `GET /metrics`."),
     Key::new("gateway", "exchange", Addresses, Optional,
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -100,7 +100,15 @@
     /// The limits of what callers make the process hold, of a section that has them.
     fn intake(&mut self, s: &Section) -> Option<Intake> {
         let body_memory = self.mebibytes(s, "body_memory");
-        Some(Intake { body_memory })
+        let connections = self.count(s, "connections");
+        let head_bytes = self.count(s, "head_bytes");
+        let socket_buffer = self.count(s, "socket_buffer");
+        Some(Intake {
+            body_memory,
+            connections,
+            head_bytes: head_bytes?,
+            socket_buffer: socket_buffer?,
+        })
     }
 
     fn entry(&mut self, s: &Section) -> Option<Entry> {
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -61,6 +61,12 @@
 pub struct Intake {
     /// Bytes of memory for the bodies of all requests, if that is set.
     pub body_memory: Option<u64>,
+    /// Callers' connections at one time, if that is set.
+    pub connections: Option<usize>,
+    /// Largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// The kernel's buffer of each connection in each direction, in bytes.
+    pub socket_buffer: usize,
 }
 
 /// A listener's certificate and key.
--- a/tests/fleet/gateway.rs
+++ b/tests/fleet/gateway.rs
@@ -113,8 +113,9 @@
         Upstream { service, beating }
     }
 
-    /// Starts an entry host, with more settings for `[host]`.
-    pub async fn gateway(&self, name: &str, more: &str) -> Gateway {
+    /// Starts an entry host, with more settings for `[host]`, that may have so many files and
+    /// sockets open.
+    pub async fn gateway(&self, name: &str, more: &str, descriptors: Option<u32>) -> Gateway {
         let (callers, ready) = (address(), address());
         let host = self.host(name, "domain-0", address());
         let text = format!(
@@ -124,7 +125,7 @@
         );
         let file = self.write(name, &text);
         let gateway = Gateway {
-            process: Process::new(name, file),
+            process: Process::with_descriptors(name, file, descriptors),
             callers,
             ready,
         };
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -44,14 +44,21 @@
 pub struct Process {
     pub name: String,
     file: PathBuf,
+    /// Files and sockets that it may have open, if not as many as the test.
+    descriptors: Option<u32>,
     child: RefCell<Option<Child>>,
 }
 
 impl Process {
     fn new(name: &str, file: PathBuf) -> Process {
+        Process::with_descriptors(name, file, None)
+    }
+
+    fn with_descriptors(name: &str, file: PathBuf, descriptors: Option<u32>) -> Process {
         let process = Process {
             name: name.to_owned(),
             file,
+            descriptors,
             child: RefCell::default(),
         };
         process.start();
@@ -60,7 +67,17 @@
 
     pub fn start(&self) {
         let log = fs::File::create(self.file.with_extension("log")).unwrap();
-        let child = Command::new(env!("CARGO_BIN_EXE_almondlockd"))
+        let program = env!("CARGO_BIN_EXE_almondlockd");
+        let mut command = match self.descriptors {
+            None => Command::new(program),
+            Some(count) => {
+                let mut shell = Command::new("sh");
+                let script = format!("ulimit -n {count}; exec \"$0\" \"$@\"");
+                shell.arg("-c").arg(script).arg(program);
+                shell
+            }
+        };
+        let child = command
             .arg("run")
             .arg(&self.file)
             .stdin(Stdio::null())
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -47,15 +47,18 @@
 
 impl Site {
     async fn start() -> Site {
+        Site::start_with(None).await
+    }
+
+    /// Starts one whose entry host may have so many files and sockets open.
+    async fn start_with(descriptors: Option<u32>) -> Site {
         let fleet = Fleet::start().await;
         fleet.publish().await;
         let mut upstreams = Vec::new();
         for n in 0..4 {
             upstreams.push(fleet.upstream(&format!("up-{n}"), 16).await);
         }
-        let gateway = fleet
-            .gateway("gate", "memory = 160\ndescriptors = 4100\n")
-            .await;
+        let gateway = fleet.gateway("gate", "memory = 160\n", descriptors).await;
         let site = Site {
             fleet,
             gateway,
@@ -243,6 +246,11 @@
     alone(Kind::Fields, 100).await;
 }
 
+#[ntex::test]
+async fn open_heads() {
+    alone(Kind::OpenHead, 1_000).await;
+}
+
 #[ntex::test]
 async fn byte_a_second() {
     alone(Kind::Trickle, 1_000).await;
@@ -253,6 +261,15 @@
     alone(Kind::Silent, 2_000).await;
 }
 
+/// Guards against a crowd that takes all descriptors, so that nobody else can connect and
+/// the balancer finds the host unready.
+#[ntex::test]
+async fn few_descriptors() {
+    let site = Site::start_with(Some(400)).await;
+    let report = site.play(&[(Kind::Silent, 600)], &site.doors()).await;
+    site.check("few descriptors", &report).await;
+}
+
 #[ntex::test]
 async fn stopped_halfway() {
     alone(Kind::Halfway, 100).await;
@@ -274,6 +291,7 @@
         (Kind::Oversized, 20),
         (Kind::Endless, 20),
         (Kind::Fields, 30),
+        (Kind::OpenHead, 100),
         (Kind::Trickle, 100),
         (Kind::Silent, 200),
         (Kind::Halfway, 40),
