Refuse bodies that come in too many pieces for their size

What callers saw: beside 100 clients that send chunks of one byte, an ordinary request took 247 ms in the median, and a request of the largest size was not served within 4 s after they had gone.

Cause: each chunk costs the same work whatever its size, so that a body of the largest size in single bytes costs as much as thousands of ordinary ones.

Now: a body may come in 4,096 pieces and one more for each 16 bytes. Past that it is refused as unreadable, and what is left of it is not read.

--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -209,7 +209,7 @@
             let message = format!("the body is larger than {limit} bytes");
             Failure::with_message(Code::BodyTooLarge, message)
         }
-        bodies::Error::Broken => Failure::new(Code::UnreadableBody),
+        bodies::Error::Broken | bodies::Error::Pieces => Failure::new(Code::UnreadableBody),
         bodies::Error::Late => Failure::new(Code::SlowRequest),
         bodies::Error::Shortage => Failure::new(error.code()).retry_after(OVERLOAD_RETRY),
     })
--- a/almondlock-intake/src/bodies.rs
+++ b/almondlock-intake/src/bodies.rs
@@ -22,6 +22,10 @@
 
 /// Smallest capacity of a buffer, in bytes.
 const FIRST_CAPACITY: usize = 4096;
+/// Pieces that a body may come in: this many, and one for each [`PIECE`] bytes. Each costs
+/// the same work whatever its size.
+const PIECES: usize = 4096;
+const PIECE: usize = 16;
 /// A body that has not arrived is left alone for this long even if memory is short. A caller
 /// whose request isn't read within a second tries elsewhere.
 pub const GRACE: Duration = Duration::from_secs(1);
@@ -71,6 +75,8 @@
     Late,
     /// Its framing is wrong, or the connection ended.
     Broken,
+    /// It comes in too many pieces for its size.
+    Pieces,
     /// There is no memory for it now.
     Shortage,
 }
@@ -81,6 +87,7 @@
         match self {
             Error::TooLarge => Code::BodyTooLarge,
             Error::Late | Error::Broken => Code::SlowRequest,
+            Error::Pieces => Code::UnreadableBody,
             Error::Shortage => Code::Overloaded,
         }
     }
@@ -157,6 +164,7 @@
     ) -> Result<(Bytes, Option<Hold>), Error> {
         let mut buffer = BytesMut::new();
         let mut hold: Option<Hold> = None;
+        let mut pieces = Pieces::default();
         loop {
             let chunk = match &hold {
                 None => payload.recv().await,
@@ -174,6 +182,9 @@
             if length > limit {
                 return Err(Error::TooLarge);
             }
+            if !pieces.add(chunk.len()) {
+                return Err(Error::Pieces);
+            }
             let hold = hold.get_or_insert_with(|| self.enter());
             if length > hold.bytes {
                 let capacity = length.next_power_of_two().max(FIRST_CAPACITY).min(limit);
@@ -278,6 +289,22 @@
     }
 }
 
+/// Counts the pieces that a body comes in.
+#[derive(Debug, Default)]
+struct Pieces {
+    count: usize,
+    bytes: usize,
+}
+
+impl Pieces {
+    /// Adds a piece. Returns whether there may be as many.
+    fn add(&mut self, bytes: usize) -> bool {
+        self.count += 1;
+        self.bytes += bytes;
+        self.count <= PIECES + self.bytes / PIECE
+    }
+}
+
 /// Returns the length that a request announces for its body.
 pub fn announced_length(headers: &HeaderMap) -> Option<usize> {
     let length = headers.get(CONTENT_LENGTH)?;
@@ -292,12 +319,11 @@
 pub fn discard(mut payload: Payload, limit: usize) {
     ntex::rt::spawn(async move {
         let rest = async {
-            let mut left = limit;
+            let mut pieces = Pieces::default();
             while let Some(Ok(chunk)) = payload.recv().await {
-                let Some(rest) = left.checked_sub(chunk.len()) else {
+                if !pieces.add(chunk.len()) || pieces.bytes > limit {
                     break;
-                };
-                left = rest;
+                }
             }
         };
         tokio::select! {
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -236,6 +236,11 @@
     alone(Kind::Chunks(16), 100).await;
 }
 
+#[ntex::test]
+async fn single_bytes() {
+    alone(Kind::Chunks(1), 100).await;
+}
+
 #[ntex::test]
 async fn oversized_bodies() {
     alone(Kind::Oversized, 60).await;
@@ -292,6 +297,7 @@
         (Kind::Whole, 40),
         (Kind::Unended, 60),
         (Kind::Pieces(700), 20),
+        (Kind::Chunks(1), 30),
         (Kind::Chunks(1_024), 30),
         (Kind::Oversized, 20),
         (Kind::Endless, 20),
