--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -32,7 +32,6 @@
     rules::{Entry, Error, Kind, Limits, Organisation, Route, Rules, Target},
     server::{self, Bounds, Config, Features},
 };
-use almondlock_intake::host::Limits;
 use almondlock_node::{Node, Parts};
 use almondlock_policy::budget::Bound;
 use almondlock_spread::view::View;
@@ -335,7 +334,7 @@
     Config {
         listen,
         ready,
-        intake: Limits::default(),
+        intake: almondlock_intake::host::Limits::default(),
         metrics: None,
         relays: Vec::new(),
         domain: Domain::new("d").unwrap(),
