Log only the beginning of a request's id

What callers saw: nothing yet; an entry host whose log isn't read grew to 137 MiB of 160 beside 40 clients with ids of 30,000 bytes.

Cause: up to 4,096 log lines wait for standard output, and each held the whole id that the caller had sent. With the head limit of before (64 KiB) they could take 256 MiB.

Now 128 bytes of the id are logged; upstreams still get all of it.

--- a/almondlock-gateway/src/accept.rs
+++ b/almondlock-gateway/src/accept.rs
@@ -34,6 +34,9 @@
 /// shortest objectives leave.
 const COLD_POLL: Duration = Duration::from_millis(15);
 
+/// Length of the part of a request's id that is logged.
+const MAX_LOGGED_ID_BYTES: usize = 128;
+
 /// Maximum number of a prompt's parts that are looked at.
 const MAX_SHARED_PARTS: usize = 64;
 
@@ -188,7 +191,8 @@
     let kept = |name: &HeaderName| !HOP_BY_HOP.contains(&name.as_str()) && !dropped.contains(&name);
     let headers = incoming.headers().iter().filter(|(name, _)| kept(name));
     Ok(Request {
-        id: Arc::from(header_text(incoming, &names.request_id).unwrap_or_default()),
+        sent_id: Arc::from(header_text(incoming, &names.request_id).unwrap_or_default()),
+        id: Arc::from(log_id(worker, incoming)),
         method: incoming.method().clone(),
         path_and_query: target.to_owned(),
         host: host.to_owned(),
@@ -216,6 +220,17 @@
     incoming.headers().get(name)?.to_str().ok()
 }
 
+/// Returns the beginning of the id that a request was sent with, for logs. A head may be
+/// tens of kilobytes long, and thousands of log lines may wait.
+pub(crate) fn log_id<'a, D>(worker: &Worker<D>, incoming: &'a HttpRequest) -> &'a str
+where
+    D: Dialect,
+{
+    let id = header_text(incoming, &worker.dialect.names().request_id).unwrap_or_default();
+    // A header's text is ASCII, so this is no part of a character.
+    id.get(..MAX_LOGGED_ID_BYTES).unwrap_or(id)
+}
+
 /// Returns the parts of the prompt that other prompts may share, the first
 /// [`MAX_SHARED_PARTS`] of them.
 fn shared_parts<D>(worker: &Worker<D>, incoming: &HttpRequest) -> Vec<Arc<str>>
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -329,7 +329,7 @@
         body: &request.body,
         id: (
             worker.dialect.names().request_id.as_str(),
-            request.id.as_bytes(),
+            request.sent_id.as_bytes(),
         ),
     };
     let answered = connection.exchange(&outgoing).await?;
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -56,7 +56,9 @@
 
 /// A caller's request, as it is forwarded.
 pub(crate) struct Request {
-    /// Id that the caller sent, passed on to upstreams and used in logs.
+    /// Id that the caller sent, passed on to upstreams.
+    pub(crate) sent_id: Arc<str>,
+    /// The beginning of that id, for logs.
     pub(crate) id: Arc<str>,
     pub(crate) method: Method,
     /// Path and query, unchanged.
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -34,7 +34,7 @@
 
 pub use crate::worker::{Bounds, Features};
 use crate::{
-    accept::{accept, header_text},
+    accept::{accept, log_id},
     budget,
     dialect::Dialect,
     exchange, follow, lease,
@@ -374,12 +374,11 @@
     match worker.node.owner().guard("request", work).await {
         Ok(response) => response,
         Err(_) => {
-            let id = header_text(&incoming, &worker.dialect.names().request_id);
+            let id = log_id(&worker, &incoming);
             let refusal = Refusal {
                 code: Code::HostFault,
                 retry_after: None,
             };
-            let id = id.unwrap_or_default();
             let mut response = refusal_response(&worker, id, &refusal, arrived);
             let head = response.head_mut();
             head.set_connection_type(ntex::http::ConnectionType::Close);
@@ -400,10 +399,7 @@
 {
     let active = worker.shared.count_active();
     let busy = worker.connections.begin(incoming.io());
-    let names = worker.dialect.names();
-    let id = header_text(&incoming, &names.request_id)
-        .unwrap_or_default()
-        .to_owned();
+    let id = log_id(&worker, &incoming).to_owned();
     let accepted = accept(&worker, &incoming, &mut payload, arrived).await;
     let accepted = accepted.and_then(|request| {
         // Refuses requests that might not end before the process does.
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -42,6 +42,8 @@
     Fields,
     /// Heads of nearly the largest size without their end.
     OpenHead,
+    /// Requests with ids as long as a head may be, each after the last answer.
+    LongIds,
     /// This many requests ahead, whose answers aren't read.
     Ahead(usize),
     /// A byte a second, head first.
@@ -66,6 +68,7 @@
             Kind::Endless => chunks(client, 64 * 1024).await,
             Kind::Fields => fields(client).await,
             Kind::OpenHead => open_head(client).await,
+            Kind::LongIds => long_ids(client).await,
             Kind::Ahead(count) => ahead(client, count).await,
             Kind::Trickle => trickle(client).await,
             Kind::Silent => silent(client).await,
@@ -170,6 +173,20 @@
     Ok(())
 }
 
+async fn long_ids(client: &mut Client) -> io::Result<()> {
+    let mut stream = client.door.connect().await?;
+    let id = "i".repeat(30_000);
+    loop {
+        let number = client.number();
+        let head = client.door.head("GET", number);
+        let head = format!("{head}x-almondlock-request-id: {id}\r\n\r\n");
+        stream.write_all(head.as_bytes()).await?;
+        if !note_answer(client, number, &mut stream).await {
+            return Ok(());
+        }
+    }
+}
+
 async fn open_head(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let mut head = client.door.head("GET", client.number());
--- a/tests/fleet/gateway.rs
+++ b/tests/fleet/gateway.rs
@@ -10,7 +10,7 @@
 use almondlock_standin::service::{self, Service};
 use ntex::time::Seconds;
 
-use super::{Fleet, Process, address, eventually};
+use super::{Fleet, Limits, Process, address, eventually};
 
 /// The host that callers name.
 pub const HOST: &str = "callers.example";
@@ -113,11 +113,14 @@
         Upstream { service, beating }
     }
 
-    /// Starts an entry host, with more settings for `[host]`, that may have so many files and
-    /// sockets open.
-    pub async fn gateway(&self, name: &str, more: &str, descriptors: Option<u32>) -> Gateway {
+    /// Starts an entry host, with more settings for `[host]`.
+    pub async fn gateway(&self, name: &str, more: &str, limits: Limits) -> Gateway {
         let (callers, ready) = (address(), address());
         let host = self.host(name, "domain-0", address());
+        let host = match limits.unread {
+            true => host.replacen("[log]\n", "[log]\noutput = stdout\nformat = json\n", 1),
+            false => host,
+        };
         let text = format!(
             "{host}follow = 400\n{more}[gateway]\nlisten = {callers}\nready = {ready}\n\
              revocation = 5000\nretry_share = 0.2\nretry_slack = 20\nstop_time = 8\n\
@@ -125,7 +128,7 @@
         );
         let file = self.write(name, &text);
         let gateway = Gateway {
-            process: Process::with_descriptors(name, file, descriptors),
+            process: Process::with_limits(name, file, limits),
             callers,
             ready,
         };
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -40,25 +40,33 @@
     SocketAddr::from(([127, 0, 0, 1], port()))
 }
 
+/// What a process is given.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Limits {
+    /// Files and sockets that it may have open, if not as many as the test.
+    pub descriptors: Option<u32>,
+    /// Nobody reads its standard output.
+    pub unread: bool,
+}
+
 /// A process of the system, ended with the test.
 pub struct Process {
     pub name: String,
     file: PathBuf,
-    /// Files and sockets that it may have open, if not as many as the test.
-    descriptors: Option<u32>,
+    limits: Limits,
     child: RefCell<Option<Child>>,
 }
 
 impl Process {
     fn new(name: &str, file: PathBuf) -> Process {
-        Process::with_descriptors(name, file, None)
+        Process::with_limits(name, file, Limits::default())
     }
 
-    fn with_descriptors(name: &str, file: PathBuf, descriptors: Option<u32>) -> Process {
+    fn with_limits(name: &str, file: PathBuf, limits: Limits) -> Process {
         let process = Process {
             name: name.to_owned(),
             file,
-            descriptors,
+            limits,
             child: RefCell::default(),
         };
         process.start();
@@ -68,7 +76,7 @@
     pub fn start(&self) {
         let log = fs::File::create(self.file.with_extension("log")).unwrap();
         let program = env!("CARGO_BIN_EXE_almondlockd");
-        let mut command = match self.descriptors {
+        let mut command = match self.limits.descriptors {
             None => Command::new(program),
             Some(count) => {
                 let mut shell = Command::new("sh");
@@ -81,7 +89,10 @@
             .arg("run")
             .arg(&self.file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(match self.limits.unread {
+                true => Stdio::piped(),
+                false => Stdio::null(),
+            })
             .stderr(log)
             .spawn();
         self.child.replace(Some(child.unwrap()));
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -13,7 +13,7 @@
     Door, Kind, Play, Report, kind::LARGEST, ordinary::PROMISES, watch::Watched, wire::read_answer,
 };
 use fleet::{
-    Fleet,
+    Fleet, Limits,
     gateway::{Gateway, HOST, KEY, Upstream},
 };
 
@@ -35,18 +35,18 @@
 
 impl Site {
     async fn start() -> Site {
-        Site::start_with(None).await
+        Site::start_with(Limits::default()).await
     }
 
-    /// Starts one whose entry host may have so many files and sockets open.
-    async fn start_with(descriptors: Option<u32>) -> Site {
+    /// Starts one whose entry host is limited.
+    async fn start_with(limits: Limits) -> Site {
         let fleet = Fleet::start().await;
         fleet.publish().await;
         let mut upstreams = Vec::new();
         for n in 0..4 {
             upstreams.push(fleet.upstream(&format!("up-{n}"), 16).await);
         }
-        let gateway = fleet.gateway("gate", "memory = 160\n", descriptors).await;
+        let gateway = fleet.gateway("gate", "memory = 160\n", limits).await;
         let site = Site {
             fleet,
             gateway,
@@ -220,11 +220,27 @@
 /// the balancer finds the host unready.
 #[ntex::test]
 async fn few_descriptors() {
-    let site = Site::start_with(Some(400)).await;
+    let limits = Limits {
+        descriptors: Some(400),
+        ..Limits::default()
+    };
+    let site = Site::start_with(limits).await;
     let report = site.play(&[(Kind::Silent, 600)], &site.doors()).await;
     site.check("few descriptors", &report).await;
 }
 
+/// Guards against long ids in log lines that wait because nobody reads the log.
+#[ntex::test]
+async fn unread_log() {
+    let limits = Limits {
+        unread: true,
+        ..Limits::default()
+    };
+    let site = Site::start_with(limits).await;
+    let report = site.play(&[(Kind::LongIds, 40)], &site.doors()[2..3]).await;
+    site.check("unread log", &report).await;
+}
+
 #[ntex::test]
 async fn stopped_halfway() {
     alone(Kind::Halfway, 100).await;
