Take the bodies of publications and heartbeats from one budget

What callers saw: 210 writers of large bodies at the replicas' listener ended all three replicas (299, 278 and 287 MiB of 256 MiB), and 62 of 115 ordinary requests at the entry host were served.

Cause: the listener collects bodies of up to 16 MiB on up to 3,500 connections, before it knows what they are.

Now they share a budget of a quarter of the replica's memory, like callers' bodies at an entry host. What is refused for want of memory is a 503, which servers and operators send again to any replica.

Not bounded: what a configuration of very many short fields takes while it is read, as operators alone write them.

--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, net::SocketAddr};
 
 use crate::roles::tls::tls;
-use almondlock_base::id::{Domain, Host};
+use almondlock_base::id::Host;
 use almondlock_control::{
     admin,
     backend::{Admins, Operated},
@@ -12,6 +12,7 @@
     replica::{Config, Initial, Refusal, Replica},
 };
 use almondlock_gateway::exchange;
+use almondlock_intake::{bodies::Bodies, host::Host as Machine};
 use almondlock_node::{Handle, Vouch, clock};
 use almondlock_platform::listener;
 use almondlock_settings::Settings;
@@ -85,7 +86,7 @@
         };
         let admin = admin.context("serving operators")?;
         let directory = match &settings.directory {
-            Some(directory) => Some(serve_directory(directory, &host.domain, &replica, &owner)?),
+            Some(directory) => Some(serve_directory(directory, host, &replica, &owner)?),
             None => None,
         };
         let figures = match role.metrics {
@@ -198,7 +199,7 @@
 /// Listens for publications and heartbeats, and for entry hosts' loads.
 fn serve_directory(
     settings: &almondlock_settings::Directory,
-    domain: &Domain,
+    host: &almondlock_settings::Host,
     replica: &Replica,
     owner: &Owner,
 ) -> Result<(Directory, ntex::server::Server)> {
@@ -208,7 +209,9 @@
     let directory =
         Directory::new(replica.remote(), address.port(), &settings.domains).deltas(settings.deltas);
     tracing::info!(deltas = settings.deltas, "directory begins");
-    let server = listener::serve(listener, directory.clone()).context("serving publications")?;
+    let bodies = Bodies::new(Machine::detect(host.memory, host.descriptors).body_memory());
+    let server =
+        listener::serve(listener, directory.clone(), bodies).context("serving publications")?;
     if let Some(exchange) = settings.exchange {
         let socket = std::net::UdpSocket::bind(exchange)
             .with_context(|| format!("listening for loads on {exchange}"))?;
@@ -216,7 +219,7 @@
             .set_nonblocking(true)
             .context("setting up the socket for loads")?;
         let socket = UdpSocket::from_std(socket).context("setting up the socket for loads")?;
-        let (domain, replica) = (domain.clone(), replica.clone());
+        let (domain, replica) = (host.domain.clone(), replica.clone());
         // There is a relay beside each replica.
         let relays = move || {
             let count = replica.state(|machine| machine.config().sources.len());
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -90,7 +90,7 @@
     loop {
         let number = client.number();
         let body = client.door.body(number, LARGEST);
-        let head = client.door.sized("POST", number, body.len());
+        let head = client.door.sized(number, body.len());
         let (reads, mut writes) = stream.split();
         // An early answer ends the request; what is left isn't sent.
         let sent = async {
@@ -114,7 +114,7 @@
     let mut stream = client.door.connect().await?;
     let number = client.number();
     let body = client.door.body(number, LARGEST);
-    let head = client.door.sized("POST", number, body.len());
+    let head = client.door.sized(number, body.len());
     stream.write_all(head.as_bytes()).await?;
     stream.write_all(&body[..body.len() - 1]).await?;
     await_end(&mut stream).await
@@ -124,7 +124,7 @@
     let mut stream = client.door.connect().await?;
     let number = client.number();
     let body = client.door.body(number, LARGEST);
-    let head = client.door.sized("POST", number, body.len());
+    let head = client.door.sized(number, body.len());
     stream.write_all(head.as_bytes()).await?;
     write_pieces(&mut stream, (Arc::from(body), size), false).await?;
     note_answer(client, number, &mut stream).await;
@@ -133,7 +133,7 @@
 
 async fn chunks(client: &mut Client, size: usize) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
-    let head = client.door.head("POST", client.number());
+    let head = client.door.head(client.door.method, client.number());
     let head = format!("{head}transfer-encoding: chunked\r\n\r\n");
     stream.write_all(head.as_bytes()).await?;
     let chunk = format!("{size:x}\r\n{}\r\n", "x".repeat(size));
@@ -147,7 +147,7 @@
 async fn oversized(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let number = client.number();
-    let head = client.door.sized("POST", number, 16 * LARGEST);
+    let head = client.door.sized(number, 16 * LARGEST);
     stream.write_all(head.as_bytes()).await?;
     let piece = vec![b'x'; 64 * 1024];
     for _ in 0..16 * LARGEST / piece.len() {
@@ -209,7 +209,7 @@
 async fn trickle(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let number = client.number();
-    let mut bytes = client.door.sized("POST", number, LARGEST).into_bytes();
+    let mut bytes = client.door.sized(number, LARGEST).into_bytes();
     // Some of them get as far as the body.
     if client.rng.random() {
         stream.write_all(&bytes).await?;
@@ -230,7 +230,7 @@
 async fn halfway(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let number = client.number();
-    let head = client.door.sized("POST", number, LARGEST);
+    let head = client.door.sized(number, LARGEST);
     stream.write_all(head.as_bytes()).await?;
     let length = client.rng.random_range(1..LARGEST);
     let body = client.door.body(number, length);
--- a/tests/crowd/ordinary.rs
+++ b/tests/crowd/ordinary.rs
@@ -127,7 +127,7 @@
 ) -> (Result<Duration, String>, Option<TcpStream>) {
     let start = Instant::now();
     let body = door.body(number, BODY);
-    let request = [door.sized("POST", number, body.len()).as_bytes(), &body].concat();
+    let request = [door.sized(number, body.len()).as_bytes(), &body].concat();
     let mut why = Vec::new();
     let mut attempts = 0;
     while attempts < ATTEMPTS && start.elapsed() < DEADLINE {
--- a/tests/crowd/wire.rs
+++ b/tests/crowd/wire.rs
@@ -11,6 +11,8 @@
 #[derive(Clone, Debug)]
 pub struct Door {
     pub address: SocketAddr,
+    /// Method of requests with a body.
+    pub method: &'static str,
     /// The request's number is put after it.
     pub path: String,
     pub headers: Vec<(&'static str, String)>,
@@ -38,8 +40,8 @@
     }
 
     /// A head with the length of its body.
-    pub fn sized(&self, method: &str, number: usize, length: usize) -> String {
-        let head = self.head(method, number);
+    pub fn sized(&self, number: usize, length: usize) -> String {
+        let head = self.head(self.method, number);
         format!("{head}content-length: {length}\r\n\r\n")
     }
 
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -242,7 +242,7 @@
         let name = format!("control-{n}");
         let host = self.host(&name, &format!("domain-{n}"), inner);
         let text = format!(
-            "{host}data = data-{n}\n[replica]\nadmin = {admin}\nmembers = {members}\n\
+            "{host}data = data-{n}\nmemory = 256\n[replica]\nadmin = {admin}\nmembers = {members}\n\
              operator_key = {key}\n[directory]\nlisten = {}\n",
             self.directories[n]
         );
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -59,6 +59,7 @@
     fn door(&self, path: &str, key: &str) -> Door {
         Door {
             address: self.gateway.callers,
+            method: "POST",
             path: path.to_owned(),
             headers: vec![
                 ("host", HOST.to_owned()),
@@ -88,7 +89,7 @@
     async fn largest_is_served(&self) -> bool {
         let door = self.door("/once/largest-", KEY);
         let body = door.body(0, LARGEST);
-        let request = [door.sized("POST", 0, body.len()).as_bytes(), &body].concat();
+        let request = [door.sized(0, body.len()).as_bytes(), &body].concat();
         let sent = async {
             let mut stream = door.connect().await.ok()?;
             tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
@@ -257,3 +258,25 @@
     let report = site.play(&crowd::ALL, &site.doors()).await;
     site.check("all kinds", &report).await;
 }
+
+/// Guards against writers of large bodies at the listener for publications and heartbeats,
+/// which end a replica.
+#[ntex::test]
+async fn foreign_writers() {
+    let site = Site::start().await;
+    let directories = &site.fleet.directories;
+    let doors: Vec<Door> = (directories.iter())
+        .map(|directory| Door {
+            address: *directory,
+            method: "PUT",
+            path: "/api/config?".to_owned(),
+            ..site.door("", KEY)
+        })
+        .collect();
+    let kinds = [(Kind::Unended, 150), (Kind::Endless, 60)];
+    let report = site.play(&kinds, &doors).await;
+    site.check("foreign writers", &report).await;
+    for replica in &site.fleet.replicas {
+        assert_eq!(replica.status(), None, "{} ended", replica.name);
+    }
+}
--- a/tests/unruly_models.rs
+++ b/tests/unruly_models.rs
@@ -44,6 +44,7 @@
     fn door(&self, path: &str, key: &str) -> Door {
         Door {
             address: self.entry.address,
+            method: "POST",
             path: path.to_owned(),
             headers: vec![
                 ("host", "models.example".to_owned()),
@@ -71,7 +72,7 @@
     async fn legal_is_served(&self) -> bool {
         let door = self.door("/v1/completions", CALLER_KEY);
         let body = door.body(0, LEGAL);
-        let request = [door.sized("POST", 0, body.len()).as_bytes(), &body].concat();
+        let request = [door.sized(0, body.len()).as_bytes(), &body].concat();
         let sent = async {
             let mut stream = door.connect().await.ok()?;
             tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
