Give bodies on the path with sidecars half as much, and fewer threads on small hosts

Cause: the budget counts the bodies, not what the allocator keeps of freed ones, and each of four worker threads has a heap of its own; a body is copied besides, for reading and for sending it in pieces.

Now an eighth of the host's memory is for bodies there, and there is one worker thread for each 64 MiB, four at most. The gateway role, with one thread, is as before.

--- a/almondlock-daemon/src/roles/entry.rs
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -6,6 +6,7 @@
     server::{Builder, Server},
     shared,
 };
+use almondlock_intake::host::Host;
 use almondlock_node::Handle;
 use almondlock_policy::choice::Origin;
 use almondlock_settings::{Entry, Settings};
@@ -17,6 +18,9 @@
 /// Worker threads of an entry host at most. Each keeps sessions of its own, so
 /// more threads cost more idle sessions at every sidecar.
 const WORKERS_LIMIT: usize = 4;
+/// Memory of the host for each worker thread. The allocator keeps freed memory for each
+/// thread.
+const WORKER_MEMORY: u64 = 64 << 20;
 
 /// Starts the entry role.
 pub(crate) fn start(
@@ -29,19 +33,26 @@
 ) -> Result<Server> {
     let cores = std::thread::available_parallelism().map_or(1, usize::from);
     let host = &settings.host;
+    let memory = Host::detect(host.memory, host.descriptors).memory;
+    let workers = usize::try_from(memory / WORKER_MEMORY).unwrap_or(usize::MAX);
+    let mut intake = limits(host, &role.intake);
+    // A body is copied for reading and sending in pieces, on several threads.
+    if role.intake.body_memory.is_none() {
+        intake.body_memory /= 2;
+    }
     let builder = Builder {
         config: shared::Config {
             body_limit: role.body_bytes,
             arrival: role.body_timeout,
             capacity: role.connections,
-            intake: limits(host, &role.intake),
+            intake,
             ..shared::Config::default()
         },
         listen: role.listen,
         admin: role.admin,
         tls: role.tls.as_ref().map(tls).transpose()?,
         header_timeout: role.header_timeout,
-        workers: cores.min(WORKERS_LIMIT),
+        workers: workers.clamp(1, cores.min(WORKERS_LIMIT)),
         replicas,
         home: Origin {
             host: host.name.clone(),
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -193,7 +193,7 @@
          each, and three quarters of the descriptors. When all are taken, connections without a \
          request are closed for new ones.").unit("count"),
     Key::new("entry", "body_memory", Number(1, MIB), Optional,
-        "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
+        "Memory for the bodies of all requests. Without it, an eighth of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
          a small one needs room, gives way.").unit("MiB"),
     Key::new("entry", "head_bytes", Number(4 * KIB, MIB), Default("32768"),
