--- a/almondlock-gateway/tests/gateway/mod.rs
+++ b/almondlock-gateway/tests/gateway/mod.rs
@@ -3,14 +3,12 @@
 #![allow(dead_code, reason = "each test uses a part of it")]
 
 pub mod dialect;
+mod unique;
 
 use std::{
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream, UdpSocket},
-    sync::{
-        atomic::{AtomicU16, AtomicU64, Ordering},
-        mpsc,
-    },
+    net::{SocketAddr, TcpStream, UdpSocket},
+    sync::mpsc,
     thread,
     time::Duration,
 };
@@ -24,7 +22,6 @@
     budget, exchange,
     server::{self, Bounds, Config, Features},
 };
-use almondlock_intake::host::Limits;
 use almondlock_node::{Node, Parts};
 use almondlock_policy::budget::Bound;
 use almondlock_spread::view::View;
@@ -35,6 +32,7 @@
 };
 
 use self::dialect::Plain;
+use unique::{free_address, next_host};
 
 /// Default time for which memory may outlive its use.
 const MEMORY_HOLD: Duration = Duration::from_millis(400);
@@ -372,7 +370,7 @@
             memory_hold: setup.hold,
             slow_reader: Duration::from_secs(2),
         },
-        intake: Limits::default(),
+        intake: Default::default(),
         features: Features {
             fair_shares: setup.fair_shares,
             slot_admission: setup.slot_admission,
@@ -385,25 +383,6 @@
     }
 }
 
-/// Returns a new host number. Hosts that share relays need different ones.
-fn next_host() -> u64 {
-    static NEXT: AtomicU64 = AtomicU64::new(1);
-    NEXT.fetch_add(1, Ordering::Relaxed)
-}
-
-/// Returns an unused address. Tests run at the same time, so no port is returned twice, and
-/// ports lie below the range that the system hands out.
-fn free_address() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    let start = 10_000 + (std::process::id() % 200) as u16 * 50;
-    loop {
-        let port = start + NEXT.fetch_add(1, Ordering::Relaxed);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener.local_addr().unwrap();
-        }
-    }
-}
-
 /// Sends a request and reads until the response is complete, the connection ends, or
 /// nothing arrives for a while. Returns all bytes, and whether the connection ended.
 pub fn ask(gateway: SocketAddr, path: &str) -> (String, bool) {
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -2,6 +2,7 @@
 
 use std::{io, sync::Arc, time::Duration};
 
+use almondlock_platform::counterpart;
 use rand::Rng;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -179,7 +180,7 @@
     loop {
         let number = client.number();
         let head = client.door.head("GET", number);
-        let head = format!("{head}x-almondlock-request-id: {id}\r\n\r\n");
+        let head = format!("{head}{}: {id}\r\n\r\n", counterpart::REQUEST_ID);
         stream.write_all(head.as_bytes()).await?;
         if !note_answer(client, number, &mut stream).await {
             return Ok(());
--- a/tests/fleet/gateway.rs
+++ b/tests/fleet/gateway.rs
@@ -75,8 +75,8 @@
     /// Starts an upstream and announces it.
     pub async fn upstream(&self, name: &str, slots: u32) -> Upstream {
         let config = service::Config {
-            echoed: Some("x-almondlock-request-id"),
-            added: Some(("x-almondlock-response-seal", "seal")),
+            echoed: Some(counterpart::REQUEST_ID),
+            added: Some((counterpart::SEAL, "seal")),
             ..service::Config::default()
         };
         let service = Service::start(config).unwrap();
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use almondlock_platform::counterpart;
 use almondlock_standin::service;
 use crowd::{
     Door, Kind, Play, Report, kind::LARGEST, ordinary::PROMISES, watch::Watched, wire::read_answer,
@@ -67,8 +68,8 @@
             path: path.to_owned(),
             headers: vec![
                 ("host", HOST.to_owned()),
-                ("x-almondlock-key", key.to_owned()),
-                ("x-almondlock-deadline-ms", "4000".to_owned()),
+                (counterpart::KEY, key.to_owned()),
+                (counterpart::DEADLINE, "4000".to_owned()),
             ],
             around: ("", ""),
         }
