Refuse configurations that take too much memory to read

What callers saw: six writers of configurations made of very many short elements ended two of three replicas, and 14 of 114 ordinary requests at an entry host were not served while the others had no leader.

Cause: a body of legal size (16 MiB) may hold five million elements of three bytes, or four million keys of one character. Each takes dozens of bytes once it is read, before anything of it is checked. The bound on bodies counts their bytes only.

Ruled out: heartbeats (256 KiB at most), and prompts on the path with sidecars, which are not read into values.

Why it works: objects and elements of lists are counted in one pass without memory of its own, and a text that may take more than a quarter of the memory is refused before it is read. One is read at a time. `text_cost` shows the count, and that 20,000 routes stay below the default on a host with 256 MiB.

The crowds have a kind with bodies of very many short fields at every door now, and their seed can be set (`CROWD_SEED`).

--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -1,6 +1,6 @@
 //! The control role: the replica, operators' listener, and plans.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
 
 use crate::roles::tls::tls;
 use almondlock_base::id::Host;
@@ -12,9 +12,9 @@
     replica::{Config, Initial, Refusal, Replica},
 };
 use almondlock_gateway::exchange;
-use almondlock_intake::{bodies::Bodies, host::Host as Machine};
+use almondlock_intake::{bodies::Bodies, host::Host as Machine, reading::Reading};
 use almondlock_node::{Handle, Vouch, clock};
-use almondlock_platform::listener;
+use almondlock_platform::listener::{self, Intake};
 use almondlock_settings::Settings;
 use almondlock_spread::view::View;
 use almondlock_state::{
@@ -85,12 +85,16 @@
             None => admin::serve(listener, operated.clone()),
         };
         let admin = admin.context("serving operators")?;
-        let directory = match &settings.directory {
-            Some(directory) => Some(serve_directory(directory, host, &replica, &owner)?),
+        let intake = (settings.directory.as_ref()).map(|directory| intake(directory, host));
+        let directory = match settings.directory.as_ref().zip(intake.clone()) {
+            Some((directory, intake)) => {
+                let parts = (&replica, intake);
+                Some(serve_directory(directory, host, parts, &owner)?)
+            }
             None => None,
         };
         let figures = match role.metrics {
-            Some(address) => Some(serve_figures(address, &replica)?),
+            Some(address) => Some(serve_figures(address, &replica, intake)?),
             None => None,
         };
         owner.spawn("operators-listener", admin.clone());
@@ -163,14 +167,32 @@
     }
 }
 
+/// Returns the bounds on what callers of the listener for publications make it hold.
+fn intake(directory: &almondlock_settings::Directory, host: &almondlock_settings::Host) -> Intake {
+    let machine = Machine::detect(host.memory, host.descriptors);
+    let body_memory = directory.body_memory.unwrap_or(machine.body_memory());
+    let reading_memory = directory.reading_memory.unwrap_or(machine.reading_memory());
+    tracing::info!(body_memory, reading_memory, "limits for publications");
+    Intake {
+        bodies: Bodies::new(body_memory),
+        reading: Arc::new(Reading::new(reading_memory)),
+    }
+}
+
 /// Serves how the replica stands, also without a leader.
-fn serve_figures(address: SocketAddr, replica: &Replica) -> Result<ntex::server::Server> {
+fn serve_figures(
+    address: SocketAddr,
+    replica: &Replica,
+    intake: Option<Intake>,
+) -> Result<ntex::server::Server> {
     let remote = replica.remote();
     let text = move || {
         let remote = remote.clone();
+        let intake = intake.as_ref().map(Intake::figures);
         async move {
             let status = remote.status().await.ok()?;
-            Some(status.figures() + &almondlock_task::figures())
+            let intake = intake.unwrap_or_default();
+            Some(status.figures() + &intake + &almondlock_task::figures())
         }
     };
     figures::serve(address, text).with_context(|| format!("serving figures on {address}"))
@@ -200,7 +222,7 @@
 fn serve_directory(
     settings: &almondlock_settings::Directory,
     host: &almondlock_settings::Host,
-    replica: &Replica,
+    (replica, intake): (&Replica, Intake),
     owner: &Owner,
 ) -> Result<(Directory, ntex::server::Server)> {
     let address = settings.listen;
@@ -209,9 +231,8 @@
     let directory =
         Directory::new(replica.remote(), address.port(), &settings.domains).deltas(settings.deltas);
     tracing::info!(deltas = settings.deltas, "directory begins");
-    let bodies = Bodies::new(Machine::detect(host.memory, host.descriptors).body_memory());
     let server =
-        listener::serve(listener, directory.clone(), bodies).context("serving publications")?;
+        listener::serve(listener, directory.clone(), intake).context("serving publications")?;
     if let Some(exchange) = settings.exchange {
         let socket = std::net::UdpSocket::bind(exchange)
             .with_context(|| format!("listening for loads on {exchange}"))?;
--- a/almondlock-gateway/src/intake.rs
+++ b/almondlock-gateway/src/intake.rs
@@ -1,6 +1,6 @@
 //! What callers make this host hold: the worker's side of `almondlock_intake`.
 
-use almondlock_intake::{bodies, connections};
+use almondlock_intake::connections;
 
 use crate::{dialect::Dialect, worker::Worker};
 
@@ -22,17 +22,8 @@
 
     /// Sets the figures of what callers make this host hold.
     pub(crate) fn report_intake(&self) {
-        let bodies::Usage {
-            held,
-            bodies,
-            refused,
-            cut,
-            ..
-        } = self.bodies.usage();
-        self.report("caller_bodies", "held", bodies as u64);
-        self.report("caller_bodies", "bytes", held);
-        self.report("caller_bodies", "refused", refused);
-        self.report("caller_bodies", "cut", cut);
+        let figures = &self.shared.metrics;
+        self.bodies.usage().report(figures, "caller_bodies");
         let connections::Usage {
             open,
             replaced,
--- a/almondlock-intake/src/bodies.rs
+++ b/almondlock-intake/src/bodies.rs
@@ -8,7 +8,7 @@
 
 use almondlock_base::{Code, time::Mono};
 use almondlock_policy::intake::{Config, Decision, Key, Ledger};
-use almondlock_telemetry::throttle::Throttle;
+use almondlock_telemetry::{figures::Figures, throttle::Throttle};
 use almondlock_transport::clock;
 use ntex::{
     http::{HeaderMap, header::CONTENT_LENGTH},
@@ -66,6 +66,20 @@
     pub cut: u64,
 }
 
+impl Usage {
+    /// Puts the levels and counts into figures of this name.
+    pub fn report(&self, figures: &Figures, name: &str) {
+        let put = |what: &str, level: u64| {
+            let level = i64::try_from(level).unwrap_or(i64::MAX);
+            figures.set(name, &format!("what=\"{what}\""), level);
+        };
+        put("held", self.bodies as u64);
+        put("bytes", self.held);
+        put("refused", self.refused);
+        put("cut", self.cut);
+    }
+}
+
 /// Reason why a body was not received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
--- a/almondlock-intake/src/host.rs
+++ b/almondlock-intake/src/host.rs
@@ -37,6 +37,8 @@
 const OWN_SHARE: usize = 4;
 /// Part of the memory that bodies may take: one in this many.
 const BODY_SHARE: u64 = 4;
+/// Part of the memory that reading a text may take: one in this many.
+const READING_SHARE: u64 = 4;
 /// Part of the memory that connections may take: one in this many.
 const CONNECTION_SHARE: u64 = 3;
 /// Fewest connections, whatever the host has.
@@ -58,6 +60,11 @@
         self.memory / BODY_SHARE
     }
 
+    /// Returns the bytes that reading a text may take.
+    pub const fn reading_memory(self) -> u64 {
+        self.memory / READING_SHARE
+    }
+
     /// Returns the number of connections that callers may hold, of `cost` bytes each.
     pub fn connections(self, cost: usize) -> usize {
         let by_memory = self.memory / CONNECTION_SHARE / cost.max(1) as u64;
--- a/almondlock-intake/src/lib.rs
+++ b/almondlock-intake/src/lib.rs
@@ -9,6 +9,7 @@
 //! | [`bodies`] | the bodies of all requests, as one budget of bytes |
 //! | [`connections`] | open connections |
 //! | [`listener`] | heads and socket buffers of each connection |
+//! | [`reading`] | what reading a JSON text may take |
 //! | [`turns`] | requests that are sent ahead on one connection |
 //! | [`host`] | tells what the process has, and derives the limits |
 
@@ -18,4 +19,5 @@
 pub mod connections;
 pub mod host;
 pub mod listener;
+pub mod reading;
 pub mod turns;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -334,6 +334,14 @@
 
     Key::new("directory", "listen", Listen, Required,
         "Where the published configuration and heartbeats arrive; the same port on all replicas."),
+    Key::new("directory", "body_memory", Number(1, MIB), Optional,
+        "Memory for the bodies of all calls. Without it, a quarter of the host's memory. A body that \
+         finds none is refused as not run; one that arrives for over a second, or is large while a small \
+         one needs room, gives way.").unit("MiB"),
+    Key::new("directory", "reading_memory", Number(1, MIB), Optional,
+        "Memory that reading a published configuration may take, at 512 bytes an object and 160 an \
+         element of a list. Without it, a quarter of the host's memory. One that may take more is \
+         refused before it is read.").unit("MiB"),
     Key::new("directory", "exchange", Datagrams, Optional,
         "UDP address at which entry hosts tell what they have under way, to be passed on to the others."),
     Key::new("directory", "domains", Names, Optional,
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -231,12 +231,16 @@
 
     fn directory(&mut self, s: &Section) -> Option<Directory> {
         let listen = self.address(s, "listen");
+        let body_memory = self.mebibytes(s, "body_memory");
+        let reading_memory = self.mebibytes(s, "reading_memory");
         let exchange = self.address(s, "exchange");
         let domains = self.names(s, "domains").unwrap_or_default();
         let deltas = self.word(s, "deltas").map(|word| word == "yes");
         let lease = self.millis(s, "lease");
         Some(Directory {
             listen: listen?,
+            body_memory,
+            reading_memory,
             exchange,
             domains,
             deltas: deltas?,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -230,6 +230,10 @@
 pub struct Directory {
     /// Where publications and heartbeats arrive.
     pub listen: SocketAddr,
+    /// Bytes of memory for the bodies of all calls, if that is set.
+    pub body_memory: Option<u64>,
+    /// Bytes of memory that reading a configuration may take, if that is set.
+    pub reading_memory: Option<u64>,
     /// Where entry hosts tell what they have under way.
     pub exchange: Option<SocketAddr>,
     /// The failure domains that there are. Empty: those are that are known of.
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -41,6 +41,8 @@
     Endless,
     /// Heads of the largest size made of short fields.
     Fields,
+    /// Bodies of this many bytes made of short fields, one after the other.
+    ManyFields(usize),
     /// Heads of nearly the largest size without their end.
     OpenHead,
     /// Requests with ids as long as a head may be, each after the last answer.
@@ -62,6 +64,7 @@
     pub async fn play(self, client: &mut Client) -> io::Result<()> {
         match self {
             Kind::Whole => whole(client).await,
+            Kind::ManyFields(size) => many_fields(client, size).await,
             Kind::Unended => unended(client).await,
             Kind::Pieces(size) => pieces(client, size).await,
             Kind::Chunks(size) => chunks(client, size).await,
@@ -87,10 +90,24 @@
 }
 
 async fn whole(client: &mut Client) -> io::Result<()> {
+    let bodies = |client: &Client, number| client.door.body(number, LARGEST);
+    one_by_one(client, bodies).await
+}
+
+async fn many_fields(client: &mut Client, size: usize) -> io::Result<()> {
+    let body = client.door.many_fields(size);
+    one_by_one(client, |_, _| body.clone()).await
+}
+
+/// Sends bodies, each after the last answer.
+async fn one_by_one<F>(client: &mut Client, bodies: F) -> io::Result<()>
+where
+    F: Fn(&Client, usize) -> Vec<u8>,
+{
     let mut stream = client.door.connect().await?;
     loop {
         let number = client.number();
-        let body = client.door.body(number, LARGEST);
+        let body = bodies(client, number);
         let head = client.door.sized(number, body.len());
         let (reads, mut writes) = stream.split();
         // An early answer ends the request; what is left isn't sent.
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -34,7 +34,7 @@
 const KEPT: usize = 20_000;
 
 /// All kinds at once, with how many of each.
-pub const ALL: [(Kind, usize); 14] = [
+pub const ALL: [(Kind, usize); 15] = [
     (Kind::Whole, 40),
     (Kind::Unended, 60),
     (Kind::Pieces(700), 20),
@@ -43,6 +43,7 @@
     (Kind::Oversized, 20),
     (Kind::Endless, 20),
     (Kind::Fields, 30),
+    (Kind::ManyFields(kind::LARGEST), 20),
     (Kind::OpenHead, 100),
     (Kind::Ahead(10_000), 40),
     (Kind::Trickle, 100),
@@ -51,6 +52,12 @@
     (Kind::SlowReader, 40),
 ];
 
+/// The seed of the crowds. `CROWD_SEED` sets another one.
+pub fn seed() -> u64 {
+    let set = std::env::var("CROWD_SEED").ok();
+    set.map_or(71, |text| text.parse().unwrap())
+}
+
 /// The status that a request got, by its number.
 pub type Outcomes = Vec<(usize, u16)>;
 
--- a/tests/crowd/wire.rs
+++ b/tests/crowd/wire.rs
@@ -18,6 +18,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// What stands before and after the filling of a body; `#` stands for the number.
     pub around: (&'static str, &'static str),
+    /// The start of a body of many fields, a field, and the body's end.
+    pub fields: (&'static str, &'static str, &'static str),
 }
 
 impl Door {
@@ -55,6 +57,13 @@
         body
     }
 
+    /// A body of `length` bytes at most that is made of very many short fields.
+    pub fn many_fields(&self, length: usize) -> Vec<u8> {
+        let (start, field, end) = self.fields;
+        let count = length.saturating_sub(start.len() + end.len()) / field.len();
+        [start, &field.repeat(count), end].concat().into_bytes()
+    }
+
     /// Connects.
     pub async fn connect(&self) -> io::Result<TcpStream> {
         let stream = TcpStream::connect(self.address).await?;
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -9,7 +9,7 @@
 mod crowd;
 mod fleet;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use almondlock_platform::counterpart;
 use almondlock_standin::service;
@@ -29,7 +29,20 @@
 const SPAN: Duration = Duration::from_secs(5);
 /// How long one legal request may take in calm.
 const CALM: Duration = Duration::from_secs(4);
-const SEED: u64 = 71;
+
+/// The largest size of a configuration.
+const DOCUMENT: usize = 16 << 20;
+/// Configurations of very many elements, of keys and of fields that nobody reads: start,
+/// element and end.
+const DOCUMENTS: [(&str, &str, &str); 3] = [
+    (r#"{"version":9,"routes":["#, "{},", "{}]}"),
+    (
+        r#"{"version":9,"routes":[],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1},"tenants":[{"name":"t","apiKeys":["#,
+        r#""a","#,
+        r#""a"]}]}"#,
+    ),
+    (r#"{"version":9,"#, r#""a":0,"#, r#""a":0}"#),
+];
 
 /// The processes of a deployment whose upstreams are called directly.
 struct Site {
@@ -72,6 +85,7 @@
                 (counterpart::DEADLINE, "4000".to_owned()),
             ],
             around: ("", ""),
+            fields: ("{", r#""a":0,"#, r#""a":0}"#),
         }
     }
 
@@ -90,6 +104,19 @@
         ]
     }
 
+    /// Where each replica takes configurations, for bodies of different short fields.
+    fn document_doors(&self) -> Vec<Door> {
+        let doors = self.fleet.directories.iter().zip(DOCUMENTS);
+        let door = |(directory, fields): (&SocketAddr, _)| Door {
+            address: *directory,
+            method: "PUT",
+            path: counterpart::CONFIGURATION.to_owned() + "?",
+            fields,
+            ..self.door("", KEY)
+        };
+        doors.map(door).collect()
+    }
+
     /// Whether one request of the largest size is answered by its upstream.
     async fn largest_is_served(&self) -> bool {
         let door = self.door("/once/largest-", KEY);
@@ -133,7 +160,7 @@
             ordinary: self.door("/once/ordinary-", KEY),
             watched: self.watched(),
             span: SPAN,
-            seed: SEED,
+            seed: crowd::seed(),
         };
         play.run().await
     }
@@ -294,23 +321,28 @@
     site.check("all kinds, crowded", &report).await;
 }
 
+/// Guards against a configuration of legal size, made of very many short fields, that ends a
+/// replica when it is read.
+#[ntex::test]
+async fn fragmented_documents() {
+    let _turn = TURN.lock().await;
+    let site = Site::start().await;
+    let kinds = [(Kind::ManyFields(DOCUMENT), 12)];
+    let report = site.play(&kinds, &site.document_doors()).await;
+    site.check("fragmented documents", &report).await;
+    for replica in &site.fleet.replicas {
+        assert_eq!(replica.status(), None, "{} ended", replica.name);
+    }
+}
+
 /// Guards against writers of large bodies at the listener for publications and heartbeats,
 /// which end a replica.
 #[ntex::test]
 async fn foreign_writers() {
     let _turn = TURN.lock().await;
     let site = Site::start().await;
-    let directories = &site.fleet.directories;
-    let doors: Vec<Door> = (directories.iter())
-        .map(|directory| Door {
-            address: *directory,
-            method: "PUT",
-            path: "/api/config?".to_owned(),
-            ..site.door("", KEY)
-        })
-        .collect();
     let kinds = [(Kind::Unended, 150), (Kind::Endless, 60)];
-    let report = site.play(&kinds, &doors).await;
+    let report = site.play(&kinds, &site.document_doors()).await;
     site.check("foreign writers", &report).await;
     for replica in &site.fleet.replicas {
         assert_eq!(replica.status(), None, "{} ended", replica.name);
--- a/tests/unruly_models.rs
+++ b/tests/unruly_models.rs
@@ -21,7 +21,6 @@
 const CALM: Duration = Duration::from_secs(30);
 /// Size of a body whose prompt fits an engine.
 const LEGAL: usize = 1 << 20;
-const SEED: u64 = 71;
 
 struct Site {
     fleet: Fleet,
@@ -57,6 +56,11 @@
                 r##"{"model":"almond","max_tokens":4,"prompt":"# "##,
                 r##""}"##,
             ),
+            fields: (
+                r#"{"model":"almond","max_tokens":4,"#,
+                r#""a":0,"#,
+                r#""prompt":"x"}"#,
+            ),
         }
     }
 
@@ -119,7 +123,7 @@
             ordinary: self.door("/v1/completions", CALLER_KEY),
             watched: self.watched(),
             span: SPAN,
-            seed: SEED,
+            seed: crowd::seed(),
         };
         play.run().await
     }
