Make the last bounds on callers settings, and count what they do on both paths

What operators saw: three bounds on callers (pieces of a body, the time for which the rest of a refused body is read, places where readiness is asked) were constants with neither a line nor a count where they acted, and on the path with sidecars connections that gave way could be found in the log only.

Now `body_pieces` and `discard_time` are settings of `[gateway]`, `[entry]` and `[directory]`, `ready_connections` one of `[gateway]`, with the constants as defaults. Bodies in too many pieces and those that are left unread have a log line, once a second, and a count. Connections are counted over all threads of a listener, so that entry hosts with sidecars send `caller_bodies.WHAT` and `caller_connections.WHAT` as well.

No default changes; `each_kind` and `all_kinds` of both paths pass before and after (release build, x86-64).

--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -12,7 +12,11 @@
     replica::{Config, Initial, Refusal, Replica},
 };
 use almondlock_gateway::exchange;
-use almondlock_intake::{bodies::Bodies, host::Host as Machine, reading::Reading};
+use almondlock_intake::{
+    bodies::{self, Bodies},
+    host::Host as Machine,
+    reading::Reading,
+};
 use almondlock_node::{Handle, Vouch, clock};
 use almondlock_platform::listener::{self, Intake};
 use almondlock_settings::Settings;
@@ -174,7 +178,11 @@
     let reading_memory = directory.reading_memory.unwrap_or(machine.reading_memory());
     tracing::info!(body_memory, reading_memory, "limits for publications");
     Intake {
-        bodies: Bodies::new(body_memory),
+        bodies: Bodies::new(bodies::Config {
+            capacity: body_memory,
+            pieces: directory.body_pieces,
+            discard_time: directory.discard_time,
+        }),
         reading: Arc::new(Reading::new(reading_memory)),
     }
 }
--- a/almondlock-daemon/src/roles/entry.rs
+++ b/almondlock-daemon/src/roles/entry.rs
@@ -38,7 +38,7 @@
     let mut intake = limits(host, &role.intake);
     // A body is copied for reading and sending in pieces, on several threads.
     if role.intake.body_memory.is_none() {
-        intake.body_memory /= 2;
+        intake.bodies.capacity /= 2;
     }
     let builder = Builder {
         config: shared::Config {
--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -4,6 +4,7 @@
     budget,
     server::{self, Bounds, Config, Features, Server},
 };
+use almondlock_intake::host::Limits;
 use almondlock_node::Handle;
 use almondlock_platform::header::Dialect;
 use almondlock_policy::budget::Bound;
@@ -46,7 +47,10 @@
         relays: role.exchange.clone(),
         domain: settings.host.domain.clone(),
         bounds,
-        intake: limits(&settings.host, &role.intake),
+        intake: Limits {
+            ready_connections: role.ready_connections,
+            ..limits(&settings.host, &role.intake)
+        },
         features,
         seed,
         notice: role.notice(),
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -85,7 +85,8 @@
     if drained.await.unwrap_or(false) {
         failure.to_response(id)
     } else {
-        bodies::discard(payload, worker.shared.config.body_limit);
+        let limit = worker.shared.config.body_limit;
+        worker.shared.bodies.discard(payload, limit);
         failure.to_closing_response(id)
     }
 }
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -92,6 +92,17 @@
         draw(&mut self.rng.borrow_mut())
     }
 
+    /// Tells what callers make the host hold.
+    pub fn tell_intake(&self) {
+        let metrics = &self.shared.metrics;
+        for (what, level) in self.shared.bodies.usage().levels() {
+            metrics.caller_bodies(what, level);
+        }
+        for (what, level) in self.connections.usage().levels() {
+            metrics.caller_connections(what, level);
+        }
+    }
+
     /// The context of a new hop below the request's own.
     pub fn hop(&self, request: &Request) -> Context {
         self.with_rng(|rng| request.context.child(rng))
--- a/almondlock-entry/src/probe.rs
+++ b/almondlock-entry/src/probe.rs
@@ -12,6 +12,7 @@
 
 use almondlock_node::clock;
 use almondlock_policy::choice::Index;
+use almondlock_telemetry::throttle::Throttle;
 use almondlock_wire::{attempt::read_load, peer::Peer};
 use tokio::time::{sleep, timeout};
 
@@ -24,6 +25,8 @@
 const AGE: Duration = Duration::from_millis(500);
 /// How often a pool is looked over.
 const ROUND: Duration = Duration::from_millis(50);
+/// How often it is told what callers make the host hold.
+const INTAKE_PERIOD: Duration = Duration::from_secs(1);
 /// Probes that one request pays for.
 const PAID: f64 = 0.25;
 /// Free probes of the host in a second.
@@ -63,7 +66,11 @@
         admitted: 0,
     };
     let mut turn = 0;
+    let mut told = Throttle::new(INTAKE_PERIOD);
     loop {
+        if told.pass(clock::mono()).is_some() {
+            worker.tell_intake();
+        }
         worker.shared.directory();
         worker.shared.tell_levels();
         worker.shared.note_running();
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -201,7 +201,7 @@
             retries: Mutex::new(retry::Policy::new(config.retry, clock::mono())),
             lengths: Mutex::default(),
             watch: Mutex::new(Watch::new(poison::Config::default())),
-            bodies: Bodies::new(config.intake.body_memory),
+            bodies: Bodies::new(config.intake.bodies),
             config,
             handle,
             metrics,
--- a/almondlock-gateway/src/intake.rs
+++ b/almondlock-gateway/src/intake.rs
@@ -1,7 +1,5 @@
 //! What callers make this host hold: the worker's side of `almondlock_intake`.
 
-use almondlock_intake::connections;
-
 use crate::{dialect::Dialect, worker::Worker};
 
 /// Bytes of a refused body that are read and dropped, where no configuration says how large
@@ -22,20 +20,12 @@
 
     /// Sets the figures of what callers make this host hold.
     pub(crate) fn report_intake(&self) {
-        let figures = &self.shared.metrics;
-        self.bodies.usage().report(figures, "caller_bodies");
-        let connections::Usage {
-            open,
-            replaced,
-            refused,
-            pipelined,
-            stalled,
-        } = self.connections.usage();
-        self.report("caller_connections", "open", open as u64);
-        self.report("caller_connections", "replaced", replaced);
-        self.report("caller_connections", "refused", refused);
-        self.report("caller_connections", "pipelined", pipelined);
-        self.report("caller_connections", "stalled", stalled);
+        for (what, level) in self.bodies.usage().levels() {
+            self.report("caller_bodies", what, level);
+        }
+        for (what, level) in self.connections.usage().levels() {
+            self.report("caller_connections", what, level);
+        }
     }
 
     fn report(&self, name: &str, what: &str, level: u64) {
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -10,12 +10,7 @@
 
 use almondlock_base::{Code, id::Domain, time::Mono};
 use almondlock_http::response::Delimiter;
-use almondlock_intake::{
-    bodies::{self, Bodies},
-    connections::Connections,
-    host::Limits,
-    listener,
-};
+use almondlock_intake::{bodies::Bodies, connections::Connections, host::Limits, listener};
 use almondlock_node::{Handle, clock};
 use almondlock_telemetry::figures;
 use almondlock_transport::listen;
@@ -57,9 +52,7 @@
 /// How long an idle connection of a caller is kept. Longer than callers reuse a connection,
 /// which is most of the published limit.
 const KEEP_ALIVE: Seconds = Seconds(20);
-/// Limits of the listener for readiness checks: the balancer's few connections, and as many
-/// of others that come there.
-const READY_CONNECTIONS: usize = 64;
+/// Limits of the listener for readiness checks, whose requests have no body.
 const READY_HEAD: usize = 8 * 1024;
 const READY_BUFFER: usize = 16 * 1024;
 
@@ -105,14 +98,14 @@
 {
     let shared = Arc::new(Shared::new(clock::mono()));
     let Limits {
-        body_memory,
+        bodies,
         connections,
         head,
         socket_buffer,
         ..
     } = config.intake;
     tracing::info!(
-        body_memory,
+        body_memory = bodies.capacity,
         connections,
         head,
         socket_buffer,
@@ -207,7 +200,7 @@
     let config = config.clone();
     let listener = listen::bind(config.listen)?;
     let shared = Arc::clone(shared);
-    let bodies = Bodies::new(config.intake.body_memory);
+    let bodies = Bodies::new(config.intake.bodies);
     let settings = listener::Config {
         name: "callers",
         // One thread, because the tables of loads and connections belong to a thread, and a
@@ -320,7 +313,7 @@
     let settings = listener::Config {
         name: "readiness",
         workers: 1,
-        connections: READY_CONNECTIONS,
+        connections: config.intake.ready_connections,
         head: READY_HEAD,
         head_time: HEAD_TIMEOUT,
         idle_time: HEAD_TIMEOUT,
@@ -415,7 +408,7 @@
             serve(&worker, &incoming, Rc::new(request)).await
         }
         Err(code) => {
-            bodies::discard(payload, worker.discard_limit());
+            worker.bodies.discard(payload, worker.discard_limit());
             let drawn = worker.rng.borrow_mut().random();
             let span = worker.shared.retry_after(arrived, drawn);
             let retry_after = code.is_retryable().then_some(span);
--- a/almondlock-intake/src/bodies.rs
+++ b/almondlock-intake/src/bodies.rs
@@ -7,37 +7,54 @@
 };
 
 use almondlock_base::{Code, time::Mono};
-use almondlock_policy::intake::{Config, Decision, Key, Ledger};
-use almondlock_telemetry::{figures::Figures, throttle::Throttle};
+use almondlock_policy::intake::{self, Decision, Key, Ledger};
+use almondlock_telemetry::throttle::Throttle;
 use almondlock_transport::clock;
 use ntex::{
     http::{HeaderMap, header::CONTENT_LENGTH},
     util::{Bytes, BytesMut},
     web::types::Payload,
 };
-use tokio::{
-    sync::Notify,
-    time::{sleep, timeout},
-};
+use tokio::{sync::Notify, time::timeout};
 
 /// Smallest capacity of a buffer, in bytes.
 const FIRST_CAPACITY: usize = 4096;
-/// Pieces that a body may come in: this many, and one for each [`PIECE`] bytes. Each costs
-/// the same work whatever its size.
-const PIECES: usize = 4096;
+/// Bytes of a body for each of which it may come in one more piece.
 const PIECE: usize = 16;
 /// A body that has not arrived is left alone for this long even if memory is short. A caller
 /// whose request isn't read within a second tries elsewhere.
 pub const GRACE: Duration = Duration::from_secs(1);
-/// Time for which the rest of a refused request is read, so that its caller, who may still
-/// be sending, can read the refusal.
-const DISCARD_TIME: Duration = Duration::from_secs(2);
-/// A shortage is logged once in this time.
+/// Lines of each kind are logged once in this time.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
+/// Settings of a budget.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Config {
+    /// Bytes that the bodies of all requests may take.
+    pub capacity: u64,
+    /// Pieces that a body may come in, besides one for each 16 bytes. A piece costs the same
+    /// work whatever its size.
+    pub pieces: usize,
+    /// Time for which the rest of a refused body is read, so that its caller, who may still
+    /// be sending, can read the refusal.
+    pub discard_time: Duration,
+}
+
+impl Config {
+    /// Returns a budget of `capacity` bytes, with the other settings at their defaults.
+    pub const fn new(capacity: u64) -> Config {
+        Config {
+            capacity,
+            pieces: 4096,
+            discard_time: Duration::from_secs(2),
+        }
+    }
+}
+
 /// The budget of memory for bodies, shared by the threads of a process.
 #[derive(Debug)]
 pub struct Bodies {
+    config: Config,
     inner: Mutex<Inner>,
 }
 
@@ -46,9 +63,11 @@
     ledger: Ledger,
     /// How to tell the bodies that are arriving to give way.
     notices: HashMap<Key, Arc<Notify>>,
-    refused: u64,
-    cut: u64,
-    logged: Throttle,
+    /// Invariant: levels are zero here, only counts are kept.
+    counts: Usage,
+    short: Throttle,
+    pieces: Throttle,
+    unread: Throttle,
 }
 
 /// Levels and counts since the start.
@@ -64,19 +83,23 @@
     pub refused: u64,
     /// Bodies dropped while they arrived, because memory was short.
     pub cut: u64,
+    /// Bodies refused because they came in too many pieces.
+    pub pieces: u64,
+    /// Refused bodies whose rest was not read to its end.
+    pub unread: u64,
 }
 
 impl Usage {
-    /// Puts the levels and counts into figures of this name.
-    pub fn report(&self, figures: &Figures, name: &str) {
-        let put = |what: &str, level: u64| {
-            let level = i64::try_from(level).unwrap_or(i64::MAX);
-            figures.set(name, &format!("what=\"{what}\""), level);
-        };
-        put("held", self.bodies as u64);
-        put("bytes", self.held);
-        put("refused", self.refused);
-        put("cut", self.cut);
+    /// Returns the levels and counts with their names in metrics.
+    pub const fn levels(&self) -> [(&'static str, u64); 6] {
+        [
+            ("held", self.bodies as u64),
+            ("bytes", self.held),
+            ("refused", self.refused),
+            ("cut", self.cut),
+            ("pieces", self.pieces),
+            ("unread", self.unread),
+        ]
     }
 }
 
@@ -117,19 +140,21 @@
 }
 
 impl Bodies {
-    /// Returns a budget of `capacity` bytes.
-    pub fn new(capacity: u64) -> Arc<Bodies> {
-        let config = Config {
-            capacity,
+    /// Returns an empty budget.
+    pub fn new(config: Config) -> Arc<Bodies> {
+        let ledger = intake::Config {
+            capacity: config.capacity,
             grace: GRACE,
         };
         Arc::new(Bodies {
+            config,
             inner: Mutex::new(Inner {
-                ledger: Ledger::new(config),
+                ledger: Ledger::new(ledger),
                 notices: HashMap::new(),
-                refused: 0,
-                cut: 0,
-                logged: Throttle::new(LOG_PERIOD),
+                counts: Usage::default(),
+                short: Throttle::new(LOG_PERIOD),
+                pieces: Throttle::new(LOG_PERIOD),
+                unread: Throttle::new(LOG_PERIOD),
             }),
         })
     }
@@ -139,10 +164,9 @@
         let inner = self.lock();
         Usage {
             held: inner.ledger.held(),
-            capacity: inner.ledger.config().capacity,
+            capacity: self.config.capacity,
             bodies: inner.ledger.len(),
-            refused: inner.refused,
-            cut: inner.cut,
+            ..inner.counts
         }
     }
 
@@ -178,7 +202,7 @@
     ) -> Result<(Bytes, Option<Hold>), Error> {
         let mut buffer = BytesMut::new();
         let mut hold: Option<Hold> = None;
-        let mut pieces = Pieces::default();
+        let mut pieces = Pieces::new(self.config.pieces);
         loop {
             let chunk = match &hold {
                 None => payload.recv().await,
@@ -197,6 +221,7 @@
                 return Err(Error::TooLarge);
             }
             if !pieces.add(chunk.len()) {
+                self.lock().note_pieces(&pieces, clock::mono());
                 return Err(Error::Pieces);
             }
             let hold = hold.get_or_insert_with(|| self.enter());
@@ -215,6 +240,32 @@
         }
     }
 
+    /// Reads and drops the rest of a refused request's body, up to `limit` bytes and for a
+    /// bounded time, while the refusal is sent. Past these the connection is closed.
+    ///
+    /// A connection that is closed with unread bytes is reset, and a caller that is still
+    /// sending would lose the refusal, with its promise that the request did not run.
+    pub fn discard(self: &Arc<Self>, mut payload: Payload, limit: usize) {
+        let bodies = Arc::clone(self);
+        ntex::rt::spawn(async move {
+            let mut pieces = Pieces::new(bodies.config.pieces);
+            let rest = async {
+                while let Some(Ok(chunk)) = payload.recv().await {
+                    if !pieces.add(chunk.len()) || pieces.bytes > limit {
+                        return false;
+                    }
+                }
+                true
+            };
+            if !timeout(bodies.config.discard_time, rest)
+                .await
+                .unwrap_or(false)
+            {
+                bodies.lock().note_unread(&pieces, clock::mono());
+            }
+        });
+    }
+
     fn enter(self: &Arc<Self>) -> Hold {
         let notice = Arc::new(Notify::new());
         let mut inner = self.lock();
@@ -241,8 +292,8 @@
                 notice.notify_one();
             }
         }
-        self.cut += decision.cut.len() as u64;
-        self.refused += u64::from(!decision.granted);
+        self.counts.cut += decision.cut.len() as u64;
+        self.counts.refused += u64::from(!decision.granted);
         self.log(&decision, bytes, now);
         decision.granted
     }
@@ -251,7 +302,7 @@
         if decision.granted && decision.cut.is_empty() {
             return;
         }
-        let Some(suppressed) = self.logged.pass(now) else {
+        let Some(suppressed) = self.short.pass(now) else {
             return;
         };
         tracing::warn!(
@@ -265,6 +316,27 @@
             "memory for bodies is short"
         );
     }
+
+    fn note_pieces(&mut self, pieces: &Pieces, now: Mono) {
+        self.counts.pieces += 1;
+        if let Some(suppressed) = self.pieces.pass(now) {
+            let Pieces { count, bytes, .. } = pieces;
+            tracing::warn!(count, bytes, suppressed, "a body came in too many pieces");
+        }
+    }
+
+    fn note_unread(&mut self, pieces: &Pieces, now: Mono) {
+        self.counts.unread += 1;
+        if let Some(suppressed) = self.unread.pass(now) {
+            let Pieces { count, bytes, .. } = pieces;
+            tracing::warn!(
+                count,
+                bytes,
+                suppressed,
+                "the rest of a refused body was not read"
+            );
+        }
+    }
 }
 
 /// Memory taken for one body, given back when it is dropped.
@@ -304,18 +376,28 @@
 }
 
 /// Counts the pieces that a body comes in.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Pieces {
+    /// How many there may be, besides one for each [`PIECE`] bytes.
+    limit: usize,
     count: usize,
     bytes: usize,
 }
 
 impl Pieces {
+    const fn new(limit: usize) -> Pieces {
+        Pieces {
+            limit,
+            count: 0,
+            bytes: 0,
+        }
+    }
+
     /// Adds a piece. Returns whether there may be as many.
     fn add(&mut self, bytes: usize) -> bool {
         self.count += 1;
         self.bytes += bytes;
-        self.count <= PIECES + self.bytes / PIECE
+        self.count <= self.limit + self.bytes / PIECE
     }
 }
 
@@ -324,25 +406,3 @@
     let length = headers.get(CONTENT_LENGTH)?;
     length.to_str().ok()?.trim().parse().ok()
 }
-
-/// Reads and drops the rest of a refused request's body, up to `limit` bytes and for a
-/// bounded time, while the refusal is sent. Past these the connection is closed.
-///
-/// A connection that is closed with unread bytes is reset, and a caller that is still
-/// sending would lose the refusal, with its promise that the request did not run.
-pub fn discard(mut payload: Payload, limit: usize) {
-    ntex::rt::spawn(async move {
-        let rest = async {
-            let mut pieces = Pieces::default();
-            while let Some(Ok(chunk)) = payload.recv().await {
-                if !pieces.add(chunk.len()) || pieces.bytes > limit {
-                    break;
-                }
-            }
-        };
-        tokio::select! {
-            () = rest => {}
-            () = sleep(DISCARD_TIME) => {}
-        }
-    });
-}
--- a/almondlock-intake/src/connections.rs
+++ b/almondlock-intake/src/connections.rs
@@ -1,6 +1,15 @@
 //! The open connections of a listener's thread.
 
-use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use almondlock_policy::connections::{Admission, Config, State, Table};
 use almondlock_telemetry::throttle::Throttle;
@@ -27,10 +36,22 @@
     limit: usize,
     table: Table<Id>,
     open: HashMap<Id, Open>,
-    usage: Usage,
+    totals: Arc<Totals>,
+    /// How many of this thread are in `totals`.
+    counted: u64,
     logged: Throttle,
 }
 
+/// Levels and counts of all threads of a listener.
+#[derive(Debug, Default)]
+pub struct Totals {
+    open: AtomicU64,
+    replaced: AtomicU64,
+    refused: AtomicU64,
+    pipelined: AtomicU64,
+    stalled: AtomicU64,
+}
+
 #[derive(Debug)]
 struct Open {
     io: IoRef,
@@ -42,7 +63,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Usage {
     /// Connections now.
-    pub open: usize,
+    pub open: u64,
     /// Connections closed because another one took their place.
     pub replaced: u64,
     /// New connections closed because there was no place.
@@ -53,9 +74,35 @@
     pub stalled: u64,
 }
 
+impl Usage {
+    /// Returns the levels and counts with their names in metrics.
+    pub const fn levels(&self) -> [(&'static str, u64); 5] {
+        [
+            ("open", self.open),
+            ("replaced", self.replaced),
+            ("refused", self.refused),
+            ("pipelined", self.pipelined),
+            ("stalled", self.stalled),
+        ]
+    }
+}
+
+impl Totals {
+    fn usage(&self) -> Usage {
+        let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        Usage {
+            open: read(&self.open),
+            replaced: read(&self.replaced),
+            refused: read(&self.refused),
+            pipelined: read(&self.pipelined),
+            stalled: read(&self.stalled),
+        }
+    }
+}
+
 impl Connections {
-    /// Returns an empty table with this many places.
-    pub fn new(limit: usize) -> Connections {
+    /// Returns an empty table with this many places, counted in `totals`.
+    pub fn new(limit: usize, totals: Arc<Totals>) -> Connections {
         let config = Config {
             limit,
             grace: GRACE,
@@ -65,19 +112,16 @@
                 limit,
                 table: Table::new(config),
                 open: HashMap::new(),
-                usage: Usage::default(),
+                totals,
+                counted: 0,
                 logged: Throttle::new(LOG_PERIOD),
             })),
         }
     }
 
-    /// Returns how many there are.
+    /// Returns how many there are, and what became of others, over all threads.
     pub fn usage(&self) -> Usage {
-        let inner = self.inner.borrow();
-        Usage {
-            open: inner.table.len(),
-            ..inner.usage
-        }
+        self.inner.borrow().totals.usage()
     }
 
     /// Notes that a request has begun on a connection. The connection counts as receiving
@@ -100,7 +144,8 @@
             inner.table.remove(id);
             closed.extend(inner.open.remove(&id));
         }
-        inner.usage.stalled += closed.len() as u64;
+        add(&inner.totals.stalled, closed.len() as u64);
+        inner.count_open();
         drop(inner);
         if !closed.is_empty() {
             let (count, after_ms) = (closed.len(), time.as_millis());
@@ -134,7 +179,7 @@
 
     /// Counts a connection that is closed because of its requests ahead.
     pub(crate) fn count_pipelined(&self) {
-        self.inner.borrow_mut().usage.pipelined += 1;
+        add(&self.inner.borrow().totals.pipelined, 1);
     }
 
     /// Enters a connection. Returns `None` if there is no place for it.
@@ -145,11 +190,11 @@
         let closed = match admission {
             Admission::Admitted => None,
             Admission::Replaces(other) => {
-                inner.usage.replaced += 1;
+                add(&inner.totals.replaced, 1);
                 inner.open.remove(&other)
             }
             Admission::Refused => {
-                inner.usage.refused += 1;
+                add(&inner.totals.refused, 1);
                 None
             }
         };
@@ -167,6 +212,7 @@
                 id,
             }
         });
+        inner.count_open();
         // Closing may run the dispatcher of that connection.
         drop(inner);
         if let Some(closed) = closed {
@@ -179,15 +225,29 @@
         let mut inner = self.inner.borrow_mut();
         inner.table.remove(id);
         inner.open.remove(&id);
+        inner.count_open();
     }
 }
 
+fn add(total: &AtomicU64, count: u64) {
+    total.fetch_add(count, Ordering::Relaxed);
+}
+
 impl Inner {
+    /// Brings the number of connections in `totals` up to date.
+    fn count_open(&mut self) {
+        let open = self.table.len() as u64;
+        add(&self.totals.open, open.saturating_sub(self.counted));
+        let gone = self.counted.saturating_sub(open);
+        self.totals.open.fetch_sub(gone, Ordering::Relaxed);
+        self.counted = open;
+    }
+
     fn log(&mut self) {
         if let Some(suppressed) = self.logged.pass(clock::mono()) {
             let Usage {
                 replaced, refused, ..
-            } = self.usage;
+            } = self.totals.usage();
             tracing::warn!(
                 limit = self.limit,
                 replaced,
--- a/almondlock-intake/src/host.rs
+++ b/almondlock-intake/src/host.rs
@@ -5,7 +5,9 @@
     system::sysinfo,
 };
 
-use crate::listener::Config;
+use std::time::Duration;
+
+use crate::{bodies, listener::Config};
 
 /// Memory and descriptors of a process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,8 +21,8 @@
 /// Limits of what callers make a process hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Limits {
-    /// Bytes that the bodies of all requests may take.
-    pub body_memory: u64,
+    /// Bounds of the bodies of all requests.
+    pub bodies: bodies::Config,
     /// Connections that callers may hold at one time.
     pub connections: usize,
     /// Largest head of a request, in bytes.
@@ -29,6 +31,29 @@
     pub socket_buffer: usize,
     /// Requests in a row on one connection that may have another one behind them.
     pub pipelined: u32,
+    /// Connections to a listener for readiness checks of its own.
+    pub ready_connections: usize,
+}
+
+/// What settings say of the limits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Set {
+    /// Goes before the memory for bodies that follows from the host's.
+    pub body_memory: Option<u64>,
+    /// Goes before the number of connections that follows from the host, if it is lower.
+    pub connections: Option<usize>,
+    /// Largest head of a request, in bytes.
+    pub head: usize,
+    /// Buffers of each connection in the kernel, in bytes: one for each direction.
+    pub socket_buffer: usize,
+    /// Requests in a row on one connection that may have another one behind them.
+    pub pipelined: u32,
+    /// Pieces that a body may come in, besides one for each 16 bytes.
+    pub body_pieces: usize,
+    /// Time for which the rest of a refused body is read.
+    pub discard_time: Duration,
+    /// Connections to a listener for readiness checks of its own.
+    pub ready_connections: usize,
 }
 
 /// Descriptors that are left to files and to connections between processes: this many, and
@@ -75,21 +100,38 @@
 }
 
 impl Limits {
-    /// Returns the limits that follow from what a host has. A `body_memory` that is set goes
-    /// before them, and `connections` if it is lower.
-    pub fn new(
-        host: Host,
-        (head, socket_buffer, pipelined): (usize, usize, u32),
-        body_memory: Option<u64>,
-        connections: Option<usize>,
-    ) -> Limits {
-        let derived = host.connections(Config::connection_cost(head, socket_buffer));
+    /// Returns the limits that follow from what a host has and from the settings.
+    pub fn new(host: Host, set: &Set) -> Limits {
+        let cost = Config::connection_cost(set.head, set.socket_buffer);
+        let derived = host.connections(cost);
         Limits {
-            body_memory: body_memory.unwrap_or(host.body_memory()),
-            connections: connections.map_or(derived, |set| set.min(derived)),
-            head,
-            socket_buffer,
-            pipelined,
+            bodies: bodies::Config {
+                capacity: set.body_memory.unwrap_or(host.body_memory()),
+                pieces: set.body_pieces,
+                discard_time: set.discard_time,
+            },
+            connections: set.connections.map_or(derived, |set| set.min(derived)),
+            head: set.head,
+            socket_buffer: set.socket_buffer,
+            pipelined: set.pipelined,
+            ready_connections: set.ready_connections,
+        }
+    }
+}
+
+impl Default for Set {
+    /// Returns the defaults of the settings.
+    fn default() -> Set {
+        let bodies = bodies::Config::new(0);
+        Set {
+            body_memory: None,
+            connections: None,
+            head: 32 * 1024,
+            socket_buffer: 64 * 1024,
+            pipelined: 32,
+            body_pieces: bodies.pieces,
+            discard_time: bodies.discard_time,
+            ready_connections: 64,
         }
     }
 }
@@ -101,7 +143,7 @@
             memory: 1 << 30,
             descriptors: 4096,
         };
-        Limits::new(host, (32 * 1024, 64 * 1024, 32), None, None)
+        Limits::new(host, &Set::default())
     }
 }
 
--- a/almondlock-intake/src/listener.rs
+++ b/almondlock-intake/src/listener.rs
@@ -1,6 +1,6 @@
 //! HTTP listeners that callers reach.
 
-use std::{fmt, io, net::TcpListener};
+use std::{fmt, io, net::TcpListener, sync::Arc};
 
 use ntex::{
     IntoServiceFactory, ServiceFactory, SharedCfg,
@@ -12,7 +12,7 @@
 use socket2::SockRef;
 
 use crate::{
-    connections::{Connections, Gate},
+    connections::{Connections, Gate, Totals},
     turns::Turns,
 };
 
@@ -71,20 +71,21 @@
     let shared: SharedCfg = SharedCfg::new(config.name).add(http).into();
     let places = config.connections.div_ceil(config.workers.max(1));
     let pipelined = config.pipelined;
+    let totals = Arc::new(Totals::default());
     let builder = ServerBuilder::default()
         .workers(config.workers)
         .disable_signals();
     let builder = match config.tls {
         None => builder.listen(config.name, listener, async move |server| {
             server.config(shared.clone());
-            let connections = Connections::new(places);
+            let connections = Connections::new(places, Arc::clone(&totals));
             let app = factory(connections.clone()).await.into_factory();
             let app = apply(Turns::new(connections.clone(), pipelined), app);
             apply(Gate::new(connections), HttpService::new(app))
         })?,
         Some(tls) => builder.listen(config.name, listener, async move |server| {
             server.config(shared.clone());
-            let connections = Connections::new(places);
+            let connections = Connections::new(places, Arc::clone(&totals));
             let app = factory(connections.clone()).await.into_factory();
             let app = apply(Turns::new(connections.clone(), pipelined), app);
             let service = HttpService::new(app).rustls(tls.clone());
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -196,6 +196,12 @@
         "Memory for the bodies of all requests. Without it, an eighth of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
          a small one needs room, gives way.").unit("MiB"),
+    Key::new("entry", "body_pieces", Number(64, 16 * MIB), Default("4096"),
+        "Pieces that a body may come in, besides one for each 16 bytes. A body in more is refused as \
+         unreadable: a piece costs the same work whatever its size.").unit("count"),
+    Key::new("entry", "discard_time", Number(100, 60_000), Default("2000"),
+        "How long the rest of a refused body is read, so that a caller that is still sending can read the \
+         refusal; then the connection is closed.").unit("ms"),
     Key::new("entry", "head_bytes", Number(4 * KIB, MIB), Default("32768"),
         "Larger heads of requests are refused.").unit("bytes"),
     Key::new("entry", "socket_buffer", Number(4 * KIB, 16 * MIB), Default("65536"),
@@ -236,6 +242,9 @@
         "Where callers' HTTP requests arrive, behind the platform's balancer."),
     Key::new("gateway", "ready", Listen, Required,
         "Where the balancer asks whether this host takes requests: `GET /readyz`. 503 also once a task has ended that the process can't do without."),
+    Key::new("gateway", "ready_connections", Number(2, 100_000), Default("64"),
+        "Connections at one time where the balancer asks, others that come there included. When all are \
+         taken, those without a request are closed for new ones.").unit("count"),
     Key::new("gateway", "body_memory", Number(1, MIB), Optional,
         "Memory for the bodies of all requests. Without it, a quarter of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
@@ -244,6 +253,12 @@
         "Callers' connections at one time, unless the host's memory or descriptors allow fewer: a third \
          of the memory at the cost of a head and two socket buffers each, and three quarters of the \
          descriptors. When all are taken, connections without a request are closed for new ones.").unit("count"),
+    Key::new("gateway", "body_pieces", Number(64, 16 * MIB), Default("4096"),
+        "Pieces that a body may come in, besides one for each 16 bytes. A body in more is refused as \
+         unreadable: a piece costs the same work whatever its size.").unit("count"),
+    Key::new("gateway", "discard_time", Number(100, 60_000), Default("2000"),
+        "How long the rest of a refused body is read, so that a caller that is still sending can read the \
+         refusal; then the connection is closed.").unit("ms"),
     Key::new("gateway", "head_bytes", Number(4 * KIB, MIB), Default("32768"),
         "Larger heads of requests are refused.").unit("bytes"),
     Key::new("gateway", "socket_buffer", Number(4 * KIB, 16 * MIB), Default("65536"),
@@ -338,6 +353,12 @@
         "Memory for the bodies of all calls. Without it, a quarter of the host's memory. A body that \
          finds none is refused as not run; one that arrives for over a second, or is large while a small \
          one needs room, gives way.").unit("MiB"),
+    Key::new("directory", "body_pieces", Number(64, 16 * MIB), Default("4096"),
+        "Pieces that a body may come in, besides one for each 16 bytes. A body in more is refused as \
+         unreadable: a piece costs the same work whatever its size.").unit("count"),
+    Key::new("directory", "discard_time", Number(100, 60_000), Default("2000"),
+        "How long the rest of a refused body is read, so that a caller that is still sending can read the \
+         refusal; then the connection is closed.").unit("ms"),
     Key::new("directory", "reading_memory", Number(1, MIB), Optional,
         "Memory that reading a published configuration may take, at 512 bytes an object and 160 an \
          element of a list. Without it, a quarter of the host's memory. One that may take more is \
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -101,12 +101,16 @@
     fn intake(&mut self, s: &Section) -> Option<Intake> {
         let body_memory = self.mebibytes(s, "body_memory");
         let connections = self.count(s, "connections");
+        let body_pieces = self.count(s, "body_pieces");
+        let discard_time = self.millis(s, "discard_time");
         let head_bytes = self.count(s, "head_bytes");
         let socket_buffer = self.count(s, "socket_buffer");
         let pipelined = self.number(s, "pipelined");
         Some(Intake {
             body_memory,
             connections,
+            body_pieces: body_pieces?,
+            discard_time: discard_time?,
             head_bytes: head_bytes?,
             socket_buffer: socket_buffer?,
             pipelined: u32::try_from(pipelined?).ok()?,
@@ -183,6 +187,7 @@
     fn gateway(&mut self, s: &Section) -> Option<Gateway> {
         let listen = self.address(s, "listen");
         let ready = self.address(s, "ready");
+        let ready_connections = self.count(s, "ready_connections");
         let intake = self.intake(s);
         let slow_reader = self.millis(s, "slow_reader");
         let metrics = self.address(s, "metrics");
@@ -207,6 +212,7 @@
         Some(Gateway {
             listen: listen?,
             ready: ready?,
+            ready_connections: ready_connections?,
             intake: intake?,
             slow_reader: slow_reader?,
             metrics,
@@ -232,6 +238,8 @@
     fn directory(&mut self, s: &Section) -> Option<Directory> {
         let listen = self.address(s, "listen");
         let body_memory = self.mebibytes(s, "body_memory");
+        let body_pieces = self.count(s, "body_pieces");
+        let discard_time = self.millis(s, "discard_time");
         let reading_memory = self.mebibytes(s, "reading_memory");
         let exchange = self.address(s, "exchange");
         let domains = self.names(s, "domains").unwrap_or_default();
@@ -240,6 +248,8 @@
         Some(Directory {
             listen: listen?,
             body_memory,
+            body_pieces: body_pieces?,
+            discard_time: discard_time?,
             reading_memory,
             exchange,
             domains,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -63,6 +63,10 @@
     pub body_memory: Option<u64>,
     /// Callers' connections at one time, if that is set.
     pub connections: Option<usize>,
+    /// Pieces that a body may come in, besides one for each 16 bytes.
+    pub body_pieces: usize,
+    /// How long the rest of a refused body is read.
+    pub discard_time: Duration,
     /// Largest head of a request, in bytes.
     pub head_bytes: usize,
     /// The kernel's buffer of each connection in each direction, in bytes.
@@ -142,6 +146,8 @@
     pub listen: SocketAddr,
     /// Where the balancer asks whether the host takes requests.
     pub ready: SocketAddr,
+    /// Connections there at one time.
+    pub ready_connections: usize,
     /// Limits of what callers make it hold.
     pub intake: Intake,
     /// How long a part of an answer may wait for its caller to read.
@@ -232,6 +238,10 @@
     pub listen: SocketAddr,
     /// Bytes of memory for the bodies of all calls, if that is set.
     pub body_memory: Option<u64>,
+    /// Pieces that a body may come in, besides one for each 16 bytes.
+    pub body_pieces: usize,
+    /// How long the rest of a refused body is read.
+    pub discard_time: Duration,
     /// Bytes of memory that reading a configuration may take, if that is set.
     pub reading_memory: Option<u64>,
     /// Where entry hosts tell what they have under way.
--- a/almondlock-telemetry/src/metrics.rs
+++ b/almondlock-telemetry/src/metrics.rs
@@ -161,6 +161,16 @@
         self.level(&format!("memory_held.{}", plain(upstream)), tokens.0);
     }
 
+    /// A level or count of callers' bodies, by its name.
+    pub fn caller_bodies(&self, what: &str, level: u64) {
+        self.level(&format!("caller_bodies.{what}"), level);
+    }
+
+    /// A level or count of callers' connections, by its name.
+    pub fn caller_connections(&self, what: &str, level: u64) {
+        self.level(&format!("caller_connections.{what}"), level);
+    }
+
     /// The revision in force in this process.
     pub fn revision(&self, revision: Revision) {
         self.level("revision", revision.0);
