Test that a panicking request gives back the memory of its body

The budget for bodies is given back by values that are dropped; nothing showed that a panic drops them. `ended_task::panicking_body` lets three requests of the largest size panic on a host with memory for one such body.

--- a/almondlock-gateway/tests/ended_task.rs
+++ b/almondlock-gateway/tests/ended_task.rs
@@ -37,11 +37,16 @@
 
 /// Sends a request and returns the response and how long it took.
 fn ask(address: SocketAddr, target: &str) -> (String, Duration) {
+    ask_with(address, target, "")
+}
+
+fn ask_with(address: SocketAddr, target: &str, body: &str) -> (String, Duration) {
     let begin = Instant::now();
     let mut stream = TcpStream::connect(address).unwrap();
+    let length = body.len();
     let request = format!(
         "{target} HTTP/1.1\r\nhost: h\r\nx-id: r-1\r\nx-deadline: 5000\r\n\
-         content-length: 0\r\nconnection: close\r\n\r\n"
+         content-length: {length}\r\nconnection: close\r\n\r\n{body}"
     );
     stream.write_all(request.as_bytes()).unwrap();
     let mut response = String::new();
@@ -124,6 +129,27 @@
     assert!(gateway.owner.is_sound() && is_ready(&gateway));
 }
 
+/// Guards against memory for bodies that a panicking request never gives back.
+#[test]
+fn panicking_body() {
+    let gateway = start();
+    wait_until("not ready", || is_ready(&gateway));
+    let address = gateway.address;
+    // There is memory for one body of the largest size.
+    let body = "x".repeat(versions::LIMITS.body);
+    for _ in 0..3 {
+        let slow = thread::scope(|scope| {
+            let slow = scope.spawn(|| ask_with(address, "POST /slow/", &body));
+            sleep(Duration::from_millis(300));
+            gateway.owner.inject_panic("request");
+            slow.join().unwrap()
+        });
+        assert_eq!(status(&slow.0), 502, "{}", slow.0);
+    }
+    let (response, _) = ask_with(address, "POST /quick/", &body);
+    assert_eq!(status(&response), 200, "{response}");
+}
+
 /// Guards against a stream whose handling panics and that its caller waits for, or takes for
 /// complete.
 #[test]
--- a/almondlock-gateway/tests/versions/mod.rs
+++ b/almondlock-gateway/tests/versions/mod.rs
@@ -334,7 +334,10 @@
     Config {
         listen,
         ready,
-        intake: almondlock_intake::host::Limits::default(),
+        intake: almondlock_intake::host::Limits {
+            bodies: almondlock_intake::bodies::Config::new(LIMITS.body as u64),
+            ..almondlock_intake::host::Limits::default()
+        },
         metrics: None,
         relays: Vec::new(),
         domain: Domain::new("d").unwrap(),
