--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -5,6 +5,7 @@
 pub mod kind;
 pub mod ordinary;
 pub mod report;
+pub mod share;
 pub mod watch;
 pub mod wire;
 
@@ -52,6 +53,11 @@
     (Kind::SlowReader, 40),
 ];
 
+/// A part of each kind, at least one client.
+pub fn part(of: usize) -> [(Kind, usize); ALL.len()] {
+    ALL.map(|(kind, count)| (kind, (count / of).max(1)))
+}
+
 /// The seed of the crowds. `CROWD_SEED` sets another one.
 pub fn seed() -> u64 {
     let set = std::env::var("CROWD_SEED").ok();
--- a/tests/fleet/gateway.rs
+++ b/tests/fleet/gateway.rs
@@ -26,6 +26,7 @@
     pub process: Process,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    pub metrics: SocketAddr,
 }
 
 /// A stand-in upstream, which announces itself until it is dropped.
@@ -115,14 +116,14 @@
 
     /// Starts an entry host, with more settings for `[host]`.
     pub async fn gateway(&self, name: &str, more: &str, limits: Limits) -> Gateway {
-        let (callers, ready) = (address(), address());
+        let (callers, ready, metrics) = (address(), address(), address());
         let host = self.host(name, "domain-0", address());
         let host = match limits.unread {
             true => host.replacen("[log]\n", "[log]\noutput = stdout\nformat = json\n", 1),
             false => host,
         };
         let text = format!(
-            "{host}follow = 400\n{more}[gateway]\nlisten = {callers}\nready = {ready}\n\
+            "{host}follow = 400\n{more}[gateway]\nlisten = {callers}\nready = {ready}\nmetrics = {metrics}\n\
              revocation = 5000\nretry_share = 0.2\nretry_slack = 20\nstop_time = 8\n\
              settling = 1100\nplaces = yes\n"
         );
@@ -131,6 +132,7 @@
             process: Process::with_limits(name, file, limits),
             callers,
             ready,
+            metrics,
         };
         let is_ready = async || {
             let answer = self.client.get(format!("http://{ready}/readyz")).send();
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -14,7 +14,8 @@
 use almondlock_platform::counterpart;
 use almondlock_standin::service;
 use crowd::{
-    Door, Kind, Play, Report, kind::LARGEST, ordinary::PROMISES, watch::Watched, wire::read_answer,
+    Door, Kind, Play, Report, kind::LARGEST, ordinary::PROMISES, share::Share, watch::Watched,
+    wire::read_answer,
 };
 use fleet::{
     Fleet, Limits,
@@ -25,8 +26,11 @@
 /// Memory of the smallest entry host, and of a replica's.
 const ENTRY_MEMORY: u64 = 160 << 20;
 const REPLICA_MEMORY: u64 = 256 << 20;
-/// How long a crowd plays.
+/// How long a crowd plays, and each of many.
 const SPAN: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(1_500);
+/// The smallest share of a core that an entry host has.
+const SHARE: f64 = 0.09;
 /// How long one legal request may take in calm.
 const CALM: Duration = Duration::from_secs(4);
 
@@ -154,12 +158,16 @@
 
     /// Plays a crowd beside ordinary callers.
     async fn play(&self, kinds: &[(Kind, usize)], doors: &[Door]) -> Report {
+        self.play_for(SPAN, kinds, doors).await
+    }
+
+    async fn play_for(&self, span: Duration, kinds: &[(Kind, usize)], doors: &[Door]) -> Report {
         let play = Play {
             kinds,
             doors,
             ordinary: self.door("/once/ordinary-", KEY),
             watched: self.watched(),
-            span: SPAN,
+            span,
             seed: crowd::seed(),
         };
         play.run().await
@@ -178,6 +186,20 @@
         }
     }
 
+    /// Waits until the entry host holds no body.
+    async fn gives_back(&self) {
+        let url = format!("http://{}/metrics", self.gateway.metrics);
+        let nothing = "caller_bodies{what=\"bytes\"} 0\n";
+        fleet::eventually(async || {
+            let Ok(answer) = self.fleet.client.get(&url).send().await else {
+                return false;
+            };
+            let text = answer.body().limit(1 << 20).await;
+            text.is_ok_and(|text| String::from_utf8_lossy(&text).contains(nothing))
+        })
+        .await;
+    }
+
     /// How often a crowd's request of the largest size ran.
     fn runs(&self, number: usize) -> u32 {
         let door = &self.doors()[0];
@@ -302,14 +324,44 @@
     alone(Kind::SlowReader, 200).await;
 }
 
+/// Each kind against the same processes, a fifth of each. Guards against memory that is not
+/// given back as well.
+#[ntex::test]
+async fn each_kind() {
+    let _turn = TURN.lock().await;
+    let site = Site::start().await;
+    for (kind, count) in crowd::part(5) {
+        let report = site.play_for(SHORT, &[(kind, count)], &site.doors()).await;
+        site.check(&format!("each kind, {kind:?}"), &report).await;
+    }
+    site.gives_back().await;
+}
+
 /// All kinds at once, a fifth of each.
 #[ntex::test]
 async fn all_kinds() {
     let _turn = TURN.lock().await;
     let site = Site::start().await;
-    let kinds = crowd::ALL.map(|(kind, count)| (kind, count / 5));
-    let report = site.play(&kinds, &site.doors()).await;
+    let report = site.play(&crowd::part(5), &site.doors()).await;
     site.check("all kinds", &report).await;
+    site.gives_back().await;
+}
+
+/// Each kind, and then all of them at once, against an entry host with a part of a core.
+#[ntex::test]
+#[ignore = "long"]
+async fn slow_host() {
+    let _turn = TURN.lock().await;
+    let site = Site::start().await;
+    let share = Share::begin(site.gateway.process.id().unwrap(), SHARE);
+    for (kind, count) in crowd::ALL {
+        let report = site.play(&[(kind, count)], &site.doors()).await;
+        site.check(&format!("slow host, {kind:?}"), &report).await;
+    }
+    let report = site.play(&crowd::ALL, &site.doors()).await;
+    site.check("slow host, all kinds", &report).await;
+    drop(share);
+    site.gives_back().await;
 }
 
 #[ntex::test]
--- a/tests/unruly_models.rs
+++ b/tests/unruly_models.rs
@@ -15,8 +15,9 @@
 const ENTRY_MEMORY: u64 = 160 << 20;
 const REPLICA_MEMORY: u64 = 256 << 20;
 const SIDECAR_MEMORY: u64 = 192 << 20;
-/// How long a crowd plays.
+/// How long a crowd plays, and each of many.
 const SPAN: Duration = Duration::from_secs(5);
+const SHORT: Duration = Duration::from_millis(1_500);
 /// How long one legal request may take in calm.
 const CALM: Duration = Duration::from_secs(30);
 /// Size of a body whose prompt fits an engine.
@@ -117,12 +118,16 @@
     }
 
     async fn play(&self, kinds: &[(Kind, usize)]) -> Report {
+        self.play_for(SPAN, kinds).await
+    }
+
+    async fn play_for(&self, span: Duration, kinds: &[(Kind, usize)]) -> Report {
         let play = Play {
             kinds,
             doors: &self.doors(),
             ordinary: self.door("/v1/completions", CALLER_KEY),
             watched: self.watched(),
-            span: SPAN,
+            span,
             seed: crowd::seed(),
         };
         play.run().await
@@ -178,13 +183,36 @@
     alone(Kind::Ahead(10_000), 150).await;
 }
 
+/// Each kind against the same processes, a fifth of each.
+#[ntex::test]
+async fn each_kind() {
+    let _turn = TURN.lock().await;
+    let site = Site::start().await;
+    for (kind, count) in crowd::part(5) {
+        let report = site.play_for(SHORT, &[(kind, count)]).await;
+        site.check(&format!("each kind, {kind:?}"), &report).await;
+    }
+}
+
+/// Each kind, as many as all of them at once have.
+#[ntex::test]
+#[ignore = "long"]
+async fn each_kind_crowded() {
+    let _turn = TURN.lock().await;
+    let site = Site::start().await;
+    for (kind, count) in crowd::ALL {
+        let report = site.play(&[(kind, count)]).await;
+        site.check(&format!("each kind, crowded, {kind:?}"), &report)
+            .await;
+    }
+}
+
 /// All kinds at once, a fifth of each.
 #[ntex::test]
 async fn all_kinds() {
     let _turn = TURN.lock().await;
     let site = Site::start().await;
-    let kinds = crowd::ALL.map(|(kind, count)| (kind, count / 5));
-    let report = site.play(&kinds).await;
+    let report = site.play(&crowd::part(5)).await;
     site.check("all kinds", &report).await;
 }
 
