Don't take a body for complete when sending its request failed

What callers saw: a part of an answer as a complete one. An upstream answered a long upload at once, with a 200 that had no length, sent a part of the body and reset the connection while the upload was still being written.

Cause: the system reports a reset once, to whoever uses the socket next. Sending the request got it, and reading then found the bytes that had arrived and an end like that of a connection that was closed. A body that ends with its connection was taken for complete.

Evidence: `reset_uploads::reset_while_sending` failed before, on both ways of sending a request (at once, after 1 and after 100 ms) and in `almondlock-entry` through an entry host and a sidecar; the gateway role's way is a race, the sidecar's, which goes on sending after the head of a successful answer, fails always.

Ruled out: bodies with a length or in chunks, which are incomplete by their own framing; resets found by reading, which were errors before too.

Why it works: whether sending failed is kept with the connection. If it did, nobody knows how the connection ended, so that its end proves nothing.

--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -108,6 +108,9 @@
     /// Whether the whole request was sent. Otherwise the rest of it would be taken for the
     /// next request.
     flushed: bool,
+    /// Whether sending the request failed. This consumes the error of a connection that was
+    /// reset: reading then finds an end like that of one that was closed.
+    send_failed: bool,
     /// When the connection became idle.
     pub idle_since: Mono,
     /// How long the upstream keeps the connection when idle, if it says so.
@@ -159,6 +162,7 @@
             content: Content::default(),
             end: None,
             flushed: true,
+            send_failed: false,
             idle_since: Mono::ZERO,
             idle_timeout: None,
             used: false,
@@ -218,7 +222,7 @@
     where
         S: Source,
     {
-        self.flushed = false;
+        (self.flushed, self.send_failed) = (false, false);
         self.is_head_only = head.starts_with(b"HEAD ");
         let Connection { stream, buffer, .. } = self;
         let (mut from, mut to) = stream.split();
@@ -253,6 +257,7 @@
             written = Some(write.await?);
         }
         self.flushed = matches!(written, Some(Ok(())));
+        self.send_failed = matches!(written, Some(Err(_)));
         Ok(head)
     }
 
@@ -305,7 +310,7 @@
     ///
     /// A body that ends with its connection is complete if the connection was closed without
     /// a reset and the content doesn't show that it was cut. An event stream that ends inside
-    /// an event was.
+    /// an event was. If sending the request failed, nobody knows whether there was a reset.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>, Error> {
         loop {
             if let Some(bytes) = self.take_body()? {
@@ -315,6 +320,9 @@
                 return Ok(None);
             }
             if self.fill_buffer().await? == 0 {
+                if self.body == Body::Close && self.send_failed {
+                    return Err(Error::Closed("the request was sent"));
+                }
                 if self.body == Body::Close && self.content.is_cut() {
                     return Err(Error::Closed("the end of an event"));
                 }
