Refuse answers with a status that there is not

What callers saw: an upstream in trouble answered with the status 000, and they got it as an answer: the upstream's headers and body under a 502.

Cause: any three digits were taken for a status. What the response couldn't be given became 502, with the rest of the answer. Interim answers were skipped without a bound, and so was 101, for which no request asks.

Why it works: a final status is one of 200 to 599. Of interim answers eight are skipped, so that a head without end is bounded whatever it is made of.

--- a/almondlock-gateway/tests/fake/mod.rs
+++ b/almondlock-gateway/tests/fake/mod.rs
@@ -21,6 +21,8 @@
     ReadHead,
     /// Write this text, with `ID` replaced by the request's id.
     Write(String),
+    /// The same with one byte for each character, which is at most U+00FF.
+    WriteLatin(String),
     /// Wait for this many milliseconds.
     Pause(u64),
     /// Close the connection with a reset.
@@ -99,6 +101,11 @@
             Step::Write(text) => {
                 stream.write_all(text.replace("ID", &id).as_bytes()).ok();
             }
+            Step::WriteLatin(text) => {
+                let text = text.replace("ID", &id);
+                let bytes: Vec<u8> = text.chars().map(|c| u8::try_from(c).unwrap()).collect();
+                stream.write_all(&bytes).ok();
+            }
             Step::Pause(millis) => thread::sleep(Duration::from_millis(millis)),
             Step::Reset => {
                 SockRef::from(&stream)
--- a/almondlock-http/src/upstream/head.rs
+++ b/almondlock-http/src/upstream/head.rs
@@ -10,6 +10,8 @@
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Maximum number of header lines of an answer.
 const MAX_HEADERS: usize = 64;
+/// Maximum number of interim answers before the final one.
+const MAX_INTERIM_ANSWERS: u32 = 8;
 
 /// The head of an answer.
 #[derive(Clone, Debug)]
@@ -62,8 +64,9 @@
     }
 }
 
-/// Parses a head at the start of the buffer, if it is complete. Skips interim answers.
-pub(super) fn parse_head(buffer: &mut BytesMut) -> Result<Option<Head>, Error> {
+/// Parses a head at the start of the buffer, if it is complete. Skips interim answers, which
+/// are counted in `interim`.
+pub(super) fn parse_head(buffer: &mut BytesMut, interim: &mut u32) -> Result<Option<Head>, Error> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut response = httparse::Response::new(&mut headers);
@@ -77,10 +80,18 @@
             return Ok(None);
         };
         let status = response.code.unwrap_or(0);
-        if (100..200).contains(&status) {
+        if matches!(status, 100 | 102..=199) {
+            *interim += 1;
+            if *interim > MAX_INTERIM_ANSWERS {
+                return Err(Error::Invalid("too many interim answers"));
+            }
             let _ = buffer.split_to(length);
             continue;
         }
+        // No request asks to switch protocols.
+        if !(200..600).contains(&status) {
+            return Err(Error::Invalid("a status that there is not"));
+        }
         let version = response.version.unwrap_or(0);
         let headers = response
             .headers
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -239,8 +239,9 @@
         };
         tokio::pin!(write);
         let mut written: Option<io::Result<()>> = None;
+        let mut interim = 0;
         let head = loop {
-            if let Some(head) = parse_head(buffer)? {
+            if let Some(head) = parse_head(buffer, &mut interim)? {
                 break head;
             }
             buffer.reserve(READ_BYTES);
@@ -263,8 +264,9 @@
 
     /// Reads the head of another answer.
     async fn read_head(&mut self) -> Result<Head, Error> {
+        let mut interim = 0;
         loop {
-            if let Some(head) = parse_head(&mut self.buffer)? {
+            if let Some(head) = parse_head(&mut self.buffer, &mut interim)? {
                 return Ok(head);
             }
             if self.fill_buffer().await? == 0 {
