Refuse answers whose heads are spoilt where they tell the body's end

What callers saw: an answer as complete whose body was not the upstream's: bytes of chunks' framing, or what followed the answer on its connection.

Cause: a field that couldn't be read counted as missing. A transfer-encoding other than `chunked`, or one with a byte that is no text, left an answer without chunks; so did a content-length that is no text. What was left is a head for a body that ends with its connection, which is complete whatever it holds. Also `+3` and numbers between wide spaces were taken for lengths and sizes of chunks, of several lengths the first one counted, a 204 with a length left its body for the next answer, and any line was skipped after the last chunk.

Lines that are no field, and names with a blank or a control byte, were refused before on both paths: those tests (`no_field`) are kept and nothing was changed for them.

Now a head has to say it in a way that a sound upstream would: one coding that is `chunked`, on HTTP/1.1; lengths of digits that agree; sizes of hexadecimal digits; no body where there is none; fields after the last chunk. If a body would end with its connection, no field may be named like one that frames bodies but for one character.

Not noticed: a digit of a length or size that became another, and a name with more than one wrong character. Nothing in such an answer shows it.

--- a/almondlock-entry/tests/spoilt_answers.rs
+++ b/almondlock-entry/tests/spoilt_answers.rs
@@ -23,6 +23,11 @@
 /// Guards against an answer whose head is spoilt reaching its caller.
 #[parameterized(
     no_status = { "000", "content-length: 3\r\n", "yes" },
+    sign = { "200", "content-length: +3\r\n", "yes" },
+    other_coding = { "200", "transfer-encoding: chunkes\r\n", "3\r\nyes\r\n0\r\n\r\n" },
+    other_name = { "200", "transfer-encodinf: chunked\r\n", "3\r\nyes\r\n0\r\n\r\n" },
+    no_field = { "200", "no field\r\ncontent-length: 3\r\n", "yes" },
+    blank_name = { "200", "x y: z\r\ncontent-length: 3\r\n", "yes" },
 )]
 fn spoilt_head(code: &str, fields: &str, body: &str) {
     let answer = format!("HTTP/1.1 {code} X\r\n{fields}\r\n{body}");
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -426,7 +426,7 @@
 ) where
     D: Dialect,
 {
-    if head.framing != Framing::Close && connection.read_body(MAX_BODY_BYTES).await.is_ok() {
+    if head.framing != Framing::Close && connection.skip_body(MAX_BODY_BYTES).await.is_ok() {
         return_to_pool(worker, upstream, connection, head);
     }
 }
--- a/almondlock-http/src/client.rs
+++ b/almondlock-http/src/client.rs
@@ -8,7 +8,10 @@
 use almondlock_base::time::Mono;
 use bytes::Bytes;
 
-use crate::upstream::{Connection, End, Error, Head, Pool, Source};
+use crate::{
+    syntax::{is_token, is_value, is_visible},
+    upstream::{Connection, End, Error, Head, Pool, Source},
+};
 
 /// A request.
 #[derive(Clone, Copy, Debug)]
@@ -30,10 +33,6 @@
 impl Call<'_> {
     /// Writes the head. Fails if a text would end its line.
     fn write_head(&self, address: SocketAddr) -> Result<Vec<u8>, Error> {
-        let is_visible = |byte: u8| byte > b' ' && byte != 0x7f;
-        let is_value = |byte: u8| is_visible(byte) || matches!(byte, b' ' | b'\t');
-        let is_token =
-            |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
         if self.method.is_empty() || !self.method.bytes().all(is_token) {
             return Err(Error::Unwritable("method"));
         }
--- a/almondlock-http/src/lib.rs
+++ b/almondlock-http/src/lib.rs
@@ -15,4 +15,5 @@
 
 pub mod client;
 pub mod response;
+mod syntax;
 pub mod upstream;
--- a/almondlock-http/src/upstream/head.rs
+++ b/almondlock-http/src/upstream/head.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::Error;
+use super::{Error, Framing};
 
 /// Maximum size of an answer's head, in bytes.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -36,34 +36,19 @@
         Some(&found.1)
     }
 
+    /// Returns the values of all headers of this name, without surrounding white space.
+    pub(super) fn all<'a>(&'a self, name: &'static str) -> impl Iterator<Item = &'a [u8]> {
+        let headers = self.headers.iter();
+        let found = headers.filter(move |(key, _)| key.eq_ignore_ascii_case(name));
+        found.map(|(_, value)| value.trim_ascii())
+    }
+
     /// Returns the value of a header as text, without surrounding white space.
     pub fn text(&self, name: &str) -> Option<&str> {
         std::str::from_utf8(self.get(name)?).ok().map(str::trim)
     }
 }
 
-/// How the end of a body is marked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Framing {
-    /// The body has this many bytes.
-    Length(u64),
-    /// The body ends with an empty chunk.
-    Chunked,
-    /// The body ends with the connection.
-    Close,
-}
-
-impl Framing {
-    /// Returns the word used in logs and metrics.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Framing::Length(_) => "length",
-            Framing::Chunked => "chunked",
-            Framing::Close => "close",
-        }
-    }
-}
-
 /// Parses a head at the start of the buffer, if it is complete. Skips interim answers, which
 /// are counted in `interim`.
 pub(super) fn parse_head(buffer: &mut BytesMut, interim: &mut u32) -> Result<Option<Head>, Error> {
@@ -118,19 +103,7 @@
         head.keep_alive = !close && head.keep_alive;
     }
     head.idle_timeout = head.text("keep-alive").and_then(parse_idle_timeout);
-    let chunked = head
-        .text("transfer-encoding")
-        .is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
-    head.framing = match (chunked, head.text("content-length")) {
-        _ if status == 204 || status == 304 => Framing::Length(0),
-        (true, None) => Framing::Chunked,
-        (true, Some(_)) => return Err(Error::Invalid("both chunked and with a content-length")),
-        (false, Some(length)) => {
-            let length = length.parse();
-            Framing::Length(length.map_err(|_| Error::Invalid("unreadable content-length"))?)
-        }
-        (false, None) => Framing::Close,
-    };
+    head.framing = Framing::of(&head, version)?;
     Ok(head)
 }
 
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -10,6 +10,7 @@
 //! none, so that only its content can tell whether it was cut.
 
 mod content;
+mod framing;
 mod head;
 mod pool;
 mod source;
@@ -26,16 +27,21 @@
 
 use self::{content::Content, head::parse_head};
 pub use self::{
-    head::{Framing, Head},
+    framing::Framing,
+    head::Head,
     pool::Pool,
     source::{Source, Whole},
 };
+use crate::syntax::is_field;
 
 /// Maximum length of a line with a chunk's size, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
+/// Maximum size of the fields after the last chunk, in bytes.
+const MAX_TRAILER_BYTES: usize = 8 * 1024;
 /// Maximum number of answers to other requests that are skipped before a connection is
-/// given up.
+/// given up, and maximum size of the body of one, in bytes.
 const MAX_FOREIGN_ANSWERS: u32 = 2;
+const MAX_FOREIGN_BYTES: usize = 8 << 20;
 /// Capacity reserved for each read, in bytes: enough for some dozens of events. Small,
 /// because there are many idle connections.
 const READ_BYTES: usize = 4 * 1024;
@@ -127,7 +133,8 @@
     ChunkHead,
     Chunk(u64),
     ChunkEnd,
-    Trailer,
+    /// With the bytes of the fields so far.
+    Trailer(usize),
     Close,
 }
 
@@ -197,7 +204,7 @@
                 "skipped an answer to another request"
             );
             self.start_body(&head);
-            while self.next_chunk().await?.is_some() {}
+            self.skip_body(MAX_FOREIGN_BYTES).await?;
             head = self.read_head().await?;
         }
         self.start_body(&head);
@@ -338,6 +345,18 @@
         }
     }
 
+    /// Reads and drops the complete body, of at most `limit` bytes.
+    pub async fn skip_body(&mut self, limit: usize) -> Result<(), Error> {
+        let mut length = 0;
+        while let Some(bytes) = self.next_chunk().await? {
+            length += bytes.len();
+            if length > limit {
+                return Err(Error::Invalid("body too long"));
+            }
+        }
+        Ok(())
+    }
+
     /// Reads the complete body, of at most `limit` bytes.
     pub async fn read_body(&mut self, limit: usize) -> Result<Bytes, Error> {
         let mut body = BytesMut::new();
@@ -407,7 +426,7 @@
                     None => return Ok(None),
                     Some(line) => {
                         self.body = match parse_chunk_size(&line)? {
-                            0 => Body::Trailer,
+                            0 => Body::Trailer(0),
                             size => Body::Chunk(size),
                         };
                     }
@@ -417,10 +436,16 @@
                     Some(line) if line.is_empty() => self.body = Body::ChunkHead,
                     Some(_) => return Err(Error::Invalid("a chunk is longer than its size")),
                 },
-                Body::Trailer => match self.take_line()? {
+                Body::Trailer(length) => match self.take_line()? {
                     None => return Ok(None),
                     Some(line) if line.is_empty() => self.body = self.finish(End::LastChunk),
-                    Some(_) => {}
+                    Some(line) if !is_field(&line) => {
+                        return Err(Error::Invalid("a line after the last chunk is no field"));
+                    }
+                    Some(line) if length + line.len() > MAX_TRAILER_BYTES => {
+                        return Err(Error::Invalid("too many fields after the last chunk"));
+                    }
+                    Some(line) => self.body = Body::Trailer(length + line.len()),
                 },
             }
         }
@@ -451,10 +476,14 @@
     }
 }
 
+/// Parses the line before a chunk: its size, and extensions, which are ignored.
 fn parse_chunk_size(line: &[u8]) -> Result<u64, Error> {
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
-    let text = std::str::from_utf8(digits).unwrap_or_default().trim();
-    u64::from_str_radix(text, 16).map_err(|_| Error::Invalid("unreadable chunk size"))
+    let digits = digits.trim_ascii_end();
+    let text = Some(digits).filter(|digits| digits.iter().all(u8::is_ascii_hexdigit));
+    let text = text.and_then(|digits| std::str::from_utf8(digits).ok());
+    let size = text.and_then(|text| u64::from_str_radix(text, 16).ok());
+    size.ok_or(Error::Invalid("unreadable chunk size"))
 }
 
 /// Returns whether an answer carries the id of another request.
