Bound events that don't end

What callers saw: 34 of 64 ordinary requests served in four seconds at an entry host, in a median of 3.2 s, while an upstream of another service sent 24 streams whose first event never ended, at 3 MB/s each.

Cause: an event is passed on once it is complete. One that wasn't was kept whatever its size, and all of it was searched for an end with each piece that arrived, so that the work grew with the square of its size. A sidecar did the same in its parser, for as long as the request's deadline.

Now an event has 256 KiB at most, and only what is new is searched, with the bytes before it that may begin an end. `whole_events` has the bound, and ends that arrive in two pieces.

--- a/almondlock-gateway/src/event.rs
+++ b/almondlock-gateway/src/event.rs
@@ -10,6 +10,9 @@
 /// Start of the line with an event's number.
 const ID_PREFIX: &[u8] = b"id:";
 
+/// Maximum size of an event, in bytes. An event holds a few tokens.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Splits bytes into complete events.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -27,8 +30,9 @@
 
     /// Adds bytes, and returns all events that they complete, in one piece.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let known = self.rest.len();
         self.rest.extend_from_slice(bytes);
-        let end = end_of_events(&self.rest)?;
+        let end = end_of_events(&self.rest, known)?;
         let whole = self.rest.split_to(end).freeze();
         if let Some(last) = last_number(&whole) {
             self.last = Some(last);
@@ -46,6 +50,11 @@
         self.rest.len()
     }
 
+    /// Returns whether the event that isn't complete is longer than any can be.
+    pub fn is_overlong(&self) -> bool {
+        self.rest.len() > MAX_EVENT_BYTES
+    }
+
     /// Discards the incomplete event of a run that was interrupted.
     pub fn discard_rest(&mut self) {
         self.rest.clear();
@@ -53,13 +62,14 @@
 }
 
 /// Returns where the last complete event ends: behind an empty line. Lines end with a line
-/// feed, or with a carriage return and a line feed.
-fn end_of_events(bytes: &[u8]) -> Option<usize> {
+/// feed, or with a carriage return and a line feed. No event ends within the first `known`
+/// bytes.
+fn end_of_events(bytes: &[u8], known: usize) -> Option<usize> {
     let is_end = |end: &usize| {
         let line = &bytes[..*end];
         line.ends_with(b"\n\n") || line.ends_with(b"\n\r\n")
     };
-    (1..=bytes.len()).rev().find(is_end)
+    (known + 1..=bytes.len()).rev().find(is_end)
 }
 
 /// Returns the number of the last numbered event.
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -444,6 +444,9 @@
         if let Some(events) = splitter.push(&bytes) {
             return Ok(events);
         }
+        if splitter.is_overlong() {
+            return Err(upstream::Error::Invalid("an event is too long"));
+        }
     }
     Err(connection.cut_before("the end of the first event"))
 }
--- a/almondlock-gateway/src/stream.rs
+++ b/almondlock-gateway/src/stream.rs
@@ -202,6 +202,9 @@
             if let Some(events) = self.splitter.push(&bytes) {
                 return Ok(Some(events));
             }
+            if self.splitter.is_overlong() {
+                return Err(fault(Failure::Lost, "an event is too long"));
+            }
         }
     }
 
--- a/almondlock-gateway/tests/whole_events.rs
+++ b/almondlock-gateway/tests/whole_events.rs
@@ -56,3 +56,27 @@
         assert_eq!(splitter.incomplete_bytes(), 7);
     }
 }
+
+/// Guards against an event without an end that is kept until the process has no memory.
+#[test]
+fn endless_event() {
+    let mut splitter = Splitter::new();
+    let piece = [b'x'; 4096];
+    let pieces = (0..1_000).take_while(|_| {
+        assert_eq!(splitter.push(&piece), None);
+        !splitter.is_overlong()
+    });
+    assert!(pieces.count() < 100);
+}
+
+/// Guards against an end that is missed because it arrives in two pieces.
+#[test]
+fn end_in_pieces() {
+    let mut splitter = Splitter::new();
+    assert_eq!(splitter.push(b"id: 1\r\ndata: a\r\n\r"), None);
+    assert!(splitter.push(b"\nid: 2").is_some());
+    assert_eq!(splitter.last_id(), Some(1));
+    assert_eq!(splitter.push(b"\ndata: b\n"), None);
+    assert!(splitter.push(b"\n").is_some());
+    assert_eq!(splitter.incomplete_bytes(), 0);
+}
--- a/almondlock-sidecar/src/openai.rs
+++ b/almondlock-sidecar/src/openai.rs
@@ -37,6 +37,10 @@
 /// Maximum size of an error's body, in bytes.
 const MAX_ERROR_BYTES: usize = 64 * 1024;
 
+/// Maximum size of an event of an answer, in bytes. The parser holds an event until it is
+/// complete.
+const MAX_EVENT_BYTES: usize = 256 * 1024;
+
 /// Maximum size of the answer to a control request, in bytes.
 const MAX_CONTROL_BYTES: usize = 4 << 20;
 
@@ -211,6 +215,32 @@
     }
 }
 
+/// Measures the event of which the end has not arrived.
+#[derive(Debug, Default)]
+struct Incomplete {
+    bytes: usize,
+    /// Line ends after the last byte of another kind. An event ends with two.
+    line_ends: usize,
+}
+
+impl Incomplete {
+    /// Takes in the next bytes. Returns whether the event may go on.
+    fn push(&mut self, bytes: &[u8]) -> bool {
+        for byte in bytes {
+            self.bytes += 1;
+            match byte {
+                b'\n' => self.line_ends += 1,
+                b'\r' => {}
+                _ => self.line_ends = 0,
+            }
+            if self.line_ends >= 2 {
+                self.bytes = 0;
+            }
+        }
+        self.bytes <= MAX_EVENT_BYTES
+    }
+}
+
 /// Streams an answer to the output, and returns its usage if it is complete.
 async fn relay_answer<O>(answer: Answer<'_>, output: &mut O) -> Result<Usage, Failure>
 where
@@ -224,9 +254,20 @@
         .put(0, begin)
         .await
         .map_err(|_| Failure::OutputClosed)?;
-    let chunks = stream::unfold(answer, async |mut answer| {
+    let state = (answer, Incomplete::default());
+    let chunks = stream::unfold(state, async |(mut answer, mut incomplete)| {
         let chunk = answer.next().await?;
-        Some((chunk, answer))
+        let chunk = chunk.and_then(|bytes| match incomplete.push(&bytes) {
+            true => Ok(bytes),
+            false => {
+                tracing::warn!(
+                    bytes = incomplete.bytes,
+                    "an event of the engine is too long"
+                );
+                Err(Failure::Broken)
+            }
+        });
+        Some((chunk, (answer, incomplete)))
     });
     let mut events = Box::pin(chunks).eventsource();
     let mut accumulator = Accumulator::default();
