Take memory for answers from one budget

What callers saw: an entry host with 160 MB that ended, 52 of 63 ordinary requests served, while an upstream sent bodies without an end to 24 callers of a plain route.

Cause: an answer that isn't a stream is collected before it is passed on. Each was bounded at 8 MiB, all together were not.

Now their bodies take memory from a budget like that of callers' bodies, an eighth of the host's memory (`answer_memory`), given back with the value that holds them. An answer that is alone gets what it needs; small ones go first. The body goes to the caller without another copy.

`unruly_upstreams` plays the ten kinds against an entry host of the gateway role and against a sidecar.

--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -179,6 +179,7 @@
     tracing::info!(body_memory, reading_memory, "limits for publications");
     Intake {
         bodies: Bodies::new(bodies::Config {
+            name: "publications",
             capacity: body_memory,
             pieces: directory.body_pieces,
             discard_time: directory.discard_time,
--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -4,7 +4,6 @@
     budget,
     server::{self, Bounds, Config, Features, Server},
 };
-use almondlock_intake::host::Limits;
 use almondlock_node::Handle;
 use almondlock_platform::header::Dialect;
 use almondlock_policy::budget::Bound;
@@ -40,6 +39,11 @@
         fair_shares: role.shares,
         observed_pace: role.observed_pace,
     };
+    let mut intake = limits(&settings.host, &role.intake);
+    intake.ready_connections = role.ready_connections;
+    if let Some(answer_memory) = role.answer_memory {
+        intake.answers.capacity = answer_memory;
+    }
     let config = Config {
         listen: role.listen,
         ready: role.ready,
@@ -47,10 +51,7 @@
         relays: role.exchange.clone(),
         domain: settings.host.domain.clone(),
         bounds,
-        intake: Limits {
-            ready_connections: role.ready_connections,
-            ..limits(&settings.host, &role.intake)
-        },
+        intake,
         features,
         seed,
         notice: role.notice(),
--- a/almondlock-gateway/src/attempt.rs
+++ b/almondlock-gateway/src/attempt.rs
@@ -388,7 +388,8 @@
             &format!("status {status} without the statement that the request did not run"),
         ));
     }
-    let answer = read_answer(&mut run.connection, &run.head).await;
+    let answer = worker.read_answer(&mut run.connection, &run.head, MAX_BODY_BYTES);
+    let answer = answer.await;
     let answer = answer.map_err(|error| Fault::from_error(&error, &run.upstream))?;
     let mut fault = fault(Failure::Answered, &format!("status {status}"));
     fault.answer = Some(answer);
@@ -396,19 +397,6 @@
     Err(fault)
 }
 
-/// Reads the complete body of an answer that is not passed on as a stream.
-pub(crate) async fn read_answer(
-    connection: &mut Connection,
-    head: &Head,
-) -> Result<Response, upstream::Error> {
-    let body = connection.read_body(MAX_BODY_BYTES).await?;
-    Ok(Response {
-        head: head.clone(),
-        body,
-        end: connection.end(),
-    })
-}
-
 /// Returns the sum of running and waiting requests from `running,waiting,slots`.
 fn parse_load(load: &str) -> Option<u32> {
     let mut parts = load.split(',').map(|part| part.trim().parse::<u32>());
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -25,7 +25,7 @@
 use tokio::time::timeout;
 
 use crate::{
-    attempt::{Fault, Run, attempt, read_answer, return_to_pool, wait_or_give_up},
+    attempt::{Fault, MAX_BODY_BYTES, Run, attempt, return_to_pool, wait_or_give_up},
     budget::Reservation,
     dialect::Dialect,
     event::Splitter,
@@ -130,7 +130,9 @@
 /// A complete answer of an upstream.
 pub(crate) struct Response {
     pub(crate) head: Head,
-    pub(crate) body: Bytes,
+    pub(crate) body: ntex::util::Bytes,
+    /// The memory that the body takes. Kept for as long as `body`.
+    pub(crate) _hold: Option<Hold>,
     /// How the end of the body was recognised.
     pub(crate) end: Option<End>,
 }
@@ -381,7 +383,8 @@
     D: Dialect,
 {
     let left = request.time_left(clock::mono());
-    let response = match timeout(left, read_answer(&mut run.connection, &run.head)).await {
+    let reading = worker.read_answer(&mut run.connection, &run.head, MAX_BODY_BYTES);
+    let response = match timeout(left, reading).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return Err(Fault::from_error(&error, &run.upstream)),
         Err(_) => {
--- a/almondlock-gateway/src/response.rs
+++ b/almondlock-gateway/src/response.rs
@@ -4,7 +4,6 @@
 use almondlock_node::clock;
 use ntex::{
     http::StatusCode,
-    util::Bytes,
     web::{HttpResponse, HttpResponseBuilder},
 };
 
@@ -73,8 +72,7 @@
         end = end_text(answer.end), body_bytes = answer.body.len(),
         spent_ms = spent.as_millis(), "ended"
     );
-    let body = Bytes::copy_from_slice(&answer.body);
-    start_response(&answer.head).body(body)
+    start_response(&answer.head).body(answer.body)
 }
 
 /// Answers a request that ends without an upstream's answer.
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -32,7 +32,9 @@
     accept::{accept, log_id},
     budget,
     dialect::Dialect,
-    exchange, follow, lease,
+    exchange, follow,
+    intake::Intake,
+    lease,
     request::{self, Answer, Refusal, Request},
     response::{complete_response, refusal_response, start_response},
     shared::Shared,
@@ -200,7 +202,10 @@
     let config = config.clone();
     let listener = listen::bind(config.listen)?;
     let shared = Arc::clone(shared);
-    let bodies = Bodies::new(config.intake.bodies);
+    let intake = Intake {
+        bodies: Bodies::new(config.intake.bodies),
+        answers: Bodies::new(config.intake.answers),
+    };
     let settings = listener::Config {
         name: "callers",
         // One thread, because the tables of loads and connections belong to a thread, and a
@@ -222,7 +227,7 @@
         let worker = Rc::new(Worker::new(
             dialect.clone(),
             node.clone(),
-            (Arc::clone(&shared), Arc::clone(&bodies), connections),
+            (Arc::clone(&shared), intake.clone(), connections),
             (config.domain.clone(), config.seed),
             (config.bounds, config.features),
             rng,
--- a/almondlock-gateway/src/worker.rs
+++ b/almondlock-gateway/src/worker.rs
@@ -35,6 +35,7 @@
 use crate::{
     budget::{self, Budgets},
     dialect::Dialect,
+    intake::Intake,
     lease::Ended,
     load::{self, Key},
     pace::Pacing,
@@ -91,6 +92,8 @@
     pub(crate) shared: Arc<Shared>,
     /// Memory for the bodies of all requests of the process.
     pub(crate) bodies: Arc<Bodies>,
+    /// Memory for the bodies of answers that aren't streams.
+    pub(crate) answers: Arc<Bodies>,
     /// Connections of callers to this thread.
     pub(crate) connections: Connections,
     pub(crate) domain: Domain,
@@ -168,7 +171,7 @@
     pub(crate) fn new(
         dialect: D,
         node: Handle,
-        (shared, bodies, connections): (Arc<Shared>, Arc<Bodies>, Connections),
+        (shared, intake, connections): (Arc<Shared>, Intake, Connections),
         (domain, host_number): (Domain, u64),
         (bounds, features): (Bounds, Features),
         rng: SmallRng,
@@ -178,7 +181,8 @@
             dialect,
             node,
             shared,
-            bodies,
+            bodies: intake.bodies,
+            answers: intake.answers,
             connections,
             domain,
             host_number,
--- a/almondlock-intake/src/bodies.rs
+++ b/almondlock-intake/src/bodies.rs
@@ -1,7 +1,9 @@
-//! Reading bodies within one budget for the process.
+//! Reading bodies within one budget for the process: those of requests, and those of answers
+//! that are collected before they are passed on.
 
 use std::{
     collections::HashMap,
+    future::Future,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -30,7 +32,9 @@
 /// Settings of a budget.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Config {
-    /// Bytes that the bodies of all requests may take.
+    /// What the bodies belong to, for logs.
+    pub name: &'static str,
+    /// Bytes that all bodies may take.
     pub capacity: u64,
     /// Pieces that a body may come in, besides one for each 16 bytes. A piece costs the same
     /// work whatever its size.
@@ -41,9 +45,11 @@
 }
 
 impl Config {
-    /// Returns a budget of `capacity` bytes, with the other settings at their defaults.
+    /// Returns a budget of `capacity` bytes for the bodies of requests, with the other
+    /// settings at their defaults.
     pub const fn new(capacity: u64) -> Config {
         Config {
+            name: "requests",
             capacity,
             pieces: 4096,
             discard_time: Duration::from_secs(2),
@@ -130,6 +136,39 @@
     }
 }
 
+/// Supplies a body in pieces.
+pub trait Source {
+    /// A piece of the body.
+    type Piece: AsRef<[u8]>;
+    /// Why the body can't be completed.
+    type Error;
+
+    /// Returns the next piece, or `None` at the end.
+    fn next(&mut self) -> impl Future<Output = Option<Result<Self::Piece, Self::Error>>>;
+}
+
+/// Why a body was not collected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed<E> {
+    /// Its source failed.
+    Source(E),
+    /// It doesn't keep to its bounds, or there is no memory for it.
+    Body(Error),
+}
+
+/// The body of a request.
+struct Incoming<'a>(&'a mut Payload);
+
+impl Source for Incoming<'_> {
+    type Piece = Bytes;
+    type Error = ();
+
+    async fn next(&mut self) -> Option<Result<Bytes, ()>> {
+        let chunk = self.0.recv().await;
+        chunk.map(|chunk| chunk.map_err(|_| ()))
+    }
+}
+
 /// Bounds of one body.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Bounds {
@@ -188,54 +227,68 @@
             return Err(Error::TooLarge);
         }
         let limit = announced.unwrap_or(bounds.largest);
-        match timeout(bounds.time, self.gather(payload, limit)).await {
-            Ok(received) => received,
+        let mut source = Incoming(payload);
+        match timeout(bounds.time, self.collect(&mut source, limit)).await {
+            Ok(received) => received.map_err(|failed| match failed {
+                Failed::Source(()) => Error::Broken,
+                Failed::Body(error) => error,
+            }),
             Err(_) => Err(Error::Late),
         }
     }
 
-    /// Reads a body of up to `limit` bytes.
-    async fn gather(
+    /// Reads a body of up to `limit` bytes from its source. The hold has to be kept as long as
+    /// the body is.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the body can't be used. What was read of it is dropped.
+    pub async fn collect<S>(
         self: &Arc<Self>,
-        payload: &mut Payload,
+        source: &mut S,
         limit: usize,
-    ) -> Result<(Bytes, Option<Hold>), Error> {
+    ) -> Result<(Bytes, Option<Hold>), Failed<S::Error>>
+    where
+        S: Source,
+    {
         let mut buffer = BytesMut::new();
         let mut hold: Option<Hold> = None;
         let mut pieces = Pieces::new(self.config.pieces);
         loop {
             let chunk = match &hold {
-                None => payload.recv().await,
+                None => source.next().await,
                 Some(hold) => tokio::select! {
                     biased;
-                    () = hold.notice.notified() => return Err(Error::Shortage),
-                    chunk = payload.recv() => chunk,
+                    () = hold.notice.notified() => return Err(Failed::Body(Error::Shortage)),
+                    chunk = source.next() => chunk,
                 },
             };
             let Some(chunk) = chunk else {
                 break;
             };
-            let chunk = chunk.map_err(|_| Error::Broken)?;
+            let chunk = chunk.map_err(Failed::Source)?;
+            let chunk = chunk.as_ref();
             let length = buffer.len() + chunk.len();
             if length > limit {
-                return Err(Error::TooLarge);
+                return Err(Failed::Body(Error::TooLarge));
             }
             if !pieces.add(chunk.len()) {
-                self.lock().note_pieces(&pieces, clock::mono());
-                return Err(Error::Pieces);
+                let mut inner = self.lock();
+                inner.note_pieces(self.config.name, &pieces, clock::mono());
+                return Err(Failed::Body(Error::Pieces));
             }
             let hold = hold.get_or_insert_with(|| self.enter());
             if length > hold.bytes {
                 let capacity = length.next_power_of_two().max(FIRST_CAPACITY).min(limit);
-                hold.grow(capacity)?;
+                hold.grow(capacity).map_err(Failed::Body)?;
                 let mut grown = BytesMut::with_capacity(capacity);
                 grown.extend_from_slice(&buffer);
                 buffer = grown;
             }
-            buffer.extend_from_slice(&chunk);
+            buffer.extend_from_slice(chunk);
         }
         match hold {
-            Some(hold) if !hold.complete() => Err(Error::Shortage),
+            Some(hold) if !hold.complete() => Err(Failed::Body(Error::Shortage)),
             hold => Ok((buffer.freeze(), hold)),
         }
     }
@@ -261,7 +314,8 @@
                 .await
                 .unwrap_or(false)
             {
-                bodies.lock().note_unread(&pieces, clock::mono());
+                let mut inner = bodies.lock();
+                inner.note_unread(bodies.config.name, &pieces, clock::mono());
             }
         });
     }
@@ -285,7 +339,7 @@
 }
 
 impl Inner {
-    fn grow(&mut self, key: Key, bytes: usize, now: Mono) -> bool {
+    fn grow(&mut self, name: &str, key: Key, bytes: usize, now: Mono) -> bool {
         let decision = self.ledger.grow(key, bytes as u64, now);
         for victim in &decision.cut {
             if let Some(notice) = self.notices.remove(victim) {
@@ -294,11 +348,11 @@
         }
         self.counts.cut += decision.cut.len() as u64;
         self.counts.refused += u64::from(!decision.granted);
-        self.log(&decision, bytes, now);
+        self.log(name, &decision, bytes, now);
         decision.granted
     }
 
-    fn log(&mut self, decision: &Decision, bytes: usize, now: Mono) {
+    fn log(&mut self, name: &str, decision: &Decision, bytes: usize, now: Mono) {
         if decision.granted && decision.cut.is_empty() {
             return;
         }
@@ -306,6 +360,7 @@
             return;
         };
         tracing::warn!(
+            of = name,
             bytes,
             granted = decision.granted,
             cut = decision.cut.len(),
@@ -317,19 +372,26 @@
         );
     }
 
-    fn note_pieces(&mut self, pieces: &Pieces, now: Mono) {
+    fn note_pieces(&mut self, name: &str, pieces: &Pieces, now: Mono) {
         self.counts.pieces += 1;
         if let Some(suppressed) = self.pieces.pass(now) {
             let Pieces { count, bytes, .. } = pieces;
-            tracing::warn!(count, bytes, suppressed, "a body came in too many pieces");
+            tracing::warn!(
+                of = name,
+                count,
+                bytes,
+                suppressed,
+                "a body came in too many pieces"
+            );
         }
     }
 
-    fn note_unread(&mut self, pieces: &Pieces, now: Mono) {
+    fn note_unread(&mut self, name: &str, pieces: &Pieces, now: Mono) {
         self.counts.unread += 1;
         if let Some(suppressed) = self.unread.pass(now) {
             let Pieces { count, bytes, .. } = pieces;
             tracing::warn!(
+                of = name,
                 count,
                 bytes,
                 suppressed,
@@ -351,7 +413,8 @@
 
 impl Hold {
     fn grow(&mut self, bytes: usize) -> Result<(), Error> {
-        let granted = self.bodies.lock().grow(self.key, bytes, clock::mono());
+        let mut inner = self.bodies.lock();
+        let granted = inner.grow(self.bodies.config.name, self.key, bytes, clock::mono());
         if !granted {
             return Err(Error::Shortage);
         }
@@ -397,7 +460,7 @@
     fn add(&mut self, bytes: usize) -> bool {
         self.count += 1;
         self.bytes += bytes;
-        self.count <= self.limit + self.bytes / PIECE
+        self.count <= self.limit.saturating_add(self.bytes / PIECE)
     }
 }
 
--- a/almondlock-intake/src/host.rs
+++ b/almondlock-intake/src/host.rs
@@ -23,6 +23,8 @@
 pub struct Limits {
     /// Bounds of the bodies of all requests.
     pub bodies: bodies::Config,
+    /// Bounds of the bodies of answers that are collected before they are passed on.
+    pub answers: bodies::Config,
     /// Connections that callers may hold at one time.
     pub connections: usize,
     /// Largest head of a request, in bytes.
@@ -62,6 +64,8 @@
 const OWN_SHARE: usize = 4;
 /// Part of the memory that bodies may take: one in this many.
 const BODY_SHARE: u64 = 4;
+/// Part of the memory that answers may take: one in this many.
+const ANSWER_SHARE: u64 = 8;
 /// Part of the memory that reading a text may take: one in this many.
 const READING_SHARE: u64 = 4;
 /// Part of the memory that connections may take: one in this many.
@@ -106,10 +110,18 @@
         let derived = host.connections(cost);
         Limits {
             bodies: bodies::Config {
+                name: "requests",
                 capacity: set.body_memory.unwrap_or(host.body_memory()),
                 pieces: set.body_pieces,
                 discard_time: set.discard_time,
             },
+            answers: bodies::Config {
+                name: "answers",
+                capacity: host.memory / ANSWER_SHARE,
+                // An upstream chooses the pieces that it sends.
+                pieces: usize::MAX,
+                discard_time: set.discard_time,
+            },
             connections: set.connections.map_or(derived, |set| set.min(derived)),
             head: set.head,
             socket_buffer: set.socket_buffer,
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -253,6 +253,11 @@
         "Callers' connections at one time, unless the host's memory or descriptors allow fewer: a third \
          of the memory at the cost of a head and two socket buffers each, and three quarters of the \
          descriptors. When all are taken, connections without a request are closed for new ones.").unit("count"),
+    Key::new("gateway", "answer_memory", Number(1, MIB), Optional,
+        "Memory for the bodies of upstreams' answers that aren't streams, which are passed on once they \
+         are complete. Without it, an eighth of the host's memory. An answer that finds none is a failed \
+         attempt; one that arrives for over a second, or is large while a small one needs room, gives way."
+        ).unit("MiB"),
     Key::new("gateway", "body_pieces", Number(64, 16 * MIB), Default("4096"),
         "Pieces that a body may come in, besides one for each 16 bytes. A body in more is refused as \
          unreadable: a piece costs the same work whatever its size.").unit("count"),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -189,6 +189,7 @@
         let ready = self.address(s, "ready");
         let ready_connections = self.count(s, "ready_connections");
         let intake = self.intake(s);
+        let answer_memory = self.mebibytes(s, "answer_memory");
         let slow_reader = self.millis(s, "slow_reader");
         let metrics = self.address(s, "metrics");
         let exchange = self.addresses(s, "exchange").unwrap_or_default();
@@ -214,6 +215,7 @@
             ready: ready?,
             ready_connections: ready_connections?,
             intake: intake?,
+            answer_memory,
             slow_reader: slow_reader?,
             metrics,
             exchange,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -150,6 +150,8 @@
     pub ready_connections: usize,
     /// Limits of what callers make it hold.
     pub intake: Intake,
+    /// Bytes of memory for the bodies of answers, if that is set.
+    pub answer_memory: Option<u64>,
     /// How long a part of an answer may wait for its caller to read.
     pub slow_reader: Duration,
     /// Where figures are served.
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -29,6 +29,8 @@
 pub enum Kind {
     /// Bodies of the largest size, in one piece, one after the other.
     Whole,
+    /// Small bodies, each on a connection of its own.
+    Small,
     /// Bodies of the largest size without their last byte.
     Unended,
     /// Bodies of the largest size in pieces of this many bytes.
@@ -65,6 +67,7 @@
         match self {
             Kind::Whole => whole(client).await,
             Kind::ManyFields(size) => many_fields(client, size).await,
+            Kind::Small => small(client).await,
             Kind::Unended => unended(client).await,
             Kind::Pieces(size) => pieces(client, size).await,
             Kind::Chunks(size) => chunks(client, size).await,
@@ -128,6 +131,17 @@
     }
 }
 
+async fn small(client: &mut Client) -> io::Result<()> {
+    let mut stream = client.door.connect().await?;
+    let number = client.number();
+    let body = client.door.body(number, 100);
+    let head = client.door.sized(number, body.len());
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&body).await?;
+    note_answer(client, number, &mut stream).await;
+    Ok(())
+}
+
 async fn unended(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let number = client.number();
--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -2,6 +2,7 @@
 //! the processes that they meet.
 #![allow(dead_code)]
 
+pub mod endless;
 pub mod kind;
 pub mod ordinary;
 pub mod report;
--- a/tests/fleet/gateway.rs
+++ b/tests/fleet/gateway.rs
@@ -32,29 +32,47 @@
 /// A stand-in upstream, which announces itself until it is dropped.
 pub struct Upstream {
     pub service: service::Handle,
+    _announced: Announced,
+}
+
+/// Announces an upstream until it is dropped.
+pub struct Announced {
     beating: tokio::task::JoinHandle<()>,
 }
 
-impl Drop for Upstream {
+impl Drop for Announced {
     fn drop(&mut self) {
         self.beating.abort();
     }
 }
 
 impl Fleet {
-    /// Publishes a configuration with one route, which asks for a key.
+    /// Publishes a configuration with one route of each kind, which ask for a key.
     pub async fn publish(&self) {
-        let route = |name: &str, kind| Route {
-            name: name.to_owned(),
-            kind,
-            service: SERVICE.to_owned(),
+        let routes = [("safe", Kind::Safe), ("once", Kind::Unsafe)];
+        self.publish_routes(&routes.map(|(name, kind)| (name, kind, SERVICE)))
+            .await;
+    }
+
+    /// Publishes a configuration with these routes: name, kind and service. All ask for a key.
+    pub async fn publish_routes(&self, routes: &[(&str, Kind, &str)]) {
+        let mut services: Vec<String> = Vec::new();
+        for (_, _, service) in routes {
+            if !services.iter().any(|known| known == service) {
+                services.push((*service).to_owned());
+            }
+        }
+        let routes = routes.iter().map(|(name, kind, service)| Route {
+            name: (*name).to_owned(),
+            kind: *kind,
+            service: (*service).to_owned(),
             public: false,
-        };
+        });
         let text = counterpart::publication(&Publication {
             version: 1,
             host: HOST.to_owned(),
-            routes: vec![route("safe", Kind::Safe), route("once", Kind::Unsafe)],
-            services: vec![(SERVICE.to_owned(), None)],
+            routes: routes.collect(),
+            services: services.into_iter().map(|name| (name, None)).collect(),
             cold_rate: 1_000.0,
             organisations: vec![("acme".to_owned(), vec![KEY.to_owned()])],
         });
@@ -81,8 +99,22 @@
             ..service::Config::default()
         };
         let service = Service::start(config).unwrap();
+        let announced = self.announce(name, SERVICE, (service.address(), slots));
+        Upstream {
+            _announced: announced.await,
+            service,
+        }
+    }
+
+    /// Announces an upstream at an address, with so many slots.
+    pub async fn announce(
+        &self,
+        name: &str,
+        service: &'static str,
+        (address, slots): (SocketAddr, u32),
+    ) -> Announced {
         let (client, directories) = (self.client.clone(), self.directories.clone());
-        let (name, address) = (name.to_owned(), service.address());
+        let name = name.to_owned();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
         let born = u64::try_from(born.as_millis()).unwrap();
         let acknowledged = std::rc::Rc::new(Cell::new(false));
@@ -90,7 +122,7 @@
         let beating = tokio::task::spawn_local(async move {
             for sequence in 1.. {
                 let body = counterpart::beat(&Beat {
-                    service: SERVICE,
+                    service,
                     address,
                     domain: "domain-0",
                     slots,
@@ -111,7 +143,7 @@
             }
         });
         eventually(async || acknowledged.get()).await;
-        Upstream { service, beating }
+        Announced { beating }
     }
 
     /// Starts an entry host, with more settings for `[host]`.
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -276,14 +276,29 @@
     }
 
     pub async fn sidecar(&self, name: &str, config: engine::Config) -> Sidecar {
+        let engine = Engine::start(config.clone()).unwrap();
+        let (process, announcing) = self.sidecar_of(name, engine.address(), &config).await;
+        Sidecar {
+            process,
+            engine,
+            announcing,
+        }
+    }
+
+    /// Starts the sidecar of an engine at an address, which is announced there.
+    pub async fn sidecar_of(
+        &self,
+        name: &str,
+        engine: SocketAddr,
+        config: &engine::Config,
+    ) -> (Process, tokio::task::JoinHandle<()>) {
         let announce = address();
         let host = self.host(&format!("host-{name}"), "domain-1", address());
         let text = format!("{host}[sidecar]\nannounce = {announce}\n");
         let file = self.write(&format!("host-{name}"), &text);
-        let engine = Engine::start(config.clone()).unwrap();
         let announcement = json!({
             "name": name,
-            "address": engine.address(),
+            "address": engine,
             "kind": "engine",
             "model": "almond",
             "version": "1",
@@ -307,11 +322,7 @@
             upstreams.is_some_and(|u| u.to_string().contains(name))
         };
         eventually(registered).await;
-        Sidecar {
-            process,
-            engine,
-            announcing,
-        }
+        (process, announcing)
     }
 
     /// The hops that a host's process has written so far.
--- /dev/null
+++ b/tests/unruly_upstreams.rs
@@ -0,0 +1,147 @@
+//! Upstreams whose answers never end, against the system's own processes, beside ordinary
+//! callers of other upstreams.
+//!
+//! A process must neither end nor hang, must stay within the memory of its machine, and must
+//! go on serving ordinary callers. No caller gets such an answer as a complete one.
+
+mod crowd;
+mod fleet;
+
+use std::time::Duration;
+
+use almondlock_platform::counterpart::{self, Kind as RouteKind};
+use crowd::{Door, Kind, Play, Report, endless, watch::Watched};
+use fleet::{
+    CALLER_KEY, Fleet, Limits, Process,
+    gateway::{Gateway, HOST, KEY, SERVICE},
+};
+
+/// Memory of the smallest entry host, and of a sidecar's machine.
+const ENTRY_MEMORY: u64 = 160 << 20;
+const SIDECAR_MEMORY: u64 = 192 << 20;
+/// How long each plays.
+const SPAN: Duration = Duration::from_millis(2_500);
+/// Callers at one time.
+const CALLERS: usize = 48;
+/// The service whose answers never end.
+const ENDLESS: &str = "endless";
+
+fn door(gateway: &Gateway, path: &str) -> Door {
+    Door {
+        address: gateway.callers,
+        method: "POST",
+        path: path.to_owned(),
+        headers: vec![
+            ("host", HOST.to_owned()),
+            (counterpart::KEY, KEY.to_owned()),
+            (counterpart::DEADLINE, "4000".to_owned()),
+        ],
+        around: ("", ""),
+        fields: ("", "", ""),
+    }
+}
+
+fn check(what: &str, report: &Report) {
+    report.check(what);
+    let complete = report.outcomes.iter().find(|(_, status)| *status == 200);
+    assert_eq!(complete, None, "{what}: it was taken for complete");
+}
+
+/// Guards against answers without an end that end an entry host, on plain routes and on
+/// streams.
+#[ntex::test]
+async fn entry_host() {
+    let fleet = Fleet::start().await;
+    let routes = [
+        ("once", RouteKind::Unsafe, SERVICE),
+        ("flood", RouteKind::Safe, ENDLESS),
+        ("stream", RouteKind::Stream, ENDLESS),
+    ];
+    fleet.publish_routes(&routes).await;
+    let _sound = fleet.upstream("sound", 16).await;
+    let gateway = fleet
+        .gateway("gate", "memory = 160\n", Limits::default())
+        .await;
+    for part in endless::ALL {
+        let upstream = endless::start(part);
+        let name = format!("endless-{part:?}");
+        let announced = fleet.announce(&name, ENDLESS, (upstream, 64)).await;
+        let play = Play {
+            kinds: &[(Kind::Small, CALLERS)],
+            doors: &[door(&gateway, "/flood/"), door(&gateway, "/stream/")],
+            ordinary: door(&gateway, "/once/ordinary-"),
+            watched: vec![Watched {
+                name: "entry host".to_owned(),
+                id: gateway.process.id().unwrap(),
+                memory: ENTRY_MEMORY,
+                listeners: vec![gateway.callers],
+            }],
+            span: SPAN,
+            seed: crowd::seed(),
+        };
+        let report = play.run().await;
+        check(&format!("entry host, {part:?}"), &report);
+        assert_eq!(gateway.process.status(), None, "{part:?}: it ended");
+        drop(announced);
+    }
+}
+
+/// Guards against events without an end that end a sidecar, which reads them into memory.
+#[ntex::test]
+async fn sidecar() {
+    let fleet = Fleet::start().await;
+    let config = fleet::fast();
+    for part in endless::ALL {
+        let engine = endless::start(part);
+        let name = format!("engine-{part:?}").to_lowercase();
+        let (process, announcing) = fleet.sidecar_of(&name, engine, &config).await;
+        let entry = fleet
+            .entry_with(&format!("entry-{name}"), "memory = 160\n")
+            .await;
+        let completions = Door {
+            address: entry.address,
+            method: "POST",
+            path: "/v1/completions".to_owned(),
+            headers: vec![
+                ("host", "models.example".to_owned()),
+                ("authorization", format!("Bearer {CALLER_KEY}")),
+                ("content-type", "application/json".to_owned()),
+            ],
+            around: (
+                r##"{"model":"almond","max_tokens":4,"prompt":"# "##,
+                r##""}"##,
+            ),
+            fields: ("", "", ""),
+        };
+        let watched = |name: &str, process: &Process, memory| Watched {
+            name: name.to_owned(),
+            id: process.id().unwrap(),
+            memory,
+            listeners: Vec::new(),
+        };
+        let play = Play {
+            kinds: &[(Kind::Small, CALLERS)],
+            doors: std::slice::from_ref(&completions),
+            ordinary: Door {
+                method: "GET",
+                path: "/readyz".to_owned(),
+                ..completions.clone()
+            },
+            watched: vec![
+                watched("entry host", &entry.process, ENTRY_MEMORY),
+                watched("sidecar", &process, SIDECAR_MEMORY),
+            ],
+            span: SPAN,
+            seed: crowd::seed(),
+        };
+        let report = play.run().await;
+        check(&format!("sidecar, {part:?}"), &report);
+        assert_eq!(process.status(), None, "{part:?}: the sidecar ended");
+        assert_eq!(
+            entry.process.status(),
+            None,
+            "{part:?}: the entry host ended"
+        );
+        announcing.abort();
+    }
+}
