Give large answers to callers as they read them

What callers saw: an entry host with 160 MB that ended, 33 of 114 ordinary requests served, beside callers who ask for answers of 4 MiB and don't read them, 96 at most.

Cause: the HTTP library keeps the whole body until its caller has read it, and the memory was given back to the budget for answers when the library got it. So the answers of those who don't read were bounded by the number of connections only, and nothing closed them.

Now an answer over 32 KiB is given to the library in pieces, each once the one before is nearly sent, and holds its memory until the last one. The connection counts as waiting for its caller meanwhile, so that it is closed after `slow_reader`, and after a second when another answer finds no memory.

Not tried: the same for plain services on the path with sidecars, whose answers are passed on piece by piece.

--- a/almondlock-gateway/src/intake.rs
+++ b/almondlock-gateway/src/intake.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use almondlock_intake::bodies::{Bodies, Error, Failed, Source};
+use almondlock_intake::{
+    bodies::{Bodies, Error, Failed, Source},
+    connections::GRACE,
+};
 use bytes::Bytes;
 
 use crate::{
@@ -60,13 +63,17 @@
         let collected = self.answers.collect(&mut Answer(connection), limit).await;
         let (body, hold) = collected.map_err(|failed| match failed {
             Failed::Source(error) => error,
-            Failed::Body(Error::Shortage) => upstream::Error::Invalid("no memory for the body"),
+            Failed::Body(Error::Shortage) => {
+                // Answers that wait for their callers go before those that can be delivered.
+                self.connections.close_stalled(GRACE);
+                upstream::Error::Invalid("no memory for the body")
+            }
             Failed::Body(_) => upstream::Error::Invalid("body too long"),
         })?;
         Ok(Response {
             head: head.clone(),
             body,
-            _hold: hold,
+            hold,
             end: connection.end(),
         })
     }
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod exchange;
 pub mod failure;
 mod follow;
+mod held;
 mod intake;
 mod lease;
 mod limit;
--- a/almondlock-gateway/src/request.rs
+++ b/almondlock-gateway/src/request.rs
@@ -132,7 +132,7 @@
     pub(crate) head: Head,
     pub(crate) body: ntex::util::Bytes,
     /// The memory that the body takes. Kept for as long as `body`.
-    pub(crate) _hold: Option<Hold>,
+    pub(crate) hold: Option<Hold>,
     /// How the end of the body was recognised.
     pub(crate) end: Option<End>,
 }
--- a/almondlock-gateway/src/response.rs
+++ b/almondlock-gateway/src/response.rs
@@ -1,14 +1,17 @@
 //! Responses to callers: an upstream's answer, or a refusal.
 
 use almondlock_base::time::Mono;
+use almondlock_intake::connections::Busy;
 use almondlock_node::clock;
 use ntex::{
-    http::StatusCode,
+    http::{StatusCode, body::Body},
     web::{HttpResponse, HttpResponseBuilder},
 };
 
 use crate::{
+    held,
     request::{Refusal, Response},
+    shared::Active,
     upstream::{End, Framing, Head},
     worker::Worker,
 };
@@ -58,6 +61,7 @@
     id: &str,
     answer: Response,
     arrived: Mono,
+    (active, busy): (Active, Busy),
 ) -> HttpResponse {
     let spent = clock::mono().since(arrived);
     let status = answer.head.status;
@@ -72,7 +76,12 @@
         end = end_text(answer.end), body_bytes = answer.body.len(),
         spent_ms = spent.as_millis(), "ended"
     );
-    start_response(&answer.head).body(answer.body)
+    let mut builder = start_response(&answer.head);
+    if answer.body.len() <= held::PIECE_BYTES {
+        return builder.body(answer.body);
+    }
+    let body = held::Body::new(answer.body, answer.hold, active, busy);
+    builder.body(Body::from_message(body))
 }
 
 /// Answers a request that ends without an upstream's answer.
--- a/almondlock-gateway/src/server.rs
+++ b/almondlock-gateway/src/server.rs
@@ -421,7 +421,9 @@
         }
     };
     let mut response = match result {
-        Ok(Answer::Complete(answer)) => complete_response(&worker, &id, answer, arrived),
+        Ok(Answer::Complete(answer)) => {
+            complete_response(&worker, &id, answer, arrived, (active, busy))
+        }
         Ok(Answer::Stream(stream)) => {
             let mut builder = start_response(&stream.head);
             let delimiter = Delimiter::of(&incoming);
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -273,7 +273,7 @@
         "A connection on which this many requests in a row had another one behind them is closed after \
          an answer. Callers that wait for each answer never have one.").unit("count"),
     Key::new("gateway", "slow_reader", Number(1_000, HOUR), Default("30000"),
-        "How long a part of a streamed answer may wait for its caller to read what was sent before; then \
+        "How long a part of a streamed or large answer may wait for its caller to read what was sent before; then \
          the connection is closed, and its upstream is free again.").unit("ms"),
     Key::new("gateway", "metrics", Listen, Optional,
         "Where counters and latency histograms are served as text: `GET /metrics`."),
--- a/tests/crowd/endless.rs
+++ b/tests/crowd/endless.rs
@@ -1,4 +1,4 @@
-//! Upstreams whose answers never end.
+//! Upstreams whose answers never end, or are large.
 
 use std::{
     io::{Read, Write},
@@ -32,9 +32,11 @@
     Failure,
     /// An answer to another request.
     Foreign,
+    /// Nothing: a complete answer of [`LARGE`] bytes.
+    Nothing,
 }
 
-/// All of them.
+/// All that have no end.
 pub const ALL: [Part; 10] = [
     Part::Noise,
     Part::Head,
@@ -48,6 +50,8 @@
     Part::Foreign,
 ];
 
+/// Size of a complete answer's body.
+pub const LARGE: usize = 4 << 20;
 /// Bytes that are written at once.
 const PIECE: usize = 64 * 1024;
 /// Pause between two writes on a connection, so that all of them together take no more than
@@ -89,6 +93,13 @@
             }
             Part::Failure => (head("500 Oops", id, CHUNKED), chunk),
             Part::Foreign => (head("200 OK", "another", CHUNKED), chunk),
+            Part::Nothing => {
+                let fields = format!("content-length: {LARGE}\r\n");
+                (
+                    head("200 OK", id, &fields) + &"x".repeat(LARGE),
+                    String::new(),
+                )
+            }
         }
     }
 }
@@ -122,10 +133,20 @@
             }
             continue;
         }
+        let length = head
+            .lines()
+            .find_map(|line| line.strip_prefix("content-length: "));
+        let mut body = vec![0; length.map_or(0, |text| text.parse().unwrap())];
+        if stream.read_exact(&mut body).is_err() {
+            return;
+        }
         let mut lines = head.lines().filter_map(|line| line.split_once(": "));
         let id = lines.find(|(name, _)| name.eq_ignore_ascii_case(counterpart::REQUEST_ID));
         let (start, more) = part.answer(id.map_or("", |(_, id)| id));
         let mut written = stream.write_all(start.as_bytes());
+        if part == Part::Nothing && written.is_ok() {
+            continue;
+        }
         while written.is_ok() {
             thread::sleep(PAUSE);
             written = stream.write_all(more.as_bytes());
@@ -134,7 +155,7 @@
     }
 }
 
-/// Reads the head of a request. What it has of a body stays unread.
+/// Reads the head of a request.
 fn read_head(stream: &mut TcpStream) -> Option<String> {
     let mut head = Vec::new();
     let mut byte = [0];
--- a/tests/crowd/kind.rs
+++ b/tests/crowd/kind.rs
@@ -59,6 +59,8 @@
     Halfway,
     /// Reads answers a byte at a time.
     SlowReader,
+    /// Sends a small body and doesn't read the answer.
+    Deaf,
 }
 
 impl Kind {
@@ -81,6 +83,7 @@
             Kind::Silent => silent(client).await,
             Kind::Halfway => halfway(client).await,
             Kind::SlowReader => slow_reader(client).await,
+            Kind::Deaf => deaf(client).await,
         }
     }
 }
@@ -131,6 +134,19 @@
     }
 }
 
+async fn deaf(client: &mut Client) -> io::Result<()> {
+    // Spread, so that the answers of most of them find memory.
+    let pause = client.rng.random_range(0..3_000);
+    sleep(Duration::from_millis(pause)).await;
+    let mut stream = client.door.connect_deaf().await?;
+    let number = client.number();
+    let body = client.door.body(number, 100);
+    let head = client.door.sized(number, body.len());
+    stream.write_all(head.as_bytes()).await?;
+    stream.write_all(&body).await?;
+    std::future::pending().await
+}
+
 async fn small(client: &mut Client) -> io::Result<()> {
     let mut stream = client.door.connect().await?;
     let number = client.number();
--- a/tests/unruly_upstreams.rs
+++ b/tests/unruly_upstreams.rs
@@ -10,17 +10,20 @@
 use std::time::Duration;
 
 use almondlock_platform::counterpart::{self, Kind as RouteKind};
-use crowd::{Door, Kind, Play, Report, endless, watch::Watched};
+use crowd::{Door, Kind, Play, Report, endless, watch::Watched, wire::read_answer};
 use fleet::{
     CALLER_KEY, Fleet, Limits, Process,
     gateway::{Gateway, HOST, KEY, SERVICE},
 };
+use tokio::io::AsyncWriteExt;
 
 /// Memory of the smallest entry host, and of a sidecar's machine.
 const ENTRY_MEMORY: u64 = 160 << 20;
 const SIDECAR_MEMORY: u64 = 192 << 20;
 /// How long each plays.
 const SPAN: Duration = Duration::from_millis(2_500);
+/// How long a request may take in calm.
+const CALM: Duration = Duration::from_secs(4);
 /// Callers at one time.
 const CALLERS: usize = 48;
 /// The service whose answers never end.
@@ -86,6 +89,54 @@
     }
 }
 
+/// Guards against answers that their callers don't read, which take memory until the
+/// connection ends.
+#[ntex::test]
+async fn unread_answers() {
+    let fleet = Fleet::start().await;
+    let routes = [
+        ("once", RouteKind::Unsafe, SERVICE),
+        ("flood", RouteKind::Safe, ENDLESS),
+    ];
+    fleet.publish_routes(&routes).await;
+    let _sound = fleet.upstream("sound", 16).await;
+    let gateway = fleet
+        .gateway("gate", "memory = 160\n", Limits::default())
+        .await;
+    let large = endless::start(endless::Part::Nothing);
+    let _announced = fleet.announce("large", ENDLESS, (large, 64)).await;
+    let flood = door(&gateway, "/flood/");
+    fleet::eventually(async || reads_large(&flood).await).await;
+    let play = Play {
+        kinds: &[(Kind::Deaf, 2 * CALLERS)],
+        doors: std::slice::from_ref(&flood),
+        ordinary: door(&gateway, "/once/ordinary-"),
+        watched: vec![Watched {
+            name: "entry host".to_owned(),
+            id: gateway.process.id().unwrap(),
+            memory: ENTRY_MEMORY,
+            listeners: vec![gateway.callers],
+        }],
+        span: 2 * SPAN,
+        seed: crowd::seed(),
+    };
+    play.run().await.check("unread answers");
+    assert_eq!(gateway.process.status(), None, "it ended");
+    assert!(reads_large(&flood).await, "not served in calm");
+}
+
+/// Whether a caller that reads gets a large answer.
+async fn reads_large(door: &Door) -> bool {
+    let sent = async {
+        let mut stream = door.connect().await.ok()?;
+        let request = door.sized(0, 0);
+        stream.write_all(request.as_bytes()).await.ok()?;
+        read_answer(&mut stream).await
+    };
+    let answer = tokio::time::timeout(CALM, sent).await.ok().flatten();
+    answer.is_some_and(|a| a.status == 200 && a.body.len() == endless::LARGE)
+}
+
 /// Guards against events without an end that end a sidecar, which reads them into memory.
 #[ntex::test]
 async fn sidecar() {
