Bound answers that are collected on the path with sidecars

What callers saw: nothing yet. A service's answer to a caller that speaks HTTP/1.0 is collected before it is passed on, up to 8 MiB each, and the library kept it until the caller had read it; nothing bounded all of them.

Now they share `answer_memory` of `[entry]`, an eighth of the host's memory, and are given to the library as their callers read them, like those of the gateway role; what does this moved to `almondlock_intake::held`. When one finds no memory, connections whose caller has not read for a second are closed. The figures are sent as `answer_bodies.WHAT`.

Evidence: found in reading, after the gateway role's.

--- a/almondlock-daemon/src/roles/gateway.rs
+++ b/almondlock-daemon/src/roles/gateway.rs
@@ -41,9 +41,6 @@
     };
     let mut intake = limits(&settings.host, &role.intake);
     intake.ready_connections = role.ready_connections;
-    if let Some(answer_memory) = role.answer_memory {
-        intake.answers.capacity = answer_memory;
-    }
     let config = Config {
         listen: role.listen,
         ready: role.ready,
--- a/almondlock-daemon/src/roles/intake.rs
+++ b/almondlock-daemon/src/roles/intake.rs
@@ -7,6 +7,7 @@
 pub(crate) fn limits(host: &settings::Host, intake: &Intake) -> Limits {
     let set = Set {
         body_memory: intake.body_memory,
+        answer_memory: intake.answer_memory,
         connections: intake.connections,
         head: intake.head_bytes,
         socket_buffer: intake.socket_buffer,
--- a/almondlock-entry/src/http.rs
+++ b/almondlock-entry/src/http.rs
@@ -344,7 +344,7 @@
     };
     match Running::start(Rc::clone(&worker), request, arrival).await {
         Err(failure) => refuse(&worker, &failure, &id),
-        Ok(running) => running.into_bytes(&http, &id).await,
+        Ok(running) => running.into_bytes(&worker, &http, &id).await,
     }
 }
 
--- a/almondlock-entry/src/life.rs
+++ b/almondlock-entry/src/life.rs
@@ -98,6 +98,9 @@
         for (what, level) in self.shared.bodies.usage().levels() {
             metrics.caller_bodies(what, level);
         }
+        for (what, level) in self.shared.answers.usage().levels() {
+            metrics.answer_bodies(what, level);
+        }
         for (what, level) in self.connections.usage().levels() {
             metrics.caller_connections(what, level);
         }
--- a/almondlock-entry/src/running.rs
+++ b/almondlock-entry/src/running.rs
@@ -8,7 +8,11 @@
 
 use almondlock_base::{Code, Ran};
 use almondlock_http::response::Delimiter;
-use almondlock_intake::connections::Busy;
+use almondlock_intake::{
+    bodies::{self, Failed, Source},
+    connections::{Busy, GRACE},
+    held,
+};
 use almondlock_node::clock;
 use almondlock_wire::answer::Usage;
 use futures::stream;
@@ -44,7 +48,7 @@
     // Ends the life when the caller leaves.
     _task: Task,
     // Keeps the caller's connection from being closed for another one.
-    _busy: Busy,
+    busy: Busy,
 }
 
 struct Task(JoinHandle<()>);
@@ -101,7 +105,7 @@
             pieces,
             end,
             _task: Task(task),
-            _busy: busy,
+            busy,
         };
         running.first = running.pieces.recv().await;
         match running.first {
@@ -177,7 +181,12 @@
     /// A service's answer. One that fails is broken off: its missing last chunk
     /// tells the caller. A caller that knows no chunks gets the whole answer
     /// with its length, since the end of its connection would tell it nothing.
-    pub(crate) async fn into_bytes(mut self, http: &HttpRequest, id: &str) -> HttpResponse {
+    pub(crate) async fn into_bytes(
+        mut self,
+        worker: &Worker,
+        http: &HttpRequest,
+        id: &str,
+    ) -> HttpResponse {
         let (status, content_type) = match self.first.take() {
             Some(Piece::Begin(status, content_type)) => (status, content_type),
             _ => return Failure::new(Code::StreamBroken).to_response(id),
@@ -189,9 +198,10 @@
             .content_type(content_type);
         let delimiter = Delimiter::of(http);
         if let Delimiter::Connection { .. } = delimiter {
-            return match self.collect().await {
-                Ok(body) => response.body(body),
-                Err(failure) => failure.to_response(id),
+            let answers = &worker.shared.answers;
+            return match answers.collect(&mut self, MAX_COLLECTED_BYTES).await {
+                Ok((body, hold)) => response.body(held::body(body, hold, self.busy, ())),
+                Err(failed) => uncollected(worker, failed).to_response(id),
             };
         }
         let state = (Some(self), delimiter, id.to_owned());
@@ -216,25 +226,39 @@
         });
         response.streaming(Box::pin(bytes))
     }
+}
 
-    /// Reads a service's whole answer.
-    async fn collect(mut self) -> Result<Bytes, Failure> {
-        let mut body = BytesMut::new();
+/// The pieces of a service's answer.
+impl Source for Running {
+    type Piece = Vec<u8>;
+    type Error = Failure;
+
+    async fn next(&mut self) -> Option<Result<Vec<u8>, Failure>> {
         loop {
-            match self.next().await {
-                Some(Piece::Bytes(bytes)) => body.extend_from_slice(&bytes),
-                Some(Piece::End(_)) => return Ok(body.freeze()),
+            match Running::next(self).await {
+                Some(Piece::Bytes(bytes)) => return Some(Ok(bytes)),
+                Some(Piece::End(_)) => return None,
                 Some(_) => {}
-                None => return Err(self.failure().await),
-            }
-            if body.len() > MAX_COLLECTED_BYTES {
-                let text = format!("the answer is larger than {MAX_COLLECTED_BYTES} bytes");
-                return Err(Failure::with_message(Code::UpstreamFailed, text));
+                None => return Some(Err(self.failure().await)),
             }
         }
     }
 }
 
+/// Returns the failure of an answer that was not collected. It may have run.
+fn uncollected(worker: &Worker, failed: Failed<Failure>) -> Failure {
+    let text = match failed {
+        Failed::Source(failure) => return failure,
+        Failed::Body(bodies::Error::Shortage) => {
+            // Answers that wait for their callers go before those that can be delivered.
+            worker.connections.close_stalled(GRACE);
+            "there is no memory for the answer now".to_owned()
+        }
+        Failed::Body(_) => format!("the answer is larger than {MAX_COLLECTED_BYTES} bytes"),
+    };
+    Failure::with_message(Code::UpstreamFailed, text)
+}
+
 fn concat(parts: Vec<Bytes>) -> Bytes {
     let mut all = BytesMut::new();
     parts.iter().for_each(|part| all.extend_from_slice(part));
--- a/almondlock-entry/src/shared.rs
+++ b/almondlock-entry/src/shared.rs
@@ -164,6 +164,8 @@
     pub metrics: Metrics,
     /// Memory for the bodies of all requests.
     pub bodies: Arc<Bodies>,
+    /// Memory for the bodies of answers that are collected.
+    pub answers: Arc<Bodies>,
     home: Origin,
     directory: RwLock<Arc<Directory>>,
     limits: Mutex<Limiter>,
@@ -202,6 +204,7 @@
             lengths: Mutex::default(),
             watch: Mutex::new(Watch::new(poison::Config::default())),
             bodies: Bodies::new(config.intake.bodies),
+            answers: Bodies::new(config.intake.answers),
             config,
             handle,
             metrics,
--- a/almondlock-gateway/src/lib.rs
+++ b/almondlock-gateway/src/lib.rs
@@ -55,7 +55,6 @@
 pub mod exchange;
 pub mod failure;
 mod follow;
-mod held;
 mod intake;
 mod lease;
 mod limit;
--- a/almondlock-gateway/src/response.rs
+++ b/almondlock-gateway/src/response.rs
@@ -1,15 +1,14 @@
 //! Responses to callers: an upstream's answer, or a refusal.
 
 use almondlock_base::time::Mono;
-use almondlock_intake::connections::Busy;
+use almondlock_intake::{connections::Busy, held};
 use almondlock_node::clock;
 use ntex::{
-    http::{StatusCode, body::Body},
+    http::StatusCode,
     web::{HttpResponse, HttpResponseBuilder},
 };
 
 use crate::{
-    held,
     request::{Refusal, Response},
     shared::Active,
     upstream::{End, Framing, Head},
@@ -76,12 +75,8 @@
         end = end_text(answer.end), body_bytes = answer.body.len(),
         spent_ms = spent.as_millis(), "ended"
     );
-    let mut builder = start_response(&answer.head);
-    if answer.body.len() <= held::PIECE_BYTES {
-        return builder.body(answer.body);
-    }
-    let body = held::Body::new(answer.body, answer.hold, active, busy);
-    builder.body(Body::from_message(body))
+    let body = held::body(answer.body, answer.hold, busy, active);
+    start_response(&answer.head).body(body)
 }
 
 /// Answers a request that ends without an upstream's answer.
--- a/almondlock-gateway/src/held.rs
+++ b/almondlock-intake/src/held.rs
@@ -1,4 +1,4 @@
-//! The body of a complete answer on its way to the caller.
+//! A body that was collected, on its way to the caller.
 //!
 //! The HTTP library keeps what it is given until its caller has read it. So a large body is
 //! given to it in pieces, each once the ones before are nearly sent, and its memory is given
@@ -10,43 +10,51 @@
     task::{Context, Poll},
 };
 
-use almondlock_intake::{bodies::Hold, connections::Busy};
 use ntex::{
-    http::body::{BodySize, MessageBody},
+    http::body::{self, BodySize, MessageBody},
     util::Bytes,
 };
 
-use crate::shared::Active;
+use crate::{bodies::Hold, connections::Busy};
 
 /// Size of a piece, in bytes. Smaller bodies are given to the library at once.
-pub(crate) const PIECE_BYTES: usize = 32 * 1024;
+const PIECE_BYTES: usize = 32 * 1024;
 
 /// A body of which a part waits until the caller has read what was sent before.
-pub(crate) struct Body {
+struct Body<G> {
     /// Bytes of all of it.
     length: u64,
     /// What is left.
     rest: Bytes,
     /// The memory of all of it.
     _hold: Option<Hold>,
-    /// Counts the request as active until the body was sent.
-    _active: Active,
     busy: Busy,
+    /// Dropped once the body was sent.
+    _guard: G,
 }
 
-impl Body {
-    pub(crate) fn new(body: Bytes, hold: Option<Hold>, active: Active, busy: Busy) -> Body {
-        Body {
-            length: body.len() as u64,
-            rest: body,
-            _hold: hold,
-            _active: active,
-            busy,
-        }
+/// Returns the body of a response. Its memory, the request on its connection and `guard` are
+/// kept until it was sent.
+pub fn body<G>(bytes: Bytes, hold: Option<Hold>, busy: Busy, guard: G) -> body::Body
+where
+    G: 'static,
+{
+    if bytes.len() <= PIECE_BYTES {
+        return body::Body::from(bytes);
     }
+    body::Body::from_message(Body {
+        length: bytes.len() as u64,
+        rest: bytes,
+        _hold: hold,
+        busy,
+        _guard: guard,
+    })
 }
 
-impl MessageBody for Body {
+impl<G> MessageBody for Body<G>
+where
+    G: 'static,
+{
     fn size(&self) -> BodySize {
         BodySize::Sized(self.length)
     }
--- a/almondlock-intake/src/host.rs
+++ b/almondlock-intake/src/host.rs
@@ -42,6 +42,8 @@
 pub struct Set {
     /// Goes before the memory for bodies that follows from the host's.
     pub body_memory: Option<u64>,
+    /// Goes before the memory for answers that follows from the host's.
+    pub answer_memory: Option<u64>,
     /// Goes before the number of connections that follows from the host, if it is lower.
     pub connections: Option<usize>,
     /// Largest head of a request, in bytes.
@@ -117,7 +119,7 @@
             },
             answers: bodies::Config {
                 name: "answers",
-                capacity: host.memory / ANSWER_SHARE,
+                capacity: set.answer_memory.unwrap_or(host.memory / ANSWER_SHARE),
                 // An upstream chooses the pieces that it sends.
                 pieces: usize::MAX,
                 discard_time: set.discard_time,
@@ -137,6 +139,7 @@
         let bodies = bodies::Config::new(0);
         Set {
             body_memory: None,
+            answer_memory: None,
             connections: None,
             head: 32 * 1024,
             socket_buffer: 64 * 1024,
--- a/almondlock-intake/src/lib.rs
+++ b/almondlock-intake/src/lib.rs
@@ -8,6 +8,7 @@
 //! |---|---|
 //! | [`bodies`] | the bodies of all requests, as one budget of bytes |
 //! | [`connections`] | open connections |
+//! | [`held`] | collected bodies that callers don't read |
 //! | [`listener`] | heads and socket buffers of each connection |
 //! | [`reading`] | what reading a JSON text may take |
 //! | [`turns`] | requests that are sent ahead on one connection |
@@ -17,6 +18,7 @@
 
 pub mod bodies;
 pub mod connections;
+pub mod held;
 pub mod host;
 pub mod listener;
 pub mod reading;
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -196,6 +196,11 @@
         "Memory for the bodies of all requests. Without it, an eighth of the host's memory. A body \
          that finds none is refused as not run; one that arrives for over a second, or is large while \
          a small one needs room, gives way.").unit("MiB"),
+    Key::new("entry", "answer_memory", Number(1, MIB), Optional,
+        "Memory for the bodies of services' answers to callers that speak HTTP/1.0, which are passed on \
+         once they are complete. Without it, an eighth of the host's memory. An answer that finds none has \
+         failed; one that arrives for over a second, or is large while a small one needs room, gives way."
+        ).unit("MiB"),
     Key::new("entry", "body_pieces", Number(64, 16 * MIB), Default("4096"),
         "Pieces that a body may come in, besides one for each 16 bytes. A body in more is refused as \
          unreadable: a piece costs the same work whatever its size.").unit("count"),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -100,6 +100,7 @@
     /// The limits of what callers make the process hold, of a section that has them.
     fn intake(&mut self, s: &Section) -> Option<Intake> {
         let body_memory = self.mebibytes(s, "body_memory");
+        let answer_memory = self.mebibytes(s, "answer_memory");
         let connections = self.count(s, "connections");
         let body_pieces = self.count(s, "body_pieces");
         let discard_time = self.millis(s, "discard_time");
@@ -108,6 +109,7 @@
         let pipelined = self.number(s, "pipelined");
         Some(Intake {
             body_memory,
+            answer_memory,
             connections,
             body_pieces: body_pieces?,
             discard_time: discard_time?,
@@ -189,7 +191,6 @@
         let ready = self.address(s, "ready");
         let ready_connections = self.count(s, "ready_connections");
         let intake = self.intake(s);
-        let answer_memory = self.mebibytes(s, "answer_memory");
         let slow_reader = self.millis(s, "slow_reader");
         let metrics = self.address(s, "metrics");
         let exchange = self.addresses(s, "exchange").unwrap_or_default();
@@ -215,7 +216,6 @@
             ready: ready?,
             ready_connections: ready_connections?,
             intake: intake?,
-            answer_memory,
             slow_reader: slow_reader?,
             metrics,
             exchange,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -61,6 +61,8 @@
 pub struct Intake {
     /// Bytes of memory for the bodies of all requests, if that is set.
     pub body_memory: Option<u64>,
+    /// Bytes of memory for the bodies of answers that are collected, if that is set.
+    pub answer_memory: Option<u64>,
     /// Callers' connections at one time, if that is set.
     pub connections: Option<usize>,
     /// Pieces that a body may come in, besides one for each 16 bytes.
@@ -150,8 +152,6 @@
     pub ready_connections: usize,
     /// Limits of what callers make it hold.
     pub intake: Intake,
-    /// Bytes of memory for the bodies of answers, if that is set.
-    pub answer_memory: Option<u64>,
     /// How long a part of an answer may wait for its caller to read.
     pub slow_reader: Duration,
     /// Where figures are served.
--- a/almondlock-telemetry/src/metrics.rs
+++ b/almondlock-telemetry/src/metrics.rs
@@ -166,6 +166,11 @@
         self.level(&format!("caller_bodies.{what}"), level);
     }
 
+    /// A level or count of the bodies of answers that are collected, by its name.
+    pub fn answer_bodies(&self, what: &str, level: u64) {
+        self.level(&format!("answer_bodies.{what}"), level);
+    }
+
     /// A level or count of callers' connections, by its name.
     pub fn caller_connections(&self, what: &str, level: u64) {
         self.level(&format!("caller_connections.{what}"), level);
