--- a/tests/unruly_upstreams.rs
+++ b/tests/unruly_upstreams.rs
@@ -13,7 +13,7 @@
 use crowd::{Door, Kind, Play, Report, endless, watch::Watched, wire::read_answer};
 use fleet::{
     CALLER_KEY, Fleet, Limits, Process,
-    gateway::{Gateway, HOST, KEY, SERVICE},
+    gateway::{Gateway, HOST, KEY, SERVICE, Upstream},
 };
 use tokio::io::AsyncWriteExt;
 
@@ -44,6 +44,49 @@
     }
 }
 
+/// An entry host in front of an ordinary service and one whose upstreams the test adds.
+struct Site {
+    fleet: Fleet,
+    _sound: Upstream,
+    gateway: Gateway,
+}
+
+impl Site {
+    async fn start() -> Site {
+        let fleet = Fleet::start().await;
+        let routes = [
+            ("once", RouteKind::Unsafe, SERVICE),
+            ("flood", RouteKind::Safe, ENDLESS),
+            ("stream", RouteKind::Stream, ENDLESS),
+        ];
+        fleet.publish_routes(&routes).await;
+        Site {
+            _sound: fleet.upstream("sound", 16).await,
+            gateway: fleet
+                .gateway("gate", "memory = 160\n", Limits::default())
+                .await,
+            fleet,
+        }
+    }
+
+    async fn play(&self, (kind, count): (Kind, usize), doors: &[Door], span: Duration) -> Report {
+        let play = Play {
+            kinds: &[(kind, count)],
+            doors,
+            ordinary: door(&self.gateway, "/once/ordinary-"),
+            watched: vec![Watched {
+                name: "entry host".to_owned(),
+                id: self.gateway.process.id().unwrap(),
+                memory: ENTRY_MEMORY,
+                listeners: vec![self.gateway.callers],
+            }],
+            span,
+            seed: crowd::seed(),
+        };
+        play.run().await
+    }
+}
+
 fn check(what: &str, report: &Report) {
     report.check(what);
     let complete = report.outcomes.iter().find(|(_, status)| *status == 200);
@@ -54,37 +97,16 @@
 /// streams.
 #[ntex::test]
 async fn entry_host() {
-    let fleet = Fleet::start().await;
-    let routes = [
-        ("once", RouteKind::Unsafe, SERVICE),
-        ("flood", RouteKind::Safe, ENDLESS),
-        ("stream", RouteKind::Stream, ENDLESS),
-    ];
-    fleet.publish_routes(&routes).await;
-    let _sound = fleet.upstream("sound", 16).await;
-    let gateway = fleet
-        .gateway("gate", "memory = 160\n", Limits::default())
-        .await;
+    let site = Site::start().await;
+    let doors = ["/flood/", "/stream/"].map(|path| door(&site.gateway, path));
     for part in endless::ALL {
-        let upstream = endless::start(part);
         let name = format!("endless-{part:?}");
-        let announced = fleet.announce(&name, ENDLESS, (upstream, 64)).await;
-        let play = Play {
-            kinds: &[(Kind::Small, CALLERS)],
-            doors: &[door(&gateway, "/flood/"), door(&gateway, "/stream/")],
-            ordinary: door(&gateway, "/once/ordinary-"),
-            watched: vec![Watched {
-                name: "entry host".to_owned(),
-                id: gateway.process.id().unwrap(),
-                memory: ENTRY_MEMORY,
-                listeners: vec![gateway.callers],
-            }],
-            span: SPAN,
-            seed: crowd::seed(),
-        };
-        let report = play.run().await;
+        let upstream = (endless::start(part), 64);
+        let announced = site.fleet.announce(&name, ENDLESS, upstream).await;
+        let report = site.play((Kind::Small, CALLERS), &doors, SPAN).await;
         check(&format!("entry host, {part:?}"), &report);
-        assert_eq!(gateway.process.status(), None, "{part:?}: it ended");
+        let status = site.gateway.process.status();
+        assert_eq!(status, None, "{part:?}: it ended");
         drop(announced);
     }
 }
@@ -93,36 +115,16 @@
 /// connection ends.
 #[ntex::test]
 async fn unread_answers() {
-    let fleet = Fleet::start().await;
-    let routes = [
-        ("once", RouteKind::Unsafe, SERVICE),
-        ("flood", RouteKind::Safe, ENDLESS),
-    ];
-    fleet.publish_routes(&routes).await;
-    let _sound = fleet.upstream("sound", 16).await;
-    let gateway = fleet
-        .gateway("gate", "memory = 160\n", Limits::default())
-        .await;
-    let large = endless::start(endless::Part::Nothing);
-    let _announced = fleet.announce("large", ENDLESS, (large, 64)).await;
-    let flood = door(&gateway, "/flood/");
-    fleet::eventually(async || reads_large(&flood).await).await;
-    let play = Play {
-        kinds: &[(Kind::Deaf, 2 * CALLERS)],
-        doors: std::slice::from_ref(&flood),
-        ordinary: door(&gateway, "/once/ordinary-"),
-        watched: vec![Watched {
-            name: "entry host".to_owned(),
-            id: gateway.process.id().unwrap(),
-            memory: ENTRY_MEMORY,
-            listeners: vec![gateway.callers],
-        }],
-        span: 2 * SPAN,
-        seed: crowd::seed(),
-    };
-    play.run().await.check("unread answers");
-    assert_eq!(gateway.process.status(), None, "it ended");
-    assert!(reads_large(&flood).await, "not served in calm");
+    let site = Site::start().await;
+    let large = (endless::start(endless::Part::Nothing), 64);
+    let _announced = site.fleet.announce("large", ENDLESS, large).await;
+    let flood = [door(&site.gateway, "/flood/")];
+    fleet::eventually(async || reads_large(&flood[0]).await).await;
+    let crowd = (Kind::Deaf, 2 * CALLERS);
+    let report = site.play(crowd, &flood, 2 * SPAN).await;
+    report.check("unread answers");
+    assert_eq!(site.gateway.process.status(), None, "it ended");
+    assert!(reads_large(&flood[0]).await, "not served in calm");
 }
 
 /// Whether a caller that reads gets a large answer.
