--- a/almondlock-http/src/upstream/framing.rs
+++ b/almondlock-http/src/upstream/framing.rs
@@ -44,9 +44,9 @@
         match (head.status, framing) {
             // The length is that of the body which isn't sent.
             (304, _) | (204, Framing::Close | Framing::Length(0)) => Ok(Framing::Length(0)),
-            (204, _) => Err(Error::Invalid("a body where there is none")),
+            (204, _) => Err(Error::Invalid("a body after a status without one")),
             (_, Framing::Close) if has_spoilt_name(head) => {
-                Err(Error::Invalid("a misspelt field for the body's end"))
+                Err(Error::Invalid("a misspelt framing field"))
             }
             (_, framing) => Ok(framing),
         }
--- a/almondlock-http/src/upstream/head.rs
+++ b/almondlock-http/src/upstream/head.rs
@@ -75,7 +75,7 @@
         }
         // No request asks to switch protocols.
         if !(200..600).contains(&status) {
-            return Err(Error::Invalid("a status that there is not"));
+            return Err(Error::Invalid("status out of range"));
         }
         let version = response.version.unwrap_or(0);
         let headers = response
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -440,10 +440,10 @@
                     None => return Ok(None),
                     Some(line) if line.is_empty() => self.body = self.finish(End::LastChunk),
                     Some(line) if !is_field(&line) => {
-                        return Err(Error::Invalid("a line after the last chunk is no field"));
+                        return Err(Error::Invalid("unreadable trailer"));
                     }
                     Some(line) if length + line.len() > MAX_TRAILER_BYTES => {
-                        return Err(Error::Invalid("too many fields after the last chunk"));
+                        return Err(Error::Invalid("trailer too long"));
                     }
                     Some(line) => self.body = Body::Trailer(length + line.len()),
                 },
