Bound the stop of an entry host that lost a task

What callers and operators saw: a process that has to end, since a task has ended that it can't do without, now and then went on for 30 s with its listener closing.

Cause: the HTTP library's graceful stop of the entry role's listener takes its own bound of 30 s, though no request is in progress. Where it waits inside the library was not traced.

With prints at each step the entry role's stop was the one that did not return.

--- a/almondlock-entry/src/server.rs
+++ b/almondlock-entry/src/server.rs
@@ -19,7 +19,7 @@
     time::Seconds,
     web::{self, App},
 };
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::{
     explain, http,
@@ -71,6 +71,9 @@
 const KEEP_ALIVE: Seconds = Seconds(5);
 /// How often the end of answers in progress is looked for.
 const DRAIN_PAUSE: Duration = Duration::from_millis(20);
+/// How long the listeners of a host that lost a task may take to stop once no request is in
+/// progress. The HTTP library may take 30 s, also without a connection.
+const ABANDON_STOP: Duration = Duration::from_secs(5);
 
 impl Builder {
     /// Binds and starts serving.
@@ -155,29 +158,37 @@
     pub async fn stop(self) {
         self.shared.stop();
         sleep(self.notice).await;
-        self.finish().await;
+        self.drain().await;
+        self.close().await;
     }
 
     /// Stops because a task has ended that the host needs: refuses new requests from now
     /// on, and lets answers in progress finish.
     pub async fn abandon(self) {
         self.shared.stop();
-        self.finish().await;
+        self.drain().await;
+        if timeout(ABANDON_STOP, self.close()).await.is_err() {
+            tracing::warn!("listeners did not stop in time");
+        }
     }
 
-    /// Waits until the answers in progress have finished, and closes the listeners.
-    async fn finish(self) {
+    /// Waits until the answers in progress have finished.
+    async fn drain(&self) {
         let drained = async {
             while self.shared.active() > 0 {
                 sleep(DRAIN_PAUSE).await;
             }
         };
-        if tokio::time::timeout(self.grace, drained).await.is_err() {
+        if timeout(self.grace, drained).await.is_err() {
             tracing::warn!(
                 active = self.shared.active(),
                 "stopping with answers in progress"
             );
         }
+    }
+
+    /// Closes the listeners.
+    async fn close(self) {
         self.server.stop(true).await;
         if let Some(admin) = self.admin {
             admin.stop(true).await;
