Keep the platform's field names of the fragmented publications in its folder

The test with configurations of very many short elements wrote field names of the users' platform. They stand with the platform's counterpart now. The documents and the checks are the same.

Evidence: `unruly_callers::fragmented_documents` passes (release build, x86-64); no code of a process changes.

--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -36,18 +36,6 @@
 
 /// The largest size of a configuration.
 const DOCUMENT: usize = 16 << 20;
-/// Configurations of very many elements, of keys and of fields that nobody reads: start,
-/// element and end.
-const DOCUMENTS: [(&str, &str, &str); 3] = [
-    (r#"{"version":9,"routes":["#, "{},", "{}]}"),
-    (
-        r#"{"version":9,"routes":[],"services":[],"limits":{"maxHeaderBytes":1,"maxBodyBytes":1,"headerTimeoutMs":1,"idleTimeoutMs":1},"tenants":[{"name":"t","apiKeys":["#,
-        r#""a","#,
-        r#""a"]}]}"#,
-    ),
-    (r#"{"version":9,"#, r#""a":0,"#, r#""a":0}"#),
-];
-
 /// The processes of a deployment whose upstreams are called directly.
 struct Site {
     fleet: Fleet,
@@ -110,7 +98,8 @@
 
     /// Where each replica takes configurations, for bodies of different short fields.
     fn document_doors(&self) -> Vec<Door> {
-        let doors = self.fleet.directories.iter().zip(DOCUMENTS);
+        let doors = self.fleet.directories.iter();
+        let doors = doors.zip(counterpart::FRAGMENTED);
         let door = |(directory, fields): (&SocketAddr, _)| Door {
             address: *directory,
             method: "PUT",
