Check that crowds leave no body, no answer and no connection behind

`gives_back` looked at the memory of bodies only. It waits for nothing held by requests and answers and for no open connection, after all kinds at once and after each kind in turn, which hold requests that are refused, late, left half-way and never read.

No code of a process changes.

--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -175,11 +175,17 @@
         }
     }
 
-    /// Waits until the entry host holds no body, of a request or of an answer.
+    /// Waits until the entry host holds no body, of a request or of an answer, and no
+    /// connection.
     async fn gives_back(&self) {
         let url = format!("http://{}/metrics", self.gateway.metrics);
-        let nothing =
-            ["caller_bodies", "answer_bodies"].map(|name| format!("{name}{{what=\"bytes\"}} 0\n"));
+        let nothing = [
+            "caller_bodies{what=\"held\"} 0\n",
+            "caller_bodies{what=\"bytes\"} 0\n",
+            "answer_bodies{what=\"held\"} 0\n",
+            "answer_bodies{what=\"bytes\"} 0\n",
+            "caller_connections{what=\"open\"} 0\n",
+        ];
         fleet::eventually(async || {
             let Ok(answer) = self.fleet.client.get(&url).send().await else {
                 return false;
