Refuse a chunk whose size stands in a line with control bytes

Callers got a body that was not the upstream's: where the line end after a chunk's size was spoilt to a semicolon and a line feed, the first bytes of the chunk counted as an extension, which is ignored, and the size then covered what followed the chunk.

Evidence: `spoilt_answers::spoilt_chunk::lost_line_end` answered 200 with "0\r\n" for "yes" before, 502 of the host's own now.

A size and its extensions consist of the bytes that a field's value may have; a line feed isn't one of them, so such a line can't be read any more.

--- a/almondlock-gateway/tests/spoilt_answers.rs
+++ b/almondlock-gateway/tests/spoilt_answers.rs
@@ -91,6 +91,7 @@
     wide_space = { "3\u{a0}\r\nyes\r\n0\r\n\r\n" },
     leading_space = { " 3\r\nyes\r\n0\r\n\r\n" },
     overflow = { "10000000000000003\r\nyes\r\n0\r\n\r\n" },
+    lost_line_end = { "3;\nyes\r\n0\r\n\r\n0\r\n\r\n" },
     no_trailer = { "3\r\nyes\r\n0\r\nthis is no field\r\n\r\n" },
     trailer_name = { "3\r\nyes\r\n0\r\nx y: z\r\n\r\n" },
 )]
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -32,7 +32,7 @@
     pool::Pool,
     source::{Source, Whole},
 };
-use crate::syntax::is_field;
+use crate::syntax::{is_field, is_value};
 
 /// Maximum length of a line with a chunk's size, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
@@ -478,6 +478,9 @@
 
 /// Parses the line before a chunk: its size, and extensions, which are ignored.
 fn parse_chunk_size(line: &[u8]) -> Result<u64, Error> {
+    if !line.iter().copied().all(is_value) {
+        return Err(Error::Invalid("unreadable line with a chunk's size"));
+    }
     let digits = line.split(|byte| *byte == b';').next().unwrap_or_default();
     let digits = digits.trim_ascii_end();
     let text = Some(digits).filter(|digits| digits.iter().all(u8::is_ascii_hexdigit));
