Refuse an answer after whose announced end more bytes follow

Callers got a part of a body as a complete answer where a digit of the head or of a chunk's size had become another one: a shorter length, a status without a body, a last chunk.

Cause: a head with another digit is a valid head. What was left over of the body only kept the connection from being used again; the answer itself counted as complete.

Evidence: `spoilt_answers::wrong_digit`, five cases. Before, the caller got "y" of "yes" with status 200, twice, nothing with 200, 204 and 304; now a failure of the host's own. `any_character` puts digits at every place as well, and into what frames chunks.

Nothing but another answer may follow an answer, as no request is sent ahead on the connections to upstreams; an answer too many is skipped as before. Empty lines are tolerated, and so are bodies in answer to HEAD, which some upstreams send. Bytes that arrive after the rest was read aren't waited for, so a cut body whose rest is late is still not noticed.

--- a/almondlock-gateway/tests/spoilt_answers.rs
+++ b/almondlock-gateway/tests/spoilt_answers.rs
@@ -84,6 +84,19 @@
     check_refused(with_status("200", fields) + body);
 }
 
+/// Guards against a body that is cut because a digit of the head became another, with a part
+/// of it reaching the caller as complete.
+#[parameterized(
+    less = { "200", "content-length: 1\r\n", "yes" },
+    nothing = { "200", "content-length: 0\r\n", "yes" },
+    no_content = { "204", "", "yes" },
+    unchanged = { "304", LENGTH, "yes" },
+    last_chunk = { "200", CHUNKED, "1\r\ny\r\n0\r\n\r\nes\r\n0\r\n\r\n" },
+)]
+fn wrong_digit(code: &str, fields: &str, body: &str) {
+    check_refused(with_status(code, fields) + body);
+}
+
 /// Guards against the size of a chunk, or what follows the last one, being read out of bytes
 /// that are none.
 #[parameterized(
@@ -170,22 +183,24 @@
     })
 }
 
-/// Guards against a head with one wrong character, at any place, after which another body
-/// than the upstream's is taken for complete. Digits stay: one that becomes another can't be
-/// noticed.
+/// Guards against an answer with one wrong character, at any place but in the content, after
+/// which another body than the upstream's is taken for complete.
 #[parameterized(
-    length = { "content-length: 3\r\n", "yes" },
-    chunks = { "transfer-encoding: chunked\r\n", "3\r\nyes\r\n0\r\n\r\n" },
+    length = { "x-seal: s\r\ncontent-length: 3\r\n\r\n", "yes", "" },
+    length_first = { "content-length: 3\r\nx-seal: s\r\n\r\n", "yes", "" },
+    chunks = { "x-seal: s\r\ntransfer-encoding: chunked\r\n\r\n3\r\n", "yes", "\r\n0\r\n\r\n" },
+    chunks_first = { "transfer-encoding: chunked\r\nx-seal: s\r\n\r\n3\r\n", "yes", "\r\n0\r\n\r\n" },
 )]
-fn any_character(framing: &str, body: &str) {
-    let head = format!("HTTP/1.1 200 OK\r\nx-seal: s\r\n{framing}\r\n");
-    let wrong = b"\0\x07 \tx:;,-\x7f\xe9";
+fn any_character(fields: &str, content: &str, end: &str) {
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}");
+    let answer = format!("{head}{content}{end}");
+    let kept = head.len()..head.len() + content.len();
+    let wrong = b"\0\x07 \tx:;,-\x7f\xe9\r0123456789";
     let mut answers = Vec::new();
-    for place in 0..head.len() {
+    for place in (0..answer.len()).filter(|place| !kept.contains(place)) {
         for byte in wrong {
-            let mut answer = head.clone().into_bytes();
+            let mut answer = answer.clone().into_bytes();
             answer[place] = *byte;
-            answer.extend_from_slice(body.as_bytes());
             answers.push(answer);
         }
     }
@@ -203,6 +218,8 @@
     chunks = { "200", "Transfer-Encoding: Chunked\r\n", "3;x=y\r\nyes\r\n0\r\nx-sum: 1\r\n\r\n" },
     blank_after_size = { "200", CHUNKED, "3 \r\nyes\r\n0\r\n\r\n" },
     unmarked = { "200", "", "yes" },
+    line_after_body = { "200", LENGTH, "yes\r\n" },
+    answer_after_body = { "200", LENGTH, "yesHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" },
     similar_name = { "200", "x-content-length: 9\r\n", "yes" },
     latin_value = { "200", "x: \u{e9}\r\ncontent-length: 3\r\n", "yes" },
     no_content = { "204", "", "" },
--- a/almondlock-http/src/upstream/head.rs
+++ b/almondlock-http/src/upstream/head.rs
@@ -88,6 +88,17 @@
     }
 }
 
+/// Returns whether the bytes may be the start of an answer. Empty lines before it are allowed,
+/// as some upstreams end a body with one.
+pub(super) fn may_start_answer(bytes: &[u8]) -> bool {
+    let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+    let bytes = &bytes[bytes.iter().take_while(is_line_end).count()..];
+    bytes
+        .iter()
+        .zip(b"HTTP/1.")
+        .all(|(one, other)| one == other)
+}
+
 /// Determines from the headers how the body is framed and whether the connection can be
 /// kept.
 fn build_head(status: u16, version: u8, headers: Vec<(Box<str>, Bytes)>) -> Result<Head, Error> {
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -25,7 +25,10 @@
     net::TcpStream,
 };
 
-use self::{content::Content, head::parse_head};
+use self::{
+    content::Content,
+    head::{may_start_answer, parse_head},
+};
 pub use self::{
     framing::Framing,
     head::Head,
@@ -203,11 +206,11 @@
                 expected = %String::from_utf8_lossy(request.id.1),
                 "skipped an answer to another request"
             );
-            self.start_body(&head);
+            self.start_body(&head)?;
             self.skip_body(MAX_FOREIGN_BYTES).await?;
             head = self.read_head().await?;
         }
-        self.start_body(&head);
+        self.start_body(&head)?;
         Ok(head)
     }
 
@@ -218,7 +221,7 @@
         S: Source,
     {
         let head = self.transmit(head, body, true).await?;
-        self.start_body(&head);
+        self.start_body(&head)?;
         Ok(head)
     }
 
@@ -283,22 +286,28 @@
     }
 
     /// Prepares for reading the body that follows `head`.
-    fn start_body(&mut self, head: &Head) {
+    fn start_body(&mut self, head: &Head) -> Result<(), Error> {
         self.end = None;
         self.content = Content::new(head);
         self.body = match head.framing {
-            _ if self.is_head_only => self.finish(End::Length),
-            Framing::Length(0) => self.finish(End::Length),
+            _ if self.is_head_only => self.finish(End::Length)?,
+            Framing::Length(0) => self.finish(End::Length)?,
             Framing::Length(length) => Body::Length(length),
             Framing::Chunked => Body::ChunkHead,
             Framing::Close => Body::Close,
         };
+        Ok(())
     }
 
-    /// Records how the end of the body was recognised.
-    fn finish(&mut self, end: End) -> Body {
+    /// Records how the end of the body was recognised. Only another answer may follow it:
+    /// other bytes belong to the body, whose end was announced wrongly.
+    fn finish(&mut self, end: End) -> Result<Body, Error> {
+        // Some upstreams send a body in answer to HEAD.
+        if !self.is_head_only && !may_start_answer(&self.buffer) {
+            return Err(Error::Invalid("more bytes than announced"));
+        }
         self.end = Some(end);
-        Body::Done
+        Ok(Body::Done)
     }
 
     /// Returns how the end of the body was recognised, or `None` if it was not reached.
@@ -336,7 +345,7 @@
                     return Err(Error::Closed("the end of an event"));
                 }
                 if self.body == Body::Close {
-                    self.body = self.finish(End::ConnectionClosed);
+                    self.body = self.finish(End::ConnectionClosed)?;
                     self.flushed = false;
                     return Ok(None);
                 }
@@ -403,14 +412,15 @@
                     return Ok(bytes);
                 }
                 Body::Length(left) => {
-                    return Ok(self.take_up_to(left).map(|(bytes, left)| {
-                        self.body = if left == 0 {
-                            self.finish(End::Length)
-                        } else {
-                            Body::Length(left)
-                        };
-                        bytes
-                    }));
+                    let Some((bytes, left)) = self.take_up_to(left) else {
+                        return Ok(None);
+                    };
+                    self.body = if left == 0 {
+                        self.finish(End::Length)?
+                    } else {
+                        Body::Length(left)
+                    };
+                    return Ok(Some(bytes));
                 }
                 Body::Chunk(left) => {
                     return Ok(self.take_up_to(left).map(|(bytes, left)| {
@@ -438,7 +448,7 @@
                 },
                 Body::Trailer(length) => match self.take_line()? {
                     None => return Ok(None),
-                    Some(line) if line.is_empty() => self.body = self.finish(End::LastChunk),
+                    Some(line) if line.is_empty() => self.body = self.finish(End::LastChunk)?,
                     Some(line) if !is_field(&line) => {
                         return Err(Error::Invalid("unreadable trailer"));
                     }
