Refuse a body that begins with the rest of its head

Callers got the rest of a head, with the body behind it, as the body of a complete answer where a character of the head had become a line end: an empty line then ended the head before the field that tells the length, and such a body ends with its connection.

Evidence: `spoilt_answers::cut_head`, three cases, answered 200 with "content-length: 3", an empty line and "yes" as the body before; now a failure of the host's own. `any_character` puts line ends at every place of the head, with the framing before and after another field, and of what frames chunks: it names the first such head on the code before, none now.

A body without framing that begins with fields, one of which frames a body or nearly does, is what is left of a head. Only what arrived with the head is looked at.

--- a/almondlock-gateway/tests/spoilt_answers.rs
+++ b/almondlock-gateway/tests/spoilt_answers.rs
@@ -97,6 +97,17 @@
     check_refused(with_status(code, fields) + body);
 }
 
+/// Guards against the rest of a head that an empty line has cut reaching the caller as the
+/// body.
+#[parameterized(
+    before_length = { "x: \n\r\ncontent-length: 3\r\n", "yes" },
+    inside_name = { "\nontent-length: 3\r\n", "yes" },
+    before_chunks = { "x: \n\r\ny: z\r\ntransfer-encoding: chunked\r\n", "3\r\nyes\r\n0\r\n\r\n" },
+)]
+fn cut_head(fields: &str, body: &str) {
+    check_refused(with_status("200", fields) + body);
+}
+
 /// Guards against the size of a chunk, or what follows the last one, being read out of bytes
 /// that are none.
 #[parameterized(
@@ -195,7 +206,7 @@
     let head = format!("HTTP/1.1 200 OK\r\n{fields}");
     let answer = format!("{head}{content}{end}");
     let kept = head.len()..head.len() + content.len();
-    let wrong = b"\0\x07 \tx:;,-\x7f\xe9\r0123456789";
+    let wrong = b"\0\x07 \tx:;,-\x7f\xe9\r\n0123456789";
     let mut answers = Vec::new();
     for place in (0..answer.len()).filter(|place| !kept.contains(place)) {
         for byte in wrong {
@@ -218,6 +229,7 @@
     chunks = { "200", "Transfer-Encoding: Chunked\r\n", "3;x=y\r\nyes\r\n0\r\nx-sum: 1\r\n\r\n" },
     blank_after_size = { "200", CHUNKED, "3 \r\nyes\r\n0\r\n\r\n" },
     unmarked = { "200", "", "yes" },
+    unmarked_fields = { "200", "", "length: 3\r\n\r\nyes" },
     line_after_body = { "200", LENGTH, "yes\r\n" },
     answer_after_body = { "200", LENGTH, "yesHTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n" },
     similar_name = { "200", "x-content-length: 9\r\n", "yes" },
--- a/almondlock-http/src/upstream/framing.rs
+++ b/almondlock-http/src/upstream/framing.rs
@@ -6,6 +6,7 @@
 //! would is refused.
 
 use super::{Error, Head};
+use crate::syntax::is_field;
 
 const LENGTH: &str = "content-length";
 const CODING: &str = "transfer-encoding";
@@ -79,9 +80,21 @@
     Ok(Some(length))
 }
 
+/// Returns whether a body begins with fields of which one frames a body: the rest of a head
+/// that a wrong character has ended.
+pub(super) fn is_rest_of_head(body: &[u8]) -> bool {
+    let lines = body.split(|byte| *byte == b'\n');
+    let lines = lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line));
+    let mut fields = lines.take_while(|line| is_field(line));
+    fields.any(|line| {
+        let name = line.split(|byte| *byte == b':').next().unwrap_or_default();
+        resembles(name, LENGTH) || resembles(name, CODING)
+    })
+}
+
 /// Returns whether a field was probably meant to be one that frames the body.
 fn has_spoilt_name(head: &Head) -> bool {
-    let is_spoilt = |name: &[u8]| is_misspelt(name, LENGTH) || is_misspelt(name, CODING);
+    let is_spoilt = |name: &[u8]| resembles(name, LENGTH) || resembles(name, CODING);
     head.headers.iter().any(|(name, value)| {
         let name = name.as_bytes();
         // A wrong character that is a colon cuts the name.
@@ -91,9 +104,9 @@
     })
 }
 
-/// Returns whether a name differs from the one that was meant by one character, or by two
-/// that are swapped.
-fn is_misspelt(name: &[u8], meant: &str) -> bool {
+/// Returns whether a name is the one that was meant, or differs from it by one character or by
+/// two that are swapped.
+fn resembles(name: &[u8], meant: &str) -> bool {
     let name = name.to_ascii_lowercase();
     let (name, meant) = (&name[..], meant.as_bytes());
     let equal = |(one, other): &(&u8, &u8)| one == other;
@@ -102,7 +115,7 @@
     let ends = name.iter().rev().zip(meant.iter().rev());
     let end = ends.take_while(equal).count();
     match (&name[..name.len() - end], &meant[..meant.len() - end]) {
-        ([_], [] | [_]) | ([], [_]) => true,
+        ([], [] | [_]) | ([_], [] | [_]) => true,
         ([a, b], [c, d]) => a == d && b == c,
         _ => false,
     }
--- a/almondlock-http/src/upstream/mod.rs
+++ b/almondlock-http/src/upstream/mod.rs
@@ -27,6 +27,7 @@
 
 use self::{
     content::Content,
+    framing::is_rest_of_head,
     head::{may_start_answer, parse_head},
 };
 pub use self::{
@@ -294,6 +295,9 @@
             Framing::Length(0) => self.finish(End::Length)?,
             Framing::Length(length) => Body::Length(length),
             Framing::Chunked => Body::ChunkHead,
+            Framing::Close if is_rest_of_head(&self.buffer) => {
+                return Err(Error::Invalid("an empty line inside the head"));
+            }
             Framing::Close => Body::Close,
         };
         Ok(())
