Send requests again that a host blames for old losses, once others like them are answered

Callers got 502 (3002, lost) for a stream that may run again, after a single attempt on an upstream that was dead before, while others of the same parts were answered.

Ruled out: the part that crashes upstreams, whose last death was 7.9 s before, and an upstream that died with the stream (`DeadAlready`).

What the host had an answer to recently isn't to blame, as for losses and for what relays tell; the same holds for second attempts now. A part that crashes upstreams has no answers.

Evidence: `crashing_parts::answered_since` failed before at its last line. Tests of `almondlock-policy`, `crashing_part`, `part_news` and `reported_losses` pass.

--- a/almondlock-gateway/src/suspicion.rs
+++ b/almondlock-gateway/src/suspicion.rs
@@ -259,7 +259,7 @@
         let Some(profile) = request.profile() else {
             return true;
         };
-        let may_run = self.suspicion.host.borrow().may_run_again(now, profile);
+        let may_run = self.suspicion.host.borrow_mut().may_run_again(now, profile);
         if !may_run {
             tracing::info!(
                 request = %request.id, fingerprint = %profile.prints[0],
--- a/almondlock-policy/src/poison/host.rs
+++ b/almondlock-policy/src/poison/host.rs
@@ -148,18 +148,19 @@
     }
 
     /// Returns whether a request that was lost may run once more: no part of its prompt is
-    /// suspected.
-    pub fn may_run_again(&self, now: Mono, profile: &Profile) -> bool {
+    /// suspected by the relays, and none that the host had no answer to recently by itself.
+    pub fn may_run_again(&mut self, now: Mono, profile: &Profile) -> bool {
         let parts = without_whole(profile, |_| true);
-        !self.told.is_suspected(profile, &parts.prints) && !self.own.is_watched(now, &parts)
+        let unanswered = self.unanswered(now, profile).prints;
+        !self.told.is_suspected(profile, &parts.prints)
+            && !self.own.is_watched(now, &parts, &unanswered)
     }
 
     /// Records that a request was lost with an upstream. Returns what that counts as at this
     /// host, and the parts of the prompt that may be to blame: those that the host had no
     /// answer to recently.
     pub fn record_loss(&mut self, now: Mono, loss: &Loss<'_, L>) -> (Count, Vec<Fingerprint>) {
-        let answered = &mut self.answered;
-        let suspected = without_whole(loss.profile, |print| !answered.contains(now, print));
+        let suspected = self.unanswered(now, loss.profile);
         self.told.record_loss(now, loss.profile);
         let own = Loss {
             profile: &suspected,
@@ -169,6 +170,13 @@
         (self.own.record_loss(now, &own), suspected.prints)
     }
 
+    /// Returns a profile with those parts of the prompt that the host had no answer to
+    /// recently.
+    fn unanswered(&mut self, now: Mono, profile: &Profile) -> Profile {
+        let answered = &mut self.answered;
+        without_whole(profile, |print| !answered.contains(now, print))
+    }
+
     /// Records that a request with these parts was answered.
     pub fn record_parts<I>(&mut self, now: Mono, parts: I)
     where
--- a/almondlock-policy/src/poison/tally.rs
+++ b/almondlock-policy/src/poison/tally.rs
@@ -329,10 +329,12 @@
         self.suspects.get(print).map(|suspect| &suspect.rule)
     }
 
-    /// Returns whether one of a request's fingerprints is watched or refused, in a way that
-    /// concerns this request.
-    pub fn is_watched(&self, now: Mono, profile: &Profile) -> bool {
-        let mut concerned = self.concerned(profile);
+    /// Returns whether one of these fingerprints of a request is watched or refused, in a way
+    /// that concerns this request.
+    pub fn is_watched(&self, now: Mono, profile: &Profile, prints: &[Fingerprint]) -> bool {
+        let mut concerned = self
+            .concerned(profile)
+            .filter(|print| prints.contains(print));
         concerned.any(|print| self.status(now, &print) != Status::Clear)
     }
 
--- a/almondlock-policy/tests/crashing_parts.rs
+++ b/almondlock-policy/tests/crashing_parts.rs
@@ -9,6 +9,7 @@
 };
 use almondlock_policy::poison::{
     answered::{Answered, MAX_AGE, MAX_PRINTS},
+    host::Host,
     profile::{Profile, Rule},
     refusal::{MAX_SPREAD, Table, Verdict},
     tally::{APPEAL_TIME, Loss, REFUSAL_DEATHS, REFUSAL_TIME, Status, Tally},
@@ -277,6 +278,33 @@
     assert!(is_refused(&tally, now, "o", &["bad"]));
 }
 
+/// Guards against usual requests that aren't sent again for minutes after a host has lost several
+/// upstreams with them, although others like them are answered.
+#[test]
+fn answered_since() {
+    let parts = ["system", "usual"];
+    let mut host = Host::new(1);
+    let mut now = START;
+    for life in 0..6 {
+        let sent = now;
+        now = now + PAUSE;
+        let profile = &profile("o", life, &parts);
+        let loss = Loss {
+            profile,
+            life,
+            sent,
+        };
+        host.record_loss(now, &loss);
+    }
+    let next = profile("o", u32::MAX, &parts);
+    now = now + PAUSE * 2;
+    assert!(!host.may_run_again(now, &next));
+    host.record_parts(now, [part("system")]);
+    assert!(!host.may_run_again(now, &next));
+    host.record_parts(now, [part("usual")]);
+    assert!(host.may_run_again(now, &next));
+}
+
 fn refused_table(seed: u64) -> (Table, Profile) {
     let request = profile("o", 1, &["bad"]);
     let rule = Rule {
