Check that crowds leave nothing behind on the path with sidecars

Only the gateway role was asked what it holds after a crowd. each_kind and all_kinds of unruly_models now wait until the entry host's metrics, sent to a socket of the test, say no body of a request or an answer, no byte and no open connection. It holds on this code; the check was not seen failing.

The three files sent their request in calm by the same lines; they stand once, as Door::answer, and the levels that have to be zero as crowd::held::LEVELS.

--- a/tests/crowd/mod.rs
+++ b/tests/crowd/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod endless;
+pub mod held;
 pub mod kind;
 pub mod ordinary;
 pub mod report;
--- a/tests/crowd/wire.rs
+++ b/tests/crowd/wire.rs
@@ -1,6 +1,6 @@
 //! What clients write and read.
 
-use std::{io, net::SocketAddr, sync::Arc};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -57,6 +57,17 @@
         body
     }
 
+    /// What one request with this body gets, if it is answered `within` the time.
+    pub async fn answer(&self, number: usize, body: &[u8], within: Duration) -> Option<Answer> {
+        let request = [self.sized(number, body.len()).as_bytes(), body].concat();
+        let sent = async {
+            let mut stream = self.connect().await.ok()?;
+            stream.write_all(&request).await.ok()?;
+            read_answer(&mut stream).await
+        };
+        tokio::time::timeout(within, sent).await.ok().flatten()
+    }
+
     /// A body of `length` bytes at most that is made of very many short fields.
     pub fn many_fields(&self, length: usize) -> Vec<u8> {
         let (start, field, end) = self.fields;
--- a/tests/unruly_callers.rs
+++ b/tests/unruly_callers.rs
@@ -14,8 +14,8 @@
 use almondlock_platform::counterpart;
 use almondlock_standin::service;
 use crowd::{
-    Door, Kind, Play, Report, kind::LARGEST, ordinary::PROMISES, share::Share, watch::Watched,
-    wire::read_answer,
+    Door, Kind, Play, Report, held::LEVELS, kind::LARGEST, ordinary::PROMISES, share::Share,
+    watch::Watched,
 };
 use fleet::{
     Fleet, Limits,
@@ -114,15 +114,7 @@
     async fn largest_is_served(&self) -> bool {
         let door = self.door("/once/largest-", KEY);
         let body = door.body(0, LARGEST);
-        let request = [door.sized(0, body.len()).as_bytes(), &body].concat();
-        let sent = async {
-            let mut stream = door.connect().await.ok()?;
-            tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
-                .await
-                .ok()?;
-            read_answer(&mut stream).await
-        };
-        let answer = tokio::time::timeout(CALM, sent).await.ok().flatten();
+        let answer = door.answer(0, &body, CALM).await;
         let right = service::answer("POST", &door.path(0), &body);
         answer.is_some_and(|a| a.status == 200 && a.body == right.as_bytes())
     }
@@ -179,13 +171,6 @@
     /// connection.
     async fn gives_back(&self) {
         let url = format!("http://{}/metrics", self.gateway.metrics);
-        let nothing = [
-            "caller_bodies{what=\"held\"} 0\n",
-            "caller_bodies{what=\"bytes\"} 0\n",
-            "answer_bodies{what=\"held\"} 0\n",
-            "answer_bodies{what=\"bytes\"} 0\n",
-            "caller_connections{what=\"open\"} 0\n",
-        ];
         fleet::eventually(async || {
             let Ok(answer) = self.fleet.client.get(&url).send().await else {
                 return false;
@@ -193,7 +178,10 @@
             let text = answer.body().limit(1 << 20).await;
             let text = text.unwrap_or_default();
             let text = String::from_utf8_lossy(&text);
-            nothing.iter().all(|line| text.contains(line))
+            let mut lines = LEVELS
+                .map(|(name, what)| format!("{name}{{what=\"{what}\"}} 0\n"))
+                .into_iter();
+            lines.all(|line| text.contains(&line))
         })
         .await;
     }
--- a/tests/unruly_models.rs
+++ b/tests/unruly_models.rs
@@ -5,9 +5,9 @@
 mod crowd;
 mod fleet;
 
-use std::time::Duration;
+use std::{collections::HashMap, net::UdpSocket, time::Duration};
 
-use crowd::{Door, Kind, Play, Report, kind::LARGEST, watch::Watched, wire::read_answer};
+use crowd::{Door, Kind, Play, Report, held::LEVELS, kind::LARGEST, watch::Watched};
 use fleet::{CALLER_KEY, Entry, Fleet, Sidecar};
 use tokio::sync::Mutex;
 
@@ -27,17 +27,24 @@
     fleet: Fleet,
     entry: Entry,
     sidecar: Sidecar,
+    /// Where the entry host sends its metrics.
+    metrics: UdpSocket,
 }
 
 impl Site {
     async fn start() -> Site {
         let fleet = Fleet::start().await;
         let sidecar = fleet.sidecar("engine-1", fleet::fast()).await;
-        let entry = fleet.entry_with("entry-1", "memory = 160\n").await;
+        let metrics = UdpSocket::bind("127.0.0.1:0").unwrap();
+        metrics.set_nonblocking(true).unwrap();
+        let statsd = metrics.local_addr().unwrap();
+        let more = format!("memory = 160\n[metrics]\nstatsd = {statsd}\n");
+        let entry = fleet.entry_with("entry-1", &more).await;
         let site = Site {
             fleet,
             entry,
             sidecar,
+            metrics,
         };
         fleet::eventually(async || site.legal_is_served().await).await;
         site
@@ -79,15 +86,7 @@
     async fn legal_is_served(&self) -> bool {
         let door = self.door("/v1/completions", CALLER_KEY);
         let body = door.body(0, LEGAL);
-        let request = [door.sized(0, body.len()).as_bytes(), &body].concat();
-        let sent = async {
-            let mut stream = door.connect().await.ok()?;
-            tokio::io::AsyncWriteExt::write_all(&mut stream, &request)
-                .await
-                .ok()?;
-            read_answer(&mut stream).await
-        };
-        let answer = tokio::time::timeout(CALM, sent).await.ok().flatten();
+        let answer = door.answer(0, &body, CALM).await;
         answer.is_some_and(|answer| answer.status == 200)
     }
 
@@ -133,6 +132,33 @@
         play.run().await
     }
 
+    /// Takes in the lines that have arrived: the newest value of each metric.
+    fn receive(&self, values: &mut HashMap<String, String>) {
+        let mut datagram = [0; 64 << 10];
+        while let Ok(length) = self.metrics.recv(&mut datagram) {
+            let lines = String::from_utf8_lossy(&datagram[..length]).into_owned();
+            let lines = lines.lines().filter_map(|line| line.split_once(':'));
+            values.extend(lines.map(|(name, value)| (name.to_owned(), value.to_owned())));
+        }
+    }
+
+    /// Waits until the entry host holds no body, of a request or of an answer, and no
+    /// connection.
+    async fn gives_back(&self) {
+        // Lines that the socket kept while a crowd played may be old, and newer ones lost.
+        self.receive(&mut HashMap::new());
+        let values = Mutex::new(HashMap::new());
+        fleet::eventually(async || {
+            let mut values = values.lock().await;
+            self.receive(&mut values);
+            LEVELS.iter().all(|(name, what)| {
+                let value = values.get(&format!("almondlock.{name}.{what}"));
+                value.is_some_and(|value| value == "0|g")
+            })
+        })
+        .await;
+    }
+
     async fn check(&self, what: &str, report: &Report) {
         report.check(what);
         assert_eq!(self.entry.process.status(), None, "{what}: it ended");
@@ -183,7 +209,8 @@
     alone(Kind::Ahead(10_000), 150).await;
 }
 
-/// Each kind against the same processes, a fifth of each.
+/// Each kind against the same processes, a fifth of each. Guards against memory that is not
+/// given back as well.
 #[ntex::test]
 async fn each_kind() {
     let _turn = TURN.lock().await;
@@ -192,6 +219,7 @@
         let report = site.play_for(SHORT, &[(kind, count)]).await;
         site.check(&format!("each kind, {kind:?}"), &report).await;
     }
+    site.gives_back().await;
 }
 
 /// Each kind, as many as all of them at once have.
@@ -214,6 +242,7 @@
     let site = Site::start().await;
     let report = site.play(&crowd::part(5)).await;
     site.check("all kinds", &report).await;
+    site.gives_back().await;
 }
 
 #[ntex::test]
--- a/tests/unruly_upstreams.rs
+++ b/tests/unruly_upstreams.rs
@@ -10,12 +10,11 @@
 use std::time::Duration;
 
 use almondlock_platform::counterpart::{self, Kind as RouteKind};
-use crowd::{Door, Kind, Play, Report, endless, watch::Watched, wire::read_answer};
+use crowd::{Door, Kind, Play, Report, endless, watch::Watched};
 use fleet::{
     CALLER_KEY, Fleet, Limits, Process,
     gateway::{Gateway, HOST, KEY, SERVICE, Upstream},
 };
-use tokio::io::AsyncWriteExt;
 
 /// Memory of the smallest entry host, and of a sidecar's machine.
 const ENTRY_MEMORY: u64 = 160 << 20;
@@ -129,13 +128,7 @@
 
 /// Whether a caller that reads gets a large answer.
 async fn reads_large(door: &Door) -> bool {
-    let sent = async {
-        let mut stream = door.connect().await.ok()?;
-        let request = door.sized(0, 0);
-        stream.write_all(request.as_bytes()).await.ok()?;
-        read_answer(&mut stream).await
-    };
-    let answer = tokio::time::timeout(CALM, sent).await.ok().flatten();
+    let answer = door.answer(0, b"", CALM).await;
     answer.is_some_and(|a| a.status == 200 && a.body.len() == endless::LARGE)
 }
 
