Show that a late copy of a server's notice takes its next incarnation out for good

Cause: DELETE names no incarnation and ends the one that is known when it arrives. The born of that one is then marked as gone, so that its later heartbeats change nothing.

Four servers are replaced in place under their ids, one after the other; a partition of 3 s holds up the first copy of each one's DELETE, and the next node acknowledges the second. Later all processes are killed and come back.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -32,6 +32,10 @@
 /// machines are in touch this long after what kept them from it.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 const CONTACT: Duration = Duration::from_secs(3);
+/// A server that leaves serves on for this long after the acknowledgement.
+const DRAIN: Duration = Duration::from_secs(2);
+/// For this long a partition holds up what was sent.
+const HELD_UP: Duration = Duration::from_secs(3);
 /// Time for which a machine that is new, or that is back, still counts as lost.
 const CATCH_UP: Duration = Duration::from_secs(4);
 /// Bound of the site: from this long after the machines are back, a quarter has to be served.
@@ -64,6 +68,7 @@
         "stranger" => stranger(&record, trouble),
         "endless-body" => endless_body(&record, trouble),
         "moved-core" => moved_core(&record, trouble),
+        "late-notice" => late_notice(&record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match outcome {
@@ -145,8 +150,8 @@
     let mut servers = Vec::new();
     for (place, manner) in manners.iter().enumerate() {
         let named = (format!("i-7f3a91c{place}"), SERVICE, zones[place % 3]);
-        let ip = fleet.ip(4, place);
-        let server = Server::start(named, ip, *manner, control.clone(), &path, record);
+        let address = SocketAddr::new(fleet.ip(4, place).into(), 0);
+        let server = Server::start(named, address, *manner, control.clone(), &path, record);
         servers.push(server.map_err(|error| error.to_string())?);
     }
     if !fleet.publish(&configuration(1, SERVICE), Duration::from_secs(15)) {
@@ -307,9 +312,10 @@
     let control: Vec<SocketAddr> = (0..6).map(|place| fleet.control(place)).collect();
     let named = ("i-90ab1200".to_owned(), OTHER, "obelya-hall");
     let path = Path::default();
+    let address = SocketAddr::new(fleet.ip(4, 9).into(), 0);
     let other = Server::start(
         named,
-        fleet.ip(4, 9),
+        address,
         Manner::Plain,
         control.clone(),
         &path,
@@ -379,3 +385,70 @@
     ));
     Ok(stale == 0)
 }
+
+/// Servers are replaced in place, one after the other: each says that it leaves, is gone, and
+/// starts again under its id. A partition holds up the first copy of the notice that it is gone.
+fn late_notice(record: &Record, trouble: bool) -> Outcome {
+    let mut running = start(record, &[Manner::Plain; 4])?;
+    let mut before = client::ask(&running.fronts, Duration::from_secs(8), "calm", record);
+    let control: Vec<SocketAddr> = (0..3).map(|n| running.fleet.control(n)).collect();
+    let (fronts, asking) = (running.fronts.clone(), record.clone());
+    let span = Duration::from_secs(25);
+    let during = spawn(move || client::ask(&fronts, span, "release", &asking));
+    let zones = ["mladost-hall", "lozenets-hall", "obelya-hall"];
+    for place in 0..running.servers.len() {
+        let server = Arc::clone(&running.servers[place]);
+        server.leave();
+        // By then a heartbeat has said so and was acknowledged.
+        sleep(Duration::from_millis(1_300) + DRAIN);
+        let call = format!("/api/instances/{}", server.id);
+        if trouble {
+            let (to, call, late) = (control[place % 3], call.clone(), record.clone());
+            let id = server.id.clone();
+            record.say(&format!(
+                "server {id}: DELETE sent to {to}, where a partition holds it up"
+            ));
+            spawn(move || {
+                sleep(HELD_UP);
+                let answer = call_control(to, ("DELETE", &call), "");
+                let status = answer.map(|answer| answer.status()).unwrap_or(0);
+                late.say(&format!(
+                    "server {id}: held up DELETE arrives, answered {status}"
+                ));
+            });
+            // No answer within a second: the next node is called.
+            sleep(Duration::from_secs(1));
+        }
+        let others = (0..3).map(|n| control[(place + 1 + n) % 3]);
+        let answers = others.map(|to| call_control(to, ("DELETE", &call), ""));
+        let mut answers = answers.filter_map(Result::ok);
+        if !answers.any(|answer| answer.status() == 200) {
+            return Err("a notice isn't acknowledged".to_owned());
+        }
+        record.write(&format!("server {}: DELETE acknowledged", server.id));
+        server.exit();
+        sleep(Duration::from_millis(500));
+        let named = (server.id.clone(), SERVICE, zones[place % 3]);
+        let all: Vec<SocketAddr> = (0..6).map(|n| running.fleet.control(n)).collect();
+        let again = Server::start(
+            named,
+            server.address,
+            Manner::Plain,
+            all,
+            &running.path,
+            record,
+        );
+        running.servers[place] = again.map_err(|error| error.to_string())?;
+        record.write(&format!("server {}: started again", server.id));
+        sleep(Duration::from_secs(1));
+    }
+    let during = during.join().map_err(|_| "a thread failed")?;
+    let after = client::ask(&running.fronts, Duration::from_secs(3), "then", record);
+    record.say(&format!(
+        "served: calm {} of {}, during the release {} of {}, after it {} of {}",
+        before.1, before.0, during.1, during.0, after.1, after.0
+    ));
+    before.0 += during.0 + after.0;
+    before.1 += during.1 + after.1;
+    final_fault(&mut running, record, before)
+}
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -3,9 +3,9 @@
 
 use std::{
     io::{self, Write},
-    net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
-        Arc,
+        Arc, Mutex,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread::{sleep, spawn},
@@ -57,6 +57,10 @@
     zone: &'static str,
     manner: Manner,
     record: Record,
+    leaving: AtomicBool,
+    ended: AtomicBool,
+    /// Open connections.
+    open: Mutex<Vec<TcpStream>>,
     /// Heartbeats that were acknowledged, and the last of their numbers.
     pub acknowledged: AtomicU64,
     pub sequence: AtomicU64,
@@ -72,13 +76,13 @@
     /// Starts a server that announces itself at `control`, over `path`.
     pub fn start(
         (id, service, zone): (String, &'static str, &'static str),
-        ip: Ipv4Addr,
+        address: SocketAddr,
         manner: Manner,
         control: Vec<SocketAddr>,
         path: &Path,
         record: &Record,
     ) -> io::Result<Arc<Server>> {
-        let listener = TcpListener::bind((ip, 0))?;
+        let listener = TcpListener::bind(address)?;
         let server = Arc::new(Server {
             id,
             service,
@@ -87,6 +91,9 @@
             zone,
             manner,
             record: record.clone(),
+            leaving: AtomicBool::new(false),
+            ended: AtomicBool::new(false),
+            open: Mutex::default(),
             acknowledged: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
         });
@@ -94,6 +101,9 @@
             (Arc::clone(&server), Arc::clone(&server), path.clone());
         spawn(move || {
             for stream in listener.incoming().flatten() {
+                if accepting.ended.load(Ordering::SeqCst) {
+                    return;
+                }
                 let server = Arc::clone(&accepting);
                 spawn(move || {
                     // A connection that breaks is the caller's to notice.
@@ -105,12 +115,34 @@
         Ok(server)
     }
 
+    /// Reports from its next heartbeat on that it is leaving.
+    pub fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Exits: its connections are closed, and nothing more is heard of it.
+    pub fn exit(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        // Wakes the listener, which then ends.
+        let _ = TcpStream::connect(self.address);
+        let mut open = self.open.lock().unwrap_or_else(|held| held.into_inner());
+        for stream in open.drain(..) {
+            // Its caller may have closed it.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        self.record.write(&format!("server {}: exits", self.id));
+    }
+
     /// The body of a heartbeat.
     pub fn beat(&self, service: &str, address: SocketAddr, born: u64, sequence: u64) -> String {
         let zone = self.zone;
+        let state = match self.leaving.load(Ordering::SeqCst) {
+            true => "draining",
+            false => "ready",
+        };
         format!(
             "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
-             \"version\":\"v1\",\"slots\":16,\"state\":\"ready\",\"coldLeftMs\":0,\
+             \"version\":\"v1\",\"slots\":16,\"state\":\"{state}\",\"coldLeftMs\":0,\
              \"born\":{born},\"seq\":{sequence}}}"
         )
     }
@@ -119,7 +151,7 @@
         // Where a node asked to have the next ones.
         let mut next: Option<SocketAddr> = None;
         let mut turn = 0;
-        loop {
+        while !self.ended.load(Ordering::SeqCst) {
             let sequence = self.sequence.fetch_add(1, Ordering::SeqCst) + 1;
             let body = self.beat(self.service, self.address, self.born, sequence);
             let call = format!("/api/instances/{}", self.id);
@@ -161,6 +193,11 @@
     fn serve(&self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
         let mut out = stream.try_clone()?;
+        let open = stream.try_clone()?;
+        self.open
+            .lock()
+            .unwrap_or_else(|held| held.into_inner())
+            .push(open);
         let mut reader = Reader::new(stream);
         loop {
             let mut request = reader.head()?;
