review: stand-ins that answer twice, and cores that come and go

Change: a server of the stand-ins may send its answer to an order a second time; a platform may start a core with an empty disk, take its disk from it, or wait until it has stopped. The trials `order-answer` and `replaced-core`.

--- a/review/standin-2/src/client.rs
+++ b/review/standin-2/src/client.rs
@@ -143,3 +143,48 @@
     ));
     Ok((answer.status(), body))
 }
+
+/// Sends a prompt of so many tokens and reads the answer. Returns the status, whether the answer
+/// bears the request's id and a seal, and the body.
+pub fn prompt(
+    to: SocketAddr,
+    id: &str,
+    tokens: u64,
+    record: &Record,
+) -> io::Result<(u16, bool, String)> {
+    let deadline = Duration::from_secs(10);
+    let mut out = http::connect(to, Duration::from_secs(4))?;
+    let rest = tokens - 40;
+    let request = format!(
+        "POST /contract-read/a HTTP/1.1\r\n{}x-almondlock-model: m\r\n\
+         x-almondlock-token-usage: {tokens},100\r\n\
+         x-almondlock-prompt-prefix: 5c1e07a2:40,{:08x}:{rest}\r\ncontent-length: 2\r\n\r\nhi",
+        headers(id, deadline),
+        id.len()
+    );
+    record.write(&format!("client: {id} sent to {to}"));
+    out.write_all(request.as_bytes())?;
+    let mut reader = Reader::new(out);
+    let mut answer = reader.head()?;
+    let is_own = answer.get("x-almondlock-request-id") == Some(id)
+        && answer.get("x-almondlock-response-seal").is_some();
+    let mut body = Vec::new();
+    match answer.get("transfer-encoding") {
+        Some(_) => {
+            while let Some(chunk) = reader.chunk()? {
+                body.extend(chunk);
+            }
+        }
+        None => {
+            reader.body(&mut answer)?;
+            body.clone_from(&answer.body);
+        }
+    }
+    let body = String::from_utf8_lossy(&body).into_owned();
+    let status = answer.status();
+    record.write(&format!(
+        "client: {id} answered {status}, own id and seal: {is_own}, {}",
+        body.replace('\n', " ")
+    ));
+    Ok((status, is_own, body))
+}
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -180,32 +180,96 @@
     /// Replaces a core by an empty one at another address: the new one starts, and after `overlap`
     /// the old one gets SIGTERM.
     pub fn replace(&mut self, old: usize, new: usize, overlap: Duration) -> io::Result<()> {
-        let place = self.machines.len();
-        self.machines.push(Machine {
-            class: Class::Core,
-            place: new,
-            child: None,
-        });
-        self.start_machine(place, false)?;
+        self.add_core(new)?;
         sleep(overlap);
         self.signal(Class::Core, old, "TERM")?;
-        let found = self.machines.iter().position(|machine| {
-            machine.class == Class::Core && machine.place == old && machine.child.is_some()
-        });
-        if let Some(child) = found.and_then(|n| self.machines[n].child.take()) {
-            let mut child = child;
+        self.remove_core(old)
+    }
+
+    /// Starts a core with an empty disk.
+    pub fn add_core(&mut self, place: usize) -> io::Result<()> {
+        let known = self.place(place);
+        let n = known.unwrap_or(self.machines.len());
+        if known.is_none() {
+            self.machines.push(Machine {
+                class: Class::Core,
+                place,
+                child: None,
+            });
+        }
+        self.start_machine(n, false)?;
+        if !self.cores.contains(&place) {
+            self.cores.push(place);
+        }
+        let address = self.control(place);
+        self.record.write(&format!(
+            "platform: core {address} started, its disk is empty"
+        ));
+        Ok(())
+    }
+
+    /// Waits until a core that was told to stop has ended.
+    pub fn remove_core(&mut self, place: usize) -> io::Result<()> {
+        let n = self.place(place);
+        if let Some(mut child) = n.and_then(|n| self.machines[n].child.take()) {
+            child.wait()?;
+        }
+        self.cores.retain(|core| *core != place);
+        let address = self.control(place);
+        self.record
+            .write(&format!("platform: core {address} has ended and is gone"));
+        Ok(())
+    }
+
+    /// A core loses its disk: its process is killed and its folder emptied.
+    pub fn lose_disk(&mut self, place: usize) -> io::Result<()> {
+        let n = self.place(place);
+        if let Some(mut child) = n.and_then(|n| self.machines[n].child.take()) {
+            child.kill()?;
             child.wait()?;
         }
-        self.cores.retain(|core| *core != old);
-        self.cores.push(new);
+        fs::remove_dir_all(self.folder.join(format!("data-{place}")))?;
+        let address = self.control(place);
         self.record.write(&format!(
-            "platform: core {} is gone, core {} in its place",
-            self.control(old),
-            self.control(new)
+            "platform: core {address} is down and has lost its disk"
         ));
         Ok(())
     }
 
+    fn place(&self, place: usize) -> Option<usize> {
+        let mut machines = self.machines.iter();
+        machines.position(|m| m.class == Class::Core && m.place == place)
+    }
+
+    /// The core that takes a configuration itself and redirects nobody. `text` is one that it
+    /// has, so that nothing changes.
+    pub fn leader(&self, text: &str) -> Option<usize> {
+        let mut cores = self.cores.iter().copied();
+        cores.find(|place| {
+            let to = self.control(*place);
+            let headers = format!("host: {to}\r\nconnection: close\r\n");
+            let answer = http::call(to, ("PUT", "/api/config"), &headers, text, CALL);
+            answer.is_ok_and(|answer| answer.status() == 200)
+        })
+    }
+
+    /// Reads the configuration at every core. Returns the highest version that was read.
+    pub fn read(&self) -> Option<u64> {
+        let answers = self.cores.iter().map(|place| {
+            let to = self.control(*place);
+            let answer = call_control(to, ("GET", "/api/config"), "").ok()?;
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            self.record.write(&format!(
+                "operator: read at {to} answered {}",
+                answer.status()
+            ));
+            let rest = text.strip_prefix("{\"version\":")?;
+            rest.split(',').next()?.parse().ok()
+        });
+        let versions: Vec<Option<u64>> = answers.collect();
+        versions.into_iter().flatten().max()
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, class: Class, place: usize, signal: &str) -> io::Result<()> {
         let mut machines = self.machines.iter();
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -13,7 +13,10 @@
     net::SocketAddr,
     path::Path as Folder,
     process::ExitCode,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread::{sleep, spawn},
     time::Duration,
 };
@@ -22,12 +25,16 @@
 use fleet::{Class, Fleet, call_control};
 use http::Reader;
 use record::Record;
-use server::{Manner, Path, Server, unix_millis};
+use server::{Manner, NOT_FREE, Path, Server, unix_millis};
 
 /// A service that the configuration names.
 const SERVICE: &str = "quote-api";
 /// Another one.
 const OTHER: &str = "hours-api";
+/// One of model servers.
+const ENGINES: &str = "almondlock-pool";
+/// For so long a server is faulty.
+const FAULTY: Duration = Duration::from_secs(5);
 /// Bounds of the site: an acknowledged configuration is in force everywhere after this long, and
 /// machines are in touch this long after what kept them from it.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
@@ -69,6 +76,8 @@
         "endless-body" => endless_body(&record, trouble),
         "moved-core" => moved_core(&record, trouble),
         "late-notice" => late_notice(&record, trouble),
+        "order-answer" => order_answer(&record, trouble),
+        "replaced-core" => replaced_core(&record, trouble),
         _ => Err(format!("there is no case {case}")),
     };
     match outcome {
@@ -122,9 +131,23 @@
             PAUSE.as_millis()
         ),
     );
-    let services = [service(SERVICE), service(OTHER)].join(",");
+    let contract = route(
+        "contract-read",
+        ("streaming", ENGINES),
+        "\"public\":false,\"timeoutMs\":10000,\"targetLatencyMs\":8000,\"sticky\":true,\
+         \"resumable\":false,\"gapAimMs\":500",
+    );
+    let engines = format!(
+        "{{\"name\":\"{ENGINES}\",\"healthPath\":\"/health\",\"maxConns\":274,\
+         \"protocol\":\"h1\",\"tls\":false,\"engine\":{{\"slots\":16,\"kvTokenCap\":450000,\
+         \"kvTokenBytes\":327680,\"linkMbps\":400000.0,\"stride\":46,\"models\":[{{\"name\":\"m\"}}],\
+         \"step_ms\":0.925,\"per_seq_ms\":0.00483,\"context_per_k\":0.00254,\
+         \"read_per_s\":256000.0,\"pairs_per_m\":0.0917,\"chunk\":2048,\
+         \"report_lag_ms\":200.0,\"usual\":{{\"prompt\":13239,\"answer\":1540}},\"hopMs\":0.1}}}}"
+    );
+    let services = [service(SERVICE), service(OTHER), engines].join(",");
     format!(
-        "{{\"version\":{version},\"routes\":[{plain},{hours},{stream}],\"services\":[{services}],\
+        "{{\"version\":{version},\"routes\":[{plain},{hours},{stream},{contract}],\"services\":[{services}],\
          \"limits\":{{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\
          \"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000}},\"tenants\":[{{\"name\":\"hule930\",\
          \"apiKeys\":[\"{KEY}\"],\"priority\":1}}]}}"
@@ -140,6 +163,15 @@
 }
 
 fn start(record: &Record, manners: &[Manner]) -> Result<Running, String> {
+    start_service(record, SERVICE, manners)
+}
+
+/// Starts a deployment whose servers are all of one service.
+fn start_service(
+    record: &Record,
+    service: &'static str,
+    manners: &[Manner],
+) -> Result<Running, String> {
     let mut fleet = Fleet::new(record).map_err(|error| error.to_string())?;
     fleet.start(true).map_err(|error| error.to_string())?;
     let path = Path::default();
@@ -149,7 +181,7 @@
     let zones = ["mladost-hall", "lozenets-hall", "obelya-hall"];
     let mut servers = Vec::new();
     for (place, manner) in manners.iter().enumerate() {
-        let named = (format!("i-7f3a91c{place}"), SERVICE, zones[place % 3]);
+        let named = (format!("i-7f3a91c{place}"), service, zones[place % 3]);
         let address = SocketAddr::new(fleet.ip(4, place).into(), 0);
         let server = Server::start(named, address, *manner, control.clone(), &path, record);
         servers.push(server.map_err(|error| error.to_string())?);
@@ -188,11 +220,7 @@
     let beats = |servers: &[Arc<Server>]| -> u64 {
         let counts = servers.iter();
         counts
-            .map(|server| {
-                server
-                    .acknowledged
-                    .load(std::sync::atomic::Ordering::SeqCst)
-            })
+            .map(|server| server.acknowledged.load(Ordering::SeqCst))
             .sum()
     };
     let acknowledged = beats(&running.servers);
@@ -452,3 +480,106 @@
     before.1 += during.1 + after.1;
     final_fault(&mut running, record, before)
 }
+
+/// One of two model servers sends some of its answers a second time, late. Among these are
+/// refusals of orders for memory, which long prompts make the fronts send.
+fn order_answer(record: &Record, trouble: bool) -> Outcome {
+    let running = start_service(record, ENGINES, &[Manner::Engine; 2])?;
+    let over = Arc::new(AtomicBool::new(false));
+    let mut clients = Vec::new();
+    for (n, front) in running.fronts.iter().copied().enumerate() {
+        let long = ("long", 230_000, Duration::from_millis(250));
+        let short = |name| (name, 2_000, Duration::from_millis(20));
+        for (kind, tokens, pause) in [long, short("short-a"), short("short-b"), short("short-c")] {
+            let (over, record) = (Arc::clone(&over), record.clone());
+            clients.push(spawn(move || {
+                let (mut asked, mut foreign) = (0, 0);
+                while !over.load(Ordering::SeqCst) {
+                    let id = format!("{kind}-{n}-{asked}");
+                    asked += 1;
+                    if let Ok((_, is_own, body)) = client::prompt(front, &id, tokens, &record)
+                        && !is_own
+                        && body == NOT_FREE
+                    {
+                        foreign += 1;
+                        record.write(&format!("client: {id} got the answer to an order"));
+                    }
+                    sleep(pause);
+                }
+                (asked, foreign)
+            }));
+        }
+    }
+    sleep(Duration::from_secs(2));
+    let faulty = &running.servers[0];
+    faulty.faulty.store(trouble, Ordering::SeqCst);
+    sleep(FAULTY);
+    faulty.faulty.store(false, Ordering::SeqCst);
+    sleep(Duration::from_secs(2));
+    over.store(true, Ordering::SeqCst);
+    let counts = clients.into_iter().filter_map(|client| client.join().ok());
+    let (asked, foreign) = counts.fold((0, 0), |sum, one| (sum.0 + one.0, sum.1 + one.1));
+    record.say(&format!(
+        "{asked} requests; the faulty server sent {} of its {} answers twice; {foreign} requests \
+         got the answer to an order, without an id and a seal",
+        faulty.doubled.load(Ordering::SeqCst),
+        faulty.answers.load(Ordering::SeqCst),
+    ));
+    if asked < 100 {
+        return Err("too few requests".to_owned());
+    }
+    Ok(foreign == 0)
+}
+
+/// A core is replaced as planned: the new one has run for seconds, and the old one is told to
+/// stop. Just before, another core has lost its disk, right after it acknowledged a
+/// configuration.
+fn replaced_core(record: &Record, trouble: bool) -> Outcome {
+    let mut running = start(record, &[Manner::Plain; 2])?;
+    let before = client::ask(&running.fronts, Duration::from_secs(3), "calm", record);
+    let fleet = &mut running.fleet;
+    let fail = |error: std::io::Error| error.to_string();
+    fleet.add_core(3).map_err(fail)?;
+    sleep(CATCH_UP * 3);
+    let leader = fleet.leader(&configuration(1, SERVICE));
+    let leader = leader.ok_or("nobody leads")?;
+    let old = (0..3).find(|core| *core != leader).unwrap_or_default();
+    if !fleet.publish(&configuration(2, SERVICE), Duration::from_secs(5)) {
+        return Err("the configuration isn't acknowledged".to_owned());
+    }
+    if trouble {
+        record.say(&format!(
+            "core {leader} loses its disk after its acknowledgement"
+        ));
+        fleet.lose_disk(leader).map_err(fail)?;
+    }
+    sleep(Duration::from_millis(200));
+    record.say(&format!(
+        "core {old} is told to stop, core 3 is in its place"
+    ));
+    fleet.signal(Class::Core, old, "TERM").map_err(fail)?;
+    sleep(Duration::from_secs(1));
+    if trouble {
+        fleet.add_core(leader).map_err(fail)?;
+    }
+    fleet.remove_core(old).map_err(fail)?;
+    sleep(RECOVER);
+    let mut read = None;
+    for _ in 0..10 {
+        read = read.max(fleet.read());
+        sleep(Duration::from_millis(500));
+    }
+    let is_taken = fleet.publish(&configuration(3, SERVICE), Duration::from_secs(5));
+    let after = client::ask(&running.fronts, Duration::from_secs(3), "after", record);
+    record.say(&format!(
+        "version 2 was acknowledged; from {} s after all were back, for 5 s, reads gave {}; version \
+         3 is acknowledged: {is_taken}; requests served: {} of {} before, {} of {} after",
+        RECOVER.as_secs(),
+        read.map_or("nothing".to_owned(), |version| format!("version {version}")),
+        before.1,
+        before.0,
+        after.1,
+        after.0
+    ));
+    Ok(read.is_some_and(|version| version >= 2))
+}
--- a/review/standin-2/src/server.rs
+++ b/review/standin-2/src/server.rs
@@ -30,8 +30,15 @@
     Stream,
     /// One event, and then bytes that are no event, without end, until the caller closes.
     Endless,
+    /// Three events at once. It has no memory to set aside, and refuses orders for some.
+    Engine,
 }
 
+/// The answer to an order for memory that isn't free.
+pub const NOT_FREE: &str = "{\"free\":200000}";
+/// A faulty server sends at most one in so many of its answers a second time.
+const DOUBLED: u64 = 34;
+
 /// The way of servers to control: cut while the flag is set.
 #[derive(Clone, Default)]
 pub struct Path {
@@ -58,6 +65,11 @@
     manner: Manner,
     record: Record,
     leaving: AtomicBool,
+    /// It sends some of its answers a second time, late.
+    pub faulty: AtomicBool,
+    /// Answers that it has sent while it was faulty, and those that it sent twice.
+    pub answers: AtomicU64,
+    pub doubled: AtomicU64,
     ended: AtomicBool,
     /// Open connections.
     open: Mutex<Vec<TcpStream>>,
@@ -92,6 +104,9 @@
             manner,
             record: record.clone(),
             leaving: AtomicBool::new(false),
+            faulty: AtomicBool::new(false),
+            answers: AtomicU64::new(0),
+            doubled: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             open: Mutex::default(),
             acknowledged: AtomicU64::new(0),
@@ -199,9 +214,18 @@
             .unwrap_or_else(|held| held.into_inner())
             .push(open);
         let mut reader = Reader::new(stream);
+        // An answer that comes a second time, where the next one is expected.
+        let mut copy: Option<String> = None;
         loop {
             let mut request = reader.head()?;
             reader.body(&mut request)?;
+            if let Some(copy) = copy.take() {
+                out.write_all(copy.as_bytes())?;
+            }
+            if request.path() == "/api/order" {
+                copy = self.answer_order(&mut out, &request)?;
+                continue;
+            }
             let id = request.get("x-almondlock-request-id").unwrap_or_default();
             let id = id.to_owned();
             let meant = request.get("x-almondlock-target-instance");
@@ -219,6 +243,42 @@
         }
     }
 
+    /// Answers an order. Returns the answer if it is to come a second time.
+    fn answer_order(&self, out: &mut TcpStream, order: &Message) -> io::Result<Option<String>> {
+        let is_release = String::from_utf8_lossy(&order.body).contains("release");
+        let (status, body) = match is_release {
+            true => (200, "{}"),
+            false => (409, NOT_FREE),
+        };
+        let length = body.len();
+        let answer = format!(
+            "HTTP/1.1 {status} X\r\ncontent-type: application/json\r\n\
+             content-length: {length}\r\n\r\n{body}"
+        );
+        out.write_all(answer.as_bytes())?;
+        self.record
+            .write(&format!("server {}: order answered {status}", self.id));
+        let answers = self.count_answer();
+        let doubled = self.doubled.load(Ordering::SeqCst);
+        let is_due = answers / DOUBLED > doubled && !is_release;
+        if is_due {
+            self.doubled.fetch_add(1, Ordering::SeqCst);
+            self.record.write(&format!(
+                "server {}: that answer will come a second time",
+                self.id
+            ));
+        }
+        Ok(is_due.then_some(answer))
+    }
+
+    /// Counts an answer of a faulty server, and returns how many there were.
+    fn count_answer(&self) -> u64 {
+        match self.faulty.load(Ordering::SeqCst) {
+            true => self.answers.fetch_add(1, Ordering::SeqCst) + 1,
+            false => 0,
+        }
+    }
+
     fn head(&self, status: u16, id: &str) -> String {
         format!(
             "HTTP/1.1 {status} X\r\nx-almondlock-request-id: {id}\r\n\
@@ -243,8 +303,11 @@
             if self.manner == Manner::Endless {
                 return self.write_endlessly(out, id);
             }
-            sleep(Duration::from_millis(300));
+            if self.manner == Manner::Stream {
+                sleep(Duration::from_millis(300));
+            }
         }
+        self.count_answer();
         out.write_all(b"0\r\n\r\n")
     }
 
