Reinstate instances that were only silent

A restart of all our processes changed nothing.

Cause: the end of a lease and a server's own notice were the same mark, `gone`, which is final for an incarnation. No number of the last heartbeat was kept, so a later heartbeat couldn't be told from a late copy.

A leader that never heard the instance takes the last replicated number (`Heard`, each 5 s) and two later heartbeats a second apart. While more than half of a service is silent none of it is withdrawn, and half a lease after that neither. Replicas of the version before stop at the new commands: `[directory] reinstate = no` until all run this one.

The log line `instance entered` was also written where nothing was entered; it is a line of its own now.

--- a/almondlock-control/src/replica/config.rs
+++ b/almondlock-control/src/replica/config.rs
@@ -33,6 +33,7 @@
     pub(super) snapshot: u64,
     pub(super) lease: Duration,
     pub(super) instance_lease: Duration,
+    pub(super) reinstates: bool,
     pub(super) duty_pause: Duration,
     pub(super) repairs: bool,
     pub(super) founds: bool,
@@ -59,6 +60,7 @@
                 snapshot: 20_000,
                 lease: Duration::from_secs(30),
                 instance_lease: Duration::from_secs(30),
+                reinstates: true,
                 duty_pause: Duration::from_secs(1),
                 repairs: false,
                 founds: true,
@@ -130,6 +132,13 @@
         self
     }
 
+    /// Whether an instance whose lease ended may be reinstated by a later heartbeat. Replicas of
+    /// earlier versions stop at the commands that this takes.
+    pub fn reinstates(mut self, on: bool) -> Builder {
+        self.config.reinstates = on;
+        self
+    }
+
     /// How often a leader confirms that it still leads. Processes below hold
     /// their configuration for current from such a moment on.
     pub fn duty_pause(mut self, span: Duration) -> Builder {
--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -61,6 +61,7 @@
 
 pub(super) async fn run(replica: Replica) {
     let mut expired: Option<Mono> = None;
+    let mut recorded: Option<Mono> = None;
     let pause = replica.inner.config.duty_pause;
     let mut led = false;
     loop {
@@ -78,7 +79,11 @@
             replica.inner.core.borrow().vouch(now);
         }
         forget_upstreams(&replica, now).await;
-        replica.forget_silent().await;
+        replica.withdraw_silent().await;
+        if recorded.is_none_or(|at| now.since(at) >= limit::NUMBERS_INTERVAL) {
+            recorded = Some(now);
+            replica.record_numbers().await;
+        }
         if replica.inner.config.repairs {
             replica.tell_sources().await;
         }
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -5,7 +5,7 @@
 use almondlock_node::clock;
 use almondlock_state::{
     command::{Command, Reply},
-    instance::{Disposition, Heartbeat, Instance},
+    instance::{Disposition, Heartbeat, Instance, silence::Word},
     limit,
 };
 
@@ -51,13 +51,31 @@
         }
         let (name, service) = (upstream.clone(), instance.service.clone());
         let (leaving, cold) = (instance.leaving, instance.cold);
-        let command = Command::Enrol {
-            upstream,
-            instance,
-            at: clock::wall(),
+        let at = clock::wall();
+        let silent = self.state(|state| state.instances().silence(&upstream).is_some());
+        let command = match silent {
+            false => Command::Enrol {
+                upstream,
+                instance,
+                at,
+            },
+            true => Command::Reinstate {
+                upstream,
+                sequence,
+                instance,
+                at,
+            },
         };
         let revision = self.revise(command).await?;
-        tracing::info!(instance = %name, %service, sequence, leaving, cold, revision = revision.0, "instance entered");
+        let known = self.state(|state| state.config().instances.contains_key(&name));
+        match known {
+            true => {
+                tracing::info!(instance = %name, %service, sequence, leaving, cold, silent, revision = revision.0, "instance entered");
+            }
+            false => {
+                tracing::info!(instance = %name, %service, sequence, silent, "heartbeat of an instance that is gone or silent, not entered");
+            }
+        }
         Ok(Taken::Decided(leaving.then_some(revision)))
     }
 
@@ -125,19 +143,57 @@
         Ok(revision)
     }
 
-    /// Forgets the instances whose heartbeats have stopped.
-    pub(super) async fn forget_silent(&self) {
-        let lease = self.inner.config.instance_lease;
-        let lapsed = self.state(|state| {
+    /// Withdraws the instances whose heartbeats have stopped.
+    pub(super) async fn withdraw_silent(&self) {
+        let (lease, now) = (self.inner.config.instance_lease, clock::mono());
+        let (lost, kept) = self.state(|state| {
             let mut roster = self.inner.roster.borrow_mut();
-            roster.find_silent(clock::mono(), lease, state.config())
+            let (lost, kept) = roster.find_lost(now, lease, state.config());
+            let words = lost.into_iter().filter_map(|name| {
+                let birth = state.config().instances.get(&name)?.birth;
+                let number = state.instances().last_number(&name, birth);
+                let word = roster.last_word(&name, birth, number);
+                Some((name, word))
+            });
+            (words.collect::<Vec<(Upstream, Word)>>(), kept)
         });
-        for upstream in lapsed {
-            tracing::info!(instance = %upstream, lease_ms = lease.as_millis(), "instance silent, withdrawn");
+        let before = self.inner.kept.replace(kept);
+        if kept != before {
+            tracing::warn!(
+                kept,
+                before,
+                lease_ms = lease.as_millis(),
+                "silent instances kept, most of their services are silent"
+            );
+        }
+        for (upstream, word) in lost {
+            tracing::info!(instance = %upstream, birth = word.birth.0, sequence = word.sequence, certain = word.is_certain, lease_ms = lease.as_millis(), "instance silent, withdrawn");
             let at = clock::wall();
+            let command = match self.inner.config.reinstates {
+                true => Command::Lapse { upstream, word, at },
+                false => Command::Withdraw { upstream, at },
+            };
             // Not in time, or no longer the leader: the next round does it.
-            let _ = self.propose(Command::Withdraw { upstream, at }).await;
+            let _ = self.propose(command).await;
+        }
+    }
+
+    /// Replicates the numbers of the last heartbeats, so that a later leader can tell delayed
+    /// heartbeats of instances that it has not heard itself.
+    pub(super) async fn record_numbers(&self) {
+        if !self.inner.config.reinstates {
+            return;
+        }
+        let heard = self.state(|state| {
+            let number = |name: &Upstream, birth| state.instances().last_number(name, birth);
+            self.inner.roster.borrow().list_news(number)
+        });
+        if heard.is_empty() {
+            return;
         }
+        let at = clock::wall();
+        // Not in time, or no longer the leader: the next round does it.
+        let _ = self.propose(Command::Heard { heard, at }).await;
     }
 
     async fn revise(&self, command: Command) -> Result<Revision, Refusal> {
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -29,7 +29,7 @@
 mod wire;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     future::{Future, pending},
     path::Path,
     rc::Rc,
@@ -86,6 +86,8 @@
     roster: RefCell<Roster>,
     // Heartbeats that were taken here since the leader was last told, on a follower.
     taken: RefCell<Vec<Heartbeat>>,
+    // Silent instances that are kept, for the log.
+    kept: Cell<usize>,
     tasks: RefCell<Vec<Task>>,
 }
 
@@ -128,6 +130,7 @@
                 leases: RefCell::default(),
                 roster: RefCell::default(),
                 taken: RefCell::default(),
+                kept: Cell::default(),
                 tasks: RefCell::default(),
             }),
         };
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -75,6 +75,7 @@
         if let Some(directory) = &settings.directory {
             config = config
                 .instance_lease(directory.lease)
+                .reinstates(directory.reinstate)
                 .duty_pause(host.follow);
         }
         let config = config.build();
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -383,6 +383,9 @@
          all replicas run a version that has this key; see `docs/upgrading.md`."),
     Key::new("directory", "lease", Number(1_000, HOUR), Default("10000"),
         "How long an instance stays enrolled without a heartbeat.").unit("ms"),
+    Key::new("directory", "reinstate", Word(&["yes", "no"]), Default("yes"),
+        "Whether a later heartbeat reinstates an instance whose lease ended. `no` while a replica runs \
+         a version that lacks this key; see `docs/upgrading.md`."),
 
     Key::new("security", "ca", File, Required,
         "PEM certificates of the cluster's authority. Processes with other certificates are refused."),
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -247,6 +247,7 @@
         let domains = self.names(s, "domains").unwrap_or_default();
         let deltas = self.word(s, "deltas").map(|word| word == "yes");
         let lease = self.millis(s, "lease");
+        let reinstate = self.word(s, "reinstate").map(|word| word == "yes");
         Some(Directory {
             listen: listen?,
             body_memory,
@@ -257,6 +258,7 @@
             domains,
             deltas: deltas?,
             lease: lease?,
+            reinstate: reinstate?,
         })
     }
 
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -254,6 +254,8 @@
     pub deltas: bool,
     /// How long an instance stays enrolled without a heartbeat.
     pub lease: Duration,
+    /// A later heartbeat reinstates an instance whose lease ended.
+    pub reinstate: bool,
 }
 
 /// A member that a replica group starts with.
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -20,7 +20,7 @@
     claim::Verdict,
     config::Registration,
     document::Publication,
-    instance::Instance,
+    instance::{Heartbeat, Instance, silence::Word},
     intent::Intent,
     operator::Operator,
     plan::{self, Plan, Transition},
@@ -91,13 +91,41 @@
         /// The leader's time.
         at: Wall,
     },
-    /// Removes an instance that gave notice, or whose lease ended.
+    /// Removes an instance that gave notice. A leader of an earlier version also removes one
+    /// whose lease ended by it.
     Withdraw {
         /// The name of the instance.
         upstream: Upstream,
         /// The leader's time.
         at: Wall,
     },
+    /// Withdraws an instance whose lease ended. It may be reinstated.
+    Lapse {
+        /// The name of the instance.
+        upstream: Upstream,
+        /// Its last heartbeat.
+        word: Word,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// Applies a heartbeat of an instance that was withdrawn because its lease ended.
+    Reinstate {
+        /// The name of the instance.
+        upstream: Upstream,
+        /// The number of the heartbeat.
+        sequence: u64,
+        /// The instance's description of itself.
+        instance: Instance,
+        /// The leader's time.
+        at: Wall,
+    },
+    /// Records the numbers of the instances' last heartbeats, for later leaders.
+    Heard {
+        /// The heartbeats whose numbers exceed the recorded ones.
+        heard: Vec<Heartbeat>,
+        /// The leader's time.
+        at: Wall,
+    },
     /// Claims the idempotency key of a request that may not be repeated; see
     /// [`crate::claim`].
     Claim {
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -2,7 +2,8 @@
 //!
 //! Each start of an instance is an incarnation, identified by the instance's name and its
 //! start time ([`Birth`]): a server may restart under its earlier name, without any of its
-//! earlier state. An incarnation that is gone never returns. The cases are:
+//! earlier state. An incarnation that is gone, by its own notice or because another one has
+//! its address, never returns. One that fell silent may; see [`silence`]. The cases are:
 //!
 //! | heartbeat or notice | result |
 //! |---|---|
@@ -12,8 +13,10 @@
 //! | a later incarnation of a known or gone name | enrolled: the earlier one has ended |
 //! | an earlier incarnation of a known name | nothing changes: the heartbeat was delayed |
 //! | an incarnation that is gone, or an earlier one | nothing changes: the heartbeat was delayed |
-//! | a new name at a known address | enrolled: the instance known at that address is gone |
-//! | a new name at a known address, started before the instance known there | nothing changes: the heartbeat was delayed |
+//! | an incarnation that was withdrawn for its silence, a greater number | enrolled again: it was only cut off |
+//! | the same, a number that was heard before | nothing changes: the heartbeat was delayed |
+//! | a new name at a known address | enrolled: the instance known at that address, or silent there, is gone |
+//! | a new name at a known address, started before the instance known or silent there | nothing changes: the heartbeat was delayed |
 //!
 //! Start times come from the clocks of the servers' hosts. If such a clock is set back
 //! between two incarnations of one name, the later one looks like a delayed heartbeat of
@@ -21,11 +24,13 @@
 //! Sending requests to an incarnation that is gone would lose them, whereas the load of a
 //! server that is kept out is taken by the others.
 //!
-//! A notice that an instance is gone names no incarnation: it ends the known one.
+//! A notice that an instance is gone names no incarnation: it ends the known or silent one.
 //!
 //! Whether an instance is cold is taken from its last heartbeat. When the evacuation of
 //! its failure domain ends, it counts as cold until its next heartbeat.
 
+pub mod silence;
+
 use std::{
     collections::{BTreeMap, HashMap, VecDeque},
     net::SocketAddr,
@@ -34,11 +39,12 @@
 
 use almondlock_base::{
     id::{Domain, Service, Upstream},
-    time::Mono,
+    time::{Mono, Wall},
     unit::Revision,
 };
 use serde::{Deserialize, Serialize};
 
+use self::silence::{Numbers, Silence, Word};
 use crate::{
     config::{Change, Config},
     limit,
@@ -75,7 +81,7 @@
     pub cold: bool,
 }
 
-/// The instances that are gone.
+/// The instances that are gone, or silent.
 #[derive(Clone, Debug, Default, PartialEq)]
 #[derive(Serialize, Deserialize)]
 pub struct Table {
@@ -86,11 +92,50 @@
     /// in `gone`.
     #[serde(default)]
     births: BTreeMap<Upstream, Birth>,
+    /// The instances that were withdrawn for their silence. Invariant: none of them is
+    /// enrolled or in `gone`, and no two have the same address; at most
+    /// `limit::MAX_GONE_INSTANCES`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    silent: BTreeMap<Upstream, Silence>,
+    /// The last replicated numbers of heartbeats.
+    #[serde(default, skip_serializing_if = "Numbers::is_empty")]
+    numbers: Numbers,
 }
 
 impl Table {
     /// Applies a heartbeat, and returns the changes that it makes to the configuration.
-    pub fn enrol(&mut self, config: &Config, name: &Upstream, mut record: Instance) -> Vec<Change> {
+    pub fn enrol(&mut self, config: &Config, name: &Upstream, record: Instance) -> Vec<Change> {
+        let silence = self.silent.get(name);
+        if silence.is_some_and(|silence| record.birth <= silence.birth()) {
+            return Vec::new();
+        }
+        self.enter(config, name, record)
+    }
+
+    /// Applies a heartbeat of an instance that was withdrawn for its silence.
+    pub fn reinstate(
+        &mut self,
+        now: Wall,
+        config: &Config,
+        name: &Upstream,
+        (sequence, mut record): (u64, Instance),
+    ) -> Vec<Change> {
+        let Some(silence) = self.silent.get_mut(name) else {
+            return Vec::new();
+        };
+        if record.birth < silence.birth() {
+            return Vec::new();
+        }
+        if record.birth == silence.birth() {
+            if !silence.hear(now, sequence) {
+                return Vec::new();
+            }
+            record.leaving |= silence.instance.leaving;
+        }
+        self.enter(config, name, record)
+    }
+
+    fn enter(&mut self, config: &Config, name: &Upstream, mut record: Instance) -> Vec<Change> {
         if self.is_stale(name, record.birth) {
             return Vec::new();
         }
@@ -106,34 +151,80 @@
         if known == Some(&record) {
             return Vec::new();
         }
-        let others = config.instances.iter();
-        let others =
-            others.filter(|(other, held)| *other != name && held.address == record.address);
-        let others: Vec<(&Upstream, Birth)> =
-            others.map(|(other, held)| (other, held.birth)).collect();
-        if others.iter().any(|(_, birth)| record.birth < *birth) {
+        let others = others_at(&config.instances, name, &record, |held| held);
+        let silent = others_at(&self.silent, name, &record, |silence| &silence.instance);
+        let mut births = others.iter().chain(&silent);
+        if births.any(|(_, birth)| record.birth < *birth) {
             return Vec::new();
         }
         let mut changes = Vec::new();
+        for (other, birth) in silent {
+            self.mark_gone(&other, birth);
+        }
         for (other, birth) in others {
-            self.mark_gone(other, birth);
-            changes.push(Change::Instance(other.clone(), None));
+            self.mark_gone(&other, birth);
+            changes.push(Change::Instance(other, None));
         }
         self.unmark_gone(name);
         changes.push(Change::Instance(name.clone(), Some(record)));
         changes
     }
 
-    /// Marks an instance as gone, after its own notice or the end of its lease, and returns
-    /// the change that this makes to the configuration.
+    /// Marks an instance as gone, after its own notice, and returns the change that this makes
+    /// to the configuration.
     pub fn withdraw(&mut self, config: &Config, name: &Upstream) -> Option<Change> {
         let known = config.instances.get(name);
-        if known.is_some() || !self.is_gone(name) {
-            self.mark_gone(name, known.map_or_else(Birth::default, |known| known.birth));
+        let last = known.map(|known| known.birth);
+        let last = last.or_else(|| self.silent.get(name).map(Silence::birth));
+        if last.is_some() || !self.is_gone(name) {
+            self.mark_gone(name, last.unwrap_or_default());
         }
         known.map(|_| Change::Instance(name.clone(), None))
     }
 
+    /// Withdraws an instance that fell silent after `word`, and returns the change that this
+    /// makes to the configuration. Nothing changes if another incarnation is known by now.
+    pub fn lapse(
+        &mut self,
+        now: Wall,
+        config: &Config,
+        name: &Upstream,
+        word: Word,
+    ) -> Option<Change> {
+        let known = config.instances.get(name)?;
+        if known.birth != word.birth {
+            return None;
+        }
+        if self.silent.len() >= limit::MAX_GONE_INSTANCES {
+            let silent = self.silent.iter();
+            let oldest = silent.min_by_key(|(_, silence)| silence.since());
+            let oldest = oldest.map(|(name, _)| name.clone());
+            oldest.inspect(|name| drop(self.silent.remove(name)));
+        }
+        let silence = Silence::new(now, known.clone(), word);
+        self.silent.insert(name.clone(), silence);
+        Some(Change::Instance(name.clone(), None))
+    }
+
+    /// Records the numbers of the last heartbeats that the leader has heard.
+    pub fn note_numbers(&mut self, config: &Config, heard: Vec<Heartbeat>) {
+        for heartbeat in heard {
+            let told = (heartbeat.birth, heartbeat.sequence);
+            self.numbers.raise(heartbeat.name, told);
+        }
+        self.numbers.retain(config);
+    }
+
+    /// Returns the replicated number of the last heartbeat of an incarnation, or 0.
+    pub fn last_number(&self, name: &Upstream, birth: Birth) -> u64 {
+        self.numbers.get(name, birth)
+    }
+
+    /// Returns the instance of this name that was withdrawn for its silence.
+    pub fn silence(&self, name: &Upstream) -> Option<&Silence> {
+        self.silent.get(name)
+    }
+
     fn mark_gone(&mut self, name: &Upstream, birth: Birth) {
         self.unmark_gone(name);
         self.gone.push_back(name.clone());
@@ -150,6 +241,7 @@
     fn unmark_gone(&mut self, name: &Upstream) {
         self.gone.retain(|gone| gone != name);
         self.births.remove(name);
+        self.silent.remove(name);
     }
 
     /// Returns whether this incarnation is gone, or precedes one that is.
@@ -164,6 +256,23 @@
     }
 }
 
+/// Returns the instances of other names at the address of `record`, with their births.
+fn others_at<T, F>(
+    held: &BTreeMap<Upstream, T>,
+    name: &Upstream,
+    record: &Instance,
+    instance: F,
+) -> Vec<(Upstream, Birth)>
+where
+    F: Fn(&T) -> &Instance,
+{
+    let held = held.iter().map(|(other, held)| (other, instance(held)));
+    let others = held.filter(|(other, held)| *other != name && held.address == record.address);
+    others
+        .map(|(other, held)| (other.clone(), held.birth))
+        .collect()
+}
+
 /// Returns whether an instance can't be enrolled because the table is full.
 fn has_no_room(config: &Config, name: &Upstream) -> bool {
     config.instances.len() >= limit::MAX_INSTANCES && !config.instances.contains_key(name)
@@ -208,6 +317,8 @@
 #[derive(Debug, Default)]
 pub struct Roster {
     heard: HashMap<Upstream, Contact>,
+    // When more than half of a service's instances were last silent.
+    unreached: HashMap<Service, Mono>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -292,7 +403,7 @@
         }
     }
 
-    /// Returns the instances that were not heard for a lease.
+    /// Returns the instances that were not heard for a lease, in order.
     pub fn find_silent(&mut self, now: Mono, lease: Duration, config: &Config) -> Vec<Upstream> {
         self.heard
             .retain(|name, _| config.instances.contains_key(name));
@@ -315,5 +426,6 @@
     /// Forgets all heartbeats, as a replica must that doesn't lead.
     pub fn clear(&mut self) {
         self.heard.clear();
+        self.unreached.clear();
     }
 }
--- a/almondlock-state/src/machine.rs
+++ b/almondlock-state/src/machine.rs
@@ -13,6 +13,7 @@
 //! again. After a long outage the clock lags and things are kept longer, which is
 //! safe.
 
+mod instances;
 mod published;
 
 use std::{collections::BTreeMap, fmt, time::Duration};
@@ -102,11 +103,6 @@
         &self.claims
     }
 
-    /// Returns whether an instance is gone: its last known incarnation was withdrawn.
-    pub fn is_gone(&self, instance: &Upstream) -> bool {
-        self.instances.is_gone(instance)
-    }
-
     /// Returns the time by which things expire.
     pub fn clock(&self) -> Wall {
         self.clock
@@ -152,17 +148,12 @@
                 Ok(accepted())
             }
             Command::Publish { publication, .. } => self.publish(publication, changes),
-            Command::Enrol {
-                upstream, instance, ..
-            } => {
-                let config = &self.tables.config;
-                let made = self.instances.enrol(config, &upstream, instance);
-                self.apply_changes(made, changes);
-                Ok(accepted())
-            }
-            Command::Withdraw { upstream, .. } => {
-                let made = self.instances.withdraw(&self.tables.config, &upstream);
-                self.apply_changes(made.into_iter().collect(), changes);
+            Command::Enrol { .. }
+            | Command::Withdraw { .. }
+            | Command::Lapse { .. }
+            | Command::Reinstate { .. }
+            | Command::Heard { .. } => {
+                self.apply_instance(command, changes);
                 Ok(accepted())
             }
             Command::Evacuate { domain, at } => {
