Keep a voter that stops until it is exchanged

What callers saw: the leader of three replicas lost its disk right after an acknowledgement, 0.2 s later another one, whose successor had held everything for seconds, was told to stop.

Cause: a voter that is told to stop was taken for one that is gone. It left after an election timeout, whatever the group was doing, and counted as not answering from its first word on. With one voter lost and one stopping no step of the exchange could be accepted, and a moment later nobody was left who could accept one.

Ruled out: that waiting alone is enough. `repair` had no step in that state (`one_stops_one_silent` holds it for a voter that doesn't stay, and still does).

Fix: a voter that stops while a spare stands ready, or a change of the members is half done, says that it stays, and does until it knows that its removal is accepted: from the log, or from the leader, which answers its greetings. The bound is three fifths of `[replica] stop_time`; the log says then what was left undone. A voter that stays counts as answering, the spare gets its vote first, and only then the one that stops is removed.

Tried and taken back: the spare's vote first for silent voters too.

Tests: `Peer` has a field more, which two tests name in their literals.

--- a/almondlock-control/src/replica/config.rs
+++ b/almondlock-control/src/replica/config.rs
@@ -36,6 +36,7 @@
     pub(super) reinstates: bool,
     pub(super) duty_pause: Duration,
     pub(super) repairs: bool,
+    pub(super) stop_time: Duration,
     pub(super) founds: bool,
     pub(super) security: Security,
     pub(super) owner: Owner,
@@ -63,6 +64,7 @@
                 reinstates: true,
                 duty_pause: Duration::from_secs(1),
                 repairs: false,
+                stop_time: Duration::from_secs(5),
                 founds: true,
                 security: Security::Plain,
                 owner: Owner::default(),
@@ -132,6 +134,13 @@
         self
     }
 
+    /// How long a replica that is told to stop waits at most until the group has agreed to go on
+    /// without it. It waits only if it may be exchanged for a spare.
+    pub fn stop_time(mut self, span: Duration) -> Builder {
+        self.config.stop_time = span;
+        self
+    }
+
     /// Whether an instance whose lease ended may be reinstated by a later heartbeat. Replicas of
     /// earlier versions stop at the commands that this takes.
     pub fn reinstates(mut self, on: bool) -> Builder {
--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -1,6 +1,7 @@
 //! What the replica's thread holds: the log's machine, the state, and who
 //! waits for what. Nothing here waits itself.
 
+mod ending;
 mod greeting;
 mod log;
 mod report;
@@ -11,6 +12,7 @@
     mem,
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use almondlock_base::{Code, time::Mono, unit::Revision};
@@ -29,6 +31,7 @@
 };
 use tokio::sync::oneshot;
 
+use self::ending::Stop;
 use super::{
     config::{Config, Initial},
     disk::{Report, Thread},
@@ -63,6 +66,15 @@
     }
 }
 
+/// What a member said that stops.
+#[derive(Clone, Copy)]
+struct Leaving {
+    /// When it was last said.
+    at: Mono,
+    /// It goes on voting until it is out of the group.
+    stays: bool,
+}
+
 /// Where the replica stands towards the group.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Stage {
@@ -78,6 +90,10 @@
     own: Member,
     initial: Vec<Initial>,
     founds: bool,
+    // Whether a leader exchanges members by itself.
+    repairs: bool,
+    // The longest time for which a replica that stops waits for its exchange.
+    stop_time: Duration,
     quorum: almondlock_quorum::config::Config,
     machine: Machine,
     pub(super) state: State,
@@ -90,12 +106,12 @@
     stage: Stage,
     pub(super) gathering: Gathering,
     greeted_at: Option<Mono>,
-    // Members that said that they stop, and when.
-    leaving: HashMap<Id, Mono>,
+    // Members that said that they stop.
+    leaving: HashMap<Id, Leaving>,
     // The leader that was told of them.
     told_leader: Option<Id>,
     // This replica stops.
-    stopping: bool,
+    stopping: Option<Stop>,
     // Where replicas were last said to be. Those that are not, or no longer,
     // members here stay: a newcomer answers a leader before its log names one,
     // and a removed replica is told of its removal.
@@ -143,6 +159,8 @@
             own,
             initial: config.initial.clone(),
             founds: config.founds,
+            repairs: config.repairs,
+            stop_time: config.stop_time,
             quorum,
             state: State::new(),
             applied: Index::ZERO,
@@ -155,7 +173,7 @@
             greeted_at: None,
             leaving: HashMap::new(),
             told_leader: None,
-            stopping: false,
+            stopping: None,
             addresses: HashMap::new(),
             listed: Arc::default(),
             waiting: BTreeMap::new(),
@@ -253,16 +271,10 @@
         }
         self.machine.tick(now);
         self.take_snapshot();
+        self.prepare_end(now);
         self.greet(now);
     }
 
-    /// Says that this replica stops, and hands leadership over if it has it.
-    pub(super) fn leave(&mut self, now: Mono) {
-        self.stopping = true;
-        self.greet_all();
-        self.hand_over(now);
-    }
-
     fn hand_over(&mut self, now: Mono) {
         if let Some(to) = self.machine.transfer_leadership(now) {
             let (term, matched) = (self.machine.term().0, self.machine.matched(to));
@@ -380,6 +392,7 @@
             from: self.own.clone(),
             members: None,
             leaving: false,
+            stays: false,
         };
         let parcel = Parcel::Heartbeats(Box::new(greeting), heartbeats);
         self.peers.send(leader, parcel);
--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -19,7 +19,11 @@
         let due = |at: Mono| now.since(at) >= self.quorum.heartbeat_interval() * 2;
         let member = self.machine.members().contains(self.own.id);
         let led = member && self.greeted_at.is_some() && self.machine.hears_leader(now);
-        if led || self.stopping || !self.greeted_at.is_none_or(due) {
+        let silent = match &self.stopping {
+            Some(stop) => !stop.stays,
+            None => led,
+        };
+        if silent || !self.greeted_at.is_none_or(due) {
             return;
         }
         self.greeted_at = Some(now);
@@ -42,7 +46,8 @@
         let greeting = Greeting {
             from: self.own.clone(),
             members: Some(Members::clone(members)).filter(|m| m.contains(self.own.id)),
-            leaving: self.stopping,
+            leaving: self.stopping.is_some(),
+            stays: self.stopping.as_ref().is_some_and(|stop| stop.stays),
         };
         self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
     }
@@ -64,12 +69,24 @@
             Some(members) if self.stage == Stage::Gathering => {
                 self.advance(founding::join(self.own.id, members));
             }
+            Some(members) if self.is_removal(&members) => {
+                if let Some(stop) = &mut self.stopping {
+                    stop.is_removed = true;
+                }
+            }
+            // It doesn't know that it is out, and waits for that.
+            Some(_) if greeting.stays && self.is_known_removed(greeting.from.id) => {
+                self.greet_one(greeting.from.address);
+            }
             // Passed on; a member that has answered since this replica leads is still there.
             Some(_)
                 if greeting.leaving
                     && sender != greeting.from.id
                     && self.machine.last_heard(greeting.from.id).is_some() => {}
-            Some(_) if greeting.leaving => self.note_leaving(now, greeting.from.id),
+            Some(_) if greeting.leaving => {
+                let is_own_word = sender == greeting.from.id;
+                self.note_leaving(now, greeting.from.id, is_own_word.then_some(greeting.stays));
+            }
             Some(_) if self.leaving.remove(&greeting.from.id).is_some() => {}
             // It was removed and doesn't know, or this replica doesn't know the members yet.
             Some(_) if member && !self.machine.members().contains(greeting.from.id) => {
@@ -79,6 +96,20 @@
         }
     }
 
+    /// Whether these members, which another replica named, lack this one that stops.
+    fn is_removal(&self, members: &Members) -> bool {
+        self.stopping.is_some()
+            && self.machine.members().contains(self.own.id)
+            && !members.contains(self.own.id)
+    }
+
+    /// Whether a replica is known to be out. Only a leader knows that the members in force were
+    /// accepted last.
+    fn is_known_removed(&self, id: Id) -> bool {
+        let is_accepted = self.is_leader() && self.machine.has_committed_members();
+        is_accepted && !self.machine.members().contains(id)
+    }
+
     fn note_newcomer(&mut self, now: Mono, sender: Id, newcomer: Member) {
         self.pass_to_leader(sender, &newcomer);
         self.gathering.note(now, newcomer);
@@ -92,6 +123,7 @@
                 from: from.clone(),
                 members: None,
                 leaving: false,
+                stays: false,
             };
             self.peers
                 .send(leader, Parcel::Greeting(Box::new(greeting)));
@@ -118,6 +150,7 @@
                 from: member.clone(),
                 members: Some(Members::clone(&members)),
                 leaving: true,
+                stays: false,
             };
             self.peers
                 .send(address, Parcel::Greeting(Box::new(greeting)));
--- a/almondlock-control/src/replica/core/log.rs
+++ b/almondlock-control/src/replica/core/log.rs
@@ -10,6 +10,8 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
+use std::time::Duration;
+
 use almondlock_base::time::Mono;
 use almondlock_quorum::{
     entry::Term,
@@ -130,9 +132,24 @@
     }
 
     /// Logs that a member said that it stops.
-    pub(super) fn log_leaving(&self, id: Id) {
+    pub(super) fn log_leaving(&self, id: Id, stays: bool) {
         let member = self.name(id);
-        tracing::info!(%member, "member stops");
+        tracing::info!(%member, stays, "member stops");
+    }
+
+    /// Logs what is left undone by a replica that ends before the group has agreed to go on
+    /// without it.
+    pub(super) fn log_unfinished_end(&self, waited: Duration) {
+        let members = self.machine.members();
+        let leader = self.machine.leader().map(|id| id.to_string());
+        tracing::warn!(
+            waited_ms = waited.as_millis(),
+            leader = leader.as_deref().unwrap_or("none"),
+            voters = %List::of(members.voters.values()),
+            learners = %List::of(members.learners.values()),
+            accepted = self.machine.has_committed_members(),
+            "ends although the group has not agreed to go on without this replica"
+        );
     }
 
     /// Logs who asks to join, as this replica was told.
--- a/almondlock-control/src/replica/core/sight.rs
+++ b/almondlock-control/src/replica/core/sight.rs
@@ -3,13 +3,13 @@
 use almondlock_base::time::Mono;
 use almondlock_quorum::member::{Change, Id};
 
-use super::Core;
+use super::{Core, Leaving};
 use crate::replica::repair::{self, Peer, Sight};
 
 impl Core {
     /// The next step of a membership that mends itself, if this replica leads.
     pub(in crate::replica) fn repair_step(&self, now: Mono) -> Option<Change> {
-        if !self.is_leader() || self.stopping {
+        if !self.is_leader() || self.stopping.is_some() {
             return None;
         }
         let sight = Sight {
@@ -25,17 +25,22 @@
             advanced: self.machine.last_advanced(id),
             caught_up: self.machine.is_caught_up(id),
             leaving: self.is_leaving(now, id),
+            stays: self.leaving.get(&id).is_some_and(|said| said.stays),
         })
     }
 
-    pub(super) fn note_leaving(&mut self, now: Mono, id: Id) {
+    /// A member stops. `stays` is what it said of itself; another one's word leaves that as it is.
+    pub(super) fn note_leaving(&mut self, now: Mono, id: Id, stays: Option<bool>) {
         self.leaving
-            .retain(|_, said| now.since(*said) < repair::SILENCE);
+            .retain(|_, said| now.since(said.at) < repair::SILENCE);
         if !self.machine.members().contains(id) {
             return;
         }
-        if self.leaving.insert(id, now).is_none() {
-            self.log_leaving(id);
+        let before = self.leaving.get(&id).copied();
+        let stays = stays.unwrap_or(before.is_some_and(|said| said.stays));
+        self.leaving.insert(id, Leaving { at: now, stays });
+        if before.is_none() {
+            self.log_leaving(id, stays);
         }
     }
 
@@ -43,6 +48,6 @@
     /// back.
     pub(super) fn is_leaving(&self, now: Mono, id: Id) -> bool {
         let said = self.leaving.get(&id);
-        said.is_some_and(|said| now.since(*said) < repair::SILENCE)
+        said.is_some_and(|said| now.since(said.at) < repair::SILENCE)
     }
 }
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -35,6 +35,9 @@
     /// The speaker stops.
     #[serde(default)]
     pub(super) leaving: bool,
+    /// Until it is out of the group, it goes on voting and acknowledging.
+    #[serde(default)]
+    pub(super) stays: bool,
 }
 
 /// What to do about a greeting.
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -14,6 +14,7 @@
 
 mod config;
 mod core;
+pub mod departure;
 mod disk;
 mod duties;
 mod figures;
@@ -214,15 +215,15 @@
         }
     }
 
-    /// Tells the others that it stops, and hands leadership on if it has it. As a leader it waits
-    /// for an election timeout at the most, until its successor has all entries and leads.
+    /// Tells the others that it stops, hands leadership on if it has it, and waits until it may
+    /// end; see [`departure`]. Without a spare in the group that takes an election timeout at the
+    /// most, as a leader, and else `stop_time`.
     pub async fn leave(&self) {
         self.with(|core| core.leave(clock::mono()));
-        let quorum = &self.inner.config.quorum;
-        let until = clock::mono() + quorum.election_timeout();
-        sleep(quorum.heartbeat_interval()).await;
-        while self.is_leader() && clock::mono() < until {
-            sleep(quorum.heartbeat_interval() / 4).await;
+        let heartbeat = self.inner.config.quorum.heartbeat_interval();
+        sleep(heartbeat).await;
+        while !self.inner.core.borrow().may_end(clock::mono()) {
+            sleep(heartbeat / 4).await;
         }
     }
 
--- a/almondlock-control/src/replica/repair.rs
+++ b/almondlock-control/src/replica/repair.rs
@@ -12,6 +12,10 @@
 //! holds everything stands ready. So a newcomer gets its vote only in exchange,
 //! or together with a second one.
 //!
+//! A voter that stops, and stays until it is out, is exchanged the other way round: the spare
+//! gets its vote while the one that stops can still accept that, and only then that one goes. So
+//! a disk that is lost meanwhile leaves a majority at each step; see [`departure`](super::departure).
+//!
 //! An exchange costs nothing if the voter was merely slow: the group holds as
 //! many copies as before, and the one that was removed asks to join again. It
 //! therefore needs no long wait. Without a spare a lost voter stays, since
@@ -51,6 +55,8 @@
     pub caught_up: bool,
     /// It said lately that it stops.
     pub leaving: bool,
+    /// It said besides that it goes on voting until it is out of the group.
+    pub stays: bool,
 }
 
 /// How a voter is known to be lost, the surest first.
@@ -110,7 +116,8 @@
     }
 
     /// Gives spares their vote, where that makes the number of voters odd or
-    /// the next promotion will. Of two voters or one, each further copy counts.
+    /// the next promotion will. Of two voters or one, each further copy counts. A voter that
+    /// stays until it is out goes after the spare has its vote.
     fn promotion<F>(&self, look: &F) -> Option<Change>
     where
         F: Fn(Id) -> Peer,
@@ -119,10 +126,11 @@
         let lost = self.lost(look);
         let single = self.is_half_way();
         let pair = spares.len() >= 2 && lost.is_empty();
+        let replaced = lost.iter().any(|voter| look(voter.id).stays);
         let mut changes = spares.iter().map(|spare| Change::Promote(spare.id));
         changes
             .find(|change| self.after(self.members, change, look).is_some())
-            .filter(|_| single || pair)
+            .filter(|_| single || pair || replaced)
     }
 
     /// Removes a lost voter for which a spare will get its vote.
@@ -229,7 +237,7 @@
     /// The members after a change, if it is allowed and those that answer can accept it. One
     /// that waits for a lost voter would hold up every later one. A voter that hasn't answered
     /// since the leader was elected doesn't count, however short that is, nor does one that
-    /// stops: it may be gone before it accepts.
+    /// stops, unless it stays: it may be gone before it accepts.
     fn after<F>(&self, members: &Members, change: &Change, look: &F) -> Option<Members>
     where
         F: Fn(Id) -> Peer,
@@ -238,8 +246,9 @@
             let member = members.get(id).or_else(|| self.members.get(id));
             let lost = |member| self.is_silent(member, look) || self.is_wiped(member, look);
             let peer = look(id);
-            let stays = id == self.own || peer.heard.is_some() && !peer.leaving;
-            stays && !member.is_none_or(lost)
+            let stays = !peer.leaving || peer.stays;
+            let counts = id == self.own || peer.heard.is_some() && stays;
+            counts && !member.is_none_or(lost)
         };
         let members = members.with_change(change).ok()?;
         Some(members).filter(|members| members.has_quorum(answers))
--- a/almondlock-control/tests/group/mod.rs
+++ b/almondlock-control/tests/group/mod.rs
@@ -185,6 +185,12 @@
         self.running[n].take().unwrap().end(End::Stop);
     }
 
+    /// Begins to stop a host, as [`Group::stop`] does. Ends once its process would.
+    pub fn begin_stop(&mut self, n: usize) -> JoinHandle<()> {
+        let running = self.running[n].take().unwrap();
+        thread::spawn(move || running.end(End::Stop))
+    }
+
     pub fn remote(&self, n: usize) -> &Remote {
         &self.running[n].as_ref().unwrap().remote
     }
--- a/almondlock-control/tests/mended_membership.rs
+++ b/almondlock-control/tests/mended_membership.rs
@@ -32,6 +32,7 @@
         advanced: Some(NOW),
         caught_up: true,
         leaving: false,
+        stays: false,
     }
 }
 
@@ -398,3 +399,41 @@
     case.settle();
     assert_eq!(case.voters(), [1, 2, 11]);
 }
+
+/// What a member says that stops, and stays until it is out.
+fn staying() -> Peer {
+    Peer {
+        stays: true,
+        ..leaving()
+    }
+}
+
+/// Guards against a moment with two voters while one that stops is exchanged: a disk that is lost
+/// then ends the group, although the one that stops is still there.
+#[test]
+fn exchanged_while_there() {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let mut case = Case::of(members, vec![member(13, 4)], vec![]);
+    case.settle();
+    case.peers.insert(3, staying());
+    let expected = [Change::Promote(Id(13)), Change::Remove(Id(3))];
+    assert_eq!(case.settle(), expected);
+}
+
+/// Guards against an exchange that waits for ever: one voter has lost its disk, another stops, and
+/// neither can be removed before the spare votes.
+#[parameterized(
+    not_back = { false },
+    back = { true },
+)]
+fn lost_beside_stop(is_back: bool) {
+    let members = group(&[(1, 1), (2, 2), (3, 3)]);
+    let members = members.with_change(&Change::Add(member(13, 4))).unwrap();
+    let newcomers = is_back.then(|| member(22, 2)).into_iter().collect();
+    let mut case = Case::of(members, newcomers, vec![2]);
+    case.peers.insert(3, staying());
+    let steps = case.settle();
+    assert_eq!(steps[0], Change::Promote(Id(13)));
+    let expected: &[u64] = if is_back { &[1, 13, 22] } else { &[1, 2, 13] };
+    assert_eq!(case.voters(), expected);
+}
--- a/almondlock-control/tests/slow_voters.rs
+++ b/almondlock-control/tests/slow_voters.rs
@@ -59,6 +59,7 @@
         advanced: machine.last_advanced(id),
         caught_up: machine.is_caught_up(id),
         leaving: false,
+        stays: false,
     });
     step.filter(|_| machine.has_committed_members())
 }
--- a/almondlock-daemon/src/roles/control.rs
+++ b/almondlock-daemon/src/roles/control.rs
@@ -71,7 +71,8 @@
                 .security(security)
                 .owner(owner.clone())
                 .founds(role.founds)
-                .repairs(role.repairs);
+                .repairs(role.repairs)
+                .stop_time(role.exchange_time());
         if let Some(directory) = &settings.directory {
             config = config
                 .instance_lease(directory.lease)
--- a/almondlock-settings/src/key.rs
+++ b/almondlock-settings/src/key.rs
@@ -350,6 +350,9 @@
     Key::new("replica", "repairs", Word(&["yes", "no"]), Default("no"),
         "Whether the leader takes in replicas that ask, and puts out those that were lost, without an \
          operator."),
+    Key::new("replica", "stop_time", Decimal(1, 3_600), Default("8"),
+        "How long after it is told to stop the process is ended by force. A replica that a spare is to \
+         replace goes on voting until that is done, for three fifths of this at the most.").unit("s"),
     Key::new("replica", "metrics", Listen, Optional,
         "Where figures on the group and its log are served as text: `GET /metrics`."),
     Key::new("replica", "certificate", File, Optional,
--- a/almondlock-settings/src/read.rs
+++ b/almondlock-settings/src/read.rs
@@ -175,11 +175,13 @@
         let operator_key = self.hash(s, "operator_key");
         let metrics = self.address(s, "metrics");
         let tls = self.tls(s);
+        let stop_time = self.decimal(s, "stop_time").map(Duration::from_secs_f64);
         Some(Replica {
             admin: admin?,
             members: members.unwrap_or_default(),
             founds: founds?,
             repairs: repairs?,
+            stop_time: stop_time?,
             operator_key,
             metrics,
             tls,
--- a/almondlock-settings/src/settings.rs
+++ b/almondlock-settings/src/settings.rs
@@ -280,6 +280,8 @@
     pub founds: bool,
     /// Whether a leader changes the membership by itself.
     pub repairs: bool,
+    /// When the process is ended by force after it was told to stop.
+    pub stop_time: Duration,
     /// Hash of the first operator's key.
     pub operator_key: Option<String>,
     /// Where figures are served.
@@ -288,6 +290,17 @@
     pub tls: Option<Tls>,
 }
 
+/// Of the time until a process is ended by force, the part for which a replica that stops waits
+/// for its exchange. The calls in progress end after that.
+const EXCHANGE_SHARE: f64 = 0.6;
+
+impl Replica {
+    /// How long a replica that stops waits at most until the group has agreed to go on without it.
+    pub fn exchange_time(&self) -> Duration {
+        self.stop_time.mul_f64(EXCHANGE_SHARE)
+    }
+}
+
 /// Section `[security]`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Security {
