Doubt notices that may be of an earlier incarnation

What callers saw: servers were replaced in place, and a partition held up one copy of each one's notice until it had started again.

Cause: a notice names no incarnation, and was taken for one of whatever incarnation was known. It is final for that one.

Fix: a notice is in doubt if the known incarnation never said that it leaves and a notice of the same name was entered within the last 60 s, which is replicated. What isn't acknowledged binds nobody to stop sending.

--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -1,6 +1,8 @@
 //! Heartbeats of upstreams that are called without a sidecar, as the leader
 //! takes them.
 
+use std::time::Duration;
+
 use almondlock_base::{Code, id::Upstream, unit::Revision};
 use almondlock_node::clock;
 use almondlock_state::{
@@ -11,6 +13,9 @@
 
 use super::{Replica, refusal::Refusal};
 
+/// The time within which a sender repeats a notice that wasn't acknowledged.
+const NOTICE_REPEAT: Duration = Duration::from_secs(5);
+
 /// How a heartbeat was taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Taken {
@@ -128,12 +133,20 @@
     }
 
     /// An instance says that it is gone.
+    ///
+    /// One that may be a late copy of an earlier incarnation's notice is refused. A sender whose
+    /// notice isn't acknowledged repeats it, and the second one counts.
     pub async fn withdraw(&self, upstream: Upstream) -> Result<Revision, Refusal> {
         self.inner.core.borrow().check()?;
         let gone = self.state(|state| state.is_gone(&upstream));
         if gone {
             return Ok(self.state(|state| state.config().revision));
         }
+        if !self.is_credible(&upstream) {
+            let message = "the notice may be a late copy of an earlier incarnation's";
+            tracing::warn!(instance = %upstream, "notice not entered, it may be a late copy");
+            return Err(Refusal::new(Code::Conflict, message));
+        }
         let command = Command::Withdraw {
             upstream: upstream.clone(),
             at: clock::wall(),
@@ -143,6 +156,25 @@
         Ok(revision)
     }
 
+    /// Whether a notice is beyond doubt, or repeats one that was doubted for the same incarnation.
+    fn is_credible(&self, upstream: &Upstream) -> bool {
+        let (now, wall) = (clock::mono(), clock::wall());
+        let doubted = self.state(|state| {
+            let doubtful = state
+                .instances()
+                .is_doubtful_notice(wall, state.config(), upstream);
+            let known = state.config().instances.get(upstream);
+            known.filter(|_| doubtful).map(|known| known.birth)
+        });
+        let Some(birth) = doubted else {
+            return true;
+        };
+        let mut doubts = self.inner.doubts.borrow_mut();
+        doubts.retain(|_, (_, at)| now.since(*at) < NOTICE_REPEAT);
+        let before = doubts.insert(upstream.clone(), (birth, now));
+        before.is_some_and(|(doubted, _)| doubted == birth)
+    }
+
     /// Withdraws the instances whose heartbeats have stopped.
     pub(super) async fn withdraw_silent(&self) {
         let (lease, now) = (self.inner.config.instance_lease, clock::mono());
--- a/almondlock-control/src/replica/mod.rs
+++ b/almondlock-control/src/replica/mod.rs
@@ -31,13 +31,14 @@
 
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     future::{Future, pending},
     path::Path,
     rc::Rc,
     time::Duration,
 };
 
-use almondlock_base::Code;
+use almondlock_base::{Code, id::Upstream, time::Mono};
 use almondlock_node::{Vouch, clock};
 use almondlock_quorum::{
     member::Id,
@@ -50,7 +51,7 @@
 use almondlock_spread::view::View;
 use almondlock_state::{
     command::{Command, Reply},
-    instance::{Heartbeat, Roster},
+    instance::{Birth, Heartbeat, Roster},
     machine::Machine,
 };
 use almondlock_task::{Owner, Task};
@@ -87,6 +88,9 @@
     roster: RefCell<Roster>,
     // Heartbeats that were taken here since the leader was last told, on a follower.
     taken: RefCell<Vec<Heartbeat>>,
+    // Notices that were refused as possible late copies: for which incarnation, and when. Only a
+    // leader adds to it; a new one asks for another repetition.
+    doubts: RefCell<HashMap<Upstream, (Birth, Mono)>>,
     // Silent instances that are kept, for the log.
     kept: Cell<usize>,
     tasks: RefCell<Vec<Task>>,
@@ -131,6 +135,7 @@
                 leases: RefCell::default(),
                 roster: RefCell::default(),
                 taken: RefCell::default(),
+                doubts: RefCell::default(),
                 kept: Cell::default(),
                 tasks: RefCell::default(),
             }),
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -24,7 +24,9 @@
 //! Sending requests to an incarnation that is gone would lose them, whereas the load of a
 //! server that is kept out is taken by the others.
 //!
-//! A notice that an instance is gone names no incarnation: it ends the known or silent one.
+//! A notice that an instance is gone names no incarnation: it ends the known or silent one. The
+//! leader doesn't enter one that may be a late copy of the notice of an earlier incarnation; see
+//! [`Table::is_doubtful_notice`].
 //!
 //! Whether an instance is cold is taken from its last heartbeat. When the evacuation of
 //! its failure domain ends, it counts as cold until its next heartbeat.
@@ -97,6 +99,10 @@
     /// `limit::MAX_GONE_INSTANCES`.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     silent: BTreeMap<Upstream, Silence>,
+    /// When the last notice of each name was entered. Invariant: none was entered more than
+    /// `limit::LATE_NOTICE` before the newest; at most `limit::MAX_GONE_INSTANCES`.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    notices: BTreeMap<Upstream, Wall>,
     /// The last replicated numbers of heartbeats.
     #[serde(default, skip_serializing_if = "Numbers::is_empty")]
     numbers: Numbers,
@@ -172,7 +178,8 @@
 
     /// Marks an instance as gone, after its own notice, and returns the change that this makes
     /// to the configuration.
-    pub fn withdraw(&mut self, config: &Config, name: &Upstream) -> Option<Change> {
+    pub fn withdraw(&mut self, now: Wall, config: &Config, name: &Upstream) -> Option<Change> {
+        self.note_notice(now, name);
         let known = config.instances.get(name);
         let last = known.map(|known| known.birth);
         let last = last.or_else(|| self.silent.get(name).map(Silence::birth));
@@ -182,6 +189,24 @@
         known.map(|_| Change::Instance(name.clone(), None))
     }
 
+    fn note_notice(&mut self, now: Wall, name: &Upstream) {
+        self.notices
+            .retain(|_, at| now.since(*at) < limit::LATE_NOTICE);
+        if self.notices.len() < limit::MAX_GONE_INSTANCES || self.notices.contains_key(name) {
+            self.notices.insert(name.clone(), now);
+        }
+    }
+
+    /// Returns whether a notice may be a late copy of one that an earlier incarnation gave: the
+    /// known incarnation hasn't said that it is leaving, and a notice of the name was entered
+    /// not long ago.
+    pub fn is_doubtful_notice(&self, now: Wall, config: &Config, name: &Upstream) -> bool {
+        let known = config.instances.get(name);
+        let last = self.notices.get(name);
+        known.is_some_and(|known| !known.leaving)
+            && last.is_some_and(|at| now.since(*at) < limit::LATE_NOTICE)
+    }
+
     /// Withdraws an instance that fell silent after `word`, and returns the change that this
     /// makes to the configuration. Nothing changes if another incarnation is known by now.
     pub fn lapse(
--- a/almondlock-state/src/limit.rs
+++ b/almondlock-state/src/limit.rs
@@ -39,6 +39,9 @@
 pub const FREED_CLAIM_RETENTION: Duration = Duration::from_secs(120);
 /// Shortest time between two sweeps for expired claims and fingerprints.
 pub const SWEEP_INTERVAL: Duration = Duration::from_secs(10);
+/// The time after the notice of an instance for which another one, of its next incarnation, may
+/// be a late copy of it.
+pub const LATE_NOTICE: Duration = Duration::from_secs(60);
 /// The time between two records of the numbers of heartbeats.
 pub const NUMBERS_INTERVAL: Duration = Duration::from_secs(5);
 /// Largest step by which one command may advance the clock of the state.
--- a/almondlock-state/src/machine/instances.rs
+++ b/almondlock-state/src/machine/instances.rs
@@ -23,8 +23,9 @@
             Command::Enrol {
                 upstream, instance, ..
             } => self.instances.enrol(config, &upstream, instance),
-            Command::Withdraw { upstream, .. } => {
-                let made = self.instances.withdraw(config, &upstream);
+            Command::Withdraw { upstream, at } => {
+                let now = self.clock.max(at);
+                let made = self.instances.withdraw(now, config, &upstream);
                 made.into_iter().collect()
             }
             Command::Lapse { upstream, word, at } => {
