--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -195,7 +195,7 @@
                 kept,
                 before,
                 lease_ms = lease.as_millis(),
-                "silent instances kept, most of their services are silent"
+                "silent instances kept"
             );
         }
         for (upstream, word) in lost {
