Say explicitly that a replica is released; rename

Reading the diff: a replica that stops took any member's greeting that lacks it for its release, also that of one with an old log. The leader says so in a field of its own now. `Word` is `Watermark`, and greetings are built in one place.

--- a/almondlock-control/src/replica/core.rs
+++ b/almondlock-control/src/replica/core.rs
@@ -388,12 +388,7 @@
         let Some(leader) = self.leader() else {
             return false;
         };
-        let greeting = Greeting {
-            from: self.own.clone(),
-            members: None,
-            leaving: false,
-            stays: false,
-        };
+        let greeting = Greeting::newcomer(self.own.clone());
         let parcel = Parcel::Heartbeats(Box::new(greeting), heartbeats);
         self.peers.send(leader, parcel);
         true
--- a/almondlock-control/src/replica/core/ending.rs
+++ b/almondlock-control/src/replica/core/ending.rs
@@ -30,11 +30,14 @@
     /// Goes on with a stop, if one has begun: the replica stays if it may be exchanged, and hands
     /// leadership over whenever it has it.
     pub(super) fn prepare_end(&mut self, now: Mono) {
-        let exchanged = self.repairs && self.departure().may_be_exchanged();
-        let Some(stop) = &mut self.stopping else {
+        if self.stopping.is_none() {
             return;
-        };
-        if exchanged && !stop.stays {
+        }
+        let stays = self.repairs && self.departure().may_be_exchanged();
+        if let Some(stop) = &mut self.stopping
+            && stays
+            && !stop.stays
+        {
             stop.stays = true;
             tracing::info!("stays until the group has agreed to go on without this replica");
         }
--- a/almondlock-control/src/replica/core/greeting.rs
+++ b/almondlock-control/src/replica/core/greeting.rs
@@ -42,14 +42,19 @@
     }
 
     fn greet_one(&mut self, to: SocketAddr) {
+        let greeting = self.greeting();
+        self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
+    }
+
+    /// What this replica says of itself.
+    fn greeting(&self) -> Greeting {
         let members = self.machine.members();
-        let greeting = Greeting {
-            from: self.own.clone(),
+        Greeting {
             members: Some(Members::clone(members)).filter(|m| m.contains(self.own.id)),
             leaving: self.stopping.is_some(),
             stays: self.stopping.as_ref().is_some_and(|stop| stop.stays),
-        };
-        self.peers.send(to, Parcel::Greeting(Box::new(greeting)));
+            ..Greeting::newcomer(self.own.clone())
+        }
     }
 
     pub(super) fn on_greeting(&mut self, now: Mono, sender: Id, greeting: Greeting) {
@@ -69,14 +74,17 @@
             Some(members) if self.stage == Stage::Gathering => {
                 self.advance(founding::join(self.own.id, members));
             }
-            Some(members) if self.is_removal(&members) => {
+            Some(_) if greeting.releases => {
                 if let Some(stop) = &mut self.stopping {
                     stop.is_removed = true;
                 }
             }
             // It doesn't know that it is out, and waits for that.
             Some(_) if greeting.stays && self.is_known_removed(greeting.from.id) => {
-                self.greet_one(greeting.from.address);
+                let mut answer = self.greeting();
+                answer.releases = true;
+                self.peers
+                    .send(greeting.from.address, Parcel::Greeting(Box::new(answer)));
             }
             // Passed on; a member that has answered since this replica leads is still there.
             Some(_)
@@ -96,13 +104,6 @@
         }
     }
 
-    /// Whether these members, which another replica named, lack this one that stops.
-    fn is_removal(&self, members: &Members) -> bool {
-        self.stopping.is_some()
-            && self.machine.members().contains(self.own.id)
-            && !members.contains(self.own.id)
-    }
-
     /// Whether a replica is known to be out. Only a leader knows that the members in force were
     /// accepted last.
     fn is_known_removed(&self, id: Id) -> bool {
@@ -119,12 +120,7 @@
     /// take it in. Passed on once, by the replica that was greeted itself.
     fn pass_to_leader(&mut self, sender: Id, from: &Member) {
         if let Some(leader) = self.leader().filter(|_| sender == from.id) {
-            let greeting = Greeting {
-                from: from.clone(),
-                members: None,
-                leaving: false,
-                stays: false,
-            };
+            let greeting = Greeting::newcomer(from.clone());
             self.peers
                 .send(leader, Parcel::Greeting(Box::new(greeting)));
         }
@@ -147,10 +143,9 @@
                 continue;
             }
             let greeting = Greeting {
-                from: member.clone(),
                 members: Some(Members::clone(&members)),
                 leaving: true,
-                stays: false,
+                ..Greeting::newcomer(member.clone())
             };
             self.peers
                 .send(address, Parcel::Greeting(Box::new(greeting)));
--- a/almondlock-control/src/replica/core/log.rs
+++ b/almondlock-control/src/replica/core/log.rs
@@ -8,9 +8,7 @@
 mod silence;
 mod told;
 
-use std::{collections::BTreeMap, sync::Arc};
-
-use std::time::Duration;
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use almondlock_base::time::Mono;
 use almondlock_quorum::{
--- a/almondlock-control/src/replica/founding.rs
+++ b/almondlock-control/src/replica/founding.rs
@@ -38,6 +38,22 @@
     /// Until it is out of the group, it goes on voting and acknowledging.
     #[serde(default)]
     pub(super) stays: bool,
+    /// The speaker leads, and its accepted members lack the one that is spoken to.
+    #[serde(default)]
+    pub(super) releases: bool,
+}
+
+impl Greeting {
+    /// The greeting of a replica that is in no group.
+    pub(super) fn newcomer(from: Member) -> Greeting {
+        Greeting {
+            from,
+            members: None,
+            leaving: false,
+            stays: false,
+            releases: false,
+        }
+    }
 }
 
 /// What to do about a greeting.
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -7,7 +7,7 @@
 use almondlock_node::clock;
 use almondlock_state::{
     command::{Command, Reply},
-    instance::{Disposition, Heartbeat, Instance, silence::Word},
+    instance::{Disposition, Heartbeat, Instance, silence::Watermark},
     limit,
 };
 
@@ -181,13 +181,13 @@
         let (lost, kept) = self.state(|state| {
             let mut roster = self.inner.roster.borrow_mut();
             let (lost, kept) = roster.find_lost(now, lease, state.config());
-            let words = lost.into_iter().filter_map(|name| {
+            let watermarks = lost.into_iter().filter_map(|name| {
                 let birth = state.config().instances.get(&name)?.birth;
                 let number = state.instances().last_number(&name, birth);
-                let word = roster.last_word(&name, birth, number);
-                Some((name, word))
+                let watermark = roster.watermark(&name, birth, number);
+                Some((name, watermark))
             });
-            (words.collect::<Vec<(Upstream, Word)>>(), kept)
+            (watermarks.collect::<Vec<(Upstream, Watermark)>>(), kept)
         });
         let before = self.inner.kept.replace(kept);
         if kept != before {
@@ -198,11 +198,15 @@
                 "silent instances kept"
             );
         }
-        for (upstream, word) in lost {
-            tracing::info!(instance = %upstream, birth = word.birth.0, sequence = word.sequence, certain = word.is_certain, lease_ms = lease.as_millis(), "instance silent, withdrawn");
+        for (upstream, watermark) in lost {
+            tracing::info!(instance = %upstream, birth = watermark.birth.0, sequence = watermark.sequence, certain = watermark.is_certain, lease_ms = lease.as_millis(), "instance silent, withdrawn");
             let at = clock::wall();
             let command = match self.inner.config.reinstates {
-                true => Command::Lapse { upstream, word, at },
+                true => Command::Lapse {
+                    upstream,
+                    watermark,
+                    at,
+                },
                 false => Command::Withdraw { upstream, at },
             };
             // Not in time, or no longer the leader: the next round does it.
--- a/almondlock-state/src/command.rs
+++ b/almondlock-state/src/command.rs
@@ -20,7 +20,7 @@
     claim::Verdict,
     config::Registration,
     document::Publication,
-    instance::{Heartbeat, Instance, silence::Word},
+    instance::{Heartbeat, Instance, silence::Watermark},
     intent::Intent,
     operator::Operator,
     plan::{self, Plan, Transition},
@@ -104,7 +104,7 @@
         /// The name of the instance.
         upstream: Upstream,
         /// Its last heartbeat.
-        word: Word,
+        watermark: Watermark,
         /// The leader's time.
         at: Wall,
     },
--- a/almondlock-state/src/instance.rs
+++ b/almondlock-state/src/instance.rs
@@ -46,7 +46,7 @@
 };
 use serde::{Deserialize, Serialize};
 
-use self::silence::{Numbers, Silence, Word};
+use self::silence::{Numbers, Silence, Watermark};
 use crate::{
     config::{Change, Config},
     limit,
@@ -207,17 +207,17 @@
             && last.is_some_and(|at| now.since(*at) < limit::LATE_NOTICE)
     }
 
-    /// Withdraws an instance that fell silent after `word`, and returns the change that this
+    /// Withdraws an instance that fell silent after `watermark`, and returns the change that this
     /// makes to the configuration. Nothing changes if another incarnation is known by now.
     pub fn lapse(
         &mut self,
         now: Wall,
         config: &Config,
         name: &Upstream,
-        word: Word,
+        watermark: Watermark,
     ) -> Option<Change> {
         let known = config.instances.get(name)?;
-        if known.birth != word.birth {
+        if known.birth != watermark.birth {
             return None;
         }
         if self.silent.len() >= limit::MAX_GONE_INSTANCES {
@@ -226,7 +226,7 @@
             let oldest = oldest.map(|(name, _)| name.clone());
             oldest.inspect(|name| drop(self.silent.remove(name)));
         }
-        let silence = Silence::new(now, known.clone(), word);
+        let silence = Silence::new(now, known.clone(), watermark);
         self.silent.insert(name.clone(), silence);
         Some(Change::Instance(name.clone(), None))
     }
--- a/almondlock-state/src/instance/silence.rs
+++ b/almondlock-state/src/instance/silence.rs
@@ -5,7 +5,7 @@
 //! it, whereas a notice is final for its incarnation. What tells a later heartbeat from a
 //! delayed one is its number, so the last number that was heard is replicated. A leader that
 //! has not heard the incarnation itself knows only a lower bound of that number. It then takes
-//! two later heartbeats, [`WORD_GAP`] apart: delayed ones mostly arrive together.
+//! two later heartbeats, [`RESUME_GAP`] apart: delayed ones mostly arrive together.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -23,12 +23,12 @@
 
 /// The minimum time between the two heartbeats that reinstate an instance whose last number is
 /// not certain.
-pub const WORD_GAP: Duration = Duration::from_secs(1);
+pub const RESUME_GAP: Duration = Duration::from_secs(1);
 
 /// The last heartbeat that is known of an incarnation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct Word {
+pub struct Watermark {
     /// The incarnation.
     pub birth: Birth,
     /// The number of the heartbeat, or a lower bound of it.
@@ -43,8 +43,8 @@
 pub struct Silence {
     /// The instance as last known.
     pub(super) instance: Instance,
-    // Invariant: `word.birth` is the birth of `instance`.
-    word: Word,
+    // Invariant: `watermark.birth` is the birth of `instance`.
+    watermark: Watermark,
     /// The time at which it was withdrawn.
     since: Wall,
     /// The time of the first later heartbeat, if one is not enough to reinstate the instance.
@@ -53,10 +53,10 @@
 }
 
 impl Silence {
-    pub(super) fn new(now: Wall, instance: Instance, word: Word) -> Silence {
+    pub(super) fn new(now: Wall, instance: Instance, watermark: Watermark) -> Silence {
         Silence {
             instance,
-            word,
+            watermark,
             since: now,
             resumed: None,
         }
@@ -64,7 +64,7 @@
 
     /// Returns the silent incarnation.
     pub fn birth(&self) -> Birth {
-        self.word.birth
+        self.watermark.birth
     }
 
     pub(super) fn since(&self) -> Wall {
@@ -74,12 +74,12 @@
     /// Takes a heartbeat of the silent incarnation, and returns whether it reinstates the
     /// instance.
     pub(super) fn hear(&mut self, now: Wall, sequence: u64) -> bool {
-        if sequence <= self.word.sequence {
+        if sequence <= self.watermark.sequence {
             return false;
         }
-        self.word.sequence = sequence;
+        self.watermark.sequence = sequence;
         let since = *self.resumed.get_or_insert(now);
-        self.word.is_certain || now.since(since) >= WORD_GAP
+        self.watermark.is_certain || now.since(since) >= RESUME_GAP
     }
 }
 
@@ -122,10 +122,10 @@
 
     /// Returns the last heartbeat that is known of an enrolled incarnation: `number` is its
     /// replicated number, which others may have exceeded before this replica led.
-    pub fn last_word(&self, name: &Upstream, birth: Birth, number: u64) -> Word {
+    pub fn watermark(&self, name: &Upstream, birth: Birth, number: u64) -> Watermark {
         let heard = self.heard.get(name).filter(|heard| heard.birth == birth);
         let heard = heard.filter(|heard| heard.sequence > 0);
-        Word {
+        Watermark {
             birth,
             sequence: heard.map_or(number, |heard| number.max(heard.sequence)),
             is_certain: heard.is_some(),
--- a/almondlock-state/src/machine/instances.rs
+++ b/almondlock-state/src/machine/instances.rs
@@ -28,9 +28,13 @@
                 let made = self.instances.withdraw(now, config, &upstream);
                 made.into_iter().collect()
             }
-            Command::Lapse { upstream, word, at } => {
+            Command::Lapse {
+                upstream,
+                watermark,
+                at,
+            } => {
                 let now = self.clock.max(at);
-                let made = self.instances.lapse(now, config, &upstream, word);
+                let made = self.instances.lapse(now, config, &upstream, watermark);
                 made.into_iter().collect()
             }
             Command::Reinstate {
--- a/almondlock-state/tests/silent_instance.rs
+++ b/almondlock-state/tests/silent_instance.rs
@@ -12,7 +12,7 @@
     command::Command,
     instance::{
         Birth, Heartbeat, Instance, Roster, Table,
-        silence::{WORD_GAP, Word},
+        silence::{RESUME_GAP, Watermark},
     },
     limit,
     machine::Machine,
@@ -50,7 +50,7 @@
 fn lapse(machine: &mut Machine, is_certain: bool) {
     machine.apply(Command::Lapse {
         upstream: name("i-1"),
-        word: Word {
+        watermark: Watermark {
             birth: Birth(5),
             sequence: 40,
             is_certain,
@@ -141,9 +141,9 @@
     }
     assert_eq!(known(&machine, "i-1"), None);
     machine = restored(&machine);
-    reinstate(&mut machine, AT + WORD_GAP, 42, life(5, ADDRESS));
+    reinstate(&mut machine, AT + RESUME_GAP, 42, life(5, ADDRESS));
     assert_eq!(known(&machine, "i-1"), None);
-    reinstate(&mut machine, AT + WORD_GAP, 43, life(5, ADDRESS));
+    reinstate(&mut machine, AT + RESUME_GAP, 43, life(5, ADDRESS));
     assert_eq!(known(&machine, "i-1"), Some(5));
 }
 
@@ -243,7 +243,7 @@
             sequence: 40
         }]
     );
-    let exact = roster.last_word(&name("i-1"), Birth(5), number(&machine));
+    let exact = roster.watermark(&name("i-1"), Birth(5), number(&machine));
     assert_eq!((exact.sequence, exact.is_certain), (40, true));
     machine.apply(Command::Heard { heard, at: AT });
     assert!(roster.list_news(|_, _| number(&machine)).is_empty());
@@ -251,8 +251,8 @@
     // Every replica was restarted.
     let mut roster = Roster::default();
     roster.find_lost(at(2), LEASE, machine.config());
-    let word = roster.last_word(&name("i-1"), Birth(5), number(&machine));
-    assert_eq!((word.sequence, word.is_certain), (40, false));
+    let watermark = roster.watermark(&name("i-1"), Birth(5), number(&machine));
+    assert_eq!((watermark.sequence, watermark.is_certain), (40, false));
     // Numbers start anew with an incarnation.
     assert_eq!(machine.instances().last_number(&name("i-1"), Birth(6)), 0);
 }
@@ -326,7 +326,7 @@
         enrol(&mut machine, &text, life(5, &address));
         machine.apply(Command::Lapse {
             upstream: name(&text),
-            word: Word {
+            watermark: Watermark {
                 birth: Birth(5),
                 sequence: 1,
                 is_certain: true,
