Hand leadership over once, and don't wait for numbers

Three replicas that stopped at once handed the leadership to each other, eight terms in 120 ms, since one that stops handed it on whenever it led. It does so once now, and while it stays for its exchange once an election timeout.

The duties of a leader waited until the numbers of heartbeats were accepted. On a disk that syncs slowly that holds up the vouching for the configuration, and hosts cease to be ready. The numbers are proposed without waiting.

--- a/almondlock-control/src/replica/core/ending.rs
+++ b/almondlock-control/src/replica/core/ending.rs
@@ -13,6 +13,8 @@
     pub(super) stays: bool,
     /// A leader said that this replica is no member.
     pub(super) is_removed: bool,
+    /// When it last handed leadership over.
+    handed_over: Option<Mono>,
 }
 
 impl Core {
@@ -22,13 +24,18 @@
             since: now,
             stays: false,
             is_removed: false,
+            handed_over: None,
         });
         self.prepare_end(now);
         self.greet_all();
     }
 
     /// Goes on with a stop, if one has begun: the replica stays if it may be exchanged, and hands
-    /// leadership over whenever it has it.
+    /// leadership over if it has it.
+    ///
+    /// **Failure.** All replicas are told to stop at once. Each one that is handed the leadership
+    /// would hand it on at once, and they would hold hundreds of elections a second. So a replica
+    /// does that once, and while it stays once an election timeout.
     pub(super) fn prepare_end(&mut self, now: Mono) {
         if self.stopping.is_none() {
             return;
@@ -41,7 +48,16 @@
             stop.stays = true;
             tracing::info!("stays until the group has agreed to go on without this replica");
         }
-        if self.is_leader() && self.machine.successor().is_none() {
+        if !self.is_leader() || self.machine.successor().is_some() {
+            return;
+        }
+        let pause = self.quorum.election_timeout();
+        if let Some(stop) = &mut self.stopping
+            && stop
+                .handed_over
+                .is_none_or(|at| stop.stays && now.since(at) >= pause)
+        {
+            stop.handed_over = Some(now);
             self.hand_over(now);
         }
     }
--- a/almondlock-control/src/replica/duties.rs
+++ b/almondlock-control/src/replica/duties.rs
@@ -82,7 +82,7 @@
         replica.withdraw_silent().await;
         if recorded.is_none_or(|at| now.since(at) >= limit::NUMBERS_INTERVAL) {
             recorded = Some(now);
-            replica.record_numbers().await;
+            replica.record_numbers();
         }
         if replica.inner.config.repairs {
             replica.tell_sources().await;
--- a/almondlock-control/src/replica/instances.rs
+++ b/almondlock-control/src/replica/instances.rs
@@ -216,7 +216,8 @@
 
     /// Replicates the numbers of the last heartbeats, so that a later leader can tell delayed
     /// heartbeats of instances that it has not heard itself.
-    pub(super) async fn record_numbers(&self) {
+    /// Doesn't wait until that is accepted: other duties may not wait for a slow disk.
+    pub(super) fn record_numbers(&self) {
         if !self.inner.config.reinstates {
             return;
         }
@@ -228,8 +229,10 @@
             return;
         }
         let at = clock::wall();
-        // Not in time, or no longer the leader: the next round does it.
-        let _ = self.propose(Command::Heard { heard, at }).await;
+        if let Ok(bytes) = (Command::Heard { heard, at }).to_bytes() {
+            // Not in time, or no longer the leader: the next round does it.
+            let _ = self.with(|core| core.propose(bytes));
+        }
     }
 
     async fn revise(&self, command: Command) -> Result<Revision, Refusal> {
--- a/almondlock-control/tests/stopped_voter.rs
+++ b/almondlock-control/tests/stopped_voter.rs
@@ -161,3 +161,28 @@
         }
     }
 }
+
+/// Guards against replicas that hand the leadership to each other again and again while all of
+/// them stop. Each does so once; the rest are elections at their start.
+#[tokio::test]
+async fn all_stop() {
+    let mut group = Group::new(|builder| builder.repairs(true));
+    group.accept(announce(1)).await;
+    for _ in 0..4 {
+        let leader = group.leader().await;
+        let before = group.status(leader).await.term;
+        let told = Instant::now();
+        let stopping: Vec<_> = (0..3).map(|n| group.begin_stop(n)).collect();
+        let are_over = async || stopping.iter().all(|end| end.is_finished()).then_some(());
+        until("the end", are_over).await;
+        assert!(
+            told.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            told.elapsed()
+        );
+        (0..3).for_each(|n| group.start(n));
+        let leader = group.leader().await;
+        let after = group.status(leader).await.term;
+        assert!(after.0 - before.0 <= 6, "{before:?}, {after:?}");
+    }
+}
